Set the faces of the HTTP and frame transports

Cause: entry, agent, stand-ins and load all need one transport; writing them at the same time needs its face first. Measured: nothing yet; nothing runs on it.

--- a/buildscripts/module.cmake
+++ b/buildscripts/module.cmake
@@ -15,6 +15,8 @@
   endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
   add_executable(${name}_tests ${ARG_SOURCES})
+  target_compile_definitions(${name}_tests PRIVATE
+    ACACIALUG_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   target_link_libraries(${name}_tests PRIVATE ${ARG_LINK} acacialug_testing_main)
   add_test(NAME ${name} COMMAND ${name}_tests)
   set_tests_properties(${name} PROPERTIES TIMEOUT 240)
--- /dev/null
+++ b/src/framework/http/http_types.h
@@ -0,0 +1,81 @@
+#ifndef FRAMEWORK_HTTP_HTTP_TYPES_H_
+#define FRAMEWORK_HTTP_HTTP_TYPES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "framework/global/types/instant.h"
+
+namespace acacialug::http {
+
+struct Header {
+  std::string name;
+  std::string value;
+};
+using Headers = std::vector<Header>;
+
+// The first header of this name (names compare without case).
+std::optional<std::string_view> FindHeader(const Headers& headers,
+                                           std::string_view name);
+
+// True for the headers that belong to one connection and are never passed on
+// (RFC 9110, section 7.6.1), and for those that `Connection` lists.
+bool IsHopByHop(const Headers& headers, std::string_view name);
+
+struct Request {
+  std::string method;
+  std::string target;  // as sent: path and query
+  Headers headers;
+  std::string body;
+
+  // The target without its query.
+  std::string_view Path() const {
+    return std::string_view(this->target).substr(0, this->target.find('?'));
+  }
+};
+
+struct Response {
+  int status = 200;
+  Headers headers;
+  std::string body;
+};
+
+// What a server accepts before it takes memory for it.
+struct ServerLimits {
+  std::size_t max_header_bytes = 16 * 1024;
+  std::size_t max_body_bytes = 8 * 1024 * 1024;
+  std::size_t max_connections = 4096;         // in all shards together
+  std::size_t max_unsent_bytes = 256 * 1024;  // a stream above it is paused
+  Duration idle_timeout = 60s;                // between two requests
+  Duration head_timeout = 10s;                // first byte to end of headers
+  Duration body_timeout = 60s;                // end of headers to end of body
+};
+
+// Certificate files in PEM; empty means plain text.
+struct TlsFiles {
+  std::string certificate_file;
+  std::string key_file;
+  std::string authority_file;  // set: the peer must show a certificate by it
+
+  bool enabled() const { return !this->certificate_file.empty(); }
+};
+
+struct Address {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  friend auto operator<=>(const Address&, const Address&) = default;
+};
+
+// "IP:PORT", or "[IP]:PORT" for version 6; empty for any other form, since
+// names are never looked up.
+std::optional<Address> ParseAddress(std::string_view text);
+std::string ToString(const Address& address);
+
+}  // namespace acacialug::http
+
+#endif  // FRAMEWORK_HTTP_HTTP_TYPES_H_
