--- /dev/null
+++ b/src/agent/agent_core.h
@@ -0,0 +1,72 @@
+#ifndef AGENT_AGENT_CORE_H_
+#define AGENT_AGENT_CORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "agent/types/agent_messages.h"
+#include "agent/types/agent_options.h"
+#include "framework/global/random_source.h"
+#include "framework/global/types/instant.h"
+
+namespace acacialug::agent {
+
+// Every decision of an agent, without sockets, threads or a clock: typed
+// input and `now` in, typed actions out. The process, the scenarios and the
+// random explorer all run this same class.
+//
+// The agent is the only authority over its endpoint: it alone admits work to
+// the engine, holds reservations and exports, keeps the at-most-once ledger,
+// and gives orders. Not thread safe; `now` never goes backwards.
+class AgentCore {
+ public:
+  AgentCore(AgentOptions options, RandomSource& random);
+  ~AgentCore();
+
+  // Call once before anything else: asks the engine what it holds and aborts
+  // all of it, since a fresh agent owns nothing. New work is refused
+  // (kNotReady) until the engine has answered.
+  void Start(Instant now);
+
+  void OnSessionOpened(SessionId session, Instant now);
+  void OnMessage(SessionId session,
+                 const protocol::EntryToAgent& message,
+                 Instant now);
+  // The connection is gone: all that the session's requests hold is freed.
+  void OnSessionClosed(SessionId session, Instant now);
+  void OnEngineEvent(const engine::EngineEvent& event, Instant now);
+  // Call at or after next_timer().
+  void OnTimer(Instant now);
+
+  // A newer manifest is in force (orders, limits, leaving).
+  void OnManifest(std::shared_ptr<const manifest::Manifest> newest,
+                  Instant now);
+
+  // Leaves: refuses new work as kDraining, tells every entry, lets run what
+  // runs until the grace ends.
+  void BeginDrain(Instant now);
+
+  // Nothing runs and nothing is reserved. Precondition: BeginDrain was called.
+  bool drained() const;
+
+  // kNever when nothing is due.
+  Instant next_timer() const;
+
+  // The actions since the last call, in order.
+  std::vector<AgentAction> TakeActions();
+
+  protocol::EndpointLoad load(Instant now) const;
+
+  // What the invariant checker of the scenarios looks at: every attempt that
+  // holds a reservation, engine memory, an export or a call here.
+  std::vector<AttemptId> held_attempts() const;
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_AGENT_CORE_H_
--- /dev/null
+++ b/src/agent/types/agent_messages.h
@@ -0,0 +1,34 @@
+#ifndef AGENT_TYPES_AGENT_MESSAGES_H_
+#define AGENT_TYPES_AGENT_MESSAGES_H_
+
+#include <variant>
+
+#include "engine/types/engine_messages.h"
+#include "protocol/types/messages.h"
+
+namespace acacialug::agent {
+
+// One connection from an entry, numbered by the process that accepted it.
+using SessionId = Number<struct SessionTag>;
+
+struct SendToEntry {
+  SessionId session;
+  protocol::AgentToEntry message;
+};
+
+// Ends the connection; the core already forgot the session.
+struct CloseSession {
+  SessionId session;
+  ResultCode code = ResultCode::kOk;
+};
+
+struct ExecuteOnEngine {
+  engine::EngineCommand command;
+};
+
+// What the process around an AgentCore has to do, in this order.
+using AgentAction = std::variant<SendToEntry, CloseSession, ExecuteOnEngine>;
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_TYPES_AGENT_MESSAGES_H_
--- /dev/null
+++ b/src/agent/types/agent_options.h
@@ -0,0 +1,70 @@
+#ifndef AGENT_TYPES_AGENT_OPTIONS_H_
+#define AGENT_TYPES_AGENT_OPTIONS_H_
+
+#include <cstdint>
+
+#include "framework/global/types/enum_names.h"
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/instant.h"
+#include "manifest/types/manifest.h"
+
+namespace acacialug::agent {
+
+// When a decode slot is given to a request (docs/decisions/).
+enum class ReservationPolicy : std::uint8_t {
+  kNone,     // baseline: prefill first, look for a slot afterwards
+  kHold,     // the slot is held from before the prefill
+  kPromise,  // the slot is promised for when the prefill will be done
+};
+inline constexpr EnumNames<ReservationPolicy, 3> kReservationPolicyNames = {{
+    {ReservationPolicy::kNone, "none"},
+    {ReservationPolicy::kHold, "hold"},
+    {ReservationPolicy::kPromise, "promise"},
+}};
+
+// In which order admitted prefills reach the engine.
+enum class PrefillOrder : std::uint8_t { kArrival, kDeadline, kNewest };
+inline constexpr EnumNames<PrefillOrder, 3> kPrefillOrderNames = {{
+    {PrefillOrder::kArrival, "arrival"},
+    {PrefillOrder::kDeadline, "deadline"},
+    {PrefillOrder::kNewest, "newest"},
+}};
+
+// Safety rules that a test may switch off to show that the checker of the
+// scenarios catches their absence. Always true in the programs.
+struct AgentRules {
+  bool expire_leases = true;
+  bool check_attempts = true;
+  bool clean_sessions = true;
+  bool reserve_before_prefill = true;
+};
+
+struct AgentOptions {
+  EndpointId endpoint;
+  Incarnation incarnation;
+  FailureDomain domain;
+  protocol::EndpointRole role = protocol::EndpointRole::kPlain;
+  std::uint64_t kv_tokens = 0;              // decode
+  std::uint32_t slots = 1;                  // streams, prefills, calls at once
+  std::uint64_t link_bytes_per_second = 0;  // decode; 0: not limited
+  ReservationPolicy reservation = ReservationPolicy::kHold;
+  PrefillOrder order = PrefillOrder::kArrival;
+  bool feasibility_counts_queue = true;  // false: the baseline's plain test
+  Duration session_lease = 3s;
+  Duration export_lifetime = 800ms;  // how long the engine keeps an export
+  Duration reservation_limit = 30s;  // a reservation never lives longer
+  Duration stall_timeout = 5s;       // a stream without a token for so long
+  Duration drain_grace = 60s;
+  double initial_prefill_tokens_per_second = 20000;
+  Duration initial_token_interval = 30ms;
+  std::uint32_t queue_limit = 64;
+  // At most once: kept answers.
+  Duration once_window = 24h;
+  std::uint64_t once_max_bytes = 4 * 1024 * 1024;
+  std::uint32_t once_max_keys = 20000;
+  AgentRules rules;
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_TYPES_AGENT_OPTIONS_H_
--- /dev/null
+++ b/src/entry/entry_core.h
@@ -0,0 +1,66 @@
+#ifndef ENTRY_ENTRY_CORE_H_
+#define ENTRY_ENTRY_CORE_H_
+
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+#include "entry/types/entry_messages.h"
+#include "entry/types/entry_options.h"
+#include "framework/global/random_source.h"
+#include "manifest/types/manifest.h"
+
+namespace acacialug::entry {
+
+// Every decision of an entry's shard, without sockets, threads or a clock:
+// typed input and `now` in, typed actions out. The process, the scenarios and
+// the random explorer all run this same class.
+//
+// Each request gets exactly one final answer (AnswerEnd, AnswerCall or
+// AnswerError), unless its caller went away first. Not thread safe, one a
+// shard; `now` never goes backwards.
+class EntryCore {
+ public:
+  EntryCore(EntryOptions options, RandomSource& random);
+  ~EntryCore();
+
+  // A newer manifest is in force. Requests under way keep the one they began
+  // under. Older offsets are ignored.
+  void OnManifest(std::shared_ptr<const manifest::Manifest> newest,
+                  Instant now);
+
+  void OnGeneration(const GenerationArrived& arrived, Instant now);
+  void OnCall(const CallArrived& arrived, Instant now);
+  // The caller is gone: everything held for the request is given back.
+  void OnCallerGone(RequestId request, Instant now);
+  // The caller has taken the answer's pieces up to and including `index`.
+  void OnDelivered(RequestId request, std::uint64_t index, Instant now);
+
+  void OnEndpointConnected(EndpointId endpoint, Instant now);
+  void OnEndpointClosed(EndpointId endpoint, Instant now);
+  void OnMessage(EndpointId endpoint,
+                 const protocol::AgentToEntry& message,
+                 Instant now);
+
+  void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
+  void OnClaimsRead(const ClaimsRead& read, Instant now);
+
+  // Call at or after next_timer().
+  void OnTimer(Instant now);
+
+  // Leaves: new requests are refused as kDraining, those alive go on.
+  void BeginDrain(Instant now);
+  bool drained() const;
+
+  Instant next_timer() const;
+  std::vector<EntryAction> TakeActions();
+  std::size_t alive_requests() const;
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace acacialug::entry
+
+#endif  // ENTRY_ENTRY_CORE_H_
--- /dev/null
+++ b/src/entry/types/entry_options.h
@@ -0,0 +1,72 @@
+#ifndef ENTRY_TYPES_ENTRY_OPTIONS_H_
+#define ENTRY_TYPES_ENTRY_OPTIONS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "agent/types/agent_options.h"
+#include "framework/global/types/enum_names.h"
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/instant.h"
+
+namespace acacialug::entry {
+
+// How an endpoint is picked. kRandom, kRoundRobin and kLeastReported are the
+// baselines that the bench compares with.
+enum class PlacementPolicy : std::uint8_t {
+  kPredicted,  // sampled endpoints, best predicted time
+  kRandom,
+  kRoundRobin,
+  kLeastReported,  // least load by the last report, however old
+};
+inline constexpr EnumNames<PlacementPolicy, 4> kPlacementPolicyNames = {{
+    {PlacementPolicy::kPredicted, "predicted"},
+    {PlacementPolicy::kRandom, "random"},
+    {PlacementPolicy::kRoundRobin, "round_robin"},
+    {PlacementPolicy::kLeastReported, "least_reported"},
+}};
+
+// Which of the waiting requests goes first when a place comes free.
+enum class QueueOrder : std::uint8_t { kArrival, kDeadline, kNewest };
+inline constexpr EnumNames<QueueOrder, 3> kQueueOrderNames = {{
+    {QueueOrder::kArrival, "arrival"},
+    {QueueOrder::kDeadline, "deadline"},
+    {QueueOrder::kNewest, "newest"},
+}};
+
+// Safety rules that a test may switch off to show that the checker of the
+// scenarios catches their absence. Always true in the programs.
+struct EntryRules {
+  bool check_attempts = true;  // drop frames of superseded attempts
+  bool check_sequence = true;  // deliver each chunk once, in order
+  bool claim_before_dispatch = true;
+  bool reserve_before_prefill = true;
+};
+
+struct EntryOptions {
+  EntryId id;
+  Incarnation incarnation;
+  FailureDomain domain;
+  PlacementPolicy placement = PlacementPolicy::kPredicted;
+  QueueOrder order = QueueOrder::kArrival;
+  // Must match the agents': kNone asks for a decode slot after the prefill.
+  agent::ReservationPolicy reservation = agent::ReservationPolicy::kHold;
+  bool feasibility_counts_queue = true;
+  Duration renew_interval = 1s;      // session heartbeats
+  Duration reserve_timeout = 300ms;  // an agent that does not answer
+  Duration stall_timeout = 5s;       // a stream or prefill without progress
+  Duration default_deadline = 120s;
+  double retry_share = 0.1;  // of recent successes
+  double retry_burst = 10;
+  std::uint32_t max_attempts = 4;
+  std::uint32_t window_chunks = 256;
+  std::uint32_t working_set = 64;        // endpoints connected to, a pool
+  std::uint32_t sampled = 3;             // endpoints weighed for a decode
+  std::uint32_t max_requests = 20000;    // alive at once, a shard
+  Duration claim_commit_interval = 5ms;  // group commit of claims
+  EntryRules rules;
+};
+
+}  // namespace acacialug::entry
+
+#endif  // ENTRY_TYPES_ENTRY_OPTIONS_H_
--- /dev/null
+++ b/src/protocol/message_codec.h
@@ -0,0 +1,24 @@
+#ifndef PROTOCOL_MESSAGE_CODEC_H_
+#define PROTOCOL_MESSAGE_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "framework/global/types/result.h"
+#include "protocol/types/messages.h"
+
+namespace acacialug::protocol {
+
+// Payloads of frames: cereal portable binary archives of the variants. All
+// four are thread safe. Decoding takes any bytes: a length inside the payload
+// that exceeds the payload, an unknown alternative, an enumerator outside its
+// table, or bytes left over give kBadFrame and take no memory beyond the
+// payload's own size.
+std::string Encode(const EntryToAgent& message);
+std::string Encode(const AgentToEntry& message);
+Result<EntryToAgent> DecodeEntryToAgent(std::string_view payload);
+Result<AgentToEntry> DecodeAgentToEntry(std::string_view payload);
+
+}  // namespace acacialug::protocol
+
+#endif  // PROTOCOL_MESSAGE_CODEC_H_
