Claim keys of non-idempotent work on the platform's log

Cause: a caller's own key may reach two entries at once, an append's answer may be lost after its effect, and nothing of ours outlives a host. Conclusion: first claim in log order wins on every entry; a lost answer is settled by whichever of batch and void stands first.

--- /dev/null
+++ b/src/once/claim_book.h
@@ -0,0 +1,73 @@
+#ifndef ONCE_CLAIM_BOOK_H_
+#define ONCE_CLAIM_BOOK_H_
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "framework/global/types/instant.h"
+#include "once/types/claim.h"
+
+namespace acacialug::once {
+
+// Who holds which piece of work: a pure function of the claims stream, so
+// that every entry names the same holder. The first claim on a key wins; a
+// claim that replaces another wins only if it names the holder's position.
+// A batch that was voided before it came counts for nothing.
+//
+// Keys are dropped `window` after this process read them; the log keeps its
+// records at least that long, and keys older than the window are refused
+// before they get here. Not thread safe; no I/O.
+class ClaimBook {
+ public:
+  struct Options {
+    Duration window = 24h;
+  };
+
+  struct Holder {
+    ClaimPosition position;
+    std::uint64_t claim_id = 0;
+    std::uint64_t fingerprint = 0;
+    Home home;
+  };
+
+  explicit ClaimBook(Options book_options) : options(book_options) {}
+
+  // Applies the record at `offset`; an offset already applied is ignored.
+  // Precondition: no record between was left out. Any bytes may come; what is
+  // no batch counts for nothing, for every reader alike.
+  void Apply(LogOffset offset, const std::string& payload, Instant now);
+
+  // Null when nobody holds the key. Valid until the next Apply.
+  const Holder* Find(const WorkKey& key) const;
+
+  bool HasBatch(std::uint64_t batch_id) const;
+  bool IsVoid(std::uint64_t batch_id) const;
+
+  LogOffset applied_through() const { return this->through; }
+  std::size_t size() const { return this->holders.size(); }
+
+ private:
+  struct Aging {
+    Instant read_at;
+    std::uint64_t batch = 0;  // id of the batch read, or of the one voided
+    std::vector<WorkKey> keys;
+  };
+
+  void ApplyClaim(const ClaimPosition& position, const Claim& claim);
+  void DropOld(Instant now);
+
+  Options options;
+  LogOffset through;
+  std::unordered_map<WorkKey, Holder> holders;
+  std::unordered_set<std::uint64_t> batches;
+  std::unordered_set<std::uint64_t> voided;
+  std::deque<Aging> aging;  // oldest first
+};
+
+}  // namespace acacialug::once
+
+#endif  // ONCE_CLAIM_BOOK_H_
--- /dev/null
+++ b/src/once/internal/claim_coordinator.cc
@@ -0,0 +1,247 @@
+#include "once/claim_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacialug::once {
+
+ClaimCoordinator::ClaimCoordinator(CoordinatorOptions coordinator_options,
+                                   RandomSource& random_source)
+    : options(coordinator_options),
+      random(random_source),
+      claim_book(this->options.book) {}
+
+void ClaimCoordinator::Start(Instant now) {
+  this->read_at = now;
+  this->OnTimer(now);
+}
+
+void ClaimCoordinator::Request(ClaimToken token, Claim claim, Instant now) {
+  claim.id = this->random.Next() | 1U;
+  Waiting wish{.claim = std::move(claim)};
+  const ClaimBook::Holder* holder = this->claim_book.Find(wish.claim.key);
+  const bool taken =
+      holder != nullptr && !(wish.claim.replaces == holder->position);
+  if (!this->ready() || this->waiting.size() >= this->options.max_pending) {
+    this->Settle(token, ClaimVerdict::kUnavailable);
+    return;
+  }
+  if (taken) {
+    this->SettleKnown(token, wish);
+    return;
+  }
+  this->waiting.emplace(token, std::move(wish));
+  this->deadlines.emplace_back(now + this->options.claim_timeout, token);
+  this->uncommitted.push_back(token);
+  if (this->uncommitted.size() >= this->options.max_batch) {
+    this->Commit(now);
+  } else {
+    this->commit_at =
+        std::min(this->commit_at, now + this->options.commit_interval);
+  }
+}
+
+void ClaimCoordinator::Forget(ClaimToken token) {
+  this->waiting.erase(token);
+}
+
+void ClaimCoordinator::Settle(ClaimToken token, ClaimVerdict verdict) {
+  this->actions.emplace_back(ClaimSettled{.token = token, .verdict = verdict});
+}
+
+void ClaimCoordinator::SettleKnown(ClaimToken token, const Waiting& wish) {
+  const ClaimBook::Holder* holder = this->claim_book.Find(wish.claim.key);
+  if (holder == nullptr) {
+    this->Settle(token, ClaimVerdict::kUnavailable);
+    return;
+  }
+  ClaimVerdict verdict = ClaimVerdict::kHeld;
+  if (holder->fingerprint != wish.claim.fingerprint) {
+    verdict = ClaimVerdict::kReused;
+  } else if (holder->claim_id == wish.claim.id) {
+    verdict = ClaimVerdict::kWon;
+  }
+  this->actions.emplace_back(ClaimSettled{.token = token,
+                                          .verdict = verdict,
+                                          .position = holder->position,
+                                          .home = holder->home});
+}
+
+void ClaimCoordinator::SettleBatch(std::uint64_t batch) {
+  auto node = this->in_flight.extract(batch);
+  if (node.empty()) {
+    return;
+  }
+  for (const ClaimToken token : node.mapped()) {
+    const auto found = this->waiting.find(token);
+    if (found != this->waiting.end()) {
+      this->SettleKnown(token, found->second);
+      this->waiting.erase(found);
+    }
+  }
+}
+
+void ClaimCoordinator::RefuseBatch(std::uint64_t batch) {
+  auto node = this->in_flight.extract(batch);
+  if (node.empty()) {
+    return;
+  }
+  for (const ClaimToken token : node.mapped()) {
+    if (this->waiting.erase(token) > 0) {
+      this->Settle(token, ClaimVerdict::kUnavailable);
+    }
+  }
+}
+
+void ClaimCoordinator::Append(const ClaimBatch& batch) {
+  ++this->append_count;
+  this->actions.emplace_back(
+      AppendBatch{.batch = batch.id, .payload = EncodeBatch(batch)});
+}
+
+void ClaimCoordinator::Commit(Instant now) {
+  (void)now;
+  this->commit_at = kNever;
+  ClaimBatch batch{.id = this->random.Next() | 1U};
+  std::vector<ClaimToken> tokens;
+  for (const ClaimToken token : std::exchange(this->uncommitted, {})) {
+    const auto found = this->waiting.find(token);
+    if (found != this->waiting.end()) {
+      batch.claims.push_back(found->second.claim);
+      tokens.push_back(token);
+    }
+  }
+  if (tokens.empty()) {
+    return;
+  }
+  this->in_flight.emplace(batch.id, std::move(tokens));
+  this->Append(batch);
+}
+
+// The batch may stand in the log, may come later, or may never come. Reading
+// alone cannot tell the last two apart; behind the void it no longer matters,
+// since every reader passes over a voided batch.
+void ClaimCoordinator::AppendVoid(std::uint64_t batch) {
+  const ClaimBatch mark{.id = this->random.Next() | 1U, .voids = batch};
+  this->voids.emplace(mark.id, batch);
+  this->Append(mark);
+}
+
+void ClaimCoordinator::OnAppended(std::uint64_t batch,
+                                  const Result<LogOffset>& result,
+                                  Instant now) {
+  const auto mark = this->voids.find(batch);
+  if (mark != this->voids.end()) {
+    const std::uint64_t voided = mark->second;
+    this->voids.erase(mark);
+    // A void that is itself not known to stand there is tried again while
+    // anybody waits; when nobody does, it is not needed.
+    if (!result.ok() && this->in_flight.contains(voided)) {
+      this->read_at = std::min(this->read_at, now);
+      this->AppendVoid(voided);
+    }
+    return;
+  }
+  if (result.ok()) {
+    if (this->claim_book.HasBatch(batch)) {
+      this->SettleBatch(batch);
+    } else if (!this->reading) {
+      this->ReadNext(Duration{});
+    }
+    return;
+  }
+  if (result.error().result_code() == ResultCode::kPlatformUnavailable) {
+    this->RefuseBatch(batch);
+    return;
+  }
+  if (this->in_flight.contains(batch)) {
+    this->AppendVoid(batch);
+  }
+}
+
+void ClaimCoordinator::ReadNext(Duration wait) {
+  if (this->reading) {
+    return;
+  }
+  this->reading = true;
+  this->read_at = kNever;
+  this->actions.emplace_back(ReadClaims{
+      .from = LogOffset(this->claim_book.applied_through().value + 1),
+      .wait = wait});
+}
+
+void ClaimCoordinator::OnRead(const Result<platform::ILog::Read>& read,
+                              Instant now) {
+  this->reading = false;
+  if (!read.ok()) {
+    this->retry_delay =
+        std::clamp(this->retry_delay * 2, this->options.retry_first,
+                   this->options.retry_most);
+    this->read_at = now + FromSeconds(Seconds(this->retry_delay) *
+                                      (0.5 + 0.5 * this->random.Unit()));
+    return;
+  }
+  this->retry_delay = {};
+  const LogOffset through = this->claim_book.applied_through();
+  // A gap in what was read while serving: a claim in it may have been missed,
+  // and a key run twice. This process claims nothing more; a fresh start
+  // reads from the log's oldest record, which covers the stated window.
+  if (through.value > 0 && read->first_kept.value > through.value + 1) {
+    this->truncated = true;
+  }
+  for (const platform::ILog::Record& record : read->records) {
+    this->claim_book.Apply(record.offset, record.payload, now);
+  }
+  this->SettleInFlight();
+  this->read_to_end =
+      this->read_to_end || read->records.empty() ||
+      this->claim_book.applied_through().value + 1 >= read->next.value;
+  this->ReadNext(this->read_to_end ? this->options.long_poll : Duration{});
+}
+
+void ClaimCoordinator::SettleInFlight() {
+  std::vector<std::uint64_t> batches;
+  for (const auto& [batch, tokens] : this->in_flight) {
+    batches.push_back(batch);
+  }
+  for (const std::uint64_t batch : batches) {
+    if (this->claim_book.HasBatch(batch)) {
+      this->SettleBatch(batch);
+    } else if (this->claim_book.IsVoid(batch)) {
+      this->RefuseBatch(batch);
+    }
+  }
+}
+
+void ClaimCoordinator::ExpireWaiting(Instant now) {
+  while (!this->deadlines.empty() && this->deadlines.front().first <= now) {
+    const ClaimToken token = this->deadlines.front().second;
+    this->deadlines.pop_front();
+    if (this->waiting.erase(token) > 0) {
+      this->Settle(token, ClaimVerdict::kUnavailable);
+    }
+  }
+}
+
+void ClaimCoordinator::OnTimer(Instant now) {
+  this->ExpireWaiting(now);
+  if (this->commit_at <= now) {
+    this->Commit(now);
+  }
+  if (this->read_at <= now) {
+    this->ReadNext(this->read_to_end ? this->options.long_poll : Duration{});
+  }
+}
+
+Instant ClaimCoordinator::next_timer() const {
+  const Instant next = std::min(this->commit_at, this->read_at);
+  return this->deadlines.empty()
+             ? next
+             : std::min(next, this->deadlines.front().first);
+}
+
+std::vector<CoordinatorAction> ClaimCoordinator::TakeActions() {
+  return std::exchange(this->actions, {});
+}
+
+}  // namespace acacialug::once
