Add the decisions of the agent

Cause: an endpoint needs one authority that admits work to its engine. Change: AgentCore with sessions, attempts, decode reservations (none, hold, promise), transfer windows, the prefill queue with a learnt margin, exports, streams with back-pressure, calls with the at-most-once ledger, and an audit of the engine, as aggregates in virtual time.

--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "agent/types/agent_counters.h"
 #include "agent/types/agent_messages.h"
 #include "agent/types/agent_options.h"
 #include "framework/global/random_source.h"
@@ -57,6 +58,11 @@
   std::vector<AgentAction> TakeActions();
 
   protocol::EndpointLoad load(Instant now) const;
+  AgentCounters counters() const;
+
+  // The highest manifest offset that an entry has named. Above the one in
+  // force here, the process has to fetch a newer manifest.
+  LogOffset newest_manifest_heard() const;
 
   // What the invariant checker of the scenarios looks at: every attempt that
   // holds a reservation, engine memory, an export or a call here.
--- /dev/null
+++ b/src/agent/internal/attempt_table.cc
@@ -0,0 +1,125 @@
+#include "agent/internal/attempt_table.h"
+
+#include <algorithm>
+
+namespace acacialug::agent {
+
+AttemptTable::Opening AttemptTable::Open(const AttemptId& attempt,
+                                         SessionId session) {
+  const auto [found, first] =
+      this->seen.try_emplace(attempt.request, Seen{.highest = attempt.attempt});
+  Seen& request = found->second;
+  if (first || !this->options.check) {
+    this->Bind(attempt, session);
+    return {.admission = Admission::kNew};
+  }
+  if (attempt.attempt < request.highest) {
+    return {.admission = Admission::kSuperseded};
+  }
+  if (attempt.attempt == request.highest) {
+    switch (request.state) {
+      case State::kNotRun:
+        return {.admission = Admission::kRefusedBefore, .code = request.code};
+      case State::kOver:
+        return {.admission = Admission::kOverBefore};
+      case State::kOpen:
+        this->Bind(attempt, session);
+        return {.admission = Admission::kOpen};
+    }
+  }
+  Opening opening{.admission = Admission::kNew};
+  if (request.state == State::kOpen) {
+    opening.replaced = AttemptId{.request = attempt.request,
+                                 .attempt = request.highest,
+                                 .entry = attempt.entry};
+  }
+  request = {.highest = attempt.attempt};
+  this->Bind(attempt, session);
+  return opening;
+}
+
+void AttemptTable::CloseNotRun(const AttemptId& attempt,
+                               ResultCode code,
+                               Instant now) {
+  this->Close(attempt, State::kNotRun, code, now);
+}
+
+void AttemptTable::CloseOver(const AttemptId& attempt, Instant now) {
+  this->Close(attempt, State::kOver, ResultCode::kOk, now);
+}
+
+std::optional<SessionId> AttemptTable::SessionOf(
+    const AttemptId& attempt) const {
+  const auto found = this->owners.find(attempt);
+  if (found == this->owners.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::vector<AttemptId> AttemptTable::OpenOf(SessionId session) const {
+  const auto found = this->by_session.find(session);
+  if (found == this->by_session.end()) {
+    return {};
+  }
+  std::vector<AttemptId> attempts(found->second.begin(), found->second.end());
+  std::sort(attempts.begin(), attempts.end());
+  return attempts;
+}
+
+void AttemptTable::Expire(Instant now) {
+  while (!this->closed.empty() &&
+         this->closed.front().first + this->options.memory <= now) {
+    this->ForgetOldest();
+  }
+}
+
+void AttemptTable::Bind(const AttemptId& attempt, SessionId session) {
+  this->Unbind(attempt);
+  this->owners[attempt] = session;
+  this->by_session[session].insert(attempt);
+}
+
+void AttemptTable::Unbind(const AttemptId& attempt) {
+  const auto owner = this->owners.find(attempt);
+  if (owner == this->owners.end()) {
+    return;
+  }
+  const auto session = this->by_session.find(owner->second);
+  session->second.erase(attempt);
+  if (session->second.empty()) {
+    this->by_session.erase(session);
+  }
+  this->owners.erase(owner);
+}
+
+void AttemptTable::Close(const AttemptId& attempt,
+                         State state,
+                         ResultCode code,
+                         Instant now) {
+  this->Unbind(attempt);
+  const auto found = this->seen.find(attempt.request);
+  if (found == this->seen.end() || found->second.highest != attempt.attempt ||
+      found->second.state != State::kOpen) {
+    return;
+  }
+  found->second.state = state;
+  found->second.code = code;
+  found->second.closed_at = now;
+  this->closed.emplace_back(now, attempt.request);
+  if (this->closed.size() > this->options.max_remembered) {
+    this->ForgetOldest();
+  }
+}
+
+void AttemptTable::ForgetOldest() {
+  const auto [closed_at, request] = this->closed.front();
+  this->closed.pop_front();
+  const auto found = this->seen.find(request);
+  if (found != this->seen.end() && found->second.state != State::kOpen &&
+      found->second.closed_at == closed_at) {
+    this->seen.erase(found);
+  }
+}
+
+}  // namespace acacialug::agent
--- /dev/null
+++ b/src/agent/internal/attempt_table.h
@@ -0,0 +1,98 @@
+#ifndef AGENT_INTERNAL_ATTEMPT_TABLE_H_
+#define AGENT_INTERNAL_ATTEMPT_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "agent/types/agent_messages.h"
+#include "framework/global/types/enum_names.h"
+#include "framework/global/types/instant.h"
+
+namespace acacialug::agent {
+
+// What the table says to a message that starts something.
+enum class Admission : std::uint8_t {
+  kNew,            // first message of this attempt
+  kOpen,           // the attempt is under way here
+  kRefusedBefore,  // closed without having run; the refusal may be repeated
+  kOverBefore,     // closed after it ran: a repeated message, to be dropped
+  kSuperseded,     // a newer attempt of the request was seen
+};
+inline constexpr EnumNames<Admission, 5> kAdmissionNames = {{
+    {Admission::kNew, "new"},
+    {Admission::kOpen, "open"},
+    {Admission::kRefusedBefore, "refused_before"},
+    {Admission::kOverBefore, "over_before"},
+    {Admission::kSuperseded, "superseded"},
+}};
+
+// Which attempts are under way here and for which session, and the highest
+// attempt number of each request. A closed attempt stays known for a while:
+// without that, a message delivered twice, or a Start that its Cancel has
+// overtaken, would run work that nobody waits for. Not thread safe.
+class AttemptTable {
+ public:
+  struct Options {
+    bool check = true;      // false only to show that its absence is noticed
+    Duration memory = 15s;  // how long a closed attempt stays known
+    std::size_t max_remembered = 65536;
+  };
+
+  struct Opening {
+    Admission admission = Admission::kNew;
+    ResultCode code = ResultCode::kOk;  // kRefusedBefore: why
+    std::optional<AttemptId> replaced;  // the older attempt to be freed
+  };
+
+  explicit AttemptTable(Options table_options) : options(table_options) {}
+
+  // Binds the attempt to the session (again) unless it is closed or
+  // superseded.
+  Opening Open(const AttemptId& attempt, SessionId session);
+
+  // Closes an attempt of which nothing ran and nothing will.
+  void CloseNotRun(const AttemptId& attempt, ResultCode code, Instant now);
+  // Closes an attempt that ran, or may have.
+  void CloseOver(const AttemptId& attempt, Instant now);
+
+  std::optional<SessionId> SessionOf(const AttemptId& attempt) const;
+  std::vector<AttemptId> OpenOf(SessionId session) const;
+
+  // Forgets what was closed long enough ago.
+  void Expire(Instant now);
+  // Forgetting is never urgent: the next message does it.
+  std::size_t remembered() const { return this->seen.size(); }
+
+ private:
+  enum class State : std::uint8_t { kOpen, kNotRun, kOver };
+  struct Seen {
+    AttemptNumber highest;
+    State state = State::kOpen;
+    ResultCode code = ResultCode::kOk;
+    Instant closed_at{};
+  };
+
+  void Bind(const AttemptId& attempt, SessionId session);
+  void Unbind(const AttemptId& attempt);
+  void Close(const AttemptId& attempt,
+             State state,
+             ResultCode code,
+             Instant now);
+  void ForgetOldest();
+
+  Options options;
+  std::unordered_map<AttemptId, SessionId> owners;
+  std::unordered_map<SessionId, std::unordered_set<AttemptId>> by_session;
+  std::unordered_map<RequestId, Seen> seen;
+  std::deque<std::pair<Instant, RequestId>> closed;
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_ATTEMPT_TABLE_H_
--- /dev/null
+++ b/src/agent/internal/outbox.h
@@ -0,0 +1,47 @@
+#ifndef AGENT_INTERNAL_OUTBOX_H_
+#define AGENT_INTERNAL_OUTBOX_H_
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "agent/types/agent_messages.h"
+#include "framework/global/types/instant.h"
+
+namespace acacialug::agent {
+
+// Collects what the core wants done, in order. Every message that has room
+// for the endpoint's load carries it as it is at that moment. Not thread safe.
+class Outbox {
+ public:
+  using LoadHook = std::function<protocol::EndpointLoad(Instant)>;
+
+  explicit Outbox(LoadHook load_now) : load(std::move(load_now)) {}
+
+  template <typename Message>
+  void Send(SessionId session, Message message, Instant now) {
+    if constexpr (requires { message.load; }) {
+      message.load = this->load(now);
+    }
+    this->actions.push_back(
+        SendToEntry{session, protocol::AgentToEntry(std::move(message))});
+  }
+
+  void Execute(engine::EngineCommand command) {
+    this->actions.push_back(ExecuteOnEngine{std::move(command)});
+  }
+
+  void Close(SessionId session, ResultCode code) {
+    this->actions.push_back(CloseSession{session, code});
+  }
+
+  std::vector<AgentAction> Take() { return std::exchange(this->actions, {}); }
+
+ private:
+  LoadHook load;
+  std::vector<AgentAction> actions;
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_OUTBOX_H_
--- /dev/null
+++ b/src/agent/internal/prefill_work.h
@@ -0,0 +1,66 @@
+#ifndef AGENT_INTERNAL_PREFILL_WORK_H_
+#define AGENT_INTERNAL_PREFILL_WORK_H_
+
+#include <unordered_map>
+#include <vector>
+
+#include "agent/internal/deadline_set.h"
+#include "agent/internal/prefill_forecast.h"
+#include "agent/internal/prefill_queue.h"
+#include "agent/internal/prefix_memory.h"
+#include "agent/internal/shared_parts.h"
+
+namespace acacialug::agent {
+
+// Admission, queue and exports of a prefill endpoint. Attempts were admitted
+// by the attempt table before they come here. Not thread safe.
+class PrefillWork {
+ public:
+  explicit PrefillWork(SharedParts& shared_parts);
+
+  void OnStartPrefill(const protocol::StartPrefill& start, Instant now);
+
+  // Engine events; false when the attempt is not one of these prefills.
+  bool OnPrefillDone(const engine::PrefillDone& done, Instant now);
+  bool OnFailed(const engine::AttemptFailed& failed, Instant now);
+
+  // Gives back all that the attempt holds; unknown is no error.
+  void Release(const AttemptId& attempt, Instant now);
+  void Expire(Instant now);
+  // The drain's grace is over: nothing stays.
+  void EndAll(Instant now);
+
+  void SetSlots(std::uint32_t slots) { this->slots = slots; }
+  void FillLoad(protocol::EndpointLoad& load, Instant now) const;
+  bool Holds(const AttemptId& attempt) const;
+  std::vector<AttemptId> held() const;
+  bool idle() const;
+  Instant next_timer() const;
+
+ private:
+  struct Running {
+    protocol::PrefixChain prefix;
+    std::uint64_t prompt_tokens = 0;
+    Instant predicted;
+  };
+
+  void Dispatch(Instant now);
+  void RefuseLate(const AttemptId& attempt, Instant now);
+  // Forgets the prefill in the engine; false when there is none.
+  bool EndRunning(const AttemptId& attempt, Instant now);
+  Duration WorkAhead(Instant now) const;
+
+  SharedParts& parts;
+  std::uint32_t slots;
+  PrefillForecast forecast;
+  PrefixMemory prefixes;
+  PrefillQueue queue;
+  std::unordered_map<AttemptId, Running> running;
+  DeadlineSet<AttemptId> stalls;
+  std::unordered_map<AttemptId, Instant> exports;
+  DeadlineSet<AttemptId> export_ends;
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_PREFILL_WORK_H_
--- /dev/null
+++ b/src/agent/internal/session_table.cc
@@ -0,0 +1,132 @@
+#include "agent/internal/session_table.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+namespace acacialug::agent {
+namespace {
+
+constexpr std::size_t kMaxSuperseded = 8;  // remembered incarnations, an entry
+constexpr std::size_t kMaxEntries = 4096;
+
+}  // namespace
+
+void SessionTable::Open(SessionId session, Instant now) {
+  this->sessions[session];
+  this->leases.Set(session, now + this->options.lease);
+}
+
+SessionTable::Greeting SessionTable::Greet(SessionId session,
+                                           const protocol::Hello& hello,
+                                           Instant now) {
+  Session& known = this->sessions.at(session);
+  if (known.greeted) {
+    const bool same = known.entry == hello.entry &&
+                      this->Renew(session, hello.incarnation, now);
+    return {.code = same ? ResultCode::kOk : ResultCode::kBadFrame};
+  }
+  this->RememberBounded(hello.entry);
+  Entry& entry = this->entries[hello.entry];
+  // A process that was paused while its successor took over may wake and
+  // connect again. Without this check it would end the successor's streams.
+  if (std::find(entry.superseded.begin(), entry.superseded.end(),
+                hello.incarnation) != entry.superseded.end()) {
+    return {.code = ResultCode::kSuperseded};
+  }
+  Greeting greeting;
+  if (entry.incarnation && *entry.incarnation != hello.incarnation) {
+    greeting.ended = this->Supersede(entry);
+  }
+  entry.incarnation = hello.incarnation;
+  entry.sessions.insert(session);
+  known = {
+      .entry = hello.entry, .incarnation = hello.incarnation, .greeted = true};
+  this->leases.Set(session, now + this->options.lease);
+  return greeting;
+}
+
+bool SessionTable::Renew(SessionId session,
+                         Incarnation incarnation,
+                         Instant now) {
+  const auto found = this->sessions.find(session);
+  if (found == this->sessions.end() || !found->second.greeted ||
+      found->second.incarnation != incarnation) {
+    return false;
+  }
+  this->leases.Set(session, now + this->options.lease);
+  return true;
+}
+
+void SessionTable::Close(SessionId session) {
+  const auto found = this->sessions.find(session);
+  if (found == this->sessions.end()) {
+    return;
+  }
+  if (found->second.greeted) {
+    this->entries[found->second.entry].sessions.erase(session);
+  }
+  this->leases.Remove(session);
+  this->sessions.erase(found);
+}
+
+std::vector<SessionId> SessionTable::Expire(Instant now) {
+  std::vector<SessionId> lapsed;
+  while (this->options.expire) {
+    const std::optional<SessionId> session = this->leases.PopDue(now);
+    if (!session) {
+      break;
+    }
+    this->Close(*session);
+    lapsed.push_back(*session);
+  }
+  return lapsed;
+}
+
+bool SessionTable::Contains(SessionId session) const {
+  return this->sessions.contains(session);
+}
+
+std::optional<Incarnation> SessionTable::IncarnationOf(
+    SessionId session) const {
+  const auto found = this->sessions.find(session);
+  if (found == this->sessions.end() || !found->second.greeted) {
+    return std::nullopt;
+  }
+  return found->second.incarnation;
+}
+
+std::vector<SessionId> SessionTable::Greeted() const {
+  std::vector<SessionId> greeted;
+  for (const auto& [id, session] : this->sessions) {
+    if (session.greeted) {
+      greeted.push_back(id);
+    }
+  }
+  std::sort(greeted.begin(), greeted.end());
+  return greeted;
+}
+
+void SessionTable::RememberBounded(const EntryId& id) {
+  if (this->entries.size() < kMaxEntries || this->entries.contains(id)) {
+    return;
+  }
+  std::erase_if(this->entries, [](const auto& entry) {
+    return entry.second.sessions.empty();
+  });
+}
+
+std::vector<SessionId> SessionTable::Supersede(Entry& entry) {
+  entry.superseded.push_back(*entry.incarnation);
+  if (entry.superseded.size() > kMaxSuperseded) {
+    entry.superseded.pop_front();
+  }
+  std::vector<SessionId> ended(entry.sessions.begin(), entry.sessions.end());
+  std::sort(ended.begin(), ended.end());
+  for (const SessionId session : ended) {
+    this->Close(session);
+  }
+  return ended;
+}
+
+}  // namespace acacialug::agent
--- /dev/null
+++ b/src/agent/internal/session_table.h
@@ -0,0 +1,81 @@
+#ifndef AGENT_INTERNAL_SESSION_TABLE_H_
+#define AGENT_INTERNAL_SESSION_TABLE_H_
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "agent/internal/deadline_set.h"
+#include "agent/types/agent_messages.h"
+#include "framework/global/types/instant.h"
+#include "protocol/types/messages.h"
+
+namespace acacialug::agent {
+
+// The sessions of the entries and their leases, measured on this agent's own
+// clock. Not thread safe.
+class SessionTable {
+ public:
+  struct Options {
+    Duration lease = 3s;
+    bool expire = true;  // false only to show that its absence is noticed
+  };
+
+  // What a Hello led to. With a `code` other than kOk the connection is to be
+  // closed. The work of the sessions in `ended` is to be freed.
+  struct Greeting {
+    ResultCode code = ResultCode::kOk;
+    std::vector<SessionId> ended;
+  };
+
+  explicit SessionTable(Options table_options) : options(table_options) {}
+
+  // A connection without a Hello lapses like one without renewals.
+  void Open(SessionId session, Instant now);
+
+  // Precondition: Contains(session).
+  Greeting Greet(SessionId session, const protocol::Hello& hello, Instant now);
+
+  // False when the incarnation is not that of the session's Hello.
+  bool Renew(SessionId session, Incarnation incarnation, Instant now);
+
+  // An unknown session is no error.
+  void Close(SessionId session);
+
+  // Takes out the sessions whose lease has ended.
+  std::vector<SessionId> Expire(Instant now);
+
+  bool Contains(SessionId session) const;
+  // Empty before the session's Hello.
+  std::optional<Incarnation> IncarnationOf(SessionId session) const;
+  std::vector<SessionId> Greeted() const;
+  Instant next_timer() const {
+    return this->options.expire ? this->leases.next() : kNever;
+  }
+
+ private:
+  struct Session {
+    EntryId entry;
+    Incarnation incarnation;
+    bool greeted = false;
+  };
+  struct Entry {
+    std::optional<Incarnation> incarnation;  // of the newest Hello
+    std::deque<Incarnation> superseded;      // newest last
+    std::unordered_set<SessionId> sessions;
+  };
+
+  void RememberBounded(const EntryId& id);
+  std::vector<SessionId> Supersede(Entry& entry);
+
+  Options options;
+  std::unordered_map<SessionId, Session> sessions;
+  std::unordered_map<EntryId, Entry> entries;
+  DeadlineSet<SessionId> leases;
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_SESSION_TABLE_H_
--- /dev/null
+++ b/src/agent/internal/shared_parts.h
@@ -0,0 +1,50 @@
+#ifndef AGENT_INTERNAL_SHARED_PARTS_H_
+#define AGENT_INTERNAL_SHARED_PARTS_H_
+
+#include "agent/internal/attempt_table.h"
+#include "agent/internal/engine_audit.h"
+#include "agent/internal/outbox.h"
+#include "agent/types/agent_counters.h"
+#include "agent/types/agent_options.h"
+
+namespace acacialug::agent {
+
+// What the parts of an AgentCore share; all of it outlives them. The methods
+// are the ways in which an attempt leaves: each keeps the attempt table, the
+// audit and the entry's knowledge alike. Not thread safe.
+struct SharedParts {
+  const AgentOptions& options;
+  Outbox& outbox;
+  AttemptTable& attempts;
+  EngineAudit& audit;
+  AgentCounters& counters;
+
+  // Sends to whoever waits for the attempt; nobody may.
+  template <typename Message>
+  void Reply(const AttemptId& attempt, Message message, Instant now) {
+    const std::optional<SessionId> session = this->attempts.SessionOf(attempt);
+    if (session) {
+      this->outbox.Send(*session, std::move(message), now);
+    }
+  }
+
+  // Nothing of the attempt ran. Precondition: that is provable.
+  void Refuse(const AttemptId& attempt,
+              protocol::Phase phase,
+              ResultCode code,
+              Duration retry_after,
+              Instant now);
+
+  // The attempt ended badly here.
+  void Fail(const AttemptId& attempt,
+            protocol::Phase phase,
+            ResultCode code,
+            protocol::Outcome outcome,
+            Instant now);
+
+  void Abort(const AttemptId& attempt, Instant now);
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_SHARED_PARTS_H_
--- /dev/null
+++ b/src/agent/internal/token_pace.h
@@ -0,0 +1,34 @@
+#ifndef AGENT_INTERNAL_TOKEN_PACE_H_
+#define AGENT_INTERNAL_TOKEN_PACE_H_
+
+#include <cstdint>
+
+#include "framework/global/types/instant.h"
+
+namespace acacialug::agent {
+
+// How fast this engine's streams go and how much of the asked length they
+// use, smoothed over recent streams. Not thread safe.
+class TokenPace {
+ public:
+  explicit TokenPace(Duration initial_interval);
+
+  // A stream made `tokens` in `elapsed`. Zero tokens teach nothing.
+  void OnTokens(Duration elapsed, std::uint32_t tokens);
+
+  // A stream ended after `produced` of the `asked` tokens.
+  void OnFinished(std::uint32_t produced, std::uint32_t asked);
+
+  Duration interval() const;
+
+  // The time that a stream is expected to take from here on.
+  Duration Remaining(std::uint32_t produced, std::uint32_t asked) const;
+
+ private:
+  double interval_seconds;
+  double used_share = 1.0;  // of the asked length
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_TOKEN_PACE_H_
--- /dev/null
+++ b/src/agent/internal/transfer_link.cc
@@ -0,0 +1,74 @@
+#include "agent/internal/transfer_link.h"
+
+#include <algorithm>
+
+#include "agent/internal/bounded_time.h"
+
+namespace acacialug::agent {
+
+TransferLink::Answer TransferLink::Book(const AttemptId& attempt,
+                                        std::uint64_t bytes,
+                                        Duration ready_in,
+                                        Instant now) {
+  this->ForgetPast(now);
+  if (this->options.bytes_per_second == 0 || bytes == 0) {
+    return {};
+  }
+  const Duration length =
+      BoundedSeconds(static_cast<double>(bytes) /
+                     static_cast<double>(this->options.bytes_per_second));
+  const Instant ready = After(now, ready_in);
+  const Duration slack = std::max<Duration>(
+      Duration::zero(), this->options.export_lifetime - length);
+  const Instant start = this->FirstGap(ready, length);
+  if (start > ready + slack) {
+    return {.granted = false, .retry_after = start - (ready + slack)};
+  }
+  this->Insert({.start = start, .end = start + length, .attempt = attempt});
+  return {};
+}
+
+void TransferLink::Begin(const AttemptId& attempt, Instant now) {
+  const auto found = this->by_attempt.find(attempt);
+  if (found == this->by_attempt.end()) {
+    return;
+  }
+  const Duration length = found->second.end - found->second.start;
+  this->Release(attempt);
+  const Instant start = this->FirstGap(now, length);
+  this->Insert({.start = start, .end = start + length, .attempt = attempt});
+}
+
+void TransferLink::Release(const AttemptId& attempt) {
+  const auto found = this->by_attempt.find(attempt);
+  if (found == this->by_attempt.end()) {
+    return;
+  }
+  this->windows.erase(found->second);
+  this->by_attempt.erase(found);
+}
+
+Instant TransferLink::FirstGap(Instant from, Duration length) const {
+  Instant start = from;
+  for (const Window& window : this->windows) {
+    if (window.start >= start + length) {
+      break;
+    }
+    start = std::max(start, window.end);
+  }
+  return start;
+}
+
+void TransferLink::Insert(const Window& window) {
+  this->Release(window.attempt);
+  this->windows.insert(window);
+  this->by_attempt.emplace(window.attempt, window);
+}
+
+void TransferLink::ForgetPast(Instant now) {
+  while (!this->windows.empty() && this->windows.begin()->end <= now) {
+    this->Release(this->windows.begin()->attempt);
+  }
+}
+
+}  // namespace acacialug::agent
--- a/src/agent/types/agent_options.h
+++ b/src/agent/types/agent_options.h
@@ -55,6 +55,7 @@
   Duration reservation_limit = 30s;  // a reservation never lives longer
   Duration stall_timeout = 5s;       // a stream without a token for so long
   Duration drain_grace = 60s;
+  Duration call_limit = 10min;  // a call without an answer is given up
   double initial_prefill_tokens_per_second = 20000;
   Duration initial_token_interval = 30ms;
   std::uint32_t queue_limit = 64;
