Test sessions, attempts, decode memory, link and prefill admission

Cause: the agent's decisions had only path tests. Change: fault cases in tables for five aggregates; the core split into gate, drain state, orders to the engine and a composing class.

--- /dev/null
+++ b/src/agent/internal/admission_gate.cc
@@ -0,0 +1,138 @@
+#include "agent/internal/admission_gate.h"
+
+#include <utility>
+
+#include "agent/internal/bounded_time.h"
+
+namespace acacialug::agent {
+
+using protocol::Phase;
+
+AdmissionGate::AdmissionGate(SharedParts& shared_parts,
+                             const SessionTable& session_table,
+                             const DrainState& drain_state,
+                             const EngineOrders& engine_orders,
+                             ReleaseHook release_hook)
+    : parts(shared_parts),
+      sessions(session_table),
+      drain(drain_state),
+      orders(engine_orders),
+      release(std::move(release_hook)) {}
+
+bool AdmissionGate::IsOwn(SessionId session, const AttemptId& attempt) {
+  const bool own = !this->parts.options.rules.check_attempts ||
+                   this->sessions.IncarnationOf(session) == attempt.entry;
+  this->parts.counters.dropped_messages += own ? 0 : 1;
+  return own;
+}
+
+std::optional<Admission> AdmissionGate::Admit(SessionId session,
+                                              const AttemptId& attempt,
+                                              Phase phase,
+                                              Instant now) {
+  if (!this->IsOwn(session, attempt)) {
+    this->RefuseUnadmitted(session, attempt, phase, ResultCode::kSuperseded,
+                           now);
+    return std::nullopt;
+  }
+  const AttemptTable::Opening opening = this->Open(session, attempt, now);
+  switch (opening.admission) {
+    case Admission::kNew:
+    case Admission::kOpen:
+      return opening.admission;
+    case Admission::kSuperseded:
+      this->RefuseUnadmitted(session, attempt, phase, ResultCode::kSuperseded,
+                             now);
+      return std::nullopt;
+    case Admission::kRefusedBefore:
+      this->RefuseUnadmitted(session, attempt, phase, opening.code, now);
+      return std::nullopt;
+    case Admission::kOverBefore:
+      break;
+  }
+  ++this->parts.counters.dropped_messages;
+  return std::nullopt;
+}
+
+bool AdmissionGate::AdmitOnce(SessionId session,
+                              const AttemptId& attempt,
+                              Phase phase,
+                              Instant now) {
+  const std::optional<Admission> admission =
+      this->Admit(session, attempt, phase, now);
+  if (admission == Admission::kOpen) {
+    ++this->parts.counters.dropped_messages;
+  }
+  return admission == Admission::kNew;
+}
+
+void AdmissionGate::Cancel(SessionId session,
+                           const AttemptId& attempt,
+                           Instant now) {
+  const AttemptTable::Opening opening = this->Open(session, attempt, now);
+  if (opening.admission == Admission::kNew) {
+    // The cancel has overtaken its start, or repeats one long done.
+    this->parts.attempts.CloseNotRun(attempt, ResultCode::kSuperseded, now);
+  }
+  this->release(attempt, now);
+}
+
+bool AdmissionGate::Serves(protocol::EndpointRole role,
+                           const AttemptId& attempt,
+                           Phase phase,
+                           Instant now) {
+  if (role != this->parts.options.role) {
+    this->parts.Refuse(attempt, phase, ResultCode::kWrongRole, {}, now);
+    return false;
+  }
+  if (!this->parts.audit.ready()) {
+    this->parts.Refuse(attempt, phase, ResultCode::kNotReady,
+                       Until(this->parts.audit.next_timer(), now), now);
+    return false;
+  }
+  return true;
+}
+
+bool AdmissionGate::TakesNew(protocol::EndpointRole role,
+                             const AttemptId& attempt,
+                             Phase phase,
+                             Instant now) {
+  if (!this->Serves(role, attempt, phase, now)) {
+    return false;
+  }
+  if (this->drain.active()) {
+    this->parts.Refuse(attempt, phase, ResultCode::kDraining, {}, now);
+    return false;
+  }
+  if (!this->orders.fit()) {
+    this->parts.Refuse(attempt, phase, ResultCode::kNotReady,
+                       Until(this->orders.next_timer(), now), now);
+    return false;
+  }
+  return true;
+}
+
+AttemptTable::Opening AdmissionGate::Open(SessionId session,
+                                          const AttemptId& attempt,
+                                          Instant now) {
+  const AttemptTable::Opening opening =
+      this->parts.attempts.Open(attempt, session);
+  if (opening.replaced) {
+    this->release(*opening.replaced, now);
+  }
+  return opening;
+}
+
+void AdmissionGate::RefuseUnadmitted(SessionId session,
+                                     const AttemptId& attempt,
+                                     Phase phase,
+                                     ResultCode code,
+                                     Instant now) {
+  // The attempt table stays as it is: it knows the attempt better.
+  ++this->parts.counters.refused;
+  this->parts.outbox.Send(
+      session,
+      protocol::Refused{.attempt = attempt, .phase = phase, .code = code}, now);
+}
+
+}  // namespace acacialug::agent
--- /dev/null
+++ b/src/agent/internal/admission_gate.h
@@ -0,0 +1,79 @@
+#ifndef AGENT_INTERNAL_ADMISSION_GATE_H_
+#define AGENT_INTERNAL_ADMISSION_GATE_H_
+
+#include <functional>
+#include <optional>
+
+#include "agent/internal/drain_state.h"
+#include "agent/internal/engine_orders.h"
+#include "agent/internal/session_table.h"
+#include "agent/internal/shared_parts.h"
+
+namespace acacialug::agent {
+
+// What every message that starts something passes before its part of the
+// agent sees it: is the attempt the session's own, is it the newest, did it
+// come before, and does the endpoint take such work now. Whatever it turns
+// away it has answered or counted. Not thread safe.
+class AdmissionGate {
+ public:
+  // Frees what an attempt holds, since a newer one of its request has come.
+  using ReleaseHook = std::function<void(const AttemptId&, Instant)>;
+
+  AdmissionGate(SharedParts& shared_parts,
+                const SessionTable& session_table,
+                const DrainState& drain_state,
+                const EngineOrders& engine_orders,
+                ReleaseHook release_hook);
+
+  // Whether the session may speak of the attempt at all.
+  bool IsOwn(SessionId session, const AttemptId& attempt);
+
+  // kNew or kOpen; empty when the message was answered or dropped.
+  std::optional<Admission> Admit(SessionId session,
+                                 const AttemptId& attempt,
+                                 protocol::Phase phase,
+                                 Instant now);
+
+  // For phases that a single message starts: false for a repetition.
+  bool AdmitOnce(SessionId session,
+                 const AttemptId& attempt,
+                 protocol::Phase phase,
+                 Instant now);
+
+  // A cancel: leaves the attempt closed, whether it was known or not.
+  // Precondition: IsOwn().
+  void Cancel(SessionId session, const AttemptId& attempt, Instant now);
+
+  // The endpoint has this role, and its engine is ready. Refuses if not.
+  // Precondition of this and the next: the attempt is open.
+  bool Serves(protocol::EndpointRole role,
+              const AttemptId& attempt,
+              protocol::Phase phase,
+              Instant now);
+  // Serves(), the endpoint is not leaving, and its engine has the model.
+  bool TakesNew(protocol::EndpointRole role,
+                const AttemptId& attempt,
+                protocol::Phase phase,
+                Instant now);
+
+ private:
+  AttemptTable::Opening Open(SessionId session,
+                             const AttemptId& attempt,
+                             Instant now);
+  void RefuseUnadmitted(SessionId session,
+                        const AttemptId& attempt,
+                        protocol::Phase phase,
+                        ResultCode code,
+                        Instant now);
+
+  SharedParts& parts;
+  const SessionTable& sessions;
+  const DrainState& drain;
+  const EngineOrders& orders;
+  ReleaseHook release;
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_ADMISSION_GATE_H_
--- /dev/null
+++ b/src/agent/internal/agent_implementation.cc
@@ -0,0 +1,425 @@
+#include "agent/internal/agent_implementation.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace acacialug::agent {
+
+using protocol::EndpointRole;
+using protocol::Phase;
+
+AgentCore::Implementation::Implementation(AgentOptions agent_options,
+                                          RandomSource& random_source)
+    : options(std::move(agent_options)),
+      outbox([this](Instant now) { return this->Load(now); }),
+      sessions({.lease = this->options.session_lease,
+                .expire = this->options.rules.expire_leases}),
+      attempts({.check = this->options.rules.check_attempts}),
+      audit({}),
+      drain(this->options.drain_grace),
+      orders({}, random_source),
+      parts{this->options, this->outbox, this->attempts, this->audit,
+            this->counters},
+      gate(this->parts,
+           this->sessions,
+           this->drain,
+           this->orders,
+           [this](const AttemptId& attempt, Instant now) {
+             this->Release(attempt, now);
+           }),
+      decode(this->parts),
+      prefill(this->parts),
+      calls(this->parts) {}
+
+// ---- inputs ----
+
+void AgentCore::Implementation::Start(Instant now) {
+  this->audit.Start(now);
+  this->Expire(now);
+}
+
+void AgentCore::Implementation::OnSessionOpened(SessionId session,
+                                                Instant now) {
+  this->Expire(now);
+  this->sessions.Open(session, now);
+}
+
+void AgentCore::Implementation::OnMessage(SessionId session,
+                                          const protocol::EntryToAgent& message,
+                                          Instant now) {
+  this->Expire(now);
+  if (!this->sessions.Contains(session)) {
+    ++this->counters.dropped_messages;
+    return;
+  }
+  if (!this->sessions.IncarnationOf(session) &&
+      !std::holds_alternative<protocol::Hello>(message)) {
+    this->EndSession(session, ResultCode::kBadFrame, now);
+    return;
+  }
+  std::visit([&](const auto& typed) { this->On(session, typed, now); },
+             message);
+  this->PursueOrders(now);
+}
+
+void AgentCore::Implementation::OnSessionClosed(SessionId session,
+                                                Instant now) {
+  this->Expire(now);
+  this->sessions.Close(session);
+  this->FreeSession(session, now);
+  this->PursueOrders(now);
+}
+
+void AgentCore::Implementation::OnEngineEvent(const engine::EngineEvent& event,
+                                              Instant now) {
+  this->Expire(now);
+  std::visit([&](const auto& typed) { this->On(typed, now); }, event);
+  this->PursueOrders(now);
+}
+
+void AgentCore::Implementation::OnManifest(
+    std::shared_ptr<const manifest::Manifest> newest,
+    Instant now) {
+  this->Expire(now);
+  if (newest == nullptr || (this->manifest_in_force != nullptr &&
+                            newest->offset <= this->ManifestOffset())) {
+    return;
+  }
+  this->manifest_in_force = std::move(newest);
+  const manifest::Endpoint* endpoint =
+      this->manifest_in_force->FindEndpoint(this->options.endpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  this->decode.SetBounds(*endpoint);
+  this->prefill.SetBounds(*endpoint);
+  this->calls.SetBounds(*endpoint);
+  this->wanted_role = endpoint->role;
+  if (std::optional<engine::Order> wanted =
+          EngineOrders::WantedBy(*this->manifest_in_force, *endpoint)) {
+    this->orders.Want(std::move(*wanted), now);
+    this->PursueOrders(now);
+  }
+  if (endpoint->leaving) {
+    this->Drain(DrainState::Cause::kManifest, now);
+  } else {
+    this->drain.RevokeByManifest();
+  }
+}
+
+void AgentCore::Implementation::BeginDrain(Instant now) {
+  this->Expire(now);
+  this->Drain(DrainState::Cause::kProcess, now);
+}
+
+void AgentCore::Implementation::Expire(Instant now) {
+  for (const SessionId session : this->sessions.Expire(now)) {
+    ++this->counters.sessions_lapsed;
+    this->outbox.Close(session, ResultCode::kHeartbeatLost);
+    this->FreeSession(session, now);
+  }
+  this->decode.Expire(now);
+  this->prefill.Expire(now);
+  this->calls.Expire(now);
+  this->attempts.Expire(now);
+  if (this->audit.TakeDue(now)) {
+    this->outbox.Execute(engine::ListHeld{});
+  }
+  if (this->drain.TakeGraceOver(now)) {
+    this->decode.EndAll(now);
+    this->prefill.EndAll(now);
+    this->calls.EndAll(now);
+  }
+  this->PursueOrders(now);
+}
+
+// ---- state ----
+
+bool AgentCore::Implementation::Drained() const {
+  return this->drain.active() && this->Idle();
+}
+
+Instant AgentCore::Implementation::NextTimer() const {
+  return std::min({this->sessions.next_timer(), this->decode.next_timer(),
+                   this->prefill.next_timer(), this->calls.next_timer(),
+                   this->audit.next_timer(), this->drain.next_timer(),
+                   this->orders.next_timer()});
+}
+
+protocol::EndpointLoad AgentCore::Implementation::Load(Instant now) const {
+  protocol::EndpointLoad load;
+  switch (this->options.role) {
+    case EndpointRole::kDecode:
+      this->decode.FillLoad(load, now);
+      break;
+    case EndpointRole::kPrefill:
+      this->prefill.FillLoad(load, now);
+      break;
+    case EndpointRole::kPlain:
+      this->calls.FillLoad(load);
+      break;
+  }
+  load.leaving = this->drain.active();
+  return load;
+}
+
+std::vector<AttemptId> AgentCore::Implementation::HeldAttempts() const {
+  std::vector<AttemptId> all = this->decode.held();
+  for (const auto& part : {this->prefill.held(), this->calls.held()}) {
+    all.insert(all.end(), part.begin(), part.end());
+  }
+  return all;
+}
+
+// ---- messages of an entry ----
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Hello& hello,
+                                   Instant now) {
+  const SessionTable::Greeting greeting =
+      this->sessions.Greet(session, hello, now);
+  for (const SessionId ended : greeting.ended) {
+    this->outbox.Close(ended, ResultCode::kSuperseded);
+    this->FreeSession(ended, now);
+  }
+  if (greeting.code != ResultCode::kOk) {
+    this->EndSession(session, greeting.code, now);
+    return;
+  }
+  this->newest_heard = std::max(this->newest_heard, hello.manifest);
+  this->outbox.Send(session,
+                    protocol::Welcome{.endpoint = this->options.endpoint,
+                                      .incarnation = this->options.incarnation,
+                                      .role = this->options.role,
+                                      .domain = this->options.domain,
+                                      .manifest = this->ManifestOffset(),
+                                      .lease = this->options.session_lease},
+                    now);
+  if (this->drain.active()) {
+    this->SendLeaving(session, now);
+  }
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Renew& renew,
+                                   Instant now) {
+  if (!this->sessions.Renew(session, renew.incarnation, now)) {
+    this->EndSession(session, ResultCode::kBadFrame, now);
+    return;
+  }
+  this->newest_heard = std::max(this->newest_heard, renew.manifest);
+  this->outbox.Send(session,
+                    protocol::Renewed{.manifest = this->ManifestOffset()}, now);
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Reserve& reserve,
+                                   Instant now) {
+  const AttemptId& attempt = reserve.attempt;
+  const std::optional<Admission> admission =
+      this->gate.Admit(session, attempt, Phase::kReserve, now);
+  if (admission == Admission::kOpen ||
+      (admission == Admission::kNew &&
+       this->gate.TakesNew(EndpointRole::kDecode, attempt, Phase::kReserve,
+                           now))) {
+    this->decode.OnReserve(reserve, now);
+  }
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::StartPrefill& start,
+                                   Instant now) {
+  const AttemptId& attempt = start.attempt;
+  if (this->gate.AdmitOnce(session, attempt, Phase::kPrefill, now) &&
+      this->gate.TakesNew(EndpointRole::kPrefill, attempt, Phase::kPrefill,
+                          now)) {
+    this->prefill.OnStartPrefill(start, now);
+  }
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::StartDecode& start,
+                                   Instant now) {
+  const AttemptId& attempt = start.attempt;
+  if (!this->gate.Admit(session, attempt, Phase::kDecode, now)) {
+    return;
+  }
+  // What has a reservation was let in before the drain began.
+  if (!this->decode.Knows(attempt) &&
+      !this->gate.TakesNew(EndpointRole::kDecode, attempt, Phase::kDecode,
+                           now)) {
+    return;
+  }
+  // Without the reservation nobody knows whether the engine has room: it
+  // would preempt other streams, or let the prefill's export go stale.
+  const bool may_reserve =
+      this->options.reservation == ReservationPolicy::kNone ||
+      !this->options.rules.reserve_before_prefill;
+  this->decode.OnStartDecode(start, may_reserve, now);
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Acknowledge& acknowledge,
+                                   Instant now) {
+  if (this->gate.IsOwn(session, acknowledge.attempt)) {
+    this->decode.OnAcknowledge(acknowledge, now);
+  }
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::StartCall& start,
+                                   Instant now) {
+  const AttemptId& attempt = start.attempt;
+  if (!this->gate.AdmitOnce(session, attempt, Phase::kCall, now) ||
+      !this->gate.Serves(EndpointRole::kPlain, attempt, Phase::kCall, now)) {
+    return;
+  }
+  // While draining, a resubmission still learns what became of the call.
+  this->calls.OnStartCall(start, !this->drain.active(), now);
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::LookUp& look_up,
+                                   Instant now) {
+  this->calls.OnLookUp(session, look_up, now);
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Cancel& cancel,
+                                   Instant now) {
+  if (this->gate.IsOwn(session, cancel.attempt)) {
+    this->gate.Cancel(session, cancel.attempt, now);
+  }
+}
+
+// ---- engine events ----
+
+void AgentCore::Implementation::On(const engine::PrefillDone& done,
+                                   Instant now) {
+  if (!this->prefill.OnPrefillDone(done, now)) {
+    // Nobody will fetch what it exported.
+    this->CountUnknown(false);
+    this->parts.Abort(done.attempt, now);
+  }
+}
+
+void AgentCore::Implementation::On(const engine::Text& text, Instant now) {
+  this->CountUnknown(this->decode.OnText(text, now));
+}
+
+void AgentCore::Implementation::On(const engine::StreamDone& done,
+                                   Instant now) {
+  this->CountUnknown(this->decode.OnStreamDone(done, now));
+}
+
+void AgentCore::Implementation::On(const engine::CallDone& done, Instant now) {
+  this->audit.NoteReleased(done.attempt, now);
+  this->CountUnknown(this->calls.OnCallDone(done, now));
+}
+
+void AgentCore::Implementation::On(const engine::AttemptFailed& failed,
+                                   Instant now) {
+  this->audit.NoteReleased(failed.attempt, now);
+  this->CountUnknown(this->decode.OnFailed(failed, now) ||
+                     this->prefill.OnFailed(failed, now) ||
+                     this->calls.OnFailed(failed, now));
+}
+
+void AgentCore::Implementation::On(const engine::Held& held, Instant now) {
+  const auto owns = [this](const AttemptId& attempt) {
+    return this->Holds(attempt);
+  };
+  for (const AttemptId& orphan : this->audit.OnHeld(held.attempts, owns, now)) {
+    ++this->counters.orphans_aborted;
+    this->parts.Abort(orphan, now);
+  }
+}
+
+void AgentCore::Implementation::On(const engine::ListFailed&, Instant now) {
+  this->audit.OnListFailed(now);
+}
+
+void AgentCore::Implementation::On(const engine::OrderDone& done, Instant now) {
+  this->orders.OnOrderDone(done, now);
+}
+
+void AgentCore::Implementation::On(const engine::EngineState& state,
+                                   Instant now) {
+  this->orders.OnState(state, now);
+  if (this->orders.confirmed() && this->Idle()) {
+    this->options.role = this->wanted_role;
+  }
+}
+
+// ---- ends ----
+
+bool AgentCore::Implementation::Holds(const AttemptId& attempt) const {
+  return this->decode.Holds(attempt) || this->prefill.Holds(attempt) ||
+         this->calls.Holds(attempt);
+}
+
+void AgentCore::Implementation::CountUnknown(bool known) {
+  this->counters.dropped_events += known ? 0 : 1;
+}
+
+void AgentCore::Implementation::Release(const AttemptId& attempt, Instant now) {
+  this->attempts.CloseOver(attempt, now);
+  this->decode.Release(attempt, now);
+  this->prefill.Release(attempt, now);
+  this->calls.Release(attempt, now);
+}
+
+void AgentCore::Implementation::EndSession(SessionId session,
+                                           ResultCode code,
+                                           Instant now) {
+  this->sessions.Close(session);
+  this->outbox.Close(session, code);
+  this->FreeSession(session, now);
+}
+
+void AgentCore::Implementation::FreeSession(SessionId session, Instant now) {
+  // Without this an entry that died keeps its streams running and its
+  // memory reserved: the endpoint looks full while nobody reads.
+  if (!this->options.rules.clean_sessions) {
+    return;
+  }
+  for (const AttemptId& attempt : this->attempts.OpenOf(session)) {
+    this->Release(attempt, now);
+  }
+}
+
+// ---- orders and drain ----
+
+void AgentCore::Implementation::PursueOrders(Instant now) {
+  if (std::optional<engine::EngineCommand> due =
+          this->orders.TakeDue(this->Idle(), now)) {
+    this->outbox.Execute(std::move(*due));
+  }
+}
+
+bool AgentCore::Implementation::Idle() const {
+  return this->decode.idle() && this->prefill.idle() && this->calls.idle();
+}
+
+void AgentCore::Implementation::Drain(DrainState::Cause cause, Instant now) {
+  if (!this->drain.Begin(cause, now)) {
+    return;
+  }
+  for (const SessionId session : this->sessions.Greeted()) {
+    this->SendLeaving(session, now);
+  }
+}
+
+void AgentCore::Implementation::SendLeaving(SessionId session, Instant now) {
+  this->outbox.Send(
+      session, protocol::Leaving{.grace = this->drain.GraceLeft(now)}, now);
+}
+
+LogOffset AgentCore::Implementation::ManifestOffset() const {
+  return this->manifest_in_force == nullptr ? LogOffset()
+                                            : this->manifest_in_force->offset;
+}
+
+}  // namespace acacialug::agent
--- a/src/agent/internal/call_work.cc
+++ b/src/agent/internal/call_work.cc
@@ -76,6 +76,7 @@
                        this->WaitAhead() - start.start_within, now);
     return;
   }
+  this->DropQueued(attempt);
   const std::uint64_t number = ++this->next_number;
   this->queue.emplace(number, Queued{.start = start, .arrived = now});
   this->queue_places[attempt] = number;
@@ -306,6 +307,12 @@
   }
 }
 
+void CallWork::SetBounds(const manifest::Endpoint& endpoint) {
+  if (endpoint.slots != 0) {
+    this->slots = endpoint.slots;
+  }
+}
+
 void CallWork::FillLoad(protocol::EndpointLoad& load) const {
   load.running = static_cast<std::uint32_t>(this->running.size());
   load.limit = this->slots;
--- a/src/agent/internal/decode_work.cc
+++ b/src/agent/internal/decode_work.cc
@@ -316,8 +316,14 @@
 }
 
 void DecodeWork::SetBounds(const manifest::Endpoint& endpoint) {
-  this->memory.SetBounds(endpoint.kv_tokens, endpoint.slots);
-  this->link.SetRate(endpoint.link_bytes_per_second);
+  const auto given = [](auto value, auto current) {
+    return value != 0 ? value : current;
+  };
+  this->memory.SetBounds(given(endpoint.kv_tokens, this->memory.total_tokens()),
+                         given(endpoint.slots, this->memory.slots()));
+  if (endpoint.link_bytes_per_second != 0) {
+    this->link.SetRate(endpoint.link_bytes_per_second);
+  }
 }
 
 void DecodeWork::FillLoad(protocol::EndpointLoad& load, Instant now) const {
@@ -334,6 +340,10 @@
   return this->memory.Holds(attempt);
 }
 
+bool DecodeWork::Knows(const AttemptId& attempt) const {
+  return this->Holds(attempt) || this->streams.contains(attempt);
+}
+
 std::vector<AttemptId> DecodeWork::held() const {
   return this->memory.held();
 }
--- a/src/agent/internal/decode_work.h
+++ b/src/agent/internal/decode_work.h
@@ -40,9 +40,12 @@
   // The drain's grace is over: nothing stays.
   void EndAll(Instant now);
 
+  // A bound of 0 leaves the one from the settings.
   void SetBounds(const manifest::Endpoint& endpoint);
   void FillLoad(protocol::EndpointLoad& load, Instant now) const;
   bool Holds(const AttemptId& attempt) const;
+  // Holds(), or chunks of it still wait for the reader.
+  bool Knows(const AttemptId& attempt) const;
   std::vector<AttemptId> held() const;
   bool idle() const;
   Instant next_timer() const;
--- /dev/null
+++ b/src/agent/internal/engine_orders.cc
@@ -0,0 +1,132 @@
+#include "agent/internal/engine_orders.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacialug::agent {
+namespace {
+
+std::vector<std::string> Sorted(std::vector<std::string> names) {
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+}  // namespace
+
+std::optional<engine::Order> EngineOrders::WantedBy(
+    const manifest::Manifest& manifest,
+    const manifest::Endpoint& endpoint) {
+  const manifest::Service* service = manifest.FindService(endpoint.service);
+  if (service == nullptr || service->kind != manifest::ServiceKind::kModel ||
+      service->models.empty()) {
+    return std::nullopt;
+  }
+  engine::Order order{
+      .fence = manifest.offset,
+      .model = service->models.front(),
+      .version = service->model_version,
+      .role = std::string(NameOf(protocol::kEndpointRoleNames, endpoint.role))};
+  for (const manifest::Adapter& adapter : service->adapters) {
+    order.adapters.push_back(adapter.name + ":" + adapter.version);
+  }
+  return order;
+}
+
+void EngineOrders::Want(engine::Order order, Instant now) {
+  if (this->wanted && order.fence < this->wanted->fence) {
+    return;
+  }
+  this->wanted = std::move(order);
+  this->state_confirmed = false;
+  this->retry = this->options.first_retry;
+  this->ReadAt(now);
+}
+
+std::optional<engine::EngineCommand> EngineOrders::TakeDue(bool idle,
+                                                           Instant now) {
+  if (!this->wanted) {
+    return std::nullopt;
+  }
+  if (this->step == Step::kOrder) {
+    if (this->disturbs && !idle && now < this->order_by) {
+      return std::nullopt;
+    }
+    // What is wanted is looked up here, at the moment of sending: a newer
+    // manifest may have come while the order waited.
+    this->ReadAt(now + this->options.answer_timeout);
+    return *this->wanted;
+  }
+  if (now < this->due) {
+    return std::nullopt;
+  }
+  this->due = now + this->options.answer_timeout;
+  return engine::ReadState{};
+}
+
+void EngineOrders::OnState(const engine::EngineState& state, Instant now) {
+  if (!this->wanted || this->step != Step::kRead) {
+    return;
+  }
+  if (state.code != ResultCode::kOk) {
+    this->RetryReading(now);
+    return;
+  }
+  const bool same_model = this->SameModel(state);
+  this->engine_fits = same_model && !state.loading;
+  this->state_confirmed =
+      this->engine_fits &&
+      Sorted(state.adapters) == Sorted(this->wanted->adapters);
+  if (this->state_confirmed) {
+    this->retry = this->options.first_retry;
+    this->ReadAt(now + this->options.check_interval);
+    return;
+  }
+  // A higher fence than ours: the engine follows a manifest that has not
+  // reached this agent yet, and an order from here would turn it back.
+  if (state.loading || state.fence > this->wanted->fence) {
+    this->RetryReading(now);
+    return;
+  }
+  this->step = Step::kOrder;
+  this->disturbs = !same_model;
+  this->order_by = now + this->options.longest_wait;
+}
+
+void EngineOrders::OnOrderDone(const engine::OrderDone& done, Instant now) {
+  if (!this->wanted || done.fence != this->wanted->fence) {
+    return;
+  }
+  if (done.code == ResultCode::kOk) {
+    this->ReadAt(now);
+  } else {
+    this->RetryReading(now);
+  }
+}
+
+Instant EngineOrders::next_timer() const {
+  if (!this->wanted) {
+    return kNever;
+  }
+  return this->step == Step::kOrder ? this->order_by : this->due;
+}
+
+bool EngineOrders::SameModel(const engine::EngineState& state) const {
+  return state.model == this->wanted->model &&
+         state.version == this->wanted->version &&
+         state.role == this->wanted->role;
+}
+
+void EngineOrders::RetryReading(Instant now) {
+  // Spread, since a new version makes every agent order at the same time
+  // from one weight store of limited rate.
+  const double spread = 0.5 + this->random.Unit();
+  this->ReadAt(now + FromSeconds(Seconds(this->retry) * spread));
+  this->retry = std::min(2 * this->retry, this->options.last_retry);
+}
+
+void EngineOrders::ReadAt(Instant when) {
+  this->step = Step::kRead;
+  this->due = when;
+}
+
+}  // namespace acacialug::agent
--- /dev/null
+++ b/src/agent/internal/engine_orders.h
@@ -0,0 +1,78 @@
+#ifndef AGENT_INTERNAL_ENGINE_ORDERS_H_
+#define AGENT_INTERNAL_ENGINE_ORDERS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "engine/types/engine_messages.h"
+#include "framework/global/random_source.h"
+#include "framework/global/types/instant.h"
+#include "manifest/types/manifest.h"
+
+namespace acacialug::agent {
+
+// Brings the engine to what the manifest in force says. Reads the engine's
+// state, orders only what differs, and reads again afterwards: an engine that
+// ignores fencing numbers may have obeyed an older order in between, and only
+// reading tells. Not thread safe.
+class EngineOrders {
+ public:
+  struct Options {
+    Duration check_interval = 10s;  // between two readings when all is well
+    Duration answer_timeout = 5s;
+    Duration first_retry = 500ms;  // doubled up to `last_retry`
+    Duration last_retry = 10s;
+    Duration longest_wait = 60s;  // for what runs, before a disturbing order
+  };
+
+  // The state that a manifest asks of an endpoint's engine; empty when it
+  // asks none (plain services).
+  static std::optional<engine::Order> WantedBy(
+      const manifest::Manifest& manifest,
+      const manifest::Endpoint& endpoint);
+
+  EngineOrders(Options order_options, RandomSource& random_source)
+      : options(order_options), random(random_source) {}
+
+  // Replaces what was wanted before. `fence` never goes back.
+  void Want(engine::Order order, Instant now);
+
+  // The command that is due. `idle`: the engine runs nothing, so that another
+  // model or role cuts no request off. Call after every input.
+  std::optional<engine::EngineCommand> TakeDue(bool idle, Instant now);
+
+  void OnState(const engine::EngineState& state, Instant now);
+  void OnOrderDone(const engine::OrderDone& done, Instant now);
+
+  // False while the engine is known to load or to have another model,
+  // version or role: its answers would be wrong ones. An engine whose state
+  // was never read counts as fit.
+  bool fit() const { return this->engine_fits; }
+  // The wanted state was read from the engine.
+  bool confirmed() const { return this->state_confirmed; }
+  Instant next_timer() const;
+
+ private:
+  enum class Step : std::uint8_t { kRead, kOrder };
+
+  bool SameModel(const engine::EngineState& state) const;
+  void RetryReading(Instant now);
+  void ReadAt(Instant when);
+
+  Options options;
+  RandomSource& random;
+  std::optional<engine::Order> wanted;
+  Step step = Step::kRead;
+  Instant due = kNever;
+  Instant order_by = kNever;  // a disturbing order waits at most until then
+  bool disturbs = false;
+  bool engine_fits = true;
+  bool state_confirmed = false;
+  Duration retry{};
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_ENGINE_ORDERS_H_
--- a/src/agent/internal/prefill_queue.cc
+++ b/src/agent/internal/prefill_queue.cc
@@ -40,6 +40,7 @@
 }
 
 void PrefillQueue::Add(QueuedPrefill prefill) {
+  this->Remove(prefill.start.attempt);
   prefill.number = ++this->arrivals;
   const AttemptId attempt = prefill.start.attempt;
   this->work += prefill.work;
--- a/src/agent/internal/prefill_queue.h
+++ b/src/agent/internal/prefill_queue.h
@@ -37,7 +37,7 @@
 
   PrefillQueue(std::size_t queue_limit, OrderHook hook);
 
-  // Precondition: !full(), and the attempt is not queued.
+  // Replaces the attempt's earlier place. Precondition: !full().
   void Add(QueuedPrefill prefill);
   // The one to run next; empty when the queue is.
   std::optional<QueuedPrefill> TakeNext();
--- a/src/agent/internal/prefill_work.cc
+++ b/src/agent/internal/prefill_work.cc
@@ -183,6 +183,12 @@
   }
 }
 
+void PrefillWork::SetBounds(const manifest::Endpoint& endpoint) {
+  if (endpoint.slots != 0) {
+    this->slots = endpoint.slots;
+  }
+}
+
 void PrefillWork::FillLoad(protocol::EndpointLoad& load, Instant now) const {
   load.running = static_cast<std::uint32_t>(this->running.size());
   load.limit = this->slots;
--- a/src/agent/internal/prefill_work.h
+++ b/src/agent/internal/prefill_work.h
@@ -30,7 +30,8 @@
   // The drain's grace is over: nothing stays.
   void EndAll(Instant now);
 
-  void SetSlots(std::uint32_t slots) { this->slots = slots; }
+  // A bound of 0 leaves the one from the settings.
+  void SetBounds(const manifest::Endpoint& endpoint);
   void FillLoad(protocol::EndpointLoad& load, Instant now) const;
   bool Holds(const AttemptId& attempt) const;
   std::vector<AttemptId> held() const;
--- /dev/null
+++ b/src/agent/tests/sessions_and_attempts_test.cc
@@ -0,0 +1,175 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "agent/internal/attempt_table.h"
+#include "agent/internal/session_table.h"
+#include "agent/tests/agent_bench.h"
+#include "framework/testing/story.h"
+
+namespace acacialug::agent {
+namespace {
+
+using testing::ForEach;
+using testing::It;
+using testing::Section;
+
+constexpr SessionId kOther{2};
+constexpr Incarnation kSuccessor{101};
+const Instant kNow{1000s};
+
+protocol::Hello HelloOf(Incarnation incarnation, const char* id = "e1") {
+  return {.entry = EntryId(id), .incarnation = incarnation};
+}
+
+struct Greeted {
+  SessionTable table{{.lease = 3s}};
+  Greeted() {
+    this->table.Open(kSession, kNow);
+    this->table.Greet(kSession, HelloOf(kEntry), kNow);
+  }
+};
+
+const testing::Story kSessions(
+    "a session table",
+    {It("lets a session lapse one lease after its last renewal",
+        [] {
+          Greeted greeted;
+          CPPUNIT_ASSERT(greeted.table.Renew(kSession, kEntry, kNow + 2s));
+          CPPUNIT_ASSERT(greeted.table.Expire(kNow + 4999ms).empty());
+          CPPUNIT_ASSERT(greeted.table.next_timer() == kNow + 5s);
+          CPPUNIT_ASSERT(greeted.table.Expire(kNow + 5s) ==
+                         std::vector{kSession});
+          CPPUNIT_ASSERT(!greeted.table.Renew(kSession, kEntry, kNow + 5s));
+        }),
+     It("lets a connection without a Hello lapse too",
+        [] {
+          SessionTable table({.lease = 3s});
+          table.Open(kSession, kNow);
+          CPPUNIT_ASSERT(!table.IncarnationOf(kSession));
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.Expire(kNow + 3s).size());
+        }),
+     It("ends the sessions of an entry's earlier start, and only those",
+        [] {
+          Greeted greeted;
+          greeted.table.Open(kOther, kNow);
+          CPPUNIT_ASSERT(
+              greeted.table.Greet(kOther, HelloOf(kEntry, "e2"), kNow)
+                  .ended.empty());
+          greeted.table.Open(SessionId(3), kNow);
+          CPPUNIT_ASSERT(
+              greeted.table.Greet(SessionId(3), HelloOf(kEntry), kNow)
+                  .ended.empty());  // another shard of the same start
+          greeted.table.Open(SessionId(4), kNow);
+          CPPUNIT_ASSERT(
+              greeted.table.Greet(SessionId(4), HelloOf(kSuccessor), kNow)
+                  .ended == (std::vector{kSession, SessionId(3)}));
+          CPPUNIT_ASSERT(greeted.table.Contains(kOther));
+        }),
+     // Symptom: the streams of a healthy entry end. Sequence: the entry is
+     // replaced while paused; the old process wakes and connects again.
+     // Cause: incarnations are random, a later Hello is not a newer process.
+     It("turns away a start that was superseded before",
+        [] {
+          Greeted greeted;
+          greeted.table.Close(kSession);
+          greeted.table.Open(kOther, kNow);
+          greeted.table.Greet(kOther, HelloOf(kSuccessor), kNow);
+          greeted.table.Open(SessionId(3), kNow);
+          CPPUNIT_ASSERT(
+              greeted.table.Greet(SessionId(3), HelloOf(kEntry), kNow).code ==
+              ResultCode::kSuperseded);
+          CPPUNIT_ASSERT(greeted.table.Contains(kOther));
+        }),
+     It("takes a second Hello as a renewal, but not another name", [] {
+       Greeted greeted;
+       CPPUNIT_ASSERT(
+           greeted.table.Greet(kSession, HelloOf(kEntry), kNow + 1s).code ==
+           ResultCode::kOk);
+       CPPUNIT_ASSERT(greeted.table.next_timer() == kNow + 4s);
+       CPPUNIT_ASSERT(
+           greeted.table.Greet(kSession, HelloOf(kEntry, "e2"), kNow).code ==
+           ResultCode::kBadFrame);
+     })});
+
+enum class Before : std::uint8_t {
+  kNothing,
+  kOpen,
+  kRefused,
+  kOver,
+  kNewerOpen,
+  kNewerOver,
+  kForgotten,
+};
+
+struct OpenCase {
+  const char* name;
+  Before before;
+  Admission expected;
+};
+
+const testing::Story kAttempts(
+    "an attempt table",
+    {ForEach<OpenCase>(
+         "that gets a start",
+         {{"knows a first message", Before::kNothing, Admission::kNew},
+          {"knows an attempt under way", Before::kOpen, Admission::kOpen},
+          {"repeats a refusal", Before::kRefused, Admission::kRefusedBefore},
+          {"drops what is over", Before::kOver, Admission::kOverBefore},
+          {"supersedes beside a newer one", Before::kNewerOpen,
+           Admission::kSuperseded},
+          {"supersedes after a newer one", Before::kNewerOver,
+           Admission::kSuperseded},
+          {"takes a forgotten one as new", Before::kForgotten,
+           Admission::kNew}},
+         [](const OpenCase& row) { return std::string(row.name); },
+         [](const OpenCase& row) {
+           AttemptTable table({.memory = 15s});
+           const bool newer = row.before == Before::kNewerOpen ||
+                              row.before == Before::kNewerOver;
+           const AttemptId earlier = Attempt(1, newer ? 3 : 2);
+           if (row.before != Before::kNothing) {
+             table.Open(earlier, kSession);
+           }
+           if (row.before == Before::kRefused) {
+             table.CloseNotRun(earlier, ResultCode::kLinkBusy, kNow);
+           } else if (row.before != Before::kOpen &&
+                      row.before != Before::kNewerOpen) {
+             table.CloseOver(earlier, kNow);
+           }
+           table.Expire(row.before == Before::kForgotten ? kNow + 15s
+                                                         : kNow + 14s);
+           const auto opening = table.Open(Attempt(1, 2), kSession);
+           CPPUNIT_ASSERT_EQUAL(NameOf(kAdmissionNames, row.expected),
+                                NameOf(kAdmissionNames, opening.admission));
+           CPPUNIT_ASSERT(row.before != Before::kRefused ||
+                          opening.code == ResultCode::kLinkBusy);
+         }),
+     It("names the older attempt that a newer one replaces, once",
+        [] {
+          AttemptTable table({});
+          table.Open(Attempt(1, 1), kSession);
+          CPPUNIT_ASSERT(table.Open(Attempt(1, 2), kSession).replaced ==
+                         Attempt(1, 1));
+          table.CloseOver(Attempt(1, 1), kNow);
+          CPPUNIT_ASSERT(table.Open(Attempt(1, 2), kSession).admission ==
+                         Admission::kOpen);
+          CPPUNIT_ASSERT(table.OpenOf(kSession) == std::vector{Attempt(1, 2)});
+        }),
+     It("follows an attempt to its entry's next session",
+        [] {
+          AttemptTable table({});
+          table.Open(Attempt(1), kSession);
+          table.Open(Attempt(1), kOther);
+          CPPUNIT_ASSERT(table.OpenOf(kSession).empty());
+          CPPUNIT_ASSERT(table.SessionOf(Attempt(1)) == kOther);
+        }),
+     It("stays within its bound", [] {
+       AttemptTable table({.max_remembered = 10});
+       for (std::uint64_t request = 1; request <= 100; ++request) {
+         table.Open(Attempt(request), kSession);
+         table.CloseOver(Attempt(request), kNow);
+       }
+       CPPUNIT_ASSERT_EQUAL(std::size_t{10}, table.remembered());
+     })});
+
+}  // namespace
+}  // namespace acacialug::agent
