--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -2,6 +2,7 @@
 #define ENTRY_ENTRY_CORE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -45,6 +46,10 @@
   void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
   void OnClaimsRead(const ClaimsRead& read, Instant now);
 
+  // How many entries are live, by the host list or whatever the process knows:
+  // each grants its part of the callers' rate limits. 1 until told.
+  void OnLiveEntries(std::uint32_t entries, Instant now);
+
   // Call at or after next_timer().
   void OnTimer(Instant now);
 
--- /dev/null
+++ b/src/entry/internal/direct_once.h
@@ -0,0 +1,35 @@
+#ifndef ENTRY_INTERNAL_DIRECT_ONCE_H_
+#define ENTRY_INTERNAL_DIRECT_ONCE_H_
+
+#include <vector>
+
+#include "entry/i_once_coordinator.h"
+
+namespace acacialug::entry {
+
+// The coordinator without a log: a keyed call is bound to the incarnation of
+// the agent that placement proposes, whose ledger then holds it to one run.
+// It cannot see a second submission of the key on another entry; with a
+// platform log, a coordinator that claims keys takes its place.
+class DirectOnce : public IOnceCoordinator {
+ public:
+  void Submit(const OnceSubmission& submission, Instant now) override;
+  void OnRefused(const OnceSubmission& submission, Instant now) override;
+  void Withdraw(const RequestId& request, Instant now) override;
+  void OnClaimsAppended(const ClaimsAppended& appended, Instant now) override;
+  void OnClaimsRead(const ClaimsRead& read, Instant now) override;
+  void OnTimer(Instant now) override;
+  Instant NextTimer() const override { return kNever; }
+  std::vector<OnceVerdict> TakeVerdicts() override;
+  std::vector<EntryAction> TakeActions() override { return {}; }
+
+  // The key's digest, as the agents' ledgers know it. Thread safe.
+  static protocol::Once Bind(const OnceSubmission& submission);
+
+ private:
+  std::vector<OnceVerdict> verdicts;
+};
+
+}  // namespace acacialug::entry
+
+#endif  // ENTRY_INTERNAL_DIRECT_ONCE_H_
--- /dev/null
+++ b/src/entry/internal/endpoint_link.cc
@@ -0,0 +1,158 @@
+#include "entry/internal/endpoint_link.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacialug::entry {
+namespace {
+
+constexpr Duration kOpenTimeout = 3s;   // to connect, and again for the Welcome
+constexpr Duration kDefaultLease = 3s;  // for a Welcome that names none
+constexpr Duration kFirstBackoff = 100ms;
+constexpr Duration kLongestBackoff = 5s;
+constexpr std::uint32_t kMostDoublings = 6;
+
+}  // namespace
+
+EndpointLink::EndpointLink(EndpointId endpoint_id,
+                           const EntryOptions& entry_options,
+                           RandomSource& random_source,
+                           std::vector<EntryAction>& action_list)
+    : endpoint(std::move(endpoint_id)),
+      options(entry_options),
+      random(random_source),
+      actions(action_list) {}
+
+void EndpointLink::Send(protocol::EntryToAgent message) {
+  this->actions.emplace_back(
+      SendToAgent{.endpoint = this->endpoint, .message = std::move(message)});
+}
+
+void EndpointLink::Want(Instant now) {
+  if (this->state != LinkState::kIdle) {
+    return;
+  }
+  this->state = LinkState::kConnecting;
+  this->retry_at = now + kOpenTimeout;
+  this->actions.emplace_back(ConnectEndpoint{this->endpoint});
+}
+
+void EndpointLink::Release() {
+  if (this->state != LinkState::kIdle &&
+      this->state != LinkState::kBackingOff) {
+    this->actions.emplace_back(DropEndpoint{this->endpoint});
+  }
+  this->state = LinkState::kIdle;
+  this->agent = {};
+  this->renewals.clear();
+}
+
+void EndpointLink::OnConnected(LogOffset manifest, Instant now) {
+  if (this->state != LinkState::kConnecting) {
+    return;
+  }
+  this->state = LinkState::kOpening;
+  this->retry_at = now + kOpenTimeout;
+  this->renewals.assign(1, now);
+  this->Send(protocol::Hello{.entry = this->options.id,
+                             .incarnation = this->options.incarnation,
+                             .domain = this->options.domain,
+                             .manifest = manifest});
+}
+
+void EndpointLink::OnWelcome(const protocol::Welcome& welcome, Instant now) {
+  if (this->state != LinkState::kOpening || this->renewals.empty()) {
+    return;
+  }
+  const Instant sent_at = this->renewals.front();
+  this->renewals.clear();
+  this->lease =
+      welcome.lease > Duration::zero() ? welcome.lease : kDefaultLease;
+  this->lease_until = sent_at + this->lease;
+  this->last_round_trip = now - sent_at;
+  this->renew_at =
+      now + std::min(this->options.renew_interval, this->lease / 3);
+  this->agent = welcome.incarnation;
+  this->state = LinkState::kOpen;
+  this->failures = 0;
+}
+
+void EndpointLink::OnRenewed(Instant now) {
+  if (this->state != LinkState::kOpen || this->renewals.empty()) {
+    return;
+  }
+  // Answers carry no number. Counting each one for the oldest open renewal
+  // errs, if an answer was lost, towards a lease that ends too early.
+  const Instant sent_at = this->renewals.front();
+  this->renewals.pop_front();
+  this->lease_until = std::max(this->lease_until, sent_at + this->lease);
+  this->last_round_trip = now - sent_at;
+}
+
+void EndpointLink::Drop(Instant now) {
+  this->actions.emplace_back(DropEndpoint{this->endpoint});
+  this->OnClosed(now);
+}
+
+void EndpointLink::OnClosed(Instant now) {
+  if (this->state == LinkState::kIdle ||
+      this->state == LinkState::kBackingOff) {
+    return;
+  }
+  this->state = LinkState::kBackingOff;
+  this->agent = {};
+  this->renewals.clear();
+  const Duration step =
+      std::min(kFirstBackoff * (1U << std::min(this->failures, kMostDoublings)),
+               kLongestBackoff);
+  ++this->failures;
+  // Jitter: without it all entries that lost one agent meet it again at the
+  // same moment.
+  this->retry_at =
+      now + step / 2 + FromSeconds(Seconds(step) / 2 * this->random.Unit());
+}
+
+bool EndpointLink::OnTimer(LogOffset manifest, Instant now) {
+  if (this->state == LinkState::kOpen) {
+    if (now >= this->lease_until) {
+      // Also the way a paused process finds out: it slept longer than the
+      // lease, and the agent has given away what it held.
+      this->Drop(now);
+      return true;
+    }
+    if (now >= this->renew_at) {
+      this->renew_at =
+          now + std::min(this->options.renew_interval, this->lease / 3);
+      this->renewals.push_back(now);
+      this->Send(protocol::Renew{.incarnation = this->options.incarnation,
+                                 .manifest = manifest});
+    }
+    return false;
+  }
+  if (this->state == LinkState::kIdle || now < this->retry_at) {
+    return false;
+  }
+  if (this->state == LinkState::kBackingOff) {
+    this->state = LinkState::kIdle;
+    this->Want(now);
+    return false;
+  }
+  this->Drop(now);
+  return false;
+}
+
+Instant EndpointLink::NextTimer() const {
+  switch (this->state) {
+    case LinkState::kIdle:
+      return kNever;
+    case LinkState::kOpen:
+      return std::min(this->lease_until, this->renew_at);
+    case LinkState::kConnecting:
+    case LinkState::kOpening:
+    case LinkState::kBackingOff:
+      return this->retry_at;
+  }
+  return kNever;
+}
+
+}  // namespace acacialug::entry
--- /dev/null
+++ b/src/entry/internal/endpoint_link.h
@@ -0,0 +1,88 @@
+#ifndef ENTRY_INTERNAL_ENDPOINT_LINK_H_
+#define ENTRY_INTERNAL_ENDPOINT_LINK_H_
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+#include "entry/types/entry_messages.h"
+#include "entry/types/entry_options.h"
+#include "framework/global/random_source.h"
+
+namespace acacialug::entry {
+
+enum class LinkState : std::uint8_t {
+  kIdle,        // not connected, nobody wants it
+  kConnecting,  // asked the process for a connection
+  kOpening,     // Hello sent
+  kOpen,        // Welcome received, lease running
+  kBackingOff,  // waits before it connects again
+};
+inline constexpr EnumNames<LinkState, 5> kLinkStateNames = {{
+    {LinkState::kIdle, "idle"},
+    {LinkState::kConnecting, "connecting"},
+    {LinkState::kOpening, "opening"},
+    {LinkState::kOpen, "open"},
+    {LinkState::kBackingOff, "backing_off"},
+}};
+
+// The session with one endpoint's agent: connects, opens, renews the lease,
+// and gives the session up when the lease lapsed by this entry's own clock.
+// The lease counts from the moment a Renew was sent, so that it never ends
+// later here than at the agent. Not thread safe.
+class EndpointLink {
+ public:
+  EndpointLink(EndpointId endpoint,
+               const EntryOptions& entry_options,
+               RandomSource& random_source,
+               std::vector<EntryAction>& action_list);
+
+  // Connects when idle.
+  void Want(Instant now);
+  // Nobody needs the session any more: drops it.
+  void Release();
+
+  // `manifest`: the offset in force, told to the agent.
+  void OnConnected(LogOffset manifest, Instant now);
+  void OnWelcome(const protocol::Welcome& welcome, Instant now);
+  void OnRenewed(Instant now);
+  // The connection is gone, or its session was given up.
+  void OnClosed(Instant now);
+
+  // Call at or after NextTimer(). True when the session was open and lapsed:
+  // what it held is lost.
+  bool OnTimer(LogOffset manifest, Instant now);
+  Instant NextTimer() const;
+
+  // True when work may be sent: the session is open and its lease not lapsed.
+  bool Usable(Instant now) const {
+    return this->state == LinkState::kOpen && now < this->lease_until;
+  }
+  LinkState State() const { return this->state; }
+  // Of the agent; zero while no session is open.
+  Incarnation Agent() const { return this->agent; }
+  Duration LastRoundTrip() const { return this->last_round_trip; }
+
+ private:
+  void Send(protocol::EntryToAgent message);
+  void Drop(Instant now);
+
+  EndpointId endpoint;
+  const EntryOptions& options;
+  RandomSource& random;
+  std::vector<EntryAction>& actions;
+
+  LinkState state = LinkState::kIdle;
+  Incarnation agent;
+  Duration lease{};
+  Instant lease_until{};
+  Instant renew_at{};
+  Instant retry_at{};  // kBackingOff: connect again; else: give up waiting
+  std::deque<Instant> renewals;  // sent and not yet answered
+  std::uint32_t failures = 0;    // in a row
+  Duration last_round_trip{};
+};
+
+}  // namespace acacialug::entry
+
+#endif  // ENTRY_INTERNAL_ENDPOINT_LINK_H_
--- /dev/null
+++ b/src/entry/internal/generation_events.cc
@@ -0,0 +1,362 @@
+// The part of GenerationMachine that takes what agents, callers and clocks
+// tell; generation_machine.cc holds the steps that follow from it.
+#include <algorithm>
+#include <type_traits>
+#include <variant>
+
+#include "entry/internal/generation_machine.h"
+
+namespace acacialug::entry {
+namespace {
+
+// Endpoints asked in one turn, before the request goes back to the queue.
+constexpr std::size_t kReservesATurn = 4;
+constexpr std::size_t kPrefillsATurn = 3;
+
+// Failures that speak against the endpoint that reports them.
+bool IsEngineFault(ResultCode code) {
+  return code == ResultCode::kEngineFailed ||
+         code == ResultCode::kEngineUnavailable ||
+         code == ResultCode::kEngineBadAnswer;
+}
+
+template <typename Message>
+constexpr bool kIsTaken = std::is_same_v<Message, protocol::Reserved> ||
+                          std::is_same_v<Message, protocol::Prefilled> ||
+                          std::is_same_v<Message, protocol::Chunk> ||
+                          std::is_same_v<Message, protocol::Ended> ||
+                          std::is_same_v<Message, protocol::Refused> ||
+                          std::is_same_v<Message, protocol::Failed>;
+
+}  // namespace
+
+// A frame of another attempt than the one under way is a late answer to
+// something that was given up: taking it would mix two attempts' answers, or
+// start work on a reservation that was given back. It is dropped, and what it
+// tells of is cancelled in case the first Cancel was lost.
+bool GenerationMachine::Matches(const Leg& leg,
+                                LegStage stage,
+                                const EndpointId& endpoint,
+                                const AttemptId& attempt) const {
+  if (!this->context.options.rules.check_attempts) {
+    return !leg.Idle();
+  }
+  return !leg.Idle() && leg.stage == stage && leg.endpoint == endpoint &&
+         leg.attempt == attempt;
+}
+
+Leg& GenerationMachine::LegOf(protocol::Phase phase) {
+  return phase == protocol::Phase::kPrefill ? this->prefill : this->decode;
+}
+
+void GenerationMachine::OnMessage(const EndpointId& endpoint,
+                                  const protocol::AgentToEntry& message,
+                                  Instant now) {
+  std::visit(
+      [&](const auto& content) {
+        if constexpr (kIsTaken<std::decay_t<decltype(content)>>) {
+          const bool current = this->state == RequestState::kActive &&
+                               this->Take(endpoint, content, now);
+          if (!current) {
+            this->context.fleet.Send(
+                endpoint, protocol::Cancel{.attempt = content.attempt}, now);
+          }
+        }
+      },
+      message);
+}
+
+bool GenerationMachine::Take(const EndpointId& endpoint,
+                             const protocol::Reserved& reserved,
+                             Instant now) {
+  if (!this->Matches(this->decode, LegStage::kAsked, endpoint,
+                     reserved.attempt)) {
+    return false;
+  }
+  this->decode.stage = LegStage::kReady;
+  this->decode.timeout_at = kNever;
+  if (placement::EndpointView* const view =
+          this->context.fleet.View(endpoint)) {
+    view->NoteRoundTrip(now - this->decode.asked_at);
+  }
+  if (this->prefill.Idle() && this->SplitsPrefill() &&
+      reserved.available_in > Duration::zero()) {
+    // A slot promised for later: a prefill that is done long before would be
+    // evicted while it waits.
+    const placement::EndpointView* const view = this->PickPrefill(now);
+    const Duration ready_in =
+        view == nullptr ? Duration::zero() : this->PrefillReadyIn(*view, now);
+    if (reserved.available_in > ready_in) {
+      this->prefill_at = now + reserved.available_in - ready_in;
+    }
+  }
+  this->Advance(now);
+  return true;
+}
+
+bool GenerationMachine::Take(const EndpointId& endpoint,
+                             const protocol::Prefilled& prefilled,
+                             Instant now) {
+  if (!this->Matches(this->prefill, LegStage::kAsked, endpoint,
+                     prefilled.attempt)) {
+    return false;
+  }
+  this->prefill.stage = LegStage::kReady;
+  this->prefill.timeout_at = kNever;
+  this->kv = prefilled.kv;
+  this->export_until = now + prefilled.lifetime;
+  const double expected = std::max(Seconds(this->prefill_expected), 1e-4);
+  this->context.fleet.NoteSuccess(
+      endpoint, Seconds(now - this->prefill.asked_at) / expected);
+  if (this->prompt_tokens_counted == 0 && !this->stream.Begun()) {
+    this->prompt_tokens_counted = prefilled.usage.prompt_tokens;
+    this->cached_tokens = prefilled.usage.cached_tokens;
+    this->service.tokens.Learn(this->prompt_bytes,
+                               prefilled.usage.prompt_tokens);
+  }
+  this->Advance(now);
+  return true;
+}
+
+bool GenerationMachine::Take(const EndpointId& endpoint,
+                             const protocol::Chunk& chunk,
+                             Instant now) {
+  if (!this->Matches(this->decode, LegStage::kRunning, endpoint,
+                     chunk.attempt)) {
+    return false;
+  }
+  const bool first = !this->stream.AttemptBegun();
+  this->stream.Take(chunk, now);
+  if (first && this->stream.AttemptBegun()) {
+    this->OnFirstChunk(now);
+  }
+  if (this->ended && this->stream.Complete()) {
+    this->Finish(this->ended->reason, this->ended->usage, now);
+  }
+  return true;
+}
+
+// The KV cache was imported: the export may go, and the start is over.
+void GenerationMachine::OnFirstChunk(Instant now) {
+  this->EndLeg(this->prefill, true, now);
+  if (this->repeats == 0 && this->starting) {
+    this->service.margin.Note(now - this->first_token_predicted);
+    const double expected = std::max(Seconds(this->start_expected), 1e-4);
+    this->starting = false;
+    this->service.limit.EndMeasured(Seconds(now - this->start_began_at) /
+                                    expected);
+  }
+  this->EndStart();
+  this->service.NoteBegun(now);
+}
+
+bool GenerationMachine::Take(const EndpointId& endpoint,
+                             const protocol::Ended& message,
+                             Instant now) {
+  if (!this->Matches(this->decode, LegStage::kRunning, endpoint,
+                     message.attempt)) {
+    return false;
+  }
+  this->stream.NoteEnd(message.chunks);
+  const std::uint32_t tokens =
+      this->stream.Tokens() - this->stream.EarlierTokens();
+  if (tokens > 1) {
+    this->context.fleet.NoteSuccess(
+        endpoint, Seconds(now - this->stream.AttemptFirstPieceAt()) / tokens);
+  }
+  if (this->stream.Complete()) {
+    this->Finish(message.reason, message.usage, now);
+  } else {
+    this->ended = message;  // chunks are still missing
+  }
+  return true;
+}
+
+bool GenerationMachine::Take(const EndpointId& endpoint,
+                             const protocol::Refused& refused,
+                             Instant now) {
+  const bool of_prefill = refused.phase == protocol::Phase::kPrefill;
+  Leg& leg = this->LegOf(refused.phase);
+  const LegStage stage = of_prefill ? LegStage::kAsked : leg.stage;
+  if (!this->Matches(leg, stage, endpoint, refused.attempt)) {
+    return false;
+  }
+  this->EndLeg(leg, false, now);
+  if (of_prefill) {
+    this->OnPrefillRefused(refused.retry_after, now);
+  } else {
+    this->OnDecodeRefused(stage, refused.retry_after, now);
+  }
+  return true;
+}
+
+void GenerationMachine::OnDecodeRefused(LegStage stage,
+                                        Duration hint,
+                                        Instant now) {
+  if (stage == LegStage::kRunning) {
+    --this->running;  // provably: this decode never ran
+    this->Advance(now);
+    return;
+  }
+  if (this->decode.tried.size() < kReservesATurn && this->Reserve(now)) {
+    return;
+  }
+  if (this->prefill.Idle()) {
+    this->ReturnToQueue(hint, now);
+  } else {
+    this->ReserveAgainSoon(hint, now);
+  }
+}
+
+void GenerationMachine::OnPrefillRefused(Duration hint, Instant now) {
+  --this->running;  // provably: this prefill never ran
+  if (this->prefill.tried.size() >= kPrefillsATurn ||
+      !this->StartPrefill(now)) {
+    this->ReturnToQueue(hint, now);
+  }
+}
+
+bool GenerationMachine::Take(const EndpointId& endpoint,
+                             const protocol::Failed& failed,
+                             Instant now) {
+  Leg& leg = this->LegOf(failed.phase);
+  if (!this->Matches(leg, leg.stage, endpoint, failed.attempt)) {
+    return false;
+  }
+  if (IsEngineFault(failed.code)) {
+    this->context.fleet.NoteFailure(endpoint, now);
+  }
+  if (failed.code == ResultCode::kExportExpired &&
+      failed.phase == protocol::Phase::kDecode) {
+    this->EndLeg(this->prefill, true, now);
+  }
+  const bool undone = failed.outcome == protocol::Outcome::kNotRun;
+  if (failed.phase == protocol::Phase::kPrefill) {
+    if (undone) {
+      this->EndLeg(leg, false, now);
+      this->OnPrefillRefused(Duration::zero(), now);
+    } else {
+      this->OnPrefillLost(failed.code, now);
+    }
+  } else if (undone || leg.stage != LegStage::kRunning) {
+    const LegStage stage = leg.stage;
+    this->EndLeg(leg, false, now);
+    this->OnDecodeRefused(stage, Duration::zero(), now);
+  } else {
+    this->OnDecodeLost(failed.code, now);
+  }
+  return true;
+}
+
+void GenerationMachine::OnDecodeLost(ResultCode code, Instant now) {
+  const bool ran = this->decode.stage == LegStage::kRunning;
+  const bool reusable = !this->stream.AttemptBegun() && this->ExportAlive(now);
+  this->EndLeg(this->decode, true, now);
+  if (ran && !reusable) {
+    this->Rerun(code, now);
+    return;
+  }
+  // Only the reservation is gone, or the prefill's result is still there.
+  if (!ran || this->MayRepeat(code, now)) {
+    this->Advance(now);
+  }
+}
+
+void GenerationMachine::OnPrefillLost(ResultCode code, Instant now) {
+  this->EndLeg(this->prefill, true, now);
+  if (this->decode.stage == LegStage::kRunning) {
+    return;  // the import may be done already; the decode will tell
+  }
+  if (this->MayRepeat(code, now)) {
+    this->Advance(now);  // under the same reservation, if there is one
+  }
+}
+
+void GenerationMachine::OnEndpointLost(const EndpointId& endpoint,
+                                       Instant now) {
+  if (this->state != RequestState::kActive) {
+    return;
+  }
+  if (!this->decode.Idle() && this->decode.endpoint == endpoint) {
+    this->OnDecodeLost(ResultCode::kEndpointLost, now);
+  } else if (!this->prefill.Idle() && this->prefill.endpoint == endpoint) {
+    this->OnPrefillLost(ResultCode::kEndpointLost, now);
+  }
+}
+
+void GenerationMachine::OnDelivered(std::uint64_t index, Instant now) {
+  const auto through = this->stream.OnDelivered(index, now);
+  if (through && this->decode.stage == LegStage::kRunning) {
+    this->context.fleet.Send(
+        this->decode.endpoint,
+        protocol::Acknowledge{.attempt = this->decode.attempt,
+                              .through = *through},
+        now);
+  }
+}
+
+// ---- time ----
+
+Instant GenerationMachine::WakeAt() const {
+  if (this->state == RequestState::kWaiting) {
+    return this->resuming ? this->terms.deadline
+                          : std::min(this->PatienceEnd(), this->LatestStart());
+  }
+  Instant at = std::min({this->terms.deadline, this->decode.timeout_at,
+                         this->prefill.timeout_at, this->reserve_again_at,
+                         this->prefill_at, this->stream.ReaderStallsAt()});
+  if (this->decode.stage == LegStage::kRunning) {
+    at = std::min(at, this->stream.EngineStallsAt());
+  } else if (this->prefill.stage == LegStage::kReady) {
+    at = std::min(at, this->export_until);
+  }
+  return at;
+}
+
+void GenerationMachine::OnTimer(Instant now) {
+  if (now >= this->terms.deadline) {
+    this->GiveUp(this->running == 0 ? ResultCode::kDeadlineUnreachable
+                                    : ResultCode::kDeadlineExceeded,
+                 now);
+  } else if (this->state == RequestState::kWaiting) {
+    this->OnWaitOver(now);
+  } else if (now >= this->stream.ReaderStallsAt()) {
+    this->Fail(ResultCode::kSlowReader, protocol::Outcome::kUnknown,
+               Duration::zero(), now);
+  } else if (this->decode.stage == LegStage::kRunning) {
+    if (now >= this->stream.EngineStallsAt()) {
+      this->context.fleet.NoteFailure(this->decode.endpoint, now);
+      this->OnDecodeLost(ResultCode::kEngineFailed, now);
+    }
+  } else if (now >= this->decode.timeout_at) {
+    this->context.fleet.NoteFailure(this->decode.endpoint, now);
+    this->EndLeg(this->decode, true, now);
+    this->OnDecodeRefused(LegStage::kAsked, Duration::zero(), now);
+  } else if (now >= this->prefill.timeout_at) {
+    this->context.fleet.NoteFailure(this->prefill.endpoint, now);
+    this->OnPrefillLost(ResultCode::kEngineFailed, now);
+  } else {
+    if (now >= this->reserve_again_at) {
+      this->reserve_again_at = kNever;
+    }
+    if (now >= this->prefill_at) {
+      this->prefill_at = kNever;
+    }
+    this->Advance(now);
+  }
+}
+
+void GenerationMachine::OnWaitOver(Instant now) {
+  if (now < this->WakeAt()) {
+    return;
+  }
+  const bool reachable =
+      !this->context.fleet
+           .Usable(this->terms.service->name, protocol::EndpointRole::kDecode)
+           .empty();
+  this->GiveUp(
+      reachable ? ResultCode::kDeadlineUnreachable : ResultCode::kNoEndpoint,
+      now);
+}
+
+}  // namespace acacialug::entry
--- /dev/null
+++ b/src/entry/internal/generation_machine.cc
@@ -0,0 +1,443 @@
+#include "entry/internal/generation_machine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "placement/prefix_hasher.h"
+
+namespace acacialug::entry {
+namespace {
+
+// How long to wait after all of them refused, if they gave no advice.
+constexpr Duration kShortestPause = 2ms;
+constexpr Duration kLongestPause = 50ms;
+// A prediction margin never eats more than this part of the target, or a run
+// of late answers would refuse everything and nothing would be learnt again.
+constexpr int kMarginPart = 4;
+
+}  // namespace
+
+GenerationMachine::GenerationMachine(RequestContext shared,
+                                     RequestTerms fixed,
+                                     ServiceState& service_state,
+                                     const GenerationArrived& arrived)
+    : RequestMachine(shared, std::move(fixed), service_state),
+      work(arrived),
+      prompt_bytes(arrived.prompt_text.size()),
+      prefix(placement::HashPrefix(this->work.generation.model,
+                                   arrived.prompt_text,
+                                   this->terms.service->piece_tokens)),
+      stream(this->terms.request,
+             this->context.options,
+             this->context.actions) {
+  this->work.prompt_text = {};
+  if (this->work.generation.max_tokens == 0) {
+    this->work.generation.max_tokens = this->terms.service->default_max_tokens;
+  }
+  this->work.generation.priority = this->terms.latency_class->priority;
+}
+
+// ---- sizes and predictions ----
+
+std::uint64_t GenerationMachine::PromptTokens() const {
+  const std::uint64_t prompt =
+      this->prompt_tokens_counted > 0
+          ? this->prompt_tokens_counted
+          : this->service.tokens.Estimate(this->prompt_bytes);
+  return prompt + this->stream.Tokens();
+}
+
+std::uint64_t GenerationMachine::KvTokens() const {
+  const std::uint64_t answer =
+      this->work.generation.max_tokens - this->stream.Tokens();
+  return std::min<std::uint64_t>(this->PromptTokens() + answer,
+                                 this->terms.service->context_tokens);
+}
+
+std::uint64_t GenerationMachine::TransferBytes() const {
+  return this->SplitsPrefill()
+             ? this->PromptTokens() * this->terms.service->kv_bytes_per_token
+             : 0;
+}
+
+protocol::GenerationRequest GenerationMachine::RemainingWork() const {
+  protocol::GenerationRequest remaining = this->work.generation;
+  remaining.resumed_text = this->stream.Text();
+  remaining.max_tokens -= this->stream.Tokens();
+  return remaining;
+}
+
+admission::Waiting GenerationMachine::QueueRecord() const {
+  admission::Waiting record = RequestMachine::QueueRecord();
+  record.cost = static_cast<double>(this->KvTokens());
+  return record;
+}
+
+bool GenerationMachine::SplitsPrefill() const {
+  return this->context.fleet.Members(this->terms.service->name,
+                                     protocol::EndpointRole::kPrefill) > 0;
+}
+
+bool GenerationMachine::ReservesFirst() const {
+  return (this->context.options.reservation !=
+              agent::ReservationPolicy::kNone &&
+          this->context.options.rules.reserve_before_prefill) ||
+         !this->SplitsPrefill();
+}
+
+bool GenerationMachine::ExportAlive(Instant now) const {
+  return this->prefill.stage == LegStage::kReady && now < this->export_until;
+}
+
+Duration GenerationMachine::PrefillReadyIn(const placement::EndpointView& view,
+                                           Instant now) const {
+  const std::uint64_t cached =
+      this->service.prefill_picker.CachedPieces(this->prefix, view) *
+      this->terms.service->piece_tokens;
+  const std::uint64_t tokens = this->PromptTokens();
+  const Duration ahead = this->context.options.feasibility_counts_queue
+                             ? view.WorkAhead(now)
+                             : Duration::zero();
+  return ahead + 2 * view.Distance() +
+         view.PrefillTime(tokens - std::min(cached, tokens));
+}
+
+placement::EndpointView* GenerationMachine::PickPrefill(Instant now) {
+  return this->service.pick_prefill(
+      this->context.fleet.Usable(this->terms.service->name,
+                                 protocol::EndpointRole::kPrefill),
+      {.prompt_tokens = this->PromptTokens(),
+       .prefix = this->prefix,
+       .tried = this->prefill.tried,
+       .now = now},
+      this->context.random);
+}
+
+placement::EndpointView* GenerationMachine::PickDecode(Instant now) {
+  return this->service.pick_decode(
+      this->context.fleet.Usable(this->terms.service->name,
+                                 protocol::EndpointRole::kDecode),
+      {.kv_tokens = this->KvTokens(), .tried = this->decode.tried, .now = now},
+      this->context.random);
+}
+
+// Whether starting now still meets the first token's target, and the records
+// of what was predicted. A request that has begun, or that cost a run, goes
+// on until its deadline: dropping it would only waste more.
+bool GenerationMachine::Feasible(Instant now) {
+  Duration expected{};
+  Duration ready_in{};
+  if (this->SplitsPrefill()) {
+    const placement::EndpointView* const view = this->PickPrefill(now);
+    if (view == nullptr) {
+      return true;  // not known; no place is found for it anyway
+    }
+    ready_in = this->PrefillReadyIn(*view, now);
+    expected = view->PrefillTime(this->PromptTokens());
+  }
+  const placement::EndpointView* const target = this->PickDecode(now);
+  if (target != nullptr) {
+    const Duration rest =
+        target->RoundTrip() + target->TransferTime(this->TransferBytes()) +
+        target->TokenInterval() +
+        (this->SplitsPrefill() ? Duration::zero()
+                               : target->PrefillTime(this->PromptTokens()));
+    ready_in += rest;
+    expected += rest;
+    this->rest_after_prefill = rest;
+  }
+  this->first_token_predicted = now + ready_in;
+  this->start_expected = expected;
+  if (this->running > 0 || this->resuming) {
+    return true;
+  }
+  const Duration target_time = this->terms.latency_class->first_token;
+  const Duration margin =
+      std::min(this->service.margin.Margin(), target_time / kMarginPart);
+  return now + ready_in + margin <= this->terms.first_token_by;
+}
+
+Instant GenerationMachine::LatestStart() const {
+  const placement::Candidates prefills = this->context.fleet.Usable(
+      this->terms.service->name, protocol::EndpointRole::kPrefill);
+  if (prefills.empty()) {
+    return this->terms.first_token_by;
+  }
+  const Duration margin =
+      std::min(this->service.margin.Margin(),
+               this->terms.latency_class->first_token / kMarginPart);
+  return this->terms.first_token_by - margin -
+         prefills.front()->PrefillTime(this->PromptTokens());
+}
+
+// ---- legs ----
+
+void GenerationMachine::BeginLeg(Leg& leg,
+                                 const EndpointId& endpoint,
+                                 Instant now) {
+  // Both legs of one try share a number; a leg that is tried again takes a
+  // new one, which supersedes the old.
+  if (leg.last_number == this->number) {
+    this->number = AttemptNumber(this->number.value + 1);
+  }
+  leg.last_number = this->number;
+  leg.stage = LegStage::kAsked;
+  leg.endpoint = endpoint;
+  leg.attempt = this->Attempt(this->number);
+  leg.asked_at = now;
+  this->context.fleet.Attach(endpoint, this->terms.request, now);
+}
+
+void GenerationMachine::EndLeg(Leg& leg, bool cancel, Instant now) {
+  if (leg.Idle()) {
+    return;
+  }
+  if (cancel) {
+    this->context.fleet.Send(leg.endpoint,
+                             protocol::Cancel{.attempt = leg.attempt}, now);
+  }
+  this->context.fleet.Detach(leg.endpoint, this->terms.request);
+  leg.stage = LegStage::kNone;
+  leg.timeout_at = kNever;
+}
+
+void GenerationMachine::BeginStart(Instant now) {
+  if (!this->starting) {
+    this->starting = true;
+    this->start_began_at = now;
+    this->service.limit.Begin();
+  }
+}
+
+void GenerationMachine::EndStart() {
+  if (this->starting) {
+    this->starting = false;
+    this->service.limit.End();
+  }
+}
+
+// ---- steps ----
+
+void GenerationMachine::Dispatch(Instant now) {
+  if (!this->Feasible(now)) {
+    this->GiveUp(ResultCode::kDeadlineUnreachable, now);
+    return;
+  }
+  const bool begun =
+      this->ReservesFirst() ? this->Reserve(now) : this->StartPrefill(now);
+  if (begun) {
+    this->state = RequestState::kActive;
+    this->BeginStart(now);
+    return;
+  }
+  this->decode.tried.clear();
+  this->prefill.tried.clear();
+}
+
+void GenerationMachine::Advance(Instant now) {
+  if (this->state != RequestState::kActive ||
+      this->decode.stage == LegStage::kRunning) {
+    return;
+  }
+  if (this->prefill.stage == LegStage::kReady && !this->ExportAlive(now)) {
+    this->OnPrefillLost(ResultCode::kExportExpired, now);
+    return;
+  }
+  if (this->prefill.Idle() && !this->ReservesFirst()) {
+    this->EndLeg(this->decode, true, now);
+    if (!this->StartPrefill(now)) {
+      this->ReturnToQueue(kShortestPause, now);
+    }
+    return;
+  }
+  const bool prefilled =
+      this->prefill.stage == LegStage::kReady || !this->SplitsPrefill();
+  if (this->decode.Idle()) {
+    if ((this->ReservesFirst() || prefilled) &&
+        this->reserve_again_at == kNever && !this->Reserve(now)) {
+      this->ReserveAgainSoon(kShortestPause, now);
+    }
+    return;
+  }
+  if (this->decode.stage != LegStage::kReady) {
+    return;
+  }
+  if (prefilled) {
+    this->StartDecode(now);
+  } else if (this->prefill.Idle() && this->prefill_at == kNever &&
+             !this->StartPrefill(now)) {
+    this->ReturnToQueue(kShortestPause, now);
+  }
+}
+
+bool GenerationMachine::Reserve(Instant now) {
+  placement::EndpointView* const view = this->PickDecode(now);
+  if (view == nullptr) {
+    return false;
+  }
+  Duration ready_in{};
+  if (this->prefill.Idle() && this->SplitsPrefill()) {
+    const placement::EndpointView* const prefill_view = this->PickPrefill(now);
+    if (prefill_view == nullptr) {
+      return false;  // nowhere to prefill: do not hold memory for it
+    }
+    ready_in = this->PrefillReadyIn(*prefill_view, now);
+  }
+  this->reserve_again_at = kNever;
+  this->BeginLeg(this->decode, view->Id(), now);
+  this->decode.timeout_at = now + this->context.options.reserve_timeout;
+  this->decode.tried.push_back(view->Key());
+  view->NoteSent({.kv_tokens = this->KvTokens()}, now);
+  this->context.fleet.Send(
+      view->Id(),
+      protocol::Reserve{.attempt = this->decode.attempt,
+                        .kv_tokens = this->KvTokens(),
+                        .transfer_bytes = this->TransferBytes(),
+                        .prefill_ready_in = ready_in,
+                        .start_within = this->TimeToFirstToken(now),
+                        .priority = this->work.generation.priority},
+      now);
+  return true;
+}
+
+bool GenerationMachine::StartPrefill(Instant now) {
+  placement::EndpointView* const view = this->PickPrefill(now);
+  if (view == nullptr) {
+    return false;
+  }
+  this->prefill_expected = this->PrefillReadyIn(*view, now);
+  const Duration compute = view->PrefillTime(this->PromptTokens());
+  const Duration finish_within = this->TimeToFirstToken(now);
+  this->BeginLeg(this->prefill, view->Id(), now);
+  this->prefill.timeout_at =
+      now + this->prefill_expected + this->context.options.stall_timeout;
+  this->prefill.tried.push_back(view->Key());
+  ++this->running;
+  view->NoteSent({.prefill_time = compute}, now);
+  this->service.prefill_picker.NoteSent(this->prefix, *view);
+  this->context.fleet.Send(
+      view->Id(),
+      protocol::StartPrefill{.attempt = this->prefill.attempt,
+                             .generation = this->RemainingWork(),
+                             .prefix = this->prefix,
+                             .prompt_tokens = this->PromptTokens(),
+                             .finish_within = finish_within},
+      now);
+  return true;
+}
+
+// What is left until the decode has to start for the first token to be on
+// time; after that, or for a request that cost a run already, what is left
+// until its deadline.
+Duration GenerationMachine::TimeToFirstToken(Instant now) const {
+  const Instant start_by =
+      std::min(this->terms.first_token_by, this->terms.deadline) -
+      this->rest_after_prefill;
+  const bool on_time = this->repeats == 0 && !this->resuming && now < start_by;
+  return (on_time ? start_by : this->terms.deadline) - now;
+}
+
+void GenerationMachine::StartDecode(Instant now) {
+  this->decode.stage = LegStage::kRunning;
+  this->decode.timeout_at = kNever;
+  ++this->running;
+  this->ended.reset();
+  this->stream.BeginAttempt(now);
+  this->context.fleet.Send(
+      this->decode.endpoint,
+      protocol::StartDecode{
+          .attempt = this->decode.attempt,
+          .generation = this->RemainingWork(),
+          .kv = this->SplitsPrefill() ? this->kv : protocol::KvHandle(),
+          .kv_tokens = this->KvTokens(),
+          .window_chunks = this->context.options.window_chunks},
+      now);
+}
+
+void GenerationMachine::ReserveAgainSoon(Duration hint, Instant now) {
+  this->decode.tried.clear();
+  this->reserve_again_at =
+      now + std::clamp(hint, kShortestPause, kLongestPause);
+}
+
+void GenerationMachine::ReturnToQueue(Duration hint, Instant now) {
+  this->EndLeg(this->decode, true, now);
+  this->EndLeg(this->prefill, true, now);
+  this->EndStart();
+  this->prefill_at = kNever;
+  this->reserve_again_at = kNever;
+  this->decode.tried.clear();
+  this->prefill.tried.clear();
+  this->resuming = this->running > 0 || this->stream.Begun();
+  this->state = RequestState::kWaiting;
+  this->service.BlockUntil(now +
+                           std::clamp(hint, kShortestPause, kLongestPause));
+}
+
+// Takes one repeat of a run from the budget; without, the request ends here.
+bool GenerationMachine::MayRepeat(ResultCode code, Instant now) {
+  if (this->repeats + 1 < this->context.options.max_attempts &&
+      this->context.budget.TryTake()) {
+    ++this->repeats;
+    return true;
+  }
+  this->GiveUp(this->repeats > 0 ? ResultCode::kRetriesExhausted : code, now);
+  return false;
+}
+
+// A run is lost and has to be done again, after what was delivered.
+void GenerationMachine::Rerun(ResultCode code, Instant now) {
+  this->EndLeg(this->decode, true, now);
+  this->EndLeg(this->prefill, true, now);
+  if (this->stream.Tokens() >= this->work.generation.max_tokens) {
+    this->Finish(protocol::FinishReason::kLength, {}, now);
+    return;
+  }
+  if (!this->MayRepeat(code, now)) {
+    return;
+  }
+  this->EndStart();
+  this->prefill_at = kNever;
+  this->reserve_again_at = kNever;
+  this->resuming = true;
+  this->state = RequestState::kWaiting;
+}
+
+void GenerationMachine::Finish(protocol::FinishReason reason,
+                               const protocol::Usage& usage,
+                               Instant now) {
+  const std::uint32_t output =
+      usage.output_tokens > 0
+          ? this->stream.EarlierTokens() + usage.output_tokens
+          : this->stream.Tokens();
+  const std::uint32_t prompt = this->prompt_tokens_counted > 0
+                                   ? this->prompt_tokens_counted
+                                   : usage.prompt_tokens;
+  this->context.budget.NoteSuccess();
+  this->EndLeg(this->decode, false, now);
+  this->Abandon(now);
+  this->Emit(AnswerEnd{.request = this->terms.request,
+                       .reason = reason,
+                       .usage = {.prompt_tokens = prompt,
+                                 .cached_tokens = this->cached_tokens,
+                                 .output_tokens = output}});
+}
+
+void GenerationMachine::GiveUp(ResultCode code, Instant now) {
+  if (this->running == 0) {
+    this->Refuse(IsNotRun(code) ? code : ResultCode::kNoEndpoint,
+                 this->service.RetryAfter(), now);
+    return;
+  }
+  this->Fail(IsNotRun(code) ? ResultCode::kRetriesExhausted : code,
+             protocol::Outcome::kUnknown, Duration::zero(), now);
+}
+
+void GenerationMachine::Abandon(Instant now) {
+  this->EndLeg(this->decode, true, now);
+  this->EndLeg(this->prefill, true, now);
+  this->EndStart();
+  this->state = RequestState::kDone;
+}
+
+}  // namespace acacialug::entry
--- /dev/null
+++ b/src/entry/internal/generation_machine.h
@@ -0,0 +1,163 @@
+#ifndef ENTRY_INTERNAL_GENERATION_MACHINE_H_
+#define ENTRY_INTERNAL_GENERATION_MACHINE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "entry/internal/answer_stream.h"
+#include "entry/internal/request_machine.h"
+
+namespace acacialug::entry {
+
+// How far one side of a generation is.
+enum class LegStage : std::uint8_t {
+  kNone,
+  kAsked,    // Reserve sent (decode); StartPrefill sent (prefill)
+  kReady,    // reserved (decode); the result waits in the engine (prefill)
+  kRunning,  // StartDecode sent (decode)
+};
+inline constexpr EnumNames<LegStage, 4> kLegStageNames = {{
+    {LegStage::kNone, "none"},
+    {LegStage::kAsked, "asked"},
+    {LegStage::kReady, "ready"},
+    {LegStage::kRunning, "running"},
+}};
+
+// One side of a generation: the endpoint, and the attempt's name there.
+struct Leg {
+  LegStage stage = LegStage::kNone;
+  EndpointId endpoint;
+  AttemptId attempt;
+  AttemptNumber last_number;  // also of earlier tries of this side
+  Instant asked_at{};
+  Instant timeout_at = kNever;
+  std::vector<std::uint64_t> tried;  // keys of endpoints not to repeat
+
+  bool Idle() const { return this->stage == LegStage::kNone; }
+};
+
+// A generation: reserve a decode slot, prefill, decode, pass the answer on.
+//
+// The two legs are kept apart, so that losing one never costs the other: a
+// prefill result that is alive is used with another reservation, and a
+// reservation outlives a failed prefill. Once the first chunk shows that the
+// KV cache was imported, the prefill leg is given back; after that a lost
+// decode endpoint means a new run that goes on after the delivered text.
+class GenerationMachine : public RequestMachine {
+ public:
+  GenerationMachine(RequestContext shared,
+                    RequestTerms fixed,
+                    ServiceState& service_state,
+                    const GenerationArrived& arrived);
+
+  void Dispatch(Instant now) override;
+  void OnMessage(const EndpointId& endpoint,
+                 const protocol::AgentToEntry& message,
+                 Instant now) override;
+  void OnEndpointLost(const EndpointId& endpoint, Instant now) override;
+  void OnDelivered(std::uint64_t index, Instant now) override;
+  void OnTimer(Instant now) override;
+  Instant WakeAt() const override;
+  void Abandon(Instant now) override;
+  admission::Waiting QueueRecord() const override;
+
+  // The latest moment at which starting still meets the first token's
+  // target, if nothing is queued ahead.
+  Instant LatestStart() const;
+
+ private:
+  // ---- events (generation_events.cc) ----
+  bool Take(const EndpointId& endpoint,
+            const protocol::Reserved& reserved,
+            Instant now);
+  bool Take(const EndpointId& endpoint,
+            const protocol::Prefilled& prefilled,
+            Instant now);
+  bool Take(const EndpointId& endpoint,
+            const protocol::Chunk& chunk,
+            Instant now);
+  bool Take(const EndpointId& endpoint,
+            const protocol::Ended& message,
+            Instant now);
+  bool Take(const EndpointId& endpoint,
+            const protocol::Refused& refused,
+            Instant now);
+  bool Take(const EndpointId& endpoint,
+            const protocol::Failed& failed,
+            Instant now);
+  void OnDecodeRefused(LegStage stage, Duration hint, Instant now);
+  void OnPrefillRefused(Duration hint, Instant now);
+  void OnWaitOver(Instant now);
+  void OnDecodeLost(ResultCode code, Instant now);
+  void OnPrefillLost(ResultCode code, Instant now);
+  bool Matches(const Leg& leg,
+               LegStage stage,
+               const EndpointId& endpoint,
+               const AttemptId& attempt) const;
+  Leg& LegOf(protocol::Phase phase);
+  void OnFirstChunk(Instant now);
+
+  // ---- steps ----
+  // Does whatever the legs' stages allow next.
+  void Advance(Instant now);
+  bool Reserve(Instant now);
+  bool StartPrefill(Instant now);
+  void StartDecode(Instant now);
+  void ReserveAgainSoon(Duration hint, Instant now);
+  void ReturnToQueue(Duration hint, Instant now);
+  bool MayRepeat(ResultCode code, Instant now);
+  void Rerun(ResultCode code, Instant now);
+  void Finish(protocol::FinishReason reason,
+              const protocol::Usage& usage,
+              Instant now);
+  void GiveUp(ResultCode code, Instant now);
+
+  // ---- helpers ----
+  bool Feasible(Instant now);
+  bool SplitsPrefill() const;
+  bool ReservesFirst() const;
+  bool ExportAlive(Instant now) const;
+  placement::EndpointView* PickPrefill(Instant now);
+  placement::EndpointView* PickDecode(Instant now);
+  Duration PrefillReadyIn(const placement::EndpointView& view,
+                          Instant now) const;
+  Duration TimeToFirstToken(Instant now) const;
+  protocol::GenerationRequest RemainingWork() const;
+  std::uint64_t PromptTokens() const;
+  std::uint64_t KvTokens() const;
+  std::uint64_t TransferBytes() const;
+  void BeginLeg(Leg& leg, const EndpointId& endpoint, Instant now);
+  void EndLeg(Leg& leg, bool cancel, Instant now);
+  void BeginStart(Instant now);
+  void EndStart();
+
+  GenerationArrived work;  // prompt_text is dropped once it was hashed
+  std::uint64_t prompt_bytes = 0;
+  protocol::PrefixChain prefix;
+  AnswerStream stream;
+
+  Leg decode;
+  Leg prefill;
+  AttemptNumber number;       // the highest given out
+  std::uint32_t running = 0;  // starts that are not provably undone
+  std::uint32_t repeats = 0;  // runs that were done again
+  protocol::KvHandle kv;
+  Instant export_until{};
+  Instant reserve_again_at = kNever;
+  Instant prefill_at = kNever;  // a promised slot: not before
+  std::uint32_t prompt_tokens_counted = 0;
+  std::uint32_t cached_tokens = 0;
+  bool starting = false;  // counted in the concurrency limit
+  Instant start_began_at{};
+  Instant first_token_predicted{};
+  Duration rest_after_prefill{};  // transfer and the first token
+  std::optional<protocol::Ended> ended;
+  Duration start_expected{};  // without waiting, for the limit's measure
+  Duration prefill_expected{};
+};
+
+}  // namespace acacialug::entry
+
+#endif  // ENTRY_INTERNAL_GENERATION_MACHINE_H_
--- /dev/null
+++ b/src/entry/internal/request_router.cc
@@ -0,0 +1,445 @@
+#include "entry/internal/request_router.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "entry/internal/arrival_rules.h"
+#include "entry/internal/direct_once.h"
+
+namespace acacialug::entry {
+namespace {
+
+// While no endpoint has room, and none tells of any.
+constexpr Duration kNoPlacePause = 10ms;
+// When a request refused by the state of the whole process may try again.
+constexpr Duration kDoorAdvice = 1s;
+// A prompt counts as too long by the estimate only beyond this multiple of
+// the context: below it, the engine's own count decides.
+constexpr double kLengthTolerance = 1.25;
+
+template <typename Message>
+concept HasAttempt = requires(const Message& message) {
+  message.attempt;
+};
+
+const AttemptId* AttemptOf(const protocol::AgentToEntry& message) {
+  return std::visit(
+      [](const auto& content) -> const AttemptId* {
+        if constexpr (HasAttempt<std::decay_t<decltype(content)>>) {
+          return &content.attempt;
+        } else {
+          return nullptr;
+        }
+      },
+      message);
+}
+
+// Messages that tell of something held at the agent for the attempt.
+bool TellsOfHeld(const protocol::AgentToEntry& message) {
+  return std::holds_alternative<protocol::Reserved>(message) ||
+         std::holds_alternative<protocol::Prefilled>(message) ||
+         std::holds_alternative<protocol::Chunk>(message);
+}
+
+std::unique_ptr<IOnceCoordinator> MakeOnce(const EntryOptions& options) {
+  if (options.make_once) {
+    return options.make_once(options);
+  }
+  return std::make_unique<DirectOnce>();
+}
+
+}  // namespace
+
+RequestRouter::RequestRouter(EntryOptions entry_options,
+                             RandomSource& random_source)
+    : options(std::move(entry_options)),
+      random(random_source),
+      fleet(this->options,
+            this->random,
+            this->actions,
+            [this](const ServiceName& service) {
+              const auto found = this->services.find(service);
+              if (found != this->services.end()) {
+                found->second->Unblock();
+                this->pumped.insert(service);
+              }
+            }),
+      budget({.share = this->options.retry_share,
+              .burst = this->options.retry_burst}),
+      once(MakeOnce(this->options)) {}
+
+RequestContext RequestRouter::Context() {
+  return {.options = this->options,
+          .fleet = this->fleet,
+          .budget = this->budget,
+          .once = *this->once,
+          .random = this->random,
+          .actions = this->actions};
+}
+
+ServiceState& RequestRouter::StateOf(const manifest::Service& service) {
+  std::unique_ptr<ServiceState>& state = this->services[service.name];
+  if (!state) {
+    state = std::make_unique<ServiceState>(service, this->options);
+  }
+  return *state;
+}
+
+void RequestRouter::OnManifest(std::shared_ptr<const manifest::Manifest> newest,
+                               Instant now) {
+  this->Begin(now);
+  if (newest && (!this->manifest || newest->offset > this->manifest->offset)) {
+    this->manifest = std::move(newest);
+    this->fleet.Apply(this->manifest, now);
+  }
+  this->Settle(now);
+}
+
+// ---- arrival ----
+
+ResultCode RequestRouter::RefusalAtDoor() const {
+  if (this->draining) {
+    return ResultCode::kDraining;
+  }
+  if (!this->manifest) {
+    return ResultCode::kNotReady;
+  }
+  return this->machines.size() >= this->options.max_requests
+             ? ResultCode::kOverloaded
+             : ResultCode::kOk;
+}
+
+void RequestRouter::Refuse(const RequestId& request,
+                           ResultCode code,
+                           Duration retry_after) {
+  this->actions.emplace_back(AnswerError{.request = request,
+                                         .code = code,
+                                         .outcome = protocol::Outcome::kNotRun,
+                                         .retry_after = retry_after});
+}
+
+bool RequestRouter::Admit(const RequestId& request,
+                          const Result<RequestTerms>& terms,
+                          Instant now) {
+  if (!terms) {
+    this->Refuse(request, terms.error().result_code(), {});
+    return false;
+  }
+  const manifest::CallerLimits* const limits =
+      this->manifest->FindCaller(terms->caller);
+  const Duration wait =
+      limits == nullptr ? Duration::zero() : this->rates.Take(*limits, now);
+  if (wait > Duration::zero()) {
+    this->Refuse(request, ResultCode::kCallerOverLimit, wait);
+    return false;
+  }
+  return true;
+}
+
+void RequestRouter::OnGeneration(const GenerationArrived& arrived,
+                                 Instant now) {
+  this->Begin(now);
+  const ResultCode refusal = this->RefusalAtDoor();
+  if (refusal != ResultCode::kOk) {
+    this->Refuse(arrived.request, refusal, kDoorAdvice);
+    this->Settle(now);
+    return;
+  }
+  auto terms = ArrivalRules::ForGeneration(arrived, this->manifest,
+                                           this->options.default_deadline, now);
+  if (!this->Admit(arrived.request, terms, now)) {
+    return;
+  }
+  const manifest::Service& service = *terms->service;
+  ServiceState& state = this->StateOf(service);
+  const auto tokens =
+      static_cast<double>(state.tokens.Estimate(arrived.prompt_text.size()));
+  if (tokens > kLengthTolerance * service.context_tokens) {
+    this->Refuse(arrived.request, ResultCode::kPromptTooLong, {});
+    return;
+  }
+  this->Add(std::make_unique<GenerationMachine>(
+                this->Context(), std::move(terms.value()), state, arrived),
+            now);
+}
+
+void RequestRouter::OnCall(const CallArrived& arrived, Instant now) {
+  this->Begin(now);
+  const ResultCode refusal = this->RefusalAtDoor();
+  if (refusal != ResultCode::kOk) {
+    this->Refuse(arrived.request, refusal, kDoorAdvice);
+    this->Settle(now);
+    return;
+  }
+  auto terms = ArrivalRules::ForCall(arrived, this->manifest,
+                                     this->options.default_deadline, now);
+  if (!this->Admit(arrived.request, terms, now)) {
+    return;
+  }
+  const bool idempotent =
+      ArrivalRules::Idempotent(*terms->service, arrived.call);
+  if (!idempotent && arrived.idempotency_key.empty() &&
+      arrived.ticket.empty()) {
+    this->Refuse(arrived.request, ResultCode::kKeyRequired, {});
+    return;
+  }
+  ServiceState& state = this->StateOf(*terms->service);
+  this->Add(
+      std::make_unique<CallMachine>(this->Context(), std::move(terms.value()),
+                                    state, arrived, idempotent),
+      now);
+}
+
+void RequestRouter::Add(std::unique_ptr<RequestMachine> machine, Instant now) {
+  RequestMachine& added = *machine;
+  const auto [found, created] =
+      this->machines.try_emplace(added.Terms().request, std::move(machine));
+  if (!created) {
+    return;  // the process reused an id; the first request keeps it
+  }
+  this->Enqueue(added, true, now);
+  this->After(added, now);
+  this->Settle(now);
+}
+
+// ---- events ----
+
+void RequestRouter::OnCallerGone(RequestId request, Instant now) {
+  this->Begin(now);
+  const auto found = this->machines.find(request);
+  if (found != this->machines.end()) {
+    found->second->Abandon(now);
+    this->After(*found->second, now);
+  }
+  this->Settle(now);
+}
+
+void RequestRouter::OnDelivered(RequestId request,
+                                std::uint64_t index,
+                                Instant now) {
+  this->Begin(now);
+  const auto found = this->machines.find(request);
+  if (found != this->machines.end()) {
+    found->second->OnDelivered(index, now);
+    this->After(*found->second, now);
+  }
+  this->Settle(now);
+}
+
+void RequestRouter::OnEndpointConnected(const EndpointId& endpoint,
+                                        Instant now) {
+  this->Begin(now);
+  this->fleet.OnConnected(endpoint, now);
+  this->Settle(now);
+}
+
+void RequestRouter::OnEndpointClosed(const EndpointId& endpoint, Instant now) {
+  this->Begin(now);
+  this->fleet.OnClosed(endpoint, now);
+  this->Settle(now);
+}
+
+void RequestRouter::OnMessage(const EndpointId& endpoint,
+                              const protocol::AgentToEntry& message,
+                              Instant now) {
+  this->Begin(now);
+  if (!this->fleet.OnMessage(endpoint, message, now)) {
+    const AttemptId& attempt = *AttemptOf(message);
+    const auto found = this->machines.find(attempt.request);
+    if (found != this->machines.end()) {
+      found->second->OnMessage(endpoint, message, now);
+      this->After(*found->second, now);
+    } else if (TellsOfHeld(message)) {
+      this->fleet.Send(endpoint, protocol::Cancel{.attempt = attempt}, now);
+    }
+    const auto* refused = std::get_if<protocol::Refused>(&message);
+    if (refused != nullptr && refused->code == ResultCode::kSessionUnknown) {
+      this->fleet.Reopen(endpoint, now);
+    }
+  }
+  this->Settle(now);
+}
+
+void RequestRouter::OnClaimsAppended(const ClaimsAppended& appended,
+                                     Instant now) {
+  this->Begin(now);
+  this->once->OnClaimsAppended(appended, now);
+  this->Settle(now);
+}
+
+void RequestRouter::OnClaimsRead(const ClaimsRead& read, Instant now) {
+  this->Begin(now);
+  this->once->OnClaimsRead(read, now);
+  this->Settle(now);
+}
+
+void RequestRouter::OnLiveEntries(std::uint32_t entries, Instant now) {
+  this->rates.SetSharers(
+      std::max(entries, 1U) * std::max(this->options.shards, 1U), now);
+}
+
+// ---- around each event ----
+
+// A process that was paused for longer than a lease wakes up with sessions
+// that its agents gave up meanwhile; had it acted on an event first, it would
+// have started work on a reservation that another entry now holds.
+void RequestRouter::Begin(Instant now) {
+  this->fleet.OnTimer(now);
+  this->TakeLostWork(now);
+}
+
+void RequestRouter::TakeLostWork(Instant now) {
+  for (const LostWork& lost : this->fleet.TakeLost()) {
+    const auto found = this->machines.find(lost.request);
+    if (found != this->machines.end()) {
+      found->second->OnEndpointLost(lost.endpoint, now);
+      this->After(*found->second, now);
+    }
+  }
+}
+
+void RequestRouter::TakeVerdicts(Instant now) {
+  for (const OnceVerdict& verdict : this->once->TakeVerdicts()) {
+    const RequestId request = std::visit(
+        [](const auto& content) { return content.request; }, verdict);
+    const auto found = this->machines.find(request);
+    auto* const machine = found == this->machines.end()
+                              ? nullptr
+                              : dynamic_cast<CallMachine*>(found->second.get());
+    if (machine != nullptr) {
+      machine->OnVerdict(verdict, now);
+      this->After(*machine, now);
+    }
+  }
+  for (EntryAction& action : this->once->TakeActions()) {
+    this->actions.push_back(std::move(action));
+  }
+}
+
+void RequestRouter::Settle(Instant now) {
+  this->TakeLostWork(now);
+  this->TakeVerdicts(now);
+  while (!this->pumped.empty()) {
+    const ServiceName service = *this->pumped.begin();
+    this->pumped.erase(this->pumped.begin());
+    this->Pump(service, now);
+    this->TakeVerdicts(now);
+  }
+}
+
+// Keeps the queue, the timer and the table of requests in step with what a
+// machine has become.
+void RequestRouter::After(RequestMachine& machine, Instant now) {
+  const RequestId request = machine.Terms().request;
+  this->pumped.insert(machine.Terms().service->name);
+  if (machine.State() == RequestState::kDone) {
+    this->Erase(request);
+    return;
+  }
+  if (machine.State() == RequestState::kWaiting &&
+      !this->queued.contains(request)) {
+    this->Enqueue(machine, false, now);
+  }
+  // A timer that is early costs one look; one moved for each chunk of each
+  // stream would cost more.
+  const Instant wake = std::max(machine.WakeAt(), now);
+  if (wake < this->timers.At(request)) {
+    this->timers.Arm(request, wake);
+  }
+}
+
+void RequestRouter::Enqueue(RequestMachine& machine,
+                            bool arrived,
+                            Instant now) {
+  const RequestId request = machine.Terms().request;
+  const manifest::LatencyClass& latency_class = *machine.Terms().latency_class;
+  this->queued.insert(request);
+  if (machine.Resuming()) {
+    machine.Service().PushResumed(request);
+    return;
+  }
+  if (!arrived) {
+    machine.Service().Restore(latency_class, machine.QueueRecord());
+    return;
+  }
+  const auto refused =
+      machine.Service().Push(latency_class, machine.QueueRecord());
+  if (refused) {
+    this->queued.erase(*refused);
+    RequestMachine& loser = *this->machines.at(*refused);
+    loser.Refuse(ResultCode::kOverloaded, loser.Service().RetryAfter(), now);
+    if (&loser != &machine) {
+      this->Erase(*refused);
+    }
+  }
+}
+
+void RequestRouter::Erase(const RequestId& request) {
+  const auto found = this->machines.find(request);
+  if (found == this->machines.end()) {
+    return;
+  }
+  if (this->queued.erase(request) > 0) {
+    found->second->Service().Remove(request);
+  }
+  this->timers.Disarm(request);
+  this->machines.erase(found);
+}
+
+void RequestRouter::Pump(const ServiceName& name, Instant now) {
+  const auto service = this->services.find(name);
+  if (service == this->services.end()) {
+    return;
+  }
+  ServiceState& state = *service->second;
+  while (!state.Blocked(now)) {
+    const auto request = state.Pop();
+    if (!request) {
+      return;
+    }
+    this->queued.erase(*request);
+    RequestMachine& machine = *this->machines.at(*request);
+    machine.Dispatch(now);
+    if (machine.State() == RequestState::kWaiting && !state.Blocked(now)) {
+      state.BlockUntil(now + kNoPlacePause);
+    }
+    this->After(machine, now);
+  }
+  this->unblocks.Arm(name, state.Queued() > 0 ? state.BlockedUntil() : kNever);
+}
+
+// ---- time ----
+
+void RequestRouter::RunTimers(Instant now) {
+  while (const auto request = this->timers.PopDue(now)) {
+    const auto found = this->machines.find(*request);
+    if (found == this->machines.end()) {
+      continue;
+    }
+    found->second->OnTimer(now);
+    this->After(*found->second, now);
+  }
+  while (const auto service = this->unblocks.PopDue(now)) {
+    this->pumped.insert(*service);
+  }
+}
+
+void RequestRouter::OnTimer(Instant now) {
+  this->Begin(now);
+  this->RunTimers(now);
+  this->once->OnTimer(now);
+  this->Settle(now);
+}
+
+Instant RequestRouter::NextTimer() const {
+  return std::min({this->fleet.NextTimer(), this->timers.Next(),
+                   this->unblocks.Next(), this->once->NextTimer()});
+}
+
+std::vector<EntryAction> RequestRouter::TakeActions() {
+  return std::exchange(this->actions, {});
+}
+
+}  // namespace acacialug::entry
--- /dev/null
+++ b/src/entry/internal/request_router.h
@@ -0,0 +1,98 @@
+#ifndef ENTRY_INTERNAL_REQUEST_ROUTER_H_
+#define ENTRY_INTERNAL_REQUEST_ROUTER_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "admission/caller_rates.h"
+#include "entry/i_once_coordinator.h"
+#include "entry/internal/call_machine.h"
+#include "entry/internal/fleet.h"
+#include "entry/internal/generation_machine.h"
+#include "entry/internal/request_machine.h"
+#include "entry/internal/service_state.h"
+#include "entry/internal/timer_set.h"
+#include "entry/types/entry_messages.h"
+#include "entry/types/entry_options.h"
+#include "framework/global/types/result.h"
+
+namespace acacialug::entry {
+
+// What EntryCore does: brings events to the machines of the requests, and
+// gives waiting requests their turn. Methods as in EntryCore.
+class RequestRouter {
+ public:
+  RequestRouter(EntryOptions entry_options, RandomSource& random_source);
+
+  void OnManifest(std::shared_ptr<const manifest::Manifest> newest,
+                  Instant now);
+  void OnGeneration(const GenerationArrived& arrived, Instant now);
+  void OnCall(const CallArrived& arrived, Instant now);
+  void OnCallerGone(RequestId request, Instant now);
+  void OnDelivered(RequestId request, std::uint64_t index, Instant now);
+  void OnEndpointConnected(const EndpointId& endpoint, Instant now);
+  void OnEndpointClosed(const EndpointId& endpoint, Instant now);
+  void OnMessage(const EndpointId& endpoint,
+                 const protocol::AgentToEntry& message,
+                 Instant now);
+  void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
+  void OnClaimsRead(const ClaimsRead& read, Instant now);
+  void OnLiveEntries(std::uint32_t entries, Instant now);
+  void OnTimer(Instant now);
+  void BeginDrain() { this->draining = true; }
+  bool Drained() const { return this->draining && this->machines.empty(); }
+  Instant NextTimer() const;
+  std::vector<EntryAction> TakeActions();
+  std::size_t AliveRequests() const { return this->machines.size(); }
+
+ private:
+  using Machines =
+      std::unordered_map<RequestId, std::unique_ptr<RequestMachine>>;
+
+  // ---- arrival ----
+  bool Admit(const RequestId& request,
+             const Result<RequestTerms>& terms,
+             Instant now);
+  ResultCode RefusalAtDoor() const;
+  void Refuse(const RequestId& request, ResultCode code, Duration retry_after);
+  void Add(std::unique_ptr<RequestMachine> machine, Instant now);
+  ServiceState& StateOf(const manifest::Service& service);
+  RequestContext Context();
+
+  // ---- around each event ----
+  // Gives up lapsed sessions before anything else is decided.
+  void Begin(Instant now);
+  // Brings about what the event made possible.
+  void Settle(Instant now);
+  void TakeLostWork(Instant now);
+  void TakeVerdicts(Instant now);
+  void After(RequestMachine& machine, Instant now);
+  void Enqueue(RequestMachine& machine, bool arrived, Instant now);
+  void Pump(const ServiceName& service, Instant now);
+  void Erase(const RequestId& request);
+  void RunTimers(Instant now);
+
+  EntryOptions options;
+  RandomSource& random;
+  std::vector<EntryAction> actions;
+  std::set<ServiceName> pumped;  // services to look at in Settle
+  Fleet fleet;
+  retry::RetryBudget budget;
+  std::unique_ptr<IOnceCoordinator> once;
+  admission::CallerRates rates;
+  std::shared_ptr<const manifest::Manifest> manifest;
+  std::map<ServiceName, std::unique_ptr<ServiceState>> services;
+  Machines machines;
+  std::set<RequestId> queued;
+  TimerSet<RequestId> timers;
+  TimerSet<ServiceName> unblocks;
+  bool draining = false;
+};
+
+}  // namespace acacialug::entry
+
+#endif  // ENTRY_INTERNAL_REQUEST_ROUTER_H_
--- /dev/null
+++ b/src/entry/tests/entry_driver.h
@@ -0,0 +1,106 @@
+#ifndef ENTRY_TESTS_ENTRY_DRIVER_H_
+#define ENTRY_TESTS_ENTRY_DRIVER_H_
+
+#include <cppunit/TestAssert.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "entry/entry_core.h"
+
+namespace acacialug::entry {
+
+// Drives one EntryCore in virtual time: plays the agents by hand, and keeps
+// what the core asked for.
+class EntryDriver {
+ public:
+  explicit EntryDriver(EntryOptions options = {});
+
+  // The manifest with 2 prefill, 2 decode and 2 plain endpoints (p1, p2, d1,
+  // d2, s1, s2), services "lm" (model "m") and "app".
+  static manifest::Manifest DefaultManifest();
+
+  void Apply(manifest::Manifest manifest);
+  // Opens the sessions of all endpoints that the core wants.
+  void OpenAll();
+  void Open(const std::string& endpoint, std::uint64_t incarnation = 7);
+
+  RequestId Generate(const std::string& prompt = std::string(400, 'x'),
+                     std::uint32_t max_tokens = 8);
+  RequestId Call(const std::string& method,
+                 const std::string& idempotency_key = {});
+
+  void Tell(const std::string& endpoint, const protocol::AgentToEntry& message);
+  void Close(const std::string& endpoint);
+  // Moves time on, running the core's timers on the way; agents renew.
+  void Pass(Duration duration, bool renew = true);
+  // Jumps over a pause of the process: no timer runs inside it.
+  void Pause(Duration duration) { this->now += duration; }
+
+  // Takes the oldest message of that type not yet looked at; fails if there
+  // is none. Messages before it stay.
+  template <typename Message>
+  Message Expect(std::string* endpoint = nullptr) {
+    this->Collect();
+    for (auto sent = this->sent.begin(); sent != this->sent.end(); ++sent) {
+      if (const auto* message = std::get_if<Message>(&sent->message)) {
+        const Message found = *message;
+        this->last_endpoint = sent->endpoint.text;
+        if (endpoint != nullptr) {
+          *endpoint = sent->endpoint.text;
+        }
+        this->sent.erase(sent);
+        return found;
+      }
+    }
+    CPPUNIT_FAIL("the core sent no such message");
+    return {};
+  }
+
+  template <typename Message>
+  std::size_t Count() {
+    this->Collect();
+    std::size_t count = 0;
+    for (const SendToAgent& item : this->sent) {
+      count += std::holds_alternative<Message>(item.message) ? 1 : 0;
+    }
+    return count;
+  }
+
+  // The steps of the usual path, answered as a healthy agent would.
+  AttemptId Reserve(std::string* decode = nullptr);
+  AttemptId Prefill(std::string* prefill = nullptr, Duration lifetime = 800ms);
+  AttemptId Decode(std::string* decode = nullptr);
+  void Chunk(const std::string& endpoint,
+             const AttemptId& attempt,
+             std::uint64_t sequence,
+             const std::string& text);
+  void End(const std::string& endpoint,
+           const AttemptId& attempt,
+           std::uint64_t chunks);
+
+  std::string Text();  // of all AnswerText so far
+  std::vector<AnswerError> Errors();
+  std::size_t Ends();
+  std::vector<AnswerCall> Calls();
+
+  std::unique_ptr<EntryCore> core;
+  Instant now{1h};
+  std::vector<SendToAgent> sent;
+  std::string last_endpoint;
+
+ private:
+  void Collect();
+
+  RandomSource random{42};
+  std::vector<EntryAction> answers;
+  std::vector<EndpointId> connecting;
+  std::uint64_t next_request = 1;
+};
+
+}  // namespace acacialug::entry
+
+#endif  // ENTRY_TESTS_ENTRY_DRIVER_H_
--- a/src/entry/types/entry_options.h
+++ b/src/entry/types/entry_options.h
@@ -2,9 +2,12 @@
 #define ENTRY_TYPES_ENTRY_OPTIONS_H_
 
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <string>
 
 #include "agent/types/agent_options.h"
+#include "entry/i_once_coordinator.h"
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
@@ -64,7 +67,12 @@
   std::uint32_t sampled = 3;             // endpoints weighed for a decode
   std::uint32_t max_requests = 20000;    // alive at once, a shard
   Duration claim_commit_interval = 5ms;  // group commit of claims
+  std::uint32_t shards = 1;  // of this entry; each has a core of its own
   EntryRules rules;
+  // Makes what holds non-idempotent calls to one run; empty: without a log,
+  // by the agents' ledgers alone.
+  std::function<std::unique_ptr<IOnceCoordinator>(const EntryOptions&)>
+      make_once;
 };
 
 }  // namespace acacialug::entry
--- /dev/null
+++ b/src/placement/types/pick_rule.h
@@ -0,0 +1,39 @@
+#ifndef PLACEMENT_TYPES_PICK_RULE_H_
+#define PLACEMENT_TYPES_PICK_RULE_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <span>
+
+#include "framework/global/random_source.h"
+#include "framework/global/types/instant.h"
+#include "placement/endpoint_view.h"
+
+namespace acacialug::placement {
+
+// The endpoints of a pool that may get new work now.
+using Candidates = std::span<EndpointView* const>;
+
+// What is to be placed.
+struct PlacementNeed {
+  std::uint64_t kv_tokens = 0;      // decode
+  std::uint64_t prompt_tokens = 0;  // prefill
+  std::span<const std::uint64_t> prefix;
+  std::span<const std::uint64_t> tried;  // keys of endpoints not to repeat
+  Instant now{};
+
+  bool Tried(const EndpointView& view) const {
+    return std::find(this->tried.begin(), this->tried.end(), view.Key()) !=
+           this->tried.end();
+  }
+};
+
+// Picks one of the candidates that were not tried; null when there is none.
+// Called with one pool's candidates only.
+using PickRule = std::function<
+    EndpointView*(Candidates, const PlacementNeed&, RandomSource&)>;
+
+}  // namespace acacialug::placement
+
+#endif  // PLACEMENT_TYPES_PICK_RULE_H_
