Encode and decode the messages between entry and agent

Cause: frames come from other hosts, and cereal's own input archive sizes strings and vectors by lengths it has not checked and takes any enumerator. Conclusion: any bytes decode or give bad_frame.

--- /dev/null
+++ b/src/protocol/message_codec.cc
@@ -0,0 +1,73 @@
+#include "protocol/message_codec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <ostream>
+#include <streambuf>
+
+#include "protocol/internal/bounded_input_archive.h"
+
+namespace acacialug::protocol {
+namespace {
+
+// Appends to a string, which spares the copy out of a std::ostringstream.
+class StringBuffer : public std::streambuf {
+ public:
+  std::string TakeText() { return std::move(this->text); }
+
+ protected:
+  std::streamsize xsputn(const char* data, std::streamsize count) override {
+    this->text.append(data, static_cast<std::size_t>(count));
+    return count;
+  }
+
+ private:
+  std::string text;
+};
+
+template <typename Message>
+std::string EncodeAny(const Message& message) {
+  StringBuffer buffer;
+  std::ostream stream(&buffer);
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(message);
+  return buffer.TakeText();
+}
+
+template <typename Message>
+Result<Message> DecodeAny(std::string_view payload) {
+  try {
+    BoundedInputArchive archive(payload);
+    Message message;
+    archive(message);
+    if (archive.remaining() != 0) {
+      return Error(ResultCode::kBadFrame, "bytes left over");
+    }
+    return message;
+  } catch (const cereal::Exception& exception) {
+    return Error(ResultCode::kBadFrame, exception.what());
+  }
+}
+
+}  // namespace
+
+std::string Encode(const EntryToAgent& message) {
+  return EncodeAny(message);
+}
+
+std::string Encode(const AgentToEntry& message) {
+  return EncodeAny(message);
+}
+
+Result<EntryToAgent> DecodeEntryToAgent(std::string_view payload) {
+  return DecodeAny<EntryToAgent>(payload);
+}
+
+Result<AgentToEntry> DecodeAgentToEntry(std::string_view payload) {
+  return DecodeAny<AgentToEntry>(payload);
+}
+
+}  // namespace acacialug::protocol
