--- /dev/null
+++ b/src/engine/types/engine_options.h
@@ -0,0 +1,38 @@
+#ifndef ENGINE_TYPES_ENGINE_OPTIONS_H_
+#define ENGINE_TYPES_ENGINE_OPTIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "framework/global/types/enum_names.h"
+#include "framework/global/types/identifiers.h"
+#include "framework/http/http_types.h"
+
+namespace acacialug::engine {
+
+// The published protocol that the engine beside the agent speaks.
+enum class EngineKind : std::uint8_t { kOpenAi, kPlain };
+inline constexpr EnumNames<EngineKind, 2> kEngineKindNames = {{
+    {EngineKind::kOpenAi, "openai"},
+    {EngineKind::kPlain, "plain"},
+}};
+
+struct EngineOptions {
+  EngineKind kind = EngineKind::kOpenAi;
+  http::Address address;
+  EndpointId endpoint;                   // named in the KV handles it exports
+  std::uint64_t kv_bytes_per_token = 0;  // of the service's model
+  Duration connect_timeout = 2s;
+  // A prefill, call or order without a byte of an answer for so long has
+  // failed. A stream is watched by the agent instead.
+  Duration silence_timeout = 60s;
+  // An abort that did not reach the engine is tried again, after this long at
+  // first and twice as long each time, up to the second.
+  Duration first_abort_retry = 200ms;
+  Duration last_abort_retry = 5s;
+  std::size_t max_event_bytes = 1024 * 1024;  // one server-sent event
+};
+
+}  // namespace acacialug::engine
+
+#endif  // ENGINE_TYPES_ENGINE_OPTIONS_H_
