--- /dev/null
+++ b/src/agent_process/types/agent_settings.h
@@ -0,0 +1,30 @@
+#ifndef AGENT_PROCESS_TYPES_AGENT_SETTINGS_H_
+#define AGENT_PROCESS_TYPES_AGENT_SETTINGS_H_
+
+#include <optional>
+#include <string>
+
+#include "agent/types/agent_options.h"
+#include "engine/types/engine_options.h"
+#include "framework/http/http_types.h"
+#include "framework/log/types/record.h"
+
+namespace acacialug::agent_process {
+
+// What an agent's settings file says. Role, slots and memory are not here:
+// they stand in the manifest's record of the endpoint.
+struct AgentSettings {
+  http::Address listen;             // for entries
+  http::Address operations_listen;  // for operators and probes
+  std::string manifest_file;        // empty: from the platform's log
+  std::optional<http::Address> platform_log;
+  http::TlsFiles peer_tls;
+  log::Level log_level = log::Level::kInfo;
+  engine::EngineOptions engine;
+  // Identity and policy; the rest comes by WithManifest.
+  agent::AgentOptions agent;
+};
+
+}  // namespace acacialug::agent_process
+
+#endif  // AGENT_PROCESS_TYPES_AGENT_SETTINGS_H_
--- /dev/null
+++ b/src/agent_process/types/agent_status.h
@@ -0,0 +1,58 @@
+#ifndef AGENT_PROCESS_TYPES_AGENT_STATUS_H_
+#define AGENT_PROCESS_TYPES_AGENT_STATUS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "agent/types/agent_messages.h"
+#include "protocol/types/messages.h"
+
+namespace acacialug::agent_process {
+
+// Counted since the process started.
+struct AgentCounters {
+  std::uint64_t sessions_opened = 0;
+  std::uint64_t sessions_closed = 0;
+  std::uint64_t frames_received = 0;
+  std::uint64_t frames_sent = 0;
+  std::uint64_t bad_frames = 0;
+  std::uint64_t frames_not_sent = 0;  // no such session, or it was closing
+  std::uint64_t frames_too_large = 0;
+  std::uint64_t engine_events = 0;
+  std::uint64_t engine_failures = 0;
+  std::uint64_t prefills_done = 0;
+  std::uint64_t streams_done = 0;
+  std::uint64_t calls_done = 0;
+  std::uint64_t output_tokens = 0;
+  std::uint64_t refusals = 0;
+};
+
+struct SessionStatus {
+  agent::SessionId session;
+  EntryId entry;  // empty until its Hello came
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t unsent_bytes = 0;
+};
+
+// What /status and /metrics show.
+struct AgentStatus {
+  EndpointId endpoint;
+  Incarnation incarnation;
+  protocol::EndpointRole role = protocol::EndpointRole::kPlain;
+  LogOffset manifest_offset;
+  std::string manifest_version;
+  bool engine_known = false;  // the engine has told what it holds
+  bool draining = false;
+  protocol::EndpointLoad load;
+  std::vector<SessionStatus> sessions;
+  std::vector<AttemptId> held_attempts;
+  AgentCounters counters;
+
+  bool ready() const { return this->engine_known && !this->draining; }
+};
+
+}  // namespace acacialug::agent_process
+
+#endif  // AGENT_PROCESS_TYPES_AGENT_STATUS_H_
