--- /dev/null
+++ b/src/agent_process/tests/operations_pages_test.cc
@@ -0,0 +1,86 @@
+#include "agent_process/internal/operations_pages.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+
+#include "framework/testing/story.h"
+
+namespace acacialug::agent_process {
+namespace {
+
+using testing::ForEach;
+using testing::It;
+
+AgentStatus Sample() {
+  return {.endpoint = EndpointId("d1"),
+          .incarnation = Incarnation(0xffffffffffffffff),
+          .manifest_version = "v1",
+          .engine_known = true,
+          .load = {.running = 3, .work_ahead = 1500ms},
+          .sessions = {{.entry = EntryId("entry-1")}},
+          .held_attempts = {AttemptId{}},
+          .counters = {.bad_frames = 2}};
+}
+
+http::Response Get(const std::string& target,
+                   const AgentStatus& status = Sample(),
+                   const std::string& method = "GET") {
+  return AnswerOperations({.method = method, .target = target},
+                          [status] { return status; });
+}
+
+struct Row {
+  std::string name;
+  std::string target;
+  bool engine_known;
+  bool draining;
+  int status;
+};
+
+const testing::Story kPages(
+    "an agent's operations port",
+    {ForEach<Row>(
+         "answers",
+         {{"healthz while it starts", "/healthz", false, false, 200},
+          {"healthz while it drains", "/healthz?x=1", true, true, 200},
+          {"readyz as not ready before the engine told what it holds",
+           "/readyz", false, false, 503},
+          {"readyz as ready", "/readyz", true, false, 200},
+          {"readyz as not ready while it drains", "/readyz", true, true, 503},
+          {"404 elsewhere", "/nowhere", true, false, 404}},
+         [](const Row& row) { return row.name; },
+         [](const Row& row) {
+           AgentStatus status = Sample();
+           status.engine_known = row.engine_known;
+           status.draining = row.draining;
+           CPPUNIT_ASSERT_EQUAL(row.status, Get(row.target, status).status);
+         }),
+     It("refuses other methods",
+        [] {
+          CPPUNIT_ASSERT_EQUAL(405, Get("/status", Sample(), "PUT").status);
+        }),
+     It("shows counters and load as metrics, alike in both forms",
+        [] {
+          const std::string text = Get("/metrics").body;
+          const auto json = nlohmann::json::parse(Get("/metrics.json").body);
+          CPPUNIT_ASSERT_EQUAL(
+              2.0, json["acacialug_agent_bad_frames_total"].get<double>());
+          for (const char* line :
+               {"# TYPE acacialug_agent_bad_frames_total counter\n"
+                "acacialug_agent_bad_frames_total 2.0\n",
+                "\nacacialug_agent_work_ahead_seconds 1.5\n"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, text.find(line) != std::string::npos);
+          }
+        }),
+     It("shows sessions and held attempts as status", [] {
+       const auto page = nlohmann::json::parse(Get("/status").body);
+       CPPUNIT_ASSERT(page["endpoint"] == "d1");
+       CPPUNIT_ASSERT(page["incarnation"] == "18446744073709551615");
+       CPPUNIT_ASSERT(page["load"]["running"] == 3);
+       CPPUNIT_ASSERT(page["sessions"][0]["entry"] == "entry-1");
+       CPPUNIT_ASSERT(page["held_attempts"][0] == ToString(AttemptId{}));
+     })});
+
+}  // namespace
+}  // namespace acacialug::agent_process
--- /dev/null
+++ b/src/agent_process/tests/settings_test.cc
@@ -0,0 +1,147 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "agent_process/manifest_options.h"
+#include "agent_process/settings_reader.h"
+#include "framework/testing/story.h"
+
+namespace acacialug::agent_process {
+namespace {
+
+using testing::ForEach;
+using testing::It;
+using testing::Section;
+
+const std::string kLeast = R"(
+[agent]
+endpoint = "d1"
+domain = "hall-a"
+listen = "127.0.0.1:0"
+operations_listen = "127.0.0.1:0"
+[engine]
+address = "127.0.0.1:1"
+[manifest]
+file = "m.toml"
+)";
+
+struct Outcome {
+  AgentSettings settings;
+  std::vector<settings::Problem> problems;
+};
+
+Outcome Read(const std::string& text) {
+  Outcome outcome;
+  outcome.problems = ReadAgentSettings(
+      settings::Reader::FromText("agent.toml", text), outcome.settings);
+  return outcome;
+}
+
+struct BadRow {
+  std::string name;
+  std::string text;
+  std::string key;
+  ResultCode code;
+};
+
+std::string Without(std::string text, const std::string& part) {
+  return text.erase(text.find(part), part.size());
+}
+
+const testing::Story kSettings(
+    "the settings of an agent",
+    {It("have defaults for all but addresses, names and the manifest",
+        [] {
+          const auto [settings, problems] = Read(kLeast);
+          CPPUNIT_ASSERT(problems.empty());
+          CPPUNIT_ASSERT(settings.agent.endpoint == EndpointId("d1"));
+          CPPUNIT_ASSERT(settings.engine.kind == engine::EngineKind::kOpenAi);
+          CPPUNIT_ASSERT(settings.agent.session_lease == 3s);
+          CPPUNIT_ASSERT(!settings.peer_tls.enabled());
+        }),
+     It("take every policy",
+        [] {
+          const auto [settings, problems] = Read(
+              kLeast +
+              "[policy]\nreservation = \"promise\"\norder = \"newest\"\n"
+              "feasibility_counts_queue = false\nsession_lease = \"2s\"\n");
+          CPPUNIT_ASSERT(problems.empty());
+          CPPUNIT_ASSERT(settings.agent.reservation ==
+                         agent::ReservationPolicy::kPromise);
+          CPPUNIT_ASSERT(settings.agent.order == agent::PrefillOrder::kNewest);
+          CPPUNIT_ASSERT(!settings.agent.feasibility_counts_queue);
+          CPPUNIT_ASSERT(settings.agent.session_lease == 2s);
+        }),
+     ForEach<BadRow>(
+         "tell the key of",
+         {{"a missing endpoint", Without(kLeast, "endpoint = \"d1\"\n"),
+           "agent.endpoint", ResultCode::kSettingsMissingKey},
+          {"a manifest from nowhere", Without(kLeast, "file = \"m.toml\"\n"),
+           "manifest.file", ResultCode::kSettingsMissingKey},
+          {"an unknown policy", kLeast + "[policy]\nreservation = \"maybe\"\n",
+           "policy.reservation", ResultCode::kSettingsOutOfRange},
+          {"an unknown key", kLeast + "[policy]\nresrvation = \"hold\"\n",
+           "policy.resrvation", ResultCode::kSettingsUnknownKey},
+          {"a certificate alone",
+           kLeast + "[peer_tls]\ncertificate_file = \"c.pem\"\n",
+           "peer_tls.certificate_file", ResultCode::kSettingsMissingKey}},
+         [](const BadRow& row) { return row.name; },
+         [](const BadRow& row) {
+           const auto [settings, problems] = Read(row.text);
+           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, problems.size());
+           CPPUNIT_ASSERT_EQUAL(row.key, problems[0].key);
+           CPPUNIT_ASSERT(problems[0].code == row.code);
+         })});
+
+manifest::Manifest OneEndpoint() {
+  manifest::Manifest manifest;
+  manifest.services = {{.name = ServiceName("lm"), .kv_bytes_per_token = 9}};
+  manifest.endpoints = {{.id = EndpointId("d1"),
+                         .domain = FailureDomain("hall-a"),
+                         .service = ServiceName("lm"),
+                         .role = protocol::EndpointRole::kDecode,
+                         .kv_tokens = 100,
+                         .slots = 4}};
+  return manifest;
+}
+
+struct MismatchRow {
+  std::string name;
+  std::function<void(manifest::Manifest&)> change;
+};
+
+const testing::Story kWithManifest(
+    "an agent's settings with the manifest",
+    {It("have role, slots and memory of the endpoint's record",
+        [] {
+          const auto complete =
+              WithManifest(Read(kLeast).settings, OneEndpoint());
+          CPPUNIT_ASSERT(complete.ok());
+          CPPUNIT_ASSERT(complete->agent.role ==
+                         protocol::EndpointRole::kDecode);
+          CPPUNIT_ASSERT_EQUAL(4U, complete->agent.slots);
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
+                               complete->engine.kv_bytes_per_token);
+        }),
+     ForEach<MismatchRow>(
+         "are refused when the manifest",
+         {{"lacks the endpoint",
+           [](auto& manifest) { manifest.endpoints[0].id = EndpointId("d2"); }},
+          {"places it elsewhere",
+           [](auto& manifest) {
+             manifest.endpoints[0].domain = FailureDomain("hall-b");
+           }},
+          {"gives it a role that the engine's kind has not",
+           [](auto& manifest) {
+             manifest.endpoints[0].role = protocol::EndpointRole::kPlain;
+           }}},
+         [](const MismatchRow& row) { return row.name; },
+         [](const MismatchRow& row) {
+           manifest::Manifest manifest = OneEndpoint();
+           row.change(manifest);
+           const auto complete = WithManifest(Read(kLeast).settings, manifest);
+           CPPUNIT_ASSERT(!complete.ok());
+           CPPUNIT_ASSERT(complete.error().result_code() ==
+                          ResultCode::kManifestInvalid);
+         })});
+
+}  // namespace
+}  // namespace acacialug::agent_process
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -4,13 +4,13 @@
 #include <optional>
 
 #include "agent_process/agent_process.h"
+#include "agent_process/manifest_file.h"
 #include "agent_process/manifest_options.h"
 #include "agent_process/settings_reader.h"
 #include "engine/engine_factory.h"
 #include "framework/log/log.h"
 #include "framework/program/program.h"
 #include "framework/program/signal_watcher.h"
-#include "manifest/manifest_file.h"
 
 namespace acacialug {
 namespace {
@@ -35,15 +35,13 @@
   if (settings.manifest_file.empty()) {
     return;
   }
-  Result<manifest::Manifest> newest =
-      manifest::ReadManifestFile(settings.manifest_file);
+  const auto newest = agent_process::ReadManifestFile(settings.manifest_file);
   if (!newest.ok()) {
     Fail("manifest_reload_failed", newest.error());
     return;
   }
-  log::Info("manifest_reloaded", {.fields = {{"version", newest->version}}});
-  process.OnManifest(
-      std::make_shared<const manifest::Manifest>(std::move(newest.value())));
+  log::Info("manifest_reloaded", {.fields = {{"version", (*newest)->version}}});
+  process.OnManifest(*newest);
 }
 
 int Serve(const AgentSettings& settings) {
@@ -52,13 +50,12 @@
   if (!log_ready.ok()) {
     return Fail("log_failed", log_ready.error());
   }
-  Result<manifest::Manifest> manifest =
-      manifest::ReadManifestFile(settings.manifest_file);
+  const auto manifest = agent_process::ReadManifestFile(settings.manifest_file);
   if (!manifest.ok()) {
     return Fail("manifest_failed", manifest.error());
   }
   Result<AgentSettings> complete =
-      agent_process::WithManifest(settings, *manifest);
+      agent_process::WithManifest(settings, **manifest);
   if (!complete.ok()) {
     return Fail("manifest_failed", complete.error());
   }
