Mend what the linter found in the engine adapters

Cause: widening products, an unused name, copies of shared pointers. Change: each written so that clang-tidy has nothing to say. Conclusion: style only.

--- a/src/agent_process/internal/agent_process.cc
+++ b/src/agent_process/internal/agent_process.cc
@@ -52,11 +52,11 @@
   }
 
   Status Start() {
-    const Status operations_started = this->operations.Start();
+    Status operations_started = this->operations.Start();
     if (!operations_started.ok()) {
       return operations_started;
     }
-    const Status frames_started = this->frames.Start();
+    Status frames_started = this->frames.Start();
     if (!frames_started.ok()) {
       return frames_started;
     }
@@ -137,8 +137,8 @@
   net::FrameServer::Options FrameOptions() {
     return {.listen = this->options.settings.listen,
             .channel = {.tls = this->options.settings.peer_tls},
-            .on_channel = [this](net::FrameChannelPtr channel) {
-              this->sessions.Add(std::move(channel));
+            .on_channel = [this](const net::FrameChannelPtr& channel) {
+              this->sessions.Add(channel);
             }};
   }
 
--- a/src/agent_process/internal/operations_pages.cc
+++ b/src/agent_process/internal/operations_pages.cc
@@ -70,9 +70,10 @@
   std::string text;
   for (const Metric& metric : Metrics(status)) {
     const std::string name = "acacialug_agent_" + std::string(metric.name);
-    text += "# TYPE " + name + " " +
-            std::string(NameOf(kMetricKindNames, metric.kind)) + "\n" + name +
-            " " + Json(metric.value).dump() + "\n";
+    text.append("# TYPE ").append(name).append(" ");
+    text.append(NameOf(kMetricKindNames, metric.kind)).append("\n");
+    text.append(name).append(" ").append(Json(metric.value).dump());
+    text.append("\n");
   }
   return text;
 }
--- a/src/agent_process/internal/session_table.cc
+++ b/src/agent_process/internal/session_table.cc
@@ -38,7 +38,7 @@
 SessionTable::SessionTable(Hooks table_hooks, AgentCounters& agent_counters)
     : hooks(std::move(table_hooks)), counters(agent_counters) {}
 
-void SessionTable::Add(net::FrameChannelPtr channel) {
+void SessionTable::Add(const net::FrameChannelPtr& channel) {
   const agent::SessionId session(++this->last_session);
   this->sessions[session].channel = channel;
   ++this->counters.sessions_opened;
--- a/src/agent_process/internal/session_table.h
+++ b/src/agent_process/internal/session_table.h
@@ -27,7 +27,7 @@
 
   SessionTable(Hooks table_hooks, AgentCounters& agent_counters);
 
-  void Add(net::FrameChannelPtr channel);
+  void Add(const net::FrameChannelPtr& channel);
 
   // Sends, or drops and counts when the session is gone. A message larger
   // than a frame may be is replaced by a failure with the same attempt.
--- a/src/agent_process/internal/settings_reader.cc
+++ b/src/agent_process/internal/settings_reader.cc
@@ -79,7 +79,7 @@
       {.fallback = defaults.queue_limit, .minimum = 1, .maximum = 65536}));
   into.once_max_bytes = table.Bytes(
       "once_max_bytes",
-      {.fallback = defaults.once_max_bytes, .maximum = 1024 * 1024 * 1024});
+      {.fallback = defaults.once_max_bytes, .maximum = std::uint64_t{1} << 30});
   into.once_max_keys = static_cast<std::uint32_t>(
       table.Integer("once_max_keys", {.fallback = defaults.once_max_keys,
                                       .minimum = 1,
--- a/src/engine/internal/openai_engine.cc
+++ b/src/engine/internal/openai_engine.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int kOkStatus = 200;
-constexpr std::size_t kMostErrorBytes = 64 * 1024;
+constexpr std::size_t kMostErrorBytes = std::size_t{64} << 10;
 constexpr std::string_view kStreamEnd = "[DONE]";
 
 const http::Header kJsonContent{"Content-Type", "application/json"};
@@ -97,7 +97,7 @@
   this->Refuse(command.attempt, ResultCode::kWrongRole);
 }
 
-void OpenAiEngine::Run(const ListHeld& command) {
+void OpenAiEngine::Run(const ListHeld&) {
   this->requests.Send(
       this->options.address, {.method = "GET", .target = "/requests"},
       {.on_end =
@@ -134,7 +134,7 @@
            }});
 }
 
-void OpenAiEngine::Run(const ReadState& command) {
+void OpenAiEngine::Run(const ReadState&) {
   this->requests.Send(
       this->options.address, {.method = "GET", .target = "/state"},
       {.on_end =
--- a/src/engine/internal/openai_format.cc
+++ b/src/engine/internal/openai_format.cc
@@ -7,7 +7,6 @@
 namespace acacialug::engine {
 namespace {
 
-using protocol::FinishReason;
 using protocol::GenerationApi;
 using protocol::GenerationRequest;
 using protocol::Outcome;
--- a/src/engine/internal/plain_engine.cc
+++ b/src/engine/internal/plain_engine.cc
@@ -88,7 +88,7 @@
   }
 }
 
-void PlainEngine::Run(const SetPaused& command) {
+void PlainEngine::Run(const SetPaused&) {
   // An answer is taken whole before it is passed on: nothing to pause.
 }
 
@@ -100,7 +100,7 @@
   this->Refuse(command.attempt);
 }
 
-void PlainEngine::Run(const ListHeld& command) {
+void PlainEngine::Run(const ListHeld&) {
   this->outlet.Post(Held{});
 }
 
@@ -109,7 +109,7 @@
       OrderDone{.fence = command.fence, .code = ResultCode::kOrderRefused});
 }
 
-void PlainEngine::Run(const ReadState& command) {
+void PlainEngine::Run(const ReadState&) {
   this->outlet.Post(EngineState{.role = "plain"});
 }
 
--- a/src/engine/types/engine_options.h
+++ b/src/engine/types/engine_options.h
@@ -30,7 +30,7 @@
   // first and twice as long each time, up to the second.
   Duration first_abort_retry = 200ms;
   Duration last_abort_retry = 5s;
-  std::size_t max_event_bytes = 1024 * 1024;  // one server-sent event
+  std::size_t max_event_bytes = std::size_t{1} << 20;  // one server-sent event
 };
 
 }  // namespace acacialug::engine
