--- /dev/null
+++ b/src/agent/agent_core.cc
@@ -0,0 +1,78 @@
+#include "agent/agent_core.h"
+
+#include <utility>
+
+#include "agent/internal/agent_implementation.h"
+
+namespace acacialug::agent {
+
+AgentCore::AgentCore(AgentOptions options, RandomSource& random)
+    : implementation(
+          std::make_unique<Implementation>(std::move(options), random)) {}
+
+AgentCore::~AgentCore() = default;
+
+void AgentCore::Start(Instant now) {
+  this->implementation->Start(now);
+}
+
+void AgentCore::OnSessionOpened(SessionId session, Instant now) {
+  this->implementation->OnSessionOpened(session, now);
+}
+
+void AgentCore::OnMessage(SessionId session,
+                          const protocol::EntryToAgent& message,
+                          Instant now) {
+  this->implementation->OnMessage(session, message, now);
+}
+
+void AgentCore::OnSessionClosed(SessionId session, Instant now) {
+  this->implementation->OnSessionClosed(session, now);
+}
+
+void AgentCore::OnEngineEvent(const engine::EngineEvent& event, Instant now) {
+  this->implementation->OnEngineEvent(event, now);
+}
+
+void AgentCore::OnTimer(Instant now) {
+  this->implementation->Expire(now);
+}
+
+void AgentCore::OnManifest(std::shared_ptr<const manifest::Manifest> newest,
+                           Instant now) {
+  this->implementation->OnManifest(std::move(newest), now);
+}
+
+void AgentCore::BeginDrain(Instant now) {
+  this->implementation->BeginDrain(now);
+}
+
+bool AgentCore::drained() const {
+  return this->implementation->Drained();
+}
+
+Instant AgentCore::next_timer() const {
+  return this->implementation->NextTimer();
+}
+
+std::vector<AgentAction> AgentCore::TakeActions() {
+  return this->implementation->TakeActions();
+}
+
+protocol::EndpointLoad AgentCore::load(Instant now) const {
+  return this->implementation->Load(now);
+}
+
+AgentCounters AgentCore::counters() const {
+  return this->implementation->Counters();
+}
+
+LogOffset AgentCore::newest_manifest_heard() const {
+  return this->implementation->NewestManifestHeard();
+}
+
+std::vector<AttemptId> AgentCore::held_attempts() const {
+  return this->implementation->HeldAttempts();
+}
+
+}  // namespace acacialug::agent
