Carry HTTP and frames over Qt's sockets

Cause: the faces of the HTTP server, client and frame channel had no implementation; QHttpServer mixes pipelined answers and has no body limit. Change: Qt sockets and event loops with Boost.Beast as parser and serializer only; bounds before memory is taken; requests of a connection one after another; a pooled client that says whether a request left; length-prefixed frames with bounded queues.

--- /dev/null
+++ b/src/framework/http/http_client.cc
@@ -0,0 +1,155 @@
+#include "framework/http/http_client.h"
+
+#include <QTimer>
+#include <unordered_map>
+#include <utility>
+
+#include "framework/http/internal/client_connection.h"
+#include "framework/http/internal/client_pool.h"
+#include "framework/http/internal/message_writer.h"
+#include "framework/http/tls_configuration.h"
+
+namespace acacialug::http {
+namespace {
+
+// Shorter than the idle timeout of the usual servers, so that it is mostly
+// this side that closes: a server's close can cross a request on its way, and
+// that request's outcome would be unknown.
+constexpr Duration kMaxIdle = 4s;
+constexpr std::chrono::milliseconds kSweepInterval{1000};
+
+}  // namespace
+
+class Client::Implementation {
+ public:
+  explicit Implementation(ClientOptions client_options);
+  ~Implementation();
+
+  ExchangeId Send(const Address& address,
+                  const Request& request,
+                  ExchangeHooks hooks);
+  void Cancel(ExchangeId id);
+  void SetPaused(ExchangeId id, bool paused);
+
+ private:
+  ClientConnection* MakeConnection(const Address& address);
+  void OnReleased(ClientConnection* connection, ExchangeId id, bool reusable);
+  void Sweep();
+
+  const ClientOptions options;
+  const Result<TlsConfiguration> tls;
+  ClientPool pool;
+  std::unordered_map<ExchangeId, ClientConnection*> active;
+  ExchangeId last_id = 0;
+  QTimer sweep_timer;
+};
+
+Client::Implementation::Implementation(ClientOptions client_options)
+    : options(std::move(client_options)),
+      tls(LoadTls(this->options.tls)),
+      pool(this->options.max_idle_connections) {
+  this->sweep_timer.setInterval(kSweepInterval);
+  QObject::connect(&this->sweep_timer, &QTimer::timeout, &this->sweep_timer,
+                   [this] { this->Sweep(); });
+}
+
+Client::Implementation::~Implementation() {
+  for (const auto& [id, connection] : this->active) {
+    connection->Close();
+    connection->deleteLater();
+  }
+}
+
+Client::ExchangeId Client::Implementation::Send(const Address& address,
+                                                const Request& request,
+                                                ExchangeHooks hooks) {
+  const ExchangeId id = ++this->last_id;
+  auto exchange = std::make_shared<Exchange>(
+      Exchange{.id = id,
+               .request_bytes = WriteRequest(request, address),
+               .asks_head = request.method == "HEAD",
+               .hooks = std::move(hooks)});
+  ClientConnection* connection = this->pool.Take(address);
+  if (connection == nullptr) {
+    connection = this->MakeConnection(address);
+  }
+  this->active.emplace(id, connection);
+  if (this->tls.ok()) {
+    connection->Start(std::move(exchange));
+  } else {
+    connection->FailLater(std::move(exchange), this->tls.error());
+  }
+  return id;
+}
+
+ClientConnection* Client::Implementation::MakeConnection(
+    const Address& address) {
+  return new ClientConnection(
+      address, this->options, this->tls.ok() ? this->tls.value() : nullptr,
+      {.on_released =
+           [this](ClientConnection* connection, ExchangeId id, bool reusable) {
+             this->OnReleased(connection, id, reusable);
+           },
+       .on_idle_closed =
+           [this](ClientConnection* connection) {
+             this->pool.Drop(connection);
+           }});
+}
+
+void Client::Implementation::OnReleased(ClientConnection* connection,
+                                        ExchangeId id,
+                                        bool reusable) {
+  this->active.erase(id);
+  if (!reusable) {
+    this->pool.Drop(connection);
+    return;
+  }
+  this->pool.Keep(connection);
+  if (!this->sweep_timer.isActive()) {
+    this->sweep_timer.start();
+  }
+}
+
+void Client::Implementation::Sweep() {
+  this->pool.DropOlderThan(MonotonicNow() - kMaxIdle);
+  if (this->pool.empty()) {
+    this->sweep_timer.stop();
+  }
+}
+
+void Client::Implementation::Cancel(ExchangeId id) {
+  const auto found = this->active.find(id);
+  if (found != this->active.end()) {
+    ClientConnection* const connection = found->second;
+    this->active.erase(found);
+    this->pool.Drop(connection);
+  }
+}
+
+void Client::Implementation::SetPaused(ExchangeId id, bool paused) {
+  const auto found = this->active.find(id);
+  if (found != this->active.end()) {
+    found->second->SetPaused(paused);
+  }
+}
+
+Client::Client(ClientOptions options)
+    : implementation(std::make_unique<Implementation>(std::move(options))) {}
+
+Client::~Client() = default;
+
+Client::ExchangeId Client::Send(const Address& address,
+                                const Request& request,
+                                ExchangeHooks hooks) {
+  return this->implementation->Send(address, request, std::move(hooks));
+}
+
+void Client::Cancel(ExchangeId exchange) {
+  this->implementation->Cancel(exchange);
+}
+
+void Client::SetPaused(ExchangeId exchange, bool paused) {
+  this->implementation->SetPaused(exchange, paused);
+}
+
+}  // namespace acacialug::http
--- /dev/null
+++ b/src/framework/http/http_types.cc
@@ -0,0 +1,108 @@
+#include "framework/http/http_types.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+
+namespace acacialug::http {
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopByHopNames = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+};
+
+bool SameName(std::string_view left, std::string_view right) {
+  return boost::beast::iequals({left.data(), left.size()},
+                               {right.data(), right.size()});
+}
+
+std::string_view Trimmed(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool ListHasName(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const std::size_t comma = list.find(',');
+    if (SameName(Trimmed(list.substr(0, comma)), name)) {
+      return true;
+    }
+    list.remove_prefix(comma == std::string_view::npos ? list.size()
+                                                       : comma + 1);
+  }
+  return false;
+}
+
+bool IsIpAddress(int family, const std::string& text) {
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  return inet_pton(family, text.c_str(), bytes.data()) == 1;
+}
+
+}  // namespace
+
+std::optional<std::string_view> FindHeader(const Headers& headers,
+                                           std::string_view name) {
+  for (const Header& header : headers) {
+    if (SameName(header.name, name)) {
+      return header.value;
+    }
+  }
+  return std::nullopt;
+}
+
+bool IsHopByHop(const Headers& headers, std::string_view name) {
+  const auto is_name = [name](std::string_view candidate) {
+    return SameName(candidate, name);
+  };
+  if (std::any_of(kHopByHopNames.begin(), kHopByHopNames.end(), is_name)) {
+    return true;
+  }
+  return std::any_of(headers.begin(), headers.end(),
+                     [name](const Header& header) {
+                       return SameName(header.name, "Connection") &&
+                              ListHasName(header.value, name);
+                     });
+}
+
+std::optional<Address> ParseAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon + 1 == text.size()) {
+    return std::nullopt;
+  }
+  Address address;
+  const char* const last = text.data() + text.size();
+  const auto [end, code] =
+      std::from_chars(text.data() + colon + 1, last, address.port);
+  if (code != std::errc() || end != last) {
+    return std::nullopt;
+  }
+  const std::string_view ip = text.substr(0, colon);
+  const bool bracketed = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
+  address.ip = bracketed ? ip.substr(1, ip.size() - 2) : ip;
+  if (!IsIpAddress(bracketed ? AF_INET6 : AF_INET, address.ip)) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+std::string ToString(const Address& address) {
+  const bool version_6 = address.ip.find(':') != std::string::npos;
+  const std::string ip = version_6 ? "[" + address.ip + "]" : address.ip;
+  return ip + ":" + std::to_string(address.port);
+}
+
+}  // namespace acacialug::http
--- /dev/null
+++ b/src/framework/http/internal/client_connection.cc
@@ -0,0 +1,341 @@
+#include "framework/http/internal/client_connection.h"
+
+#include <QHostAddress>
+#include <QSslError>
+#include <QSslSocket>
+#include <array>
+#include <utility>
+
+#include "framework/http/socket_setup.h"
+
+namespace acacialug::http {
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+
+std::array<char, kReadBytes>& ReadSpace() {
+  thread_local std::array<char, kReadBytes> space;
+  return space;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(Address address,
+                                   const ClientOptions& client_options,
+                                   const TlsConfiguration& tls,
+                                   Hooks hooks)
+    : server_address(std::move(address)),
+      options(client_options),
+      owner(std::move(hooks)),
+      secure(tls != nullptr),
+      socket(MakeSocket(tls, kReadBytes)),
+      timer([this] { this->OnExpired(); }) {
+  this->ConnectSignals();
+}
+
+ClientConnection::~ClientConnection() {
+  this->socket->disconnect(this);
+}
+
+void ClientConnection::ConnectSignals() {
+  QTcpSocket* const source = this->socket.get();
+  connect(source, &QTcpSocket::readyRead, this,
+          [this] { this->OnReadyRead(); });
+  connect(source, &QTcpSocket::bytesWritten, this,
+          [this] { this->OnBytesWritten(); });
+  connect(source, &QTcpSocket::errorOccurred, this,
+          [this] { this->OnError(); });
+  connect(source, &QTcpSocket::disconnected, this,
+          [this] { this->OnDisconnected(); });
+  if (!this->secure) {
+    connect(source, &QTcpSocket::connected, this, [this] { this->OnOpen(); });
+    return;
+  }
+  auto* const secure_source = static_cast<QSslSocket*>(source);
+  connect(secure_source, &QSslSocket::encrypted, this,
+          [this] { this->OnOpen(); });
+  IgnoreNameMismatch(*secure_source);
+}
+
+void ClientConnection::Start(std::shared_ptr<Exchange> next) {
+  this->exchange = std::move(next);
+  this->reader.emplace(ResponseReader::Options{
+      .answers_head = this->exchange->asks_head,
+      .max_body_bytes =
+          this->exchange->hooks.on_data
+              ? std::nullopt
+              : std::optional<std::uint64_t>(this->options.max_body_bytes)});
+  this->paused = false;
+  this->request_left = false;
+  this->inside_start = true;
+  if (this->open) {
+    this->WriteRequest();
+  } else {
+    this->timer.Set(this->options.connect_timeout);
+    const QHostAddress host(QString::fromStdString(this->server_address.ip));
+    if (this->secure) {
+      static_cast<QSslSocket*>(this->socket.get())
+          ->connectToHostEncrypted(host.toString(), this->server_address.port);
+    } else {
+      this->socket->connectToHost(host, this->server_address.port);
+    }
+  }
+  this->inside_start = false;
+}
+
+void ClientConnection::FailLater(std::shared_ptr<Exchange> next, Error error) {
+  this->exchange = std::move(next);
+  this->ended = true;
+  QMetaObject::invokeMethod(
+      this, [this, error = std::move(error)] { this->Fail(error); },
+      Qt::QueuedConnection);
+}
+
+void ClientConnection::OnOpen() {
+  this->open = true;
+  SetConnectedOptions(*this->socket);
+  if (this->exchange) {
+    this->WriteRequest();
+  }
+}
+
+void ClientConnection::WriteRequest() {
+  this->timer.Set(this->options.silence_timeout);
+  const std::string bytes = std::exchange(this->exchange->request_bytes, {});
+  this->socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+  // Under TLS bytesWritten tells of encrypting, not of leaving: taken as left.
+  this->request_left = this->request_left || this->secure;
+  this->socket->flush();
+}
+
+void ClientConnection::OnBytesWritten() {
+  this->request_left = this->request_left || this->exchange != nullptr;
+}
+
+void ClientConnection::OnReadyRead() {
+  if (!this->exchange) {
+    // What comes on an idle connection is an answer to nothing: passing it to
+    // the next exchange would give a caller another's answer.
+    if (!this->inside_start) {
+      this->owner.on_idle_closed(this);
+    }
+    return;
+  }
+  if (!this->paused && this->open) {
+    this->ReadAnswer();
+  }
+}
+
+void ClientConnection::ReadAnswer() {
+  if (!this->Deliver()) {
+    return;
+  }
+  while (this->ReadMore()) {
+    if (!this->Deliver()) {
+      return;
+    }
+  }
+  if (this->ended) {
+    this->EndOfStream();
+  }
+}
+
+bool ClientConnection::ReadMore() {
+  if (!this->socket->isReadable()) {
+    return false;
+  }
+  std::array<char, kReadBytes>& space = ReadSpace();
+  const qint64 got = this->socket->read(space.data(), space.size());
+  if (got <= 0) {
+    return false;
+  }
+  this->request_left = true;
+  this->timer.Set(this->options.silence_timeout);
+  this->reader->Append({space.data(), static_cast<std::size_t>(got)});
+  return true;
+}
+
+bool ClientConnection::MayGoOn(Client::ExchangeId id) const {
+  return this->exchange && this->exchange->id == id && !this->paused;
+}
+
+bool ClientConnection::Deliver() {
+  const Client::ExchangeId id = this->exchange->id;
+  while (true) {
+    const ReadStep step = this->reader->Advance();
+    if (step == ReadStep::kHeadDone) {
+      if (this->reader->ends_with_connection()) {
+        this->end_probe.emplace(*this->socket);
+      }
+      // Held here, since the hook may cancel the exchange while it runs.
+      const std::shared_ptr<Exchange> held = this->exchange;
+      if (held->hooks.on_head) {
+        const Headers headers = this->reader->headers();
+        held->hooks.on_head(this->reader->status(), headers);
+      }
+      if (!this->MayGoOn(id)) {
+        return false;
+      }
+      continue;
+    }
+    if (step == ReadStep::kFault) {
+      this->Fail(this->reader->fault());
+      return false;
+    }
+    if (!this->DeliverData()) {
+      return false;
+    }
+    if (step == ReadStep::kDone) {
+      this->Finish();
+      return false;
+    }
+    return true;
+  }
+}
+
+bool ClientConnection::DeliverData() {
+  const std::shared_ptr<Exchange> held = this->exchange;
+  if (!held->hooks.on_data) {
+    return true;
+  }
+  const std::string data = this->reader->TakeBody();
+  if (!data.empty()) {
+    held->hooks.on_data(data);
+  }
+  return this->MayGoOn(held->id);
+}
+
+void ClientConnection::EndOfStream() {
+  const bool in_order = this->end_probe && this->end_probe->EndedInOrder();
+  if (in_order && this->reader->FinishAtEnd() == ReadStep::kDone) {
+    if (this->DeliverData()) {
+      this->Finish();
+    }
+    return;
+  }
+  const bool answered = this->reader->started();
+  this->Fail(Error(
+      ResultCode::kConnectionLost,
+      answered ? "the answer was cut short" : "closed without an answer"));
+}
+
+void ClientConnection::SetPaused(bool new_paused) {
+  if (this->paused == new_paused || !this->exchange) {
+    return;
+  }
+  this->paused = new_paused;
+  if (this->paused) {
+    this->timer.Clear();  // its own wish, not the server's silence
+    return;
+  }
+  this->timer.Set(this->open ? this->options.silence_timeout
+                             : this->options.connect_timeout);
+  // Qt does not tell again of bytes that it has already told of.
+  QMetaObject::invokeMethod(
+      this,
+      [this] {
+        if (this->exchange && !this->paused && this->open) {
+          this->ReadAnswer();
+        }
+      },
+      Qt::QueuedConnection);
+}
+
+void ClientConnection::OnError() {
+  // An open connection's end comes by OnDisconnected.
+  if (!this->open) {
+    this->ended = true;
+    const QAbstractSocket::SocketError code = this->socket->error();
+    const bool handshake =
+        code == QAbstractSocket::SslHandshakeFailedError ||
+        (this->secure && code == QAbstractSocket::RemoteHostClosedError);
+    this->Fail(Error(handshake ? ResultCode::kUnauthenticatedPeer
+                               : ResultCode::kConnectionLost,
+                     ToString(this->server_address) + ": " +
+                         this->socket->errorString().toStdString()));
+  }
+}
+
+void ClientConnection::OnDisconnected() {
+  if (!this->open || this->ended) {
+    return;
+  }
+  this->ended = true;
+  if (!this->exchange) {
+    if (!this->inside_start) {
+      this->owner.on_idle_closed(this);
+    }
+    return;
+  }
+  if (this->inside_start) {
+    QMetaObject::invokeMethod(
+        this,
+        [this] {
+          if (this->exchange) {
+            this->ReadAnswer();
+          }
+        },
+        Qt::QueuedConnection);
+  } else if (!this->paused) {
+    this->ReadAnswer();
+  }
+}
+
+void ClientConnection::OnExpired() {
+  this->ended = true;
+  this->Fail(Error(
+      ResultCode::kConnectionLost,
+      ToString(this->server_address) +
+          (this->open ? ": silent for too long" : ": not connected in time")));
+}
+
+void ClientConnection::Finish() {
+  const bool reusable = this->reader->keep_alive() &&
+                        !this->reader->has_excess() && !this->ended &&
+                        UnsentBytes(*this->socket) == 0;
+  std::string body = this->reader->TakeBody();
+  const std::shared_ptr<Exchange> over = this->Release(reusable);
+  if (over->hooks.on_end) {
+    over->hooks.on_end(std::move(body));
+  }
+}
+
+void ClientConnection::Fail(Error error) {
+  if (!this->exchange) {
+    return;
+  }
+  if (this->inside_start) {
+    QMetaObject::invokeMethod(
+        this, [this, error = std::move(error)] { this->Fail(error); },
+        Qt::QueuedConnection);
+    return;
+  }
+  const bool sent = this->request_left;
+  const std::shared_ptr<Exchange> over = this->Release(false);
+  if (over->hooks.on_error) {
+    over->hooks.on_error(error, sent);
+  }
+}
+
+std::shared_ptr<Exchange> ClientConnection::Release(bool reusable) {
+  this->timer.Clear();
+  this->reader.reset();
+  this->released_at = MonotonicNow();
+  std::shared_ptr<Exchange> over = std::move(this->exchange);
+  this->owner.on_released(this, over->id, reusable);
+  return over;
+}
+
+bool ClientConnection::IsReusable() const {
+  return this->open && !this->ended && IsQuiet(*this->socket);
+}
+
+void ClientConnection::Close() {
+  this->ended = true;
+  this->timer.Clear();
+  this->exchange.reset();
+  this->socket->disconnect(this);
+  this->socket->abort();
+}
+
+}  // namespace acacialug::http
--- /dev/null
+++ b/src/framework/http/internal/client_connection.h
@@ -0,0 +1,101 @@
+#ifndef FRAMEWORK_HTTP_INTERNAL_CLIENT_CONNECTION_H_
+#define FRAMEWORK_HTTP_INTERNAL_CLIENT_CONNECTION_H_
+
+#include <QObject>
+#include <QTcpSocket>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "framework/http/http_client.h"
+#include "framework/http/internal/deadline_timer.h"
+#include "framework/http/internal/response_reader.h"
+#include "framework/http/socket_setup.h"
+#include "framework/http/tls_configuration.h"
+
+namespace acacialug::http {
+
+// One exchange as its connection sees it.
+struct Exchange {
+  Client::ExchangeId id = 0;
+  std::string request_bytes;
+  bool asks_head = false;
+  ExchangeHooks hooks;
+};
+
+// One connection to a server, with one exchange at a time. Lives on the
+// client's thread; deleted with deleteLater, since its own signals end it.
+class ClientConnection : public QObject {
+ public:
+  struct Hooks {
+    // The exchange is over, before its own hooks hear of it; `reusable` tells
+    // whether the connection may carry another.
+    std::function<void(ClientConnection*, Client::ExchangeId, bool reusable)>
+        on_released;
+    // An idle connection ended, or the server broke the protocol on it.
+    std::function<void(ClientConnection*)> on_idle_closed;
+  };
+
+  ClientConnection(Address address,
+                   const ClientOptions& options,
+                   const TlsConfiguration& tls,
+                   Hooks hooks);
+  ~ClientConnection() override;
+
+  // Precondition: no exchange is under way. Hooks run later, never from here.
+  void Start(std::shared_ptr<Exchange> exchange);
+
+  // Fails an exchange that cannot even be tried.
+  void FailLater(std::shared_ptr<Exchange> exchange, Error error);
+
+  void SetPaused(bool paused);
+
+  // Closes at once; no hook runs any more.
+  void Close();
+
+  const Address& address() const { return this->server_address; }
+  // For an idle connection: the server has neither closed nor sent anything.
+  bool IsReusable() const;
+  Instant idle_since() const { return this->released_at; }
+
+ private:
+  void ConnectSignals();
+  void OnOpen();
+  void OnReadyRead();
+  void OnBytesWritten();
+  void OnError();
+  void OnDisconnected();
+  void OnExpired();
+  void WriteRequest();
+  void ReadAnswer();
+  bool ReadMore();
+  // False: the exchange is over or paused.
+  bool Deliver();
+  bool DeliverData();
+  bool MayGoOn(Client::ExchangeId id) const;
+  void EndOfStream();
+  void Finish();
+  void Fail(Error error);
+  std::shared_ptr<Exchange> Release(bool reusable);
+
+  const Address server_address;
+  const ClientOptions& options;
+  const Hooks owner;
+  const bool secure;
+  std::unique_ptr<QTcpSocket> socket;
+  DeadlineTimer timer;
+  std::shared_ptr<Exchange> exchange;
+  std::optional<ResponseReader> reader;
+  std::optional<EndProbe> end_probe;  // for a body that ends with it
+  Instant released_at = kNever;
+  bool open = false;
+  bool ended = false;  // the socket is of no more use
+  bool paused = false;
+  bool inside_start = false;
+  bool request_left = false;  // at least one byte of it
+};
+
+}  // namespace acacialug::http
+
+#endif  // FRAMEWORK_HTTP_INTERNAL_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/src/framework/http/internal/response_reader.cc
@@ -0,0 +1,154 @@
+#include "framework/http/internal/response_reader.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <limits>
+#include <utility>
+
+#include "framework/http/internal/append_body.h"
+
+namespace acacialug::http {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+
+std::string Text(boost::beast::string_view view) {
+  return {view.data(), view.size()};
+}
+
+}  // namespace
+
+struct ResponseReader::Parser {
+  beast_http::response_parser<AppendBody> beast;
+  boost::beast::error_code error;
+  bool head_taken = false;
+};
+
+ResponseReader::ResponseReader(Options reader_options)
+    : options(reader_options) {}
+
+ResponseReader::~ResponseReader() = default;
+
+void ResponseReader::Append(std::string_view bytes) {
+  this->pending.Append(bytes);
+}
+
+void ResponseReader::MakeParser() {
+  this->parser = std::make_unique<Parser>();
+  auto& beast = this->parser->beast;
+  beast.header_limit(
+      static_cast<std::uint32_t>(this->options.max_header_bytes));
+  beast.skip(this->options.answers_head);
+  // Not boost::none: this version of Beast takes that for a limit of nothing.
+  beast.body_limit(this->options.max_body_bytes.value_or(
+      std::numeric_limits<std::uint64_t>::max()));
+  this->head_bytes = 0;
+}
+
+ReadStep ResponseReader::Advance() {
+  if (this->found_fault) {
+    return ReadStep::kFault;
+  }
+  if (!this->parser) {
+    if (this->pending.empty()) {
+      return ReadStep::kNeedMore;
+    }
+    this->MakeParser();
+  }
+  while (true) {
+    const bool stuck = !this->parser->beast.is_done() && !this->ParseSome();
+    const boost::beast::error_code error = this->parser->error;
+    if (error && error != beast_http::error::need_more) {
+      return this->Fail(error == beast_http::error::body_limit
+                            ? ResultCode::kOutOfBounds
+                            : ResultCode::kConnectionLost,
+                        "unusable answer: " + error.message());
+    }
+    if (this->pending.size() > this->options.max_header_bytes && stuck) {
+      return this->Fail(ResultCode::kOutOfBounds, "the answer's head");
+    }
+    if (this->TakeHead()) {
+      if (this->status_code == kSwitchingProtocols) {
+        return this->Fail(ResultCode::kConnectionLost,
+                          "unusable answer: 101 was not asked for");
+      }
+      if (this->status_code >= kFirstFinalStatus) {
+        return ReadStep::kHeadDone;
+      }
+      this->MakeParser();  // an interim answer: the final one follows
+      continue;
+    }
+    if (this->parser->beast.is_done()) {
+      return ReadStep::kDone;
+    }
+    if (stuck) {
+      return ReadStep::kNeedMore;
+    }
+  }
+}
+
+// Returns false if more bytes are needed.
+bool ResponseReader::ParseSome() {
+  Parser& state = *this->parser;
+  state.error = {};
+  if (this->pending.empty()) {
+    return false;
+  }
+  const std::size_t used = state.beast.put(
+      boost::asio::buffer(this->pending.view().data(), this->pending.size()),
+      state.error);
+  this->pending.Take(used);
+  return state.error != beast_http::error::need_more;
+}
+
+// Returns true when the end of a head was found now.
+bool ResponseReader::TakeHead() {
+  Parser& state = *this->parser;
+  if (state.head_taken || !state.beast.is_header_done()) {
+    return false;
+  }
+  state.head_taken = true;
+  const auto& message = state.beast.get();
+  this->status_code = static_cast<int>(message.result_int());
+  this->may_keep_alive = state.beast.keep_alive();
+  this->head.clear();
+  for (const auto& field : message) {
+    this->head.push_back({Text(field.name_string()), Text(field.value())});
+  }
+  return true;
+}
+
+ReadStep ResponseReader::FinishAtEnd() {
+  if (!this->parser || this->found_fault) {
+    return ReadStep::kFault;
+  }
+  if (this->parser->beast.is_done()) {
+    return ReadStep::kDone;
+  }
+  boost::beast::error_code error;
+  this->parser->beast.put_eof(error);
+  this->may_keep_alive = false;
+  return error ? this->Fail(ResultCode::kConnectionLost,
+                            "the answer was cut short")
+               : ReadStep::kDone;
+}
+
+bool ResponseReader::ends_with_connection() const {
+  return this->parser->beast.need_eof();
+}
+
+std::string ResponseReader::TakeBody() {
+  if (!this->parser) {
+    return {};
+  }
+  return std::exchange(this->parser->beast.get().body(), {});
+}
+
+ReadStep ResponseReader::Fail(ResultCode code, std::string detail) {
+  this->found_fault = Error(code, std::move(detail));
+  return ReadStep::kFault;
+}
+
+}  // namespace acacialug::http
--- /dev/null
+++ b/src/framework/http/internal/server_connection.cc
@@ -0,0 +1,323 @@
+#include "framework/http/internal/server_connection.h"
+
+#include <QSslSocket>
+#include <array>
+#include <utility>
+
+#include "framework/http/internal/message_writer.h"
+#include "framework/http/internal/server_responder.h"
+#include "framework/http/socket_setup.h"
+
+namespace acacialug::http {
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
+// What is still read, and for how long, after an answer that closes.
+constexpr std::size_t kMaxDiscardedBytes = 4 * 1024 * 1024;
+constexpr Duration kLingerTimeout = 2s;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::string_view ReadInto(QTcpSocket& socket,
+                          std::array<char, kReadBytes>& space) {
+  const qint64 got = socket.read(space.data(), space.size());
+  return {space.data(), static_cast<std::size_t>(got > 0 ? got : 0)};
+}
+
+// One for each thread in place of one for each connection.
+std::array<char, kReadBytes>& ReadSpace() {
+  thread_local std::array<char, kReadBytes> space;
+  return space;
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(ConnectionContext& shard_context,
+                                   const TlsConfiguration& tls)
+    : context(shard_context),
+      socket(MakeSocket(tls, kReadBytes)),
+      secure(tls != nullptr),
+      reader(shard_context.options.limits),
+      timer([this] { this->OnExpired(); }) {}
+
+ServerConnection::~ServerConnection() {
+  this->state = State::kClosed;
+  this->socket->disconnect(this);
+  if (const auto open = this->responder.lock()) {
+    open->ServerGone();
+  }
+}
+
+bool ServerConnection::Open(qintptr descriptor) {
+  if (!this->socket->setSocketDescriptor(descriptor)) {
+    return false;
+  }
+  SetConnectedOptions(*this->socket);
+  this->ConnectSignals(this->secure);
+  if (this->secure) {
+    static_cast<QSslSocket*>(this->socket.get())->startServerEncryption();
+    this->timer.Set(this->context.options.limits.head_timeout);
+  } else {
+    this->WatchPhase();
+  }
+  return true;
+}
+
+void ServerConnection::ConnectSignals(bool with_tls) {
+  QTcpSocket* const source = this->socket.get();
+  connect(source, &QTcpSocket::readyRead, this,
+          [this] { this->OnReadyRead(); });
+  connect(source, &QTcpSocket::disconnected, this,
+          [this] { this->OnDisconnected(); });
+  connect(source, &QTcpSocket::bytesWritten, this,
+          [this] { this->OnBytesWritten(); });
+  if (with_tls) {
+    connect(static_cast<QSslSocket*>(source),
+            &QSslSocket::encryptedBytesWritten, this,
+            [this] { this->OnBytesWritten(); });
+  }
+}
+
+void ServerConnection::OnReadyRead() {
+  if (this->state == State::kReading) {
+    this->ReadRequests();
+  } else if (this->state == State::kLingering) {
+    this->Discard();
+  }
+  // While a request is answered the next one stays where it is, and the peer
+  // is slowed down by the socket's bound.
+}
+
+void ServerConnection::OnBytesWritten() {
+  if (this->unsent_bytes() > 0) {
+    if (this->state == State::kReading) {
+      this->watched_phase = RequestReader::Phase::kDone;  // it still reads
+      this->WatchPhase();
+    }
+    return;
+  }
+  if (const auto open = this->responder.lock()) {
+    open->Drained();
+  } else if (this->state == State::kReading) {
+    this->ReadRequests();
+  } else if (this->state == State::kLingering) {
+    this->BeginLingering();
+  }
+}
+
+void ServerConnection::OnExpired() {
+  const bool mid_request =
+      this->state == State::kReading &&
+      this->reader.phase() != RequestReader::Phase::kBetween;
+  if (mid_request) {
+    this->Refuse(kRequestTimeout,
+                 Error(ResultCode::kMalformedRequest,
+                       "the request did not come whole in time"));
+    return;
+  }
+  this->Cut();
+}
+
+void ServerConnection::ReadRequests() {
+  // With the answers unread, further requests would only add to them.
+  while (this->state == State::kReading &&
+         this->unsent_bytes() <=
+             this->context.options.limits.max_unsent_bytes) {
+    switch (this->reader.Advance()) {
+      case ReadStep::kNeedMore:
+        if (!this->ReadMore()) {
+          this->WatchPhase();
+          return;
+        }
+        break;
+      case ReadStep::kHeadDone:
+        this->OnHead();
+        break;
+      case ReadStep::kDone:
+        this->Dispatch();
+        break;
+      case ReadStep::kFault:
+        this->Refuse(this->reader.fault().status, this->reader.fault().error);
+        return;
+    }
+  }
+}
+
+bool ServerConnection::ReadMore() {
+  const std::string_view bytes = ReadInto(*this->socket, ReadSpace());
+  this->reader.Append(bytes);
+  return !bytes.empty();
+}
+
+// Gives each phase of a request its own timeout, from the phase's beginning:
+// a peer that sends a byte now and then does not move it.
+void ServerConnection::WatchPhase() {
+  const RequestReader::Phase phase = this->reader.phase();
+  if (this->state != State::kReading || phase == this->watched_phase) {
+    return;
+  }
+  this->watched_phase = phase;
+  const ServerLimits& limits = this->context.options.limits;
+  switch (phase) {
+    case RequestReader::Phase::kBetween:
+      this->timer.Set(limits.idle_timeout);
+      break;
+    case RequestReader::Phase::kHead:
+      this->timer.Set(limits.head_timeout);
+      break;
+    case RequestReader::Phase::kBody:
+      this->timer.Set(limits.body_timeout);
+      break;
+    case RequestReader::Phase::kDone:
+      this->timer.Clear();
+      break;
+  }
+}
+
+void ServerConnection::OnHead() {
+  if (this->reader.expects_continue() && this->reader.pending_bytes() == 0) {
+    this->Write(kContinue);
+  }
+}
+
+void ServerConnection::Dispatch() {
+  this->state = State::kAnswering;
+  this->timer.Clear();
+  const ServerResponder::Options answer{
+      .answers_head = this->reader.head().method == "HEAD",
+      .version_1_1 = this->reader.version_1_1(),
+      .keep_alive = this->reader.keep_alive() && !this->context.draining};
+  auto open = std::make_shared<ServerResponder>(this, answer);
+  this->responder = open;
+  this->context.handler(this->reader.TakeRequest(), std::move(open));
+}
+
+void ServerConnection::Write(std::string_view bytes) {
+  if (this->state != State::kClosed) {
+    this->socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+  }
+}
+
+std::size_t ServerConnection::unsent_bytes() const {
+  return UnsentBytes(*this->socket);
+}
+
+void ServerConnection::EndAnswer(bool keep_alive) {
+  this->responder.reset();
+  if (this->state != State::kAnswering) {
+    return;
+  }
+  if (!keep_alive || this->context.draining) {
+    this->CloseInOrder();
+    return;
+  }
+  this->state = State::kReading;
+  this->reader.Restart();
+  this->watched_phase = RequestReader::Phase::kDone;
+  this->WatchPhase();
+  if (this->reader.pending_bytes() > 0 || this->socket->bytesAvailable() > 0) {
+    // Later, and not from within the call that ended the answer: its owner
+    // would find itself handling the next request in the middle of this one.
+    QMetaObject::invokeMethod(
+        this, [this] { this->OnReadyRead(); }, Qt::QueuedConnection);
+  }
+}
+
+void ServerConnection::Cut() {
+  this->responder.reset();
+  AbortWithReset(*this->socket);
+  this->OnDisconnected();
+}
+
+void ServerConnection::Refuse(int status, const Error& error) {
+  Response response{.status = status};
+  if (this->context.options.render_error) {
+    response = this->context.options.render_error(status, error);
+  }
+  this->Write(
+      WriteResponseHead({.status = response.status,
+                         .headers = response.headers,
+                         .framing = {.content_length = response.body.size()},
+                         .keep_alive = false}));
+  this->Write(response.body);
+  this->BeginLingering();
+}
+
+void ServerConnection::RefuseForLoad() {
+  if (this->secure) {
+    this->Cut();  // a handshake would cost more than the refusal spares
+    return;
+  }
+  this->Refuse(kServiceUnavailable, Error(ResultCode::kTooManyConnections));
+}
+
+// Closing a socket with unread input makes the operating system reset the
+// connection, and a reset can overtake the answer: the caller would see a
+// broken connection in place of its 413. So the writing side is ended first,
+// and what still comes is thrown away, within bounds.
+void ServerConnection::BeginLingering() {
+  if (this->state != State::kLingering) {
+    this->state = State::kLingering;
+    this->timer.Set(kLingerTimeout);
+  }
+  if (this->unsent_bytes() == 0 && !this->shut_down) {
+    this->shut_down = true;
+    if (this->secure) {
+      this->socket->disconnectFromHost();
+      return;
+    }
+    ShutDownWriting(*this->socket);
+  }
+  this->Discard();
+}
+
+void ServerConnection::Discard() {
+  while (this->state == State::kLingering) {
+    const std::size_t got = ReadInto(*this->socket, ReadSpace()).size();
+    this->discarded_bytes += got;
+    if (got == 0) {
+      return;
+    }
+    if (this->discarded_bytes > kMaxDiscardedBytes) {
+      this->Cut();
+    }
+  }
+}
+
+void ServerConnection::CloseInOrder() {
+  if (this->reader.pending_bytes() > 0 || this->socket->bytesAvailable() > 0) {
+    this->BeginLingering();
+    return;
+  }
+  this->state = State::kClosing;
+  // A caller that never reads the rest must not keep the connection.
+  this->timer.Set(this->context.options.limits.idle_timeout);
+  this->socket->disconnectFromHost();
+}
+
+void ServerConnection::CloseIfIdle() {
+  const bool idle = this->state == State::kReading &&
+                    this->reader.phase() == RequestReader::Phase::kBetween &&
+                    this->socket->bytesAvailable() == 0;
+  if (idle) {
+    this->CloseInOrder();
+  }
+}
+
+void ServerConnection::OnDisconnected() {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  this->state = State::kClosed;
+  this->timer.Clear();
+  this->socket->disconnect(this);
+  const std::shared_ptr<ServerResponder> open = this->responder.lock();
+  this->responder.reset();
+  this->context.on_closed(this);
+  if (open) {
+    open->ConnectionGone();
+  }
+}
+
+}  // namespace acacialug::http
--- /dev/null
+++ b/src/framework/http/internal/server_connection.h
@@ -0,0 +1,84 @@
+#ifndef FRAMEWORK_HTTP_INTERNAL_SERVER_CONNECTION_H_
+#define FRAMEWORK_HTTP_INTERNAL_SERVER_CONNECTION_H_
+
+#include <QObject>
+#include <QTcpSocket>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "framework/http/http_server.h"
+#include "framework/http/internal/deadline_timer.h"
+#include "framework/http/internal/request_reader.h"
+#include "framework/http/tls_configuration.h"
+
+namespace acacialug::http {
+
+class ServerResponder;
+
+// What the connections of one shard share.
+struct ConnectionContext {
+  const ServerOptions& options;
+  RequestHandler handler;
+  bool draining = false;
+  // The connection is closed for good; it is deleted later by its owner.
+  std::function<void(class ServerConnection* connection)> on_closed;
+};
+
+// One connection of a caller. Reads a request, hands it to the handler, and
+// reads no further before its answer ended. Lives on its shard's thread.
+class ServerConnection : public QObject {
+ public:
+  // `context` outlives the connection.
+  ServerConnection(ConnectionContext& context, const TlsConfiguration& tls);
+  ~ServerConnection() override;
+
+  // Takes over a descriptor. False: it is of no use, and closed.
+  bool Open(qintptr descriptor);
+
+  // Answers 503 without reading a request, and closes.
+  void RefuseForLoad();
+
+  // Closes the connection if nothing is under way on it.
+  void CloseIfIdle();
+
+  // For the responder of the request under way.
+  void Write(std::string_view bytes);
+  std::size_t unsent_bytes() const;
+  bool draining() const { return this->context.draining; }
+  void EndAnswer(bool keep_alive);
+  void Cut();
+
+ private:
+  enum class State { kReading, kAnswering, kLingering, kClosing, kClosed };
+
+  void ConnectSignals(bool secure);
+  void OnReadyRead();
+  void OnBytesWritten();
+  void OnExpired();
+  void ReadRequests();
+  bool ReadMore();
+  void WatchPhase();
+  void OnHead();
+  void Dispatch();
+  void Refuse(int status, const Error& error);
+  void BeginLingering();
+  void Discard();
+  void CloseInOrder();
+  void OnDisconnected();
+
+  ConnectionContext& context;
+  std::unique_ptr<QTcpSocket> socket;
+  const bool secure;
+  RequestReader reader;
+  DeadlineTimer timer;
+  State state = State::kReading;
+  RequestReader::Phase watched_phase = RequestReader::Phase::kDone;
+  std::weak_ptr<ServerResponder> responder;
+  std::size_t discarded_bytes = 0;
+  bool shut_down = false;
+};
+
+}  // namespace acacialug::http
+
+#endif  // FRAMEWORK_HTTP_INTERNAL_SERVER_CONNECTION_H_
--- /dev/null
+++ b/src/framework/http/internal/server_shard.cc
@@ -0,0 +1,81 @@
+#include "framework/http/internal/server_shard.h"
+
+#include <unistd.h>
+
+#include <utility>
+#include <vector>
+
+namespace acacialug::http {
+
+ServerShard::ServerShard(int shard_index,
+                         const ServerOptions& server_options,
+                         std::atomic<std::size_t>& total_connections)
+    : index(shard_index),
+      options(server_options),
+      total(total_connections),
+      context{.options = server_options,
+              .on_closed = [this](ServerConnection* connection) {
+                this->Forget(connection);
+              }} {}
+
+ServerShard::~ServerShard() = default;
+
+void ServerShard::Begin() {
+  this->context.handler = this->options.make_handler(this->index);
+}
+
+void ServerShard::Adopt(qintptr descriptor,
+                        const TlsConfiguration& tls,
+                        bool refuse) {
+  auto connection = std::make_unique<ServerConnection>(this->context, tls);
+  ServerConnection* const adopted = connection.get();
+  this->connections.emplace(adopted, std::move(connection));
+  if (!adopted->Open(descriptor)) {
+    ::close(static_cast<int>(descriptor));
+    this->Forget(adopted);
+  } else if (refuse) {
+    adopted->RefuseForLoad();
+  } else if (this->context.draining) {
+    adopted->CloseIfIdle();
+  }
+}
+
+void ServerShard::Drain() {
+  this->context.draining = true;
+  std::vector<ServerConnection*> open;
+  open.reserve(this->connections.size());
+  for (const auto& [connection, owned] : this->connections) {
+    open.push_back(connection);
+  }
+  for (ServerConnection* const connection : open) {
+    if (this->connections.contains(connection)) {
+      connection->CloseIfIdle();
+    }
+  }
+}
+
+void ServerShard::End() {
+  if (this->options.on_shard_end) {
+    this->options.on_shard_end(this->index);
+  }
+  this->context.handler = nullptr;
+  const std::size_t left = this->connections.size();
+  this->connections.clear();
+  this->count -= left;
+  this->total -= left;
+}
+
+void ServerShard::Forget(ServerConnection* connection) {
+  const auto found = this->connections.find(connection);
+  if (found == this->connections.end()) {
+    return;
+  }
+  // The call comes from within the connection, often from its socket's own
+  // signal: it may only be deleted when that has returned.
+  found->second.release()->deleteLater();
+  this->connections.erase(found);
+  --this->count;
+  --this->total;
+}
+
+}  // namespace acacialug::http
--- /dev/null
+++ b/src/framework/http/internal/server_shard.h
@@ -0,0 +1,48 @@
+#ifndef FRAMEWORK_HTTP_INTERNAL_SERVER_SHARD_H_
+#define FRAMEWORK_HTTP_INTERNAL_SERVER_SHARD_H_
+
+#include <QObject>
+#include <atomic>
+#include <memory>
+#include <unordered_map>
+
+#include "framework/http/http_server.h"
+#include "framework/http/internal/server_connection.h"
+#include "framework/http/tls_configuration.h"
+
+namespace acacialug::http {
+
+// The connections and the handler of one thread. All methods but
+// connection_count run on that thread.
+class ServerShard : public QObject {
+ public:
+  // `options` and `total_connections` outlive the shard.
+  ServerShard(int index,
+              const ServerOptions& options,
+              std::atomic<std::size_t>& total_connections);
+  ~ServerShard() override;
+
+  void Begin();  // makes the handler
+  void Adopt(qintptr descriptor, const TlsConfiguration& tls, bool refuse);
+  void Drain();
+  void End();  // destroys what lives on the thread
+
+  // Counted by whoever hands over a descriptor, so that a burst is spread.
+  // Thread safe.
+  std::atomic<std::size_t>& connection_count() { return this->count; }
+
+ private:
+  void Forget(ServerConnection* connection);
+
+  const int index;
+  const ServerOptions& options;
+  std::atomic<std::size_t>& total;
+  std::atomic<std::size_t> count = 0;
+  ConnectionContext context;
+  std::unordered_map<ServerConnection*, std::unique_ptr<ServerConnection>>
+      connections;
+};
+
+}  // namespace acacialug::http
+
+#endif  // FRAMEWORK_HTTP_INTERNAL_SERVER_SHARD_H_
--- /dev/null
+++ b/src/framework/http/socket_setup.cc
@@ -0,0 +1,116 @@
+#include "framework/http/socket_setup.h"
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QNetworkProxy>
+#include <QSslError>
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+namespace acacialug::http {
+namespace {
+
+// A host that vanished without closing is noticed after 20 + 3 * 5 seconds.
+constexpr int kKeepAliveIdleSeconds = 20;
+constexpr int kKeepAliveIntervalSeconds = 5;
+constexpr int kKeepAliveProbes = 3;
+
+void SetOption(int descriptor, int level, int name, int value) {
+  ::setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+std::unique_ptr<QTcpSocket> MakeSocket(const TlsConfiguration& tls,
+                                       std::size_t read_buffer_bytes) {
+  std::unique_ptr<QTcpSocket> socket;
+  if (tls) {
+    auto secure = std::make_unique<QSslSocket>();
+    secure->setSslConfiguration(*tls);
+    socket = std::move(secure);
+  } else {
+    socket = std::make_unique<QTcpSocket>();
+  }
+  socket->setProxy(QNetworkProxy::NoProxy);
+  socket->setReadBufferSize(static_cast<qint64>(read_buffer_bytes));
+  return socket;
+}
+
+void SetConnectedOptions(QTcpSocket& socket) {
+  const int descriptor = static_cast<int>(socket.socketDescriptor());
+  SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+std::size_t UnsentBytes(const QTcpSocket& socket) {
+  qint64 bytes = socket.bytesToWrite();
+  if (const auto* secure = dynamic_cast<const QSslSocket*>(&socket)) {
+    bytes += secure->encryptedBytesToWrite();
+  }
+  return static_cast<std::size_t>(bytes);
+}
+
+void AbortWithReset(QTcpSocket& socket) {
+  const linger at_once{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
+               SO_LINGER, &at_once, sizeof(at_once));
+  socket.abort();
+}
+
+EndProbe::EndProbe(const QTcpSocket& socket)
+    : descriptor(::fcntl(static_cast<int>(socket.socketDescriptor()),
+                         F_DUPFD_CLOEXEC,
+                         0)) {}
+
+EndProbe::~EndProbe() {
+  if (this->descriptor >= 0) {
+    ::close(this->descriptor);
+  }
+}
+
+bool EndProbe::EndedInOrder() const {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(this->descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) ==
+             0 &&
+         info.tcpi_state != TCP_CLOSE;
+}
+
+void ShutDownWriting(QTcpSocket& socket) {
+  ::shutdown(static_cast<int>(socket.socketDescriptor()), SHUT_WR);
+}
+
+void IgnoreNameMismatch(QSslSocket& socket) {
+  QObject::connect(&socket, &QSslSocket::sslErrors, &socket,
+                   [&socket](const QList<QSslError>& errors) {
+                     const bool harmless = std::all_of(
+                         errors.begin(), errors.end(),
+                         [](const QSslError& error) {
+                           return error.error() == QSslError::HostNameMismatch;
+                         });
+                     if (harmless) {
+                       socket.ignoreSslErrors(errors);
+                     }
+                   });
+}
+
+bool IsQuiet(const QTcpSocket& socket) {
+  if (socket.state() != QAbstractSocket::ConnectedState ||
+      socket.bytesAvailable() > 0) {
+    return false;
+  }
+  char byte = 0;
+  const ssize_t got = ::recv(static_cast<int>(socket.socketDescriptor()), &byte,
+                             sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace acacialug::http
--- /dev/null
+++ b/src/framework/http/socket_setup.h
@@ -0,0 +1,62 @@
+#ifndef FRAMEWORK_HTTP_SOCKET_SETUP_H_
+#define FRAMEWORK_HTTP_SOCKET_SETUP_H_
+
+#include <QSslSocket>
+#include <QTcpSocket>
+#include <cstddef>
+#include <memory>
+
+#include "framework/http/tls_configuration.h"
+
+namespace acacialug::http {
+
+// A socket of this project's kind: no proxy, at most `read_buffer_bytes` read
+// ahead of its reader (what is beyond stays with the operating system, so that
+// the peer is slowed down). A QSslSocket if `tls` is set. Thread safe.
+std::unique_ptr<QTcpSocket> MakeSocket(const TlsConfiguration& tls,
+                                       std::size_t read_buffer_bytes);
+
+// Options that need an open descriptor: TCP_NODELAY, so that a small write
+// does not wait for the peer's acknowledgement, and keep-alive probes, so that
+// a peer whose host vanished is noticed. Precondition: connected.
+void SetConnectedOptions(QTcpSocket& socket);
+
+// Bytes written to the socket that the operating system has not taken.
+std::size_t UnsentBytes(const QTcpSocket& socket);
+
+// Closes at once with a reset, so that the peer never takes what it has got
+// for a whole message.
+void AbortWithReset(QTcpSocket& socket);
+
+// Tells after a connection's end whether the peer ended it in order. Qt calls
+// a reset an orderly end too, so that half a body without a length would pass
+// for a whole one; the kernel's state of the connection tells them apart.
+class EndProbe {
+ public:
+  // Precondition: connected; otherwise the end counts as not in order.
+  explicit EndProbe(const QTcpSocket& socket);
+  ~EndProbe();
+  EndProbe(const EndProbe&) = delete;
+  EndProbe& operator=(const EndProbe&) = delete;
+
+  bool EndedInOrder() const;
+
+ private:
+  int descriptor;  // its own, since Qt closes the socket's at the end
+};
+
+// Tells the peer that nothing more comes, and still reads. Plain text only.
+void ShutDownWriting(QTcpSocket& socket);
+
+// Accepts a peer whose certificate is good but bears another name: peers are
+// met by IP number. Every other fault of a certificate still ends the
+// handshake. Precondition: before it begins.
+void IgnoreNameMismatch(QSslSocket& socket);
+
+// False if the peer has closed, or sent what nobody asked for, and Qt does not
+// know yet. For a connection that is idle.
+bool IsQuiet(const QTcpSocket& socket);
+
+}  // namespace acacialug::http
+
+#endif  // FRAMEWORK_HTTP_SOCKET_SETUP_H_
--- a/src/framework/net/frame_channel.h
+++ b/src/framework/net/frame_channel.h
@@ -41,9 +41,11 @@
   // Queues one frame. Returns false, sending nothing, when the channel is
   // closed or its unsent bytes are over the limit (the channel is then closed
   // as lost: a peer that does not read must not take this process's memory).
+  // A payload over max_frame_bytes is refused as well; the channel stays open.
   virtual bool Send(std::string_view payload) = 0;
 
-  // Closes after `on_closed` would matter: hooks stay silent from here on.
+  // Closes in order: what was queued is still sent, within seconds. The hooks
+  // stay silent from here on. Letting the last reference go closes at once.
   virtual void Close() = 0;
 
   virtual bool open() const = 0;
@@ -71,6 +73,8 @@
     http::Address listen;
     ChannelOptions channel;
     std::size_t max_channels = 8192;
+    // A channel whose peer is authenticated; it is open. Frames wait until
+    // SetHooks gives an on_frame; on_open runs next if it was set in here.
     std::function<void(FrameChannelPtr channel)> on_channel;
   };
 
