--- /dev/null
+++ b/buildscripts/summarize_tests.py
@@ -0,0 +1,82 @@
+"""Sums what the test programs of one CTest run report.
+
+usage: summarize_tests.py JUNIT_FILE [--known-red FILE]
+
+Prints what failed and closes with `N passed, N failed`. Exits 0 when something
+ran and nothing failed, or, with --known-red, when only tests failed that the
+file names (lines `TEST | CAUSE | ISSUE`, three at most).
+"""
+
+import re
+import sys
+import xml.etree.ElementTree as ElementTree
+
+SUMMARY = re.compile(r"^(\d+) passed, (\d+) failed$", re.MULTILINE)
+FAILED_CASE = re.compile(r"^(.+) : (?:assertion|error)$", re.MULTILINE)
+MAXIMUM_KNOWN_RED = 3
+
+
+def read_known_red(path):
+    """Test name to whole line; a missing file names none."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            lines = [line.strip() for line in file if line.strip()]
+    except FileNotFoundError:
+        return {}
+    known = {}
+    for line in lines:
+        parts = [part.strip() for part in line.split("|")]
+        if len(parts) != 3 or not all(parts):
+            sys.exit(f"{path}: expected TEST | CAUSE | ISSUE, found: {line}")
+        known[parts[0]] = line
+    if len(known) > MAXIMUM_KNOWN_RED:
+        sys.exit(f"{path}: expected at most {MAXIMUM_KNOWN_RED} lines")
+    return known
+
+
+def count(program):
+    """(passed, failed, names of failed cases) of one program's run."""
+    output = program.findtext("system-out") or ""
+    succeeded = program.get("status") == "run"
+    sums = SUMMARY.findall(output)
+    passed = sum(int(row[0]) for row in sums)
+    failed = sum(int(row[1]) for row in sums)
+    names = FAILED_CASE.findall(output)
+    if not sums and succeeded:
+        passed = 1  # a script, whose exit code is its verdict
+    if not succeeded and failed == 0:
+        # It crashed, hung, or a sanitizer spoke after the last test.
+        failed = 1
+        names = [program.get("name")]
+    return passed, failed, names
+
+
+def main():
+    arguments = sys.argv[1:]
+    known = {}
+    if "--known-red" in arguments:
+        place = arguments.index("--known-red")
+        known = read_known_red(arguments[place + 1])
+        del arguments[place : place + 2]
+    passed = 0
+    failed = 0
+    excused = 0
+    try:
+        programs = ElementTree.parse(arguments[0]).getroot().iter("testcase")
+    except ElementTree.ParseError:
+        programs = []
+    for program in programs:
+        program_passed, program_failed, names = count(program)
+        passed += program_passed
+        failed += program_failed
+        for name in names:
+            excused += name in known
+            print(f"{'known red' if name in known else 'failed'}: {name}")
+    for line in known.values():
+        print(f"KNOWN-RED: {line}")
+    print(f"{passed} passed, {failed} failed")
+    return 0 if failed == excused and passed + failed > 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
