Follow the configuration as a pure function of the log

Cause: operators race each other, answers are lost, retention drops records, and a paused or newly started host must not run an older configuration. Change: ConfigurationHistory judges records (first to replace the current one wins; checkpoints name the prefix that their author read), a follower that reads the log, asks peers, and never goes back; HTTP adapters of the platform. Conclusion: readers of any suffix agree with those of the whole stream.

--- /dev/null
+++ b/src/configuration/configuration_follower.h
@@ -0,0 +1,109 @@
+#ifndef CONFIGURATION_CONFIGURATION_FOLLOWER_H_
+#define CONFIGURATION_CONFIGURATION_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "configuration/configuration_history.h"
+#include "framework/global/random_source.h"
+#include "framework/global/types/instant.h"
+#include "platform/i_log.h"
+
+namespace acacialug::configuration {
+
+// ---- what a follower asks of the process around it ----
+
+// Reads the configuration stream. `wait`: the log may hold its answer that
+// long for a record to come.
+struct ReadStream {
+  LogOffset from;
+  Duration wait{};
+};
+// Re-appends what is current, before retention drops its only copy.
+struct AppendCheckpoint {
+  std::string payload;
+};
+// A newer manifest is in force in this process from now on.
+struct PutInForce {
+  AcceptedManifest accepted;
+};
+// A peer knows a newer manifest and the log did not give it: ask that peer.
+struct AskPeer {
+  LogOffset offset;
+};
+
+using FollowerAction =
+    std::variant<ReadStream, AppendCheckpoint, PutInForce, AskPeer>;
+
+struct FollowerOptions {
+  std::string author;              // in checkpoints
+  Duration long_poll = 10s;        // zero: plain polls
+  Duration poll_interval = 500ms;  // after an answer without news
+  Duration retry_first = 250ms;    // after a failed read, doubled
+  Duration retry_most = 5s;        // up to this
+  // The log keeps records at least this long; a copy of the current manifest
+  // is made when the newest one is half as old. Zero: never.
+  Duration retention = 0s;
+  // False for agents, which get manifests from entries: thousands of readers
+  // must not poll the log. They read once at start, and when poked.
+  bool follow_stream = true;
+};
+
+// Follows the configuration: the log first, peers when the log is out. What
+// it put in force never goes back. No I/O; not thread safe; `now` never goes
+// backwards.
+class ConfigurationFollower {
+ public:
+  ConfigurationFollower(FollowerOptions options, RandomSource& random);
+
+  void Start(Instant now);
+  void OnRead(const Result<platform::ILog::Read>& read, Instant now);
+  // A peer spoke of this offset in a heartbeat or a hello.
+  void OnPeerOffset(LogOffset offset, Instant now);
+  // A peer's manifest, as it was accepted at `offset`. Peers are processes of
+  // this system (authenticated when keys are on), so an accepted offset is
+  // taken as such. Errors: kManifestInvalid when the text cannot be read;
+  // kManifestStale when it is not newer than what is in force.
+  Status OnPeerManifest(LogOffset offset, const std::string& text);
+  void OnTimer(Instant now);
+
+  Instant next_timer() const { return this->timer; }
+  std::vector<FollowerAction> TakeActions();
+
+  // The manifest in force in this process; null before the first.
+  const AcceptedManifest* in_force() const;
+  LogOffset offset() const;
+
+  // A starting process may serve: it has a manifest, and it is the newest
+  // that the log (read to its end once), or else its peers, know.
+  bool ready() const;
+
+ private:
+  void Read(Duration wait);
+  void ApplyRecords(const platform::ILog::Read& read);
+  void TakeInForce(const AcceptedManifest& candidate);
+  void ConsiderCheckpoint(Instant now);
+  void ScheduleRetry(Instant now);
+
+  FollowerOptions options;
+  RandomSource& random;
+  std::optional<ConfigurationHistory> history;
+  std::optional<AcceptedManifest> forced;
+  LogOffset highest_heard;
+  bool heard_from_peer = false;
+  bool read_to_end = false;
+  bool reading = false;
+  bool log_failed = false;
+  Duration retry_delay{};
+  Instant timer = kNever;
+  LogOffset copy_seen;
+  Instant copy_due = kNever;
+  std::vector<FollowerAction> actions;
+};
+
+}  // namespace acacialug::configuration
+
+#endif  // CONFIGURATION_CONFIGURATION_FOLLOWER_H_
--- /dev/null
+++ b/src/configuration/internal/configuration_history.cc
@@ -0,0 +1,182 @@
+#include "configuration/configuration_history.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "manifest/manifest_parser.h"
+
+namespace acacialug::configuration {
+namespace {
+
+constexpr LogOffset kFirstOffset{1};
+
+std::string SourceName(LogOffset offset) {
+  return "manifest at offset " + std::to_string(offset.value);
+}
+
+Result<manifest::Manifest> ReadManifest(const std::string& text,
+                                        LogOffset accepted_at) {
+  Result<manifest::Manifest> read =
+      manifest::ParseManifest(text, SourceName(accepted_at));
+  if (read.ok()) {
+    read.value().offset = accepted_at;
+  }
+  return read;
+}
+
+AcceptedManifest Accept(manifest::Manifest read, std::string text) {
+  return {
+      .manifest = std::make_shared<const manifest::Manifest>(std::move(read)),
+      .text = std::move(text)};
+}
+
+}  // namespace
+
+ConfigurationHistory::ConfigurationHistory(LogOffset first_kept)
+    : based(first_kept <= kFirstOffset), complete_from(first_kept) {}
+
+void ConfigurationHistory::Apply(LogOffset offset, const std::string& payload) {
+  if (offset <= this->through) {
+    return;
+  }
+  this->through = offset;
+  HeldBack held{.offset = offset, .record = std::nullopt};
+  if (Result<ConfigurationRecord> read = DecodeRecord(payload); read.ok()) {
+    held.record = std::move(read.value());
+  }
+  if (this->based) {
+    this->Judge(held);
+    return;
+  }
+  this->held_back.push_back(held);
+  if (this->held_back.size() > kMaxHeldBack) {
+    this->complete_from = LogOffset(this->held_back.front().offset.value + 1);
+    this->held_back.pop_front();
+  }
+  if (!this->TryBase(held)) {
+    this->Keep({.offset = offset, .verdict = Verdict::kUnjudged});
+  }
+}
+
+// Without the gap's records the current manifest may have been replaced, so a
+// publish that names it could be accepted here and refused elsewhere: two
+// processes would run different configurations for ever. Hence nothing is
+// judged until a checkpoint covers the gap.
+void ConfigurationHistory::OnTruncated(LogOffset first_kept) {
+  this->based = false;
+  this->held_back.clear();
+  this->complete_from = first_kept;
+}
+
+const AcceptedManifest* ConfigurationHistory::current() const {
+  return this->accepted ? &*this->accepted : nullptr;
+}
+
+LogOffset ConfigurationHistory::CurrentOffset() const {
+  return this->accepted ? this->accepted->manifest->offset : LogOffset();
+}
+
+bool ConfigurationHistory::TryBase(const HeldBack& held) {
+  if (!held.record || held.record->kind != RecordKind::kCheckpoint ||
+      held.record->read_through.value + 1 < this->complete_from.value ||
+      held.record->accepted_at < this->CurrentOffset()) {
+    return false;
+  }
+  Result<manifest::Manifest> read =
+      ReadManifest(held.record->manifest_text, held.record->accepted_at);
+  if (!read.ok()) {
+    return false;
+  }
+  const LogOffset read_through = held.record->read_through;
+  this->accepted = Accept(std::move(read.value()), held.record->manifest_text);
+  this->based = true;
+  const std::deque<HeldBack> pending = std::exchange(this->held_back, {});
+  for (const HeldBack& record : pending) {
+    if (record.offset > read_through) {
+      this->Judge(record);
+    }
+  }
+  return true;
+}
+
+void ConfigurationHistory::Judge(const HeldBack& held) {
+  if (held.record && held.record->kind == RecordKind::kCheckpoint) {
+    this->JudgeCheckpoint(held);
+    return;
+  }
+  Judgement judgement{.offset = held.offset, .verdict = Verdict::kInvalid};
+  if (held.record) {
+    judgement.publication = held.record->publication;
+    judgement.publisher = held.record->publisher;
+    this->JudgePublish(held, judgement);
+  }
+  judgement.current = this->CurrentOffset();
+  this->Keep(std::move(judgement));
+}
+
+void ConfigurationHistory::JudgePublish(const HeldBack& held,
+                                        Judgement& judgement) {
+  Result<manifest::Manifest> read =
+      ReadManifest(held.record->manifest_text, held.offset);
+  if (!read.ok()) {
+    judgement.detail = read.error().detail;
+    return;
+  }
+  judgement.version = read->version;
+  if (read->replaces != this->CurrentOffset()) {
+    judgement.verdict = Verdict::kConflict;
+    judgement.detail =
+        "replaces " + std::to_string(read->replaces.value) +
+        ", but the current manifest is at offset " +
+        std::to_string(this->CurrentOffset().value) +
+        (this->accepted
+             ? " (version \"" + this->accepted->manifest->version + "\")"
+             : "");
+    return;
+  }
+  judgement.verdict = Verdict::kAccepted;
+  this->accepted = Accept(std::move(read.value()), held.record->manifest_text);
+  this->copy = held.offset;
+}
+
+// A checkpoint never changes what is current: one that was overtaken by a
+// publish names an older manifest and is passed over.
+void ConfigurationHistory::JudgeCheckpoint(const HeldBack& held) {
+  if (held.record->accepted_at == this->CurrentOffset()) {
+    this->copy = held.offset;
+  }
+  this->Keep({.offset = held.offset,
+              .verdict = Verdict::kCheckpoint,
+              .publication = held.record->publication,
+              .publisher = held.record->publisher,
+              .current = this->CurrentOffset()});
+}
+
+void ConfigurationHistory::Keep(Judgement judgement) {
+  this->kept.push_back(std::move(judgement));
+  if (this->kept.size() > kKeptJudgements) {
+    this->kept.pop_front();
+  }
+}
+
+std::optional<Judgement> ConfigurationHistory::FindPublication(
+    const RequestId& publication) const {
+  const auto found = std::find_if(this->kept.begin(), this->kept.end(),
+                                  [&publication](const Judgement& judgement) {
+                                    return judgement.publication == publication;
+                                  });
+  return found == this->kept.end() ? std::nullopt : std::make_optional(*found);
+}
+
+ConfigurationRecord ConfigurationHistory::MakeCheckpoint(
+    const std::string& author,
+    RequestId publication) const {
+  return {.kind = RecordKind::kCheckpoint,
+          .manifest_text = this->accepted->text,
+          .publisher = author,
+          .publication = publication,
+          .accepted_at = this->accepted->manifest->offset,
+          .read_through = this->through};
+}
+
+}  // namespace acacialug::configuration
--- /dev/null
+++ b/src/configuration/tests/configuration_follower_test.cc
@@ -0,0 +1,167 @@
+#include "configuration/configuration_follower.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "configuration/tests/manifest_texts.h"
+#include "framework/testing/story.h"
+
+namespace acacialug::configuration {
+namespace {
+
+using testing::It;
+using testing::Section;
+using testing_texts::ManifestText;
+using testing_texts::Publish;
+
+constexpr Instant kStart{1s};
+
+// A follower with a log that answers when the test says so.
+struct Bench {
+  RandomSource random{1};
+  ConfigurationFollower follower;
+  std::vector<std::uint64_t> in_force;
+  std::vector<std::uint64_t> asked;
+  std::vector<std::string> checkpoints;
+  std::vector<ReadStream> reads;
+
+  explicit Bench(FollowerOptions options = {.author = "entry-1"})
+      : follower(std::move(options), this->random) {
+    this->follower.Start(kStart);
+    this->Collect();
+  }
+
+  void Collect() {
+    for (FollowerAction& action : this->follower.TakeActions()) {
+      if (auto* forced = std::get_if<PutInForce>(&action)) {
+        this->in_force.push_back(forced->accepted.manifest->offset.value);
+      } else if (auto* peer = std::get_if<AskPeer>(&action)) {
+        this->asked.push_back(peer->offset.value);
+      } else if (auto* copy = std::get_if<AppendCheckpoint>(&action)) {
+        this->checkpoints.push_back(copy->payload);
+      } else {
+        this->reads.push_back(std::get<ReadStream>(action));
+      }
+    }
+  }
+
+  void Answer(std::vector<platform::ILog::Record> records,
+              std::uint64_t next,
+              Instant now = kStart,
+              std::uint64_t first_kept = 1) {
+    this->follower.OnRead(
+        platform::ILog::Read{.first_kept = LogOffset(first_kept),
+                             .next = LogOffset(next),
+                             .records = std::move(records)},
+        now);
+    this->Collect();
+  }
+
+  void Fail(Instant now = kStart) {
+    this->follower.OnRead(Error(ResultCode::kPlatformUnavailable), now);
+    this->Collect();
+  }
+};
+
+const testing::Story kFollower(
+    "a configuration follower",
+    {It("puts what the log accepted in force, and only then serves",
+        [] {
+          Bench bench;
+          CPPUNIT_ASSERT(!bench.follower.ready());
+          bench.Answer({{LogOffset(1), Publish("a", 0)}}, 3);
+          CPPUNIT_ASSERT(!bench.follower.ready());  // offset 2 is still unread
+          bench.Answer({{LogOffset(2), Publish("b", 1)}}, 3);
+          CPPUNIT_ASSERT(bench.follower.ready());
+          CPPUNIT_ASSERT((std::vector<std::uint64_t>{1, 2}) == bench.in_force);
+        }),
+     Section("that starts while the log is out",
+             {// Symptom: a host started in a log outage served under a manifest
+              // replaced the day before.
+              // Sequence: the first peer it met had itself been cut off.
+              // Cause: the first manifest heard of was taken for the newest.
+              It("waits for the newest offset that any peer spoke of",
+                 [] {
+                   Bench bench;
+                   bench.Fail();
+                   bench.follower.OnPeerOffset(LogOffset(9), kStart);
+                   CPPUNIT_ASSERT(
+                       bench.follower
+                           .OnPeerManifest(LogOffset(5), ManifestText("a", 0))
+                           .ok());
+                   CPPUNIT_ASSERT(!bench.follower.ready());
+                   CPPUNIT_ASSERT(
+                       bench.follower
+                           .OnPeerManifest(LogOffset(9), ManifestText("b", 5))
+                           .ok());
+                   CPPUNIT_ASSERT(bench.follower.ready());
+                 }),
+              It("keeps trying, ever more slowly, and asks peers meanwhile",
+                 [] {
+                   Bench bench;
+                   bench.follower.OnPeerOffset(LogOffset(9), kStart);
+                   Instant now = kStart;
+                   for (int attempt = 0; attempt < 8; ++attempt) {
+                     bench.Fail(now);
+                     now = bench.follower.next_timer();
+                     CPPUNIT_ASSERT(now != kNever);
+                     bench.follower.OnTimer(now);
+                   }
+                   bench.Collect();
+                   CPPUNIT_ASSERT_EQUAL(std::size_t{9}, bench.reads.size());
+                   CPPUNIT_ASSERT(bench.asked.size() >= 8);
+                   CPPUNIT_ASSERT(now - kStart > 10s);
+                 })}),
+     Section(
+         "that has a newer manifest from a peer",
+         {// Symptom: a configuration went back for some seconds.
+          // Sequence: a peer's newer manifest was taken first; then the log's
+          // answer, sent before it, came.
+          // Cause: answers were put in force in the order of their arrival.
+          It("does not go back to the log's older one",
+             [] {
+               Bench bench;
+               CPPUNIT_ASSERT(
+                   bench.follower
+                       .OnPeerManifest(LogOffset(2), ManifestText("b", 1))
+                       .ok());
+               bench.Collect();
+               bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+               CPPUNIT_ASSERT((std::vector<std::uint64_t>{2}) ==
+                              bench.in_force);
+               CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                                    bench.follower.offset().value);
+             }),
+          It("refuses a peer's older or unreadable one by number",
+             [] {
+               Bench bench;
+               bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+               CPPUNIT_ASSERT(
+                   ResultCode::kManifestStale ==
+                   bench.follower
+                       .OnPeerManifest(LogOffset(1), ManifestText("a", 0))
+                       .error()
+                       .result_code());
+               CPPUNIT_ASSERT(
+                   ResultCode::kManifestInvalid ==
+                   bench.follower.OnPeerManifest(LogOffset(2), "nonsense")
+                       .error()
+                       .result_code());
+             })}),
+     // Symptom: months after the last change, new hosts found no manifest.
+     // Sequence: retention dropped the only record that held it.
+     // Cause: nobody appended it again.
+     It("appends a copy before retention drops the only one", [] {
+       Bench bench({.author = "entry-1", .retention = 100s});
+       bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+       CPPUNIT_ASSERT(bench.checkpoints.empty());
+       bench.Answer({}, 2, kStart + 51s);
+       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.checkpoints.size());
+       bench.Answer({{LogOffset(2), bench.checkpoints[0]}}, 3, kStart + 52s);
+       // The copy alone is enough for a host that starts later.
+       Bench late;
+       late.Answer({{LogOffset(2), bench.checkpoints[0]}}, 3, kStart, 2);
+       CPPUNIT_ASSERT((std::vector<std::uint64_t>{1}) == late.in_force);
+     })});
+
+}  // namespace
+}  // namespace acacialug::configuration
--- /dev/null
+++ b/src/configuration/tests/configuration_history_test.cc
@@ -0,0 +1,130 @@
+#include "configuration/configuration_history.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "configuration/tests/manifest_texts.h"
+#include "framework/testing/story.h"
+
+namespace acacialug::configuration {
+namespace {
+
+using testing::ForEach;
+using testing::It;
+using testing::Section;
+using testing_texts::Checkpoint;
+using testing_texts::Publish;
+
+std::uint64_t CurrentOffset(const ConfigurationHistory& history) {
+  return history.current() == nullptr
+             ? 0
+             : history.current()->manifest->offset.value;
+}
+
+// A stream with two races, a bad record and a checkpoint overtaken by a
+// publish: 1 accepted, 2 conflicts, 3 accepted, 4 no record, 5 accepted, 6 a
+// checkpoint of 3 whose author had read through 4, 7 a good checkpoint.
+std::vector<std::string> Stream() {
+  return {Publish("a", 0, 1),      Publish("b", 0, 2), Publish("c", 1, 3),
+          "not a record",          Publish("d", 3, 5), Checkpoint("c", 1, 3, 4),
+          Checkpoint("d", 3, 5, 6)};
+}
+
+ConfigurationHistory ReadFrom(std::uint64_t first) {
+  ConfigurationHistory history((LogOffset(first)));
+  const std::vector<std::string> stream = Stream();
+  for (std::uint64_t offset = first; offset <= stream.size(); ++offset) {
+    history.Apply(LogOffset(offset), stream[offset - 1]);
+  }
+  return history;
+}
+
+struct VerdictRow {
+  std::uint64_t offset;
+  Verdict verdict;
+  std::uint64_t current;
+};
+
+struct StartRow {
+  std::uint64_t first;
+  bool judged;
+  std::uint64_t current;
+  std::string why;
+};
+
+const testing::Story kHistory(
+    "the configuration's history",
+    {ForEach<VerdictRow>(
+         "gives each record its verdict:",
+         {{1, Verdict::kAccepted, 1},
+          {2, Verdict::kConflict, 1},
+          {3, Verdict::kAccepted, 3},
+          {4, Verdict::kInvalid, 3},
+          {5, Verdict::kAccepted, 5},
+          {6, Verdict::kCheckpoint, 5},
+          {7, Verdict::kCheckpoint, 5}},
+         [](const VerdictRow& row) {
+           return std::to_string(row.offset) + " " +
+                  std::string(NameOf(kVerdictNames, row.verdict));
+         },
+         [](const VerdictRow& row) {
+           const ConfigurationHistory history = ReadFrom(1);
+           const Judgement& judgement = history.judgements()[row.offset - 1];
+           CPPUNIT_ASSERT(row.verdict == judgement.verdict);
+           CPPUNIT_ASSERT_EQUAL(row.current, judgement.current.value);
+         }),
+     // Symptom: after retention dropped the start, a new host ran an older
+     // configuration than its neighbours.
+     // Sequence: a checkpoint of 3 stands behind the publish that replaced it;
+     // a reader that starts later takes it as current.
+     // Cause: a checkpoint speaks of the prefix its author had read, not of
+     // the place where it stands.
+     ForEach<StartRow>(
+         "read from a truncated stream agrees with everyone:",
+         {{2, true, 5, "the checkpoint's author read through 4"},
+          {5, true, 5, "all after offset 4 is here"},
+          {6, true, 5, "only the second checkpoint covers offset 5"},
+          {7, true, 5, "the second checkpoint was made at 6"}},
+         [](const StartRow& row) {
+           return "from " + std::to_string(row.first) + ", " + row.why;
+         },
+         [](const StartRow& row) {
+           const ConfigurationHistory history = ReadFrom(row.first);
+           CPPUNIT_ASSERT_EQUAL(row.judged, history.judged());
+           CPPUNIT_ASSERT_EQUAL(row.current, CurrentOffset(history));
+         }),
+     Section("with a gap",
+             {It("judges nothing until a checkpoint covers it",
+                 [] {
+                   ConfigurationHistory history = ReadFrom(1);
+                   history.OnTruncated(LogOffset(20));
+                   // Offset 15 may have replaced 5: accepting this one here
+                   // would part this reader from the others.
+                   history.Apply(LogOffset(20), Publish("e", 5));
+                   CPPUNIT_ASSERT(!history.judged());
+                   CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
+                                        CurrentOffset(history));
+                   history.Apply(LogOffset(21), Checkpoint("x", 5, 15, 18));
+                   CPPUNIT_ASSERT(!history.judged());
+                   history.Apply(LogOffset(22), Checkpoint("x", 5, 15, 21));
+                   CPPUNIT_ASSERT(history.judged());
+                   CPPUNIT_ASSERT_EQUAL(std::uint64_t{15},
+                                        CurrentOffset(history));
+                 }),
+              It("never goes back to an older manifest",
+                 [] {
+                   ConfigurationHistory history = ReadFrom(1);
+                   history.OnTruncated(LogOffset(20));
+                   history.Apply(LogOffset(20), Checkpoint("c", 1, 3, 19));
+                   CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
+                                        CurrentOffset(history));
+                 })}),
+     It("applies a record once, however often it is read", [] {
+       ConfigurationHistory history = ReadFrom(1);
+       history.Apply(LogOffset(5), Publish("d", 3, 5));
+       CPPUNIT_ASSERT_EQUAL(std::size_t{7}, history.judgements().size());
+       CPPUNIT_ASSERT(history.FindPublication({.high = 1, .low = 2})->verdict ==
+                      Verdict::kConflict);
+     })});
+
+}  // namespace
+}  // namespace acacialug::configuration
--- /dev/null
+++ b/src/configuration/types/configuration_record.h
@@ -0,0 +1,45 @@
+#ifndef CONFIGURATION_TYPES_CONFIGURATION_RECORD_H_
+#define CONFIGURATION_TYPES_CONFIGURATION_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "framework/global/types/enum_names.h"
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/result.h"
+
+namespace acacialug::configuration {
+
+enum class RecordKind : std::uint8_t { kPublish, kCheckpoint };
+inline constexpr EnumNames<RecordKind, 2> kRecordKindNames = {{
+    {RecordKind::kPublish, "publish"},
+    {RecordKind::kCheckpoint, "checkpoint"},
+}};
+
+// One record of the configuration stream, a JSON object in the log.
+//
+// A publish asks for `manifest_text` to replace the one that the text itself
+// names (`replaces`). A checkpoint repeats a manifest that was accepted at
+// `accepted_at`, so that retention never drops the only copy; its author had
+// read the stream up to and including `read_through`.
+struct ConfigurationRecord {
+  RecordKind kind = RecordKind::kPublish;
+  std::string manifest_text;
+  std::string publisher;   // who asks, for people
+  RequestId publication;   // random; finds a record whose append answer is lost
+  LogOffset accepted_at;   // kCheckpoint
+  LogOffset read_through;  // kCheckpoint
+
+  friend bool operator==(const ConfigurationRecord&,
+                         const ConfigurationRecord&) = default;
+};
+
+// Thread safe, both. Errors: kPlatformBadAnswer for any payload that is no
+// such object.
+std::string EncodeRecord(const ConfigurationRecord& record);
+Result<ConfigurationRecord> DecodeRecord(std::string_view payload);
+
+}  // namespace acacialug::configuration
+
+#endif  // CONFIGURATION_TYPES_CONFIGURATION_RECORD_H_
--- /dev/null
+++ b/src/platform/http_host_list.h
@@ -0,0 +1,30 @@
+#ifndef PLATFORM_HTTP_HOST_LIST_H_
+#define PLATFORM_HTTP_HOST_LIST_H_
+
+#include <functional>
+#include <vector>
+
+#include "framework/http/http_client.h"
+#include "platform/i_host_list.h"
+
+namespace acacialug::platform {
+
+// The platform's host list over HTTP: GET /hosts answers
+// {"hosts": [{"host": "...", "state": "live" or "leaving"}]}. One thread,
+// that of `client`, which must outlive this.
+class HttpHostList : public IHostList {
+ public:
+  HttpHostList(http::Address list_address, http::Client& http_client);
+
+  // Hosts of an unknown state are left out: nothing is concluded from them.
+  void Read(
+      std::function<void(Result<std::vector<HostRecord>>)> on_done) override;
+
+ private:
+  http::Address address;
+  http::Client& client;
+};
+
+}  // namespace acacialug::platform
+
+#endif  // PLATFORM_HTTP_HOST_LIST_H_
--- /dev/null
+++ b/src/platform/http_weight_store.h
@@ -0,0 +1,29 @@
+#ifndef PLATFORM_HTTP_WEIGHT_STORE_H_
+#define PLATFORM_HTTP_WEIGHT_STORE_H_
+
+#include <functional>
+
+#include "framework/http/http_client.h"
+#include "platform/i_weight_store.h"
+
+namespace acacialug::platform {
+
+// The platform's weight store over HTTP: POST /permits {"endpoint": "..."}
+// answers 200 {"lease_ms": n} or 429; DELETE /permits/ENDPOINT gives back.
+// One thread, that of `client`, which must outlive this.
+class HttpWeightStore : public IWeightStore {
+ public:
+  HttpWeightStore(http::Address store_address, http::Client& http_client);
+
+  void Acquire(const EndpointId& endpoint,
+               std::function<void(Result<Duration>)> on_done) override;
+  void Release(const EndpointId& endpoint) override;
+
+ private:
+  http::Address address;
+  http::Client& client;
+};
+
+}  // namespace acacialug::platform
+
+#endif  // PLATFORM_HTTP_WEIGHT_STORE_H_
--- a/src/platform/i_log.h
+++ b/src/platform/i_log.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "framework/global/types/identifiers.h"
+#include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
 
 namespace acacialug::platform {
@@ -34,12 +35,14 @@
                       std::string payload,
                       std::function<void(Result<LogOffset>)> on_done) = 0;
 
-  // Reads from an offset on, at most `limit` records. Errors:
-  // kPlatformUnavailable, kPlatformBadAnswer. An offset older than
-  // first_kept is no error: first_kept tells.
+  // Reads from an offset on, at most `limit` records. With none there yet the
+  // log may hold its answer for `wait`. Errors: kPlatformUnavailable,
+  // kPlatformBadAnswer. An offset older than first_kept is no error:
+  // first_kept tells.
   virtual void ReadFrom(const std::string& stream,
                         LogOffset from,
                         std::size_t limit,
+                        Duration wait,
                         std::function<void(Result<Read>)> on_done) = 0;
 };
 
--- /dev/null
+++ b/src/platform/internal/json_exchange.h
@@ -0,0 +1,32 @@
+#ifndef PLATFORM_INTERNAL_JSON_EXCHANGE_H_
+#define PLATFORM_INTERNAL_JSON_EXCHANGE_H_
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "framework/http/http_client.h"
+
+namespace acacialug::platform::internal {
+
+// What came of one exchange whose answer is JSON.
+struct JsonAnswer {
+  bool sent = true;     // false: not one byte of the request left
+  int status = 0;       // 0: no whole answer came
+  nlohmann::json body;  // discarded value when it is not JSON
+};
+
+// Sends a request and tells its answer once, never from inside the call.
+void ExchangeJson(http::Client& client,
+                  const http::Address& address,
+                  const http::Request& request,
+                  std::function<void(const JsonAnswer& answer)> on_done);
+
+// A non-negative whole number of an object; false when it has none.
+bool ReadNumber(const nlohmann::json& object,
+                const char* key,
+                std::uint64_t& number);
+
+}  // namespace acacialug::platform::internal
+
+#endif  // PLATFORM_INTERNAL_JSON_EXCHANGE_H_
