--- /dev/null
+++ b/src/standin/internal/shared_link.h
@@ -0,0 +1,39 @@
+#ifndef STANDIN_INTERNAL_SHARED_LINK_H_
+#define STANDIN_INTERNAL_SHARED_LINK_H_
+
+#include <map>
+#include <cstdint>
+#include <vector>
+
+#include "framework/global/types/instant.h"
+
+namespace acacialug::standin {
+
+// A link of limited rate whose transfers share it in equal parts. Not thread
+// safe.
+class SharedLink {
+ public:
+  explicit SharedLink(double bytes_per_second) : rate(bytes_per_second) {}
+
+  // Each first brings the transfers up to `now`.
+  void Start(std::uint64_t id, double bytes, Instant now);
+  void Cancel(std::uint64_t id, Instant now);
+  void SetRate(double bytes_per_second, Instant now);
+
+  // When the first transfer ends if none is added; kNever at rate zero.
+  Instant next_end() const;
+
+  // Ends and names the transfers that are done by `now`.
+  std::vector<std::uint64_t> TakeEnded(Instant now);
+
+ private:
+  void MoveTo(Instant now);
+
+  double rate;
+  Instant moved_to;
+  std::map<std::uint64_t, double> remaining;  // bytes
+};
+
+}  // namespace acacialug::standin
+
+#endif  // STANDIN_INTERNAL_SHARED_LINK_H_
