--- /dev/null
+++ b/src/standin/internal/completion_format.cc
@@ -0,0 +1,317 @@
+#include "standin/internal/completion_format.h"
+
+#include <array>
+#include <cstdio>
+#include <limits>
+#include <utility>
+
+#include "standin/internal/json_access.h"
+#include "standin/internal/prompt_text.h"
+
+namespace acacialug::standin {
+namespace {
+
+using nlohmann::json;
+using protocol::GenerationApi;
+
+constexpr std::int64_t kDefaultMaxTokens = 256;
+
+struct ErrorRow {
+  EngineError error;
+  int status;
+};
+
+constexpr std::array<ErrorRow, 12> kErrorStatus = {{
+    {EngineError::kMemoryFull, 503},
+    {EngineError::kQueueFull, 503},
+    {EngineError::kLoading, 503},
+    {EngineError::kRefused, 503},
+    {EngineError::kWrongRole, 503},
+    {EngineError::kUnknownModel, 404},
+    {EngineError::kContextTooLong, 400},
+    {EngineError::kDuplicate, 409},
+    {EngineError::kKvExpired, 404},
+    {EngineError::kFailed, 500},
+    {EngineError::kModelReplaced, 500},
+    {EngineError::kRestarted, 500},
+}};
+
+int StatusOf(EngineError error) {
+  for (const ErrorRow& row : kErrorStatus) {
+    if (row.error == error) {
+      return row.status;
+    }
+  }
+  return 500;
+}
+
+json ErrorJson(int status, std::string_view code, std::string_view message) {
+  return {{"error",
+           {{"message", message},
+            {"type", status >= 500 ? "server_error" : "invalid_request_error"},
+            {"code", code}}}};
+}
+
+json UsageJson(const protocol::Usage& usage) {
+  return {
+      {"prompt_tokens", usage.prompt_tokens},
+      {"completion_tokens", usage.output_tokens},
+      {"total_tokens", usage.prompt_tokens + usage.output_tokens},
+      {"prompt_tokens_details", {{"cached_tokens", usage.cached_tokens}}}};
+}
+
+bool IsChat(const CompletionHead& head) {
+  return head.api == GenerationApi::kChat;
+}
+
+json AnswerHead(const CompletionHead& head, bool chunk) {
+  const char* object =
+      IsChat(head) ? (chunk ? "chat.completion.chunk" : "chat.completion")
+                   : "text_completion";
+  return {{"id", head.request_id},
+          {"object", object},
+          {"created", 0},
+          {"model", head.model}};
+}
+
+std::string Event(const json& data) {
+  return "data: " + Dump(data) + "\n\n";
+}
+
+std::optional<RemoteKv> ReadRemoteKv(const json& params) {
+  if (!BoolOr(params, "do_remote_prefill", false)) {
+    return std::nullopt;
+  }
+  return RemoteKv{.engine_id = TextOr(params, "remote_engine_id", ""),
+                  .request_id = TextOr(params, "remote_request_id", ""),
+                  .address = TextOr(params, "remote_host", "") + ":" +
+                             std::to_string(IntegerOr(params, "remote_port",
+                                                      0))};
+}
+
+std::int64_t ReadMaxTokens(const json& body) {
+  return IntegerOr(body, "max_tokens",
+                   IntegerOr(body, "max_completion_tokens",
+                             kDefaultMaxTokens));
+}
+
+}  // namespace
+
+Result<CompletionRequest> ReadCompletion(GenerationApi api,
+                                         std::string_view text,
+                                         std::string request_id) {
+  const json body = Parse(text);
+  Result<std::string> prompt = PromptTextOf(api, body);
+  if (!prompt) {
+    return prompt.error();
+  }
+  const std::int64_t max_tokens = ReadMaxTokens(body);
+  if (max_tokens < 1 || max_tokens > std::numeric_limits<int>::max()) {
+    return Error(ResultCode::kInvalidParameter, "max_tokens");
+  }
+  const json options = ChildOr(body, "stream_options");
+  const json params = ChildOr(body, "kv_transfer_params");
+  return CompletionRequest{
+      .api = api,
+      .work = {.request_id = std::move(request_id),
+               .model = TextOr(body, "model", ""),
+               .priority = static_cast<std::int32_t>(
+                   IntegerOr(body, "priority", 0)),
+               .prompt = std::move(prompt.value()),
+               .max_tokens = static_cast<std::uint32_t>(max_tokens),
+               .export_kv = BoolOr(params, "do_remote_decode", false),
+               .import_kv = ReadRemoteKv(params)},
+      .stream = BoolOr(body, "stream", false),
+      .include_usage = BoolOr(options, "include_usage", false),
+      .continuous_usage = BoolOr(options, "continuous_usage_stats", false)};
+}
+
+http::Response JsonResponse(int status, const json& body) {
+  return {.status = status,
+          .headers = {{"Content-Type", "application/json"}},
+          .body = Dump(body)};
+}
+
+http::Response ErrorResponse(int status,
+                             std::string_view code,
+                             std::string_view message) {
+  return JsonResponse(status, ErrorJson(status, code, message));
+}
+
+http::Response ErrorResponse(EngineError error) {
+  const std::string_view name = NameOf(kEngineErrorNames, error);
+  return ErrorResponse(StatusOf(error), name, name);
+}
+
+std::string RoleEvent(const CompletionHead& head) {
+  if (!IsChat(head)) {
+    return {};
+  }
+  json event = AnswerHead(head, /*chunk=*/true);
+  event["choices"] = {{{"index", 0},
+                       {"delta", {{"role", "assistant"}, {"content", ""}}},
+                       {"finish_reason", nullptr}}};
+  return Event(event);
+}
+
+std::string TextEvent(const CompletionHead& head,
+                      std::string_view text,
+                      const std::optional<protocol::Usage>& usage) {
+  json event = AnswerHead(head, /*chunk=*/true);
+  json choice = {{"index", 0}, {"finish_reason", nullptr}};
+  if (IsChat(head)) {
+    choice["delta"] = {{"content", text}};
+  } else {
+    choice["text"] = text;
+    choice["logprobs"] = nullptr;
+  }
+  event["choices"] = json::array({std::move(choice)});
+  if (usage) {
+    event["usage"] = UsageJson(*usage);
+  }
+  return Event(event);
+}
+
+std::string FinishEvent(const CompletionHead& head,
+                        protocol::FinishReason reason) {
+  json event = AnswerHead(head, /*chunk=*/true);
+  json choice = {{"index", 0},
+                 {"finish_reason",
+                  NameOf(protocol::kFinishReasonNames, reason)}};
+  if (IsChat(head)) {
+    choice["delta"] = json::object();
+  } else {
+    choice["text"] = "";
+  }
+  event["choices"] = json::array({std::move(choice)});
+  return Event(event);
+}
+
+std::string UsageEvent(const CompletionHead& head,
+                       const protocol::Usage& usage) {
+  json event = AnswerHead(head, /*chunk=*/true);
+  event["choices"] = json::array();
+  event["usage"] = UsageJson(usage);
+  return Event(event);
+}
+
+std::string ErrorEvent(EngineError error) {
+  const std::string_view name = NameOf(kEngineErrorNames, error);
+  return Event(ErrorJson(StatusOf(error), name, name));
+}
+
+http::Response WholeAnswer(const CompletionHead& head,
+                           const std::string& text,
+                           protocol::FinishReason reason,
+                           const protocol::Usage& usage) {
+  json answer = AnswerHead(head, /*chunk=*/false);
+  json choice = {{"index", 0},
+                 {"finish_reason",
+                  NameOf(protocol::kFinishReasonNames, reason)}};
+  if (IsChat(head)) {
+    choice["message"] = {{"role", "assistant"}, {"content", text}};
+  } else {
+    choice["text"] = text;
+  }
+  answer["choices"] = json::array({std::move(choice)});
+  answer["usage"] = UsageJson(usage);
+  return JsonResponse(200, answer);
+}
+
+http::Response PrefillAnswer(const CompletionHead& head,
+                             const PrefillReady& ready,
+                             const std::string& engine_id,
+                             const http::Address& address) {
+  json answer = AnswerHead(head, /*chunk=*/false);
+  answer["choices"] = json::array();
+  answer["usage"] = UsageJson({.prompt_tokens = ready.prompt_tokens,
+                               .cached_tokens = ready.cached_tokens,
+                               .output_tokens = 1});
+  answer["kv_transfer_params"] = {{"do_remote_prefill", true},
+                                  {"do_remote_decode", false},
+                                  {"remote_engine_id", engine_id},
+                                  {"remote_block_ids", json::array({1})},
+                                  {"remote_host", address.ip},
+                                  {"remote_port", address.port},
+                                  {"remote_request_id", ready.request_id}};
+  return JsonResponse(200, answer);
+}
+
+json HeldJson(const std::vector<HeldRequest>& held) {
+  json requests = json::array();
+  for (const HeldRequest& request : held) {
+    requests.push_back({{"request_id", request.request_id},
+                        {"kind", NameOf(kHeldKindNames, request.kind)},
+                        {"kv_tokens", request.kv_tokens}});
+  }
+  return {{"requests", std::move(requests)}};
+}
+
+json LoadJson(const EngineLoad& load) {
+  return {{"running", load.running},
+          {"waiting", load.waiting},
+          {"free_kv_tokens", load.free_kv_tokens},
+          {"total_kv_tokens", load.total_kv_tokens}};
+}
+
+json StateJson(const EngineState& state) {
+  return {{"fence", state.order.fence},
+          {"model", state.order.model},
+          {"version", state.order.version},
+          {"adapters", state.order.adapters},
+          {"role", NameOf(kEngineRoleNames, state.order.role)},
+          {"loading", state.loading}};
+}
+
+json StatsJson(const EngineStats& stats) {
+  return {{"prefill_computed_tokens", stats.prefill_computed},
+          {"prefill_cached_tokens", stats.prefill_cached},
+          {"prefill_wasted_tokens", stats.prefill_wasted},
+          {"output_tokens", stats.output},
+          {"prefills_done", stats.prefills_done},
+          {"streams_done", stats.streams_done},
+          {"exports_fetched", stats.exports_fetched},
+          {"exports_evicted", stats.exports_evicted},
+          {"aborted", stats.aborted},
+          {"refused", stats.refused},
+          {"failed", stats.failed},
+          {"iterations", stats.iterations},
+          {"busy_seconds", Seconds(stats.busy)}};
+}
+
+json CacheEventsJson(const std::vector<CacheEvent>& events,
+                     std::uint64_t after) {
+  json list = json::array();
+  for (const CacheEvent& event : events) {
+    char hash[17];
+    std::snprintf(hash, sizeof hash, "%016llx",
+                  static_cast<unsigned long long>(event.hash));
+    list.push_back({{"id", event.id},
+                    {"kind", NameOf(kCacheEventKindNames, event.kind)},
+                    {"hash", hash}});
+  }
+  return {{"next", events.empty() ? after : events.back().id},
+          {"events", std::move(list)}};
+}
+
+Result<EngineOrder> ReadOrder(std::string_view text) {
+  const json body = Parse(text);
+  const std::optional<EngineRole> role =
+      ValueOf(kEngineRoleNames, TextOr(body, "role", "mixed"));
+  if (!body.is_object() || !role || IntegerOr(body, "fence", -1) < 0) {
+    return Error(ResultCode::kMalformedJson, "fence, role");
+  }
+  EngineOrder order{
+      .fence = static_cast<std::uint64_t>(IntegerOr(body, "fence", 0)),
+      .model = TextOr(body, "model", ""),
+      .version = TextOr(body, "version", ""),
+      .role = *role};
+  for (const json& adapter : ChildOr(body, "adapters")) {
+    if (adapter.is_string()) {
+      order.adapters.push_back(adapter.get<std::string>());
+    }
+  }
+  return order;
+}
+
+}  // namespace acacialug::standin
--- /dev/null
+++ b/src/standin/internal/completion_format.h
@@ -0,0 +1,81 @@
+#ifndef STANDIN_INTERNAL_COMPLETION_FORMAT_H_
+#define STANDIN_INTERNAL_COMPLETION_FORMAT_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "framework/global/types/result.h"
+#include "framework/http/http_types.h"
+#include "protocol/types/generation.h"
+#include "standin/types/engine_messages.h"
+
+// The OpenAI-compatible API as the model engines speak it, with vLLM's
+// `kv_transfer_params`. All functions are thread safe.
+namespace acacialug::standin {
+
+// One request, read.
+struct CompletionRequest {
+  protocol::GenerationApi api = protocol::GenerationApi::kCompletions;
+  EngineWork work;
+  bool stream = false;
+  bool include_usage = false;
+  bool continuous_usage = false;  // in each chunk
+};
+
+// Errors: kMalformedJson, kInvalidParameter.
+Result<CompletionRequest> ReadCompletion(protocol::GenerationApi api,
+                                         std::string_view body,
+                                         std::string request_id);
+
+// What every answer to one request repeats.
+struct CompletionHead {
+  protocol::GenerationApi api = protocol::GenerationApi::kCompletions;
+  std::string request_id;
+  std::string model;
+};
+
+http::Response JsonResponse(int status, const nlohmann::json& body);
+http::Response ErrorResponse(int status,
+                             std::string_view code,
+                             std::string_view message);
+http::Response ErrorResponse(EngineError error);
+
+// The events of a stream, each with its end.
+std::string RoleEvent(const CompletionHead& head);
+std::string TextEvent(const CompletionHead& head,
+                      std::string_view text,
+                      const std::optional<protocol::Usage>& usage);
+std::string FinishEvent(const CompletionHead& head,
+                        protocol::FinishReason reason);
+std::string UsageEvent(const CompletionHead& head,
+                       const protocol::Usage& usage);
+std::string ErrorEvent(EngineError error);
+inline constexpr std::string_view kDoneEvent = "data: [DONE]\n\n";
+
+http::Response WholeAnswer(const CompletionHead& head,
+                           const std::string& text,
+                           protocol::FinishReason reason,
+                           const protocol::Usage& usage);
+
+// The answer to a prefill: where its KV cache is fetched.
+http::Response PrefillAnswer(const CompletionHead& head,
+                             const PrefillReady& ready,
+                             const std::string& engine_id,
+                             const http::Address& address);
+
+nlohmann::json HeldJson(const std::vector<HeldRequest>& held);
+nlohmann::json LoadJson(const EngineLoad& load);
+nlohmann::json StateJson(const EngineState& state);
+nlohmann::json StatsJson(const EngineStats& stats);
+nlohmann::json CacheEventsJson(const std::vector<CacheEvent>& events,
+                               std::uint64_t after);
+
+// Errors: kMalformedJson.
+Result<EngineOrder> ReadOrder(std::string_view body);
+
+}  // namespace acacialug::standin
+
+#endif  // STANDIN_INTERNAL_COMPLETION_FORMAT_H_
--- a/src/standin/internal/engine_scheduler.cc
+++ b/src/standin/internal/engine_scheduler.cc
@@ -32,7 +32,7 @@
   this->serials[job.work.request_id] = serial;
   this->waiting[{job.work.priority, serial}] = serial;
   this->jobs.emplace(serial, std::move(job));
-  this->Admit(now);
+  this->Admit();
   this->RefuseIfOverfull(serial);
   this->StartStep(now);
 }
@@ -48,7 +48,7 @@
     this->link.Cancel(job->serial, now);
     this->Remove(job->serial);
   }
-  this->Admit(now);
+  this->Admit();
   this->StartStep(now);
 }
 
@@ -62,7 +62,7 @@
   }
   if (!found) {
     this->Fail(job->serial, EngineError::kKvExpired);
-    this->Admit(now);
+    this->Admit();
   } else if (job->phase == Phase::kPulling) {
     const double setup =
         Seconds(this->options.transfer_setup) *
@@ -97,7 +97,7 @@
 bool EngineScheduler::EndPull(const std::string& request_id, Instant now) {
   const bool found = this->exports.Take(request_id).has_value();
   this->stats.exports_fetched += found ? 1 : 0;
-  this->Admit(now);
+  this->Admit();
   this->StartStep(now);
   return found;
 }
@@ -115,7 +115,7 @@
     if (this->step && this->step->end <= due) {
       this->EndStep();
     }
-    this->Admit(due);
+    this->Admit();
     this->StartStep(due);
   }
 }
@@ -189,7 +189,7 @@
          used + job.reserved <= this->options.kv_tokens;
 }
 
-void EngineScheduler::Admit(Instant now) {
+void EngineScheduler::Admit() {
   // The first that finds no room holds back what stands behind it: a long
   // request would starve otherwise.
   while (!this->waiting.empty()) {
--- a/src/standin/internal/engine_scheduler.h
+++ b/src/standin/internal/engine_scheduler.h
@@ -91,7 +91,7 @@
   };
 
   bool HasRoom(const Job& job) const;
-  void Admit(Instant now);
+  void Admit();
   void Begin(Job& job);
   void RefuseIfOverfull(Serial serial);
 
--- a/src/standin/internal/reference_answer.cc
+++ b/src/standin/internal/reference_answer.cc
@@ -8,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "standin/internal/prompt_text.h"
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -107,15 +109,20 @@
 
 Result<std::string> PromptText(protocol::GenerationApi api,
                                std::string_view body) {
-  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
-  if (!parsed.is_object()) {
+  return PromptTextOf(
+      api, json::parse(body, nullptr, /*allow_exceptions=*/false));
+}
+
+Result<std::string> PromptTextOf(protocol::GenerationApi api,
+                                 const json& body) {
+  if (!body.is_object()) {
     return Malformed("the body is no JSON object");
   }
   if (api == protocol::GenerationApi::kChat) {
-    return ChatText(parsed);
+    return ChatText(body);
   }
-  const auto prompt = parsed.find("prompt");
-  if (prompt == parsed.end() || !prompt->is_string()) {
+  const auto prompt = body.find("prompt");
+  if (prompt == body.end() || !prompt->is_string()) {
     return Malformed("prompt: text");
   }
   return prompt->get<std::string>();
--- /dev/null
+++ b/src/standin/types/platform_options.h
@@ -0,0 +1,33 @@
+#ifndef STANDIN_TYPES_PLATFORM_OPTIONS_H_
+#define STANDIN_TYPES_PLATFORM_OPTIONS_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "framework/global/types/instant.h"
+#include "platform/i_host_list.h"
+
+namespace acacialug::standin {
+
+struct LogOptions {
+  // Limits on what is kept, for each stream; zero: no limit.
+  std::uint64_t retain_records = 0;
+  Duration retain_age{};
+  // Over all streams; zero: no limit. A second's worth may come at once.
+  double appends_per_second = 500;
+  std::uint64_t max_record_bytes = 1024 * 1024;
+};
+
+struct HostListOptions {
+  std::vector<platform::HostRecord> hosts;
+  Duration lag{};  // before a change shows
+};
+
+struct WeightStoreOptions {
+  std::uint32_t permits = 2;  // held at once
+  Duration lease = 30s;       // a permit that is not released ends by then
+};
+
+}  // namespace acacialug::standin
+
+#endif  // STANDIN_TYPES_PLATFORM_OPTIONS_H_
