--- a/src/app/standin/main.cc
+++ b/src/app/standin/main.cc
@@ -79,8 +79,7 @@
   const program::SignalWatcher watcher(
       {.on_terminate = [](int) { QCoreApplication::quit(); }});
   Servers servers;
-  if (!StartPlatform(settings, servers) ||
-      !StartEndpoints(settings, servers)) {
+  if (!StartPlatform(settings, servers) || !StartEndpoints(settings, servers)) {
     return static_cast<int>(program::ExitCode::kFailed);
   }
   return QCoreApplication::exec();
--- /dev/null
+++ b/src/standin/fakes/modelled_engine.h
@@ -0,0 +1,123 @@
+#ifndef STANDIN_FAKES_MODELLED_ENGINE_H_
+#define STANDIN_FAKES_MODELLED_ENGINE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "engine/i_engine.h"
+#include "standin/engine_model.h"
+#include "standin/service_model.h"
+
+namespace acacialug::standin {
+
+// Engines in one process that fetch each other's exports. Not thread safe.
+class KvNetwork {
+ public:
+  void Join(EngineModel& model);
+  void Leave(EngineModel& model);
+  // Null if no engine of this id runs (any more).
+  EngineModel* Find(const std::string& engine_id) const;
+
+ private:
+  std::vector<EngineModel*> models;
+};
+
+// An EngineModel as an agent knows engines, in the test's own time: events
+// come only from Deliver, which is to be called at next_event() and after
+// commands. Not thread safe.
+class ModelledEngine : public engine::IEngine {
+ public:
+  struct Options {
+    EngineOptions engine;
+    std::function<Instant()> now;
+  };
+
+  // Both outlive the engine.
+  ModelledEngine(Options engine_options,
+                 RandomSource& random,
+                 KvNetwork& kv_network);
+  ~ModelledEngine() override;
+  ModelledEngine(const ModelledEngine&) = delete;
+  ModelledEngine& operator=(const ModelledEngine&) = delete;
+
+  void Execute(const engine::EngineCommand& command) override;
+  void SetOnEvent(
+      std::function<void(const engine::EngineEvent&)> event_hook) override;
+
+  // Now, if a command's answer waits; kNever if nothing is under way.
+  Instant next_event() const;
+  void Deliver();
+
+  // For faults and checks.
+  EngineModel& engine_model() { return this->model; }
+
+ private:
+  void Run(const engine::Prefill& command);
+  void Run(const engine::Decode& command);
+  void Run(const engine::Abort& command);
+  void Run(const engine::SetPaused& command);
+  void Run(const engine::Call& command);
+  void Run(const engine::ListHeld& command);
+  void Run(const engine::Order& command);
+  void Run(const engine::ReadState& command);
+  void Submit(const AttemptId& attempt,
+              const protocol::GenerationRequest& generation,
+              const protocol::KvHandle* kv);
+
+  void Tell(const PrefillReady& ready);
+  void Tell(const TokensMade& made);
+  void Tell(const WorkDone& done);
+  void Tell(const WorkFailed& failed);
+  void Tell(const PullKv& pull);
+  void Fail(const AttemptId& attempt,
+            ResultCode code,
+            protocol::Outcome outcome);
+
+  Options options;
+  KvNetwork& network;
+  EngineModel model;
+  std::function<void(const engine::EngineEvent&)> on_event;
+  std::deque<engine::EngineEvent> events;            // told at the next Deliver
+  std::vector<engine::EngineCommand> held_commands;  // by a stall
+};
+
+// A ServiceModel as an agent knows plain services; as ModelledEngine.
+class ModelledService : public engine::IEngine {
+ public:
+  struct Options {
+    ServiceOptions service;
+    std::function<Instant()> now;
+  };
+
+  // `random` outlives the service.
+  ModelledService(Options service_options, RandomSource& random);
+
+  void Execute(const engine::EngineCommand& command) override;
+  void SetOnEvent(
+      std::function<void(const engine::EngineEvent&)> event_hook) override;
+
+  Instant next_event() const;
+  void Deliver();
+
+  ServiceModel& service_model() { return this->model; }
+
+ private:
+  struct Running {
+    AttemptId attempt;
+    std::string answer;
+  };
+
+  void Start(const engine::Call& command);
+
+  Options options;
+  ServiceModel model;
+  std::function<void(const engine::EngineEvent&)> on_event;
+  std::map<CallId, Running> running;
+};
+
+}  // namespace acacialug::standin
+
+#endif  // STANDIN_FAKES_MODELLED_ENGINE_H_
--- a/src/standin/internal/capacity.cc
+++ b/src/standin/internal/capacity.cc
@@ -24,10 +24,10 @@
   // mean.
   const double reserved =
       workload.mean_prompt_tokens + workload.mean_output_tokens;
-  const double by_memory = decode.kv_tokens == 0
-                               ? decode.slots
-                               : static_cast<double>(decode.kv_tokens) /
-                                     std::max(reserved, 1.0);
+  const double by_memory =
+      decode.kv_tokens == 0
+          ? decode.slots
+          : static_cast<double>(decode.kv_tokens) / std::max(reserved, 1.0);
   const double active = std::min<double>(decode.slots, by_memory);
   const double mean_sequence =
       workload.mean_prompt_tokens + workload.mean_output_tokens / 2;
--- a/src/standin/internal/completion_format.cc
+++ b/src/standin/internal/completion_format.cc
@@ -53,11 +53,10 @@
 }
 
 json UsageJson(const protocol::Usage& usage) {
-  return {
-      {"prompt_tokens", usage.prompt_tokens},
-      {"completion_tokens", usage.output_tokens},
-      {"total_tokens", usage.prompt_tokens + usage.output_tokens},
-      {"prompt_tokens_details", {{"cached_tokens", usage.cached_tokens}}}};
+  return {{"prompt_tokens", usage.prompt_tokens},
+          {"completion_tokens", usage.output_tokens},
+          {"total_tokens", usage.prompt_tokens + usage.output_tokens},
+          {"prompt_tokens_details", {{"cached_tokens", usage.cached_tokens}}}};
 }
 
 bool IsChat(const CompletionHead& head) {
@@ -82,17 +81,16 @@
   if (!BoolOr(params, "do_remote_prefill", false)) {
     return std::nullopt;
   }
-  return RemoteKv{.engine_id = TextOr(params, "remote_engine_id", ""),
-                  .request_id = TextOr(params, "remote_request_id", ""),
-                  .address = TextOr(params, "remote_host", "") + ":" +
-                             std::to_string(IntegerOr(params, "remote_port",
-                                                      0))};
+  return RemoteKv{
+      .engine_id = TextOr(params, "remote_engine_id", ""),
+      .request_id = TextOr(params, "remote_request_id", ""),
+      .address = TextOr(params, "remote_host", "") + ":" +
+                 std::to_string(IntegerOr(params, "remote_port", 0))};
 }
 
 std::int64_t ReadMaxTokens(const json& body) {
   return IntegerOr(body, "max_tokens",
-                   IntegerOr(body, "max_completion_tokens",
-                             kDefaultMaxTokens));
+                   IntegerOr(body, "max_completion_tokens", kDefaultMaxTokens));
 }
 
 }  // namespace
@@ -115,8 +113,8 @@
       .api = api,
       .work = {.request_id = std::move(request_id),
                .model = TextOr(body, "model", ""),
-               .priority = static_cast<std::int32_t>(
-                   IntegerOr(body, "priority", 0)),
+               .priority =
+                   static_cast<std::int32_t>(IntegerOr(body, "priority", 0)),
                .prompt = std::move(prompt.value()),
                .max_tokens = static_cast<std::uint32_t>(max_tokens),
                .export_kv = BoolOr(params, "do_remote_decode", false),
@@ -175,9 +173,9 @@
 std::string FinishEvent(const CompletionHead& head,
                         protocol::FinishReason reason) {
   json event = AnswerHead(head, /*chunk=*/true);
-  json choice = {{"index", 0},
-                 {"finish_reason",
-                  NameOf(protocol::kFinishReasonNames, reason)}};
+  json choice = {
+      {"index", 0},
+      {"finish_reason", NameOf(protocol::kFinishReasonNames, reason)}};
   if (IsChat(head)) {
     choice["delta"] = json::object();
   } else {
@@ -205,9 +203,9 @@
                            protocol::FinishReason reason,
                            const protocol::Usage& usage) {
   json answer = AnswerHead(head, /*chunk=*/false);
-  json choice = {{"index", 0},
-                 {"finish_reason",
-                  NameOf(protocol::kFinishReasonNames, reason)}};
+  json choice = {
+      {"index", 0},
+      {"finish_reason", NameOf(protocol::kFinishReasonNames, reason)}};
   if (IsChat(head)) {
     choice["message"] = {{"role", "assistant"}, {"content", text}};
   } else {
--- a/src/standin/internal/engine_model.cc
+++ b/src/standin/internal/engine_model.cc
@@ -193,9 +193,8 @@
                           const std::string& request_id,
                           Instant now) {
   const Instant inner = this->implementation->MoveTo(now);
-  const bool found =
-      engine_id == this->implementation->id &&
-      this->implementation->scheduler.EndPull(request_id, inner);
+  const bool found = engine_id == this->implementation->id &&
+                     this->implementation->scheduler.EndPull(request_id, inner);
   this->implementation->Record(inner);
   return found;
 }
--- a/src/standin/internal/engine_scheduler.cc
+++ b/src/standin/internal/engine_scheduler.cc
@@ -38,6 +38,13 @@
 }
 
 void EngineScheduler::Abort(const std::string& request_id, Instant now) {
+  std::erase_if(this->outputs, [&request_id](const EngineOutput& output) {
+    return std::visit(
+        [&request_id](const auto& told) {
+          return told.request_id == request_id;
+        },
+        output);
+  });
   if (const std::optional<Export> taken = this->exports.Take(request_id)) {
     this->Waste(taken->computed);
     ++this->stats.aborted;
@@ -68,11 +75,11 @@
         Seconds(this->options.transfer_setup) *
         static_cast<double>(this->options.link_bytes_per_second);
     job->phase = Phase::kImporting;
-    this->link.Start(job->serial,
-                     setup + static_cast<double>(job->plan.prompt_tokens) *
-                                 static_cast<double>(
-                                     this->options.kv_bytes_per_token),
-                     now);
+    this->link.Start(
+        job->serial,
+        setup + static_cast<double>(job->plan.prompt_tokens) *
+                    static_cast<double>(this->options.kv_bytes_per_token),
+        now);
   } else {
     job->phase = Phase::kStreaming;
     this->streaming.push_back(job->serial);
@@ -103,13 +110,12 @@
 }
 
 Instant EngineScheduler::next_event() const {
-  return std::min({this->step ? this->step->end : kNever,
-                   this->link.next_end(), this->exports.next_expiry()});
+  return std::min({this->step ? this->step->end : kNever, this->link.next_end(),
+                   this->exports.next_expiry()});
 }
 
 void EngineScheduler::AdvanceTo(Instant now) {
-  for (Instant due = this->next_event(); due <= now;
-       due = this->next_event()) {
+  for (Instant due = this->next_event(); due <= now; due = this->next_event()) {
     this->DropExpired(due);
     this->EndTransfers(due);
     if (this->step && this->step->end <= due) {
@@ -131,8 +137,8 @@
   load.running = static_cast<std::uint32_t>(this->jobs.size()) - load.waiting;
   load.total_kv_tokens = this->options.kv_tokens;
   const std::uint64_t used = this->jobs_tokens + this->exports.held_tokens();
-  load.free_kv_tokens = load.total_kv_tokens - std::min(load.total_kv_tokens,
-                                                        used);
+  load.free_kv_tokens =
+      load.total_kv_tokens - std::min(load.total_kv_tokens, used);
   return load;
 }
 
@@ -154,10 +160,9 @@
 
 void EngineScheduler::SetFaults(const EngineFaults& new_faults, Instant now) {
   this->faults = new_faults;
-  this->link.SetRate(
-      static_cast<double>(this->options.link_bytes_per_second) *
-          new_faults.link_factor,
-      now);
+  this->link.SetRate(static_cast<double>(this->options.link_bytes_per_second) *
+                         new_faults.link_factor,
+                     now);
 }
 
 void EngineScheduler::EvictExports(Instant now) {
@@ -224,10 +229,10 @@
     return;
   }
   ++this->stats.refused;
-  this->outputs.push_back(
-      WorkFailed{.request_id = job->work.request_id,
-                 .error = job->work.export_kv ? EngineError::kQueueFull
-                                              : EngineError::kMemoryFull});
+  this->outputs.push_back(WorkFailed{.request_id = job->work.request_id,
+                                     .error = job->work.export_kv
+                                                  ? EngineError::kQueueFull
+                                                  : EngineError::kMemoryFull});
   this->Remove(serial);
 }
 
@@ -258,8 +263,7 @@
   return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-EngineScheduler::Job* EngineScheduler::FindById(
-    const std::string& request_id) {
+EngineScheduler::Job* EngineScheduler::FindById(const std::string& request_id) {
   const auto found = this->serials.find(request_id);
   return found == this->serials.end() ? nullptr : this->Find(found->second);
 }
--- a/src/standin/internal/engine_scheduler_step.cc
+++ b/src/standin/internal/engine_scheduler_step.cc
@@ -61,10 +61,9 @@
     return;
   }
   ++this->stats.prefills_done;
-  this->outputs.push_back(
-      PrefillReady{.request_id = job.work.request_id,
-                   .prompt_tokens = job.plan.prompt_tokens,
-                   .cached_tokens = job.cached});
+  this->outputs.push_back(PrefillReady{.request_id = job.work.request_id,
+                                       .prompt_tokens = job.plan.prompt_tokens,
+                                       .cached_tokens = job.cached});
   this->exports.Add({.request_id = job.work.request_id,
                      .tokens = job.plan.prompt_tokens,
                      .computed = job.computed,
@@ -128,8 +127,7 @@
     job.prefill_left = job.plan.prompt_tokens - job.cached;
   }
   chunk = std::min(job.prefill_left, this->options.prefill_chunk_tokens);
-  return length +
-         FromSeconds(chunk / this->options.prefill_tokens_per_second);
+  return length + FromSeconds(chunk / this->options.prefill_tokens_per_second);
 }
 
 }  // namespace acacialug::standin
--- a/src/standin/internal/engine_server.cc
+++ b/src/standin/internal/engine_server.cc
@@ -53,8 +53,7 @@
                     [this](int) {
                       return [this](http::Request request,
                                     http::ResponderPtr responder) {
-                        this->Receive(std::move(request),
-                                      std::move(responder));
+                        this->Receive(std::move(request), std::move(responder));
                       };
                     },
                 .render_error =
@@ -155,9 +154,8 @@
     Result<CompletionRequest> result =
         ReadCompletion(api, request.body, std::move(id));
     if (!result) {
-      this->Answer(
-          responder,
-          ErrorResponse(400, "invalid_request", result.error().detail));
+      this->Answer(responder, ErrorResponse(400, "invalid_request",
+                                            result.error().detail));
       return;
     }
     CompletionRequest& read = result.value();
@@ -301,8 +299,8 @@
   void Tell(const PrefillReady& ready) {
     if (const auto exchange = this->TakeExchange(ready.request_id)) {
       this->Answer(exchange->responder,
-                   PrefillAnswer(exchange->head, ready,
-                                 this->model.engine_id(), this->address()));
+                   PrefillAnswer(exchange->head, ready, this->model.engine_id(),
+                                 this->address()));
     }
   }
 
@@ -318,11 +316,11 @@
       return;
     }
     this->BeginStream(exchange);
-    this->SendData(exchange.responder,
-                   TextEvent(exchange.head, made.text,
-                             exchange.continuous_usage
-                                 ? std::optional(exchange.usage)
-                                 : std::nullopt));
+    this->SendData(
+        exchange.responder,
+        TextEvent(exchange.head, made.text,
+                  exchange.continuous_usage ? std::optional(exchange.usage)
+                                            : std::nullopt));
     if (exchange.lost) {
       this->TakeExchange(made.request_id);
       this->model.Abort(made.request_id, MonotonicNow());
@@ -335,9 +333,9 @@
       return;
     }
     if (!exchange->stream) {
-      this->Answer(exchange->responder,
-                   WholeAnswer(exchange->head, exchange->text, done.reason,
-                               done.usage));
+      this->Answer(
+          exchange->responder,
+          WholeAnswer(exchange->head, exchange->text, done.reason, done.usage));
       return;
     }
     this->BeginStream(*exchange);
@@ -380,15 +378,15 @@
          .body = Dump({{"remote_request_id", pull.kv.request_id},
                        {"remote_engine_id", pull.kv.engine_id},
                        {"done", pull.done}})},
-        {.on_head = [status](int code, const http::Headers&) { *status = code; },
+        {.on_head = [status](int code,
+                             const http::Headers&) { *status = code; },
          .on_end =
              [this, request_id, status](const std::string&) {
                this->OnPull(request_id, *status == 200);
              },
-         .on_error =
-             [this, request_id](const Error&, bool) {
-               this->OnPull(request_id, false);
-             }});
+         .on_error = [this, request_id](
+                         const Error&,
+                         bool) { this->OnPull(request_id, false); }});
   }
 
   void OnPull(const std::string& request_id, bool found) {
@@ -402,14 +400,14 @@
     if (std::exchange(exchange.begun, true)) {
       return;
     }
-    this->outbound.Run([responder = exchange.responder,
-                        role = RoleEvent(exchange.head)] {
-      responder->BeginStream(200, {{"Content-Type", "text/event-stream"},
-                                   {"Cache-Control", "no-cache"}});
-      if (!role.empty()) {
-        responder->SendData(role);
-      }
-    });
+    this->outbound.Run(
+        [responder = exchange.responder, role = RoleEvent(exchange.head)] {
+          responder->BeginStream(200, {{"Content-Type", "text/event-stream"},
+                                       {"Cache-Control", "no-cache"}});
+          if (!role.empty()) {
+            responder->SendData(role);
+          }
+        });
   }
 
   void SendData(const http::ResponderPtr& responder, std::string data) {
--- a/src/standin/internal/host_list_server.cc
+++ b/src/standin/internal/host_list_server.cc
@@ -30,10 +30,10 @@
     if (request.Path() == "/control") {
       reply(this->Control(request));
     } else if (request.method == "GET") {
-      this->faults.RunOrHold([this, request = std::move(request),
-                              reply = std::move(reply)] {
-        this->faults.Answer(reply, this->Read(request));
-      });
+      this->faults.RunOrHold(
+          [this, request = std::move(request), reply = std::move(reply)] {
+            this->faults.Answer(reply, this->Read(request));
+          });
     } else {
       // The test's own hand: never held, late or lost.
       reply(this->Change(request));
--- a/src/standin/internal/log_server.cc
+++ b/src/standin/internal/log_server.cc
@@ -82,12 +82,12 @@
     } else if (request.method == "POST") {
       this->Append(stream, request.body, reply);
     } else {
-      this->Read({.stream = stream,
-                  .from = QueryNumber(request.target, "from", 1),
-                  .limit = QueryNumber(request.target, "limit", kDefaultLimit),
-                  .reply = reply},
-                 std::chrono::milliseconds(
-                     QueryNumber(request.target, "wait_ms", 0)));
+      this->Read(
+          {.stream = stream,
+           .from = QueryNumber(request.target, "from", 1),
+           .limit = QueryNumber(request.target, "limit", kDefaultLimit),
+           .reply = reply},
+          std::chrono::milliseconds(QueryNumber(request.target, "wait_ms", 0)));
     }
   }
 
@@ -101,8 +101,7 @@
       reply(FailedResponse(offset.error()));
       return;
     }
-    this->faults.Answer(reply,
-                        JsonResponse(200, {{"offset", offset->value}}));
+    this->faults.Answer(reply, JsonResponse(200, {{"offset", offset->value}}));
     this->WakeReaders(stream);
   }
 
@@ -114,9 +113,8 @@
   };
 
   void Read(Reader reader, Duration wait) {
-    const Result<platform::ILog::Read> read =
-        this->model.ReadFrom(reader.stream, LogOffset(reader.from),
-                             reader.limit, MonotonicNow());
+    const Result<platform::ILog::Read> read = this->model.ReadFrom(
+        reader.stream, LogOffset(reader.from), reader.limit, MonotonicNow());
     if (!read) {
       reader.reply(FailedResponse(read.error()));
       return;
--- a/src/standin/internal/qt_listener.cc
+++ b/src/standin/internal/qt_listener.cc
@@ -66,11 +66,10 @@
 QtListener::QtListener(Handler request_handler)
     : handler(std::move(request_handler)) {
   // No route is set, so that every request comes here.
-  this->server.setMissingHandler(
-      [this](const QHttpServerRequest& request,
-             QHttpServerResponder&& responder) {
-        this->handler(ToRequest(request), MakeReply(std::move(responder)));
-      });
+  this->server.setMissingHandler([this](const QHttpServerRequest& request,
+                                        QHttpServerResponder&& responder) {
+    this->handler(ToRequest(request), MakeReply(std::move(responder)));
+  });
 }
 
 Status QtListener::Start(const http::Address& listen) {
--- a/src/standin/internal/reference_answer.cc
+++ b/src/standin/internal/reference_answer.cc
@@ -109,8 +109,8 @@
 
 Result<std::string> PromptText(protocol::GenerationApi api,
                                std::string_view body) {
-  return PromptTextOf(
-      api, json::parse(body, nullptr, /*allow_exceptions=*/false));
+  return PromptTextOf(api,
+                      json::parse(body, nullptr, /*allow_exceptions=*/false));
 }
 
 Result<std::string> PromptTextOf(protocol::GenerationApi api,
--- a/src/standin/internal/service_model.cc
+++ b/src/standin/internal/service_model.cc
@@ -26,9 +26,8 @@
 
 void ServiceModel::Cancel(CallId call, Instant now) {
   this->Advance(now);
-  std::erase_if(this->queue, [call](const Waiting& waits) {
-    return waits.call == call;
-  });
+  std::erase_if(this->queue,
+                [call](const Waiting& waits) { return waits.call == call; });
 }
 
 Instant ServiceModel::next_event() const {
--- a/src/standin/internal/service_server.cc
+++ b/src/standin/internal/service_server.cc
@@ -51,8 +51,7 @@
                     [this](int) {
                       return [this](http::Request request,
                                     http::ResponderPtr responder) {
-                        this->Receive(std::move(request),
-                                      std::move(responder));
+                        this->Receive(std::move(request), std::move(responder));
                       };
                     },
                 .render_error =
@@ -93,10 +92,9 @@
       return;
     }
     const CallId call = this->model.Submit(KeysOf(request), MonotonicNow());
-    this->exchanges[call] = {
-        .responder = responder,
-        .answer = ReferenceServiceAnswer(request.method, request.target,
-                                         request.body)};
+    this->exchanges[call] = {.responder = responder,
+                             .answer = ReferenceServiceAnswer(
+                                 request.method, request.target, request.body)};
     responder->SetOnGone([this, call] {
       this->inbound.Run([this, call] { this->Drop(call); });
     });
@@ -172,10 +170,10 @@
     http::Response response{.status = 200,
                             .headers = {{"Content-Type", "application/json"}},
                             .body = std::move(exchange.answer)};
-    this->faults.RunOrHold([this, responder = exchange.responder,
-                            response = std::move(response)] {
-      this->Answer(responder, response);
-    });
+    this->faults.RunOrHold(
+        [this, responder = exchange.responder, response = std::move(response)] {
+          this->Answer(responder, response);
+        });
   }
 
   ServiceServerOptions options;
--- a/src/standin/internal/settings.cc
+++ b/src/standin/internal/settings.cc
@@ -26,10 +26,8 @@
                         std::string_view key,
                         std::uint32_t fallback,
                         std::int64_t minimum) {
-  return static_cast<std::uint32_t>(
-      table.Integer(key, {.fallback = fallback,
-                          .minimum = minimum,
-                          .maximum = kMostTokens}));
+  return static_cast<std::uint32_t>(table.Integer(
+      key, {.fallback = fallback, .minimum = minimum, .maximum = kMostTokens}));
 }
 
 double ReadShare(const Table& table, std::string_view key, double fallback) {
@@ -40,10 +38,10 @@
 void ReadIteration(const Table& table, EngineOptions& engine) {
   engine.base_iteration = table.Duration(
       "base_iteration", {.fallback = engine.base_iteration, .minimum = 1us});
-  engine.stream_iteration = table.Duration(
-      "stream_iteration", {.fallback = engine.stream_iteration});
-  engine.calibration_context = ReadCount(table, "calibration_context",
-                                         engine.calibration_context, 1);
+  engine.stream_iteration =
+      table.Duration("stream_iteration", {.fallback = engine.stream_iteration});
+  engine.calibration_context =
+      ReadCount(table, "calibration_context", engine.calibration_context, 1);
 }
 
 void ReadRoom(const Table& table, EngineOptions& engine) {
@@ -62,8 +60,8 @@
       {.fallback = engine.prefill_tokens_per_second, .minimum = 1.0});
   engine.prefill_fixed =
       table.Duration("prefill_fixed", {.fallback = engine.prefill_fixed});
-  engine.prefill_chunk_tokens = ReadCount(table, "prefill_chunk_tokens",
-                                          engine.prefill_chunk_tokens, 1);
+  engine.prefill_chunk_tokens =
+      ReadCount(table, "prefill_chunk_tokens", engine.prefill_chunk_tokens, 1);
   engine.prefill_slots =
       ReadCount(table, "prefill_slots", engine.prefill_slots, 1);
   engine.piece_tokens =
@@ -95,19 +93,18 @@
 }
 
 EngineServerOptions ReadEngine(const Table& table) {
-  EngineServerOptions options{.listen = ReadListen(table),
-                              .one_way_delay = table.Duration(
-                                  "one_way_delay", {.fallback = 0us}),
-                              .seed = ReadSeed(table)};
+  EngineServerOptions options{
+      .listen = ReadListen(table),
+      .one_way_delay = table.Duration("one_way_delay", {.fallback = 0us}),
+      .seed = ReadSeed(table)};
   EngineOptions& engine = options.engine;
   engine.id = table.String("id");
   engine.role = table.Choice("role", kEngineRoleNames, EngineRole::kMixed);
-  engine.model =
-      table.String("model", {.fallback = "", .minimum_bytes = 0});
+  engine.model = table.String("model", {.fallback = "", .minimum_bytes = 0});
   engine.version =
       table.String("version", {.fallback = "", .minimum_bytes = 0});
-  engine.adapters = table.StringList(
-      "adapters", {.fallback = std::vector<std::string>{}});
+  engine.adapters =
+      table.StringList("adapters", {.fallback = std::vector<std::string>{}});
   engine.checks_fencing = table.Bool("checks_fencing", {.fallback = true});
   engine.load_time =
       table.Duration("load_time", {.fallback = engine.load_time});
@@ -120,19 +117,17 @@
 }
 
 ServiceServerOptions ReadService(const Table& table) {
-  ServiceServerOptions options{.listen = ReadListen(table),
-                               .one_way_delay = table.Duration(
-                                   "one_way_delay", {.fallback = 0us}),
-                               .seed = ReadSeed(table)};
+  ServiceServerOptions options{
+      .listen = ReadListen(table),
+      .one_way_delay = table.Duration("one_way_delay", {.fallback = 0us}),
+      .seed = ReadSeed(table)};
   ServiceOptions& service = options.service;
   service.id = table.String("id");
   service.mean_time =
       table.Duration("mean_time", {.fallback = service.mean_time});
   service.times = table.Choice("times", kServiceTimesNames, service.times);
-  service.concurrency =
-      ReadCount(table, "concurrency", service.concurrency, 1);
-  service.queue_limit =
-      ReadCount(table, "queue_limit", service.queue_limit, 0);
+  service.concurrency = ReadCount(table, "concurrency", service.concurrency, 1);
+  service.queue_limit = ReadCount(table, "queue_limit", service.queue_limit, 0);
   return options;
 }
 
@@ -143,9 +138,9 @@
   log.retain_records = static_cast<std::uint64_t>(
       table.Integer("retain_records", {.fallback = 0, .minimum = 0}));
   log.retain_age = table.Duration("retain_age", {.fallback = 0us});
-  log.appends_per_second = table.Number(
-      "appends_per_second",
-      {.fallback = log.appends_per_second, .minimum = 0.0});
+  log.appends_per_second =
+      table.Number("appends_per_second",
+                   {.fallback = log.appends_per_second, .minimum = 0.0});
   log.max_record_bytes =
       table.Bytes("max_record_bytes", {.fallback = log.max_record_bytes});
   return options;
@@ -155,8 +150,8 @@
   HostListServerOptions options{.listen = ReadListen(table),
                                 .seed = ReadSeed(table)};
   options.hosts.lag = table.Duration("lag", {.fallback = 0us});
-  for (const std::string& name : table.StringList(
-           "live", {.fallback = std::vector<std::string>{}})) {
+  for (const std::string& name :
+       table.StringList("live", {.fallback = std::vector<std::string>{}})) {
     options.hosts.hosts.push_back({.host = HostId(name)});
   }
   return options;
@@ -165,8 +160,7 @@
 WeightStoreServerOptions ReadWeights(const Table& table) {
   WeightStoreServerOptions options{.listen = ReadListen(table),
                                    .seed = ReadSeed(table)};
-  options.store.permits =
-      ReadCount(table, "permits", options.store.permits, 1);
+  options.store.permits = ReadCount(table, "permits", options.store.permits, 1);
   options.store.lease =
       table.Duration("lease", {.fallback = options.store.lease});
   return options;
--- a/src/standin/internal/shared_link.h
+++ b/src/standin/internal/shared_link.h
@@ -1,8 +1,8 @@
 #ifndef STANDIN_INTERNAL_SHARED_LINK_H_
 #define STANDIN_INTERNAL_SHARED_LINK_H_
 
-#include <map>
 #include <cstdint>
+#include <map>
 #include <vector>
 
 #include "framework/global/types/instant.h"
--- a/src/standin/service_model.h
+++ b/src/standin/service_model.h
@@ -28,8 +28,8 @@
 };
 
 struct ServiceFaults {
-  bool refuse = false;     // as not run
-  double fail_share = 0;   // fail after their effect
+  bool refuse = false;    // as not run
+  double fail_share = 0;  // fail after their effect
   double slow_factor = 1;
 };
 
--- a/src/standin/types/engine_messages.h
+++ b/src/standin/types/engine_messages.h
@@ -29,7 +29,7 @@
   std::int32_t priority = 0;  // smaller first
   std::string prompt;         // the whole text, a resumed answer at its end
   std::uint32_t max_tokens = 0;
-  bool export_kv = false;              // compute the prompt and keep its KV
+  bool export_kv = false;             // compute the prompt and keep its KV
   std::optional<RemoteKv> import_kv;  // else a stream computes its prompt
 };
 
--- a/src/standin/types/engine_options.h
+++ b/src/standin/types/engine_options.h
@@ -64,10 +64,10 @@
 
 // Faults that a test or an operator of the stand-in brings about.
 struct EngineFaults {
-  bool refuse = false;       // all new work, as not run
-  double fail_share = 0;     // of accepted work, fails half-way
-  double slow_factor = 1;    // iterations take so many times longer
-  double link_factor = 1;    // share of the link's rate; 0: transfers stall
+  bool refuse = false;     // all new work, as not run
+  double fail_share = 0;   // of accepted work, fails half-way
+  double slow_factor = 1;  // iterations take so many times longer
+  double link_factor = 1;  // share of the link's rate; 0: transfers stall
 };
 
 }  // namespace acacialug::standin
