--- a/src/standin/internal/completion_format.cc
+++ b/src/standin/internal/completion_format.cc
@@ -124,6 +124,16 @@
       .continuous_usage = BoolOr(options, "continuous_usage_stats", false)};
 }
 
+CompletionHead MakeHead(GenerationApi api,
+                        const std::string& request_id,
+                        const std::string& model) {
+  CompletionHead head{.api = api, .request_id = request_id, .model = model};
+  std::string begin = Dump(AnswerHead(head, /*chunk=*/true));
+  begin.pop_back();  // the brace that would end it
+  head.chunk_begin = "data: " + begin + R"(,"choices":[{"index":0,)";
+  return head;
+}
+
 http::Response JsonResponse(int status, const json& body) {
   return {.status = status,
           .headers = {{"Content-Type", "application/json"}},
@@ -152,22 +162,19 @@
   return Event(event);
 }
 
+// Made once for each token, so that it builds no JSON value.
 std::string TextEvent(const CompletionHead& head,
                       std::string_view text,
                       const std::optional<protocol::Usage>& usage) {
-  json event = AnswerHead(head, /*chunk=*/true);
-  json choice = {{"index", 0}, {"finish_reason", nullptr}};
-  if (IsChat(head)) {
-    choice["delta"] = {{"content", text}};
-  } else {
-    choice["text"] = text;
-    choice["logprobs"] = nullptr;
-  }
-  event["choices"] = json::array({std::move(choice)});
+  std::string event = head.chunk_begin;
+  event += IsChat(head) ? R"("delta":{"content":")" : R"("text":")";
+  event += text;
+  event += IsChat(head) ? R"("},"finish_reason":null}])"
+                        : R"(","logprobs":null,"finish_reason":null}])";
   if (usage) {
-    event["usage"] = UsageJson(*usage);
+    event += R"(,"usage":)" + Dump(UsageJson(*usage));
   }
-  return Event(event);
+  return event += "}\n\n";
 }
 
 std::string FinishEvent(const CompletionHead& head,
@@ -221,7 +228,8 @@
                              const std::string& engine_id,
                              const http::Address& address) {
   json answer = AnswerHead(head, /*chunk=*/false);
-  answer["choices"] = json::array();
+  answer["choices"] = {
+      {{"index", 0}, {"text", ""}, {"finish_reason", "length"}}};
   answer["usage"] = UsageJson({.prompt_tokens = ready.prompt_tokens,
                                .cached_tokens = ready.cached_tokens,
                                .output_tokens = 1});
--- a/src/standin/internal/completion_format.h
+++ b/src/standin/internal/completion_format.h
@@ -35,8 +35,13 @@
   protocol::GenerationApi api = protocol::GenerationApi::kCompletions;
   std::string request_id;
   std::string model;
+  std::string chunk_begin;  // of each event of a stream, up to the choices
 };
 
+CompletionHead MakeHead(protocol::GenerationApi api,
+                        const std::string& request_id,
+                        const std::string& model);
+
 http::Response JsonResponse(int status, const nlohmann::json& body);
 http::Response ErrorResponse(int status,
                              std::string_view code,
@@ -45,6 +50,7 @@
 
 // The events of a stream, each with its end.
 std::string RoleEvent(const CompletionHead& head);
+// Precondition: `text` needs no escapes in JSON, as the tokens made here.
 std::string TextEvent(const CompletionHead& head,
                       std::string_view text,
                       const std::optional<protocol::Usage>& usage);
--- a/src/standin/internal/engine_server.cc
+++ b/src/standin/internal/engine_server.cc
@@ -166,7 +166,7 @@
     }
     const std::string request_id = work.request_id;
     this->exchanges[request_id] = {
-        .head = {.api = api, .request_id = request_id, .model = work.model},
+        .head = MakeHead(api, request_id, work.model),
         .responder = responder,
         .stream = read.stream && !work.export_kv,
         .include_usage = read.include_usage,
