Abort in the engine whatever failed without proof

Cause: the agent counts memory as free when an attempt failed, while the engine may still run it or hold its export. Change: the adapter aborts every attempt whose outcome is unknown; the agent's counters join the metrics; the timer never spins. Conclusion: the engine's memory follows the agent's accounts.

--- a/src/agent_process/internal/agent_process.cc
+++ b/src/agent_process/internal/agent_process.cc
@@ -21,10 +21,11 @@
 constexpr std::chrono::milliseconds kFlushCheck{20};
 
 // Qt's timers count milliseconds; rounded up, so that a timer is never early
-// and the core is not asked in vain.
+// and the core is not asked in vain. At least one: whatever is due, this
+// process never spins.
 std::chrono::milliseconds RoundUp(Duration duration) {
-  return std::chrono::ceil<std::chrono::milliseconds>(
-      std::max(duration, Duration::zero()));
+  return std::max(std::chrono::ceil<std::chrono::milliseconds>(duration),
+                  std::chrono::milliseconds(1));
 }
 
 }  // namespace
@@ -72,7 +73,6 @@
       return;
     }
     const Instant now = MonotonicNow();
-    this->drain_ends = now + this->options.settings.agent.drain_grace;
     log::Info("drain_began",
               {.endpoint = this->options.settings.agent.endpoint});
     this->core.BeginDrain(now);
@@ -102,7 +102,8 @@
             .load = this->core.load(MonotonicNow()),
             .sessions = this->sessions.List(),
             .held_attempts = this->core.held_attempts(),
-            .counters = this->counters};
+            .counters = this->counters,
+            .core_counters = this->core.counters()};
   }
 
  private:
@@ -215,8 +216,6 @@
   }
 
   void Do(const agent::SendToEntry& action) {
-    this->counters.refusals +=
-        std::holds_alternative<protocol::Refused>(action.message);
     this->sessions.Send(action.session, action.message);
   }
 
@@ -229,10 +228,7 @@
   }
 
   void ArmTimer(Instant now) {
-    Instant due = this->core.next_timer();
-    if (this->draining) {
-      due = std::min(due, this->drain_ends);
-    }
+    const Instant due = this->core.next_timer();
     if (due == kNever) {
       this->core_timer.stop();
       this->armed_for = kNever;
@@ -249,12 +245,11 @@
     if (!this->draining || this->flush_timer.isActive() || this->drained_told) {
       return;
     }
-    const bool drained = this->core.drained();
-    if (!drained && now < this->drain_ends) {
+    if (!this->core.drained()) {
       return;
     }
-    log::Info("drain_ended", {.endpoint = this->options.settings.agent.endpoint,
-                              .fields = {{"drained", drained}}});
+    log::Info("drain_ended",
+              {.endpoint = this->options.settings.agent.endpoint});
     this->flush_ends = now + kFlushLimit;
     this->flush_timer.start(kFlushCheck);
   }
@@ -275,7 +270,7 @@
   AgentProcessOptions options;
   RandomSource random;
   Incarnation incarnation;
-  AgentCounters counters;
+  ProcessCounters counters;
   log::RepeatLimiter limiter{{}};
   agent::AgentCore core;
   std::unique_ptr<engine::IEngine> engine;
@@ -288,7 +283,6 @@
   bool engine_known = false;
   bool draining = false;
   bool drained_told = false;
-  Instant drain_ends = kNever;
   Instant flush_ends = kNever;
 };
 
--- a/src/agent_process/internal/operations_pages.cc
+++ b/src/agent_process/internal/operations_pages.cc
@@ -21,7 +21,9 @@
   double value;
 };
 
-std::vector<Metric> CounterMetrics(const AgentCounters& counters) {
+std::vector<Metric> CounterMetrics(const AgentStatus& status) {
+  const ProcessCounters& counters = status.counters;
+  const agent::AgentCounters& core = status.core_counters;
   const auto row = [](std::string_view name, std::uint64_t value) {
     return Metric{name, MetricKind::kCounter, static_cast<double>(value)};
   };
@@ -38,7 +40,14 @@
           row("streams_done_total", counters.streams_done),
           row("calls_done_total", counters.calls_done),
           row("output_tokens_total", counters.output_tokens),
-          row("refusals_total", counters.refusals)};
+          row("refused_total", core.refused),
+          row("dropped_messages_total", core.dropped_messages),
+          row("dropped_engine_events_total", core.dropped_events),
+          row("sessions_lapsed_total", core.sessions_lapsed),
+          row("reservations_lapsed_total", core.reservations_lapsed),
+          row("exports_lapsed_total", core.exports_lapsed),
+          row("streams_stalled_total", core.streams_stalled),
+          row("orphans_aborted_total", core.orphans_aborted)};
 }
 
 std::vector<Metric> Metrics(const AgentStatus& status) {
@@ -46,7 +55,7 @@
     return Metric{name, MetricKind::kGauge, value};
   };
   const protocol::EndpointLoad& load = status.load;
-  std::vector<Metric> metrics = CounterMetrics(status.counters);
+  std::vector<Metric> metrics = CounterMetrics(status);
   metrics.insert(
       metrics.end(),
       {gauge("ready", status.ready() ? 1 : 0),
--- a/src/agent_process/internal/session_table.cc
+++ b/src/agent_process/internal/session_table.cc
@@ -35,8 +35,8 @@
 
 }  // namespace
 
-SessionTable::SessionTable(Hooks table_hooks, AgentCounters& agent_counters)
-    : hooks(std::move(table_hooks)), counters(agent_counters) {}
+SessionTable::SessionTable(Hooks table_hooks, ProcessCounters& process_counters)
+    : hooks(std::move(table_hooks)), counters(process_counters) {}
 
 void SessionTable::Add(const net::FrameChannelPtr& channel) {
   const agent::SessionId session(++this->last_session);
--- a/src/agent_process/internal/session_table.h
+++ b/src/agent_process/internal/session_table.h
@@ -25,7 +25,7 @@
     std::function<void(agent::SessionId)> on_closed;
   };
 
-  SessionTable(Hooks table_hooks, AgentCounters& agent_counters);
+  SessionTable(Hooks table_hooks, ProcessCounters& process_counters);
 
   void Add(const net::FrameChannelPtr& channel);
 
@@ -54,7 +54,7 @@
   void Retire(net::FrameChannelPtr channel);
 
   Hooks hooks;
-  AgentCounters& counters;
+  ProcessCounters& counters;
   std::uint64_t last_session = 0;
   std::map<agent::SessionId, Session> sessions;
   QObject context;  // ends the timers of retired channels with this
--- a/src/agent_process/internal/settings_reader.cc
+++ b/src/agent_process/internal/settings_reader.cc
@@ -30,9 +30,13 @@
   into.engine.connect_timeout = table.Duration(
       "connect_timeout",
       {.fallback = defaults.connect_timeout, .minimum = 1ms, .maximum = 60s});
-  into.engine.silence_timeout = table.Duration(
-      "silence_timeout",
-      {.fallback = defaults.silence_timeout, .minimum = 1ms, .maximum = 1h});
+  into.engine.silence_timeout =
+      table.Duration("silence_timeout",
+                     {.fallback = into.engine.kind == engine::EngineKind::kPlain
+                                      ? into.agent.call_limit
+                                      : defaults.silence_timeout,
+                      .minimum = 1ms,
+                      .maximum = 24h});
 }
 
 void ReadSource(const Table& root, AgentSettings& into) {
@@ -66,6 +70,7 @@
       duration("reservation_limit", defaults.reservation_limit);
   into.stall_timeout = duration("stall_timeout", defaults.stall_timeout);
   into.drain_grace = duration("drain_grace", defaults.drain_grace);
+  into.call_limit = duration("call_limit", defaults.call_limit);
   into.once_window = duration("once_window", defaults.once_window);
   into.initial_token_interval =
       duration("initial_token_interval", defaults.initial_token_interval);
@@ -104,9 +109,9 @@
     AgentSettings& agent_settings) {
   const Table root = reader.Root();
   ReadAgent(root.Child("agent", {.required = true}), agent_settings);
+  ReadPolicy(root.Child("policy"), agent_settings.agent);
   ReadEngine(root.Child("engine", {.required = true}), agent_settings);
   ReadSource(root, agent_settings);
-  ReadPolicy(root.Child("policy"), agent_settings.agent);
   ReadPeerTls(root.Child("peer_tls"), agent_settings.peer_tls);
   agent_settings.log_level =
       root.Child("log").Choice("level", log::kLevelNames, log::Level::kInfo);
--- a/src/agent_process/tests/session_table_test.cc
+++ b/src/agent_process/tests/session_table_test.cc
@@ -35,7 +35,7 @@
 
 struct Fixture {
   std::vector<std::string> calls;
-  AgentCounters counters;
+  ProcessCounters counters;
   SessionTable table{
       {.on_opened = [this](auto) { this->calls.emplace_back("opened"); },
        .on_message =
--- a/src/agent_process/types/agent_status.h
+++ b/src/agent_process/types/agent_status.h
@@ -5,13 +5,14 @@
 #include <string>
 #include <vector>
 
+#include "agent/types/agent_counters.h"
 #include "agent/types/agent_messages.h"
 #include "protocol/types/messages.h"
 
 namespace acacialug::agent_process {
 
-// Counted since the process started.
-struct AgentCounters {
+// What the process around the core has counted since its start.
+struct ProcessCounters {
   std::uint64_t sessions_opened = 0;
   std::uint64_t sessions_closed = 0;
   std::uint64_t frames_received = 0;
@@ -25,7 +26,6 @@
   std::uint64_t streams_done = 0;
   std::uint64_t calls_done = 0;
   std::uint64_t output_tokens = 0;
-  std::uint64_t refusals = 0;
 };
 
 struct SessionStatus {
@@ -48,7 +48,8 @@
   protocol::EndpointLoad load;
   std::vector<SessionStatus> sessions;
   std::vector<AttemptId> held_attempts;
-  AgentCounters counters;
+  ProcessCounters counters;
+  agent::AgentCounters core_counters;
 
   bool ready() const { return this->engine_known && !this->draining; }
 };
--- a/src/engine/internal/openai_engine.cc
+++ b/src/engine/internal/openai_engine.cc
@@ -276,6 +276,11 @@
 
 void OpenAiEngine::Fail(Work& work, const Failure& failure) {
   this->Finish(work);
+  if (failure.outcome != protocol::Outcome::kNotRun) {
+    // The engine may still run it, or hold its export: the agent counts the
+    // memory as free from here on.
+    this->aborts.Add(work.attempt);
+  }
   this->outlet.Send(AttemptFailed{.attempt = work.attempt,
                                   .code = failure.code,
                                   .outcome = failure.outcome});
--- a/src/engine/types/engine_options.h
+++ b/src/engine/types/engine_options.h
@@ -24,7 +24,8 @@
   std::uint64_t kv_bytes_per_token = 0;  // of the service's model
   Duration connect_timeout = 2s;
   // A prefill, call or order without a byte of an answer for so long has
-  // failed. A stream is watched by the agent instead.
+  // failed. Streams are watched by the agent instead; it also limits prefills
+  // and calls, so that this is for a peer that is gone without a word.
   Duration silence_timeout = 60s;
   // An abort that did not reach the engine is tried again, after this long at
   // first and twice as long each time, up to the second.
