--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -60,8 +60,7 @@
     return Fail("manifest_failed", complete.error());
   }
   AgentProcess process({.settings = std::move(complete.value()),
-                        .manifest = std::make_shared<const manifest::Manifest>(
-                            std::move(manifest.value())),
+                        .manifest = *manifest,
                         .make_engine = engine::MakeEngine,
                         .on_drained = [] { QCoreApplication::quit(); }});
   const program::SignalWatcher signals(
