--- a/src/agent/internal/admission_gate.cc
+++ b/src/agent/internal/admission_gate.cc
@@ -28,6 +28,7 @@
 
 std::optional<Admission> AdmissionGate::Admit(SessionId session,
                                               const AttemptId& attempt,
+                                              protocol::EndpointRole role,
                                               Phase phase,
                                               Instant now) {
   if (!this->IsOwn(session, attempt)) {
@@ -35,6 +36,11 @@
                            now);
     return std::nullopt;
   }
+  if (role != this->parts.options.role) {
+    this->RefuseUnadmitted(session, attempt, phase, ResultCode::kWrongRole,
+                           now);
+    return std::nullopt;
+  }
   const AttemptTable::Opening opening = this->Open(session, attempt, now);
   switch (opening.admission) {
     case Admission::kNew:
@@ -56,10 +62,11 @@
 
 bool AdmissionGate::AdmitOnce(SessionId session,
                               const AttemptId& attempt,
+                              protocol::EndpointRole role,
                               Phase phase,
                               Instant now) {
   const std::optional<Admission> admission =
-      this->Admit(session, attempt, phase, now);
+      this->Admit(session, attempt, role, phase, now);
   if (admission == Admission::kOpen) {
     ++this->parts.counters.dropped_messages;
   }
@@ -77,14 +84,9 @@
   this->release(attempt, now);
 }
 
-bool AdmissionGate::Serves(protocol::EndpointRole role,
-                           const AttemptId& attempt,
-                           Phase phase,
-                           Instant now) {
-  if (role != this->parts.options.role) {
-    this->parts.Refuse(attempt, phase, ResultCode::kWrongRole, {}, now);
-    return false;
-  }
+bool AdmissionGate::IsReady(const AttemptId& attempt,
+                            Phase phase,
+                            Instant now) {
   if (!this->parts.audit.ready()) {
     this->parts.Refuse(attempt, phase, ResultCode::kNotReady,
                        Until(this->parts.audit.next_timer(), now), now);
@@ -93,11 +95,10 @@
   return true;
 }
 
-bool AdmissionGate::TakesNew(protocol::EndpointRole role,
-                             const AttemptId& attempt,
+bool AdmissionGate::TakesNew(const AttemptId& attempt,
                              Phase phase,
                              Instant now) {
-  if (!this->Serves(role, attempt, phase, now)) {
+  if (!this->IsReady(attempt, phase, now)) {
     return false;
   }
   if (this->drain.active()) {
--- a/src/agent/internal/admission_gate.h
+++ b/src/agent/internal/admission_gate.h
@@ -29,15 +29,18 @@
   // Whether the session may speak of the attempt at all.
   bool IsOwn(SessionId session, const AttemptId& attempt);
 
-  // kNew or kOpen; empty when the message was answered or dropped.
+  // kNew or kOpen; empty when the message was answered or dropped. `role`
+  // is the one that the endpoint needs for the phase.
   std::optional<Admission> Admit(SessionId session,
                                  const AttemptId& attempt,
+                                 protocol::EndpointRole role,
                                  protocol::Phase phase,
                                  Instant now);
 
   // For phases that a single message starts: false for a repetition.
   bool AdmitOnce(SessionId session,
                  const AttemptId& attempt,
+                 protocol::EndpointRole role,
                  protocol::Phase phase,
                  Instant now);
 
@@ -45,17 +48,11 @@
   // Precondition: IsOwn().
   void Cancel(SessionId session, const AttemptId& attempt, Instant now);
 
-  // The endpoint has this role, and its engine is ready. Refuses if not.
-  // Precondition of this and the next: the attempt is open.
-  bool Serves(protocol::EndpointRole role,
-              const AttemptId& attempt,
-              protocol::Phase phase,
-              Instant now);
-  // Serves(), the endpoint is not leaving, and its engine has the model.
-  bool TakesNew(protocol::EndpointRole role,
-                const AttemptId& attempt,
-                protocol::Phase phase,
-                Instant now);
+  // The engine was cleaned of a predecessor's work. Refuses if not.
+  // Precondition of this and the next: the attempt was admitted as kNew.
+  bool IsReady(const AttemptId& attempt, protocol::Phase phase, Instant now);
+  // IsReady(), the endpoint is not leaving, and its engine has the model.
+  bool TakesNew(const AttemptId& attempt, protocol::Phase phase, Instant now);
 
  private:
   AttemptTable::Opening Open(SessionId session,
--- a/src/agent/internal/agent_implementation.cc
+++ b/src/agent/internal/agent_implementation.cc
@@ -218,12 +218,11 @@
                                    const protocol::Reserve& reserve,
                                    Instant now) {
   const AttemptId& attempt = reserve.attempt;
-  const std::optional<Admission> admission =
-      this->gate.Admit(session, attempt, Phase::kReserve, now);
+  const std::optional<Admission> admission = this->gate.Admit(
+      session, attempt, EndpointRole::kDecode, Phase::kReserve, now);
   if (admission == Admission::kOpen ||
       (admission == Admission::kNew &&
-       this->gate.TakesNew(EndpointRole::kDecode, attempt, Phase::kReserve,
-                           now))) {
+       this->gate.TakesNew(attempt, Phase::kReserve, now))) {
     this->decode.OnReserve(reserve, now);
   }
 }
@@ -232,9 +231,9 @@
                                    const protocol::StartPrefill& start,
                                    Instant now) {
   const AttemptId& attempt = start.attempt;
-  if (this->gate.AdmitOnce(session, attempt, Phase::kPrefill, now) &&
-      this->gate.TakesNew(EndpointRole::kPrefill, attempt, Phase::kPrefill,
-                          now)) {
+  if (this->gate.AdmitOnce(session, attempt, EndpointRole::kPrefill,
+                           Phase::kPrefill, now) &&
+      this->gate.TakesNew(attempt, Phase::kPrefill, now)) {
     this->prefill.OnStartPrefill(start, now);
   }
 }
@@ -243,13 +242,11 @@
                                    const protocol::StartDecode& start,
                                    Instant now) {
   const AttemptId& attempt = start.attempt;
-  if (!this->gate.Admit(session, attempt, Phase::kDecode, now)) {
-    return;
-  }
-  // What has a reservation was let in before the drain began.
-  if (!this->decode.Knows(attempt) &&
-      !this->gate.TakesNew(EndpointRole::kDecode, attempt, Phase::kDecode,
-                           now)) {
+  const std::optional<Admission> admission = this->gate.Admit(
+      session, attempt, EndpointRole::kDecode, Phase::kDecode, now);
+  // What has a reservation was let in before a drain began.
+  if (!admission || (admission == Admission::kNew &&
+                     !this->gate.TakesNew(attempt, Phase::kDecode, now))) {
     return;
   }
   // Without the reservation nobody knows whether the engine has room: it
@@ -272,8 +269,9 @@
                                    const protocol::StartCall& start,
                                    Instant now) {
   const AttemptId& attempt = start.attempt;
-  if (!this->gate.AdmitOnce(session, attempt, Phase::kCall, now) ||
-      !this->gate.Serves(EndpointRole::kPlain, attempt, Phase::kCall, now)) {
+  if (!this->gate.AdmitOnce(session, attempt, EndpointRole::kPlain,
+                            Phase::kCall, now) ||
+      !this->gate.IsReady(attempt, Phase::kCall, now)) {
     return;
   }
   // While draining, a resubmission still learns what became of the call.
@@ -299,9 +297,11 @@
 void AgentCore::Implementation::On(const engine::PrefillDone& done,
                                    Instant now) {
   if (!this->prefill.OnPrefillDone(done, now)) {
-    // Nobody will fetch what it exported.
     this->CountUnknown(false);
-    this->parts.Abort(done.attempt, now);
+    if (!this->Holds(done.attempt)) {
+      // Nobody will fetch what it exported.
+      this->parts.Abort(done.attempt, now);
+    }
   }
 }
 
--- a/src/agent/internal/attempt_table.cc
+++ b/src/agent/internal/attempt_table.cc
@@ -14,7 +14,9 @@
     return {.admission = Admission::kNew};
   }
   if (attempt.attempt < request.highest) {
-    return {.admission = Admission::kSuperseded};
+    const bool ran = std::find(request.ran.begin(), request.ran.end(),
+                               attempt.attempt) != request.ran.end();
+    return {.admission = ran ? Admission::kOverBefore : Admission::kSuperseded};
   }
   if (attempt.attempt == request.highest) {
     switch (request.state) {
@@ -33,7 +35,14 @@
                                  .attempt = request.highest,
                                  .entry = attempt.entry};
   }
-  request = {.highest = attempt.attempt};
+  if (request.state != State::kNotRun) {
+    request.ran.push_back(request.highest);
+    if (request.ran.size() > kMaxRan) {
+      request.ran.erase(request.ran.begin());
+    }
+  }
+  request.highest = attempt.attempt;
+  request.state = State::kOpen;
   this->Bind(attempt, session);
   return opening;
 }
--- a/src/agent/internal/attempt_table.h
+++ b/src/agent/internal/attempt_table.h
@@ -21,8 +21,8 @@
   kNew,            // first message of this attempt
   kOpen,           // the attempt is under way here
   kRefusedBefore,  // closed without having run; the refusal may be repeated
-  kOverBefore,     // closed after it ran: a repeated message, to be dropped
-  kSuperseded,     // a newer attempt of the request was seen
+  kOverBefore,     // it ran here before: a repeated message, to be dropped
+  kSuperseded,     // a newer attempt of the request was seen, this one not
 };
 inline constexpr EnumNames<Admission, 5> kAdmissionNames = {{
     {Admission::kNew, "new"},
@@ -76,8 +76,13 @@
     State state = State::kOpen;
     ResultCode code = ResultCode::kOk;
     Instant closed_at{};
+    // Older attempts that ran here: to refuse those as "not run" would be
+    // untrue. At most kMaxRan; entries make a handful of attempts.
+    std::vector<AttemptNumber> ran;
   };
 
+  static constexpr std::size_t kMaxRan = 8;
+
   void Bind(const AttemptId& attempt, SessionId session);
   void Unbind(const AttemptId& attempt);
   void Close(const AttemptId& attempt,
--- a/src/agent/internal/decode_work.cc
+++ b/src/agent/internal/decode_work.cc
@@ -340,10 +340,6 @@
   return this->memory.Holds(attempt);
 }
 
-bool DecodeWork::Knows(const AttemptId& attempt) const {
-  return this->Holds(attempt) || this->streams.contains(attempt);
-}
-
 std::vector<AttemptId> DecodeWork::held() const {
   return this->memory.held();
 }
--- a/src/agent/internal/decode_work.h
+++ b/src/agent/internal/decode_work.h
@@ -44,8 +44,6 @@
   void SetBounds(const manifest::Endpoint& endpoint);
   void FillLoad(protocol::EndpointLoad& load, Instant now) const;
   bool Holds(const AttemptId& attempt) const;
-  // Holds(), or chunks of it still wait for the reader.
-  bool Knows(const AttemptId& attempt) const;
   std::vector<AttemptId> held() const;
   bool idle() const;
   Instant next_timer() const;
--- a/src/agent/tests/sessions_and_attempts_test.cc
+++ b/src/agent/tests/sessions_and_attempts_test.cc
@@ -97,6 +97,7 @@
   kOver,
   kNewerOpen,
   kNewerOver,
+  kRanOlder,
   kForgotten,
 };
 
@@ -116,6 +117,8 @@
           {"drops what is over", Before::kOver, Admission::kOverBefore},
           {"supersedes beside a newer one", Before::kNewerOpen,
            Admission::kSuperseded},
+          {"drops an older one that ran beside a newer one", Before::kRanOlder,
+           Admission::kOverBefore},
           {"supersedes after a newer one", Before::kNewerOver,
            Admission::kSuperseded},
           {"takes a forgotten one as new", Before::kForgotten,
@@ -129,7 +132,9 @@
            if (row.before != Before::kNothing) {
              table.Open(earlier, kSession);
            }
-           if (row.before == Before::kRefused) {
+           if (row.before == Before::kRanOlder) {
+             table.Open(Attempt(1, 3), kSession);
+           } else if (row.before == Before::kRefused) {
              table.CloseNotRun(earlier, ResultCode::kLinkBusy, kNow);
            } else if (row.before != Before::kOpen &&
                       row.before != Before::kNewerOpen) {
