--- a/src/standin/fakes/fake_platform.cc
+++ b/src/standin/fakes/fake_platform.cc
@@ -52,6 +52,7 @@
 void FakeLog::ReadFrom(const std::string& stream,
                        LogOffset from,
                        std::size_t limit,
+                       Duration /*wait*/,
                        std::function<void(Result<Read>)> on_done) {
   RunRemotely<Read>(
       this->options, this->faults,
--- a/src/standin/fakes/fake_platform.h
+++ b/src/standin/fakes/fake_platform.h
@@ -40,9 +40,11 @@
   void Append(const std::string& stream,
               std::string payload,
               std::function<void(Result<LogOffset>)> on_done) override;
+  // Answers at once: `wait` is the real log's to spend.
   void ReadFrom(const std::string& stream,
                 LogOffset from,
                 std::size_t limit,
+                Duration wait,
                 std::function<void(Result<Read>)> on_done) override;
 
   FakeFaults faults;
--- a/src/standin/tests/fakes_test.cc
+++ b/src/standin/tests/fakes_test.cc
@@ -74,7 +74,7 @@
            CPPUNIT_ASSERT(code == row.code);
            log.faults = {};
            std::size_t records = 9;
-           log.ReadFrom("s", LogOffset(1), 10,
+           log.ReadFrom("s", LogOffset(1), 10, {},
                         [&](const Result<platform::ILog::Read>& read) {
                           records = read->records.size();
                         });
