--- a/src/framework/program/internal/program.cc
+++ b/src/framework/program/internal/program.cc
@@ -20,7 +20,7 @@
 // read as a failure of the program's work.
 // NOLINTNEXTLINE(readability-identifier-naming): the library's name
 extern GFLAGS_DLL_DECL void (*gflags_exitfunc)(int);
-}  // namespace GFLAGS_NAMESPACE
+}  // namespace google
 
 namespace acacialug::program {
 namespace {
