Follow the log's manifests in the agent

Cause: the agent read its manifest from a file only, and had no operations port before it had one. Change: a configuration client puts timer and log around the follower; the agent listens for operators at once and for entries from the first manifest on; an agent that no manifest names yet follows the stream by itself; an endpoint that a manifest no longer names drains. Conclusion: agents start before or after their manifest alike.

--- a/src/agent_process/agent_process.h
+++ b/src/agent_process/agent_process.h
@@ -13,39 +13,46 @@
 namespace acacialug::agent_process {
 
 struct AgentProcessOptions {
-  AgentSettings settings;  // as WithManifest gave them
-  std::shared_ptr<const manifest::Manifest> manifest;
+  AgentSettings settings;
   // The engine beside this agent; tests put a fake here.
   std::function<std::unique_ptr<engine::IEngine>(const engine::EngineOptions&)>
       make_engine;
+  // An entry spoke of a manifest of this offset, higher than any before.
+  std::function<void(LogOffset)> on_manifest_heard;
+  // Whether what was given to OnManifest is the newest known; empty: always.
+  std::function<bool()> configuration_ready;
   // Runs once: the drain that Drain began is over, and every answer has left.
   std::function<void()> on_drained;
 };
 
-// An AgentCore with its sockets, timer and engine around it. Everything runs
-// on the thread that made it, whose Qt event loop must run.
+// The agent of one endpoint: operations port from the start, entries' port
+// from the first manifest on, which tells the endpoint's role. Everything
+// runs on the thread that made it, whose Qt event loop must run.
 class AgentProcess {
  public:
   explicit AgentProcess(AgentProcessOptions process_options);
   ~AgentProcess();
 
-  // Listens for entries and operators and asks the engine what it holds.
-  // Errors: kAddressInUse, kCertificateInvalid.
+  // Listens for operators. Errors: kAddressInUse, kCertificateInvalid.
   Status Start();
 
+  // A newer manifest is in force. The first makes the agent listen for
+  // entries and ask its engine what it holds. Errors: kManifestInvalid when
+  // the first does not fit this endpoint (a later one may), kAddressInUse,
+  // kCertificateInvalid. Precondition: Start succeeded.
+  Status OnManifest(const std::shared_ptr<const manifest::Manifest>& newest);
+
   // Leaves: new work is refused, what runs goes on; on_drained follows, at the
   // latest after the settings' drain grace. Repeated calls change nothing.
   void Drain();
 
-  // A newer manifest is in force.
-  void OnManifest(std::shared_ptr<const manifest::Manifest> newest);
-
   // Loads the certificates anew, for connections from now on. Errors:
   // kCertificateInvalid (the old ones stay).
   Status ReloadTls();
 
-  // Ports listened on. Precondition: Start succeeded.
+  // The port for entries; zero before the first manifest.
   std::uint16_t port() const;
+  // Precondition: Start succeeded.
   std::uint16_t operations_port() const;
 
   AgentStatus status() const;
--- /dev/null
+++ b/src/agent_process/internal/agent_runtime.cc
@@ -0,0 +1,250 @@
+#include "agent_process/internal/agent_runtime.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "framework/log/log.h"
+
+namespace acacialug::agent_process {
+namespace {
+
+// The last answers get this long to leave after the drain; a peer that does
+// not read must not keep the process.
+constexpr Duration kFlushLimit = 2s;
+constexpr std::chrono::milliseconds kFlushCheck{20};
+
+// Qt's timers count milliseconds; rounded up, so that a timer is never early
+// and the core is not asked in vain. At least one: whatever is due, this
+// process never spins.
+std::chrono::milliseconds RoundUp(Duration duration) {
+  return std::max(std::chrono::ceil<std::chrono::milliseconds>(duration),
+                  std::chrono::milliseconds(1));
+}
+
+}  // namespace
+
+AgentRuntime::AgentRuntime(const AgentProcessOptions& process_options,
+                           const AgentSettings& complete,
+                           RandomSource& random)
+    : options(process_options),
+      settings(complete),
+      incarnation(random.NextIncarnation()),
+      core(this->CoreOptions(), random),
+      engine(process_options.make_engine(complete.engine)),
+      sessions(this->SessionHooks(), this->counters),
+      frames(this->FrameOptions()) {
+  this->core_timer.setSingleShot(true);
+  this->core_timer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->core_timer, &QTimer::timeout,
+                   [this] { this->OnTimer(); });
+  QObject::connect(&this->flush_timer, &QTimer::timeout,
+                   [this] { this->CheckFlushed(); });
+  this->engine->SetOnEvent(
+      [this](const engine::EngineEvent& event) { this->OnEngineEvent(event); });
+}
+
+Status AgentRuntime::Start() {
+  Status started = this->frames.Start();
+  if (!started.ok()) {
+    return started;
+  }
+  const Instant now = MonotonicNow();
+  this->core.Start(now);
+  this->Pump(now);
+  return started;
+}
+
+void AgentRuntime::OnManifest(
+    const std::shared_ptr<const manifest::Manifest>& newest) {
+  std::shared_ptr<const manifest::Manifest> given = newest;
+  const manifest::Endpoint* found =
+      newest->FindEndpoint(this->settings.agent.endpoint);
+  if (found != nullptr) {
+    this->record = *found;
+  } else {
+    // The core takes no notice of a manifest that does not name it; without
+    // this an endpoint that was removed would go on for ever.
+    auto with_record = std::make_shared<manifest::Manifest>(*newest);
+    this->record.leaving = true;
+    with_record->endpoints.push_back(this->record);
+    given = std::move(with_record);
+  }
+  const Instant now = MonotonicNow();
+  this->core.OnManifest(std::move(given), now);
+  this->Pump(now);
+}
+
+void AgentRuntime::Drain() {
+  if (std::exchange(this->draining, true)) {
+    return;
+  }
+  const Instant now = MonotonicNow();
+  log::Info("drain_began", {.endpoint = this->settings.agent.endpoint});
+  this->core.BeginDrain(now);
+  this->Pump(now);
+}
+
+void AgentRuntime::FillStatus(AgentStatus& status) const {
+  status.incarnation = this->incarnation;
+  status.role = this->record.role;
+  status.engine_known = this->engine_known;
+  status.load = this->core.load(MonotonicNow());
+  status.draining = this->draining || status.load.leaving;
+  status.sessions = this->sessions.List();
+  status.held_attempts = this->core.held_attempts();
+  status.counters = this->counters;
+  status.core_counters = this->core.counters();
+}
+
+agent::AgentOptions AgentRuntime::CoreOptions() const {
+  agent::AgentOptions core_options = this->settings.agent;
+  core_options.incarnation = this->incarnation;
+  return core_options;
+}
+
+SessionTable::Hooks AgentRuntime::SessionHooks() {
+  return {.on_opened =
+              [this](agent::SessionId session) {
+                const Instant now = MonotonicNow();
+                this->core.OnSessionOpened(session, now);
+                this->Pump(now);
+              },
+          .on_message =
+              [this](agent::SessionId session,
+                     const protocol::EntryToAgent& message) {
+                const Instant now = MonotonicNow();
+                this->core.OnMessage(session, message, now);
+                this->Pump(now);
+              },
+          .on_closed =
+              [this](agent::SessionId session) {
+                const Instant now = MonotonicNow();
+                this->core.OnSessionClosed(session, now);
+                this->Pump(now);
+              }};
+}
+
+net::FrameServer::Options AgentRuntime::FrameOptions() {
+  return {.listen = this->settings.listen,
+          .channel = {.tls = this->settings.peer_tls},
+          .on_channel = [this](const net::FrameChannelPtr& channel) {
+            this->sessions.Add(channel);
+          }};
+}
+
+void AgentRuntime::OnEngineEvent(const engine::EngineEvent& event) {
+  this->Count(event);
+  const Instant now = MonotonicNow();
+  this->core.OnEngineEvent(event, now);
+  this->Pump(now);
+}
+
+void AgentRuntime::Count(const engine::EngineEvent& event) {
+  ++this->counters.engine_events;
+  if (const auto* text = std::get_if<engine::Text>(&event)) {
+    this->counters.output_tokens += text->tokens;
+  } else if (const auto* failed = std::get_if<engine::AttemptFailed>(&event)) {
+    ++this->counters.engine_failures;
+    this->LogFailure(*failed);
+  } else if (std::holds_alternative<engine::ListFailed>(event)) {
+    log::WriteLimited(this->limiter, MonotonicNow(), log::Level::kWarning,
+                      "engine_list_failed",
+                      {.endpoint = this->settings.agent.endpoint,
+                       .code = ResultCode::kEngineUnavailable});
+  }
+  this->engine_known |= std::holds_alternative<engine::Held>(event);
+  this->counters.prefills_done +=
+      std::holds_alternative<engine::PrefillDone>(event);
+  this->counters.streams_done +=
+      std::holds_alternative<engine::StreamDone>(event);
+  this->counters.calls_done += std::holds_alternative<engine::CallDone>(event);
+}
+
+void AgentRuntime::LogFailure(const engine::AttemptFailed& failed) {
+  log::WriteLimited(this->limiter, MonotonicNow(), log::Level::kWarning,
+                    "engine_attempt_failed",
+                    {.request = failed.attempt.request,
+                     .attempt = failed.attempt.attempt,
+                     .endpoint = this->settings.agent.endpoint,
+                     .code = failed.code,
+                     .fields = {{"outcome", NameOf(protocol::kOutcomeNames,
+                                                   failed.outcome)}}});
+}
+
+void AgentRuntime::OnTimer() {
+  const Instant now = MonotonicNow();
+  this->core.OnTimer(now);
+  this->Pump(now);
+}
+
+void AgentRuntime::Pump(Instant now) {
+  for (std::vector<agent::AgentAction> actions = this->core.TakeActions();
+       !actions.empty(); actions = this->core.TakeActions()) {
+    for (const agent::AgentAction& action : actions) {
+      std::visit([this](const auto& concrete) { this->Do(concrete); }, action);
+    }
+  }
+  this->ArmTimer(now);
+  this->TellNewerManifest();
+  this->CheckDrained(now);
+}
+
+void AgentRuntime::Do(const agent::SendToEntry& action) {
+  this->sessions.Send(action.session, action.message);
+}
+
+void AgentRuntime::Do(const agent::CloseSession& action) {
+  this->sessions.Close(action.session, action.code);
+}
+
+void AgentRuntime::Do(const agent::ExecuteOnEngine& action) {
+  this->engine->Execute(action.command);
+}
+
+void AgentRuntime::ArmTimer(Instant now) {
+  const Instant due = this->core.next_timer();
+  if (due == kNever) {
+    this->core_timer.stop();
+    this->armed_for = kNever;
+    return;
+  }
+  if (due == this->armed_for && this->core_timer.isActive()) {
+    return;
+  }
+  this->armed_for = due;
+  this->core_timer.start(RoundUp(due - now));
+}
+
+void AgentRuntime::TellNewerManifest() {
+  const LogOffset heard = this->core.newest_manifest_heard();
+  if (heard > this->newest_told && this->options.on_manifest_heard) {
+    this->newest_told = heard;
+    this->options.on_manifest_heard(heard);
+  }
+}
+
+void AgentRuntime::CheckDrained(Instant now) {
+  if (!this->draining || this->drained_told || this->flush_timer.isActive() ||
+      !this->core.drained()) {
+    return;
+  }
+  log::Info("drain_ended", {.endpoint = this->settings.agent.endpoint});
+  this->flush_ends = now + kFlushLimit;
+  this->flush_timer.start(kFlushCheck);
+}
+
+void AgentRuntime::CheckFlushed() {
+  if (this->sessions.unsent_bytes() > 0 && MonotonicNow() < this->flush_ends) {
+    return;
+  }
+  this->flush_timer.stop();
+  this->drained_told = true;
+  this->sessions.CloseAll();
+  if (this->options.on_drained) {
+    this->options.on_drained();
+  }
+}
+
+}  // namespace acacialug::agent_process
--- /dev/null
+++ b/src/agent_process/internal/agent_runtime.h
@@ -0,0 +1,85 @@
+#ifndef AGENT_PROCESS_INTERNAL_AGENT_RUNTIME_H_
+#define AGENT_PROCESS_INTERNAL_AGENT_RUNTIME_H_
+
+#include <QObject>
+#include <QTimer>
+#include <memory>
+
+#include "agent/agent_core.h"
+#include "agent_process/agent_process.h"
+#include "agent_process/internal/session_table.h"
+#include "framework/log/repeat_limiter.h"
+#include "framework/net/frame_channel.h"
+
+namespace acacialug::agent_process {
+
+// An AgentCore with its sessions, engine and timer around it. Made once the
+// manifest in force tells the endpoint's role. Lives on one thread with a Qt
+// event loop.
+class AgentRuntime {
+ public:
+  // `complete`: the settings as WithManifest gave them. All references must
+  // outlive this.
+  AgentRuntime(const AgentProcessOptions& process_options,
+               const AgentSettings& complete,
+               RandomSource& random);
+
+  // Listens for entries and asks the engine what it holds. Errors:
+  // kAddressInUse, kCertificateInvalid.
+  Status Start();
+
+  // Precondition: newer than what was given before. A manifest without this
+  // endpoint counts as one in which it is leaving.
+  void OnManifest(const std::shared_ptr<const manifest::Manifest>& newest);
+
+  // on_drained of the options follows. Repeated calls change nothing.
+  void Drain();
+
+  Status ReloadTls() { return this->frames.ReloadTls(); }
+  std::uint16_t port() const { return this->frames.port(); }
+
+  // Fills what the runtime knows.
+  void FillStatus(AgentStatus& status) const;
+
+ private:
+  agent::AgentOptions CoreOptions() const;
+  SessionTable::Hooks SessionHooks();
+  net::FrameServer::Options FrameOptions();
+
+  void OnEngineEvent(const engine::EngineEvent& event);
+  void Count(const engine::EngineEvent& event);
+  void LogFailure(const engine::AttemptFailed& failed);
+  void OnTimer();
+  // Carries out what the core decided, and arms the timer for what comes next.
+  void Pump(Instant now);
+  void Do(const agent::SendToEntry& action);
+  void Do(const agent::CloseSession& action);
+  void Do(const agent::ExecuteOnEngine& action);
+  void ArmTimer(Instant now);
+  void TellNewerManifest();
+  void CheckDrained(Instant now);
+  void CheckFlushed();
+
+  const AgentProcessOptions& options;
+  AgentSettings settings;
+  Incarnation incarnation;
+  ProcessCounters counters;
+  log::RepeatLimiter limiter{{}};
+  agent::AgentCore core;
+  std::unique_ptr<engine::IEngine> engine;
+  SessionTable sessions;
+  net::FrameServer frames;
+  QTimer core_timer;
+  Instant armed_for = kNever;
+  QTimer flush_timer;
+  Instant flush_ends = kNever;
+  bool engine_known = false;
+  bool draining = false;
+  bool drained_told = false;
+  LogOffset newest_told;
+  manifest::Endpoint record;  // of this endpoint, as last seen
+};
+
+}  // namespace acacialug::agent_process
+
+#endif  // AGENT_PROCESS_INTERNAL_AGENT_RUNTIME_H_
--- a/src/agent_process/tests/operations_pages_test.cc
+++ b/src/agent_process/tests/operations_pages_test.cc
@@ -16,6 +16,7 @@
   return {.endpoint = EndpointId("d1"),
           .incarnation = Incarnation(0xffffffffffffffff),
           .manifest_version = "v1",
+          .configuration_known = true,
           .engine_known = true,
           .load = {.running = 3, .work_ahead = 1500ms},
           .sessions = {{.entry = EntryId("entry-1")}},
--- a/src/agent_process/types/agent_status.h
+++ b/src/agent_process/types/agent_status.h
@@ -43,7 +43,8 @@
   protocol::EndpointRole role = protocol::EndpointRole::kPlain;
   LogOffset manifest_offset;
   std::string manifest_version;
-  bool engine_known = false;  // the engine has told what it holds
+  bool configuration_known = false;  // in force, and the newest known
+  bool engine_known = false;         // the engine has told what it holds
   bool draining = false;
   protocol::EndpointLoad load;
   std::vector<SessionStatus> sessions;
@@ -51,7 +52,9 @@
   ProcessCounters counters;
   agent::AgentCounters core_counters;
 
-  bool ready() const { return this->engine_known && !this->draining; }
+  bool ready() const {
+    return this->configuration_known && this->engine_known && !this->draining;
+  }
 };
 
 }  // namespace acacialug::agent_process
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -1,24 +1,30 @@
 #include <QCoreApplication>
-#include <iostream>
+#include <QTimer>
+#include <chrono>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "agent_process/agent_process.h"
 #include "agent_process/manifest_file.h"
-#include "agent_process/manifest_options.h"
 #include "agent_process/settings_reader.h"
+#include "configuration_client/configuration_client.h"
 #include "engine/engine_factory.h"
+#include "framework/http/http_client.h"
 #include "framework/log/log.h"
 #include "framework/program/program.h"
 #include "framework/program/signal_watcher.h"
+#include "platform/http_log.h"
 
 namespace acacialug {
 namespace {
 
 using agent_process::AgentProcess;
 using agent_process::AgentSettings;
+using configuration_client::ConfigurationClient;
 
 constexpr const char* kProgram = "acacialug-agent";
+constexpr std::chrono::seconds kFirstManifestWait{3};
 
 int Fail(std::string_view event, const Error& error) {
   log::Error(event, {.code = error.result_code(),
@@ -26,23 +32,131 @@
   return static_cast<int>(program::ExitCode::kFailed);
 }
 
-// SIGHUP: certificates and, where it comes from a file, the manifest.
-void Reload(const AgentSettings& settings, AgentProcess& process) {
-  const Status tls = process.ReloadTls();
-  if (!tls.ok()) {
-    Fail("certificate_reload_failed", tls.error());
+// The program around the process: where manifests come from, and signals.
+class Agent {
+ public:
+  explicit Agent(const AgentSettings& agent_settings)
+      : settings(agent_settings),
+        random(RandomSource::FromSystem()),
+        process(this->ProcessOptions()) {}
+
+  int Run() {
+    const Status started = this->process.Start();
+    if (!started.ok()) {
+      return Fail("start_failed", started.error());
+    }
+    log::Info(
+        "started",
+        {.endpoint = this->settings.agent.endpoint,
+         .fields = {{"operations_port", this->process.operations_port()}}});
+    if (!this->settings.manifest_file.empty()) {
+      const Status taken = this->TakeManifestFile();
+      if (!taken.ok()) {
+        return Fail("manifest_failed", taken.error());
+      }
+    } else {
+      this->FollowLog(/*follow_stream=*/false);
+      this->WatchForFirstManifest();
+    }
+    const program::SignalWatcher watcher(
+        {.on_terminate = [this](int count) { this->Terminate(count); },
+         .on_reload = [this] { this->Reload(); }});
+    return QCoreApplication::exec();
   }
-  if (settings.manifest_file.empty()) {
-    return;
+
+ private:
+  agent_process::AgentProcessOptions ProcessOptions() {
+    return {.settings = this->settings,
+            .make_engine = engine::MakeEngine,
+            .on_manifest_heard =
+                [this](LogOffset offset) {
+                  if (this->configuration) {
+                    this->configuration->OnPeerOffset(offset);
+                  }
+                },
+            .configuration_ready =
+                [this] {
+                  return !this->configuration || this->configuration->ready();
+                },
+            .on_drained = [] { QCoreApplication::quit(); }};
   }
-  const auto newest = agent_process::ReadManifestFile(settings.manifest_file);
-  if (!newest.ok()) {
-    Fail("manifest_reload_failed", newest.error());
-    return;
+
+  // Each reading counts as newer than the one before.
+  Status TakeManifestFile() {
+    const auto read =
+        agent_process::ReadManifestFile(this->settings.manifest_file);
+    if (!read.ok()) {
+      return read.error();
+    }
+    auto numbered = std::make_shared<manifest::Manifest>(**read);
+    numbered->offset = LogOffset(this->file_readings++);
+    return this->process.OnManifest(numbered);
   }
-  log::Info("manifest_reloaded", {.fields = {{"version", (*newest)->version}}});
-  process.OnManifest(*newest);
-}
+
+  // Entries tell an agent of newer manifests, so that thousands of agents need
+  // not poll the log. Nobody speaks to an agent that no manifest names yet: it
+  // would wait for ever, and so it follows the stream by itself.
+  void WatchForFirstManifest() {
+    QObject::connect(&this->first_manifest_timer, &QTimer::timeout, [this] {
+      if (this->process.port() == 0) {
+        this->FollowLog(/*follow_stream=*/true);
+      }
+    });
+    this->first_manifest_timer.setSingleShot(true);
+    this->first_manifest_timer.start(kFirstManifestWait);
+  }
+
+  void FollowLog(bool follow_stream) {
+    this->configuration.reset();
+    this->log_client.emplace(http::ClientOptions{});
+    this->configuration.emplace(
+        configuration_client::ClientOptions{
+            .follower = {.author = this->settings.agent.endpoint.text,
+                         .follow_stream = follow_stream},
+            .log = std::make_unique<platform::HttpLog>(
+                *this->settings.platform_log, *this->log_client),
+            .on_in_force =
+                [this](const configuration::AcceptedManifest& accepted) {
+                  const Status taken =
+                      this->process.OnManifest(accepted.manifest);
+                  if (!taken.ok()) {
+                    Fail("manifest_not_taken", taken.error());
+                  }
+                }},
+        this->random);
+    this->configuration->Start();
+  }
+
+  void Terminate(int count) {
+    if (count == 1) {
+      this->process.Drain();
+    } else {
+      QCoreApplication::quit();
+    }
+  }
+
+  void Reload() {
+    const Status tls = this->process.ReloadTls();
+    if (!tls.ok()) {
+      Fail("certificate_reload_failed", tls.error());
+    }
+    if (this->settings.manifest_file.empty()) {
+      return;
+    }
+    const Status taken = this->TakeManifestFile();
+    if (!taken.ok()) {
+      Fail("manifest_reload_failed", taken.error());
+    }
+  }
+
+  const AgentSettings& settings;
+  RandomSource random;
+  std::uint64_t file_readings = 0;
+  QTimer first_manifest_timer;
+  std::optional<http::Client> log_client;
+  std::optional<ConfigurationClient> configuration;
+  AgentProcess process;
+};
 
 int Serve(const AgentSettings& settings) {
   const Status log_ready =
@@ -50,34 +164,7 @@
   if (!log_ready.ok()) {
     return Fail("log_failed", log_ready.error());
   }
-  const auto manifest = agent_process::ReadManifestFile(settings.manifest_file);
-  if (!manifest.ok()) {
-    return Fail("manifest_failed", manifest.error());
-  }
-  Result<AgentSettings> complete =
-      agent_process::WithManifest(settings, **manifest);
-  if (!complete.ok()) {
-    return Fail("manifest_failed", complete.error());
-  }
-  AgentProcess process({.settings = std::move(complete.value()),
-                        .manifest = *manifest,
-                        .make_engine = engine::MakeEngine,
-                        .on_drained = [] { QCoreApplication::quit(); }});
-  const program::SignalWatcher signals(
-      {.on_terminate =
-           [&process](int count) {
-             count == 1 ? process.Drain() : QCoreApplication::quit();
-           },
-       .on_reload = [&settings, &process] { Reload(settings, process); }});
-  const Status started = process.Start();
-  if (!started.ok()) {
-    return Fail("start_failed", started.error());
-  }
-  log::Info("started",
-            {.endpoint = settings.agent.endpoint,
-             .fields = {{"port", process.port()},
-                        {"operations_port", process.operations_port()}}});
-  return QCoreApplication::exec();
+  return Agent(settings).Run();
 }
 
 int Main(int argc, char** argv) {
--- /dev/null
+++ b/src/configuration_client/configuration_client.h
@@ -0,0 +1,59 @@
+#ifndef CONFIGURATION_CLIENT_CONFIGURATION_CLIENT_H_
+#define CONFIGURATION_CLIENT_CONFIGURATION_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "configuration/configuration_follower.h"
+#include "framework/global/random_source.h"
+#include "platform/i_log.h"
+
+namespace acacialug::configuration_client {
+
+// The log's stream that holds manifests.
+inline constexpr std::string_view kConfigurationStream = "configuration";
+
+struct ClientOptions {
+  configuration::FollowerOptions follower;
+  // The platform's log; made once, on the client's thread.
+  std::unique_ptr<platform::ILog> log;
+  // A newer manifest is in force in this process; never one that is older.
+  std::function<void(const configuration::AcceptedManifest&)> on_in_force;
+  // A peer spoke of this offset and the log has not given it yet. May stay
+  // empty where no peer can be asked.
+  std::function<void(LogOffset)> on_ask_peer;
+};
+
+// A ConfigurationFollower with its timer and the log around it. Lives on one
+// thread with a Qt event loop; hooks run there, never from inside a call.
+class ConfigurationClient {
+ public:
+  ConfigurationClient(ClientOptions client_options, RandomSource& random);
+  ~ConfigurationClient();
+
+  // Begins to read. Call once.
+  void Start();
+
+  // A peer spoke of this offset.
+  void OnPeerOffset(LogOffset offset);
+
+  // A peer sent the manifest that was accepted at `offset`. Errors:
+  // kManifestInvalid, kManifestStale.
+  Status OnPeerManifest(LogOffset offset, const std::string& text);
+
+  // The process may serve under what is in force: it is the newest known.
+  bool ready() const;
+
+  // Null before the first.
+  const configuration::AcceptedManifest* in_force() const;
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace acacialug::configuration_client
+
+#endif  // CONFIGURATION_CLIENT_CONFIGURATION_CLIENT_H_
--- /dev/null
+++ b/src/configuration_client/internal/configuration_client.cc
@@ -0,0 +1,150 @@
+#include "configuration_client/configuration_client.h"
+
+#include <QObject>
+#include <QTimer>
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "framework/log/log.h"
+
+namespace acacialug::configuration_client {
+namespace {
+
+using configuration::FollowerAction;
+
+// Records of one answer; each may hold a whole manifest.
+constexpr std::size_t kRecordsPerRead = 16;
+
+}  // namespace
+
+class ConfigurationClient::Implementation {
+ public:
+  Implementation(ClientOptions client_options, RandomSource& random)
+      : options(std::move(client_options)),
+        follower(this->options.follower, random) {
+    this->timer.setSingleShot(true);
+    QObject::connect(&this->timer, &QTimer::timeout, [this] {
+      this->follower.OnTimer(MonotonicNow());
+      this->Pump();
+    });
+  }
+
+  void Start() {
+    this->follower.Start(MonotonicNow());
+    this->Pump();
+  }
+
+  void OnPeerOffset(LogOffset offset) {
+    this->follower.OnPeerOffset(offset, MonotonicNow());
+    this->Pump();
+  }
+
+  Status OnPeerManifest(LogOffset offset, const std::string& text) {
+    Status taken = this->follower.OnPeerManifest(offset, text);
+    this->Pump();
+    return taken;
+  }
+
+  const configuration::ConfigurationFollower& state() const {
+    return this->follower;
+  }
+
+ private:
+  void Pump() {
+    for (const FollowerAction& action : this->follower.TakeActions()) {
+      std::visit([this](const auto& concrete) { this->Do(concrete); }, action);
+    }
+    const Instant due = this->follower.next_timer();
+    if (due == kNever) {
+      this->timer.stop();
+      return;
+    }
+    this->timer.start(std::max(
+        std::chrono::ceil<std::chrono::milliseconds>(due - MonotonicNow()),
+        std::chrono::milliseconds(1)));
+  }
+
+  void Do(const configuration::ReadStream& read) {
+    this->options.log->ReadFrom(
+        std::string(kConfigurationStream), read.from, kRecordsPerRead,
+        read.wait, [this](const Result<platform::ILog::Read>& answer) {
+          this->OnRead(answer);
+        });
+  }
+
+  void Do(const configuration::AppendCheckpoint& append) {
+    // Lost or doubled does no harm: the next reader sees whether a newer copy
+    // is there, and a checkpoint changes nothing that is in force.
+    this->options.log->Append(std::string(kConfigurationStream), append.payload,
+                              [](const Result<LogOffset>&) {});
+  }
+
+  // From the event loop: whoever hears of it may call this client again.
+  void Do(const configuration::PutInForce& put) {
+    log::Info("manifest_in_force",
+              {.fields = {{"offset", put.accepted.manifest->offset},
+                          {"version", put.accepted.manifest->version}}});
+    QTimer::singleShot(0, &this->context, [this, accepted = put.accepted] {
+      this->options.on_in_force(accepted);
+    });
+  }
+
+  void Do(const configuration::AskPeer& ask) {
+    if (!this->options.on_ask_peer) {
+      return;
+    }
+    QTimer::singleShot(0, &this->context, [this, offset = ask.offset] {
+      this->options.on_ask_peer(offset);
+    });
+  }
+
+  void OnRead(const Result<platform::ILog::Read>& answer) {
+    const Instant now = MonotonicNow();
+    if (!answer.ok()) {
+      log::WriteLimited(this->limiter, now, log::Level::kWarning,
+                        "configuration_read_failed",
+                        {.code = answer.error().result_code(),
+                         .fields = {{"detail", answer.error().detail}}});
+    }
+    this->follower.OnRead(answer, now);
+    this->Pump();
+  }
+
+  ClientOptions options;
+  configuration::ConfigurationFollower follower;
+  log::RepeatLimiter limiter{{.window = 60s, .lines_per_window = 2}};
+  QTimer timer;
+  QObject context;  // ends what was posted with this
+};
+
+ConfigurationClient::ConfigurationClient(ClientOptions client_options,
+                                         RandomSource& random)
+    : implementation(std::make_unique<Implementation>(std::move(client_options),
+                                                      random)) {}
+
+ConfigurationClient::~ConfigurationClient() = default;
+
+void ConfigurationClient::Start() {
+  this->implementation->Start();
+}
+
+void ConfigurationClient::OnPeerOffset(LogOffset offset) {
+  this->implementation->OnPeerOffset(offset);
+}
+
+Status ConfigurationClient::OnPeerManifest(LogOffset offset,
+                                           const std::string& text) {
+  return this->implementation->OnPeerManifest(offset, text);
+}
+
+bool ConfigurationClient::ready() const {
+  return this->implementation->state().ready();
+}
+
+const configuration::AcceptedManifest* ConfigurationClient::in_force() const {
+  return this->implementation->state().in_force();
+}
+
+}  // namespace acacialug::configuration_client
