Test the agent's process over real frames

Cause: the process had been tried by hand only. Change: an entry's side over real frame channels and a fake engine: first manifest, a stream, garbage, a lost entry, drains, TLS, a taken port. Conclusion: the thin path of the agent stands under test.

--- /dev/null
+++ b/src/agent_process/tests/agent_process_test.cc
@@ -0,0 +1,287 @@
+#include "agent_process/agent_process.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "framework/http/tests/socket_support.h"
+#include "framework/net/frame_channel.h"
+#include "framework/testing/story.h"
+#include "protocol/message_codec.h"
+
+namespace acacialug::agent_process {
+namespace {
+
+using testing::It;
+using testing::Section;
+using testing::WaitUntil;
+
+const AttemptId kAttempt{.request = {.high = 1, .low = 2},
+                         .attempt = AttemptNumber(1),
+                         .entry = Incarnation(77)};
+const http::TlsFiles kTls{
+    .certificate_file =
+        ACACIALUG_SOURCE_DIR "/src/framework/http/tests/data/host.pem",
+    .key_file = ACACIALUG_SOURCE_DIR "/src/framework/http/tests/data/host.key",
+    .authority_file =
+        ACACIALUG_SOURCE_DIR "/src/framework/http/tests/data/authority.pem"};
+
+// Holds nothing, keeps what it is told, and answers by the test's hand.
+class FakeEngine : public engine::IEngine {
+ public:
+  std::vector<engine::EngineCommand> commands;
+  std::function<void(const engine::EngineEvent&)> tell;
+
+  void Execute(const engine::EngineCommand& command) override {
+    this->commands.push_back(command);
+    if (std::holds_alternative<engine::ListHeld>(command)) {
+      QTimer::singleShot(0, &this->context,
+                         [this] { this->tell(engine::Held{}); });
+    }
+  }
+  void SetOnEvent(
+      std::function<void(const engine::EngineEvent&)> on_event) override {
+    this->tell = std::move(on_event);
+  }
+  template <typename T>
+  bool Got() const {
+    return std::any_of(
+        this->commands.begin(), this->commands.end(),
+        [](const auto& command) { return std::holds_alternative<T>(command); });
+  }
+
+ private:
+  QObject context;
+};
+
+std::shared_ptr<manifest::Manifest> OneDecoder(std::uint64_t offset) {
+  auto manifest = std::make_shared<manifest::Manifest>();
+  manifest->offset = LogOffset(offset);
+  manifest->endpoints = {{.id = EndpointId("d1"),
+                          .domain = FailureDomain("hall-a"),
+                          .role = protocol::EndpointRole::kDecode,
+                          .kv_tokens = 1000,
+                          .slots = 4}};
+  return manifest;
+}
+
+struct Fixture {
+  FakeEngine* engine = nullptr;
+  bool drained = false;
+  LogOffset heard;
+  std::unique_ptr<AgentProcess> process;
+
+  explicit Fixture(const http::TlsFiles& tls = {}) {
+    AgentSettings settings;
+    settings.listen = {.ip = "127.0.0.1"};
+    settings.operations_listen = {.ip = "127.0.0.1"};
+    settings.peer_tls = tls;
+    settings.agent.endpoint = EndpointId("d1");
+    settings.agent.domain = FailureDomain("hall-a");
+    this->process = std::make_unique<AgentProcess>(AgentProcessOptions{
+        .settings = settings,
+        .make_engine =
+            [this](const engine::EngineOptions&) {
+              auto made = std::make_unique<FakeEngine>();
+              this->engine = made.get();
+              return made;
+            },
+        .on_manifest_heard = [this](LogOffset offset) { this->heard = offset; },
+        .on_drained = [this] { this->drained = true; }});
+    CPPUNIT_ASSERT(this->process->Start().ok());
+  }
+
+  void Serve() {
+    CPPUNIT_ASSERT(this->process->OnManifest(OneDecoder(1)).ok());
+    WaitUntil("ready", [this] { return this->process->status().ready(); });
+  }
+};
+
+// An entry's side of one connection.
+struct Peer {
+  net::FrameChannelPtr channel;
+  std::vector<protocol::AgentToEntry> received;
+  bool closed = false;
+
+  explicit Peer(const Fixture& fixture, const http::TlsFiles& tls = {}) {
+    this->channel = net::ConnectFrameChannel(
+        {.ip = "127.0.0.1", .port = fixture.process->port()}, {.tls = tls},
+        {.on_open =
+             [this] {
+               this->Send(protocol::Hello{.entry = EntryId("entry-1"),
+                                          .incarnation = Incarnation(77),
+                                          .manifest = LogOffset(9)});
+             },
+         .on_frame =
+             [this](const std::string& payload) {
+               this->received.push_back(*protocol::DecodeAgentToEntry(payload));
+             },
+         .on_closed = [this](const Error&) { this->closed = true; }});
+  }
+  void Send(const protocol::EntryToAgent& message) const {
+    CPPUNIT_ASSERT(this->channel->Send(protocol::Encode(message)));
+  }
+  template <typename T>
+  const T& Await() const {
+    const T* found = nullptr;
+    WaitUntil("a message of an agent", [this, &found] {
+      for (const auto& message : this->received) {
+        found = found != nullptr ? found : std::get_if<T>(&message);
+      }
+      return found != nullptr;
+    });
+    return *found;
+  }
+  // A stream that the engine has been told to start.
+  void StartStream(const Fixture& fixture) const {
+    this->Await<protocol::Welcome>();
+    this->Send(protocol::Reserve{
+        .attempt = kAttempt, .kv_tokens = 10, .start_within = 10s});
+    this->Await<protocol::Reserved>();
+    this->Send(protocol::StartDecode{.attempt = kAttempt,
+                                     .generation = {.max_tokens = 5},
+                                     .kv_tokens = 10,
+                                     .window_chunks = 10});
+    WaitUntil("a stream",
+              [&] { return fixture.engine->Got<engine::Decode>(); });
+  }
+};
+
+void EndStream(const Fixture& fixture) {
+  fixture.engine->tell(
+      engine::Text{.attempt = kAttempt, .text = " a", .tokens = 1});
+  fixture.engine->tell(engine::StreamDone{.attempt = kAttempt});
+}
+
+const testing::Story kProcess(
+    "an agent's process",
+    {Section("before its first manifest",
+             {It("answers operators, is not ready, and takes no entry",
+                 [] {
+                   const Fixture fixture;
+                   CPPUNIT_ASSERT(fixture.process->operations_port() != 0);
+                   CPPUNIT_ASSERT(fixture.process->port() == 0);
+                   CPPUNIT_ASSERT(!fixture.process->status().ready());
+                 }),
+              It("refuses one that does not fit, and takes the next",
+                 [] {
+                   Fixture fixture;
+                   const auto other = OneDecoder(1);
+                   other->endpoints[0].id = EndpointId("d2");
+                   const Status taken = fixture.process->OnManifest(other);
+                   CPPUNIT_ASSERT(!taken.ok());
+                   CPPUNIT_ASSERT(taken.error().result_code() ==
+                                  ResultCode::kManifestInvalid);
+                   fixture.Serve();
+                 }),
+              It("ends a drain at once",
+                 [] {
+                   Fixture fixture;
+                   fixture.process->Drain();
+                   WaitUntil("drained", [&] { return fixture.drained; });
+                 })}),
+     It("carries a stream from the engine to the entry",
+        [] {
+          Fixture fixture;
+          fixture.Serve();
+          const Peer peer(fixture);
+          peer.StartStream(fixture);
+          EndStream(fixture);
+          CPPUNIT_ASSERT(peer.Await<protocol::Chunk>().text == " a");
+          CPPUNIT_ASSERT(peer.Await<protocol::Ended>().chunks ==
+                         SequenceNumber(1));
+          CPPUNIT_ASSERT(fixture.process->status().held_attempts.empty());
+        }),
+     It("tells of a newer manifest that an entry spoke of",
+        [] {
+          Fixture fixture;
+          fixture.Serve();
+          const Peer peer(fixture);
+          peer.Await<protocol::Welcome>();
+          CPPUNIT_ASSERT(fixture.heard == LogOffset(9));
+        }),
+     It("ends the connection that sends garbage, and no other",
+        [] {
+          Fixture fixture;
+          fixture.Serve();
+          const Peer good(fixture);
+          const Peer bad(fixture);
+          bad.Await<protocol::Welcome>();
+          bad.channel->Send("garbage");
+          WaitUntil("closed", [&] { return bad.closed; });
+          good.Send(protocol::Renew{.incarnation = Incarnation(77)});
+          good.Await<protocol::Renewed>();
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                               fixture.process->status().counters.bad_frames);
+        }),
+     It("frees in the engine what a lost entry held",
+        [] {
+          Fixture fixture;
+          fixture.Serve();
+          const Peer peer(fixture);
+          peer.StartStream(fixture);
+          peer.channel->Close();
+          WaitUntil("an abort",
+                    [&] { return fixture.engine->Got<engine::Abort>(); });
+          CPPUNIT_ASSERT(fixture.process->status().held_attempts.empty());
+        }),
+     Section(
+         "that leaves",
+         {It("finishes its stream, refuses new work, and then tells",
+             [] {
+               Fixture fixture;
+               fixture.Serve();
+               const Peer peer(fixture);
+               peer.StartStream(fixture);
+               fixture.process->Drain();
+               peer.Await<protocol::Leaving>();
+               AttemptId second = kAttempt;
+               second.request.low = 3;
+               peer.Send(protocol::Reserve{.attempt = second, .kv_tokens = 1});
+               CPPUNIT_ASSERT(peer.Await<protocol::Refused>().code ==
+                              ResultCode::kDraining);
+               CPPUNIT_ASSERT(!fixture.drained);
+               EndStream(fixture);
+               WaitUntil("drained", [&] { return fixture.drained; });
+               peer.Await<protocol::Ended>();
+             }),
+          It("does so when a manifest no longer names it, until one does again",
+             [] {
+               Fixture fixture;
+               fixture.Serve();
+               const Peer peer(fixture);
+               peer.Await<protocol::Welcome>();
+               auto without = OneDecoder(2);
+               without->endpoints.clear();
+               CPPUNIT_ASSERT(fixture.process->OnManifest(without).ok());
+               peer.Await<protocol::Leaving>();
+               CPPUNIT_ASSERT(!fixture.process->status().ready());
+               CPPUNIT_ASSERT(fixture.process->OnManifest(OneDecoder(3)).ok());
+               CPPUNIT_ASSERT(fixture.process->status().ready());
+               CPPUNIT_ASSERT(!fixture.drained);
+             })}),
+     It("takes entries with a certificate of its authority, and only these",
+        [] {
+          Fixture fixture(kTls);
+          fixture.Serve();
+          const Peer plain(fixture);
+          const Peer peer(fixture, kTls);
+          peer.Await<protocol::Welcome>();
+          WaitUntil("closed", [&] { return plain.closed; });
+          CPPUNIT_ASSERT(plain.received.empty());
+          CPPUNIT_ASSERT(fixture.process->ReloadTls().ok());
+          const Peer later(fixture, kTls);
+          later.Await<protocol::Welcome>();
+        }),
+     It("does not start on a port that is taken", [] {
+       const Fixture first;
+       AgentSettings settings;
+       settings.operations_listen = {.ip = "127.0.0.1",
+                                     .port = first.process->operations_port()};
+       AgentProcess second({.settings = settings});
+       const Status started = second.Start();
+       CPPUNIT_ASSERT(!started.ok());
+       CPPUNIT_ASSERT(started.error().result_code() ==
+                      ResultCode::kAddressInUse);
+     })});
+
+}  // namespace
+}  // namespace acacialug::agent_process
--- a/src/engine/tests/scripted_server.h
+++ b/src/engine/tests/scripted_server.h
@@ -3,27 +3,17 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <QCoreApplication>
-#include <QDeadlineTimer>
-#include <QTimer>
 #include <functional>
 #include <vector>
 
 #include "engine/engine_factory.h"
 #include "framework/http/http_server.h"
+#include "framework/http/tests/socket_support.h"
 
 namespace acacialug::engine {
 
-// Runs the event loop until the condition holds; fails the test when it does
-// not for ten seconds (a guard against hanging, not a measure).
 inline void RunUntil(const std::function<bool()>& condition) {
-  const QDeadlineTimer deadline(std::chrono::seconds(10));
-  QTimer wake;
-  wake.start(std::chrono::milliseconds(5));
-  while (!condition()) {
-    CPPUNIT_ASSERT_MESSAGE("timed out", !deadline.hasExpired());
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
-  }
+  testing::WaitUntil("the engine's adapter", condition);
 }
 
 // An HTTP server on the test's own thread that answers by a script and keeps
