--- a/src/agent_process/internal/agent_process.cc
+++ b/src/agent_process/internal/agent_process.cc
@@ -72,8 +72,8 @@
     if (!complete.ok()) {
       return complete.error();
     }
-    auto made =
-        std::make_unique<AgentRuntime>(this->options, *complete, this->random);
+    auto made = std::make_unique<AgentRuntime>(this->options, *complete,
+                                               this->random, this->registry);
     Status started = made->Start();
     if (!started.ok()) {
       return started;
@@ -91,17 +91,19 @@
     server.limits.max_body_bytes = 4096;
     server.limits.max_connections = 64;
     server.make_handler = [this](int) {
-      return
-          [this](const http::Request& request, const http::ResponderPtr& to) {
-            to->SendWhole(
-                AnswerOperations(request, [this] { return this->status(); }));
-          };
+      return [this](const http::Request& request,
+                    const http::ResponderPtr& to) {
+        to->SendWhole(AnswerOperations(
+            request, {.status = [this] { return this->status(); },
+                      .histograms = [this] { return this->registry.Read(); }}));
+      };
     };
     return server;
   }
 
   AgentProcessOptions options;
   RandomSource random;
+  metrics::Registry registry;
   std::unique_ptr<AgentRuntime> runtime;  // from the first manifest on
   LogOffset manifest_offset;
   std::string manifest_version;
--- a/src/agent_process/internal/agent_runtime.cc
+++ b/src/agent_process/internal/agent_runtime.cc
@@ -27,10 +27,12 @@
 
 AgentRuntime::AgentRuntime(const AgentProcessOptions& process_options,
                            const AgentSettings& complete,
-                           RandomSource& random)
+                           RandomSource& random,
+                           metrics::Registry& registry)
     : options(process_options),
       settings(complete),
       incarnation(random.NextIncarnation()),
+      timings(registry),
       core(this->CoreOptions(), random),
       engine(process_options.make_engine(complete.engine)),
       sessions(this->SessionHooks(), this->counters),
@@ -137,6 +139,7 @@
 void AgentRuntime::OnEngineEvent(const engine::EngineEvent& event) {
   this->Count(event);
   const Instant now = MonotonicNow();
+  this->timings.OnEvent(event, now);
   this->core.OnEngineEvent(event, now);
   this->Pump(now);
 }
@@ -200,6 +203,7 @@
 }
 
 void AgentRuntime::Do(const agent::ExecuteOnEngine& action) {
+  this->timings.OnCommand(action.command, MonotonicNow());
   this->engine->Execute(action.command);
 }
 
--- a/src/agent_process/internal/agent_runtime.h
+++ b/src/agent_process/internal/agent_runtime.h
@@ -7,6 +7,7 @@
 
 #include "agent/agent_core.h"
 #include "agent_process/agent_process.h"
+#include "agent_process/internal/engine_timings.h"
 #include "agent_process/internal/session_table.h"
 #include "framework/log/repeat_limiter.h"
 #include "framework/net/frame_channel.h"
@@ -22,7 +23,8 @@
   // outlive this.
   AgentRuntime(const AgentProcessOptions& process_options,
                const AgentSettings& complete,
-               RandomSource& random);
+               RandomSource& random,
+               metrics::Registry& registry);
 
   // Listens for entries and asks the engine what it holds. Errors:
   // kAddressInUse, kCertificateInvalid.
@@ -64,6 +66,7 @@
   AgentSettings settings;
   Incarnation incarnation;
   ProcessCounters counters;
+  EngineTimings timings;
   log::RepeatLimiter limiter{{}};
   agent::AgentCore core;
   std::unique_ptr<engine::IEngine> engine;
--- a/src/agent_process/internal/operations_pages.h
+++ b/src/agent_process/internal/operations_pages.h
@@ -5,14 +5,20 @@
 
 #include "agent_process/types/agent_status.h"
 #include "framework/http/http_types.h"
+#include "framework/metrics/types/snapshot.h"
 
 namespace acacialug::agent_process {
 
+// Asked for only by the paths that need them.
+struct OperationsHooks {
+  std::function<AgentStatus()> status;
+  std::function<metrics::Snapshot()> histograms;
+};
+
 // Answers a request on the operations port: /healthz, /readyz, /metrics
-// (Prometheus text), /metrics.json and /status. `status` is asked for only by
-// the paths that need it. Thread: the agent's, for `status`.
+// (Prometheus text), /metrics.json and /status. Thread: that of the hooks.
 http::Response AnswerOperations(const http::Request& request,
-                                const std::function<AgentStatus()>& status);
+                                const OperationsHooks& hooks);
 
 }  // namespace acacialug::agent_process
 
