Let a shared prefix wait only as long as it is worth

Cause: rendezvous hashing within 1.25 times the mean work ahead sent prompts with new prefixes past idle engines, and a prefix that grew changed its home. Change: who computed the longest prefix last is preferred, then the rendezvous weight, among endpoints whose extra wait is below what the prefix saves; how much of the expected cache hits is true is learnt from the engines' counts.

--- a/src/admission/prediction_margin.h
+++ b/src/admission/prediction_margin.h
@@ -13,7 +13,7 @@
 class PredictionMargin {
  public:
   struct Options {
-    double quantile = 0.95;
+    double quantile = 0.9;
     Duration initial = 20ms;
     Duration step = 4ms;  // of one correction
     Duration most = 2s;
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -40,15 +40,15 @@
   this->implementation->OnDelivered(request, index, now);
 }
 
-void EntryCore::OnEndpointConnected(EndpointId endpoint, Instant now) {
+void EntryCore::OnEndpointConnected(const EndpointId& endpoint, Instant now) {
   this->implementation->OnEndpointConnected(endpoint, now);
 }
 
-void EntryCore::OnEndpointClosed(EndpointId endpoint, Instant now) {
+void EntryCore::OnEndpointClosed(const EndpointId& endpoint, Instant now) {
   this->implementation->OnEndpointClosed(endpoint, now);
 }
 
-void EntryCore::OnMessage(EndpointId endpoint,
+void EntryCore::OnMessage(const EndpointId& endpoint,
                           const protocol::AgentToEntry& message,
                           Instant now) {
   this->implementation->OnMessage(endpoint, message, now);
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -37,9 +37,9 @@
   // The caller has taken the answer's pieces up to and including `index`.
   void OnDelivered(RequestId request, std::uint64_t index, Instant now);
 
-  void OnEndpointConnected(EndpointId endpoint, Instant now);
-  void OnEndpointClosed(EndpointId endpoint, Instant now);
-  void OnMessage(EndpointId endpoint,
+  void OnEndpointConnected(const EndpointId& endpoint, Instant now);
+  void OnEndpointClosed(const EndpointId& endpoint, Instant now);
+  void OnMessage(const EndpointId& endpoint,
                  const protocol::AgentToEntry& message,
                  Instant now);
 
--- a/src/entry/internal/arrival_rules.cc
+++ b/src/entry/internal/arrival_rules.cc
@@ -38,11 +38,12 @@
 }
 
 template <typename Arrived>
-Result<RequestTerms> TermsOf(const Arrived& arrived,
-                             const manifest::Service& service,
-                             std::shared_ptr<const manifest::Manifest> manifest,
-                             Duration default_deadline,
-                             Instant now) {
+Result<RequestTerms> TermsOf(
+    const Arrived& arrived,
+    const manifest::Service& service,
+    const std::shared_ptr<const manifest::Manifest>& manifest,
+    Duration default_deadline,
+    Instant now) {
   const manifest::CallerLimits* const caller =
       manifest->FindCaller(arrived.caller);
   if (caller == nullptr && manifest->require_known_callers) {
@@ -59,7 +60,7 @@
       .request = arrived.request,
       .caller = arrived.caller,
       .share = caller == nullptr ? 1.0 : caller->share,
-      .manifest = std::move(manifest),
+      .manifest = manifest,
       .service = &service,
       .latency_class = latency_class,
       .arrival = now,
@@ -77,7 +78,7 @@
 
 Result<RequestTerms> ArrivalRules::ForGeneration(
     const GenerationArrived& arrived,
-    std::shared_ptr<const manifest::Manifest> manifest,
+    const std::shared_ptr<const manifest::Manifest>& manifest,
     Duration default_deadline,
     Instant now) {
   const manifest::Service* const service =
@@ -85,12 +86,12 @@
   if (service == nullptr) {
     return Error(ResultCode::kUnknownModel, arrived.generation.model.text);
   }
-  return TermsOf(arrived, *service, std::move(manifest), default_deadline, now);
+  return TermsOf(arrived, *service, manifest, default_deadline, now);
 }
 
 Result<RequestTerms> ArrivalRules::ForCall(
     const CallArrived& arrived,
-    std::shared_ptr<const manifest::Manifest> manifest,
+    const std::shared_ptr<const manifest::Manifest>& manifest,
     Duration default_deadline,
     Instant now) {
   const manifest::Service* const service =
@@ -98,7 +99,7 @@
   if (service == nullptr || service->kind != manifest::ServiceKind::kPlain) {
     return Error(ResultCode::kUnknownService, arrived.service.text);
   }
-  return TermsOf(arrived, *service, std::move(manifest), default_deadline, now);
+  return TermsOf(arrived, *service, manifest, default_deadline, now);
 }
 
 bool ArrivalRules::Idempotent(const manifest::Service& service,
--- a/src/entry/internal/arrival_rules.h
+++ b/src/entry/internal/arrival_rules.h
@@ -19,14 +19,14 @@
   // class).
   static Result<RequestTerms> ForGeneration(
       const GenerationArrived& arrived,
-      std::shared_ptr<const manifest::Manifest> manifest,
+      const std::shared_ptr<const manifest::Manifest>& manifest,
       Duration default_deadline,
       Instant now);
 
   // Errors: kUnknownService, kUnknownCaller, kInvalidHeader.
   static Result<RequestTerms> ForCall(
       const CallArrived& arrived,
-      std::shared_ptr<const manifest::Manifest> manifest,
+      const std::shared_ptr<const manifest::Manifest>& manifest,
       Duration default_deadline,
       Instant now);
 
--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -108,6 +108,9 @@
   const double expected = std::max(Seconds(this->prefill_expected), 1e-4);
   this->context.fleet.NoteSuccess(
       endpoint, Seconds(now - this->prefill.asked_at) / expected);
+  this->service.prefill_picker.Learn(
+      static_cast<double>(this->cached_expected),
+      static_cast<double>(prefilled.usage.cached_tokens));
   if (this->prompt_tokens_counted == 0 && !this->stream.Begun()) {
     this->prompt_tokens_counted = prefilled.usage.prompt_tokens;
     this->cached_tokens = prefilled.usage.cached_tokens;
--- a/src/entry/internal/generation_forecast.cc
+++ b/src/entry/internal/generation_forecast.cc
@@ -62,15 +62,20 @@
 
 Duration GenerationMachine::PrefillReadyIn(const placement::EndpointView& view,
                                            Instant now) const {
-  const std::uint64_t cached =
-      this->service.prefill_picker.CachedPieces(this->prefix, view) *
-      this->terms.service->piece_tokens;
-  const std::uint64_t tokens = this->PromptTokens();
   const Duration ahead = this->context.options.feasibility_counts_queue
                              ? view.WorkAhead(now)
                              : Duration::zero();
   return ahead + 2 * view.Distance() +
-         view.PrefillTime(tokens - std::min(cached, tokens));
+         view.PrefillTime(this->PromptTokens() - this->CachedTokens(view));
+}
+
+std::uint64_t GenerationMachine::CachedTokens(
+    const placement::EndpointView& view) const {
+  const double cached = this->service.prefill_picker.CachedTokens(
+      {.prefix = this->prefix,
+       .piece_tokens = this->terms.service->piece_tokens},
+      view);
+  return std::min(static_cast<std::uint64_t>(cached), this->PromptTokens());
 }
 
 placement::EndpointView* GenerationMachine::PickPrefill(Instant now) {
@@ -79,6 +84,7 @@
                                  protocol::EndpointRole::kPrefill),
       {.prompt_tokens = this->PromptTokens(),
        .prefix = this->prefix,
+       .piece_tokens = this->terms.service->piece_tokens,
        .tried = this->prefill.tried,
        .now = now},
       this->context.random);
--- a/src/entry/internal/generation_machine.cc
+++ b/src/entry/internal/generation_machine.cc
@@ -179,7 +179,9 @@
     return false;
   }
   this->prefill_expected = this->PrefillReadyIn(*view, now);
-  const Duration compute = view->PrefillTime(this->PromptTokens());
+  this->cached_expected = this->CachedTokens(*view);
+  const Duration compute =
+      view->PrefillTime(this->PromptTokens() - this->cached_expected);
   const Duration finish_within = this->TimeToFirstToken(now);
   this->BeginLeg(this->prefill, view->Id(), now);
   this->prefill.timeout_at =
--- a/src/entry/internal/generation_machine.h
+++ b/src/entry/internal/generation_machine.h
@@ -121,6 +121,7 @@
   bool ExportAlive(Instant now) const;
   placement::EndpointView* PickPrefill(Instant now);
   placement::EndpointView* PickDecode(Instant now);
+  std::uint64_t CachedTokens(const placement::EndpointView& view) const;
   Duration PrefillReadyIn(const placement::EndpointView& view,
                           Instant now) const;
   Duration TimeToFirstToken(Instant now) const;
@@ -153,6 +154,7 @@
   Instant prefill_at = kNever;  // a promised slot: not before
   std::uint32_t prompt_tokens_counted = 0;
   std::uint32_t cached_tokens = 0;
+  std::uint64_t cached_expected = 0;
   bool starting = false;  // counted in the concurrency limit
   Instant start_began_at{};
   Instant first_token_predicted{};
--- a/src/entry/tests/call_test.cc
+++ b/src/entry/tests/call_test.cc
@@ -12,7 +12,6 @@
 using protocol::Phase;
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 struct Ending {
   const char* name;
--- a/src/entry/tests/entry_driver.h
+++ b/src/entry/tests/entry_driver.h
@@ -48,7 +48,7 @@
     this->Collect();
     for (auto sent = this->sent.begin(); sent != this->sent.end(); ++sent) {
       if (const auto* message = std::get_if<Message>(&sent->message)) {
-        const Message found = *message;
+        Message found = *message;
         this->last_endpoint = sent->endpoint.text;
         if (endpoint != nullptr) {
           *endpoint = sent->endpoint.text;
--- a/src/placement/bench/placement_bench.cc
+++ b/src/placement/bench/placement_bench.cc
@@ -47,9 +47,10 @@
   const PlacementNeed need{.kv_tokens = 9000,
                            .prompt_tokens = 8000,
                            .prefix = prefix,
+                           .piece_tokens = 2048,
                            .tried = tried,
                            .now = Instant(2s)};
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(rule(pool.usable, need, random));
   }
 }
--- a/src/placement/prefill_picker.cc
+++ b/src/placement/prefill_picker.cc
@@ -1,65 +1,79 @@
 #include "placement/prefill_picker.h"
 
+#include <algorithm>
+#include <limits>
+
 #include "placement/types/hashing.h"
 
 namespace acacialug::placement {
 namespace {
 
-Duration MeanWorkAhead(Candidates candidates, const PlacementNeed& need) {
-  Duration total{};
-  std::int64_t count = 0;
-  for (const EndpointView* const view : candidates) {
-    if (!need.Tried(*view)) {
-      total += view->WorkAhead(need.now);
-      ++count;
+constexpr double kTrustWeight = 0.05;
+
+Duration ReadyIn(const EndpointView& view, const PlacementNeed& need) {
+  return view.WorkAhead(need.now) + 2 * view.Distance();
+}
+
+// The endpoint with the least work ahead; null when all were tried.
+EndpointView* LeastAhead(Candidates candidates, const PlacementNeed& need) {
+  EndpointView* least = nullptr;
+  Duration least_ahead{};
+  for (EndpointView* const view : candidates) {
+    if (need.Tried(*view)) {
+      continue;
+    }
+    const Duration ahead = ReadyIn(*view, need);
+    if (least == nullptr || ahead < least_ahead) {
+      least = view;
+      least_ahead = ahead;
     }
   }
-  return count == 0 ? Duration::zero() : total / count;
+  return least;
 }
 
 }  // namespace
 
 PrefillPicker::PrefillPicker(Options picker_options)
-    : options(picker_options), memory(this->options.remembered_pieces) {}
+    : options(picker_options),
+      memory(this->options.remembered_pieces),
+      trust(this->options.initial_trust) {}
 
-std::uint64_t PrefillPicker::AffinityKey(const PlacementNeed& need,
-                                         RandomSource& random) const {
-  if (need.prefix.empty()) {
-    return random.Next();
-  }
-  const std::size_t shared = this->memory.SharedPieces(need.prefix);
-  return need.prefix[shared == 0 ? 0 : shared - 1];
+Duration PrefillPicker::WorthWaiting(const PlacementNeed& need,
+                                     const EndpointView& view,
+                                     std::size_t shared) const {
+  const double own = Seconds(view.PrefillTime(need.prompt_tokens));
+  const double saved = Seconds(view.PrefillTime(shared * need.piece_tokens));
+  return FromSeconds(
+      std::max(this->trust * saved, this->options.speculation * own));
 }
 
 EndpointView* PrefillPicker::Pick(Candidates candidates,
                                   const PlacementNeed& need,
-                                  RandomSource& random) {
-  const std::uint64_t key = this->AffinityKey(need, random);
-  const Duration mean = MeanWorkAhead(candidates, need);
-  const Duration bound = FromSeconds(this->options.load_bound * Seconds(mean));
-  EndpointView* preferred = nullptr;
+                                  RandomSource&) {
+  EndpointView* const least = LeastAhead(candidates, need);
+  if (need.prefix.empty() || least == nullptr) {
+    return least;
+  }
+  const PrefixMemory::Known known = this->memory.Longest(need.prefix);
+  const std::uint64_t key =
+      need.prefix[std::max<std::size_t>(known.pieces, 1) - 1];
+  const Duration bound =
+      ReadyIn(*least, need) + this->WorthWaiting(need, *least, known.pieces);
+  EndpointView* preferred = least;
   std::uint64_t preferred_weight = 0;
-  EndpointView* least = nullptr;
-  Duration least_ahead{};
   for (EndpointView* const view : candidates) {
-    if (need.Tried(*view)) {
-      continue;
-    }
-    const Duration ahead = view->WorkAhead(need.now) + 2 * view->Distance();
-    if (least == nullptr || ahead < least_ahead) {
-      least = view;
-      least_ahead = ahead;
-    }
-    const std::uint64_t weight = RendezvousWeight(key, view->Key());
-    const Duration own = view->PrefillTime(need.prompt_tokens);
-    if (ahead <= bound + own &&
-        (preferred == nullptr || weight > preferred_weight)) {
+    // Who computed the longest prefix last goes before any weight.
+    const bool has_prefix = known.pieces > 0 && view->Key() == known.endpoint;
+    const std::uint64_t weight = has_prefix
+                                     ? std::numeric_limits<std::uint64_t>::max()
+                                     : RendezvousWeight(key, view->Key());
+    if (weight >= preferred_weight && ReadyIn(*view, need) <= bound &&
+        !need.Tried(*view)) {
       preferred = view;
       preferred_weight = weight;
     }
   }
-  // Without a prefix worth meeting again, the shortest queue wins.
-  return need.prefix.empty() || preferred == nullptr ? least : preferred;
+  return preferred;
 }
 
 void PrefillPicker::NoteSent(std::span<const std::uint64_t> prefix,
@@ -71,9 +85,17 @@
   this->memory.Forget(piece, view.Key());
 }
 
-std::size_t PrefillPicker::CachedPieces(std::span<const std::uint64_t> prefix,
-                                        const EndpointView& view) const {
-  return this->memory.PiecesAt(prefix, view.Key());
+double PrefillPicker::CachedTokens(const PlacementNeed& need,
+                                   const EndpointView& view) const {
+  const std::size_t pieces = this->memory.PiecesAt(need.prefix, view.Key());
+  return this->trust * static_cast<double>(pieces * need.piece_tokens);
+}
+
+void PrefillPicker::Learn(double expected, double cached) {
+  if (expected > 0) {
+    const double measured = std::min(this->trust * cached / expected, 1.0);
+    this->trust += kTrustWeight * (measured - this->trust);
+  }
 }
 
 }  // namespace acacialug::placement
--- a/src/placement/prefill_picker.h
+++ b/src/placement/prefill_picker.h
@@ -12,15 +12,21 @@
 // Picks prefill endpoints so that equal prefixes meet at the same engine:
 // rendezvous hashing (Thaler and Ravishankar, 1998) over the longest prefix
 // that was met before, among the endpoints whose work ahead is below a bound
-// (consistent hashing with bounded loads, Mirrokni et al., 2016). Entries
-// agree without talking, as they hash the same pieces. Not thread safe.
+// (after consistent hashing with bounded loads, Mirrokni et al., 2016).
+// Entries agree without talking, as they hash the same pieces.
+//
+// The bound is what the shared prefix is worth: nobody waits longer for an
+// engine that has it than computing it again elsewhere takes. Not thread
+// safe.
 class PrefillPicker {
  public:
   struct Options {
-    // An endpoint may have this multiple of the mean work ahead, plus the
-    // time of the prompt itself.
-    double load_bound = 1.25;
     std::size_t remembered_pieces = 8192;
+    // For a prefix not met before: part of the prompt's own time that may be
+    // waited so that the next one like it finds it where all entries look.
+    double speculation = 0.05;
+    // How much of what should be cached is, until the engines have told.
+    double initial_trust = 0.5;
   };
 
   explicit PrefillPicker(Options picker_options);
@@ -38,16 +44,23 @@
   // that nothing depends on them.
   void NoteEvicted(std::uint64_t piece, const EndpointView& view);
 
-  // Leading pieces of the prompt that this endpoint most likely has.
-  std::size_t CachedPieces(std::span<const std::uint64_t> prefix,
-                           const EndpointView& view) const;
+  // Tokens of the prompt that this endpoint most likely has cached: what it
+  // computed last, times the share of such that engines had kept.
+  double CachedTokens(const PlacementNeed& need,
+                      const EndpointView& view) const;
+
+  // An engine said how many tokens of the prompt it had; `expected` is what
+  // CachedTokens had said of it.
+  void Learn(double expected, double cached);
 
  private:
-  std::uint64_t AffinityKey(const PlacementNeed& need,
-                            RandomSource& random) const;
+  Duration WorthWaiting(const PlacementNeed& need,
+                        const EndpointView& view,
+                        std::size_t shared) const;
 
   Options options;
   PrefixMemory memory;
+  double trust;
 };
 
 }  // namespace acacialug::placement
--- a/src/placement/prefix_memory.cc
+++ b/src/placement/prefix_memory.cc
@@ -28,26 +28,26 @@
   }
 }
 
-std::size_t PrefixMemory::SharedPieces(
+PrefixMemory::Known PrefixMemory::Longest(
     std::span<const std::uint64_t> chain) const {
-  std::size_t shared = 0;
-  while (shared < chain.size() && this->by_piece.contains(chain[shared])) {
-    ++shared;
+  for (std::size_t pieces = chain.size(); pieces > 0; --pieces) {
+    const auto found = this->by_piece.find(chain[pieces - 1]);
+    if (found != this->by_piece.end()) {
+      return {.pieces = pieces, .endpoint = found->second->endpoint};
+    }
   }
-  return shared;
+  return {};
 }
 
 std::size_t PrefixMemory::PiecesAt(std::span<const std::uint64_t> chain,
                                    std::uint64_t endpoint) const {
-  std::size_t pieces = 0;
-  while (pieces < chain.size()) {
-    const auto found = this->by_piece.find(chain[pieces]);
-    if (found == this->by_piece.end() || found->second->endpoint != endpoint) {
-      break;
+  for (std::size_t pieces = chain.size(); pieces > 0; --pieces) {
+    const auto found = this->by_piece.find(chain[pieces - 1]);
+    if (found != this->by_piece.end() && found->second->endpoint == endpoint) {
+      return pieces;
     }
-    ++pieces;
   }
-  return pieces;
+  return 0;
 }
 
 }  // namespace acacialug::placement
--- a/src/placement/prefix_memory.h
+++ b/src/placement/prefix_memory.h
@@ -22,10 +22,15 @@
   // A cache event told that the endpoint dropped the piece.
   void Forget(std::uint64_t piece, std::uint64_t endpoint);
 
-  // The number of leading pieces that were met before, wherever.
-  std::size_t SharedPieces(std::span<const std::uint64_t> chain) const;
+  // The longest prefix that was met before, and who computed it last. Its
+  // pieces are counted from the first: who computed one had those before it.
+  struct Known {
+    std::size_t pieces = 0;  // 0: none
+    std::uint64_t endpoint = 0;
+  };
+  Known Longest(std::span<const std::uint64_t> chain) const;
 
-  // The number of leading pieces that this endpoint computed last.
+  // The number of leading pieces that this endpoint likely has.
   std::size_t PiecesAt(std::span<const std::uint64_t> chain,
                        std::uint64_t endpoint) const;
 
--- a/src/placement/tests/placement_test.cc
+++ b/src/placement/tests/placement_test.cc
@@ -96,11 +96,11 @@
            for (std::size_t count = 0; count < 9; ++count) {
              EndpointView* const view = pick(
                  pool.usable, {.tried = tried, .now = pool.now}, pool.random);
-             CPPUNIT_ASSERT(view != nullptr);
-             tried.push_back(view->Key());
+             tried.push_back(view == nullptr ? 0 : view->Key());
            }
            CPPUNIT_ASSERT_EQUAL(std::size_t{9},
                                 std::set(tried.begin(), tried.end()).size());
+           CPPUNIT_ASSERT(!std::set(tried.begin(), tried.end()).contains(0));
            CPPUNIT_ASSERT(pick(pool.usable, {.tried = tried}, pool.random) ==
                           nullptr);
          }),
@@ -119,16 +119,21 @@
           PrefillPicker here({});
           PrefillPicker there({});
           const protocol::PrefixChain prefix = {11, 12, 13};
-          const PlacementNeed need{
-              .prompt_tokens = 100, .prefix = prefix, .now = pool.now};
+          const PlacementNeed need{.prompt_tokens = 100,
+                                   .prefix = prefix,
+                                   .piece_tokens = 30,
+                                   .now = pool.now};
           EndpointView* const first = here.Pick(pool.usable, need, pool.random);
           CPPUNIT_ASSERT(there.Pick(pool.usable, need, pool.random) == first);
           here.NoteSent(prefix, *first);
-          CPPUNIT_ASSERT_EQUAL(std::size_t{3},
-                               here.CachedPieces(prefix, *first));
+          CPPUNIT_ASSERT_EQUAL(45.0, here.CachedTokens(need, *first));
           here.NoteEvicted(13, *first);
-          CPPUNIT_ASSERT_EQUAL(std::size_t{2},
-                               here.CachedPieces(prefix, *first));
+          CPPUNIT_ASSERT_EQUAL(30.0, here.CachedTokens(need, *first));
+          here.Learn(30, 0);  // the engine had none of it
+          CPPUNIT_ASSERT(here.CachedTokens(need, *first) < 30.0);
+          // 1 ms is less than what the prefix is worth, 10 s is more.
+          first->Report(Load(1, 1ms), pool.now);
+          CPPUNIT_ASSERT(here.Pick(pool.usable, need, pool.random) == first);
           first->Report(Load(1, 10s), pool.now);
           CPPUNIT_ASSERT(here.Pick(pool.usable, need, pool.random) != first);
         })});
