Keep only the own part of a manifest in an agent

Cause: with 12,000 endpoints (1.9 MB of text) an agent stayed at 48.9 MB resident, over the 32 MB for control. Change: the runtime keeps the endpoint's record and its service; memory of the reading goes back to the system. Measured: the same agent with a manifest file: 14.5 MB at rest; the peak while reading is still 53.4 MB, for 0.19 s of processor time. Conclusion: at rest it fits; at that size a change must not carry all endpoints to each agent, which is left for the configuration's design.

--- a/src/agent_process/internal/agent_process.cc
+++ b/src/agent_process/internal/agent_process.cc
@@ -30,7 +30,8 @@
     }
     this->manifest_offset = newest->offset;
     this->manifest_version = newest->version;
-    this->runtime->OnManifest(newest);
+    this->runtime->OnManifest(
+        OwnPartOf(*newest, this->options.settings.agent.endpoint));
     return Success{};
   }
 
--- a/src/agent_process/internal/manifest_options.cc
+++ b/src/agent_process/internal/manifest_options.cc
@@ -41,4 +41,21 @@
   return agent_settings;
 }
 
+std::shared_ptr<const manifest::Manifest> OwnPartOf(
+    const manifest::Manifest& manifest,
+    const EndpointId& endpoint) {
+  auto part = std::make_shared<manifest::Manifest>();
+  part->offset = manifest.offset;
+  part->replaces = manifest.replaces;
+  part->version = manifest.version;
+  if (const manifest::Endpoint* record = manifest.FindEndpoint(endpoint)) {
+    part->endpoints.push_back(*record);
+    if (const manifest::Service* service =
+            manifest.FindService(record->service)) {
+      part->services.push_back(*service);
+    }
+  }
+  return part;
+}
+
 }  // namespace acacialug::agent_process
--- a/src/agent_process/manifest_options.h
+++ b/src/agent_process/manifest_options.h
@@ -1,6 +1,8 @@
 #ifndef AGENT_PROCESS_MANIFEST_OPTIONS_H_
 #define AGENT_PROCESS_MANIFEST_OPTIONS_H_
 
+#include <memory>
+
 #include "agent_process/types/agent_settings.h"
 #include "framework/global/types/result.h"
 #include "manifest/types/manifest.h"
@@ -14,6 +16,13 @@
 Result<AgentSettings> WithManifest(AgentSettings agent_settings,
                                    const manifest::Manifest& manifest);
 
+// What an agent needs of a manifest: its own endpoint's record, if there is
+// one, and its service. Endpoints of the whole installation take many times
+// the memory of everything else in an agent. Thread safe.
+std::shared_ptr<const manifest::Manifest> OwnPartOf(
+    const manifest::Manifest& manifest,
+    const EndpointId& endpoint);
+
 }  // namespace acacialug::agent_process
 
 #endif  // AGENT_PROCESS_MANIFEST_OPTIONS_H_
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <QCoreApplication>
 #include <QTimer>
 #include <chrono>
@@ -90,6 +92,7 @@
     }
     auto numbered = std::make_shared<manifest::Manifest>(**read);
     numbered->offset = LogOffset(this->file_readings++);
+    this->GiveMemoryBack();
     return this->process.OnManifest(numbered);
   }
 
@@ -117,6 +120,7 @@
                 *this->settings.platform_log, *this->log_client),
             .on_in_force =
                 [this](const configuration::AcceptedManifest& accepted) {
+                  this->GiveMemoryBack();
                   const Status taken =
                       this->process.OnManifest(accepted.manifest);
                   if (!taken.ok()) {
@@ -127,6 +131,12 @@
     this->configuration->Start();
   }
 
+  // Reading a manifest of many endpoints takes many times what is kept of it;
+  // the allocator would hold on to that for the life of the process.
+  void GiveMemoryBack() {
+    QTimer::singleShot(0, &this->first_manifest_timer, [] { malloc_trim(0); });
+  }
+
   void Terminate(int count) {
     if (count == 1) {
       this->process.Drain();
