--- a/src/app/standin/main.cc
+++ b/src/app/standin/main.cc
@@ -1,10 +1,9 @@
 #include <QCoreApplication>
-#include <iostream>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "framework/log/log.h"
 #include "framework/program/program.h"
 #include "framework/program/signal_watcher.h"
 #include "standin/settings.h"
@@ -21,21 +20,22 @@
   std::unique_ptr<WeightStoreServer> weights;
 };
 
-// Scripts wait for this line.
+// Scripts wait for its line "listening".
 template <typename Server>
-bool StartOne(Server& server, const char* kind, const std::string& id) {
+bool StartOne(Server& server, const std::string& kind, const std::string& id) {
   const Status started = server.Start();
   if (!started.ok()) {
-    std::cerr << kind << " " << id << ": " << started.error().code.message()
-              << ": " << started.error().detail << std::endl;
+    log::Error(
+        "listen_failed",
+        {.code = started.error().result_code(),
+         .fields = {
+             {"kind", kind}, {"id", id}, {"detail", started.error().detail}}});
     return false;
   }
-  std::cout << nlohmann::json{{"event", "listening"},
-                              {"kind", kind},
-                              {"id", id},
-                              {"address", http::ToString(server.address())}}
-                   .dump()
-            << std::endl;
+  log::Info("listening",
+            {.fields = {{"kind", kind},
+                        {"id", id},
+                        {"address", http::ToString(server.address())}}});
   return true;
 }
 
--- a/src/standin/internal/platform_models.cc
+++ b/src/standin/internal/platform_models.cc
@@ -85,7 +85,7 @@
   }
 }
 
-HostListModel::HostListModel(HostListOptions host_options)
+HostListModel::HostListModel(const HostListOptions& host_options)
     : lag(host_options.lag) {
   for (const platform::HostRecord& record : host_options.hosts) {
     this->hosts[record.host] = record.state;
--- a/src/standin/platform_models.h
+++ b/src/standin/platform_models.h
@@ -68,7 +68,7 @@
 // Live and leaving hosts; a change shows after the lag.
 class HostListModel {
  public:
-  explicit HostListModel(HostListOptions host_options);
+  explicit HostListModel(const HostListOptions& host_options);
 
   void Set(const HostId& host, platform::HostState state, Instant now);
   void Remove(const HostId& host, Instant now);
--- a/src/standin/tests/engine_model_test.cc
+++ b/src/standin/tests/engine_model_test.cc
@@ -18,7 +18,6 @@
 
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 // Figures that make sums easy: an iteration takes 10 ms, a thousand prompt
 // tokens one second, a prompt token's transfer a microsecond.
@@ -377,7 +376,7 @@
        engine.Abort("a", bench.now);
        bench.RunFor(100ms);
        CPPUNIT_ASSERT_EQUAL(std::string("b:stream:110 "), HeldNames(engine));
-       CPPUNIT_ASSERT(bench.TextOf("b").size() > 0);
+       CPPUNIT_ASSERT(!bench.TextOf("b").empty());
      })});
 
 struct RefusalRow {
--- a/src/standin/tests/engine_server_test.cc
+++ b/src/standin/tests/engine_server_test.cc
@@ -12,7 +12,6 @@
 using testing::CountOf;
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 using testing::WaitUntil;
 
 EngineServerOptions Quick(const std::string& id) {
--- a/src/standin/tests/fakes_test.cc
+++ b/src/standin/tests/fakes_test.cc
@@ -13,7 +13,6 @@
 
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 // Virtual time with tasks.
 struct Clock {
--- a/src/standin/tests/platform_server_test.cc
+++ b/src/standin/tests/platform_server_test.cc
@@ -10,7 +10,6 @@
 using nlohmann::json;
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 using testing::WaitUntil;
 
 constexpr const char* kRecords = "/streams/config/records";
--- a/src/standin/tests/reference_answer_test.cc
+++ b/src/standin/tests/reference_answer_test.cc
@@ -13,7 +13,6 @@
 using protocol::GenerationApi;
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 struct BodyRow {
   GenerationApi api;
--- a/src/standin/tests/server_support.h
+++ b/src/standin/tests/server_support.h
@@ -56,7 +56,7 @@
                  const std::string& target,
                  const std::string& body = "",
                  http::Headers headers = {}) {
-    const AnswerPtr answer =
+    AnswerPtr answer =
         this->Start(address, method, target, body, std::move(headers));
     testing::WaitUntil(target, [&] { return answer->over(); });
     return answer;
--- a/src/standin/types/platform_options.h
+++ b/src/standin/types/platform_options.h
@@ -15,7 +15,7 @@
   Duration retain_age{};
   // Over all streams; zero: no limit. A second's worth may come at once.
   double appends_per_second = 500;
-  std::uint64_t max_record_bytes = 1024 * 1024;
+  std::uint64_t max_record_bytes = std::uint64_t{1} << 20U;
 };
 
 struct HostListOptions {
