--- a/fuzz/settings_fuzz.cc
+++ b/fuzz/settings_fuzz.cc
@@ -1,9 +1,8 @@
-#include <cstdint>
 #include <string>
-#include <string_view>
 
 #include "framework/settings/reader.h"
 #include "framework/settings/units.h"
+#include "fuzz_support.h"
 
 namespace acacialug::settings {
 namespace {
@@ -27,13 +26,6 @@
   }
 }
 
-// A fault stops the fuzzer by a trap.
-void Require(bool condition) {
-  if (!condition) {
-    __builtin_trap();
-  }
-}
-
 }  // namespace
 }  // namespace acacialug::settings
 
@@ -41,19 +33,19 @@
 // line, and a duration that reads is written back as one that reads alike.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
-  using namespace acacialug::settings;
-  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-  const std::string_view text(reinterpret_cast<const char*>(data), size);
-  Reader reader = Reader::FromText("fuzz", text);
-  ReadAll(reader.Root(), /*depth=*/3);
+  using namespace acacialug;
+  const std::string_view text = fuzz::Text(data, size);
+  settings::Reader reader = settings::Reader::FromText("fuzz", text);
+  settings::ReadAll(reader.Root(), /*depth=*/3);
   const auto problems = reader.Finish();
-  Require(problems.size() <= Reader::kMaximumProblems);
-  for (const Problem& problem : problems) {
-    Require(problem.code != acacialug::ResultCode::kOk);
-    Require(ToString(problem).find('\n') == std::string::npos);
+  fuzz::Require(problems.size() <= settings::Reader::kMaximumProblems);
+  for (const settings::Problem& problem : problems) {
+    fuzz::Require(problem.code != ResultCode::kOk);
+    fuzz::Require(ToString(problem).find('\n') == std::string::npos);
   }
-  if (const auto duration = ParseDuration(text)) {
-    Require(ParseDuration(ToString(*duration)) == duration);
+  if (const auto duration = settings::ParseDuration(text)) {
+    fuzz::Require(settings::ParseDuration(settings::ToString(*duration)) ==
+                  duration);
   }
   return 0;
 }
