Pass the linter in the agent's tests

Cause: parameters copied and names unused in five test files. Change: references and fewer using declarations; no check changed.

--- a/src/agent/tests/agent_bench.h
+++ b/src/agent/tests/agent_bench.h
@@ -45,10 +45,11 @@
     this->Say(protocol::Hello{.entry = EntryId(id), .incarnation = entry},
               session);
   }
-  void Say(protocol::EntryToAgent message, SessionId session = kSession) {
+  void Say(const protocol::EntryToAgent& message,
+           SessionId session = kSession) {
     this->core.OnMessage(session, message, this->now);
   }
-  void Engine(engine::EngineEvent event) {
+  void Engine(const engine::EngineEvent& event) {
     this->core.OnEngineEvent(event, this->now);
   }
 
--- a/src/agent/tests/engine_care_test.cc
+++ b/src/agent/tests/engine_care_test.cc
@@ -11,7 +11,6 @@
 using protocol::EndpointRole;
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 const Instant kNow{1000s};
 
@@ -152,7 +151,7 @@
   bool ordered_when_busy;
 };
 
-engine::EngineState StateOf(engine::Order order) {
+engine::EngineState StateOf(const engine::Order& order) {
   return {.fence = order.fence,
           .model = order.model,
           .version = order.version,
@@ -160,7 +159,8 @@
           .role = order.role};
 }
 
-engine::EngineState Changed(std::function<void(engine::EngineState&)> change) {
+engine::EngineState Changed(
+    const std::function<void(engine::EngineState&)>& change) {
   engine::EngineState state = StateOf(Wanted(5));
   change(state);
   return state;
--- a/src/agent/tests/once_ledger_test.cc
+++ b/src/agent/tests/once_ledger_test.cc
@@ -11,7 +11,6 @@
 using protocol::Outcome;
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 const Instant kNow{1000s};
 
--- a/src/agent/tests/prefill_test.cc
+++ b/src/agent/tests/prefill_test.cc
@@ -12,7 +12,6 @@
 using protocol::EndpointRole;
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 const Instant kNow{1000s};
 
--- a/src/agent/tests/random_order_test.cc
+++ b/src/agent/tests/random_order_test.cc
@@ -14,7 +14,6 @@
 using protocol::Outcome;
 using protocol::Phase;
 using testing::ForEach;
-using testing::It;
 
 // Random inputs in random order, with so few names that they collide, and the
 // promises that hold whatever the order. Repeats by its seed.
--- a/src/agent/tests/sessions_and_attempts_test.cc
+++ b/src/agent/tests/sessions_and_attempts_test.cc
@@ -10,7 +10,6 @@
 
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 constexpr SessionId kOther{2};
 constexpr Incarnation kSuccessor{101};
