Put sockets, shards and the callers' API around the entry's core

Cause: the entry's decisions had no process around them. Measured: 173 tests pass, of them 9 over sockets against agents on loopback. Conclusion: a request runs through the entry; load and memory are yet to be measured.

--- /dev/null
+++ b/src/entry_process/entry_process.cc
@@ -0,0 +1,261 @@
+#include "entry_process/entry_process.h"
+
+#include <QObject>
+#include <QTimer>
+#include <chrono>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "entry_process/internal/caller_request.h"
+#include "entry_process/internal/entry_measures.h"
+#include "entry_process/internal/error_answer.h"
+#include "entry_process/internal/operations_pages.h"
+#include "entry_process/internal/process_state.h"
+#include "entry_process/internal/shard.h"
+#include "framework/http/http_server.h"
+#include "framework/log/log.h"
+
+namespace acacialug::entry_process {
+namespace {
+
+constexpr auto kDrainCheckInterval = std::chrono::milliseconds(20);
+
+std::chrono::milliseconds Milliseconds(Duration duration) {
+  return std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
+// Names requests that never reach a shard. Thread safe.
+class RequestNames {
+ public:
+  explicit RequestNames(std::uint64_t seed) : random(seed) {}
+
+  RequestId Next() {
+    const std::scoped_lock lock(this->mutex);
+    return this->random.NextRequestId();
+  }
+
+ private:
+  std::mutex mutex;
+  RandomSource random;  // guarded by mutex
+};
+
+}  // namespace
+
+class EntryProcess::Implementation {
+ public:
+  Implementation(EntryProcessOptions process_options,
+                 metrics::Registry& metrics_registry,
+                 std::function<void(bool)> drained_hook);
+
+  Status Start();
+  void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
+  void Drain();
+
+  http::Server& callers() { return *this->callers_server; }
+  http::Server& operations() { return *this->operations_server; }
+
+ private:
+  void MakeCallersServer();
+  void MakeOperationsServer();
+  http::RequestHandler MakeShard(int index);
+  // Runs `task` on each shard's thread, with the shard.
+  void OnEachShard(const std::function<void(Shard&)>& task);
+  void StopTakingRequests();
+  void CheckDrained();
+  void FinishDrain(bool whole);
+
+  const EntryProcessOptions options;
+  std::function<void(bool)> on_drained;
+  RandomSource random = RandomSource::FromSystem();
+  RequestNames request_names;
+  ProcessState state;
+  EntryMeasures measures;
+  OperationsPages pages;
+  log::RepeatLimiter log_limiter;
+  std::vector<std::uint64_t> seeds;
+  // Each is touched on its own shard's thread only.
+  std::vector<std::unique_ptr<Shard>> shards;
+  QObject context;
+  QTimer drain_check;
+  Instant drain_until = kNever;
+  // Last, so that their threads end before what the shards use.
+  std::unique_ptr<http::Server> operations_server;
+  std::unique_ptr<http::Server> callers_server;
+};
+
+EntryProcess::Implementation::Implementation(
+    EntryProcessOptions process_options,
+    metrics::Registry& metrics_registry,
+    std::function<void(bool)> drained_hook)
+    : options(std::move(process_options)),
+      on_drained(std::move(drained_hook)),
+      request_names(this->random.Next()),
+      state({.entry = this->options.core.id,
+             .incarnation = this->options.core.incarnation,
+             .shards = this->options.shards,
+             .ready_wait = this->options.ready_wait,
+             .started = MonotonicNow()}),
+      measures(metrics_registry),
+      pages({.state = this->state, .registry = metrics_registry}),
+      log_limiter({}),
+      shards(this->options.shards) {
+  for (int shard = 0; shard < this->options.shards; ++shard) {
+    this->seeds.push_back(this->random.Next());
+  }
+  QObject::connect(&this->drain_check, &QTimer::timeout, &this->context,
+                   [this] { this->CheckDrained(); });
+  this->MakeCallersServer();
+  if (this->options.operations_listen) {
+    this->MakeOperationsServer();
+  }
+}
+
+void EntryProcess::Implementation::MakeCallersServer() {
+  this->callers_server = std::make_unique<http::Server>(http::ServerOptions{
+      .listen = this->options.listen,
+      .limits = this->options.limits,
+      .tls = this->options.tls,
+      .shard_threads = this->options.shards,
+      .make_handler = [this](int shard) { return this->MakeShard(shard); },
+      .on_shard_end = [this](int shard) { this->shards[shard].reset(); },
+      .render_error =
+          [this](int /*status*/, const Error& error) {
+            this->measures.OnBadRequest(error.result_code());
+            return RenderRefusal(
+                error, {}, IdentityHeaders(this->request_names.Next(), {}));
+          }});
+}
+
+// The operations port is the operators' own: its few pages are served on the
+// main thread, within small bounds.
+void EntryProcess::Implementation::MakeOperationsServer() {
+  this->operations_server = std::make_unique<http::Server>(http::ServerOptions{
+      .listen = *this->options.operations_listen,
+      .limits = {.max_body_bytes = 1024, .max_connections = 64},
+      .make_handler =
+          [this](int /*shard*/) {
+            return [this](const http::Request& request,
+                          const http::ResponderPtr& responder) {
+              responder->SendWhole(this->pages.Answer(request, MonotonicNow()));
+            };
+          },
+      .render_error =
+          [](int /*status*/, const Error& error) {
+            return RenderRefusal(error, {}, {});
+          }});
+}
+
+http::RequestHandler EntryProcess::Implementation::MakeShard(int index) {
+  this->shards[index] =
+      std::make_unique<Shard>(Shard::Options{.index = index,
+                                             .seed = this->seeds[index],
+                                             .process = this->options,
+                                             .state = this->state,
+                                             .measures = this->measures,
+                                             .log_limiter = this->log_limiter});
+  return [shard = this->shards[index].get()](http::Request request,
+                                             http::ResponderPtr responder) {
+    shard->Handle(std::move(request), std::move(responder));
+  };
+}
+
+Status EntryProcess::Implementation::Start() {
+  if (this->operations_server != nullptr) {
+    Status started = this->operations_server->Start();
+    if (!started.ok()) {
+      return started;
+    }
+  }
+  return this->callers_server->Start();
+}
+
+void EntryProcess::Implementation::OnEachShard(
+    const std::function<void(Shard&)>& task) {
+  for (int index = 0; index < this->options.shards; ++index) {
+    this->callers_server->PostToShard(index, [this, index, task] {
+      if (this->shards[index] != nullptr) {
+        task(*this->shards[index]);
+      }
+    });
+  }
+}
+
+void EntryProcess::Implementation::SetManifest(
+    std::shared_ptr<const manifest::Manifest> newest) {
+  this->state.SetManifest(newest);
+  log::Info("manifest_in_force", {.fields = {{"offset", newest->offset},
+                                             {"version", newest->version}}});
+  this->OnEachShard([newest](Shard& shard) { shard.SetManifest(newest); });
+}
+
+void EntryProcess::Implementation::Drain() {
+  if (this->state.draining()) {
+    return;
+  }
+  this->state.BeginDrain();
+  log::Info("drain_begun",
+            {.fields = {{"delay_ms", this->options.drain_delay},
+                        {"grace_ms", this->options.drain_grace}}});
+  QTimer::singleShot(Milliseconds(this->options.drain_delay), &this->context,
+                     [this] { this->StopTakingRequests(); });
+}
+
+void EntryProcess::Implementation::StopTakingRequests() {
+  this->OnEachShard([](Shard& shard) { shard.BeginDrain(); });
+  this->callers_server->StopAccepting();
+  this->drain_until = MonotonicNow() + this->options.drain_grace;
+  this->drain_check.start(kDrainCheckInterval);
+}
+
+void EntryProcess::Implementation::CheckDrained() {
+  const bool whole =
+      this->state.AllDrained() && this->callers_server->open_connections() == 0;
+  if (whole || MonotonicNow() >= this->drain_until) {
+    this->drain_check.stop();
+    this->FinishDrain(whole);
+  }
+}
+
+void EntryProcess::Implementation::FinishDrain(bool whole) {
+  log::Info("drain_ended",
+            {.fields = {{"whole", whole},
+                        {"cut_requests", this->state.AliveRequests()}}});
+  this->on_drained(whole);
+}
+
+EntryProcess::EntryProcess(EntryProcessOptions options,
+                           metrics::Registry& registry,
+                           std::function<void(bool whole)> on_drained)
+    : implementation(std::make_unique<Implementation>(std::move(options),
+                                                      registry,
+                                                      std::move(on_drained))) {}
+
+EntryProcess::~EntryProcess() = default;
+
+Status EntryProcess::Start() {
+  return this->implementation->Start();
+}
+
+std::uint16_t EntryProcess::port() const {
+  return this->implementation->callers().port();
+}
+
+std::uint16_t EntryProcess::operations_port() const {
+  return this->implementation->operations().port();
+}
+
+void EntryProcess::SetManifest(
+    std::shared_ptr<const manifest::Manifest> newest) {
+  this->implementation->SetManifest(std::move(newest));
+}
+
+void EntryProcess::Drain() {
+  this->implementation->Drain();
+}
+
+Status EntryProcess::ReloadTls() {
+  return this->implementation->callers().ReloadTls();
+}
+
+}  // namespace acacialug::entry_process
--- /dev/null
+++ b/src/entry_process/entry_process.h
@@ -0,0 +1,54 @@
+#ifndef ENTRY_PROCESS_ENTRY_PROCESS_H_
+#define ENTRY_PROCESS_ENTRY_PROCESS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "entry_process/types/entry_process_options.h"
+#include "framework/global/types/result.h"
+#include "framework/metrics/registry.h"
+#include "manifest/types/manifest.h"
+
+namespace acacialug::entry_process {
+
+// An entry: callers' port, operations port, and a shard with its own
+// EntryCore for each thread. Lives on the main thread with a running Qt event
+// loop; no method is thread safe.
+class EntryProcess {
+ public:
+  // `registry` outlives this object. `on_drained` runs once after Drain, when
+  // every request has its answer and every connection ended, or when the
+  // grace is over (`whole` false: something was cut off).
+  EntryProcess(EntryProcessOptions options,
+               metrics::Registry& registry,
+               std::function<void(bool whole)> on_drained);
+  ~EntryProcess();
+
+  // Listens on both ports. Errors: kAddressInUse, kCertificateInvalid.
+  Status Start();
+
+  // The ports listened on. Precondition: Start succeeded (and, for the
+  // operations port, that there is one).
+  std::uint16_t port() const;
+  std::uint16_t operations_port() const;
+
+  // A newer manifest is in force, in all shards.
+  void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
+
+  // Leaves: /readyz fails at once; after drain_delay new requests are refused
+  // and idle connections closed; what runs goes on to its end. Safe to repeat.
+  void Drain();
+
+  // Loads the certificates anew. Errors: kCertificateInvalid (the old ones
+  // stay).
+  Status ReloadTls();
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_ENTRY_PROCESS_H_
--- /dev/null
+++ b/src/entry_process/internal/claims_log.h
@@ -0,0 +1,40 @@
+#ifndef ENTRY_PROCESS_INTERNAL_CLAIMS_LOG_H_
+#define ENTRY_PROCESS_INTERNAL_CLAIMS_LOG_H_
+
+#include <functional>
+#include <memory>
+
+#include "entry/types/entry_messages.h"
+#include "platform/i_log.h"
+
+namespace acacialug::entry_process {
+
+// The stream of the platform's log that holds claims on idempotency keys.
+inline constexpr char kClaimsStream[] = "claims";
+
+// Carries a core's claims to the platform's log and the outcomes back, in the
+// core's terms: an append is only ever told as not appended when the log says
+// so. Without a log every append is not appended and every read unreachable.
+// Lives on its shard's thread; hooks run there, never from inside a call.
+class ClaimsLog {
+ public:
+  struct Hooks {
+    std::function<void(const entry::ClaimsAppended& appended)> on_appended;
+    std::function<void(const entry::ClaimsRead& read)> on_read;
+  };
+
+  ClaimsLog(std::unique_ptr<platform::ILog> platform_log, Hooks hooks);
+
+  void Append(const entry::AppendClaims& append);
+  void Read(const entry::ReadClaims& read);
+
+ private:
+  std::unique_ptr<platform::ILog> log;
+  const Hooks hooks;
+  // Outcomes that come after this object's end are dropped.
+  std::shared_ptr<const bool> alive = std::make_shared<const bool>(true);
+};
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_INTERNAL_CLAIMS_LOG_H_
--- /dev/null
+++ b/src/entry_process/internal/generation_parser.h
@@ -0,0 +1,30 @@
+#ifndef ENTRY_PROCESS_INTERNAL_GENERATION_PARSER_H_
+#define ENTRY_PROCESS_INTERNAL_GENERATION_PARSER_H_
+
+#include <string>
+
+#include "framework/global/types/result.h"
+#include "protocol/types/generation.h"
+
+namespace acacialug::entry_process {
+
+// A generation as a caller asked for it.
+struct ParsedGeneration {
+  protocol::GenerationRequest generation;  // max_tokens 0: not said
+  std::string prompt_text;  // what the model reads, message by message
+  std::string user;         // the API's `user`; empty: not said
+  bool stream = false;
+  bool include_usage = false;  // a last event with the usage
+};
+
+// Reads the body of a chat or plain completion. Parameters for the sampler
+// pass through unseen; those that change the answer's shape, or that this
+// system sets itself, are refused, since an answer that goes on at another
+// endpoint after a loss could not keep them whole. Errors: kMalformedJson,
+// kInvalidParameter with the parameter's name. Thread safe.
+Result<ParsedGeneration> ParseGeneration(protocol::GenerationApi api,
+                                         std::string body);
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_INTERNAL_GENERATION_PARSER_H_
--- /dev/null
+++ b/src/entry_process/internal/operations_pages.h
@@ -0,0 +1,40 @@
+#ifndef ENTRY_PROCESS_INTERNAL_OPERATIONS_PAGES_H_
+#define ENTRY_PROCESS_INTERNAL_OPERATIONS_PAGES_H_
+
+#include "entry_process/internal/process_state.h"
+#include "framework/global/types/instant.h"
+#include "framework/http/http_types.h"
+#include "framework/metrics/registry.h"
+
+namespace acacialug::entry_process {
+
+// The pages of the operations port: /metrics (Prometheus text),
+// /metrics.json, /status, /healthz and /readyz, by GET or HEAD.
+class OperationsPages {
+ public:
+  struct Options {
+    ProcessState& state;  // both outlive this object
+    metrics::Registry& registry;
+  };
+
+  explicit OperationsPages(Options options);
+
+  // Errors are answered as on the callers' port. Thread safe.
+  http::Response Answer(const http::Request& request, Instant now);
+
+ private:
+  metrics::Snapshot ReadMetrics();
+
+  const Options options;
+  const metrics::Gauge alive_requests;
+};
+
+// The answer of /healthz: the process runs. Thread safe.
+http::Response RenderHealth();
+
+// The answer of /readyz: 200, or 503 and why. Thread safe.
+http::Response RenderReadiness(const Readiness& readiness);
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_INTERNAL_OPERATIONS_PAGES_H_
--- /dev/null
+++ b/src/entry_process/internal/process_state.h
@@ -0,0 +1,99 @@
+#ifndef ENTRY_PROCESS_INTERNAL_PROCESS_STATE_H_
+#define ENTRY_PROCESS_INTERNAL_PROCESS_STATE_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/instant.h"
+#include "manifest/types/manifest.h"
+#include "protocol/types/messages.h"
+
+namespace acacialug::entry_process {
+
+// One endpoint as a shard sees it.
+struct EndpointView {
+  bool connected = false;
+  Incarnation incarnation;
+  protocol::EndpointLoad load;
+};
+
+// What a shard shows of itself; written by the shard, read by anyone.
+class ShardBoard {
+ public:
+  // Thread safe, all of them.
+  void SetRequests(std::size_t alive, bool is_drained);
+  // The endpoint's agent answered the opening of a session.
+  void SetWelcomed(const EndpointId& endpoint, Incarnation incarnation);
+  void SetClosed(const EndpointId& endpoint);
+  void Remove(const EndpointId& endpoint);
+  void SetLoad(const EndpointId& endpoint, const protocol::EndpointLoad& load);
+
+  std::size_t alive() const { return this->alive_requests.load(); }
+  bool drained() const { return this->is_drained.load(); }
+  std::map<EndpointId, EndpointView> Endpoints() const;
+
+ private:
+  std::atomic<std::size_t> alive_requests = 0;
+  std::atomic<bool> is_drained = false;
+  mutable std::mutex mutex;
+  std::map<EndpointId, EndpointView> endpoints;  // guarded by mutex
+};
+
+struct Readiness {
+  bool ready = false;
+  std::string reason;                 // why not; empty when ready
+  std::vector<ServiceName> unserved;  // without a connected agent
+};
+
+// What all shards and the operations port share. Thread safe.
+class ProcessState {
+ public:
+  struct Options {
+    EntryId entry;
+    Incarnation incarnation;
+    int shards = 1;
+    Duration ready_wait{};
+    Instant started;
+  };
+
+  explicit ProcessState(Options options);
+
+  ShardBoard& board(int shard) { return *this->boards[shard]; }
+
+  void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
+  std::shared_ptr<const manifest::Manifest> manifest() const;
+
+  void BeginDrain() { this->is_draining.store(true); }
+  bool draining() const { return this->is_draining.load(); }
+  bool AllDrained() const;
+  std::size_t AliveRequests() const;
+
+  // Ready: a manifest is in force, the process is not leaving, and each shard
+  // has an agent of every service, or waited long enough for it and has one
+  // of some service. Once ready, a service without agents no longer counts:
+  // its callers get refusals, and the other services' callers must not suffer.
+  Readiness CheckReady(Instant now);
+
+  // The page /status, as JSON.
+  std::string RenderStatus(Instant now);
+
+ private:
+  std::vector<ServiceName> UnservedBy(const manifest::Manifest& manifest,
+                                      std::size_t& served) const;
+
+  const Options options;
+  std::vector<std::unique_ptr<ShardBoard>> boards;
+  std::atomic<bool> is_draining = false;
+  std::atomic<bool> was_ready = false;
+  mutable std::mutex mutex;
+  std::shared_ptr<const manifest::Manifest> newest;  // guarded by mutex
+};
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_INTERNAL_PROCESS_STATE_H_
--- /dev/null
+++ b/src/entry_process/internal/shard.cc
@@ -0,0 +1,318 @@
+#include "entry_process/internal/shard.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "entry_process/internal/models_page.h"
+#include "entry_process/internal/operations_pages.h"
+
+namespace acacialug::entry_process {
+namespace {
+
+std::int64_t UnixSeconds() {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+http::Response JsonPage(std::string body) {
+  return {.headers = {{"Content-Type", "application/json"}},
+          .body = std::move(body)};
+}
+
+// An agent takes a second session of one entry for that entry's next start,
+// and ends the first with all that runs in it. So each shard is an entry of
+// its own to the agents.
+entry::EntryOptions CoreOptions(const Shard::Options& options,
+                                RandomSource& random) {
+  entry::EntryOptions core = options.process.core;
+  core.id.text += "/" + std::to_string(options.index);
+  core.incarnation = random.NextIncarnation();
+  return core;
+}
+
+}  // namespace
+
+Shard::Shard(const Options& shard_options)
+    : options(shard_options),
+      board(shard_options.state.board(shard_options.index)),
+      random(shard_options.seed),
+      core(CoreOptions(shard_options, this->random), this->random),
+      links({.channels = shard_options.process.channels,
+             .connect = shard_options.connect,
+             .on_connected =
+                 [this](const EndpointId& endpoint) {
+                   this->OnAgentConnected(endpoint);
+                 },
+             .on_closed =
+                 [this](const EndpointId& endpoint, const Error& error) {
+                   this->OnAgentClosed(endpoint, error);
+                 },
+             .on_message =
+                 [this](const EndpointId& endpoint,
+                        const protocol::AgentToEntry& message) {
+                   this->OnAgentMessage(endpoint, message);
+                 }}),
+      claims(shard_options.process.make_log ? shard_options.process.make_log()
+                                            : nullptr,
+             {.on_appended =
+                  [this](const entry::ClaimsAppended& appended) {
+                    this->Feed([&](Instant now) {
+                      this->core.OnClaimsAppended(appended, now);
+                    });
+                  },
+              .on_read =
+                  [this](const entry::ClaimsRead& read) {
+                    this->Feed([&](Instant now) {
+                      this->core.OnClaimsRead(read, now);
+                    });
+                  }}) {
+  this->timer.setSingleShot(true);
+  this->timer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->timer, &QTimer::timeout, &this->context,
+                   [this] { this->OnTimer(); });
+  if (auto in_force = this->options.state.manifest()) {
+    this->SetManifest(std::move(in_force));
+  }
+  this->ArmTimer();
+}
+
+Shard::~Shard() {
+  // The hooks hold this shard, and a responder may outlive it.
+  for (auto& [id, live] : this->live_requests) {
+    live.responder->SetOnGone({});
+  }
+}
+
+void Shard::SetManifest(std::shared_ptr<const manifest::Manifest> newest) {
+  this->manifest = newest;
+  this->Feed(
+      [&](Instant now) { this->core.OnManifest(std::move(newest), now); });
+}
+
+void Shard::BeginDrain() {
+  this->Feed([this](Instant now) { this->core.BeginDrain(now); });
+}
+
+void Shard::Handle(http::Request request, http::ResponderPtr responder) {
+  Asked asked{.id = this->random.NextRequestId(),
+              .responder = std::move(responder)};
+  const std::string path(request.Path());
+  Result<CallerHeaders> headers = ParseCallerHeaders(request.headers);
+  asked.identity = IdentityHeaders(
+      asked.id, headers.ok() ? headers->client_request_id : std::string());
+  if (!headers.ok()) {
+    this->Refuse(asked, path, headers.error());
+    return;
+  }
+  asked.headers = std::move(headers.value());
+  Result<CallerAsk> ask = ReadCallerRequest(std::move(request), asked.id);
+  if (!ask.ok()) {
+    this->Refuse(asked, path, ask.error());
+    return;
+  }
+  std::visit([&](auto& kind) { this->Take(std::move(asked), std::move(kind)); },
+             ask.value());
+}
+
+void Shard::Refuse(const Asked& asked,
+                   std::string_view path,
+                   const Error& error) {
+  this->options.measures.OnBadRequest(error.result_code());
+  asked.responder->SendWhole(RenderRefusal(error, path, asked.identity));
+}
+
+void Shard::Take(Asked asked, GenerationAsked generation) {
+  ParsedGeneration& parsed = generation.parsed;
+  const manifest::Service* service =
+      this->manifest == nullptr
+          ? nullptr
+          : this->manifest->FindServiceOfModel(parsed.generation.model);
+  if (asked.headers.caller.empty()) {
+    asked.headers.caller = CallerName(parsed.user);
+  }
+  if (service != nullptr && parsed.generation.max_tokens == 0) {
+    parsed.generation.max_tokens = service->default_max_tokens;
+  }
+  std::unique_ptr<GenerationAnswer> answer = this->MakeAnswer(asked, parsed);
+  entry::GenerationArrived arrived{.request = asked.id,
+                                   .caller = asked.headers.caller,
+                                   .latency_class = asked.headers.latency_class,
+                                   .generation = std::move(parsed.generation),
+                                   .prompt_text = std::move(parsed.prompt_text),
+                                   .deadline = asked.headers.deadline};
+  this->Begin(asked, service).generation = std::move(answer);
+  this->Feed([&](Instant now) { this->core.OnGeneration(arrived, now); });
+}
+
+std::unique_ptr<GenerationAnswer> Shard::MakeAnswer(
+    const Asked& asked,
+    const ParsedGeneration& parsed) {
+  return std::make_unique<GenerationAnswer>(
+      asked.responder,
+      GenerationAnswer::Options{
+          .renderer = {.api = parsed.generation.api,
+                       .request = asked.id,
+                       .model = parsed.generation.model,
+                       .created = UnixSeconds(),
+                       .include_usage = parsed.include_usage},
+          .stream = parsed.stream,
+          .identity = asked.identity,
+          .limits = this->options.process.answers,
+          .on_delivered = [this, id = asked.id](std::uint64_t index) {
+            this->deliveries.push_back({.request = id, .index = index});
+            this->ScheduleEndTurn();
+          }});
+}
+
+void Shard::Take(Asked asked, CallAsked call) {
+  const manifest::Service* service =
+      this->manifest == nullptr ? nullptr
+                                : this->manifest->FindService(call.service);
+  entry::CallArrived arrived{.request = asked.id,
+                             .caller = asked.headers.caller,
+                             .latency_class = asked.headers.latency_class,
+                             .service = std::move(call.service),
+                             .call = std::move(call.call),
+                             .idempotency_key = asked.headers.idempotency_key,
+                             .ticket = asked.headers.ticket,
+                             .deadline = asked.headers.deadline};
+  this->Begin(asked, service);
+  this->Feed([&](Instant now) { this->core.OnCall(arrived, now); });
+}
+
+void Shard::Take(Asked asked, const PageAsked& page) {
+  Result<http::Response> response = this->RenderPage(page);
+  if (!response.ok()) {
+    this->Refuse(asked, {}, response.error());
+    return;
+  }
+  http::Headers& headers = response.value().headers;
+  headers.insert(headers.end(), asked.identity.begin(), asked.identity.end());
+  asked.responder->SendWhole(response.value());
+}
+
+Result<http::Response> Shard::RenderPage(const PageAsked& page) {
+  if (page.route == Route::kHealth) {
+    return RenderHealth();
+  }
+  if (page.route == Route::kReady) {
+    return RenderReadiness(this->options.state.CheckReady(MonotonicNow()));
+  }
+  if (this->manifest == nullptr) {
+    return Error(ResultCode::kNotReady);
+  }
+  if (page.route == Route::kModels) {
+    return JsonPage(RenderModels(*this->manifest));
+  }
+  Result<std::string> body = RenderModel(*this->manifest, page.model);
+  if (!body.ok()) {
+    return body.error();
+  }
+  return JsonPage(std::move(body.value()));
+}
+
+Shard::LiveRequest& Shard::Begin(Asked& asked,
+                                 const manifest::Service* service) {
+  LiveRequest& live = this->live_requests[asked.id];
+  live.responder = asked.responder;
+  live.identity = asked.identity;
+  live.trace = BeginTrace(this->manifest.get(), service, asked.headers.caller,
+                          asked.headers.latency_class, MonotonicNow());
+  live.responder->SetOnGone([this, id = asked.id] { this->OnGone(id); });
+  return live;
+}
+
+void Shard::OnGone(const RequestId& id) {
+  const auto found = this->live_requests.find(id);
+  if (found == this->live_requests.end()) {
+    return;
+  }
+  const RequestId gone = id;  // the hook that holds it ends with the request
+  this->options.measures.OnCallerGone(found->second.trace);
+  this->live_requests.erase(found);
+  this->Feed([&](Instant now) { this->core.OnCallerGone(gone, now); });
+}
+
+// An action may lead to another input of the core (a caller found gone while
+// it is answered); its actions then follow those already taken, in order.
+void Shard::Pump() {
+  if (this->pumping) {
+    return;
+  }
+  this->pumping = true;
+  for (std::vector<entry::EntryAction> actions = this->core.TakeActions();
+       !actions.empty(); actions = this->core.TakeActions()) {
+    for (entry::EntryAction& action : actions) {
+      std::visit([this](auto& kind) { this->Do(kind); }, action);
+    }
+  }
+  this->pumping = false;
+  this->board.SetRequests(this->core.alive_requests(), this->core.drained());
+  this->ArmTimer();
+}
+
+// The core's next instant moves with every frame; the event loop's timer is
+// only set anew when it moves earlier, and found too early when it fires.
+void Shard::ArmTimer() {
+  const Instant next = this->core.next_timer();
+  if (next >= this->armed_for) {
+    return;
+  }
+  this->armed_for = next;
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(next - MonotonicNow(), Duration::zero()));
+  constexpr std::chrono::milliseconds kLongestWait = 1h;
+  this->timer.start(std::min(wait, kLongestWait));
+}
+
+void Shard::OnTimer() {
+  this->armed_for = kNever;
+  const Instant now = MonotonicNow();
+  if (now >= this->core.next_timer()) {
+    this->core.OnTimer(now);
+  }
+  this->Pump();
+}
+
+void Shard::MarkDirty(const RequestId& id, LiveRequest& live) {
+  if (!live.dirty) {
+    live.dirty = true;
+    this->dirty_requests.push_back(id);
+    this->ScheduleEndTurn();
+  }
+}
+
+void Shard::ScheduleEndTurn() {
+  if (!this->end_turn_scheduled) {
+    this->end_turn_scheduled = true;
+    QMetaObject::invokeMethod(
+        &this->context, [this] { this->EndTurn(); }, Qt::QueuedConnection);
+  }
+}
+
+void Shard::EndTurn() {
+  this->end_turn_scheduled = false;
+  this->FlushDirty();
+  // Told only now, from outside of the answers: what the core does next may
+  // end the very answer that told.
+  this->Feed([this](Instant now) {
+    for (const Delivery& delivery : std::exchange(this->deliveries, {})) {
+      this->core.OnDelivered(delivery.request, delivery.index, now);
+    }
+  });
+}
+
+void Shard::FlushDirty() {
+  for (const RequestId& id : std::exchange(this->dirty_requests, {})) {
+    const auto found = this->live_requests.find(id);
+    if (found != this->live_requests.end()) {
+      found->second.dirty = false;
+      found->second.generation->Flush();
+    }
+  }
+}
+
+}  // namespace acacialug::entry_process
--- /dev/null
+++ b/src/entry_process/internal/shard.h
@@ -0,0 +1,135 @@
+#ifndef ENTRY_PROCESS_INTERNAL_SHARD_H_
+#define ENTRY_PROCESS_INTERNAL_SHARD_H_
+
+#include <QObject>
+#include <QTimer>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "entry/entry_core.h"
+#include "entry_process/internal/agent_links.h"
+#include "entry_process/internal/caller_request.h"
+#include "entry_process/internal/claims_log.h"
+#include "entry_process/internal/entry_measures.h"
+#include "entry_process/internal/generation_answer.h"
+#include "entry_process/internal/process_state.h"
+#include "entry_process/internal/request_trace.h"
+#include "entry_process/types/entry_process_options.h"
+#include "framework/global/random_source.h"
+#include "framework/http/http_server.h"
+#include "framework/log/repeat_limiter.h"
+
+namespace acacialug::entry_process {
+
+// One shard of an entry: a core, its own connections to agents, and the
+// requests of the callers whose connections it was given. Made, used and
+// destroyed on one thread with a Qt event loop; what it shares with other
+// shards is the state, the measures and the limiter, which are thread safe.
+class Shard {
+ public:
+  struct Options {
+    int index = 0;
+    std::uint64_t seed = 0;
+    const EntryProcessOptions& process;
+    ProcessState& state;
+    EntryMeasures& measures;
+    log::RepeatLimiter& log_limiter;
+    AgentLinks::ConnectFunction connect = net::ConnectFrameChannel;
+  };
+
+  explicit Shard(const Options& options);
+  ~Shard();
+
+  // Takes one request; the answer comes by `responder`, at once or later.
+  void Handle(http::Request request, http::ResponderPtr responder);
+
+  void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
+  void BeginDrain();
+
+ private:
+  struct Asked {
+    RequestId id;
+    CallerHeaders headers;
+    http::Headers identity;
+    http::ResponderPtr responder;
+  };
+  struct LiveRequest {
+    http::ResponderPtr responder;
+    http::Headers identity;
+    std::unique_ptr<GenerationAnswer> generation;  // null for a call
+    RequestTrace trace;
+    bool dirty = false;  // holds texts that Flush has yet to write
+  };
+  struct Delivery {
+    RequestId request;
+    std::uint64_t index = 0;
+  };
+
+  void Take(Asked asked, GenerationAsked generation);
+  void Take(Asked asked, CallAsked call);
+  void Take(Asked asked, const PageAsked& page);
+  void Refuse(const Asked& asked, std::string_view path, const Error& error);
+  LiveRequest& Begin(Asked& asked, const manifest::Service* service);
+  std::unique_ptr<GenerationAnswer> MakeAnswer(const Asked& asked,
+                                               const ParsedGeneration& parsed);
+  Result<http::Response> RenderPage(const PageAsked& page);
+
+  // Runs `input` on the core and carries out what it asks for.
+  template <typename Input>
+  void Feed(Input input) {
+    input(MonotonicNow());
+    this->Pump();
+  }
+  void Pump();
+  void ArmTimer();
+  void OnTimer();
+  void MarkDirty(const RequestId& id, LiveRequest& live);
+  // Schedules EndTurn, which runs after the sockets that are readable in this
+  // turn of the event loop were all read.
+  void ScheduleEndTurn();
+  void EndTurn();
+  void FlushDirty();
+  void OnGone(const RequestId& id);
+
+  void Do(const entry::SendToAgent& action);
+  void Do(const entry::ConnectEndpoint& action);
+  void Do(const entry::DropEndpoint& action);
+  void Do(const entry::AnswerText& action);
+  void Do(const entry::AnswerEnd& action);
+  void Do(entry::AnswerCall& action);
+  void Do(const entry::AnswerError& action);
+  void Do(const entry::AppendClaims& action);
+  void Do(const entry::ReadClaims& action);
+
+  void OnAgentConnected(const EndpointId& endpoint);
+  void OnAgentClosed(const EndpointId& endpoint, const Error& error);
+  void OnAgentMessage(const EndpointId& endpoint,
+                      const protocol::AgentToEntry& message);
+  void NoteMessage(const EndpointId& endpoint,
+                   const protocol::AgentToEntry& message);
+  void NotePrefilled(const EndpointId& endpoint,
+                     const protocol::Prefilled& prefilled);
+
+  const Options options;
+  ShardBoard& board;
+  RandomSource random;
+  entry::EntryCore core;
+  AgentLinks links;
+  ClaimsLog claims;
+  std::shared_ptr<const manifest::Manifest> manifest;
+  std::unordered_map<RequestId, LiveRequest> live_requests;
+  std::vector<RequestId> dirty_requests;
+  std::vector<Delivery> deliveries;  // told by answers, not yet to the core
+  QObject context;  // ends what is queued on the event loop with the shard
+  QTimer timer;
+  Instant armed_for = kNever;
+  bool pumping = false;
+  bool end_turn_scheduled = false;
+};
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_INTERNAL_SHARD_H_
--- /dev/null
+++ b/src/entry_process/tests/fake_agent.h
@@ -0,0 +1,69 @@
+#ifndef ENTRY_PROCESS_TESTS_FAKE_AGENT_H_
+#define ENTRY_PROCESS_TESTS_FAKE_AGENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "framework/net/frame_channel.h"
+#include "manifest/types/manifest.h"
+#include "protocol/types/messages.h"
+
+namespace acacialug::entry_process {
+
+// An agent on a real socket that grants whatever it is asked. Lives on the
+// test's thread, with its event loop.
+class FakeAgent {
+ public:
+  struct Options {
+    manifest::Endpoint endpoint;  // `agent` is filled in
+    std::vector<std::string> chunks = {"one ", "two ", "three"};
+    // False: the test answers by itself.
+    std::function<bool(const protocol::EntryToAgent& message)> takes;
+  };
+
+  explicit FakeAgent(Options options);
+
+  // The manifest's record, with the address that this agent listens on.
+  const manifest::Endpoint& endpoint() const { return this->options.endpoint; }
+
+  // To the entry's shard that spoke last.
+  void Send(const protocol::AgentToEntry& message);
+  void SendRaw(std::string_view payload);
+  void CloseChannels();
+
+  // What entries sent, in order.
+  std::vector<protocol::EntryToAgent> received;
+
+  template <typename Message>
+  std::size_t CountReceived() const {
+    std::size_t count = 0;
+    for (const protocol::EntryToAgent& message : this->received) {
+      count += std::holds_alternative<Message>(message) ? 1 : 0;
+    }
+    return count;
+  }
+
+ private:
+  void OnFrame(const net::FrameChannelPtr& channel, const std::string& frame);
+  void Answer(const protocol::Hello& hello);
+  void Answer(const protocol::Renew& renew);
+  void Answer(const protocol::Reserve& reserve);
+  void Answer(const protocol::StartPrefill& start);
+  void Answer(const protocol::StartDecode& start);
+  void Answer(const protocol::StartCall& start);
+  template <typename Other>
+  void Answer(const Other& /*message*/) {}
+
+  Options options;
+  protocol::EndpointLoad load;
+  std::vector<net::FrameChannelPtr> channels;
+  net::FrameChannelPtr last_channel;
+  std::unique_ptr<net::FrameServer> server;
+};
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_TESTS_FAKE_AGENT_H_
