Load entries open-loop and check every answer

Cause: goodput, wasted prefill and broken promises were not measurable. Change: acacialug-load draws seeded arrivals that never wait for answers, holds each answer byte for byte against the stand-ins' reference, checks refusals and keyed calls against what the plain stand-ins ran, and writes the figures as JSON; accounting, checks and workload have no sockets or clock.

--- /dev/null
+++ b/src/load/accounting.cc
@@ -0,0 +1,173 @@
+#include "load/accounting.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacialug::load {
+namespace {
+
+DurationFigures Quantiles(std::vector<Duration> values) {
+  DurationFigures figures{.count = values.size()};
+  if (values.empty()) {
+    return figures;
+  }
+  std::sort(values.begin(), values.end());
+  // The nearest rank: the smallest value that so large a share does not exceed.
+  const auto rank = [&values](std::size_t percent) {
+    return values[(values.size() * percent + 99) / 100 - 1];
+  };
+  figures.p50 = rank(50);
+  figures.p95 = rank(95);
+  figures.p99 = rank(99);
+  figures.longest = values.back();
+  return figures;
+}
+
+}  // namespace
+
+struct Accounting::Sums {
+  MixFigures figures;
+  std::vector<Duration> first_tokens;
+  std::vector<Duration> intervals;
+};
+
+Accounting::Accounting(const LoadPlan& load_plan) : plan(load_plan) {}
+
+void Accounting::SetMeasured(Instant from, Instant until) {
+  this->measured_from = from;
+  this->measured_until = until;
+}
+
+Accounting::Id Accounting::Begin(const RequestSpec& spec, Instant arrived) {
+  this->entries.push_back({.generation = spec.generation,
+                           .direct = spec.direct,
+                           .measured = spec.measured,
+                           .slow = spec.pauses_after_tokens != 0,
+                           .mix = spec.mix,
+                           .arrived = arrived,
+                           .first = kNever,
+                           .last = arrived});
+  ++this->open;
+  this->most_open = std::max(this->most_open, this->open);
+  return this->entries.size() - 1;
+}
+
+void Accounting::OnTokens(Id request, std::uint32_t tokens, Instant now) {
+  Entry& entry = this->entries[request];
+  entry.first = std::min(entry.first, now);
+  entry.last = now;
+  entry.tokens += tokens;
+  if (now >= this->measured_from && now < this->measured_until) {
+    this->measured_tokens += tokens;
+  }
+}
+
+void Accounting::OnUsage(Id request, const protocol::Usage& usage) {
+  this->entries[request].usage = usage;
+}
+
+void Accounting::OnOutcome(Id request,
+                           RequestOutcome outcome,
+                           std::string code,
+                           Instant now) {
+  Entry& entry = this->entries[request];
+  if (entry.ended) {
+    return;
+  }
+  entry.ended = true;
+  entry.outcome = outcome;
+  entry.code = std::move(code);
+  if (!entry.generation) {
+    entry.first = now;
+    entry.last = now;
+  }
+  --this->open;
+}
+
+LoadFigures Accounting::Sum() const {
+  LoadFigures figures{.measured = this->plan.duration,
+                      .measured_tokens = this->measured_tokens,
+                      .most_outstanding = this->most_open};
+  for (const bool direct : {false, true}) {
+    if (direct && !this->plan.direct.enabled()) {
+      continue;
+    }
+    for (std::size_t mix = 0; mix < this->plan.generations.size(); ++mix) {
+      figures.mixes.push_back(this->SumMix(true, mix, direct));
+    }
+    for (std::size_t mix = 0; mix < this->plan.calls.size(); ++mix) {
+      figures.mixes.push_back(this->SumMix(false, mix, direct));
+    }
+  }
+  for (const Entry& entry : this->entries) {
+    ++figures.arrived;
+    figures.tokens += entry.tokens;
+    if (entry.outcome == RequestOutcome::kCompleted) {
+      ++figures.completed;
+      figures.completed_prefill_tokens +=
+          entry.usage.prompt_tokens -
+          std::min(entry.usage.cached_tokens, entry.usage.prompt_tokens);
+    }
+  }
+  return figures;
+}
+
+MixFigures Accounting::SumMix(bool generation,
+                              std::size_t mix,
+                              bool direct) const {
+  Sums sums;
+  sums.figures.name = generation ? this->plan.generations[mix].name
+                                 : this->plan.calls[mix].name;
+  sums.figures.generation = generation;
+  sums.figures.direct = direct;
+  for (const Entry& entry : this->entries) {
+    if (!entry.measured || entry.generation != generation || entry.mix != mix ||
+        entry.direct != direct) {
+      continue;
+    }
+    ++sums.figures.offered;
+    ++sums.figures.outcomes[entry.outcome];
+    sums.figures.slow_readers += entry.slow ? 1 : 0;
+    if (entry.outcome == RequestOutcome::kCompleted) {
+      this->AddCompleted(entry, sums);
+    } else {
+      ++sums.figures.codes[entry.code];
+    }
+  }
+  sums.figures.first_token = Quantiles(std::move(sums.first_tokens));
+  sums.figures.token_interval = Quantiles(std::move(sums.intervals));
+  return sums.figures;
+}
+
+Duration Accounting::FirstToken(const Entry& entry) const {
+  return entry.first - entry.arrived + 2 * this->plan.client_one_way;
+}
+
+void Accounting::AddCompleted(const Entry& entry, Sums& sums) const {
+  const Duration first_token = this->FirstToken(entry);
+  sums.first_tokens.push_back(first_token);
+  if (!entry.generation) {
+    sums.figures.on_time +=
+        first_token <= this->plan.calls[entry.mix].answer_in ? 1 : 0;
+    return;
+  }
+  // A slow reader's own pause is no latency of ours.
+  if (entry.slow) {
+    return;
+  }
+  const GenerationMix& mix = this->plan.generations[entry.mix];
+  const Duration whole = entry.last - entry.first;
+  if (!mix.stream) {
+    sums.figures.on_time +=
+        first_token <= mix.first_token + entry.tokens * mix.token_interval ? 1
+                                                                           : 0;
+    return;
+  }
+  const Duration interval =
+      entry.tokens > 1 ? whole / (entry.tokens - 1) : Duration::zero();
+  sums.intervals.push_back(interval);
+  sums.figures.on_time +=
+      first_token <= mix.first_token && interval <= mix.token_interval ? 1 : 0;
+}
+
+}  // namespace acacialug::load
--- /dev/null
+++ b/src/load/execution_check.h
@@ -0,0 +1,34 @@
+#ifndef LOAD_EXECUTION_CHECK_H_
+#define LOAD_EXECUTION_CHECK_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "load/types/load_figures.h"
+#include "load/types/violation.h"
+
+namespace acacialug::load {
+
+// One plain call as its caller saw it, all submissions under its key together.
+struct CallRecord {
+  std::string request;
+  bool idempotent = true;
+  bool any_completed = false;
+  std::uint32_t submissions = 1;
+  std::uint32_t refused_not_run = 0;  // of the submissions
+};
+
+// How often each call took effect, by the load's name of it, as the plain
+// stand-ins tell.
+using Executions = std::map<std::string, std::uint64_t>;
+
+// Holds what callers were told against what ran. Call it when nothing runs any
+// more. Thread safe.
+std::vector<Violation> CheckExecutions(const std::vector<CallRecord>& calls,
+                                       const Executions& executions);
+
+}  // namespace acacialug::load
+
+#endif  // LOAD_EXECUTION_CHECK_H_
--- /dev/null
+++ b/src/load/internal/call_exchange.cc
@@ -0,0 +1,134 @@
+#include "load/internal/call_exchange.h"
+
+#include <utility>
+
+#include "load/internal/stream_reader.h"
+#include "standin/reference_answer.h"
+
+namespace acacialug::load {
+namespace {
+
+constexpr int kOk = 200;
+
+http::Request MakeRequest(const CallMix& mix, const RequestSpec& spec) {
+  http::Request request{
+      .method = mix.method,
+      .target = spec.direct ? mix.path : "/services/" + mix.service + mix.path,
+      .headers = {{.name = "Content-Type", .value = "application/json"},
+                  {.name = "X-Request-Id", .value = spec.name}},
+      .body = spec.text};
+  if (!mix.idempotent) {
+    request.headers.push_back({.name = "Idempotency-Key", .value = spec.name});
+  }
+  return request;
+}
+
+}  // namespace
+
+CallExchange::CallExchange(ExchangeContext& exchange_context,
+                           RequestSpec request_spec)
+    : context(exchange_context),
+      spec(std::move(request_spec)),
+      mix(exchange_context.plan.calls[this->spec.mix]),
+      request(MakeRequest(this->mix, this->spec)),
+      expected(standin::ReferenceServiceAnswer(this->mix.method,
+                                               this->mix.path,
+                                               this->spec.text)) {}
+
+void CallExchange::Start(Instant arrived) {
+  this->account = this->context.accounting.Begin(this->spec, arrived);
+  this->record = this->context.calls.size();
+  this->context.calls.push_back(
+      {.request = this->spec.name,
+       .idempotent = this->mix.idempotent,
+       .submissions = this->spec.submitted_twice ? 2U : 1U});
+  this->Send(std::make_shared<Submission>());
+  if (this->spec.submitted_twice) {
+    auto second = std::make_shared<Submission>();
+    second->first = false;
+    this->Send(second);
+  }
+}
+
+EntryRotation& CallExchange::Rotation() {
+  return this->spec.direct ? this->context.direct_plain : this->context.entries;
+}
+
+void CallExchange::Send(const SubmissionPtr& submission) {
+  auto self = this->shared_from_this();
+  const http::Address address = this->Rotation().Next(MonotonicNow());
+  this->context.client.Send(
+      address, this->request,
+      {.on_head =
+           [submission](int code, const http::Headers& headers) {
+             submission->status = code;
+             submission->told_outcome =
+                 http::FindHeader(headers, "X-Outcome").value_or("");
+           },
+       .on_end =
+           [self, submission](const std::string& body) {
+             self->OnEnd(submission, body);
+           },
+       .on_error =
+           [self, submission, address](const Error& error, bool sent) {
+             self->OnError(submission, address, error, sent);
+           }});
+}
+
+void CallExchange::OnEnd(const SubmissionPtr& submission,
+                         const std::string& body) {
+  if (submission->status != kOk) {
+    const ToldError told =
+        ReadError(submission->status, submission->told_outcome, body);
+    this->Finish(submission, told.outcome, told.code);
+    return;
+  }
+  this->CheckBody(body);
+  this->Finish(submission, RequestOutcome::kCompleted, "");
+}
+
+void CallExchange::CheckBody(const std::string& body) {
+  if (body != this->expected) {
+    this->Add(ViolationKind::kForeignAnswer, body.substr(0, 80));
+  }
+  if (this->answered && *this->answered != body) {
+    this->Add(ViolationKind::kAnswersDiffer, body.substr(0, 80));
+  }
+  this->answered = body;
+}
+
+void CallExchange::OnError(const SubmissionPtr& submission,
+                           const http::Address& address,
+                           const Error& error,
+                           bool sent) {
+  if (sent) {
+    this->Finish(submission, RequestOutcome::kUnknown, error.code.message());
+    return;
+  }
+  this->Rotation().OnUnreachable(address, MonotonicNow());
+  if (++submission->tries < this->Rotation().size()) {
+    this->Send(submission);
+  } else {
+    this->Finish(submission, RequestOutcome::kNotRun, "unreachable");
+  }
+}
+
+void CallExchange::Finish(const SubmissionPtr& submission,
+                          RequestOutcome outcome,
+                          const std::string& code) {
+  CallRecord& call = this->context.calls[this->record];
+  call.any_completed =
+      call.any_completed || outcome == RequestOutcome::kCompleted;
+  call.refused_not_run += outcome == RequestOutcome::kNotRun ? 1 : 0;
+  if (submission->first) {
+    this->context.accounting.OnOutcome(this->account, outcome, code,
+                                       MonotonicNow());
+  }
+}
+
+void CallExchange::Add(ViolationKind kind, std::string detail) {
+  this->context.violations.push_back(
+      {.kind = kind, .request = this->spec.name, .detail = std::move(detail)});
+}
+
+}  // namespace acacialug::load
--- /dev/null
+++ b/src/load/internal/generation_exchange.h
@@ -0,0 +1,64 @@
+#ifndef LOAD_INTERNAL_GENERATION_EXCHANGE_H_
+#define LOAD_INTERNAL_GENERATION_EXCHANGE_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "load/answer_checker.h"
+#include "load/internal/exchange_context.h"
+#include "load/internal/stream_reader.h"
+#include "load/types/request_spec.h"
+
+namespace acacialug::load {
+
+// One generation from its sending to its end. Kept alive by the hooks that it
+// gives to the client. One thread.
+class GenerationExchange
+    : public std::enable_shared_from_this<GenerationExchange> {
+ public:
+  // Makes body and expected answer, which takes its time with a long prompt:
+  // do it before the arrival.
+  GenerationExchange(ExchangeContext& context, RequestSpec spec);
+
+  // Precondition: called once.
+  void Start(Instant arrived);
+
+ private:
+  void SendToEntry();
+  void SendPrefill();
+  void SendDecode(const std::string& prefill_answer);
+  void SendStream(const http::Address& address, const http::Request& request);
+  // Runs `again` if another address may be tried, since nothing was sent.
+  void OnUnreachable(EntryRotation& rotation,
+                     const http::Address& address,
+                     void (GenerationExchange::*again)());
+  void OnHead(int status, const http::Headers& headers);
+  void OnData(std::string_view data);
+  void OnText(std::string_view text);
+  void OnEnd();
+  void OnTold(const ToldError& error);
+  void Break(const std::string& code);
+  void Finish(RequestOutcome outcome, const std::string& code);
+  AnswerEvents MakeEvents();
+  http::Request MakeRequest(std::string body) const;
+
+  ExchangeContext& context;
+  RequestSpec spec;
+  const GenerationMix& mix;
+  std::string body;
+  AnswerChecker checker;
+  StreamReader reader;
+  Accounting::Id account = 0;
+  http::Client::ExchangeId exchange = 0;
+  std::size_t tries = 0;
+  int status = 0;
+  std::string told_outcome;
+  std::string whole_body;  // of an error, or of an answer that is not streamed
+  std::optional<ToldError> told;
+  bool done = false;
+};
+
+}  // namespace acacialug::load
+
+#endif  // LOAD_INTERNAL_GENERATION_EXCHANGE_H_
--- /dev/null
+++ b/src/load/types/request_spec.h
@@ -0,0 +1,31 @@
+#ifndef LOAD_TYPES_REQUEST_SPEC_H_
+#define LOAD_TYPES_REQUEST_SPEC_H_
+
+#include <cstdint>
+#include <string>
+
+#include "framework/global/types/instant.h"
+
+namespace acacialug::load {
+
+// One request as the workload drew it.
+struct RequestSpec {
+  std::string name;  // unique in a run; part of the prompt or body
+  bool generation = true;
+  std::size_t mix = 0;  // index into the plan's generations or calls
+  bool direct = false;  // goes past the router
+  bool measured = false;
+  // The prompt of a generation, the body of a call.
+  std::string text;
+  std::uint32_t output_tokens = 0;  // the whole answer's
+  std::uint32_t max_tokens = 0;
+  // The caller leaves after so many tokens; 0: stays to the end.
+  std::uint32_t leaves_after_tokens = 0;
+  // The caller stops reading after so many tokens; 0: reads on.
+  std::uint32_t pauses_after_tokens = 0;
+  bool submitted_twice = false;
+};
+
+}  // namespace acacialug::load
+
+#endif  // LOAD_TYPES_REQUEST_SPEC_H_
--- /dev/null
+++ b/src/load/workload.h
@@ -0,0 +1,45 @@
+#ifndef LOAD_WORKLOAD_H_
+#define LOAD_WORKLOAD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "framework/global/random_source.h"
+#include "load/types/load_plan.h"
+#include "load/types/request_spec.h"
+
+namespace acacialug::load {
+
+// Draws arrivals and requests from a plan's mix; the same seed draws the same
+// sequence, whatever the answers do. Not thread safe.
+class Workload {
+ public:
+  // `plan` and `random` outlive this. Precondition: the plan has a mix.
+  Workload(const LoadPlan& plan, RandomSource& random);
+
+  // Time from one arrival to the next.
+  Duration NextGap();
+
+  RequestSpec NextRequest();
+
+ private:
+  RequestSpec NextGeneration(std::size_t mix);
+  RequestSpec NextCall(std::size_t mix);
+  std::uint32_t Draw(const LengthRange& range);
+  double Normal();
+  // Printable text of so many bytes, different for each `salt`.
+  std::string Filler(std::size_t bytes, std::uint64_t salt) const;
+  std::string Prompt(const GenerationMix& mix,
+                     const RequestSpec& spec,
+                     std::uint32_t prompt_tokens);
+
+  const LoadPlan& plan;
+  RandomSource& random;
+  double total_weight = 0;
+  std::uint64_t drawn = 0;
+};
+
+}  // namespace acacialug::load
+
+#endif  // LOAD_WORKLOAD_H_
