Refuse at once what the queue would hold past its target

Cause: under overload a request waited until its latest start before it was told; one lost decode endpoint at peak spent the whole retry budget; slow callers made their engine look slow; a cached long prompt was given up early. Change: the queue's measured pace refuses at arrival; the default burst covers two full decode endpoints; paused streams are left out of the pace; cached tokens count in the latest start.

--- a/src/entry/internal/answer_stream.cc
+++ b/src/entry/internal/answer_stream.cc
@@ -24,6 +24,7 @@
   this->assembler.BeginAttempt();
   this->attempt_pieces = 0;
   this->acknowledged = 0;
+  this->paused = false;
   this->engine_progress_at = now;
 }
 
@@ -41,6 +42,7 @@
                                           .index = piece.index,
                                           .text = std::move(piece.text)});
   }
+  this->paused = this->paused || this->WindowFull();
 }
 
 std::optional<SequenceNumber> AnswerStream::OnDelivered(std::uint64_t index,
--- a/src/entry/internal/answer_stream.h
+++ b/src/entry/internal/answer_stream.h
@@ -47,6 +47,9 @@
   std::uint32_t EarlierTokens() const {
     return this->assembler.EarlierTokens();
   }
+  // The current attempt waited for the caller: its pace says nothing of the
+  // engine's.
+  bool Paused() const { return this->paused; }
   // Of the current attempt. Precondition: AttemptBegun().
   Instant AttemptFirstPieceAt() const { return this->first_piece_at; }
 
@@ -60,6 +63,7 @@
   std::uint64_t attempt_pieces = 0;
   std::uint64_t taken = 0;         // pieces, by the caller
   std::uint64_t acknowledged = 0;  // chunks of this attempt
+  bool paused = false;
   Instant first_piece_at{};
   Instant engine_progress_at{};
   Instant reader_progress_at{};
--- a/src/entry/internal/call_machine.h
+++ b/src/entry/internal/call_machine.h
@@ -43,6 +43,7 @@
   void OnDelivered(std::uint64_t, Instant) override {}
   void OnTimer(Instant now) override;
   Instant WakeAt() const override;
+  Instant LatestStart() const override { return this->terms.first_token_by; }
   void Abandon(Instant now) override;
 
   // The coordinator's decision.
--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -163,7 +163,7 @@
   this->stream.NoteEnd(message.chunks);
   const std::uint32_t tokens =
       this->stream.Tokens() - this->stream.EarlierTokens();
-  if (tokens > 1) {
+  if (tokens > 1 && !this->stream.Paused()) {
     this->context.fleet.NoteSuccess(
         endpoint, Seconds(now - this->stream.AttemptFirstPieceAt()) / tokens);
   }
--- a/src/entry/internal/generation_forecast.cc
+++ b/src/entry/internal/generation_forecast.cc
@@ -66,15 +66,22 @@
                              ? view.WorkAhead(now)
                              : Duration::zero();
   return ahead + 2 * view.Distance() +
-         view.PrefillTime(this->PromptTokens() - this->CachedTokens(view));
+         view.PrefillTime(this->PromptTokens() - this->CachedTokens(view, now));
+}
+
+placement::PlacementNeed GenerationMachine::PrefillNeed(Instant now) const {
+  return {.prompt_tokens = this->PromptTokens(),
+          .prefix = this->prefix,
+          .piece_tokens = this->terms.service->piece_tokens,
+          .tried = this->prefill.tried,
+          .now = now};
 }
 
 std::uint64_t GenerationMachine::CachedTokens(
-    const placement::EndpointView& view) const {
-  const double cached = this->service.prefill_picker.CachedTokens(
-      {.prefix = this->prefix,
-       .piece_tokens = this->terms.service->piece_tokens},
-      view);
+    const placement::EndpointView& view,
+    Instant now) const {
+  const double cached =
+      this->service.prefill_picker.CachedTokens(this->PrefillNeed(now), view);
   return std::min(static_cast<std::uint64_t>(cached), this->PromptTokens());
 }
 
@@ -82,12 +89,7 @@
   return this->service.pick_prefill(
       this->context.fleet.Usable(this->terms.service->name,
                                  protocol::EndpointRole::kPrefill),
-      {.prompt_tokens = this->PromptTokens(),
-       .prefix = this->prefix,
-       .piece_tokens = this->terms.service->piece_tokens,
-       .tried = this->prefill.tried,
-       .now = now},
-      this->context.random);
+      this->PrefillNeed(now), this->context.random);
 }
 
 placement::EndpointView* GenerationMachine::PickDecode(Instant now) {
@@ -128,10 +130,7 @@
   if (this->running > 0 || this->resuming) {
     return true;
   }
-  const Duration target_time = this->terms.latency_class->first_token;
-  const Duration margin =
-      std::min(this->service.margin.Margin(), target_time / kMarginPart);
-  return now + ready_in + margin <= this->terms.first_token_by;
+  return now + ready_in + this->Margin() <= this->terms.first_token_by;
 }
 
 Instant GenerationMachine::LatestStart() const {
@@ -140,11 +139,17 @@
   if (prefills.empty()) {
     return this->terms.first_token_by;
   }
-  const Duration margin =
-      std::min(this->service.margin.Margin(),
-               this->terms.latency_class->first_token / kMarginPart);
-  return this->terms.first_token_by - margin -
-         prefills.front()->PrefillTime(this->PromptTokens());
+  const auto cached = static_cast<std::uint64_t>(
+      this->service.prefill_picker.CachedTokensAnywhere(
+          this->PrefillNeed(this->terms.arrival)));
+  const std::uint64_t tokens = this->PromptTokens();
+  return this->terms.first_token_by - this->Margin() -
+         prefills.front()->PrefillTime(tokens - std::min(cached, tokens));
+}
+
+Duration GenerationMachine::Margin() const {
+  return std::min(this->service.margin.Margin(),
+                  this->terms.latency_class->first_token / kMarginPart);
 }
 
 // What is left until the decode has to start for the first token to be on
--- a/src/entry/internal/generation_machine.cc
+++ b/src/entry/internal/generation_machine.cc
@@ -179,7 +179,7 @@
     return false;
   }
   this->prefill_expected = this->PrefillReadyIn(*view, now);
-  this->cached_expected = this->CachedTokens(*view);
+  this->cached_expected = this->CachedTokens(*view, now);
   const Duration compute =
       view->PrefillTime(this->PromptTokens() - this->cached_expected);
   const Duration finish_within = this->TimeToFirstToken(now);
--- a/src/entry/internal/generation_machine.h
+++ b/src/entry/internal/generation_machine.h
@@ -63,9 +63,7 @@
   void Abandon(Instant now) override;
   admission::Waiting QueueRecord() const override;
 
-  // The latest moment at which starting still meets the first token's
-  // target, if nothing is queued ahead.
-  Instant LatestStart() const;
+  Instant LatestStart() const override;
 
  private:
   // ---- events (generation_events.cc) ----
@@ -121,7 +119,10 @@
   bool ExportAlive(Instant now) const;
   placement::EndpointView* PickPrefill(Instant now);
   placement::EndpointView* PickDecode(Instant now);
-  std::uint64_t CachedTokens(const placement::EndpointView& view) const;
+  placement::PlacementNeed PrefillNeed(Instant now) const;
+  std::uint64_t CachedTokens(const placement::EndpointView& view,
+                             Instant now) const;
+  Duration Margin() const;
   Duration PrefillReadyIn(const placement::EndpointView& view,
                           Instant now) const;
   Duration TimeToFirstToken(Instant now) const;
--- a/src/entry/internal/request_arrivals.cc
+++ b/src/entry/internal/request_arrivals.cc
@@ -115,7 +115,16 @@
   if (!created) {
     return;  // the process reused an id; the first request keeps it
   }
-  this->Enqueue(added, true, now);
+  if (this->options.feasibility_counts_queue &&
+      this->options.order != QueueOrder::kNewest &&
+      now + added.Service().QueueWait() > added.LatestStart()) {
+    // Its turn would come too late. Told now, the caller can go elsewhere;
+    // told at that time, it has waited for nothing.
+    added.Refuse(ResultCode::kDeadlineUnreachable, added.Service().RetryAfter(),
+                 now);
+  } else {
+    this->Enqueue(added, true, now);
+  }
   this->After(added, now);
   this->Settle(now);
 }
--- a/src/entry/internal/request_machine.h
+++ b/src/entry/internal/request_machine.h
@@ -72,6 +72,9 @@
   // Call at or after WakeAt().
   virtual void OnTimer(Instant now) = 0;
   virtual Instant WakeAt() const = 0;
+  // The latest moment at which starting it still meets its target, if
+  // nothing is queued ahead of it.
+  virtual Instant LatestStart() const = 0;
   // Gives back all that is held, without an answer.
   virtual void Abandon(Instant now) = 0;
 
--- a/src/entry/internal/service_state.cc
+++ b/src/entry/internal/service_state.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double kBeginWeight = 0.1;
+constexpr Duration kLongestInterval = 1s;
 constexpr Duration kShortestAdvice = 100ms;
 constexpr Duration kLongestAdvice = 30s;
 
@@ -119,16 +120,25 @@
 }
 
 void ServiceState::NoteBegun(Instant now) {
-  const Duration interval = std::min(now - this->begun_at, Duration(1s));
+  const bool queued_now = this->Queued() > 0;
+  if (queued_now && this->begun_while_queued) {
+    const Duration interval = std::min(now - this->begun_at, kLongestInterval);
+    this->begin_interval +=
+        this->begin_interval == Duration::zero()
+            ? interval
+            : FromSeconds(kBeginWeight *
+                          Seconds(interval - this->begin_interval));
+  }
+  this->begun_while_queued = queued_now;
   this->begun_at = now;
-  this->begin_interval +=
-      FromSeconds(kBeginWeight * Seconds(interval - this->begin_interval));
+}
+
+Duration ServiceState::QueueWait() const {
+  return static_cast<std::int64_t>(this->Queued()) * this->begin_interval;
 }
 
 Duration ServiceState::RetryAfter() const {
-  const auto waiting = static_cast<std::int64_t>(this->Queued()) + 1;
-  return std::clamp(waiting * this->begin_interval, kShortestAdvice,
-                    kLongestAdvice);
+  return std::clamp(this->QueueWait(), kShortestAdvice, kLongestAdvice);
 }
 
 }  // namespace acacialug::entry
--- a/src/entry/internal/service_state.h
+++ b/src/entry/internal/service_state.h
@@ -54,8 +54,10 @@
 
   // A request of this service was answered, or at least begun.
   void NoteBegun(Instant now);
-  // When a refused request may try again: the time in which as many were
-  // begun as are waiting now.
+  // How long one more would wait behind those that wait now, by the pace at
+  // which waiting ones were begun lately; zero until that is known.
+  Duration QueueWait() const;
+  // When a refused request may try again.
   Duration RetryAfter() const;
 
   admission::AdaptiveLimit limit;
@@ -77,7 +79,8 @@
   std::deque<RequestId> resumed;
   Instant blocked_until{};
   Instant begun_at{};
-  Duration begin_interval = 100ms;
+  bool begun_while_queued = false;  // the last one; its successor gives a pace
+  Duration begin_interval{};
 };
 
 }  // namespace acacialug::entry
--- a/src/entry/types/entry_options.h
+++ b/src/entry/types/entry_options.h
@@ -60,7 +60,8 @@
   Duration stall_timeout = 5s;       // a stream or prefill without progress
   Duration default_deadline = 120s;
   double retry_share = 0.1;  // of recent successes
-  double retry_burst = 10;
+  // Two full decode endpoints lost at once can be made good.
+  double retry_burst = 40;
   std::uint32_t max_attempts = 4;
   std::uint32_t window_chunks = 256;
   std::uint32_t working_set = 64;        // endpoints connected to, a pool
--- a/src/placement/prefill_picker.cc
+++ b/src/placement/prefill_picker.cc
@@ -91,6 +91,11 @@
   return this->trust * static_cast<double>(pieces * need.piece_tokens);
 }
 
+double PrefillPicker::CachedTokensAnywhere(const PlacementNeed& need) const {
+  const std::size_t pieces = this->memory.Longest(need.prefix).pieces;
+  return this->trust * static_cast<double>(pieces * need.piece_tokens);
+}
+
 void PrefillPicker::Learn(double expected, double cached) {
   if (expected > 0) {
     const double measured = std::min(this->trust * cached / expected, 1.0);
--- a/src/placement/prefill_picker.h
+++ b/src/placement/prefill_picker.h
@@ -49,6 +49,9 @@
   double CachedTokens(const PlacementNeed& need,
                       const EndpointView& view) const;
 
+  // The same for whichever endpoint has most of it.
+  double CachedTokensAnywhere(const PlacementNeed& need) const;
+
   // An engine said how many tokens of the prompt it had; `expected` is what
   // CachedTokens had said of it.
   void Learn(double expected, double cached);
