Hold keyed calls to one run across entries, and issue tickets

Change: LogOnce claims keys on the platform's log before dispatch; POST /tickets/SERVICE issues tickets; a ticket whose home is gone is unknown; a ticket cannot carry a call to another service's endpoint.

--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -62,6 +62,11 @@
   this->implementation->OnClaimsRead(read, now);
 }
 
+Result<std::string> EntryCore::IssueTicket(const ServiceName& service,
+                                           Instant now) {
+  return this->implementation->IssueTicket(service, now);
+}
+
 void EntryCore::OnLiveEntries(std::uint32_t entries, Instant now) {
   this->implementation->OnLiveEntries(entries, now);
 }
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -4,11 +4,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "entry/types/entry_messages.h"
 #include "entry/types/entry_options.h"
 #include "framework/global/random_source.h"
+#include "framework/global/types/result.h"
 #include "manifest/types/manifest.h"
 
 namespace acacialug::entry {
@@ -46,6 +48,10 @@
   void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
   void OnClaimsRead(const ClaimsRead& read, Instant now);
 
+  // A right to run one non-idempotent call, bound to an endpoint that is
+  // usable now. Errors: kNotReady, kUnknownService, kNoEndpoint.
+  Result<std::string> IssueTicket(const ServiceName& service, Instant now);
+
   // How many entries are live, by the host list or whatever the process knows:
   // each grants its part of the callers' rate limits. 1 until told.
   void OnLiveEntries(std::uint32_t entries, Instant now);
--- a/src/entry/internal/call_machine.cc
+++ b/src/entry/internal/call_machine.cc
@@ -124,6 +124,12 @@
     return;
   }
   if (const auto* run = std::get_if<OnceRun>(&verdict)) {
+    if (!this->context.fleet.Serves(run->home, this->terms.service->name)) {
+      // A ticket names its home by itself: one of another service would carry
+      // this call to an endpoint that was never meant to see it.
+      this->Refuse(ResultCode::kTicketInvalid, Duration::zero(), now);
+      return;
+    }
     this->Start(run->home, run->once, now);
   } else if (const auto* look_up = std::get_if<OnceLookUp>(&verdict)) {
     this->once = look_up->once;
@@ -144,6 +150,13 @@
   const bool current =
       this->idempotent || this->context.fleet.AgentOf(home) == bound.home;
   if (!current || !this->context.fleet.Open(home, now)) {
+    if (!this->work.ticket.empty()) {
+      // Bound by value to a home that is gone or not reached: see
+      // Take(Refused).
+      this->Fail(ResultCode::kTicketInvalid, protocol::Outcome::kUnknown,
+                 this->service.RetryAfter(), now);
+      return;
+    }
     this->TryAnother(now);
     return;
   }
@@ -223,6 +236,13 @@
   const bool looked_up = this->stage == CallStage::kLookingUp;
   this->Leave(now, false);
   this->maybe_run = this->lost_run;
+  if (refused.code == ResultCode::kTicketInvalid) {
+    // The ticket's home is gone, or is another start of its agent: an earlier
+    // use of the ticket may have run there, and nobody can ever tell.
+    this->Fail(refused.code, protocol::Outcome::kUnknown, Duration::zero(),
+               now);
+    return;
+  }
   if (looked_up || IsOnceAnswer(refused.code)) {
     // The home sealed the key: it never ran and never will there.
     this->Refuse(refused.code, this->service.RetryAfter(), now);
--- a/src/entry/internal/fleet.cc
+++ b/src/entry/internal/fleet.cc
@@ -288,6 +288,12 @@
   return member == nullptr ? Incarnation() : member->link.Agent();
 }
 
+bool Fleet::Serves(const EndpointId& endpoint,
+                   const ServiceName& service) const {
+  const Member* const member = this->Find(endpoint);
+  return member != nullptr && member->record.service == service;
+}
+
 placement::EndpointView* Fleet::View(const EndpointId& endpoint) {
   Member* const member = this->Find(endpoint);
   return member == nullptr ? nullptr : &member->view;
--- a/src/entry/internal/fleet.h
+++ b/src/entry/internal/fleet.h
@@ -66,6 +66,8 @@
   bool Open(const EndpointId& endpoint, Instant now) const;
   // The agent's incarnation; zero when no session is open.
   Incarnation AgentOf(const EndpointId& endpoint) const;
+  // The endpoint is one of that service's, by the newest manifest.
+  bool Serves(const EndpointId& endpoint, const ServiceName& service) const;
   // Null for an unknown endpoint.
   placement::EndpointView* View(const EndpointId& endpoint);
 
--- /dev/null
+++ b/src/entry/internal/log_once.cc
@@ -0,0 +1,218 @@
+#include "entry/log_once.h"
+
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace acacialug::entry {
+namespace {
+
+protocol::Once BoundTo(const once::WorkKey& key,
+                       std::uint64_t fingerprint,
+                       Incarnation agent,
+                       protocol::OnceKind kind,
+                       LogOffset claim) {
+  return {.kind = kind,
+          .key_high = key.high,
+          .key_low = key.low,
+          .fingerprint = fingerprint,
+          .home = agent,
+          .claim = claim};
+}
+
+Result<LogOffset> AppendResult(const ClaimsAppended& appended) {
+  switch (appended.outcome) {
+    case AppendOutcome::kAppended:
+      return appended.offset;
+    case AppendOutcome::kNotAppended:
+      return Error(ResultCode::kPlatformUnavailable);
+    case AppendOutcome::kUnresolved:
+      break;
+  }
+  return Error(ResultCode::kAppendUnresolved);
+}
+
+Result<platform::ILog::Read> ReadResult(const ClaimsRead& read) {
+  if (!read.reachable) {
+    return Error(ResultCode::kPlatformUnavailable);
+  }
+  platform::ILog::Read records{.first_kept = read.first_kept,
+                               .next = read.next};
+  for (const LogRecord& record : read.records) {
+    records.records.push_back(
+        {.offset = record.offset, .payload = record.payload});
+  }
+  return records;
+}
+
+}  // namespace
+
+LogOnce::LogOnce(Options log_options, RandomSource& random_source)
+    : options(std::move(log_options)),
+      claims(this->options.claims, random_source) {}
+
+void LogOnce::Submit(const OnceSubmission& submission, Instant now) {
+  if (!submission.ticket.empty()) {
+    this->RunTicket(submission);
+    return;
+  }
+  const Status key = once::CheckCallerKey(
+      submission.idempotency_key, this->options.wall_clock(),
+      this->options.key_window, this->options.clock_skew);
+  if (!key.ok()) {
+    this->Refuse(submission.request, key.error().result_code(), {});
+    return;
+  }
+  this->Claim(submission, {}, now);
+}
+
+// The claim of this request stands at the last known position, and its home
+// provably ran nothing: the claim may move to the home proposed now. If
+// another submission moved it first, that one's home is asked.
+void LogOnce::OnRefused(const OnceSubmission& submission, Instant now) {
+  if (!submission.ticket.empty()) {
+    // A ticket never moves: its home is part of its value.
+    this->RunTicket(submission);
+    return;
+  }
+  const auto found = this->pending.find(submission.request);
+  this->Claim(submission,
+              found == this->pending.end() ? once::ClaimPosition{}
+                                           : found->second.holder,
+              now);
+}
+
+void LogOnce::RunTicket(const OnceSubmission& submission) {
+  const std::optional<once::Ticket> ticket =
+      once::ParseTicket(submission.ticket);
+  if (!ticket) {
+    this->Refuse(submission.request, ResultCode::kTicketInvalid, {});
+    return;
+  }
+  this->verdicts.emplace_back(OnceRun{
+      .request = submission.request,
+      .once = BoundTo(ticket->key, submission.fingerprint, ticket->home.agent,
+                      protocol::OnceKind::kTicket, LogOffset()),
+      .home = ticket->home.endpoint});
+}
+
+void LogOnce::Claim(const OnceSubmission& submission,
+                    const once::ClaimPosition& replaces,
+                    Instant now) {
+  const once::ClaimToken token(++this->last_token);
+  const once::WorkKey key = once::MakeWorkKey(
+      submission.caller, submission.service, submission.idempotency_key);
+  this->pending[submission.request] = {.token = token,
+                                       .key = key,
+                                       .fingerprint = submission.fingerprint,
+                                       .holder = replaces};
+  this->requests.emplace(token, submission.request);
+  this->claims.Request(
+      token,
+      {.key = key,
+       .fingerprint = submission.fingerprint,
+       .home = {.endpoint = submission.home, .agent = submission.home_agent},
+       .replaces = replaces},
+      now);
+  this->Collect();
+}
+
+void LogOnce::Refuse(const RequestId& request,
+                     ResultCode code,
+                     Duration retry_after) {
+  this->verdicts.emplace_back(OnceRefuse{.request = request,
+                                         .code = code,
+                                         .outcome = protocol::Outcome::kNotRun,
+                                         .retry_after = retry_after});
+}
+
+void LogOnce::Withdraw(const RequestId& request, Instant) {
+  const auto found = this->pending.find(request);
+  if (found != this->pending.end()) {
+    this->claims.Forget(found->second.token);
+    this->requests.erase(found->second.token);
+    this->pending.erase(found);
+  }
+}
+
+void LogOnce::OnClaimsAppended(const ClaimsAppended& appended, Instant now) {
+  this->claims.OnAppended(appended.ticket.value, AppendResult(appended), now);
+  this->Collect();
+}
+
+void LogOnce::OnClaimsRead(const ClaimsRead& read, Instant now) {
+  this->claims.OnRead(ReadResult(read), now);
+  this->Collect();
+}
+
+void LogOnce::OnTimer(Instant now) {
+  if (!this->started) {
+    this->started = true;
+    this->claims.Start(now);
+  }
+  this->claims.OnTimer(now);
+  this->Collect();
+}
+
+Instant LogOnce::NextTimer() const {
+  return this->started ? this->claims.next_timer() : Instant{};
+}
+
+std::vector<OnceVerdict> LogOnce::TakeVerdicts() {
+  return std::exchange(this->verdicts, {});
+}
+
+std::vector<EntryAction> LogOnce::TakeActions() {
+  return std::exchange(this->actions, {});
+}
+
+// ---- what the claims' coordinator asks for ----
+
+void LogOnce::Collect() {
+  for (const once::CoordinatorAction& action : this->claims.TakeActions()) {
+    std::visit([this](const auto& concrete) { this->Take(concrete); }, action);
+  }
+}
+
+void LogOnce::Take(const once::AppendBatch& append) {
+  this->actions.emplace_back(AppendClaims{.ticket = LogTicket(append.batch),
+                                          .payload = append.payload});
+}
+
+void LogOnce::Take(const once::ReadClaims& read) {
+  this->actions.emplace_back(
+      ReadClaims{.ticket = {}, .from = read.from, .wait = read.wait});
+}
+
+void LogOnce::Take(const once::ClaimSettled& settled) {
+  const auto request = this->requests.find(settled.token);
+  if (request == this->requests.end()) {
+    return;  // withdrawn
+  }
+  const RequestId id = request->second;
+  this->requests.erase(request);
+  Pending& waiting = this->pending.at(id);
+  const protocol::Once bound =
+      BoundTo(waiting.key, waiting.fingerprint, settled.home.agent,
+              protocol::OnceKind::kClaim, settled.position.offset);
+  switch (settled.verdict) {
+    case once::ClaimVerdict::kWon:
+      waiting.holder = settled.position;
+      this->verdicts.emplace_back(
+          OnceRun{.request = id, .once = bound, .home = settled.home.endpoint});
+      return;
+    case once::ClaimVerdict::kHeld:
+      waiting.holder = settled.position;
+      this->verdicts.emplace_back(OnceLookUp{
+          .request = id, .once = bound, .home = settled.home.endpoint});
+      return;
+    case once::ClaimVerdict::kReused:
+      this->Refuse(id, ResultCode::kKeyReused, {});
+      return;
+    case once::ClaimVerdict::kUnavailable:
+      this->Refuse(id, ResultCode::kLogUnavailable, this->options.retry_after);
+      return;
+  }
+}
+
+}  // namespace acacialug::entry
--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "entry/internal/direct_once.h"
+#include "once/work_key.h"
 
 namespace acacialug::entry {
 namespace {
@@ -162,6 +163,26 @@
   this->Settle(now);
 }
 
+Result<std::string> RequestRouter::IssueTicket(const ServiceName& service,
+                                               Instant now) {
+  this->Begin(now);
+  if (!this->manifest) {
+    return Error(ResultCode::kNotReady);
+  }
+  const manifest::Service* const record = this->manifest->FindService(service);
+  if (record == nullptr || record->kind != manifest::ServiceKind::kPlain) {
+    return Error(ResultCode::kUnknownService, service.text);
+  }
+  const placement::Candidates usable =
+      this->fleet.Usable(service, protocol::EndpointRole::kPlain);
+  if (usable.empty()) {
+    return Error(ResultCode::kNoEndpoint, service.text);
+  }
+  const EndpointId& home = usable[this->random.Below(usable.size())]->Id();
+  return once::EncodeTicket(once::IssueTicket(
+      {.endpoint = home, .agent = this->fleet.AgentOf(home)}, this->random));
+}
+
 void RequestRouter::OnLiveEntries(std::uint32_t entries, Instant now) {
   this->rates.SetSharers(
       std::max(entries, 1U) * std::max(this->options.shards, 1U), now);
--- /dev/null
+++ b/src/entry/log_once.h
@@ -0,0 +1,74 @@
+#ifndef ENTRY_LOG_ONCE_H_
+#define ENTRY_LOG_ONCE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "entry/i_once_coordinator.h"
+#include "framework/global/random_source.h"
+#include "once/claim_coordinator.h"
+#include "once/work_key.h"
+
+namespace acacialug::entry {
+
+// At most once by tickets, and by claims on the platform's log: the first
+// claim in log order wins, on whichever entry it was made. A claim may move to
+// another home only from the position of its holder, after that home said that
+// it did not run the work and never will.
+class LogOnce : public IOnceCoordinator {
+ public:
+  struct Options {
+    once::CoordinatorOptions claims;
+    // Keys older than this are refused. The log keeps claims at least so long.
+    once::WallMilliseconds key_window = std::chrono::hours(24);
+    once::WallMilliseconds clock_skew = std::chrono::minutes(5);
+    std::function<once::WallMilliseconds()> wall_clock;  // must be set
+    Duration retry_after = 1s;  // told while the log is out
+  };
+
+  // `random` outlives this.
+  LogOnce(Options log_options, RandomSource& random_source);
+
+  void Submit(const OnceSubmission& submission, Instant now) override;
+  void OnRefused(const OnceSubmission& submission, Instant now) override;
+  void Withdraw(const RequestId& request, Instant now) override;
+  void OnClaimsAppended(const ClaimsAppended& appended, Instant now) override;
+  void OnClaimsRead(const ClaimsRead& read, Instant now) override;
+  void OnTimer(Instant now) override;
+  Instant NextTimer() const override;
+  std::vector<OnceVerdict> TakeVerdicts() override;
+  std::vector<EntryAction> TakeActions() override;
+
+ private:
+  struct Pending {
+    once::ClaimToken token;  // of the claim that is waited for
+    once::WorkKey key;
+    std::uint64_t fingerprint = 0;
+    once::ClaimPosition holder;  // last known
+  };
+
+  void RunTicket(const OnceSubmission& submission);
+  void Claim(const OnceSubmission& submission,
+             const once::ClaimPosition& replaces,
+             Instant now);
+  void Refuse(const RequestId& request, ResultCode code, Duration retry_after);
+  void Collect();
+  void Take(const once::AppendBatch& append);
+  void Take(const once::ReadClaims& read);
+  void Take(const once::ClaimSettled& settled);
+
+  Options options;
+  once::ClaimCoordinator claims;
+  bool started = false;
+  std::uint64_t last_token = 0;
+  std::map<RequestId, Pending> pending;
+  std::map<once::ClaimToken, RequestId> requests;
+  std::vector<OnceVerdict> verdicts;
+  std::vector<EntryAction> actions;
+};
+
+}  // namespace acacialug::entry
+
+#endif  // ENTRY_LOG_ONCE_H_
--- a/src/entry/types/entry_messages.h
+++ b/src/entry/types/entry_messages.h
@@ -114,9 +114,11 @@
   LogTicket ticket;
   std::string payload;
 };
+// `wait`: with no record there yet, the log may hold its answer that long.
 struct ReadClaims {
   LogTicket ticket;
   LogOffset from;
+  Duration wait{};
 };
 
 using EntryAction = std::variant<SendToAgent,
--- a/src/entry_process/internal/caller_request.cc
+++ b/src/entry_process/internal/caller_request.cc
@@ -37,6 +37,7 @@
           CallAsked{.service = ServiceName(std::move(match->name)),
                     .call = MakeServiceRequest(std::move(request),
                                                std::move(match->target), id)});
+    case Route::kTicket:
     case Route::kModels:
     case Route::kModel:
     case Route::kHealth:
@@ -44,7 +45,7 @@
       break;
   }
   return CallerAsk(
-      PageAsked{.route = match->route, .model = std::move(match->name)});
+      PageAsked{.route = match->route, .name = std::move(match->name)});
 }
 
 http::Headers IdentityHeaders(const RequestId& id,
--- a/src/entry_process/internal/caller_request.h
+++ b/src/entry_process/internal/caller_request.h
@@ -24,7 +24,7 @@
 // A page that the process answers by itself.
 struct PageAsked {
   Route route = Route::kHealth;
-  std::string model;  // kModel only
+  std::string name;  // of the model or the service; kModel and kTicket
 };
 
 // What a caller's HTTP request asks for.
--- a/src/entry_process/internal/claims_log.cc
+++ b/src/entry_process/internal/claims_log.cc
@@ -69,8 +69,8 @@
         0, [on_done] { on_done(Error(ResultCode::kPlatformUnavailable)); });
     return;
   }
-  this->log->ReadFrom(kClaimsStream, read.from, kRecordsPerRead,
-                      Duration::zero(), std::move(on_done));
+  this->log->ReadFrom(kClaimsStream, read.from, kRecordsPerRead, read.wait,
+                      std::move(on_done));
 }
 
 }  // namespace acacialug::entry_process
--- a/src/entry_process/internal/route.cc
+++ b/src/entry_process/internal/route.cc
@@ -8,6 +8,7 @@
 
 constexpr std::string_view kModelPrefix = "/v1/models/";
 constexpr std::string_view kServicePrefix = "/services/";
+constexpr std::string_view kTicketPrefix = "/tickets/";
 constexpr std::string_view kReadMethods = "GET, HEAD";
 
 struct FixedRoute {
@@ -166,6 +167,10 @@
   if (const FixedRoute* fixed = FindFixed(path)) {
     return RouteMatch{.route = fixed->route};
   }
+  if (path.starts_with(kTicketPrefix)) {
+    return RouteMatch{.route = Route::kTicket,
+                      .name = std::string(path.substr(kTicketPrefix.size()))};
+  }
   return RouteMatch{.route = Route::kModel,
                     .name = std::string(path.substr(kModelPrefix.size()))};
 }
@@ -174,6 +179,9 @@
   if (const FixedRoute* fixed = FindFixed(path)) {
     return fixed->methods;
   }
+  if (path.starts_with(kTicketPrefix) && path.size() > kTicketPrefix.size()) {
+    return "POST";
+  }
   const bool is_model =
       path.starts_with(kModelPrefix) && path.size() > kModelPrefix.size();
   return is_model ? kReadMethods : std::string_view();
--- a/src/entry_process/internal/route.h
+++ b/src/entry_process/internal/route.h
@@ -17,15 +17,17 @@
   kModels,
   kModel,
   kService,
+  kTicket,
   kHealth,
   kReady,
 };
-inline constexpr EnumNames<Route, 7> kRouteNames = {{
+inline constexpr EnumNames<Route, 8> kRouteNames = {{
     {Route::kChatCompletions, "chat_completions"},
     {Route::kCompletions, "completions"},
     {Route::kModels, "models"},
     {Route::kModel, "model"},
     {Route::kService, "service"},
+    {Route::kTicket, "ticket"},
     {Route::kHealth, "health"},
     {Route::kReady, "ready"},
 }};
--- a/src/entry_process/internal/shard.cc
+++ b/src/entry_process/internal/shard.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
 #include <utility>
 #include <variant>
 
+#include "entry/log_once.h"
 #include "entry_process/internal/models_page.h"
 #include "entry_process/internal/operations_pages.h"
 
@@ -22,6 +25,11 @@
           .body = std::move(body)};
 }
 
+once::WallMilliseconds WallClock() {
+  return std::chrono::duration_cast<once::WallMilliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 // An agent takes a second session of one entry for that entry's next start,
 // and ends the first with all that runs in it. So each shard is an entry of
 // its own to the agents.
@@ -30,6 +38,12 @@
   entry::EntryOptions core = options.process.core;
   core.id.text += "/" + std::to_string(options.index);
   core.incarnation = random.NextIncarnation();
+  if (options.process.make_log) {
+    core.make_once = [&random](const entry::EntryOptions&) {
+      return std::make_unique<entry::LogOnce>(
+          entry::LogOnce::Options{.wall_clock = WallClock}, random);
+    };
+  }
   return core;
 }
 
@@ -204,16 +218,30 @@
   if (this->manifest == nullptr) {
     return Error(ResultCode::kNotReady);
   }
+  if (page.route == Route::kTicket) {
+    return this->IssueTicket(ServiceName(page.name));
+  }
   if (page.route == Route::kModels) {
     return JsonPage(RenderModels(*this->manifest));
   }
-  Result<std::string> body = RenderModel(*this->manifest, page.model);
+  Result<std::string> body = RenderModel(*this->manifest, page.name);
   if (!body.ok()) {
     return body.error();
   }
   return JsonPage(std::move(body.value()));
 }
 
+Result<http::Response> Shard::IssueTicket(const ServiceName& service) {
+  Result<std::string> ticket = this->core.IssueTicket(service, MonotonicNow());
+  this->Pump();
+  if (!ticket.ok()) {
+    return ticket.error();
+  }
+  return JsonPage(
+      nlohmann::json{{"service", service.text}, {"ticket", ticket.value()}}
+          .dump());
+}
+
 Shard::LiveRequest& Shard::Begin(Asked& asked,
                                  const manifest::Service* service) {
   LiveRequest& live = this->live_requests[asked.id];
--- a/src/entry_process/internal/shard.h
+++ b/src/entry_process/internal/shard.h
@@ -76,6 +76,7 @@
   std::unique_ptr<GenerationAnswer> MakeAnswer(const Asked& asked,
                                                const ParsedGeneration& parsed);
   Result<http::Response> RenderPage(const PageAsked& page);
+  Result<http::Response> IssueTicket(const ServiceName& service);
 
   // Runs `input` on the core and carries out what it asks for.
   template <typename Input>
