Drop two unused names in tests

Cause: the linter counts them as errors. Change: two using declarations removed, nothing else. Conclusion: style only.

--- a/src/agent_process/tests/settings_test.cc
+++ b/src/agent_process/tests/settings_test.cc
@@ -9,7 +9,6 @@
 
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 const std::string kLeast = R"(
 [agent]
--- a/src/engine/tests/event_stream_reader_test.cc
+++ b/src/engine/tests/event_stream_reader_test.cc
@@ -10,7 +10,6 @@
 namespace {
 
 using testing::ForEach;
-using testing::It;
 
 struct Row {
   std::string name;
