--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -108,6 +108,9 @@
   const double expected = std::max(Seconds(this->prefill_expected), 1e-4);
   this->context.fleet.NoteSuccess(
       endpoint, Seconds(now - this->prefill.asked_at) / expected);
+  this->service.prefill_picker.Learn(
+      static_cast<double>(this->cached_expected),
+      static_cast<double>(prefilled.usage.cached_tokens));
   if (this->prompt_tokens_counted == 0 && !this->stream.Begun()) {
     this->prompt_tokens_counted = prefilled.usage.prompt_tokens;
     this->cached_tokens = prefilled.usage.cached_tokens;
@@ -160,7 +163,7 @@
   this->stream.NoteEnd(message.chunks);
   const std::uint32_t tokens =
       this->stream.Tokens() - this->stream.EarlierTokens();
-  if (tokens > 1) {
+  if (tokens > 1 && !this->stream.Paused()) {
     this->context.fleet.NoteSuccess(
         endpoint, Seconds(now - this->stream.AttemptFirstPieceAt()) / tokens);
   }
