Fold the codec's and adapters' like tests into tables

Cause: the same checks stood twice, for both directions and for each member. Change: one check for every alternative and every cut; bodies sent to an engine checked by rows of command, member and value. Conclusion: shorter to read, as strict.

--- a/src/engine/tests/openai_engine_test.cc
+++ b/src/engine/tests/openai_engine_test.cc
@@ -12,7 +12,6 @@
 using protocol::Outcome;
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 const AttemptId kAttempt{.request = {.high = 1, .low = 2},
                          .attempt = AttemptNumber(3),
@@ -92,6 +91,39 @@
   return Json::parse(server.requests.front().body);
 }
 
+// A member of the body that the engine is sent; null: none.
+struct BodyRow {
+  std::string name;
+  EngineCommand command;
+  std::string pointer;
+  Json expected;
+};
+
+void CheckBody(const BodyRow& row) {
+  const Json body = SentBody(row.command);
+  const Json::json_pointer pointer(row.pointer);
+  CPPUNIT_ASSERT_EQUAL(
+      row.expected.dump(),
+      (body.contains(pointer) ? body[pointer] : Json()).dump());
+}
+
+std::string BodyName(const BodyRow& row) {
+  return row.name;
+}
+
+Decode Resumed(GenerationApi api, const std::string& body) {
+  Decode decode = kDecode;
+  decode.generation.api = api;
+  decode.generation.body = body;
+  decode.generation.resumed_text = " a";
+  return decode;
+}
+
+const Decode kResumed = Resumed(GenerationApi::kCompletions, kRequest.body);
+const Decode kResumedChat =
+    Resumed(GenerationApi::kChat,
+            R"({"messages":[{"role":"user","content":"x"}]})");
+
 struct FaultRow {
   std::string name;
   ScriptedServer::Script script;
@@ -132,16 +164,16 @@
 
 const testing::Story kPrefillStory(
     "a prefill on an OpenAI-compatible engine",
-    {It("asks for one token and the export",
-        [] {
-          const Json body = SentBody(kPrefill);
-          CPPUNIT_ASSERT_EQUAL(1, body["max_tokens"].get<int>());
-          CPPUNIT_ASSERT(body["stream"] == false);
-          CPPUNIT_ASSERT(body["model"] == "review-1");
-          CPPUNIT_ASSERT(body["seed"] == 5);
-          CPPUNIT_ASSERT(body["kv_transfer_params"]["do_remote_decode"] ==
-                         true);
-        }),
+    {ForEach<BodyRow>("asks for",
+                      {{"one token", kPrefill, "/max_tokens", 1},
+                       {"an answer in one piece", kPrefill, "/stream", false},
+                       {"the model by its own name", kPrefill, "/model",
+                        "review-1"},
+                       {"what else the caller set", kPrefill, "/seed", 5},
+                       {"the export", kPrefill,
+                        "/kv_transfer_params/do_remote_decode", true}},
+                      BodyName,
+                      CheckBody),
      It("tells the export, its size and the usage",
         [] {
           ScriptedServer server(Whole(200, kPrefillAnswer));
@@ -174,51 +206,38 @@
 
 const testing::Story kDecodeStory(
     "a stream from an OpenAI-compatible engine",
-    {It("asks to stream with the export and with usage",
-        [] {
-          const Json body = SentBody(kDecode);
-          CPPUNIT_ASSERT_EQUAL(7, body["max_tokens"].get<int>());
-          CPPUNIT_ASSERT_EQUAL(2, body["priority"].get<int>());
-          CPPUNIT_ASSERT(body["stream"] == true);
-          CPPUNIT_ASSERT(body["stream_options"]["include_usage"] == true);
-          CPPUNIT_ASSERT(body["kv_transfer_params"]["do_remote_prefill"] ==
-                         true);
-        }),
-     It("leaves out the export when there is none",
+    {ForEach<BodyRow>("asks for",
+                      {{"all its tokens", kDecode, "/max_tokens", 7},
+                       {"its priority", kDecode, "/priority", 2},
+                       {"a stream", kDecode, "/stream", true},
+                       {"the usage", kDecode, "/stream_options/include_usage",
+                        true},
+                       {"the export", kDecode,
+                        "/kv_transfer_params/do_remote_prefill", true},
+                       {"no export where there is none",
+                        Decode{.attempt = kAttempt, .generation = kRequest},
+                        "/kv_transfer_params", nullptr}},
+                      BodyName,
+                      CheckBody),
+     ForEach<BodyRow>("that is resumed goes on",
+                      {{"after the prompt and the delivered text", kResumed,
+                        "/prompt", "abc a"},
+                       {"in a chat's last message", kResumedChat,
+                        "/messages/1/content", " a"},
+                       {"within that message", kResumedChat,
+                        "/continue_final_message", true},
+                       {"without a new one", kResumedChat,
+                        "/add_generation_prompt", false}},
+                      BodyName,
+                      CheckBody),
+     It("that is resumed is refused as not run for a prompt of token ids",
         [] {
-          Decode decode = kDecode;
-          decode.kv = {};
-          CPPUNIT_ASSERT(!SentBody(decode).contains("kv_transfer_params"));
+          EngineUnderTest under_test(Options(ClosedAddress()));
+          const auto failed = under_test.Await<AttemptFailed>(
+              Resumed(GenerationApi::kCompletions, R"({"prompt":[1,2]})"));
+          CPPUNIT_ASSERT(failed.code == ResultCode::kInvalidParameter);
+          CPPUNIT_ASSERT(failed.outcome == Outcome::kNotRun);
         }),
-     Section("that is resumed",
-             {It("goes on after the prompt and the delivered text",
-                 [] {
-                   Decode decode = kDecode;
-                   decode.generation.resumed_text = " a";
-                   CPPUNIT_ASSERT(SentBody(decode)["prompt"] == "abc a");
-                 }),
-              It("goes on in the last message of a chat",
-                 [] {
-                   Decode decode = kDecode;
-                   decode.generation.api = GenerationApi::kChat;
-                   decode.generation.body =
-                       R"({"messages":[{"role":"user","content":"x"}]})";
-                   decode.generation.resumed_text = " a";
-                   const Json body = SentBody(decode);
-                   CPPUNIT_ASSERT(body["messages"][1]["content"] == " a");
-                   CPPUNIT_ASSERT(body["continue_final_message"] == true);
-                   CPPUNIT_ASSERT(body["add_generation_prompt"] == false);
-                 }),
-              It("is refused as not run for a prompt of token ids",
-                 [] {
-                   Decode decode = kDecode;
-                   decode.generation.body = R"({"prompt":[1,2]})";
-                   decode.generation.resumed_text = " a";
-                   EngineUnderTest under_test(Options(ClosedAddress()));
-                   const auto failed = under_test.Await<AttemptFailed>(decode);
-                   CPPUNIT_ASSERT(failed.code == ResultCode::kInvalidParameter);
-                   CPPUNIT_ASSERT(failed.outcome == Outcome::kNotRun);
-                 })}),
      It("tells each text once, in order, then its end",
         [] {
           ScriptedServer server(Stream(kWholeStream, Ending::kEnd));
--- a/src/protocol/tests/message_codec_test.cc
+++ b/src/protocol/tests/message_codec_test.cc
@@ -92,6 +92,26 @@
   (void)DecodeAgentToEntry(payload);
 }
 
+// Every alternative reads back alike, and cut short at any byte not at all.
+template <typename Message>
+void CheckEach(const std::vector<Message>& messages,
+               Result<Message> (*decode)(std::string_view)) {
+  CPPUNIT_ASSERT_EQUAL(std::variant_size_v<Message>, messages.size());
+  for (std::size_t alternative = 0; alternative < messages.size();
+       ++alternative) {
+    const std::string payload = Encode(messages[alternative]);
+    const auto decoded = decode(payload);
+    CPPUNIT_ASSERT(decoded.ok());
+    CPPUNIT_ASSERT_EQUAL(alternative, decoded->index());
+    CPPUNIT_ASSERT(Encode(*decoded) == payload);
+    for (std::size_t size = 0; size < payload.size(); ++size) {
+      const auto cut = decode(std::string_view(payload).substr(0, size));
+      CPPUNIT_ASSERT(!cut.ok());
+      CPPUNIT_ASSERT(cut.error().result_code() == ResultCode::kBadFrame);
+    }
+  }
+}
+
 template <typename Message>
 std::string Patched(const Message& message,
                     std::size_t position,
@@ -151,28 +171,10 @@
 
 const testing::Story kCodec(
     "the codec of messages",
-    {It("reads back every message of an entry",
-        [] {
-          std::size_t alternative = 0;
-          for (const EntryToAgent& message : EntryMessages()) {
-            const auto decoded = DecodeEntryToAgent(Encode(message));
-            CPPUNIT_ASSERT(decoded.ok());
-            CPPUNIT_ASSERT_EQUAL(alternative++, decoded->index());
-            CPPUNIT_ASSERT(Encode(*decoded) == Encode(message));
-          }
-          CPPUNIT_ASSERT_EQUAL(std::variant_size_v<EntryToAgent>, alternative);
-        }),
-     It("reads back every message of an agent",
-        [] {
-          std::size_t alternative = 0;
-          for (const AgentToEntry& message : AgentMessages()) {
-            const auto decoded = DecodeAgentToEntry(Encode(message));
-            CPPUNIT_ASSERT(decoded.ok());
-            CPPUNIT_ASSERT_EQUAL(alternative++, decoded->index());
-            CPPUNIT_ASSERT(Encode(*decoded) == Encode(message));
-          }
-          CPPUNIT_ASSERT_EQUAL(std::variant_size_v<AgentToEntry>, alternative);
-        }),
+    {It("reads back every message of an entry, but none cut short",
+        [] { CheckEach(EntryMessages(), DecodeEntryToAgent); }),
+     It("reads back every message of an agent, but none cut short",
+        [] { CheckEach(AgentMessages(), DecodeAgentToEntry); }),
      It("keeps fields, not only bytes",
         [] {
           const auto decoded = DecodeEntryToAgent(Encode(EntryMessages()[6]));
@@ -200,27 +202,7 @@
           CPPUNIT_ASSERT(grace > 24h && Instant(grace) + grace < kNever);
         }),
      Section("given bytes that are no message",
-             {It("refuses each message cut short at each byte",
-                 [] {
-                   for (const EntryToAgent& message : EntryMessages()) {
-                     const std::string payload = Encode(message);
-                     for (std::size_t size = 0; size < payload.size(); ++size) {
-                       const auto decoded = DecodeEntryToAgent(
-                           std::string_view(payload).substr(0, size));
-                       CPPUNIT_ASSERT(!decoded.ok());
-                       CPPUNIT_ASSERT(decoded.error().result_code() ==
-                                      ResultCode::kBadFrame);
-                     }
-                   }
-                   for (const AgentToEntry& message : AgentMessages()) {
-                     const std::string payload = Encode(message);
-                     for (std::size_t size = 0; size < payload.size(); ++size) {
-                       CPPUNIT_ASSERT(!DecodeAgentToEntry(
-                           std::string_view(payload).substr(0, size)));
-                     }
-                   }
-                 }),
-              ForEach<BadPayload>(
+             {ForEach<BadPayload>(
                   "refuses",
                   BadPayloads(),
                   [](const BadPayload& row) { return row.name; },
