Count what the entry drops, repeats, resumes and loses

Cause: metrics and tests could not see the entry's recoveries. Change: EntryCounters beside the core, as the agent has them.

--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -90,4 +90,8 @@
   return this->implementation->AliveRequests();
 }
 
+EntryCounters EntryCore::counters() const {
+  return this->implementation->Counters();
+}
+
 }  // namespace acacialug::entry
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "entry/types/entry_counters.h"
 #include "entry/types/entry_messages.h"
 #include "entry/types/entry_options.h"
 #include "framework/global/random_source.h"
@@ -60,6 +61,7 @@
   Instant next_timer() const;
   std::vector<EntryAction> TakeActions();
   std::size_t alive_requests() const;
+  EntryCounters counters() const;
 
  private:
   class Implementation;
--- a/src/entry/internal/call_machine.cc
+++ b/src/entry/internal/call_machine.cc
@@ -195,6 +195,8 @@
           if (this->state == RequestState::kActive &&
               this->Matches(where, content.attempt)) {
             this->Take(content, now);
+          } else {
+            ++this->context.counters.dropped_frames;
           }
         }
       },
@@ -211,6 +213,7 @@
     }
   }
   this->context.budget.NoteSuccess();
+  ++this->context.counters.completed;
   this->service.NoteBegun(now);
   this->Leave(now, false);
   this->Abandon(now);
@@ -281,10 +284,12 @@
   this->lost_run = true;
   if (this->repeats + 1 >= this->context.options.max_attempts ||
       !this->context.budget.TryTake()) {
+    ++this->context.counters.repeats_denied;
     this->GiveUp(this->repeats > 0 ? ResultCode::kRetriesExhausted : code, now);
     return;
   }
   ++this->repeats;
+  ++this->context.counters.runs_repeated;
   this->TryAnother(now);
 }
 
@@ -307,6 +312,7 @@
   }
   this->number = AttemptNumber(this->number.value + 1);
   this->attempt = this->Attempt(this->number);
+  ++this->context.counters.look_ups;
   this->context.fleet.Send(
       this->endpoint,
       protocol::LookUp{.attempt = this->attempt, .once = this->once}, now);
--- a/src/entry/internal/fleet.cc
+++ b/src/entry/internal/fleet.cc
@@ -175,7 +175,9 @@
   if (member == nullptr) {
     return;
   }
+  const bool open = member->link.State() == LinkState::kOpen;
   member->link.OnClosed(now);
+  this->sessions_lost += open ? 1 : 0;
   this->Lose(*member);
   this->Rearm(*member);
   this->DropUnneeded(*member);
@@ -237,6 +239,7 @@
       continue;
     }
     if (member->link.OnTimer(this->Offset(), now)) {
+      ++this->sessions_lost;
       this->Lose(*member);
     }
     this->Rearm(*member);
--- a/src/entry/internal/fleet.h
+++ b/src/entry/internal/fleet.h
@@ -2,6 +2,7 @@
 #define ENTRY_INTERNAL_FLEET_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -81,6 +82,8 @@
               Instant now);
   void Detach(const EndpointId& endpoint, const RequestId& request);
 
+  std::uint64_t SessionsLost() const { return this->sessions_lost; }
+
   // What the outlier rules judge by. `latency` as a multiple of the expected,
   // or in any unit that is the same for the pool.
   void NoteSuccess(const EndpointId& endpoint, double latency);
@@ -131,6 +134,7 @@
   TimerSet<EndpointId> timers;
   Instant sweep_at = kNever;
   std::vector<LostWork> lost;
+  std::uint64_t sessions_lost = 0;
 };
 
 }  // namespace acacialug::entry
--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -58,6 +58,7 @@
           const bool current = this->state == RequestState::kActive &&
                                this->Take(endpoint, content, now);
           if (!current) {
+            ++this->context.counters.dropped_frames;
             this->context.fleet.Send(
                 endpoint, protocol::Cancel{.attempt = content.attempt}, now);
           }
@@ -261,15 +262,18 @@
   }
   // Only the reservation is gone, or the prefill's result is still there.
   if (!ran || this->MayRepeat(code, now)) {
+    this->context.counters.prefills_reused += ran ? 1 : 0;
     this->Advance(now);
   }
 }
 
 void GenerationMachine::OnPrefillLost(ResultCode code, Instant now) {
+  const bool done = this->prefill.stage == LegStage::kReady;
   this->EndLeg(this->prefill, true, now);
   if (this->decode.stage == LegStage::kRunning) {
     return;  // the import may be done already; the decode will tell
   }
+  this->context.counters.prefills_lost += done ? 1 : 0;
   if (this->MayRepeat(code, now)) {
     this->Advance(now);  // under the same reservation, if there is one
   }
--- a/src/entry/internal/generation_machine.cc
+++ b/src/entry/internal/generation_machine.cc
@@ -243,8 +243,10 @@
   if (this->repeats + 1 < this->context.options.max_attempts &&
       this->context.budget.TryTake()) {
     ++this->repeats;
+    ++this->context.counters.runs_repeated;
     return true;
   }
+  ++this->context.counters.repeats_denied;
   this->GiveUp(this->repeats > 0 ? ResultCode::kRetriesExhausted : code, now);
   return false;
 }
@@ -260,6 +262,7 @@
   if (!this->MayRepeat(code, now)) {
     return;
   }
+  this->context.counters.streams_resumed += this->stream.Begun() ? 1 : 0;
   this->EndStart();
   this->prefill_at = kNever;
   this->reserve_again_at = kNever;
@@ -278,6 +281,7 @@
                                    ? this->prompt_tokens_counted
                                    : usage.prompt_tokens;
   this->context.budget.NoteSuccess();
+  ++this->context.counters.completed;
   this->EndLeg(this->decode, false, now);
   this->Abandon(now);
   this->Emit(AnswerEnd{.request = this->terms.request,
--- a/src/entry/internal/request_arrivals.cc
+++ b/src/entry/internal/request_arrivals.cc
@@ -30,6 +30,7 @@
 void RequestRouter::Refuse(const RequestId& request,
                            ResultCode code,
                            Duration retry_after) {
+  ++this->counters.refused_not_run;
   this->actions.emplace_back(AnswerError{.request = request,
                                          .code = code,
                                          .outcome = protocol::Outcome::kNotRun,
--- a/src/entry/internal/request_machine.cc
+++ b/src/entry/internal/request_machine.cc
@@ -41,6 +41,9 @@
   if (this->state == RequestState::kDone) {
     return;
   }
+  ++(outcome == protocol::Outcome::kNotRun
+         ? this->context.counters.refused_not_run
+         : this->context.counters.failed);
   this->Abandon(now);
   this->Emit(AnswerError{.request = this->terms.request,
                          .code = code,
--- a/src/entry/internal/request_machine.h
+++ b/src/entry/internal/request_machine.h
@@ -9,6 +9,7 @@
 #include "admission/fair_queue.h"
 #include "entry/internal/fleet.h"
 #include "entry/internal/service_state.h"
+#include "entry/types/entry_counters.h"
 #include "entry/types/entry_messages.h"
 #include "entry/types/entry_options.h"
 #include "retry/retry_budget.h"
@@ -23,6 +24,7 @@
   Fleet& fleet;
   retry::RetryBudget& budget;
   IOnceCoordinator& once;
+  EntryCounters& counters;
   RandomSource& random;
   std::vector<EntryAction>& actions;
 };
--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -69,6 +69,7 @@
           .fleet = this->fleet,
           .budget = this->budget,
           .once = *this->once,
+          .counters = this->counters,
           .random = this->random,
           .actions = this->actions};
 }
@@ -138,8 +139,11 @@
     if (found != this->machines.end()) {
       found->second->OnMessage(endpoint, message, now);
       this->After(*found->second, now);
-    } else if (TellsOfHeld(message)) {
-      this->fleet.Send(endpoint, protocol::Cancel{.attempt = attempt}, now);
+    } else {
+      ++this->counters.dropped_frames;
+      if (TellsOfHeld(message)) {
+        this->fleet.Send(endpoint, protocol::Cancel{.attempt = attempt}, now);
+      }
     }
     const auto* refused = std::get_if<protocol::Refused>(&message);
     if (refused != nullptr && refused->code == ResultCode::kSessionUnknown) {
@@ -325,6 +329,12 @@
                    this->unblocks.Next(), this->once->NextTimer()});
 }
 
+EntryCounters RequestRouter::Counters() const {
+  EntryCounters counted = this->counters;
+  counted.sessions_lost = this->fleet.SessionsLost();
+  return counted;
+}
+
 std::vector<EntryAction> RequestRouter::TakeActions() {
   return std::exchange(this->actions, {});
 }
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -48,6 +48,7 @@
   Instant NextTimer() const;
   std::vector<EntryAction> TakeActions();
   std::size_t AliveRequests() const { return this->machines.size(); }
+  EntryCounters Counters() const;
 
  private:
   using Machines =
@@ -82,6 +83,7 @@
   std::set<ServiceName> pumped;  // services to look at in Settle
   Fleet fleet;
   retry::RetryBudget budget;
+  EntryCounters counters;
   std::unique_ptr<IOnceCoordinator> once;
   admission::CallerRates rates;
   std::shared_ptr<const manifest::Manifest> manifest;
