Pick the home of a keyed call by its key

Change: the home is the rendezvous choice of the key, the same on every entry, so that the second submission meets the first in one ledger; a refused call is no longer moved to another home, where a later submission would not look; the digests are those of src/once. Conclusion: without a log, entries that reach different endpoints can still disagree; claims on the log have to settle that.

--- a/src/entry/internal/call_machine.h
+++ b/src/entry/internal/call_machine.h
@@ -56,6 +56,7 @@
   bool Matches(const EndpointId& where, const AttemptId& which) const;
 
   placement::EndpointView* Pick(Instant now);
+  placement::EndpointView* PickHome() const;
   bool Feasible(const placement::EndpointView& view, Instant now) const;
   OnceSubmission Submission(const placement::EndpointView& view) const;
   void Claim(const placement::EndpointView& view, Instant now);
--- a/src/entry/internal/direct_once.cc
+++ b/src/entry/internal/direct_once.cc
@@ -1,28 +1,22 @@
 #include "entry/internal/direct_once.h"
 
-#include <string>
 #include <utility>
 
-#include "placement/types/hashing.h"
+#include "once/work_key.h"
 
 namespace acacialug::entry {
 namespace {
 
-// Two independent halves of the digest of a key.
-constexpr std::uint64_t kHighSeed = 0x6b65792d68696768ULL;
-constexpr std::uint64_t kLowSeed = 0x6b65792d6c6f7721ULL;
+constexpr Duration kRetryAdvice = 500ms;
 
 }  // namespace
 
 protocol::Once DirectOnce::Bind(const OnceSubmission& submission) {
-  // Lengths first, so that no two triples give the same text.
-  const std::string text = std::to_string(submission.caller.text.size()) + "," +
-                           std::to_string(submission.service.text.size()) +
-                           ":" + submission.caller.text +
-                           submission.service.text + submission.idempotency_key;
+  const once::WorkKey key = once::MakeWorkKey(
+      submission.caller, submission.service, submission.idempotency_key);
   return {.kind = protocol::OnceKind::kTicket,
-          .key_high = placement::HashText(text, kHighSeed),
-          .key_low = placement::HashText(text, kLowSeed),
+          .key_high = key.high,
+          .key_low = key.low,
           .fingerprint = submission.fingerprint,
           .home = submission.home_agent};
 }
@@ -38,8 +32,13 @@
                                       .home = submission.home});
 }
 
-void DirectOnce::OnRefused(const OnceSubmission& submission, Instant now) {
-  this->Submit(submission, now);
+// Without a log, entries only agree on a home by picking the same one. Were a
+// refused call moved to the next, a second submission would still find the
+// first home, and run there once more.
+void DirectOnce::OnRefused(const OnceSubmission& submission, Instant) {
+  this->verdicts.emplace_back(OnceRefuse{.request = submission.request,
+                                         .code = ResultCode::kOverloaded,
+                                         .retry_after = kRetryAdvice});
 }
 
 void DirectOnce::Withdraw(const RequestId&, Instant) {}
--- a/src/entry/internal/direct_once.h
+++ b/src/entry/internal/direct_once.h
@@ -8,8 +8,9 @@
 namespace acacialug::entry {
 
 // The coordinator without a log: a keyed call is bound to the incarnation of
-// the agent that placement proposes, whose ledger then holds it to one run.
-// It cannot see a second submission of the key on another entry; with a
+// the agent that its key picks, whose ledger then holds it to one run. Two
+// submissions on two entries meet at that home as long as both entries can
+// reach it; when they cannot, nothing here sees the second one. With a
 // platform log, a coordinator that claims keys takes its place.
 class DirectOnce : public IOnceCoordinator {
  public:
