--- a/src/framework/http/http_server.h
+++ b/src/framework/http/http_server.h
@@ -73,7 +73,11 @@
 class Server {
  public:
   explicit Server(ServerOptions options);
-  ~Server();  // Stop(), then joins the shards
+
+  // Ends the shards and joins their threads; connections are closed, and the
+  // hooks of responders still held stay silent. Thread: the one of Start, and
+  // not from within a handler or a hook.
+  ~Server();
 
   // Listens. Errors: kAddressInUse, kCertificateInvalid.
   Status Start();
@@ -81,8 +85,9 @@
   // The port listened on. Precondition: Start succeeded.
   std::uint16_t port() const;
 
-  // Stops taking connections and requests; answers under way go on, idle
-  // connections are closed. Thread: the one that called Start.
+  // Stops taking connections; idle ones are closed. Answers under way go on,
+  // and a request of which a part has come is still read and handed over;
+  // then its connection is closed. Thread: the one that called Start.
   void StopAccepting();
 
   // Connections still open, in all shards. Thread safe.
