Count a call answered when either of two submissions is

Cause: a call submitted twice counted as not completed when its first submission was told that the second is still running. Change: the first completed submission ends the call; without one, the first submission's outcome counts. Conclusion: what the caller got is what is counted.

--- a/src/load/internal/call_exchange.cc
+++ b/src/load/internal/call_exchange.cc
@@ -121,8 +121,17 @@
       call.any_completed || outcome == RequestOutcome::kCompleted;
   call.refused_not_run += outcome == RequestOutcome::kNotRun ? 1 : 0;
   if (submission->first) {
+    this->first_outcome = outcome;
+    this->first_code = code;
+  }
+  // Of two submissions one may be told that the other is still running: the
+  // call is answered once either is.
+  if (outcome == RequestOutcome::kCompleted) {
     this->context.accounting.OnOutcome(this->account, outcome, code,
                                        MonotonicNow());
+  } else if (++this->incomplete == call.submissions) {
+    this->context.accounting.OnOutcome(this->account, this->first_outcome,
+                                       this->first_code, MonotonicNow());
   }
 }
 
--- a/src/load/internal/call_exchange.h
+++ b/src/load/internal/call_exchange.h
@@ -49,7 +49,10 @@
   std::string expected;
   std::optional<std::string> answered;  // the first answer's body
   Accounting::Id account = 0;
-  std::size_t record = 0;  // in the context's calls
+  std::size_t record = 0;        // in the context's calls
+  std::uint32_t incomplete = 0;  // submissions that ended without an answer
+  RequestOutcome first_outcome = RequestOutcome::kUnknown;
+  std::string first_code;
 };
 
 }  // namespace acacialug::load
