Test the configuration's client over a log in memory

Cause: the module had been tried by hand only. Change: a long stream with conflicts, reading only when told, and an outage of the log in which a peer's manifest is taken. Conclusion: the follower's decisions reach the process.

--- /dev/null
+++ b/src/configuration_client/tests/configuration_client_test.cc
@@ -0,0 +1,143 @@
+#include "configuration_client/configuration_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QObject>
+#include <QTimer>
+
+#include "configuration/tests/manifest_texts.h"
+#include "framework/http/tests/socket_support.h"
+#include "framework/testing/story.h"
+
+namespace acacialug::configuration_client {
+namespace {
+
+using configuration::testing_texts::ManifestText;
+using configuration::testing_texts::Publish;
+using testing::It;
+using testing::WaitUntil;
+
+// A log in memory that can be out. Answers come from the event loop.
+struct MemoryLog : platform::ILog {
+  struct State {
+    std::vector<std::string> records;
+    bool out = false;
+    int reads = 0;
+  };
+  std::shared_ptr<State> state;
+  QObject context;
+
+  explicit MemoryLog(std::shared_ptr<State> log_state)
+      : state(std::move(log_state)) {}
+  void Append(const std::string&,
+              std::string,
+              std::function<void(Result<LogOffset>)>) override {}
+  void ReadFrom(const std::string& stream,
+                LogOffset from,
+                std::size_t limit,
+                Duration,
+                std::function<void(Result<Read>)> on_done) override {
+    CPPUNIT_ASSERT(stream == kConfigurationStream);
+    ++this->state->reads;
+    QTimer::singleShot(1, &this->context, [this, from, limit, on_done] {
+      on_done(this->Answer(from, limit));
+    });
+  }
+  Result<Read> Answer(LogOffset from, std::size_t limit) const {
+    if (this->state->out) {
+      return Error(ResultCode::kPlatformUnavailable);
+    }
+    const auto& records = this->state->records;
+    Read read{.first_kept = LogOffset(1),
+              .next = LogOffset(records.size() + 1)};
+    for (std::uint64_t offset = from.value;
+         offset <= records.size() && read.records.size() < limit; ++offset) {
+      read.records.push_back({LogOffset(offset), records[offset - 1]});
+    }
+    return read;
+  }
+};
+
+struct Fixture {
+  std::shared_ptr<MemoryLog::State> log = std::make_shared<MemoryLog::State>();
+  RandomSource random{1};
+  std::vector<std::string> in_force;
+  std::vector<LogOffset> asked;
+  std::unique_ptr<ConfigurationClient> client;
+
+  explicit Fixture(bool follow) {
+    this->client = std::make_unique<ConfigurationClient>(
+        ClientOptions{
+            .follower = {.long_poll = 0s,
+                         .poll_interval = 1ms,
+                         .retry_first = 1ms,
+                         .retry_most = 2ms,
+                         .follow_stream = follow},
+            .log = std::make_unique<MemoryLog>(this->log),
+            .on_in_force =
+                [this](const configuration::AcceptedManifest& accepted) {
+                  this->in_force.push_back(accepted.manifest->version);
+                },
+            .on_ask_peer =
+                [this](LogOffset offset) { this->asked.push_back(offset); }},
+        this->random);
+    this->client->Start();
+  }
+  void Await(const std::vector<std::string>& versions) {
+    WaitUntil("a manifest", [&] { return this->in_force == versions; });
+  }
+};
+
+const testing::Story kClient(
+    "a client of the configuration",
+    {It("puts each manifest of a long stream in force, in order",
+        [] {
+          Fixture fixture(true);
+          fixture.log->records = {Publish("v1", 0)};
+          fixture.Await({"v1"});
+          for (int conflict = 0; conflict < 40; ++conflict) {
+            fixture.log->records.push_back(Publish("loser", 0));
+          }
+          fixture.log->records.push_back(Publish("v2", 1));
+          fixture.Await({"v1", "v2"});
+          CPPUNIT_ASSERT(fixture.client->ready());
+        }),
+     It("does not poll where others tell it, and reads when they do",
+        [] {
+          Fixture fixture(false);
+          fixture.log->records = {Publish("v1", 0)};
+          fixture.Await({"v1"});
+          const int reads = fixture.log->reads;
+          fixture.log->records.push_back(Publish("v2", 1));
+          fixture.client->OnPeerOffset(LogOffset(1));
+          CPPUNIT_ASSERT_EQUAL(reads, fixture.log->reads);
+          fixture.client->OnPeerOffset(LogOffset(2));
+          CPPUNIT_ASSERT(!fixture.client->ready());
+          fixture.Await({"v1", "v2"});
+        }),
+     It("is not ready in an outage of the log, and takes a peer's manifest",
+        [] {
+          // Symptom: a process replaced during an outage never serves.
+          // Sequence: the log is out, a peer speaks of an offset. Cause: only
+          // the log asked.
+          Fixture fixture(false);
+          fixture.log->out = true;
+          fixture.client->OnPeerOffset(LogOffset(5));
+          WaitUntil("a question to peers",
+                    [&] { return !fixture.asked.empty(); });
+          CPPUNIT_ASSERT(!fixture.client->ready());
+          CPPUNIT_ASSERT(fixture.asked.front() == LogOffset(5));
+          CPPUNIT_ASSERT(
+              fixture.client
+                  ->OnPeerManifest(LogOffset(5), ManifestText("v5", 4))
+                  .ok());
+          fixture.Await({"v5"});
+          WaitUntil("ready", [&] { return fixture.client->ready(); });
+          CPPUNIT_ASSERT(
+              !fixture.client
+                   ->OnPeerManifest(LogOffset(4), ManifestText("v4", 3))
+                   .ok());
+        })});
+
+}  // namespace
+}  // namespace acacialug::configuration_client
