Post the agent's housekeeping under its own context

Cause: returning memory was posted under a timer that has another job. Change: an object of its own ends what was posted.

--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -1,6 +1,7 @@
 #include <malloc.h>
 
 #include <QCoreApplication>
+#include <QObject>
 #include <QTimer>
 #include <chrono>
 #include <memory>
@@ -134,7 +135,7 @@
   // Reading a manifest of many endpoints takes many times what is kept of it;
   // the allocator would hold on to that for the life of the process.
   void GiveMemoryBack() {
-    QTimer::singleShot(0, &this->first_manifest_timer, [] { malloc_trim(0); });
+    QTimer::singleShot(0, &this->context, [] { malloc_trim(0); });
   }
 
   void Terminate(int count) {
@@ -162,6 +163,7 @@
   const AgentSettings& settings;
   RandomSource random;
   std::uint64_t file_readings = 0;
+  QObject context;  // ends what was posted with this
   QTimer first_manifest_timer;
   std::optional<http::Client> log_client;
   std::optional<ConfigurationClient> configuration;
