Read what arrived during an own pause before judging silence

Cause: after a pause shorter than its lease, the entry ran its timers before the frames that waited in its sockets, and repeated healthy streams. Change: a timer that comes a second late tells of the pause; the requests' timers then wait 200 ms, the sessions' leases do not. Conclusion: a pause beyond the lease still costs the streams it covered.

--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -13,6 +13,9 @@
 
 // While no endpoint has room, and none tells of any.
 constexpr Duration kNoPlacePause = 10ms;
+// See NoteOwnPause.
+constexpr Duration kOwnPause = 1s;
+constexpr Duration kReadingTime = 200ms;
 
 template <typename Message>
 concept HasAttempt = requires(const Message& message) {
@@ -198,6 +201,7 @@
 // that its agents gave up meanwhile; had it acted on an event first, it would
 // have started work on a reservation that another entry now holds.
 void RequestRouter::Begin(Instant now) {
+  this->NoteOwnPause(now);
   this->fleet.OnTimer(now);
   this->TakeLostWork(now);
 }
@@ -324,7 +328,21 @@
 
 // ---- time ----
 
+// Symptom: after this process was paused, healthy engines count as stalled
+// and readers as slow. Sequence: it wakes, its timers run, and only then it
+// reads what arrived meanwhile. Timers that are late by more than any loop's
+// delay tell of it; those of requests then wait until the sockets were read.
+void RequestRouter::NoteOwnPause(Instant now) {
+  const Instant due = this->NextTimer();
+  if (due != kNever && now - due >= kOwnPause) {
+    this->timers_held_until = now + kReadingTime;
+  }
+}
+
 void RequestRouter::RunTimers(Instant now) {
+  if (now < this->timers_held_until) {
+    return;
+  }
   while (const auto request = this->timers.PopDue(now)) {
     const auto found = this->machines.find(*request);
     if (found == this->machines.end()) {
@@ -346,8 +364,11 @@
 }
 
 Instant RequestRouter::NextTimer() const {
-  return std::min({this->fleet.NextTimer(), this->timers.Next(),
-                   this->unblocks.Next(), this->once->NextTimer()});
+  const Instant of_requests =
+      std::min(this->timers.Next(), this->unblocks.Next());
+  return std::min({this->fleet.NextTimer(),
+                   std::max(of_requests, this->timers_held_until),
+                   this->once->NextTimer()});
 }
 
 EntryCounters RequestRouter::Counters() const {
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -77,6 +77,7 @@
   void Pump(const ServiceName& service, Instant now);
   void Erase(const RequestId& request);
   void RunTimers(Instant now);
+  void NoteOwnPause(Instant now);
 
   EntryOptions options;
   RandomSource& random;
@@ -93,6 +94,7 @@
   std::set<RequestId> queued;
   TimerSet<RequestId> timers;
   TimerSet<ServiceName> unblocks;
+  Instant timers_held_until{};
   bool draining = false;
 };
 
--- a/src/entry/tests/sessions_test.cc
+++ b/src/entry/tests/sessions_test.cc
@@ -50,6 +50,28 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{0},
                                driver.Count<protocol::StartPrefill>());
         }),
+     // Symptom: a healthy stream is run again. Sequence: the entry is paused
+     // for longer than the stall timeout but not than its lease, and wakes
+     // with the chunks waiting in its socket. Cause: its timers ran first.
+     It("outlives a pause in which only this process stood still",
+        [] {
+          ReadyDriver driver({.stall_timeout = 2s});
+          const RequestId request = driver.Generate();
+          std::string decode;
+          const AttemptId attempt = driver.Stream(&decode, "one ");
+          driver.core->OnDelivered(request, 0, driver.now);
+          driver.Expect<protocol::Cancel>();
+          driver.Pass(500ms);
+          driver.Pause(2s);
+          driver.core->OnTimer(driver.now);
+          driver.Chunk(decode, attempt, 1, "two");
+          driver.core->OnDelivered(request, 1, driver.now);
+          driver.Pass(200ms);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               driver.Count<protocol::Cancel>());
+          driver.End(decode, attempt, 2);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Ends());
+        }),
      It("with an endpoint that is leaving gets no new work", [] {
        ReadyDriver driver;
        driver.Tell("d1", protocol::Leaving{});
