Script the coordinator of calls that may not be repeated

Cause: the hook for claims had no tests of its own, and the working set asked for one distance for each endpoint of a large manifest. Change: stories with a scripted coordinator for every verdict, the rule claim_before_dispatch among them; distances are looked up once a domain. Conclusion: whatever decides on claims meets the same contract.

--- a/src/entry/tests/call_test.cc
+++ b/src/entry/tests/call_test.cc
@@ -1,6 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
 
 #include "entry/tests/entry_driver.h"
 #include "framework/testing/story.h"
@@ -173,5 +176,125 @@
        }
      })});
 
+// A coordinator that decides when the test says so.
+class ScriptedOnce : public IOnceCoordinator {
+ public:
+  void Submit(const OnceSubmission& submission, Instant) override {
+    this->submissions.push_back(submission);
+  }
+  void OnRefused(const OnceSubmission& submission, Instant) override {
+    this->submissions.push_back(submission);
+  }
+  void Withdraw(const RequestId&, Instant) override { ++this->withdrawn; }
+  void OnClaimsAppended(const ClaimsAppended&, Instant) override {}
+  void OnClaimsRead(const ClaimsRead&, Instant) override {}
+  void OnTimer(Instant) override {}
+  Instant NextTimer() const override { return kNever; }
+  std::vector<OnceVerdict> TakeVerdicts() override {
+    return std::exchange(this->verdicts, {});
+  }
+  std::vector<EntryAction> TakeActions() override { return {}; }
+
+  std::vector<OnceSubmission> submissions;
+  std::vector<OnceVerdict> verdicts;
+  int withdrawn = 0;
+};
+
+// First among the bases: the driver's core sets it.
+struct OnceSlot {
+  ScriptedOnce* once = nullptr;
+};
+
+struct ClaimedDriver : OnceSlot, ReadyDriver {
+  explicit ClaimedDriver(bool claim_first = true)
+      : ReadyDriver(Options(claim_first, &this->once)) {
+    this->request = this->Call("POST", "k");
+  }
+  static EntryOptions Options(bool claim_first, ScriptedOnce** once) {
+    EntryOptions options;
+    options.rules.claim_before_dispatch = claim_first;
+    options.make_once = [once](const EntryOptions&) {
+      auto made = std::make_unique<ScriptedOnce>();
+      *once = made.get();
+      return made;
+    };
+    return options;
+  }
+  void Decide(OnceVerdict verdict) {
+    this->once->verdicts.push_back(std::move(verdict));
+    this->core->OnTimer(this->now);
+  }
+  OnceRun Run() {
+    const OnceSubmission& last = this->once->submissions.back();
+    return {
+        .request = last.request,
+        .once = {.kind = protocol::OnceKind::kClaim, .home = last.home_agent},
+        .home = last.home};
+  }
+
+  RequestId request;
+};
+
+const testing::Story kCoordinated(
+    "a call that may not be repeated",
+    {It("is dispatched only after its claim, and the rule is missed when off",
+        [] {
+          for (const bool claim_first : {true, false}) {
+            ClaimedDriver driver(claim_first);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{claim_first ? 0U : 1U},
+                                 driver.Count<protocol::StartCall>());
+          }
+        }),
+     It("goes to the claimed home, and is claimed anew when that refuses",
+        [] {
+          ClaimedDriver driver;
+          driver.Decide(driver.Run());
+          const auto first = driver.Expect<protocol::StartCall>();
+          const std::string home = driver.last_endpoint;
+          driver.Refuse(home, first.attempt, Phase::kCall);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, driver.once->submissions.size());
+          driver.Decide(driver.Run());
+          Answer(driver, driver.Expect<protocol::StartCall>().attempt);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Calls().size());
+          CPPUNIT_ASSERT_EQUAL(1, driver.once->withdrawn);
+        }),
+     // Symptom: a claim is run by an agent that never heard of it. Sequence:
+     // the home's agent is replaced while the claim is appended. Cause: the
+     // dispatch looked at the endpoint only.
+     It("is not sent to a home whose agent was replaced meanwhile",
+        [] {
+          ClaimedDriver driver;
+          const OnceRun run = driver.Run();
+          driver.Close(run.home.text);
+          driver.Pass(150ms);
+          driver.Open(run.home.text, 8);
+          driver.Decide(run);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               driver.Count<protocol::StartCall>());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, driver.once->submissions.size());
+        }),
+     It("asks the home of an earlier submission for its answer",
+        [] {
+          ClaimedDriver driver;
+          driver.Decide(OnceLookUp{.request = driver.request,
+                                   .once = {.home = Incarnation(7)},
+                                   .home = EndpointId("s1")});
+          const auto first = driver.Expect<protocol::LookUp>();
+          driver.Fail("s1", first.attempt, Phase::kCall,
+                      ResultCode::kStillRunning);
+          driver.Pass(200ms);
+          Answer(driver, driver.Expect<protocol::LookUp>().attempt);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Calls().size());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               driver.Count<protocol::StartCall>());
+        }),
+     It("is refused as the coordinator says", [] {
+       ClaimedDriver driver;
+       driver.Decide(OnceRefuse{.request = driver.request});
+       CPPUNIT_ASSERT(driver.Errors().at(0).code ==
+                      ResultCode::kLogUnavailable);
+       CPPUNIT_ASSERT(driver.Errors()[0].outcome == Outcome::kNotRun);
+     })});
+
 }  // namespace
 }  // namespace acacialug::entry
--- a/src/placement/working_set.cc
+++ b/src/placement/working_set.cc
@@ -1,6 +1,7 @@
 #include "placement/working_set.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -33,16 +34,22 @@
     const ServiceName& service,
     protocol::EndpointRole role) const {
   const std::uint64_t own_hash = HashText(this->options.entry.text);
+  std::map<FailureDomain, Duration> distances;
   std::vector<Ranked> ranked;
   for (const manifest::Endpoint& endpoint : manifest.endpoints) {
     if (endpoint.service != service || endpoint.role != role ||
         endpoint.leaving) {
       continue;
     }
+    const auto [distance, unknown] =
+        distances.try_emplace(endpoint.domain, Duration{});
+    if (unknown) {
+      distance->second =
+          manifest.DistanceBetween(this->options.domain, endpoint.domain);
+    }
     ranked.push_back(
         {.elsewhere = endpoint.domain != this->options.domain,
-         .distance =
-             manifest.DistanceBetween(this->options.domain, endpoint.domain),
+         .distance = distance->second,
          .weight = RendezvousWeight(own_hash, HashText(endpoint.id.text)),
          .endpoint = &endpoint});
   }
