Follow the log's configuration and claims in the entry process

Cause: the entry read its manifest from a file alone and had no log for claims. Change: manifests come from a file or from the platform's log, handed on once the newest is known; each shard has a log of its own for claims; an agent's newer offset pokes the follower. Conclusion: keyed calls are claimed on the log; a starting entry serves only under the newest manifest.

--- a/src/app/entry/main.cc
+++ b/src/app/entry/main.cc
@@ -1,19 +1,18 @@
 #include <QCoreApplication>
-#include <fstream>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "entry_process/entry_process.h"
+#include "entry_process/manifest_source.h"
+#include "entry_process/platform_log.h"
 #include "entry_process/settings_reader.h"
 #include "framework/global/random_source.h"
 #include "framework/log/log.h"
 #include "framework/metrics/registry.h"
 #include "framework/program/program.h"
 #include "framework/program/signal_watcher.h"
-#include "manifest/manifest_parser.h"
 
 namespace acacialug {
 namespace {
@@ -29,85 +28,102 @@
   return static_cast<int>(program::ExitCode::kFailed);
 }
 
-// The manifest that a file holds. A file has no offset in the log; each read
-// gets a greater one than the read before, so that the newest is in force.
-Result<manifest::Manifest> ReadManifest(const std::string& path) {
-  static std::uint64_t reads = 0;
-  std::ifstream file(path, std::ios::binary);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return Error(ResultCode::kSettingsUnreadable, path);
-  }
-  Result<manifest::Manifest> parsed = manifest::ParseManifest(text.str(), path);
-  if (parsed.ok()) {
-    parsed.value().offset = LogOffset(++reads);
+// The program around the process: where manifests come from, and signals.
+class Entry {
+ public:
+  explicit Entry(const EntrySettings& entry_settings)
+      : settings(entry_settings),
+        random(RandomSource::FromSystem()),
+        manifests(this->SourceOptions(), this->random),
+        process(this->ProcessOptions(), this->registry, [](bool whole) {
+          QCoreApplication::exit(static_cast<int>(
+              whole ? program::ExitCode::kOk : program::ExitCode::kFailed));
+        }) {}
+
+  int Run() {
+    const program::SignalWatcher signals(
+        {.on_terminate = [this](int count) { this->Terminate(count); },
+         .on_reload = [this] { this->Reload(); }});
+    const Status started = this->process.Start();
+    if (!started.ok()) {
+      return Fail("start_failed", started.error());
+    }
+    const Status manifest = this->manifests.Start();
+    if (!manifest.ok()) {
+      return Fail("manifest_failed", manifest.error());
+    }
+    log::Info("started",
+              {.fields = {{"entry", this->settings.process.core.id},
+                          {"port", this->process.port()},
+                          {"shards", this->settings.process.shards}}});
+    return QCoreApplication::exec();
   }
-  return parsed;
-}
 
-Status LoadManifest(const EntrySettings& settings, EntryProcess& process) {
-  Result<manifest::Manifest> newest = ReadManifest(settings.manifest_file);
-  if (!newest.ok()) {
-    return newest.error();
+ private:
+  entry_process::ManifestSource::Options SourceOptions() {
+    entry_process::ManifestSource::Options options{
+        .file = this->settings.manifest_file,
+        .author = this->settings.process.core.id.text,
+        .on_manifest =
+            [this](std::shared_ptr<const manifest::Manifest> newest) {
+              this->process.SetManifest(std::move(newest));
+            }};
+    if (this->settings.platform_log) {
+      options.log =
+          entry_process::MakePlatformLog(*this->settings.platform_log);
+    }
+    return options;
   }
-  process.SetManifest(
-      std::make_shared<const manifest::Manifest>(std::move(newest.value())));
-  return Success{};
-}
 
-// SIGHUP: certificates and, where it comes from a file, the manifest. What
-// cannot be loaded stays as it was.
-void Reload(const EntrySettings& settings, EntryProcess& process) {
-  const Status tls = process.ReloadTls();
-  if (!tls.ok()) {
-    Fail("certificate_reload_failed", tls.error());
+  entry_process::EntryProcessOptions ProcessOptions() {
+    entry_process::EntryProcessOptions options = this->settings.process;
+    options.core.incarnation = this->random.NextIncarnation();
+    options.on_manifest_heard = [this](LogOffset offset) {
+      this->manifests.OnPeerOffset(offset);
+    };
+    if (this->settings.platform_log) {
+      options.make_log = [address = *this->settings.platform_log] {
+        return entry_process::MakePlatformLog(address);
+      };
+    }
+    return options;
   }
-  if (settings.manifest_file.empty()) {
-    return;
+
+  void Terminate(int count) {
+    if (count == 1) {
+      this->process.Drain();
+    } else {
+      QCoreApplication::exit(static_cast<int>(program::ExitCode::kFailed));
+    }
   }
-  const Status manifest = LoadManifest(settings, process);
-  if (!manifest.ok()) {
-    Fail("manifest_reload_failed", manifest.error());
+
+  // Certificates and, where it comes from a file, the manifest. What cannot
+  // be loaded stays as it was.
+  void Reload() {
+    const Status tls = this->process.ReloadTls();
+    if (!tls.ok()) {
+      Fail("certificate_reload_failed", tls.error());
+    }
+    const Status manifest = this->manifests.Reload();
+    if (!manifest.ok()) {
+      Fail("manifest_reload_failed", manifest.error());
+    }
   }
-}
 
-int Serve(EntrySettings settings) {
+  const EntrySettings& settings;
+  RandomSource random;
+  metrics::Registry registry;
+  entry_process::ManifestSource manifests;
+  EntryProcess process;
+};
+
+int Serve(const EntrySettings& settings) {
   const Status log_ready =
       log::Configure({.program = kProgram, .level = settings.log_level});
   if (!log_ready.ok()) {
     return Fail("log_failed", log_ready.error());
   }
-  settings.process.core.incarnation =
-      RandomSource::FromSystem().NextIncarnation();
-  metrics::Registry registry;
-  EntryProcess process(settings.process, registry, [](bool whole) {
-    QCoreApplication::exit(static_cast<int>(
-        whole ? program::ExitCode::kOk : program::ExitCode::kFailed));
-  });
-  const program::SignalWatcher signals(
-      {.on_terminate =
-           [&process](int count) {
-             if (count == 1) {
-               process.Drain();
-             } else {
-               QCoreApplication::exit(
-                   static_cast<int>(program::ExitCode::kFailed));
-             }
-           },
-       .on_reload = [&] { Reload(settings, process); }});
-  const Status started = process.Start();
-  if (!started.ok()) {
-    return Fail("start_failed", started.error());
-  }
-  const Status manifest = LoadManifest(settings, process);
-  if (!manifest.ok()) {
-    return Fail("manifest_failed", manifest.error());
-  }
-  log::Info("started", {.fields = {{"entry", settings.process.core.id},
-                                   {"port", process.port()},
-                                   {"shards", settings.process.shards}}});
-  return QCoreApplication::exec();
+  return Entry(settings).Run();
 }
 
 int Main(int argc, char** argv) {
--- a/src/entry_process/entry_process.cc
+++ b/src/entry_process/entry_process.cc
@@ -59,6 +59,8 @@
   void MakeCallersServer();
   void MakeOperationsServer();
   http::RequestHandler MakeShard(int index);
+  // Thread safe: posts to the main thread.
+  void TellManifestHeard(LogOffset offset);
   // Runs `task` on each shard's thread, with the shard.
   void OnEachShard(const std::function<void(Shard&)>& task);
   void StopTakingRequests();
@@ -147,19 +149,33 @@
 }
 
 http::RequestHandler EntryProcess::Implementation::MakeShard(int index) {
-  this->shards[index] =
-      std::make_unique<Shard>(Shard::Options{.index = index,
-                                             .seed = this->seeds[index],
-                                             .process = this->options,
-                                             .state = this->state,
-                                             .measures = this->measures,
-                                             .log_limiter = this->log_limiter});
+  this->shards[index] = std::make_unique<Shard>(
+      Shard::Options{.index = index,
+                     .seed = this->seeds[index],
+                     .process = this->options,
+                     .state = this->state,
+                     .measures = this->measures,
+                     .log_limiter = this->log_limiter,
+                     .on_manifest_heard = [this](LogOffset offset) {
+                       this->TellManifestHeard(offset);
+                     }});
   return [shard = this->shards[index].get()](http::Request request,
                                              http::ResponderPtr responder) {
     shard->Handle(std::move(request), std::move(responder));
   };
 }
 
+void EntryProcess::Implementation::TellManifestHeard(LogOffset offset) {
+  QMetaObject::invokeMethod(
+      &this->context,
+      [this, offset] {
+        if (this->options.on_manifest_heard) {
+          this->options.on_manifest_heard(offset);
+        }
+      },
+      Qt::QueuedConnection);
+}
+
 Status EntryProcess::Implementation::Start() {
   if (this->operations_server != nullptr) {
     Status started = this->operations_server->Start();
@@ -184,8 +200,8 @@
 void EntryProcess::Implementation::SetManifest(
     std::shared_ptr<const manifest::Manifest> newest) {
   this->state.SetManifest(newest);
-  log::Info("manifest_in_force", {.fields = {{"offset", newest->offset},
-                                             {"version", newest->version}}});
+  log::Info("manifest_taken", {.fields = {{"offset", newest->offset},
+                                          {"version", newest->version}}});
   this->OnEachShard([newest](Shard& shard) { shard.SetManifest(newest); });
 }
 
--- /dev/null
+++ b/src/entry_process/internal/manifest_source.cc
@@ -0,0 +1,89 @@
+#include "entry_process/manifest_source.h"
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "manifest/manifest_parser.h"
+
+namespace acacialug::entry_process {
+namespace {
+
+constexpr std::chrono::milliseconds kReadyCheckInterval{20};
+
+Result<manifest::Manifest> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return Error(ResultCode::kSettingsUnreadable, path);
+  }
+  return manifest::ParseManifest(text.str(), path);
+}
+
+}  // namespace
+
+ManifestSource::ManifestSource(Options source_options,
+                               RandomSource& random_source)
+    : options(std::move(source_options)), random(random_source) {
+  this->ready_check.setInterval(kReadyCheckInterval);
+  QObject::connect(&this->ready_check, &QTimer::timeout,
+                   [this] { this->HandOn(); });
+}
+
+Status ManifestSource::Start() {
+  if (!this->options.file.empty()) {
+    return this->Reload();
+  }
+  this->FollowLog();
+  return Success{};
+}
+
+Status ManifestSource::Reload() {
+  if (this->options.file.empty()) {
+    return Success{};
+  }
+  Result<manifest::Manifest> read = ReadFile(this->options.file);
+  if (!read.ok()) {
+    return read.error();
+  }
+  // A file has no offset in the log; each reading is newer than the one
+  // before.
+  read.value().offset = LogOffset(++this->file_reads);
+  this->options.on_manifest(
+      std::make_shared<const manifest::Manifest>(std::move(read.value())));
+  return Success{};
+}
+
+void ManifestSource::OnPeerOffset(LogOffset offset) {
+  if (this->client) {
+    this->client->OnPeerOffset(offset);
+  }
+}
+
+void ManifestSource::FollowLog() {
+  this->client.emplace(
+      configuration_client::ClientOptions{
+          .follower = {.author = this->options.author},
+          .log = std::move(this->options.log),
+          .on_in_force =
+              [this](const configuration::AcceptedManifest&) {
+                this->HandOn();
+              }},
+      this->random);
+  this->client->Start();
+}
+
+// A log is read record by record: until its end is reached, what is in force
+// may have been replaced long ago, and must not be served under.
+void ManifestSource::HandOn() {
+  if (!this->client->ready()) {
+    this->ready_check.start();
+    return;
+  }
+  this->ready_check.stop();
+  this->options.on_manifest(this->client->in_force()->manifest);
+}
+
+}  // namespace acacialug::entry_process
--- a/src/entry_process/internal/process_state.cc
+++ b/src/entry_process/internal/process_state.cc
@@ -93,10 +93,21 @@
 
 void ProcessState::SetManifest(
     std::shared_ptr<const manifest::Manifest> manifest) {
+  this->NoteManifestHeard(manifest->offset);
   const std::scoped_lock lock(this->mutex);
   this->newest = std::move(manifest);
 }
 
+bool ProcessState::NoteManifestHeard(LogOffset offset) {
+  std::uint64_t highest = this->highest_heard.load();
+  while (offset.value > highest) {
+    if (this->highest_heard.compare_exchange_weak(highest, offset.value)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::shared_ptr<const manifest::Manifest> ProcessState::manifest() const {
   const std::scoped_lock lock(this->mutex);
   return this->newest;
--- a/src/entry_process/internal/process_state.h
+++ b/src/entry_process/internal/process_state.h
@@ -2,6 +2,7 @@
 #define ENTRY_PROCESS_INTERNAL_PROCESS_STATE_H_
 
 #include <atomic>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -68,6 +69,10 @@
   void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
   std::shared_ptr<const manifest::Manifest> manifest() const;
 
+  // Notes an offset that a peer spoke of; true when it is news: greater than
+  // the manifest's in force and than all heard before.
+  bool NoteManifestHeard(LogOffset offset);
+
   void BeginDrain() { this->is_draining.store(true); }
   bool draining() const { return this->is_draining.load(); }
   bool AllDrained() const;
@@ -90,6 +95,7 @@
   std::vector<std::unique_ptr<ShardBoard>> boards;
   std::atomic<bool> is_draining = false;
   std::atomic<bool> was_ready = false;
+  std::atomic<std::uint64_t> highest_heard = 0;
   mutable std::mutex mutex;
   std::shared_ptr<const manifest::Manifest> newest;  // guarded by mutex
 };
--- a/src/entry_process/internal/shard.cc
+++ b/src/entry_process/internal/shard.cc
@@ -38,6 +38,7 @@
   entry::EntryOptions core = options.process.core;
   core.id.text += "/" + std::to_string(options.index);
   core.incarnation = random.NextIncarnation();
+  core.shards = static_cast<std::uint32_t>(options.process.shards);
   if (options.process.make_log) {
     core.make_once = [&random](const entry::EntryOptions&) {
       return std::make_unique<entry::LogOnce>(
--- a/src/entry_process/internal/shard.h
+++ b/src/entry_process/internal/shard.h
@@ -4,6 +4,7 @@
 #include <QObject>
 #include <QTimer>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -37,6 +38,7 @@
     ProcessState& state;
     EntryMeasures& measures;
     log::RepeatLimiter& log_limiter;
+    std::function<void(LogOffset offset)> on_manifest_heard;
     AgentLinks::ConnectFunction connect = net::ConnectFrameChannel;
   };
 
--- a/src/entry_process/internal/shard_actions.cc
+++ b/src/entry_process/internal/shard_actions.cc
@@ -149,6 +149,11 @@
         if constexpr (requires { kind.load; }) {
           this->board.SetLoad(endpoint, kind.load);
         }
+        if constexpr (requires { kind.manifest; }) {
+          if (this->options.state.NoteManifestHeard(kind.manifest)) {
+            this->options.on_manifest_heard(kind.manifest);
+          }
+        }
       },
       message);
   if (const auto* welcome = std::get_if<protocol::Welcome>(&message)) {
--- /dev/null
+++ b/src/entry_process/manifest_source.h
@@ -0,0 +1,57 @@
+#ifndef ENTRY_PROCESS_MANIFEST_SOURCE_H_
+#define ENTRY_PROCESS_MANIFEST_SOURCE_H_
+
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "configuration_client/configuration_client.h"
+#include "framework/global/random_source.h"
+#include "framework/global/types/result.h"
+#include "manifest/types/manifest.h"
+#include "platform/i_log.h"
+
+namespace acacialug::entry_process {
+
+// Where an entry's manifests come from: a file, or the platform's log. Lives
+// on the main thread with a Qt event loop; hooks run there.
+class ManifestSource {
+ public:
+  struct Options {
+    std::string file;  // empty: from `log`
+    std::unique_ptr<platform::ILog> log;
+    std::string author;  // of checkpoints
+    std::function<void(std::shared_ptr<const manifest::Manifest>)> on_manifest;
+  };
+
+  // `random` outlives this object.
+  ManifestSource(Options options, RandomSource& random);
+
+  // Hands on the file's manifest at once, or the log's newest when it is
+  // known to be that. Errors (of a file): kSettingsUnreadable and those of
+  // manifest::ParseManifest.
+  Status Start();
+
+  // Reads a file anew; with a log, nothing: it is followed. Errors as Start.
+  Status Reload();
+
+  // An agent spoke of a manifest at this offset.
+  void OnPeerOffset(LogOffset offset);
+
+ private:
+  void FollowLog();
+  void HandOn();
+
+  Options options;
+  RandomSource& random;
+  std::uint64_t file_reads = 0;
+  std::optional<configuration_client::ConfigurationClient> client;
+  QTimer ready_check;
+};
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_MANIFEST_SOURCE_H_
--- /dev/null
+++ b/src/entry_process/platform_log.h
@@ -0,0 +1,17 @@
+#ifndef ENTRY_PROCESS_PLATFORM_LOG_H_
+#define ENTRY_PROCESS_PLATFORM_LOG_H_
+
+#include <memory>
+
+#include "framework/http/http_types.h"
+#include "platform/i_log.h"
+
+namespace acacialug::entry_process {
+
+// The platform's log with an HTTP client of its own, so that each thread can
+// have one. Thread: the one that makes it, with a Qt event loop.
+std::unique_ptr<platform::ILog> MakePlatformLog(const http::Address& address);
+
+}  // namespace acacialug::entry_process
+
+#endif  // ENTRY_PROCESS_PLATFORM_LOG_H_
--- a/src/entry_process/types/entry_process_options.h
+++ b/src/entry_process/types/entry_process_options.h
@@ -44,6 +44,9 @@
   // The platform's log, made on each shard's thread. Empty: no log; calls
   // that need a claim are refused.
   std::function<std::unique_ptr<platform::ILog>()> make_log;
+  // An agent spoke of a manifest newer than the one in force here. Runs on
+  // the main thread.
+  std::function<void(LogOffset offset)> on_manifest_heard;
 };
 
 }  // namespace acacialug::entry_process
