--- a/src/entry_process/internal/generation_answer.cc
+++ b/src/entry_process/internal/generation_answer.cc
@@ -112,7 +112,8 @@
 // not read must not keep the connection.
 void GenerationAnswer::CutWhenRead() {
   this->cutting = true;
-  if (this->responder->unsent_bytes() == 0) {
+  const std::size_t unsent = this->responder->unsent_bytes();
+  if (unsent == 0 || unsent > this->options.limits.max_unsent_bytes) {
     this->responder->Abort();
     return;
   }
--- a/src/entry_process/tests/agent_links_test.cc
+++ b/src/entry_process/tests/agent_links_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "entry_process/internal/claims_log.h"
+#include "entry_process/tests/fake_log.h"
 #include "framework/testing/story.h"
 #include "protocol/message_codec.h"
 
@@ -138,26 +139,6 @@
        CPPUNIT_ASSERT(fixture.channels[0]->closed && fixture.closed.empty());
      })});
 
-// A log that answers when told to.
-class FakeLog : public platform::ILog {
- public:
-  void Append(const std::string&,
-              std::string,
-              std::function<void(Result<LogOffset>)> on_done) override {
-    this->append_done = std::move(on_done);
-  }
-  void ReadFrom(const std::string&,
-                LogOffset,
-                std::size_t,
-                Duration,
-                std::function<void(Result<Read>)> on_done) override {
-    this->read_done = std::move(on_done);
-  }
-
-  std::function<void(Result<LogOffset>)> append_done;
-  std::function<void(Result<Read>)> read_done;
-};
-
 struct AppendRow {
   std::string name;
   Result<LogOffset> result;
--- a/src/entry_process/tests/entry_process_test.cc
+++ b/src/entry_process/tests/entry_process_test.cc
@@ -2,157 +2,20 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <QCoreApplication>
-#include <QEventLoop>
-#include <QTimer>
-#include <chrono>
-#include <functional>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "entry_process/tests/fake_agent.h"
-#include "framework/http/http_client.h"
+#include "entry_process/tests/process_fixture.h"
 #include "framework/testing/story.h"
 
 namespace acacialug::entry_process {
 namespace {
 
 using nlohmann::json;
-using testing::ForEach;
 using testing::It;
-
-// Runs the event loop until `done`; a bound on time only ends a hung test.
-void RunUntil(const std::function<bool()>& done) {
-  QTimer limit;
-  limit.setSingleShot(true);
-  limit.start(std::chrono::seconds(20));
-  while (!done() && limit.isActive()) {
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
-  }
-  CPPUNIT_ASSERT(done());
-}
-
-// One exchange of a caller.
-struct Exchange {
-  http::Client::ExchangeId id = 0;
-  int status = 0;
-  http::Headers headers;
-  std::string body;
-  bool ended = false;
-  bool failed = false;
-
-  bool Done() const { return this->ended || this->failed; }
-  std::string Header(std::string_view name) const {
-    return std::string(http::FindHeader(this->headers, name).value_or(""));
-  }
-};
-
-manifest::Endpoint MakeEndpoint(const char* id,
-                                const char* service,
-                                protocol::EndpointRole role) {
-  return {.id = EndpointId(id),
-          .domain = FailureDomain("hall-a"),
-          .service = ServiceName(service),
-          .role = role,
-          .kv_tokens = 1'000'000,
-          .slots = 64};
-}
-
-// An entry with one prefill, one decode and one plain endpoint, on sockets.
-struct Fixture {
-  explicit Fixture(
-      std::function<void(FakeAgent::Options&)> change_decode = {},
-      std::function<void(EntryProcessOptions&)> change_process = {}) {
-    FakeAgent::Options decode_options{
-        .endpoint = MakeEndpoint("d-1", "lm", protocol::EndpointRole::kDecode)};
-    if (change_decode) {
-      change_decode(decode_options);
-    }
-    this->decode = std::make_unique<FakeAgent>(std::move(decode_options));
-    EntryProcessOptions options{
-        .core = {.id = EntryId("entry-1"), .domain = FailureDomain("hall-a")},
-        .listen = {.ip = "127.0.0.1"},
-        .operations_listen = http::Address{.ip = "127.0.0.1"},
-        .shards = 1,
-        .drain_delay = 0ms};
-    if (change_process) {
-      change_process(options);
-    }
-    this->process = std::make_unique<EntryProcess>(
-        options, this->registry,
-        [this](bool whole) { this->drained_whole = whole; });
-    CPPUNIT_ASSERT(this->process->Start().ok());
-    this->process->SetManifest(this->MakeManifest());
-    this->WaitUntilReady();
-  }
-
-  std::shared_ptr<const manifest::Manifest> MakeManifest() const {
-    manifest::Manifest manifest{.offset = LogOffset(1), .version = "v1"};
-    manifest.services = {
-        {.name = ServiceName("lm"),
-         .kind = manifest::ServiceKind::kModel,
-         .models = {ModelName("review-1")},
-         .classes = {{.name = "interactive", .first_token = 10s}}},
-        {.name = ServiceName("app"),
-         .classes = {{.name = "desk", .first_token = 10s}}}};
-    manifest.endpoints = {this->prefill.endpoint(), this->decode->endpoint(),
-                          this->plain.endpoint()};
-    return std::make_shared<const manifest::Manifest>(std::move(manifest));
-  }
-
-  void WaitUntilReady() {
-    while (this->Ask("GET", "/readyz")->status != 200) {
-    }
-  }
-
-  std::shared_ptr<Exchange> Send(http::Request request,
-                                 std::uint16_t port = 0) {
-    auto exchange = std::make_shared<Exchange>();
-    exchange->id = this->client.Send(
-        {.ip = "127.0.0.1", .port = port == 0 ? this->process->port() : port},
-        request,
-        {.on_head =
-             [exchange](int status, const http::Headers& headers) {
-               exchange->status = status;
-               exchange->headers = headers;
-             },
-         .on_data =
-             [exchange](std::string_view data) { exchange->body += data; },
-         .on_end = [exchange](const std::string&) { exchange->ended = true; },
-         .on_error = [exchange](const Error&,
-                                bool) { exchange->failed = true; }});
-    return exchange;
-  }
-
-  std::shared_ptr<Exchange> Ask(const std::string& method,
-                                const std::string& target,
-                                const std::string& body = {},
-                                const http::Headers& headers = {}) {
-    auto exchange = this->Send(
-        {.method = method, .target = target, .headers = headers, .body = body});
-    RunUntil([&] { return exchange->Done(); });
-    return exchange;
-  }
-
-  FakeAgent prefill{
-      {.endpoint =
-           MakeEndpoint("p-1", "lm", protocol::EndpointRole::kPrefill)}};
-  std::unique_ptr<FakeAgent> decode;
-  FakeAgent plain{
-      {.endpoint = MakeEndpoint("a-1", "app", protocol::EndpointRole::kPlain)}};
-  metrics::Registry registry;
-  std::optional<bool> drained_whole;
-  http::Client client{{}};
-  std::unique_ptr<EntryProcess> process;
-};
-
-const std::string kChat =
-    R"({"model": "review-1", "messages": [{"role": "user", "content": "x"}]})";
-const std::string kStreamed =
-    R"({"model": "review-1", "prompt": "x", "stream": true})";
+using testing::WaitUntil;
 
 std::vector<std::string> TextsOf(const std::string& events) {
   std::vector<std::string> texts;
@@ -211,7 +74,7 @@
        const auto page = [&](const char* path) {
          auto exchange = fixture.Send({.method = "GET", .target = path},
                                       fixture.process->operations_port());
-         RunUntil([&] { return exchange->Done(); });
+         WaitUntil("a page", [&] { return exchange->Done(); });
          return exchange;
        };
        CPPUNIT_ASSERT(page("/metrics")
@@ -310,19 +173,16 @@
      // mid-stream. Cause: the agents are not told.
      It("cancels at its agents what a caller has left",
         [] {
-          Fixture fixture([](FakeAgent::Options& options) {
-            options.takes = [](const protocol::EntryToAgent& message) {
-              return !std::holds_alternative<protocol::StartDecode>(message);
-            };
-          });
+          std::optional<AttemptId> held;
+          Fixture fixture(HoldDecode(held));
           const auto left = fixture.Send({.method = "POST",
                                           .target = "/v1/completions",
                                           .body = kStreamed});
-          RunUntil([&] {
+          WaitUntil("it", [&] {
             return fixture.decode->CountReceived<protocol::StartDecode>() == 1;
           });
           fixture.client.Cancel(left->id);
-          RunUntil([&] {
+          WaitUntil("it", [&] {
             return fixture.decode->CountReceived<protocol::Cancel>() == 1;
           });
         }),
@@ -335,7 +195,7 @@
           fixture.plain.SendRaw("no frame of ours");
           CPPUNIT_ASSERT_EQUAL(
               200, fixture.Ask("POST", "/v1/chat/completions", kChat)->status);
-          RunUntil([&] {
+          WaitUntil("it", [&] {
             return fixture.plain.CountReceived<protocol::Hello>() == 2;
           });
           CPPUNIT_ASSERT_EQUAL(
@@ -346,49 +206,39 @@
      It("that drains lets answers under way end, and then says so",
         [] {
           std::optional<AttemptId> held;
-          Fixture fixture([&held](FakeAgent::Options& options) {
-            options.takes = [&held](const protocol::EntryToAgent& message) {
-              const auto* start = std::get_if<protocol::StartDecode>(&message);
-              if (start != nullptr) {
-                held = start->attempt;
-              }
-              return start == nullptr;
-            };
-          });
+          Fixture fixture(HoldDecode(held));
           const auto stream = fixture.Send({.method = "POST",
                                             .target = "/v1/completions",
                                             .body = kStreamed});
-          RunUntil([&] { return held.has_value(); });
+          WaitUntil("it", [&] { return held.has_value(); });
           fixture.process->Drain();
           fixture.decode->Send(
               protocol::Chunk{.attempt = *held, .tokens = 1, .text = "whole"});
-          RunUntil(
-              [&] { return stream->body.find("whole") != std::string::npos; });
+          WaitUntil("it", [&] {
+            return stream->body.find("whole") != std::string::npos;
+          });
           CPPUNIT_ASSERT(!fixture.drained_whole);
           fixture.decode->Send(protocol::Ended{
               .attempt = *held,
               .chunks = SequenceNumber(1),
               .usage = {.prompt_tokens = 1, .output_tokens = 1}});
-          RunUntil([&] { return fixture.drained_whole.has_value(); });
+          WaitUntil("it", [&] { return fixture.drained_whole.has_value(); });
           CPPUNIT_ASSERT(*fixture.drained_whole);
           CPPUNIT_ASSERT(stream->ended &&
                          stream->body.ends_with("data: [DONE]\n\n"));
         }),
      It("that cannot drain in time says that it is not whole", [] {
-       Fixture fixture(
-           [](FakeAgent::Options& options) {
-             options.takes = [](const protocol::EntryToAgent& message) {
-               return !std::holds_alternative<protocol::StartDecode>(message);
-             };
-           },
-           [](EntryProcessOptions& options) { options.drain_grace = 1ms; });
+       std::optional<AttemptId> held;
+       Fixture fixture(HoldDecode(held), [](EntryProcessOptions& options) {
+         options.drain_grace = 1ms;
+       });
        fixture.Send(
            {.method = "POST", .target = "/v1/completions", .body = kStreamed});
-       RunUntil([&] {
+       WaitUntil("it", [&] {
          return fixture.decode->CountReceived<protocol::StartDecode>() == 1;
        });
        fixture.process->Drain();
-       RunUntil([&] { return fixture.drained_whole.has_value(); });
+       WaitUntil("it", [&] { return fixture.drained_whole.has_value(); });
        CPPUNIT_ASSERT(!*fixture.drained_whole);
      })});
 
