Give both HTTP shells one ground; lose requests, restart services

Cause: the engine's and the service's shell stood twice, and a lost request, which an append must tell from a lost answer, could not be brought about. Change: one shell for delay, stall and timer; lose_requests everywhere; stalls and restarts of plain services in virtual time too; prompts discarded by unfinished streams are counted.

--- a/src/standin/fakes/fake_platform.cc
+++ b/src/standin/fakes/fake_platform.cc
@@ -36,10 +36,15 @@
 void FakeLog::Append(const std::string& stream,
                      std::string payload,
                      std::function<void(Result<LogOffset>)> on_done) {
+  const bool lost_before =
+      this->random.Unit() < this->faults.lose_request_share;
   const bool lost = this->random.Unit() < this->faults.lose_share;
   RunRemotely<LogOffset>(
       this->options, this->faults,
-      [this, stream, payload = std::move(payload), lost] {
+      [this, stream, payload = std::move(payload), lost_before, lost] {
+        if (lost_before) {
+          return Result<LogOffset>(Error(ResultCode::kAppendUnresolved));
+        }
         Result<LogOffset> appended =
             this->model.Append(stream, payload, this->options.now());
         return lost && appended.ok()
--- a/src/standin/fakes/fake_platform.h
+++ b/src/standin/fakes/fake_platform.h
@@ -27,7 +27,8 @@
   Duration delay{};  // from the call to its effect
   Duration late{};   // from the effect to its answer
   bool unreachable = false;
-  double lose_share = 0;  // of answers, after the effect
+  double lose_request_share = 0;  // before the effect
+  double lose_share = 0;          // of answers, after the effect
 };
 
 class FakeLog : public platform::ILog {
--- a/src/standin/fakes/modelled_engine.cc
+++ b/src/standin/fakes/modelled_engine.cc
@@ -321,6 +321,9 @@
       this->on_event(engine::AttemptFailed{.attempt = attempt,
                                            .code = ResultCode::kOverloaded,
                                            .outcome = Outcome::kNotRun});
+    } else if (output.result == CallResult::kLost) {
+      this->on_event(engine::AttemptFailed{.attempt = attempt,
+                                           .code = ResultCode::kEndpointLost});
     } else {
       const bool done = output.result == CallResult::kDone;
       this->on_event(engine::CallDone{
--- a/src/standin/internal/completion_format.cc
+++ b/src/standin/internal/completion_format.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "standin/internal/json_access.h"
+#include "standin/internal/json_response.h"
 #include "standin/internal/prompt_text.h"
 
 namespace acacialug::standin {
@@ -45,13 +46,6 @@
   return 500;
 }
 
-json ErrorJson(int status, std::string_view code, std::string_view message) {
-  return {{"error",
-           {{"message", message},
-            {"type", status >= 500 ? "server_error" : "invalid_request_error"},
-            {"code", code}}}};
-}
-
 json UsageJson(const protocol::Usage& usage) {
   return {{"prompt_tokens", usage.prompt_tokens},
           {"completion_tokens", usage.output_tokens},
@@ -134,18 +128,6 @@
   return head;
 }
 
-http::Response JsonResponse(int status, const json& body) {
-  return {.status = status,
-          .headers = {{"Content-Type", "application/json"}},
-          .body = Dump(body)};
-}
-
-http::Response ErrorResponse(int status,
-                             std::string_view code,
-                             std::string_view message) {
-  return JsonResponse(status, ErrorJson(status, code, message));
-}
-
 http::Response ErrorResponse(EngineError error) {
   const std::string_view name = NameOf(kEngineErrorNames, error);
   return ErrorResponse(StatusOf(error), name, name);
@@ -243,81 +225,4 @@
   return JsonResponse(200, answer);
 }
 
-json HeldJson(const std::vector<HeldRequest>& held) {
-  json requests = json::array();
-  for (const HeldRequest& request : held) {
-    requests.push_back({{"request_id", request.request_id},
-                        {"kind", NameOf(kHeldKindNames, request.kind)},
-                        {"kv_tokens", request.kv_tokens}});
-  }
-  return {{"requests", std::move(requests)}};
-}
-
-json LoadJson(const EngineLoad& load) {
-  return {{"running", load.running},
-          {"waiting", load.waiting},
-          {"free_kv_tokens", load.free_kv_tokens},
-          {"total_kv_tokens", load.total_kv_tokens}};
-}
-
-json StateJson(const EngineState& state) {
-  return {{"fence", state.order.fence},
-          {"model", state.order.model},
-          {"version", state.order.version},
-          {"adapters", state.order.adapters},
-          {"role", NameOf(kEngineRoleNames, state.order.role)},
-          {"loading", state.loading}};
-}
-
-json StatsJson(const EngineStats& stats) {
-  return {{"prefill_computed_tokens", stats.prefill_computed},
-          {"prefill_cached_tokens", stats.prefill_cached},
-          {"prefill_wasted_tokens", stats.prefill_wasted},
-          {"output_tokens", stats.output},
-          {"prefills_done", stats.prefills_done},
-          {"streams_done", stats.streams_done},
-          {"exports_fetched", stats.exports_fetched},
-          {"exports_evicted", stats.exports_evicted},
-          {"aborted", stats.aborted},
-          {"refused", stats.refused},
-          {"failed", stats.failed},
-          {"iterations", stats.iterations},
-          {"busy_seconds", Seconds(stats.busy)}};
-}
-
-json CacheEventsJson(const std::vector<CacheEvent>& events,
-                     std::uint64_t after) {
-  json list = json::array();
-  for (const CacheEvent& event : events) {
-    char hash[17];
-    std::snprintf(hash, sizeof hash, "%016llx",
-                  static_cast<unsigned long long>(event.hash));
-    list.push_back({{"id", event.id},
-                    {"kind", NameOf(kCacheEventKindNames, event.kind)},
-                    {"hash", hash}});
-  }
-  return {{"next", events.empty() ? after : events.back().id},
-          {"events", std::move(list)}};
-}
-
-Result<EngineOrder> ReadOrder(std::string_view text) {
-  const json body = Parse(text);
-  const std::optional<EngineRole> role =
-      ValueOf(kEngineRoleNames, TextOr(body, "role", "mixed"));
-  if (!body.is_object() || !role || IntegerOr(body, "fence", -1) < 0) {
-    return Error(ResultCode::kMalformedJson, "fence, role");
-  }
-  EngineOrder order{
-      .fence = static_cast<std::uint64_t>(IntegerOr(body, "fence", 0)),
-      .model = TextOr(body, "model", ""),
-      .version = TextOr(body, "version", ""),
-      .role = *role};
-  for (const json& adapter : ChildOr(body, "adapters")) {
-    if (adapter.is_string()) {
-      order.adapters.push_back(adapter.get<std::string>());
-    }
-  }
-  return order;
-}
-
 }  // namespace acacialug::standin
--- a/src/standin/internal/completion_format.h
+++ b/src/standin/internal/completion_format.h
@@ -2,7 +2,6 @@
 #define STANDIN_INTERNAL_COMPLETION_FORMAT_H_
 
 #include <cstdint>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -42,10 +41,6 @@
                         const std::string& request_id,
                         const std::string& model);
 
-http::Response JsonResponse(int status, const nlohmann::json& body);
-http::Response ErrorResponse(int status,
-                             std::string_view code,
-                             std::string_view message);
 http::Response ErrorResponse(EngineError error);
 
 // The events of a stream, each with its end.
@@ -72,16 +67,6 @@
                              const std::string& engine_id,
                              const http::Address& address);
 
-nlohmann::json HeldJson(const std::vector<HeldRequest>& held);
-nlohmann::json LoadJson(const EngineLoad& load);
-nlohmann::json StateJson(const EngineState& state);
-nlohmann::json StatsJson(const EngineStats& stats);
-nlohmann::json CacheEventsJson(const std::vector<CacheEvent>& events,
-                               std::uint64_t after);
-
-// Errors: kMalformedJson.
-Result<EngineOrder> ReadOrder(std::string_view body);
-
 }  // namespace acacialug::standin
 
 #endif  // STANDIN_INTERNAL_COMPLETION_FORMAT_H_
--- a/src/standin/internal/engine_scheduler.cc
+++ b/src/standin/internal/engine_scheduler.cc
@@ -50,7 +50,7 @@
     ++this->stats.aborted;
   }
   if (const Job* job = this->FindById(request_id)) {
-    this->Waste(job->work.export_kv ? job->computed : 0);
+    this->CountUnfinished(*job);
     ++this->stats.aborted;
     this->link.Cancel(job->serial, now);
     this->Remove(job->serial);
@@ -258,6 +258,14 @@
   this->stats.prefill_wasted += tokens;
 }
 
+void EngineScheduler::CountUnfinished(const Job& job) {
+  if (job.work.export_kv) {
+    this->Waste(job.computed);
+  } else if (job.phase == Phase::kStreaming) {
+    this->stats.prompt_discarded += job.plan.prompt_tokens;
+  }
+}
+
 EngineScheduler::Job* EngineScheduler::Find(Serial serial) {
   const auto found = this->jobs.find(serial);
   return found == this->jobs.end() ? nullptr : &found->second;
@@ -285,7 +293,7 @@
 
 void EngineScheduler::Fail(Serial serial, EngineError error) {
   const Job& job = *this->Find(serial);
-  this->Waste(job.work.export_kv ? job.computed : 0);
+  this->CountUnfinished(job);
   ++this->stats.failed;
   this->outputs.push_back(
       WorkFailed{.request_id = job.work.request_id, .error = error});
--- a/src/standin/internal/engine_scheduler.h
+++ b/src/standin/internal/engine_scheduler.h
@@ -105,6 +105,7 @@
   void EndTransfers(Instant now);
   void DropExpired(Instant now);
   void Waste(std::uint64_t tokens);
+  void CountUnfinished(const Job& job);
 
   Job* Find(Serial serial);
   Job* FindById(const std::string& request_id);
--- a/src/standin/internal/engine_server.cc
+++ b/src/standin/internal/engine_server.cc
@@ -1,17 +1,15 @@
 #include "standin/engine_server.h"
 
-#include <QTimer>
 #include <unordered_map>
 #include <utility>
 
-#include "framework/http/http_client.h"
-#include "framework/http/http_server.h"
 #include "standin/internal/completion_format.h"
-#include "standin/internal/delay_line.h"
-#include "standin/internal/http_faults.h"
+#include "standin/internal/engine_reports.h"
+#include "standin/internal/http_shell.h"
 #include "standin/internal/json_access.h"
+#include "standin/internal/json_response.h"
+#include "standin/internal/kv_puller.h"
 #include "standin/internal/query.h"
-#include "standin/internal/timer_wait.h"
 #include "standin/reference_answer.h"
 
 namespace acacialug::standin {
@@ -20,9 +18,6 @@
 using nlohmann::json;
 using protocol::GenerationApi;
 
-// A transfer's two messages wait no longer than an export may be pinned.
-constexpr Duration kPullSilence = 10s;
-
 // One generation whose answer is under way.
 struct Exchange {
   CompletionHead head;
@@ -44,103 +39,84 @@
       : options(std::move(server_options)),
         random(this->options.seed),
         model(this->options.engine, this->random),
-        faults(this->random),
-        inbound(this->options.one_way_delay),
-        outbound(this->options.one_way_delay),
-        client({.silence_timeout = kPullSilence}),
-        server({.listen = this->options.listen,
-                .make_handler =
-                    [this](int) {
-                      return [this](http::Request request,
-                                    http::ResponderPtr responder) {
-                        this->Receive(std::move(request), std::move(responder));
-                      };
-                    },
-                .render_error =
-                    [](int status, const Error& error) {
-                      return ErrorResponse(status, "http",
-                                           error.code.message());
-                    }}) {
-    this->timer.setSingleShot(true);
-    this->timer.setTimerType(Qt::PreciseTimer);
-    this->timer.callOnTimeout([this] { this->Pump(); });
-    this->faults.on_stall = [this](bool stalled, Instant until) {
-      if (stalled) {
-        this->model.Stall(until, MonotonicNow());
-      } else {
-        this->model.Resume(MonotonicNow());
-      }
-      this->Pump();
-    };
-  }
-
-  void Receive(http::Request request, http::ResponderPtr responder) {
-    if (request.Path() == "/control") {
-      this->Control(request, *responder);
-      return;
+        shell({.listen = this->options.listen,
+               .one_way_delay = this->options.one_way_delay,
+               .on_request =
+                   [this](const http::Request& request,
+                          const http::ResponderPtr& responder) {
+                     this->Route(request, responder);
+                   },
+               .on_question = [](const http::Request&) { return std::nullopt; },
+               .on_control =
+                   [this](const json& control) { this->Control(control); },
+               .on_stall =
+                   [this](bool stalled, Instant until) {
+                     this->OnStall(stalled, until);
+                   },
+               .on_pump = [this] { return this->PumpModel(); }},
+              this->random) {}
+
+  void OnStall(bool stalled, Instant until) {
+    if (stalled) {
+      this->model.Stall(until, MonotonicNow());
+    } else {
+      this->model.Resume(MonotonicNow());
     }
-    this->inbound.Run([this, request = std::move(request),
-                       responder = std::move(responder)]() mutable {
-      this->faults.RunOrHold([this, request = std::move(request),
-                              responder = std::move(responder)] {
-        this->Route(request, responder);
-      });
-    });
   }
 
   void Route(const http::Request& request,
              const http::ResponderPtr& responder) {
-    if (responder->gone()) {
-      return;
-    }
     const std::string_view path = request.Path();
     if (path == "/v1/completions" && request.method == "POST") {
       this->Generate(GenerationApi::kCompletions, request, responder);
     } else if (path == "/v1/chat/completions" && request.method == "POST") {
       this->Generate(GenerationApi::kChat, request, responder);
     } else {
-      this->Answer(responder, this->Operate(request));
-      this->Pump();
+      this->shell.Answer(responder, request.method == "POST"
+                                        ? this->Operate(request)
+                                        : this->Report(request));
     }
+    this->shell.Pump();
   }
 
   http::Response Operate(const http::Request& request) {
+    const std::string_view path = request.Path();
+    if (path == "/abort_requests") {
+      return this->AbortRequests(request.body);
+    }
+    if (path == "/kv_pull") {
+      return this->AnswerPull(request.body);
+    }
+    if (path == "/orders") {
+      return this->TakeOrder(request.body);
+    }
+    return ErrorResponse(404, "not_found", "no such route");
+  }
+
+  http::Response Report(const http::Request& request) {
     const std::string_view path = request.Path();
     const Instant now = MonotonicNow();
-    if (request.method == "POST") {
-      if (path == "/abort_requests") {
-        return this->AbortRequests(request.body);
-      }
-      if (path == "/kv_pull") {
-        return this->AnswerPull(request.body);
-      }
-      if (path == "/orders") {
-        return this->TakeOrder(request.body);
-      }
-    } else if (request.method == "GET") {
-      if (path == "/health") {
-        return JsonResponse(200, json::object());
-      }
-      if (path == "/requests") {
-        this->model.Advance(now);
-        return JsonResponse(200, HeldJson(this->model.held()));
-      }
-      if (path == "/load") {
-        return JsonResponse(200, LoadJson(this->model.load(now)));
-      }
-      if (path == "/state") {
-        return JsonResponse(200, StateJson(this->model.state(now)));
-      }
-      if (path == "/stats") {
-        this->model.Advance(now);
-        return JsonResponse(200, StatsJson(this->model.stats()));
-      }
-      if (path == "/cache_events") {
-        const std::uint64_t after = QueryNumber(request.target, "after", 0);
-        return JsonResponse(
-            200,
-            CacheEventsJson(this->model.CacheEventsAfter(after, now), after));
-      }
+    this->model.Advance(now);
+    if (path == "/health") {
+      return JsonResponse(200, json::object());
+    }
+    if (path == "/requests") {
+      return JsonResponse(200, HeldJson(this->model.held()));
+    }
+    if (path == "/load") {
+      return JsonResponse(200, LoadJson(this->model.load(now)));
+    }
+    if (path == "/state") {
+      return JsonResponse(200, StateJson(this->model.state(now)));
+    }
+    if (path == "/stats") {
+      return JsonResponse(200, StatsJson(this->model.stats()));
+    }
+    if (path == "/cache_events") {
+      const std::uint64_t after = QueryNumber(request.target, "after", 0);
+      return JsonResponse(
+          200,
+          CacheEventsJson(this->model.CacheEventsAfter(after, now), after));
     }
     return ErrorResponse(404, "not_found", "no such route");
   }
@@ -154,14 +130,14 @@
     Result<CompletionRequest> result =
         ReadCompletion(api, request.body, std::move(id));
     if (!result) {
-      this->Answer(responder, ErrorResponse(400, "invalid_request",
-                                            result.error().detail));
+      this->shell.Answer(responder, ErrorResponse(400, "invalid_request",
+                                                  result.error().detail));
       return;
     }
     CompletionRequest& read = result.value();
     EngineWork& work = read.work;
     if (this->exchanges.contains(work.request_id)) {
-      this->Answer(responder, ErrorResponse(EngineError::kDuplicate));
+      this->shell.Answer(responder, ErrorResponse(EngineError::kDuplicate));
       return;
     }
     const std::string request_id = work.request_id;
@@ -171,15 +147,12 @@
         .stream = read.stream && !work.export_kv,
         .include_usage = read.include_usage,
         .continuous_usage = read.continuous_usage,
-        .lost = this->faults.LosesAnswer(),
+        .lost = this->shell.faults.LosesAnswer(),
         .usage = {.prompt_tokens = PromptTokens(work.prompt)}};
     responder->SetOnGone([this, request_id] {
-      this->inbound.Run([this, request_id] {
-        this->faults.RunOrHold([this, request_id] { this->Drop(request_id); });
-      });
+      this->shell.Arrive([this, request_id] { this->Drop(request_id); });
     });
     this->model.Submit(std::move(work), MonotonicNow());
-    this->Pump();
   }
 
   // The caller's connection ended first.
@@ -188,7 +161,7 @@
     if (found != this->exchanges.end() && found->second.responder->gone()) {
       this->exchanges.erase(found);
       this->model.Abort(request_id, MonotonicNow());
-      this->Pump();
+      this->shell.Pump();
     }
   }
 
@@ -232,13 +205,7 @@
                : ErrorResponse(409, "fenced", "an older order");
   }
 
-  // Never delayed, held or lost: it is the test's own hand.
-  void Control(const http::Request& request, http::Responder& responder) {
-    const json control = Parse(request.body);
-    if (!control.is_object()) {
-      responder.SendWhole(ErrorResponse(400, "invalid_request", "no object"));
-      return;
-    }
+  void Control(const json& control) {
     const Instant now = MonotonicNow();
     EngineFaults& set = this->engine_faults;
     set.refuse = BoolOr(control, "refuse", set.refuse);
@@ -246,26 +213,15 @@
     set.slow_factor = NumberOr(control, "slow_factor", set.slow_factor);
     set.link_factor = NumberOr(control, "link_factor", set.link_factor);
     this->model.SetFaults(set, now);
-    this->faults.Set(control);
     if (BoolOr(control, "evict_exports", false)) {
       this->model.EvictExports(now);
     }
     if (BoolOr(control, "restart", false)) {
       this->model.Restart(now);
     }
-    responder.SendWhole(JsonResponse(200, json::object()));
-    this->Pump();
   }
 
-  void Answer(const http::ResponderPtr& responder, http::Response response) {
-    this->outbound.Run(
-        [this, responder, response = std::move(response)]() mutable {
-          this->faults.Answer(ReplyTo(responder), std::move(response));
-        });
-  }
-
-  // Moves the model to now, passes on what it tells, and sets the timer.
-  void Pump() {
+  Instant PumpModel() {
     this->model.Advance(MonotonicNow());
     // Telling one thing may bring about the next.
     for (auto outputs = this->model.TakeOutputs(); !outputs.empty();
@@ -274,12 +230,7 @@
         std::visit([this](const auto& told) { this->Tell(told); }, output);
       }
     }
-    const Instant next = this->model.next_event();
-    if (next == kNever) {
-      this->timer.stop();
-    } else {
-      this->timer.start(TimerWait(next, MonotonicNow()));
-    }
+    return this->model.next_event();
   }
 
   // Empty if the caller is gone, or its answer is lost by fault.
@@ -298,9 +249,10 @@
 
   void Tell(const PrefillReady& ready) {
     if (const auto exchange = this->TakeExchange(ready.request_id)) {
-      this->Answer(exchange->responder,
-                   PrefillAnswer(exchange->head, ready, this->model.engine_id(),
-                                 this->address()));
+      this->shell.Answer(
+          exchange->responder,
+          PrefillAnswer(exchange->head, ready, this->model.engine_id(),
+                        this->shell.address()));
     }
   }
 
@@ -333,7 +285,7 @@
       return;
     }
     if (!exchange->stream) {
-      this->Answer(
+      this->shell.Answer(
           exchange->responder,
           WholeAnswer(exchange->head, exchange->text, done.reason, done.usage));
       return;
@@ -357,42 +309,16 @@
     } else if (exchange->begun) {
       this->EndStream(exchange->responder, ErrorEvent(failed.error));
     } else {
-      this->Answer(exchange->responder, ErrorResponse(failed.error));
+      this->shell.Answer(exchange->responder, ErrorResponse(failed.error));
     }
   }
 
   void Tell(const PullKv& pull) {
-    const std::optional<http::Address> from =
-        http::ParseAddress(pull.kv.address);
-    const std::string request_id = pull.request_id;
-    if (!from) {
-      this->OnPull(request_id, false);
-      return;
-    }
-    auto status = std::make_shared<int>(0);
-    this->client.Send(
-        *from,
-        {.method = "POST",
-         .target = "/kv_pull",
-         .headers = {{"Content-Type", "application/json"}},
-         .body = Dump({{"remote_request_id", pull.kv.request_id},
-                       {"remote_engine_id", pull.kv.engine_id},
-                       {"done", pull.done}})},
-        {.on_head = [status](int code,
-                             const http::Headers&) { *status = code; },
-         .on_end =
-             [this, request_id, status](const std::string&) {
-               this->OnPull(request_id, *status == 200);
-             },
-         .on_error = [this, request_id](
-                         const Error&,
-                         bool) { this->OnPull(request_id, false); }});
-  }
-
-  void OnPull(const std::string& request_id, bool found) {
-    this->faults.RunOrHold([this, request_id, found] {
-      this->model.OnPullAnswered(request_id, found, MonotonicNow());
-      this->timer.start(0);
+    this->puller.Pull(pull, [this, id = pull.request_id](bool found) {
+      this->shell.faults.RunOrHold([this, id, found] {
+        this->model.OnPullAnswered(id, found, MonotonicNow());
+        this->shell.PumpSoon();
+      });
     });
   }
 
@@ -400,7 +326,7 @@
     if (std::exchange(exchange.begun, true)) {
       return;
     }
-    this->outbound.Run(
+    this->shell.Send(
         [responder = exchange.responder, role = RoleEvent(exchange.head)] {
           responder->BeginStream(200, {{"Content-Type", "text/event-stream"},
                                        {"Cache-Control", "no-cache"}});
@@ -411,33 +337,25 @@
   }
 
   void SendData(const http::ResponderPtr& responder, std::string data) {
-    this->outbound.Run(
+    this->shell.Send(
         [responder, data = std::move(data)] { responder->SendData(data); });
   }
 
   void EndStream(const http::ResponderPtr& responder, std::string data) {
-    this->outbound.Run([responder, data = std::move(data)] {
+    this->shell.Send([responder, data = std::move(data)] {
       responder->SendData(data);
       responder->EndStream();
     });
   }
 
-  http::Address address() const {
-    return {.ip = this->options.listen.ip, .port = this->server.port()};
-  }
-
   EngineServerOptions options;
   RandomSource random;
   EngineModel model;
   EngineFaults engine_faults;
-  HttpFaults faults;
-  DelayLine inbound;
-  DelayLine outbound;
-  QTimer timer;
   std::unordered_map<std::string, Exchange> exchanges;  // by request id
   std::uint64_t unnamed = 0;
-  http::Client client;
-  http::Server server;
+  KvPuller puller;
+  HttpShell shell;
 };
 
 EngineServer::EngineServer(EngineServerOptions options)
@@ -446,11 +364,11 @@
 EngineServer::~EngineServer() = default;
 
 Status EngineServer::Start() {
-  return this->implementation->server.Start();
+  return this->implementation->shell.Start();
 }
 
 http::Address EngineServer::address() const {
-  return this->implementation->address();
+  return this->implementation->shell.address();
 }
 
 EngineModel& EngineServer::model() {
@@ -458,7 +376,7 @@
 }
 
 void EngineServer::PumpNow() {
-  this->implementation->Pump();
+  this->implementation->shell.Pump();
 }
 
 }  // namespace acacialug::standin
--- a/src/standin/internal/host_list_server.cc
+++ b/src/standin/internal/host_list_server.cc
@@ -1,8 +1,8 @@
 #include <utility>
 
-#include "standin/internal/completion_format.h"
 #include "standin/internal/http_faults.h"
 #include "standin/internal/json_access.h"
+#include "standin/internal/json_response.h"
 #include "standin/internal/qt_listener.h"
 #include "standin/platform_server.h"
 
@@ -29,6 +29,8 @@
   void Receive(http::Request request, Reply reply) {
     if (request.Path() == "/control") {
       reply(this->Control(request));
+    } else if (request.method == "GET" && this->faults.LosesRequest()) {
+      reply(std::nullopt);
     } else if (request.method == "GET") {
       this->faults.RunOrHold(
           [this, request = std::move(request), reply = std::move(reply)] {
--- a/src/standin/internal/http_faults.cc
+++ b/src/standin/internal/http_faults.cc
@@ -17,6 +17,8 @@
   this->answer_delay = std::chrono::milliseconds(
       IntegerOr(control, "delay_ms", this->answer_delay / 1ms));
   this->lose_share = NumberOr(control, "lose_answers", this->lose_share);
+  this->lose_request_share =
+      NumberOr(control, "lose_requests", this->lose_request_share);
   if (control.contains("stall")) {
     this->SetStalled(
         BoolOr(control, "stall", false),
@@ -50,6 +52,11 @@
   }
 }
 
+bool HttpFaults::LosesRequest() {
+  return this->lose_request_share > 0 &&
+         this->random.Unit() < this->lose_request_share;
+}
+
 bool HttpFaults::LosesAnswer() {
   return this->lose_share > 0 && this->random.Unit() < this->lose_share;
 }
--- a/src/standin/internal/http_faults.h
+++ b/src/standin/internal/http_faults.h
@@ -21,7 +21,8 @@
  public:
   explicit HttpFaults(RandomSource& random_source);
 
-  // Takes the keys that it knows: stall, stall_ms, delay_ms, lose_answers.
+  // Takes the keys that it knows: stall, stall_ms, delay_ms, lose_answers,
+  // lose_requests.
   // Absent ones stay as they are.
   void Set(const nlohmann::json& control);
 
@@ -31,6 +32,9 @@
   bool stalled() const { return this->is_stalled; }
   Duration delay() const { return this->answer_delay; }
 
+  // Draws whether a request is to be lost before its effect.
+  bool LosesRequest();
+
   // Draws whether an answer is to be lost.
   bool LosesAnswer();
 
@@ -47,6 +51,7 @@
   bool is_stalled = false;
   Duration answer_delay{};
   double lose_share = 0;
+  double lose_request_share = 0;
   std::vector<std::function<void()>> held;
   QTimer stall_end;
 };
--- a/src/standin/internal/log_server.cc
+++ b/src/standin/internal/log_server.cc
@@ -4,9 +4,9 @@
 #include <memory>
 #include <utility>
 
-#include "standin/internal/completion_format.h"
 #include "standin/internal/http_faults.h"
 #include "standin/internal/json_access.h"
+#include "standin/internal/json_response.h"
 #include "standin/internal/qt_listener.h"
 #include "standin/internal/query.h"
 #include "standin/internal/timer_wait.h"
@@ -69,6 +69,10 @@
       reply(this->Control(request));
       return;
     }
+    if (this->faults.LosesRequest()) {
+      reply(std::nullopt);
+      return;
+    }
     this->faults.RunOrHold(
         [this, request = std::move(request), reply = std::move(reply)] {
           this->Route(request, reply);
--- a/src/standin/internal/reference_answer.cc
+++ b/src/standin/internal/reference_answer.cc
@@ -121,11 +121,16 @@
   if (api == protocol::GenerationApi::kChat) {
     return ChatText(body);
   }
-  const auto prompt = body.find("prompt");
-  if (prompt == body.end() || !prompt->is_string()) {
-    return Malformed("prompt: text");
+  const auto found = body.find("prompt");
+  if (found == body.end()) {
+    return Malformed("prompt: missing");
   }
-  return prompt->get<std::string>();
+  const bool listed = found->is_array() && found->size() == 1;
+  const json& prompt = listed ? found->front() : *found;
+  if (!prompt.is_string()) {
+    return Malformed("prompt: one text");
+  }
+  return prompt.get<std::string>();
 }
 
 struct TokenGenerator::State {
--- a/src/standin/internal/service_model.cc
+++ b/src/standin/internal/service_model.cc
@@ -9,15 +9,16 @@
     : options(std::move(service_options)), random(random_source) {}
 
 CallId ServiceModel::Submit(std::vector<std::string> keys, Instant now) {
-  this->Advance(now);
+  const Instant inner = this->MoveTo(now);
   const CallId call = ++this->last_call;
-  this->queue.push_back({.call = call, .keys = std::move(keys)});
-  if (!this->faults.refuse) {
-    this->BeginWaiting(now);
+  if (this->faults.refuse) {
+    this->outputs.push_back({.call = call, .result = CallResult::kRefused});
+    return call;
   }
+  this->queue.push_back({.call = call, .keys = std::move(keys)});
+  this->BeginWaiting(inner);
   const bool waits = !this->queue.empty() && this->queue.back().call == call;
-  if (this->faults.refuse ||
-      (waits && this->queue.size() > this->options.queue_limit)) {
+  if (waits && this->queue.size() > this->options.queue_limit) {
     this->queue.pop_back();
     this->outputs.push_back({.call = call, .result = CallResult::kRefused});
   }
@@ -25,17 +26,25 @@
 }
 
 void ServiceModel::Cancel(CallId call, Instant now) {
-  this->Advance(now);
+  this->MoveTo(now);
   std::erase_if(this->queue,
                 [call](const Waiting& waits) { return waits.call == call; });
 }
 
 Instant ServiceModel::next_event() const {
-  return this->ends.empty() ? kNever : this->ends.begin()->first;
+  return this->clock.Outer(this->ends.empty() ? kNever
+                                              : this->ends.begin()->first);
 }
 
 void ServiceModel::Advance(Instant now) {
-  while (this->next_event() <= now) {
+  this->MoveTo(now);
+}
+
+Instant ServiceModel::MoveTo(Instant now) {
+  this->clock.ResumeIfDue(now);
+  const Instant inner = this->clock.Inner(now);
+  this->BeginWaiting(inner);
+  while (!this->ends.empty() && this->ends.begin()->first <= inner) {
     const auto [at, ended] = *this->ends.begin();
     this->ends.erase(this->ends.begin());
     this->outputs.push_back(
@@ -43,6 +52,7 @@
          .result = ended.fails ? CallResult::kFailed : CallResult::kDone});
     this->BeginWaiting(at);
   }
+  return inner;
 }
 
 std::vector<CallOutput> ServiceModel::TakeOutputs() {
@@ -53,6 +63,27 @@
   this->faults = new_faults;
 }
 
+void ServiceModel::Stall(Instant until, Instant now) {
+  this->MoveTo(now);
+  this->clock.Stall(until, now);
+}
+
+void ServiceModel::Resume(Instant now) {
+  this->clock.Resume(now);
+  this->MoveTo(now);
+}
+
+void ServiceModel::Restart(Instant now) {
+  this->MoveTo(now);
+  this->clock.Resume(now);
+  for (const Waiting& lost : std::exchange(this->queue, {})) {
+    this->outputs.push_back({.call = lost.call, .result = CallResult::kLost});
+  }
+  for (const auto& [at, lost] : std::exchange(this->ends, {})) {
+    this->outputs.push_back({.call = lost.call, .result = CallResult::kLost});
+  }
+}
+
 const std::map<std::string, std::uint64_t>& ServiceModel::executions() const {
   return this->begun;
 }
@@ -65,8 +96,8 @@
   return static_cast<std::uint32_t>(this->queue.size());
 }
 
-void ServiceModel::BeginWaiting(Instant now) {
-  while (!this->queue.empty() &&
+void ServiceModel::BeginWaiting(Instant inner) {
+  while (!this->clock.stalled() && !this->queue.empty() &&
          this->ends.size() < this->options.concurrency) {
     const Waiting begins = std::move(this->queue.front());
     this->queue.pop_front();
@@ -74,7 +105,7 @@
       ++this->begun[key];
     }
     this->ends.emplace(
-        now + this->DrawTime(),
+        inner + this->DrawTime(),
         Running{.call = begins.call,
                 .fails = this->random.Unit() < this->faults.fail_share});
   }
--- a/src/standin/internal/service_server.cc
+++ b/src/standin/internal/service_server.cc
@@ -1,15 +1,11 @@
 #include "standin/service_server.h"
 
-#include <QTimer>
 #include <unordered_map>
 #include <utility>
 
-#include "framework/http/http_server.h"
-#include "standin/internal/completion_format.h"
-#include "standin/internal/delay_line.h"
-#include "standin/internal/http_faults.h"
+#include "standin/internal/http_shell.h"
 #include "standin/internal/json_access.h"
-#include "standin/internal/timer_wait.h"
+#include "standin/internal/json_response.h"
 #include "standin/reference_answer.h"
 
 namespace acacialug::standin {
@@ -43,52 +39,44 @@
       : options(std::move(server_options)),
         random(this->options.seed),
         model(this->options.service, this->random),
-        faults(this->random),
-        inbound(this->options.one_way_delay),
-        outbound(this->options.one_way_delay),
-        server({.listen = this->options.listen,
-                .make_handler =
-                    [this](int) {
-                      return [this](http::Request request,
-                                    http::ResponderPtr responder) {
-                        this->Receive(std::move(request), std::move(responder));
-                      };
-                    },
-                .render_error =
-                    [](int status, const Error& error) {
-                      return ErrorResponse(status, "http",
-                                           error.code.message());
-                    }}) {
-    this->timer.setSingleShot(true);
-    this->timer.setTimerType(Qt::PreciseTimer);
-    this->timer.callOnTimeout([this] { this->Pump(); });
+        shell({.listen = this->options.listen,
+               .one_way_delay = this->options.one_way_delay,
+               .on_request =
+                   [this](const http::Request& request,
+                          const http::ResponderPtr& responder) {
+                     this->Call(request, responder);
+                   },
+               .on_question =
+                   [this](const http::Request& request) {
+                     return this->Question(request);
+                   },
+               .on_control =
+                   [this](const json& control) { this->Control(control); },
+               .on_stall =
+                   [this](bool stalled, Instant until) {
+                     this->OnStall(stalled, until);
+                   },
+               .on_pump = [this] { return this->PumpModel(); }},
+              this->random) {}
+
+  void OnStall(bool stalled, Instant until) {
+    if (stalled) {
+      this->model.Stall(until, MonotonicNow());
+    } else {
+      this->model.Resume(MonotonicNow());
+    }
   }
 
-  void Receive(http::Request request, http::ResponderPtr responder) {
-    if (request.Path() == "/control") {
-      this->Control(request, *responder);
-      return;
-    }
-    // The test's own question: never held, late or lost.
-    if (request.Path() == "/executions") {
-      responder->SendWhole(JsonResponse(200, this->model.executions()));
-      return;
+  std::optional<http::Response> Question(const http::Request& request) const {
+    if (request.Path() != "/executions") {
+      return std::nullopt;
     }
-    this->inbound.Run([this, request = std::move(request),
-                       responder = std::move(responder)]() mutable {
-      this->faults.RunOrHold([this, request = std::move(request),
-                              responder = std::move(responder)] {
-        this->Call(request, responder);
-      });
-    });
+    return JsonResponse(200, this->model.executions());
   }
 
   void Call(const http::Request& request, const http::ResponderPtr& responder) {
-    if (responder->gone()) {
-      return;
-    }
     if (request.Path() == "/health") {
-      this->Answer(responder, JsonResponse(200, json::object()));
+      this->shell.Answer(responder, JsonResponse(200, json::object()));
       return;
     }
     const CallId call = this->model.Submit(KeysOf(request), MonotonicNow());
@@ -96,51 +84,35 @@
                              .answer = ReferenceServiceAnswer(
                                  request.method, request.target, request.body)};
     responder->SetOnGone([this, call] {
-      this->inbound.Run([this, call] { this->Drop(call); });
+      this->shell.Arrive([this, call] { this->Drop(call); });
     });
-    this->Pump();
+    this->shell.Pump();
   }
 
   void Drop(CallId call) {
     if (this->exchanges.erase(call) > 0) {
       this->model.Cancel(call, MonotonicNow());
-      this->Pump();
+      this->shell.Pump();
     }
   }
 
-  void Control(const http::Request& request, http::Responder& responder) {
-    const json control = Parse(request.body);
-    if (!control.is_object()) {
-      responder.SendWhole(ErrorResponse(400, "invalid_request", "no object"));
-      return;
-    }
+  void Control(const json& control) {
     ServiceFaults& set = this->service_faults;
     set.refuse = BoolOr(control, "refuse", set.refuse);
     set.fail_share = NumberOr(control, "fail_share", set.fail_share);
     set.slow_factor = NumberOr(control, "slow_factor", set.slow_factor);
     this->model.SetFaults(set);
-    this->faults.Set(control);
-    responder.SendWhole(JsonResponse(200, json::object()));
-  }
-
-  void Answer(const http::ResponderPtr& responder, http::Response response) {
-    this->outbound.Run(
-        [this, responder, response = std::move(response)]() mutable {
-          this->faults.Answer(ReplyTo(responder), std::move(response));
-        });
+    if (BoolOr(control, "restart", false)) {
+      this->model.Restart(MonotonicNow());
+    }
   }
 
-  void Pump() {
+  Instant PumpModel() {
     this->model.Advance(MonotonicNow());
     for (const CallOutput& output : this->model.TakeOutputs()) {
       this->Tell(output);
     }
-    const Instant next = this->model.next_event();
-    if (next == kNever) {
-      this->timer.stop();
-    } else {
-      this->timer.start(TimerWait(next, MonotonicNow()));
-    }
+    return this->model.next_event();
   }
 
   void Tell(const CallOutput& output) {
@@ -152,40 +124,31 @@
     exchange.responder->SetOnGone({});
     switch (output.result) {
       case CallResult::kDone:
-        this->TellDone(exchange);
+        this->shell.Answer(exchange.responder,
+                           {.status = 200,
+                            .headers = {{"Content-Type", "application/json"}},
+                            .body = std::move(exchange.answer)});
         break;
       case CallResult::kFailed:
-        this->Answer(exchange.responder,
-                     ErrorResponse(500, "failed", "after its effect"));
+        this->shell.Answer(exchange.responder,
+                           ErrorResponse(500, "failed", "after its effect"));
+        break;
+      case CallResult::kLost:
+        exchange.responder->Abort();
         break;
       case CallResult::kRefused:
-        this->Answer(exchange.responder,
-                     ErrorResponse(503, "refused", "not run"));
+        this->shell.Answer(exchange.responder,
+                           ErrorResponse(503, "refused", "not run"));
         break;
     }
   }
 
-  // A stalled service neither begins calls nor answers those it began.
-  void TellDone(Exchange& exchange) {
-    http::Response response{.status = 200,
-                            .headers = {{"Content-Type", "application/json"}},
-                            .body = std::move(exchange.answer)};
-    this->faults.RunOrHold(
-        [this, responder = exchange.responder, response = std::move(response)] {
-          this->Answer(responder, response);
-        });
-  }
-
   ServiceServerOptions options;
   RandomSource random;
   ServiceModel model;
   ServiceFaults service_faults;
-  HttpFaults faults;
-  DelayLine inbound;
-  DelayLine outbound;
-  QTimer timer;
   std::unordered_map<CallId, Exchange> exchanges;
-  http::Server server;
+  HttpShell shell;
 };
 
 ServiceServer::ServiceServer(ServiceServerOptions options)
@@ -194,12 +157,11 @@
 ServiceServer::~ServiceServer() = default;
 
 Status ServiceServer::Start() {
-  return this->implementation->server.Start();
+  return this->implementation->shell.Start();
 }
 
 http::Address ServiceServer::address() const {
-  return {.ip = this->implementation->options.listen.ip,
-          .port = this->implementation->server.port()};
+  return this->implementation->shell.address();
 }
 
 }  // namespace acacialug::standin
--- a/src/standin/internal/weight_store_server.cc
+++ b/src/standin/internal/weight_store_server.cc
@@ -1,8 +1,8 @@
 #include <utility>
 
-#include "standin/internal/completion_format.h"
 #include "standin/internal/http_faults.h"
 #include "standin/internal/json_access.h"
+#include "standin/internal/json_response.h"
 #include "standin/internal/qt_listener.h"
 #include "standin/platform_server.h"
 
@@ -31,6 +31,10 @@
       reply(this->Control(request));
       return;
     }
+    if (this->faults.LosesRequest()) {
+      reply(std::nullopt);
+      return;
+    }
     this->faults.RunOrHold(
         [this, request = std::move(request), reply = std::move(reply)] {
           this->faults.Answer(reply, this->Route(request));
--- a/src/standin/reference_answer.h
+++ b/src/standin/reference_answer.h
@@ -20,7 +20,8 @@
 
 std::uint32_t PromptTokens(std::string_view text);
 
-// The text that a model sees for a request body. Completions: `prompt`. Chat:
+// The text that a model sees for a request body. Completions: `prompt`, text
+// or a list of one text. Chat:
 // every message as "role: content\n", then "assistant: "; with
 // `continue_final_message` the last message's content follows that without an
 // end of line. Errors: kMalformedJson.
--- a/src/standin/service_model.h
+++ b/src/standin/service_model.h
@@ -10,6 +10,7 @@
 #include "framework/global/random_source.h"
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/instant.h"
+#include "standin/internal/pausable_clock.h"
 
 namespace acacialug::standin {
 
@@ -35,7 +36,7 @@
 
 using CallId = std::uint64_t;
 
-enum class CallResult : std::uint8_t { kDone, kFailed, kRefused };
+enum class CallResult : std::uint8_t { kDone, kFailed, kRefused, kLost };
 
 struct CallOutput {
   CallId call = 0;
@@ -62,6 +63,12 @@
   std::vector<CallOutput> TakeOutputs();
 
   void SetFaults(const ServiceFaults& new_faults);
+  // Stops the service's time; nothing begins or ends meanwhile.
+  void Stall(Instant until, Instant now);
+  void Resume(Instant now);
+  // As if the process were replaced: its calls are lost, whether they took
+  // effect or not. What is counted stays.
+  void Restart(Instant now);
 
   // How often calls with a key began.
   const std::map<std::string, std::uint64_t>& executions() const;
@@ -78,12 +85,14 @@
     bool fails = false;
   };
 
-  void BeginWaiting(Instant now);
+  Instant MoveTo(Instant now);
+  void BeginWaiting(Instant inner);
   Duration DrawTime();
 
   ServiceOptions options;
   RandomSource& random;
   ServiceFaults faults;
+  PausableClock clock;
   std::deque<Waiting> queue;
   std::multimap<Instant, Running> ends;
   std::vector<CallOutput> outputs;
--- a/src/standin/tests/engine_model_test.cc
+++ b/src/standin/tests/engine_model_test.cc
@@ -376,6 +376,7 @@
        engine.Abort("a", bench.now);
        bench.RunFor(100ms);
        CPPUNIT_ASSERT_EQUAL(std::string("b:stream:110 "), HeldNames(engine));
+       CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, engine.stats().prompt_discarded);
        CPPUNIT_ASSERT(!bench.TextOf("b").empty());
      })});
 
--- a/src/standin/tests/engine_server_test.cc
+++ b/src/standin/tests/engine_server_test.cc
@@ -286,6 +286,7 @@
          {{"answers", "{}", 200, 1},
           {"refuses", R"({"refuse":true})", 503, 0},
           {"fails after the effect", R"({"fail_share":1})", 500, 1},
+          {"loses the request", R"({"lose_requests":1})", 0, 0},
           {"loses the answer after the effect", R"({"lose_answers":1})", 0, 1}},
          [](const ServiceRow& row) { return row.name; },
          [](const ServiceRow& row) {
@@ -296,6 +297,26 @@
                row.executions == 0 ? json::object() : json{{"k", 1}, {"m", 1}};
            CPPUNIT_ASSERT_EQUAL(expected, service.Executions());
          }),
+     It("begins nothing in a stall, and loses what it began in a restart",
+        [] {
+          Service service;
+          service.caller.Control(service.server.address(), R"({"stall":true})");
+          const auto start = [&] {
+            return service.caller.Start(service.server.address(), "POST", "/x",
+                                        R"({"marker":"m"})");
+          };
+          const AnswerPtr held = start();
+          CPPUNIT_ASSERT_EQUAL(json::object(), service.Executions());
+          service.caller.Control(service.server.address(),
+                                 R"({"stall":false,"slow_factor":1e6})");
+          WaitUntil("begin", [&] {
+            return service.Executions() == json{{"m", 1}};
+          });
+          service.caller.Control(service.server.address(),
+                                 R"({"restart":true})");
+          WaitUntil("cut", [&] { return held->failed; });
+          CPPUNIT_ASSERT_EQUAL(json({{"m", 1}}), service.Executions());
+        }),
      It("names the request in its answer", [] {
        Service service;
        CPPUNIT_ASSERT_EQUAL(
--- a/src/standin/tests/platform_server_test.cc
+++ b/src/standin/tests/platform_server_test.cc
@@ -50,6 +50,7 @@
          {{"and tells the offset", "{}", 200, 2},
           {"nothing in an outage", R"({"refuse":true})", 503, 1},
           {"and loses the answer", R"({"lose_answers":1})", 0, 2},
+          {"nothing when the request is lost", R"({"lose_requests":1})", 0, 1},
           {"and answers late", R"({"delay_ms":10})", 200, 2},
           {"nothing beyond its rate", R"({"appends_per_second":0.5})", 503, 1}},
          [](const AppendRow& row) { return row.name; },
@@ -58,7 +59,8 @@
            log.Control(row.control);
            CPPUNIT_ASSERT_EQUAL(row.status,
                                 log.Call("POST", kRecords, "one")->status);
-           log.Control(R"({"refuse":false,"lose_answers":0})");
+           log.Control(
+               R"({"refuse":false,"lose_answers":0,"lose_requests":0})");
            CPPUNIT_ASSERT_EQUAL(json(row.next), log.Get(kRecords)["next"]);
          }),
      It("reads from an offset on, any bytes, up to a limit",
--- a/src/standin/types/engine_messages.h
+++ b/src/standin/types/engine_messages.h
@@ -155,6 +155,8 @@
   // Computed for a prefill that was aborted or failed, or for an export that
   // was evicted or aborted.
   std::uint64_t prefill_wasted = 0;
+  // Prompts whose KV cache a stream had when it was aborted or failed.
+  std::uint64_t prompt_discarded = 0;
   std::uint64_t output = 0;
   std::uint64_t prefills_done = 0;    // requests
   std::uint64_t streams_done = 0;     // requests
