--- a/src/load/internal/load_run.cc
+++ b/src/load/internal/load_run.cc
@@ -18,8 +18,6 @@
 // A balancer's rest for an entry that it could not reach.
 constexpr Duration kUnreachableRest = 500ms;
 constexpr Duration kDrainCheckInterval = 20ms;
-// Engines free what a finished request held within a second.
-constexpr Duration kSettleTime = 1s;
 
 std::chrono::milliseconds ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -136,7 +134,7 @@
                          [this] { this->Drain(); });
       return;
     }
-    QTimer::singleShot(ToMilliseconds(kSettleTime), [this] {
+    QTimer::singleShot(ToMilliseconds(this->plan.settle), [this] {
       this->stand_ins.Read(
           [this](const StandInTotals& after) { this->Report(after); });
     });
--- a/src/load/load_plan_reader.cc
+++ b/src/load/load_plan_reader.cc
@@ -107,6 +107,7 @@
       table.Duration("duration", {.fallback = 10s, .minimum = 100ms});
   plan.tail = table.Duration("tail", {.fallback = 0s});
   plan.drain_limit = table.Duration("drain_limit", {.fallback = 30s});
+  plan.settle = table.Duration("settle", {.fallback = 1s});
   plan.client_one_way = table.Duration("client_one_way", {.fallback = 0s});
   plan.max_outstanding =
       Count(table, "max_outstanding", 20'000, kMaximumOutstanding);
--- a/src/load/types/load_plan.h
+++ b/src/load/types/load_plan.h
@@ -87,6 +87,9 @@
   // of them meet the same contention as the first.
   Duration tail = 0s;
   Duration drain_limit = 30s;  // for answers still outstanding after that
+  // Between the last answer and the last reading of the stand-ins' figures:
+  // engines free what a finished request held within a second.
+  Duration settle = 1s;
   // One way between callers and entries; added twice to each time to first
   // token and to each plain call, and not slept.
   Duration client_one_way = 0s;
