--- a/src/entry/internal/fleet.h
+++ b/src/entry/internal/fleet.h
@@ -2,6 +2,7 @@
 #define ENTRY_INTERNAL_FLEET_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -66,6 +67,8 @@
   bool Open(const EndpointId& endpoint, Instant now) const;
   // The agent's incarnation; zero when no session is open.
   Incarnation AgentOf(const EndpointId& endpoint) const;
+  // The endpoint is one of that service's, by the newest manifest.
+  bool Serves(const EndpointId& endpoint, const ServiceName& service) const;
   // Null for an unknown endpoint.
   placement::EndpointView* View(const EndpointId& endpoint);
 
@@ -81,6 +84,8 @@
               Instant now);
   void Detach(const EndpointId& endpoint, const RequestId& request);
 
+  std::uint64_t SessionsLost() const { return this->sessions_lost; }
+
   // What the outlier rules judge by. `latency` as a multiple of the expected,
   // or in any unit that is the same for the pool.
   void NoteSuccess(const EndpointId& endpoint, double latency);
@@ -131,6 +136,7 @@
   TimerSet<EndpointId> timers;
   Instant sweep_at = kNever;
   std::vector<LostWork> lost;
+  std::uint64_t sessions_lost = 0;
 };
 
 }  // namespace acacialug::entry
--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "entry/internal/direct_once.h"
+#include "once/work_key.h"
 
 namespace acacialug::entry {
 namespace {
@@ -69,6 +70,7 @@
           .fleet = this->fleet,
           .budget = this->budget,
           .once = *this->once,
+          .counters = this->counters,
           .random = this->random,
           .actions = this->actions};
 }
@@ -138,8 +140,11 @@
     if (found != this->machines.end()) {
       found->second->OnMessage(endpoint, message, now);
       this->After(*found->second, now);
-    } else if (TellsOfHeld(message)) {
-      this->fleet.Send(endpoint, protocol::Cancel{.attempt = attempt}, now);
+    } else {
+      ++this->counters.dropped_frames;
+      if (TellsOfHeld(message)) {
+        this->fleet.Send(endpoint, protocol::Cancel{.attempt = attempt}, now);
+      }
     }
     const auto* refused = std::get_if<protocol::Refused>(&message);
     if (refused != nullptr && refused->code == ResultCode::kSessionUnknown) {
@@ -162,6 +167,26 @@
   this->Settle(now);
 }
 
+Result<std::string> RequestRouter::IssueTicket(const ServiceName& service,
+                                               Instant now) {
+  this->Begin(now);
+  if (!this->manifest) {
+    return Error(ResultCode::kNotReady);
+  }
+  const manifest::Service* const record = this->manifest->FindService(service);
+  if (record == nullptr || record->kind != manifest::ServiceKind::kPlain) {
+    return Error(ResultCode::kUnknownService, service.text);
+  }
+  const placement::Candidates usable =
+      this->fleet.Usable(service, protocol::EndpointRole::kPlain);
+  if (usable.empty()) {
+    return Error(ResultCode::kNoEndpoint, service.text);
+  }
+  const EndpointId& home = usable[this->random.Below(usable.size())]->Id();
+  return once::EncodeTicket(once::IssueTicket(
+      {.endpoint = home, .agent = this->fleet.AgentOf(home)}, this->random));
+}
+
 void RequestRouter::OnLiveEntries(std::uint32_t entries, Instant now) {
   this->rates.SetSharers(
       std::max(entries, 1U) * std::max(this->options.shards, 1U), now);
@@ -325,6 +350,12 @@
                    this->unblocks.Next(), this->once->NextTimer()});
 }
 
+EntryCounters RequestRouter::Counters() const {
+  EntryCounters counted = this->counters;
+  counted.sessions_lost = this->fleet.SessionsLost();
+  return counted;
+}
+
 std::vector<EntryAction> RequestRouter::TakeActions() {
   return std::exchange(this->actions, {});
 }
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -41,6 +41,7 @@
                  Instant now);
   void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
   void OnClaimsRead(const ClaimsRead& read, Instant now);
+  Result<std::string> IssueTicket(const ServiceName& service, Instant now);
   void OnLiveEntries(std::uint32_t entries, Instant now);
   void OnTimer(Instant now);
   void BeginDrain() { this->draining = true; }
@@ -48,6 +49,7 @@
   Instant NextTimer() const;
   std::vector<EntryAction> TakeActions();
   std::size_t AliveRequests() const { return this->machines.size(); }
+  EntryCounters Counters() const;
 
  private:
   using Machines =
@@ -82,6 +84,7 @@
   std::set<ServiceName> pumped;  // services to look at in Settle
   Fleet fleet;
   retry::RetryBudget budget;
+  EntryCounters counters;
   std::unique_ptr<IOnceCoordinator> once;
   admission::CallerRates rates;
   std::shared_ptr<const manifest::Manifest> manifest;
