--- a/buildscripts/deployment_shapes.py
+++ b/buildscripts/deployment_shapes.py
@@ -63,7 +63,7 @@
     name="agency",
     domains=("hall-a", "hall-b", "lozenets", "mladost"),
     one_way_us=1500,
-    entries=2,
+    entries=4,
     model=ModelService(
         name="lm-review", model="review-1", prefill=3, decode=7,
         engine=EngineShape(base_iteration_us=28000, kv_tokens=28000),
@@ -76,7 +76,7 @@
     name="bellerive",
     domains=("plu-caudan", "plu-ebene", "plu-moka"),
     one_way_us=1000,
-    entries=2,
+    entries=3,
     model=ModelService(
         name="lex-drafting", model="lex-1", prefill=9, decode=3,
         engine=EngineShape(base_iteration_us=12000, kv_tokens=324000),
