Give operators and pipelines a command line

Cause: manifests had no publisher, and what the processes count could only be read one page at a time. Change: acacialugctl with manifest check, diff, publish, show, history and wait, status, and report burn as table, JSON or page; exit codes tell invalid, conflict, nothing published, unresolved and late apart. Conclusion: a lost append answer is resolved by the log, and a second append under the same publication cannot be accepted twice.

--- /dev/null
+++ b/src/app/ctl/main.cc
@@ -0,0 +1,83 @@
+#include <gflags/gflags.h>
+
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "control/commands.h"
+#include "framework/program/program.h"
+#include "framework/settings/units.h"
+
+DEFINE_string(log, "", "the platform's log, IP:PORT");
+DEFINE_string(nodes,
+              "",
+              "operations ports of entries and agents, IP:PORT,IP:PORT,...");
+DEFINE_string(publisher, "acacialugctl", "who publishes, for the history");
+DEFINE_bool(json, false, "print JSON for pipelines");
+DEFINE_string(html, "", "report burn: write one self-contained page there");
+DEFINE_string(timeout, "5s", "longest wait for answers, and of manifest wait");
+DEFINE_string(window, "10s", "report burn: time between the two scrapes");
+
+namespace acacialug {
+namespace {
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> items;
+  std::istringstream stream(text);
+  for (std::string item; std::getline(stream, item, ',');) {
+    if (!item.empty()) {
+      items.push_back(item);
+    }
+  }
+  return items;
+}
+
+int Run(const std::vector<std::string>& arguments) {
+  const auto timeout = settings::ParseDuration(FLAGS_timeout);
+  const auto window = settings::ParseDuration(FLAGS_window);
+  if (!timeout || !window) {
+    std::cerr << "--timeout, --window: expected a duration, as 5s\n";
+    return static_cast<int>(program::ExitCode::kUsage);
+  }
+  return control::RunCommand(
+      arguments,
+      {.log = FLAGS_log,
+       .nodes = SplitList(FLAGS_nodes),
+       .publisher = FLAGS_publisher,
+       .json = FLAGS_json,
+       .html_file = FLAGS_html,
+       .timeout = *timeout,
+       .window = *window,
+       .print =
+           [](const std::string& text) { std::cout << text << std::flush; },
+       .complain = [](const std::string& text) { std::cerr << text; }});
+}
+
+}  // namespace
+}  // namespace acacialug
+
+int main(int argc, char** argv) {
+  using acacialug::program::ExitCodeRow;
+  return acacialug::program::RunProgram(
+      argc, argv,
+      {.name = "acacialugctl",
+       .summary = "publish manifests, and see what the system does",
+       .synopsis = "COMMAND [flags]",
+       .description =
+           "  manifest check FILE        tell every fault with line and key\n"
+           "  manifest diff A B          what B has otherwise; \"current\" is "
+           "the log's\n"
+           "  manifest publish FILE      append, and tell the log's verdict\n"
+           "  manifest show              what is in force\n"
+           "  manifest history           the newest records and verdicts\n"
+           "  manifest wait OFFSET       until it is in force on --nodes\n"
+           "  status                     one line a process of --nodes\n"
+           "  report burn                compliance, error budget, burn rate",
+       .more_exit_codes = {{4, "the manifest breaks its schema"},
+                           {5, "conflict: another manifest is current"},
+                           {6, "the log is out; nothing was published"},
+                           {7, "unresolved: it may have been published"},
+                           {8, "not in force everywhere in time"}},
+       .run = acacialug::Run});
+}
--- /dev/null
+++ b/src/control/commands.h
@@ -0,0 +1,47 @@
+#ifndef CONTROL_COMMANDS_H_
+#define CONTROL_COMMANDS_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "framework/global/types/instant.h"
+#include "framework/global/types/result.h"
+#include "framework/http/http_types.h"
+
+namespace acacialug::control {
+
+// Exit codes beside the shared ones, for pipelines.
+enum class CommandExit : int {
+  kOk = 0,
+  kFailed = 1,
+  kUsage = 2,
+  kInvalid = 4,      // the manifest breaks its schema
+  kConflict = 5,     // another manifest is current
+  kUnavailable = 6,  // provably nothing was published
+  kUnresolved = 7,   // it is not known whether it was published
+  kTimeout = 8,      // `wait`: not in force everywhere in time
+};
+
+struct CommandOptions {
+  std::string log;                 // --log, IP:PORT
+  std::vector<std::string> nodes;  // --nodes, operations ports, IP:PORT each
+  std::string publisher = "acacialugctl";
+  bool json = false;
+  std::string html_file;  // --html
+  Duration timeout = 5s;  // of one answer, and of `manifest wait`
+  Duration window = 10s;  // of `report burn`, between the two scrapes
+  // Where text goes; standard output and standard error in the program.
+  std::function<void(const std::string& text)> print;
+  std::function<void(const std::string& text)> complain;
+};
+
+// Runs one command line, as `manifest publish FILE`. Needs a QCoreApplication.
+// Returns the exit code; every error is printed with its number.
+int RunCommand(const std::vector<std::string>& arguments,
+               const CommandOptions& options);
+
+}  // namespace acacialug::control
+
+#endif  // CONTROL_COMMANDS_H_
--- /dev/null
+++ b/src/control/internal/command_context.cc
@@ -0,0 +1,118 @@
+#include "control/internal/command_context.h"
+
+#include <QEventLoop>
+#include <QTimer>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "configuration_client/configuration_client.h"
+
+namespace acacialug::control {
+namespace {
+
+constexpr int kLookMilliseconds = 5;
+
+// Runs the event loop until `done` or until the time is over.
+bool WaitOnEventLoop(const std::function<bool()>& done, Duration time) {
+  const Instant until = MonotonicNow() + time;
+  while (!done()) {
+    if (MonotonicNow() >= until) {
+      return false;
+    }
+    QEventLoop loop;
+    QTimer::singleShot(kLookMilliseconds, &loop, &QEventLoop::quit);
+    loop.exec();
+  }
+  return true;
+}
+
+CommandExit ExitOf(ResultCode code) {
+  switch (code) {
+    case ResultCode::kManifestConflict:
+      return CommandExit::kConflict;
+    case ResultCode::kPlatformUnavailable:
+    case ResultCode::kPlatformBadAnswer:
+    case ResultCode::kManifestStale:
+      return CommandExit::kUnavailable;
+    case ResultCode::kAppendUnresolved:
+      return CommandExit::kUnresolved;
+    default:
+      break;
+  }
+  const int number = static_cast<int>(code);
+  const bool is_manifest = number >= 6000 && number < 7000;
+  return is_manifest ? CommandExit::kInvalid : CommandExit::kFailed;
+}
+
+}  // namespace
+
+CommandContext::CommandContext(const CommandOptions& command_options)
+    : options(command_options), random(RandomSource::FromSystem()) {}
+
+Publisher* CommandContext::OpenLog() {
+  const std::optional<http::Address> address =
+      http::ParseAddress(this->options.log);
+  if (!address) {
+    this->Complain(CommandExit::kUsage, "--log: expected IP:PORT, found \"" +
+                                            this->options.log + "\"");
+    return nullptr;
+  }
+  this->client = std::make_unique<http::Client>(http::ClientOptions{});
+  this->log = std::make_unique<platform::HttpLog>(*address, *this->client);
+  this->publisher = std::make_unique<Publisher>(
+      PublisherOptions{
+          .stream = std::string(configuration_client::kConfigurationStream),
+          .publisher = this->options.publisher,
+          .wait = WaitOnEventLoop},
+      *this->log, this->random);
+  return this->publisher.get();
+}
+
+std::vector<http::Address> CommandContext::Nodes() const {
+  std::vector<http::Address> addresses;
+  for (const std::string& node : this->options.nodes) {
+    const std::optional<http::Address> address = http::ParseAddress(node);
+    if (!address) {
+      this->Complain(CommandExit::kUsage,
+                     "--nodes: expected IP:PORT, found \"" + node + "\"");
+      return {};
+    }
+    addresses.push_back(*address);
+  }
+  if (addresses.empty()) {
+    this->Complain(CommandExit::kUsage,
+                   "--nodes: expected at least one IP:PORT");
+  }
+  return addresses;
+}
+
+std::optional<std::string> CommandContext::ReadFile(
+    const std::string& path) const {
+  std::ifstream file(path);
+  if (!file) {
+    this->Complain(Error(ResultCode::kSettingsUnreadable, path));
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+int CommandContext::Complain(const Error& error) const {
+  const ResultCode code = error.result_code();
+  this->options.complain(std::to_string(static_cast<int>(code)) + " " +
+                         std::string(ResultCodeName(code)) + ": " +
+                         (error.detail.empty()
+                              ? std::string(ResultCodeMeaning(code))
+                              : error.detail) +
+                         "\n");
+  return static_cast<int>(ExitOf(code));
+}
+
+int CommandContext::Complain(CommandExit exit, const std::string& text) const {
+  this->options.complain(text + "\n");
+  return static_cast<int>(exit);
+}
+
+}  // namespace acacialug::control
--- /dev/null
+++ b/src/control/internal/command_context.h
@@ -0,0 +1,53 @@
+#ifndef CONTROL_INTERNAL_COMMAND_CONTEXT_H_
+#define CONTROL_INTERNAL_COMMAND_CONTEXT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "control/commands.h"
+#include "control/publisher.h"
+#include "framework/http/http_client.h"
+#include "platform/http_log.h"
+
+namespace acacialug::control {
+
+// What commands share: the log of --log, and how errors are told.
+class CommandContext {
+ public:
+  explicit CommandContext(const CommandOptions& command_options);
+
+  const CommandOptions& options;
+
+  // Null, after a complaint, when --log is missing or no address.
+  Publisher* OpenLog();
+
+  // The addresses of --nodes; empty, after a complaint, when there is none or
+  // one is no address.
+  std::vector<http::Address> Nodes() const;
+
+  // The text of a file; empty, after a complaint, when it cannot be read.
+  std::optional<std::string> ReadFile(const std::string& path) const;
+
+  // Tells an error with its number; returns the exit code that fits it.
+  int Complain(const Error& error) const;
+  int Complain(CommandExit exit, const std::string& text) const;
+
+ private:
+  RandomSource random;
+  std::unique_ptr<http::Client> client;
+  std::unique_ptr<platform::HttpLog> log;
+  std::unique_ptr<Publisher> publisher;
+};
+
+// The commands of each subject; `rest` are the words behind the subject.
+int RunManifestCommand(CommandContext& context,
+                       const std::vector<std::string>& rest);
+int RunStatusCommand(CommandContext& context);
+int RunReportCommand(CommandContext& context,
+                     const std::vector<std::string>& rest);
+
+}  // namespace acacialug::control
+
+#endif  // CONTROL_INTERNAL_COMMAND_CONTEXT_H_
--- /dev/null
+++ b/src/control/publisher.h
@@ -0,0 +1,63 @@
+#ifndef CONTROL_PUBLISHER_H_
+#define CONTROL_PUBLISHER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "configuration/configuration_history.h"
+#include "framework/global/random_source.h"
+#include "framework/global/types/instant.h"
+#include "framework/global/types/result.h"
+#include "platform/i_log.h"
+
+namespace acacialug::control {
+
+struct PublisherOptions {
+  std::string stream;       // of the log, that holds manifests
+  std::string publisher;    // who asks, for people
+  Duration patience = 20s;  // until the outcome is called unresolved
+  Duration retry_interval = 500ms;
+  // Lets time pass while an answer is waited for: runs the event loop until
+  // `done`, or until the time is over, and says which (true: done).
+  std::function<bool(const std::function<bool()>& done, Duration time)> wait;
+};
+
+// Reads and publishes manifests for a shell or a pipeline. One thread.
+class Publisher {
+ public:
+  // `log` and `random` outlive this.
+  Publisher(PublisherOptions publisher_options,
+            platform::ILog& platform_log,
+            RandomSource& random_source);
+
+  // The stream read to its end. Errors: kPlatformUnavailable,
+  // kPlatformBadAnswer; kManifestStale when the stream's start is gone and no
+  // checkpoint covers it.
+  Result<configuration::ConfigurationHistory> ReadHistory();
+
+  // Publishes a text, and tells what the log made of it. A lost append answer
+  // is resolved by reading; the record is sent again under the same
+  // publication, of which only one can be accepted, since the second no longer
+  // names the current manifest. Errors: those of ParseManifest, nothing was
+  // appended; kManifestConflict with what won (if it is known beforehand,
+  // nothing was appended); kPlatformUnavailable (provably not appended);
+  // kAppendUnresolved (still unknown when patience ended).
+  Result<configuration::Judgement> Publish(const std::string& text,
+                                           const std::string& source);
+
+ private:
+  Result<platform::ILog::Read> ReadFrom(LogOffset from);
+  Result<LogOffset> Append(const std::string& payload);
+  Status CheckCurrent(const std::string& text, const std::string& source);
+  Result<configuration::Judgement> Resolve(const std::string& payload,
+                                           const RequestId& publication);
+
+  PublisherOptions options;
+  platform::ILog& log;
+  RandomSource& random;
+};
+
+}  // namespace acacialug::control
+
+#endif  // CONTROL_PUBLISHER_H_
