Tell what the stand-in engines aborted, refused and failed

Cause: a report with wasted prefill did not show whether exports were evicted, aborted or lost by a failed transfer. Change: three more counts of the stand-ins; a cluster clears its old logs.

--- a/buildscripts/deployment.py
+++ b/buildscripts/deployment.py
@@ -236,6 +236,8 @@
 
     def start(self):
         self.folder.mkdir(parents=True, exist_ok=True)
+        for old in self.folder.glob("*.log"):
+            old.unlink()
         self._write("manifest", self.manifest_text())
         self._spawn("platform", "standin", self._platform_text())
         records = [self._stand_in_record(endpoint)
--- a/src/load/internal/stand_in_reader.cc
+++ b/src/load/internal/stand_in_reader.cc
@@ -31,6 +31,9 @@
   added.prefill_cached -= old.prefill_cached;
   added.output -= old.output;
   added.exports_evicted -= old.exports_evicted;
+  added.aborted -= old.aborted;
+  added.refused -= old.refused;
+  added.failed -= old.failed;
   return added;
 }
 
@@ -77,6 +80,9 @@
     sums.prefill_cached += CountOf(stats, "prefill_cached_tokens");
     sums.output += CountOf(stats, "output_tokens");
     sums.exports_evicted += CountOf(stats, "exports_evicted");
+    sums.aborted += CountOf(stats, "aborted");
+    sums.refused += CountOf(stats, "refused");
+    sums.failed += CountOf(stats, "failed");
   });
   this->Ask(address, "/requests", [this](const std::string& body) {
     const json held = Parse(body);
--- a/src/load/report_text.cc
+++ b/src/load/report_text.cc
@@ -62,6 +62,9 @@
           {"prefill_cached_tokens", figures.prefill_cached},
           {"output_tokens", figures.output},
           {"exports_evicted", figures.exports_evicted},
+          {"aborted", figures.aborted},
+          {"refused", figures.refused},
+          {"failed", figures.failed},
           {"held_after", figures.held_after}};
 }
 
--- a/src/load/types/load_report.h
+++ b/src/load/types/load_report.h
@@ -16,6 +16,9 @@
   std::uint64_t prefill_cached = 0;    // tokens
   std::uint64_t output = 0;            // tokens
   std::uint64_t exports_evicted = 0;   // requests
+  std::uint64_t aborted = 0;           // requests
+  std::uint64_t refused = 0;           // requests
+  std::uint64_t failed = 0;            // requests
   // Requests still held by an engine after the last answer.
   std::uint64_t held_after = 0;
 };
