--- a/src/agent_process/internal/settings_reader.cc
+++ b/src/agent_process/internal/settings_reader.cc
@@ -46,6 +46,9 @@
   if (platform.Has("log")) {
     into.platform_log = ReadAddress(platform, "log");
   }
+  into.peers = platform.ParsedList<http::Address>(
+      "peers", {.parse = http::ParseAddress, .expected = "IP:PORT"},
+      {.fallback = std::vector<std::string>{}});
   if (into.manifest_file.empty() && !into.platform_log) {
     manifest.Report("file", ResultCode::kSettingsMissingKey,
                     "expected a manifest file, or platform.log");
--- a/src/agent_process/types/agent_settings.h
+++ b/src/agent_process/types/agent_settings.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "agent/types/agent_options.h"
 #include "engine/types/engine_options.h"
@@ -18,6 +19,7 @@
   http::Address operations_listen;  // for operators and probes
   std::string manifest_file;        // empty: from the platform's log
   std::optional<http::Address> platform_log;
+  std::vector<http::Address> peers;  // operations ports of entries
   http::TlsFiles peer_tls;
   log::Level log_level = log::Level::kInfo;
   engine::EngineOptions engine;
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -127,7 +127,8 @@
                   if (!taken.ok()) {
                     Fail("manifest_not_taken", taken.error());
                   }
-                }},
+                },
+            .peers = this->settings.peers},
         this->random);
     this->configuration->Start();
   }
--- a/src/app/entry/main.cc
+++ b/src/app/entry/main.cc
@@ -1,5 +1,10 @@
 #include <QCoreApplication>
+#include <QObject>
+#include <QTimer>
+#include <chrono>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -9,10 +14,12 @@
 #include "entry_process/platform_log.h"
 #include "entry_process/settings_reader.h"
 #include "framework/global/random_source.h"
+#include "framework/http/http_client.h"
 #include "framework/log/log.h"
 #include "framework/metrics/registry.h"
 #include "framework/program/program.h"
 #include "framework/program/signal_watcher.h"
+#include "platform/http_host_list.h"
 
 namespace acacialug {
 namespace {
@@ -21,6 +28,7 @@
 using entry_process::EntrySettings;
 
 constexpr const char* kProgram = "acacialug-entry";
+constexpr std::chrono::seconds kHostListInterval{1};
 
 int Fail(std::string_view event, const Error& error) {
   log::Error(event, {.code = error.result_code(),
@@ -52,6 +60,7 @@
     if (!manifest.ok()) {
       return Fail("manifest_failed", manifest.error());
     }
+    this->FollowHosts();
     log::Info("started",
               {.fields = {{"entry", this->settings.process.core.id},
                           {"port", this->process.port()},
@@ -64,10 +73,12 @@
     entry_process::ManifestSource::Options options{
         .file = this->settings.manifest_file,
         .author = this->settings.process.core.id.text,
-        .on_manifest =
-            [this](std::shared_ptr<const manifest::Manifest> newest) {
-              this->process.SetManifest(std::move(newest));
-            }};
+        .log_retention = this->settings.log_retention,
+        .peers = this->settings.peers,
+        .on_manifest = [this](std::shared_ptr<const manifest::Manifest> newest,
+                              const std::string& text) {
+          this->process.SetManifest(std::move(newest), text);
+        }};
     if (this->settings.platform_log) {
       options.log =
           entry_process::MakePlatformLog(*this->settings.platform_log);
@@ -89,6 +100,34 @@
     return options;
   }
 
+  // The platform's list lags; an agent that leaves says so itself, and this
+  // covers the ones that cannot.
+  void FollowHosts() {
+    if (!this->settings.platform_hosts) {
+      return;
+    }
+    this->host_list.emplace(*this->settings.platform_hosts, this->host_client);
+    QObject::connect(&this->host_timer, &QTimer::timeout,
+                     [this] { this->ReadHosts(); });
+    this->host_timer.start(kHostListInterval);
+  }
+
+  void ReadHosts() {
+    this->host_list->Read(
+        [this](const Result<std::vector<platform::HostRecord>>& hosts) {
+          if (!hosts.ok()) {
+            return;  // what was last known stays
+          }
+          std::set<HostId> leaving;
+          for (const platform::HostRecord& record : *hosts) {
+            if (record.state == platform::HostState::kLeaving) {
+              leaving.insert(record.host);
+            }
+          }
+          this->process.SetLeavingHosts(leaving);
+        });
+  }
+
   void Terminate(int count) {
     if (count == 1) {
       this->process.Drain();
@@ -115,6 +154,9 @@
   metrics::Registry registry;
   entry_process::ManifestSource manifests;
   EntryProcess process;
+  http::Client host_client{{}};
+  std::optional<platform::HttpHostList> host_list;
+  QTimer host_timer;
 };
 
 int Serve(const EntrySettings& settings) {
--- a/src/configuration/internal/configuration_follower.cc
+++ b/src/configuration/internal/configuration_follower.cc
@@ -104,7 +104,8 @@
   // same instant.
   const double share = 0.5 + 0.5 * this->random.Unit();
   this->timer = now + FromSeconds(Seconds(this->retry_delay) * share);
-  if (this->offset() < this->highest_heard) {
+  // A process without any manifest asks too: nobody speaks to it yet.
+  if (!this->forced || this->offset() < this->highest_heard) {
     this->actions.emplace_back(AskPeer{.offset = this->highest_heard});
   }
 }
--- a/src/configuration_client/configuration_client.h
+++ b/src/configuration_client/configuration_client.h
@@ -5,9 +5,11 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "configuration/configuration_follower.h"
 #include "framework/global/random_source.h"
+#include "framework/http/http_types.h"
 #include "platform/i_log.h"
 
 namespace acacialug::configuration_client {
@@ -21,9 +23,9 @@
   std::unique_ptr<platform::ILog> log;
   // A newer manifest is in force in this process; never one that is older.
   std::function<void(const configuration::AcceptedManifest&)> on_in_force;
-  // A peer spoke of this offset and the log has not given it yet. May stay
-  // empty where no peer can be asked.
-  std::function<void(LogOffset)> on_ask_peer;
+  // Operations ports of entries, asked for the manifest that they have in
+  // force while the log does not answer. May be empty.
+  std::vector<http::Address> peers;
 };
 
 // A ConfigurationFollower with its timer and the log around it. Lives on one
--- a/src/configuration_client/internal/configuration_client.cc
+++ b/src/configuration_client/internal/configuration_client.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <variant>
 
+#include "configuration_client/peer_manifests.h"
+#include "framework/http/http_client.h"
 #include "framework/log/log.h"
 
 namespace acacialug::configuration_client {
@@ -16,6 +18,7 @@
 
 // Records of one answer; each may hold a whole manifest.
 constexpr std::size_t kRecordsPerRead = 16;
+constexpr Duration kPeerPatience = 2s;
 
 }  // namespace
 
@@ -23,7 +26,9 @@
  public:
   Implementation(ClientOptions client_options, RandomSource& random)
       : options(std::move(client_options)),
-        follower(this->options.follower, random) {
+        follower(this->options.follower, random),
+        peer_client({.silence_timeout = kPeerPatience}),
+        peers(this->options.peers, this->peer_client) {
     this->timer.setSingleShot(true);
     QObject::connect(&this->timer, &QTimer::timeout, [this] {
       this->follower.OnTimer(MonotonicNow());
@@ -91,12 +96,14 @@
     });
   }
 
-  void Do(const configuration::AskPeer& ask) {
-    if (!this->options.on_ask_peer) {
-      return;
-    }
-    QTimer::singleShot(0, &this->context, [this, offset = ask.offset] {
-      this->options.on_ask_peer(offset);
+  void Do(const configuration::AskPeer&) {
+    this->peers.Ask([this](const PeerManifest& newest) {
+      const Status taken = this->OnPeerManifest(newest.offset, newest.text);
+      log::WriteLimited(
+          this->limiter, MonotonicNow(), log::Level::kInfo,
+          "peer_manifest_read",
+          {.code = taken.ok() ? ResultCode::kOk : taken.error().result_code(),
+           .fields = {{"offset", newest.offset}}});
     });
   }
 
@@ -114,6 +121,8 @@
 
   ClientOptions options;
   configuration::ConfigurationFollower follower;
+  http::Client peer_client;
+  PeerManifests peers;
   log::RepeatLimiter limiter{{.window = 60s, .lines_per_window = 2}};
   QTimer timer;
   QObject context;  // ends what was posted with this
--- a/src/configuration_client/tests/configuration_client_test.cc
+++ b/src/configuration_client/tests/configuration_client_test.cc
@@ -6,6 +6,8 @@
 #include <QTimer>
 
 #include "configuration/tests/manifest_texts.h"
+#include "configuration_client/peer_manifests.h"
+#include "framework/http/http_server.h"
 #include "framework/http/tests/socket_support.h"
 #include "framework/testing/story.h"
 
@@ -62,10 +64,9 @@
   std::shared_ptr<MemoryLog::State> log = std::make_shared<MemoryLog::State>();
   RandomSource random{1};
   std::vector<std::string> in_force;
-  std::vector<LogOffset> asked;
   std::unique_ptr<ConfigurationClient> client;
 
-  explicit Fixture(bool follow) {
+  explicit Fixture(bool follow, std::vector<http::Address> peers = {}) {
     this->client = std::make_unique<ConfigurationClient>(
         ClientOptions{
             .follower = {.long_poll = 0s,
@@ -78,8 +79,7 @@
                 [this](const configuration::AcceptedManifest& accepted) {
                   this->in_force.push_back(accepted.manifest->version);
                 },
-            .on_ask_peer =
-                [this](LogOffset offset) { this->asked.push_back(offset); }},
+            .peers = std::move(peers)},
         this->random);
     this->client->Start();
   }
@@ -120,19 +120,26 @@
           // Symptom: a process replaced during an outage never serves.
           // Sequence: the log is out, a peer speaks of an offset. Cause: only
           // the log asked.
-          Fixture fixture(false);
+          int asked = 0;
+          http::Server peer(
+              {.listen = {.ip = "127.0.0.1"}, .make_handler = [&asked](int) {
+                 return [&asked](const http::Request&,
+                                 const http::ResponderPtr& responder) {
+                   ++asked;
+                   responder->SendWhole(
+                       {.body = RenderPeerManifest(
+                            {.offset = LogOffset(5),
+                             .text = ManifestText("v5", 4)})});
+                 };
+               }});
+          CPPUNIT_ASSERT(peer.Start().ok());
+          Fixture fixture(false, {{"127.0.0.1", peer.port()}});
           fixture.log->out = true;
           fixture.client->OnPeerOffset(LogOffset(5));
-          WaitUntil("a question to peers",
-                    [&] { return !fixture.asked.empty(); });
           CPPUNIT_ASSERT(!fixture.client->ready());
-          CPPUNIT_ASSERT(fixture.asked.front() == LogOffset(5));
-          CPPUNIT_ASSERT(
-              fixture.client
-                  ->OnPeerManifest(LogOffset(5), ManifestText("v5", 4))
-                  .ok());
           fixture.Await({"v5"});
           WaitUntil("ready", [&] { return fixture.client->ready(); });
+          CPPUNIT_ASSERT(asked > 0);
           CPPUNIT_ASSERT(
               !fixture.client
                    ->OnPeerManifest(LogOffset(4), ManifestText("v4", 3))
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -67,6 +67,10 @@
   return this->implementation->IssueTicket(service, now);
 }
 
+void EntryCore::OnLeavingHosts(const std::set<HostId>& hosts, Instant now) {
+  this->implementation->OnLeavingHosts(hosts, now);
+}
+
 void EntryCore::OnLiveEntries(std::uint32_t entries, Instant now) {
   this->implementation->OnLiveEntries(entries, now);
 }
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,10 @@
   // usable now. Errors: kNotReady, kUnknownService, kNoEndpoint.
   Result<std::string> IssueTicket(const ServiceName& service, Instant now);
 
+  // The hosts that the platform says are leaving (replaces what was told
+  // before): their endpoints get no new work; what runs there goes on.
+  void OnLeavingHosts(const std::set<HostId>& hosts, Instant now);
+
   // How many entries are live, by the host list or whatever the process knows:
   // each grants its part of the callers' rate limits. 1 until told.
   void OnLiveEntries(std::uint32_t entries, Instant now);
--- a/src/entry/internal/fleet.cc
+++ b/src/entry/internal/fleet.cc
@@ -141,7 +141,9 @@
   pool.usable.clear();
   for (Member* const member : pool.members) {
     if (member->link.State() == LinkState::kOpen && !member->leaving &&
-        !member->record.leaving && !pool.ejection.Ejected(member->record.id)) {
+        !member->record.leaving &&
+        !this->leaving_hosts.contains(member->record.host) &&
+        !pool.ejection.Ejected(member->record.id)) {
       pool.usable.push_back(&member->view);
     }
   }
@@ -150,6 +152,16 @@
   }
 }
 
+void Fleet::SetLeavingHosts(const std::set<HostId>& hosts) {
+  if (hosts == this->leaving_hosts) {
+    return;
+  }
+  this->leaving_hosts = hosts;
+  for (auto& [key, pool] : this->pools) {
+    this->Rebuild(pool);
+  }
+}
+
 void Fleet::Rearm(const Member& member) {
   this->timers.Arm(member.record.id, member.link.NextTimer());
 }
--- a/src/entry/internal/fleet.h
+++ b/src/entry/internal/fleet.h
@@ -41,6 +41,7 @@
   // last until no request needs them.
   void Apply(std::shared_ptr<const manifest::Manifest> newest, Instant now);
 
+  void SetLeavingHosts(const std::set<HostId>& hosts);
   void OnConnected(const EndpointId& endpoint, Instant now);
   void OnClosed(const EndpointId& endpoint, Instant now);
   // Takes what concerns the session or the load; true when the message is
@@ -131,6 +132,7 @@
   RoomHook room_hook;
   std::shared_ptr<const manifest::Manifest> manifest;  // in force; or null
   placement::WorkingSet working_set;
+  std::set<HostId> leaving_hosts;  // by the platform's list
   std::map<EndpointId, std::unique_ptr<Member>> members;
   std::map<PoolKey, Pool> pools;
   TimerSet<EndpointId> timers;
--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -190,6 +190,12 @@
       {.endpoint = home, .agent = this->fleet.AgentOf(home)}, this->random));
 }
 
+void RequestRouter::OnLeavingHosts(const std::set<HostId>& hosts, Instant now) {
+  this->Begin(now);
+  this->fleet.SetLeavingHosts(hosts);
+  this->Settle(now);
+}
+
 void RequestRouter::OnLiveEntries(std::uint32_t entries, Instant now) {
   this->rates.SetSharers(
       std::max(entries, 1U) * std::max(this->options.shards, 1U), now);
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -42,6 +42,7 @@
   void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
   void OnClaimsRead(const ClaimsRead& read, Instant now);
   Result<std::string> IssueTicket(const ServiceName& service, Instant now);
+  void OnLeavingHosts(const std::set<HostId>& hosts, Instant now);
   void OnLiveEntries(std::uint32_t entries, Instant now);
   void OnTimer(Instant now);
   void BeginDrain() { this->draining = true; }
--- a/src/entry/tests/sessions_test.cc
+++ b/src/entry/tests/sessions_test.cc
@@ -72,6 +72,21 @@
           driver.End(decode, attempt, 2);
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Ends());
         }),
+     It("with an endpoint on a host that the platform lists as leaving gets no "
+        "new work, until it is listed as live again",
+        [] {
+          ReadyDriver driver;
+          const manifest::Manifest manifest = EntryDriver::DefaultManifest();
+          const HostId host = manifest.FindEndpoint(EndpointId("d1"))->host;
+          driver.core->OnLeavingHosts({host}, driver.now);
+          for (int round = 0; round < 8; ++round) {
+            driver.Generate();
+            std::string decode;
+            driver.Reserve(&decode);
+            CPPUNIT_ASSERT(manifest.FindEndpoint(EndpointId(decode))->host !=
+                           host);
+          }
+        }),
      It("with an endpoint that is leaving gets no new work", [] {
        ReadyDriver driver;
        driver.Tell("d1", protocol::Leaving{});
--- a/src/entry/types/entry_options.h
+++ b/src/entry/types/entry_options.h
@@ -64,10 +64,10 @@
   double retry_burst = 40;
   std::uint32_t max_attempts = 4;
   std::uint32_t window_chunks = 256;
-  std::uint32_t working_set = 64;        // endpoints connected to, a pool
-  std::uint32_t sampled = 3;             // endpoints weighed for a decode
-  std::uint32_t max_requests = 20000;    // alive at once, a shard
-  Duration claim_commit_interval = 5ms;  // group commit of claims
+  std::uint32_t working_set = 64;         // endpoints connected to, a pool
+  std::uint32_t sampled = 3;              // endpoints weighed for a decode
+  std::uint32_t max_requests = 20000;     // alive at once, a shard
+  Duration claim_commit_interval = 20ms;  // group commit of claims
   std::uint32_t shards = 1;  // of this entry; each has a core of its own
   EntryRules rules;
   // Makes what holds non-idempotent calls to one run; empty: without a log,
--- a/src/entry_process/entry_process.cc
+++ b/src/entry_process/entry_process.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "configuration_client/peer_manifests.h"
 #include "entry_process/internal/caller_request.h"
 #include "entry_process/internal/entry_measures.h"
 #include "entry_process/internal/error_answer.h"
@@ -49,7 +50,9 @@
                  std::function<void(bool)> drained_hook);
 
   Status Start();
-  void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
+  void SetManifest(std::shared_ptr<const manifest::Manifest> newest,
+                   const std::string& text);
+  void SetLeavingHosts(const std::set<HostId>& hosts);
   void Drain();
 
   http::Server& callers() { return *this->callers_server; }
@@ -197,9 +200,19 @@
   }
 }
 
+void EntryProcess::Implementation::SetLeavingHosts(
+    const std::set<HostId>& hosts) {
+  this->OnEachShard([hosts](Shard& shard) { shard.SetLeavingHosts(hosts); });
+}
+
 void EntryProcess::Implementation::SetManifest(
-    std::shared_ptr<const manifest::Manifest> newest) {
+    std::shared_ptr<const manifest::Manifest> newest,
+    const std::string& text) {
   this->state.SetManifest(newest);
+  if (!text.empty()) {
+    this->pages.SetManifestPage(configuration_client::RenderPeerManifest(
+        {.offset = newest->offset, .text = text}));
+  }
   log::Info("manifest_taken", {.fields = {{"offset", newest->offset},
                                           {"version", newest->version}}});
   this->OnEachShard([newest](Shard& shard) { shard.SetManifest(newest); });
@@ -261,9 +274,13 @@
   return this->implementation->operations().port();
 }
 
-void EntryProcess::SetManifest(
-    std::shared_ptr<const manifest::Manifest> newest) {
-  this->implementation->SetManifest(std::move(newest));
+void EntryProcess::SetManifest(std::shared_ptr<const manifest::Manifest> newest,
+                               const std::string& text) {
+  this->implementation->SetManifest(std::move(newest), text);
+}
+
+void EntryProcess::SetLeavingHosts(const std::set<HostId>& hosts) {
+  this->implementation->SetLeavingHosts(hosts);
 }
 
 void EntryProcess::Drain() {
--- a/src/entry_process/entry_process.h
+++ b/src/entry_process/entry_process.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "entry_process/types/entry_process_options.h"
 #include "framework/global/types/result.h"
@@ -33,8 +35,14 @@
   std::uint16_t port() const;
   std::uint16_t operations_port() const;
 
-  // A newer manifest is in force, in all shards.
-  void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
+  // A newer manifest is in force, in all shards. `text`, unless empty, is
+  // shown to peers whose log is out.
+  void SetManifest(std::shared_ptr<const manifest::Manifest> newest,
+                   const std::string& text = {});
+
+  // The hosts that the platform says are leaving: their endpoints get no new
+  // work from now on.
+  void SetLeavingHosts(const std::set<HostId>& hosts);
 
   // Leaves: /readyz fails at once; after drain_delay new requests are refused
   // and idle connections closed; what runs goes on to its end. Safe to repeat.
--- a/src/entry_process/internal/manifest_source.cc
+++ b/src/entry_process/internal/manifest_source.cc
@@ -52,7 +52,7 @@
   // before.
   read.value().offset = LogOffset(++this->file_reads);
   this->options.on_manifest(
-      std::make_shared<const manifest::Manifest>(std::move(read.value())));
+      std::make_shared<const manifest::Manifest>(std::move(read.value())), {});
   return Success{};
 }
 
@@ -65,12 +65,14 @@
 void ManifestSource::FollowLog() {
   this->client.emplace(
       configuration_client::ClientOptions{
-          .follower = {.author = this->options.author},
+          .follower = {.author = this->options.author,
+                       .retention = this->options.log_retention},
           .log = std::move(this->options.log),
           .on_in_force =
               [this](const configuration::AcceptedManifest&) {
                 this->HandOn();
-              }},
+              },
+          .peers = this->options.peers},
       this->random);
   this->client->Start();
 }
@@ -83,7 +85,8 @@
     return;
   }
   this->ready_check.stop();
-  this->options.on_manifest(this->client->in_force()->manifest);
+  this->options.on_manifest(this->client->in_force()->manifest,
+                            this->client->in_force()->text);
 }
 
 }  // namespace acacialug::entry_process
--- a/src/entry_process/internal/operations_pages.cc
+++ b/src/entry_process/internal/operations_pages.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "configuration_client/peer_manifests.h"
 #include "entry_process/internal/caller_request.h"
 #include "entry_process/metric_definitions.h"
 #include "framework/metrics/exposition.h"
@@ -39,6 +40,11 @@
   if (path == "/status") {
     return Page("application/json", this->options.state.RenderStatus(now));
   }
+  if (path == configuration_client::kPeerManifestPath) {
+    return this->manifest_page.empty()
+               ? RenderRefusal(Error(ResultCode::kNotReady), path, {})
+               : Page("application/json", this->manifest_page);
+  }
   if (path == "/healthz") {
     return RenderHealth();
   }
--- a/src/entry_process/internal/operations_pages.h
+++ b/src/entry_process/internal/operations_pages.h
@@ -1,6 +1,9 @@
 #ifndef ENTRY_PROCESS_INTERNAL_OPERATIONS_PAGES_H_
 #define ENTRY_PROCESS_INTERNAL_OPERATIONS_PAGES_H_
 
+#include <string>
+#include <utility>
+
 #include "entry_process/internal/process_state.h"
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
@@ -9,7 +12,8 @@
 namespace acacialug::entry_process {
 
 // The pages of the operations port: /metrics (Prometheus text),
-// /metrics.json, /status, /healthz and /readyz, by GET or HEAD.
+// /metrics.json, /status, /manifest, /healthz and /readyz, by GET or HEAD.
+// Lives on one thread.
 class OperationsPages {
  public:
   struct Options {
@@ -19,14 +23,20 @@
 
   explicit OperationsPages(Options options);
 
-  // Errors are answered as on the callers' port. Thread safe.
+  // Errors are answered as on the callers' port.
   http::Response Answer(const http::Request& request, Instant now);
 
+  // What /manifest shows to peers whose log is out.
+  void SetManifestPage(std::string page) {
+    this->manifest_page = std::move(page);
+  }
+
  private:
   metrics::Snapshot ReadMetrics();
 
   const Options options;
   const metrics::Gauge alive_requests;
+  std::string manifest_page;  // empty before the first
 };
 
 // The answer of /healthz: the process runs. Thread safe.
--- a/src/entry_process/internal/settings_reader.cc
+++ b/src/entry_process/internal/settings_reader.cc
@@ -48,6 +48,7 @@
   into.listen = table.Parsed<http::Address>("listen", AddressRule());
   ReadOptionalAddress(table, "operations_listen", into.operations_listen);
   into.shards = static_cast<int>(ReadCount(table, "shards", 2, 64));
+  into.live_entries = ReadCount(table, "entries", 1, 100'000);
   into.drain_delay =
       ReadDuration(table, "drain_delay", into.drain_delay, Duration::zero());
   into.drain_grace = ReadDuration(table, "drain_grace", into.drain_grace);
@@ -61,6 +62,10 @@
   into.manifest_file = ReadPath(manifest, "file");
   ReadOptionalAddress(platform, "log", into.platform_log);
   ReadOptionalAddress(platform, "hosts", into.platform_hosts);
+  into.peers = platform.ParsedList<http::Address>(
+      "peers", AddressRule(), {.fallback = std::vector<std::string>{}});
+  into.log_retention = platform.Duration(
+      "log_retention", {.fallback = into.log_retention, .minimum = 1min});
   if (into.manifest_file.empty() && !into.platform_log) {
     manifest.Report("file", ResultCode::kSettingsMissingKey,
                     "expected a manifest file, or platform.log");
--- a/src/entry_process/internal/shard.cc
+++ b/src/entry_process/internal/shard.cc
@@ -39,12 +39,16 @@
   core.id.text += "/" + std::to_string(options.index);
   core.incarnation = random.NextIncarnation();
   core.shards = static_cast<std::uint32_t>(options.process.shards);
-  if (options.process.make_log) {
-    core.make_once = [&random](const entry::EntryOptions&) {
-      return std::make_unique<entry::LogOnce>(
-          entry::LogOnce::Options{.wall_clock = WallClock}, random);
-    };
-  }
+  core.shards = static_cast<std::uint32_t>(options.process.shards);
+  // Also without a platform log: keys are then refused as not run, and only
+  // tickets run. Taking a key without a claim could run it on two entries.
+  core.make_once = [&random](const entry::EntryOptions& entry_options) {
+    return std::make_unique<entry::LogOnce>(
+        entry::LogOnce::Options{
+            .claims = {.commit_interval = entry_options.claim_commit_interval},
+            .wall_clock = WallClock},
+        random);
+  };
   return core;
 }
 
@@ -88,6 +92,7 @@
   this->timer.setTimerType(Qt::PreciseTimer);
   QObject::connect(&this->timer, &QTimer::timeout, &this->context,
                    [this] { this->OnTimer(); });
+  this->core.OnLiveEntries(this->options.process.live_entries, MonotonicNow());
   if (auto in_force = this->options.state.manifest()) {
     this->SetManifest(std::move(in_force));
   }
@@ -107,6 +112,10 @@
       [&](Instant now) { this->core.OnManifest(std::move(newest), now); });
 }
 
+void Shard::SetLeavingHosts(const std::set<HostId>& hosts) {
+  this->Feed([&](Instant now) { this->core.OnLeavingHosts(hosts, now); });
+}
+
 void Shard::BeginDrain() {
   this->Feed([this](Instant now) { this->core.BeginDrain(now); });
 }
--- a/src/entry_process/internal/shard.h
+++ b/src/entry_process/internal/shard.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -49,6 +50,7 @@
   void Handle(http::Request request, http::ResponderPtr responder);
 
   void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
+  void SetLeavingHosts(const std::set<HostId>& hosts);
   void BeginDrain();
 
  private:
--- a/src/entry_process/manifest_source.h
+++ b/src/entry_process/manifest_source.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "configuration_client/configuration_client.h"
 #include "framework/global/random_source.h"
@@ -23,8 +24,13 @@
   struct Options {
     std::string file;  // empty: from `log`
     std::unique_ptr<platform::ILog> log;
-    std::string author;  // of checkpoints
-    std::function<void(std::shared_ptr<const manifest::Manifest>)> on_manifest;
+    std::string author;                // of checkpoints
+    Duration log_retention{};          // checkpoints are made well within it
+    std::vector<http::Address> peers;  // asked while the log is out
+    // `text` is empty for a file, which peers cannot use.
+    std::function<void(std::shared_ptr<const manifest::Manifest>,
+                       const std::string& text)>
+        on_manifest;
   };
 
   // `random` outlives this object.
--- a/src/entry_process/tests/manifest_source_test.cc
+++ b/src/entry_process/tests/manifest_source_test.cc
@@ -41,7 +41,8 @@
             .log = std::move(owned),
             .author = "entry-1",
             .on_manifest =
-                [this](std::shared_ptr<const manifest::Manifest> newest) {
+                [this](std::shared_ptr<const manifest::Manifest> newest,
+                       const std::string&) {
                   this->versions.push_back(newest->version);
                 }};
   }
--- a/src/entry_process/types/entry_process_options.h
+++ b/src/entry_process/types/entry_process_options.h
@@ -2,6 +2,7 @@
 #define ENTRY_PROCESS_TYPES_ENTRY_PROCESS_OPTIONS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -41,6 +42,9 @@
   // it is ready without: one service that is wholly down must not keep the
   // entries from serving the others.
   Duration ready_wait = 10s;
+  // How many entries serve side by side: each grants its part of the callers'
+  // rates, so that the parts add up without a shared counter.
+  std::uint32_t live_entries = 1;
   // The platform's log, made on each shard's thread. Empty: no log; calls
   // that need a claim are refused.
   std::function<std::unique_ptr<platform::ILog>()> make_log;
--- a/src/entry_process/types/entry_settings.h
+++ b/src/entry_process/types/entry_settings.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "entry_process/types/entry_process_options.h"
 #include "framework/http/http_types.h"
@@ -16,6 +17,8 @@
   std::string manifest_file;    // empty: from the platform's log
   std::optional<http::Address> platform_log;
   std::optional<http::Address> platform_hosts;
+  std::vector<http::Address> peers;  // operations ports of other entries
+  Duration log_retention = 24h;      // the log keeps records at least so long
   log::Level log_level = log::Level::kInfo;
 };
 
