--- a/src/entry/tests/entry_driver.cc
+++ b/src/entry/tests/entry_driver.cc
@@ -54,6 +54,7 @@
   for (const char* id : {"p1", "p2", "d1", "d2", "s1", "s2"}) {
     manifest.endpoints.push_back(
         {.id = EndpointId(id),
+         .host = HostId(id),
          .domain = FailureDomain("a"),
          .service = ServiceName(id[0] == 's' ? "app" : "lm"),
          .role = RoleOf(id),
