--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "entry/types/entry_counters.h"
 #include "entry/types/entry_messages.h"
 #include "entry/types/entry_options.h"
 #include "framework/global/random_source.h"
@@ -66,6 +67,7 @@
   Instant next_timer() const;
   std::vector<EntryAction> TakeActions();
   std::size_t alive_requests() const;
+  EntryCounters counters() const;
 
  private:
   class Implementation;
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -49,6 +49,7 @@
   Instant NextTimer() const;
   std::vector<EntryAction> TakeActions();
   std::size_t AliveRequests() const { return this->machines.size(); }
+  EntryCounters Counters() const;
 
  private:
   using Machines =
@@ -76,6 +77,7 @@
   void Pump(const ServiceName& service, Instant now);
   void Erase(const RequestId& request);
   void RunTimers(Instant now);
+  void NoteOwnPause(Instant now);
 
   EntryOptions options;
   RandomSource& random;
@@ -83,6 +85,7 @@
   std::set<ServiceName> pumped;  // services to look at in Settle
   Fleet fleet;
   retry::RetryBudget budget;
+  EntryCounters counters;
   std::unique_ptr<IOnceCoordinator> once;
   admission::CallerRates rates;
   std::shared_ptr<const manifest::Manifest> manifest;
@@ -91,6 +94,7 @@
   std::set<RequestId> queued;
   TimerSet<RequestId> timers;
   TimerSet<ServiceName> unblocks;
+  Instant timers_held_until{};
   bool draining = false;
 };
 
