--- a/src/app/entry/main.cc
+++ b/src/app/entry/main.cc
@@ -75,10 +75,11 @@
         .author = this->settings.process.core.id.text,
         .log_retention = this->settings.log_retention,
         .peers = this->settings.peers,
-        .on_manifest = [this](std::shared_ptr<const manifest::Manifest> newest,
-                              const std::string& text) {
-          this->process.SetManifest(std::move(newest), text);
-        }};
+        .on_manifest =
+            [this](const std::shared_ptr<const manifest::Manifest>& newest,
+                   const std::string& text) {
+              this->process.SetManifest(newest, text);
+            }};
     if (this->settings.platform_log) {
       options.log =
           entry_process::MakePlatformLog(*this->settings.platform_log);
--- a/src/entry_process/entry_process.cc
+++ b/src/entry_process/entry_process.cc
@@ -50,7 +50,7 @@
                  std::function<void(bool)> drained_hook);
 
   Status Start();
-  void SetManifest(std::shared_ptr<const manifest::Manifest> newest,
+  void SetManifest(const std::shared_ptr<const manifest::Manifest>& newest,
                    const std::string& text);
   void SetLeavingHosts(const std::set<HostId>& hosts);
   void Drain();
@@ -206,7 +206,7 @@
 }
 
 void EntryProcess::Implementation::SetManifest(
-    std::shared_ptr<const manifest::Manifest> newest,
+    const std::shared_ptr<const manifest::Manifest>& newest,
     const std::string& text) {
   this->state.SetManifest(newest);
   if (!text.empty()) {
@@ -274,9 +274,10 @@
   return this->implementation->operations().port();
 }
 
-void EntryProcess::SetManifest(std::shared_ptr<const manifest::Manifest> newest,
-                               const std::string& text) {
-  this->implementation->SetManifest(std::move(newest), text);
+void EntryProcess::SetManifest(
+    const std::shared_ptr<const manifest::Manifest>& newest,
+    const std::string& text) {
+  this->implementation->SetManifest(newest, text);
 }
 
 void EntryProcess::SetLeavingHosts(const std::set<HostId>& hosts) {
--- a/src/entry_process/entry_process.h
+++ b/src/entry_process/entry_process.h
@@ -37,7 +37,7 @@
 
   // A newer manifest is in force, in all shards. `text`, unless empty, is
   // shown to peers whose log is out.
-  void SetManifest(std::shared_ptr<const manifest::Manifest> newest,
+  void SetManifest(const std::shared_ptr<const manifest::Manifest>& newest,
                    const std::string& text = {});
 
   // The hosts that the platform says are leaving: their endpoints get no new
