Leave an export to a transfer that ends after its lifetime

Cause: a prefill's agent freed the export at its lifetime; a transfer that had begun within it, on a link that others share, then failed (3005) and the prefill was computed again. The engine pins an export under transfer. Change: the agent's own abort comes a stall timeout later; it is only the end of an export that nobody fetches and the engine does not evict.

--- a/src/agent/internal/prefill_work.cc
+++ b/src/agent/internal/prefill_work.cc
@@ -106,8 +106,13 @@
   this->prefixes.OnComputed(prefill.prefix, usage);
   this->EndRunning(done.attempt, now);
   const Duration lifetime = this->parts.options.export_lifetime;
-  this->exports.emplace(done.attempt, now + lifetime);
-  this->export_ends.Set(done.attempt, now + lifetime);
+  // A transfer that began within the lifetime may end after it, on a link that
+  // others share: an abort at the lifetime would take the export from under it
+  // and waste the prefill. One that stands still ends by the decode side's
+  // stall.
+  const Instant end = now + lifetime + this->parts.options.stall_timeout;
+  this->exports.emplace(done.attempt, end);
+  this->export_ends.Set(done.attempt, end);
   this->Dispatch(now);
   this->parts.Reply(done.attempt,
                     protocol::Prefilled{.attempt = done.attempt,
