Scripted scenarios in virtual time over the real aggregates

Cause: no test ran entries, agents, engines, network and log together, so that a promise which needs several of them was checked by none. Change: src/scenario holds a world (event queue, entries, agents, engines, callers, ordered connections, the platform's log, each with its faults), a checker of the system's promises, and Lua as the language of the files in scenarios/. A test runs every file, and another shows that the checker fails with each of the six rules off in turn and passes with it on.

--- /dev/null
+++ b/src/scenario/internal/agent_host.cc
@@ -0,0 +1,159 @@
+#include "scenario/internal/agent_host.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "scenario/internal/checker.h"
+#include "scenario/internal/network.h"
+
+namespace acacialug::scenario {
+
+AgentHost::AgentHost(EngineHost& engine_host,
+                     std::uint64_t seed,
+                     const WorldParts& world_parts)
+    : Process(engine_host.endpoint()),
+      parts(world_parts),
+      engine(engine_host),
+      random(seed),
+      start(this->random.NextIncarnation()),
+      // As the agents' program: thousands of them must not poll the log.
+      manifests({.author = this->Name(), .follow_stream = false},
+                seed,
+                world_parts.queue,
+                world_parts.log,
+                this->FeedHooks()),
+      decisions(
+          std::make_unique<agent::AgentCore>(this->Options(), this->random)) {}
+
+agent::AgentOptions AgentHost::Options() {
+  const WorldOptions& world = this->parts.options;
+  return {.endpoint = EndpointId(this->Name()),
+          .incarnation = this->start,
+          .domain = FailureDomain("a"),
+          .role = this->engine.role(),
+          .kv_tokens = this->engine.role() == protocol::EndpointRole::kDecode
+                           ? world.kv_tokens
+                           : 0,
+          .slots = world.slots,
+          .rules = world.rules.agent};
+}
+
+ManifestFeed::Hooks AgentHost::FeedHooks() {
+  return {.later = [this] { return this->Later(); },
+          .put_in_force =
+              [this](const configuration::AcceptedManifest& accepted) {
+                this->parts.checker.OnManifest(this->Name(), this->start.value,
+                                               *accepted.manifest);
+                this->decisions->OnManifest(accepted.manifest,
+                                            this->parts.queue.now());
+              },
+          .ask_peer =
+              [this](LogOffset offset) {
+                this->parts.queue.After(
+                    this->parts.options.network_delay * 2,
+                    [this, offset, later = this->Later()] {
+                      const auto [found, text] =
+                          this->parts.peer_manifest(offset);
+                      if (!text.empty()) {
+                        later([this, found, text] {
+                          (void)this->manifests.follower().OnPeerManifest(found,
+                                                                          text);
+                        });
+                      }
+                    });
+              }};
+}
+
+void AgentHost::Start() {
+  this->Feed([this] {
+    const Instant now = this->parts.queue.now();
+    this->decisions->Start(now);
+    this->manifests.follower().Start(now);
+  });
+}
+
+void AgentHost::OnOpened(agent::SessionId session) {
+  this->Feed([this, session] {
+    this->decisions->OnSessionOpened(session, this->parts.queue.now());
+  });
+}
+
+void AgentHost::OnClosed(agent::SessionId session) {
+  this->Feed([this, session] {
+    this->decisions->OnSessionClosed(session, this->parts.queue.now());
+  });
+}
+
+void AgentHost::OnMessage(agent::SessionId session,
+                          const protocol::EntryToAgent& message) {
+  this->Feed([this, session, message] {
+    const Instant now = this->parts.queue.now();
+    this->parts.checker.OnArrival(EndpointId(this->Name()), message);
+    this->decisions->OnMessage(session, message, now);
+    const LogOffset heard = this->decisions->newest_manifest_heard();
+    if (heard > this->manifests.follower().offset()) {
+      this->manifests.follower().OnPeerOffset(heard, now);
+    }
+  });
+}
+
+void AgentHost::OnEngineEvent(const engine::EngineEvent& event) {
+  this->parts.checker.OnEngineEvent(EndpointId(this->Name()), event);
+  this->Feed([this, event] {
+    this->decisions->OnEngineEvent(event, this->parts.queue.now());
+  });
+}
+
+void AgentHost::Drain() {
+  this->Feed([this] {
+    this->parts.checker.OnLeaving(EndpointId(this->Name()));
+    this->decisions->BeginDrain(this->parts.queue.now());
+  });
+}
+
+void AgentHost::Pump() {
+  this->manifests.Pump();
+  for (const agent::AgentAction& action : this->decisions->TakeActions()) {
+    std::visit([this](const auto& typed) { this->Run(typed); }, action);
+  }
+}
+
+Instant AgentHost::DueAt() const {
+  return std::min(this->decisions->next_timer(),
+                  this->manifests.follower().next_timer());
+}
+
+void AgentHost::OnDue() {
+  const Instant now = this->parts.queue.now();
+  if (this->manifests.follower().next_timer() <= now) {
+    this->manifests.follower().OnTimer(now);
+  }
+  if (this->decisions->next_timer() <= now) {
+    this->decisions->OnTimer(now);
+  }
+}
+
+std::function<void(std::function<void()>)> AgentHost::Later() {
+  return [weak = this->weak_from_this()](std::function<void()> task) {
+    if (const auto self = weak.lock()) {
+      self->Feed(std::move(task));
+    }
+  };
+}
+
+void AgentHost::Run(const agent::SendToEntry& action) {
+  this->parts.checker.OnAgentSays(EndpointId(this->Name()), action.message);
+  this->parts.network.ToEntry(action.session, action.message);
+}
+
+void AgentHost::Run(const agent::CloseSession& action) {
+  this->parts.network.Close(action.session);
+}
+
+void AgentHost::Run(const agent::ExecuteOnEngine& action) {
+  this->parts.checker.OnCommand(EndpointId(this->Name()), action.command);
+  this->engine.Execute(action.command);
+}
+
+}  // namespace acacialug::scenario
--- /dev/null
+++ b/src/scenario/internal/agent_host.h
@@ -0,0 +1,65 @@
+#ifndef SCENARIO_INTERNAL_AGENT_HOST_H_
+#define SCENARIO_INTERNAL_AGENT_HOST_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "agent/agent_core.h"
+#include "scenario/internal/engine_host.h"
+#include "scenario/internal/manifest_feed.h"
+#include "scenario/internal/process.h"
+#include "scenario/internal/world_parts.h"
+
+namespace acacialug::scenario {
+
+// One start of an agent. Not thread safe.
+class AgentHost : public Process,
+                  public std::enable_shared_from_this<AgentHost> {
+ public:
+  // `engine_host` outlives this.
+  AgentHost(EngineHost& engine_host,
+            std::uint64_t seed,
+            const WorldParts& world_parts);
+
+  // Call once, after construction.
+  void Start();
+
+  agent::AgentCore& core() { return *this->decisions; }
+  const agent::AgentCore& core() const { return *this->decisions; }
+  ManifestFeed& feed() { return this->manifests; }
+  const ManifestFeed& feed() const { return this->manifests; }
+
+  // What the network and the engine bring; runs now or after a pause.
+  void OnOpened(agent::SessionId session);
+  void OnClosed(agent::SessionId session);
+  void OnMessage(agent::SessionId session,
+                 const protocol::EntryToAgent& message);
+  void OnEngineEvent(const engine::EngineEvent& event);
+  void Drain();
+
+ protected:
+  void Pump() override;
+  Instant DueAt() const override;
+  void OnDue() override;
+
+ private:
+  agent::AgentOptions Options();
+  ManifestFeed::Hooks FeedHooks();
+  std::function<void(std::function<void()>)> Later();
+
+  void Run(const agent::SendToEntry& action);
+  void Run(const agent::CloseSession& action);
+  void Run(const agent::ExecuteOnEngine& action);
+
+  WorldParts parts;
+  EngineHost& engine;
+  RandomSource random;
+  Incarnation start;
+  ManifestFeed manifests;
+  std::unique_ptr<agent::AgentCore> decisions;
+};
+
+}  // namespace acacialug::scenario
+
+#endif  // SCENARIO_INTERNAL_AGENT_HOST_H_
--- /dev/null
+++ b/src/scenario/internal/callers.h
@@ -0,0 +1,64 @@
+#ifndef SCENARIO_INTERNAL_CALLERS_H_
+#define SCENARIO_INTERNAL_CALLERS_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "entry/types/entry_messages.h"
+#include "scenario/internal/checker.h"
+#include "scenario/internal/event_queue.h"
+#include "scenario/types/request.h"
+
+namespace acacialug::scenario {
+
+class EntryHost;
+
+// The callers of a world and all they asked for. Not thread safe.
+class Callers {
+ public:
+  // Null when no entry of that name runs.
+  using FindEntry =
+      std::function<std::shared_ptr<EntryHost>(const std::string&)>;
+  using InEntry = std::function<void(std::function<void()>)>;
+
+  Callers(EventQueue& event_queue,
+          Checker& world_checker,
+          FindEntry find_entry);
+
+  // Both return the request's number.
+  std::uint64_t Send(const Ask& ask);
+  std::uint64_t Send(const Call& call);
+  // Goes away; nothing if the request has ended.
+  void Cancel(std::uint64_t number);
+  // Callers see their connections to that start of an entry close.
+  void OnEntryEnded(const EntryHost& entry);
+
+  // ---- what entries answer ----
+  void OnText(const entry::AnswerText& text, const InEntry& in_entry);
+  void OnEnd(const entry::AnswerEnd& end);
+  void OnCallAnswered(const entry::AnswerCall& answer);
+  void OnError(const entry::AnswerError& error);
+
+  // Precondition: `number` was returned by Send.
+  const Request& Get(std::uint64_t number) const;
+  const std::deque<Request>& requests() const { return this->all; }
+
+ private:
+  Request& Add(const std::string& entry);
+  Request* Find(const RequestId& id);
+  void End(Request& request, RequestState state);
+
+  EventQueue& queue;
+  Checker& checker;
+  FindEntry entries;
+  std::deque<Request> all;
+  std::map<RequestId, std::uint64_t> by_id;
+};
+
+}  // namespace acacialug::scenario
+
+#endif  // SCENARIO_INTERNAL_CALLERS_H_
--- /dev/null
+++ b/src/scenario/internal/checker.cc
@@ -0,0 +1,238 @@
+#include "scenario/internal/checker.h"
+
+#include <cstdio>
+#include <type_traits>
+#include <variant>
+
+namespace acacialug::scenario {
+namespace {
+
+constexpr Duration kCalm = 4s;  // after a disturbance, until all have heard
+
+std::string Named(const Request& request) {
+  return "request " + std::to_string(request.number) + " at " + request.entry;
+}
+
+template <typename Message>
+constexpr bool kIsNewWork = std::is_same_v<Message, protocol::Reserve> ||
+                            std::is_same_v<Message, protocol::StartPrefill> ||
+                            std::is_same_v<Message, protocol::StartCall>;
+
+}  // namespace
+
+void Checker::Report(const std::string& what) {
+  if (this->known.insert(what).second) {
+    char time[32];
+    std::snprintf(time, sizeof(time), "%.6fs: ",
+                  Seconds(this->queue.now().time_since_epoch()) - 1000);
+    this->found.push_back(time + what);
+  }
+}
+
+// ---- answers ----
+
+void Checker::OnText(const Request& request, std::uint64_t index) {
+  if (request.state != RequestState::kOpen) {
+    this->Report(Named(request) + ": text after the final answer");
+  }
+  if (index != request.pieces) {
+    this->Report(Named(request) + ": pieces out of order");
+  }
+  if (!request.expected.starts_with(request.text)) {
+    this->Report(Named(request) + ": text that its prompt does not give");
+  }
+}
+
+void Checker::OnFinal(const Request& request) {
+  if (request.state != RequestState::kOpen &&
+      request.state != RequestState::kCancelled) {
+    this->Report(Named(request) + ": a second final answer");
+  }
+}
+
+void Checker::OnComplete(const Request& request) {
+  if (request.state == RequestState::kOpen &&
+      request.text != request.expected) {
+    this->Report(Named(request) + ": called complete, and is not");
+  }
+}
+
+void Checker::OnNotRun(const Request& request) {
+  if (!request.text.empty()) {
+    this->Report(Named(request) + ": called not run after text of it");
+  }
+}
+
+// ---- configuration ----
+
+void Checker::OnManifest(const std::string& process,
+                         std::uint64_t start,
+                         const manifest::Manifest& manifest) {
+  LogOffset& newest = this->offsets[{process, start}];
+  if (manifest.offset < newest) {
+    this->Report(process + ": back to an older manifest");
+  }
+  newest = manifest.offset;
+  for (const manifest::Endpoint& endpoint : manifest.endpoints) {
+    if (endpoint.leaving) {
+      this->OnLeaving(endpoint.id);
+    }
+  }
+}
+
+void Checker::OnLeaving(const EndpointId& endpoint) {
+  this->leaving.emplace(endpoint, this->queue.now());
+}
+
+void Checker::SetDisturbed(bool is_disturbed) {
+  if (this->disturbed && !is_disturbed) {
+    this->calm_since = this->queue.now();
+  }
+  this->disturbed = is_disturbed;
+}
+
+bool Checker::LeftLongAgo(const EndpointId& endpoint) const {
+  const auto left = this->leaving.find(endpoint);
+  return left != this->leaving.end() && !this->disturbed &&
+         this->queue.now() > this->calm_since + kCalm &&
+         this->queue.now() > left->second + kLeavingBound;
+}
+
+// ---- messages and commands ----
+
+void Checker::OnSend(const std::string& entry_name,
+                     Incarnation entry,
+                     const EndpointId& endpoint,
+                     const protocol::EntryToAgent& message) {
+  std::visit(
+      [&](const auto& typed) {
+        using Message = std::decay_t<decltype(typed)>;
+        if constexpr (kIsNewWork<Message>) {
+          if (this->LeftLongAgo(endpoint)) {
+            this->Report(entry_name + ": new work for " + endpoint.text +
+                         ", which leaves");
+          }
+        }
+        if constexpr (std::is_same_v<Message, protocol::StartPrefill>) {
+          const auto held =
+              this->reservations.find({entry, typed.attempt.request});
+          if (held == this->reservations.end() || held->second.empty()) {
+            this->Report(entry_name +
+                         ": a prefill whose result has nowhere to go");
+          }
+        } else if constexpr (std::is_same_v<Message, protocol::Cancel>) {
+          this->reservations[{entry, typed.attempt.request}].erase(
+              {endpoint, typed.attempt.attempt});
+        }
+      },
+      message);
+}
+
+void Checker::OnReply(Incarnation entry,
+                      const EndpointId& endpoint,
+                      const protocol::AgentToEntry& message) {
+  if (const auto* reserved = std::get_if<protocol::Reserved>(&message)) {
+    this->reservations[{entry, reserved->attempt.request}].insert(
+        {endpoint, reserved->attempt.attempt});
+  } else if (const auto* failed = std::get_if<protocol::Failed>(&message)) {
+    this->reservations[{entry, failed->attempt.request}].erase(
+        {endpoint, failed->attempt.attempt});
+  }
+}
+
+void Checker::OnArrival(const EndpointId& endpoint,
+                        const protocol::EntryToAgent& message) {
+  const auto left = this->leaving.find(endpoint);
+  if (left != this->leaving.end() &&
+      this->queue.now() > left->second + kLeavingBound) {
+    return;
+  }
+  std::visit(
+      [&](const auto& typed) {
+        if constexpr (requires { typed.attempt; }) {
+          this->arrived.insert({endpoint, typed.attempt});
+        }
+      },
+      message);
+}
+
+void Checker::OnAgentSays(const EndpointId& endpoint,
+                          const protocol::AgentToEntry& message) {
+  if (const auto* reserved = std::get_if<protocol::Reserved>(&message)) {
+    this->granted.insert({endpoint, reserved->attempt});
+  }
+}
+
+void Checker::OnCommand(const EndpointId& endpoint,
+                        const engine::EngineCommand& command) {
+  const auto check = [&](const AttemptId& attempt) {
+    if (!this->arrived.contains({endpoint, attempt})) {
+      this->Report(endpoint.text + " leaves, and began new work");
+    }
+  };
+  if (const auto* decode = std::get_if<engine::Decode>(&command)) {
+    check(decode->attempt);
+    if (!this->granted.contains({endpoint, decode->attempt})) {
+      this->Report(endpoint.text + ": a stream without a reservation");
+    }
+  } else if (const auto* prefill = std::get_if<engine::Prefill>(&command)) {
+    check(prefill->attempt);
+  } else if (const auto* call = std::get_if<engine::Call>(&command)) {
+    check(call->attempt);
+  }
+}
+
+void Checker::OnEngineEvent(const EndpointId& endpoint,
+                            const engine::EngineEvent& event) {
+  const auto* failed = std::get_if<engine::AttemptFailed>(&event);
+  if (failed != nullptr && failed->code == ResultCode::kNoDecodeMemory) {
+    this->Report(endpoint.text + ": its agent gave out memory it has not");
+  }
+}
+
+// ---- from time to time ----
+
+void Checker::LookAtMemory(const std::vector<HeldAttempt>& held) {
+  std::map<Place, Instant> still;
+  for (const HeldAttempt& item : held) {
+    if (item.wanted) {
+      continue;
+    }
+    const Place place{item.endpoint, item.attempt};
+    const auto before = this->unwanted_since.find(place);
+    const Instant since = item.excused || before == this->unwanted_since.end()
+                              ? this->queue.now()
+                              : before->second;
+    still[place] = since;
+    if (this->queue.now() - since > kMemoryBound) {
+      this->Report(item.endpoint.text +
+                   ": its engine holds memory that nobody waits for");
+    }
+  }
+  this->unwanted_since = std::move(still);
+}
+
+void Checker::LookAtCalls(
+    const std::deque<Request>& requests,
+    const std::function<std::uint64_t(const std::string&)>& executions) {
+  std::map<std::string, bool> all_not_run;
+  for (const Request& request : requests) {
+    if (request.generation) {
+      continue;
+    }
+    if (!request.repeatable && executions(request.marker) > 1) {
+      this->Report(request.marker + " ran more than once");
+    }
+    const bool not_run = request.state == RequestState::kNotRun;
+    const auto [entry, first] =
+        all_not_run.try_emplace(request.marker, not_run);
+    entry->second = entry->second && not_run;
+  }
+  for (const auto& [marker, not_run] : all_not_run) {
+    if (not_run && executions(marker) > 0) {
+      this->Report(marker + " ran, and its callers were told that it did not");
+    }
+  }
+}
+
+}  // namespace acacialug::scenario
--- /dev/null
+++ b/src/scenario/internal/manifest_feed.h
@@ -0,0 +1,81 @@
+#ifndef SCENARIO_INTERNAL_MANIFEST_FEED_H_
+#define SCENARIO_INTERNAL_MANIFEST_FEED_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "configuration/configuration_follower.h"
+#include "scenario/internal/event_queue.h"
+#include "scenario/internal/platform_log.h"
+
+namespace acacialug::scenario {
+
+inline constexpr char kConfigurationStream[] = "configuration";
+
+// The configuration of one process: its follower, and what that asks of the
+// log and of peers. Not thread safe.
+class ManifestFeed {
+ public:
+  struct Hooks {
+    // A way to run tasks in the process for as long as it lives.
+    std::function<std::function<void(std::function<void()>)>()> later;
+    std::function<void(const configuration::AcceptedManifest&)> put_in_force;
+    std::function<void(LogOffset)> ask_peer;
+  };
+
+  ManifestFeed(configuration::FollowerOptions options,
+               std::uint64_t seed,
+               EventQueue& event_queue,
+               PlatformLog& platform_log,
+               Hooks feed_hooks)
+      : queue(event_queue),
+        log(platform_log),
+        hooks(std::move(feed_hooks)),
+        random(seed),
+        state(std::move(options), this->random) {}
+
+  configuration::ConfigurationFollower& follower() { return this->state; }
+  const configuration::ConfigurationFollower& follower() const {
+    return this->state;
+  }
+
+  // Carries out what the follower asks for.
+  void Pump() {
+    for (const auto& action : this->state.TakeActions()) {
+      std::visit([this](const auto& typed) { this->Run(typed); }, action);
+    }
+  }
+
+ private:
+  void Run(const configuration::ReadStream& read) {
+    this->log.ReadFrom(
+        kConfigurationStream, read.from, read.wait,
+        [this, later = this->hooks.later()](
+            const Result<platform::ILog::Read>& result) {
+          later([=, this] { this->state.OnRead(result, this->queue.now()); });
+        });
+  }
+  void Run(const configuration::AppendCheckpoint& checkpoint) {
+    this->log.Append(kConfigurationStream, checkpoint.payload,
+                     [](const Result<LogOffset>&) {});
+  }
+  void Run(const configuration::PutInForce& forced) {
+    this->hooks.put_in_force(forced.accepted);
+  }
+  void Run(const configuration::AskPeer& ask) {
+    this->hooks.ask_peer(ask.offset);
+  }
+
+  EventQueue& queue;
+  PlatformLog& log;
+  Hooks hooks;
+  RandomSource random;
+  configuration::ConfigurationFollower state;
+};
+
+}  // namespace acacialug::scenario
+
+#endif  // SCENARIO_INTERNAL_MANIFEST_FEED_H_
--- /dev/null
+++ b/src/scenario/internal/manifest_text.cc
@@ -0,0 +1,62 @@
+#include "scenario/internal/manifest_text.h"
+
+#include <cstdint>
+
+namespace acacialug::scenario {
+namespace {
+
+constexpr char kServices[] = R"(domains = ["a"]
+[[service]]
+name = "lm"
+kind = "model"
+models = ["m"]
+  [[service.class]]
+  name = "interactive"
+  first_token = "20s"
+[[service]]
+name = "app"
+kind = "plain"
+  [[service.class]]
+  name = "desk"
+  first_token = "20s"
+)";
+
+struct Pool {
+  std::string prefix;
+  std::string service;
+  std::string role;
+  std::uint32_t count = 0;
+};
+
+}  // namespace
+
+std::string ManifestText(const WorldOptions& options,
+                         const std::string& version,
+                         LogOffset replaces,
+                         const std::set<std::string>& leaving) {
+  std::string text = "version = \"" + version +
+                     "\"\nreplaces = " + std::to_string(replaces.value) + "\n" +
+                     kServices;
+  std::uint32_t port = 7001;
+  for (const Pool& pool : {Pool{"p", "lm", "prefill", options.prefill},
+                           Pool{"d", "lm", "decode", options.decode},
+                           Pool{"s", "app", "plain", options.plain}}) {
+    for (std::uint32_t number = 1; number <= pool.count; ++number) {
+      const std::string id = pool.prefix + std::to_string(number);
+      text += "[[endpoint]]\nid = \"" + id + "\"\nhost = \"h-" + id +
+              "\"\ndomain = \"a\"\nservice = \"" + pool.service +
+              "\"\nrole = \"" + pool.role +
+              "\"\nagent = \"127.0.0.1:" + std::to_string(port++) +
+              "\"\nslots = " + std::to_string(options.slots) + "\n";
+      if (pool.role == "decode") {
+        text += "kv_tokens = " + std::to_string(options.kv_tokens) + "\n";
+      }
+      if (leaving.contains(id)) {
+        text += "leaving = true\n";
+      }
+    }
+  }
+  return text;
+}
+
+}  // namespace acacialug::scenario
--- /dev/null
+++ b/src/scenario/internal/network.h
@@ -0,0 +1,119 @@
+#ifndef SCENARIO_INTERNAL_NETWORK_H_
+#define SCENARIO_INTERNAL_NETWORK_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent/types/agent_messages.h"
+#include "framework/global/types/enum_names.h"
+#include "protocol/types/messages.h"
+#include "scenario/internal/event_queue.h"
+
+namespace acacialug::scenario {
+
+class AgentHost;
+class EntryHost;
+
+// What happens to one message: this is no behaviour of a connection, it tries
+// the processes' own rules.
+enum class MessageFault : std::uint8_t { kLost, kLate, kDoubled };
+inline constexpr EnumNames<MessageFault, 3> kMessageFaultNames = {{
+    {MessageFault::kLost, "lost"},
+    {MessageFault::kLate, "late"},  // later ones pass it
+    {MessageFault::kDoubled, "doubled"},
+}};
+
+struct MessageRule {
+  std::string entry;     // empty: any
+  std::string endpoint;  // empty: any
+  std::string kind;      // the message's type, as in docs/PROTOCOL.md
+  MessageFault fault = MessageFault::kLost;
+  Duration by{};            // late by; between the two of a doubled one
+  std::uint32_t first = 1;  // hits the `first`-th such message from now on
+  std::uint32_t count = 1;  // and so many in all
+};
+
+// Ordered connections between entries and agents. Not thread safe.
+class Network {
+ public:
+  using FindAgent =
+      std::function<std::shared_ptr<AgentHost>(const std::string&)>;
+
+  Network(EventQueue& event_queue, Duration one_way, FindAgent find_agent)
+      : queue(event_queue), delay(one_way), agents(std::move(find_agent)) {}
+
+  // ---- what entries and agents ask for ----
+  void Connect(const std::shared_ptr<EntryHost>& entry,
+               const EndpointId& endpoint);
+  void Drop(const EntryHost& entry, const EndpointId& endpoint);
+  void ToAgent(const EntryHost& entry,
+               const EndpointId& endpoint,
+               const protocol::EntryToAgent& message);
+  void ToEntry(agent::SessionId session, const protocol::AgentToEntry& message);
+  void Close(agent::SessionId session);
+
+  // ---- faults ----
+
+  // A process ended: its peers see their connections closed, or, when the
+  // host went silently, nothing.
+  void OnEntryEnded(const EntryHost& entry, bool silently);
+  void OnAgentEnded(const AgentHost& agent, bool silently);
+  // Both ends see the connection closed.
+  void Cut(const std::string& entry, const std::string& endpoint);
+  // Nothing passes, and nobody is told, until Heal; what was sent passes then.
+  void Partition(const std::string& entry, const std::string& endpoint);
+  void Heal(const std::string& entry, const std::string& endpoint);
+  void HealAll();
+  void Add(const MessageRule& rule) { this->rules.push_back(rule); }
+  bool partitioned() const { return !this->partitions.empty(); }
+
+ private:
+  enum Direction : std::uint8_t { kToAgent, kToEntry };
+  using Pair = std::pair<std::string, std::string>;  // entry, endpoint
+  using Task = std::function<void()>;
+
+  struct Link {
+    agent::SessionId session;
+    Pair ends;
+    Incarnation entry_start;
+    std::weak_ptr<EntryHost> entry;
+    std::weak_ptr<AgentHost> agent;
+    bool entry_open = false;
+    bool agent_open = false;
+    std::array<Instant, 2> last{};  // when the newest so far arrives
+    std::deque<Task> held;          // by a partition
+  };
+  using LinkPointer = std::shared_ptr<Link>;
+
+  LinkPointer Current(Incarnation entry, const EndpointId& endpoint) const;
+  void Arrive(const LinkPointer& link, Direction direction, Task task);
+  void Deliver(const LinkPointer& link, const Task& task);
+  // Sends under the rules for single messages.
+  void Send(const LinkPointer& link,
+            Direction direction,
+            const std::string& kind,
+            const Task& task);
+  void CloseAtEntry(const LinkPointer& link);
+  void CloseAtAgent(const LinkPointer& link);
+
+  EventQueue& queue;
+  Duration delay;
+  FindAgent agents;
+  std::uint64_t last_session = 0;
+  std::map<std::pair<Incarnation, EndpointId>, LinkPointer> current;
+  std::map<agent::SessionId, LinkPointer> links;
+  std::set<Pair> partitions;
+  std::vector<MessageRule> rules;
+};
+
+}  // namespace acacialug::scenario
+
+#endif  // SCENARIO_INTERNAL_NETWORK_H_
--- /dev/null
+++ b/src/scenario/internal/platform_log.h
@@ -0,0 +1,68 @@
+#ifndef SCENARIO_INTERNAL_PLATFORM_LOG_H_
+#define SCENARIO_INTERNAL_PLATFORM_LOG_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "scenario/internal/event_queue.h"
+#include "standin/platform_models.h"
+
+namespace acacialug::scenario {
+
+// The platform's log as the processes of a world reach it: late, out, or with
+// the answers of appends lost after their effect. Not thread safe.
+class PlatformLog {
+ public:
+  using OnAppended = std::function<void(const Result<LogOffset>&)>;
+  using OnRead = std::function<void(const Result<platform::ILog::Read>&)>;
+
+  struct Faults {
+    bool outage = false;
+    bool lose_answers = false;  // of appends, after the effect
+    Duration delay{};           // on top of the world's
+  };
+
+  PlatformLog(EventQueue& event_queue,
+              standin::LogOptions log_options,
+              Duration log_delay)
+      : queue(event_queue), model(log_options), delay(log_delay) {}
+
+  // Hooks run later, never from inside the call.
+  void Append(const std::string& stream,
+              std::string payload,
+              OnAppended on_done);
+  void ReadFrom(const std::string& stream,
+                LogOffset from,
+                Duration wait,
+                OnRead on_done);
+
+  void Set(const Faults& new_faults);
+  const Faults& faults() const { return this->current; }
+
+ private:
+  // A read that the log holds until there is something to tell.
+  struct Waiting {
+    std::string stream;
+    LogOffset from;
+    Instant until;
+    OnRead on_done;
+  };
+
+  void Take(const std::string& stream,
+            const std::string& payload,
+            const OnAppended& on_done);
+  void Answer(const Waiting& read);
+  void Look();
+
+  EventQueue& queue;
+  standin::LogModel model;
+  Duration delay;
+  Faults current;
+  std::vector<Waiting> waiting;
+};
+
+}  // namespace acacialug::scenario
+
+#endif  // SCENARIO_INTERNAL_PLATFORM_LOG_H_
--- /dev/null
+++ b/src/scenario/internal/scenario_script.cc
@@ -0,0 +1,329 @@
+#include "scenario/scenario_script.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+#include "scenario/internal/lua_state.h"
+#include "scenario/world.h"
+
+namespace acacialug::scenario {
+namespace {
+
+void Require(bool done, const std::string& name) {
+  if (!done) {
+    throw std::invalid_argument("there is no " + name + " that runs");
+  }
+}
+
+// Takes "engine " off.
+std::string EngineName(const std::string& name) {
+  const std::string prefix = "engine ";
+  Require(name.starts_with(prefix), name);
+  return name.substr(prefix.size());
+}
+
+// One script and its world.
+class Script {
+ public:
+  explicit Script(const WorldRules& world_rules) : rules(world_rules) {
+    this->SetWorldWords();
+    this->SetCallerWords();
+    this->SetProcessWords();
+    this->SetNetworkWords();
+    this->SetLogWords();
+    this->SetQuestions();
+  }
+
+  ScenarioResult Run(const std::string& path) {
+    const std::string error = this->lua.RunFile(path);
+    if (!error.empty()) {
+      this->result.failures.push_back(error);
+    } else if (this->world == nullptr) {
+      this->result.failures.push_back(path + ": it makes no world");
+    } else {
+      this->world->Quiet();
+    }
+    if (this->world != nullptr) {
+      this->result.violations = this->world->checker().violations();
+    }
+    return std::move(this->result);
+  }
+
+ private:
+  World& Here() const {
+    if (this->world == nullptr) {
+      throw std::invalid_argument("world{...} comes first");
+    }
+    return *this->world;
+  }
+
+  // A fault that ends by itself after the time at `index`, if one is given.
+  void EndLater(const LuaArguments& arguments,
+                int index,
+                std::function<void()> end) {
+    if (arguments.Count() >= index) {
+      this->Here().At(this->Here().age() + arguments.Time(index),
+                      std::move(end));
+    }
+  }
+
+  std::int64_t CountOf(RequestState state) const {
+    const auto& all = this->Here().callers().requests();
+    return std::count_if(
+        all.begin(), all.end(),
+        [state](const Request& request) { return request.state == state; });
+  }
+
+  void SetWorldWords() {
+    this->lua.Set("world", [this](LuaArguments& given) {
+      WorldOptions options{.rules = this->rules};
+      const auto number = [&given](const char* key, std::uint32_t& value) {
+        value = static_cast<std::uint32_t>(given.IntegerField(key, value));
+      };
+      number("entries", options.entries);
+      number("prefill", options.prefill);
+      number("decode", options.decode);
+      number("plain", options.plain);
+      number("slots", options.slots);
+      options.kv_tokens = static_cast<std::uint64_t>(given.IntegerField(
+          "kv_tokens", static_cast<std::int64_t>(options.kv_tokens)));
+      options.seed = static_cast<std::uint64_t>(given.IntegerField("seed", 1));
+      options.call_time = given.TimeField("call_time", options.call_time);
+      options.network_delay =
+          given.TimeField("network_delay", options.network_delay);
+      options.log_delay = given.TimeField("log_delay", options.log_delay);
+      options.retention = given.TimeField("retention", options.retention);
+      this->world = std::make_unique<World>(options);
+      this->world->Run(2s);  // everybody is connected
+    });
+    this->lua.Set("at", [this](LuaArguments& given) {
+      World& here = this->Here();
+      here.At(here.age() + given.Time(1), given.Function(2));
+    });
+    this->lua.Set("run", [this](LuaArguments& given) {
+      this->Here().Run(given.Time(1));
+    });
+    this->lua.Set("expect", [this](LuaArguments& given) {
+      if (!given.Truth(1)) {
+        this->result.failures.push_back(given.Place() +
+                                        (given.Count() > 1
+                                             ? given.Text(2)
+                                             : "expected what does not hold"));
+      }
+    });
+  }
+
+  void SetCallerWords() {
+    this->lua.Set("ask", [this](LuaArguments& given) {
+      const Ask defaults;
+      given.Return(static_cast<std::int64_t>(this->Here().callers().Send(
+          Ask{.entry = given.TextField("entry", "e1"),
+              .prompt_tokens = static_cast<std::uint32_t>(
+                  given.IntegerField("prompt_tokens", defaults.prompt_tokens)),
+              .answer_tokens = static_cast<std::uint32_t>(
+                  given.IntegerField("answer_tokens", defaults.answer_tokens)),
+              .read = given.TimeField("read", {}),
+              .deadline = given.TimeField("deadline", {})})));
+    });
+    this->lua.Set("call", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(this->Here().callers().Send(
+          Call{.entry = given.TextField("entry", "e1"),
+               .method = given.TextField("method", "POST"),
+               .key = given.TextField("key", ""),
+               .ticket = given.TextField("ticket", ""),
+               .deadline = given.TimeField("deadline", {})})));
+    });
+    this->lua.Set("cancel", [this](LuaArguments& given) {
+      this->Here().callers().Cancel(this->Asked(given).number);
+    });
+    this->lua.Set("ticket", [this](LuaArguments& given) {
+      const Result<std::string> ticket = this->Here().Ticket(given.Text(1));
+      if (!ticket.ok()) {
+        throw std::invalid_argument("no ticket: " + ticket.error().detail);
+      }
+      given.Return(*ticket);
+    });
+    this->lua.Set("uuid", [this](LuaArguments& given) {
+      char text[64];
+      const auto time = static_cast<unsigned long long>(
+          WallClock(this->Here().now()).count());
+      std::snprintf(text, sizeof(text), "%08llx-%04llx-7000-8000-%012llx",
+                    time >> 16U, time & 0xffffU,
+                    static_cast<unsigned long long>(given.Integer(1)));
+      given.Return(std::string(text));
+    });
+  }
+
+  void SetProcessWords() {
+    const auto set = [this](const std::string& word,
+                            bool (World::*act)(const std::string&)) {
+      this->lua.Set(word, [this, act](LuaArguments& given) {
+        Require((this->Here().*act)(given.Text(1)), given.Text(1));
+      });
+    };
+    this->lua.Set("kill", [this](LuaArguments& given) {
+      Require(this->Here().Kill(given.Text(1)), given.Text(1));
+    });
+    this->lua.Set("vanish", [this](LuaArguments& given) {
+      Require(this->Here().Kill(given.Text(1), true), given.Text(1));
+    });
+    set("restart", &World::Restart);
+    set("resume", &World::Resume);
+    set("drain", &World::Drain);
+    this->lua.Set("pause", [this](LuaArguments& given) {
+      const std::string name = given.Text(1);
+      Require(this->Here().Pause(name), name);
+      this->EndLater(given, 2, [this, name] { this->Here().Resume(name); });
+    });
+    this->lua.Set("stall", [this](LuaArguments& given) {
+      const std::string name = EngineName(given.Text(1));
+      Require(this->Here().Stall(name, given.Time(2)), name);
+    });
+    this->lua.Set("restart_engine", [this](LuaArguments& given) {
+      const std::string name = EngineName(given.Text(1));
+      Require(this->Here().RestartEngine(name), name);
+    });
+    this->lua.Set("slow_link", [this](LuaArguments& given) {
+      const std::string name = EngineName(given.Text(1));
+      Require(this->Here().StallTransfers(name, given.Truth(2)), name);
+    });
+  }
+
+  void SetNetworkWords() {
+    this->lua.Set("cut", [this](LuaArguments& given) {
+      this->Here().network().Cut(given.Text(1), given.Text(2));
+    });
+    this->lua.Set("partition", [this](LuaArguments& given) {
+      const std::string entry = given.Text(1);
+      const std::string endpoint = given.Text(2);
+      this->Here().Partition(entry, endpoint);
+      this->EndLater(given, 3, [this, entry, endpoint] {
+        this->Here().Heal(entry, endpoint);
+      });
+    });
+    this->lua.Set("heal", [this](LuaArguments& given) {
+      this->Here().Heal(given.Text(1), given.Text(2));
+    });
+    this->lua.Set("message", [this](LuaArguments& given) {
+      const auto fault =
+          ValueOf(kMessageFaultNames, given.TextField("fault", ""));
+      if (!fault) {
+        throw std::invalid_argument(
+            "expected fault = \"lost\", \"late\" or \"doubled\"");
+      }
+      this->Here().network().Add(
+          {.entry = given.TextField("entry", ""),
+           .endpoint = given.TextField("endpoint", ""),
+           .kind = given.TextField("kind", ""),
+           .fault = *fault,
+           .by = given.TimeField("by", 10ms),
+           .first = static_cast<std::uint32_t>(given.IntegerField("first", 1)),
+           .count =
+               static_cast<std::uint32_t>(given.IntegerField("count", 1))});
+    });
+  }
+
+  void SetLogWords() {
+    this->lua.Set("log", [this](LuaArguments& given) {
+      this->Here().SetLog(
+          {.outage = given.TruthField("outage", false),
+           .lose_answers = given.TruthField("lose_answers", false),
+           .delay = given.TimeField("delay", {})});
+    });
+    this->lua.Set("publish", [this](LuaArguments& given) {
+      World& here = this->Here();
+      const std::vector<std::string> leaving = given.ListField("leaving");
+      const auto current =
+          static_cast<std::int64_t>(here.OffsetOf("entry e1").value);
+      here.Publish(given.TextField("version", "v2"),
+                   LogOffset(static_cast<std::uint64_t>(
+                       given.IntegerField("replaces", current))),
+                   std::set<std::string>(leaving.begin(), leaving.end()));
+    });
+    this->lua.Set("offset", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(
+          this->Here().OffsetOf(given.Text(1)).value));
+    });
+    this->lua.Set("version", [this](LuaArguments& given) {
+      given.Return(this->Here().VersionOf(given.Text(1)));
+    });
+  }
+
+  void SetQuestions() {
+    for (const auto& [state, name] : kRequestStateNames) {
+      this->lua.Set(std::string(name),
+                    [this, value = state](LuaArguments& given) {
+                      given.Return(this->CountOf(value));
+                    });
+    }
+    this->lua.Set("state", [this](LuaArguments& given) {
+      given.Return(
+          std::string(NameOf(kRequestStateNames, this->Asked(given).state)));
+    });
+    this->lua.Set("code", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(this->Asked(given).code));
+    });
+    this->lua.Set("pieces", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(this->Asked(given).pieces));
+    });
+    this->lua.Set("replayed", [this](LuaArguments& given) {
+      given.Return(this->Asked(given).replayed);
+    });
+    this->lua.Set("executions", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(
+          this->Here().Executions(this->Asked(given).marker)));
+    });
+    this->lua.Set("held", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(
+          this->Here().HeldBy(EngineName(given.Text(1)))));
+    });
+    this->lua.Set("endpoint_of", [this](LuaArguments& given) {
+      given.Return(this->Here().DecodesAt(this->Asked(given).number));
+    });
+    this->lua.Set("resumed", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(
+          this->Here().entry_counters().streams_resumed));
+    });
+    this->lua.Set("dropped", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(
+          this->Here().entry_counters().dropped_frames));
+    });
+  }
+
+  const Request& Asked(const LuaArguments& given) const {
+    const std::int64_t number = given.Integer(1);
+    const auto& all = this->Here().callers().requests();
+    if (number < 1 || number > static_cast<std::int64_t>(all.size())) {
+      throw std::invalid_argument("there is no such request");
+    }
+    return this->Here().callers().Get(static_cast<std::uint64_t>(number));
+  }
+
+  WorldRules rules;
+  ScenarioResult result;
+  LuaState lua;  // outlives the world's tasks that call into it
+  std::unique_ptr<World> world;
+};
+
+}  // namespace
+
+std::string ScenarioResult::ToText() const {
+  std::string text;
+  for (const std::string& failure : this->failures) {
+    text += "\n  " + failure;
+  }
+  for (const std::string& violation : this->violations) {
+    text += "\n  checker: " + violation;
+  }
+  return text;
+}
+
+ScenarioResult RunScenario(const std::string& path, const WorldRules& rules) {
+  return Script(rules).Run(path);
+}
+
+}  // namespace acacialug::scenario
--- /dev/null
+++ b/src/scenario/tests/scenario_test.cc
@@ -0,0 +1,86 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "framework/testing/story.h"
+#include "scenario/scenario_script.h"
+
+namespace acacialug::scenario {
+namespace {
+
+using testing::ForEach;
+
+const std::filesystem::path kFolder =
+    std::filesystem::path(ACACIALUG_SOURCE_DIR) / "scenarios";
+
+std::vector<std::string> AllScenarios() {
+  std::vector<std::string> names;
+  for (const auto& file : std::filesystem::directory_iterator(kFolder)) {
+    if (file.path().extension() == ".lua") {
+      names.push_back(file.path().stem().string());
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+ScenarioResult RunNamed(const std::string& name, const WorldRules& rules = {}) {
+  return RunScenario((kFolder / (name + ".lua")).string(), rules);
+}
+
+const testing::Story kScenarios(
+    "the system keeps its promises",
+    {ForEach<std::string>(
+        "in the scenario",
+        AllScenarios(),
+        [](const std::string& name) { return name; },
+        [](const std::string& name) {
+          const ScenarioResult result = RunNamed(name);
+          CPPUNIT_ASSERT_MESSAGE(result.ToText(), result.passed());
+        })});
+
+struct RuleOff {
+  std::string rule;
+  std::string scenario;
+  WorldRules rules;
+};
+
+// A checker that nothing can fail proves nothing: without any one of the
+// rules it must find a broken promise, and with all of them none.
+const testing::Story kCheckerStory(
+    "the checker",
+    {ForEach<RuleOff>(
+        "finds a broken promise without",
+        {{"lease expiry",
+          "entry_vanishes",
+          {.agent = {.expire_leases = false}}},
+         {"the attempt check",
+          "late_frames_of_an_old_attempt",
+          {.entry = {.check_attempts = false},
+           .agent = {.check_attempts = false}}},
+         {"the claim before dispatch",
+          "submitted_twice_apart",
+          {.entry = {.claim_before_dispatch = false}}},
+         {"the reservation before the prefill",
+          "decode_memory_nearly_full",
+          {.entry = {.reserve_before_prefill = false},
+           .agent = {.reserve_before_prefill = false}}},
+         {"the cleaning up after sessions",
+          "entry_killed",
+          {.agent = {.clean_sessions = false}}},
+         {"the sequence check",
+          "doubled_and_late_chunks",
+          {.entry = {.check_sequence = false}}}},
+        [](const RuleOff& row) { return row.rule; },
+        [](const RuleOff& row) {
+          const ScenarioResult without = RunNamed(row.scenario, row.rules);
+          CPPUNIT_ASSERT_MESSAGE(without.ToText(), !without.violations.empty());
+          const ScenarioResult with = RunNamed(row.scenario);
+          CPPUNIT_ASSERT_MESSAGE(with.ToText(), with.passed());
+        })});
+
+}  // namespace
+}  // namespace acacialug::scenario
--- /dev/null
+++ b/src/scenario/types/world_options.h
@@ -0,0 +1,37 @@
+#ifndef SCENARIO_TYPES_WORLD_OPTIONS_H_
+#define SCENARIO_TYPES_WORLD_OPTIONS_H_
+
+#include <cstdint>
+
+#include "agent/types/agent_options.h"
+#include "entry/types/entry_options.h"
+#include "framework/global/types/instant.h"
+
+namespace acacialug::scenario {
+
+// The safety rules in force in a whole world; one is switched off to show that
+// the checker notices.
+struct WorldRules {
+  entry::EntryRules entry;
+  agent::AgentRules agent;
+};
+
+// The size of a world and the pace of what stands between its processes.
+struct WorldOptions {
+  std::uint32_t entries = 2;        // named e1, e2, ...
+  std::uint32_t prefill = 2;        // p1, ...
+  std::uint32_t decode = 3;         // d1, ...
+  std::uint32_t plain = 2;          // s1, ...
+  std::uint64_t kv_tokens = 40000;  // of a decode endpoint
+  std::uint32_t slots = 8;
+  Duration call_time = 20ms;       // mean, of a plain service
+  Duration network_delay = 500us;  // one way
+  Duration log_delay = 5ms;        // of one append or read
+  Duration retention{};            // of the log's records; zero: for ever
+  std::uint64_t seed = 1;
+  WorldRules rules;
+};
+
+}  // namespace acacialug::scenario
+
+#endif  // SCENARIO_TYPES_WORLD_OPTIONS_H_
--- /dev/null
+++ b/src/scenario/world.h
@@ -0,0 +1,131 @@
+#ifndef SCENARIO_WORLD_H_
+#define SCENARIO_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "scenario/internal/agent_host.h"
+#include "scenario/internal/callers.h"
+#include "scenario/internal/checker.h"
+#include "scenario/internal/engine_host.h"
+#include "scenario/internal/entry_host.h"
+#include "scenario/internal/event_queue.h"
+#include "scenario/internal/network.h"
+#include "scenario/internal/platform_log.h"
+#include "scenario/types/world_options.h"
+
+namespace acacialug::scenario {
+
+// A whole system in virtual time: the real aggregates of entries and agents,
+// model engines, callers, a network and the platform's log, with their faults.
+// The checker looks on all the while. The same seed and the same calls give
+// the same run. Not thread safe.
+//
+// Processes are named "entry e1" and "agent d1"; engines "engine d1".
+class World {
+ public:
+  // Everything is started and the first manifest published; callers may ask
+  // after a first Run of a second or so.
+  explicit World(const WorldOptions& world_options);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  Instant now() const { return this->queue.now(); }
+  // Time since the world began.
+  Duration age() const { return this->queue.now() - kBegin; }
+  // Runs a task at this age of the world.
+  void At(Duration age, std::function<void()> task);
+  void Run(Duration length);
+
+  // Ends all faults, restarts what was killed, waits until nothing is under
+  // way (at most kQuietLimit), and checks that nothing is left behind.
+  void Quiet();
+  static constexpr Duration kQuietLimit = 300s;
+
+  // ---- callers ----
+  Callers& callers() { return this->asking; }
+  // Errors: kEndpointLost when that entry does not run; as IssueTicket.
+  Result<std::string> Ticket(const std::string& entry);
+
+  // ---- faults; each returns false when there is no such process ----
+  bool Kill(const std::string& process, bool silently = false);
+  bool Restart(const std::string& process);
+  bool Pause(const std::string& process);
+  bool Resume(const std::string& process);
+  bool Drain(const std::string& process);
+  // Of an engine; no command or token passes meanwhile.
+  bool Stall(const std::string& endpoint, Duration length);
+  bool RestartEngine(const std::string& endpoint);
+  // Of KV caches into an engine: none gets on while it is out.
+  bool StallTransfers(const std::string& endpoint, bool is_out);
+  Network& network() { return this->wires; }
+  PlatformLog& log() { return this->platform_log; }
+  void SetLog(const PlatformLog::Faults& faults);
+  void Partition(const std::string& entry, const std::string& endpoint);
+  void Heal(const std::string& entry, const std::string& endpoint);
+
+  // Publishes a manifest in which these endpoints leave.
+  void Publish(const std::string& version,
+               LogOffset replaces,
+               const std::set<std::string>& leaving);
+  // What is in force in a process; zero and empty when it does not run.
+  LogOffset OffsetOf(const std::string& process) const;
+  std::string VersionOf(const std::string& process) const;
+
+  Checker& checker() { return this->rules; }
+  const WorldOptions& options() const { return this->settings; }
+  // Over all entries that run.
+  entry::EntryCounters entry_counters() const;
+  std::uint64_t Executions(const std::string& marker) const;
+  // How many attempts an engine holds.
+  std::size_t HeldBy(const std::string& endpoint) const;
+  // The decode endpoint whose engine runs the request's stream; empty if none.
+  std::string DecodesAt(std::uint64_t number) const;
+
+ private:
+  static constexpr Instant kBegin{1000s};
+
+  void AddEndpoints();
+  void StartEntry(const std::string& name);
+  void StartAgent(const std::string& name);
+  std::shared_ptr<EntryHost> FindEntry(const std::string& name) const;
+  std::shared_ptr<AgentHost> FindAgent(const std::string& name) const;
+  // Null for a name of another form, or when it does not run.
+  std::shared_ptr<Process> Find(const std::string& process) const;
+  std::pair<LogOffset, std::string> PeerManifest(LogOffset offset) const;
+
+  bool Step(Instant end);
+  void Settle();
+  void EndDrained();
+  void Look();
+  void LookEvery();
+  bool Idle() const;
+  void CheckLeftOvers();
+  bool Disturbed() const;
+
+  WorldOptions settings;
+  RandomSource random;
+  EventQueue queue;
+  Checker rules;
+  PlatformLog platform_log;
+  Network wires;
+  Callers asking;
+  WorldParts parts;
+  standin::KvNetwork kv_network;
+  std::map<std::string, std::unique_ptr<EngineHost>> engines;
+  std::map<std::string, std::shared_ptr<EntryHost>> entries;
+  std::map<std::string, std::shared_ptr<AgentHost>> agents;
+  std::set<std::string> stopped;   // entries that are to stay away
+  std::set<std::string> draining;  // entries
+  std::uint64_t last_publication = 0;
+  std::uint64_t steps_at_once = 0;
+};
+
+}  // namespace acacialug::scenario
+
+#endif  // SCENARIO_WORLD_H_
