Tell a leaving endpoint's agent before its session is dropped

Cause: a manifest that lets an endpoint leave takes it out of every entry's working set, and an idle session was dropped at once. Agents hear of newer manifests from entries only, so that agent stayed on the old one: it took work from an entry that was late, and never ended. Found by the scenario endpoint_leaves: 6 s after the publish the agent was still on the old one. Change: the session's last message renews it under the newest manifest. Conclusion: mended; the process has to flush that message.

--- a/src/entry/internal/endpoint_link.cc
+++ b/src/entry/internal/endpoint_link.cc
@@ -37,7 +37,14 @@
   this->actions.emplace_back(ConnectEndpoint{this->endpoint});
 }
 
-void EndpointLink::Release() {
+void EndpointLink::Release(LogOffset manifest) {
+  if (this->state == LinkState::kOpen) {
+    // An agent hears of newer manifests from entries only. One that is to
+    // leave would be dropped by all of them before any had told it: it would
+    // go on taking work from an entry that is late, and never end.
+    this->Send(protocol::Renew{.incarnation = this->options.incarnation,
+                               .manifest = manifest});
+  }
   if (this->state != LinkState::kIdle &&
       this->state != LinkState::kBackingOff) {
     this->actions.emplace_back(DropEndpoint{this->endpoint});
--- a/src/entry/internal/endpoint_link.h
+++ b/src/entry/internal/endpoint_link.h
@@ -40,7 +40,7 @@
   // Connects when idle.
   void Want(Instant now);
   // Nobody needs the session any more: drops it.
-  void Release();
+  void Release(LogOffset manifest);
 
   // `manifest`: the offset in force, told to the agent.
   void OnConnected(LogOffset manifest, Instant now);
--- a/src/entry/internal/fleet.cc
+++ b/src/entry/internal/fleet.cc
@@ -120,7 +120,7 @@
     if (member->wanted) {
       member->link.Want(now);
     } else if (member->attached.empty()) {
-      member->link.Release();
+      member->link.Release(this->Offset());
       unneeded.push_back(id);
     }
     this->Rearm(*member);
@@ -340,7 +340,7 @@
 
 void Fleet::DropUnneeded(Member& member) {
   if (!member.wanted && member.attached.empty()) {
-    member.link.Release();
+    member.link.Release(this->Offset());
     this->Rearm(member);
   }
 }
--- a/src/entry/tests/sessions_test.cc
+++ b/src/entry/tests/sessions_test.cc
@@ -50,6 +50,21 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{0},
                                driver.Count<protocol::StartPrefill>());
         }),
+     // Symptom: a leaving endpoint takes work and never ends. Sequence: a
+     // manifest lets an idle endpoint leave; every entry drops its session.
+     // Cause: agents hear of manifests from entries, and none had told it.
+     It("names the manifest that ends it before it is dropped",
+        [] {
+          ReadyDriver driver;
+          manifest::Manifest next = EntryDriver::DefaultManifest();
+          next.offset = LogOffset(9);
+          next.endpoints[2].leaving = true;  // d1
+          driver.Apply(std::move(next));
+          std::string told;
+          CPPUNIT_ASSERT(driver.Expect<protocol::Renew>(&told).manifest ==
+                         LogOffset(9));
+          CPPUNIT_ASSERT_EQUAL(std::string("d1"), told);
+        }),
      It("with an endpoint that is leaving gets no new work", [] {
        ReadyDriver driver;
        driver.Tell("d1", protocol::Leaving{});
