--- a/src/standin/fakes/fake_platform.cc
+++ b/src/standin/fakes/fake_platform.cc
@@ -1,10 +1,14 @@
 #include "standin/fakes/fake_platform.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acacialug::standin {
 namespace {
 
+// How soon a read that waits for a record looks again.
+constexpr Duration kReadAgain = 5ms;
+
 // Runs `effect` after the delay and hands what it gives to `on_done` later.
 template <typename T>
 void RunRemotely(const FakeOptions& options,
@@ -57,14 +61,26 @@
 void FakeLog::ReadFrom(const std::string& stream,
                        LogOffset from,
                        std::size_t limit,
-                       Duration /*wait*/,
+                       Duration wait,
                        std::function<void(Result<Read>)> on_done) {
+  auto answer = [this, stream, from, limit, wait,
+                 on_done = std::move(on_done)](Result<Read> read) {
+    const Duration pause = std::min(wait, kReadAgain);
+    if (!read.ok() || !read->records.empty() || pause == Duration::zero()) {
+      on_done(std::move(read));
+      return;
+    }
+    this->options.schedule(
+        pause, [this, stream, from, limit, left = wait - pause, on_done] {
+          this->ReadFrom(stream, from, limit, left, on_done);
+        });
+  };
   RunRemotely<Read>(
       this->options, this->faults,
       [this, stream, from, limit] {
         return this->model.ReadFrom(stream, from, limit, this->options.now());
       },
-      std::move(on_done));
+      std::move(answer));
 }
 
 FakeHostList::FakeHostList(HostListModel& shared_model,
--- a/src/standin/fakes/fake_platform.h
+++ b/src/standin/fakes/fake_platform.h
@@ -41,7 +41,6 @@
   void Append(const std::string& stream,
               std::string payload,
               std::function<void(Result<LogOffset>)> on_done) override;
-  // Answers at once: `wait` is the real log's to spend.
   void ReadFrom(const std::string& stream,
                 LogOffset from,
                 std::size_t limit,
--- a/src/standin/tests/fakes_test.cc
+++ b/src/standin/tests/fakes_test.cc
@@ -84,6 +84,29 @@
            clock.RunFor(0ms);
            CPPUNIT_ASSERT_EQUAL(row.records, records);
          }),
+     It("holds a read until a record comes, or its time is up",
+        [] {
+          Clock clock;
+          RandomSource random(1);
+          LogModel model({});
+          FakeLog log(model, random, clock.Options());
+          std::vector<std::size_t> records;
+          const auto read = [&](std::uint64_t from) {
+            log.ReadFrom("s", LogOffset(from), 10, 1s,
+                         [&](const Result<platform::ILog::Read>& done) {
+                           records.push_back(done->records.size());
+                         });
+          };
+          read(1);
+          clock.RunFor(500ms);
+          CPPUNIT_ASSERT(records.empty());
+          CPPUNIT_ASSERT(model.Append("s", "x", clock.now).ok());
+          clock.RunFor(10ms);
+          CPPUNIT_ASSERT(records == std::vector<std::size_t>({1}));
+          read(2);
+          clock.RunFor(1s);
+          CPPUNIT_ASSERT(records == std::vector<std::size_t>({1, 0}));
+        }),
      It("drops records of age, but keeps counting their offsets",
         [] {
           LogModel model({.retain_age = 1s});
