Let the prediction margin follow the size of the errors

Cause: the margin before the feasibility test moved by 4 ms at most an answer; an entry's shard with two answers a second needed minutes to learn an error of half a second, and meanwhile served those that then missed by a little. Change: a step is a quarter of the usual error, 4 ms at least.

--- a/src/admission/prediction_margin.h
+++ b/src/admission/prediction_margin.h
@@ -9,13 +9,14 @@
 // recent requests. Added to a prediction before it is held against a target:
 // a test without it serves just those that then miss by a little. The
 // quantile is tracked by stochastic approximation (Robbins and Monro, 1951):
-// constant memory and time. Not thread safe.
+// constant memory and time, with steps in proportion to
+// the usual error. Not thread safe.
 class PredictionMargin {
  public:
   struct Options {
     double quantile = 0.9;
     Duration initial = 20ms;
-    Duration step = 4ms;  // of one correction
+    Duration step = 4ms;  // least of one correction
     Duration most = 2s;
   };
 
@@ -29,6 +30,7 @@
  private:
   Options options;
   Duration margin;
+  double usual_error = 0;  // seconds, late or early
 };
 
 }  // namespace acacialug::admission
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -140,14 +140,26 @@
 
 const testing::Story kMargin(
     "a prediction margin",
-    {It("settles where the wished share of the errors is below it", [] {
-      PredictionMargin margin({.quantile = 0.9});
-      RandomSource random(3);
-      for (int count = 0; count < 5000; ++count) {
-        margin.Note(FromSeconds(0.1 * random.Unit()));
-      }
-      CPPUNIT_ASSERT(margin.Margin() > 75ms && margin.Margin() < 105ms);
-    })});
+    {It("settles where the wished share of the errors is below it",
+        [] {
+          PredictionMargin margin({.quantile = 0.9});
+          RandomSource random(3);
+          for (int count = 0; count < 5000; ++count) {
+            margin.Note(FromSeconds(0.1 * random.Unit()));
+          }
+          CPPUNIT_ASSERT(margin.Margin() > 75ms && margin.Margin() < 105ms);
+        }),
+     // Symptom: above capacity a third of the answers miss by a little.
+     // Sequence: predictions are half a second too early, and an entry gets two
+     // answers a second. Cause: the margin rose by a few milliseconds each.
+     It("follows an error far above its least step within twenty answers", [] {
+       PredictionMargin margin({.quantile = 0.9});
+       for (int count = 0; count < 20; ++count) {
+         margin.Note(500ms);
+       }
+       CPPUNIT_ASSERT(margin.Margin() >= 500ms);
+       CPPUNIT_ASSERT(margin.Margin() < 700ms);
+     })});
 
 }  // namespace
 }  // namespace acacialug::admission
