--- a/buildscripts/bench_decisions.py
+++ b/buildscripts/bench_decisions.py
@@ -30,6 +30,7 @@
 class Policy:
     reservation: str
     order: str
+    agent_order: str = "arrival"
     placement: str = "predicted"
     counts_queue: bool = True
 
@@ -38,11 +39,13 @@
 # deadline order under a test that forgets the work queued ahead.
 POLICIES = {
     "hold/newest": Policy("hold", "newest"),
+    "hold/newest/newest": Policy("hold", "newest", "newest"),
     "hold/arrival": Policy("hold", "arrival"),
     "promise/arrival": Policy("promise", "arrival"),
-    "hold/deadline": Policy("hold", "deadline", counts_queue=False),
-    "none/arrival/round_robin": Policy("none", "arrival", "round_robin",
-                                       counts_queue=False),
+    "hold/deadline": Policy("hold", "deadline", "deadline",
+                            counts_queue=False),
+    "none/arrival/round_robin": Policy(
+        "none", "arrival", placement="round_robin", counts_queue=False),
 }
 FAULT_POLICIES = ("hold/newest", "hold/arrival")
 
@@ -156,8 +159,8 @@
     folder = loopback.BUILD / "run/decisions" / cell.name
     with deployment.Cluster(
             bench.deployment, folder, reservation=policy.reservation,
-            order=policy.order, placement=policy.placement,
-            counts_queue=policy.counts_queue, seed=cell.seed) as cluster:
+            order=policy.order, agent_order=policy.agent_order,
+            placement=policy.placement, counts_queue=policy.counts_queue, seed=cell.seed) as cluster:
         load = load_plan.Load(
             cluster, "load", mix=bench.mix, rate=cell.load * expected,
             seed=cell.seed, warm_up=f"{bench.warm_up}s",
--- a/buildscripts/deployment.py
+++ b/buildscripts/deployment.py
@@ -37,19 +37,21 @@
 class Cluster:
     """A deployment on loopback ports; use it as a context manager.
 
-    `policy` is (reservation, order, placement, counts_queue) in the settings'
-    own names. Engines of one process share its thread: `engines_a_process`
+    The policies have the settings' own names; `order` is the entries', of the
+    requests that wait for a place, `agent_order` that of admitted prefills. Engines of one process share its thread: `engines_a_process`
     bounds how many.
     """
 
     def __init__(self, deployment, folder, reservation="hold",
-                 order="arrival", placement="predicted", counts_queue=True,
+                 order="arrival", agent_order="arrival",
+                 placement="predicted", counts_queue=True,
                  engines_a_process=8, entry_shards=2, log_level="warning",
                  seed=1):
         self.deployment = deployment
         self.folder = pathlib.Path(folder)
-        self.policy = {"reservation": reservation, "order": order,
+        self.policy = {"reservation": reservation,
                        "feasibility_counts_queue": counts_queue}
+        self.order, self.agent_order = order, agent_order
         self.placement = placement
         self.engines_a_process = engines_a_process
         self.entry_shards = entry_shards
@@ -200,7 +202,7 @@
             ("[manifest]", {"file": str(self.folder / "manifest.toml")}),
             ("[platform]", {"log": f"127.0.0.1:{self.log_port}"}),
             ("[policy]", self.policy | {
-                "export_lifetime": f"{engine.export_lifetime_ms}ms"}),
+                "order": self.agent_order, "export_lifetime": f"{engine.export_lifetime_ms}ms"}),
             ("[log]", {"level": self.log_level})])
 
     def _entry_text(self, index):
@@ -215,7 +217,8 @@
             ("[manifest]", {"file": str(self.folder / "manifest.toml")}),
             ("[platform]", {"log": f"127.0.0.1:{self.log_port}",
                             "hosts": f"127.0.0.1:{self.hosts_port}"}),
-            ("[policy]", self.policy | {"placement": self.placement}),
+            ("[policy]", self.policy | {
+                "order": self.order, "placement": self.placement}),
             ("[log]", {"level": self.log_level})])
 
     def _platform_text(self):
