--- a/src/entry/internal/fleet.cc
+++ b/src/entry/internal/fleet.cc
@@ -120,7 +120,7 @@
     if (member->wanted) {
       member->link.Want(now);
     } else if (member->attached.empty()) {
-      member->link.Release();
+      member->link.Release(this->Offset());
       unneeded.push_back(id);
     }
     this->Rearm(*member);
@@ -141,7 +141,9 @@
   pool.usable.clear();
   for (Member* const member : pool.members) {
     if (member->link.State() == LinkState::kOpen && !member->leaving &&
-        !member->record.leaving && !pool.ejection.Ejected(member->record.id)) {
+        !member->record.leaving &&
+        !this->leaving_hosts.contains(member->record.host) &&
+        !pool.ejection.Ejected(member->record.id)) {
       pool.usable.push_back(&member->view);
     }
   }
@@ -150,6 +152,16 @@
   }
 }
 
+void Fleet::SetLeavingHosts(const std::set<HostId>& hosts) {
+  if (hosts == this->leaving_hosts) {
+    return;
+  }
+  this->leaving_hosts = hosts;
+  for (auto& [key, pool] : this->pools) {
+    this->Rebuild(pool);
+  }
+}
+
 void Fleet::Rearm(const Member& member) {
   this->timers.Arm(member.record.id, member.link.NextTimer());
 }
@@ -340,7 +352,7 @@
 
 void Fleet::DropUnneeded(Member& member) {
   if (!member.wanted && member.attached.empty()) {
-    member.link.Release();
+    member.link.Release(this->Offset());
     this->Rearm(member);
   }
 }
--- a/src/entry/tests/sessions_test.cc
+++ b/src/entry/tests/sessions_test.cc
@@ -72,6 +72,33 @@
           driver.End(decode, attempt, 2);
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Ends());
         }),
+     It("with an endpoint on a host that the platform lists as leaving gets no "
+        "new work",
+        [] {
+          ReadyDriver driver;
+          driver.core->OnLeavingHosts({HostId("d1")}, driver.now);
+          for (int round = 0; round < 8; ++round) {
+            driver.Generate();
+            std::string decode;
+            driver.Reserve(&decode);
+            CPPUNIT_ASSERT_EQUAL(std::string("d2"), decode);
+          }
+        }),
+     // Symptom: a leaving endpoint takes work and never ends. Sequence: a
+     // manifest lets an idle endpoint leave; every entry drops its session.
+     // Cause: agents hear of manifests from entries, and none had told it.
+     It("names the manifest that ends it before it is dropped",
+        [] {
+          ReadyDriver driver;
+          manifest::Manifest next = EntryDriver::DefaultManifest();
+          next.offset = LogOffset(9);
+          next.endpoints[2].leaving = true;  // d1
+          driver.Apply(std::move(next));
+          std::string told;
+          CPPUNIT_ASSERT(driver.Expect<protocol::Renew>(&told).manifest ==
+                         LogOffset(9));
+          CPPUNIT_ASSERT_EQUAL(std::string("d1"), told);
+        }),
      It("with an endpoint that is leaving gets no new work", [] {
        ReadyDriver driver;
        driver.Tell("d1", protocol::Leaving{});
