--- /dev/null
+++ b/src/agent/internal/agent_implementation_messages.cc
@@ -0,0 +1,128 @@
+#include <algorithm>
+#include <optional>
+
+#include "agent/internal/agent_implementation.h"
+
+namespace acacialug::agent {
+
+using protocol::EndpointRole;
+using protocol::Phase;
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Hello& hello,
+                                   Instant now) {
+  const SessionTable::Greeting greeting =
+      this->sessions.Greet(session, hello, now);
+  for (const SessionId ended : greeting.ended) {
+    this->outbox.Close(ended, ResultCode::kSuperseded);
+    this->FreeSession(ended, now);
+  }
+  if (greeting.code != ResultCode::kOk) {
+    this->EndSession(session, greeting.code, now);
+    return;
+  }
+  this->newest_heard = std::max(this->newest_heard, hello.manifest);
+  this->outbox.Send(session,
+                    protocol::Welcome{.endpoint = this->options.endpoint,
+                                      .incarnation = this->options.incarnation,
+                                      .role = this->options.role,
+                                      .domain = this->options.domain,
+                                      .manifest = this->ManifestOffset(),
+                                      .lease = this->options.session_lease},
+                    now);
+  if (this->drain.active()) {
+    this->SendLeaving(session, now);
+  }
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Renew& renew,
+                                   Instant now) {
+  if (!this->sessions.Renew(session, renew.incarnation, now)) {
+    this->EndSession(session, ResultCode::kBadFrame, now);
+    return;
+  }
+  this->newest_heard = std::max(this->newest_heard, renew.manifest);
+  this->outbox.Send(session,
+                    protocol::Renewed{.manifest = this->ManifestOffset()}, now);
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Reserve& reserve,
+                                   Instant now) {
+  const AttemptId& attempt = reserve.attempt;
+  const std::optional<Admission> admission = this->gate.Admit(
+      session, attempt, EndpointRole::kDecode, Phase::kReserve, now);
+  if (admission == Admission::kOpen ||
+      (admission == Admission::kNew &&
+       this->gate.TakesNew(attempt, Phase::kReserve, now))) {
+    this->decode.OnReserve(reserve, now);
+  }
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::StartPrefill& start,
+                                   Instant now) {
+  const AttemptId& attempt = start.attempt;
+  if (this->gate.AdmitOnce(session, attempt, EndpointRole::kPrefill,
+                           Phase::kPrefill, now) &&
+      this->gate.TakesNew(attempt, Phase::kPrefill, now)) {
+    this->prefill.OnStartPrefill(start, now);
+  }
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::StartDecode& start,
+                                   Instant now) {
+  const AttemptId& attempt = start.attempt;
+  const std::optional<Admission> admission = this->gate.Admit(
+      session, attempt, EndpointRole::kDecode, Phase::kDecode, now);
+  // What has a reservation was let in before a drain began.
+  if (!admission || (admission == Admission::kNew &&
+                     !this->gate.TakesNew(attempt, Phase::kDecode, now))) {
+    return;
+  }
+  // Without the reservation nobody knows whether the engine has room: it
+  // would preempt other streams, or let the prefill's export go stale.
+  const bool may_reserve =
+      this->options.reservation == ReservationPolicy::kNone ||
+      !this->options.rules.reserve_before_prefill;
+  this->decode.OnStartDecode(start, may_reserve, now);
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Acknowledge& acknowledge,
+                                   Instant now) {
+  if (this->gate.IsOwn(session, acknowledge.attempt)) {
+    this->decode.OnAcknowledge(acknowledge, now);
+  }
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::StartCall& start,
+                                   Instant now) {
+  const AttemptId& attempt = start.attempt;
+  if (!this->gate.AdmitOnce(session, attempt, EndpointRole::kPlain,
+                            Phase::kCall, now) ||
+      !this->gate.IsReady(attempt, Phase::kCall, now)) {
+    return;
+  }
+  // While draining, a resubmission still learns what became of the call.
+  this->calls.OnStartCall(start, !this->drain.active(), now);
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::LookUp& look_up,
+                                   Instant now) {
+  this->calls.OnLookUp(session, look_up, now);
+}
+
+void AgentCore::Implementation::On(SessionId session,
+                                   const protocol::Cancel& cancel,
+                                   Instant now) {
+  if (this->gate.IsOwn(session, cancel.attempt)) {
+    this->gate.Cancel(session, cancel.attempt, now);
+  }
+}
+
+}  // namespace acacialug::agent
--- a/src/agent/tests/agent_bench.cc
+++ b/src/agent/tests/agent_bench.cc
@@ -146,10 +146,10 @@
   }
 }
 
-Steps Says(protocol::EntryToAgent message, SessionId by) {
+Steps Says(const protocol::EntryToAgent& message, SessionId by) {
   return Step([=](AgentBench& bench) { bench.Say(message, by); });
 }
-Steps Tells(engine::EngineEvent event) {
+Steps Tells(const engine::EngineEvent& event) {
   return Step([=](AgentBench& bench) { bench.Tell(event); });
 }
 Steps Passes(Duration duration, bool renew) {
--- a/src/agent/tests/agent_bench.h
+++ b/src/agent/tests/agent_bench.h
@@ -27,10 +27,13 @@
 
 // An attempt by the numbers of its request and of itself.
 struct Attempt : AttemptId {
-  Attempt(std::uint64_t request,  // NOLINT(google-explicit-constructor)
+  Attempt(std::uint64_t number_of_request,  // NOLINT: a number is a name here
           std::uint64_t number = 1,
-          Incarnation by = kEntry)
-      : AttemptId{{request, request}, AttemptNumber(number), by} {}
+          Incarnation by = kEntry) {
+    this->request = {number_of_request, number_of_request};
+    this->attempt = AttemptNumber(number);
+    this->entry = by;
+  }
 };
 
 using Attempts = std::vector<AttemptId>;
@@ -79,8 +82,8 @@
   std::vector<Step> list;
 };
 
-Steps Says(protocol::EntryToAgent message, SessionId by = kSession);
-Steps Tells(engine::EngineEvent event);
+Steps Says(const protocol::EntryToAgent& message, SessionId by = kSession);
+Steps Tells(const engine::EngineEvent& event);
 Steps Passes(Duration duration, bool renew = true);
 Steps Freezes(Duration duration);  // no timer runs meanwhile
 Steps Connects(SessionId session, Incarnation entry, const char* id = "e1");
--- a/src/agent/tests/agent_core_test.cc
+++ b/src/agent/tests/agent_core_test.cc
@@ -79,9 +79,9 @@
 
 // Plays the holding's steps (twice) between others.
 Section StartedBetween(std::string name,
-                       Steps before,
-                       Steps after,
-                       std::function<std::string(const Holding&)> trace,
+                       const Steps& before,
+                       const Steps& after,
+                       const std::function<std::string(const Holding&)>& trace,
                        std::size_t held = 0,
                        bool twice = false) {
   return Cases<Holding>(std::move(name), kHoldings, [=](const Holding& row) {
