Ask a loading engine at a steady pace

Cause: the pause between two readings doubled while an engine loaded, so a loaded engine stood idle for up to as long as its load. Measured: agent_tests, 196 of 196 passed.

--- a/src/agent/internal/engine_orders.cc
+++ b/src/agent/internal/engine_orders.cc
@@ -81,9 +81,13 @@
     this->ReadAt(now + this->options.check_interval);
     return;
   }
+  if (state.loading) {
+    this->ReadAt(now + this->options.first_retry);
+    return;
+  }
   // A higher fence than ours: the engine follows a manifest that has not
   // reached this agent yet, and an order from here would turn it back.
-  if (state.loading || state.fence > this->wanted->fence) {
+  if (state.fence > this->wanted->fence) {
     this->RetryReading(now);
     return;
   }
