Flush what was sent before a connection to an agent is dropped

Cause: dropping an endpoint destroyed its channel, which throws away what is not yet sent: the renewal that names the newest manifest, or a cancel. Change: the channel is closed first, which sends the rest. Conclusion: the last words to an agent reach it when its host is there.

--- a/src/entry_process/internal/agent_links.cc
+++ b/src/entry_process/internal/agent_links.cc
@@ -52,7 +52,10 @@
 }
 
 void AgentLinks::Drop(const EndpointId& endpoint) {
-  if (this->links.contains(endpoint)) {
+  const auto found = this->links.find(endpoint);
+  if (found != this->links.end()) {
+    // What was sent last still goes out: the destructor would drop it.
+    found->second.channel->Close();
     this->Forget(endpoint);
   }
 }
