Close an agent's connection once when it is dropped

Cause: a merge left two calls of Close in a row. Change: DestroyLater alone closes, and says why. Conclusion: one place closes.

--- a/src/entry_process/internal/agent_links.cc
+++ b/src/entry_process/internal/agent_links.cc
@@ -9,7 +9,8 @@
 namespace {
 
 // A channel is often dropped from inside one of its own hooks; destroying it
-// there would destroy the function that runs.
+// there would destroy the function that runs. Closing first lets what was sent
+// last go out, which the destructor would drop.
 void DestroyLater(const net::FrameChannelPtr& channel) {
   channel->Close();
   QTimer::singleShot(0, [kept = channel] {});
@@ -54,8 +55,6 @@
 void AgentLinks::Drop(const EndpointId& endpoint) {
   const auto found = this->links.find(endpoint);
   if (found != this->links.end()) {
-    // What was sent last still goes out: the destructor would drop it.
-    found->second.channel->Close();
     DestroyLater(found->second.channel);
     this->links.erase(found);
   }
