Let orders wait for a permit of the weight store

Cause: a new version makes every agent order its engine at once from one store of limited rate; the store's adapter was used by no program. Change: PermittedEngine stands before an agent's engine when platform.weights is set; an order without a permit is answered as refused, and looked at again before it is given, so that none grows old while it waits. Conclusion: as many loads run at once as the store has permits.

--- a/buildscripts/deploy_files.py
+++ b/buildscripts/deploy_files.py
@@ -17,6 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOG = "192.0.2.10:9000"
 HOSTS = "192.0.2.10:9001"
+WEIGHTS = "192.0.2.10:9002"
 FIRST_ENTRY = 20
 FIRST_AGENT = 100
 TLS = "/etc/acacialug"
@@ -120,7 +121,7 @@
                      "operations_listen": address(number, 7100)}),
         ("[engine]", {"address": "127.0.0.1:8000",
                       "kind": "plain" if role == "plain" else "openai"}),
-        ("[platform]", {"log": LOG, "peers": peers}),
+        ("[platform]", {"log": LOG, "weights": WEIGHTS, "peers": peers}),
         ("[policy]", POLICY[deployment.name] | {
             "export_lifetime": f"{lifetime}ms"}),
         ("[peer_tls]", tls("agent")),
--- a/src/agent_process/internal/settings_reader.cc
+++ b/src/agent_process/internal/settings_reader.cc
@@ -46,6 +46,9 @@
   if (platform.Has("log")) {
     into.platform_log = ReadAddress(platform, "log");
   }
+  if (platform.Has("weights")) {
+    into.platform_weights = ReadAddress(platform, "weights");
+  }
   into.peers = platform.ParsedList<http::Address>(
       "peers", {.parse = http::ParseAddress, .expected = "IP:PORT"},
       {.fallback = std::vector<std::string>{}});
--- a/src/agent_process/types/agent_settings.h
+++ b/src/agent_process/types/agent_settings.h
@@ -19,7 +19,8 @@
   http::Address operations_listen;  // for operators and probes
   std::string manifest_file;        // empty: from the platform's log
   std::optional<http::Address> platform_log;
-  std::vector<http::Address> peers;  // operations ports of entries
+  std::optional<http::Address> platform_weights;  // loads wait for permits
+  std::vector<http::Address> peers;               // operations ports of entries
   http::TlsFiles peer_tls;
   log::Level log_level = log::Level::kInfo;
   engine::EngineOptions engine;
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -10,6 +10,7 @@
 
 #include "agent_process/agent_process.h"
 #include "agent_process/manifest_file.h"
+#include "agent_process/permitted_engine.h"
 #include "agent_process/settings_reader.h"
 #include "configuration_client/configuration_client.h"
 #include "engine/engine_factory.h"
@@ -18,6 +19,7 @@
 #include "framework/program/program.h"
 #include "framework/program/signal_watcher.h"
 #include "platform/http_log.h"
+#include "platform/http_weight_store.h"
 
 namespace acacialug {
 namespace {
@@ -70,7 +72,10 @@
  private:
   agent_process::AgentProcessOptions ProcessOptions() {
     return {.settings = this->settings,
-            .make_engine = engine::MakeEngine,
+            .make_engine =
+                [this](const engine::EngineOptions& engine_options) {
+                  return this->MakeEngine(engine_options);
+                },
             .on_manifest_heard =
                 [this](LogOffset offset) {
                   if (this->configuration) {
@@ -84,6 +89,21 @@
             .on_drained = [] { QCoreApplication::quit(); }};
   }
 
+  std::unique_ptr<engine::IEngine> MakeEngine(
+      const engine::EngineOptions& engine_options) {
+    std::unique_ptr<engine::IEngine> made = engine::MakeEngine(engine_options);
+    if (!this->settings.platform_weights) {
+      return made;
+    }
+    this->store_client.emplace(http::ClientOptions{});
+    return std::make_unique<agent_process::PermittedEngine>(
+        agent_process::PermittedEngine::Options{
+            .endpoint = this->settings.agent.endpoint,
+            .engine = std::move(made),
+            .store = std::make_unique<platform::HttpWeightStore>(
+                *this->settings.platform_weights, *this->store_client)});
+  }
+
   // Each reading counts as newer than the one before.
   Status TakeManifestFile() {
     const auto read =
@@ -166,6 +186,7 @@
   std::uint64_t file_readings = 0;
   QObject context;  // ends what was posted with this
   QTimer first_manifest_timer;
+  std::optional<http::Client> store_client;
   std::optional<http::Client> log_client;
   std::optional<ConfigurationClient> configuration;
   AgentProcess process;
