--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -186,6 +186,10 @@
     return false;
   }
   this->EndLeg(leg, false, now);
+  placement::EndpointView* const view = this->context.fleet.View(endpoint);
+  if (!of_prefill && view != nullptr) {
+    view->NoteFull(this->KvTokens(), refused.retry_after, now);
+  }
   if (of_prefill) {
     this->OnPrefillRefused(refused.retry_after, now);
   } else {
@@ -206,9 +210,9 @@
     return;
   }
   if (this->prefill.Idle()) {
-    this->ReturnToQueue(hint, now);
+    this->ReturnToQueue(std::max(hint, this->free_in), now);
   } else {
-    this->ReserveAgainSoon(hint, now);
+    this->ReserveAgainSoon(std::max(hint, this->free_in), now);
   }
 }
 
--- a/src/entry/internal/generation_forecast.cc
+++ b/src/entry/internal/generation_forecast.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "entry/internal/generation_machine.h"
+#include "placement/decode_picker.h"
 
 namespace acacialug::entry {
 namespace {
@@ -92,12 +93,29 @@
       this->PrefillNeed(now), this->context.random);
 }
 
+placement::PlacementNeed GenerationMachine::DecodeNeed(Instant now) const {
+  return {
+      .kv_tokens = this->KvTokens(), .tried = this->decode.tried, .now = now};
+}
+
 placement::EndpointView* GenerationMachine::PickDecode(Instant now) {
-  return this->service.pick_decode(
-      this->context.fleet.Usable(this->terms.service->name,
-                                 protocol::EndpointRole::kDecode),
-      {.kv_tokens = this->KvTokens(), .tried = this->decode.tried, .now = now},
-      this->context.random);
+  const placement::Candidates candidates = this->context.fleet.Usable(
+      this->terms.service->name, protocol::EndpointRole::kDecode);
+  const placement::PlacementNeed need = this->DecodeNeed(now);
+  placement::EndpointView* const view =
+      this->service.pick_decode(candidates, need, this->context.random);
+  if (view == nullptr || this->SlotWait(*view, now) == Duration::zero()) {
+    return view;
+  }
+  return placement::SoonestFree(candidates, need);  // none of the few is free
+}
+
+// The baselines do not predict: they ask whom they picked.
+Duration GenerationMachine::SlotWait(const placement::EndpointView& view,
+                                     Instant now) const {
+  return this->context.options.placement == PlacementPolicy::kPredicted
+             ? view.SlotWait(this->KvTokens(), now)
+             : Duration::zero();
 }
 
 // Whether starting now still meets the first token's target, and the records
--- a/src/entry/internal/generation_machine.cc
+++ b/src/entry/internal/generation_machine.cc
@@ -99,6 +99,7 @@
   }
   this->decode.tried.clear();
   this->prefill.tried.clear();
+  this->PauseQueue(this->free_in, now);
 }
 
 void GenerationMachine::Advance(Instant now) {
@@ -126,9 +127,9 @@
       return;
     }
     if (this->prefill.Idle()) {
-      this->ReturnToQueue(kShortestPause, now);
+      this->ReturnToQueue(this->free_in, now);
     } else {
-      this->ReserveAgainSoon(kShortestPause, now);
+      this->ReserveAgainSoon(this->free_in, now);
     }
     return;
   }
@@ -145,13 +146,15 @@
 
 bool GenerationMachine::Reserve(Instant now) {
   placement::EndpointView* const view = this->PickDecode(now);
-  if (view == nullptr) {
-    return false;
+  this->free_in = view == nullptr ? kShortestPause : this->SlotWait(*view, now);
+  if (this->free_in > Duration::zero()) {
+    return false;  // asking it now would only be refused
   }
   Duration ready_in{};
   if (this->prefill.Idle() && this->splits_prefill) {
     const placement::EndpointView* const prefill_view = this->PickPrefill(now);
     if (prefill_view == nullptr) {
+      this->free_in = kShortestPause;
       return false;  // nowhere to prefill: do not hold memory for it
     }
     ready_in = this->PrefillReadyIn(*prefill_view, now);
@@ -234,6 +237,10 @@
   this->prefill.tried.clear();
   this->resuming = this->running > 0 || this->stream.Begun();
   this->state = RequestState::kWaiting;
+  this->PauseQueue(hint, now);
+}
+
+void GenerationMachine::PauseQueue(Duration hint, Instant now) {
   this->service.BlockUntil(now +
                            std::clamp(hint, kShortestPause, kLongestPause));
 }
--- a/src/entry/internal/generation_machine.h
+++ b/src/entry/internal/generation_machine.h
@@ -101,11 +101,13 @@
   // ---- steps (generation_machine.cc) ----
   // Does whatever the legs' stages allow next.
   void Advance(Instant now);
+  // False when no endpoint can be asked now; free_in tells when to try again.
   bool Reserve(Instant now);
   bool StartPrefill(Instant now);
   void StartDecode(Instant now);
   void ReserveAgainSoon(Duration hint, Instant now);
   void ReturnToQueue(Duration hint, Instant now);
+  void PauseQueue(Duration hint, Instant now);
   bool MayRepeat(ResultCode code, Instant now);
   void Rerun(ResultCode code, Instant now);
   void Finish(protocol::FinishReason reason,
@@ -118,6 +120,8 @@
   bool ReservesFirst() const;
   bool ExportAlive(Instant now) const;
   placement::EndpointView* PickPrefill(Instant now);
+  Duration SlotWait(const placement::EndpointView& view, Instant now) const;
+  placement::PlacementNeed DecodeNeed(Instant now) const;
   placement::EndpointView* PickDecode(Instant now);
   placement::PlacementNeed PrefillNeed(Instant now) const;
   std::uint64_t CachedTokens(const placement::EndpointView& view,
@@ -151,6 +155,7 @@
   std::uint32_t repeats = 0;  // runs that were done again
   protocol::KvHandle kv;
   Instant export_until{};
+  Duration free_in{};  // until a decode slot is expected, when none is free
   Instant reserve_again_at = kNever;
   Instant prefill_at = kNever;  // a promised slot: not before
   std::uint32_t prompt_tokens_counted = 0;
--- a/src/entry/tests/generation_test.cc
+++ b/src/entry/tests/generation_test.cc
@@ -61,6 +61,27 @@
           driver.Pass(100ms);
           driver.Prefill();
         }),
+     // Symptom: reservations and refusals outnumber requests by hundreds under
+     // overload. Sequence: a full pool is asked again every few milliseconds.
+     // Cause: what the refusals told of the next free slot was not used.
+     It("does not ask a full pool again before a slot is expected",
+        [] {
+          ReadyDriver driver;
+          driver.Generate();
+          for (int count = 0; count < 2; ++count) {
+            const auto reserve = driver.Expect<protocol::Reserve>();
+            driver.Tell(driver.last_endpoint,
+                        protocol::Refused{.attempt = reserve.attempt,
+                                          .code = ResultCode::kNoDecodeMemory,
+                                          .retry_after = 300ms});
+          }
+          driver.Pass(290ms);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               driver.Count<protocol::Reserve>());
+          driver.Pass(100ms);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                               driver.Count<protocol::Reserve>());
+        }),
      It("acknowledges a quarter of the window at a time", [] {
        ReadyDriver driver({.window_chunks = 8});
        const RequestId request = driver.Generate();
--- a/src/entry/tests/sessions_test.cc
+++ b/src/entry/tests/sessions_test.cc
@@ -208,6 +208,24 @@
           driver.End(decode, attempt, 1);
           CPPUNIT_ASSERT(driver.core->drained());
         }),
+     It("ends under the manifest that it began under",
+        [] {
+          ReadyDriver driver;
+          driver.Generate();
+          std::string decode;
+          const AttemptId attempt = driver.Stream(&decode, "x");
+          manifest::Manifest next = EntryDriver::DefaultManifest();
+          next.offset = LogOffset(2);
+          next.services.clear();
+          next.endpoints.clear();
+          driver.Apply(next);
+          driver.Pass(3s);
+          driver.Generate();  // under the new one: there is no such model
+          driver.End(decode, attempt, 1);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Ends());
+          CPPUNIT_ASSERT(driver.Errors().at(0).code ==
+                         ResultCode::kUnknownModel);
+        }),
      It("is served under the newest manifest, never an older one", [] {
        ReadyDriver driver;
        manifest::Manifest older = EntryDriver::DefaultManifest();
--- a/src/placement/decode_picker.cc
+++ b/src/placement/decode_picker.cc
@@ -68,6 +68,13 @@
       });
 }
 
+EndpointView* SoonestFree(Candidates candidates, const PlacementNeed& need) {
+  return Cheapest(candidates, need,
+                  [](const EndpointView& view, const PlacementNeed& wanted) {
+                    return Seconds(view.SlotWait(wanted.kv_tokens, wanted.now));
+                  });
+}
+
 PickRule PickCallByPrediction(std::uint32_t sampled) {
   return PickCheapestSampled(
       sampled, [](const EndpointView& view, const PlacementNeed& need) {
--- a/src/placement/decode_picker.h
+++ b/src/placement/decode_picker.h
@@ -12,6 +12,10 @@
 // choices; Prequal, NSDI 2024). Cost: O(sampled).
 PickRule PickDecodeByPrediction(std::uint32_t sampled);
 
+// The endpoint that is predicted free soonest; null when all were tried.
+// Cost: O(candidates).
+EndpointView* SoonestFree(Candidates candidates, const PlacementNeed& need);
+
 // The same for calls of a plain service: occupancy times measured latency,
 // plus the way there and back.
 PickRule PickCallByPrediction(std::uint32_t sampled);
--- a/src/placement/endpoint_view.cc
+++ b/src/placement/endpoint_view.cc
@@ -12,7 +12,7 @@
 constexpr double kRoundTripWeight = 0.2;
 // Time that an agent needs to answer, on top of the way there and back.
 constexpr Duration kAnswerTime = 1ms;
-// A full endpoint without a prediction is not expected free before this.
+// A full endpoint is not expected free before this.
 constexpr Duration kShortestWait = 2ms;
 
 }  // namespace
@@ -37,6 +37,9 @@
          this->corrections[this->first].sent_at + this->round_trip <= now) {
     this->DropOldest();
   }
+  if (this->HasRoom(this->full_tokens)) {
+    this->full_until = {};
+  }
 }
 
 void EndpointView::NoteSent(const SentWork& work, Instant now) {
@@ -75,24 +78,39 @@
   return this->load.limit == 0 ? this->options.slots : this->load.limit;
 }
 
-Duration EndpointView::SlotWait(std::uint64_t kv_tokens, Instant now) const {
+bool EndpointView::HasRoom(std::uint64_t kv_tokens) const {
   const std::uint32_t limit = this->Limit();
   // A decode endpoint reports its reservations as queued.
   const std::uint64_t running =
       this->load.running + this->load.queued + this->count;
   const std::uint64_t taken = this->sum.kv_tokens + kv_tokens;
-  const bool has_slot = limit == 0 || running < limit;
-  const bool has_memory =
-      this->load.total_kv_tokens == 0 || taken <= this->load.free_kv_tokens;
-  if (has_slot && has_memory) {
+  return (limit == 0 || running < limit) &&
+         (this->load.total_kv_tokens == 0 ||
+          taken <= this->load.free_kv_tokens);
+}
+
+void EndpointView::NoteFull(std::uint64_t kv_tokens,
+                            Duration free_in,
+                            Instant now) {
+  this->full_until = now + std::max(free_in, kShortestWait);
+  this->full_tokens = kv_tokens;
+}
+
+Duration EndpointView::SlotWait(std::uint64_t kv_tokens, Instant now) const {
+  if (now < this->full_until && kv_tokens >= this->full_tokens) {
+    return this->full_until - now;
+  }
+  if (this->HasRoom(kv_tokens)) {
     return Duration::zero();
   }
-  const Duration age = now - this->reported_at;
-  const Duration reported =
-      std::max(this->load.next_slot_in - age, Duration::zero());
   // Each stream sent since the report takes one of the coming places.
   const auto ahead = static_cast<std::int64_t>(this->count) + 1;
-  return std::max(reported, kShortestWait) * ahead;
+  if (this->load.next_slot_in == Duration::zero()) {
+    return kShortestWait * ahead;  // it was free until these were sent
+  }
+  // A time that has passed means a place by now, if nobody else took it.
+  const Duration reported = this->load.next_slot_in - (now - this->reported_at);
+  return std::max(reported, Duration::zero()) * ahead;
 }
 
 Duration EndpointView::WorkAhead(Instant now) const {
--- a/src/placement/endpoint_view.h
+++ b/src/placement/endpoint_view.h
@@ -42,6 +42,10 @@
   // This entry sent work that no report can yet contain.
   void NoteSent(const SentWork& work, Instant now);
 
+  // The agent refused decode memory of that size, and expects it free then.
+  // Holds until a report shows room.
+  void NoteFull(std::uint64_t kv_tokens, Duration free_in, Instant now);
+
   // A message and its immediate answer took this long.
   void NoteRoundTrip(Duration round_trip);
 
@@ -86,6 +90,7 @@
   };
 
   std::uint32_t Limit() const;
+  bool HasRoom(std::uint64_t kv_tokens) const;
   void DropOldest();
 
   // More corrections than this within one round trip mean that the view is
@@ -96,6 +101,8 @@
   std::uint64_t key = 0;
   protocol::EndpointLoad load;
   Instant reported_at{};
+  Instant full_until{};
+  std::uint64_t full_tokens = 0;  // the size that was refused
   Duration round_trip{};
   double latency = 0;
 
--- a/src/placement/tests/placement_test.cc
+++ b/src/placement/tests/placement_test.cc
@@ -58,6 +58,18 @@
           view.Report(Load(0), pool.now + 1s);
           CPPUNIT_ASSERT(view.SlotWait(600, pool.now + 1s) == Duration::zero());
         }),
+     It("believes a refusal of that size until its time or a report of room",
+        [] {
+          Pool pool(1);
+          EndpointView& view = *pool.views[0];
+          view.NoteFull(600, 50ms, pool.now);
+          CPPUNIT_ASSERT(view.SlotWait(600, pool.now) == 50ms);
+          CPPUNIT_ASSERT(view.SlotWait(500, pool.now) == Duration::zero());
+          CPPUNIT_ASSERT(view.SlotWait(600, pool.now + 50ms) ==
+                         Duration::zero());
+          view.Report(Load(1), pool.now);
+          CPPUNIT_ASSERT(view.SlotWait(600, pool.now) == Duration::zero());
+        }),
      It("lets the work that it knows of run off with time", [] {
        Pool pool(1);
        pool.views[0]->Report(Load(1, 300ms), pool.now);
