--- a/src/entry_process/internal/agent_links.cc
+++ b/src/entry_process/internal/agent_links.cc
@@ -54,6 +54,8 @@
 void AgentLinks::Drop(const EndpointId& endpoint) {
   const auto found = this->links.find(endpoint);
   if (found != this->links.end()) {
+    // What was sent last still goes out: the destructor would drop it.
+    found->second.channel->Close();
     DestroyLater(found->second.channel);
     this->links.erase(found);
   }
