Run the scale bench with a few real processes

Cause: aggregates leave out sockets, HTTP and event loops, which are most of what a request costs. Change: buildscripts/bench.sh scale runs scale_bench, and then one entry with twelve agents, idle with two numbers of shards and under light load with two lengths of answers; it writes build/bench/scale.json.

--- a/buildscripts/bench.py
+++ b/buildscripts/bench.py
@@ -3,6 +3,7 @@
 
     bench.py path [--quick]
     bench.py decisions [--quick] [--parallel=N] [--only=WORD[,WORD...]]
+    bench.py scale
 
 --only keeps the cells whose name (DEPLOYMENT/LOAD/POLICY/FAULT/SEED) holds
 one of the words.
@@ -12,6 +13,7 @@
 
 import bench_decisions
 import bench_path
+import scale
 
 
 def main(arguments):
@@ -26,6 +28,8 @@
         only = [word for word in options.get("only", "").split(",") if word]
         return bench_decisions.run(quick, int(options.get("parallel", "4")),
                                    only)
+    if names == ["scale"]:
+        return scale.run()
     print(__doc__, file=sys.stderr)
     return 2
 
--- a/buildscripts/bench.sh
+++ b/buildscripts/bench.sh
@@ -6,9 +6,11 @@
 #                                               request, and what it carries
 #   buildscripts/bench.sh decisions [--quick]   goodput and wasted prefill by
 #                                               policy, load and fault
+#   buildscripts/bench.sh scale                 what each aggregate costs by
+#                                               size, and a few idle processes
 set -euo pipefail
 cd "$(dirname "$0")/.."
 buildscripts/install.sh
 buildscripts/build.sh acacialug-entry acacialug-agent acacialug-standin \
-  acacialug-load
+  acacialug-load scale_bench
 exec python3 buildscripts/bench.py "$@"
--- /dev/null
+++ b/buildscripts/scale.py
@@ -0,0 +1,145 @@
+"""Slopes for docs/CAPACITY.md: of the aggregates in one process, and of a few
+real processes on loopback, idle and under light load."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import time
+
+import bench_path
+import deployment
+import load_plan
+import loopback
+import machine
+
+OUTPUT = loopback.BUILD / "bench/scale.json"
+BENCH = loopback.BUILD / "src/scale/scale_bench"
+PROGRAMS = ("entry", "agent", "standin", "load")
+IDLE_SECONDS = 10
+# Each shard of an entry has sessions of its own with every agent.
+SHARDS = (2, 16)
+# Answers of two lengths, at the same rate: the line through both gives the
+# cost of a request and that of a token.
+OUTPUT_TOKENS = (16, 272)
+RATE = 40.0
+LOAD_SECONDS = 8
+
+
+def run_seconds(process):
+    """Processor time by the scheduler's own nanoseconds, over all threads;
+    the ticks of /proc/PID/stat are too coarse for an idle process."""
+    tasks = pathlib.Path(f"/proc/{process.pid}/task").iterdir()
+    return sum(int((task / "schedstat").read_text().split()[0])
+               for task in tasks) / 1e9
+
+
+def of_kind(cluster, program):
+    return [process for process in cluster.processes
+            if process.program == program]
+
+
+def idle(cluster):
+    time.sleep(3)
+    watched = {program: of_kind(cluster, program)
+               for program in ("entry", "agent")}
+    before = {program: [run_seconds(process) for process in processes]
+              for program, processes in watched.items()}
+    time.sleep(IDLE_SECONDS)
+    figures = {}
+    for program, processes in watched.items():
+        used = [run_seconds(process) - start for process, start
+                in zip(processes, before[program])]
+        figures[program] = {
+            "processes": len(processes),
+            "most_resident_mb": round(max(
+                process.resident_kilobytes() for process in processes) / 1024,
+                1),
+            "mean_core_percent": round(
+                100 * sum(used) / len(used) / IDLE_SECONDS, 3),
+            "most_core_percent": round(100 * max(used) / IDLE_SECONDS, 3)}
+    return figures
+
+
+def loaded(cluster, output_tokens):
+    """Processor time by program over a run, and what it carried."""
+    before = {program: sum(map(run_seconds, of_kind(cluster, program)))
+              for program in ("entry", "agent")}
+    mix = dataclasses.replace(
+        bench_path.SHORT, output=load_plan.Length(output_tokens, 0, 1, 1000))
+    report = load_plan.Load(
+        cluster, f"load-{output_tokens}", mix=mix, rate=RATE, seed=1,
+        warm_up="0s", duration=f"{LOAD_SECONDS}s", tail="0s",
+        calls=False).wait(LOAD_SECONDS + 60)
+    return {"output_tokens": output_tokens, "arrived": report["arrived"],
+            "completed": report["completed"],
+            "violations": report["violations"],
+            "cpu_seconds": {
+                program: sum(map(run_seconds, of_kind(cluster, program))) -
+                start for program, start in before.items()}}
+
+
+def line(runs, program):
+    """Microseconds of a request without tokens, and of a token."""
+    cost = [1e6 * run["cpu_seconds"][program] / run["completed"]
+            for run in runs]
+    token = (cost[1] - cost[0]) / (OUTPUT_TOKENS[1] - OUTPUT_TOKENS[0])
+    return {"us_a_token": round(token, 2),
+            "us_a_request": round(cost[0] - token * OUTPUT_TOKENS[0], 1)}
+
+
+def session_line(few, many, program, few_sessions, many_sessions):
+    """What one more idle session costs a process a second, and in memory."""
+    sessions = many_sessions - few_sessions
+    percent = many[program]["mean_core_percent"] - \
+        few[program]["mean_core_percent"]
+    resident = many[program]["most_resident_mb"] - \
+        few[program]["most_resident_mb"]
+    return {"sessions": [few_sessions, many_sessions],
+            "us_a_session_and_second": round(percent * 1e4 / sessions, 1),
+            "kb_a_session": round(resident * 1024 / sessions, 1)}
+
+
+def cluster(shards):
+    return deployment.Cluster(bench_path.PATH, bench_path.folder("scale"),
+                              engines_a_process=2, entry_shards=shards)
+
+
+def processes():
+    if not all(loopback.binary(program).exists() for program in PROGRAMS):
+        return {"not_run": "the programs are not built"}
+    with cluster(SHARDS[1]) as running:
+        many = idle(running)
+    with cluster(SHARDS[0]) as running:
+        few = idle(running)
+        runs = [loaded(running, tokens) for tokens in OUTPUT_TOKENS]
+    agents = few["agent"]["processes"]
+    return {"measured": f"processes on loopback: 1 entry, {agents} agents",
+            "command": "buildscripts/bench.sh scale",
+            "idle_seconds": IDLE_SECONDS,
+            "idle": {f"{SHARDS[0]} shards": few, f"{SHARDS[1]} shards": many},
+            "idle_lines": {
+                "agent": session_line(few, many, "agent", *SHARDS),
+                "entry": session_line(few, many, "entry",
+                                      *(agents * count for count in SHARDS))},
+            "loaded": runs,
+            "lines": {program: line(runs, program)
+                      for program in ("entry", "agent")}}
+
+
+def run():
+    OUTPUT.parent.mkdir(parents=True, exist_ok=True)
+    with machine.ProcessorWatch() as watch:
+        subprocess.run([str(BENCH), str(OUTPUT)], check=True, timeout=600)
+        report = json.loads(OUTPUT.read_text())
+        report["processes"] = processes()
+    report["machine"] = watch.figures() | {
+        "memory_gb": round(os.sysconf("SC_PAGE_SIZE") *
+                           os.sysconf("SC_PHYS_PAGES") / 1e9)}
+    OUTPUT.write_text(json.dumps(report, indent=1) + "\n")
+    print(json.dumps({key: report[key] for key in ("processes", "machine")},
+                     indent=1))
+    print(f"scale: {OUTPUT}", file=sys.stderr)
+    return 0
--- a/src/scale/internal/agent_scale.cc
+++ b/src/scale/internal/agent_scale.cc
@@ -56,7 +56,9 @@
 };
 
 AttemptId AttemptOf(std::uint64_t number) {
-  return {{number, number}, AttemptNumber(1), Incarnation(1)};
+  // Random-like, as the table hashes by these bits.
+  return {
+      {number * 0x9e3779b97f4a7c15U, number}, AttemptNumber(1), Incarnation(1)};
 }
 
 double BytesOfSessions(std::size_t sessions) {
@@ -98,14 +100,20 @@
   agent.Take();
 }
 
+// At 100 a second; the core remembers attempts for a time, so that a faster
+// pace would cost more each.
 double MicrosecondsOfReservations(std::size_t count) {
-  AgentHarness agent(72);
+  constexpr std::size_t kSecond = 100;
+  AgentHarness agent(1);
   const double begin = ThreadMicroseconds();
   for (std::size_t i = 1; i <= count; ++i) {
     Reserve(agent, i);
     agent.Take();
     agent.Say(1, protocol::Cancel{AttemptOf(i)});
-    agent.Take();
+    if (i % kSecond == 0) {
+      agent.Say(1, protocol::Renew{.incarnation = Incarnation(1)});
+    }
+    agent.Take(Duration(1s) / kSecond);
   }
   return ThreadMicroseconds() - begin;
 }
--- a/src/scale/internal/entry_scale.cc
+++ b/src/scale/internal/entry_scale.cc
@@ -261,13 +261,13 @@
   return used;
 }
 
-double MicrosecondsByPrompt(std::size_t prompt_bytes) {
+double MicrosecondsByPrompt(std::size_t kibibytes) {
   constexpr std::size_t kRequests = 200;
   EntryHarness entry(Shared(1000), 64);
   entry.Settle();
   const double begin = ThreadMicroseconds();
   for (std::size_t i = 0; i < kRequests; ++i) {
-    entry.Generate(prompt_bytes);
+    entry.Generate(1024 * kibibytes);
     entry.ChunkAll();
     entry.EndAll();
   }
@@ -303,7 +303,8 @@
 }  // namespace
 
 std::vector<Sweep> EntrySweeps() {
-  const std::vector<std::size_t> endpoints = {100, 1000, 5000, 12000};
+  // From where every pool is larger than the working set.
+  const std::vector<std::size_t> endpoints = {3000, 6000, 9000, 12000};
   const std::vector<std::size_t> sessions = {144, 288, 576, 1152};
   return {{"entry.endpoint_memory", "bytes", "endpoints in the manifest",
            endpoints, BytesPerEndpoint},
@@ -325,8 +326,8 @@
            MicrosecondsOfRequests},
           {"entry.prompt_cpu",
            "us a request",
-           "prompt bytes",
-           {64, 4096, 32768, 98304},
+           "KiB of prompt",
+           {1, 4, 32, 96},
            MicrosecondsByPrompt},
           {"entry.chunk_cpu",
            "us",
--- a/src/scale/internal/once_scale.cc
+++ b/src/scale/internal/once_scale.cc
@@ -65,7 +65,7 @@
 }
 
 // Appends of one process in 10 s at `rate` claims a second, the log answering
-// at once; a second's worth is returned.
+// at once; a second's worth is returned. Not a line: it ends at 50.
 double AppendsPerSecond(std::size_t rate) {
   constexpr std::size_t kSeconds = 10;
   RandomSource random(11);
@@ -97,7 +97,10 @@
     }
     answer();
   }
-  return static_cast<double>(coordinator.appends()) / kSeconds;
+  // By what chance brought, not by the rate asked for.
+  const auto claims = static_cast<double>(token - 1);
+  return static_cast<double>(coordinator.appends()) / claims *
+         static_cast<double>(rate);
 }
 
 }  // namespace
--- a/src/scale/internal/protocol_scale.cc
+++ b/src/scale/internal/protocol_scale.cc
@@ -46,7 +46,7 @@
   return good == count ? ThreadMicroseconds() - begin : -1;
 }
 
-Measure SizeOf(std::string payload) {
+Measure SizeOf(const std::string& payload) {
   return [size = payload.size()](std::size_t count) {
     return static_cast<double>(size * count);
   };
--- a/src/scale/internal/sweep.cc
+++ b/src/scale/internal/sweep.cc
@@ -66,6 +66,8 @@
   row.intercept = InterceptOf(row.points, row.slope);
   const auto [least, greatest] =
       std::minmax_element(slopes.begin(), slopes.end());
+  row.slope_least = *least;
+  row.slope_greatest = *greatest;
   row.spread = row.slope == 0 ? 0 : (*greatest - *least) / std::abs(row.slope);
   return row;
 }
--- a/src/scale/internal/sweep.h
+++ b/src/scale/internal/sweep.h
@@ -22,6 +22,8 @@
   std::vector<Point> points;  // medians of the runs
   double slope = 0;           // median of the runs' own slopes
   double intercept = 0;
+  double slope_least = 0;
+  double slope_greatest = 0;
   double spread = 0;  // (greatest - least slope) / |median slope|
   int runs = 0;
 };
--- a/src/scale/internal/synthetic_manifest.cc
+++ b/src/scale/internal/synthetic_manifest.cc
@@ -11,14 +11,15 @@
 
 std::string Domain(std::size_t index) {
   const std::size_t hall = index % kDomains;
-  return "region-" + std::to_string(hall % 6) + "-hall-" +
-         std::to_string(hall);
+  return "region-" + std::to_string(hall % 6) + "-hall-" + std::to_string(hall);
 }
 
 std::string Head() {
   std::string text = "version = \"2026-12-01.3\"\ndomains = [";
   for (std::size_t i = 0; i < kDomains; ++i) {
-    text += (i == 0 ? "\"" : ", \"") + Domain(i) + "\"";
+    text += i == 0 ? "\"" : ", \"";
+    text += Domain(i);
+    text += "\"";
   }
   text += "]\n";
   for (std::size_t i = 0; i < kModels; ++i) {
--- a/src/scale/scale_bench.cc
+++ b/src/scale/scale_bench.cc
@@ -27,6 +27,8 @@
           {"points", points},
           {"slope", row.slope},
           {"intercept", row.intercept},
+          {"slope_least", row.slope_least},
+          {"slope_greatest", row.slope_greatest},
           {"spread", row.spread},
           {"runs", row.runs},
           {"command", "buildscripts/bench.sh scale"}};
