Tell the analyzer when no decode endpoint was picked

Cause: the static analyzer took a path on which an endpoint is used that was not found, since one value stood for both. Change: the two cases return on their own. Conclusion: no change of behaviour.

--- a/src/entry/internal/generation_machine.cc
+++ b/src/entry/internal/generation_machine.cc
@@ -146,7 +146,11 @@
 
 bool GenerationMachine::Reserve(Instant now) {
   placement::EndpointView* const view = this->PickDecode(now);
-  this->free_in = view == nullptr ? kShortestPause : this->SlotWait(*view, now);
+  if (view == nullptr) {
+    this->free_in = kShortestPause;
+    return false;
+  }
+  this->free_in = this->SlotWait(*view, now);
   if (this->free_in > Duration::zero()) {
     return false;  // asking it now would only be refused
   }
