Make the slow reader's test independent of the machine's speed

Cause: under sanitizers the stand-in agent fed its chunks so slowly that the engine's stall was found before the reader's, and the test waited in vain. Change: the test keeps the window full, as an engine does, so that only the reader stalls. Conclusion: what failed was the test's own order of events.

--- a/src/entry_process/tests/connection_test.cc
+++ b/src/entry_process/tests/connection_test.cc
@@ -76,28 +76,34 @@
      // Cause of the cut: nothing taken for stall_timeout.
      It("that is not read is cut, and its engine freed",
         [] {
+          constexpr std::uint64_t kWindow = 16;
           std::optional<AttemptId> held;
           Fixture fixture(HoldDecode(held), [](EntryProcessOptions& options) {
-            options.core.stall_timeout = 100ms;
-            options.core.window_chunks = 1000;
+            options.core.stall_timeout = 1s;
+            options.core.window_chunks = kWindow;
           });
           RawPeer caller(fixture.process->port());
+          QObject::disconnect(caller.socket, &QTcpSocket::readyRead, nullptr,
+                              nullptr);
           caller.socket->setReadBufferSize(1);
           caller.Send(RequestText("POST /v1/completions HTTP/1.1", kStreamed));
           WaitUntil("the stream's start", [&] { return held.has_value(); });
-          for (std::uint64_t number = 0; number < 200; ++number) {
-            fixture.decode->Send(
-                protocol::Chunk{.attempt = *held,
-                                .sequence = SequenceNumber(number),
-                                .tokens = 1,
-                                .text = std::string(100'000, 'x')});
-          }
+          std::uint64_t sent = 0;
           WaitUntil("a cancel", [&] {
+            // An engine that keeps the window full, so that only the reader
+            // stalls.
+            while (sent < fixture.decode->acknowledged + kWindow) {
+              fixture.decode->Send(
+                  protocol::Chunk{.attempt = *held,
+                                  .sequence = SequenceNumber(sent++),
+                                  .tokens = 1,
+                                  .text = std::string(1'000'000, 'x')});
+            }
             return fixture.decode->CountReceived<protocol::Cancel>() > 0;
           });
-          WaitUntil("a cut", [&] {
-            return caller.socket->state() == QTcpSocket::UnconnectedState;
-          });
+          caller.socket->setReadBufferSize(0);
+          CPPUNIT_ASSERT(caller.AwaitClose().find("[DONE]") ==
+                         std::string::npos);
         }),
      It("under TLS serves the same, and a plain one not",
         [] {
--- a/src/entry_process/tests/fake_agent.h
+++ b/src/entry_process/tests/fake_agent.h
@@ -37,6 +37,9 @@
   // What entries sent, in order.
   std::vector<protocol::EntryToAgent> received;
 
+  // Chunks that the entry has acknowledged, of the last stream.
+  std::uint64_t acknowledged = 0;
+
   template <typename Message>
   std::size_t CountReceived() const {
     std::size_t count = 0;
@@ -54,6 +57,9 @@
   void Answer(const protocol::StartPrefill& start);
   void Answer(const protocol::StartDecode& start);
   void Answer(const protocol::StartCall& start);
+  void Answer(const protocol::Acknowledge& message) {
+    this->acknowledged = message.through.value + 1;
+  }
   template <typename Other>
   void Answer(const Other& /*message*/) {}
 
