Do not cancel what a doubled answer tells of while it is held

Cause: a frame that does not fit the request's stage was dropped, and its attempt cancelled in case the first cancel was lost. When an answer comes twice the attempt is the one that the request still holds: the second Reserved gave back its own reservation, and a prefill then ran with no place for its result. Change: what is under way at that endpoint is not cancelled. Connections do not double messages; it shows the rule of the entry itself.

--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -33,7 +33,8 @@
 // A frame of another attempt than the one under way is a late answer to
 // something that was given up: taking it would mix two attempts' answers, or
 // start work on a reservation that was given back. It is dropped, and what it
-// tells of is cancelled in case the first Cancel was lost.
+// tells of is cancelled in case the first Cancel was lost; but not what is
+// still held, of which a doubled answer tells.
 bool GenerationMachine::Matches(const Leg& leg,
                                 LegStage stage,
                                 const EndpointId& endpoint,
@@ -45,6 +46,14 @@
          leg.attempt == attempt;
 }
 
+bool GenerationMachine::Holds(const EndpointId& endpoint,
+                              const AttemptId& attempt) const {
+  const auto is_of = [&](const Leg& leg) {
+    return !leg.Idle() && leg.endpoint == endpoint && leg.attempt == attempt;
+  };
+  return is_of(this->prefill) || is_of(this->decode);
+}
+
 Leg& GenerationMachine::LegOf(protocol::Phase phase) {
   return phase == protocol::Phase::kPrefill ? this->prefill : this->decode;
 }
@@ -59,8 +68,10 @@
                                this->Take(endpoint, content, now);
           if (!current) {
             ++this->context.counters.dropped_frames;
-            this->context.fleet.Send(
-                endpoint, protocol::Cancel{.attempt = content.attempt}, now);
+            if (!this->Holds(endpoint, content.attempt)) {
+              this->context.fleet.Send(
+                  endpoint, protocol::Cancel{.attempt = content.attempt}, now);
+            }
           }
         }
       },
--- a/src/entry/internal/generation_machine.h
+++ b/src/entry/internal/generation_machine.h
@@ -95,6 +95,8 @@
                LegStage stage,
                const EndpointId& endpoint,
                const AttemptId& attempt) const;
+  // The attempt is one that is under way at that endpoint now.
+  bool Holds(const EndpointId& endpoint, const AttemptId& attempt) const;
   Leg& LegOf(protocol::Phase phase);
   void OnFirstChunk(Instant now);
 
--- a/src/entry/tests/generation_test.cc
+++ b/src/entry/tests/generation_test.cc
@@ -393,6 +393,25 @@
 
 // Each rule that a test may switch off: with it the breach does not happen,
 // without it it does, so that a checker can be shown to catch its absence.
+const testing::Story kDoubled(
+    "a message that comes twice",
+    {// Symptom: a prefill runs and its result has no place to go. Sequence:
+     // the answer to a reservation comes a second time while the prefill is
+     // under way. Cause: it was dropped as a superseded one is, and what it
+     // tells of cancelled; but that is the reservation still held.
+     It("does not cancel what the request holds", [] {
+       ReadyDriver driver;
+       driver.Generate();
+       std::string decode;
+       const AttemptId attempt = driver.Reserve(&decode);
+       driver.Tell(decode, protocol::Reserved{.attempt = attempt});
+       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, driver.Count<protocol::Cancel>());
+       AttemptId other = attempt;
+       other.attempt = AttemptNumber(attempt.attempt.value + 9);
+       driver.Tell(decode, protocol::Reserved{.attempt = other});
+       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Count<protocol::Cancel>());
+     })});
+
 struct Rule {
   const char* name;
   bool EntryRules::*rule;
