Let endpoints leave in explored runs, and watch what is cancelled

Cause: the explorer drained no agent and let no endpoint leave, and an attempt that its entry had cancelled counted as wanted. Change: both drawn now; the checker bounds what is held after a cancel, and takes back that an endpoint leaves when a newer manifest says so. Conclusion: the explorer covers leaving too.

--- a/src/scenario/explorer.h
+++ b/src/scenario/explorer.h
@@ -33,9 +33,10 @@
   kLogAnswersLost,
   kLogLate,
   kDrainEntry,
+  kDrainAgent,
   kPublish,
 };
-inline constexpr EnumNames<EventKind, 21> kEventKindNames = {{
+inline constexpr EnumNames<EventKind, 22> kEventKindNames = {{
     {EventKind::kAsk, "ask"},
     {EventKind::kCall, "call"},
     {EventKind::kTicketCall, "ticket call"},
@@ -56,6 +57,7 @@
     {EventKind::kLogAnswersLost, "log answers lost"},
     {EventKind::kLogLate, "log late"},
     {EventKind::kDrainEntry, "drain entry"},
+    {EventKind::kDrainAgent, "drain agent"},
     {EventKind::kPublish, "publish"},
 }};
 
--- a/src/scenario/internal/agent_host.cc
+++ b/src/scenario/internal/agent_host.cc
@@ -48,21 +48,7 @@
                 this->decisions->OnManifest(accepted.manifest,
                                             this->parts.queue.now());
               },
-          .ask_peer =
-              [this](LogOffset offset) {
-                this->parts.queue.After(
-                    this->parts.options.network_delay * 2,
-                    [this, offset, later = this->Later()] {
-                      const auto [found, text] =
-                          this->parts.peer_manifest(offset);
-                      if (!text.empty()) {
-                        later([this, found, text] {
-                          (void)this->manifests.follower().OnPeerManifest(found,
-                                                                          text);
-                        });
-                      }
-                    });
-              }};
+          .ask_peer = this->parts.peer_manifest};
 }
 
 void AgentHost::Start() {
@@ -107,7 +93,7 @@
 
 void AgentHost::Drain() {
   this->Feed([this] {
-    this->parts.checker.OnLeaving(EndpointId(this->Name()));
+    this->parts.checker.OnDrain(EndpointId(this->Name()));
     this->decisions->BeginDrain(this->parts.queue.now());
   });
 }
--- a/src/scenario/internal/checker.cc
+++ b/src/scenario/internal/checker.cc
@@ -73,15 +73,25 @@
     this->Report(process + ": back to an older manifest");
   }
   newest = manifest.offset;
+  if (manifest.offset <= this->newest_manifest) {
+    return;
+  }
+  this->newest_manifest = manifest.offset;
   for (const manifest::Endpoint& endpoint : manifest.endpoints) {
     if (endpoint.leaving) {
-      this->OnLeaving(endpoint.id);
+      this->leaving.emplace(endpoint.id, this->queue.now());
+    } else {
+      this->leaving.erase(endpoint.id);
     }
   }
 }
 
-void Checker::OnLeaving(const EndpointId& endpoint) {
-  this->leaving.emplace(endpoint, this->queue.now());
+void Checker::OnDrain(const EndpointId& endpoint) {
+  this->draining.emplace(endpoint, this->queue.now());
+}
+
+void Checker::OnAgentStarted(const EndpointId& endpoint) {
+  this->draining.erase(endpoint);
 }
 
 void Checker::SetDisturbed(bool is_disturbed) {
@@ -92,10 +102,13 @@
 }
 
 bool Checker::LeftLongAgo(const EndpointId& endpoint) const {
-  const auto left = this->leaving.find(endpoint);
-  return left != this->leaving.end() && !this->disturbed &&
-         this->queue.now() > this->calm_since + kCalm &&
-         this->queue.now() > left->second + kLeavingBound;
+  const auto long_ago = [&](const std::map<EndpointId, Instant>& all) {
+    const auto found = all.find(endpoint);
+    return found != all.end() &&
+           this->queue.now() > found->second + kLeavingBound;
+  };
+  return !this->disturbed && this->queue.now() > this->calm_since + kCalm &&
+         (long_ago(this->leaving) || long_ago(this->draining));
 }
 
 // ---- messages and commands ----
@@ -123,6 +136,7 @@
         } else if constexpr (std::is_same_v<Message, protocol::Cancel>) {
           this->reservations[{entry, typed.attempt.request}].erase(
               {endpoint, typed.attempt.attempt});
+          this->given_up.insert({endpoint, typed.attempt});
         }
       },
       message);
@@ -142,9 +156,7 @@
 
 void Checker::OnArrival(const EndpointId& endpoint,
                         const protocol::EntryToAgent& message) {
-  const auto left = this->leaving.find(endpoint);
-  if (left != this->leaving.end() &&
-      this->queue.now() > left->second + kLeavingBound) {
+  if (this->LeftLongAgo(endpoint)) {
     return;
   }
   std::visit(
@@ -195,7 +207,8 @@
 void Checker::LookAtHeld(const std::vector<HeldAttempt>& held) {
   std::map<std::pair<Place, bool>, Instant> still;
   for (const HeldAttempt& item : held) {
-    if (item.wanted) {
+    if (item.wanted &&
+        !this->given_up.contains({item.endpoint, item.attempt})) {
       continue;
     }
     const std::pair<Place, bool> key{{item.endpoint, item.attempt},
--- a/src/scenario/internal/checker.h
+++ b/src/scenario/internal/checker.h
@@ -55,7 +55,9 @@
   void OnManifest(const std::string& process,
                   std::uint64_t start,
                   const manifest::Manifest& manifest);
-  void OnLeaving(const EndpointId& endpoint);
+  void OnDrain(const EndpointId& endpoint);
+  // A drain of its process ended with it; a manifest's order did not.
+  void OnAgentStarted(const EndpointId& endpoint);
   // While true, entries may be late to hear who leaves.
   void SetDisturbed(bool is_disturbed);
 
@@ -93,12 +95,15 @@
   std::vector<std::string> found;
   std::set<std::string> known;
   std::map<std::pair<std::string, std::uint64_t>, LogOffset> offsets;
-  std::map<EndpointId, Instant> leaving;
+  LogOffset newest_manifest;
+  std::map<EndpointId, Instant> leaving;   // by the newest manifest
+  std::map<EndpointId, Instant> draining;  // by their agents' drains
   bool disturbed = false;
   Instant calm_since{};
   std::map<Work, std::set<std::pair<EndpointId, AttemptNumber>>> reservations;
-  std::set<Place> granted;  // reservations, by the agent's word
-  std::set<Place> arrived;  // attempts, before their endpoint left
+  std::set<Place> given_up;  // cancelled by their entries
+  std::set<Place> granted;   // reservations, by the agent's word
+  std::set<Place> arrived;   // attempts, but new ones after it left
   std::map<std::pair<Place, bool>, Instant> unwanted_since;
 };
 
--- a/src/scenario/internal/entry_host.cc
+++ b/src/scenario/internal/entry_host.cc
@@ -79,21 +79,7 @@
                 this->decisions->OnManifest(accepted.manifest,
                                             this->parts.queue.now());
               },
-          .ask_peer =
-              [this](LogOffset offset) {
-                this->parts.queue.After(
-                    this->parts.options.network_delay * 2,
-                    [this, offset, later = this->Later()] {
-                      const auto [found, text] =
-                          this->parts.peer_manifest(offset);
-                      if (!text.empty()) {
-                        later([this, found, text] {
-                          (void)this->manifests.follower().OnPeerManifest(found,
-                                                                          text);
-                        });
-                      }
-                    });
-              }};
+          .ask_peer = this->parts.peer_manifest};
 }
 
 void EntryHost::Start() {
--- a/src/scenario/internal/explorer.cc
+++ b/src/scenario/internal/explorer.cc
@@ -94,8 +94,12 @@
         this->Later(event.length, [this] { this->world.SetLog({}); });
         break;
       case EventKind::kPublish:
-        this->world.Publish("v" + std::to_string(event.second),
-                            this->world.OffsetOf("entry e1"), {});
+        this->world.Publish(
+            "v" + std::to_string(event.second),
+            this->world.OffsetOf("entry e1"),
+            event.second % 2 == 0
+                ? std::set<std::string>{}
+                : std::set<std::string>{EndpointOf(event.first)});
         break;
       default:
         this->DoProcess(event);
@@ -167,6 +171,12 @@
       case EventKind::kRestartEngine:
         this->world.RestartEngine(engine);
         break;
+      case EventKind::kDrainAgent:
+        this->world.Drain(agent);
+        // As its host's supervisor would, once it has left.
+        this->Later(kAwayFactor * event.length,
+                    [this, agent] { this->world.Restart(agent); });
+        break;
       default:
         this->world.Drain(entry);
         break;
--- a/src/scenario/internal/lua_state.cc
+++ b/src/scenario/internal/lua_state.cc
@@ -117,7 +117,7 @@
   if (!this->Field(key)) {
     return fallback;
   }
-  const std::string text = TextAt(this->state, -1);
+  std::string text = TextAt(this->state, -1);
   lua_pop(this->state, 1);
   return text;
 }
@@ -178,7 +178,7 @@
 
 std::string LuaArguments::Place() const {
   luaL_where(this->state, 1);
-  const std::string place = lua_tostring(this->state, -1);
+  std::string place = lua_tostring(this->state, -1);
   lua_pop(this->state, 1);
   return place;
 }
--- a/src/scenario/internal/manifest_feed.h
+++ b/src/scenario/internal/manifest_feed.h
@@ -14,6 +14,12 @@
 namespace acacialug::scenario {
 
 inline constexpr char kConfigurationStream[] = "configuration";
+inline constexpr Duration kPeerRoundTrip = 1ms;
+
+struct PeerManifest {
+  LogOffset offset;
+  std::string text;
+};
 
 // The configuration of one process: its follower, and what that asks of the
 // log and of peers. Not thread safe.
@@ -23,7 +29,9 @@
     // A way to run tasks in the process for as long as it lives.
     std::function<std::function<void(std::function<void()>)>()> later;
     std::function<void(const configuration::AcceptedManifest&)> put_in_force;
-    std::function<void(LogOffset)> ask_peer;
+    // The text of a manifest of that offset or later, as some other live
+    // process has it; empty if none does.
+    std::function<PeerManifest(LogOffset)> ask_peer;
   };
 
   ManifestFeed(configuration::FollowerOptions options,
@@ -66,7 +74,17 @@
     this->hooks.put_in_force(forced.accepted);
   }
   void Run(const configuration::AskPeer& ask) {
-    this->hooks.ask_peer(ask.offset);
+    this->queue.After(
+        kPeerRoundTrip, [this, offset = ask.offset, later = this->hooks.later(),
+                         ask_peer = this->hooks.ask_peer] {
+          const PeerManifest peer = ask_peer(offset);
+          if (!peer.text.empty()) {
+            later([this, peer] {
+              // One that is not newer than what is in force is no error here.
+              (void)this->state.OnPeerManifest(peer.offset, peer.text);
+            });
+          }
+        });
   }
 
   EventQueue& queue;
--- a/src/scenario/internal/manifest_text.cc
+++ b/src/scenario/internal/manifest_text.cc
@@ -43,11 +43,16 @@
                            Pool{"s", "app", "plain", options.plain}}) {
     for (std::uint32_t number = 1; number <= pool.count; ++number) {
       const std::string id = pool.prefix + std::to_string(number);
-      text += "[[endpoint]]\nid = \"" + id + "\"\nhost = \"h-" + id +
-              "\"\ndomain = \"a\"\nservice = \"" + pool.service +
-              "\"\nrole = \"" + pool.role +
-              "\"\nagent = \"127.0.0.1:" + std::to_string(port++) +
-              "\"\nslots = " + std::to_string(options.slots) + "\n";
+      for (const std::string& piece :
+           {std::string("[[endpoint]]\nid = \""), id,
+            std::string("\"\nhost = \"h-"), id,
+            std::string("\"\ndomain = \"a\"\nservice = \""), pool.service,
+            std::string("\"\nrole = \""), pool.role,
+            std::string("\"\nagent = \"127.0.0.1:"), std::to_string(port++),
+            std::string("\"\nslots = "), std::to_string(options.slots),
+            std::string("\n")}) {
+        text += piece;
+      }
       if (pool.role == "decode") {
         text += "kv_tokens = " + std::to_string(options.kv_tokens) + "\n";
       }
--- a/src/scenario/internal/platform_log.cc
+++ b/src/scenario/internal/platform_log.cc
@@ -38,7 +38,7 @@
 void PlatformLog::ReadFrom(const std::string& stream,
                            LogOffset from,
                            Duration wait,
-                           OnRead on_done) {
+                           const OnRead& on_done) {
   this->queue.After(this->delay + this->current.delay, [=, this] {
     this->waiting.push_back({.stream = stream,
                              .from = from,
--- a/src/scenario/internal/platform_log.h
+++ b/src/scenario/internal/platform_log.h
@@ -36,7 +36,7 @@
   void ReadFrom(const std::string& stream,
                 LogOffset from,
                 Duration wait,
-                OnRead on_done);
+                const OnRead& on_done);
 
   void Set(const Faults& new_faults);
   const Faults& faults() const { return this->current; }
--- a/src/scenario/world.cc
+++ b/src/scenario/world.cc
@@ -42,7 +42,7 @@
             this->wires,
             this->asking,
             this->rules,
-            [this](LogOffset offset) { return this->PeerManifest(offset); }} {
+            [this](LogOffset offset) { return this->FindManifest(offset); }} {
   this->Publish("v1", {}, {});
   this->Run(this->settings.log_delay * 3);
   this->AddEndpoints();
@@ -207,6 +207,7 @@
     return true;
   }
   if (kind == "agent" && this->engines.contains(name)) {
+    this->rules.OnAgentStarted(EndpointId(name));
     this->StartAgent(name);
     return true;
   }
@@ -319,7 +320,7 @@
       [](const Result<LogOffset>&) {});
 }
 
-std::pair<LogOffset, std::string> World::PeerManifest(LogOffset offset) const {
+PeerManifest World::FindManifest(LogOffset offset) const {
   for (const auto& [name, entry] : this->entries) {
     const auto* held = entry->feed().follower().in_force();
     if (!entry->paused() && held != nullptr &&
--- a/src/scenario/world.h
+++ b/src/scenario/world.h
@@ -101,7 +101,7 @@
   std::shared_ptr<AgentHost> FindAgent(const std::string& name) const;
   // Null for a name of another form, or when it does not run.
   std::shared_ptr<Process> Find(const std::string& process) const;
-  std::pair<LogOffset, std::string> PeerManifest(LogOffset offset) const;
+  PeerManifest FindManifest(LogOffset offset) const;
 
   bool Step(Instant end);
   void Settle();
