--- a/src/scenario/world.cc
+++ b/src/scenario/world.cc
@@ -5,22 +5,14 @@
 
 #include "configuration/types/configuration_record.h"
 #include "scenario/internal/manifest_text.h"
+#include "scenario/internal/process_name.h"
 
 namespace acacialug::scenario {
 namespace {
 
-constexpr Duration kLookInterval = 100ms;
 // More steps without any time passing: the processes keep each other busy.
 constexpr std::uint64_t kMostStepsAtOnce = 200000;
 
-// "entry e1" -> {"entry", "e1"}.
-std::pair<std::string, std::string> Split(const std::string& process) {
-  const std::size_t space = process.find(' ');
-  return space == std::string::npos
-             ? std::pair<std::string, std::string>()
-             : std::pair(process.substr(0, space), process.substr(space + 1));
-}
-
 }  // namespace
 
 World::World(const WorldOptions& world_options)
@@ -172,7 +164,7 @@
 }
 
 std::shared_ptr<Process> World::Find(const std::string& process) const {
-  const auto [kind, name] = Split(process);
+  const auto [kind, name] = SplitName(process);
   if (kind == "entry") {
     return this->FindEntry(name);
   }
@@ -180,122 +172,6 @@
                          : nullptr;
 }
 
-bool World::Kill(const std::string& process, bool silently) {
-  const auto [kind, name] = Split(process);
-  if (const auto entry = kind == "entry" ? this->FindEntry(name) : nullptr) {
-    this->entries.erase(name);
-    this->draining.erase(name);
-    entry->End();
-    this->wires.OnEntryEnded(*entry, silently);
-    this->asking.OnEntryEnded(*entry);
-    return true;
-  }
-  if (const auto agent = kind == "agent" ? this->FindAgent(name) : nullptr) {
-    this->agents.erase(name);
-    agent->End();
-    this->wires.OnAgentEnded(*agent, silently);
-    return true;
-  }
-  return false;
-}
-
-bool World::Restart(const std::string& process) {
-  const auto [kind, name] = Split(process);
-  this->Kill(process);
-  if (kind == "entry") {
-    this->StartEntry(name);
-    return true;
-  }
-  if (kind == "agent" && this->engines.contains(name)) {
-    this->rules.OnAgentStarted(EndpointId(name));
-    this->StartAgent(name);
-    return true;
-  }
-  return false;
-}
-
-bool World::Pause(const std::string& process) {
-  const auto found = this->Find(process);
-  if (found != nullptr) {
-    found->Pause();
-    this->rules.SetDisturbed(true);
-  }
-  return found != nullptr;
-}
-
-bool World::Resume(const std::string& process) {
-  const auto found = this->Find(process);
-  if (found != nullptr && found->paused()) {
-    found->Resume();
-    this->rules.SetDisturbed(this->Disturbed());
-  }
-  return found != nullptr;
-}
-
-bool World::Drain(const std::string& process) {
-  const auto [kind, name] = Split(process);
-  if (const auto entry = kind == "entry" ? this->FindEntry(name) : nullptr) {
-    this->draining.insert(name);
-    entry->Feed([this, host = entry.get()] {
-      host->core().BeginDrain(this->queue.now());
-    });
-    return true;
-  }
-  if (const auto agent = kind == "agent" ? this->FindAgent(name) : nullptr) {
-    agent->Drain();
-    return true;
-  }
-  return false;
-}
-
-bool World::Stall(const std::string& endpoint, Duration length) {
-  const auto found = this->engines.find(endpoint);
-  if (found != this->engines.end()) {
-    found->second->Stall(length);
-  }
-  return found != this->engines.end();
-}
-
-bool World::RestartEngine(const std::string& endpoint) {
-  const auto found = this->engines.find(endpoint);
-  if (found != this->engines.end()) {
-    found->second->Restart();
-  }
-  return found != this->engines.end();
-}
-
-bool World::StallTransfers(const std::string& endpoint, bool is_out) {
-  const auto found = this->engines.find(endpoint);
-  if (found != this->engines.end()) {
-    found->second->StallTransfers(is_out);
-  }
-  return found != this->engines.end();
-}
-
-void World::SetLog(const PlatformLog::Faults& faults) {
-  this->platform_log.Set(faults);
-  this->rules.SetDisturbed(this->Disturbed());
-}
-
-void World::Partition(const std::string& entry, const std::string& endpoint) {
-  this->wires.Partition(entry, endpoint);
-  this->rules.SetDisturbed(true);
-}
-
-void World::Heal(const std::string& entry, const std::string& endpoint) {
-  this->wires.Heal(entry, endpoint);
-  this->rules.SetDisturbed(this->Disturbed());
-}
-
-bool World::Disturbed() const {
-  const PlatformLog::Faults& log_faults = this->platform_log.faults();
-  const auto is_paused = [](const auto& item) { return item.second->paused(); };
-  return this->wires.partitioned() || log_faults.outage ||
-         log_faults.lose_answers || log_faults.delay > Duration::zero() ||
-         std::any_of(this->entries.begin(), this->entries.end(), is_paused) ||
-         std::any_of(this->agents.begin(), this->agents.end(), is_paused);
-}
-
 // ---- callers and configuration ----
 
 Result<std::string> World::Ticket(const std::string& entry) {
@@ -332,7 +208,7 @@
 }
 
 LogOffset World::OffsetOf(const std::string& process) const {
-  const auto [kind, name] = Split(process);
+  const auto [kind, name] = SplitName(process);
   if (const auto entry = this->FindEntry(name)) {
     return entry->feed().follower().offset();
   }
@@ -341,7 +217,7 @@
 }
 
 std::string World::VersionOf(const std::string& process) const {
-  const auto [kind, name] = Split(process);
+  const auto [kind, name] = SplitName(process);
   const configuration::AcceptedManifest* held = nullptr;
   if (const auto entry = this->FindEntry(name)) {
     held = entry->feed().follower().in_force();
@@ -392,131 +268,4 @@
   return "";
 }
 
-// ---- checks ----
-
-void World::LookEvery() {
-  this->queue.After(kLookInterval, [this] {
-    this->Look();
-    this->LookEvery();
-  });
-}
-
-void World::Look() {
-  std::vector<Checker::HeldAttempt> held;
-  for (const auto& [id, engine] : this->engines) {
-    const auto agent = this->FindAgent(id);
-    const bool absent = agent == nullptr || agent->paused();
-    for (const standin::HeldRequest& item : engine->held()) {
-      const AttemptId attempt =
-          ParseAttemptId(item.request_id).value_or(AttemptId{});
-      held.push_back({.endpoint = EndpointId(id),
-                      .attempt = attempt,
-                      .wanted = this->Wanted(attempt),
-                      .excused = absent || engine->stalled()});
-    }
-    // A call that began cannot be taken back: only models free at once.
-    if (agent == nullptr || engine->role() == protocol::EndpointRole::kPlain) {
-      continue;
-    }
-    for (const AttemptId& attempt : agent->core().held_attempts()) {
-      held.push_back({.endpoint = EndpointId(id),
-                      .attempt = attempt,
-                      .by_agent = true,
-                      .wanted = this->Wanted(attempt),
-                      .excused = absent});
-    }
-  }
-  this->rules.LookAtHeld(held);
-  this->rules.LookAtCalls(
-      this->asking.requests(),
-      [this](const std::string& marker) { return this->Executions(marker); });
-}
-
-bool World::Wanted(const AttemptId& attempt) const {
-  const std::uint64_t number = attempt.request.low;
-  return number >= 1 && number <= this->asking.requests().size() &&
-         this->asking.Get(number).state == RequestState::kOpen &&
-         std::any_of(this->entries.begin(), this->entries.end(),
-                     [&attempt](const auto& item) {
-                       return item.second->incarnation() == attempt.entry;
-                     });
-}
-
-void World::Settle() {
-  this->wires.HealAll();
-  this->platform_log.Set({});
-  for (const auto& [id, engine] : this->engines) {
-    engine->StallTransfers(false);
-    if (!this->agents.contains(id)) {
-      this->StartAgent(id);
-    }
-  }
-  for (std::uint32_t number = 1; number <= this->settings.entries; ++number) {
-    const std::string name = "e" + std::to_string(number);
-    if (!this->entries.contains(name) && !this->stopped.contains(name)) {
-      this->StartEntry(name);
-    }
-  }
-  for (const auto& [name, agent] : this->agents) {
-    agent->Resume();
-  }
-  for (const auto& [name, entry] : this->entries) {
-    entry->Resume();
-  }
-  this->rules.SetDisturbed(false);
-}
-
-void World::Quiet() {
-  this->Settle();
-  const Instant end = this->queue.now() + kQuietLimit;
-  while (!this->Idle() && this->queue.now() < end) {
-    this->Run(1s);
-  }
-  this->Look();
-  this->CheckLeftOvers();
-}
-
-bool World::Idle() const {
-  const auto& requests = this->asking.requests();
-  return std::all_of(requests.begin(), requests.end(),
-                     [](const Request& request) {
-                       return request.state != RequestState::kOpen;
-                     }) &&
-         std::all_of(
-             this->engines.begin(), this->engines.end(),
-             [](const auto& item) { return item.second->held().empty(); }) &&
-         std::all_of(this->agents.begin(), this->agents.end(),
-                     [](const auto& item) {
-                       return item.second->core().held_attempts().empty();
-                     }) &&
-         std::all_of(this->entries.begin(), this->entries.end(),
-                     [](const auto& item) {
-                       return item.second->core().alive_requests() == 0;
-                     });
-}
-
-void World::CheckLeftOvers() {
-  for (const Request& request : this->asking.requests()) {
-    if (request.state == RequestState::kOpen) {
-      this->rules.Report("request " + std::to_string(request.number) +
-                         ": no final answer");
-    }
-  }
-  for (const auto& [id, engine] : this->engines) {
-    if (!engine->held().empty()) {
-      this->rules.Report(id + ": engine memory left behind");
-    }
-  }
-  for (const auto& [id, agent] : this->agents) {
-    if (!agent->core().held_attempts().empty()) {
-      this->rules.Report(id + ": a reservation left behind");
-    }
-  }
-  for (const auto& [name, entry] : this->entries) {
-    if (entry->core().alive_requests() != 0) {
-      this->rules.Report(name + ": a request left behind");
-    }
-  }
-}
-
 }  // namespace acacialug::scenario
