Number a manifest file's readings alike in entry and agent

Cause: entries counted a file's readings from 1 and agents from 0, so that status showed two offsets for one manifest and agents heard of a newer one. Change: both count from 1. Measured: seen in acacialugctl status on the demo (1 against 0). Conclusion: a file's offsets agree as long as both are reloaded together.

--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -112,7 +112,7 @@
       return read.error();
     }
     auto numbered = std::make_shared<manifest::Manifest>(**read);
-    numbered->offset = LogOffset(this->file_readings++);
+    numbered->offset = LogOffset(++this->file_readings);
     this->GiveMemoryBack();
     return this->process.OnManifest(numbered);
   }
