--- a/src/scale/internal/synthetic_manifest.cc
+++ b/src/scale/internal/synthetic_manifest.cc
@@ -14,6 +14,15 @@
   return "region-" + std::to_string(hall % 6) + "-hall-" + std::to_string(hall);
 }
 
+std::string ServiceText(std::size_t index) {
+  const std::string name = ModelName(index);
+  return "\n[[service]]\nname = \"service-" + name +
+         "\"\nkind = \"model\"\nmodels = [\"" + name +
+         "\"]\nmodel_version = \"2026-11-01\"\n" +
+         "\n[[service.class]]\nname = \"interactive-" + std::to_string(index) +
+         "\"\nfirst_token = \"410ms\"\ntoken_interval = \"60ms\"\n";
+}
+
 std::string Head() {
   std::string text = "version = \"2026-12-01.3\"\ndomains = [";
   for (std::size_t i = 0; i < kDomains; ++i) {
@@ -23,12 +32,7 @@
   }
   text += "]\n";
   for (std::size_t i = 0; i < kModels; ++i) {
-    const std::string name = ModelName(i);
-    text += "\n[[service]]\nname = \"service-" + name +
-            "\"\nkind = \"model\"\nmodels = [\"" + name +
-            "\"]\nmodel_version = \"2026-11-01\"\n" +
-            "\n[[service.class]]\nname = \"interactive-" + std::to_string(i) +
-            "\"\nfirst_token = \"410ms\"\ntoken_interval = \"60ms\"\n";
+    text += ServiceText(i);
   }
   return text;
 }
