Keep an adaptive limit from becoming no number

Change: a latency of zero is left out; a test tells the sequence. Conclusion: what is below the clock's resolution says nothing of a pool.

--- a/src/admission/adaptive_limit.cc
+++ b/src/admission/adaptive_limit.cc
@@ -25,6 +25,11 @@
 void AdaptiveLimit::EndMeasured(double latency) {
   const double used = this->in_flight;
   this->End();
+  if (!(latency > 0)) {
+    // Below the clock's resolution. Were it the first, the ratio below would
+    // be 0/0, the limit no number, and nothing would be admitted ever again.
+    return;
+  }
   if (this->long_run <= 0) {
     this->long_run = latency;
     this->recent = latency;
--- a/src/admission/adaptive_limit.h
+++ b/src/admission/adaptive_limit.h
@@ -33,7 +33,8 @@
   // Ended without telling anything of the pool's speed. Precondition: one
   // Begin for each end.
   void End() { --this->in_flight; }
-  // Ended after this time, in any unit that is the same for all.
+  // Ended after this time, in any unit that is the same for all. Zero tells
+  // nothing of the pool's speed.
   void EndMeasured(double latency);
   // The pool refused or timed out: falls at once.
   void EndOverloaded();
--- a/src/admission/tests/admission_test.cc
+++ b/src/admission/tests/admission_test.cc
@@ -120,23 +120,36 @@
 
 const testing::Story kLimit(
     "an adaptive limit",
-    {It("grows while latency stays, falls as it rises, and recovers", [] {
-      AdaptiveLimit limit({.initial = 20});
-      const auto run = [&limit](int count, double latency) {
-        for (int step = 0; step < count; ++step) {
-          while (limit.Admits()) {
-            limit.Begin();
-          }
-          limit.EndMeasured(latency);
-        }
-        return limit.Limit();
-      };
-      const std::uint32_t usual = run(100, 1.0);
-      CPPUNIT_ASSERT(usual > 20);
-      const std::uint32_t slow = run(200, 10.0);
-      CPPUNIT_ASSERT(slow < usual / 2);
-      CPPUNIT_ASSERT(run(400, 1.0) > slow);
-    })});
+    {It("grows while latency stays, falls as it rises, and recovers",
+        [] {
+          AdaptiveLimit limit({.initial = 20});
+          const auto run = [&limit](int count, double latency) {
+            for (int step = 0; step < count; ++step) {
+              while (limit.Admits()) {
+                limit.Begin();
+              }
+              limit.EndMeasured(latency);
+            }
+            return limit.Limit();
+          };
+          const std::uint32_t usual = run(100, 1.0);
+          CPPUNIT_ASSERT(usual > 20);
+          const std::uint32_t slow = run(200, 10.0);
+          CPPUNIT_ASSERT(slow < usual / 2);
+          CPPUNIT_ASSERT(run(400, 1.0) > slow);
+        }),
+     // Symptom: a service admits nothing any more.
+     // Sequence: the first answer of a pool took less than the clock shows.
+     // Cause: the gradient was 0/0, and the limit became no number.
+     It("still admits after a first latency of zero", [] {
+       AdaptiveLimit limit({.initial = 20});
+       limit.Begin();
+       limit.EndMeasured(0.0);
+       CPPUNIT_ASSERT(limit.Admits());
+       limit.Begin();
+       limit.EndMeasured(1.0);
+       CPPUNIT_ASSERT_EQUAL(std::uint32_t{20}, limit.Limit());
+     })});
 
 const testing::Story kMargin(
     "a prediction margin",
