Set the burn page's figures under their headings

Cause: seen in a headless browser, figures stood right and headings left. Change: headings of figures are set right as well. Measured: control_tests 10 passed; the page was looked at before the change. Conclusion: columns read straight down.

--- a/src/control/internal/burn_report_text.cc
+++ b/src/control/internal/burn_report_text.cc
@@ -72,7 +72,7 @@
 background:var(--paper);max-width:70rem;margin:2rem auto;padding:0 1rem}
 table{border-collapse:collapse;width:100%;margin-bottom:2rem}
 th,td{text-align:left;padding:.4rem .6rem;border-bottom:1px solid var(--line)}
-td.number{text-align:right;font-variant-numeric:tabular-nums}
+.number{text-align:right;font-variant-numeric:tabular-nums}
 .track{fill:var(--line)}.good{fill:var(--good)}.low{fill:var(--low)}
 </style></head><body><h1>Service-level burn</h1>
 )";
@@ -162,16 +162,20 @@
 std::string RenderHtml(const BurnReport& report) {
   std::string page = kPageHead;
   page += Format(
-      "<table><tr><th>Service</th><th>Class</th><th>Objective</th>"
-      "<th>Requests</th><th>Compliance</th><th>Budget left</th>"
-      "<th>Burn rate</th><th>Last %.0f s</th><th>Missed by</th></tr>\n",
+      "<table><tr><th>Service</th><th>Class</th><th "
+      "class='number'>Objective</th>"
+      "<th class='number'>Requests</th><th class='number'>Compliance</th>"
+      "<th>Budget left</th>"
+      "<th class='number'>Burn rate</th><th class='number'>Last %.0f s</th>"
+      "<th>Missed by</th></tr>\n",
       Seconds(report.window));
   for (const BurnRow& row : report.classes) {
     page += HtmlRow(row);
   }
   page +=
       "</table><h2>Prefill work</h2><table><tr><th>Service</th>"
-      "<th>Computed tokens</th><th>Wasted tokens</th><th>Share</th>"
+      "<th class='number'>Computed tokens</th>"
+      "<th class='number'>Wasted tokens</th><th class='number'>Share</th>"
       "<th>Causes</th></tr>\n";
   for (const WasteRow& row : report.prefill) {
     page += HtmlRow(row);
