Let a ticket's age be told, and refuse old ones

Cause: a ticket carried no time; an agent that ran longer than its ledger's window had forgotten the key and would have run the work a second time.

--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -63,8 +63,9 @@
 }
 
 Result<std::string> EntryCore::IssueTicket(const ServiceName& service,
+                                           std::chrono::milliseconds wall_clock,
                                            Instant now) {
-  return this->implementation->IssueTicket(service, now);
+  return this->implementation->IssueTicket(service, wall_clock, now);
 }
 
 void EntryCore::OnLeavingHosts(const std::set<HostId>& hosts, Instant now) {
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_ENTRY_CORE_H_
 #define ENTRY_ENTRY_CORE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -51,8 +52,11 @@
   void OnClaimsRead(const ClaimsRead& read, Instant now);
 
   // A right to run one non-idempotent call, bound to an endpoint that is
-  // usable now. Errors: kNotReady, kUnknownService, kNoEndpoint.
-  Result<std::string> IssueTicket(const ServiceName& service, Instant now);
+  // usable now; `wall_clock`, the time since 1970, tells its age. Errors:
+  // kNotReady, kUnknownService, kNoEndpoint.
+  Result<std::string> IssueTicket(const ServiceName& service,
+                                  std::chrono::milliseconds wall_clock,
+                                  Instant now);
 
   // The hosts that the platform says are leaving (replaces what was told
   // before): their endpoints get no new work; what runs there goes on.
--- a/src/entry/internal/log_once.cc
+++ b/src/entry/internal/log_once.cc
@@ -89,6 +89,13 @@
     this->Refuse(submission.request, ResultCode::kTicketInvalid, {});
     return;
   }
+  const Status age =
+      once::CheckTicketAge(*ticket, this->options.wall_clock(),
+                           this->options.key_window, this->options.clock_skew);
+  if (!age.ok()) {
+    this->Refuse(submission.request, age.error().result_code(), {});
+    return;
+  }
   this->verdicts.emplace_back(OnceRun{
       .request = submission.request,
       .once = BoundTo(ticket->key, submission.fingerprint, ticket->home.agent,
--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -170,8 +170,10 @@
   this->Settle(now);
 }
 
-Result<std::string> RequestRouter::IssueTicket(const ServiceName& service,
-                                               Instant now) {
+Result<std::string> RequestRouter::IssueTicket(
+    const ServiceName& service,
+    std::chrono::milliseconds wall_clock,
+    Instant now) {
   this->Begin(now);
   if (!this->manifest) {
     return Error(ResultCode::kNotReady);
@@ -186,8 +188,9 @@
     return Error(ResultCode::kNoEndpoint, service.text);
   }
   const EndpointId& home = usable[this->random.Below(usable.size())]->Id();
-  return once::EncodeTicket(once::IssueTicket(
-      {.endpoint = home, .agent = this->fleet.AgentOf(home)}, this->random));
+  return once::EncodeTicket(
+      once::IssueTicket({.endpoint = home, .agent = this->fleet.AgentOf(home)},
+                        wall_clock, this->random));
 }
 
 void RequestRouter::OnLeavingHosts(const std::set<HostId>& hosts, Instant now) {
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -41,7 +41,9 @@
                  Instant now);
   void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
   void OnClaimsRead(const ClaimsRead& read, Instant now);
-  Result<std::string> IssueTicket(const ServiceName& service, Instant now);
+  Result<std::string> IssueTicket(const ServiceName& service,
+                                  std::chrono::milliseconds wall_clock,
+                                  Instant now);
   void OnLeavingHosts(const std::set<HostId>& hosts, Instant now);
   void OnLiveEntries(std::uint32_t entries, Instant now);
   void OnTimer(Instant now);
--- a/src/entry/tests/log_once_test.cc
+++ b/src/entry/tests/log_once_test.cc
@@ -133,7 +133,7 @@
                          entry.Last<OnceRefuse>().code);
           OnceSubmission ticketed = entry.Submission("s1", "");
           ticketed.ticket = once::EncodeTicket(once::IssueTicket(
-              {.endpoint = EndpointId("s2"), .agent = Incarnation(9)},
+              {.endpoint = EndpointId("s2"), .agent = Incarnation(9)}, kKeyTime,
               entry.random));
           entry.once.Submit(ticketed, entry.now);
           entry.Pass({});
--- a/src/entry_process/internal/shard.cc
+++ b/src/entry_process/internal/shard.cc
@@ -242,7 +242,8 @@
 }
 
 Result<http::Response> Shard::IssueTicket(const ServiceName& service) {
-  Result<std::string> ticket = this->core.IssueTicket(service, MonotonicNow());
+  Result<std::string> ticket =
+      this->core.IssueTicket(service, WallClock(), MonotonicNow());
   this->Pump();
   if (!ticket.ok()) {
     return ticket.error();
--- a/src/once/internal/work_key.cc
+++ b/src/once/internal/work_key.cc
@@ -13,6 +13,7 @@
 constexpr int kUuidVersion = 7;
 constexpr std::size_t kTimeDigits = 12;  // 48 bits, milliseconds
 constexpr std::size_t kMaxTicketText = 512;
+constexpr unsigned kTicketTimeShift = 16;  // 48 bits of time before it
 
 // Parts are preceded by their lengths: without them "ab","c" and "a","bc"
 // would be one key.
@@ -106,9 +107,29 @@
   return Success{};
 }
 
-Ticket IssueTicket(const Home& home, RandomSource& random) {
+Ticket IssueTicket(const Home& home,
+                   WallMilliseconds now,
+                   RandomSource& random) {
+  const auto time = static_cast<std::uint64_t>(now.count()) << kTicketTimeShift;
   const RequestId bits = random.NextRequestId();
-  return {.key = {.high = bits.high, .low = bits.low}, .home = home};
+  const std::uint64_t tail = bits.high & ((1ULL << kTicketTimeShift) - 1);
+  return {.key = {.high = time | tail, .low = bits.low}, .home = home};
+}
+
+Status CheckTicketAge(const Ticket& ticket,
+                      WallMilliseconds now,
+                      WallMilliseconds window,
+                      WallMilliseconds skew) {
+  const WallMilliseconds issued(
+      static_cast<std::int64_t>(ticket.key.high >> kTicketTimeShift));
+  if (issued > now + skew) {
+    return Error(ResultCode::kTicketInvalid,
+                 "its time lies ahead of this host's clock");
+  }
+  if (issued < now - window) {
+    return Error(ResultCode::kKeyTooOld, "ticket");
+  }
+  return Success{};
 }
 
 std::string EncodeTicket(const Ticket& ticket) {
--- a/src/once/tests/work_key_test.cc
+++ b/src/once/tests/work_key_test.cc
@@ -66,9 +66,27 @@
         [] {
           RandomSource random(3);
           const Ticket ticket = IssueTicket(
-              {.endpoint = EndpointId("a:b"), .agent = Incarnation(9)}, random);
+              {.endpoint = EndpointId("a:b"), .agent = Incarnation(9)}, kMade,
+              random);
           CPPUNIT_ASSERT(ParseTicket(EncodeTicket(ticket)) == ticket);
         }),
+     // Symptom: a ticket ran twice, a day apart. Sequence: the agent kept
+     // running, and its ledger dropped the key after its window. Cause: a
+     // ticket's age could not be told.
+     It("is refused when its home may have forgotten it",
+        [] {
+          RandomSource random(3);
+          const Ticket ticket = IssueTicket({}, kMade, random);
+          const auto check = [&ticket](WallMilliseconds now) {
+            const Status status = CheckTicketAge(ticket, now, kWindow, kSkew);
+            return status.ok() ? ResultCode::kOk : status.error().result_code();
+          };
+          CPPUNIT_ASSERT(ResultCode::kOk == check(kMade + kWindow));
+          CPPUNIT_ASSERT(ResultCode::kKeyTooOld ==
+                         check(kMade + kWindow + WallMilliseconds(1)));
+          CPPUNIT_ASSERT(ResultCode::kTicketInvalid ==
+                         check(kMade - kSkew - WallMilliseconds(1)));
+        }),
      It("does not read from any other text", [] {
        for (const char* text :
             {"", ":", "::", "12:3:x", "00000000000000010000000000000002:3:",
--- a/src/once/work_key.h
+++ b/src/once/work_key.h
@@ -47,8 +47,19 @@
   friend bool operator==(const Ticket&, const Ticket&) = default;
 };
 
-// A fresh ticket; the key is 128 random bits.
-Ticket IssueTicket(const Home& home, RandomSource& random);
+// A fresh ticket. Its key begins with the time of issue and goes on with 80
+// random bits, so that its age can be told, and a changed time is another key.
+Ticket IssueTicket(const Home& home,
+                   WallMilliseconds now,
+                   RandomSource& random);
+
+// Errors: kKeyTooOld for a ticket older than `window`, which its home's ledger
+// may have forgotten; kTicketInvalid for one more than `skew` ahead. Thread
+// safe.
+Status CheckTicketAge(const Ticket& ticket,
+                      WallMilliseconds now,
+                      WallMilliseconds window,
+                      WallMilliseconds skew);
 
 // KEY:INCARNATION:ENDPOINT, in printable characters. Thread safe.
 std::string EncodeTicket(const Ticket& ticket);
--- a/src/scenario/world.cc
+++ b/src/scenario/world.cc
@@ -179,7 +179,8 @@
   if (host == nullptr || host->paused()) {
     return Error(ResultCode::kEndpointLost, entry);
   }
-  return host->core().IssueTicket(ServiceName("app"), this->queue.now());
+  return host->core().IssueTicket(
+      ServiceName("app"), WallClock(this->queue.now()), this->queue.now());
 }
 
 void World::Publish(const std::string& version,
