Bring a ticket to its own home, whatever the pool looks like

Cause: a ticket used again while its whole pool was leaving waited for a place and was answered as not run, though its home held the answer; a home whose session was just being opened again made its ticket invalid; a refused ticket was tried in a loop. Change: a ticket is dispatched to the home that it names without a pick; a home without a session is connected and waited for, 5 s at most; a replaced agent, or an endpoint that no manifest has, makes the outcome unknown; a refusal by the home is passed on. Conclusion: a key (not a ticket) sent again while no endpoint of its service takes work is still answered as not run, which is true of that submission.

--- a/src/entry/internal/call_events.cc
+++ b/src/entry/internal/call_events.cc
@@ -23,19 +23,32 @@
 
 }  // namespace
 
+// A ticket names its home by itself: one of another service would carry the
+// call to an endpoint that was never meant to see it, and of one that no
+// manifest has any more nobody can tell whether an earlier use ran there.
+bool CallMachine::AcceptsHome(const EndpointId& home, Instant now) {
+  const ServiceName* const served = this->context.fleet.ServiceOf(home);
+  if (served == nullptr) {
+    this->Fail(ResultCode::kTicketInvalid, protocol::Outcome::kUnknown,
+               Duration::zero(), now);
+    return false;
+  }
+  if (*served != this->terms.service->name) {
+    this->Refuse(ResultCode::kTicketInvalid, Duration::zero(), now);
+    return false;
+  }
+  return true;
+}
+
 void CallMachine::OnVerdict(const OnceVerdict& verdict, Instant now) {
   if (this->state != RequestState::kActive ||
       this->stage != CallStage::kClaiming) {
     return;
   }
   if (const auto* run = std::get_if<OnceRun>(&verdict)) {
-    if (!this->context.fleet.Serves(run->home, this->terms.service->name)) {
-      // A ticket names its home by itself: one of another service would carry
-      // this call to an endpoint that was never meant to see it.
-      this->Refuse(ResultCode::kTicketInvalid, Duration::zero(), now);
-      return;
+    if (!this->HasTicket() || this->AcceptsHome(run->home, now)) {
+      this->Start(run->home, run->once, now);
     }
-    this->Start(run->home, run->once, now);
   } else if (const auto* look_up = std::get_if<OnceLookUp>(&verdict)) {
     this->once = look_up->once;
     this->endpoint = look_up->home;
@@ -112,6 +125,14 @@
     this->Refuse(refused.code, this->service.RetryAfter(), now);
     return;
   }
+  this->OnNotRun(refused.code, now);
+}
+
+void CallMachine::OnNotRun(ResultCode code, Instant now) {
+  if (this->HasTicket()) {
+    this->Refuse(code, this->service.RetryAfter(), now);
+    return;
+  }
   this->TryAnother(now);
 }
 
@@ -127,7 +148,7 @@
       this->Refuse(failed.code, Duration::zero(), now);
       return;
     }
-    this->TryAnother(now);
+    this->OnNotRun(failed.code, now);
   } else if (failed.code == ResultCode::kStillRunning &&
              this->stage == CallStage::kLookingUp) {
     this->look_up_until = this->terms.deadline;  // it is known there
@@ -151,6 +172,8 @@
     this->OnRunLost(ResultCode::kEndpointLost, now);
   } else if (this->stage == CallStage::kLookingUp) {
     this->LookUpLater(now);
+  } else if (this->stage == CallStage::kAwaitingHome) {
+    this->AwaitHome(this->endpoint, this->once, now);
   }
 }
 
--- a/src/entry/internal/call_machine.cc
+++ b/src/entry/internal/call_machine.cc
@@ -13,6 +13,9 @@
 // more, a slow time would refuse everything, and no call would ever show
 // that it is over.
 constexpr int kCountedPart = 2;
+// How long a ticket's home is waited for, and how often it is looked at.
+constexpr Duration kHomePatience = 5s;
+constexpr Duration kHomeInterval = 100ms;
 
 }  // namespace
 
@@ -64,6 +67,13 @@
 }
 
 void CallMachine::Dispatch(Instant now) {
+  if (!this->idempotent && this->HasTicket()) {
+    // Its home is part of its value. It may hold the answer of an earlier use
+    // even while no endpoint of the pool takes new work.
+    this->Activate();
+    this->Claim({}, now);
+    return;
+  }
   placement::EndpointView* const view =
       this->idempotent ? this->Pick(now) : this->PickHome();
   if (view == nullptr) {
@@ -74,42 +84,45 @@
     this->GiveUp(ResultCode::kDeadlineUnreachable, now);
     return;
   }
-  this->state = RequestState::kActive;
-  if (!this->counted) {
-    this->counted = true;
-    this->service.limit.Begin();
-  }
+  this->Activate();
   this->tried.push_back(view->Key());
   if (this->idempotent) {
     this->Start(view->Id(), {}, now);
   } else {
-    this->Claim(*view, now);
+    this->Claim(view->Id(), now);
+  }
+}
+
+void CallMachine::Activate() {
+  this->state = RequestState::kActive;
+  if (!this->counted) {
+    this->counted = true;
+    this->service.limit.Begin();
   }
 }
 
-OnceSubmission CallMachine::Submission(
-    const placement::EndpointView& view) const {
+OnceSubmission CallMachine::Submission(const EndpointId& home) const {
   return {.request = this->terms.request,
           .caller = this->terms.caller,
           .service = this->terms.service->name,
           .idempotency_key = this->work.idempotency_key,
           .ticket = this->work.ticket,
           .fingerprint = once::FingerprintOf(this->work.call),
-          .home = view.Id(),
-          .home_agent = this->context.fleet.AgentOf(view.Id()),
+          .home = home,
+          .home_agent = this->context.fleet.AgentOf(home),
           .deadline = this->terms.deadline};
 }
 
-void CallMachine::Claim(const placement::EndpointView& view, Instant now) {
+void CallMachine::Claim(const EndpointId& home, Instant now) {
   const bool again = this->submission.has_value();
-  this->submission = this->Submission(view);
-  if (!this->context.options.rules.claim_before_dispatch) {
+  this->submission = this->Submission(home);
+  if (!this->context.options.rules.claim_before_dispatch &&
+      !this->HasTicket()) {
     protocol::Once unclaimed{.kind = protocol::OnceKind::kTicket,
                              .fingerprint = this->submission->fingerprint,
                              .home = this->submission->home_agent};
     unclaimed.key_high = placement::HashText(this->work.idempotency_key);
-    unclaimed.key_low = placement::HashText(this->work.ticket);
-    this->Start(view.Id(), unclaimed, now);
+    this->Start(home, unclaimed, now);
     return;
   }
   this->stage = CallStage::kClaiming;
@@ -128,11 +141,8 @@
   const bool current =
       this->idempotent || this->context.fleet.AgentOf(home) == bound.home;
   if (!current || !this->context.fleet.Open(home, now)) {
-    if (!this->work.ticket.empty()) {
-      // Bound by value to a home that is gone or not reached: see
-      // Take(Refused).
-      this->Fail(ResultCode::kTicketInvalid, protocol::Outcome::kUnknown,
-                 this->service.RetryAfter(), now);
+    if (this->HasTicket()) {
+      this->AwaitHome(home, bound, now);
       return;
     }
     this->TryAnother(now);
@@ -143,6 +153,7 @@
   this->endpoint = home;
   this->once = bound;
   this->stage = CallStage::kRunning;
+  this->look_up_at = kNever;
   this->maybe_run = true;
   this->started_at = now;
   this->context.fleet.Attach(home, this->terms.request, now);
@@ -162,6 +173,29 @@
       now);
 }
 
+// A ticket's home that only lost its session is connected again; one whose
+// agent was replaced, or that does not come back, is gone with all it knew.
+void CallMachine::AwaitHome(const EndpointId& home,
+                            const protocol::Once& bound,
+                            Instant now) {
+  if (this->stage != CallStage::kAwaitingHome) {
+    this->look_up_until = std::min(now + kHomePatience, this->terms.deadline);
+  }
+  const Incarnation agent = this->context.fleet.AgentOf(home);
+  if ((agent != Incarnation() && agent != bound.home) ||
+      now >= this->look_up_until) {
+    this->Fail(ResultCode::kTicketInvalid, protocol::Outcome::kUnknown,
+               Duration::zero(), now);
+    return;
+  }
+  this->stage = CallStage::kAwaitingHome;
+  this->maybe_run = true;  // by an earlier use
+  this->endpoint = home;
+  this->once = bound;
+  this->look_up_at = now + kHomeInterval;
+  this->context.fleet.Attach(home, this->terms.request, now);
+}
+
 // ---- time and ends ----
 
 Instant CallMachine::WakeAt() const {
@@ -192,7 +226,11 @@
              now >= this->look_up_until) {
     this->GiveUp(ResultCode::kOutcomeUnknown, now);
   } else if (now >= this->look_up_at) {
-    this->LookUp(now);
+    if (this->stage == CallStage::kAwaitingHome) {
+      this->Start(this->endpoint, this->once, now);
+    } else {
+      this->LookUp(now);
+    }
   }
 }
 
@@ -209,6 +247,7 @@
 void CallMachine::Abandon(Instant now) {
   if (this->state == RequestState::kActive &&
       (this->stage == CallStage::kRunning ||
+       this->stage == CallStage::kAwaitingHome ||
        this->stage == CallStage::kLookingUp)) {
     this->Leave(now, this->stage == CallStage::kRunning);
   }
--- a/src/entry/internal/call_machine.h
+++ b/src/entry/internal/call_machine.h
@@ -12,13 +12,15 @@
 
 enum class CallStage : std::uint8_t {
   kPlacing,
-  kClaiming,   // the coordinator has not decided yet
-  kRunning,    // StartCall sent
-  kLookingUp,  // asks the home what became of it
+  kClaiming,      // the coordinator has not decided yet
+  kAwaitingHome,  // a ticket's home has no session at the moment
+  kRunning,       // StartCall sent
+  kLookingUp,     // asks the home what became of it
 };
-inline constexpr EnumNames<CallStage, 4> kCallStageNames = {{
+inline constexpr EnumNames<CallStage, 5> kCallStageNames = {{
     {CallStage::kPlacing, "placing"},
     {CallStage::kClaiming, "claiming"},
+    {CallStage::kAwaitingHome, "awaiting_home"},
     {CallStage::kRunning, "running"},
     {CallStage::kLookingUp, "looking_up"},
 }};
@@ -58,12 +60,20 @@
   placement::EndpointView* Pick(Instant now);
   placement::EndpointView* PickHome() const;
   bool Feasible(const placement::EndpointView& view, Instant now) const;
-  OnceSubmission Submission(const placement::EndpointView& view) const;
-  void Claim(const placement::EndpointView& view, Instant now);
+  void Activate();
+  bool HasTicket() const { return !this->work.ticket.empty(); }
+  OnceSubmission Submission(const EndpointId& home) const;
+  void Claim(const EndpointId& home, Instant now);
   void Start(const EndpointId& home, const protocol::Once& bound, Instant now);
+  bool AcceptsHome(const EndpointId& home, Instant now);
+  void AwaitHome(const EndpointId& home,
+                 const protocol::Once& bound,
+                 Instant now);
   void LookUp(Instant now);
   void LookUpLater(Instant now);
   void OnRunLost(ResultCode code, Instant now);
+  // Nothing ran. A call that may go elsewhere does so; else it ends here.
+  void OnNotRun(ResultCode code, Instant now);
   void TryAnother(Instant now);
   void Leave(Instant now, bool cancel);
   void GiveUp(ResultCode code, Instant now);
@@ -82,8 +92,8 @@
   std::uint32_t repeats = 0;
   Instant started_at{};
   Instant look_up_at = kNever;
-  Instant look_up_until = kNever;
-  bool counted = false;  // in the concurrency limit
+  Instant look_up_until = kNever;  // also of kAwaitingHome
+  bool counted = false;            // in the concurrency limit
 };
 
 }  // namespace acacialug::entry
--- a/src/entry/internal/fleet.cc
+++ b/src/entry/internal/fleet.cc
@@ -303,10 +303,14 @@
   return member == nullptr ? Incarnation() : member->link.Agent();
 }
 
-bool Fleet::Serves(const EndpointId& endpoint,
-                   const ServiceName& service) const {
+const ServiceName* Fleet::ServiceOf(const EndpointId& endpoint) const {
   const Member* const member = this->Find(endpoint);
-  return member != nullptr && member->record.service == service;
+  if (member != nullptr) {
+    return &member->record.service;
+  }
+  const manifest::Endpoint* const record =
+      this->manifest ? this->manifest->FindEndpoint(endpoint) : nullptr;
+  return record == nullptr ? nullptr : &record->service;
 }
 
 placement::EndpointView* Fleet::View(const EndpointId& endpoint) {
--- a/src/entry/internal/fleet.h
+++ b/src/entry/internal/fleet.h
@@ -68,8 +68,9 @@
   bool Open(const EndpointId& endpoint, Instant now) const;
   // The agent's incarnation; zero when no session is open.
   Incarnation AgentOf(const EndpointId& endpoint) const;
-  // The endpoint is one of that service's, by the newest manifest.
-  bool Serves(const EndpointId& endpoint, const ServiceName& service) const;
+  // Whose endpoint it is; null when neither the manifest nor a session under
+  // way knows it. Valid until the next Apply.
+  const ServiceName* ServiceOf(const EndpointId& endpoint) const;
   // Null for an unknown endpoint.
   placement::EndpointView* View(const EndpointId& endpoint);
 
--- a/src/entry/tests/call_test.cc
+++ b/src/entry/tests/call_test.cc
@@ -235,6 +235,15 @@
   RequestId request;
 };
 
+struct TicketUse {
+  const char* name;
+  const char* home;
+  std::uint64_t agent;
+  std::function<void(EntryDriver&)> sequence;
+  ResultCode code;      // kOk: answered
+  bool closed = false;  // the session with s1
+};
+
 const testing::Story kCoordinated(
     "a call that may not be repeated",
     {It("is dispatched only after its claim, and the rule is missed when off",
@@ -288,6 +297,50 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{0},
                                driver.Count<protocol::StartCall>());
         }),
+     ForEach<TicketUse>(
+         "goes to its ticket's own home",
+         {{"which answers, though the whole pool is leaving", "s1", 7,
+           [](EntryDriver&) {}, ResultCode::kOk},
+          // Symptom: a good ticket is called invalid. Sequence: the session
+          // with its home breaks for a moment. Cause: a home without a
+          // session was taken for one that is gone.
+          {"which is waited for while its session is opened again", "s1", 7,
+           [](EntryDriver& driver) {
+             driver.Pass(150ms);
+             driver.Open("s1");
+             driver.Pass(100ms);
+           },
+           ResultCode::kOk, true},
+          {"and has an unknown outcome when that does not come back", "s1", 7,
+           [](EntryDriver& driver) { driver.Pass(6s); },
+           ResultCode::kTicketInvalid, true},
+          {"and has an unknown outcome when its agent was replaced", "s1", 6,
+           [](EntryDriver&) {}, ResultCode::kTicketInvalid},
+          {"and has an unknown outcome when no manifest has it", "gone", 7,
+           [](EntryDriver&) {}, ResultCode::kTicketInvalid}},
+         [](const TicketUse& use) { return std::string(use.name); },
+         [](const TicketUse& use) {
+           ClaimedDriver driver;
+           driver.Tell("s1", protocol::Leaving{});
+           driver.Tell("s2", protocol::Leaving{});
+           driver.request = driver.Call("POST", {}, "t");
+           CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                                driver.once->submissions.size());
+           if (use.closed) {
+             driver.Close("s1");
+           }
+           driver.Decide(OnceRun{.request = driver.request,
+                                 .once = {.home = Incarnation(use.agent)},
+                                 .home = EndpointId(use.home)});
+           use.sequence(driver);
+           if (use.code == ResultCode::kOk) {
+             Answer(driver, driver.Expect<protocol::StartCall>().attempt);
+             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Calls().size());
+             return;
+           }
+           CPPUNIT_ASSERT(driver.Errors().at(0).code == use.code);
+           CPPUNIT_ASSERT(driver.Errors()[0].outcome == Outcome::kUnknown);
+         }),
      It("is refused as the coordinator says", [] {
        ClaimedDriver driver;
        driver.Decide(OnceRefuse{.request = driver.request});
--- a/src/entry/tests/entry_driver.cc
+++ b/src/entry/tests/entry_driver.cc
@@ -102,13 +102,15 @@
 }
 
 RequestId EntryDriver::Call(const std::string& method,
-                            const std::string& idempotency_key) {
+                            const std::string& idempotency_key,
+                            const std::string& ticket) {
   const RequestId request{.high = 2, .low = this->next_request++};
   this->core->OnCall({.request = request,
                       .caller = CallerName("caller"),
                       .service = ServiceName("app"),
                       .call = {.method = method, .target = "/x"},
-                      .idempotency_key = idempotency_key},
+                      .idempotency_key = idempotency_key,
+                      .ticket = ticket},
                      this->now);
   return request;
 }
--- a/src/entry/tests/entry_driver.h
+++ b/src/entry/tests/entry_driver.h
@@ -32,7 +32,8 @@
   RequestId Generate(const std::string& prompt = std::string(400, 'x'),
                      std::uint32_t max_tokens = 8);
   RequestId Call(const std::string& method,
-                 const std::string& idempotency_key = {});
+                 const std::string& idempotency_key = {},
+                 const std::string& ticket = {});
 
   void Tell(const std::string& endpoint, const protocol::AgentToEntry& message);
   void Close(const std::string& endpoint);
