--- a/buildscripts/deploy_files.py
+++ b/buildscripts/deploy_files.py
@@ -102,7 +102,7 @@
             "domain": deployment.domains[index % len(deployment.domains)],
             "listen": address(FIRST_ENTRY + index, 8080),
             "operations_listen": address(FIRST_ENTRY + index, 8081),
-            "shards": 2, "entries": deployment.entries}),
+            "shards": 1, "entries": deployment.entries}),
         ("[platform]", {"log": LOG, "hosts": HOSTS, "peers": peers,
                         "log_retention": "24h"}),
         ("[policy]", POLICY[deployment.name] | {"placement": "predicted"}),
--- a/buildscripts/fill_measurements.py
+++ b/buildscripts/fill_measurements.py
@@ -66,6 +66,7 @@
     return "\n".join([
         "Capacity of the mix's own means, requests a second: " +
         "; ".join(bounds) + ".",
+        f"{figures['entry_shards']} shards an entry; "
         f"{figures['parallel']} deployments at once; " +
         machine_line(figures["machine"]),
         "Cells that could not be run: " +
