Send keys as UUIDs of version 7, and fail a bench that loses requests

Cause: keys must now tell their age, so the bench's keyed calls were all refused (1011), and the path bench compared what was left without saying so. Change: keys are UUIDs of version 7 with the workload's random bits; path exits with 1 if a request did not complete, decisions fails a cell with a rejected request. Conclusion: a refused kind of request cannot pass for a fast one.

--- a/buildscripts/bench_decisions.py
+++ b/buildscripts/bench_decisions.py
@@ -180,6 +180,9 @@
     bench = BENCHES[cell.deployment]
     if not report["stand_ins"]["known"]:
         raise RuntimeError("a stand-in did not tell its figures")
+    if any(mix["rejected"] for mix in report["mixes"]):
+        raise RuntimeError("an entry found a request wrong: " + str(
+            [mix["codes"] for mix in report["mixes"]]))
     mix = next(mix for mix in report["mixes"] if mix["kind"] == "generation")
     calls = [mix for mix in report["mixes"] if mix["kind"] == "call"]
     offered = mix["offered_per_second"]
@@ -208,6 +211,7 @@
         "calls_refused_not_run": sum(call["refused_not_run"]
                                      for call in calls),
         "calls_unknown": sum(call["unknown"] for call in calls),
+        "calls_rejected": sum(call["rejected"] for call in calls),
         "held_after": report["stand_ins"]["held_after"],
         "latest_send_ms": report["latest_send_ms"]}
 
--- a/buildscripts/bench_path.py
+++ b/buildscripts/bench_path.py
@@ -192,9 +192,13 @@
     result = {"quick": quick, "added_latency": latency, "memory": memory,
               "token_rate": tokens, "open_streams": streams,
               "machine": watch.figures()}
+    lost = sum(figures["incomplete"] for figures_of_round in latency["rounds"]
+               for figures in figures_of_round.values())
+    lost += tokens["incomplete"] + streams["incomplete"]
     OUTPUT.write_text(json.dumps(result, indent=2) + "\n")
     print(json.dumps({
         "added_latency": latency["summary"], "memory": memory,
         "token_rate": tokens, "open_streams": streams,
-        "machine": watch.figures()}, indent=2))
-    return 0
+        "machine": watch.figures(), "incomplete": lost}, indent=2))
+    # Latencies without those that failed would flatter.
+    return 1 if lost else 0
--- a/src/load/internal/call_exchange.cc
+++ b/src/load/internal/call_exchange.cc
@@ -1,5 +1,8 @@
 #include "load/internal/call_exchange.h"
 
+#include <array>
+#include <chrono>
+#include <cstdio>
 #include <utility>
 
 #include "load/internal/stream_reader.h"
@@ -10,6 +13,21 @@
 
 constexpr int kOk = 200;
 
+// A UUID of version 7 (RFC 9562): the time now, then random bits.
+std::string MakeKey(const RequestSpec& spec) {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  const auto time = static_cast<unsigned long long>(now.count());
+  const auto low = static_cast<unsigned long long>(spec.key_low);
+  std::array<char, 37> text{};
+  std::snprintf(
+      text.data(), text.size(), "%08llx-%04llx-7%03llx-%04llx-%012llx",
+      (time >> 16U) & 0xffffffffULL, time & 0xffffULL,
+      static_cast<unsigned long long>(spec.key_high & 0xfffU),
+      0x8000ULL | ((low >> 48U) & 0x3fffULL), low & 0xffffffffffffULL);
+  return text.data();
+}
+
 http::Request MakeRequest(const CallMix& mix, const RequestSpec& spec) {
   http::Request request{
       .method = mix.method,
@@ -18,7 +36,8 @@
                   {.name = "X-Request-Id", .value = spec.name}},
       .body = spec.text};
   if (!mix.idempotent) {
-    request.headers.push_back({.name = "Idempotency-Key", .value = spec.name});
+    request.headers.push_back(
+        {.name = "Idempotency-Key", .value = MakeKey(spec)});
   }
   return request;
 }
--- a/src/load/types/request_spec.h
+++ b/src/load/types/request_spec.h
@@ -26,6 +26,9 @@
   // The caller stops reading after so many tokens; 0: reads on.
   std::uint32_t pauses_after_tokens = 0;
   bool submitted_twice = false;
+  // Of a call that may not be repeated: the random part of its key.
+  std::uint64_t key_high = 0;
+  std::uint64_t key_low = 0;
 };
 
 }  // namespace acacialug::load
--- a/src/load/workload.cc
+++ b/src/load/workload.cc
@@ -83,6 +83,8 @@
   // The plain stand-in counts a call by the marker in its body.
   spec.text = R"({"marker":")" + spec.name + R"(","text":")" +
               this->Filler(mix.body_bytes, this->drawn) + R"("})";
+  spec.key_high = this->random.Next();
+  spec.key_low = this->random.Next();
   spec.submitted_twice =
       !mix.idempotent && this->random.Unit() < mix.double_share;
   return spec;
