--- a/src/load/internal/call_exchange.cc
+++ b/src/load/internal/call_exchange.cc
@@ -1,5 +1,11 @@
 #include "load/internal/call_exchange.h"
 
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <functional>
+#include <string>
 #include <utility>
 
 #include "load/internal/stream_reader.h"
@@ -10,6 +16,24 @@
 
 constexpr int kOk = 200;
 
+// A UUID of version 7, which entries ask for: the time now, and bits that
+// belong to the request's name.
+std::string CallerKey(const std::string& name) {
+  const auto time = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  const std::uint64_t hash = std::hash<std::string>{}(name);
+  std::array<char, 37> text{};
+  std::snprintf(
+      text.data(), text.size(), "%08x-%04x-7%03x-8%03x-%012llx",
+      static_cast<unsigned>(time >> 16U), static_cast<unsigned>(time & 0xffffU),
+      static_cast<unsigned>(hash & 0xfffU),
+      static_cast<unsigned>((hash >> 12U) & 0xfffU),
+      static_cast<unsigned long long>((hash >> 16U) & 0xffffffffffffULL));
+  return text.data();
+}
+
 http::Request MakeRequest(const CallMix& mix, const RequestSpec& spec) {
   http::Request request{
       .method = mix.method,
@@ -18,7 +42,8 @@
                   {.name = "X-Request-Id", .value = spec.name}},
       .body = spec.text};
   if (!mix.idempotent) {
-    request.headers.push_back({.name = "Idempotency-Key", .value = spec.name});
+    request.headers.push_back(
+        {.name = "Idempotency-Key", .value = CallerKey(spec.name)});
   }
   return request;
 }
