--- a/src/load/internal/call_exchange.cc
+++ b/src/load/internal/call_exchange.cc
@@ -2,7 +2,10 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
+#include <functional>
+#include <string>
 #include <utility>
 
 #include "load/internal/stream_reader.h"
@@ -13,18 +16,21 @@
 
 constexpr int kOk = 200;
 
-// A UUID of version 7 (RFC 9562): the time now, then random bits.
-std::string MakeKey(const RequestSpec& spec) {
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  const auto time = static_cast<unsigned long long>(now.count());
-  const auto low = static_cast<unsigned long long>(spec.key_low);
+// A UUID of version 7, which entries ask for: the time now, and bits that
+// belong to the request's name.
+std::string CallerKey(const std::string& name) {
+  const auto time = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  const std::uint64_t hash = std::hash<std::string>{}(name);
   std::array<char, 37> text{};
   std::snprintf(
-      text.data(), text.size(), "%08llx-%04llx-7%03llx-%04llx-%012llx",
-      (time >> 16U) & 0xffffffffULL, time & 0xffffULL,
-      static_cast<unsigned long long>(spec.key_high & 0xfffU),
-      0x8000ULL | ((low >> 48U) & 0x3fffULL), low & 0xffffffffffffULL);
+      text.data(), text.size(), "%08x-%04x-7%03x-8%03x-%012llx",
+      static_cast<unsigned>(time >> 16U), static_cast<unsigned>(time & 0xffffU),
+      static_cast<unsigned>(hash & 0xfffU),
+      static_cast<unsigned>((hash >> 12U) & 0xfffU),
+      static_cast<unsigned long long>((hash >> 16U) & 0xffffffffffffULL));
   return text.data();
 }
 
@@ -37,7 +43,7 @@
       .body = spec.text};
   if (!mix.idempotent) {
     request.headers.push_back(
-        {.name = "Idempotency-Key", .value = MakeKey(spec)});
+        {.name = "Idempotency-Key", .value = CallerKey(spec.name)});
   }
   return request;
 }
