Drop a parameter that the claims' commit never used

Cause: reading the change once more showed Commit taking the time only to discard it. Change: the parameter is gone; behaviour is the same.

--- a/src/once/claim_coordinator.h
+++ b/src/once/claim_coordinator.h
@@ -109,7 +109,7 @@
   void RefuseBatch(std::uint64_t batch);
   void SettleInFlight();
   void ExpireWaiting(Instant now);
-  void Commit(Instant now);
+  void Commit();
   void Append(const ClaimBatch& batch);
   void AppendVoid(std::uint64_t batch);
   void ReadNext(Duration wait);
--- a/src/once/internal/claim_coordinator.cc
+++ b/src/once/internal/claim_coordinator.cc
@@ -34,7 +34,7 @@
   this->deadlines.emplace_back(now + this->options.claim_timeout, token);
   this->uncommitted.push_back(token);
   if (this->uncommitted.size() >= this->options.max_batch) {
-    this->Commit(now);
+    this->Commit();
   } else {
     this->commit_at =
         std::min(this->commit_at, now + this->options.commit_interval);
@@ -99,8 +99,7 @@
       AppendBatch{.batch = batch.id, .payload = EncodeBatch(batch)});
 }
 
-void ClaimCoordinator::Commit(Instant now) {
-  (void)now;
+void ClaimCoordinator::Commit() {
   this->commit_at = kNever;
   ClaimBatch batch{.id = this->random.Next() | 1U};
   std::vector<ClaimToken> tokens;
@@ -226,7 +225,7 @@
 void ClaimCoordinator::OnTimer(Instant now) {
   this->ExpireWaiting(now);
   if (this->commit_at <= now) {
-    this->Commit(now);
+    this->Commit();
   }
   if (this->read_at <= now) {
     this->ReadNext(this->read_to_end ? this->options.long_poll : Duration{});
