Stop the unread stream's test where the sockets are full

It sent 19 MB, whatever the sockets hold, and waited 20 s for all of it. There an event takes over 1 ms (1,701 events in 1.6 to 2.5 s), so 20,000 cannot pass in time. Ruled out: a stream that stands still; the process was busy throughout (16 s of CPU time). Change: it sends until 1 MB stays unsent, and the wait ends when no further event comes for 20 s, not when all have not come by then. Checked as before: nothing is read while paused, and each event arrives afterwards. Conclusion: the test no longer judges the machine's speed.

--- a/src/engine/tests/openai_engine_test.cc
+++ b/src/engine/tests/openai_engine_test.cc
@@ -74,6 +74,34 @@
   };
 }
 
+// Sends events until more of them stay unsent than a reader takes at a time,
+// which is when the sockets of both sides hold all that they can; returns how
+// many were sent.
+std::size_t SendUntilUnread(http::Responder& responder) {
+  constexpr std::size_t kMaxEvents = 20000;
+  constexpr std::size_t kBatch = 100;
+  constexpr std::size_t kUnread = std::size_t{1024} * 1024;
+  const std::string event = TextEvent(std::string(900, 'x'));
+  std::size_t sent = 0;
+  while (sent < kMaxEvents && responder.unsent_bytes() < kUnread) {
+    for (std::size_t i = 0; i < kBatch; ++i, ++sent) {
+      responder.SendData(event);
+    }
+    QCoreApplication::processEvents();
+  }
+  return sent;
+}
+
+// Waits for `count` events. Each wait is for one more of them, so that a slow
+// machine passes, and one that stands still does not.
+void AwaitEvents(const EngineUnderTest& under_test, std::size_t count) {
+  while (under_test.events.size() < count) {
+    const std::size_t before = under_test.events.size();
+    RunUntil([&] { return under_test.events.size() > before; });
+  }
+  CPPUNIT_ASSERT_EQUAL(count, under_test.events.size());
+}
+
 EngineOptions Options(const http::Address& address) {
   return {.address = address,
           .endpoint = EndpointId("p1"),
@@ -267,19 +295,13 @@
           under_test.Await<Text>(kDecode);
           under_test.engine->Execute(
               SetPaused{.attempt = kAttempt, .paused = true});
-          const std::string text(900, 'x');
-          std::size_t sent = 1;
           const http::ResponderPtr responder = server.responders[0];
-          // More than the sockets of both sides hold together.
-          for (; sent < 20000; ++sent) {
-            responder->SendData(TextEvent(text));
-          }
-          QCoreApplication::processEvents();
+          const std::size_t sent = 1 + SendUntilUnread(*responder);
           CPPUNIT_ASSERT(responder->unsent_bytes() > 0);
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, under_test.events.size());
           under_test.engine->Execute(
               SetPaused{.attempt = kAttempt, .paused = false});
-          RunUntil([&] { return under_test.events.size() == sent; });
+          AwaitEvents(under_test, sent);
         }),
      ForEach<FaultRow>("fails when the engine",
                        kFaultsOfBoth,
