Give the platform's stand-ins one shell

Change: PlatformShell has them; the three keep their routes. What a test sees is the same: which requests may be lost, held or late, and what is exempt. Conclusion: a further stand-in of the platform needs its routes alone.

--- a/src/standin/internal/host_list_server.cc
+++ b/src/standin/internal/host_list_server.cc
@@ -1,9 +1,8 @@
 #include <utility>
 
-#include "standin/internal/http_faults.h"
 #include "standin/internal/json_access.h"
 #include "standin/internal/json_response.h"
-#include "standin/internal/qt_listener.h"
+#include "standin/internal/platform_shell.h"
 #include "standin/platform_server.h"
 
 namespace acacialug::standin {
@@ -17,27 +16,23 @@
 
 class HostListServer::Implementation {
  public:
-  explicit Implementation(HostListServerOptions server_options)
-      : options(std::move(server_options)),
-        random(this->options.seed),
-        model(this->options.hosts),
-        faults(this->random),
-        listener([this](http::Request request, Reply reply) {
-          this->Receive(std::move(request), std::move(reply));
-        }) {}
-
-  void Receive(http::Request request, Reply reply) {
-    if (request.Path() == "/control") {
-      reply(this->Control(request));
-    } else if (request.method == "GET" && this->faults.LosesRequest()) {
-      reply(std::nullopt);
-    } else if (request.method == "GET") {
-      this->faults.RunOrHold(
-          [this, request = std::move(request), reply = std::move(reply)] {
-            this->faults.Answer(reply, this->Read(request));
-          });
+  explicit Implementation(const HostListServerOptions& options)
+      : model(options.hosts),
+        shell({.listen = options.listen,
+               .seed = options.seed,
+               .on_request =
+                   [this](const http::Request& request, const Reply& reply) {
+                     this->Route(request, reply);
+                   },
+               .is_exempt =
+                   [](const http::Request& request) {
+                     return request.method != "GET";
+                   }}) {}
+
+  void Route(const http::Request& request, const Reply& reply) {
+    if (request.method == "GET") {
+      this->shell.Answer(reply, this->Read(request));
     } else {
-      // The test's own hand: never held, late or lost.
       reply(this->Change(request));
     }
   }
@@ -46,7 +41,7 @@
     if (request.Path() != kHosts) {
       return ErrorResponse(404, "not_found", "no route");
     }
-    if (this->outage) {
+    if (this->shell.outage()) {
       return ErrorResponse(503, "unavailable", "outage");
     }
     json hosts = json::array();
@@ -78,36 +73,21 @@
     return JsonResponse(200, json::object());
   }
 
-  http::Response Control(const http::Request& request) {
-    const json control = Parse(request.body);
-    if (!control.is_object()) {
-      return ErrorResponse(400, "invalid_request", "no object");
-    }
-    this->outage = BoolOr(control, "refuse", this->outage);
-    this->faults.Set(control);
-    return JsonResponse(200, json::object());
-  }
-
-  HostListServerOptions options;
-  RandomSource random;
   HostListModel model;
-  bool outage = false;
-  HttpFaults faults;
-  QtListener listener;
+  PlatformShell shell;
 };
 
-HostListServer::HostListServer(HostListServerOptions options)
-    : implementation(std::make_unique<Implementation>(std::move(options))) {}
+HostListServer::HostListServer(const HostListServerOptions& options)
+    : implementation(std::make_unique<Implementation>(options)) {}
 
 HostListServer::~HostListServer() = default;
 
 Status HostListServer::Start() {
-  return this->implementation->listener.Start(
-      this->implementation->options.listen);
+  return this->implementation->shell.Start();
 }
 
 http::Address HostListServer::address() const {
-  return this->implementation->listener.address();
+  return this->implementation->shell.address();
 }
 
 }  // namespace acacialug::standin
--- a/src/standin/internal/log_server.cc
+++ b/src/standin/internal/log_server.cc
@@ -4,10 +4,9 @@
 #include <memory>
 #include <utility>
 
-#include "standin/internal/http_faults.h"
 #include "standin/internal/json_access.h"
 #include "standin/internal/json_response.h"
-#include "standin/internal/qt_listener.h"
+#include "standin/internal/platform_shell.h"
 #include "standin/internal/query.h"
 #include "standin/internal/timer_wait.h"
 #include "standin/platform_server.h"
@@ -55,34 +54,21 @@
 
 class LogServer::Implementation {
  public:
-  explicit Implementation(LogServerOptions server_options)
-      : options(std::move(server_options)),
-        random(this->options.seed),
-        model(this->options.log),
-        faults(this->random),
-        listener([this](http::Request request, Reply reply) {
-          this->Receive(std::move(request), std::move(reply));
-        }) {}
-
-  void Receive(http::Request request, Reply reply) {
-    if (request.Path() == "/control") {
-      reply(this->Control(request));
-      return;
-    }
-    if (this->faults.LosesRequest()) {
-      reply(std::nullopt);
-      return;
-    }
-    this->faults.RunOrHold(
-        [this, request = std::move(request), reply = std::move(reply)] {
-          this->Route(request, reply);
-        });
-  }
+  explicit Implementation(const LogServerOptions& options)
+      : model(options.log),
+        shell({.listen = options.listen,
+               .seed = options.seed,
+               .on_request =
+                   [this](const http::Request& request, const Reply& reply) {
+                     this->Route(request, reply);
+                   },
+               .on_control =
+                   [this](const json& control) { this->Control(control); }}) {}
 
   void Route(const http::Request& request, const Reply& reply) {
     const std::string stream = StreamOf(request.Path());
     if (stream.empty()) {
-      this->faults.Answer(reply, ErrorResponse(404, "not_found", "no route"));
+      this->shell.Answer(reply, ErrorResponse(404, "not_found", "no route"));
     } else if (request.method == "POST") {
       this->Append(stream, request.body, reply);
     } else {
@@ -105,7 +91,7 @@
       reply(FailedResponse(offset.error()));
       return;
     }
-    this->faults.Answer(reply, JsonResponse(200, {{"offset", offset->value}}));
+    this->shell.Answer(reply, JsonResponse(200, {{"offset", offset->value}}));
     this->WakeReaders(stream);
   }
 
@@ -124,7 +110,7 @@
       return;
     }
     if (!read->records.empty() || wait == Duration::zero()) {
-      this->faults.Answer(reader.reply, ReadResponse(*read));
+      this->shell.Answer(reader.reply, ReadResponse(*read));
       return;
     }
     const std::uint64_t id = ++this->last_reader;
@@ -151,13 +137,8 @@
     }
   }
 
-  http::Response Control(const http::Request& request) {
-    const json control = Parse(request.body);
-    if (!control.is_object()) {
-      return ErrorResponse(400, "invalid_request", "no object");
-    }
-    this->outage = BoolOr(control, "refuse", this->outage);
-    this->model.SetOutage(this->outage);
+  void Control(const json& control) {
+    this->model.SetOutage(this->shell.outage());
     LogOptions kept = this->model.log_options();
     kept.retain_records = static_cast<std::uint64_t>(
         IntegerOr(control, "retain_records",
@@ -167,33 +148,26 @@
     kept.appends_per_second =
         NumberOr(control, "appends_per_second", kept.appends_per_second);
     this->model.SetOptions(kept);
-    this->faults.Set(control);
-    return JsonResponse(200, json::object());
   }
 
-  LogServerOptions options;
-  RandomSource random;
   LogModel model;
-  bool outage = false;
-  HttpFaults faults;
   std::map<std::uint64_t, Reader> readers;  // that wait for a record
   std::uint64_t last_reader = 0;
   QObject context;  // of timers: none fires after this object is gone
-  QtListener listener;
+  PlatformShell shell;
 };
 
-LogServer::LogServer(LogServerOptions options)
-    : implementation(std::make_unique<Implementation>(std::move(options))) {}
+LogServer::LogServer(const LogServerOptions& options)
+    : implementation(std::make_unique<Implementation>(options)) {}
 
 LogServer::~LogServer() = default;
 
 Status LogServer::Start() {
-  return this->implementation->listener.Start(
-      this->implementation->options.listen);
+  return this->implementation->shell.Start();
 }
 
 http::Address LogServer::address() const {
-  return this->implementation->listener.address();
+  return this->implementation->shell.address();
 }
 
 }  // namespace acacialug::standin
--- a/src/standin/internal/weight_store_server.cc
+++ b/src/standin/internal/weight_store_server.cc
@@ -1,9 +1,8 @@
 #include <utility>
 
-#include "standin/internal/http_faults.h"
 #include "standin/internal/json_access.h"
 #include "standin/internal/json_response.h"
-#include "standin/internal/qt_listener.h"
+#include "standin/internal/platform_shell.h"
 #include "standin/platform_server.h"
 
 namespace acacialug::standin {
@@ -17,32 +16,17 @@
 
 class WeightStoreServer::Implementation {
  public:
-  explicit Implementation(WeightStoreServerOptions server_options)
-      : options(std::move(server_options)),
-        random(this->options.seed),
-        model(this->options.store),
-        faults(this->random),
-        listener([this](http::Request request, Reply reply) {
-          this->Receive(std::move(request), std::move(reply));
-        }) {}
-
-  void Receive(http::Request request, Reply reply) {
-    if (request.Path() == "/control") {
-      reply(this->Control(request));
-      return;
-    }
-    if (this->faults.LosesRequest()) {
-      reply(std::nullopt);
-      return;
-    }
-    this->faults.RunOrHold(
-        [this, request = std::move(request), reply = std::move(reply)] {
-          this->faults.Answer(reply, this->Route(request));
-        });
-  }
+  explicit Implementation(const WeightStoreServerOptions& options)
+      : model(options.store),
+        shell({.listen = options.listen,
+               .seed = options.seed,
+               .on_request = [this](const http::Request& request,
+                                    const Reply& reply) {
+                 this->shell.Answer(reply, this->Route(request));
+               }}) {}
 
   http::Response Route(const http::Request& request) {
-    if (this->outage) {
+    if (this->shell.outage()) {
       return ErrorResponse(503, "unavailable", "outage");
     }
     const std::string_view path = request.Path();
@@ -70,36 +54,21 @@
                  : ErrorResponse(429, "overloaded", lease.error().detail);
   }
 
-  http::Response Control(const http::Request& request) {
-    const json control = Parse(request.body);
-    if (!control.is_object()) {
-      return ErrorResponse(400, "invalid_request", "no object");
-    }
-    this->outage = BoolOr(control, "refuse", this->outage);
-    this->faults.Set(control);
-    return JsonResponse(200, json::object());
-  }
-
-  WeightStoreServerOptions options;
-  RandomSource random;
   WeightStoreModel model;
-  bool outage = false;
-  HttpFaults faults;
-  QtListener listener;
+  PlatformShell shell;
 };
 
-WeightStoreServer::WeightStoreServer(WeightStoreServerOptions options)
-    : implementation(std::make_unique<Implementation>(std::move(options))) {}
+WeightStoreServer::WeightStoreServer(const WeightStoreServerOptions& options)
+    : implementation(std::make_unique<Implementation>(options)) {}
 
 WeightStoreServer::~WeightStoreServer() = default;
 
 Status WeightStoreServer::Start() {
-  return this->implementation->listener.Start(
-      this->implementation->options.listen);
+  return this->implementation->shell.Start();
 }
 
 http::Address WeightStoreServer::address() const {
-  return this->implementation->listener.address();
+  return this->implementation->shell.address();
 }
 
 }  // namespace acacialug::standin
--- a/src/standin/platform_server.h
+++ b/src/standin/platform_server.h
@@ -21,7 +21,7 @@
 
 class LogServer {
  public:
-  explicit LogServer(LogServerOptions options);
+  explicit LogServer(const LogServerOptions& options);
   ~LogServer();
 
   // Listens. Errors: kAddressInUse.
@@ -42,7 +42,7 @@
 
 class HostListServer {
  public:
-  explicit HostListServer(HostListServerOptions options);
+  explicit HostListServer(const HostListServerOptions& options);
   ~HostListServer();
 
   // Listens. Errors: kAddressInUse.
@@ -63,7 +63,7 @@
 
 class WeightStoreServer {
  public:
-  explicit WeightStoreServer(WeightStoreServerOptions options);
+  explicit WeightStoreServer(const WeightStoreServerOptions& options);
   ~WeightStoreServer();
 
   // Listens. Errors: kAddressInUse.
