Listen again when an agent's port was taken

Ruled out: a manifest that does not fit (the text was the same for all), the log (the manifest was in force). Change: it tries every half second until the port is free, and says so. Conclusion: a port that is late to be given up costs half a second.

--- a/src/agent_process/internal/agent_process.cc
+++ b/src/agent_process/internal/agent_process.cc
@@ -11,23 +11,35 @@
 #include "framework/log/log.h"
 
 namespace acacialug::agent_process {
+namespace {
+
+constexpr std::chrono::milliseconds kListenRetry{500};
+
+}  // namespace
 
 class AgentProcess::Implementation {
  public:
   explicit Implementation(AgentProcessOptions process_options)
       : options(std::move(process_options)),
         random(RandomSource::FromSystem()),
-        operations(this->OperationsOptions()) {}
+        operations(this->OperationsOptions()) {
+    this->listen_retry.setSingleShot(true);
+    QObject::connect(&this->listen_retry, &QTimer::timeout, &this->context,
+                     [this] { this->ListenAgain(); });
+  }
 
   Status Start() { return this->operations.Start(); }
 
   Status OnManifest(const std::shared_ptr<const manifest::Manifest>& newest) {
+    this->listen_retry.stop();
     if (this->runtime == nullptr) {
       Status made = this->MakeRuntime(*newest);
       if (!made.ok()) {
+        this->RetryListening(made.error(), newest);
         return made;
       }
     }
+    this->unlistened.reset();
     this->manifest_offset = newest->offset;
     this->manifest_version = newest->version;
     this->runtime->OnManifest(
@@ -36,6 +48,7 @@
   }
 
   void Drain() {
+    this->listen_retry.stop();
     if (this->runtime != nullptr) {
       this->runtime->Drain();
     } else if (this->options.on_drained) {
@@ -67,6 +80,28 @@
   }
 
  private:
+  // A port that its last owner has not given up yet is free a moment later, but
+  // the next manifest may be days away: an agent that waits for that serves
+  // nothing, while its process and its operations port look alive.
+  void RetryListening(const Error& error,
+                      const std::shared_ptr<const manifest::Manifest>& newest) {
+    if (error.result_code() == ResultCode::kAddressInUse) {
+      this->unlistened = newest;
+      this->listen_retry.start(kListenRetry);
+    }
+  }
+
+  void ListenAgain() {
+    const std::shared_ptr<const manifest::Manifest> held = this->unlistened;
+    const Status taken = this->OnManifest(held);
+    if (!taken.ok()) {
+      log::Warning("listen_failed",
+                   {.endpoint = this->options.settings.agent.endpoint,
+                    .code = taken.error().result_code(),
+                    .fields = {{"detail", taken.error().detail}}});
+    }
+  }
+
   Status MakeRuntime(const manifest::Manifest& first) {
     const Result<AgentSettings> complete =
         WithManifest(this->options.settings, first);
@@ -108,8 +143,10 @@
   std::unique_ptr<AgentRuntime> runtime;  // from the first manifest on
   LogOffset manifest_offset;
   std::string manifest_version;
+  std::shared_ptr<const manifest::Manifest> unlistened;  // its port was taken
   http::Server operations;
   QObject context;
+  QTimer listen_retry;
 };
 
 AgentProcess::AgentProcess(AgentProcessOptions process_options)
--- a/src/agent_process/tests/agent_process_test.cc
+++ b/src/agent_process/tests/agent_process_test.cc
@@ -69,9 +69,9 @@
   LogOffset heard;
   std::unique_ptr<AgentProcess> process;
 
-  explicit Fixture(const http::TlsFiles& tls = {}) {
+  explicit Fixture(const http::TlsFiles& tls = {}, std::uint16_t port = 0) {
     AgentSettings settings;
-    settings.listen = {.ip = "127.0.0.1"};
+    settings.listen = {.ip = "127.0.0.1", .port = port};
     settings.operations_listen = {.ip = "127.0.0.1"};
     settings.peer_tls = tls;
     settings.agent.endpoint = EndpointId("d1");
@@ -172,6 +172,26 @@
                                   ResultCode::kManifestInvalid);
                    fixture.Serve();
                  }),
+              // Symptom: an agent's process and operations port were there, and
+              // no entry ever reached it. Sequence: its port was still taken
+              // when its first manifest came; it said so in its log, and the
+              // next manifest was not due. Cause: only a manifest made it try.
+              It("listens when its port is free again, without a further one",
+                 [] {
+                   QTcpServer owner;
+                   CPPUNIT_ASSERT(owner.listen(QHostAddress::LocalHost));
+                   Fixture fixture({}, owner.serverPort());
+                   const Status taken =
+                       fixture.process->OnManifest(OneDecoder(1));
+                   CPPUNIT_ASSERT(!taken.ok());
+                   CPPUNIT_ASSERT(taken.error().result_code() ==
+                                  ResultCode::kAddressInUse);
+                   owner.close();
+                   WaitUntil("it listens",
+                             [&] { return fixture.process->port() != 0; });
+                   WaitUntil("ready",
+                             [&] { return fixture.process->status().ready(); });
+                 }),
               It("ends a drain at once",
                  [] {
                    Fixture fixture;
