--- a/buildscripts/demo.py
+++ b/buildscripts/demo.py
@@ -7,7 +7,6 @@
 """
 
 import contextlib
-import http.client
 import json
 import signal
 import sys
@@ -15,83 +14,23 @@
 import deployment
 import deployment_shapes
 import loopback
+from answers import (Difference, engine_answer, expect, request,
+                     streamed_answer)
 
 # The stand-in engines count a token for every 4 bytes of a prompt.
 BYTES_PER_TOKEN = 4
 DOCUMENT_TOKENS = 8500
 ANSWER_TOKENS = 200
+MODEL = deployment_shapes.DEMO.model.model
 PAGE = loopback.ROOT / "docs/RESULT_CODES.md"
 
 
-class Difference(Exception):
-    """An answer or a figure is not what it has to be."""
-
-
-def expect(holds, words):
-    if not holds:
-        raise Difference(words)
-
-
 def document():
     page = PAGE.read_text()
     repeats = DOCUMENT_TOKENS * BYTES_PER_TOKEN // len(page.encode()) + 1
     return page * repeats + f"\n[answer-tokens={ANSWER_TOKENS}]"
 
 
-def request(port, path, body, headers=None):
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=60)
-    connection.request("POST", path, body, {
-        "Content-Type": "application/json", **(headers or {})})
-    return connection, connection.getresponse()
-
-
-def generation_body(prompt, stream):
-    body = {"model": deployment_shapes.DEMO.model.model, "prompt": prompt,
-            "max_tokens": 2 * ANSWER_TOKENS, "stream": stream}
-    if stream:
-        body["stream_options"] = {"include_usage": True}
-    return json.dumps(body)
-
-
-def streamed_answer(port, prompt):
-    """(text, finish reason, usage, number of text events) by the router."""
-    connection, answer = request(port, "/v1/completions",
-                                 generation_body(prompt, True))
-    if answer.status != 200:
-        raise Difference(f"the entry answered {answer.status}: "
-                         f"{answer.read()!r}")
-    text, reason, usage, pieces, ended = "", None, None, 0, False
-    for line in answer:
-        line = line.decode().strip()
-        if not line:
-            continue
-        expect(line.startswith("data: "), f"no event: {line!r}")
-        expect(not ended, f"an event after the end: {line!r}")
-        if line == "data: [DONE]":
-            ended = True
-            continue
-        event = json.loads(line.removeprefix("data: "))
-        expect("error" not in event, f"an error in the stream: {event}")
-        usage = event.get("usage") or usage
-        for choice in event["choices"]:
-            text += choice["text"]
-            pieces += bool(choice["text"])
-            reason = choice["finish_reason"] or reason
-    connection.close()
-    expect(ended, "the stream ended without [DONE]")
-    return text, reason, usage, pieces
-
-
-def engine_answer(port, prompt):
-    """What a stand-in engine itself produces for the prompt."""
-    connection, answer = request(port, "/v1/completions",
-                                 generation_body(prompt, False))
-    body = json.loads(answer.read())
-    connection.close()
-    expect(answer.status == 200, f"the engine answered {answer.status}")
-    return body["choices"][0]["text"]
-
-
 def stats(cluster, role):
     return [json.loads(loopback.get(endpoint.engine_port, "/stats")[1])
             for endpoint in cluster.engines(role)]
@@ -100,9 +39,10 @@
 def check_generation(cluster):
     prompt = document()
     text, reason, usage, pieces = streamed_answer(cluster.entry_ports[0],
-                                                  prompt)
+                                                  MODEL, prompt)
     prefill, decode = stats(cluster, "prefill"), stats(cluster, "decode")
-    produced = engine_answer(cluster.engines("decode")[0].engine_port, prompt)
+    produced = engine_answer(cluster.engines("decode")[0].engine_port, MODEL,
+                             prompt)
     expect(text == produced, f"the answer differs: {text[:60]!r}... in place "
                              f"of {produced[:60]!r}...")
     expect(reason == "stop", f"finish reason {reason}")
--- a/buildscripts/loopback.py
+++ b/buildscripts/loopback.py
@@ -15,15 +15,41 @@
 # Below the range from which the system takes the ports of outgoing
 # connections: a port chosen there can be gone before its owner listens.
 PORT_RANGE = range(11000, 31000)
+# A port is chosen long before its owner listens on it, so two scripts that run
+# at once would choose the same. Each script takes a slice of the range, and
+# shows that it has it by listening on the slice's first port while it runs.
+SLICE_PORTS = 2000
 _ports_lock = threading.Lock()
 _ports_given = set()
+_slice_owner = None
+
+
+def _own_slice():
+    """The ports of this script's slice; call with the lock held."""
+    global _slice_owner
+    if _slice_owner is None:
+        for first in PORT_RANGE[::SLICE_PORTS]:
+            probe = socket.socket()
+            try:
+                probe.bind(("127.0.0.1", first))
+                probe.listen()
+            except OSError:
+                probe.close()
+                continue
+            _slice_owner = probe
+            break
+        else:
+            raise RuntimeError("every slice of the port range is taken")
+    first = _slice_owner.getsockname()[1]
+    return range(first + 1, first + SLICE_PORTS)
 
 
 def free_port():
     """A port on which nothing listens and that this process gave nobody."""
     with _ports_lock:
+        ports = _own_slice()
         for _ in range(1000):
-            port = random.choice(PORT_RANGE)
+            port = random.choice(ports)
             if port in _ports_given:
                 continue
             with socket.socket() as probe:
