Take a key for less than its claim is remembered

Cause: keys were taken for 24 h by the host's clock and claims remembered for 24 h from their reading. A key whose time lay ahead of the claiming host (up to 5 min pass), or that came back at a host whose clock was behind or had been set back, was still young when its claim was forgotten, and ran a second time. With a shorter `platform.log_retention` an entry that started afresh lacked claims of keys that it took. Change: `LogOnce` derives both from the log's retention: claims are remembered for the shorter of that and 24 h, keys taken for twice the clocks' difference less (23 h 50 min by default). The time since its start counts by its own clock too, and the later of both is taken. The entry passes `platform.log_retention`. What remains outside: a host that starts with a clock more than 5 min behind.

--- a/src/app/entry/main.cc
+++ b/src/app/entry/main.cc
@@ -90,6 +90,7 @@
   entry_process::EntryProcessOptions ProcessOptions() {
     entry_process::EntryProcessOptions options = this->settings.process;
     options.core.incarnation = this->random.NextIncarnation();
+    options.log_retention = this->settings.log_retention;
     options.on_manifest_heard = [this](LogOffset offset) {
       this->manifests.OnPeerOffset(offset);
     };
--- a/src/entry/internal/log_once.cc
+++ b/src/entry/internal/log_once.cc
@@ -1,5 +1,7 @@
 #include "entry/log_once.h"
 
+#include <algorithm>
+#include <chrono>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -7,6 +9,22 @@
 namespace acacialug::entry {
 namespace {
 
+using once::WallMilliseconds;
+
+constexpr Duration kLongestWindow = 24h;  // what a ledger remembers
+constexpr WallMilliseconds kMostSkew = std::chrono::minutes(5);
+constexpr int kSkewPart = 8;  // of a retention shorter than that
+
+once::CoordinatorOptions ClaimOptions(const LogOnce::Options& options) {
+  once::CoordinatorOptions claims = options.claims;
+  claims.book.window = std::min(options.log_retention, kLongestWindow);
+  return claims;
+}
+
+WallMilliseconds ToWall(Duration duration) {
+  return std::chrono::duration_cast<WallMilliseconds>(duration);
+}
+
 protocol::Once BoundTo(const once::WorkKey& key,
                        std::uint64_t fingerprint,
                        Incarnation agent,
@@ -49,16 +67,39 @@
 
 LogOnce::LogOnce(Options log_options, RandomSource& random_source)
     : options(std::move(log_options)),
-      claims(this->options.claims, random_source) {}
+      claims(ClaimOptions(this->options), random_source) {}
+
+WallMilliseconds LogOnce::ClockSkew(Duration log_retention) {
+  return std::min(kMostSkew, ToWall(log_retention) / kSkewPart);
+}
+
+WallMilliseconds LogOnce::KeyWindow(Duration log_retention) {
+  return ToWall(std::min(log_retention, kLongestWindow)) -
+         2 * ClockSkew(log_retention);
+}
+
+// Symptom: a key ran twice. Sequence: its claim was forgotten, and then the
+// host's clock was set back, so that the key looked young again. So time since
+// the start counts by our own clock too, and the later of both is taken; a
+// clock that ran ahead for a while and was put right is believed again.
+WallMilliseconds LogOnce::WallNow(Instant now) {
+  const WallMilliseconds own = ToWall(now.time_since_epoch());
+  const WallMilliseconds told = this->options.wall_clock();
+  if (!this->wall_offset) {
+    this->wall_offset = told - own;
+  }
+  return std::max(told, *this->wall_offset + own);
+}
 
 void LogOnce::Submit(const OnceSubmission& submission, Instant now) {
   if (!submission.ticket.empty()) {
-    this->RunTicket(submission);
+    this->RunTicket(submission, now);
     return;
   }
-  const Status key = once::CheckCallerKey(
-      submission.idempotency_key, this->options.wall_clock(),
-      this->options.key_window, this->options.clock_skew);
+  const Status key =
+      once::CheckCallerKey(submission.idempotency_key, this->WallNow(now),
+                           KeyWindow(this->options.log_retention),
+                           ClockSkew(this->options.log_retention));
   if (!key.ok()) {
     this->Refuse(submission.request, key.error().result_code(), {});
     return;
@@ -72,7 +113,7 @@
 void LogOnce::OnRefused(const OnceSubmission& submission, Instant now) {
   if (!submission.ticket.empty()) {
     // A ticket never moves: its home is part of its value.
-    this->RunTicket(submission);
+    this->RunTicket(submission, now);
     return;
   }
   const auto found = this->pending.find(submission.request);
@@ -82,16 +123,16 @@
               now);
 }
 
-void LogOnce::RunTicket(const OnceSubmission& submission) {
+void LogOnce::RunTicket(const OnceSubmission& submission, Instant now) {
   const std::optional<once::Ticket> ticket =
       once::ParseTicket(submission.ticket);
   if (!ticket) {
     this->Refuse(submission.request, ResultCode::kTicketInvalid, {});
     return;
   }
-  const Status age =
-      once::CheckTicketAge(*ticket, this->options.wall_clock(),
-                           this->options.key_window, this->options.clock_skew);
+  const Status age = once::CheckTicketAge(
+      *ticket, this->WallNow(now), KeyWindow(this->options.log_retention),
+      ClockSkew(this->options.log_retention));
   if (!age.ok()) {
     this->Refuse(submission.request, age.error().result_code(), {});
     return;
@@ -155,6 +196,7 @@
 void LogOnce::OnTimer(Instant now) {
   if (!this->started) {
     this->started = true;
+    this->WallNow(now);  // from here on the clock is watched
     this->claims.Start(now);
   }
   this->claims.OnTimer(now);
--- a/src/entry/log_once.h
+++ b/src/entry/log_once.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "entry/i_once_coordinator.h"
@@ -21,13 +22,22 @@
  public:
   struct Options {
     once::CoordinatorOptions claims;
-    // Keys older than this are refused. The log keeps claims at least so long.
-    once::WallMilliseconds key_window = std::chrono::hours(24);
-    once::WallMilliseconds clock_skew = std::chrono::minutes(5);
+    // The log keeps claims, and the agents' ledgers keep keys, at least so
+    // long. Keys and tickets are taken for a shorter time: see KeyWindow.
+    Duration log_retention = 24h;
     std::function<once::WallMilliseconds()> wall_clock;  // must be set
     Duration retry_after = 1s;  // told while the log is out
   };
 
+  // By how much the clocks of callers and hosts may differ.
+  static once::WallMilliseconds ClockSkew(Duration log_retention);
+
+  // How old a key or ticket may be. A key whose time lies ahead of the host
+  // that claims it, and which comes back at a host whose clock is behind, is
+  // known for twice the skew longer than it looks; were it taken for as long
+  // as its claim is kept, it would run a second time.
+  static once::WallMilliseconds KeyWindow(Duration log_retention);
+
   // `random` outlives this.
   LogOnce(Options log_options, RandomSource& random_source);
 
@@ -49,7 +59,8 @@
     once::ClaimPosition holder;  // last known
   };
 
-  void RunTicket(const OnceSubmission& submission);
+  once::WallMilliseconds WallNow(Instant now);
+  void RunTicket(const OnceSubmission& submission, Instant now);
   void Claim(const OnceSubmission& submission,
              const once::ClaimPosition& replaces,
              Instant now);
@@ -62,6 +73,7 @@
   Options options;
   once::ClaimCoordinator claims;
   bool started = false;
+  std::optional<once::WallMilliseconds> wall_offset;  // to our own clock
   std::uint64_t last_token = 0;
   std::map<RequestId, Pending> pending;
   std::map<once::ClaimToken, RequestId> requests;
--- a/src/entry/tests/log_once_test.cc
+++ b/src/entry/tests/log_once_test.cc
@@ -25,14 +25,29 @@
   std::vector<OnceVerdict> verdicts;
   std::uint64_t read_from = 1;
   Instant now = kStart;
+  once::WallMilliseconds wall = kKeyTime;
 
   Entry(std::vector<std::string>& shared_log, std::uint64_t seed)
       : log(shared_log),
         random(seed),
-        once({.wall_clock = [] { return kKeyTime; }}, this->random) {
+        once({.wall_clock = [this] { return this->wall; }}, this->random) {
     this->Pass({});
   }
 
+  // Time passes, by both clocks.
+  void Sleep(once::WallMilliseconds time) {
+    this->now += time;
+    this->wall += time;
+  }
+
+  // True when the submission was let run.
+  bool Runs(const OnceSubmission& submission) {
+    this->once.Submit(submission, this->now);
+    this->Pass(20ms);
+    CPPUNIT_ASSERT(!this->verdicts.empty());
+    return std::holds_alternative<OnceRun>(this->verdicts.back());
+  }
+
   OnceSubmission Submission(const std::string& home,
                             const std::string& key = kKey) const {
     return {.request = {.high = 1, .low = 2},
@@ -95,9 +110,68 @@
   }
 };
 
+struct LateUse {
+  std::string name;
+  once::WallMilliseconds at_first;  // the clock's error at the first use
+  once::WallMilliseconds after;     // from then to the second use
+  once::WallMilliseconds at_second;
+};
+
 const testing::Story kLogOnce(
     "at most once by the log",
-    {// Symptom: of a doubled submission both copies ran.
+    {// Symptom: one key ran twice, a day apart.
+     // Sequence: the key's time lay ahead of the host's clock, within what is
+     // let pass, or the host's clock was set back; the claim was forgotten a
+     // day after its use, while the key still counted as young.
+     // Cause: a key was taken for as long as its claim is remembered, with
+     // nothing left over for clocks that differ.
+     ForEach<LateUse>(
+         "runs no key a second time",
+         {{"that was ahead of the clock, a day later", -5min, 24h + 1min,
+           -5min},
+          {"that was ahead, at a host whose clock is behind", -5min, 24h + 6min,
+           -10min},
+          {"when the clock was set back by hours", 0min, 24h + 10min, -3h},
+          {"within the window", 0min, 23h, 0min}},
+         [](const LateUse& row) { return row.name; },
+         [](const LateUse& row) {
+           std::vector<std::string> log;
+           Entry entry(log, 1);
+           entry.wall += row.at_first;
+           CPPUNIT_ASSERT(entry.Runs(entry.Submission("s1")));
+           entry.Sleep(row.after);
+           log.emplace_back("another's record");
+           entry.Pass({});
+           entry.wall += row.at_second - row.at_first;
+           CPPUNIT_ASSERT(!entry.Runs(entry.Submission("s2")));
+         }),
+     ForEach<Duration>(
+         "takes keys for so much less than the log keeps claims that clocks "
+         "may "
+         "differ, when it keeps them for",
+         {1min, 1h, 24h, 168h},
+         [](const Duration& retention) {
+           return std::to_string(Seconds(retention)) + " s";
+         },
+         [](const Duration& retention) {
+           const Duration taken = LogOnce::KeyWindow(retention) +
+                                  2 * LogOnce::ClockSkew(retention);
+           CPPUNIT_ASSERT(LogOnce::KeyWindow(retention) >= retention / 2 ||
+                          retention > 24h);
+           CPPUNIT_ASSERT(taken <= std::min(retention, Duration(24h)));
+         }),
+     It("takes keys again once a clock that ran ahead is right",
+        [] {
+          std::vector<std::string> log;
+          Entry entry(log, 1);
+          entry.wall += 48h;
+          CPPUNIT_ASSERT(!entry.Runs(entry.Submission("s1")));
+          CPPUNIT_ASSERT(ResultCode::kKeyTooOld ==
+                         entry.Last<OnceRefuse>().code);
+          entry.wall -= 48h;
+          CPPUNIT_ASSERT(entry.Runs(entry.Submission("s1")));
+        }),
+     // Symptom: of a doubled submission both copies ran.
      // Sequence: the caller's network sent it to two entries at once.
      // Cause: each entry bound the key to a home of its own.
      It("runs a doubled submission at one home, and asks that home on the "
--- a/src/entry_process/internal/shard.cc
+++ b/src/entry_process/internal/shard.cc
@@ -39,13 +39,14 @@
   core.id.text += "/" + std::to_string(options.index);
   core.incarnation = random.NextIncarnation();
   core.shards = static_cast<std::uint32_t>(options.process.shards);
-  core.shards = static_cast<std::uint32_t>(options.process.shards);
   // Also without a platform log: keys are then refused as not run, and only
   // tickets run. Taking a key without a claim could run it on two entries.
-  core.make_once = [&random](const entry::EntryOptions& entry_options) {
+  core.make_once = [&random, retention = options.process.log_retention](
+                       const entry::EntryOptions& entry_options) {
     return std::make_unique<entry::LogOnce>(
         entry::LogOnce::Options{
             .claims = {.commit_interval = entry_options.claim_commit_interval},
+            .log_retention = retention,
             .wall_clock = WallClock},
         random);
   };
--- a/src/entry_process/types/entry_process_options.h
+++ b/src/entry_process/types/entry_process_options.h
@@ -48,6 +48,8 @@
   // The platform's log, made on each shard's thread. Empty: no log; calls
   // that need a claim are refused.
   std::function<std::unique_ptr<platform::ILog>()> make_log;
+  // The log keeps records at least so long; keys are taken for less.
+  Duration log_retention = 24h;
   // An agent spoke of a manifest newer than the one in force here. Runs on
   // the main thread.
   std::function<void(LogOffset offset)> on_manifest_heard;
