Know a key again when it is written in capitals

Cause: the work that a key names was a digest of the key's very text. A UUID has two texts (RFC 9562, section 4); a resubmission by a library that writes it in capitals was another key, and its work ran a second time. Change: the digest is taken of the key in small letters. Measured: "knows a key again when it is written in capitals" failed before (the second submission was let run) and passes after. Conclusion: callers may mix libraries. Keys in use keep their names, since the usual libraries write small letters.

--- a/src/entry/tests/log_once_test.cc
+++ b/src/entry/tests/log_once_test.cc
@@ -171,6 +171,18 @@
           entry.wall -= 48h;
           CPPUNIT_ASSERT(entry.Runs(entry.Submission("s1")));
         }),
+     // Symptom: one ISBN order ran twice. Sequence: the caller's first library
+     // writes a UUID in capitals, the one that resubmits does not. Cause: the
+     // two texts of one UUID (RFC 9562, section 4) were two keys.
+     It("knows a key again when it is written in capitals",
+        [] {
+          std::vector<std::string> log;
+          Entry entry(log, 1);
+          CPPUNIT_ASSERT(entry.Runs(entry.Submission("s1")));
+          CPPUNIT_ASSERT(!entry.Runs(
+              entry.Submission("s2", "018F0000-0000-7ABC-8DEF-0123456789AB")));
+          CPPUNIT_ASSERT(EndpointId("s1") == entry.Last<OnceLookUp>().home);
+        }),
      // Symptom: of a doubled submission both copies ran.
      // Sequence: the caller's network sent it to two entries at once.
      // Cause: each entry bound the key to a home of its own.
--- a/src/once/internal/work_key.cc
+++ b/src/once/internal/work_key.cc
@@ -40,6 +40,16 @@
   QCryptographicHash hash{QCryptographicHash::Sha256};
 };
 
+std::string InSmallLetters(std::string_view text) {
+  std::string small(text);
+  for (char& letter : small) {
+    if (letter >= 'A' && letter <= 'Z') {
+      letter = static_cast<char>(letter - 'A' + 'a');
+    }
+  }
+  return small;
+}
+
 template <typename Integer>
 std::optional<Integer> ParseWhole(std::string_view text, int base) {
   Integer value{};
@@ -76,7 +86,7 @@
   Digest digest;
   digest.Add(caller.text);
   digest.Add(service.text);
-  digest.Add(caller_key);
+  digest.Add(InSmallLetters(caller_key));
   return digest.Finish();
 }
 
--- a/src/once/work_key.h
+++ b/src/once/work_key.h
@@ -18,7 +18,8 @@
 using WallMilliseconds = std::chrono::milliseconds;
 
 // The work that a caller's key names: SHA-256 of caller, service and key, cut
-// to 128 bits, so that no caller can meet another's key. Thread safe.
+// to 128 bits, so that no caller can meet another's key. A UUID is the same in
+// capitals (RFC 9562), and so is the work that it names. Thread safe.
 WorkKey MakeWorkKey(const CallerName& caller,
                     const ServiceName& service,
                     std::string_view caller_key);
