Refuse a ticket issued no later than one its home has forgotten

Cause: a ledger refused old claims by their place in the log, but held old tickets off only by the clocks of the entries.

--- a/src/agent/internal/once_ledger.cc
+++ b/src/agent/internal/once_ledger.cc
@@ -18,8 +18,7 @@
 OnceVerdict OnceLedger::Begin(const protocol::Once& once, Instant now) {
   const OnceVerdict verdict = this->Find(once, now);
   if (verdict == OnceVerdict::kRun) {
-    this->records.emplace(KeyOf(once), Record{.fingerprint = once.fingerprint,
-                                              .claim = once.claim});
+    this->records.emplace(KeyOf(once), RecordOf(once));
   }
   return verdict;
 }
@@ -30,10 +29,7 @@
     return verdict;
   }
   const Key key = KeyOf(once);
-  Record& record = this->records
-                       .emplace(key, Record{.fingerprint = once.fingerprint,
-                                            .claim = once.claim})
-                       .first->second;
+  Record& record = this->records.emplace(key, RecordOf(once)).first->second;
   this->Settle(key, record, State::kSealed, now);
   return OnceVerdict::kSealed;
 }
@@ -88,6 +84,26 @@
   return {.high = once.key_high, .low = once.key_low};
 }
 
+OnceLedger::Record OnceLedger::RecordOf(const protocol::Once& once) {
+  return {
+      .fingerprint = once.fingerprint, .kind = once.kind, .claim = once.claim};
+}
+
+// A key that is not known here may be one that was run and forgotten. Claims
+// are ordered by their place in the log and tickets by their time of issue, so
+// this needs no clock but the one that issued the ticket.
+bool OnceLedger::MayBeForgotten(const protocol::Once& once) const {
+  switch (once.kind) {
+    case protocol::OnceKind::kClaim:
+      return once.claim <= this->forgotten_claims;
+    case protocol::OnceKind::kTicket:
+      return once.key_high <= this->forgotten_tickets;
+    case protocol::OnceKind::kIdempotent:
+      break;
+  }
+  return false;
+}
+
 OnceVerdict OnceLedger::Find(const protocol::Once& once, Instant now) {
   this->Forget(now);
   // An earlier start on this host may have run the key, and its ledger died
@@ -97,8 +113,7 @@
   }
   const auto found = this->records.find(KeyOf(once));
   if (found == this->records.end()) {
-    if (once.kind == protocol::OnceKind::kClaim &&
-        once.claim <= this->forgotten_claims) {
+    if (this->MayBeForgotten(once)) {
       return OnceVerdict::kTooOld;
     }
     return this->records.size() >= this->options.max_keys ? OnceVerdict::kFull
@@ -141,6 +156,9 @@
     this->settled.pop_front();
     Record& record = this->records.at(key);
     this->forgotten_claims = std::max(this->forgotten_claims, record.claim);
+    if (record.kind == protocol::OnceKind::kTicket) {
+      this->forgotten_tickets = std::max(this->forgotten_tickets, key.high);
+    }
     if (record.answer) {
       // Answers settle in the order in which their keys do.
       this->answered.pop_front();
--- a/src/agent/internal/once_ledger.h
+++ b/src/agent/internal/once_ledger.h
@@ -25,7 +25,7 @@
   kSealed,        // it never ran here and never will
   kKeyReused,     // the key stands for another request
   kWrongHome,     // another start of an agent alone may run it
-  kTooOld,        // claimed before records that were already forgotten
+  kTooOld,        // claimed or issued before what was already forgotten
   kFull,          // the ledger cannot remember one more key
 };
 inline constexpr EnumNames<OnceVerdict, 10> kOnceVerdictNames = {{
@@ -91,13 +91,16 @@
   struct Record {
     State state = State::kRunning;
     std::uint64_t fingerprint = 0;
+    protocol::OnceKind kind = protocol::OnceKind::kClaim;
     LogOffset claim;
     std::optional<protocol::ServiceAnswer> answer;
   };
   using Records = std::unordered_map<Key, Record, KeyHash>;
 
   static Key KeyOf(const protocol::Once& once);
+  static Record RecordOf(const protocol::Once& once);
   OnceVerdict Find(const protocol::Once& once, Instant now);
+  bool MayBeForgotten(const protocol::Once& once) const;
   void Settle(const Key& key, Record& record, State state, Instant now);
   void DropAnswer(Record& record);
   void Forget(Instant now);
@@ -108,6 +111,9 @@
   std::deque<Key> answered;                     // oldest first
   std::uint64_t bytes = 0;
   LogOffset forgotten_claims;  // the highest claim of a forgotten key
+  // The latest issued of the forgotten tickets: their keys begin with the time
+  // of issue.
+  std::uint64_t forgotten_tickets = 0;
 };
 
 }  // namespace acacialug::agent
--- a/src/agent/tests/once_ledger_test.cc
+++ b/src/agent/tests/once_ledger_test.cc
@@ -142,6 +142,19 @@
           AssertVerdict(kRun, ledger.Begin(claim(51), kNow + 24h));
           CHECK(ledger.kept_bytes() == 0);
         }),
+     // Symptom: a ticket ran twice, a day apart. Sequence: it was used; a day
+     // later its key was forgotten; it came again by an entry whose clock is
+     // behind, to which it was still young. Cause: only the entries' clocks
+     // kept an old ticket away.
+     It("refuses a ticket issued no later than one that it has forgotten",
+        [] {
+          OnceLedger ledger({.home = kHome, .window = 24h});
+          ledger.Begin(Key(50), kNow);
+          ledger.Complete(Key(50), AnswerOfSize(1), kNow);
+          AssertVerdict(kTooOld, ledger.Begin(Key(50), kNow + 24h));
+          AssertVerdict(kTooOld, ledger.LookUp(Key(49), kNow + 24h));
+          AssertVerdict(kRun, ledger.Begin(Key(51), kNow + 24h));
+        }),
      It("never lets the window of a running key pass", [] {
        OnceLedger ledger = LedgerAfter(Past::kRunning);
        AssertVerdict(kStillRunning, ledger.Begin(Key(1), kNow + 48h));
