Pace the voids of a batch whose append cannot be settled

Cause: a void whose own append failed was appended again at once, as long as its batch was unresolved, though its waiting requests had been refused long before. A log that refuses at once (503, or 500) was asked as fast as it could answer, on every shard of every entry, for the whole outage. Conclusion: the verdicts are the same; a late batch that nobody waits for is an ordinary claim that was never dispatched.

--- a/src/once/claim_coordinator.h
+++ b/src/once/claim_coordinator.h
@@ -112,6 +112,9 @@
   void Commit();
   void Append(const ClaimBatch& batch);
   void AppendVoid(std::uint64_t batch);
+  void OnVoidFailed(std::uint64_t voided, Instant now);
+  void AppendDueVoids();
+  bool AnybodyWaits(std::uint64_t batch) const;
   void ReadNext(Duration wait);
 
   CoordinatorOptions options;
@@ -124,8 +127,11 @@
   // Batches whose append is under way or unresolved, with what they wait for.
   std::map<std::uint64_t, std::vector<ClaimToken>> in_flight;
   std::map<std::uint64_t, std::uint64_t> voids;  // void batch -> voided batch
+  std::vector<std::uint64_t> voids_due;  // batches to be voided at void_at
   Instant commit_at = kNever;
   Instant read_at = kNever;
+  Instant void_at = kNever;
+  Duration void_delay{};
   Duration retry_delay{};
   bool reading = false;
   bool read_to_end = false;
--- a/src/once/internal/claim_coordinator.cc
+++ b/src/once/internal/claim_coordinator.cc
@@ -126,6 +126,47 @@
   this->Append(mark);
 }
 
+bool ClaimCoordinator::AnybodyWaits(std::uint64_t batch) const {
+  const auto found = this->in_flight.find(batch);
+  return found != this->in_flight.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [this](ClaimToken token) {
+                       return this->waiting.contains(token);
+                     });
+}
+
+// A void that is itself not known to stand there is tried again while anybody
+// waits; when nobody does, nobody will act on the batch, and it is not needed.
+// The second try comes at once, further ones ever later: a log that is out
+// answers faster than a core can ask.
+void ClaimCoordinator::OnVoidFailed(std::uint64_t voided, Instant now) {
+  if (!this->AnybodyWaits(voided)) {
+    this->in_flight.erase(voided);
+    return;
+  }
+  this->read_at = std::min(this->read_at, now);
+  const Duration pause = this->void_delay;
+  this->void_delay = std::clamp(2 * pause, this->options.retry_first,
+                                this->options.retry_most);
+  if (pause == Duration::zero()) {
+    this->AppendVoid(voided);
+    return;
+  }
+  this->voids_due.push_back(voided);
+  this->void_at = std::min(this->void_at, now + pause);
+}
+
+void ClaimCoordinator::AppendDueVoids() {
+  this->void_at = kNever;
+  for (const std::uint64_t batch : std::exchange(this->voids_due, {})) {
+    if (this->AnybodyWaits(batch)) {
+      this->AppendVoid(batch);
+    } else {
+      this->in_flight.erase(batch);
+    }
+  }
+}
+
 void ClaimCoordinator::OnAppended(std::uint64_t batch,
                                   const Result<LogOffset>& result,
                                   Instant now) {
@@ -133,11 +174,10 @@
   if (mark != this->voids.end()) {
     const std::uint64_t voided = mark->second;
     this->voids.erase(mark);
-    // A void that is itself not known to stand there is tried again while
-    // anybody waits; when nobody does, it is not needed.
-    if (!result.ok() && this->in_flight.contains(voided)) {
-      this->read_at = std::min(this->read_at, now);
-      this->AppendVoid(voided);
+    if (result.ok()) {
+      this->void_delay = {};
+    } else {
+      this->OnVoidFailed(voided, now);
     }
     return;
   }
@@ -227,13 +267,17 @@
   if (this->commit_at <= now) {
     this->Commit();
   }
+  if (this->void_at <= now) {
+    this->AppendDueVoids();
+  }
   if (this->read_at <= now) {
     this->ReadNext(this->read_to_end ? this->options.long_poll : Duration{});
   }
 }
 
 Instant ClaimCoordinator::next_timer() const {
-  const Instant next = std::min(this->commit_at, this->read_at);
+  const Instant next =
+      std::min({this->commit_at, this->read_at, this->void_at});
   return this->deadlines.empty()
              ? next
              : std::min(next, this->deadlines.front().first);
--- a/src/once/tests/claim_coordinator_test.cc
+++ b/src/once/tests/claim_coordinator_test.cc
@@ -3,12 +3,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <set>
+#include <utility>
 
 #include "framework/testing/story.h"
 
 namespace acacialug::once {
 namespace {
 
+using testing::ForEach;
 using testing::It;
 using testing::Section;
 
@@ -170,57 +172,85 @@
           CPPUNIT_ASSERT(ClaimVerdict::kWon == entry.VerdictOf(1));
           CPPUNIT_ASSERT(ClaimVerdict::kReused == entry.VerdictOf(2));
         }),
-     Section("whose append answer is lost",
-             {// Symptom: a billed summary ran twice after a log outage.
-              // Sequence: the append took effect, its answer was lost; the
-              // entry told the caller "not run", who sent the order again.
-              // Cause: a lost answer was taken for a failed append.
-              It("are won when the log shows them",
-                 [] {
-                   Log log;
-                   Entry entry(log, 1);
-                   entry.Request(1, ClaimOf(kKey, "e1"));
-                   entry.Wait(20ms);
-                   const AppendBatch append = entry.TakeAppend();
-                   log.Append(append.payload);
-                   entry.Answer(append, Error(ResultCode::kAppendUnresolved));
-                   entry.Append();  // the void
-                   entry.Poll();
-                   CPPUNIT_ASSERT(ClaimVerdict::kWon == entry.VerdictOf(1));
-                 }),
-              It("count for nothing when they come behind their void",
-                 [] {
-                   Log log;
-                   Entry entry(log, 1);
-                   Entry other(log, 2);
-                   entry.Request(1, ClaimOf(kKey, "e1"));
-                   entry.Wait(20ms);
-                   const AppendBatch late = entry.TakeAppend();
-                   entry.Answer(late, Error(ResultCode::kAppendUnresolved));
-                   entry.Append();  // the void
-                   entry.Poll();
-                   CPPUNIT_ASSERT(ClaimVerdict::kUnavailable ==
-                                  entry.VerdictOf(1));
-                   log.Append(late.payload);
-                   other.Poll();
-                   CPPUNIT_ASSERT(other.coordinator.book().Find(kKey) ==
-                                  nullptr);
-                 }),
-              It("are settled even if the void's own answer is lost as well",
-                 [] {
-                   Log log;
-                   Entry entry(log, 1);
-                   entry.Request(1, ClaimOf(kKey, "e1"));
-                   entry.Wait(20ms);
-                   entry.Answer(entry.TakeAppend(),
-                                Error(ResultCode::kAppendUnresolved));
-                   entry.Answer(entry.TakeAppend(),
-                                Error(ResultCode::kAppendUnresolved));
-                   entry.Append();
-                   entry.Poll();
-                   CPPUNIT_ASSERT(ClaimVerdict::kUnavailable ==
-                                  entry.VerdictOf(1));
-                 })}),
+     Section(
+         "whose append answer is lost",
+         {// Symptom: a billed summary ran twice after a log outage.
+          // Sequence: the append took effect, its answer was lost; the
+          // entry told the caller "not run", who sent the order again.
+          // Cause: a lost answer was taken for a failed append.
+          It("are won when the log shows them",
+             [] {
+               Log log;
+               Entry entry(log, 1);
+               entry.Request(1, ClaimOf(kKey, "e1"));
+               entry.Wait(20ms);
+               const AppendBatch append = entry.TakeAppend();
+               log.Append(append.payload);
+               entry.Answer(append, Error(ResultCode::kAppendUnresolved));
+               entry.Append();  // the void
+               entry.Poll();
+               CPPUNIT_ASSERT(ClaimVerdict::kWon == entry.VerdictOf(1));
+             }),
+          It("count for nothing when they come behind their void",
+             [] {
+               Log log;
+               Entry entry(log, 1);
+               Entry other(log, 2);
+               entry.Request(1, ClaimOf(kKey, "e1"));
+               entry.Wait(20ms);
+               const AppendBatch late = entry.TakeAppend();
+               entry.Answer(late, Error(ResultCode::kAppendUnresolved));
+               entry.Append();  // the void
+               entry.Poll();
+               CPPUNIT_ASSERT(ClaimVerdict::kUnavailable == entry.VerdictOf(1));
+               log.Append(late.payload);
+               other.Poll();
+               CPPUNIT_ASSERT(other.coordinator.book().Find(kKey) == nullptr);
+             }),
+          It("are settled even if the void's own answer is lost as well",
+             [] {
+               Log log;
+               Entry entry(log, 1);
+               entry.Request(1, ClaimOf(kKey, "e1"));
+               entry.Wait(20ms);
+               entry.Answer(entry.TakeAppend(),
+                            Error(ResultCode::kAppendUnresolved));
+               entry.Answer(entry.TakeAppend(),
+                            Error(ResultCode::kAppendUnresolved));
+               entry.Append();
+               entry.Poll();
+               CPPUNIT_ASSERT(ClaimVerdict::kUnavailable == entry.VerdictOf(1));
+             }),
+          // Symptom: in a log outage an entry burnt a core, and the log's
+          // gate drowned in appends. Sequence: an append's answer is lost,
+          // then the log refuses each append at once. Cause: a void that
+          // failed was appended again at once, for as long as the outage
+          // lasted, though nobody waited for it any more.
+          ForEach<ResultCode>(
+              "are voided at a pace, and only while somebody waits, when "
+              "each append is answered by",
+              {ResultCode::kPlatformUnavailable, ResultCode::kAppendUnresolved},
+              [](ResultCode code) { return std::string(ResultCodeName(code)); },
+              [](ResultCode code) {
+                constexpr std::uint64_t kMostAppends = 20;
+                Log log;
+                Entry entry(log, 1);
+                entry.Request(1, ClaimOf(kKey, "e1"));
+                entry.Wait(20ms);
+                entry.Answer(entry.TakeAppend(),
+                             Error(ResultCode::kAppendUnresolved));
+                for (int turn = 0; turn < 10000; ++turn) {
+                  for (const AppendBatch& append :
+                       std::exchange(entry.appends, {})) {
+                    entry.Answer(append, Error(code));
+                  }
+                  entry.Wait(1ms);
+                }
+                CPPUNIT_ASSERT(ClaimVerdict::kUnavailable ==
+                               entry.VerdictOf(1));
+                CPPUNIT_ASSERT(entry.coordinator.appends() <= kMostAppends);
+                CPPUNIT_ASSERT(entry.appends.empty());
+              })}),
      It("are refused at once while the log refuses, and before its end was "
         "read",
         [] {
