Do not dispatch a call after its caller's deadline

Cause: after a pause of the entry, what arrived meanwhile is read before the requests' timers run. A claim that was found won then was dispatched although the caller's deadline had passed: work with consequences for a caller that had given up. Change: `CallMachine::Start` looks at the deadline itself; the call is refused as not run (a ticket that may have run before: unknown).

--- a/src/entry/internal/call_machine.cc
+++ b/src/entry/internal/call_machine.cc
@@ -136,6 +136,12 @@
 void CallMachine::Start(const EndpointId& home,
                         const protocol::Once& bound,
                         Instant now) {
+  // After a pause of this process, what arrived meanwhile is read before the
+  // timers run: the work would take effect for a caller that has given up.
+  if (now >= this->terms.deadline) {
+    this->GiveUp(ResultCode::kDeadlineUnreachable, now);
+    return;
+  }
   // The agent may have been replaced, or its session lost, while the claim
   // was on its way: its ledger would not know the claim.
   const bool current =
--- a/src/entry/tests/call_test.cc
+++ b/src/entry/tests/call_test.cc
@@ -282,6 +282,28 @@
                                driver.Count<protocol::StartCall>());
           CPPUNIT_ASSERT_EQUAL(std::size_t{2}, driver.once->submissions.size());
         }),
+     // Symptom: a billed summary was made for a caller that had given up.
+     // Sequence: the entry was paused past the caller's deadline; it woke, and
+     // read the log's answer to the claim before its timers ran. Cause: only
+     // the timers looked at the deadline.
+     It("is not sent when its deadline passed while the process was paused",
+        [] {
+          ClaimedDriver driver;
+          driver.core->OnCallerGone(driver.request, driver.now);
+          driver.core->OnCall({.request = {.high = 99},
+                               .service = ServiceName("app"),
+                               .call = {.method = "POST", .target = "/x"},
+                               .idempotency_key = "k",
+                               .deadline = 500ms},
+                              driver.now);
+          const OnceRun run = driver.Run();
+          driver.Pause(1500ms);
+          driver.once->verdicts.emplace_back(run);
+          driver.core->OnClaimsRead({}, driver.now);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               driver.Count<protocol::StartCall>());
+          CPPUNIT_ASSERT(driver.Errors().at(0).outcome == Outcome::kNotRun);
+        }),
      It("asks the home of an earlier submission for its answer",
         [] {
           ClaimedDriver driver;
