Begin with no checkpoint that cannot be true

Cause: a reader of a stream that had lost its beginning took any checkpoint that covered what it held. One that speaks of records or of a manifest behind itself (garbage, or another log's) became current there, with an offset that no later publish reaches: such a process differed from all others for ever. Change: a checkpoint is a base only if its manifest is no later than what its author had read, and that is before the checkpoint itself. Conclusion: a checkpoint with a true place and a false text is still believed; its authors are our own processes, and nothing else on the log shows the text.

--- a/src/configuration/configuration_history.h
+++ b/src/configuration/configuration_history.h
@@ -109,6 +109,7 @@
   void Judge(const HeldBack& held);
   void JudgePublish(const HeldBack& held, Judgement& judgement);
   void JudgeCheckpoint(const HeldBack& held);
+  static bool CanBeTrue(const HeldBack& checkpoint);
   bool TryBase(const HeldBack& held);
   void Keep(Judgement judgement);
   LogOffset CurrentOffset() const;
--- a/src/configuration/internal/configuration_history.cc
+++ b/src/configuration/internal/configuration_history.cc
@@ -76,8 +76,18 @@
   return this->accepted ? this->accepted->manifest->offset : LogOffset();
 }
 
+// A checkpoint tells of what its author had read before it wrote it. One that
+// tells of anything later is no work of ours.
+bool ConfigurationHistory::CanBeTrue(const HeldBack& checkpoint) {
+  const ConfigurationRecord& record = *checkpoint.record;
+  return record.accepted_at.value != 0 &&
+         record.accepted_at <= record.read_through &&
+         record.read_through < checkpoint.offset;
+}
+
 bool ConfigurationHistory::TryBase(const HeldBack& held) {
   if (!held.record || held.record->kind != RecordKind::kCheckpoint ||
+      !CanBeTrue(held) ||
       held.record->read_through.value + 1 < this->complete_from.value ||
       held.record->accepted_at < this->CurrentOffset()) {
     return false;
--- a/src/configuration/tests/configuration_history_test.cc
+++ b/src/configuration/tests/configuration_history_test.cc
@@ -51,6 +51,12 @@
   std::string why;
 };
 
+struct FalseCheckpoint {
+  std::string name;
+  std::uint64_t accepted_at;
+  std::uint64_t read_through;
+};
+
 const testing::Story kHistory(
     "the configuration's history",
     {ForEach<VerdictRow>(
@@ -72,6 +78,25 @@
            CPPUNIT_ASSERT(row.verdict == judgement.verdict);
            CPPUNIT_ASSERT_EQUAL(row.current, judgement.current.value);
          }),
+     // Symptom: hosts started after a certain hour ran a configuration that no
+     // other process had, and took no later one. Sequence: the stream had lost
+     // its beginning; a record posed as a checkpoint of a manifest that was yet
+     // to come. Cause: a checkpoint's word was taken though it cannot be true.
+     ForEach<FalseCheckpoint>(
+         "does not begin with a checkpoint that speaks of",
+         {{"records behind it", 6, 100},
+          {"a manifest behind it", 100, 100},
+          {"a manifest that its author had not read", 6, 5},
+          {"no manifest", 0, 5}},
+         [](const FalseCheckpoint& row) { return row.name; },
+         [](const FalseCheckpoint& row) {
+           ConfigurationHistory history(LogOffset(6));
+           history.Apply(LogOffset(6),
+                         Checkpoint("x", 1, row.accepted_at, row.read_through));
+           CPPUNIT_ASSERT(!history.judged());
+           history.Apply(LogOffset(7), Checkpoint("d", 3, 5, 6));
+           CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, CurrentOffset(history));
+         }),
      // Symptom: after retention dropped the start, a new host ran an older
      // configuration than its neighbours.
      // Sequence: a checkpoint of 3 stands behind the publish that replaced it;
