Let no offset that never comes stop a process

Cause: the highest offset that any peer had named was believed against the log. With one that never came (of another log) an entry handed on no manifest any more, a fresh one never became ready, agents read the log twice a second for ever, and no longer heard of true offsets below it. Change: who may serve goes on, whatever it hears. An offset that the log, read to its end, has not shown for 10 s is doubted: it keeps nobody from serving and is looked for each 30 s only by those that do not follow the stream. A true one below it is looked for at once; an agent's core passes on what was named last. Conclusion: a process that starts while the log is out and hears of such an offset waits for the log, as before.

--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -60,8 +60,9 @@
   protocol::EndpointLoad load(Instant now) const;
   AgentCounters counters() const;
 
-  // The highest manifest offset that an entry has named. Above the one in
-  // force here, the process has to fetch a newer manifest.
+  // The manifest offset above the one in force here that an entry has named
+  // last: the process has to fetch a newer manifest. Not the highest of all:
+  // an entry that names one which never comes must not hide the others' word.
   LogOffset newest_manifest_heard() const;
 
   // What the invariant checker of the scenarios looks at: every attempt that
--- a/src/agent/internal/agent_implementation.h
+++ b/src/agent/internal/agent_implementation.h
@@ -69,6 +69,7 @@
   void On(const engine::OrderDone& done, Instant now);
   void On(const engine::EngineState& state, Instant now);
 
+  void HearOf(LogOffset manifest);
   bool Holds(const AttemptId& attempt) const;
   void CountUnknown(bool known);
   // Frees all that the attempt holds and closes it.
--- a/src/agent/internal/agent_implementation_messages.cc
+++ b/src/agent/internal/agent_implementation_messages.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <optional>
 
 #include "agent/internal/agent_implementation.h"
@@ -21,7 +20,7 @@
     this->EndSession(session, greeting.code, now);
     return;
   }
-  this->newest_heard = std::max(this->newest_heard, hello.manifest);
+  this->HearOf(hello.manifest);
   this->outbox.Send(session,
                     protocol::Welcome{.endpoint = this->options.endpoint,
                                       .incarnation = this->options.incarnation,
@@ -35,6 +34,12 @@
   }
 }
 
+void AgentCore::Implementation::HearOf(LogOffset manifest) {
+  if (manifest > this->ManifestOffset()) {
+    this->newest_heard = manifest;
+  }
+}
+
 void AgentCore::Implementation::On(SessionId session,
                                    const protocol::Renew& renew,
                                    Instant now) {
@@ -42,7 +47,7 @@
     this->EndSession(session, ResultCode::kBadFrame, now);
     return;
   }
-  this->newest_heard = std::max(this->newest_heard, renew.manifest);
+  this->HearOf(renew.manifest);
   this->outbox.Send(session,
                     protocol::Renewed{.manifest = this->ManifestOffset()}, now);
 }
--- a/src/agent/tests/agent_core_test.cc
+++ b/src/agent/tests/agent_core_test.cc
@@ -286,6 +286,14 @@
           bench.Say(
               protocol::Renew{.incarnation = kEntry, .manifest = LogOffset(8)});
           CHECK(bench.core.newest_manifest_heard() == LogOffset(8));
+          // Symptom: agents went on under an old manifest for half a minute.
+          // Sequence: one entry names an offset that never comes, the others
+          // the next one. Cause: only what was higher than all was passed on.
+          bench.Say(protocol::Renew{.incarnation = kEntry,
+                                    .manifest = LogOffset(1'000'000)});
+          bench.Say(
+              protocol::Renew{.incarnation = kEntry, .manifest = LogOffset(9)});
+          CHECK(bench.core.newest_manifest_heard() == LogOffset(9));
         })});
 
 }  // namespace
--- a/src/agent_process/internal/agent_runtime.cc
+++ b/src/agent_process/internal/agent_runtime.cc
@@ -223,8 +223,8 @@
 
 void AgentRuntime::TellNewerManifest() {
   const LogOffset heard = this->core.newest_manifest_heard();
-  if (heard > this->newest_told && this->options.on_manifest_heard) {
-    this->newest_told = heard;
+  if (heard != this->last_told && this->options.on_manifest_heard) {
+    this->last_told = heard;
     this->options.on_manifest_heard(heard);
   }
 }
--- a/src/agent_process/internal/agent_runtime.h
+++ b/src/agent_process/internal/agent_runtime.h
@@ -79,7 +79,7 @@
   bool engine_known = false;
   bool draining = false;
   bool drained_told = false;
-  LogOffset newest_told;
+  LogOffset last_told;
   manifest::Endpoint record;  // of this endpoint, as last seen
 };
 
--- a/src/configuration/configuration_follower.h
+++ b/src/configuration/configuration_follower.h
@@ -47,6 +47,11 @@
   // The log keeps records at least this long; a copy of the current manifest
   // is made when the newest one is half as old. Zero: never.
   Duration retention = 0s;
+  // An offset that a peer spoke of, and that the log, read to its end, has not
+  // shown after so long, is doubted: it no longer keeps a starting process
+  // from serving, and is looked for at `doubted_interval` only.
+  Duration doubted_after = 10s;
+  Duration doubted_interval = 30s;
   // False for agents, which get manifests from entries: thousands of readers
   // must not poll the log. They read once at start, and when poked.
   bool follow_stream = true;
@@ -78,7 +83,8 @@
   LogOffset offset() const;
 
   // A starting process may serve: it has a manifest, and it is the newest
-  // that the log (read to its end once), or else its peers, know.
+  // that the log (read to its end once), or else its peers, know. One that may
+  // serve goes on, whatever it hears.
   bool ready() const;
 
  private:
@@ -87,13 +93,19 @@
   void TakeInForce(const AcceptedManifest& candidate);
   void ConsiderCheckpoint(Instant now);
   void ScheduleRetry(Instant now);
+  void ScheduleRead(Instant now);
+  void Doubt(Instant now);
+  bool KnowsNewest() const;
 
   FollowerOptions options;
   RandomSource& random;
   std::optional<ConfigurationHistory> history;
   std::optional<AcceptedManifest> forced;
   LogOffset highest_heard;
+  Instant heard_at{};  // for the first time
+  bool doubted = false;
   bool heard_from_peer = false;
+  bool was_ready = false;
   bool read_to_end = false;
   bool reading = false;
   bool log_failed = false;
--- a/src/configuration/internal/configuration_follower.cc
+++ b/src/configuration/internal/configuration_follower.cc
@@ -29,9 +29,14 @@
 // waits for the log's end, or, with the log out, for the newest offset that
 // any peer has spoken of.
 bool ConfigurationFollower::ready() const {
+  return this->was_ready || this->KnowsNewest();
+}
+
+bool ConfigurationFollower::KnowsNewest() const {
   const bool knows_newest =
       this->read_to_end || (this->log_failed && this->heard_from_peer);
-  return this->forced && knows_newest && this->offset() >= this->highest_heard;
+  return this->forced && knows_newest &&
+         (this->doubted || this->offset() >= this->highest_heard);
 }
 
 std::vector<FollowerAction> ConfigurationFollower::TakeActions() {
@@ -74,12 +79,32 @@
     this->TakeInForce(*current);
   }
   this->ConsiderCheckpoint(now);
-  if (!this->read_to_end || this->offset() < this->highest_heard) {
-    this->timer = this->read_to_end ? now + this->options.poll_interval : now;
+  this->Doubt(now);
+  this->was_ready = this->ready();
+  this->ScheduleRead(now);
+}
+
+// The log is what counts: an offset that it does not hold was read in another
+// log, or never. Without this one word of such a process would keep every
+// process that hears it from serving, and have thousands poll the log.
+void ConfigurationFollower::Doubt(Instant now) {
+  this->doubted = this->doubted ||
+                  (this->read_to_end && this->offset() < this->highest_heard &&
+                   now - this->heard_at >= this->options.doubted_after);
+}
+
+void ConfigurationFollower::ScheduleRead(Instant now) {
+  const bool expects = this->offset() < this->highest_heard;
+  if (!this->read_to_end) {
+    this->timer = now;
+  } else if (expects && !this->doubted) {
+    this->timer = now + this->options.poll_interval;
   } else if (this->options.follow_stream) {
     this->timer = this->options.long_poll.count() > 0
                       ? now
                       : now + this->options.poll_interval;
+  } else if (expects) {
+    this->timer = now + this->options.doubted_interval;
   }
 }
 
@@ -123,13 +148,16 @@
 
 void ConfigurationFollower::OnPeerOffset(LogOffset offset, Instant now) {
   this->heard_from_peer = true;
-  if (offset <= this->highest_heard) {
-    return;
-  }
-  this->highest_heard = offset;
   if (offset <= this->offset()) {
     return;
   }
+  if (offset > this->highest_heard) {
+    this->highest_heard = offset;
+    this->heard_at = now;
+    this->doubted = false;
+  } else if (!this->doubted || offset == this->highest_heard) {
+    return;  // looked for already
+  }
   this->actions.emplace_back(AskPeer{.offset = offset});
   if (!this->reading && !this->log_failed) {
     this->timer = now;
@@ -139,7 +167,6 @@
 Status ConfigurationFollower::OnPeerManifest(LogOffset offset,
                                              const std::string& text) {
   this->heard_from_peer = true;
-  this->highest_heard = std::max(this->highest_heard, offset);
   if (this->forced && offset <= this->offset()) {
     return Error(ResultCode::kManifestStale,
                  "offset " + std::to_string(offset.value));
@@ -153,6 +180,7 @@
   this->TakeInForce({.manifest = std::make_shared<const manifest::Manifest>(
                          std::move(read.value())),
                      .text = text});
+  this->was_ready = this->ready();
   return Success{};
 }
 
--- a/src/configuration/tests/configuration_follower_test.cc
+++ b/src/configuration/tests/configuration_follower_test.cc
@@ -14,6 +14,7 @@
 using testing_texts::Publish;
 
 constexpr Instant kStart{1s};
+constexpr LogOffset kNeverComes{1'000'000};
 
 // A follower with a log that answers when the test says so.
 struct Bench {
@@ -147,6 +148,60 @@
                        .error()
                        .result_code());
              })}),
+     // Symptom: every entry stopped taking manifests, and hosts that were
+     // replaced never served. Sequence: one process spoke of an offset that
+     // the log never held: it had read another log. Cause: what a peer says was
+     // believed against the log, and for ever.
+     Section("that hears of an offset which never comes",
+             {It("goes on serving, and puts in force what the log accepts",
+                 [] {
+                   Bench bench;
+                   bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+                   bench.follower.OnPeerOffset(kNeverComes, kStart);
+                   CPPUNIT_ASSERT(bench.follower.ready());
+                   bench.Answer({{LogOffset(2), Publish("b", 1)}}, 3);
+                   CPPUNIT_ASSERT((std::vector<std::uint64_t>{1, 2}) ==
+                                  bench.in_force);
+                   CPPUNIT_ASSERT(bench.follower.ready());
+                 }),
+              It("serves for the first time when the log has had its time",
+                 [] {
+                   Bench bench;
+                   bench.follower.OnPeerOffset(kNeverComes, kStart);
+                   bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+                   CPPUNIT_ASSERT(!bench.follower.ready());
+                   bench.Answer({}, 2, kStart + 11s);
+                   CPPUNIT_ASSERT(bench.follower.ready());
+                 }),
+              It("does not hammer the log for it",
+                 [] {
+                   constexpr std::size_t kMostReads = 50;
+                   Bench bench({.author = "agent-1", .follow_stream = false});
+                   bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+                   Instant now = kStart;
+                   while (now < kStart + 10min) {
+                     bench.follower.OnPeerOffset(kNeverComes, now);
+                     bench.follower.OnTimer(now);
+                     const std::size_t before = bench.reads.size();
+                     bench.Collect();
+                     if (bench.reads.size() > before) {
+                       bench.Answer({}, 2, now);
+                     }
+                     now += 1s;
+                   }
+                   CPPUNIT_ASSERT(bench.reads.size() <= kMostReads);
+                 }),
+              It("reads at once when it hears of another",
+                 [] {
+                   Bench bench({.author = "agent-1", .follow_stream = false});
+                   bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+                   bench.follower.OnPeerOffset(kNeverComes, kStart);
+                   bench.follower.OnTimer(kStart);
+                   bench.Collect();
+                   bench.Answer({}, 2, kStart + 11s);
+                   bench.follower.OnPeerOffset(LogOffset(2), kStart + 12s);
+                   CPPUNIT_ASSERT(bench.follower.next_timer() == kStart + 12s);
+                 })}),
      // Symptom: months after the last change, new hosts found no manifest.
      // Sequence: retention dropped the only record that held it.
      // Cause: nobody appended it again.
