Have an agent that nobody speaks to read the log itself

Cause: agents hear of manifests from entries only. An entry tells an endpoint of the manifest in which it leaves, and drops it. An agent that was paused, or lost that message, heard of nothing any more, took itself for in use and never drained. Change: a follower that does not follow the stream reads it after 2 s without any session, doubled up to 30 s. Conclusion: an idle agent without entries costs the log a read each 30 s; one with a session costs it none, as before. While alone, an agent may learn of a further manifest only after 30 s.

--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -71,6 +71,10 @@
   return this->implementation->NewestManifestHeard();
 }
 
+bool AgentCore::alone() const {
+  return this->implementation->Alone();
+}
+
 std::vector<AttemptId> AgentCore::held_attempts() const {
   return this->implementation->HeldAttempts();
 }
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -65,6 +65,9 @@
   // an entry that names one which never comes must not hide the others' word.
   LogOffset newest_manifest_heard() const;
 
+  // No entry has a session here: nobody tells of newer manifests.
+  bool alone() const;
+
   // What the invariant checker of the scenarios looks at: every attempt that
   // holds a reservation, engine memory, an export or a call here.
   std::vector<AttemptId> held_attempts() const;
--- a/src/agent/internal/agent_implementation.h
+++ b/src/agent/internal/agent_implementation.h
@@ -45,6 +45,7 @@
   std::vector<AgentAction> TakeActions() { return this->outbox.Take(); }
   const AgentCounters& Counters() const { return this->counters; }
   LogOffset NewestManifestHeard() const { return this->newest_heard; }
+  bool Alone() const { return this->sessions.empty(); }
 
  private:
   void On(SessionId session, const protocol::Hello& hello, Instant now);
--- a/src/agent/internal/session_table.h
+++ b/src/agent/internal/session_table.h
@@ -48,6 +48,7 @@
   std::vector<SessionId> Expire(Instant now);
 
   bool Contains(SessionId session) const;
+  bool empty() const { return this->sessions.empty(); }
   // Empty before the session's Hello.
   std::optional<Incarnation> IncarnationOf(SessionId session) const;
   std::vector<SessionId> Greeted() const;
--- a/src/agent_process/agent_process.h
+++ b/src/agent_process/agent_process.h
@@ -17,8 +17,10 @@
   // The engine beside this agent; tests put a fake here.
   std::function<std::unique_ptr<engine::IEngine>(const engine::EngineOptions&)>
       make_engine;
-  // An entry spoke of a manifest of this offset, higher than any before.
+  // An entry spoke of a manifest of this offset, newer than the one in force.
   std::function<void(LogOffset)> on_manifest_heard;
+  // Whether no entry has a session here; told when that changes.
+  std::function<void(bool alone)> on_alone;
   // Whether what was given to OnManifest is the newest known; empty: always.
   std::function<bool()> configuration_ready;
   // Runs once: the drain that Drain began is over, and every answer has left.
--- a/src/agent_process/internal/agent_runtime.cc
+++ b/src/agent_process/internal/agent_runtime.cc
@@ -191,6 +191,7 @@
   }
   this->ArmTimer(now);
   this->TellNewerManifest();
+  this->TellAlone();
   this->CheckDrained(now);
 }
 
@@ -229,6 +230,14 @@
   }
 }
 
+void AgentRuntime::TellAlone() {
+  const bool now_alone = this->core.alone();
+  if (now_alone != this->told_alone && this->options.on_alone) {
+    this->told_alone = now_alone;
+    this->options.on_alone(now_alone);
+  }
+}
+
 void AgentRuntime::CheckDrained(Instant now) {
   if (!this->draining || this->drained_told || this->flush_timer.isActive() ||
       !this->core.drained()) {
--- a/src/agent_process/internal/agent_runtime.h
+++ b/src/agent_process/internal/agent_runtime.h
@@ -59,6 +59,7 @@
   void Do(const agent::ExecuteOnEngine& action);
   void ArmTimer(Instant now);
   void TellNewerManifest();
+  void TellAlone();
   void CheckDrained(Instant now);
   void CheckFlushed();
 
@@ -80,6 +81,7 @@
   bool draining = false;
   bool drained_told = false;
   LogOffset last_told;
+  bool told_alone = false;
   manifest::Endpoint record;  // of this endpoint, as last seen
 };
 
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -82,6 +82,12 @@
                     this->configuration->OnPeerOffset(offset);
                   }
                 },
+            .on_alone =
+                [this](bool alone) {
+                  if (this->configuration) {
+                    this->configuration->SetAlone(alone);
+                  }
+                },
             .configuration_ready =
                 [this] {
                   return !this->configuration || this->configuration->ready();
--- a/src/configuration/configuration_follower.h
+++ b/src/configuration/configuration_follower.h
@@ -53,8 +53,11 @@
   Duration doubted_after = 10s;
   Duration doubted_interval = 30s;
   // False for agents, which get manifests from entries: thousands of readers
-  // must not poll the log. They read once at start, and when poked.
+  // must not poll the log. They read once at start, when poked, and while no
+  // peer speaks to them.
   bool follow_stream = true;
+  Duration alone_first = 2s;  // from then on, doubled
+  Duration alone_most = 30s;  // up to this
 };
 
 // Follows the configuration: the log first, peers when the log is out. What
@@ -68,6 +71,9 @@
   void OnRead(const Result<platform::ILog::Read>& read, Instant now);
   // A peer spoke of this offset in a heartbeat or a hello.
   void OnPeerOffset(LogOffset offset, Instant now);
+  // Whether no peer has a session with this process. Of no effect on one that
+  // follows the stream.
+  void SetAlone(bool is_alone, Instant now);
   // A peer's manifest, as it was accepted at `offset`. Peers are processes of
   // this system (authenticated when keys are on), so an accepted offset is
   // taken as such. Errors: kManifestInvalid when the text cannot be read;
@@ -106,6 +112,8 @@
   bool doubted = false;
   bool heard_from_peer = false;
   bool was_ready = false;
+  bool alone = false;
+  Duration alone_delay{};
   bool read_to_end = false;
   bool reading = false;
   bool log_failed = false;
--- a/src/configuration/internal/configuration_follower.cc
+++ b/src/configuration/internal/configuration_follower.cc
@@ -103,11 +103,29 @@
     this->timer = this->options.long_poll.count() > 0
                       ? now
                       : now + this->options.poll_interval;
+  } else if (this->alone) {
+    this->timer = now + this->alone_delay;
+    this->alone_delay =
+        std::min(2 * this->alone_delay, this->options.alone_most);
   } else if (expects) {
     this->timer = now + this->options.doubted_interval;
   }
 }
 
+// Entries tell an endpoint that it is to leave, and drop it. One that was
+// paused meanwhile, or whose message was lost, hears of nothing any more: it
+// would take itself for in use for ever.
+void ConfigurationFollower::SetAlone(bool is_alone, Instant now) {
+  if (is_alone == this->alone || this->options.follow_stream) {
+    return;
+  }
+  this->alone = is_alone;
+  this->alone_delay = this->options.alone_first;
+  if (this->alone && !this->reading && !this->log_failed) {
+    this->timer = std::min(this->timer, now + this->alone_delay);
+  }
+}
+
 void ConfigurationFollower::ApplyRecords(const platform::ILog::Read& read) {
   if (!this->history) {
     this->history.emplace(read.first_kept);
--- a/src/configuration/tests/configuration_follower_test.cc
+++ b/src/configuration/tests/configuration_follower_test.cc
@@ -202,6 +202,32 @@
                    bench.follower.OnPeerOffset(LogOffset(2), kStart + 12s);
                    CPPUNIT_ASSERT(bench.follower.next_timer() == kStart + 12s);
                  })}),
+     // Symptom: an endpoint that was to leave never knew, and did not drain.
+     // Sequence: its agent was paused; the entries told it, dropped it, and
+     // told it nothing more. Cause: an agent hears of manifests from entries
+     // only.
+     It("reads the log itself, ever more rarely, while no peer speaks to it",
+        [] {
+          constexpr std::size_t kMostReads = 30;
+          Bench bench({.author = "agent-1", .follow_stream = false});
+          bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+          CPPUNIT_ASSERT(bench.follower.next_timer() == kNever);
+          bench.follower.SetAlone(true, kStart);
+          CPPUNIT_ASSERT(bench.follower.next_timer() == kStart + 2s);
+          while (bench.follower.next_timer() < kStart + 10min) {
+            const Instant now = bench.follower.next_timer();
+            bench.follower.OnTimer(now);
+            bench.Collect();
+            bench.Answer({}, 2, now);
+          }
+          CPPUNIT_ASSERT(bench.reads.size() > kMostReads / 2);
+          CPPUNIT_ASSERT(bench.reads.size() <= kMostReads);
+          const Instant now = bench.follower.next_timer();
+          bench.follower.SetAlone(false, now);
+          bench.follower.OnTimer(now);
+          bench.Answer({}, 2, now);
+          CPPUNIT_ASSERT(bench.follower.next_timer() == kNever);
+        }),
      // Symptom: months after the last change, new hosts found no manifest.
      // Sequence: retention dropped the only record that held it.
      // Cause: nobody appended it again.
--- a/src/configuration_client/configuration_client.h
+++ b/src/configuration_client/configuration_client.h
@@ -41,6 +41,9 @@
   // A peer spoke of this offset.
   void OnPeerOffset(LogOffset offset);
 
+  // Whether no peer has a session with this process.
+  void SetAlone(bool alone);
+
   // A peer sent the manifest that was accepted at `offset`. Errors:
   // kManifestInvalid, kManifestStale.
   Status OnPeerManifest(LogOffset offset, const std::string& text);
--- a/src/configuration_client/internal/configuration_client.cc
+++ b/src/configuration_client/internal/configuration_client.cc
@@ -46,6 +46,11 @@
     this->Pump();
   }
 
+  void SetAlone(bool alone) {
+    this->follower.SetAlone(alone, MonotonicNow());
+    this->Pump();
+  }
+
   Status OnPeerManifest(LogOffset offset, const std::string& text) {
     Status taken = this->follower.OnPeerManifest(offset, text);
     this->Pump();
@@ -143,6 +148,10 @@
   this->implementation->OnPeerOffset(offset);
 }
 
+void ConfigurationClient::SetAlone(bool alone) {
+  this->implementation->SetAlone(alone);
+}
+
 Status ConfigurationClient::OnPeerManifest(LogOffset offset,
                                            const std::string& text) {
   return this->implementation->OnPeerManifest(offset, text);
--- a/src/scenario/internal/agent_host.cc
+++ b/src/scenario/internal/agent_host.cc
@@ -99,6 +99,8 @@
 }
 
 void AgentHost::Pump() {
+  this->manifests.follower().SetAlone(this->decisions->alone(),
+                                      this->parts.queue.now());
   this->manifests.Pump();
   for (const agent::AgentAction& action : this->decisions->TakeActions()) {
     std::visit([this](const auto& typed) { this->Run(typed); }, action);
