Run the programs on Qt's own event loop, not GLib's

Cause: Debian's Qt takes GLib's event loop where it finds it. That one wakes itself by a write, a poll and a read whenever a timer or a socket's notifier changes, which each frame, token and answer does. Change: QT_NO_GLIB is set before the application object is made, in the programs and in the main of the tests, so that both run the same loop.

--- a/src/framework/program/internal/program.cc
+++ b/src/framework/program/internal/program.cc
@@ -92,6 +92,13 @@
                           : std::optional(Number(ExitCode::kSettings));
 }
 
+// Qt's own event loop in place of GLib's, in every thread: GLib's wakes itself
+// for each change of a timer or a socket's notifier, which costs a message
+// through an entry twice the calls of the operating system.
+void UseQtEventLoop() {
+  qputenv("QT_NO_GLIB", "1");
+}
+
 }  // namespace
 
 int RunProgram(int argc, char** argv, const ProgramOptions& options) {
@@ -120,6 +127,7 @@
   } else if (!FLAGS_config.empty() || FLAGS_check) {
     return UsageError(options, "this program reads no settings");
   }
+  UseQtEventLoop();
   QCoreApplication application(argc, argv);
   QCoreApplication::setApplicationName(QString::fromStdString(options.name));
   return options.run(arguments);
--- a/src/framework/testing/story_main.cc
+++ b/src/framework/testing/story_main.cc
@@ -9,6 +9,7 @@
 #include <iostream>
 
 int main(int argc, char** argv) {
+  qputenv("QT_NO_GLIB", "1");  // the event loop that the programs use
   QCoreApplication application(argc, argv);
   CppUnit::TestResult controller;
   CppUnit::TestResultCollector collector;
