Write sockets at the end of the event loop's turn

Cause: Qt writes a buffered socket one turn later: it asks poll first whether the socket can be written. Each process that a token or a frame passes then waits for one more poll before anything leaves. Change: TurnEnd keeps the sockets written in a turn and flushes them when the loop is about to wait, all of a turn in one write. Frame channels and HTTP answers use it. A loop that never waits flushes by a timer of 0 ms.

--- a/src/framework/http/internal/server_connection.cc
+++ b/src/framework/http/internal/server_connection.cc
@@ -7,6 +7,7 @@
 #include "framework/http/internal/message_writer.h"
 #include "framework/http/internal/server_responder.h"
 #include "framework/http/socket_setup.h"
+#include "framework/http/turn_end.h"
 
 namespace acacialug::http {
 namespace {
@@ -236,7 +237,7 @@
 
 void ServerConnection::Write(std::string_view bytes) {
   if (this->state != State::kClosed) {
-    this->socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+    WriteInTurn(*this->socket, bytes);
   }
 }
 
--- a/src/framework/net/internal/socket_channel.cc
+++ b/src/framework/net/internal/socket_channel.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "framework/http/socket_setup.h"
+#include "framework/http/turn_end.h"
 
 namespace acacialug::net {
 namespace {
@@ -176,8 +177,8 @@
     return false;
   }
   const auto head = FrameHead(payload.size());
-  this->socket->write(head.data(), head.size());
-  this->socket->write(payload.data(), static_cast<qint64>(payload.size()));
+  http::WriteInTurn(*this->socket, {head.data(), head.size()});
+  http::WriteInTurn(*this->socket, payload);
   this->sent += frame_bytes;
   return true;
 }
