--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -219,6 +219,10 @@
   for (const LostWork& lost : this->fleet.TakeLost()) {
     const auto found = this->machines.find(lost.request);
     if (found != this->machines.end()) {
+      this->Tell({.request = lost.request,
+                  .progress = Progress::kEndpointLost,
+                  .endpoint = lost.endpoint,
+                  .at = now});
       found->second->OnEndpointLost(lost.endpoint, now);
       this->After(*found->second, now);
     }
@@ -281,6 +285,7 @@
   const RequestId request = machine.Terms().request;
   const manifest::LatencyClass& latency_class = *machine.Terms().latency_class;
   this->queued.insert(request);
+  this->Tell({.request = request, .progress = Progress::kQueued, .at = now});
   if (machine.Resuming()) {
     machine.Service().PushResumed(request);
     return;
@@ -327,6 +332,10 @@
     this->queued.erase(*request);
     RequestMachine& machine = *this->machines.at(*request);
     machine.Dispatch(now);
+    if (machine.State() == RequestState::kActive) {
+      this->Tell(
+          {.request = *request, .progress = Progress::kDispatched, .at = now});
+    }
     if (machine.State() == RequestState::kWaiting && !state.Blocked(now)) {
       state.BlockUntil(now + kNoPlacePause);
     }
@@ -348,6 +357,12 @@
   }
 }
 
+void RequestRouter::Tell(const ProgressNote& note) const {
+  if (this->options.on_progress) {
+    this->options.on_progress(note);
+  }
+}
+
 void RequestRouter::RunTimers(Instant now) {
   if (now < this->timers_held_until) {
     return;
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -81,6 +81,7 @@
   void Erase(const RequestId& request);
   void RunTimers(Instant now);
   void NoteOwnPause(Instant now);
+  void Tell(const ProgressNote& note) const;
 
   EntryOptions options;
   RandomSource& random;
--- a/src/entry/types/entry_options.h
+++ b/src/entry/types/entry_options.h
@@ -46,6 +46,21 @@
   bool reserve_before_prefill = true;
 };
 
+// Where a request stands, beside what the messages about it tell.
+enum class Progress : std::uint8_t { kQueued, kDispatched, kEndpointLost };
+inline constexpr EnumNames<Progress, 3> kProgressNames = {{
+    {Progress::kQueued, "queued"},
+    {Progress::kDispatched, "dispatched"},
+    {Progress::kEndpointLost, "endpoint_lost"},
+}};
+
+struct ProgressNote {
+  RequestId request;
+  Progress progress = Progress::kQueued;
+  EndpointId endpoint;  // kEndpointLost only
+  Instant at{};
+};
+
 struct EntryOptions {
   EntryId id;
   Incarnation incarnation;
@@ -74,6 +89,8 @@
   // by the agents' ledgers alone.
   std::function<std::unique_ptr<IOnceCoordinator>(const EntryOptions&)>
       make_once;
+  // An observer, for traces; it must not call the core. Empty: none.
+  std::function<void(const ProgressNote& note)> on_progress;
 };
 
 }  // namespace acacialug::entry
