Tell what each attempt holds at an agent, and since when

Cause: operators saw a list of attempts that hold something, not what. Change: AgentCore::Holdings names reservation, stream, queued prefill, prefill, export, queued call or call, with the time since the attempt's first message. For that AttemptTable::Open gets `now`; its tests pass it. Conclusion: one instant more an open attempt; nothing is looked at unless asked for.

--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -79,4 +79,8 @@
   return this->implementation->HeldAttempts();
 }
 
+std::vector<HeldAttempt> AgentCore::Holdings(Instant now) const {
+  return this->implementation->Holdings(now);
+}
+
 }  // namespace acacialug::agent
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -8,6 +8,7 @@
 #include "agent/types/agent_counters.h"
 #include "agent/types/agent_messages.h"
 #include "agent/types/agent_options.h"
+#include "agent/types/held_attempt.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
 
@@ -71,6 +72,8 @@
   // What the invariant checker of the scenarios looks at: every attempt that
   // holds a reservation, engine memory, an export or a call here.
   std::vector<AttemptId> held_attempts() const;
+  // The same with what each holds and for how long, for operators.
+  std::vector<HeldAttempt> Holdings(Instant now) const;
 
  private:
   class Implementation;
--- a/src/agent/internal/admission_gate.cc
+++ b/src/agent/internal/admission_gate.cc
@@ -117,7 +117,7 @@
                                           const AttemptId& attempt,
                                           Instant now) {
   const AttemptTable::Opening opening =
-      this->parts.attempts.Open(attempt, session);
+      this->parts.attempts.Open(attempt, session, now);
   if (opening.replaced) {
     this->release(*opening.replaced, now);
   }
--- a/src/agent/internal/agent_implementation.cc
+++ b/src/agent/internal/agent_implementation.cc
@@ -172,6 +172,19 @@
   return all;
 }
 
+std::vector<HeldAttempt> AgentCore::Implementation::Holdings(
+    Instant now) const {
+  std::vector<HeldAttempt> all;
+  const auto add = [&](const AttemptId& attempt, HeldKind kind) {
+    const Instant since = this->attempts.OpenSince(attempt).value_or(now);
+    all.push_back({.attempt = attempt, .kind = kind, .age = now - since});
+  };
+  this->decode.ForEachHolding(add);
+  this->prefill.ForEachHolding(add);
+  this->calls.ForEachHolding(add);
+  return all;
+}
+
 // ---- engine events ----
 
 void AgentCore::Implementation::On(const engine::PrefillDone& done,
--- a/src/agent/internal/agent_implementation.h
+++ b/src/agent/internal/agent_implementation.h
@@ -42,6 +42,7 @@
   Instant NextTimer() const;
   protocol::EndpointLoad Load(Instant now) const;
   std::vector<AttemptId> HeldAttempts() const;
+  std::vector<HeldAttempt> Holdings(Instant now) const;
   std::vector<AgentAction> TakeActions() { return this->outbox.Take(); }
   const AgentCounters& Counters() const { return this->counters; }
   LogOffset NewestManifestHeard() const { return this->newest_heard; }
--- a/src/agent/internal/attempt_table.cc
+++ b/src/agent/internal/attempt_table.cc
@@ -5,12 +5,13 @@
 namespace acacialug::agent {
 
 AttemptTable::Opening AttemptTable::Open(const AttemptId& attempt,
-                                         SessionId session) {
+                                         SessionId session,
+                                         Instant now) {
   const auto [found, first] =
       this->seen.try_emplace(attempt.request, Seen{.highest = attempt.attempt});
   Seen& request = found->second;
   if (first || !this->options.check) {
-    this->Bind(attempt, session);
+    this->Bind(attempt, session, now);
     return {.admission = Admission::kNew};
   }
   if (attempt.attempt < request.highest) {
@@ -25,7 +26,7 @@
       case State::kOver:
         return {.admission = Admission::kOverBefore};
       case State::kOpen:
-        this->Bind(attempt, session);
+        this->Bind(attempt, session, now);
         return {.admission = Admission::kOpen};
     }
   }
@@ -43,7 +44,7 @@
   }
   request.highest = attempt.attempt;
   request.state = State::kOpen;
-  this->Bind(attempt, session);
+  this->Bind(attempt, session, now);
   return opening;
 }
 
@@ -63,7 +64,15 @@
   if (found == this->owners.end()) {
     return std::nullopt;
   }
-  return found->second;
+  return found->second.session;
+}
+
+std::optional<Instant> AttemptTable::OpenSince(const AttemptId& attempt) const {
+  const auto found = this->owners.find(attempt);
+  if (found == this->owners.end()) {
+    return std::nullopt;
+  }
+  return found->second.since;
 }
 
 std::vector<AttemptId> AttemptTable::OpenOf(SessionId session) const {
@@ -83,9 +92,12 @@
   }
 }
 
-void AttemptTable::Bind(const AttemptId& attempt, SessionId session) {
+void AttemptTable::Bind(const AttemptId& attempt,
+                        SessionId session,
+                        Instant now) {
+  const Instant since = this->OpenSince(attempt).value_or(now);
   this->Unbind(attempt);
-  this->owners[attempt] = session;
+  this->owners[attempt] = {.session = session, .since = since};
   this->by_session[session].insert(attempt);
 }
 
@@ -94,7 +106,7 @@
   if (owner == this->owners.end()) {
     return;
   }
-  const auto session = this->by_session.find(owner->second);
+  const auto session = this->by_session.find(owner->second.session);
   session->second.erase(attempt);
   if (session->second.empty()) {
     this->by_session.erase(session);
--- a/src/agent/internal/attempt_table.h
+++ b/src/agent/internal/attempt_table.h
@@ -54,7 +54,7 @@
 
   // Binds the attempt to the session (again) unless it is closed or
   // superseded.
-  Opening Open(const AttemptId& attempt, SessionId session);
+  Opening Open(const AttemptId& attempt, SessionId session, Instant now);
 
   // Closes an attempt of which nothing ran and nothing will.
   void CloseNotRun(const AttemptId& attempt, ResultCode code, Instant now);
@@ -62,6 +62,8 @@
   void CloseOver(const AttemptId& attempt, Instant now);
 
   std::optional<SessionId> SessionOf(const AttemptId& attempt) const;
+  // When the attempt's first message came; empty unless it is open.
+  std::optional<Instant> OpenSince(const AttemptId& attempt) const;
   std::vector<AttemptId> OpenOf(SessionId session) const;
 
   // Forgets what was closed long enough ago.
@@ -83,7 +85,12 @@
 
   static constexpr std::size_t kMaxRan = 8;
 
-  void Bind(const AttemptId& attempt, SessionId session);
+  struct Owner {
+    SessionId session;
+    Instant since;
+  };
+
+  void Bind(const AttemptId& attempt, SessionId session, Instant now);
   void Unbind(const AttemptId& attempt);
   void Close(const AttemptId& attempt,
              State state,
@@ -92,7 +99,7 @@
   void ForgetOldest();
 
   Options options;
-  std::unordered_map<AttemptId, SessionId> owners;
+  std::unordered_map<AttemptId, Owner> owners;
   std::unordered_map<SessionId, std::unordered_set<AttemptId>> by_session;
   std::unordered_map<RequestId, Seen> seen;
   std::deque<std::pair<Instant, RequestId>> closed;
--- a/src/agent/internal/call_work.cc
+++ b/src/agent/internal/call_work.cc
@@ -339,6 +339,15 @@
   return attempts;
 }
 
+void CallWork::ForEachHolding(const HoldingVisitor& visit) const {
+  for (const auto& [number, queued] : this->queue) {
+    visit(queued.start.attempt, HeldKind::kQueuedCall);
+  }
+  for (const auto& [attempt, call] : this->running) {
+    visit(attempt, HeldKind::kCall);
+  }
+}
+
 Instant CallWork::next_timer() const {
   return std::min(this->latest_starts.next(), this->deadlines.next());
 }
--- a/src/agent/internal/call_work.h
+++ b/src/agent/internal/call_work.h
@@ -41,6 +41,8 @@
   void FillLoad(protocol::EndpointLoad& load) const;
   bool Holds(const AttemptId& attempt) const;
   std::vector<AttemptId> held() const;
+  // What each attempt holds here.
+  void ForEachHolding(const HoldingVisitor& visit) const;
   bool idle() const { return this->queue.empty() && this->running.empty(); }
   Instant next_timer() const;
 
--- a/src/agent/internal/decode_work.cc
+++ b/src/agent/internal/decode_work.cc
@@ -344,6 +344,13 @@
   return this->memory.held();
 }
 
+void DecodeWork::ForEachHolding(const HoldingVisitor& visit) const {
+  for (const AttemptId& attempt : this->memory.held()) {
+    visit(attempt, this->streams.contains(attempt) ? HeldKind::kStream
+                                                   : HeldKind::kReservation);
+  }
+}
+
 bool DecodeWork::idle() const {
   return this->streams.empty() && this->memory.empty();
 }
--- a/src/agent/internal/decode_work.h
+++ b/src/agent/internal/decode_work.h
@@ -45,6 +45,8 @@
   void FillLoad(protocol::EndpointLoad& load, Instant now) const;
   bool Holds(const AttemptId& attempt) const;
   std::vector<AttemptId> held() const;
+  // What each attempt holds here.
+  void ForEachHolding(const HoldingVisitor& visit) const;
   bool idle() const;
   Instant next_timer() const;
 
--- a/src/agent/internal/prefill_work.cc
+++ b/src/agent/internal/prefill_work.cc
@@ -221,6 +221,18 @@
   return attempts;
 }
 
+void PrefillWork::ForEachHolding(const HoldingVisitor& visit) const {
+  for (const AttemptId& attempt : this->queue.attempts()) {
+    visit(attempt, HeldKind::kQueuedPrefill);
+  }
+  for (const auto& [attempt, prefill] : this->running) {
+    visit(attempt, HeldKind::kPrefill);
+  }
+  for (const auto& [attempt, end] : this->exports) {
+    visit(attempt, HeldKind::kExport);
+  }
+}
+
 bool PrefillWork::idle() const {
   return this->running.empty() && this->exports.empty() &&
          this->queue.size() == 0;
--- a/src/agent/internal/shared_parts.h
+++ b/src/agent/internal/shared_parts.h
@@ -1,14 +1,20 @@
 #ifndef AGENT_INTERNAL_SHARED_PARTS_H_
 #define AGENT_INTERNAL_SHARED_PARTS_H_
 
+#include <functional>
+
 #include "agent/internal/attempt_table.h"
 #include "agent/internal/engine_audit.h"
 #include "agent/internal/outbox.h"
 #include "agent/types/agent_counters.h"
 #include "agent/types/agent_options.h"
+#include "agent/types/held_attempt.h"
 
 namespace acacialug::agent {
 
+using HoldingVisitor =
+    std::function<void(const AttemptId& attempt, HeldKind kind)>;
+
 // What the parts of an AgentCore share; all of it outlives them. The methods
 // are the ways in which an attempt leaves: each keeps the attempt table, the
 // audit and the entry's knowledge alike. Not thread safe.
--- a/src/agent/tests/agent_core_test.cc
+++ b/src/agent/tests/agent_core_test.cc
@@ -296,5 +296,58 @@
           CHECK(bench.core.newest_manifest_heard() == LogOffset(9));
         })});
 
+struct HoldingRow {
+  std::string name;
+  AgentOptions options;
+  Steps steps;
+  std::vector<HeldKind> holdings;
+};
+
+const testing::Story kOperatorsView(
+    "an agent's operators see",
+    {Cases<HoldingRow>(
+         "what an attempt holds:",
+         {{"nothing", Decoder(), {}, {}},
+          {"a reservation", Decoder(), Reserves(1), {HeldKind::kReservation}},
+          {"a stream",
+           Decoder(),
+           Reserves(1) + Streams(1),
+           {HeldKind::kStream}},
+          {"nothing after its end",
+           Decoder(),
+           Reserves(1) + Streams(1) + StreamEnds(1),
+           {}},
+          {"a prefill, and one that waits",
+           Prefiller(),
+           Prefills(1) + Prefills(2),
+           {HeldKind::kQueuedPrefill, HeldKind::kPrefill}},
+          {"an export",
+           Prefiller(),
+           Prefills(1) + PrefillEnds(1),
+           {HeldKind::kExport}},
+          {"a call, and one that waits",
+           Plain(),
+           Calls(1) + Calls(2),
+           {HeldKind::kQueuedCall, HeldKind::kCall}}},
+         [](const HoldingRow& row) {
+           AgentBench bench(row.options);
+           row.steps.Play(bench);
+           std::vector<HeldKind> holdings;
+           for (const HeldAttempt& held : bench.core.Holdings(bench.now)) {
+             holdings.push_back(held.kind);
+           }
+           CHECK(holdings == row.holdings);
+         }),
+     It("for how long, since the attempt's first message", [] {
+       AgentBench bench(Decoder());
+       Reserves(1).Play(bench);
+       bench.Pass(400ms);
+       Streams(1).Play(bench);
+       bench.Pass(100ms);
+       const auto held = bench.core.Holdings(bench.now);
+       CHECK(held.size() == 1 && held[0].age == 500ms);
+       CHECK(held[0].attempt == Attempt(1));
+     })});
+
 }  // namespace
 }  // namespace acacialug::agent
--- a/src/agent/tests/sessions_and_attempts_test.cc
+++ b/src/agent/tests/sessions_and_attempts_test.cc
@@ -115,10 +115,10 @@
                               row.before == Before::kNewerOver;
            const AttemptId earlier = Attempt(1, newer ? 3 : 2);
            if (row.before != Before::kNothing) {
-             table.Open(earlier, kSession);
+             table.Open(earlier, kSession, kNow);
            }
            if (row.before == Before::kRanOlder) {
-             table.Open(Attempt(1, 3), kSession);
+             table.Open(Attempt(1, 3), kSession, kNow);
            } else if (row.before == Before::kRefused) {
              table.CloseNotRun(earlier, ResultCode::kLinkBusy, kNow);
            } else if (row.before != Before::kOpen &&
@@ -127,7 +127,7 @@
            }
            table.Expire(row.before == Before::kForgotten ? kNow + 15s
                                                          : kNow + 14s);
-           const auto opening = table.Open(Attempt(1, 2), kSession);
+           const auto opening = table.Open(Attempt(1, 2), kSession, kNow);
            CPPUNIT_ASSERT_EQUAL(NameOf(kAdmissionNames, row.expected),
                                 NameOf(kAdmissionNames, opening.admission));
            CHECK(row.before != Before::kRefused ||
@@ -136,25 +136,26 @@
      It("names the older attempt that a newer one replaces, once",
         [] {
           AttemptTable table({});
-          table.Open(Attempt(1, 1), kSession);
-          CHECK(table.Open(Attempt(1, 2), kSession).replaced == Attempt(1, 1));
+          table.Open(Attempt(1, 1), kSession, kNow);
+          CHECK(table.Open(Attempt(1, 2), kSession, kNow).replaced ==
+                Attempt(1, 1));
           table.CloseOver(Attempt(1, 1), kNow);
-          CHECK(table.Open(Attempt(1, 2), kSession).admission ==
+          CHECK(table.Open(Attempt(1, 2), kSession, kNow).admission ==
                 Admission::kOpen);
           CHECK(table.OpenOf(kSession) == Attempts{Attempt(1, 2)});
         }),
      It("follows an attempt to its entry's next session",
         [] {
           AttemptTable table({});
-          table.Open(Attempt(1), kSession);
-          table.Open(Attempt(1), kOther);
+          table.Open(Attempt(1), kSession, kNow);
+          table.Open(Attempt(1), kOther, kNow);
           CHECK(table.OpenOf(kSession).empty());
           CHECK(table.SessionOf(Attempt(1)) == kOther);
         }),
      It("stays within its bound", [] {
        AttemptTable table({.max_remembered = 10});
        for (std::uint64_t request = 1; request <= 100; ++request) {
-         table.Open(Attempt(request), kSession);
+         table.Open(Attempt(request), kSession, kNow);
          table.CloseOver(Attempt(request), kNow);
        }
        CHECK(table.remembered() == 10);
