Show requests on the operations ports, and drain by them where allowed

Traces and holdings were in no operator's reach, and leaving needed a signal, so a shell on the host. POST /drain must name the process, and is refused (1015) unless operations.allow_drain is set; by itself that is so on loopback addresses only, since whoever reaches the port can ask (decision 0014). It is SIGTERM's path. operations.trace_bytes bounds traces, 4 MiB by default. Codes 1014, 1015, 5007, 5008; the table and its test go together. Conclusion: deployments whose operations port is on a host's address stay as they were until their settings say otherwise.

--- a/src/agent_process/agent_process.h
+++ b/src/agent_process/agent_process.h
@@ -3,7 +3,9 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
+#include "agent/types/held_attempt.h"
 #include "agent_process/types/agent_settings.h"
 #include "agent_process/types/agent_status.h"
 #include "engine/i_engine.h"
@@ -59,6 +61,9 @@
 
   AgentStatus status() const;
 
+  // What every attempt holds here; none before the first manifest.
+  std::vector<agent::HeldAttempt> holdings() const;
+
  private:
   class Implementation;
   std::unique_ptr<Implementation> implementation;
--- a/src/agent_process/internal/agent_process.cc
+++ b/src/agent_process/internal/agent_process.cc
@@ -1,6 +1,7 @@
 #include "agent_process/agent_process.h"
 
 #include <QTimer>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kListenRetry{500};
+constexpr std::chrono::milliseconds kAnswerFirst{50};
 
 }  // namespace
 
@@ -61,6 +63,11 @@
                                     : this->runtime->ReloadTls();
   }
 
+  std::vector<agent::HeldAttempt> holdings() const {
+    return this->runtime == nullptr ? std::vector<agent::HeldAttempt>()
+                                    : this->runtime->Holdings();
+  }
+
   std::uint16_t port() const {
     return this->runtime == nullptr ? 0 : this->runtime->port();
   }
@@ -127,16 +134,29 @@
     server.limits.max_body_bytes = 4096;
     server.limits.max_connections = 64;
     server.make_handler = [this](int) {
-      return [this](const http::Request& request,
-                    const http::ResponderPtr& to) {
-        to->SendWhole(AnswerOperations(
-            request, {.status = [this] { return this->status(); },
-                      .histograms = [this] { return this->registry.Read(); }}));
-      };
+      return
+          [this](const http::Request& request, const http::ResponderPtr& to) {
+            to->SendWhole(AnswerOperations(request, this->PagesHooks()));
+          };
     };
     return server;
   }
 
+  OperationsHooks PagesHooks() {
+    return {.status = [this] { return this->status(); },
+            .histograms = [this] { return this->registry.Read(); },
+            .holdings = [this] { return this->holdings(); },
+            .drain_rules = {.allowed = this->options.settings.allow_drain,
+                            .name = this->options.settings.agent.endpoint.text},
+            .drain = [this] { this->DrainSoon(); }};
+  }
+
+  // Whoever asked for it by the operations port gets its answer first: without
+  // a runtime the process ends at once.
+  void DrainSoon() {
+    QTimer::singleShot(kAnswerFirst, &this->context, [this] { this->Drain(); });
+  }
+
   AgentProcessOptions options;
   RandomSource random;
   metrics::Registry registry;
@@ -184,4 +204,8 @@
   return this->implementation->status();
 }
 
+std::vector<agent::HeldAttempt> AgentProcess::holdings() const {
+  return this->implementation->holdings();
+}
+
 }  // namespace acacialug::agent_process
--- a/src/agent_process/internal/agent_runtime.h
+++ b/src/agent_process/internal/agent_runtime.h
@@ -4,6 +4,7 @@
 #include <QObject>
 #include <QTimer>
 #include <memory>
+#include <vector>
 
 #include "agent/agent_core.h"
 #include "agent_process/agent_process.h"
@@ -42,6 +43,9 @@
 
   // Fills what the runtime knows.
   void FillStatus(AgentStatus& status) const;
+  std::vector<agent::HeldAttempt> Holdings() const {
+    return this->core.Holdings(MonotonicNow());
+  }
 
  private:
   agent::AgentOptions CoreOptions() const;
--- a/src/agent_process/internal/operations_pages.cc
+++ b/src/agent_process/internal/operations_pages.cc
@@ -1,10 +1,12 @@
 #include "agent_process/internal/operations_pages.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "agent_process/internal/status_metrics.h"
 #include "framework/metrics/exposition.h"
+#include "operations/requests_page.h"
 
 namespace acacialug::agent_process {
 namespace {
@@ -72,20 +74,80 @@
       page.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n");
 }
 
-http::Response ErrorAnswer(int status, ResultCode code) {
-  return Answer(status, "text/plain",
-                std::to_string(static_cast<int>(code)) + " " +
-                    std::string(ResultCodeName(code)) + "\n");
+http::Response ErrorAnswer(int status, const Error& error) {
+  const ResultCode code = error.result_code();
+  std::string line = std::to_string(static_cast<int>(code)) + " " +
+                     std::string(ResultCodeName(code));
+  if (!error.detail.empty()) {
+    line += ": " + error.detail;
+  }
+  return Answer(status, "text/plain", line + "\n");
+}
+
+// Of the codes that a request on these paths can meet.
+int StatusOf(ResultCode code) {
+  switch (code) {
+    case ResultCode::kNotAllowed:
+      return 403;
+    case ResultCode::kUnknownRequest:
+      return 404;
+    case ResultCode::kMethodNotAllowed:
+      return 405;
+    default:
+      return 400;
+  }
+}
+
+http::Response ErrorAnswer(const Error& error) {
+  return ErrorAnswer(StatusOf(error.result_code()), error);
+}
+
+http::Response AnswerRequests(std::string_view path,
+                              const OperationsHooks& hooks) {
+  const Result<std::optional<RequestId>> asked =
+      operations::RequestOfPath(path);
+  if (!asked.ok()) {
+    return ErrorAnswer(asked.error());
+  }
+  operations::AgentRequests page{.endpoint = hooks.status().endpoint,
+                                 .attempts = hooks.holdings()};
+  if (asked->has_value()) {
+    std::erase_if(page.attempts, [&](const agent::HeldAttempt& held) {
+      return held.attempt.request != **asked;
+    });
+    if (page.attempts.empty()) {
+      return ErrorAnswer(Error(ResultCode::kUnknownRequest, ToString(**asked)));
+    }
+  }
+  return Answer(200, "application/json", operations::RenderRequestsPage(page));
+}
+
+http::Response AnswerDrain(const http::Request& request,
+                           const OperationsHooks& hooks) {
+  const Status checked =
+      operations::CheckDrainRequest(request, hooks.drain_rules);
+  if (!checked.ok()) {
+    return ErrorAnswer(checked.error());
+  }
+  hooks.drain();
+  return Answer(202, "application/json",
+                operations::RenderDrainAnswer(hooks.drain_rules.name));
 }
 
 }  // namespace
 
 http::Response AnswerOperations(const http::Request& request,
                                 const OperationsHooks& hooks) {
+  const std::string_view path = request.Path();
+  if (path == operations::kDrainPath) {
+    return AnswerDrain(request, hooks);
+  }
   if (request.method != "GET" && request.method != "HEAD") {
-    return ErrorAnswer(405, ResultCode::kMethodNotAllowed);
+    return ErrorAnswer(Error(ResultCode::kMethodNotAllowed));
+  }
+  if (operations::IsRequestsPath(path)) {
+    return AnswerRequests(path, hooks);
   }
-  const std::string_view path = request.Path();
   if (path == "/healthz") {
     return Answer(200, "text/plain", "ok\n");
   }
@@ -94,8 +156,8 @@
     if (status.ready()) {
       return Answer(200, "text/plain", "ready\n");
     }
-    return ErrorAnswer(
-        503, status.draining ? ResultCode::kDraining : ResultCode::kNotReady);
+    return ErrorAnswer(503, Error(status.draining ? ResultCode::kDraining
+                                                  : ResultCode::kNotReady));
   }
   if (path == "/metrics") {
     return Answer(200, metrics::kPrometheusContentType,
@@ -107,7 +169,7 @@
   if (path == "/status") {
     return JsonAnswer(StatusJson(hooks.status()));
   }
-  return ErrorAnswer(404, ResultCode::kUnknownRoute);
+  return ErrorAnswer(404, Error(ResultCode::kUnknownRoute));
 }
 
 }  // namespace acacialug::agent_process
--- a/src/agent_process/internal/operations_pages.h
+++ b/src/agent_process/internal/operations_pages.h
@@ -2,10 +2,13 @@
 #define AGENT_PROCESS_INTERNAL_OPERATIONS_PAGES_H_
 
 #include <functional>
+#include <vector>
 
+#include "agent/types/held_attempt.h"
 #include "agent_process/types/agent_status.h"
 #include "framework/http/http_types.h"
 #include "framework/metrics/types/snapshot.h"
+#include "operations/drain_request.h"
 
 namespace acacialug::agent_process {
 
@@ -13,10 +16,15 @@
 struct OperationsHooks {
   std::function<AgentStatus()> status;
   std::function<metrics::Snapshot()> histograms;
+  std::function<std::vector<agent::HeldAttempt>()> holdings;
+  operations::DrainRules drain_rules;
+  // Makes the process leave, after the answer that says so was sent.
+  std::function<void()> drain;
 };
 
 // Answers a request on the operations port: /healthz, /readyz, /metrics
-// (Prometheus text), /metrics.json and /status. Thread: that of the hooks.
+// (Prometheus text), /metrics.json, /status, /requests, /requests/ID and, by
+// POST, /drain. Thread: that of the hooks.
 http::Response AnswerOperations(const http::Request& request,
                                 const OperationsHooks& hooks);
 
--- a/src/agent_process/internal/settings_reader.cc
+++ b/src/agent_process/internal/settings_reader.cc
@@ -1,5 +1,7 @@
 #include "agent_process/settings_reader.h"
 
+#include "operations/drain_request.h"
+
 namespace acacialug::agent_process {
 namespace {
 
@@ -22,6 +24,15 @@
   into.operations_listen = ReadAddress(table, "operations_listen");
 }
 
+// Whoever reaches the operations port may read it; to drain by it is another
+// matter. On a loopback address only this host's processes reach it; on any
+// other one it would let anybody on the network take the hosts out one by one.
+void ReadOperations(const Table& table, AgentSettings& into) {
+  into.allow_drain =
+      table.Bool("allow_drain",
+                 {.fallback = operations::IsLoopback(into.operations_listen)});
+}
+
 void ReadEngine(const Table& table, AgentSettings& into) {
   const engine::EngineOptions defaults;
   into.engine.address = ReadAddress(table, "address");
@@ -115,6 +126,7 @@
     AgentSettings& agent_settings) {
   const Table root = reader.Root();
   ReadAgent(root.Child("agent", {.required = true}), agent_settings);
+  ReadOperations(root.Child("operations"), agent_settings);
   ReadPolicy(root.Child("policy"), agent_settings.agent);
   ReadEngine(root.Child("engine", {.required = true}), agent_settings);
   ReadSource(root, agent_settings);
--- a/src/agent_process/tests/agent_process_test.cc
+++ b/src/agent_process/tests/agent_process_test.cc
@@ -2,9 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "framework/http/http_client.h"
 #include "framework/http/tests/socket_support.h"
 #include "framework/net/frame_channel.h"
 #include "framework/testing/story.h"
+#include "operations/drain_request.h"
 #include "protocol/message_codec.h"
 
 namespace acacialug::agent_process {
@@ -73,6 +75,7 @@
     AgentSettings settings;
     settings.listen = {.ip = "127.0.0.1", .port = port};
     settings.operations_listen = {.ip = "127.0.0.1"};
+    settings.allow_drain = true;
     settings.peer_tls = tls;
     settings.agent.endpoint = EndpointId("d1");
     settings.agent.domain = FailureDomain("hall-a");
@@ -243,9 +246,40 @@
                     [&] { return fixture.engine->Got<engine::Abort>(); });
           CPPUNIT_ASSERT(fixture.process->status().held_attempts.empty());
         }),
+     It("tells operators what a stream holds, and for how long",
+        [] {
+          Fixture fixture;
+          fixture.Serve();
+          const Peer peer(fixture);
+          peer.StartStream(fixture);
+          const auto held = fixture.process->holdings();
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, held.size());
+          CPPUNIT_ASSERT(held[0].attempt == kAttempt);
+          CPPUNIT_ASSERT(held[0].kind == agent::HeldKind::kStream);
+          CPPUNIT_ASSERT(held[0].age > Duration::zero());
+        }),
      Section(
          "that leaves",
-         {It("finishes its stream, refuses new work, and then tells",
+         {It("does so when the operations port is asked to, and answers first",
+             [] {
+               Fixture fixture;
+               http::Client client({});
+               std::string answer;
+               client.Send(
+                   {.ip = "127.0.0.1",
+                    .port = fixture.process->operations_port()},
+                   {.method = "POST",
+                    .target = "/drain",
+                    .body = operations::RenderDrainRequest("d1")},
+                   {.on_head = [](int, const http::Headers&) {},
+                    .on_data = [&](std::string_view data) { answer += data; },
+                    .on_end = [](const std::string&) {},
+                    .on_error = [](const Error&, bool) {}});
+               WaitUntil("drained", [&] { return fixture.drained; });
+               CPPUNIT_ASSERT_EQUAL(operations::RenderDrainAnswer("d1"),
+                                    answer);
+             }),
+          It("finishes its stream, refuses new work, and then tells",
              [] {
                Fixture fixture;
                fixture.Serve();
--- a/src/agent_process/tests/operations_pages_test.cc
+++ b/src/agent_process/tests/operations_pages_test.cc
@@ -6,6 +6,7 @@
 
 #include "framework/metrics/exposition.h"
 #include "framework/testing/story.h"
+#include "operations/requests_page.h"
 
 namespace acacialug::agent_process {
 namespace {
@@ -25,14 +26,31 @@
           .counters = {.bad_frames = 2}};
 }
 
+std::vector<agent::HeldAttempt> TwoHeld() {
+  return {{.attempt = {.request = {.high = 1, .low = 2}},
+           .kind = agent::HeldKind::kStream,
+           .age = 5ms},
+          {.attempt = {.request = {.high = 3, .low = 4}}}};
+}
+
 http::Response Get(const std::string& target,
                    const AgentStatus& status = Sample(),
                    const std::string& method = "GET") {
   return AnswerOperations({.method = method, .target = target},
                           {.status = [status] { return status; },
-                           .histograms = [] { return metrics::Snapshot(); }});
+                           .histograms = [] { return metrics::Snapshot(); },
+                           .holdings = [] { return TwoHeld(); },
+                           .drain_rules = {.name = "d1"}});
 }
 
+struct RefusedRow {
+  std::string name;
+  std::string method;
+  std::string target;
+  int status;
+  std::string line;
+};
+
 struct Row {
   std::string name;
   std::string target;
@@ -63,6 +81,36 @@
         [] {
           CPPUNIT_ASSERT_EQUAL(405, Get("/status", Sample(), "PUT").status);
         }),
+     ForEach<RefusedRow>(
+         "refuses by number",
+         {{"a request that holds nothing here", "GET",
+           "/requests/00000000000000010000000000000009", 404,
+           "1014 unknown_request: 00000000000000010000000000000009\n"},
+          {"a malformed id", "GET", "/requests/x", 400,
+           "1013 invalid_parameter: expected 32 hexadecimal digits behind "
+           "/requests/\n"},
+          {"to drain by another method", "GET", "/drain", 405,
+           "1006 method_not_allowed\n"},
+          {"to drain, where it is not allowed", "POST", "/drain", 403,
+           "1015 not_allowed: operations.allow_drain is false\n"}},
+         [](const RefusedRow& row) { return row.name; },
+         [](const RefusedRow& row) {
+           const http::Response answer = Get(row.target, Sample(), row.method);
+           CPPUNIT_ASSERT_EQUAL(row.status, answer.status);
+           CPPUNIT_ASSERT_EQUAL(row.line, answer.body);
+         }),
+     It("shows what attempts hold, of all requests or of one",
+        [] {
+          const auto read = [](const std::string& target) {
+            return std::get<operations::AgentRequests>(
+                *operations::ParseRequestsPage(Get(target).body));
+          };
+          CPPUNIT_ASSERT(read("/requests").endpoint == EndpointId("d1"));
+          CPPUNIT_ASSERT(read("/requests").attempts == TwoHeld());
+          const auto one =
+              read("/requests/00000000000000010000000000000002").attempts;
+          CPPUNIT_ASSERT(one.size() == 1 && one[0] == TwoHeld()[0]);
+        }),
      It("shows counters and load as metrics, alike in both forms",
         [] {
           const std::string text = Get("/metrics").body;
--- a/src/agent_process/tests/settings_test.cc
+++ b/src/agent_process/tests/settings_test.cc
@@ -34,6 +34,13 @@
   return outcome;
 }
 
+struct DrainRow {
+  std::string name;
+  std::string listen;
+  std::string table;
+  bool allowed;
+};
+
 struct BadRow {
   std::string name;
   std::string text;
@@ -69,6 +76,25 @@
           CPPUNIT_ASSERT(!settings.agent.feasibility_counts_queue);
           CPPUNIT_ASSERT(settings.agent.session_lease == 2s);
         }),
+     ForEach<DrainRow>(
+         "allow to drain by the operations port",
+         {{"on a loopback address", "127.0.0.1:0", "", true},
+          {"not on another", "10.0.0.1:0", "", false},
+          {"not on all", "0.0.0.0:0", "", false},
+          {"where they say so", "10.0.0.1:0", "allow_drain = true", true},
+          {"not where they say no", "127.0.0.1:0", "allow_drain = false",
+           false}},
+         [](const DrainRow& row) { return row.name; },
+         [](const DrainRow& row) {
+           std::string text = kLeast + "[operations]\n" + row.table + "\n";
+           const std::string key = "operations_listen = \"";
+           const std::string loopback = "127.0.0.1:0";
+           text.replace(text.find(key) + key.size(), loopback.size(),
+                        row.listen);
+           const auto [settings, problems] = Read(text);
+           CPPUNIT_ASSERT(problems.empty());
+           CPPUNIT_ASSERT_EQUAL(row.allowed, settings.allow_drain);
+         }),
      ForEach<BadRow>(
          "tell the key of",
          {{"a missing endpoint", Without(kLeast, "endpoint = \"d1\"\n"),
--- a/src/agent_process/types/agent_settings.h
+++ b/src/agent_process/types/agent_settings.h
@@ -17,6 +17,7 @@
 struct AgentSettings {
   http::Address listen;             // for entries
   http::Address operations_listen;  // for operators and probes
+  bool allow_drain = false;         // whether POST /drain there is followed
   std::string manifest_file;        // empty: from the platform's log
   std::optional<http::Address> platform_log;
   std::optional<http::Address> platform_weights;  // loads wait for permits
--- a/src/entry_process/entry_process.cc
+++ b/src/entry_process/entry_process.cc
@@ -66,6 +66,7 @@
   void TellManifestHeard(LogOffset offset);
   // Runs `task` on each shard's thread, with the shard.
   void OnEachShard(const std::function<void(Shard&)>& task);
+  void DrainSoon();
   void StopTakingRequests();
   void CheckDrained();
   void FinishDrain(bool whole);
@@ -100,9 +101,14 @@
              .incarnation = this->options.core.incarnation,
              .shards = this->options.shards,
              .ready_wait = this->options.ready_wait,
-             .started = MonotonicNow()}),
+             .started = MonotonicNow(),
+             .trace_bytes = this->options.trace_bytes}),
       measures(metrics_registry),
-      pages({.state = this->state, .registry = metrics_registry}),
+      pages({.state = this->state,
+             .registry = metrics_registry,
+             .drain_rules = {.allowed = this->options.allow_drain,
+                             .name = this->options.core.id.text},
+             .drain = [this] { this->DrainSoon(); }}),
       log_limiter({}),
       shards(this->options.shards) {
   for (int shard = 0; shard < this->options.shards; ++shard) {
@@ -230,6 +236,12 @@
                      [this] { this->StopTakingRequests(); });
 }
 
+// From the next turn of the event loop on, so that whoever asked for it by the
+// operations port gets an answer also from a process that has nothing to end.
+void EntryProcess::Implementation::DrainSoon() {
+  QTimer::singleShot(0, &this->context, [this] { this->Drain(); });
+}
+
 void EntryProcess::Implementation::StopTakingRequests() {
   this->OnEachShard([](Shard& shard) { shard.BeginDrain(); });
   this->callers_server->StopAccepting();
--- a/src/entry_process/internal/operations_pages.cc
+++ b/src/entry_process/internal/operations_pages.cc
@@ -5,13 +5,19 @@
 
 #include "configuration_client/peer_manifests.h"
 #include "entry_process/internal/caller_request.h"
+#include "entry_process/internal/error_answer.h"
 #include "entry_process/metric_definitions.h"
 #include "framework/metrics/exposition.h"
+#include "operations/requests_page.h"
 
 namespace acacialug::entry_process {
 namespace {
 
+constexpr int kAccepted = 202;
+constexpr int kMethodNotAllowed = 405;
 constexpr int kServiceUnavailable = 503;
+// Of /requests: some hundred bytes each.
+constexpr std::size_t kMostRequestsShown = 1000;
 
 http::Response Page(std::string content_type, std::string body) {
   return {.headers = {{"Content-Type", std::move(content_type)}},
@@ -21,12 +27,15 @@
 }  // namespace
 
 OperationsPages::OperationsPages(Options page_options)
-    : options(page_options),
-      alive_requests(page_options.registry.Get(kAliveRequests)) {}
+    : options(std::move(page_options)),
+      alive_requests(this->options.registry.Get(kAliveRequests)) {}
 
 http::Response OperationsPages::Answer(const http::Request& request,
                                        Instant now) {
   const std::string_view path = request.Path();
+  if (path == operations::kDrainPath) {
+    return this->AnswerDrain(request);
+  }
   if (request.method != "GET" && request.method != "HEAD") {
     return RenderRefusal(Error(ResultCode::kMethodNotAllowed), "/healthz", {});
   }
@@ -45,6 +54,9 @@
                ? RenderRefusal(Error(ResultCode::kNotReady), path, {})
                : Page("application/json", this->manifest_page);
   }
+  if (operations::IsRequestsPath(path)) {
+    return this->AnswerRequests(path, now);
+  }
   if (path == "/healthz") {
     return RenderHealth();
   }
@@ -55,6 +67,41 @@
                        path, {});
 }
 
+http::Response OperationsPages::AnswerRequests(std::string_view path,
+                                               Instant now) {
+  const Result<std::optional<RequestId>> request =
+      operations::RequestOfPath(path);
+  if (!request.ok()) {
+    return RenderRefusal(request.error(), path, {});
+  }
+  const Result<operations::EntryRequests> page =
+      request->has_value()
+          ? this->options.state.FindTrace(**request, now)
+          : this->options.state.AliveTraces(kMostRequestsShown, now);
+  return page.ok()
+             ? Page("application/json", operations::RenderRequestsPage(*page))
+             : RenderRefusal(page.error(), path, {});
+}
+
+http::Response OperationsPages::AnswerDrain(const http::Request& request) {
+  const Status checked =
+      operations::CheckDrainRequest(request, this->options.drain_rules);
+  if (!checked.ok()) {
+    http::Response refusal = RenderError({.code = checked.error().result_code(),
+                                          .detail = checked.error().detail});
+    if (refusal.status == kMethodNotAllowed) {
+      refusal.headers.push_back({"Allow", "POST"});
+    }
+    return refusal;
+  }
+  this->options.drain();
+  http::Response response =
+      Page("application/json",
+           operations::RenderDrainAnswer(this->options.drain_rules.name));
+  response.status = kAccepted;
+  return response;
+}
+
 metrics::Snapshot OperationsPages::ReadMetrics() {
   this->alive_requests.Set(
       static_cast<double>(this->options.state.AliveRequests()));
--- a/src/entry_process/internal/operations_pages.h
+++ b/src/entry_process/internal/operations_pages.h
@@ -1,24 +1,30 @@
 #ifndef ENTRY_PROCESS_INTERNAL_OPERATIONS_PAGES_H_
 #define ENTRY_PROCESS_INTERNAL_OPERATIONS_PAGES_H_
 
+#include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "entry_process/internal/process_state.h"
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
 #include "framework/metrics/registry.h"
+#include "operations/drain_request.h"
 
 namespace acacialug::entry_process {
 
 // The pages of the operations port: /metrics (Prometheus text),
-// /metrics.json, /status, /manifest, /healthz and /readyz, by GET or HEAD.
-// Lives on one thread.
+// /metrics.json, /status, /requests, /requests/ID, /manifest, /healthz and
+// /readyz, by GET or HEAD, and /drain by POST. Lives on one thread.
 class OperationsPages {
  public:
   struct Options {
     ProcessState& state;  // both outlive this object
     metrics::Registry& registry;
+    operations::DrainRules drain_rules;
+    // Makes the process leave, after the answer that says so was sent.
+    std::function<void()> drain;
   };
 
   explicit OperationsPages(Options options);
@@ -32,6 +38,8 @@
   }
 
  private:
+  http::Response AnswerRequests(std::string_view path, Instant now);
+  http::Response AnswerDrain(const http::Request& request);
   metrics::Snapshot ReadMetrics();
 
   const Options options;
--- a/src/entry_process/internal/process_state.cc
+++ b/src/entry_process/internal/process_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <numeric>
 #include <set>
@@ -87,7 +88,9 @@
 ProcessState::ProcessState(Options state_options)
     : options(std::move(state_options)) {
   for (int shard = 0; shard < this->options.shards; ++shard) {
-    this->boards.push_back(std::make_unique<ShardBoard>());
+    this->boards.push_back(std::make_unique<ShardBoard>(
+        this->options.trace_bytes /
+        static_cast<std::size_t>(this->options.shards)));
   }
 }
 
@@ -173,6 +176,52 @@
   return readiness;
 }
 
+trace::TraceCounts ProcessState::CountTraces() const {
+  trace::TraceCounts sum;
+  for (const auto& board : this->boards) {
+    const trace::TraceCounts counts = board->traces().counts();
+    sum.kept += counts.kept;
+    sum.alive += counts.alive;
+    sum.bytes += counts.bytes;
+    sum.dropped += counts.dropped;
+    sum.not_traced += counts.not_traced;
+    sum.steps_left_out += counts.steps_left_out;
+  }
+  return sum;
+}
+
+operations::EntryRequests ProcessState::AliveTraces(std::size_t limit,
+                                                    Instant now) const {
+  operations::EntryRequests page{.entry = this->options.entry,
+                                 .counts = this->CountTraces()};
+  for (const auto& board : this->boards) {
+    std::vector<trace::Trace> alive = board->traces().Alive(limit, now);
+    page.requests.insert(page.requests.end(),
+                         std::make_move_iterator(alive.begin()),
+                         std::make_move_iterator(alive.end()));
+  }
+  std::stable_sort(page.requests.begin(), page.requests.end(),
+                   [](const trace::Trace& left, const trace::Trace& right) {
+                     return left.age > right.age;
+                   });
+  page.requests.resize(std::min(page.requests.size(), limit));
+  return page;
+}
+
+Result<operations::EntryRequests> ProcessState::FindTrace(
+    const RequestId& request,
+    Instant now) const {
+  for (const auto& board : this->boards) {
+    if (std::optional<trace::Trace> found =
+            board->traces().Find(request, now)) {
+      return operations::EntryRequests{.entry = this->options.entry,
+                                       .counts = this->CountTraces(),
+                                       .requests = {std::move(*found)}};
+    }
+  }
+  return Error(ResultCode::kUnknownRequest, ToString(request));
+}
+
 std::string ProcessState::RenderStatus(Instant now) {
   const std::shared_ptr<const manifest::Manifest> in_force = this->manifest();
   const Readiness readiness = this->CheckReady(now);
--- a/src/entry_process/internal/process_state.h
+++ b/src/entry_process/internal/process_state.h
@@ -9,9 +9,12 @@
 #include <string>
 #include <vector>
 
+#include "entry_process/internal/trace_board.h"
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
+#include "framework/global/types/result.h"
 #include "manifest/types/manifest.h"
+#include "operations/types/requests_page.h"
 #include "protocol/types/messages.h"
 
 namespace acacialug::entry_process {
@@ -26,6 +29,8 @@
 // What a shard shows of itself; written by the shard, read by anyone.
 class ShardBoard {
  public:
+  explicit ShardBoard(std::size_t trace_bytes) : request_traces(trace_bytes) {}
+
   // Thread safe, all of them.
   void SetRequests(std::size_t alive, bool is_drained);
   // The endpoint's agent answered the opening of a session.
@@ -38,7 +43,11 @@
   bool drained() const { return this->is_drained.load(); }
   std::map<EndpointId, EndpointView> Endpoints() const;
 
+  TraceBoard& traces() { return this->request_traces; }
+  const TraceBoard& traces() const { return this->request_traces; }
+
  private:
+  TraceBoard request_traces;
   std::atomic<std::size_t> alive_requests = 0;
   std::atomic<bool> is_drained = false;
   mutable std::mutex mutex;
@@ -60,6 +69,7 @@
     int shards = 1;
     Duration ready_wait{};
     Instant started;
+    std::size_t trace_bytes = 0;  // of all shards together
   };
 
   explicit ProcessState(Options options);
@@ -84,10 +94,19 @@
   // its callers get refusals, and the other services' callers must not suffer.
   Readiness CheckReady(Instant now);
 
+  // Of the requests that are alive, the oldest first, each with its last
+  // step, at most `limit`.
+  operations::EntryRequests AliveTraces(std::size_t limit, Instant now) const;
+
+  // One request's trace. Errors: kUnknownRequest.
+  Result<operations::EntryRequests> FindTrace(const RequestId& request,
+                                              Instant now) const;
+
   // The page /status, as JSON.
   std::string RenderStatus(Instant now);
 
  private:
+  trace::TraceCounts CountTraces() const;
   std::vector<ServiceName> UnservedBy(const manifest::Manifest& manifest,
                                       std::size_t& served) const;
 
--- a/src/entry_process/internal/settings_reader.cc
+++ b/src/entry_process/internal/settings_reader.cc
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 
+#include "operations/drain_request.h"
+
 namespace acacialug::entry_process {
 namespace {
 
@@ -56,6 +58,17 @@
       ReadDuration(table, "ready_wait", into.ready_wait, Duration::zero());
 }
 
+// Whoever reaches the operations port may read it; to drain by it is another
+// matter. On a loopback address only this host's processes reach it; on any
+// other one it would let anybody on the network take the hosts out one by one.
+void ReadOperations(const Table& table, EntryProcessOptions& into) {
+  const bool loopback =
+      into.operations_listen && operations::IsLoopback(*into.operations_listen);
+  into.allow_drain = table.Bool("allow_drain", {.fallback = loopback});
+  into.trace_bytes = table.Bytes(
+      "trace_bytes", {.fallback = into.trace_bytes, .maximum = 256 * kMiB});
+}
+
 void ReadSources(const Table& root, EntrySettings& into) {
   const Table manifest = root.Child("manifest");
   const Table platform = root.Child("platform");
@@ -160,6 +173,7 @@
   const Table root = reader.Root();
   EntryProcessOptions& process = entry_settings.process;
   ReadEntry(root.Child("entry", {.required = true}), process);
+  ReadOperations(root.Child("operations"), process);
   ReadSources(root, entry_settings);
   ReadPolicy(root.Child("policy"), process.core);
   ReadLimits(root.Child("limits"), process);
--- a/src/entry_process/internal/shard.cc
+++ b/src/entry_process/internal/shard.cc
@@ -31,6 +31,18 @@
       std::chrono::system_clock::now().time_since_epoch());
 }
 
+trace::StepKind StepOfProgress(entry::Progress progress) {
+  switch (progress) {
+    case entry::Progress::kQueued:
+      return trace::StepKind::kQueued;
+    case entry::Progress::kDispatched:
+      return trace::StepKind::kDispatched;
+    case entry::Progress::kEndpointLost:
+      break;
+  }
+  return trace::StepKind::kEndpointLost;
+}
+
 // An agent takes a second session of one entry for that entry's next start,
 // and ends the first with all that runs in it. So each shard is an entry of
 // its own to the agents.
@@ -40,6 +52,13 @@
   core.id.text += "/" + std::to_string(options.index);
   core.incarnation = random.NextIncarnation();
   core.shards = static_cast<std::uint32_t>(options.process.shards);
+  core.on_progress = [&traces = options.state.board(options.index).traces()](
+                         const entry::ProgressNote& note) {
+    traces.Add(
+        note.request,
+        {.kind = StepOfProgress(note.progress), .endpoint = note.endpoint},
+        note.at);
+  };
   // Also without a platform log: keys are then refused as not run, and only
   // tickets run. Taking a key without a claim could run it on two entries.
   core.make_once = [&random, retention = options.process.log_retention](
@@ -169,7 +188,8 @@
                                    .generation = std::move(parsed.generation),
                                    .prompt_text = std::move(parsed.prompt_text),
                                    .deadline = asked.headers.deadline};
-  this->Begin(asked, service).generation = std::move(answer);
+  this->Begin(asked, service, trace::RequestKind::kGeneration).generation =
+      std::move(answer);
   this->Feed([&](Instant now) { this->core.OnGeneration(arrived, now); });
 }
 
@@ -205,7 +225,7 @@
                              .idempotency_key = asked.headers.idempotency_key,
                              .ticket = asked.headers.ticket,
                              .deadline = asked.headers.deadline};
-  this->Begin(asked, service);
+  this->Begin(asked, service, trace::RequestKind::kCall);
   this->Feed([&](Instant now) { this->core.OnCall(arrived, now); });
 }
 
@@ -256,12 +276,19 @@
 }
 
 Shard::LiveRequest& Shard::Begin(Asked& asked,
-                                 const manifest::Service* service) {
+                                 const manifest::Service* service,
+                                 trace::RequestKind kind) {
+  const Instant now = MonotonicNow();
   LiveRequest& live = this->live_requests[asked.id];
   live.responder = asked.responder;
   live.identity = asked.identity;
   live.trace = BeginTrace(this->manifest.get(), service, asked.headers.caller,
-                          asked.headers.latency_class, MonotonicNow());
+                          asked.headers.latency_class, now);
+  this->board.traces().Begin({.request = asked.id,
+                              .kind = kind,
+                              .service = live.trace.service,
+                              .latency_class = live.trace.latency_class},
+                             now);
   live.responder->SetOnGone([this, id = asked.id] { this->OnGone(id); });
   return live;
 }
@@ -275,6 +302,8 @@
   this->options.measures.OnCallerGone(found->second.trace);
   this->live_requests.erase(found);
   this->Feed([&](Instant now) { this->core.OnCallerGone(gone, now); });
+  this->board.traces().End(gone, trace::TraceOutcome::kCallerGone,
+                           ResultCode::kCancelled, MonotonicNow());
 }
 
 // An action may lead to another input of the core (a caller found gone while
--- a/src/entry_process/internal/shard.h
+++ b/src/entry_process/internal/shard.h
@@ -76,7 +76,9 @@
   void Take(Asked asked, CallAsked call);
   void Take(Asked asked, const PageAsked& page);
   void Refuse(const Asked& asked, std::string_view path, const Error& error);
-  LiveRequest& Begin(Asked& asked, const manifest::Service* service);
+  LiveRequest& Begin(Asked& asked,
+                     const manifest::Service* service,
+                     trace::RequestKind kind);
   std::unique_ptr<GenerationAnswer> MakeAnswer(const Asked& asked,
                                                const ParsedGeneration& parsed);
   Result<http::Response> RenderPage(const PageAsked& page);
@@ -98,6 +100,9 @@
   void EndTurn();
   void FlushDirty();
   void OnGone(const RequestId& id);
+  // Adds the message to its request's trace, if it is a step.
+  template <typename Message>
+  void NoteStep(const EndpointId& endpoint, const Message& message);
 
   void Do(const entry::SendToAgent& action);
   void Do(const entry::ConnectEndpoint& action);
--- a/src/entry_process/internal/shard_actions.cc
+++ b/src/entry_process/internal/shard_actions.cc
@@ -8,10 +8,36 @@
 #include "entry_process/internal/service_call.h"
 #include "entry_process/internal/shard.h"
 #include "framework/log/log.h"
+#include "trace/message_steps.h"
 
 namespace acacialug::entry_process {
+namespace {
+
+trace::TraceOutcome TraceOutcomeOf(protocol::Outcome outcome) {
+  switch (outcome) {
+    case protocol::Outcome::kNotRun:
+      return trace::TraceOutcome::kNotRun;
+    case protocol::Outcome::kCompleted:
+      return trace::TraceOutcome::kCompleted;
+    case protocol::Outcome::kUnknown:
+      break;
+  }
+  return trace::TraceOutcome::kUnknown;
+}
+
+}  // namespace
+
+template <typename Message>
+void Shard::NoteStep(const EndpointId& endpoint, const Message& message) {
+  if (std::optional<trace::RequestStep> noted =
+          trace::StepOf(endpoint, message)) {
+    this->board.traces().Add(noted->request, std::move(noted->step),
+                             MonotonicNow());
+  }
+}
 
 void Shard::Do(const entry::SendToAgent& action) {
+  this->NoteStep(action.endpoint, action.message);
   this->links.Send(action.endpoint, action.message);
 }
 
@@ -44,7 +70,12 @@
     return;
   }
   LiveRequest& live = found->second;
-  live.trace.OnText(MonotonicNow());
+  const Instant now = MonotonicNow();
+  if (!live.trace.first_text) {
+    this->board.traces().Add(action.request,
+                             {.kind = trace::StepKind::kFirstToken}, now);
+  }
+  live.trace.OnText(now);
   if (live.generation->AddText(action.index, action.text)) {
     this->MarkDirty(action.request, live);
     return;
@@ -61,8 +92,11 @@
   if (found == this->live_requests.end()) {
     return;
   }
-  this->options.measures.OnGenerationCompleted(
-      found->second.trace, action.usage.output_tokens, MonotonicNow());
+  const Instant now = MonotonicNow();
+  this->options.measures.OnGenerationCompleted(found->second.trace,
+                                               action.usage.output_tokens, now);
+  this->board.traces().End(action.request, trace::TraceOutcome::kCompleted,
+                           ResultCode::kOk, now);
   found->second.generation->End(action.reason, action.usage);
   this->live_requests.erase(found);
 }
@@ -73,7 +107,10 @@
     return;
   }
   LiveRequest& live = found->second;
-  this->options.measures.OnCallCompleted(live.trace, MonotonicNow());
+  const Instant now = MonotonicNow();
+  this->options.measures.OnCallCompleted(live.trace, now);
+  this->board.traces().End(action.request, trace::TraceOutcome::kCompleted,
+                           ResultCode::kOk, now);
   http::Response response =
       MakeServiceResponse(std::move(action.answer), action.replayed);
   response.headers.insert(response.headers.end(), live.identity.begin(),
@@ -89,6 +126,8 @@
   }
   LiveRequest& live = found->second;
   this->options.measures.OnError(live.trace, action.code, action.outcome);
+  this->board.traces().End(action.request, TraceOutcomeOf(action.outcome),
+                           action.code, MonotonicNow());
   log::WriteLimited(
       this->options.log_limiter, MonotonicNow(), log::Level::kWarning,
       "request_failed",
@@ -137,6 +176,7 @@
 
 void Shard::OnAgentMessage(const EndpointId& endpoint,
                            const protocol::AgentToEntry& message) {
+  this->NoteStep(endpoint, message);
   this->NoteMessage(endpoint, message);
   this->Feed(
       [&](Instant now) { this->core.OnMessage(endpoint, message, now); });
--- a/src/entry_process/tests/settings_test.cc
+++ b/src/entry_process/tests/settings_test.cc
@@ -64,6 +64,29 @@
           CPPUNIT_ASSERT(process.drain_delay == Duration::zero());
           CPPUNIT_ASSERT(settings.log_level == log::Level::kWarning);
         }),
+     It("allow to drain by the operations port on loopback only, unless they "
+        "say otherwise",
+        [] {
+          const auto allowed = [](const std::string& listen,
+                                  const std::string& table) {
+            std::string text = kGood + table;
+            const std::string loopback = "127.0.0.1:8081";
+            text.replace(text.find(loopback), loopback.size(), listen);
+            EntrySettings settings;
+            CPPUNIT_ASSERT(
+                ReadEntrySettings(
+                    settings::Reader::FromText("entry.toml", text), settings)
+                    .empty());
+            return settings.process.allow_drain;
+          };
+          const std::string yes = "[operations]\nallow_drain = true\n";
+          const std::string no = "[operations]\nallow_drain = false\n";
+          CPPUNIT_ASSERT(allowed("127.0.0.1:8081", ""));
+          CPPUNIT_ASSERT(!allowed("127.0.0.1:8081", no));
+          CPPUNIT_ASSERT(!allowed("10.0.0.1:8081", ""));
+          CPPUNIT_ASSERT(!allowed("0.0.0.0:8081", ""));
+          CPPUNIT_ASSERT(allowed("10.0.0.1:8081", yes));
+        }),
      ForEach<BadSetting>(
          "are refused with line and key:",
          {{"id = \"entry-1\"\n", "", 1, "entry.id",
--- a/src/entry_process/types/entry_process_options.h
+++ b/src/entry_process/types/entry_process_options.h
@@ -45,6 +45,10 @@
   // How many entries serve side by side: each grants its part of the callers'
   // rates, so that the parts add up without a shared counter.
   std::uint32_t live_entries = 1;
+  // Traces of requests, all shards together; zero: none are kept.
+  std::size_t trace_bytes = std::size_t{4} * 1024 * 1024;
+  // Whether POST /drain on the operations port is followed.
+  bool allow_drain = false;
   // The platform's log, made on each shard's thread. Empty: no log; calls
   // that need a claim are refused.
   std::function<std::unique_ptr<platform::ILog>()> make_log;
--- a/src/framework/global/types/result_code.h
+++ b/src/framework/global/types/result_code.h
@@ -28,6 +28,8 @@
   kInvalidHeader = 1011,
   kPromptTooLong = 1012,
   kInvalidParameter = 1013,
+  kUnknownRequest = 1014,
+  kNotAllowed = 1015,
 
   // 2xxx: refusals; the request provably did not run.
   kOverloaded = 2001,
@@ -69,6 +71,8 @@
   kConnectionLost = 5004,
   kHeartbeatLost = 5005,
   kUnauthenticatedPeer = 5006,
+  kNodeUnreachable = 5007,
+  kNodeBadAnswer = 5008,
 
   // 6xxx: settings, manifest and configuration.
   kSettingsUnreadable = 6001,
