--- a/src/app/ctl/main.cc
+++ b/src/app/ctl/main.cc
@@ -33,6 +33,14 @@
   return items;
 }
 
+std::vector<control::CommandFlag> Flags() {
+  std::vector<control::CommandFlag> flags;
+  for (const program::FlagName& flag : program::ShownFlags()) {
+    flags.push_back({.name = flag.name, .takes_value = flag.takes_value});
+  }
+  return flags;
+}
+
 int Run(const std::vector<std::string>& arguments) {
   const auto timeout = settings::ParseDuration(FLAGS_timeout);
   const auto window = settings::ParseDuration(FLAGS_window);
@@ -49,6 +57,7 @@
        .html_file = FLAGS_html,
        .timeout = *timeout,
        .window = *window,
+       .flags = Flags(),
        .print =
            [](const std::string& text) { std::cout << text << std::flush; },
        .complain = [](const std::string& text) { std::cerr << text; }});
@@ -64,20 +73,13 @@
       {.name = "acacialugctl",
        .summary = "publish manifests, and see what the system does",
        .synopsis = "COMMAND [flags]",
-       .description =
-           "  manifest check FILE        tell every fault with line and key\n"
-           "  manifest diff A B          what B has otherwise; \"current\" is "
-           "the log's\n"
-           "  manifest publish FILE      append, and tell the log's verdict\n"
-           "  manifest show              what is in force\n"
-           "  manifest history           the newest records and verdicts\n"
-           "  manifest wait OFFSET       until it is in force on --nodes\n"
-           "  status                     one line a process of --nodes\n"
-           "  report burn                compliance, error budget, burn rate",
+       .description = acacialug::control::CommandsHelp(),
        .more_exit_codes = {{4, "the manifest breaks its schema"},
                            {5, "conflict: another manifest is current"},
                            {6, "the log is out; nothing was published"},
                            {7, "unresolved: it may have been published"},
-                           {8, "not in force everywhere in time"}},
+                           {8, "not in force everywhere in time"},
+                           {9, "all answered; none knows the request or name"},
+                           {10, "the settings of a process do not allow it"}},
        .run = acacialug::Run});
 }
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -1,6 +1,7 @@
 #ifndef CONTROL_COMMANDS_H_
 #define CONTROL_COMMANDS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -22,6 +23,14 @@
   kUnavailable = 6,  // provably nothing was published
   kUnresolved = 7,   // it is not known whether it was published
   kTimeout = 8,      // `wait`: not in force everywhere in time
+  kNotFound = 9,     // all asked answered, and none knows the request or name
+  kRefused = 10,     // the settings of a process do not allow it
+};
+
+// A flag of the program, for shell completion.
+struct CommandFlag {
+  std::string name;  // without dashes
+  bool takes_value = true;
 };
 
 struct CommandOptions {
@@ -32,11 +41,16 @@
   std::string html_file;  // --html
   Duration timeout = 5s;  // of one answer, and of `manifest wait`
   Duration window = 10s;  // of `report burn`, between the two scrapes
+  std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;  // of one node
+  std::vector<CommandFlag> flags;  // of the program, for `completion`
   // Where text goes; standard output and standard error in the program.
   std::function<void(const std::string& text)> print;
   std::function<void(const std::string& text)> complain;
 };
 
+// The commands, one a line, as --help shows them. Thread safe.
+std::string CommandsHelp();
+
 // Runs one command line, as `manifest publish FILE`. Needs a QCoreApplication.
 // Returns the exit code; every error is printed with its number.
 int RunCommand(const std::vector<std::string>& arguments,
--- a/src/control/internal/command_context.cc
+++ b/src/control/internal/command_context.cc
@@ -27,8 +27,20 @@
   return true;
 }
 
+std::string Line(const Error& error) {
+  const ResultCode code = error.result_code();
+  return std::to_string(static_cast<int>(code)) + " " +
+         std::string(ResultCodeName(code)) + ": " +
+         (error.detail.empty() ? std::string(ResultCodeMeaning(code))
+                               : error.detail);
+}
+
 CommandExit ExitOf(ResultCode code) {
   switch (code) {
+    case ResultCode::kUnknownRequest:
+      return CommandExit::kNotFound;
+    case ResultCode::kNotAllowed:
+      return CommandExit::kRefused;
     case ResultCode::kManifestConflict:
       return CommandExit::kConflict;
     case ResultCode::kPlatformUnavailable:
@@ -100,14 +112,27 @@
 }
 
 int CommandContext::Complain(const Error& error) const {
-  const ResultCode code = error.result_code();
-  this->options.complain(std::to_string(static_cast<int>(code)) + " " +
-                         std::string(ResultCodeName(code)) + ": " +
-                         (error.detail.empty()
-                              ? std::string(ResultCodeMeaning(code))
-                              : error.detail) +
-                         "\n");
-  return static_cast<int>(ExitOf(code));
+  this->options.complain(Line(error) + "\n");
+  return static_cast<int>(ExitOf(error.result_code()));
+}
+
+int CommandContext::Complain(const http::Address& node,
+                             const Error& error) const {
+  this->options.complain(http::ToString(node) + ": " + Line(error) + "\n");
+  return static_cast<int>(ExitOf(error.result_code()));
+}
+
+std::vector<NodeAnswer> CommandContext::AskAll(
+    const std::vector<http::Address>& nodes,
+    const std::string& path) const {
+  std::vector<NodeQuestion> questions;
+  questions.reserve(nodes.size());
+  for (const http::Address& node : nodes) {
+    questions.push_back({.address = node, .path = path});
+  }
+  return AskNodes(questions,
+                  {.timeout = this->options.timeout,
+                   .max_answer_bytes = this->options.max_answer_bytes});
 }
 
 int CommandContext::Complain(CommandExit exit, const std::string& text) const {
--- a/src/control/internal/command_context.h
+++ b/src/control/internal/command_context.h
@@ -8,6 +8,7 @@
 
 #include "control/commands.h"
 #include "control/publisher.h"
+#include "control/scraper.h"
 #include "framework/http/http_client.h"
 #include "platform/http_log.h"
 
@@ -33,6 +34,12 @@
   // Tells an error with its number; returns the exit code that fits it.
   int Complain(const Error& error) const;
   int Complain(CommandExit exit, const std::string& text) const;
+  // The same, of one process.
+  int Complain(const http::Address& node, const Error& error) const;
+
+  // Asks every address of --nodes for a page at once.
+  std::vector<NodeAnswer> AskAll(const std::vector<http::Address>& nodes,
+                                 const std::string& path) const;
 
  private:
   RandomSource random;
@@ -44,7 +51,18 @@
 // The commands of each subject; `rest` are the words behind the subject.
 int RunManifestCommand(CommandContext& context,
                        const std::vector<std::string>& rest);
-int RunStatusCommand(CommandContext& context);
+int RunStatusCommand(CommandContext& context,
+                     const std::vector<std::string>& rest);
+int RunEndpointsCommand(CommandContext& context,
+                        const std::vector<std::string>& rest);
+int RunRequestsCommand(CommandContext& context,
+                       const std::vector<std::string>& rest);
+int RunExplainCommand(CommandContext& context,
+                      const std::vector<std::string>& rest);
+int RunDrainCommand(CommandContext& context,
+                    const std::vector<std::string>& rest);
+int RunCompletionCommand(CommandContext& context,
+                         const std::vector<std::string>& rest);
 int RunReportCommand(CommandContext& context,
                      const std::vector<std::string>& rest);
 
--- a/src/control/internal/commands.cc
+++ b/src/control/internal/commands.cc
@@ -1,27 +1,33 @@
 #include "control/commands.h"
 
-#include "control/internal/command_context.h"
+#include <algorithm>
+
+#include "control/internal/command_table.h"
 
 namespace acacialug::control {
+namespace {
+
+std::string FirstWord(const CommandRow& row) {
+  return row.words.substr(0, row.words.find(' '));
+}
+
+}  // namespace
 
 int RunCommand(const std::vector<std::string>& arguments,
                const CommandOptions& options) {
   CommandContext context(options);
-  const std::string subject = arguments.empty() ? std::string() : arguments[0];
-  const std::vector<std::string> rest(
-      arguments.empty() ? arguments.end() : arguments.begin() + 1,
-      arguments.end());
-  if (subject == "manifest") {
-    return RunManifestCommand(context, rest);
-  }
-  if (subject == "status" && rest.empty()) {
-    return RunStatusCommand(context);
-  }
-  if (subject == "report") {
-    return RunReportCommand(context, rest);
+  const std::vector<CommandRow>& table = CommandTable();
+  const auto row =
+      arguments.empty()
+          ? table.end()
+          : std::find_if(table.begin(), table.end(), [&](const auto& item) {
+              return FirstWord(item) == arguments[0];
+            });
+  if (row == table.end()) {
+    return context.Complain(CommandExit::kUsage,
+                            "expected a command; see --help");
   }
-  return context.Complain(CommandExit::kUsage,
-                          "expected manifest, status or report; see --help");
+  return row->run(context, {arguments.begin() + 1, arguments.end()});
 }
 
 }  // namespace acacialug::control
--- a/src/control/internal/node_commands.cc
+++ b/src/control/internal/node_commands.cc
@@ -7,6 +7,7 @@
 
 #include "control/burn_report.h"
 #include "control/internal/command_context.h"
+#include "control/internal/node_pages.h"
 #include "control/scraper.h"
 #include "framework/metrics/exposition.h"
 
@@ -18,29 +19,24 @@
 constexpr int kOk = static_cast<int>(CommandExit::kOk);
 constexpr int kFailed = static_cast<int>(CommandExit::kFailed);
 
-// One line a process, from an entry's or an agent's /status.
-std::string StatusLine(const std::string& address, const Json& status) {
-  const bool is_entry = status.contains("entry");
-  const Json manifest = status.value("manifest", Json::object());
-  std::string line = address + "  " + (is_entry ? "entry" : "agent") + "  " +
-                     status.value(is_entry ? "entry" : "endpoint", "?") + "  " +
-                     (status.value("ready", false) ? "ready" : "not ready");
-  if (status.value("draining", false)) {
+// One line a process.
+std::string StatusLine(const NodeStatus& status) {
+  std::string line = http::ToString(status.address) + "  " +
+                     (status.is_entry ? "entry" : "agent") + "  " +
+                     status.name + "  " +
+                     (status.ready ? "ready" : "not ready");
+  if (status.draining) {
     line += ", draining";
   }
-  if (manifest.is_object()) {
-    line += "  manifest " +
-            std::to_string(manifest.value("offset", std::uint64_t{0}));
+  if (status.manifest_offset > 0) {
+    line += "  manifest " + std::to_string(status.manifest_offset);
   }
-  if (!is_entry && status.contains("load")) {
-    const Json& load = status["load"];
-    line +=
-        "  " + status.value("role", "?") + " " +
-        std::to_string(load.value("running", 0)) + "/" +
-        std::to_string(load.value("limit", 0)) + " running, " +
-        std::to_string(load.value("queued", 0)) + " queued, " +
-        std::to_string(status.value("held_attempts", Json::array()).size()) +
-        " attempts held";
+  if (!status.is_entry) {
+    const EndpointSeen& load = status.load;
+    line += "  " + status.role + " " + std::to_string(load.running) + "/" +
+            std::to_string(load.limit) + " running, " +
+            std::to_string(load.queued) + " queued, " +
+            std::to_string(status.held_attempts) + " attempts held";
   }
   return line + "\n";
 }
@@ -131,27 +127,29 @@
 
 }  // namespace
 
-int RunStatusCommand(CommandContext& context) {
+int RunStatusCommand(CommandContext& context,
+                     const std::vector<std::string>& rest) {
+  if (!rest.empty()) {
+    return context.Complain(CommandExit::kUsage,
+                            "status: expected no argument");
+  }
   const std::vector<http::Address> nodes = context.Nodes();
   if (nodes.empty()) {
     return static_cast<int>(CommandExit::kUsage);
   }
   int exit = kOk;
   Json rows = Json::array();
-  for (const ScrapedPage& page :
-       Scrape(nodes, "/status", context.options.timeout, {})) {
-    const std::string address = http::ToString(page.address);
-    const Json status = page.body.ok()
-                            ? Json::parse(page.body.value(), nullptr, false)
-                            : Json(Json::value_t::discarded);
-    if (!status.is_object()) {
-      context.options.complain(address + ": no answer\n");
+  for (const NodeAnswer& answer : context.AskAll(nodes, "/status")) {
+    const Result<NodeStatus> status = ReadStatus(answer);
+    if (!status.ok()) {
+      context.Complain(answer.address, status.error());
       exit = kFailed;
       continue;
     }
-    rows.push_back({{"address", address}, {"status", status}});
+    rows.push_back({{"address", http::ToString(answer.address)},
+                    {"status", Json::parse(answer.response->body)}});
     if (!context.options.json) {
-      context.options.print(StatusLine(address, status));
+      context.options.print(StatusLine(*status));
     }
   }
   if (context.options.json) {
--- a/src/framework/program/internal/program.cc
+++ b/src/framework/program/internal/program.cc
@@ -43,14 +43,14 @@
 
 // gflags brings flags of its own (help texts of several kinds, flag files);
 // the page shows the program's flags only.
-std::vector<internal::FlagRow> VisibleFlags(const ProgramOptions& options) {
+std::vector<internal::FlagRow> VisibleFlags(bool has_settings) {
   std::vector<gflags::CommandLineFlagInfo> all;
   gflags::GetAllFlags(&all);
   std::vector<internal::FlagRow> rows;
   for (const gflags::CommandLineFlagInfo& flag : all) {
     const bool shared = EndsWith(flag.filename, kThisFile);
     const bool own = flag.filename.find("/gflags") == std::string::npos;
-    if (own && (!shared || options.load_settings)) {
+    if (own && (!shared || has_settings)) {
       rows.push_back({.name = flag.name,
                       .type = flag.type,
                       .fallback = flag.default_value,
@@ -101,6 +101,14 @@
 
 }  // namespace
 
+std::vector<FlagName> ShownFlags() {
+  std::vector<FlagName> names;
+  for (const internal::FlagRow& flag : VisibleFlags(false)) {
+    names.push_back({.name = flag.name, .takes_value = flag.type != "bool"});
+  }
+  return names;
+}
+
 int RunProgram(int argc, char** argv, const ProgramOptions& options) {
   google::gflags_exitfunc = [](int) {
     // exit() would run destructors of objects that never came to be used.
@@ -109,7 +117,8 @@
   };
   gflags::ParseCommandLineNonHelpFlags(&argc, &argv, /*remove_flags=*/true);
   if (IsSet("help") || IsSet("helpfull") || IsSet("helpshort")) {
-    std::cout << internal::HelpPage(options, VisibleFlags(options));
+    std::cout << internal::HelpPage(
+        options, VisibleFlags(static_cast<bool>(options.load_settings)));
     return Number(ExitCode::kOk);
   }
   if (IsSet("version")) {
--- a/src/framework/program/program.h
+++ b/src/framework/program/program.h
@@ -43,6 +43,16 @@
   std::function<int(const std::vector<std::string>& arguments)> run;
 };
 
+// A flag as --help shows it.
+struct FlagName {
+  std::string name;  // without dashes
+  bool takes_value = true;
+};
+
+// The flags that --help of a program without settings shows, for shell
+// completion. Thread safe once the command line was read.
+std::vector<FlagName> ShownFlags();
+
 // The main of a program: reads the command line (flags are gflags', defined by
 // DEFINE_... in the program's own sources, long names, `--name=value` or
 // `--name value`), answers --help, --version and --check, and then runs it.
