Keep the counted tokens of each cell of the bench

Cause: the bench's JSON had only the ratio of wasted prefill, so that nobody could tell evicted exports from prompts computed again. Change: each row keeps the stand-ins' counts, the arrivals and the prompt tokens of completed requests, over the whole run. Conclusion: a change to the waste can be judged by tokens, which a busy machine moves less than latencies.

--- a/buildscripts/bench_decisions.py
+++ b/buildscripts/bench_decisions.py
@@ -199,6 +199,10 @@
         "goodput": mix["goodput_per_second"],
         "share": mix["goodput_per_second"] / min(offered, allowed),
         "wasted_prefill_ratio": report["wasted_prefill_ratio"],
+        # Counts of the whole run, which noise of the machine moves little.
+        "arrived": report["arrived"],
+        "completed_prefill_tokens": report["completed_prefill_tokens"],
+        "stand_ins": report["stand_ins"],
         "ttft_p95_ms": mix["first_token"]["p95_ms"],
         "tpot_p95_ms": mix["token_interval"]["p95_ms"],
         "refused_not_run": mix["refused_not_run"],
