Compute a lost prompt again where its prefix is cached

Cause: after a decode endpoint's death, and after an export's eviction, the prefill endpoint of the first run stood among the tried ones. It was the only one passed over, and the only one that still cached the prompt. Change: a prefill endpoint counts as tried only where it refused or failed; a lost decode or an evicted export clears the list.

--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -248,6 +248,7 @@
   if (failed.code == ResultCode::kExportExpired &&
       failed.phase == protocol::Phase::kDecode) {
     this->EndLeg(this->prefill, true, now);
+    this->prefill.tried.clear();
   }
   const bool undone = failed.outcome == protocol::Outcome::kNotRun;
   if (failed.phase == protocol::Phase::kPrefill) {
@@ -285,6 +286,9 @@
 void GenerationMachine::OnPrefillLost(ResultCode code, Instant now) {
   const bool done = this->prefill.stage == LegStage::kReady;
   this->EndLeg(this->prefill, true, now);
+  if (code == ResultCode::kExportExpired) {
+    this->prefill.tried.clear();  // it computed well, and still caches that
+  }
   if (this->decode.stage == LegStage::kRunning) {
     return;  // the import may be done already; the decode will tell
   }
--- a/src/entry/internal/generation_machine.cc
+++ b/src/entry/internal/generation_machine.cc
@@ -275,6 +275,11 @@
   }
   this->context.counters.streams_resumed += this->stream.Begun() ? 1 : 0;
   this->EndStart();
+  // Symptom: a decode endpoint dies, and as many whole prompts as it had
+  // streams are computed again, though prefill engines still cache them. The
+  // prefill endpoint did not fail: as one of the tried it would be the only one
+  // passed over, and it is the only one that has the prefix.
+  this->prefill.tried.clear();
   this->prefill_at = kNever;
   this->reserve_again_at = kNever;
   this->resuming = true;
--- a/src/entry/tests/generation_test.cc
+++ b/src/entry/tests/generation_test.cc
@@ -300,6 +300,37 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{0}, driver.Errors().size());
         })});
 
+const testing::Story kComputedAgain(
+    "a prompt that is computed again",
+    {// Symptom: a decode endpoint dies, and as many whole prompts as it had
+     // streams are computed again, though prefill engines still cache them.
+     // Sequence: the stream is lost, the prefill endpoint of its first run is
+     // among the tried ones, and another one gets the prompt. Cause: tried
+     // means failed, and that one had not failed.
+     ForEach<const char*>(
+         "goes where its first run left it in the cache, from each endpoint:",
+         {"p1", "p2"},
+         [](const char* name) { return std::string(name); },
+         [](const char* busy) {
+           ReadyDriver driver;
+           driver.Close(busy);
+           driver.Generate(std::string(40'000, 'x'));
+           driver.Reserve();
+           std::string first;
+           driver.Prefill(&first);
+           CPPUNIT_ASSERT(first != busy);
+           std::string decode;
+           const AttemptId attempt = driver.Decode(&decode);
+           driver.Chunk(decode, attempt, 0, "one ");
+           driver.Pass(200ms);
+           driver.OpenAll();
+           driver.Close(decode);
+           driver.Reserve();
+           std::string again;
+           driver.Prefill(&again);
+           CPPUNIT_ASSERT_EQUAL(first, again);
+         })});
+
 struct Ending {
   const char* name;
   EntryOptions options;
