Ask for a transfer window when the running prefill will be done

Cause: a reservation lost while its prefill ran was made again with a window for now; as many as had been lost met on the links that were left, which refused as busy and carried nothing. Change: the time left of the prefill under way goes into Reserve.

--- a/src/entry/internal/generation_forecast.cc
+++ b/src/entry/internal/generation_forecast.cc
@@ -70,6 +70,19 @@
          view.PrefillTime(this->PromptTokens() - this->CachedTokens(view, now));
 }
 
+// Symptom: after a decode endpoint died the others refuse as if their links
+// were busy, and exports are evicted unfetched. Sequence: reservations that
+// were lost while their prefills ran are made again elsewhere, each with a
+// transfer window. Cause: the windows were asked for now, when nothing is there
+// to be transferred yet.
+Duration GenerationMachine::PrefillLeft(Instant now) const {
+  if (this->prefill.stage != LegStage::kAsked) {
+    return Duration::zero();
+  }
+  return std::max(this->prefill.asked_at + this->prefill_expected - now,
+                  Duration::zero());
+}
+
 placement::PlacementNeed GenerationMachine::PrefillNeed(Instant now) const {
   return {.prompt_tokens = this->PromptTokens(),
           .prefix = this->prefix,
--- a/src/entry/internal/generation_machine.cc
+++ b/src/entry/internal/generation_machine.cc
@@ -154,7 +154,7 @@
   if (this->free_in > Duration::zero()) {
     return false;  // asking it now would only be refused
   }
-  Duration ready_in{};
+  Duration ready_in = this->PrefillLeft(now);
   if (this->prefill.Idle() && this->splits_prefill) {
     const placement::EndpointView* const prefill_view = this->PickPrefill(now);
     if (prefill_view == nullptr) {
--- a/src/entry/internal/generation_machine.h
+++ b/src/entry/internal/generation_machine.h
@@ -131,6 +131,8 @@
   Duration Margin() const;
   Duration PrefillReadyIn(const placement::EndpointView& view,
                           Instant now) const;
+  // Of a prefill under way, by what was predicted of it.
+  Duration PrefillLeft(Instant now) const;
   Duration TimeToFirstToken(Instant now) const;
   protocol::GenerationRequest RemainingWork() const;
   std::uint32_t TokensLeft() const;
--- a/src/entry/tests/generation_test.cc
+++ b/src/entry/tests/generation_test.cc
@@ -165,6 +165,24 @@
                driver.Reserve();
                driver.Prefill();
              }},
+            // Symptom: links refuse as busy that carry nothing. Sequence: the
+            // reservation is made again while the prefill runs. Cause: its
+            // transfer was announced for now.
+            {"its reservation is made again for when the prefill is done",
+             [](EntryDriver& driver) {
+               std::string first;
+               driver.Reserve(&first);
+               const auto start = driver.Expect<protocol::StartPrefill>();
+               const std::string prefill = driver.last_endpoint;
+               driver.Close(first);
+               const auto reserve = driver.Expect<protocol::Reserve>();
+               CPPUNIT_ASSERT(reserve.prefill_ready_in > Duration::zero());
+               driver.Tell(driver.last_endpoint,
+                           protocol::Reserved{.attempt = reserve.attempt});
+               driver.Tell(prefill,
+                           protocol::Prefilled{.attempt = start.attempt,
+                                               .lifetime = 800ms});
+             }},
             {"its reservation is lost after the prefill",
              [](EntryDriver& driver) {
                std::string first;
