Let finished prefills go before booked transfers

Cause: when a decode endpoint dies, requests whose prefill is under way lose their reservation. The other links refused them for windows booked for prefills still to be computed, the entry believed that for as long as it was told, and the export was evicted. Change: an agent grants a transfer that is ready now in front of windows that were not ready when booked; an entry with a living export asks an endpoint whose memory has room in spite of such a refusal.

--- a/src/agent/internal/transfer_link.cc
+++ b/src/agent/internal/transfer_link.cc
@@ -20,11 +20,19 @@
   const Instant ready = After(now, ready_in);
   const Duration slack = std::max<Duration>(
       Duration::zero(), this->options.export_lifetime - length);
-  const Instant start = this->FirstGap(ready, length);
+  // Symptom: after a decode endpoint died, finished prefills are evicted while
+  // the other links stand idle now and then. Sequence: their reservations were
+  // lost, and new ones are refused for windows that were booked for prefills
+  // still to be computed. Cause: those can be moved, an export cannot wait.
+  const bool is_ready = ready_in == Duration::zero();
+  const Instant start = this->FirstGap(ready, length, is_ready);
   if (start > ready + slack) {
     return {.granted = false, .retry_after = start - (ready + slack)};
   }
-  this->Insert({.start = start, .end = start + length, .attempt = attempt});
+  this->Insert({.start = start,
+                .end = start + length,
+                .attempt = attempt,
+                .ready = is_ready});
   return {};
 }
 
@@ -35,8 +43,11 @@
   }
   const Duration length = found->second.end - found->second.start;
   this->Release(attempt);
-  const Instant start = this->FirstGap(now, length);
-  this->Insert({.start = start, .end = start + length, .attempt = attempt});
+  const Instant start = this->FirstGap(now, length, false);
+  this->Insert({.start = start,
+                .end = start + length,
+                .attempt = attempt,
+                .ready = true});
 }
 
 void TransferLink::Release(const AttemptId& attempt) {
@@ -48,9 +59,14 @@
   this->by_attempt.erase(found);
 }
 
-Instant TransferLink::FirstGap(Instant from, Duration length) const {
+Instant TransferLink::FirstGap(Instant from,
+                               Duration length,
+                               bool only_ready) const {
   Instant start = from;
   for (const Window& window : this->windows) {
+    if (only_ready && !window.ready) {
+      continue;
+    }
     if (window.start >= start + length) {
       break;
     }
--- a/src/agent/internal/transfer_link.h
+++ b/src/agent/internal/transfer_link.h
@@ -29,7 +29,8 @@
   explicit TransferLink(Options link_options) : options(link_options) {}
 
   // Books the first window from `ready_in` on that ends within the export's
-  // lifetime; a transfer longer than that must begin at once.
+  // lifetime; a transfer longer than that must begin at once. What is ready now
+  // goes before windows of what was not when they were booked.
   Answer Book(const AttemptId& attempt,
               std::uint64_t bytes,
               Duration ready_in,
@@ -51,11 +52,12 @@
     Instant start;
     Instant end;
     AttemptId attempt;
+    bool ready = false;  // was so when booked, or the transfer began
 
     friend auto operator<=>(const Window&, const Window&) = default;
   };
 
-  Instant FirstGap(Instant from, Duration length) const;
+  Instant FirstGap(Instant from, Duration length, bool only_ready) const;
   void Insert(const Window& window);
   void ForgetPast(Instant now);
 
--- a/src/agent/tests/decode_memory_test.cc
+++ b/src/agent/tests/decode_memory_test.cc
@@ -170,6 +170,20 @@
            CPPUNIT_ASSERT_EQUAL(row.granted, answer.granted);
            CHECK(answer.retry_after == row.retry_after);
          }),
+     // Symptom: after a decode endpoint died, finished prefills are evicted.
+     // Sequence: their reservations were lost, and the other links are booked
+     // for prefills still to be computed. Cause: first come, first served.
+     It("lets what is ready go before what will be, and not before its like",
+        [] {
+          TransferLink link(
+              {.bytes_per_second = 1000, .export_lifetime = 800ms});
+          for (std::uint64_t later = 1; later <= 4; ++later) {
+            CHECK(link.Book(Attempt(later), 400, 1ms, kNow).granted ==
+                  (later <= 2));
+          }
+          CHECK(link.Book(Attempt(5), 500, 0s, kNow).granted);
+          CHECK(!link.Book(Attempt(6), 500, 0s, kNow).granted);
+        }),
      It("moves a window to where its transfer begins, and frees it", [] {
        TransferLink link({.bytes_per_second = 1000, .export_lifetime = 800ms});
        link.Book(Attempt(1), 800, 5s, kNow);
--- a/src/entry/internal/generation_machine.cc
+++ b/src/entry/internal/generation_machine.cc
@@ -151,8 +151,12 @@
     return false;
   }
   this->free_in = this->SlotWait(*view, now);
-  if (this->free_in > Duration::zero()) {
-    return false;  // asking it now would only be refused
+  // Asking it now would only be refused; but an export that is about to be
+  // evicted may get a transfer window that others were refused.
+  const bool may_pass =
+      this->ExportAlive(now) && view->HasRoom(this->KvTokens());
+  if (this->free_in > Duration::zero() && !may_pass) {
+    return false;
   }
   Duration ready_in = this->PrefillLeft(now);
   if (this->prefill.Idle() && this->splits_prefill) {
--- a/src/entry/tests/generation_test.cc
+++ b/src/entry/tests/generation_test.cc
@@ -183,6 +183,26 @@
                            protocol::Prefilled{.attempt = start.attempt,
                                                .lifetime = 800ms});
              }},
+            // Symptom: a finished prefill is evicted beside a link that comes
+            // free. Sequence: the link refuses until long after the export's
+            // end, and is not asked again before. Cause: that advice counts
+            // windows which a transfer that is ready may pass.
+            {"its export would be gone by the time a busy link advises",
+             [](EntryDriver& driver) {
+               std::string first;
+               driver.Reserve(&first);
+               driver.Prefill();
+               driver.Decode();
+               driver.Close(first);
+               const auto reserve = driver.Expect<protocol::Reserve>();
+               driver.Tell(driver.last_endpoint,
+                           protocol::Refused{.attempt = reserve.attempt,
+                                             .phase = Phase::kReserve,
+                                             .code = ResultCode::kLinkBusy,
+                                             .retry_after = 2s});
+               driver.Pass(60ms);
+               driver.Reserve();
+             }},
             {"its reservation is lost after the prefill",
              [](EntryDriver& driver) {
                std::string first;
--- a/src/placement/endpoint_view.h
+++ b/src/placement/endpoint_view.h
@@ -53,6 +53,10 @@
   // as expected) or, for plain calls, in seconds.
   void NoteLatency(double latency);
 
+  // Whether a decode stream of that size has room by the last report, whatever
+  // was refused since.
+  bool HasRoom(std::uint64_t kv_tokens) const;
+
   // Time until a decode stream of that size may start; zero: now.
   Duration SlotWait(std::uint64_t kv_tokens, Instant now) const;
 
@@ -90,7 +94,6 @@
   };
 
   std::uint32_t Limit() const;
-  bool HasRoom(std::uint64_t kv_tokens) const;
   void DropOldest();
 
   // More corrections than this within one round trip mean that the view is
