Give a silent engine no more work

Cause: while an engine stood still its agent went on to grant memory and to start streams, since only a stream's own timeout of 5 s told of it. Requests missed their first token, and exports were evicted unfetched, though others had room. Change: an agent whose streams got no token for ten usual intervals and 300 ms (before any first token: the export's lifetime more) refuses reservations and starts as not run, reports the silence as its token interval, and counts it. Streams under way stay: moving them costs their prefills again.

--- a/src/agent/internal/decode_work.cc
+++ b/src/agent/internal/decode_work.cc
@@ -15,6 +15,11 @@
 // that the engine's silence meanwhile says nothing about the engine.
 constexpr Duration kOwnPause = 1s;
 
+// An engine that makes no token for any of its streams for so many usual
+// intervals, and for so long, stands still.
+constexpr std::int64_t kSilentIntervals = 10;
+constexpr Duration kShortestSilence = 300ms;
+
 }  // namespace
 
 DecodeWork::DecodeWork(SharedParts& shared_parts)
@@ -34,6 +39,9 @@
     return;
   }
   const bool repeated = this->memory.Holds(attempt);
+  if (!repeated && this->RefuseWhileSilent(attempt, Phase::kReserve, now)) {
+    return;
+  }
   const DecodeMemory::Answer place =
       this->memory.Reserve(attempt,
                            {.kv_tokens = reserve.kv_tokens,
@@ -73,6 +81,9 @@
     ++this->parts.counters.dropped_messages;
     return;
   }
+  if (this->RefuseWhileSilent(attempt, Phase::kDecode, now)) {
+    return;
+  }
   if (!this->memory.Holds(attempt)) {
     const DecodeMemory::Answer place =
         may_reserve
@@ -89,6 +100,50 @@
   }
 }
 
+Duration DecodeWork::Silence(Instant now) const {
+  Instant latest = Instant::min();  // token of any stream
+  Instant earliest = kNever;        // start of one that has none yet
+  for (const auto& [attempt, stream] : this->streams) {
+    if (stream.end || stream.flow.paused()) {
+      continue;
+    }
+    if (stream.measured) {
+      latest = std::max(latest, stream.progress);
+    } else {
+      earliest = std::min(earliest, stream.progress);
+    }
+  }
+  if (latest == Instant::min()) {
+    if (earliest == kNever) {
+      return Duration::zero();
+    }
+    // Imports come before first tokens, and take up to the exports' lifetime.
+    latest = earliest + this->parts.options.export_lifetime;
+  }
+  const Duration bound =
+      std::max(kShortestSilence, kSilentIntervals * this->pace.interval());
+  return now - latest < bound ? Duration::zero() : now - latest;
+}
+
+// Symptom: requests that came while an engine stood still miss their first
+// token, and their prefills' exports are evicted, though other engines had
+// room. Sequence: the engine stops, its memory shows free places, and the
+// entries fill them. Cause: only a stream's own timeout told of it, seconds
+// later.
+bool DecodeWork::RefuseWhileSilent(const AttemptId& attempt,
+                                   Phase phase,
+                                   Instant now) {
+  if (this->Silence(now) == Duration::zero()) {
+    return false;
+  }
+  ++this->parts.counters.refused_while_silent;
+  this->memory.Release(attempt, now);
+  this->link.Release(attempt);
+  this->parts.Refuse(attempt, phase, ResultCode::kNoDecodeMemory,
+                     kShortestSilence, now);
+  return true;
+}
+
 bool DecodeWork::StartNow(const protocol::StartDecode& start, Instant now) {
   const AttemptId& attempt = start.attempt;
   const Duration expected =
@@ -333,7 +388,7 @@
   load.limit = this->memory.slots();
   load.queued = this->memory.reserved();
   load.next_slot_in = this->memory.NextSlotIn(now);
-  load.token_interval = this->pace.interval();
+  load.token_interval = std::max(this->pace.interval(), this->Silence(now));
 }
 
 bool DecodeWork::Holds(const AttemptId& attempt) const {
--- a/src/agent/internal/decode_work.h
+++ b/src/agent/internal/decode_work.h
@@ -60,6 +60,13 @@
     std::optional<protocol::Ended> end;  // the engine is done
   };
 
+  // How long the engine has owed its streams the next token; zero while it
+  // keeps its pace, or owes none.
+  Duration Silence(Instant now) const;
+  // Refuses the attempt as not run while the engine stands still.
+  bool RefuseWhileSilent(const AttemptId& attempt,
+                         protocol::Phase phase,
+                         Instant now);
   bool StartNow(const protocol::StartDecode& start, Instant now);
   void LetWait(const protocol::StartDecode& start, Instant now);
   void StartWaiting(Instant now);
--- a/src/agent/tests/agent_core_test.cc
+++ b/src/agent/tests/agent_core_test.cc
@@ -240,6 +240,30 @@
           Reserves(1) + Streams(1) + Passes(3s) + Texts(1) + Passes(5s),
           "reserved 1, decode 1, chunk 1:0, failed 1 engine_failed unknown, "
           "abort 1"},
+         // Symptom: requests sent to an engine that stands still miss their
+         // first token, though others had room. Sequence: it stops in the
+         // middle of its streams, and its free places look like any other's.
+         // Cause: nothing told of it before a stream's own timeout.
+         {"gives an engine no more work while it makes no token", Decoder(),
+          Reserves(1) + Reserves(2) + Streams(1) + Texts(1) + Freezes(299ms) +
+              Reserves(3) + Freezes(1ms) + Reserves(4) + Streams(2),
+          "reserved 1, reserved 2, decode 1, chunk 1:0, reserved 3, "
+          "refused 4 no_decode_memory, refused 2 no_decode_memory",
+          2},
+         {"and goes on with the next token", Decoder(),
+          Reserves(1) + Streams(1) + Texts(1) + Freezes(1s) + Reserves(2) +
+              Texts(1) + Reserves(3),
+          "reserved 1, decode 1, chunk 1:0, refused 2 no_decode_memory, "
+          "chunk 1:1, reserved 3",
+          2},
+         {"but waits longer for a first token, which may wait for its import",
+          Decoder(),
+          Reserves(1) + Streams(1) + Freezes(1099ms) + Reserves(2) +
+              Freezes(1ms) + Reserves(3),
+          "reserved 1, decode 1, reserved 2, refused 3 no_decode_memory", 2},
+         {"nor while its only reader is slow", Decoder(),
+          Reserves(1) + Streams(1, 1) + Texts(1, 2) + Freezes(2s) + Reserves(2),
+          "reserved 1, decode 1, chunk 1:0, pause 1, reserved 2", 2},
          {"does not blame the engine for its own pause",
           With([](AgentOptions& o) { o.session_lease = 1h; }),
           Reserves(1) + Streams(1) + Freezes(9s) + Texts(1),
--- a/src/agent_process/internal/status_metrics.cc
+++ b/src/agent_process/internal/status_metrics.cc
@@ -25,7 +25,7 @@
   return status.core_counters.*kMember;
 }
 
-constexpr std::array<CounterRow, 21> kCounters = {{
+constexpr std::array<CounterRow, 22> kCounters = {{
     {"sessions_opened", "Connections taken from entries",
      Of<&Counters::sessions_opened>},
     {"sessions_closed", "Connections from entries that ended",
@@ -62,6 +62,8 @@
      OfCore<&CoreCounters::exports_lapsed>},
     {"streams_stalled", "Streams ended for want of progress",
      OfCore<&CoreCounters::streams_stalled>},
+    {"refused_while_silent", "Refused while the engine stood still",
+     OfCore<&CoreCounters::refused_while_silent>},
     {"orphans_aborted", "Attempts found in the engine and not owned",
      OfCore<&CoreCounters::orphans_aborted>},
 }};
