Take a start back from an engine that stands still

Cause: streams started just before the silence was seen waited for the engine, or for their timeout of 5 s, while their exports lived and others had room. Change: a stream without a token is judged every 300 ms by the engine's other streams, and given up while they are silent, so that its entry uses the export elsewhere. The silence is no longer reported as an interval.

--- a/src/agent/internal/decode_work.cc
+++ b/src/agent/internal/decode_work.cc
@@ -19,6 +19,8 @@
 // intervals, and for so long, stands still.
 constexpr std::int64_t kSilentIntervals = 10;
 constexpr Duration kShortestSilence = 300ms;
+// A look at that silence that comes so late tells of this process instead.
+constexpr Duration kLateLook = 100ms;
 
 }  // namespace
 
@@ -100,7 +102,7 @@
   }
 }
 
-Duration DecodeWork::Silence(Instant now) const {
+Duration DecodeWork::Silence(Instant now, Judged judged) const {
   Instant latest = Instant::min();  // token of any stream
   Instant earliest = kNever;        // start of one that has none yet
   for (const auto& [attempt, stream] : this->streams) {
@@ -114,7 +116,7 @@
     }
   }
   if (latest == Instant::min()) {
-    if (earliest == kNever) {
+    if (earliest == kNever || judged == Judged::kByTokens) {
       return Duration::zero();
     }
     // Imports come before first tokens, and take up to the exports' lifetime.
@@ -133,7 +135,7 @@
 bool DecodeWork::RefuseWhileSilent(const AttemptId& attempt,
                                    Phase phase,
                                    Instant now) {
-  if (this->Silence(now) == Duration::zero()) {
+  if (this->Silence(now, Judged::kByAll) == Duration::zero()) {
     return false;
   }
   ++this->parts.counters.refused_while_silent;
@@ -165,7 +167,7 @@
   this->streams.emplace(attempt, Stream{.flow = StreamFlow(start.window_chunks),
                                         .asked = start.generation.max_tokens,
                                         .progress = now});
-  this->stalls.Set(attempt, now + this->parts.options.stall_timeout);
+  this->stalls.Set(attempt, now + kShortestSilence);
   this->parts.outbox.Execute(engine::Decode{
       .attempt = attempt, .generation = start.generation, .kv = start.kv});
   return true;
@@ -336,12 +338,16 @@
     const Instant due = this->stalls.next();
     const AttemptId attempt = *this->stalls.PopDue(now);
     Stream& stream = this->streams.at(attempt);
-    const Duration timeout = this->parts.options.stall_timeout;
     if (now - due >= kOwnPause) {
       stream.progress = now;
     }
-    if (stream.progress + timeout > now) {
-      this->stalls.Set(attempt, stream.progress + timeout);
+    const Instant stalls_at =
+        stream.progress + this->parts.options.stall_timeout;
+    if (stalls_at > now && !this->StartsInVain(stream, due, now)) {
+      this->stalls.Set(attempt,
+                       stream.produced > 0
+                           ? stalls_at
+                           : std::min(stalls_at, now + kShortestSilence));
       continue;
     }
     ++this->parts.counters.streams_stalled;
@@ -351,6 +357,17 @@
   }
 }
 
+// Symptom: requests whose stream was started just before an engine stood still
+// wait for it, though their exports are alive and other engines have room.
+// Cause: the timeout of a stream is longer than an export lives.
+bool DecodeWork::StartsInVain(const Stream& stream,
+                              Instant due,
+                              Instant now) const {
+  return stream.produced == 0 &&
+         now - due<kLateLook&& this->Silence(now, Judged::kByTokens)>
+               Duration::zero();
+}
+
 void DecodeWork::EndAll(Instant now) {
   for (const protocol::StartDecode& start : std::exchange(this->waiting, {})) {
     this->parts.Refuse(start.attempt, Phase::kDecode, ResultCode::kDraining, {},
@@ -388,7 +405,7 @@
   load.limit = this->memory.slots();
   load.queued = this->memory.reserved();
   load.next_slot_in = this->memory.NextSlotIn(now);
-  load.token_interval = std::max(this->pace.interval(), this->Silence(now));
+  load.token_interval = this->pace.interval();
 }
 
 bool DecodeWork::Holds(const AttemptId& attempt) const {
--- a/src/agent/internal/decode_work.h
+++ b/src/agent/internal/decode_work.h
@@ -1,6 +1,7 @@
 #ifndef AGENT_INTERNAL_DECODE_WORK_H_
 #define AGENT_INTERNAL_DECODE_WORK_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -60,9 +61,12 @@
     std::optional<protocol::Ended> end;  // the engine is done
   };
 
+  // By streams that had a token, or also by starts that wait for their first.
+  enum class Judged : std::uint8_t { kByTokens, kByAll };
+
   // How long the engine has owed its streams the next token; zero while it
   // keeps its pace, or owes none.
-  Duration Silence(Instant now) const;
+  Duration Silence(Instant now, Judged judged) const;
   // Refuses the attempt as not run while the engine stands still.
   bool RefuseWhileSilent(const AttemptId& attempt,
                          protocol::Phase phase,
@@ -75,6 +79,8 @@
   void FreeEngine(const AttemptId& attempt, Instant now);
   void ExpireWaiting(Instant now);
   void ExpireStalled(Instant now);
+  // Started in an engine that stands still; `due` is when it was to be judged.
+  bool StartsInVain(const Stream& stream, Instant due, Instant now) const;
 
   SharedParts& parts;
   DecodeMemory memory;
--- a/src/agent/tests/agent_core_test.cc
+++ b/src/agent/tests/agent_core_test.cc
@@ -264,6 +264,28 @@
          {"nor while its only reader is slow", Decoder(),
           Reserves(1) + Streams(1, 1) + Texts(1, 2) + Freezes(2s) + Reserves(2),
           "reserved 1, decode 1, chunk 1:0, pause 1, reserved 2", 2},
+         // Symptom: a request whose export is alive misses its first token.
+         // Sequence: its stream is started, and the engine stands still.
+         {"gives up a start whose export still lives when the engine is silent",
+          Decoder(),
+          Reserves(1) + Reserves(2) + Streams(1) + Texts(1) + Streams(2) +
+              Passes(299ms) + Passes(1ms),
+          "reserved 1, reserved 2, decode 1, chunk 1:0, decode 2, "
+          "failed 2 engine_failed unknown, abort 2",
+          1},
+         {"but not while other streams get their tokens", Decoder(),
+          Reserves(1) + Reserves(2) + Streams(1) + Texts(1) + Streams(2) +
+              Passes(200ms) + Texts(1) + Passes(299ms) + Texts(1) +
+              Passes(299ms) + Texts(2),
+          "reserved 1, reserved 2, decode 1, chunk 1:0, decode 2, chunk 1:1, "
+          "chunk 1:2, chunk 2:0",
+          2},
+         {"nor after a pause of its own", Decoder(),
+          Reserves(1) + Reserves(2) + Streams(1) + Texts(1) + Streams(2) +
+              Freezes(400ms) + Passes(1ms) + Texts(1) + Texts(2),
+          "reserved 1, reserved 2, decode 1, chunk 1:0, decode 2, chunk 1:1, "
+          "chunk 2:0",
+          2},
          {"does not blame the engine for its own pause",
           With([](AgentOptions& o) { o.session_lease = 1h; }),
           Reserves(1) + Streams(1) + Freezes(9s) + Texts(1),
