State the least prefill that a death wastes, and what was tried

Cause: the target of 3 % with one fault is missed at the Agency whatever is done about retries; nobody could tell what of the waste is inherent.

--- a/buildscripts/bench_decisions.py
+++ b/buildscripts/bench_decisions.py
@@ -220,6 +220,14 @@
         "latest_send_ms": report["latest_send_ms"]}
 
 
+def waste_floors(bench):
+    means = capacity.means_of_mix(bench.mix)
+    rate = PEAK * capacity.capacity(bench.deployment, means)["whole"]
+    return capacity.waste_floors(
+        bench.deployment, means, rate,
+        bench.warm_up + bench.duration + bench.tail)
+
+
 class Runner:
     """Runs cells, several deployments at once, and keeps their rows."""
 
@@ -268,6 +276,8 @@
             name: capacity.capacity(bench.deployment,
                                     capacity.means_of_mix(bench.mix))
             for name, bench in BENCHES.items()},
+        "waste_floors": {name: waste_floors(bench)
+                         for name, bench in BENCHES.items()},
         "settings": {name: dataclasses.asdict(bench)
                      for name, bench in BENCHES.items()},
         "machine": watch.figures(), "failed_cells": runner.failed,
--- a/buildscripts/capacity.py
+++ b/buildscripts/capacity.py
@@ -55,3 +55,29 @@
               "decode": model.decode * active / stream_seconds,
               "links": model.decode / transfer_seconds}
     return bounds | {"whole": min(bounds.values())}
+
+
+def waste_floors(deployment, means, rate, seconds):
+    """Least share of a run's prefill that a death at its peak discards.
+
+    `entry`: the callers of one entry are gone, and with them what was done
+    for them: half a prefill on the mean, the transfer, the stream so far.
+    `agent`: its streams are cut in the engine; their prompts and the text so
+    far are computed again, but for the pieces that prefill engines cache.
+    """
+    model, engine = deployment.model, deployment.model.engine
+    prefill = ((means.prompt - means.shared) /
+               engine.prefill_tokens_per_second)
+    transfer = (engine.transfer_setup_ms / 1e3 + means.prompt *
+                engine.kv_bytes_per_token / engine.link_bytes_per_second)
+    stream = 0.0
+    for _ in range(100):  # the streams' number and their time, until both fit
+        active = min(rate * (stream + transfer) / model.decode, engine.slots)
+        stream = means.output * iteration_seconds(
+            engine, active, means.prompt + means.output / 2)
+    cached = means.prompt // PIECE_TOKENS * PIECE_TOKENS
+    again = (means.prompt - cached + means.output / 2) / (
+        means.prompt - means.shared)
+    return {"entry": (prefill / 2 + transfer + stream) /
+                     (deployment.entries * seconds),
+            "agent": again * stream / (model.decode * seconds)}
