Set the agent's timer anew only when it moves earlier

Cause: the agent's next instant moves with every token (a stall's deadline, a predicted end), and each move stopped and started a Qt timer. Change: as in an entry's shard: a timer that fires too early looks and sleeps on. The core is asked only when its own instant has come.

--- a/src/agent_process/internal/agent_runtime.cc
+++ b/src/agent_process/internal/agent_runtime.cc
@@ -177,8 +177,11 @@
 }
 
 void AgentRuntime::OnTimer() {
+  this->armed_for = kNever;
   const Instant now = MonotonicNow();
-  this->core.OnTimer(now);
+  if (now >= this->core.next_timer()) {
+    this->core.OnTimer(now);
+  }
   this->Pump(now);
 }
 
@@ -208,14 +211,11 @@
   this->engine->Execute(action.command);
 }
 
+// The core's next instant moves with every token; the event loop's timer is
+// only set anew when it moves earlier, and found too early when it fires.
 void AgentRuntime::ArmTimer(Instant now) {
   const Instant due = this->core.next_timer();
-  if (due == kNever) {
-    this->core_timer.stop();
-    this->armed_for = kNever;
-    return;
-  }
-  if (due == this->armed_for && this->core_timer.isActive()) {
+  if (due >= this->armed_for) {
     return;
   }
   this->armed_for = due;
