Tell the wait for transfers from what the router adds

Cause: in `bench.sh path` the engines were made fast, but for their transfers: 2 ms of setup and 3 ms for 300 tokens, on a link that a decode engine's transfers share. Direct requests take the engines in turn; the router placed 223, 116, 122 and 1 streams on the four (stand-ins' /stats, 100 generations/s for 5 s), so that its requests waited for each other on the link.

--- a/buildscripts/bench_path.py
+++ b/buildscripts/bench_path.py
@@ -34,6 +34,14 @@
     plain=deployment_shapes.PlainService(
         name="registry-app", count=2, service_ms=2, slots=64,
         latency_class="lookup", answer_in="500ms", times="fixed"))
+# The same with transfers that take next to no time. A transfer of PATH takes
+# 5 ms of a link that an engine's transfers share, and requests wait for each
+# other there, on either way; this tells that wait from what the router adds.
+NO_TRANSFER = dataclasses.replace(
+    PATH, name="path-no-transfer", model=dataclasses.replace(
+        PATH.model, engine=dataclasses.replace(
+            PATH.model.engine, transfer_setup_ms=0,
+            link_bytes_per_second=1_250_000_000_000)))
 SHORT = load_plan.Mix(
     prompt=load_plan.Length(300, 0, 1, 4000),
     output=load_plan.Length(16, 0, 1, 100), max_tokens_factor=1.0,
@@ -84,35 +92,48 @@
 
 
 def added_latency(quick):
+    """The figures of PATH, of NO_TRANSFER (rounds in turn), and the memory."""
     rounds, seconds = ((QUICK_ROUNDS, QUICK_ROUND_SECONDS) if quick
                        else (ROUNDS, ROUND_SECONDS))
-    results, violations = [], 0
-    with deployment.Cluster(PATH, folder("path"),
-                            engines_a_process=2) as cluster:
-        memory = idle_memory(cluster)
+    with (deployment.Cluster(PATH, folder("path"),
+                             engines_a_process=2) as path,
+          deployment.Cluster(NO_TRANSFER, folder("path-no-transfer"),
+                             engines_a_process=2) as no_transfer):
+        memory = idle_memory(path)
+        reports = {"path": [], "no_transfer": []}
         for number in range(rounds):
-            # `rate` is of generations; there is a call for each, and half of
-            # both goes past the router, so the router gets RATE in all.
-            report = load_plan.Load(
-                cluster, f"load-{number}", mix=SHORT, rate=RATE,
-                seed=number + 1, warm_up="2s", duration=f"{seconds}s",
-                tail="0s", direct=True).wait(seconds + 60)
-            violations += report["violations"]
-            results.append(round_figures(report))
+            reports["path"].append(one_round(path, number, seconds))
+            reports["no_transfer"].append(
+                one_round(no_transfer, number, seconds))
         memory |= {"after_load_" + name: value
-                   for name, value in idle_memory(cluster).items()}
+                   for name, value in idle_memory(path).items()}
+    return (added_summary(reports["path"]),
+            added_summary(reports["no_transfer"]), memory)
+
+
+def one_round(cluster, number, seconds):
+    # `rate` is of generations; there is a call for each, and half of both goes
+    # past the router, so the router gets RATE in all.
+    return load_plan.Load(
+        cluster, f"load-{number}", mix=SHORT, rate=RATE, seed=number + 1,
+        warm_up="2s", duration=f"{seconds}s", tail="0s",
+        direct=True).wait(seconds + 60)
+
+
+def added_summary(reports):
+    rounds = [round_figures(report) for report in reports]
     summary = {}
-    for kind in results[0]:
+    for kind in rounds[0]:
         summary[kind] = {
             quantile: {
                 "median_of_rounds": statistics.median(
-                    result[kind][quantile] for result in results),
-                "least": min(result[kind][quantile] for result in results),
-                "greatest": max(result[kind][quantile]
-                                for result in results)}
+                    figures[kind][quantile] for figures in rounds),
+                "least": min(figures[kind][quantile] for figures in rounds),
+                "greatest": max(figures[kind][quantile]
+                                for figures in rounds)}
             for quantile in ("added_p50_ms", "added_p99_ms")}
-    return {"requests_per_second": RATE, "rounds": results,
-            "summary": summary, "violations": violations}, memory
+    return {"requests_per_second": RATE, "rounds": rounds, "summary": summary,
+            "violations": sum(report["violations"] for report in reports)}
 
 
 def idle_memory(cluster):
@@ -186,19 +207,22 @@
 def run(quick):
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
     with machine.ProcessorWatch() as watch:
-        latency, memory = added_latency(quick)
+        latency, no_transfer, memory = added_latency(quick)
         tokens = token_rate(quick)
         streams = open_streams(quick)
-    result = {"quick": quick, "added_latency": latency, "memory": memory,
+    result = {"quick": quick, "added_latency": latency,
+              "added_latency_no_transfer": no_transfer, "memory": memory,
               "token_rate": tokens, "open_streams": streams,
               "machine": watch.figures()}
-    lost = sum(figures["incomplete"] for figures_of_round in latency["rounds"]
+    lost = sum(figures["incomplete"] for part in (latency, no_transfer)
+               for figures_of_round in part["rounds"]
                for figures in figures_of_round.values())
     lost += tokens["incomplete"] + streams["incomplete"]
     OUTPUT.write_text(json.dumps(result, indent=2) + "\n")
     print(json.dumps({
-        "added_latency": latency["summary"], "memory": memory,
-        "token_rate": tokens, "open_streams": streams,
+        "added_latency": latency["summary"],
+        "added_latency_no_transfer": no_transfer["summary"],
+        "memory": memory, "token_rate": tokens, "open_streams": streams,
         "machine": watch.figures(), "incomplete": lost}, indent=2))
     # Latencies without those that failed would flatter.
     return 1 if lost else 0
--- a/buildscripts/fill_measurements.py
+++ b/buildscripts/fill_measurements.py
@@ -31,15 +31,23 @@
             "bench and whatever else ran).")
 
 
-def path_text(figures):
-    lines = ["| added by entry and agent, ms | p50 (least, greatest round) | "
-             "p99 (least, greatest round) |", "| --- | --- | --- |"]
-    for kind, summary in figures["added_latency"]["summary"].items():
+def added_rows(added, remark):
+    rows = []
+    for kind, summary in added["summary"].items():
         cells = [f"{quantile['median_of_rounds']:.2f} "
                  f"({quantile['least']:.2f}, {quantile['greatest']:.2f})"
                  for quantile in (summary["added_p50_ms"],
                                   summary["added_p99_ms"])]
-        lines.append(f"| {kind} | {cells[0]} | {cells[1]} |")
+        rows.append(f"| {kind}{remark} | {cells[0]} | {cells[1]} |")
+    return rows
+
+
+def path_text(figures):
+    lines = ["| added by entry and agent, ms | p50 (least, greatest round) | "
+             "p99 (least, greatest round) |", "| --- | --- | --- |"]
+    no_transfer = figures["added_latency_no_transfer"]
+    lines += added_rows(figures["added_latency"], "")
+    lines += added_rows(no_transfer, ", transfers of no length")
     memory, tokens = figures["memory"], figures["token_rate"]
     streams = figures["open_streams"]
     lines += [
@@ -53,7 +61,8 @@
         f"| streams open at once | {streams['most_open']}, "
         f"{streams['incomplete']} incomplete | {streams['target']} |",
         f"| violations | {figures['added_latency']['violations']} + "
-        f"{tokens['violations']} + {streams['violations']} | 0 |",
+        f"{no_transfer['violations']} + {tokens['violations']} + "
+        f"{streams['violations']} | 0 |",
         "", machine_line(figures["machine"])]
     return "\n".join(lines) + "\n"
 
