Send answers before the frames of the same turn

Cause: a generation's first chunk also brings the Cancel that gives the prefill's export back. In a trace of one request the entry read the chunk at 10.14 ms, wrote that Cancel at 10.22 ms, which woke the prefill's agent, and the caller's first token only at 10.60 ms (strace running, load average 20). Change: a turn's end flushes first what its tasks wrote, the answers, and then what was written before. With one request at a time a hop takes about 0.15 ms on this busy machine, whatever is changed inside the processes: it is the waking.

--- a/src/framework/http/tests/turn_end_test.cc
+++ b/src/framework/http/tests/turn_end_test.cc
@@ -85,6 +85,25 @@
   connection.peer->Await("told");
 }
 
+void WhatTasksWroteLeavesFirst() {
+  // A first token waits behind nothing that can wait as well: the write of a
+  // frame wakes its reader, which may take the processor.
+  Connection frames;
+  Connection answers;
+  std::string order;
+  QObject::connect(&frames.socket, &QTcpSocket::bytesWritten, &frames.socket,
+                   [&] { order += "frame "; });
+  QObject::connect(&answers.socket, &QTcpSocket::bytesWritten, &answers.socket,
+                   [&] { order += "answer "; });
+  QObject context;
+  WriteInTurn(frames.socket, "frame");
+  TurnEnd::OfThisThread().Run(context,
+                              [&] { WriteInTurn(answers.socket, "answer"); });
+  frames.peer->Await("frame");
+  answers.peer->Await("answer");
+  CPPUNIT_ASSERT_EQUAL(std::string("answer frame "), order);
+}
+
 void LoopThatNeverWaitsStillEndsItsTurns() {
   // Symptom: an answer that never leaves. Sequence: another task is always
   // posted, so that the loop never waits. Cause: the end of a turn is told
@@ -125,6 +144,8 @@
            WritesLeaveTogetherBeforeTheLoopWaits),
         It("runs each task once and in order", TasksRunOnceInOrder),
         It("sends what a task wrote", TasksWriteInTheSameTurn),
+        It("sends what its tasks wrote before the rest",
+           WhatTasksWroteLeavesFirst),
         It("comes in a loop that never waits",
            LoopThatNeverWaitsStillEndsItsTurns),
         It("leaves out what is gone by then", WhatIsGoneIsLeftOut),
--- a/src/framework/http/turn_end.cc
+++ b/src/framework/http/turn_end.cc
@@ -44,12 +44,18 @@
     return;
   }
   this->fallback.stop();
+  const Sockets written_before = std::exchange(this->sockets, {});
   for (const Task& task : std::exchange(this->tasks, {})) {
     if (task.context) {
       task.run();
     }
   }
-  for (const QPointer<QTcpSocket>& socket : std::exchange(this->sockets, {})) {
+  FlushAll(std::exchange(this->sockets, {}));
+  FlushAll(written_before);
+}
+
+void TurnEnd::FlushAll(const Sockets& sockets) {
+  for (const QPointer<QTcpSocket>& socket : sockets) {
     if (socket && socket->state() != QAbstractSocket::UnconnectedState) {
       socket->flush();
     }
--- a/src/framework/http/turn_end.h
+++ b/src/framework/http/turn_end.h
@@ -36,8 +36,9 @@
   // belongs to the next turn.
   void Run(QObject& context, std::function<void()> task);
 
-  // Writes what is queued on the socket at the end of this turn, after its
-  // tasks. What the operating system does not take then follows when it can.
+  // Writes what is queued on the socket at the end of this turn: first the
+  // sockets that its tasks wrote, which a caller waits for, then those written
+  // before. What the operating system does not take then follows when it can.
   void Flush(QTcpSocket& socket);
 
  private:
@@ -46,13 +47,16 @@
     std::function<void()> run;
   };
 
+  using Sockets = std::vector<QPointer<QTcpSocket>>;
+
   TurnEnd();
 
   void Arm();
   void OnEnd();
+  static void FlushAll(const Sockets& sockets);
 
   std::vector<Task> tasks;
-  std::vector<QPointer<QTcpSocket>> sockets;
+  Sockets sockets;
   QPointer<QAbstractEventDispatcher> dispatcher;
   QObject receiver;
   // For a turn that ends without waiting, which no signal tells.
