Bound the bodies of all requests together

Cause: a body was bounded a connection: 4096 connections of 8 MiB each could take 32 GiB. Callers that all keep to their bound could have the process killed for its memory, and with it every request that it held. Change: a server counts the bytes of all bodies under way, from before they are read until their answers end, over all its shards. Beyond `limits.max_bodies_bytes` (256 MiB by default) a request is refused by the new code 2013, as 503 and not run, and its connection is closed. Conclusion: bytes are counted as they come, so a claim by Content-Length alone takes no room from others. The copies that parsing makes are not counted.

--- a/src/entry_process/internal/settings_reader.cc
+++ b/src/entry_process/internal/settings_reader.cc
@@ -126,6 +126,10 @@
   http.max_body_bytes = table.Bytes(
       "max_body_bytes",
       {.fallback = http.max_body_bytes, .minimum = 1, .maximum = 256 * kMiB});
+  http.max_bodies_bytes =
+      table.Bytes("max_bodies_bytes", {.fallback = http.max_bodies_bytes,
+                                       .minimum = 1,
+                                       .maximum = 1024 * 256 * kMiB});
   http.max_header_bytes = table.Bytes(
       "max_header_bytes",
       {.fallback = http.max_header_bytes, .minimum = 256, .maximum = kMiB});
--- a/src/framework/global/types/result_code.cc
+++ b/src/framework/global/types/result_code.cc
@@ -81,6 +81,9 @@
        "log"},
       {ResultCode::kLinkBusy, "link_busy",
        "refused before running: no transfer window is free in time"},
+      {ResultCode::kBodiesFull, "bodies_full",
+       "refused before running: the bodies of the requests under way fill "
+       "their memory"},
       {ResultCode::kOutcomeUnknown, "outcome_unknown",
        "the work may have run; its answer is lost"},
       {ResultCode::kDeadlineExceeded, "deadline_exceeded",
--- a/src/framework/global/types/result_code.h
+++ b/src/framework/global/types/result_code.h
@@ -44,6 +44,7 @@
   kNotReady = 2010,
   kLogUnavailable = 2011,
   kLinkBusy = 2012,
+  kBodiesFull = 2013,
 
   // 3xxx: the request ran, or may have run, and did not complete.
   kOutcomeUnknown = 3001,
--- a/src/framework/http/http_server.cc
+++ b/src/framework/http/http_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "framework/http/internal/body_budget.h"
 #include "framework/http/internal/server_shard.h"
 #include "framework/http/tcp_listener.h"
 #include "framework/http/tls_configuration.h"
@@ -24,6 +25,7 @@
  public:
   explicit Implementation(ServerOptions server_options)
       : options(std::move(server_options)),
+        bodies(this->options.limits.max_bodies_bytes),
         listener([this](qintptr descriptor) { this->OnAccepted(descriptor); }) {
   }
   ~Implementation();
@@ -47,6 +49,7 @@
 
   const ServerOptions options;
   std::atomic<std::size_t> total = 0;
+  BodyBudget bodies;
   TlsConfiguration tls;
   std::vector<Worker> workers;
   std::size_t next_worker = 0;
@@ -88,8 +91,8 @@
 }
 
 void Server::Implementation::StartShard(int index, bool own_thread) {
-  Worker worker{.shard = std::make_unique<ServerShard>(index, this->options,
-                                                       this->total)};
+  Worker worker{.shard = std::make_unique<ServerShard>(
+                    index, this->options, this->total, this->bodies)};
   ServerShard* const shard = worker.shard.get();
   if (own_thread) {
     worker.thread = std::make_unique<QThread>();
--- a/src/framework/http/http_server.h
+++ b/src/framework/http/http_server.h
@@ -49,7 +49,7 @@
 
 // Handles one whole request on its shard's thread. A request that breaks a
 // limit or is not HTTP never gets here: the server answers 400, 413, 431 or
-// 503 by `render_error` and closes.
+// 503 by `render_error` and closes. Nothing of such a request ran.
 using RequestHandler = std::function<void(Request request, ResponderPtr)>;
 
 struct ServerOptions {
--- a/src/framework/http/http_types.h
+++ b/src/framework/http/http_types.h
@@ -48,6 +48,8 @@
 struct ServerLimits {
   std::size_t max_header_bytes = std::size_t{16} * 1024;
   std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
+  // Of all requests together, from their first byte until their answers end.
+  std::size_t max_bodies_bytes = std::size_t{256} * 1024 * 1024;
   std::size_t max_connections = 4096;  // in all shards together
   std::size_t max_unsent_bytes =
       std::size_t{256} * 1024;  // a stream above it is paused
--- /dev/null
+++ b/src/framework/http/internal/body_budget.h
@@ -0,0 +1,36 @@
+#ifndef FRAMEWORK_HTTP_INTERNAL_BODY_BUDGET_H_
+#define FRAMEWORK_HTTP_INTERNAL_BODY_BUDGET_H_
+
+#include <atomic>
+#include <cstddef>
+
+namespace acacialug::http {
+
+// The memory that the bodies of all requests under way may take together. The
+// bound of one body alone lets a few thousand callers, each within it, take
+// all of a host's memory: the process is killed, with every request that it
+// holds. Thread safe.
+class BodyBudget {
+ public:
+  explicit BodyBudget(std::size_t bytes) : limit(bytes) {}
+
+  // False, and nothing is taken, when that many are not left.
+  bool TryTake(std::size_t bytes) {
+    if (this->taken.fetch_add(bytes) + bytes <= this->limit) {
+      return true;
+    }
+    this->taken.fetch_sub(bytes);
+    return false;
+  }
+
+  // Precondition: so many were taken and not given back.
+  void GiveBack(std::size_t bytes) { this->taken.fetch_sub(bytes); }
+
+ private:
+  const std::size_t limit;
+  std::atomic<std::size_t> taken = 0;
+};
+
+}  // namespace acacialug::http
+
+#endif  // FRAMEWORK_HTTP_INTERNAL_BODY_BUDGET_H_
--- a/src/framework/http/internal/server_connection.cc
+++ b/src/framework/http/internal/server_connection.cc
@@ -1,6 +1,7 @@
 #include "framework/http/internal/server_connection.h"
 
 #include <QSslSocket>
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -46,6 +47,7 @@
 
 ServerConnection::~ServerConnection() {
   this->state = State::kClosed;
+  this->GiveRoomBack();
   this->socket->disconnect(this);
   if (const auto open = this->responder.lock()) {
     open->ServerGone();
@@ -185,7 +187,29 @@
   }
 }
 
+bool ServerConnection::HasRoom(std::size_t bytes) {
+  if (!this->context.bodies.TryTake(bytes)) {
+    this->Refuse(kServiceUnavailable, Error(ResultCode::kBodiesFull));
+    return false;
+  }
+  this->body_room += bytes;
+  return true;
+}
+
+void ServerConnection::GiveRoomBack() {
+  // A closed connection is deleted later, when its shard may be gone.
+  if (this->body_room > 0) {
+    this->context.bodies.GiveBack(std::exchange(this->body_room, 0));
+  }
+}
+
 bool ServerConnection::ReadMore() {
+  const auto waiting = static_cast<std::size_t>(
+      std::max<qint64>(this->socket->bytesAvailable(), 0));
+  if (this->reader.phase() == RequestReader::Phase::kBody &&
+      !this->HasRoom(std::min(waiting, kReadBytes))) {
+    return false;
+  }
   const std::string_view bytes = ReadInto(*this->socket, ReadSpace());
   this->reader.Append(bytes);
   return !bytes.empty();
@@ -218,6 +242,9 @@
 }
 
 void ServerConnection::OnHead() {
+  if (!this->HasRoom(this->reader.pending_bytes())) {
+    return;
+  }
   if (this->reader.expects_continue() && this->reader.pending_bytes() == 0) {
     this->Write(kContinue);
   }
@@ -246,6 +273,7 @@
 }
 
 void ServerConnection::EndAnswer(bool keep_alive) {
+  this->GiveRoomBack();
   this->responder.reset();
   if (this->state != State::kAnswering) {
     return;
@@ -352,6 +380,7 @@
     return;
   }
   this->state = State::kClosed;
+  this->GiveRoomBack();
   this->timer.Clear();
   this->socket->disconnect(this);
   const std::shared_ptr<ServerResponder> open = this->responder.lock();
--- a/src/framework/http/internal/server_connection.h
+++ b/src/framework/http/internal/server_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "framework/http/http_server.h"
+#include "framework/http/internal/body_budget.h"
 #include "framework/http/internal/deadline_timer.h"
 #include "framework/http/internal/request_reader.h"
 #include "framework/http/tls_configuration.h"
@@ -19,6 +20,7 @@
 // What the connections of one shard share.
 struct ConnectionContext {
   const ServerOptions& options;
+  BodyBudget& bodies;
   RequestHandler handler;
   bool draining = false;
   // The connection is closed for good; it is deleted later by its owner.
@@ -60,6 +62,9 @@
   void OnExpired();
   void ReadRequests();
   bool ReadMore();
+  // Takes room for what is about to be read of a body; without, refuses.
+  bool HasRoom(std::size_t bytes);
+  void GiveRoomBack();
   void WatchPhase();
   void OnHead();
   void Dispatch();
@@ -78,6 +83,7 @@
   RequestReader::Phase watched_phase = RequestReader::Phase::kDone;
   std::weak_ptr<ServerResponder> responder;
   std::size_t discarded_bytes = 0;
+  std::size_t body_room = 0;  // taken from the budget
   bool shut_down = false;
   bool grace_given = false;  // in the watched phase
 };
--- a/src/framework/http/tests/http_server_test.cc
+++ b/src/framework/http/tests/http_server_test.cc
@@ -76,6 +76,46 @@
   fixture.AwaitRequests(answered + 1);
 }
 
+void BodiesTogetherAreBounded() {
+  // Symptom: the process was killed for its memory, and every request with
+  // it. Sequence: some thousand callers sent large bodies at once, each within
+  // its bound. Cause: only the single body was bounded.
+  constexpr std::size_t kBody = 1000;
+  const std::string post =
+      Post("Content-Length: 1000\r\n", std::string(kBody, 'a'));
+  ServerFixture fixture(
+      {.max_body_bytes = kBody, .max_bodies_bytes = kBody * 3 / 2});
+  RawPeer first(fixture.port());
+  first.Send(post);
+  fixture.AwaitRequests(1);
+  {
+    RawPeer second(fixture.port());
+    second.Send(post);
+    second.Await("code=2013");
+    CPPUNIT_ASSERT(second.AwaitClose().starts_with("HTTP/1.1 503 "));
+  }
+  {
+    // In pieces: what is too much is noticed on the way.
+    RawPeer third(fixture.port());
+    third.Send(Post("Content-Length: 1000\r\n", "part"));
+    WaitUntil("taken", [&] { return fixture.server->open_connections() == 2; });
+    third.Send(std::string(kBody - 4, 'a'));
+    third.Await("code=2013");
+  }
+  fixture.responders[0]->SendWhole({.body = "done"});
+  first.Await("done");
+  {
+    // One that goes away in the middle gives its part back.
+    RawPeer fourth(fixture.port());
+    fourth.Send(Post("Content-Length: 1000\r\n", std::string(900, 'a')));
+    WaitUntil("taken", [&] { return fixture.server->open_connections() == 2; });
+  }
+  WaitUntil("gone", [&] { return fixture.server->open_connections() == 1; });
+  first.Send(post);
+  fixture.AwaitRequests(2);
+  CPPUNIT_ASSERT_EQUAL(kBody, fixture.requests[1].body.size());
+}
+
 void CallerGoneIsTold() {
   // Symptom: an engine goes on for nobody. Sequence: the caller closes while
   // its answer is awaited. Cause: nobody watches the caller's connection.
@@ -252,6 +292,7 @@
         PipelinedAnswersDoNotMix),
      It("takes no further request while its answers are unread",
         UnreadAnswersStopFurtherRequests),
+     It("bounds the bodies of all requests together", BodiesTogetherAreBounded),
      It("tells once of a caller that is gone, also if asked late",
         CallerGoneIsTold),
      It("tells of a caller that is gone behind unread input",
