Take a superseded start of an entry back when its successor is gone

Cause: incarnations are random, so an agent takes the start that greets it later for the newer one, and turns the other away for ever. A process that was paused while it was replaced, woke, met agents that knew its successor only, and ended, left that successor without those agents until they were restarted. Change: a superseded start is taken back when the one that superseded it has had no session for 15 s while the other asked. As long as that one has a session nothing changes. Conclusion: of two living processes with one name, one still gets no session with an agent at a time; names must be unique (docs/SETTINGS.md).

--- a/src/agent/internal/session_table.cc
+++ b/src/agent/internal/session_table.cc
@@ -9,6 +9,8 @@
 
 constexpr std::size_t kMaxSuperseded = 8;  // remembered incarnations, an entry
 constexpr std::size_t kMaxEntries = 4096;
+// So long a superseded start has to find its successor away.
+constexpr Duration kVacancy = 15s;
 
 }  // namespace
 
@@ -30,10 +32,15 @@
   Entry& entry = this->entries[hello.entry];
   // A process that was paused while its successor took over may wake and
   // connect again. Without this check it would end the successor's streams.
-  if (std::find(entry.superseded.begin(), entry.superseded.end(),
-                hello.incarnation) != entry.superseded.end()) {
-    return {.code = ResultCode::kSuperseded};
+  const auto superseded = std::find(entry.superseded.begin(),
+                                    entry.superseded.end(), hello.incarnation);
+  if (superseded != entry.superseded.end()) {
+    if (!MayReturn(entry, now)) {
+      return {.code = ResultCode::kSuperseded};
+    }
+    entry.superseded.erase(superseded);
   }
+  entry.vacant_since.reset();
   Greeting greeting;
   if (entry.incarnation && *entry.incarnation != hello.incarnation) {
     greeting.ended = this->Supersede(entry);
@@ -46,6 +53,21 @@
   return greeting;
 }
 
+// Incarnations are random, so that this agent cannot tell which of two starts
+// is the newer. One that it had not met before, of a process that was paused
+// and has ended since, may have superseded the one that serves: that one must
+// not be turned away for ever.
+bool SessionTable::MayReturn(Entry& entry, Instant now) {
+  if (!entry.sessions.empty()) {
+    entry.vacant_since.reset();
+    return false;
+  }
+  if (!entry.vacant_since) {
+    entry.vacant_since = now;
+  }
+  return now - *entry.vacant_since >= kVacancy;
+}
+
 bool SessionTable::Renew(SessionId session,
                          Incarnation incarnation,
                          Instant now) {
--- a/src/agent/internal/session_table.h
+++ b/src/agent/internal/session_table.h
@@ -66,8 +66,11 @@
     std::optional<Incarnation> incarnation;  // of the newest Hello
     std::deque<Incarnation> superseded;      // newest last
     std::unordered_set<SessionId> sessions;
+    // Since when a superseded start has asked while the newest had no session.
+    std::optional<Instant> vacant_since;
   };
 
+  static bool MayReturn(Entry& entry, Instant now);
   void RememberBounded(const EntryId& id);
   std::vector<SessionId> Supersede(Entry& entry);
 
--- a/src/agent/tests/sessions_and_attempts_test.cc
+++ b/src/agent/tests/sessions_and_attempts_test.cc
@@ -67,6 +67,33 @@
                 ResultCode::kSuperseded);
           CHECK(greeted.table.Contains(kOther));
         }),
+     // Symptom: an entry never got a session with some agents again. Sequence:
+     // it was replaced while paused; agents started since knew its successor
+     // only; it woke, met them first now, and ended. Cause: the successor,
+     // superseded by a start that is gone, was turned away for ever.
+     It("takes a superseded start back once the other has long been away",
+        [] {
+          Greeted greeted;
+          const auto greet = [&](std::uint64_t session, Incarnation start,
+                                 Duration after) {
+            greeted.table.Open(SessionId(session), kNow + after);
+            const ResultCode code =
+                greeted.table
+                    .Greet(SessionId(session), HelloOf(start), kNow + after)
+                    .code;
+            if (code != ResultCode::kOk) {
+              greeted.table.Close(SessionId(session));
+            }
+            return code;
+          };
+          CHECK(greet(2, kSuccessor, 1s) == ResultCode::kOk);
+          CHECK(greet(3, kEntry, 60s) == ResultCode::kSuperseded);
+          greeted.table.Close(SessionId(2));
+          CHECK(greet(4, kEntry, 61s) == ResultCode::kSuperseded);
+          CHECK(greet(5, kEntry, 75s) == ResultCode::kSuperseded);
+          CHECK(greet(6, kEntry, 76s) == ResultCode::kOk);
+          CHECK(greet(7, kSuccessor, 77s) == ResultCode::kSuperseded);
+        }),
      It("takes a second Hello as a renewal, but not another name", [] {
        Greeted greeted;
        CHECK(greeted.table.Greet(kSession, HelloOf(kEntry), kNow + 1s).code ==
