Keep service levels in windows, and report burn from them

Cause: report burn compared two scrapes ten seconds apart: it knew nothing of the budget's 30 days, of a window longer than the wait, or of a host that was replaced in between. Change: a module service_levels with aggregates without I/O or clock: rings of counts from 5 min to 30 d, bounded in label sets and causes; a writer of digests for the log's stream service-levels; a fold that takes each window once. What a caller did itself (1xxx, 4xxx, 2003) no longer burns a budget. Conclusion: a report takes no wait, and survives replaced hosts as far as the log keeps records.

--- a/src/app/ctl/main.cc
+++ b/src/app/ctl/main.cc
@@ -17,7 +17,6 @@
 DEFINE_bool(json, false, "print JSON for pipelines");
 DEFINE_string(html, "", "report burn: write one self-contained page there");
 DEFINE_string(timeout, "5s", "longest wait for answers, and of manifest wait");
-DEFINE_string(window, "10s", "report burn: time between the two scrapes");
 
 namespace acacialug {
 namespace {
@@ -43,9 +42,8 @@
 
 int Run(const std::vector<std::string>& arguments) {
   const auto timeout = settings::ParseDuration(FLAGS_timeout);
-  const auto window = settings::ParseDuration(FLAGS_window);
-  if (!timeout || !window) {
-    std::cerr << "--timeout, --window: expected a duration, as 5s\n";
+  if (!timeout) {
+    std::cerr << "--timeout: expected a duration, as 5s\n";
     return static_cast<int>(program::ExitCode::kUsage);
   }
   return control::RunCommand(
@@ -56,7 +54,6 @@
        .json = FLAGS_json,
        .html_file = FLAGS_html,
        .timeout = *timeout,
-       .window = *window,
        .flags = Flags(),
        .print =
            [](const std::string& text) { std::cout << text << std::flush; },
@@ -80,6 +77,7 @@
                            {7, "unresolved: it may have been published"},
                            {8, "not in force everywhere in time"},
                            {9, "all answered; none knows the request or name"},
-                           {10, "the settings of a process do not allow it"}},
+                           {10, "the settings of a process do not allow it"},
+                           {11, "report burn: not all asked answered"}},
        .run = acacialug::Run});
 }
--- a/src/control/burn_report.h
+++ b/src/control/burn_report.h
@@ -1,30 +1,103 @@
 #ifndef CONTROL_BURN_REPORT_H_
 #define CONTROL_BURN_REPORT_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "framework/global/types/enum_names.h"
 #include "framework/global/types/instant.h"
-#include "framework/metrics/types/snapshot.h"
-#include "manifest/types/manifest.h"
+#include "service_levels/level_fold.h"
 
 namespace acacialug::control {
 
-// How one class of a service keeps its objective, by the entries' counters.
+// What a row is about: one latency target, or both of a class. An error
+// misses every target.
+enum class Target : std::uint8_t {
+  kBoth,
+  kFirstToken,
+  kTokenInterval,
+  kAnswer
+};
+inline constexpr EnumNames<Target, 4> kTargetNames = {{
+    {Target::kBoth, "both"},
+    {Target::kFirstToken, "first_token"},
+    {Target::kTokenInterval, "token_interval"},
+    {Target::kAnswer, "answer"},  // of a plain call
+}};
+
+enum class Alarm : std::uint8_t { kNone, kTicket, kPage };
+inline constexpr EnumNames<Alarm, 3> kAlarmNames = {{
+    {Alarm::kNone, "none"},
+    {Alarm::kTicket, "ticket"},
+    {Alarm::kPage, "page"},
+}};
+
+// An alarm rings while the budget burns at `burn_rate` or faster over a long
+// window and still does over a short one, so that it ends soon after the
+// cause. Windows and rates are those of Google's SRE workbook, chapter 5,
+// table 5-8: 2 %, 5 % and 10 % of 30 days' budget.
+struct AlarmRule {
+  Alarm alarm = Alarm::kNone;
+  std::size_t long_window = 0;  // of service_levels::kReportWindows
+  std::size_t short_window = 0;
+  double burn_rate = 0;
+};
+inline constexpr std::array<AlarmRule, 3> kAlarmRules = {{
+    {.alarm = Alarm::kPage,
+     .long_window = 2,
+     .short_window = 0,
+     .burn_rate = 14.4},
+    {.alarm = Alarm::kPage,
+     .long_window = 3,
+     .short_window = 1,
+     .burn_rate = 6},
+    {.alarm = Alarm::kTicket,
+     .long_window = 4,
+     .short_window = 3,
+     .burn_rate = 1},
+}};
+// The greatest burn rate that an objective allows is 1 / (1 - objective): 20
+// at 95 %, but 10 at 90 %, where nothing would ever reach 14.4. A rule's rate
+// is therefore at most this share of the greatest.
+inline constexpr double kMostOfGreatestRate = 0.9;
+// One miss in a quiet night is no alarm.
+inline constexpr std::uint64_t kLeastMissed = 5;
+
+// How fast a budget burns over one window; 1 spends just the budget.
+struct WindowBurn {
+  std::uint64_t requests = 0;
+  std::uint64_t missed = 0;
+  double burn_rate = 0;
+};
+using WindowBurns =
+    std::array<WindowBurn, service_levels::kReportWindows.size()>;
+
+// One point of a plot, the newest first.
+struct TimelinePoint {
+  std::uint64_t total = 0;
+  double missed_share = 0;
+};
+
 struct BurnRow {
   std::string service;
   std::string latency_class;
-  double objective = 0;         // share that must meet both targets
-  std::uint64_t requests = 0;   // ended, but for those whose caller left
-  std::uint64_t good = 0;       // completed within both targets
-  double compliance = 1;        // good / requests; 1 without requests
-  double budget_left = 1;       // of the error budget; below 0: overspent
-  double burn_rate = 0;         // 1: spends just the budget
-  double window_burn_rate = 0;  // the same, between the two scrapes
-  std::uint64_t window_requests = 0;
+  Target target = Target::kBoth;
+  std::optional<double> objective;  // none: the manifest no longer has it
+  Duration within{};                // the target; zero for kBoth
+  // Over the budget's 30 days, as far as the data reaches:
+  std::uint64_t requests = 0;
+  std::uint64_t good = 0;
+  double compliance = 1;   // good / requests; 1 without requests
+  double budget_left = 1;  // of the error budget; below 0: overspent
+  WindowBurns windows;
+  Alarm alarm = Alarm::kNone;
   std::map<std::string, std::uint64_t> causes;  // of what was missed
+  std::vector<TimelinePoint> timeline;
 };
 
 // Prefill work of a service, in tokens.
@@ -33,24 +106,51 @@
   std::uint64_t computed = 0;
   std::uint64_t wasted = 0;
   double ratio = 0;
+  std::array<double, service_levels::kReportWindows.size()> window_ratios{};
   std::map<std::string, std::uint64_t> causes;
+  std::vector<TimelinePoint> timeline;
+};
+
+enum class LogState : std::uint8_t { kNotAsked, kRead, kUnavailable };
+inline constexpr EnumNames<LogState, 3> kLogStateNames = {{
+    {LogState::kNotAsked, "not_asked"},
+    {LogState::kRead, "read"},
+    {LogState::kUnavailable, "unavailable"},
+}};
+
+// Where a report's figures come from, and what it lacks.
+struct BurnSources {
+  std::vector<std::string> unreachable;  // addresses that gave no answer
+  std::vector<std::string> unreadable;   // those whose answer was no good
+  std::size_t entries = 0;
+  std::size_t agents = 0;
+  std::size_t logged_entries = 0;  // known by the log alone
+  LogState log = LogState::kNotAsked;
+  std::uint64_t doubled_windows = 0;
+  std::uint64_t missing_windows = 0;
+  std::uint64_t missed_windows = 0;
+  std::uint64_t future_windows = 0;
+  std::uint64_t bad_records = 0;
+  // Agents' counters of what they refused or lost, since their starts.
+  std::map<std::string, std::uint64_t> agent_counters;
+
+  // Something was asked and not answered: the figures are a part.
+  bool partial() const;
 };
 
 struct BurnReport {
-  Duration window{};
-  std::vector<BurnRow> classes;
+  Duration covered{};  // since the oldest data
+  BurnSources sources;
+  std::vector<BurnRow> rows;
   std::vector<WasteRow> prefill;
 };
 
-// Makes a report of the merged metrics of all entries at two instants, for
-// the classes of a manifest. Thread safe.
-BurnReport MakeBurnReport(const manifest::Manifest& manifest,
-                          const metrics::Snapshot& earlier,
-                          const metrics::Snapshot& later,
-                          Duration window);
+// `sources` takes over what the summary knows of its gaps. Thread safe.
+BurnReport MakeBurnReport(const service_levels::LevelSummary& summary,
+                          BurnSources sources);
 
 // As a table for a terminal, as JSON for pipelines, and as one self-contained
-// page with bars that can be read in light, dark and print. Thread safe.
+// page with plots that can be read in light, dark and print. Thread safe.
 std::string RenderText(const BurnReport& report);
 std::string RenderJson(const BurnReport& report);
 std::string RenderHtml(const BurnReport& report);
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -25,6 +25,7 @@
   kTimeout = 8,      // `wait`: not in force everywhere in time
   kNotFound = 9,     // all asked answered, and none knows the request or name
   kRefused = 10,     // the settings of a process do not allow it
+  kPartial = 11,     // `report burn`: not all that was asked answered
 };
 
 // A flag of the program, for shell completion.
@@ -40,7 +41,6 @@
   bool json = false;
   std::string html_file;  // --html
   Duration timeout = 5s;  // of one answer, and of `manifest wait`
-  Duration window = 10s;  // of `report burn`, between the two scrapes
   std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;  // of one node
   std::vector<CommandFlag> flags;  // of the program, for `completion`
   // Where text goes; standard output and standard error in the program.
--- a/src/control/internal/burn_report.cc
+++ b/src/control/internal/burn_report.cc
@@ -1,126 +1,202 @@
 #include "control/burn_report.h"
 
 #include <algorithm>
-#include <variant>
-
-#include "entry_process/metric_definitions.h"
+#include <utility>
 
 namespace acacialug::control {
 namespace {
 
-using metrics::LabelValues;
-using metrics::Snapshot;
+using service_levels::Cause;
+using service_levels::CauseCount;
+using service_levels::CauseName;
+using service_levels::kBudgetWindow;
+using service_levels::LevelCounts;
+using service_levels::LevelSummary;
+using service_levels::Objective;
+using service_levels::SeriesKey;
+using service_levels::SeriesKind;
+using service_levels::SeriesSums;
 
-constexpr std::string_view kCallerGone = "caller_gone";
+// Whether a request that ended by `cause` missed `target`.
+bool Misses(Target target, Cause cause) {
+  switch (target) {
+    case Target::kFirstToken:
+    case Target::kAnswer:
+      return cause != Cause::kLateTokenInterval;
+    case Target::kTokenInterval:
+      return cause != Cause::kLateFirstToken;
+    case Target::kBoth:
+      break;
+  }
+  return true;
+}
 
-// The counters of a family whose first labels are `prefix`, by the label that
-// follows them.
-std::map<std::string, std::uint64_t> CountsBy(const Snapshot& snapshot,
-                                              std::string_view family,
-                                              const LabelValues& prefix) {
-  std::map<std::string, std::uint64_t> counts;
-  const auto found = snapshot.families.find(std::string(family));
-  if (found == snapshot.families.end()) {
-    return counts;
+std::uint64_t MissedOf(Target target, const LevelCounts& counts) {
+  if (target == Target::kBoth) {
+    // A request may miss both targets: its causes add up to more.
+    return counts.total - std::min(counts.total, counts.good);
   }
-  for (const auto& [labels, value] : found->second.series) {
-    const auto* count = std::get_if<std::uint64_t>(&value);
-    if (count != nullptr && labels.size() > prefix.size() &&
-        std::equal(prefix.begin(), prefix.end(), labels.begin())) {
-      counts[labels[prefix.size()]] += *count;
-    }
+  std::uint64_t missed = 0;
+  for (const CauseCount& item : counts.causes) {
+    missed += Misses(target, item.cause) ? item.count : 0;
   }
-  return counts;
+  return std::min(missed, counts.total);
 }
 
-std::uint64_t CountOf(const Snapshot& snapshot,
-                      std::string_view family,
-                      const LabelValues& labels) {
-  const metrics::SeriesValue* value =
-      snapshot.Find(std::string(family), labels);
-  const auto* count =
-      value == nullptr ? nullptr : std::get_if<std::uint64_t>(value);
-  return count == nullptr ? 0 : *count;
+double ShareOf(std::uint64_t part, std::uint64_t all) {
+  return all == 0 ? 0 : static_cast<double>(part) / static_cast<double>(all);
 }
 
-// A caller that went away itself missed no target.
-std::uint64_t RequestsOf(const Snapshot& snapshot, const LabelValues& labels) {
-  std::uint64_t requests = 0;
-  for (const auto& [outcome, count] :
-       CountsBy(snapshot, entry_process::kRequestsTotal.name, labels)) {
-    requests += outcome == kCallerGone ? 0 : count;
+// An objective of 100 % has no budget: it is overspent by the first miss.
+double BurnRate(double missed_share, double objective) {
+  constexpr double kLeastBudget = 1e-9;
+  return missed_share / std::max(1 - objective, kLeastBudget);
+}
+
+bool Rings(const AlarmRule& rule,
+           const WindowBurns& windows,
+           double objective) {
+  const double rate =
+      std::min(rule.burn_rate, kMostOfGreatestRate * BurnRate(1, objective));
+  const WindowBurn& over_long = windows[rule.long_window];
+  return over_long.missed >= kLeastMissed && over_long.burn_rate >= rate &&
+         windows[rule.short_window].burn_rate >= rate;
+}
+
+Alarm AlarmOf(const WindowBurns& windows, double objective) {
+  Alarm alarm = Alarm::kNone;
+  for (const AlarmRule& rule : kAlarmRules) {
+    if (Rings(rule, windows, objective)) {
+      alarm = std::max(alarm, rule.alarm);
+    }
   }
-  return requests;
+  return alarm;
 }
 
-double BurnRate(std::uint64_t good, std::uint64_t requests, double objective) {
-  if (requests == 0) {
-    return 0;
+std::map<std::string, std::uint64_t> CausesOf(Target target,
+                                              const LevelCounts& counts) {
+  std::map<std::string, std::uint64_t> causes;
+  for (const CauseCount& item : counts.causes) {
+    if (Misses(target, item.cause)) {
+      causes[std::string(CauseName(item.cause))] += item.count;
+    }
   }
-  const double missed =
-      1.0 - static_cast<double>(good) / static_cast<double>(requests);
-  return missed / (1.0 - objective);
+  return causes;
 }
 
-BurnRow MakeRow(const std::string& service,
-                const manifest::LatencyClass& latency_class,
-                const Snapshot& earlier,
-                const Snapshot& later) {
-  const LabelValues labels = {service, latency_class.name};
-  const std::string_view goodput = entry_process::kGoodputTotal.name;
-  BurnRow row{.service = service,
-              .latency_class = latency_class.name,
-              .objective = latency_class.objective,
-              .requests = RequestsOf(later, labels),
-              .good = CountOf(later, goodput, labels)};
-  if (row.requests > 0) {
-    row.compliance =
-        static_cast<double>(row.good) / static_cast<double>(row.requests);
+// Sets all that follows from the counts. Precondition: target and objective
+// are set.
+void FillRow(const SeriesSums& sums, BurnRow& row) {
+  const double objective = row.objective.value_or(0);
+  for (std::size_t index = 0; index < row.windows.size(); ++index) {
+    const LevelCounts& counts = sums.windows[index];
+    WindowBurn& window = row.windows[index];
+    window.requests = counts.total;
+    window.missed = MissedOf(row.target, counts);
+    window.burn_rate =
+        BurnRate(ShareOf(window.missed, window.requests), objective);
   }
-  row.burn_rate = BurnRate(row.good, row.requests, row.objective);
-  row.budget_left = 1.0 - row.burn_rate;
-  row.window_requests = row.requests - RequestsOf(earlier, labels);
-  row.window_burn_rate = BurnRate(row.good - CountOf(earlier, goodput, labels),
-                                  row.window_requests, row.objective);
-  row.causes = CountsBy(later, entry_process::kErrorsTotal.name, labels);
-  for (const auto& [target, count] :
-       CountsBy(later, entry_process::kTargetMissedTotal.name, labels)) {
-    row.causes["late_" + target] += count;
+  for (const LevelCounts& counts : sums.timeline) {
+    row.timeline.push_back(
+        {.total = counts.total,
+         .missed_share = ShareOf(MissedOf(row.target, counts), counts.total)});
   }
+  const WindowBurn& budget = row.windows[kBudgetWindow];
+  row.requests = budget.requests;
+  row.good = budget.requests - budget.missed;
+  row.compliance = 1 - ShareOf(budget.missed, budget.requests);
+  row.budget_left = 1 - budget.burn_rate;
+  row.causes = CausesOf(row.target, sums.windows[kBudgetWindow]);
+  if (row.objective) {
+    row.alarm = AlarmOf(row.windows, objective);
+  }
+}
+
+BurnRow RowOf(const Objective& objective,
+              Target target,
+              Duration within,
+              const SeriesSums& sums) {
+  BurnRow row{.service = objective.key.service,
+              .latency_class = objective.key.latency_class,
+              .target = target,
+              .objective = objective.share,
+              .within = within};
+  FillRow(sums, row);
   return row;
 }
 
-WasteRow MakeWaste(const std::string& service, const Snapshot& later) {
-  WasteRow row{
-      .service = service,
-      .computed =
-          CountOf(later, entry_process::kPrefillTokensTotal.name, {service}),
-      .causes = CountsBy(later, entry_process::kWastedPrefillTokensTotal.name,
-                         {service})};
-  for (const auto& [cause, tokens] : row.causes) {
-    row.wasted += tokens;
+void AddRows(const Objective& objective,
+             const SeriesSums& sums,
+             std::vector<BurnRow>& rows) {
+  if (!objective.is_model) {
+    rows.push_back(
+        RowOf(objective, Target::kAnswer, objective.first_token, sums));
+    return;
   }
-  if (row.computed > 0) {
-    row.ratio =
-        static_cast<double>(row.wasted) / static_cast<double>(row.computed);
+  rows.push_back(RowOf(objective, Target::kBoth, {}, sums));
+  rows.push_back(
+      RowOf(objective, Target::kFirstToken, objective.first_token, sums));
+  rows.push_back(
+      RowOf(objective, Target::kTokenInterval, objective.token_interval, sums));
+}
+
+// A class that was counted and is not in the manifest: removed since, or
+// beyond a process's number of label sets.
+BurnRow RowWithoutObjective(const SeriesKey& key, const SeriesSums& sums) {
+  BurnRow row{.service = key.service, .latency_class = key.latency_class};
+  FillRow(sums, row);
+  return row;
+}
+
+WasteRow WasteOf(const std::string& service, const SeriesSums& sums) {
+  const LevelCounts& counts = sums.windows[kBudgetWindow];
+  WasteRow row{.service = service, .computed = counts.total};
+  row.wasted = MissedOf(Target::kBoth, counts);
+  row.ratio = ShareOf(row.wasted, row.computed);
+  for (std::size_t index = 0; index < row.window_ratios.size(); ++index) {
+    const LevelCounts& window = sums.windows[index];
+    row.window_ratios[index] =
+        ShareOf(MissedOf(Target::kBoth, window), window.total);
+  }
+  for (const LevelCounts& bin : sums.timeline) {
+    row.timeline.push_back(
+        {.total = bin.total,
+         .missed_share = ShareOf(MissedOf(Target::kBoth, bin), bin.total)});
   }
+  row.causes = CausesOf(Target::kBoth, counts);
   return row;
 }
 
+void TakeGaps(const LevelSummary& summary, BurnSources& sources) {
+  sources.entries = summary.live_processes;
+  sources.logged_entries = summary.logged_processes;
+  sources.doubled_windows = summary.doubled_windows;
+  sources.missing_windows = summary.missing_windows;
+  sources.missed_windows = summary.missed_windows;
+  sources.future_windows = summary.future_windows;
+  sources.bad_records = summary.bad_records;
+}
+
 }  // namespace
 
-BurnReport MakeBurnReport(const manifest::Manifest& manifest,
-                          const Snapshot& earlier,
-                          const Snapshot& later,
-                          Duration window) {
-  BurnReport report{.window = window};
-  for (const manifest::Service& service : manifest.services) {
-    for (const manifest::LatencyClass& latency_class : service.classes) {
-      report.classes.push_back(
-          MakeRow(service.name.text, latency_class, earlier, later));
-    }
-    if (service.kind == manifest::ServiceKind::kModel) {
-      report.prefill.push_back(MakeWaste(service.name.text, later));
+bool BurnSources::partial() const {
+  return !this->unreachable.empty() || !this->unreadable.empty() ||
+         this->log == LogState::kUnavailable;
+}
+
+BurnReport MakeBurnReport(const LevelSummary& summary, BurnSources sources) {
+  BurnReport report{.covered = summary.covered, .sources = std::move(sources)};
+  TakeGaps(summary, report.sources);
+  auto remaining = summary.series;
+  for (const Objective& objective : summary.objectives) {
+    AddRows(objective, remaining[objective.key], report.rows);
+    remaining.erase(objective.key);
+  }
+  for (const auto& [key, sums] : remaining) {
+    if (key.kind == SeriesKind::kPrefill) {
+      report.prefill.push_back(WasteOf(key.service, sums));
+    } else {
+      report.rows.push_back(RowWithoutObjective(key, sums));
     }
   }
   return report;
--- /dev/null
+++ b/src/control/level_collector.h
@@ -0,0 +1,45 @@
+#ifndef CONTROL_LEVEL_COLLECTOR_H_
+#define CONTROL_LEVEL_COLLECTOR_H_
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "control/burn_report.h"
+#include "framework/global/types/instant.h"
+#include "framework/http/http_types.h"
+#include "platform/i_log.h"
+#include "service_levels/level_fold.h"
+
+namespace acacialug::control {
+
+struct CollectorOptions {
+  std::vector<http::Address> nodes;  // operations ports, of both kinds
+  std::optional<http::Address> log;  // none: live processes alone
+  Duration timeout = 5s;             // of all processes, and of each read
+  std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;  // of one
+  std::function<void(std::size_t done)> on_progress;             // may be empty
+};
+
+struct Collected {
+  service_levels::LevelFold fold;
+  BurnSources sources;
+};
+
+// Asks all nodes at once, then the log for what gone entries left. A node that
+// answers 404 where entries show their service levels is an agent, and gives
+// its counters. What cannot be had is named in the sources. Needs a
+// QCoreApplication; runs its event loop meanwhile. One thread.
+Collected CollectLevels(const CollectorOptions& options);
+
+// Reads the stream of digests from its start to the end that it had when
+// asked. False: the log gave no answer in time, or a bad one; what was read
+// before is in the fold. As above.
+bool ReadDigests(platform::ILog& log,
+                 Duration timeout,
+                 service_levels::LevelFold& fold);
+
+}  // namespace acacialug::control
+
+#endif  // CONTROL_LEVEL_COLLECTOR_H_
--- a/src/entry_process/entry_process.cc
+++ b/src/entry_process/entry_process.cc
@@ -9,10 +9,12 @@
 
 #include "configuration_client/peer_manifests.h"
 #include "entry_process/internal/caller_request.h"
+#include "entry_process/internal/digest_appender.h"
 #include "entry_process/internal/entry_measures.h"
 #include "entry_process/internal/error_answer.h"
 #include "entry_process/internal/operations_pages.h"
 #include "entry_process/internal/process_state.h"
+#include "entry_process/internal/service_level_book.h"
 #include "entry_process/internal/shard.h"
 #include "framework/http/http_server.h"
 #include "framework/log/log.h"
@@ -76,6 +78,8 @@
   RandomSource random = RandomSource::FromSystem();
   RequestNames request_names;
   ProcessState state;
+  ServiceLevelBook service_levels;
+  DigestAppender digests;
   EntryMeasures measures;
   OperationsPages pages;
   log::RepeatLimiter log_limiter;
@@ -103,12 +107,21 @@
              .ready_wait = this->options.ready_wait,
              .started = MonotonicNow(),
              .trace_bytes = this->options.trace_bytes}),
-      measures(metrics_registry),
+      service_levels({.entry = this->options.core.id,
+                      .incarnation = this->options.core.incarnation,
+                      .live_entries = this->options.live_entries,
+                      .seed = this->random.Next(),
+                      .has_log = static_cast<bool>(this->options.make_log)}),
+      digests(
+          {.book = this->service_levels,
+           .log = this->options.make_log ? this->options.make_log() : nullptr}),
+      measures(metrics_registry, &this->service_levels),
       pages({.state = this->state,
              .registry = metrics_registry,
              .drain_rules = {.allowed = this->options.allow_drain,
                              .name = this->options.core.id.text},
-             .drain = [this] { this->DrainSoon(); }}),
+             .drain = [this] { this->DrainSoon(); },
+             .service_levels = &this->service_levels}),
       log_limiter({}),
       shards(this->options.shards) {
   for (int shard = 0; shard < this->options.shards; ++shard) {
@@ -262,7 +275,7 @@
   log::Info("drain_ended",
             {.fields = {{"whole", whole},
                         {"cut_requests", this->state.AliveRequests()}}});
-  this->on_drained(whole);
+  this->digests.Finish([this, whole] { this->on_drained(whole); });
 }
 
 EntryProcess::EntryProcess(EntryProcessOptions options,
--- a/src/entry_process/internal/entry_measures.cc
+++ b/src/entry_process/internal/entry_measures.cc
@@ -4,12 +4,30 @@
 
 namespace acacialug::entry_process {
 
+using service_levels::Cause;
+using service_levels::CauseName;
+using service_levels::CauseOf;
+using service_levels::LevelCounts;
+
+namespace {
+
+// What a caller sent wrong (1xxx), its own key's state (4xxx) and its own rate
+// say nothing of the service: else one broken caller spends the error budget
+// of all, and pages the operators.
+bool IsCallersOwn(ResultCode code) {
+  const int thousands = static_cast<int>(code) / 1000;
+  return thousands == 1 || thousands == 4 ||
+         code == ResultCode::kCallerOverLimit;
+}
+
+}  // namespace
+
 void EntryMeasures::OnGenerationCompleted(const RequestTrace& trace,
                                           std::uint32_t output_tokens,
                                           Instant now) {
   this->CountOutcome(trace, "completed");
   this->CountTargets(trace, output_tokens, now);
-  this->CountPrefill(trace, true, "repeated");
+  this->CountPrefill(trace, true, Cause::kRepeated);
   this->registry.Get(kOutputTokensTotal, {trace.service, trace.latency_class})
       .Add(output_tokens);
   this->registry.Get(kFirstTokenSeconds, {trace.service, trace.latency_class})
@@ -32,7 +50,11 @@
                             ResultCode code,
                             protocol::Outcome outcome) {
   this->CountOutcome(trace, NameOf(protocol::kOutcomeNames, outcome));
-  this->CountPrefill(trace, false, ResultCodeName(code));
+  this->CountPrefill(trace, false, CauseOf(code));
+  if (!IsCallersOwn(code)) {
+    this->CountLevel(
+        trace, {.total = 1, .causes = {{.cause = CauseOf(code), .count = 1}}});
+  }
   this->registry
       .Get(kErrorsTotal,
            {trace.service, trace.latency_class, ResultCodeName(code)})
@@ -41,7 +63,7 @@
 
 void EntryMeasures::OnCallerGone(const RequestTrace& trace) {
   this->CountOutcome(trace, "caller_gone");
-  this->CountPrefill(trace, false, "caller_gone");
+  this->CountPrefill(trace, false, Cause::kCallerGone);
 }
 
 void EntryMeasures::OnBadRequest(ResultCode code) {
@@ -50,8 +72,7 @@
 
 void EntryMeasures::OnLatePrefill(std::string_view service,
                                   std::uint64_t tokens) {
-  this->registry.Get(kPrefillTokensTotal, {service}).Add(tokens);
-  this->registry.Get(kWastedPrefillTokensTotal, {service, "late"}).Add(tokens);
+  this->AddPrefill(service, tokens, tokens, Cause::kLateResult);
 }
 
 void EntryMeasures::OnAgentClosed(ResultCode code) {
@@ -72,37 +93,55 @@
   const bool first = trace.FirstToken(now) <= trace.first_token_target;
   const bool interval =
       trace.TokenInterval(output_tokens) <= trace.token_interval_target;
+  LevelCounts counts{.total = 1};
   if (first && interval) {
     this->registry.Get(kGoodputTotal, {trace.service, trace.latency_class})
         .Add();
-    return;
+    counts.good = 1;
   }
-  const auto count_missed = [&](std::string_view target) {
+  const auto count_missed = [&](std::string_view target, Cause cause) {
     this->registry
         .Get(kTargetMissedTotal, {trace.service, trace.latency_class, target})
         .Add();
+    counts.causes.push_back({.cause = cause, .count = 1});
   };
   if (!first) {
-    count_missed("first_token");
+    count_missed("first_token", Cause::kLateFirstToken);
   }
   if (!interval) {
-    count_missed("token_interval");
+    count_missed("token_interval", Cause::kLateTokenInterval);
   }
+  this->CountLevel(trace, counts);
 }
 
 void EntryMeasures::CountPrefill(const RequestTrace& trace,
                                  bool completed,
-                                 std::string_view cause) {
-  if (trace.prefilled_tokens == 0) {
-    return;
+                                 Cause cause) {
+  if (trace.prefilled_tokens > 0) {
+    this->AddPrefill(trace.service, trace.prefilled_tokens,
+                     trace.WastedPrefill(completed), cause);
   }
-  this->registry.Get(kPrefillTokensTotal, {trace.service})
-      .Add(trace.prefilled_tokens);
-  const std::uint64_t wasted = trace.WastedPrefill(completed);
+}
+
+void EntryMeasures::AddPrefill(std::string_view service,
+                               std::uint64_t computed,
+                               std::uint64_t wasted,
+                               Cause cause) {
+  this->registry.Get(kPrefillTokensTotal, {service}).Add(computed);
   if (wasted > 0) {
-    this->registry.Get(kWastedPrefillTokensTotal, {trace.service, cause})
+    this->registry.Get(kWastedPrefillTokensTotal, {service, CauseName(cause)})
         .Add(wasted);
   }
+  if (this->book != nullptr) {
+    this->book->CountPrefill(service, computed, wasted, cause);
+  }
+}
+
+void EntryMeasures::CountLevel(const RequestTrace& trace,
+                               const LevelCounts& counts) {
+  if (this->book != nullptr) {
+    this->book->CountRequest(trace.service, trace.latency_class, counts);
+  }
 }
 
 }  // namespace acacialug::entry_process
--- a/src/entry_process/internal/entry_measures.h
+++ b/src/entry_process/internal/entry_measures.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "entry_process/internal/request_trace.h"
+#include "entry_process/internal/service_level_book.h"
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result_code.h"
 #include "framework/metrics/registry.h"
@@ -16,9 +17,10 @@
 // definitions of metric_definitions.h. Thread safe.
 class EntryMeasures {
  public:
-  // `registry` outlives this object.
-  explicit EntryMeasures(metrics::Registry& metrics_registry)
-      : registry(metrics_registry) {}
+  // Both outlive this object; without a book only metrics are recorded.
+  explicit EntryMeasures(metrics::Registry& metrics_registry,
+                         ServiceLevelBook* level_book = nullptr)
+      : registry(metrics_registry), book(level_book) {}
 
   // A generation, or a call, that completed `now`.
   void OnGenerationCompleted(const RequestTrace& trace,
@@ -45,9 +47,16 @@
                     Instant now);
   void CountPrefill(const RequestTrace& trace,
                     bool completed,
-                    std::string_view cause);
+                    service_levels::Cause cause);
+  void AddPrefill(std::string_view service,
+                  std::uint64_t computed,
+                  std::uint64_t wasted,
+                  service_levels::Cause cause);
+  void CountLevel(const RequestTrace& trace,
+                  const service_levels::LevelCounts& counts);
 
   metrics::Registry& registry;
+  ServiceLevelBook* const book;
 };
 
 }  // namespace acacialug::entry_process
--- a/src/entry_process/internal/operations_pages.cc
+++ b/src/entry_process/internal/operations_pages.cc
@@ -9,6 +9,7 @@
 #include "entry_process/metric_definitions.h"
 #include "framework/metrics/exposition.h"
 #include "operations/requests_page.h"
+#include "service_levels/digest_codec.h"
 
 namespace acacialug::entry_process {
 namespace {
@@ -46,6 +47,11 @@
   if (path == "/metrics.json") {
     return Page("application/json", metrics::ToJson(this->ReadMetrics()));
   }
+  if (path == service_levels::kLevelPagePath &&
+      this->options.service_levels != nullptr) {
+    return Page("application/json", this->options.service_levels->RenderPage(
+                                        this->options.state.manifest().get()));
+  }
   if (path == "/status") {
     return Page("application/json", this->options.state.RenderStatus(now));
   }
--- a/src/entry_process/internal/operations_pages.h
+++ b/src/entry_process/internal/operations_pages.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "entry_process/internal/process_state.h"
+#include "entry_process/internal/service_level_book.h"
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
 #include "framework/metrics/registry.h"
@@ -15,8 +16,9 @@
 namespace acacialug::entry_process {
 
 // The pages of the operations port: /metrics (Prometheus text),
-// /metrics.json, /status, /requests, /requests/ID, /manifest, /healthz and
-// /readyz, by GET or HEAD, and /drain by POST. Lives on one thread.
+// /metrics.json, /service-levels, /status, /requests, /requests/ID, /manifest,
+// /healthz and /readyz, by GET or HEAD, and /drain by POST. Lives on one
+// thread.
 class OperationsPages {
  public:
   struct Options {
@@ -25,6 +27,7 @@
     operations::DrainRules drain_rules;
     // Makes the process leave, after the answer that says so was sent.
     std::function<void()> drain;
+    ServiceLevelBook* service_levels = nullptr;  // null: no such page
   };
 
   explicit OperationsPages(Options options);
--- a/src/entry_process/types/entry_process_options.h
+++ b/src/entry_process/types/entry_process_options.h
@@ -49,8 +49,9 @@
   std::size_t trace_bytes = std::size_t{4} * 1024 * 1024;
   // Whether POST /drain on the operations port is followed.
   bool allow_drain = false;
-  // The platform's log, made on each shard's thread. Empty: no log; calls
-  // that need a claim are refused.
+  // The platform's log, made on each shard's thread for claims and once on the
+  // main thread for digests. Empty: no log; calls that need a claim are
+  // refused.
   std::function<std::unique_ptr<platform::ILog>()> make_log;
   // The log keeps records at least so long; keys are taken for less.
   Duration log_retention = 24h;
