Show burn on a page that prints, and measure what windows cost

Cause: looked at in a browser, the page cut off its alarm column, hid the budget's label behind the bars, and left half of each plot's line empty; on paper the table ran over the edge. A whole page of an entry was built as one JSON tree, many times the size of its windows. Change: plot and causes side by side, the budget dashed in ink, numbers in groups of three, print in landscape; an entry renders one series after another.

--- a/src/control/internal/burn_report_html.cc
+++ b/src/control/internal/burn_report_html.cc
@@ -42,6 +42,16 @@
   return escaped;
 }
 
+// In groups of three, by a narrow space that does not break.
+std::string Grouped(std::uint64_t number) {
+  std::string text = std::to_string(number);
+  for (std::size_t at = text.size(); at > 3;) {
+    at -= 3;
+    text.insert(at, "\u202f");
+  }
+  return text;
+}
+
 constexpr char kPageHead[] = R"(<!doctype html>
 <html lang="en"><head><meta charset="utf-8">
 <meta name="viewport" content="width=device-width,initial-scale=1">
@@ -51,20 +61,16 @@
 @media(prefers-color-scheme:dark){:root{--ink:#e6edf3;--dim:#9aa4af;
 --paper:#0d1117;--line:#30363d;--card:#161b22;--good:#58a6ff;--bad:#ff7b6b;
 --warn:#e3b341}}
-@media print{:root{color-scheme:light;--ink:#000;--dim:#444;--paper:#fff;
---line:#999;--card:#fff;--good:#1a6fb5;--bad:#b3412f;--warn:#8a5a00}
-body{margin:0;max-width:none;font-size:11px}section{break-inside:avoid}
-.scroll{overflow:visible}}
 *{print-color-adjust:exact;-webkit-print-color-adjust:exact}
 body{font:15px/1.5 system-ui,sans-serif;color:var(--ink);
-background:var(--paper);max-width:76rem;margin:2rem auto;padding:0 1rem}
-h1{margin-bottom:0}h2{margin:2.2rem 0 .6rem}h3{margin:0 0 .4rem;font-size:1rem}
+background:var(--paper);max-width:80rem;margin:2rem auto;padding:0 1rem}
+h1{margin-bottom:0}h2{margin:2.2rem 0 .6rem}h3{margin:0 0 .4rem;font-size:1em}
 p.sources{color:var(--dim);margin-top:.2rem}
 .gaps{border:1px solid var(--warn);border-left-width:6px;padding:.6rem 1rem}
 .gaps ul{margin:.2rem 0 0;padding-left:1.2rem}
 .scroll{overflow-x:auto}
-table{border-collapse:collapse;width:100%;font-size:.9rem}
-th,td{text-align:left;padding:.35rem .5rem;border-bottom:1px solid var(--line);
+table{border-collapse:collapse;width:100%;font-size:.9em}
+th,td{text-align:left;padding:.35rem .45rem;border-bottom:1px solid var(--line);
 white-space:nowrap}
 th{color:var(--dim);font-weight:600}
 .number{text-align:right;font-variant-numeric:tabular-nums}
@@ -73,10 +79,19 @@
 section{background:var(--card);border:1px solid var(--line);border-radius:6px;
 padding:.8rem 1rem;margin:.8rem 0}
 svg{display:block;max-width:100%;height:auto}
+td svg{display:inline-block;vertical-align:middle;margin-right:.5rem;
+max-width:none}
+.plots{display:flex;flex-wrap:wrap;gap:1rem 2rem}
+.plots>div{flex:1 1 24rem;min-width:0}.plots>div:first-child{flex-grow:2}
 svg text{fill:var(--dim);font:11px system-ui,sans-serif}
 .track{fill:var(--line)}.good{fill:var(--good)}.bad{fill:var(--bad)}
-.axis{stroke:var(--line)}.limit{stroke:var(--bad);stroke-dasharray:5 4}
-svg .limit-text{fill:var(--bad)}svg .name{fill:var(--ink)}
+.axis{stroke:var(--line)}.limit{stroke:var(--ink);stroke-dasharray:5 4}
+svg .name{fill:var(--ink)}
+@page{size:landscape;margin:12mm}
+@media print{:root{color-scheme:light;--ink:#000;--dim:#444;--paper:#fff;
+--line:#999;--card:#fff;--good:#1a6fb5;--bad:#b3412f;--warn:#8a5a00}
+body{margin:0;max-width:none;font-size:11px}section{break-inside:avoid}
+.scroll{overflow:visible}th,td{padding:.2rem .3rem}td svg{width:50px}}
 </style></head><body><h1>Service-level burn</h1>
 )";
 
@@ -84,11 +99,11 @@
 std::string BudgetBar(const BurnRow& row) {
   const double left = std::clamp(row.budget_left, 0.0, 1.0);
   return Format(
-      "<svg viewBox='0 0 120 12' width='120' height='12' role='img' "
-      "aria-label='budget left %.0f %%'><rect class='track' width='120' "
+      "<svg viewBox='0 0 80 12' width='80' height='12' role='img' "
+      "aria-label='budget left %.0f %%'><rect class='track' width='80' "
       "height='12' rx='3'/><rect class='%s' width='%.1f' height='12' "
       "rx='3'/></svg>",
-      100 * row.budget_left, left > 0.25 ? "good" : "bad", 120 * left);
+      100 * row.budget_left, left > 0.25 ? "good" : "bad", 80 * left);
 }
 
 std::string NumberCell(const std::string& text, bool is_over = false) {
@@ -121,7 +136,7 @@
       TextCell(TargetText(row)) +
       NumberCell(row.objective ? Format("%.2f %%", 100 * *row.objective)
                                : "none") +
-      NumberCell(std::to_string(row.requests)) +
+      NumberCell(Grouped(row.requests)) +
       NumberCell(Format("%.3f %%", 100 * row.compliance));
   for (const WindowBurn& window : row.windows) {
     html += window.requests == 0 || !row.objective
@@ -130,10 +145,11 @@
                              window.burn_rate > 1);
   }
   const std::string alarm(NameOf(kAlarmNames, row.alarm));
-  return html + "<td>" + (row.objective ? BudgetBar(row) : "") + "</td>" +
-         NumberCell(
-             row.objective ? Format("%.1f %%", 100 * row.budget_left) : "",
-             row.budget_left < 0) +
+  return html +
+         NumberCell(row.objective ? BudgetBar(row) +
+                                        Format("%.1f %%", 100 * row.budget_left)
+                                  : "",
+                    row.objective && row.budget_left < 0) +
          "<td class='" + alarm + "'>" + alarm + "</td></tr>\n";
 }
 
@@ -142,7 +158,7 @@
       "<h2>Objectives, and burn rate by window</h2>" +
       TableHead({"Service", "Class", "Target"},
                 {"Objective", "Requests", "Compliance"}) +
-      "<th>Budget left, 30 d</th><th></th><th>Alarm</th></tr></thead><tbody>\n";
+      "<th class='number'>Budget left</th><th>Alarm</th></tr></thead><tbody>\n";
   for (const BurnRow& row : report.rows) {
     html += BurnTableRow(row);
   }
@@ -196,11 +212,11 @@
     const double height = std::max(HeightOf(point.missed_share, top), 1.0);
     html += Format(
         "<rect class='%s' x='%.1f' y='%.1f' width='%.1f' height='%.1f'>"
-        "<title>%zu min ago: %.2f %% of %llu</title></rect>",
+        "<title>%zu min ago: %.2f %% of %s</title></rect>",
         point.missed_share > limit ? "bad" : "good",
         kPlotWidth - step * static_cast<double>(age + 1) + 1,
         kPlotHeight - kPlotBottom - height, step - 2, height, age * 10,
-        100 * point.missed_share, static_cast<unsigned long long>(point.total));
+        100 * point.missed_share, Grouped(point.total).c_str());
   }
   return html;
 }
@@ -224,25 +240,21 @@
       AxisText(0, top) + AxisText(top / 2, top) + AxisText(top, top) +
       PlotBars(timeline, limit > 0 ? limit : 1, top);
   if (limit > 0) {
-    html +=
-        HorizontalLine("limit", limit, top) +
-        Format(
-            "<text class='limit-text' x='%.0f' y='%.1f' "
-            "text-anchor='end'>budget %g %%</text>",
-            kPlotWidth, kPlotHeight - kPlotBottom - HeightOf(limit, top) - 4,
-            100 * limit);
+    html += HorizontalLine("limit", limit, top);
   }
-  return html + Format(
-                    "<text x='%.0f' y='%.0f'>6 h ago</text><text x='%.0f' "
-                    "y='%.0f' text-anchor='end'>now</text></svg>\n",
-                    kPlotLeft, kPlotHeight - 6, kPlotWidth, kPlotHeight - 6);
+  return html +
+         Format(
+             "<text x='%.0f' y='%.0f'>6 h ago, by 10 min</text><text x='%.0f' "
+             "y='%.0f' text-anchor='end'>now</text></svg>\n",
+             kPlotLeft, kPlotHeight - 6, kPlotWidth, kPlotHeight - 6);
 }
 
 // A bar a cause, the greatest first.
 std::string CausePlot(const std::map<std::string, std::uint64_t>& causes) {
   constexpr double kRow = 20;
-  constexpr double kNames = 190;
-  constexpr double kBars = 400;
+  constexpr double kNames = 160;
+  constexpr double kBars = 180;
+  constexpr double kWidth = kNames + kBars + 90;  // the rest for numbers
   std::vector<std::pair<std::string, std::uint64_t>> sorted(causes.begin(),
                                                             causes.end());
   std::ranges::stable_sort(sorted, std::ranges::greater(),
@@ -255,7 +267,7 @@
   std::string html = Format(
       "<svg viewBox='0 0 %.0f %.0f' width='%.0f' height='%.0f' role='img' "
       "aria-label='causes'>",
-      kPlotWidth, height, kPlotWidth, height);
+      kWidth, height, kWidth, height);
   double y = 0;
   for (const auto& [cause, count] : sorted) {
     const double width =
@@ -266,24 +278,36 @@
             Escape(cause) +
             Format(
                 "</text><rect class='bad' x='%.0f' y='%.1f' width='%.1f' "
-                "height='12'/><text x='%.1f' y='%.1f'>%llu</text>",
+                "height='12'/><text x='%.1f' y='%.1f'>%s</text>",
                 kNames, y + 4, std::max(width, 1.0), kNames + width + 8, y + 14,
-                static_cast<unsigned long long>(count));
+                Grouped(count).c_str());
     y += kRow;
   }
   return html + "</svg>\n";
 }
 
+// A plot over time, and beside it the causes.
+std::string Section(const std::string& title,
+                    const std::string& plot,
+                    const std::string& cause_title,
+                    const std::map<std::string, std::uint64_t>& causes) {
+  std::string html = "<section><div class='plots'><div><h3>" + Escape(title) +
+                     "</h3>" + plot + "</div>";
+  if (!causes.empty()) {
+    html += "<div><h3>" + cause_title + "</h3>" + CausePlot(causes) + "</div>";
+  }
+  return html + "</div></section>\n";
+}
+
 std::string BurnSection(const BurnRow& row) {
-  const std::string title = row.service + " " + row.latency_class;
-  std::string html = "<section><h3>" + Escape(title) +
-                     ": share missed, by 10 min</h3>" +
-                     Plot(row.timeline, row.objective ? 1 - *row.objective : 0,
-                          title + ": share of requests missed");
-  if (!row.causes.empty()) {
-    html += "<h3>Missed by</h3>" + CausePlot(row.causes);
+  const double budget = row.objective ? 1 - *row.objective : 0;
+  std::string title =
+      row.service + " " + row.latency_class + ": share of requests missed";
+  if (budget > 0) {
+    title += Format("; dashed: budget of %g %%", 100 * budget);
   }
-  return html + "</section>\n";
+  return Section(title, Plot(row.timeline, budget, title),
+                 "Missed by (requests, 30 d)", row.causes);
 }
 
 std::string WasteTable(const BurnReport& report) {
@@ -292,9 +316,8 @@
       TableHead({"Service"}, {"Computed tokens", "Wasted tokens", "Share"}) +
       "</tr></thead><tbody>\n";
   for (const WasteRow& row : report.prefill) {
-    html += "<tr>" + TextCell(row.service) +
-            NumberCell(std::to_string(row.computed)) +
-            NumberCell(std::to_string(row.wasted)) +
+    html += "<tr>" + TextCell(row.service) + NumberCell(Grouped(row.computed)) +
+            NumberCell(Grouped(row.wasted)) +
             NumberCell(Format("%.2f %%", 100 * row.ratio));
     for (const double ratio : row.window_ratios) {
       html += NumberCell(Format("%.2f %%", 100 * ratio));
@@ -305,13 +328,9 @@
 }
 
 std::string WasteSection(const WasteRow& row) {
-  std::string html = "<section><h3>" + Escape(row.service) +
-                     ": share of prefill wasted, by 10 min</h3>" +
-                     Plot(row.timeline, 0, row.service + ": prefill wasted");
-  if (!row.causes.empty()) {
-    html += "<h3>Wasted by (tokens)</h3>" + CausePlot(row.causes);
-  }
-  return html + "</section>\n";
+  const std::string title = row.service + ": share of prefill wasted";
+  return Section(title, Plot(row.timeline, 0, title),
+                 "Wasted by (tokens, 30 d)", row.causes);
 }
 
 std::string Gaps(const BurnReport& report) {
--- a/src/control/internal/report_format.cc
+++ b/src/control/internal/report_format.cc
@@ -63,6 +63,7 @@
   std::ranges::stable_sort(sorted, std::ranges::greater(),
                            [](const auto& item) { return item.second; });
   std::vector<std::string> texts;
+  texts.reserve(sorted.size());
   for (const auto& [cause, count] : sorted) {
     texts.push_back(cause + " " + Number(count));
   }
--- a/src/control/tests/burn_report_test.cc
+++ b/src/control/tests/burn_report_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "framework/testing/story.h"
@@ -61,7 +63,7 @@
 // Counts of a window in which a share burns at `rate`.
 LevelCounts Burning(double rate, double objective, std::uint64_t requests) {
   const auto missed = static_cast<std::uint64_t>(
-      rate * (1 - objective) * static_cast<double>(requests) + 0.5);
+      std::lround(rate * (1 - objective) * static_cast<double>(requests)));
   return {.total = requests, .good = requests - missed};
 }
 
--- a/src/control/tests/level_collector_test.cc
+++ b/src/control/tests/level_collector_test.cc
@@ -16,7 +16,6 @@
 namespace acacialug::control {
 namespace {
 
-using service_levels::DigestWindow;
 using service_levels::LevelFold;
 using service_levels::LevelSummary;
 using service_levels::SeriesKey;
@@ -163,6 +162,7 @@
     {It("adds up twelve entries, and knows agents by their missing page",
         [] {
           std::vector<std::unique_ptr<Node>> nodes;
+          nodes.reserve(13);
           for (int number = 0; number < 12; ++number) {
             nodes.push_back(EntryNode(number));
           }
--- a/src/scale/internal/sections.h
+++ b/src/scale/internal/sections.h
@@ -14,6 +14,7 @@
 std::vector<Sweep> ManifestSweeps();
 std::vector<Sweep> OnceSweeps();
 std::vector<Sweep> MetricsSweeps();
+std::vector<Sweep> ServiceLevelSweeps();
 
 }  // namespace acacialug::scale
 
--- a/src/service_levels/internal/digest_codec.cc
+++ b/src/service_levels/internal/digest_codec.cc
@@ -241,19 +241,23 @@
   for (const Objective& objective : page.objectives) {
     objectives.push_back(ObjectiveJson(objective));
   }
-  Json series = Json::array();
-  for (const LiveSeries& item : page.levels.series) {
-    series.push_back(SeriesJson(item));
+  std::string text =
+      Dump({{"format", kVersion},
+            {"entry", page.entry.text},
+            {"incarnation", page.incarnation.value},
+            {"manifest", page.manifest.value},
+            {"objectives", std::move(objectives)},
+            {"missed_digests", page.missed_digests},
+            {"pending_digests", page.pending_digests},
+            {"covered_ms", CountMilliseconds(page.levels.covered)}});
+  // One series after another: a tree of all of them would take an entry many
+  // times the memory of its windows for as long as a report asks.
+  text.back() = ',';
+  text += R"("series":[)";
+  for (const LiveSeries& series : page.levels.series) {
+    text += (text.back() == '[' ? "" : ",") + Dump(SeriesJson(series));
   }
-  return Dump({{"format", kVersion},
-               {"entry", page.entry.text},
-               {"incarnation", page.incarnation.value},
-               {"manifest", page.manifest.value},
-               {"objectives", std::move(objectives)},
-               {"missed_digests", page.missed_digests},
-               {"pending_digests", page.pending_digests},
-               {"covered_ms", CountMilliseconds(page.levels.covered)},
-               {"series", std::move(series)}});
+  return text + "]}";
 }
 
 Result<LevelPage> DecodeLevelPage(std::string_view text) {
