--- a/src/control/internal/burn_report_html.cc
+++ b/src/control/internal/burn_report_html.cc
@@ -338,7 +338,11 @@
   if (gaps.empty()) {
     return {};
   }
-  std::string html = "<div class='gaps'><b>These figures are partial.</b><ul>";
+  std::string html =
+      std::string("<div class='gaps'><b>") +
+      (report.sources.partial() ? "These figures are partial."
+                                : "Known to be missing from the history:") +
+      "</b><ul>";
   for (const std::string& gap : gaps) {
     html += "<li>" + Escape(gap) + "</li>";
   }
--- a/src/control/internal/burn_report_text.cc
+++ b/src/control/internal/burn_report_text.cc
@@ -115,7 +115,7 @@
 std::string RenderText(const BurnReport& report) {
   std::string text = SourcesText(report) + "\n";
   for (const std::string& gap : GapTexts(report)) {
-    text += "partial: " + gap + "\n";
+    text += (report.sources.partial() ? "partial: " : "note: ") + gap + "\n";
   }
   text += TextHead();
   for (const BurnRow& row : report.rows) {
--- a/src/control/tests/level_collector_test.cc
+++ b/src/control/tests/level_collector_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "control/commands.h"
 #include "framework/http/http_server.h"
 #include "framework/http/tests/socket_support.h"
 #include "framework/metrics/exposition.h"
@@ -56,6 +57,18 @@
   http::Server server;
 };
 
+// A port that nobody else can take, and on which nobody listens.
+struct ClosedPort {
+  ClosedPort() {
+    CPPUNIT_ASSERT(this->socket.bind(QHostAddress::LocalHost, 0));
+  }
+  http::Address address() const {
+    return {.ip = "127.0.0.1", .port = this->socket.localPort()};
+  }
+
+  QTcpSocket socket;
+};
+
 std::unique_ptr<Node> EntryNode(int number) {
   service_levels::LevelPage page{
       .entry = EntryId("e-" + std::to_string(number)),
@@ -157,6 +170,70 @@
   std::uint64_t total;
 };
 
+// What `report burn` says of one node that answers, and one more.
+struct CommandRow {
+  std::string name;
+  bool has_entry;
+  std::string more;  // --nodes beside it; "closed": where nobody listens
+  std::string log;   // the same
+  CommandExit exit;
+};
+
+struct CommandRun {
+  int exit = 0;
+  std::string printed;
+  std::string complained;
+};
+
+CommandRun ReportBurn(const CommandRow& row) {
+  const std::unique_ptr<Node> entry =
+      row.has_entry ? EntryNode(1) : AgentNode();
+  const ClosedPort closed;
+  const auto address = [&](const std::string& text) {
+    return text == "closed" ? http::ToString(closed.address()) : text;
+  };
+  CommandRun run;
+  std::vector<std::string> nodes = {http::ToString(entry->address())};
+  if (!row.more.empty()) {
+    nodes.push_back(address(row.more));
+  }
+  run.exit = RunCommand(
+      {"report", "burn"},
+      {.log = address(row.log),
+       .nodes = nodes,
+       .json = true,
+       .timeout = 2s,
+       .print = [&](const std::string& text) { run.printed += text; },
+       .complain = [&](const std::string& text) { run.complained += text; }});
+  return run;
+}
+
+const testing::Story kCommand(
+    "report burn",
+    {testing::ForEach<CommandRow>(
+        "exits by its own code",
+        {{"when all answer", true, "", "", CommandExit::kOk},
+         {"when a process cannot be reached", true, "closed", "",
+          CommandExit::kPartial},
+         {"when the log cannot be reached", true, "", "closed",
+          CommandExit::kPartial},
+         {"when no entry answers", false, "", "", CommandExit::kFailed},
+         {"for an address that is none", true, "entry-1", "",
+          CommandExit::kUsage},
+         {"for a log that is no address", true, "", "log",
+          CommandExit::kUsage}},
+        [](const CommandRow& row) { return row.name; },
+        [](const CommandRow& row) {
+          const CommandRun run = ReportBurn(row);
+          CPPUNIT_ASSERT_EQUAL(static_cast<int>(row.exit), run.exit);
+          const bool shown =
+              row.exit == CommandExit::kOk || row.exit == CommandExit::kPartial;
+          CPPUNIT_ASSERT_EQUAL(
+              shown, run.printed.find("\"desk\"") != std::string::npos);
+          CPPUNIT_ASSERT_EQUAL(row.exit == CommandExit::kOk,
+                               run.complained.empty());
+        })});
+
 const testing::Story kCollector(
     "the collector of a burn report",
     {It("adds up twelve entries, and knows agents by their missing page",
@@ -177,13 +254,12 @@
         [] {
           std::vector<std::unique_ptr<Node>> nodes;
           nodes.push_back(EntryNode(1));
-          auto ended = EntryNode(2);
-          const http::Address gone = ended->address();
-          ended.reset();
-          const Collected collected = Collect(nodes, {gone});
+          const ClosedPort closed;
+          const Collected collected = Collect(nodes, {closed.address()});
           CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, Total(collected.fold));
-          CPPUNIT_ASSERT(collected.sources.unreachable ==
-                         std::vector<std::string>{http::ToString(gone)});
+          CPPUNIT_ASSERT(
+              collected.sources.unreachable ==
+              std::vector<std::string>{http::ToString(closed.address())});
           CPPUNIT_ASSERT(collected.sources.partial());
         }),
      It("names a process whose answer is no page of service levels",
