Halve a trace's step, and state what traces cost

Cause: a step of 64 bytes held its endpoint's name, mostly on the heap: 1,255 B a trace, 28 s of ended requests in 4 MiB at 128 a second. A fault case for acacialugctl: a process that never comes to the end of its answer.

--- a/src/control/tests/node_commands_test.cc
+++ b/src/control/tests/node_commands_test.cc
@@ -1,8 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <QTimer>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "control/commands.h"
 #include "control/internal/command_table.h"
@@ -22,19 +24,25 @@
 const RequestId kOrphan{.high = 0x13, .low = 7};
 
 // A process's operations port with written answers; a path without one is
-// never answered.
+// never answered, and one that drips gets a byte now and then for ever.
 struct Node {
   std::map<std::string, http::Response> pages;
+  std::set<std::string> dripping;
   std::vector<http::Request> requests;
   std::vector<http::ResponderPtr> unanswered;
+  QTimer drip;
   std::unique_ptr<http::Server> server;
 
   Node() {
     this->server = std::make_unique<http::Server>(http::ServerOptions{
         .listen = {.ip = "127.0.0.1"}, .make_handler = [this](int) {
           return [this](http::Request request, http::ResponderPtr responder) {
-            const auto page = this->pages.find(std::string(request.Path()));
+            const std::string path(request.Path());
+            const auto page = this->pages.find(path);
             this->requests.push_back(std::move(request));
+            if (this->dripping.contains(path)) {
+              this->Drip(*responder);
+            }
             if (page == this->pages.end()) {
               this->unanswered.push_back(std::move(responder));
             } else {
@@ -48,6 +56,16 @@
   // What lives on the server's thread goes before the server does.
   ~Node() { this->unanswered.clear(); }
 
+  void Drip(http::Responder& responder) {
+    responder.BeginStream(200, {});
+    QObject::connect(&this->drip, &QTimer::timeout, [this] {
+      for (const http::ResponderPtr& waiting : this->unanswered) {
+        waiting->SendData(" ");
+      }
+    });
+    this->drip.start(std::chrono::milliseconds(10));
+  }
+
   std::string Address() const {
     return "127.0.0.1:" + std::to_string(this->server->port());
   }
@@ -255,6 +273,15 @@
        bench.options.timeout = 100ms;
      },
      "5007 node_unreachable: no answer in time"},
+    // Symptom: a pipeline's step hangs. Sequence: a process sends a byte now
+    // and then. Cause: only silence counts against its time.
+    {"never comes to the end of its answer",
+     [](Bench& bench, const std::string& path) {
+       bench.entry.pages.erase(path);
+       bench.entry.dripping.insert(path);
+       bench.options.timeout = 100ms;
+     },
+     "5007 node_unreachable: no answer in time"},
     {"answers what is no JSON",
      [](Bench& bench, const std::string& path) {
        Answer(bench, path, {.body = "<html>"});
--- a/src/trace/internal/request_traces.cc
+++ b/src/trace/internal/request_traces.cc
@@ -9,6 +9,8 @@
 
 // Steps of a generation that meets no refusal; more are made room for once.
 constexpr std::size_t kUsualSteps = 12;
+constexpr std::size_t kUsualEndpoints = 2;
+constexpr std::size_t kMostEndpoints = 255;  // of one request, by their index
 // A list's and a hash table's node beside what they hold, by the allocator's
 // own measure (trace_bench prints what is really taken).
 constexpr std::size_t kNodeBytes = 112;
@@ -18,18 +20,13 @@
   return text.capacity() > in_place ? text.capacity() + 1 : 0;
 }
 
-Trace Shown(const Trace& trace, Duration age) {
-  Trace shown = trace;
-  shown.age = age;
-  return shown;
-}
-
 }  // namespace
 
 void RequestTraces::Begin(TraceSubject subject, Instant now) {
   const std::size_t bytes =
       sizeof(Record) + kNodeBytes + HeapBytes(subject.service) +
-      HeapBytes(subject.latency_class) + kUsualSteps * sizeof(Step);
+      HeapBytes(subject.latency_class) + kUsualSteps * sizeof(PackedStep) +
+      kUsualEndpoints * sizeof(EndpointId);
   if (this->index.contains(subject.request)) {
     return;
   }
@@ -41,8 +38,9 @@
   this->alive.push_back(
       {.trace = {.subject = std::move(subject)}, .arrived = now});
   Record& record = this->alive.back();
-  record.trace.steps.reserve(kUsualSteps);
-  record.trace.steps.push_back({.kind = StepKind::kArrived});
+  record.steps.reserve(kUsualSteps);
+  record.endpoints.reserve(kUsualEndpoints);
+  record.steps.push_back({.kind = StepKind::kArrived});
   this->Charge(record, bytes);
   this->index.emplace(request, std::prev(this->alive.end()));
 }
@@ -54,25 +52,90 @@
     return;
   }
   Record& record = *found->second;
-  std::vector<Step>& steps = record.trace.steps;
   if (step.kind == StepKind::kQueued &&
-      steps.back().kind == StepKind::kQueued) {
+      record.steps.back().kind == StepKind::kQueued) {
     return;
   }
-  const bool grows = steps.size() == steps.capacity();
-  const std::size_t bytes = HeapBytes(step.endpoint.text) +
-                            (grows ? steps.capacity() * sizeof(Step) : 0);
-  if (steps.size() >= this->options.max_steps || !this->MakeRoom(bytes)) {
+  if (record.steps.size() >= this->options.max_steps ||
+      !this->AddPacked(record, step, now)) {
     ++record.trace.steps_left_out;
     ++this->counted.steps_left_out;
-    return;
   }
-  if (grows) {
-    steps.reserve(2 * steps.capacity());
+}
+
+bool RequestTraces::AddPacked(Record& record, const Step& step, Instant now) {
+  const std::optional<std::uint8_t> place =
+      this->PlaceOf(record, step.endpoint);
+  if (!place || !this->Grow(record, record.steps)) {
+    return false;
+  }
+  record.steps.push_back(
+      {.at = now - record.arrived,
+       .amount = step.amount,
+       .attempt = static_cast<std::uint32_t>(step.attempt.value),
+       .code = static_cast<std::uint16_t>(step.code),
+       .kind = step.kind,
+       .phase = static_cast<std::uint8_t>(
+           step.phase ? static_cast<int>(*step.phase) + 1 : 0),
+       .endpoint = *place});
+  return true;
+}
+
+std::optional<std::uint8_t> RequestTraces::PlaceOf(Record& record,
+                                                   const EndpointId& endpoint) {
+  if (endpoint.empty()) {
+    return 0;
   }
-  step.at = now - record.arrived;
-  steps.push_back(std::move(step));
+  std::vector<EndpointId>& all = record.endpoints;
+  const auto found = std::find(all.begin(), all.end(), endpoint);
+  if (found == all.end()) {
+    const EndpointId added = endpoint;  // with no more capacity than it needs
+    const std::size_t bytes = HeapBytes(added.text);
+    if (all.size() >= kMostEndpoints || !this->MakeRoom(bytes) ||
+        !this->Grow(record, all)) {
+      return std::nullopt;
+    }
+    all.push_back(added);
+    this->Charge(record, bytes);
+    return static_cast<std::uint8_t>(all.size());
+  }
+  return static_cast<std::uint8_t>(std::distance(all.begin(), found) + 1);
+}
+
+template <typename Item>
+bool RequestTraces::Grow(Record& record, std::vector<Item>& items) {
+  if (items.size() < items.capacity()) {
+    return true;
+  }
+  const std::size_t more = std::max<std::size_t>(items.capacity(), 1);
+  const std::size_t bytes = more * sizeof(Item);
+  if (!this->MakeRoom(bytes)) {
+    return false;
+  }
+  items.reserve(items.capacity() + more);
   this->Charge(record, bytes);
+  return true;
+}
+
+Step RequestTraces::Unpack(const Record& record, const PackedStep& packed) {
+  Step step{.kind = packed.kind,
+            .code = static_cast<ResultCode>(packed.code),
+            .attempt = AttemptNumber(packed.attempt),
+            .at = packed.at,
+            .amount = packed.amount};
+  if (packed.phase > 0) {
+    step.phase = static_cast<protocol::Phase>(packed.phase - 1);
+  }
+  if (packed.endpoint > 0) {
+    step.endpoint = record.endpoints[packed.endpoint - 1];
+  }
+  return step;
+}
+
+Trace RequestTraces::Shown(const Record& record, Instant now) {
+  Trace shown = record.trace;
+  shown.age = now - record.arrived;
+  return shown;
 }
 
 void RequestTraces::End(const RequestId& request,
@@ -97,7 +160,12 @@
   if (found == this->index.end()) {
     return std::nullopt;
   }
-  return Shown(found->second->trace, now - found->second->arrived);
+  const Record& record = *found->second;
+  Trace shown = Shown(record, now);
+  for (const PackedStep& packed : record.steps) {
+    shown.steps.push_back(Unpack(record, packed));
+  }
+  return shown;
 }
 
 std::vector<Trace> RequestTraces::Alive(std::size_t limit, Instant now) const {
@@ -107,10 +175,8 @@
     if (shown.size() == limit) {
       break;
     }
-    shown.push_back({.subject = record.trace.subject,
-                     .age = now - record.arrived,
-                     .steps_left_out = record.trace.steps_left_out,
-                     .steps = {record.trace.steps.back()}});
+    shown.push_back(Shown(record, now));
+    shown.back().steps = {Unpack(record, record.steps.back())};
   }
   return shown;
 }
--- a/src/trace/request_traces.h
+++ b/src/trace/request_traces.h
@@ -2,6 +2,7 @@
 #define TRACE_REQUEST_TRACES_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <list>
 #include <optional>
 #include <unordered_map>
@@ -49,13 +50,35 @@
   TraceCounts counts() const;
 
  private:
+  // A Step in half of its size: the endpoint is an index into its record's.
+  struct PackedStep {
+    Duration at{};
+    std::uint64_t amount = 0;
+    std::uint32_t attempt = 0;
+    std::uint16_t code = 0;
+    StepKind kind = StepKind::kArrived;
+    std::uint8_t phase = 0;     // 0: none; else one more than its value
+    std::uint8_t endpoint = 0;  // 0: none; else one more than its index
+  };
   struct Record {
-    Trace trace;
+    Trace trace;  // without its steps
     Instant arrived;
     std::size_t bytes = 0;
+    std::vector<PackedStep> steps;
+    std::vector<EndpointId> endpoints;  // each once
   };
   using Records = std::list<Record>;
 
+  static Step Unpack(const Record& record, const PackedStep& packed);
+  static Trace Shown(const Record& record, Instant now);
+  // One more than the place of the endpoint among the record's, where it is
+  // added if need be; 0 for none. Empty when there is no room.
+  std::optional<std::uint8_t> PlaceOf(Record& record,
+                                      const EndpointId& endpoint);
+  bool AddPacked(Record& record, const Step& step, Instant now);
+  // Makes room for more items of a record, doubling it; false without room.
+  template <typename Item>
+  bool Grow(Record& record, std::vector<Item>& items);
   // Drops ended traces until so many bytes are free; false when there are
   // not that many.
   bool MakeRoom(std::size_t bytes);
