Tell drain's faults apart, and show a draining agent at once

Right after `drain`, an agent still showed itself ready for 50 ms; a name that might belong to a process that did not answer exited 9, "all answered"; and a running stream's last step read "cancelled", though only its prefill's export had been given back.

--- a/src/agent_process/internal/agent_process.cc
+++ b/src/agent_process/internal/agent_process.cc
@@ -16,6 +16,7 @@
 
 constexpr std::chrono::milliseconds kListenRetry{500};
 constexpr std::chrono::milliseconds kAnswerFirst{50};
+constexpr std::chrono::milliseconds kNextTurn{0};
 
 }  // namespace
 
@@ -152,9 +153,11 @@
   }
 
   // Whoever asked for it by the operations port gets its answer first: without
-  // a runtime the process ends at once.
+  // a runtime, which waits for its last frames to leave, the process ends at
+  // once.
   void DrainSoon() {
-    QTimer::singleShot(kAnswerFirst, &this->context, [this] { this->Drain(); });
+    const auto wait = this->runtime == nullptr ? kAnswerFirst : kNextTurn;
+    QTimer::singleShot(wait, &this->context, [this] { this->Drain(); });
   }
 
   AgentProcessOptions options;
--- a/src/control/internal/command_table.cc
+++ b/src/control/internal/command_table.cc
@@ -10,7 +10,7 @@
 }  // namespace
 
 const std::vector<CommandRow>& CommandTable() {
-  static const std::vector<CommandRow> table = {
+  static const std::vector<CommandRow> kTable = {
       {"manifest check", "FILE", "tell every fault with line and key",
        RunManifestCommand},
       {"manifest diff", "A B", "what B has otherwise; \"current\" is the log's",
@@ -36,7 +36,7 @@
       {"completion bash", "", "print a script for the shell to source",
        RunCompletionCommand},
   };
-  return table;
+  return kTable;
 }
 
 std::string CommandsHelp() {
--- a/src/control/internal/endpoint_commands.cc
+++ b/src/control/internal/endpoint_commands.cc
@@ -160,6 +160,7 @@
 
 std::vector<NodeQuestion> DrainQuestions(const std::vector<NodeStatus>& nodes) {
   std::vector<NodeQuestion> questions;
+  questions.reserve(nodes.size());
   for (const NodeStatus& node : nodes) {
     questions.push_back({.address = node.address,
                          .method = "POST",
@@ -205,7 +206,7 @@
     const Result<NodeStatus> node = FindNode(known, name);
     if (!node.ok()) {
       context.Complain(node.error());
-      return static_cast<int>(CommandExit::kNotFound);
+      return exit == kOk ? static_cast<int>(CommandExit::kNotFound) : exit;
     }
     chosen.push_back(*node);
   }
--- a/src/control/internal/request_commands.cc
+++ b/src/control/internal/request_commands.cc
@@ -203,13 +203,13 @@
       attempts.insert(step.attempt);
     }
   }
-  return std::to_string(attempts.size()) + " attempts, " +
+  return "attempts " + std::to_string(attempts.size()) +
+         ", reservations asked for " +
          std::to_string(CountSteps(trace, trace::StepKind::kReserveSent)) +
-         " reservations asked for, " +
+         ", made " +
          std::to_string(CountSteps(trace, trace::StepKind::kReserved)) +
-         " made, " +
-         std::to_string(CountSteps(trace, trace::StepKind::kRefused)) +
-         " refusals";
+         ", refusals " +
+         std::to_string(CountSteps(trace, trace::StepKind::kRefused));
 }
 
 std::string ExplainTrace(const EntryId& entry, const trace::Trace& trace) {
--- a/src/control/tests/node_commands_test.cc
+++ b/src/control/tests/node_commands_test.cc
@@ -194,8 +194,8 @@
           CPPUNIT_ASSERT_EQUAL_MESSAGE(
               bench.complained, 0, bench.Run({"explain", ToString(kRequest)}));
           for (const char* text :
-               {"alive for 2.000 s", "2 attempts, 1 reservations asked for",
-                "1 refusals", "reserve: 2006 no_decode_memory",
+               {"alive for 2.000 s", "attempts 2, reservations asked for 1",
+                "refusals 1", "reserve: 2006 no_decode_memory",
                 "kv_tokens 4096", "HELD NOW AT"}) {
             CPPUNIT_ASSERT_MESSAGE(bench.printed, bench.Printed(text));
           }
@@ -240,6 +240,13 @@
           CPPUNIT_ASSERT(bench.Complained("1013 invalid_parameter: d-2"));
           CPPUNIT_ASSERT(bench.agent.requests.size() == 1);
         }),
+     It("says that it failed when the name may be that of a silent process",
+        [] {
+          Bench bench;
+          bench.agent.server = nullptr;
+          CPPUNIT_ASSERT_EQUAL(Code(CommandExit::kFailed),
+                               bench.Run({"drain", "d-1"}));
+        }),
      It("tells by number and exit code that the settings do not allow it", [] {
        Bench bench;
        bench.agent.pages["/drain"] = {.status = 403,
--- a/src/entry_process/tests/operations_port_test.cc
+++ b/src/entry_process/tests/operations_port_test.cc
@@ -68,7 +68,7 @@
                    StepKind::kReserveSent, StepKind::kReserved,
                    StepKind::kPrefillStarted, StepKind::kPrefilled,
                    StepKind::kDecodeStarted, StepKind::kFirstToken,
-                   StepKind::kCancelled, StepKind::kDecodeEnded}));
+                   StepKind::kReleased, StepKind::kDecodeEnded}));
           CPPUNIT_ASSERT(trace.outcome == trace::TraceOutcome::kCompleted);
           CPPUNIT_ASSERT(trace.subject.service == "lm");
           CPPUNIT_ASSERT(trace.steps[3].endpoint == EndpointId("d-1"));
--- a/src/trace/bench/trace_bench.cc
+++ b/src/trace/bench/trace_bench.cc
@@ -41,7 +41,7 @@
   }
   traces.Add(Id(number), {.kind = StepKind::kFirstToken}, now);
   for (const auto& [kind, endpoint] :
-       {std::pair(StepKind::kCancelled, &prefill),
+       {std::pair(StepKind::kReleased, &prefill),
         std::pair(StepKind::kDecodeEnded, &decode)}) {
     traces.Add(Id(number),
                {.kind = kind, .attempt = one, .endpoint = *endpoint}, now);
--- a/src/trace/internal/message_steps.cc
+++ b/src/trace/internal/message_steps.cc
@@ -36,7 +36,7 @@
 }
 
 Step Describe(const protocol::Cancel&) {
-  return {.kind = StepKind::kCancelled};
+  return {.kind = StepKind::kReleased};
 }
 
 Step Describe(const protocol::Reserved& reserved) {
--- a/src/trace/tests/request_traces_test.cc
+++ b/src/trace/tests/request_traces_test.cc
@@ -100,8 +100,8 @@
        Bench bench;
        bench.Begin(1);
        bench.End(1);
-       bench.Add(1, StepKind::kCancelled);
-       bench.Add(2, StepKind::kCancelled);
+       bench.Add(1, StepKind::kReleased);
+       bench.Add(2, StepKind::kReleased);
        bench.End(2);
        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                             bench.traces.Find(Id(1), bench.now)->steps.size());
@@ -204,7 +204,7 @@
                                       .generation = {.resumed_text = "x"}}),
            StepKind::kDecodeResumed},
           {"Cancel", Sent(protocol::Cancel{.attempt = kAttempt}),
-           StepKind::kCancelled},
+           StepKind::kReleased},
           {"Failed", Heard(protocol::Failed{.attempt = kAttempt}),
            StepKind::kFailed}},
          [](const MessageRow& row) { return row.name; },
--- a/src/trace/types/trace.h
+++ b/src/trace/types/trace.h
@@ -32,7 +32,7 @@
   kCallLookedUp,
   kCallAnswered,
   kFailed,
-  kCancelled,
+  kReleased,
   kEndpointLost,
 };
 inline constexpr EnumNames<StepKind, 18> kStepKindNames = {{
@@ -52,7 +52,7 @@
     {StepKind::kCallLookedUp, "call_looked_up"},
     {StepKind::kCallAnswered, "call_answered"},
     {StepKind::kFailed, "failed"},
-    {StepKind::kCancelled, "cancelled"},
+    {StepKind::kReleased, "released"},
     {StepKind::kEndpointLost, "endpoint_lost"},
 }};
 
