Hold a serving client to going on when it hears of a newer offset

Cause: configuration_client_tests asserted that a client in use stops being ready when another speaks of an offset beyond its own. Change: it asserts that the client stays ready and reads the log at once, and a further case that one which starts is not ready before it has what it was told of. Nothing is asked for less: the rule it stood for holds for starts. Conclusion: who serves goes on and catches up; who starts waits.

--- a/src/configuration_client/tests/configuration_client_test.cc
+++ b/src/configuration_client/tests/configuration_client_test.cc
@@ -112,8 +112,21 @@
           fixture.client->OnPeerOffset(LogOffset(1));
           CPPUNIT_ASSERT_EQUAL(reads, fixture.log->reads);
           fixture.client->OnPeerOffset(LogOffset(2));
+          // Who may serve goes on: an offset that never comes would stop it.
+          CPPUNIT_ASSERT(fixture.client->ready());
+          fixture.Await({"v1", "v2"});
+          CPPUNIT_ASSERT(fixture.log->reads > reads);
+        }),
+     It("is not ready at its start until it has what others tell of",
+        [] {
+          Fixture fixture(false);
+          fixture.log->records = {Publish("v1", 0)};
+          fixture.client->OnPeerOffset(LogOffset(2));
+          fixture.Await({"v1"});
           CPPUNIT_ASSERT(!fixture.client->ready());
+          fixture.log->records.push_back(Publish("v2", 1));
           fixture.Await({"v1", "v2"});
+          CPPUNIT_ASSERT(fixture.client->ready());
         }),
      It("is not ready in an outage of the log, and takes a peer's manifest",
         [] {
