--- a/fuzz/frame_fuzz.cc
+++ b/fuzz/frame_fuzz.cc
@@ -22,6 +22,23 @@
   fuzz::Require(again.ok() && protocol::Encode(*again) == bytes);
 }
 
+// Datagrams have two more ways to be refused.
+template <typename Message>
+void RoundTripDatagram(std::string_view datagram,
+                       Result<Message> (*decode)(std::string_view)) {
+  const Result<Message> decoded = decode(datagram);
+  if (!decoded) {
+    const ResultCode code = decoded.error().result_code();
+    fuzz::Require(code == ResultCode::kBadFrame ||
+                  code == ResultCode::kProtocolVersion ||
+                  code == ResultCode::kFrameTooLarge);
+    return;
+  }
+  const std::string bytes = protocol::Encode(*decoded);
+  const Result<Message> again = decode(bytes);
+  fuzz::Require(again.ok() && protocol::Encode(*again) == bytes);
+}
+
 // All payloads of a stream that comes in pieces of `piece` bytes.
 std::string Payloads(std::string_view stream, std::size_t piece) {
   net::FrameReader reader(kMaximumFrame);
@@ -48,7 +65,7 @@
 
 // Whatever a peer sends: the frames do not depend on how the bytes are cut,
 // and no payload does more than fail to decode. The input is a stream of
-// frames; its bytes alone are tried as a payload too.
+// frames; its bytes alone are tried as a payload and as a datagram too.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace acacialug;
@@ -56,5 +73,7 @@
   fuzz::Require(Payloads(text, size) == Payloads(text, 3));
   RoundTrip(protocol::DecodeEntryToAgent(text), protocol::DecodeEntryToAgent);
   RoundTrip(protocol::DecodeAgentToEntry(text), protocol::DecodeAgentToEntry);
+  RoundTripDatagram(text, protocol::DecodeHeartbeat);
+  RoundTripDatagram(text, protocol::DecodeHeartbeatAnswer);
   return 0;
 }
--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -30,6 +30,20 @@
   this->implementation->OnSessionClosed(session, now);
 }
 
+void AgentCore::AcceptHeartbeats(std::uint16_t port) {
+  this->implementation->AcceptHeartbeats(port);
+}
+
+std::optional<protocol::HeartbeatAnswer> AgentCore::OnHeartbeat(
+    const protocol::Heartbeat& heartbeat,
+    Instant now) {
+  return this->implementation->OnHeartbeat(heartbeat, now);
+}
+
+bool AgentCore::within_heartbeat_budget() const {
+  return this->implementation->WithinHeartbeatBudget();
+}
+
 void AgentCore::OnEngineEvent(const engine::EngineEvent& event, Instant now) {
   this->implementation->OnEngineEvent(event, now);
 }
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "agent/types/agent_counters.h"
@@ -11,6 +12,7 @@
 #include "agent/types/held_attempt.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
+#include "protocol/types/heartbeat.h"
 
 namespace acacialug::agent {
 
@@ -37,6 +39,19 @@
                  Instant now);
   // The connection is gone: all that the session's requests hold is freed.
   void OnSessionClosed(SessionId session, Instant now);
+  // From here on Welcomes name this UDP port for heartbeats; 0, and before:
+  // sessions are renewed by frames only.
+  void AcceptHeartbeats(std::uint16_t port);
+  // A datagram, whoever sent it. Renews the sessions that a Hello of the same
+  // process start opened and that have not ended. Empty: renews none, and is
+  // not to be answered.
+  std::optional<protocol::HeartbeatAnswer> OnHeartbeat(
+      const protocol::Heartbeat& heartbeat,
+      Instant now);
+  // False: renewals cost more than their byte budget, even at the longest
+  // interval.
+  bool within_heartbeat_budget() const;
+
   void OnEngineEvent(const engine::EngineEvent& event, Instant now);
   // Call at or after next_timer().
   void OnTimer(Instant now);
--- a/src/agent/internal/agent_implementation.h
+++ b/src/agent/internal/agent_implementation.h
@@ -1,7 +1,9 @@
 #ifndef AGENT_INTERNAL_AGENT_IMPLEMENTATION_H_
 #define AGENT_INTERNAL_AGENT_IMPLEMENTATION_H_
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "agent/agent_core.h"
@@ -32,6 +34,11 @@
                  const protocol::EntryToAgent& message,
                  Instant now);
   void OnSessionClosed(SessionId session, Instant now);
+  void AcceptHeartbeats(std::uint16_t port) { this->heartbeat_port = port; }
+  std::optional<protocol::HeartbeatAnswer> OnHeartbeat(
+      const protocol::Heartbeat& heartbeat,
+      Instant now);
+  bool WithinHeartbeatBudget() const { return this->sessions.WithinBudget(); }
   void OnEngineEvent(const engine::EngineEvent& event, Instant now);
   void OnManifest(std::shared_ptr<const manifest::Manifest> newest,
                   Instant now);
@@ -102,6 +109,7 @@
   std::shared_ptr<const manifest::Manifest> manifest_in_force;
   protocol::EndpointRole wanted_role = protocol::EndpointRole::kPlain;
   LogOffset newest_heard;
+  std::uint16_t heartbeat_port = 0;
 };
 
 }  // namespace acacialug::agent
--- a/src/agent/internal/agent_implementation_messages.cc
+++ b/src/agent/internal/agent_implementation_messages.cc
@@ -21,14 +21,17 @@
     return;
   }
   this->HearOf(hello.manifest);
-  this->outbox.Send(session,
-                    protocol::Welcome{.endpoint = this->options.endpoint,
-                                      .incarnation = this->options.incarnation,
-                                      .role = this->options.role,
-                                      .domain = this->options.domain,
-                                      .manifest = this->ManifestOffset(),
-                                      .lease = this->options.session_lease},
-                    now);
+  this->outbox.Send(
+      session,
+      protocol::Welcome{.endpoint = this->options.endpoint,
+                        .incarnation = this->options.incarnation,
+                        .role = this->options.role,
+                        .domain = this->options.domain,
+                        .manifest = this->ManifestOffset(),
+                        .lease = this->sessions.LeaseFor(hello.interval),
+                        .session = static_cast<std::uint32_t>(session.value),
+                        .heartbeat_port = this->heartbeat_port},
+      now);
   if (this->drain.active()) {
     this->SendLeaving(session, now);
   }
@@ -43,13 +46,38 @@
 void AgentCore::Implementation::On(SessionId session,
                                    const protocol::Renew& renew,
                                    Instant now) {
-  if (!this->sessions.Renew(session, renew.incarnation, now)) {
+  if (!this->sessions.Renew(session, renew, now)) {
     this->EndSession(session, ResultCode::kBadFrame, now);
     return;
   }
   this->HearOf(renew.manifest);
-  this->outbox.Send(session,
-                    protocol::Renewed{.manifest = this->ManifestOffset()}, now);
+  this->outbox.Send(
+      session,
+      protocol::Renewed{.manifest = this->ManifestOffset(),
+                        .lease = this->sessions.LeaseFor(renew.interval)},
+      now);
+}
+
+std::optional<protocol::HeartbeatAnswer> AgentCore::Implementation::OnHeartbeat(
+    const protocol::Heartbeat& heartbeat,
+    Instant now) {
+  // First: this process may have been paused, and a heartbeat that waited in
+  // its socket must not renew what has lapsed meanwhile.
+  this->Expire(now);
+  std::optional<protocol::HeartbeatAnswer> answer =
+      this->sessions.RenewListed(heartbeat, now);
+  if (!answer) {
+    ++this->counters.heartbeats_dropped;
+    return answer;
+  }
+  ++this->counters.heartbeats;
+  this->HearOf(heartbeat.manifest);
+  const protocol::EndpointLoad load = this->Load(now);
+  answer->agent = this->options.incarnation;
+  answer->manifest = this->ManifestOffset();
+  answer->leaving = load.leaving;
+  this->sessions.processes().TellLoad(heartbeat, load, *answer);
+  return answer;
 }
 
 void AgentCore::Implementation::On(SessionId session,
--- a/src/agent/internal/deadline_set.h
+++ b/src/agent/internal/deadline_set.h
@@ -22,6 +22,12 @@
     this->due_of.emplace(key, due);
   }
 
+  // kNever for an unknown key.
+  Instant At(const Key& key) const {
+    const auto found = this->due_of.find(key);
+    return found == this->due_of.end() ? kNever : found->second;
+  }
+
   // An unknown key is no error.
   void Remove(const Key& key) {
     const auto found = this->due_of.find(key);
--- /dev/null
+++ b/src/agent/internal/entry_processes.h
@@ -0,0 +1,49 @@
+#ifndef AGENT_INTERNAL_ENTRY_PROCESSES_H_
+#define AGENT_INTERNAL_ENTRY_PROCESSES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "protocol/types/heartbeat.h"
+
+namespace acacialug::agent {
+
+// The processes whose shards have sessions here, and what their heartbeats
+// have told and been told. Not thread safe.
+class EntryProcesses {
+ public:
+  // One start of a process.
+  using Key = std::pair<EntryId, Incarnation>;
+
+  // Once for each session that begins or ends.
+  void Join(const Key& process);
+  void Leave(const Key& process);
+
+  // Takes the heartbeat as the newest of its process. False: the process has
+  // no session here, or this heartbeat or a later one was taken before.
+  bool Take(const protocol::Heartbeat& heartbeat);
+
+  // Puts the load into the answer, unless the process is known to have been
+  // told much the same. Precondition: Take accepted the heartbeat.
+  void TellLoad(const protocol::Heartbeat& heartbeat,
+                const protocol::EndpointLoad& load,
+                protocol::HeartbeatAnswer& answer);
+
+  std::size_t count() const { return this->processes.size(); }
+
+ private:
+  struct Process {
+    std::size_t sessions = 0;
+    std::uint32_t newest = 0;   // sequence of the newest heartbeat
+    std::uint32_t told_at = 0;  // of the answer with `told`; 0: none
+    protocol::EndpointLoad told;
+  };
+
+  std::map<Key, Process> processes;
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_INTERNAL_ENTRY_PROCESSES_H_
--- a/src/agent/internal/session_table.cc
+++ b/src/agent/internal/session_table.cc
@@ -11,6 +11,9 @@
 constexpr std::size_t kMaxEntries = 4096;
 // So long a superseded start has to find its successor away.
 constexpr Duration kVacancy = 15s;
+// A heartbeat of two sessions, and its answer with a load, which most have not:
+// 95 and 129 bytes with headers (docs/CAPACITY.md, `protocol.heartbeat_*`).
+constexpr double kHeartbeatBytes = 95 + 129;
 
 }  // namespace
 
@@ -25,7 +28,10 @@
   Session& known = this->sessions.at(session);
   if (known.greeted) {
     const bool same = known.entry == hello.entry &&
-                      this->Renew(session, hello.incarnation, now);
+                      this->Renew(session,
+                                  {.incarnation = hello.incarnation,
+                                   .interval = hello.interval},
+                                  now);
     return {.code = same ? ResultCode::kOk : ResultCode::kBadFrame};
   }
   this->RememberBounded(hello.entry);
@@ -47,9 +53,12 @@
   }
   entry.incarnation = hello.incarnation;
   entry.sessions.insert(session);
-  known = {
-      .entry = hello.entry, .incarnation = hello.incarnation, .greeted = true};
-  this->leases.Set(session, now + this->options.lease);
+  known = {.entry = hello.entry,
+           .incarnation = hello.incarnation,
+           .process = {hello.process, hello.process_incarnation},
+           .greeted = true};
+  this->entry_processes.Join(known.process);
+  this->Extend(session, this->LeaseFor(hello.interval), now);
   return greeting;
 }
 
@@ -69,17 +78,57 @@
 }
 
 bool SessionTable::Renew(SessionId session,
-                         Incarnation incarnation,
+                         const protocol::Renew& renew,
                          Instant now) {
   const auto found = this->sessions.find(session);
   if (found == this->sessions.end() || !found->second.greeted ||
-      found->second.incarnation != incarnation) {
+      found->second.incarnation != renew.incarnation) {
     return false;
   }
-  this->leases.Set(session, now + this->options.lease);
+  this->Extend(session, this->LeaseFor(renew.interval), now);
   return true;
 }
 
+void SessionTable::Extend(SessionId session, Duration lease, Instant now) {
+  const Instant running = this->leases.At(session);
+  const Instant renewed = now + lease;
+  if (running == kNever || renewed > running) {
+    this->leases.Set(session, renewed);
+  }
+}
+
+std::optional<protocol::HeartbeatAnswer> SessionTable::RenewListed(
+    const protocol::Heartbeat& heartbeat,
+    Instant now) {
+  if (!this->entry_processes.Take(heartbeat)) {
+    return std::nullopt;
+  }
+  const EntryProcesses::Key process{heartbeat.entry, heartbeat.incarnation};
+  protocol::HeartbeatAnswer answer{.sequence = heartbeat.sequence,
+                                   .lease = this->LeaseFor(heartbeat.interval)};
+  for (std::size_t index = 0; index < heartbeat.sessions.size(); ++index) {
+    const SessionId session(heartbeat.sessions[index]);
+    const auto found = this->sessions.find(session);
+    if (found != this->sessions.end() && found->second.greeted &&
+        found->second.process == process) {
+      this->Extend(session, answer.lease, now);
+      answer.renewed |= std::uint64_t{1} << index;
+    }
+  }
+  return answer.renewed == 0 ? std::nullopt : std::optional(answer);
+}
+
+Duration SessionTable::LeaseFor(Duration interval) const {
+  const Duration wanted =
+      std::min(std::max(interval, this->budget.Interval(this->BytesPerRound())),
+               this->budget.longest());
+  return std::max(this->options.lease, wanted * heartbeat::kIntervalsPerLease);
+}
+
+double SessionTable::BytesPerRound() const {
+  return static_cast<double>(this->entry_processes.count()) * kHeartbeatBytes;
+}
+
 void SessionTable::Close(SessionId session) {
   const auto found = this->sessions.find(session);
   if (found == this->sessions.end()) {
@@ -87,6 +136,7 @@
   }
   if (found->second.greeted) {
     this->entries[found->second.entry].sessions.erase(session);
+    this->entry_processes.Leave(found->second.process);
   }
   this->leases.Remove(session);
   this->sessions.erase(found);
--- a/src/agent/internal/session_table.h
+++ b/src/agent/internal/session_table.h
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include "agent/internal/deadline_set.h"
+#include "agent/internal/entry_processes.h"
 #include "agent/types/agent_messages.h"
 #include "framework/global/types/instant.h"
+#include "heartbeat/heartbeat_budget.h"
 #include "protocol/types/messages.h"
 
 namespace acacialug::agent {
@@ -19,7 +21,8 @@
 class SessionTable {
  public:
   struct Options {
-    Duration lease = 3s;
+    Duration lease = 3s;  // the least
+    heartbeat::HeartbeatBudget::Options heartbeats;
     bool expire = true;  // false only to show that its absence is noticed
   };
 
@@ -30,7 +33,8 @@
     std::vector<SessionId> ended;
   };
 
-  explicit SessionTable(Options table_options) : options(table_options) {}
+  explicit SessionTable(Options table_options)
+      : options(table_options), budget(table_options.heartbeats) {}
 
   // A connection without a Hello lapses like one without renewals.
   void Open(SessionId session, Instant now);
@@ -39,7 +43,24 @@
   Greeting Greet(SessionId session, const protocol::Hello& hello, Instant now);
 
   // False when the incarnation is not that of the session's Hello.
-  bool Renew(SessionId session, Incarnation incarnation, Instant now);
+  bool Renew(SessionId session, const protocol::Renew& renew, Instant now);
+
+  // Renews those of the listed sessions that this process start has open, and
+  // answers with lease and bits. Empty: it renews none, since it is late,
+  // doubled, or names sessions that are not its own or have ended.
+  std::optional<protocol::HeartbeatAnswer> RenewListed(
+      const protocol::Heartbeat& heartbeat,
+      Instant now);
+
+  // Of a session that is to be renewed so often: follows the entry's wish and
+  // this agent's own byte budget, within the longest interval.
+  Duration LeaseFor(Duration interval) const;
+
+  // False: renewals cost more than the budget even at the longest interval.
+  bool WithinBudget() const {
+    return this->budget.Holds(this->BytesPerRound());
+  }
+  EntryProcesses& processes() { return this->entry_processes; }
 
   // An unknown session is no error.
   void Close(SessionId session);
@@ -60,6 +81,7 @@
   struct Session {
     EntryId entry;
     Incarnation incarnation;
+    EntryProcesses::Key process;
     bool greeted = false;
   };
   struct Entry {
@@ -71,10 +93,15 @@
   };
 
   static bool MayReturn(Entry& entry, Instant now);
+  // Never makes a running lease shorter: the entry counts on it.
+  void Extend(SessionId session, Duration lease, Instant now);
+  double BytesPerRound() const;
   void RememberBounded(const EntryId& id);
   std::vector<SessionId> Supersede(Entry& entry);
 
   Options options;
+  heartbeat::HeartbeatBudget budget;
+  EntryProcesses entry_processes;
   std::unordered_map<SessionId, Session> sessions;
   std::unordered_map<EntryId, Entry> entries;
   DeadlineSet<SessionId> leases;
--- a/src/agent/tests/sessions_and_attempts_test.cc
+++ b/src/agent/tests/sessions_and_attempts_test.cc
@@ -13,8 +13,12 @@
   return {.entry = EntryId(id), .incarnation = incarnation};
 }
 
+protocol::Renew RenewOf(Incarnation incarnation) {
+  return {.incarnation = incarnation};
+}
+
 struct Greeted {
-  SessionTable table{{.lease = 3s}};
+  SessionTable table{{.lease = 3s, .heartbeats = AgentOptions().heartbeats}};
   Greeted() {
     this->table.Open(kSession, kNow);
     this->table.Greet(kSession, HelloOf(kEntry), kNow);
@@ -26,15 +30,16 @@
     {It("lets a session lapse one lease after its last renewal",
         [] {
           Greeted greeted;
-          CHECK(greeted.table.Renew(kSession, kEntry, kNow + 2s));
+          CHECK(greeted.table.Renew(kSession, RenewOf(kEntry), kNow + 2s));
           CHECK(greeted.table.Expire(kNow + 4999ms).empty());
           CHECK(greeted.table.next_timer() == kNow + 5s);
           CHECK(greeted.table.Expire(kNow + 5s) == std::vector{kSession});
-          CHECK(!greeted.table.Renew(kSession, kEntry, kNow + 5s));
+          CHECK(!greeted.table.Renew(kSession, RenewOf(kEntry), kNow + 5s));
         }),
      It("lets a connection without a Hello lapse too",
         [] {
-          SessionTable table({.lease = 3s});
+          SessionTable table(
+              {.lease = 3s, .heartbeats = AgentOptions().heartbeats});
           table.Open(kSession, kNow);
           CHECK(!table.IncarnationOf(kSession));
           CHECK(table.Expire(kNow + 3s).size() == 1);
--- a/src/agent/types/agent_options.h
+++ b/src/agent/types/agent_options.h
@@ -6,6 +6,7 @@
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
+#include "heartbeat/heartbeat_budget.h"
 #include "manifest/types/manifest.h"
 
 namespace acacialug::agent {
@@ -50,7 +51,10 @@
   ReservationPolicy reservation = ReservationPolicy::kHold;
   PrefillOrder order = PrefillOrder::kArrival;
   bool feasibility_counts_queue = true;  // false: the baseline's plain test
+  // The least lease; longer when an interval between renewals asks for it.
   Duration session_lease = 3s;
+  // No shortest interval: that is the entries' to say.
+  heartbeat::HeartbeatBudget::Options heartbeats{.shortest = Duration::zero()};
   Duration export_lifetime = 800ms;  // how long the engine keeps an export
   Duration reservation_limit = 30s;  // a reservation never lives longer
   Duration stall_timeout = 5s;       // a stream without a token for so long
--- a/src/agent_process/internal/agent_runtime.cc
+++ b/src/agent_process/internal/agent_runtime.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "framework/log/log.h"
+#include "protocol/message_codec.h"
 
 namespace acacialug::agent_process {
 namespace {
@@ -36,7 +37,12 @@
       core(this->CoreOptions(), random),
       engine(process_options.make_engine(complete.engine)),
       sessions(this->SessionHooks(), this->counters),
-      frames(this->FrameOptions()) {
+      frames(this->FrameOptions()),
+      heartbeats({.max_bytes = protocol::kMaxDatagramBytes,
+                  .on_datagram = [this](std::string_view datagram,
+                                        const http::Address& from) {
+                    this->OnDatagram(datagram, from);
+                  }}) {
   this->core_timer.setSingleShot(true);
   this->core_timer.setTimerType(Qt::PreciseTimer);
   QObject::connect(&this->core_timer, &QTimer::timeout,
@@ -52,12 +58,52 @@
   if (!started.ok()) {
     return started;
   }
+  this->StartHeartbeats();
   const Instant now = MonotonicNow();
   this->core.Start(now);
   this->Pump(now);
   return started;
 }
 
+void AgentRuntime::StartHeartbeats() {
+  // By datagrams nobody would know whose heartbeat it is: the certificates of
+  // peer_tls speak for connections only (docs/decisions).
+  if (this->settings.peer_tls.enabled()) {
+    return;
+  }
+  // The port that firewalls let entries reach, unless the system chose it.
+  const Status bound = this->heartbeats.Bind(this->settings.listen);
+  if (!bound.ok()) {
+    log::Warning("heartbeats_by_frames",
+                 {.endpoint = this->settings.agent.endpoint,
+                  .code = bound.error().result_code(),
+                  .fields = {{"detail", bound.error().detail}}});
+    return;
+  }
+  this->core.AcceptHeartbeats(this->heartbeats.port());
+}
+
+void AgentRuntime::OnDatagram(std::string_view datagram,
+                              const http::Address& from) {
+  const Result<protocol::Heartbeat> heartbeat =
+      protocol::DecodeHeartbeat(datagram);
+  if (!heartbeat.ok()) {
+    ++this->counters.bad_datagrams;
+    log::WriteLimited(this->limiter, MonotonicNow(), log::Level::kWarning,
+                      "bad_datagram",
+                      {.endpoint = this->settings.agent.endpoint,
+                       .code = heartbeat.error().result_code(),
+                       .fields = {{"from", ToString(from)}}});
+    return;
+  }
+  const Instant now = MonotonicNow();
+  const auto answer = this->core.OnHeartbeat(*heartbeat, now);
+  if (answer) {
+    this->heartbeats.Send(protocol::Encode(*answer), from);
+  }
+  this->Pump(now);
+}
+
 void AgentRuntime::OnManifest(
     const std::shared_ptr<const manifest::Manifest>& newest) {
   std::shared_ptr<const manifest::Manifest> given = newest;
@@ -97,6 +143,13 @@
   status.sessions = this->sessions.List();
   status.held_attempts = this->core.held_attempts();
   status.counters = this->counters;
+  const net::DatagramCounters& datagrams = this->heartbeats.counters();
+  status.counters.bad_datagrams += datagrams.too_long;
+  status.counters.heartbeat_bytes_received =
+      datagrams.received_bytes +
+      datagrams.received * protocol::kDatagramHeaderBytes;
+  status.counters.heartbeat_bytes_sent =
+      datagrams.sent_bytes + datagrams.sent * protocol::kDatagramHeaderBytes;
   status.core_counters = this->core.counters();
 }
 
@@ -195,6 +248,7 @@
   this->ArmTimer(now);
   this->TellNewerManifest();
   this->TellAlone();
+  this->CheckBudget();
   this->CheckDrained(now);
 }
 
@@ -222,6 +276,21 @@
   this->core_timer.start(RoundUp(due - now));
 }
 
+void AgentRuntime::CheckBudget() {
+  const bool within = this->core.within_heartbeat_budget();
+  if (within == std::exchange(this->within_budget, within)) {
+    return;
+  }
+  this->counters.heartbeat_over_budget += within ? 0 : 1;
+  log::WriteLimited(
+      this->limiter, MonotonicNow(),
+      within ? log::Level::kInfo : log::Level::kWarning,
+      within ? "heartbeat_budget_held" : "heartbeat_budget_exceeded",
+      {.endpoint = this->settings.agent.endpoint,
+       .fields = {{"bytes_per_second",
+                   this->settings.agent.heartbeats.bytes_per_second}}});
+}
+
 void AgentRuntime::TellNewerManifest() {
   const LogOffset heard = this->core.newest_manifest_heard();
   if (heard != this->last_told && this->options.on_manifest_heard) {
--- a/src/agent_process/internal/agent_runtime.h
+++ b/src/agent_process/internal/agent_runtime.h
@@ -11,6 +11,7 @@
 #include "agent_process/internal/engine_timings.h"
 #include "agent_process/internal/session_table.h"
 #include "framework/log/repeat_limiter.h"
+#include "framework/net/datagram_socket.h"
 #include "framework/net/frame_channel.h"
 
 namespace acacialug::agent_process {
@@ -52,6 +53,9 @@
   SessionTable::Hooks SessionHooks();
   net::FrameServer::Options FrameOptions();
 
+  // Without a socket (it is logged) sessions are renewed by frames.
+  void StartHeartbeats();
+  void OnDatagram(std::string_view datagram, const http::Address& from);
   void OnEngineEvent(const engine::EngineEvent& event);
   void Count(const engine::EngineEvent& event);
   void LogFailure(const engine::AttemptFailed& failed);
@@ -62,6 +66,7 @@
   void Do(const agent::CloseSession& action);
   void Do(const agent::ExecuteOnEngine& action);
   void ArmTimer(Instant now);
+  void CheckBudget();
   void TellNewerManifest();
   void TellAlone();
   void CheckDrained(Instant now);
@@ -77,10 +82,12 @@
   std::unique_ptr<engine::IEngine> engine;
   SessionTable sessions;
   net::FrameServer frames;
+  net::DatagramSocket heartbeats;
   QTimer core_timer;
   Instant armed_for = kNever;
   QTimer flush_timer;
   Instant flush_ends = kNever;
+  bool within_budget = true;
   bool engine_known = false;
   bool draining = false;
   bool drained_told = false;
--- a/src/agent_process/internal/settings_reader.cc
+++ b/src/agent_process/internal/settings_reader.cc
@@ -82,6 +82,14 @@
         key, {.fallback = fallback, .minimum = 1ms, .maximum = 24h});
   };
   into.session_lease = duration("session_lease", defaults.session_lease);
+  into.heartbeats.bytes_per_second = static_cast<double>(table.Bytes(
+      "heartbeat_bytes_per_second", {.fallback = static_cast<std::uint64_t>(
+                                         defaults.heartbeats.bytes_per_second),
+                                     .minimum = 100,
+                                     .maximum = std::uint64_t{1} << 30}));
+  into.heartbeats.longest = table.Duration(
+      "heartbeat_longest_interval",
+      {.fallback = defaults.heartbeats.longest, .minimum = 1s, .maximum = 24h});
   into.export_lifetime = duration("export_lifetime", defaults.export_lifetime);
   into.reservation_limit =
       duration("reservation_limit", defaults.reservation_limit);
--- a/src/agent_process/internal/status_metrics.cc
+++ b/src/agent_process/internal/status_metrics.cc
@@ -25,7 +25,7 @@
   return status.core_counters.*kMember;
 }
 
-constexpr std::array<CounterRow, 22> kCounters = {{
+constexpr std::array<CounterRow, 28> kCounters = {{
     {"sessions_opened", "Connections taken from entries",
      Of<&Counters::sessions_opened>},
     {"sessions_closed", "Connections from entries that ended",
@@ -39,6 +39,21 @@
      Of<&Counters::frames_too_large>},
     {"bad_frames", "Connections ended for bytes that are no message",
      Of<&Counters::bad_frames>},
+    {"bad_datagrams", "Datagrams that are no heartbeat",
+     Of<&Counters::bad_datagrams>},
+    {"heartbeats", "Datagrams that renewed sessions",
+     OfCore<&CoreCounters::heartbeats>},
+    {"heartbeats_dropped", "Heartbeats late, doubled or of no session",
+     OfCore<&CoreCounters::heartbeats_dropped>},
+    {"heartbeat_bytes_received",
+     "Bytes of heartbeats, with headers of UDP and IP",
+     Of<&Counters::heartbeat_bytes_received>},
+    {"heartbeat_bytes_sent",
+     "Bytes of heartbeats' answers, with headers of UDP and IP",
+     Of<&Counters::heartbeat_bytes_sent>},
+    {"heartbeat_over_budget",
+     "Times that renewals began to cost more than their byte budget",
+     Of<&Counters::heartbeat_over_budget>},
     {"engine_events", "Events told by the engine",
      Of<&Counters::engine_events>},
     {"engine_failures", "Attempts that failed in the engine",
--- a/src/agent_process/tests/agent_process_test.cc
+++ b/src/agent_process/tests/agent_process_test.cc
@@ -4,6 +4,7 @@
 
 #include "framework/http/http_client.h"
 #include "framework/http/tests/socket_support.h"
+#include "framework/net/datagram_socket.h"
 #include "framework/net/frame_channel.h"
 #include "framework/testing/story.h"
 #include "operations/drain_request.h"
@@ -109,9 +110,12 @@
         {.ip = "127.0.0.1", .port = fixture.process->port()}, {.tls = tls},
         {.on_open =
              [this] {
-               this->Send(protocol::Hello{.entry = EntryId("entry-1"),
-                                          .incarnation = Incarnation(77),
-                                          .manifest = LogOffset(9)});
+               this->Send(
+                   protocol::Hello{.entry = EntryId("entry-1"),
+                                   .incarnation = Incarnation(77),
+                                   .manifest = LogOffset(9),
+                                   .process = EntryId("entry-1"),
+                                   .process_incarnation = Incarnation(5)});
              },
          .on_frame =
              [this](const std::string& payload) {
@@ -235,6 +239,43 @@
           CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
                                fixture.process->status().counters.bad_frames);
         }),
+     It("answers heartbeats, and drops what is none",
+        [] {
+          Fixture fixture;
+          fixture.Serve();
+          const Peer peer(fixture);
+          const auto& welcome = peer.Await<protocol::Welcome>();
+          std::vector<protocol::HeartbeatAnswer> answers;
+          net::DatagramSocket socket(
+              {.max_bytes = 4096,
+               .on_datagram = [&](std::string_view datagram,
+                                  const http::Address&) {
+                 answers.push_back(*protocol::DecodeHeartbeatAnswer(datagram));
+               }});
+          CPPUNIT_ASSERT(socket.Bind({.ip = "127.0.0.1"}).ok());
+          const http::Address agent{.ip = "127.0.0.1",
+                                    .port = welcome.heartbeat_port};
+          protocol::Heartbeat forged{.entry = EntryId("entry-1"),
+                                     .incarnation = Incarnation(6),
+                                     .sequence = 1,
+                                     .sessions = {welcome.session}};
+          protocol::Heartbeat good = forged;
+          good.incarnation = Incarnation(5);
+          good.manifest = LogOffset(12);
+          socket.Send("garbage", agent);
+          socket.Send(std::string(2000, 'x'), agent);
+          socket.Send(protocol::Encode(forged), agent);
+          socket.Send(protocol::Encode(good), agent);
+          WaitUntil("an answer", [&] { return !answers.empty(); });
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, answers.front().renewed);
+          CPPUNIT_ASSERT(answers.front().agent ==
+                         fixture.process->status().incarnation);
+          CPPUNIT_ASSERT(fixture.heard == LogOffset(12));
+          const AgentStatus status = fixture.process->status();
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, status.counters.bad_datagrams);
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                               status.core_counters.heartbeats_dropped);
+        }),
      It("frees in the engine what a lost entry held",
         [] {
           Fixture fixture;
@@ -318,7 +359,8 @@
           fixture.Serve();
           const Peer plain(fixture);
           const Peer peer(fixture, kTls);
-          peer.Await<protocol::Welcome>();
+          // A datagram would not show who sent it.
+          CPPUNIT_ASSERT(peer.Await<protocol::Welcome>().heartbeat_port == 0);
           WaitUntil("closed", [&] { return plain.closed; });
           CPPUNIT_ASSERT(plain.received.empty());
           CPPUNIT_ASSERT(fixture.process->ReloadTls().ok());
--- a/src/agent_process/tests/settings_test.cc
+++ b/src/agent_process/tests/settings_test.cc
@@ -65,16 +65,20 @@
         }),
      It("take every policy",
         [] {
-          const auto [settings, problems] = Read(
-              kLeast +
-              "[policy]\nreservation = \"promise\"\norder = \"newest\"\n"
-              "feasibility_counts_queue = false\nsession_lease = \"2s\"\n");
+          const auto [settings, problems] =
+              Read(kLeast +
+                   "[policy]\nreservation = \"promise\"\norder = \"newest\"\n"
+                   "feasibility_counts_queue = false\nsession_lease = \"2s\"\n"
+                   "heartbeat_bytes_per_second = \"9000B\"\n"
+                   "heartbeat_longest_interval = \"20s\"\n");
           CPPUNIT_ASSERT(problems.empty());
           CPPUNIT_ASSERT(settings.agent.reservation ==
                          agent::ReservationPolicy::kPromise);
           CPPUNIT_ASSERT(settings.agent.order == agent::PrefillOrder::kNewest);
           CPPUNIT_ASSERT(!settings.agent.feasibility_counts_queue);
           CPPUNIT_ASSERT(settings.agent.session_lease == 2s);
+          CPPUNIT_ASSERT(settings.agent.heartbeats.bytes_per_second == 9000);
+          CPPUNIT_ASSERT(settings.agent.heartbeats.longest == 20s);
         }),
      ForEach<DrainRow>(
          "allow to drain by the operations port",
@@ -103,6 +107,10 @@
            "manifest.file", ResultCode::kSettingsMissingKey},
           {"an unknown policy", kLeast + "[policy]\nreservation = \"maybe\"\n",
            "policy.reservation", ResultCode::kSettingsOutOfRange},
+          {"no budget for heartbeats",
+           kLeast + "[policy]\nheartbeat_bytes_per_second = \"0B\"\n",
+           "policy.heartbeat_bytes_per_second",
+           ResultCode::kSettingsOutOfRange},
           {"an unknown key", kLeast + "[policy]\nresrvation = \"hold\"\n",
            "policy.resrvation", ResultCode::kSettingsUnknownKey},
           {"a certificate alone",
--- a/src/agent_process/types/agent_status.h
+++ b/src/agent_process/types/agent_status.h
@@ -18,6 +18,10 @@
   std::uint64_t frames_received = 0;
   std::uint64_t frames_sent = 0;
   std::uint64_t bad_frames = 0;
+  std::uint64_t bad_datagrams = 0;
+  std::uint64_t heartbeat_bytes_received = 0;  // with headers
+  std::uint64_t heartbeat_bytes_sent = 0;
+  std::uint64_t heartbeat_over_budget = 0;  // times that it began
   std::uint64_t frames_not_sent = 0;  // no such session, or it was closing
   std::uint64_t frames_too_large = 0;
   std::uint64_t engine_events = 0;
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -54,6 +54,16 @@
   this->implementation->OnMessage(endpoint, message, now);
 }
 
+void EntryCore::OnHeartbeat(const EndpointId& endpoint,
+                            const heartbeat::SessionRenewal& renewal,
+                            Instant now) {
+  this->implementation->OnHeartbeat(endpoint, renewal, now);
+}
+
+void EntryCore::SetRenewInterval(Duration interval) {
+  this->implementation->SetRenewInterval(interval);
+}
+
 void EntryCore::OnClaimsAppended(const ClaimsAppended& appended, Instant now) {
   this->implementation->OnClaimsAppended(appended, now);
 }
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -14,6 +14,7 @@
 #include "entry/types/entry_options.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/result.h"
+#include "heartbeat/types/session_renewal.h"
 #include "manifest/types/manifest.h"
 
 namespace acacialug::entry {
@@ -48,6 +49,15 @@
                  const protocol::AgentToEntry& message,
                  Instant now);
 
+  // A heartbeat of the process renewed a session of this shard. One that has
+  // lapsed by now, or given way to another, is not brought back.
+  void OnHeartbeat(const EndpointId& endpoint,
+                   const heartbeat::SessionRenewal& renewal,
+                   Instant now);
+  // How often sessions are to be renewed, by the byte budget of the process:
+  // told to agents, which set the leases by it.
+  void SetRenewInterval(Duration interval);
+
   void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
   void OnClaimsRead(const ClaimsRead& read, Instant now);
 
--- a/src/entry/internal/endpoint_link.cc
+++ b/src/entry/internal/endpoint_link.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "heartbeat/heartbeat_budget.h"
+
 namespace acacialug::entry {
 namespace {
 
@@ -46,7 +48,8 @@
     // leave would be dropped by all of them before any had told it: it would
     // go on taking work from an entry that is late, and never end.
     this->Send(protocol::Renew{.incarnation = this->options.incarnation,
-                               .manifest = manifest});
+                               .manifest = manifest,
+                               .interval = this->options.renew_interval});
   }
   if (this->state != LinkState::kIdle &&
       this->state != LinkState::kBackingOff) {
@@ -64,10 +67,16 @@
   this->state = LinkState::kOpening;
   this->retry_at = now + kOpenTimeout;
   this->renewals.assign(1, now);
-  this->Send(protocol::Hello{.entry = this->options.id,
-                             .incarnation = this->options.incarnation,
-                             .domain = this->options.domain,
-                             .manifest = manifest});
+  const bool alone = this->options.process.empty();
+  this->Send(protocol::Hello{
+      .entry = this->options.id,
+      .incarnation = this->options.incarnation,
+      .domain = this->options.domain,
+      .manifest = manifest,
+      .process = alone ? this->options.id : this->options.process,
+      .process_incarnation =
+          alone ? this->options.incarnation : this->options.process_incarnation,
+      .interval = this->options.renew_interval});
 }
 
 void EndpointLink::OnWelcome(const protocol::Welcome& welcome, Instant now) {
@@ -80,14 +89,19 @@
       welcome.lease > Duration::zero() ? welcome.lease : kDefaultLease;
   this->lease_until = sent_at + this->lease;
   this->last_round_trip = now - sent_at;
-  this->renew_at =
-      now + std::min(this->options.renew_interval, this->lease / 3);
+  this->renew_at = now + this->lease / heartbeat::kIntervalsPerLease;
   this->agent = welcome.incarnation;
+  this->session = welcome.session;
   this->state = LinkState::kOpen;
   this->failures = 0;
 }
 
-void EndpointLink::OnRenewed(Instant now) {
+void EndpointLink::Extend(Instant sent_at, Duration told) {
+  this->lease = told > Duration::zero() ? told : this->lease;
+  this->lease_until = std::max(this->lease_until, sent_at + this->lease);
+}
+
+void EndpointLink::OnRenewed(const protocol::Renewed& renewed, Instant now) {
   if (this->state != LinkState::kOpen || this->renewals.empty()) {
     return;
   }
@@ -95,10 +109,26 @@
   // errs, if an answer was lost, towards a lease that ends too early.
   const Instant sent_at = this->renewals.front();
   this->renewals.pop_front();
-  this->lease_until = std::max(this->lease_until, sent_at + this->lease);
+  this->Extend(sent_at, renewed.lease);
   this->last_round_trip = now - sent_at;
 }
 
+bool EndpointLink::OnHeartbeat(const heartbeat::SessionRenewal& renewal,
+                               Instant now) {
+  // The session may have lapsed, or given way to another, while the answer
+  // was under way: it must bring neither back.
+  if (!this->Usable(now) ||
+      renewal.session != heartbeat::SessionName{.agent = this->agent,
+                                                .number = this->session}) {
+    return false;
+  }
+  this->Extend(renewal.sent_at, renewal.lease);
+  this->last_round_trip = renewal.round_trip;
+  // Half of a lease without a heartbeat, and frames take over.
+  this->renew_at = std::max(this->renew_at, renewal.sent_at + this->lease / 2);
+  return true;
+}
+
 void EndpointLink::Drop(Instant now) {
   this->actions.emplace_back(DropEndpoint{this->endpoint});
   this->OnClosed(now);
@@ -131,11 +161,11 @@
       return true;
     }
     if (now >= this->renew_at) {
-      this->renew_at =
-          now + std::min(this->options.renew_interval, this->lease / 3);
+      this->renew_at = now + this->lease / heartbeat::kIntervalsPerLease;
       this->renewals.push_back(now);
       this->Send(protocol::Renew{.incarnation = this->options.incarnation,
-                                 .manifest = manifest});
+                                 .manifest = manifest,
+                                 .interval = this->options.renew_interval});
     }
     return false;
   }
--- a/src/entry/internal/endpoint_link.h
+++ b/src/entry/internal/endpoint_link.h
@@ -8,6 +8,7 @@
 #include "entry/types/entry_messages.h"
 #include "entry/types/entry_options.h"
 #include "framework/global/random_source.h"
+#include "heartbeat/types/session_renewal.h"
 
 namespace acacialug::entry {
 
@@ -28,8 +29,9 @@
 
 // The session with one endpoint's agent: connects, opens, renews the lease,
 // and gives the session up when the lease lapsed by this entry's own clock.
-// The lease counts from the moment a Renew was sent, so that it never ends
-// later here than at the agent. Not thread safe.
+// The lease counts from the moment a renewal was sent, so that it never ends
+// later here than at the agent. Heartbeats of the process renew it; without
+// them this link does so itself, by frames. Not thread safe.
 class EndpointLink {
  public:
   EndpointLink(EndpointId endpoint,
@@ -45,7 +47,9 @@
   // `manifest`: the offset in force, told to the agent.
   void OnConnected(LogOffset manifest, Instant now);
   void OnWelcome(const protocol::Welcome& welcome, Instant now);
-  void OnRenewed(Instant now);
+  void OnRenewed(const protocol::Renewed& renewed, Instant now);
+  // A heartbeat renewed a session. False: not this one, or not in time.
+  bool OnHeartbeat(const heartbeat::SessionRenewal& renewal, Instant now);
   // The connection is gone, or its session was given up.
   void OnClosed(Instant now);
 
@@ -66,6 +70,8 @@
  private:
   void Send(protocol::EntryToAgent message);
   void Drop(Instant now);
+  // Never makes the running lease shorter.
+  void Extend(Instant sent_at, Duration told);
 
   EndpointId endpoint;
   const EntryOptions& options;
@@ -74,6 +80,7 @@
 
   LinkState state = LinkState::kIdle;
   Incarnation agent;
+  std::uint32_t session = 0;  // its number at the agent
   Duration lease{};
   Instant lease_until{};
   Instant renew_at{};
--- a/src/entry/internal/fleet.cc
+++ b/src/entry/internal/fleet.cc
@@ -199,10 +199,15 @@
                      const protocol::EndpointLoad& load,
                      Instant now) {
   member.view.Report(load, now);
-  if (load.leaving != member.leaving) {
-    member.leaving = load.leaving;
-    this->Rebuild(this->PoolOf(member));
+  this->SetLeaving(member, load.leaving, now);
+}
+
+void Fleet::SetLeaving(Member& member, bool leaving, Instant now) {
+  if (leaving == std::exchange(member.leaving, leaving)) {
+    return;
   }
+  member.leaving_at = now;
+  this->Rebuild(this->PoolOf(member));
 }
 
 bool Fleet::OnMessage(const EndpointId& endpoint,
@@ -217,12 +222,11 @@
     member->view.NoteRoundTrip(member->link.LastRoundTrip());
     member->leaving = welcome->load.leaving;
     this->Rebuild(this->PoolOf(*member));
-  } else if (std::holds_alternative<protocol::Renewed>(message)) {
-    member->link.OnRenewed(now);
+  } else if (const auto* renewed = std::get_if<protocol::Renewed>(&message)) {
+    member->link.OnRenewed(*renewed, now);
     member->view.NoteRoundTrip(member->link.LastRoundTrip());
   } else if (std::holds_alternative<protocol::Leaving>(message)) {
-    member->leaving = true;
-    this->Rebuild(this->PoolOf(*member));
+    this->SetLeaving(*member, true, now);
   }
   if (const protocol::EndpointLoad* const load = LoadOf(message)) {
     this->NoteLoad(*member, *load, now);
@@ -236,6 +240,28 @@
          std::holds_alternative<protocol::Leaving>(message);
 }
 
+void Fleet::OnHeartbeat(const EndpointId& endpoint,
+                        const heartbeat::SessionRenewal& renewal,
+                        Instant now) {
+  Member* const member = this->Find(endpoint);
+  if (member == nullptr || !member->link.OnHeartbeat(renewal, now)) {
+    return;
+  }
+  member->view.NoteRoundTrip(member->link.LastRoundTrip());
+  // Answers are overtaken by frames. One to a heartbeat from before the agent
+  // said that it leaves must not take that back, or work would go there for as
+  // long as an interval.
+  const bool stays = !renewal.leaving && renewal.sent_at > member->leaving_at;
+  if (renewal.load) {
+    member->view.Report(*renewal.load, now);
+  }
+  if (renewal.newest && (renewal.leaving || stays)) {
+    this->SetLeaving(*member, renewal.leaving, now);
+  }
+  this->room_hook(member->record.service);
+  this->Rearm(*member);
+}
+
 void Fleet::Reopen(const EndpointId& endpoint, Instant now) {
   Member* const member = this->Find(endpoint);
   if (member != nullptr && member->link.State() == LinkState::kOpen) {
--- a/src/entry/internal/fleet.h
+++ b/src/entry/internal/fleet.h
@@ -49,6 +49,10 @@
   bool OnMessage(const EndpointId& endpoint,
                  const protocol::AgentToEntry& message,
                  Instant now);
+  // A heartbeat of the process renewed a session.
+  void OnHeartbeat(const EndpointId& endpoint,
+                   const heartbeat::SessionRenewal& renewal,
+                   Instant now);
   // The agent says that it has no session of ours: begins a new one.
   void Reopen(const EndpointId& endpoint, Instant now);
   void OnTimer(Instant now);
@@ -109,6 +113,7 @@
     placement::EndpointView view;
     bool wanted = false;   // in the working set
     bool leaving = false;  // by its own word
+    Instant leaving_at{};  // when it last said so for the first time
     std::set<RequestId> attached;
   };
 
@@ -122,6 +127,7 @@
   void NoteLoad(Member& member,
                 const protocol::EndpointLoad& load,
                 Instant now);
+  void SetLeaving(Member& member, bool leaving, Instant now);
   void Lose(Member& member);
   void Rearm(const Member& member);
   void Sweep(Instant now);
--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -157,6 +157,14 @@
   this->Settle(now);
 }
 
+void RequestRouter::OnHeartbeat(const EndpointId& endpoint,
+                                const heartbeat::SessionRenewal& renewal,
+                                Instant now) {
+  this->Begin(now);
+  this->fleet.OnHeartbeat(endpoint, renewal, now);
+  this->Settle(now);
+}
+
 void RequestRouter::OnClaimsAppended(const ClaimsAppended& appended,
                                      Instant now) {
   this->Begin(now);
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -39,6 +39,12 @@
   void OnMessage(const EndpointId& endpoint,
                  const protocol::AgentToEntry& message,
                  Instant now);
+  void OnHeartbeat(const EndpointId& endpoint,
+                   const heartbeat::SessionRenewal& renewal,
+                   Instant now);
+  void SetRenewInterval(Duration interval) {
+    this->options.renew_interval = interval;
+  }
   void OnClaimsAppended(const ClaimsAppended& appended, Instant now);
   void OnClaimsRead(const ClaimsRead& read, Instant now);
   Result<std::string> IssueTicket(const ServiceName& service,
--- a/src/entry/tests/sessions_test.cc
+++ b/src/entry/tests/sessions_test.cc
@@ -18,6 +18,25 @@
   ResultCode code;
 };
 
+// The answer to a heartbeat that was sent then, for every session.
+void Beat(EntryDriver& driver,
+          Instant sent_at,
+          const std::function<void(heartbeat::SessionRenewal&)>& change = {}) {
+  heartbeat::SessionRenewal renewal{
+      .session = {.agent = Incarnation(7)}, .sent_at = sent_at, .lease = 3s};
+  if (change) {
+    change(renewal);
+  }
+  for (const char* const endpoint : {"p1", "p2", "d1", "d2", "s1", "s2"}) {
+    driver.core->OnHeartbeat(EndpointId(endpoint), renewal, driver.now);
+  }
+}
+
+struct BeatRow {
+  const char* name;
+  std::function<void(heartbeat::SessionRenewal&)> change;
+};
+
 const testing::Story kSessions(
     "a session",
     {It("is renewed, and lost when the agent stops answering",
@@ -72,6 +91,122 @@
           driver.End(decode, attempt, 2);
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Ends());
         }),
+     It("is kept by heartbeats of its process, without a frame",
+        [] {
+          ReadyDriver driver;
+          for (int beat = 0; beat < 20; ++beat) {
+            Beat(driver, driver.now);
+            driver.Pass(1s, false);
+          }
+          driver.Generate();
+          driver.Reserve();
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, driver.Count<protocol::Renew>());
+        }),
+     // Symptom: all streams of an entry end when a firewall drops its
+     // datagrams. Sequence: heartbeats are lost, the connection stands.
+     // Cause: nothing else renewed the lease.
+     It("is renewed by frames when heartbeats stop, before its lease is at "
+        "risk",
+        [] {
+          ReadyDriver driver;
+          Beat(driver, driver.now);
+          driver.Pass(1400ms, false);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, driver.Count<protocol::Renew>());
+          driver.Pass(10s);
+          driver.Generate();
+          driver.Reserve();
+        }),
+     ForEach<BeatRow>(
+         "is lost in spite of a heartbeat's answer that",
+         {{"was asked for before its lease began",
+           [](heartbeat::SessionRenewal& renewal) { renewal.sent_at -= 3s; }},
+          {"is of another start of the agent",
+           [](heartbeat::SessionRenewal& renewal) {
+             renewal.session.agent = Incarnation(8);
+           }},
+          {"is of the session before it",
+           [](heartbeat::SessionRenewal& renewal) {
+             renewal.session.number = 1;
+           }}},
+         [](const BeatRow& row) { return row.name; },
+         [](const BeatRow& row) {
+           ReadyDriver driver;
+           const Instant opened = driver.now;
+           driver.Pass(2s, false);
+           Beat(driver, driver.now, row.change);
+           driver.now = opened + 3s;
+           driver.Generate();
+           CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                                driver.Count<protocol::Reserve>());
+         }),
+     // Symptom: an entry acts on a reservation that another now holds.
+     // Sequence: it is paused past its lease, and wakes with the answer to a
+     // heartbeat in its socket. Cause: the answer counted from its arrival.
+     It("that lapsed during a pause is not brought back by a late answer",
+        [] {
+          ReadyDriver driver;
+          const Instant sent_at = driver.now;
+          driver.Pause(3s);
+          Beat(driver, sent_at);
+          Beat(driver, driver.now);
+          driver.Generate();
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               driver.Count<protocol::Reserve>());
+        }),
+     It("follows the longer lease that a heartbeat brings",
+        [] {
+          ReadyDriver driver;
+          Beat(driver, driver.now,
+               [](heartbeat::SessionRenewal& renewal) { renewal.lease = 30s; });
+          driver.Pass(14s, false);
+          driver.Generate();
+          driver.Reserve();
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, driver.Count<protocol::Renew>());
+        }),
+     // Symptom: a leaving endpoint gets work again. Sequence: a heartbeat's
+     // answer is overtaken by the word that its agent leaves. Cause: the answer
+     // was taken for the newer.
+     It("is not taken back into use by an answer that was overtaken",
+        [] {
+          ReadyDriver driver;
+          const auto stays = [](heartbeat::SessionRenewal& renewal) {
+            renewal.newest = true;
+            renewal.load = protocol::EndpointLoad{.free_kv_tokens = 100000,
+                                                  .total_kv_tokens = 100000,
+                                                  .limit = 20};
+          };
+          const Instant sent_at = driver.now;
+          driver.Pass(10ms);
+          driver.Tell("d1", protocol::Leaving{});
+          Beat(driver, sent_at, stays);
+          driver.Generate();
+          std::string decode;
+          driver.Reserve(&decode);
+          CPPUNIT_ASSERT_EQUAL(std::string("d2"), decode);
+          driver.Pass(10ms);
+          driver.Tell("d2", protocol::Leaving{});
+          driver.Pass(10ms);
+          Beat(driver, driver.now, stays);  // both came back
+          driver.Generate();
+          driver.Reserve();
+        }),
+     It("hears from a heartbeat that its endpoint is leaving",
+        [] {
+          ReadyDriver driver;
+          driver.core->OnHeartbeat(EndpointId("d1"),
+                                   {.session = {.agent = Incarnation(7)},
+                                    .sent_at = driver.now,
+                                    .lease = 3s,
+                                    .newest = true,
+                                    .leaving = true},
+                                   driver.now);
+          for (int round = 0; round < 4; ++round) {
+            driver.Generate();
+            std::string decode;
+            driver.Expect<protocol::Reserve>(&decode);
+            CPPUNIT_ASSERT_EQUAL(std::string("d2"), decode);
+          }
+        }),
      It("with an endpoint on a host that the platform lists as leaving gets no "
         "new work",
         [] {
--- a/src/entry/types/entry_options.h
+++ b/src/entry/types/entry_options.h
@@ -64,13 +64,17 @@
 struct EntryOptions {
   EntryId id;
   Incarnation incarnation;
+  // The process that this core is a shard of, and its start: its heartbeats
+  // renew the sessions of all its shards. Empty: the core stands alone.
+  EntryId process;
+  Incarnation process_incarnation;
   FailureDomain domain;
   PlacementPolicy placement = PlacementPolicy::kPredicted;
   QueueOrder order = QueueOrder::kArrival;
   // Must match the agents': kNone asks for a decode slot after the prefill.
   agent::ReservationPolicy reservation = agent::ReservationPolicy::kHold;
   bool feasibility_counts_queue = true;
-  Duration renew_interval = 1s;      // session heartbeats
+  Duration renew_interval = 1s;  // of sessions; the byte budget stretches it
   Duration reserve_timeout = 300ms;  // an agent that does not answer
   Duration stall_timeout = 5s;       // a stream or prefill without progress
   Duration default_deadline = 120s;
--- a/src/entry_process/entry_process.cc
+++ b/src/entry_process/entry_process.cc
@@ -12,6 +12,7 @@
 #include "entry_process/internal/digest_appender.h"
 #include "entry_process/internal/entry_measures.h"
 #include "entry_process/internal/error_answer.h"
+#include "entry_process/internal/heartbeats.h"
 #include "entry_process/internal/operations_pages.h"
 #include "entry_process/internal/process_state.h"
 #include "entry_process/internal/service_level_book.h"
@@ -66,6 +67,11 @@
   http::RequestHandler MakeShard(int index);
   // Thread safe: posts to the main thread.
   void TellManifestHeard(LogOffset offset);
+  Heartbeats::Options HeartbeatOptions(metrics::Registry& registry);
+  // Runs `task` on the main thread, later. Thread safe.
+  void PostToMain(std::function<void()> task);
+  // Runs `task` on the shard's thread, with the shard.
+  void OnShard(int index, const std::function<void(Shard&)>& task);
   // Runs `task` on each shard's thread, with the shard.
   void OnEachShard(const std::function<void(Shard&)>& task);
   void DrainSoon();
@@ -83,6 +89,7 @@
   EntryMeasures measures;
   OperationsPages pages;
   log::RepeatLimiter log_limiter;
+  Heartbeats heartbeats;
   std::vector<std::uint64_t> seeds;
   // Each is touched on its own shard's thread only.
   std::vector<std::unique_ptr<Shard>> shards;
@@ -123,6 +130,7 @@
              .drain = [this] { this->DrainSoon(); },
              .service_levels = &this->service_levels}),
       log_limiter({}),
+      heartbeats(this->HeartbeatOptions(metrics_registry)),
       shards(this->options.shards) {
   for (int shard = 0; shard < this->options.shards; ++shard) {
     this->seeds.push_back(this->random.Next());
@@ -171,31 +179,67 @@
 }
 
 http::RequestHandler EntryProcess::Implementation::MakeShard(int index) {
-  this->shards[index] = std::make_unique<Shard>(
-      Shard::Options{.index = index,
-                     .seed = this->seeds[index],
-                     .process = this->options,
-                     .state = this->state,
-                     .measures = this->measures,
-                     .log_limiter = this->log_limiter,
-                     .on_manifest_heard = [this](LogOffset offset) {
-                       this->TellManifestHeard(offset);
-                     }});
+  this->shards[index] = std::make_unique<Shard>(Shard::Options{
+      .index = index,
+      .seed = this->seeds[index],
+      .process = this->options,
+      .state = this->state,
+      .measures = this->measures,
+      .log_limiter = this->log_limiter,
+      .on_manifest_heard =
+          [this](LogOffset offset) { this->TellManifestHeard(offset); },
+      .on_session_opened =
+          [this](const heartbeat::OpenSession& session, std::uint16_t port) {
+            this->PostToMain([this, session, port] {
+              this->heartbeats.OnOpened(session, port);
+            });
+          },
+      .on_session_closed =
+          [this, index](const EndpointId& endpoint) {
+            this->PostToMain([this, index, endpoint] {
+              this->heartbeats.OnClosed(index, endpoint);
+            });
+          }});
   return [shard = this->shards[index].get()](http::Request request,
                                              http::ResponderPtr responder) {
     shard->Handle(std::move(request), std::move(responder));
   };
 }
 
+Heartbeats::Options EntryProcess::Implementation::HeartbeatOptions(
+    metrics::Registry& registry) {
+  return {.process = this->options,
+          .state = this->state,
+          .registry = registry,
+          .log_limiter = this->log_limiter,
+          .seed = this->random.Next(),
+          .on_renewed =
+              [this](const heartbeat::TellRenewed& renewed) {
+                this->OnShard(renewed.shard, [renewed](Shard& shard) {
+                  shard.OnRenewed(renewed);
+                });
+              },
+          .on_interval =
+              [this](Duration interval) {
+                this->OnEachShard([interval](Shard& shard) {
+                  shard.SetRenewInterval(interval);
+                });
+              },
+          .on_manifest_heard =
+              [this](LogOffset offset) { this->TellManifestHeard(offset); }};
+}
+
+void EntryProcess::Implementation::PostToMain(std::function<void()> task) {
+  QMetaObject::invokeMethod(&this->context, std::move(task),
+                            Qt::QueuedConnection);
+}
+
 void EntryProcess::Implementation::TellManifestHeard(LogOffset offset) {
-  QMetaObject::invokeMethod(
-      &this->context,
-      [this, offset] {
-        if (this->options.on_manifest_heard) {
-          this->options.on_manifest_heard(offset);
-        }
-      },
-      Qt::QueuedConnection);
+  this->PostToMain([this, offset] {
+    if (this->options.on_manifest_heard) {
+      this->options.on_manifest_heard(offset);
+    }
+  });
 }
 
 Status EntryProcess::Implementation::Start() {
@@ -205,20 +249,27 @@
       return started;
     }
   }
+  this->heartbeats.Start();
   return this->callers_server->Start();
 }
 
 void EntryProcess::Implementation::OnEachShard(
     const std::function<void(Shard&)>& task) {
   for (int index = 0; index < this->options.shards; ++index) {
-    this->callers_server->PostToShard(index, [this, index, task] {
-      if (this->shards[index] != nullptr) {
-        task(*this->shards[index]);
-      }
-    });
+    this->OnShard(index, task);
   }
 }
 
+void EntryProcess::Implementation::OnShard(
+    int index,
+    const std::function<void(Shard&)>& task) {
+  this->callers_server->PostToShard(index, [this, index, task] {
+    if (this->shards[index] != nullptr) {
+      task(*this->shards[index]);
+    }
+  });
+}
+
 void EntryProcess::Implementation::SetLeavingHosts(
     const std::set<HostId>& hosts) {
   this->OnEachShard([hosts](Shard& shard) { shard.SetLeavingHosts(hosts); });
@@ -235,6 +286,7 @@
   log::Info("manifest_taken", {.fields = {{"offset", newest->offset},
                                           {"version", newest->version}}});
   this->OnEachShard([newest](Shard& shard) { shard.SetManifest(newest); });
+  this->heartbeats.OnManifest(newest->offset);
 }
 
 void EntryProcess::Implementation::Drain() {
--- /dev/null
+++ b/src/entry_process/internal/heartbeats.cc
@@ -0,0 +1,181 @@
+#include "entry_process/internal/heartbeats.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "entry_process/metric_definitions.h"
+#include "framework/log/log.h"
+#include "protocol/message_codec.h"
+
+namespace acacialug::entry_process {
+namespace {
+
+// A shard wakes at least once a second. One that has not for as long as the
+// shortest lease would have lost its sessions had it renewed them itself.
+constexpr Duration kShardSilence = 3s;
+
+}  // namespace
+
+Heartbeats::Heartbeats(const Options& heartbeat_options)
+    : options(heartbeat_options),
+      random(heartbeat_options.seed),
+      sender(this->SenderOptions(), this->random),
+      socket({.max_bytes = protocol::kMaxDatagramBytes,
+              .on_datagram =
+                  [this](std::string_view datagram, const http::Address&) {
+                    this->OnDatagram(datagram);
+                  }}),
+      told_interval(heartbeat_options.process.core.renew_interval),
+      bytes_sent(this->options.registry.Get(kHeartbeatBytesTotal, {"sent"})),
+      bytes_received(
+          this->options.registry.Get(kHeartbeatBytesTotal, {"received"})),
+      sent(this->options.registry.Get(kHeartbeatsTotal, {"sent"})),
+      answered(this->options.registry.Get(kHeartbeatsTotal, {"answered"})),
+      dropped(this->options.registry.Get(kHeartbeatsTotal, {"dropped"})),
+      over_budget(this->options.registry.Get(kHeartbeatOverBudgetTotal)),
+      interval(this->options.registry.Get(kHeartbeatIntervalSeconds)) {
+  this->interval.Set(Seconds(this->told_interval));
+  this->timer.setSingleShot(true);
+  this->timer.setTimerType(Qt::PreciseTimer);
+  QObject::connect(&this->timer, &QTimer::timeout, &this->context,
+                   [this] { this->OnTimer(); });
+}
+
+heartbeat::HeartbeatSender::Options Heartbeats::SenderOptions() const {
+  heartbeat::HeartbeatBudget::Options budget = this->options.process.heartbeats;
+  budget.shortest = this->options.process.core.renew_interval;
+  budget.longest = std::max(budget.longest, budget.shortest);
+  return {.entry = this->options.process.core.id,
+          .incarnation = this->options.process.core.incarnation,
+          .budget = budget,
+          .shard_runs = [&state = this->options.state](int shard, Instant now) {
+            return now - state.board(shard).last_running() < kShardSilence;
+          }};
+}
+
+void Heartbeats::Start() {
+  // By datagrams nobody would know whose heartbeat it is: the certificates of
+  // peer_tls speak for connections only (docs/decisions).
+  if (this->options.process.channels.tls.enabled()) {
+    return;
+  }
+  const Status status = this->socket.Bind({.ip = "0.0.0.0"});
+  this->bound = status.ok();
+  if (!status.ok()) {
+    log::Warning("heartbeats_by_frames",
+                 {.code = status.error().result_code(),
+                  .fields = {{"detail", status.error().detail}}});
+  }
+}
+
+void Heartbeats::OnOpened(heartbeat::OpenSession session, std::uint16_t port) {
+  const auto manifest = this->options.state.manifest();
+  const manifest::Endpoint* const record =
+      manifest == nullptr ? nullptr : manifest->FindEndpoint(session.endpoint);
+  // The socket speaks IPv4; an agent at another address gets frames.
+  session.by_datagram = this->bound && port != 0 && record != nullptr &&
+                        record->agent.ip.find(':') == std::string::npos;
+  if (session.by_datagram) {
+    this->addresses[session.endpoint] = {.ip = record->agent.ip, .port = port};
+  }
+  this->sender.OnOpened(session, MonotonicNow());
+  this->Pump();
+}
+
+void Heartbeats::OnClosed(int shard, const EndpointId& endpoint) {
+  this->sender.OnClosed(shard, endpoint);
+  if (!this->sender.Knows(endpoint)) {
+    this->addresses.erase(endpoint);
+  }
+  this->Pump();
+}
+
+void Heartbeats::OnManifest(LogOffset offset) {
+  this->sender.OnManifest(offset, MonotonicNow());
+  this->Pump();
+}
+
+void Heartbeats::OnDatagram(std::string_view datagram) {
+  this->bytes_received.Add(datagram.size() + protocol::kDatagramHeaderBytes);
+  const Result<protocol::HeartbeatAnswer> answer =
+      protocol::DecodeHeartbeatAnswer(datagram);
+  if (!answer.ok() ||
+      !this->sender.OnAnswer(*answer, datagram.size(), MonotonicNow())) {
+    this->dropped.Add();
+    return;
+  }
+  this->answered.Add();
+  if (this->options.state.NoteManifestHeard(answer->manifest)) {
+    this->options.on_manifest_heard(answer->manifest);
+  }
+  this->Pump();
+}
+
+void Heartbeats::OnTimer() {
+  this->armed_for = kNever;
+  this->sender.OnTimer(MonotonicNow());
+  this->Pump();
+}
+
+void Heartbeats::Pump() {
+  for (const heartbeat::SendHeartbeat& action : this->sender.TakeHeartbeats()) {
+    this->Send(action);
+  }
+  for (const heartbeat::TellRenewed& renewed : this->sender.TakeRenewals()) {
+    this->options.on_renewed(renewed);
+  }
+  this->FollowBudget();
+  this->ArmTimer();
+}
+
+void Heartbeats::Send(const heartbeat::SendHeartbeat& action) {
+  const auto address = this->addresses.find(action.endpoint);
+  if (address == this->addresses.end()) {
+    return;
+  }
+  const std::string datagram = protocol::Encode(action.heartbeat);
+  if (this->socket.Send(datagram, address->second)) {
+    this->sent.Add();
+    this->bytes_sent.Add(datagram.size() + protocol::kDatagramHeaderBytes);
+  }
+}
+
+void Heartbeats::ArmTimer() {
+  const Instant next = this->sender.next_timer();
+  if (next >= this->armed_for) {
+    return;  // found too early when it fires
+  }
+  this->armed_for = next;
+  this->timer.start(std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(next - MonotonicNow(), Duration::zero())));
+}
+
+void Heartbeats::FollowBudget() {
+  // Small steps are not worth a word to every shard.
+  const Duration wanted = this->sender.interval();
+  if (std::chrono::abs(wanted - this->told_interval) >
+      this->told_interval / 16) {
+    this->told_interval = wanted;
+    this->interval.Set(Seconds(wanted));
+    this->options.on_interval(wanted);
+  }
+  const bool within = this->sender.within_budget();
+  if (within == std::exchange(this->within_budget, within)) {
+    return;
+  }
+  if (!within) {
+    this->over_budget.Add();
+  }
+  log::WriteLimited(
+      this->options.log_limiter, MonotonicNow(),
+      within ? log::Level::kInfo : log::Level::kWarning,
+      within ? "heartbeat_budget_held" : "heartbeat_budget_exceeded",
+      {.fields = {{"agents", this->sender.peers()},
+                  {"interval_ms", this->told_interval},
+                  {"bytes_per_second",
+                   this->options.process.heartbeats.bytes_per_second}}});
+}
+
+}  // namespace acacialug::entry_process
--- a/src/entry_process/internal/process_state.cc
+++ b/src/entry_process/internal/process_state.cc
@@ -80,6 +80,10 @@
   this->endpoints[endpoint].load = load;
 }
 
+void ShardBoard::NoteRunning(Instant now) {
+  this->ran_at.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
 std::map<EndpointId, EndpointView> ShardBoard::Endpoints() const {
   const std::scoped_lock lock(this->mutex);
   return this->endpoints;
--- a/src/entry_process/internal/process_state.h
+++ b/src/entry_process/internal/process_state.h
@@ -38,6 +38,13 @@
   void SetClosed(const EndpointId& endpoint);
   void Remove(const EndpointId& endpoint);
   void SetLoad(const EndpointId& endpoint, const protocol::EndpointLoad& load);
+  // The shard's thread runs. Without this the sessions of one that hangs would
+  // be renewed by another thread, and its engines' memory stay held.
+  void NoteRunning(Instant now);
+
+  Instant last_running() const {
+    return Instant(Duration(this->ran_at.load(std::memory_order_relaxed)));
+  }
 
   std::size_t alive() const { return this->alive_requests.load(); }
   bool drained() const { return this->is_drained.load(); }
@@ -50,6 +57,7 @@
   TraceBoard request_traces;
   std::atomic<std::size_t> alive_requests = 0;
   std::atomic<bool> is_drained = false;
+  std::atomic<Duration::rep> ran_at = 0;
   mutable std::mutex mutex;
   std::map<EndpointId, EndpointView> endpoints;  // guarded by mutex
 };
--- a/src/entry_process/internal/settings_reader.cc
+++ b/src/entry_process/internal/settings_reader.cc
@@ -85,6 +85,21 @@
   }
 }
 
+void ReadHeartbeats(const Table& table, EntryProcessOptions& into) {
+  heartbeat::HeartbeatBudget::Options& budget = into.heartbeats;
+  budget.bytes_per_second = static_cast<double>(table.Bytes(
+      "heartbeat_bytes_per_second",
+      {.fallback = static_cast<std::uint64_t>(budget.bytes_per_second),
+       .minimum = 100,
+       .maximum = 1024 * kMiB}));
+  budget.longest =
+      ReadDuration(table, "heartbeat_longest_interval", budget.longest, 1s);
+  if (budget.longest < into.core.renew_interval) {
+    table.Report("heartbeat_longest_interval", ResultCode::kSettingsOutOfRange,
+                 "expected renew_interval or more");
+  }
+}
+
 void ReadChoices(const Table& table, entry::EntryOptions& into) {
   into.placement =
       table.Choice("placement", entry::kPlacementPolicyNames, into.placement);
@@ -180,6 +195,7 @@
   ReadOperations(root.Child("operations"), process);
   ReadSources(root, entry_settings);
   ReadPolicy(root.Child("policy"), process.core);
+  ReadHeartbeats(root.Child("policy"), process);
   ReadLimits(root.Child("limits"), process);
   ReadTls(root.Child("tls"), false, process.tls);
   ReadTls(root.Child("peer_tls"), true, process.channels.tls);
--- a/src/entry_process/internal/shard.cc
+++ b/src/entry_process/internal/shard.cc
@@ -49,6 +49,8 @@
 entry::EntryOptions CoreOptions(const Shard::Options& options,
                                 RandomSource& random) {
   entry::EntryOptions core = options.process.core;
+  core.process = core.id;
+  core.process_incarnation = core.incarnation;
   core.id.text += "/" + std::to_string(options.index);
   core.incarnation = random.NextIncarnation();
   core.shards = static_cast<std::uint32_t>(options.process.shards);
@@ -141,6 +143,19 @@
   this->Feed([this](Instant now) { this->core.BeginDrain(now); });
 }
 
+void Shard::OnRenewed(const heartbeat::TellRenewed& renewed) {
+  if (renewed.renewal.load) {
+    this->board.SetLoad(renewed.endpoint, *renewed.renewal.load);
+  }
+  this->Feed([&](Instant now) {
+    this->core.OnHeartbeat(renewed.endpoint, renewed.renewal, now);
+  });
+}
+
+void Shard::SetRenewInterval(Duration interval) {
+  this->core.SetRenewInterval(interval);
+}
+
 void Shard::Handle(http::Request request, http::ResponderPtr responder) {
   Asked asked{.id = this->random.NextRequestId(),
               .responder = std::move(responder)};
@@ -321,6 +336,7 @@
   }
   this->pumping = false;
   this->board.SetRequests(this->core.alive_requests(), this->core.drained());
+  this->board.NoteRunning(MonotonicNow());
   this->ArmTimer();
 }
 
--- a/src/entry_process/internal/shard.h
+++ b/src/entry_process/internal/shard.h
@@ -23,6 +23,7 @@
 #include "framework/global/random_source.h"
 #include "framework/http/http_server.h"
 #include "framework/log/repeat_limiter.h"
+#include "heartbeat/heartbeat_sender.h"
 
 namespace acacialug::entry_process {
 
@@ -40,6 +41,11 @@
     EntryMeasures& measures;
     log::RepeatLimiter& log_limiter;
     std::function<void(LogOffset offset)> on_manifest_heard;
+    // A session with an agent has opened, or has ended or been given up.
+    std::function<void(const heartbeat::OpenSession& session,
+                       std::uint16_t heartbeat_port)>
+        on_session_opened;
+    std::function<void(const EndpointId& endpoint)> on_session_closed;
     AgentLinks::ConnectFunction connect = net::ConnectFrameChannel;
   };
 
@@ -52,6 +58,9 @@
   void SetManifest(std::shared_ptr<const manifest::Manifest> newest);
   void SetLeavingHosts(const std::set<HostId>& hosts);
   void BeginDrain();
+  // A heartbeat of the process renewed one of this shard's sessions.
+  void OnRenewed(const heartbeat::TellRenewed& renewed);
+  void SetRenewInterval(Duration interval);
 
  private:
   struct Asked {
--- a/src/entry_process/internal/shard_actions.cc
+++ b/src/entry_process/internal/shard_actions.cc
@@ -62,6 +62,7 @@
 void Shard::Do(const entry::DropEndpoint& action) {
   this->links.Drop(action.endpoint);
   this->board.Remove(action.endpoint);
+  this->options.on_session_closed(action.endpoint);
 }
 
 void Shard::Do(const entry::AnswerText& action) {
@@ -164,6 +165,7 @@
 
 void Shard::OnAgentClosed(const EndpointId& endpoint, const Error& error) {
   this->board.SetClosed(endpoint);
+  this->options.on_session_closed(endpoint);
   this->options.measures.OnAgentClosed(error.result_code());
   log::WriteLimited(
       this->options.log_limiter, MonotonicNow(), log::Level::kWarning,
@@ -198,6 +200,12 @@
       message);
   if (const auto* welcome = std::get_if<protocol::Welcome>(&message)) {
     this->board.SetWelcomed(endpoint, welcome->incarnation);
+    this->options.on_session_opened(
+        {.shard = this->options.index,
+         .endpoint = endpoint,
+         .name = {.agent = welcome->incarnation, .number = welcome->session},
+         .lease = welcome->lease},
+        welcome->heartbeat_port);
   } else if (const auto* done = std::get_if<protocol::Prefilled>(&message)) {
     this->NotePrefilled(endpoint, *done);
   }
--- a/src/entry_process/metric_definitions.h
+++ b/src/entry_process/metric_definitions.h
@@ -62,6 +62,22 @@
     .name = "acacialug_agent_connections_closed_total",
     .help = "Connections to agents that were lost or closed for a fault",
     .labels = {"code"}};
+// With 28 bytes of headers each. Label `direction`: sent or received.
+inline constexpr metrics::CounterDefinition kHeartbeatBytesTotal = {
+    .name = "acacialug_heartbeat_bytes_total",
+    .help = "Bytes of heartbeats and answers, with headers of UDP and IP",
+    .labels = {"direction"}};
+// Label `event`: sent, answered or dropped (an answer that counts for none).
+inline constexpr metrics::CounterDefinition kHeartbeatsTotal = {
+    .name = "acacialug_heartbeats_total",
+    .help = "Heartbeats sent to agents, and what came of them",
+    .labels = {"event"}};
+inline constexpr metrics::CounterDefinition kHeartbeatOverBudgetTotal = {
+    .name = "acacialug_heartbeat_over_budget_total",
+    .help = "Times that renewals began to cost more than their byte budget"};
+inline constexpr metrics::GaugeDefinition kHeartbeatIntervalSeconds = {
+    .name = "acacialug_heartbeat_interval_seconds",
+    .help = "Between renewals of a session, by the byte budget"};
 inline constexpr metrics::GaugeDefinition kAliveRequests = {
     .name = "acacialug_alive_requests",
     .help = "Requests under way"};
--- a/src/entry_process/tests/fake_agent.cc
+++ b/src/entry_process/tests/fake_agent.cc
@@ -15,7 +15,12 @@
             .total_kv_tokens = 1'000'000,
             .limit = 4096,
             .token_interval = 1ms,
-            .prefill_tokens_per_second = 1e6}) {
+            .prefill_tokens_per_second = 1e6}),
+      datagrams({.on_datagram = [this](std::string_view datagram,
+                                       const http::Address& from) {
+        this->OnDatagram(datagram, from);
+      }}) {
+  CPPUNIT_ASSERT(this->datagrams.Bind({.ip = "127.0.0.1"}).ok());
   this->server = std::make_unique<net::FrameServer>(net::FrameServer::Options{
       .listen = {.ip = "127.0.0.1"},
       .on_channel = [this](const net::FrameChannelPtr& channel) {
@@ -63,14 +68,34 @@
   }
 }
 
+void FakeAgent::OnDatagram(std::string_view datagram,
+                           const http::Address& from) {
+  const auto heartbeat = protocol::DecodeHeartbeat(datagram);
+  CPPUNIT_ASSERT(heartbeat.ok());
+  if (this->options.answers(*heartbeat)) {
+    this->datagrams.Send(
+        protocol::Encode(protocol::HeartbeatAnswer{
+            .agent = this->options.incarnation,
+            .sequence = heartbeat->sequence,
+            .manifest = LogOffset(1),
+            .lease = 3s,
+            .renewed = (std::uint64_t{1} << heartbeat->sessions.size()) - 1}),
+        from);
+  }
+}
+
 void FakeAgent::Answer(const protocol::Hello& /*hello*/) {
+  const std::uint16_t port =
+      this->options.answers ? this->datagrams.port() : std::uint16_t{0};
   this->Send(protocol::Welcome{.endpoint = this->options.endpoint.id,
-                               .incarnation = Incarnation(77),
+                               .incarnation = this->options.incarnation,
                                .role = this->options.endpoint.role,
                                .domain = this->options.endpoint.domain,
                                .manifest = LogOffset(1),
                                .lease = 3s,
-                               .load = this->load});
+                               .load = this->load,
+                               .session = ++this->last_session,
+                               .heartbeat_port = port});
 }
 
 void FakeAgent::Answer(const protocol::Renew& /*renew*/) {
--- a/src/entry_process/tests/fake_agent.h
+++ b/src/entry_process/tests/fake_agent.h
@@ -7,8 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "framework/net/datagram_socket.h"
 #include "framework/net/frame_channel.h"
 #include "manifest/types/manifest.h"
+#include "protocol/types/heartbeat.h"
 #include "protocol/types/messages.h"
 
 namespace acacialug::entry_process {
@@ -19,6 +21,9 @@
  public:
   struct Options {
     manifest::Endpoint endpoint;  // `agent` is filled in
+    Incarnation incarnation{77};
+    // What becomes of heartbeats; empty: takes none.
+    std::function<bool(const protocol::Heartbeat& heartbeat)> answers;
     std::vector<std::string> chunks = {"one ", "two ", "three"};
     // False: the test answers by itself.
     std::function<bool(const protocol::EntryToAgent& message)> takes;
@@ -63,11 +68,15 @@
   template <typename Other>
   void Answer(const Other& /*message*/) {}
 
+  void OnDatagram(std::string_view datagram, const http::Address& from);
+
   Options options;
   protocol::EndpointLoad load;
+  std::uint32_t last_session = 0;
   std::vector<net::FrameChannelPtr> channels;
   net::FrameChannelPtr last_channel;
   std::unique_ptr<net::FrameServer> server;
+  net::DatagramSocket datagrams;
 };
 
 }  // namespace acacialug::entry_process
--- a/src/entry_process/tests/settings_test.cc
+++ b/src/entry_process/tests/settings_test.cc
@@ -21,6 +21,7 @@
 [policy]
 placement = "random"
 reservation = "promise"
+heartbeat_bytes_per_second = "8000B"
 [limits]
 max_body_bytes = 1000
 [peer_tls]
@@ -56,6 +57,8 @@
                          entry::PlacementPolicy::kRandom);
           CPPUNIT_ASSERT(process.core.reservation ==
                          agent::ReservationPolicy::kPromise);
+          CPPUNIT_ASSERT(process.heartbeats.bytes_per_second == 8000);
+          CPPUNIT_ASSERT(process.heartbeats.longest == 10s);
           CPPUNIT_ASSERT(process.limits.max_body_bytes == 1000);
           CPPUNIT_ASSERT(process.limits.max_connections ==
                          http::ServerLimits().max_connections);
@@ -103,11 +106,17 @@
            ResultCode::kSettingsMissingKey},
           {"\"random\"", "\"best\"", 11, "policy.placement",
            ResultCode::kSettingsOutOfRange},
-          {"key_file = \"k\"\n", "", 15, "peer_tls.key_file",
+          {"\"8000B\"", "\"9B\"", 13, "policy.heartbeat_bytes_per_second",
+           ResultCode::kSettingsOutOfRange},
+          {"placement = \"random\"",
+           "renew_interval = \"5s\"\nheartbeat_longest_interval = \"4s\"", 12,
+           "policy.heartbeat_longest_interval",
+           ResultCode::kSettingsOutOfRange},
+          {"key_file = \"k\"\n", "", 16, "peer_tls.key_file",
            ResultCode::kSettingsMissingKey},
-          {"authority_file = \"a\"\n", "", 15, "peer_tls.authority_file",
+          {"authority_file = \"a\"\n", "", 16, "peer_tls.authority_file",
            ResultCode::kSettingsMissingKey},
-          {"[limits]", "[limit]", 13, "limit",
+          {"[limits]", "[limit]", 14, "limit",
            ResultCode::kSettingsUnknownKey}},
          [](const BadSetting& row) { return row.key; },
          [](const BadSetting& row) {
--- a/src/entry_process/types/entry_process_options.h
+++ b/src/entry_process/types/entry_process_options.h
@@ -11,6 +11,7 @@
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
 #include "framework/net/frame_channel.h"
+#include "heartbeat/heartbeat_budget.h"
 #include "platform/i_log.h"
 
 namespace acacialug::entry_process {
@@ -29,6 +30,9 @@
   http::Address listen;
   std::optional<http::Address> operations_listen;
   int shards = 2;
+  // How often the sessions of all shards are renewed. Its shortest interval
+  // is core.renew_interval.
+  heartbeat::HeartbeatBudget::Options heartbeats;
   http::ServerLimits limits;
   http::TlsFiles tls;            // callers' port
   net::ChannelOptions channels;  // to the agents
--- a/src/framework/net/tests/frame_channel_test.cc
+++ b/src/framework/net/tests/frame_channel_test.cc
@@ -22,7 +22,8 @@
 
 const ChannelOptions kOptions{.limits = {.max_frame_bytes = kMaxFrame}};
 
-std::string Frame(const std::string& payload, char version = 1) {
+std::string Frame(const std::string& payload,
+                  char version = net::kProtocolVersion) {
   const std::size_t length = payload.size() + 1;
   std::string bytes;
   for (const int shift : {0, 8, 16, 24}) {
@@ -64,11 +65,12 @@
       1,
       ResultCode::kFrameTooLarge},
      {"a head that claims 4 GB",
-      {"\xff\xff\xff\xff\x01"},
+      {"\xff\xff\xff\xff\x02"},
       0,
       ResultCode::kFrameTooLarge},
      {"a frame of another version",
-      {Frame("good") + Frame("bad", 2) + Frame("never")},
+      {Frame("good") + Frame("bad", net::kProtocolVersion + 1) +
+       Frame("never")},
       1,
       ResultCode::kProtocolVersion},
      {"what is not a frame",
@@ -76,7 +78,7 @@
       0,
       ResultCode::kProtocolVersion},
      {"a frame of no length",
-      {std::string("\0\0\0\0\1", 5)},
+      {std::string("\0\0\0\0\2", 5)},
       0,
       ResultCode::kBadFrame}},
     [](const BytesRow& row) { return row.name; },
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -52,6 +52,27 @@
   }
 }
 
+template <typename Message>
+std::string EncodeDatagram(const Message& message) {
+  return static_cast<char>(kHeartbeatVersion) + EncodeAny(message);
+}
+
+template <typename Message>
+Result<Message> DecodeDatagram(std::string_view datagram) {
+  if (datagram.size() > kMaxDatagramBytes) {
+    return Error(ResultCode::kFrameTooLarge, "datagram");
+  }
+  if (datagram.empty()) {
+    return Error(ResultCode::kBadFrame, "empty datagram");
+  }
+  const auto version = static_cast<std::uint8_t>(datagram.front());
+  if (version != kHeartbeatVersion) {
+    return Error(ResultCode::kProtocolVersion,
+                 "heartbeat of version " + std::to_string(version));
+  }
+  return DecodeAny<Message>(datagram.substr(1));
+}
+
 }  // namespace
 
 std::string Encode(const EntryToAgent& message) {
@@ -70,4 +91,24 @@
   return DecodeAny<AgentToEntry>(payload);
 }
 
+std::string Encode(const Heartbeat& heartbeat) {
+  return EncodeDatagram(heartbeat);
+}
+
+std::string Encode(const HeartbeatAnswer& answer) {
+  return EncodeDatagram(answer);
+}
+
+Result<Heartbeat> DecodeHeartbeat(std::string_view datagram) {
+  Result<Heartbeat> heartbeat = DecodeDatagram<Heartbeat>(datagram);
+  if (heartbeat.ok() && heartbeat->sessions.size() > kMaxHeartbeatSessions) {
+    return Error(ResultCode::kBadFrame, "too many sessions");
+  }
+  return heartbeat;
+}
+
+Result<HeartbeatAnswer> DecodeHeartbeatAnswer(std::string_view datagram) {
+  return DecodeDatagram<HeartbeatAnswer>(datagram);
+}
+
 }  // namespace acacialug::protocol
--- a/src/protocol/message_codec.h
+++ b/src/protocol/message_codec.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "framework/global/types/result.h"
+#include "protocol/types/heartbeat.h"
 #include "protocol/types/messages.h"
 
 namespace acacialug::protocol {
@@ -19,6 +20,15 @@
 Result<EntryToAgent> DecodeEntryToAgent(std::string_view payload);
 Result<AgentToEntry> DecodeAgentToEntry(std::string_view payload);
 
+// Whole datagrams: a version byte and a cereal archive. Thread safe, and as
+// strict as the payloads of frames. Errors of decoding: kFrameTooLarge (over
+// kMaxDatagramBytes), kProtocolVersion, kBadFrame (also for more sessions than
+// kMaxHeartbeatSessions).
+std::string Encode(const Heartbeat& heartbeat);
+std::string Encode(const HeartbeatAnswer& answer);
+Result<Heartbeat> DecodeHeartbeat(std::string_view datagram);
+Result<HeartbeatAnswer> DecodeHeartbeatAnswer(std::string_view datagram);
+
 }  // namespace acacialug::protocol
 
 #endif  // PROTOCOL_MESSAGE_CODEC_H_
--- a/src/protocol/tests/message_codec_test.cc
+++ b/src/protocol/tests/message_codec_test.cc
@@ -226,5 +226,110 @@
                 }
               })})});
 
+// ---- datagrams ----
+
+const Heartbeat kHeartbeat{.entry = EntryId("entry-1"),
+                           .incarnation = Incarnation(1),
+                           .sequence = 2,
+                           .load_seen = 3,
+                           .manifest = LogOffset(4),
+                           .interval = 5s,
+                           .sessions = {6, 7}};
+const HeartbeatAnswer kPlainAnswer{.agent = Incarnation(1),
+                                   .sequence = 2,
+                                   .manifest = LogOffset(3),
+                                   .lease = 4s,
+                                   .renewed = 3};
+
+HeartbeatAnswer WithLoad() {
+  HeartbeatAnswer answer = kPlainAnswer;
+  answer.has_load = true;
+  answer.load = kLoad;
+  return answer;
+}
+
+std::string Crowded() {
+  Heartbeat crowded = kHeartbeat;
+  crowded.sessions.resize(kMaxHeartbeatSessions + 1);
+  return Encode(crowded);
+}
+
+struct BadDatagram {
+  const char* name;
+  std::string datagram;
+  ResultCode code = ResultCode::kBadFrame;
+};
+
+std::vector<BadDatagram> BadDatagrams() {
+  const std::string good = Encode(kHeartbeat);
+  std::string version = good;
+  version[0] = kHeartbeatVersion + 1;
+  // A version byte, the byte order, and the entry's name with its length.
+  std::string name = good;
+  name.replace(2, 8, kGiant);
+  return {
+      {"nothing", ""},
+      {"a version byte alone", good.substr(0, 1)},
+      {"another version", version, ResultCode::kProtocolVersion},
+      {"a frame's payload", Encode(EntryMessages()[1])},
+      {"garbage", std::string(64, '\x01')},
+      {"a name longer than the datagram", name},
+      {"a byte left over", good + "x"},
+      {"more sessions than bits", Crowded()},
+      {"more than a datagram may hold",
+       good + std::string(kMaxDatagramBytes, 'x'), ResultCode::kFrameTooLarge}};
+}
+
+template <typename Message>
+void CheckDatagram(const Message& message,
+                   Result<Message> (*decode)(std::string_view)) {
+  const std::string datagram = Encode(message);
+  const Result<Message> decoded = decode(datagram);
+  CPPUNIT_ASSERT(decoded.ok());
+  CPPUNIT_ASSERT(Encode(*decoded) == datagram);
+  for (std::size_t size = 0; size < datagram.size(); ++size) {
+    CPPUNIT_ASSERT(!decode(std::string_view(datagram).substr(0, size)));
+  }
+}
+
+const testing::Story kDatagrams(
+    "the codec of heartbeats",
+    {It("reads back heartbeats and answers, but none cut short",
+        [] {
+          CheckDatagram(kHeartbeat, DecodeHeartbeat);
+          CheckDatagram(kPlainAnswer, DecodeHeartbeatAnswer);
+          CheckDatagram(WithLoad(), DecodeHeartbeatAnswer);
+        }),
+     It("keeps fields, and leaves out a load that is not told",
+        [] {
+          const auto heartbeat = DecodeHeartbeat(Encode(kHeartbeat));
+          CPPUNIT_ASSERT(heartbeat->sessions == kHeartbeat.sessions);
+          CPPUNIT_ASSERT(heartbeat->interval == 5s);
+          const auto answer = DecodeHeartbeatAnswer(Encode(WithLoad()));
+          CPPUNIT_ASSERT_EQUAL(kLoad.running, answer->load.running);
+          CPPUNIT_ASSERT(Encode(kPlainAnswer).size() + 50 <
+                         Encode(WithLoad()).size());
+        }),
+     ForEach<BadDatagram>(
+         "refuses",
+         BadDatagrams(),
+         [](const BadDatagram& row) { return row.name; },
+         [](const BadDatagram& row) {
+           const auto decoded = DecodeHeartbeat(row.datagram);
+           CPPUNIT_ASSERT(!decoded.ok());
+           CPPUNIT_ASSERT(decoded.error().result_code() == row.code);
+         }),
+     It("survives random changes", [] {
+       std::mt19937 random(20261202);
+       for (int round = 0; round < 20000; ++round) {
+         std::string datagram = Encode(kHeartbeat);
+         datagram[random() % datagram.size()] = static_cast<char>(random());
+         DecodeHeartbeat(datagram);
+         datagram = Encode(WithLoad());
+         datagram[random() % datagram.size()] = static_cast<char>(random());
+         DecodeHeartbeatAnswer(datagram);
+       }
+     })});
+
 }  // namespace
 }  // namespace acacialug::protocol
--- a/src/protocol/types/messages.h
+++ b/src/protocol/types/messages.h
@@ -63,21 +63,27 @@
   Incarnation incarnation;
   FailureDomain domain;
   LogOffset manifest;
+  EntryId process;                  // whose heartbeats renew this session
+  Incarnation process_incarnation;  // and which start of it
+  Duration interval{};              // between renewals, as the entry wishes
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->entry, this->incarnation, this->domain, this->manifest);
+    archive(this->entry, this->incarnation, this->domain, this->manifest,
+            this->process, this->process_incarnation, this->interval);
   }
 };
 
-// Renews the session's lease (a session, not a request).
+// Renews the session's lease (a session, not a request) when no heartbeat
+// does.
 struct Renew {
   Incarnation incarnation;
   LogOffset manifest;
+  Duration interval{};  // as in Hello
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->incarnation, this->manifest);
+    archive(this->incarnation, this->manifest, this->interval);
   }
 };
 
@@ -209,21 +215,25 @@
   LogOffset manifest;
   Duration lease{};  // the session ends this long after the last renewal
   EndpointLoad load;
+  std::uint32_t session = 0;         // its number in heartbeats
+  std::uint16_t heartbeat_port = 0;  // UDP; 0: renewals by frames only
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->endpoint, this->incarnation, this->role, this->domain,
-            this->manifest, this->lease, this->load);
+            this->manifest, this->lease, this->load, this->session,
+            this->heartbeat_port);
   }
 };
 
 struct Renewed {
   LogOffset manifest;
   EndpointLoad load;
+  Duration lease{};  // from the Renew on; zero: as before
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->manifest, this->load);
+    archive(this->manifest, this->lease, this->load);
   }
 };
 
--- a/src/scenario/internal/agent_host.cc
+++ b/src/scenario/internal/agent_host.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "scenario/internal/checker.h"
+#include "scenario/internal/entry_host.h"
 #include "scenario/internal/network.h"
 
 namespace acacialug::scenario {
@@ -54,6 +55,7 @@
 void AgentHost::Start() {
   this->Feed([this] {
     const Instant now = this->parts.queue.now();
+    this->decisions->AcceptHeartbeats(1);
     this->decisions->Start(now);
     this->manifests.follower().Start(now);
   });
@@ -77,14 +79,32 @@
     const Instant now = this->parts.queue.now();
     this->parts.checker.OnArrival(EndpointId(this->Name()), message);
     this->decisions->OnMessage(session, message, now);
-    const LogOffset heard = this->decisions->newest_manifest_heard();
-    if (this->parts.options.rules.hear_of_manifests &&
-        heard > this->manifests.follower().offset()) {
-      this->manifests.follower().OnPeerOffset(heard, now);
+    this->FollowPeers(now);
+  });
+}
+
+void AgentHost::OnHeartbeat(const std::weak_ptr<EntryHost>& from,
+                            const protocol::Heartbeat& heartbeat) {
+  this->Feed([this, from, heartbeat] {
+    const Instant now = this->parts.queue.now();
+    const auto answer = this->decisions->OnHeartbeat(heartbeat, now);
+    const auto entry = from.lock();
+    if (answer && entry != nullptr) {
+      this->parts.network.AnswerHeartbeat(entry, EndpointId(this->Name()),
+                                          *answer);
     }
+    this->FollowPeers(now);
   });
 }
 
+void AgentHost::FollowPeers(Instant now) {
+  const LogOffset heard = this->decisions->newest_manifest_heard();
+  if (this->parts.options.rules.hear_of_manifests &&
+      heard > this->manifests.follower().offset()) {
+    this->manifests.follower().OnPeerOffset(heard, now);
+  }
+}
+
 void AgentHost::OnEngineEvent(const engine::EngineEvent& event) {
   this->parts.checker.OnEngineEvent(EndpointId(this->Name()), event);
   this->Feed([this, event] {
--- a/src/scenario/internal/agent_host.h
+++ b/src/scenario/internal/agent_host.h
@@ -13,6 +13,8 @@
 
 namespace acacialug::scenario {
 
+class EntryHost;
+
 // One start of an agent. Not thread safe.
 class AgentHost : public Process,
                   public std::enable_shared_from_this<AgentHost> {
@@ -35,6 +37,8 @@
   void OnClosed(agent::SessionId session);
   void OnMessage(agent::SessionId session,
                  const protocol::EntryToAgent& message);
+  void OnHeartbeat(const std::weak_ptr<EntryHost>& from,
+                   const protocol::Heartbeat& heartbeat);
   void OnEngineEvent(const engine::EngineEvent& event);
   void Drain();
 
@@ -48,6 +52,7 @@
   ManifestFeed::Hooks FeedHooks();
   std::function<void(std::function<void()>)> Later();
 
+  void FollowPeers(Instant now);
   void Run(const agent::SendToEntry& action);
   void Run(const agent::CloseSession& action);
   void Run(const agent::ExecuteOnEngine& action);
--- a/src/scenario/internal/entry_host.cc
+++ b/src/scenario/internal/entry_host.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "entry/log_once.h"
+#include "protocol/message_codec.h"
 #include "scenario/internal/callers.h"
 #include "scenario/internal/checker.h"
 #include "scenario/internal/network.h"
@@ -52,6 +53,9 @@
           world_parts.queue,
           world_parts.log,
           this->FeedHooks()),
+      heartbeat_random(seed + 1),
+      heartbeats({.entry = EntryId(this->Name()), .incarnation = this->start},
+                 this->heartbeat_random),
       decisions(
           std::make_unique<entry::EntryCore>(this->Options(), this->random)) {}
 
@@ -78,6 +82,8 @@
                                                *accepted.manifest);
                 this->decisions->OnManifest(accepted.manifest,
                                             this->parts.queue.now());
+                this->heartbeats.OnManifest(accepted.manifest->offset,
+                                            this->parts.queue.now());
               },
           .ask_peer = this->parts.peer_manifest};
 }
@@ -98,6 +104,7 @@
 
 void EntryHost::OnClosed(const EndpointId& endpoint) {
   this->Feed([this, endpoint] {
+    this->heartbeats.OnClosed(0, endpoint);
     this->decisions->OnEndpointClosed(endpoint, this->parts.queue.now());
   });
 }
@@ -109,6 +116,12 @@
     this->parts.checker.OnReply(this->start, endpoint, message);
     if (const auto* welcome = std::get_if<protocol::Welcome>(&message)) {
       this->manifests.follower().OnPeerOffset(welcome->manifest, now);
+      this->heartbeats.OnOpened(
+          {.endpoint = endpoint,
+           .name = {.agent = welcome->incarnation, .number = welcome->session},
+           .lease = welcome->lease,
+           .by_datagram = welcome->heartbeat_port != 0},
+          now);
     } else if (const auto* renewed = std::get_if<protocol::Renewed>(&message)) {
       this->manifests.follower().OnPeerOffset(renewed->manifest, now);
     }
@@ -116,16 +129,38 @@
   });
 }
 
+void EntryHost::OnHeartbeatAnswer(const protocol::HeartbeatAnswer& answer) {
+  this->Feed([this, answer] {
+    const Instant now = this->parts.queue.now();
+    const std::size_t bytes = protocol::Encode(answer).size();
+    if (this->heartbeats.OnAnswer(answer, bytes, now)) {
+      this->manifests.follower().OnPeerOffset(answer.manifest, now);
+    }
+  });
+}
+
+void EntryHost::PumpHeartbeats() {
+  for (const auto& [endpoint, heartbeat] : this->heartbeats.TakeHeartbeats()) {
+    this->parts.network.Heartbeat(this->shared_from_this(), endpoint,
+                                  heartbeat);
+  }
+  for (const auto& renewed : this->heartbeats.TakeRenewals()) {
+    this->decisions->OnHeartbeat(renewed.endpoint, renewed.renewal,
+                                 this->parts.queue.now());
+  }
+}
+
 void EntryHost::Pump() {
   this->manifests.Pump();
+  this->PumpHeartbeats();
   for (const entry::EntryAction& action : this->decisions->TakeActions()) {
     std::visit([this](const auto& typed) { this->Run(typed); }, action);
   }
 }
 
 Instant EntryHost::DueAt() const {
-  return std::min(this->decisions->next_timer(),
-                  this->manifests.follower().next_timer());
+  return std::min({this->decisions->next_timer(), this->heartbeats.next_timer(),
+                   this->manifests.follower().next_timer()});
 }
 
 void EntryHost::OnDue() {
@@ -136,6 +171,7 @@
   if (this->decisions->next_timer() <= now) {
     this->decisions->OnTimer(now);
   }
+  this->heartbeats.OnTimer(now);
 }
 
 std::function<void(std::function<void()>)> EntryHost::Later() {
@@ -157,6 +193,7 @@
 }
 
 void EntryHost::Run(const entry::DropEndpoint& action) {
+  this->heartbeats.OnClosed(0, action.endpoint);
   this->parts.network.Drop(*this, action.endpoint);
 }
 
--- a/src/scenario/internal/entry_host.h
+++ b/src/scenario/internal/entry_host.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "entry/entry_core.h"
+#include "heartbeat/heartbeat_sender.h"
 #include "scenario/internal/manifest_feed.h"
 #include "scenario/internal/process.h"
 #include "scenario/internal/world_parts.h"
@@ -32,6 +33,7 @@
   // What the network brings; runs now or after a pause.
   void OnConnected(const EndpointId& endpoint);
   void OnClosed(const EndpointId& endpoint);
+  void OnHeartbeatAnswer(const protocol::HeartbeatAnswer& answer);
   void OnMessage(const EndpointId& endpoint,
                  const protocol::AgentToEntry& message);
 
@@ -43,6 +45,7 @@
  private:
   entry::EntryOptions Options();
   ManifestFeed::Hooks FeedHooks();
+  void PumpHeartbeats();
   // Runs a task in this process, if it lives then.
   std::function<void(std::function<void()>)> Later();
 
@@ -60,6 +63,9 @@
   RandomSource random;
   Incarnation start;
   ManifestFeed manifests;
+  // Of its own, so that heartbeats do not shift what the core draws.
+  RandomSource heartbeat_random;
+  heartbeat::HeartbeatSender heartbeats;
   std::unique_ptr<entry::EntryCore> decisions;
 };
 
--- a/src/scenario/internal/network.cc
+++ b/src/scenario/internal/network.cc
@@ -140,14 +140,22 @@
                    Direction direction,
                    const std::string& kind,
                    const Task& task) {
-  if (this->lost_share > 0 && this->random.Unit() < this->lost_share) {
-    return;
+  if (!this->Lost() && this->ApplyRules(link->ends, kind, task)) {
+    this->Arrive(link, direction, task);
   }
+}
+
+bool Network::Lost() {
+  return this->lost_share > 0 && this->random.Unit() < this->lost_share;
+}
+
+bool Network::ApplyRules(const Pair& ends,
+                         const std::string& kind,
+                         const Task& task) {
   for (MessageRule& rule : this->rules) {
-    const bool meant =
-        rule.kind == kind && rule.count > 0 &&
-        (rule.entry.empty() || rule.entry == link->ends.first) &&
-        (rule.endpoint.empty() || rule.endpoint == link->ends.second);
+    const bool meant = rule.kind == kind && rule.count > 0 &&
+                       (rule.entry.empty() || rule.entry == ends.first) &&
+                       (rule.endpoint.empty() || rule.endpoint == ends.second);
     if (!meant) {
       continue;
     }
@@ -160,10 +168,49 @@
       this->queue.After(this->delay + rule.by, task);
     }
     if (rule.fault != MessageFault::kDoubled) {
-      return;
+      return false;
+    }
+  }
+  return true;
+}
+
+// ---- datagrams ----
+
+void Network::SendDatagram(const Pair& ends,
+                           const std::string& kind,
+                           Task task) {
+  const Task delivered = [this, ends, task = std::move(task)] {
+    if (!this->partitions.contains(ends)) {
+      task();
     }
+  };
+  if (!this->Lost() && this->ApplyRules(ends, kind, delivered)) {
+    this->queue.After(this->delay, delivered);
   }
-  this->Arrive(link, direction, task);
+}
+
+void Network::Heartbeat(const std::shared_ptr<EntryHost>& entry,
+                        const EndpointId& endpoint,
+                        const protocol::Heartbeat& heartbeat) {
+  this->SendDatagram({entry->Name(), endpoint.text}, "Heartbeat",
+                     [this, from = std::weak_ptr(entry), endpoint, heartbeat] {
+                       const std::shared_ptr<AgentHost> agent =
+                           this->agents(endpoint.text);
+                       if (agent != nullptr && agent->alive()) {
+                         agent->OnHeartbeat(from, heartbeat);
+                       }
+                     });
+}
+
+void Network::AnswerHeartbeat(const std::shared_ptr<EntryHost>& entry,
+                              const EndpointId& endpoint,
+                              const protocol::HeartbeatAnswer& answer) {
+  this->SendDatagram({entry->Name(), endpoint.text}, "HeartbeatAnswer",
+                     [to = std::weak_ptr(entry), answer] {
+                       if (const auto host = to.lock()) {
+                         host->OnHeartbeatAnswer(answer);
+                       }
+                     });
 }
 
 void Network::Arrive(const LinkPointer& link, Direction direction, Task task) {
--- a/src/scenario/internal/network.h
+++ b/src/scenario/internal/network.h
@@ -15,6 +15,7 @@
 #include "agent/types/agent_messages.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/enum_names.h"
+#include "protocol/types/heartbeat.h"
 #include "protocol/types/messages.h"
 #include "scenario/internal/event_queue.h"
 
@@ -67,6 +68,15 @@
   void ToEntry(agent::SessionId session, const protocol::AgentToEntry& message);
   void Close(agent::SessionId session);
 
+  // Datagrams: no order among them, and a partition loses them. The kinds of
+  // single faults are Heartbeat and HeartbeatAnswer.
+  void Heartbeat(const std::shared_ptr<EntryHost>& entry,
+                 const EndpointId& endpoint,
+                 const protocol::Heartbeat& heartbeat);
+  void AnswerHeartbeat(const std::shared_ptr<EntryHost>& entry,
+                       const EndpointId& endpoint,
+                       const protocol::HeartbeatAnswer& answer);
+
   // ---- faults ----
 
   // A process ended: its peers see their connections closed, or, when the
@@ -111,6 +121,11 @@
             Direction direction,
             const std::string& kind,
             const Task& task);
+  // Whether the share of lost messages takes this one.
+  bool Lost();
+  void SendDatagram(const Pair& ends, const std::string& kind, Task task);
+  // Under these rules: false when the message itself is not to be sent.
+  bool ApplyRules(const Pair& ends, const std::string& kind, const Task& task);
   void CloseAtEntry(const LinkPointer& link);
   void CloseAtAgent(const LinkPointer& link);
 
