Measure heartbeats, and work out the sessions' capacity anew

Cause: docs/CAPACITY.md had sessions over the byte budget 40 times and over the processor budget 6 times, from renewals by frames.

Change: scale_bench measures sizes and processor time of heartbeats, the process bench compares 12 with 36 agents and 1 s with 250 ms between heartbeats (clusters take a renew interval).

Measured: a heartbeat of two sessions 95 B, its answer 68 B or 129 B with a load, headers included; in processes 38 us at an entry (92 us for the two renewals by frames that it replaces) and 33 us at an agent, load average about 25. At working set 64 and 18 pools: 19 to 26 KB/s at the longest interval of 10 s (before: 242 KB/s) and 0.5 % of a core (before: 7.7 %). Not run at that size.

Conclusion: working sets of 8 to 16 fit 6 KB/s at 4 to 10 s, with leases of 12 to 30 s; 64 fits only with an interval of 31 to 43 s, whose lease is too long.

--- a/buildscripts/deployment.py
+++ b/buildscripts/deployment.py
@@ -46,7 +46,7 @@
                  order="arrival", agent_order="arrival",
                  placement="predicted", counts_queue=True,
                  engines_a_process=8, entry_shards=2, log_level="warning",
-                 seed=1):
+                 seed=1, renew_interval_ms=1000):
         self.deployment = deployment
         self.folder = pathlib.Path(folder)
         self.policy = {"reservation": reservation,
@@ -55,6 +55,7 @@
         self.placement = placement
         self.engines_a_process = engines_a_process
         self.entry_shards = entry_shards
+        self.renew_interval_ms = renew_interval_ms
         self.log_level = log_level
         self.seed = seed
         self.processes = []
@@ -202,6 +203,7 @@
             ("[manifest]", {"file": str(self.folder / "manifest.toml")}),
             ("[platform]", {"log": f"127.0.0.1:{self.log_port}"}),
             ("[policy]", self.policy | {
+                "session_lease": f"{3 * self.renew_interval_ms}ms",
                 "order": self.agent_order, "export_lifetime": f"{engine.export_lifetime_ms}ms"}),
             ("[log]", {"level": self.log_level})])
 
@@ -218,6 +220,7 @@
             ("[platform]", {"log": f"127.0.0.1:{self.log_port}",
                             "hosts": f"127.0.0.1:{self.hosts_port}"}),
             ("[policy]", self.policy | {
+                "renew_interval": f"{self.renew_interval_ms}ms",
                 "order": self.order, "placement": self.placement}),
             ("[log]", {"level": self.log_level})])
 
--- a/buildscripts/scale.py
+++ b/buildscripts/scale.py
@@ -21,6 +21,12 @@
 IDLE_SECONDS = 10
 # Each shard of an entry has sessions of its own with every agent.
 SHARDS = (2, 16)
+# Between two heartbeats; a cluster's lease is three of them.
+INTERVALS_MS = (1000, 250)
+# More agents, so that an entry sends more heartbeats.
+WIDE = dataclasses.replace(
+    bench_path.PATH, model=dataclasses.replace(bench_path.PATH.model,
+                                               prefill=18, decode=16))
 # Answers of two lengths, at the same rate: the line through both gives the
 # cost of a request and that of a token.
 OUTPUT_TOKENS = (16, 272)
@@ -102,9 +108,19 @@
             "kb_a_session": round(resident * 1024 / sessions, 1)}
 
 
-def cluster(shards):
-    return deployment.Cluster(bench_path.PATH, bench_path.folder("scale"),
-                              engines_a_process=2, entry_shards=shards)
+def heartbeat_line(few, many, program, more_a_second):
+    """What one heartbeat of two sessions costs a process, answer included:
+    one cluster has more of them, and does nothing else more."""
+    percent = many[program]["mean_core_percent"] - \
+        few[program]["mean_core_percent"]
+    return {"more_a_second": more_a_second,
+            "us_a_heartbeat": round(percent * 1e4 / more_a_second, 1)}
+
+
+def cluster(shards, interval_ms=INTERVALS_MS[0], shape=bench_path.PATH):
+    return deployment.Cluster(shape, bench_path.folder("scale"),
+                              engines_a_process=2, entry_shards=shards,
+                              renew_interval_ms=interval_ms)
 
 
 def processes():
@@ -112,6 +128,10 @@
         return {"not_run": "the programs are not built"}
     with cluster(SHARDS[1]) as running:
         many = idle(running)
+    with cluster(SHARDS[0], INTERVALS_MS[1]) as running:
+        fast = idle(running)
+    with cluster(SHARDS[0], shape=WIDE) as running:
+        wide = idle(running)
     with cluster(SHARDS[0]) as running:
         few = idle(running)
         runs = [loaded(running, tokens) for tokens in OUTPUT_TOKENS]
@@ -119,7 +139,17 @@
     return {"measured": f"processes on loopback: 1 entry, {agents} agents",
             "command": "buildscripts/bench.sh scale",
             "idle_seconds": IDLE_SECONDS,
-            "idle": {f"{SHARDS[0]} shards": few, f"{SHARDS[1]} shards": many},
+            "idle": {f"{SHARDS[0]} shards": few, f"{SHARDS[1]} shards": many,
+                     f"{SHARDS[0]} shards, a heartbeat in "
+                     f"{INTERVALS_MS[1]} ms": fast,
+                     f"{SHARDS[0]} shards, more agents": wide},
+            "heartbeat_lines": {
+                "agent": heartbeat_line(
+                    few, fast, "agent",
+                    1000 / INTERVALS_MS[1] - 1000 / INTERVALS_MS[0]),
+                "entry": heartbeat_line(
+                    few, wide, "entry",
+                    wide["agent"]["processes"] - agents)},
             "idle_lines": {
                 "agent": session_line(few, many, "agent", *SHARDS),
                 "entry": session_line(few, many, "entry",
--- a/src/scale/internal/sections.h
+++ b/src/scale/internal/sections.h
@@ -11,6 +11,7 @@
 std::vector<Sweep> EntrySweeps();
 std::vector<Sweep> AgentSweeps();
 std::vector<Sweep> ProtocolSweeps();
+std::vector<Sweep> HeartbeatSweeps();
 std::vector<Sweep> ManifestSweeps();
 std::vector<Sweep> OnceSweeps();
 std::vector<Sweep> MetricsSweeps();
--- a/src/scale/scale_bench.cc
+++ b/src/scale/scale_bench.cc
@@ -37,8 +37,9 @@
 nlohmann::json MeasureAll() {
   nlohmann::json rows = nlohmann::json::array();
   for (const auto& sweeps :
-       {ProtocolSweeps(), AgentSweeps(), OnceSweeps(), MetricsSweeps(),
-        ServiceLevelSweeps(), EntrySweeps(), ManifestSweeps()}) {
+       {ProtocolSweeps(), HeartbeatSweeps(), AgentSweeps(), OnceSweeps(),
+        MetricsSweeps(), ServiceLevelSweeps(), EntrySweeps(),
+        ManifestSweeps()}) {
     for (const Sweep& sweep : sweeps) {
       const Row row = Fit(sweep);
       std::fprintf(stderr, "%-26s %12.3f %s each of: %s (spread %.0f %%)\n",
