Answer a request that the engine finds invalid, and do not try it on

Cause: an engine's 400 or 422 is told as not run. The entry took that for the endpoint's trouble and sent the request to every prefill endpoint again and again until its patience ended. One bad parameter kept a pool busy, and its caller was told in the end that the target could not be met. Change: `invalid_parameter` and `malformed_json` from an engine end the request at once, with that code; not run if nothing of it ran. Conclusion: an engine that calls a sound request invalid now fails it at the first try; before, another endpoint might have taken it.

--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -20,6 +20,12 @@
          code == ResultCode::kEngineBadAnswer;
 }
 
+// Failures that any other endpoint would report as well.
+bool IsRequestFault(ResultCode code) {
+  return code == ResultCode::kInvalidParameter ||
+         code == ResultCode::kMalformedJson;
+}
+
 template <typename Message>
 constexpr bool kIsTaken = std::is_same_v<Message, protocol::Reserved> ||
                           std::is_same_v<Message, protocol::Prefilled> ||
@@ -251,6 +257,18 @@
     this->prefill.tried.clear();
   }
   const bool undone = failed.outcome == protocol::Outcome::kNotRun;
+  const bool counted = failed.phase == protocol::Phase::kPrefill ||
+                       leg.stage == LegStage::kRunning;
+  if (undone && counted && IsRequestFault(failed.code)) {
+    this->EndLeg(leg, false, now);
+    --this->running;  // provably: this one never ran
+    if (this->running == 0) {
+      this->Refuse(failed.code, this->service.RetryAfter(), now);
+    } else {
+      this->GiveUp(failed.code, now);
+    }
+    return true;
+  }
   if (failed.phase == protocol::Phase::kPrefill) {
     if (undone) {
       this->EndLeg(leg, false, now);
--- a/src/entry/tests/generation_test.cc
+++ b/src/entry/tests/generation_test.cc
@@ -388,6 +388,21 @@
     {ForEach<Ending>(
         "is answered once and at once when",
         {
+            // Symptom: one bad parameter kept a whole pool busy, and its caller
+            // was told, half a minute later, that there was no room. Sequence:
+            // the engine refuses the request as invalid; it is tried at every
+            // endpoint, over and over, until its patience ends. Cause: what is
+            // the request's own fault was taken for the endpoint's.
+            {"the engine finds the request itself invalid",
+             {},
+             [](EntryDriver& driver) {
+               driver.Reserve();
+               const auto start = driver.Expect<protocol::StartPrefill>();
+               driver.Fail(driver.last_endpoint, start.attempt, Phase::kPrefill,
+                           ResultCode::kInvalidParameter, Outcome::kNotRun);
+             },
+             ResultCode::kInvalidParameter,
+             Outcome::kNotRun},
             {"its run is lost and the retry budget is spent",
              {.retry_burst = 0},
              StreamThenClose,
