--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -48,6 +48,15 @@
   this->implementation->OnEngineEvent(event, now);
 }
 
+void AgentCore::OnTurnsRead(const Result<platform::ILog::Read>& read,
+                            Instant now) {
+  this->implementation->OnTurnsRead(read, now);
+}
+
+void AgentCore::OnTurnAppended(const Result<LogOffset>& appended, Instant now) {
+  this->implementation->OnTurnAppended(appended, now);
+}
+
 void AgentCore::OnTimer(Instant now) {
   this->implementation->Expire(now);
 }
@@ -81,6 +90,10 @@
   return this->implementation->Counters();
 }
 
+OrderStatus AgentCore::order_status() const {
+  return this->implementation->Orders();
+}
+
 LogOffset AgentCore::newest_manifest_heard() const {
   return this->implementation->NewestManifestHeard();
 }
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -10,8 +10,11 @@
 #include "agent/types/agent_messages.h"
 #include "agent/types/agent_options.h"
 #include "agent/types/held_attempt.h"
+#include "agent/types/order_status.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
+#include "framework/global/types/result.h"
+#include "platform/i_log.h"
 #include "protocol/types/heartbeat.h"
 
 namespace acacialug::agent {
@@ -53,6 +56,9 @@
   bool within_heartbeat_budget() const;
 
   void OnEngineEvent(const engine::EngineEvent& event, Instant now);
+  // The answer to a ReadTurns or an AppendTurn. Errors in them: as ILog's.
+  void OnTurnsRead(const Result<platform::ILog::Read>& read, Instant now);
+  void OnTurnAppended(const Result<LogOffset>& appended, Instant now);
   // Call at or after next_timer().
   void OnTimer(Instant now);
 
@@ -75,6 +81,7 @@
 
   protocol::EndpointLoad load(Instant now) const;
   AgentCounters counters() const;
+  OrderStatus order_status() const;
 
   // The manifest offset above the one in force here that an entry has named
   // last: the process has to fetch a newer manifest. Not the highest of all:
--- a/src/agent/internal/agent_implementation.cc
+++ b/src/agent/internal/agent_implementation.cc
@@ -19,7 +19,8 @@
       attempts({.check = this->options.rules.check_attempts}),
       audit({}),
       drain(this->options.drain_grace),
-      orders({}, random_source),
+      orders({.take_turns = this->options.order_turns}, random_source),
+      turns(this->options, random_source),
       parts{this->options, this->outbox, this->attempts, this->audit,
             this->counters},
       gate(this->parts,
@@ -97,9 +98,13 @@
   this->prefill.SetBounds(*endpoint);
   this->calls.SetBounds(*endpoint);
   this->wanted_role = endpoint->role;
+  this->leaves_pool = endpoint->leaving;
   if (std::optional<engine::Order> wanted =
           EngineOrders::WantedBy(*this->manifest_in_force, *endpoint)) {
     this->orders.Want(std::move(*wanted), now);
+    if (this->options.order_turns) {
+      this->turns.SetPool(*this->manifest_in_force, *endpoint, now);
+    }
     this->PursueOrders(now);
   }
   if (endpoint->leaving) {
@@ -109,6 +114,22 @@
   }
 }
 
+void AgentCore::Implementation::OnTurnsRead(
+    const Result<platform::ILog::Read>& read,
+    Instant now) {
+  this->Expire(now);
+  this->turns.keeper().OnRead(read, now);
+  this->PursueOrders(now);
+}
+
+void AgentCore::Implementation::OnTurnAppended(
+    const Result<LogOffset>& appended,
+    Instant now) {
+  this->Expire(now);
+  this->turns.keeper().OnAppended(appended, now);
+  this->PursueOrders(now);
+}
+
 void AgentCore::Implementation::BeginDrain(Instant now) {
   this->Expire(now);
   this->Drain(DrainState::Cause::kProcess, now);
@@ -145,7 +166,8 @@
   return std::min({this->sessions.next_timer(), this->decode.next_timer(),
                    this->prefill.next_timer(), this->calls.next_timer(),
                    this->audit.next_timer(), this->drain.next_timer(),
-                   this->orders.next_timer()});
+                   this->orders.next_timer(),
+                   this->turns.keeper().next_timer()});
 }
 
 protocol::EndpointLoad AgentCore::Implementation::Load(Instant now) const {
@@ -165,6 +187,18 @@
   return load;
 }
 
+OrderStatus AgentCore::Implementation::Orders() const {
+  const turns::TurnKeeper& keeper = this->turns.keeper();
+  OrderStatus status{.confirmed = this->orders.confirmed(),
+                     .out = this->orders.out(),
+                     .wish = this->orders.turn_wish(),
+                     .appends = keeper.appends()};
+  if (const std::optional<std::size_t> rank = keeper.Rank()) {
+    status.before = *rank;
+  }
+  return status;
+}
+
 std::vector<AttemptId> AgentCore::Implementation::HeldAttempts() const {
   std::vector<AttemptId> all = this->decode.held();
   for (const auto& part : {this->prefill.held(), this->calls.held()}) {
@@ -286,7 +320,34 @@
 
 // ---- orders and drain ----
 
+void AgentCore::Implementation::PursueTurn(Instant now) {
+  if (!this->options.order_turns) {
+    return;
+  }
+  // One that leaves its pool by the manifest is no member: it needs no turn,
+  // and must not give back the one in which it may be out. An agent that only
+  // ends itself leaves its endpoint in the pool, for a successor.
+  const bool leaving = this->leaves_pool;
+  const turns::TurnWish wish =
+      leaving ? turns::TurnWish::kKeep : this->orders.turn_wish();
+  if (wish == turns::TurnWish::kTurn) {
+    this->turns.Note(this->Load(now), now);
+  } else {
+    this->turns.StopNoting();
+  }
+  turns::TurnKeeper& keeper = this->turns.keeper();
+  keeper.SetWish(wish, now);
+  keeper.OnTimer(now);
+  for (turns::TurnAction& action : keeper.TakeActions()) {
+    this->outbox.Ask(std::move(action));
+  }
+  const bool may_go = wish == turns::TurnWish::kTurn &&
+                      this->turns.MayGo(this->Idle(), this->orders.out(), now);
+  this->orders.SetTurn(leaving || may_go, now);
+}
+
 void AgentCore::Implementation::PursueOrders(Instant now) {
+  this->PursueTurn(now);
   if (std::optional<engine::EngineCommand> due =
           this->orders.TakeDue(this->Idle(), now)) {
     this->outbox.Execute(std::move(*due));
--- a/src/agent/internal/agent_implementation.h
+++ b/src/agent/internal/agent_implementation.h
@@ -17,6 +17,7 @@
 #include "agent/internal/prefill_work.h"
 #include "agent/internal/session_table.h"
 #include "agent/internal/shared_parts.h"
+#include "agent/internal/turn_taker.h"
 
 namespace acacialug::agent {
 
@@ -42,6 +43,8 @@
   void OnEngineEvent(const engine::EngineEvent& event, Instant now);
   void OnManifest(std::shared_ptr<const manifest::Manifest> newest,
                   Instant now);
+  void OnTurnsRead(const Result<platform::ILog::Read>& read, Instant now);
+  void OnTurnAppended(const Result<LogOffset>& appended, Instant now);
   void BeginDrain(Instant now);
   void Expire(Instant now);
 
@@ -52,6 +55,7 @@
   std::vector<HeldAttempt> Holdings(Instant now) const;
   std::vector<AgentAction> TakeActions() { return this->outbox.Take(); }
   const AgentCounters& Counters() const { return this->counters; }
+  OrderStatus Orders() const;
   LogOffset NewestManifestHeard() const { return this->newest_heard; }
   bool Alone() const { return this->sessions.empty(); }
 
@@ -86,6 +90,9 @@
   // The core closes the connection itself.
   void EndSession(SessionId session, ResultCode code, Instant now);
   void FreeSession(SessionId session, Instant now);
+  // Tells the pool's order of turns what the engine needs, and the orders
+  // whether their turn has come.
+  void PursueTurn(Instant now);
   // Sends the order or question to the engine that is due.
   void PursueOrders(Instant now);
   bool Idle() const;
@@ -101,6 +108,7 @@
   EngineAudit audit;
   DrainState drain;
   EngineOrders orders;
+  TurnTaker turns;
   SharedParts parts;
   AdmissionGate gate;
   DecodeWork decode;
@@ -108,6 +116,7 @@
   CallWork calls;
   std::shared_ptr<const manifest::Manifest> manifest_in_force;
   protocol::EndpointRole wanted_role = protocol::EndpointRole::kPlain;
+  bool leaves_pool = false;  // by the manifest in force
   LogOffset newest_heard;
   std::uint16_t heartbeat_port = 0;
 };
--- a/src/agent/internal/engine_orders.cc
+++ b/src/agent/internal/engine_orders.cc
@@ -42,24 +42,46 @@
   this->ReadAt(now);
 }
 
+turns::TurnWish EngineOrders::turn_wish() const {
+  if (this->state_confirmed) {
+    return turns::TurnWish::kNone;
+  }
+  return this->needs_turn ? turns::TurnWish::kTurn : turns::TurnWish::kKeep;
+}
+
+void EngineOrders::SetTurn(bool is_given, Instant now) {
+  if (is_given && !this->turn_given) {
+    this->order_by = now + this->options.longest_wait;
+  }
+  this->turn_given = is_given;
+}
+
 std::optional<engine::EngineCommand> EngineOrders::TakeDue(bool idle,
                                                            Instant now) {
   if (!this->wanted) {
     return std::nullopt;
   }
-  if (this->step == Step::kOrder) {
+  const bool waits_for_turn = this->needs_turn && !this->turn_given;
+  if (this->step == Step::kOrder && !(waits_for_turn && this->due <= now)) {
+    if (waits_for_turn) {
+      return std::nullopt;
+    }
     if (this->disturbs && !idle && now < this->order_by) {
       return std::nullopt;
     }
     // What is wanted is looked up here, at the moment of sending: a newer
     // manifest may have come while the order waited.
     this->ReadAt(now + this->options.answer_timeout);
+    if (this->needs_turn) {
+      this->engine_fits = false;
+      this->ordered = true;
+    }
     return *this->wanted;
   }
   if (now < this->due) {
     return std::nullopt;
   }
-  this->due = now + this->options.answer_timeout;
+  this->ReadAt(now + this->options.answer_timeout);
   return engine::ReadState{};
 }
 
@@ -72,11 +94,14 @@
     return;
   }
   const bool same_model = this->SameModel(state);
-  this->engine_fits = same_model && !state.loading;
+  this->needs_turn = this->NeedsTurn(state);
+  this->ordered = this->ordered && state.loading;
+  this->engine_fits = (same_model || this->needs_turn) && !state.loading;
   this->state_confirmed =
-      this->engine_fits &&
+      same_model && !state.loading &&
       Sorted(state.adapters) == Sorted(this->wanted->adapters);
   if (this->state_confirmed) {
+    this->needs_turn = false;
     this->retry = this->options.first_retry;
     this->ReadAt(now + this->options.check_interval);
     return;
@@ -88,12 +113,15 @@
   // A higher fence than ours: the engine follows a manifest that has not
   // reached this agent yet, and an order from here would turn it back.
   if (state.fence > this->wanted->fence) {
+    this->needs_turn = false;
     this->RetryReading(now);
     return;
   }
   this->step = Step::kOrder;
   this->disturbs = !same_model;
   this->order_by = now + this->options.longest_wait;
+  // A turn may be long in coming; the engine may be another one by then.
+  this->due = now + this->options.check_interval;
 }
 
 void EngineOrders::OnOrderDone(const engine::OrderDone& done, Instant now) {
@@ -111,7 +139,18 @@
   if (!this->wanted) {
     return kNever;
   }
-  return this->step == Step::kOrder ? this->order_by : this->due;
+  if (this->step == Step::kRead || (this->needs_turn && !this->turn_given)) {
+    return this->due;
+  }
+  return this->order_by;
+}
+
+// An engine of another model or role serves nothing that this endpoint is
+// asked for, and so does one that loads: what it does takes nothing away from
+// the pool. One of an older version, or without an adapter, does serve.
+bool EngineOrders::NeedsTurn(const engine::EngineState& state) const {
+  return this->options.take_turns && !state.loading &&
+         state.model == this->wanted->model && state.role == this->wanted->role;
 }
 
 bool EngineOrders::SameModel(const engine::EngineState& state) const {
--- a/src/agent/internal/engine_orders.h
+++ b/src/agent/internal/engine_orders.h
@@ -10,6 +10,7 @@
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
 #include "manifest/types/manifest.h"
+#include "turns/turn_keeper.h"
 
 namespace acacialug::agent {
 
@@ -24,7 +25,11 @@
     Duration answer_timeout = 5s;
     Duration first_retry = 500ms;  // doubled up to `last_retry`
     Duration last_retry = 10s;
-    Duration longest_wait = 60s;  // for what runs, before a disturbing order
+    // For what runs, before a disturbing order: as long as a call may take, so
+    // that no answer is cut off by it.
+    Duration longest_wait = 10min;
+    // An order that takes a serving endpoint out waits for SetTurn.
+    bool take_turns = false;
   };
 
   // The state that a manifest asks of an endpoint's engine; empty when it
@@ -39,6 +44,12 @@
   // Replaces what was wanted before. `fence` never goes back.
   void Want(engine::Order order, Instant now);
 
+  // What to say of the endpoint in its pool's order of turns.
+  turns::TurnWish turn_wish() const;
+  // Whether the endpoint may be taken out for an order now; with `take_turns`
+  // an endpoint that serves an older version goes on serving it until then.
+  void SetTurn(bool is_given, Instant now);
+
   // The command that is due. `idle`: the engine runs nothing, so that another
   // model or role cuts no request off. Call after every input.
   std::optional<engine::EngineCommand> TakeDue(bool idle, Instant now);
@@ -49,7 +60,9 @@
   // False while the engine is known to load or to have another model,
   // version or role: its answers would be wrong ones. An engine whose state
   // was never read counts as fit.
-  bool fit() const { return this->engine_fits; }
+  bool fit() const { return this->engine_fits && !this->GoesOut(); }
+  // An order has taken the endpoint out of service, or is about to.
+  bool out() const { return this->ordered || this->GoesOut(); }
   // The wanted state was read from the engine.
   bool confirmed() const { return this->state_confirmed; }
   Instant next_timer() const;
@@ -57,6 +70,11 @@
  private:
   enum class Step : std::uint8_t { kRead, kOrder };
 
+  // It serves what it has, while it waits to be brought up to date.
+  bool NeedsTurn(const engine::EngineState& state) const;
+  bool GoesOut() const {
+    return this->turn_given && this->needs_turn && this->disturbs;
+  }
   bool SameModel(const engine::EngineState& state) const;
   void RetryReading(Instant now);
   void ReadAt(Instant when);
@@ -68,6 +86,9 @@
   Instant due = kNever;
   Instant order_by = kNever;  // a disturbing order waits at most until then
   bool disturbs = false;
+  bool needs_turn = false;
+  bool turn_given = false;
+  bool ordered = false;  // under a turn; the engine's state not yet read since
   bool engine_fits = true;
   bool state_confirmed = false;
   Duration retry{};
--- a/src/agent/internal/outbox.h
+++ b/src/agent/internal/outbox.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "agent/types/agent_messages.h"
@@ -31,6 +32,12 @@
     this->actions.push_back(ExecuteOnEngine{std::move(command)});
   }
 
+  void Ask(turns::TurnAction action) {
+    std::visit(
+        [this](auto& typed) { this->actions.emplace_back(std::move(typed)); },
+        action);
+  }
+
   void Close(SessionId session, ResultCode code) {
     this->actions.push_back(CloseSession{session, code});
   }
--- a/src/agent/tests/engine_care_test.cc
+++ b/src/agent/tests/engine_care_test.cc
@@ -1,5 +1,6 @@
 #include "agent/internal/engine_orders.h"
 #include "agent/internal/stream_flow.h"
+#include "agent/internal/turn_taker.h"
 #include "agent/tests/agent_bench.h"
 
 namespace acacialug::agent {
@@ -199,5 +200,157 @@
            bench.Trace());
      })});
 
+struct TurnCase {
+  std::string name;
+  std::function<void(engine::EngineState&)> change;  // from the wanted one
+  turns::TurnWish wish;
+  bool fit;      // without a turn
+  bool ordered;  // without a turn, when idle
+};
+
+const testing::Story kTurns(
+    "orders that take turns",
+    {Cases<TurnCase>("to an engine whose state",
+                     {{"is as wanted, ask for none", [](auto&) {},
+                       turns::TurnWish::kNone, true, false},
+                      {"is an older version, wait while it serves",
+                       [](auto& s) { s.version = "1"; }, turns::TurnWish::kTurn,
+                       true, false},
+                      {"lacks an adapter, wait while it serves",
+                       [](auto& s) { s.adapters.pop_back(); },
+                       turns::TurnWish::kTurn, true, false},
+                      {"is another model, which serves nobody, are sent",
+                       [](auto& s) { s.model = ModelName("other"); },
+                       turns::TurnWish::kKeep, false, true},
+                      {"is another role, which serves nobody, are sent",
+                       [](auto& s) { s.role = "prefill"; },
+                       turns::TurnWish::kKeep, false, true},
+                      {"is loading, keep what turn there is",
+                       [](auto& s) { s.loading = true; },
+                       turns::TurnWish::kKeep, false, false},
+                      {"follows a newer manifest, claim nothing",
+                       [](auto& s) { s = StateOf(Wanted(6), "3"); },
+                       turns::TurnWish::kKeep, true, false}},
+                     [](const TurnCase& row) {
+                       RandomSource random(1);
+                       EngineOrders orders({.take_turns = true}, random);
+                       orders.Want(Wanted(5), kNow);
+                       orders.TakeDue(true, kNow);
+                       engine::EngineState state = StateOf(Wanted(5));
+                       row.change(state);
+                       orders.OnState(state, kNow);
+                       CHECK(orders.turn_wish() == row.wish);
+                       CPPUNIT_ASSERT_EQUAL(row.fit, orders.fit());
+                       const auto command = orders.TakeDue(true, kNow);
+                       CPPUNIT_ASSERT_EQUAL(
+                           row.ordered,
+                           command &&
+                               std::holds_alternative<engine::Order>(*command));
+                       CHECK(orders.next_timer() > kNow);
+                     }),
+     // Symptom: streams break off when a new version is rolled out. Sequence:
+     // an endpoint's turn comes while it streams. Cause: the order would fail
+     // what the engine runs.
+     It("keep new work away from the turn on, and wait for what runs",
+        [] {
+          RandomSource random(1);
+          EngineOrders orders({.take_turns = true}, random);
+          orders.Want(Wanted(5), kNow);
+          orders.TakeDue(false, kNow);
+          orders.OnState(StateOf(Wanted(5), "1"), kNow);
+          CHECK(orders.fit());
+          orders.SetTurn(true, kNow + 1s);
+          CHECK(!orders.fit());
+          CHECK(!orders.TakeDue(false, kNow + 9min));
+          const auto command = orders.TakeDue(true, kNow + 9min);
+          CHECK(std::holds_alternative<engine::Order>(*command));
+          CHECK(!orders.fit());
+        }),
+     // Symptom: a pool stays small during an outage of the log. Sequence: the
+     // log goes out while an endpoint waits for its streams to end. Cause: it
+     // may no longer go, and would neither serve.
+     It("serve again when the turn cannot be confirmed before they are sent",
+        [] {
+          RandomSource random(1);
+          EngineOrders orders({.take_turns = true}, random);
+          orders.Want(Wanted(5), kNow);
+          orders.TakeDue(false, kNow);
+          orders.OnState(StateOf(Wanted(5), "1"), kNow);
+          orders.SetTurn(true, kNow);
+          orders.SetTurn(false, kNow + 6s);
+          CHECK(orders.fit() && !orders.out());
+          CHECK(!orders.TakeDue(true, kNow + 7s));
+        }),
+     // Symptom: work for an engine that loads. Sequence: the log goes out
+     // right after the order was sent. Cause: the turn alone would say that
+     // the endpoint serves.
+     It("do not serve on without the log once they are sent", [] {
+       RandomSource random(1);
+       EngineOrders orders({.take_turns = true}, random);
+       orders.Want(Wanted(5), kNow);
+       orders.TakeDue(true, kNow);
+       orders.OnState(StateOf(Wanted(5), "1"), kNow);
+       orders.SetTurn(true, kNow);
+       CHECK(orders.TakeDue(true, kNow).has_value());
+       orders.SetTurn(false, kNow + 6s);
+       CHECK(!orders.fit() && orders.out());
+     })});
+
+struct RestRow {
+  std::string name;
+  std::uint32_t running;  // of 10
+  Duration watched;
+  std::size_t others;  // in the pool
+  bool spared;
+};
+
+const testing::Story kRest(
+    "the rest of a pool",
+    {Cases<RestRow>(
+        "is asked to carry the load",
+        {{"of one that is half busy", 5, 60s, 3, true},
+         {"up to its bound of four fifths", 6, 60s, 3, true},
+         {"and no more", 7, 60s, 3, false},
+         {"of one of two", 5, 60s, 1, false},
+         {"only after that was watched", 0, 5s, 3, false},
+         {"that an only one has not", 0, 0s, 0, true}},
+        [](const RestRow& row) {
+          AgentOptions options = Decoder();
+          options.endpoint = EndpointId("x");
+          RandomSource random(1);
+          TurnTaker taker(options, random);
+          manifest::Manifest manifest;
+          manifest.services = {{.name = ServiceName("s"),
+                                .kind = manifest::ServiceKind::kModel}};
+          for (std::size_t number = 0; number <= row.others; ++number) {
+            manifest.endpoints.push_back(
+                {.id = EndpointId(number == 0 ? "x" : std::to_string(number)),
+                 .service = ServiceName("s"),
+                 .role = EndpointRole::kDecode});
+          }
+          taker.SetPool(manifest, manifest.endpoints[0], kNow);
+          taker.Note({.running = row.running, .limit = 10}, kNow);
+          const Instant now = kNow + row.watched;
+          // Claims, and reads its own claim alone.
+          turns::TurnKeeper& keeper = taker.keeper();
+          keeper.SetWish(turns::TurnWish::kTurn, now);
+          keeper.OnTimer(now);
+          keeper.OnRead(platform::ILog::Read{.next = LogOffset(1)}, now);
+          std::string claim;
+          for (const turns::TurnAction& action : keeper.TakeActions()) {
+            if (const auto* append = std::get_if<turns::AppendTurn>(&action)) {
+              claim = append->payload;
+            }
+          }
+          keeper.OnAppended(LogOffset(1), now);
+          keeper.OnRead(
+              platform::ILog::Read{.first_kept = LogOffset(1),
+                                   .next = LogOffset(2),
+                                   .records = {{LogOffset(1), claim}}},
+              now);
+          CPPUNIT_ASSERT_EQUAL(row.spared, taker.MayGo(true, false, now));
+          CHECK(taker.MayGo(false, true, now));
+        })});
+
 }  // namespace
 }  // namespace acacialug::agent
--- a/src/agent/types/agent_messages.h
+++ b/src/agent/types/agent_messages.h
@@ -5,6 +5,7 @@
 
 #include "engine/types/engine_messages.h"
 #include "protocol/types/messages.h"
+#include "turns/turn_keeper.h"
 
 namespace acacialug::agent {
 
@@ -26,8 +27,14 @@
   engine::EngineCommand command;
 };
 
+// Reads or appends to the pool's stream of the platform's log; the answer goes
+// to OnTurnsRead or OnTurnAppended. One at a time.
+using turns::AppendTurn;
+using turns::ReadTurns;
+
 // What the process around an AgentCore has to do, in this order.
-using AgentAction = std::variant<SendToEntry, CloseSession, ExecuteOnEngine>;
+using AgentAction = std::
+    variant<SendToEntry, CloseSession, ExecuteOnEngine, ReadTurns, AppendTurn>;
 
 }  // namespace acacialug::agent
 
--- /dev/null
+++ b/src/agent/types/order_status.h
@@ -0,0 +1,23 @@
+#ifndef AGENT_TYPES_ORDER_STATUS_H_
+#define AGENT_TYPES_ORDER_STATUS_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "turns/turn_keeper.h"
+
+namespace acacialug::agent {
+
+// Where the endpoint stands in being brought to what the manifest says.
+struct OrderStatus {
+  bool confirmed = false;  // the engine has told that it is as wanted
+  bool out = false;        // taken out of service by an order
+  turns::TurnWish wish = turns::TurnWish::kKeep;
+  // Members of the pool that asked before; empty without an open claim.
+  std::optional<std::uint64_t> before;
+  std::uint64_t appends = 0;  // to the pool's stream
+};
+
+}  // namespace acacialug::agent
+
+#endif  // AGENT_TYPES_ORDER_STATUS_H_
--- a/src/agent_process/internal/agent_runtime.cc
+++ b/src/agent_process/internal/agent_runtime.cc
@@ -15,6 +15,7 @@
 // not read must not keep the process.
 constexpr Duration kFlushLimit = 2s;
 constexpr std::chrono::milliseconds kFlushCheck{20};
+constexpr std::size_t kTurnsPerRead = 1024;
 
 // Qt's timers count milliseconds; rounded up, so that a timer is never early
 // and the core is not asked in vain. At least one: whatever is due, this
@@ -36,6 +37,9 @@
       timings(registry),
       core(this->CoreOptions(), random),
       engine(process_options.make_engine(complete.engine)),
+      turns_log(process_options.make_turns_log
+                    ? process_options.make_turns_log()
+                    : nullptr),
       sessions(this->SessionHooks(), this->counters),
       frames(this->FrameOptions()),
       heartbeats({.max_bytes = protocol::kMaxDatagramBytes,
@@ -139,6 +143,7 @@
   status.role = this->record.role;
   status.engine_known = this->engine_known;
   status.load = this->core.load(MonotonicNow());
+  status.orders = this->core.order_status();
   status.draining = this->draining || status.load.leaving;
   status.sessions = this->sessions.List();
   status.held_attempts = this->core.held_attempts();
@@ -156,6 +161,7 @@
 agent::AgentOptions AgentRuntime::CoreOptions() const {
   agent::AgentOptions core_options = this->settings.agent;
   core_options.incarnation = this->incarnation;
+  core_options.order_turns = static_cast<bool>(this->options.make_turns_log);
   return core_options;
 }
 
@@ -265,6 +271,31 @@
   this->engine->Execute(action.command);
 }
 
+void AgentRuntime::Do(const agent::ReadTurns& action) {
+  this->turns_log->ReadFrom(action.stream, action.from, kTurnsPerRead,
+                            Duration::zero(),
+                            [this, weak = std::weak_ptr(this->alive)](
+                                const Result<platform::ILog::Read>& result) {
+                              if (!weak.expired()) {
+                                const Instant now = MonotonicNow();
+                                this->core.OnTurnsRead(result, now);
+                                this->Pump(now);
+                              }
+                            });
+}
+
+void AgentRuntime::Do(const agent::AppendTurn& action) {
+  this->turns_log->Append(action.stream, action.payload,
+                          [this, weak = std::weak_ptr(this->alive)](
+                              const Result<LogOffset>& result) {
+                            if (!weak.expired()) {
+                              const Instant now = MonotonicNow();
+                              this->core.OnTurnAppended(result, now);
+                              this->Pump(now);
+                            }
+                          });
+}
+
 // The core's next instant moves with every token; the event loop's timer is
 // only set anew when it moves earlier, and found too early when it fires.
 void AgentRuntime::ArmTimer(Instant now) {
--- a/src/agent_process/internal/agent_runtime.h
+++ b/src/agent_process/internal/agent_runtime.h
@@ -65,6 +65,8 @@
   void Do(const agent::SendToEntry& action);
   void Do(const agent::CloseSession& action);
   void Do(const agent::ExecuteOnEngine& action);
+  void Do(const agent::ReadTurns& action);
+  void Do(const agent::AppendTurn& action);
   void ArmTimer(Instant now);
   void CheckBudget();
   void TellNewerManifest();
@@ -80,6 +82,9 @@
   log::RepeatLimiter limiter{{}};
   agent::AgentCore core;
   std::unique_ptr<engine::IEngine> engine;
+  std::unique_ptr<platform::ILog> turns_log;  // null: orders take no turns
+  // Answers that come after this object's end are dropped.
+  std::shared_ptr<const bool> alive = std::make_shared<const bool>(true);
   SessionTable sessions;
   net::FrameServer frames;
   net::DatagramSocket heartbeats;
--- a/src/agent_process/internal/manifest_options.cc
+++ b/src/agent_process/internal/manifest_options.cc
@@ -54,6 +54,14 @@
             manifest.FindService(record->service)) {
       part->services.push_back(*service);
     }
+    // Of the others in its pool, what its turn for an order hangs on.
+    for (const EndpointId& id :
+         manifest.PoolMembers(record->service, record->role)) {
+      if (id != endpoint) {
+        part->endpoints.push_back(
+            {.id = id, .service = record->service, .role = record->role});
+      }
+    }
   }
   return part;
 }
--- a/src/agent_process/internal/status_metrics.cc
+++ b/src/agent_process/internal/status_metrics.cc
@@ -90,7 +90,7 @@
   metrics::GaugeMerge merge = metrics::GaugeMerge::kSum;
 };
 
-constexpr std::array<GaugeRow, 14> kGauges = {{
+constexpr std::array<GaugeRow, 18> kGauges = {{
     {"ready", "1 when it takes new work",
      [](const AgentStatus& status) { return status.ready() ? 1.0 : 0.0; }},
     {"draining", "1 when it is leaving",
@@ -145,6 +145,23 @@
      [](const AgentStatus& status) {
        return status.load.prefill_tokens_per_second;
      }},
+    {"orders_confirmed", "1 when the engine is as the manifest says",
+     [](const AgentStatus& status) {
+       return status.orders.confirmed ? 1.0 : 0.0;
+     }},
+    {"order_out", "1 while an order keeps the endpoint out of service",
+     [](const AgentStatus& status) { return status.orders.out ? 1.0 : 0.0; }},
+    {"order_turn_rank",
+     "Members of the pool that claimed a turn before; else -1",
+     [](const AgentStatus& status) {
+       return status.orders.before ? static_cast<double>(*status.orders.before)
+                                   : -1.0;
+     },
+     metrics::GaugeMerge::kMaximum},
+    {"order_appends", "Claims and releases of turns appended to the log",
+     [](const AgentStatus& status) {
+       return static_cast<double>(status.orders.appends);
+     }},
 }};
 
 void Add(metrics::Snapshot& snapshot,
--- a/src/agent_process/manifest_options.h
+++ b/src/agent_process/manifest_options.h
@@ -17,8 +17,9 @@
                                    const manifest::Manifest& manifest);
 
 // What an agent needs of a manifest: its own endpoint's record, if there is
-// one, and its service. Endpoints of the whole installation take many times
-// the memory of everything else in an agent. Thread safe.
+// one, its service, and the names of those in its pool. Endpoints of the whole
+// installation take many times the memory of everything else in an agent.
+// Thread safe.
 std::shared_ptr<const manifest::Manifest> OwnPartOf(
     const manifest::Manifest& manifest,
     const EndpointId& endpoint);
--- a/src/agent_process/types/agent_status.h
+++ b/src/agent_process/types/agent_status.h
@@ -7,6 +7,7 @@
 
 #include "agent/types/agent_counters.h"
 #include "agent/types/agent_messages.h"
+#include "agent/types/order_status.h"
 #include "protocol/types/messages.h"
 
 namespace acacialug::agent_process {
@@ -51,6 +52,7 @@
   bool engine_known = false;         // the engine has told what it holds
   bool draining = false;
   protocol::EndpointLoad load;
+  agent::OrderStatus orders;
   std::vector<SessionStatus> sessions;
   std::vector<AttemptId> held_attempts;
   ProcessCounters counters;
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -4,6 +4,7 @@
 #include <QObject>
 #include <QTimer>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -76,6 +77,7 @@
                 [this](const engine::EngineOptions& engine_options) {
                   return this->MakeEngine(engine_options);
                 },
+            .make_turns_log = this->TurnsLog(),
             .on_manifest_heard =
                 [this](LogOffset offset) {
                   if (this->configuration) {
@@ -110,6 +112,18 @@
                 *this->settings.platform_weights, *this->store_client)});
   }
 
+  // Without a log there is nothing that the agents of a pool share.
+  std::function<std::unique_ptr<platform::ILog>()> TurnsLog() {
+    if (!this->settings.platform_log) {
+      return {};
+    }
+    return [this] {
+      this->turns_client.emplace(http::ClientOptions{});
+      return std::make_unique<platform::HttpLog>(*this->settings.platform_log,
+                                                 *this->turns_client);
+    };
+  }
+
   // Each reading counts as newer than the one before.
   Status TakeManifestFile() {
     const auto read =
@@ -194,6 +208,7 @@
   QTimer first_manifest_timer;
   std::optional<http::Client> store_client;
   std::optional<http::Client> log_client;
+  std::optional<http::Client> turns_client;
   std::optional<ConfigurationClient> configuration;
   AgentProcess process;
 };
--- a/src/manifest/internal/rule_checker.cc
+++ b/src/manifest/internal/rule_checker.cc
@@ -73,6 +73,7 @@
       }
       CheckServiceKind(service, tables[i]);
       CheckClasses(service, tables[i]);
+      this->CheckPoolRules(service, tables[i]);
     }
   }
 
@@ -94,6 +95,30 @@
     }
   }
 
+  // A pool that cannot have what it must keep would never be brought up to
+  // date, and nobody would see why.
+  void CheckPoolRules(const Service& service, const Table& table) const {
+    const std::vector<Table> tables = table.Tables("pool");
+    const bool is_plain = service.kind == ServiceKind::kPlain;
+    std::set<EndpointRole> roles;
+    for (std::size_t i = 0; i < service.pools.size(); ++i) {
+      const PoolRule& rule = service.pools[i];
+      if (is_plain != (rule.role == EndpointRole::kPlain)) {
+        Broken(tables[i], "role", "expected a role of the service's kind");
+      } else if (!roles.insert(rule.role).second) {
+        Broken(tables[i], "role", "expected each role once");
+      }
+      const std::size_t members =
+          this->manifest.PoolMembers(service.name, rule.role).size();
+      if (members > 0 && rule.minimum_serving > members) {
+        Broken(tables[i], "minimum_serving",
+               "expected at most the pool's " + std::to_string(members) +
+                   " endpoints that are not leaving, found " +
+                   std::to_string(rule.minimum_serving));
+      }
+    }
+  }
+
   void CheckEndpoints() const {
     const std::vector<Table> tables = this->root.Tables("endpoint");
     std::set<std::string> names;
--- a/src/manifest/internal/table_reader.cc
+++ b/src/manifest/internal/table_reader.cc
@@ -10,6 +10,7 @@
 
 constexpr std::int64_t kMaxTokens = 100'000'000;
 constexpr std::int64_t kMaxSlots = 100'000;
+constexpr std::int64_t kMaxPool = 1'000'000;
 constexpr std::int64_t kMaxQueue = 1'000'000;
 constexpr double kMaxRate = 1e9;
 constexpr Duration kMaxTarget = 24h;
@@ -54,6 +55,14 @@
           .idempotent = table.Bool("idempotent")};
 }
 
+PoolRule ReadPool(const Table& table) {
+  return {.role = table.Choice("role", protocol::kEndpointRoleNames),
+          .minimum_serving = Count(table, "minimum_serving", 0, 0, kMaxPool),
+          .minimum_serving_share =
+              table.Number("minimum_serving_share",
+                           {.fallback = 0.0, .minimum = 0.0, .maximum = 1.0})};
+}
+
 Adapter ReadAdapter(const Table& table) {
   return {.name = table.String("name"), .version = table.String("version")};
 }
@@ -89,6 +98,9 @@
   for (const Table& rule : table.Tables("idempotency")) {
     service.idempotency.push_back(ReadRule(rule));
   }
+  for (const Table& pool : table.Tables("pool")) {
+    service.pools.push_back(ReadPool(pool));
+  }
   service.queue_limit =
       Count(table, "queue_limit", defaults.queue_limit, 1, kMaxQueue);
   return service;
--- a/src/manifest/tests/manifest_parser_test.cc
+++ b/src/manifest/tests/manifest_parser_test.cc
@@ -90,6 +90,21 @@
      ResultCode::kManifestInvalid, "caller[0].class"},
     {"an address by name", "127.0.0.1:7001", "localhost:7001",
      ResultCode::kSettingsOutOfRange, "endpoint[0].agent"},
+    {"a pool that must keep more than it has", "[[service.class]]",
+     "[[service.pool]]\n  role = \"decode\"\n  minimum_serving = 2\n"
+     "  [[service.class]]",
+     ResultCode::kManifestInvalid, "service[0].pool[0].minimum_serving"},
+    {"a pool of a role that its service has not", "[[service.class]]",
+     "[[service.pool]]\n  role = \"plain\"\n  [[service.class]]",
+     ResultCode::kManifestInvalid, "service[0].pool[0].role"},
+    {"a pool with two rules", "[[service.class]]",
+     "[[service.pool]]\n  role = \"decode\"\n  [[service.pool]]\n"
+     "  role = \"decode\"\n  [[service.class]]",
+     ResultCode::kManifestInvalid, "service[0].pool[1].role"},
+    {"a share above one", "[[service.class]]",
+     "[[service.pool]]\n  role = \"decode\"\n  minimum_serving_share = 1.1\n"
+     "  [[service.class]]",
+     ResultCode::kSettingsOutOfRange, "pool[0].minimum_serving_share"},
     {"a key that is unknown", "slots = 20", "slot = 20",
      ResultCode::kSettingsUnknownKey, "endpoint[1].slot"},
     {"a target without a unit", "first_token = \"2s\"", "first_token = \"2\"",
@@ -101,6 +116,44 @@
      "version = ", ResultCode::kSettingsSyntax, ":1:"},
 };
 
+struct FloorRow {
+  std::string name;
+  std::string rule;  // of the pool
+  std::size_t members;
+  std::size_t minimum;
+};
+
+const testing::Story kFloors(
+    "a manifest's pool",
+    {ForEach<FloorRow>(
+        "that orders must leave serving keeps",
+        {{"none of one without a rule", "", 1, 0},
+         {"one of two without a rule", "", 2, 1},
+         {"half and more of five without a rule", "", 5, 3},
+         {"the count", "minimum_serving = 4", 5, 4},
+         {"all, if the count says so", "minimum_serving = 5", 5, 5},
+         {"the share, rounded up", "minimum_serving_share = 0.7", 5, 4},
+         {"the share, when that is whole", "minimum_serving_share = 0.8", 5, 4},
+         {"the greater of both",
+          "minimum_serving = 1\nminimum_serving_share = 0.5", 4, 2},
+         {"nothing, if the rule says so", "minimum_serving = 0", 5, 0}},
+        [](const FloorRow& row) { return row.name; },
+        [](const FloorRow& row) {
+          const std::string pool =
+              row.rule.empty()
+                  ? ""
+                  : "[[service.pool]]\nrole = \"plain\"\n" + row.rule + "\n";
+          const Result<Manifest> read = ParseManifest(
+              With("[[service.idempotency]]", pool + "[[service.idempotency]]"),
+              "m.toml");
+          CPPUNIT_ASSERT_MESSAGE(read.ok() ? "" : read.error().detail,
+                                 read.ok());
+          CPPUNIT_ASSERT_EQUAL(
+              row.minimum, read->MinimumServing(ServiceName("registry-app"),
+                                                protocol::EndpointRole::kPlain,
+                                                row.members));
+        })});
+
 const testing::Story kParser(
     "a manifest",
     {It("that is sound is read whole",
--- a/src/manifest/types/manifest.cc
+++ b/src/manifest/types/manifest.cc
@@ -1,6 +1,7 @@
 #include "manifest/types/manifest.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acacialug::manifest {
 namespace {
@@ -36,6 +37,38 @@
   });
 }
 
+std::vector<EndpointId> Manifest::PoolMembers(
+    const ServiceName& service,
+    protocol::EndpointRole role) const {
+  std::vector<EndpointId> members;
+  for (const Endpoint& endpoint : this->endpoints) {
+    if (endpoint.service == service && endpoint.role == role &&
+        !endpoint.leaving) {
+      members.push_back(endpoint.id);
+    }
+  }
+  return members;
+}
+
+std::size_t Manifest::MinimumServing(const ServiceName& service,
+                                     protocol::EndpointRole role,
+                                     std::size_t members) const {
+  const Service* found = this->FindService(service);
+  if (found == nullptr || members == 0) {
+    return 0;
+  }
+  const PoolRule* rule = FindIf(
+      found->pools, [role](const PoolRule& item) { return item.role == role; });
+  if (rule == nullptr) {
+    return members - std::max<std::size_t>(1, members / 2);
+  }
+  // Rounded up, but for what the share's binary form adds to a whole number.
+  constexpr double kRounding = 1e-9;
+  const auto by_share = static_cast<std::size_t>(std::ceil(
+      rule->minimum_serving_share * static_cast<double>(members) - kRounding));
+  return std::max<std::size_t>(rule->minimum_serving, by_share);
+}
+
 Duration Manifest::DistanceBetween(const FailureDomain& from,
                                    const FailureDomain& to) const {
   const DomainDistance* distance =
--- a/src/manifest/types/manifest.h
+++ b/src/manifest/types/manifest.h
@@ -1,6 +1,7 @@
 #ifndef MANIFEST_TYPES_MANIFEST_H_
 #define MANIFEST_TYPES_MANIFEST_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -52,6 +53,13 @@
   std::string version;
 };
 
+// How many endpoints of one of a service's pools orders leave in service.
+struct PoolRule {
+  protocol::EndpointRole role = protocol::EndpointRole::kPlain;
+  std::uint32_t minimum_serving = 0;
+  double minimum_serving_share = 0;  // of the endpoints that are not leaving
+};
+
 struct Service {
   ServiceName name;
   ServiceKind kind = ServiceKind::kPlain;
@@ -64,6 +72,7 @@
   std::uint32_t piece_tokens = 2048;
   std::vector<LatencyClass> classes;  // never empty; the first is the default
   std::vector<IdempotencyRule> idempotency;
+  std::vector<PoolRule> pools;      // each role at most once
   std::uint32_t queue_limit = 256;  // a class, an entry
 };
 
@@ -106,6 +115,15 @@
   const Service* FindServiceOfModel(const ModelName& model) const;
   const Endpoint* FindEndpoint(const EndpointId& id) const;
   const CallerLimits* FindCaller(const CallerName& name) const;
+  // The endpoints of a service's pool that are not leaving.
+  std::vector<EndpointId> PoolMembers(const ServiceName& service,
+                                      protocol::EndpointRole role) const;
+  // How many of a pool of `members` endpoints orders must leave in service.
+  // Without a rule: half of them, rounded up, but never all. Zero for a
+  // service that there is not.
+  std::size_t MinimumServing(const ServiceName& service,
+                             protocol::EndpointRole role,
+                             std::size_t members) const;
   // Zero within a failure domain and for a pair that is not listed.
   Duration DistanceBetween(const FailureDomain& from,
                            const FailureDomain& to) const;
--- a/src/scenario/explorer.h
+++ b/src/scenario/explorer.h
@@ -35,8 +35,9 @@
   kDrainEntry,
   kDrainAgent,
   kPublish,
+  kOrder,
 };
-inline constexpr EnumNames<EventKind, 22> kEventKindNames = {{
+inline constexpr EnumNames<EventKind, 23> kEventKindNames = {{
     {EventKind::kAsk, "ask"},
     {EventKind::kCall, "call"},
     {EventKind::kTicketCall, "ticket call"},
@@ -59,6 +60,7 @@
     {EventKind::kDrainEntry, "drain entry"},
     {EventKind::kDrainAgent, "drain agent"},
     {EventKind::kPublish, "publish"},
+    {EventKind::kOrder, "order"},
 }};
 
 // One event; what its numbers mean hangs on its kind.
--- a/src/scenario/internal/agent_host.cc
+++ b/src/scenario/internal/agent_host.cc
@@ -37,6 +37,7 @@
                            ? world.kv_tokens
                            : 0,
           .slots = world.slots,
+          .order_turns = true,
           .rules = world.rules.agent};
 }
 
@@ -52,7 +53,26 @@
           .ask_peer = this->parts.peer_manifest};
 }
 
+void AgentHost::UsePermits() {
+  auto engine_adapter = std::make_unique<HostedEngine>(this->engine);
+  this->hosted = engine_adapter.get();
+  this->permitted = std::make_unique<agent_process::PermittedEngine>(
+      agent_process::PermittedEngine::Options{
+          .endpoint = EndpointId(this->Name()),
+          .engine = std::move(engine_adapter),
+          .store = std::make_unique<WeightPermits>(
+              *this->parts.weights, this->parts.queue,
+              [this] { return this->Later(); }),
+          .now = [this] { return this->parts.queue.now(); }});
+  this->permitted->SetOnEvent([this](const engine::EngineEvent& event) {
+    this->decisions->OnEngineEvent(event, this->parts.queue.now());
+  });
+}
+
 void AgentHost::Start() {
+  if (this->parts.weights != nullptr) {
+    this->UsePermits();
+  }
   this->Feed([this] {
     const Instant now = this->parts.queue.now();
     this->decisions->AcceptHeartbeats(1);
@@ -108,7 +128,11 @@
 void AgentHost::OnEngineEvent(const engine::EngineEvent& event) {
   this->parts.checker.OnEngineEvent(EndpointId(this->Name()), event);
   this->Feed([this, event] {
-    this->decisions->OnEngineEvent(event, this->parts.queue.now());
+    if (this->hosted != nullptr) {
+      this->hosted->Tell(event);
+    } else {
+      this->decisions->OnEngineEvent(event, this->parts.queue.now());
+    }
   });
 }
 
@@ -162,7 +186,32 @@
 
 void AgentHost::Run(const agent::ExecuteOnEngine& action) {
   this->parts.checker.OnCommand(EndpointId(this->Name()), action.command);
-  this->engine.Execute(action.command);
+  if (this->permitted != nullptr) {
+    this->permitted->Execute(action.command);
+  } else {
+    this->engine.Execute(action.command);
+  }
+}
+
+void AgentHost::Run(const agent::ReadTurns& action) {
+  this->parts.log.ReadFrom(
+      action.stream, action.from, Duration::zero(),
+      [this,
+       later = this->Later()](const Result<platform::ILog::Read>& result) {
+        later([this, result] {
+          this->decisions->OnTurnsRead(result, this->parts.queue.now());
+        });
+      });
+}
+
+void AgentHost::Run(const agent::AppendTurn& action) {
+  this->parts.log.Append(
+      action.stream, action.payload,
+      [this, later = this->Later()](const Result<LogOffset>& result) {
+        later([this, result] {
+          this->decisions->OnTurnAppended(result, this->parts.queue.now());
+        });
+      });
 }
 
 }  // namespace acacialug::scenario
--- a/src/scenario/internal/agent_host.h
+++ b/src/scenario/internal/agent_host.h
@@ -6,9 +6,11 @@
 #include <string>
 
 #include "agent/agent_core.h"
+#include "agent_process/permitted_engine.h"
 #include "scenario/internal/engine_host.h"
 #include "scenario/internal/manifest_feed.h"
 #include "scenario/internal/process.h"
+#include "scenario/internal/weight_permits.h"
 #include "scenario/internal/world_parts.h"
 
 namespace acacialug::scenario {
@@ -27,6 +29,7 @@
   // Call once, after construction.
   void Start();
 
+  protocol::EndpointRole role() const { return this->engine.role(); }
   agent::AgentCore& core() { return *this->decisions; }
   const agent::AgentCore& core() const { return *this->decisions; }
   ManifestFeed& feed() { return this->manifests; }
@@ -53,9 +56,14 @@
   std::function<void(std::function<void()>)> Later();
 
   void FollowPeers(Instant now);
+  // Puts the real rule of permits between decisions and engine.
+  void UsePermits();
+
   void Run(const agent::SendToEntry& action);
   void Run(const agent::CloseSession& action);
   void Run(const agent::ExecuteOnEngine& action);
+  void Run(const agent::ReadTurns& action);
+  void Run(const agent::AppendTurn& action);
 
   WorldParts parts;
   EngineHost& engine;
@@ -63,6 +71,8 @@
   Incarnation start;
   ManifestFeed manifests;
   std::unique_ptr<agent::AgentCore> decisions;
+  HostedEngine* hosted = nullptr;  // owned by `permitted`
+  std::unique_ptr<agent_process::PermittedEngine> permitted;
 };
 
 }  // namespace acacialug::scenario
--- a/src/scenario/internal/checker.cc
+++ b/src/scenario/internal/checker.cc
@@ -100,6 +100,27 @@
   }
 }
 
+void Checker::OnTakenOut(const EndpointId& endpoint,
+                         const manifest::Manifest* manifest,
+                         const std::set<std::string>& out) {
+  const manifest::Endpoint* record =
+      manifest == nullptr ? nullptr : manifest->FindEndpoint(endpoint);
+  if (record == nullptr || record->leaving ||
+      this->draining.contains(endpoint)) {
+    return;  // it serves nobody
+  }
+  const std::vector<EndpointId> members =
+      manifest->PoolMembers(record->service, record->role);
+  std::size_t serving = 0;
+  for (const EndpointId& member : members) {
+    serving += out.contains(member.text) ? 0 : 1;
+  }
+  if (serving <
+      manifest->MinimumServing(record->service, record->role, members.size())) {
+    this->Report(endpoint.text + ": its pool is below its floor by orders");
+  }
+}
+
 void Checker::OnDrain(const EndpointId& endpoint) {
   this->draining.emplace(endpoint, this->queue.now());
 }
--- a/src/scenario/internal/checker.h
+++ b/src/scenario/internal/checker.h
@@ -64,6 +64,12 @@
   // While true, entries may be late to hear who leaves.
   void SetDisturbed(bool is_disturbed);
 
+  // An order takes the endpoint out of service; `out`: all that are, it among
+  // them. `manifest`: in force at its agent.
+  void OnTakenOut(const EndpointId& endpoint,
+                  const manifest::Manifest* manifest,
+                  const std::set<std::string>& out);
+
   // ---- messages and commands ----
   void OnSend(const std::string& entry_name,
               Incarnation entry,
--- a/src/scenario/internal/engine_host.cc
+++ b/src/scenario/internal/engine_host.cc
@@ -37,6 +37,7 @@
                      .role = decodes ? standin::EngineRole::kDecode
                                      : standin::EngineRole::kPrefill,
                      .model = "m",
+                     .load_time = options.load_time,
                      .slots = options.slots,
                      .kv_tokens = decodes ? options.kv_tokens : 0},
           .now = now},
@@ -97,6 +98,18 @@
   return this->queue.now() < this->stalled_until;
 }
 
+bool EngineHost::loading() const {
+  return this->model &&
+         this->model->engine_model().state(this->queue.now()).loading;
+}
+
+std::string EngineHost::version() const {
+  return this->model ? this->model->engine_model()
+                           .state(this->queue.now())
+                           .order.version
+                     : "";
+}
+
 std::vector<standin::HeldRequest> EngineHost::held() const {
   return this->model ? this->model->engine_model().held()
                      : std::vector<standin::HeldRequest>{};
--- a/src/scenario/internal/engine_host.h
+++ b/src/scenario/internal/engine_host.h
@@ -41,6 +41,9 @@
   void Restart();
   void StallTransfers(bool is_out);
   bool stalled() const;
+  bool loading() const;
+  // Of the model that it has.
+  std::string version() const;
 
   // ---- what the checker looks at ----
   std::vector<standin::HeldRequest> held() const;
--- a/src/scenario/internal/explorer.cc
+++ b/src/scenario/internal/explorer.cc
@@ -101,6 +101,11 @@
                 ? std::set<std::string>{}
                 : std::set<std::string>{EndpointOf(event.first)});
         break;
+      case EventKind::kOrder:
+        this->world.SetModelVersion(std::to_string(event.second));
+        this->world.Publish("order " + std::to_string(event.second),
+                            this->world.OffsetOf("entry e1"), {});
+        break;
       default:
         this->DoProcess(event);
         break;
--- a/src/scenario/internal/manifest_text.cc
+++ b/src/scenario/internal/manifest_text.cc
@@ -5,15 +5,19 @@
 namespace acacialug::scenario {
 namespace {
 
-constexpr char kServices[] = R"(domains = ["a"]
+constexpr char kModelService[] = R"(domains = ["a"]
 [[service]]
 name = "lm"
 kind = "model"
 models = ["m"]
-  [[service.class]]
+)";
+
+constexpr char kModelClass[] = R"(  [[service.class]]
   name = "interactive"
   first_token = "20s"
-[[service]]
+)";
+
+constexpr char kPlainService[] = R"([[service]]
 name = "app"
 kind = "plain"
   [[service.class]]
@@ -28,6 +32,21 @@
   std::uint32_t count = 0;
 };
 
+// What the model service's engines are ordered to be. Some of it belongs to
+// the service's own table, and so it stands before the next one.
+std::string OrdersText(const WorldOptions& options) {
+  std::string text;
+  for (const std::string& adapter : options.adapters) {
+    text += "  [[service.adapters]]\n  name = \"" + adapter +
+            "\"\n  version = \"1\"\n";
+  }
+  if (options.minimum_serving > 0) {
+    text += "  [[service.pool]]\n  role = \"decode\"\n  minimum_serving = " +
+            std::to_string(options.minimum_serving) + "\n";
+  }
+  return text;
+}
+
 }  // namespace
 
 std::string ManifestText(const WorldOptions& options,
@@ -36,7 +55,9 @@
                          const std::set<std::string>& leaving) {
   std::string text = "version = \"" + version +
                      "\"\nreplaces = " + std::to_string(replaces.value) + "\n" +
-                     kServices;
+                     kModelService + "model_version = \"" +
+                     options.model_version + "\"\n" + kModelClass +
+                     OrdersText(options) + kPlainService;
   std::uint32_t port = 7001;
   for (const Pool& pool : {Pool{"p", "lm", "prefill", options.prefill},
                            Pool{"d", "lm", "decode", options.decode},
--- a/src/scenario/internal/scenario_script.cc
+++ b/src/scenario/internal/scenario_script.cc
@@ -104,6 +104,9 @@
           given.TimeField("network_delay", options.network_delay);
       options.log_delay = given.TimeField("log_delay", options.log_delay);
       options.retention = given.TimeField("retention", options.retention);
+      options.load_time = given.TimeField("load_time", options.load_time);
+      number("permits", options.permits);
+      number("minimum_serving", options.minimum_serving);
       this->KeepViolations();
       this->world = std::make_unique<World>(options);
       this->world->Run(2s);  // everybody is connected
@@ -249,6 +252,11 @@
     this->lua.Set("publish", [this](LuaArguments& given) {
       World& here = this->Here();
       const std::vector<std::string> leaving = given.ListField("leaving");
+      here.SetModelVersion(
+          given.TextField("model_version", here.options().model_version));
+      here.SetAdapters(given.ListField("adapters"));
+      here.SetMinimumServing(static_cast<std::uint32_t>(given.IntegerField(
+          "minimum_serving", here.options().minimum_serving)));
       const auto current =
           static_cast<std::int64_t>(here.OffsetOf("entry e1").value);
       here.Publish(given.TextField("version", "v2"),
@@ -296,6 +304,21 @@
     this->lua.Set("endpoint_of", [this](LuaArguments& given) {
       given.Return(this->Here().DecodesAt(this->Asked(given).number));
     });
+    this->lua.Set("engine_version", [this](LuaArguments& given) {
+      given.Return(this->Here().EngineVersion(given.Text(1)));
+    });
+    this->lua.Set("out", [this](LuaArguments& given) {
+      given.Return(this->Here().OrdersAt(given.Text(1)).out);
+    });
+    this->lua.Set("before", [this](LuaArguments& given) {
+      const auto before = this->Here().OrdersAt(given.Text(1)).before;
+      given.Return(before ? static_cast<std::int64_t>(*before)
+                          : std::int64_t{-1});
+    });
+    this->lua.Set("appends", [this](LuaArguments& given) {
+      given.Return(static_cast<std::int64_t>(
+          this->Here().OrdersAt(given.Text(1)).appends));
+    });
     this->lua.Set("resumed", [this](LuaArguments& given) {
       given.Return(static_cast<std::int64_t>(
           this->Here().entry_counters().streams_resumed));
--- a/src/scenario/internal/world_checks.cc
+++ b/src/scenario/internal/world_checks.cc
@@ -69,6 +69,35 @@
   }
 }
 
+// One whose agent died in its turn stays out until its successor has brought
+// it back.
+bool World::OutByOrder(const std::string& endpoint) const {
+  const auto agent = this->FindAgent(endpoint);
+  if (agent == nullptr) {
+    return this->out.contains(endpoint);
+  }
+  const agent::OrderStatus status = agent->core().order_status();
+  return status.out || this->engines.at(endpoint)->loading() ||
+         (this->out.contains(endpoint) && !status.confirmed &&
+          status.wish != turns::TurnWish::kTurn);
+}
+
+void World::LookAtPools() {
+  for (const auto& [id, agent] : this->agents) {
+    if (agent->role() == protocol::EndpointRole::kPlain) {
+      continue;
+    }
+    if (!this->OutByOrder(id)) {
+      this->out.erase(id);
+    } else if (this->out.insert(id).second) {
+      const auto* held = agent->feed().follower().in_force();
+      this->rules.OnTakenOut(EndpointId(id),
+                             held == nullptr ? nullptr : held->manifest.get(),
+                             this->out);
+    }
+  }
+}
+
 bool World::Wanted(const AttemptId& attempt) const {
   const std::uint64_t number = attempt.request.low;
   return number >= 1 && number <= this->asking.requests().size() &&
@@ -130,7 +159,12 @@
          std::all_of(this->entries.begin(), this->entries.end(),
                      [](const auto& item) {
                        return item.second->core().alive_requests() == 0;
-                     });
+                     }) &&
+         std::all_of(
+             this->agents.begin(), this->agents.end(), [](const auto& item) {
+               return item.second->role() == protocol::EndpointRole::kPlain ||
+                      item.second->core().order_status().confirmed;
+             });
 }
 
 void World::CheckLeftOvers() {
@@ -146,6 +180,10 @@
     }
   }
   for (const auto& [id, agent] : this->agents) {
+    if (agent->role() != protocol::EndpointRole::kPlain &&
+        !agent->core().order_status().confirmed) {
+      this->rules.Report(id + ": its engine is not as the manifest says");
+    }
     if (!agent->core().held_attempts().empty()) {
       this->rules.Report(id + ": a reservation left behind");
     }
--- a/src/scenario/internal/world_parts.h
+++ b/src/scenario/internal/world_parts.h
@@ -7,6 +7,7 @@
 #include "once/work_key.h"
 #include "scenario/internal/manifest_feed.h"
 #include "scenario/types/world_options.h"
+#include "standin/platform_models.h"
 
 namespace acacialug::scenario {
 
@@ -30,6 +31,7 @@
   Callers& callers;
   Checker& checker;
   std::function<PeerManifest(LogOffset)> peer_manifest;
+  standin::WeightStoreModel* weights;  // null: loads need no permit
 };
 
 }  // namespace acacialug::scenario
--- a/src/scenario/tests/scenario_test.cc
+++ b/src/scenario/tests/scenario_test.cc
@@ -93,7 +93,10 @@
            {.hear_of_manifests = false}},
           {"the sequence check",
            "doubled_and_late_chunks",
-           {.entry = {.check_sequence = false}}}},
+           {.entry = {.check_sequence = false}}},
+          {"the turn before an order",
+           "rolling_change",
+           {.agent = {.wait_for_turn = false}}}},
          [](const RuleOff& row) { return row.rule; },
          [](const RuleOff& row) {
            const ScenarioResult without = RunNamed(row.scenario, row.rules);
--- a/src/scenario/types/world_options.h
+++ b/src/scenario/types/world_options.h
@@ -2,6 +2,8 @@
 #define SCENARIO_TYPES_WORLD_OPTIONS_H_
 
 #include <cstdint>
+#include <string>
+#include <vector>
 
 #include "agent/types/agent_options.h"
 #include "entry/types/entry_options.h"
@@ -29,7 +31,13 @@
   Duration network_delay = 500us;  // one way
   Duration log_delay = 5ms;        // of one append or read
   Duration retention{};            // of the log's records; zero: for ever
+  Duration load_time = 2s;         // of a model version in an engine
+  std::uint32_t permits = 0;       // of the weight store; 0: there is none
   std::uint64_t seed = 1;
+  // What its manifests say from the next one on.
+  std::string model_version;
+  std::vector<std::string> adapters;
+  std::uint32_t minimum_serving = 0;  // of the decode pool; 0: no rule
   WorldRules rules;
 };
 
--- a/src/scenario/world.cc
+++ b/src/scenario/world.cc
@@ -31,13 +31,15 @@
       asking(this->queue,
              this->rules,
              [this](const std::string& name) { return this->FindEntry(name); }),
+      weights({.permits = this->settings.permits, .lease = 60s}),
       parts{this->settings,
             this->queue,
             this->platform_log,
             this->wires,
             this->asking,
             this->rules,
-            [this](LogOffset offset) { return this->FindManifest(offset); }} {
+            [this](LogOffset offset) { return this->FindManifest(offset); },
+            this->settings.permits > 0 ? &this->weights : nullptr} {
   this->Publish("v1", {}, {});
   this->Run(this->settings.log_delay * 3);
   this->AddEndpoints();
@@ -143,6 +145,7 @@
     this->queue.RunNext();
   }
   this->EndDrained();
+  this->LookAtPools();
   return true;
 }
 
@@ -256,6 +259,16 @@
   return sum;
 }
 
+std::string World::EngineVersion(const std::string& endpoint) const {
+  const auto found = this->engines.find(endpoint);
+  return found == this->engines.end() ? "" : found->second->version();
+}
+
+agent::OrderStatus World::OrdersAt(const std::string& endpoint) const {
+  const auto agent = this->FindAgent(endpoint);
+  return agent == nullptr ? agent::OrderStatus{} : agent->core().order_status();
+}
+
 std::size_t World::HeldBy(const std::string& endpoint) const {
   const auto found = this->engines.find(endpoint);
   return found == this->engines.end() ? 0 : found->second->held().size();
--- a/src/scenario/world.h
+++ b/src/scenario/world.h
@@ -80,6 +80,21 @@
   void Publish(const std::string& version,
                LogOffset replaces,
                const std::set<std::string>& leaving);
+  // What the manifests from the next one on say of the model service.
+  void SetModelVersion(const std::string& model_version) {
+    this->settings.model_version = model_version;
+  }
+  void SetAdapters(const std::vector<std::string>& adapters) {
+    this->settings.adapters = adapters;
+  }
+  void SetMinimumServing(std::uint32_t count) {
+    this->settings.minimum_serving = count;
+  }
+  // The model version that an engine has; empty for no such engine.
+  std::string EngineVersion(const std::string& endpoint) const;
+  // Of an agent that runs.
+  agent::OrderStatus OrdersAt(const std::string& endpoint) const;
+
   // What is in force in a process; zero and empty when it does not run.
   LogOffset OffsetOf(const std::string& process) const;
   std::string VersionOf(const std::string& process) const;
@@ -114,6 +129,10 @@
   // Somebody still waits for what the attempt is for.
   bool Wanted(const AttemptId& attempt) const;
   void LookEvery();
+  // Looks for endpoints that orders have taken out of service, and whether
+  // their pools could spare them.
+  void LookAtPools();
+  bool OutByOrder(const std::string& endpoint) const;
   bool Idle() const;
   void CheckLeftOvers();
   bool Disturbed() const;
@@ -125,6 +144,7 @@
   PlatformLog platform_log;
   Network wires;
   Callers asking;
+  standin::WeightStoreModel weights;
   WorldParts parts;
   standin::KvNetwork kv_network;
   std::map<std::string, std::unique_ptr<EngineHost>> engines;
@@ -133,6 +153,7 @@
   std::map<std::string, Instant> started;  // processes that run
   std::set<std::string> stopped;           // entries that are to stay away
   std::set<std::string> draining;          // entries
+  std::set<std::string> out;               // endpoints, by orders
   std::uint64_t last_publication = 0;
   std::uint64_t steps_at_once = 0;
 };
--- /dev/null
+++ b/src/turns/internal/turn_book.cc
@@ -0,0 +1,97 @@
+#include "turns/turn_book.h"
+
+#include <algorithm>
+
+namespace acacialug::turns {
+
+void TurnBook::Apply(LogOffset offset, const std::string& payload) {
+  if (offset <= this->through) {
+    return;
+  }
+  this->through = offset;
+  const Result<TurnRecord> record = DecodeTurn(payload);
+  if (!record.ok()) {
+    return;
+  }
+  if (record->kind == TurnRecordKind::kRelease) {
+    this->Close(*record);
+  } else {
+    this->Open(offset, *record);
+  }
+}
+
+void TurnBook::Open(LogOffset offset, const TurnRecord& record) {
+  if (this->IsClosed(record.endpoint, record.id)) {
+    return;
+  }
+  const auto found = this->by_endpoint.find(record.endpoint);
+  if (found != this->by_endpoint.end()) {
+    Claim& claim = this->claims.at(found->second);
+    if (claim.id == record.id) {
+      claim.newest = offset;
+    }
+    return;
+  }
+  // Of a copy the first record may be gone from the log; the place in the
+  // order is still that one's. Two claims of one place: the copy names what
+  // it cannot know, and goes behind.
+  LogOffset since =
+      record.since.value == 0 || record.since > offset ? offset : record.since;
+  if (this->claims.contains(since)) {
+    since = offset;
+  }
+  this->claims.emplace(since, Claim{.endpoint = record.endpoint,
+                                    .id = record.id,
+                                    .since = since,
+                                    .newest = offset});
+  this->by_endpoint.emplace(record.endpoint, since);
+}
+
+void TurnBook::Close(const TurnRecord& record) {
+  const auto found = this->by_endpoint.find(record.endpoint);
+  if (found != this->by_endpoint.end() &&
+      this->claims.at(found->second).id == record.id) {
+    this->claims.erase(found->second);
+    this->by_endpoint.erase(found);
+  }
+  if (this->IsClosed(record.endpoint, record.id)) {
+    return;
+  }
+  std::deque<std::uint64_t>& kept = this->closed[record.endpoint];
+  kept.push_back(record.id);
+  if (kept.size() > kClosedKept) {
+    kept.pop_front();
+  }
+}
+
+const TurnBook::Claim* TurnBook::OpenClaimOf(const EndpointId& endpoint) const {
+  const auto found = this->by_endpoint.find(endpoint);
+  return found == this->by_endpoint.end() ? nullptr
+                                          : &this->claims.at(found->second);
+}
+
+std::optional<std::size_t> TurnBook::RankOf(
+    const EndpointId& endpoint,
+    const std::set<EndpointId>& members) const {
+  const Claim* own = this->OpenClaimOf(endpoint);
+  if (own == nullptr) {
+    return std::nullopt;
+  }
+  std::size_t rank = 0;
+  for (const auto& [since, claim] : this->claims) {
+    if (since >= own->since) {
+      break;
+    }
+    rank += members.contains(claim.endpoint) ? 1 : 0;
+  }
+  return rank;
+}
+
+bool TurnBook::IsClosed(const EndpointId& endpoint, std::uint64_t id) const {
+  const auto found = this->closed.find(endpoint);
+  return found != this->closed.end() &&
+         std::find(found->second.begin(), found->second.end(), id) !=
+             found->second.end();
+}
+
+}  // namespace acacialug::turns
--- /dev/null
+++ b/src/turns/internal/turn_record.cc
@@ -0,0 +1,59 @@
+#include "turns/types/turn_record.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace acacialug::turns {
+namespace {
+
+using Json = nlohmann::json;
+
+std::optional<std::uint64_t> NumberOf(const Json& object, const char* key) {
+  const auto found = object.find(key);
+  if (found == object.end() || !found->is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return found->get<std::uint64_t>();
+}
+
+std::string TextOf(const Json& object, const char* key) {
+  const auto found = object.find(key);
+  return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
+}
+
+}  // namespace
+
+std::string EncodeTurn(const TurnRecord& record) {
+  return Json{{"kind", NameOf(kTurnRecordKindNames, record.kind)},
+              {"endpoint", record.endpoint.text},
+              {"id", record.id},
+              {"manifest", record.manifest.value},
+              {"since", record.since.value}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<TurnRecord> DecodeTurn(std::string_view payload) {
+  const Error malformed(ResultCode::kPlatformBadAnswer,
+                        "record is no claim or release of a turn");
+  const Json object = Json::parse(payload, nullptr, false);
+  if (!object.is_object()) {
+    return malformed;
+  }
+  const auto kind = ValueOf(kTurnRecordKindNames, TextOf(object, "kind"));
+  const auto id = NumberOf(object, "id");
+  const auto manifest = NumberOf(object, "manifest");
+  const auto since = NumberOf(object, "since");
+  TurnRecord record{.endpoint = EndpointId(TextOf(object, "endpoint"))};
+  if (!kind || !id || *id == 0 || !manifest || !since ||
+      record.endpoint.text.empty()) {
+    return malformed;
+  }
+  record.kind = *kind;
+  record.id = *id;
+  record.manifest = LogOffset(*manifest);
+  record.since = LogOffset(*since);
+  return record;
+}
+
+}  // namespace acacialug::turns
--- /dev/null
+++ b/src/turns/turn_keeper.h
@@ -0,0 +1,141 @@
+#ifndef TURNS_TURN_KEEPER_H_
+#define TURNS_TURN_KEEPER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "framework/global/random_source.h"
+#include "framework/global/types/enum_names.h"
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/instant.h"
+#include "framework/global/types/result.h"
+#include "platform/i_log.h"
+#include "turns/turn_book.h"
+
+namespace acacialug::turns {
+
+// ---- what a keeper asks of the process around it ----
+
+struct ReadTurns {
+  std::string stream;
+  LogOffset from;
+};
+struct AppendTurn {
+  std::string stream;
+  std::string payload;
+};
+using TurnAction = std::variant<ReadTurns, AppendTurn>;
+
+// What the endpoint's state asks for.
+enum class TurnWish : std::uint8_t {
+  kNone,  // it serves as it should: whatever it claimed is given back
+  kKeep,  // not known, or it does not serve: neither claims nor gives back
+  kTurn,  // it serves, and has to be taken out for an order
+};
+inline constexpr EnumNames<TurnWish, 3> kTurnWishNames = {{
+    {TurnWish::kNone, "none"},
+    {TurnWish::kKeep, "keep"},
+    {TurnWish::kTurn, "turn"},
+}};
+
+// The pool as the manifest in force at this process has it.
+struct TurnPool {
+  std::string stream;            // of the platform's log
+  std::set<EndpointId> members;  // those that are not leaving
+  std::size_t allowed_out = 0;   // of the members, at once
+  LogOffset manifest;
+};
+
+struct TurnOptions {
+  EndpointId endpoint;
+  // A turn is used only on a reading of the stream that began within this
+  // time: a process that was paused, or that has lost the log, reads again.
+  Duration fresh_for = 5s;
+  Duration shortest_poll = 1s;  // of who may go next
+  Duration longest_poll = 30s;  // of who is far behind
+  // Spreads a pool's first appends: this much for each member.
+  Duration spread_per_member = 50ms;
+  Duration retry_first = 500ms;  // after a failure, doubled
+  Duration retry_most = 30s;     // up to this
+  // An open claim is copied when its newest record was read so long ago, by
+  // whoever reads; well below the log's retention.
+  Duration copy_after = 1h;
+};
+
+// Takes the endpoint's place in its pool's order, keeps it, and gives it back.
+// One read or append at a time; an append's answer is never believed, only
+// what is read. Not thread safe; `now` never goes backwards.
+class TurnKeeper {
+ public:
+  TurnKeeper(TurnOptions turn_options, RandomSource& random_source);
+
+  // Call at each change. Another stream than before starts anew.
+  void SetPool(TurnPool pool, Instant now);
+  void SetWish(TurnWish wish, Instant now);
+
+  void OnRead(const Result<platform::ILog::Read>& read, Instant now);
+  void OnAppended(const Result<LogOffset>& result, Instant now);
+  void OnTimer(Instant now);
+  Instant next_timer() const;
+  std::vector<TurnAction> TakeActions();
+
+  // Other members whose claim stands before this endpoint's, if it may be
+  // taken out now as far as their number tells; else empty.
+  std::optional<std::size_t> TurnAt(Instant now) const;
+
+  // The same by what was read last, whatever its age and the number allowed.
+  std::optional<std::size_t> Rank() const {
+    return this->turn_book.RankOf(this->options.endpoint, this->pool.members);
+  }
+
+  const TurnBook& book() const { return this->turn_book; }
+  std::uint64_t appends() const { return this->append_count; }
+
+ private:
+  void Forget();
+  void Pursue(Instant now);
+  void Read(Instant now);
+  void ReadAgainAt(Instant when);
+  void Append(const TurnRecord& record);
+  bool NeedsRelease() const;
+  void Claim();
+  void Release();
+  // A copy that is due, if there is one.
+  bool CopyOne(Instant now);
+  void NoteCopies(Instant now);
+  Duration PollInterval();
+  void RetryLater(Instant now);
+  Instant Spread(Instant now);
+
+  TurnOptions options;
+  RandomSource& random;
+  TurnPool pool;
+  TurnWish wish = TurnWish::kKeep;
+  TurnBook turn_book;
+  bool busy = false;  // a read or an append is under way
+  bool read_to_end = false;
+  bool settled = true;  // nothing to do until the wish changes
+  Instant due = kNever;
+  Instant read_began{};
+  std::optional<Instant> verified_at;
+  Duration retry{};            // of what failed
+  Duration append_retry{};     // of appends without an answer
+  Instant append_at{};         // the next one not before
+  std::uint64_t claim_id = 0;  // claimed, and not known to be closed
+  LogOffset claim_since;       // where it was read first
+  // When the newest record of each open claim was read here.
+  std::map<EndpointId, std::pair<LogOffset, Instant>> copies;
+  std::uint64_t append_count = 0;
+  std::vector<TurnAction> actions;
+};
+
+}  // namespace acacialug::turns
+
+#endif  // TURNS_TURN_KEEPER_H_
