Measure the time until a change is in force, and recovery

Cause: docs/CAPACITY.md named both as not measured: how long a published manifest takes to reach every process, and what callers see after many agents or a failure domain die.

--- a/buildscripts/bench.py
+++ b/buildscripts/bench.py
@@ -3,10 +3,11 @@
 
     bench.py path [--quick]
     bench.py decisions [--quick] [--parallel=N] [--only=WORD[,WORD...]]
-    bench.py scale
+    bench.py scale [--quick] [--only=PART[,PART...]]
 
 --only keeps the cells whose name (DEPLOYMENT/LOAD/POLICY/FAULT/SEED) holds
-one of the words.
+one of the words; of `scale`, the parts aggregates, processes, in_force,
+recovery, beside what an earlier run wrote of the others.
 """
 
 import sys
@@ -22,14 +23,14 @@
                    for argument in arguments if "=" in argument)
     names = [argument for argument in arguments
              if not argument.startswith("--")]
+    only = [word for word in options.get("only", "").split(",") if word]
     if names == ["path"]:
         return bench_path.run(quick)
     if names == ["decisions"]:
-        only = [word for word in options.get("only", "").split(",") if word]
         return bench_decisions.run(quick, int(options.get("parallel", "4")),
                                    only)
     if names == ["scale"]:
-        return scale.run()
+        return scale.run(quick, only)
     print(__doc__, file=sys.stderr)
     return 2
 
--- a/buildscripts/bench.sh
+++ b/buildscripts/bench.sh
@@ -6,8 +6,10 @@
 #                                               request, and what it carries
 #   buildscripts/bench.sh decisions [--quick]   goodput and wasted prefill by
 #                                               policy, load and fault
-#   buildscripts/bench.sh scale                 what each aggregate costs by
-#                                               size, and a few idle processes
+#   buildscripts/bench.sh scale [--quick]       what each aggregate costs by
+#                                               size, a few idle processes, the
+#                                               time until a change is in force,
+#                                               recovery after many deaths
 set -euo pipefail
 cd "$(dirname "$0")/.."
 buildscripts/install.sh
--- a/buildscripts/deployment.py
+++ b/buildscripts/deployment.py
@@ -13,6 +13,7 @@
 import sys
 import time
 
+import publication
 from deployment_shapes import DEPLOYMENTS
 from loopback import BUILD, Process, free_port, get, give_back
 from settings_file import settings_text
@@ -39,15 +40,19 @@
 
     The policies have the settings' own names; `order` is the entries', of the
     requests that wait for a place, `agent_order` that of admitted prefills. Engines of one process share its thread: `engines_a_process`
-    bounds how many.
+    bounds how many. `from_log`: the manifest comes from the platform's log
+    in place of a file.
     """
 
     def __init__(self, deployment, folder, reservation="hold",
                  order="arrival", agent_order="arrival",
                  placement="predicted", counts_queue=True,
                  engines_a_process=8, entry_shards=2, log_level="warning",
-                 seed=1, renew_interval_ms=1000):
+                 seed=1, renew_interval_ms=1000, from_log=False,
+                 ready_seconds=READY_SECONDS):
         self.deployment = deployment
+        self.from_log = from_log
+        self.ready_seconds = ready_seconds
         self.folder = pathlib.Path(folder)
         self.policy = {"reservation": reservation,
                        "feasibility_counts_queue": counts_queue}
@@ -112,10 +117,11 @@
 
     # ---- settings ----
 
-    def manifest_text(self):
+    def manifest_text(self, number=1, replaces=0):
         deployment, model = self.deployment, self.deployment.model
         plain, shape = deployment.plain, deployment.model.engine
-        sections = [("", {"version": f"{deployment.name}.1", "replaces": 0,
+        sections = [("", {"version": f"{deployment.name}.{number}",
+                          "replaces": replaces,
                           "domains": list(deployment.domains),
                           "require_known_callers": False})]
         for index, one in enumerate(deployment.domains):
@@ -189,6 +195,15 @@
             "transfer_setup": f"{shape.transfer_setup_ms}ms",
             "load_lag": f"{shape.load_lag_ms}ms"})
 
+    def _manifest_keys(self):
+        return {} if self.from_log else {
+            "file": str(self.folder / "manifest.toml")}
+
+    def _peer_keys(self):
+        return {"peers": [f"127.0.0.1:{port}"
+                          for port in self.entry_operations]
+                } if self.from_log else {}
+
     def _agent_text(self, endpoint):
         engine = self.deployment.model.engine
         return settings_text([
@@ -200,8 +215,9 @@
             ("[engine]", {
                 "address": f"127.0.0.1:{endpoint.engine_port}",
                 "kind": "plain" if endpoint.role == "plain" else "openai"}),
-            ("[manifest]", {"file": str(self.folder / "manifest.toml")}),
-            ("[platform]", {"log": f"127.0.0.1:{self.log_port}"}),
+            ("[manifest]", self._manifest_keys()),
+            ("[platform]", {"log": f"127.0.0.1:{self.log_port}"} |
+             self._peer_keys()),
             ("[policy]", self.policy | {
                 "session_lease": f"{3 * self.renew_interval_ms}ms",
                 "order": self.agent_order, "export_lifetime": f"{engine.export_lifetime_ms}ms"}),
@@ -216,9 +232,10 @@
                 "operations_listen":
                     f"127.0.0.1:{self.entry_operations[index]}",
                 "shards": self.entry_shards}),
-            ("[manifest]", {"file": str(self.folder / "manifest.toml")}),
+            ("[manifest]", self._manifest_keys()),
             ("[platform]", {"log": f"127.0.0.1:{self.log_port}",
-                            "hosts": f"127.0.0.1:{self.hosts_port}"}),
+                            "hosts": f"127.0.0.1:{self.hosts_port}"} |
+             self._peer_keys()),
             ("[policy]", self.policy | {
                 "renew_interval": f"{self.renew_interval_ms}ms",
                 "order": self.order, "placement": self.placement}),
@@ -254,6 +271,8 @@
                 settings_text(records[first:first + self.engines_a_process]))
         self._await("/health", [endpoint.engine_port
                                 for endpoint in self.endpoints])
+        if self.from_log:
+            publication.publish(self.log_port, self.manifest_text())
         for endpoint in self.endpoints:
             self._spawn(f"agent-{endpoint.id}", "agent",
                         self._agent_text(endpoint))
@@ -279,7 +298,7 @@
                     if process.name == name)
 
     def _await(self, path, ports):
-        deadline = time.monotonic() + READY_SECONDS
+        deadline = time.monotonic() + self.ready_seconds
         waiting = list(ports)
         while waiting:
             waiting = [port for port in waiting if get(port, path)[0] != 200]
@@ -293,7 +312,7 @@
                     dead[0].log.read_text(errors="replace")[-2000:])
             if time.monotonic() > deadline:
                 raise RuntimeError(f"ports {waiting} are not ready ({path}) "
-                                   f"after {READY_SECONDS} s; logs in "
+                                   f"after {self.ready_seconds} s; logs in "
                                    f"{self.folder}")
             time.sleep(0.05)
 
--- a/buildscripts/scale.py
+++ b/buildscripts/scale.py
@@ -14,6 +14,8 @@
 import load_plan
 import loopback
 import machine
+import scale_recovery
+import scale_spread
 
 OUTPUT = loopback.BUILD / "bench/scale.json"
 BENCH = loopback.BUILD / "src/scale/scale_bench"
@@ -159,17 +161,35 @@
                       for program in ("entry", "agent")}}
 
 
-def run():
+def aggregates():
+    subprocess.run([str(BENCH), str(OUTPUT) + ".rows"], check=True,
+                   timeout=600)
+    return json.loads(pathlib.Path(str(OUTPUT) + ".rows").read_text())
+
+
+# Each part of the report, which keeps what another run measured of the rest.
+PARTS = {
+    "aggregates": lambda quick: aggregates(),
+    "processes": lambda quick: {"processes": processes()},
+    "in_force": lambda quick: {"in_force": scale_spread.run(quick)},
+    "recovery": lambda quick: {"recovery": scale_recovery.run(quick)},
+}
+
+
+def run(quick=False, only=()):
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
-    with machine.ProcessorWatch() as watch:
-        subprocess.run([str(BENCH), str(OUTPUT)], check=True, timeout=600)
-        report = json.loads(OUTPUT.read_text())
-        report["processes"] = processes()
-    report["machine"] = watch.figures() | {
-        "memory_gb": round(os.sysconf("SC_PAGE_SIZE") *
-                           os.sysconf("SC_PHYS_PAGES") / 1e9)}
-    OUTPUT.write_text(json.dumps(report, indent=1) + "\n")
-    print(json.dumps({key: report[key] for key in ("processes", "machine")},
-                     indent=1))
+    report = json.loads(OUTPUT.read_text()) if only and OUTPUT.exists() else {}
+    memory = round(os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") /
+                   1e9)
+    for name, measure in PARTS.items():
+        if only and name not in only:
+            continue
+        with machine.ProcessorWatch() as watch:
+            report |= measure(quick)
+        report["machine"] = report.get("machine", {}) | {
+            name: watch.figures() | {"memory_gb": memory}}
+        OUTPUT.write_text(json.dumps(report, indent=1) + "\n")
+    print(json.dumps({key: report[key] for key in ("processes", "machine")
+                      if key in report}, indent=1))
     print(f"scale: {OUTPUT}", file=sys.stderr)
     return 0
--- a/src/load/accounting.cc
+++ b/src/load/accounting.cc
@@ -112,9 +112,36 @@
           std::min(entry.usage.cached_tokens, entry.usage.prompt_tokens);
     }
   }
+  figures.timeline = this->SumTimeline();
   return figures;
 }
 
+Timeline Accounting::SumTimeline() const {
+  Timeline timeline{.begun = this->measured_from - this->plan.warm_up};
+  for (const Entry& entry : this->entries) {
+    if (entry.direct || entry.arrived < timeline.begun) {
+      continue;
+    }
+    const auto step = static_cast<std::size_t>(
+        (entry.arrived - timeline.begun) / kTimelineStep);
+    if (step >= timeline.offered.size()) {
+      timeline.offered.resize(step + 1);
+      timeline.on_time.resize(step + 1);
+      timeline.failed.resize(step + 1);
+      timeline.slowest.resize(step + 1);
+    }
+    ++timeline.offered[step];
+    if (entry.outcome != RequestOutcome::kCompleted) {
+      ++timeline.failed[step];
+      continue;
+    }
+    timeline.on_time[step] += this->OnTime(entry) ? 1 : 0;
+    timeline.slowest[step] =
+        std::max(timeline.slowest[step], this->FirstToken(entry));
+  }
+  return timeline;
+}
+
 MixFigures Accounting::SumMix(bool generation,
                               std::size_t mix,
                               bool direct) const {
@@ -154,31 +181,35 @@
   return entry.first - entry.arrived + 2 * this->plan.client_one_way;
 }
 
-void Accounting::AddCompleted(const Entry& entry, Sums& sums) const {
+Duration Accounting::TokenInterval(const Entry& entry) {
+  return entry.tokens > 1 ? (entry.last - entry.first) / (entry.tokens - 1)
+                          : Duration::zero();
+}
+
+bool Accounting::OnTime(const Entry& entry) const {
   const Duration first_token = this->FirstToken(entry);
-  sums.first_tokens.push_back(first_token);
   if (!entry.generation) {
-    sums.figures.on_time +=
-        first_token <= this->plan.calls[entry.mix].answer_in ? 1 : 0;
-    return;
+    return first_token <= this->plan.calls[entry.mix].answer_in;
   }
   // A slow reader's own pause is no latency of ours.
   if (entry.slow) {
-    return;
+    return false;
   }
   const GenerationMix& mix = this->plan.generations[entry.mix];
-  const Duration whole = entry.last - entry.first;
   if (!mix.stream) {
-    sums.figures.on_time +=
-        first_token <= mix.first_token + entry.tokens * mix.token_interval ? 1
-                                                                           : 0;
-    return;
+    return first_token <= mix.first_token + entry.tokens * mix.token_interval;
+  }
+  return first_token <= mix.first_token &&
+         TokenInterval(entry) <= mix.token_interval;
+}
+
+void Accounting::AddCompleted(const Entry& entry, Sums& sums) const {
+  sums.first_tokens.push_back(this->FirstToken(entry));
+  sums.figures.on_time += this->OnTime(entry) ? 1 : 0;
+  if (entry.generation && !entry.slow &&
+      this->plan.generations[entry.mix].stream) {
+    sums.intervals.push_back(TokenInterval(entry));
   }
-  const Duration interval =
-      entry.tokens > 1 ? whole / (entry.tokens - 1) : Duration::zero();
-  sums.intervals.push_back(interval);
-  sums.figures.on_time +=
-      first_token <= mix.first_token && interval <= mix.token_interval ? 1 : 0;
 }
 
 }  // namespace acacialug::load
--- a/src/load/accounting.h
+++ b/src/load/accounting.h
@@ -68,6 +68,9 @@
   struct Sums;
 
   MixFigures SumMix(bool generation, std::size_t mix, bool direct) const;
+  Timeline SumTimeline() const;
+  static Duration TokenInterval(const Entry& entry);  // mean
+  bool OnTime(const Entry& entry) const;
   void AddCompleted(const Entry& entry, Sums& sums) const;
   Duration FirstToken(const Entry& entry) const;
 
--- a/src/load/report_text.cc
+++ b/src/load/report_text.cc
@@ -71,6 +71,20 @@
           {"held_after", figures.held_after}};
 }
 
+ordered_json TimelineJson(const Timeline& timeline) {
+  ordered_json slowest = ordered_json::array();
+  for (const Duration& duration : timeline.slowest) {
+    slowest.push_back(Milliseconds(duration));
+  }
+  return {
+      {"begun_monotonic_seconds", Seconds(timeline.begun.time_since_epoch())},
+      {"step_seconds", Seconds(kTimelineStep)},
+      {"offered", timeline.offered},
+      {"on_time", timeline.on_time},
+      {"failed", timeline.failed},
+      {"slowest_ms", std::move(slowest)}};
+}
+
 }  // namespace
 
 std::string ToJson(const LoadReport& report) {
@@ -93,6 +107,7 @@
   for (const MixFigures& mix : report.figures.mixes) {
     object["mixes"].push_back(MixJson(mix, seconds));
   }
+  object["timeline"] = TimelineJson(report.figures.timeline);
   return object.dump(kIndent, ' ', /*ensure_ascii=*/true,
                      ordered_json::error_handler_t::replace) +
          "\n";
--- a/src/load/tests/accounting_test.cc
+++ b/src/load/tests/accounting_test.cc
@@ -106,6 +106,29 @@
           CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, mix.on_time);
           CPPUNIT_ASSERT(mix.first_token.p99 == 101ms);
         }),
+     It("tells by the time of arrival what failed and what was slow",
+        [] {
+          const LoadPlan plan = MakePlan();
+          Accounting accounting(plan);
+          accounting.SetMeasured(kStart + plan.warm_up, kNever);
+          const auto call = [&accounting](Duration arrives, Duration takes,
+                                          RequestOutcome outcome) {
+            const auto id = accounting.Begin(Measured(false), kStart + arrives);
+            accounting.OnOutcome(id, outcome, "", kStart + arrives + takes);
+          };
+          call(0ms, 10ms, RequestOutcome::kCompleted);
+          call(210ms, 200ms, RequestOutcome::kCompleted);
+          call(299ms, 20ms, RequestOutcome::kCompleted);
+          call(300ms, 20ms, RequestOutcome::kUnknown);
+          const Timeline timeline = accounting.Sum().timeline;
+          using Counts = std::vector<std::uint32_t>;
+          CPPUNIT_ASSERT(timeline.begun == kStart);
+          CPPUNIT_ASSERT((Counts{1, 0, 2, 1}) == timeline.offered);
+          CPPUNIT_ASSERT((Counts{1, 0, 1, 0}) == timeline.on_time);
+          CPPUNIT_ASSERT((Counts{0, 0, 0, 1}) == timeline.failed);
+          CPPUNIT_ASSERT(timeline.slowest.at(2) ==
+                         200ms + 2 * plan.client_one_way);
+        }),
      It("takes prefill that no completed request used as wasted", [] {
        const LoadPlan plan = MakePlan();
        Accounting accounting(plan);
--- a/src/load/types/load_figures.h
+++ b/src/load/types/load_figures.h
@@ -58,6 +58,17 @@
   std::map<std::string, std::uint64_t> codes;
 };
 
+// What became of the requests that arrived in each span of kTimelineStep, the
+// first of which begins with the load. Indices are the same in all lists.
+inline constexpr Duration kTimelineStep = 100ms;
+struct Timeline {
+  Instant begun;
+  std::vector<std::uint32_t> offered;
+  std::vector<std::uint32_t> on_time;  // completed within both targets
+  std::vector<std::uint32_t> failed;   // not completed, for whatever reason
+  std::vector<Duration> slowest;       // to first token or whole answer
+};
+
 struct LoadFigures {
   Duration measured{};
   std::vector<MixFigures> mixes;
@@ -69,6 +80,7 @@
   std::uint64_t completed = 0;
   // Prompt tokens of completed generations that their prefill computed.
   std::uint64_t completed_prefill_tokens = 0;
+  Timeline timeline;  // without those past the router
 };
 
 }  // namespace acacialug::load
