--- a/src/configuration/configuration_follower.h
+++ b/src/configuration/configuration_follower.h
@@ -56,8 +56,9 @@
   // must not poll the log. They read once at start, when poked, and while no
   // peer speaks to them.
   bool follow_stream = true;
-  Duration alone_first = 2s;  // from then on, doubled
-  Duration alone_most = 30s;  // up to this
+  // Between its long polls then. A change has to be in force within 4 s, also
+  // at an endpoint that no entry has in its working set.
+  Duration alone_interval = 2s;
 };
 
 // Follows the configuration: the log first, peers when the log is out. What
@@ -113,7 +114,6 @@
   bool heard_from_peer = false;
   bool was_ready = false;
   bool alone = false;
-  Duration alone_delay{};
   bool read_to_end = false;
   bool reading = false;
   bool log_failed = false;
--- a/src/configuration/internal/configuration_follower.cc
+++ b/src/configuration/internal/configuration_follower.cc
@@ -104,9 +104,7 @@
                       ? now
                       : now + this->options.poll_interval;
   } else if (this->alone) {
-    this->timer = now + this->alone_delay;
-    this->alone_delay =
-        std::min(2 * this->alone_delay, this->options.alone_most);
+    this->timer = now + this->options.alone_interval;
   } else if (expects) {
     this->timer = now + this->options.doubted_interval;
   }
@@ -120,9 +118,8 @@
     return;
   }
   this->alone = is_alone;
-  this->alone_delay = this->options.alone_first;
   if (this->alone && !this->reading && !this->log_failed) {
-    this->timer = std::min(this->timer, now + this->alone_delay);
+    this->timer = std::min(this->timer, now + this->options.alone_interval);
   }
 }
 
@@ -147,8 +144,11 @@
   // same instant.
   const double share = 0.5 + 0.5 * this->random.Unit();
   this->timer = now + FromSeconds(Seconds(this->retry_delay) * share);
-  // A process without any manifest asks too: nobody speaks to it yet.
-  if (!this->forced || this->offset() < this->highest_heard) {
+  // A process without any manifest asks too: nobody speaks to it yet. So does
+  // one that reads without being told: with the log out, nothing else would
+  // tell it.
+  if (!this->forced || this->options.follow_stream || this->alone ||
+      this->offset() < this->highest_heard) {
     this->actions.emplace_back(AskPeer{.offset = this->highest_heard});
   }
 }
@@ -177,9 +177,19 @@
     return;  // looked for already
   }
   this->actions.emplace_back(AskPeer{.offset = offset});
-  if (!this->reading && !this->log_failed) {
+  if (this->reading) {
+    return;
+  }
+  if (!this->log_failed) {
     this->timer = now;
+    return;
   }
+  // That peer has just read the log: it may be back, and a wait that grew in
+  // the outage would keep an old manifest in force for seconds.
+  this->retry_delay = this->options.retry_first;
+  this->timer = std::min(
+      this->timer,
+      now + FromSeconds(Seconds(this->retry_delay) * this->random.Unit()));
 }
 
 Status ConfigurationFollower::OnPeerManifest(LogOffset offset,
--- a/src/entry_process/internal/manifest_source.cc
+++ b/src/entry_process/internal/manifest_source.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kReadyCheckInterval{20};
+// Entries bring changes to the agents, within 4 s: after an outage of the log
+// they must not sleep longer than the rest of the way may take.
+constexpr Duration kLongestRetry = 2s;
 
 Result<manifest::Manifest> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -66,6 +69,7 @@
   this->client.emplace(
       configuration_client::ClientOptions{
           .follower = {.author = this->options.author,
+                       .retry_most = kLongestRetry,
                        .retention = this->options.log_retention},
           .log = std::move(this->options.log),
           .on_in_force =
--- a/src/heartbeat/heartbeat_sender.cc
+++ b/src/heartbeat/heartbeat_sender.cc
@@ -14,7 +14,7 @@
 constexpr std::uint32_t kResends = 2;
 // Agents hear of a newer manifest within this, their interval or not. Spread,
 // so that they do not all read the log at once.
-constexpr Duration kNewsWithin = 1500ms;
+constexpr Duration kNewsWithin = 500ms;
 constexpr double kWeightOfNewest = 0.01;
 constexpr double kBytesPerListedSession = sizeof(std::uint32_t);
 
