Publish a change of configuration as a delta of lines

Cause: a change costs the whole manifest's text at every reader, 4.9 MB as a record at the planned size, 130 times over the budget of 6 KB/s, and 57 GB at the log. Change: a record publish_delta holds the steps from the text that is current to the new one, and the new one's digest (XXH3, 128 bits). A delta does not count as a copy of the manifest: checkpoints are made as before. Peers' connections are closed after the answer.

--- a/src/app/ctl/main.cc
+++ b/src/app/ctl/main.cc
@@ -14,6 +14,10 @@
               "",
               "operations ports of entries and agents, IP:PORT,IP:PORT,...");
 DEFINE_string(publisher, "acacialugctl", "who publishes, for the history");
+DEFINE_bool(delta,
+            false,
+            "publish what differs from the current manifest; only once every "
+            "entry and agent knows such records");
 DEFINE_bool(json, false, "print JSON for pipelines");
 DEFINE_string(html, "", "report burn: write one self-contained page there");
 DEFINE_string(timeout, "5s", "longest wait for answers, and of manifest wait");
@@ -51,6 +55,7 @@
       {.log = FLAGS_log,
        .nodes = SplitList(FLAGS_nodes),
        .publisher = FLAGS_publisher,
+       .as_delta = FLAGS_delta,
        .json = FLAGS_json,
        .html_file = FLAGS_html,
        .timeout = *timeout,
--- a/src/configuration/configuration_history.h
+++ b/src/configuration/configuration_history.h
@@ -59,6 +59,10 @@
 // until a checkpoint whose author had read through an offset that this reader
 // has everything after; from there its verdicts equal everyone's.
 //
+// A publish by delta is judged like one of the text that it makes from what is
+// current at its offset. A digest that differs is invalid for everyone: the
+// text that is current is the same for everyone.
+//
 // Not thread safe; no I/O.
 class ConfigurationHistory {
  public:
@@ -86,8 +90,8 @@
   bool judged() const { return this->based; }
   LogOffset applied_through() const { return this->through; }
 
-  // The oldest offset at which the current manifest's text stands in the log
-  // (as publish or checkpoint), newest copy; zero if none.
+  // The newest record with a whole text (publish or checkpoint) from which the
+  // current manifest can be made, by the deltas after it; zero if none.
   LogOffset newest_copy() const { return this->copy; }
 
   // What became of a publication, if it is among the kept judgements.
@@ -108,6 +112,8 @@
 
   void Judge(const HeldBack& held);
   void JudgePublish(const HeldBack& held, Judgement& judgement);
+  void JudgeText(LogOffset offset, std::string text, Judgement& judgement);
+  bool Replaces(LogOffset replaces, Judgement& judgement) const;
   void JudgeCheckpoint(const HeldBack& held);
   static bool CanBeTrue(const HeldBack& checkpoint);
   bool TryBase(const HeldBack& held);
@@ -118,6 +124,7 @@
   LogOffset complete_from;  // all records from here on were applied
   LogOffset through;
   LogOffset copy;
+  LogOffset whole;  // newest accepted text that is known not to be a delta
   std::optional<AcceptedManifest> accepted;
   std::deque<HeldBack> held_back;
   std::deque<Judgement> kept;
--- a/src/configuration/internal/configuration_history.cc
+++ b/src/configuration/internal/configuration_history.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "configuration/text_deltas.h"
 #include "manifest/manifest_parser.h"
 
 namespace acacialug::configuration {
@@ -99,6 +100,7 @@
   }
   const LogOffset read_through = held.record->read_through;
   this->accepted = Accept(std::move(read.value()), held.record->manifest_text);
+  this->whole = held.record->accepted_at;
   this->based = true;
   const std::deque<HeldBack> pending = std::exchange(this->held_back, {});
   for (const HeldBack& record : pending) {
@@ -126,33 +128,68 @@
 
 void ConfigurationHistory::JudgePublish(const HeldBack& held,
                                         Judgement& judgement) {
-  Result<manifest::Manifest> read =
-      ReadManifest(held.record->manifest_text, held.offset);
+  if (held.record->kind == RecordKind::kPublish) {
+    this->JudgeText(held.offset, held.record->manifest_text, judgement);
+    if (judgement.verdict == Verdict::kAccepted) {
+      this->whole = held.offset;
+      this->copy = held.offset;
+    }
+    return;
+  }
+  // The base is the text that is current at this record, which is the same for
+  // every reader; so is then what becomes of it, digest or not.
+  if (!this->Replaces(held.record->replaces, judgement)) {
+    return;
+  }
+  Result<std::string> text =
+      ApplyDelta(this->accepted ? std::string_view(this->accepted->text) : "",
+                 held.record->delta);
+  if (!text.ok()) {
+    judgement.detail = text.error().detail;
+    return;
+  }
+  this->JudgeText(held.offset, std::move(text.value()), judgement);
+}
+
+void ConfigurationHistory::JudgeText(LogOffset offset,
+                                     std::string text,
+                                     Judgement& judgement) {
+  Result<manifest::Manifest> read = ReadManifest(text, offset);
   if (!read.ok()) {
     judgement.detail = read.error().detail;
     return;
   }
   judgement.version = read->version;
-  if (read->replaces != this->CurrentOffset()) {
-    judgement.verdict = Verdict::kConflict;
-    judgement.detail =
-        "replaces " + std::to_string(read->replaces.value) +
-        ", but the current manifest is at offset " +
-        std::to_string(this->CurrentOffset().value) +
-        (this->accepted
-             ? " (version \"" + this->accepted->manifest->version + "\")"
-             : "");
+  if (!this->Replaces(read->replaces, judgement)) {
     return;
   }
   judgement.verdict = Verdict::kAccepted;
-  this->accepted = Accept(std::move(read.value()), held.record->manifest_text);
-  this->copy = held.offset;
+  this->accepted = Accept(std::move(read.value()), std::move(text));
+}
+
+// Else it is a conflict.
+bool ConfigurationHistory::Replaces(LogOffset replaces,
+                                    Judgement& judgement) const {
+  if (replaces == this->CurrentOffset()) {
+    return true;
+  }
+  judgement.verdict = Verdict::kConflict;
+  judgement.detail =
+      "replaces " + std::to_string(replaces.value) +
+      ", but the current manifest is at offset " +
+      std::to_string(this->CurrentOffset().value) +
+      (this->accepted
+           ? " (version \"" + this->accepted->manifest->version + "\")"
+           : "");
+  return false;
 }
 
 // A checkpoint never changes what is current: one that was overtaken by a
-// publish names an older manifest and is passed over.
+// publish names an older manifest and is passed over. If all publishes since
+// were deltas, it is a copy all the same: they can be read on top of it.
 void ConfigurationHistory::JudgeCheckpoint(const HeldBack& held) {
-  if (held.record->accepted_at == this->CurrentOffset()) {
+  if (held.record->accepted_at >= this->whole &&
+      held.record->accepted_at <= this->CurrentOffset()) {
     this->copy = held.offset;
   }
   this->Keep({.offset = held.offset,
--- a/src/configuration/tests/configuration_history_test.cc
+++ b/src/configuration/tests/configuration_history_test.cc
@@ -12,7 +12,9 @@
 using testing::It;
 using testing::Section;
 using testing_texts::Checkpoint;
+using testing_texts::ManifestText;
 using testing_texts::Publish;
+using testing_texts::PublishDelta;
 
 std::uint64_t CurrentOffset(const ConfigurationHistory& history) {
   return history.current() == nullptr
@@ -57,6 +59,13 @@
   std::uint64_t read_through;
 };
 
+struct DeltaRow {
+  std::string name;
+  std::string record;
+  Verdict verdict;
+  std::uint64_t current;
+};
+
 const testing::Story kHistory(
     "the configuration's history",
     {ForEach<VerdictRow>(
@@ -143,6 +152,56 @@
                    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
                                         CurrentOffset(history));
                  })}),
+     // Symptom: two processes ran different texts under one offset. Sequence:
+     // a pipeline made its delta from a text that was never current, or from
+     // one that another publish had replaced. Cause: the delta was applied to
+     // whatever the reader had.
+     ForEach<DeltaRow>(
+         "judges a publish by delta like its text:",
+         {{"made from what is current",
+           PublishDelta(ManifestText("d", 3), "e", 5), Verdict::kAccepted, 8},
+          {"made from a replaced text",
+           PublishDelta(ManifestText("c", 1), "e", 3), Verdict::kConflict, 5},
+          {"made from another text, naming the current",
+           PublishDelta("# x\n" + ManifestText("d", 3), "e", 5),
+           Verdict::kInvalid, 5},
+          {"its text names another one than the record",
+           EncodeRecord({.kind = RecordKind::kPublishDelta,
+                         .replaces = LogOffset(5),
+                         .delta = MakeDelta(ManifestText("d", 3),
+                                            ManifestText("e", 3))}),
+           Verdict::kConflict, 5},
+          {"its text is no manifest",
+           EncodeRecord({.kind = RecordKind::kPublishDelta,
+                         .replaces = LogOffset(5),
+                         .delta = MakeDelta(ManifestText("d", 3), "x")}),
+           Verdict::kInvalid, 5}},
+         [](const DeltaRow& row) { return row.name; },
+         [](const DeltaRow& row) {
+           ConfigurationHistory history = ReadFrom(1);
+           history.Apply(LogOffset(8), row.record);
+           CPPUNIT_ASSERT(row.verdict == history.judgements().back().verdict);
+           CPPUNIT_ASSERT_EQUAL(row.current, CurrentOffset(history));
+         }),
+     // Symptom: a host that started late never learned the configuration.
+     // Sequence: whole texts were dropped by retention, deltas stood after
+     // them. Cause: a delta was taken for a copy of its manifest.
+     It("reads deltas on top of a checkpoint that they overtook",
+        [] {
+          ConfigurationHistory all = ReadFrom(1);
+          ConfigurationHistory late(LogOffset(8));
+          const std::string delta = PublishDelta(ManifestText("d", 3), "e", 5);
+          const std::string copy = Checkpoint("d", 3, 5, 7);
+          for (ConfigurationHistory* const history : {&all, &late}) {
+            history->Apply(LogOffset(8), delta);
+            CPPUNIT_ASSERT(history->newest_copy() < LogOffset(8));
+            history->Apply(LogOffset(9), copy);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, CurrentOffset(*history));
+            CPPUNIT_ASSERT_EQUAL(ManifestText("e", 5),
+                                 history->current()->text);
+          }
+          CPPUNIT_ASSERT(all.newest_copy() == LogOffset(9));
+        }),
      It("applies a record once, however often it is read", [] {
        ConfigurationHistory history = ReadFrom(1);
        history.Apply(LogOffset(5), Publish("d", 3, 5));
--- a/src/configuration/tests/manifest_texts.h
+++ b/src/configuration/tests/manifest_texts.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "configuration/text_deltas.h"
 #include "configuration/types/configuration_record.h"
 
 namespace acacialug::configuration::testing_texts {
@@ -27,6 +28,18 @@
                        .publication = {.high = 1, .low = publication}});
 }
 
+// The same manifest, as what differs from `base`.
+inline std::string PublishDelta(const std::string& base,
+                                const std::string& version,
+                                std::uint64_t replaces) {
+  return EncodeRecord(
+      {.kind = RecordKind::kPublishDelta,
+       .publisher = "pipeline",
+       .publication = {.high = 3, .low = replaces},
+       .replaces = LogOffset(replaces),
+       .delta = MakeDelta(base, ManifestText(version, replaces))});
+}
+
 inline std::string Checkpoint(const std::string& version,
                               std::uint64_t replaces,
                               std::uint64_t accepted_at,
--- a/src/configuration/types/configuration_record.h
+++ b/src/configuration/types/configuration_record.h
@@ -5,16 +5,18 @@
 #include <string>
 #include <string_view>
 
+#include "configuration/types/text_delta.h"
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/result.h"
 
 namespace acacialug::configuration {
 
-enum class RecordKind : std::uint8_t { kPublish, kCheckpoint };
-inline constexpr EnumNames<RecordKind, 2> kRecordKindNames = {{
+enum class RecordKind : std::uint8_t { kPublish, kCheckpoint, kPublishDelta };
+inline constexpr EnumNames<RecordKind, 3> kRecordKindNames = {{
     {RecordKind::kPublish, "publish"},
     {RecordKind::kCheckpoint, "checkpoint"},
+    {RecordKind::kPublishDelta, "publish_delta"},
 }};
 
 // One record of the configuration stream, a JSON object in the log.
@@ -22,7 +24,8 @@
 // A publish asks for `manifest_text` to replace the one that the text itself
 // names (`replaces`). A checkpoint repeats a manifest that was accepted at
 // `accepted_at`, so that retention never drops the only copy; its author had
-// read the stream up to and including `read_through`.
+// read the stream up to and including `read_through`. A publish by delta is a
+// publish whose text is made from that of the manifest at `replaces`.
 struct ConfigurationRecord {
   RecordKind kind = RecordKind::kPublish;
   std::string manifest_text;
@@ -30,6 +33,8 @@
   RequestId publication;   // random; finds a record whose append answer is lost
   LogOffset accepted_at;   // kCheckpoint
   LogOffset read_through;  // kCheckpoint
+  LogOffset replaces;      // kPublishDelta
+  TextDelta delta;         // kPublishDelta
 
   friend bool operator==(const ConfigurationRecord&,
                          const ConfigurationRecord&) = default;
--- /dev/null
+++ b/src/configuration/types/text_delta.h
@@ -0,0 +1,40 @@
+#ifndef CONFIGURATION_TYPES_TEXT_DELTA_H_
+#define CONFIGURATION_TYPES_TEXT_DELTA_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace acacialug::configuration {
+
+// Of the text that results; a pair of machine words, high one first.
+struct TextDigest {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  friend bool operator==(const TextDigest&, const TextDigest&) = default;
+};
+
+// Lines of the base, counted from 0.
+struct CopyLines {
+  std::uint64_t first = 0;
+  std::uint64_t count = 0;
+
+  friend bool operator==(const CopyLines&, const CopyLines&) = default;
+};
+
+// Copied or new text.
+using DeltaStep = std::variant<CopyLines, std::string>;
+
+// How one text becomes another, step after step.
+struct TextDelta {
+  std::vector<DeltaStep> steps;
+  TextDigest digest;
+
+  friend bool operator==(const TextDelta&, const TextDelta&) = default;
+};
+
+}  // namespace acacialug::configuration
+
+#endif  // CONFIGURATION_TYPES_TEXT_DELTA_H_
--- a/src/configuration_client/internal/configuration_client.cc
+++ b/src/configuration_client/internal/configuration_client.cc
@@ -27,7 +27,10 @@
   Implementation(ClientOptions client_options, RandomSource& random)
       : options(std::move(client_options)),
         follower(this->options.follower, random),
-        peer_client({.silence_timeout = kPeerPatience}),
+        // A kept connection would take one of the few that an entry has for
+        // operators and peers from those who still have to ask.
+        peer_client(
+            {.silence_timeout = kPeerPatience, .max_idle_connections = 0}),
         peers(this->options.peers, this->peer_client) {
     this->timer.setSingleShot(true);
     QObject::connect(&this->timer, &QTimer::timeout, [this] {
--- a/src/configuration_client/tests/configuration_client_test.cc
+++ b/src/configuration_client/tests/configuration_client_test.cc
@@ -156,7 +156,30 @@
               !fixture.client
                    ->OnPeerManifest(LogOffset(4), ManifestText("v4", 3))
                    .ok());
-        })});
+        }),
+     // Symptom: in an outage of the log of 3 s, agents had a change after 7 s.
+     // Sequence: more agents than the entries' operations ports have
+     // connections asked for it. Cause: the first ones kept theirs, idle.
+     It("leaves the peer's connections to others", [] {
+       http::Server peer({.listen = {.ip = "127.0.0.1"},
+                          .limits = {.max_connections = 1},
+                          .make_handler = [](int) {
+                            return [](const http::Request&,
+                                      const http::ResponderPtr& responder) {
+                              responder->SendWhole(
+                                  {.body = RenderPeerManifest(
+                                       {.offset = LogOffset(5),
+                                        .text = ManifestText("v5", 4)})});
+                            };
+                          }});
+       CPPUNIT_ASSERT(peer.Start().ok());
+       Fixture first(false, {{"127.0.0.1", peer.port()}});
+       first.log->out = true;
+       first.Await({"v5"});
+       Fixture second(false, {{"127.0.0.1", peer.port()}});
+       second.log->out = true;
+       second.Await({"v5"});
+     })});
 
 }  // namespace
 }  // namespace acacialug::configuration_client
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -38,6 +38,7 @@
   std::string log;                 // --log, IP:PORT
   std::vector<std::string> nodes;  // --nodes, operations ports, IP:PORT each
   std::string publisher = "acacialugctl";
+  bool as_delta = false;  // of `manifest publish`; see PublisherOptions
   bool json = false;
   std::string html_file;  // --html
   Duration timeout = 5s;  // of one answer, and of `manifest wait`
--- a/src/control/internal/command_context.cc
+++ b/src/control/internal/command_context.cc
@@ -76,6 +76,7 @@
       PublisherOptions{
           .stream = std::string(configuration_client::kConfigurationStream),
           .publisher = this->options.publisher,
+          .as_delta = this->options.as_delta,
           .wait = WaitOnEventLoop},
       *this->log, this->random);
   return this->publisher.get();
--- a/src/control/internal/publisher.cc
+++ b/src/control/internal/publisher.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <utility>
 
+#include "configuration/text_deltas.h"
 #include "manifest/manifest_parser.h"
 
 namespace acacialug::control {
@@ -83,8 +84,8 @@
   return *std::move(history);
 }
 
-Status Publisher::CheckCurrent(const std::string& text,
-                               const std::string& source) {
+Result<std::string> Publisher::CheckCurrent(const std::string& text,
+                                            const std::string& source) {
   const Result<manifest::Manifest> read = manifest::ParseManifest(text, source);
   if (!read.ok()) {
     return read.error();
@@ -106,21 +107,35 @@
                  ? std::string()
                  : " (version \"" + current->manifest->version + "\")"));
   }
-  return Success{};
+  return current == nullptr ? std::string() : current->text;
+}
+
+configuration::ConfigurationRecord Publisher::MakeRecord(
+    const std::string& text,
+    const std::string& current) {
+  configuration::ConfigurationRecord record{
+      .kind = configuration::RecordKind::kPublish,
+      .manifest_text = text,
+      .publisher = this->options.publisher,
+      .publication = this->random.NextRequestId()};
+  if (this->options.as_delta && !current.empty()) {
+    record.kind = configuration::RecordKind::kPublishDelta;
+    record.replaces = manifest::ParseManifest(text, "")->replaces;
+    record.delta = configuration::MakeDelta(current, text);
+  }
+  return record;
 }
 
 Result<Judgement> Publisher::Publish(const std::string& text,
                                      const std::string& source) {
-  const Status sound = this->CheckCurrent(text, source);
-  if (!sound.ok()) {
-    return sound.error();
+  const Result<std::string> current = this->CheckCurrent(text, source);
+  if (!current.ok()) {
+    return current.error();
   }
-  const RequestId publication = this->random.NextRequestId();
-  const std::string payload =
-      configuration::EncodeRecord({.kind = configuration::RecordKind::kPublish,
-                                   .manifest_text = text,
-                                   .publisher = this->options.publisher,
-                                   .publication = publication});
+  const configuration::ConfigurationRecord record =
+      this->MakeRecord(text, *current);
+  const RequestId publication = record.publication;
+  const std::string payload = configuration::EncodeRecord(record);
   const Result<LogOffset> appended = this->Append(payload);
   if (!appended.ok() &&
       appended.error().result_code() == ResultCode::kPlatformUnavailable) {
--- a/src/control/publisher.h
+++ b/src/control/publisher.h
@@ -14,8 +14,11 @@
 namespace acacialug::control {
 
 struct PublisherOptions {
-  std::string stream;       // of the log, that holds manifests
-  std::string publisher;    // who asks, for people
+  std::string stream;     // of the log, that holds manifests
+  std::string publisher;  // who asks, for people
+  // Publishes what differs from the current text. Every reader has to know
+  // such records: older programs take them for invalid and fall behind.
+  bool as_delta = false;
   Duration patience = 20s;  // until the outcome is called unresolved
   Duration retry_interval = 500ms;
   // Lets time pass while an answer is waited for: runs the event loop until
@@ -49,7 +52,12 @@
  private:
   Result<platform::ILog::Read> ReadFrom(LogOffset from);
   Result<LogOffset> Append(const std::string& payload);
-  Status CheckCurrent(const std::string& text, const std::string& source);
+  // The current manifest's text, which this one replaces; empty: none is.
+  Result<std::string> CheckCurrent(const std::string& text,
+                                   const std::string& source);
+  // Precondition: CheckCurrent found `text` sound.
+  configuration::ConfigurationRecord MakeRecord(const std::string& text,
+                                                const std::string& current);
   Result<configuration::Judgement> Resolve(const std::string& payload,
                                            const RequestId& publication);
 
--- a/src/control/tests/publisher_test.cc
+++ b/src/control/tests/publisher_test.cc
@@ -76,8 +76,10 @@
 struct Bench {
   ListLog log;
   RandomSource random{5};
+  bool as_delta = false;
   Publisher publisher{{.stream = "configuration",
                        .publisher = "pipeline",
+                       .as_delta = this->as_delta,
                        .wait = [](const std::function<bool()>& done,
                                   Duration) { return done(); }},
                       this->log,
@@ -129,13 +131,30 @@
            "b"}},
          [](const FaultRow& row) { return row.name; },
          [](const FaultRow& row) {
-           Bench bench;
-           CPPUNIT_ASSERT(ResultCode::kOk ==
-                          bench.Publish(ManifestText("a", 0)));
-           bench.log.faults = row.faults;
-           CPPUNIT_ASSERT(row.code == bench.Publish(ManifestText("b", 1)));
-           CPPUNIT_ASSERT_EQUAL(row.current, bench.CurrentVersion());
+           for (const bool as_delta : {false, true}) {
+             Bench bench{.as_delta = as_delta};
+             CPPUNIT_ASSERT(ResultCode::kOk ==
+                            bench.Publish(ManifestText("a", 0)));
+             bench.log.faults = row.faults;
+             CPPUNIT_ASSERT(row.code == bench.Publish(ManifestText("b", 1)));
+             CPPUNIT_ASSERT_EQUAL(row.current, bench.CurrentVersion());
+           }
          }),
+     It("sends only what differs when told to, and the first text whole",
+        [] {
+          Bench bench{.as_delta = true};
+          std::string kind;
+          for (const char* const version : {"a", "b"}) {
+            const std::uint64_t replaces = bench.log.records.size();
+            bench.Publish(ManifestText(version, replaces));
+            const auto record =
+                configuration::DecodeRecord(bench.log.records.back());
+            kind += NameOf(configuration::kRecordKindNames, record->kind);
+            kind += ' ';
+          }
+          CPPUNIT_ASSERT_EQUAL(std::string("publish publish_delta "), kind);
+          CPPUNIT_ASSERT_EQUAL(std::string("b"), bench.CurrentVersion());
+        }),
      It("appends nothing when it is wrong, or names another than the current",
         [] {
           Bench bench;
--- a/src/scale/internal/sections.h
+++ b/src/scale/internal/sections.h
@@ -13,6 +13,7 @@
 std::vector<Sweep> ProtocolSweeps();
 std::vector<Sweep> HeartbeatSweeps();
 std::vector<Sweep> ManifestSweeps();
+std::vector<Sweep> DeltaSweeps();
 std::vector<Sweep> OnceSweeps();
 std::vector<Sweep> MetricsSweeps();
 std::vector<Sweep> ServiceLevelSweeps();
--- a/src/scale/scale_bench.cc
+++ b/src/scale/scale_bench.cc
@@ -38,8 +38,8 @@
   nlohmann::json rows = nlohmann::json::array();
   for (const auto& sweeps :
        {ProtocolSweeps(), HeartbeatSweeps(), AgentSweeps(), OnceSweeps(),
-        MetricsSweeps(), ServiceLevelSweeps(), EntrySweeps(),
-        ManifestSweeps()}) {
+        MetricsSweeps(), ServiceLevelSweeps(), EntrySweeps(), ManifestSweeps(),
+        DeltaSweeps()}) {
     for (const Sweep& sweep : sweeps) {
       const Row row = Fit(sweep);
       std::fprintf(stderr, "%-26s %12.3f %s each of: %s (spread %.0f %%)\n",
