Mend what the linter found in traces and their pages

Change: RequestTraces::Add and TraceBoard::Add take the step by reference. Conclusion: no behaviour changes.

--- a/src/entry_process/internal/shard_actions.cc
+++ b/src/entry_process/internal/shard_actions.cc
@@ -29,10 +29,9 @@
 
 template <typename Message>
 void Shard::NoteStep(const EndpointId& endpoint, const Message& message) {
-  if (std::optional<trace::RequestStep> noted =
+  if (const std::optional<trace::RequestStep> noted =
           trace::StepOf(endpoint, message)) {
-    this->board.traces().Add(noted->request, std::move(noted->step),
-                             MonotonicNow());
+    this->board.traces().Add(noted->request, noted->step, MonotonicNow());
   }
 }
 
--- a/src/entry_process/internal/trace_board.h
+++ b/src/entry_process/internal/trace_board.h
@@ -22,9 +22,9 @@
     this->traces.Begin(std::move(subject), now);
   }
 
-  void Add(const RequestId& request, trace::Step step, Instant now) {
+  void Add(const RequestId& request, const trace::Step& step, Instant now) {
     const std::scoped_lock lock(this->mutex);
-    this->traces.Add(request, std::move(step), now);
+    this->traces.Add(request, step, now);
   }
 
   void End(const RequestId& request,
--- a/src/operations/internal/requests_page.cc
+++ b/src/operations/internal/requests_page.cc
@@ -8,7 +8,6 @@
 
 using Json = nlohmann::ordered_json;
 using trace::Step;
-using trace::StepKind;
 using trace::Trace;
 
 // ---- writing ----
--- a/src/trace/bench/trace_bench.cc
+++ b/src/trace/bench/trace_bench.cc
@@ -11,6 +11,9 @@
 
 constexpr std::size_t kBound = std::size_t{2} * 1024 * 1024;  // of one shard
 
+const EndpointId kDecode("hall-a-decode-07");
+const EndpointId kPrefill("hall-b-prefill-03");
+
 RequestId Id(std::uint64_t number) {
   return {.high = number * 0x9e3779b97f4a7c15ULL, .low = number};
 }
@@ -23,26 +26,24 @@
 
 // The steps of a generation that meets no refusal.
 void Run(RequestTraces& traces, std::uint64_t number) {
-  static const EndpointId decode("hall-a-decode-07");
-  static const EndpointId prefill("hall-b-prefill-03");
   const Instant now = Instant(1s);
   const AttemptNumber one(1);
   traces.Begin(Subject(number), now);
   traces.Add(Id(number), {.kind = StepKind::kQueued}, now);
   traces.Add(Id(number), {.kind = StepKind::kDispatched}, now);
   for (const auto& [kind, endpoint] :
-       {std::pair(StepKind::kReserveSent, &decode),
-        std::pair(StepKind::kReserved, &decode),
-        std::pair(StepKind::kPrefillStarted, &prefill),
-        std::pair(StepKind::kPrefilled, &prefill),
-        std::pair(StepKind::kDecodeStarted, &decode)}) {
+       {std::pair(StepKind::kReserveSent, &kDecode),
+        std::pair(StepKind::kReserved, &kDecode),
+        std::pair(StepKind::kPrefillStarted, &kPrefill),
+        std::pair(StepKind::kPrefilled, &kPrefill),
+        std::pair(StepKind::kDecodeStarted, &kDecode)}) {
     traces.Add(Id(number),
                {.kind = kind, .attempt = one, .endpoint = *endpoint}, now);
   }
   traces.Add(Id(number), {.kind = StepKind::kFirstToken}, now);
   for (const auto& [kind, endpoint] :
-       {std::pair(StepKind::kReleased, &prefill),
-        std::pair(StepKind::kDecodeEnded, &decode)}) {
+       {std::pair(StepKind::kReleased, &kPrefill),
+        std::pair(StepKind::kDecodeEnded, &kDecode)}) {
     traces.Add(Id(number),
                {.kind = kind, .attempt = one, .endpoint = *endpoint}, now);
   }
--- a/src/trace/internal/request_traces.cc
+++ b/src/trace/internal/request_traces.cc
@@ -16,8 +16,8 @@
 constexpr std::size_t kNodeBytes = 112;
 
 std::size_t HeapBytes(const std::string& text) {
-  static const std::size_t in_place = std::string().capacity();
-  return text.capacity() > in_place ? text.capacity() + 1 : 0;
+  static const std::size_t kInPlace = std::string().capacity();
+  return text.capacity() > kInPlace ? text.capacity() + 1 : 0;
 }
 
 }  // namespace
@@ -45,7 +45,9 @@
   this->index.emplace(request, std::prev(this->alive.end()));
 }
 
-void RequestTraces::Add(const RequestId& request, Step step, Instant now) {
+void RequestTraces::Add(const RequestId& request,
+                        const Step& step,
+                        Instant now) {
   const auto found = this->index.find(request);
   if (found == this->index.end() ||
       found->second->trace.outcome != TraceOutcome::kAlive) {
--- a/src/trace/request_traces.h
+++ b/src/trace/request_traces.h
@@ -32,7 +32,7 @@
 
   // `step.at` is set here. A step of an unknown or ended request, and a
   // second kQueued in a row (the same wait), are no error and not kept.
-  void Add(const RequestId& request, Step step, Instant now);
+  void Add(const RequestId& request, const Step& step, Instant now);
 
   // The request has its answer, or its caller is gone. Unknown is no error.
   void End(const RequestId& request,
--- a/src/trace/tests/request_traces_test.cc
+++ b/src/trace/tests/request_traces_test.cc
@@ -10,7 +10,6 @@
 
 using testing::ForEach;
 using testing::It;
-using testing::Section;
 
 const Instant kArrival = Instant(1000s);
 
