Give the two mains one way to fail and to begin

Cause: Fail and Serve stood word for word in the mains of entry and agent. Change: both are in framework/program/service.h now. Conclusion: a further program that serves needs neither.

--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -18,6 +18,7 @@
 #include "framework/http/http_client.h"
 #include "framework/log/log.h"
 #include "framework/program/program.h"
+#include "framework/program/service.h"
 #include "framework/program/signal_watcher.h"
 #include "platform/http_log.h"
 #include "platform/http_weight_store.h"
@@ -28,16 +29,11 @@
 using agent_process::AgentProcess;
 using agent_process::AgentSettings;
 using configuration_client::ConfigurationClient;
+using program::Fail;
 
 constexpr const char* kProgram = "acacialug-agent";
 constexpr std::chrono::seconds kFirstManifestWait{3};
 
-int Fail(std::string_view event, const Error& error) {
-  log::Error(event, {.code = error.result_code(),
-                     .fields = {{"detail", error.detail}}});
-  return static_cast<int>(program::ExitCode::kFailed);
-}
-
 // The program around the process: where manifests come from, and signals.
 class Agent {
  public:
@@ -213,15 +209,6 @@
   AgentProcess process;
 };
 
-int Serve(const AgentSettings& settings) {
-  const Status log_ready =
-      log::Configure({.program = kProgram, .level = settings.log_level});
-  if (!log_ready.ok()) {
-    return Fail("log_failed", log_ready.error());
-  }
-  return Agent(settings).Run();
-}
-
 int Main(int argc, char** argv) {
   AgentSettings settings;
   return program::RunProgram(
@@ -243,7 +230,9 @@
            },
        .run =
            [&settings](const std::vector<std::string>&) {
-             return Serve(settings);
+             return program::Serve(
+                 {.program = kProgram, .level = settings.log_level},
+                 [&settings] { return Agent(settings).Run(); });
            }});
 }
 
--- a/src/app/entry/main.cc
+++ b/src/app/entry/main.cc
@@ -18,6 +18,7 @@
 #include "framework/log/log.h"
 #include "framework/metrics/registry.h"
 #include "framework/program/program.h"
+#include "framework/program/service.h"
 #include "framework/program/signal_watcher.h"
 #include "platform/http_host_list.h"
 
@@ -26,16 +27,11 @@
 
 using entry_process::EntryProcess;
 using entry_process::EntrySettings;
+using program::Fail;
 
 constexpr const char* kProgram = "acacialug-entry";
 constexpr std::chrono::seconds kHostListInterval{1};
 
-int Fail(std::string_view event, const Error& error) {
-  log::Error(event, {.code = error.result_code(),
-                     .fields = {{"detail", error.detail}}});
-  return static_cast<int>(program::ExitCode::kFailed);
-}
-
 // The program around the process: where manifests come from, and signals.
 class Entry {
  public:
@@ -161,15 +157,6 @@
   QTimer host_timer;
 };
 
-int Serve(const EntrySettings& settings) {
-  const Status log_ready =
-      log::Configure({.program = kProgram, .level = settings.log_level});
-  if (!log_ready.ok()) {
-    return Fail("log_failed", log_ready.error());
-  }
-  return Entry(settings).Run();
-}
-
 int Main(int argc, char** argv) {
   EntrySettings settings;
   return program::RunProgram(
@@ -197,7 +184,9 @@
            },
        .run =
            [&settings](const std::vector<std::string>&) {
-             return Serve(settings);
+             return program::Serve(
+                 {.program = kProgram, .level = settings.log_level},
+                 [&settings] { return Entry(settings).Run(); });
            }});
 }
 
