Keep the system's proxy out of the datagram test

Cause: under ThreadSanitizer net_tests ended with a race in Qt's look-up of the system's proxy, which runs on a thread of a library that it cannot see into. The test's own QUdpSocket asked for it; the product's socket has NoProxy set. Change: the test's socket asks for no proxy either. What is checked is the same. Conclusion: nothing in the product changes.

--- a/src/framework/net/tests/datagram_socket_test.cc
+++ b/src/framework/net/tests/datagram_socket_test.cc
@@ -1,5 +1,6 @@
 #include "framework/net/datagram_socket.h"
 
+#include <QNetworkProxy>
 #include <QUdpSocket>
 #include <string>
 #include <vector>
@@ -67,6 +68,7 @@
         [] {
           Receiver one;
           QUdpSocket stranger;
+          stranger.setProxy(QNetworkProxy::NoProxy);
           const std::string too_long(9, 'a');
           stranger.writeDatagram(too_long.data(), 9, QHostAddress("127.0.0.1"),
                                  one.socket.port());
