Hand tasks to an entry's main thread under a lock of our own

Cause: under ThreadSanitizer entry_process_tests ended with a race on a task that a shard had posted to the main thread: Qt's locks are invisible to it, and the heartbeats' sessions made such posts frequent. The order itself was sound. Change: PostToMain uses TaskQueue, which passes tasks under its own mutex, as the HTTP server's threads do; the class is in the face of framework/http now. Conclusion: one way to pass a task between threads.

--- a/src/entry_process/entry_process.cc
+++ b/src/entry_process/entry_process.cc
@@ -18,6 +18,7 @@
 #include "entry_process/internal/service_level_book.h"
 #include "entry_process/internal/shard.h"
 #include "framework/http/http_server.h"
+#include "framework/http/task_queue.h"
 #include "framework/log/log.h"
 
 namespace acacialug::entry_process {
@@ -94,6 +95,7 @@
   // Each is touched on its own shard's thread only.
   std::vector<std::unique_ptr<Shard>> shards;
   QObject context;
+  http::TaskQueue main_tasks;  // from the shards' threads
   QTimer drain_check;
   Instant drain_until = kNever;
   // Last, so that their threads end before what the shards use.
@@ -231,8 +233,7 @@
 }
 
 void EntryProcess::Implementation::PostToMain(std::function<void()> task) {
-  QMetaObject::invokeMethod(&this->context, std::move(task),
-                            Qt::QueuedConnection);
+  this->main_tasks.Post(std::move(task));
 }
 
 void EntryProcess::Implementation::TellManifestHeard(LogOffset offset) {
--- a/src/framework/http/internal/server_shard.h
+++ b/src/framework/http/internal/server_shard.h
@@ -8,7 +8,7 @@
 #include "framework/http/http_server.h"
 #include "framework/http/internal/body_budget.h"
 #include "framework/http/internal/server_connection.h"
-#include "framework/http/internal/task_queue.h"
+#include "framework/http/task_queue.h"
 #include "framework/http/tls_configuration.h"
 
 namespace acacialug::http {
--- a/src/framework/http/task_queue.cc
+++ b/src/framework/http/task_queue.cc
@@ -1,4 +1,4 @@
-#include "framework/http/internal/task_queue.h"
+#include "framework/http/task_queue.h"
 
 #include <QCoreApplication>
 #include <QEvent>
--- a/src/framework/http/task_queue.h
+++ b/src/framework/http/task_queue.h
@@ -1,5 +1,5 @@
-#ifndef FRAMEWORK_HTTP_INTERNAL_TASK_QUEUE_H_
-#define FRAMEWORK_HTTP_INTERNAL_TASK_QUEUE_H_
+#ifndef FRAMEWORK_HTTP_TASK_QUEUE_H_
+#define FRAMEWORK_HTTP_TASK_QUEUE_H_
 
 #include <QObject>
 #include <functional>
@@ -32,4 +32,4 @@
 
 }  // namespace acacialug::http
 
-#endif  // FRAMEWORK_HTTP_INTERNAL_TASK_QUEUE_H_
+#endif  // FRAMEWORK_HTTP_TASK_QUEUE_H_
