--- a/src/agent/agent_core.cc
+++ b/src/agent/agent_core.cc
@@ -48,7 +48,7 @@
   this->implementation->OnEngineEvent(event, now);
 }
 
-void AgentCore::OnTurnsRead(const Result<platform::ILog::Read>& read,
+void AgentCore::OnTurnsRead(const Result<cluster::ILog::Read>& read,
                             Instant now) {
   this->implementation->OnTurnsRead(read, now);
 }
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -14,7 +14,7 @@
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 #include "protocol/types/heartbeat.h"
 
 namespace acacialug::agent {
@@ -57,7 +57,7 @@
 
   void OnEngineEvent(const engine::EngineEvent& event, Instant now);
   // The answer to a ReadTurns or an AppendTurn. Errors in them: as ILog's.
-  void OnTurnsRead(const Result<platform::ILog::Read>& read, Instant now);
+  void OnTurnsRead(const Result<cluster::ILog::Read>& read, Instant now);
   void OnTurnAppended(const Result<LogOffset>& appended, Instant now);
   // Call at or after next_timer().
   void OnTimer(Instant now);
--- a/src/agent/internal/agent_implementation.cc
+++ b/src/agent/internal/agent_implementation.cc
@@ -115,7 +115,7 @@
 }
 
 void AgentCore::Implementation::OnTurnsRead(
-    const Result<platform::ILog::Read>& read,
+    const Result<cluster::ILog::Read>& read,
     Instant now) {
   this->Expire(now);
   this->turns.keeper().OnRead(read, now);
--- a/src/agent/internal/agent_implementation.h
+++ b/src/agent/internal/agent_implementation.h
@@ -43,7 +43,7 @@
   void OnEngineEvent(const engine::EngineEvent& event, Instant now);
   void OnManifest(std::shared_ptr<const manifest::Manifest> newest,
                   Instant now);
-  void OnTurnsRead(const Result<platform::ILog::Read>& read, Instant now);
+  void OnTurnsRead(const Result<cluster::ILog::Read>& read, Instant now);
   void OnTurnAppended(const Result<LogOffset>& appended, Instant now);
   void BeginDrain(Instant now);
   void Expire(Instant now);
--- a/src/agent/tests/engine_care_test.cc
+++ b/src/agent/tests/engine_care_test.cc
@@ -335,7 +335,7 @@
           turns::TurnKeeper& keeper = taker.keeper();
           keeper.SetWish(turns::TurnWish::kTurn, now);
           keeper.OnTimer(now);
-          keeper.OnRead(platform::ILog::Read{.next = LogOffset(1)}, now);
+          keeper.OnRead(cluster::ILog::Read{.next = LogOffset(1)}, now);
           std::string claim;
           for (const turns::TurnAction& action : keeper.TakeActions()) {
             if (const auto* append = std::get_if<turns::AppendTurn>(&action)) {
@@ -344,7 +344,7 @@
           }
           keeper.OnAppended(LogOffset(1), now);
           keeper.OnRead(
-              platform::ILog::Read{.first_kept = LogOffset(1),
+              cluster::ILog::Read{.first_kept = LogOffset(1),
                                    .next = LogOffset(2),
                                    .records = {{LogOffset(1), claim}}},
               now);
--- a/src/agent_process/agent_process.h
+++ b/src/agent_process/agent_process.h
@@ -11,7 +11,7 @@
 #include "engine/i_engine.h"
 #include "framework/global/types/result.h"
 #include "manifest/types/manifest.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::agent_process {
 
@@ -22,7 +22,7 @@
       make_engine;
   // The platform's log, for the order in which a pool's endpoints go out of
   // service. Empty: there is none, and orders take no turns.
-  std::function<std::unique_ptr<platform::ILog>()> make_turns_log;
+  std::function<std::unique_ptr<cluster::ILog>()> make_turns_log;
   // An entry spoke of a manifest of this offset, newer than the one in force.
   std::function<void(LogOffset)> on_manifest_heard;
   // Whether no entry has a session here; told when that changes.
--- a/src/agent_process/internal/agent_runtime.cc
+++ b/src/agent_process/internal/agent_runtime.cc
@@ -275,7 +275,7 @@
   this->turns_log->ReadFrom(action.stream, action.from, kTurnsPerRead,
                             Duration::zero(),
                             [this, weak = std::weak_ptr(this->alive)](
-                                const Result<platform::ILog::Read>& result) {
+                                const Result<cluster::ILog::Read>& result) {
                               if (!weak.expired()) {
                                 const Instant now = MonotonicNow();
                                 this->core.OnTurnsRead(result, now);
--- a/src/agent_process/internal/agent_runtime.h
+++ b/src/agent_process/internal/agent_runtime.h
@@ -82,7 +82,7 @@
   log::RepeatLimiter limiter{{}};
   agent::AgentCore core;
   std::unique_ptr<engine::IEngine> engine;
-  std::unique_ptr<platform::ILog> turns_log;  // null: orders take no turns
+  std::unique_ptr<cluster::ILog> turns_log;  // null: orders take no turns
   // Answers that come after this object's end are dropped.
   std::shared_ptr<const bool> alive = std::make_shared<const bool>(true);
   SessionTable sessions;
--- a/src/agent_process/permitted_engine.h
+++ b/src/agent_process/permitted_engine.h
@@ -7,7 +7,7 @@
 #include "engine/i_engine.h"
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
-#include "platform/i_weight_store.h"
+#include "cluster/i_weight_store.h"
 
 namespace acacialug::agent_process {
 
@@ -24,7 +24,7 @@
   struct Options {
     EndpointId endpoint;
     std::unique_ptr<engine::IEngine> engine;
-    std::unique_ptr<platform::IWeightStore> store;
+    std::unique_ptr<cluster::IWeightStore> store;
     std::function<Instant()> now = MonotonicNow;
   };
 
--- a/src/agent_process/tests/permitted_engine_test.cc
+++ b/src/agent_process/tests/permitted_engine_test.cc
@@ -24,7 +24,7 @@
   }
 };
 
-struct FakeStore : platform::IWeightStore {
+struct FakeStore : cluster::IWeightStore {
   std::vector<std::function<void(Result<Duration>)>> waiting;
   int released = 0;
 
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -20,8 +20,8 @@
 #include "framework/program/program.h"
 #include "framework/program/service.h"
 #include "framework/program/signal_watcher.h"
-#include "platform/http_log.h"
-#include "platform/http_weight_store.h"
+#include "cluster/http_log.h"
+#include "cluster/http_weight_store.h"
 
 namespace acacialug {
 namespace {
@@ -104,18 +104,18 @@
         agent_process::PermittedEngine::Options{
             .endpoint = this->settings.agent.endpoint,
             .engine = std::move(made),
-            .store = std::make_unique<platform::HttpWeightStore>(
+            .store = std::make_unique<cluster::HttpWeightStore>(
                 *this->settings.platform_weights, *this->store_client)});
   }
 
   // Without a log there is nothing that the agents of a pool share.
-  std::function<std::unique_ptr<platform::ILog>()> TurnsLog() {
+  std::function<std::unique_ptr<cluster::ILog>()> TurnsLog() {
     if (!this->settings.platform_log) {
       return {};
     }
     return [this] {
       this->turns_client.emplace(http::ClientOptions{});
-      return std::make_unique<platform::HttpLog>(*this->settings.platform_log,
+      return std::make_unique<cluster::HttpLog>(*this->settings.platform_log,
                                                  *this->turns_client);
     };
   }
@@ -153,7 +153,7 @@
         configuration_client::ClientOptions{
             .follower = {.author = this->settings.agent.endpoint.text,
                          .follow_stream = follow_stream},
-            .log = std::make_unique<platform::HttpLog>(
+            .log = std::make_unique<cluster::HttpLog>(
                 *this->settings.platform_log, *this->log_client),
             .on_in_force =
                 [this](const configuration::AcceptedManifest& accepted) {
--- a/src/app/entry/main.cc
+++ b/src/app/entry/main.cc
@@ -20,7 +20,7 @@
 #include "framework/program/program.h"
 #include "framework/program/service.h"
 #include "framework/program/signal_watcher.h"
-#include "platform/http_host_list.h"
+#include "cluster/http_host_list.h"
 
 namespace acacialug {
 namespace {
@@ -112,13 +112,13 @@
 
   void ReadHosts() {
     this->host_list->Read(
-        [this](const Result<std::vector<platform::HostRecord>>& hosts) {
+        [this](const Result<std::vector<cluster::HostRecord>>& hosts) {
           if (!hosts.ok()) {
             return;  // what was last known stays
           }
           std::set<HostId> leaving;
-          for (const platform::HostRecord& record : *hosts) {
-            if (record.state == platform::HostState::kLeaving) {
+          for (const cluster::HostRecord& record : *hosts) {
+            if (record.state == cluster::HostState::kLeaving) {
               leaving.insert(record.host);
             }
           }
@@ -153,7 +153,7 @@
   entry_process::ManifestSource manifests;
   EntryProcess process;
   http::Client host_client{{}};
-  std::optional<platform::HttpHostList> host_list;
+  std::optional<cluster::HttpHostList> host_list;
   QTimer host_timer;
 };
 
--- a/src/platform/http_host_list.h
+++ b/src/cluster/http_host_list.h
@@ -1,13 +1,13 @@
-#ifndef PLATFORM_HTTP_HOST_LIST_H_
-#define PLATFORM_HTTP_HOST_LIST_H_
+#ifndef CLUSTER_HTTP_HOST_LIST_H_
+#define CLUSTER_HTTP_HOST_LIST_H_
 
 #include <functional>
 #include <vector>
 
 #include "framework/http/http_client.h"
-#include "platform/i_host_list.h"
+#include "cluster/i_host_list.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 
 // The platform's host list over HTTP: GET /hosts answers
 // {"hosts": [{"host": "...", "state": "live" or "leaving"}]}. One thread,
@@ -25,6 +25,6 @@
   http::Client& client;
 };
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
 
-#endif  // PLATFORM_HTTP_HOST_LIST_H_
+#endif  // CLUSTER_HTTP_HOST_LIST_H_
--- a/src/platform/http_log.h
+++ b/src/cluster/http_log.h
@@ -1,13 +1,13 @@
-#ifndef PLATFORM_HTTP_LOG_H_
-#define PLATFORM_HTTP_LOG_H_
+#ifndef CLUSTER_HTTP_LOG_H_
+#define CLUSTER_HTTP_LOG_H_
 
 #include <functional>
 #include <string>
 
 #include "framework/http/http_client.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 
 // The platform's log over HTTP:
 //   POST /streams/NAME/records            body: the record; {"offset": n}
@@ -37,6 +37,6 @@
   http::Client& client;
 };
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
 
-#endif  // PLATFORM_HTTP_LOG_H_
+#endif  // CLUSTER_HTTP_LOG_H_
--- a/src/platform/http_weight_store.h
+++ b/src/cluster/http_weight_store.h
@@ -1,12 +1,12 @@
-#ifndef PLATFORM_HTTP_WEIGHT_STORE_H_
-#define PLATFORM_HTTP_WEIGHT_STORE_H_
+#ifndef CLUSTER_HTTP_WEIGHT_STORE_H_
+#define CLUSTER_HTTP_WEIGHT_STORE_H_
 
 #include <functional>
 
 #include "framework/http/http_client.h"
-#include "platform/i_weight_store.h"
+#include "cluster/i_weight_store.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 
 // The platform's weight store over HTTP: POST /permits {"endpoint": "..."}
 // answers 200 {"lease_ms": n} or 429; DELETE /permits/ENDPOINT gives back.
@@ -24,6 +24,6 @@
   http::Client& client;
 };
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
 
-#endif  // PLATFORM_HTTP_WEIGHT_STORE_H_
+#endif  // CLUSTER_HTTP_WEIGHT_STORE_H_
--- a/src/platform/i_host_list.h
+++ b/src/cluster/i_host_list.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_I_HOST_LIST_H_
-#define PLATFORM_I_HOST_LIST_H_
+#ifndef CLUSTER_I_HOST_LIST_H_
+#define CLUSTER_I_HOST_LIST_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/result.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 
 enum class HostState : std::uint8_t { kLive, kLeaving };
 inline constexpr EnumNames<HostState, 2> kHostStateNames = {{
@@ -33,6 +33,6 @@
       std::function<void(Result<std::vector<HostRecord>>)> on_done) = 0;
 };
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
 
-#endif  // PLATFORM_I_HOST_LIST_H_
+#endif  // CLUSTER_I_HOST_LIST_H_
--- a/src/platform/i_log.h
+++ b/src/cluster/i_log.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_I_LOG_H_
-#define PLATFORM_I_LOG_H_
+#ifndef CLUSTER_I_LOG_H_
+#define CLUSTER_I_LOG_H_
 
 #include <cstdint>
 #include <functional>
@@ -10,7 +10,7 @@
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 
 // The platform's append-only log: named streams of records with offsets,
 // limited retention, outages. Lives on one thread; hooks run there, never
@@ -46,6 +46,6 @@
                         std::function<void(Result<Read>)> on_done) = 0;
 };
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
 
-#endif  // PLATFORM_I_LOG_H_
+#endif  // CLUSTER_I_LOG_H_
--- a/src/platform/i_weight_store.h
+++ b/src/cluster/i_weight_store.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_I_WEIGHT_STORE_H_
-#define PLATFORM_I_WEIGHT_STORE_H_
+#ifndef CLUSTER_I_WEIGHT_STORE_H_
+#define CLUSTER_I_WEIGHT_STORE_H_
 
 #include <functional>
 
@@ -7,7 +7,7 @@
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 
 // The platform's rate-limited weight store. A load is only begun under a
 // permit, so that few run at once and none starves. Lives on one thread.
@@ -23,6 +23,6 @@
   virtual void Release(const EndpointId& endpoint) = 0;
 };
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
 
-#endif  // PLATFORM_I_WEIGHT_STORE_H_
+#endif  // CLUSTER_I_WEIGHT_STORE_H_
--- a/src/platform/internal/http_host_list.cc
+++ b/src/cluster/internal/http_host_list.cc
@@ -1,13 +1,13 @@
-#include "platform/http_host_list.h"
+#include "cluster/http_host_list.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
 
-#include "platform/internal/json_exchange.h"
+#include "cluster/internal/json_exchange.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 namespace {
 
 using nlohmann::json;
@@ -61,4 +61,4 @@
       });
 }
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
--- a/src/platform/internal/http_log.cc
+++ b/src/cluster/internal/http_log.cc
@@ -1,13 +1,13 @@
-#include "platform/http_log.h"
+#include "cluster/http_log.h"
 
 #include <QByteArray>
 #include <QString>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/internal/json_exchange.h"
+#include "cluster/internal/json_exchange.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 namespace {
 
 using internal::ExchangeJson;
@@ -115,4 +115,4 @@
                });
 }
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
--- a/src/platform/internal/http_weight_store.cc
+++ b/src/cluster/internal/http_weight_store.cc
@@ -1,11 +1,11 @@
-#include "platform/http_weight_store.h"
+#include "cluster/http_weight_store.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/internal/json_exchange.h"
+#include "cluster/internal/json_exchange.h"
 
-namespace acacialug::platform {
+namespace acacialug::cluster {
 namespace {
 
 constexpr int kStatusOk = 200;
@@ -53,4 +53,4 @@
       [](const internal::JsonAnswer&) {});
 }
 
-}  // namespace acacialug::platform
+}  // namespace acacialug::cluster
--- a/src/platform/internal/json_exchange.cc
+++ b/src/cluster/internal/json_exchange.cc
@@ -1,9 +1,9 @@
-#include "platform/internal/json_exchange.h"
+#include "cluster/internal/json_exchange.h"
 
 #include <memory>
 #include <utility>
 
-namespace acacialug::platform::internal {
+namespace acacialug::cluster::internal {
 
 void ExchangeJson(http::Client& client,
                   const http::Address& address,
@@ -43,4 +43,4 @@
   return true;
 }
 
-}  // namespace acacialug::platform::internal
+}  // namespace acacialug::cluster::internal
--- a/src/platform/internal/json_exchange.h
+++ b/src/cluster/internal/json_exchange.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_INTERNAL_JSON_EXCHANGE_H_
-#define PLATFORM_INTERNAL_JSON_EXCHANGE_H_
+#ifndef CLUSTER_INTERNAL_JSON_EXCHANGE_H_
+#define CLUSTER_INTERNAL_JSON_EXCHANGE_H_
 
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -7,7 +7,7 @@
 
 #include "framework/http/http_client.h"
 
-namespace acacialug::platform::internal {
+namespace acacialug::cluster::internal {
 
 // What came of one exchange whose answer is JSON.
 struct JsonAnswer {
@@ -27,6 +27,6 @@
                 const char* key,
                 std::uint64_t& number);
 
-}  // namespace acacialug::platform::internal
+}  // namespace acacialug::cluster::internal
 
-#endif  // PLATFORM_INTERNAL_JSON_EXCHANGE_H_
+#endif  // CLUSTER_INTERNAL_JSON_EXCHANGE_H_
--- a/src/configuration/configuration_follower.h
+++ b/src/configuration/configuration_follower.h
@@ -10,7 +10,7 @@
 #include "configuration/configuration_history.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::configuration {
 
@@ -69,7 +69,7 @@
   ConfigurationFollower(FollowerOptions options, RandomSource& random);
 
   void Start(Instant now);
-  void OnRead(const Result<platform::ILog::Read>& read, Instant now);
+  void OnRead(const Result<cluster::ILog::Read>& read, Instant now);
   // A peer spoke of this offset in a heartbeat or a hello.
   void OnPeerOffset(LogOffset offset, Instant now);
   // Whether no peer has a session with this process. Of no effect on one that
@@ -96,7 +96,7 @@
 
  private:
   void Read(Duration wait);
-  void ApplyRecords(const platform::ILog::Read& read);
+  void ApplyRecords(const cluster::ILog::Read& read);
   void TakeInForce(const AcceptedManifest& candidate);
   void ConsiderCheckpoint(Instant now);
   void ScheduleRetry(Instant now);
--- a/src/configuration/internal/configuration_follower.cc
+++ b/src/configuration/internal/configuration_follower.cc
@@ -63,7 +63,7 @@
   this->Read(at_end ? this->options.long_poll : Duration{});
 }
 
-void ConfigurationFollower::OnRead(const Result<platform::ILog::Read>& read,
+void ConfigurationFollower::OnRead(const Result<cluster::ILog::Read>& read,
                                    Instant now) {
   this->reading = false;
   if (!read.ok()) {
@@ -123,14 +123,14 @@
   }
 }
 
-void ConfigurationFollower::ApplyRecords(const platform::ILog::Read& read) {
+void ConfigurationFollower::ApplyRecords(const cluster::ILog::Read& read) {
   if (!this->history) {
     this->history.emplace(read.first_kept);
   } else if (read.first_kept.value >
              this->history->applied_through().value + 1) {
     this->history->OnTruncated(read.first_kept);
   }
-  for (const platform::ILog::Record& record : read.records) {
+  for (const cluster::ILog::Record& record : read.records) {
     this->history->Apply(record.offset, record.payload);
   }
 }
--- a/src/configuration/tests/configuration_follower_test.cc
+++ b/src/configuration/tests/configuration_follower_test.cc
@@ -45,12 +45,12 @@
     }
   }
 
-  void Answer(std::vector<platform::ILog::Record> records,
+  void Answer(std::vector<cluster::ILog::Record> records,
               std::uint64_t next,
               Instant now = kStart,
               std::uint64_t first_kept = 1) {
     this->follower.OnRead(
-        platform::ILog::Read{.first_kept = LogOffset(first_kept),
+        cluster::ILog::Read{.first_kept = LogOffset(first_kept),
                              .next = LogOffset(next),
                              .records = std::move(records)},
         now);
--- a/src/configuration_client/configuration_client.h
+++ b/src/configuration_client/configuration_client.h
@@ -10,7 +10,7 @@
 #include "configuration/configuration_follower.h"
 #include "framework/global/random_source.h"
 #include "framework/http/http_types.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::configuration_client {
 
@@ -20,7 +20,7 @@
 struct ClientOptions {
   configuration::FollowerOptions follower;
   // The platform's log; made once, on the client's thread.
-  std::unique_ptr<platform::ILog> log;
+  std::unique_ptr<cluster::ILog> log;
   // A newer manifest is in force in this process; never one that is older.
   std::function<void(const configuration::AcceptedManifest&)> on_in_force;
   // Operations ports of entries, asked for the manifest that they have in
--- a/src/configuration_client/internal/configuration_client.cc
+++ b/src/configuration_client/internal/configuration_client.cc
@@ -82,7 +82,7 @@
   void Do(const configuration::ReadStream& read) {
     this->options.log->ReadFrom(
         std::string(kConfigurationStream), read.from, kRecordsPerRead,
-        read.wait, [this](const Result<platform::ILog::Read>& answer) {
+        read.wait, [this](const Result<cluster::ILog::Read>& answer) {
           this->OnRead(answer);
         });
   }
@@ -115,7 +115,7 @@
     });
   }
 
-  void OnRead(const Result<platform::ILog::Read>& answer) {
+  void OnRead(const Result<cluster::ILog::Read>& answer) {
     const Instant now = MonotonicNow();
     if (!answer.ok()) {
       log::WriteLimited(this->limiter, now, log::Level::kWarning,
--- a/src/configuration_client/tests/configuration_client_test.cc
+++ b/src/configuration_client/tests/configuration_client_test.cc
@@ -20,7 +20,7 @@
 using testing::WaitUntil;
 
 // A log in memory that can be out. Answers come from the event loop.
-struct MemoryLog : platform::ILog {
+struct MemoryLog : cluster::ILog {
   struct State {
     std::vector<std::string> records;
     bool out = false;
--- a/src/control/internal/command_context.cc
+++ b/src/control/internal/command_context.cc
@@ -71,7 +71,7 @@
     return nullptr;
   }
   this->client = std::make_unique<http::Client>(http::ClientOptions{});
-  this->log = std::make_unique<platform::HttpLog>(*address, *this->client);
+  this->log = std::make_unique<cluster::HttpLog>(*address, *this->client);
   this->publisher = std::make_unique<Publisher>(
       PublisherOptions{
           .stream = std::string(configuration_client::kConfigurationStream),
--- a/src/control/internal/command_context.h
+++ b/src/control/internal/command_context.h
@@ -10,7 +10,7 @@
 #include "control/publisher.h"
 #include "control/scraper.h"
 #include "framework/http/http_client.h"
-#include "platform/http_log.h"
+#include "cluster/http_log.h"
 
 namespace acacialug::control {
 
@@ -44,7 +44,7 @@
  private:
   RandomSource random;
   std::unique_ptr<http::Client> client;
-  std::unique_ptr<platform::HttpLog> log;
+  std::unique_ptr<cluster::HttpLog> log;
   std::unique_ptr<Publisher> publisher;
 };
 
--- a/src/control/internal/level_collector.cc
+++ b/src/control/internal/level_collector.cc
@@ -12,7 +12,7 @@
 #include "control/scraper.h"
 #include "framework/http/http_client.h"
 #include "framework/metrics/exposition.h"
-#include "platform/http_log.h"
+#include "cluster/http_log.h"
 #include "service_levels/digest_codec.h"
 
 namespace acacialug::control {
@@ -104,16 +104,16 @@
 }
 
 // One read, waited for on the event loop; empty when no answer came in time.
-std::optional<platform::ILog::Read> ReadOnce(platform::ILog& log,
+std::optional<cluster::ILog::Read> ReadOnce(cluster::ILog& log,
                                              LogOffset from,
                                              Duration timeout) {
   QEventLoop loop;
   // Shared: an answer may come after the wait was given up.
-  auto answer = std::make_shared<std::optional<platform::ILog::Read>>();
+  auto answer = std::make_shared<std::optional<cluster::ILog::Read>>();
   auto waiting = std::make_shared<QEventLoop*>(&loop);
   log.ReadFrom(service_levels::kDigestStream, from, kRecordsPerRead,
                Duration::zero(),
-               [answer, waiting](const Result<platform::ILog::Read>& read) {
+               [answer, waiting](const Result<cluster::ILog::Read>& read) {
                  if (*waiting == nullptr) {
                    return;
                  }
@@ -131,20 +131,20 @@
 
 }  // namespace
 
-bool ReadDigests(platform::ILog& log,
+bool ReadDigests(cluster::ILog& log,
                  Duration timeout,
                  service_levels::LevelFold& fold) {
   LogOffset from;
   std::optional<LogOffset> end;
   while (!end || from < *end) {
-    const std::optional<platform::ILog::Read> read =
+    const std::optional<cluster::ILog::Read> read =
         ReadOnce(log, from, timeout);
     if (!read) {
       return false;
     }
     // Records are appended while this reads: it stops at the first end seen.
     end = end.value_or(read->next);
-    for (const platform::ILog::Record& record : read->records) {
+    for (const cluster::ILog::Record& record : read->records) {
       fold.AddRecord(record.payload);
     }
     const LogOffset next =
@@ -165,7 +165,7 @@
   AskAgents(others, options.timeout, collected.sources);
   if (options.log) {
     http::Client client({.silence_timeout = options.timeout});
-    platform::HttpLog log(*options.log, client);
+    cluster::HttpLog log(*options.log, client);
     collected.sources.log = ReadDigests(log, options.timeout, collected.fold)
                                 ? LogState::kRead
                                 : LogState::kUnavailable;
--- a/src/control/internal/publisher.cc
+++ b/src/control/internal/publisher.cc
@@ -23,17 +23,17 @@
 }  // namespace
 
 Publisher::Publisher(PublisherOptions publisher_options,
-                     platform::ILog& platform_log,
+                     cluster::ILog& platform_log,
                      RandomSource& random_source)
     : options(std::move(publisher_options)),
       log(platform_log),
       random(random_source) {}
 
-Result<platform::ILog::Read> Publisher::ReadFrom(LogOffset from) {
-  auto answer = std::make_shared<std::optional<Result<platform::ILog::Read>>>();
+Result<cluster::ILog::Read> Publisher::ReadFrom(LogOffset from) {
+  auto answer = std::make_shared<std::optional<Result<cluster::ILog::Read>>>();
   this->log.ReadFrom(this->options.stream, from, kRecordsPerRead,
                      Duration::zero(),
-                     [answer](Result<platform::ILog::Read> read) {
+                     [answer](Result<cluster::ILog::Read> read) {
                        *answer = std::move(read);
                      });
   if (!this->options.wait([answer] { return answer->has_value(); },
@@ -59,14 +59,14 @@
   std::optional<ConfigurationHistory> history;
   LogOffset from(1);
   for (;;) {
-    Result<platform::ILog::Read> read = this->ReadFrom(from);
+    Result<cluster::ILog::Read> read = this->ReadFrom(from);
     if (!read.ok()) {
       return read.error();
     }
     if (!history) {
       history.emplace(read->first_kept);
     }
-    for (const platform::ILog::Record& record : read->records) {
+    for (const cluster::ILog::Record& record : read->records) {
       history->Apply(record.offset, record.payload);
     }
     if (read->records.empty()) {
--- a/src/control/level_collector.h
+++ b/src/control/level_collector.h
@@ -9,7 +9,7 @@
 #include "control/burn_report.h"
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 #include "service_levels/level_fold.h"
 
 namespace acacialug::control {
@@ -36,7 +36,7 @@
 // Reads the stream of digests from its start to the end that it had when
 // asked. False: the log gave no answer in time, or a bad one; what was read
 // before is in the fold. As above.
-bool ReadDigests(platform::ILog& log,
+bool ReadDigests(cluster::ILog& log,
                  Duration timeout,
                  service_levels::LevelFold& fold);
 
--- a/src/control/publisher.h
+++ b/src/control/publisher.h
@@ -9,7 +9,7 @@
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::control {
 
@@ -31,7 +31,7 @@
  public:
   // `log` and `random` outlive this.
   Publisher(PublisherOptions publisher_options,
-            platform::ILog& platform_log,
+            cluster::ILog& platform_log,
             RandomSource& random_source);
 
   // The stream read to its end. Errors: kPlatformUnavailable,
@@ -50,7 +50,7 @@
                                            const std::string& source);
 
  private:
-  Result<platform::ILog::Read> ReadFrom(LogOffset from);
+  Result<cluster::ILog::Read> ReadFrom(LogOffset from);
   Result<LogOffset> Append(const std::string& payload);
   // The current manifest's text, which this one replaces; empty: none is.
   Result<std::string> CheckCurrent(const std::string& text,
@@ -62,7 +62,7 @@
                                            const RequestId& publication);
 
   PublisherOptions options;
-  platform::ILog& log;
+  cluster::ILog& log;
   RandomSource& random;
 };
 
--- a/src/control/tests/level_collector_test.cc
+++ b/src/control/tests/level_collector_test.cc
@@ -107,7 +107,7 @@
 }
 
 // A stream of one record a digest window, of which retention took the start.
-class ShortenedLog : public platform::ILog {
+class ShortenedLog : public cluster::ILog {
  public:
   enum class Fault { kNone, kOut, kSilent, kOutLater };
 
--- a/src/control/tests/publisher_test.cc
+++ b/src/control/tests/publisher_test.cc
@@ -28,7 +28,7 @@
 enum class AppendFault { kNone, kRefused, kLostBefore, kLostAfter };
 
 // A log in memory; each append meets the next fault of the list.
-class ListLog : public platform::ILog {
+class ListLog : public cluster::ILog {
  public:
   std::vector<std::string> records;
   std::deque<AppendFault> faults;
--- a/src/entry/internal/log_once.cc
+++ b/src/entry/internal/log_once.cc
@@ -50,11 +50,11 @@
   return Error(ResultCode::kAppendUnresolved);
 }
 
-Result<platform::ILog::Read> ReadResult(const ClaimsRead& read) {
+Result<cluster::ILog::Read> ReadResult(const ClaimsRead& read) {
   if (!read.reachable) {
     return Error(ResultCode::kPlatformUnavailable);
   }
-  platform::ILog::Read records{.first_kept = read.first_kept,
+  cluster::ILog::Read records{.first_kept = read.first_kept,
                                .next = read.next};
   for (const LogRecord& record : read.records) {
     records.records.push_back(
--- a/src/entry_process/internal/claims_log.cc
+++ b/src/entry_process/internal/claims_log.cc
@@ -18,12 +18,12 @@
 }
 
 entry::ClaimsRead ReadOf(entry::LogTicket ticket,
-                         Result<platform::ILog::Read> result) {
+                         Result<cluster::ILog::Read> result) {
   entry::ClaimsRead read{.ticket = ticket, .reachable = result.ok()};
   if (result.ok()) {
     read.first_kept = result->first_kept;
     read.next = result->next;
-    for (platform::ILog::Record& record : result.value().records) {
+    for (cluster::ILog::Record& record : result.value().records) {
       read.records.push_back(
           {.offset = record.offset, .payload = std::move(record.payload)});
     }
@@ -33,7 +33,7 @@
 
 }  // namespace
 
-ClaimsLog::ClaimsLog(std::unique_ptr<platform::ILog> platform_log,
+ClaimsLog::ClaimsLog(std::unique_ptr<cluster::ILog> platform_log,
                      Hooks log_hooks)
     : log(std::move(platform_log)), hooks(std::move(log_hooks)) {}
 
@@ -59,7 +59,7 @@
 void ClaimsLog::Read(const entry::ReadClaims& read) {
   auto on_done =
       [this, ticket = read.ticket,
-       weak = std::weak_ptr(this->alive)](Result<platform::ILog::Read> result) {
+       weak = std::weak_ptr(this->alive)](Result<cluster::ILog::Read> result) {
         if (!weak.expired()) {
           this->hooks.on_read(ReadOf(ticket, std::move(result)));
         }
--- a/src/entry_process/internal/claims_log.h
+++ b/src/entry_process/internal/claims_log.h
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "entry/types/entry_messages.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::entry_process {
 
@@ -23,13 +23,13 @@
     std::function<void(const entry::ClaimsRead& read)> on_read;
   };
 
-  ClaimsLog(std::unique_ptr<platform::ILog> platform_log, Hooks hooks);
+  ClaimsLog(std::unique_ptr<cluster::ILog> platform_log, Hooks hooks);
 
   void Append(const entry::AppendClaims& append);
   void Read(const entry::ReadClaims& read);
 
  private:
-  std::unique_ptr<platform::ILog> log;
+  std::unique_ptr<cluster::ILog> log;
   const Hooks hooks;
   // Outcomes that come after this object's end are dropped.
   std::shared_ptr<const bool> alive = std::make_shared<const bool>(true);
--- a/src/entry_process/internal/digest_appender.h
+++ b/src/entry_process/internal/digest_appender.h
@@ -7,7 +7,7 @@
 #include <memory>
 
 #include "entry_process/internal/service_level_book.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::entry_process {
 
@@ -17,7 +17,7 @@
  public:
   struct Options {
     ServiceLevelBook& book;               // outlives this object
-    std::unique_ptr<platform::ILog> log;  // null: nothing is appended
+    std::unique_ptr<cluster::ILog> log;  // null: nothing is appended
     Duration finish_timeout = 1s;
   };
 
--- a/src/entry_process/internal/platform_log.cc
+++ b/src/entry_process/internal/platform_log.cc
@@ -4,12 +4,12 @@
 #include <utility>
 
 #include "framework/http/http_client.h"
-#include "platform/http_log.h"
+#include "cluster/http_log.h"
 
 namespace acacialug::entry_process {
 namespace {
 
-class OwningLog : public platform::ILog {
+class OwningLog : public cluster::ILog {
  public:
   explicit OwningLog(const http::Address& address)
       : client({}), log(address, this->client) {}
@@ -30,12 +30,12 @@
 
  private:
   http::Client client;
-  platform::HttpLog log;
+  cluster::HttpLog log;
 };
 
 }  // namespace
 
-std::unique_ptr<platform::ILog> MakePlatformLog(const http::Address& address) {
+std::unique_ptr<cluster::ILog> MakePlatformLog(const http::Address& address) {
   return std::make_unique<OwningLog>(address);
 }
 
--- a/src/entry_process/manifest_source.h
+++ b/src/entry_process/manifest_source.h
@@ -13,7 +13,7 @@
 #include "framework/global/random_source.h"
 #include "framework/global/types/result.h"
 #include "manifest/types/manifest.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::entry_process {
 
@@ -23,7 +23,7 @@
  public:
   struct Options {
     std::string file;  // empty: from `log`
-    std::unique_ptr<platform::ILog> log;
+    std::unique_ptr<cluster::ILog> log;
     std::string author;                // of checkpoints
     Duration log_retention{};          // checkpoints are made well within it
     std::vector<http::Address> peers;  // asked while the log is out
--- a/src/entry_process/platform_log.h
+++ b/src/entry_process/platform_log.h
@@ -4,13 +4,13 @@
 #include <memory>
 
 #include "framework/http/http_types.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::entry_process {
 
 // The platform's log with an HTTP client of its own, so that each thread can
 // have one. Thread: the one that makes it, with a Qt event loop.
-std::unique_ptr<platform::ILog> MakePlatformLog(const http::Address& address);
+std::unique_ptr<cluster::ILog> MakePlatformLog(const http::Address& address);
 
 }  // namespace acacialug::entry_process
 
--- a/src/entry_process/tests/agent_links_test.cc
+++ b/src/entry_process/tests/agent_links_test.cc
@@ -182,7 +182,7 @@
               std::move(log),
               {.on_read = [&](const entry::ClaimsRead& read) { told = read; }});
           claims.Read({.ticket = entry::LogTicket(1)});
-          fake.read_done(platform::ILog::Read{
+          fake.read_done(cluster::ILog::Read{
               .first_kept = LogOffset(2),
               .next = LogOffset(4),
               .records = {{.offset = LogOffset(3), .payload = "p"}}});
--- a/src/entry_process/tests/digest_appender_test.cc
+++ b/src/entry_process/tests/digest_appender_test.cc
@@ -25,7 +25,7 @@
   std::optional<Result<LogOffset>> answer = LogOffset(1);  // none: never
 };
 
-class ScriptedLog : public platform::ILog {
+class ScriptedLog : public cluster::ILog {
  public:
   explicit ScriptedLog(std::shared_ptr<LogScript> log_script)
       : script(std::move(log_script)) {}
--- a/src/entry_process/tests/fake_log.h
+++ b/src/entry_process/tests/fake_log.h
@@ -5,12 +5,12 @@
 #include <string>
 #include <utility>
 
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::entry_process {
 
 // A log that answers when told to.
-class FakeLog : public platform::ILog {
+class FakeLog : public cluster::ILog {
  public:
   void Append(const std::string&,
               std::string,
--- a/src/entry_process/tests/manifest_source_test.cc
+++ b/src/entry_process/tests/manifest_source_test.cc
@@ -20,7 +20,7 @@
 using testing::It;
 using testing::WaitUntil;
 
-platform::ILog::Read OneRecord(std::uint64_t offset,
+cluster::ILog::Read OneRecord(std::uint64_t offset,
                                std::uint64_t next,
                                std::string payload) {
   return {.first_kept = LogOffset(1),
--- a/src/entry_process/types/entry_process_options.h
+++ b/src/entry_process/types/entry_process_options.h
@@ -12,7 +12,7 @@
 #include "framework/http/http_types.h"
 #include "framework/net/frame_channel.h"
 #include "heartbeat/heartbeat_budget.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::entry_process {
 
@@ -56,7 +56,7 @@
   // The platform's log, made on each shard's thread for claims and once on the
   // main thread for digests. Empty: no log; calls that need a claim are
   // refused.
-  std::function<std::unique_ptr<platform::ILog>()> make_log;
+  std::function<std::unique_ptr<cluster::ILog>()> make_log;
   // The log keeps records at least so long; keys are taken for less.
   Duration log_retention = 24h;
   // An agent spoke of a manifest newer than the one in force here. Runs on
--- a/src/framework/global/types/instant.h
+++ b/src/framework/global/types/instant.h
@@ -1,6 +1,8 @@
 #ifndef FRAMEWORK_GLOBAL_TYPES_INSTANT_H_
 #define FRAMEWORK_GLOBAL_TYPES_INSTANT_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace acacialug {
@@ -38,10 +40,15 @@
 }
 
 // The process's monotonic clock, for the outermost layer only (event loops
-// and mains). Thread safe.
+// and mains). It counts the time for which the host was suspended: a steady
+// clock that stands still meanwhile would make a lease, or a caller's deadline,
+// look seconds younger than it is to everybody else. Thread safe.
 inline Instant MonotonicNow() {
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
   return Instant(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace acacialug
--- a/src/framework/http/http_client.cc
+++ b/src/framework/http/http_client.cc
@@ -12,10 +12,6 @@
 namespace acacialug::http {
 namespace {
 
-// Shorter than the idle timeout of the usual servers, so that it is mostly
-// this side that closes: a server's close can cross a request on its way, and
-// that request's outcome would be unknown.
-constexpr Duration kMaxIdle = 4s;
 constexpr std::chrono::milliseconds kSweepInterval{1000};
 
 }  // namespace
@@ -30,6 +26,7 @@
                   ExchangeHooks hooks);
   void Cancel(ExchangeId id);
   void SetPaused(ExchangeId id, bool paused);
+  void DropIdle(const Address& address) { this->pool.DropAll(address); }
   Status ReloadTls();
 
  private:
@@ -112,7 +109,7 @@
 }
 
 void Client::Implementation::Sweep() {
-  this->pool.DropOlderThan(MonotonicNow() - kMaxIdle);
+  this->pool.DropExpired(MonotonicNow());
   if (this->pool.empty()) {
     this->sweep_timer.stop();
   }
@@ -162,6 +159,10 @@
   this->implementation->SetPaused(exchange, paused);
 }
 
+void Client::DropIdle(const Address& address) {
+  this->implementation->DropIdle(address);
+}
+
 Status Client::ReloadTls() {
   return this->implementation->ReloadTls();
 }
--- a/src/framework/http/http_client.h
+++ b/src/framework/http/http_client.h
@@ -15,6 +15,11 @@
 // What a client tells of one exchange; each hook runs on the client's thread,
 // never from inside Send. After on_end or on_error nothing more comes.
 struct ExchangeHooks {
+  // False: this answer belongs to another request, and is read to its end and
+  // dropped; the next one on the connection is awaited. A server that answers
+  // a request twice would otherwise have its second answer taken for that of
+  // the connection's next request. Empty: every answer is this exchange's.
+  std::function<bool(int status, const Headers& headers)> is_answer;
   std::function<void(int status, const Headers& headers)> on_head;
   // Body bytes as they come. Empty: they are collected for on_end.
   std::function<void(std::string_view data)> on_data;
@@ -34,6 +39,11 @@
   // takes no memory here.
   std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
   std::size_t max_idle_connections = 64;  // kept for reuse, per address
+  // An idle connection is closed after this. Shorter than the idle timeout of
+  // the usual servers, so that it is mostly this side that closes: a server's
+  // close can cross a request on its way, whose outcome would be unknown. A
+  // server that tells a shorter one (Keep-Alive) is believed.
+  Duration max_idle = 4s;
   TlsFiles tls;                           // enabled(): every exchange is TLS
 };
 
@@ -63,6 +73,11 @@
   // downstream presses back on the server. Unknown ids are ignored.
   void SetPaused(ExchangeId exchange, bool paused);
 
+  // Closes the idle connections to an address: after one connection to it went
+  // silent, the others may be dead too, and nothing would show it before a
+  // request was lost on each.
+  void DropIdle(const Address& address);
+
   // Loads the TLS files anew for connections made from now on. Errors:
   // kCertificateInvalid (what was loaded before stays).
   Status ReloadTls();
--- a/src/framework/http/internal/client_connection.cc
+++ b/src/framework/http/internal/client_connection.cc
@@ -3,7 +3,9 @@
 #include <QHostAddress>
 #include <QSslError>
 #include <QSslSocket>
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 
 #include "framework/http/socket_setup.h"
@@ -29,7 +31,8 @@
       owner(std::move(hooks)),
       secure(tls != nullptr),
       socket(MakeSocket(tls, kReadBytes)),
-      timer([this] { this->OnExpired(); }) {
+      timer([this] { this->OnExpired(); }),
+      idle_time(client_options.max_idle) {
   this->ConnectSignals();
 }
 
@@ -66,6 +69,7 @@
               ? std::nullopt
               : std::optional<std::uint64_t>(this->options.max_body_bytes)});
   this->paused = false;
+  this->dropping = false;
   this->request_left = false;
   this->inside_start = true;
   if (this->open) {
@@ -169,8 +173,12 @@
       }
       // Held here, since the hook may cancel the exchange while it runs.
       const std::shared_ptr<Exchange> held = this->exchange;
-      if (held->hooks.on_head) {
-        const Headers headers = this->reader->headers();
+      const Headers headers = this->reader->headers();
+      this->NoteIdleTime(headers);
+      this->dropping =
+          held->hooks.is_answer &&
+          !held->hooks.is_answer(this->reader->status(), headers);
+      if (!this->dropping && held->hooks.on_head) {
         held->hooks.on_head(this->reader->status(), headers);
       }
       if (!this->MayGoOn(id)) {
@@ -182,6 +190,15 @@
       this->Fail(this->reader->fault());
       return false;
     }
+    if (this->dropping) {
+      this->reader->TakeBody();
+      if (step != ReadStep::kDone) {
+        return true;
+      }
+      this->dropping = false;
+      this->reader->Restart();
+      continue;
+    }
     if (!this->DeliverData()) {
       return false;
     }
@@ -207,7 +224,7 @@
 
 void ClientConnection::EndOfStream() {
   const bool in_order = this->end_probe && this->end_probe->EndedInOrder();
-  if (in_order && this->reader->FinishAtEnd() == ReadStep::kDone) {
+  if (in_order && !this->dropping && this->reader->FinishAtEnd() == ReadStep::kDone) {
     if (this->DeliverData()) {
       this->Finish();
     }
@@ -301,6 +318,28 @@
           (this->open ? ": silent for too long" : ": not connected in time")));
 }
 
+// `Keep-Alive: timeout=SECONDS`, less the time that a request may take to get
+// there: one that meets the server's close has an unknown outcome.
+void ClientConnection::NoteIdleTime(const Headers& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  constexpr Duration kOnTheWay = 500ms;
+  const auto told = FindHeader(headers, "Keep-Alive");
+  const std::size_t at =
+      told ? told->find(kTimeout) : std::string_view::npos;
+  if (at == std::string_view::npos) {
+    return;
+  }
+  const std::string_view digits = told->substr(at + kTimeout.size());
+  std::uint32_t seconds = 0;
+  if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds)
+          .ec == std::errc()) {
+    this->idle_time =
+        std::min(this->options.max_idle,
+                 std::max(Duration::zero(),
+                          Duration(std::chrono::seconds(seconds)) - kOnTheWay));
+  }
+}
+
 void ClientConnection::Finish() {
   const bool reusable = this->reader->keep_alive() &&
                         !this->reader->has_excess() && !this->ended &&
--- a/src/framework/http/internal/client_connection.h
+++ b/src/framework/http/internal/client_connection.h
@@ -57,7 +57,8 @@
   const Address& address() const { return this->server_address; }
   // For an idle connection: the server has neither closed nor sent anything.
   bool IsReusable() const;
-  Instant idle_since() const { return this->released_at; }
+  // Until when it may be kept idle.
+  Instant idle_until() const { return this->released_at + this->idle_time; }
 
  private:
   void ConnectSignals();
@@ -77,6 +78,7 @@
   bool MayGoOn(Client::ExchangeId id) const;
   void EndOfStream();
   void Finish();
+  void NoteIdleTime(const Headers& headers);
   void Fail(Error error);
   std::shared_ptr<Exchange> Release(bool reusable);
 
@@ -89,7 +91,9 @@
   std::shared_ptr<Exchange> exchange;
   std::optional<ResponseReader> reader;
   std::optional<EndProbe> end_probe;  // for a body that ends with it
-  Instant released_at = kNever;
+  Instant released_at = Instant{};
+  Duration idle_time;
+  bool dropping = false;  // an answer that belongs to another request
   bool open = false;
   bool ended = false;  // the socket is of no more use
   bool paused = false;
--- a/src/framework/http/internal/client_pool.cc
+++ b/src/framework/http/internal/client_pool.cc
@@ -31,7 +31,8 @@
   while (!connections.empty() && taken == nullptr) {
     ClientConnection* const latest = connections.back();
     connections.pop_back();
-    if (latest->IsReusable()) {
+    // A timer that is late must not let a connection be used past its time.
+    if (latest->idle_until() >= MonotonicNow() && latest->IsReusable()) {
       taken = latest;
     } else {
       CloseLater(latest);
@@ -67,11 +68,22 @@
   CloseLater(connection);
 }
 
-void ClientPool::DropOlderThan(Instant oldest) {
+void ClientPool::DropAll(const Address& address) {
+  const auto found = this->idle.find(address);
+  if (found == this->idle.end()) {
+    return;
+  }
+  for (ClientConnection* const connection : found->second) {
+    CloseLater(connection);
+  }
+  this->idle.erase(found);
+}
+
+void ClientPool::DropExpired(Instant now) {
   std::vector<ClientConnection*> old;
   for (const auto& [address, connections] : this->idle) {
     for (ClientConnection* const connection : connections) {
-      if (connection->idle_since() < oldest) {
+      if (connection->idle_until() < now) {
         old.push_back(connection);
       }
     }
--- a/src/framework/http/internal/client_pool.h
+++ b/src/framework/http/internal/client_pool.h
@@ -25,8 +25,11 @@
   // Closes a connection, whether kept or not.
   void Drop(ClientConnection* connection);
 
-  // Closes what has been idle since before `oldest`.
-  void DropOlderThan(Instant oldest);
+  // Closes what has been idle for as long as it may be.
+  void DropExpired(Instant now);
+
+  // Closes all that is kept for an address.
+  void DropAll(const Address& address);
 
   bool empty() const { return this->idle.empty(); }
 
--- a/src/framework/http/internal/response_reader.cc
+++ b/src/framework/http/internal/response_reader.cc
@@ -135,6 +135,11 @@
                : ReadStep::kDone;
 }
 
+void ResponseReader::Restart() {
+  this->parser.reset();
+  this->head.clear();
+}
+
 bool ResponseReader::ends_with_connection() const {
   return this->parser->beast.need_eof();
 }
--- a/src/framework/http/internal/response_reader.h
+++ b/src/framework/http/internal/response_reader.h
@@ -36,6 +36,10 @@
   // kDone, or kFault if the answer is cut short.
   ReadStep FinishAtEnd();
 
+  // Begins the next answer with the bytes that follow this one.
+  // Precondition: kDone came.
+  void Restart();
+
   // True when bytes follow a whole answer, which no request asked for.
   bool has_excess() const { return !this->pending.empty(); }
   bool started() const { return this->parser != nullptr; }
--- a/src/framework/log/internal/line.cc
+++ b/src/framework/log/internal/line.cc
@@ -33,6 +33,9 @@
   if (record.request) {
     line["request"] = ToString(*record.request);
   }
+  if (!record.request_name.empty()) {
+    line["request"] = record.request_name;
+  }
   if (record.attempt) {
     line["attempt"] = record.attempt->value;
   }
--- a/src/framework/log/internal/log.cc
+++ b/src/framework/log/internal/log.cc
@@ -5,12 +5,15 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <memory>
 #include <mutex>
 #include <utility>
 
 #include "framework/log/internal/line.h"
+#include "framework/log/internal/pipe_sink.h"
 
 namespace acacialug::log {
 namespace {
@@ -36,6 +39,11 @@
   if (options.stream != nullptr) {
     return std::make_shared<spdlog::sinks::ostream_sink_mt>(*options.stream);
   }
+  if (options.standard_output) {
+    return std::make_shared<internal::PipeSink>(
+        internal::PipeSink::Options{.descriptor = STDOUT_FILENO,
+                                    .max_held_bytes = kMaxHeldBytes});
+  }
   if (!options.file.empty()) {
     return std::make_shared<spdlog::sinks::basic_file_sink_mt>(options.file);
   }
@@ -68,7 +76,9 @@
     }
     destination->logger->set_pattern("%v");
     destination->logger->set_level(LibraryLevel(options.level));
-    destination->logger->flush_on(LibraryLevel(Level::kDebug));
+    // Lines to standard output are written many at a time, by Flush.
+    destination->logger->flush_on(
+        LibraryLevel(options.standard_output ? Level::kError : Level::kDebug));
     const std::lock_guard lock(this->mutex);
     this->current = std::move(destination);
     this->level = options.level;
@@ -106,6 +116,10 @@
   return TheLog().Enabled(level);
 }
 
+void Flush() {
+  TheLog().Current()->logger->flush();
+}
+
 void Write(Level level, std::string_view event, const Record& record) {
   ProcessLog& log = TheLog();
   if (level == Level::kOff || !log.Enabled(level)) {
--- a/src/framework/log/log.h
+++ b/src/framework/log/log.h
@@ -22,6 +22,10 @@
   std::string program;  // the key `program` of every line
   Level level = Level::kInfo;
   std::string file;                // empty: standard error
+  // Standard output in place of both, by a writer that never waits for its
+  // reader: lines are held in memory until the reader takes them, and beyond
+  // kMaxHeldBytes they are dropped and counted. Call Flush now and then.
+  bool standard_output = false;
   std::ostream* stream = nullptr;  // set: instead of both, for tests
 };
 
@@ -31,6 +35,14 @@
 // the log goes to standard error at kInfo.
 Status Configure(const LogOptions& options);
 
+// What the writer to standard output holds at most for a reader that does not
+// read: some seconds of lines at the highest rate that the limiters allow.
+inline constexpr std::size_t kMaxHeldBytes = std::size_t{256} * 1024;
+
+// Hands what is held for standard output to the operating system, as far as it
+// takes it at once. Thread safe.
+void Flush();
+
 // True when lines of this level are written. Thread safe.
 bool Enabled(Level level);
 
--- a/src/framework/log/types/record.h
+++ b/src/framework/log/types/record.h
@@ -68,6 +68,8 @@
 // appear in the line.
 struct Record {
   std::optional<RequestId> request = {};
+  // Under the same key, for a request whose name somebody else gave it.
+  std::string request_name = {};
   std::optional<AttemptNumber> attempt = {};
   EndpointId endpoint = {};
   std::optional<ResultCode> code = {};
--- /dev/null
+++ b/src/gateway/endpoint_catalog.cc
@@ -0,0 +1,123 @@
+#include "gateway/endpoint_catalog.h"
+
+#include <algorithm>
+#include <set>
+
+namespace acacialug::gateway {
+
+bool EndpointCatalog::InLapseGrace(Instant now) const {
+  return this->store_lost || now < this->grace_until;
+}
+
+bool EndpointCatalog::Apply(const EndpointChange& change, Instant now) {
+  this->known_to =
+      std::max(this->known_to, LogOffset(change.offset.value + 1));
+  const auto deletion = this->deletions.find(change.id);
+  if (deletion != this->deletions.end() &&
+      deletion->second.offset >= change.offset) {
+    return false;
+  }
+  const auto found = this->entries.find(change.id);
+  if (found != this->entries.end() && found->second.offset >= change.offset) {
+    return false;
+  }
+  if (!change.record) {
+    return this->Delete(change.id, change.offset, now);
+  }
+  this->deletions.erase(change.id);
+  this->entries[change.id] = {.record = *change.record,
+                              .offset = change.offset};
+  return true;
+}
+
+bool EndpointCatalog::Delete(const EndpointId& id,
+                             LogOffset offset,
+                             Instant now) {
+  const auto found = this->entries.find(id);
+  if (found != this->entries.end() && this->InLapseGrace(now) &&
+      !found->second.record.leaving) {
+    found->second.offset = offset;
+    found->second.lapsed = true;
+    return false;
+  }
+  this->deletions[id] = {.offset = offset,
+                         .forgotten_at = now + kDeletionMemory};
+  return this->entries.erase(id) > 0;
+}
+
+bool EndpointCatalog::Apply(const EndpointSnapshot& snapshot, Instant now) {
+  bool changed = false;
+  std::set<EndpointId> present;
+  for (const EndpointChange& change : snapshot.records) {
+    present.insert(change.id);
+    changed = this->Apply(change, now) || changed;
+  }
+  std::vector<EndpointId> missing;
+  for (const auto& [id, entry] : this->entries) {
+    if (!present.contains(id) && entry.offset < snapshot.as_of &&
+        !entry.lapsed) {
+      missing.push_back(id);
+    }
+  }
+  for (const EndpointId& id : missing) {
+    changed = this->Delete(id, snapshot.as_of, now) || changed;
+  }
+  this->known_to = std::max(this->known_to, snapshot.as_of);
+  return changed;
+}
+
+void EndpointCatalog::NoteStoreLost() {
+  this->store_lost = true;
+}
+
+void EndpointCatalog::NoteStoreBack(Instant now) {
+  if (!this->store_lost) {
+    return;
+  }
+  this->store_lost = false;
+  this->grace_until = now + kLapseGrace;
+}
+
+bool EndpointCatalog::Sweep(Instant now) {
+  const std::size_t before = this->entries.size();
+  for (auto at = this->entries.begin(); at != this->entries.end();) {
+    if (!at->second.lapsed || this->InLapseGrace(now)) {
+      ++at;
+      continue;
+    }
+    this->deletions[at->first] = {.offset = at->second.offset,
+                                  .forgotten_at = now + kDeletionMemory};
+    at = this->entries.erase(at);
+  }
+  std::erase_if(this->deletions, [now](const auto& deletion) {
+    return deletion.second.forgotten_at <= now;
+  });
+  return this->entries.size() != before;
+}
+
+std::vector<const EndpointRecord*> EndpointCatalog::Of(
+    const ServiceName& service) const {
+  std::vector<const EndpointRecord*> usable;
+  for (const auto& [id, entry] : this->entries) {
+    if (entry.record.service == service && !entry.record.leaving) {
+      usable.push_back(&entry.record);
+    }
+  }
+  return usable;
+}
+
+const EndpointRecord* EndpointCatalog::Find(const EndpointId& id) const {
+  const auto found = this->entries.find(id);
+  return found == this->entries.end() ? nullptr : &found->second.record;
+}
+
+EndpointSnapshot EndpointCatalog::Snapshot() const {
+  EndpointSnapshot snapshot{.as_of = this->known_to};
+  for (const auto& [id, entry] : this->entries) {
+    snapshot.records.push_back(
+        {.offset = entry.offset, .id = id, .record = entry.record});
+  }
+  return snapshot;
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/endpoint_catalog.h
@@ -0,0 +1,72 @@
+#ifndef GATEWAY_ENDPOINT_CATALOG_H_
+#define GATEWAY_ENDPOINT_CATALOG_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "framework/global/types/instant.h"
+#include "gateway/types/endpoint_record.h"
+
+namespace acacialug::gateway {
+
+// The endpoints that have a record, from the store's log or from peers that
+// read it. News is taken by its offset in the log, so that what comes late or
+// from a peer that lags never brings back what is gone. Not thread safe.
+class EndpointCatalog {
+ public:
+  // Records lapse while their store is out, since their endpoints cannot renew
+  // them; a deletion that is first seen within this time of the store's return
+  // is believed only at the end of it. Endpoints are back within two seconds;
+  // the half is for a reader that polls.
+  static constexpr Duration kLapseGrace = 2500ms;
+  // A deletion is remembered for this long, so that a peer's older snapshot
+  // does not bring the endpoint back. Longer than a peer's news can lag.
+  static constexpr Duration kDeletionMemory = 60s;
+
+  // True when the catalog changed.
+  bool Apply(const EndpointChange& change, Instant now);
+  bool Apply(const EndpointSnapshot& snapshot, Instant now);
+
+  // The store stopped, or began again, to serve this process.
+  void NoteStoreLost();
+  void NoteStoreBack(Instant now);
+
+  // Ends graces and memories that are over. True when the catalog changed.
+  // Call it now and then (each 100 ms).
+  bool Sweep(Instant now);
+
+  // Endpoints of a service that take new work; good until the next change.
+  std::vector<const EndpointRecord*> Of(const ServiceName& service) const;
+  // Null: not known, or gone.
+  const EndpointRecord* Find(const EndpointId& id) const;
+
+  // For peers: all that is known, with the offset that it is complete to.
+  EndpointSnapshot Snapshot() const;
+  LogOffset complete_to() const { return this->known_to; }
+  std::size_t size() const { return this->entries.size(); }
+
+ private:
+  struct Entry {
+    EndpointRecord record;
+    LogOffset offset;
+    bool lapsed = false;  // deleted, which is not believed yet
+  };
+  struct Deletion {
+    LogOffset offset;
+    Instant forgotten_at;
+  };
+
+  bool Delete(const EndpointId& id, LogOffset offset, Instant now);
+  bool InLapseGrace(Instant now) const;
+
+  std::map<EndpointId, Entry> entries;
+  std::map<EndpointId, Deletion> deletions;
+  LogOffset known_to;
+  bool store_lost = false;
+  Instant grace_until{};
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_ENDPOINT_CATALOG_H_
--- /dev/null
+++ b/src/gateway/endpoint_health.cc
@@ -0,0 +1,68 @@
+#include "gateway/endpoint_health.h"
+
+#include <algorithm>
+
+namespace acacialug::gateway {
+namespace {
+
+constexpr std::uint32_t kMostDoublings = 8;
+// One slow answer must not read as a slow endpoint for long, nor a quick one
+// as a miracle.
+constexpr double kLeastRatio = 0.25;
+constexpr double kGreatestRatio = 8.0;
+
+}  // namespace
+
+void EndpointHealth::NoteSuccess(const EndpointId& endpoint) {
+  State& state = this->states[endpoint];
+  state.failure_share *= 1 - kOutcomeWeight;
+  state.silences = 0;
+  state.avoided_until = Instant{};
+}
+
+void EndpointHealth::NoteFailure(const EndpointId& endpoint, Instant now) {
+  State& state = this->states[endpoint];
+  state.failure_share += (1 - state.failure_share) * kOutcomeWeight;
+  state.silences = 0;
+  if (state.failure_share > kWorstFailureShare) {
+    state.avoided_until = std::max(state.avoided_until, now + kFirstPause);
+  }
+}
+
+void EndpointHealth::NoteSilence(const EndpointId& endpoint, Instant now) {
+  State& state = this->states[endpoint];
+  const std::uint32_t doublings = std::min(state.silences, kMostDoublings);
+  const Duration pause =
+      std::min(kLongestPause, kFirstPause * (std::int64_t{1} << doublings));
+  ++state.silences;
+  state.avoided_until = std::max(state.avoided_until, now + pause);
+}
+
+void EndpointHealth::NoteFull(const EndpointId& endpoint, Instant now) {
+  State& state = this->states[endpoint];
+  state.silences = 0;
+  state.avoided_until = std::max(state.avoided_until, now + kFullPause);
+}
+
+void EndpointHealth::NoteSpeed(const EndpointId& endpoint, double ratio) {
+  State& state = this->states[endpoint];
+  const double bounded = std::clamp(ratio, kLeastRatio, kGreatestRatio);
+  state.slowness += (bounded - state.slowness) * kSpeedWeight;
+}
+
+bool EndpointHealth::Avoided(const EndpointId& endpoint, Instant now) const {
+  const auto found = this->states.find(endpoint);
+  return found != this->states.end() && now < found->second.avoided_until;
+}
+
+double EndpointHealth::FailureShare(const EndpointId& endpoint) const {
+  const auto found = this->states.find(endpoint);
+  return found == this->states.end() ? 0 : found->second.failure_share;
+}
+
+double EndpointHealth::Slowness(const EndpointId& endpoint) const {
+  const auto found = this->states.find(endpoint);
+  return found == this->states.end() ? 1 : found->second.slowness;
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/endpoint_health.h
@@ -0,0 +1,66 @@
+#ifndef GATEWAY_ENDPOINT_HEALTH_H_
+#define GATEWAY_ENDPOINT_HEALTH_H_
+
+#include <cstdint>
+#include <map>
+
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/instant.h"
+
+namespace acacialug::gateway {
+
+// What this process has seen of each endpoint's work. An endpoint that cannot
+// be reached, or stays silent, is avoided at once: unlike a pool of agents,
+// which say themselves that they are ill, nothing else tells of a dead host for
+// some seconds. It is tried again after a pause that doubles. One that answers
+// with failures is avoided by degrees. Avoided endpoints are still used when
+// there is no other. Not thread safe.
+class EndpointHealth {
+ public:
+  // A host that restarts is back in about a second; a dead one loses its
+  // record in three heartbeats, under 4 s.
+  static constexpr Duration kFirstPause = 500ms;
+  static constexpr Duration kLongestPause = 4s;
+  // A full endpoint ends some request about this often, and peers' loads are
+  // heard again within it.
+  static constexpr Duration kFullPause = 150ms;
+  // A share of failures above this is avoided like silence. Sound services
+  // here answer up to 0.14 of requests with failures of their own.
+  static constexpr double kWorstFailureShare = 0.35;
+  // Weight of the newest outcome: some ten outcomes decide.
+  static constexpr double kOutcomeWeight = 0.12;
+  // Weight of the newest speed.
+  static constexpr double kSpeedWeight = 0.2;
+
+  void NoteSuccess(const EndpointId& endpoint);
+  // It answered, and with a failure.
+  void NoteFailure(const EndpointId& endpoint, Instant now);
+  // No connection, a broken one, or no answer in time.
+  void NoteSilence(const EndpointId& endpoint, Instant now);
+  // It refused for want of room that it was thought to have.
+  void NoteFull(const EndpointId& endpoint, Instant now);
+  // A piece of work took `ratio` times what was expected. Precondition: > 0.
+  void NoteSpeed(const EndpointId& endpoint, double ratio);
+
+  bool Avoided(const EndpointId& endpoint, Instant now) const;
+  // 0 (none seen) to 1.
+  double FailureShare(const EndpointId& endpoint) const;
+  // How many times longer than expected its work takes, lately; 1 if unknown.
+  double Slowness(const EndpointId& endpoint) const;
+
+  void Forget(const EndpointId& endpoint) { this->states.erase(endpoint); }
+
+ private:
+  struct State {
+    double failure_share = 0;
+    double slowness = 1;
+    std::uint32_t silences = 0;  // in a row
+    Instant avoided_until{};
+  };
+
+  std::map<EndpointId, State> states;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_ENDPOINT_HEALTH_H_
--- /dev/null
+++ b/src/gateway/event_splitter.cc
@@ -0,0 +1,73 @@
+#include "gateway/event_splitter.h"
+
+#include <charconv>
+#include <utility>
+
+namespace acacialug::gateway {
+namespace {
+
+// The end of the first whole event in `text` from `from` on: behind an empty
+// line, in either of the forms that lines end in.
+std::size_t EndOfEvent(std::string_view text, std::size_t from) {
+  for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    const std::string_view rest = text.substr(at + 1);
+    if (rest.starts_with('\n')) {
+      return at + 2;
+    }
+    if (rest.starts_with("\r\n")) {
+      return at + 3;
+    }
+  }
+  return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> IdOf(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (!line.starts_with(kField)) {
+      continue;
+    }
+    line.remove_prefix(kField.size());
+    if (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    std::uint64_t id = 0;
+    const auto read =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (read.ec == std::errc()) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<StreamEvent> EventSplitter::Take(std::string_view bytes) {
+  // An empty line may have begun with the bytes that came before.
+  constexpr std::size_t kLongestBreak = 3;
+  const std::size_t searched =
+      this->pending.size() > kLongestBreak
+          ? this->pending.size() - kLongestBreak
+          : 0;
+  this->pending += bytes;
+  std::vector<StreamEvent> events;
+  std::size_t begin = 0;
+  std::size_t from = searched;
+  for (std::size_t end = EndOfEvent(this->pending, from);
+       end != std::string::npos; end = EndOfEvent(this->pending, from)) {
+    std::string event = this->pending.substr(begin, end - begin);
+    const std::optional<std::uint64_t> id = IdOf(event);
+    events.push_back({.bytes = std::move(event), .id = id});
+    begin = end;
+    from = end;
+  }
+  this->pending.erase(0, begin);
+  return events;
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/gateway_core.cc
@@ -0,0 +1,442 @@
+#include "gateway/gateway_core.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "gateway/internal/call_relay.h"
+#include "gateway/internal/refusal.h"
+#include "gateway/internal/relay_context.h"
+#include "gateway/internal/stream_relay.h"
+
+namespace acacialug::gateway {
+namespace {
+
+// What a caller is told while this process knows no configuration, or leaves:
+// others serve it at once.
+constexpr Duration kRetryElsewhere = 50ms;
+// A service without an endpoint has none for some heartbeats at least.
+constexpr Duration kRetryNoEndpoint = 500ms;
+// The queue is looked at so often even without news: peers' releases are heard
+// of by their loads, which get lost.
+constexpr Duration kQueueInterval = 40ms;
+constexpr Duration kSweepInterval = 200ms;
+
+}  // namespace
+
+class GatewayCore::Implementation {
+ public:
+  Implementation(Options core_options, RandomSource& random_source)
+      : options(std::move(core_options)),
+        random(random_source),
+        book(this->options.hooks.on_load_changed),
+        alarms(this->options.hooks.wake_at),
+        streams(this->options.placement, this->book, this->health),
+        calls(this->book, this->health),
+        context{.hooks = this->options.hooks,
+                .dialect = this->options.dialect,
+                .domain = this->options.domain,
+                .catalog = this->catalog,
+                .health = this->health,
+                .book = this->book,
+                .streams = this->streams,
+                .calls = this->calls,
+                .alarms = this->alarms,
+                .random = this->random,
+                .processes = [this] { return this->peers + 1; },
+                .closing = [this] { return this->drain_begun != kNever; },
+                .on_room =
+                    [this](const ServiceName& service) {
+                      this->OnRoom(service);
+                    }} {
+    this->Sweep();
+  }
+
+  void Handle(http::Request request, http::ResponderPtr responder) {
+    const Instant now = this->Now();
+    RelayJob job{.request =
+                     this->options.dialect.read_request(std::move(request)),
+                 .responder = std::move(responder),
+                 .routes = this->routes,
+                 .arrived = now};
+    if (const ResultCode refused = this->FindWay(job);
+        refused != ResultCode::kOk) {
+      this->AnswerWithoutRelay(job, refused);
+      return;
+    }
+    job.desk->budget.NoteRequest(now);
+    if (job.traits != nullptr && job.traits->engine.has_value()) {
+      this->BeginStream(std::move(job));
+    } else {
+      this->BeginCall(std::move(job));
+    }
+  }
+
+  bool SetConfiguration(std::shared_ptr<const Configuration> newest) {
+    if (this->routes != nullptr &&
+        newest->offset <= this->routes->configuration().offset) {
+      return false;
+    }
+    this->options.hooks.note(
+        log::Level::kInfo, "configuration_taken",
+        {.fields = {{"version", newest->version},
+                    {"offset", newest->offset},
+                    {"routes", newest->routes.size()},
+                    {"services", newest->services.size()}}});
+    this->routes = std::make_shared<const RouteTable>(std::move(newest));
+    return true;
+  }
+
+  template <typename News>
+  bool Apply(const News& news) {
+    const bool changed = this->catalog.Apply(news, this->Now());
+    if (changed) {
+      this->PumpAll();
+    }
+    return changed;
+  }
+
+  void NoteStoreBack() { this->catalog.NoteStoreBack(this->Now()); }
+
+  void SetPeerLoad(const std::string& peer, const PeerLoad& load) {
+    this->book.SetPeer(peer, load, this->Now());
+    this->PumpAll();
+  }
+
+  void BeginDrain() { this->drain_begun = this->Now(); }
+
+  void OnTimer() {
+    this->alarms.Ring(this->Now());
+    this->PumpRooms();
+  }
+
+  std::size_t waiting() const {
+    std::size_t sum = 0;
+    for (const auto& [service, desk] : this->desks) {
+      sum += desk.queue.size();
+    }
+    return sum;
+  }
+
+  Options options;
+  RandomSource& random;
+  EndpointCatalog catalog;
+  EndpointHealth health;
+  LoadBook book;
+  AlarmClock alarms;
+  StreamPlacement streams;
+  CallPlacement calls;
+  std::shared_ptr<const RouteTable> routes;
+  std::map<ServiceName, ServiceDesk> desks;
+  std::unordered_map<const Relay*, std::shared_ptr<Relay>> relays;
+  std::unordered_map<TicketId, std::shared_ptr<StreamRelay>> waiting_relays;
+  std::size_t peers = 0;
+  Instant drain_begun = kNever;
+
+ private:
+  Instant Now() const { return this->options.hooks.now(); }
+
+  ServiceDesk& DeskOf(const ServiceName& service) {
+    const auto found = this->desks.find(service);
+    if (found != this->desks.end()) {
+      return found->second;
+    }
+    return this->desks
+        .emplace(service,
+                 ServiceDesk{.queue = AdmissionQueue({}),
+                             .budget = RepeatBudget(
+                                 {.share = this->options.repeat_share,
+                                  .extra = this->options.repeat_extra,
+                                  .window = this->options.repeat_window})})
+        .first->second;
+  }
+
+  // Fills in where the request goes; or why it goes nowhere.
+  ResultCode FindWay(RelayJob& job) {
+    if (this->routes == nullptr) {
+      return ResultCode::kNotReady;
+    }
+    if (this->drain_begun != kNever &&
+        this->Now() > this->drain_begun + this->options.drain_admission) {
+      return ResultCode::kDraining;
+    }
+    job.route =
+        this->routes->Find(job.request.host, job.request.message.Path());
+    if (job.route == nullptr) {
+      return ResultCode::kUnknownRoute;
+    }
+    job.service = PickService(*job.route, job.request.id);
+    job.traits = this->routes->FindService(job.service);
+    job.desk = &this->DeskOf(job.service);
+    return ResultCode::kOk;
+  }
+
+  void AnswerWithoutRelay(const RelayJob& job, ResultCode code) {
+    const http::Response answer = MakeOwnAnswer(
+        code, kRetryElsewhere, this->drain_begun != kNever);
+    this->options.hooks.note(
+        log::Level::kWarning, "request_refused",
+        {.request_name = job.request.id,
+         .code = code,
+         .fields = {{"status", answer.status},
+                    {"host", job.request.host},
+                    {"path", job.request.message.Path()},
+                    {"configuration",
+                     this->routes ? this->routes->configuration().version : 0}}});
+    job.responder->SendWhole(answer);
+  }
+
+  void Start(const std::shared_ptr<Relay>& relay) {
+    this->relays.emplace(relay.get(), relay);
+    relay->Begin([this](Relay& over) { this->OnOver(over); });
+  }
+
+  void BeginCall(RelayJob job) {
+    const auto relay = std::make_shared<CallRelay>(this->context, std::move(job));
+    this->Start(relay);
+    if (!relay->TryPlace()) {
+      const bool known = !this->catalog.Of(relay->job().service).empty();
+      relay->Refuse(known ? ResultCode::kOverloaded : ResultCode::kNoEndpoint,
+                    kRetryNoEndpoint);
+    }
+    this->PumpRooms();
+  }
+
+  void BeginStream(RelayJob job) {
+    const auto relay =
+        std::make_shared<StreamRelay>(this->context, std::move(job));
+    AdmissionQueue& queue = relay->job().desk->queue;
+    this->Start(relay);
+    if (queue.size() == 0 && relay->TryPlace()) {
+      return;
+    }
+    const AdmissionQueue::Ticket ticket = this->TicketOf(*relay);
+    const AdmissionQueue::Verdict verdict = queue.Ask(ticket, this->Now());
+    this->NoteVerdict(*relay, verdict);
+    if (!verdict.admitted) {
+      relay->Refuse(ResultCode::kDeadlineUnreachable, verdict.retry_after);
+    } else {
+      queue.Push(ticket);
+      this->waiting_relays.emplace(ticket.id, relay);
+      this->WatchQueues();
+    }
+    this->PumpRooms();
+  }
+
+  void NoteVerdict(const StreamRelay& relay,
+                   const AdmissionQueue::Verdict& verdict) {
+    const RelayJob& job = relay.job();
+    const double fill =
+        job.traits->engine
+            ? this->streams.PoolFill(*job.traits->engine,
+                                     this->catalog.Of(job.service))
+            : 0.0;
+    this->options.hooks.note(
+        verdict.admitted ? log::Level::kInfo : log::Level::kWarning,
+        verdict.admitted ? "stream_waits" : "stream_turned_away",
+        {.request_name = job.request.id,
+         .fields = {{"service", job.service},
+                    {"waiting", job.desk->queue.size()},
+                    {"waiting_tokens", job.desk->queue.waiting_tokens()},
+                    {"pool_fill", fill},
+                    {"expected_wait_ms", verdict.expected_wait},
+                    {"retry_after_ms", verdict.retry_after},
+                    {"peers", this->book.peers()}}});
+  }
+
+  AdmissionQueue::Ticket TicketOf(const StreamRelay& relay) {
+    // What it takes from a place to the first event, at a good moment.
+    const Duration start =
+        FromSeconds(
+            static_cast<double>(
+                relay.job().request.size.value_or(GenerationSize{})
+                    .prompt_tokens) /
+            StreamPlacement::kPrefillTokensPerMs / 1000.0) +
+        StreamPlacement::kFirstStep;
+    return {.id = ++this->last_ticket,
+            .priority = relay.job().route->priority,
+            .kv_tokens = relay.kv_tokens(),
+            .latest_start =
+                relay.job().arrived + relay.job().route->objective - start};
+  }
+
+  void OnOver(Relay& over) {
+    for (auto at = this->waiting_relays.begin();
+         at != this->waiting_relays.end(); ++at) {
+      if (at->second.get() == &over) {
+        over.job().desk->queue.Remove(at->first);
+        this->waiting_relays.erase(at);
+        break;
+      }
+    }
+    this->relays.erase(&over);
+  }
+
+  // Gives what became free to those who wait. Not from within a relay: it may
+  // be in the middle of its own change.
+  void PumpRooms() {
+    if (this->pumping) {
+      return;
+    }
+    this->pumping = true;
+    while (!this->rooms.empty()) {
+      const ServiceName service = *this->rooms.begin();
+      this->rooms.erase(this->rooms.begin());
+      this->Pump(service);
+    }
+    this->pumping = false;
+  }
+
+  // Pumps soon: what is free now may be taken by the one who frees it.
+  void OnRoom(const ServiceName& service) {
+    if (this->DeskOf(service).queue.size() > 0 &&
+        this->rooms.insert(service).second) {
+      this->alarms.Set(this->Now(), [this] { this->PumpRooms(); });
+    }
+  }
+
+  void PumpAll() {
+    for (const auto& [service, desk] : this->desks) {
+      if (desk.queue.size() > 0) {
+        this->rooms.insert(service);
+      }
+    }
+    this->PumpRooms();
+  }
+
+  void Pump(const ServiceName& service) {
+    AdmissionQueue& queue = this->DeskOf(service).queue;
+    for (const TicketId late : queue.TooLate(this->Now())) {
+      const auto relay = this->waiting_relays.at(late);
+      relay->Refuse(ResultCode::kDeadlineUnreachable,
+                    queue.RetryAfter(relay->kv_tokens()));
+    }
+    while (const AdmissionQueue::Ticket* const front = queue.Front()) {
+      const TicketId ticket = front->id;
+      const auto relay = this->waiting_relays.at(ticket);
+      if (!relay->TryPlace()) {
+        return;
+      }
+      queue.Remove(ticket);
+      this->waiting_relays.erase(ticket);
+    }
+  }
+
+  void WatchQueues() {
+    if (this->queue_alarm != 0) {
+      return;
+    }
+    this->queue_alarm =
+        this->alarms.Set(this->Now() + kQueueInterval, [this] {
+          this->queue_alarm = 0;
+          this->PumpAll();
+          if (!this->waiting_relays.empty()) {
+            this->WatchQueues();
+          }
+        });
+  }
+
+  void Sweep() {
+    const Instant now = this->Now();
+    this->book.Sweep(now);
+    if (this->catalog.Sweep(now)) {
+      this->PumpAll();
+    }
+    this->alarms.Set(now + kSweepInterval, [this] { this->Sweep(); });
+  }
+
+  RelayContext context;
+  std::set<ServiceName> rooms;
+  AlarmId queue_alarm = 0;
+  TicketId last_ticket = 0;
+  bool pumping = false;
+};
+
+GatewayCore::GatewayCore(Options core_options, RandomSource& random_source)
+    : implementation(
+          std::make_unique<Implementation>(std::move(core_options),
+                                           random_source)) {}
+
+GatewayCore::~GatewayCore() = default;
+
+void GatewayCore::Handle(http::Request request, http::ResponderPtr responder) {
+  this->implementation->Handle(std::move(request), std::move(responder));
+}
+
+bool GatewayCore::SetConfiguration(
+    std::shared_ptr<const Configuration> newest) {
+  return this->implementation->SetConfiguration(std::move(newest));
+}
+
+std::shared_ptr<const Configuration> GatewayCore::configuration() const {
+  const auto& routes = this->implementation->routes;
+  return routes == nullptr
+             ? nullptr
+             : std::shared_ptr<const Configuration>(routes,
+                                                    &routes->configuration());
+}
+
+bool GatewayCore::Apply(const EndpointChange& change) {
+  return this->implementation->Apply(change);
+}
+
+bool GatewayCore::Apply(const EndpointSnapshot& snapshot) {
+  return this->implementation->Apply(snapshot);
+}
+
+EndpointSnapshot GatewayCore::Endpoints() const {
+  return this->implementation->catalog.Snapshot();
+}
+
+LogOffset GatewayCore::endpoints_complete_to() const {
+  return this->implementation->catalog.complete_to();
+}
+
+void GatewayCore::NoteStoreLost() {
+  this->implementation->catalog.NoteStoreLost();
+}
+
+void GatewayCore::NoteStoreBack() {
+  this->implementation->NoteStoreBack();
+}
+
+void GatewayCore::SetPeerLoad(const std::string& peer, const PeerLoad& load) {
+  this->implementation->SetPeerLoad(peer, load);
+}
+
+void GatewayCore::SetPeerCount(std::size_t peers) {
+  this->implementation->peers = peers;
+}
+
+PeerLoad GatewayCore::OwnLoad() const {
+  return this->implementation->book.Own();
+}
+
+void GatewayCore::BeginDrain() {
+  this->implementation->BeginDrain();
+}
+
+void GatewayCore::OnTimer() {
+  this->implementation->OnTimer();
+}
+
+Instant GatewayCore::next_timer() const {
+  return this->implementation->alarms.next();
+}
+
+bool GatewayCore::Ready() const {
+  return this->implementation->routes != nullptr &&
+         this->implementation->catalog.size() > 0;
+}
+
+std::size_t GatewayCore::requests_under_way() const {
+  return this->implementation->relays.size();
+}
+
+std::size_t GatewayCore::requests_waiting() const {
+  return this->implementation->waiting();
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/gateway_core.h
@@ -0,0 +1,89 @@
+#ifndef GATEWAY_GATEWAY_CORE_H_
+#define GATEWAY_GATEWAY_CORE_H_
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "framework/global/random_source.h"
+#include "framework/global/types/instant.h"
+#include "framework/http/http_server.h"
+#include "gateway/stream_placement.h"
+#include "gateway/types/configuration.h"
+#include "gateway/types/endpoint_dialect.h"
+#include "gateway/types/endpoint_load.h"
+#include "gateway/types/endpoint_record.h"
+#include "gateway/types/gateway_hooks.h"
+
+namespace acacialug::gateway {
+
+// The decisions of a gateway: requests that are passed on unchanged to
+// endpoints which this process calls itself, with no agent between. Has no
+// socket, thread or clock; what it needs comes by hooks and calls. All methods
+// run on one thread; not thread safe.
+class GatewayCore {
+ public:
+  struct Options {
+    FailureDomain domain;
+    // Arrivals at a service beyond the first of each request, of all processes
+    // together: this share of its requests and this many more, in any window.
+    double repeat_share = 0.2;
+    std::uint32_t repeat_extra = 58;
+    Duration repeat_window = 10s;
+    // While it drains, requests that come later than this are refused: a
+    // stream that begins then would be cut off by the end of the grace.
+    Duration drain_admission = 2500ms;
+    StreamPlacement::Options placement;
+    GatewayHooks hooks;
+    EndpointDialect dialect;
+  };
+
+  GatewayCore(Options core_options, RandomSource& random_source);
+  ~GatewayCore();
+
+  // A request came. Answers it by the responder, now or later.
+  void Handle(http::Request request, http::ResponderPtr responder);
+
+  // A configuration is in force from now on, unless it is not newer than the
+  // present one. Requests under way keep theirs. True: taken.
+  bool SetConfiguration(std::shared_ptr<const Configuration> newest);
+  // Null: none is known yet.
+  std::shared_ptr<const Configuration> configuration() const;
+
+  // News of endpoints; true when anything changed.
+  bool Apply(const EndpointChange& change);
+  bool Apply(const EndpointSnapshot& snapshot);
+  EndpointSnapshot Endpoints() const;
+  LogOffset endpoints_complete_to() const;
+
+  // The store of configuration and endpoints stopped, or began, to serve.
+  void NoteStoreLost();
+  void NoteStoreBack();
+
+  // Peers: what they placed, and how many there are (this process not
+  // counted).
+  void SetPeerLoad(const std::string& peer, const PeerLoad& load);
+  void SetPeerCount(std::size_t peers);
+  PeerLoad OwnLoad() const;
+
+  // New work is refused after a while, and answers close their connections.
+  void BeginDrain();
+
+  // Rings what is due. Call it at next_timer(), and not much later.
+  void OnTimer();
+  Instant next_timer() const;
+
+  // A configuration and an endpoint are known.
+  bool Ready() const;
+  std::size_t requests_under_way() const;
+  std::size_t requests_waiting() const;
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_GATEWAY_CORE_H_
--- /dev/null
+++ b/src/gateway/internal/call_relay.cc
@@ -0,0 +1,207 @@
+#include "gateway/internal/call_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacialug::gateway {
+namespace {
+
+constexpr int kFirstServerError = 500;
+// Silence after which a request that may run again is sent to another endpoint,
+// as a multiple of its objective: a sound endpoint answers in under twice that
+// at the worst (work of at most 220 ms for an objective of 150 ms).
+constexpr double kSilenceObjectives = 2.5;
+// Sends that did not run, after which a request is given up: each costs a
+// round trip, and a service that rejects three times is full.
+constexpr std::uint32_t kMostSends = 4;
+// What a caller is told when the service has no room or no endpoint.
+constexpr Duration kRetrySoon = 300ms;
+
+}  // namespace
+
+bool CallRelay::TryPlace() {
+  const auto endpoints = this->context.catalog.Of(this->work.service);
+  const EndpointRecord* const picked = this->context.calls.Pick(
+      {.domain = this->context.domain,
+       .tried = this->tried,
+       .now = this->Now()},
+      endpoints, this->context.random);
+  if (picked == nullptr) {
+    return false;
+  }
+  this->Send(*picked);
+  return true;
+}
+
+void CallRelay::Send(const EndpointRecord& chosen) {
+  this->endpoint = chosen;
+  this->load = {.requests = 1};
+  this->Note(log::Level::kInfo, "call_placed", chosen.id,
+             {{"at_endpoint", this->context.book.Of(chosen.id).requests},
+              {"failure_share", this->context.health.FailureShare(chosen.id)},
+              {"endpoints_as_of", this->context.catalog.complete_to()},
+              {"left_ms", this->TimeLeft()}});
+  this->context.book.Add(chosen.id, this->load);
+  this->nature = AnswerNature::kUnproven;
+  this->sent_at = this->Now();
+  ++this->outcome.sends;
+  ++this->runs;
+  auto self = std::static_pointer_cast<CallRelay>(this->shared_from_this());
+  this->SendTo(
+      chosen, {.time_left = this->TimeLeft()},
+      {.is_answer =
+           [self](int answered, const http::Headers& head) {
+             return self->context.dialect.judge_answer(
+                        self->work.request, WorkStep::kWhole, answered, head) !=
+                    AnswerNature::kForeign;
+           },
+       .on_head = [self](int answered,
+                         const http::Headers& head) { self->OnHead(answered, head); },
+       .on_end = [self](std::string body) { self->OnWhole(std::move(body)); },
+       .on_error = [self](const Error& error,
+                          bool sent) { self->OnLost(error, sent); }});
+  if (this->MayRunAgain()) {
+    this->WatchPhase(FromSeconds(kSilenceObjectives *
+                                 Seconds(this->work.route->objective)),
+                     [this] { this->OnSilent(); });
+  }
+}
+
+void CallRelay::OnHead(int answered, const http::Headers& head) {
+  this->status = answered;
+  this->headers = head;
+  this->nature = this->context.dialect.judge_answer(
+      this->work.request, WorkStep::kWhole, answered, head);
+}
+
+void CallRelay::OnWhole(std::string body) {
+  this->ForgetExchange();
+  const EndpointId& id = this->endpoint.id;
+  switch (this->nature) {
+    case AnswerNature::kSuccess:
+      this->context.health.NoteSuccess(id);
+      this->PassOn(RelayEnd::kServed, this->status, this->headers,
+                   std::move(body));
+      return;
+    case AnswerNature::kNotRun:
+      this->context.health.NoteFull(id, this->Now());
+      this->AfterNotRun(ResultCode::kOverloaded);
+      return;
+    case AnswerNature::kMisplaced:
+      this->context.health.NoteSilence(id, this->Now());
+      this->AfterNotRun(ResultCode::kNoEndpoint);
+      return;
+    case AnswerNature::kFailure:
+      if (this->status >= kFirstServerError) {
+        this->context.health.NoteFailure(id, this->Now());
+        if (this->TakeRepeat()) {
+          this->EndAttempt();
+          if (this->TryPlace()) {
+            return;
+          }
+        }
+      }
+      this->PassOn(RelayEnd::kFailed, this->status, this->headers,
+                   std::move(body));
+      return;
+    case AnswerNature::kUnproven:
+    case AnswerNature::kForeign:
+      this->context.health.NoteFailure(id, this->Now());
+      this->AfterRun(ResultCode::kEngineBadAnswer);
+      return;
+  }
+}
+
+void CallRelay::OnLost(const Error& error, bool sent) {
+  this->ForgetExchange();
+  this->context.health.NoteSilence(this->endpoint.id, this->Now());
+  this->Note(log::Level::kWarning, "attempt_lost", this->endpoint.id,
+             {{"sent", sent},
+              {"after_ms", this->Now() - this->sent_at},
+              {"detail", error.detail}},
+             error.result_code());
+  if (!sent) {
+    this->AfterNotRun(ResultCode::kNoEndpoint);
+  } else {
+    this->AfterRun(ResultCode::kEndpointLost);
+  }
+}
+
+void CallRelay::OnSilent() {
+  if (!this->TakeRepeat()) {
+    return;  // it may still answer
+  }
+  this->context.health.NoteSilence(this->endpoint.id, this->Now());
+  this->context.hooks.drop_idle(this->endpoint.address);
+  this->Note(log::Level::kWarning, "attempt_silent", this->endpoint.id,
+             {{"after_ms", this->Now() - this->sent_at}},
+             ResultCode::kEndpointLost);
+  this->StopExchange();
+  this->EndAttempt();
+  if (!this->TryPlace()) {
+    this->Refuse(ResultCode::kEndpointLost, {});
+  }
+}
+
+bool CallRelay::TakeRepeat() {
+  return this->MayRunAgain() &&
+         this->runs < this->work.route->max_endpoints &&
+         this->outcome.sends < kMostSends &&
+         this->context.catalog.Of(this->work.service).size() > 1 &&
+         this->work.desk->budget.TryTake(this->Now(),
+                                         this->context.processes());
+}
+
+void CallRelay::EndAttempt() {
+  this->EndPhase();
+  if (!this->load.empty()) {
+    this->context.book.Remove(this->endpoint.id, this->load);
+    this->load = {};
+  }
+  this->tried.push_back(this->endpoint.id);
+}
+
+void CallRelay::AfterNotRun(ResultCode code) {
+  this->EndAttempt();
+  --this->runs;
+  const bool again =
+      this->outcome.sends < kMostSends &&
+      this->work.desk->budget.TryTake(this->Now(), this->context.processes()) &&
+      this->TryPlace();
+  if (again) {
+    return;
+  }
+  if (this->runs > 0) {
+    this->Refuse(ResultCode::kOutcomeUnknown, {});
+    return;
+  }
+  this->Refuse(code, kRetrySoon);
+}
+
+void CallRelay::AfterRun(ResultCode code) {
+  const bool again = this->TakeRepeat();
+  this->EndAttempt();
+  if (again && this->TryPlace()) {
+    return;
+  }
+  this->Refuse(code, {});
+}
+
+void CallRelay::OnDeadline() {
+  if (this->runs == 0) {
+    this->Refuse(ResultCode::kDeadlineUnreachable, kRetrySoon);
+    return;
+  }
+  this->context.health.NoteSilence(this->endpoint.id, this->Now());
+  this->context.hooks.drop_idle(this->endpoint.address);
+  this->Refuse(ResultCode::kDeadlineExceeded, {});
+}
+
+void CallRelay::Release() {
+  if (!this->load.empty()) {
+    this->context.book.Remove(this->endpoint.id, this->load);
+    this->load = {};
+  }
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/internal/refusal.cc
@@ -0,0 +1,64 @@
+#include "gateway/internal/refusal.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+
+namespace acacialug::gateway {
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+constexpr int kBadGateway = 502;
+
+// Codes that are not here: 503 for what did not run, else 502.
+constexpr std::array<std::pair<ResultCode, int>, 6> kStatuses = {
+    {{ResultCode::kUnknownRoute, 404},
+     {ResultCode::kMalformedRequest, 400},
+     {ResultCode::kBodyTooLarge, 413},
+     {ResultCode::kHeadersTooLarge, 431},
+     {ResultCode::kDeadlineExceeded, 504},
+     {ResultCode::kInternal, 500}}};
+
+int StatusOf(ResultCode code) {
+  for (const auto& [listed, status] : kStatuses) {
+    if (listed == code) {
+      return status;
+    }
+  }
+  return IsNotRun(code) ? kServiceUnavailable : kBadGateway;
+}
+
+// Retry-After in seconds, to the hundredth: callers here read fractions, and a
+// whole second is longer than most waits.
+std::string SecondsText(Duration duration) {
+  constexpr int kHundredths = 100;
+  const auto hundredths = static_cast<long>(Seconds(duration) * kHundredths);
+  const std::string fraction = std::to_string(hundredths % kHundredths);
+  return std::to_string(hundredths / kHundredths) + "." +
+         (fraction.size() < 2 ? "0" : "") + fraction;
+}
+
+}  // namespace
+
+http::Response MakeOwnAnswer(ResultCode code,
+                             Duration retry_after,
+                             bool close_connection) {
+  http::Response answer{.status = StatusOf(code)};
+  answer.headers.push_back({"Content-Type", "application/json"});
+  if (answer.status == kServiceUnavailable) {
+    answer.headers.push_back({"Retry-After", SecondsText(retry_after)});
+  }
+  if (close_connection) {
+    answer.headers.push_back({"Connection", "close"});
+  }
+  answer.body =
+      nlohmann::json{{"error",
+                      {{"number", static_cast<int>(code)},
+                       {"code", ResultCodeName(code)},
+                       {"message", ResultCodeMeaning(code)}}}}
+          .dump();
+  return answer;
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/internal/relay.cc
@@ -0,0 +1,161 @@
+#include "gateway/internal/relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/internal/refusal.h"
+
+namespace acacialug::gateway {
+
+Relay::Relay(RelayContext& relay_context, RelayJob relay_job)
+    : context(relay_context),
+      work(std::move(relay_job)),
+      deadline(this->work.arrived +
+               std::min(this->work.route->timeout,
+                        this->work.request.deadline.value_or(
+                            this->work.route->timeout))) {}
+
+void Relay::Begin(std::function<void(Relay&)> on_over) {
+  this->over_hook = std::move(on_over);
+  this->work.responder->SetOnGone([self = this->shared_from_this()] {
+    self->OnCallerGone();
+  });
+  this->deadline_alarm = this->context.alarms.Set(
+      this->deadline, [self = this->shared_from_this()] {
+        if (!self->is_over) {
+          self->OnDeadline();
+        }
+      });
+}
+
+Duration Relay::Age() const {
+  return this->Now() - this->work.arrived;
+}
+
+Duration Relay::TimeLeft() const {
+  return std::max(Duration::zero(), this->deadline - this->Now());
+}
+
+void Relay::SendTo(const EndpointRecord& endpoint,
+                   const WorkOrder& order,
+                   http::ExchangeHooks hooks) {
+  this->exchange = this->context.hooks.send(
+      endpoint.address,
+      this->context.dialect.write_work(this->work.request, endpoint, order),
+      std::move(hooks));
+}
+
+void Relay::StopExchange() {
+  if (this->exchange != 0) {
+    this->context.hooks.cancel(std::exchange(this->exchange, 0));
+  }
+}
+
+void Relay::WatchPhase(Duration after, std::function<void()> on_late) {
+  this->EndPhase();
+  this->phase_alarm = this->context.alarms.Set(
+      this->Now() + after,
+      [self = this->shared_from_this(), late = std::move(on_late)] {
+        self->phase_alarm = 0;
+        if (!self->is_over) {
+          late();
+        }
+      });
+}
+
+void Relay::EndPhase() {
+  this->context.alarms.Cancel(std::exchange(this->phase_alarm, 0));
+}
+
+void Relay::OnCallerGone() {
+  if (!this->is_over) {
+    this->Finish(RelayEnd::kCallerGone, ResultCode::kCancelled, 0);
+  }
+}
+
+void Relay::Refuse(ResultCode code, Duration retry_after) {
+  const http::Response answer =
+      MakeOwnAnswer(code, retry_after, this->context.closing());
+  this->work.responder->SendWhole(answer);
+  this->Finish(IsNotRun(code) ? RelayEnd::kRefused : RelayEnd::kUnknown, code,
+               answer.status);
+}
+
+void Relay::PassOn(RelayEnd end,
+                   int status,
+                   const http::Headers& headers,
+                   std::string body) {
+  this->outcome.first_byte = this->Age();
+  this->work.responder->SendWhole({.status = status,
+                                   .headers = this->CallerHeaders(headers),
+                                   .body = std::move(body)});
+  this->Finish(end, ResultCode::kOk, status);
+}
+
+http::Headers Relay::CallerHeaders(const http::Headers& headers) const {
+  http::Headers passed;
+  passed.reserve(headers.size() + 1);
+  for (const http::Header& header : headers) {
+    if (!http::IsHopByHop(headers, header.name)) {
+      passed.push_back(header);
+    }
+  }
+  if (this->context.closing()) {
+    passed.push_back({"Connection", "close"});
+  }
+  return passed;
+}
+
+void Relay::Finish(RelayEnd end, ResultCode code, int status) {
+  if (this->is_over) {
+    return;
+  }
+  this->is_over = true;
+  this->StopExchange();
+  this->EndPhase();
+  this->context.alarms.Cancel(this->deadline_alarm);
+  this->work.responder->SetOnGone({});
+  this->work.responder->SetOnDrained({});
+  this->outcome.end = end;
+  this->outcome.code = code;
+  this->outcome.status = status;
+  this->outcome.whole = this->Age();
+  this->Release();
+  const bool good = end == RelayEnd::kServed || end == RelayEnd::kCallerGone;
+  this->Note(good ? log::Level::kInfo : log::Level::kWarning, "request_ended",
+             {},
+             {{"end", NameOf(kRelayEndNames, end)},
+              {"status", status},
+              {"route", this->work.route->name},
+              {"kind", NameOf(kWorkKindNames, this->work.route->kind)},
+              {"configuration", this->work.routes->configuration().version},
+              {"waited_ms", this->outcome.waited},
+              {"first_byte_ms", this->outcome.first_byte},
+              {"whole_ms", this->outcome.whole},
+              {"sends", this->outcome.sends},
+              {"prefills", this->outcome.prefills},
+              {"events", this->outcome.events}},
+             code);
+  this->context.hooks.on_end(*this->work.route, this->outcome);
+  const std::shared_ptr<Relay> self = this->shared_from_this();
+  if (const auto hook = std::exchange(this->over_hook, nullptr)) {
+    hook(*this);
+  }
+  this->work.responder.reset();
+}
+
+void Relay::Note(log::Level level,
+                 std::string_view event,
+                 const EndpointId& endpoint,
+                 std::vector<log::Field> fields,
+                 ResultCode code) const {
+  log::Record record{.request_name = this->work.request.id,
+                     .endpoint = endpoint,
+                     .fields = std::move(fields)};
+  if (code != ResultCode::kOk) {
+    record.code = code;
+  }
+  this->context.hooks.note(level, event, std::move(record));
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/internal/relay_context.h
@@ -0,0 +1,65 @@
+#ifndef GATEWAY_INTERNAL_RELAY_CONTEXT_H_
+#define GATEWAY_INTERNAL_RELAY_CONTEXT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "framework/global/random_source.h"
+#include "framework/http/http_server.h"
+#include "gateway/admission_queue.h"
+#include "gateway/call_placement.h"
+#include "gateway/endpoint_catalog.h"
+#include "gateway/endpoint_health.h"
+#include "gateway/internal/alarm_clock.h"
+#include "gateway/load_book.h"
+#include "gateway/repeat_budget.h"
+#include "gateway/route_table.h"
+#include "gateway/stream_placement.h"
+#include "gateway/types/endpoint_dialect.h"
+#include "gateway/types/gateway_hooks.h"
+
+namespace acacialug::gateway {
+
+// What belongs to one service in one process.
+struct ServiceDesk {
+  AdmissionQueue queue;
+  RepeatBudget budget;
+};
+
+// What all relays of a core share.
+struct RelayContext {
+  const GatewayHooks& hooks;
+  const EndpointDialect& dialect;
+  FailureDomain domain;
+  EndpointCatalog& catalog;
+  EndpointHealth& health;
+  LoadBook& book;
+  const StreamPlacement& streams;
+  const CallPlacement& calls;
+  AlarmClock& alarms;
+  RandomSource& random;
+  // Processes that share the repeat budget, this one included.
+  std::function<std::size_t()> processes;
+  // Answers tell callers to use another connection next time.
+  std::function<bool()> closing;
+  // Decode memory was given back: somebody who waits may have it.
+  std::function<void(const ServiceName& service)> on_room;
+};
+
+// One request on its way.
+struct RelayJob {
+  WorkRequest request;
+  http::ResponderPtr responder;
+  // Keeps the configuration that the request came under.
+  std::shared_ptr<const RouteTable> routes;
+  const Route* route = nullptr;
+  ServiceName service;
+  const ServiceTraits* traits = nullptr;
+  ServiceDesk* desk = nullptr;
+  Instant arrived;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_INTERNAL_RELAY_CONTEXT_H_
--- /dev/null
+++ b/src/gateway/internal/stream_relay.cc
@@ -0,0 +1,480 @@
+#include "gateway/internal/stream_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacialug::gateway {
+namespace {
+
+constexpr int kFirstServerError = 500;
+// A prefill is given up when it takes three times what is expected and this
+// much more; sound ones keep well within twice.
+constexpr double kPrefillPatience = 3.0;
+constexpr Duration kPrefillSlack = 350ms;
+// Prefills of one request. The first is free of the repeat budget.
+constexpr std::uint32_t kMostPrefills = 3;
+// Requests to decode endpoints.
+constexpr std::uint32_t kMostSends = 4;
+// Silence of a decode endpoint, before its first event or between two, after
+// which a stream that may be continued goes on elsewhere. A preempted stream
+// pauses for some 300 ms; callers leave after 2 s and more.
+constexpr Duration kDecodeSilence = 1200ms;
+// A computed prompt that is older is not fetched any more: it lives 0.5 s.
+constexpr Duration kExportUse = 350ms;
+// A request that lost its place tries for another so often, and so long.
+constexpr Duration kPlaceInterval = 30ms;
+constexpr Duration kPlacePatience = 800ms;
+// What the caller has not read and is held here, at most, before the endpoint
+// is made to wait.
+constexpr std::size_t kMostUnread = std::size_t{64} * 1024;
+
+}  // namespace
+
+std::shared_ptr<StreamRelay> StreamRelay::Self() {
+  return std::static_pointer_cast<StreamRelay>(this->shared_from_this());
+}
+
+GenerationSize StreamRelay::Size() const {
+  return this->work.request.size.value_or(GenerationSize{});
+}
+
+std::uint64_t StreamRelay::kv_tokens() const {
+  return this->context.streams.KvTokens(this->Size());
+}
+
+bool StreamRelay::TryPlace() {
+  const auto chosen = this->context.streams.Pick(
+      {.size = this->Size(), .tried = this->tried, .now = this->Now()},
+      *this->work.traits->engine, this->context.catalog.Of(this->work.service),
+      this->context.random);
+  if (!chosen) {
+    return false;
+  }
+  this->Take(*chosen);
+  if (chosen->prefill) {
+    this->StartPrefill();
+  } else {
+    this->StartDecode(WorkStep::kWhole);
+  }
+  return true;
+}
+
+void StreamRelay::Take(const StreamPlacement::Place& chosen) {
+  this->place = chosen;
+  this->placed_at = this->Now();
+  if (this->outcome.prefills == 0 && this->outcome.sends == 0) {
+    this->outcome.waited = this->Age();
+  }
+  this->Note(log::Level::kInfo, "stream_placed", chosen.decode.id,
+             {{"prefill", chosen.prefill ? chosen.prefill->id.text
+                                         : std::string()},
+              {"waited_ms", this->Age()},
+              {"prompt_tokens", this->Size().prompt_tokens},
+              {"expected_tokens", this->Size().expected_output_tokens},
+              {"decode_fill", chosen.decode_fill},
+              {"prefill_expected_ms", chosen.prefill_time},
+              {"endpoints_as_of", this->context.catalog.complete_to()},
+              {"peers", this->context.book.peers()}});
+  this->context.book.Add(chosen.decode.id, chosen.decode_load);
+  this->decode_held = true;
+  this->work.desk->queue.NoteTaken(chosen.decode_load.kv_tokens);
+  if (chosen.prefill) {
+    this->context.book.Add(chosen.prefill->id, chosen.prefill_load);
+    this->prefill_held = true;
+  }
+}
+
+void StreamRelay::GivePrefillBack() {
+  if (std::exchange(this->prefill_held, false)) {
+    this->context.book.Remove(this->place->prefill->id,
+                              this->place->prefill_load);
+    this->context.on_room(this->work.service);
+  }
+}
+
+void StreamRelay::GiveDecodeBack() {
+  if (std::exchange(this->decode_held, false)) {
+    this->context.book.Remove(this->place->decode.id,
+                              this->place->decode_load);
+    this->work.desk->queue.NoteGiven(this->place->decode_load.kv_tokens,
+                                     this->Now() - this->placed_at);
+    this->context.on_room(this->work.service);
+  }
+}
+
+// Its memory would be held at the prefill endpoint until it lapses.
+void StreamRelay::GiveExportBack() {
+  if (!this->prefilled) {
+    return;
+  }
+  this->context.hooks.send(
+      this->place->prefill->address,
+      this->context.dialect.write_release(this->prefilled->name),
+      {.on_error = [](const Error&, bool) {}});
+  this->prefilled.reset();
+}
+
+void StreamRelay::StartPrefill() {
+  ++this->outcome.prefills;
+  this->step_at = this->Now();
+  auto self = this->Self();
+  auto answer = std::make_shared<AnswerNature>(AnswerNature::kUnproven);
+  this->SendTo(
+      *this->place->prefill,
+      {.step = WorkStep::kPrefill, .time_left = this->TimeLeft()},
+      {.is_answer =
+           [self](int answered, const http::Headers& head) {
+             return self->context.dialect.judge_answer(
+                        self->work.request, WorkStep::kPrefill, answered,
+                        head) != AnswerNature::kForeign;
+           },
+       .on_head =
+           [self, answer](int answered, const http::Headers& head) {
+             *answer = self->context.dialect.judge_answer(
+                 self->work.request, WorkStep::kPrefill, answered, head);
+           },
+       .on_end =
+           [self, answer](const std::string& body) {
+             self->ForgetExchange();
+             self->OnPrefillWhole(*answer, body);
+           },
+       .on_error =
+           [self](const Error& error, bool sent) {
+             self->ForgetExchange();
+             self->context.health.NoteSilence(self->place->prefill->id,
+                                              self->Now());
+             self->AfterPrefill(sent ? "lost" : "unreachable");
+           }});
+  const Duration patience =
+      FromSeconds(kPrefillPatience * Seconds(this->place->prefill_time)) +
+      kPrefillSlack;
+  this->WatchPhase(patience, [this] {
+    this->context.health.NoteSilence(this->place->prefill->id, this->Now());
+    this->context.hooks.drop_idle(this->place->prefill->address);
+    this->StopExchange();
+    this->AfterPrefill("silent");
+  });
+}
+
+void StreamRelay::OnPrefillWhole(AnswerNature answer, const std::string& body) {
+  this->EndPhase();
+  const EndpointId& id = this->place->prefill->id;
+  if (answer == AnswerNature::kSuccess) {
+    this->prefilled = this->context.dialect.read_export(body);
+  }
+  if (!this->prefilled) {
+    if (answer == AnswerNature::kNotRun) {
+      this->context.health.NoteFull(id, this->Now());
+    } else if (answer == AnswerNature::kMisplaced) {
+      this->context.health.NoteSilence(id, this->Now());
+    } else {
+      this->context.health.NoteFailure(id, this->Now());
+    }
+    this->AfterPrefill(NameOf(kAnswerNatureNames, answer));
+    return;
+  }
+  this->context.health.NoteSuccess(id);
+  const Duration took = this->Now() - this->step_at;
+  if (this->place->prefill_time > Duration::zero()) {
+    this->context.health.NoteSpeed(
+        id, this->context.health.Slowness(id) * Seconds(took) /
+                Seconds(this->place->prefill_time));
+  }
+  this->prefilled_at = this->Now();
+  this->GivePrefillBack();
+  this->StartDecode(WorkStep::kDecode);
+}
+
+void StreamRelay::AfterPrefill(std::string_view why) {
+  this->EndPhase();
+  this->Note(log::Level::kWarning, "prefill_failed", this->place->prefill->id,
+             {{"why", why},
+              {"after_ms", this->Now() - this->step_at},
+              {"expected_ms", this->place->prefill_time}});
+  this->tried.push_back(this->place->prefill->id);
+  this->GivePrefillBack();
+  const bool again =
+      this->outcome.prefills < kMostPrefills &&
+      this->work.desk->budget.TryTake(this->Now(), this->context.processes());
+  if (again) {
+    this->GiveDecodeBack();
+    if (!this->GoOn()) {
+      this->GiveUp(ResultCode::kNoEndpoint);
+    }
+    return;
+  }
+  // The decode endpoint can compute the prompt itself, at half the speed.
+  this->place->prefill.reset();
+  this->StartDecode(WorkStep::kWhole);
+}
+
+void StreamRelay::StartDecode(WorkStep step) {
+  ++this->outcome.sends;
+  ++this->runs;
+  this->decode_open = true;
+  this->nature = AnswerNature::kUnproven;
+  this->failure_body.clear();
+  this->splitter.Clear();
+  this->step_at = this->Now();
+  WorkOrder order{.step = step,
+                  .time_left = this->TimeLeft(),
+                  .resume_after = this->last_event};
+  if (step == WorkStep::kDecode) {
+    order.export_name = this->prefilled->name;
+    order.export_from = this->place->prefill->address;
+  }
+  auto self = this->Self();
+  this->SendTo(
+      this->place->decode, order,
+      {.is_answer =
+           [self, step](int answered, const http::Headers& head) {
+             return self->context.dialect.judge_answer(
+                        self->work.request, step, answered, head) !=
+                    AnswerNature::kForeign;
+           },
+       .on_head =
+           [self, step](int answered, const http::Headers& head) {
+             self->nature = self->context.dialect.judge_answer(
+                 self->work.request, step, answered, head);
+             self->OnDecodeHead(answered, head);
+           },
+       .on_data =
+           [self](std::string_view data) { self->OnDecodeData(data); },
+       .on_end = [self](std::string body) { self->OnDecodeEnd(std::move(body)); },
+       .on_error = [self](const Error& error,
+                          bool sent) { self->OnDecodeLost(error, sent); }});
+  if (this->MayRunAgain()) {
+    this->WatchPhase(kDecodeSilence, [this] { this->OnSilent(); });
+  }
+}
+
+void StreamRelay::OnDecodeHead(int answered, const http::Headers& head) {
+  if (!this->begun) {
+    this->status = answered;
+    this->headers = head;
+  }
+  if (this->nature == AnswerNature::kSuccess) {
+    this->prefilled.reset();  // fetched
+  }
+}
+
+void StreamRelay::OnDecodeData(std::string_view data) {
+  if (this->nature != AnswerNature::kSuccess) {
+    this->failure_body += data;
+    return;
+  }
+  for (const StreamEvent& event : this->splitter.Take(data)) {
+    if (!this->DeliverEvent(event)) {
+      return;
+    }
+  }
+  if (this->splitter.overflowed()) {
+    this->StopExchange();
+    this->AfterRun(ResultCode::kEngineBadAnswer);
+    return;
+  }
+  if (this->MayRunAgain()) {
+    this->WatchPhase(kDecodeSilence, [this] { this->OnSilent(); });
+  }
+}
+
+// False: the attempt is over.
+bool StreamRelay::DeliverEvent(const StreamEvent& event) {
+  if (event.id && this->last_event) {
+    if (*event.id <= *this->last_event) {
+      return true;  // the caller has it
+    }
+    if (*event.id != *this->last_event + 1) {
+      this->StopExchange();
+      this->AfterRun(ResultCode::kEngineBadAnswer);
+      return false;
+    }
+  }
+  if (!this->begun) {
+    this->begun = true;
+    this->outcome.first_byte = this->Age();
+    this->work.responder->BeginStream(this->status,
+                                      this->CallerHeaders(this->headers));
+  }
+  if (event.id) {
+    this->last_event = event.id;
+  }
+  ++this->outcome.events;
+  this->work.responder->SendData(event.bytes);
+  return !this->over();
+}
+
+void StreamRelay::OnDecodeEnd(std::string) {
+  this->ForgetExchange();
+  this->EndPhase();
+  this->decode_open = false;
+  const EndpointId id = this->place->decode.id;
+  switch (this->nature) {
+    case AnswerNature::kSuccess:
+      this->context.health.NoteSuccess(id);
+      if (!this->begun) {
+        this->work.responder->BeginStream(this->status,
+                                          this->CallerHeaders(this->headers));
+        this->begun = true;
+      }
+      if (!this->splitter.rest().empty()) {
+        this->work.responder->SendData(this->splitter.rest());
+      }
+      this->work.responder->EndStream();
+      this->Finish(RelayEnd::kServed, ResultCode::kOk, this->status);
+      return;
+    case AnswerNature::kNotRun:
+      this->context.health.NoteFull(id, this->Now());
+      if (this->prefilled) {
+        this->context.health.NoteFailure(this->place->prefill->id, this->Now());
+      }
+      this->AfterNotRun();
+      return;
+    case AnswerNature::kMisplaced:
+      this->context.health.NoteSilence(id, this->Now());
+      this->AfterNotRun();
+      return;
+    case AnswerNature::kFailure:
+      if (this->status >= kFirstServerError) {
+        this->context.health.NoteFailure(id, this->Now());
+      }
+      if (this->status < kFirstServerError || !this->MayRunAgain()) {
+        if (this->begun) {
+          this->GiveUp(ResultCode::kEngineFailed);
+        } else {
+          this->PassOn(RelayEnd::kFailed, this->status, this->headers,
+                       this->failure_body);
+        }
+        return;
+      }
+      this->AfterRun(ResultCode::kEngineFailed);
+      return;
+    case AnswerNature::kUnproven:
+    case AnswerNature::kForeign:
+      this->context.health.NoteFailure(id, this->Now());
+      this->AfterRun(ResultCode::kEngineBadAnswer);
+      return;
+  }
+}
+
+void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
+  this->ForgetExchange();
+  this->decode_open = false;
+  this->context.health.NoteSilence(this->place->decode.id, this->Now());
+  this->Note(log::Level::kWarning, "attempt_lost", this->place->decode.id,
+             {{"sent", sent},
+              {"after_ms", this->Now() - this->step_at},
+              {"events", this->outcome.events},
+              {"detail", error.detail}},
+             error.result_code());
+  if (!sent || this->nature == AnswerNature::kNotRun) {
+    this->AfterNotRun();
+  } else {
+    this->AfterRun(ResultCode::kEndpointLost);
+  }
+}
+
+void StreamRelay::OnSilent() {
+  const bool possible = this->runs < this->work.route->max_endpoints &&
+                        this->outcome.sends < kMostSends;
+  this->context.health.NoteSilence(this->place->decode.id, this->Now());
+  this->Note(log::Level::kWarning, "attempt_silent", this->place->decode.id,
+             {{"after_ms", this->Now() - this->step_at},
+              {"events", this->outcome.events},
+              {"goes_elsewhere", possible}},
+             ResultCode::kEndpointLost);
+  if (!possible) {
+    return;  // it may still go on
+  }
+  this->context.hooks.drop_idle(this->place->decode.address);
+  this->StopExchange();
+  this->decode_open = false;
+  this->AfterRun(ResultCode::kEndpointLost);
+}
+
+void StreamRelay::AfterNotRun() {
+  this->EndPhase();
+  this->decode_open = false;
+  --this->runs;
+  this->tried.push_back(this->place->decode.id);
+  this->GiveDecodeBack();
+  this->prefilled.reset();
+  const bool again =
+      this->outcome.sends < kMostSends &&
+      this->work.desk->budget.TryTake(this->Now(), this->context.processes());
+  this->Note(log::Level::kInfo, "decode_refused", this->place->decode.id,
+             {{"again", again},
+              {"after_ms", this->Now() - this->step_at},
+              {"repeats", this->work.desk->budget.repeats()}});
+  if (!again || !this->GoOn()) {
+    this->GiveUp(ResultCode::kNoDecodeMemory);
+  }
+}
+
+void StreamRelay::AfterRun(ResultCode code) {
+  this->EndPhase();
+  this->decode_open = false;
+  this->tried.push_back(this->place->decode.id);
+  this->GiveDecodeBack();
+  this->prefilled.reset();
+  const bool again =
+      this->MayRunAgain() && this->runs < this->work.route->max_endpoints &&
+      this->outcome.sends < kMostSends &&
+      this->work.desk->budget.TryTake(this->Now(), this->context.processes());
+  if (!again || !this->GoOn()) {
+    this->GiveUp(code);
+  }
+}
+
+bool StreamRelay::GoOn() {
+  if (this->TryPlace()) {
+    return true;
+  }
+  this->Retry(this->Now() + kPlacePatience);
+  return true;
+}
+
+// Its first place was given in its turn, so that it waits outside the queue.
+void StreamRelay::Retry(Instant until) {
+  this->WatchPhase(kPlaceInterval, [this, until] {
+    if (this->TryPlace()) {
+      return;
+    }
+    if (this->Now() >= until) {
+      this->GiveUp(ResultCode::kNoDecodeMemory);
+      return;
+    }
+    this->Retry(until);
+  });
+}
+
+void StreamRelay::GiveUp(ResultCode code) {
+  if (this->begun) {
+    this->work.responder->Abort();
+    this->Finish(RelayEnd::kBroken, code, this->status);
+    return;
+  }
+  if (this->runs > 0) {
+    this->Refuse(IsNotRun(code) ? ResultCode::kOutcomeUnknown : code, {});
+    return;
+  }
+  this->Refuse(IsNotRun(code) ? code : ResultCode::kNoEndpoint,
+               this->work.desk->queue.RetryAfter(this->kv_tokens()));
+}
+
+void StreamRelay::OnDeadline() {
+  this->GiveUp(this->runs > 0 ? ResultCode::kDeadlineExceeded
+                              : ResultCode::kDeadlineUnreachable);
+}
+
+void StreamRelay::Release() {
+  // An export that nobody asked for is freed; one that a decode endpoint was
+  // told of is that endpoint's.
+  if (this->prefilled && !this->decode_open) {
+    this->GiveExportBack();
+  }
+  this->GivePrefillBack();
+  this->GiveDecodeBack();
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/internal/stream_relay.h
@@ -0,0 +1,79 @@
+#ifndef GATEWAY_INTERNAL_STREAM_RELAY_H_
+#define GATEWAY_INTERNAL_STREAM_RELAY_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gateway/event_splitter.h"
+#include "gateway/internal/relay.h"
+
+namespace acacialug::gateway {
+
+// A generation: prefilled at one endpoint, decoded at another, its events
+// passed on as they come. Nothing runs before the decode endpoint is asked, so
+// that all that fails before is refused as not run. A stream that breaks off is
+// continued at another endpoint if its route allows it, and is cut off, so that
+// it does not look whole, if not.
+class StreamRelay : public Relay {
+ public:
+  using Relay::Relay;
+
+  bool TryPlace() override;
+
+  std::uint64_t kv_tokens() const;
+
+ protected:
+  void OnDeadline() override;
+  void Release() override;
+
+ private:
+  std::shared_ptr<StreamRelay> Self();
+  GenerationSize Size() const;
+
+  void Take(const StreamPlacement::Place& chosen);
+  void GivePrefillBack();
+  void GiveDecodeBack();
+  void GiveExportBack();
+
+  void StartPrefill();
+  void OnPrefillWhole(AnswerNature nature, const std::string& body);
+  // The prefill came to nothing; the request has not run.
+  void AfterPrefill(std::string_view why);
+
+  void StartDecode(WorkStep step);
+  void OnDecodeHead(int status, const http::Headers& head);
+  void OnDecodeData(std::string_view data);
+  bool DeliverEvent(const StreamEvent& event);
+  void OnDecodeEnd(std::string body);
+  void OnDecodeLost(const Error& error, bool sent);
+  void OnSilent();
+
+  void AfterNotRun();
+  void AfterRun(ResultCode code);
+  // Tries another place, now or soon; false: not possible.
+  bool GoOn();
+  void Retry(Instant until);
+  void GiveUp(ResultCode code);
+
+  std::optional<StreamPlacement::Place> place;
+  std::optional<PrefillExport> prefilled;
+  Instant placed_at;
+  Instant step_at;
+  Instant prefilled_at;
+  bool prefill_held = false;  // its load is in the book
+  bool decode_held = false;
+  EventSplitter splitter;
+  AnswerNature nature = AnswerNature::kUnproven;
+  int status = 0;
+  http::Headers headers;
+  std::string failure_body;
+  bool decode_open = false;   // asked, and not over
+  bool begun = false;         // the caller has the head
+  std::optional<std::uint64_t> last_event;
+  std::uint32_t runs = 0;  // attempts without a proof that they did not run
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_INTERNAL_STREAM_RELAY_H_
--- /dev/null
+++ b/src/gateway/repeat_budget.cc
@@ -0,0 +1,50 @@
+#include "gateway/repeat_budget.h"
+
+#include <algorithm>
+
+namespace acacialug::gateway {
+namespace {
+
+// Bounds the memory of a window under a flood; what is forgotten only makes
+// the budget smaller.
+constexpr std::size_t kMostKept = 20000;
+
+void DropBefore(std::deque<Instant>& times, Instant oldest) {
+  while (!times.empty() &&
+         (times.front() <= oldest || times.size() > kMostKept)) {
+    times.pop_front();
+  }
+}
+
+}  // namespace
+
+void RepeatBudget::Expire(Instant now) {
+  DropBefore(this->requests, now - this->options.window);
+  DropBefore(this->taken, now - this->options.window);
+}
+
+void RepeatBudget::NoteRequest(Instant now) {
+  this->requests.push_back(now);
+  this->Expire(now);
+}
+
+bool RepeatBudget::TryTake(Instant now, std::size_t processes) {
+  this->Expire(now);
+  const double allowed =
+      this->options.margin *
+      (this->options.share * static_cast<double>(this->requests.size()) +
+       static_cast<double>(this->options.extra) /
+           static_cast<double>(std::max<std::size_t>(processes, 1)));
+  if (static_cast<double>(this->taken.size() + 1) > allowed) {
+    return false;
+  }
+  this->taken.push_back(now);
+  return true;
+}
+
+void RepeatBudget::NoteRepeat(Instant now) {
+  this->taken.push_back(now);
+  this->Expire(now);
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/stream_placement.cc
@@ -0,0 +1,149 @@
+#include "gateway/stream_placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace acacialug::gateway {
+namespace {
+
+// Scores that differ by less are alike: several processes that place at the
+// same time by the same news must not all choose the same endpoint.
+constexpr double kSpread = 0.06;
+// Beyond any score by load: chosen only if there is no other.
+constexpr double kAvoidedPenalty = 10.0;
+// An endpoint that takes twice its time is as good as one 0.3 fuller.
+constexpr double kSlownessWeight = 0.3;
+
+bool WasTried(const std::vector<EndpointId>& tried, const EndpointId& id) {
+  return std::find(tried.begin(), tried.end(), id) != tried.end();
+}
+
+}  // namespace
+
+StreamPlacement::StreamPlacement(Options placement_options,
+                                 const LoadBook& load_book,
+                                 const EndpointHealth& endpoint_health)
+    : options(placement_options), book(load_book), health(endpoint_health) {}
+
+std::uint64_t StreamPlacement::KvTokens(const GenerationSize& size) const {
+  return size.prompt_tokens +
+         static_cast<std::uint64_t>(
+             this->options.output_share *
+             static_cast<double>(size.expected_output_tokens));
+}
+
+const EndpointRecord* StreamPlacement::PickDecode(
+    const Need& need,
+    const EngineTraits& engine,
+    const std::vector<const EndpointRecord*>& endpoints,
+    RandomSource& random) const {
+  const double room =
+      this->options.fill * static_cast<double>(engine.kv_tokens);
+  const auto wanted = static_cast<double>(this->KvTokens(need.size));
+  const EndpointRecord* best = nullptr;
+  double best_score = std::numeric_limits<double>::max();
+  for (const EndpointRecord* const endpoint : endpoints) {
+    if (endpoint->role != EndpointRole::kDecode ||
+        WasTried(need.tried, endpoint->id)) {
+      continue;
+    }
+    const EndpointLoad load = this->book.Of(endpoint->id);
+    const auto held = static_cast<double>(load.kv_tokens);
+    const bool fits = held + wanted <= room && load.requests < engine.slots;
+    if (!fits && load.requests > 0) {
+      continue;
+    }
+    double score = held / room + random.Unit() * kSpread +
+                   kSlownessWeight * (this->health.Slowness(endpoint->id) - 1);
+    if (this->health.Avoided(endpoint->id, need.now)) {
+      score += kAvoidedPenalty;
+    }
+    if (score < best_score) {
+      best = endpoint;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+Duration StreamPlacement::PrefillTime(const EndpointRecord& endpoint,
+                                      std::uint64_t prompt_tokens) const {
+  const EndpointLoad load = this->book.Of(endpoint.id);
+  const double tokens =
+      static_cast<double>(load.prefill_tokens + prompt_tokens);
+  return FromSeconds(tokens / kPrefillTokensPerMs *
+                     this->health.Slowness(endpoint.id) / 1000.0);
+}
+
+const EndpointRecord* StreamPlacement::PickPrefill(
+    const Need& need,
+    const std::vector<const EndpointRecord*>& endpoints,
+    RandomSource& random) const {
+  const EndpointRecord* best = nullptr;
+  double best_score = std::numeric_limits<double>::max();
+  for (const EndpointRecord* const endpoint : endpoints) {
+    if (endpoint->role != EndpointRole::kPrefill ||
+        WasTried(need.tried, endpoint->id)) {
+      continue;
+    }
+    double score =
+        Seconds(this->PrefillTime(*endpoint, need.size.prompt_tokens)) *
+        (1 + random.Unit() * kSpread) *
+        (1 + 2 * this->health.FailureShare(endpoint->id));
+    if (this->health.Avoided(endpoint->id, need.now)) {
+      score += kAvoidedPenalty;
+    }
+    if (score < best_score) {
+      best = endpoint;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+std::optional<StreamPlacement::Place> StreamPlacement::Pick(
+    const Need& need,
+    const EngineTraits& engine,
+    const std::vector<const EndpointRecord*>& endpoints,
+    RandomSource& random) const {
+  const EndpointRecord* const decode =
+      this->PickDecode(need, engine, endpoints, random);
+  if (decode == nullptr) {
+    return std::nullopt;
+  }
+  Place place{.decode = *decode,
+              .decode_load = {.requests = 1,
+                              .kv_tokens = this->KvTokens(need.size)}};
+  place.decode_fill =
+      static_cast<double>(this->book.Of(decode->id).kv_tokens) /
+      static_cast<double>(std::max<std::uint64_t>(engine.kv_tokens, 1));
+  const EndpointRecord* const prefill =
+      this->PickPrefill(need, endpoints, random);
+  if (prefill == nullptr || this->health.Avoided(prefill->id, need.now)) {
+    return place;
+  }
+  place.prefill_time = this->PrefillTime(*prefill, need.size.prompt_tokens);
+  if (place.prefill_time > this->options.longest_prefill_wait) {
+    return std::nullopt;
+  }
+  place.prefill = *prefill;
+  place.prefill_load = {.requests = 1,
+                        .prefill_tokens = need.size.prompt_tokens};
+  return place;
+}
+
+double StreamPlacement::PoolFill(
+    const EngineTraits& engine,
+    const std::vector<const EndpointRecord*>& endpoints) const {
+  double held = 0;
+  double room = 0;
+  for (const EndpointRecord* const endpoint : endpoints) {
+    if (endpoint->role == EndpointRole::kDecode) {
+      held += static_cast<double>(this->book.Of(endpoint->id).kv_tokens);
+      room += static_cast<double>(engine.kv_tokens);
+    }
+  }
+  return room > 0 ? held / room : 1.0;
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/stream_placement.h
@@ -0,0 +1,98 @@
+#ifndef GATEWAY_STREAM_PLACEMENT_H_
+#define GATEWAY_STREAM_PLACEMENT_H_
+
+#include <optional>
+#include <vector>
+
+#include "framework/global/random_source.h"
+#include "gateway/endpoint_catalog.h"
+#include "gateway/endpoint_health.h"
+#include "gateway/load_book.h"
+#include "gateway/types/configuration.h"
+#include "gateway/types/work_request.h"
+
+namespace acacialug::gateway {
+
+// Chooses where a generation is prefilled and decoded, both at once: a prompt
+// is computed only when there is room for what follows, since its result lives
+// for half a second.
+//
+// Load pattern: bursts to twice the mean for some seconds, in which decode
+// memory is what runs out. An endpoint that is given more than it holds
+// preempts a running stream and computes its prompt again, so that both are
+// late; one that is given less turns callers away for nothing.
+class StreamPlacement {
+ public:
+  struct Options {
+    // Share of a decode endpoint's memory that is given out. Streams that run
+    // together are at different points of their output, so that the sum of
+    // their final sizes is never reached.
+    double fill = 1.0;
+    // Share of the expected output that is counted as taken: the mean over a
+    // stream's life is half of it.
+    double output_share = 0.6;
+    // The longest wait for a prefill endpoint that is worth it: what is left
+    // of an objective of 0.9 s when all else takes its time.
+    Duration longest_prefill_wait = 450ms;
+  };
+
+  // Prompt tokens that a prefill endpoint computes in a millisecond until its
+  // own speed is known: the engines' rate at the planned size.
+  static constexpr double kPrefillTokensPerMs = 33.0;
+  // From a computed prompt to the first event: the fetch over the link (6 ms),
+  // the first step (15 ms), two round trips.
+  static constexpr Duration kFirstStep = 35ms;
+
+  struct Need {
+    GenerationSize size;
+    std::vector<EndpointId> tried;  // not again
+    Instant now;
+  };
+
+  struct Place {
+    EndpointRecord decode;
+    std::optional<EndpointRecord> prefill;  // empty: decode computes the prompt
+    EndpointLoad decode_load;
+    EndpointLoad prefill_load;
+    Duration prefill_time{};  // expected, with what is queued there
+    double decode_fill = 0;   // of its memory, before this request
+  };
+
+  StreamPlacement(Options placement_options,
+                  const LoadBook& load_book,
+                  const EndpointHealth& endpoint_health);
+
+  // Empty: no endpoint has room now. `endpoints`: of the service, taking work.
+  std::optional<Place> Pick(const Need& need,
+                            const EngineTraits& engine,
+                            const std::vector<const EndpointRecord*>& endpoints,
+                            RandomSource& random) const;
+
+  // Memory that a request is counted with.
+  std::uint64_t KvTokens(const GenerationSize& size) const;
+
+  // Share of the pool's decode memory that is given out, 0 to 1 and above.
+  double PoolFill(const EngineTraits& engine,
+                  const std::vector<const EndpointRecord*>& endpoints) const;
+
+ private:
+  const EndpointRecord* PickDecode(
+      const Need& need,
+      const EngineTraits& engine,
+      const std::vector<const EndpointRecord*>& endpoints,
+      RandomSource& random) const;
+  const EndpointRecord* PickPrefill(
+      const Need& need,
+      const std::vector<const EndpointRecord*>& endpoints,
+      RandomSource& random) const;
+  Duration PrefillTime(const EndpointRecord& endpoint,
+                       std::uint64_t prompt_tokens) const;
+
+  const Options options;
+  const LoadBook& book;
+  const EndpointHealth& health;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_STREAM_PLACEMENT_H_
--- /dev/null
+++ b/src/gateway/types/endpoint_dialect.h
@@ -0,0 +1,79 @@
+#ifndef GATEWAY_TYPES_ENDPOINT_DIALECT_H_
+#define GATEWAY_TYPES_ENDPOINT_DIALECT_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "framework/global/types/enum_names.h"
+#include "gateway/types/endpoint_record.h"
+#include "gateway/types/work_request.h"
+
+namespace acacialug::gateway {
+
+// What an endpoint is asked to do with a request.
+enum class WorkStep {
+  kWhole,    // run it
+  kPrefill,  // compute its prompt and keep the result for another endpoint
+  kDecode,   // fetch the computed prompt and run it
+};
+inline constexpr EnumNames<WorkStep, 3> kWorkStepNames = {
+    {{WorkStep::kWhole, "whole"},
+     {WorkStep::kPrefill, "prefill"},
+     {WorkStep::kDecode, "decode"}}};
+
+struct WorkOrder {
+  WorkStep step = WorkStep::kWhole;
+  Duration time_left{};  // the endpoint stops work when it is over
+  std::string export_name;  // kDecode: what the prefill told
+  http::Address export_from;
+  std::optional<std::uint64_t> resume_after;
+};
+
+// What an answer's head says of the request.
+enum class AnswerNature {
+  kForeign,   // an answer to another request
+  kNotRun,    // it did not run here and never will
+  kMisplaced, // as kNotRun: another endpoint, or one with another role
+  kSuccess,   // it ran; the answer's body follows
+  kFailure,   // it ran, or was found invalid, and failed; so says the endpoint
+  kUnproven,  // no answer of an endpoint's: it may have run
+};
+inline constexpr EnumNames<AnswerNature, 6> kAnswerNatureNames = {
+    {{AnswerNature::kForeign, "foreign"},
+     {AnswerNature::kNotRun, "not_run"},
+     {AnswerNature::kMisplaced, "misplaced"},
+     {AnswerNature::kSuccess, "success"},
+     {AnswerNature::kFailure, "failure"},
+     {AnswerNature::kUnproven, "unproven"}}};
+
+struct PrefillExport {
+  std::string name;  // of the computed prompt, at the endpoint that has it
+  std::uint64_t tokens = 0;
+};
+
+// How callers' requests and endpoints' messages read on the wire. Each hook is
+// a pure function, thread safe.
+struct EndpointDialect {
+  std::function<WorkRequest(http::Request request)> read_request;
+  std::function<http::Request(const WorkRequest& request,
+                              const EndpointRecord& endpoint,
+                              const WorkOrder& order)>
+      write_work;
+  std::function<AnswerNature(const WorkRequest& request,
+                             WorkStep step,
+                             int status,
+                             const http::Headers& headers)>
+      judge_answer;
+  // Empty: the body is not what it should be.
+  std::function<std::optional<PrefillExport>(std::string_view body)>
+      read_export;
+  // Gives a computed prompt back that nobody will fetch.
+  std::function<http::Request(std::string_view export_name)> write_release;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_TYPES_ENDPOINT_DIALECT_H_
--- /dev/null
+++ b/src/gateway/types/gateway_hooks.h
@@ -0,0 +1,42 @@
+#ifndef GATEWAY_TYPES_GATEWAY_HOOKS_H_
+#define GATEWAY_TYPES_GATEWAY_HOOKS_H_
+
+#include <functional>
+#include <string_view>
+
+#include "framework/http/http_client.h"
+#include "framework/log/types/record.h"
+#include "gateway/types/configuration.h"
+#include "gateway/types/relay_outcome.h"
+
+namespace acacialug::gateway {
+
+// What the core needs from its process. All run on the core's thread.
+struct GatewayHooks {
+  std::function<Instant()> now;
+  // As http::Client::Send, Cancel, SetPaused and DropIdle.
+  std::function<http::Client::ExchangeId(const http::Address& address,
+                                         const http::Request& request,
+                                         http::ExchangeHooks hooks)>
+      send;
+  std::function<void(http::Client::ExchangeId exchange)> cancel;
+  std::function<void(http::Client::ExchangeId exchange, bool paused)>
+      set_paused;
+  std::function<void(const http::Address& address)> drop_idle;
+  // The core's timer is due at this time, sooner than was told before. Call
+  // OnTimer then; next_timer() tells the time of the next.
+  std::function<void(Instant at)> wake_at;
+  // OwnLoad() changed.
+  std::function<void()> on_load_changed;
+  // A line of the log.
+  std::function<void(log::Level level,
+                     std::string_view event,
+                     log::Record record)>
+      note;
+  // A request ended.
+  std::function<void(const Route& route, const RelayOutcome& outcome)> on_end;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_TYPES_GATEWAY_HOOKS_H_
--- /dev/null
+++ b/src/gateway/types/relay_outcome.h
@@ -0,0 +1,45 @@
+#ifndef GATEWAY_TYPES_RELAY_OUTCOME_H_
+#define GATEWAY_TYPES_RELAY_OUTCOME_H_
+
+#include <cstdint>
+
+#include "framework/global/types/enum_names.h"
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/instant.h"
+#include "framework/global/types/result_code.h"
+#include "gateway/types/configuration.h"
+
+namespace acacialug::gateway {
+
+// How a request ended, as its caller sees it.
+enum class RelayEnd {
+  kServed,      // an endpoint's success, whole
+  kFailed,      // an endpoint's own failure, passed on
+  kRefused,     // it did not run
+  kUnknown,     // it may have run, and its answer is lost
+  kBroken,      // its stream was cut off
+  kCallerGone,  // the caller left first
+};
+inline constexpr EnumNames<RelayEnd, 6> kRelayEndNames = {
+    {{RelayEnd::kServed, "served"},
+     {RelayEnd::kFailed, "failed"},
+     {RelayEnd::kRefused, "refused"},
+     {RelayEnd::kUnknown, "unknown"},
+     {RelayEnd::kBroken, "broken"},
+     {RelayEnd::kCallerGone, "caller_gone"}}};
+
+struct RelayOutcome {
+  RelayEnd end = RelayEnd::kServed;
+  ResultCode code = ResultCode::kOk;
+  int status = 0;  // that the caller got; 0: none
+  Duration first_byte{};  // from arrival; zero: none came
+  Duration whole{};       // from arrival to the end
+  Duration waited{};      // for a place
+  std::uint32_t sends = 0;  // to endpoints, prefills not counted
+  std::uint32_t prefills = 0;
+  std::uint32_t events = 0;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_TYPES_RELAY_OUTCOME_H_
--- /dev/null
+++ b/src/gateway_process/gateway_process.cc
@@ -0,0 +1,402 @@
+#include "gateway_process/gateway_process.h"
+
+#include <QTimer>
+#include <algorithm>
+#include <utility>
+
+#include "framework/http/http_client.h"
+#include "framework/http/http_server.h"
+#include "framework/log/log.h"
+#include "framework/metrics/exposition.h"
+#include "gateway/gateway_core.h"
+#include "gateway_process/metric_definitions.h"
+#include "gateway_process/peer_link.h"
+
+namespace acacialug::gateway_process {
+namespace {
+
+// A connection within a site opens in a few milliseconds.
+constexpr Duration kConnectTimeout = 500ms;
+// Idle connections to one endpoint, of this process: a burst's worth.
+constexpr std::size_t kMaxIdleConnections = 24;
+// The balancer asks each second and needs two misses: until then it goes on
+// sending new connections.
+constexpr Duration kBalancerNotices = 2300ms;
+// Before the end by force, so that the log tells what was cut off.
+constexpr Duration kLastWords = 300ms;
+constexpr std::chrono::milliseconds kDrainCheckInterval{50};
+constexpr std::chrono::milliseconds kLogFlushInterval{100};
+// Bounds of what is written to the log in a second, for each event: four times
+// what the planned rates give on a calm day.
+constexpr std::uint64_t kInfoLines = 200;
+constexpr std::uint64_t kWarningLines = 500;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+std::chrono::milliseconds MillisecondsUntil(Instant at) {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(Duration::zero(), at - MonotonicNow()));
+}
+
+}  // namespace
+
+class GatewayProcess::Implementation {
+ public:
+  Implementation(Options process_options,
+                 metrics::Registry& metrics_registry,
+                 RandomSource& random)
+      : options(std::move(process_options)),
+        registry(metrics_registry),
+        client({.connect_timeout = kConnectTimeout,
+                .silence_timeout = Duration::zero(),
+                .max_idle_connections = kMaxIdleConnections}),
+        core(this->CoreOptions(), random),
+        peers(this->PeerOptions(random)) {
+    this->alarm.setSingleShot(true);
+    this->alarm.setTimerType(Qt::PreciseTimer);
+    QObject::connect(&this->alarm, &QTimer::timeout, [this] { this->Ring(); });
+    QObject::connect(&this->flush, &QTimer::timeout, [] { log::Flush(); });
+    QObject::connect(&this->drain_check, &QTimer::timeout,
+                     [this] { this->CheckDrained(); });
+    this->MakeServers();
+    this->WakeAt(this->core.next_timer());
+  }
+
+  Status Start() {
+    for (http::Server* const server :
+         {this->readiness.get(), this->operations.get(), this->callers.get()}) {
+      if (server == nullptr) {
+        continue;
+      }
+      if (Status started = server->Start(); !started) {
+        return started;
+      }
+    }
+    this->flush.start(kLogFlushInterval);
+    return this->peers.Start();
+  }
+
+  void SetConfiguration(std::shared_ptr<const gateway::Configuration> newest) {
+    if (this->core.SetConfiguration(std::move(newest))) {
+      this->TellPositions();
+    }
+    this->NoteReadiness();
+  }
+
+  template <typename News>
+  void Apply(const News& news) {
+    const bool changed = this->core.Apply(news);
+    this->TellPositions();
+    if (changed) {
+      this->NoteReadiness();
+    }
+  }
+
+  void SetStoreServes(bool serves) {
+    if (serves) {
+      this->core.NoteStoreBack();
+    } else {
+      this->core.NoteStoreLost();
+    }
+    this->peers.SetStoreServes(serves);
+  }
+
+  void SetMembers(const std::map<std::string, http::Address>& members) {
+    this->peers.SetMembers(members);
+  }
+
+  void Drain() {
+    if (this->draining) {
+      return;
+    }
+    this->draining = true;
+    this->drain_begun = MonotonicNow();
+    log::Info("drain_begun",
+              {.fields = {{"grace_ms", this->options.settings.drain_grace},
+                          {"under_way", this->core.requests_under_way()}}});
+    this->core.BeginDrain();
+    this->drain_check.start(kDrainCheckInterval);
+  }
+
+ private:
+  gateway::GatewayCore::Options CoreOptions() {
+    const GatewaySettings& settings = this->options.settings;
+    return {.domain = settings.domain,
+            .repeat_share = settings.repeat_share,
+            .repeat_extra = settings.repeat_extra,
+            .repeat_window = settings.repeat_window,
+            .hooks = this->CoreHooks(),
+            .dialect = this->options.dialect};
+  }
+
+  gateway::GatewayHooks CoreHooks() {
+    return {
+        .now = MonotonicNow,
+        .send =
+            [this](const http::Address& address, const http::Request& request,
+                   http::ExchangeHooks hooks) {
+              return this->client.Send(address, request, std::move(hooks));
+            },
+        .cancel =
+            [this](http::Client::ExchangeId exchange) {
+              this->client.Cancel(exchange);
+            },
+        .set_paused =
+            [this](http::Client::ExchangeId exchange, bool paused) {
+              this->client.SetPaused(exchange, paused);
+            },
+        .drop_idle =
+            [this](const http::Address& address) {
+              this->client.DropIdle(address);
+            },
+        .wake_at = [this](Instant at) { this->WakeAt(at); },
+        .on_load_changed = [this] { this->peers.OnLoadChanged(); },
+        .note =
+            [this](log::Level level, std::string_view event,
+                   log::Record record) {
+              log::WriteLimited(level >= log::Level::kWarning
+                                    ? this->warning_limiter
+                                    : this->info_limiter,
+                                MonotonicNow(), level, event,
+                                std::move(record));
+            },
+        .on_end =
+            [this](const gateway::Route& route,
+                   const gateway::RelayOutcome& outcome) {
+              this->Measure(route, outcome);
+            }};
+  }
+
+  PeerLink::Options PeerOptions(RandomSource& random) {
+    return {.id = this->options.settings.id,
+            .incarnation = random.NextIncarnation(),
+            .listen = this->options.settings.peer_listen,
+            .own_load = [this] { return this->core.OwnLoad(); },
+            .own_catalog =
+                [this] {
+                  return Catalog{.configuration = this->core.configuration(),
+                                 .endpoints = this->core.Endpoints()};
+                },
+            .on_load =
+                [this](const std::string& peer, const gateway::PeerLoad& load) {
+                  this->core.SetPeerLoad(peer, load);
+                },
+            .on_peer_count =
+                [this](std::size_t count) {
+                  this->core.SetPeerCount(count);
+                  this->registry.Get(kGatewayPeers)
+                      .Set(static_cast<double>(count));
+                },
+            .on_catalog =
+                [this](const Catalog& catalog) {
+                  if (catalog.configuration != nullptr) {
+                    this->SetConfiguration(catalog.configuration);
+                  }
+                  this->Apply(catalog.endpoints);
+                }};
+  }
+
+  void MakeServers() {
+    const GatewaySettings& settings = this->options.settings;
+    this->callers = std::make_unique<http::Server>(http::ServerOptions{
+        .listen = settings.listen,
+        .limits = {.max_connections = 3000},
+        .make_handler =
+            [this](int /*shard*/) {
+              return [this](http::Request request,
+                            http::ResponderPtr responder) {
+                this->core.Handle(std::move(request), std::move(responder));
+              };
+            },
+        .render_error =
+            [this](int status, const Error& error) {
+              this->NoteBadRequest(status, error);
+              return http::Response{.status = status};
+            }});
+    this->readiness = this->MakePages(
+        settings.readiness_listen,
+        [this](const http::Request& request) { return this->Ready(request); });
+    if (settings.operations_listen) {
+      this->operations = this->MakePages(
+          *settings.operations_listen, [this](const http::Request& request) {
+            return this->OperationsPage(request);
+          });
+    }
+  }
+
+  std::unique_ptr<http::Server> MakePages(
+      const http::Address& listen,
+      std::function<http::Response(const http::Request&)> answer) {
+    return std::make_unique<http::Server>(http::ServerOptions{
+        .listen = listen,
+        .limits = {.max_body_bytes = 1024, .max_connections = 64},
+        .make_handler =
+            [answer = std::move(answer)](int /*shard*/) {
+              return [answer](const http::Request& request,
+                              const http::ResponderPtr& responder) {
+                responder->SendWhole(answer(request));
+              };
+            },
+        .render_error = [](int status, const Error&) {
+          return http::Response{.status = status};
+        }});
+  }
+
+  http::Response Ready(const http::Request& request) const {
+    if (request.Path() != this->options.settings.readiness_path) {
+      return {.status = kNotFound};
+    }
+    const bool ready = this->core.Ready() && !this->draining;
+    return {.status = ready ? kOk : kUnavailable};
+  }
+
+  http::Response OperationsPage(const http::Request& request) {
+    if (request.Path() != "/metrics") {
+      return {.status = kNotFound};
+    }
+    this->registry.Get(kGatewayUnderWay)
+        .Set(static_cast<double>(this->core.requests_under_way()));
+    this->registry.Get(kGatewayWaiting)
+        .Set(static_cast<double>(this->core.requests_waiting()));
+    return {.status = kOk,
+            .headers = {{"Content-Type",
+                         std::string(metrics::kPrometheusContentType)}},
+            .body = metrics::PrometheusText(this->registry.Read())};
+  }
+
+  void NoteBadRequest(int status, const Error& error) {
+    log::WriteLimited(
+        this->warning_limiter, MonotonicNow(), log::Level::kWarning,
+        "request_unreadable",
+        {.code = error.result_code(),
+         .fields = {{"status", status}, {"detail", error.detail}}});
+  }
+
+  void NoteReadiness() {
+    const bool ready = this->core.Ready();
+    if (ready != this->was_ready) {
+      this->was_ready = ready;
+      log::Info(ready ? "ready" : "not_ready",
+                {.fields = {{"endpoints_as_of",
+                             this->core.endpoints_complete_to()}}});
+    }
+  }
+
+  void TellPositions() {
+    const auto configuration = this->core.configuration();
+    this->peers.SetPositions(
+        configuration == nullptr ? LogOffset()
+                                 : LogOffset(configuration->offset.value + 1),
+        this->core.endpoints_complete_to());
+  }
+
+  void Measure(const gateway::Route& route,
+               const gateway::RelayOutcome& outcome) {
+    const std::string_view kind = NameOf(gateway::kWorkKindNames, route.kind);
+    this->registry
+        .Get(kGatewayRequestsTotal,
+             {kind, NameOf(gateway::kRelayEndNames, outcome.end)})
+        .Add();
+    this->registry.Get(kGatewaySendsTotal, {"work"}).Add(outcome.sends);
+    this->registry.Get(kGatewaySendsTotal, {"prefill"}).Add(outcome.prefills);
+    this->registry.Get(kGatewayWholeSeconds, {kind})
+        .Record(Seconds(outcome.whole));
+    if (outcome.first_byte > Duration::zero()) {
+      this->registry.Get(kGatewayFirstByteSeconds, {kind})
+          .Record(Seconds(outcome.first_byte));
+    }
+    if (gateway::IsStream(route.kind)) {
+      this->registry.Get(kGatewayWaitSeconds, {kind})
+          .Record(Seconds(outcome.waited));
+    }
+  }
+
+  void WakeAt(Instant at) {
+    if (at != kNever) {
+      this->alarm.start(MillisecondsUntil(at));
+    }
+  }
+
+  void Ring() {
+    this->core.OnTimer();
+    this->WakeAt(this->core.next_timer());
+  }
+
+  void CheckDrained() {
+    const Duration since = MonotonicNow() - this->drain_begun;
+    if (since >= kBalancerNotices && !this->stopped_accepting) {
+      this->stopped_accepting = true;
+      this->callers->StopAccepting();
+    }
+    const bool whole =
+        this->stopped_accepting && this->core.requests_under_way() == 0;
+    if (!whole && since < this->options.settings.drain_grace - kLastWords) {
+      return;
+    }
+    this->drain_check.stop();
+    log::Info("drain_ended",
+              {.fields = {{"whole", whole},
+                          {"cut_requests", this->core.requests_under_way()}}});
+    log::Flush();
+    this->options.on_drained(whole);
+  }
+
+  const Options options;
+  metrics::Registry& registry;
+  log::RepeatLimiter info_limiter{{.lines_per_window = kInfoLines}};
+  log::RepeatLimiter warning_limiter{{.lines_per_window = kWarningLines}};
+  QTimer alarm;
+  QTimer flush;
+  QTimer drain_check;
+  http::Client client;
+  gateway::GatewayCore core;
+  PeerLink peers;
+  std::unique_ptr<http::Server> callers;
+  std::unique_ptr<http::Server> readiness;
+  std::unique_ptr<http::Server> operations;
+  Instant drain_begun{};
+  bool draining = false;
+  bool stopped_accepting = false;
+  bool was_ready = false;
+};
+
+GatewayProcess::GatewayProcess(Options process_options,
+                               metrics::Registry& registry,
+                               RandomSource& random)
+    : implementation(std::make_unique<Implementation>(
+          std::move(process_options), registry, random)) {}
+
+GatewayProcess::~GatewayProcess() = default;
+
+Status GatewayProcess::Start() {
+  return this->implementation->Start();
+}
+
+void GatewayProcess::SetConfiguration(
+    std::shared_ptr<const gateway::Configuration> newest) {
+  this->implementation->SetConfiguration(std::move(newest));
+}
+
+void GatewayProcess::Apply(const gateway::EndpointChange& change) {
+  this->implementation->Apply(change);
+}
+
+void GatewayProcess::Apply(const gateway::EndpointSnapshot& snapshot) {
+  this->implementation->Apply(snapshot);
+}
+
+void GatewayProcess::SetStoreServes(bool serves) {
+  this->implementation->SetStoreServes(serves);
+}
+
+void GatewayProcess::SetMembers(
+    const std::map<std::string, http::Address>& members) {
+  this->implementation->SetMembers(members);
+}
+
+void GatewayProcess::Drain() {
+  this->implementation->Drain();
+}
+
+}  // namespace acacialug::gateway_process
--- /dev/null
+++ b/src/gateway_process/gateway_process.h
@@ -0,0 +1,64 @@
+#ifndef GATEWAY_PROCESS_GATEWAY_PROCESS_H_
+#define GATEWAY_PROCESS_GATEWAY_PROCESS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "framework/global/random_source.h"
+#include "framework/global/types/result.h"
+#include "framework/metrics/registry.h"
+#include "gateway/types/configuration.h"
+#include "gateway/types/endpoint_dialect.h"
+#include "gateway/types/endpoint_record.h"
+#include "gateway_process/types/gateway_settings.h"
+
+namespace acacialug::gateway_process {
+
+// A gateway: callers' port, readiness port, operations port, its peers, and
+// the core that decides. Where configuration and endpoints come from is the
+// owner's: it tells by the methods below. Lives on one thread with a running
+// Qt event loop; no method is thread safe.
+class GatewayProcess {
+ public:
+  struct Options {
+    GatewaySettings settings;
+    gateway::EndpointDialect dialect;
+    // Runs once after Drain, when every request has its answer, or when the
+    // grace is over (`whole` false: something was cut off).
+    std::function<void(bool whole)> on_drained;
+  };
+
+  // `registry` and `random` outlive this object.
+  GatewayProcess(Options process_options,
+                 metrics::Registry& registry,
+                 RandomSource& random);
+  ~GatewayProcess();
+
+  // Errors: kAddressInUse.
+  Status Start();
+
+  // News from the store. Older news than what is known is ignored.
+  void SetConfiguration(
+      std::shared_ptr<const gateway::Configuration> newest);
+  void Apply(const gateway::EndpointChange& change);
+  void Apply(const gateway::EndpointSnapshot& snapshot);
+  // The store serves this process, or stopped to.
+  void SetStoreServes(bool serves);
+
+  // Where other gateways may be found, by their ids.
+  void SetMembers(const std::map<std::string, http::Address>& members);
+
+  // Leaves: not ready at once, new work refused after a while, and what runs
+  // goes on until the grace is over. Safe to repeat.
+  void Drain();
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace acacialug::gateway_process
+
+#endif  // GATEWAY_PROCESS_GATEWAY_PROCESS_H_
--- /dev/null
+++ b/src/gateway_process/internal/catalog_page.cc
@@ -0,0 +1,199 @@
+#include "gateway_process/internal/catalog_page.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace acacialug::gateway_process {
+namespace {
+
+using gateway::Configuration;
+using gateway::EndpointChange;
+using gateway::EndpointRecord;
+using gateway::EngineTraits;
+using gateway::Route;
+using gateway::ServiceTraits;
+using gateway::WeightedService;
+using Json = nlohmann::json;
+
+template <typename Enum, std::size_t kSize>
+Enum ReadEnum(const Json& text, const EnumNames<Enum, kSize>& names) {
+  const std::optional<Enum> value = ValueOf(names, text.get<std::string>());
+  if (!value) {
+    throw Json::other_error::create(501, "unlisted name", &text);
+  }
+  return *value;
+}
+
+Json ToJson(const Route& route) {
+  Json services = Json::array();
+  for (const WeightedService& choice : route.services) {
+    services.push_back({choice.service.text, choice.weight});
+  }
+  return {{"name", route.name},
+          {"host", route.host},
+          {"path_prefix", route.path_prefix},
+          {"kind", NameOf(gateway::kWorkKindNames, route.kind)},
+          {"services", std::move(services)},
+          {"max_endpoints", route.max_endpoints},
+          {"priority", route.priority},
+          {"timeout_us", route.timeout.count()},
+          {"objective_us", route.objective.count()}};
+}
+
+Route RouteOf(const Json& json) {
+  Route route{.name = json.at("name"),
+              .host = json.at("host"),
+              .path_prefix = json.at("path_prefix"),
+              .kind = ReadEnum(json.at("kind"), gateway::kWorkKindNames),
+              .max_endpoints = json.at("max_endpoints"),
+              .priority = json.at("priority"),
+              .timeout = Duration(json.at("timeout_us").get<std::int64_t>()),
+              .objective =
+                  Duration(json.at("objective_us").get<std::int64_t>())};
+  for (const Json& choice : json.at("services")) {
+    route.services.push_back(
+        {.service = ServiceName(choice.at(0).get<std::string>()),
+         .weight = choice.at(1)});
+  }
+  if (route.services.empty()) {
+    throw Json::other_error::create(501, "a route without services", &json);
+  }
+  return route;
+}
+
+Json ToJson(const ServiceTraits& service) {
+  Json json = {{"name", service.name.text},
+               {"health_path", service.health_path},
+               {"max_connections", service.max_connections}};
+  if (service.engine) {
+    json["engine"] = {
+        {"slots", service.engine->slots},
+        {"kv_tokens", service.engine->kv_tokens},
+        {"tokens_per_event", service.engine->tokens_per_event},
+        {"export_lifetime_us", service.engine->export_lifetime.count()},
+        {"role_switch_us", service.engine->role_switch.count()}};
+  }
+  return json;
+}
+
+ServiceTraits ServiceOf(const Json& json) {
+  ServiceTraits service{
+      .name = ServiceName(json.at("name").get<std::string>()),
+      .health_path = json.at("health_path"),
+      .max_connections = json.at("max_connections")};
+  if (json.contains("engine")) {
+    const Json& engine = json.at("engine");
+    service.engine = EngineTraits{
+        .slots = engine.at("slots"),
+        .kv_tokens = engine.at("kv_tokens"),
+        .tokens_per_event = engine.at("tokens_per_event"),
+        .export_lifetime =
+            Duration(engine.at("export_lifetime_us").get<std::int64_t>()),
+        .role_switch =
+            Duration(engine.at("role_switch_us").get<std::int64_t>())};
+  }
+  return service;
+}
+
+Json ToJson(const Configuration& configuration) {
+  Json routes = Json::array();
+  for (const Route& route : configuration.routes) {
+    routes.push_back(ToJson(route));
+  }
+  Json services = Json::array();
+  for (const ServiceTraits& service : configuration.services) {
+    services.push_back(ToJson(service));
+  }
+  return {{"version", configuration.version},
+          {"offset", configuration.offset.value},
+          {"routes", std::move(routes)},
+          {"services", std::move(services)},
+          {"max_header_bytes", configuration.limits.max_header_bytes},
+          {"max_body_bytes", configuration.limits.max_body_bytes},
+          {"header_timeout_us", configuration.limits.header_timeout.count()},
+          {"idle_timeout_us", configuration.limits.idle_timeout.count()}};
+}
+
+Configuration ConfigurationOf(const Json& json) {
+  Configuration configuration{.version = json.at("version"),
+                              .offset = LogOffset(json.at("offset"))};
+  for (const Json& route : json.at("routes")) {
+    configuration.routes.push_back(RouteOf(route));
+  }
+  for (const Json& service : json.at("services")) {
+    configuration.services.push_back(ServiceOf(service));
+  }
+  configuration.limits = {
+      .max_header_bytes = json.at("max_header_bytes"),
+      .max_body_bytes = json.at("max_body_bytes"),
+      .header_timeout =
+          Duration(json.at("header_timeout_us").get<std::int64_t>()),
+      .idle_timeout = Duration(json.at("idle_timeout_us").get<std::int64_t>())};
+  return configuration;
+}
+
+Json ToJson(const EndpointChange& change) {
+  const EndpointRecord& record = *change.record;
+  return {{"offset", change.offset.value},
+          {"id", record.id.text},
+          {"service", record.service.text},
+          {"address", http::ToString(record.address)},
+          {"domain", record.domain.text},
+          {"role", NameOf(gateway::kEndpointRoleNames, record.role)},
+          {"slots", record.slots},
+          {"leaving", record.leaving}};
+}
+
+EndpointChange EndpointOf(const Json& json) {
+  const std::optional<http::Address> address =
+      http::ParseAddress(json.at("address").get<std::string>());
+  if (!address) {
+    throw Json::other_error::create(501, "not an address", &json);
+  }
+  EndpointRecord record{
+      .id = EndpointId(json.at("id").get<std::string>()),
+      .service = ServiceName(json.at("service").get<std::string>()),
+      .address = *address,
+      .domain = FailureDomain(json.at("domain").get<std::string>()),
+      .role = ReadEnum(json.at("role"), gateway::kEndpointRoleNames),
+      .slots = json.at("slots"),
+      .leaving = json.at("leaving")};
+  return {.offset = LogOffset(json.at("offset")),
+          .id = record.id,
+          .record = std::move(record)};
+}
+
+}  // namespace
+
+std::string RenderCatalog(const Catalog& catalog) {
+  Json records = Json::array();
+  for (const EndpointChange& change : catalog.endpoints.records) {
+    records.push_back(ToJson(change));
+  }
+  Json json = {{"endpoints_as_of", catalog.endpoints.as_of.value},
+               {"endpoints", std::move(records)}};
+  if (catalog.configuration != nullptr) {
+    json["configuration"] = ToJson(*catalog.configuration);
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<Catalog> ParseCatalog(std::string_view text) {
+  try {
+    const Json json = Json::parse(text);
+    Catalog catalog;
+    catalog.endpoints.as_of = LogOffset(json.at("endpoints_as_of"));
+    for (const Json& record : json.at("endpoints")) {
+      catalog.endpoints.records.push_back(EndpointOf(record));
+    }
+    if (json.contains("configuration")) {
+      catalog.configuration = std::make_shared<const Configuration>(
+          ConfigurationOf(json.at("configuration")));
+    }
+    return catalog;
+  } catch (const Json::exception& exception) {
+    return Error(ResultCode::kMalformedJson, exception.what());
+  }
+}
+
+}  // namespace acacialug::gateway_process
--- /dev/null
+++ b/src/gateway_process/internal/peer_link.cc
@@ -0,0 +1,375 @@
+#include "gateway_process/peer_link.h"
+
+#include <QTimer>
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "framework/http/http_client.h"
+#include "framework/http/http_server.h"
+#include "framework/log/log.h"
+#include "framework/net/datagram_socket.h"
+#include "protocol/message_codec.h"
+
+namespace acacialug::gateway_process {
+namespace {
+
+// Without a change peers hear this often that a process lives. A third of the
+// time for which its load is remembered.
+constexpr Duration kKeepAlive = 400ms;
+// Between two datagrams to the same peer, for up to kNearPeers peers; with
+// more it grows with them, so that what a process sends stays the same.
+constexpr Duration kLeastInterval = 20ms;
+constexpr std::size_t kNearPeers = 5;
+// A peer that was not heard for this long is not counted as one.
+constexpr Duration kPeerMemory = 2s;
+// One that was never heard, or not for long, is tried this often.
+constexpr Duration kRetryInterval = 2s;
+// A peer that has not answered in this time has gone silent.
+constexpr Duration kFetchSilence = 700ms;
+constexpr Duration kFetchInterval = 250ms;
+constexpr std::size_t kMaxCatalogBytes = std::size_t{16} * 1024 * 1024;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+
+std::chrono::milliseconds Milliseconds(Duration duration) {
+  return std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
+struct Peer {
+  http::Address address;
+  Incarnation incarnation;
+  std::uint64_t sequence = 0;
+  std::uint16_t pages_port = 0;
+  LogOffset configuration;
+  LogOffset endpoints;
+  Instant heard_at{};
+  Instant told_at{};
+  bool heard = false;
+};
+
+}  // namespace
+
+class PeerLink::Implementation {
+ public:
+  explicit Implementation(Options link_options)
+      : options(std::move(link_options)),
+        socket({.on_datagram =
+                    [this](std::string_view datagram,
+                           const http::Address& from) {
+                      this->OnDatagram(datagram, from);
+                    }}),
+        client({.connect_timeout = kFetchSilence,
+                .silence_timeout = kFetchSilence,
+                .max_body_bytes = kMaxCatalogBytes}),
+        pages(std::make_unique<http::Server>(http::ServerOptions{
+            .listen = this->options.listen,
+            .limits = {.max_body_bytes = 1024, .max_connections = 256},
+            .make_handler =
+                [this](int /*shard*/) {
+                  return [this](const http::Request& request,
+                                const http::ResponderPtr& responder) {
+                    this->ShowPage(request, *responder);
+                  };
+                },
+            .render_error = [](int status,
+                               const Error&) { return http::Response{status}; }})) {
+    QObject::connect(&this->keep_alive, &QTimer::timeout,
+                     [this] { this->OnKeepAlive(); });
+    this->change.setSingleShot(true);
+    QObject::connect(&this->change, &QTimer::timeout,
+                     [this] { this->TellAll(); });
+  }
+
+  Status Start() {
+    if (Status bound = this->socket.Bind(this->options.listen); !bound) {
+      return bound;
+    }
+    if (Status listening = this->pages->Start(); !listening) {
+      return listening;
+    }
+    this->keep_alive.start(Milliseconds(kKeepAlive));
+    return Success();
+  }
+
+  void SetMembers(const std::map<std::string, http::Address>& members) {
+    for (const auto& [id, address] : members) {
+      if (id == this->options.id) {
+        continue;
+      }
+      Peer& peer = this->peers[id];
+      if (!peer.heard || peer.address.port == 0) {
+        peer.address = address;
+      }
+    }
+    this->TellAll();
+  }
+
+  void OnLoadChanged() {
+    if (this->change.isActive()) {
+      return;
+    }
+    const Duration since = MonotonicNow() - this->last_told;
+    this->change.start(Milliseconds(
+        std::max(Duration::zero(), this->Interval() - since)));
+  }
+
+  void SetPositions(LogOffset new_configuration, LogOffset new_endpoints) {
+    const bool news = new_configuration > this->configuration;
+    this->configuration = new_configuration;
+    this->endpoints = new_endpoints;
+    if (news) {
+      this->TellAll();
+    }
+  }
+
+  void SetStoreServes(bool serves) {
+    this->store_serves = serves;
+    this->FetchIfBehind();
+  }
+
+ private:
+  Duration Interval() const {
+    const std::size_t far =
+        std::max<std::size_t>(this->peers.size(), kNearPeers);
+    return kLeastInterval * static_cast<std::int64_t>(far) /
+           static_cast<std::int64_t>(kNearPeers);
+  }
+
+  void TellAll() {
+    this->last_told = MonotonicNow();
+    const std::string datagram = this->MakeBeat();
+    for (auto& [id, peer] : this->peers) {
+      const bool lives = peer.heard && this->last_told - peer.heard_at < kPeerMemory;
+      if (lives || this->last_told - peer.told_at >= kRetryInterval) {
+        peer.told_at = this->last_told;
+        this->socket.Send(datagram, peer.address);
+      }
+    }
+  }
+
+  std::string MakeBeat() {
+    protocol::PeerBeat beat{.sender = this->options.id,
+                            .incarnation = this->options.incarnation,
+                            .sequence = ++this->sequence,
+                            .pages_port = this->pages->port(),
+                            .configuration = this->configuration,
+                            .endpoints = this->endpoints};
+    gateway::PeerLoad load = this->options.own_load();
+    if (load.rows.size() > protocol::kMaxPeerBeatRows) {
+      // The largest loads matter most; the rest is told by placing elsewhere.
+      std::partial_sort(
+          load.rows.begin(),
+          load.rows.begin() + protocol::kMaxPeerBeatRows, load.rows.end(),
+          [](const auto& left, const auto& right) {
+            return left.load.kv_tokens + left.load.prefill_tokens >
+                   right.load.kv_tokens + right.load.prefill_tokens;
+          });
+      load.rows.resize(protocol::kMaxPeerBeatRows);
+    }
+    for (const gateway::PeerLoad::Row& row : load.rows) {
+      beat.rows.push_back({.endpoint_key = row.endpoint_key,
+                           .requests = row.load.requests,
+                           .kv_tokens = row.load.kv_tokens,
+                           .prefill_tokens = row.load.prefill_tokens});
+    }
+    return protocol::Encode(beat);
+  }
+
+  void OnDatagram(std::string_view datagram, const http::Address& from) {
+    const Result<protocol::PeerBeat> beat = protocol::DecodePeerBeat(datagram);
+    if (!beat.ok()) {
+      log::WriteLimited(this->limiter, MonotonicNow(), log::Level::kWarning,
+                        "peer_datagram_bad",
+                        {.code = beat.error().result_code(),
+                         .fields = {{"from", http::ToString(from)},
+                                    {"detail", beat.error().detail}}});
+      return;
+    }
+    if (beat->sender == this->options.id) {
+      return;
+    }
+    const bool newcomer = !this->peers.contains(beat->sender) ||
+                          !this->peers[beat->sender].heard;
+    Peer& peer = this->peers[beat->sender];
+    // Datagrams overtake each other; an old one must not undo a newer.
+    if (peer.heard && peer.incarnation == beat->incarnation &&
+        beat->sequence <= peer.sequence) {
+      return;
+    }
+    if (newcomer) {
+      log::Info("peer_heard", {.fields = {{"peer", beat->sender},
+                                          {"from", http::ToString(from)}}});
+    }
+    peer.heard = true;
+    peer.address = from;
+    peer.incarnation = beat->incarnation;
+    peer.sequence = beat->sequence;
+    peer.pages_port = beat->pages_port;
+    peer.configuration = beat->configuration;
+    peer.endpoints = beat->endpoints;
+    peer.heard_at = MonotonicNow();
+    this->options.on_load(beat->sender, LoadOf(*beat));
+    if (newcomer) {
+      this->CountPeers();
+      this->TellAll();
+    }
+    this->FetchIfBehind();
+  }
+
+  static gateway::PeerLoad LoadOf(const protocol::PeerBeat& beat) {
+    gateway::PeerLoad load;
+    load.rows.reserve(beat.rows.size());
+    for (const protocol::PeerBeat::Row& row : beat.rows) {
+      load.rows.push_back({.endpoint_key = row.endpoint_key,
+                           .load = {.requests = row.requests,
+                                    .kv_tokens = row.kv_tokens,
+                                    .prefill_tokens = row.prefill_tokens}});
+    }
+    return load;
+  }
+
+  void OnKeepAlive() {
+    this->CountPeers();
+    if (MonotonicNow() - this->last_told >= kKeepAlive) {
+      this->TellAll();
+    }
+    this->FetchIfBehind();
+  }
+
+  void CountPeers() {
+    const Instant now = MonotonicNow();
+    std::size_t alive = 0;
+    for (auto& [id, peer] : this->peers) {
+      const bool lives = peer.heard && now - peer.heard_at < kPeerMemory;
+      if (peer.heard && !lives) {
+        peer.heard = false;
+        log::Warning("peer_lost",
+                     {.fields = {{"peer", id},
+                                 {"silent_ms", now - peer.heard_at}}});
+      }
+      alive += lives ? 1 : 0;
+    }
+    this->options.on_peer_count(alive);
+  }
+
+  // The peer that knows most; null: none knows more than this process. While
+  // the store serves, it brings the endpoints itself.
+  const Peer* BestSource() const {
+    const Peer* best = nullptr;
+    for (const auto& [id, peer] : this->peers) {
+      const bool useful =
+          peer.heard &&
+          (peer.configuration > this->configuration ||
+           (!this->store_serves && peer.endpoints > this->endpoints));
+      if (useful &&
+          (best == nullptr ||
+           std::pair(peer.configuration, peer.endpoints) >
+               std::pair(best->configuration, best->endpoints))) {
+        best = &peer;
+      }
+    }
+    return best;
+  }
+
+  void FetchIfBehind() {
+    const Instant now = MonotonicNow();
+    const Peer* const source = this->BestSource();
+    if (source == nullptr || this->fetching ||
+        now - this->fetched_at < kFetchInterval) {
+      return;
+    }
+    this->fetching = true;
+    this->fetched_at = now;
+    const http::Address address{.ip = source->address.ip,
+                                .port = source->pages_port};
+    this->client.Send(
+        address, {.method = "GET", .target = std::string(kCatalogPath)},
+        {.on_end =
+             [this, address](const std::string& body) {
+               this->fetching = false;
+               this->OnCatalog(address, body);
+             },
+         .on_error =
+             [this, address](const Error& error, bool) {
+               this->fetching = false;
+               log::WriteLimited(this->limiter, MonotonicNow(),
+                                 log::Level::kWarning, "peer_catalog_failed",
+                                 {.code = error.result_code(),
+                                  .fields = {{"from", http::ToString(address)},
+                                             {"detail", error.detail}}});
+             }});
+  }
+
+  void OnCatalog(const http::Address& from, const std::string& body) {
+    const Result<Catalog> catalog = ParseCatalog(body);
+    if (!catalog.ok()) {
+      log::Warning("peer_catalog_bad",
+                   {.code = catalog.error().result_code(),
+                    .fields = {{"from", http::ToString(from)},
+                               {"detail", catalog.error().detail}}});
+      return;
+    }
+    log::WriteLimited(
+        this->limiter, MonotonicNow(), log::Level::kInfo, "peer_catalog_taken",
+        {.fields = {{"from", http::ToString(from)},
+                    {"endpoints_as_of", catalog->endpoints.as_of}}});
+    this->options.on_catalog(*catalog);
+  }
+
+  void ShowPage(const http::Request& request, http::Responder& responder) {
+    if (request.method != "GET" || request.Path() != kCatalogPath) {
+      responder.SendWhole({.status = kNotFound});
+      return;
+    }
+    responder.SendWhole({.status = kOk,
+                         .headers = {{"Content-Type", "application/json"}},
+                         .body = RenderCatalog(this->options.own_catalog())});
+  }
+
+  const Options options;
+  net::DatagramSocket socket;
+  http::Client client;
+  std::unique_ptr<http::Server> pages;
+  QTimer keep_alive;
+  QTimer change;
+  std::map<std::string, Peer> peers;
+  log::RepeatLimiter limiter{{}};
+  LogOffset configuration;
+  LogOffset endpoints;
+  std::uint64_t sequence = 0;
+  Instant last_told{};
+  Instant fetched_at{};
+  bool fetching = false;
+  bool store_serves = false;
+};
+
+PeerLink::PeerLink(Options link_options)
+    : implementation(
+          std::make_unique<Implementation>(std::move(link_options))) {}
+
+PeerLink::~PeerLink() = default;
+
+Status PeerLink::Start() {
+  return this->implementation->Start();
+}
+
+void PeerLink::SetMembers(
+    const std::map<std::string, http::Address>& members) {
+  this->implementation->SetMembers(members);
+}
+
+void PeerLink::OnLoadChanged() {
+  this->implementation->OnLoadChanged();
+}
+
+void PeerLink::SetPositions(LogOffset configuration, LogOffset endpoints) {
+  this->implementation->SetPositions(configuration, endpoints);
+}
+
+void PeerLink::SetStoreServes(bool serves) {
+  this->implementation->SetStoreServes(serves);
+}
+
+}  // namespace acacialug::gateway_process
--- /dev/null
+++ b/src/gateway_process/metric_definitions.h
@@ -0,0 +1,42 @@
+#ifndef GATEWAY_PROCESS_METRIC_DEFINITIONS_H_
+#define GATEWAY_PROCESS_METRIC_DEFINITIONS_H_
+
+#include "framework/metrics/types/definition.h"
+
+// The metrics of a gateway process.
+namespace acacialug::gateway_process {
+
+// Label `end`: served, failed, refused, unknown, broken or caller_gone.
+inline constexpr metrics::CounterDefinition kGatewayRequestsTotal = {
+    .name = "acacialug_gateway_requests_total",
+    .help = "Requests that ended, by route kind and end",
+    .labels = {"kind", "end"}};
+inline constexpr metrics::CounterDefinition kGatewaySendsTotal = {
+    .name = "acacialug_gateway_sends_total",
+    .help = "Requests sent to endpoints, by step (work or prefill)",
+    .labels = {"step"}};
+inline constexpr metrics::HistogramDefinition kGatewayFirstByteSeconds = {
+    .name = "acacialug_gateway_first_byte_seconds",
+    .help = "From a request's arrival to its answer's first byte",
+    .labels = {"kind"}};
+inline constexpr metrics::HistogramDefinition kGatewayWaitSeconds = {
+    .name = "acacialug_gateway_wait_seconds",
+    .help = "From a generation's arrival to its place",
+    .labels = {"kind"}};
+inline constexpr metrics::HistogramDefinition kGatewayWholeSeconds = {
+    .name = "acacialug_gateway_whole_seconds",
+    .help = "From a request's arrival to its answer's end",
+    .labels = {"kind"}};
+inline constexpr metrics::GaugeDefinition kGatewayUnderWay = {
+    .name = "acacialug_gateway_requests_under_way",
+    .help = "Requests that have no final answer yet"};
+inline constexpr metrics::GaugeDefinition kGatewayWaiting = {
+    .name = "acacialug_gateway_requests_waiting",
+    .help = "Generations that wait here for decode memory"};
+inline constexpr metrics::GaugeDefinition kGatewayPeers = {
+    .name = "acacialug_gateway_peers",
+    .help = "Peers that were heard lately"};
+
+}  // namespace acacialug::gateway_process
+
+#endif  // GATEWAY_PROCESS_METRIC_DEFINITIONS_H_
--- /dev/null
+++ b/src/gateway_process/peer_link.h
@@ -0,0 +1,64 @@
+#ifndef GATEWAY_PROCESS_PEER_LINK_H_
+#define GATEWAY_PROCESS_PEER_LINK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/result.h"
+#include "framework/http/http_types.h"
+#include "gateway/types/endpoint_load.h"
+#include "gateway_process/internal/catalog_page.h"
+
+namespace acacialug::gateway_process {
+
+// Tells the other gateways what this one has placed, and hears the same from
+// them, by datagrams; and gets configuration and endpoints from them while the
+// store does not serve this process. A peer need only know one address of a
+// newcomer's to be known to it, since each answers whoever it hears.
+//
+// Lives on one thread with a Qt event loop; not thread safe.
+class PeerLink {
+ public:
+  struct Options {
+    std::string id;
+    Incarnation incarnation;
+    // UDP for loads, TCP for the catalog page.
+    http::Address listen;
+    std::function<gateway::PeerLoad()> own_load;
+    std::function<Catalog()> own_catalog;
+    std::function<void(const std::string& peer, const gateway::PeerLoad& load)>
+        on_load;
+    std::function<void(std::size_t peers)> on_peer_count;
+    std::function<void(const Catalog& catalog)> on_catalog;
+  };
+
+  explicit PeerLink(Options link_options);
+  ~PeerLink();
+
+  // Errors: kAddressInUse.
+  Status Start();
+
+  // Where peers may be found; those that were heard stay known beside them.
+  void SetMembers(const std::map<std::string, http::Address>& members);
+
+  // The own load changed: told soon.
+  void OnLoadChanged();
+
+  // How far this process knows configuration (offset plus one, zero: none) and
+  // endpoints.
+  void SetPositions(LogOffset configuration, LogOffset endpoints);
+
+  // While the store does not serve, peers' endpoints are fetched as well.
+  void SetStoreServes(bool serves);
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace acacialug::gateway_process
+
+#endif  // GATEWAY_PROCESS_PEER_LINK_H_
--- /dev/null
+++ b/src/gateway_process/types/gateway_settings.h
@@ -0,0 +1,35 @@
+#ifndef GATEWAY_PROCESS_TYPES_GATEWAY_SETTINGS_H_
+#define GATEWAY_PROCESS_TYPES_GATEWAY_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "framework/global/types/identifiers.h"
+#include "framework/global/types/instant.h"
+#include "framework/http/http_types.h"
+#include "framework/log/types/record.h"
+
+namespace acacialug::gateway_process {
+
+struct GatewaySettings {
+  std::string id;  // of this process, unique among its peers
+  FailureDomain domain;
+  http::Address listen;            // callers
+  http::Address readiness_listen;  // the balancer's probe
+  std::string readiness_path = "/readyz";
+  // Load datagrams and the catalog page, from and to peers.
+  http::Address peer_listen;
+  std::optional<http::Address> operations_listen;  // metrics
+  log::Level log_level = log::Level::kInfo;
+
+  Duration drain_grace = 7500ms;  // until this process is ended by force
+
+  double repeat_share = 0.2;
+  std::uint32_t repeat_extra = 58;
+  Duration repeat_window = 10s;
+};
+
+}  // namespace acacialug::gateway_process
+
+#endif  // GATEWAY_PROCESS_TYPES_GATEWAY_SETTINGS_H_
--- a/src/once/claim_coordinator.h
+++ b/src/once/claim_coordinator.h
@@ -13,7 +13,7 @@
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/instant.h"
 #include "once/claim_book.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 
 namespace acacialug::once {
 
@@ -88,7 +88,7 @@
   void OnAppended(std::uint64_t batch,
                   const Result<LogOffset>& result,
                   Instant now);
-  void OnRead(const Result<platform::ILog::Read>& read, Instant now);
+  void OnRead(const Result<cluster::ILog::Read>& read, Instant now);
   void OnTimer(Instant now);
 
   Instant next_timer() const;
--- a/src/once/internal/claim_coordinator.cc
+++ b/src/once/internal/claim_coordinator.cc
@@ -209,7 +209,7 @@
       .wait = wait});
 }
 
-void ClaimCoordinator::OnRead(const Result<platform::ILog::Read>& read,
+void ClaimCoordinator::OnRead(const Result<cluster::ILog::Read>& read,
                               Instant now) {
   this->reading = false;
   if (!read.ok()) {
@@ -228,7 +228,7 @@
   if (through.value > 0 && read->first_kept.value > through.value + 1) {
     this->truncated = true;
   }
-  for (const platform::ILog::Record& record : read->records) {
+  for (const cluster::ILog::Record& record : read->records) {
     this->claim_book.Apply(record.offset, record.payload, now);
   }
   this->SettleInFlight();
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -75,6 +75,18 @@
 
 }  // namespace
 
+std::string Encode(const PeerBeat& beat) {
+  return EncodeDatagram(beat);
+}
+
+Result<PeerBeat> DecodePeerBeat(std::string_view datagram) {
+  Result<PeerBeat> beat = DecodeDatagram<PeerBeat>(datagram);
+  if (beat.ok() && beat->rows.size() > kMaxPeerBeatRows) {
+    return Error(ResultCode::kBadFrame, "too many rows");
+  }
+  return beat;
+}
+
 std::string Encode(const EntryToAgent& message) {
   return EncodeAny(message);
 }
--- /dev/null
+++ b/src/protocol/types/peer_beat.h
@@ -0,0 +1,50 @@
+#ifndef PROTOCOL_TYPES_PEER_BEAT_H_
+#define PROTOCOL_TYPES_PEER_BEAT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "framework/global/types/identifiers.h"
+
+namespace acacialug::protocol {
+
+// A datagram from one gateway to another: what it has placed, and how far it
+// knows configuration and endpoints. One that is lost is made good by the next.
+struct PeerBeat {
+  struct Row {
+    std::uint64_t endpoint_key = 0;  // hash of the endpoint's id
+    std::uint32_t requests = 0;
+    std::uint64_t kv_tokens = 0;
+    std::uint64_t prefill_tokens = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(this->endpoint_key, this->requests, this->kv_tokens,
+              this->prefill_tokens);
+    }
+  };
+
+  std::string sender;
+  Incarnation incarnation;
+  std::uint64_t sequence = 0;     // rises within an incarnation
+  std::uint16_t pages_port = 0;   // TCP, on the sender's address
+  LogOffset configuration;        // offset of the one in force, plus one
+  LogOffset endpoints;            // known up to here
+  bool leaving = false;
+  std::vector<Row> rows;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->sender, this->incarnation, this->sequence, this->pages_port,
+            this->configuration, this->endpoints, this->leaving, this->rows);
+  }
+};
+
+// Rows in one datagram at most: they and the head stay under 1,200 bytes, the
+// least that every path takes whole.
+inline constexpr std::size_t kMaxPeerBeatRows = 36;
+
+}  // namespace acacialug::protocol
+
+#endif  // PROTOCOL_TYPES_PEER_BEAT_H_
--- a/src/scale/internal/once_scale.cc
+++ b/src/scale/internal/once_scale.cc
@@ -72,7 +72,7 @@
   once::ClaimCoordinator coordinator({}, random);
   Instant now(1h);
   coordinator.Start(now);
-  coordinator.OnRead(platform::ILog::Read{}, now);
+  coordinator.OnRead(cluster::ILog::Read{}, now);
   std::uint64_t offset = 1;
   std::uint64_t token = 1;
   const auto answer = [&] {
--- a/src/scenario/internal/agent_host.cc
+++ b/src/scenario/internal/agent_host.cc
@@ -197,7 +197,7 @@
   this->parts.log.ReadFrom(
       action.stream, action.from, Duration::zero(),
       [this,
-       later = this->Later()](const Result<platform::ILog::Read>& result) {
+       later = this->Later()](const Result<cluster::ILog::Read>& result) {
         later([this, result] {
           this->decisions->OnTurnsRead(result, this->parts.queue.now());
         });
--- a/src/scenario/internal/entry_host.cc
+++ b/src/scenario/internal/entry_host.cc
@@ -16,12 +16,12 @@
 constexpr char kClaimsStream[] = "claims";
 
 entry::ClaimsRead ReadOf(entry::LogTicket ticket,
-                         const Result<platform::ILog::Read>& result) {
+                         const Result<cluster::ILog::Read>& result) {
   entry::ClaimsRead read{.ticket = ticket, .reachable = result.ok()};
   if (result.ok()) {
     read.first_kept = result->first_kept;
     read.next = result->next;
-    for (const platform::ILog::Record& record : result->records) {
+    for (const cluster::ILog::Record& record : result->records) {
       read.records.push_back(
           {.offset = record.offset, .payload = record.payload});
     }
@@ -216,7 +216,7 @@
   this->parts.log.ReadFrom(
       kClaimsStream, action.from, action.wait,
       [this, ticket = action.ticket,
-       later = this->Later()](const Result<platform::ILog::Read>& result) {
+       later = this->Later()](const Result<cluster::ILog::Read>& result) {
         later([=, this] {
           this->decisions->OnClaimsRead(ReadOf(ticket, result),
                                         this->parts.queue.now());
--- a/src/scenario/internal/manifest_feed.h
+++ b/src/scenario/internal/manifest_feed.h
@@ -62,7 +62,7 @@
     this->log.ReadFrom(
         kConfigurationStream, read.from, read.wait,
         [this, later = this->hooks.later()](
-            const Result<platform::ILog::Read>& result) {
+            const Result<cluster::ILog::Read>& result) {
           later([=, this] { this->state.OnRead(result, this->queue.now()); });
         });
   }
--- a/src/scenario/internal/platform_log.cc
+++ b/src/scenario/internal/platform_log.cc
@@ -67,7 +67,7 @@
 }
 
 void PlatformLog::Answer(const Waiting& read) {
-  const Result<platform::ILog::Read> result = this->model.ReadFrom(
+  const Result<cluster::ILog::Read> result = this->model.ReadFrom(
       read.stream, read.from, kRecordsPerRead, this->queue.now());
   if (result.ok() && result->records.empty() && result->next <= read.from &&
       this->queue.now() < read.until) {
--- a/src/scenario/internal/platform_log.h
+++ b/src/scenario/internal/platform_log.h
@@ -17,7 +17,7 @@
 class PlatformLog {
  public:
   using OnAppended = std::function<void(const Result<LogOffset>&)>;
-  using OnRead = std::function<void(const Result<platform::ILog::Read>&)>;
+  using OnRead = std::function<void(const Result<cluster::ILog::Read>&)>;
 
   struct Faults {
     bool outage = false;
--- a/src/scenario/internal/weight_permits.h
+++ b/src/scenario/internal/weight_permits.h
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "engine/i_engine.h"
-#include "platform/i_weight_store.h"
+#include "cluster/i_weight_store.h"
 #include "scenario/internal/engine_host.h"
 #include "scenario/internal/event_queue.h"
 #include "standin/platform_models.h"
@@ -13,7 +13,7 @@
 namespace acacialug::scenario {
 
 // The platform's weight store as one agent reaches it. Not thread safe.
-class WeightPermits : public platform::IWeightStore {
+class WeightPermits : public cluster::IWeightStore {
  public:
   // A way to run tasks in the process for as long as it lives.
   using Later = std::function<void(std::function<void()>)>;
--- a/src/standin/fakes/fake_platform.cc
+++ b/src/standin/fakes/fake_platform.cc
@@ -88,8 +88,8 @@
     : model(shared_model), options(std::move(fake_options)) {}
 
 void FakeHostList::Read(
-    std::function<void(Result<std::vector<platform::HostRecord>>)> on_done) {
-  RunRemotely<std::vector<platform::HostRecord>>(
+    std::function<void(Result<std::vector<cluster::HostRecord>>)> on_done) {
+  RunRemotely<std::vector<cluster::HostRecord>>(
       this->options, this->faults,
       [this] { return this->model.Read(this->options.now()); },
       std::move(on_done));
--- a/src/standin/fakes/fake_platform.h
+++ b/src/standin/fakes/fake_platform.h
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "framework/global/random_source.h"
-#include "platform/i_host_list.h"
-#include "platform/i_log.h"
-#include "platform/i_weight_store.h"
+#include "cluster/i_host_list.h"
+#include "cluster/i_log.h"
+#include "cluster/i_weight_store.h"
 #include "standin/platform_models.h"
 
 // The platform's interfaces in the test's own process and time. Several fakes
@@ -31,7 +31,7 @@
   double lose_share = 0;          // of answers, after the effect
 };
 
-class FakeLog : public platform::ILog {
+class FakeLog : public cluster::ILog {
  public:
   // All three outlive the fake.
   FakeLog(LogModel& shared_model,
@@ -55,11 +55,11 @@
   FakeOptions options;
 };
 
-class FakeHostList : public platform::IHostList {
+class FakeHostList : public cluster::IHostList {
  public:
   FakeHostList(HostListModel& shared_model, FakeOptions fake_options);
 
-  void Read(std::function<void(Result<std::vector<platform::HostRecord>>)>
+  void Read(std::function<void(Result<std::vector<cluster::HostRecord>>)>
                 on_done) override;
 
   FakeFaults faults;
@@ -69,7 +69,7 @@
   FakeOptions options;
 };
 
-class FakeWeightStore : public platform::IWeightStore {
+class FakeWeightStore : public cluster::IWeightStore {
  public:
   FakeWeightStore(WeightStoreModel& shared_model, FakeOptions fake_options);
 
--- a/src/standin/internal/host_list_server.cc
+++ b/src/standin/internal/host_list_server.cc
@@ -45,11 +45,11 @@
       return ErrorResponse(503, "unavailable", "outage");
     }
     json hosts = json::array();
-    for (const platform::HostRecord& record :
+    for (const cluster::HostRecord& record :
          this->model.Read(MonotonicNow())) {
       hosts.push_back(
           {{"host", record.host.text},
-           {"state", NameOf(platform::kHostStateNames, record.state)}});
+           {"state", NameOf(cluster::kHostStateNames, record.state)}});
     }
     return JsonResponse(200, {{"hosts", std::move(hosts)}});
   }
@@ -64,7 +64,7 @@
       this->model.Remove(host, MonotonicNow());
       return JsonResponse(200, json::object());
     }
-    const auto state = ValueOf(platform::kHostStateNames,
+    const auto state = ValueOf(cluster::kHostStateNames,
                                TextOr(Parse(request.body), "state", ""));
     if (request.method != "PUT" || !state) {
       return ErrorResponse(400, "invalid_request", "state: live or leaving");
--- a/src/standin/internal/log_server.cc
+++ b/src/standin/internal/log_server.cc
@@ -31,9 +31,9 @@
   return std::string(path);
 }
 
-http::Response ReadResponse(const platform::ILog::Read& read) {
+http::Response ReadResponse(const cluster::ILog::Read& read) {
   json records = json::array();
-  for (const platform::ILog::Record& record : read.records) {
+  for (const cluster::ILog::Record& record : read.records) {
     records.push_back(
         {{"offset", record.offset.value},
          {"payload",
@@ -103,7 +103,7 @@
   };
 
   void Read(Reader reader, Duration wait) {
-    const Result<platform::ILog::Read> read = this->model.ReadFrom(
+    const Result<cluster::ILog::Read> read = this->model.ReadFrom(
         reader.stream, LogOffset(reader.from), reader.limit, MonotonicNow());
     if (!read) {
       reader.reply(FailedResponse(read.error()));
--- a/src/standin/internal/platform_models.cc
+++ b/src/standin/internal/platform_models.cc
@@ -26,14 +26,14 @@
   return offset;
 }
 
-Result<platform::ILog::Read> LogModel::ReadFrom(const std::string& stream,
+Result<cluster::ILog::Read> LogModel::ReadFrom(const std::string& stream,
                                                 LogOffset from,
                                                 std::size_t limit,
                                                 Instant now) {
   if (this->outage) {
     return Error(ResultCode::kPlatformUnavailable, "outage");
   }
-  platform::ILog::Read read{.first_kept = LogOffset(1), .next = LogOffset(1)};
+  cluster::ILog::Read read{.first_kept = LogOffset(1), .next = LogOffset(1)};
   const auto found = this->streams.find(stream);
   if (found == this->streams.end()) {
     return read;
@@ -87,13 +87,13 @@
 
 HostListModel::HostListModel(const HostListOptions& host_options)
     : lag(host_options.lag) {
-  for (const platform::HostRecord& record : host_options.hosts) {
+  for (const cluster::HostRecord& record : host_options.hosts) {
     this->hosts[record.host] = record.state;
   }
 }
 
 void HostListModel::Set(const HostId& host,
-                        platform::HostState state,
+                        cluster::HostState state,
                         Instant now) {
   this->changes.push_back({.at = now, .host = host, .state = state});
 }
@@ -102,9 +102,9 @@
   this->changes.push_back({.at = now, .host = host, .removed = true});
 }
 
-std::vector<platform::HostRecord> HostListModel::Read(Instant now) {
+std::vector<cluster::HostRecord> HostListModel::Read(Instant now) {
   this->Apply(now);
-  std::vector<platform::HostRecord> records;
+  std::vector<cluster::HostRecord> records;
   for (const auto& [host, state] : this->hosts) {
     records.push_back({.host = host, .state = state});
   }
--- a/src/standin/platform_models.h
+++ b/src/standin/platform_models.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "framework/global/types/result.h"
-#include "platform/i_host_list.h"
-#include "platform/i_log.h"
+#include "cluster/i_host_list.h"
+#include "cluster/i_log.h"
 #include "standin/types/platform_options.h"
 
 // The platform's services without sockets or a clock; the HTTP stand-ins and
@@ -29,7 +29,7 @@
                            Instant now);
 
   // Errors: kPlatformUnavailable (outage).
-  Result<platform::ILog::Read> ReadFrom(const std::string& stream,
+  Result<cluster::ILog::Read> ReadFrom(const std::string& stream,
                                         LogOffset from,
                                         std::size_t limit,
                                         Instant now);
@@ -70,22 +70,22 @@
  public:
   explicit HostListModel(const HostListOptions& host_options);
 
-  void Set(const HostId& host, platform::HostState state, Instant now);
+  void Set(const HostId& host, cluster::HostState state, Instant now);
   void Remove(const HostId& host, Instant now);
-  std::vector<platform::HostRecord> Read(Instant now);
+  std::vector<cluster::HostRecord> Read(Instant now);
 
  private:
   struct Change {
     Instant at;
     HostId host;
     bool removed = false;
-    platform::HostState state = platform::HostState::kLive;
+    cluster::HostState state = cluster::HostState::kLive;
   };
 
   void Apply(Instant now);
 
   Duration lag;
-  std::map<HostId, platform::HostState> hosts;
+  std::map<HostId, cluster::HostState> hosts;
   std::deque<Change> changes;
 };
 
