--- a/src/standin/tests/adapters_test.cc
+++ b/src/standin/tests/adapters_test.cc
@@ -6,9 +6,9 @@
 
 #include "engine/engine_factory.h"
 #include "framework/testing/story.h"
-#include "platform/http_host_list.h"
-#include "platform/http_log.h"
-#include "platform/http_weight_store.h"
+#include "cluster/http_host_list.h"
+#include "cluster/http_log.h"
+#include "cluster/http_weight_store.h"
 #include "standin/engine_server.h"
 #include "standin/platform_server.h"
 #include "standin/reference_answer.h"
@@ -241,7 +241,7 @@
            CPPUNIT_ASSERT(server.Start().ok());
            Caller().Control(server.address(), row.control);
            http::Client client({});
-           platform::HttpLog log(server.address(), client);
+           cluster::HttpLog log(server.address(), client);
            const auto appended = Await<LogOffset>(
                [&](auto done) { log.Append("s", "\x01\xff", done); });
            CPPUNIT_ASSERT(row.code == (appended.ok()
@@ -253,9 +253,9 @@
           LogServer server({.listen = kAnyPort});
           CPPUNIT_ASSERT(server.Start().ok());
           http::Client client({});
-          platform::HttpLog log(server.address(), client);
+          cluster::HttpLog log(server.address(), client);
           const auto read = [&](std::uint64_t from) {
-            return Await<platform::ILog::Read>([&](auto done) {
+            return Await<cluster::ILog::Read>([&](auto done) {
               log.ReadFrom("s", LogOffset(from), 10, 10ms, done);
             });
           };
@@ -273,8 +273,8 @@
               {.listen = kAnyPort, .hosts = {.hosts = {{HostId("h")}}}});
           CPPUNIT_ASSERT(server.Start().ok());
           http::Client client({});
-          platform::HttpHostList list(server.address(), client);
-          const auto hosts = Await<std::vector<platform::HostRecord>>(
+          cluster::HttpHostList list(server.address(), client);
+          const auto hosts = Await<std::vector<cluster::HostRecord>>(
               [&](auto done) { list.Read(done); });
           CPPUNIT_ASSERT(hosts->at(0).host == HostId("h"));
         }),
@@ -282,7 +282,7 @@
        WeightStoreServer server({.listen = kAnyPort, .store = {.permits = 1}});
        CPPUNIT_ASSERT(server.Start().ok());
        http::Client client({});
-       platform::HttpWeightStore store(server.address(), client);
+       cluster::HttpWeightStore store(server.address(), client);
        const auto acquire = [&](const std::string& endpoint) {
          return Await<Duration>(
              [&](auto done) { store.Acquire(EndpointId(endpoint), done); });
--- a/src/standin/tests/fakes_test.cc
+++ b/src/standin/tests/fakes_test.cc
@@ -78,7 +78,7 @@
            log.faults = {};
            std::size_t records = 9;
            log.ReadFrom("s", LogOffset(1), 10, {},
-                        [&](const Result<platform::ILog::Read>& read) {
+                        [&](const Result<cluster::ILog::Read>& read) {
                           records = read->records.size();
                         });
            clock.RunFor(0ms);
@@ -93,7 +93,7 @@
           std::vector<std::size_t> records;
           const auto read = [&](std::uint64_t from) {
             log.ReadFrom("s", LogOffset(from), 10, 1s,
-                         [&](const Result<platform::ILog::Read>& done) {
+                         [&](const Result<cluster::ILog::Read>& done) {
                            records.push_back(done->records.size());
                          });
           };
@@ -128,7 +128,7 @@
      It("shows changes of hosts after their lag",
         [] {
           HostListModel model({.lag = 2s});
-          model.Set(HostId("h"), platform::HostState::kLeaving, Instant());
+          model.Set(HostId("h"), cluster::HostState::kLeaving, Instant());
           CPPUNIT_ASSERT(model.Read(Instant(1999ms)).empty());
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, model.Read(Instant(2s)).size());
         }),
--- a/src/standin/types/platform_options.h
+++ b/src/standin/types/platform_options.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "framework/global/types/instant.h"
-#include "platform/i_host_list.h"
+#include "cluster/i_host_list.h"
 
 namespace acacialug::standin {
 
@@ -19,7 +19,7 @@
 };
 
 struct HostListOptions {
-  std::vector<platform::HostRecord> hosts;
+  std::vector<cluster::HostRecord> hosts;
   Duration lag{};  // before a change shows
 };
 
--- a/src/turns/internal/turn_keeper.cc
+++ b/src/turns/internal/turn_keeper.cc
@@ -184,7 +184,7 @@
       AppendTurn{.stream = this->pool.stream, .payload = EncodeTurn(record)});
 }
 
-void TurnKeeper::OnRead(const Result<platform::ILog::Read>& read, Instant now) {
+void TurnKeeper::OnRead(const Result<cluster::ILog::Read>& read, Instant now) {
   this->busy = false;
   if (!read.ok()) {
     this->RetryLater(now);
@@ -196,7 +196,7 @@
     // Releases may stand in the gap: begin anew with what the log has.
     this->Forget();
   }
-  for (const platform::ILog::Record& record : read->records) {
+  for (const cluster::ILog::Record& record : read->records) {
     this->turn_book.Apply(record.offset, record.payload);
   }
   this->NoteCopies(now);
--- a/src/turns/tests/turn_keeper_test.cc
+++ b/src/turns/tests/turn_keeper_test.cc
@@ -47,11 +47,11 @@
                : Error(ResultCode::kAppendUnresolved);
   }
 
-  Result<platform::ILog::Read> ReadFrom(LogOffset from) const {
+  Result<cluster::ILog::Read> ReadFrom(LogOffset from) const {
     if (this->fault == Fault::kOut) {
       return Error(ResultCode::kPlatformUnavailable);
     }
-    platform::ILog::Read read{.first_kept = LogOffset(this->first_kept),
+    cluster::ILog::Read read{.first_kept = LogOffset(this->first_kept),
                               .next = LogOffset(this->records.size() + 1)};
     for (std::uint64_t offset = std::max(from.value, this->first_kept);
          offset <= this->records.size(); ++offset) {
--- a/src/turns/turn_keeper.h
+++ b/src/turns/turn_keeper.h
@@ -16,7 +16,7 @@
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
-#include "platform/i_log.h"
+#include "cluster/i_log.h"
 #include "turns/turn_book.h"
 
 namespace acacialug::turns {
@@ -80,7 +80,7 @@
   void SetPool(TurnPool pool, Instant now);
   void SetWish(TurnWish wish, Instant now);
 
-  void OnRead(const Result<platform::ILog::Read>& read, Instant now);
+  void OnRead(const Result<cluster::ILog::Read>& read, Instant now);
   void OnAppended(const Result<LogOffset>& result, Instant now);
   void OnTimer(Instant now);
   Instant next_timer() const;
