--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/load_book.h"
+
 namespace acacialug::gateway {
 namespace {
 
@@ -50,6 +52,18 @@
   state.slowness += (bounded - state.slowness) * kSpeedWeight;
 }
 
+void EndpointHealth::NotePause(std::uint64_t endpoint_key, Instant until) {
+  this->pauses[endpoint_key] = until;
+}
+
+bool EndpointHealth::Paused(const EndpointId& endpoint, Instant now) const {
+  if (this->pauses.empty()) {
+    return false;
+  }
+  const auto found = this->pauses.find(LoadBook::KeyOf(endpoint));
+  return found != this->pauses.end() && now < found->second;
+}
+
 bool EndpointHealth::Avoided(const EndpointId& endpoint, Instant now) const {
   const auto found = this->states.find(endpoint);
   return found != this->states.end() && now < found->second.avoided_until;
--- a/src/gateway/endpoint_health.h
+++ b/src/gateway/endpoint_health.h
@@ -39,10 +39,15 @@
   void NoteSilence(const EndpointId& endpoint, Instant now);
   // It refused for want of room that it was thought to have.
   void NoteFull(const EndpointId& endpoint, Instant now);
+  // It changes its role, and takes no work until then. By the hash of its id,
+  // as peers tell it (LoadBook::KeyOf).
+  void NotePause(std::uint64_t endpoint_key, Instant until);
   // A piece of work took `ratio` times what was expected. Precondition: > 0.
   void NoteSpeed(const EndpointId& endpoint, double ratio);
 
   bool Avoided(const EndpointId& endpoint, Instant now) const;
+  // Not to be used, also if there is no other.
+  bool Paused(const EndpointId& endpoint, Instant now) const;
   // 0 (none seen) to 1.
   double FailureShare(const EndpointId& endpoint) const;
   // How many times longer than expected its work takes, lately; 1 if unknown.
@@ -59,6 +64,7 @@
   };
 
   std::map<EndpointId, State> states;
+  std::map<std::uint64_t, Instant> pauses;  // until
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -24,6 +24,11 @@
 constexpr Duration kQueueInterval = 40ms;
 // One that was computed for and lost its place waits so long for another.
 constexpr Duration kResumePatience = 800ms;
+constexpr Duration kRolesInterval = 500ms;
+// From the decision to switch an endpoint to the order: peers hear meanwhile
+// that it takes no work. Else each of them finds out by a refusal, and those
+// used up the repeat budget of a pool of 41.
+constexpr Duration kPauseSpreads = 200ms;
 constexpr Duration kSweepInterval = 200ms;
 
 }  // namespace
@@ -56,6 +61,7 @@
                       this->OnRoom(service);
                     }} {
     this->Sweep();
+    this->WatchRoles();
   }
 
   void Handle(http::Request request, http::ResponderPtr responder) {
@@ -109,7 +115,28 @@
     this->PumpAll();
   }
 
-  void BeginDrain() { this->drain_begun = this->Now(); }
+  std::vector<EndpointPause> OwnPauses() const {
+    std::vector<EndpointPause> pauses;
+    for (const auto& [service, desk] : this->desks) {
+      const auto more = desk.planner.Pauses(this->Now());
+      pauses.insert(pauses.end(), more.begin(), more.end());
+    }
+    return pauses;
+  }
+
+  void SetPause(const EndpointPause& pause) {
+    this->health.NotePause(pause.endpoint_key, this->Now() + pause.left);
+  }
+
+  void SetPeers(std::size_t count, bool first) {
+    this->peers = count;
+    this->turn.SetFirst(first, this->Now());
+  }
+
+  void BeginDrain() {
+    this->drain_begun = this->Now();
+    this->turn.SetFirst(false, this->Now());
+  }
 
   void OnTimer() {
     this->alarms.Ring(this->Now());
@@ -153,7 +180,8 @@
                              .budget = RepeatBudget(
                                  {.share = this->options.repeat_share,
                                   .extra = this->options.repeat_extra,
-                                  .window = this->options.repeat_window})})
+                                  .window = this->options.repeat_window}),
+                             .planner = RolePlanner({})})
         .first->second;
   }
 
@@ -210,6 +238,7 @@
 
   void BeginStream(RelayJob job) {
     job.spent = this->SpentBefore(job);
+    job.desk->planner.NoteRequest(job.request.size.value_or(GenerationSize{}));
     const auto relay =
         std::make_shared<StreamRelay>(this->context, std::move(job));
     this->Start(relay);
@@ -304,6 +333,14 @@
       }
     }
     this->admitted.erase(&over);
+    const RelayOutcome& result = over.result();
+    if (over.job().traits != nullptr && over.job().traits->engine &&
+        result.end == RelayEnd::kServed && result.events > 0) {
+      over.job().desk->planner.NoteStream(
+          std::uint64_t{result.events} *
+              over.job().traits->engine->tokens_per_event,
+          result.whole - result.first_byte);
+    }
     this->relays.erase(&over);
   }
 
@@ -379,7 +416,111 @@
     this->alarms.Set(now + kSweepInterval, [this] { this->Sweep(); });
   }
 
+  // Roles are looked at each second, by the process whose turn it is.
+  void WatchRoles() {
+    this->alarms.Set(this->Now() + kRolesInterval, [this] {
+      this->WatchRoles();
+      this->ClaimIfNeeded();
+    });
+  }
+
+  void ClaimIfNeeded() {
+    if (!this->options.hooks.claim_turn || this->routes == nullptr ||
+        !this->turn.MayClaim(this->Now()) || this->PlanRoles().empty()) {
+      return;
+    }
+    this->turn.NoteClaiming(this->Now());
+    this->options.hooks.claim_turn([this](std::optional<TurnClaim> claim) {
+      const std::optional<std::uint64_t> fence =
+          this->turn.OnClaim(claim, this->Now());
+      if (fence) {
+        this->GiveOrders(*fence);
+      }
+    });
+  }
+
+  struct PlannedChange {
+    ServiceName service;
+    RoleChange change;
+  };
+
+  std::vector<PlannedChange> PlanRoles() {
+    std::vector<PlannedChange> planned;
+    for (auto& [service, desk] : this->desks) {
+      const ServiceTraits* const traits = this->routes->FindService(service);
+      if (traits == nullptr || !traits->engine) {
+        continue;
+      }
+      for (RoleChange& change :
+           desk.planner.Plan(*traits->engine, this->catalog.Of(service),
+                             this->book, this->Now())) {
+        planned.push_back({.service = service, .change = std::move(change)});
+      }
+    }
+    return planned;
+  }
+
+  void GiveOrders(std::uint64_t fence) {
+    for (const PlannedChange& planned : this->PlanRoles()) {
+      const ServiceTraits* const traits =
+          this->routes->FindService(planned.service);
+      // Also if the order is lost: it may be carried out late.
+      this->DeskOf(planned.service)
+          .planner.NoteOrdered(planned.change.endpoint.id, *traits->engine,
+                               this->Now());
+      for (const EndpointPause& pause : this->OwnPauses()) {
+        this->SetPause(pause);
+      }
+      this->options.hooks.on_load_changed();
+      this->alarms.Set(this->Now() + kPauseSpreads,
+                       [this, change = planned.change, fence] {
+                         this->GiveOrder(change, fence);
+                       });
+    }
+  }
+
+  void GiveOrder(const RoleChange& change, std::uint64_t fence) {
+    this->options.hooks.send(
+        change.endpoint.address,
+        this->options.dialect.write_report(change.endpoint),
+        {.on_end =
+             [this, change, fence](const std::string& body) {
+               if (const auto accepted =
+                       this->options.dialect.read_accepted_orders(body)) {
+                 this->SendOrder(change, fence, *accepted);
+               }
+             },
+         .on_error = [](const Error&, bool) {}});
+  }
+
+  void SendOrder(const RoleChange& change,
+                 std::uint64_t fence,
+                 std::uint64_t accepted) {
+    const auto note = [this, change, fence](std::string result) {
+      this->options.hooks.note(
+          log::Level::kInfo, "role_ordered",
+          {.endpoint = change.endpoint.id,
+           .fields = {{"role", NameOf(kEndpointRoleNames, change.role)},
+                      {"fence", fence},
+                      {"result", std::move(result)}}});
+    };
+    auto status = std::make_shared<int>(0);
+    this->options.hooks.send(
+        change.endpoint.address,
+        this->options.dialect.write_role_order(
+            change.endpoint, change.role, this->options.id, fence, accepted),
+        {.on_head = [status](int answered,
+                             const http::Headers&) { *status = answered; },
+         .on_end =
+             [status, note](const std::string&) {
+               note(std::to_string(*status));
+             },
+         .on_error = [note](const Error& error,
+                            bool) { note("lost: " + error.detail); }});
+  }
+
   RelayContext context;
+  OrderTurn turn{{}};
   std::set<const Relay*> admitted;  // that were let in to wait
   std::map<std::string, Duration> longest_deadlines;  // by route
   std::set<ServiceName> rooms;
@@ -444,8 +585,16 @@
   this->implementation->SetPeerLoad(peer, load);
 }
 
-void GatewayCore::SetPeerCount(std::size_t peers) {
-  this->implementation->peers = peers;
+void GatewayCore::SetPeers(std::size_t peers, bool first) {
+  this->implementation->SetPeers(peers, first);
+}
+
+std::vector<EndpointPause> GatewayCore::OwnPauses() const {
+  return this->implementation->OwnPauses();
+}
+
+void GatewayCore::SetPause(const EndpointPause& pause) {
+  this->implementation->SetPause(pause);
 }
 
 PeerLoad GatewayCore::OwnLoad() const {
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -26,6 +26,7 @@
 class GatewayCore {
  public:
   struct Options {
+    std::string id;  // of this process, as the holder of orders
     FailureDomain domain;
     // Arrivals at a service beyond the first of each request, of all processes
     // together: this share of its requests and this many more, in any window.
@@ -64,11 +65,14 @@
   void NoteStoreLost();
   void NoteStoreBack();
 
-  // Peers: what they placed, and how many there are (this process not
-  // counted).
+  // Peers: what they placed, how many there are (this process not counted),
+  // and whether this process is the first of all by its id.
   void SetPeerLoad(const std::string& peer, const PeerLoad& load);
-  void SetPeerCount(std::size_t peers);
+  void SetPeers(std::size_t peers, bool first);
   PeerLoad OwnLoad() const;
+  // Endpoints whose role this process is changing; and what a peer told.
+  std::vector<EndpointPause> OwnPauses() const;
+  void SetPause(const EndpointPause& pause);
 
   // New work is refused after a while, and answers close their connections.
   void BeginDrain();
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -31,6 +31,7 @@
   void Refuse(ResultCode code, Duration retry_after);
 
   const RelayJob& job() const { return this->work; }
+  const RelayOutcome& result() const { return this->outcome; }
   bool over() const { return this->is_over; }
   Duration Age() const;
 
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -255,9 +255,10 @@
     this->prefilled = this->context.dialect.read_export(body);
   }
   if (!this->prefilled) {
-    if (answer == AnswerNature::kNotRun) {
-      this->context.health.NoteFull(id, this->Now());
-    } else if (answer == AnswerNature::kMisplaced) {
+    // One that prefills has no memory to run out of: a refusal means that it
+    // changes its role, which takes seconds.
+    if (answer == AnswerNature::kNotRun ||
+        answer == AnswerNature::kMisplaced) {
       this->context.health.NoteSilence(id, this->Now());
     } else {
       this->context.health.NoteFailure(id, this->Now());
--- /dev/null
+++ b/src/gateway/role_planner.cc
@@ -0,0 +1,122 @@
+#include "gateway/role_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "gateway/stream_placement.h"
+
+namespace acacialug::gateway {
+namespace {
+
+// Weight of the newest request in the means, once there are many.
+constexpr double kNewest = 0.02;
+// Below this number of endpoints one prefill endpoint must do; above, the loss
+// of one must leave another.
+constexpr std::size_t kSpareFrom = 6;
+
+double Blend(double mean, double value, double weight) {
+  return mean + (value - mean) * weight;
+}
+
+}  // namespace
+
+void RolePlanner::NoteRequest(const GenerationSize& size) {
+  ++this->requests;
+  const double weight = std::max(kNewest, 1.0 / this->requests);
+  this->prompt_tokens = Blend(this->prompt_tokens,
+                              static_cast<double>(size.prompt_tokens), weight);
+  this->output_tokens =
+      Blend(this->output_tokens,
+            static_cast<double>(size.expected_output_tokens), weight);
+}
+
+void RolePlanner::NoteStream(std::uint64_t tokens, Duration took) {
+  if (tokens > 0) {
+    this->ms_per_token =
+        Blend(this->ms_per_token,
+              Seconds(took) * 1000.0 / static_cast<double>(tokens), kNewest);
+  }
+}
+
+double RolePlanner::PrefillShare(const EngineTraits& engine,
+                                 double headroom) const {
+  if (this->requests < this->options.first_requests || engine.kv_tokens == 0) {
+    return 0;
+  }
+  const double prefill_ms =
+      headroom * this->prompt_tokens / StreamPlacement::kPrefillTokensPerMs;
+  const double held_tokens = this->prompt_tokens + this->output_tokens / 2;
+  const double decode_ms = this->output_tokens * this->ms_per_token *
+                           held_tokens /
+                           static_cast<double>(engine.kv_tokens);
+  return prefill_ms / (prefill_ms + decode_ms);
+}
+
+std::vector<RoleChange> RolePlanner::Plan(
+    const EngineTraits& engine,
+    const std::vector<const EndpointRecord*>& endpoints,
+    const LoadBook& book,
+    Instant now) {
+  std::erase_if(this->switching,
+                [now](const auto& entry) { return entry.second <= now; });
+  const double wanted =
+      this->PrefillShare(engine, this->options.prefill_headroom);
+  if (wanted == 0 || !this->switching.empty() || endpoints.size() < 2) {
+    return {};
+  }
+  const auto count = static_cast<double>(endpoints.size());
+  const std::size_t fewest = endpoints.size() >= kSpareFrom ? 2 : 1;
+  const auto most_prefill =
+      std::max(fewest, static_cast<std::size_t>(std::ceil(wanted * count)));
+  const auto least_prefill = std::max(
+      fewest, static_cast<std::size_t>(std::floor(
+                  this->PrefillShare(engine, this->options.least_headroom) *
+                  count)));
+  std::vector<const EndpointRecord*> prefill;
+  std::vector<const EndpointRecord*> decode;
+  for (const EndpointRecord* const endpoint : endpoints) {
+    (endpoint->role == EndpointRole::kPrefill ? prefill : decode)
+        .push_back(endpoint);
+  }
+  const bool too_many = prefill.size() > most_prefill;
+  if (!too_many && prefill.size() >= least_prefill) {
+    return {};
+  }
+  std::vector<const EndpointRecord*>& from = too_many ? prefill : decode;
+  const std::size_t difference = too_many ? prefill.size() - most_prefill
+                                          : most_prefill - prefill.size();
+  const std::size_t at_once = std::max<std::size_t>(
+      1, static_cast<std::size_t>(this->options.share_at_once * count));
+  // The least busy ones: what runs there goes on to its end first.
+  std::sort(from.begin(), from.end(),
+            [&book](const EndpointRecord* left, const EndpointRecord* right) {
+              return book.Of(left->id).requests < book.Of(right->id).requests;
+            });
+  from.resize(std::min({from.size() - 1, difference, at_once}));
+  std::vector<RoleChange> changes;
+  for (const EndpointRecord* const endpoint : from) {
+    changes.push_back(
+        {.endpoint = *endpoint,
+         .role = too_many ? EndpointRole::kDecode : EndpointRole::kPrefill});
+  }
+  return changes;
+}
+
+void RolePlanner::NoteOrdered(const EndpointId& endpoint,
+                              const EngineTraits& engine,
+                              Instant now) {
+  this->switching[endpoint] = now + engine.role_switch + this->options.settle;
+}
+
+std::vector<EndpointPause> RolePlanner::Pauses(Instant now) const {
+  std::vector<EndpointPause> pauses;
+  for (const auto& [endpoint, until] : this->switching) {
+    if (until > now) {
+      pauses.push_back(
+          {.endpoint_key = LoadBook::KeyOf(endpoint), .left = until - now});
+    }
+  }
+  return pauses;
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/role_planner.h
@@ -0,0 +1,86 @@
+#ifndef GATEWAY_ROLE_PLANNER_H_
+#define GATEWAY_ROLE_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "framework/global/types/instant.h"
+#include "gateway/load_book.h"
+#include "gateway/types/configuration.h"
+#include "gateway/types/endpoint_record.h"
+#include "gateway/types/work_request.h"
+
+namespace acacialug::gateway {
+
+struct RoleChange {
+  EndpointRecord endpoint;
+  EndpointRole role = EndpointRole::kDecode;
+};
+
+// Decides how many endpoints of a service prefill and how many decode, from
+// the shape of its requests.
+//
+// Load pattern: bursts to twice the mean, of requests whose prompts are read in
+// a tenth of a second and whose answers hold memory for some seconds. Of what
+// is offered, decode memory runs out first; prefill endpoints beyond those that
+// a burst needs stand idle. The shares follow from two times that one request
+// takes of one endpoint: computing its prompt, and its share of the memory for
+// as long as it is held. A switch takes an endpoint out for some seconds, so
+// that nothing is switched for a change that is within the rounding. Not thread
+// safe.
+class RolePlanner {
+ public:
+  struct Options {
+    // Prefill endpoints are given this much more than the pure share: a prompt
+    // that waits is late as a whole, an answer that waits is refused early.
+    double prefill_headroom = 1.3;
+    // With less than this the prefill endpoints hold the answers up.
+    double least_headroom = 0.95;
+    // Requests whose sizes are known before anything is decided.
+    std::uint32_t first_requests = 6;
+    // Share of the endpoints that are switched at the same time, at most; one
+    // in any case.
+    double share_at_once = 0.15;
+    // Beyond the engine's own time for a switch, until its record must show it:
+    // what runs there ends first, and the record is read each half second.
+    Duration settle = 1500ms;
+  };
+
+  explicit RolePlanner(Options planner_options) : options(planner_options) {}
+
+  // A request came; a stream of so many tokens took so long from its first
+  // event to its last.
+  void NoteRequest(const GenerationSize& size);
+  void NoteStream(std::uint64_t tokens, Duration took);
+
+  // The switches to order now; none while earlier ones are under way.
+  std::vector<RoleChange> Plan(
+      const EngineTraits& engine,
+      const std::vector<const EndpointRecord*>& endpoints,
+      const LoadBook& book,
+      Instant now);
+
+  // A switch is about to be ordered.
+  void NoteOrdered(const EndpointId& endpoint,
+                   const EngineTraits& engine,
+                   Instant now);
+
+  // Endpoints that change their role now, and for how long yet.
+  std::vector<EndpointPause> Pauses(Instant now) const;
+
+  // Share of the endpoints that should prefill at a headroom; 0 if unknown.
+  double PrefillShare(const EngineTraits& engine, double headroom) const;
+
+ private:
+  const Options options;
+  std::uint32_t requests = 0;
+  double prompt_tokens = 0;  // means
+  double output_tokens = 0;
+  double ms_per_token = 4.0;  // of one stream; engines' usual at ten streams
+  std::map<EndpointId, Instant> switching;  // until
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_ROLE_PLANNER_H_
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -44,7 +44,8 @@
   double best_score = std::numeric_limits<double>::max();
   for (const EndpointRecord* const endpoint : endpoints) {
     if (endpoint->role != EndpointRole::kDecode ||
-        WasTried(need.tried, endpoint->id)) {
+        WasTried(need.tried, endpoint->id) ||
+        this->health.Paused(endpoint->id, need.now)) {
       continue;
     }
     const EndpointLoad load = this->book.Of(endpoint->id);
@@ -83,7 +84,8 @@
   double best_score = std::numeric_limits<double>::max();
   for (const EndpointRecord* const endpoint : endpoints) {
     if (endpoint->role != EndpointRole::kPrefill ||
-        WasTried(need.tried, endpoint->id)) {
+        WasTried(need.tried, endpoint->id) ||
+        this->health.Paused(endpoint->id, need.now)) {
       continue;
     }
     double score =
--- a/src/gateway/types/endpoint_dialect.h
+++ b/src/gateway/types/endpoint_dialect.h
@@ -81,6 +81,20 @@
   std::function<std::optional<std::string>(int status, std::string_view body)>
       read_reservation;
   std::function<http::Request(std::string_view reservation)> write_unreserve;
+  // Orders an endpoint to change its role, unless it has accepted another
+  // number of orders than `accepted` meanwhile: an order that is carried out
+  // seconds late must not undo a newer one.
+  std::function<http::Request(const EndpointRecord& endpoint,
+                              EndpointRole role,
+                              std::string_view holder,
+                              std::uint64_t fence,
+                              std::uint64_t accepted)>
+      write_role_order;
+  // Asks an endpoint how many orders it has accepted; and its answer, empty if
+  // it is not what it should be.
+  std::function<http::Request(const EndpointRecord& endpoint)> write_report;
+  std::function<std::optional<std::uint64_t>(std::string_view body)>
+      read_accepted_orders;
   // Gives a computed prompt back that nobody will fetch.
   std::function<http::Request(std::string_view export_name)> write_release;
 };
--- a/src/gateway/types/endpoint_load.h
+++ b/src/gateway/types/endpoint_load.h
@@ -27,6 +27,12 @@
   friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
 };
 
+// An endpoint that takes no work for a while, since it changes its role.
+struct EndpointPause {
+  std::uint64_t endpoint_key = 0;  // hash of the endpoint's id
+  Duration left{};
+};
+
 // What one process has placed, for its peers.
 struct PeerLoad {
   struct Row {
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -2,10 +2,12 @@
 #define GATEWAY_TYPES_GATEWAY_HOOKS_H_
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
 #include "framework/http/http_client.h"
 #include "framework/log/types/record.h"
+#include "gateway/order_turn.h"
 #include "gateway/types/configuration.h"
 #include "gateway/types/relay_outcome.h"
 
@@ -28,6 +30,9 @@
   std::function<void(Instant at)> wake_at;
   // OwnLoad() changed.
   std::function<void()> on_load_changed;
+  // Asks the store for a turn of orders; empty: roles are nobody's to change.
+  std::function<void(std::function<void(std::optional<TurnClaim>)> on_done)>
+      claim_turn;
   // A line of the log.
   std::function<void(log::Level level,
                      std::string_view event,
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -124,7 +124,8 @@
  private:
   gateway::GatewayCore::Options CoreOptions() {
     const GatewaySettings& settings = this->options.settings;
-    return {.domain = settings.domain,
+    return {.id = settings.id,
+            .domain = settings.domain,
             .repeat_share = settings.repeat_share,
             .repeat_extra = settings.repeat_extra,
             .repeat_window = settings.repeat_window,
@@ -156,6 +157,7 @@
             },
         .wake_at = [this](Instant at) { this->WakeAt(at); },
         .on_load_changed = [this] { this->peers.OnLoadChanged(); },
+        .claim_turn = this->options.claim_turn,
         .note =
             [this](log::Level level, std::string_view event,
                    log::Record record) {
@@ -182,13 +184,18 @@
                   return Catalog{.configuration = this->core.configuration(),
                                  .endpoints = this->core.Endpoints()};
                 },
+            .own_pauses = [this] { return this->core.OwnPauses(); },
+            .on_pause =
+                [this](const gateway::EndpointPause& pause) {
+                  this->core.SetPause(pause);
+                },
             .on_load =
                 [this](const std::string& peer, const gateway::PeerLoad& load) {
                   this->core.SetPeerLoad(peer, load);
                 },
             .on_peer_count =
-                [this](std::size_t count) {
-                  this->core.SetPeerCount(count);
+                [this](std::size_t count, bool first) {
+                  this->core.SetPeers(count, first);
                   this->registry.Get(kGatewayPeers)
                       .Set(static_cast<double>(count));
                 },
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -4,11 +4,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "framework/global/random_source.h"
 #include "framework/global/types/result.h"
 #include "framework/metrics/registry.h"
+#include "gateway/order_turn.h"
 #include "gateway/types/configuration.h"
 #include "gateway/types/endpoint_dialect.h"
 #include "gateway/types/endpoint_record.h"
@@ -25,6 +27,10 @@
   struct Options {
     GatewaySettings settings;
     gateway::EndpointDialect dialect;
+    // As gateway::GatewayHooks::claim_turn; may be empty.
+    std::function<void(
+        std::function<void(std::optional<gateway::TurnClaim>)> on_done)>
+        claim_turn;
     // Runs once after Drain, when every request has its answer, or when the
     // grace is over (`whole` false: something was cut off).
     std::function<void(bool whole)> on_drained;
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -35,7 +35,7 @@
 constexpr std::size_t kReaders = 2;
 // A read that is older, or a peer that was not heard for so long, does not
 // spare one's own: a configuration must be in force within two seconds.
-constexpr Duration kFreshRead = 1100ms;
+constexpr Duration kFreshRead = 800ms;
 constexpr Duration kReaderMemory = 900ms;
 constexpr std::int64_t kNeverReadMs = 1'000'000;
 constexpr int kOk = 200;
@@ -55,6 +55,7 @@
   Instant heard_at{};
   Instant told_at{};
   Instant read_at{};
+  Instant shunned_until{};  // it did not hand over what it knows
   bool heard = false;
 };
 
@@ -137,6 +138,11 @@
 
   bool PeersReadStore() const {
     const Instant now = MonotonicNow();
+    // What a peer knows and has not handed over yet is read here as well: it
+    // may be gone, or out of reach, before it does.
+    if (this->BestSource() != nullptr) {
+      return false;
+    }
     std::size_t readers_before = 0;
     bool fresh = false;
     for (const auto& [id, peer] : this->peers) {
@@ -195,6 +201,15 @@
                            .kv_tokens = row.load.kv_tokens,
                            .prefill_tokens = row.load.prefill_tokens});
     }
+    for (const gateway::EndpointPause& pause : this->options.own_pauses()) {
+      if (beat.pauses.size() < protocol::kMaxPeerBeatPauses) {
+        beat.pauses.push_back(
+            {.endpoint_key = pause.endpoint_key,
+             .left_ms = static_cast<std::uint32_t>(
+                 std::chrono::ceil<std::chrono::milliseconds>(pause.left)
+                     .count())});
+      }
+    }
     return protocol::Encode(beat);
   }
 
@@ -240,6 +255,11 @@
     peer.heard_at = MonotonicNow();
     peer.read_at =
         peer.heard_at - std::chrono::milliseconds(beat->read_age_ms);
+    for (const protocol::PeerBeat::Pause& pause : beat->pauses) {
+      this->options.on_pause(
+          {.endpoint_key = pause.endpoint_key,
+           .left = std::chrono::milliseconds(pause.left_ms)});
+    }
     this->options.on_load(beat->sender, LoadOf(*beat));
     if (newcomer) {
       this->CountPeers();
@@ -271,6 +291,7 @@
   void CountPeers() {
     const Instant now = MonotonicNow();
     std::size_t alive = 0;
+    bool first = true;
     for (auto& [id, peer] : this->peers) {
       const bool lives = peer.heard && now - peer.heard_at < kPeerMemory;
       if (peer.heard && !lives) {
@@ -280,16 +301,18 @@
                                  {"silent_ms", now - peer.heard_at}}});
       }
       alive += lives ? 1 : 0;
+      first = first && !(lives && id < this->options.id);
     }
-    this->options.on_peer_count(alive);
+    this->options.on_peer_count(alive, first);
   }
 
   // The peer that knows most; null: none knows more than this process.
   const Peer* BestSource() const {
+    const Instant now = MonotonicNow();
     const Peer* best = nullptr;
     for (const auto& [id, peer] : this->peers) {
       const bool useful =
-          peer.heard &&
+          peer.heard && now >= peer.shunned_until &&
           (peer.configuration > this->known.configuration ||
            peer.endpoints > this->known.complete_to);
       if (useful &&
@@ -323,6 +346,7 @@
          .on_error =
              [this, address](const Error& error, bool) {
                this->fetching = false;
+               this->Shun(address);
                log::WriteLimited(this->limiter, MonotonicNow(),
                                  log::Level::kWarning, "peer_catalog_failed",
                                  {.code = error.result_code(),
@@ -331,6 +355,17 @@
              }});
   }
 
+  // The next best is asked meanwhile: one that died is believed to live for
+  // two seconds, and all would wait for it.
+  void Shun(const http::Address& pages) {
+    for (auto& [id, peer] : this->peers) {
+      if (peer.address.ip == pages.ip && peer.pages_port == pages.port) {
+        peer.shunned_until = MonotonicNow() + kRetryInterval;
+      }
+    }
+    this->FetchIfBehind();
+  }
+
   void OnCatalog(const http::Address& from, const std::string& body) {
     const Result<Catalog> catalog = ParseCatalog(body);
     if (!catalog.ok()) {
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/result.h"
@@ -29,9 +30,13 @@
     http::Address listen;
     std::function<gateway::PeerLoad()> own_load;
     std::function<Catalog()> own_catalog;
+    // Endpoints that this process took out for a while, for the peers.
+    std::function<std::vector<gateway::EndpointPause>()> own_pauses;
+    std::function<void(const gateway::EndpointPause& pause)> on_pause;
     std::function<void(const std::string& peer, const gateway::PeerLoad& load)>
         on_load;
-    std::function<void(std::size_t peers)> on_peer_count;
+    // How many peers are heard, and whether this process's id is the first.
+    std::function<void(std::size_t peers, bool first)> on_peer_count;
     std::function<void(const Catalog& catalog)> on_catalog;
   };
 
--- a/src/protocol/types/peer_beat.h
+++ b/src/protocol/types/peer_beat.h
@@ -25,6 +25,17 @@
     }
   };
 
+  // An endpoint that takes no work for a while, since it changes its role.
+  struct Pause {
+    std::uint64_t endpoint_key = 0;
+    std::uint32_t left_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(this->endpoint_key, this->left_ms);
+    }
+  };
+
   std::string sender;
   Incarnation incarnation;
   std::uint64_t sequence = 0;     // rises within an incarnation
@@ -33,18 +44,20 @@
   LogOffset endpoints;            // behind the last change that is known
   std::uint32_t read_age_ms = 0;  // since the sender read the store itself
   std::vector<Row> rows;
+  std::vector<Pause> pauses;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->sender, this->incarnation, this->sequence, this->pages_port,
             this->configuration, this->endpoints, this->read_age_ms,
-            this->rows);
+            this->rows, this->pauses);
   }
 };
 
-// Rows in one datagram at most: they and the head stay under 1,200 bytes, the
+// Rows and pauses in one datagram at most: they and the head stay under 1,200 bytes, the
 // least that every path takes whole.
-inline constexpr std::size_t kMaxPeerBeatRows = 36;
+inline constexpr std::size_t kMaxPeerBeatRows = 28;
+inline constexpr std::size_t kMaxPeerBeatPauses = 16;
 
 }  // namespace acacialug::protocol
 
