--- a/src/framework/http/http_client.h
+++ b/src/framework/http/http_client.h
@@ -44,7 +44,7 @@
   // close can cross a request on its way, whose outcome would be unknown. A
   // server that tells a shorter one (Keep-Alive) is believed.
   Duration max_idle = 4s;
-  TlsFiles tls;                           // enabled(): every exchange is TLS
+  TlsFiles tls;  // enabled(): every exchange is TLS
 };
 
 // An HTTP/1.1 client on Qt's sockets and Boost.Beast's parser: as many
--- a/src/framework/http/internal/client_connection.cc
+++ b/src/framework/http/internal/client_connection.cc
@@ -175,9 +175,8 @@
       const std::shared_ptr<Exchange> held = this->exchange;
       const Headers headers = this->reader->headers();
       this->NoteIdleTime(headers);
-      this->dropping =
-          held->hooks.is_answer &&
-          !held->hooks.is_answer(this->reader->status(), headers);
+      this->dropping = held->hooks.is_answer &&
+                       !held->hooks.is_answer(this->reader->status(), headers);
       if (!this->dropping && held->hooks.on_head) {
         held->hooks.on_head(this->reader->status(), headers);
       }
@@ -224,7 +223,8 @@
 
 void ClientConnection::EndOfStream() {
   const bool in_order = this->end_probe && this->end_probe->EndedInOrder();
-  if (in_order && !this->dropping && this->reader->FinishAtEnd() == ReadStep::kDone) {
+  if (in_order && !this->dropping &&
+      this->reader->FinishAtEnd() == ReadStep::kDone) {
     if (this->DeliverData()) {
       this->Finish();
     }
@@ -324,8 +324,7 @@
   constexpr std::string_view kTimeout = "timeout=";
   constexpr Duration kOnTheWay = 500ms;
   const auto told = FindHeader(headers, "Keep-Alive");
-  const std::size_t at =
-      told ? told->find(kTimeout) : std::string_view::npos;
+  const std::size_t at = told ? told->find(kTimeout) : std::string_view::npos;
   if (at == std::string_view::npos) {
     return;
   }
--- a/src/framework/log/internal/log.cc
+++ b/src/framework/log/internal/log.cc
@@ -40,9 +40,8 @@
     return std::make_shared<spdlog::sinks::ostream_sink_mt>(*options.stream);
   }
   if (options.standard_output) {
-    return std::make_shared<internal::PipeSink>(
-        internal::PipeSink::Options{.descriptor = STDOUT_FILENO,
-                                    .max_held_bytes = kMaxHeldBytes});
+    return std::make_shared<internal::PipeSink>(internal::PipeSink::Options{
+        .descriptor = STDOUT_FILENO, .max_held_bytes = kMaxHeldBytes});
   }
   if (!options.file.empty()) {
     return std::make_shared<spdlog::sinks::basic_file_sink_mt>(options.file);
--- a/src/framework/log/internal/pipe_sink.cc
+++ b/src/framework/log/internal/pipe_sink.cc
@@ -55,8 +55,8 @@
   while (written < this->held.size() && IsWritable(this->options.descriptor)) {
     const std::size_t piece =
         std::min(kPieceBytes, this->held.size() - written);
-    const ssize_t taken = ::write(this->options.descriptor,
-                                  this->held.data() + written, piece);
+    const ssize_t taken =
+        ::write(this->options.descriptor, this->held.data() + written, piece);
     if (taken <= 0) {
       break;
     }
--- a/src/gateway/admission_queue.cc
+++ b/src/gateway/admission_queue.cc
@@ -50,10 +50,9 @@
                                     this->options.return_share);
   this->next_return =
       std::max(this->next_return, now + this->options.least_retry) + turn;
-  const Duration longest =
-      this->options.longest_retry -
-      FromSeconds(Seconds(this->options.longest_retry) * kReturnSpread *
-                  random.Unit());
+  const Duration longest = this->options.longest_retry -
+                           FromSeconds(Seconds(this->options.longest_retry) *
+                                       kReturnSpread * random.Unit());
   // A queue outside that is longer than callers wait is no queue.
   this->next_return =
       std::min(this->next_return, now + this->options.longest_retry);
--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -10,8 +10,7 @@
 }
 
 bool EndpointCatalog::Apply(const EndpointChange& change, Instant now) {
-  this->known_to =
-      std::max(this->known_to, LogOffset(change.offset.value + 1));
+  this->known_to = std::max(this->known_to, LogOffset(change.offset.value + 1));
   const auto deletion = this->deletions.find(change.id);
   if (deletion != this->deletions.end() &&
       deletion->second.offset >= change.offset) {
@@ -36,8 +35,7 @@
 }
 
 void EndpointCatalog::NoteChange(LogOffset offset) {
-  this->last_change =
-      std::max(this->last_change, LogOffset(offset.value + 1));
+  this->last_change = std::max(this->last_change, LogOffset(offset.value + 1));
 }
 
 bool EndpointCatalog::Delete(const EndpointId& id,
@@ -76,8 +74,8 @@
   }
   // The snapshot does not tell which record deleted them, only that it is
   // before its end: a later offset would hide the next record of theirs.
-  const LogOffset deleted_at(
-      snapshot.as_of.value > 0 ? snapshot.as_of.value - 1 : 0);
+  const LogOffset deleted_at(snapshot.as_of.value > 0 ? snapshot.as_of.value - 1
+                                                      : 0);
   for (const EndpointId& id : missing) {
     changed = this->Delete(id, deleted_at, now) || changed;
   }
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -50,10 +50,9 @@
 std::vector<StreamEvent> EventSplitter::Take(std::string_view bytes) {
   // An empty line may have begun with the bytes that came before.
   constexpr std::size_t kLongestBreak = 3;
-  const std::size_t searched =
-      this->pending.size() > kLongestBreak
-          ? this->pending.size() - kLongestBreak
-          : 0;
+  const std::size_t searched = this->pending.size() > kLongestBreak
+                                   ? this->pending.size() - kLongestBreak
+                                   : 0;
   this->pending += bytes;
   std::vector<StreamEvent> events;
   std::size_t begin = 0;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -42,35 +42,34 @@
         alarms(this->options.hooks.wake_at),
         streams(this->options.placement, this->book, this->health),
         calls(this->book, this->health),
-        context{.hooks = this->options.hooks,
-                .dialect = this->options.dialect,
-                .domain = this->options.domain,
-                .catalog = this->catalog,
-                .health = this->health,
-                .book = this->book,
-                .streams = this->streams,
-                .calls = this->calls,
-                .alarms = this->alarms,
-                .random = this->random,
-                .processes = [this] { return this->peers + 1; },
-                .closing = [this] { return this->drain_begun != kNever; },
-                .on_unplaced =
-                    [this](StreamRelay& relay) { this->OnUnplaced(relay); },
-                .on_room =
-                    [this](const ServiceName& service) {
-                      this->OnRoom(service);
-                    }} {
+        context{
+            .hooks = this->options.hooks,
+            .dialect = this->options.dialect,
+            .domain = this->options.domain,
+            .catalog = this->catalog,
+            .health = this->health,
+            .book = this->book,
+            .streams = this->streams,
+            .calls = this->calls,
+            .alarms = this->alarms,
+            .random = this->random,
+            .processes = [this] { return this->peers + 1; },
+            .closing = [this] { return this->drain_begun != kNever; },
+            .on_unplaced =
+                [this](StreamRelay& relay) { this->OnUnplaced(relay); },
+            .on_room =
+                [this](const ServiceName& service) { this->OnRoom(service); }} {
     this->Sweep();
     this->WatchRoles();
   }
 
   void Handle(http::Request request, http::ResponderPtr responder) {
     const Instant now = this->Now();
-    RelayJob job{.request =
-                     this->options.dialect.read_request(std::move(request)),
-                 .responder = std::move(responder),
-                 .routes = this->routes,
-                 .arrived = now};
+    RelayJob job{
+        .request = this->options.dialect.read_request(std::move(request)),
+        .responder = std::move(responder),
+        .routes = this->routes,
+        .arrived = now};
     if (const ResultCode refused = this->FindWay(job);
         refused != ResultCode::kOk) {
       this->AnswerWithoutRelay(job, refused);
@@ -206,17 +205,18 @@
   }
 
   void AnswerWithoutRelay(const RelayJob& job, ResultCode code) {
-    const http::Response answer = MakeOwnAnswer(
-        code, kRetryElsewhere, this->drain_begun != kNever);
+    const http::Response answer =
+        MakeOwnAnswer(code, kRetryElsewhere, this->drain_begun != kNever);
     this->options.hooks.note(
         log::Level::kWarning, "request_refused",
         {.request_name = job.request.id,
          .code = code,
-         .fields = {{"status", answer.status},
-                    {"host", job.request.host},
-                    {"path", job.request.message.Path()},
-                    {"configuration",
-                     this->routes ? this->routes->configuration().version : 0}}});
+         .fields = {
+             {"status", answer.status},
+             {"host", job.request.host},
+             {"path", job.request.message.Path()},
+             {"configuration",
+              this->routes ? this->routes->configuration().version : 0}}});
     job.responder->SendWhole(answer);
   }
 
@@ -226,7 +226,8 @@
   }
 
   void BeginCall(RelayJob job) {
-    const auto relay = std::make_shared<CallRelay>(this->context, std::move(job));
+    const auto relay =
+        std::make_shared<CallRelay>(this->context, std::move(job));
     this->Start(relay);
     if (!relay->TryPlace()) {
       const bool known = !this->catalog.Of(relay->job().service).empty();
@@ -397,14 +398,13 @@
     if (this->queue_alarm != 0) {
       return;
     }
-    this->queue_alarm =
-        this->alarms.Set(this->Now() + kQueueInterval, [this] {
-          this->queue_alarm = 0;
-          this->PumpAll();
-          if (!this->waiting_relays.empty()) {
-            this->WatchQueues();
-          }
-        });
+    this->queue_alarm = this->alarms.Set(this->Now() + kQueueInterval, [this] {
+      this->queue_alarm = 0;
+      this->PumpAll();
+      if (!this->waiting_relays.empty()) {
+        this->WatchQueues();
+      }
+    });
   }
 
   void Sweep() {
@@ -511,10 +511,8 @@
             change.endpoint, change.role, this->options.id, fence, accepted),
         {.on_head = [status](int answered,
                              const http::Headers&) { *status = answered; },
-         .on_end =
-             [status, note](const std::string&) {
-               note(std::to_string(*status));
-             },
+         .on_end = [status, note](
+                       const std::string&) { note(std::to_string(*status)); },
          .on_error = [note](const Error& error,
                             bool) { note("lost: " + error.detail); }});
   }
@@ -530,9 +528,8 @@
 };
 
 GatewayCore::GatewayCore(Options core_options, RandomSource& random_source)
-    : implementation(
-          std::make_unique<Implementation>(std::move(core_options),
-                                           random_source)) {}
+    : implementation(std::make_unique<Implementation>(std::move(core_options),
+                                                      random_source)) {}
 
 GatewayCore::~GatewayCore() = default;
 
@@ -547,10 +544,9 @@
 
 std::shared_ptr<const Configuration> GatewayCore::configuration() const {
   const auto& routes = this->implementation->routes;
-  return routes == nullptr
-             ? nullptr
-             : std::shared_ptr<const Configuration>(routes,
-                                                    &routes->configuration());
+  return routes == nullptr ? nullptr
+                           : std::shared_ptr<const Configuration>(
+                                 routes, &routes->configuration());
 }
 
 bool GatewayCore::Apply(const EndpointChange& change) {
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -21,11 +21,11 @@
 
 bool CallRelay::TryPlace() {
   const auto endpoints = this->context.catalog.Of(this->work.service);
-  const EndpointRecord* const picked = this->context.calls.Pick(
-      {.domain = this->context.domain,
-       .tried = this->tried,
-       .now = this->Now()},
-      endpoints, this->context.random);
+  const EndpointRecord* const picked =
+      this->context.calls.Pick({.domain = this->context.domain,
+                                .tried = this->tried,
+                                .now = this->Now()},
+                               endpoints, this->context.random);
   if (picked == nullptr) {
     return false;
   }
@@ -55,15 +55,17 @@
                         self->work.request, WorkStep::kWhole, answered, head) !=
                     AnswerNature::kForeign;
            },
-       .on_head = [self](int answered,
-                         const http::Headers& head) { self->OnHead(answered, head); },
+       .on_head =
+           [self](int answered, const http::Headers& head) {
+             self->OnHead(answered, head);
+           },
        .on_end = [self](std::string body) { self->OnWhole(std::move(body)); },
        .on_error = [self](const Error& error,
                           bool sent) { self->OnLost(error, sent); }});
   if (this->MayRunAgain()) {
-    this->WatchPhase(FromSeconds(kSilenceObjectives *
-                                 Seconds(this->work.route->objective)),
-                     [this] { this->OnSilent(); });
+    this->WatchPhase(
+        FromSeconds(kSilenceObjectives * Seconds(this->work.route->objective)),
+        [this] { this->OnSilent(); });
   }
 }
 
@@ -144,10 +146,10 @@
 }
 
 bool CallRelay::TakeRepeat() {
-  return this->MayRunAgain() &&
-         this->runs < this->work.route->max_endpoints &&
-         this->outcome.sends < kMostSends &&
-         this->context.catalog.Of(this->work.service).size() > 1 &&
+  return this->MayRunAgain() && this->runs < this->work.route->max_endpoints &&
+         this->outcome
+             .sends<kMostSends&& this->context.catalog.Of(this->work.service)
+                        .size()> 1 &&
          this->work.desk->budget.TryTake(this->Now(),
                                          this->context.processes());
 }
--- a/src/gateway/internal/refusal.cc
+++ b/src/gateway/internal/refusal.cc
@@ -4,7 +4,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-
 namespace acacialug::gateway {
 namespace {
 
@@ -52,12 +51,11 @@
   if (close_connection) {
     answer.headers.push_back({"Connection", "close"});
   }
-  answer.body =
-      nlohmann::json{{"error",
-                      {{"number", static_cast<int>(code)},
-                       {"code", ResultCodeName(code)},
-                       {"message", ResultCodeMeaning(code)}}}}
-          .dump();
+  answer.body = nlohmann::json{{"error",
+                                {{"number", static_cast<int>(code)},
+                                 {"code", ResultCodeName(code)},
+                                 {"message", ResultCodeMeaning(code)}}}}
+                    .dump();
   return answer;
 }
 
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -17,9 +17,8 @@
 
 void Relay::Begin(std::function<void(Relay&)> on_over) {
   this->over_hook = std::move(on_over);
-  this->work.responder->SetOnGone([self = this->shared_from_this()] {
-    self->OnCallerGone();
-  });
+  this->work.responder->SetOnGone(
+      [self = this->shared_from_this()] { self->OnCallerGone(); });
   this->deadline_alarm = this->context.alarms.Set(
       this->deadline, [self = this->shared_from_this()] {
         if (!self->is_over) {
@@ -48,8 +47,7 @@
 void Relay::SendRaw(const http::Address& address,
                     const http::Request& request,
                     http::ExchangeHooks hooks) {
-  this->exchange =
-      this->context.hooks.send(address, request, std::move(hooks));
+  this->exchange = this->context.hooks.send(address, request, std::move(hooks));
 }
 
 void Relay::StopExchange() {
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -43,7 +43,9 @@
 
   Instant Now() const { return this->context.hooks.now(); }
   Duration TimeLeft() const;
-  bool MayRunAgain() const { return gateway::MayRunAgain(this->work.route->kind); }
+  bool MayRunAgain() const {
+    return gateway::MayRunAgain(this->work.route->kind);
+  }
 
   void SendTo(const EndpointRecord& endpoint,
               const WorkOrder& order,
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -146,16 +146,16 @@
   if (this->outcome.prefills == 0 && this->outcome.sends == 0) {
     this->outcome.waited = this->Age();
   }
-  this->Note(log::Level::kInfo, "stream_placed", chosen.decode.id,
-             {{"prefill", chosen.prefill ? chosen.prefill->id.text
-                                         : std::string()},
-              {"waited_ms", this->Age()},
-              {"prompt_tokens", this->Size().prompt_tokens},
-              {"expected_tokens", this->Size().expected_output_tokens},
-              {"decode_fill", chosen.decode_fill},
-              {"prefill_expected_ms", chosen.prefill_time},
-              {"endpoints_as_of", this->context.catalog.complete_to()},
-              {"peers", this->context.book.peers()}});
+  this->Note(
+      log::Level::kInfo, "stream_placed", chosen.decode.id,
+      {{"prefill", chosen.prefill ? chosen.prefill->id.text : std::string()},
+       {"waited_ms", this->Age()},
+       {"prompt_tokens", this->Size().prompt_tokens},
+       {"expected_tokens", this->Size().expected_output_tokens},
+       {"decode_fill", chosen.decode_fill},
+       {"prefill_expected_ms", chosen.prefill_time},
+       {"endpoints_as_of", this->context.catalog.complete_to()},
+       {"peers", this->context.book.peers()}});
   this->context.book.Add(chosen.decode.id, chosen.decode_load);
   this->decode_held = true;
   this->work.desk->queue.NoteTaken(chosen.decode_load.kv_tokens);
@@ -176,8 +176,7 @@
 void StreamRelay::GiveDecodeBack() {
   if (std::exchange(this->decode_held, false)) {
     this->GiveReservationBack();
-    this->context.book.Remove(this->place->decode.id,
-                              this->place->decode_load);
+    this->context.book.Remove(this->place->decode.id, this->place->decode_load);
     this->work.desk->queue.NoteGiven(this->place->decode_load.kv_tokens,
                                      this->Now() - this->placed_at);
     this->context.on_room(this->work.service);
@@ -198,11 +197,10 @@
 
 void StreamRelay::GiveReservationBack() {
   if (!this->reservation.empty()) {
-    this->context.hooks.send(
-        this->place->decode.address,
-        this->context.dialect.write_unreserve(
-            std::exchange(this->reservation, {})),
-        {.on_error = [](const Error&, bool) {}});
+    this->context.hooks.send(this->place->decode.address,
+                             this->context.dialect.write_unreserve(
+                                 std::exchange(this->reservation, {})),
+                             {.on_error = [](const Error&, bool) {}});
   }
 }
 
@@ -211,32 +209,32 @@
   this->step_at = this->Now();
   auto self = this->Self();
   auto answer = std::make_shared<AnswerNature>(AnswerNature::kUnproven);
-  this->SendTo(
-      *this->place->prefill,
-      {.step = WorkStep::kPrefill, .time_left = this->TimeLeft()},
-      {.is_answer =
-           [self](int answered, const http::Headers& head) {
-             return self->context.dialect.judge_answer(
-                        self->work.request, WorkStep::kPrefill, answered,
-                        head) != AnswerNature::kForeign;
-           },
-       .on_head =
-           [self, answer](int answered, const http::Headers& head) {
-             *answer = self->context.dialect.judge_answer(
-                 self->work.request, WorkStep::kPrefill, answered, head);
-           },
-       .on_end =
-           [self, answer](const std::string& body) {
-             self->ForgetExchange();
-             self->OnPrefillWhole(*answer, body);
-           },
-       .on_error =
-           [self](const Error& error, bool sent) {
-             self->ForgetExchange();
-             self->context.health.NoteSilence(self->place->prefill->id,
-                                              self->Now());
-             self->AfterPrefill(sent ? "lost" : "unreachable");
-           }});
+  this->SendTo(*this->place->prefill,
+               {.step = WorkStep::kPrefill, .time_left = this->TimeLeft()},
+               {.is_answer =
+                    [self](int answered, const http::Headers& head) {
+                      return self->context.dialect.judge_answer(
+                                 self->work.request, WorkStep::kPrefill,
+                                 answered, head) != AnswerNature::kForeign;
+                    },
+                .on_head =
+                    [self, answer](int answered, const http::Headers& head) {
+                      *answer = self->context.dialect.judge_answer(
+                          self->work.request, WorkStep::kPrefill, answered,
+                          head);
+                    },
+                .on_end =
+                    [self, answer](const std::string& body) {
+                      self->ForgetExchange();
+                      self->OnPrefillWhole(*answer, body);
+                    },
+                .on_error =
+                    [self](const Error& error, bool sent) {
+                      self->ForgetExchange();
+                      self->context.health.NoteSilence(self->place->prefill->id,
+                                                       self->Now());
+                      self->AfterPrefill(sent ? "lost" : "unreachable");
+                    }});
   const Duration patience =
       FromSeconds(kPrefillPatience * Seconds(this->place->prefill_time)) +
       kPrefillSlack;
@@ -257,8 +255,7 @@
   if (!this->prefilled) {
     // One that prefills has no memory to run out of: a refusal means that it
     // changes its role, which takes seconds.
-    if (answer == AnswerNature::kNotRun ||
-        answer == AnswerNature::kMisplaced) {
+    if (answer == AnswerNature::kNotRun || answer == AnswerNature::kMisplaced) {
       this->context.health.NoteSilence(id, this->Now());
     } else {
       this->context.health.NoteFailure(id, this->Now());
@@ -269,9 +266,9 @@
   this->context.health.NoteSuccess(id);
   const Duration took = this->Now() - this->step_at;
   if (this->place->prefill_time > Duration::zero()) {
-    this->context.health.NoteSpeed(
-        id, this->context.health.Slowness(id) * Seconds(took) /
-                Seconds(this->place->prefill_time));
+    this->context.health.NoteSpeed(id, this->context.health.Slowness(id) *
+                                           Seconds(took) /
+                                           Seconds(this->place->prefill_time));
   }
   this->prefilled_at = this->Now();
   this->GivePrefillBack();
@@ -320,8 +317,8 @@
       this->place->decode, order,
       {.is_answer =
            [self, step](int answered, const http::Headers& head) {
-             return self->context.dialect.judge_answer(
-                        self->work.request, step, answered, head) !=
+             return self->context.dialect.judge_answer(self->work.request, step,
+                                                       answered, head) !=
                     AnswerNature::kForeign;
            },
        .on_head =
@@ -330,9 +327,9 @@
                  self->work.request, step, answered, head);
              self->OnDecodeHead(answered, head);
            },
-       .on_data =
-           [self](std::string_view data) { self->OnDecodeData(data); },
-       .on_end = [self](std::string body) { self->OnDecodeEnd(std::move(body)); },
+       .on_data = [self](std::string_view data) { self->OnDecodeData(data); },
+       .on_end =
+           [self](std::string body) { self->OnDecodeEnd(std::move(body)); },
        .on_error = [self](const Error& error,
                           bool sent) { self->OnDecodeLost(error, sent); }});
   if (this->MayRunAgain()) {
@@ -539,8 +536,8 @@
     return;
   }
   this->Refuse(IsNotRun(code) ? code : ResultCode::kNoEndpoint,
-               this->work.desk->queue.NextReturn(
-                   this->kv_tokens(), this->Now(), this->context.random));
+               this->work.desk->queue.NextReturn(this->kv_tokens(), this->Now(),
+                                                 this->context.random));
 }
 
 void StreamRelay::OnDeadline() {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -71,7 +71,7 @@
 
   std::optional<StreamPlacement::Place> place;
   std::optional<PrefillExport> prefilled;
-  std::string reservation;  // at the decode endpoint, not used yet
+  std::string reservation;       // at the decode endpoint, not used yet
   std::vector<EndpointId> full;  // refused a reservation in this round
   std::uint32_t reserves = 0;    // in this round
   Instant placed_at;
@@ -84,8 +84,8 @@
   int status = 0;
   http::Headers headers;
   std::string failure_body;
-  bool decode_open = false;   // asked, and not over
-  bool begun = false;         // the caller has the head
+  bool decode_open = false;  // asked, and not over
+  bool begun = false;        // the caller has the head
   std::optional<std::uint64_t> last_event;
   std::uint32_t runs = 0;  // attempts without a proof that they did not run
 };
--- a/src/gateway/order_turn.cc
+++ b/src/gateway/order_turn.cc
@@ -21,9 +21,8 @@
   this->claimed_at = now;
 }
 
-std::optional<std::uint64_t> OrderTurn::OnClaim(
-    std::optional<TurnClaim> claim,
-    Instant now) {
+std::optional<std::uint64_t> OrderTurn::OnClaim(std::optional<TurnClaim> claim,
+                                                Instant now) {
   // An answer that took long is no turn any more: this process, or the store's
   // answer, stood still meanwhile.
   if (!claim || now > this->claimed_at + this->options.interval) {
--- a/src/gateway/role_planner.cc
+++ b/src/gateway/role_planner.cc
@@ -47,8 +47,7 @@
       headroom * this->prompt_tokens / StreamPlacement::kPrefillTokensPerMs;
   const double held_tokens = this->prompt_tokens + this->output_tokens / 2;
   const double decode_ms = this->output_tokens * this->ms_per_token *
-                           held_tokens /
-                           static_cast<double>(engine.kv_tokens);
+                           held_tokens / static_cast<double>(engine.kv_tokens);
   return prefill_ms / (prefill_ms + decode_ms);
 }
 
@@ -69,9 +68,9 @@
   const auto most_prefill =
       std::max(fewest, static_cast<std::size_t>(std::ceil(wanted * count)));
   const auto least_prefill = std::max(
-      fewest, static_cast<std::size_t>(std::floor(
-                  this->PrefillShare(engine, this->options.least_headroom) *
-                  count)));
+      fewest,
+      static_cast<std::size_t>(std::floor(
+          this->PrefillShare(engine, this->options.least_headroom) * count)));
   std::vector<const EndpointRecord*> prefill;
   std::vector<const EndpointRecord*> decode;
   for (const EndpointRecord* const endpoint : endpoints) {
@@ -83,8 +82,8 @@
     return {};
   }
   std::vector<const EndpointRecord*>& from = too_many ? prefill : decode;
-  const std::size_t difference = too_many ? prefill.size() - most_prefill
-                                          : most_prefill - prefill.size();
+  const std::size_t difference =
+      too_many ? prefill.size() - most_prefill : most_prefill - prefill.size();
   const std::size_t at_once = std::max<std::size_t>(
       1, static_cast<std::size_t>(this->options.share_at_once * count));
   // The least busy ones: what runs there goes on to its end first.
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -30,11 +30,10 @@
   if (routes == this->by_host.end()) {
     return nullptr;
   }
-  const auto found =
-      std::find_if(routes->second.begin(), routes->second.end(),
-                   [path](const Route* route) {
-                     return path.starts_with(route->path_prefix);
-                   });
+  const auto found = std::find_if(routes->second.begin(), routes->second.end(),
+                                  [path](const Route* route) {
+                                    return path.starts_with(route->path_prefix);
+                                  });
   return found == routes->second.end() ? nullptr : *found;
 }
 
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -34,8 +34,7 @@
 
 // The service that a request of a route goes to. A request with the same name
 // always gets the same one, so that every process decides alike.
-const ServiceName& PickService(const Route& route,
-                               std::string_view request_id);
+const ServiceName& PickService(const Route& route, std::string_view request_id);
 
 }  // namespace acacialug::gateway
 
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -113,9 +113,9 @@
   if (decode == nullptr) {
     return std::nullopt;
   }
-  Place place{.decode = *decode,
-              .decode_load = {.requests = 1,
-                              .kv_tokens = this->KvTokens(need.size)}};
+  Place place{
+      .decode = *decode,
+      .decode_load = {.requests = 1, .kv_tokens = this->KvTokens(need.size)}};
   place.decode_fill =
       static_cast<double>(this->book.Of(decode->id).kv_tokens) /
       static_cast<double>(std::max<std::uint64_t>(engine.kv_tokens, 1));
--- a/src/gateway/tests/burst_replay_test.cc
+++ b/src/gateway/tests/burst_replay_test.cc
@@ -110,8 +110,8 @@
   }
 
   void PlayReserve(const std::shared_ptr<Call>& call) {
-    const std::uint64_t wanted =
-        std::stoull(call->request.target.substr(std::string("/reserve/").size()));
+    const std::uint64_t wanted = std::stoull(
+        call->request.target.substr(std::string("/reserve/").size()));
     std::uint64_t& used = this->memory[call->address];
     if (used + wanted > kMemory) {
       this->Reply(call, 503, {});
@@ -172,7 +172,8 @@
           CPPUNIT_ASSERT_EQUAL(static_cast<int>(pool.asked.size()),
                                count.in_time);
         }),
-     It("in a burst of twice its capacity serves what fits in time, and refuses "
+     It("in a burst of twice its capacity serves what fits in time, and "
+        "refuses "
         "the rest at once",
         [] {
           // Symptom: in a burst everybody is late, and many are refused after
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -175,25 +175,26 @@
 const acacialug::testing::Story kSplitter(
     "the splitter of events",
     {ForEach<SplitCase>(
-         "given", kSplitCases,
-         [](const SplitCase& row) { return row.name; },
-         [](const SplitCase& row) {
-           EventSplitter splitter;
-           std::string joined;
-           std::size_t whole = 0;
-           std::string all;
-           for (const std::string& part : row.parts) {
-             all += part;
-             for (const StreamEvent& event : splitter.Take(part)) {
-               ++whole;
-               joined += event.bytes;
-               CPPUNIT_ASSERT(event.id.has_value());
-             }
-           }
-           CPPUNIT_ASSERT_EQUAL(row.whole, whole);
-           CPPUNIT_ASSERT_EQUAL(row.rest, splitter.rest());
-           CPPUNIT_ASSERT_EQUAL(all, joined + splitter.rest());
-         })});
+        "given",
+        kSplitCases,
+        [](const SplitCase& row) { return row.name; },
+        [](const SplitCase& row) {
+          EventSplitter splitter;
+          std::string joined;
+          std::size_t whole = 0;
+          std::string all;
+          for (const std::string& part : row.parts) {
+            all += part;
+            for (const StreamEvent& event : splitter.Take(part)) {
+              ++whole;
+              joined += event.bytes;
+              CPPUNIT_ASSERT(event.id.has_value());
+            }
+          }
+          CPPUNIT_ASSERT_EQUAL(row.whole, whole);
+          CPPUNIT_ASSERT_EQUAL(row.rest, splitter.rest());
+          CPPUNIT_ASSERT_EQUAL(all, joined + splitter.rest());
+        })});
 
 const acacialug::testing::Story kQueue(
     "the queue for decode memory",
@@ -203,9 +204,8 @@
           queue.Push({.id = 1, .rank = TicketRank::kLate, .arrived = kStart});
           queue.Push({.id = 2, .arrived = kStart + 1ms});
           queue.Push({.id = 3, .arrived = kStart});
-          queue.Push({.id = 4,
-                      .rank = TicketRank::kResumed,
-                      .arrived = kStart + 5ms});
+          queue.Push(
+              {.id = 4, .rank = TicketRank::kResumed, .arrived = kStart + 5ms});
           queue.Push({.id = 5, .priority = 1, .arrived = kStart});
           std::vector<TicketId> order;
           while (const auto* const front = queue.Front()) {
@@ -282,7 +282,8 @@
      })});
 
 const acacialug::testing::Story kCallPlacement(
-    "the place of a call", {It("is the near one, until it fails", [] {
+    "the place of a call",
+    {It("is the near one, until it fails", [] {
       LoadBook book;
       EndpointHealth health;
       const CallPlacement placement(book, health);
@@ -292,11 +293,9 @@
       RandomSource random(1);
       const CallPlacement::Need need{.domain = FailureDomain("x"),
                                      .now = kStart};
-      CPPUNIT_ASSERT(
-          placement.Pick(need, Pointers(records), random)->id == kA);
+      CPPUNIT_ASSERT(placement.Pick(need, Pointers(records), random)->id == kA);
       health.NoteSilence(kA, kStart);
-      CPPUNIT_ASSERT(
-          placement.Pick(need, Pointers(records), random)->id == kB);
+      CPPUNIT_ASSERT(placement.Pick(need, Pointers(records), random)->id == kB);
     })});
 
 const acacialug::testing::Story kPlanner(
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -17,9 +17,8 @@
                        bool leaving = false) {
   return {.offset = LogOffset(offset),
           .id = EndpointId(id),
-          .record = EndpointRecord{.id = EndpointId(id),
-                                   .service = kService,
-                                   .leaving = leaving}};
+          .record = EndpointRecord{
+              .id = EndpointId(id), .service = kService, .leaving = leaving}};
 }
 
 EndpointChange Deleted(std::uint64_t offset, const std::string& id) {
--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -85,44 +85,41 @@
 }
 
 GatewayHooks GatewayWorld::Hooks() {
-  return {
-      .now = [this] { return this->now; },
-      .send =
-          [this](const http::Address& address, const http::Request& request,
-                 http::ExchangeHooks hooks) {
-            if (request.method == "DELETE") {
-              this->released.push_back(request.target);
-              return ++this->last_exchange;
-            }
-            this->calls.push_back(std::make_shared<Call>(
-                Call{.id = ++this->last_exchange,
-                     .address = address,
-                     .request = request,
-                     .hooks = std::move(hooks)}));
-            return this->last_exchange;
-          },
-      .cancel =
-          [this](http::Client::ExchangeId exchange) {
-            for (const auto& call : this->calls) {
-              if (call->id == exchange) {
-                call->cancelled = true;
-                call->hooks = {};
-              }
-            }
-          },
-      .set_paused = [](http::Client::ExchangeId, bool) {},
-      .drop_idle = [](const http::Address&) {},
-      .wake_at = [](Instant) {},
-      .on_load_changed = [] {},
-      .claim_turn =
-          [this](std::function<void(std::optional<TurnClaim>)> on_done) {
-            on_done(this->turn);
-          },
-      .note =
-          [this](log::Level, std::string_view event, log::Record) {
-            this->events.emplace_back(event);
-          },
-      .on_end = [](const Route&, const RelayOutcome&) {}};
+  return {.now = [this] { return this->now; },
+          .send =
+              [this](const http::Address& address, const http::Request& request,
+                     http::ExchangeHooks hooks) {
+                if (request.method == "DELETE") {
+                  this->released.push_back(request.target);
+                  return ++this->last_exchange;
+                }
+                this->calls.push_back(
+                    std::make_shared<Call>(Call{.id = ++this->last_exchange,
+                                                .address = address,
+                                                .request = request,
+                                                .hooks = std::move(hooks)}));
+                return this->last_exchange;
+              },
+          .cancel =
+              [this](http::Client::ExchangeId exchange) {
+                for (const auto& call : this->calls) {
+                  if (call->id == exchange) {
+                    call->cancelled = true;
+                    call->hooks = {};
+                  }
+                }
+              },
+          .set_paused = [](http::Client::ExchangeId, bool) {},
+          .drop_idle = [](const http::Address&) {},
+          .wake_at = [](Instant) {},
+          .on_load_changed = [] {},
+          .claim_turn =
+              [this](std::function<void(std::optional<TurnClaim>)> on_done) {
+                on_done(this->turn);
+              },
+          .note = [this](log::Level, std::string_view event,
+                         log::Record) { this->events.emplace_back(event); },
+          .on_end = [](const Route&, const RelayOutcome&) {}};
 }
 
 EndpointDialect GatewayWorld::Dialect() {
@@ -135,11 +132,10 @@
     if (comma != std::string::npos) {
       const auto output =
           static_cast<std::uint64_t>(std::stoull(size.substr(comma + 1)));
-      work.size = GenerationSize{
-          .prompt_tokens =
-              static_cast<std::uint64_t>(std::stoull(size.substr(0, comma))),
-          .max_output_tokens = output,
-          .expected_output_tokens = output};
+      work.size = GenerationSize{.prompt_tokens = static_cast<std::uint64_t>(
+                                     std::stoull(size.substr(0, comma))),
+                                 .max_output_tokens = output,
+                                 .expected_output_tokens = output};
     }
     const std::string deadline = Text(request.headers, "Deadline");
     if (!deadline.empty()) {
@@ -182,8 +178,8 @@
   };
   dialect.read_export = [](std::string_view body) {
     return body.empty() ? std::nullopt
-                        : std::optional(PrefillExport{
-                              .name = std::string(body), .tokens = 1});
+                        : std::optional(PrefillExport{.name = std::string(body),
+                                                      .tokens = 1});
   };
   dialect.write_reserve = [](const EndpointRecord&, std::uint64_t tokens,
                              Duration) {
@@ -210,12 +206,12 @@
   dialect.write_role_order = [](const EndpointRecord&, EndpointRole role,
                                 std::string_view holder, std::uint64_t fence,
                                 std::uint64_t accepted) {
-    return http::Request{
-        .method = "POST",
-        .target = "/order",
-        .body = std::string(NameOf(kEndpointRoleNames, role)) + " " +
-                std::string(holder) + " " + std::to_string(fence) + " " +
-                std::to_string(accepted)};
+    return http::Request{.method = "POST",
+                         .target = "/order",
+                         .body = std::string(NameOf(kEndpointRoleNames, role)) +
+                                 " " + std::string(holder) + " " +
+                                 std::to_string(fence) + " " +
+                                 std::to_string(accepted)};
   };
   return dialect;
 }
@@ -229,14 +225,13 @@
       MakeRoute("/stream/", WorkKind::kStream, 1),
       MakeRoute("/idempotent/", WorkKind::kIdempotent, 2),
       MakeRoute("/once/", WorkKind::kNonIdempotent, 1)};
-  configuration->services = {
-      {.name = ServiceName("model"),
-       .engine = EngineTraits{.slots = 64,
-                              .kv_tokens = 20000,
-                              .tokens_per_event = 10,
-                              .export_lifetime = 500ms,
-                              .role_switch = 6s}},
-      {.name = ServiceName("plain")}};
+  configuration->services = {{.name = ServiceName("model"),
+                              .engine = EngineTraits{.slots = 64,
+                                                     .kv_tokens = 20000,
+                                                     .tokens_per_event = 10,
+                                                     .export_lifetime = 500ms,
+                                                     .role_switch = 6s}},
+                             {.name = ServiceName("plain")}};
   this->core->SetConfiguration(configuration);
 }
 
@@ -247,15 +242,15 @@
       .ip = "10.0.0.1",
       .port = static_cast<std::uint16_t>(1000 + this->addresses.size())};
   this->addresses[id] = address;
-  this->core->Apply(EndpointChange{
-      .offset = LogOffset(++this->offset),
-      .id = EndpointId(id),
-      .record = EndpointRecord{.id = EndpointId(id),
-                               .service = ServiceName(service),
-                               .address = address,
-                               .domain = FailureDomain("a"),
-                               .role = role,
-                               .slots = 6}});
+  this->core->Apply(
+      EndpointChange{.offset = LogOffset(++this->offset),
+                     .id = EndpointId(id),
+                     .record = EndpointRecord{.id = EndpointId(id),
+                                              .service = ServiceName(service),
+                                              .address = address,
+                                              .domain = FailureDomain("a"),
+                                              .role = role,
+                                              .slots = 6}});
 }
 
 void GatewayWorld::RemoveEndpoint(const std::string& id) {
--- a/src/gateway/tests/gateway_world.h
+++ b/src/gateway/tests/gateway_world.h
@@ -84,7 +84,7 @@
 
   Instant now{1h};
   RandomSource random{7};
-  std::vector<std::string> events;  // of the log
+  std::vector<std::string> events;    // of the log
   std::vector<std::string> released;  // exports and reservations given back
   std::optional<TurnClaim> turn;
   std::unique_ptr<GatewayCore> core;
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -103,7 +103,8 @@
                                world.core->requests_under_way());
         }),
      ForEach<AttemptCase>(
-         "whose attempt ends:", kAttemptCases,
+         "whose attempt ends:",
+         kAttemptCases,
          [](const AttemptCase& row) { return row.name; },
          [](const AttemptCase& row) {
            Plain world;
@@ -172,14 +173,13 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{0},
                                world.core->requests_under_way());
         }),
-     It("is refused without a configuration, and has no route in another",
-        [] {
-          GatewayWorld world;
-          CPPUNIT_ASSERT_EQUAL(503, world.Ask("/once/a", "r1")->status);
-          world.Configure();
-          CPPUNIT_ASSERT_EQUAL(404, world.Ask("/nowhere/", "r2")->status);
-          CPPUNIT_ASSERT_EQUAL(503, world.Ask("/once/a", "r3")->status);
-        })});
+     It("is refused without a configuration, and has no route in another", [] {
+       GatewayWorld world;
+       CPPUNIT_ASSERT_EQUAL(503, world.Ask("/once/a", "r1")->status);
+       world.Configure();
+       CPPUNIT_ASSERT_EQUAL(404, world.Ask("/nowhere/", "r2")->status);
+       CPPUNIT_ASSERT_EQUAL(503, world.Ask("/once/a", "r3")->status);
+     })});
 
 const acacialug::testing::Story kStreams(
     "a generation",
@@ -315,14 +315,13 @@
                                world.released.back());
           CPPUNIT_ASSERT(world.core->OwnLoad().rows.empty());
         }),
-     It("that passes its time before anything ran is refused as not run",
-        [] {
-          Model world;
-          const auto answer = world.Ask("/stream/a", "r1", "3000,900", 100);
-          world.Pass(150ms);
-          CPPUNIT_ASSERT_EQUAL(503, answer->status);
-          CPPUNIT_ASSERT(world.Calls().empty());
-        })});
+     It("that passes its time before anything ran is refused as not run", [] {
+       Model world;
+       const auto answer = world.Ask("/stream/a", "r1", "3000,900", 100);
+       world.Pass(150ms);
+       CPPUNIT_ASSERT_EQUAL(503, answer->status);
+       CPPUNIT_ASSERT(world.Calls().empty());
+     })});
 
 const acacialug::testing::Story kRoles(
     "the roles of endpoints",
--- a/src/gateway/types/configuration.h
+++ b/src/gateway/types/configuration.h
@@ -44,10 +44,10 @@
   std::string path_prefix;  // begins and ends with a slash
   WorkKind kind = WorkKind::kIdempotent;
   std::vector<WeightedService> services;  // never empty
-  std::uint32_t max_endpoints = 1;  // that may run one request
-  std::uint32_t priority = 0;       // 0 is served first
-  Duration timeout{};               // from arrival to the final answer
-  Duration objective{};             // to a whole answer, or the first event
+  std::uint32_t max_endpoints = 1;        // that may run one request
+  std::uint32_t priority = 0;             // 0 is served first
+  Duration timeout{};                     // from arrival to the final answer
+  Duration objective{};  // to a whole answer, or the first event
 };
 
 // How a model engine of a service works, as its operator declares it.
@@ -62,7 +62,7 @@
 struct ServiceTraits {
   ServiceName name;
   std::string health_path;
-  std::uint32_t max_connections = 0;  // of one endpoint, from all callers
+  std::uint32_t max_connections = 0;   // of one endpoint, from all callers
   std::optional<EngineTraits> engine;  // empty: a plain service
 };
 
--- a/src/gateway/types/endpoint_dialect.h
+++ b/src/gateway/types/endpoint_dialect.h
@@ -26,7 +26,7 @@
 
 struct WorkOrder {
   WorkStep step = WorkStep::kWhole;
-  Duration time_left{};  // the endpoint stops work when it is over
+  Duration time_left{};     // the endpoint stops work when it is over
   std::string export_name;  // kDecode: what the prefill told
   http::Address export_from;
   std::string reservation;  // of memory at the endpoint; empty: none
@@ -35,12 +35,12 @@
 
 // What an answer's head says of the request.
 enum class AnswerNature {
-  kForeign,   // an answer to another request
-  kNotRun,    // it did not run here and never will
-  kMisplaced, // as kNotRun: another endpoint, or one with another role
-  kSuccess,   // it ran; the answer's body follows
-  kFailure,   // it ran, or was found invalid, and failed; so says the endpoint
-  kUnproven,  // no answer of an endpoint's: it may have run
+  kForeign,    // an answer to another request
+  kNotRun,     // it did not run here and never will
+  kMisplaced,  // as kNotRun: another endpoint, or one with another role
+  kSuccess,    // it ran; the answer's body follows
+  kFailure,    // it ran, or was found invalid, and failed; so says the endpoint
+  kUnproven,   // no answer of an endpoint's: it may have run
 };
 inline constexpr EnumNames<AnswerNature, 6> kAnswerNatureNames = {
     {{AnswerNature::kForeign, "foreign"},
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -34,9 +34,8 @@
   std::function<void(std::function<void(std::optional<TurnClaim>)> on_done)>
       claim_turn;
   // A line of the log.
-  std::function<void(log::Level level,
-                     std::string_view event,
-                     log::Record record)>
+  std::function<
+      void(log::Level level, std::string_view event, log::Record record)>
       note;
   // A request ended.
   std::function<void(const Route& route, const RelayOutcome& outcome)> on_end;
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -161,11 +161,10 @@
         .note =
             [this](log::Level level, std::string_view event,
                    log::Record record) {
-              log::WriteLimited(level >= log::Level::kWarning
-                                    ? this->warning_limiter
-                                    : this->info_limiter,
-                                MonotonicNow(), level, event,
-                                std::move(record));
+              log::WriteLimited(
+                  level >= log::Level::kWarning ? this->warning_limiter
+                                                : this->info_limiter,
+                  MonotonicNow(), level, event, std::move(record));
             },
         .on_end =
             [this](const gateway::Route& route,
@@ -175,37 +174,37 @@
   }
 
   PeerLink::Options PeerOptions(RandomSource& random) {
-    return {.id = this->options.settings.id,
-            .incarnation = random.NextIncarnation(),
-            .listen = this->options.settings.peer_listen,
-            .own_load = [this] { return this->core.OwnLoad(); },
-            .own_catalog =
-                [this] {
-                  return Catalog{.configuration = this->core.configuration(),
-                                 .endpoints = this->core.Endpoints()};
-                },
-            .own_pauses = [this] { return this->core.OwnPauses(); },
-            .on_pause =
-                [this](const gateway::EndpointPause& pause) {
-                  this->core.SetPause(pause);
-                },
-            .on_load =
-                [this](const std::string& peer, const gateway::PeerLoad& load) {
-                  this->core.SetPeerLoad(peer, load);
-                },
-            .on_peer_count =
-                [this](std::size_t count, bool first) {
-                  this->core.SetPeers(count, first);
-                  this->registry.Get(kGatewayPeers)
-                      .Set(static_cast<double>(count));
-                },
-            .on_catalog =
-                [this](const Catalog& catalog) {
-                  if (catalog.configuration != nullptr) {
-                    this->SetConfiguration(catalog.configuration);
-                  }
-                  this->Apply(catalog.endpoints);
-                }};
+    return {
+        .id = this->options.settings.id,
+        .incarnation = random.NextIncarnation(),
+        .listen = this->options.settings.peer_listen,
+        .own_load = [this] { return this->core.OwnLoad(); },
+        .own_catalog =
+            [this] {
+              return Catalog{.configuration = this->core.configuration(),
+                             .endpoints = this->core.Endpoints()};
+            },
+        .own_pauses = [this] { return this->core.OwnPauses(); },
+        .on_pause =
+            [this](const gateway::EndpointPause& pause) {
+              this->core.SetPause(pause);
+            },
+        .on_load =
+            [this](const std::string& peer, const gateway::PeerLoad& load) {
+              this->core.SetPeerLoad(peer, load);
+            },
+        .on_peer_count =
+            [this](std::size_t count, bool first) {
+              this->core.SetPeers(count, first);
+              this->registry.Get(kGatewayPeers).Set(static_cast<double>(count));
+            },
+        .on_catalog =
+            [this](const Catalog& catalog) {
+              if (catalog.configuration != nullptr) {
+                this->SetConfiguration(catalog.configuration);
+              }
+              this->Apply(catalog.endpoints);
+            }};
   }
 
   void MakeServers() {
@@ -215,10 +214,10 @@
         .limits = {.max_connections = 3000},
         .make_handler =
             [this](int /*shard*/) {
-              return [this](http::Request request,
-                            http::ResponderPtr responder) {
-                this->core.Handle(std::move(request), std::move(responder));
-              };
+              return
+                  [this](http::Request request, http::ResponderPtr responder) {
+                    this->core.Handle(std::move(request), std::move(responder));
+                  };
             },
         .render_error =
             [this](int status, const Error& error) {
@@ -229,10 +228,10 @@
         settings.readiness_listen,
         [this](const http::Request& request) { return this->Ready(request); });
     if (settings.operations_listen) {
-      this->operations = this->MakePages(
-          *settings.operations_listen, [this](const http::Request& request) {
-            return this->OperationsPage(request);
-          });
+      this->operations = this->MakePages(*settings.operations_listen,
+                                         [this](const http::Request& request) {
+                                           return this->OperationsPage(request);
+                                         });
     }
   }
 
@@ -249,9 +248,10 @@
                 responder->SendWhole(answer(request));
               };
             },
-        .render_error = [](int status, const Error&) {
-          return http::Response{.status = status};
-        }});
+        .render_error =
+            [](int status, const Error&) {
+              return http::Response{.status = status};
+            }});
   }
 
   http::Response Ready(const http::Request& request) const {
@@ -289,18 +289,17 @@
     if (ready != this->was_ready) {
       this->was_ready = ready;
       log::Info(ready ? "ready" : "not_ready",
-                {.fields = {{"endpoints_as_of",
-                             this->core.endpoints_complete_to()}}});
+                {.fields = {
+                     {"endpoints_as_of", this->core.endpoints_complete_to()}}});
     }
   }
 
   void TellPositions() {
     const auto configuration = this->core.configuration();
     this->peers.SetPositions(
-        {.configuration =
-             configuration == nullptr
-                 ? LogOffset()
-                 : LogOffset(configuration->offset.value + 1),
+        {.configuration = configuration == nullptr
+                              ? LogOffset()
+                              : LogOffset(configuration->offset.value + 1),
          .changed_to = this->core.endpoints_changed_to(),
          .complete_to = this->core.endpoints_complete_to()});
   }
@@ -378,8 +377,10 @@
 GatewayProcess::GatewayProcess(Options process_options,
                                metrics::Registry& registry,
                                RandomSource& random)
-    : implementation(std::make_unique<Implementation>(
-          std::move(process_options), registry, random)) {}
+    : implementation(
+          std::make_unique<Implementation>(std::move(process_options),
+                                           registry,
+                                           random)) {}
 
 GatewayProcess::~GatewayProcess() = default;
 
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -46,8 +46,7 @@
   Status Start();
 
   // News from the store. Older news than what is known is ignored.
-  void SetConfiguration(
-      std::shared_ptr<const gateway::Configuration> newest);
+  void SetConfiguration(std::shared_ptr<const gateway::Configuration> newest);
   void Apply(const gateway::EndpointChange& change);
   void Apply(const gateway::EndpointSnapshot& snapshot);
   // The store serves this process, or stopped to.
--- a/src/gateway_process/internal/catalog_page.cc
+++ b/src/gateway_process/internal/catalog_page.cc
@@ -41,15 +41,15 @@
 }
 
 Route RouteOf(const Json& json) {
-  Route route{.name = json.at("name"),
-              .host = json.at("host"),
-              .path_prefix = json.at("path_prefix"),
-              .kind = ReadEnum(json.at("kind"), gateway::kWorkKindNames),
-              .max_endpoints = json.at("max_endpoints"),
-              .priority = json.at("priority"),
-              .timeout = Duration(json.at("timeout_us").get<std::int64_t>()),
-              .objective =
-                  Duration(json.at("objective_us").get<std::int64_t>())};
+  Route route{
+      .name = json.at("name"),
+      .host = json.at("host"),
+      .path_prefix = json.at("path_prefix"),
+      .kind = ReadEnum(json.at("kind"), gateway::kWorkKindNames),
+      .max_endpoints = json.at("max_endpoints"),
+      .priority = json.at("priority"),
+      .timeout = Duration(json.at("timeout_us").get<std::int64_t>()),
+      .objective = Duration(json.at("objective_us").get<std::int64_t>())};
   for (const Json& choice : json.at("services")) {
     route.services.push_back(
         {.service = ServiceName(choice.at(0).get<std::string>()),
@@ -77,10 +77,9 @@
 }
 
 ServiceTraits ServiceOf(const Json& json) {
-  ServiceTraits service{
-      .name = ServiceName(json.at("name").get<std::string>()),
-      .health_path = json.at("health_path"),
-      .max_connections = json.at("max_connections")};
+  ServiceTraits service{.name = ServiceName(json.at("name").get<std::string>()),
+                        .health_path = json.at("health_path"),
+                        .max_connections = json.at("max_connections")};
   if (json.contains("engine")) {
     const Json& engine = json.at("engine");
     service.engine = EngineTraits{
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -65,11 +65,11 @@
  public:
   explicit Implementation(Options link_options)
       : options(std::move(link_options)),
-        socket({.on_datagram =
-                    [this](std::string_view datagram,
-                           const http::Address& from) {
-                      this->OnDatagram(datagram, from);
-                    }}),
+        socket(
+            {.on_datagram =
+                 [this](std::string_view datagram, const http::Address& from) {
+                   this->OnDatagram(datagram, from);
+                 }}),
         client({.connect_timeout = kFetchSilence,
                 .silence_timeout = kFetchSilence,
                 .max_body_bytes = kMaxCatalogBytes}),
@@ -83,8 +83,10 @@
                     this->ShowPage(request, *responder);
                   };
                 },
-            .render_error = [](int status,
-                               const Error&) { return http::Response{status}; }})) {
+            .render_error =
+                [](int status, const Error&) {
+                  return http::Response{status};
+                }})) {
     QObject::connect(&this->keep_alive, &QTimer::timeout,
                      [this] { this->OnKeepAlive(); });
     this->change.setSingleShot(true);
@@ -121,8 +123,8 @@
       return;
     }
     const Duration since = MonotonicNow() - this->last_told;
-    this->change.start(Milliseconds(
-        std::max(Duration::zero(), this->Interval() - since)));
+    this->change.start(
+        Milliseconds(std::max(Duration::zero(), this->Interval() - since)));
   }
 
   void SetPositions(const Positions& newest) {
@@ -167,7 +169,8 @@
     this->last_told = MonotonicNow();
     const std::string datagram = this->MakeBeat();
     for (auto& [id, peer] : this->peers) {
-      const bool lives = peer.heard && this->last_told - peer.heard_at < kPeerMemory;
+      const bool lives =
+          peer.heard && this->last_told - peer.heard_at < kPeerMemory;
       if (lives || this->last_told - peer.told_at >= kRetryInterval) {
         peer.told_at = this->last_told;
         this->socket.Send(datagram, peer.address);
@@ -187,9 +190,8 @@
     if (load.rows.size() > protocol::kMaxPeerBeatRows) {
       // The largest loads matter most; the rest is told by placing elsewhere.
       std::partial_sort(
-          load.rows.begin(),
-          load.rows.begin() + protocol::kMaxPeerBeatRows, load.rows.end(),
-          [](const auto& left, const auto& right) {
+          load.rows.begin(), load.rows.begin() + protocol::kMaxPeerBeatRows,
+          load.rows.end(), [](const auto& left, const auto& right) {
             return left.load.kv_tokens + left.load.prefill_tokens >
                    right.load.kv_tokens + right.load.prefill_tokens;
           });
@@ -233,8 +235,8 @@
     if (beat->sender == this->options.id) {
       return;
     }
-    const bool newcomer = !this->peers.contains(beat->sender) ||
-                          !this->peers[beat->sender].heard;
+    const bool newcomer =
+        !this->peers.contains(beat->sender) || !this->peers[beat->sender].heard;
     Peer& peer = this->peers[beat->sender];
     // Datagrams overtake each other; an old one must not undo a newer.
     if (peer.heard && peer.incarnation == beat->incarnation &&
@@ -253,8 +255,7 @@
     peer.configuration = beat->configuration;
     peer.endpoints = beat->endpoints;
     peer.heard_at = MonotonicNow();
-    peer.read_at =
-        peer.heard_at - std::chrono::milliseconds(beat->read_age_ms);
+    peer.read_at = peer.heard_at - std::chrono::milliseconds(beat->read_age_ms);
     for (const protocol::PeerBeat::Pause& pause : beat->pauses) {
       this->options.on_pause(
           {.endpoint_key = pause.endpoint_key,
@@ -296,9 +297,9 @@
       const bool lives = peer.heard && now - peer.heard_at < kPeerMemory;
       if (peer.heard && !lives) {
         peer.heard = false;
-        log::Warning("peer_lost",
-                     {.fields = {{"peer", id},
-                                 {"silent_ms", now - peer.heard_at}}});
+        log::Warning(
+            "peer_lost",
+            {.fields = {{"peer", id}, {"silent_ms", now - peer.heard_at}}});
       }
       alive += lives ? 1 : 0;
       first = first && !(lives && id < this->options.id);
@@ -311,14 +312,12 @@
     const Instant now = MonotonicNow();
     const Peer* best = nullptr;
     for (const auto& [id, peer] : this->peers) {
-      const bool useful =
-          peer.heard && now >= peer.shunned_until &&
-          (peer.configuration > this->known.configuration ||
-           peer.endpoints > this->known.complete_to);
-      if (useful &&
-          (best == nullptr ||
-           std::pair(peer.configuration, peer.endpoints) >
-               std::pair(best->configuration, best->endpoints))) {
+      const bool useful = peer.heard && now >= peer.shunned_until &&
+                          (peer.configuration > this->known.configuration ||
+                           peer.endpoints > this->known.complete_to);
+      if (useful && (best == nullptr ||
+                     std::pair(peer.configuration, peer.endpoints) >
+                         std::pair(best->configuration, best->endpoints))) {
         best = &peer;
       }
     }
@@ -418,8 +417,7 @@
   return this->implementation->Start();
 }
 
-void PeerLink::SetMembers(
-    const std::map<std::string, http::Address>& members) {
+void PeerLink::SetMembers(const std::map<std::string, http::Address>& members) {
   this->implementation->SetMembers(members);
 }
 
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -20,38 +20,32 @@
     into.operations_listen =
         table.Parsed<http::Address>("operations_listen", AddressRule());
   }
-  into.drain_grace = table.Duration("drain_grace",
-                                    {.fallback = into.drain_grace,
-                                     .minimum = 100ms,
-                                     .maximum = 1h});
+  into.drain_grace = table.Duration(
+      "drain_grace",
+      {.fallback = into.drain_grace, .minimum = 100ms, .maximum = 1h});
 }
 
 void ReadRepeats(const settings::Table& table, GatewaySettings& into) {
   into.repeat_share = table.Number(
-      "share",
-      {.fallback = into.repeat_share, .minimum = 0, .maximum = 1});
-  into.repeat_extra = static_cast<std::uint32_t>(
-      table.Integer("extra", {.fallback = into.repeat_extra,
-                              .minimum = 0,
-                              .maximum = 1'000'000}));
-  into.repeat_window = table.Duration("window",
-                                      {.fallback = into.repeat_window,
-                                       .minimum = 1s,
-                                       .maximum = 10min});
+      "share", {.fallback = into.repeat_share, .minimum = 0, .maximum = 1});
+  into.repeat_extra = static_cast<std::uint32_t>(table.Integer(
+      "extra",
+      {.fallback = into.repeat_extra, .minimum = 0, .maximum = 1'000'000}));
+  into.repeat_window = table.Duration(
+      "window",
+      {.fallback = into.repeat_window, .minimum = 1s, .maximum = 10min});
 }
 
 void ReadPlacement(const settings::Table& table,
                    gateway::StreamPlacement::Options& into) {
   into.fill = table.Number(
       "fill", {.fallback = into.fill, .minimum = 0.1, .maximum = 4});
-  into.output_share = table.Number(
-      "output_share",
-      {.fallback = into.output_share, .minimum = 0, .maximum = 2});
-  into.longest_prefill_wait =
-      table.Duration("longest_prefill_wait",
-                     {.fallback = into.longest_prefill_wait,
-                      .minimum = 1ms,
-                      .maximum = 1min});
+  into.output_share =
+      table.Number("output_share",
+                   {.fallback = into.output_share, .minimum = 0, .maximum = 2});
+  into.longest_prefill_wait = table.Duration(
+      "longest_prefill_wait",
+      {.fallback = into.longest_prefill_wait, .minimum = 1ms, .maximum = 1min});
 }
 
 void ReadAdmission(const settings::Table& table,
--- a/src/protocol/types/peer_beat.h
+++ b/src/protocol/types/peer_beat.h
@@ -49,13 +49,13 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->sender, this->incarnation, this->sequence, this->pages_port,
-            this->configuration, this->endpoints, this->read_age_ms,
-            this->rows, this->pauses);
+            this->configuration, this->endpoints, this->read_age_ms, this->rows,
+            this->pauses);
   }
 };
 
-// Rows and pauses in one datagram at most: they and the head stay under 1,200 bytes, the
-// least that every path takes whole.
+// Rows and pauses in one datagram at most: they and the head stay under 1,200
+// bytes, the least that every path takes whole.
 inline constexpr std::size_t kMaxPeerBeatRows = 28;
 inline constexpr std::size_t kMaxPeerBeatPauses = 16;
 
