--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -11,10 +11,10 @@
 #include "agent/types/agent_options.h"
 #include "agent/types/held_attempt.h"
 #include "agent/types/order_status.h"
+#include "cluster/i_log.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
-#include "cluster/i_log.h"
 #include "protocol/types/heartbeat.h"
 
 namespace acacialug::agent {
--- a/src/agent/tests/engine_care_test.cc
+++ b/src/agent/tests/engine_care_test.cc
@@ -343,11 +343,10 @@
             }
           }
           keeper.OnAppended(LogOffset(1), now);
-          keeper.OnRead(
-              cluster::ILog::Read{.first_kept = LogOffset(1),
-                                   .next = LogOffset(2),
-                                   .records = {{LogOffset(1), claim}}},
-              now);
+          keeper.OnRead(cluster::ILog::Read{.first_kept = LogOffset(1),
+                                            .next = LogOffset(2),
+                                            .records = {{LogOffset(1), claim}}},
+                        now);
           CPPUNIT_ASSERT_EQUAL(row.spared, taker.MayGo(true, false, now));
           CHECK(taker.MayGo(false, true, now));
         })});
--- a/src/agent_process/agent_process.h
+++ b/src/agent_process/agent_process.h
@@ -8,10 +8,10 @@
 #include "agent/types/held_attempt.h"
 #include "agent_process/types/agent_settings.h"
 #include "agent_process/types/agent_status.h"
+#include "cluster/i_log.h"
 #include "engine/i_engine.h"
 #include "framework/global/types/result.h"
 #include "manifest/types/manifest.h"
-#include "cluster/i_log.h"
 
 namespace acacialug::agent_process {
 
--- a/src/agent_process/permitted_engine.h
+++ b/src/agent_process/permitted_engine.h
@@ -4,10 +4,10 @@
 #include <functional>
 #include <memory>
 
+#include "cluster/i_weight_store.h"
 #include "engine/i_engine.h"
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
-#include "cluster/i_weight_store.h"
 
 namespace acacialug::agent_process {
 
--- a/src/app/agent/main.cc
+++ b/src/app/agent/main.cc
@@ -13,6 +13,8 @@
 #include "agent_process/manifest_file.h"
 #include "agent_process/permitted_engine.h"
 #include "agent_process/settings_reader.h"
+#include "cluster/http_log.h"
+#include "cluster/http_weight_store.h"
 #include "configuration_client/configuration_client.h"
 #include "engine/engine_factory.h"
 #include "framework/http/http_client.h"
@@ -20,8 +22,6 @@
 #include "framework/program/program.h"
 #include "framework/program/service.h"
 #include "framework/program/signal_watcher.h"
-#include "cluster/http_log.h"
-#include "cluster/http_weight_store.h"
 
 namespace acacialug {
 namespace {
@@ -116,7 +116,7 @@
     return [this] {
       this->turns_client.emplace(http::ClientOptions{});
       return std::make_unique<cluster::HttpLog>(*this->settings.platform_log,
-                                                 *this->turns_client);
+                                                *this->turns_client);
     };
   }
 
--- a/src/app/entry/main.cc
+++ b/src/app/entry/main.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "cluster/http_host_list.h"
 #include "entry_process/entry_process.h"
 #include "entry_process/manifest_source.h"
 #include "entry_process/platform_log.h"
@@ -20,7 +21,6 @@
 #include "framework/program/program.h"
 #include "framework/program/service.h"
 #include "framework/program/signal_watcher.h"
-#include "cluster/http_host_list.h"
 
 namespace acacialug {
 namespace {
--- a/src/cluster/http_host_list.h
+++ b/src/cluster/http_host_list.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <vector>
 
-#include "framework/http/http_client.h"
 #include "cluster/i_host_list.h"
+#include "framework/http/http_client.h"
 
 namespace acacialug::cluster {
 
--- a/src/cluster/http_log.h
+++ b/src/cluster/http_log.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <string>
 
-#include "framework/http/http_client.h"
 #include "cluster/i_log.h"
+#include "framework/http/http_client.h"
 
 namespace acacialug::cluster {
 
--- a/src/cluster/http_weight_store.h
+++ b/src/cluster/http_weight_store.h
@@ -3,8 +3,8 @@
 
 #include <functional>
 
-#include "framework/http/http_client.h"
 #include "cluster/i_weight_store.h"
+#include "framework/http/http_client.h"
 
 namespace acacialug::cluster {
 
--- a/src/configuration/configuration_follower.h
+++ b/src/configuration/configuration_follower.h
@@ -7,10 +7,10 @@
 #include <variant>
 #include <vector>
 
+#include "cluster/i_log.h"
 #include "configuration/configuration_history.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
-#include "cluster/i_log.h"
 
 namespace acacialug::configuration {
 
--- a/src/configuration/tests/configuration_follower_test.cc
+++ b/src/configuration/tests/configuration_follower_test.cc
@@ -51,8 +51,8 @@
               std::uint64_t first_kept = 1) {
     this->follower.OnRead(
         cluster::ILog::Read{.first_kept = LogOffset(first_kept),
-                             .next = LogOffset(next),
-                             .records = std::move(records)},
+                            .next = LogOffset(next),
+                            .records = std::move(records)},
         now);
     this->Collect();
   }
--- a/src/configuration_client/configuration_client.h
+++ b/src/configuration_client/configuration_client.h
@@ -7,10 +7,10 @@
 #include <string_view>
 #include <vector>
 
+#include "cluster/i_log.h"
 #include "configuration/configuration_follower.h"
 #include "framework/global/random_source.h"
 #include "framework/http/http_types.h"
-#include "cluster/i_log.h"
 
 namespace acacialug::configuration_client {
 
--- a/src/control/internal/command_context.h
+++ b/src/control/internal/command_context.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "cluster/http_log.h"
 #include "control/commands.h"
 #include "control/publisher.h"
 #include "control/scraper.h"
 #include "framework/http/http_client.h"
-#include "cluster/http_log.h"
 
 namespace acacialug::control {
 
--- a/src/control/internal/level_collector.cc
+++ b/src/control/internal/level_collector.cc
@@ -9,10 +9,10 @@
 #include <utility>
 #include <variant>
 
+#include "cluster/http_log.h"
 #include "control/scraper.h"
 #include "framework/http/http_client.h"
 #include "framework/metrics/exposition.h"
-#include "cluster/http_log.h"
 #include "service_levels/digest_codec.h"
 
 namespace acacialug::control {
@@ -105,8 +105,8 @@
 
 // One read, waited for on the event loop; empty when no answer came in time.
 std::optional<cluster::ILog::Read> ReadOnce(cluster::ILog& log,
-                                             LogOffset from,
-                                             Duration timeout) {
+                                            LogOffset from,
+                                            Duration timeout) {
   QEventLoop loop;
   // Shared: an answer may come after the wait was given up.
   auto answer = std::make_shared<std::optional<cluster::ILog::Read>>();
--- a/src/control/level_collector.h
+++ b/src/control/level_collector.h
@@ -6,10 +6,10 @@
 #include <optional>
 #include <vector>
 
+#include "cluster/i_log.h"
 #include "control/burn_report.h"
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
-#include "cluster/i_log.h"
 #include "service_levels/level_fold.h"
 
 namespace acacialug::control {
--- a/src/control/publisher.h
+++ b/src/control/publisher.h
@@ -5,11 +5,11 @@
 #include <optional>
 #include <string>
 
+#include "cluster/i_log.h"
 #include "configuration/configuration_history.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
-#include "cluster/i_log.h"
 
 namespace acacialug::control {
 
--- a/src/entry/internal/log_once.cc
+++ b/src/entry/internal/log_once.cc
@@ -54,8 +54,7 @@
   if (!read.reachable) {
     return Error(ResultCode::kPlatformUnavailable);
   }
-  cluster::ILog::Read records{.first_kept = read.first_kept,
-                               .next = read.next};
+  cluster::ILog::Read records{.first_kept = read.first_kept, .next = read.next};
   for (const LogRecord& record : read.records) {
     records.records.push_back(
         {.offset = record.offset, .payload = record.payload});
--- a/src/entry_process/internal/claims_log.h
+++ b/src/entry_process/internal/claims_log.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <memory>
 
-#include "entry/types/entry_messages.h"
 #include "cluster/i_log.h"
+#include "entry/types/entry_messages.h"
 
 namespace acacialug::entry_process {
 
--- a/src/entry_process/internal/digest_appender.h
+++ b/src/entry_process/internal/digest_appender.h
@@ -6,8 +6,8 @@
 #include <functional>
 #include <memory>
 
-#include "entry_process/internal/service_level_book.h"
 #include "cluster/i_log.h"
+#include "entry_process/internal/service_level_book.h"
 
 namespace acacialug::entry_process {
 
@@ -16,7 +16,7 @@
 class DigestAppender {
  public:
   struct Options {
-    ServiceLevelBook& book;               // outlives this object
+    ServiceLevelBook& book;              // outlives this object
     std::unique_ptr<cluster::ILog> log;  // null: nothing is appended
     Duration finish_timeout = 1s;
   };
--- a/src/entry_process/internal/platform_log.cc
+++ b/src/entry_process/internal/platform_log.cc
@@ -3,8 +3,8 @@
 #include <string>
 #include <utility>
 
-#include "framework/http/http_client.h"
 #include "cluster/http_log.h"
+#include "framework/http/http_client.h"
 
 namespace acacialug::entry_process {
 namespace {
--- a/src/entry_process/manifest_source.h
+++ b/src/entry_process/manifest_source.h
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
+#include "cluster/i_log.h"
 #include "configuration_client/configuration_client.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/result.h"
 #include "manifest/types/manifest.h"
-#include "cluster/i_log.h"
 
 namespace acacialug::entry_process {
 
--- a/src/entry_process/platform_log.h
+++ b/src/entry_process/platform_log.h
@@ -3,8 +3,8 @@
 
 #include <memory>
 
-#include "framework/http/http_types.h"
 #include "cluster/i_log.h"
+#include "framework/http/http_types.h"
 
 namespace acacialug::entry_process {
 
--- a/src/entry_process/tests/manifest_source_test.cc
+++ b/src/entry_process/tests/manifest_source_test.cc
@@ -21,8 +21,8 @@
 using testing::WaitUntil;
 
 cluster::ILog::Read OneRecord(std::uint64_t offset,
-                               std::uint64_t next,
-                               std::string payload) {
+                              std::uint64_t next,
+                              std::string payload) {
   return {.first_kept = LogOffset(1),
           .next = LogOffset(next),
           .records = {
--- a/src/entry_process/types/entry_process_options.h
+++ b/src/entry_process/types/entry_process_options.h
@@ -7,12 +7,12 @@
 #include <memory>
 #include <optional>
 
+#include "cluster/i_log.h"
 #include "entry/types/entry_options.h"
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
 #include "framework/net/frame_channel.h"
 #include "heartbeat/heartbeat_budget.h"
-#include "cluster/i_log.h"
 
 namespace acacialug::entry_process {
 
--- a/src/framework/log/log.h
+++ b/src/framework/log/log.h
@@ -21,7 +21,7 @@
 struct LogOptions {
   std::string program;  // the key `program` of every line
   Level level = Level::kInfo;
-  std::string file;                // empty: standard error
+  std::string file;  // empty: standard error
   // Standard output in place of both, by a writer that never waits for its
   // reader: lines are held in memory until the reader takes them, and beyond
   // kMaxHeldBytes they are dropped and counted. Call Flush now and then.
--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -48,12 +48,17 @@
     found->second.lapsed = true;
     return false;
   }
+  return this->Remove(id, offset, now);
+}
+
+bool EndpointCatalog::Remove(const EndpointId& id,
+                             LogOffset offset,
+                             Instant now) {
   this->deletions[id] = {.offset = offset,
                          .forgotten_at = now + kDeletionMemory};
-  if (found == this->entries.end()) {
+  if (this->entries.erase(id) == 0) {
     return false;
   }
-  this->entries.erase(found);
   this->NoteChange(offset);
   return true;
 }
@@ -68,7 +73,7 @@
   std::vector<EndpointId> missing;
   for (const auto& [id, entry] : this->entries) {
     if (!present.contains(id) && entry.offset < snapshot.as_of &&
-        !entry.lapsed) {
+        (snapshot.settled || !entry.lapsed)) {
       missing.push_back(id);
     }
   }
@@ -77,7 +82,15 @@
   const LogOffset deleted_at(snapshot.as_of.value > 0 ? snapshot.as_of.value - 1
                                                       : 0);
   for (const EndpointId& id : missing) {
-    changed = this->Delete(id, deleted_at, now) || changed;
+    // Whoever tells a settled snapshot has waited for lapsed records itself.
+    // This process's own wait must not hold it up: one that flaps between
+    // losing the store and finding it would wait for ever.
+    changed = (snapshot.settled ? this->Remove(id, deleted_at, now)
+                                : this->Delete(id, deleted_at, now)) ||
+              changed;
+  }
+  if (this->settles_at == kNever) {
+    this->settles_at = now + kLapseGrace;
   }
   this->known_to = std::max(this->known_to, snapshot.as_of);
   return changed;
@@ -128,8 +141,10 @@
   return found == this->entries.end() ? nullptr : &found->second.record;
 }
 
-EndpointSnapshot EndpointCatalog::Snapshot() const {
-  EndpointSnapshot snapshot{.as_of = this->known_to};
+EndpointSnapshot EndpointCatalog::Snapshot(Instant now) const {
+  EndpointSnapshot snapshot{
+      .as_of = this->known_to,
+      .settled = !this->InLapseGrace(now) && now >= this->settles_at};
   for (const auto& [id, entry] : this->entries) {
     snapshot.records.push_back(
         {.offset = entry.offset, .id = id, .record = entry.record});
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -42,7 +42,7 @@
   const EndpointRecord* Find(const EndpointId& id) const;
 
   // For peers: all that is known, with the offset that it is complete to.
-  EndpointSnapshot Snapshot() const;
+  EndpointSnapshot Snapshot(Instant now) const;
   LogOffset complete_to() const { return this->known_to; }
   // Behind the last record that changed anything: endpoints write each second
   // to show that they live.
@@ -61,6 +61,7 @@
   };
 
   bool Delete(const EndpointId& id, LogOffset offset, Instant now);
+  bool Remove(const EndpointId& id, LogOffset offset, Instant now);
   void NoteChange(LogOffset offset);
   bool InLapseGrace(Instant now) const;
 
@@ -70,6 +71,7 @@
   LogOffset last_change;
   bool store_lost = false;
   Instant grace_until{};
+  Instant settles_at = kNever;
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -107,6 +107,10 @@
     return changed;
   }
 
+  EndpointSnapshot Endpoints() const {
+    return this->catalog.Snapshot(this->Now());
+  }
+
   void NoteStoreBack() { this->catalog.NoteStoreBack(this->Now()); }
 
   void SetPeerLoad(const std::string& peer, const PeerLoad& load) {
@@ -558,7 +562,7 @@
 }
 
 EndpointSnapshot GatewayCore::Endpoints() const {
-  return this->implementation->catalog.Snapshot();
+  return this->implementation->Endpoints();
 }
 
 LogOffset GatewayCore::endpoints_complete_to() const {
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -65,8 +65,8 @@
   void NoteStoreLost();
   void NoteStoreBack();
 
-  // Peers: what they placed, how many there are (this process not counted),
-  // and whether this process is the first of all by its id.
+  // Peers: what they placed, how many there were lately, heard or not (this
+  // process not counted), and whether it is the first of those alive.
   void SetPeerLoad(const std::string& peer, const PeerLoad& load);
   void SetPeers(std::size_t peers, bool first);
   PeerLoad OwnLoad() const;
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -328,8 +328,7 @@
              self->OnDecodeHead(answered, head);
            },
        .on_data = [self](std::string_view data) { self->OnDecodeData(data); },
-       .on_end =
-           [self](std::string body) { self->OnDecodeEnd(std::move(body)); },
+       .on_end = [self](const std::string&) { self->OnDecodeEnd(); },
        .on_error = [self](const Error& error,
                           bool sent) { self->OnDecodeLost(error, sent); }});
   if (this->MayRunAgain()) {
@@ -393,7 +392,7 @@
   return !this->over();
 }
 
-void StreamRelay::OnDecodeEnd(std::string) {
+void StreamRelay::OnDecodeEnd() {
   this->ForgetExchange();
   this->EndPhase();
   this->decode_open = false;
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -59,7 +59,7 @@
   void OnDecodeHead(int status, const http::Headers& head);
   void OnDecodeData(std::string_view data);
   bool DeliverEvent(const StreamEvent& event);
-  void OnDecodeEnd(std::string body);
+  void OnDecodeEnd();
   void OnDecodeLost(const Error& error, bool sent);
   void OnSilent();
 
--- a/src/gateway/role_planner.cc
+++ b/src/gateway/role_planner.cc
@@ -93,6 +93,7 @@
             });
   from.resize(std::min({from.size() - 1, difference, at_once}));
   std::vector<RoleChange> changes;
+  changes.reserve(from.size());
   for (const EndpointRecord* const endpoint : from) {
     changes.push_back(
         {.endpoint = *endpoint,
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -35,6 +35,7 @@
 std::vector<const EndpointRecord*> Pointers(
     const std::vector<EndpointRecord>& records) {
   std::vector<const EndpointRecord*> pointers;
+  pointers.reserve(records.size());
   for (const EndpointRecord& record : records) {
     pointers.push_back(&record);
   }
@@ -265,6 +266,7 @@
        const EndpointHealth health;
        const StreamPlacement placement({}, book, health);
        std::vector<EndpointRecord> records;
+       records.reserve(10);
        for (int number = 0; number < 10; ++number) {
          records.push_back(
              Record("d" + std::to_string(number), EndpointRole::kDecode));
@@ -305,6 +307,7 @@
           RolePlanner planner({});
           LoadBook book;
           std::vector<EndpointRecord> records;
+          records.reserve(41);
           for (int number = 0; number < 41; ++number) {
             records.push_back(Record(
                 "e" + std::to_string(number),
@@ -354,6 +357,7 @@
        RolePlanner planner({});
        LoadBook book;
        std::vector<EndpointRecord> records;
+       records.reserve(9);
        for (int number = 0; number < 9; ++number) {
          records.push_back(Record(
              "e" + std::to_string(number),
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -88,6 +88,34 @@
           CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) != nullptr);
           CPPUNIT_ASSERT(catalog.Find(EndpointId("b")) == nullptr);
         }),
+     It("believes a peer that has waited for lapsed records, whatever its own "
+        "sight of the store",
+        [] {
+          // Symptom: requests reach an endpoint 3.6 s after its record was
+          // deleted. Sequence: a process loses the store, finds it by its
+          // peers, and loses it again, each second; a peer's snapshot lacks
+          // the endpoint. Cause: each return began another wait for lapsed
+          // records.
+          EndpointCatalog catalog;
+          catalog.Apply(Written(5, "a"), kStart);
+          catalog.NoteStoreLost();
+          catalog.NoteStoreBack(kStart + 1s);
+          catalog.Apply(EndpointSnapshot{.as_of = LogOffset(7)}, kStart + 1s);
+          CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) != nullptr);
+          catalog.Apply(
+              EndpointSnapshot{.as_of = LogOffset(7), .settled = true},
+              kStart + 1s);
+          CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) == nullptr);
+        }),
+     It("calls its own snapshot settled only when it has waited itself",
+        [] {
+          EndpointCatalog catalog;
+          catalog.Apply(EndpointSnapshot{.as_of = LogOffset(1)}, kStart);
+          CPPUNIT_ASSERT(!catalog.Snapshot(kStart + 2s).settled);
+          CPPUNIT_ASSERT(catalog.Snapshot(kStart + 3s).settled);
+          catalog.NoteStoreLost();
+          CPPUNIT_ASSERT(!catalog.Snapshot(kStart + 4s).settled);
+        }),
      It("believes at once that one which had said it leaves is gone", [] {
        EndpointCatalog catalog;
        catalog.Apply(Written(5, "a", true), kStart);
--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -85,41 +85,42 @@
 }
 
 GatewayHooks GatewayWorld::Hooks() {
-  return {.now = [this] { return this->now; },
-          .send =
-              [this](const http::Address& address, const http::Request& request,
-                     http::ExchangeHooks hooks) {
-                if (request.method == "DELETE") {
-                  this->released.push_back(request.target);
-                  return ++this->last_exchange;
-                }
-                this->calls.push_back(
-                    std::make_shared<Call>(Call{.id = ++this->last_exchange,
-                                                .address = address,
-                                                .request = request,
-                                                .hooks = std::move(hooks)}));
-                return this->last_exchange;
-              },
-          .cancel =
-              [this](http::Client::ExchangeId exchange) {
-                for (const auto& call : this->calls) {
-                  if (call->id == exchange) {
-                    call->cancelled = true;
-                    call->hooks = {};
-                  }
-                }
-              },
-          .set_paused = [](http::Client::ExchangeId, bool) {},
-          .drop_idle = [](const http::Address&) {},
-          .wake_at = [](Instant) {},
-          .on_load_changed = [] {},
-          .claim_turn =
-              [this](std::function<void(std::optional<TurnClaim>)> on_done) {
-                on_done(this->turn);
-              },
-          .note = [this](log::Level, std::string_view event,
-                         log::Record) { this->events.emplace_back(event); },
-          .on_end = [](const Route&, const RelayOutcome&) {}};
+  return {
+      .now = [this] { return this->now; },
+      .send =
+          [this](const http::Address& address, const http::Request& request,
+                 http::ExchangeHooks hooks) {
+            if (request.method == "DELETE") {
+              this->released.push_back(request.target);
+              return ++this->last_exchange;
+            }
+            this->calls.push_back(
+                std::make_shared<Call>(Call{.id = ++this->last_exchange,
+                                            .address = address,
+                                            .request = request,
+                                            .hooks = std::move(hooks)}));
+            return this->last_exchange;
+          },
+      .cancel =
+          [this](http::Client::ExchangeId exchange) {
+            for (const auto& call : this->calls) {
+              if (call->id == exchange) {
+                call->cancelled = true;
+                call->hooks = {};
+              }
+            }
+          },
+      .set_paused = [](http::Client::ExchangeId, bool) {},
+      .drop_idle = [](const http::Address&) {},
+      .wake_at = [](Instant) {},
+      .on_load_changed = [] {},
+      .claim_turn =
+          [this](const std::function<void(std::optional<TurnClaim>)>& on_done) {
+            on_done(this->turn);
+          },
+      .note = [this](log::Level, std::string_view event,
+                     log::Record) { this->events.emplace_back(event); },
+      .on_end = [](const Route&, const RelayOutcome&) {}};
 }
 
 EndpointDialect GatewayWorld::Dialect() {
@@ -182,7 +183,7 @@
                                                       .tokens = 1});
   };
   dialect.write_reserve = [](const EndpointRecord&, std::uint64_t tokens,
-                             Duration) {
+                             Duration /*lifetime*/) {
     return http::Request{.method = "POST",
                          .target = "/reserve/" + std::to_string(tokens)};
   };
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -10,7 +10,6 @@
 
 using acacialug::testing::ForEach;
 using acacialug::testing::It;
-using testing::Answer;
 using testing::Call;
 using testing::GatewayWorld;
 
--- a/src/gateway/types/endpoint_record.h
+++ b/src/gateway/types/endpoint_record.h
@@ -42,6 +42,9 @@
 // All records as they stood at an offset.
 struct EndpointSnapshot {
   LogOffset as_of;  // changes from here on are not in it
+  // What is not in it is gone. False: its record may have lapsed only, while
+  // the store was out.
+  bool settled = false;
   std::vector<EndpointChange> records;
 };
 
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -194,9 +194,9 @@
               this->core.SetPeerLoad(peer, load);
             },
         .on_peer_count =
-            [this](std::size_t count, bool first) {
-              this->core.SetPeers(count, first);
-              this->registry.Get(kGatewayPeers).Set(static_cast<double>(count));
+            [this](std::size_t heard, std::size_t known, bool first) {
+              this->core.SetPeers(known, first);
+              this->registry.Get(kGatewayPeers).Set(static_cast<double>(heard));
             },
         .on_catalog =
             [this](const Catalog& catalog) {
--- a/src/gateway_process/internal/catalog_page.cc
+++ b/src/gateway_process/internal/catalog_page.cc
@@ -157,9 +157,10 @@
       .role = ReadEnum(json.at("role"), gateway::kEndpointRoleNames),
       .slots = json.at("slots"),
       .leaving = json.at("leaving")};
-  return {.offset = LogOffset(json.at("offset")),
-          .id = record.id,
-          .record = std::move(record)};
+  EndpointChange change{.offset = LogOffset(json.at("offset")),
+                        .id = record.id};
+  change.record = std::move(record);
+  return change;
 }
 
 }  // namespace
@@ -170,6 +171,7 @@
     records.push_back(ToJson(change));
   }
   Json json = {{"endpoints_as_of", catalog.endpoints.as_of.value},
+               {"endpoints_settled", catalog.endpoints.settled},
                {"endpoints", std::move(records)}};
   if (catalog.configuration != nullptr) {
     json["configuration"] = ToJson(*catalog.configuration);
@@ -182,6 +184,7 @@
     const Json json = Json::parse(text);
     Catalog catalog;
     catalog.endpoints.as_of = LogOffset(json.at("endpoints_as_of"));
+    catalog.endpoints.settled = json.at("endpoints_settled");
     for (const Json& record : json.at("endpoints")) {
       catalog.endpoints.records.push_back(EndpointOf(record));
     }
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -24,6 +24,9 @@
 constexpr std::size_t kNearPeers = 5;
 // A peer that was not heard for this long is not counted as one.
 constexpr Duration kPeerMemory = 2s;
+// One that was heard in this time still takes its part of what all share: a
+// process that is cut off from the others must not take theirs.
+constexpr Duration kKnownMemory = 60s;
 // One that was never heard, or not for long, is tried this often.
 constexpr Duration kRetryInterval = 2s;
 // A peer that has not answered in this time has gone silent.
@@ -292,6 +295,7 @@
   void CountPeers() {
     const Instant now = MonotonicNow();
     std::size_t alive = 0;
+    std::size_t known = 0;
     bool first = true;
     for (auto& [id, peer] : this->peers) {
       const bool lives = peer.heard && now - peer.heard_at < kPeerMemory;
@@ -302,9 +306,12 @@
             {.fields = {{"peer", id}, {"silent_ms", now - peer.heard_at}}});
       }
       alive += lives ? 1 : 0;
+      known += peer.heard_at != Instant{} && now - peer.heard_at < kKnownMemory
+                   ? 1
+                   : 0;
       first = first && !(lives && id < this->options.id);
     }
-    this->options.on_peer_count(alive, first);
+    this->options.on_peer_count(alive, known, first);
   }
 
   // The peer that knows most; null: none knows more than this process.
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -35,8 +35,10 @@
     std::function<void(const gateway::EndpointPause& pause)> on_pause;
     std::function<void(const std::string& peer, const gateway::PeerLoad& load)>
         on_load;
-    // How many peers are heard, and whether this process's id is the first.
-    std::function<void(std::size_t peers, bool first)> on_peer_count;
+    // How many peers are heard, how many there were lately, heard or not, and
+    // whether this process's id is the first of those heard.
+    std::function<void(std::size_t heard, std::size_t known, bool first)>
+        on_peer_count;
     std::function<void(const Catalog& catalog)> on_catalog;
   };
 
--- a/src/once/claim_coordinator.h
+++ b/src/once/claim_coordinator.h
@@ -9,11 +9,11 @@
 #include <variant>
 #include <vector>
 
+#include "cluster/i_log.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/instant.h"
 #include "once/claim_book.h"
-#include "cluster/i_log.h"
 
 namespace acacialug::once {
 
--- a/src/once/tests/claim_coordinator_test.cc
+++ b/src/once/tests/claim_coordinator_test.cc
@@ -39,7 +39,7 @@
 
   cluster::ILog::Read ReadFrom(std::uint64_t from) const {
     cluster::ILog::Read read{.first_kept = LogOffset(this->first_kept),
-                              .next = LogOffset(this->records.size() + 1)};
+                             .next = LogOffset(this->records.size() + 1)};
     from = std::max(from, this->first_kept);
     for (std::uint64_t offset = from; offset <= this->records.size();
          ++offset) {
--- a/src/scenario/internal/agent_host.cc
+++ b/src/scenario/internal/agent_host.cc
@@ -196,8 +196,7 @@
 void AgentHost::Run(const agent::ReadTurns& action) {
   this->parts.log.ReadFrom(
       action.stream, action.from, Duration::zero(),
-      [this,
-       later = this->Later()](const Result<cluster::ILog::Read>& result) {
+      [this, later = this->Later()](const Result<cluster::ILog::Read>& result) {
         later([this, result] {
           this->decisions->OnTurnsRead(result, this->parts.queue.now());
         });
--- a/src/scenario/internal/weight_permits.h
+++ b/src/scenario/internal/weight_permits.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <utility>
 
-#include "engine/i_engine.h"
 #include "cluster/i_weight_store.h"
+#include "engine/i_engine.h"
 #include "scenario/internal/engine_host.h"
 #include "scenario/internal/event_queue.h"
 #include "standin/platform_models.h"
--- a/src/standin/fakes/fake_platform.h
+++ b/src/standin/fakes/fake_platform.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
-#include "framework/global/random_source.h"
 #include "cluster/i_host_list.h"
 #include "cluster/i_log.h"
 #include "cluster/i_weight_store.h"
+#include "framework/global/random_source.h"
 #include "standin/platform_models.h"
 
 // The platform's interfaces in the test's own process and time. Several fakes
--- a/src/standin/internal/host_list_server.cc
+++ b/src/standin/internal/host_list_server.cc
@@ -45,8 +45,7 @@
       return ErrorResponse(503, "unavailable", "outage");
     }
     json hosts = json::array();
-    for (const cluster::HostRecord& record :
-         this->model.Read(MonotonicNow())) {
+    for (const cluster::HostRecord& record : this->model.Read(MonotonicNow())) {
       hosts.push_back(
           {{"host", record.host.text},
            {"state", NameOf(cluster::kHostStateNames, record.state)}});
--- a/src/standin/internal/platform_models.cc
+++ b/src/standin/internal/platform_models.cc
@@ -27,9 +27,9 @@
 }
 
 Result<cluster::ILog::Read> LogModel::ReadFrom(const std::string& stream,
-                                                LogOffset from,
-                                                std::size_t limit,
-                                                Instant now) {
+                                               LogOffset from,
+                                               std::size_t limit,
+                                               Instant now) {
   if (this->outage) {
     return Error(ResultCode::kPlatformUnavailable, "outage");
   }
--- a/src/standin/platform_models.h
+++ b/src/standin/platform_models.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "framework/global/types/result.h"
 #include "cluster/i_host_list.h"
 #include "cluster/i_log.h"
+#include "framework/global/types/result.h"
 #include "standin/types/platform_options.h"
 
 // The platform's services without sockets or a clock; the HTTP stand-ins and
@@ -30,9 +30,9 @@
 
   // Errors: kPlatformUnavailable (outage).
   Result<cluster::ILog::Read> ReadFrom(const std::string& stream,
-                                        LogOffset from,
-                                        std::size_t limit,
-                                        Instant now);
+                                       LogOffset from,
+                                       std::size_t limit,
+                                       Instant now);
 
   void SetOutage(bool is_out) { this->outage = is_out; }
   void SetOptions(const LogOptions& log_options) {
--- a/src/standin/tests/adapters_test.cc
+++ b/src/standin/tests/adapters_test.cc
@@ -4,11 +4,11 @@
 
 #include <memory>
 
-#include "engine/engine_factory.h"
-#include "framework/testing/story.h"
 #include "cluster/http_host_list.h"
 #include "cluster/http_log.h"
 #include "cluster/http_weight_store.h"
+#include "engine/engine_factory.h"
+#include "framework/testing/story.h"
 #include "standin/engine_server.h"
 #include "standin/platform_server.h"
 #include "standin/reference_answer.h"
--- a/src/standin/types/platform_options.h
+++ b/src/standin/types/platform_options.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <vector>
 
-#include "framework/global/types/instant.h"
 #include "cluster/i_host_list.h"
+#include "framework/global/types/instant.h"
 
 namespace acacialug::standin {
 
--- a/src/turns/tests/turn_keeper_test.cc
+++ b/src/turns/tests/turn_keeper_test.cc
@@ -52,7 +52,7 @@
       return Error(ResultCode::kPlatformUnavailable);
     }
     cluster::ILog::Read read{.first_kept = LogOffset(this->first_kept),
-                              .next = LogOffset(this->records.size() + 1)};
+                             .next = LogOffset(this->records.size() + 1)};
     for (std::uint64_t offset = std::max(from.value, this->first_kept);
          offset <= this->records.size(); ++offset) {
       read.records.push_back({LogOffset(offset), this->records[offset - 1]});
--- a/src/turns/turn_keeper.h
+++ b/src/turns/turn_keeper.h
@@ -11,12 +11,12 @@
 #include <variant>
 #include <vector>
 
+#include "cluster/i_log.h"
 #include "framework/global/random_source.h"
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
-#include "cluster/i_log.h"
 #include "turns/turn_book.h"
 
 namespace acacialug::turns {
