Test the gateway process, its peers and pages on loopback

Cause: gateway_process stood without tests. Change: catalog page, settings table, two PeerLinks, a whole process with one endpoint.

--- /dev/null
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -0,0 +1,325 @@
+#include "gateway_process/gateway_process.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "framework/http/http_client.h"
+#include "framework/http/http_server.h"
+#include "framework/http/tests/socket_support.h"
+#include "framework/settings/reader.h"
+#include "framework/testing/story.h"
+#include "gateway_process/internal/catalog_page.h"
+#include "gateway_process/peer_link.h"
+#include "gateway_process/settings_reader.h"
+
+namespace acacialug::gateway_process {
+namespace {
+
+using acacialug::testing::ForEach;
+using acacialug::testing::It;
+using acacialug::testing::WaitUntil;
+
+const http::Address kAnyPort{.ip = "127.0.0.1", .port = 0};
+
+gateway::Configuration OneRoute(const std::string& service) {
+  return {.version = 3,
+          .offset = LogOffset(5),
+          .routes = {{.name = "r",
+                      .host = "h",
+                      .path_prefix = "/a/",
+                      .kind = gateway::WorkKind::kIdempotent,
+                      .services = {{.service = ServiceName(service)}},
+                      .max_endpoints = 2,
+                      .timeout = 2s,
+                      .objective = 100ms}},
+          .services = {{.name = ServiceName(service),
+                        .engine = gateway::EngineTraits{.kv_tokens = 9}}}};
+}
+
+gateway::EndpointChange Endpoint(const std::string& id,
+                                 const http::Address& address) {
+  return {.offset = LogOffset(7),
+          .id = EndpointId(id),
+          .record = gateway::EndpointRecord{.id = EndpointId(id),
+                                            .service = ServiceName("s"),
+                                            .address = address,
+                                            .domain = FailureDomain("x"),
+                                            .slots = 4}};
+}
+
+const acacialug::testing::Story kCatalog(
+    "the catalog page",
+    {It("gives a peer all that this process knows",
+        [] {
+          const Catalog known{
+              .configuration =
+                  std::make_shared<gateway::Configuration>(OneRoute("s")),
+              .endpoints = {.as_of = LogOffset(8),
+                            .settled = true,
+                            .records = {Endpoint("e", kAnyPort)}}};
+          const Result<Catalog> read = ParseCatalog(RenderCatalog(known));
+          CPPUNIT_ASSERT(read.ok());
+          CPPUNIT_ASSERT_EQUAL(RenderCatalog(known), RenderCatalog(*read));
+          CPPUNIT_ASSERT(read->endpoints.settled);
+          CPPUNIT_ASSERT(*read->endpoints.records[0].record ==
+                         *known.endpoints.records[0].record);
+        }),
+     ForEach<std::string>(
+         "that is wrong is told by number:",
+         {"", "{}", "[]", R"({"endpoints_as_of":1})",
+          R"({"endpoints_as_of":1,"endpoints_settled":true,"endpoints":[{}]})"},
+         [](const std::string& text) { return "\"" + text + "\""; },
+         [](const std::string& text) {
+           CPPUNIT_ASSERT(ParseCatalog(text).error().result_code() ==
+                          ResultCode::kMalformedJson);
+         })});
+
+const std::string kSettings = R"([gateway]
+id = "g1"
+domain = "x"
+listen = "127.0.0.1:1"
+readiness_listen = "127.0.0.1:2"
+peer_listen = "127.0.0.1:3"
+)";
+
+const acacialug::testing::Story kSettingsStory(
+    "the gateway's settings",
+    {It("take what is told, and have a default for the rest",
+        [] {
+          settings::Reader reader = settings::Reader::FromText(
+              "t", kSettings +
+                       "drain_grace = \"8s\"\n[repeats]\nextra = 7\n"
+                       "[admission]\nlongest_wait = \"20ms\"\n");
+          const GatewaySettings read = ReadGatewaySettings(reader.Root());
+          CPPUNIT_ASSERT(reader.Finish().empty());
+          CPPUNIT_ASSERT(read.drain_grace == Duration(8s));
+          CPPUNIT_ASSERT_EQUAL(std::uint32_t{7}, read.repeat_extra);
+          CPPUNIT_ASSERT(read.admission.longest_wait == Duration(20ms));
+          CPPUNIT_ASSERT(!read.operations_listen);
+        }),
+     ForEach<std::string>(
+         "are refused with",
+         {"[gateway]\nid = \"g\"\n", kSettings + "unknown = 1\n",
+          kSettings + "drain_grace = \"long\"\n",
+          kSettings + "[repeats]\nshare = 2\n",
+          kSettings + "[placement]\nfill = 0\n"},
+         [](const std::string& text) { return text; },
+         [](const std::string& text) {
+           settings::Reader reader = settings::Reader::FromText("t", text);
+           ReadGatewaySettings(reader.Root());
+           CPPUNIT_ASSERT(!reader.Finish().empty());
+         })});
+
+// A free port, for processes that must know each other's.
+std::uint16_t FreePort() {
+  http::Server probe({.listen = kAnyPort, .make_handler = [](int) {
+                        return [](const http::Request&,
+                                  const http::ResponderPtr&) {};
+                      }});
+  CPPUNIT_ASSERT(probe.Start().ok());
+  return probe.port();
+}
+
+struct Peer {
+  explicit Peer(const std::string& id, std::uint16_t port)
+      : address{.ip = "127.0.0.1", .port = port},
+        link({.id = id,
+              .incarnation = Incarnation(1),
+              .listen = this->address,
+              .own_load = [this] { return this->load; },
+              .own_catalog = [this] { return this->known; },
+              .own_pauses = [this] { return this->pauses; },
+              .on_pause =
+                  [this](const gateway::EndpointPause& pause) {
+                    this->heard_pause = pause.endpoint_key;
+                  },
+              .on_load =
+                  [this](const std::string& peer,
+                         const gateway::PeerLoad& heard) {
+                    this->heard[peer] = heard;
+                  },
+              .on_peer_count =
+                  [this](std::size_t alive, std::size_t, bool is_first) {
+                    this->peers = alive;
+                    this->first = is_first;
+                  },
+              .on_catalog =
+                  [this](const Catalog& catalog) { this->taken = catalog; }}) {
+    CPPUNIT_ASSERT(this->link.Start().ok());
+  }
+
+  http::Address address;
+  gateway::PeerLoad load;
+  Catalog known;
+  std::vector<gateway::EndpointPause> pauses;
+  std::map<std::string, gateway::PeerLoad> heard;
+  std::uint64_t heard_pause = 0;
+  std::optional<Catalog> taken;
+  std::size_t peers = 0;
+  bool first = false;
+  PeerLink link;
+};
+
+const acacialug::testing::Story kPeers(
+    "two gateways",
+    {It("hear each other's loads and pauses when one knows the other's address",
+        [] {
+          Peer a("a", FreePort());
+          Peer b("b", FreePort());
+          a.load.rows = {{.endpoint_key = 5, .load = {.requests = 2}}};
+          a.pauses = {{.endpoint_key = 9, .left = 1s}};
+          b.link.SetMembers({{"a", a.address}, {"b", b.address}});
+          WaitUntil("loads", [&] {
+            return b.heard.contains("a") && a.heard.contains("b");
+          });
+          WaitUntil("rows", [&] { return !b.heard["a"].rows.empty(); });
+          CPPUNIT_ASSERT_EQUAL(std::uint32_t{2},
+                               b.heard["a"].rows[0].load.requests);
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, b.heard_pause);
+          WaitUntil("the first", [&] { return a.first && a.peers == 1; });
+          CPPUNIT_ASSERT(!b.first);
+        }),
+     It("hand over what one of them knows and the other does not",
+        [] {
+          Peer a("a", FreePort());
+          Peer b("b", FreePort());
+          a.known.configuration =
+              std::make_shared<gateway::Configuration>(OneRoute("s"));
+          a.link.SetPositions({.configuration = LogOffset(6)});
+          b.link.SetMembers({{"a", a.address}});
+          WaitUntil("the catalog", [&] { return b.taken.has_value(); });
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+                               b.taken->configuration->version);
+        }),
+     It("do not leave the reading of the store to too few", [] {
+       Peer a("a", FreePort());
+       Peer b("b", FreePort());
+       b.link.SetMembers({{"a", a.address}});
+       a.link.NoteStoreRead();
+       WaitUntil("loads", [&] { return b.heard.contains("a"); });
+       CPPUNIT_ASSERT(!b.link.PeersReadStore());
+     })});
+
+// A gateway, one plain endpoint, and a caller.
+struct Site {
+  Site()
+      : endpoint({.listen = kAnyPort,
+                  .make_handler =
+                      [](int) {
+                        return [](const http::Request& request,
+                                  const http::ResponderPtr& responder) {
+                          responder->SendWhole({.status = 200,
+                                                .headers = {{"Proof", "1"}},
+                                                .body = request.method +
+                                                        request.target +
+                                                        request.body});
+                        };
+                      }}),
+        settings{.id = "g",
+                 .domain = FailureDomain("x"),
+                 .listen = {.ip = "127.0.0.1", .port = FreePort()},
+                 .readiness_listen = {.ip = "127.0.0.1", .port = FreePort()},
+                 .readiness_path = "/ready",
+                 .peer_listen = {.ip = "127.0.0.1", .port = FreePort()},
+                 .operations_listen =
+                     http::Address{.ip = "127.0.0.1", .port = FreePort()},
+                 .drain_grace = 4s},
+        process({.settings = this->settings,
+                 .dialect = Dialect(),
+                 .on_drained = [this](bool whole) { this->drained = whole; }},
+                this->registry,
+                this->random) {
+    CPPUNIT_ASSERT(this->endpoint.Start().ok());
+    CPPUNIT_ASSERT(this->process.Start().ok());
+  }
+
+  static gateway::EndpointDialect Dialect() {
+    gateway::EndpointDialect dialect;
+    dialect.read_request = [](http::Request request) {
+      gateway::WorkRequest work{.id = "r", .host = "h"};
+      work.message = std::move(request);
+      return work;
+    };
+    dialect.write_work =
+        [](const gateway::WorkRequest& request, const gateway::EndpointRecord&,
+           const gateway::WorkOrder&) { return request.message; };
+    dialect.judge_answer = [](const gateway::WorkRequest&, gateway::WorkStep,
+                              int, const http::Headers& headers) {
+      return http::FindHeader(headers, "Proof")
+                 ? gateway::AnswerNature::kSuccess
+                 : gateway::AnswerNature::kUnproven;
+    };
+    return dialect;
+  }
+
+  void Know() {
+    gateway::Configuration configuration = OneRoute("s");
+    configuration.services[0].engine.reset();
+    this->process.SetConfiguration(
+        std::make_shared<gateway::Configuration>(configuration));
+    this->process.Apply(
+        Endpoint("e", {.ip = "127.0.0.1", .port = this->endpoint.port()}));
+  }
+
+  // Status and body.
+  std::pair<int, std::string> Get(const http::Address& address,
+                                  const std::string& target) {
+    std::optional<std::string> body;
+    int status = 0;
+    this->client.Send(
+        address, {.method = "GET", .target = target},
+        {.on_head = [&status](int answered,
+                              const http::Headers&) { status = answered; },
+         .on_end = [&body](std::string whole) { body = whole; },
+         .on_error = [&body](const Error&, bool) { body = ""; }});
+    WaitUntil("an answer", [&body] { return body.has_value(); });
+    return {status, *body};
+  }
+
+  http::Server endpoint;
+  http::Client client{{}};
+  GatewaySettings settings;
+  metrics::Registry registry;
+  RandomSource random{1};
+  std::optional<bool> drained;
+  GatewayProcess process;
+};
+
+const acacialug::testing::Story kProcess(
+    "a gateway process",
+    {It("is ready once it knows a configuration and an endpoint, and serves",
+        [] {
+          Site site;
+          CPPUNIT_ASSERT_EQUAL(
+              503, site.Get(site.settings.readiness_listen, "/ready").first);
+          CPPUNIT_ASSERT_EQUAL(
+              503, site.Get(site.settings.listen, "/a/x?y=1").first);
+          site.Know();
+          CPPUNIT_ASSERT_EQUAL(
+              200, site.Get(site.settings.readiness_listen, "/ready").first);
+          const auto answer = site.Get(site.settings.listen, "/a/x?y=1");
+          CPPUNIT_ASSERT_EQUAL(200, answer.first);
+          CPPUNIT_ASSERT_EQUAL(std::string("GET/a/x?y=1"), answer.second);
+          const std::string metrics =
+              site.Get(*site.settings.operations_listen, "/metrics").second;
+          CPPUNIT_ASSERT(metrics.find("acacialug_gateway_requests_total") !=
+                         std::string::npos);
+        }),
+     It("that drains is not ready at once, serves who still comes, and ends",
+        [] {
+          Site site;
+          site.Know();
+          site.process.Drain();
+          CPPUNIT_ASSERT_EQUAL(
+              503, site.Get(site.settings.readiness_listen, "/ready").first);
+          CPPUNIT_ASSERT_EQUAL(200,
+                               site.Get(site.settings.listen, "/a/x").first);
+          WaitUntil("the end", [&site] { return site.drained.has_value(); });
+          CPPUNIT_ASSERT(*site.drained);
+        })});
+
+}  // namespace
+}  // namespace acacialug::gateway_process
