--- a/src/framework/http/tests/http_client_test.cc
+++ b/src/framework/http/tests/http_client_test.cc
@@ -184,6 +184,66 @@
   CPPUNIT_ASSERT(!server.listener.hasPendingConnections());
 }
 
+// Symptom: a caller gets another's answer. Sequence: a server answers a request
+// twice, the second time when the connection carries the next request. Cause:
+// answers told apart by their order alone.
+void AnotherRequestsAnswerIsDropped() {
+  RawServer server;
+  Client client({});
+  Told told;
+  ExchangeHooks hooks = told.Hooks(false);
+  hooks.is_answer = [](int, const Headers& headers) {
+    return FindHeader(headers, "Id") == "mine";
+  };
+  client.Send(Local(server.port()), {.method = "GET", .target = "/"}, hooks);
+  const auto peer = server.Accept();
+  peer->Await("GET /");
+  peer->Send(
+      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nbad"
+      "HTTP/1.1 201 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\ngood");
+  WaitUntil("the end", [&] { return told.over(); });
+  CPPUNIT_ASSERT_EQUAL(201, told.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("good"), *told.body);
+}
+
+// Symptom: a request that must not run twice has an unknown outcome. Sequence:
+// a server closes idle connections after a second, as it says; a request leaves
+// on one just then. Cause: one idle time for all servers.
+void ToldIdleTimeIsKept() {
+  RawServer server;
+  Client client({});
+  std::unique_ptr<RawPeer> peer;
+  for (int round = 0; round < 2; ++round) {
+    Told told;
+    client.Send(Local(server.port()), {.method = "GET", .target = "/"},
+                told.Hooks(false));
+    peer = server.Accept();
+    peer->Await("GET /");
+    peer->Send(
+        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
+        "Content-Length: 0\r\n\r\n");
+    WaitUntil("the end", [&] { return told.over(); });
+  }
+}
+
+// Symptom: requests are lost one after the other on connections that died with
+// a first one. Cause: the others were kept.
+void DroppedIdleConnectionIsNotReused() {
+  RawServer server;
+  Client client({});
+  std::unique_ptr<RawPeer> peer;
+  for (int round = 0; round < 2; ++round) {
+    Told told;
+    client.Send(Local(server.port()), {.method = "GET", .target = "/"},
+                told.Hooks(false));
+    peer = server.Accept();
+    peer->Await("GET /");
+    peer->Send(kShort);
+    WaitUntil("the end", [&] { return told.over(); });
+    client.DropIdle(Local(server.port()));
+  }
+}
+
 struct ReuseRow {
   std::string name;
   std::string answer;
@@ -354,6 +414,12 @@
      It("says that nothing was sent if it never connected",
         NeverConnectedIsNotSent),
      It("reuses an idle connection", IdleConnectionIsReused),
+     It("drops an answer that belongs to another request",
+        AnotherRequestsAnswerIsDropped),
+     It("does not use a connection beyond the idle time that its server told",
+        ToldIdleTimeIsKept),
+     It("does not use what it was told to drop",
+        DroppedIdleConnectionIsNotReused),
      It("is silent after a cancel", CancelledIsSilent),
      It("may be cancelled and destroyed from a hook", CancelledFromAHook),
      It("presses back on the server while paused", PausedPressesBack),
--- a/src/framework/log/tests/log_test.cc
+++ b/src/framework/log/tests/log_test.cc
@@ -1,5 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <unistd.h>
+
+#include <array>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <regex>
@@ -9,6 +12,7 @@
 #include <vector>
 
 #include "framework/log/internal/line.h"
+#include "framework/log/internal/pipe_sink.h"
 #include "framework/log/log.h"
 #include "framework/testing/story.h"
 
@@ -82,6 +86,12 @@
                       .code = ResultCode::kNoDecodeMemory,
                       .fields = {{"pool", "d"}}}));
         }),
+     It("names a request by the name that its caller gave it",
+        [] {
+          CPPUNIT_ASSERT(
+              LineOf({.request_name = "9c41"}).find(R"("request":"9c41")") !=
+              std::string::npos);
+        }),
      ForEach<FieldCase>(
          "keeps type and text of a value:",
          kFieldCases,
@@ -94,6 +104,57 @@
            CPPUNIT_ASSERT_MESSAGE(line, line.ends_with(end));
          })});
 
+// A pipe whose reader reads when the test does.
+struct Pipe {
+  Pipe() { CPPUNIT_ASSERT_EQUAL(0, ::pipe(this->ends.data())); }
+  ~Pipe() {
+    ::close(this->ends[0]);
+    ::close(this->ends[1]);
+  }
+  std::string Read() {
+    std::string text(std::size_t{1} << 20, '\0');
+    const ssize_t got = ::read(this->ends[0], text.data(), text.size());
+    text.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    return text;
+  }
+
+  std::array<int, 2> ends{};
+};
+
+const testing::Story kPipe(
+    "the writer to standard output",
+    {It("hands its lines on when it is asked to",
+        [] {
+          Pipe pipe;
+          internal::PipeSink sink(
+              {.descriptor = pipe.ends[1], .max_held_bytes = 1000});
+          sink.log({"l", spdlog::level::info, "one"});
+          sink.log({"l", spdlog::level::info, "two"});
+          sink.flush();
+          CPPUNIT_ASSERT_EQUAL(std::string("one\ntwo\n"), pipe.Read());
+        }),
+     It("never waits for a reader that stands still, and counts what it drops",
+        [] {
+          // Symptom: all requests stand still. Sequence: the log's collector
+          // stops reading, the pipe fills, a line's write waits. Cause: a
+          // write without asking whether it would wait.
+          Pipe pipe;
+          constexpr std::size_t kHeld = 8192;
+          internal::PipeSink sink(
+              {.descriptor = pipe.ends[1], .max_held_bytes = kHeld});
+          const std::string line(1000, 'x');
+          for (int number = 0; number < 1000; ++number) {
+            sink.log({"l", spdlog::level::info, line});
+          }
+          CPPUNIT_ASSERT(pipe.Read().size() >= kHeld);
+          sink.flush();
+          sink.log({"l", spdlog::level::info, "after"});
+          sink.flush();
+          const std::string rest = pipe.Read();
+          CPPUNIT_ASSERT(rest.find("log_lines_dropped") != std::string::npos);
+          CPPUNIT_ASSERT(rest.ends_with("after\n"));
+        })});
+
 const testing::Story kLog(
     "the log",
     {It("writes what its level lets through",
