Count those who wait at other processes as ahead

Change: peers tell what waits with them; the wait is estimated for the whole pool from what all have placed.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -118,6 +118,17 @@
     this->PumpAll();
   }
 
+  PeerLoad OwnLoad() const {
+    PeerLoad load = this->book.Own();
+    for (const auto& [service, desk] : this->desks) {
+      if (desk.queue.waiting_tokens() > 0) {
+        load.waiting.push_back({.service_key = LoadBook::KeyOf(service),
+                                .kv_tokens = desk.queue.waiting_tokens()});
+      }
+    }
+    return load;
+  }
+
   std::vector<EndpointPause> OwnPauses() const {
     std::vector<EndpointPause> pauses;
     for (const auto& [service, desk] : this->desks) {
@@ -273,12 +284,17 @@
   void Queue(const std::shared_ptr<StreamRelay>& relay, bool was_admitted) {
     AdmissionQueue& queue = relay->job().desk->queue;
     const AdmissionQueue::Ticket ticket = this->TicketOf(*relay);
-    AdmissionQueue::Verdict verdict = queue.Ask(ticket);
+    const StreamPlacement::PoolMemory memory = this->streams.MemoryOf(
+        *relay->job().traits->engine, this->catalog.Of(relay->job().service));
+    const AdmissionQueue::Pool pool{
+        .taken_tokens = memory.taken,
+        .waiting_elsewhere = this->book.WaitingAtPeers(relay->job().service)};
+    AdmissionQueue::Verdict verdict = queue.Ask(ticket, pool);
     if (was_admitted || ticket.rank == TicketRank::kResumed) {
       verdict.admitted = true;
     }
     if (!was_admitted) {
-      this->NoteVerdict(*relay, ticket, verdict);
+      this->NoteVerdict(*relay, ticket, verdict, memory, pool);
     }
     if (!verdict.admitted) {
       relay->Refuse(
@@ -288,16 +304,17 @@
     }
     this->admitted.insert(relay.get());
     queue.Push(ticket);
+    this->options.hooks.on_load_changed();
     this->waiting_relays.emplace(ticket.id, relay);
     this->WatchQueues();
   }
 
   void NoteVerdict(const StreamRelay& relay,
                    const AdmissionQueue::Ticket& ticket,
-                   const AdmissionQueue::Verdict& verdict) {
+                   const AdmissionQueue::Verdict& verdict,
+                   const StreamPlacement::PoolMemory& memory,
+                   const AdmissionQueue::Pool& pool) {
     const RelayJob& job = relay.job();
-    const double fill = this->streams.PoolFill(*job.traits->engine,
-                                               this->catalog.Of(job.service));
     this->options.hooks.note(
         verdict.admitted ? log::Level::kInfo : log::Level::kWarning,
         verdict.admitted ? "stream_waits" : "stream_turned_away",
@@ -306,7 +323,9 @@
                     {"rank", NameOf(kTicketRankNames, ticket.rank)},
                     {"waiting", job.desk->queue.size()},
                     {"waiting_tokens", job.desk->queue.waiting_tokens()},
-                    {"pool_fill", fill},
+                    {"waiting_elsewhere", pool.waiting_elsewhere},
+                    {"taken_tokens", memory.taken},
+                    {"pool_tokens", memory.whole},
                     {"expected_wait_ms", verdict.expected_wait},
                     {"age_ms", relay.Age()},
                     {"peers", this->book.peers()}}});
@@ -598,7 +617,7 @@
 }
 
 PeerLoad GatewayCore::OwnLoad() const {
-  return this->implementation->book.Own();
+  return this->implementation->OwnLoad();
 }
 
 void GatewayCore::BeginDrain() {
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -134,18 +134,17 @@
   return place;
 }
 
-double StreamPlacement::PoolFill(
+StreamPlacement::PoolMemory StreamPlacement::MemoryOf(
     const EngineTraits& engine,
     const std::vector<const EndpointRecord*>& endpoints) const {
-  double held = 0;
-  double room = 0;
+  PoolMemory memory;
   for (const EndpointRecord* const endpoint : endpoints) {
     if (endpoint->role == EndpointRole::kDecode) {
-      held += static_cast<double>(this->book.Of(endpoint->id).kv_tokens);
-      room += static_cast<double>(engine.kv_tokens);
+      memory.taken += this->book.Of(endpoint->id).kv_tokens;
+      memory.whole += engine.kv_tokens;
     }
   }
-  return room > 0 ? held / room : 1.0;
+  return memory;
 }
 
 }  // namespace acacialug::gateway
--- a/src/gateway/stream_placement.h
+++ b/src/gateway/stream_placement.h
@@ -29,9 +29,10 @@
     // their final sizes is never reached.
     double fill = 1.0;
     // Share of the expected output that is counted as taken: the mean over a
-    // stream's life is half of it, and estimates are off by half. At 0.6 an
-    // overloaded pool preempted 0.22 of its streams, at 0.8 a third less.
-    double output_share = 0.8;
+    // stream's life is half of it, and estimates are off by half. Between 0.6
+    // and 0.8 an overloaded pool serves the same worth: what 0.8 spares in
+    // preempted streams (a third of them) it loses in memory that stands idle.
+    double output_share = 0.7;
     // The longest wait for a prefill endpoint that is worth it: what is left
     // of an objective of 0.9 s when all else takes its time.
     Duration longest_prefill_wait = 450ms;
@@ -72,9 +73,14 @@
   // Memory that a request is counted with.
   std::uint64_t KvTokens(const GenerationSize& size) const;
 
-  // Share of the pool's decode memory that is given out, 0 to 1 and above.
-  double PoolFill(const EngineTraits& engine,
-                  const std::vector<const EndpointRecord*>& endpoints) const;
+  // A pool's decode memory, and what of it is given out.
+  struct PoolMemory {
+    std::uint64_t taken = 0;
+    std::uint64_t whole = 0;
+  };
+  PoolMemory MemoryOf(
+      const EngineTraits& engine,
+      const std::vector<const EndpointRecord*>& endpoints) const;
 
  private:
   const EndpointRecord* PickDecode(
