--- a/src/gateway/admission_queue.cc
+++ b/src/gateway/admission_queue.cc
@@ -44,19 +44,23 @@
 }
 
 Duration AdmissionQueue::NextReturn(std::uint64_t kv_tokens,
+                                    Duration time_left,
                                     Instant now,
                                     RandomSource& random) {
+  const Duration longest = std::max(
+      this->options.least_retry,
+      std::min(
+          this->options.longest_retry,
+          FromSeconds(Seconds(time_left) * this->options.longest_retry_share)));
   const Duration turn = FromSeconds(Seconds(this->TimeToFree(kv_tokens)) /
                                     this->options.return_share);
   this->next_return =
       std::max(this->next_return, now + this->options.least_retry) + turn;
-  const Duration longest = this->options.longest_retry -
-                           FromSeconds(Seconds(this->options.longest_retry) *
-                                       kReturnSpread * random.Unit());
   // A queue outside that is longer than callers wait is no queue.
-  this->next_return =
-      std::min(this->next_return, now + this->options.longest_retry);
-  return std::min(this->next_return - now, longest);
+  this->next_return = std::min(this->next_return, now + longest);
+  const Duration spread =
+      longest - FromSeconds(Seconds(longest) * kReturnSpread * random.Unit());
+  return std::min(this->next_return - now, spread);
 }
 
 void AdmissionQueue::Push(const Ticket& ticket) {
--- a/src/gateway/admission_queue.h
+++ b/src/gateway/admission_queue.h
@@ -47,12 +47,15 @@
     Duration longest_wait = 50ms;
     // The same for those who are late already.
     Duration longest_late_wait = 50ms;
-    // Least and greatest time after which a refused caller is asked back;
-    // callers heed up to a third of the time that they have left.
+    // Least and greatest time after which a refused caller is asked back, and
+    // the greatest as a share of the time that it has left: callers do not wait
+    // longer, and one that comes back with less could not be served to its end.
     Duration least_retry = 300ms;
-    Duration longest_retry = 4s;
+    Duration longest_retry = 10s;
+    double longest_retry_share = 0.33;
     // Share of what is freed that is set against the callers who will return.
-    double return_share = 0.35;
+    // With 0.35 and at most 4 s a tenth more of them were refused again.
+    double return_share = 0.2;
   };
 
   struct Ticket {
@@ -92,7 +95,9 @@
   // When a refused caller is asked back. Callers are given turns one after the
   // other, as if they stood in a queue outside; else all who were refused in a
   // burst would come back as another.
+  // `time_left`: of that caller.
   Duration NextReturn(std::uint64_t kv_tokens,
+                      Duration time_left,
                       Instant now,
                       RandomSource& random);
 
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -281,9 +281,9 @@
       this->NoteVerdict(*relay, ticket, verdict);
     }
     if (!verdict.admitted) {
-      relay->Refuse(
-          ResultCode::kDeadlineUnreachable,
-          queue.NextReturn(ticket.kv_tokens, this->Now(), this->random));
+      relay->Refuse(ResultCode::kDeadlineUnreachable,
+                    queue.NextReturn(ticket.kv_tokens, relay->TimeLeft(),
+                                     this->Now(), this->random));
       return;
     }
     this->admitted.insert(relay.get());
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -34,6 +34,8 @@
   const RelayOutcome& result() const { return this->outcome; }
   bool over() const { return this->is_over; }
   Duration Age() const;
+  // Until its caller, or its route, gives up.
+  Duration TimeLeft() const;
 
  protected:
   // The deadline has passed, or the caller is gone.
@@ -42,7 +44,6 @@
   virtual void Release() = 0;
 
   Instant Now() const { return this->context.hooks.now(); }
-  Duration TimeLeft() const;
   bool MayRunAgain() const {
     return gateway::MayRunAgain(this->work.route->kind);
   }
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -233,7 +233,7 @@
                       self->OnPrefillWhole(*answer, body);
                     },
                 .on_error =
-                    [self](const Error& error, bool sent) {
+                    [self](const Error& /*error*/, bool sent) {
                       self->ForgetExchange();
                       self->context.health.NoteSilence(self->place->prefill->id,
                                                        self->Now());
@@ -538,9 +538,10 @@
     this->Refuse(IsNotRun(code) ? ResultCode::kOutcomeUnknown : code, {});
     return;
   }
-  this->Refuse(IsNotRun(code) ? code : ResultCode::kNoEndpoint,
-               this->work.desk->queue.NextReturn(this->kv_tokens(), this->Now(),
-                                                 this->context.random));
+  this->Refuse(
+      IsNotRun(code) ? code : ResultCode::kNoEndpoint,
+      this->work.desk->queue.NextReturn(this->kv_tokens(), this->TimeLeft(),
+                                        this->Now(), this->context.random));
 }
 
 void StreamRelay::OnDeadline() {
--- a/src/gateway/stream_placement.h
+++ b/src/gateway/stream_placement.h
@@ -32,7 +32,7 @@
     // stream's life is half of it, and estimates are off by half. Between 0.6
     // and 0.8 an overloaded pool serves the same worth: what 0.8 spares in
     // preempted streams (a third of them) it loses in memory that stands idle.
-    double output_share = 0.7;
+    double output_share = 0.6;
     // The longest wait for a prefill endpoint that is worth it: what is left
     // of an objective of 0.9 s when all else takes its time.
     Duration longest_prefill_wait = 450ms;
