Split the gateway's core: role orders, waiting streams, the decode phase

Change: RoleOrders (plans, turn, orders), WaitingStreams (let in, placed, turned away), stream_relay_decode.cc. No decision changed, but that a newcomer's arrival no longer places those who wait; the alarm of 40 ms and each release do.

--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -14,7 +14,6 @@
 #include "gateway/internal/alarm_clock.h"
 #include "gateway/load_book.h"
 #include "gateway/repeat_budget.h"
-#include "gateway/role_planner.h"
 #include "gateway/route_table.h"
 #include "gateway/stream_placement.h"
 #include "gateway/types/endpoint_dialect.h"
@@ -26,7 +25,6 @@
 struct ServiceDesk {
   AdmissionQueue queue;
   RepeatBudget budget;
-  RolePlanner planner;
 };
 
 // What all relays of a core share.
--- /dev/null
+++ b/src/gateway/internal/role_orders.h
@@ -0,0 +1,73 @@
+#ifndef GATEWAY_INTERNAL_ROLE_ORDERS_H_
+#define GATEWAY_INTERNAL_ROLE_ORDERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gateway/internal/relay_context.h"
+#include "gateway/order_turn.h"
+#include "gateway/role_planner.h"
+
+namespace acacialug::gateway {
+
+// Changes the roles of endpoints: looks at the plans of all services each half
+// second, and, if it is this process's turn, orders what they ask for. Not
+// thread safe.
+class RoleOrders {
+ public:
+  struct Options {
+    std::string holder;  // this process, in its orders
+    // Null: no configuration is known.
+    std::function<const RouteTable*()> routes;
+  };
+
+  // `context` outlives this object.
+  RoleOrders(Options order_options, RelayContext& relay_context);
+
+  // Begins to look. Call it once.
+  void Start();
+
+  // As of RolePlanner, by service.
+  void NoteRequest(const ServiceName& service, const GenerationSize& size);
+  void NoteStream(const ServiceName& service,
+                  std::uint64_t tokens,
+                  Duration took);
+
+  // As of OrderTurn.
+  void SetFirst(bool first);
+
+  // Endpoints that change their role now, by this process's orders.
+  std::vector<EndpointPause> Pauses() const;
+
+ private:
+  struct PlannedChange {
+    EngineTraits engine;
+    RolePlanner* planner;
+    RoleChange change;
+  };
+
+  Instant Now() const { return this->context.hooks.now(); }
+  void Look();
+  void ClaimIfNeeded();
+  std::vector<PlannedChange> Plan();
+  void GiveOrders(std::uint64_t fence);
+  void AskBeforeOrder(const RoleChange& change, std::uint64_t fence);
+  void SendOrder(const RoleChange& change,
+                 std::uint64_t fence,
+                 std::uint64_t accepted);
+  void NoteOrder(const RoleChange& change,
+                 std::uint64_t fence,
+                 std::string result);
+
+  const Options options;
+  RelayContext& context;
+  OrderTurn turn{{}};
+  std::map<ServiceName, RolePlanner> planners;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_INTERNAL_ROLE_ORDERS_H_
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -36,6 +36,9 @@
   void Release() override;
 
  private:
+  // Requests of one generation to decode endpoints.
+  static constexpr std::uint32_t kMostSends = 4;
+
   std::shared_ptr<StreamRelay> Self();
   GenerationSize Size() const;
 
--- /dev/null
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -0,0 +1,201 @@
+#include <utility>
+
+#include "gateway/internal/stream_relay.h"
+
+// The second half of a generation's way: its decode endpoint, and its events.
+namespace acacialug::gateway {
+namespace {
+
+constexpr int kFirstServerError = 500;
+// Silence of a decode endpoint, before its first event or between two, after
+// which a stream that may be continued goes on elsewhere. A preempted stream
+// pauses for some 300 ms; callers leave after 2 s and more.
+constexpr Duration kDecodeSilence = 1200ms;
+
+}  // namespace
+
+void StreamRelay::StartDecode(WorkStep step) {
+  ++this->outcome.sends;
+  ++this->runs;
+  this->decode_open = true;
+  this->nature = AnswerNature::kUnproven;
+  this->failure_body.clear();
+  this->splitter.Clear();
+  this->step_at = this->Now();
+  WorkOrder order{.step = step,
+                  .time_left = this->TimeLeft(),
+                  .reservation = std::exchange(this->reservation, {}),
+                  .resume_after = this->last_event};
+  if (step == WorkStep::kDecode) {
+    order.export_name = this->prefilled->name;
+    order.export_from = this->place->prefill->address;
+  }
+  auto self = this->Self();
+  this->SendTo(
+      this->place->decode, order,
+      {.is_answer =
+           [self, step](int answered, const http::Headers& head) {
+             return self->context.dialect.judge_answer(self->work.request, step,
+                                                       answered, head) !=
+                    AnswerNature::kForeign;
+           },
+       .on_head =
+           [self, step](int answered, const http::Headers& head) {
+             self->nature = self->context.dialect.judge_answer(
+                 self->work.request, step, answered, head);
+             self->OnDecodeHead(answered, head);
+           },
+       .on_data = [self](std::string_view data) { self->OnDecodeData(data); },
+       .on_end = [self](const std::string&) { self->OnDecodeEnd(); },
+       .on_error = [self](const Error& error,
+                          bool sent) { self->OnDecodeLost(error, sent); }});
+  if (this->MayRunAgain()) {
+    this->WatchPhase(kDecodeSilence, [this] { this->OnSilent(); });
+  }
+}
+
+void StreamRelay::OnDecodeHead(int answered, const http::Headers& head) {
+  if (!this->begun) {
+    this->status = answered;
+    this->headers = head;
+  }
+  if (this->nature == AnswerNature::kSuccess) {
+    this->prefilled.reset();  // fetched
+  }
+}
+
+void StreamRelay::OnDecodeData(std::string_view data) {
+  if (this->nature != AnswerNature::kSuccess) {
+    this->failure_body += data;
+    return;
+  }
+  for (const StreamEvent& event : this->splitter.Take(data)) {
+    if (!this->DeliverEvent(event)) {
+      return;
+    }
+  }
+  if (this->splitter.overflowed()) {
+    this->StopExchange();
+    this->AfterRun(ResultCode::kEngineBadAnswer);
+    return;
+  }
+  if (this->MayRunAgain()) {
+    this->WatchPhase(kDecodeSilence, [this] { this->OnSilent(); });
+  }
+}
+
+// False: the attempt is over.
+bool StreamRelay::DeliverEvent(const StreamEvent& event) {
+  if (event.id && this->last_event) {
+    if (*event.id <= *this->last_event) {
+      return true;  // the caller has it
+    }
+    if (*event.id != *this->last_event + 1) {
+      this->StopExchange();
+      this->AfterRun(ResultCode::kEngineBadAnswer);
+      return false;
+    }
+  }
+  if (!this->begun) {
+    this->begun = true;
+    this->outcome.first_byte = this->Age();
+    this->work.responder->BeginStream(this->status,
+                                      this->CallerHeaders(this->headers));
+  }
+  if (event.id) {
+    this->last_event = event.id;
+  }
+  ++this->outcome.events;
+  this->work.responder->SendData(event.bytes);
+  return !this->over();
+}
+
+void StreamRelay::OnDecodeEnd() {
+  this->ForgetExchange();
+  this->EndPhase();
+  this->decode_open = false;
+  const EndpointId id = this->place->decode.id;
+  switch (this->nature) {
+    case AnswerNature::kSuccess:
+      this->context.health.NoteSuccess(id);
+      if (!this->begun) {
+        this->work.responder->BeginStream(this->status,
+                                          this->CallerHeaders(this->headers));
+        this->begun = true;
+      }
+      if (!this->splitter.rest().empty()) {
+        this->work.responder->SendData(this->splitter.rest());
+      }
+      this->work.responder->EndStream();
+      this->Finish(RelayEnd::kServed, ResultCode::kOk, this->status);
+      return;
+    case AnswerNature::kNotRun:
+      this->context.health.NoteFull(id, this->Now());
+      if (this->prefilled) {
+        this->context.health.NoteFailure(this->place->prefill->id, this->Now());
+      }
+      this->AfterNotRun();
+      return;
+    case AnswerNature::kMisplaced:
+      this->context.health.NoteSilence(id, this->Now());
+      this->AfterNotRun();
+      return;
+    case AnswerNature::kFailure:
+      if (this->status >= kFirstServerError) {
+        this->context.health.NoteFailure(id, this->Now());
+      }
+      if (this->status < kFirstServerError || !this->MayRunAgain()) {
+        if (this->begun) {
+          this->GiveUp(ResultCode::kEngineFailed);
+        } else {
+          this->PassOn(RelayEnd::kFailed, this->status, this->headers,
+                       this->failure_body);
+        }
+        return;
+      }
+      this->AfterRun(ResultCode::kEngineFailed);
+      return;
+    case AnswerNature::kUnproven:
+    case AnswerNature::kForeign:
+      this->context.health.NoteFailure(id, this->Now());
+      this->AfterRun(ResultCode::kEngineBadAnswer);
+      return;
+  }
+}
+
+void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
+  this->ForgetExchange();
+  this->decode_open = false;
+  this->context.health.NoteSilence(this->place->decode.id, this->Now());
+  this->Note(log::Level::kWarning, "attempt_lost", this->place->decode.id,
+             {{"sent", sent},
+              {"after_ms", this->Now() - this->step_at},
+              {"events", this->outcome.events},
+              {"detail", error.detail}},
+             error.result_code());
+  if (!sent || this->nature == AnswerNature::kNotRun) {
+    this->AfterNotRun();
+  } else {
+    this->AfterRun(ResultCode::kEndpointLost);
+  }
+}
+
+void StreamRelay::OnSilent() {
+  const bool possible = this->runs < this->work.route->max_endpoints &&
+                        this->outcome.sends < kMostSends;
+  this->context.health.NoteSilence(this->place->decode.id, this->Now());
+  this->Note(log::Level::kWarning, "attempt_silent", this->place->decode.id,
+             {{"after_ms", this->Now() - this->step_at},
+              {"events", this->outcome.events},
+              {"goes_elsewhere", possible}},
+             ResultCode::kEndpointLost);
+  if (!possible) {
+    return;  // it may still go on
+  }
+  this->context.hooks.drop_idle(this->place->decode.address);
+  this->StopExchange();
+  this->decode_open = false;
+  this->AfterRun(ResultCode::kEndpointLost);
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/internal/waiting_streams.cc
@@ -0,0 +1,154 @@
+#include "gateway/internal/waiting_streams.h"
+
+#include <algorithm>
+
+namespace acacialug::gateway {
+namespace {
+
+// The queues are looked at so often even without news: peers' releases are
+// heard of by their loads, which get lost.
+constexpr Duration kInterval = 40ms;
+// One that was computed for and lost its place waits so long for another.
+constexpr Duration kResumePatience = 800ms;
+
+}  // namespace
+
+void WaitingStreams::Add(const std::shared_ptr<StreamRelay>& relay) {
+  AdmissionQueue& queue = relay->job().desk->queue;
+  const AdmissionQueue::Ticket ticket = this->TicketOf(*relay);
+  AdmissionQueue::Verdict verdict = queue.Ask(ticket);
+  const bool was_admitted = this->admitted.contains(relay.get());
+  if (was_admitted || ticket.rank == TicketRank::kResumed) {
+    verdict.admitted = true;
+  }
+  if (!was_admitted) {
+    this->NoteVerdict(*relay, ticket, verdict);
+  }
+  if (!verdict.admitted) {
+    relay->Refuse(ResultCode::kDeadlineUnreachable,
+                  queue.NextReturn(ticket.kv_tokens, relay->TimeLeft(),
+                                   this->Now(), this->context.random));
+    return;
+  }
+  this->admitted.insert(relay.get());
+  queue.Push(ticket);
+  this->waiting.emplace(ticket.id, relay);
+  this->Watch();
+}
+
+AdmissionQueue::Ticket WaitingStreams::TicketOf(const StreamRelay& relay) {
+  const RelayJob& job = relay.job();
+  const bool late = job.spent >= job.route->objective;
+  AdmissionQueue::Ticket ticket{
+      .id = ++this->last_ticket,
+      .priority = job.route->priority,
+      .rank = late ? TicketRank::kLate : TicketRank::kOnTime,
+      .kv_tokens = relay.kv_tokens(),
+      .arrived = job.arrived};
+  if (relay.resumed()) {
+    ticket.rank = TicketRank::kResumed;
+    ticket.gives_up_at = this->Now() + kResumePatience;
+  }
+  return ticket;
+}
+
+void WaitingStreams::NoteVerdict(const StreamRelay& relay,
+                                 const AdmissionQueue::Ticket& ticket,
+                                 const AdmissionQueue::Verdict& verdict) const {
+  const RelayJob& job = relay.job();
+  const double fill = this->context.streams.PoolFill(
+      *job.traits->engine, this->context.catalog.Of(job.service));
+  this->context.hooks.note(
+      verdict.admitted ? log::Level::kInfo : log::Level::kWarning,
+      verdict.admitted ? "stream_waits" : "stream_turned_away",
+      {.request_name = job.request.id,
+       .fields = {{"service", job.service},
+                  {"rank", NameOf(kTicketRankNames, ticket.rank)},
+                  {"waiting", job.desk->queue.size()},
+                  {"waiting_tokens", job.desk->queue.waiting_tokens()},
+                  {"pool_fill", fill},
+                  {"expected_wait_ms", verdict.expected_wait},
+                  {"age_ms", relay.Age()},
+                  {"peers", this->context.book.peers()}}});
+}
+
+void WaitingStreams::Remove(const Relay& relay) {
+  this->admitted.erase(&relay);
+  const auto found = std::find_if(
+      this->waiting.begin(), this->waiting.end(),
+      [&relay](const auto& entry) { return entry.second.get() == &relay; });
+  if (found != this->waiting.end()) {
+    relay.job().desk->queue.Remove(found->first);
+    this->waiting.erase(found);
+  }
+}
+
+void WaitingStreams::OnRoom(const ServiceName& service) {
+  for (const auto& [ticket, relay] : this->waiting) {
+    if (relay->job().service == service) {
+      this->rooms.insert(&relay->job().desk->queue);
+      this->PlaceSoon();
+      return;
+    }
+  }
+}
+
+void WaitingStreams::PlaceSoon() {
+  if (this->soon_alarm == 0) {
+    this->soon_alarm = this->context.alarms.Set(this->Now(), [this] {
+      this->soon_alarm = 0;
+      this->PlaceWaiting();
+    });
+  }
+}
+
+void WaitingStreams::PlaceAll() {
+  for (const auto& [ticket, relay] : this->waiting) {
+    this->rooms.insert(&relay->job().desk->queue);
+  }
+  this->PlaceWaiting();
+}
+
+void WaitingStreams::PlaceWaiting() {
+  if (this->placing) {
+    return;
+  }
+  this->placing = true;
+  while (!this->rooms.empty()) {
+    AdmissionQueue* const queue = *this->rooms.begin();
+    this->rooms.erase(this->rooms.begin());
+    this->PlaceAt(*queue);
+  }
+  this->placing = false;
+}
+
+void WaitingStreams::PlaceAt(AdmissionQueue& queue) {
+  for (const TicketId ticket : queue.GivenUp(this->Now())) {
+    const auto relay = this->waiting.at(ticket);
+    relay->GiveUpWaiting();
+  }
+  while (const AdmissionQueue::Ticket* const front = queue.Front()) {
+    const TicketId ticket = front->id;
+    const auto relay = this->waiting.at(ticket);
+    if (!relay->TryPlace()) {
+      return;
+    }
+    queue.Remove(ticket);
+    this->waiting.erase(ticket);
+  }
+}
+
+void WaitingStreams::Watch() {
+  if (this->watch_alarm != 0) {
+    return;
+  }
+  this->watch_alarm = this->context.alarms.Set(this->Now() + kInterval, [this] {
+    this->watch_alarm = 0;
+    this->PlaceAll();
+    if (!this->waiting.empty()) {
+      this->Watch();
+    }
+  });
+}
+
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/internal/waiting_streams.h
@@ -0,0 +1,59 @@
+#ifndef GATEWAY_INTERNAL_WAITING_STREAMS_H_
+#define GATEWAY_INTERNAL_WAITING_STREAMS_H_
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "gateway/internal/relay_context.h"
+#include "gateway/internal/stream_relay.h"
+
+namespace acacialug::gateway {
+
+// The generations that have no place: lets them wait or turns them away, and
+// places those who wait when there is room. Not thread safe.
+class WaitingStreams {
+ public:
+  // `context` outlives this object.
+  explicit WaitingStreams(RelayContext& relay_context)
+      : context(relay_context) {}
+
+  // A generation found no place. One that was let in once stays.
+  void Add(const std::shared_ptr<StreamRelay>& relay);
+
+  // It has ended.
+  void Remove(const Relay& relay);
+
+  // There may be room at a service. Placed soon, and not from within the call:
+  // who frees a place may take it again.
+  void OnRoom(const ServiceName& service);
+
+  // There may be room anywhere.
+  void PlaceAll();
+
+  std::size_t size() const { return this->waiting.size(); }
+
+ private:
+  Instant Now() const { return this->context.hooks.now(); }
+  AdmissionQueue::Ticket TicketOf(const StreamRelay& relay);
+  void NoteVerdict(const StreamRelay& relay,
+                   const AdmissionQueue::Ticket& ticket,
+                   const AdmissionQueue::Verdict& verdict) const;
+  void PlaceSoon();
+  void PlaceWaiting();
+  void PlaceAt(AdmissionQueue& queue);
+  void Watch();
+
+  RelayContext& context;
+  std::unordered_map<TicketId, std::shared_ptr<StreamRelay>> waiting;
+  std::set<const Relay*> admitted;
+  std::set<AdmissionQueue*> rooms;  // that may have room
+  AlarmId watch_alarm = 0;
+  AlarmId soon_alarm = 0;
+  TicketId last_ticket = 0;
+  bool placing = false;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_INTERNAL_WAITING_STREAMS_H_
