Name the gateway's parts by the field's terms; test the peers' heartbeat

Cause: 'desk', 'beat' and 'shun' were words of our own. Change: ServiceState, PeerHeartbeat, PassOver; the heartbeat's codec has tests (full, too many rows, cut off anywhere), which it lacked. No decision changed.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -74,7 +74,7 @@
       this->AnswerWithoutRelay(job, refused);
       return;
     }
-    job.desk->budget.NoteRequest(now);
+    job.state->budget.NoteRequest(now);
     if (job.traits != nullptr && job.traits->engine.has_value()) {
       this->BeginStream(std::move(job));
     } else {
@@ -142,7 +142,7 @@
   StreamPlacement streams;
   CallPlacement calls;
   std::shared_ptr<const RouteTable> routes;
-  std::map<ServiceName, ServiceDesk> desks;
+  std::map<ServiceName, ServiceState> services;
   std::unordered_map<const Relay*, std::shared_ptr<Relay>> relays;
   std::size_t peers = 0;
   Instant drain_begun = kNever;
@@ -153,18 +153,18 @@
  private:
   Instant Now() const { return this->options.hooks.now(); }
 
-  ServiceDesk& DeskOf(const ServiceName& service) {
-    const auto found = this->desks.find(service);
-    if (found != this->desks.end()) {
+  ServiceState& StateOf(const ServiceName& service) {
+    const auto found = this->services.find(service);
+    if (found != this->services.end()) {
       return found->second;
     }
-    return this->desks
+    return this->services
         .emplace(service,
-                 ServiceDesk{.queue = AdmissionQueue(this->options.admission),
-                             .budget = RepeatBudget(
-                                 {.share = this->options.repeat_share,
-                                  .extra = this->options.repeat_extra,
-                                  .window = this->options.repeat_window})})
+                 ServiceState{.queue = AdmissionQueue(this->options.admission),
+                              .budget = RepeatBudget(
+                                  {.share = this->options.repeat_share,
+                                   .extra = this->options.repeat_extra,
+                                   .window = this->options.repeat_window})})
         .first->second;
   }
 
@@ -184,7 +184,7 @@
     }
     job.service = PickService(*job.route, job.request.id);
     job.traits = this->routes->FindService(job.service);
-    job.desk = &this->DeskOf(job.service);
+    job.state = &this->StateOf(job.service);
     return ResultCode::kOk;
   }
 
@@ -228,7 +228,7 @@
         std::make_shared<StreamRelay>(this->context, std::move(job));
     this->Start(relay);
     // Who comes does not pass by those who wait.
-    if (relay->job().desk->queue.size() > 0 || !relay->TryPlace()) {
+    if (relay->job().state->queue.size() > 0 || !relay->TryPlace()) {
       this->waiting.Add(relay);
     }
   }
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -150,8 +150,8 @@
          this->outcome
              .sends<kMostSends&& this->context.catalog.Of(this->work.service)
                         .size()> 1 &&
-         this->work.desk->budget.TryTake(this->Now(),
-                                         this->context.processes());
+         this->work.state->budget.TryTake(this->Now(),
+                                          this->context.processes());
 }
 
 void CallRelay::EndAttempt() {
@@ -166,10 +166,10 @@
 void CallRelay::AfterNotRun(ResultCode code) {
   this->EndAttempt();
   --this->runs;
-  const bool again =
-      this->outcome.sends < kMostSends &&
-      this->work.desk->budget.TryTake(this->Now(), this->context.processes()) &&
-      this->TryPlace();
+  const bool again = this->outcome.sends < kMostSends &&
+                     this->work.state->budget.TryTake(
+                         this->Now(), this->context.processes()) &&
+                     this->TryPlace();
   if (again) {
     return;
   }
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -22,7 +22,7 @@
 namespace acacialug::gateway {
 
 // What belongs to one service in one process.
-struct ServiceDesk {
+struct ServiceState {
   AdmissionQueue queue;
   RepeatBudget budget;
 };
@@ -58,7 +58,7 @@
   const Route* route = nullptr;
   ServiceName service;
   const ServiceTraits* traits = nullptr;
-  ServiceDesk* desk = nullptr;
+  ServiceState* state = nullptr;
   Instant arrived;
   // That the caller spent on earlier tries, as far as its deadline tells.
   Duration spent{};
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -146,7 +146,7 @@
        {"peers", this->context.book.peers()}});
   this->context.book.Add(chosen.decode.id, chosen.decode_load);
   this->decode_held = true;
-  this->work.desk->queue.NoteTaken(chosen.decode_load.kv_tokens);
+  this->work.state->queue.NoteTaken(chosen.decode_load.kv_tokens);
   if (chosen.prefill) {
     this->context.book.Add(chosen.prefill->id, chosen.prefill_load);
     this->prefill_held = true;
@@ -169,8 +169,8 @@
     if (ran) {
       this->context.health.NoteRoom(this->place->decode.id);
     }
-    this->work.desk->queue.NoteGiven(this->place->decode_load.kv_tokens,
-                                     this->Now() - this->placed_at);
+    this->work.state->queue.NoteGiven(this->place->decode_load.kv_tokens,
+                                      this->Now() - this->placed_at);
     this->context.on_room(this->work.service);
   }
 }
@@ -277,7 +277,7 @@
   this->GivePrefillBack();
   const bool again =
       this->outcome.prefills < kMostPrefills &&
-      this->work.desk->budget.TryTake(this->Now(), this->context.processes());
+      this->work.state->budget.TryTake(this->Now(), this->context.processes());
   if (again) {
     this->GiveDecodeBack();
     this->GoOn();
@@ -303,7 +303,7 @@
   this->Note(log::Level::kInfo, "decode_refused", this->place->decode.id,
              {{"again", again},
               {"after_ms", this->Now() - this->step_at},
-              {"repeats", this->work.desk->budget.repeats()}});
+              {"repeats", this->work.state->budget.repeats()}});
   if (!again) {
     this->GiveUp(ResultCode::kNoDecodeMemory);
     return;
@@ -312,8 +312,8 @@
 }
 
 bool StreamRelay::TakeRepeat() {
-  return this->work.desk->budget.TryTake(this->Now(), this->context.processes(),
-                                         this->was_prefilled ? 2 : 1);
+  return this->work.state->budget.TryTake(
+      this->Now(), this->context.processes(), this->was_prefilled ? 2 : 1);
 }
 
 void StreamRelay::AfterRun(ResultCode code) {
@@ -350,8 +350,8 @@
   }
   this->Refuse(
       IsNotRun(code) ? code : ResultCode::kNoEndpoint,
-      this->work.desk->queue.NextReturn(this->kv_tokens(), this->TimeLeft(),
-                                        this->Now(), this->context.random));
+      this->work.state->queue.NextReturn(this->kv_tokens(), this->TimeLeft(),
+                                         this->Now(), this->context.random));
 }
 
 void StreamRelay::OnDeadline() {
--- a/src/gateway/internal/waiting_streams.cc
+++ b/src/gateway/internal/waiting_streams.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 void WaitingStreams::Add(const std::shared_ptr<StreamRelay>& relay) {
-  AdmissionQueue& queue = relay->job().desk->queue;
+  AdmissionQueue& queue = relay->job().state->queue;
   const AdmissionQueue::Ticket ticket = this->TicketOf(*relay);
   AdmissionQueue::Verdict verdict = queue.Ask(ticket);
   const bool was_admitted = this->admitted.contains(relay.get());
@@ -64,8 +64,8 @@
       {.request_name = job.request.id,
        .fields = {{"service", job.service},
                   {"rank", NameOf(kTicketRankNames, ticket.rank)},
-                  {"waiting", job.desk->queue.size()},
-                  {"waiting_tokens", job.desk->queue.waiting_tokens()},
+                  {"waiting", job.state->queue.size()},
+                  {"waiting_tokens", job.state->queue.waiting_tokens()},
                   {"pool_fill", fill},
                   {"expected_wait_ms", verdict.expected_wait},
                   {"age_ms", relay.Age()},
@@ -78,7 +78,7 @@
       this->waiting.begin(), this->waiting.end(),
       [&relay](const auto& entry) { return entry.second.get() == &relay; });
   if (found != this->waiting.end()) {
-    relay.job().desk->queue.Remove(found->first);
+    relay.job().state->queue.Remove(found->first);
     this->waiting.erase(found);
   }
 }
@@ -86,7 +86,7 @@
 void WaitingStreams::OnRoom(const ServiceName& service) {
   for (const auto& [ticket, relay] : this->waiting) {
     if (relay->job().service == service) {
-      this->rooms.insert(&relay->job().desk->queue);
+      this->rooms.insert(&relay->job().state->queue);
       this->PlaceSoon();
       return;
     }
@@ -104,7 +104,7 @@
 
 void WaitingStreams::PlaceAll() {
   for (const auto& [ticket, relay] : this->waiting) {
-    this->rooms.insert(&relay->job().desk->queue);
+    this->rooms.insert(&relay->job().state->queue);
   }
   this->PlaceWaiting();
 }
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -58,7 +58,7 @@
   Instant heard_at{};
   Instant told_at{};
   Instant read_at{};
-  Instant shunned_until{};  // it did not hand over what it knows
+  Instant passed_over_until{};  // it did not hand over what it knows
   bool heard = false;
 };
 
@@ -170,7 +170,7 @@
 
   void TellAll() {
     this->last_told = MonotonicNow();
-    const std::string datagram = this->MakeBeat();
+    const std::string datagram = this->MakeHeartbeat();
     for (auto& [id, peer] : this->peers) {
       const bool lives =
           peer.heard && this->last_told - peer.heard_at < kPeerMemory;
@@ -181,41 +181,43 @@
     }
   }
 
-  std::string MakeBeat() {
-    protocol::PeerBeat beat{.sender = this->options.id,
-                            .incarnation = this->options.incarnation,
-                            .sequence = ++this->sequence,
-                            .pages_port = this->pages->port(),
-                            .configuration = this->known.configuration,
-                            .endpoints = this->known.changed_to,
-                            .read_age_ms = this->ReadAge()};
+  std::string MakeHeartbeat() {
+    protocol::PeerHeartbeat heartbeat{
+        .sender = this->options.id,
+        .incarnation = this->options.incarnation,
+        .sequence = ++this->sequence,
+        .pages_port = this->pages->port(),
+        .configuration = this->known.configuration,
+        .endpoints = this->known.changed_to,
+        .read_age_ms = this->ReadAge()};
     gateway::PeerLoad load = this->options.own_load();
-    if (load.rows.size() > protocol::kMaxPeerBeatRows) {
+    if (load.rows.size() > protocol::kMaxPeerHeartbeatRows) {
       // The largest loads matter most; the rest is told by placing elsewhere.
       std::partial_sort(
-          load.rows.begin(), load.rows.begin() + protocol::kMaxPeerBeatRows,
-          load.rows.end(), [](const auto& left, const auto& right) {
+          load.rows.begin(),
+          load.rows.begin() + protocol::kMaxPeerHeartbeatRows, load.rows.end(),
+          [](const auto& left, const auto& right) {
             return left.load.kv_tokens + left.load.prefill_tokens >
                    right.load.kv_tokens + right.load.prefill_tokens;
           });
-      load.rows.resize(protocol::kMaxPeerBeatRows);
+      load.rows.resize(protocol::kMaxPeerHeartbeatRows);
     }
     for (const gateway::PeerLoad::Row& row : load.rows) {
-      beat.rows.push_back({.endpoint_key = row.endpoint_key,
-                           .requests = row.load.requests,
-                           .kv_tokens = row.load.kv_tokens,
-                           .prefill_tokens = row.load.prefill_tokens});
+      heartbeat.rows.push_back({.endpoint_key = row.endpoint_key,
+                                .requests = row.load.requests,
+                                .kv_tokens = row.load.kv_tokens,
+                                .prefill_tokens = row.load.prefill_tokens});
     }
     for (const gateway::EndpointPause& pause : this->options.own_pauses()) {
-      if (beat.pauses.size() < protocol::kMaxPeerBeatPauses) {
-        beat.pauses.push_back(
+      if (heartbeat.pauses.size() < protocol::kMaxPeerHeartbeatPauses) {
+        heartbeat.pauses.push_back(
             {.endpoint_key = pause.endpoint_key,
              .left_ms = static_cast<std::uint32_t>(
                  std::chrono::ceil<std::chrono::milliseconds>(pause.left)
                      .count())});
       }
     }
-    return protocol::Encode(beat);
+    return protocol::Encode(heartbeat);
   }
 
   std::uint32_t ReadAge() const {
@@ -226,45 +228,47 @@
   }
 
   void OnDatagram(std::string_view datagram, const http::Address& from) {
-    const Result<protocol::PeerBeat> beat = protocol::DecodePeerBeat(datagram);
-    if (!beat.ok()) {
+    const Result<protocol::PeerHeartbeat> heartbeat =
+        protocol::DecodePeerHeartbeat(datagram);
+    if (!heartbeat.ok()) {
       log::WriteLimited(this->limiter, MonotonicNow(), log::Level::kWarning,
                         "peer_datagram_bad",
-                        {.code = beat.error().result_code(),
+                        {.code = heartbeat.error().result_code(),
                          .fields = {{"from", http::ToString(from)},
-                                    {"detail", beat.error().detail}}});
+                                    {"detail", heartbeat.error().detail}}});
       return;
     }
-    if (beat->sender == this->options.id) {
+    if (heartbeat->sender == this->options.id) {
       return;
     }
-    const bool newcomer =
-        !this->peers.contains(beat->sender) || !this->peers[beat->sender].heard;
-    Peer& peer = this->peers[beat->sender];
+    const bool newcomer = !this->peers.contains(heartbeat->sender) ||
+                          !this->peers[heartbeat->sender].heard;
+    Peer& peer = this->peers[heartbeat->sender];
     // Datagrams overtake each other; an old one must not undo a newer.
-    if (peer.heard && peer.incarnation == beat->incarnation &&
-        beat->sequence <= peer.sequence) {
+    if (peer.heard && peer.incarnation == heartbeat->incarnation &&
+        heartbeat->sequence <= peer.sequence) {
       return;
     }
     if (newcomer) {
-      log::Info("peer_heard", {.fields = {{"peer", beat->sender},
+      log::Info("peer_heard", {.fields = {{"peer", heartbeat->sender},
                                           {"from", http::ToString(from)}}});
     }
     peer.heard = true;
     peer.address = from;
-    peer.incarnation = beat->incarnation;
-    peer.sequence = beat->sequence;
-    peer.pages_port = beat->pages_port;
-    peer.configuration = beat->configuration;
-    peer.endpoints = beat->endpoints;
+    peer.incarnation = heartbeat->incarnation;
+    peer.sequence = heartbeat->sequence;
+    peer.pages_port = heartbeat->pages_port;
+    peer.configuration = heartbeat->configuration;
+    peer.endpoints = heartbeat->endpoints;
     peer.heard_at = MonotonicNow();
-    peer.read_at = peer.heard_at - std::chrono::milliseconds(beat->read_age_ms);
-    for (const protocol::PeerBeat::Pause& pause : beat->pauses) {
+    peer.read_at =
+        peer.heard_at - std::chrono::milliseconds(heartbeat->read_age_ms);
+    for (const protocol::PeerHeartbeat::Pause& pause : heartbeat->pauses) {
       this->options.on_pause(
           {.endpoint_key = pause.endpoint_key,
            .left = std::chrono::milliseconds(pause.left_ms)});
     }
-    this->options.on_load(beat->sender, LoadOf(*beat));
+    this->options.on_load(heartbeat->sender, LoadOf(*heartbeat));
     if (newcomer) {
       this->CountPeers();
       this->TellAll();
@@ -272,10 +276,10 @@
     this->FetchIfBehind();
   }
 
-  static gateway::PeerLoad LoadOf(const protocol::PeerBeat& beat) {
+  static gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat) {
     gateway::PeerLoad load;
-    load.rows.reserve(beat.rows.size());
-    for (const protocol::PeerBeat::Row& row : beat.rows) {
+    load.rows.reserve(heartbeat.rows.size());
+    for (const protocol::PeerHeartbeat::Row& row : heartbeat.rows) {
       load.rows.push_back({.endpoint_key = row.endpoint_key,
                            .load = {.requests = row.requests,
                                     .kv_tokens = row.kv_tokens,
@@ -319,7 +323,7 @@
     const Instant now = MonotonicNow();
     const Peer* best = nullptr;
     for (const auto& [id, peer] : this->peers) {
-      const bool useful = peer.heard && now >= peer.shunned_until &&
+      const bool useful = peer.heard && now >= peer.passed_over_until &&
                           (peer.configuration > this->known.configuration ||
                            peer.endpoints > this->known.complete_to);
       if (useful && (best == nullptr ||
@@ -352,7 +356,7 @@
          .on_error =
              [this, address](const Error& error, bool) {
                this->fetching = false;
-               this->Shun(address);
+               this->PassOver(address);
                log::WriteLimited(this->limiter, MonotonicNow(),
                                  log::Level::kWarning, "peer_catalog_failed",
                                  {.code = error.result_code(),
@@ -363,10 +367,10 @@
 
   // The next best is asked meanwhile: one that died is believed to live for
   // two seconds, and all would wait for it.
-  void Shun(const http::Address& pages) {
+  void PassOver(const http::Address& pages) {
     for (auto& [id, peer] : this->peers) {
       if (peer.address.ip == pages.ip && peer.pages_port == pages.port) {
-        peer.shunned_until = MonotonicNow() + kRetryInterval;
+        peer.passed_over_until = MonotonicNow() + kRetryInterval;
       }
     }
     this->FetchIfBehind();
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -75,17 +75,17 @@
 
 }  // namespace
 
-std::string Encode(const PeerBeat& beat) {
-  return EncodeDatagram(beat);
+std::string Encode(const PeerHeartbeat& heartbeat) {
+  return EncodeDatagram(heartbeat);
 }
 
-Result<PeerBeat> DecodePeerBeat(std::string_view datagram) {
-  Result<PeerBeat> beat = DecodeDatagram<PeerBeat>(datagram);
-  if (beat.ok() && (beat->rows.size() > kMaxPeerBeatRows ||
-                    beat->pauses.size() > kMaxPeerBeatPauses)) {
+Result<PeerHeartbeat> DecodePeerHeartbeat(std::string_view datagram) {
+  Result<PeerHeartbeat> heartbeat = DecodeDatagram<PeerHeartbeat>(datagram);
+  if (heartbeat.ok() && (heartbeat->rows.size() > kMaxPeerHeartbeatRows ||
+                         heartbeat->pauses.size() > kMaxPeerHeartbeatPauses)) {
     return Error(ResultCode::kBadFrame, "too many rows");
   }
-  return beat;
+  return heartbeat;
 }
 
 std::string Encode(const EntryToAgent& message) {
--- a/src/protocol/message_codec.h
+++ b/src/protocol/message_codec.h
@@ -7,7 +7,7 @@
 #include "framework/global/types/result.h"
 #include "protocol/types/heartbeat.h"
 #include "protocol/types/messages.h"
-#include "protocol/types/peer_beat.h"
+#include "protocol/types/peer_heartbeat.h"
 
 namespace acacialug::protocol {
 
@@ -27,11 +27,11 @@
 // kMaxHeartbeatSessions).
 std::string Encode(const Heartbeat& heartbeat);
 std::string Encode(const HeartbeatAnswer& answer);
-std::string Encode(const PeerBeat& beat);
+std::string Encode(const PeerHeartbeat& heartbeat);
 Result<Heartbeat> DecodeHeartbeat(std::string_view datagram);
 Result<HeartbeatAnswer> DecodeHeartbeatAnswer(std::string_view datagram);
-// kBadFrame also for more rows than kMaxPeerBeatRows.
-Result<PeerBeat> DecodePeerBeat(std::string_view datagram);
+// kBadFrame also for more rows than kMaxPeerHeartbeatRows.
+Result<PeerHeartbeat> DecodePeerHeartbeat(std::string_view datagram);
 
 }  // namespace acacialug::protocol
 
--- /dev/null
+++ b/src/protocol/tests/peer_heartbeat_test.cc
@@ -0,0 +1,60 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "framework/testing/story.h"
+#include "protocol/message_codec.h"
+#include "protocol/types/heartbeat.h"
+
+namespace acacialug::protocol {
+namespace {
+
+using acacialug::testing::It;
+
+PeerHeartbeat Full() {
+  PeerHeartbeat heartbeat{.sender = "frontend-hall-a-1",
+                          .incarnation = Incarnation(7),
+                          .sequence = 3,
+                          .pages_port = 7380,
+                          .configuration = LogOffset(9),
+                          .endpoints = LogOffset(11),
+                          .read_age_ms = 250};
+  for (std::size_t number = 0; number < kMaxPeerHeartbeatRows; ++number) {
+    heartbeat.rows.push_back({.endpoint_key = number,
+                              .requests = 2,
+                              .kv_tokens = 8000,
+                              .prefill_tokens = 3000});
+  }
+  for (std::size_t number = 0; number < kMaxPeerHeartbeatPauses; ++number) {
+    heartbeat.pauses.push_back({.endpoint_key = number, .left_ms = 6000});
+  }
+  return heartbeat;
+}
+
+const acacialug::testing::Story kStory(
+    "a peer's heartbeat",
+    {It("comes back as it was, and fits a datagram when it is full",
+        [] {
+          const std::string datagram = Encode(Full());
+          CPPUNIT_ASSERT(datagram.size() <= kMaxDatagramBytes);
+          const Result<PeerHeartbeat> read = DecodePeerHeartbeat(datagram);
+          CPPUNIT_ASSERT(read.ok());
+          CPPUNIT_ASSERT_EQUAL(datagram, Encode(*read));
+          CPPUNIT_ASSERT_EQUAL(std::string("frontend-hall-a-1"), read->sender);
+        }),
+     It("with more rows than a datagram holds is refused",
+        [] {
+          PeerHeartbeat heartbeat = Full();
+          heartbeat.pauses.clear();
+          heartbeat.rows.push_back({});
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
+        }),
+     It("that is cut off anywhere is refused", [] {
+       const std::string datagram = Encode(Full());
+       for (std::size_t size = 0; size < datagram.size(); ++size) {
+         CPPUNIT_ASSERT(!DecodePeerHeartbeat(datagram.substr(0, size)).ok());
+       }
+     })});
+
+}  // namespace
+}  // namespace acacialug::protocol
--- a/src/protocol/types/peer_beat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -1,5 +1,5 @@
-#ifndef PROTOCOL_TYPES_PEER_BEAT_H_
-#define PROTOCOL_TYPES_PEER_BEAT_H_
+#ifndef PROTOCOL_TYPES_PEER_HEARTBEAT_H_
+#define PROTOCOL_TYPES_PEER_HEARTBEAT_H_
 
 #include <cstdint>
 #include <string>
@@ -11,7 +11,7 @@
 
 // A datagram from one gateway to another: what it has placed, and how far it
 // knows configuration and endpoints. One that is lost is made good by the next.
-struct PeerBeat {
+struct PeerHeartbeat {
   struct Row {
     std::uint64_t endpoint_key = 0;  // hash of the endpoint's id
     std::uint32_t requests = 0;
@@ -56,9 +56,9 @@
 
 // Rows and pauses in one datagram at most: they and the head stay under 1,200
 // bytes, the least that every path takes whole.
-inline constexpr std::size_t kMaxPeerBeatRows = 28;
-inline constexpr std::size_t kMaxPeerBeatPauses = 16;
+inline constexpr std::size_t kMaxPeerHeartbeatRows = 28;
+inline constexpr std::size_t kMaxPeerHeartbeatPauses = 16;
 
 }  // namespace acacialug::protocol
 
-#endif  // PROTOCOL_TYPES_PEER_BEAT_H_
+#endif  // PROTOCOL_TYPES_PEER_HEARTBEAT_H_
