--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -66,9 +66,14 @@
 bool EndpointCatalog::Apply(const EndpointSnapshot& snapshot, Instant now) {
   bool changed = false;
   std::set<EndpointId> present;
+  // What is known further than the snapshot, and not known here, is gone; a
+  // process that never knew it has no memory of its deletion.
+  const bool behind = snapshot.as_of <= this->complete_to();
   for (const EndpointChange& change : snapshot.records) {
     present.insert(change.id);
-    changed = this->Apply(change, now) || changed;
+    if (!behind || this->entries.contains(change.id)) {
+      changed = this->Apply(change, now) || changed;
+    }
   }
   std::vector<EndpointId> missing;
   for (const auto& [id, entry] : this->entries) {
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -52,6 +52,27 @@
                         kStart);
           CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) == nullptr);
         }),
+     It("does not take from an older snapshot what was gone before it began",
+        [] {
+          // Symptom: requests reach an endpoint 3.2 s after its record was
+          // deleted. Sequence: a process starts and reads the store, which
+          // lacks the endpoint; a peer that is behind hands it a catalog that
+          // has it; others take its catalog, which is the newest. Cause: it
+          // never knew the endpoint, and so did not know it for deleted.
+          EndpointCatalog started;
+          started.Apply(
+              EndpointSnapshot{.as_of = LogOffset(9),
+                               .records = {Written(3, "b"), Written(2, "c")}},
+              kStart);
+          started.Apply(
+              EndpointSnapshot{.as_of = LogOffset(6),
+                               .records = {Written(5, "a"), Written(3, "b")}},
+              kStart);
+          CPPUNIT_ASSERT(started.Find(EndpointId("a")) == nullptr);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, started.size());
+          started.Apply(Written(9, "d"), kStart);
+          CPPUNIT_ASSERT(started.Find(EndpointId("d")) != nullptr);
+        }),
      It("drops what a newer snapshot lacks",
         [] {
           EndpointCatalog catalog;
