--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -64,16 +64,17 @@
 }
 
 bool EndpointCatalog::Apply(const EndpointSnapshot& snapshot, Instant now) {
+  // Nothing is to be learned from one that is behind, and much to be
+  // mislearned: what it has and is not known here is gone, also if this process
+  // never knew it and has no memory of its deletion.
+  if (snapshot.as_of <= this->complete_to()) {
+    return false;
+  }
   bool changed = false;
   std::set<EndpointId> present;
-  // What is known further than the snapshot, and not known here, is gone; a
-  // process that never knew it has no memory of its deletion.
-  const bool behind = snapshot.as_of <= this->complete_to();
   for (const EndpointChange& change : snapshot.records) {
     present.insert(change.id);
-    if (!behind || this->entries.contains(change.id)) {
-      changed = this->Apply(change, now) || changed;
-    }
+    changed = this->Apply(change, now) || changed;
   }
   std::vector<EndpointId> missing;
   for (const auto& [id, entry] : this->entries) {
