--- a/src/service_levels/internal/digest_codec.cc
+++ b/src/service_levels/internal/digest_codec.cc
@@ -71,6 +71,12 @@
     counts.AddCause(CauseFromName(name).value_or(Cause::kOther),
                     reader.Number(causes, name.c_str()), kAllCauses);
   }
+  // In the order of names, also where an unknown one became kOther: the same
+  // counts would differ from what is read of them when written again.
+  std::sort(counts.causes.begin(), counts.causes.end(),
+            [](const auto& left, const auto& right) {
+              return CauseName(left.cause) < CauseName(right.cause);
+            });
   return counts;
 }
 
