Say a call's repeat step by step, and drop a hook that nothing called

CallRelay gave its load back in two places with the same lines; TakeRepeat was one expression that the formatter took for a template; GatewayHooks::set_paused was wired through and never called. Behaviour as before.

--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -146,20 +146,25 @@
 }
 
 bool CallRelay::TakeRepeat() {
-  return this->MayRunAgain() && this->runs < this->work.route->max_endpoints &&
-         this->outcome
-             .sends<kMostSends&& this->context.catalog.Of(this->work.service)
-                        .size()> 1 &&
+  const bool allowed = this->MayRunAgain() &&
+                       this->runs < this->work.route->max_endpoints &&
+                       this->outcome.sends < kMostSends;
+  const bool others = this->context.catalog.Of(this->work.service).size() > 1;
+  return allowed && others &&
          this->work.state->budget.TryTake(this->Now(),
                                           this->context.processes());
 }
 
-void CallRelay::EndAttempt() {
-  this->EndPhase();
+void CallRelay::GiveLoadBack() {
   if (!this->load.empty()) {
     this->context.book.Remove(this->endpoint.id, this->load);
     this->load = {};
   }
+}
+
+void CallRelay::EndAttempt() {
+  this->EndPhase();
+  this->GiveLoadBack();
   this->tried.push_back(this->endpoint.id);
 }
 
@@ -200,10 +205,7 @@
 }
 
 void CallRelay::Release() {
-  if (!this->load.empty()) {
-    this->context.book.Remove(this->endpoint.id, this->load);
-    this->load = {};
-  }
+  this->GiveLoadBack();
 }
 
 }  // namespace acacialug::gateway
--- a/src/gateway/internal/call_relay.h
+++ b/src/gateway/internal/call_relay.h
@@ -32,6 +32,7 @@
   // True when it may run again at another endpoint; takes that from the budget.
   bool TakeRepeat();
   void EndAttempt();
+  void GiveLoadBack();
 
   EndpointRecord endpoint;
   EndpointLoad load;  // empty: no attempt is under way
--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -111,7 +111,6 @@
               }
             }
           },
-      .set_paused = [](http::Client::ExchangeId, bool) {},
       .drop_idle = [](const http::Address&) {},
       .wake_at = [](Instant) {},
       .on_load_changed = [] {},
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -16,14 +16,12 @@
 // What the core needs from its process. All run on the core's thread.
 struct GatewayHooks {
   std::function<Instant()> now;
-  // As http::Client::Send, Cancel, SetPaused and DropIdle.
+  // As http::Client::Send, Cancel and DropIdle.
   std::function<http::Client::ExchangeId(const http::Address& address,
                                          const http::Request& request,
                                          http::ExchangeHooks hooks)>
       send;
   std::function<void(http::Client::ExchangeId exchange)> cancel;
-  std::function<void(http::Client::ExchangeId exchange, bool paused)>
-      set_paused;
   std::function<void(const http::Address& address)> drop_idle;
   // The core's timer is due at this time, sooner than was told before. Call
   // OnTimer then; next_timer() tells the time of the next.
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -147,10 +147,6 @@
             [this](http::Client::ExchangeId exchange) {
               this->client.Cancel(exchange);
             },
-        .set_paused =
-            [this](http::Client::ExchangeId exchange, bool paused) {
-              this->client.SetPaused(exchange, paused);
-            },
         .drop_idle =
             [this](const http::Address& address) {
               this->client.DropIdle(address);
