Pass dead and leaving endpoints by: tell peers, and do not take them as full

Each of 22 gateways found out by itself.

Change: who cannot be reached is told to peers with the heartbeat's pauses, believed for half a second and not against a fresh answer; avoided endpoints are not asked while others live; an endpoint that refuses while it is thought to be under half full is left alone for longer each time. Neither counts as a sign of a full pool. EndpointHealth forgets endpoints after a minute (it grew with each new start of one).

--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -15,7 +15,30 @@
 
 }  // namespace
 
-void EndpointHealth::NoteSuccess(const EndpointId& endpoint) {
+EndpointHealth::State& EndpointHealth::Touch(const EndpointId& endpoint,
+                                             Instant now) {
+  State& state = this->states[endpoint];
+  state.seen_at = now;
+  return state;
+}
+
+void EndpointHealth::NoteAnswer(const EndpointId& endpoint, Instant now) {
+  State& state = this->Touch(endpoint, now);
+  state.answered_at = now;
+  state.unreachable_until = Instant{};
+}
+
+void EndpointHealth::Sweep(Instant now) {
+  std::erase_if(this->states, [now](const auto& entry) {
+    return entry.second.seen_at + kMemory < now;
+  });
+  const auto over = [now](const auto& entry) { return entry.second < now; };
+  std::erase_if(this->pauses, over);
+  std::erase_if(this->told_unreachable, over);
+}
+
+void EndpointHealth::NoteSuccess(const EndpointId& endpoint, Instant now) {
+  this->NoteAnswer(endpoint, now);
   State& state = this->states[endpoint];
   state.failure_share *= 1 - kOutcomeWeight;
   state.silences = 0;
@@ -23,7 +46,7 @@
 }
 
 void EndpointHealth::NoteFailure(const EndpointId& endpoint, Instant now) {
-  State& state = this->states[endpoint];
+  State& state = this->Touch(endpoint, now);
   state.failure_share += (1 - state.failure_share) * kOutcomeWeight;
   state.silences = 0;
   if (state.failure_share > kWorstFailureShare) {
@@ -32,7 +55,7 @@
 }
 
 void EndpointHealth::NoteSilence(const EndpointId& endpoint, Instant now) {
-  State& state = this->states[endpoint];
+  State& state = this->Touch(endpoint, now);
   const std::uint32_t doublings = std::min(state.silences, kMostDoublings);
   const Duration pause =
       std::min(kLongestPause, kFirstPause * (std::int64_t{1} << doublings));
@@ -41,15 +64,51 @@
   state.avoided_until = std::max(state.avoided_until, now + pause);
 }
 
-void EndpointHealth::NoteFull(const EndpointId& endpoint, Instant now) {
+void EndpointHealth::NoteUnreachable(const EndpointId& endpoint, Instant now) {
+  this->NoteSilence(endpoint, now);
   State& state = this->states[endpoint];
+  state.unreachable_until = state.avoided_until;
+}
+
+void EndpointHealth::NoteToldUnreachable(std::uint64_t endpoint_key,
+                                         Duration left,
+                                         Instant now) {
+  Instant& until = this->told_unreachable[endpoint_key];
+  until = std::max(until, now + std::min(left, kToldPause));
+}
+
+std::vector<EndpointPause> EndpointHealth::Unreachable(Instant now) const {
+  std::vector<EndpointPause> pauses;
+  for (const auto& [endpoint, state] : this->states) {
+    if (now < state.unreachable_until) {
+      pauses.push_back({.endpoint_key = LoadBook::KeyOf(endpoint),
+                        .left = state.unreachable_until - now,
+                        .reason = PauseReason::kUnreachable});
+    }
+  }
+  return pauses;
+}
+
+void EndpointHealth::NoteFull(const EndpointId& endpoint, Instant now) {
+  State& state = this->Touch(endpoint, now);
   state.silences = 0;
   state.full_until = now + kFullPause;
 }
 
+void EndpointHealth::NoteUnwilling(const EndpointId& endpoint, Instant now) {
+  State& state = this->Touch(endpoint, now);
+  const std::uint32_t doublings = std::min(state.refusals, kMostDoublings);
+  state.full_until = now + std::min(kLongestPause, kFullPause * (std::int64_t{1}
+                                                                 << doublings));
+  if (++state.refusals >= kSureRefusals) {
+    state.unreachable_until = state.full_until;
+  }
+}
+
 void EndpointHealth::NoteRoom(const EndpointId& endpoint) {
   const auto found = this->states.find(endpoint);
   if (found != this->states.end()) {
+    found->second.refusals = 0;
     found->second.full_until = Instant{};
   }
 }
@@ -79,7 +138,19 @@
 
 bool EndpointHealth::Avoided(const EndpointId& endpoint, Instant now) const {
   const auto found = this->states.find(endpoint);
-  return found != this->states.end() && now < found->second.avoided_until;
+  if (found != this->states.end()) {
+    if (now < found->second.avoided_until) {
+      return true;
+    }
+    if (found->second.answered_at + kFreshAnswer > now) {
+      return false;
+    }
+  }
+  if (this->told_unreachable.empty()) {
+    return false;
+  }
+  const auto told = this->told_unreachable.find(LoadBook::KeyOf(endpoint));
+  return told != this->told_unreachable.end() && now < told->second;
 }
 
 double EndpointHealth::FailureShare(const EndpointId& endpoint) const {
--- a/src/gateway/endpoint_health.h
+++ b/src/gateway/endpoint_health.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
+#include "gateway/types/endpoint_load.h"
 
 namespace acacialug::gateway {
 
@@ -21,6 +23,14 @@
   // record in three heartbeats, under 4 s.
   static constexpr Duration kFirstPause = 500ms;
   static constexpr Duration kLongestPause = 4s;
+  // A peer's word on an endpoint that cannot be reached counts for this long,
+  // and is repeated while it holds; and not against an answer that is newer
+  // than this: some two heartbeats of a peer.
+  static constexpr Duration kToldPause = 500ms;
+  static constexpr Duration kFreshAnswer = 250ms;
+  // Refusals in a row, while far from full, of which peers are told.
+  static constexpr std::uint32_t kSureRefusals = 2;
+  static constexpr Duration kMemory = 60s;
   // A full endpoint ends some request about this often, and peers' loads are
   // heard again within it.
   static constexpr Duration kFullPause = 150ms;
@@ -32,15 +42,27 @@
   // Weight of the newest speed.
   static constexpr double kSpeedWeight = 0.2;
 
-  void NoteSuccess(const EndpointId& endpoint);
+  void NoteSuccess(const EndpointId& endpoint, Instant now);
+  // It answered, whatever it said: it can be reached.
+  void NoteAnswer(const EndpointId& endpoint, Instant now);
   // It answered, and with a failure.
   void NoteFailure(const EndpointId& endpoint, Instant now);
   // No connection, a broken one, or no answer in time.
   void NoteSilence(const EndpointId& endpoint, Instant now);
+  // A silence before anything could be sent: peers are told of it.
+  void NoteUnreachable(const EndpointId& endpoint, Instant now);
+  // A peer could not reach it, and thinks so until then. Believed unless the
+  // endpoint has just answered here: the peer may be the one that is cut off.
+  void NoteToldUnreachable(std::uint64_t endpoint_key,
+                           Duration left,
+                           Instant now);
   // It refused for want of room that it was thought to have; and it has room
-  // again, since something there has ended.
+  // again, since it took work or something there has ended.
   void NoteFull(const EndpointId& endpoint, Instant now);
   void NoteRoom(const EndpointId& endpoint);
+  // It refused while it was thought to be far from full: it leaves, or does not
+  // work. Paused longer each time.
+  void NoteUnwilling(const EndpointId& endpoint, Instant now);
   // It changes its role, and takes no work until then. By the hash of its id,
   // as peers tell it (LoadBook::KeyOf).
   void NotePause(std::uint64_t endpoint_key, Instant until);
@@ -48,6 +70,8 @@
   void NoteSpeed(const EndpointId& endpoint, double ratio);
 
   bool Avoided(const EndpointId& endpoint, Instant now) const;
+  // Those that this process could not reach itself, for its peers.
+  std::vector<EndpointPause> Unreachable(Instant now) const;
   // Refused for want of room a moment ago.
   bool Full(const EndpointId& endpoint, Instant now) const;
   // Not to be used, also if there is no other.
@@ -57,19 +81,28 @@
   // How many times longer than expected its work takes, lately; 1 if unknown.
   double Slowness(const EndpointId& endpoint) const;
 
-  void Forget(const EndpointId& endpoint) { this->states.erase(endpoint); }
+  // Forgets endpoints that nothing was seen of for a minute: each start of an
+  // endpoint has a new id.
+  void Sweep(Instant now);
 
  private:
   struct State {
+    Instant seen_at{};
+    Instant answered_at{};
+    Instant unreachable_until{};
     double failure_share = 0;
     double slowness = 1;
     std::uint32_t silences = 0;  // in a row
+    std::uint32_t refusals = 0;  // in a row, while far from full
     Instant avoided_until{};
     Instant full_until{};
   };
 
+  State& Touch(const EndpointId& endpoint, Instant now);
+
   std::map<EndpointId, State> states;
-  std::map<std::uint64_t, Instant> pauses;  // until
+  std::map<std::uint64_t, Instant> pauses;            // until
+  std::map<std::uint64_t, Instant> told_unreachable;  // until
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -122,7 +122,19 @@
   }
 
   void SetPause(const EndpointPause& pause) {
-    this->health.NotePause(pause.endpoint_key, this->Now() + pause.left);
+    if (pause.reason == PauseReason::kUnreachable) {
+      this->health.NoteToldUnreachable(pause.endpoint_key, pause.left,
+                                       this->Now());
+    } else {
+      this->health.NotePause(pause.endpoint_key, this->Now() + pause.left);
+    }
+  }
+
+  std::vector<EndpointPause> OwnPauses() const {
+    std::vector<EndpointPause> pauses = this->roles.Pauses();
+    const auto unreachable = this->health.Unreachable(this->Now());
+    pauses.insert(pauses.end(), unreachable.begin(), unreachable.end());
+    return pauses;
   }
 
   void SetPeers(std::size_t count, bool first) {
@@ -265,6 +277,7 @@
   void Sweep() {
     const Instant now = this->Now();
     this->book.Sweep(now);
+    this->health.Sweep(now);
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
@@ -333,7 +346,7 @@
 }
 
 std::vector<EndpointPause> GatewayCore::OwnPauses() const {
-  return this->implementation->roles.Pauses();
+  return this->implementation->OwnPauses();
 }
 
 void GatewayCore::SetPause(const EndpointPause& pause) {
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -70,7 +70,8 @@
   void SetPeerLoad(const std::string& peer, const PeerLoad& load);
   void SetPeers(std::size_t peers, bool first);
   PeerLoad OwnLoad() const;
-  // Endpoints whose role this process is changing; and what a peer told.
+  // Endpoints whose role this process is changing, and those that it cannot
+  // reach; and what a peer told.
   std::vector<EndpointPause> OwnPauses() const;
   void SetPause(const EndpointPause& pause);
 
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -81,7 +81,7 @@
   const EndpointId& id = this->endpoint.id;
   switch (this->nature) {
     case AnswerNature::kSuccess:
-      this->context.health.NoteSuccess(id);
+      this->context.health.NoteSuccess(id, this->Now());
       this->PassOn(RelayEnd::kServed, this->status, this->headers,
                    std::move(body));
       return;
@@ -116,7 +116,7 @@
 
 void CallRelay::OnLost(const Error& error, bool sent) {
   this->ForgetExchange();
-  this->context.health.NoteSilence(this->endpoint.id, this->Now());
+  this->NoteLost(this->endpoint.id, sent);
   this->Note(log::Level::kWarning, "attempt_lost", this->endpoint.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->sent_at},
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -54,6 +54,14 @@
   this->exchange = this->context.hooks.send(address, request, std::move(hooks));
 }
 
+void Relay::NoteLost(const EndpointId& endpoint, bool sent) {
+  if (sent) {
+    this->context.health.NoteSilence(endpoint, this->Now());
+  } else {
+    this->context.health.NoteUnreachable(endpoint, this->Now());
+  }
+}
+
 void Relay::StopExchange() {
   if (this->exchange != 0) {
     this->context.hooks.cancel(std::exchange(this->exchange, 0));
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -18,8 +18,14 @@
 constexpr Duration kLongestReservation = 2s;
 // An endpoint grants or refuses in a round trip of some milliseconds.
 constexpr Duration kReservePatience = 250ms;
-// Endpoints asked one after the other before a pause.
-constexpr std::uint32_t kMostReserves = 3;
+// Endpoints that are full one after the other before a pause, and that are
+// asked at all: one that cannot be reached, or leaves, says nothing of the
+// others' memory.
+constexpr std::uint32_t kMostFull = 3;
+constexpr std::size_t kMostAsked = 8;
+// An endpoint that refuses below this fill does so for another reason: what is
+// placed there is known to within a tenth, and a request takes a sixth.
+constexpr double kFarFromFull = 0.5;
 
 }  // namespace
 
@@ -59,7 +65,7 @@
 
 void StreamRelay::AfterReserve() {
   this->full.clear();
-  this->reserves = 0;
+  this->found_full = 0;
   if (this->place->prefill) {
     this->StartPrefill();
   } else {
@@ -68,7 +74,6 @@
 }
 
 void StreamRelay::Reserve() {
-  ++this->reserves;
   this->step_at = this->Now();
   const Duration lifetime =
       std::min(kLongestReservation, this->place->prefill_time + kReserveSlack);
@@ -86,14 +91,13 @@
              self->OnReserveAnswer(*answered, body);
            },
        .on_error =
-           [self](const Error&, bool) {
+           [self](const Error&, bool sent) {
              self->ForgetExchange();
-             self->context.health.NoteSilence(self->place->decode.id,
-                                              self->Now());
+             self->NoteLost(self->place->decode.id, sent);
              self->OnReserveRefused("lost");
            }});
   this->WatchPhase(kReservePatience, [this] {
-    this->context.health.NoteSilence(this->place->decode.id, this->Now());
+    this->context.health.NoteUnreachable(this->place->decode.id, this->Now());
     this->context.hooks.drop_idle(this->place->decode.address);
     this->StopExchange();
     this->OnReserveRefused("silent");
@@ -102,12 +106,20 @@
 
 void StreamRelay::OnReserveAnswer(int answered, std::string_view body) {
   this->EndPhase();
+  this->context.health.NoteAnswer(this->place->decode.id, this->Now());
   const auto name = this->context.dialect.read_reservation(answered, body);
   if (!name) {
-    this->context.health.NoteFull(this->place->decode.id, this->Now());
-    this->OnReserveRefused("full");
+    if (this->place->decode_fill < kFarFromFull) {
+      this->context.health.NoteUnwilling(this->place->decode.id, this->Now());
+      this->OnReserveRefused("unwilling");
+    } else {
+      ++this->found_full;
+      this->context.health.NoteFull(this->place->decode.id, this->Now());
+      this->OnReserveRefused("full");
+    }
     return;
   }
+  this->context.health.NoteRoom(this->place->decode.id);
   this->reservation = *name;
   this->AfterReserve();
 }
@@ -123,11 +135,12 @@
   this->full.push_back(this->place->decode.id);
   this->GivePrefillBack();
   this->GiveDecodeBack();
-  if (this->reserves < kMostReserves && this->TryPlace()) {
+  if (this->found_full < kMostFull && this->full.size() < kMostAsked &&
+      this->TryPlace()) {
     return;
   }
   this->full.clear();
-  this->reserves = 0;
+  this->found_full = 0;
   this->context.on_unplaced(*this);
 }
 
@@ -226,8 +239,7 @@
                 .on_error =
                     [self](const Error& /*error*/, bool sent) {
                       self->ForgetExchange();
-                      self->context.health.NoteSilence(self->place->prefill->id,
-                                                       self->Now());
+                      self->NoteLost(self->place->prefill->id, sent);
                       self->AfterPrefill(sent ? "lost" : "unreachable");
                     }});
   const Duration patience =
@@ -258,7 +270,7 @@
     this->AfterPrefill(NameOf(kAnswerNatureNames, answer));
     return;
   }
-  this->context.health.NoteSuccess(id);
+  this->context.health.NoteSuccess(id, this->Now());
   const Duration took = this->Now() - this->step_at;
   if (this->place->prefill_time > Duration::zero()) {
     this->context.health.NoteSpeed(id, this->context.health.Slowness(id) *
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -84,7 +84,7 @@
   std::string reservation;  // at the decode endpoint, not used yet
   bool was_prefilled = false;
   std::vector<EndpointId> full;  // refused a reservation in this round
-  std::uint32_t reserves = 0;    // in this round
+  std::uint32_t found_full = 0;  // in this round
   Instant placed_at;
   Instant step_at;
   bool prefill_held = false;  // its load is in the book
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -143,7 +143,7 @@
   const EndpointId id = this->place->decode.id;
   switch (this->nature) {
     case AnswerNature::kSuccess:
-      this->context.health.NoteSuccess(id);
+      this->context.health.NoteSuccess(id, this->Now());
       if (!this->begun) {
         this->work.responder->BeginStream(this->status,
                                           this->CallerHeaders(this->headers));
@@ -192,7 +192,7 @@
 void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
   this->ForgetExchange();
   this->decode_open = false;
-  this->context.health.NoteSilence(this->place->decode.id, this->Now());
+  this->NoteLost(this->place->decode.id, sent);
   this->Note(log::Level::kWarning, "attempt_lost", this->place->decode.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->step_at},
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -45,13 +45,18 @@
   const auto wanted = static_cast<double>(this->KvTokens(need.size));
   const EndpointRecord* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
+  bool sound = false;
   for (const EndpointRecord* const endpoint : endpoints) {
     if (endpoint->role != EndpointRole::kDecode ||
-        WasTried(need.tried, endpoint->id) ||
-        this->health.Full(endpoint->id, need.now) ||
         this->health.Paused(endpoint->id, need.now)) {
       continue;
     }
+    const bool avoided = this->health.Avoided(endpoint->id, need.now);
+    sound = sound || !avoided;
+    if (WasTried(need.tried, endpoint->id) ||
+        this->health.Full(endpoint->id, need.now)) {
+      continue;
+    }
     const EndpointLoad load = this->book.Of(endpoint->id);
     const auto held = static_cast<double>(load.kv_tokens);
     const bool fits = held + wanted <= room && load.requests < engine.slots;
@@ -60,7 +65,7 @@
     }
     double score = held / room + random.Unit() * kSpread +
                    kSlownessWeight * (this->health.Slowness(endpoint->id) - 1);
-    if (this->health.Avoided(endpoint->id, need.now)) {
+    if (avoided) {
       score += kAvoidedPenalty;
     }
     if (score < best_score) {
@@ -68,7 +73,9 @@
       best_score = score;
     }
   }
-  return best;
+  // A dead endpoint looks empty. While others live, one that is full is better
+  // waited for than this one asked.
+  return sound && best_score >= kAvoidedPenalty ? nullptr : best;
 }
 
 Duration StreamPlacement::PrefillTime(const EndpointRecord& endpoint,
--- a/src/gateway/tests/burst_replay_test.cc
+++ b/src/gateway/tests/burst_replay_test.cc
@@ -1,7 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -103,6 +105,9 @@
   }
 
   std::vector<Asked> asked;
+  // Endpoints that refuse every reservation, and that cannot be reached.
+  std::set<std::string> leaving;
+  std::set<std::string> dead;
 
  private:
   struct Work {
@@ -149,8 +154,12 @@
   void PlayReserve(const std::shared_ptr<Call>& call) {
     const std::uint64_t wanted = std::stoull(
         call->request.target.substr(std::string("/reserve/").size()));
+    if (this->IsIn(this->dead, call)) {
+      this->Break(call, false);
+      return;
+    }
     std::uint64_t& used = this->memory[call->address];
-    if (used + wanted > kMemory) {
+    if (used + wanted > kMemory || this->IsIn(this->leaving, call)) {
       this->Reply(call, 503, {});
       return;
     }
@@ -159,6 +168,14 @@
     this->Reply(call, 200, {}, "v");
   }
 
+  bool IsIn(const std::set<std::string>& endpoints,
+            const std::shared_ptr<Call>& call) const {
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [&](const std::string& id) {
+                         return this->addresses.at(id) == call->address;
+                       });
+  }
+
   void Start(const std::shared_ptr<Call>& call) {
     this->started.insert({call->id, true});
     const bool prefill =
@@ -240,7 +257,7 @@
           pool.OfferWithReturns(7.0, 4s);
           pool.OfferWithReturns(18.0, 5s);
           const std::size_t before = pool.asked.size();
-          pool.OfferWithReturns(7.5, 12s);
+          pool.OfferWithReturns(8.5, 12s);
           pool.Run(5s);
           int first_tries = 0;
           int in_time = 0;
@@ -255,6 +272,31 @@
           }
           CPPUNIT_ASSERT(in_time >= first_tries * 95 / 100);
         }),
+     It("loses nothing by endpoints that leave and refuse all work",
+        [] {
+          // Symptom: callers are refused while half of the pool's memory is
+          // free. Sequence: a store outage hides that endpoints leave; they
+          // refuse every reservation, look empty, and are asked first; after
+          // three refusals the pool is taken as full. Cause: a refusal by an
+          // empty endpoint counted as a sign of a full pool.
+          Pool pool(10);
+          pool.leaving = {"d0", "d1", "d2", "d3"};
+          pool.Offer(7.0, 8s);
+          pool.Run(5s);
+          CPPUNIT_ASSERT_EQUAL(static_cast<int>(pool.asked.size()),
+                               pool.Counts().in_time);
+        }),
+     It("loses nothing by endpoints that are dead and still listed",
+        [] {
+          // Symptom and cause as above, with connections refused by hosts that
+          // have crashed.
+          Pool pool(10);
+          pool.dead = {"d0", "d1", "d2", "d3"};
+          pool.Offer(7.0, 8s);
+          pool.Run(5s);
+          CPPUNIT_ASSERT_EQUAL(static_cast<int>(pool.asked.size()),
+                               pool.Counts().in_time);
+        }),
      It("without a burst's end goes on serving what it can", [] {
        Pool pool(kEndpoints);
        pool.Offer(20.0, 15s);
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -82,7 +82,7 @@
           CPPUNIT_ASSERT(!health.Avoided(kA, kStart + 600ms));
           health.NoteSilence(kA, kStart + 1s);
           CPPUNIT_ASSERT(health.Avoided(kA, kStart + 1900ms));
-          health.NoteSuccess(kA);
+          health.NoteSuccess(kA, kStart);
           CPPUNIT_ASSERT(!health.Avoided(kA, kStart + 1900ms));
         }),
      It("avoids one that fails nearly half of its work, and not one that fails "
@@ -94,19 +94,70 @@
             if (number % 10 == 0) {
               health.NoteFailure(kA, kStart);
             } else {
-              health.NoteSuccess(kA);
+              health.NoteSuccess(kA, kStart);
             }
             avoided = avoided || health.Avoided(kA, kStart);
             if (number % 2 == 0) {
               health.NoteFailure(kB, kStart);
             } else {
-              health.NoteSuccess(kB);
+              health.NoteSuccess(kB, kStart);
             }
           }
           health.NoteFailure(kB, kStart);
           CPPUNIT_ASSERT(!avoided);
           CPPUNIT_ASSERT(health.Avoided(kB, kStart));
         }),
+     It("believes a peer that cannot reach one, unless it has just answered "
+        "here",
+        [] {
+          // Symptom: after a crash of a fifth of the endpoints each of 22
+          // processes tries each of them in turn, and refuses callers
+          // meanwhile. Cause: what one process found out the others did not
+          // know.
+          EndpointHealth health;
+          const std::uint64_t key = LoadBook::KeyOf(kA);
+          health.NoteToldUnreachable(key, 2s, kStart);
+          CPPUNIT_ASSERT(health.Avoided(kA, kStart + 400ms));
+          CPPUNIT_ASSERT(!health.Avoided(kA, kStart + 600ms));
+          health.NoteAnswer(kA, kStart + 700ms);
+          health.NoteToldUnreachable(key, 2s, kStart + 800ms);
+          CPPUNIT_ASSERT(!health.Avoided(kA, kStart + 900ms));
+          CPPUNIT_ASSERT(health.Avoided(kA, kStart + 1100ms));
+        }),
+     It("tells peers of those that it could not reach, not of lost answers",
+        [] {
+          EndpointHealth health;
+          health.NoteSilence(kA, kStart);
+          health.NoteUnreachable(kB, kStart);
+          const auto told = health.Unreachable(kStart + 100ms);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
+          CPPUNIT_ASSERT_EQUAL(LoadBook::KeyOf(kB), told[0].endpoint_key);
+          health.NoteAnswer(kB, kStart + 100ms);
+          CPPUNIT_ASSERT(health.Unreachable(kStart + 100ms).empty());
+        }),
+     It("leaves one alone for longer each time that refuses while far from "
+        "full",
+        [] {
+          EndpointHealth health;
+          health.NoteUnwilling(kA, kStart);
+          CPPUNIT_ASSERT(health.Full(kA, kStart + 100ms));
+          CPPUNIT_ASSERT(!health.Full(kA, kStart + 200ms));
+          health.NoteUnwilling(kA, kStart + 1s);
+          health.NoteUnwilling(kA, kStart + 2s);
+          CPPUNIT_ASSERT(health.Full(kA, kStart + 2500ms));
+          CPPUNIT_ASSERT(!health.Unreachable(kStart + 2500ms).empty());
+          health.NoteRoom(kA);
+          CPPUNIT_ASSERT(!health.Full(kA, kStart + 2500ms));
+        }),
+     It("forgets those that were not seen for a minute",
+        [] {
+          EndpointHealth health;
+          health.NoteFailure(kA, kStart);
+          health.Sweep(kStart + 50s);
+          CPPUNIT_ASSERT(health.FailureShare(kA) > 0);
+          health.Sweep(kStart + 61s);
+          CPPUNIT_ASSERT_EQUAL(0.0, health.FailureShare(kA));
+        }),
      It("remembers lost answers between the good ones",
         [] {
           // Symptom: calls that may run once are lost at the same two
@@ -118,7 +169,7 @@
             if (number % 5 < 2) {
               health.NoteSilence(kA, kStart);
             } else {
-              health.NoteSuccess(kA);
+              health.NoteSuccess(kA, kStart);
             }
           }
           CPPUNIT_ASSERT(health.FailureShare(kA) > 0.2);
--- a/src/gateway/types/endpoint_load.h
+++ b/src/gateway/types/endpoint_load.h
@@ -27,10 +27,17 @@
   friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
 };
 
-// An endpoint that takes no work for a while, since it changes its role.
+// Why an endpoint takes no work for a while.
+enum class PauseReason : std::uint8_t {
+  kRoleChange,   // it takes none in any case
+  kUnreachable,  // the teller could not reach it
+};
+
+// An endpoint that takes no work for a while.
 struct EndpointPause {
   std::uint64_t endpoint_key = 0;  // hash of the endpoint's id
   Duration left{};
+  PauseReason reason = PauseReason::kRoleChange;
 };
 
 // What one process has placed, for its peers.
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -214,7 +214,9 @@
             {.endpoint_key = pause.endpoint_key,
              .left_ms = static_cast<std::uint32_t>(
                  std::chrono::ceil<std::chrono::milliseconds>(pause.left)
-                     .count())});
+                     .count()),
+             .unreachable =
+                 pause.reason == gateway::PauseReason::kUnreachable});
       }
     }
     return protocol::Encode(heartbeat);
@@ -266,7 +268,9 @@
     for (const protocol::PeerHeartbeat::Pause& pause : heartbeat->pauses) {
       this->options.on_pause(
           {.endpoint_key = pause.endpoint_key,
-           .left = std::chrono::milliseconds(pause.left_ms)});
+           .left = std::chrono::milliseconds(pause.left_ms),
+           .reason = pause.unreachable ? gateway::PauseReason::kUnreachable
+                                       : gateway::PauseReason::kRoleChange});
     }
     this->options.on_load(heartbeat->sender, LoadOf(*heartbeat));
     if (newcomer) {
--- a/src/gateway_process/tests/gateway_process_test.cc
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -134,7 +134,7 @@
               .own_pauses = [this] { return this->pauses; },
               .on_pause =
                   [this](const gateway::EndpointPause& pause) {
-                    this->heard_pause = pause.endpoint_key;
+                    this->heard_pause = pause;
                   },
               .on_load =
                   [this](const std::string& peer,
@@ -156,7 +156,7 @@
   Catalog known;
   std::vector<gateway::EndpointPause> pauses;
   std::map<std::string, gateway::PeerLoad> heard;
-  std::uint64_t heard_pause = 0;
+  gateway::EndpointPause heard_pause;
   std::optional<Catalog> taken;
   std::size_t peers = 0;
   bool first = false;
@@ -170,7 +170,9 @@
           Peer a("a", FreePort());
           Peer b("b", FreePort());
           a.load.rows = {{.endpoint_key = 5, .load = {.requests = 2}}};
-          a.pauses = {{.endpoint_key = 9, .left = 1s}};
+          a.pauses = {{.endpoint_key = 9,
+                       .left = 1s,
+                       .reason = gateway::PauseReason::kUnreachable}};
           b.link.SetMembers({{"a", a.address}, {"b", b.address}});
           WaitUntil("loads", [&] {
             return b.heard.contains("a") && a.heard.contains("b");
@@ -178,7 +180,10 @@
           WaitUntil("rows", [&] { return !b.heard["a"].rows.empty(); });
           CPPUNIT_ASSERT_EQUAL(std::uint32_t{2},
                                b.heard["a"].rows[0].load.requests);
-          CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, b.heard_pause);
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, b.heard_pause.endpoint_key);
+          CPPUNIT_ASSERT(b.heard_pause.left == 1s);
+          CPPUNIT_ASSERT(b.heard_pause.reason ==
+                         gateway::PauseReason::kUnreachable);
           WaitUntil("the first", [&] { return a.first && a.peers == 1; });
           CPPUNIT_ASSERT(!b.first);
         }),
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -25,14 +25,16 @@
     }
   };
 
-  // An endpoint that takes no work for a while, since it changes its role.
+  // An endpoint that takes no work for a while: it changes its role, or the
+  // sender could not reach it.
   struct Pause {
     std::uint64_t endpoint_key = 0;
     std::uint32_t left_ms = 0;
+    bool unreachable = false;
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(this->endpoint_key, this->left_ms);
+      archive(this->endpoint_key, this->left_ms, this->unreachable);
     }
   };
 
