--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "gateway/load_book.h"
+
 namespace acacialug::gateway {
 
 bool EndpointCatalog::InLapseGrace(Instant now) const {
@@ -154,6 +156,15 @@
   return found == this->entries.end() ? nullptr : &found->second.record;
 }
 
+const EndpointRecord* EndpointCatalog::FindByKey(std::uint64_t key) const {
+  for (const auto& [id, entry] : this->entries) {
+    if (LoadBook::KeyOf(id) == key) {
+      return &entry.record;
+    }
+  }
+  return nullptr;
+}
+
 EndpointSnapshot EndpointCatalog::Snapshot(Instant now) const {
   EndpointSnapshot snapshot{
       .as_of = this->complete_to(),
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -40,6 +40,8 @@
   std::vector<const EndpointRecord*> Of(const ServiceName& service) const;
   // Null: not known, or gone.
   const EndpointRecord* Find(const EndpointId& id) const;
+  // The same by LoadBook::KeyOf its id; looks at all of them.
+  const EndpointRecord* FindByKey(std::uint64_t key) const;
 
   // For peers: all that is known, with the offset that it is complete to.
   EndpointSnapshot Snapshot(Instant now) const;
--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -70,11 +70,13 @@
   state.unreachable_until = state.avoided_until;
 }
 
-void EndpointHealth::NoteToldUnreachable(std::uint64_t endpoint_key,
+bool EndpointHealth::NoteToldUnreachable(std::uint64_t endpoint_key,
                                          Duration left,
                                          Instant now) {
   Instant& until = this->told_unreachable[endpoint_key];
+  const bool newly = until <= now;
   until = std::max(until, now + std::min(left, kToldPause));
+  return newly;
 }
 
 std::vector<EndpointPause> EndpointHealth::Unreachable(Instant now) const {
--- a/src/gateway/endpoint_health.h
+++ b/src/gateway/endpoint_health.h
@@ -53,7 +53,8 @@
   void NoteUnreachable(const EndpointId& endpoint, Instant now);
   // A peer could not reach it, and thinks so until then. Believed unless the
   // endpoint has just answered here: the peer may be the one that is cut off.
-  void NoteToldUnreachable(std::uint64_t endpoint_key,
+  // True: nobody had told so of late.
+  bool NoteToldUnreachable(std::uint64_t endpoint_key,
                            Duration left,
                            Instant now);
   // It refused for want of room that it was thought to have; and it has room
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -123,8 +123,10 @@
 
   void SetPause(const EndpointPause& pause) {
     if (pause.reason == PauseReason::kUnreachable) {
-      this->health.NoteToldUnreachable(pause.endpoint_key, pause.left,
-                                       this->Now());
+      if (this->health.NoteToldUnreachable(pause.endpoint_key, pause.left,
+                                           this->Now())) {
+        this->NoteDoubt(pause);
+      }
     } else {
       this->health.NotePause(pause.endpoint_key, this->Now() + pause.left);
     }
@@ -169,6 +171,17 @@
  private:
   Instant Now() const { return this->options.hooks.now(); }
 
+  // Peers know an endpoint by a hash of its id; whoever reads the log does not.
+  void NoteDoubt(const EndpointPause& pause) {
+    const EndpointRecord* const endpoint =
+        this->catalog.FindByKey(pause.endpoint_key);
+    if (endpoint != nullptr) {
+      this->options.hooks.note(
+          log::Level::kInfo, "endpoint_doubted",
+          {.endpoint = endpoint->id, .fields = {{"left_ms", pause.left}}});
+    }
+  }
+
   ServiceState& StateOf(const ServiceName& service) {
     const auto found = this->services.find(service);
     if (found != this->services.end()) {
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 
 #include "framework/testing/story.h"
@@ -220,6 +221,24 @@
           world.End(decode);
           CPPUNIT_ASSERT(world.core->OwnLoad().rows.empty());
         }),
+     It("is not sent where a peer cannot reach, and a line tells of that once",
+        [] {
+          Model world;
+          const EndpointPause doubt{
+              .endpoint_key = LoadBook::KeyOf(EndpointId("d1")),
+              .left = 1s,
+              .reason = PauseReason::kUnreachable};
+          world.core->SetPause(doubt);
+          world.core->SetPause(doubt);
+          for (int number = 0; number < 8; ++number) {
+            world.Ask("/stream/a", "r" + std::to_string(number), "300,90");
+            CPPUNIT_ASSERT(world.FindAt("d1", "/reserve/") == nullptr);
+          }
+          CPPUNIT_ASSERT_EQUAL(
+              std::ptrdiff_t{1},
+              std::count(world.events.begin(), world.events.end(),
+                         std::string("endpoint_doubted")));
+        }),
      It("asks another endpoint when a reservation is refused, having computed "
         "nothing",
         [] {
