--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -13,6 +13,13 @@
 constexpr double kLeastRatio = 0.25;
 constexpr double kGreatestRatio = 8.0;
 
+// A pause that doubles with each time in a row before this one.
+Duration PauseAfter(Duration first, std::uint32_t times) {
+  const std::uint32_t doublings = std::min(times, kMostDoublings);
+  return std::min(EndpointHealth::kLongestPause,
+                  first * (std::int64_t{1} << doublings));
+}
+
 }  // namespace
 
 EndpointHealth::State& EndpointHealth::Touch(const EndpointId& endpoint,
@@ -56,9 +63,7 @@
 
 void EndpointHealth::NoteSilence(const EndpointId& endpoint, Instant now) {
   State& state = this->Touch(endpoint, now);
-  const std::uint32_t doublings = std::min(state.silences, kMostDoublings);
-  const Duration pause =
-      std::min(kLongestPause, kFirstPause * (std::int64_t{1} << doublings));
+  const Duration pause = PauseAfter(kFirstPause, state.silences);
   ++state.silences;
   state.failure_share += (1 - state.failure_share) * kOutcomeWeight;
   state.avoided_until = std::max(state.avoided_until, now + pause);
@@ -99,9 +104,7 @@
 
 void EndpointHealth::NoteUnwilling(const EndpointId& endpoint, Instant now) {
   State& state = this->Touch(endpoint, now);
-  const std::uint32_t doublings = std::min(state.refusals, kMostDoublings);
-  state.full_until = now + std::min(kLongestPause, kFullPause * (std::int64_t{1}
-                                                                 << doublings));
+  state.full_until = now + PauseAfter(kFullPause, state.refusals);
   if (++state.refusals >= kSureRefusals) {
     state.unreachable_until = state.full_until;
   }
