Wait longer for a prompt where decode memory is free; plan roles by real speeds

Cause: after all processes restart, callers come back within a third of a second; prompts queued beyond half of the objective, and callers were refused with 0.3 of the decode memory taken. Roles were planned with headrooms that made up for a reading speed (33 tokens a millisecond) that engines do not reach (24 to 26 learned).

A line of the log tells what is learned of a service's engines when it changes by a quarter.

--- a/src/forecast/types/forecast_digest.h
+++ b/src/forecast/types/forecast_digest.h
@@ -33,6 +33,12 @@
 // All of it, for peers.
 using ForecastDigest = std::array<ToldValue, kFigures>;
 
+// Whether a figure that was learned differs by more than a factor, or was not
+// known in the other. Thread safe.
+bool Differ(const ForecastDigest& newer,
+            const ForecastDigest& older,
+            double factor);
+
 struct ToldForecast {
   std::uint64_t service_key = 0;  // hash of the service's name
   ForecastDigest figures;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -26,6 +26,8 @@
 // A service without an endpoint has none for some heartbeats at least.
 constexpr Duration kRetryNoEndpoint = 500ms;
 constexpr Duration kSweepInterval = 200ms;
+// As a factor: what is learned moves by less all the time.
+constexpr double kNotedChange = 1.25;
 // Callers on one route differ by this share in the time that they give a
 // request (seen in calm seconds: up to 0.15). It is under AdmissionQueue's
 // least time of return, so that whoever was refused is told from whoever is
@@ -329,9 +331,32 @@
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
+    for (auto& [service, state] : this->services) {
+      this->NoteForecast(service, state);
+    }
     this->alarms.Set(now + kSweepInterval, [this] { this->Sweep(); });
   }
 
+  // A line when what is believed of a service's engines has changed by more
+  // than a quarter since the last one.
+  void NoteForecast(const ServiceName& service, ServiceState& state) const {
+    const forecast::ForecastDigest figures = state.forecast.Told();
+    if (!forecast::Differ(figures, state.forecast_noted, kNotedChange)) {
+      return;
+    }
+    state.forecast_noted = figures;
+    std::vector<log::Field> fields{{"service", service}};
+    for (const auto& [figure, name] : forecast::kFigureNames) {
+      const forecast::ToldValue& told =
+          figures[static_cast<std::size_t>(figure)];
+      if (told.observations > 0) {
+        fields.emplace_back(name, told.value);
+      }
+    }
+    this->options.hooks.note(log::Level::kInfo, "forecast_changed",
+                             {.fields = std::move(fields)});
+  }
+
   static std::uint64_t KeyOf(const ServiceName& service) {
     return placement::HashText(service.text);
   }
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -27,6 +27,7 @@
   AdmissionQueue queue;
   RepeatBudget budget;
   forecast::ServiceForecast forecast;
+  forecast::ForecastDigest forecast_noted{};  // in the last line of the log
 };
 
 // What all relays of a core share.
--- a/src/gateway/role_planner.cc
+++ b/src/gateway/role_planner.cc
@@ -12,6 +12,36 @@
 // of one must leave another.
 constexpr std::size_t kSpareFrom = 6;
 
+// Up to this part of their capacity is left to endpoints that stay.
+constexpr double kWellUsed = 0.7;
+
+// How much of an endpoint is in use, 0 to 1.
+double Used(const EndpointRecord& endpoint,
+            const EngineTraits& engine,
+            const LoadBook& book) {
+  const EndpointLoad load = book.Of(endpoint.id);
+  if (endpoint.role == EndpointRole::kPrefill) {
+    return load.prefill_tokens > 0 ? 1 : 0;
+  }
+  return std::max(
+      static_cast<double>(load.kv_tokens) /
+          static_cast<double>(std::max<std::uint64_t>(engine.kv_tokens, 1)),
+      static_cast<double>(load.requests) /
+          std::max<std::uint32_t>(engine.slots, 1));
+}
+
+// Endpoints that the others of the same role can do without now.
+std::size_t Spare(const std::vector<const EndpointRecord*>& endpoints,
+                  const EngineTraits& engine,
+                  const LoadBook& book) {
+  double used = 0;
+  for (const EndpointRecord* const endpoint : endpoints) {
+    used += Used(*endpoint, engine, book);
+  }
+  const auto needed = static_cast<std::size_t>(std::ceil(used / kWellUsed));
+  return endpoints.size() - std::min(endpoints.size(), needed);
+}
+
 double Blend(double mean, double value, double weight) {
   return mean + (value - mean) * weight;
 }
@@ -82,14 +112,17 @@
     return {};
   }
   std::vector<const EndpointRecord*>& from = too_many ? prefill : decode;
-  const auto enough = std::clamp(
-      static_cast<std::size_t>(
-          std::ceil(this->PrefillShare(engine, forecast, 1.0) * count)),
-      least_prefill, most_prefill);
+  const auto enough =
+      std::clamp(static_cast<std::size_t>(std::ceil(wanted * count)),
+                 least_prefill, most_prefill);
   const std::size_t difference =
       too_many ? prefill.size() - most_prefill : enough - prefill.size();
+  const std::size_t spare = this->requests < this->options.sure_requests
+                                ? 0
+                                : Spare(from, engine, book);
   const std::size_t at_once = std::max<std::size_t>(
-      1, static_cast<std::size_t>(this->options.share_at_once * count));
+      {1, static_cast<std::size_t>(this->options.share_at_once * count),
+       spare});
   // The least busy ones: what runs there goes on to its end first.
   std::sort(from.begin(), from.end(),
             [&book](const EndpointRecord* left, const EndpointRecord* right) {
--- a/src/gateway/role_planner.h
+++ b/src/gateway/role_planner.h
@@ -34,18 +34,24 @@
 class RolePlanner {
  public:
   struct Options {
-    // Prefill endpoints are given this much more than the pure share: a prompt
-    // that waits is late as a whole, an answer that waits is refused early.
-    double prefill_headroom = 1.3;
-    // With less than this the prefill endpoints hold the answers up.
-    double least_headroom = 0.95;
+    // Prefill endpoints above the pure share are too many, with the number
+    // rounded up: each of them holds no answers.
+    double prefill_headroom = 1.0;
+    // With less than this of it the prefill endpoints hold the answers up.
+    double least_headroom = 0.75;
     // Requests whose sizes are known before anything is decided. With 22
     // processes the first one sees one or two in a second: with 6 instead of 3
     // the pool got its decode endpoints two seconds later, in its first burst.
     std::uint32_t first_requests = 3;
     // Share of the endpoints that are switched at the same time, at most; one
-    // in any case.
+    // in any case, and more where those that stay can do the work of the moment
+    // without them: a pool that began with half of the prefill endpoints that
+    // it needed got them one each 8 s, with its decode memory at 0.4.
     double share_at_once = 0.15;
+    // Requests that must be known for that. Sizes differ by a half and answers
+    // by more, so that the share is known to a sixth then; by the first three
+    // requests four of twelve endpoints were switched, and back 13 s later.
+    std::uint32_t sure_requests = 30;
     // Beyond the engine's own time for a switch, until its record must show it:
     // what runs there ends first, and the record is read each half second.
     Duration settle = 1500ms;
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -98,10 +98,14 @@
 }
 
 Duration StreamPlacement::LongestPrefillWait(
+    double decode_fill,
     const Need& need,
     const forecast::ServiceForecast& forecast) const {
-  const Duration share =
-      FromSeconds(this->options.prefill_wait_share * Seconds(need.objective));
+  const double free = std::clamp(1 - decode_fill, 0.0, 1.0);
+  const double part = this->options.prefill_wait_share +
+                      free * (this->options.free_prefill_wait_share -
+                              this->options.prefill_wait_share);
+  const Duration share = FromSeconds(part * Seconds(need.objective));
   // Who cannot be in time any more waits no less than others: its rank made it
   // yield to them already.
   if (need.yields) {
@@ -178,14 +182,15 @@
   }
   place.prefill_time =
       this->PrefillTime(*prefill, forecast, need.size.prompt_tokens);
-  const bool too_long =
-      place.prefill_time > this->LongestPrefillWait(need, forecast);
+  const auto longer_than = [&](double fill) {
+    return place.prefill_time > this->LongestPrefillWait(fill, need, forecast);
+  };
   place.prefill_ahead = this->book.Of(prefill->id).prefill_tokens;
-  if (too_long && this->MayComputePrompt(place, need, forecast)) {
+  if (longer_than(1.0) && this->MayComputePrompt(place, need, forecast)) {
     return place;
   }
   // A prompt so long that it is late at an idle endpoint is late anywhere.
-  if (too_long && place.prefill_ahead > 0) {
+  if (longer_than(place.decode_fill) && place.prefill_ahead > 0) {
     return std::nullopt;
   }
   place.decode_load.prefill_tokens = 0;
--- a/src/gateway/stream_placement.h
+++ b/src/gateway/stream_placement.h
@@ -50,8 +50,14 @@
     // 0.592.
     std::uint64_t growth = 300;
     // The longest time at a prefill endpoint that is worth it, as a share of
-    // the route's objective: decode memory is held meanwhile and serves nobody.
+    // the route's objective, where decode memory is short: it is held meanwhile
+    // and serves nobody.
     double prefill_wait_share = 0.5;
+    // And where it is free: the rest is what expectations are off by. Load
+    // pattern: all callers come back within a third of a second after all
+    // processes had restarted, and prompts queue while three quarters of the
+    // decode memory are free.
+    double free_prefill_wait_share = 0.8;
     // Up to this share of its memory taken, a decode endpoint computes a prompt
     // itself rather than have it wait longer: that slows its other streams,
     // which an endpoint with few of them can afford.
@@ -112,7 +118,8 @@
   Duration PrefillTime(const EndpointRecord& endpoint,
                        const forecast::ServiceForecast& forecast,
                        std::uint64_t prompt_tokens) const;
-  Duration LongestPrefillWait(const Need& need,
+  Duration LongestPrefillWait(double decode_fill,
+                              const Need& need,
                               const forecast::ServiceForecast& forecast) const;
   bool MayComputePrompt(const Place& place,
                         const Need& need,
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -49,6 +49,10 @@
   into.prefill_wait_share = table.Number(
       "prefill_wait_share",
       {.fallback = into.prefill_wait_share, .minimum = 0.01, .maximum = 10});
+  into.free_prefill_wait_share = table.Number(
+      "free_prefill_wait_share", {.fallback = into.free_prefill_wait_share,
+                                  .minimum = 0.01,
+                                  .maximum = 10});
 }
 
 void ReadAdmission(const settings::Table& table,
