--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -29,11 +29,18 @@
   this->deletions.erase(change.id);
   const bool same = found != this->entries.end() && !found->second.lapsed_at &&
                     found->second.record == *change.record;
+  const bool restarted = found != this->entries.end() &&
+                         change.record->born > 0 &&
+                         found->second.record.born > 0 &&
+                         found->second.record.born != change.record->born;
   this->entries[change.id] = {.record = *change.record,
                               .offset = change.offset};
   if (!same) {
     this->NoteChange(change.offset);
   }
+  if (restarted && this->restart_hook) {
+    this->restart_hook(*change.record);
+  }
   return !same;
 }
 
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -1,8 +1,10 @@
 #ifndef GATEWAY_ENDPOINT_CATALOG_H_
 #define GATEWAY_ENDPOINT_CATALOG_H_
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "framework/global/types/instant.h"
@@ -24,6 +26,12 @@
   // does not bring the endpoint back. Longer than a peer's news can lag.
   static constexpr Duration kDeletionMemory = 60s;
 
+  // `on_restart`, unless empty, runs with the new record of an endpoint that
+  // started again under its id.
+  explicit EndpointCatalog(
+      std::function<void(const EndpointRecord& started)> on_restart = {})
+      : restart_hook(std::move(on_restart)) {}
+
   // True when the catalog changed.
   bool Apply(const EndpointChange& change, Instant now);
   bool Apply(const EndpointSnapshot& snapshot, Instant now);
@@ -71,6 +79,7 @@
   void NoteChange(LogOffset offset);
   bool InLapseGrace(Instant now) const;
 
+  const std::function<void(const EndpointRecord& started)> restart_hook;
   std::map<EndpointId, Entry> entries;
   std::map<EndpointId, Deletion> deletions;
   LogOffset known_to;
--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -35,6 +35,12 @@
   state.unreachable_until = Instant{};
 }
 
+void EndpointHealth::Forget(const EndpointId& endpoint) {
+  this->states.erase(endpoint);
+  this->pauses.erase(LoadBook::KeyOf(endpoint));
+  this->told_unreachable.erase(LoadBook::KeyOf(endpoint));
+}
+
 void EndpointHealth::Sweep(Instant now) {
   std::erase_if(this->states, [now](const auto& entry) {
     return entry.second.seen_at + kMemory < now;
--- a/src/gateway/endpoint_health.h
+++ b/src/gateway/endpoint_health.h
@@ -91,6 +91,9 @@
   // How many times longer than expected its work takes, lately; 1 if unknown.
   double Slowness(const EndpointId& endpoint) const;
 
+  // It started again under its id: nothing seen before counts.
+  void Forget(const EndpointId& endpoint);
+
   // Forgets endpoints that nothing was seen of for a minute: each start of an
   // endpoint has a new id.
   void Sweep(Instant now);
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -41,6 +41,9 @@
   Implementation(Options core_options, RandomSource& random_source)
       : options(std::move(core_options)),
         random(random_source),
+        catalog([this](const EndpointRecord& started) {
+          this->OnRestart(started);
+        }),
         book(this->options.hooks.on_load_changed),
         alarms(this->options.hooks.wake_at),
         streams(this->options.placement, this->book, this->health),
@@ -214,6 +217,18 @@
  private:
   Instant Now() const { return this->options.hooks.now(); }
 
+  // A runner that starts again under its id would keep the load, the failures
+  // and the slowness of its former life: it looked full or ill for seconds, and
+  // its streams' ends were taken off what was placed there since.
+  void OnRestart(const EndpointRecord& started) {
+    this->book.Forget(started.id);
+    this->health.Forget(started.id);
+    this->options.hooks.note(log::Level::kInfo, "endpoint_restarted",
+                             {.endpoint = started.id,
+                              .fields = {{"service", started.service},
+                                         {"born_unix_ms", started.born}}});
+  }
+
   // Peers know an endpoint by a hash of its id; whoever reads the log does not.
   void NoteDoubt(const EndpointPause& pause) {
     const EndpointRecord* const endpoint =
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -41,7 +41,7 @@
               {"failure_share", this->context.health.FailureShare(chosen.id)},
               {"endpoints_as_of", this->context.catalog.complete_to()},
               {"left_ms", this->TimeLeft()}});
-  this->context.book.Add(chosen.id, this->load);
+  this->context.book.Add(chosen.id, this->load, chosen.born);
   this->nature = AnswerNature::kUnproven;
   this->sent_at = this->Now();
   ++this->outcome.sends;
@@ -157,7 +157,8 @@
 
 void CallRelay::GiveLoadBack() {
   if (!this->load.empty()) {
-    this->context.book.Remove(this->endpoint.id, this->load);
+    this->context.book.Remove(this->endpoint.id, this->load,
+                              this->endpoint.born);
     this->load = {};
   }
 }
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -163,11 +163,13 @@
        {"prefill_expected_ms", chosen.prefill_time},
        {"endpoints_as_of", this->context.catalog.complete_to()},
        {"peers", this->context.book.peers()}});
-  this->context.book.Add(chosen.decode.id, chosen.decode_load);
+  this->context.book.Add(chosen.decode.id, chosen.decode_load,
+                         chosen.decode.born);
   this->decode_held = true;
   this->work.state->queue.NoteTaken(chosen.decode_load.kv_tokens);
   if (chosen.prefill) {
-    this->context.book.Add(chosen.prefill->id, chosen.prefill_load);
+    this->context.book.Add(chosen.prefill->id, chosen.prefill_load,
+                           chosen.prefill->born);
     this->prefill_held = true;
   }
 }
@@ -177,16 +179,18 @@
   if (!this->decode_held || counted == tokens) {
     return;
   }
-  this->context.book.Remove(this->place->decode.id,
-                            {.prefill_tokens = counted});
-  this->context.book.Add(this->place->decode.id, {.prefill_tokens = tokens});
+  this->context.book.Remove(this->place->decode.id, {.prefill_tokens = counted},
+                            this->place->decode.born);
+  this->context.book.Add(this->place->decode.id, {.prefill_tokens = tokens},
+                         this->place->decode.born);
   counted = tokens;
 }
 
 void StreamRelay::GivePrefillBack() {
   if (std::exchange(this->prefill_held, false)) {
     this->context.book.Remove(this->place->prefill->id,
-                              this->place->prefill_load);
+                              this->place->prefill_load,
+                              this->place->prefill->born);
     this->context.on_room(this->work.service);
   }
 }
@@ -195,7 +199,8 @@
   const bool ran = this->begun;
   if (std::exchange(this->decode_held, false)) {
     this->GiveReservationBack();
-    this->context.book.Remove(this->place->decode.id, this->place->decode_load);
+    this->context.book.Remove(this->place->decode.id, this->place->decode_load,
+                              this->place->decode.born);
     if (ran) {
       this->context.health.NoteRoom(this->place->decode.id);
     }
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -176,7 +176,8 @@
     return;
   }
   const EndpointLoad more{.kv_tokens = taken - counted.kv_tokens};
-  this->context.book.Add(this->place->decode.id, more);
+  this->context.book.Add(this->place->decode.id, more,
+                         this->place->decode.born);
   this->work.state->queue.NoteTaken(more.kv_tokens);
   counted += more;
 }
--- a/src/gateway/load_book.cc
+++ b/src/gateway/load_book.cc
@@ -14,17 +14,28 @@
   }
 }
 
-void LoadBook::Add(const EndpointId& endpoint, const EndpointLoad& load) {
-  this->own[endpoint] += load;
+void LoadBook::Add(const EndpointId& endpoint,
+                   const EndpointLoad& load,
+                   std::int64_t born) {
+  Placed& placed = this->own[endpoint];
+  if (born < placed.born) {
+    return;
+  }
+  if (born > placed.born) {
+    placed = {.born = born};
+  }
+  placed.load += load;
   this->TellChange();
 }
 
-void LoadBook::Remove(const EndpointId& endpoint, const EndpointLoad& load) {
+void LoadBook::Remove(const EndpointId& endpoint,
+                      const EndpointLoad& load,
+                      std::int64_t born) {
   const auto found = this->own.find(endpoint);
-  if (found == this->own.end()) {
+  if (found == this->own.end() || found->second.born != born) {
     return;
   }
-  EndpointLoad& left = found->second;
+  EndpointLoad& left = found->second.load;
   left.requests -= load.requests;
   left.kv_tokens -= load.kv_tokens;
   left.prefill_tokens -= load.prefill_tokens;
@@ -34,6 +45,16 @@
   this->TellChange();
 }
 
+void LoadBook::Forget(const EndpointId& endpoint) {
+  const std::uint64_t key = KeyOf(endpoint);
+  for (auto& [peer, entry] : this->told) {
+    entry.loads.erase(key);
+  }
+  if (this->own.erase(endpoint) > 0) {
+    this->TellChange();
+  }
+}
+
 void LoadBook::SetPeer(const std::string& peer,
                        const PeerLoad& load,
                        Instant now) {
@@ -54,7 +75,7 @@
 EndpointLoad LoadBook::Of(const EndpointId& endpoint) const {
   EndpointLoad sum;
   if (const auto mine = this->own.find(endpoint); mine != this->own.end()) {
-    sum = mine->second;
+    sum = mine->second.load;
   }
   const std::uint64_t key = KeyOf(endpoint);
   for (const auto& [peer, entry] : this->told) {
@@ -70,7 +91,7 @@
   PeerLoad load;
   load.rows.reserve(this->own.size());
   for (const auto& [endpoint, placed] : this->own) {
-    load.rows.push_back({.endpoint_key = KeyOf(endpoint), .load = placed});
+    load.rows.push_back({.endpoint_key = KeyOf(endpoint), .load = placed.load});
   }
   return load;
 }
--- a/src/gateway/load_book.h
+++ b/src/gateway/load_book.h
@@ -27,9 +27,17 @@
   explicit LoadBook(std::function<void()> on_own_change = {})
       : own_change(std::move(on_own_change)) {}
 
-  void Add(const EndpointId& endpoint, const EndpointLoad& load);
-  // Precondition: was added.
-  void Remove(const EndpointId& endpoint, const EndpointLoad& load);
+  // `born`: of the endpoint's start that the work was placed at.
+  void Add(const EndpointId& endpoint,
+           const EndpointLoad& load,
+           std::int64_t born = 0);
+  // Precondition: was added. No effect when that start is over: its load went
+  // with it, and what is in the book is the next one's.
+  void Remove(const EndpointId& endpoint,
+              const EndpointLoad& load,
+              std::int64_t born = 0);
+  // It started again under its id, and holds nothing of before.
+  void Forget(const EndpointId& endpoint);
 
   // Replaces what this peer told before.
   void SetPeer(const std::string& peer, const PeerLoad& load, Instant now);
@@ -49,10 +57,15 @@
     Instant at;
   };
 
+  struct Placed {
+    EndpointLoad load;
+    std::int64_t born = 0;
+  };
+
   void TellChange() const;
 
   const std::function<void()> own_change;
-  std::map<EndpointId, EndpointLoad> own;
+  std::map<EndpointId, Placed> own;
   std::map<std::string, Told> told;
 };
 
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -124,6 +124,9 @@
   if (place.decode_fill > this->options.own_prefill_fill) {
     return false;
   }
+  if (forecast.OwnPromptTime(need.size.prompt_tokens) > place.prefill_time) {
+    return false;
+  }
   return this->book.Of(place.decode.id).requests == 0 ||
          need.longest_pause == Duration::zero() ||
          forecast.PromptPause(need.size.prompt_tokens) <= need.longest_pause;
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -331,6 +331,43 @@
        CPPUNIT_ASSERT(queue.NextReturn(4000, 3s, kStart, random) <= 1s);
      })});
 
+const acacialug::testing::Story kRestart(
+    "an endpoint that starts again under its id",
+    {It("has none of the load of its former life, whose end takes nothing off",
+        [] {
+          // Symptom: an endpoint that has just started looks full, and later
+          // emptier than it is. Sequence: it crashes with streams and is back
+          // under its id; new work is placed; the broken streams give back
+          // what they held. Cause: loads were told apart by the id alone.
+          LoadBook book;
+          book.Add(kA, {.requests = 3, .kv_tokens = 9000}, 100);
+          book.SetPeer("p",
+                       {.rows = {{.endpoint_key = LoadBook::KeyOf(kA),
+                                  .load = {.requests = 2}}}},
+                       kStart);
+          book.Forget(kA);
+          CPPUNIT_ASSERT(book.Of(kA).empty());
+          book.Add(kA, {.requests = 1, .kv_tokens = 3000}, 200);
+          book.Remove(kA, {.requests = 3, .kv_tokens = 9000}, 100);
+          book.Add(kA, {.kv_tokens = 64}, 100);
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{3000}, book.Of(kA).kv_tokens);
+          CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, book.Of(kA).requests);
+        }),
+     It("is neither ill, slow nor full by what it was before", [] {
+       EndpointHealth health;
+       health.NoteSilence(kA, kStart);
+       health.NoteFull(kA, kStart);
+       health.NoteSpeed(kA, 8);
+       health.NotePause(LoadBook::KeyOf(kA), kStart + 5s);
+       health.NoteToldUnreachable(LoadBook::KeyOf(kA), 400ms, kStart);
+       health.Forget(kA);
+       CPPUNIT_ASSERT(!health.Avoided(kA, kStart));
+       CPPUNIT_ASSERT(!health.Full(kA, kStart));
+       CPPUNIT_ASSERT(!health.Paused(kA, kStart));
+       CPPUNIT_ASSERT_EQUAL(1.0, health.Slowness(kA));
+       CPPUNIT_ASSERT_EQUAL(0.0, health.FailureShare(kA));
+     })});
+
 const acacialug::testing::Story kPlacement(
     "the place of a generation",
     {It("is where memory is free, and never where it would not fit",
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <vector>
+
 #include "framework/testing/story.h"
 
 namespace acacialug::gateway {
@@ -34,6 +37,25 @@
           CPPUNIT_ASSERT(!catalog.Apply(Written(4, "a"), kStart));
           CPPUNIT_ASSERT(catalog.Of(kService).empty());
         }),
+     It("tells of an endpoint that started again under its id, and of no other",
+        [] {
+          std::vector<std::int64_t> started;
+          EndpointCatalog catalog([&started](const EndpointRecord& record) {
+            started.push_back(record.born);
+          });
+          const auto write = [&catalog](std::uint64_t offset,
+                                        std::int64_t born) {
+            EndpointChange change = Written(offset, "a");
+            change.record->born = born;
+            catalog.Apply(change, kStart);
+          };
+          write(1, 0);
+          write(2, 100);  // it begins to say when it started
+          write(3, 100);
+          write(4, 200);
+          write(3, 100);  // comes late
+          CPPUNIT_ASSERT(started == std::vector<std::int64_t>{200});
+        }),
      It("does not call a heartbeat a change",
         [] {
           EndpointCatalog catalog;
--- a/src/gateway/types/endpoint_record.h
+++ b/src/gateway/types/endpoint_record.h
@@ -20,12 +20,16 @@
 
 // One start of an endpoint, as its own record tells it.
 struct EndpointRecord {
-  EndpointId id;  // of this start: the next one has another
+  EndpointId id;
   ServiceName service;
   http::Address address;  // used again by others when this start is gone
   FailureDomain domain;
   EndpointRole role = EndpointRole::kPlain;
   std::uint32_t slots = 1;
+  // When it started, Unix milliseconds by its own clock; 0: it does not say. A
+  // runner that starts again may keep its id, and is another endpoint then: it
+  // holds nothing of before.
+  std::int64_t born = 0;
   bool leaving = false;  // takes no new work
 
   friend bool operator==(const EndpointRecord&,
--- a/src/gateway_process/internal/catalog_page.cc
+++ b/src/gateway_process/internal/catalog_page.cc
@@ -143,6 +143,7 @@
           {"domain", record.domain.text},
           {"role", NameOf(gateway::kEndpointRoleNames, record.role)},
           {"slots", record.slots},
+          {"born", record.born},
           {"leaving", record.leaving}};
 }
 
@@ -159,6 +160,7 @@
       .domain = FailureDomain(json.at("domain").get<std::string>()),
       .role = ReadEnum(json.at("role"), gateway::kEndpointRoleNames),
       .slots = json.at("slots"),
+      .born = json.value("born", std::int64_t{0}),
       .leaving = json.at("leaving")};
   EndpointChange change{.offset = LogOffset(json.at("offset")),
                         .id = record.id};
