--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -12,7 +12,7 @@
 constexpr std::uint64_t kCountedStep = 64;
 // A decode endpoint that is silent for this many times what it needs to compute
 // a preempted stream's memory again and make an event has lost the stream.
-constexpr double kSilenceFactor = 4.0;
+constexpr double kSilenceFactor = 3.0;
 // And no sooner than after this: half of the shortest gap after which callers
 // give a stream up.
 constexpr Duration kLeastSilence = 1s;
--- a/src/gateway/role_planner.cc
+++ b/src/gateway/role_planner.cc
@@ -79,6 +79,35 @@
   return prefill_ms / (prefill_ms + decode_ms);
 }
 
+RolePlanner::Bounds RolePlanner::PrefillBounds(
+    const EngineTraits& engine,
+    const forecast::ServiceForecast& forecast,
+    std::size_t endpoints) const {
+  const auto count = static_cast<double>(endpoints);
+  const std::size_t fewest = endpoints >= kSpareFrom ? 2 : 1;
+  const double most =
+      this->PrefillShare(engine, forecast, this->options.prefill_headroom);
+  const double least =
+      this->PrefillShare(engine, forecast, this->options.least_headroom);
+  return {.share = most,
+          .least = std::max(
+              fewest, static_cast<std::size_t>(std::floor(least * count))),
+          .most = std::max(fewest,
+                           static_cast<std::size_t>(std::ceil(most * count)))};
+}
+
+std::size_t RolePlanner::AtOnce(const std::vector<const EndpointRecord*>& from,
+                                std::size_t endpoints,
+                                const EngineTraits& engine,
+                                const LoadBook& book) const {
+  const auto share = static_cast<std::size_t>(this->options.share_at_once *
+                                              static_cast<double>(endpoints));
+  const std::size_t spare = this->requests < this->options.sure_requests
+                                ? 0
+                                : Spare(from, engine, book);
+  return std::max<std::size_t>({1, share, spare});
+}
+
 std::vector<RoleChange> RolePlanner::Plan(
     const EngineTraits& engine,
     const forecast::ServiceForecast& forecast,
@@ -87,42 +116,25 @@
     Instant now) {
   std::erase_if(this->switching,
                 [now](const auto& entry) { return entry.second.until <= now; });
-  const double wanted =
-      this->PrefillShare(engine, forecast, this->options.prefill_headroom);
-  if (wanted == 0 || !this->switching.empty() || endpoints.size() < 2) {
+  const Bounds bounds = this->PrefillBounds(engine, forecast, endpoints.size());
+  if (bounds.share == 0 || !this->switching.empty() || endpoints.size() < 2) {
     return {};
   }
-  const auto count = static_cast<double>(endpoints.size());
-  const std::size_t fewest = endpoints.size() >= kSpareFrom ? 2 : 1;
-  const auto most_prefill =
-      std::max(fewest, static_cast<std::size_t>(std::ceil(wanted * count)));
-  const auto least_prefill = std::max(
-      fewest,
-      static_cast<std::size_t>(std::floor(
-          this->PrefillShare(engine, forecast, this->options.least_headroom) *
-          count)));
   std::vector<const EndpointRecord*> prefill;
   std::vector<const EndpointRecord*> decode;
   for (const EndpointRecord* const endpoint : endpoints) {
     (endpoint->role == EndpointRole::kPrefill ? prefill : decode)
         .push_back(endpoint);
   }
-  const bool too_many = prefill.size() > most_prefill;
-  if (!too_many && prefill.size() >= least_prefill) {
+  const bool too_many = prefill.size() > bounds.most;
+  if (!too_many && prefill.size() >= bounds.least) {
     return {};
   }
   std::vector<const EndpointRecord*>& from = too_many ? prefill : decode;
-  const auto enough =
-      std::clamp(static_cast<std::size_t>(std::ceil(wanted * count)),
-                 least_prefill, most_prefill);
   const std::size_t difference =
-      too_many ? prefill.size() - most_prefill : enough - prefill.size();
-  const std::size_t spare = this->requests < this->options.sure_requests
-                                ? 0
-                                : Spare(from, engine, book);
-  const std::size_t at_once = std::max<std::size_t>(
-      {1, static_cast<std::size_t>(this->options.share_at_once * count),
-       spare});
+      too_many ? prefill.size() - bounds.most : bounds.most - prefill.size();
+  const std::size_t at_once =
+      this->AtOnce(from, endpoints.size(), engine, book);
   // The least busy ones: what runs there goes on to its end first.
   std::sort(from.begin(), from.end(),
             [&book](const EndpointRecord* left, const EndpointRecord* right) {
@@ -135,7 +147,7 @@
     changes.push_back(
         {.endpoint = *endpoint,
          .role = too_many ? EndpointRole::kDecode : EndpointRole::kPrefill,
-         .share = wanted});
+         .share = bounds.share});
   }
   return changes;
 }
--- a/src/gateway/role_planner.h
+++ b/src/gateway/role_planner.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_ROLE_PLANNER_H_
 #define GATEWAY_ROLE_PLANNER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -97,6 +98,22 @@
                       double headroom) const;
 
  private:
+  // How many of the endpoints should prefill.
+  struct Bounds {
+    double share = 0;  // 0: not known
+    std::size_t least = 0;
+    std::size_t most = 0;
+  };
+
+  Bounds PrefillBounds(const EngineTraits& engine,
+                       const forecast::ServiceForecast& forecast,
+                       std::size_t endpoints) const;
+  // How many of `from` are switched at the same time, at most.
+  std::size_t AtOnce(const std::vector<const EndpointRecord*>& from,
+                     std::size_t endpoints,
+                     const EngineTraits& engine,
+                     const LoadBook& book) const;
+
   const Options options;
   std::uint32_t requests = 0;
   double prompt_tokens = 0;  // means
