--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -488,6 +488,36 @@
           CPPUNIT_ASSERT(!pick(500ms));
           CPPUNIT_ASSERT(pick(2s)->prefill.has_value());
         }),
+     It("may be waited for longer while decode memory is free",
+        [] {
+          // Symptom: after all processes restarted callers are refused with a
+          // third of the decode memory taken. Sequence: their streams broke
+          // together, they come back within a third of a second, and prompts
+          // queue for more than half of the objective. Cause: one bound for a
+          // wait that holds memory, whether memory is short or not.
+          LoadBook book;
+          const EndpointHealth health;
+          const StreamPlacement placement({.own_prefill_fill = 0}, book,
+                                          health);
+          const std::vector<EndpointRecord> records = {
+              Record("a", EndpointRole::kDecode),
+              Record("f", EndpointRole::kPrefill)};
+          const EngineTraits engine{.slots = 64, .kv_tokens = 20000};
+          RandomSource random(1);
+          const StreamPlacement::Need need{.size = {.prompt_tokens = 3000},
+                                           .objective = 900ms,
+                                           .now = kStart};
+          // Some 550 ms with the prompt's own time.
+          book.Add(EndpointId("f"), {.requests = 5, .prefill_tokens = 14500});
+          book.Add(kA, {.requests = 1, .kv_tokens = 3000});
+          const auto pick = [&] {
+            return placement.Pick(need, engine, kForecast, Pointers(records),
+                                  random);
+          };
+          CPPUNIT_ASSERT(pick().has_value() && pick()->prefill.has_value());
+          book.Add(kA, {.requests = 4, .kv_tokens = 13500});
+          CPPUNIT_ASSERT(!pick());
+        }),
      It("spreads what several processes place by the same news", [] {
        LoadBook book;
        const EndpointHealth health;
