Look up the engines of planned services in one place

Cause: reading the change again, watching switches and planning roles walked the same planners with the same checks. Behaviour stays; the tests of gateway (92), forecast (16) and gateway_process (19) pass unchanged.

--- a/src/forecast/types/told_value.h
+++ b/src/forecast/types/told_value.h
@@ -8,8 +8,8 @@
 // A learned value as one process tells it to another.
 struct ToldValue {
   double value = 0;
-  std::uint32_t observations =
-      0;  // 0: nothing was learned, `value` says nothing
+  // 0: nothing was learned, and `value` says nothing.
+  std::uint32_t observations = 0;
 
   friend bool operator==(const ToldValue&, const ToldValue&) = default;
 };
--- a/src/gateway/internal/role_orders.cc
+++ b/src/gateway/internal/role_orders.cc
@@ -28,7 +28,10 @@
   this->ClaimIfNeeded();
 }
 
-void RoleOrders::WatchSwitches() {
+void RoleOrders::ForEachPlanner(
+    const std::function<void(const ServiceName& service,
+                             const EngineTraits& engine,
+                             RolePlanner& planner)>& visit) {
   const RouteTable* const routes = this->options.routes();
   if (routes == nullptr) {
     return;
@@ -36,10 +39,18 @@
   for (auto& [service, planner] : this->planners) {
     const ServiceTraits* const traits = routes->FindService(service);
     if (traits != nullptr && traits->engine) {
-      planner.Watch(*traits->engine, this->context.catalog.Of(service),
-                    this->context.book, this->Now());
+      visit(service, *traits->engine, planner);
     }
   }
+}
+
+void RoleOrders::WatchSwitches() {
+  this->ForEachPlanner([this](const ServiceName& service,
+                              const EngineTraits& engine,
+                              RolePlanner& planner) {
+    planner.Watch(engine, this->context.catalog.Of(service), this->context.book,
+                  this->Now());
+  });
   this->PauseSwitching();
 }
 
@@ -85,24 +96,17 @@
 
 std::vector<RoleOrders::PlannedChange> RoleOrders::Plan() {
   std::vector<PlannedChange> planned;
-  const RouteTable* const routes = this->options.routes();
-  if (routes == nullptr) {
-    return planned;
-  }
-  for (auto& [service, planner] : this->planners) {
-    const ServiceTraits* const traits = routes->FindService(service);
-    if (traits == nullptr || !traits->engine) {
-      continue;
-    }
+  this->ForEachPlanner([this, &planned](const ServiceName& service,
+                                        const EngineTraits& engine,
+                                        RolePlanner& planner) {
     for (RoleChange& change :
-         planner.Plan(*traits->engine, this->options.forecast(service),
+         planner.Plan(engine, this->options.forecast(service),
                       this->context.catalog.Of(service), this->context.book,
                       this->Now())) {
-      planned.push_back({.engine = *traits->engine,
-                         .planner = &planner,
-                         .change = std::move(change)});
+      planned.push_back(
+          {.engine = engine, .planner = &planner, .change = std::move(change)});
     }
-  }
+  });
   return planned;
 }
 
--- a/src/gateway/internal/role_orders.h
+++ b/src/gateway/internal/role_orders.h
@@ -50,6 +50,11 @@
 
   Instant Now() const { return this->context.hooks.now(); }
   void Look();
+  // Visits the planners of services that have an engine; none while no
+  // configuration is known.
+  void ForEachPlanner(const std::function<void(const ServiceName& service,
+                                               const EngineTraits& engine,
+                                               RolePlanner& planner)>& visit);
   void WatchSwitches();
   void PauseSwitching();
   void ClaimIfNeeded();
