Test that a gateway which stood still loses no answer (failing)

Callers' streams were reset beside a large configuration. Three tests in virtual time show it on the code as it is: a stream whose events lie unread is stopped as silent; a stream is stopped before another endpoint is found; an answer that lies unread is replaced by a second send or a 504. GatewayWorld::StandStill lets time pass with nothing looked at, and then the timer run before the sockets, as the event loop may.

--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -380,4 +380,9 @@
   this->now = end;
 }
 
+void GatewayWorld::StandStill(Duration time) {
+  this->now += time;
+  this->core->OnTimer();
+}
+
 }  // namespace acacialug::gateway::testing
--- a/src/gateway/tests/gateway_world.h
+++ b/src/gateway/tests/gateway_world.h
@@ -82,6 +82,10 @@
   std::shared_ptr<Call> BringToDecode();
 
   void Pass(Duration time);
+  // This process stands still for so long: time passes, and nothing that is
+  // due or arrives is looked at. Then its event loop looks at its timer, before
+  // its sockets, as it may.
+  void StandStill(Duration time);
 
   Instant now{1h};
   RandomSource random{7};
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -121,6 +121,32 @@
              CPPUNIT_ASSERT_EQUAL(row.status, answer->status);
            }
          }),
+     It("gets the answer that came while this process itself stood still",
+        [] {
+          // Answers that lay in the sockets of a gateway that had stood still
+          // were never passed on: its alarms rang before it read them. What may
+          // run again was sent to a second endpoint and the first one avoided;
+          // what may run once was answered 504.
+          for (const std::string path : {"/idempotent/a", "/once/a"}) {
+            Plain world;
+            const auto answer = world.Ask(path, "r1");
+            const auto call = world.Find(path);
+            world.StandStill(1900ms);
+            CPPUNIT_ASSERT(!call->cancelled);
+            CPPUNIT_ASSERT(!answer->ended);
+            world.ReplyProof(call, 200, "made");
+            CPPUNIT_ASSERT_EQUAL(200, answer->status);
+            CPPUNIT_ASSERT_EQUAL(std::string("made"), answer->body);
+          }
+        }),
+     It("ends at its deadline after a standstill when there is no answer",
+        [] {
+          Plain world;
+          const auto answer = world.Ask("/once/a", "r1");
+          world.StandStill(1900ms);
+          world.Pass(1ms);
+          CPPUNIT_ASSERT_EQUAL(504, answer->status);
+        }),
      It("is refused as not run when every endpoint rejects it",
         [] {
           Plain world;
@@ -416,6 +442,51 @@
           CPPUNIT_ASSERT(decode->cancelled);
           CPPUNIT_ASSERT(world.Find("/reserve/") != nullptr);
         }),
+     It("goes on where it is when this process itself stood still",
+        [] {
+          // Callers' streams were reset in the middle of the answer, though
+          // their endpoints had ended them whole. The gateway had stood still
+          // for 1.9 s under a large configuration. Its alarms rang before its
+          // sockets were read, and took its own standstill for the endpoints'
+          // silence: five streams "attempt_silent" within 6 ms, after_ms 1909
+          // to 5204, one of them with its 91 events and its end unread.
+          Model world;
+          const auto answer = world.Ask("/resumable/a", "r1");
+          const auto decode = world.BringToDecode();
+          world.Begin(decode);
+          world.Event(decode, 0);
+          world.StandStill(1900ms);
+          CPPUNIT_ASSERT(!decode->cancelled);
+          world.Event(decode, 1);
+          world.End(decode);
+          CPPUNIT_ASSERT(answer->ended && !answer->cut);
+          CPPUNIT_ASSERT_EQUAL(
+              std::string("id: 0\ndata: x\n\nid: 1\ndata: x\n\n"),
+              answer->body);
+        }),
+     It("is stopped where it is silent only when it can go on elsewhere",
+        [] {
+          // Callers' streams were reset 0.8 s after they had been taken for
+          // silent. Each was stopped at its endpoint first, and then no other
+          // endpoint had room: "attempt_silent" with goes_elsewhere true, then
+          // "reservation_refused" six times. Where it was it might have gone
+          // on, late, but whole.
+          Model world;
+          const auto answer = world.Ask("/resumable/a", "r1");
+          const auto decode = world.BringToDecode();
+          world.Begin(decode);
+          world.Event(decode, 0);
+          world.RemoveEndpoint("f1");
+          world.RemoveEndpoint("f2");
+          world.RemoveEndpoint(
+              decode->address == world.addresses.at("d1") ? "d2" : "d1");
+          world.Pass(3s);
+          CPPUNIT_ASSERT(!decode->cancelled);
+          CPPUNIT_ASSERT(!answer->cut);
+          world.Event(decode, 1);
+          world.End(decode);
+          CPPUNIT_ASSERT(answer->ended && !answer->cut);
+        }),
      It("whose caller leaves gives back what it holds",
         [] {
           Model world;
