Take no standstill of one's own for the silence of an endpoint

Cause of answers reset beside a configuration: a gateway that had stood still for 1.9 s rang its alarms before it read its sockets, and stopped streams whose events, and ends, lay there. Any long turn of the event loop, or a suspended host, did the same; the configuration only made turns long. The alarm clock now knows by a late look (100 ms) that the process stood still: it rings nothing, moves what judges a silence by the standstill, and has the sockets read once before it rings. Deadlines are not moved. Times measured across a standstill teach the forecasts nothing. A line (stood_still) and a histogram tell of it. Ruled out: longer patience (a standstill has no bound, and dead endpoints would be found out later).

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -195,7 +195,16 @@
     this->roles.SetFirst(false);
   }
 
-  void OnTimer() { this->alarms.Ring(this->Now()); }
+  void OnTimer() {
+    const Duration stood = this->alarms.Ring(this->Now());
+    if (stood > Duration::zero()) {
+      this->options.hooks.on_standstill(stood);
+      this->options.hooks.note(log::Level::kWarning, "stood_still",
+                               {.fields = {{"up_to_ms", stood},
+                                           {"under_way", this->relays.size()},
+                                           {"waiting", this->waiting.size()}}});
+    }
+  }
 
   Options options;
   RandomSource& random;
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -84,7 +84,8 @@
   // New work is refused after a while, and answers close their connections.
   void BeginDrain();
 
-  // Rings what is due. Call it at next_timer(), and not much later.
+  // Rings what is due. Call it at next_timer(). A call that comes much later
+  // tells of a standstill, as GatewayHooks::on_standstill does.
   void OnTimer();
   Instant next_timer() const;
 
--- a/src/gateway/internal/alarm_clock.h
+++ b/src/gateway/internal/alarm_clock.h
@@ -12,29 +12,63 @@
 
 using AlarmId = std::uint64_t;
 
+// What a standstill of this process means to an alarm.
+enum class AlarmKind {
+  kInstant,  // nothing: it is due at its time
+  kSilence,  // it judges somebody who could not be heard: it moves by as much
+};
+
 // Calls that are due at a time, for an owner that has one timer for all. Not
 // thread safe.
+//
+// Knows when the process itself stood still, by a look at it that comes late. A
+// gateway that stood still for two seconds and rang first and read later
+// stopped streams that their endpoints had long ended whole.
 class AlarmClock {
  public:
+  // A look that comes so long after an alarm was due tells of a standstill.
+  // Under it a process that is merely busy is judged too kindly; the shortest
+  // silence that anybody is judged by is 250 ms.
+  static constexpr Duration kLate = 100ms;
+
   // `on_sooner` hears of each call that is due before all others.
   explicit AlarmClock(std::function<void(Instant)> on_sooner)
       : sooner(std::move(on_sooner)) {}
 
-  AlarmId Set(Instant at, std::function<void()> call);
+  AlarmId Set(Instant at,
+              std::function<void()> call,
+              AlarmKind kind = AlarmKind::kInstant);
   // Unknown ids (0, or one that has rung) are ignored.
   void Cancel(AlarmId alarm);
 
   // Rings all that are due, also those that are set meanwhile and are due.
-  void Ring(Instant now);
+  //
+  // After a standstill it rings nothing, moves all silences by the standstill,
+  // and returns its length (an upper bound: since the last ring). The owner
+  // reads what arrived meanwhile, and calls again: the second call rings.
+  Duration Ring(Instant now);
+
+  // Whether this process has just stood still, and has not rung since: a time
+  // that is measured until now tells of this process.
+  bool Late(Instant now) const;
 
   // kNever: nothing is set.
   Instant next() const;
 
  private:
+  struct Alarm {
+    std::function<void()> call;
+    AlarmKind kind = AlarmKind::kInstant;
+  };
+
+  void MoveSilences(Duration by);
+
   const std::function<void(Instant)> sooner;
-  std::map<std::pair<Instant, AlarmId>, std::function<void()>> calls;
+  std::map<std::pair<Instant, AlarmId>, Alarm> alarms;
   std::map<AlarmId, Instant> times;
   AlarmId last = 0;
+  Instant rung_at{};
+  bool deferred = false;  // the last ring rang nothing
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -77,7 +77,8 @@
         if (!self->is_over) {
           late();
         }
-      });
+      },
+      AlarmKind::kSilence);
 }
 
 void Relay::EndPhase() {
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -290,17 +290,24 @@
     return;
   }
   this->context.health.NoteSuccess(id, this->Now());
-  const Duration took = this->Now() - this->step_at;
+  // A time that this process stood still for tells nothing of an engine.
+  if (!this->context.alarms.Late(this->Now())) {
+    this->LearnFromPrefill(this->Now() - this->step_at);
+  }
+  this->was_prefilled = true;
+  this->GivePrefillBack();
+  this->StartDecode(WorkStep::kDecode);
+}
+
+void StreamRelay::LearnFromPrefill(Duration took) {
   this->work.state->forecast.NotePrefill(this->Size().prompt_tokens,
                                          this->place->prefill_ahead, took);
   if (this->place->prefill_time > Duration::zero()) {
+    const EndpointId& id = this->place->prefill->id;
     this->context.health.NoteSpeed(id, this->context.health.Slowness(id) *
                                            Seconds(took) /
                                            Seconds(this->place->prefill_time));
   }
-  this->was_prefilled = true;
-  this->GivePrefillBack();
-  this->StartDecode(WorkStep::kDecode);
 }
 
 void StreamRelay::AfterPrefill(std::string_view why) {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -61,6 +61,7 @@
   void AfterReserve();
   void StartPrefill();
   void OnPrefillWhole(AnswerNature nature, const std::string& body);
+  void LearnFromPrefill(Duration took);
   // The prefill came to nothing; the request has not run.
   void AfterPrefill(std::string_view why);
 
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -112,11 +112,16 @@
   const Instant now = this->Now();
   const bool prompt_now =
       this->context.book.Of(this->place->decode.id).prefill_tokens > 0;
+  // An event that lay unread while this process stood still would read as a
+  // slow engine, here and at the peers that are told.
+  const bool own_time = this->context.alarms.Late(now);
   if (this->decode_held && this->place->decode_load.prefill_tokens > 0) {
-    if (!this->last_event) {
+    if (!this->last_event && !own_time) {
       forecast.NoteOwnPrompt(this->Size().prompt_tokens, now - this->step_at);
     }
     this->CountOwnPrompt(0);
+  } else if (own_time) {
+    // Teaches nothing.
   } else if (this->events_here == 0) {
     forecast.NoteFirstEvent(now - this->step_at);
   } else {
--- /dev/null
+++ b/src/gateway/tests/alarm_clock_test.cc
@@ -0,0 +1,106 @@
+#include "gateway/internal/alarm_clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "framework/testing/story.h"
+
+namespace acacialug::gateway {
+namespace {
+
+using acacialug::testing::It;
+
+// A clock that is looked at each 50 ms at the latest, and what it rang.
+struct Clock {
+  Clock() {
+    this->alarms.Ring(this->now);
+    this->Set("instant", 300ms, AlarmKind::kInstant);
+    this->Set("silence", 300ms, AlarmKind::kSilence);
+  }
+
+  void Set(const std::string& name, Duration after, AlarmKind kind) {
+    this->alarms.Set(
+        this->now + after, [this, name] { this->rung.push_back(name); }, kind);
+  }
+
+  Duration RingAfter(Duration time) {
+    this->now += time;
+    return this->alarms.Ring(this->now);
+  }
+
+  Instant now{1h};
+  std::vector<std::string> rung;
+  AlarmClock alarms{{}};
+};
+
+const acacialug::testing::Story kAlarms(
+    "the alarm clock",
+    {It("rings all that is due when it is looked at in time",
+        [] {
+          Clock clock;
+          CPPUNIT_ASSERT(clock.RingAfter(310ms) == Duration::zero());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, clock.rung.size());
+          CPPUNIT_ASSERT(clock.alarms.next() == kNever);
+        }),
+     It("rings nothing at first after a standstill, and then what is due",
+        [] {
+          // Answers that lay unread were thrown away: alarms that were due
+          // during a standstill rang before the sockets were read.
+          Clock clock;
+          CPPUNIT_ASSERT(clock.RingAfter(2s) == Duration(2s));
+          CPPUNIT_ASSERT(clock.rung.empty());
+          CPPUNIT_ASSERT(clock.RingAfter(1ms) == Duration::zero());
+          CPPUNIT_ASSERT(clock.rung == std::vector<std::string>{"instant"});
+        }),
+     It("takes a standstill for nobody's silence, and goes on with the rest",
+        [] {
+          Clock clock;
+          clock.RingAfter(2s);
+          clock.RingAfter(1ms);
+          clock.RingAfter(90ms);
+          clock.RingAfter(90ms);
+          clock.RingAfter(90ms);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, clock.rung.size());
+          clock.RingAfter(30ms);
+          CPPUNIT_ASSERT(clock.rung ==
+                         (std::vector<std::string>{"instant", "silence"}));
+        }),
+     It("counts the time that reading took after a standstill as one more",
+        [] {
+          Clock clock;
+          clock.RingAfter(2s);
+          CPPUNIT_ASSERT(clock.RingAfter(400ms) == Duration::zero());
+          CPPUNIT_ASSERT(clock.rung == std::vector<std::string>{"instant"});
+        }),
+     It("rings what is due though it is looked at late each time",
+        [] {
+          Clock clock;
+          clock.RingAfter(450ms);
+          clock.RingAfter(450ms);
+          CPPUNIT_ASSERT(clock.rung == std::vector<std::string>{"instant"});
+        }),
+     It("tells that a time measured across a standstill is its own",
+        [] {
+          Clock clock;
+          CPPUNIT_ASSERT(!clock.alarms.Late(clock.now + 390ms));
+          CPPUNIT_ASSERT(clock.alarms.Late(clock.now + 2s));
+          clock.RingAfter(2s);
+          CPPUNIT_ASSERT(!clock.alarms.Late(clock.now));
+        }),
+     It("forgets what is cancelled, also when it was moved", [] {
+       Clock clock;
+       const AlarmId silence = clock.alarms.Set(
+           clock.now + 300ms, [] { CPPUNIT_FAIL("rang"); },
+           AlarmKind::kSilence);
+       clock.RingAfter(2s);
+       clock.alarms.Cancel(silence);
+       for (int look = 0; look < 10; ++look) {
+         clock.RingAfter(90ms);
+       }
+       CPPUNIT_ASSERT(clock.alarms.next() == kNever);
+     })});
+
+}  // namespace
+}  // namespace acacialug::gateway
--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -113,6 +113,7 @@
           },
       .drop_idle = [](const http::Address&) {},
       .wake_at = [](Instant) {},
+      .on_standstill = [this](Duration up_to) { this->stood_still += up_to; },
       .on_load_changed = [] {},
       .claim_turn =
           [this](const std::function<void(std::optional<TurnClaim>)>& on_done) {
--- a/src/gateway/tests/gateway_world.h
+++ b/src/gateway/tests/gateway_world.h
@@ -91,6 +91,7 @@
   RandomSource random{7};
   std::vector<std::string> events;    // of the log
   std::vector<std::string> released;  // exports and reservations given back
+  Duration stood_still{};             // as the core told
   std::optional<TurnClaim> turn;
   std::unique_ptr<GatewayCore> core;
   std::map<std::string, http::Address> addresses;
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -26,6 +26,9 @@
   // The core's timer is due at this time, sooner than was told before. Call
   // OnTimer then; next_timer() tells the time of the next.
   std::function<void(Instant at)> wake_at;
+  // The process stood still for up to so long; nothing was rung for it yet.
+  // Read what has arrived, and then call OnTimer again.
+  std::function<void(Duration up_to)> on_standstill;
   // OwnLoad() changed.
   std::function<void()> on_load_changed;
   // Asks the store for a turn of orders; empty: roles are nobody's to change.
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -26,6 +26,7 @@
 constexpr Duration kLastWords = 300ms;
 constexpr std::chrono::milliseconds kDrainCheckInterval{50};
 constexpr std::chrono::milliseconds kLogFlushInterval{100};
+constexpr Duration kOneTurn = 1ms;  // of the event loop, at least
 // Bounds of what is written to the log in a second, for each event: four times
 // what the planned rates give on a calm day.
 constexpr std::uint64_t kInfoLines = 200;
@@ -152,6 +153,11 @@
               this->client.DropIdle(address);
             },
         .wake_at = [this](Instant at) { this->WakeAt(at); },
+        .on_standstill =
+            [this](Duration up_to) {
+              this->registry.Get(kGatewayStandstillSeconds)
+                  .Record(Seconds(up_to));
+            },
         .on_load_changed = [this] { this->peers.OnLoadChanged(); },
         .claim_turn = this->options.claim_turn,
         .note =
@@ -332,9 +338,12 @@
     }
   }
 
+  // After a standstill the core rings nothing until it is called again. A timer
+  // of no time at all would run when no socket has anything left, which a busy
+  // process may never see; that of a millisecond runs behind the sockets.
   void Ring() {
     this->core.OnTimer();
-    this->WakeAt(this->core.next_timer());
+    this->WakeAt(std::max(this->core.next_timer(), MonotonicNow() + kOneTurn));
   }
 
   void CheckDrained() {
--- a/src/gateway_process/metric_definitions.h
+++ b/src/gateway_process/metric_definitions.h
@@ -37,6 +37,10 @@
     .name = "acacialug_gateway_peers",
     .help = "Peers that were heard lately"};
 
+inline constexpr metrics::HistogramDefinition kGatewayStandstillSeconds = {
+    .name = "acacialug_gateway_standstill_seconds",
+    .help = "Times for which this process stood still, as an upper bound"};
+
 }  // namespace acacialug::gateway_process
 
 #endif  // GATEWAY_PROCESS_METRIC_DEFINITIONS_H_
