Stop a silent stream only when another endpoint has memory for it

Cause of the reset itself: streams that were taken for silent were stopped at once; then no endpoint granted memory for 0.8 s (the gateway's link was full), and they were cut off, though their endpoints had ended them whole. ReservationAsk now asks one endpoint, notes what its answer tells, and serves both the first placement and the move of a stream, which before were one inline copy; a stream stays where it is until memory is granted, and gives it back when it is heard meanwhile. A plain request is no longer stopped when the only place for it is where it is.

--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -81,6 +81,16 @@
   state.unreachable_until = state.avoided_until;
 }
 
+void EndpointHealth::NoteLost(const EndpointId& endpoint,
+                              bool sent,
+                              Instant now) {
+  if (sent) {
+    this->NoteSilence(endpoint, now);
+  } else {
+    this->NoteUnreachable(endpoint, now);
+  }
+}
+
 bool EndpointHealth::NoteToldUnreachable(std::uint64_t endpoint_key,
                                          Duration left,
                                          Instant now) {
--- a/src/gateway/endpoint_health.h
+++ b/src/gateway/endpoint_health.h
@@ -53,6 +53,8 @@
   void NoteSilence(const EndpointId& endpoint, Instant now);
   // A silence before anything could be sent: peers are told of it.
   void NoteUnreachable(const EndpointId& endpoint, Instant now);
+  // An exchange broke; `sent`: after something of it may have arrived.
+  void NoteLost(const EndpointId& endpoint, bool sent, Instant now);
   // A peer could not reach it, and thinks so until then. Believed unless the
   // endpoint has just answered here: the peer may be the one that is cut off.
   // True: nobody had told so of late.
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -19,13 +19,17 @@
 
 }  // namespace
 
-bool CallRelay::TryPlace() {
+const EndpointRecord* CallRelay::FindPlace(std::vector<EndpointId> avoided) {
+  avoided.insert(avoided.end(), this->tried.begin(), this->tried.end());
   const auto endpoints = this->context.catalog.Of(this->work.service);
-  const EndpointRecord* const picked =
-      this->context.calls.Pick({.domain = this->context.domain,
-                                .tried = this->tried,
-                                .now = this->Now()},
-                               endpoints, this->context.random);
+  return this->context.calls.Pick({.domain = this->context.domain,
+                                   .tried = std::move(avoided),
+                                   .now = this->Now()},
+                                  endpoints, this->context.random);
+}
+
+bool CallRelay::TryPlace() {
+  const EndpointRecord* const picked = this->FindPlace({});
   if (picked == nullptr) {
     return false;
   }
@@ -116,7 +120,7 @@
 
 void CallRelay::OnLost(const Error& error, bool sent) {
   this->ForgetExchange();
-  this->NoteLost(this->endpoint.id, sent);
+  this->context.health.NoteLost(this->endpoint.id, sent, this->Now());
   this->Note(log::Level::kWarning, "attempt_lost", this->endpoint.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->sent_at},
@@ -130,8 +134,12 @@
 }
 
 void CallRelay::OnSilent() {
-  if (!this->TakeRepeat()) {
-    return;  // it may still answer
+  // Stopped with nowhere to go on it would be answered 502, though it may still
+  // be answered where it is.
+  const EndpointRecord* const other = this->FindPlace({this->endpoint.id});
+  const bool elsewhere = other != nullptr && other->id != this->endpoint.id;
+  if (!elsewhere || !this->TakeRepeat()) {
+    return;
   }
   this->context.health.NoteSilence(this->endpoint.id, this->Now());
   this->context.hooks.drop_idle(this->endpoint.address);
--- a/src/gateway/internal/call_relay.h
+++ b/src/gateway/internal/call_relay.h
@@ -20,6 +20,8 @@
   void Release() override;
 
  private:
+  // Null: every endpoint is full. Those avoided or tried come last.
+  const EndpointRecord* FindPlace(std::vector<EndpointId> avoided);
   void Send(const EndpointRecord& endpoint);
   void OnHead(int status, const http::Headers& headers);
   void OnWhole(std::string body);
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -42,26 +42,12 @@
 void Relay::SendTo(const EndpointRecord& endpoint,
                    const WorkOrder& order,
                    http::ExchangeHooks hooks) {
-  this->SendRaw(
+  this->exchange = this->context.hooks.send(
       endpoint.address,
       this->context.dialect.write_work(this->work.request, endpoint, order),
       std::move(hooks));
 }
 
-void Relay::SendRaw(const http::Address& address,
-                    const http::Request& request,
-                    http::ExchangeHooks hooks) {
-  this->exchange = this->context.hooks.send(address, request, std::move(hooks));
-}
-
-void Relay::NoteLost(const EndpointId& endpoint, bool sent) {
-  if (sent) {
-    this->context.health.NoteSilence(endpoint, this->Now());
-  } else {
-    this->context.health.NoteUnreachable(endpoint, this->Now());
-  }
-}
-
 void Relay::StopExchange() {
   if (this->exchange != 0) {
     this->context.hooks.cancel(std::exchange(this->exchange, 0));
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -51,11 +51,6 @@
   void SendTo(const EndpointRecord& endpoint,
               const WorkOrder& order,
               http::ExchangeHooks hooks);
-  void SendRaw(const http::Address& address,
-               const http::Request& request,
-               http::ExchangeHooks hooks);
-  // An exchange broke; `sent`: after something of it may have arrived.
-  void NoteLost(const EndpointId& endpoint, bool sent);
   // Ends the exchange under way; its hooks stay silent.
   void StopExchange();
   void ForgetExchange() { this->exchange = 0; }
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -12,20 +12,11 @@
 constexpr Duration kPrefillSlack = 350ms;
 // Prefills of one request. The first is free of the repeat budget.
 constexpr std::uint32_t kMostPrefills = 3;
-// A reservation outlives the prefill that it waits for by this much; endpoints
-// grant two seconds at most.
-constexpr Duration kReserveSlack = 400ms;
-constexpr Duration kLongestReservation = 2s;
-// An endpoint grants or refuses in a round trip of some milliseconds.
-constexpr Duration kReservePatience = 250ms;
 // Endpoints that are full one after the other before a pause, and that are
 // asked at all: one that cannot be reached, or leaves, says nothing of the
 // others' memory.
 constexpr std::uint32_t kMostFull = 3;
 constexpr std::size_t kMostAsked = 8;
-// An endpoint that refuses below this fill does so for another reason: what is
-// placed there is known to within a tenth, and a request takes a sixth.
-constexpr double kFarFromFull = 0.5;
 
 }  // namespace
 
@@ -41,10 +32,11 @@
   return this->context.streams.KvTokens(this->Size());
 }
 
-bool StreamRelay::TryPlace() {
-  std::vector<EndpointId> avoided = this->tried;
+std::optional<StreamPlacement::Place> StreamRelay::FindPlace(
+    std::vector<EndpointId> avoided) {
+  avoided.insert(avoided.end(), this->tried.begin(), this->tried.end());
   avoided.insert(avoided.end(), this->full.begin(), this->full.end());
-  const auto chosen = this->context.streams.Pick(
+  return this->context.streams.Pick(
       {.size = this->Size(),
        .objective = this->work.route->objective,
        .longest_pause = this->work.route->longest_pause,
@@ -54,6 +46,10 @@
        .now = this->Now()},
       *this->work.traits->engine, this->work.state->forecast,
       this->context.catalog.Of(this->work.service), this->context.random);
+}
+
+bool StreamRelay::TryPlace() {
+  const auto chosen = this->FindPlace({});
   if (!chosen) {
     return false;
   }
@@ -67,8 +63,7 @@
 }
 
 void StreamRelay::AfterReserve() {
-  this->full.clear();
-  this->found_full = 0;
+  this->EndRound();
   if (this->place->prefill) {
     this->StartPrefill();
   } else {
@@ -76,75 +71,58 @@
   }
 }
 
-void StreamRelay::Reserve() {
-  this->step_at = this->Now();
-  const Duration lifetime = std::min(
-      kLongestReservation, 2 * this->place->prefill_time + kReserveSlack);
-  auto self = this->Self();
-  auto answered = std::make_shared<int>(0);
-  this->SendRaw(
-      this->place->decode.address,
-      this->context.dialect.write_reserve(
-          this->place->decode, this->place->decode_load.kv_tokens, lifetime),
-      {.on_head = [answered](int status_code,
-                             const http::Headers&) { *answered = status_code; },
-       .on_end =
-           [self, answered](const std::string& body) {
-             self->ForgetExchange();
-             self->OnReserveAnswer(*answered, body);
-           },
-       .on_error =
-           [self](const Error&, bool sent) {
-             self->ForgetExchange();
-             self->NoteLost(self->place->decode.id, sent);
-             self->OnReserveRefused("lost");
-           }});
-  this->WatchPhase(kReservePatience, [this] {
-    this->context.health.NoteUnreachable(this->place->decode.id, this->Now());
-    this->context.hooks.drop_idle(this->place->decode.address);
-    this->StopExchange();
-    this->OnReserveRefused("silent");
-  });
+void StreamRelay::Ask(const StreamPlacement::Place& at,
+                      ReservationAsk::Done on_done) {
+  this->StopAsking();
+  this->asking = std::make_shared<ReservationAsk>(this->context, at);
+  this->asking->Begin(std::move(on_done));
 }
 
-void StreamRelay::OnReserveAnswer(int answered, std::string_view body) {
-  this->EndPhase();
-  this->context.health.NoteAnswer(this->place->decode.id, this->Now());
-  const auto name = this->context.dialect.read_reservation(answered, body);
-  if (!name) {
-    if (this->place->decode_fill < kFarFromFull) {
-      this->context.health.NoteUnwilling(this->place->decode.id, this->Now());
-      this->OnReserveRefused("unwilling");
-    } else {
-      ++this->found_full;
-      this->context.health.NoteFull(this->place->decode.id, this->Now());
-      this->OnReserveRefused("full");
-    }
-    return;
+void StreamRelay::StopAsking() {
+  if (const auto asked = std::exchange(this->asking, nullptr)) {
+    asked->Cancel();
   }
-  this->context.health.NoteRoom(this->place->decode.id);
-  this->reservation = *name;
-  this->AfterReserve();
+}
+
+void StreamRelay::Reserve() {
+  this->Ask(*this->place,
+            [self = this->Self()](ReservationAnswer answer, std::string name) {
+              if (answer == ReservationAnswer::kGranted) {
+                self->reservation = std::move(name);
+                self->AfterReserve();
+              } else {
+                self->OnReserveRefused(answer);
+              }
+            });
 }
 
 // Nothing was computed yet, so that asking another costs a round trip only.
-void StreamRelay::OnReserveRefused(std::string_view why) {
-  this->EndPhase();
-  this->Note(log::Level::kInfo, "reservation_refused", this->place->decode.id,
-             {{"why", why},
-              {"kv_tokens", this->place->decode_load.kv_tokens},
-              {"decode_fill", this->place->decode_fill},
-              {"after_ms", this->Now() - this->step_at}});
-  this->full.push_back(this->place->decode.id);
+void StreamRelay::OnReserveRefused(ReservationAnswer answer) {
+  const bool ask_on = this->NoteRefused(answer);
   this->GivePrefillBack();
   this->GiveDecodeBack();
-  if (this->found_full < kMostFull && this->full.size() < kMostAsked &&
-      this->TryPlace()) {
+  if (ask_on && this->TryPlace()) {
     return;
   }
+  this->EndRound();
+  this->context.on_unplaced(*this);
+}
+
+bool StreamRelay::NoteRefused(ReservationAnswer answer) {
+  const StreamPlacement::Place& refused = this->asking->place();
+  this->Note(log::Level::kInfo, "reservation_refused", refused.decode.id,
+             {{"why", NameOf(kReservationAnswerNames, answer)},
+              {"kv_tokens", refused.decode_load.kv_tokens},
+              {"decode_fill", refused.decode_fill},
+              {"after_ms", this->asking->Age()}});
+  this->full.push_back(refused.decode.id);
+  this->found_full += answer == ReservationAnswer::kFull ? 1 : 0;
+  return this->found_full < kMostFull && this->full.size() < kMostAsked;
+}
+
+void StreamRelay::EndRound() {
   this->full.clear();
   this->found_full = 0;
-  this->context.on_unplaced(*this);
 }
 
 void StreamRelay::Take(const StreamPlacement::Place& chosen) {
@@ -223,10 +201,14 @@
 }
 
 void StreamRelay::GiveReservationBack() {
-  if (!this->reservation.empty()) {
-    this->context.hooks.send(this->place->decode.address,
-                             this->context.dialect.write_unreserve(
-                                 std::exchange(this->reservation, {})),
+  this->GiveBack(this->place->decode, std::exchange(this->reservation, {}));
+}
+
+void StreamRelay::GiveBack(const EndpointRecord& decode,
+                           const std::string& name) {
+  if (!name.empty()) {
+    this->context.hooks.send(decode.address,
+                             this->context.dialect.write_unreserve(name),
                              {.on_error = [](const Error&, bool) {}});
   }
 }
@@ -258,7 +240,8 @@
                 .on_error =
                     [self](const Error& /*error*/, bool sent) {
                       self->ForgetExchange();
-                      self->NoteLost(self->place->prefill->id, sent);
+                      self->context.health.NoteLost(self->place->prefill->id,
+                                                    sent, self->Now());
                       self->AfterPrefill(sent ? "lost" : "unreachable");
                     }});
   const Duration patience =
@@ -404,6 +387,7 @@
 }
 
 void StreamRelay::Release() {
+  this->StopAsking();
   // An export that nobody asked for is freed; one that a decode endpoint was
   // told of is that endpoint's.
   if (this->prefilled && !this->decode_open) {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -7,6 +7,7 @@
 
 #include "gateway/event_splitter.h"
 #include "gateway/internal/relay.h"
+#include "gateway/internal/reservation_ask.h"
 
 namespace acacialug::gateway {
 
@@ -53,12 +54,21 @@
   void GiveDecodeBack();
   void GiveExportBack();
   void GiveReservationBack();
+  // An empty name is none.
+  void GiveBack(const EndpointRecord& decode, const std::string& name);
 
   // Sets decode memory aside before anything is computed for it.
   void Reserve();
-  void OnReserveAnswer(int answered, std::string_view body);
-  void OnReserveRefused(std::string_view why);
+  void OnReserveRefused(ReservationAnswer answer);
   void AfterReserve();
+  // Empty: no endpoint has room but those avoided, tried, or found full.
+  std::optional<StreamPlacement::Place> FindPlace(
+      std::vector<EndpointId> avoided);
+  void Ask(const StreamPlacement::Place& at, ReservationAsk::Done on_done);
+  void StopAsking();
+  // The endpoint asked last refused; false: enough were asked in this round.
+  bool NoteRefused(ReservationAnswer answer);
+  void EndRound();
   void StartPrefill();
   void OnPrefillWhole(AnswerNature nature, const std::string& body);
   void LearnFromPrefill(Duration took);
@@ -76,7 +86,12 @@
   Duration SilencePatience() const;
   void OnDecodeEnd();
   void OnDecodeLost(const Error& error, bool sent);
+  void WatchForSilence();
   void OnSilent();
+  // Asks other endpoints for memory while the stream stays where it is.
+  void AskElsewhere();
+  // Stops the stream where it is, and goes on where memory was granted.
+  void MoveTo(const StreamPlacement::Place& granted, std::string name);
 
   void AfterNotRun();
   void AfterRun(ResultCode code);
@@ -90,6 +105,7 @@
   std::optional<StreamPlacement::Place> place;
   std::optional<PrefillExport> prefilled;
   std::string reservation;  // at the decode endpoint, not used yet
+  std::shared_ptr<ReservationAsk> asking;  // the latest; may be over
   bool was_prefilled = false;
   std::vector<EndpointId> full;  // refused a reservation in this round
   std::uint32_t found_full = 0;  // in this round
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -59,6 +59,10 @@
        .on_end = [self](const std::string&) { self->OnDecodeEnd(); },
        .on_error = [self](const Error& error,
                           bool sent) { self->OnDecodeLost(error, sent); }});
+  this->WatchForSilence();
+}
+
+void StreamRelay::WatchForSilence() {
   if (this->MayRunAgain()) {
     this->WatchPhase(this->SilencePatience(), [this] { this->OnSilent(); });
   }
@@ -102,9 +106,7 @@
     this->AfterRun(ResultCode::kEngineBadAnswer);
     return;
   }
-  if (this->MayRunAgain()) {
-    this->WatchPhase(this->SilencePatience(), [this] { this->OnSilent(); });
-  }
+  this->WatchForSilence();
 }
 
 void StreamRelay::LearnFromEvent() {
@@ -247,7 +249,7 @@
 void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
   this->ForgetExchange();
   this->decode_open = false;
-  this->NoteLost(this->place->decode.id, sent);
+  this->context.health.NoteLost(this->place->decode.id, sent, this->Now());
   this->Note(log::Level::kWarning, "attempt_lost", this->place->decode.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->step_at},
@@ -270,13 +272,62 @@
               {"events", this->outcome.events},
               {"goes_elsewhere", possible}},
              ResultCode::kEndpointLost);
-  if (!possible) {
-    return;  // it may still go on
+  if (possible) {
+    this->AskElsewhere();
   }
+  // Else it may still go on, or its caller gives it up.
+}
+
+// A stream that was stopped first, and then found no room for 0.8 s, was cut
+// off; where it was it might have gone on, late, but whole. So memory is had
+// elsewhere before anything is stopped.
+void StreamRelay::AskElsewhere() {
+  const auto chosen = this->FindPlace({this->place->decode.id});
+  if (!chosen) {
+    this->EndRound();
+    this->WatchForSilence();
+    return;
+  }
+  if (!this->context.dialect.write_reserve) {
+    this->MoveTo(*chosen, {});
+    return;
+  }
+  this->Ask(*chosen, [self = this->Self(), heard = this->events_here](
+                         ReservationAnswer answer, std::string name) {
+    const StreamPlacement::Place asked = self->asking->place();
+    if (answer == ReservationAnswer::kGranted) {
+      if (heard == self->events_here) {
+        self->MoveTo(asked, std::move(name));
+      } else {
+        self->GiveBack(asked.decode, name);
+      }
+    } else if (self->NoteRefused(answer)) {
+      self->AskElsewhere();
+    } else {
+      self->EndRound();
+      self->WatchForSilence();
+    }
+  });
+}
+
+void StreamRelay::MoveTo(const StreamPlacement::Place& granted,
+                         std::string name) {
+  if (!this->TakeRepeat()) {
+    this->GiveBack(granted.decode, name);
+    this->EndRound();
+    this->WatchForSilence();
+    return;
+  }
+  this->EndPhase();
   this->context.hooks.drop_idle(this->place->decode.address);
   this->StopExchange();
   this->decode_open = false;
-  this->AfterRun(ResultCode::kEndpointLost);
+  this->tried.push_back(this->place->decode.id);
+  this->GiveDecodeBack();
+  this->prefilled.reset();
+  this->Take(granted);
+  this->reservation = std::move(name);
+  this->AfterReserve();
 }
 
 }  // namespace acacialug::gateway
