--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -11,6 +11,7 @@
 
 using acacialug::testing::ForEach;
 using acacialug::testing::It;
+using testing::Answer;
 using testing::Call;
 using testing::GatewayWorld;
 
@@ -39,6 +40,20 @@
   }
 };
 
+// One of whose streams runs and has made its first event.
+struct Streaming : Model {
+  explicit Streaming(std::uint32_t repeat_extra = 58)
+      : Model(repeat_extra),
+        answer(this->Ask("/resumable/a", "r1")),
+        decode(this->BringToDecode()) {
+    this->Begin(this->decode);
+    this->Event(this->decode, 0);
+  }
+
+  std::shared_ptr<Answer> answer;
+  std::shared_ptr<Call> decode;
+};
+
 struct AttemptCase {
   std::string name;
   std::string path;
@@ -434,79 +449,59 @@
      It("goes on elsewhere from a silent endpoint, which is stopped before "
         "another computes it",
         [] {
-          Model world;
-          world.Ask("/resumable/a", "r1");
-          const auto decode = world.BringToDecode();
-          world.Begin(decode);
-          world.Event(decode, 0);
+          Streaming world;
           world.Pass(1100ms);
           const auto asked = world.Find("/reserve/");
           CPPUNIT_ASSERT(asked != nullptr);
-          CPPUNIT_ASSERT(!(asked->address == decode->address));
+          CPPUNIT_ASSERT(!(asked->address == world.decode->address));
           CPPUNIT_ASSERT(world.Find("prefill") == nullptr);
           world.Reply(asked, 200, {}, "r2");
-          CPPUNIT_ASSERT(decode->cancelled);
+          CPPUNIT_ASSERT(world.decode->cancelled);
           world.Reply(world.Find("prefill"), 200, {}, "x2");
           CPPUNIT_ASSERT_EQUAL(std::string("0"),
                                HeaderOf(world.Find("decode"), "Resume-After"));
         }),
      It("stays where it is when it is heard again before another has room",
         [] {
-          Model world;
-          const auto answer = world.Ask("/resumable/a", "r1");
-          const auto decode = world.BringToDecode();
-          world.Begin(decode);
-          world.Event(decode, 0);
+          Streaming world;
           world.Pass(1100ms);
           const auto asked = world.Find("/reserve/");
-          world.Event(decode, 1);
+          world.Event(world.decode, 1);
           world.Reply(asked, 200, {}, "r2");
-          CPPUNIT_ASSERT(!decode->cancelled);
+          CPPUNIT_ASSERT(!world.decode->cancelled);
           CPPUNIT_ASSERT_EQUAL(std::string("/reserve/r2"),
                                world.released.back());
-          world.End(decode);
-          CPPUNIT_ASSERT(answer->ended && !answer->cut);
+          world.End(world.decode);
+          CPPUNIT_ASSERT(world.answer->ended && !world.answer->cut);
           CPPUNIT_ASSERT(world.core->OwnLoad().rows.empty());
         }),
      It("stays where it is, and asks again, while all others refuse",
         [] {
-          Model world;
-          const auto answer = world.Ask("/resumable/a", "r1");
-          const auto decode = world.BringToDecode();
-          world.Begin(decode);
-          world.Event(decode, 0);
+          Streaming world;
           for (int round = 0; round < 2; ++round) {
             world.Pass(1100ms);
             const auto asked = world.Find("/reserve/");
             CPPUNIT_ASSERT(asked != nullptr);
             world.Reply(asked, 503, {});
-            CPPUNIT_ASSERT(!decode->cancelled);
+            CPPUNIT_ASSERT(!world.decode->cancelled);
           }
-          world.End(decode);
-          CPPUNIT_ASSERT(answer->ended && !answer->cut);
+          world.End(world.decode);
+          CPPUNIT_ASSERT(world.answer->ended && !world.answer->cut);
         }),
      It("stays where it is when the budget of repeats is used up",
         [] {
-          Model world(0);
-          const auto answer = world.Ask("/resumable/a", "r1");
-          const auto decode = world.BringToDecode();
-          world.Begin(decode);
-          world.Event(decode, 0);
+          Streaming world(0);
           world.Pass(1100ms);
           world.Reply(world.Find("/reserve/"), 200, {}, "r2");
-          CPPUNIT_ASSERT(!decode->cancelled);
+          CPPUNIT_ASSERT(!world.decode->cancelled);
           CPPUNIT_ASSERT_EQUAL(std::string("/reserve/r2"),
                                world.released.back());
-          world.End(decode);
-          CPPUNIT_ASSERT(answer->ended && !answer->cut);
+          world.End(world.decode);
+          CPPUNIT_ASSERT(world.answer->ended && !world.answer->cut);
         }),
      It("whose caller leaves while others are asked leaves nothing behind",
         [] {
-          Model world;
-          world.Ask("/resumable/a", "r1");
-          const auto decode = world.BringToDecode();
-          world.Begin(decode);
-          world.Event(decode, 0);
+          Streaming world;
           world.Pass(1100ms);
           world.Leave();
           CPPUNIT_ASSERT(world.Calls().empty());
@@ -520,19 +515,15 @@
           // sockets were read, and took its own standstill for the endpoints'
           // silence: five streams "attempt_silent" within 6 ms, after_ms 1909
           // to 5204, one of them with its 91 events and its end unread.
-          Model world;
-          const auto answer = world.Ask("/resumable/a", "r1");
-          const auto decode = world.BringToDecode();
-          world.Begin(decode);
-          world.Event(decode, 0);
+          Streaming world;
           world.StandStill(1900ms);
-          CPPUNIT_ASSERT(!decode->cancelled);
-          world.Event(decode, 1);
-          world.End(decode);
-          CPPUNIT_ASSERT(answer->ended && !answer->cut);
+          CPPUNIT_ASSERT(!world.decode->cancelled);
+          world.Event(world.decode, 1);
+          world.End(world.decode);
+          CPPUNIT_ASSERT(world.answer->ended && !world.answer->cut);
           CPPUNIT_ASSERT_EQUAL(
               std::string("id: 0\ndata: x\n\nid: 1\ndata: x\n\n"),
-              answer->body);
+              world.answer->body);
         }),
      It("is stopped where it is silent only when it can go on elsewhere",
         [] {
@@ -541,21 +532,17 @@
           // endpoint had room: "attempt_silent" with goes_elsewhere true, then
           // "reservation_refused" six times. Where it was it might have gone
           // on, late, but whole.
-          Model world;
-          const auto answer = world.Ask("/resumable/a", "r1");
-          const auto decode = world.BringToDecode();
-          world.Begin(decode);
-          world.Event(decode, 0);
+          Streaming world;
           world.RemoveEndpoint("f1");
           world.RemoveEndpoint("f2");
           world.RemoveEndpoint(
-              decode->address == world.addresses.at("d1") ? "d2" : "d1");
+              world.decode->address == world.addresses.at("d1") ? "d2" : "d1");
           world.Pass(3s);
-          CPPUNIT_ASSERT(!decode->cancelled);
-          CPPUNIT_ASSERT(!answer->cut);
-          world.Event(decode, 1);
-          world.End(decode);
-          CPPUNIT_ASSERT(answer->ended && !answer->cut);
+          CPPUNIT_ASSERT(!world.decode->cancelled);
+          CPPUNIT_ASSERT(!world.answer->cut);
+          world.Event(world.decode, 1);
+          world.End(world.decode);
+          CPPUNIT_ASSERT(world.answer->ended && !world.answer->cut);
         }),
      It("whose caller leaves gives back what it holds",
         [] {
