Count a tenth of a second of each standstill as listening

Moved by all of it, a silence would never be judged by a process that is late at each look, and a dead endpoint would keep its streams until their deadline. Now each look counts as at most 100 ms: after as many looks as its patience has tenths of a second an endpoint is judged whatever the process' pace. Test: "rings what is due though it is looked at late each time" now asks for the silence too, after four looks.

--- a/src/gateway/internal/alarm_clock.cc
+++ b/src/gateway/internal/alarm_clock.cc
@@ -32,7 +32,7 @@
       this->rung_at == Instant{} ? this->next() : this->rung_at;
   const Duration stood = late ? now - since : Duration::zero();
   this->rung_at = now;
-  this->MoveSilences(stood);
+  this->MoveSilences(stood - kLate);
   // Once in a row: a process that is late again and again still has to end what
   // has passed its deadline.
   this->deferred = late && !this->deferred;
--- a/src/gateway/internal/alarm_clock.h
+++ b/src/gateway/internal/alarm_clock.h
@@ -26,8 +26,9 @@
 // stopped streams that their endpoints had long ended whole.
 class AlarmClock {
  public:
-  // A look that comes so long after an alarm was due tells of a standstill.
-  // Under it a process that is merely busy is judged too kindly; the shortest
+  // A look that comes so long after an alarm was due tells of a standstill, of
+  // which so much counts as silence: a process that is late at each look still
+  // judges, after as many looks as the silence has times this. The shortest
   // silence that anybody is judged by is 250 ms.
   static constexpr Duration kLate = 100ms;
 
@@ -43,9 +44,9 @@
 
   // Rings all that are due, also those that are set meanwhile and are due.
   //
-  // After a standstill it rings nothing, moves all silences by the standstill,
-  // and returns its length (an upper bound: since the last ring). The owner
-  // reads what arrived meanwhile, and calls again: the second call rings.
+  // After a standstill it rings nothing, moves all silences by all of it but
+  // kLate, and returns its length (an upper bound: since the last ring). The
+  // owner reads what arrived meanwhile, and calls again: the second call rings.
   Duration Ring(Instant now);
 
   // Whether this process has just stood still, and has not rung since: a time
