Test a connection that is made while the client stands still (failing)

Cause: after a process stood still, exchanges fail with "not connected in time" though the operating system has long connected them. The test stands still for 300 ms inside a socket's handler, with a connection under way that may take 20 ms: the timers of that turn run before the next poll.

The second test holds what must stay: a connection that nobody answers (a listening socket whose queue is full) still fails, as not sent.

Ruled out: timers run before sockets only if they pass within a turn, since each turn polls first; a thread that only blocks between turns does not show the fault.

--- /dev/null
+++ b/src/framework/http/tests/standstill_test.cc
@@ -0,0 +1,141 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QTimer>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "framework/http/http_client.h"
+#include "framework/http/tests/server_fixture.h"
+#include "framework/http/tests/socket_support.h"
+#include "framework/testing/story.h"
+
+namespace acacialug::http {
+namespace {
+
+using testing::It;
+using testing::RawPeer;
+using testing::RawServer;
+using testing::WaitUntil;
+
+// Runs `act` and then stands still, from within a socket's own handler: when
+// it returns, the event loop runs the timers that have passed before it asks
+// which sockets have become ready.
+void StandStillInAHandler(const std::function<void()>& act,
+                          std::chrono::milliseconds time) {
+  RawServer server;
+  RawPeer sender(server.port());
+  const auto receiver = server.Accept();
+  // A due timer in each turn: some event loops run no timer without one.
+  QTimer due;
+  due.start(0);
+  bool stood = false;
+  QObject::connect(receiver->socket, &QTcpSocket::readyRead, receiver->socket,
+                   [&] {
+                     act();
+                     std::this_thread::sleep_for(time);
+                     stood = true;
+                   });
+  sender.Send("x");
+  WaitUntil("the standstill", [&stood] { return stood; });
+}
+
+struct Outcome {
+  std::optional<std::string> body;
+  std::optional<Error> error;
+  bool sent = false;
+
+  bool over() const { return this->body || this->error; }
+  ExchangeHooks Hooks() {
+    return {
+        .on_end = [this](std::string whole) { this->body = std::move(whole); },
+        .on_error =
+            [this](const Error& failure, bool was_sent) {
+              this->error = failure;
+              this->sent = was_sent;
+            }};
+  }
+};
+
+// A listening socket whose queue is full: the operating system answers no
+// further connection.
+class FullListener {
+ public:
+  FullListener() : descriptor(::socket(AF_INET, SOCK_STREAM, 0)) {
+    this->address.sin_family = AF_INET;
+    this->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(this->address);
+    auto* const generic = reinterpret_cast<sockaddr*>(&this->address);
+    CPPUNIT_ASSERT_EQUAL(0, ::bind(this->descriptor, generic, size));
+    CPPUNIT_ASSERT_EQUAL(0, ::listen(this->descriptor, 0));
+    CPPUNIT_ASSERT_EQUAL(0, ::getsockname(this->descriptor, generic, &size));
+    this->filler.connectToHost(QHostAddress::LocalHost, this->port());
+    CPPUNIT_ASSERT(this->filler.waitForConnected());
+  }
+  ~FullListener() { ::close(this->descriptor); }
+  FullListener(const FullListener&) = delete;
+  FullListener& operator=(const FullListener&) = delete;
+
+  std::uint16_t port() const { return ntohs(this->address.sin_port); }
+
+ private:
+  const int descriptor;
+  sockaddr_in address{};
+  QTcpSocket filler;
+};
+
+// After a standstill several exchanges failed in the same instants with "not
+// connected in time", and their endpoints, which were well, were avoided. The
+// operating system had connected them long before; but the timers of the
+// connections ran before Qt was told so by the sockets.
+void ConnectedMeanwhileIsNotTooLate() {
+  RawServer server;
+  Client client({.connect_timeout = 20ms});
+  Outcome outcome;
+  StandStillInAHandler(
+      [&] {
+        client.Send({.ip = "127.0.0.1", .port = server.port()},
+                    {.method = "GET", .target = "/"}, outcome.Hooks());
+      },
+      300ms);
+  const auto peer = server.Accept();
+  WaitUntil("the request or a failure", [&] {
+    return outcome.over() || peer->received.ends_with("\r\n\r\n");
+  });
+  CPPUNIT_ASSERT_MESSAGE(outcome.error ? outcome.error->detail : "",
+                         !outcome.error);
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  WaitUntil("the answer", [&] { return outcome.over(); });
+  CPPUNIT_ASSERT_EQUAL(std::string("ok"), outcome.body.value_or("none"));
+}
+
+void UnansweredConnectionIsTooLate() {
+  const FullListener listener;
+  Client client({.connect_timeout = 20ms});
+  Outcome outcome;
+  StandStillInAHandler(
+      [&] {
+        client.Send({.ip = "127.0.0.1", .port = listener.port()},
+                    {.method = "GET", .target = "/"}, outcome.Hooks());
+      },
+      100ms);
+  WaitUntil("the failure", [&] { return outcome.over(); });
+  CPPUNIT_ASSERT(outcome.error && !outcome.sent);
+  CPPUNIT_ASSERT(outcome.error->detail.ends_with("not connected in time"));
+}
+
+const testing::Story kClient(
+    "an HTTP client whose process stood still",
+    {It("goes on with a connection that was made meanwhile",
+        ConnectedMeanwhileIsNotTooLate),
+     It("gives up a connection that nobody has answered",
+        UnansweredConnectionIsTooLate)});
+
+}  // namespace
+}  // namespace acacialug::http
