Look at an opening connection once more before it counts as not made

Cause: a timer that passes within a turn runs before the next look at the sockets, so that a process which stood still failed connections that the operating system had made.

Change: a connection that is still being opened when its time is over gets one grace of 10 ms, in which the event loop looks at its sockets before it runs the timer again. Under TLS the handshake, which could not begin sooner, then has connect_timeout for itself, once more if the server's part lies unread.

Ruled out: asking the operating system by poll() for writability. Measured: QTcpSocket::socketDescriptor() is -1 while it connects, so that poll() sees nothing; waitForConnected() would block, and resets what is not made; SO_ERROR forgets the error in telling it.

--- a/src/framework/http/internal/client_connection.cc
+++ b/src/framework/http/internal/client_connection.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+// Any time above zero lets the event loop look at its sockets once more.
+constexpr Duration kOpeningGrace = 10ms;
 
 std::array<char, kReadBytes>& ReadSpace() {
   thread_local std::array<char, kReadBytes> space;
@@ -55,6 +57,8 @@
     return;
   }
   auto* const secure_source = static_cast<QSslSocket*>(source);
+  connect(secure_source, &QSslSocket::connected, this,
+          [this] { this->OnConnected(); });
   connect(secure_source, &QSslSocket::encrypted, this,
           [this] { this->OnOpen(); });
   IgnoreNameMismatch(*secure_source);
@@ -311,6 +315,9 @@
     this->WatchSilence();
     return;
   }
+  if (!this->open && !this->ended && this->GiveOpeningGrace()) {
+    return;
+  }
   this->ended = true;
   this->Fail(Error(
       ResultCode::kConnectionLost,
@@ -318,6 +325,30 @@
           (this->open ? ": silent for too long" : ": not connected in time")));
 }
 
+// While this process stood still the operating system may have made the
+// connection, and an endpoint that is well would pass for one that cannot be
+// reached. Qt tells no descriptor to ask it by before it has noticed itself;
+// but the event loop looks at its sockets before it runs a timer that is set
+// now, so that a connection that is made is heard of by then.
+bool ClientConnection::GiveOpeningGrace() {
+  const bool connecting =
+      this->socket->state() == QAbstractSocket::ConnectingState;
+  if (this->grace_given || (!connecting && IsQuiet(*this->socket))) {
+    return false;
+  }
+  this->grace_given = true;
+  this->timer.Set(connecting ? kOpeningGrace : this->options.connect_timeout);
+  return true;
+}
+
+// Under TLS: the handshake begins. After a grace it has a time of its own,
+// since the server could not begin it sooner.
+void ClientConnection::OnConnected() {
+  if (this->exchange && std::exchange(this->grace_given, false)) {
+    this->timer.Set(this->options.connect_timeout);
+  }
+}
+
 // `Keep-Alive: timeout=SECONDS`, less the time that a request may take to get
 // there: one that meets the server's close has an unknown outcome.
 void ClientConnection::NoteIdleTime(const Headers& headers) {
--- a/src/framework/http/internal/client_connection.h
+++ b/src/framework/http/internal/client_connection.h
@@ -62,6 +62,7 @@
 
  private:
   void ConnectSignals();
+  void OnConnected();
   void OnOpen();
   void OnReadyRead();
   void OnBytesWritten();
@@ -69,6 +70,8 @@
   void OnDisconnected();
   void WatchSilence();
   void OnExpired();
+  // False: it was given, or there is nothing to wait for.
+  bool GiveOpeningGrace();
   void WriteRequest();
   void ReadAnswer();
   bool ReadMore();
@@ -98,6 +101,7 @@
   bool ended = false;  // the socket is of no more use
   bool paused = false;
   bool inside_start = false;
+  bool grace_given = false;   // while it is being opened
   bool request_left = false;  // at least one byte of it
 };
 
