Drain only connections on which nothing lies unread

Cause: CloseIfIdle asked Qt alone, which knows nothing yet of what came while the process stood still; its close then reset a whole request.

Change: it asks the operating system (IsQuiet). Such a request is read, answered with Connection: close, and its connection closed then. A handshake under way at the drain is looked at again when it is done.

Left: a listener that closes still resets connections in its backlog; nothing of them was read.

--- a/src/framework/http/internal/server_connection.cc
+++ b/src/framework/http/internal/server_connection.cc
@@ -118,6 +118,9 @@
 void ServerConnection::OnEncrypted() {
   this->timer.Clear();
   this->WatchPhase();
+  if (this->context.draining) {
+    this->CloseIfIdle();  // the drain found the handshake's bytes unread
+  }
 }
 
 void ServerConnection::OnBytesWritten() {
@@ -366,10 +369,13 @@
   this->socket->disconnectFromHost();
 }
 
+// A request may lie in the socket that this process was too late to read.
+// Closing on it would reset it; it is read, answered, and then the connection
+// closes.
 void ServerConnection::CloseIfIdle() {
   const bool idle = this->state == State::kReading &&
                     this->reader.phase() == RequestReader::Phase::kBetween &&
-                    this->socket->bytesAvailable() == 0;
+                    IsQuiet(*this->socket);
   if (idle) {
     this->CloseInOrder();
   }
