Test the age of requests, and callers that left meanwhile (failing)

Cause: a request that lies unread while the process stands still counts as arrived only when it is read. Its deadline, a duration, is handed on too long; and a request whose caller has closed by then is still handed over, since its bytes are read before the close.

http::Request::age is only declared here. Seven tests fail: three of the age on a kept connection, one on a new one, three of callers that left.

--- a/src/framework/http/http_types.h
+++ b/src/framework/http/http_types.h
@@ -31,6 +31,13 @@
   std::string target;  // as sent: path and query
   Headers headers;
   std::string body;
+  // Of a request that a server hands over: how long ago its last byte, or what
+  // its caller has sent behind it, came to this host. Zero if it was read in
+  // time, or if that is not known. Source: the operating system's TCP_INFO
+  // (tcpi_last_data_recv, in ms, as exact as its tick of 1 to 10 ms), which
+  // does not count time for which the host was suspended. What a caller tells
+  // as a duration from its sending is to be counted from then.
+  Duration age = Duration::zero();
 
   // The target without its query.
   std::string_view Path() const {
--- a/src/framework/http/tests/standstill_test.cc
+++ b/src/framework/http/tests/standstill_test.cc
@@ -13,6 +13,7 @@
 
 #include "framework/http/http_client.h"
 #include "framework/http/http_server.h"
+#include "framework/http/socket_setup.h"
 #include "framework/http/tests/server_fixture.h"
 #include "framework/http/tests/socket_support.h"
 #include "framework/http/tests/tls_files.h"
@@ -205,29 +206,129 @@
       peer.Await("answer");
     });
 
+// A kept connection, so that what is tested is not its first request.
+struct KeptConnection {
+  ServerFixture fixture;
+  std::unique_ptr<RawPeer> peer;
+
+  KeptConnection() : peer(std::make_unique<RawPeer>(this->fixture.port())) {
+    this->peer->Send(Get("/1"));
+    this->fixture.AwaitRequests(1);
+    this->fixture.responders[0]->SendWhole({.body = "first"});
+    this->peer->Await("first");
+  }
+};
+
+constexpr auto kStandstill = 300ms;
+// What the operating system's clock of connections may round off.
+constexpr auto kRounding = 50ms;
+
+struct AgeRow {
+  std::string name;
+  // Sends a request that is handed over more than kStandstill later.
+  std::function<void(ServerFixture& fixture, RawPeer& peer)> send;
+};
+
+// A caller told how much time its request had. The request lay unread while
+// the process stood still, and its time was counted from when it was read: it
+// was sent on with more time than was left, and worked on for nobody.
+const Section kAges = ForEach<AgeRow>(
+    "tells how long ago a request came",
+    {{"that lay unread",
+      [](ServerFixture&, RawPeer& peer) {
+        StandStillInAHandler([&] { peer.Send(Get("/2")); }, kStandstill);
+      }},
+     {"of which the first part was read before",
+      [](ServerFixture& fixture, RawPeer& peer) {
+        peer.Send("GET /2 HTTP/1.1\r\n");
+        QCoreApplication::processEvents();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.requests.size());
+        StandStillInAHandler([&] { peer.Send("Host: x\r\n\r\n"); },
+                             kStandstill);
+      }},
+     {"that lay behind another",
+      [](ServerFixture& fixture, RawPeer& peer) {
+        peer.Send(Get("/between") + Get("/2"));
+        fixture.AwaitRequests(2);
+        std::this_thread::sleep_for(kStandstill);
+        fixture.responders[1]->SendWhole({.body = "between"});
+      }}},
+    [](const AgeRow& row) { return row.name; },
+    [](const AgeRow& row) {
+      KeptConnection kept;
+      const Instant sent = MonotonicNow();
+      row.send(kept.fixture, *kept.peer);
+      const auto& requests = kept.fixture.requests;
+      WaitUntil("the request", [&] { return requests.back().target == "/2"; });
+      const Duration age = requests.back().age;
+      CPPUNIT_ASSERT(age >= kStandstill - kRounding);
+      CPPUNIT_ASSERT(age <= MonotonicNow() - sent + kRounding);
+    });
+
+void FirstRequestHasAnAge() {
+  ServerFixture fixture;
+  std::unique_ptr<RawPeer> peer;
+  StandStillInAHandler(
+      [&] {
+        peer = std::make_unique<RawPeer>(fixture.port());
+        peer->Send(Get("/"));
+      },
+      kStandstill);
+  fixture.AwaitRequests(1);
+  CPPUNIT_ASSERT(fixture.requests[0].age >= kStandstill - kRounding);
+}
+
+struct LeaveRow {
+  std::string name;
+  std::function<void(RawPeer& peer)> leave;
+};
+
+// Callers sent requests, waited, gave up and closed, all while the process
+// stood still. It then read the requests before the closes, and sent each on
+// to an endpoint that began to work for nobody.
+const Section kLeavers = ForEach<LeaveRow>(
+    "hands over no request of a caller that has left meanwhile",
+    {{"by closing", [](RawPeer& peer) { peer.socket->disconnectFromHost(); }},
+     {"by a reset", [](RawPeer& peer) { AbortWithReset(*peer.socket); }},
+     // Such a caller counts as gone also while its request is answered.
+     {"by closing its sending side",
+      [](RawPeer& peer) { ShutDownWriting(*peer.socket); }}},
+    [](const LeaveRow& row) { return row.name; },
+    [](const LeaveRow& row) {
+      KeptConnection kept;
+      StandStillInAHandler(
+          [&] {
+            kept.peer->Send(Get("/2") + Get("/3"));
+            row.leave(*kept.peer);
+          },
+          kStandstill);
+      WaitUntil("the end of the connection",
+                [&] { return kept.fixture.server->open_connections() == 0; });
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.fixture.requests.size());
+    });
+
 // A caller sent a request on a kept connection while the process stood still,
 // and the order to drain was the first that the process then heard. It closed
 // the connection as idle, with the request unread: the caller saw a reset.
 void DrainLeavesWhatHasCome() {
-  ServerFixture fixture;
-  RawPeer peer(fixture.port());
-  peer.Send(Get("/1"));
-  fixture.AwaitRequests(1);
-  fixture.responders[0]->SendWhole({.body = "first"});
-  peer.Await("first");
-  peer.Send(Get("/2"));
-  fixture.server->StopAccepting();
+  KeptConnection kept;
+  kept.peer->Send(Get("/2"));
+  kept.fixture.server->StopAccepting();
+  const auto& requests = kept.fixture.requests;
   WaitUntil("the request or a close",
-            [&] { return peer.closed || fixture.requests.size() == 2; });
-  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.requests.size());
-  fixture.responders[1]->SendWhole({.body = "second"});
-  CPPUNIT_ASSERT(peer.AwaitClose().ends_with("\r\n\r\nsecond"));
+            [&] { return kept.peer->closed || requests.size() == 2; });
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, requests.size());
+  kept.fixture.responders[1]->SendWhole({.body = "second"});
+  CPPUNIT_ASSERT(kept.peer->AwaitClose().ends_with("\r\n\r\nsecond"));
 }
 
 const testing::Story kServer(
     "an HTTP server whose process stood still",
-    {kLimits, It("drains without closing on a request that it has not read",
-                 DrainLeavesWhatHasCome)});
+    {kLimits, kAges, kLeavers,
+     It("tells how long ago the first request of a connection came",
+        FirstRequestHasAnAge),
+     It("drains without closing on a request that it has not read",
+        DrainLeavesWhatHasCome)});
 
 const testing::Story kClient(
     "an HTTP client whose process stood still",
