Tell a request's age, and hand over none whose caller left meanwhile

Cause: a request that lay unread while the process stood still counted as arrived when it was read, and was handed over though its caller had closed.

Change: where a connection may have been read late, the server asks the operating system how long ago the last bytes came (TCP_INFO, tcpi_last_data_recv) and tells it as http::Request::age. If that is 100 ms or more and the caller has closed (HasPeerClosed, as for one behind unread input), the request is dropped and the connection ends. A caller that has closed only its sending side counts as gone, as it does while its request is answered.

How lateness is known: TurnClock notes when each turn of the thread's loop begins, from the dispatcher's awake(). What is read in a turn has come since the turn before looked at its sockets; if that was under 100 ms ago, nobody asks. So a system call is made only by a loop that was busy, stopped or idle for 100 ms, for the first request of a connection, and for one that lay behind another.

Ruled out: a timer that shows its own lateness (wakes an idle process, and runs after the sockets); the time of the last read (says nothing for the second connection of a late turn); asking POLLRDHUP at once (a caller that closes its side behind a request read in time is answered today, if the answer is ready).

Not known, so zero: bytes that waited since the caller does not read its answers (max_unsent_bytes).

--- a/src/framework/http/internal/server_connection.cc
+++ b/src/framework/http/internal/server_connection.cc
@@ -7,6 +7,7 @@
 
 #include "framework/http/internal/message_writer.h"
 #include "framework/http/internal/server_responder.h"
+#include "framework/http/internal/turn_clock.h"
 #include "framework/http/socket_setup.h"
 #include "framework/http/turn_end.h"
 
@@ -214,8 +215,13 @@
     return false;
   }
   const std::string_view bytes = ReadInto(*this->socket, ReadSpace());
+  if (bytes.empty()) {
+    return false;
+  }
   this->reader.Append(bytes);
-  return !bytes.empty();
+  this->may_be_late =
+      this->may_be_late || TurnClock::OfThisThread().MayReadLate();
+  return true;
 }
 
 // Gives each phase of a request its own timeout, from the phase's beginning:
@@ -253,7 +259,25 @@
   }
 }
 
+// A caller that gives up closes; but while this process stood still its close
+// waited behind its request, which would be read first and sent on, so that an
+// endpoint worked for nobody. Like a caller whose request is being answered,
+// one that has only closed its sending side counts as gone. What was read in
+// time is not asked about: its close is heard in the next turn.
+bool ServerConnection::HasLeftMeanwhile(Duration age) const {
+  return age >= kLateRead && HasPeerClosed(*this->socket);
+}
+
 void ServerConnection::Dispatch() {
+  Duration age = Duration::zero();
+  if (std::exchange(this->may_be_late, false)) {
+    age = SinceLastBytes(*this->socket);
+    if (this->HasLeftMeanwhile(age)) {
+      this->socket->abort();
+      this->OnDisconnected();
+      return;
+    }
+  }
   this->state = State::kAnswering;
   this->timer.Clear();
   const ServerResponder::Options answer{
@@ -262,7 +286,9 @@
       .keep_alive = this->reader.keep_alive() && !this->context.draining};
   auto open = std::make_shared<ServerResponder>(this, answer);
   this->responder = open;
-  this->context.handler(this->reader.TakeRequest(), std::move(open));
+  Request request = this->reader.TakeRequest();
+  request.age = age;
+  this->context.handler(std::move(request), std::move(open));
 }
 
 void ServerConnection::Write(std::string_view bytes) {
@@ -290,6 +316,7 @@
   this->watched_phase = RequestReader::Phase::kDone;
   this->WatchPhase();
   if (this->reader.pending_bytes() > 0 || this->socket->bytesAvailable() > 0) {
+    this->may_be_late = true;  // it waited for this answer
     // Later, and not from within the call that ended the answer: its owner
     // would find itself handling the next request in the middle of this one.
     QMetaObject::invokeMethod(
--- a/src/framework/http/internal/server_connection.h
+++ b/src/framework/http/internal/server_connection.h
@@ -68,6 +68,7 @@
   void WatchPhase();
   void OnHead();
   void Dispatch();
+  bool HasLeftMeanwhile(Duration age) const;
   void Refuse(int status, const Error& error);
   void BeginLingering();
   void Discard();
@@ -86,6 +87,9 @@
   std::size_t body_room = 0;  // taken from the budget
   bool shut_down = false;
   bool grace_given = false;  // in the watched phase
+  // The request being read may have lain unread. One on a new connection may,
+  // since it waited there before this process took the connection.
+  bool may_be_late = true;
 };
 
 }  // namespace acacialug::http
--- a/src/framework/http/socket_setup.cc
+++ b/src/framework/http/socket_setup.cc
@@ -11,6 +11,8 @@
 #include <QSslError>
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
+#include <optional>
 #include <utility>
 
 namespace acacialug::http {
@@ -25,6 +27,15 @@
   ::setsockopt(descriptor, level, name, &value, sizeof(value));
 }
 
+std::optional<tcp_info> ReadInfo(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return std::nullopt;
+  }
+  return info;
+}
+
 }  // namespace
 
 std::unique_ptr<QTcpSocket> MakeSocket(const TlsConfiguration& tls,
@@ -78,11 +89,8 @@
 }
 
 bool EndProbe::EndedInOrder() const {
-  tcp_info info{};
-  socklen_t size = sizeof(info);
-  return ::getsockopt(this->descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) ==
-             0 &&
-         info.tcpi_state != TCP_CLOSE;
+  const std::optional<tcp_info> info = ReadInfo(this->descriptor);
+  return info && info->tcpi_state != TCP_CLOSE;
 }
 
 bool HasPeerClosed(const QTcpSocket& socket) {
@@ -93,6 +101,13 @@
          (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+Duration SinceLastBytes(const QTcpSocket& socket) {
+  const std::optional<tcp_info> info =
+      ReadInfo(static_cast<int>(socket.socketDescriptor()));
+  return info ? std::chrono::milliseconds(info->tcpi_last_data_recv)
+              : Duration::zero();
+}
+
 void ShutDownWriting(QTcpSocket& socket) {
   ::shutdown(static_cast<int>(socket.socketDescriptor()), SHUT_WR);
 }
--- a/src/framework/http/socket_setup.h
+++ b/src/framework/http/socket_setup.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <memory>
 
+#include "framework/global/types/instant.h"
 #include "framework/http/tls_configuration.h"
 
 namespace acacialug::http {
@@ -48,6 +49,10 @@
 // True if the peer has closed its side, also while data from it is unread.
 bool HasPeerClosed(const QTcpSocket& socket);
 
+// How long ago the peer's last bytes came to this host, read or not (not the
+// end of its side), to the operating system's tick; zero if it does not tell.
+Duration SinceLastBytes(const QTcpSocket& socket);
+
 // Tells the peer that nothing more comes, and still reads. Plain text only.
 void ShutDownWriting(QTcpSocket& socket);
 
