Test a gateway that reads a request late (failing)

Cause: the gateway counts a request's time from when it is read, so that after a standstill it hands on more than is left, and sends on what has nothing left.

Five tests fail: two of the time handed on (1,000 in place of 400 ms), three of requests whose whole time has passed.

--- /dev/null
+++ b/src/gateway/tests/late_request_test.cc
@@ -0,0 +1,97 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+
+#include "framework/testing/story.h"
+#include "gateway/tests/gateway_world.h"
+
+namespace acacialug::gateway {
+namespace {
+
+using acacialug::testing::ForEach;
+using acacialug::testing::Section;
+using testing::GatewayWorld;
+
+// Keeps the status it was answered with.
+class StatusResponder : public http::Responder {
+ public:
+  void SendWhole(const http::Response& response) override {
+    this->status = response.status;
+  }
+  void BeginStream(int begun, const http::Headers& /*headers*/) override {
+    this->status = begun;
+  }
+  void SendData(std::string_view /*data*/) override {}
+  void EndStream() override {}
+  void Abort() override {}
+  bool gone() const override { return false; }
+  std::size_t unsent_bytes() const override { return 0; }
+  void SetOnGone(std::function<void()> /*on_gone*/) override {}
+  void SetOnDrained(std::function<void()> /*on_drained*/) override {}
+
+  int status = 0;
+};
+
+// A gateway that gets a request with a deadline of 1,000 ms after that request
+// has lain unread for `age`.
+struct LateRequest : GatewayWorld {
+  explicit LateRequest(const std::string& path, Duration age) {
+    this->Configure();
+    this->AddEndpoint("p1", "plain", EndpointRole::kPlain);
+    this->AddEndpoint("f1", "model", EndpointRole::kPrefill);
+    this->AddEndpoint("d1", "model", EndpointRole::kDecode);
+    this->core->Handle({.method = "POST",
+                        .target = path,
+                        .headers = {{"Host", "h.example"},
+                                    {"Id", "a"},
+                                    {"Size", "3000,900"},
+                                    {"Deadline", "1000"}},
+                        .age = age},
+                       this->responder);
+  }
+
+  std::shared_ptr<StatusResponder> responder =
+      std::make_shared<StatusResponder>();
+};
+
+const std::vector<std::string> kPaths = {"/once/a", "/idempotent/a",
+                                         "/stream/a"};
+
+std::string PathName(const std::string& path) {
+  return path;
+}
+
+// A gateway that had stood still handed on, with each request that lay in its
+// sockets, the whole time that the caller had given it; endpoints worked on
+// requests that their callers had given up.
+const Section kTimeLeft = ForEach<std::string>(
+    "hands on only the time that is left to",
+    {"/once/a", "/idempotent/a"},
+    PathName,
+    [](const std::string& path) {
+      LateRequest world(path, 600ms);
+      const auto call = world.Find(path);
+      CPPUNIT_ASSERT(call != nullptr);
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("400"),
+          std::string(http::FindHeader(call->request.headers, "Left")
+                          .value_or("none")));
+    });
+
+const Section kNoTimeLeft = ForEach<std::string>(
+    "refuses as not run what has no time left for",
+    kPaths,
+    PathName,
+    [](const std::string& path) {
+      LateRequest world(path, 1s);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.Calls().size());
+      CPPUNIT_ASSERT_EQUAL(503, world.responder->status);
+    });
+
+const acacialug::testing::Story kLateRequests(
+    "a gateway that reads a request late",
+    {kTimeLeft, kNoTimeLeft});
+
+}  // namespace
+}  // namespace acacialug::gateway
