Count a request's time from its arrival, not from its reading

Cause: GatewayCore::Handle took the moment of reading for that of arrival.

Change: arrived = now - http::Request::age; all that counts from it (deadline, route's timeout, place in the queue, time waited) follows. A request of which the whole time has passed so is refused as not run (503, deadline_unreachable): its deadline's alarm would ring only after it had been sent on with no time.

Not changed: the budget of repeats notes a request when it is read.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -83,16 +83,26 @@
 
   void Handle(http::Request request, http::ResponderPtr responder) {
     const Instant now = this->Now();
+    // Callers count from their sending. Counted from when it was read, a
+    // request that lay unread would be handed on with more time than is left.
+    const Duration age = request.age;
     RelayJob job{
         .request = this->options.dialect.read_request(std::move(request)),
         .responder = std::move(responder),
         .routes = this->routes,
-        .arrived = now};
+        .arrived = now - age};
     if (const ResultCode refused = this->FindWay(job);
         refused != ResultCode::kOk) {
       this->AnswerWithoutRelay(job, refused);
       return;
     }
+    // Its alarm would ring only after it had been sent on.
+    if (age > Duration::zero() &&
+        age >= std::min(job.route->timeout,
+                        job.request.deadline.value_or(job.route->timeout))) {
+      this->AnswerWithoutRelay(job, ResultCode::kDeadlineUnreachable);
+      return;
+    }
     job.state->budget.NoteRequest(now);
     if (job.traits != nullptr && job.traits->engine.has_value()) {
       this->BeginStream(std::move(job));
