Test that a standstill leaves what was sent as sent

Looked for: a standstill that makes "not sent" of a request that has left, which would then be sent a second time. Found none, so that nothing is changed: request_left is set inside the write that hands bytes to the operating system (bytesWritten comes from within flush, or from within the later write of what was not taken at once), with no turn of the event loop between; under TLS it is set before the write; a request is written only when its connection is open, so that "not connected in time" cannot follow a byte of it; a failure put off to the next turn reads the flag then, and its connection is not reused.

--- a/src/framework/http/tests/standstill_test.cc
+++ b/src/framework/http/tests/standstill_test.cc
@@ -123,6 +123,32 @@
   CPPUNIT_ASSERT_EQUAL(std::string("ok"), outcome.body.value_or("none"));
 }
 
+// A request may be sent once more only if nothing of it left. This process sent
+// one, stood still, and heard of the connection's end only after its own time
+// for an answer had passed; whatever it hears first, the request has left.
+void LeftBeforeTheStandstillIsSent() {
+  RawServer server;
+  Client client({.silence_timeout = 20ms});
+  Outcome first;
+  const Address address{.ip = "127.0.0.1", .port = server.port()};
+  const Request request{.method = "GET", .target = "/"};
+  client.Send(address, request, first.Hooks());
+  const auto peer = server.Accept();
+  peer->Await("GET /");
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  WaitUntil("the first answer", [&] { return first.over(); });
+  CPPUNIT_ASSERT(first.body.has_value());
+  Outcome outcome;
+  StandStillInAHandler(
+      [&] {
+        client.Send(address, request, outcome.Hooks());
+        AbortWithReset(*peer->socket);
+      },
+      100ms);
+  WaitUntil("the failure", [&] { return outcome.over(); });
+  CPPUNIT_ASSERT(outcome.error && outcome.sent);
+}
+
 void UnansweredConnectionIsTooLate() {
   const FullListener listener;
   Client client({.connect_timeout = 20ms});
@@ -334,6 +360,8 @@
     "an HTTP client whose process stood still",
     {It("goes on with a connection that was made meanwhile",
         ConnectedMeanwhileIsNotTooLate),
+     It("says that a request was sent which left before it stood still",
+        LeftBeforeTheStandstillIsSent),
      It("leaves a handshake its own time", HandshakeBeginsAfterTheStandstill),
      It("gives up a connection that nobody has answered",
         UnansweredConnectionIsTooLate)});
