Test that a peer's word behind a newcomer's is not taken for silence (failing)

Cause: after a standstill the first datagram read may be a newcomer's, at which the peers are counted, though what the others sent lies behind it.

--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -432,6 +432,21 @@
           b.Tell(c);
           CPPUNIT_ASSERT(c.link.PeersReadStore());
         }),
+     It("loses no peer whose word lies behind a newcomer's",
+        [] {
+          Peer c("c", FreePort());
+          Sender a("a");
+          Sender b("b");
+          a.Tell(c);
+          WaitUntil("the peer", [&c] { return c.peers == 1; });
+          std::size_t fewest = 2;
+          c.on_count = [&] { fewest = std::min(fewest, c.peers); };
+          c.ahead += 5s;
+          b.Tell(c);
+          a.Tell(c);
+          WaitUntil("both", [&c] { return c.peers == 2; });
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fewest);
+        }),
      It("loses no peer whose word lies unread", [] {
        // A gateway's processor time was used up for 1.9 s, and it told
        // `peer_lost` of all its peers at once, though none had been silent:
