Judge nobody by silence until an entry that stood still has listened

Cause: the core's guard against its own standstill saw only timers that were 1 s late, held all request timers for 200 ms, deadlines and the queue's too, and left out what judges by silence beside the requests: claims and connections that are being opened.

Now a timer that is 100 ms late tells of a standstill (the shortest silence judged is 300 ms). All timers but the queue's then wait 20 ms, one turn in which the sockets are read; after that deadlines ring. Who is judged by silence (reservation, prefill, stream, reader, a look-up's patience, connect, welcome) is judged 200 ms later at the earliest. It is not extended again before somebody could be judged, so a process that is late at every look still gives up a dead agent; a test has it within 1.2 s when it stands still again and again.

Unmoved: leases and sessions, exports' lifetimes, the ledgers. A deadline rings 20 ms later, once, after a standstill (before: 200 ms, after one of 1 s).

Ruled out as a mend: moving each silence by the standstill. Its length is only known to lie between how late the timer was and the time since the last event, and in a process that is always late all time would count as standstill.

Two rows were added to the story: the second standstill in a row, and the table "again and again".

Not covered: a standstill that ends less than 100 ms after a silence was due. The event loop reads sockets before it rings, so there it takes a long step of the same turn to go wrong.

--- a/src/entry/internal/call_machine.cc
+++ b/src/entry/internal/call_machine.cc
@@ -189,7 +189,7 @@
   }
   const Incarnation agent = this->context.fleet.AgentOf(home);
   if ((agent != Incarnation() && agent != bound.home) ||
-      now >= this->look_up_until) {
+      now >= this->Judged(this->look_up_until)) {
     this->Fail(ResultCode::kTicketInvalid, protocol::Outcome::kUnknown,
                Duration::zero(), now);
     return;
@@ -210,9 +210,10 @@
                ? this->terms.deadline
                : std::min(this->PatienceEnd(), this->terms.first_token_by);
   }
-  return std::min(
-      {this->terms.deadline, this->look_up_at,
-       this->stage == CallStage::kLookingUp ? this->look_up_until : kNever});
+  return std::min({this->terms.deadline, this->look_up_at,
+                   this->stage == CallStage::kLookingUp
+                       ? this->Judged(this->look_up_until)
+                       : kNever});
 }
 
 void CallMachine::OnTimer(Instant now) {
@@ -229,7 +230,7 @@
                                   : ResultCode::kOutcomeUnknown,
                  now);
   } else if (this->stage == CallStage::kLookingUp &&
-             now >= this->look_up_until) {
+             now >= this->Judged(this->look_up_until)) {
     this->GiveUp(ResultCode::kOutcomeUnknown, now);
   } else if (now >= this->look_up_at) {
     if (this->stage == CallStage::kAwaitingHome) {
--- a/src/entry/internal/endpoint_link.cc
+++ b/src/entry/internal/endpoint_link.cc
@@ -181,6 +181,13 @@
   return false;
 }
 
+void EndpointLink::JudgeFrom(Instant judging_from) {
+  if (this->state == LinkState::kConnecting ||
+      this->state == LinkState::kOpening) {
+    this->retry_at = std::max(this->retry_at, judging_from);
+  }
+}
+
 Instant EndpointLink::NextTimer() const {
   switch (this->state) {
     case LinkState::kIdle:
--- a/src/entry/internal/endpoint_link.h
+++ b/src/entry/internal/endpoint_link.h
@@ -57,6 +57,8 @@
   // what it held is lost.
   bool OnTimer(LogOffset manifest, Instant now);
   Instant NextTimer() const;
+  // A connection that is being opened is not given up before.
+  void JudgeFrom(Instant judging_from);
 
   // True when work may be sent: the session is open and its lease not lapsed.
   bool Usable(Instant now) const {
--- a/src/entry/internal/fleet.cc
+++ b/src/entry/internal/fleet.cc
@@ -297,6 +297,13 @@
   }
 }
 
+void Fleet::JudgeFrom(Instant judging_from) {
+  for (const auto& [id, member] : this->members) {
+    member->link.JudgeFrom(judging_from);
+    this->Rearm(*member);
+  }
+}
+
 Instant Fleet::NextTimer() const {
   return std::min(this->timers.Next(), this->sweep_at);
 }
--- a/src/entry/internal/fleet.h
+++ b/src/entry/internal/fleet.h
@@ -57,6 +57,9 @@
   void Reopen(const EndpointId& endpoint, Instant now);
   void OnTimer(Instant now);
   Instant NextTimer() const;
+  // This process stood still: no connection that is being opened is given up
+  // before. Sessions lapse as ever, by their leases.
+  void JudgeFrom(Instant judging_from);
 
   // The requests that lost a session since the last call.
   std::vector<LostWork> TakeLost();
--- a/src/entry/internal/generation_events.cc
+++ b/src/entry/internal/generation_events.cc
@@ -346,14 +346,16 @@
     return this->resuming ? this->terms.deadline
                           : std::min(this->PatienceEnd(), this->LatestStart());
   }
-  Instant at = std::min({this->terms.deadline, this->stream.ReaderStallsAt()});
+  Instant at = std::min(this->terms.deadline,
+                        this->Judged(this->stream.ReaderStallsAt()));
   if (this->decode.stage == LegStage::kRunning) {
-    return std::min(at, this->stream.EngineStallsAt());
+    return std::min(at, this->Judged(this->stream.EngineStallsAt()));
   }
   if (this->prefill.stage == LegStage::kReady) {
     at = std::min(at, this->export_until);
   }
-  return std::min({at, this->decode.timeout_at, this->prefill.timeout_at,
+  return std::min({at, this->Judged(this->decode.timeout_at),
+                   this->Judged(this->prefill.timeout_at),
                    this->reserve_again_at, this->prefill_at});
 }
 
@@ -364,11 +366,11 @@
                  now);
   } else if (this->state == RequestState::kWaiting) {
     this->OnWaitOver(now);
-  } else if (now >= this->stream.ReaderStallsAt()) {
+  } else if (now >= this->Judged(this->stream.ReaderStallsAt())) {
     this->Fail(ResultCode::kSlowReader, protocol::Outcome::kUnknown,
                Duration::zero(), now);
   } else if (this->decode.stage == LegStage::kRunning) {
-    if (now >= this->stream.EngineStallsAt()) {
+    if (now >= this->Judged(this->stream.EngineStallsAt())) {
       this->context.fleet.NoteFailure(this->decode.endpoint, now);
       this->OnDecodeLost(ResultCode::kEngineFailed, now);
     }
@@ -379,13 +381,13 @@
 
 // Time passed while the legs are being started.
 void GenerationMachine::OnStartTimer(Instant now) {
-  if (now >= this->decode.timeout_at) {
+  if (now >= this->Judged(this->decode.timeout_at)) {
     this->context.fleet.NoteFailure(this->decode.endpoint, now);
     this->EndLeg(this->decode, true, now);
     this->OnDecodeRefused(LegStage::kAsked, Duration::zero(), now);
     return;
   }
-  if (now >= this->prefill.timeout_at) {
+  if (now >= this->Judged(this->prefill.timeout_at)) {
     this->context.fleet.NoteFailure(this->prefill.endpoint, now);
     this->OnPrefillLost(ResultCode::kEngineFailed, now);
     return;
--- a/src/entry/internal/request_machine.h
+++ b/src/entry/internal/request_machine.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_INTERNAL_REQUEST_MACHINE_H_
 #define ENTRY_INTERNAL_REQUEST_MACHINE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -27,6 +28,7 @@
   EntryCounters& counters;
   RandomSource& random;
   std::vector<EntryAction>& actions;
+  const Instant& judging_from;  // moves when this process stood still
 };
 
 // What is fixed about a request from its arrival on; it keeps the manifest
@@ -100,6 +102,10 @@
   void Emit(EntryAction action) {
     this->context.actions.push_back(std::move(action));
   }
+  // When somebody who stays silent until `at` may be judged by it.
+  Instant Judged(Instant at) const {
+    return std::max(at, this->context.judging_from);
+  }
   // The last moment until which it may wait for its turn.
   Instant PatienceEnd() const;
 
--- a/src/entry/internal/request_router.cc
+++ b/src/entry/internal/request_router.cc
@@ -13,9 +13,14 @@
 
 // While no endpoint has room, and none tells of any.
 constexpr Duration kNoPlacePause = 10ms;
-// See NoteOwnPause.
-constexpr Duration kOwnPause = 1s;
-constexpr Duration kReadingTime = 200ms;
+// See NoteOwnPause. The shortest silence that anybody is judged by is the
+// 300 ms of EntryOptions::reserve_timeout.
+constexpr Duration kOwnPause = 100ms;
+// One turn of the event loop, which reads the sockets before it rings.
+constexpr Duration kReadingTime = 20ms;
+// In which an agent of another region answers what had not left this process
+// before it stood still.
+constexpr Duration kListeningTime = 200ms;
 
 template <typename Message>
 concept HasAttempt = requires(const Message& message) {
@@ -75,7 +80,8 @@
           .once = *this->once,
           .counters = this->counters,
           .random = this->random,
-          .actions = this->actions};
+          .actions = this->actions,
+          .judging_from = this->judging_from};
 }
 
 ServiceState& RequestRouter::StateOf(const manifest::Service& service) {
@@ -354,15 +360,24 @@
 
 // ---- time ----
 
-// Symptom: after this process was paused, healthy engines count as stalled
-// and readers as slow. Sequence: it wakes, its timers run, and only then it
-// reads what arrived meanwhile. Timers that are late by more than any loop's
-// delay tell of it; those of requests then wait until the sockets were read.
+// Symptom: after this process stood still, healthy agents count as silent,
+// engines as stalled and readers as slow. Sequence: it wakes, its timers run,
+// and only then it reads what arrived meanwhile. A timer that is late by more
+// than a loop's usual delay tells of it: the timers then wait until the sockets
+// were read, and nobody is judged by silence before this process has listened
+// again. Sessions still lapse at once, by their leases.
 void RequestRouter::NoteOwnPause(Instant now) {
   const Instant due = this->NextTimer();
-  if (due != kNever && now - due >= kOwnPause) {
-    this->timers_held_until = now + kReadingTime;
+  // Not again before somebody could be judged: a process whose timers are
+  // always late would wait for a dead agent for ever.
+  const bool judged =
+      this->rung_at >= this->judging_from || due > this->judging_from;
+  if (!judged || due == kNever || due == Instant{} || now - due < kOwnPause) {
+    return;
   }
+  this->timers_held_until = now + kReadingTime;
+  this->judging_from = now + kListeningTime;
+  this->fleet.JudgeFrom(this->judging_from);
 }
 
 void RequestRouter::Tell(const ProgressNote& note) const {
@@ -372,9 +387,13 @@
 }
 
 void RequestRouter::RunTimers(Instant now) {
+  while (const auto service = this->unblocks.PopDue(now)) {
+    this->pumped.insert(*service);
+  }
   if (now < this->timers_held_until) {
     return;
   }
+  this->rung_at = now;
   while (const auto request = this->timers.PopDue(now)) {
     const auto found = this->machines.find(*request);
     if (found == this->machines.end()) {
@@ -383,24 +402,19 @@
     found->second->OnTimer(now);
     this->After(*found->second, now);
   }
-  while (const auto service = this->unblocks.PopDue(now)) {
-    this->pumped.insert(*service);
-  }
+  this->once->OnTimer(now);
 }
 
 void RequestRouter::OnTimer(Instant now) {
   this->Begin(now);
   this->RunTimers(now);
-  this->once->OnTimer(now);
   this->Settle(now);
 }
 
 Instant RequestRouter::NextTimer() const {
-  const Instant of_requests =
-      std::min(this->timers.Next(), this->unblocks.Next());
-  return std::min({this->fleet.NextTimer(),
-                   std::max(of_requests, this->timers_held_until),
-                   this->once->NextTimer()});
+  const Instant held = std::min(this->timers.Next(), this->once->NextTimer());
+  return std::min({this->fleet.NextTimer(), this->unblocks.Next(),
+                   std::max(held, this->timers_held_until)});
 }
 
 EntryCounters RequestRouter::Counters() const {
--- a/src/entry/internal/request_router.h
+++ b/src/entry/internal/request_router.h
@@ -104,7 +104,9 @@
   std::set<RequestId> queued;
   TimerSet<RequestId> timers;
   TimerSet<ServiceName> unblocks;
-  Instant timers_held_until{};
+  Instant timers_held_until{};  // but for fleet's and unblocks
+  Instant judging_from{};       // nobody is judged by silence before
+  Instant rung_at{};            // the last time that timers were not held
   bool draining = false;
 };
 
--- a/src/entry/tests/standstill_test.cc
+++ b/src/entry/tests/standstill_test.cc
@@ -190,6 +190,26 @@
           driver.Generate();
           driver.Reserve();
         }),
+     // A first standstill must not use up the patience for the next.
+     It("takes the reservation that was answered meanwhile, the second time "
+        "too",
+        [] {
+          ReadyDriver driver;
+          driver.Generate();
+          StandStill(driver, 400ms);
+          driver.Reserve();
+          driver.Pass(250ms);
+          driver.Generate();
+          const auto reserve = driver.Expect<protocol::Reserve>();
+          const std::string decode = driver.last_endpoint;
+          StandStill(driver, 400ms);
+          driver.Pass(kSocketsRead);
+          driver.Tell(decode, protocol::Reserved{.attempt = reserve.attempt});
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               driver.Count<protocol::Cancel>());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               driver.Count<protocol::Reserve>());
+        }),
      It("still gives up an agent that stays silent after it",
         [] {
           ReadyDriver driver;
@@ -202,16 +222,22 @@
         }),
      // Without this an entry on a busy processor, whose timers are always
      // late, would wait for a dead agent for ever.
-     It("still gives up a silent agent when it stands still again and again",
-        [] {
-          ReadyDriver driver;
-          driver.Generate();
-          driver.Expect<protocol::Reserve>();
-          StandStill(driver, 400ms);
-          StandStill(driver, 400ms);
-          driver.Expect<protocol::Cancel>();
-          driver.Expect<protocol::Reserve>();
-        }),
+     ForEach<Standstill>(
+         "still gives up a silent agent within 1.2 s when it stands still "
+         "again and again",
+         {{"for 0.15 s", 150ms}, {"for 0.4 s", 400ms}, {"for 0.6 s", 600ms}},
+         NameOfStandstill,
+         [](const Standstill& row) {
+           ReadyDriver driver;
+           driver.Generate();
+           driver.Expect<protocol::Reserve>();
+           const Instant asked = driver.now;
+           while (driver.now + row.length <= asked + 1200ms) {
+             StandStill(driver, row.length);
+           }
+           driver.Expect<protocol::Cancel>();
+           driver.Expect<protocol::Reserve>();
+         }),
      It("ends a request at its deadline all the same, once it has read its "
         "sockets",
         [] {
