Listen once more before a late connect timeout closes a channel

Cause: the timeout counts time in which the process stood still, and rings before the socket's queued word that it is open. An entry that opens sessions with a working set of dozens of agents would close them all and connect again.

A timer that is 100 ms late or more is set once more, for 200 ms at most (or the whole timeout, if that is shorter). Once a channel: a process that is always late still gives up. Handshakes of TLS, accepted ones too, use the same timer.

--- a/src/framework/net/internal/socket_channel.cc
+++ b/src/framework/net/internal/socket_channel.cc
@@ -3,7 +3,9 @@
 #include <QCoreApplication>
 #include <QHostAddress>
 #include <QSslSocket>
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <utility>
 
 #include "framework/http/socket_setup.h"
@@ -16,6 +18,12 @@
 constexpr std::size_t kReadBufferBytes = std::size_t{256} * 1024;
 // How long a channel closed in order may take to send what was queued.
 constexpr std::chrono::milliseconds kFlushTimeout{2000};
+// A timer that is so late tells that this process stood still; more than the
+// usual delay of an event loop.
+constexpr Duration kOwnPause = 100ms;
+// In which a peer of another region ends a handshake that stood still with
+// this process.
+constexpr Duration kListeningTime = 200ms;
 
 }  // namespace
 
@@ -50,14 +58,32 @@
     http::IgnoreNameMismatch(*secure_source);
   }
   this->connect_timer.setSingleShot(true);
-  QObject::connect(&this->connect_timer, &QTimer::timeout, receiver, [this] {
-    this->Finish(Error(ResultCode::kConnectionLost, "not connected in time"));
-  });
+  QObject::connect(&this->connect_timer, &QTimer::timeout, receiver,
+                   [this] { this->OnConnectTimer(); });
+}
+
+void SocketChannel::StartConnectTimer(Duration wait) {
+  this->connect_by = MonotonicNow() + wait;
+  this->connect_timer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
+}
+
+// Symptom: after this process stood still, all connections that it was opening
+// are closed and begun again. Sequence: the kernel opened them meanwhile, but
+// the event loop rings this timer first. A timer that is late tells of it, and
+// the socket is listened to once more before its peer is judged; only once, or
+// a process that is always late would wait for ever.
+void SocketChannel::OnConnectTimer() {
+  const bool stood_still = MonotonicNow() - this->connect_by >= kOwnPause;
+  if (stood_still && !std::exchange(this->looked_again, true)) {
+    this->StartConnectTimer(
+        std::min(this->options.connect_timeout, kListeningTime));
+    return;
+  }
+  this->Finish(Error(ResultCode::kConnectionLost, "not connected in time"));
 }
 
 void SocketChannel::Connect(const http::Address& address) {
-  this->connect_timer.start(std::chrono::ceil<std::chrono::milliseconds>(
-      this->options.connect_timeout));
+  this->StartConnectTimer(this->options.connect_timeout);
   const QHostAddress host(QString::fromStdString(address.ip));
   if (this->secure) {
     static_cast<QSslSocket*>(this->socket.get())
@@ -77,8 +103,7 @@
   }
   this->ready = std::move(on_ready);
   if (this->secure) {
-    this->connect_timer.start(std::chrono::ceil<std::chrono::milliseconds>(
-        this->options.connect_timeout));
+    this->StartConnectTimer(this->options.connect_timeout);
     static_cast<QSslSocket*>(this->socket.get())->startServerEncryption();
   } else {
     this->OnOpen();
--- a/src/framework/net/internal/socket_channel.h
+++ b/src/framework/net/internal/socket_channel.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <utility>
 
+#include "framework/global/types/instant.h"
 #include "framework/http/tls_configuration.h"
 #include "framework/net/frame_channel.h"
 #include "framework/net/internal/frame_reader.h"
@@ -57,6 +58,8 @@
   enum class State { kConnecting, kOpen, kClosed };
 
   void ConnectSignals();
+  void StartConnectTimer(Duration wait);
+  void OnConnectTimer();
   void OnOpen();
   void OnReadyRead();
   bool DeliverFrames(std::string_view bytes);
@@ -73,6 +76,8 @@
   // The receiver of all signals and queued calls: they end with it.
   std::unique_ptr<QObject> context;
   QTimer connect_timer;
+  Instant connect_by{};       // when connect_timer is due
+  bool looked_again = false;  // connect_timer was late, and set once more
   FrameReader reader;
   // Shared, so that a hook may set other hooks while it runs.
   std::shared_ptr<Hooks> hooks;
