Test that an agent's own standstill is not its engine's silence (failing)

Cause looked for: the engine is found silent, and all reservations and starts are refused, by the time since its last token, also when the agent itself did not run and reads its sessions before the engine's stream. A prefill's stall has no guard at all: the agent aborts one whose end lies in its socket.

Not a cause: the lapse of entries' sessions at an agent that stood still. The agent counts a lease from a renewal's arrival and the entry from its sending, so the entry has given the session up before.

--- a/src/agent/tests/agent_core_test.cc
+++ b/src/agent/tests/agent_core_test.cc
@@ -261,6 +261,25 @@
           Reserves(1) + Streams(1) + Freezes(1099ms) + Reserves(2) +
               Freezes(1ms) + Reserves(3),
           "reserved 1, decode 1, reserved 2, refused 3 no_decode_memory", 2},
+         // Agents that had stood still for a second refused every reservation
+         // that came meanwhile, though their engines had made tokens all the
+         // time: sessions were read before the engine's stream, and the time
+         // in which the agent did not listen counted as the engine's silence.
+         {"nor for silence that is the agent's own standstill", Decoder(),
+          Reserves(1) + Reserves(2) + Streams(1) + Texts(1) + Freezes(1s) +
+              Reserves(3) + Streams(2) + Texts(1),
+          "reserved 1, reserved 2, decode 1, chunk 1:0, reserved 3, decode 2, "
+          "chunk 1:1",
+          3},
+         {"nor for a first token that did not come during it", Decoder(),
+          Reserves(1) + Streams(1) + Freezes(1200ms) + Reserves(2),
+          "reserved 1, decode 1, reserved 2", 2},
+         {"but refuses work when the engine is silent after it, too", Decoder(),
+          Reserves(1) + Streams(1) + Texts(1) + Freezes(1s) + Reserves(2) +
+              Passes(300ms) + Reserves(3),
+          "reserved 1, decode 1, chunk 1:0, reserved 2, "
+          "refused 3 no_decode_memory",
+          2},
          {"nor while its only reader is slow", Decoder(),
           Reserves(1) + Streams(1, 1) + Texts(1, 2) + Freezes(2s) + Reserves(2),
           "reserved 1, decode 1, chunk 1:0, pause 1, reserved 2", 2},
--- a/src/agent/tests/prefill_test.cc
+++ b/src/agent/tests/prefill_test.cc
@@ -152,6 +152,25 @@
              Prefiller(), Prefills(1) + Prefills(2, 2s) + Passes(20s),
              "prefill 1, refused 2 deadline_unreachable, "
              "failed 1 engine_failed unknown, abort 1"},
+            // The agent's lease was a long one, and it stood still past the
+            // stall: it aborted a prefill whose end lay in its socket.
+            {"ends a prefill while the agent stands still, is believed",
+             [] {
+               AgentOptions options = Prefiller();
+               options.session_lease = 1h;
+               return options;
+             }(),
+             Prefills(1) + Freezes(20s) + PrefillEnds(1),
+             "prefill 1, prefilled 1", 1},
+            {"stays silent after the agent stood still, is given up all the "
+             "same",
+             [] {
+               AgentOptions options = Prefiller();
+               options.session_lease = 1h;
+               return options;
+             }(),
+             Prefills(1) + Freezes(20s) + Passes(1s),
+             "prefill 1, failed 1 engine_failed unknown, abort 1"},
             {"ends a prefill, gets the next", Prefiller(),
              Prefills(1) + Prefills(2) + PrefillEnds(1),
              "prefill 1, prefill 2, prefilled 1", 2},
