Count as an engine's silence only time in which its agent listened

Cause: the time since an engine's last token was judged also when the agent had not run meanwhile, and read its sessions before the engine's stream: it refused each reservation and start that came, and entries avoided it for the hint's 300 ms. A prefill's stall had no guard.

While the engine owes a token the agent looks every 300 ms (the shortest silence). A look that is 100 ms late tells of a standstill; silence counts from then on, though not after two late looks in a row. A prefill's stall that is noticed 100 ms late is put off once, by 200 ms. Leases, reservations, exports' ends, calls' deadlines and the ledger stay by time.

Two rows said that the engine was silent but let the agent itself stand still (no timer ran). They now let time pass with its timers, and expect the same trace as before: as strict, and about the engine. A row was added for an agent that stands still again and again.

Not measured: what the look costs, a walk over the agent's streams, 3.3 times a second while any runs.

Left as it is: a stream's own stall forgives a standstill of 1 s and more only. At 5 s without a token, less than that decides seldom.

--- a/src/agent/internal/decode_work.cc
+++ b/src/agent/internal/decode_work.cc
@@ -102,7 +102,7 @@
   }
 }
 
-Duration DecodeWork::Silence(Instant now, Judged judged) const {
+Instant DecodeWork::OwedSince(Judged judged) const {
   Instant latest = Instant::min();  // token of any stream
   Instant earliest = kNever;        // start of one that has none yet
   for (const auto& [attempt, stream] : this->streams) {
@@ -117,14 +117,39 @@
   }
   if (latest == Instant::min()) {
     if (earliest == kNever || judged == Judged::kByTokens) {
-      return Duration::zero();
+      return kNever;
     }
     // Imports come before first tokens, and take up to the exports' lifetime.
     latest = earliest + this->parts.options.export_lifetime;
   }
+  return std::max(latest, this->listening_from);
+}
+
+Duration DecodeWork::Silence(Instant now, Judged judged) const {
+  const Instant since = this->OwedSince(judged);
   const Duration bound =
       std::max(kShortestSilence, kSilentIntervals * this->pace.interval());
-  return now - latest < bound ? Duration::zero() : now - latest;
+  return since == kNever || now - since < bound ? Duration::zero()
+                                                : now - since;
+}
+
+// Symptom: an agent that stood still refuses all work that came meanwhile,
+// though its engine made tokens all the time. Sequence: it wakes, and reads its
+// sessions before the engine's stream. A look that is late tells of it; time
+// counts as the engine's silence from then on only. Not twice in a row, or
+// with an agent that is always late no engine would ever count as silent.
+void DecodeWork::Look(Instant now) {
+  if (now < this->look_at && this->look_at != kNever) {
+    return;
+  }
+  const bool late = this->look_at != kNever && now - this->look_at >= kLateLook;
+  this->stood_still = late && !this->stood_still;
+  if (this->stood_still) {
+    this->listening_from = now;
+  }
+  this->look_at = this->OwedSince(Judged::kByAll) == kNever
+                      ? kNever
+                      : now + kShortestSilence;
 }
 
 // Symptom: requests that came while an engine stood still miss their first
@@ -168,6 +193,7 @@
                                         .asked = start.generation.max_tokens,
                                         .progress = now});
   this->stalls.Set(attempt, now + kShortestSilence);
+  this->Look(now);
   this->parts.outbox.Execute(engine::Decode{
       .attempt = attempt, .generation = start.generation, .kv = start.kv});
   return true;
@@ -315,6 +341,7 @@
 }
 
 void DecodeWork::Expire(Instant now) {
+  this->Look(now);
   for (const AttemptId& attempt : this->memory.Expire(now)) {
     ++this->parts.counters.reservations_lapsed;
     this->link.Release(attempt);
@@ -429,7 +456,7 @@
 
 Instant DecodeWork::next_timer() const {
   return std::min({this->memory.next_timer(), this->wait_limits.next(),
-                   this->stalls.next()});
+                   this->stalls.next(), this->look_at});
 }
 
 }  // namespace acacialug::agent
--- a/src/agent/internal/decode_work.h
+++ b/src/agent/internal/decode_work.h
@@ -64,9 +64,13 @@
   // By streams that had a token, or also by starts that wait for their first.
   enum class Judged : std::uint8_t { kByTokens, kByAll };
 
-  // How long the engine has owed its streams the next token; zero while it
-  // keeps its pace, or owes none.
+  // Since when the engine owes its streams the next token, and this process
+  // would have heard it; kNever: it owes none.
+  Instant OwedSince(Judged judged) const;
+  // How long it has owed it; zero while it keeps its pace, or owes none.
   Duration Silence(Instant now, Judged judged) const;
+  // Finds out whether this process itself stood still.
+  void Look(Instant now);
   // Refuses the attempt as not run while the engine stands still.
   bool RefuseWhileSilent(const AttemptId& attempt,
                          protocol::Phase phase,
@@ -90,6 +94,9 @@
   std::deque<protocol::StartDecode> waiting;  // at most `slots`
   DeadlineSet<AttemptId> wait_limits;
   DeadlineSet<AttemptId> stalls;
+  Instant look_at = kNever;  // the next Look, while the engine owes a token
+  Instant listening_from{};  // after the latest standstill of this process
+  bool stood_still = false;  // by the latest Look
 };
 
 }  // namespace acacialug::agent
--- a/src/agent/internal/prefill_work.cc
+++ b/src/agent/internal/prefill_work.cc
@@ -12,6 +12,10 @@
 using protocol::Phase;
 
 constexpr std::size_t kMostPieces = 4096;
+// A stall that is noticed so late tells that this process stood still, and then
+// its engine gets so long to be heard.
+constexpr Duration kOwnPause = 100ms;
+constexpr Duration kListeningTime = 200ms;
 constexpr double kLeastWork = 1;  // tokens; also a cached prompt takes a step
 
 }  // namespace
@@ -157,11 +161,7 @@
   for (const QueuedPrefill& late : this->queue.Expire(now)) {
     this->RefuseLate(late.start.attempt, now);
   }
-  while (const std::optional<AttemptId> attempt = this->stalls.PopDue(now)) {
-    this->parts.Fail(*attempt, Phase::kPrefill, ResultCode::kEngineFailed,
-                     Outcome::kUnknown, now);
-    this->Release(*attempt, now);
-  }
+  this->ExpireStalled(now);
   // The engine evicts by itself; the one abort is for an engine that does
   // not, whose memory would stay taken.
   while (const std::optional<AttemptId> attempt =
@@ -172,6 +172,23 @@
   }
 }
 
+// A prefill that ended while this process stood still must not be aborted
+// before its engine's socket was read. A stall that is noticed late tells of
+// it; only once, so that an engine that stands still too is given up.
+void PrefillWork::ExpireStalled(Instant now) {
+  while (this->stalls.next() <= now) {
+    const bool late = now - this->stalls.next() >= kOwnPause;
+    const AttemptId attempt = *this->stalls.PopDue(now);
+    if (late && !std::exchange(this->running.at(attempt).looked_again, true)) {
+      this->stalls.Set(attempt, now + kListeningTime);
+      continue;
+    }
+    this->parts.Fail(attempt, Phase::kPrefill, ResultCode::kEngineFailed,
+                     Outcome::kUnknown, now);
+    this->Release(attempt, now);
+  }
+}
+
 void PrefillWork::EndAll(Instant now) {
   for (const AttemptId& attempt : this->queue.attempts()) {
     this->queue.Remove(attempt);
--- a/src/agent/internal/prefill_work.h
+++ b/src/agent/internal/prefill_work.h
@@ -45,9 +45,11 @@
     protocol::PrefixChain prefix;
     std::uint64_t prompt_tokens = 0;
     Instant predicted;
+    bool looked_again = false;  // its stall was noticed late, and put off
   };
 
   void Dispatch(Instant now);
+  void ExpireStalled(Instant now);
   void RefuseLate(const AttemptId& attempt, Instant now);
   // Forgets the prefill in the engine; false when there is none.
   bool EndRunning(const AttemptId& attempt, Instant now);
--- a/src/agent/tests/agent_core_test.cc
+++ b/src/agent/tests/agent_core_test.cc
@@ -251,15 +251,15 @@
           "refused 4 no_decode_memory, refused 2 no_decode_memory",
           2},
          {"and goes on with the next token", Decoder(),
-          Reserves(1) + Streams(1) + Texts(1) + Freezes(1s) + Reserves(2) +
+          Reserves(1) + Streams(1) + Texts(1) + Passes(1s) + Reserves(2) +
               Texts(1) + Reserves(3),
           "reserved 1, decode 1, chunk 1:0, refused 2 no_decode_memory, "
           "chunk 1:1, reserved 3",
           2},
          {"but waits longer for a first token, which may wait for its import",
           Decoder(),
-          Reserves(1) + Streams(1) + Freezes(1099ms) + Reserves(2) +
-              Freezes(1ms) + Reserves(3),
+          Reserves(1) + Streams(1) + Passes(1099ms) + Reserves(2) +
+              Passes(1ms) + Reserves(3),
           "reserved 1, decode 1, reserved 2, refused 3 no_decode_memory", 2},
          // Agents that had stood still for a second refused every reservation
          // that came meanwhile, though their engines had made tokens all the
@@ -280,6 +280,14 @@
           "reserved 1, decode 1, chunk 1:0, reserved 2, "
           "refused 3 no_decode_memory",
           2},
+         // Without this an agent on a busy processor would never find its
+         // engine silent.
+         {"also when the agent stands still again and again", Decoder(),
+          Reserves(1) + Streams(1) + Texts(1) + Freezes(500ms) + Reserves(2) +
+              Freezes(500ms) + Reserves(3),
+          "reserved 1, decode 1, chunk 1:0, reserved 2, "
+          "refused 3 no_decode_memory",
+          2},
          {"nor while its only reader is slow", Decoder(),
           Reserves(1) + Streams(1, 1) + Texts(1, 2) + Freezes(2s) + Reserves(2),
           "reserved 1, decode 1, chunk 1:0, pause 1, reserved 2", 2},
