Test that news which the log gives cost no peer a page (failing)

Cause looked for: a small change that costs the whole configuration. An agent (and an entry) that hears of a newer offset reads the log, which has the change as a delta, and at the same time asks every peer of platform.peers for the whole text. docs/MANIFEST.md and docs/PROTOCOL.md say that peers are asked with the log out.

Who has no platform.peers is not concerned.

--- a/src/configuration/tests/configuration_follower_test.cc
+++ b/src/configuration/tests/configuration_follower_test.cc
@@ -85,6 +85,48 @@
           bench.Fail();
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.asked.size());
         }),
+     // Each small change made every agent fetch the whole configuration from
+     // every peer, beside the few lines of the change that it read from the
+     // log: it asked its peers whenever an entry spoke of news, not only with
+     // the log out.
+     It("asks no peer for news that the log gives",
+        [] {
+          Bench bench({.author = "agent-1", .follow_stream = false});
+          bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+          bench.follower.OnPeerOffset(LogOffset(2), kStart);
+          bench.follower.OnTimer(kStart);
+          bench.Answer({{LogOffset(2), Publish("b", 1)}}, 3, kStart + 100ms);
+          while (bench.follower.next_timer() < kStart + 10s) {
+            bench.follower.OnTimer(bench.follower.next_timer());
+          }
+          bench.Collect();
+          CPPUNIT_ASSERT((std::vector<std::uint64_t>{1, 2}) == bench.in_force);
+          CPPUNIT_ASSERT(bench.asked.empty());
+        }),
+     It("asks the peers when the log has not given the news within a second",
+        [] {
+          Bench bench({.author = "agent-1", .follow_stream = false});
+          bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+          bench.follower.OnPeerOffset(LogOffset(2), kStart);
+          bench.follower.OnTimer(kStart);  // and the log does not answer
+          CPPUNIT_ASSERT(bench.follower.next_timer() <= kStart + 1s);
+          bench.follower.OnTimer(kStart + 1s);
+          bench.Collect();
+          CPPUNIT_ASSERT((std::vector<std::uint64_t>{2}) == bench.asked);
+          CPPUNIT_ASSERT(bench.follower.next_timer() == kNever);
+        }),
+     It("asks the peers at once when the log fails",
+        [] {
+          Bench bench({.author = "agent-1", .follow_stream = false});
+          bench.Answer({{LogOffset(1), Publish("a", 0)}}, 2);
+          bench.follower.OnPeerOffset(LogOffset(2), kStart);
+          bench.follower.OnTimer(kStart);
+          bench.Fail();
+          CPPUNIT_ASSERT((std::vector<std::uint64_t>{2}) == bench.asked);
+          bench.follower.OnPeerOffset(LogOffset(3), kStart);
+          bench.Collect();
+          CPPUNIT_ASSERT((std::vector<std::uint64_t>{2, 3}) == bench.asked);
+        }),
      // Symptom: a change took 5 s after a short outage of the log. Sequence:
      // reads failed until the wait between them was seconds long; the log came
      // back; an entry told of the change. Cause: the wait was slept to its end.
