Test that a call's home is still asked after a standstill (failing)

Cause looked for: a patience that counts time in which the process could not ask. A home that cannot be reached is asked for 5 s; after a standstill of 5.5 s (its session has lapsed by its lease, rightly) the entry called the outcome unknown before the session could be opened again.

--- a/src/entry/tests/standstill_test.cc
+++ b/src/entry/tests/standstill_test.cc
@@ -190,6 +190,34 @@
           driver.Generate();
           driver.Reserve();
         }),
+     // The caller of a call that may run only once was told that nobody knows
+     // its outcome, though its home was there and knew it: the 5 s for which a
+     // home that cannot be reached is asked had passed while nothing ran.
+     It("still asks a call's home what became of it",
+        [] {
+          ReadyDriver driver;
+          driver.Call("POST", "key");
+          const auto start = driver.Expect<protocol::StartCall>();
+          const std::string home = driver.last_endpoint;
+          driver.Close(home);
+          StandStill(driver, 5500ms);
+          driver.Pass(500ms, false);
+          driver.Open(home);
+          driver.Pass(300ms);
+          CPPUNIT_ASSERT(driver.Errors().empty());
+          CPPUNIT_ASSERT(driver.Expect<protocol::LookUp>().once.key_low ==
+                         start.once.key_low);
+        }),
+     It("still gives up a call's home that cannot be reached after it",
+        [] {
+          ReadyDriver driver;
+          driver.Call("POST", "key");
+          driver.Expect<protocol::StartCall>();
+          driver.Close(driver.last_endpoint);
+          StandStill(driver, 5500ms);
+          driver.Pass(2s, false);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, driver.Errors().size());
+        }),
      // A first standstill must not use up the patience for the next.
      It("takes the reservation that was answered meanwhile, the second time "
         "too",
