Give a call's home time to be reached after a standstill of the entry

Cause: the 5 s for which a home is asked ran on while the process stood still; the 200 ms of listening are too short to open a lapsed session again (backoff of at most 1 s, connect, welcome).

After a standstill the home has 1.5 s at least. The caller's deadline still ends the wait, and no claim, ticket or ledger entry lasts longer by it.

--- a/src/entry/internal/call_machine.cc
+++ b/src/entry/internal/call_machine.cc
@@ -16,6 +16,9 @@
 // How long a ticket's home is waited for, and how often it is looked at.
 constexpr Duration kHomePatience = 5s;
 constexpr Duration kHomeInterval = 100ms;
+// After a standstill of this process: to open a lapsed session again, whose
+// backoff is at most 1 s, and to ask.
+constexpr Duration kReopeningTime = 1500ms;
 
 }  // namespace
 
@@ -179,6 +182,13 @@
       now);
 }
 
+// Time in which this process stood still is none in which the home could be
+// asked.
+Instant CallMachine::PatienceWithHomeEnd() const {
+  return std::max(this->look_up_until,
+                  this->context.judging_from + kReopeningTime);
+}
+
 // A ticket's home that only lost its session is connected again; one whose
 // agent was replaced, or that does not come back, is gone with all it knew.
 void CallMachine::AwaitHome(const EndpointId& home,
@@ -189,7 +199,7 @@
   }
   const Incarnation agent = this->context.fleet.AgentOf(home);
   if ((agent != Incarnation() && agent != bound.home) ||
-      now >= this->Judged(this->look_up_until)) {
+      now >= this->PatienceWithHomeEnd()) {
     this->Fail(ResultCode::kTicketInvalid, protocol::Outcome::kUnknown,
                Duration::zero(), now);
     return;
@@ -212,7 +222,7 @@
   }
   return std::min({this->terms.deadline, this->look_up_at,
                    this->stage == CallStage::kLookingUp
-                       ? this->Judged(this->look_up_until)
+                       ? this->PatienceWithHomeEnd()
                        : kNever});
 }
 
@@ -230,7 +240,7 @@
                                   : ResultCode::kOutcomeUnknown,
                  now);
   } else if (this->stage == CallStage::kLookingUp &&
-             now >= this->Judged(this->look_up_until)) {
+             now >= this->PatienceWithHomeEnd()) {
     this->GiveUp(ResultCode::kOutcomeUnknown, now);
   } else if (now >= this->look_up_at) {
     if (this->stage == CallStage::kAwaitingHome) {
