Read what peers sent before their silence is believed

Cause: after this process stood still its timers may run before its sockets are read. The keep-alive then counted every peer as lost (`peer_lost` of all in one moment), whose datagrams lay unread, and the follower of the store took the reading upon itself; a newcomer's datagram did the same when read first.

Now the keep-alive and PeersReadStore first take what lies in the datagram socket (net::DatagramSocket::ReadPending, a turn's worth, so that a flood holds nothing up; if there is more, peers are counted the next time), and a newcomer makes the keep-alive come at once instead of counting peers itself.

Ruled out: measuring the standstill by how late the keep-alive comes. Reading first costs one look at the socket and needs no threshold.

Left: heard_at is the time of reading, so that what lay unread counts as fresh: a peer that died meanwhile is noticed that much later, two seconds after the reading at most.

--- a/src/framework/net/datagram_socket.cc
+++ b/src/framework/net/datagram_socket.cc
@@ -46,22 +46,24 @@
     return sent;
   }
 
-  Options options;
-  QUdpSocket socket;
-  DatagramCounters counters;
-
- private:
-  void Read() {
+  // False: more than a turn's worth lay there, and the rest is read later.
+  bool Read() {
     for (std::size_t taken = 0; this->socket.hasPendingDatagrams(); ++taken) {
       if (taken == this->options.max_a_turn) {
         QMetaObject::invokeMethod(
             &this->context, [this] { this->Read(); }, Qt::QueuedConnection);
-        return;
+        return false;
       }
       this->ReadOne();
     }
+    return true;
   }
 
+  Options options;
+  QUdpSocket socket;
+  DatagramCounters counters;
+
+ private:
   void ReadOne() {
     QHostAddress host;
     quint16 port = 0;
@@ -104,6 +106,10 @@
   return this->implementation->Send(datagram, to);
 }
 
+bool DatagramSocket::ReadPending() {
+  return this->implementation->Read();
+}
+
 const DatagramCounters& DatagramSocket::counters() const {
   return this->implementation->counters;
 }
--- a/src/framework/net/datagram_socket.h
+++ b/src/framework/net/datagram_socket.h
@@ -47,6 +47,12 @@
   // datagrams get lost on the way as well. False: not sent, or too long.
   bool Send(std::string_view datagram, const http::Address& to);
 
+  // Takes what lies unread now, as the event loop would in its next turn, for
+  // an owner that is about to conclude something from silence: after its thread
+  // stood still, its timers may run first. False: more is left than is taken in
+  // a turn, and comes by the event loop. Not from on_datagram.
+  bool ReadPending();
+
   const DatagramCounters& counters() const;
 
  private:
--- a/src/framework/net/tests/datagram_socket_test.cc
+++ b/src/framework/net/tests/datagram_socket_test.cc
@@ -61,6 +61,18 @@
           two.Await(7);
           CPPUNIT_ASSERT_EQUAL(std::string("6"), two.datagrams.back());
         }),
+     It("gives what lies unread when asked, up to a turn's worth",
+        [] {
+          Receiver one;
+          Receiver two;
+          for (int i = 0; i < 3; ++i) {
+            one.socket.Send(std::to_string(i), Local(two.socket.port()));
+          }
+          CPPUNIT_ASSERT(!two.socket.ReadPending());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, two.datagrams.size());
+          CPPUNIT_ASSERT(two.socket.ReadPending());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{3}, two.datagrams.size());
+        }),
      // Symptom: a stranger's datagram takes memory, or looks like a shorter,
      // valid one. Sequence: it is longer than any of ours. Cause: reading
      // into a buffer of the expected size cuts it silently.
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -110,7 +110,7 @@
   }
 
   void NoteStoreRead() { this->peers.NoteStoreRead(); }
-  bool PeersReadStore() const { return this->peers.PeersReadStore(); }
+  bool PeersReadStore() { return this->peers.PeersReadStore(); }
 
   void SetMembers(const std::map<std::string, http::Address>& members) {
     this->peers.SetMembers(members);
@@ -419,7 +419,7 @@
   this->implementation->NoteStoreRead();
 }
 
-bool GatewayProcess::PeersReadStore() const {
+bool GatewayProcess::PeersReadStore() {
   return this->implementation->PeersReadStore();
 }
 
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -57,7 +57,7 @@
   // The store was read by this process, just now.
   void NoteStoreRead();
   // Whether others read it, so that this process need not.
-  bool PeersReadStore() const;
+  bool PeersReadStore();
 
   // Where other gateways may be found, by their ids.
   void SetMembers(const std::map<std::string, http::Address>& members);
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -186,6 +186,7 @@
   void SetStoreServes(bool serves) { this->store_serves = serves; }
 
   bool PeersReadStore() {
+    this->socket.ReadPending();
     const Instant now = this->options.now();
     std::size_t readers_before = 0;
     bool fresh = false;
@@ -346,8 +347,9 @@
     this->options.on_load(heartbeat->sender, LoadOf(*heartbeat));
     this->NoteBehind();
     if (newcomer) {
-      this->CountPeers();
       this->TellAll();
+      // Not from here: what the others sent may lie behind this datagram.
+      QTimer::singleShot(0, &this->keep_alive, [this] { this->OnKeepAlive(); });
     }
     this->FetchIfBehind();
   }
@@ -375,8 +377,13 @@
     return load;
   }
 
+  // After this process stood still the timer may run before what came meanwhile
+  // is read: all peers would be lost at once (`peer_lost`), none of which was
+  // silent, and this process would take their share upon itself.
   void OnKeepAlive() {
-    this->CountPeers();
+    if (this->socket.ReadPending()) {
+      this->CountPeers();
+    }
     if (this->options.now() - this->last_told >= kKeepAlive) {
       this->TellAll();
     }
@@ -641,7 +648,7 @@
   this->implementation->NoteStoreRead();
 }
 
-bool PeerLink::PeersReadStore() const {
+bool PeerLink::PeersReadStore() {
   return this->implementation->PeersReadStore();
 }
 
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -82,7 +82,8 @@
   // them, and this process need not ask. Each read costs the same for 5
   // processes and for 750, so that only a few do it; whoever hears of no
   // recent read does it itself.
-  bool PeersReadStore() const;
+  // What peers sent and was not read yet counts. Not from a hook.
+  bool PeersReadStore();
 
  private:
   class Implementation;
