Note of the peer that was asked what it left out, not of its address

A question now carries the peer's id, by which a failure, an open catalog and a configuration that was not handed over are noted.

A test more of the page's target, for programs that do not tell what they know.

--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -93,6 +93,7 @@
 
 // What a peer was asked, and how far it knew by its own word.
 struct Question {
+  std::string peer;
   http::Address pages;
   LogOffset known_configuration;  // as told to it
   LogOffset configuration;
@@ -467,14 +468,13 @@
   }
 
   // The peer that offers most; null: none offers anything.
-  const Peer* BestSource() const {
-    const Instant now = this->options.now();
-    const Peer* best = nullptr;
+  const std::pair<const std::string, Peer>* BestSource(Instant now) const {
+    const std::pair<const std::string, Peer>* best = nullptr;
     Offer best_offer;
-    for (const auto& [id, peer] : this->peers) {
-      const Offer offer = this->OfferOf(id, peer, now);
+    for (const auto& entry : this->peers) {
+      const Offer offer = this->OfferOf(entry.first, entry.second, now);
       if (!offer.empty() && (best == nullptr || offer > best_offer)) {
-        best = &peer;
+        best = &entry;
         best_offer = offer;
       }
     }
@@ -486,19 +486,21 @@
     if (this->fetching || now - this->fetched_at < kFetchInterval) {
       return;
     }
-    const Peer* const source = this->BestSource();
+    const auto* const source = this->BestSource(now);
     if (source == nullptr) {
       return;
     }
+    const auto& [id, peer] = *source;
     this->fetching = true;
     this->fetched_at = now;
-    this->Ask({.pages = {.ip = source->address.ip, .port = source->pages_port},
+    this->Ask({.peer = id,
+               .pages = {.ip = peer.address.ip, .port = peer.pages_port},
                // What the store is to bring is told as known.
                .known_configuration = this->NeedsConfiguration(now)
                                           ? this->known.configuration
                                           : this->NewestConfiguration(),
-               .configuration = source->configuration,
-               .endpoints = source->endpoints});
+               .configuration = peer.configuration,
+               .endpoints = peer.endpoints});
   }
 
   void Ask(const Question& question) {
@@ -520,29 +522,18 @@
                    {.code = error.result_code(),
                     .fields = {{"from", http::ToString(question.pages)},
                                {"detail", error.detail}}});
-               this->PassOver(question.pages);
+               this->PassOver(question);
              }});
   }
 
   // The next best is asked meanwhile: one that died is believed to live for
   // two seconds, and all would wait for it.
-  void PassOver(const http::Address& pages) {
-    if (Peer* const peer = this->PeerAt(pages)) {
-      peer->passed_over_until = this->options.now() + kRetryInterval;
-    }
+  void PassOver(const Question& question) {
+    this->peers[question.peer].passed_over_until =
+        this->options.now() + kRetryInterval;
     this->FetchIfBehind();
   }
 
-  // Null: it went elsewhere meanwhile.
-  Peer* PeerAt(const http::Address& pages) {
-    for (auto& [id, peer] : this->peers) {
-      if (peer.address.ip == pages.ip && peer.pages_port == pages.port) {
-        return &peer;
-      }
-    }
-    return nullptr;
-  }
-
   void OnCatalog(const Question& question, const std::string& body) {
     const std::string from = http::ToString(question.pages);
     const Result<Catalog> catalog =
@@ -552,7 +543,7 @@
           "peer_catalog_bad",
           {.code = catalog.error().result_code(),
            .fields = {{"from", from}, {"detail", catalog.error().detail}}});
-      this->PassOver(question.pages);
+      this->PassOver(question);
       return;
     }
     const bool configured = catalog->configuration != nullptr;
@@ -569,18 +560,15 @@
   // What the peer did not hand over is asked of others meanwhile, and the rest
   // of it: neither is a failure.
   void NoteLeftOut(const Question& question, bool configured) {
-    Peer* const peer = this->PeerAt(question.pages);
-    if (peer == nullptr) {
-      return;
-    }
+    Peer& peer = this->peers[question.peer];
     if (!configured && question.configuration > question.known_configuration) {
-      peer->turned_away_until = this->options.now() + kTurnedAwayPause;
+      peer.turned_away_until = this->options.now() + kTurnedAwayPause;
     }
     // A peer that waits for lapsed records tells of changes that its catalog
     // leaves open. Asked again and again, being the best of those that know as
     // much, it would keep others' settled knowledge from this process.
     if (question.endpoints > this->known.complete_to) {
-      peer->open_until = this->options.now() + kRetryInterval;
+      peer.open_until = this->options.now() + kRetryInterval;
     }
   }
 
--- a/src/gateway_process/tests/gateway_process_test.cc
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -43,6 +43,17 @@
           CPPUNIT_ASSERT(*read->endpoints.records[0].record ==
                          *known.endpoints.records[0].record);
         }),
+     It("is asked for with what is known, or by programs that do not tell",
+        [] {
+          CPPUNIT_ASSERT(KnownByTarget(CatalogTarget(LogOffset(6))) ==
+                         LogOffset(6));
+          for (const char* const target :
+               {"/catalog", "/catalog?", "/catalog?configuration_known=",
+                "/catalog?configuration_known=x",
+                "/catalog?configuration_known=99999999999999999999999"}) {
+            CPPUNIT_ASSERT(KnownByTarget(target) == LogOffset());
+          }
+        }),
      ForEach<std::string>(
          "that is wrong is told by number:",
          {"", "{}", "[]", R"({"endpoints_as_of":1})",
