--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -23,7 +23,6 @@
 
 using acacialug::testing::It;
 using acacialug::testing::WaitUntil;
-using testing::Endpoint;
 using testing::FreePort;
 using testing::kAnyPort;
 using testing::KnownAt;
