--- a/src/gateway/internal/alarm_clock.cc
+++ b/src/gateway/internal/alarm_clock.cc
@@ -5,12 +5,20 @@
 
 namespace acacialug::gateway {
 
-AlarmId AlarmClock::Set(Instant at,
-                        std::function<void()> call,
-                        AlarmKind kind) {
+AlarmId AlarmClock::Set(Instant at, std::function<void()> call) {
+  return this->Add(at, {.call = std::move(call)});
+}
+
+AlarmId AlarmClock::SetSilence(Instant now,
+                               Duration patience,
+                               std::function<void()> call) {
+  return this->Add(now + patience,
+                   {.call = std::move(call), .silent_since = now});
+}
+
+AlarmId AlarmClock::Add(Instant at, Alarm alarm) {
   const AlarmId id = ++this->last;
-  this->alarms.emplace(std::pair(at, id),
-                       Alarm{.call = std::move(call), .kind = kind});
+  this->alarms.emplace(std::pair(at, id), std::move(alarm));
   this->times.emplace(id, at);
   if (this->alarms.begin()->first.second == id && this->sooner) {
     this->sooner(at);
@@ -32,7 +40,10 @@
       this->rung_at == Instant{} ? this->next() : this->rung_at;
   const Duration stood = late ? now - since : Duration::zero();
   this->rung_at = now;
-  this->MoveSilences(stood - kLate);
+  if (late) {
+    this->woke_at = now;
+    this->MoveSilences(stood, now);
+  }
   // Once in a row: a process that is late again and again still has to end what
   // has passed its deadline.
   this->deferred = late && !this->deferred;
@@ -49,24 +60,30 @@
   return Duration::zero();
 }
 
-void AlarmClock::MoveSilences(Duration by) {
-  if (by <= Duration::zero()) {
-    return;
-  }
+// Each look at the sockets counts as kLate of listening, and no silence moves
+// by more than it has lasted: one that began behind the standstill stays.
+void AlarmClock::MoveSilences(Duration stood, Instant now) {
   std::vector<std::pair<Instant, AlarmId>> silences;
   for (const auto& [key, alarm] : this->alarms) {
-    if (alarm.kind == AlarmKind::kSilence) {
+    if (alarm.silent_since) {
       silences.push_back(key);
     }
   }
   for (const auto& [at, id] : silences) {
     auto moved = this->alarms.extract({at, id});
-    moved.key().first = at + by;
+    const Duration lasted = now - *moved.mapped().silent_since;
+    const Instant later =
+        at + std::max(Duration::zero(), std::min(stood, lasted) - kLate);
+    moved.key().first = later;
     this->alarms.insert(std::move(moved));
-    this->times[id] = at + by;
+    this->times[id] = later;
   }
 }
 
+bool AlarmClock::StoodStill(Instant since, Instant now) const {
+  return since < this->woke_at || this->Late(now);
+}
+
 bool AlarmClock::Late(Instant now) const {
   // Where it rang nothing it was to be called again at once.
   return !this->alarms.empty() &&
--- a/src/gateway/internal/alarm_clock.h
+++ b/src/gateway/internal/alarm_clock.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "framework/global/types/instant.h"
@@ -12,12 +13,6 @@
 
 using AlarmId = std::uint64_t;
 
-// What a standstill of this process means to an alarm.
-enum class AlarmKind {
-  kInstant,  // nothing: it is due at its time
-  kSilence,  // it judges somebody who could not be heard: it moves by as much
-};
-
 // Calls that are due at a time, for an owner that has one timer for all. Not
 // thread safe.
 //
@@ -36,22 +31,26 @@
   explicit AlarmClock(std::function<void(Instant)> on_sooner)
       : sooner(std::move(on_sooner)) {}
 
-  AlarmId Set(Instant at,
-              std::function<void()> call,
-              AlarmKind kind = AlarmKind::kInstant);
+  // Due at its time, whoever stood still: a deadline.
+  AlarmId Set(Instant at, std::function<void()> call);
+  // Judges somebody who is not heard for `patience` from `now` on. A standstill
+  // of this process moves it, since nobody could be heard.
+  AlarmId SetSilence(Instant now,
+                     Duration patience,
+                     std::function<void()> call);
   // Unknown ids (0, or one that has rung) are ignored.
   void Cancel(AlarmId alarm);
 
   // Rings all that are due, also those that are set meanwhile and are due.
   //
-  // After a standstill it rings nothing, moves all silences by all of it but
-  // kLate, and returns its length (an upper bound: since the last ring). The
+  // After a standstill it rings nothing, moves the silences that began before
+  // its end, and returns its length (an upper bound: since the last ring). The
   // owner reads what arrived meanwhile, and calls again: the second call rings.
   Duration Ring(Instant now);
 
-  // Whether this process has just stood still, and has not rung since: a time
-  // that is measured until now tells of this process.
-  bool Late(Instant now) const;
+  // Whether this process stood still at a time between the two: what is
+  // measured from one to the other tells of this process.
+  bool StoodStill(Instant since, Instant now) const;
 
   // kNever: nothing is set.
   Instant next() const;
@@ -59,16 +58,19 @@
  private:
   struct Alarm {
     std::function<void()> call;
-    AlarmKind kind = AlarmKind::kInstant;
+    std::optional<Instant> silent_since;  // empty: a deadline
   };
 
-  void MoveSilences(Duration by);
+  AlarmId Add(Instant at, Alarm alarm);
+  bool Late(Instant now) const;
+  void MoveSilences(Duration stood, Instant now);
 
   const std::function<void(Instant)> sooner;
   std::map<std::pair<Instant, AlarmId>, Alarm> alarms;
   std::map<AlarmId, Instant> times;
   AlarmId last = 0;
   Instant rung_at{};
+  Instant woke_at{};      // from the last standstill
   bool deferred = false;  // the last ring rang nothing
 };
 
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -66,6 +66,10 @@
        .on_end = [self](std::string body) { self->OnWhole(std::move(body)); },
        .on_error = [self](const Error& error,
                           bool sent) { self->OnLost(error, sent); }});
+  this->WatchForSilence();
+}
+
+void CallRelay::WatchForSilence() {
   if (this->MayRunAgain()) {
     this->WatchPhase(
         FromSeconds(kSilenceObjectives * Seconds(this->work.route->objective)),
@@ -139,6 +143,7 @@
   const EndpointRecord* const other = this->FindPlace({this->endpoint.id});
   const bool elsewhere = other != nullptr && other->id != this->endpoint.id;
   if (!elsewhere || !this->TakeRepeat()) {
+    this->WatchForSilence();
     return;
   }
   this->context.health.NoteSilence(this->endpoint.id, this->Now());
--- a/src/gateway/internal/call_relay.h
+++ b/src/gateway/internal/call_relay.h
@@ -26,6 +26,7 @@
   void OnHead(int status, const http::Headers& headers);
   void OnWhole(std::string body);
   void OnLost(const Error& error, bool sent);
+  void WatchForSilence();
   void OnSilent();
   // The attempt is over and did not run.
   void AfterNotRun(ResultCode code);
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -56,15 +56,14 @@
 
 void Relay::WatchPhase(Duration after, std::function<void()> on_late) {
   this->EndPhase();
-  this->phase_alarm = this->context.alarms.Set(
-      this->Now() + after,
+  this->phase_alarm = this->context.alarms.SetSilence(
+      this->Now(), after,
       [self = this->shared_from_this(), late = std::move(on_late)] {
         self->phase_alarm = 0;
         if (!self->is_over) {
           late();
         }
-      },
-      AlarmKind::kSilence);
+      });
 }
 
 void Relay::EndPhase() {
--- a/src/gateway/internal/reservation_ask.cc
+++ b/src/gateway/internal/reservation_ask.cc
@@ -40,9 +40,8 @@
              self->OnAnswer(*answered, body);
            },
        .on_error = [self](const Error&, bool sent) { self->OnLost(sent); }});
-  this->alarm = this->context.alarms.Set(
-      this->begun_at + kPatience, [self] { self->OnSilent(); },
-      AlarmKind::kSilence);
+  this->alarm = this->context.alarms.SetSilence(this->begun_at, kPatience,
+                                                [self] { self->OnSilent(); });
 }
 
 void ReservationAsk::Cancel() {
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -274,7 +274,7 @@
   }
   this->context.health.NoteSuccess(id, this->Now());
   // A time that this process stood still for tells nothing of an engine.
-  if (!this->context.alarms.Late(this->Now())) {
+  if (!this->context.alarms.StoodStill(this->step_at, this->Now())) {
     this->LearnFromPrefill(this->Now() - this->step_at);
   }
   this->was_prefilled = true;
@@ -317,6 +317,7 @@
 
 void StreamRelay::AfterNotRun() {
   this->EndPhase();
+  this->EndMove();
   this->decode_open = false;
   --this->runs;
   this->tried.push_back(this->place->decode.id);
@@ -338,13 +339,18 @@
   this->GoOn();
 }
 
+std::uint32_t StreamRelay::RepeatsOfAMove() const {
+  return this->was_prefilled ? 2 : 1;
+}
+
 bool StreamRelay::TakeRepeat() {
   return this->work.state->budget.TryTake(
-      this->Now(), this->context.processes(), this->was_prefilled ? 2 : 1);
+      this->Now(), this->context.processes(), this->RepeatsOfAMove());
 }
 
 void StreamRelay::AfterRun(ResultCode code) {
   this->EndPhase();
+  this->EndMove();
   this->decode_open = false;
   this->tried.push_back(this->place->decode.id);
   this->GiveDecodeBack();
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -88,15 +88,20 @@
   void OnDecodeLost(const Error& error, bool sent);
   void WatchForSilence();
   void OnSilent();
+  // Its route and the budget of repeats allow it to go on elsewhere.
+  bool MayMove();
   // Asks other endpoints for memory while the stream stays where it is.
   void AskElsewhere();
+  void OnAskedElsewhere(ReservationAnswer answer, const std::string& name);
+  void EndMove();
   // Stops the stream where it is, and goes on where memory was granted.
-  void MoveTo(const StreamPlacement::Place& granted, std::string name);
+  void MoveTo(const StreamPlacement::Place& granted, const std::string& name);
 
   void AfterNotRun();
   void AfterRun(ResultCode code);
   // Takes another decode, and another prefill if there was one, from the
   // budget: both arrive at endpoints beyond the first time.
+  std::uint32_t RepeatsOfAMove() const;
   bool TakeRepeat();
   // Takes another place, now or when there is one.
   void GoOn();
@@ -118,9 +123,10 @@
   int status = 0;
   http::Headers headers;
   std::string failure_body;
-  bool reserved_here = false;  // the attempt had memory set aside for it
-  bool decode_open = false;    // asked, and not over
-  bool begun = false;          // the caller has the head
+  bool reserved_here = false;       // the attempt had memory set aside for it
+  bool decode_open = false;         // asked, and not over
+  bool heard_since_silent = false;  // of the attempt that was taken for silent
+  bool begun = false;               // the caller has the head
   std::optional<std::uint64_t> last_event;
   Instant event_at{};             // when it came
   bool prompt_there = false;      // a prompt was computed there at that time
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -92,6 +92,7 @@
 }
 
 void StreamRelay::OnDecodeData(std::string_view data) {
+  this->heard_since_silent = true;
   if (this->nature != AnswerNature::kSuccess) {
     this->failure_body += data;
     return;
@@ -116,7 +117,8 @@
       this->context.book.Of(this->place->decode.id).prefill_tokens > 0;
   // An event that lay unread while this process stood still would read as a
   // slow engine, here and at the peers that are told.
-  const bool own_time = this->context.alarms.Late(now);
+  const bool own_time = this->context.alarms.StoodStill(
+      this->events_here == 0 ? this->step_at : this->event_at, now);
   if (this->decode_held && this->place->decode_load.prefill_tokens > 0) {
     if (!this->last_event && !own_time) {
       forecast.NoteOwnPrompt(this->Size().prompt_tokens, now - this->step_at);
@@ -263,28 +265,37 @@
   }
 }
 
+bool StreamRelay::MayMove() {
+  return this->runs < this->work.route->max_endpoints &&
+         this->outcome.sends < kMostSends &&
+         this->work.state->budget.Allows(this->Now(), this->context.processes(),
+                                         this->RepeatsOfAMove());
+}
+
 void StreamRelay::OnSilent() {
-  const bool possible = this->runs < this->work.route->max_endpoints &&
-                        this->outcome.sends < kMostSends;
+  const bool possible = this->MayMove();
   this->context.health.NoteSilence(this->place->decode.id, this->Now());
   this->Note(log::Level::kWarning, "attempt_silent", this->place->decode.id,
              {{"after_ms", this->Now() - this->step_at},
               {"events", this->outcome.events},
-              {"goes_elsewhere", possible}},
+              {"goes_elsewhere", possible},
+              {"repeats", this->work.state->budget.repeats()}},
              ResultCode::kEndpointLost);
+  this->heard_since_silent = false;
   if (possible) {
     this->AskElsewhere();
+  } else {
+    this->WatchForSilence();
   }
-  // Else it may still go on, or its caller gives it up.
 }
 
-// A stream that was stopped first, and then found no room for 0.8 s, was cut
-// off; where it was it might have gone on, late, but whole. So memory is had
-// elsewhere before anything is stopped.
+// A stream that was stopped first, and then found the budget of repeats used up
+// or no room, was cut off; where it was it might have gone on, late, but whole.
+// So memory is had elsewhere before anything is stopped.
 void StreamRelay::AskElsewhere() {
   const auto chosen = this->FindPlace({this->place->decode.id});
   if (!chosen) {
-    this->EndRound();
+    this->EndMove();
     this->WatchForSilence();
     return;
   }
@@ -292,29 +303,42 @@
     this->MoveTo(*chosen, {});
     return;
   }
-  this->Ask(*chosen, [self = this->Self(), heard = this->events_here](
-                         ReservationAnswer answer, std::string name) {
-    const StreamPlacement::Place asked = self->asking->place();
-    if (answer == ReservationAnswer::kGranted) {
-      if (heard == self->events_here) {
-        self->MoveTo(asked, std::move(name));
-      } else {
-        self->GiveBack(asked.decode, name);
-      }
-    } else if (self->NoteRefused(answer)) {
-      self->AskElsewhere();
-    } else {
-      self->EndRound();
-      self->WatchForSilence();
-    }
+  this->Ask(*chosen, [self = this->Self()](ReservationAnswer answer,
+                                           const std::string& name) {
+    self->OnAskedElsewhere(answer, name);
   });
 }
 
+void StreamRelay::OnAskedElsewhere(ReservationAnswer answer,
+                                   const std::string& name) {
+  const StreamPlacement::Place asked = this->asking->place();
+  const bool granted = answer == ReservationAnswer::kGranted;
+  if (this->heard_since_silent) {
+    // OnDecodeData watches on.
+    this->GiveBack(asked.decode, name);
+    this->EndMove();
+  } else if (granted) {
+    this->MoveTo(asked, name);
+  } else if (this->NoteRefused(answer)) {
+    this->AskElsewhere();
+  } else {
+    this->EndMove();
+    this->WatchForSilence();
+  }
+}
+
+// An answer that came after the attempt's own end would start a second one
+// beside the one that waits for a place by then.
+void StreamRelay::EndMove() {
+  this->StopAsking();
+  this->EndRound();
+}
+
 void StreamRelay::MoveTo(const StreamPlacement::Place& granted,
-                         std::string name) {
+                         const std::string& name) {
   if (!this->TakeRepeat()) {
     this->GiveBack(granted.decode, name);
-    this->EndRound();
+    this->EndMove();
     this->WatchForSilence();
     return;
   }
@@ -326,7 +350,7 @@
   this->GiveDecodeBack();
   this->prefilled.reset();
   this->Take(granted);
-  this->reservation = std::move(name);
+  this->reservation = name;
   this->AfterReserve();
 }
 
--- a/src/gateway/repeat_budget.cc
+++ b/src/gateway/repeat_budget.cc
@@ -28,16 +28,22 @@
   this->Expire(now);
 }
 
-bool RepeatBudget::TryTake(Instant now,
-                           std::size_t processes,
-                           std::uint32_t repeats) {
+bool RepeatBudget::Allows(Instant now,
+                          std::size_t processes,
+                          std::uint32_t repeats) {
   this->Expire(now);
   const double allowed =
       this->options.margin *
       (this->options.share * static_cast<double>(this->requests.size()) +
        static_cast<double>(this->options.extra) /
            static_cast<double>(std::max<std::size_t>(processes, 1)));
-  if (static_cast<double>(this->taken.size() + repeats) > allowed) {
+  return static_cast<double>(this->taken.size() + repeats) <= allowed;
+}
+
+bool RepeatBudget::TryTake(Instant now,
+                           std::size_t processes,
+                           std::uint32_t repeats) {
+  if (!this->Allows(now, processes, repeats)) {
     return false;
   }
   this->taken.insert(this->taken.end(), repeats, now);
--- a/src/gateway/repeat_budget.h
+++ b/src/gateway/repeat_budget.h
@@ -30,8 +30,11 @@
   // A request for the service came.
   void NoteRequest(Instant now);
 
-  // True when `repeats` more are allowed, and counts them. `processes` share
-  // the extra, this one included.
+  // Whether `repeats` more are allowed now. `processes` share the extra, this
+  // one included.
+  bool Allows(Instant now, std::size_t processes, std::uint32_t repeats = 1);
+
+  // The same, and counts them if so.
   bool TryTake(Instant now, std::size_t processes, std::uint32_t repeats = 1);
 
   std::size_t repeats() const { return this->taken.size(); }
