--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -508,6 +508,22 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.Calls().size());
           CPPUNIT_ASSERT(world.Find("prefill") != nullptr);
         }),
+     It("that breaks while another is asked waits once when none has room",
+        [] {
+          // The same, when the break found no place at first: the stream waited
+          // for one, and the grant that was still to come placed it besides.
+          Streaming world;
+          world.Pass(1100ms);
+          const auto asked = world.Find("/reserve/");
+          CPPUNIT_ASSERT(asked != nullptr);
+          world.RemoveEndpoint("d1");
+          world.RemoveEndpoint("d2");
+          world.Break(world.decode);
+          CPPUNIT_ASSERT(asked->cancelled);
+          world.Pass(1s);
+          CPPUNIT_ASSERT(world.answer->cut);
+          CPPUNIT_ASSERT(world.Calls().empty());
+        }),
      It("teaches nothing by events that lay unread during a standstill",
         [] {
           // Engines passed for slow, here and at the peers that are told: the
