--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -2,7 +2,6 @@
 
 #include <QTimer>
 #include <algorithm>
-#include <compare>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -12,7 +11,7 @@
 #include "framework/log/log.h"
 #include "framework/net/datagram_socket.h"
 #include "gateway_process/internal/catalog_handout.h"
-#include "placement/types/hashing.h"
+#include "gateway_process/internal/catalog_sources.h"
 #include "protocol/message_codec.h"
 
 namespace acacialug::gateway_process {
@@ -43,14 +42,6 @@
 // spare one's own: a configuration must be in force within two seconds.
 constexpr Duration kFreshRead = 800ms;
 constexpr Duration kReaderMemory = 900ms;
-// While the store serves this process, a newer configuration is left to it for
-// this long: its link is wide, a gateway's is not, and one page for each peer
-// went over the link of one. A store that works has brought it by then, also to
-// a process that reads only when it is told (200 ms) and has a twelfth of a
-// core to decode it (0.1 s); and then there is time left for two peers.
-constexpr Duration kStoreFirst = 500ms;
-// A peer that hands its configuration to others now is asked for it after this.
-constexpr Duration kTurnedAwayPause = 250ms;
 constexpr std::int64_t kNeverReadMs = 1'000'000;
 // Between two forecasts to the peers: a keep-alive's time.
 constexpr Duration kForecastInterval = kKeepAlive;
@@ -66,47 +57,19 @@
   Incarnation incarnation;
   std::uint64_t sequence = 0;
   std::uint16_t pages_port = 0;
-  LogOffset configuration;
-  LogOffset endpoints;
   Instant heard_at{};
   Instant told_at{};
   Instant read_at{};
-  Instant passed_over_until{};  // it did not answer as a peer does
-  Instant open_until{};         // its endpoints leave open what it tells of
-  Instant turned_away_until{};  // it handed its configuration to others
   bool heard = false;
 };
 
-// What a peer can hand over that this process does not know, greater for a
-// better peer. Of those that offer the same each process asks another: all
-// would ask the first, and choke its link.
-struct Offer {
-  LogOffset configuration;  // zero: none that is to be asked for
-  LogOffset endpoints;      // zero: none
-  std::uint64_t weight = 0;
-
-  bool empty() const {
-    return this->configuration == LogOffset() && this->endpoints == LogOffset();
-  }
-  friend auto operator<=>(const Offer&, const Offer&) = default;
-};
-
-// What a peer was asked, and how far it knew by its own word.
-struct Question {
-  std::string peer;
-  http::Address pages;
-  LogOffset known_configuration;  // as told to it
-  LogOffset configuration;
-  LogOffset endpoints;
-};
-
 }  // namespace
 
 class PeerLink::Implementation {
  public:
   explicit Implementation(Options link_options)
       : options(std::move(link_options)),
-        own_hash(placement::HashText(this->options.id)),
+        sources(this->options.id),
         socket(
             {.on_datagram =
                  [this](std::string_view datagram, const http::Address& from) {
@@ -172,11 +135,10 @@
   void SetPositions(const Positions& newest) {
     const bool news = newest.configuration > this->known.configuration ||
                       newest.changed_to > this->known.changed_to;
-    if (newest.configuration > this->known.configuration) {
-      this->behind_since.reset();
-    }
     this->known = newest;
-    this->NoteBehind();
+    this->sources.SetKnown({.configuration = newest.configuration,
+                            .endpoints = newest.complete_to},
+                           this->options.now());
     if (news) {
       this->TellAll();
     }
@@ -184,20 +146,19 @@
 
   void NoteStoreRead() { this->read_at = this->options.now(); }
 
-  void SetStoreServes(bool serves) { this->store_serves = serves; }
+  void SetStoreServes(bool serves) { this->sources.SetStoreServes(serves); }
 
   bool PeersReadStore() {
     this->socket.ReadPending();
     const Instant now = this->options.now();
+    // What a peer knows and has not handed over yet is read here as well: it
+    // may be gone, or out of reach, before it does.
+    if (this->sources.AnyKnowsMore(now)) {
+      return false;
+    }
     std::size_t readers_before = 0;
     bool fresh = false;
     for (const auto& [id, peer] : this->peers) {
-      // What a peer knows and has not handed over yet is read here as well: it
-      // may be gone, or out of reach, before it does.
-      if (this->HasNewerConfiguration(peer, now) ||
-          this->HasNewerEndpoints(peer, now)) {
-        return false;
-      }
       if (!peer.heard || now - peer.heard_at > kReaderMemory) {
         continue;
       }
@@ -330,8 +291,6 @@
     peer.incarnation = heartbeat->incarnation;
     peer.sequence = heartbeat->sequence;
     peer.pages_port = heartbeat->pages_port;
-    peer.configuration = heartbeat->configuration;
-    peer.endpoints = heartbeat->endpoints;
     peer.heard_at = this->options.now();
     peer.read_at =
         peer.heard_at - std::chrono::milliseconds(heartbeat->read_age_ms);
@@ -346,7 +305,10 @@
       this->TakeForecast(told);
     }
     this->options.on_load(heartbeat->sender, LoadOf(*heartbeat));
-    this->NoteBehind();
+    this->sources.NoteTold(heartbeat->sender,
+                           {.configuration = heartbeat->configuration,
+                            .endpoints = heartbeat->endpoints},
+                           peer.heard_at);
     if (newcomer) {
       this->TellAll();
       // Not from here: what the others sent may lie behind this datagram.
@@ -400,6 +362,7 @@
       const bool lives = peer.heard && now - peer.heard_at < kPeerMemory;
       if (peer.heard && !lives) {
         peer.heard = false;
+        this->sources.NoteLost(id);
         log::Warning(
             "peer_lost",
             {.fields = {{"peer", id}, {"silent_ms", now - peer.heard_at}}});
@@ -413,129 +376,54 @@
     this->options.on_peer_count(alive, known, first);
   }
 
-  bool HasNewerConfiguration(const Peer& peer, Instant now) const {
-    return peer.heard && now >= peer.passed_over_until &&
-           peer.configuration > this->known.configuration;
-  }
-
-  bool HasNewerEndpoints(const Peer& peer, Instant now) const {
-    return peer.heard && now >= peer.passed_over_until &&
-           now >= peer.open_until && peer.endpoints > this->known.complete_to;
-  }
-
-  // The newest configuration that this process knows, or a peer tells of.
-  LogOffset NewestConfiguration() const {
-    LogOffset newest = this->known.configuration;
-    for (const auto& [id, peer] : this->peers) {
-      newest = std::max(newest, peer.heard ? peer.configuration : LogOffset());
-    }
-    return newest;
-  }
-
-  // Since when a peer has told of a newer configuration than the one known.
-  void NoteBehind() {
-    if (this->NewestConfiguration() == this->known.configuration) {
-      this->behind_since.reset();
-    } else if (!this->behind_since) {
-      this->behind_since = this->options.now();
-    }
-  }
-
-  // Whether a newer configuration is to come from a peer. Not left to the
-  // store by a process that has none, and serves nobody until it has; nor for
-  // longer than kStoreFirst, since the store's calls may hang.
-  bool NeedsConfiguration(Instant now) const {
-    return this->behind_since &&
-           (!this->store_serves || this->known.configuration == LogOffset() ||
-            now - *this->behind_since >= kStoreFirst);
-  }
-
-  Offer OfferOf(const std::string& id, const Peer& peer, Instant now) const {
-    Offer offer;
-    if (this->HasNewerConfiguration(peer, now) &&
-        now >= peer.turned_away_until && this->NeedsConfiguration(now)) {
-      offer.configuration = peer.configuration;
-    }
-    if (this->HasNewerEndpoints(peer, now)) {
-      offer.endpoints = peer.endpoints;
-    }
-    if (offer.empty()) {
-      return offer;
-    }
-    offer.weight =
-        placement::RendezvousWeight(this->own_hash, placement::HashText(id));
-    return offer;
-  }
-
-  // The peer that offers most; null: none offers anything.
-  const std::pair<const std::string, Peer>* BestSource(Instant now) const {
-    const std::pair<const std::string, Peer>* best = nullptr;
-    Offer best_offer;
-    for (const auto& entry : this->peers) {
-      const Offer offer = this->OfferOf(entry.first, entry.second, now);
-      if (!offer.empty() && (best == nullptr || offer > best_offer)) {
-        best = &entry;
-        best_offer = offer;
-      }
-    }
-    return best;
-  }
-
   void FetchIfBehind() {
     const Instant now = this->options.now();
     if (this->fetching || now - this->fetched_at < kFetchInterval) {
       return;
     }
-    const auto* const source = this->BestSource(now);
-    if (source == nullptr) {
-      return;
+    if (const auto question = this->sources.Next(now)) {
+      this->fetching = true;
+      this->fetched_at = now;
+      this->Ask(*question);
     }
-    const auto& [id, peer] = *source;
-    this->fetching = true;
-    this->fetched_at = now;
-    this->Ask({.peer = id,
-               .pages = {.ip = peer.address.ip, .port = peer.pages_port},
-               // What the store is to bring is told as known.
-               .known_configuration = this->NeedsConfiguration(now)
-                                          ? this->known.configuration
-                                          : this->NewestConfiguration(),
-               .configuration = peer.configuration,
-               .endpoints = peer.endpoints});
   }
 
-  void Ask(const Question& question) {
+  void Ask(const CatalogQuestion& question) {
+    const Peer& peer = this->peers[question.peer];
+    const http::Address pages_at{.ip = peer.address.ip,
+                                 .port = peer.pages_port};
+    const std::string from = http::ToString(pages_at);
     this->client.Send(
-        question.pages,
+        pages_at,
         {.method = "GET",
          .target = CatalogTarget(question.known_configuration)},
         {.on_end =
-             [this, question](const std::string& body) {
+             [this, question, from](const std::string& body) {
                this->fetching = false;
-               this->OnCatalog(question, body);
+               this->OnCatalog(question, from, body);
              },
          .on_error =
-             [this, question](const Error& error, bool) {
+             [this, question, from](const Error& error, bool) {
                this->fetching = false;
                log::WriteLimited(
                    this->limiter, this->options.now(), log::Level::kWarning,
                    "peer_catalog_failed",
                    {.code = error.result_code(),
-                    .fields = {{"from", http::ToString(question.pages)},
-                               {"detail", error.detail}}});
-               this->PassOver(question);
+                    .fields = {{"from", from}, {"detail", error.detail}}});
+               this->AskNext(question);
              }});
   }
 
   // The next best is asked meanwhile: one that died is believed to live for
   // two seconds, and all would wait for it.
-  void PassOver(const Question& question) {
-    this->peers[question.peer].passed_over_until =
-        this->options.now() + kRetryInterval;
+  void AskNext(const CatalogQuestion& failed) {
+    this->sources.NoteFailed(failed, this->options.now());
     this->FetchIfBehind();
   }
 
-  void OnCatalog(const Question& question, const std::string& body) {
-    const std::string from = http::ToString(question.pages);
+  void OnCatalog(const CatalogQuestion& question,
+                 const std::string& from,
+                 const std::string& body) {
     const Result<Catalog> catalog =
         ParseCatalog(body, this->known.configuration);
     if (!catalog.ok()) {
@@ -543,7 +431,7 @@
           "peer_catalog_bad",
           {.code = catalog.error().result_code(),
            .fields = {{"from", from}, {"detail", catalog.error().detail}}});
-      this->PassOver(question);
+      this->AskNext(question);
       return;
     }
     const bool configured = catalog->configuration != nullptr;
@@ -553,25 +441,10 @@
                                   {"endpoints_as_of", catalog->endpoints.as_of},
                                   {"with_configuration", configured}}});
     this->options.on_catalog(*catalog);
-    this->NoteLeftOut(question, configured);
+    this->sources.NoteAnswered(question, configured, this->options.now());
     this->FetchIfBehind();
   }
 
-  // What the peer did not hand over is asked of others meanwhile, and the rest
-  // of it: neither is a failure.
-  void NoteLeftOut(const Question& question, bool configured) {
-    Peer& peer = this->peers[question.peer];
-    if (!configured && question.configuration > question.known_configuration) {
-      peer.turned_away_until = this->options.now() + kTurnedAwayPause;
-    }
-    // A peer that waits for lapsed records tells of changes that its catalog
-    // leaves open. Asked again and again, being the best of those that know as
-    // much, it would keep others' settled knowledge from this process.
-    if (question.endpoints > this->known.complete_to) {
-      peer.open_until = this->options.now() + kRetryInterval;
-    }
-  }
-
   void ShowPage(const http::Request& request, http::Responder& responder) {
     if (request.method != "GET" || request.Path() != kCatalogPath) {
       responder.SendWhole({.status = kNotFound});
@@ -586,7 +459,7 @@
   }
 
   const Options options;
-  const std::uint64_t own_hash;
+  CatalogSources sources;
   net::DatagramSocket socket;
   http::Client client;
   std::unique_ptr<http::Server> pages;
@@ -596,8 +469,6 @@
   CatalogHandout handout;
   log::RepeatLimiter limiter{{}};
   Positions known;
-  std::optional<Instant> behind_since;  // no configuration was taken since
-  bool store_serves = false;
   std::uint64_t sequence = 0;
   Instant last_told{};
   Instant fetched_at{};
