Let no question to an endpoint keep its stream's relay for ever

Cause: the relay holds its question, and the question's hook held the relay. The hook holds the relay weakly now; a relay under way is the core's.

--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -75,7 +75,15 @@
                       ReservationAsk::Done on_done) {
   this->StopAsking();
   this->asking = std::make_shared<ReservationAsk>(this->context, at);
-  this->asking->Begin(std::move(on_done));
+  // Not shared: what is asked is this relay's own, and would keep it for ever
+  // where no answer is waited for any more.
+  this->asking->Begin(
+      [weak = this->weak_from_this(), done = std::move(on_done)](
+          ReservationAnswer answer, std::string name) {
+        if (const auto self = weak.lock()) {
+          done(answer, std::move(name));
+        }
+      });
 }
 
 void StreamRelay::StopAsking() {
@@ -85,15 +93,14 @@
 }
 
 void StreamRelay::Reserve() {
-  this->Ask(*this->place,
-            [self = this->Self()](ReservationAnswer answer, std::string name) {
-              if (answer == ReservationAnswer::kGranted) {
-                self->reservation = std::move(name);
-                self->AfterReserve();
-              } else {
-                self->OnReserveRefused(answer);
-              }
-            });
+  this->Ask(*this->place, [this](ReservationAnswer answer, std::string name) {
+    if (answer == ReservationAnswer::kGranted) {
+      this->reservation = std::move(name);
+      this->AfterReserve();
+    } else {
+      this->OnReserveRefused(answer);
+    }
+  });
 }
 
 // Nothing was computed yet, so that asking another costs a round trip only.
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -64,6 +64,7 @@
   // Empty: no endpoint has room but those avoided, tried, or found full.
   std::optional<StreamPlacement::Place> FindPlace(
       std::vector<EndpointId> avoided);
+  // `on_done` runs while this relay lives.
   void Ask(const StreamPlacement::Place& at, ReservationAsk::Done on_done);
   void StopAsking();
   // The endpoint asked last refused; false: enough were asked in this round.
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -303,9 +303,8 @@
     this->MoveTo(*chosen, {});
     return;
   }
-  this->Ask(*chosen, [self = this->Self()](ReservationAnswer answer,
-                                           const std::string& name) {
-    self->OnAskedElsewhere(answer, name);
+  this->Ask(*chosen, [this](ReservationAnswer answer, const std::string& name) {
+    this->OnAskedElsewhere(answer, name);
   });
 }
 
