Take every number that a platform may render in the settings

Cause: no gateway started on a twin at a small size (repeats.extra: expected an integer, found a number with a fraction): a share of the fleet's allowance is a fraction. Durations with a fraction ('7.5s'), which the template makes of a bound in seconds, were refused likewise.

Change: repeats.extra is a number; durations are decimal, to the nearest microsecond; the bounds of window and drain_grace are wider. What is wrong is still refused: signs, exponents, two points, words, nan, inf.

--- a/src/framework/settings/internal/units.cc
+++ b/src/framework/settings/internal/units.cc
@@ -1,7 +1,9 @@
 #include "framework/settings/units.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -21,23 +23,52 @@
 constexpr Units<4> kByteUnits = {
     {{"GiB", 1LL << 30}, {"MiB", 1LL << 20}, {"KiB", 1LL << 10}, {"B", 1}}};
 
-template <std::size_t kSize>
-std::optional<std::int64_t> ParseQuantity(std::string_view text,
-                                          const Units<kSize>& units) {
-  const std::size_t digits = text.find_first_not_of("0123456789");
-  if (digits == 0 || digits == std::string_view::npos) {
-    return std::nullopt;
+// A decimal number in parts, and the unit behind it.
+struct Quantity {
+  std::string_view whole;
+  std::string_view fraction;  // with its point; empty: none is written
+  std::string_view unit;
+};
+
+std::size_t CountDigits(std::string_view text) {
+  return std::min(text.find_first_not_of("0123456789"), text.size());
+}
+
+std::optional<Quantity> Split(std::string_view text) {
+  Quantity quantity{.whole = text.substr(0, CountDigits(text))};
+  quantity.unit = text.substr(quantity.whole.size());
+  if (quantity.unit.starts_with('.')) {
+    const std::size_t digits = CountDigits(quantity.unit.substr(1));
+    if (digits == 0) {
+      return std::nullopt;
+    }
+    quantity.fraction = quantity.unit.substr(0, 1 + digits);
+    quantity.unit = quantity.unit.substr(1 + digits);
   }
+  return quantity.whole.empty() ? std::nullopt : std::optional(quantity);
+}
+
+template <std::size_t kSize>
+std::optional<std::int64_t> ToLeastUnit(const Quantity& quantity,
+                                        const Units<kSize>& units) {
   std::int64_t number = 0;
+  const std::string_view whole = quantity.whole;
   const auto parsed =
-      std::from_chars(text.data(), text.data() + digits, number);
+      std::from_chars(whole.data(), whole.data() + whole.size(), number);
   if (parsed.ec != std::errc()) {
     return std::nullopt;
   }
+  double fraction = 0;
+  std::from_chars(quantity.fraction.data(),
+                  quantity.fraction.data() + quantity.fraction.size(),
+                  fraction);
   for (const auto& [name, factor] : units) {
-    if (name == text.substr(digits)) {
-      return number <= std::numeric_limits<std::int64_t>::max() / factor
-                 ? std::optional(number * factor)
+    if (name == quantity.unit) {
+      const std::int64_t part =
+          std::llround(fraction * static_cast<double>(factor));
+      return number <=
+                     (std::numeric_limits<std::int64_t>::max() - part) / factor
+                 ? std::optional(number * factor + part)
                  : std::nullopt;
     }
   }
@@ -47,7 +78,11 @@
 }  // namespace
 
 std::optional<Duration> ParseDuration(std::string_view text) {
-  const auto microseconds = ParseQuantity(text, kDurationUnits);
+  const auto quantity = Split(text);
+  if (!quantity) {
+    return std::nullopt;
+  }
+  const auto microseconds = ToLeastUnit(*quantity, kDurationUnits);
   return microseconds ? std::optional(Duration(*microseconds)) : std::nullopt;
 }
 
@@ -65,7 +100,11 @@
 }
 
 std::optional<std::uint64_t> ParseBytes(std::string_view text) {
-  const auto bytes = ParseQuantity(text, kByteUnits);
+  const auto quantity = Split(text);
+  if (!quantity || !quantity->fraction.empty()) {
+    return std::nullopt;
+  }
+  const auto bytes = ToLeastUnit(*quantity, kByteUnits);
   return bytes ? std::optional(static_cast<std::uint64_t>(*bytes))
                : std::nullopt;
 }
--- a/src/framework/settings/units.h
+++ b/src/framework/settings/units.h
@@ -10,9 +10,9 @@
 
 namespace acacialug::settings {
 
-// "250ms", "2s", "5min": a whole number and us, ms, s, min or h. Empty for
-// any other form, a negative number, and what a Duration cannot hold. Thread
-// safe.
+// "250ms", "2s", "7.5min": a decimal number and us, ms, s, min or h, to the
+// nearest microsecond. Empty for any other form, a negative number, and what a
+// Duration cannot hold. Thread safe.
 std::optional<Duration> ParseDuration(std::string_view text);
 
 // The shortest text that ParseDuration reads as this duration. Precondition:
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -32,7 +32,7 @@
     // Arrivals at a service beyond the first of each request, of all processes
     // together: this share of its requests and this many more, in any window.
     double repeat_share = 0.2;
-    std::uint32_t repeat_extra = 58;
+    double repeat_extra = 58;
     Duration repeat_window = 10s;
     // While it drains, requests that come later than this are refused: a
     // stream that begins then would be cut off by the end of the grace.
--- a/src/gateway/repeat_budget.cc
+++ b/src/gateway/repeat_budget.cc
@@ -35,7 +35,7 @@
   const double allowed =
       this->options.margin *
       (this->options.share * static_cast<double>(this->requests.size()) +
-       static_cast<double>(this->options.extra) /
+       this->options.extra /
            static_cast<double>(std::max<std::size_t>(processes, 1)));
   return static_cast<double>(this->taken.size() + repeats) <= allowed;
 }
--- a/src/gateway/repeat_budget.h
+++ b/src/gateway/repeat_budget.h
@@ -18,7 +18,7 @@
  public:
   struct Options {
     double share = 0.2;
-    std::uint32_t extra = 58;  // of all processes, in a window
+    double extra = 58;  // of all processes, in a window
     Duration window = 10s;
     // Of both: what is left covers requests counted at other times here than
     // where the bound is judged.
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -3,6 +3,9 @@
 namespace acacialug::gateway_process {
 namespace {
 
+// Beyond any fleet's; a mistyped exponent is told.
+constexpr double kMostRepeats = 1e9;
+
 settings::ParsedRule<http::Address> AddressRule() {
   return {.parse = http::ParseAddress, .expected = "IP:PORT"};
 }
@@ -22,18 +25,20 @@
   }
   into.drain_grace = table.Duration(
       "drain_grace",
-      {.fallback = into.drain_grace, .minimum = 100ms, .maximum = 1h});
+      {.fallback = into.drain_grace, .minimum = 0ms, .maximum = 24h});
 }
 
 void ReadRepeats(const settings::Table& table, GatewaySettings& into) {
   into.repeat_share = table.Number(
       "share", {.fallback = into.repeat_share, .minimum = 0, .maximum = 1});
-  into.repeat_extra = static_cast<std::uint32_t>(table.Integer(
+  // Not an integer: a platform that gives each part of a fleet its share of one
+  // allowance renders fractions.
+  into.repeat_extra = table.Number(
       "extra",
-      {.fallback = into.repeat_extra, .minimum = 0, .maximum = 1'000'000}));
+      {.fallback = into.repeat_extra, .minimum = 0, .maximum = kMostRepeats});
   into.repeat_window = table.Duration(
       "window",
-      {.fallback = into.repeat_window, .minimum = 1s, .maximum = 10min});
+      {.fallback = into.repeat_window, .minimum = 100ms, .maximum = 24h});
 }
 
 void ReadPlacement(const settings::Table& table,
--- a/src/gateway_process/types/gateway_settings.h
+++ b/src/gateway_process/types/gateway_settings.h
@@ -28,7 +28,7 @@
   Duration drain_grace = 7500ms;  // until this process is ended by force
 
   double repeat_share = 0.2;
-  std::uint32_t repeat_extra = 58;
+  double repeat_extra = 58;
   Duration repeat_window = 10s;
 
   gateway::StreamPlacement::Options placement;
