Place by what old news leave unknown, and hear neighbours first

Cause: 103 gateways hear of each other's placements each 408 ms. Refusals by endpoints that were just full were told to all as endpoints that leave, and these were left alone by everybody.

Change: an endpoint is chosen with a probability by what it lacks to the level that unseen placements fill the lowest up to (Dahlin's Basic LI; unseen: by Little's law from what is held and the age of news). Half of the heartbeats go to one's own failure domain, whose endpoints are preferred; the total stays. A refusal is no sign of leaving until every peer has told anew. Loads are summed as they are told, not at each look. Reading of the store is left to the two readers although their word comes once a round; addresses of members are read again only by who hears of no reader.

--- a/src/gateway/endpoint_health.cc
+++ b/src/gateway/endpoint_health.cc
@@ -118,8 +118,15 @@
   state.full_until = now + kFullPause;
 }
 
-void EndpointHealth::NoteUnwilling(const EndpointId& endpoint, Instant now) {
+void EndpointHealth::NoteUnwilling(const EndpointId& endpoint,
+                                   Duration oldest_news,
+                                   Instant now) {
   State& state = this->Touch(endpoint, now);
+  if (state.refusals > 0 && now - state.refused_at < oldest_news) {
+    state.full_until = std::max(state.full_until, now + kFullPause);
+    return;
+  }
+  state.refused_at = now;
   state.full_until = now + PauseAfter(kFullPause, state.refusals);
   if (++state.refusals >= kSureRefusals) {
     state.unreachable_until = state.full_until;
--- a/src/gateway/endpoint_health.h
+++ b/src/gateway/endpoint_health.h
@@ -66,8 +66,14 @@
   void NoteFull(const EndpointId& endpoint, Instant now);
   void NoteRoom(const EndpointId& endpoint);
   // It refused while it was thought to be far from full: it leaves, or does not
-  // work. Paused longer each time.
-  void NoteUnwilling(const EndpointId& endpoint, Instant now);
+  // work. Paused longer each time; but one refusal, and those until all peers
+  // have told what they had placed there by then, may be theirs to explain.
+  // Where a hundred processes doubted an endpoint at each such refusal, and
+  // told each other so, sound endpoints that were just full were left alone by
+  // all. `oldest_news`: since when every peer has told.
+  void NoteUnwilling(const EndpointId& endpoint,
+                     Duration oldest_news,
+                     Instant now);
   // It refused work for which it had set memory aside, in a row since it last
   // began any: it changes its role, or is about to end. Avoided like one that
   // is silent, from the second on; the first may be a computed prompt that
@@ -109,6 +115,7 @@
     double slowness = 1;
     std::uint32_t silences = 0;         // in a row
     std::uint32_t refusals = 0;         // in a row, while far from full
+    Instant refused_at{};               // the last of those that counts
     std::uint32_t broken_promises = 0;  // since it last began work
     Instant avoided_until{};
     Instant full_until{};
--- a/src/gateway/internal/reservation_ask.cc
+++ b/src/gateway/internal/reservation_ask.cc
@@ -11,8 +11,7 @@
 constexpr Duration kLongest = 2s;
 // An endpoint grants or refuses in a round trip of some milliseconds.
 constexpr Duration kPatience = 250ms;
-// An endpoint that refuses below this fill does so for another reason: what is
-// placed there is known to within a tenth, and a request takes a sixth.
+// An endpoint that refuses below this fill may do so for another reason.
 constexpr double kFarFromFull = 0.5;
 
 }  // namespace
@@ -61,7 +60,8 @@
     this->context.health.NoteRoom(id);
     this->End(ReservationAnswer::kGranted, *name);
   } else if (this->asked_place.decode_fill < kFarFromFull) {
-    this->context.health.NoteUnwilling(id, this->Now());
+    this->context.health.NoteUnwilling(
+        id, this->context.book.OldestNews(this->Now()), this->Now());
     this->End(ReservationAnswer::kUnwilling);
   } else {
     this->context.health.NoteFull(id, this->Now());
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -43,6 +43,7 @@
        .waited = this->Age(),
        .tried = std::move(avoided),
        .yields = this->late() && !this->resumed(),
+       .domain = this->context.domain,
        .now = this->Now()},
       *this->work.traits->engine, this->work.state->forecast,
       this->context.catalog.Of(this->work.service), this->context.random);
--- a/src/gateway/load_book.cc
+++ b/src/gateway/load_book.cc
@@ -1,5 +1,7 @@
 #include "gateway/load_book.h"
 
+#include <algorithm>
+
 #include "placement/types/hashing.h"
 
 namespace acacialug::gateway {
@@ -14,6 +16,27 @@
   }
 }
 
+void LoadBook::AddTotal(std::uint64_t key, const EndpointLoad& load) {
+  this->totals[key] += load;
+}
+
+void LoadBook::TakeFromTotal(std::uint64_t key, const EndpointLoad& load) {
+  const auto total = this->totals.find(key);
+  if (total == this->totals.end()) {
+    return;
+  }
+  total->second -= load;
+  if (total->second.empty()) {
+    this->totals.erase(total);
+  }
+}
+
+void LoadBook::DropTold(const Told& peer) {
+  for (const auto& [key, load] : peer.loads) {
+    this->TakeFromTotal(key, load);
+  }
+}
+
 void LoadBook::Add(const EndpointId& endpoint,
                    const EndpointLoad& load,
                    std::int64_t born) {
@@ -21,10 +44,15 @@
   if (born < placed.born) {
     return;
   }
+  const std::uint64_t key = KeyOf(endpoint);
   if (born > placed.born) {
+    if (!placed.load.empty()) {
+      this->TakeFromTotal(key, placed.load);
+    }
     placed = {.born = born};
   }
   placed.load += load;
+  this->AddTotal(key, load);
   this->TellChange();
 }
 
@@ -35,11 +63,11 @@
   if (found == this->own.end() || found->second.born != born) {
     return;
   }
-  EndpointLoad& left = found->second.load;
-  left.requests -= load.requests;
-  left.kv_tokens -= load.kv_tokens;
-  left.prefill_tokens -= load.prefill_tokens;
-  if (left.empty()) {
+  found->second.load -= load;
+  if (!load.empty()) {
+    this->TakeFromTotal(KeyOf(endpoint), load);
+  }
+  if (found->second.load.empty()) {
     this->own.erase(found);
   }
   this->TellChange();
@@ -50,6 +78,7 @@
   for (auto& [peer, entry] : this->told) {
     entry.loads.erase(key);
   }
+  this->totals.erase(key);
   if (this->own.erase(endpoint) > 0) {
     this->TellChange();
   }
@@ -59,32 +88,53 @@
                        const PeerLoad& load,
                        Instant now) {
   Told& entry = this->told[peer];
+  this->DropTold(entry);
   entry.at = now;
+  entry.near = load.near;
   entry.loads.clear();
   for (const PeerLoad::Row& row : load.rows) {
-    entry.loads[row.endpoint_key] = row.load;
+    // The first of two rows for one endpoint counts: totals must be the sum of
+    // what is kept.
+    if (!row.load.empty() &&
+        entry.loads.emplace(row.endpoint_key, row.load).second) {
+      this->AddTotal(row.endpoint_key, row.load);
+    }
   }
 }
 
 void LoadBook::Sweep(Instant now) {
-  std::erase_if(this->told, [now](const auto& peer) {
-    return peer.second.at + kPeerMemory < now;
+  std::erase_if(this->told, [this, now](const auto& peer) {
+    const bool silent = peer.second.at + kPeerMemory < now;
+    if (silent) {
+      this->DropTold(peer.second);
+    }
+    return silent;
   });
 }
 
 EndpointLoad LoadBook::Of(const EndpointId& endpoint) const {
-  EndpointLoad sum;
-  if (const auto mine = this->own.find(endpoint); mine != this->own.end()) {
-    sum = mine->second.load;
-  }
-  const std::uint64_t key = KeyOf(endpoint);
+  const auto total = this->totals.find(KeyOf(endpoint));
+  return total == this->totals.end() ? EndpointLoad{} : total->second;
+}
+
+Duration LoadBook::NewsAge(Nearness from, Instant now) const {
+  Duration sum{};
+  std::int64_t count = 0;
   for (const auto& [peer, entry] : this->told) {
-    if (const auto theirs = entry.loads.find(key);
-        theirs != entry.loads.end()) {
-      sum += theirs->second;
+    if (entry.near == (from == Nearness::kNear)) {
+      sum += now - entry.at;
+      ++count;
     }
   }
-  return sum;
+  return count == 0 ? Duration::zero() : sum / count;
+}
+
+Duration LoadBook::OldestNews(Instant now) const {
+  Duration oldest{};
+  for (const auto& [peer, entry] : this->told) {
+    oldest = std::max(oldest, now - entry.at);
+  }
+  return oldest;
 }
 
 PeerLoad LoadBook::Own() const {
--- a/src/gateway/load_book.h
+++ b/src/gateway/load_book.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 #include "framework/global/types/identifiers.h"
@@ -19,6 +20,11 @@
 // choose the same endpoint. Not thread safe.
 class LoadBook {
  public:
+  enum class Nearness {
+    kNear,  // in this process's failure domain
+    kFar,
+  };
+
   // A peer that has been silent for this long may be gone with its work. Some
   // ten lost datagrams, and under a stream's length.
   static constexpr Duration kPeerMemory = 1500ms;
@@ -43,8 +49,13 @@
   void SetPeer(const std::string& peer, const PeerLoad& load, Instant now);
   void Sweep(Instant now);
 
-  // All processes' work at an endpoint.
+  // All processes' work at an endpoint. Costs the same for any number of peers.
   EndpointLoad Of(const EndpointId& endpoint) const;
+  // How old what peers told is, in the mean; zero without such peers. What they
+  // placed and ended since is not in the book.
+  Duration NewsAge(Nearness from, Instant now) const;
+  // Of the peer that was not heard for longest; zero without peers.
+  Duration OldestNews(Instant now) const;
   // This process's only, for its peers.
   PeerLoad Own() const;
   std::size_t peers() const { return this->told.size(); }
@@ -53,8 +64,9 @@
 
  private:
   struct Told {
-    std::map<std::uint64_t, EndpointLoad> loads;
+    std::unordered_map<std::uint64_t, EndpointLoad> loads;
     Instant at;
+    bool near = false;
   };
 
   struct Placed {
@@ -63,10 +75,16 @@
   };
 
   void TellChange() const;
+  void AddTotal(std::uint64_t key, const EndpointLoad& load);
+  void TakeFromTotal(std::uint64_t key, const EndpointLoad& load);
+  void DropTold(const Told& peer);
 
   const std::function<void()> own_change;
   std::map<EndpointId, Placed> own;
   std::map<std::string, Told> told;
+  // Of `own` and `told` together. A placement looks at every endpoint; summed
+  // at each look, its cost would be endpoints times peers.
+  std::unordered_map<std::uint64_t, EndpointLoad> totals;
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -1,21 +1,120 @@
 #include "gateway/stream_placement.h"
 
 #include <algorithm>
-#include <limits>
+
+#include "gateway/level_choice.h"
 
 namespace acacialug::gateway {
 namespace {
 
-// Scores that differ by less are alike: several processes that place at the
+// Loads that differ by less are alike: several processes that place at the
 // same time by the same news must not all choose the same endpoint.
 constexpr double kSpread = 0.06;
-// Beyond any score by load: chosen only if there is no other.
-constexpr double kAvoidedPenalty = 10.0;
-// Beyond any score by load of one without: a prompt is computed there that
-// holds its streams up for longer than their callers allow.
-constexpr double kHeldUpPenalty = 2.0;
 // An endpoint that takes twice its time is as good as one 0.3 fuller.
 constexpr double kSlownessWeight = 0.3;
+constexpr Duration kLeastHold = 1ms;
+
+// A decode endpoint in another failure domain is as good as one so much fuller,
+// and a prefill endpoint there as one that begins so much later. Less is known
+// of them, since its neighbours are heard more often than others, and what is
+// moved between domains takes longer.
+constexpr double kOtherDomainFill = 0.1;
+constexpr Duration kOtherDomainWait = 50ms;
+
+// Which endpoints are chosen whatever their load, while there are any.
+enum class CandidateRank {
+  kSound,
+  kHeldUp,   // a prompt is computed there that holds its streams up for longer
+             // than their callers allow
+  kAvoided,  // silent, or failing
+};
+
+// The endpoints of the best rank that was seen.
+class Candidates {
+ public:
+  struct Choice {
+    const EndpointRecord* endpoint = nullptr;  // null: there was none
+    CandidateRank rank = CandidateRank::kSound;
+    double load = 0;
+  };
+
+  void Add(const EndpointRecord& endpoint, CandidateRank rank, double load) {
+    if (this->endpoints.empty() || rank < this->best) {
+      this->endpoints.clear();
+      this->loads.clear();
+      this->best = rank;
+    }
+    if (rank == this->best) {
+      this->endpoints.push_back(&endpoint);
+      this->loads.push_back(load);
+    }
+  }
+
+  // `unseen`: placed at them by others since these last told.
+  Choice Choose(double unseen, RandomSource& random) const {
+    const auto at = ChooseByLevel(this->loads, unseen, random);
+    return at ? Choice{.endpoint = this->endpoints[*at],
+                       .rank = this->best,
+                       .load = this->loads[*at]}
+              : Choice{};
+  }
+
+ private:
+  CandidateRank best = CandidateRank::kSound;
+  std::vector<const EndpointRecord*> endpoints;
+  std::vector<double> loads;
+};
+
+// The candidates of some failure domains, and all that is placed there.
+struct Side {
+  Candidates candidates;
+  double placed = 0;
+};
+
+// One's own failure domain, of which news are fresher, and the others.
+struct BothSides {
+  Side near;
+  Side far;
+
+  Side& Of(const EndpointRecord& endpoint, const FailureDomain& domain) {
+    return endpoint.domain == domain ? this->near : this->far;
+  }
+};
+
+// The near one, unless the far one is less loaded by `distance`.
+Candidates::Choice Better(const Candidates::Choice& near,
+                          const Candidates::Choice& far,
+                          double distance) {
+  if (near.endpoint == nullptr || far.endpoint == nullptr) {
+    return near.endpoint == nullptr ? far : near;
+  }
+  if (near.rank != far.rank) {
+    return near.rank < far.rank ? near : far;
+  }
+  return near.load <= far.load + distance ? near : far;
+}
+
+// What is placed within `age`, as a multiple of what is there at a time: as
+// much as ends, and each piece of work is there for `hold` (Little's law).
+double PlacedWithin(Duration age, Duration hold) {
+  return Seconds(age) / Seconds(std::max(hold, kLeastHold));
+}
+
+// The best of both sides, of which the near one may be fuller by `distance`.
+// `hold`: for how long work is at an endpoint.
+Candidates::Choice ChooseOf(const BothSides& sides,
+                            const LoadBook& book,
+                            Duration hold,
+                            double distance,
+                            Instant now,
+                            RandomSource& random) {
+  const auto choose = [&](const Side& side, LoadBook::Nearness from) {
+    return side.candidates.Choose(
+        side.placed * PlacedWithin(book.NewsAge(from, now), hold), random);
+  };
+  return Better(choose(sides.near, LoadBook::Nearness::kNear),
+                choose(sides.far, LoadBook::Nearness::kFar), distance);
+}
 
 bool WasTried(const std::vector<EndpointId>& tried, const EndpointId& id) {
   return std::find(tried.begin(), tried.end(), id) != tried.end();
@@ -47,45 +146,47 @@
       (need.yields ? this->options.yielding_fill : this->options.fill) *
       static_cast<double>(engine.kv_tokens);
   const auto wanted = static_cast<double>(this->KvTokens(need.size));
-  const EndpointRecord* best = nullptr;
-  double best_score = std::numeric_limits<double>::max();
+  BothSides sides;
   bool sound = false;
   for (const EndpointRecord* const endpoint : endpoints) {
-    if (endpoint->role != EndpointRole::kDecode ||
-        this->health.Paused(endpoint->id, need.now)) {
+    if (endpoint->role != EndpointRole::kDecode) {
+      continue;
+    }
+    const EndpointLoad load = this->book.Of(endpoint->id);
+    const auto held = static_cast<double>(load.kv_tokens);
+    Side& side = sides.Of(*endpoint, need.domain);
+    side.placed += held / room;
+    if (this->health.Paused(endpoint->id, need.now)) {
       continue;
     }
     const bool avoided = this->health.Avoided(endpoint->id, need.now);
     sound = sound || !avoided;
-    if (WasTried(need.tried, endpoint->id) ||
+    const bool fits = held + wanted <= room && load.requests < engine.slots;
+    if ((!fits && load.requests > 0) || WasTried(need.tried, endpoint->id) ||
         this->health.Full(endpoint->id, need.now)) {
       continue;
     }
-    const EndpointLoad load = this->book.Of(endpoint->id);
     const bool held_up =
         load.prefill_tokens > 0 && need.longest_pause > Duration::zero() &&
         forecast.PromptPause(load.prefill_tokens) > need.longest_pause;
-    const auto held = static_cast<double>(load.kv_tokens);
-    const bool fits = held + wanted <= room && load.requests < engine.slots;
-    if (!fits && load.requests > 0) {
-      continue;
-    }
-    double score = held / room + random.Unit() * kSpread +
-                   kSlownessWeight * (this->health.Slowness(endpoint->id) - 1);
-    if (held_up) {
-      score += kHeldUpPenalty;
-    }
-    if (avoided) {
-      score += kAvoidedPenalty;
-    }
-    if (score < best_score) {
-      best = endpoint;
-      best_score = score;
-    }
+    const CandidateRank rank = avoided   ? CandidateRank::kAvoided
+                               : held_up ? CandidateRank::kHeldUp
+                                         : CandidateRank::kSound;
+    side.candidates.Add(
+        *endpoint, rank,
+        held / room + random.Unit() * kSpread +
+            kSlownessWeight * (this->health.Slowness(endpoint->id) - 1));
   }
+  const Duration hold =
+      forecast.PrefillTime(need.size.prompt_tokens) + forecast.FirstEvent() +
+      FromSeconds(static_cast<double>(need.size.expected_output_tokens) *
+                  forecast.TokenMs() / 1000);
+  const Candidates::Choice chosen =
+      ChooseOf(sides, this->book, hold, kOtherDomainFill, need.now, random);
   // A dead endpoint looks empty. While others live, one that is full is better
   // waited for than this one asked.
-  return sound && best_score >= kAvoidedPenalty ? nullptr : best;
+  return sound && chosen.rank == CandidateRank::kAvoided ? nullptr
+                                                         : chosen.endpoint;
 }
 
 Duration StreamPlacement::PrefillTime(const EndpointRecord& endpoint,
@@ -134,30 +235,35 @@
 
 const EndpointRecord* StreamPlacement::PickPrefill(
     const Need& need,
+    const FailureDomain& domain,
     const forecast::ServiceForecast& forecast,
     const std::vector<const EndpointRecord*>& endpoints,
     RandomSource& random) const {
-  const EndpointRecord* best = nullptr;
-  double best_score = std::numeric_limits<double>::max();
+  BothSides sides;
   for (const EndpointRecord* const endpoint : endpoints) {
-    if (endpoint->role != EndpointRole::kPrefill ||
-        WasTried(need.tried, endpoint->id) ||
-        this->health.Paused(endpoint->id, need.now)) {
+    if (endpoint->role != EndpointRole::kPrefill) {
       continue;
     }
-    double score = Seconds(this->PrefillTime(*endpoint, forecast,
-                                             need.size.prompt_tokens)) *
-                   (1 + random.Unit() * kSpread) *
-                   (1 + 2 * this->health.FailureShare(endpoint->id));
-    if (this->health.Avoided(endpoint->id, need.now)) {
-      score += kAvoidedPenalty;
-    }
-    if (score < best_score) {
-      best = endpoint;
-      best_score = score;
+    Side& side = sides.Of(*endpoint, domain);
+    side.placed += Seconds(
+        forecast.ReadingTime(this->book.Of(endpoint->id).prefill_tokens));
+    if (WasTried(need.tried, endpoint->id) ||
+        this->health.Paused(endpoint->id, need.now)) {
+      continue;
     }
+    side.candidates.Add(*endpoint,
+                        this->health.Avoided(endpoint->id, need.now)
+                            ? CandidateRank::kAvoided
+                            : CandidateRank::kSound,
+                        Seconds(this->PrefillTime(*endpoint, forecast,
+                                                  need.size.prompt_tokens)) *
+                            (1 + random.Unit() * kSpread) *
+                            (1 + 2 * this->health.FailureShare(endpoint->id)));
   }
-  return best;
+  return ChooseOf(sides, this->book,
+                  forecast.PrefillTime(need.size.prompt_tokens),
+                  Seconds(kOtherDomainWait), need.now, random)
+      .endpoint;
 }
 
 std::optional<StreamPlacement::Place> StreamPlacement::Pick(
@@ -179,7 +285,7 @@
       static_cast<double>(this->book.Of(decode->id).kv_tokens) /
       static_cast<double>(std::max<std::uint64_t>(engine.kv_tokens, 1));
   const EndpointRecord* const prefill =
-      this->PickPrefill(need, forecast, endpoints, random);
+      this->PickPrefill(need, decode->domain, forecast, endpoints, random);
   if (prefill == nullptr || this->health.Avoided(prefill->id, need.now)) {
     return place;
   }
--- a/src/gateway/stream_placement.h
+++ b/src/gateway/stream_placement.h
@@ -30,24 +30,17 @@
     // their final sizes is never reached.
     double fill = 1.0;
     // Share of the expected output that is counted as taken: the mean over a
-    // stream's life is half of it, and estimates are off by half. Between 0.6
-    // and 0.8 an overloaded pool serves the same worth: what 0.8 spares in
-    // preempted streams (a third of them) it loses in memory that stands idle.
+    // stream's life is half of it, and estimates are off by half. More spares
+    // preempted streams, and leaves memory idle.
     double output_share = 0.6;
     // Up to this share of an endpoint's memory is given to those who yield, the
     // rest is kept for who can still be in time. Without it those who were
     // refused in a burst come back after it and take the places of first tries,
     // which come back in their turn: the pool stays overloaded for the length
-    // of the burst again. Worth served on the two pools above 0.492 to 0.529
-    // and 0.595 to 0.605; shares of 0.65 to 0.85 serve alike there. A pool of
-    // nine, less pressed, scores 0.966 with 0.85, and 0.915 with 0.75 (means of
-    // four plays): it refuses less to who comes back.
+    // of the burst again.
     double yielding_fill = 0.85;
     // Tokens that a stream makes until others have heard of it and placed by
-    // it. Counting streams that outgrow their estimate raised the worth served
-    // on two overloaded pools of 41 and 45 endpoints from 0.471 and 0.581 to
-    // 0.492 and 0.595 (means of ten days each); with 150 tokens to 0.488 and
-    // 0.592.
+    // it.
     std::uint64_t growth = 300;
     // The longest time at a prefill endpoint that is worth it, as a share of
     // the route's objective, where decode memory is short: it is held meanwhile
@@ -71,6 +64,7 @@
     Duration waited{};
     std::vector<EndpointId> tried;  // not again
     bool yields = false;            // takes only what others do not need
+    FailureDomain domain;           // of this process
     Instant now;
   };
 
@@ -110,8 +104,10 @@
       const forecast::ServiceForecast& forecast,
       const std::vector<const EndpointRecord*>& endpoints,
       RandomSource& random) const;
+  // `domain`: where its result goes.
   const EndpointRecord* PickPrefill(
       const Need& need,
+      const FailureDomain& domain,
       const forecast::ServiceForecast& forecast,
       const std::vector<const EndpointRecord*>& endpoints,
       RandomSource& random) const;
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+
 #include "framework/testing/story.h"
 #include "gateway/admission_queue.h"
 #include "gateway/call_placement.h"
@@ -141,11 +143,11 @@
         "full",
         [] {
           EndpointHealth health;
-          health.NoteUnwilling(kA, kStart);
+          health.NoteUnwilling(kA, 0ms, kStart);
           CPPUNIT_ASSERT(health.Full(kA, kStart + 100ms));
           CPPUNIT_ASSERT(!health.Full(kA, kStart + 200ms));
-          health.NoteUnwilling(kA, kStart + 1s);
-          health.NoteUnwilling(kA, kStart + 2s);
+          health.NoteUnwilling(kA, 0ms, kStart + 1s);
+          health.NoteUnwilling(kA, 0ms, kStart + 2s);
           CPPUNIT_ASSERT(health.Full(kA, kStart + 2500ms));
           CPPUNIT_ASSERT(!health.Unreachable(kStart + 2500ms).empty());
           health.NoteRoom(kA);
@@ -188,6 +190,25 @@
                         Pointers(records), random)
                   ->id == kB);
         }),
+     It("tells nobody of refusals that placements of peers may explain",
+        [] {
+          // Symptom: in a burst a hundred processes avoid endpoints that are
+          // sound, and turn callers away with a third of the pool free.
+          // Sequence: many place at one endpoint that looked empty by old
+          // news; it is full and refuses; each takes it for one that leaves,
+          // and tells the others. Cause: refusals that came within one round
+          // of news were counted as several signs.
+          EndpointHealth health;
+          health.NoteUnwilling(kA, 400ms, kStart);
+          CPPUNIT_ASSERT(health.Full(kA, kStart + 100ms));
+          health.NoteUnwilling(kA, 400ms, kStart + 160ms);
+          CPPUNIT_ASSERT(health.Full(kA, kStart + 300ms));
+          health.NoteUnwilling(kA, 400ms, kStart + 390ms);
+          CPPUNIT_ASSERT(health.Unreachable(kStart + 395ms).empty());
+          health.NoteUnwilling(kA, 400ms, kStart + 500ms);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                               health.Unreachable(kStart + 510ms).size());
+        }),
      It("calls one full that refused for want of room, until something there "
         "has ended",
         [] {
@@ -210,20 +231,83 @@
 
 const acacialug::testing::Story kBook(
     "the book of loads",
-    {It("adds what peers told to one's own, and forgets a silent peer's", [] {
-      LoadBook book;
-      book.Add(kA, {.requests = 1, .kv_tokens = 100});
-      const PeerLoad theirs{
-          .rows = {{.endpoint_key = LoadBook::KeyOf(kA),
-                    .load = {.requests = 2, .kv_tokens = 50}}}};
-      book.SetPeer("p", theirs, kStart);
-      book.SetPeer("p", theirs, kStart);
-      CPPUNIT_ASSERT_EQUAL(std::uint64_t{150}, book.Of(kA).kv_tokens);
-      book.Sweep(kStart + LoadBook::kPeerMemory + 1ms);
-      CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, book.Of(kA).kv_tokens);
-      book.Remove(kA, {.requests = 1, .kv_tokens = 100});
-      CPPUNIT_ASSERT(book.Own().rows.empty());
-    })});
+    {It("adds what peers told to one's own, and forgets a silent peer's",
+        [] {
+          LoadBook book;
+          book.Add(kA, {.requests = 1, .kv_tokens = 100});
+          const PeerLoad theirs{
+              .rows = {{.endpoint_key = LoadBook::KeyOf(kA),
+                        .load = {.requests = 2, .kv_tokens = 50}}}};
+          book.SetPeer("p", theirs, kStart);
+          book.SetPeer("p", theirs, kStart);
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{150}, book.Of(kA).kv_tokens);
+          book.Sweep(kStart + LoadBook::kPeerMemory + 1ms);
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, book.Of(kA).kv_tokens);
+          book.Remove(kA, {.requests = 1, .kv_tokens = 100});
+          CPPUNIT_ASSERT(book.Own().rows.empty());
+        }),
+     It("tells how old the news are of those near, and of the others",
+        [] {
+          LoadBook book;
+          using enum LoadBook::Nearness;
+          CPPUNIT_ASSERT(book.NewsAge(kFar, kStart) == 0ms);
+          book.SetPeer("p", {.near = true}, kStart + 90ms);
+          book.SetPeer("q", {}, kStart);
+          book.SetPeer("r", {}, kStart + 40ms);
+          const Instant now = kStart + 100ms;
+          CPPUNIT_ASSERT(book.NewsAge(kNear, now) == 10ms);
+          CPPUNIT_ASSERT(book.NewsAge(kFar, now) == 80ms);
+          CPPUNIT_ASSERT(book.OldestNews(now) == 100ms);
+        }),
+     It("keeps totals that are the sum of what it was told, whatever the order",
+        [] {
+          RandomSource random(5);
+          LoadBook book;
+          std::map<int, std::map<int, std::uint64_t>> tokens;  // by teller
+          std::map<int, Instant> told_at;
+          Instant now = kStart;
+          constexpr int kSelf = 0;
+          const auto id = [](int endpoint) {
+            return EndpointId("e" + std::to_string(endpoint));
+          };
+          for (int step = 0; step < 4000; ++step) {
+            now += std::chrono::milliseconds(random.Below(40));
+            const int teller = static_cast<int>(random.Below(6));
+            const int endpoint = static_cast<int>(random.Below(5));
+            const std::uint64_t load = 1 + random.Below(1000);
+            if (random.Below(50) == 0) {
+              book.Forget(id(endpoint));
+              for (auto& [who, loads] : tokens) {
+                loads.erase(endpoint);
+              }
+            } else if (teller != kSelf) {
+              PeerLoad told;
+              tokens[teller].clear();
+              for (int at = endpoint; at < 5; ++at) {
+                told.rows.push_back({.endpoint_key = LoadBook::KeyOf(id(at)),
+                                     .load = {.kv_tokens = load}});
+                tokens[teller][at] = load;
+              }
+              told_at[teller] = now;
+              book.SetPeer(std::to_string(teller), told, now);
+            } else if (tokens[kSelf].contains(endpoint)) {
+              book.Remove(id(endpoint), {.kv_tokens = tokens[kSelf][endpoint]});
+              tokens[kSelf].erase(endpoint);
+            } else {
+              book.Add(id(endpoint), {.kv_tokens = load});
+              tokens[kSelf][endpoint] = load;
+            }
+            book.Sweep(now);
+            std::uint64_t sum = 0;
+            for (const auto& [who, loads] : tokens) {
+              const bool kept =
+                  who == kSelf || told_at[who] + LoadBook::kPeerMemory >= now;
+              const auto found = loads.find(endpoint);
+              sum += kept && found != loads.end() ? found->second : 0;
+            }
+            CPPUNIT_ASSERT_EQUAL(sum, book.Of(id(endpoint)).kv_tokens);
+          }
+        })});
 
 const acacialug::testing::Story kBudget(
     "the budget of repeats",
@@ -466,6 +550,34 @@
           book.Remove(kA, {.requests = 1, .kv_tokens = 3000});
           CPPUNIT_ASSERT(pick().has_value());
         }),
+     It("is in the process's own failure domain unless that is clearly fuller",
+        [] {
+          LoadBook book;
+          const EndpointHealth health;
+          const StreamPlacement placement({}, book, health);
+          const std::vector<EndpointRecord> records = {
+              Record("a", EndpointRole::kDecode, "x"),
+              Record("b", EndpointRole::kDecode, "y"),
+              Record("f", EndpointRole::kPrefill, "x"),
+              Record("g", EndpointRole::kPrefill, "y")};
+          const EngineTraits engine{.slots = 64, .kv_tokens = 30000};
+          RandomSource random(1);
+          const auto pick = [&](const std::string& domain) {
+            return placement.Pick(
+                {.size = {.prompt_tokens = 3000, .expected_output_tokens = 900},
+                 .objective = 900ms,
+                 .domain = FailureDomain(domain),
+                 .now = kStart},
+                engine, kForecast, Pointers(records), random);
+          };
+          CPPUNIT_ASSERT(pick("x")->decode.id == kA);
+          CPPUNIT_ASSERT(pick("y")->decode.id == kB);
+          // Next to where its result goes, not to the process.
+          CPPUNIT_ASSERT_EQUAL(std::string("f"), pick("x")->prefill->id.text);
+          book.Add(kA, {.requests = 3, .kv_tokens = 9000});
+          CPPUNIT_ASSERT(pick("x")->decode.id == kB);
+          CPPUNIT_ASSERT_EQUAL(std::string("g"), pick("x")->prefill->id.text);
+        }),
      It("may be waited for longer on a route with a longer objective",
         [] {
           LoadBook book;
--- a/src/gateway/types/endpoint_load.h
+++ b/src/gateway/types/endpoint_load.h
@@ -25,6 +25,13 @@
     this->prefill_tokens += other.prefill_tokens;
     return *this;
   }
+  // Precondition: not less in any part.
+  EndpointLoad& operator-=(const EndpointLoad& other) {
+    this->requests -= other.requests;
+    this->kv_tokens -= other.kv_tokens;
+    this->prefill_tokens -= other.prefill_tokens;
+    return *this;
+  }
   friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
 };
 
@@ -51,6 +58,7 @@
     EndpointLoad load;
   };
   std::vector<Row> rows;
+  bool near = false;  // of the reader's failure domain
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -186,6 +186,7 @@
   PeerLink::Options PeerOptions(RandomSource& random) {
     return {
         .id = this->options.settings.id,
+        .domain = this->options.settings.domain,
         .incarnation = random.NextIncarnation(),
         .listen = this->options.settings.peer_listen,
         .own_load = [this] { return this->core.OwnLoad(); },
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -10,8 +10,10 @@
 #include "framework/http/http_server.h"
 #include "framework/log/log.h"
 #include "framework/net/datagram_socket.h"
+#include "gateway/peer_rounds.h"
 #include "gateway_process/internal/catalog_handout.h"
 #include "gateway_process/internal/catalog_sources.h"
+#include "placement/types/hashing.h"
 #include "protocol/message_codec.h"
 
 namespace acacialug::gateway_process {
@@ -20,10 +22,6 @@
 // Without a change peers hear this often that a process lives. A third of the
 // time for which its load is remembered.
 constexpr Duration kKeepAlive = 400ms;
-// Between two datagrams to the same peer, for up to kNearPeers peers; with
-// more it grows with them, so that what a process sends stays the same.
-constexpr Duration kLeastInterval = 20ms;
-constexpr std::size_t kNearPeers = 5;
 // A peer that was not heard for this long is not counted as one.
 constexpr Duration kPeerMemory = 2s;
 // One that was heard in this time still takes its part of what all share: a
@@ -52,6 +50,13 @@
   return std::chrono::ceil<std::chrono::milliseconds>(duration);
 }
 
+// Peers that are told together.
+struct Group {
+  QTimer change;
+  Instant last_told{};
+  Instant forecast_told_at{};
+};
+
 struct Peer {
   http::Address address;
   Incarnation incarnation;
@@ -61,6 +66,7 @@
   Instant told_at{};
   Instant read_at{};
   bool heard = false;
+  bool near = false;  // of this process's failure domain
 };
 
 }  // namespace
@@ -69,6 +75,7 @@
  public:
   explicit Implementation(Options link_options)
       : options(std::move(link_options)),
+        domain_key(placement::HashText(this->options.domain.text)),
         sources(this->options.id),
         socket(
             {.on_datagram =
@@ -94,9 +101,12 @@
                 }})) {
     QObject::connect(&this->keep_alive, &QTimer::timeout,
                      [this] { this->OnKeepAlive(); });
-    this->change.setSingleShot(true);
-    QObject::connect(&this->change, &QTimer::timeout,
-                     [this] { this->TellAll(); });
+    for (const bool near : {true, false}) {
+      QTimer& change = this->GroupOf(near).change;
+      change.setSingleShot(true);
+      QObject::connect(&change, &QTimer::timeout,
+                       [this, near] { this->Tell(near); });
+    }
   }
 
   Status Start() {
@@ -124,12 +134,14 @@
   }
 
   void OnLoadChanged() {
-    if (this->change.isActive()) {
-      return;
+    for (const bool near : {true, false}) {
+      Group& group = this->GroupOf(near);
+      if (!group.change.isActive()) {
+        const Duration since = this->options.now() - group.last_told;
+        group.change.start(Milliseconds(
+            std::max(Duration::zero(), this->Interval(near) - since)));
+      }
     }
-    const Duration since = this->options.now() - this->last_told;
-    this->change.start(
-        Milliseconds(std::max(Duration::zero(), this->Interval() - since)));
   }
 
   void SetPositions(const Positions& newest) {
@@ -156,42 +168,59 @@
     if (this->sources.AnyKnowsMore(now)) {
       return false;
     }
+    // What a peer read is told by its next heartbeat.
+    const Duration round = this->Interval(false);
     std::size_t readers_before = 0;
     bool fresh = false;
     for (const auto& [id, peer] : this->peers) {
-      if (!peer.heard || now - peer.heard_at > kReaderMemory) {
+      if (!peer.heard || now - peer.heard_at > kReaderMemory + round) {
         continue;
       }
       readers_before += id < this->options.id ? 1 : 0;
-      fresh = fresh || now - peer.read_at < kFreshRead;
+      fresh = fresh || now - peer.read_at < kFreshRead + round;
     }
     return readers_before >= kReaders && fresh;
   }
 
  private:
-  Duration Interval() const {
-    const std::size_t far =
-        std::max<std::size_t>(this->peers.size(), kNearPeers);
-    return kLeastInterval * static_cast<std::int64_t>(far) /
-           static_cast<std::int64_t>(kNearPeers);
+  Group& GroupOf(bool near) {
+    return near ? this->near_group : this->far_group;
+  }
+
+  Duration Interval(bool near) const {
+    const auto neighbours = static_cast<std::size_t>(
+        std::count_if(this->peers.begin(), this->peers.end(),
+                      [](const auto& entry) { return entry.second.near; }));
+    const std::size_t all = this->peers.size();
+    return gateway::RoundInterval(all, near ? neighbours : all - neighbours);
   }
 
   void TellAll() {
-    this->last_told = this->options.now();
-    const std::string datagram = this->MakeHeartbeat();
+    this->Tell(true);
+    this->Tell(false);
+  }
+
+  void Tell(bool near) {
+    Group& group = this->GroupOf(near);
+    group.last_told = this->options.now();
+    const std::string datagram = this->MakeHeartbeat(group);
     for (auto& [id, peer] : this->peers) {
+      if (peer.near != near) {
+        continue;
+      }
       const bool lives =
-          peer.heard && this->last_told - peer.heard_at < kPeerMemory;
-      if (lives || this->last_told - peer.told_at >= kRetryInterval) {
-        peer.told_at = this->last_told;
+          peer.heard && group.last_told - peer.heard_at < kPeerMemory;
+      if (lives || group.last_told - peer.told_at >= kRetryInterval) {
+        peer.told_at = group.last_told;
         this->socket.Send(datagram, peer.address);
       }
     }
   }
 
-  std::string MakeHeartbeat() {
+  std::string MakeHeartbeat(Group& group) {
     protocol::PeerHeartbeat heartbeat{
         .sender = this->options.id,
+        .domain_key = this->domain_key,
         .incarnation = this->options.incarnation,
         .sequence = ++this->sequence,
         .pages_port = this->pages->port(),
@@ -227,22 +256,22 @@
                  pause.reason == gateway::PauseReason::kUnreachable});
       }
     }
-    this->AddForecast(heartbeat);
+    this->AddForecast(heartbeat, group);
     return protocol::Encode(heartbeat);
   }
 
   // Not with each heartbeat: under load there are fifty a second, and what is
   // learned changes by the minute.
-  void AddForecast(protocol::PeerHeartbeat& heartbeat) {
+  void AddForecast(protocol::PeerHeartbeat& heartbeat, Group& group) {
     const Instant now = this->options.now();
-    if (now - this->forecast_told_at < kForecastInterval) {
+    if (now - group.forecast_told_at < kForecastInterval) {
       return;
     }
     const auto told = this->options.next_forecast();
     if (!told) {
       return;
     }
-    this->forecast_told_at = now;
+    group.forecast_told_at = now;
     protocol::PeerHeartbeat::Forecast row{.service_key = told->service_key};
     for (const forecast::ToldValue& figure : told->figures) {
       row.figures.push_back(
@@ -288,6 +317,7 @@
     }
     peer.heard = true;
     peer.address = from;
+    peer.near = heartbeat->domain_key == this->domain_key;
     peer.incarnation = heartbeat->incarnation;
     peer.sequence = heartbeat->sequence;
     peer.pages_port = heartbeat->pages_port;
@@ -304,7 +334,7 @@
     for (const protocol::PeerHeartbeat::Forecast& told : heartbeat->forecasts) {
       this->TakeForecast(told);
     }
-    this->options.on_load(heartbeat->sender, LoadOf(*heartbeat));
+    this->options.on_load(heartbeat->sender, LoadOf(*heartbeat, peer.near));
     this->sources.NoteTold(heartbeat->sender,
                            {.configuration = heartbeat->configuration,
                             .endpoints = heartbeat->endpoints},
@@ -328,8 +358,9 @@
     this->options.on_forecast(told);
   }
 
-  static gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat) {
-    gateway::PeerLoad load;
+  static gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat,
+                                  bool near) {
+    gateway::PeerLoad load{.near = near};
     load.rows.reserve(heartbeat.rows.size());
     for (const protocol::PeerHeartbeat::Row& row : heartbeat.rows) {
       load.rows.push_back({.endpoint_key = row.endpoint_key,
@@ -347,8 +378,11 @@
     if (this->socket.ReadPending()) {
       this->CountPeers();
     }
-    if (this->options.now() - this->last_told >= kKeepAlive) {
-      this->TellAll();
+    for (const bool near : {true, false}) {
+      if (this->options.now() - this->GroupOf(near).last_told >=
+          std::max(kKeepAlive, this->Interval(near))) {
+        this->Tell(near);
+      }
     }
     this->FetchIfBehind();
   }
@@ -459,20 +493,20 @@
   }
 
   const Options options;
+  const std::uint64_t domain_key;
   CatalogSources sources;
   net::DatagramSocket socket;
   http::Client client;
   std::unique_ptr<http::Server> pages;
   QTimer keep_alive;
-  QTimer change;
+  Group near_group;
+  Group far_group;
   std::map<std::string, Peer> peers;
   CatalogHandout handout;
   log::RepeatLimiter limiter{{}};
   Positions known;
   std::uint64_t sequence = 0;
-  Instant last_told{};
   Instant fetched_at{};
-  Instant forecast_told_at{};
   bool fetching = false;
   Instant read_at{};
 };
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -28,6 +28,7 @@
  public:
   struct Options {
     std::string id;
+    FailureDomain domain;
     Incarnation incarnation;
     // UDP for loads, TCP for the catalog page.
     http::Address listen;
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -30,9 +30,12 @@
 using testing::OneRoute;
 
 struct Peer {
-  explicit Peer(const std::string& id, std::uint16_t port)
+  explicit Peer(const std::string& id,
+                std::uint16_t port,
+                const std::string& domain = {})
       : address{.ip = "127.0.0.1", .port = port},
         link({.id = id,
+              .domain = FailureDomain(domain),
               .incarnation = Incarnation(1),
               .listen = this->address,
               .own_load = [this] { return this->load; },
@@ -216,14 +219,55 @@
             return c.taken && c.taken->endpoints.as_of == LogOffset(10);
           });
         }),
-     It("do not leave the reading of the store to too few", [] {
-       Peer a("a", FreePort());
-       Peer b("b", FreePort());
-       b.link.SetMembers({{"a", a.address}});
-       a.link.NoteStoreRead();
-       WaitUntil("loads", [&] { return b.heard.contains("a"); });
-       CPPUNIT_ASSERT(!b.link.PeersReadStore());
-     })});
+     It("do not leave the reading of the store to too few",
+        [] {
+          Peer a("a", FreePort());
+          Peer b("b", FreePort());
+          b.link.SetMembers({{"a", a.address}});
+          a.link.NoteStoreRead();
+          WaitUntil("loads", [&] { return b.heard.contains("a"); });
+          CPPUNIT_ASSERT(!b.link.PeersReadStore());
+        }),
+     It("know those of their own failure domain from the others",
+        [] {
+          Peer c("c", FreePort(), "x");
+          Sender a("a");
+          Sender b("b");
+          a.heartbeat.domain_key = placement::HashText("x");
+          b.heartbeat.domain_key = placement::HashText("y");
+          a.Tell(c);
+          b.Tell(c);
+          WaitUntil("both", [&c] { return c.heard.size() == 2; });
+          CPPUNIT_ASSERT(c.heard["a"].near);
+          CPPUNIT_ASSERT(!c.heard["b"].near);
+        }),
+     It("of a hundred leave the reading of the store to two whose heartbeats "
+        "are due",
+        [] {
+          // Symptom: calls to the store grow with the gateways: of 103 all read
+          // it, a call each every quarter of a second. Sequence: the two
+          // readers read twice a second, and tell each peer of it in a round
+          // of heartbeats that takes most of a second; by then their reading
+          // looks old. Cause: its age was judged without the round's.
+          Peer c("c", FreePort());
+          Sender a("a");
+          Sender b("b");
+          a.heartbeat.read_age_ms = 500;
+          b.heartbeat.read_age_ms = 500;
+          a.Tell(c);
+          b.Tell(c);
+          WaitUntil("both", [&c] { return c.peers == 2; });
+          c.ahead += 600ms;
+          CPPUNIT_ASSERT(!c.link.PeersReadStore());
+          std::map<std::string, http::Address> members;
+          for (int number = 0; number < 100; ++number) {
+            members.emplace("m" + std::to_string(number), c.address);
+          }
+          c.link.SetMembers(members);
+          CPPUNIT_ASSERT(c.link.PeersReadStore());
+          c.ahead += 1s;
+          CPPUNIT_ASSERT(!c.link.PeersReadStore());
+        })});
 
 // One that knows a newer configuration than `asker`, and newer endpoints.
 struct Knowing {
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -61,6 +61,7 @@
   };
 
   std::string sender;
+  std::uint64_t domain_key = 0;  // hash of the sender's failure domain
   Incarnation incarnation;
   std::uint64_t sequence = 0;     // rises within an incarnation
   std::uint16_t pages_port = 0;   // TCP, on the sender's address
@@ -73,7 +74,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->sender, this->incarnation, this->sequence, this->pages_port,
+    archive(this->sender, this->domain_key, this->incarnation, this->sequence, this->pages_port,
             this->configuration, this->endpoints, this->read_age_ms, this->rows,
             this->pauses, this->forecasts);
   }
