Spread plain requests by what old news leave unknown

Cause: plain requests are over in some 60 ms, news of them are 100 to 700 ms old at 103 gateways; by the least load each sent all to the runner that had few at the last heartbeat.

Change: plain requests are placed by the same choice as generations, which is one class now (Candidates); how long they take is learned and told to peers.

--- a/src/forecast/service_forecast.cc
+++ b/src/forecast/service_forecast.cc
@@ -17,6 +17,7 @@
 constexpr double kPriorFirstEventMs = 35.0;
 constexpr double kPriorPauseMs = 50.0;
 constexpr double kPriorStreamTokenMs = 4.0;
+constexpr double kPriorCallMs = 50.0;
 // A few pauses beside prompts tell how long these last at the most: a single
 // one may be of the end of a prompt.
 constexpr std::uint32_t kBelievedPauses = 4;
@@ -55,7 +56,8 @@
       token({.prior = kPriorStreamTokenMs,
              .least = kLeastMs,
              .greatest = kGreatestMs,
-             .newest_weight = kNewestToken}) {}
+             .newest_weight = kNewestToken}),
+      call(Time(kPriorCallMs)) {}
 
 void ServiceForecast::NotePrefill(std::uint64_t prompt_tokens,
                                   std::uint64_t ahead,
@@ -86,6 +88,10 @@
   this->token.Note(Milliseconds(seen) / std::max<std::uint32_t>(tokens, 1));
 }
 
+void ServiceForecast::NoteCall(Duration took) {
+  this->call.Note(Milliseconds(took));
+}
+
 Duration ServiceForecast::PrefillTime(std::uint64_t prompt_tokens) const {
   return FromMilliseconds(this->prefill.At(static_cast<double>(prompt_tokens)));
 }
@@ -121,6 +127,10 @@
   return this->token.value();
 }
 
+Duration ServiceForecast::Call() const {
+  return FromMilliseconds(this->call.value());
+}
+
 ToldValue ServiceForecast::Of(Figure figure) const {
   return this->Told()[static_cast<std::size_t>(figure)];
 }
@@ -141,7 +151,8 @@
       this->first_event.Told(),
       this->pause.Told(),
       this->prompt_pause.Told(),
-      this->token.Told()};
+      this->token.Told(),
+      this->call.Told()};
 }
 
 void ServiceForecast::Adopt(const ForecastDigest& told) {
@@ -154,6 +165,7 @@
   this->pause.Adopt(of(Figure::kPauseMs));
   this->prompt_pause.Adopt(of(Figure::kPromptPauseMs));
   this->token.Adopt(of(Figure::kTokenMs));
+  this->call.Adopt(of(Figure::kCallMs));
 }
 
 }  // namespace acacialug::forecast
--- a/src/forecast/service_forecast.h
+++ b/src/forecast/service_forecast.h
@@ -40,6 +40,9 @@
   // `prompt_there`: a prompt was computed at its endpoint all the while.
   void NotePause(Duration pause, std::uint32_t tokens, bool prompt_there);
 
+  // An endpoint answered a plain request.
+  void NoteCall(Duration took);
+
   // At a prefill endpoint that does nothing else.
   Duration PrefillTime(std::uint64_t prompt_tokens) const;
   // The part of it that grows with the prompt: what is queued there takes that.
@@ -53,6 +56,7 @@
   // to be while prompts were computed all along.
   Duration PromptPause(std::uint64_t prompt_tokens) const;
   double TokenMs() const;
+  Duration Call() const;
 
   ToldValue Of(Figure figure) const;
   // Anything was learned.
@@ -68,6 +72,7 @@
   LearnedValue pause;
   LearnedValue prompt_pause;
   LearnedValue token;
+  LearnedValue call;
 };
 
 }  // namespace acacialug::forecast
--- a/src/forecast/types/forecast_digest.h
+++ b/src/forecast/types/forecast_digest.h
@@ -19,8 +19,9 @@
   kPauseMs,         // between two events
   kPromptPauseMs,   // the same, while a prompt is computed at that endpoint
   kTokenMs,         // for one token of one stream
+  kCallMs,          // of a plain request, from its sending to its answer
 };
-inline constexpr std::size_t kFigures = 7;
+inline constexpr std::size_t kFigures = 8;
 inline constexpr EnumNames<Figure, kFigures> kFigureNames = {
     {{Figure::kPrefillFixedMs, "prefill_fixed_ms"},
      {Figure::kPrefillTokenMs, "prefill_token_ms"},
@@ -28,7 +29,8 @@
      {Figure::kFirstEventMs, "first_event_ms"},
      {Figure::kPauseMs, "pause_ms"},
      {Figure::kPromptPauseMs, "prompt_pause_ms"},
-     {Figure::kTokenMs, "token_ms"}}};
+     {Figure::kTokenMs, "token_ms"},
+     {Figure::kCallMs, "call_ms"}}};
 
 // All of it, for peers.
 using ForecastDigest = std::array<ToldValue, kFigures>;
--- a/src/gateway/call_placement.h
+++ b/src/gateway/call_placement.h
@@ -6,12 +6,13 @@
 #include "framework/global/random_source.h"
 #include "gateway/endpoint_catalog.h"
 #include "gateway/endpoint_health.h"
+#include "gateway/internal/candidates.h"
 #include "gateway/load_book.h"
 
 namespace acacialug::gateway {
 
-// Chooses the endpoint of a plain request: the least busy one that answers
-// well, of those alike the one nearest by.
+// Chooses the endpoint of a plain request: one of the least busy that answer
+// well, of those alike one nearby.
 //
 // Load pattern: short requests at a small share of the slots, with endpoints
 // that die, fail a part of their requests, or lose answers. What costs callers
@@ -25,6 +26,7 @@
   struct Need {
     FailureDomain domain;           // of this process
     std::vector<EndpointId> tried;  // only if there is no other
+    Duration hold{};                // for how long a request is at an endpoint
     Instant now;
   };
 
@@ -39,9 +41,7 @@
       RandomSource& random) const;
 
  private:
-  double Score(const Need& need,
-               const EndpointRecord& endpoint,
-               RandomSource& random) const;
+  CandidateRank RankOf(const Need& need, const EndpointRecord& endpoint) const;
 
   const LoadBook& book;
   const EndpointHealth& health;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -189,7 +189,7 @@
       return;
     }
     for (const ServiceTraits& traits : this->routes->configuration().services) {
-      if (traits.engine && KeyOf(traits.name) == told.service_key) {
+      if (KeyOf(traits.name) == told.service_key) {
         this->StateOf(traits.name).forecast.Adopt(told.figures);
       }
     }
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -24,6 +24,7 @@
   const auto endpoints = this->context.catalog.Of(this->work.service);
   return this->context.calls.Pick({.domain = this->context.domain,
                                    .tried = std::move(avoided),
+                                   .hold = this->work.state->forecast.Call(),
                                    .now = this->Now()},
                                   endpoints, this->context.random);
 }
@@ -90,6 +91,9 @@
   switch (this->nature) {
     case AnswerNature::kSuccess:
       this->context.health.NoteSuccess(id, this->Now());
+      if (!this->context.alarms.StoodStill(this->sent_at, this->Now())) {
+        this->work.state->forecast.NoteCall(this->Now() - this->sent_at);
+      }
       this->PassOn(RelayEnd::kServed, this->status, this->headers,
                    std::move(body));
       return;
--- /dev/null
+++ b/src/gateway/internal/candidates.cc
@@ -0,0 +1,85 @@
+#include "gateway/internal/candidates.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "gateway/level_choice.h"
+
+namespace acacialug::gateway {
+namespace {
+
+constexpr Duration kLeastHold = 1ms;
+
+}  // namespace
+
+PlacementNews PlacementNews::Of(const LoadBook& book,
+                                Duration hold,
+                                Instant now) {
+  return {.near_age = book.NewsAge(LoadBook::Nearness::kNear, now),
+          .far_age = book.NewsAge(LoadBook::Nearness::kFar, now),
+          .hold = hold};
+}
+
+void Candidates::NotePlaced(const EndpointRecord& endpoint, double load) {
+  this->SideOf(endpoint).placed += load;
+}
+
+void Candidates::Add(const EndpointRecord& endpoint,
+                     CandidateRank rank,
+                     double load) {
+  this->SideOf(endpoint).Add(endpoint, rank, load);
+}
+
+void Candidates::Side::Add(const EndpointRecord& endpoint,
+                           CandidateRank rank,
+                           double load) {
+  if (this->endpoints.empty() || rank < this->best) {
+    this->endpoints.clear();
+    this->loads.clear();
+    this->best = rank;
+  }
+  if (rank == this->best) {
+    this->endpoints.push_back(&endpoint);
+    this->loads.push_back(load);
+  }
+}
+
+Candidates::Choice Candidates::Side::Choose(Duration age,
+                                            Duration hold,
+                                            RandomSource& random) const {
+  // As much is placed as ends, and each piece is there for `hold`: what is
+  // placed meanwhile follows by Little's law.
+  const double lives = Seconds(age) / Seconds(std::max(hold, kLeastHold));
+  const auto at = ChooseByLevel(this->loads, this->placed * lives, random);
+  if (!at) {
+    return {};
+  }
+  const double mean =
+      std::accumulate(this->loads.begin(), this->loads.end(), 0.0) /
+      static_cast<double>(this->loads.size());
+  // What was there has ended by this share, and others have the same chance of
+  // what came since.
+  const double still_there = std::exp(-lives);
+  return {.endpoint = this->endpoints[*at],
+          .rank = this->best,
+          .load = mean + (this->loads[*at] - mean) * still_there};
+}
+
+Candidates::Choice Candidates::Choose(const PlacementNews& news,
+                                      double distance,
+                                      RandomSource& random) const {
+  const Choice near_choice =
+      this->near.Choose(news.near_age, news.hold, random);
+  const Choice far_choice = this->far.Choose(news.far_age, news.hold, random);
+  if (near_choice.endpoint == nullptr || far_choice.endpoint == nullptr) {
+    return near_choice.endpoint == nullptr ? far_choice : near_choice;
+  }
+  if (near_choice.rank != far_choice.rank) {
+    return near_choice.rank < far_choice.rank ? near_choice : far_choice;
+  }
+  return near_choice.load <= far_choice.load + distance ? near_choice
+                                                        : far_choice;
+}
+
+}  // namespace acacialug::gateway
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "gateway/level_choice.h"
+#include "gateway/internal/candidates.h"
 
 namespace acacialug::gateway {
 namespace {
@@ -12,7 +12,6 @@
 constexpr double kSpread = 0.06;
 // An endpoint that takes twice its time is as good as one 0.3 fuller.
 constexpr double kSlownessWeight = 0.3;
-constexpr Duration kLeastHold = 1ms;
 
 // A decode endpoint in another failure domain is as good as one so much fuller,
 // and a prefill endpoint there as one that begins so much later. Less is known
@@ -21,101 +20,6 @@
 constexpr double kOtherDomainFill = 0.1;
 constexpr Duration kOtherDomainWait = 50ms;
 
-// Which endpoints are chosen whatever their load, while there are any.
-enum class CandidateRank {
-  kSound,
-  kHeldUp,   // a prompt is computed there that holds its streams up for longer
-             // than their callers allow
-  kAvoided,  // silent, or failing
-};
-
-// The endpoints of the best rank that was seen.
-class Candidates {
- public:
-  struct Choice {
-    const EndpointRecord* endpoint = nullptr;  // null: there was none
-    CandidateRank rank = CandidateRank::kSound;
-    double load = 0;
-  };
-
-  void Add(const EndpointRecord& endpoint, CandidateRank rank, double load) {
-    if (this->endpoints.empty() || rank < this->best) {
-      this->endpoints.clear();
-      this->loads.clear();
-      this->best = rank;
-    }
-    if (rank == this->best) {
-      this->endpoints.push_back(&endpoint);
-      this->loads.push_back(load);
-    }
-  }
-
-  // `unseen`: placed at them by others since these last told.
-  Choice Choose(double unseen, RandomSource& random) const {
-    const auto at = ChooseByLevel(this->loads, unseen, random);
-    return at ? Choice{.endpoint = this->endpoints[*at],
-                       .rank = this->best,
-                       .load = this->loads[*at]}
-              : Choice{};
-  }
-
- private:
-  CandidateRank best = CandidateRank::kSound;
-  std::vector<const EndpointRecord*> endpoints;
-  std::vector<double> loads;
-};
-
-// The candidates of some failure domains, and all that is placed there.
-struct Side {
-  Candidates candidates;
-  double placed = 0;
-};
-
-// One's own failure domain, of which news are fresher, and the others.
-struct BothSides {
-  Side near;
-  Side far;
-
-  Side& Of(const EndpointRecord& endpoint, const FailureDomain& domain) {
-    return endpoint.domain == domain ? this->near : this->far;
-  }
-};
-
-// The near one, unless the far one is less loaded by `distance`.
-Candidates::Choice Better(const Candidates::Choice& near,
-                          const Candidates::Choice& far,
-                          double distance) {
-  if (near.endpoint == nullptr || far.endpoint == nullptr) {
-    return near.endpoint == nullptr ? far : near;
-  }
-  if (near.rank != far.rank) {
-    return near.rank < far.rank ? near : far;
-  }
-  return near.load <= far.load + distance ? near : far;
-}
-
-// What is placed within `age`, as a multiple of what is there at a time: as
-// much as ends, and each piece of work is there for `hold` (Little's law).
-double PlacedWithin(Duration age, Duration hold) {
-  return Seconds(age) / Seconds(std::max(hold, kLeastHold));
-}
-
-// The best of both sides, of which the near one may be fuller by `distance`.
-// `hold`: for how long work is at an endpoint.
-Candidates::Choice ChooseOf(const BothSides& sides,
-                            const LoadBook& book,
-                            Duration hold,
-                            double distance,
-                            Instant now,
-                            RandomSource& random) {
-  const auto choose = [&](const Side& side, LoadBook::Nearness from) {
-    return side.candidates.Choose(
-        side.placed * PlacedWithin(book.NewsAge(from, now), hold), random);
-  };
-  return Better(choose(sides.near, LoadBook::Nearness::kNear),
-                choose(sides.far, LoadBook::Nearness::kFar), distance);
-}
-
 bool WasTried(const std::vector<EndpointId>& tried, const EndpointId& id) {
   return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
@@ -146,7 +50,7 @@
       (need.yields ? this->options.yielding_fill : this->options.fill) *
       static_cast<double>(engine.kv_tokens);
   const auto wanted = static_cast<double>(this->KvTokens(need.size));
-  BothSides sides;
+  Candidates candidates(need.domain);
   bool sound = false;
   for (const EndpointRecord* const endpoint : endpoints) {
     if (endpoint->role != EndpointRole::kDecode) {
@@ -154,8 +58,7 @@
     }
     const EndpointLoad load = this->book.Of(endpoint->id);
     const auto held = static_cast<double>(load.kv_tokens);
-    Side& side = sides.Of(*endpoint, need.domain);
-    side.placed += held / room;
+    candidates.NotePlaced(*endpoint, held / room);
     if (this->health.Paused(endpoint->id, need.now)) {
       continue;
     }
@@ -172,7 +75,7 @@
     const CandidateRank rank = avoided   ? CandidateRank::kAvoided
                                : held_up ? CandidateRank::kHeldUp
                                          : CandidateRank::kSound;
-    side.candidates.Add(
+    candidates.Add(
         *endpoint, rank,
         held / room + random.Unit() * kSpread +
             kSlownessWeight * (this->health.Slowness(endpoint->id) - 1));
@@ -181,8 +84,8 @@
       forecast.PrefillTime(need.size.prompt_tokens) + forecast.FirstEvent() +
       FromSeconds(static_cast<double>(need.size.expected_output_tokens) *
                   forecast.TokenMs() / 1000);
-  const Candidates::Choice chosen =
-      ChooseOf(sides, this->book, hold, kOtherDomainFill, need.now, random);
+  const Candidates::Choice chosen = candidates.Choose(
+      PlacementNews::Of(this->book, hold, need.now), kOtherDomainFill, random);
   // A dead endpoint looks empty. While others live, one that is full is better
   // waited for than this one asked.
   return sound && chosen.rank == CandidateRank::kAvoided ? nullptr
@@ -239,30 +142,31 @@
     const forecast::ServiceForecast& forecast,
     const std::vector<const EndpointRecord*>& endpoints,
     RandomSource& random) const {
-  BothSides sides;
+  Candidates candidates(domain);
   for (const EndpointRecord* const endpoint : endpoints) {
     if (endpoint->role != EndpointRole::kPrefill) {
       continue;
     }
-    Side& side = sides.Of(*endpoint, domain);
-    side.placed += Seconds(
-        forecast.ReadingTime(this->book.Of(endpoint->id).prefill_tokens));
+    candidates.NotePlaced(*endpoint,
+                          Seconds(forecast.ReadingTime(
+                              this->book.Of(endpoint->id).prefill_tokens)));
     if (WasTried(need.tried, endpoint->id) ||
         this->health.Paused(endpoint->id, need.now)) {
       continue;
     }
-    side.candidates.Add(*endpoint,
-                        this->health.Avoided(endpoint->id, need.now)
-                            ? CandidateRank::kAvoided
-                            : CandidateRank::kSound,
-                        Seconds(this->PrefillTime(*endpoint, forecast,
-                                                  need.size.prompt_tokens)) *
-                            (1 + random.Unit() * kSpread) *
-                            (1 + 2 * this->health.FailureShare(endpoint->id)));
+    candidates.Add(*endpoint,
+                   this->health.Avoided(endpoint->id, need.now)
+                       ? CandidateRank::kAvoided
+                       : CandidateRank::kSound,
+                   Seconds(this->PrefillTime(*endpoint, forecast,
+                                             need.size.prompt_tokens)) *
+                       (1 + random.Unit() * kSpread) *
+                       (1 + 2 * this->health.FailureShare(endpoint->id)));
   }
-  return ChooseOf(sides, this->book,
-                  forecast.PrefillTime(need.size.prompt_tokens),
-                  Seconds(kOtherDomainWait), need.now, random)
+  const Duration one = forecast.PrefillTime(need.size.prompt_tokens);
+  return candidates
+      .Choose(PlacementNews::Of(this->book, one, need.now),
+              Seconds(kOtherDomainWait), random)
       .endpoint;
 }
 
--- a/src/gateway/tests/many_processes_test.cc
+++ b/src/gateway/tests/many_processes_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "framework/testing/story.h"
+#include "gateway/call_placement.h"
 #include "gateway/endpoint_health.h"
 #include "gateway/level_choice.h"
 #include "gateway/load_book.h"
@@ -51,9 +52,73 @@
   std::multimap<Instant, std::function<void()>> events;
 };
 
-// Processes that place generations at one pool and tell each other of it, as
-// the gateways do: with each peer more, each is told less often. Endpoints are
-// asked for memory, which only they know exactly.
+FailureDomain DomainOf(std::size_t number) {
+  return FailureDomain(std::to_string(number % kDomains));
+}
+
+// Processes that place work at one pool and tell each other of it, as the
+// gateways do: with each peer more, each is told less often.
+class Processes {
+ public:
+  struct Process {
+    FailureDomain domain;
+    LoadBook book;
+    EndpointHealth health;
+    StreamPlacement streams{{}, this->book, this->health};
+    CallPlacement calls{this->book, this->health};
+  };
+
+  Processes(std::size_t count, Timeline& timeline, RandomSource& source)
+      : time(timeline), random(source) {
+    for (std::size_t number = 0; number < count; ++number) {
+      this->all.push_back(std::make_unique<Process>());
+      this->all.back()->domain = DomainOf(number);
+    }
+    for (std::size_t number = 0; number < count; ++number) {
+      for (const bool near : {true, false}) {
+        this->time.At(kStart + FromSeconds(Seconds(this->Interval(near)) *
+                                           this->random.Unit()),
+                      [this, number, near] { this->Tell(number, near); });
+      }
+    }
+  }
+
+  Process& Any(RandomSource& source) {
+    return *this->all[source.Below(this->all.size())];
+  }
+
+ private:
+  Duration Interval(bool near) const {
+    const std::size_t peers = this->all.size() - 1;
+    const std::size_t neighbours = peers / kDomains;
+    return near ? RoundInterval(peers, neighbours)
+                : RoundInterval(peers, peers - neighbours);
+  }
+
+  // To those of its own domain, or to all others.
+  void Tell(std::size_t number, bool near) {
+    PeerLoad load = this->all[number]->book.Own();
+    load.near = near;
+    this->time.At(this->time.now + kOneWay, [this, number, load] {
+      for (std::size_t to = 0; to < this->all.size(); ++to) {
+        if (to != number && (DomainOf(to) == DomainOf(number)) == load.near) {
+          this->all[to]->book.SetPeer(std::to_string(number), load,
+                                      this->time.now);
+        }
+      }
+    });
+    this->time.At(this->time.now + this->Interval(near),
+                  [this, number, near] { this->Tell(number, near); });
+  }
+
+  Timeline& time;
+  RandomSource& random;
+  std::vector<std::unique_ptr<Process>> all;
+};
+
+using Process = Processes::Process;
+
+// Generations. Endpoints are asked for memory, which only they know exactly.
 class Fleet {
  public:
   struct Options {
@@ -79,14 +144,6 @@
     for (const EndpointRecord& record : this->records) {
       this->endpoints.push_back(&record);
     }
-    for (std::size_t number = 0; number < this->options.processes; ++number) {
-      this->processes.push_back(std::make_unique<Process>());
-      for (const bool near : {true, false}) {
-        this->time.At(kStart + FromSeconds(Seconds(this->Interval(near)) *
-                                           this->random.Unit()),
-                      [this, number, near] { this->Tell(number, near); });
-      }
-    }
     this->Arrive();
   }
 
@@ -100,47 +157,13 @@
  private:
   static constexpr Duration kWarmUp = 6s;
 
-  struct Process {
-    LoadBook book;
-    EndpointHealth health;
-    StreamPlacement placement{{}, this->book, this->health};
-  };
-
   struct Generation {
     Process* at;
-    FailureDomain domain;
     Instant asked;
     std::vector<EndpointId> tried;
   };
   using GenerationPtr = std::shared_ptr<Generation>;
 
-  static FailureDomain DomainOf(std::size_t number) {
-    return FailureDomain(std::to_string(number % kDomains));
-  }
-
-  Duration Interval(bool near) const {
-    const std::size_t peers = this->options.processes - 1;
-    const std::size_t neighbours = peers / kDomains;
-    return near ? RoundInterval(peers, neighbours)
-                : RoundInterval(peers, peers - neighbours);
-  }
-
-  // To those of its own domain, or to all others.
-  void Tell(std::size_t number, bool near) {
-    PeerLoad load = this->processes[number]->book.Own();
-    load.near = near;
-    this->time.At(this->time.now + kOneWay, [this, number, load] {
-      for (std::size_t to = 0; to < this->processes.size(); ++to) {
-        if (to != number && (DomainOf(to) == DomainOf(number)) == load.near) {
-          this->processes[to]->book.SetPeer(std::to_string(number), load,
-                                            this->time.now);
-        }
-      }
-    });
-    this->time.At(this->time.now + this->Interval(near),
-                  [this, number, near] { this->Tell(number, near); });
-  }
-
   Duration Hold() const {
     return this->forecast.PrefillTime(kSize.prompt_tokens) +
            this->forecast.FirstEvent() +
@@ -150,7 +173,7 @@
 
   double TokensOf() const {
     return static_cast<double>(
-        this->processes.front()->placement.KvTokens(kSize));
+        StreamPlacement({}, LoadBook(), EndpointHealth()).KvTokens(kSize));
   }
 
   void Arrive() {
@@ -159,22 +182,20 @@
     const Duration gap = FromSeconds(this->arrivals.Exponential(1 / rate));
     this->time.At(this->time.now + gap, [this] {
       ++this->count.asked;
-      const std::size_t to = this->arrivals.Below(this->processes.size());
       this->Place(std::make_shared<Generation>(
-          Generation{.at = this->processes[to].get(),
-                     .domain = DomainOf(to),
+          Generation{.at = &this->processes.Any(this->arrivals),
                      .asked = this->time.now}));
       this->Arrive();
     });
   }
 
   void Place(const GenerationPtr& generation) {
-    const auto place = generation->at->placement.Pick(
+    const auto place = generation->at->streams.Pick(
         {.size = kSize,
          .objective = 900ms,
          .waited = this->time.now - generation->asked,
          .tried = generation->tried,
-         .domain = generation->domain,
+         .domain = generation->at->domain,
          .now = this->time.now},
         kEngine, this->forecast, this->endpoints, this->random);
     if (!place) {
@@ -253,14 +274,81 @@
   RandomSource random{11};
   RandomSource arrivals{12};  // the same for any number of processes
   Timeline time;
+  Processes processes{this->options.processes, this->time, this->random};
   std::vector<EndpointRecord> records;
   std::vector<const EndpointRecord*> endpoints;
-  std::vector<std::unique_ptr<Process>> processes;
   std::map<EndpointId, std::uint64_t> held;  // as the endpoints know it
   std::map<EndpointId, Instant> free_at;
   Count count;
 };
 
+// Plain requests, at a few endpoints of some slots each.
+class Calls {
+ public:
+  Calls(std::size_t count, double load) : processes(count, time, random) {
+    for (std::size_t number = 0; number < kDomains; ++number) {
+      this->records.push_back({.id = EndpointId("c" + std::to_string(number)),
+                               .service = ServiceName("s"),
+                               .domain = DomainOf(number),
+                               .slots = kSlots});
+    }
+    for (const EndpointRecord& record : this->records) {
+      this->endpoints.push_back(&record);
+    }
+    this->Arrive(FromSeconds(Seconds(kWork) / (load * kSlots * kDomains)));
+  }
+
+  // Share of them that had an answer within five times their work.
+  double InTime(Duration time_to_run) {
+    this->time.RunUntil(kStart + time_to_run);
+    return static_cast<double>(this->in_time) / this->ended;
+  }
+
+ private:
+  static constexpr std::uint32_t kSlots = 6;
+  static constexpr Duration kWork = 60ms;
+
+  void Arrive(Duration mean_gap) {
+    const Duration gap =
+        FromSeconds(this->arrivals.Exponential(Seconds(mean_gap)));
+    this->time.At(this->time.now + gap, [this, mean_gap] {
+      this->Place(this->processes.Any(this->arrivals));
+      this->Arrive(mean_gap);
+    });
+  }
+
+  void Place(Process& at) {
+    const EndpointRecord* const endpoint = at.calls.Pick(
+        {.domain = at.domain, .hold = kWork, .now = this->time.now},
+        this->endpoints, this->random);
+    if (endpoint == nullptr) {
+      ++this->ended;
+      return;
+    }
+    at.book.Add(endpoint->id, {.requests = 1});
+    std::vector<Instant>& slots = this->free_at[endpoint->id];
+    slots.resize(kSlots, kStart);
+    const auto slot = std::min_element(slots.begin(), slots.end());
+    *slot = std::max(*slot, this->time.now) + kWork;
+    this->time.At(
+        *slot, [this, &at, id = endpoint->id, asked = this->time.now] {
+          at.book.Remove(id, {.requests = 1});
+          ++this->ended;
+          this->in_time += this->time.now - asked <= 5 * kWork ? 1 : 0;
+        });
+  }
+
+  RandomSource random{13};
+  RandomSource arrivals{14};
+  Timeline time;
+  Processes processes;
+  std::vector<EndpointRecord> records;
+  std::vector<const EndpointRecord*> endpoints;
+  std::map<EndpointId, std::vector<Instant>> free_at;
+  int ended = 0;
+  int in_time = 0;
+};
+
 double ServedShare(const Fleet::Count& count) {
   return static_cast<double>(count.placed) / count.asked;
 }
@@ -329,6 +417,23 @@
             CPPUNIT_ASSERT_MESSAGE(text, many.refused <= many.asked / 2);
           }
         }),
+     It("answer plain requests in time though these end before peers hear of "
+        "them",
+        [] {
+          // Symptom: at three quarters of the slots in use a tenth of the plain
+          // requests is late with 103 processes, and none with five. Sequence:
+          // a request is over before the next heartbeat; the endpoint that had
+          // few at the last one gets all until the next. Cause: news that are
+          // older than the work were taken for the present.
+          const double one = Calls(1, 0.75).InTime(20s);
+          for (const std::size_t processes : {5, 22, 103}) {
+            const double many = Calls(processes, 0.75).InTime(20s);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(processes) + ": " +
+                                       std::to_string(many) +
+                                       ", one: " + std::to_string(one),
+                                   many >= one - 0.02);
+          }
+        }),
      It("serve what fits when more is offered than the pool ends", [] {
        const Fleet::Count one = Fleet({.processes = 1, .load = 1.4}).Run(8s);
        const Fleet::Count many = Fleet({.processes = 103, .load = 1.4}).Run(8s);
