--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -112,6 +112,7 @@
 
   void NoteStoreRead() { this->peers.NoteStoreRead(); }
   bool PeersReadStore() { return this->peers.PeersReadStore(); }
+  std::size_t peers_heard() const { return this->heard; }
 
   void SetMembers(const std::map<std::string, http::Address>& members) {
     this->peers.SetMembers(members);
@@ -213,6 +214,7 @@
         .on_peer_count =
             [this](std::size_t heard, std::size_t known, bool first) {
               this->core.SetPeers(known, first);
+              this->heard = heard;
               this->registry.Get(kGatewayPeers).Set(static_cast<double>(heard));
             },
         .on_catalog =
@@ -386,6 +388,7 @@
   std::unique_ptr<http::Server> readiness;
   std::unique_ptr<http::Server> operations;
   Instant drain_begun{};
+  std::size_t heard = 0;
   bool draining = false;
   bool stopped_accepting = false;
   bool was_ready = false;
@@ -434,6 +437,10 @@
   return this->implementation->PeersReadStore();
 }
 
+std::size_t GatewayProcess::peers_heard() const {
+  return this->implementation->peers_heard();
+}
+
 void GatewayProcess::SetMembers(
     const std::map<std::string, http::Address>& members) {
   this->implementation->SetMembers(members);
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -58,6 +58,8 @@
   void NoteStoreRead();
   // Whether others read it, so that this process need not.
   bool PeersReadStore();
+  // Other gateways that are heard now.
+  std::size_t peers_heard() const;
 
   // Where other gateways may be found, by their ids.
   void SetMembers(const std::map<std::string, http::Address>& members);
