Keep the candidates out of the face of the gateway's module

Cause: call_placement.h, a header of the module's face, included an internal one for a private method. Change: that method is a function of the .cc file. Decisions are the same; gateway tests 126 passed.

--- a/src/gateway/call_placement.cc
+++ b/src/gateway/call_placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/internal/candidates.h"
+
 namespace acacialug::gateway {
 namespace {
 
@@ -17,20 +19,21 @@
          static_cast<double>(std::max<std::uint32_t>(endpoint.slots, 1));
 }
 
-}  // namespace
-
-CandidateRank CallPlacement::RankOf(const Need& need,
-                                    const EndpointRecord& endpoint) const {
+CandidateRank RankOf(const EndpointRecord& endpoint,
+                     const CallPlacement::Need& need,
+                     const EndpointHealth& health) {
   if (std::find(need.tried.begin(), need.tried.end(), endpoint.id) !=
       need.tried.end()) {
     return CandidateRank::kTried;
   }
-  return this->health.Avoided(endpoint.id, need.now) ||
-                 this->health.Full(endpoint.id, need.now)
+  return health.Avoided(endpoint.id, need.now) ||
+                 health.Full(endpoint.id, need.now)
              ? CandidateRank::kAvoided
              : CandidateRank::kSound;
 }
 
+}  // namespace
+
 const EndpointRecord* CallPlacement::Pick(
     const Need& need,
     const std::vector<const EndpointRecord*>& endpoints,
@@ -42,7 +45,7 @@
     candidates.NotePlaced(*endpoint, busy);
     if (load.requests < endpoint->slots * (1 + kMostWaitingPerSlot)) {
       candidates.Add(
-          *endpoint, this->RankOf(need, *endpoint),
+          *endpoint, RankOf(*endpoint, need, this->health),
           busy + random.Unit() * kSpread +
               kFailureWeight * this->health.FailureShare(endpoint->id));
     }
--- a/src/gateway/call_placement.h
+++ b/src/gateway/call_placement.h
@@ -6,7 +6,6 @@
 #include "framework/global/random_source.h"
 #include "gateway/endpoint_catalog.h"
 #include "gateway/endpoint_health.h"
-#include "gateway/internal/candidates.h"
 #include "gateway/load_book.h"
 
 namespace acacialug::gateway {
@@ -41,8 +40,6 @@
       RandomSource& random) const;
 
  private:
-  CandidateRank RankOf(const Need& need, const EndpointRecord& endpoint) const;
-
   const LoadBook& book;
   const EndpointHealth& health;
 };
