--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -75,7 +75,7 @@
   std::function<void()> gone_hook;
 };
 
-GatewayWorld::GatewayWorld(std::uint32_t repeat_extra) {
+GatewayWorld::GatewayWorld(double repeat_extra) {
   this->core = std::make_unique<GatewayCore>(
       GatewayCore::Options{.id = "g1",
                            .domain = FailureDomain("a"),
--- a/src/gateway/tests/gateway_world.h
+++ b/src/gateway/tests/gateway_world.h
@@ -40,7 +40,7 @@
 class GatewayWorld {
  public:
   // `repeat_extra`: the budget of repeats beside its share of the requests.
-  explicit GatewayWorld(std::uint32_t repeat_extra = 58);
+  explicit GatewayWorld(double repeat_extra = 58);
 
   // A configuration with the routes of kRoutes, in force at once.
   void Configure();
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -31,7 +31,7 @@
 
 // Two endpoints that prefill and two that decode.
 struct Model : GatewayWorld {
-  explicit Model(std::uint32_t repeat_extra = 58) : GatewayWorld(repeat_extra) {
+  explicit Model(double repeat_extra = 58) : GatewayWorld(repeat_extra) {
     this->Configure();
     this->AddEndpoint("f1", "model", EndpointRole::kPrefill);
     this->AddEndpoint("f2", "model", EndpointRole::kPrefill);
@@ -42,7 +42,7 @@
 
 // One of whose streams runs and has made its first event.
 struct Streaming : Model {
-  explicit Streaming(std::uint32_t repeat_extra = 58)
+  explicit Streaming(double repeat_extra = 58)
       : Model(repeat_extra),
         answer(this->Ask("/resumable/a", "r1")),
         decode(this->BringToDecode()) {
