--- a/src/gateway/endpoint_health.h
+++ b/src/gateway/endpoint_health.h
@@ -66,11 +66,11 @@
   void NoteFull(const EndpointId& endpoint, Instant now);
   void NoteRoom(const EndpointId& endpoint);
   // It refused while it was thought to be far from full: it leaves, or does not
-  // work. Paused longer each time; but one refusal, and those until all peers
-  // have told what they had placed there by then, may be theirs to explain.
-  // Where a hundred processes doubted an endpoint at each such refusal, and
-  // told each other so, sound endpoints that were just full were left alone by
-  // all. `oldest_news`: since when every peer has told.
+  // work. Paused longer each time. One refusal, and those until all peers have
+  // told what they had placed there by then, may have their placements as a
+  // cause: if each process doubted it then and told the others, a sound
+  // endpoint that is just full would be left alone by all. `oldest_news`: since
+  // when every peer has told.
   void NoteUnwilling(const EndpointId& endpoint,
                      Duration oldest_news,
                      Instant now);
