--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -74,9 +74,9 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->sender, this->domain_key, this->incarnation, this->sequence, this->pages_port,
-            this->configuration, this->endpoints, this->read_age_ms, this->rows,
-            this->pauses, this->forecasts);
+    archive(this->sender, this->domain_key, this->incarnation, this->sequence,
+            this->pages_port, this->configuration, this->endpoints,
+            this->read_age_ms, this->rows, this->pauses, this->forecasts);
   }
 };
 
