Name in the log what all attempts of one request share

Change: request_key, a hash of method, host, target and body, on attempt_lost, attempt_silent, prefill_failed and request_ended; losses on request_ended; counter acacialug_gateway_losses_total. No decision changes. Conclusion: one key at several endpoints is one request; many keys at one endpoint are an endpoint that died.

--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/request_key.h"
+
 namespace acacialug::gateway {
 namespace {
 
@@ -128,10 +130,11 @@
 
 void CallRelay::OnLost(const Error& error, bool sent) {
   this->ForgetExchange();
-  this->context.health.NoteLost(this->endpoint.id, sent, this->Now());
+  this->NoteLost(this->endpoint, sent);
   this->Note(log::Level::kWarning, "attempt_lost", this->endpoint.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->sent_at},
+              {"request_key", TextOf(this->key)},
               {"detail", error.detail}},
              error.result_code());
   if (!sent) {
@@ -153,7 +156,8 @@
   this->context.health.NoteSilence(this->endpoint.id, this->Now());
   this->context.hooks.drop_idle(this->endpoint.address);
   this->Note(log::Level::kWarning, "attempt_silent", this->endpoint.id,
-             {{"after_ms", this->Now() - this->sent_at}},
+             {{"after_ms", this->Now() - this->sent_at},
+              {"request_key", TextOf(this->key)}},
              ResultCode::kEndpointLost);
   this->StopExchange();
   this->EndAttempt();
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -4,12 +4,14 @@
 #include <utility>
 
 #include "gateway/internal/refusal.h"
+#include "gateway/request_key.h"
 
 namespace acacialug::gateway {
 
 Relay::Relay(RelayContext& relay_context, RelayJob relay_job)
     : context(relay_context),
       work(std::move(relay_job)),
+      key(RequestKeyOf(this->work.request)),
       deadline(this->work.arrived +
                std::min(this->work.route->timeout,
                         this->work.request.deadline.value_or(
@@ -48,6 +50,11 @@
       std::move(hooks));
 }
 
+void Relay::NoteLost(const EndpointRecord& endpoint, bool sent) {
+  this->context.health.NoteLost(endpoint.id, sent, this->Now());
+  this->outcome.losses += sent ? 1 : 0;
+}
+
 void Relay::StopExchange() {
   if (this->exchange != 0) {
     this->context.hooks.cancel(std::exchange(this->exchange, 0));
@@ -131,6 +138,7 @@
               {"status", status},
               {"route", this->work.route->name},
               {"kind", NameOf(kWorkKindNames, this->work.route->kind)},
+              {"request_key", TextOf(this->key)},
               {"configuration", this->work.routes->configuration().version},
               {"waited_ms", this->outcome.waited},
               {"first_byte_ms", this->outcome.first_byte},
@@ -139,7 +147,8 @@
               {"spent_before_ms", this->work.spent},
               {"sends", this->outcome.sends},
               {"prefills", this->outcome.prefills},
-              {"events", this->outcome.events}},
+              {"events", this->outcome.events},
+              {"losses", this->outcome.losses}},
              code);
   this->context.hooks.on_end(*this->work.route, this->outcome);
   const std::shared_ptr<Relay> self = this->shared_from_this();
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gateway/internal/relay_context.h"
+#include "retry/types/request_key.h"
 
 namespace acacialug::gateway {
 
@@ -51,6 +52,9 @@
   void SendTo(const EndpointRecord& endpoint,
               const WorkOrder& order,
               http::ExchangeHooks hooks);
+  // The exchange with this endpoint broke; `sent`: after something of the
+  // request may have arrived.
+  void NoteLost(const EndpointRecord& endpoint, bool sent);
   // Ends the exchange under way; its hooks stay silent.
   void StopExchange();
   void ForgetExchange() { this->exchange = 0; }
@@ -77,6 +81,7 @@
 
   RelayContext& context;
   RelayJob work;
+  const retry::RequestKey key;
   RelayOutcome outcome;
   std::vector<EndpointId> tried;
 
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/request_key.h"
+
 namespace acacialug::gateway {
 namespace {
 
@@ -248,8 +250,7 @@
                 .on_error =
                     [self](const Error& /*error*/, bool sent) {
                       self->ForgetExchange();
-                      self->context.health.NoteLost(self->place->prefill->id,
-                                                    sent, self->Now());
+                      self->NoteLost(*self->place->prefill, sent);
                       self->AfterPrefill(sent ? "lost" : "unreachable");
                     }});
   const Duration patience =
@@ -305,6 +306,7 @@
   this->EndPhase();
   this->Note(log::Level::kWarning, "prefill_failed", this->place->prefill->id,
              {{"why", why},
+              {"request_key", TextOf(this->key)},
               {"after_ms", this->Now() - this->step_at},
               {"expected_ms", this->place->prefill_time}});
   this->tried.push_back(this->place->prefill->id);
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "gateway/internal/stream_relay.h"
+#include "gateway/request_key.h"
 
 // The second half of a generation's way: its decode endpoint, and its events.
 namespace acacialug::gateway {
@@ -251,11 +252,12 @@
 void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
   this->ForgetExchange();
   this->decode_open = false;
-  this->context.health.NoteLost(this->place->decode.id, sent, this->Now());
+  this->NoteLost(this->place->decode, sent);
   this->Note(log::Level::kWarning, "attempt_lost", this->place->decode.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->step_at},
               {"events", this->outcome.events},
+              {"request_key", TextOf(this->key)},
               {"detail", error.detail}},
              error.result_code());
   if (!sent || this->nature == AnswerNature::kNotRun) {
@@ -279,6 +281,7 @@
              {{"after_ms", this->Now() - this->step_at},
               {"events", this->outcome.events},
               {"goes_elsewhere", possible},
+              {"request_key", TextOf(this->key)},
               {"repeats", this->work.state->budget.repeats()}},
              ResultCode::kEndpointLost);
   this->heard_since_silent = false;
--- a/src/gateway/types/relay_outcome.h
+++ b/src/gateway/types/relay_outcome.h
@@ -39,6 +39,7 @@
   std::uint32_t sends = 0;   // to endpoints, prefills not counted
   std::uint32_t prefills = 0;
   std::uint32_t events = 0;
+  std::uint32_t losses = 0;  // endpoints lost while they had it
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -329,6 +329,7 @@
         .Add();
     this->registry.Get(kGatewaySendsTotal, {"work"}).Add(outcome.sends);
     this->registry.Get(kGatewaySendsTotal, {"prefill"}).Add(outcome.prefills);
+    this->registry.Get(kGatewayLossesTotal, {kind}).Add(outcome.losses);
     this->registry.Get(kGatewayWholeSeconds, {kind})
         .Record(Seconds(outcome.whole));
     if (outcome.first_byte > Duration::zero()) {
--- /dev/null
+++ b/src/retry/types/request_key.h
@@ -0,0 +1,14 @@
+#ifndef RETRY_TYPES_REQUEST_KEY_H_
+#define RETRY_TYPES_REQUEST_KEY_H_
+
+#include "framework/global/types/identifiers.h"
+
+namespace acacialug::retry {
+
+// A hash of what a request asks for: the same for all of its attempts, whatever
+// their ids, and on every host.
+using RequestKey = Number<struct RequestKeyTag>;
+
+}  // namespace acacialug::retry
+
+#endif  // RETRY_TYPES_REQUEST_KEY_H_
