Quarantine a request under which endpoint after endpoint ends

Callers saw 502, and others' streams were cut off: one request ended twelve endpoints in 16 s, each with up to four streams beside it. Cause: what an attempt's end tells of its request is forgotten with the attempt. The request comes again under another id, at any gateway, and is new to it (hypothesis 1). The class is a poison request without memory of failed deliveries: retries are bounded within an attempt only. Change: retry::CrashLedger remembers by request key which endpoints ended under it. Three different ones with no answer in between quarantine it for ten minutes, at all gateways: heartbeats tell of it, worst first, and again to a gateway that is heard anew. It is looked for at arrival and before each sending (place, prefill, decode, repeat, move), since peers tell at any time. An answer with success clears a request, here and at peers, and ends do not count for a minute after one, so that one that was merely there, or many that look alike, are not refused. 1,024 requests and 4,096 answers at most; 4 told in a heartbeat, each in the place of two loads.

--- a/src/framework/global/types/result_code.cc
+++ b/src/framework/global/types/result_code.cc
@@ -84,6 +84,9 @@
       {ResultCode::kBodiesFull, "bodies_full",
        "refused before running: the bodies of the requests under way fill "
        "their memory"},
+      {ResultCode::kQuarantined, "quarantined",
+       "refused before running: endpoint after endpoint ended under this "
+       "request"},
       {ResultCode::kOutcomeUnknown, "outcome_unknown",
        "the work may have run; its answer is lost"},
       {ResultCode::kDeadlineExceeded, "deadline_exceeded",
--- a/src/framework/global/types/result_code.h
+++ b/src/framework/global/types/result_code.h
@@ -45,6 +45,7 @@
   kLogUnavailable = 2011,
   kLinkBusy = 2012,
   kBodiesFull = 2013,
+  kQuarantined = 2014,
 
   // 3xxx: the request ran, or may have run, and did not complete.
   kOutcomeUnknown = 3001,
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -11,6 +11,7 @@
 #include "gateway/internal/role_orders.h"
 #include "gateway/internal/stream_relay.h"
 #include "gateway/internal/waiting_streams.h"
+#include "gateway/request_key.h"
 #include "placement/types/hashing.h"
 
 namespace acacialug::gateway {
@@ -45,6 +46,7 @@
         }),
         book(this->options.hooks.on_load_changed),
         alarms(this->options.hooks.wake_at),
+        crashes(this->options.crashes),
         streams(this->options.placement, this->book, this->health),
         calls(this->book, this->health),
         context{.hooks = this->options.hooks,
@@ -56,6 +58,7 @@
                 .streams = this->streams,
                 .calls = this->calls,
                 .alarms = this->alarms,
+                .crashes = this->crashes,
                 .random = this->random,
                 .processes = [this] { return this->peers + 1; },
                 .closing = [this] { return this->drain_begun != kNever; },
@@ -102,6 +105,11 @@
       this->AnswerWithoutRelay(job, ResultCode::kDeadlineUnreachable);
       return;
     }
+    job.key = RequestKeyOf(job.request);
+    if (this->crashes.Quarantined(job.key, now)) {
+      this->AnswerWithoutRelay(job, ResultCode::kQuarantined);
+      return;
+    }
     job.state->budget.NoteRequest(now);
     if (job.traits != nullptr && job.traits->engine.has_value()) {
       this->BeginStream(std::move(job));
@@ -194,6 +202,16 @@
     }
   }
 
+  void SetPeerCrash(const retry::CrashRecord& told) {
+    if (this->crashes.Merge(told, this->Now())) {
+      this->options.hooks.note(
+          log::Level::kWarning, "request_quarantined",
+          {.fields = {{"request_key", TextOf(told.request)},
+                      {"left_ms",
+                       this->crashes.TimeLeft(told.request, this->Now())}}});
+    }
+  }
+
   void SetPeers(std::size_t count, bool first) {
     this->peers = count;
     this->roles.SetFirst(first);
@@ -215,12 +233,15 @@
     }
   }
 
+  Instant Now() const { return this->options.hooks.now(); }
+
   Options options;
   RandomSource& random;
   EndpointCatalog catalog;
   EndpointHealth health;
   LoadBook book;
   AlarmClock alarms;
+  retry::CrashLedger crashes;
   StreamPlacement streams;
   CallPlacement calls;
   std::shared_ptr<const RouteTable> routes;
@@ -233,8 +254,6 @@
   RoleOrders roles;
 
  private:
-  Instant Now() const { return this->options.hooks.now(); }
-
   // A runner that starts again under its id would keep the load, the failures
   // and the slowness of its former life: it looked full or ill for seconds, and
   // its streams' ends were taken off what was placed there since.
@@ -293,11 +312,20 @@
     return ResultCode::kOk;
   }
 
+  Duration RetryAfter(const RelayJob& job, ResultCode code) const {
+    switch (code) {
+      case ResultCode::kNotReady:
+        return kRetryStarting;
+      case ResultCode::kQuarantined:
+        return this->crashes.TimeLeft(job.key, this->Now());
+      default:
+        return kRetryElsewhere;
+    }
+  }
+
   void AnswerWithoutRelay(const RelayJob& job, ResultCode code) {
-    const Duration retry_after =
-        code == ResultCode::kNotReady ? kRetryStarting : kRetryElsewhere;
-    const http::Response answer =
-        MakeOwnAnswer(code, retry_after, this->drain_begun != kNever);
+    const http::Response answer = MakeOwnAnswer(
+        code, this->RetryAfter(job, code), this->drain_begun != kNever);
     this->options.hooks.note(
         log::Level::kWarning, "request_refused",
         {.request_name = job.request.id,
@@ -306,6 +334,7 @@
              {"status", answer.status},
              {"host", job.request.host},
              {"path", job.request.message.Path()},
+             {"request_key", TextOf(job.key)},
              {"configuration",
               this->routes ? this->routes->configuration().version : 0}}});
     job.responder->SendWhole(answer);
@@ -361,6 +390,7 @@
     const Instant now = this->Now();
     this->book.Sweep(now);
     this->health.Sweep(now);
+    this->crashes.Sweep(now);
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
@@ -476,6 +506,21 @@
   this->implementation->SetPeerForecast(told);
 }
 
+std::vector<retry::CrashRecord> GatewayCore::TellCrashes(
+    std::size_t most,
+    std::size_t round) const {
+  return this->implementation->crashes.Tell(most, round,
+                                            this->implementation->Now());
+}
+
+void GatewayCore::TellCrashesAgain() {
+  this->implementation->crashes.TellAgain(this->implementation->Now());
+}
+
+void GatewayCore::SetPeerCrash(const retry::CrashRecord& told) {
+  this->implementation->SetPeerCrash(told);
+}
+
 void GatewayCore::BeginDrain() {
   this->implementation->BeginDrain();
 }
@@ -501,4 +546,8 @@
   return this->implementation->waiting.size();
 }
 
+std::size_t GatewayCore::requests_quarantined() const {
+  return this->implementation->crashes.quarantined(this->implementation->Now());
+}
+
 }  // namespace acacialug::gateway
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "forecast/types/forecast_digest.h"
 #include "framework/global/random_source.h"
@@ -17,6 +18,7 @@
 #include "gateway/types/endpoint_load.h"
 #include "gateway/types/endpoint_record.h"
 #include "gateway/types/gateway_hooks.h"
+#include "retry/crash_ledger.h"
 
 namespace acacialug::gateway {
 
@@ -39,6 +41,7 @@
     Duration drain_admission = 2500ms;
     StreamPlacement::Options placement;
     AdmissionQueue::Options admission;
+    retry::CrashLedger::Options crashes;
     GatewayHooks hooks;
     EndpointDialect dialect;
   };
@@ -81,6 +84,13 @@
   std::optional<forecast::ToldForecast> NextForecast();
   void SetPeerForecast(const forecast::ToldForecast& told);
 
+  // Requests under which endpoints ended: what the peers should hear of them
+  // (CrashLedger::Tell), what a peer told, and that a peer knows nothing yet.
+  std::vector<retry::CrashRecord> TellCrashes(std::size_t most,
+                                              std::size_t round) const;
+  void SetPeerCrash(const retry::CrashRecord& told);
+  void TellCrashesAgain();
+
   // New work is refused after a while, and answers close their connections.
   void BeginDrain();
 
@@ -93,6 +103,7 @@
   bool Ready() const;
   std::size_t requests_under_way() const;
   std::size_t requests_waiting() const;
+  std::size_t requests_quarantined() const;
 
  private:
   class Implementation;
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -134,7 +134,7 @@
   this->Note(log::Level::kWarning, "attempt_lost", this->endpoint.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->sent_at},
-              {"request_key", TextOf(this->key)},
+              {"request_key", TextOf(this->work.key)},
               {"detail", error.detail}},
              error.result_code());
   if (!sent) {
@@ -157,7 +157,7 @@
   this->context.hooks.drop_idle(this->endpoint.address);
   this->Note(log::Level::kWarning, "attempt_silent", this->endpoint.id,
              {{"after_ms", this->Now() - this->sent_at},
-              {"request_key", TextOf(this->key)}},
+              {"request_key", TextOf(this->work.key)}},
              ResultCode::kEndpointLost);
   this->StopExchange();
   this->EndAttempt();
@@ -167,7 +167,7 @@
 }
 
 bool CallRelay::TakeRepeat() {
-  const bool allowed = this->MayRunAgain() &&
+  const bool allowed = this->MayRunAgain() && !this->Quarantined() &&
                        this->runs < this->work.route->max_endpoints &&
                        this->outcome.sends < kMostSends;
   const bool others = this->context.catalog.Of(this->work.service).size() > 1;
@@ -193,7 +193,7 @@
 void CallRelay::AfterNotRun(ResultCode code) {
   this->EndAttempt();
   --this->runs;
-  const bool again = this->outcome.sends < kMostSends &&
+  const bool again = !this->Quarantined() && this->outcome.sends < kMostSends &&
                      this->work.state->budget.TryTake(
                          this->Now(), this->context.processes()) &&
                      this->TryPlace();
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -5,13 +5,22 @@
 
 #include "gateway/internal/refusal.h"
 #include "gateway/request_key.h"
+#include "placement/types/hashing.h"
 
 namespace acacialug::gateway {
+namespace {
+
+// A start of an endpoint, the same at every process.
+std::uint64_t StartKeyOf(const EndpointRecord& endpoint) {
+  return placement::RendezvousWeight(LoadBook::KeyOf(endpoint.id),
+                                     static_cast<std::uint64_t>(endpoint.born));
+}
+
+}  // namespace
 
 Relay::Relay(RelayContext& relay_context, RelayJob relay_job)
     : context(relay_context),
       work(std::move(relay_job)),
-      key(RequestKeyOf(this->work.request)),
       deadline(this->work.arrived +
                std::min(this->work.route->timeout,
                         this->work.request.deadline.value_or(
@@ -52,7 +61,21 @@
 
 void Relay::NoteLost(const EndpointRecord& endpoint, bool sent) {
   this->context.health.NoteLost(endpoint.id, sent, this->Now());
-  this->outcome.losses += sent ? 1 : 0;
+  if (!sent) {
+    return;
+  }
+  ++this->outcome.losses;
+  if (this->context.crashes.NoteEnd(this->work.key, StartKeyOf(endpoint),
+                                    this->Now())) {
+    this->Note(log::Level::kWarning, "request_quarantined", endpoint.id,
+               {{"request_key", TextOf(this->work.key)},
+                {"left_ms",
+                 this->context.crashes.TimeLeft(this->work.key, this->Now())}});
+  }
+}
+
+bool Relay::Quarantined() const {
+  return this->context.crashes.Quarantined(this->work.key, this->Now());
 }
 
 void Relay::StopExchange() {
@@ -130,6 +153,9 @@
   this->outcome.code = code;
   this->outcome.status = status;
   this->outcome.whole = this->Age();
+  if (end == RelayEnd::kServed) {
+    this->context.crashes.NoteAnswer(this->work.key, this->Now());
+  }
   this->Release();
   const bool good = end == RelayEnd::kServed || end == RelayEnd::kCallerGone;
   this->Note(good ? log::Level::kInfo : log::Level::kWarning, "request_ended",
@@ -138,7 +164,7 @@
               {"status", status},
               {"route", this->work.route->name},
               {"kind", NameOf(kWorkKindNames, this->work.route->kind)},
-              {"request_key", TextOf(this->key)},
+              {"request_key", TextOf(this->work.key)},
               {"configuration", this->work.routes->configuration().version},
               {"waited_ms", this->outcome.waited},
               {"first_byte_ms", this->outcome.first_byte},
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "gateway/internal/relay_context.h"
-#include "retry/types/request_key.h"
 
 namespace acacialug::gateway {
 
@@ -55,6 +54,9 @@
   // The exchange with this endpoint broke; `sent`: after something of the
   // request may have arrived.
   void NoteLost(const EndpointRecord& endpoint, bool sent);
+  // Endpoints ended under the request, here or at peers, so that it is sent to
+  // none. Looked at before each sending: peers tell at any time.
+  bool Quarantined() const;
   // Ends the exchange under way; its hooks stay silent.
   void StopExchange();
   void ForgetExchange() { this->exchange = 0; }
@@ -81,7 +83,6 @@
 
   RelayContext& context;
   RelayJob work;
-  const retry::RequestKey key;
   RelayOutcome outcome;
   std::vector<EndpointId> tried;
 
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -19,6 +19,7 @@
 #include "gateway/stream_placement.h"
 #include "gateway/types/endpoint_dialect.h"
 #include "gateway/types/gateway_hooks.h"
+#include "retry/crash_ledger.h"
 
 namespace acacialug::gateway {
 
@@ -41,6 +42,7 @@
   const StreamPlacement& streams;
   const CallPlacement& calls;
   AlarmClock& alarms;
+  retry::CrashLedger& crashes;
   RandomSource& random;
   // Processes that share the repeat budget, this one included.
   std::function<std::size_t()> processes;
@@ -56,6 +58,7 @@
 struct RelayJob {
   WorkRequest request;
   http::ResponderPtr responder;
+  retry::RequestKey key;
   // Keeps the configuration that the request came under.
   std::shared_ptr<const RouteTable> routes;
   const Route* route = nullptr;
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -52,6 +52,9 @@
 }
 
 bool StreamRelay::TryPlace() {
+  if (this->EndIfQuarantined()) {
+    return true;
+  }
   const auto chosen = this->FindPlace({});
   if (!chosen) {
     return false;
@@ -224,6 +227,9 @@
 }
 
 void StreamRelay::StartPrefill() {
+  if (this->EndIfQuarantined()) {
+    return;
+  }
   ++this->outcome.prefills;
   this->step_at = this->Now();
   auto self = this->Self();
@@ -306,13 +312,13 @@
   this->EndPhase();
   this->Note(log::Level::kWarning, "prefill_failed", this->place->prefill->id,
              {{"why", why},
-              {"request_key", TextOf(this->key)},
+              {"request_key", TextOf(this->work.key)},
               {"after_ms", this->Now() - this->step_at},
               {"expected_ms", this->place->prefill_time}});
   this->tried.push_back(this->place->prefill->id);
   this->GivePrefillBack();
   const bool again =
-      this->outcome.prefills < kMostPrefills &&
+      this->outcome.prefills < kMostPrefills && !this->Quarantined() &&
       this->work.state->budget.TryTake(this->Now(), this->context.processes());
   if (again) {
     this->GiveDecodeBack();
@@ -325,6 +331,14 @@
   this->StartDecode(WorkStep::kWhole);
 }
 
+bool StreamRelay::EndIfQuarantined() {
+  if (!this->Quarantined()) {
+    return false;
+  }
+  this->GiveUp(ResultCode::kQuarantined);
+  return true;
+}
+
 void StreamRelay::AfterNotRun() {
   this->EndPhase();
   this->EndMove();
@@ -354,8 +368,9 @@
 }
 
 bool StreamRelay::TakeRepeat() {
-  return this->work.state->budget.TryTake(
-      this->Now(), this->context.processes(), this->RepeatsOfAMove());
+  return !this->Quarantined() &&
+         this->work.state->budget.TryTake(
+             this->Now(), this->context.processes(), this->RepeatsOfAMove());
 }
 
 void StreamRelay::AfterRun(ResultCode code) {
@@ -391,10 +406,13 @@
     this->Refuse(IsNotRun(code) ? ResultCode::kOutcomeUnknown : code, {});
     return;
   }
-  this->Refuse(
-      IsNotRun(code) ? code : ResultCode::kNoEndpoint,
-      this->work.state->queue.NextReturn(this->kv_tokens(), this->TimeLeft(),
-                                         this->Now(), this->context.random));
+  const Duration back =
+      code == ResultCode::kQuarantined
+          ? this->context.crashes.TimeLeft(this->work.key, this->Now())
+          : this->work.state->queue.NextReturn(this->kv_tokens(),
+                                               this->TimeLeft(), this->Now(),
+                                               this->context.random);
+  this->Refuse(IsNotRun(code) ? code : ResultCode::kNoEndpoint, back);
 }
 
 void StreamRelay::OnDeadline() {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -98,6 +98,8 @@
   // Stops the stream where it is, and goes on where memory was granted.
   void MoveTo(const StreamPlacement::Place& granted, const std::string& name);
 
+  // Ends it if its request is quarantined; true: it is over.
+  bool EndIfQuarantined();
   void AfterNotRun();
   void AfterRun(ResultCode code);
   // Takes another decode, and another prefill if there was one, from the
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -24,6 +24,9 @@
 }  // namespace
 
 void StreamRelay::StartDecode(WorkStep step) {
+  if (this->EndIfQuarantined()) {
+    return;
+  }
   ++this->outcome.sends;
   ++this->runs;
   this->decode_open = true;
@@ -257,7 +260,7 @@
              {{"sent", sent},
               {"after_ms", this->Now() - this->step_at},
               {"events", this->outcome.events},
-              {"request_key", TextOf(this->key)},
+              {"request_key", TextOf(this->work.key)},
               {"detail", error.detail}},
              error.result_code());
   if (!sent || this->nature == AnswerNature::kNotRun) {
@@ -269,7 +272,7 @@
 
 bool StreamRelay::MayMove() {
   return this->runs < this->work.route->max_endpoints &&
-         this->outcome.sends < kMostSends &&
+         this->outcome.sends < kMostSends && !this->Quarantined() &&
          this->work.state->budget.Allows(this->Now(), this->context.processes(),
                                          this->RepeatsOfAMove());
 }
@@ -281,7 +284,7 @@
              {{"after_ms", this->Now() - this->step_at},
               {"events", this->outcome.events},
               {"goes_elsewhere", possible},
-              {"request_key", TextOf(this->key)},
+              {"request_key", TextOf(this->work.key)},
               {"repeats", this->work.state->budget.repeats()}},
              ResultCode::kEndpointLost);
   this->heard_since_silent = false;
--- a/src/gateway/tests/many_processes_test.cc
+++ b/src/gateway/tests/many_processes_test.cc
@@ -15,11 +15,13 @@
 #include "gateway/load_book.h"
 #include "gateway/peer_rounds.h"
 #include "gateway/stream_placement.h"
+#include "gateway/tests/timeline.h"
 
 namespace acacialug::gateway {
 namespace {
 
 using acacialug::testing::It;
+using testing::Timeline;
 
 constexpr Instant kStart{1h};
 constexpr Duration kOneWay = 1500us;
@@ -32,26 +34,6 @@
                            .max_output_tokens = 900,
                            .expected_output_tokens = 900};
 
-// Virtual time: what is to happen, in its order.
-class Timeline {
- public:
-  void At(Instant when, std::function<void()> what) {
-    this->events.emplace(when, std::move(what));
-  }
-  void RunUntil(Instant end) {
-    while (!this->events.empty() && this->events.begin()->first <= end) {
-      const auto next = this->events.extract(this->events.begin());
-      this->now = next.key();
-      next.mapped()();
-    }
-  }
-
-  Instant now = kStart;
-
- private:
-  std::multimap<Instant, std::function<void()>> events;
-};
-
 FailureDomain DomainOf(std::size_t number) {
   return FailureDomain(std::to_string(number % kDomains));
 }
@@ -273,7 +255,7 @@
   const forecast::ServiceForecast forecast;
   RandomSource random{11};
   RandomSource arrivals{12};  // the same for any number of processes
-  Timeline time;
+  Timeline time{kStart};
   Processes processes{this->options.processes, this->time, this->random};
   std::vector<EndpointRecord> records;
   std::vector<const EndpointRecord*> endpoints;
@@ -340,7 +322,7 @@
 
   RandomSource random{13};
   RandomSource arrivals{14};
-  Timeline time;
+  Timeline time{kStart};
   Processes processes;
   std::vector<EndpointRecord> records;
   std::vector<const EndpointRecord*> endpoints;
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -141,6 +141,7 @@
             .repeat_window = settings.repeat_window,
             .placement = settings.placement,
             .admission = settings.admission,
+            .crashes = settings.crashes,
             .hooks = this->CoreHooks(),
             .dialect = this->options.dialect};
   }
@@ -211,6 +212,15 @@
             [this](const forecast::ToldForecast& told) {
               this->core.SetPeerForecast(told);
             },
+        .tell_crashes =
+            [this](std::size_t most, std::size_t round) {
+              return this->core.TellCrashes(most, round);
+            },
+        .on_crash =
+            [this](const retry::CrashRecord& told) {
+              this->core.SetPeerCrash(told);
+            },
+        .on_newcomer = [this] { this->core.TellCrashesAgain(); },
         .on_peer_count =
             [this](std::size_t heard, std::size_t known, bool first) {
               this->core.SetPeers(known, first);
@@ -289,6 +299,8 @@
         .Set(static_cast<double>(this->core.requests_under_way()));
     this->registry.Get(kGatewayWaiting)
         .Set(static_cast<double>(this->core.requests_waiting()));
+    this->registry.Get(kGatewayQuarantined)
+        .Set(static_cast<double>(this->core.requests_quarantined()));
     return {.status = kOk,
             .headers = {{"Content-Type",
                          std::string(metrics::kPrometheusContentType)}},
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -56,6 +56,7 @@
   Instant last_told{};
   Instant forecast_told_at{};
   std::size_t next_pause = 0;  // the first of those in the next heartbeat
+  std::size_t rounds = 0;      // of crashes that were told
 };
 
 struct Peer {
@@ -236,17 +237,43 @@
         .configuration = this->known.configuration,
         .endpoints = this->known.changed_to,
         .read_age_ms = this->ReadAge()};
+    this->AddCrashes(heartbeat, group);
+    this->AddLoad(heartbeat);
+    this->AddPauses(heartbeat, group);
+    this->AddForecast(heartbeat, group);
+    return protocol::Encode(heartbeat);
+  }
+
+  // They go before loads: a request that ends endpoints goes on ending them
+  // until every process knows it.
+  void AddCrashes(protocol::PeerHeartbeat& heartbeat, Group& group) {
+    const std::vector<retry::CrashRecord> told = this->options.tell_crashes(
+        protocol::kMaxPeerHeartbeatCrashes, group.rounds);
+    group.rounds += told.empty() ? 0 : 1;
+    for (const retry::CrashRecord& record : told) {
+      heartbeat.crashes.push_back(
+          {.request_key = record.request.value,
+           .endpoint_keys = record.endpoints,
+           .age_ms = static_cast<std::uint32_t>(
+               std::chrono::floor<std::chrono::milliseconds>(record.age)
+                   .count())});
+    }
+  }
+
+  void AddLoad(protocol::PeerHeartbeat& heartbeat) const {
+    const std::size_t most = protocol::kMaxPeerHeartbeatRows -
+                             protocol::kRowsPerCrash * heartbeat.crashes.size();
     gateway::PeerLoad load = this->options.own_load();
-    if (load.rows.size() > protocol::kMaxPeerHeartbeatRows) {
+    if (load.rows.size() > most) {
       // The largest loads matter most; the rest is told by placing elsewhere.
       std::partial_sort(
           load.rows.begin(),
-          load.rows.begin() + protocol::kMaxPeerHeartbeatRows, load.rows.end(),
-          [](const auto& left, const auto& right) {
+          load.rows.begin() + static_cast<std::ptrdiff_t>(most),
+          load.rows.end(), [](const auto& left, const auto& right) {
             return left.load.kv_tokens + left.load.prefill_tokens >
                    right.load.kv_tokens + right.load.prefill_tokens;
           });
-      load.rows.resize(protocol::kMaxPeerHeartbeatRows);
+      load.rows.resize(most);
     }
     for (const gateway::PeerLoad::Row& row : load.rows) {
       heartbeat.rows.push_back({.endpoint_key = row.endpoint_key,
@@ -254,9 +281,6 @@
                                 .kv_tokens = row.load.kv_tokens,
                                 .prefill_tokens = row.load.prefill_tokens});
     }
-    this->AddPauses(heartbeat, group);
-    this->AddForecast(heartbeat, group);
-    return protocol::Encode(heartbeat);
   }
 
   // With more than one heartbeat holds each tells the next ones: what was never
@@ -354,12 +378,18 @@
     for (const protocol::PeerHeartbeat::Forecast& told : heartbeat->forecasts) {
       this->TakeForecast(told);
     }
+    for (const protocol::PeerHeartbeat::Crash& told : heartbeat->crashes) {
+      this->options.on_crash({.request = retry::RequestKey(told.request_key),
+                              .endpoints = told.endpoint_keys,
+                              .age = std::chrono::milliseconds(told.age_ms)});
+    }
     this->options.on_load(heartbeat->sender, LoadOf(*heartbeat, peer.near));
     this->sources.NoteTold(heartbeat->sender,
                            {.configuration = heartbeat->configuration,
                             .endpoints = heartbeat->endpoints},
                            peer.heard_at);
     if (newcomer) {
+      this->options.on_newcomer();
       this->TellAll();
       // Not from here: what the others sent may lie behind this datagram.
       QTimer::singleShot(0, &this->keep_alive, [this] { this->OnKeepAlive(); });
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -1,5 +1,7 @@
 #include "gateway_process/settings_reader.h"
 
+#include "protocol/types/peer_heartbeat.h"
+
 namespace acacialug::gateway_process {
 namespace {
 
@@ -79,6 +81,17 @@
       {.fallback = into.return_share, .minimum = 0.01, .maximum = 1});
 }
 
+// No more endpoints than a heartbeat tells of one request.
+void ReadQuarantine(const settings::Table& table,
+                    retry::CrashLedger::Options& into) {
+  into.limit = static_cast<std::size_t>(table.Integer(
+      "endpoints", {.fallback = static_cast<std::int64_t>(into.limit),
+                    .minimum = 2,
+                    .maximum = protocol::kMaxCrashEndpoints}));
+  into.quarantine = table.Duration(
+      "time", {.fallback = into.quarantine, .minimum = 0ms, .maximum = 1h});
+}
+
 }  // namespace
 
 GatewaySettings ReadGatewaySettings(const settings::Table& root) {
@@ -87,6 +100,7 @@
   ReadRepeats(root.Child("repeats"), settings);
   ReadPlacement(root.Child("placement"), settings.placement);
   ReadAdmission(root.Child("admission"), settings.admission);
+  ReadQuarantine(root.Child("quarantine"), settings.crashes);
   settings.log_level = root.Child("log").Choice<log::Level>(
       "level", log::kLevelNames, settings.log_level);
   return settings;
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -15,6 +15,7 @@
 #include "framework/http/http_types.h"
 #include "gateway/types/endpoint_load.h"
 #include "gateway_process/internal/catalog_page.h"
+#include "retry/types/crash_record.h"
 
 namespace acacialug::gateway_process {
 
@@ -43,6 +44,14 @@
     // empty: of none. And what a peer did.
     std::function<std::optional<forecast::ToldForecast>()> next_forecast;
     std::function<void(const forecast::ToldForecast& told)> on_forecast;
+    // Requests under which endpoints ended: those for a heartbeat, of which
+    // the `round`-th is sent; what a peer told; and that a peer is heard that
+    // may know none.
+    std::function<std::vector<retry::CrashRecord>(std::size_t most,
+                                                  std::size_t round)>
+        tell_crashes;
+    std::function<void(const retry::CrashRecord& told)> on_crash;
+    std::function<void()> on_newcomer;
     // How many peers are heard, how many there were lately, heard or not, and
     // whether this process's id is the first of those heard.
     std::function<void(std::size_t heard, std::size_t known, bool first)>
--- a/src/gateway_process/tests/gateway_process_test.cc
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -135,6 +135,15 @@
            CPPUNIT_ASSERT(reader.Finish().empty());
            CPPUNIT_ASSERT(read.drain_grace == settings::ParseDuration(grace));
          }),
+     It("take when a request is quarantined, and for how long",
+        [] {
+          settings::Reader reader = settings::Reader::FromText(
+              "t", kSettings + "[quarantine]\nendpoints = 2\ntime = \"90s\"\n");
+          const GatewaySettings read = ReadGatewaySettings(reader.Root());
+          CPPUNIT_ASSERT(reader.Finish().empty());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.crashes.limit);
+          CPPUNIT_ASSERT(read.crashes.quarantine == 90s);
+        }),
      ForEach<std::string>(
          "are refused with",
          {"[gateway]\nid = \"g\"\n", kSettings + "unknown = 1\n",
@@ -147,7 +156,10 @@
           kSettings + "[repeats]\nextra = \"58\"\n",
           kSettings + "[repeats]\nwindow = \"0s\"\n",
           kSettings + "[repeats]\nshare = 2\n",
-          kSettings + "[placement]\nfill = 0\n"},
+          kSettings + "[placement]\nfill = 0\n",
+          kSettings + "[quarantine]\nendpoints = 1\n",
+          kSettings + "[quarantine]\nendpoints = 4\n",
+          kSettings + "[quarantine]\ntime = \"2h\"\n"},
          [](const std::string& text) { return text; },
          [](const std::string& text) {
            settings::Reader reader = settings::Reader::FromText("t", text);
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -19,6 +19,7 @@
 #include "gateway_process/tests/gateway_support.h"
 #include "placement/types/hashing.h"
 #include "protocol/message_codec.h"
+#include "retry/crash_ledger.h"
 
 namespace acacialug::gateway_process {
 namespace {
@@ -63,6 +64,15 @@
                   [this](const forecast::ToldForecast& told) {
                     this->heard_forecast = told;
                   },
+              .tell_crashes =
+                  [this](std::size_t most, std::size_t round) {
+                    return this->crashes.Tell(most, round, this->Now());
+                  },
+              .on_crash =
+                  [this](const retry::CrashRecord& told) {
+                    this->crashes.Merge(told, this->Now());
+                  },
+              .on_newcomer = [this] { this->crashes.TellAgain(this->Now()); },
               .on_peer_count =
                   [this](std::size_t alive, std::size_t, bool is_first) {
                     this->peers = alive;
@@ -80,16 +90,24 @@
                                catalog.configuration->offset.value + 1)});
                     }
                   },
-              .now =
-                  [this] {
-                    return this->stopped.value_or(MonotonicNow()) + this->ahead;
-                  }}) {
+              .now = [this] { return this->Now(); }}) {
     CPPUNIT_ASSERT(this->link.Start().ok());
   }
 
+  Instant Now() const {
+    return this->stopped.value_or(MonotonicNow()) + this->ahead;
+  }
+  // Three endpoints end under a request of this key.
+  void NoteEnds(retry::RequestKey request) {
+    for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
+      this->crashes.NoteEnd(request, endpoint, this->Now());
+    }
+  }
+
   http::Address address;
   gateway::PeerLoad load;
   Catalog known;
+  retry::CrashLedger crashes{{}};
   std::vector<gateway::EndpointPause> pauses;
   std::map<std::string, gateway::PeerLoad> heard;
   gateway::EndpointPause heard_pause;
@@ -170,6 +188,38 @@
           WaitUntil("all", [&] { return b.heard_pauses.size() == 40; });
           CPPUNIT_ASSERT(b.told_of <= before + 4);
         }),
+     It("tell each other of requests under which endpoints ended",
+        [] {
+          // Guards against a request that ends endpoints at each gateway anew.
+          constexpr retry::RequestKey kRequest(77);
+          Peer a("a", FreePort());
+          Peer b("b", FreePort());
+          a.load.rows.resize(protocol::kMaxPeerHeartbeatRows,
+                             {.load = {.requests = 1}});
+          b.link.SetMembers({{"a", a.address}});
+          WaitUntil("loads", [&] { return b.heard.contains("a"); });
+          a.NoteEnds(kRequest);
+          a.link.OnLoadChanged();
+          WaitUntil("the request",
+                    [&] { return b.crashes.Quarantined(kRequest, b.Now()); });
+          CPPUNIT_ASSERT_EQUAL(
+              protocol::kMaxPeerHeartbeatRows - protocol::kRowsPerCrash,
+              b.heard["a"].rows.size());
+        }),
+     It("tell one that comes later of requests under which endpoints ended",
+        [] {
+          // Guards against a gateway that starts anew and lets such a request
+          // end endpoints again.
+          constexpr retry::RequestKey kRequest(77);
+          Peer a("a", FreePort());
+          a.NoteEnds(kRequest);
+          a.ahead += 1min;
+          Peer b("b", FreePort());
+          b.link.SetMembers({{"a", a.address}});
+          WaitUntil("the request",
+                    [&] { return b.crashes.Quarantined(kRequest, b.Now()); });
+          CPPUNIT_ASSERT(b.crashes.TimeLeft(kRequest, b.Now()) < 9min + 1s);
+        }),
      It("tell each other what they learned of engines",
         [] {
           Peer a("a", FreePort());
--- a/src/gateway_process/types/gateway_settings.h
+++ b/src/gateway_process/types/gateway_settings.h
@@ -11,6 +11,7 @@
 #include "framework/log/types/record.h"
 #include "gateway/admission_queue.h"
 #include "gateway/stream_placement.h"
+#include "retry/crash_ledger.h"
 
 namespace acacialug::gateway_process {
 
@@ -33,6 +34,7 @@
 
   gateway::StreamPlacement::Options placement;
   gateway::AdmissionQueue::Options admission;
+  retry::CrashLedger::Options crashes;
 };
 
 }  // namespace acacialug::gateway_process
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -75,7 +75,13 @@
 }
 
 bool IsBounded(const PeerHeartbeat& heartbeat) {
-  return heartbeat.rows.size() <= kMaxPeerHeartbeatRows &&
+  return heartbeat.rows.size() + kRowsPerCrash * heartbeat.crashes.size() <=
+             kMaxPeerHeartbeatRows &&
+         heartbeat.crashes.size() <= kMaxPeerHeartbeatCrashes &&
+         std::all_of(heartbeat.crashes.begin(), heartbeat.crashes.end(),
+                     [](const PeerHeartbeat::Crash& crash) {
+                       return crash.endpoint_keys.size() <= kMaxCrashEndpoints;
+                     }) &&
          heartbeat.pauses.size() <= kMaxPeerHeartbeatPauses &&
          heartbeat.forecasts.size() <= kMaxPeerHeartbeatForecasts &&
          std::all_of(heartbeat.forecasts.begin(), heartbeat.forecasts.end(),
--- a/src/protocol/message_codec.h
+++ b/src/protocol/message_codec.h
@@ -30,7 +30,7 @@
 std::string Encode(const PeerHeartbeat& heartbeat);
 Result<Heartbeat> DecodeHeartbeat(std::string_view datagram);
 Result<HeartbeatAnswer> DecodeHeartbeatAnswer(std::string_view datagram);
-// kBadFrame also for more rows than kMaxPeerHeartbeatRows.
+// kBadFrame also for more of anything than one heartbeat may have.
 Result<PeerHeartbeat> DecodePeerHeartbeat(std::string_view datagram);
 
 }  // namespace acacialug::protocol
--- a/src/protocol/tests/peer_heartbeat_test.cc
+++ b/src/protocol/tests/peer_heartbeat_test.cc
@@ -36,6 +36,18 @@
   return heartbeat;
 }
 
+PeerHeartbeat FullOfCrashes() {
+  PeerHeartbeat heartbeat = Full();
+  for (std::size_t number = 0; number < kMaxPeerHeartbeatCrashes; ++number) {
+    heartbeat.crashes.push_back({.request_key = number,
+                                 .endpoint_keys = {1, 2, 3},
+                                 .age_ms = 3'600'000});
+  }
+  heartbeat.rows.resize(kMaxPeerHeartbeatRows -
+                        kRowsPerCrash * kMaxPeerHeartbeatCrashes);
+  return heartbeat;
+}
+
 const acacialug::testing::Story kStory(
     "a peer's heartbeat",
     {It("comes back as it was, and fits a datagram when it is full",
@@ -64,6 +76,29 @@
           heartbeat.forecasts.push_back({});
           CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
         }),
+     It("comes back with all of its crashes, and fits a datagram with them",
+        [] {
+          const std::string datagram = Encode(FullOfCrashes());
+          CPPUNIT_ASSERT(datagram.size() <= kMaxDatagramBytes);
+          const Result<PeerHeartbeat> read = DecodePeerHeartbeat(datagram);
+          CPPUNIT_ASSERT(read.ok());
+          CPPUNIT_ASSERT_EQUAL(datagram, Encode(*read));
+        }),
+     It("with more crashes, rows beside them, or endpoints is refused",
+        [] {
+          PeerHeartbeat crashes = FullOfCrashes();
+          crashes.rows.clear();
+          crashes.crashes.push_back({});
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(crashes)).ok());
+          PeerHeartbeat rows = FullOfCrashes();
+          rows.pauses.clear();
+          rows.rows.push_back({});
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(rows)).ok());
+          PeerHeartbeat endpoints = FullOfCrashes();
+          endpoints.rows.clear();
+          endpoints.crashes[0].endpoint_keys.push_back(9);
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(endpoints)).ok());
+        }),
      It("that is cut off anywhere is refused", [] {
        const std::string datagram = Encode(Full());
        for (std::size_t size = 0; size < datagram.size(); ++size) {
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -60,6 +60,19 @@
     }
   };
 
+  // A request under which endpoints ended; without endpoints: it was answered,
+  // and what was told of it before does not count.
+  struct Crash {
+    std::uint64_t request_key = 0;
+    std::vector<std::uint64_t> endpoint_keys;  // hashes of their starts
+    std::uint32_t age_ms = 0;  // since the last end, or since the answer
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(this->request_key, this->endpoint_keys, this->age_ms);
+    }
+  };
+
   std::string sender;
   std::uint64_t domain_key = 0;  // hash of the sender's failure domain
   Incarnation incarnation;
@@ -71,12 +84,14 @@
   std::vector<Row> rows;
   std::vector<Pause> pauses;
   std::vector<Forecast> forecasts;
+  std::vector<Crash> crashes;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->sender, this->domain_key, this->incarnation, this->sequence,
             this->pages_port, this->configuration, this->endpoints,
-            this->read_age_ms, this->rows, this->pauses, this->forecasts);
+            this->read_age_ms, this->rows, this->pauses, this->forecasts,
+            this->crashes);
   }
 };
 
@@ -86,6 +101,10 @@
 inline constexpr std::size_t kMaxPeerHeartbeatPauses = 16;
 inline constexpr std::size_t kMaxPeerHeartbeatForecasts = 1;
 inline constexpr std::size_t kMaxPeerHeartbeatFigures = 8;
+inline constexpr std::size_t kMaxPeerHeartbeatCrashes = 4;
+inline constexpr std::size_t kMaxCrashEndpoints = 3;
+// A crash takes the place of so many rows.
+inline constexpr std::size_t kRowsPerCrash = 2;
 
 }  // namespace acacialug::protocol
 
--- /dev/null
+++ b/src/retry/crash_ledger.cc
@@ -0,0 +1,207 @@
+#include "retry/crash_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacialug::retry {
+namespace {
+
+// Of `from`, beginning where the rounds before ended.
+void TakeInTurn(const std::vector<CrashRecord>& from,
+                std::size_t most,
+                std::size_t round,
+                std::vector<CrashRecord>& into) {
+  const std::size_t room = most - std::min(most, into.size());
+  const std::size_t taken = std::min(room, from.size());
+  for (std::size_t number = 0; number < taken; ++number) {
+    into.push_back(from[(round * room + number) % from.size()]);
+  }
+}
+
+}  // namespace
+
+CrashLedger::CrashLedger(Options ledger_options)
+    : options(ledger_options), answers(ledger_options.most_answers) {}
+
+bool CrashLedger::NoteEnd(RequestKey request,
+                          std::uint64_t endpoint,
+                          Instant now) {
+  if (this->Trusted(request, now)) {
+    return false;
+  }
+  Entry& entry = this->Touch(request);
+  const bool held = this->Holds(entry, now);
+  this->AddEndpoint(entry, endpoint);
+  entry.last = now;
+  this->TellOf(request, entry, now);
+  return !held && this->Holds(entry, now);
+}
+
+void CrashLedger::NoteAnswer(RequestKey request, Instant now) {
+  this->Remember(request, now);
+  const auto found = this->entries.find(request);
+  if (found != this->entries.end()) {
+    found->second.endpoints.clear();
+    found->second.last = now;
+    this->TellOf(request, found->second, now);
+  }
+}
+
+bool CrashLedger::Merge(const CrashRecord& told, Instant now) {
+  const Instant at = now - std::min(told.age, this->options.memory);
+  if (told.age >= this->options.memory || this->Trusted(told.request, now)) {
+    return false;
+  }
+  if (told.endpoints.empty()) {
+    this->MergeAnswer(told.request, at);
+    return false;
+  }
+  Entry& entry = this->Touch(told.request);
+  const bool held = this->Holds(entry, now);
+  const std::size_t before = entry.endpoints.size();
+  for (const std::uint64_t endpoint : told.endpoints) {
+    this->AddEndpoint(entry, endpoint);
+  }
+  entry.last = std::max(entry.last, at);
+  // Who does not hear that peer hears this process; a single end is left to
+  // the one that saw it.
+  if (entry.endpoints.size() > std::max<std::size_t>(before, 1)) {
+    this->TellOf(told.request, entry, now);
+  }
+  return !held && this->Holds(entry, now);
+}
+
+void CrashLedger::MergeAnswer(RequestKey request, Instant at) {
+  const auto found = this->entries.find(request);
+  if (found == this->entries.end()) {
+    this->Remember(request, at);
+  } else if (found->second.last <= at) {
+    this->Erase(found);
+    this->Remember(request, at);
+  }
+}
+
+void CrashLedger::AddEndpoint(Entry& entry, std::uint64_t endpoint) const {
+  const bool known = std::find(entry.endpoints.begin(), entry.endpoints.end(),
+                               endpoint) != entry.endpoints.end();
+  if (!known && entry.endpoints.size() < this->options.limit) {
+    entry.endpoints.push_back(endpoint);
+  }
+}
+
+bool CrashLedger::Quarantined(RequestKey request, Instant now) const {
+  return this->TimeLeft(request, now) > Duration::zero();
+}
+
+Duration CrashLedger::TimeLeft(RequestKey request, Instant now) const {
+  const auto found = this->entries.find(request);
+  if (found == this->entries.end() || !this->Holds(found->second, now) ||
+      this->Trusted(request, now)) {
+    return Duration::zero();
+  }
+  return found->second.last + this->options.quarantine - now;
+}
+
+std::vector<CrashRecord> CrashLedger::Tell(std::size_t most,
+                                           std::size_t round,
+                                           Instant now) const {
+  std::vector<CrashRecord> first;
+  std::vector<CrashRecord> rest;
+  for (const RequestKey request : this->telling) {
+    const Entry& entry = this->entries.at(request);
+    if (entry.told_until > now) {
+      (entry.endpoints.size() == 1 ? rest : first)
+          .push_back({.request = request,
+                      .endpoints = entry.endpoints,
+                      .age = now - entry.last});
+    }
+  }
+  std::vector<CrashRecord> told;
+  TakeInTurn(first, most, round, told);
+  TakeInTurn(rest, most, round, told);
+  return told;
+}
+
+void CrashLedger::TellAgain(Instant now) {
+  for (auto& [request, entry] : this->entries) {
+    if (entry.endpoints.size() > 1) {
+      this->TellOf(request, entry, now);
+    }
+  }
+}
+
+void CrashLedger::Sweep(Instant now) {
+  for (auto next = this->entries.begin(); next != this->entries.end();) {
+    const auto entry = next++;
+    const bool told = entry->second.told_until <= now;
+    if (told) {
+      this->telling.erase(entry->first);
+    }
+    const bool over = entry->second.endpoints.empty()
+                          ? told
+                          : now - entry->second.last >= this->options.memory;
+    if (over) {
+      this->Erase(entry);
+    }
+  }
+}
+
+std::size_t CrashLedger::quarantined(Instant now) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->entries.begin(), this->entries.end(), [this, now](const auto& row) {
+        return this->Quarantined(row.first, now);
+      }));
+}
+
+bool CrashLedger::Holds(const Entry& entry, Instant now) const {
+  return entry.endpoints.size() >= this->options.limit &&
+         now - entry.last < this->options.quarantine;
+}
+
+bool CrashLedger::Trusted(RequestKey request, Instant now) const {
+  const Answer& answer = this->answers[request.value % this->answers.size()];
+  return answer.request == request && answer.at != Instant{} &&
+         now - answer.at < this->options.trust;
+}
+
+void CrashLedger::Remember(RequestKey request, Instant answered_at) {
+  Answer& kept = this->answers[request.value % this->answers.size()];
+  if (kept.at <= answered_at) {
+    kept = {.request = request, .at = answered_at};
+  }
+}
+
+CrashLedger::Entry& CrashLedger::Touch(RequestKey request) {
+  const auto found = this->entries.find(request);
+  if (found != this->entries.end()) {
+    return found->second;
+  }
+  this->MakeRoom();
+  return this->entries[request];
+}
+
+// Those that are quarantined go last: a flood of requests that were merely at
+// an endpoint that ended must not free them.
+void CrashLedger::MakeRoom() {
+  if (this->entries.size() < this->options.most_requests) {
+    return;
+  }
+  this->Erase(std::min_element(
+      this->entries.begin(), this->entries.end(),
+      [](const auto& left, const auto& right) {
+        return std::pair(left.second.endpoints.size(), left.second.last) <
+               std::pair(right.second.endpoints.size(), right.second.last);
+      }));
+}
+
+void CrashLedger::TellOf(RequestKey request, Entry& entry, Instant now) {
+  entry.told_until = now + this->options.telling;
+  this->telling.insert(request);
+}
+
+void CrashLedger::Erase(std::map<RequestKey, Entry>::iterator entry) {
+  this->telling.erase(entry->first);
+  this->entries.erase(entry);
+}
+
+}  // namespace acacialug::retry
