Keep requests in quarantine for gateways that all start anew

Callers would see endpoints end once more after all gateways were killed at once: what gateways tell each other is gone with them. Cause: the quarantine lived in the gateways' memory only. Conclusion: a third end that is only put together from two gateways' words at the same moment is not written.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "framework/global/hex_text.h"
 #include "gateway/internal/call_relay.h"
 #include "gateway/internal/refusal.h"
 #include "gateway/internal/relay_context.h"
@@ -206,7 +207,7 @@
     if (this->crashes.Merge(told, this->Now())) {
       this->options.hooks.note(
           log::Level::kWarning, "request_quarantined",
-          {.fields = {{"request_key", TextOf(told.request)},
+          {.fields = {{"request_key", HexText(told.request.value)},
                       {"left_ms",
                        this->crashes.TimeLeft(told.request, this->Now())}}});
     }
@@ -334,7 +335,7 @@
              {"status", answer.status},
              {"host", job.request.host},
              {"path", job.request.message.Path()},
-             {"request_key", TextOf(job.key)},
+             {"request_key", HexText(job.key.value)},
              {"configuration",
               this->routes ? this->routes->configuration().version : 0}}});
     job.responder->SendWhole(answer);
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "gateway/request_key.h"
+#include "framework/global/hex_text.h"
 
 namespace acacialug::gateway {
 namespace {
@@ -134,7 +134,7 @@
   this->Note(log::Level::kWarning, "attempt_lost", this->endpoint.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->sent_at},
-              {"request_key", TextOf(this->work.key)},
+              {"request_key", HexText(this->work.key.value)},
               {"detail", error.detail}},
              error.result_code());
   if (!sent) {
@@ -157,7 +157,7 @@
   this->context.hooks.drop_idle(this->endpoint.address);
   this->Note(log::Level::kWarning, "attempt_silent", this->endpoint.id,
              {{"after_ms", this->Now() - this->sent_at},
-              {"request_key", TextOf(this->work.key)}},
+              {"request_key", HexText(this->work.key.value)}},
              ResultCode::kEndpointLost);
   this->StopExchange();
   this->EndAttempt();
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "framework/global/hex_text.h"
 #include "gateway/internal/refusal.h"
-#include "gateway/request_key.h"
 #include "placement/types/hashing.h"
 
 namespace acacialug::gateway {
@@ -68,9 +68,17 @@
   if (this->context.crashes.NoteEnd(this->work.key, StartKeyOf(endpoint),
                                     this->Now())) {
     this->Note(log::Level::kWarning, "request_quarantined", endpoint.id,
-               {{"request_key", TextOf(this->work.key)},
+               {{"request_key", HexText(this->work.key.value)},
                 {"left_ms",
                  this->context.crashes.TimeLeft(this->work.key, this->Now())}});
+    this->KeepQuarantine();
+  }
+}
+
+void Relay::KeepQuarantine() const {
+  if (this->context.hooks.on_quarantine) {
+    this->context.hooks.on_quarantine(
+        this->context.crashes.RecordOf(this->work.key, this->Now()));
   }
 }
 
@@ -153,8 +161,9 @@
   this->outcome.code = code;
   this->outcome.status = status;
   this->outcome.whole = this->Age();
-  if (end == RelayEnd::kServed) {
-    this->context.crashes.NoteAnswer(this->work.key, this->Now());
+  if (end == RelayEnd::kServed &&
+      this->context.crashes.NoteAnswer(this->work.key, this->Now())) {
+    this->KeepQuarantine();
   }
   this->Release();
   const bool good = end == RelayEnd::kServed || end == RelayEnd::kCallerGone;
@@ -164,7 +173,7 @@
               {"status", status},
               {"route", this->work.route->name},
               {"kind", NameOf(kWorkKindNames, this->work.route->kind)},
-              {"request_key", TextOf(this->work.key)},
+              {"request_key", HexText(this->work.key.value)},
               {"configuration", this->work.routes->configuration().version},
               {"waited_ms", this->outcome.waited},
               {"first_byte_ms", this->outcome.first_byte},
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -57,6 +57,8 @@
   // Endpoints ended under the request, here or at peers, so that it is sent to
   // none. Looked at before each sending: peers tell at any time.
   bool Quarantined() const;
+  // Its quarantine began, or ended.
+  void KeepQuarantine() const;
   // Ends the exchange under way; its hooks stay silent.
   void StopExchange();
   void ForgetExchange() { this->exchange = 0; }
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "gateway/request_key.h"
+#include "framework/global/hex_text.h"
 
 namespace acacialug::gateway {
 namespace {
@@ -312,7 +312,7 @@
   this->EndPhase();
   this->Note(log::Level::kWarning, "prefill_failed", this->place->prefill->id,
              {{"why", why},
-              {"request_key", TextOf(this->work.key)},
+              {"request_key", HexText(this->work.key.value)},
               {"after_ms", this->Now() - this->step_at},
               {"expected_ms", this->place->prefill_time}});
   this->tried.push_back(this->place->prefill->id);
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "framework/global/hex_text.h"
 #include "gateway/internal/stream_relay.h"
-#include "gateway/request_key.h"
 
 // The second half of a generation's way: its decode endpoint, and its events.
 namespace acacialug::gateway {
@@ -260,7 +260,7 @@
              {{"sent", sent},
               {"after_ms", this->Now() - this->step_at},
               {"events", this->outcome.events},
-              {"request_key", TextOf(this->work.key)},
+              {"request_key", HexText(this->work.key.value)},
               {"detail", error.detail}},
              error.result_code());
   if (!sent || this->nature == AnswerNature::kNotRun) {
@@ -284,7 +284,7 @@
              {{"after_ms", this->Now() - this->step_at},
               {"events", this->outcome.events},
               {"goes_elsewhere", possible},
-              {"request_key", TextOf(this->work.key)},
+              {"request_key", HexText(this->work.key.value)},
               {"repeats", this->work.state->budget.repeats()}},
              ResultCode::kEndpointLost);
   this->heard_since_silent = false;
--- a/src/gateway/request_key.cc
+++ b/src/gateway/request_key.cc
@@ -19,16 +19,4 @@
   return retry::RequestKey(hash);
 }
 
-std::string TextOf(retry::RequestKey key) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  constexpr unsigned kBitsPerDigit = 4;
-  std::string text(2 * sizeof(key.value), '0');
-  std::uint64_t rest = key.value;
-  for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
-    *digit = kDigits[rest % kDigits.size()];
-    rest >>= kBitsPerDigit;
-  }
-  return text;
-}
-
 }  // namespace acacialug::gateway
--- a/src/gateway/request_key.h
+++ b/src/gateway/request_key.h
@@ -1,8 +1,6 @@
 #ifndef GATEWAY_REQUEST_KEY_H_
 #define GATEWAY_REQUEST_KEY_H_
 
-#include <string>
-
 #include "gateway/types/work_request.h"
 #include "retry/types/request_key.h"
 
@@ -12,9 +10,6 @@
 // change its other headers. Thread safe.
 retry::RequestKey RequestKeyOf(const WorkRequest& request);
 
-// As the log writes it: 16 hexadecimal digits. Thread safe.
-std::string TextOf(retry::RequestKey key);
-
 }  // namespace acacialug::gateway
 
 #endif  // GATEWAY_REQUEST_KEY_H_
--- a/src/gateway/tests/request_key_test.cc
+++ b/src/gateway/tests/request_key_test.cc
@@ -30,28 +30,20 @@
           again.message.headers.push_back({"Deadline", "3000"});
           CPPUNIT_ASSERT(RequestKeyOf(Request()) == RequestKeyOf(again));
         }),
-     It("is another for another method, host, target or body",
-        [] {
-          for (const auto& change :
-               std::vector<std::function<void(WorkRequest&)>>{
-                   [](WorkRequest& other) { other.message.method = "PUT"; },
-                   [](WorkRequest& other) { other.host = "i.example"; },
-                   [](WorkRequest& other) { other.message.target = "/a/b"; },
-                   [](WorkRequest& other) { other.message.body = "a promp"; },
-                   [](WorkRequest& other) {
-                     other.message.target = "/a/b?c=1a";
-                     other.message.body = " prompt";
-                   }}) {
-            WorkRequest other = Request();
-            change(other);
-            CPPUNIT_ASSERT(!(RequestKeyOf(Request()) == RequestKeyOf(other)));
-          }
-        }),
-     It("is written with all of its digits", [] {
-       CPPUNIT_ASSERT_EQUAL(std::string("00000000000000ab"),
-                            TextOf(retry::RequestKey(0xab)));
-       CPPUNIT_ASSERT_EQUAL(std::string("fedcba9876543210"),
-                            TextOf(retry::RequestKey(0xfedcba9876543210)));
+     It("is another for another method, host, target or body", [] {
+       for (const auto& change : std::vector<std::function<void(WorkRequest&)>>{
+                [](WorkRequest& other) { other.message.method = "PUT"; },
+                [](WorkRequest& other) { other.host = "i.example"; },
+                [](WorkRequest& other) { other.message.target = "/a/b"; },
+                [](WorkRequest& other) { other.message.body = "a promp"; },
+                [](WorkRequest& other) {
+                  other.message.target = "/a/b?c=1a";
+                  other.message.body = " prompt";
+                }}) {
+         WorkRequest other = Request();
+         change(other);
+         CPPUNIT_ASSERT(!(RequestKeyOf(Request()) == RequestKeyOf(other)));
+       }
      })});
 
 }  // namespace
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -10,6 +10,7 @@
 #include "gateway/order_turn.h"
 #include "gateway/types/configuration.h"
 #include "gateway/types/relay_outcome.h"
+#include "retry/types/crash_record.h"
 
 namespace acacialug::gateway {
 
@@ -36,6 +37,9 @@
   // Asks the store for a turn of orders; empty: roles are nobody's to change.
   std::function<void(std::function<void(std::optional<TurnClaim>)> on_done)>
       claim_turn;
+  // This process quarantined a request, or, if the record has no endpoints,
+  // freed it: to be kept for processes that all start anew. May be empty.
+  std::function<void(const retry::CrashRecord& record)> on_quarantine;
   // A line of the log.
   std::function<
       void(log::Level level, std::string_view event, log::Record record)>
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -114,6 +114,10 @@
   bool PeersReadStore() { return this->peers.PeersReadStore(); }
   std::size_t peers_heard() const { return this->heard; }
 
+  void SetCrash(const retry::CrashRecord& told) {
+    this->core.SetPeerCrash(told);
+  }
+
   void SetMembers(const std::map<std::string, http::Address>& members) {
     this->peers.SetMembers(members);
   }
@@ -171,6 +175,7 @@
         .on_load_changed = [this] { this->peers.OnLoadChanged(); },
         .on_pauses_changed = [this] { this->peers.TellPauses(); },
         .claim_turn = this->options.claim_turn,
+        .on_quarantine = this->options.on_quarantine,
         .note =
             [this](log::Level level, std::string_view event,
                    log::Record record) {
@@ -217,9 +222,7 @@
               return this->core.TellCrashes(most, round);
             },
         .on_crash =
-            [this](const retry::CrashRecord& told) {
-              this->core.SetPeerCrash(told);
-            },
+            [this](const retry::CrashRecord& told) { this->SetCrash(told); },
         .on_newcomer = [this] { this->core.TellCrashesAgain(); },
         .on_peer_count =
             [this](std::size_t heard, std::size_t known, bool first) {
@@ -454,6 +457,10 @@
   return this->implementation->peers_heard();
 }
 
+void GatewayProcess::SetCrash(const retry::CrashRecord& kept) {
+  this->implementation->SetCrash(kept);
+}
+
 void GatewayProcess::SetMembers(
     const std::map<std::string, http::Address>& members) {
   this->implementation->SetMembers(members);
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -31,6 +31,8 @@
     std::function<void(
         std::function<void(std::optional<gateway::TurnClaim>)> on_done)>
         claim_turn;
+    // As gateway::GatewayHooks::on_quarantine; may be empty.
+    std::function<void(const retry::CrashRecord& record)> on_quarantine;
     // Runs once after Drain, when every request has its answer, or when the
     // grace is over (`whole` false: something was cut off).
     std::function<void(bool whole)> on_drained;
@@ -61,6 +63,9 @@
   // Other gateways that are heard now.
   std::size_t peers_heard() const;
 
+  // A quarantined request that was kept.
+  void SetCrash(const retry::CrashRecord& kept);
+
   // Where other gateways may be found, by their ids.
   void SetMembers(const std::map<std::string, http::Address>& members);
 
--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -37,14 +37,18 @@
   return !held && this->Holds(entry, now);
 }
 
-void CrashLedger::NoteAnswer(RequestKey request, Instant now) {
+bool CrashLedger::NoteAnswer(RequestKey request, Instant now) {
   this->Remember(request, now);
   const auto found = this->entries.find(request);
-  if (found != this->entries.end()) {
-    found->second.endpoints.clear();
-    found->second.last = now;
-    this->TellOf(request, found->second, now);
+  if (found == this->entries.end()) {
+    return false;
   }
+  Entry& entry = found->second;
+  const bool held = this->Holds(entry, now);
+  entry.endpoints.clear();
+  entry.last = now;
+  this->TellOf(request, entry, now);
+  return held;
 }
 
 bool CrashLedger::Merge(const CrashRecord& told, Instant now) {
@@ -102,6 +106,15 @@
   return found->second.last + this->options.quarantine - now;
 }
 
+CrashRecord CrashLedger::RecordOf(RequestKey request, Instant now) const {
+  const auto found = this->entries.find(request);
+  return found == this->entries.end()
+             ? CrashRecord{.request = request}
+             : CrashRecord{.request = request,
+                           .endpoints = found->second.endpoints,
+                           .age = now - found->second.last};
+}
+
 std::vector<CrashRecord> CrashLedger::Tell(std::size_t most,
                                            std::size_t round,
                                            Instant now) const {
@@ -111,9 +124,7 @@
     const Entry& entry = this->entries.at(request);
     if (entry.told_until > now) {
       (entry.endpoints.size() == 1 ? rest : first)
-          .push_back({.request = request,
-                      .endpoints = entry.endpoints,
-                      .age = now - entry.last});
+          .push_back(this->RecordOf(request, now));
     }
   }
   std::vector<CrashRecord> told;
--- a/src/retry/crash_ledger.h
+++ b/src/retry/crash_ledger.h
@@ -42,8 +42,8 @@
   // An endpoint ended, or broke off, while it had the request; `endpoint`: a
   // hash of its start. True: the request is quarantined from now on.
   bool NoteEnd(RequestKey request, std::uint64_t endpoint, Instant now);
-  // An endpoint answered the request with success.
-  void NoteAnswer(RequestKey request, Instant now);
+  // An endpoint answered the request with success. True: it was quarantined.
+  bool NoteAnswer(RequestKey request, Instant now);
 
   // What a peer told; an age beyond the memory, or a doubled word, changes
   // nothing. True: the request is quarantined from now on.
@@ -53,6 +53,9 @@
   // Of the quarantine; zero without one.
   Duration TimeLeft(RequestKey request, Instant now) const;
 
+  // What is known of it; without endpoints: nothing that counts.
+  CrashRecord RecordOf(RequestKey request, Instant now) const;
+
   // At most `most` records for the peers: those of requests that were at two
   // endpoints or more, and answers, before those of one. With more, each
   // `round` tells the next ones.
