Choose what peers are told before copying it

Cause: each heartbeat copied all that is being told, up to 1,024 requests with their endpoints under a flood, to send four. Change: keys are chosen first, and four records made.

--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -7,10 +7,10 @@
 namespace {
 
 // Of `from`, beginning where the rounds before ended.
-void TakeInTurn(const std::vector<CrashRecord>& from,
+void TakeInTurn(const std::vector<RequestKey>& from,
                 std::size_t most,
                 std::size_t round,
-                std::vector<CrashRecord>& into) {
+                std::vector<RequestKey>& into) {
   const std::size_t room = most - std::min(most, into.size());
   const std::size_t taken = std::min(room, from.size());
   for (std::size_t number = 0; number < taken; ++number) {
@@ -118,18 +118,22 @@
 std::vector<CrashRecord> CrashLedger::Tell(std::size_t most,
                                            std::size_t round,
                                            Instant now) const {
-  std::vector<CrashRecord> first;
-  std::vector<CrashRecord> rest;
+  std::vector<RequestKey> first;
+  std::vector<RequestKey> rest;
   for (const RequestKey request : this->telling) {
     const Entry& entry = this->entries.at(request);
     if (entry.told_until > now) {
-      (entry.endpoints.size() == 1 ? rest : first)
-          .push_back(this->RecordOf(request, now));
+      (entry.endpoints.size() == 1 ? rest : first).push_back(request);
     }
   }
+  std::vector<RequestKey> chosen;
+  TakeInTurn(first, most, round, chosen);
+  TakeInTurn(rest, most, round, chosen);
   std::vector<CrashRecord> told;
-  TakeInTurn(first, most, round, told);
-  TakeInTurn(rest, most, round, told);
+  told.reserve(chosen.size());
+  for (const RequestKey request : chosen) {
+    told.push_back(this->RecordOf(request, now));
+  }
   return told;
 }
 
