Do not count planned ends, and refusals that break off, against a request

Callers whose long streams were cut off by endpoints that leave, three times in a replacement of endpoints, would have been refused for ten minutes. Cause: any exchange that broke after it was sent counted as an end under its request, also at an endpoint known to leave, and one whose head had said that the request does not run. Change: neither counts. A record that is gone still counts: it may have lapsed while the store was out. Refusals without a relay log the request's key, which was zero there.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -94,6 +94,7 @@
         .responder = std::move(responder),
         .routes = this->routes,
         .arrived = now - age};
+    job.key = RequestKeyOf(job.request);
     if (const ResultCode refused = this->FindWay(job);
         refused != ResultCode::kOk) {
       this->AnswerWithoutRelay(job, refused);
@@ -106,7 +107,6 @@
       this->AnswerWithoutRelay(job, ResultCode::kDeadlineUnreachable);
       return;
     }
-    job.key = RequestKeyOf(job.request);
     if (this->crashes.Quarantined(job.key, now)) {
       this->AnswerWithoutRelay(job, ResultCode::kQuarantined);
       return;
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -130,7 +130,7 @@
 
 void CallRelay::OnLost(const Error& error, bool sent) {
   this->ForgetExchange();
-  this->NoteLost(this->endpoint, sent);
+  this->NoteLost(this->endpoint, sent, this->nature);
   this->Note(log::Level::kWarning, "attempt_lost", this->endpoint.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->sent_at},
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -59,9 +59,15 @@
       std::move(hooks));
 }
 
-void Relay::NoteLost(const EndpointRecord& endpoint, bool sent) {
+void Relay::NoteLost(const EndpointRecord& endpoint,
+                     bool sent,
+                     AnswerNature nature) {
   this->context.health.NoteLost(endpoint.id, sent, this->Now());
-  if (!sent) {
+  const EndpointRecord* const known = this->context.catalog.Find(endpoint.id);
+  // One that leaves as it was told to ends under whatever is left.
+  const bool planned = known != nullptr && known->leaving;
+  if (!sent || planned || nature == AnswerNature::kNotRun ||
+      nature == AnswerNature::kMisplaced) {
     return;
   }
   ++this->outcome.losses;
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -52,8 +52,8 @@
               const WorkOrder& order,
               http::ExchangeHooks hooks);
   // The exchange with this endpoint broke; `sent`: after something of the
-  // request may have arrived.
-  void NoteLost(const EndpointRecord& endpoint, bool sent);
+  // request may have arrived; `nature`: of the head that came, if any.
+  void NoteLost(const EndpointRecord& endpoint, bool sent, AnswerNature nature);
   // Endpoints ended under the request, here or at peers, so that it is sent to
   // none. Looked at before each sending: peers tell at any time.
   bool Quarantined() const;
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -254,9 +254,9 @@
                       self->OnPrefillWhole(*answer, body);
                     },
                 .on_error =
-                    [self](const Error& /*error*/, bool sent) {
+                    [self, answer](const Error& /*error*/, bool sent) {
                       self->ForgetExchange();
-                      self->NoteLost(*self->place->prefill, sent);
+                      self->NoteLost(*self->place->prefill, sent, *answer);
                       self->AfterPrefill(sent ? "lost" : "unreachable");
                     }});
   const Duration patience =
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -255,7 +255,7 @@
 void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
   this->ForgetExchange();
   this->decode_open = false;
-  this->NoteLost(this->place->decode, sent);
+  this->NoteLost(this->place->decode, sent, this->nature);
   this->Note(log::Level::kWarning, "attempt_lost", this->place->decode.id,
              {{"sent", sent},
               {"after_ms", this->Now() - this->step_at},
--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -246,15 +246,22 @@
       .ip = "10.0.0.1",
       .port = static_cast<std::uint16_t>(1000 + this->addresses.size())};
   this->addresses[id] = address;
-  this->core->Apply(
-      EndpointChange{.offset = LogOffset(++this->offset),
-                     .id = EndpointId(id),
-                     .record = EndpointRecord{.id = EndpointId(id),
-                                              .service = ServiceName(service),
-                                              .address = address,
-                                              .domain = FailureDomain("a"),
-                                              .role = role,
-                                              .slots = 6}});
+  this->records[id] = {.id = EndpointId(id),
+                       .service = ServiceName(service),
+                       .address = address,
+                       .domain = FailureDomain("a"),
+                       .role = role,
+                       .slots = 6};
+  this->core->Apply(EndpointChange{.offset = LogOffset(++this->offset),
+                                   .id = EndpointId(id),
+                                   .record = this->records[id]});
+}
+
+void GatewayWorld::Retire(const std::string& id) {
+  this->records.at(id).leaving = true;
+  this->core->Apply(EndpointChange{.offset = LogOffset(++this->offset),
+                                   .id = EndpointId(id),
+                                   .record = this->records.at(id)});
 }
 
 void GatewayWorld::RemoveEndpoint(const std::string& id) {
--- a/src/gateway/tests/gateway_world.h
+++ b/src/gateway/tests/gateway_world.h
@@ -48,6 +48,8 @@
                    const std::string& service,
                    EndpointRole role);
   void RemoveEndpoint(const std::string& id);
+  // It takes no new work, and ends soon.
+  void Retire(const std::string& id);
 
   // Sends a caller's request; its answer is filled in as time goes on.
   std::shared_ptr<Answer> Ask(const std::string& path,
@@ -96,6 +98,7 @@
   std::optional<TurnClaim> turn;
   std::unique_ptr<GatewayCore> core;
   std::map<std::string, http::Address> addresses;
+  std::map<std::string, EndpointRecord> records;
 
  private:
   class FakeResponder;
--- a/src/gateway/tests/quarantine_test.cc
+++ b/src/gateway/tests/quarantine_test.cc
@@ -298,6 +298,36 @@
                }
                CPPUNIT_ASSERT(!world.Attempt("/once/a")->ended);
              }),
+          It("one whose endpoints leave as they were told to",
+             [] {
+               // Guards against refusing what a replacement of endpoints cuts
+               // off.
+               World world;
+               for (int time = 0; time < 3; ++time) {
+                 world.Attempt("/stream/a");
+                 const auto decode = world.BringToDecode();
+                 for (int number = 0; number < kEndpoints; ++number) {
+                   const std::string id = "d" + std::to_string(number);
+                   if (decode->address == world.addresses.at(id)) {
+                     world.Retire(id);
+                   }
+                 }
+                 world.Break(decode);
+               }
+               CPPUNIT_ASSERT(!world.Attempt("/stream/a")->ended);
+             }),
+          It("one that an endpoint refused before it broke off",
+             [] {
+               World world;
+               for (int time = 0; time < 4; ++time) {
+                 world.Attempt("/stream/a");
+                 const auto decode = world.BringToDecode();
+                 decode->hooks.on_head(503, {{"Refused", "1"}});
+                 world.Break(decode);
+                 world.Leave();
+               }
+               CPPUNIT_ASSERT(!world.Attempt("/stream/a")->ended);
+             }),
           It("one of which a peer tells what is long past",
              [] {
                World world;
