Judge no server by a time for which the process itself stood still

Callers of a peer's page saw a gateway without a configuration for longer than needed: it gave the page up as silent. Cause: the client's timer for a silent server runs before the event loop's next look at its sockets; the answer may not even be written when the server lives on the same thread, or was held up by the same standstill. Change: DeadlineTimer tells how late it runs; an open exchange whose timer is 100 ms late or more waits once more, once in one silence.

--- a/src/framework/http/internal/client_connection.cc
+++ b/src/framework/http/internal/client_connection.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 // Any time above zero lets the event loop look at its sockets once more.
 constexpr Duration kOpeningGrace = 10ms;
+// A timer that runs so much later than it was due tells of a standstill.
+constexpr Duration kLateLook = 100ms;
 
 std::array<char, kReadBytes>& ReadSpace() {
   thread_local std::array<char, kReadBytes> space;
@@ -33,7 +35,7 @@
       owner(std::move(hooks)),
       secure(tls != nullptr),
       socket(MakeSocket(tls, kReadBytes)),
-      timer([this] { this->OnExpired(); }),
+      timer([this](Duration late) { this->OnExpired(late); }),
       idle_time(client_options.max_idle) {
   this->ConnectSignals();
 }
@@ -75,6 +77,7 @@
   this->paused = false;
   this->dropping = false;
   this->request_left = false;
+  this->late_look_given = false;
   this->inside_start = true;
   if (this->open) {
     this->WriteRequest();
@@ -135,6 +138,7 @@
 }
 
 void ClientConnection::ReadAnswer() {
+  this->late_look_given = false;
   if (!this->Deliver()) {
     return;
   }
@@ -308,13 +312,20 @@
                                : this->options.silence_timeout);
 }
 
-void ClientConnection::OnExpired() {
+void ClientConnection::OnExpired(Duration late) {
   // After this process itself was stopped for a while its timers may run
   // before the sockets that have long been ready.
   if (this->open && !this->ended && !IsQuiet(*this->socket)) {
     this->WatchSilence();
     return;
   }
+  // Nobody is judged by a time for which this process stood still; but once
+  // only, for one that is always late would wait for ever.
+  if (this->open && !this->ended && late >= kLateLook &&
+      !std::exchange(this->late_look_given, true)) {
+    this->WatchSilence();
+    return;
+  }
   if (!this->open && !this->ended && this->GiveOpeningGrace()) {
     return;
   }
--- a/src/framework/http/internal/client_connection.h
+++ b/src/framework/http/internal/client_connection.h
@@ -69,7 +69,7 @@
   void OnError();
   void OnDisconnected();
   void WatchSilence();
-  void OnExpired();
+  void OnExpired(Duration late);
   // False: it was given, or there is nothing to wait for.
   bool GiveOpeningGrace();
   void WriteRequest();
@@ -101,8 +101,9 @@
   bool ended = false;  // the socket is of no more use
   bool paused = false;
   bool inside_start = false;
-  bool grace_given = false;   // while it is being opened
-  bool request_left = false;  // at least one byte of it
+  bool grace_given = false;      // while it is being opened
+  bool late_look_given = false;  // in the silence that is watched
+  bool request_left = false;     // at least one byte of it
 };
 
 }  // namespace acacialug::http
--- a/src/framework/http/internal/deadline_timer.cc
+++ b/src/framework/http/internal/deadline_timer.cc
@@ -4,7 +4,7 @@
 
 namespace acacialug::http {
 
-DeadlineTimer::DeadlineTimer(std::function<void()> on_expired)
+DeadlineTimer::DeadlineTimer(std::function<void(Duration late)> on_expired)
     : expired(std::move(on_expired)) {
   this->timer.setSingleShot(true);
   this->timer.setTimerType(Qt::CoarseTimer);
@@ -40,8 +40,9 @@
     this->Arm(now);
     return;
   }
+  const Duration late = now - this->deadline;
   this->Clear();
-  this->expired();
+  this->expired(late);
 }
 
 }  // namespace acacialug::http
--- a/src/framework/http/internal/deadline_timer.h
+++ b/src/framework/http/internal/deadline_timer.h
@@ -13,7 +13,8 @@
 // Lives on one thread with a Qt event loop.
 class DeadlineTimer {
  public:
-  explicit DeadlineTimer(std::function<void()> on_expired);
+  // `late`: for so long after the deadline the event loop ran no timer.
+  explicit DeadlineTimer(std::function<void(Duration late)> on_expired);
 
   // Expires `after` from now; zero clears.
   void Set(Duration after);
@@ -23,7 +24,7 @@
   void OnTimeout();
   void Arm(Instant now);
 
-  std::function<void()> expired;
+  std::function<void(Duration late)> expired;
   QTimer timer;
   Instant deadline = kNever;
   Instant armed_for = kNever;
--- a/src/framework/http/internal/server_connection.cc
+++ b/src/framework/http/internal/server_connection.cc
@@ -44,7 +44,7 @@
       socket(MakeSocket(tls, kReadBytes)),
       secure(tls != nullptr),
       reader(shard_context.options.limits),
-      timer([this] { this->OnExpired(); }) {}
+      timer([this](Duration) { this->OnExpired(); }) {}
 
 ServerConnection::~ServerConnection() {
   this->state = State::kClosed;
--- a/src/framework/http/tests/standstill_test.cc
+++ b/src/framework/http/tests/standstill_test.cc
@@ -348,6 +348,40 @@
   CPPUNIT_ASSERT(kept.peer->AwaitClose().ends_with("\r\n\r\nsecond"));
 }
 
+// A page of a peer took longer to make than the asker's patience, both in one
+// process that did nothing else meanwhile: the answer lay unwritten when the
+// asker judged its silence.
+void OwnStandstillIsNoSilence() {
+  RawServer server;
+  Client client({.silence_timeout = 100ms});
+  Outcome outcome;
+  client.Send({.ip = "127.0.0.1", .port = server.port()},
+              {.method = "GET", .target = "/"}, outcome.Hooks());
+  const auto peer = server.Accept();
+  peer->Await("\r\n\r\n");
+  StandStillInAHandler([] {}, kStandstill);
+  CPPUNIT_ASSERT(!outcome.over());
+  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  WaitUntil("the answer", [&] { return outcome.over(); });
+  CPPUNIT_ASSERT_EQUAL(std::string("ok"), outcome.body.value_or("none"));
+}
+
+// Guards against an exchange that waits for ever in a process that is late at
+// each look.
+void SilenceAfterAStandstillFails() {
+  RawServer server;
+  Client client({.silence_timeout = 100ms});
+  Outcome outcome;
+  client.Send({.ip = "127.0.0.1", .port = server.port()},
+              {.method = "GET", .target = "/"}, outcome.Hooks());
+  const auto peer = server.Accept();
+  peer->Await("\r\n\r\n");
+  StandStillInAHandler([] {}, kStandstill);
+  StandStillInAHandler([] {}, kStandstill);
+  WaitUntil("the end", [&] { return outcome.over(); });
+  CPPUNIT_ASSERT(outcome.error && outcome.sent);
+}
+
 const testing::Story kServer(
     "an HTTP server whose process stood still",
     {kLimits, kAges, kLeavers,
@@ -362,6 +396,10 @@
         ConnectedMeanwhileIsNotTooLate),
      It("says that a request was sent which left before it stood still",
         LeftBeforeTheStandstillIsSent),
+     It("does not take its own standstill for the server's silence",
+        OwnStandstillIsNoSilence),
+     It("gives up a server that stays silent, late as it may be",
+        SilenceAfterAStandstillFails),
      It("leaves a handshake its own time", HandshakeBeginsAfterTheStandstill),
      It("gives up a connection that nobody has answered",
         UnansweredConnectionIsTooLate)});
