Do not quarantine a request for the ends of one attempt

Cause: where many endpoints end at once, an attempt goes from one to the next; three ends of one attempt read like those of a request that comes again. Change: an end carries a hash of the attempt, of this process's own counting, since callers may give several attempts one id. Three ends quarantine only if two attempts were there; of one attempt's ends the last makes room for another's. A request that is deadly comes again, and its next attempt's first end is enough.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -95,6 +95,7 @@
         .routes = this->routes,
         .arrived = now - age};
     job.key = RequestKeyOf(job.request);
+    job.attempt = this->NextAttempt();
     if (const ResultCode refused = this->FindWay(job);
         refused != ResultCode::kOk) {
       this->AnswerWithoutRelay(job, refused);
@@ -313,6 +314,12 @@
     return ResultCode::kOk;
   }
 
+  // Callers may give several attempts one id.
+  std::uint32_t NextAttempt() {
+    return static_cast<std::uint32_t>(
+        placement::RendezvousWeight(this->attempt_seed, ++this->attempts));
+  }
+
   Duration RetryAfter(const RelayJob& job, ResultCode code) const {
     switch (code) {
       case ResultCode::kNotReady:
@@ -425,6 +432,11 @@
     return placement::HashText(service.text);
   }
 
+  // Of this start of the process.
+  const std::uint64_t attempt_seed = placement::RendezvousWeight(
+      placement::HashText(this->options.id),
+      static_cast<std::uint64_t>(this->Now().time_since_epoch().count()));
+  std::uint64_t attempts = 0;
   std::map<std::string, Duration> longest_deadlines;  // by route
   ServiceName last_told;  // of whose forecast peers heard last
 };
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -71,8 +71,10 @@
     return;
   }
   ++this->outcome.losses;
-  if (this->context.crashes.NoteEnd(this->work.key, StartKeyOf(endpoint),
-                                    this->Now())) {
+  if (this->context.crashes.NoteEnd(
+          this->work.key,
+          {.endpoint = StartKeyOf(endpoint), .attempt = this->work.attempt},
+          this->Now())) {
     this->Note(log::Level::kWarning, "request_quarantined", endpoint.id,
                {{"request_key", HexText(this->work.key.value)},
                 {"left_ms",
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -59,6 +59,7 @@
   WorkRequest request;
   http::ResponderPtr responder;
   retry::RequestKey key;
+  std::uint32_t attempt = 0;  // no other attempt's, at any process
   // Keeps the configuration that the request came under.
   std::shared_ptr<const RouteTable> routes;
   const Route* route = nullptr;
--- a/src/gateway/tests/quarantine_fleet_test.cc
+++ b/src/gateway/tests/quarantine_fleet_test.cc
@@ -188,8 +188,8 @@
                                                                          : 0;
     this->time.At(this->time.now + kCrashesAfter, [this, request, number] {
       const std::uint64_t endpoint = ++this->last_endpoint;
-      this->all[number].ledger->NoteEnd(KeyOf(request), endpoint,
-                                        this->time.now);
+      this->all[number].ledger->NoteEnd(
+          KeyOf(request), {endpoint, ++this->attempts}, this->time.now);
       if (++this->ends_under[request] == 3) {
         this->third_end[request] = this->time.now;
       }
@@ -204,7 +204,8 @@
   void EndBeside(std::uint64_t endpoint) {
     const std::size_t number = this->random.Below(this->all.size());
     const retry::RequestKey key(1000 + ++this->last_beside);
-    this->all[number].ledger->NoteEnd(key, endpoint, this->time.now);
+    this->all[number].ledger->NoteEnd(key, {endpoint, ++this->attempts},
+                                      this->time.now);
     this->time.At(this->time.now + kAnsweredAfter, [this, number, key] {
       this->all[number].ledger->NoteAnswer(key, this->time.now);
     });
@@ -218,6 +219,7 @@
   Instant third_end[kDeadlyRequests] = {};
   std::size_t late = 0;
   std::uint64_t last_endpoint = 0;
+  std::uint32_t attempts = 0;
   std::uint64_t last_beside = 0;
 };
 
--- a/src/gateway/tests/quarantine_test.cc
+++ b/src/gateway/tests/quarantine_test.cc
@@ -51,7 +51,7 @@
         {.request =
              RequestKeyOf({.host = "h.example",
                            .message = {.method = "POST", .target = path}}),
-         .endpoints = {1, 2, 3},
+         .ends = {{1, 1}, {2, 2}, {3, 3}},
          .age = age});
   }
 
@@ -90,10 +90,11 @@
      }},
     {"while its prompt is computed", "/stream/a",
      [](World& world) {
-       world.Attempt("/stream/a");
        for (int crash = 0; crash < 3; ++crash) {
+         world.Attempt("/stream/a");
          world.Reply(world.Find("/reserve/"), 200, {}, "v");
          world.Break(world.Find("prefill"));
+         world.Leave();
        }
      }},
     {"of plain requests that may run again", "/idempotent/a",
@@ -274,6 +275,18 @@
                world.Crash("/resumable/b");
                CPPUNIT_ASSERT(world.Find("/reserve/") != nullptr);
              }),
+          It("one that went to three endpoints in one attempt as they ended",
+             [] {
+               // Guards against refusing a request for the crashes of others.
+               World world;
+               const auto first = world.Attempt("/resumable/b");
+               world.Reply(world.Find("/reserve/"), 200, {}, "v");
+               world.Break(world.Find("prefill"));
+               world.Break(world.BringToDecode());
+               world.Break(world.BringToDecode());
+               CPPUNIT_ASSERT_EQUAL(502, first->status);
+               CPPUNIT_ASSERT(!world.Attempt("/resumable/b")->ended);
+             }),
           It("requests that look the same when many endpoints end at once",
              [] {
                // Guards against refusing a whole kind of requests.
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -37,7 +37,7 @@
   // Asks the store for a turn of orders; empty: roles are nobody's to change.
   std::function<void(std::function<void(std::optional<TurnClaim>)> on_done)>
       claim_turn;
-  // This process quarantined a request, or, if the record has no endpoints,
+  // This process quarantined a request, or, if the record has no ends,
   // freed it: to be kept for processes that all start anew. May be empty.
   std::function<void(const retry::CrashRecord& record)> on_quarantine;
   // A line of the log.
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -251,12 +251,14 @@
         protocol::kMaxPeerHeartbeatCrashes, group.rounds);
     group.rounds += told.empty() ? 0 : 1;
     for (const retry::CrashRecord& record : told) {
-      heartbeat.crashes.push_back(
-          {.request_key = record.request.value,
-           .endpoint_keys = record.endpoints,
-           .age_ms = static_cast<std::uint32_t>(
-               std::chrono::floor<std::chrono::milliseconds>(record.age)
-                   .count())});
+      protocol::PeerHeartbeat::Crash& crash = heartbeat.crashes.emplace_back();
+      crash.request_key = record.request.value;
+      for (const retry::CrashEnd& end : record.ends) {
+        crash.ends.push_back(
+            {.endpoint_key = end.endpoint, .attempt_key = end.attempt});
+      }
+      crash.age_ms = static_cast<std::uint32_t>(
+          std::chrono::floor<std::chrono::milliseconds>(record.age).count());
     }
   }
 
@@ -379,9 +381,7 @@
       this->TakeForecast(told);
     }
     for (const protocol::PeerHeartbeat::Crash& told : heartbeat->crashes) {
-      this->options.on_crash({.request = retry::RequestKey(told.request_key),
-                              .endpoints = told.endpoint_keys,
-                              .age = std::chrono::milliseconds(told.age_ms)});
+      this->options.on_crash(RecordOf(told));
     }
     this->options.on_load(heartbeat->sender, LoadOf(*heartbeat, peer.near));
     this->sources.NoteTold(heartbeat->sender,
@@ -408,6 +408,17 @@
     this->options.on_forecast(told);
   }
 
+  static retry::CrashRecord RecordOf(
+      const protocol::PeerHeartbeat::Crash& told) {
+    retry::CrashRecord record{.request = retry::RequestKey(told.request_key),
+                              .age = std::chrono::milliseconds(told.age_ms)};
+    for (const protocol::PeerHeartbeat::Crash::End& end : told.ends) {
+      record.ends.push_back(
+          {.endpoint = end.endpoint_key, .attempt = end.attempt_key});
+    }
+    return record;
+  }
+
   static gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat,
                                   bool near) {
     gateway::PeerLoad load{.near = near};
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -87,7 +87,7 @@
   into.limit = static_cast<std::size_t>(table.Integer(
       "endpoints", {.fallback = static_cast<std::int64_t>(into.limit),
                     .minimum = 2,
-                    .maximum = protocol::kMaxCrashEndpoints}));
+                    .maximum = protocol::kMaxCrashEnds}));
   into.quarantine = table.Duration(
       "time", {.fallback = into.quarantine, .minimum = 0ms, .maximum = 1h});
 }
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -99,8 +99,8 @@
   }
   // Three endpoints end under a request of this key.
   void NoteEnds(retry::RequestKey request) {
-    for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
-      this->crashes.NoteEnd(request, endpoint, this->Now());
+    for (std::uint32_t number = 1; number <= 3; ++number) {
+      this->crashes.NoteEnd(request, {number, number}, this->Now());
     }
   }
 
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -80,7 +80,7 @@
          heartbeat.crashes.size() <= kMaxPeerHeartbeatCrashes &&
          std::all_of(heartbeat.crashes.begin(), heartbeat.crashes.end(),
                      [](const PeerHeartbeat::Crash& crash) {
-                       return crash.endpoint_keys.size() <= kMaxCrashEndpoints;
+                       return crash.ends.size() <= kMaxCrashEnds;
                      }) &&
          heartbeat.pauses.size() <= kMaxPeerHeartbeatPauses &&
          heartbeat.forecasts.size() <= kMaxPeerHeartbeatForecasts &&
--- a/src/protocol/tests/peer_heartbeat_test.cc
+++ b/src/protocol/tests/peer_heartbeat_test.cc
@@ -40,7 +40,7 @@
   PeerHeartbeat heartbeat = Full();
   for (std::size_t number = 0; number < kMaxPeerHeartbeatCrashes; ++number) {
     heartbeat.crashes.push_back({.request_key = number,
-                                 .endpoint_keys = {1, 2, 3},
+                                 .ends = {{1, 1}, {2, 2}, {3, 3}},
                                  .age_ms = 3'600'000});
   }
   heartbeat.rows.resize(kMaxPeerHeartbeatRows -
@@ -96,7 +96,7 @@
           CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(rows)).ok());
           PeerHeartbeat endpoints = FullOfCrashes();
           endpoints.rows.clear();
-          endpoints.crashes[0].endpoint_keys.push_back(9);
+          endpoints.crashes[0].ends.push_back({});
           CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(endpoints)).ok());
         }),
      It("that is cut off anywhere is refused", [] {
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -60,16 +60,26 @@
     }
   };
 
-  // A request under which endpoints ended; without endpoints: it was answered,
-  // and what was told of it before does not count.
+  // A request under which endpoints ended; without ends: it was answered, and
+  // what was told of it before does not count.
   struct Crash {
+    struct End {
+      std::uint64_t endpoint_key = 0;  // hash of the endpoint's start
+      std::uint32_t attempt_key = 0;   // of the attempt that was there
+
+      template <class Archive>
+      void serialize(Archive& archive) {
+        archive(this->endpoint_key, this->attempt_key);
+      }
+    };
+
     std::uint64_t request_key = 0;
-    std::vector<std::uint64_t> endpoint_keys;  // hashes of their starts
+    std::vector<End> ends;
     std::uint32_t age_ms = 0;  // since the last end, or since the answer
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(this->request_key, this->endpoint_keys, this->age_ms);
+      archive(this->request_key, this->ends, this->age_ms);
     }
   };
 
@@ -102,7 +112,7 @@
 inline constexpr std::size_t kMaxPeerHeartbeatForecasts = 1;
 inline constexpr std::size_t kMaxPeerHeartbeatFigures = 8;
 inline constexpr std::size_t kMaxPeerHeartbeatCrashes = 4;
-inline constexpr std::size_t kMaxCrashEndpoints = 3;
+inline constexpr std::size_t kMaxCrashEnds = 3;
 // A crash takes the place of so many rows.
 inline constexpr std::size_t kRowsPerCrash = 2;
 
--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -6,6 +6,12 @@
 namespace acacialug::retry {
 namespace {
 
+bool OfOneAttempt(const std::vector<CrashEnd>& ends) {
+  return std::all_of(ends.begin(), ends.end(), [&ends](const CrashEnd& end) {
+    return end.attempt == ends.front().attempt;
+  });
+}
+
 // Of `from`, beginning where the rounds before ended.
 void TakeInTurn(const std::vector<RequestKey>& from,
                 std::size_t most,
@@ -24,14 +30,14 @@
     : options(ledger_options), answers(ledger_options.most_answers) {}
 
 bool CrashLedger::NoteEnd(RequestKey request,
-                          std::uint64_t endpoint,
+                          const CrashEnd& end,
                           Instant now) {
   if (this->Trusted(request, now)) {
     return false;
   }
   Entry& entry = this->Touch(request);
   const bool held = this->Holds(entry, now);
-  this->AddEndpoint(entry, endpoint);
+  this->Add(end, entry.ends);
   entry.last = now;
   this->TellOf(request, entry, now);
   return !held && this->Holds(entry, now);
@@ -45,7 +51,7 @@
   }
   Entry& entry = found->second;
   const bool held = this->Holds(entry, now);
-  entry.endpoints.clear();
+  entry.ends.clear();
   entry.last = now;
   this->TellOf(request, entry, now);
   return held;
@@ -56,20 +62,20 @@
   if (told.age >= this->options.memory || this->Trusted(told.request, now)) {
     return false;
   }
-  if (told.endpoints.empty()) {
+  if (told.ends.empty()) {
     this->MergeAnswer(told.request, at);
     return false;
   }
   Entry& entry = this->Touch(told.request);
   const bool held = this->Holds(entry, now);
-  const std::size_t before = entry.endpoints.size();
-  for (const std::uint64_t endpoint : told.endpoints) {
-    this->AddEndpoint(entry, endpoint);
+  const std::vector<CrashEnd> before = entry.ends;
+  for (const CrashEnd& end : told.ends) {
+    this->Add(end, entry.ends);
   }
   entry.last = std::max(entry.last, at);
   // Who does not hear that peer hears this process; a single end is left to
   // the one that saw it.
-  if (entry.endpoints.size() > std::max<std::size_t>(before, 1)) {
+  if (entry.ends.size() > 1 && entry.ends != before) {
     this->TellOf(told.request, entry, now);
   }
   return !held && this->Holds(entry, now);
@@ -85,11 +91,17 @@
   }
 }
 
-void CrashLedger::AddEndpoint(Entry& entry, std::uint64_t endpoint) const {
-  const bool known = std::find(entry.endpoints.begin(), entry.endpoints.end(),
-                               endpoint) != entry.endpoints.end();
-  if (!known && entry.endpoints.size() < this->options.limit) {
-    entry.endpoints.push_back(endpoint);
+void CrashLedger::Add(const CrashEnd& end, std::vector<CrashEnd>& ends) const {
+  const bool known = std::any_of(
+      ends.begin(), ends.end(),
+      [&end](const CrashEnd& other) { return other.endpoint == end.endpoint; });
+  if (known) {
+    return;
+  }
+  if (ends.size() < this->options.limit) {
+    ends.push_back(end);
+  } else if (OfOneAttempt(ends)) {
+    ends.back() = end;
   }
 }
 
@@ -111,7 +123,7 @@
   return found == this->entries.end()
              ? CrashRecord{.request = request}
              : CrashRecord{.request = request,
-                           .endpoints = found->second.endpoints,
+                           .ends = found->second.ends,
                            .age = now - found->second.last};
 }
 
@@ -123,7 +135,7 @@
   for (const RequestKey request : this->telling) {
     const Entry& entry = this->entries.at(request);
     if (entry.told_until > now) {
-      (entry.endpoints.size() == 1 ? rest : first).push_back(request);
+      (entry.ends.size() == 1 ? rest : first).push_back(request);
     }
   }
   std::vector<RequestKey> chosen;
@@ -139,7 +151,7 @@
 
 void CrashLedger::TellAgain(Instant now) {
   for (auto& [request, entry] : this->entries) {
-    if (entry.endpoints.size() > 1) {
+    if (entry.ends.size() > 1) {
       this->TellOf(request, entry, now);
     }
   }
@@ -152,7 +164,7 @@
     if (told) {
       this->telling.erase(entry->first);
     }
-    const bool over = entry->second.endpoints.empty()
+    const bool over = entry->second.ends.empty()
                           ? told
                           : now - entry->second.last >= this->options.memory;
     if (over) {
@@ -169,7 +181,8 @@
 }
 
 bool CrashLedger::Holds(const Entry& entry, Instant now) const {
-  return entry.endpoints.size() >= this->options.limit &&
+  return entry.ends.size() >= this->options.limit &&
+         !OfOneAttempt(entry.ends) &&
          now - entry.last < this->options.quarantine;
 }
 
@@ -204,8 +217,8 @@
   this->Erase(std::min_element(
       this->entries.begin(), this->entries.end(),
       [](const auto& left, const auto& right) {
-        return std::pair(left.second.endpoints.size(), left.second.last) <
-               std::pair(right.second.endpoints.size(), right.second.last);
+        return std::pair(left.second.ends.size(), left.second.last) <
+               std::pair(right.second.ends.size(), right.second.last);
       }));
 }
 
--- a/src/retry/crash_ledger.h
+++ b/src/retry/crash_ledger.h
@@ -21,7 +21,8 @@
  public:
   struct Options {
     // Different starts of endpoints that end under a request before it is
-    // quarantined. No more are remembered of one request.
+    // quarantined, not all in one attempt: where many endpoints end at once,
+    // an attempt goes from one to the next. No more are remembered.
     std::size_t limit = 3;
     // Since the last end. Afterwards the request is tried again, and one more
     // end quarantines it anew.
@@ -39,9 +40,9 @@
 
   explicit CrashLedger(Options ledger_options);
 
-  // An endpoint ended, or broke off, while it had the request; `endpoint`: a
-  // hash of its start. True: the request is quarantined from now on.
-  bool NoteEnd(RequestKey request, std::uint64_t endpoint, Instant now);
+  // An endpoint ended, or broke off, while it had the request. True: the
+  // request is quarantined from now on.
+  bool NoteEnd(RequestKey request, const CrashEnd& end, Instant now);
   // An endpoint answered the request with success. True: it was quarantined.
   bool NoteAnswer(RequestKey request, Instant now);
 
@@ -53,7 +54,7 @@
   // Of the quarantine; zero without one.
   Duration TimeLeft(RequestKey request, Instant now) const;
 
-  // What is known of it; without endpoints: nothing that counts.
+  // What is known of it; without ends: nothing that counts.
   CrashRecord RecordOf(RequestKey request, Instant now) const;
 
   // At most `most` records for the peers: those of requests that were at two
@@ -74,7 +75,7 @@
 
  private:
   struct Entry {
-    std::vector<std::uint64_t> endpoints;  // empty: it was answered
+    std::vector<CrashEnd> ends;  // empty: it was answered
     Instant last{};
     Instant told_until{};
   };
@@ -87,7 +88,7 @@
   bool Trusted(RequestKey request, Instant now) const;
   void Remember(RequestKey request, Instant answered_at);
   void MergeAnswer(RequestKey request, Instant at);
-  void AddEndpoint(Entry& entry, std::uint64_t endpoint) const;
+  void Add(const CrashEnd& end, std::vector<CrashEnd>& ends) const;
   Entry& Touch(RequestKey request);
   void MakeRoom();
   void TellOf(RequestKey request, Entry& entry, Instant now);
--- a/src/retry/tests/crash_ledger_test.cc
+++ b/src/retry/tests/crash_ledger_test.cc
@@ -18,17 +18,28 @@
 constexpr RequestKey kRequest{77};
 constexpr std::size_t kMostTold = 4;
 
+// The end of an endpoint, each under an attempt of its own.
+CrashEnd At(std::uint64_t endpoint) {
+  return {.endpoint = endpoint,
+          .attempt = static_cast<std::uint32_t>(endpoint)};
+}
+
 // With three ends of one request, at endpoints 1, 2 and 3.
 CrashLedger AfterThree(CrashLedger::Options options = {}) {
   CrashLedger ledger(options);
   for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
-    ledger.NoteEnd(kRequest, endpoint, kStart);
+    ledger.NoteEnd(kRequest, At(endpoint), kStart);
   }
   return ledger;
 }
 
-CrashRecord Told(std::vector<std::uint64_t> endpoints, Duration age = 0ms) {
-  return {.request = kRequest, .endpoints = std::move(endpoints), .age = age};
+CrashRecord Told(const std::vector<std::uint64_t>& endpoints,
+                 Duration age = 0ms) {
+  CrashRecord record{.request = kRequest, .age = age};
+  for (const std::uint64_t endpoint : endpoints) {
+    record.ends.push_back(At(endpoint));
+  }
+  return record;
 }
 
 const acacialug::testing::Story kStory(
@@ -37,11 +48,11 @@
              {It("under which three endpoints ended, and says so once",
                  [] {
                    CrashLedger ledger({});
-                   CPPUNIT_ASSERT(!ledger.NoteEnd(kRequest, 1, kStart));
-                   CPPUNIT_ASSERT(!ledger.NoteEnd(kRequest, 2, kStart));
+                   CPPUNIT_ASSERT(!ledger.NoteEnd(kRequest, At(1), kStart));
+                   CPPUNIT_ASSERT(!ledger.NoteEnd(kRequest, At(2), kStart));
                    CPPUNIT_ASSERT(!ledger.Quarantined(kRequest, kStart));
-                   CPPUNIT_ASSERT(ledger.NoteEnd(kRequest, 3, kStart));
-                   CPPUNIT_ASSERT(!ledger.NoteEnd(kRequest, 4, kStart));
+                   CPPUNIT_ASSERT(ledger.NoteEnd(kRequest, At(3), kStart));
+                   CPPUNIT_ASSERT(!ledger.NoteEnd(kRequest, At(4), kStart));
                    CPPUNIT_ASSERT(ledger.Quarantined(kRequest, kStart));
                    CPPUNIT_ASSERT(!ledger.Quarantined(RequestKey(78), kStart));
                  }),
@@ -49,10 +60,22 @@
                  [] {
                    CrashLedger ledger({});
                    for (int time = 0; time < 9; ++time) {
-                     ledger.NoteEnd(kRequest, 1, kStart);
+                     ledger.NoteEnd(kRequest, At(1), kStart);
                    }
                    CPPUNIT_ASSERT(!ledger.Quarantined(kRequest, kStart));
                  }),
+              It("not for one attempt, however many endpoints end under it",
+                 [] {
+                   // Guards against refusing a request that went from one
+                   // endpoint to the next while all of them ended.
+                   CrashLedger ledger({});
+                   for (std::uint64_t endpoint = 1; endpoint < 6; ++endpoint) {
+                     ledger.NoteEnd(kRequest, {endpoint, 1}, kStart);
+                   }
+                   CPPUNIT_ASSERT(!ledger.Quarantined(kRequest, kStart));
+                   CPPUNIT_ASSERT(ledger.NoteEnd(kRequest, {6, 2}, kStart));
+                   CPPUNIT_ASSERT(ledger.Quarantined(kRequest, kStart));
+                 }),
               It("for a while, then tries it, and one more end is enough",
                  [] {
                    CrashLedger ledger = AfterThree();
@@ -60,7 +83,7 @@
                    CPPUNIT_ASSERT(ledger.Quarantined(kRequest, later - 1ms));
                    ledger.Sweep(later);
                    CPPUNIT_ASSERT(!ledger.Quarantined(kRequest, later));
-                   CPPUNIT_ASSERT(ledger.NoteEnd(kRequest, 4, later));
+                   CPPUNIT_ASSERT(ledger.NoteEnd(kRequest, At(4), later));
                    CPPUNIT_ASSERT(ledger.Quarantined(kRequest, later));
                  }),
               It("and forgets it when its memory is over",
@@ -77,11 +100,11 @@
                    // Guards against refusing a request for the crashes of
                    // others.
                    CrashLedger ledger({});
-                   ledger.NoteEnd(kRequest, 1, kStart);
-                   ledger.NoteEnd(kRequest, 2, kStart);
+                   ledger.NoteEnd(kRequest, At(1), kStart);
+                   ledger.NoteEnd(kRequest, At(2), kStart);
                    ledger.NoteAnswer(kRequest, kStart);
-                   ledger.NoteEnd(kRequest, 3, kStart + 1min);
-                   ledger.NoteEnd(kRequest, 4, kStart + 1min);
+                   ledger.NoteEnd(kRequest, At(3), kStart + 1min);
+                   ledger.NoteEnd(kRequest, At(4), kStart + 1min);
                    CPPUNIT_ASSERT(!ledger.Quarantined(kRequest, kStart + 1min));
                  }),
               It("when many endpoints end at once",
@@ -90,7 +113,7 @@
                    CrashLedger ledger({});
                    ledger.NoteAnswer(kRequest, kStart);
                    for (std::uint64_t endpoint = 1; endpoint < 9; ++endpoint) {
-                     ledger.NoteEnd(kRequest, endpoint, kStart + 1s);
+                     ledger.NoteEnd(kRequest, At(endpoint), kStart + 1s);
                    }
                    CPPUNIT_ASSERT(!ledger.Quarantined(kRequest, kStart + 1s));
                    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ledger.size());
@@ -100,7 +123,7 @@
                    CrashLedger ledger({});
                    ledger.NoteAnswer(kRequest, kStart);
                    for (std::uint64_t endpoint = 1; endpoint < 4; ++endpoint) {
-                     ledger.NoteEnd(kRequest, endpoint, kStart + 1min);
+                     ledger.NoteEnd(kRequest, At(endpoint), kStart + 1min);
                    }
                    CPPUNIT_ASSERT(ledger.Quarantined(kRequest, kStart + 1min));
                  })}),
@@ -108,7 +131,7 @@
              {It("and counts each endpoint once, whoever tells of it",
                  [] {
                    CrashLedger ledger({});
-                   ledger.NoteEnd(kRequest, 1, kStart);
+                   ledger.NoteEnd(kRequest, At(1), kStart);
                    ledger.Merge(Told({1}), kStart);
                    ledger.Merge(Told({2, 2, 1}), kStart);
                    CPPUNIT_ASSERT(!ledger.Quarantined(kRequest, kStart));
@@ -156,7 +179,7 @@
              [] {
                CrashLedger ledger({});
                CPPUNIT_ASSERT(ledger.Tell(kMostTold, 0, kStart).empty());
-               ledger.NoteEnd(kRequest, 1, kStart);
+               ledger.NoteEnd(kRequest, At(1), kStart);
                const auto told = ledger.Tell(kMostTold, 0, kStart + 2s);
                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
                CPPUNIT_ASSERT(told[0].request == kRequest);
@@ -169,7 +192,7 @@
                ledger.NoteAnswer(kRequest, kStart + 10s);
                const auto told = ledger.Tell(kMostTold, 0, kStart + 10s);
                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
-               CPPUNIT_ASSERT(told[0].endpoints.empty());
+               CPPUNIT_ASSERT(told[0].ends.empty());
                ledger.Sweep(kStart + 15s);
                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ledger.size());
              }),
@@ -187,7 +210,7 @@
           It("all again when one of them knows nothing yet",
              [] {
                CrashLedger ledger = AfterThree();
-               ledger.NoteEnd(RequestKey(78), 1, kStart);
+               ledger.NoteEnd(RequestKey(78), At(1), kStart);
                ledger.TellAgain(kStart + 1min);
                const auto told = ledger.Tell(kMostTold, 0, kStart + 1min);
                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
@@ -197,7 +220,7 @@
              [] {
                CrashLedger ledger = AfterThree();
                for (std::uint64_t other = 100; other < 106; ++other) {
-                 ledger.NoteEnd(RequestKey(other), 1, kStart);
+                 ledger.NoteEnd(RequestKey(other), At(1), kStart);
                }
                std::set<std::uint64_t> others;
                for (std::size_t round = 0; round < 2; ++round) {
@@ -215,7 +238,7 @@
           // Guards against a flood that frees the requests in quarantine.
           CrashLedger ledger = AfterThree({.most_requests = 16});
           for (std::uint64_t other = 100; other < 1000; ++other) {
-            ledger.NoteEnd(RequestKey(other), other, kStart + 1s);
+            ledger.NoteEnd(RequestKey(other), At(other), kStart + 1s);
           }
           CPPUNIT_ASSERT_EQUAL(std::size_t{16}, ledger.size());
           CPPUNIT_ASSERT(ledger.Quarantined(kRequest, kStart + 1s));
--- a/src/retry/types/crash_record.h
+++ b/src/retry/types/crash_record.h
@@ -9,12 +9,19 @@
 
 namespace acacialug::retry {
 
+// An endpoint that ended under a request.
+struct CrashEnd {
+  std::uint64_t endpoint = 0;  // a hash of its start
+  std::uint32_t attempt = 0;   // of the request, that was there; a hash
+
+  friend bool operator==(const CrashEnd&, const CrashEnd&) = default;
+};
+
 // What processes tell each other of a request under which endpoints ended.
 struct CrashRecord {
   RequestKey request;
-  // Hashes of the starts of endpoints that ended. Empty: the request was
-  // answered, and what was told of it before does not count.
-  std::vector<std::uint64_t> endpoints;
+  // Empty: it was answered, and what was told of it before does not count.
+  std::vector<CrashEnd> ends;
   Duration age{};  // since the last end, or since the answer
 };
 
