Share what two tests of a silent server begin with

Cause: read as a newcomer: the same ten lines stood in both, and a story above. Change: Unanswered holds them; checks and times are the same.

--- a/src/framework/http/tests/standstill_test.cc
+++ b/src/framework/http/tests/standstill_test.cc
@@ -348,38 +348,39 @@
   CPPUNIT_ASSERT(kept.peer->AwaitClose().ends_with("\r\n\r\nsecond"));
 }
 
-// A page of a peer took longer to make than the asker's patience, both in one
-// process that did nothing else meanwhile: the answer lay unwritten when the
-// asker judged its silence.
-void OwnStandstillIsNoSilence() {
+// An exchange whose server has the request and has not answered.
+struct Unanswered {
+  Unanswered() {
+    this->client.Send({.ip = "127.0.0.1", .port = this->server.port()},
+                      {.method = "GET", .target = "/"}, this->outcome.Hooks());
+    this->peer = this->server.Accept();
+    this->peer->Await("\r\n\r\n");
+  }
+
   RawServer server;
-  Client client({.silence_timeout = 100ms});
+  Client client{{.silence_timeout = 100ms}};
   Outcome outcome;
-  client.Send({.ip = "127.0.0.1", .port = server.port()},
-              {.method = "GET", .target = "/"}, outcome.Hooks());
-  const auto peer = server.Accept();
-  peer->Await("\r\n\r\n");
+  decltype(server.Accept()) peer;
+};
+
+// Guards against a peer's page that is given up since it took long to make.
+void OwnStandstillIsNoSilence() {
+  Unanswered asked;
   StandStillInAHandler([] {}, kStandstill);
-  CPPUNIT_ASSERT(!outcome.over());
-  peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-  WaitUntil("the answer", [&] { return outcome.over(); });
-  CPPUNIT_ASSERT_EQUAL(std::string("ok"), outcome.body.value_or("none"));
+  CPPUNIT_ASSERT(!asked.outcome.over());
+  asked.peer->Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  WaitUntil("the answer", [&] { return asked.outcome.over(); });
+  CPPUNIT_ASSERT_EQUAL(std::string("ok"), asked.outcome.body.value_or("none"));
 }
 
-// Guards against an exchange that waits for ever in a process that is late at
-// each look.
+// Guards against an exchange that waits for ever in a process that is always
+// late.
 void SilenceAfterAStandstillFails() {
-  RawServer server;
-  Client client({.silence_timeout = 100ms});
-  Outcome outcome;
-  client.Send({.ip = "127.0.0.1", .port = server.port()},
-              {.method = "GET", .target = "/"}, outcome.Hooks());
-  const auto peer = server.Accept();
-  peer->Await("\r\n\r\n");
+  Unanswered asked;
   StandStillInAHandler([] {}, kStandstill);
   StandStillInAHandler([] {}, kStandstill);
-  WaitUntil("the end", [&] { return outcome.over(); });
-  CPPUNIT_ASSERT(outcome.error && outcome.sent);
+  WaitUntil("the end", [&] { return asked.outcome.over(); });
+  CPPUNIT_ASSERT(asked.outcome.error && asked.outcome.sent);
 }
 
 const testing::Story kServer(
