Write request ids by the one copy of hexadecimal text

Change: ToString and ParseRequestId call them; the decimal parser has no base. Behaviour is the same.

--- a/src/framework/global/types/identifiers.cc
+++ b/src/framework/global/types/identifiers.cc
@@ -1,8 +1,8 @@
 #include "framework/global/types/identifiers.h"
 
-#include <array>
 #include <charconv>
-#include <cstdio>
+
+#include "framework/global/hex_text.h"
 
 namespace acacialug {
 namespace {
@@ -10,11 +10,10 @@
 constexpr std::size_t kHalfDigits = 16;
 constexpr std::size_t kRequestDigits = 2 * kHalfDigits;
 
-template <typename Integer>
-std::optional<Integer> ParseWhole(std::string_view text, int base) {
-  Integer value{};
+std::optional<std::uint64_t> ParseWhole(std::string_view text) {
+  std::uint64_t value{};
   const char* const last = text.data() + text.size();
-  const auto [end, code] = std::from_chars(text.data(), last, value, base);
+  const auto [end, code] = std::from_chars(text.data(), last, value);
   if (code != std::errc() || end != last || text.empty()) {
     return std::nullopt;
   }
@@ -24,19 +23,15 @@
 }  // namespace
 
 std::string ToString(const RequestId& id) {
-  std::array<char, kRequestDigits + 1> text{};
-  std::snprintf(text.data(), text.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(id.high),
-                static_cast<unsigned long long>(id.low));
-  return {text.data(), kRequestDigits};
+  return HexText(id.high) + HexText(id.low);
 }
 
 std::optional<RequestId> ParseRequestId(std::string_view text) {
   if (text.size() != kRequestDigits) {
     return std::nullopt;
   }
-  const auto high = ParseWhole<std::uint64_t>(text.substr(0, kHalfDigits), 16);
-  const auto low = ParseWhole<std::uint64_t>(text.substr(kHalfDigits), 16);
+  const auto high = ReadHex(text.substr(0, kHalfDigits));
+  const auto low = ReadHex(text.substr(kHalfDigits));
   if (!high || !low) {
     return std::nullopt;
   }
@@ -56,9 +51,8 @@
     return std::nullopt;
   }
   const auto request = ParseRequestId(text.substr(0, first));
-  const auto attempt =
-      ParseWhole<std::uint64_t>(text.substr(first + 1, second - first - 1), 10);
-  const auto entry = ParseWhole<std::uint64_t>(text.substr(second + 1), 10);
+  const auto attempt = ParseWhole(text.substr(first + 1, second - first - 1));
+  const auto entry = ParseWhole(text.substr(second + 1));
   if (!request || !attempt || !entry) {
     return std::nullopt;
   }
