--- a/src/framework/global/types/identifiers.h
+++ b/src/framework/global/types/identifiers.h
@@ -53,6 +53,8 @@
 using ModelName = Name<struct ModelTag>;
 using CallerName = Name<struct CallerTag>;
 using PoolName = Name<struct PoolTag>;
+// Who holds the keys that callers of the gateway show.
+using CustomerName = Name<struct CustomerTag>;
 
 // Distinguishes one start of a process from the next on the same address: a
 // random number drawn at start (equality only; a greater one is not newer).
--- /dev/null
+++ b/src/gateway/bench/quota_ways_bench.cc
@@ -0,0 +1,87 @@
+// Compares ways to hold one limit over many processes, on the same loads and
+// seeds, and prints a table: tokens within the limit that were refused, the
+// fullest window over what may be, and what the processes tell each other.
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/tests/quota_fleet.h"
+
+namespace acacialug::gateway::testing {
+namespace {
+
+using Way = std::pair<const char*, QuotaFleet::MakeWay>;
+
+std::vector<Way> Ways() {
+  return {{"ledger", LedgerWay()},
+          {"reports", ReportsWay()},
+          {"even split", EvenSplitWay()},
+          {"by demand", DemandWay()},
+          {"home", HomeProcessWay()}};
+}
+
+std::vector<QuotaCase> Cases(std::size_t processes) {
+  std::vector<QuotaCase> cases = {
+      {.name = "steady"},
+      {.name = "through two", .through = 2},
+      {.name = "hot x8", .hot = 8},
+      {.name = "hot x8 through two", .through = 2, .hot = 8},
+      {.name = "limit lowered to 0.3", .hot = 3, .lowered = 0.3},
+      {.name = "steady, 0.35 cut off", .cut = 0.35},
+      {.name = "hot x8, half cut off", .hot = 8, .cut = 0.5},
+      {.name = "hot x8, all cut off", .hot = 8, .cut = 1},
+      {.name = "steady, all start anew", .all_restart = true},
+      {.name = "hot x8, all start anew", .hot = 8, .all_restart = true},
+      {.name = "steady, one by one anew", .roll_restart = true}};
+  for (QuotaCase& each : cases) {
+    each.processes = processes;
+    each.domains = std::min<std::size_t>(processes, 6);
+  }
+  return cases;
+}
+
+void Compare(const QuotaCase& quota_case, const Way& way, std::uint64_t seeds) {
+  double refused = 0;
+  double fullest = 0;
+  double told = 0;
+  std::uint64_t over = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    QuotaCase seeded = quota_case;
+    seeded.seed = seed;
+    QuotaFleet fleet(seeded, way.second);
+    fleet.Run();
+    refused += fleet.wrongly_refused();
+    told += fleet.news_per_second();
+    over += fleet.fullest_window() > 1 ? 1 : 0;
+    fullest = std::max(fullest, fleet.fullest_window());
+  }
+  const auto runs = static_cast<double>(seeds);
+  std::printf("| %zu | %s | %s | %.4f | %.2f | %llu of %llu | %.0f |\n",
+              quota_case.processes, quota_case.name.c_str(), way.first,
+              refused / runs, fullest, static_cast<unsigned long long>(over),
+              static_cast<unsigned long long>(seeds), told / runs);
+}
+
+}  // namespace
+}  // namespace acacialug::gateway::testing
+
+// usage: quota_ways_bench [PROCESSES [SEEDS]]
+int main(int argc, char** argv) {
+  using namespace acacialug::gateway::testing;
+  const std::size_t processes = argc > 1 ? std::stoul(argv[1]) : 26;
+  const std::uint64_t seeds = argc > 2 ? std::stoul(argv[2]) : 20;
+  std::printf(
+      "| processes | load | way | refused within the limit | fullest window | "
+      "runs over the bound | bytes told a second and process |\n"
+      "| --- | --- | --- | --- | --- | --- | --- |\n");
+  for (const QuotaCase& quota_case : Cases(processes)) {
+    for (const Way& way : Ways()) {
+      Compare(quota_case, way, seeds);
+    }
+  }
+  return 0;
+}
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -1,12 +1,14 @@
 #include "gateway/gateway_core.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <unordered_map>
 #include <utility>
 
 #include "framework/global/hex_text.h"
 #include "gateway/internal/call_relay.h"
+#include "gateway/internal/customer_gate.h"
 #include "gateway/internal/refusal.h"
 #include "gateway/internal/relay_context.h"
 #include "gateway/internal/role_orders.h"
@@ -38,6 +40,8 @@
 }  // namespace
 
 class GatewayCore::Implementation {
+  using Refusal = CustomerGate::Verdict;
+
  public:
   Implementation(Options core_options, RandomSource& random_source)
       : options(std::move(core_options)),
@@ -48,6 +52,9 @@
         book(this->options.hooks.on_load_changed),
         alarms(this->options.hooks.wake_at),
         crashes(this->options.crashes),
+        customers({.overshoot = this->options.quota_overshoot,
+                   .spare = this->options.quota_spare,
+                   .routes = [this] { return this->routes; }}),
         streams(this->options.placement, this->book, this->health),
         calls(this->book, this->health),
         context{.hooks = this->options.hooks,
@@ -94,22 +101,29 @@
         .responder = std::move(responder),
         .routes = this->routes,
         .arrived = now - age};
-    job.key = RequestKeyOf(job.request);
     job.attempt = this->NextAttempt();
-    if (const ResultCode refused = this->FindWay(job);
-        refused != ResultCode::kOk) {
+    if (const Refusal refused = this->FindWay(job);
+        refused.code != ResultCode::kOk) {
       this->AnswerWithoutRelay(job, refused);
       return;
     }
+    job.key = RequestKeyOf(job.request);
     // Its alarm would ring only after it had been sent on.
     if (age > Duration::zero() &&
         age >= std::min(job.route->timeout,
                         job.request.deadline.value_or(job.route->timeout))) {
-      this->AnswerWithoutRelay(job, ResultCode::kDeadlineUnreachable);
+      this->AnswerWithoutRelay(
+          job, {ResultCode::kDeadlineUnreachable, kRetryElsewhere});
       return;
     }
     if (this->crashes.Quarantined(job.key, now)) {
-      this->AnswerWithoutRelay(job, ResultCode::kQuarantined);
+      this->AnswerWithoutRelay(job, {ResultCode::kQuarantined,
+                                     this->crashes.TimeLeft(job.key, now)});
+      return;
+    }
+    if (const Refusal refused = this->customers.Take(job, now);
+        refused.code != ResultCode::kOk) {
+      this->AnswerWithoutRelay(job, refused);
       return;
     }
     job.state->budget.NoteRequest(now);
@@ -131,7 +145,9 @@
                     {"offset", newest->offset},
                     {"routes", newest->routes.size()},
                     {"services", newest->services.size()}}});
-    this->routes = std::make_shared<const RouteTable>(std::move(newest));
+    const auto former = std::exchange(
+        this->routes, std::make_shared<const RouteTable>(std::move(newest)));
+    this->customers.NoteReplaced(former.get(), *this->routes);
     return true;
   }
 
@@ -244,6 +260,7 @@
   LoadBook book;
   AlarmClock alarms;
   retry::CrashLedger crashes;
+  CustomerGate customers;
   StreamPlacement streams;
   CallPlacement calls;
   std::shared_ptr<const RouteTable> routes;
@@ -295,23 +312,27 @@
   }
 
   // Fills in where the request goes; or why it goes nowhere.
-  ResultCode FindWay(RelayJob& job) {
+  Refusal FindWay(RelayJob& job) {
     if (this->routes == nullptr) {
-      return ResultCode::kNotReady;
+      return {ResultCode::kNotReady, kRetryStarting};
     }
     if (this->drain_begun != kNever &&
         this->Now() > this->drain_begun + this->options.drain_admission) {
-      return ResultCode::kDraining;
+      return {ResultCode::kDraining, kRetryElsewhere};
     }
     job.route =
         this->routes->Find(job.request.host, job.request.message.Path());
     if (job.route == nullptr) {
-      return ResultCode::kUnknownRoute;
+      return {ResultCode::kUnknownRoute};
+    }
+    if (Refusal refused = this->customers.Identify(job);
+        refused.code != ResultCode::kOk) {
+      return refused;
     }
     job.service = PickService(*job.route, job.request.id);
     job.traits = this->routes->FindService(job.service);
     job.state = &this->StateOf(job.service);
-    return ResultCode::kOk;
+    return {};
   }
 
   // Callers may give several attempts one id.
@@ -320,31 +341,25 @@
         placement::RendezvousWeight(this->attempt_seed, ++this->attempts));
   }
 
-  Duration RetryAfter(const RelayJob& job, ResultCode code) const {
-    switch (code) {
-      case ResultCode::kNotReady:
-        return kRetryStarting;
-      case ResultCode::kQuarantined:
-        return this->crashes.TimeLeft(job.key, this->Now());
-      default:
-        return kRetryElsewhere;
-    }
-  }
-
-  void AnswerWithoutRelay(const RelayJob& job, ResultCode code) {
+  void AnswerWithoutRelay(const RelayJob& job, Refusal refusal) {
     const http::Response answer = MakeOwnAnswer(
-        code, this->RetryAfter(job, code), this->drain_begun != kNever);
-    this->options.hooks.note(
-        log::Level::kWarning, "request_refused",
-        {.request_name = job.request.id,
-         .code = code,
-         .fields = {
-             {"status", answer.status},
-             {"host", job.request.host},
-             {"path", job.request.message.Path()},
-             {"request_key", HexText(job.key.value)},
-             {"configuration",
-              this->routes ? this->routes->configuration().version : 0}}});
+        refusal.code, refusal.retry_after, this->drain_begun != kNever);
+    log::Record record{
+        .request_name = job.request.id,
+        .code = refusal.code,
+        .fields = {{"status", answer.status},
+                   {"host", job.request.host},
+                   {"path", job.request.message.Path()},
+                   {"request_key", HexText(job.key.value)},
+                   {"configuration",
+                    this->routes ? this->routes->configuration().version : 0}}};
+    std::move(refusal.cause.begin(), refusal.cause.end(),
+              std::back_inserter(record.fields));
+    this->options.hooks.note(log::Level::kWarning, "request_refused",
+                             std::move(record));
+    if (this->options.hooks.on_refusal) {
+      this->options.hooks.on_refusal(refusal.code, job.customer);
+    }
     job.responder->SendWhole(answer);
   }
 
@@ -391,6 +406,7 @@
 
   void OnOver(Relay& over) {
     this->waiting.Remove(over);
+    this->customers.NoteOver(over.job(), over.result(), this->Now());
     this->relays.erase(&over);
   }
 
@@ -399,6 +415,7 @@
     this->book.Sweep(now);
     this->health.Sweep(now);
     this->crashes.Sweep(now);
+    this->customers.ledger().Sweep(now);
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
@@ -534,6 +551,24 @@
   this->implementation->SetPeerCrash(told);
 }
 
+std::vector<quota::QuotaUse> GatewayCore::TellQuotas(std::size_t group,
+                                                     std::size_t most) {
+  return this->implementation->customers.ledger().Tell(
+      group, most, this->implementation->Now());
+}
+
+void GatewayCore::NotePeerHeard(const std::string& peer,
+                                Incarnation incarnation,
+                                const std::vector<quota::QuotaUse>& told) {
+  this->implementation->customers.ledger().NoteHeard(
+      peer, incarnation, told, this->implementation->Now());
+}
+
+void GatewayCore::NotePeerListed(const std::string& peer) {
+  this->implementation->customers.ledger().NoteListed(
+      peer, this->implementation->Now());
+}
+
 void GatewayCore::BeginDrain() {
   this->implementation->BeginDrain();
 }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -18,6 +18,7 @@
 #include "gateway/types/endpoint_load.h"
 #include "gateway/types/endpoint_record.h"
 #include "gateway/types/gateway_hooks.h"
+#include "quota/types/quota_use.h"
 #include "retry/crash_ledger.h"
 
 namespace acacialug::gateway {
@@ -42,6 +43,9 @@
     StreamPlacement::Options placement;
     AdmissionQueue::Options admission;
     retry::CrashLedger::Options crashes;
+    // quota::QuotaLedger::Options.
+    double quota_overshoot = 0;
+    double quota_spare = 0;
     GatewayHooks hooks;
     EndpointDialect dialect;
   };
@@ -91,6 +95,15 @@
   void SetPeerCrash(const retry::CrashRecord& told);
   void TellCrashesAgain();
 
+  // Customers' quotas: what the peers of a group should hear of what this
+  // process took (quota::QuotaLedger::Tell); that a peer was heard, with what
+  // it told; and that one is said to be there.
+  std::vector<quota::QuotaUse> TellQuotas(std::size_t group, std::size_t most);
+  void NotePeerHeard(const std::string& peer,
+                     Incarnation incarnation,
+                     const std::vector<quota::QuotaUse>& told);
+  void NotePeerListed(const std::string& peer);
+
   // New work is refused after a while, and answers close their connections.
   void BeginDrain();
 
--- a/src/gateway/internal/refusal.cc
+++ b/src/gateway/internal/refusal.cc
@@ -8,11 +8,14 @@
 namespace {
 
 constexpr int kServiceUnavailable = 503;
+constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 
 // Codes that are not here: 503 for what did not run, else 502.
-constexpr std::array<std::pair<ResultCode, int>, 6> kStatuses = {
+constexpr std::array<std::pair<ResultCode, int>, 8> kStatuses = {
     {{ResultCode::kUnknownRoute, 404},
+     {ResultCode::kUnknownCaller, 401},
+     {ResultCode::kCallerOverLimit, kTooManyRequests},
      {ResultCode::kMalformedRequest, 400},
      {ResultCode::kBodyTooLarge, 413},
      {ResultCode::kHeadersTooLarge, 431},
@@ -45,7 +48,8 @@
                              bool close_connection) {
   http::Response answer{.status = StatusOf(code)};
   answer.headers.push_back({"Content-Type", "application/json"});
-  if (answer.status == kServiceUnavailable) {
+  if (answer.status == kServiceUnavailable ||
+      answer.status == kTooManyRequests) {
     answer.headers.push_back({"Retry-After", SecondsText(retry_after)});
   }
   if (close_connection) {
--- a/src/gateway/internal/refusal.h
+++ b/src/gateway/internal/refusal.h
@@ -7,8 +7,9 @@
 
 namespace acacialug::gateway {
 
-// The gateway's own final answer: 503 with Retry-After for what provably did
-// not run, 502 or 504 for what may have run, 404 for what no route allows.
+// The gateway's own final answer: 503, or 429 over a customer's limit, with
+// Retry-After for what provably did not run, 502 or 504 for what may have run,
+// 404 for what no route allows, 401 for a key that no customer holds.
 // Thread safe.
 http::Response MakeOwnAnswer(ResultCode code,
                              Duration retry_after,
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -66,6 +66,9 @@
   ServiceName service;
   const ServiceTraits* traits = nullptr;
   ServiceState* state = nullptr;
+  const Customer* customer = nullptr;  // null: none
+  std::uint32_t priority = 0;          // 0 is served first
+  double quota_taken = 0;              // of the customer's
   Instant arrived;
   // Less time than others on the route give: some of it was spent on earlier
   // tries, or the caller is less patient.
--- a/src/gateway/internal/waiting_streams.cc
+++ b/src/gateway/internal/waiting_streams.cc
@@ -44,7 +44,7 @@
   const RelayJob& job = relay.job();
   AdmissionQueue::Ticket ticket{
       .id = ++this->last_ticket,
-      .priority = job.route->priority,
+      .priority = job.priority,
       .rank = relay.late() ? TicketRank::kLate : TicketRank::kOnTime,
       .kv_tokens = relay.kv_tokens(),
       .arrived = job.arrived};
--- a/src/gateway/request_key.cc
+++ b/src/gateway/request_key.cc
@@ -12,8 +12,8 @@
   // another unnoticed.
   std::uint64_t hash = 0;
   for (const std::string_view part : std::initializer_list<std::string_view>{
-           request.message.method, request.host, request.message.target,
-           request.message.body}) {
+           request.customer.text, request.message.method, request.host,
+           request.message.target, request.message.body}) {
     hash = placement::HashText(part, hash);
   }
   return retry::RequestKey(hash);
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -22,6 +22,15 @@
   for (const ServiceTraits& service : this->source->services) {
     this->services.emplace(service.name, &service);
   }
+  if (this->source->customers) {
+    for (const Customer& customer : *this->source->customers) {
+      this->limits.emplace(placement::HashText(customer.name.text),
+                           &customer.limit);
+      for (const KeyDigest& key : customer.keys) {
+        this->by_key.emplace(key, &customer);
+      }
+    }
+  }
 }
 
 const Route* RouteTable::Find(std::string_view host,
@@ -42,6 +51,16 @@
   return found == this->services.end() ? nullptr : found->second;
 }
 
+const Customer* RouteTable::FindCustomer(const KeyDigest& key) const {
+  const auto found = this->by_key.find(key);
+  return found == this->by_key.end() ? nullptr : found->second;
+}
+
+const CustomerLimit* RouteTable::FindLimit(std::uint64_t name_hash) const {
+  const auto found = this->limits.find(name_hash);
+  return found == this->limits.end() ? nullptr : found->second;
+}
+
 const ServiceName& PickService(const Route& route,
                                std::string_view request_id) {
   std::uint64_t total = 0;
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "gateway/types/configuration.h"
@@ -23,6 +24,12 @@
   // Null: the configuration does not name the service.
   const ServiceTraits* FindService(const ServiceName& service) const;
 
+  // Null: no customer holds the key.
+  const Customer* FindCustomer(const KeyDigest& key) const;
+  // Of the customer whose name has this hash (placement::HashText); null: none
+  // is called so.
+  const CustomerLimit* FindLimit(std::uint64_t name_hash) const;
+
   const Configuration& configuration() const { return *this->source; }
 
  private:
@@ -30,6 +37,8 @@
   // Of each host, longest prefix first.
   std::map<std::string, std::vector<const Route*>, std::less<>> by_host;
   std::map<ServiceName, const ServiceTraits*> services;
+  std::unordered_map<KeyDigest, const Customer*> by_key;
+  std::unordered_map<std::uint64_t, const CustomerLimit*> limits;
 };
 
 // The service that a request of a route goes to. A request with the same name
--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/key_digest.h"
+
 namespace acacialug::gateway::testing {
 namespace {
 
@@ -145,6 +147,12 @@
     if (!deadline.empty()) {
       work.deadline = std::chrono::milliseconds(std::stoi(deadline));
     }
+    if (const auto key = http::FindHeader(request.headers, "Key")) {
+      work.key = DigestOf(*key);
+      std::erase_if(request.headers, [](const http::Header& header) {
+        return header.name == "Key";
+      });
+    }
     work.message = std::move(request);
     return work;
   };
@@ -153,6 +161,7 @@
     http::Request message = request.message;
     message.headers.push_back(
         {"Step", std::string(NameOf(kWorkStepNames, order.step))});
+    message.headers.push_back({"Customer", request.customer.text});
     message.headers.push_back({"Reservation", order.reservation});
     message.headers.push_back({"Export", order.export_name});
     message.headers.push_back(
@@ -220,14 +229,16 @@
   return dialect;
 }
 
-void GatewayWorld::Configure() {
+void GatewayWorld::Configure(std::optional<std::vector<Customer>> customers) {
   auto configuration = std::make_shared<Configuration>();
-  configuration->version = 1;
-  configuration->offset = LogOffset(1);
+  configuration->version = ++this->version;
+  configuration->offset = LogOffset(this->version);
+  configuration->customers = std::move(customers);
   configuration->routes = {
       MakeRoute("/resumable/", WorkKind::kResumableStream, 2),
       MakeRoute("/stream/", WorkKind::kStream, 1),
       MakeRoute("/idempotent/", WorkKind::kIdempotent, 2),
+      MakeRoute("/open/", WorkKind::kIdempotent, 2),
       MakeRoute("/once/", WorkKind::kNonIdempotent, 1)};
   configuration->services = {{.name = ServiceName("model"),
                               .engine = EngineTraits{.slots = 64,
@@ -236,6 +247,7 @@
                                                      .export_lifetime = 500ms,
                                                      .role_switch = 6s}},
                              {.name = ServiceName("plain")}};
+  configuration->routes[3].open_to_all = true;
   this->core->SetConfiguration(configuration);
 }
 
@@ -276,13 +288,16 @@
   auto answer = std::make_shared<Answer>();
   const auto responder = std::make_shared<FakeResponder>(answer, this->now);
   this->responders.push_back(responder);
-  this->core->Handle({.method = "POST",
-                      .target = path,
-                      .headers = {{"Host", "h.example"},
-                                  {"Id", id},
-                                  {"Size", size},
-                                  {"Deadline", std::to_string(deadline_ms)}}},
-                     responder);
+  http::Headers headers = {{"Host", "h.example"},
+                           {"Id", id},
+                           {"Size", size},
+                           {"Deadline", std::to_string(deadline_ms)}};
+  if (!this->key.empty()) {
+    headers.push_back({"Key", this->key});
+  }
+  this->core->Handle(
+      {.method = "POST", .target = path, .headers = std::move(headers)},
+      responder);
   return answer;
 }
 
--- a/src/gateway/tests/gateway_world.h
+++ b/src/gateway/tests/gateway_world.h
@@ -35,15 +35,17 @@
 
 // A core in virtual time, whose endpoints the test plays by hand. Its dialect:
 // the header `Id` names a request, `Size` is "PROMPT,OUTPUT", `Deadline` is in
-// ms; endpoints answer with the headers `Id`, `Proof` (an endpoint's own
+// ms, `Key` is the caller's key; endpoints get the name of its customer as
+// `Customer`, and answer with the headers `Id`, `Proof` (an endpoint's own
 // answer) or `Refused` (it did not run), and `Other` for a wrong address.
 class GatewayWorld {
  public:
   // `repeat_extra`: the budget of repeats beside its share of the requests.
   explicit GatewayWorld(double repeat_extra = 58);
 
-  // A configuration with the routes of kRoutes, in force at once.
-  void Configure();
+  // A configuration with the routes of kRoutes, in force at once; a later call
+  // replaces it.
+  void Configure(std::optional<std::vector<Customer>> customers = {});
   void AddEndpoint(const std::string& id,
                    const std::string& service,
                    EndpointRole role);
@@ -90,6 +92,7 @@
   void StandStill(Duration time);
 
   Instant now{1h};
+  std::string key;  // that callers show; empty: none
   RandomSource random{7};
   std::vector<std::string> events;    // of the log
   std::vector<std::string> released;  // exports and reservations given back
@@ -110,6 +113,7 @@
   std::vector<std::weak_ptr<FakeResponder>> responders;
   http::Client::ExchangeId last_exchange = 0;
   std::uint64_t offset = 0;
+  std::uint64_t version = 0;
 };
 
 }  // namespace acacialug::gateway::testing
--- /dev/null
+++ b/src/gateway/tests/quota_fleet.cc
@@ -0,0 +1,185 @@
+#include "gateway/tests/quota_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/peer_rounds.h"
+
+namespace acacialug::gateway::testing {
+namespace {
+
+constexpr Instant kStart{1h};
+constexpr Duration kLength = 30s;
+constexpr Duration kOneWay = 1500us;
+constexpr double kMeanTokens = 6000;
+constexpr double kLeastTokens = 2000;
+
+}  // namespace
+
+QuotaFleet::QuotaFleet(const QuotaCase& quota_case, MakeWay maker)
+    : options(quota_case),
+      make_way(std::move(maker)),
+      time(kStart),
+      random(quota_case.seed),
+      all(quota_case.processes),
+      saved(kLimit.burst),
+      saved_at(kStart) {
+  for (std::size_t number = 0; number < this->all.size(); ++number) {
+    this->Begin(number);
+    for (const bool near : {true, false}) {
+      this->time.At(kStart + FromSeconds(Seconds(this->Interval(near)) *
+                                         this->random.Unit()),
+                    [this, number, near] { this->TellRound(number, near); });
+    }
+  }
+  // The users' traffic begins when the processes have long heard each other.
+  this->time.At(kStart + 3s, [this] { this->Arrive(); });
+  if (this->options.all_restart) {
+    for (std::size_t number = 0; number < this->all.size(); ++number) {
+      this->time.At(kStart + 9s, [this, number] { this->End(number); });
+      this->time.At(kStart + 10s, [this, number] { this->Begin(number); });
+    }
+  }
+  if (this->options.roll_restart) {
+    this->time.At(kStart + 5s, [this] { this->RollOn(0); });
+  }
+}
+
+void QuotaFleet::Run() {
+  this->time.RunUntil(kStart + kLength);
+}
+
+void QuotaFleet::Begin(std::size_t number) {
+  Process& process = this->all[number];
+  process = {.way = this->make_way(*this, number),
+             .incarnation = Incarnation(++this->lives)};
+}
+
+void QuotaFleet::End(std::size_t number) {
+  this->all[number].up = false;
+}
+
+void QuotaFleet::RollOn(std::size_t number) {
+  this->End(number);
+  this->time.At(this->time.now + 500ms,
+                [this, number] { this->Begin(number); });
+  this->time.At(this->time.now + 1s, [this, number] {
+    this->RollOn((number + 1) % this->all.size());
+  });
+}
+
+quota::Quota QuotaFleet::limit() const {
+  const bool lowered = this->time.now >= kStart + 10s;
+  const double part = lowered ? this->options.lowered : 1;
+  return {.per_second = part * kLimit.per_second, .burst = part * kLimit.burst};
+}
+
+bool QuotaFleet::Cut(std::size_t number) const {
+  return this->time.now >= kStart + 4s && this->time.now < kStart + 14s &&
+         static_cast<double>(number) <
+             this->options.cut * static_cast<double>(this->all.size());
+}
+
+bool QuotaFleet::Reaches(std::size_t one, std::size_t other) const {
+  return this->all[one].up && this->all[other].up &&
+         (one == other || (!this->Cut(one) && !this->Cut(other)));
+}
+
+Duration QuotaFleet::Interval(bool near) const {
+  const std::size_t peers = this->all.size() - 1;
+  const std::size_t neighbours = peers / this->options.domains;
+  return RoundInterval(peers, near ? neighbours : peers - neighbours);
+}
+
+void QuotaFleet::TellRound(std::size_t number, bool near) {
+  if (this->all[number].up) {
+    const auto news = std::make_shared<const QuotaNews>(
+        this->all[number].way.tell(near ? 0 : 1, this->time.now));
+    const Incarnation incarnation = this->all[number].incarnation;
+    for (std::size_t to = 0; to < this->all.size(); ++to) {
+      if (to == number || !this->Reaches(number, to) ||
+          near !=
+              (to % this->options.domains == number % this->options.domains)) {
+        continue;
+      }
+      this->told += news->uses.size();
+      if (this->random.Unit() < this->options.lost) {
+        continue;
+      }
+      this->time.At(this->time.now + kOneWay, [this, number, to, news,
+                                               incarnation] {
+        if (this->all[to].up) {
+          this->all[to].way.hear(number, incarnation, *news, this->time.now);
+        }
+      });
+    }
+  }
+  this->time.At(this->time.now + this->Interval(near),
+                [this, number, near] { this->TellRound(number, near); });
+}
+
+bool QuotaFleet::Owed(double amount) {
+  const quota::Quota limit = this->limit();
+  this->saved = std::min(
+      limit.burst, this->saved + limit.per_second *
+                                     Seconds(this->time.now - this->saved_at));
+  this->saved_at = this->time.now;
+  if (this->saved < amount) {
+    return false;
+  }
+  this->saved -= amount;
+  return true;
+}
+
+void QuotaFleet::Arrive() {
+  const Duration since = this->time.now - kStart;
+  const bool hot = since >= 5s && since < 12s;
+  const double rate = kLimit.per_second * this->options.demand *
+                      (hot ? this->options.hot : 1) / kMeanTokens;
+  const double amount =
+      kLeastTokens + 2 * (kMeanTokens - kLeastTokens) * this->random.Unit();
+  const std::size_t through =
+      this->options.through == 0 ? this->all.size() : this->options.through;
+  const std::size_t number = this->random.Below(through);
+  if (this->all[number].up) {
+    const bool owed_now = this->Owed(amount);
+    const bool granted = this->all[number].way.take(amount, this->time.now);
+    this->owed += owed_now ? amount : 0;
+    this->refused += owed_now && !granted ? amount : 0;
+    if (granted) {
+      this->grants.push_back({.at = this->time.now, .amount = amount});
+    }
+  }
+  this->time.At(
+      this->time.now + FromSeconds(this->random.Exponential(1 / rate)),
+      [this] { this->Arrive(); });
+}
+
+double QuotaFleet::fullest_window() const {
+  double fullest = 0;
+  double within = 0;
+  std::size_t oldest = 0;
+  for (const Grant& grant : this->grants) {
+    within += grant.amount;
+    while (this->grants[oldest].at < grant.at - kWindow) {
+      within -= this->grants[oldest++].amount;
+    }
+    // A lowered limit binds a window after it is known.
+    const bool lowered = grant.at >= kStart + 10s + kWindow;
+    const double part = lowered ? this->options.lowered : 1;
+    const double allowed =
+        part * (kLimit.per_second * Seconds(kWindow) + kLimit.burst) *
+            (1 + kOvershoot) +
+        kSlack;
+    fullest = std::max(fullest, within / allowed);
+  }
+  return fullest;
+}
+
+double QuotaFleet::news_per_second() const {
+  constexpr double kBytesOfUse = 28;
+  return static_cast<double>(this->told) * kBytesOfUse / Seconds(kLength) /
+         static_cast<double>(this->all.size());
+}
+
+}  // namespace acacialug::gateway::testing
--- /dev/null
+++ b/src/gateway/tests/quota_fleet_test.cc
@@ -0,0 +1,90 @@
+#include "gateway/tests/quota_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "framework/testing/story.h"
+
+namespace acacialug::gateway {
+namespace {
+
+using acacialug::testing::ForEach;
+using testing::LedgerWay;
+using testing::QuotaCase;
+using testing::QuotaFleet;
+
+std::string NameOfCase(const QuotaCase& row) {
+  return row.name;
+}
+
+// As the users judge it: what was taken in any window, at all processes.
+void KeepsTheBound(const QuotaCase& row) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    QuotaCase seeded = row;
+    seeded.seed = seed;
+    QuotaFleet fleet(seeded, LedgerWay());
+    fleet.Run();
+    CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                           fleet.fullest_window() <= 1);
+  }
+}
+
+double WronglyRefused(const QuotaCase& row) {
+  double refused = 0;
+  constexpr std::uint64_t kSeeds = 10;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    QuotaCase seeded = row;
+    seeded.seed = seed;
+    QuotaFleet fleet(seeded, LedgerWay());
+    fleet.Run();
+    refused += fleet.wrongly_refused();
+  }
+  return refused / kSeeds;
+}
+
+const std::vector<QuotaCase> kInTouch = {
+    {.name = "steady"},
+    {.name = "through two processes", .through = 2},
+    {.name = "at five processes", .processes = 5},
+    {.name = "at 103 processes", .processes = 103, .domains = 6},
+    {.name = "beside lossy links", .lost = 0.3},
+};
+
+const std::vector<QuotaCase> kBeyond = {
+    {.name = "at three times its usual", .hot = 3},
+    {.name = "at eight times its usual", .hot = 8},
+    {.name = "through two processes", .through = 2, .hot = 8},
+    {.name = "at 103 processes", .processes = 103, .domains = 6, .hot = 8},
+    {.name = "beside lossy links", .hot = 8, .lost = 0.3},
+    {.name = "whose limit is lowered", .hot = 3, .lowered = 0.3},
+    {.name = "with half of the processes cut off", .hot = 8, .cut = 0.5},
+    {.name = "with each process cut off", .hot = 8, .cut = 1},
+    {.name = "when all start anew", .hot = 8, .all_restart = true},
+    {.name = "when one after the other starts anew",
+     .hot = 8,
+     .roll_restart = true},
+    {.name = "cut off, lossy and starting anew, with its limit lowered",
+     .hot = 8,
+     .lowered = 0.5,
+     .lost = 0.2,
+     .cut = 0.35,
+     .roll_restart = true},
+};
+
+const acacialug::testing::Story kStory(
+    "a customer whose requests reach many gateways",
+    {ForEach<QuotaCase>("within its limit is not refused, ",
+                        kInTouch,
+                        NameOfCase,
+                        [](const QuotaCase& row) {
+                          CPPUNIT_ASSERT(WronglyRefused(row) <= 0.005);
+                        }),
+     ForEach<QuotaCase>("beyond its limit gets no more than it, ",
+                        kBeyond,
+                        NameOfCase,
+                        KeepsTheBound)});
+
+}  // namespace
+}  // namespace acacialug::gateway
--- a/src/gateway/tests/request_key_test.cc
+++ b/src/gateway/tests/request_key_test.cc
@@ -30,8 +30,9 @@
           again.message.headers.push_back({"Deadline", "3000"});
           CPPUNIT_ASSERT(RequestKeyOf(Request()) == RequestKeyOf(again));
         }),
-     It("is another for another method, host, target or body", [] {
+     It("is another for another customer, method, host, target or body", [] {
        for (const auto& change : std::vector<std::function<void(WorkRequest&)>>{
+                [](WorkRequest& other) { other.customer = CustomerName("c1"); },
                 [](WorkRequest& other) { other.message.method = "PUT"; },
                 [](WorkRequest& other) { other.host = "i.example"; },
                 [](WorkRequest& other) { other.message.target = "/a/b"; },
--- a/src/gateway/types/configuration.h
+++ b/src/gateway/types/configuration.h
@@ -9,6 +9,7 @@
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
+#include "gateway/types/customer.h"
 
 namespace acacialug::gateway {
 
@@ -50,6 +51,7 @@
   Duration objective{};  // to a whole answer, or the first event
   // The longest pause between two events that is on time; zero: none stated.
   Duration longest_pause{};
+  bool open_to_all = false;  // needs no customer's key
 };
 
 // How a model engine of a service works, as its operator declares it.
@@ -83,6 +85,8 @@
   std::vector<Route> routes;
   std::vector<ServiceTraits> services;
   CallerLimits limits;
+  // Empty: nobody needs a key. No key belongs to two of them.
+  std::optional<std::vector<Customer>> customers;
 };
 
 }  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway/types/customer.h
@@ -0,0 +1,59 @@
+#ifndef GATEWAY_TYPES_CUSTOMER_H_
+#define GATEWAY_TYPES_CUSTOMER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "framework/global/types/enum_names.h"
+#include "framework/global/types/identifiers.h"
+
+namespace acacialug::gateway {
+
+// Stands for a customer's key, which is kept nowhere: its SHA-256.
+struct KeyDigest {
+  std::array<std::uint8_t, 32> bytes{};
+
+  friend auto operator<=>(const KeyDigest&, const KeyDigest&) = default;
+};
+
+// What a customer's limit is counted in.
+enum class LimitUnit { kRequests, kTokens };
+inline constexpr EnumNames<LimitUnit, 2> kLimitUnitNames = {
+    {{LimitUnit::kRequests, "requests"}, {LimitUnit::kTokens, "tokens"}}};
+
+// What a customer may ask for, at all processes together.
+struct CustomerLimit {
+  LimitUnit unit = LimitUnit::kRequests;
+  double per_second = 0;  // zero: no limit
+  double burst = 0;
+  // What a request without a stated size counts, in tokens.
+  std::uint64_t unsized_tokens = 1;
+
+  friend bool operator==(const CustomerLimit&, const CustomerLimit&) = default;
+};
+
+struct Customer {
+  CustomerName name;
+  std::vector<KeyDigest> keys;
+  std::optional<std::uint32_t> priority;  // in place of the route's
+  CustomerLimit limit;
+};
+
+}  // namespace acacialug::gateway
+
+template <>
+struct std::hash<acacialug::gateway::KeyDigest> {
+  std::size_t operator()(
+      const acacialug::gateway::KeyDigest& digest) const noexcept {
+    std::size_t hash = 0;
+    std::memcpy(&hash, digest.bytes.data(), sizeof(hash));
+    return hash;
+  }
+};
+
+#endif  // GATEWAY_TYPES_CUSTOMER_H_
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -44,6 +44,9 @@
   std::function<
       void(log::Level level, std::string_view event, log::Record record)>
       note;
+  // A request was refused before it was queued or placed; `customer` may be
+  // null. May be empty.
+  std::function<void(ResultCode code, const Customer* customer)> on_refusal;
   // A request ended.
   std::function<void(const Route& route, const RelayOutcome& outcome)> on_end;
 };
--- a/src/gateway/types/work_request.h
+++ b/src/gateway/types/work_request.h
@@ -7,6 +7,7 @@
 
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
+#include "gateway/types/customer.h"
 
 namespace acacialug::gateway {
 
@@ -28,6 +29,8 @@
   std::optional<Duration> deadline;  // from the request's arrival
   std::optional<GenerationSize> size;
   std::optional<std::uint64_t> resume_after;  // the last event that it has
+  std::optional<KeyDigest> key;               // of the customer, as shown
+  CustomerName customer;                      // that holds the key; may be none
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -2,6 +2,7 @@
 
 #include <QTimer>
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "framework/http/http_client.h"
@@ -31,6 +32,7 @@
 // what the planned rates give on a calm day.
 constexpr std::uint64_t kInfoLines = 200;
 constexpr std::uint64_t kWarningLines = 500;
+constexpr std::size_t kCountedCustomers = 64;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -146,6 +148,8 @@
             .placement = settings.placement,
             .admission = settings.admission,
             .crashes = settings.crashes,
+            .quota_overshoot = settings.quota_overshoot,
+            .quota_spare = settings.quota_spare,
             .hooks = this->CoreHooks(),
             .dialect = this->options.dialect};
   }
@@ -184,6 +188,10 @@
                                                 : this->info_limiter,
                   MonotonicNow(), level, event, std::move(record));
             },
+        .on_refusal =
+            [this](ResultCode code, const gateway::Customer* customer) {
+              this->CountRefusal(code, customer);
+            },
         .on_end =
             [this](const gateway::Route& route,
                    const gateway::RelayOutcome& outcome) {
@@ -224,6 +232,19 @@
         .on_crash =
             [this](const retry::CrashRecord& told) { this->SetCrash(told); },
         .on_newcomer = [this] { this->core.TellCrashesAgain(); },
+        .tell_quotas =
+            [this](std::size_t group, std::size_t most) {
+              return this->core.TellQuotas(group, most);
+            },
+        .on_heard =
+            [this](const std::string& peer, Incarnation incarnation,
+                   const std::vector<quota::QuotaUse>& told) {
+              this->core.NotePeerHeard(peer, incarnation, told);
+            },
+        .on_listed =
+            [this](const std::string& peer) {
+              this->core.NotePeerListed(peer);
+            },
         .on_peer_count =
             [this](std::size_t heard, std::size_t known, bool first) {
               this->core.SetPeers(known, first);
@@ -357,6 +378,21 @@
     }
   }
 
+  // Customers beyond a number are counted together: the labels are bounded.
+  void CountRefusal(ResultCode code, const gateway::Customer* customer) {
+    std::string name;
+    if (customer != nullptr) {
+      const bool listed =
+          this->counted_customers.contains(customer->name) ||
+          (this->counted_customers.size() < kCountedCustomers &&
+           this->counted_customers.insert(customer->name).second);
+      name = listed ? customer->name.text : "(others)";
+    }
+    this->registry
+        .Get(kGatewayRefusalsTotal, {std::string(ResultCodeName(code)), name})
+        .Add();
+  }
+
   void WakeAt(Instant at) {
     if (at != kNever) {
       this->alarm.start(MillisecondsUntil(at));
@@ -405,6 +441,7 @@
   std::unique_ptr<http::Server> operations;
   Instant drain_begun{};
   std::size_t heard = 0;
+  std::set<CustomerName> counted_customers;
   bool draining = false;
   bool stopped_accepting = false;
   bool was_ready = false;
--- a/src/gateway_process/internal/catalog_page.cc
+++ b/src/gateway_process/internal/catalog_page.cc
@@ -3,11 +3,15 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
+
+#include "gateway/key_digest.h"
 
 namespace acacialug::gateway_process {
 namespace {
 
 using gateway::Configuration;
+using gateway::Customer;
 using gateway::EndpointChange;
 using gateway::EndpointRecord;
 using gateway::EngineTraits;
@@ -41,7 +45,8 @@
           {"priority", route.priority},
           {"timeout_us", route.timeout.count()},
           {"objective_us", route.objective.count()},
-          {"longest_pause_us", route.longest_pause.count()}};
+          {"longest_pause_us", route.longest_pause.count()},
+          {"open_to_all", route.open_to_all}};
 }
 
 Route RouteOf(const Json& json) {
@@ -55,7 +60,8 @@
       .timeout = Duration(json.at("timeout_us").get<std::int64_t>()),
       .objective = Duration(json.at("objective_us").get<std::int64_t>()),
       .longest_pause =
-          Duration(json.value("longest_pause_us", std::int64_t{0}))};
+          Duration(json.value("longest_pause_us", std::int64_t{0})),
+      .open_to_all = json.value("open_to_all", false)};
   for (const Json& choice : json.at("services")) {
     route.services.push_back(
         {.service = ServiceName(choice.at(0).get<std::string>()),
@@ -100,6 +106,43 @@
   return service;
 }
 
+Json ToJson(const Customer& customer) {
+  Json keys = Json::array();
+  for (const gateway::KeyDigest& key : customer.keys) {
+    keys.push_back(ToText(key));
+  }
+  Json json = {{"name", customer.name.text},
+               {"keys", std::move(keys)},
+               {"unit", NameOf(gateway::kLimitUnitNames, customer.limit.unit)},
+               {"per_second", customer.limit.per_second},
+               {"burst", customer.limit.burst},
+               {"unsized_tokens", customer.limit.unsized_tokens}};
+  if (customer.priority) {
+    json["priority"] = *customer.priority;
+  }
+  return json;
+}
+
+Customer CustomerOf(const Json& json) {
+  Customer customer{
+      .name = CustomerName(json.at("name").get<std::string>()),
+      .limit = {.unit = ReadEnum(json.at("unit"), gateway::kLimitUnitNames),
+                .per_second = json.at("per_second"),
+                .burst = json.at("burst"),
+                .unsized_tokens = json.at("unsized_tokens")}};
+  for (const Json& text : json.at("keys")) {
+    const auto key = gateway::ParseKeyDigest(text.get<std::string>());
+    if (!key) {
+      throw Json::other_error::create(501, "not a key's digest", &json);
+    }
+    customer.keys.push_back(*key);
+  }
+  if (json.contains("priority")) {
+    customer.priority = json.at("priority");
+  }
+  return customer;
+}
+
 Json ToJson(const Configuration& configuration) {
   Json routes = Json::array();
   for (const Route& route : configuration.routes) {
@@ -109,14 +152,22 @@
   for (const ServiceTraits& service : configuration.services) {
     services.push_back(ToJson(service));
   }
-  return {{"version", configuration.version},
-          {"offset", configuration.offset.value},
-          {"routes", std::move(routes)},
-          {"services", std::move(services)},
-          {"max_header_bytes", configuration.limits.max_header_bytes},
-          {"max_body_bytes", configuration.limits.max_body_bytes},
-          {"header_timeout_us", configuration.limits.header_timeout.count()},
-          {"idle_timeout_us", configuration.limits.idle_timeout.count()}};
+  Json json = {
+      {"version", configuration.version},
+      {"offset", configuration.offset.value},
+      {"routes", std::move(routes)},
+      {"services", std::move(services)},
+      {"max_header_bytes", configuration.limits.max_header_bytes},
+      {"max_body_bytes", configuration.limits.max_body_bytes},
+      {"header_timeout_us", configuration.limits.header_timeout.count()},
+      {"idle_timeout_us", configuration.limits.idle_timeout.count()}};
+  if (configuration.customers) {
+    Json& customers = json["customers"] = Json::array();
+    for (const Customer& customer : *configuration.customers) {
+      customers.push_back(ToJson(customer));
+    }
+  }
+  return json;
 }
 
 Configuration ConfigurationOf(const Json& json) {
@@ -134,6 +185,12 @@
       .header_timeout =
           Duration(json.at("header_timeout_us").get<std::int64_t>()),
       .idle_timeout = Duration(json.at("idle_timeout_us").get<std::int64_t>())};
+  if (json.contains("customers")) {
+    std::vector<Customer>& customers = configuration.customers.emplace();
+    for (const Json& customer : json.at("customers")) {
+      customers.push_back(CustomerOf(customer));
+    }
+  }
   return configuration;
 }
 
--- /dev/null
+++ b/src/gateway_process/internal/heartbeat_rows.cc
@@ -0,0 +1,80 @@
+#include "gateway_process/internal/heartbeat_rows.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+namespace acacialug::gateway_process {
+namespace {
+
+// The sender's clock may have stood still, so that a duration is any size.
+std::uint32_t MillisecondsOf(Duration duration) {
+  const std::int64_t whole =
+      std::chrono::floor<std::chrono::milliseconds>(duration).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(whole, 0, UINT32_MAX));
+}
+
+}  // namespace
+
+protocol::PeerHeartbeat::Crash CrashRow(const retry::CrashRecord& record) {
+  protocol::PeerHeartbeat::Crash crash{.request_key = record.request.value,
+                                       .age_ms = MillisecondsOf(record.age)};
+  for (const retry::CrashEnd& end : record.ends) {
+    crash.ends.push_back(
+        {.endpoint_key = end.endpoint, .attempt_key = end.attempt});
+  }
+  return crash;
+}
+
+retry::CrashRecord RecordOf(const protocol::PeerHeartbeat::Crash& told) {
+  retry::CrashRecord record{.request = retry::RequestKey(told.request_key),
+                            .age = std::chrono::milliseconds(told.age_ms)};
+  for (const protocol::PeerHeartbeat::Crash::End& end : told.ends) {
+    record.ends.push_back(
+        {.endpoint = end.endpoint_key, .attempt = end.attempt_key});
+  }
+  return record;
+}
+
+std::vector<protocol::PeerHeartbeat::Quota> QuotaRows(
+    const std::vector<quota::QuotaUse>& uses) {
+  std::vector<protocol::PeerHeartbeat::Quota> rows;
+  rows.reserve(uses.size());
+  for (const quota::QuotaUse& use : uses) {
+    rows.push_back({.customer_key = use.customer.value,
+                    .account = use.account,
+                    .age_ms = MillisecondsOf(use.age),
+                    .taken = use.taken,
+                    .left = static_cast<float>(use.left)});
+  }
+  return rows;
+}
+
+std::vector<quota::QuotaUse> QuotaUses(
+    const std::vector<protocol::PeerHeartbeat::Quota>& rows) {
+  std::vector<quota::QuotaUse> uses;
+  uses.reserve(rows.size());
+  for (const protocol::PeerHeartbeat::Quota& row : rows) {
+    uses.push_back({.customer = quota::CustomerKey(row.customer_key),
+                    .account = row.account,
+                    .age = std::chrono::milliseconds(row.age_ms),
+                    .taken = row.taken,
+                    .left = row.left});
+  }
+  return uses;
+}
+
+gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat, bool near) {
+  gateway::PeerLoad load{.near = near};
+  load.rows.reserve(heartbeat.rows.size());
+  for (const protocol::PeerHeartbeat::Row& row : heartbeat.rows) {
+    load.rows.push_back({.endpoint_key = row.endpoint_key,
+                         .load = {.requests = row.requests,
+                                  .kv_tokens = row.kv_tokens,
+                                  .prefill_tokens = row.prefill_tokens}});
+  }
+  return load;
+}
+
+}  // namespace acacialug::gateway_process
--- /dev/null
+++ b/src/gateway_process/internal/heartbeat_rows.h
@@ -0,0 +1,28 @@
+#ifndef GATEWAY_PROCESS_INTERNAL_HEARTBEAT_ROWS_H_
+#define GATEWAY_PROCESS_INTERNAL_HEARTBEAT_ROWS_H_
+
+#include <vector>
+
+#include "gateway/types/endpoint_load.h"
+#include "protocol/types/peer_heartbeat.h"
+#include "quota/types/quota_use.h"
+#include "retry/types/crash_record.h"
+
+namespace acacialug::gateway_process {
+
+// What a heartbeat tells, in the words of whoever decides by it. Thread safe.
+
+protocol::PeerHeartbeat::Crash CrashRow(const retry::CrashRecord& record);
+retry::CrashRecord RecordOf(const protocol::PeerHeartbeat::Crash& told);
+
+std::vector<protocol::PeerHeartbeat::Quota> QuotaRows(
+    const std::vector<quota::QuotaUse>& uses);
+std::vector<quota::QuotaUse> QuotaUses(
+    const std::vector<protocol::PeerHeartbeat::Quota>& rows);
+
+// `near`: the sender is of the reader's failure domain.
+gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat, bool near);
+
+}  // namespace acacialug::gateway_process
+
+#endif  // GATEWAY_PROCESS_INTERNAL_HEARTBEAT_ROWS_H_
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -13,6 +13,7 @@
 #include "gateway/peer_rounds.h"
 #include "gateway_process/internal/catalog_handout.h"
 #include "gateway_process/internal/catalog_sources.h"
+#include "gateway_process/internal/heartbeat_rows.h"
 #include "placement/types/hashing.h"
 #include "protocol/message_codec.h"
 
@@ -127,6 +128,7 @@
       if (id == this->options.id) {
         continue;
       }
+      this->options.on_listed(id);
       Peer& peer = this->peers[id];
       if (!peer.heard || peer.address.port == 0) {
         peer.address = address;
@@ -238,6 +240,9 @@
         .endpoints = this->known.changed_to,
         .read_age_ms = this->ReadAge()};
     this->AddCrashes(heartbeat, group);
+    heartbeat.quotas =
+        QuotaRows(this->options.tell_quotas(&group == &this->near_group ? 0 : 1,
+                                            protocol::kMaxPeerHeartbeatQuotas));
     this->AddLoad(heartbeat);
     this->AddPauses(heartbeat, group);
     this->AddForecast(heartbeat, group);
@@ -251,19 +256,13 @@
         protocol::kMaxPeerHeartbeatCrashes, group.rounds);
     group.rounds += told.empty() ? 0 : 1;
     for (const retry::CrashRecord& record : told) {
-      protocol::PeerHeartbeat::Crash& crash = heartbeat.crashes.emplace_back();
-      crash.request_key = record.request.value;
-      for (const retry::CrashEnd& end : record.ends) {
-        crash.ends.push_back(
-            {.endpoint_key = end.endpoint, .attempt_key = end.attempt});
-      }
-      crash.age_ms = static_cast<std::uint32_t>(
-          std::chrono::floor<std::chrono::milliseconds>(record.age).count());
+      heartbeat.crashes.push_back(CrashRow(record));
     }
   }
 
   void AddLoad(protocol::PeerHeartbeat& heartbeat) const {
     const std::size_t most = protocol::kMaxPeerHeartbeatRows -
+                             heartbeat.quotas.size() -
                              protocol::kRowsPerCrash * heartbeat.crashes.size();
     gateway::PeerLoad load = this->options.own_load();
     if (load.rows.size() > most) {
@@ -383,6 +382,8 @@
     for (const protocol::PeerHeartbeat::Crash& told : heartbeat->crashes) {
       this->options.on_crash(RecordOf(told));
     }
+    this->options.on_heard(heartbeat->sender, heartbeat->incarnation,
+                           QuotaUses(heartbeat->quotas));
     this->options.on_load(heartbeat->sender, LoadOf(*heartbeat, peer.near));
     this->sources.NoteTold(heartbeat->sender,
                            {.configuration = heartbeat->configuration,
@@ -408,30 +409,6 @@
     this->options.on_forecast(told);
   }
 
-  static retry::CrashRecord RecordOf(
-      const protocol::PeerHeartbeat::Crash& told) {
-    retry::CrashRecord record{.request = retry::RequestKey(told.request_key),
-                              .age = std::chrono::milliseconds(told.age_ms)};
-    for (const protocol::PeerHeartbeat::Crash::End& end : told.ends) {
-      record.ends.push_back(
-          {.endpoint = end.endpoint_key, .attempt = end.attempt_key});
-    }
-    return record;
-  }
-
-  static gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat,
-                                  bool near) {
-    gateway::PeerLoad load{.near = near};
-    load.rows.reserve(heartbeat.rows.size());
-    for (const protocol::PeerHeartbeat::Row& row : heartbeat.rows) {
-      load.rows.push_back({.endpoint_key = row.endpoint_key,
-                           .load = {.requests = row.requests,
-                                    .kv_tokens = row.kv_tokens,
-                                    .prefill_tokens = row.prefill_tokens}});
-    }
-    return load;
-  }
-
   // After this process stood still the timer may run before what came meanwhile
   // is read: all peers would be lost at once (`peer_lost`), none of which was
   // silent, and this process would take their share upon itself.
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -7,6 +7,7 @@
 
 // Beyond any fleet's; a mistyped exponent is told.
 constexpr double kMostRepeats = 1e9;
+constexpr double kMostSpare = 1e12;
 
 settings::ParsedRule<http::Address> AddressRule() {
   return {.parse = http::ParseAddress, .expected = "IP:PORT"};
@@ -92,6 +93,15 @@
       "time", {.fallback = into.quarantine, .minimum = 0ms, .maximum = 1h});
 }
 
+void ReadQuotas(const settings::Table& table, GatewaySettings& into) {
+  into.quota_overshoot = table.Number(
+      "overshoot",
+      {.fallback = into.quota_overshoot, .minimum = 0, .maximum = 1});
+  into.quota_spare = table.Number(
+      "spare",
+      {.fallback = into.quota_spare, .minimum = 0, .maximum = kMostSpare});
+}
+
 }  // namespace
 
 GatewaySettings ReadGatewaySettings(const settings::Table& root) {
@@ -101,6 +111,7 @@
   ReadPlacement(root.Child("placement"), settings.placement);
   ReadAdmission(root.Child("admission"), settings.admission);
   ReadQuarantine(root.Child("quarantine"), settings.crashes);
+  ReadQuotas(root.Child("quotas"), settings);
   settings.log_level = root.Child("log").Choice<log::Level>(
       "level", log::kLevelNames, settings.log_level);
   return settings;
--- a/src/gateway_process/metric_definitions.h
+++ b/src/gateway_process/metric_definitions.h
@@ -11,6 +11,12 @@
     .name = "acacialug_gateway_requests_total",
     .help = "Requests that ended, by route kind and end",
     .labels = {"kind", "end"}};
+// Labels: the result code's name; the customer, empty if it is not known, or
+// "(others)" beyond the first 64.
+inline constexpr metrics::CounterDefinition kGatewayRefusalsTotal = {
+    .name = "acacialug_gateway_refusals_total",
+    .help = "Requests refused before they were queued or placed",
+    .labels = {"code", "customer"}};
 inline constexpr metrics::CounterDefinition kGatewaySendsTotal = {
     .name = "acacialug_gateway_sends_total",
     .help = "Requests sent to endpoints, by step (work or prefill)",
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -15,6 +15,7 @@
 #include "framework/http/http_types.h"
 #include "gateway/types/endpoint_load.h"
 #include "gateway_process/internal/catalog_page.h"
+#include "quota/types/quota_use.h"
 #include "retry/types/crash_record.h"
 
 namespace acacialug::gateway_process {
@@ -52,6 +53,17 @@
         tell_crashes;
     std::function<void(const retry::CrashRecord& told)> on_crash;
     std::function<void()> on_newcomer;
+    // Customers' quotas: what the peers of a group should hear of what this
+    // process took; that a peer was heard, with what it told; and that one is
+    // said to be there.
+    std::function<std::vector<quota::QuotaUse>(std::size_t group,
+                                               std::size_t most)>
+        tell_quotas;
+    std::function<void(const std::string& peer,
+                       Incarnation incarnation,
+                       const std::vector<quota::QuotaUse>& told)>
+        on_heard;
+    std::function<void(const std::string& peer)> on_listed;
     // How many peers are heard, how many there were lately, heard or not, and
     // whether this process's id is the first of those heard.
     std::function<void(std::size_t heard, std::size_t known, bool first)>
--- a/src/gateway_process/tests/gateway_process_test.cc
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -12,6 +12,7 @@
 #include "framework/settings/reader.h"
 #include "framework/settings/units.h"
 #include "framework/testing/story.h"
+#include "gateway/key_digest.h"
 #include "gateway_process/internal/catalog_page.h"
 #include "gateway_process/settings_reader.h"
 #include "gateway_process/tests/gateway_support.h"
@@ -44,6 +45,39 @@
           CPPUNIT_ASSERT(*read->endpoints.records[0].record ==
                          *known.endpoints.records[0].record);
         }),
+     It("gives customers and their keys' digests, and none where there are "
+        "none",
+        [] {
+          gateway::Configuration configuration = OneRoute("s");
+          configuration.routes[0].open_to_all = true;
+          configuration.customers.emplace().push_back(
+              {.name = CustomerName("c"),
+               .keys = {gateway::DigestOf("k1"), gateway::DigestOf("k2")},
+               .priority = 2,
+               .limit = {.unit = gateway::LimitUnit::kTokens,
+                         .per_second = 1.5,
+                         .burst = 3,
+                         .unsized_tokens = 200}});
+          configuration.customers->push_back({.name = CustomerName("d")});
+          const Catalog known{.configuration =
+                                  std::make_shared<gateway::Configuration>(
+                                      std::move(configuration))};
+          const std::string page = RenderCatalog(known);
+          const Result<Catalog> read = ParseCatalog(page);
+          CPPUNIT_ASSERT(read.ok());
+          CPPUNIT_ASSERT_EQUAL(page, RenderCatalog(*read));
+          const auto& customers = *read->configuration->customers;
+          CPPUNIT_ASSERT(customers[0].keys ==
+                         known.configuration->customers->at(0).keys);
+          CPPUNIT_ASSERT(customers[0].limit ==
+                         known.configuration->customers->at(0).limit);
+          CPPUNIT_ASSERT(read->configuration->routes[0].open_to_all);
+          const Catalog keyless{
+              .configuration =
+                  std::make_shared<gateway::Configuration>(OneRoute("s"))};
+          CPPUNIT_ASSERT(
+              !ParseCatalog(RenderCatalog(keyless))->configuration->customers);
+        }),
      It("is asked for with what is known, or by programs that do not tell",
         [] {
           CPPUNIT_ASSERT(KnownByTarget(CatalogTarget(LogOffset(6))) ==
@@ -88,11 +122,14 @@
           settings::Reader reader = settings::Reader::FromText(
               "t", kSettings +
                        "drain_grace = \"8s\"\n[repeats]\nextra = 7\n"
-                       "[admission]\nlongest_wait = \"20ms\"\n");
+                       "[admission]\nlongest_wait = \"20ms\"\n"
+                       "[quotas]\novershoot = 0.1\nspare = 140000\n");
           const GatewaySettings read = ReadGatewaySettings(reader.Root());
           CPPUNIT_ASSERT(reader.Finish().empty());
           CPPUNIT_ASSERT(read.drain_grace == Duration(8s));
           CPPUNIT_ASSERT_EQUAL(7.0, read.repeat_extra);
+          CPPUNIT_ASSERT_EQUAL(0.1, read.quota_overshoot);
+          CPPUNIT_ASSERT_EQUAL(140000.0, read.quota_spare);
           CPPUNIT_ASSERT(read.admission.longest_wait == Duration(20ms));
           CPPUNIT_ASSERT(!read.operations_listen);
         }),
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -19,6 +19,7 @@
 #include "gateway_process/tests/gateway_support.h"
 #include "placement/types/hashing.h"
 #include "protocol/message_codec.h"
+#include "quota/quota_ledger.h"
 #include "retry/crash_ledger.h"
 
 namespace acacialug::gateway_process {
@@ -73,6 +74,21 @@
                     this->crashes.Merge(told, this->Now());
                   },
               .on_newcomer = [this] { this->crashes.TellAgain(this->Now()); },
+              .tell_quotas =
+                  [this](std::size_t group, std::size_t most) {
+                    return this->quotas.Tell(group, most, this->Now());
+                  },
+              .on_heard =
+                  [this](const std::string& peer,
+                         Incarnation incarnation,
+                         const std::vector<quota::QuotaUse>& told) {
+                    this->quotas.NoteHeard(peer, incarnation, told,
+                                           this->Now());
+                  },
+              .on_listed =
+                  [this](const std::string& peer) {
+                    this->quotas.NoteListed(peer, this->Now());
+                  },
               .on_peer_count =
                   [this](std::size_t alive, std::size_t, bool is_first) {
                     this->peers = alive;
@@ -108,6 +124,9 @@
   gateway::PeerLoad load;
   Catalog known;
   retry::CrashLedger crashes{{}};
+  quota::QuotaLedger quotas{{.quota_of = [](quota::CustomerKey) {
+    return quota::Quota{.per_second = 1000, .burst = 1000};
+  }}};
   std::vector<gateway::EndpointPause> pauses;
   std::map<std::string, gateway::PeerLoad> heard;
   gateway::EndpointPause heard_pause;
--- a/src/gateway_process/types/gateway_settings.h
+++ b/src/gateway_process/types/gateway_settings.h
@@ -35,6 +35,9 @@
   gateway::StreamPlacement::Options placement;
   gateway::AdmissionQueue::Options admission;
   retry::CrashLedger::Options crashes;
+  // quota::QuotaLedger::Options.
+  double quota_overshoot = 0;
+  double quota_spare = 0;
 };
 
 }  // namespace acacialug::gateway_process
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -6,6 +6,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <cmath>
 #include <ostream>
 #include <streambuf>
 
@@ -75,8 +76,14 @@
 }
 
 bool IsBounded(const PeerHeartbeat& heartbeat) {
-  return heartbeat.rows.size() + kRowsPerCrash * heartbeat.crashes.size() <=
+  return heartbeat.rows.size() + heartbeat.quotas.size() +
+                 kRowsPerCrash * heartbeat.crashes.size() <=
              kMaxPeerHeartbeatRows &&
+         heartbeat.quotas.size() <= kMaxPeerHeartbeatQuotas &&
+         std::all_of(heartbeat.quotas.begin(), heartbeat.quotas.end(),
+                     [](const PeerHeartbeat::Quota& quota) {
+                       return std::isfinite(quota.left);
+                     }) &&
          heartbeat.crashes.size() <= kMaxPeerHeartbeatCrashes &&
          std::all_of(heartbeat.crashes.begin(), heartbeat.crashes.end(),
                      [](const PeerHeartbeat::Crash& crash) {
@@ -100,7 +107,7 @@
 Result<PeerHeartbeat> DecodePeerHeartbeat(std::string_view datagram) {
   Result<PeerHeartbeat> heartbeat = DecodeDatagram<PeerHeartbeat>(datagram);
   if (heartbeat.ok() && !IsBounded(*heartbeat)) {
-    return Error(ResultCode::kBadFrame, "too many rows");
+    return Error(ResultCode::kBadFrame, "too many rows, or one that cannot be");
   }
   return heartbeat;
 }
--- a/src/protocol/tests/peer_heartbeat_test.cc
+++ b/src/protocol/tests/peer_heartbeat_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <string>
 
 #include "framework/testing/story.h"
@@ -48,6 +49,19 @@
   return heartbeat;
 }
 
+PeerHeartbeat FullOfQuotas() {
+  PeerHeartbeat heartbeat = Full();
+  for (std::size_t number = 0; number < kMaxPeerHeartbeatQuotas; ++number) {
+    heartbeat.quotas.push_back({.customer_key = number,
+                                .account = 3,
+                                .age_ms = 9000,
+                                .taken = -5,
+                                .left = -0.5F});
+  }
+  heartbeat.rows.resize(kMaxPeerHeartbeatRows - kMaxPeerHeartbeatQuotas);
+  return heartbeat;
+}
+
 const acacialug::testing::Story kStory(
     "a peer's heartbeat",
     {It("comes back as it was, and fits a datagram when it is full",
@@ -66,6 +80,26 @@
           heartbeat.rows.push_back({});
           CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
         }),
+     It("comes back with what was taken of quotas, and fits a datagram with it",
+        [] {
+          PeerHeartbeat heartbeat = FullOfQuotas();
+          const std::string datagram = Encode(heartbeat);
+          CPPUNIT_ASSERT(datagram.size() <= kMaxDatagramBytes);
+          const Result<PeerHeartbeat> read = DecodePeerHeartbeat(datagram);
+          CPPUNIT_ASSERT(read.ok());
+          CPPUNIT_ASSERT_EQUAL(datagram, Encode(*read));
+          CPPUNIT_ASSERT_EQUAL(std::int64_t{-5}, read->quotas[0].taken);
+        }),
+     It("with more quotas than it may have, or one that cannot be, is refused",
+        [] {
+          PeerHeartbeat heartbeat = FullOfQuotas();
+          heartbeat.rows.clear();
+          heartbeat.quotas.push_back({});
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
+          heartbeat.quotas = {
+              {.left = std::numeric_limits<float>::quiet_NaN()}};
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
+        }),
      It("with more forecasts or figures than it may have is refused",
         [] {
           PeerHeartbeat heartbeat = Full();
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -83,6 +83,21 @@
     }
   };
 
+  // What the sender took of a customer's quota: the fields of quota::QuotaUse.
+  struct Quota {
+    std::uint64_t customer_key = 0;  // hash of the customer's name
+    std::uint32_t account = 0;
+    std::uint32_t age_ms = 0;
+    std::int64_t taken = 0;
+    float left = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(this->customer_key, this->account, this->age_ms, this->taken,
+              this->left);
+    }
+  };
+
   std::string sender;
   std::uint64_t domain_key = 0;  // hash of the sender's failure domain
   Incarnation incarnation;
@@ -95,13 +110,14 @@
   std::vector<Pause> pauses;
   std::vector<Forecast> forecasts;
   std::vector<Crash> crashes;
+  std::vector<Quota> quotas;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->sender, this->domain_key, this->incarnation, this->sequence,
             this->pages_port, this->configuration, this->endpoints,
             this->read_age_ms, this->rows, this->pauses, this->forecasts,
-            this->crashes);
+            this->crashes, this->quotas);
   }
 };
 
@@ -115,6 +131,8 @@
 inline constexpr std::size_t kMaxCrashEnds = 3;
 // A crash takes the place of so many rows.
 inline constexpr std::size_t kRowsPerCrash = 2;
+// Each takes the place of a row.
+inline constexpr std::size_t kMaxPeerHeartbeatQuotas = 8;
 
 }  // namespace acacialug::protocol
 
