--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -182,6 +182,8 @@
               {"route", this->work.route->name},
               {"kind", NameOf(kWorkKindNames, this->work.route->kind)},
               {"request_key", HexText(this->work.key.value)},
+              {"customer", this->work.request.customer.text},
+              {"quota_taken", this->work.quota_taken},
               {"configuration", this->work.routes->configuration().version},
               {"waited_ms", this->outcome.waited},
               {"first_byte_ms", this->outcome.first_byte},
