Make more prefill endpoints only when those there are kept busy

Cause: the shares follow from the means of the first three requests at one process, and nothing that happens was held against them.

Change: prefill endpoints are made only while those there were in use for 0.6 over the last seconds, by what all processes have placed.

--- a/src/gateway/role_planner.cc
+++ b/src/gateway/role_planner.cc
@@ -8,6 +8,8 @@
 
 // Weight of the newest request in the means, once there are many.
 constexpr double kNewest = 0.02;
+// The same of the newest look at what is in use; they are half a second apart.
+constexpr double kNewestLook = 0.25;
 // Below this number of endpoints one prefill endpoint must do; above, the loss
 // of one must leave another.
 constexpr std::size_t kSpareFrom = 6;
@@ -42,6 +44,21 @@
   return endpoints.size() - std::min(endpoints.size(), needed);
 }
 
+// The part of the prefill endpoints that is in use.
+double PrefillUse(const std::vector<const EndpointRecord*>& endpoints,
+                  const EngineTraits& engine,
+                  const LoadBook& book) {
+  double used = 0;
+  double all = 0;
+  for (const EndpointRecord* const endpoint : endpoints) {
+    if (endpoint->role == EndpointRole::kPrefill) {
+      used += Used(*endpoint, engine, book);
+      all += 1;
+    }
+  }
+  return all == 0 ? 1 : used / all;
+}
+
 double Blend(double mean, double value, double weight) {
   return mean + (value - mean) * weight;
 }
@@ -127,7 +144,9 @@
         .push_back(endpoint);
   }
   const bool too_many = prefill.size() > bounds.most;
-  if (!too_many && prefill.size() >= bounds.least) {
+  const bool too_few = prefill.size() < bounds.least &&
+                       this->prefill_use >= this->options.busy;
+  if (!too_many && !too_few) {
     return {};
   }
   std::vector<const EndpointRecord*>& from = too_many ? prefill : decode;
@@ -164,6 +183,8 @@
                         const std::vector<const EndpointRecord*>& endpoints,
                         const LoadBook& book,
                         Instant now) {
+  this->prefill_use = Blend(
+      this->prefill_use, PrefillUse(endpoints, engine, book), kNewestLook);
   for (const EndpointRecord* const endpoint : endpoints) {
     const auto found = this->switching.find(endpoint->id);
     if (found == this->switching.end()) {
--- a/src/gateway/role_planner.h
+++ b/src/gateway/role_planner.h
@@ -30,8 +30,9 @@
 // a burst needs stand idle. The shares follow from two times that one request
 // takes of one endpoint: computing its prompt, and its share of the memory for
 // as long as it is held. A switch takes an endpoint out for some seconds, so
-// that nothing is switched for a change that is within the rounding. Not thread
-// safe.
+// that nothing is switched for a change that is within the rounding, and none
+// is taken from the answers while the prefill endpoints are not kept busy: the
+// first requests may be unlike the rest. Not thread safe.
 class RolePlanner {
  public:
   struct Options {
@@ -51,6 +52,9 @@
     // by more; by the first few a third of the endpoints would be switched, and
     // back again.
     std::uint32_t sure_requests = 30;
+    // Part of the prefill endpoints that must have been in use, over the last
+    // seconds, before more are made.
+    double busy = 0.6;
     // Beyond the engine's own time for a switch, until its record must show it:
     // what runs there ends first, and the record is read each half second.
     Duration settle = 1500ms;
@@ -115,6 +119,7 @@
   std::uint32_t requests = 0;
   double prompt_tokens = 0;  // means
   double output_tokens = 0;
+  double prefill_use = 0;  // part of these endpoints, over the last seconds
   struct Switch {
     EndpointRole role;  // the new one
     Instant until;
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -698,6 +698,38 @@
             CPPUNIT_ASSERT(change.role == EndpointRole::kDecode);
           }
         }),
+     // Guards against: a third of the decode endpoints switched in a burst since
+     // the first prompts were long and their answers short.
+     It("makes more prefill endpoints only when those there are kept busy",
+        [] {
+          RolePlanner planner({});
+          LoadBook book;
+          std::vector<EndpointRecord> records;
+          records.reserve(48);
+          for (int number = 0; number < 48; ++number) {
+            records.push_back(Record(
+                "e" + std::to_string(number),
+                number < 8 ? EndpointRole::kPrefill : EndpointRole::kDecode));
+          }
+          const EngineTraits engine{
+              .slots = 64, .kv_tokens = 42572, .role_switch = 6s};
+          for (int number = 0; number < 3; ++number) {
+            planner.NoteRequest(
+                {.prompt_tokens = 9000, .expected_output_tokens = 200});
+          }
+          const auto after_looks = [&] {
+            for (int look = 0; look < 10; ++look) {
+              planner.Watch(engine, Pointers(records), book, kStart);
+            }
+            return planner.Plan(engine, kForecast, Pointers(records), book,
+                                kStart);
+          };
+          CPPUNIT_ASSERT(after_looks().empty());
+          for (int number = 0; number < 6; ++number) {
+            book.Add(records[number].id, {.prefill_tokens = 9000});
+          }
+          CPPUNIT_ASSERT(!after_looks().empty());
+        }),
      It("switches nothing more while a switch is under way",
         [] {
           RolePlanner planner({});
