Plan roles by the requests at all processes

Cause: the first of the gateways planned the roles of all engines by the sizes of the requests that came to it, one or two a second of 43, and began with three of them: the right number of prefill endpoints was found after 10 to 20 s and in several switches, each 6 s out.

Change: heartbeats that tell what was learned of a service tell the mean sizes of the sender's requests (9 bytes); roles are planned by the means of all, from twelve requests on.

--- a/src/forecast/types/forecast_digest.h
+++ b/src/forecast/types/forecast_digest.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "forecast/types/request_sizes.h"
 #include "forecast/types/told_value.h"
 #include "framework/global/types/enum_names.h"
 
@@ -44,6 +45,7 @@
 struct ToldForecast {
   std::uint64_t service_key = 0;  // hash of the service's name
   ForecastDigest figures;
+  RequestSizes sizes;
 };
 
 }  // namespace acacialug::forecast
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -200,7 +200,8 @@
       if (state.forecast.Known()) {
         this->last_told = service;
         return forecast::ToldForecast{.service_key = KeyOf(service),
-                                      .figures = state.forecast.Told()};
+                                      .figures = state.forecast.Told(),
+                                      .sizes = this->roles.SizesOf(service)};
       }
       if (++next == this->services.end()) {
         next = this->services.begin();
@@ -209,13 +210,15 @@
     return std::nullopt;
   }
 
-  void SetPeerForecast(const forecast::ToldForecast& told) {
+  void SetPeerForecast(const std::string& peer,
+                       const forecast::ToldForecast& told) {
     if (this->routes == nullptr) {
       return;
     }
     for (const ServiceTraits& traits : this->routes->configuration().services) {
       if (KeyOf(traits.name) == told.service_key) {
         this->StateOf(traits.name).forecast.Adopt(told.figures);
+        this->roles.NotePeer(traits.name, peer, told.sizes);
       }
     }
   }
@@ -532,8 +535,9 @@
   return this->implementation->NextForecast();
 }
 
-void GatewayCore::SetPeerForecast(const forecast::ToldForecast& told) {
-  this->implementation->SetPeerForecast(told);
+void GatewayCore::SetPeerForecast(const std::string& peer,
+                                  const forecast::ToldForecast& told) {
+  this->implementation->SetPeerForecast(peer, told);
 }
 
 std::vector<retry::CrashRecord> GatewayCore::TellCrashes(
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -86,7 +86,8 @@
   // What this process learned of the services' engines, and what a peer did.
   // Of one service after the other, one with each call; empty: of none yet.
   std::optional<forecast::ToldForecast> NextForecast();
-  void SetPeerForecast(const forecast::ToldForecast& told);
+  void SetPeerForecast(const std::string& peer,
+                       const forecast::ToldForecast& told);
 
   // Requests under which endpoints ended: what the peers should hear of them
   // (CrashLedger::Tell), what a peer told, and that a peer knows nothing yet.
--- a/src/gateway/internal/role_orders.cc
+++ b/src/gateway/internal/role_orders.cc
@@ -68,6 +68,21 @@
       .first->second.NoteRequest(size);
 }
 
+forecast::RequestSizes RoleOrders::SizesOf(const ServiceName& service) const {
+  const auto planner = this->planners.find(service);
+  return planner == this->planners.end() ? forecast::RequestSizes{}
+                                         : planner->second.own_sizes();
+}
+
+void RoleOrders::NotePeer(const ServiceName& service,
+                          const std::string& peer,
+                          const forecast::RequestSizes& sizes) {
+  if (sizes.requests > 0) {
+    this->planners.try_emplace(service, RolePlanner::Options{})
+        .first->second.NotePeer(peer, sizes, this->Now());
+  }
+}
+
 void RoleOrders::SetFirst(bool first) {
   this->turn.SetFirst(first, this->Now());
 }
--- a/src/gateway/internal/role_orders.h
+++ b/src/gateway/internal/role_orders.h
@@ -35,6 +35,12 @@
   // As of RolePlanner, by service.
   void NoteRequest(const ServiceName& service, const GenerationSize& size);
 
+  // Of requests at this process, for its peers; and of those at a peer.
+  forecast::RequestSizes SizesOf(const ServiceName& service) const;
+  void NotePeer(const ServiceName& service,
+                const std::string& peer,
+                const forecast::RequestSizes& sizes);
+
   // As of OrderTurn.
   void SetFirst(bool first);
 
--- a/src/gateway/role_planner.cc
+++ b/src/gateway/role_planner.cc
@@ -6,8 +6,8 @@
 namespace acacialug::gateway {
 namespace {
 
-// Weight of the newest request in the means, once there are many.
-constexpr double kNewest = 0.02;
+// Requests that the means stand for, once there are many.
+constexpr std::uint32_t kMostCounted = 50;
 // The same of the newest look at what is in use; they are half a second apart.
 constexpr double kNewestLook = 0.25;
 // Below this number of endpoints one prefill endpoint must do; above, the loss
@@ -66,29 +66,49 @@
 }  // namespace
 
 void RolePlanner::NoteRequest(const GenerationSize& size) {
-  ++this->requests;
-  const double weight = std::max(kNewest, 1.0 / this->requests);
-  this->prompt_tokens = Blend(this->prompt_tokens,
-                              static_cast<double>(size.prompt_tokens), weight);
-  this->output_tokens =
-      Blend(this->output_tokens,
+  this->own.requests = std::min(this->own.requests + 1, kMostCounted);
+  const double weight = 1.0 / this->own.requests;
+  this->own.prompt_tokens = Blend(
+      this->own.prompt_tokens, static_cast<double>(size.prompt_tokens), weight);
+  this->own.output_tokens =
+      Blend(this->own.output_tokens,
             static_cast<double>(size.expected_output_tokens), weight);
 }
 
+void RolePlanner::NotePeer(const std::string& peer,
+                           const forecast::RequestSizes& sizes,
+                           Instant now) {
+  this->peers[peer] = {.sizes = sizes, .at = now};
+}
+
+forecast::RequestSizes RolePlanner::Sizes() const {
+  forecast::RequestSizes all = this->own;
+  for (const auto& [peer, told] : this->peers) {
+    const forecast::RequestSizes& more = told.sizes;
+    all.requests += more.requests;
+    const double weight = static_cast<double>(more.requests) /
+                          std::max<std::uint32_t>(all.requests, 1);
+    all.prompt_tokens = Blend(all.prompt_tokens, more.prompt_tokens, weight);
+    all.output_tokens = Blend(all.output_tokens, more.output_tokens, weight);
+  }
+  return all;
+}
+
 double RolePlanner::PrefillShare(const EngineTraits& engine,
                                  const forecast::ServiceForecast& forecast,
                                  double headroom) const {
-  if (this->requests < this->options.first_requests || engine.kv_tokens == 0) {
+  const forecast::RequestSizes sizes = this->Sizes();
+  if (sizes.requests < this->options.first_requests || engine.kv_tokens == 0) {
     return 0;
   }
-  const auto prompt = static_cast<std::uint64_t>(this->prompt_tokens);
+  const auto prompt = static_cast<std::uint64_t>(sizes.prompt_tokens);
   const double prefill_ms =
       1000.0 * Seconds(forecast.ReadingTime(prompt)) * headroom;
   // A place is held from the reservation on, while its prompt is computed.
   const double held_ms =
       1000.0 * Seconds(forecast.PrefillTime(prompt) + forecast.FirstEvent()) +
-      this->output_tokens * forecast.TokenMs();
-  const double held_tokens = this->prompt_tokens + this->output_tokens / 2;
+      sizes.output_tokens * forecast.TokenMs();
+  const double held_tokens = sizes.prompt_tokens + sizes.output_tokens / 2;
   const double share_held =
       std::max(held_tokens / static_cast<double>(engine.kv_tokens),
                1.0 / std::max<std::uint32_t>(engine.slots, 1));
@@ -119,7 +139,7 @@
                                 const LoadBook& book) const {
   const auto share = static_cast<std::size_t>(this->options.share_at_once *
                                               static_cast<double>(endpoints));
-  const std::size_t spare = this->requests < this->options.sure_requests
+  const std::size_t spare = this->Sizes().requests < this->options.sure_requests
                                 ? 0
                                 : Spare(from, engine, book);
   return std::max<std::size_t>({1, share, spare});
@@ -144,8 +164,8 @@
         .push_back(endpoint);
   }
   const bool too_many = prefill.size() > bounds.most;
-  const bool too_few = prefill.size() < bounds.least &&
-                       this->prefill_use >= this->options.busy;
+  const bool too_few =
+      prefill.size() < bounds.least && this->prefill_use >= this->options.busy;
   if (!too_many && !too_few) {
     return {};
   }
@@ -183,8 +203,11 @@
                         const std::vector<const EndpointRecord*>& endpoints,
                         const LoadBook& book,
                         Instant now) {
-  this->prefill_use = Blend(
-      this->prefill_use, PrefillUse(endpoints, engine, book), kNewestLook);
+  std::erase_if(this->peers, [this, now](const auto& entry) {
+    return now - entry.second.at >= this->options.peer_memory;
+  });
+  this->prefill_use = Blend(this->prefill_use,
+                            PrefillUse(endpoints, engine, book), kNewestLook);
   for (const EndpointRecord* const endpoint : endpoints) {
     const auto found = this->switching.find(endpoint->id);
     if (found == this->switching.end()) {
--- a/src/gateway/role_planner.h
+++ b/src/gateway/role_planner.h
@@ -4,9 +4,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "forecast/service_forecast.h"
+#include "forecast/types/request_sizes.h"
 #include "framework/global/types/instant.h"
 #include "gateway/load_book.h"
 #include "gateway/types/configuration.h"
@@ -41,9 +43,11 @@
     double prefill_headroom = 1.0;
     // With less than this of it the prefill endpoints hold the answers up.
     double least_headroom = 0.75;
-    // Requests whose sizes are known before anything is decided. Of many
-    // processes the one that decides sees one or two in a second.
-    std::uint32_t first_requests = 3;
+    // Requests whose sizes are known, here or from peers, before anything is
+    // decided.
+    std::uint32_t first_requests = 12;
+    // What a peer told counts for so long.
+    Duration peer_memory = 10s;
     // Share of the endpoints that are switched at the same time, at most; one
     // in any case, and more where those that stay can do the work of the moment
     // without them: one after the other takes several bursts' time.
@@ -64,6 +68,13 @@
 
   // A request came.
   void NoteRequest(const GenerationSize& size);
+  // Requests that came to a peer; a later word replaces the earlier one.
+  void NotePeer(const std::string& peer,
+                const forecast::RequestSizes& sizes,
+                Instant now);
+
+  // Of the requests that came here.
+  const forecast::RequestSizes& own_sizes() const { return this->own; }
 
   // The switches to order now; none while earlier ones are under way.
   std::vector<RoleChange> Plan(
@@ -116,9 +127,15 @@
                      const LoadBook& book) const;
 
   const Options options;
-  std::uint32_t requests = 0;
-  double prompt_tokens = 0;  // means
-  double output_tokens = 0;
+  // Of all processes.
+  forecast::RequestSizes Sizes() const;
+
+  struct PeerSizes {
+    forecast::RequestSizes sizes;
+    Instant at;
+  };
+  forecast::RequestSizes own;
+  std::map<std::string, PeerSizes> peers;
   double prefill_use = 0;  // part of these endpoints, over the last seconds
   struct Switch {
     EndpointRole role;  // the new one
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -687,7 +687,7 @@
           CPPUNIT_ASSERT(
               planner.Plan(engine, kForecast, Pointers(records), book, kStart)
                   .empty());
-          for (int number = 0; number < 10; ++number) {
+          for (int number = 0; number < 12; ++number) {
             planner.NoteRequest(
                 {.prompt_tokens = 3200, .expected_output_tokens = 900});
           }
@@ -698,8 +698,37 @@
             CPPUNIT_ASSERT(change.role == EndpointRole::kDecode);
           }
         }),
-     // Guards against: a third of the decode endpoints switched in a burst since
-     // the first prompts were long and their answers short.
+     // Guards against: shares planned from the few requests at one of many
+     // processes.
+     It("goes by the requests at all processes",
+        [] {
+          RolePlanner planner({});
+          const EngineTraits engine{
+              .slots = 64, .kv_tokens = 42572, .role_switch = 6s};
+          planner.NoteRequest(
+              {.prompt_tokens = 9000, .expected_output_tokens = 200});
+          CPPUNIT_ASSERT_EQUAL(0.0,
+                               planner.PrefillShare(engine, kForecast, 1.0));
+          for (const char* const peer : {"b", "c", "b"}) {
+            planner.NotePeer(
+                peer,
+                {.prompt_tokens = 5000, .output_tokens = 900, .requests = 40},
+                kStart);
+          }
+          RolePlanner alone({});
+          for (int number = 0; number < 40; ++number) {
+            alone.NoteRequest(
+                {.prompt_tokens = 5000, .expected_output_tokens = 900});
+          }
+          CPPUNIT_ASSERT_DOUBLES_EQUAL(
+              alone.PrefillShare(engine, kForecast, 1.0),
+              planner.PrefillShare(engine, kForecast, 1.0), 0.02);
+          planner.Watch(engine, {}, {}, kStart + 20s);
+          CPPUNIT_ASSERT_EQUAL(0.0,
+                               planner.PrefillShare(engine, kForecast, 1.0));
+        }),
+     // Guards against: a third of the decode endpoints switched in a burst
+     // since the first prompts were long and their answers short.
      It("makes more prefill endpoints only when those there are kept busy",
         [] {
           RolePlanner planner({});
@@ -713,7 +742,7 @@
           }
           const EngineTraits engine{
               .slots = 64, .kv_tokens = 42572, .role_switch = 6s};
-          for (int number = 0; number < 3; ++number) {
+          for (int number = 0; number < 12; ++number) {
             planner.NoteRequest(
                 {.prompt_tokens = 9000, .expected_output_tokens = 200});
           }
@@ -741,7 +770,7 @@
               Record("d", EndpointRole::kDecode)};
           const EngineTraits engine{
               .slots = 64, .kv_tokens = 26226, .role_switch = 6s};
-          for (int number = 0; number < 10; ++number) {
+          for (int number = 0; number < 12; ++number) {
             planner.NoteRequest(
                 {.prompt_tokens = 3200, .expected_output_tokens = 900});
           }
@@ -820,7 +849,7 @@
              number < 3 ? EndpointRole::kPrefill : EndpointRole::kDecode));
        }
        const EngineTraits engine{.slots = 64, .kv_tokens = 42786};
-       for (int number = 0; number < 10; ++number) {
+       for (int number = 0; number < 12; ++number) {
          planner.NoteRequest(
              {.prompt_tokens = 3200, .expected_output_tokens = 900});
        }
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -639,7 +639,7 @@
                               EndpointRole::kPrefill);
           }
           world.AddEndpoint("d", "model", EndpointRole::kDecode);
-          for (int number = 0; number < 8; ++number) {
+          for (int number = 0; number < 12; ++number) {
             world.Ask("/stream/a", "r" + std::to_string(number));
           }
           world.turn = TurnClaim{.fence = 5};
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -222,8 +222,9 @@
             },
         .next_forecast = [this] { return this->core.NextForecast(); },
         .on_forecast =
-            [this](const forecast::ToldForecast& told) {
-              this->core.SetPeerForecast(told);
+            [this](const std::string& peer,
+                   const forecast::ToldForecast& told) {
+              this->core.SetPeerForecast(peer, told);
             },
         .tell_crashes =
             [this](std::size_t most, std::size_t round) {
--- a/src/gateway_process/internal/heartbeat_rows.cc
+++ b/src/gateway_process/internal/heartbeat_rows.cc
@@ -15,6 +15,10 @@
       std::clamp<std::int64_t>(whole, 0, UINT32_MAX));
 }
 
+std::uint8_t ByteOf(std::uint32_t count) {
+  return static_cast<std::uint8_t>(std::min<std::uint32_t>(count, UINT8_MAX));
+}
+
 }  // namespace
 
 protocol::PeerHeartbeat::Crash CrashRow(const retry::CrashRecord& record) {
@@ -65,6 +69,33 @@
   return uses;
 }
 
+protocol::PeerHeartbeat::Forecast ForecastRow(
+    const forecast::ToldForecast& told) {
+  protocol::PeerHeartbeat::Forecast row{
+      .service_key = told.service_key,
+      .prompt_tokens = static_cast<float>(told.sizes.prompt_tokens),
+      .output_tokens = static_cast<float>(told.sizes.output_tokens),
+      .requests = ByteOf(told.sizes.requests)};
+  for (const forecast::ToldValue& figure : told.figures) {
+    row.figures.push_back({.value = static_cast<float>(figure.value),
+                           .observations = ByteOf(figure.observations)});
+  }
+  return row;
+}
+
+forecast::ToldForecast ToldOf(const protocol::PeerHeartbeat::Forecast& row) {
+  forecast::ToldForecast told{.service_key = row.service_key,
+                              .sizes = {.prompt_tokens = row.prompt_tokens,
+                                        .output_tokens = row.output_tokens,
+                                        .requests = row.requests}};
+  const std::size_t known = std::min(row.figures.size(), told.figures.size());
+  for (std::size_t at = 0; at < known; ++at) {
+    told.figures[at] = {.value = row.figures[at].value,
+                        .observations = row.figures[at].observations};
+  }
+  return told;
+}
+
 gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat, bool near) {
   gateway::PeerLoad load{.near = near};
   load.rows.reserve(heartbeat.rows.size());
--- a/src/gateway_process/internal/heartbeat_rows.h
+++ b/src/gateway_process/internal/heartbeat_rows.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "forecast/types/forecast_digest.h"
 #include "gateway/types/endpoint_load.h"
 #include "protocol/types/peer_heartbeat.h"
 #include "quota/types/quota_use.h"
@@ -20,6 +21,11 @@
 std::vector<quota::QuotaUse> QuotaUses(
     const std::vector<protocol::PeerHeartbeat::Quota>& rows);
 
+protocol::PeerHeartbeat::Forecast ForecastRow(
+    const forecast::ToldForecast& told);
+// Figures that this process does not know are a newer peer's.
+forecast::ToldForecast ToldOf(const protocol::PeerHeartbeat::Forecast& row);
+
 // `near`: the sender is of the reader's failure domain.
 gateway::PeerLoad LoadOf(const protocol::PeerHeartbeat& heartbeat, bool near);
 
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -317,14 +317,7 @@
       return;
     }
     group.forecast_told_at = now;
-    protocol::PeerHeartbeat::Forecast row{.service_key = told->service_key};
-    for (const forecast::ToldValue& figure : told->figures) {
-      row.figures.push_back(
-          {.value = static_cast<float>(figure.value),
-           .observations = static_cast<std::uint8_t>(
-               std::min<std::uint32_t>(figure.observations, UINT8_MAX))});
-    }
-    heartbeat.forecasts.push_back(std::move(row));
+    heartbeat.forecasts.push_back(ForecastRow(*told));
   }
 
   std::uint32_t ReadAge() const {
@@ -377,7 +370,7 @@
                                        : gateway::PauseReason::kRoleChange});
     }
     for (const protocol::PeerHeartbeat::Forecast& told : heartbeat->forecasts) {
-      this->TakeForecast(told);
+      this->options.on_forecast(heartbeat->sender, ToldOf(told));
     }
     for (const protocol::PeerHeartbeat::Crash& told : heartbeat->crashes) {
       this->options.on_crash(RecordOf(told));
@@ -398,17 +391,6 @@
     this->FetchIfBehind();
   }
 
-  // Figures that this process does not know are a newer peer's.
-  void TakeForecast(const protocol::PeerHeartbeat::Forecast& row) const {
-    forecast::ToldForecast told{.service_key = row.service_key};
-    const std::size_t known = std::min(row.figures.size(), told.figures.size());
-    for (std::size_t at = 0; at < known; ++at) {
-      told.figures[at] = {.value = row.figures[at].value,
-                          .observations = row.figures[at].observations};
-    }
-    this->options.on_forecast(told);
-  }
-
   // After this process stood still the timer may run before what came meanwhile
   // is read: all peers would be lost at once (`peer_lost`), none of which was
   // silent, and this process would take their share upon itself.
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -62,7 +62,8 @@
                   },
               .next_forecast = [this] { return this->learned; },
               .on_forecast =
-                  [this](const forecast::ToldForecast& told) {
+                  [this](const std::string&,
+                         const forecast::ToldForecast& told) {
                     this->heard_forecast = told;
                   },
               .tell_crashes =
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -53,10 +53,15 @@
 
     std::uint64_t service_key = 0;  // hash of the service's name
     std::vector<Learned> figures;
+    // Of the requests that came to the sender: forecast::RequestSizes.
+    float prompt_tokens = 0;
+    float output_tokens = 0;
+    std::uint8_t requests = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(this->service_key, this->figures);
+      archive(this->service_key, this->figures, this->prompt_tokens,
+              this->output_tokens, this->requests);
     }
   };
 
