--- a/src/gateway/tests/customer_test.cc
+++ b/src/gateway/tests/customer_test.cc
@@ -11,7 +11,6 @@
 namespace {
 
 using acacialug::testing::It;
-using acacialug::testing::Section;
 using testing::Answer;
 using testing::Call;
 using testing::GatewayWorld;
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -723,7 +723,8 @@
           CPPUNIT_ASSERT_DOUBLES_EQUAL(
               alone.PrefillShare(engine, kForecast, 1.0),
               planner.PrefillShare(engine, kForecast, 1.0), 0.02);
-          planner.Watch(engine, {}, {}, kStart + 20s);
+          const LoadBook book;
+          planner.Watch(engine, {}, book, kStart + 20s);
           CPPUNIT_ASSERT_EQUAL(0.0,
                                planner.PrefillShare(engine, kForecast, 1.0));
         }),
--- a/src/gateway/tests/quota_ways.cc
+++ b/src/gateway/tests/quota_ways.cc
@@ -50,7 +50,7 @@
               }};
 }
 
-QuotaFleet::MakeWay LedgerOf(QuotaLedger::Options options) {
+QuotaFleet::MakeWay LedgerOf(const QuotaLedger::Options& options) {
   return [options](const QuotaFleet& fleet, std::size_t number) {
     QuotaLedger::Options own = options;
     own.quota_of = [&fleet](quota::CustomerKey) { return fleet.limit(); };
