Let no part of a cut fleet lend itself a whole request

Cause: a request larger than all that a part may save up was granted by a full part, so that each of 51 parts of 1,708 tokens gave out 6,000.

Change: only a request larger than the whole burst is granted so. A gateway whose part is smaller than a request refuses it while it hears nobody.

--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -79,8 +79,10 @@
   if (account == nullptr) {
     return {.granted = true};
   }
-  // One that is larger than all that can be saved up needs just that.
-  const double needed = std::min(amount, this->Most(account->quota.burst));
+  // One that is larger than all that can be saved up needs just that. A part
+  // of a fleet does not lend itself the rest: all parts would.
+  const double needed =
+      std::min(amount, account->quota.burst + kGivenOut * this->options.spare);
   Verdict verdict{.granted = account->left >= needed, .left = account->left};
   if (verdict.granted) {
     this->Use(*account, amount, now);
