Do not count the peers of a deployment without customers, nor take slow rounds for silence

Change: nothing is counted while the configuration has no customers; a peer that is heard again changes the count by one; silence is two rounds, 0.8 s at least.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -564,8 +564,12 @@
 void GatewayCore::NotePeerHeard(const std::string& peer,
                                 Incarnation incarnation,
                                 const std::vector<quota::QuotaUse>& told) {
-  this->implementation->customers.ledger().NoteHeard(
-      peer, incarnation, told, this->implementation->Now());
+  // Without customers there is nothing to share.
+  const auto configuration = this->configuration();
+  if (configuration != nullptr && configuration->customers) {
+    this->implementation->customers.ledger().NoteHeard(
+        peer, incarnation, told, this->implementation->Now());
+  }
 }
 
 void GatewayCore::NotePeerListed(const std::string& peer) {
--- a/src/gateway/internal/customer_gate.cc
+++ b/src/gateway/internal/customer_gate.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "gateway/peer_rounds.h"
 #include "placement/types/hashing.h"
 
 namespace acacialug::gateway {
@@ -46,7 +47,8 @@
                                               .burst = limit->burst};
                   },
               .overshoot = this->options.overshoot,
-              .spare = this->options.spare}) {}
+              .spare = this->options.spare,
+              .shares = {.silence = SilenceOf}}) {}
 
 CustomerGate::Verdict CustomerGate::Identify(RelayJob& job) const {
   job.priority = job.route->priority;
--- a/src/gateway/peer_rounds.cc
+++ b/src/gateway/peer_rounds.cc
@@ -8,6 +8,7 @@
 // Between two heartbeats to a peer, for up to kFewPeers of them.
 constexpr Duration kLeastInterval = 20ms;
 constexpr std::size_t kFewPeers = 5;
+constexpr Duration kLeastSilence = 800ms;  // two keep-alives
 // Up to so many all are told alike.
 constexpr std::size_t kManyPeers = 25;
 
@@ -20,4 +21,8 @@
          static_cast<std::int64_t>(kFewPeers);
 }
 
+Duration SilenceOf(std::size_t peers) {
+  return std::max(kLeastSilence, 2 * RoundInterval(peers, peers));
+}
+
 }  // namespace acacialug::gateway
--- a/src/gateway/peer_rounds.h
+++ b/src/gateway/peer_rounds.h
@@ -18,6 +18,10 @@
 // group <= peers.
 Duration RoundInterval(std::size_t peers, std::size_t group);
 
+// After which one of so many peers that tells nothing is taken for silent: some
+// of its heartbeats may be lost. Thread safe.
+Duration SilenceOf(std::size_t peers);
+
 }  // namespace acacialug::gateway
 
 #endif  // GATEWAY_PEER_ROUNDS_H_
--- a/src/gateway/tests/quota_ways.cc
+++ b/src/gateway/tests/quota_ways.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "gateway/peer_rounds.h"
 #include "gateway/tests/quota_fleet.h"
 #include "quota/quota_ledger.h"
 
@@ -68,11 +69,15 @@
 }  // namespace
 
 QuotaFleet::MakeWay LedgerWay() {
-  return LedgerOf({.overshoot = kOvershoot, .spare = kSlack});
+  return LedgerOf({.overshoot = kOvershoot,
+                   .spare = kSlack,
+                   .shares = {.silence = SilenceOf}});
 }
 
 QuotaFleet::MakeWay ReportsWay() {
-  return LedgerOf({.shares = {.silence = 1h, .memory = 1h, .listed = 0s}});
+  return LedgerOf({.shares = {.silence = [](std::size_t) { return 1h; },
+                              .memory = 1h,
+                              .listed = 0s}});
 }
 
 QuotaFleet::MakeWay EvenSplitWay() {
--- a/src/quota/peer_shares.cc
+++ b/src/quota/peer_shares.cc
@@ -23,12 +23,17 @@
   std::erase_if(this->peers, [this, now](const auto& entry) {
     return !this->Counts(entry.second, now);
   });
+  const Duration silence = this->options.silence(this->peers.size());
   std::size_t silent = 0;
   for (auto& [id, peer] : this->peers) {
-    peer.silent = !peer.heard || now - peer.heard_at >= this->options.silence;
+    peer.silent = !peer.heard || now - peer.heard_at >= silence;
     silent += peer.silent ? 1 : 0;
   }
   this->heard_count = this->peers.size() - silent;
+  this->SetShare();
+}
+
+void PeerShares::SetShare() {
   this->own_share = static_cast<double>(this->heard_count + 1) /
                     static_cast<double>(this->peers.size() + 1);
 }
@@ -64,7 +69,9 @@
   peer.heard_at = now;
   if (was_silent) {
     this->accrued_time += std::exchange(peer.withheld, Duration::zero());
-    this->Count(now);
+    peer.silent = false;
+    ++this->heard_count;
+    this->SetShare();
   }
   return other_life;
 }
@@ -73,7 +80,7 @@
   this->Pass(now);
   if (this->peers.try_emplace(peer_id, Peer{.listed_at = now, .silent = true})
           .second) {
-    this->Count(now);
+    this->SetShare();
   }
 }
 
--- a/src/quota/peer_shares.h
+++ b/src/quota/peer_shares.h
@@ -2,8 +2,10 @@
 #define QUOTA_PEER_SHARES_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "framework/global/types/identifiers.h"
 #include "framework/global/types/instant.h"
@@ -17,13 +19,17 @@
 class PeerShares {
  public:
   struct Options {
-    Duration silence = 800ms;  // two keep-alives: one is lost now and then
-    Duration memory = 60s;     // then a silent peer is gone
+    // After which a peer is silent, with so many of them: two rounds of what
+    // they tell, since one is lost now and then.
+    std::function<Duration(std::size_t peers)> silence =
+        [](std::size_t /*peers*/) { return Duration(800ms); };
+    Duration memory = 60s;  // then a silent peer is gone
     // A peer that was listed and never heard may have just started too.
     Duration listed = 5s;
   };
 
-  explicit PeerShares(Options share_options) : options(share_options) {}
+  explicit PeerShares(Options share_options)
+      : options(std::move(share_options)) {}
 
   // The peer was heard just now. True: in another life than before, or for the
   // first time.
@@ -52,6 +58,7 @@
   };
 
   void Count(Instant now);
+  void SetShare();
   bool Counts(const Peer& peer, Instant now) const;
 
   const Options options;
