Begin with less of a limit when all processes start anew

Cause: each new process began with its part of the tolerance that is given out, beside that of the window before.

Change: it begins with its part of half of the burst and of the other half of the tolerance only.

--- a/src/gateway/tests/quota_fleet_test.cc
+++ b/src/gateway/tests/quota_fleet_test.cc
@@ -17,7 +17,7 @@
 
 // Large fleets take long to play.
 std::uint64_t SeedsOf(const QuotaCase& row) {
-  return row.processes > 50 ? 3 : 10;
+  return row.processes > 50 ? 5 : 10;
 }
 
 std::string NameOfCase(const QuotaCase& row) {
--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -31,6 +31,12 @@
          std::min(share, 1 - share) * (1 - kGivenOut) * this->options.spare;
 }
 
+double QuotaLedger::AtStart(double burst) const {
+  const double share = this->shares.share();
+  return share * this->options.start_share * burst +
+         std::min(share, 1 - share) * (1 - kGivenOut) * this->options.spare;
+}
+
 void QuotaLedger::Refill(Account& account, const Quota& quota) const {
   const double gained =
       this->RateOf(quota) * Seconds(this->shares.accrued() - account.accrued);
@@ -58,8 +64,8 @@
     account.number = ++this->last_account;
     account.opened_at = now;
     account.accrued = this->shares.accrued();
-    const double start = this->Settled(now) ? 1 : this->options.start_share;
-    account.left = this->Most(start * quota.burst);
+    account.left = this->Settled(now) ? this->Most(quota.burst)
+                                      : this->AtStart(quota.burst);
   }
   this->Refill(account, quota);
   return &account;
--- a/src/quota/quota_ledger.h
+++ b/src/quota/quota_ledger.h
@@ -115,6 +115,9 @@
   double RateOf(const Quota& quota) const;
   // That may be saved up, of a burst like this.
   double Most(double burst) const;
+  // Less of it: all processes may have started, and what they gave out before
+  // is of the same window.
+  double AtStart(double burst) const;
   bool Settled(Instant now) const;
   void Use(Account& account, double amount, Instant now) const;
   void TakeNews(Peer& peer, const QuotaUse& told, Instant now);
