--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -52,9 +52,8 @@
         book(this->options.hooks.on_load_changed),
         alarms(this->options.hooks.wake_at),
         crashes(this->options.crashes),
-        customers({.overshoot = this->options.quota_overshoot,
-                   .spare = this->options.quota_spare,
-                   .routes = [this] { return this->routes; }}),
+        customers({.tolerance = this->options.quotas,
+                   .routes = [this] { return this->routes.get(); }}),
         streams(this->options.placement, this->book, this->health),
         calls(this->book, this->health),
         context{.hooks = this->options.hooks,
@@ -102,12 +101,13 @@
         .routes = this->routes,
         .arrived = now - age};
     job.attempt = this->NextAttempt();
-    if (const Refusal refused = this->FindWay(job);
-        refused.code != ResultCode::kOk) {
-      this->AnswerWithoutRelay(job, refused);
+    const Refusal no_way = this->FindWay(job);
+    // The customer, which FindWay fills in, is part of it.
+    job.key = RequestKeyOf(job.request);
+    if (no_way.code != ResultCode::kOk) {
+      this->AnswerWithoutRelay(job, no_way);
       return;
     }
-    job.key = RequestKeyOf(job.request);
     // Its alarm would ring only after it had been sent on.
     if (age > Duration::zero() &&
         age >= std::min(job.route->timeout,
@@ -564,12 +564,8 @@
 void GatewayCore::NotePeerHeard(const std::string& peer,
                                 Incarnation incarnation,
                                 const std::vector<quota::QuotaUse>& told) {
-  // Without customers there is nothing to share.
-  const auto configuration = this->configuration();
-  if (configuration != nullptr && configuration->customers) {
-    this->implementation->customers.ledger().NoteHeard(
-        peer, incarnation, told, this->implementation->Now());
-  }
+  this->implementation->customers.NotePeerHeard(peer, incarnation, told,
+                                                this->implementation->Now());
 }
 
 void GatewayCore::NotePeerListed(const std::string& peer) {
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -43,9 +43,7 @@
     StreamPlacement::Options placement;
     AdmissionQueue::Options admission;
     retry::CrashLedger::Options crashes;
-    // quota::QuotaLedger::Options.
-    double quota_overshoot = 0;
-    double quota_spare = 0;
+    quota::Tolerance quotas;
     GatewayHooks hooks;
     EndpointDialect dialect;
   };
--- a/src/gateway/internal/customer_gate.cc
+++ b/src/gateway/internal/customer_gate.cc
@@ -37,7 +37,7 @@
     : options(std::move(gate_options)),
       quotas({.quota_of =
                   [this](quota::CustomerKey customer) {
-                    const auto routes = this->options.routes();
+                    const RouteTable* const routes = this->options.routes();
                     const CustomerLimit* const limit =
                         routes == nullptr ? nullptr
                                           : routes->FindLimit(customer.value);
@@ -46,8 +46,7 @@
                                : quota::Quota{.per_second = limit->per_second,
                                               .burst = limit->burst};
                   },
-              .overshoot = this->options.overshoot,
-              .spare = this->options.spare,
+              .tolerance = this->options.tolerance,
               .shares = {.silence = SilenceOf}}) {}
 
 CustomerGate::Verdict CustomerGate::Identify(RelayJob& job) const {
@@ -105,6 +104,16 @@
   }
 }
 
+void CustomerGate::NotePeerHeard(const std::string& peer,
+                                 Incarnation incarnation,
+                                 const std::vector<quota::QuotaUse>& told,
+                                 Instant now) {
+  const RouteTable* const routes = this->options.routes();
+  if (routes != nullptr && routes->configuration().customers) {
+    this->quotas.NoteHeard(peer, incarnation, told, now);
+  }
+}
+
 void CustomerGate::NoteReplaced(const RouteTable* former,
                                 const RouteTable& newest) {
   if (former == nullptr || !former->configuration().customers) {
--- a/src/gateway/internal/customer_gate.h
+++ b/src/gateway/internal/customer_gate.h
@@ -2,7 +2,7 @@
 #define GATEWAY_INTERNAL_CUSTOMER_GATE_H_
 
 #include <cstdint>
-#include <memory>
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,10 +21,9 @@
 class CustomerGate {
  public:
   struct Options {
-    // quota::QuotaLedger::Options.
-    double overshoot = 0;
-    double spare = 0;
-    std::function<std::shared_ptr<const RouteTable>()> routes;
+    quota::Tolerance tolerance;
+    // Null: no configuration is known.
+    std::function<const RouteTable*()> routes;
   };
 
   explicit CustomerGate(Options gate_options);
@@ -49,6 +48,13 @@
   // Another configuration takes the place of the one in force; null: of none.
   void NoteReplaced(const RouteTable* former, const RouteTable& newest);
 
+  // As of quota::QuotaLedger; passed over without customers, since there is
+  // nothing to share.
+  void NotePeerHeard(const std::string& peer,
+                     Incarnation incarnation,
+                     const std::vector<quota::QuotaUse>& told,
+                     Instant now);
+
   quota::QuotaLedger& ledger() { return this->quotas; }
 
  private:
--- a/src/gateway/key_digest.cc
+++ b/src/gateway/key_digest.cc
@@ -2,37 +2,47 @@
 
 #include <QByteArray>
 #include <QCryptographicHash>
-#include <algorithm>
+#include <cstring>
+
+#include "framework/global/hex_text.h"
 
 namespace acacialug::gateway {
+namespace {
+
+constexpr std::size_t kWordDigits = 16;
+
+}  // namespace
 
 KeyDigest DigestOf(std::string_view key) {
   const QByteArray hash =
       QCryptographicHash::hash({key.data(), static_cast<qsizetype>(key.size())},
                                QCryptographicHash::Sha256);
   KeyDigest digest;
-  std::copy_n(hash.begin(), digest.bytes.size(), digest.bytes.begin());
+  std::memcpy(digest.words.data(), hash.constData(), sizeof(digest.words));
   return digest;
 }
 
 std::string ToText(const KeyDigest& digest) {
-  const auto bytes = QByteArray::fromRawData(
-      // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): Qt's bytes
-      reinterpret_cast<const char*>(digest.bytes.data()),
-      static_cast<qsizetype>(digest.bytes.size()));
-  return bytes.toHex().toStdString();
+  std::string text;
+  for (const std::uint64_t word : digest.words) {
+    text += HexText(word);
+  }
+  return text;
 }
 
 std::optional<KeyDigest> ParseKeyDigest(std::string_view text) {
-  const QByteArray bytes =
-      QByteArray::fromHex({text.data(), static_cast<qsizetype>(text.size())});
   KeyDigest digest;
-  // Letters that are no digits are passed over.
-  if (text.size() != 2 * digest.bytes.size() ||
-      bytes.size() != static_cast<qsizetype>(digest.bytes.size())) {
+  if (text.size() != digest.words.size() * kWordDigits) {
     return std::nullopt;
   }
-  std::copy_n(bytes.begin(), digest.bytes.size(), digest.bytes.begin());
+  for (std::uint64_t& word : digest.words) {
+    const auto read = ReadHex(text.substr(0, kWordDigits));
+    if (!read) {
+      return std::nullopt;
+    }
+    word = *read;
+    text.remove_prefix(kWordDigits);
+  }
   return digest;
 }
 
--- a/src/gateway/tests/customer_test.cc
+++ b/src/gateway/tests/customer_test.cc
@@ -14,11 +14,7 @@
 using testing::Answer;
 using testing::Call;
 using testing::GatewayWorld;
-
-std::string HeaderOf(const std::shared_ptr<Call>& call, std::string_view name) {
-  return std::string(
-      http::FindHeader(call->request.headers, name).value_or(""));
-}
+using testing::HeaderOf;
 
 // So many requests of the default size.
 constexpr double kTokens = 3900;
--- a/src/gateway/tests/gateway_world.cc
+++ b/src/gateway/tests/gateway_world.cc
@@ -29,6 +29,10 @@
 
 }  // namespace
 
+std::string HeaderOf(const std::shared_ptr<Call>& call, std::string_view name) {
+  return Text(call->request.headers, name);
+}
+
 class GatewayWorld::FakeResponder : public http::Responder {
  public:
   FakeResponder(std::shared_ptr<Answer> caller_answer, const Instant& clock)
--- a/src/gateway/tests/gateway_world.h
+++ b/src/gateway/tests/gateway_world.h
@@ -33,6 +33,9 @@
   bool cancelled = false;
 };
 
+// A header of the request, as the endpoint got it; empty: it has none.
+std::string HeaderOf(const std::shared_ptr<Call>& call, std::string_view name);
+
 // A core in virtual time, whose endpoints the test plays by hand. Its dialect:
 // the header `Id` names a request, `Size` is "PROMPT,OUTPUT", `Deadline` is in
 // ms, `Key` is the caller's key; endpoints get the name of its customer as
--- /dev/null
+++ b/src/gateway/tests/heartbeat_interval.h
@@ -0,0 +1,22 @@
+#ifndef GATEWAY_TESTS_HEARTBEAT_INTERVAL_H_
+#define GATEWAY_TESTS_HEARTBEAT_INTERVAL_H_
+
+#include <cstddef>
+
+#include "gateway/peer_rounds.h"
+
+namespace acacialug::gateway::testing {
+
+// Between two heartbeats of one of so many processes, evenly spread over the
+// failure domains, to those of its own domain or to all others.
+inline Duration HeartbeatInterval(std::size_t processes,
+                                  std::size_t domains,
+                                  bool near) {
+  const std::size_t peers = processes - 1;
+  const std::size_t neighbours = peers / domains;
+  return RoundInterval(peers, near ? neighbours : peers - neighbours);
+}
+
+}  // namespace acacialug::gateway::testing
+
+#endif  // GATEWAY_TESTS_HEARTBEAT_INTERVAL_H_
--- a/src/gateway/tests/many_processes_test.cc
+++ b/src/gateway/tests/many_processes_test.cc
@@ -15,6 +15,7 @@
 #include "gateway/load_book.h"
 #include "gateway/peer_rounds.h"
 #include "gateway/stream_placement.h"
+#include "gateway/tests/heartbeat_interval.h"
 #include "gateway/tests/timeline.h"
 
 namespace acacialug::gateway {
@@ -71,10 +72,7 @@
 
  private:
   Duration Interval(bool near) const {
-    const std::size_t peers = this->all.size() - 1;
-    const std::size_t neighbours = peers / kDomains;
-    return near ? RoundInterval(peers, neighbours)
-                : RoundInterval(peers, peers - neighbours);
+    return testing::HeartbeatInterval(this->all.size(), kDomains, near);
   }
 
   // To those of its own domain, or to all others.
--- a/src/gateway/tests/quarantine_fleet_test.cc
+++ b/src/gateway/tests/quarantine_fleet_test.cc
@@ -8,7 +8,7 @@
 
 #include "framework/global/random_source.h"
 #include "framework/testing/story.h"
-#include "gateway/peer_rounds.h"
+#include "gateway/tests/heartbeat_interval.h"
 #include "gateway/tests/timeline.h"
 #include "protocol/types/peer_heartbeat.h"
 #include "retry/crash_ledger.h"
@@ -112,9 +112,8 @@
   }
 
   Duration Interval(bool near) const {
-    const std::size_t peers = this->all.size() - 1;
-    const std::size_t neighbours = peers / this->options.domains;
-    return RoundInterval(peers, near ? neighbours : peers - neighbours);
+    return testing::HeartbeatInterval(this->all.size(), this->options.domains,
+                                      near);
   }
 
   void TellRound(std::size_t number, bool near) {
--- a/src/gateway/tests/quota_fleet.cc
+++ b/src/gateway/tests/quota_fleet.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "gateway/peer_rounds.h"
+#include "gateway/tests/heartbeat_interval.h"
 
 namespace acacialug::gateway::testing {
 namespace {
@@ -86,9 +86,7 @@
 }
 
 Duration QuotaFleet::Interval(bool near) const {
-  const std::size_t peers = this->all.size() - 1;
-  const std::size_t neighbours = peers / this->options.domains;
-  return RoundInterval(peers, near ? neighbours : peers - neighbours);
+  return HeartbeatInterval(this->all.size(), this->options.domains, near);
 }
 
 void QuotaFleet::TellRound(std::size_t number, bool near) {
--- a/src/gateway/tests/quota_ways.cc
+++ b/src/gateway/tests/quota_ways.cc
@@ -69,8 +69,7 @@
 }  // namespace
 
 QuotaFleet::MakeWay LedgerWay() {
-  return LedgerOf({.overshoot = kOvershoot,
-                   .spare = kSlack,
+  return LedgerOf({.tolerance = {.overshoot = kOvershoot, .spare = kSlack},
                    .shares = {.silence = SilenceOf}});
 }
 
--- a/src/gateway/types/customer.h
+++ b/src/gateway/types/customer.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <cstring>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -16,7 +15,7 @@
 
 // Stands for a customer's key, which is kept nowhere: its SHA-256.
 struct KeyDigest {
-  std::array<std::uint8_t, 32> bytes{};
+  std::array<std::uint64_t, 4> words{};
 
   friend auto operator<=>(const KeyDigest&, const KeyDigest&) = default;
 };
@@ -50,9 +49,7 @@
 struct std::hash<acacialug::gateway::KeyDigest> {
   std::size_t operator()(
       const acacialug::gateway::KeyDigest& digest) const noexcept {
-    std::size_t hash = 0;
-    std::memcpy(&hash, digest.bytes.data(), sizeof(hash));
-    return hash;
+    return digest.words[0];
   }
 };
 
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -148,8 +148,7 @@
             .placement = settings.placement,
             .admission = settings.admission,
             .crashes = settings.crashes,
-            .quota_overshoot = settings.quota_overshoot,
-            .quota_spare = settings.quota_spare,
+            .quotas = settings.quotas,
             .hooks = this->CoreHooks(),
             .dialect = this->options.dialect};
   }
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -53,6 +53,7 @@
 
 // Peers that are told together.
 struct Group {
+  std::size_t number = 0;  // one that no other group has
   QTimer change;
   Instant last_told{};
   Instant forecast_told_at{};
@@ -240,9 +241,8 @@
         .endpoints = this->known.changed_to,
         .read_age_ms = this->ReadAge()};
     this->AddCrashes(heartbeat, group);
-    heartbeat.quotas =
-        QuotaRows(this->options.tell_quotas(&group == &this->near_group ? 0 : 1,
-                                            protocol::kMaxPeerHeartbeatQuotas));
+    heartbeat.quotas = QuotaRows(this->options.tell_quotas(
+        group.number, protocol::kMaxPeerHeartbeatQuotas));
     this->AddLoad(heartbeat);
     this->AddPauses(heartbeat, group);
     this->AddForecast(heartbeat, group);
@@ -519,8 +519,8 @@
   http::Client client;
   std::unique_ptr<http::Server> pages;
   QTimer keep_alive;
-  Group near_group;
-  Group far_group;
+  Group near_group{.number = 0};
+  Group far_group{.number = 1};
   std::map<std::string, Peer> peers;
   CatalogHandout handout;
   log::RepeatLimiter limiter{{}};
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -93,13 +93,11 @@
       "time", {.fallback = into.quarantine, .minimum = 0ms, .maximum = 1h});
 }
 
-void ReadQuotas(const settings::Table& table, GatewaySettings& into) {
-  into.quota_overshoot = table.Number(
-      "overshoot",
-      {.fallback = into.quota_overshoot, .minimum = 0, .maximum = 1});
-  into.quota_spare = table.Number(
-      "spare",
-      {.fallback = into.quota_spare, .minimum = 0, .maximum = kMostSpare});
+void ReadQuotas(const settings::Table& table, quota::Tolerance& into) {
+  into.overshoot = table.Number(
+      "overshoot", {.fallback = into.overshoot, .minimum = 0, .maximum = 1});
+  into.spare = table.Number(
+      "spare", {.fallback = into.spare, .minimum = 0, .maximum = kMostSpare});
 }
 
 }  // namespace
@@ -111,7 +109,7 @@
   ReadPlacement(root.Child("placement"), settings.placement);
   ReadAdmission(root.Child("admission"), settings.admission);
   ReadQuarantine(root.Child("quarantine"), settings.crashes);
-  ReadQuotas(root.Child("quotas"), settings);
+  ReadQuotas(root.Child("quotas"), settings.quotas);
   settings.log_level = root.Child("log").Choice<log::Level>(
       "level", log::kLevelNames, settings.log_level);
   return settings;
--- a/src/gateway_process/tests/gateway_process_test.cc
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -128,8 +128,8 @@
           CPPUNIT_ASSERT(reader.Finish().empty());
           CPPUNIT_ASSERT(read.drain_grace == Duration(8s));
           CPPUNIT_ASSERT_EQUAL(7.0, read.repeat_extra);
-          CPPUNIT_ASSERT_EQUAL(0.1, read.quota_overshoot);
-          CPPUNIT_ASSERT_EQUAL(140000.0, read.quota_spare);
+          CPPUNIT_ASSERT_EQUAL(0.1, read.quotas.overshoot);
+          CPPUNIT_ASSERT_EQUAL(140000.0, read.quotas.spare);
           CPPUNIT_ASSERT(read.admission.longest_wait == Duration(20ms));
           CPPUNIT_ASSERT(!read.operations_listen);
         }),
--- a/src/gateway_process/types/gateway_settings.h
+++ b/src/gateway_process/types/gateway_settings.h
@@ -11,6 +11,7 @@
 #include "framework/log/types/record.h"
 #include "gateway/admission_queue.h"
 #include "gateway/stream_placement.h"
+#include "quota/types/quota_use.h"
 #include "retry/crash_ledger.h"
 
 namespace acacialug::gateway_process {
@@ -35,9 +36,7 @@
   gateway::StreamPlacement::Options placement;
   gateway::AdmissionQueue::Options admission;
   retry::CrashLedger::Options crashes;
-  // quota::QuotaLedger::Options.
-  double quota_overshoot = 0;
-  double quota_spare = 0;
+  quota::Tolerance quotas;
 };
 
 }  // namespace acacialug::gateway_process
--- a/src/quota/quota_ledger.cc
+++ b/src/quota/quota_ledger.cc
@@ -22,19 +22,21 @@
 }
 
 double QuotaLedger::RateOf(const Quota& quota) const {
-  return quota.per_second * (1 + kGivenOut * this->options.overshoot);
+  return quota.per_second * (1 + kGivenOut * this->options.tolerance.overshoot);
 }
 
 double QuotaLedger::Most(double burst) const {
   const double share = this->shares.share();
-  return share * (burst + kGivenOut * this->options.spare) +
-         std::min(share, 1 - share) * (1 - kGivenOut) * this->options.spare;
+  return share * (burst + kGivenOut * this->options.tolerance.spare) +
+         std::min(share, 1 - share) * (1 - kGivenOut) *
+             this->options.tolerance.spare;
 }
 
 double QuotaLedger::AtStart(double burst) const {
   const double share = this->shares.share();
   return share * this->options.start_share * burst +
-         std::min(share, 1 - share) * (1 - kGivenOut) * this->options.spare;
+         std::min(share, 1 - share) * (1 - kGivenOut) *
+             this->options.tolerance.spare;
 }
 
 void QuotaLedger::Refill(Account& account, const Quota& quota) const {
@@ -87,8 +89,8 @@
   }
   // One that is larger than all that can be saved up needs just that. A part
   // of a fleet does not lend itself the rest: all parts would.
-  const double needed =
-      std::min(amount, account->quota.burst + kGivenOut * this->options.spare);
+  const double needed = std::min(
+      amount, account->quota.burst + kGivenOut * this->options.tolerance.spare);
   Verdict verdict{.granted = account->left >= needed, .left = account->left};
   if (verdict.granted) {
     this->Use(*account, amount, now);
@@ -113,6 +115,9 @@
 std::vector<QuotaUse> QuotaLedger::Tell(std::size_t group,
                                         std::size_t most,
                                         Instant now) {
+  if (this->accounts.empty()) {
+    return {};
+  }
   std::vector<std::pair<CustomerKey, Account*>> told;
   for (auto& [customer, account] : this->accounts) {
     if (account.told_until > now) {
--- a/src/quota/quota_ledger.h
+++ b/src/quota/quota_ledger.h
@@ -22,7 +22,7 @@
 // requests come to few of the processes, or to all, far beyond its limit.
 //
 // Peers that have gone silent go on with their part of the limit, and so does
-// this process; each part has a little of `spare` beside it, since a part
+// this process; each part has a little of the tolerance beside it, since a part
 // alone may be less than one request. Memory is bounded by the customers that
 // were active lately, at this process or at a peer. Not thread safe; `now`
 // never goes backwards.
@@ -30,12 +30,10 @@
  public:
   struct Options {
     std::function<Quota(CustomerKey customer)> quota_of;
-    // What may be taken beyond each limit in any window: a share of it, and so
-    // many of its units. Half of both is given out, so that news that come
-    // late refuse nobody who is within the limit. The other half covers what
-    // is taken before news of it come, and the parts of a fleet that is cut.
-    double overshoot = 0;
-    double spare = 0;
+    // Half of it is given out, so that news that come late refuse nobody who
+    // is within the limit. The other half covers what is taken before news of
+    // it come, and the parts of a fleet that is cut.
+    Tolerance tolerance;
     // Of the burst, at the start: nobody knows what was taken before.
     double start_share = 0.5;
     Duration settling = 2s;  // until a new process has heard its peers
--- a/src/quota/tests/quota_ledger_test.cc
+++ b/src/quota/tests/quota_ledger_test.cc
@@ -21,7 +21,7 @@
 struct Book {
   explicit Book(double spare = 0)
       : ledger({.quota_of = [this](CustomerKey) { return this->quota; },
-                .spare = spare}) {
+                .tolerance = {.spare = spare}}) {
     // Only what is told counts for the age of a process.
     this->ledger.NoteHeard("other", kLife, {}, kStart);
   }
--- a/src/quota/types/quota_use.h
+++ b/src/quota/types/quota_use.h
@@ -19,6 +19,13 @@
   friend bool operator==(const Quota&, const Quota&) = default;
 };
 
+// What may be taken beyond each limit in any window: a share of it, and so many
+// of its units.
+struct Tolerance {
+  double overshoot = 0;
+  double spare = 0;
+};
+
 // What one process took of a customer's quota, for its peers.
 struct QuotaUse {
   CustomerKey customer;
