Let the linter's compiler build groups of peers

Cause: a QTimer cannot be copy-initialised, and clang says so where an aggregate that has one is built by name; one using-declaration was left unused. Change: the timer is initialised directly, the declaration is gone.

--- a/src/gateway/tests/customer_test.cc
+++ b/src/gateway/tests/customer_test.cc
@@ -12,7 +12,6 @@
 
 using acacialug::testing::It;
 using testing::Answer;
-using testing::Call;
 using testing::GatewayWorld;
 using testing::HeaderOf;
 
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -54,7 +54,7 @@
 // Peers that are told together.
 struct Group {
   std::size_t number = 0;  // one that no other group has
-  QTimer change;
+  QTimer change{};
   Instant last_told{};
   Instant forecast_told_at{};
   std::size_t next_pause = 0;  // the first of those in the next heartbeat
