Log the limit that an endpoint names in its answers

Cause: an answer's headers left no trace, so that the logs could not tell whether a gateway knew of a limit. Change: every message to an endpoint goes through EndpointSender, which reads the advice in the answers and logs a limit that begins, changes or ends. No decision depends on it yet.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -9,6 +9,7 @@
 #include "framework/global/hex_text.h"
 #include "gateway/internal/call_relay.h"
 #include "gateway/internal/customer_admission.h"
+#include "gateway/internal/endpoint_sender.h"
 #include "gateway/internal/refusal.h"
 #include "gateway/internal/relay_context.h"
 #include "gateway/internal/role_orders.h"
@@ -55,6 +56,7 @@
         load_table(this->options.hooks.on_load_changed),
         timers(this->options.hooks.wake_at),
         crashes(this->options.crashes),
+        sender(this->options.hooks, this->options.dialect),
         customers({.tolerance = this->options.quotas,
                    .routes = [this] { return this->routes.get(); }}),
         streams(this->options.placement, this->load_table, this->health),
@@ -62,6 +64,7 @@
         context{.hooks = this->options.hooks,
                 .dialect = this->options.dialect,
                 .domain = this->options.domain,
+                .sender = this->sender,
                 .catalog = this->catalog,
                 .health = this->health,
                 .load_table = this->load_table,
@@ -268,6 +271,7 @@
   LoadTable load_table;
   TimerQueue timers;
   retry::CrashLedger crashes;
+  EndpointSender sender;
   CustomerAdmission customers;
   StreamPlacement streams;
   CallPlacement calls;
@@ -288,6 +292,7 @@
   void OnRestart(const EndpointRecord& started) {
     this->load_table.Forget(started.id);
     this->health.Forget(started.id);
+    this->sender.Forget(started.id);
     this->options.hooks.log(
         log::Level::kInfo, "endpoint_restarted",
         {.endpoint = started.id,
--- /dev/null
+++ b/src/gateway/internal/endpoint_sender.h
@@ -0,0 +1,52 @@
+#ifndef GATEWAY_INTERNAL_ENDPOINT_SENDER_H_
+#define GATEWAY_INTERNAL_ENDPOINT_SENDER_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "gateway/types/endpoint_advice.h"
+#include "gateway/types/endpoint_dialect.h"
+#include "gateway/types/endpoint_record.h"
+#include "gateway/types/gateway_hooks.h"
+
+namespace acacialug::gateway {
+
+// Sends every message of this process to endpoints, and reads the advice in
+// their answers. Not thread safe.
+class EndpointSender {
+ public:
+  // Judges the head of an answer to a request.
+  using Judge =
+      std::function<AnswerNature(int status, const http::Headers& headers)>;
+
+  // Both outlive this object.
+  EndpointSender(const GatewayHooks& gateway_hooks,
+                 const EndpointDialect& endpoint_dialect)
+      : hooks(gateway_hooks), dialect(endpoint_dialect) {}
+
+  // As GatewayHooks::send. `judge` is empty for messages that are no requests
+  // of callers.
+  http::Client::ExchangeId Send(const EndpointRecord& endpoint,
+                                const http::Request& request,
+                                http::ExchangeHooks exchange_hooks,
+                                Judge judge = {});
+
+  // The endpoint restarted under its id: earlier advice doesn't count.
+  void Forget(const EndpointId& endpoint);
+
+ private:
+  void OnHead(const EndpointId& endpoint,
+              int status,
+              const http::Headers& headers,
+              const Judge& judge);
+  void NoteMaxRate(const EndpointId& endpoint, std::optional<double> max_rate);
+
+  const GatewayHooks& hooks;
+  const EndpointDialect& dialect;
+  std::map<EndpointId, double> max_rates;
+};
+
+}  // namespace acacialug::gateway
+
+#endif  // GATEWAY_INTERNAL_ENDPOINT_SENDER_H_
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -55,10 +55,15 @@
 void Relay::SendTo(const EndpointRecord& endpoint,
                    const WorkOrder& order,
                    http::ExchangeHooks hooks) {
-  this->exchange = this->context.hooks.send(
-      endpoint.address,
+  this->exchange = this->context.sender.Send(
+      endpoint,
       this->context.dialect.write_work(this->work.request, endpoint, order),
-      std::move(hooks));
+      std::move(hooks),
+      [self = this->shared_from_this(), step = order.step](
+          int status, const http::Headers& headers) {
+        return self->context.dialect.judge_answer(self->work.request, step,
+                                                  status, headers);
+      });
 }
 
 void Relay::NoteLost(const EndpointRecord& endpoint,
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -12,6 +12,7 @@
 #include "gateway/call_placement.h"
 #include "gateway/endpoint_catalog.h"
 #include "gateway/endpoint_health.h"
+#include "gateway/internal/endpoint_sender.h"
 #include "gateway/internal/timer_queue.h"
 #include "gateway/load_table.h"
 #include "gateway/repeat_budget.h"
@@ -36,6 +37,7 @@
   const GatewayHooks& hooks;
   const EndpointDialect& dialect;
   FailureDomain domain;
+  EndpointSender& sender;
   EndpointCatalog& catalog;
   EndpointHealth& health;
   LoadTable& load_table;
--- a/src/gateway/internal/reservation_request.cc
+++ b/src/gateway/internal/reservation_request.cc
@@ -29,8 +29,8 @@
                2 * this->requested_placement.prefill_time + kLifetimeSlack);
   auto self = this->shared_from_this();
   auto answered = std::make_shared<int>(0);
-  this->exchange = this->context.hooks.send(
-      this->requested_placement.decode.address,
+  this->exchange = this->context.sender.Send(
+      this->requested_placement.decode,
       this->context.dialect.write_reserve(
           this->requested_placement.decode,
           this->requested_placement.decode_load.kv_tokens, lifetime),
--- a/src/gateway/internal/role_orders.cc
+++ b/src/gateway/internal/role_orders.cc
@@ -144,9 +144,8 @@
 
 void RoleOrders::FetchReportThenOrder(const RoleChange& change,
                                       std::uint64_t fencing_token) {
-  this->context.hooks.send(
-      change.endpoint.address,
-      this->context.dialect.write_report(change.endpoint),
+  this->context.sender.Send(
+      change.endpoint, this->context.dialect.write_report(change.endpoint),
       {.on_end =
            [this, change, fencing_token](const std::string& body) {
              const auto accepted =
@@ -168,8 +167,8 @@
                            std::uint64_t fencing_token,
                            std::uint64_t accepted) {
   auto status = std::make_shared<int>(0);
-  this->context.hooks.send(
-      change.endpoint.address,
+  this->context.sender.Send(
+      change.endpoint,
       this->context.dialect.write_role_order(change.endpoint, change.role,
                                              this->options.holder,
                                              fencing_token, accepted),
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -217,8 +217,8 @@
   if (!this->prefilled) {
     return;
   }
-  this->context.hooks.send(
-      this->placement->prefill->address,
+  this->context.sender.Send(
+      *this->placement->prefill,
       this->context.dialect.write_release(this->prefilled->name),
       {.on_error = [](const Error&, bool) {}});
   this->prefilled.reset();
@@ -232,9 +232,9 @@
 void StreamRelay::ReleaseReservationAt(const EndpointRecord& decode,
                                        const std::string& name) {
   if (!name.empty()) {
-    this->context.hooks.send(decode.address,
-                             this->context.dialect.write_unreserve(name),
-                             {.on_error = [](const Error&, bool) {}});
+    this->context.sender.Send(decode,
+                              this->context.dialect.write_unreserve(name),
+                              {.on_error = [](const Error&, bool) {}});
   }
 }
 
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -193,6 +193,14 @@
     }
     return status < 300 ? AnswerNature::kSuccess : AnswerNature::kFailure;
   };
+  dialect.read_advice = [](int /*status*/, const http::Headers& headers) {
+    const std::string limit = Text(headers, "Limit");
+    EndpointAdvice advice;
+    if (!limit.empty()) {
+      advice.max_rate = std::stod(limit);
+    }
+    return advice;
+  };
   dialect.read_export = [](std::string_view body) {
     return body.empty() ? std::nullopt
                         : std::optional(PrefillExport{.name = std::string(body),
--- a/src/gateway/types/endpoint_dialect.h
+++ b/src/gateway/types/endpoint_dialect.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "framework/global/types/enum_names.h"
+#include "gateway/types/endpoint_advice.h"
 #include "gateway/types/endpoint_record.h"
 #include "gateway/types/work_request.h"
 
@@ -68,6 +69,10 @@
                              int status,
                              const http::Headers& headers)>
       judge_answer;
+  // Advice that is malformed or contradicts itself is left out. The hook is
+  // empty if endpoints give none.
+  std::function<EndpointAdvice(int status, const http::Headers& headers)>
+      read_advice;
   // Returns empty if the body is malformed.
   std::function<std::optional<PrefillExport>(std::string_view body)>
       read_export;
