--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -81,9 +81,10 @@
   std::function<void()> gone_hook;
 };
 
-GatewaySimulation::GatewaySimulation(double repeat_extra) {
+GatewaySimulation::GatewaySimulation(double repeat_extra,
+                                     const std::string& id) {
   this->core = std::make_unique<GatewayCore>(
-      GatewayCore::Options{.id = "g1",
+      GatewayCore::Options{.id = id,
                            .domain = FailureDomain("a"),
                            .repeat_extra = repeat_extra,
                            .hooks = this->Hooks(),
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -47,8 +47,9 @@
 class GatewaySimulation {
  public:
   // `repeat_extra`: repeats that the budget allows beside its share of the
-  // requests.
-  explicit GatewaySimulation(double repeat_extra = 58);
+  // requests. `id`: of the gateway.
+  explicit GatewaySimulation(double repeat_extra = 58,
+                             const std::string& id = "g1");
 
   // Activates a configuration with the routes of this simulation; a later call
   // replaces it.
