Keep the limit that an endpoint names, over all gateways together

Seen by callers of an endpoint in need: it named 2.3 requests a second and was sent 45 in 4 s, where 19 are allowed. Each gateway placed by load and health alone; an endpoint that answers fast and holds little looked free. Change: EndpointLimits. The knowledge of a limit, and of its end, travels with heartbeats, the newest answer counts. Every message of EndpointSender is counted; requests, generations, prompts, reservations, repeats and moves are placed only where a share is left. An endpoint without a share left for this gateway is no repeat's target either. Conclusion: the sum is bounded by construction, not by how fast reports arrive.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "framework/global/hex_text.h"
+#include "gateway/endpoint_limits.h"
 #include "gateway/internal/call_relay.h"
 #include "gateway/internal/customer_admission.h"
 #include "gateway/internal/endpoint_sender.h"
@@ -56,7 +57,8 @@
         load_table(this->options.hooks.on_load_changed),
         timers(this->options.hooks.wake_at),
         crashes(this->options.crashes),
-        sender(this->options.hooks, this->options.dialect),
+        limits(this->options.id),
+        sender(this->options.hooks, this->options.dialect, this->limits),
         customers({.tolerance = this->options.quotas,
                    .routes = [this] { return this->routes.get(); }}),
         streams(this->options.placement, this->load_table, this->health),
@@ -65,6 +67,7 @@
                 .dialect = this->options.dialect,
                 .domain = this->options.domain,
                 .sender = this->sender,
+                .limits = this->limits,
                 .catalog = this->catalog,
                 .health = this->health,
                 .load_table = this->load_table,
@@ -241,6 +244,39 @@
     }
   }
 
+  void OnPeerHeartbeat(const std::string& peer,
+                       Incarnation incarnation,
+                       const std::vector<quota::QuotaUse>& reported) {
+    const Instant now = this->Now();
+    this->limits.OnPeerHeartbeat(peer, now);
+    this->customers.OnPeerHeartbeat(peer, incarnation, reported, now);
+  }
+
+  void OnPeerListed(const std::string& peer) {
+    const Instant now = this->Now();
+    this->limits.OnPeerListed(peer, now);
+    this->customers.ledger().OnPeerListed(peer, now);
+  }
+
+  void SetPeerLimit(const EndpointLimitReport& reported) {
+    if (!this->limits.Merge(reported, this->Now())) {
+      return;
+    }
+    const EndpointRecord* const endpoint =
+        this->catalog.FindByKey(reported.endpoint_key);
+    const EndpointId id = endpoint == nullptr ? EndpointId() : endpoint->id;
+    if (reported.max_rate) {
+      this->options.hooks.log(log::Level::kWarning, "endpoint_limited",
+                              {.endpoint = id,
+                               .fields = {{"per_second", *reported.max_rate},
+                                          {"reported_age_ms", reported.age}}});
+    } else {
+      this->options.hooks.log(
+          log::Level::kInfo, "endpoint_limit_ended",
+          {.endpoint = id, .fields = {{"reported_age_ms", reported.age}}});
+    }
+  }
+
   void SetPeers(std::size_t count, bool first) {
     this->peers = count;
     this->roles.SetFirst(first);
@@ -271,6 +307,7 @@
   LoadTable load_table;
   TimerQueue timers;
   retry::CrashLedger crashes;
+  EndpointLimits limits;
   EndpointSender sender;
   CustomerAdmission customers;
   StreamPlacement streams;
@@ -292,7 +329,7 @@
   void OnRestart(const EndpointRecord& started) {
     this->load_table.Forget(started.id);
     this->health.Forget(started.id);
-    this->sender.Forget(started.id);
+    this->limits.Forget(LoadTable::KeyOf(started.id), this->Now());
     this->options.hooks.log(
         log::Level::kInfo, "endpoint_restarted",
         {.endpoint = started.id,
@@ -436,6 +473,7 @@
     this->health.Sweep(now);
     this->crashes.Sweep(now);
     this->customers.ledger().Sweep(now);
+    this->limits.Sweep(now);
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
@@ -585,13 +623,22 @@
     const std::string& peer,
     Incarnation incarnation,
     const std::vector<quota::QuotaUse>& reported) {
-  this->implementation->customers.OnPeerHeartbeat(peer, incarnation, reported,
-                                                  this->implementation->Now());
+  this->implementation->OnPeerHeartbeat(peer, incarnation, reported);
 }
 
 void GatewayCore::OnPeerListed(const std::string& peer) {
-  this->implementation->customers.ledger().OnPeerListed(
-      peer, this->implementation->Now());
+  this->implementation->OnPeerListed(peer);
+}
+
+std::vector<EndpointLimitReport> GatewayCore::CollectLimitReports(
+    std::size_t max_count,
+    std::size_t round) const {
+  return this->implementation->limits.CollectReports(
+      max_count, round, this->implementation->Now());
+}
+
+void GatewayCore::SetPeerLimit(const EndpointLimitReport& reported) {
+  this->implementation->SetPeerLimit(reported);
 }
 
 void GatewayCore::BeginDrain() {
@@ -619,6 +666,10 @@
   return this->implementation->waiting.size();
 }
 
+std::size_t GatewayCore::endpoints_limited() const {
+  return this->implementation->limits.size();
+}
+
 std::size_t GatewayCore::requests_quarantined() const {
   return this->implementation->crashes.quarantined(this->implementation->Now());
 }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -15,6 +15,7 @@
 #include "gateway/stream_placement.h"
 #include "gateway/types/configuration.h"
 #include "gateway/types/endpoint_dialect.h"
+#include "gateway/types/endpoint_limit_report.h"
 #include "gateway/types/endpoint_load.h"
 #include "gateway/types/endpoint_record.h"
 #include "gateway/types/gateway_hooks.h"
@@ -110,6 +111,12 @@
                        const std::vector<quota::QuotaUse>& reported);
   void OnPeerListed(const std::string& peer);
 
+  // Limits that endpoints name in their answers: the reports that the peers
+  // should receive (EndpointLimits::CollectReports), and a report of a peer.
+  std::vector<EndpointLimitReport> CollectLimitReports(std::size_t max_count,
+                                                       std::size_t round) const;
+  void SetPeerLimit(const EndpointLimitReport& reported);
+
   // Refuses new work after Options::drain_admission, and closes the connection
   // with each answer.
   void BeginDrain();
@@ -125,6 +132,7 @@
   std::size_t requests_under_way() const;
   std::size_t requests_waiting() const;
   std::size_t requests_quarantined() const;
+  std::size_t endpoints_limited() const;
 
  private:
   class Implementation;
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -24,7 +24,7 @@
 
 const EndpointRecord* CallRelay::FindEndpoint(std::vector<EndpointId> avoided) {
   avoided.insert(avoided.end(), this->tried.begin(), this->tried.end());
-  const auto endpoints = this->context.catalog.ForService(this->work.service);
+  const auto endpoints = this->context.AvailableEndpoints(this->work.service);
   return this->context.calls.Pick({.domain = this->context.domain,
                                    .tried = std::move(avoided),
                                    .hold = this->work.state->forecast.Call(),
@@ -173,8 +173,11 @@
   const bool allowed = this->MayRunAgain() && !this->Quarantined() &&
                        this->runs < this->work.route->max_endpoints &&
                        this->outcome.sends < kMaxSends;
-  const bool others =
-      this->context.catalog.ForService(this->work.service).size() > 1;
+  const auto available = this->context.AvailableEndpoints(this->work.service);
+  const bool others = std::any_of(available.begin(), available.end(),
+                                  [this](const EndpointRecord* other) {
+                                    return other->id != this->endpoint.id;
+                                  });
   return allowed && others &&
          this->work.state->budget.TryTake(this->Now(),
                                           this->context.processes());
--- a/src/gateway/internal/endpoint_sender.cc
+++ b/src/gateway/internal/endpoint_sender.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "gateway/load_table.h"
+
 namespace acacialug::gateway {
 
 http::Client::ExchangeId EndpointSender::Send(
@@ -19,6 +21,7 @@
       }
     };
   }
+  this->limits.NoteSent(LoadTable::KeyOf(endpoint.id));
   return this->hooks.send(endpoint.address, request, std::move(exchange_hooks));
 }
 
@@ -32,37 +35,26 @@
     return;
   }
   const EndpointAdvice advice = this->dialect.read_advice(status, headers);
-  // Only the answer to a request that ran shows that there is no limit:
-  // endpoints may leave it out of their other answers.
-  const bool ran =
-      nature == AnswerNature::kSuccess || nature == AnswerNature::kFailure;
-  if (advice.max_rate || ran) {
+  // Other answers than a success may come without the limit that is in effect.
+  if (advice.max_rate || nature == AnswerNature::kSuccess) {
     this->NoteMaxRate(endpoint, advice.max_rate);
   }
 }
 
 void EndpointSender::NoteMaxRate(const EndpointId& endpoint,
                                  std::optional<double> max_rate) {
-  const auto known = this->max_rates.find(endpoint);
-  const bool limited = known != this->max_rates.end();
-  if (!max_rate) {
-    if (limited) {
-      this->max_rates.erase(known);
-      this->hooks.log(log::Level::kInfo, "endpoint_limit_ended",
-                      {.endpoint = endpoint, .fields = {}});
-    }
+  const std::uint64_t key = LoadTable::KeyOf(endpoint);
+  if (!this->limits.NoteAnswer(key, max_rate, this->hooks.now())) {
     return;
   }
-  if (!limited || known->second != *max_rate) {
-    this->max_rates[endpoint] = *max_rate;
+  if (max_rate) {
     this->hooks.log(
         log::Level::kWarning, "endpoint_limited",
         {.endpoint = endpoint, .fields = {{"per_second", *max_rate}}});
+  } else {
+    this->hooks.log(log::Level::kInfo, "endpoint_limit_ended",
+                    {.endpoint = endpoint, .fields = {}});
   }
 }
 
-void EndpointSender::Forget(const EndpointId& endpoint) {
-  this->max_rates.erase(endpoint);
-}
-
 }  // namespace acacialug::gateway
--- a/src/gateway/internal/endpoint_sender.h
+++ b/src/gateway/internal/endpoint_sender.h
@@ -2,9 +2,9 @@
 #define GATEWAY_INTERNAL_ENDPOINT_SENDER_H_
 
 #include <functional>
-#include <map>
 #include <optional>
 
+#include "gateway/endpoint_limits.h"
 #include "gateway/types/endpoint_advice.h"
 #include "gateway/types/endpoint_dialect.h"
 #include "gateway/types/endpoint_record.h"
@@ -20,10 +20,13 @@
   using Judge =
       std::function<AnswerNature(int status, const http::Headers& headers)>;
 
-  // Both outlive this object.
+  // All outlive this object.
   EndpointSender(const GatewayHooks& gateway_hooks,
-                 const EndpointDialect& endpoint_dialect)
-      : hooks(gateway_hooks), dialect(endpoint_dialect) {}
+                 const EndpointDialect& endpoint_dialect,
+                 EndpointLimits& endpoint_limits)
+      : hooks(gateway_hooks),
+        dialect(endpoint_dialect),
+        limits(endpoint_limits) {}
 
   // As GatewayHooks::send. `judge` is empty for messages that are no requests
   // of callers.
@@ -32,9 +35,6 @@
                                 http::ExchangeHooks exchange_hooks,
                                 Judge judge = {});
 
-  // The endpoint restarted under its id: earlier advice doesn't count.
-  void Forget(const EndpointId& endpoint);
-
  private:
   void OnHead(const EndpointId& endpoint,
               int status,
@@ -44,7 +44,7 @@
 
   const GatewayHooks& hooks;
   const EndpointDialect& dialect;
-  std::map<EndpointId, double> max_rates;
+  EndpointLimits& limits;
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "forecast/service_forecast.h"
 #include "framework/global/random_source.h"
@@ -12,6 +13,7 @@
 #include "gateway/call_placement.h"
 #include "gateway/endpoint_catalog.h"
 #include "gateway/endpoint_health.h"
+#include "gateway/endpoint_limits.h"
 #include "gateway/internal/endpoint_sender.h"
 #include "gateway/internal/timer_queue.h"
 #include "gateway/load_table.h"
@@ -38,6 +40,7 @@
   const EndpointDialect& dialect;
   FailureDomain domain;
   EndpointSender& sender;
+  EndpointLimits& limits;
   EndpointCatalog& catalog;
   EndpointHealth& health;
   LoadTable& load_table;
@@ -56,6 +59,15 @@
   std::function<void(class StreamRelay& relay)> on_unplaced;
   // Capacity was released, which a waiting generation may take.
   std::function<void(const ServiceName& service)> on_capacity_freed;
+
+  // The messages that a request to the endpoint takes: one, and one for a
+  // reservation.
+  std::uint32_t MessagesOf(const EndpointRecord& endpoint) const;
+  // Whether this process may place a request at the endpoint now.
+  bool Available(const EndpointRecord& endpoint) const;
+  // Those endpoints of a service; valid until the catalog's next change.
+  std::vector<const EndpointRecord*> AvailableEndpoints(
+      const ServiceName& service) const;
 };
 
 // One request that the gateway handles.
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -49,7 +49,7 @@
        .domain = this->context.domain,
        .now = this->Now()},
       *this->work.traits->engine, this->work.state->forecast,
-      this->context.catalog.ForService(this->work.service),
+      this->context.AvailableEndpoints(this->work.service),
       this->context.random);
 }
 
--- a/src/gateway/tests/endpoint_limit_test.cc
+++ b/src/gateway/tests/endpoint_limit_test.cc
@@ -1,14 +1,20 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "framework/testing/story.h"
+#include "gateway/endpoint_limits.h"
 #include "gateway/tests/gateway_simulation.h"
 
 namespace acacialug::gateway {
 namespace {
 
+using acacialug::testing::ForEach;
 using acacialug::testing::It;
 using testing::GatewaySimulation;
 
@@ -54,5 +60,131 @@
           CPPUNIT_ASSERT(simulation.Logged("endpoint_limit_ended") == 0);
         })});
 
+constexpr Instant kNow{1h};
+constexpr std::uint64_t kEndpoint = 7;
+
+// The limits of one process that is alone.
+struct Limits : EndpointLimits {
+  Limits() : EndpointLimits("g1") {}
+
+  // The messages that are allowed now, at most 1000.
+  int Drain(Instant now) {
+    int sent = 0;
+    while (sent < 1000 && this->Allows(kEndpoint, 1, now)) {
+      this->NoteSent(kEndpoint);
+      ++sent;
+    }
+    return sent;
+  }
+};
+
+struct ReportCase {
+  std::string name;
+  EndpointLimitReport report;
+};
+
+// Reports that must change nothing, at a process that was told 4/s just now.
+const std::vector<ReportCase> kIgnoredReports = {
+    {"older", {.endpoint_key = kEndpoint, .max_rate = 9, .age = 1s}},
+    {"older, and names no limit", {.endpoint_key = kEndpoint, .age = 1s}},
+    {"of the future", {.endpoint_key = kEndpoint, .max_rate = 9, .age = -1s}},
+    {"negative", {.endpoint_key = kEndpoint, .max_rate = -1}},
+    {"infinite",
+     {.endpoint_key = kEndpoint,
+      .max_rate = std::numeric_limits<double>::infinity()}},
+    {"not a number",
+     {.endpoint_key = kEndpoint,
+      .max_rate = std::numeric_limits<double>::quiet_NaN()}},
+    {"too old", {.endpoint_key = kEndpoint, .max_rate = 9, .age = 2h}}};
+
+const acacialug::testing::Story kLimits(
+    "the limit of an endpoint",
+    {It("allows its rate, and a burst after a pause",
+        [] {
+          Limits limits;
+          limits.NoteAnswer(kEndpoint, 4, kNow);
+          CPPUNIT_ASSERT_EQUAL(5, limits.Drain(kNow));
+          CPPUNIT_ASSERT_EQUAL(4, limits.Drain(kNow + 1s));
+          CPPUNIT_ASSERT_EQUAL(5, limits.Drain(kNow + 60s));
+        }),
+     It("counts messages that are sent without being allowed",
+        [] {
+          Limits limits;
+          limits.NoteAnswer(kEndpoint, 4, kNow);
+          limits.Drain(kNow);
+          for (int message = 0; message < 8; ++message) {
+            limits.NoteSent(kEndpoint);
+          }
+          CPPUNIT_ASSERT_EQUAL(0, limits.Drain(kNow + 2s));
+          CPPUNIT_ASSERT_EQUAL(4, limits.Drain(kNow + 3s));
+        }),
+     It("yields no new burst when it ends and begins again",
+        [] {
+          Limits limits;
+          limits.NoteAnswer(kEndpoint, 4, kNow);
+          limits.Drain(kNow);
+          limits.NoteAnswer(kEndpoint, std::nullopt, kNow);
+          CPPUNIT_ASSERT(limits.Allows(kEndpoint, 1, kNow));
+          limits.NoteAnswer(kEndpoint, 4, kNow + 10ms);
+          CPPUNIT_ASSERT_EQUAL(0, limits.Drain(kNow + 10ms));
+        }),
+     It("of any size is kept",
+        [] {
+          Limits limits;
+          limits.NoteAnswer(kEndpoint, 0, kNow);
+          limits.Drain(kNow);
+          CPPUNIT_ASSERT_EQUAL(1, limits.Drain(kNow + 4s));
+          limits.NoteAnswer(kEndpoint, 1e300, kNow + 4s);
+          CPPUNIT_ASSERT_EQUAL(1000, limits.Drain(kNow + 5s));
+        }),
+     It("belongs to one incarnation: reports on an earlier one don't count",
+        [] {
+          Limits limits;
+          limits.NoteAnswer(kEndpoint, 4, kNow);
+          limits.Forget(kEndpoint, kNow + 1s);
+          CPPUNIT_ASSERT(!limits.MaxRate(kEndpoint));
+          limits.Merge({.endpoint_key = kEndpoint, .max_rate = 4, .age = 500ms},
+                       kNow + 1s);
+          CPPUNIT_ASSERT(!limits.MaxRate(kEndpoint));
+        }),
+     It("of many endpoints is kept in bounded memory",
+        [] {
+          Limits limits;
+          for (std::uint64_t key = 0; key < 5000; ++key) {
+            limits.Merge({.endpoint_key = key, .max_rate = 4}, kNow);
+          }
+          CPPUNIT_ASSERT_EQUAL(EndpointLimits::kMaxEndpoints, limits.size());
+          limits.Sweep(kNow + EndpointLimits::kRetention);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, limits.size());
+        }),
+     ForEach<ReportCase>(
+         "does not change by a peer's report that is",
+         kIgnoredReports,
+         [](const ReportCase& row) { return row.name; },
+         [](const ReportCase& row) {
+           Limits limits;
+           limits.NoteAnswer(kEndpoint, 4, kNow);
+           CPPUNIT_ASSERT(!limits.Merge(row.report, kNow + 500ms));
+           CPPUNIT_ASSERT_EQUAL(4.0, limits.MaxRate(kEndpoint).value());
+         }),
+     It("changes by a peer's newer report, once",
+        [] {
+          Limits limits;
+          limits.NoteAnswer(kEndpoint, 4, kNow);
+          const EndpointLimitReport newer{
+              .endpoint_key = kEndpoint, .max_rate = 2, .age = 100ms};
+          CPPUNIT_ASSERT(limits.Merge(newer, kNow + 1s));
+          CPPUNIT_ASSERT(!limits.Merge(newer, kNow + 1s));
+          CPPUNIT_ASSERT_EQUAL(2.0, limits.MaxRate(kEndpoint).value());
+        }),
+     It("that ended is reported for a while, and then dropped", [] {
+       Limits limits;
+       limits.NoteAnswer(kEndpoint, 4, kNow);
+       limits.NoteAnswer(kEndpoint, std::nullopt, kNow + 1s);
+       CPPUNIT_ASSERT(!limits.CollectReports(4, 0, kNow + 2s).at(0).max_rate);
+       limits.Sweep(kNow + 1s + EndpointLimits::kEndRetention);
+       CPPUNIT_ASSERT(limits.CollectReports(4, 0, kNow + 40s).empty());
+     })});
+
 }  // namespace
 }  // namespace acacialug::gateway
--- a/src/gateway/tests/limit_fleet.cc
+++ b/src/gateway/tests/limit_fleet.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "protocol/types/peer_heartbeat.h"
+
 namespace acacialug::gateway::testing {
 namespace {
 
@@ -14,7 +16,6 @@
 constexpr Duration kKnownAfter = 500ms;
 constexpr Duration kJudgedAfter = 3s;
 constexpr double kFailureShare = 0.14;  // of the answers
-const std::string kLimitedEndpoint = "p0";
 
 }  // namespace
 
@@ -36,64 +37,92 @@
   process.gateway->now = this->now;
   process.gateway->random = RandomSource(number + 1);
   process.gateway->Configure();
-  for (const std::string endpoint : {"p0", "p1", "p2"}) {
-    process.gateway->AddEndpoint(endpoint, "plain", EndpointRole::kPlain);
+  for (const std::string at : {"0", "1", "2"}) {
+    process.gateway->AddEndpoint("p" + at, "plain", EndpointRole::kPlain);
+    process.gateway->AddEndpoint("f" + at, "model", EndpointRole::kPrefill);
+    process.gateway->AddEndpoint("d" + at, "model", EndpointRole::kDecode);
   }
 }
 
+bool LimitFleet::Between(Duration from, Duration until) const {
+  return this->now >= kStart + from && this->now < kStart + until;
+}
+
 bool LimitFleet::Limited() const {
-  return this->now >= kStart + kLimitBegin;
+  return this->Between(kLimitBegin, kLimitEnd);
 }
 
 void LimitFleet::SendHeartbeats() {
   for (std::size_t from = 0; from < this->all.size(); ++from) {
     for (std::size_t to = 0; to < this->all.size(); ++to) {
-      if (from != to) {
-        this->all[to].gateway->core->OnPeerHeartbeat("g" + std::to_string(from),
-                                                     Incarnation(1), {});
+      const bool cut =
+          this->options.cut && (from == 0 || to == 0) && this->Between(8s, 18s);
+      if (from == to || cut || this->random.Unit() < this->options.loss_share) {
+        continue;
+      }
+      GatewayCore& receiver = *this->all[to].gateway->core;
+      receiver.OnPeerHeartbeat("g" + std::to_string(from), Incarnation(1), {});
+      for (const EndpointLimitReport& report :
+           this->all[from].gateway->core->CollectLimitReports(
+               protocol::kMaxPeerHeartbeatLimits, this->all[from].rounds)) {
+        receiver.SetPeerLimit(report);
       }
     }
+    ++this->all[from].rounds;
   }
 }
 
+bool LimitFleet::FaultAt(std::size_t number) const {
+  return number == 0 &&
+         ((this->options.cut && this->Between(8s, 18s + kJudgedAfter)) ||
+          (this->options.restart && this->Between(12s, 12s + kJudgedAfter)));
+}
+
 void LimitFleet::SendRequests() {
   double expected = this->options.demand * Seconds(kStep);
   while (this->random.Unit() < expected) {
     expected -= 1;
     const auto number = static_cast<std::size_t>(
         this->random.Unit() * static_cast<double>(this->all.size()));
+    if (number == 0 && this->options.late_learner && this->Between(7s, 17s)) {
+      continue;
+    }
     this->answers.push_back(this->all[number].gateway->SendRequest(
         this->options.path, "r" + std::to_string(++this->requests), "100,50",
         1000));
   }
 }
 
-http::Headers LimitFleet::AnswerOf(const Process& process,
-                                   const Call& call) const {
-  http::Headers headers = {{"Proof", "1"}};
-  if (this->Limited() &&
-      call.address == process.gateway->addresses.at(kLimitedEndpoint)) {
-    headers.push_back({"Limit", std::to_string(this->options.limit)});
-  }
-  return headers;
+bool LimitFleet::NamesLimit(const Process& process, const Call& call) const {
+  return this->Limited() &&
+         (this->options.all_limited ||
+          call.address == process.gateway->addresses.at(this->options.limited));
 }
 
 void LimitFleet::Answer(std::size_t number) {
   Process& process = this->all[number];
   for (const auto& call : process.gateway->Calls()) {
     const bool limited =
-        call->address == process.gateway->addresses.at(kLimitedEndpoint);
+        call->address == process.gateway->addresses.at(this->options.limited);
     const auto [due, arrived] =
         process.answers_due.try_emplace(call->id, this->now + kAnswerDelay);
     if (arrived && limited) {
-      this->arrivals.push_back({.at = this->now, .process = number});
+      this->arrivals.push_back({.at = this->now,
+                                .process = number,
+                                .excused = this->FaultAt(number)});
     }
     if (due->second <= this->now) {
       if (limited && this->Limited()) {
         process.limit_known_at = std::min(process.limit_known_at, this->now);
       }
-      const int status = this->random.Unit() < kFailureShare ? 500 : 200;
-      process.gateway->Reply(call, status, this->AnswerOf(process, *call));
+      http::Headers headers = {{"Proof", "1"}};
+      if (this->NamesLimit(process, *call)) {
+        headers.push_back({"Limit", std::to_string(this->options.limit)});
+      }
+      const bool whole = HeaderOf(call, "Step") == "whole";
+      const bool failed = whole && this->random.Unit() < kFailureShare;
+      process.gateway->Reply(call, failed ? 500 : 200, headers,
+                             HeaderOf(call, "Step") == "decode" ? "" : "name");
     }
   }
 }
@@ -102,6 +131,9 @@
   const Instant end = this->now + duration;
   while (this->now < end) {
     this->now += kStep;
+    if (this->options.restart && this->Between(12s, 12s + kStep)) {
+      this->Start(0);
+    }
     for (const Process& process : this->all) {
       process.gateway->AdvanceBy(kStep);
     }
@@ -121,25 +153,29 @@
       kLimitFactor * this->options.limit * Seconds(kLimitWindow) + kLimitSpare;
   double fullest = 0;
   for (const Arrival& last : this->arrivals) {
-    if (last.at < kStart + kLimitBegin + kJudgedAfter) {
+    if (last.at < kStart + kLimitBegin + kJudgedAfter ||
+        last.at >= kStart + kLimitEnd) {
       continue;
     }
     const auto counted = std::count_if(
         this->arrivals.begin(), this->arrivals.end(),
         [this, &last](const Arrival& arrival) {
           const Instant known_at = this->all[arrival.process].limit_known_at;
-          return arrival.at > last.at - kLimitWindow && arrival.at <= last.at &&
-                 known_at != kNever && arrival.at >= known_at + kKnownAfter;
+          return !arrival.excused && arrival.at > last.at - kLimitWindow &&
+                 arrival.at <= last.at && known_at != kNever &&
+                 arrival.at >= known_at + kKnownAfter;
         });
     fullest = std::max(fullest, static_cast<double>(counted) / allowed);
   }
   return fullest;
 }
 
-std::size_t LimitFleet::sent_since(Duration from) const {
+std::size_t LimitFleet::SentBetween(Duration from, Duration until) const {
   return static_cast<std::size_t>(std::count_if(
       this->arrivals.begin(), this->arrivals.end(),
-      [from](const Arrival& arrival) { return arrival.at >= kStart + from; }));
+      [from, until](const Arrival& arrival) {
+        return arrival.at >= kStart + from && arrival.at < kStart + until;
+      }));
 }
 
 std::size_t LimitFleet::refused() const {
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -235,6 +235,14 @@
               this->SetCrash(report);
             },
         .on_new_peer = [this] { this->core.ResendCrashReports(); },
+        .collect_limit_reports =
+            [this](std::size_t max_count, std::size_t round) {
+              return this->core.CollectLimitReports(max_count, round);
+            },
+        .on_limit =
+            [this](const gateway::EndpointLimitReport& report) {
+              this->core.SetPeerLimit(report);
+            },
         .collect_quota_reports =
             [this](std::size_t group, std::size_t max_count) {
               return this->core.CollectQuotaReports(group, max_count);
@@ -325,6 +333,8 @@
         .Set(static_cast<double>(this->core.requests_under_way()));
     this->registry.Get(kGatewayWaiting)
         .Set(static_cast<double>(this->core.requests_waiting()));
+    this->registry.Get(kGatewayLimited)
+        .Set(static_cast<double>(this->core.endpoints_limited()));
     this->registry.Get(kGatewayQuarantined)
         .Set(static_cast<double>(this->core.requests_quarantined()));
     return {.status = kOk,
--- a/src/gateway_process/internal/heartbeat_rows.cc
+++ b/src/gateway_process/internal/heartbeat_rows.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
+#include <optional>
 
 namespace acacialug::gateway_process {
 namespace {
@@ -97,6 +99,29 @@
   return report;
 }
 
+std::vector<protocol::PeerHeartbeat::Limit> LimitRows(
+    const std::vector<gateway::EndpointLimitReport>& reports) {
+  std::vector<protocol::PeerHeartbeat::Limit> rows;
+  rows.reserve(reports.size());
+  for (const gateway::EndpointLimitReport& report : reports) {
+    const double rate = std::min<double>(report.max_rate.value_or(0),
+                                         std::numeric_limits<float>::max());
+    rows.push_back({.endpoint_key = report.endpoint_key,
+                    .limited = report.max_rate.has_value(),
+                    .max_rate = static_cast<float>(rate),
+                    .age_ms = MillisecondsOf(report.age)});
+  }
+  return rows;
+}
+
+gateway::EndpointLimitReport LimitFromRow(
+    const protocol::PeerHeartbeat::Limit& row) {
+  return {.endpoint_key = row.endpoint_key,
+          .max_rate =
+              row.limited ? std::optional<double>(row.max_rate) : std::nullopt,
+          .age = std::chrono::milliseconds(row.age_ms)};
+}
+
 gateway::PeerLoad LoadFromHeartbeat(const protocol::PeerHeartbeat& heartbeat,
                                     bool near) {
   gateway::PeerLoad load{.near = near};
--- a/src/gateway_process/internal/heartbeat_rows.h
+++ b/src/gateway_process/internal/heartbeat_rows.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "forecast/types/forecast_digest.h"
+#include "gateway/types/endpoint_limit_report.h"
 #include "gateway/types/endpoint_load.h"
 #include "protocol/types/peer_heartbeat.h"
 #include "quota/types/quota_use.h"
@@ -28,6 +29,11 @@
 forecast::ForecastReport ForecastFromRow(
     const protocol::PeerHeartbeat::Forecast& row);
 
+std::vector<protocol::PeerHeartbeat::Limit> LimitRows(
+    const std::vector<gateway::EndpointLimitReport>& reports);
+gateway::EndpointLimitReport LimitFromRow(
+    const protocol::PeerHeartbeat::Limit& row);
+
 // `near`: the sender is in the reader's failure domain.
 gateway::PeerLoad LoadFromHeartbeat(const protocol::PeerHeartbeat& heartbeat,
                                     bool near);
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -59,7 +59,8 @@
   Instant forecast_sent_at{};
   // Index of the first pause in the next heartbeat.
   std::size_t next_pause = 0;
-  std::size_t rounds = 0;  // number of heartbeats with crash reports
+  std::size_t crash_rounds = 0;  // heartbeats with crash reports
+  std::size_t limit_rounds = 0;  // heartbeats with limit reports
 };
 
 struct Peer {
@@ -247,6 +248,7 @@
     this->AddCrashes(heartbeat, group);
     heartbeat.quotas = QuotaRows(this->options.collect_quota_reports(
         group.number, protocol::kMaxPeerHeartbeatQuotas));
+    this->AddLimits(heartbeat, group);
     this->AddLoad(heartbeat);
     this->AddPauses(heartbeat, group);
     this->AddForecast(heartbeat, group);
@@ -258,16 +260,23 @@
   void AddCrashes(protocol::PeerHeartbeat& heartbeat, Group& group) {
     const std::vector<retry::CrashRecord> reports =
         this->options.collect_crash_reports(protocol::kMaxPeerHeartbeatCrashes,
-                                            group.rounds);
-    group.rounds += reports.empty() ? 0 : 1;
+                                            group.crash_rounds);
+    group.crash_rounds += reports.empty() ? 0 : 1;
     for (const retry::CrashRecord& record : reports) {
       heartbeat.crashes.push_back(CrashRow(record));
     }
   }
 
+  void AddLimits(protocol::PeerHeartbeat& heartbeat, Group& group) const {
+    heartbeat.limits = LimitRows(this->options.collect_limit_reports(
+        protocol::kMaxPeerHeartbeatLimits, group.limit_rounds));
+    group.limit_rounds += heartbeat.limits.empty() ? 0 : 1;
+  }
+
   void AddLoad(protocol::PeerHeartbeat& heartbeat) const {
     const std::size_t max_count =
         protocol::kMaxPeerHeartbeatRows - heartbeat.quotas.size() -
+        heartbeat.limits.size() -
         protocol::kRowsPerCrash * heartbeat.crashes.size();
     gateway::PeerLoad load = this->options.own_load();
     if (load.rows.size() > max_count) {
@@ -381,6 +390,9 @@
     for (const protocol::PeerHeartbeat::Crash& report : heartbeat->crashes) {
       this->options.on_crash(CrashFromRow(report));
     }
+    for (const protocol::PeerHeartbeat::Limit& report : heartbeat->limits) {
+      this->options.on_limit(LimitFromRow(report));
+    }
     this->options.on_heartbeat(heartbeat->sender, heartbeat->incarnation,
                                QuotasFromRows(heartbeat->quotas));
     this->options.on_load(heartbeat->sender,
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -13,6 +13,7 @@
 #include "framework/global/types/instant.h"
 #include "framework/global/types/result.h"
 #include "framework/http/http_types.h"
+#include "gateway/types/endpoint_limit_report.h"
 #include "gateway/types/endpoint_load.h"
 #include "gateway_process/internal/catalog_page.h"
 #include "quota/types/quota_use.h"
@@ -57,6 +58,12 @@
         collect_crash_reports;
     std::function<void(const retry::CrashRecord& report)> on_crash;
     std::function<void()> on_new_peer;
+    // Limits of endpoints, likewise.
+    std::function<std::vector<gateway::EndpointLimitReport>(
+        std::size_t max_count,
+        std::size_t round)>
+        collect_limit_reports;
+    std::function<void(const gateway::EndpointLimitReport& report)> on_limit;
     // Customers' quotas: `collect_quota_reports` returns the usage of this
     // process to report to the peers of a group, `on_heartbeat` receives a
     // peer's report with each heartbeat, and `on_listed` runs for each peer
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -16,6 +16,7 @@
 #include "framework/http/tests/socket_support.h"
 #include "framework/net/datagram_socket.h"
 #include "framework/testing/story.h"
+#include "gateway/endpoint_limits.h"
 #include "gateway_process/tests/gateway_support.h"
 #include "placement/types/hashing.h"
 #include "protocol/message_codec.h"
@@ -77,6 +78,15 @@
                   },
               .on_new_peer =
                   [this] { this->crashes.ResendReports(this->Now()); },
+              .collect_limit_reports =
+                  [this](std::size_t max_count, std::size_t round) {
+                    return this->limits.CollectReports(max_count, round,
+                                                       this->Now());
+                  },
+              .on_limit =
+                  [this](const gateway::EndpointLimitReport& report) {
+                    this->limits.Merge(report, this->Now());
+                  },
               .collect_quota_reports =
                   [this](std::size_t group, std::size_t max_count) {
                     return this->quotas.CollectReports(group, max_count,
@@ -128,6 +138,7 @@
   gateway::PeerLoad load;
   Catalog known;
   retry::CrashLedger crashes{{}};
+  gateway::EndpointLimits limits{"p"};
   quota::QuotaLedger quotas{{.quota_of = [](quota::CustomerKey) {
     return quota::Quota{.per_second = 1000, .burst = 1000};
   }}};
@@ -232,6 +243,29 @@
               protocol::kMaxPeerHeartbeatRows - protocol::kRowsPerCrash,
               b.received["a"].rows.size());
         }),
+     It("report to each other, and to a later gateway, the limits of endpoints",
+        [] {
+          // Guards against a gateway that sends an endpoint more than its limit
+          // until an answer of its own names it.
+          Peer a("a", FreePort());
+          Peer b("b", FreePort());
+          a.load.rows.resize(protocol::kMaxPeerHeartbeatRows,
+                             {.load = {.requests = 1}});
+          for (std::uint64_t key = 1; key <= 9; ++key) {
+            a.limits.NoteAnswer(key, 2.5, a.Now());
+          }
+          b.link.SetMembers({{"a", a.address}});
+          WaitUntil("limits", [&] {
+            a.link.OnLoadChanged();
+            return b.limits.size() == 9;
+          });
+          CPPUNIT_ASSERT_EQUAL(2.5, b.limits.MaxRate(9).value());
+          a.limits.NoteAnswer(9, std::nullopt, a.Now());
+          WaitUntil("the end", [&] {
+            a.link.OnLoadChanged();
+            return !b.limits.MaxRate(9);
+          });
+        }),
      It("report to a later gateway the requests under which endpoints ended",
         [] {
           // Guards against a restarted gateway that lets such a request end
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -77,6 +77,7 @@
 
 bool IsBounded(const PeerHeartbeat& heartbeat) {
   return heartbeat.rows.size() + heartbeat.quotas.size() +
+                 heartbeat.limits.size() +
                  kRowsPerCrash * heartbeat.crashes.size() <=
              kMaxPeerHeartbeatRows &&
          heartbeat.quotas.size() <= kMaxPeerHeartbeatQuotas &&
@@ -84,6 +85,12 @@
                      [](const PeerHeartbeat::Quota& quota) {
                        return std::isfinite(quota.left);
                      }) &&
+         heartbeat.limits.size() <= kMaxPeerHeartbeatLimits &&
+         std::all_of(heartbeat.limits.begin(), heartbeat.limits.end(),
+                     [](const PeerHeartbeat::Limit& limit) {
+                       return std::isfinite(limit.max_rate) &&
+                              limit.max_rate >= 0;
+                     }) &&
          heartbeat.crashes.size() <= kMaxPeerHeartbeatCrashes &&
          std::all_of(heartbeat.crashes.begin(), heartbeat.crashes.end(),
                      [](const PeerHeartbeat::Crash& crash) {
--- a/src/protocol/tests/peer_heartbeat_test.cc
+++ b/src/protocol/tests/peer_heartbeat_test.cc
@@ -100,6 +100,36 @@
               {.left = std::numeric_limits<float>::quiet_NaN()}};
           CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
         }),
+     It("decodes with its limits, and fits a datagram with them",
+        [] {
+          PeerHeartbeat heartbeat = Full();
+          for (std::size_t number = 0; number < kMaxPeerHeartbeatLimits;
+               ++number) {
+            heartbeat.limits.push_back({.endpoint_key = number,
+                                        .limited = true,
+                                        .max_rate = 2.5F,
+                                        .age_ms = 600'000});
+          }
+          heartbeat.rows.resize(kMaxPeerHeartbeatRows -
+                                kMaxPeerHeartbeatLimits);
+          const std::string datagram = Encode(heartbeat);
+          CPPUNIT_ASSERT(datagram.size() <= kMaxDatagramBytes);
+          const Result<PeerHeartbeat> read = DecodePeerHeartbeat(datagram);
+          CPPUNIT_ASSERT(read.ok());
+          CPPUNIT_ASSERT_EQUAL(datagram, Encode(*read));
+        }),
+     It("with too many limits, or an invalid one, is refused",
+        [] {
+          PeerHeartbeat heartbeat = Full();
+          heartbeat.rows.clear();
+          heartbeat.limits.resize(kMaxPeerHeartbeatLimits + 1);
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
+          heartbeat.limits = {
+              {.max_rate = std::numeric_limits<float>::infinity()}};
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
+          heartbeat.limits = {{.max_rate = -1}};
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
+        }),
      It("with too many forecasts or figures is refused",
         [] {
           PeerHeartbeat heartbeat = Full();
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -103,6 +103,20 @@
     }
   };
 
+  // The limit that an endpoint names in its answers: the fields of
+  // gateway::EndpointLimitReport.
+  struct Limit {
+    std::uint64_t endpoint_key = 0;  // hash of the endpoint's id
+    bool limited = false;
+    float max_rate = 0;
+    std::uint32_t age_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(this->endpoint_key, this->limited, this->max_rate, this->age_ms);
+    }
+  };
+
   std::string sender;
   std::uint64_t domain_key = 0;  // hash of the sender's failure domain
   Incarnation incarnation;
@@ -116,13 +130,14 @@
   std::vector<Forecast> forecasts;
   std::vector<Crash> crashes;
   std::vector<Quota> quotas;
+  std::vector<Limit> limits;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->sender, this->domain_key, this->incarnation, this->sequence,
             this->pages_port, this->configuration, this->endpoints,
             this->read_age_ms, this->rows, this->pauses, this->forecasts,
-            this->crashes, this->quotas);
+            this->crashes, this->quotas, this->limits);
   }
 };
 
@@ -138,6 +153,7 @@
 inline constexpr std::size_t kRowsPerCrash = 2;
 // Each takes the bytes of one row.
 inline constexpr std::size_t kMaxPeerHeartbeatQuotas = 8;
+inline constexpr std::size_t kMaxPeerHeartbeatLimits = 4;
 
 }  // namespace acacialug::protocol
 
