Log that an endpoint leaves, or asks for rest, as its answers say

Cause: an answer's headers left no trace, so that the logs could not tell whether a gateway knew that an endpoint leaves, or that it had been turned away with a rest. Change: EndpointSender reads both, and logs them; no decision depends on it yet. Conclusion: endpoint_leaves and endpoint_rests tell it.

--- a/src/gateway/internal/endpoint_sender.cc
+++ b/src/gateway/internal/endpoint_sender.cc
@@ -39,6 +39,15 @@
   if (advice.max_rate || nature == AnswerNature::kSuccess) {
     this->NoteMaxRate(endpoint, advice.max_rate);
   }
+  if (advice.leaving && this->leaving.insert(endpoint).second) {
+    this->hooks.log(log::Level::kWarning, "endpoint_leaves",
+                    {.endpoint = endpoint, .fields = {{"status", status}}});
+  }
+  if (advice.rest > Duration::zero()) {
+    this->hooks.log(log::Level::kWarning, "endpoint_rests",
+                    {.endpoint = endpoint,
+                     .fields = {{"status", status}, {"rest_ms", advice.rest}}});
+  }
 }
 
 void EndpointSender::NoteMaxRate(const EndpointId& endpoint,
--- a/src/gateway/internal/endpoint_sender.h
+++ b/src/gateway/internal/endpoint_sender.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 
 #include "gateway/endpoint_limits.h"
 #include "gateway/types/endpoint_advice.h"
@@ -45,6 +46,7 @@
   const GatewayHooks& hooks;
   const EndpointDialect& dialect;
   EndpointLimits& limits;
+  std::set<EndpointId> leaving;
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -195,11 +195,16 @@
     return status < 300 ? AnswerNature::kSuccess : AnswerNature::kFailure;
   };
   dialect.read_advice = [](int /*status*/, const http::Headers& headers) {
+    const std::string rest = Text(headers, "Rest");
     const std::string limit = Text(headers, "Limit");
     EndpointAdvice advice;
     if (!limit.empty()) {
       advice.max_rate = std::stod(limit);
     }
+    advice.leaving = !Text(headers, "Leaving").empty();
+    if (!rest.empty()) {
+      advice.rest = FromSeconds(std::stod(rest));
+    }
     return advice;
   };
   dialect.read_export = [](std::string_view body) {
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -42,8 +42,8 @@
 // `Deadline` is in ms, and `Key` is the caller's key. Endpoints receive the
 // name of the request's customer as `Customer`, and answer with the headers
 // `Id`, `Proof` (the endpoint's own answer), `Refused` (the request did not
-// run), `Other` (the address is wrong) or `Limit` (requests per second that
-// the endpoint takes).
+// run), `Other` (the address is wrong), `Limit` (requests per second that the
+// endpoint takes), `Leaving`, or `Rest` (in seconds).
 class GatewaySimulation {
  public:
   // `repeat_extra`: repeats that the budget allows beside its share of the
--- a/src/gateway/types/endpoint_advice.h
+++ b/src/gateway/types/endpoint_advice.h
@@ -3,6 +3,8 @@
 
 #include <optional>
 
+#include "framework/global/types/instant.h"
+
 namespace acacialug::gateway {
 
 // What the head of an answer says about the work that its endpoint takes.
@@ -10,6 +12,11 @@
   // The requests per second that the endpoint takes from all processes
   // together; empty: it names no limit.
   std::optional<double> max_rate;
+  // The endpoint takes no new work, and ends soon.
+  bool leaving = false;
+  // The endpoint takes nothing from this process for this long; zero: it asks
+  // for no rest.
+  Duration rest{};
 };
 
 }  // namespace acacialug::gateway
