Add failing tests for endpoints that leave or ask for rest in their answers

Cause: requests reach an endpoint that has said in an answer that it leaves, or that has rejected a request and asked for a rest.

--- a/src/gateway/tests/endpoint_advice_test.cc
+++ b/src/gateway/tests/endpoint_advice_test.cc
@@ -11,7 +11,6 @@
 namespace acacialug::gateway {
 namespace {
 
-using acacialug::testing::ForEach;
 using acacialug::testing::It;
 using testing::Call;
 using testing::GatewaySimulation;
@@ -51,6 +50,88 @@
   int requests = 0;
 };
 
+// A message that an endpoint answers with advice, and the role of the endpoint.
+struct PhaseCase {
+  std::string name;
+  std::string path;
+  std::string role;  // the first letter of the endpoint's name
+  // Sends a request until the endpoint has the message; returns it.
+  std::function<std::shared_ptr<Call>(AdviceSimulation&)> advance;
+};
+
+const std::vector<PhaseCase> kPhases = {
+    {"a request that runs once", "/once/a", "p",
+     [](AdviceSimulation& simulation) {
+       simulation.SendRequest("/once/a", "r");
+       return simulation.Find("/once/a");
+     }},
+    {"a request that may run again", "/idempotent/a", "p",
+     [](AdviceSimulation& simulation) {
+       simulation.SendRequest("/idempotent/a", "r");
+       return simulation.Find("/idempotent/a");
+     }},
+    {"a reservation", "/stream/a", "d",
+     [](AdviceSimulation& simulation) {
+       simulation.SendRequest("/stream/a", "r", "300,90");
+       return simulation.Find("/reserve/");
+     }},
+    {"a prompt", "/stream/a", "f",
+     [](AdviceSimulation& simulation) {
+       simulation.SendRequest("/stream/a", "r", "300,90");
+       simulation.Reply(simulation.Find("/reserve/"), 200, {}, "r1");
+       return simulation.Find("prefill");
+     }},
+    {"a generation", "/stream/a", "d", [](AdviceSimulation& simulation) {
+       simulation.SendRequest("/stream/a", "r", "300,90");
+       return simulation.AdvanceToDecode();
+     }}};
+
+// Sends requests of the phase's path, and answers each of their messages;
+// returns how many messages reached the endpoint.
+int CountMessages(AdviceSimulation& simulation,
+                  const PhaseCase& row,
+                  const std::string& endpoint) {
+  int messages = 0;
+  for (int request = 0; request < 40; ++request) {
+    simulation.SendRequest(row.path, "s" + std::to_string(request), "300,90");
+    for (auto calls = simulation.Calls(); !calls.empty();
+         calls = simulation.Calls()) {
+      messages += simulation.EndpointOf(calls.back()) == endpoint ? 1 : 0;
+      simulation.Reply(calls.back(), 200, {{"Proof", "1"}}, "name");
+    }
+    simulation.AdvanceBy(50ms);
+  }
+  return messages;
+}
+
+const acacialug::testing::Story kAdvice(
+    "an endpoint whose answer",
+    {It("says that it leaves gets nothing more, in any phase",
+        [] {
+          // Guards against requests at an endpoint that has said it leaves.
+          for (const PhaseCase& row : kPhases) {
+            AdviceSimulation simulation;
+            const auto call = row.advance(simulation);
+            const std::string endpoint = simulation.EndpointOf(call);
+            CPPUNIT_ASSERT_EQUAL(row.role, endpoint.substr(0, 1));
+            simulation.Reply(call, 200, {{"Proof", "1"}, {"Leaving", "1"}},
+                             "name");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                row.name, 0, CountMessages(simulation, row, endpoint));
+          }
+        }),
+     It("asks for rest gets nothing more until it ends, in any phase", [] {
+       // Guards against requests at an endpoint that has asked for rest.
+       for (const PhaseCase& row : kPhases) {
+         AdviceSimulation simulation;
+         const auto call = row.advance(simulation);
+         const std::string endpoint = simulation.EndpointOf(call);
+         simulation.Reply(call, 503, {{"Refused", "1"}, {"Rest", "3"}});
+         CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, 0,
+                                      CountMessages(simulation, row, endpoint));
+       }
+     })});
+
 const acacialug::testing::Story kLog(
     "what an endpoint's answer says is logged:",
     {It("that it leaves, once",
