Believe an endpoint's answer that it leaves

Seen by callers: while the store is out, requests were sent to an endpoint for seconds after its answers said that it leaves, and a run was cut off by its end. Cause: only the store's record could say that an endpoint leaves, and the store was out (hypothesis 1); its older record is no evidence against a newer answer. Change: EndpointCatalog keeps departures by answers beside the records. They exclude an endpoint from all placing until it ends or restarts, or has renewed its record as ready, with the store in order, a minute after the last such answer. A reservation that is granted by an endpoint that leaves is released and the generation placed elsewhere. The end of such an endpoint is a planned one for the request's quarantine, and its record's deletion takes effect at once. Conclusion: the newer word counts, whoever brings it.

--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -39,12 +39,39 @@
   if (!same) {
     this->NoteChange(change.offset);
   }
+  this->EndDeparture(*change.record, restarted, now);
   if (restarted && this->restart_hook) {
     this->restart_hook(*change.record);
   }
   return !same;
 }
 
+bool EndpointCatalog::NoteDeparture(const EndpointId& id, Instant now) {
+  const bool known = this->Leaves(id);
+  this->departures[id] = now;
+  return !known;
+}
+
+void EndpointCatalog::EndDeparture(const EndpointRecord& renewed,
+                                   bool restarted,
+                                   Instant now) {
+  const auto departure = this->departures.find(renewed.id);
+  if (departure == this->departures.end()) {
+    return;
+  }
+  const bool stays = !renewed.leaving && !this->InLapseGrace(now) &&
+                     now - departure->second >= kDepartureMemory;
+  if (restarted || stays) {
+    this->departures.erase(departure);
+  }
+}
+
+bool EndpointCatalog::Leaves(const EndpointId& id) const {
+  const EndpointRecord* const record = this->Find(id);
+  return (record != nullptr && record->leaving) ||
+         this->departures.contains(id);
+}
+
 void EndpointCatalog::NoteChange(LogOffset offset) {
   this->last_change = std::max(this->last_change, LogOffset(offset.value + 1));
 }
@@ -54,7 +81,7 @@
                              Instant now) {
   const auto found = this->entries.find(id);
   if (found != this->entries.end() && this->InLapseGrace(now) &&
-      !found->second.record.leaving) {
+      !this->Leaves(id)) {
     found->second.lapsed_at = offset;
     return false;
   }
@@ -134,6 +161,10 @@
   for (const auto& [id, offset] : expired) {
     this->Remove(id, offset, now);
   }
+  std::erase_if(this->departures, [this, now](const auto& departure) {
+    return now - departure.second >= kDepartureMemory &&
+           !this->entries.contains(departure.first);
+  });
   std::erase_if(this->deletions, [now](const auto& deletion) {
     return deletion.second.expires_at <= now;
   });
@@ -152,7 +183,8 @@
     const ServiceName& service) const {
   std::vector<const EndpointRecord*> usable;
   for (const auto& [id, entry] : this->entries) {
-    if (entry.record.service == service && !entry.record.leaving) {
+    if (entry.record.service == service && !entry.record.leaving &&
+        !this->departures.contains(id)) {
       usable.push_back(&entry.record);
     }
   }
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -27,6 +27,11 @@
   // restore the endpoint. It is longer than a peer's updates can lag.
   static constexpr Duration kDeletionMemory = 60s;
 
+  // A record that an endpoint renews as ready counts against its answer that it
+  // leaves only after this time: the store may have accepted the record late,
+  // and an endpoint that leaves may stay for many seconds.
+  static constexpr Duration kDepartureMemory = 60s;
+
   // `on_restart`, unless empty, runs with the new record of an endpoint that
   // restarted under its id.
   explicit EndpointCatalog(
@@ -37,6 +42,11 @@
   bool Apply(const EndpointChange& change, Instant now);
   bool Apply(const EndpointSnapshot& snapshot, Instant now);
 
+  // An answer of the endpoint said that it leaves. This counts until the
+  // endpoint ends or restarts, or has renewed its record as ready after
+  // kDepartureMemory. Returns whether it was unknown.
+  bool NoteDeparture(const EndpointId& id, Instant now);
+
   // The store stopped serving this process, or serves it again.
   void NoteStoreLost();
   void NoteStoreBack(Instant now);
@@ -51,7 +61,9 @@
       const ServiceName& service) const;
   // Returns null for an endpoint that is unknown or has ended.
   const EndpointRecord* Find(const EndpointId& id) const;
-  // The same by LoadTable::KeyOf of its id. The cost is linear in the number of
+  // Whether the endpoint leaves, by its record or its answers.
+  bool Leaves(const EndpointId& id) const;
+  // As Find, by LoadTable::KeyOf of its id. The cost is linear in the number of
   // endpoints.
   const EndpointRecord* FindByKey(std::uint64_t key) const;
 
@@ -82,11 +94,14 @@
   bool Delete(const EndpointId& id, LogOffset offset, Instant now);
   bool Remove(const EndpointId& id, LogOffset offset, Instant now);
   void NoteChange(LogOffset offset);
+  void EndDeparture(const EndpointRecord& renewed, bool restarted, Instant now);
   bool InLapseGrace(Instant now) const;
 
   const std::function<void(const EndpointRecord& started)> restart_hook;
   std::map<EndpointId, Entry> entries;
   std::map<EndpointId, Deletion> deletions;
+  // When an endpoint's last answer said that it leaves.
+  std::map<EndpointId, Instant> departures;
   LogOffset known_up_to;
   LogOffset last_change;
   bool store_lost = false;
--- a/src/gateway/internal/endpoint_sender.cc
+++ b/src/gateway/internal/endpoint_sender.cc
@@ -39,7 +39,8 @@
   if (advice.max_rate || nature == AnswerNature::kSuccess) {
     this->NoteMaxRate(endpoint, advice.max_rate);
   }
-  if (advice.leaving && this->leaving.insert(endpoint).second) {
+  if (advice.leaving &&
+      this->catalog.NoteDeparture(endpoint, this->hooks.now())) {
     this->hooks.log(log::Level::kWarning, "endpoint_leaves",
                     {.endpoint = endpoint, .fields = {{"status", status}}});
   }
--- a/src/gateway/internal/endpoint_sender.h
+++ b/src/gateway/internal/endpoint_sender.h
@@ -3,8 +3,8 @@
 
 #include <functional>
 #include <optional>
-#include <set>
 
+#include "gateway/endpoint_catalog.h"
 #include "gateway/endpoint_limits.h"
 #include "gateway/types/endpoint_advice.h"
 #include "gateway/types/endpoint_dialect.h"
@@ -24,10 +24,12 @@
   // All outlive this object.
   EndpointSender(const GatewayHooks& gateway_hooks,
                  const EndpointDialect& endpoint_dialect,
-                 EndpointLimits& endpoint_limits)
+                 EndpointLimits& endpoint_limits,
+                 EndpointCatalog& endpoint_catalog)
       : hooks(gateway_hooks),
         dialect(endpoint_dialect),
-        limits(endpoint_limits) {}
+        limits(endpoint_limits),
+        catalog(endpoint_catalog) {}
 
   // As GatewayHooks::send. `judge` is empty for messages that are no requests
   // of callers.
@@ -46,7 +48,7 @@
   const GatewayHooks& hooks;
   const EndpointDialect& dialect;
   EndpointLimits& limits;
-  std::set<EndpointId> leaving;
+  EndpointCatalog& catalog;
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -70,10 +70,9 @@
                      bool sent,
                      AnswerNature nature) {
   this->context.health.NoteLost(endpoint.id, sent, this->Now());
-  const EndpointRecord* const known = this->context.catalog.Find(endpoint.id);
   // An endpoint that leaves as ordered ends with whatever requests it has left,
   // so that its end is not attributed to the request.
-  const bool planned = known != nullptr && known->leaving;
+  const bool planned = this->context.catalog.Leaves(endpoint.id);
   if (!sent || planned || nature == AnswerNature::kNotRun ||
       nature == AnswerNature::kMisplaced) {
     return;
--- a/src/gateway/internal/reservation_request.cc
+++ b/src/gateway/internal/reservation_request.cc
@@ -58,7 +58,13 @@
   const EndpointId& id = this->requested_placement.decode.id;
   this->context.health.NoteAnswer(id, this->Now());
   const auto name = this->context.dialect.read_reservation(status, body);
-  if (name) {
+  if (name && this->context.catalog.Leaves(id)) {
+    // It would end before the generation does.
+    this->context.sender.Send(this->requested_placement.decode,
+                              this->context.dialect.write_unreserve(*name),
+                              {.on_error = [](const Error&, bool) {}});
+    this->End(ReservationAnswer::kUnexpectedRefusal);
+  } else if (name) {
     this->context.health.NoteCapacity(id);
     this->End(ReservationAnswer::kGranted, *name);
   } else if (this->requested_placement.decode_fill < kUnexpectedRefusalFill) {
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -186,6 +186,58 @@
           catalog.NoteStoreLost();
           CPPUNIT_ASSERT(!catalog.Snapshot(kStart + 4s).settled);
         }),
+     It("keeps what an endpoint's answer says, against older and late records",
+        [] {
+          // Guards against requests at an endpoint that leaves while the store
+          // is out: its record goes on to say that it is ready.
+          EndpointCatalog catalog;
+          catalog.Apply(Written(5, "a"), kStart);
+          CPPUNIT_ASSERT(catalog.NoteDeparture(EndpointId("a"), kStart));
+          CPPUNIT_ASSERT(!catalog.NoteDeparture(EndpointId("a"), kStart));
+          CPPUNIT_ASSERT(catalog.ForService(kService).empty());
+          catalog.Apply(Written(6, "a"), kStart + 20s);
+          catalog.Sweep(kStart + 20s);
+          CPPUNIT_ASSERT(catalog.ForService(kService).empty());
+        }),
+     It("believes a record that says for long after the answer that it stays",
+        [] {
+          constexpr Instant kLater = kStart + EndpointCatalog::kDepartureMemory;
+          EndpointCatalog catalog;
+          catalog.Apply(Written(5, "a"), kStart);
+          catalog.NoteDeparture(EndpointId("a"), kStart);
+          catalog.Sweep(kLater);
+          CPPUNIT_ASSERT(catalog.ForService(kService).empty());
+          catalog.NoteStoreLost();
+          catalog.Apply(Written(6, "a"), kLater);
+          CPPUNIT_ASSERT(catalog.ForService(kService).empty());
+          catalog.NoteStoreBack(kLater);
+          catalog.Apply(Written(7, "a"), kLater + EndpointCatalog::kLapseGrace);
+          CPPUNIT_ASSERT(catalog.ForService(kService).size() == 1);
+        }),
+     It("ends a departure with the endpoint's restart under its id",
+        [] {
+          EndpointCatalog catalog;
+          for (const std::int64_t started_at_ms : {100, 200}) {
+            EndpointChange change =
+                Written(static_cast<std::uint64_t>(started_at_ms), "a");
+            change.record->started_at_ms = started_at_ms;
+            catalog.Apply(change, kStart);
+            CPPUNIT_ASSERT(catalog.ForService(kService).size() == 1);
+            catalog.NoteDeparture(EndpointId("a"), kStart);
+            CPPUNIT_ASSERT(catalog.ForService(kService).empty());
+          }
+        }),
+     It("keeps a departure while the record has lapsed, and not for ever",
+        [] {
+          EndpointCatalog catalog;
+          catalog.NoteDeparture(EndpointId("a"), kStart);
+          catalog.Sweep(kStart + 5s);
+          catalog.Apply(Written(5, "a"), kStart + 5s);
+          CPPUNIT_ASSERT(catalog.Leaves(EndpointId("a")));
+          catalog.Apply(Deleted(6, "a"), kStart + 6s);
+          catalog.Sweep(kStart + EndpointCatalog::kDepartureMemory);
+          CPPUNIT_ASSERT(!catalog.Leaves(EndpointId("a")));
+        }),
      It("accepts the deletion of a leaving endpoint at once", [] {
        EndpointCatalog catalog;
        catalog.Apply(Written(5, "a", true), kStart);
