Do not use a connection whose idle time has just ended

Seen: a connection whose server told an idle time of zero was used once more. Cause: ClientPool compared the end of the idle time with >=, so that a connection was usable within the microsecond in which it became idle. Change: it is usable before that instant only, and dropped from it on. Conclusion: a server that tells zero means that it closes at once.

--- a/src/framework/http/internal/client_pool.cc
+++ b/src/framework/http/internal/client_pool.cc
@@ -32,7 +32,7 @@
     ClientConnection* const latest = connections.back();
     connections.pop_back();
     // A timer that is late must not let a connection be used past its time.
-    if (latest->idle_until() >= MonotonicNow() && latest->IsReusable()) {
+    if (latest->idle_until() > MonotonicNow() && latest->IsReusable()) {
       taken = latest;
     } else {
       CloseLater(latest);
@@ -83,7 +83,7 @@
   std::vector<ClientConnection*> old;
   for (const auto& [address, connections] : this->idle) {
     for (ClientConnection* const connection : connections) {
-      if (connection->idle_until() < now) {
+      if (connection->idle_until() <= now) {
         old.push_back(connection);
       }
     }
