Take no repeat for a request that nobody else can take

Seen by callers: after rejections by endpoints that rest or have no share left, repeats of other requests were refused though none had been sent. Cause: CallRelay took a repeat from the budget before it knew whether any endpoint was left, which became frequent with endpoints that are excluded altogether. Change: it asks first. Conclusion: the budget counts what is sent.

--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -200,7 +200,10 @@
 void CallRelay::AfterNotRun(ResultCode code) {
   this->EndAttempt();
   --this->runs;
-  const bool again = !this->Quarantined() && this->outcome.sends < kMaxSends &&
+  const bool possible =
+      !this->context.AvailableEndpoints(this->work.service).empty();
+  const bool again = possible && !this->Quarantined() &&
+                     this->outcome.sends < kMaxSends &&
                      this->work.state->budget.TryTake(
                          this->Now(), this->context.processes()) &&
                      this->TryPlace();
--- a/src/gateway/tests/endpoint_advice_test.cc
+++ b/src/gateway/tests/endpoint_advice_test.cc
@@ -18,7 +18,8 @@
 
 // Endpoints of each role.
 struct AdviceSimulation : GatewaySimulation {
-  explicit AdviceSimulation(int endpoints = 2) {
+  explicit AdviceSimulation(int endpoints = 2, double repeat_extra = 58)
+      : GatewaySimulation(repeat_extra) {
     this->Configure();
     for (int number = 0; number < endpoints; ++number) {
       const std::string name = std::to_string(number);
@@ -28,14 +29,11 @@
     }
   }
 
-  // A request that ends at once, with this answer of its endpoint. Returns the
-  // endpoint.
-  std::string Ask(const std::string& path, const http::Headers& headers) {
+  // A request that ends at once, with this answer of its endpoint.
+  void Ask(const std::string& path, const http::Headers& headers) {
     this->SendRequest(path, "r" + std::to_string(++this->requests));
-    const auto call = this->Find(path);
-    const std::string endpoint = this->EndpointOf(call);
-    this->Reply(call, headers[0].name == "Refused" ? 503 : 200, headers);
-    return endpoint;
+    this->Reply(this->Find(path), headers[0].name == "Refused" ? 503 : 200,
+                headers);
   }
   std::string EndpointOf(const std::shared_ptr<Call>& call) const {
     CPPUNIT_ASSERT_MESSAGE("no such call", call != nullptr);
@@ -194,6 +192,20 @@
           simulation.ReplyProof(simulation.Find("/idempotent/a"), 200);
           CPPUNIT_ASSERT_EQUAL(200, answer->status);
         }),
+     It("asks for rest takes no repeat of a request that nobody else can take",
+        [] {
+          // Guards against a repeat budget that is used up by repeats that are
+          // never sent.
+          AdviceSimulation simulation(1, 1);
+          for (int request = 0; request < 10; ++request) {
+            simulation.Ask("/once/a", {{"Refused", "1"}, {"Rest", "0.1"}});
+            simulation.AdvanceBy(200ms);
+          }
+          simulation.AddEndpoint("p9", "plain", EndpointRole::kPlain);
+          simulation.SendRequest("/once/a", "r2");
+          simulation.ReplyRefused(simulation.Find("/once/a"));
+          CPPUNIT_ASSERT(simulation.Find("/once/a") != nullptr);
+        }),
      It("asks for rest keeps it while nothing else is seen of it", [] {
        EndpointHealth health;
        constexpr Instant kNow{1h};
