Log why no endpoint takes a request

Cause: a refusal did not tell endpoints that are busy from endpoints that rest, or name a limit of which this gateway has no share left. Change: call_unplaced, and three more fields of stream_waits and stream_turned_away. Conclusion: the callers' cost of limits and rests can be read from the log.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -432,8 +432,12 @@
         std::make_shared<CallRelay>(this->context, std::move(job));
     this->Start(relay);
     if (!relay->TryPlace()) {
-      const bool known =
-          !this->catalog.ForService(relay->job().service).empty();
+      const ServiceName& service = relay->job().service;
+      const bool known = !this->catalog.ForService(service).empty();
+      this->options.hooks.log(
+          log::Level::kWarning, "call_unplaced",
+          {.request_name = relay->job().request.id,
+           .fields = this->context.AvailabilityFields(service)});
       relay->Refuse(known ? ResultCode::kOverloaded : ResultCode::kNoEndpoint,
                     kRetryNoEndpoint);
     }
--- a/src/gateway/internal/relay_context.cc
+++ b/src/gateway/internal/relay_context.cc
@@ -25,4 +25,20 @@
   return endpoints;
 }
 
+std::vector<log::Field> RelayContext::AvailabilityFields(
+    const ServiceName& service) const {
+  const Instant now = this->hooks.now();
+  std::size_t resting = 0;
+  std::size_t without_share = 0;
+  const auto endpoints = this->catalog.ForService(service);
+  for (const EndpointRecord* const endpoint : endpoints) {
+    const bool rests = this->health.Resting(endpoint->id, now);
+    resting += rests ? 1 : 0;
+    without_share += !rests && !this->Available(*endpoint) ? 1 : 0;
+  }
+  return {{"endpoints", endpoints.size()},
+          {"resting", resting},
+          {"without_share", without_share}};
+}
+
 }  // namespace acacialug::gateway
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -65,6 +65,9 @@
   std::uint32_t MessagesOf(const EndpointRecord& endpoint) const;
   // Whether this process may place a request at the endpoint now.
   bool Available(const EndpointRecord& endpoint) const;
+  // For the log: how many endpoints of a service take work, and how many of
+  // them are unavailable to this process, by reason.
+  std::vector<log::Field> AvailabilityFields(const ServiceName& service) const;
   // Those endpoints of a service; valid until the catalog's next change.
   std::vector<const EndpointRecord*> AvailableEndpoints(
       const ServiceName& service) const;
--- a/src/gateway/internal/waiting_streams.cc
+++ b/src/gateway/internal/waiting_streams.cc
@@ -1,6 +1,7 @@
 #include "gateway/internal/waiting_streams.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acacialug::gateway {
 namespace {
@@ -63,20 +64,24 @@
   const RelayJob& job = relay.job();
   const double fill = this->context.streams.PoolFill(
       *job.traits->engine, this->context.catalog.ForService(job.service));
+  std::vector<log::Field> fields{
+      {"service", job.service},
+      {"rank", NameOf(kTicketRankNames, ticket.rank)},
+      {"waiting", job.state->queue.size()},
+      {"waiting_tokens", job.state->queue.waiting_tokens()},
+      {"pool_fill", fill},
+      {"expected_wait_ms", decision.expected_wait},
+      {"age_ms", relay.Age()},
+      {"spent_ms", job.spent},
+      {"left_ms", relay.TimeLeft()},
+      {"peers", this->context.load_table.peers()}};
+  for (log::Field& field : this->context.AvailabilityFields(job.service)) {
+    fields.push_back(std::move(field));
+  }
   this->context.hooks.log(
       decision.admitted ? log::Level::kInfo : log::Level::kWarning,
       decision.admitted ? "stream_waits" : "stream_turned_away",
-      {.request_name = job.request.id,
-       .fields = {{"service", job.service},
-                  {"rank", NameOf(kTicketRankNames, ticket.rank)},
-                  {"waiting", job.state->queue.size()},
-                  {"waiting_tokens", job.state->queue.waiting_tokens()},
-                  {"pool_fill", fill},
-                  {"expected_wait_ms", decision.expected_wait},
-                  {"age_ms", relay.Age()},
-                  {"spent_ms", job.spent},
-                  {"left_ms", relay.TimeLeft()},
-                  {"peers", this->context.load_table.peers()}}});
+      {.request_name = job.request.id, .fields = std::move(fields)});
 }
 
 void WaitingStreams::Remove(const Relay& relay) {
--- a/src/gateway/tests/endpoint_advice_test.cc
+++ b/src/gateway/tests/endpoint_advice_test.cc
@@ -138,6 +138,7 @@
           simulation.AdvanceBy(2990ms);
           CPPUNIT_ASSERT_EQUAL(
               503, simulation.SendRequest("/once/a", "early")->status);
+          CPPUNIT_ASSERT(simulation.Logged("call_unplaced") == 1);
           simulation.AdvanceBy(20ms);
           simulation.SendRequest("/once/a", "late");
           CPPUNIT_ASSERT(simulation.Find("/once/a") != nullptr);
