Share what the limits, releases and tests of advice wrote twice

Cause: reading the whole change again found the log entries of a limit written twice (EndpointSender, GatewayCore), an update of a limit twice (NoteAnswer, Merge), releases of memory sent in two ways (StreamRelay, ReservationRequest), and a count of log entries in four tests. Change: EndpointSender::OnPeerLimit and LogLimit, EndpointLimits::Update, RelayContext::SendRelease, GatewaySimulation::Logged. Behaviour is as before, but that a reservation granted by an endpoint that leaves and rests is left to lapse, as other releases are. No assertion changed. Conclusion: shorter by one copy each.

--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -38,27 +38,28 @@
 
 // Keeps the tokens of a limit that ended: one that ends and begins again in
 // quick succession must not yield a burst each time.
-void EndpointLimits::Set(std::uint64_t endpoint_key,
-                         std::optional<double> max_rate,
-                         Instant answered_at) {
+bool EndpointLimits::Update(std::uint64_t endpoint_key,
+                            std::optional<double> max_rate,
+                            Instant answered_at) {
+  const std::optional<double> before = this->MaxRate(endpoint_key);
+  const bool may_add = max_rate && this->entries.size() < kMaxEndpoints;
+  if (!may_add && !this->entries.contains(endpoint_key)) {
+    return false;
+  }
   Entry& entry = this->entries[endpoint_key];
   entry.max_rate = max_rate;
   entry.answered_at = answered_at;
+  return before != max_rate;
 }
 
 bool EndpointLimits::NoteAnswer(std::uint64_t endpoint_key,
                                 std::optional<double> max_rate,
                                 Instant now) {
-  const std::optional<double> known = this->MaxRate(endpoint_key);
-  const bool kept = this->entries.contains(endpoint_key);
-  if (!kept && (!max_rate || this->entries.size() >= kMaxEndpoints)) {
+  // Further answers without a limit must not prolong the report of its end.
+  if (!max_rate && !this->MaxRate(endpoint_key)) {
     return false;
   }
-  // An end is reported from its first sign on, and not anew with each answer.
-  if (known || max_rate) {
-    this->Set(endpoint_key, max_rate, now);
-  }
-  return known != max_rate;
+  return this->Update(endpoint_key, max_rate, now);
 }
 
 bool EndpointLimits::Merge(const EndpointLimitReport& report, Instant now) {
@@ -67,22 +68,16 @@
       (!report.max_rate ||
        (std::isfinite(*report.max_rate) && *report.max_rate >= 0));
   const auto known = this->entries.find(report.endpoint_key);
-  const bool has_entry = known != this->entries.end();
   const Instant answered_at = now - report.age;
-  if (!valid || (has_entry && known->second.answered_at >= answered_at) ||
-      (!has_entry &&
-       (!report.max_rate || this->entries.size() >= kMaxEndpoints))) {
+  if (!valid || (known != this->entries.end() &&
+                 known->second.answered_at >= answered_at)) {
     return false;
   }
-  const std::optional<double> before = this->MaxRate(report.endpoint_key);
-  this->Set(report.endpoint_key, report.max_rate, answered_at);
-  return before != report.max_rate;
+  return this->Update(report.endpoint_key, report.max_rate, answered_at);
 }
 
 void EndpointLimits::Forget(std::uint64_t endpoint_key, Instant now) {
-  if (this->entries.contains(endpoint_key)) {
-    this->Set(endpoint_key, std::nullopt, now);
-  }
+  this->Update(endpoint_key, std::nullopt, now);
 }
 
 EndpointLimits::Share EndpointLimits::ShareOf(std::uint64_t endpoint_key,
--- a/src/gateway/endpoint_limits.h
+++ b/src/gateway/endpoint_limits.h
@@ -101,9 +101,10 @@
   };
 
   void AddMember(const std::string& peer, Instant until);
-  void Set(std::uint64_t endpoint_key,
-           std::optional<double> max_rate,
-           Instant answered_at);
+  // Returns whether the limit changed.
+  bool Update(std::uint64_t endpoint_key,
+              std::optional<double> max_rate,
+              Instant answered_at);
   Share ShareOf(std::uint64_t endpoint_key,
                 double max_rate,
                 std::uint32_t messages) const;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -262,25 +262,6 @@
     this->customers.ledger().OnPeerListed(peer, now);
   }
 
-  void SetPeerLimit(const EndpointLimitReport& reported) {
-    if (!this->limits.Merge(reported, this->Now())) {
-      return;
-    }
-    const EndpointRecord* const endpoint =
-        this->catalog.FindByKey(reported.endpoint_key);
-    const EndpointId id = endpoint == nullptr ? EndpointId() : endpoint->id;
-    if (reported.max_rate) {
-      this->options.hooks.log(log::Level::kWarning, "endpoint_limited",
-                              {.endpoint = id,
-                               .fields = {{"per_second", *reported.max_rate},
-                                          {"reported_age_ms", reported.age}}});
-    } else {
-      this->options.hooks.log(
-          log::Level::kInfo, "endpoint_limit_ended",
-          {.endpoint = id, .fields = {{"reported_age_ms", reported.age}}});
-    }
-  }
-
   void SetPeers(std::size_t count, bool first) {
     this->peers = count;
     this->roles.SetFirst(first);
@@ -646,7 +627,7 @@
 }
 
 void GatewayCore::SetPeerLimit(const EndpointLimitReport& reported) {
-  this->implementation->SetPeerLimit(reported);
+  this->implementation->sender.OnPeerLimit(reported);
 }
 
 void GatewayCore::BeginDrain() {
--- a/src/gateway/internal/endpoint_sender.cc
+++ b/src/gateway/internal/endpoint_sender.cc
@@ -36,8 +36,11 @@
   }
   const EndpointAdvice advice = this->dialect.read_advice(status, headers);
   // Other answers than a success may come without the limit that is in effect.
-  if (advice.max_rate || nature == AnswerNature::kSuccess) {
-    this->NoteMaxRate(endpoint, advice.max_rate);
+  const bool tells_limit = advice.max_rate || nature == AnswerNature::kSuccess;
+  if (tells_limit &&
+      this->limits.NoteAnswer(LoadTable::KeyOf(endpoint), advice.max_rate,
+                              this->hooks.now())) {
+    this->LogLimit(endpoint, advice.max_rate, {});
   }
   if (advice.leaving &&
       this->catalog.NoteDeparture(endpoint, this->hooks.now())) {
@@ -52,20 +55,25 @@
   }
 }
 
-void EndpointSender::NoteMaxRate(const EndpointId& endpoint,
-                                 std::optional<double> max_rate) {
-  const std::uint64_t key = LoadTable::KeyOf(endpoint);
-  if (!this->limits.NoteAnswer(key, max_rate, this->hooks.now())) {
+void EndpointSender::OnPeerLimit(const EndpointLimitReport& reported) {
+  if (!this->limits.Merge(reported, this->hooks.now())) {
     return;
   }
+  const EndpointRecord* const endpoint =
+      this->catalog.FindByKey(reported.endpoint_key);
+  this->LogLimit(endpoint == nullptr ? EndpointId() : endpoint->id,
+                 reported.max_rate, {{"reported_age_ms", reported.age}});
+}
+
+void EndpointSender::LogLimit(const EndpointId& endpoint,
+                              std::optional<double> max_rate,
+                              std::vector<log::Field> fields) const {
   if (max_rate) {
-    this->hooks.log(
-        log::Level::kWarning, "endpoint_limited",
-        {.endpoint = endpoint, .fields = {{"per_second", *max_rate}}});
-  } else {
-    this->hooks.log(log::Level::kInfo, "endpoint_limit_ended",
-                    {.endpoint = endpoint, .fields = {}});
+    fields.emplace_back("per_second", *max_rate);
   }
+  this->hooks.log(max_rate ? log::Level::kWarning : log::Level::kInfo,
+                  max_rate ? "endpoint_limited" : "endpoint_limit_ended",
+                  {.endpoint = endpoint, .fields = std::move(fields)});
 }
 
 }  // namespace acacialug::gateway
--- a/src/gateway/internal/endpoint_sender.h
+++ b/src/gateway/internal/endpoint_sender.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 #include "gateway/endpoint_catalog.h"
 #include "gateway/endpoint_health.h"
@@ -41,12 +42,18 @@
                                 http::ExchangeHooks exchange_hooks,
                                 Judge judge = {});
 
+  // A peer reported what an answer that it received says of a limit.
+  void OnPeerLimit(const EndpointLimitReport& reported);
+
  private:
   void OnHead(const EndpointId& endpoint,
               int status,
               const http::Headers& headers,
               const Judge& judge);
-  void NoteMaxRate(const EndpointId& endpoint, std::optional<double> max_rate);
+  // The fields of the log entry are `fields` and the limit.
+  void LogLimit(const EndpointId& endpoint,
+                std::optional<double> max_rate,
+                std::vector<log::Field> fields) const;
 
   const GatewayHooks& hooks;
   const EndpointDialect& dialect;
--- a/src/gateway/internal/relay_context.cc
+++ b/src/gateway/internal/relay_context.cc
@@ -25,6 +25,14 @@
   return endpoints;
 }
 
+void RelayContext::SendRelease(const EndpointRecord& endpoint,
+                               const http::Request& release) const {
+  if (!this->health.Resting(endpoint.id, this->hooks.now())) {
+    this->sender.Send(endpoint, release,
+                      {.on_error = [](const Error&, bool) {}});
+  }
+}
+
 std::vector<log::Field> RelayContext::AvailabilityFields(
     const ServiceName& service) const {
   const Instant now = this->hooks.now();
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -65,6 +65,10 @@
   std::uint32_t MessagesOf(const EndpointRecord& endpoint) const;
   // Whether this process may place a request at the endpoint now.
   bool Available(const EndpointRecord& endpoint) const;
+  // Sends a message that releases memory, whose answer doesn't matter, unless
+  // the endpoint rests: the memory lapses there.
+  void SendRelease(const EndpointRecord& endpoint,
+                   const http::Request& release) const;
   // For the log: how many endpoints of a service take work, and how many of
   // them are unavailable to this process, by reason.
   std::vector<log::Field> AvailabilityFields(const ServiceName& service) const;
--- a/src/gateway/internal/reservation_request.cc
+++ b/src/gateway/internal/reservation_request.cc
@@ -60,9 +60,8 @@
   const auto name = this->context.dialect.read_reservation(status, body);
   if (name && this->context.catalog.Leaves(id)) {
     // It would end before the generation does.
-    this->context.sender.Send(this->requested_placement.decode,
-                              this->context.dialect.write_unreserve(*name),
-                              {.on_error = [](const Error&, bool) {}});
+    this->context.SendRelease(this->requested_placement.decode,
+                              this->context.dialect.write_unreserve(*name));
     this->End(ReservationAnswer::kUnexpectedRefusal);
   } else if (name) {
     this->context.health.NoteCapacity(id);
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -215,16 +215,8 @@
 // lapses, as it does at one that rests.
 void StreamRelay::ReleaseExport() {
   if (const auto held = std::exchange(this->prefilled, std::nullopt)) {
-    this->SendRelease(*this->placement->prefill,
-                      this->context.dialect.write_release(held->name));
-  }
-}
-
-void StreamRelay::SendRelease(const EndpointRecord& endpoint,
-                              const http::Request& release) {
-  if (!this->context.health.Resting(endpoint.id, this->Now())) {
-    this->context.sender.Send(endpoint, release,
-                              {.on_error = [](const Error&, bool) {}});
+    this->context.SendRelease(*this->placement->prefill,
+                              this->context.dialect.write_release(held->name));
   }
 }
 
@@ -236,7 +228,8 @@
 void StreamRelay::ReleaseReservationAt(const EndpointRecord& decode,
                                        const std::string& name) {
   if (!name.empty()) {
-    this->SendRelease(decode, this->context.dialect.write_unreserve(name));
+    this->context.SendRelease(decode,
+                              this->context.dialect.write_unreserve(name));
   }
 }
 
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -53,8 +53,6 @@
   void ReleasePrefill();
   void ReleaseDecode();
   void ReleaseExport();
-  void SendRelease(const EndpointRecord& endpoint,
-                   const http::Request& release);
   void ReleaseReservation();
   // An empty name means no reservation.
   void ReleaseReservationAt(const EndpointRecord& decode,
--- a/src/gateway/tests/endpoint_advice_test.cc
+++ b/src/gateway/tests/endpoint_advice_test.cc
@@ -42,9 +42,6 @@
         [&call](const auto& entry) { return entry.second == call->address; });
     return found->first;
   }
-  std::ptrdiff_t Logged(const std::string& event) const {
-    return std::count(this->events.begin(), this->events.end(), event);
-  }
 
   int requests = 0;
 };
--- a/src/gateway/tests/endpoint_limit_test.cc
+++ b/src/gateway/tests/endpoint_limit_test.cc
@@ -1,6 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <optional>
@@ -29,9 +28,6 @@
     this->SendRequest("/once/a", "r" + std::to_string(++this->requests));
     this->Reply(this->Find("/once/"), 200, headers);
   }
-  std::ptrdiff_t Logged(const std::string& event) const {
-    return std::count(this->events.begin(), this->events.end(), event);
-  }
 
   int requests = 0;
 };
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -417,6 +417,10 @@
   return this->Find("decode");
 }
 
+std::ptrdiff_t GatewaySimulation::Logged(std::string_view event) const {
+  return std::count(this->events.begin(), this->events.end(), event);
+}
+
 void GatewaySimulation::AdvanceBy(Duration time) {
   const Instant end = this->now + time;
   while (this->core->next_timer() <= end) {
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_TESTS_GATEWAY_SIMULATION_H_
 #define GATEWAY_TESTS_GATEWAY_SIMULATION_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -95,6 +96,9 @@
   // returns its decode call.
   std::shared_ptr<Call> AdvanceToDecode();
 
+  // The number of log entries of an event.
+  std::ptrdiff_t Logged(std::string_view event) const;
+
   void AdvanceBy(Duration time);
   // Stalls this process for `time`: time advances, and nothing that is due or
   // arrives is processed. Then its event loop checks its timer before its
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -304,10 +304,8 @@
                                    "300,90");
             CPPUNIT_ASSERT(simulation.FindAt("d1", "/reserve/") == nullptr);
           }
-          CPPUNIT_ASSERT_EQUAL(
-              std::ptrdiff_t{1},
-              std::count(simulation.events.begin(), simulation.events.end(),
-                         std::string("endpoint_doubted")));
+          CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                               simulation.Logged("endpoint_doubted"));
         }),
      It("requests memory at another endpoint when a reservation is refused, "
         "before anything is computed",
@@ -453,8 +451,7 @@
             }
             simulation.Disconnect();
             simulation.AdvanceBy(160ms);
-            if (std::count(simulation.events.begin(), simulation.events.end(),
-                           "decode_refused") == 2) {
+            if (simulation.Logged("decode_refused") == 2) {
               break;
             }
           }
