End an endpoint's limit only by an answer to a later request

Seen by reading: any success without a limit ended the limit, at all gateways, with the time at which it was read. Answers arrive late (a lost packet, a gateway that stalled) and out of order, so that an answer written before the endpoint named its limit ended it everywhere until the next answer with it; what was sent meanwhile was counted by nobody. Cause: an answer shows the endpoint at some time between its request and its reading; the end was dated by the reading. Change: NoteAnswer is NoteLimit, dated by the reading, and NoteNoLimit, dated by the sending of the request, which ends only a limit that was named before. Tests: 'keeps its limit when an answer without it was requested earlier' failed before (endpoint_limit_ended was logged); 'ends at peers that lag' is for the new date.

--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -40,7 +40,8 @@
 // quick succession must not yield a burst each time.
 bool EndpointLimits::Update(std::uint64_t endpoint_key,
                             std::optional<double> max_rate,
-                            Instant answered_at) {
+                            Instant shown_at,
+                            Instant now) {
   const std::optional<double> before = this->MaxRate(endpoint_key);
   const bool may_add = max_rate && this->entries.size() < kMaxEndpoints;
   if (!may_add && !this->entries.contains(endpoint_key)) {
@@ -48,18 +49,27 @@
   }
   Entry& entry = this->entries[endpoint_key];
   entry.max_rate = max_rate;
-  entry.answered_at = answered_at;
+  entry.shown_at = shown_at;
+  if (before && !max_rate) {
+    entry.ended_at = now;
+  }
   return before != max_rate;
 }
 
-bool EndpointLimits::NoteAnswer(std::uint64_t endpoint_key,
-                                std::optional<double> max_rate,
-                                Instant now) {
-  // Further answers without a limit must not prolong the report of its end.
-  if (!max_rate && !this->MaxRate(endpoint_key)) {
+bool EndpointLimits::NoteLimit(std::uint64_t endpoint_key,
+                               double max_rate,
+                               Instant now) {
+  return this->Update(endpoint_key, max_rate, now, now);
+}
+
+bool EndpointLimits::NoteNoLimit(std::uint64_t endpoint_key,
+                                 Instant sent_at,
+                                 Instant now) {
+  const auto known = this->entries.find(endpoint_key);
+  if (known == this->entries.end() || sent_at < known->second.shown_at) {
     return false;
   }
-  return this->Update(endpoint_key, max_rate, now);
+  return this->Update(endpoint_key, std::nullopt, sent_at, now);
 }
 
 bool EndpointLimits::Merge(const EndpointLimitReport& report, Instant now) {
@@ -68,16 +78,16 @@
       (!report.max_rate ||
        (std::isfinite(*report.max_rate) && *report.max_rate >= 0));
   const auto known = this->entries.find(report.endpoint_key);
-  const Instant answered_at = now - report.age;
-  if (!valid || (known != this->entries.end() &&
-                 known->second.answered_at >= answered_at)) {
+  const Instant shown_at = now - report.age;
+  if (!valid ||
+      (known != this->entries.end() && known->second.shown_at >= shown_at)) {
     return false;
   }
-  return this->Update(report.endpoint_key, report.max_rate, answered_at);
+  return this->Update(report.endpoint_key, report.max_rate, shown_at, now);
 }
 
 void EndpointLimits::Forget(std::uint64_t endpoint_key, Instant now) {
-  this->Update(endpoint_key, std::nullopt, now);
+  this->Update(endpoint_key, std::nullopt, now, now);
 }
 
 EndpointLimits::Share EndpointLimits::ShareOf(std::uint64_t endpoint_key,
@@ -148,7 +158,7 @@
     }
     reports.push_back({.endpoint_key = next->first,
                        .max_rate = next->second.max_rate,
-                       .age = now - next->second.answered_at});
+                       .age = now - next->second.shown_at});
   }
   return reports;
 }
@@ -158,8 +168,8 @@
     return member.second.until <= now;
   });
   std::erase_if(this->entries, [now](const auto& entry) {
-    return now - entry.second.answered_at >=
-           (entry.second.max_rate ? kRetention : kEndRetention);
+    return entry.second.max_rate ? now - entry.second.shown_at >= kRetention
+                                 : now - entry.second.ended_at >= kEndRetention;
   });
 }
 
--- a/src/gateway/endpoint_limits.h
+++ b/src/gateway/endpoint_limits.h
@@ -51,11 +51,13 @@
   void OnPeerHeartbeat(const std::string& peer, Instant now);
   void OnPeerListed(const std::string& peer, Instant now);
 
-  // An answer of the endpoint names a limit, or shows that there is none.
-  // Returns whether the limit changed. Precondition: max_rate >= 0.
-  bool NoteAnswer(std::uint64_t endpoint_key,
-                  std::optional<double> max_rate,
-                  Instant now);
+  // An answer of the endpoint names a limit. Returns whether the limit changed.
+  // Precondition: max_rate >= 0.
+  bool NoteLimit(std::uint64_t endpoint_key, double max_rate, Instant now);
+  // An answer to a request that was sent at `sent_at` names no limit. It ends
+  // only a limit that was named before: answers may arrive late and out of
+  // order. Returns whether the limit changed. Precondition: sent_at <= now.
+  bool NoteNoLimit(std::uint64_t endpoint_key, Instant sent_at, Instant now);
   // The same by a peer's report. A report that is older than what is known, or
   // that is invalid, changes nothing.
   bool Merge(const EndpointLimitReport& report, Instant now);
@@ -86,7 +88,8 @@
  private:
   struct Entry {
     std::optional<double> max_rate;
-    Instant answered_at{};  // the answer that showed it
+    Instant shown_at{};  // answer with the limit, or request without it
+    Instant ended_at{};  // when this process learned that it had ended
     double tokens = std::numeric_limits<double>::max();  // full at first
     Instant refilled_at{};
   };
@@ -104,7 +107,8 @@
   // Returns whether the limit changed.
   bool Update(std::uint64_t endpoint_key,
               std::optional<double> max_rate,
-              Instant answered_at);
+              Instant shown_at,
+              Instant now);
   Share ShareOf(std::uint64_t endpoint_key,
                 double max_rate,
                 std::uint32_t messages) const;
--- a/src/gateway/internal/endpoint_sender.cc
+++ b/src/gateway/internal/endpoint_sender.cc
@@ -12,20 +12,22 @@
     http::ExchangeHooks exchange_hooks,
     Judge judge) {
   if (this->dialect.read_advice) {
-    exchange_hooks.on_head = [this, id = endpoint.id, judge = std::move(judge),
-                              next = std::move(exchange_hooks.on_head)](
-                                 int status, const http::Headers& headers) {
-      this->OnHead(id, status, headers, judge);
-      if (next) {
-        next(status, headers);
-      }
-    };
+    exchange_hooks.on_head =
+        [this, id = endpoint.id, sent_at = this->hooks.now(),
+         judge = std::move(judge), next = std::move(exchange_hooks.on_head)](
+            int status, const http::Headers& headers) {
+          this->OnHead(id, sent_at, status, headers, judge);
+          if (next) {
+            next(status, headers);
+          }
+        };
   }
   this->limits.NoteSent(LoadTable::KeyOf(endpoint.id));
   return this->hooks.send(endpoint.address, request, std::move(exchange_hooks));
 }
 
 void EndpointSender::OnHead(const EndpointId& endpoint,
+                            Instant sent_at,
                             int status,
                             const http::Headers& headers,
                             const Judge& judge) {
@@ -35,11 +37,7 @@
     return;
   }
   const EndpointAdvice advice = this->dialect.read_advice(status, headers);
-  // Other answers than a success may come without the limit that is in effect.
-  const bool tells_limit = advice.max_rate || nature == AnswerNature::kSuccess;
-  if (tells_limit &&
-      this->limits.NoteAnswer(LoadTable::KeyOf(endpoint), advice.max_rate,
-                              this->hooks.now())) {
+  if (this->NoteLimit(endpoint, advice.max_rate, sent_at, nature)) {
     this->LogLimit(endpoint, advice.max_rate, {});
   }
   if (advice.leaving &&
@@ -55,6 +53,19 @@
   }
 }
 
+bool EndpointSender::NoteLimit(const EndpointId& endpoint,
+                               std::optional<double> max_rate,
+                               Instant sent_at,
+                               AnswerNature nature) {
+  const std::uint64_t key = LoadTable::KeyOf(endpoint);
+  if (max_rate) {
+    return this->limits.NoteLimit(key, *max_rate, this->hooks.now());
+  }
+  // Other answers than a success may come without the limit that is in effect.
+  return nature == AnswerNature::kSuccess &&
+         this->limits.NoteNoLimit(key, sent_at, this->hooks.now());
+}
+
 void EndpointSender::OnPeerLimit(const EndpointLimitReport& reported) {
   if (!this->limits.Merge(reported, this->hooks.now())) {
     return;
--- a/src/gateway/internal/endpoint_sender.h
+++ b/src/gateway/internal/endpoint_sender.h
@@ -47,9 +47,15 @@
 
  private:
   void OnHead(const EndpointId& endpoint,
+              Instant sent_at,
               int status,
               const http::Headers& headers,
               const Judge& judge);
+  // Returns whether the answer changed what is known of the endpoint's limit.
+  bool NoteLimit(const EndpointId& endpoint,
+                 std::optional<double> max_rate,
+                 Instant sent_at,
+                 AnswerNature nature);
   // The fields of the log entry are `fields` and the limit.
   void LogLimit(const EndpointId& endpoint,
                 std::optional<double> max_rate,
--- a/src/gateway/tests/endpoint_limit_test.cc
+++ b/src/gateway/tests/endpoint_limit_test.cc
@@ -46,6 +46,21 @@
           simulation.Answer({{"Proof", "1"}});
           CPPUNIT_ASSERT(simulation.Logged("endpoint_limit_ended") == 1);
         }),
+     It("keeps its limit when an answer without it was requested earlier",
+        [] {
+          // Guards against a limit that ends for all gateways when one of them
+          // reads an answer late.
+          LimitSimulation simulation;
+          simulation.SendRequest("/once/a", "early");
+          const auto early = simulation.Find("/once/");
+          simulation.AdvanceBy(10ms);
+          simulation.Answer({{"Proof", "1"}, {"Limit", "20"}});
+          simulation.AdvanceBy(10ms);
+          simulation.Reply(early, 200, {{"Proof", "1"}});
+          CPPUNIT_ASSERT(simulation.Logged("endpoint_limit_ended") == 0);
+          simulation.Answer({{"Proof", "1"}});
+          CPPUNIT_ASSERT(simulation.Logged("endpoint_limit_ended") == 1);
+        }),
      It("keeps its limit when an answer is another's, or no proof that it ran",
         [] {
           LimitSimulation simulation;
@@ -98,7 +113,7 @@
     {It("allows its rate, and a burst after a pause",
         [] {
           Limits limits;
-          limits.NoteAnswer(kEndpoint, 4, kNow);
+          limits.NoteLimit(kEndpoint, 4, kNow);
           CPPUNIT_ASSERT_EQUAL(5, limits.Drain(kNow));
           CPPUNIT_ASSERT_EQUAL(4, limits.Drain(kNow + 1s));
           CPPUNIT_ASSERT_EQUAL(5, limits.Drain(kNow + 60s));
@@ -106,7 +121,7 @@
      It("counts messages that are sent without being allowed",
         [] {
           Limits limits;
-          limits.NoteAnswer(kEndpoint, 4, kNow);
+          limits.NoteLimit(kEndpoint, 4, kNow);
           limits.Drain(kNow);
           for (int message = 0; message < 8; ++message) {
             limits.NoteSent(kEndpoint);
@@ -117,26 +132,26 @@
      It("yields no new burst when it ends and begins again",
         [] {
           Limits limits;
-          limits.NoteAnswer(kEndpoint, 4, kNow);
+          limits.NoteLimit(kEndpoint, 4, kNow);
           limits.Drain(kNow);
-          limits.NoteAnswer(kEndpoint, std::nullopt, kNow);
+          limits.NoteNoLimit(kEndpoint, kNow, kNow);
           CPPUNIT_ASSERT(limits.Allows(kEndpoint, 1, kNow));
-          limits.NoteAnswer(kEndpoint, 4, kNow + 10ms);
+          limits.NoteLimit(kEndpoint, 4, kNow + 10ms);
           CPPUNIT_ASSERT_EQUAL(0, limits.Drain(kNow + 10ms));
         }),
      It("of any size is kept",
         [] {
           Limits limits;
-          limits.NoteAnswer(kEndpoint, 0, kNow);
+          limits.NoteLimit(kEndpoint, 0, kNow);
           limits.Drain(kNow);
           CPPUNIT_ASSERT_EQUAL(1, limits.Drain(kNow + 4s));
-          limits.NoteAnswer(kEndpoint, 1e300, kNow + 4s);
+          limits.NoteLimit(kEndpoint, 1e300, kNow + 4s);
           CPPUNIT_ASSERT_EQUAL(1000, limits.Drain(kNow + 5s));
         }),
      It("belongs to one incarnation: reports on an earlier one don't count",
         [] {
           Limits limits;
-          limits.NoteAnswer(kEndpoint, 4, kNow);
+          limits.NoteLimit(kEndpoint, 4, kNow);
           limits.Forget(kEndpoint, kNow + 1s);
           CPPUNIT_ASSERT(!limits.MaxRate(kEndpoint));
           limits.Merge({.endpoint_key = kEndpoint, .max_rate = 4, .age = 500ms},
@@ -159,24 +174,43 @@
          [](const ReportCase& row) { return row.name; },
          [](const ReportCase& row) {
            Limits limits;
-           limits.NoteAnswer(kEndpoint, 4, kNow);
+           limits.NoteLimit(kEndpoint, 4, kNow);
            CPPUNIT_ASSERT(!limits.Merge(row.report, kNow + 500ms));
            CPPUNIT_ASSERT_EQUAL(4.0, limits.MaxRate(kEndpoint).value());
          }),
      It("changes by a peer's newer report, once",
         [] {
           Limits limits;
-          limits.NoteAnswer(kEndpoint, 4, kNow);
+          limits.NoteLimit(kEndpoint, 4, kNow);
           const EndpointLimitReport newer{
               .endpoint_key = kEndpoint, .max_rate = 2, .age = 100ms};
           CPPUNIT_ASSERT(limits.Merge(newer, kNow + 1s));
           CPPUNIT_ASSERT(!limits.Merge(newer, kNow + 1s));
           CPPUNIT_ASSERT_EQUAL(2.0, limits.MaxRate(kEndpoint).value());
         }),
+     It("ends at peers that lag, by the answers after the first without it",
+        [] {
+          // Guards against a gateway that keeps a limit that has ended, because
+          // the last report of it seems newer than the report of its end.
+          Limits limits;
+          Limits peer;
+          limits.NoteLimit(kEndpoint, 4, kNow);
+          limits.NoteNoLimit(kEndpoint, kNow + 10ms, kNow + 20ms);
+          peer.NoteLimit(kEndpoint, 4, kNow + 50ms);
+          const auto report = [&](Instant now) {
+            return limits.CollectReports(4, 0, now).at(0);
+          };
+          CPPUNIT_ASSERT(!peer.Merge(report(kNow + 100ms), kNow + 100ms));
+          limits.NoteNoLimit(kEndpoint, kNow + 200ms, kNow + 210ms);
+          CPPUNIT_ASSERT(peer.Merge(report(kNow + 300ms), kNow + 300ms));
+          CPPUNIT_ASSERT(!peer.MaxRate(kEndpoint));
+          limits.Sweep(kNow + 20ms + EndpointLimits::kEndRetention);
+          CPPUNIT_ASSERT(limits.CollectReports(4, 0, kNow + 40s).empty());
+        }),
      It("that ended is reported for a while, and then dropped", [] {
        Limits limits;
-       limits.NoteAnswer(kEndpoint, 4, kNow);
-       limits.NoteAnswer(kEndpoint, std::nullopt, kNow + 1s);
+       limits.NoteLimit(kEndpoint, 4, kNow);
+       limits.NoteNoLimit(kEndpoint, kNow + 1s, kNow + 1s);
        CPPUNIT_ASSERT(!limits.CollectReports(4, 0, kNow + 2s).at(0).max_rate);
        limits.Sweep(kNow + 1s + EndpointLimits::kEndRetention);
        CPPUNIT_ASSERT(limits.CollectReports(4, 0, kNow + 40s).empty());
--- a/src/gateway/tests/limit_fleet.cc
+++ b/src/gateway/tests/limit_fleet.cc
@@ -16,6 +16,8 @@
 constexpr Duration kKnownAfter = 500ms;
 constexpr Duration kJudgedAfter = 3s;
 constexpr double kFailureShare = 0.14;  // of the answers
+constexpr Duration kStallBegin = 4900ms;
+constexpr Duration kStallEnd = 9s;
 
 }  // namespace
 
@@ -57,7 +59,8 @@
     for (std::size_t to = 0; to < this->all.size(); ++to) {
       const bool cut =
           this->options.cut && (from == 0 || to == 0) && this->Between(8s, 18s);
-      if (from == to || cut || this->random.Unit() < this->options.loss_share) {
+      if (from == to || cut || this->Stalled(from) || this->Stalled(to) ||
+          this->random.Unit() < this->options.loss_share) {
         continue;
       }
       GatewayCore& receiver = *this->all[to].gateway->core;
@@ -72,9 +75,16 @@
   }
 }
 
+bool LimitFleet::Stalled(std::size_t number) const {
+  return number == 0 && this->options.stall &&
+         this->Between(kStallBegin, kStallEnd);
+}
+
 bool LimitFleet::FaultAt(std::size_t number) const {
   return number == 0 &&
          ((this->options.cut && this->Between(8s, 18s + kJudgedAfter)) ||
+          (this->options.stall &&
+           this->Between(kStallBegin, kStallEnd + kJudgedAfter)) ||
           (this->options.restart && this->Between(12s, 12s + kJudgedAfter)));
 }
 
@@ -84,7 +94,8 @@
     expected -= 1;
     const auto number = static_cast<std::size_t>(
         this->random.Unit() * static_cast<double>(this->all.size()));
-    if (number == 0 && this->options.late_learner && this->Between(7s, 17s)) {
+    if (this->Stalled(number) ||
+        (number == 0 && this->options.late_learner && this->Between(7s, 17s))) {
       continue;
     }
     this->answers.push_back(this->all[number].gateway->SendRequest(
@@ -99,30 +110,58 @@
           call.address == process.gateway->addresses.at(this->options.limited));
 }
 
+http::Headers LimitFleet::WriteAnswer(const Process& process,
+                                      const Call& call) const {
+  http::Headers headers = {{"Proof", "1"}};
+  if (this->NamesLimit(process, call)) {
+    headers.push_back({"Limit", std::to_string(this->options.limit)});
+  }
+  return headers;
+}
+
 void LimitFleet::Answer(std::size_t number) {
   Process& process = this->all[number];
   for (const auto& call : process.gateway->Calls()) {
     const bool limited =
         call->address == process.gateway->addresses.at(this->options.limited);
-    const auto [due, arrived] =
-        process.answers_due.try_emplace(call->id, this->now + kAnswerDelay);
+    const auto [answer, arrived] = process.answers.try_emplace(
+        call->id, PendingAnswer{this->now + kAnswerDelay, {}});
     if (arrived && limited) {
       this->arrivals.push_back({.at = this->now,
                                 .process = number,
                                 .excused = this->FaultAt(number)});
     }
-    if (due->second <= this->now) {
-      if (limited && this->Limited()) {
-        process.limit_known_at = std::min(process.limit_known_at, this->now);
-      }
-      http::Headers headers = {{"Proof", "1"}};
-      if (this->NamesLimit(process, *call)) {
-        headers.push_back({"Limit", std::to_string(this->options.limit)});
-      }
-      const bool whole = HeaderOf(call, "Step") == "whole";
-      const bool failed = whole && this->random.Unit() < kFailureShare;
-      process.gateway->Reply(call, failed ? 500 : 200, headers,
-                             HeaderOf(call, "Step") == "decode" ? "" : "name");
+    PendingAnswer& pending = answer->second;
+    if (pending.due > this->now) {
+      continue;
+    }
+    if (!pending.written) {
+      pending.written = this->WriteAnswer(process, *call);
+    }
+    if (this->Stalled(number)) {
+      continue;
+    }
+    if (limited && http::FindHeader(*pending.written, "Limit")) {
+      process.limit_known_at = std::min(process.limit_known_at, this->now);
+    }
+    const bool whole = HeaderOf(call, "Step") == "whole";
+    const bool failed = whole && this->random.Unit() < kFailureShare;
+    process.gateway->Reply(call, failed ? 500 : 200, *pending.written,
+                           HeaderOf(call, "Step") == "decode" ? "" : "name");
+  }
+}
+
+void LimitFleet::AdvanceProcesses() {
+  for (std::size_t number = 0; number < this->all.size(); ++number) {
+    GatewaySimulation& gateway = *this->all[number].gateway;
+    if (this->Stalled(number)) {
+      continue;
+    }
+    if (gateway.now + kStep < this->now) {
+      gateway.Stall(this->now - gateway.now);
+      this->SendHeartbeats();
+    } else {
+      gateway.AdvanceBy(kStep);
     }
   }
 }
@@ -134,9 +173,7 @@
     if (this->options.restart && this->Between(12s, 12s + kStep)) {
       this->Start(0);
     }
-    for (const Process& process : this->all) {
-      process.gateway->AdvanceBy(kStep);
-    }
+    this->AdvanceProcesses();
     if (this->now >= this->heartbeat_at) {
       this->heartbeat_at = this->now + kHeartbeatInterval;
       this->SendHeartbeats();
--- a/src/gateway/tests/limit_fleet.h
+++ b/src/gateway/tests/limit_fleet.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   bool restart = false;
   // From 8 s to 18 s the first gateway exchanges no heartbeats.
   bool cut = false;
+  // From 4.9 s to 9 s the first gateway is stalled. It then reads the
+  // heartbeats before the answers that were written meanwhile.
+  bool stall = false;
 };
 
 // The users' bound: requests that the endpoint may get in a window.
@@ -54,10 +58,14 @@
   std::size_t refused() const;
 
  private:
+  struct PendingAnswer {
+    Instant due;
+    std::optional<http::Headers> written;  // by the endpoint, when it was due
+  };
   struct Process {
     std::unique_ptr<GatewaySimulation> gateway;
     Instant limit_known_at = kNever;  // by an answer that it passed on
-    std::map<http::Client::ExchangeId, Instant> answers_due;
+    std::map<http::Client::ExchangeId, PendingAnswer> answers;
     std::size_t rounds = 0;
   };
   struct Arrival {
@@ -70,9 +78,12 @@
   void SendHeartbeats();
   void SendRequests();
   bool FaultAt(std::size_t number) const;
+  bool Stalled(std::size_t number) const;
+  void AdvanceProcesses();
   void Answer(std::size_t number);
   bool Between(Duration from, Duration until) const;
   bool NamesLimit(const Process& process, const Call& call) const;
+  http::Headers WriteAnswer(const Process& process, const Call& call) const;
   bool Limited() const;
 
   const LimitCase options;
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -256,7 +256,7 @@
           a.load.rows.resize(protocol::kMaxPeerHeartbeatRows,
                              {.load = {.requests = 1}});
           for (std::uint64_t key = 1; key <= 9; ++key) {
-            a.limits.NoteAnswer(key, 2.5, a.Now());
+            a.limits.NoteLimit(key, 2.5, a.Now());
           }
           b.link.SetMembers({{"a", a.address}});
           WaitUntil("limits", [&] {
@@ -264,7 +264,7 @@
             return b.limits.size() == 9;
           });
           CPPUNIT_ASSERT_EQUAL(2.5, b.limits.MaxRate(9).value());
-          a.limits.NoteAnswer(9, std::nullopt, a.Now());
+          a.limits.NoteNoLimit(9, a.Now(), a.Now());
           WaitUntil("the end", [&] {
             a.link.OnLoadChanged();
             return !b.limits.MaxRate(9);
