Take no advice from the former process of a restarted endpoint

Seen by reading: an answer that the former process of an endpoint wrote, and that is read after the record of its restart, marked the new process as leaving (unused for a minute or more at that gateway), resting or limited. Cause: advice was kept by the endpoint's id alone. A runner may restart under its id, and its record, which is newer than the answer, ends what was known before; the late answer then brought it back. Change: EndpointSender remembers when the endpoint of a message had started, and skips the advice when its record shows another start by then (IsRestart, which the catalog shares). Test: 'came from an incarnation that has ended since changes nothing', over a departure, a rest and a limit; it failed before with the departure. Conclusion: an answer is stronger than an older record, and a newer record stronger than the answer; costs callers nothing.

--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -30,10 +30,9 @@
   this->deletions.erase(change.id);
   const bool same = found != this->entries.end() && !found->second.lapsed_at &&
                     found->second.record == *change.record;
-  const bool restarted =
-      found != this->entries.end() && change.record->started_at_ms > 0 &&
-      found->second.record.started_at_ms > 0 &&
-      found->second.record.started_at_ms != change.record->started_at_ms;
+  const bool restarted = found != this->entries.end() &&
+                         IsRestart(found->second.record.started_at_ms,
+                                   change.record->started_at_ms);
   this->entries[change.id] = {.record = *change.record,
                               .offset = change.offset};
   if (!same) {
--- a/src/gateway/internal/endpoint_sender.cc
+++ b/src/gateway/internal/endpoint_sender.cc
@@ -13,10 +13,13 @@
     Judge judge) {
   if (this->dialect.read_advice) {
     exchange_hooks.on_head =
-        [this, id = endpoint.id, sent_at = this->hooks.now(),
-         judge = std::move(judge), next = std::move(exchange_hooks.on_head)](
+        [this, id = endpoint.id, started_at_ms = endpoint.started_at_ms,
+         sent_at = this->hooks.now(), judge = std::move(judge),
+         next = std::move(exchange_hooks.on_head)](
             int status, const http::Headers& headers) {
-          this->OnHead(id, sent_at, status, headers, judge);
+          if (!this->HasRestarted(id, started_at_ms)) {
+            this->OnHead(id, sent_at, status, headers, judge);
+          }
           if (next) {
             next(status, headers);
           }
@@ -26,6 +29,12 @@
   return this->hooks.send(endpoint.address, request, std::move(exchange_hooks));
 }
 
+bool EndpointSender::HasRestarted(const EndpointId& endpoint,
+                                  std::int64_t started_at_ms) const {
+  const EndpointRecord* const current = this->catalog.Find(endpoint);
+  return current != nullptr && IsRestart(started_at_ms, current->started_at_ms);
+}
+
 void EndpointSender::OnHead(const EndpointId& endpoint,
                             Instant sent_at,
                             int status,
--- a/src/gateway/internal/endpoint_sender.h
+++ b/src/gateway/internal/endpoint_sender.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_INTERNAL_ENDPOINT_SENDER_H_
 #define GATEWAY_INTERNAL_ENDPOINT_SENDER_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -46,6 +47,10 @@
   void OnPeerLimit(const EndpointLimitReport& reported);
 
  private:
+  // Whether the endpoint, which had started at this time, has restarted under
+  // its id since. Advice of its former process doesn't apply to the new one.
+  bool HasRestarted(const EndpointId& endpoint,
+                    std::int64_t started_at_ms) const;
   void OnHead(const EndpointId& endpoint,
               Instant sent_at,
               int status,
--- a/src/gateway/tests/endpoint_advice_test.cc
+++ b/src/gateway/tests/endpoint_advice_test.cc
@@ -178,6 +178,28 @@
             CPPUNIT_ASSERT(simulation.EndpointOf(call) != resting);
           }
         }),
+     It("came from an incarnation that has ended since changes nothing",
+        [] {
+          // Guards against a restarted endpoint that stays unused because of an
+          // answer that its former process wrote.
+          for (const http::Header& advice :
+               {http::Header{"Leaving", "1"}, http::Header{"Rest", "3"},
+                http::Header{"Limit", "0"}}) {
+            AdviceSimulation simulation(1);
+            simulation.Restart("p0", 100);
+            simulation.SendRequest("/once/a", "r1");
+            const auto former = simulation.Find("/once/a");
+            simulation.Restart("p0", 200);
+            simulation.Reply(former, 503, {{"Refused", "1"}, advice});
+            for (int request = 0; request < 3; ++request) {
+              simulation.AdvanceBy(1s);
+              const auto answer = simulation.SendRequest("/once/a", "r2");
+              CPPUNIT_ASSERT_MESSAGE(advice.name, simulation.Find("/once/a"));
+              simulation.ReplyProof(simulation.Find("/once/a"), 200);
+              CPPUNIT_ASSERT_EQUAL(200, answer->status);
+            }
+          }
+        }),
      It("asks for rest costs no caller while another takes its requests",
         [] {
           AdviceSimulation simulation;
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -283,16 +283,24 @@
                        .domain = FailureDomain("a"),
                        .role = role,
                        .slots = 6};
+  this->ApplyRecord(id);
+}
+
+void GatewaySimulation::ApplyRecord(const std::string& id) {
   this->core->Apply(EndpointChange{.offset = LogOffset(++this->offset),
                                    .id = EndpointId(id),
-                                   .record = this->records[id]});
+                                   .record = this->records.at(id)});
+}
+
+void GatewaySimulation::Restart(const std::string& id,
+                                std::int64_t started_at_ms) {
+  this->records.at(id).started_at_ms = started_at_ms;
+  this->ApplyRecord(id);
 }
 
 void GatewaySimulation::Retire(const std::string& id) {
   this->records.at(id).leaving = true;
-  this->core->Apply(EndpointChange{.offset = LogOffset(++this->offset),
-                                   .id = EndpointId(id),
-                                   .record = this->records.at(id)});
+  this->ApplyRecord(id);
 }
 
 void GatewaySimulation::RemoveEndpoint(const std::string& id) {
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -59,6 +59,9 @@
                    const std::string& service,
                    EndpointRole role);
   void RemoveEndpoint(const std::string& id);
+  // The endpoint's record shows that it has just started under the same id.
+  // Precondition: started_at_ms > 0.
+  void Restart(const std::string& id, std::int64_t started_at_ms);
   // Marks the endpoint as leaving: it takes no new work, and ends soon.
   void Retire(const std::string& id);
 
@@ -122,6 +125,8 @@
 
   GatewayHooks Hooks();
   static EndpointDialect Dialect();
+  // Writes the endpoint's record.
+  void ApplyRecord(const std::string& id);
 
   std::vector<std::shared_ptr<Call>> calls;
   std::vector<std::weak_ptr<FakeResponder>> responders;
--- a/src/gateway/types/endpoint_record.h
+++ b/src/gateway/types/endpoint_record.h
@@ -36,6 +36,12 @@
                          const EndpointRecord&) = default;
 };
 
+// Whether two start times of one id are known to be of two incarnations. Thread
+// safe.
+inline bool IsRestart(std::int64_t before_ms, std::int64_t after_ms) {
+  return before_ms > 0 && after_ms > 0 && before_ms != after_ms;
+}
+
 // A record that was written or deleted.
 struct EndpointChange {
   LogOffset offset;
