--- a/fuzz/engine_stream_fuzz.cc
+++ b/fuzz/engine_stream_fuzz.cc
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kMaximumEvent = 512;
 
-// All events of a stream that comes in pieces of `piece` bytes.
+// All events of a stream that is received in chunks of `piece` bytes.
 std::string Events(std::string_view stream, std::size_t piece) {
   EventStreamReader reader(kMaximumEvent);
   std::string events;
@@ -27,8 +27,8 @@
 }  // namespace
 }  // namespace acacialug::engine
 
-// Whatever an engine sends: events do not depend on how the bytes are cut, and
-// no body does more than fail to parse.
+// For any bytes from an engine, the events do not depend on how the bytes are
+// split, and a body that is invalid only fails to parse.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace acacialug;
--- a/fuzz/frame_fuzz.cc
+++ b/fuzz/frame_fuzz.cc
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kMaximumFrame = 4096;
 
-// What decodes is written as bytes that decode to the same.
+// A message that decodes is encoded as bytes that decode to the same message.
 template <typename Message>
 void RoundTrip(const Result<Message>& decoded,
                Result<Message> (*decode)(std::string_view)) {
@@ -22,7 +22,7 @@
   fuzz::Require(again.ok() && protocol::Encode(*again) == bytes);
 }
 
-// Datagrams have two more ways to be refused.
+// As above. A datagram may also be rejected for its version or its checksum.
 template <typename Message>
 void RoundTripDatagram(std::string_view datagram,
                        Result<Message> (*decode)(std::string_view)) {
@@ -39,7 +39,7 @@
   fuzz::Require(again.ok() && protocol::Encode(*again) == bytes);
 }
 
-// All payloads of a stream that comes in pieces of `piece` bytes.
+// All payloads of a stream that is received in chunks of `piece` bytes.
 std::string Payloads(std::string_view stream, std::size_t piece) {
   net::FrameReader reader(kMaximumFrame);
   std::string payloads;
@@ -63,9 +63,9 @@
 }  // namespace
 }  // namespace acacialug
 
-// Whatever a peer sends: the frames do not depend on how the bytes are cut,
-// and no payload does more than fail to decode. The input is a stream of
-// frames; its bytes alone are tried as a payload and as a datagram too.
+// For any bytes from a peer, the frames do not depend on how the bytes are
+// split, and a payload that is invalid only fails to decode. The input is read
+// as a stream of frames, as a payload, and as a datagram.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace acacialug;
--- a/fuzz/fuzz_support.h
+++ b/fuzz/fuzz_support.h
@@ -11,7 +11,7 @@
   return {reinterpret_cast<const char*>(data), size};
 }
 
-// Stops the fuzzer, which keeps the input, when a promise does not hold.
+// Stops the fuzzer, which then saves the input, if an invariant does not hold.
 inline void Require(bool condition) {
   if (!condition) {
     __builtin_trap();
--- a/fuzz/manifest_fuzz.cc
+++ b/fuzz/manifest_fuzz.cc
@@ -3,8 +3,8 @@
 #include "fuzz_support.h"
 #include "manifest/manifest_parser.h"
 
-// Whatever an operator publishes: checking and parsing agree, and a manifest
-// that parses keeps what routing takes for granted.
+// For any text that is published, checking and parsing agree, and a manifest
+// that parses has the invariants that routing relies on.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace acacialug;
--- a/fuzz/metrics_fuzz.cc
+++ b/fuzz/metrics_fuzz.cc
@@ -1,8 +1,9 @@
 #include "framework/metrics/exposition.h"
 #include "fuzz_support.h"
 
-// Whatever another process sends as its snapshot: reading it ends, and what
-// reads is written back as the same, merges with itself and can be shown.
+// For any snapshot from another process, parsing terminates, and a snapshot
+// that parses is written back unchanged, merges with itself and can be
+// rendered.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace acacialug;
--- a/fuzz/service_levels_fuzz.cc
+++ b/fuzz/service_levels_fuzz.cc
@@ -4,8 +4,9 @@
 #include "service_levels/digest_codec.h"
 #include "service_levels/level_fold.h"
 
-// Whatever stands in the log or on another process's page: it is refused, or
-// what was read is written and read again as the same, and a report of it ends.
+// Any record of the log, or page of another process, is either rejected, or is
+// the same after it is written and read again; rendering a report of it
+// terminates.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace acacialug;
--- a/fuzz/settings_fuzz.cc
+++ b/fuzz/settings_fuzz.cc
@@ -7,7 +7,7 @@
 namespace acacialug::settings {
 namespace {
 
-// Asks a table for each of its keys in every way, to a bounded depth.
+// Reads each key of a table as every type, to a bounded depth.
 void ReadAll(const Table& table, int depth) {
   for (const std::string& key : table.Keys()) {
     (void)table.String(key, {.fallback = "x", .maximum_bytes = 8});
@@ -29,8 +29,9 @@
 }  // namespace
 }  // namespace acacialug::settings
 
-// Whatever the text is, reading it ends, every problem has a number and one
-// line, and a duration that reads is written back as one that reads alike.
+// For any text, parsing terminates, every problem has a number and one line,
+// and a duration that parses is written as text that parses to the same
+// duration.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   using namespace acacialug;
--- a/src/load/accounting.cc
+++ b/src/load/accounting.cc
@@ -12,7 +12,8 @@
     return figures;
   }
   std::sort(values.begin(), values.end());
-  // The nearest rank: the smallest value that so large a share does not exceed.
+  // Nearest rank: the smallest value that this percentage of the values does
+  // not exceed.
   const auto rank = [&values](std::size_t percent) {
     return values[(values.size() * percent + 99) / 100 - 1];
   };
@@ -51,7 +52,7 @@
                            .drawn_shared = spec.shared_tokens,
                            .drawn_output = spec.output_tokens});
   ++this->open;
-  this->most_open = std::max(this->most_open, this->open);
+  this->max_open = std::max(this->max_open, this->open);
   return this->entries.size() - 1;
 }
 
@@ -90,7 +91,7 @@
 LoadFigures Accounting::Sum() const {
   LoadFigures figures{.measured = this->plan.duration,
                       .measured_tokens = this->measured_tokens,
-                      .most_outstanding = this->most_open};
+                      .max_outstanding = this->max_open};
   for (const bool direct : {false, true}) {
     if (direct && !this->plan.direct.enabled()) {
       continue;
@@ -191,7 +192,7 @@
   if (!entry.generation) {
     return first_token <= this->plan.calls[entry.mix].answer_in;
   }
-  // A slow reader's own pause is no latency of ours.
+  // The pause of a slow reader is not latency of the router.
   if (entry.slow) {
     return false;
   }
--- a/src/load/accounting.h
+++ b/src/load/accounting.h
@@ -13,10 +13,10 @@
 
 namespace acacialug::load {
 
-// Keeps what became of each request and sums it up. Time to first token runs
-// from the arrival that the workload drew, not from when this process got to
-// send it, so that a load generator that falls behind shows as latency and is
-// not hidden (coordinated omission). Not thread safe.
+// Keeps the outcome of each request and computes the figures of a run. Time to
+// first token counts from the arrival that the workload drew, not from the time
+// at which this process sent the request, so that a load generator that falls
+// behind shows as latency (coordinated omission). Not thread safe.
 class Accounting {
  public:
   using Id = std::size_t;
@@ -24,12 +24,12 @@
   // `plan` outlives this.
   explicit Accounting(const LoadPlan& plan);
 
-  // Tokens that come within these bounds count as measured.
+  // Tokens that are received within these bounds count as measured.
   void SetMeasured(Instant from, Instant until);
 
   Id Begin(const RequestSpec& spec, Instant arrived);
 
-  // `tokens` more came.
+  // Received `tokens` more tokens.
   void OnTokens(Id request, std::uint32_t tokens, Instant now);
 
   void OnUsage(Id request, const protocol::Usage& usage);
@@ -77,7 +77,7 @@
   const LoadPlan& plan;
   std::vector<Entry> entries;
   std::size_t open = 0;
-  std::size_t most_open = 0;
+  std::size_t max_open = 0;
   Instant measured_from;
   Instant measured_until;
   std::uint64_t measured_tokens = 0;
--- a/src/load/answer_checker.cc
+++ b/src/load/answer_checker.cc
@@ -31,24 +31,24 @@
   const std::size_t index = this->checked_tokens;
   if (this->skipped_one) {
     this->skipped_one = false;
-    this->departed = true;
+    this->differs = true;
     const bool overtaken = token == this->ExpectedToken(index - 1);
     this->Add(
         overtaken ? ViolationKind::kTokenReordered : ViolationKind::kTokenLost,
         "token " + std::to_string(index - 1));
     return;
   }
-  if (!this->departed && token != this->ExpectedToken(index)) {
-    this->Depart(index, token);
+  if (!this->differs && token != this->ExpectedToken(index)) {
+    this->OnDifference(index, token);
   }
 }
 
-void AnswerChecker::Depart(std::size_t index, std::string_view token) {
+void AnswerChecker::OnDifference(std::size_t index, std::string_view token) {
   if (token == this->ExpectedToken(index + 1)) {
     this->skipped_one = true;
     return;
   }
-  this->departed = true;
+  this->differs = true;
   const std::string where = "token " + std::to_string(index);
   const std::size_t count =
       this->options.expected.size() / this->options.token_bytes;
@@ -56,12 +56,12 @@
     this->Add(ViolationKind::kAnswerLong, where);
     return;
   }
-  const std::size_t place = this->PlaceOf(token);
-  if (place == count) {
+  const std::size_t index_of_token = this->IndexOf(token);
+  if (index_of_token == count) {
     this->Add(ViolationKind::kForeignAnswer, where);
   } else {
-    this->Add(place < index ? ViolationKind::kTokenDoubled
-                            : ViolationKind::kTokenLost,
+    this->Add(index_of_token < index ? ViolationKind::kTokenDoubled
+                                     : ViolationKind::kTokenLost,
               where);
   }
 }
@@ -104,10 +104,10 @@
   this->ended = true;
   if (this->skipped_one) {
     this->skipped_one = false;
-    this->departed = true;
+    this->differs = true;
     this->Add(ViolationKind::kTokenLost, "one of the last tokens");
   }
-  if (this->departed) {
+  if (this->differs) {
     return;
   }
   if (this->received.size() < this->options.expected.size()) {
@@ -155,7 +155,7 @@
       .substr(from, this->options.token_bytes);
 }
 
-std::size_t AnswerChecker::PlaceOf(std::string_view token) const {
+std::size_t AnswerChecker::IndexOf(std::string_view token) const {
   const std::size_t count =
       this->options.expected.size() / this->options.token_bytes;
   for (std::size_t index = 0; index < count; ++index) {
--- a/src/load/answer_checker.h
+++ b/src/load/answer_checker.h
@@ -11,13 +11,13 @@
 
 namespace acacialug::load {
 
-// Holds one generation's answer, as it comes, against the only answer that the
-// stand-in engines can produce for its prompt. Reports the first departure of
-// the text, and each broken rule of the ending. Not thread safe.
+// Compares one generation's answer, as it is received, with the only answer
+// that the stand-in engines can produce for its prompt. Reports the first
+// difference of the text, and each broken rule of the ending. Not thread safe.
 class AnswerChecker {
  public:
   struct Options {
-    std::string request;   // the load's name of it, for reports
+    std::string request;   // the load's name for it, in reports
     std::string expected;  // the whole text
     std::size_t token_bytes = 6;
     protocol::FinishReason finish = protocol::FinishReason::kStop;
@@ -35,26 +35,27 @@
   void OnError();
   void OnMalformed(std::string detail);
 
-  // Text that came, in whole tokens.
+  // The whole tokens of the received text.
   std::uint32_t tokens() const;
-  // The end was announced and nothing departed from the expected answer.
+  // The end was announced, and the answer is as expected.
   bool whole() const;
   const std::vector<Violation>& violations() const { return this->found; }
 
  private:
   void CheckToken(std::string_view token);
-  void Depart(std::size_t index, std::string_view token);
+  void OnDifference(std::size_t index, std::string_view token);
   void Add(ViolationKind kind, std::string detail);
   std::string_view ExpectedToken(std::size_t index) const;
-  // Where the expected answer holds `token`; its count of tokens if nowhere.
-  std::size_t PlaceOf(std::string_view token) const;
+  // The index of `token` in the expected answer; its number of tokens if the
+  // answer does not contain it.
+  std::size_t IndexOf(std::string_view token) const;
 
   Options options;
   std::string received;
   std::size_t checked_tokens = 0;
-  bool departed = false;
-  // The token after next came: whether the missing one was lost or only
-  // overtaken shows with the token that follows.
+  bool differs = false;
+  // A token was skipped. The next token shows whether it was lost or
+  // reordered.
   bool skipped_one = false;
   bool ended = false;
   bool failed = false;
--- a/src/load/entry_rotation.cc
+++ b/src/load/entry_rotation.cc
@@ -5,30 +5,30 @@
 namespace acacialug::load {
 
 EntryRotation::EntryRotation(std::vector<http::Address> addresses,
-                             Duration rest_time)
-    : rest(rest_time) {
+                             Duration unreachable_time)
+    : skip_time(unreachable_time) {
   for (http::Address& address : addresses) {
-    this->places.push_back({.address = std::move(address)});
+    this->entries.push_back({.address = std::move(address)});
   }
 }
 
 http::Address EntryRotation::Next(Instant now) {
-  for (std::size_t tried = 0; tried < this->places.size(); ++tried) {
-    const Place& place = this->places[this->turn];
-    this->turn = (this->turn + 1) % this->places.size();
-    if (place.rests_until <= now) {
-      return place.address;
+  for (std::size_t tried = 0; tried < this->entries.size(); ++tried) {
+    const Entry& entry = this->entries[this->next];
+    this->next = (this->next + 1) % this->entries.size();
+    if (entry.skipped_until <= now) {
+      return entry.address;
     }
   }
-  http::Address address = this->places[this->turn].address;
-  this->turn = (this->turn + 1) % this->places.size();
+  http::Address address = this->entries[this->next].address;
+  this->next = (this->next + 1) % this->entries.size();
   return address;
 }
 
 void EntryRotation::OnUnreachable(const http::Address& address, Instant now) {
-  for (Place& place : this->places) {
-    if (place.address == address) {
-      place.rests_until = now + this->rest;
+  for (Entry& entry : this->entries) {
+    if (entry.address == address) {
+      entry.skipped_until = now + this->skip_time;
     }
   }
 }
--- a/src/load/entry_rotation.h
+++ b/src/load/entry_rotation.h
@@ -8,29 +8,32 @@
 
 namespace acacialug::load {
 
-// Takes addresses in turn, as the platform's balancer does, and leaves out for
-// a while one that could not be reached. Not thread safe.
+// Selects addresses in round-robin order, as the platform's balancer does, and
+// skips an address that could not be reached for some time. Not thread safe.
 class EntryRotation {
  public:
-  // Precondition: `addresses` is not empty.
-  EntryRotation(std::vector<http::Address> addresses, Duration rest);
+  // `unreachable_time`: how long an address is skipped. Precondition:
+  // `addresses` is not empty.
+  EntryRotation(std::vector<http::Address> addresses,
+                Duration unreachable_time);
 
-  // The next one; with all resting, the one whose turn it is.
+  // The next address that is not skipped; if all are skipped, the next in
+  // order.
   http::Address Next(Instant now);
 
   void OnUnreachable(const http::Address& address, Instant now);
 
-  std::size_t size() const { return this->places.size(); }
+  std::size_t size() const { return this->entries.size(); }
 
  private:
-  struct Place {
+  struct Entry {
     http::Address address;
-    Instant rests_until;
+    Instant skipped_until;
   };
 
-  std::vector<Place> places;
-  Duration rest;
-  std::size_t turn = 0;
+  std::vector<Entry> entries;
+  Duration skip_time;
+  std::size_t next = 0;
 };
 
 }  // namespace acacialug::load
--- a/src/load/execution_check.h
+++ b/src/load/execution_check.h
@@ -11,7 +11,7 @@
 
 namespace acacialug::load {
 
-// One plain call as its caller saw it, all submissions under its key together.
+// One plain call as its caller observed it, with all submissions of its key.
 struct CallRecord {
   std::string request;
   bool idempotent = true;
@@ -20,12 +20,12 @@
   std::uint32_t refused_not_run = 0;  // of the submissions
 };
 
-// How often each call took effect, by the load's name of it, as the plain
-// stand-ins tell.
+// How often each call took effect, by the load's name for it, as the plain
+// stand-ins report.
 using Executions = std::map<std::string, std::uint64_t>;
 
-// Holds what callers were told against what ran. Call it when nothing runs any
-// more. Thread safe.
+// Compares the answers that callers received with the executions. Call it when
+// all work has ended. Thread safe.
 std::vector<Violation> CheckExecutions(const std::vector<CallRecord>& calls,
                                        const Executions& executions);
 
--- a/src/load/internal/call_exchange.cc
+++ b/src/load/internal/call_exchange.cc
@@ -16,8 +16,8 @@
 
 constexpr int kOk = 200;
 
-// A UUID of version 7, which entries ask for: the time now, and bits that
-// belong to the request's name.
+// A UUID of version 7, which entries require: the current time, and bits
+// derived from the request's name.
 std::string CallerKey(const std::string& name) {
   const auto time = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -87,7 +87,7 @@
       {.on_head =
            [submission](int code, const http::Headers& headers) {
              submission->status = code;
-             submission->told_outcome =
+             submission->outcome_header =
                  http::FindHeader(headers, "X-Outcome").value_or("");
            },
        .on_end =
@@ -103,9 +103,9 @@
 void CallExchange::OnEnd(const SubmissionPtr& submission,
                          const std::string& body) {
   if (submission->status != kOk) {
-    const ToldError told =
-        ReadError(submission->status, submission->told_outcome, body);
-    this->Finish(submission, told.outcome, told.code);
+    const AnswerError error =
+        ReadError(submission->status, submission->outcome_header, body);
+    this->Finish(submission, error.outcome, error.code);
     return;
   }
   this->CheckBody(body);
@@ -149,8 +149,8 @@
     this->first_outcome = outcome;
     this->first_code = code;
   }
-  // Of two submissions one may be told that the other is still running: the
-  // call is answered once either is.
+  // One of two submissions may be answered that the other is still running: the
+  // call is complete when either is.
   if (outcome == RequestOutcome::kCompleted) {
     this->context.accounting.OnOutcome(this->account, outcome, code,
                                        MonotonicNow());
--- a/src/load/internal/call_exchange.h
+++ b/src/load/internal/call_exchange.h
@@ -10,8 +10,8 @@
 
 namespace acacialug::load {
 
-// One plain call, with all its submissions under one key, from its sending to
-// its end. Kept alive by the hooks that it gives to the client. One thread.
+// One plain call, with all submissions of its key, from its sending to its end.
+// The hooks that it passes to the client keep it alive. Not thread safe.
 class CallExchange : public std::enable_shared_from_this<CallExchange> {
  public:
   CallExchange(ExchangeContext& context, RequestSpec spec);
@@ -25,7 +25,7 @@
     bool first = true;
     std::size_t tries = 0;
     int status = 0;
-    std::string told_outcome;
+    std::string outcome_header;
   };
   using SubmissionPtr = std::shared_ptr<Submission>;
 
--- a/src/load/internal/exchange_context.h
+++ b/src/load/internal/exchange_context.h
@@ -12,7 +12,7 @@
 
 namespace acacialug::load {
 
-// What all exchanges of a run share; outlives them. One thread.
+// What all exchanges of a run share; outlives them. Not thread safe.
 struct ExchangeContext {
   const LoadPlan& plan;
   http::Client& client;
--- a/src/load/internal/generation_exchange.cc
+++ b/src/load/internal/generation_exchange.cc
@@ -137,7 +137,7 @@
 
 void GenerationExchange::OnHead(int code, const http::Headers& headers) {
   this->status = code;
-  this->told_outcome = http::FindHeader(headers, "X-Outcome").value_or("");
+  this->outcome_header = http::FindHeader(headers, "X-Outcome").value_or("");
 }
 
 void GenerationExchange::OnData(std::string_view data) {
@@ -157,8 +157,8 @@
   const std::uint32_t now = this->checker.tokens();
   this->context.accounting.OnTokens(this->account, now - before,
                                     MonotonicNow());
-  const auto reached = [before, now](std::uint32_t turn) {
-    return turn != 0 && before < turn && now >= turn;
+  const auto reached = [before, now](std::uint32_t token) {
+    return token != 0 && before < token && now >= token;
   };
   if (reached(this->spec.leaves_after_tokens)) {
     this->context.client.Cancel(this->exchange);
@@ -178,16 +178,17 @@
     return;
   }
   if (this->status != kOk) {
-    this->OnTold(ReadError(this->status, this->told_outcome, this->whole_body));
+    this->OnAnswerError(
+        ReadError(this->status, this->outcome_header, this->whole_body));
   } else if (!this->mix.stream) {
     ReadWholeAnswer(this->whole_body, this->MakeEvents());
   }
-  if (this->told) {
-    this->Finish(this->told->outcome, this->told->code);
+  if (this->answer_error) {
+    this->Finish(this->answer_error->outcome, this->answer_error->code);
   } else if (this->checker.whole()) {
     this->Finish(RequestOutcome::kCompleted, "");
   } else {
-    // The connection ended in order, as after a whole answer.
+    // The connection was closed properly, as after a complete answer.
     if (this->checker.violations().empty()) {
       this->checker.OnMalformed("the stream ended without [DONE]");
     }
@@ -195,16 +196,16 @@
   }
 }
 
-void GenerationExchange::OnTold(const ToldError& error) {
+void GenerationExchange::OnAnswerError(const AnswerError& error) {
   this->checker.OnError();
-  this->told = error;
+  this->answer_error = error;
 }
 
 void GenerationExchange::Break(const std::string& code) {
   if (this->checker.whole()) {
     this->Finish(RequestOutcome::kCompleted, "");
-  } else if (this->told) {
-    this->Finish(this->told->outcome, this->told->code);
+  } else if (this->answer_error) {
+    this->Finish(this->answer_error->outcome, this->answer_error->code);
   } else {
     this->Finish(RequestOutcome::kUnknown, code);
   }
@@ -240,7 +241,8 @@
             this->context.accounting.OnUsage(this->account, usage);
           },
       .on_end = [this] { this->checker.OnEnd(); },
-      .on_error = [this](const ToldError& error) { this->OnTold(error); },
+      .on_error =
+          [this](const AnswerError& error) { this->OnAnswerError(error); },
       .on_malformed =
           [this](std::string detail) {
             this->checker.OnMalformed(std::move(detail));
--- a/src/load/internal/generation_exchange.h
+++ b/src/load/internal/generation_exchange.h
@@ -12,13 +12,13 @@
 
 namespace acacialug::load {
 
-// One generation from its sending to its end. Kept alive by the hooks that it
-// gives to the client. One thread.
+// One generation from its sending to its end. The hooks that it passes to the
+// client keep it alive. Not thread safe.
 class GenerationExchange
     : public std::enable_shared_from_this<GenerationExchange> {
  public:
-  // Makes body and expected answer, which takes its time with a long prompt:
-  // do it before the arrival.
+  // Creates the body and the expected answer, which is slow for a long prompt:
+  // construct it before the arrival.
   GenerationExchange(ExchangeContext& context, RequestSpec spec);
 
   // Precondition: called once.
@@ -29,7 +29,7 @@
   void SendPrefill();
   void SendDecode(const std::string& prefill_answer);
   void SendStream(const http::Address& address, const http::Request& request);
-  // Runs `again` if another address may be tried, since nothing was sent.
+  // Runs `again` if another address can be tried, since nothing was sent.
   void OnUnreachable(EntryRotation& rotation,
                      const http::Address& address,
                      void (GenerationExchange::*again)());
@@ -37,7 +37,7 @@
   void OnData(std::string_view data);
   void OnText(std::string_view text);
   void OnEnd();
-  void OnTold(const ToldError& error);
+  void OnAnswerError(const AnswerError& error);
   void Break(const std::string& code);
   void Finish(RequestOutcome outcome, const std::string& code);
   AnswerEvents MakeEvents();
@@ -53,9 +53,9 @@
   http::Client::ExchangeId exchange = 0;
   std::size_t tries = 0;
   int status = 0;
-  std::string told_outcome;
+  std::string outcome_header;
   std::string whole_body;  // of an error, or of an answer that is not streamed
-  std::optional<ToldError> told;
+  std::optional<AnswerError> answer_error;
   bool done = false;
 };
 
--- a/src/load/internal/load_run.cc
+++ b/src/load/internal/load_run.cc
@@ -15,7 +15,7 @@
 namespace acacialug::load {
 namespace {
 
-// A balancer's rest for an entry that it could not reach.
+// How long a balancer skips an entry that it could not reach.
 constexpr Duration kUnreachableRest = 500ms;
 constexpr Duration kDrainCheckInterval = 20ms;
 
@@ -34,8 +34,8 @@
         on_done(std::move(done)),
         random(this->plan.seed),
         workload(this->plan, this->random),
-        // Streams of a busy engine may be silent for long; the drain limit
-        // ends what hangs.
+        // Streams of a busy engine may pause for a long time; the drain limit
+        // ends those that hang.
         client({.silence_timeout = 0s, .max_idle_connections = 4096}),
         accounting(this->plan),
         context{.plan = this->plan,
@@ -76,14 +76,14 @@
            this->plan.tail;
   }
 
-  // Draws the next request and makes its body ahead of its arrival.
+  // Draws the next request and creates its body ahead of its arrival.
   void PrepareNext() {
     RequestSpec spec = this->workload.NextRequest();
     const Instant measured_from = this->begun + this->plan.warm_up;
     spec.measured = this->arrival >= measured_from &&
                     this->arrival < measured_from + this->plan.duration;
     spec.direct = this->plan.direct.enabled() && this->drawn++ % 2 == 1;
-    // Without the router nobody promises to run a key once.
+    // Without the router a key may run more than once.
     spec.submitted_twice = spec.submitted_twice && !spec.direct;
     this->next_generation.reset();
     this->next_call.reset();
--- a/src/load/internal/stand_in_reader.cc
+++ b/src/load/internal/stand_in_reader.cc
@@ -44,20 +44,20 @@
     std::function<void(const StandInTotals&)> on_read_done) {
   this->on_read = std::move(on_read_done);
   this->totals = {.figures = {.known = true}};
-  // Counts this call itself, so that the last answer cannot come before the
-  // last question.
+  // Counts this call itself, so that the reading cannot be complete before the
+  // last query is sent.
   this->awaited = 1;
   for (const auto* engines :
        {&this->plan.prefill_stand_ins, &this->plan.decode_stand_ins}) {
     for (const http::Address& address : *engines) {
-      this->AskEngine(address);
+      this->QueryEngine(address);
     }
   }
   if (!this->plan.plain_stand_ins.empty()) {
     this->totals.executions.emplace();
   }
   for (const http::Address& address : this->plan.plain_stand_ins) {
-    this->Ask(address, "/executions", [this](const std::string& body) {
+    this->Query(address, "/executions", [this](const std::string& body) {
       const json counts = Parse(body);
       if (!counts.is_object() || !this->totals.executions) {
         this->totals.figures.known = false;
@@ -71,8 +71,8 @@
   QTimer::singleShot(0, [this] { this->OnAnswered(); });
 }
 
-void StandInReader::AskEngine(const http::Address& address) {
-  this->Ask(address, "/stats", [this](const std::string& body) {
+void StandInReader::QueryEngine(const http::Address& address) {
+  this->Query(address, "/stats", [this](const std::string& body) {
     const json stats = Parse(body);
     StandInFigures& sums = this->totals.figures;
     sums.known = sums.known && stats.is_object();
@@ -84,7 +84,7 @@
     sums.refused += CountOf(stats, "refused");
     sums.failed += CountOf(stats, "failed");
   });
-  this->Ask(address, "/requests", [this](const std::string& body) {
+  this->Query(address, "/requests", [this](const std::string& body) {
     const json held = Parse(body);
     if (held.is_object() && held.contains("requests")) {
       this->totals.figures.held_after += held["requests"].size();
@@ -92,9 +92,9 @@
   });
 }
 
-void StandInReader::Ask(const http::Address& address,
-                        const std::string& path,
-                        Take take) {
+void StandInReader::Query(const http::Address& address,
+                          const std::string& path,
+                          Take take) {
   ++this->awaited;
   auto status = std::make_shared<int>(0);
   this->client.Send(
--- a/src/load/internal/stand_in_reader.h
+++ b/src/load/internal/stand_in_reader.h
@@ -13,7 +13,7 @@
 
 namespace acacialug::load {
 
-// What the stand-ins count since their start, summed up.
+// Sums of what the stand-ins have counted since their start.
 struct StandInTotals {
   StandInFigures figures;
   // Empty if there are no plain stand-ins or one did not answer.
@@ -24,22 +24,22 @@
 StandInFigures Difference(const StandInTotals& before,
                           const StandInTotals& after);
 
-// Asks all stand-ins of a plan for their counts. One thread with a Qt event
-// loop.
+// Queries all stand-ins of a plan for their counts. Lives on one thread with a
+// Qt event loop; not thread safe.
 class StandInReader {
  public:
   // `plan` outlives this.
   explicit StandInReader(const LoadPlan& plan);
 
-  // `on_read` runs once all have answered or failed, never from inside Read.
-  // Precondition: no reading is under way.
+  // `on_read` runs when all have answered or failed, never from inside Read.
+  // Precondition: no reading is in progress.
   void Read(std::function<void(const StandInTotals&)> on_read);
 
  private:
   using Take = std::function<void(const std::string& body)>;
 
-  void Ask(const http::Address& address, const std::string& path, Take take);
-  void AskEngine(const http::Address& address);
+  void Query(const http::Address& address, const std::string& path, Take take);
+  void QueryEngine(const http::Address& address);
   void OnAnswered();
 
   const LoadPlan& plan;
--- a/src/load/internal/stream_reader.cc
+++ b/src/load/internal/stream_reader.cc
@@ -53,11 +53,12 @@
   return "none";
 }
 
-RequestOutcome OutcomeOf(int status, std::string_view told) {
-  if (told == NameOf(protocol::kOutcomeNames, protocol::Outcome::kNotRun)) {
+RequestOutcome OutcomeOf(int status, std::string_view outcome) {
+  if (outcome == NameOf(protocol::kOutcomeNames, protocol::Outcome::kNotRun)) {
     return RequestOutcome::kNotRun;
   }
-  if (told.empty() && status >= kFirstRejection && status < kFirstServerError) {
+  if (outcome.empty() && status >= kFirstRejection &&
+      status < kFirstServerError) {
     return RequestOutcome::kRejected;
   }
   return RequestOutcome::kUnknown;
@@ -108,18 +109,19 @@
 
 }  // namespace
 
-ToldError ReadError(int status,
-                    std::string_view outcome,
-                    std::string_view body) {
+AnswerError ReadError(int status,
+                      std::string_view outcome_header,
+                      std::string_view body) {
   const json object = Parse(body);
   const auto error = object.is_object() ? object.find("error") : object.end();
   if (!object.is_object() || error == object.end() || !error->is_object()) {
     return {.code = "status " + std::to_string(status),
-            .outcome = OutcomeOf(status, outcome)};
+            .outcome = OutcomeOf(status, outcome_header)};
   }
-  const std::string told =
-      outcome.empty() ? TextOf(*error, "outcome") : std::string(outcome);
-  return {.code = CodeOf(*error), .outcome = OutcomeOf(status, told)};
+  const std::string outcome = outcome_header.empty()
+                                  ? TextOf(*error, "outcome")
+                                  : std::string(outcome_header);
+  return {.code = CodeOf(*error), .outcome = OutcomeOf(status, outcome)};
 }
 
 StreamReader::StreamReader(AnswerEvents answer_events)
@@ -164,7 +166,7 @@
 void ReadWholeAnswer(std::string_view body, const AnswerEvents& events) {
   bool failed = false;
   AnswerEvents watched = events;
-  watched.on_error = [&failed, &events](const ToldError& error) {
+  watched.on_error = [&failed, &events](const AnswerError& error) {
     failed = true;
     events.on_error(error);
   };
--- a/src/load/internal/stream_reader.h
+++ b/src/load/internal/stream_reader.h
@@ -10,31 +10,32 @@
 
 namespace acacialug::load {
 
-// An error as the entry tells it, in the body or in the stream.
-struct ToldError {
-  std::string code;  // number if it has one, else what stands there
+// An error as the entry reports it, in the body or in the stream.
+struct AnswerError {
+  std::string code;  // the number if it has one, else the text
   RequestOutcome outcome = RequestOutcome::kUnknown;
 };
 
-// Reads an OpenAI-shaped error body. `outcome` is what the answer's headers
-// say ("not_run", "unknown"); empty: what the body says, else unknown. A 4xx
-// status without a word on the outcome is a rejection. Thread safe.
-ToldError ReadError(int status,
-                    std::string_view outcome,
-                    std::string_view body);
+// Parses an error body of the OpenAI API. `outcome_header` is the answer's
+// header
+// ("not_run", "unknown"); if it is empty, the outcome in the body counts, else
+// unknown. A 4xx status without an outcome is a rejection. Thread safe.
+AnswerError ReadError(int status,
+                      std::string_view outcome_header,
+                      std::string_view body);
 
-// What an answer holds, in the order in which it comes.
+// The contents of an answer, in the order in which they are received.
 struct AnswerEvents {
   std::function<void(std::string_view text)> on_text;
   std::function<void(std::string_view reason)> on_finish;
   std::function<void(const protocol::Usage& usage)> on_usage;
   std::function<void()> on_end;
-  std::function<void(const ToldError& error)> on_error;
+  std::function<void(const AnswerError& error)> on_error;
   std::function<void(std::string detail)> on_malformed;
 };
 
-// Reads server-sent events of the completions and chat routes, however they
-// are cut into pieces. Not thread safe.
+// Parses server-sent events of the completions and chat routes, however they
+// are split into chunks. Not thread safe.
 class StreamReader {
  public:
   explicit StreamReader(AnswerEvents events);
@@ -48,7 +49,7 @@
   std::string unread;
 };
 
-// Reads a whole (not streamed) answer. Thread safe.
+// Parses a complete answer, which is not streamed. Thread safe.
 void ReadWholeAnswer(std::string_view body, const AnswerEvents& events);
 
 }  // namespace acacialug::load
--- a/src/load/load_plan_reader.h
+++ b/src/load/load_plan_reader.h
@@ -6,7 +6,7 @@
 
 namespace acacialug::load {
 
-// Reads a plan from a settings text. The plan counts only if the reader's
+// Reads a plan from a settings text. The plan is valid only if the reader's
 // Finish then reports no problem. Not thread safe.
 LoadPlan ReadLoadPlan(settings::Reader& reader);
 
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -9,9 +9,9 @@
 
 namespace acacialug::load {
 
-// Carries out one plan on the thread's Qt event loop: reads the stand-ins'
-// figures, sends requests at their arrivals whatever the answers do, waits for
-// the last answers, reads the figures again and reports. Not thread safe.
+// Runs one plan on the thread's Qt event loop: reads the stand-ins' figures,
+// sends requests at their arrivals without waiting for answers, waits for the
+// last answers, reads the figures again and reports. Not thread safe.
 class LoadRun {
  public:
   LoadRun(LoadPlan plan, std::function<void(const LoadReport&)> on_done);
@@ -20,8 +20,8 @@
   // Precondition: called once.
   void Start();
 
-  // Sends no more; what is outstanding gets its drain time, then the report
-  // follows.
+  // Sends no more requests. The report follows when all outstanding ones have
+  // ended, or after the drain limit.
   void Stop();
 
  private:
--- a/src/load/report_text.cc
+++ b/src/load/report_text.cc
@@ -96,7 +96,7 @@
       {"tokens", report.figures.tokens},
       {"tokens_per_second",
        static_cast<double>(report.figures.measured_tokens) / seconds},
-      {"most_outstanding", report.figures.most_outstanding},
+      {"most_outstanding", report.figures.max_outstanding},
       {"latest_send_ms", Milliseconds(report.latest_send)},
       {"completed_prefill_tokens", report.figures.completed_prefill_tokens},
       {"wasted_prefill_ratio", report.wasted_prefill_ratio()},
--- a/src/load/report_text.h
+++ b/src/load/report_text.h
@@ -7,8 +7,8 @@
 
 namespace acacialug::load {
 
-// The report as JSON, durations in milliseconds, rates in requests a second.
-// At most 100 violations are listed; their number is always whole. Thread
+// The report as JSON, with durations in milliseconds and rates in requests per
+// second. At most 100 violations are listed, beside their total number. Thread
 // safe.
 std::string ToJson(const LoadReport& report);
 
--- a/src/load/tests/answer_checker_test.cc
+++ b/src/load/tests/answer_checker_test.cc
@@ -50,8 +50,8 @@
 struct Fault {
   std::string name;
   ViolationKind kind;
-  // Indices into the right answer; a number from 100 on is a token of another
-  // prompt's answer.
+  // Indices into the right answer; a number of 100 or more is a token of
+  // another prompt's answer.
   std::vector<int> order;
 };
 
@@ -73,7 +73,7 @@
 
 const testing::Story kAnswers(
     "the answer checker",
-    {It("finds nothing in a right answer, however it is cut",
+    {It("finds nothing in a right answer, however it is split",
         [] {
           std::string text;
           for (const std::string& token : Tokens()) {
@@ -96,9 +96,9 @@
           CPPUNIT_ASSERT(checker.violations().empty());
           CPPUNIT_ASSERT(!checker.whole());
         }),
-     // Symptom: a caller's text is wrong although its end looks right.
-     // Sequence: a stream moves to another attempt or meets another's frames.
-     // Cause: a chunk is dropped, repeated, overtaken or taken from elsewhere.
+     // Guards against a wrong text with a right ending: a stream that continues
+     // at another attempt, or is mixed with another one, loses, repeats or
+     // reorders a chunk, or takes one of the other.
      ForEach<Fault>(
          "finds in the text",
          {{"a lost token", ViolationKind::kTokenLost, {0, 1, 3, 4, 5}},
@@ -224,7 +224,7 @@
            },
        .on_end = [&log] { log += "|end"; },
        .on_error =
-           [&log](const ToldError& error) {
+           [&log](const AnswerError& error) {
              log += "|" + error.code + " " +
                     std::string(NameOf(kRequestOutcomeNames, error.outcome));
            },
@@ -244,7 +244,7 @@
 const testing::Story kStreams(
     "the stream reader",
     {ForEach<StreamCase>(
-        "reads, however it is cut,",
+        "reads, however it is split,",
         {{"completions",
           "data: {\"choices\":[{\"text\":\"ab\",\"finish_reason\":null}]}\n\n"
           "data: {\"choices\":[{\"text\":\"c\",\"finish_reason\":\"stop\"}]}"
--- a/src/load/tests/load_run_test.cc
+++ b/src/load/tests/load_run_test.cc
@@ -56,7 +56,7 @@
   return found == outcomes.end() ? 0 : found->second;
 }
 
-// An engine that computes its own prompts stands in the place of an entry.
+// An engine that computes prompts itself takes the place of an entry.
 const testing::Story kLoadRun(
     "a load run against stand-ins",
     {It("completes what it sends and finds nothing wrong",
@@ -90,10 +90,9 @@
                                Count(report, RequestOutcome::kLeft));
           CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, report.stand_ins.held_after);
         }),
-     // Symptom: callers see broken streams. Sequence: the engine fails every
-     // generation half-way. Cause: a fault of the engine, which is no broken
-     // promise and must not be reported as one.
-     It("takes broken answers for unknown and no violation",
+     // Guards against reporting an engine's failure, which the router may pass
+     // on, as a violation.
+     It("counts broken answers as unknown, and reports no violation",
         [] {
           standin::EngineServer engine(FastEngine());
           CPPUNIT_ASSERT(engine.Start().ok());
@@ -103,7 +102,7 @@
                                Count(report, RequestOutcome::kUnknown));
           CPPUNIT_ASSERT_EQUAL(std::size_t{0}, report.violations.size());
         }),
-     It("takes the next entry for one that cannot be reached",
+     It("uses the next entry when one cannot be reached",
         [] {
           standin::EngineServer engine(FastEngine());
           CPPUNIT_ASSERT(engine.Start().ok());
@@ -117,9 +116,8 @@
           CPPUNIT_ASSERT_EQUAL(report.figures.arrived,
                                report.figures.completed);
         }),
-     // Symptom: a key takes effect twice. Sequence: a call is submitted twice
-     // at once to something that runs every submission. Cause: nobody claims
-     // the key first.
+     // Guards against a key that takes effect twice: a call is submitted twice
+     // at once to a service that runs every submission.
      It("finds a key that ran twice", [] {
        standin::ServiceServer service(
            {.listen = kAnyPort, .service = {.id = "service"}});
--- a/src/load/types/load_figures.h
+++ b/src/load/types/load_figures.h
@@ -58,7 +58,7 @@
   std::map<std::string, std::uint64_t> codes;
 };
 
-// What became of the requests that arrived in each span of kTimelineStep, the
+// Outcomes of the requests that arrived in each step of kTimelineStep, the
 // first of which begins with the load. Indices are the same in all lists.
 inline constexpr Duration kTimelineStep = 100ms;
 struct Timeline {
@@ -72,13 +72,13 @@
 struct LoadFigures {
   Duration measured{};
   std::vector<MixFigures> mixes;
-  std::uint64_t measured_tokens = 0;   // that came in the measured time
-  std::uint64_t most_outstanding = 0;  // requests open at once
+  std::uint64_t measured_tokens = 0;  // received in the measured time
+  std::uint64_t max_outstanding = 0;  // requests open at once
   // All requests, not only the measured ones.
   std::uint64_t tokens = 0;
   std::uint64_t arrived = 0;
   std::uint64_t completed = 0;
-  // Prompt tokens of completed generations that their prefill computed.
+  // Prompt tokens that the prefills of completed generations computed.
   std::uint64_t completed_prefill_tokens = 0;
   Timeline timeline;  // without those past the router
 };
--- a/src/load/types/load_plan.h
+++ b/src/load/types/load_plan.h
@@ -12,14 +12,14 @@
 
 namespace acacialug::load {
 
-// When the next request comes. Neither waits for an answer.
+// The intervals between requests. Neither waits for an answer.
 enum class Arrivals : std::uint8_t { kPoisson, kEven };
 inline constexpr EnumNames<Arrivals, 2> kArrivalsNames = {{
     {Arrivals::kPoisson, "poisson"},
     {Arrivals::kEven, "even"},
 }};
 
-// A lognormal length, cut off at both bounds; `sigma` 0 is a fixed length.
+// A lognormal length, clamped to both bounds; `sigma` 0 is a fixed length.
 struct LengthRange {
   double median = 100;
   double sigma = 0;
@@ -37,16 +37,16 @@
   bool stream = true;
   LengthRange prompt_tokens;
   LengthRange output_tokens;
-  // The `max_tokens` that callers ask for, as a multiple of what the answer
-  // will have: a caller does not know how long the answer gets.
+  // The `max_tokens` that callers request, as a multiple of the answer's
+  // length, which a caller does not know in advance.
   double max_tokens_factor = 1;
   double shared_prefix_share = 0;  // prompts that begin with a common document
   std::uint32_t shared_prefixes = 1;
   std::uint32_t shared_prefix_tokens = 2048;
   Duration first_token = 2s;  // targets
   Duration token_interval = 100ms;
-  double cancel_share = 0;       // callers who leave in mid-answer
-  double slow_reader_share = 0;  // callers who stop reading for a while
+  double cancel_share = 0;       // callers that disconnect during the answer
+  double slow_reader_share = 0;  // callers that stop reading for some time
   Duration slow_reader_pause = 2s;
 };
 
@@ -63,9 +63,9 @@
   Duration answer_in = 500ms;  // target
 };
 
-// Engines and plain services that every second request goes to without the
-// router, so that one run shows what the router adds. A generation makes the
-// same two calls there as the router would: prefill, then decode.
+// Engines and plain services that receive every second request directly, so
+// that one run shows the latency that the router adds. A generation makes the
+// same two calls there as the router does: prefill, then decode.
 struct DirectTargets {
   std::vector<http::Address> prefill;
   std::vector<http::Address> decode;
@@ -74,24 +74,25 @@
   bool enabled() const { return !this->decode.empty() || !this->plain.empty(); }
 };
 
-// What `acacialug-load` does: a seeded open-loop load on some entries.
+// The work of `acacialug-load`: a seeded open-loop load on some entries.
 struct LoadPlan {
   std::uint64_t seed = 1;
-  std::vector<http::Address> entries;  // taken in turn, as a balancer would
+  std::vector<http::Address>
+      entries;  // used in round-robin order, as by a balancer
   DirectTargets direct;
   double requests_per_second = 10;
   Arrivals arrivals = Arrivals::kPoisson;
-  Duration warm_up = 2s;    // requests that arrive in it are not measured
+  Duration warm_up = 2s;    // its requests are not measured
   Duration duration = 10s;  // of the measured arrivals
-  // The load goes on for so long after the measured arrivals, so that the last
-  // of them meet the same contention as the first.
+  // The load continues for this long after the measured arrivals, so that the
+  // last of them have the same contention as the first.
   Duration tail = 0s;
   Duration drain_limit = 30s;  // for answers still outstanding after that
-  // Between the last answer and the last reading of the stand-ins' figures:
-  // engines free what a finished request held within a second.
+  // Time between the last answer and the last reading of the stand-ins'
+  // figures: engines free the memory of a finished request within a second.
   Duration settle = 1s;
-  // One way between callers and entries; added twice to each time to first
-  // token and to each plain call, and not slept.
+  // One-way delay between callers and entries. It is not waited for, but added
+  // twice to each time to first token and to each plain call.
   Duration client_one_way = 0s;
   std::uint32_t max_outstanding = 20'000;
   std::vector<GenerationMix> generations;
--- a/src/load/types/load_report.h
+++ b/src/load/types/load_report.h
@@ -27,12 +27,12 @@
   LoadFigures figures;
   StandInFigures stand_ins;
   std::vector<Violation> violations;
-  // The latest that a request was sent after its arrival: a large value says
-  // that this program was too slow for the load.
+  // The longest time between a request's arrival and its sending. A large value
+  // shows that this program was too slow for the load.
   Duration latest_send{};
 
-  // Prefill work done and then discarded: computed, and not for a request that
-  // completed. Empty engines: 0.
+  // The share of the prefill work that was not for a request that completed; 0
+  // if the engines computed nothing.
   double wasted_prefill_ratio() const {
     const auto computed = static_cast<double>(this->stand_ins.prefill_computed);
     const auto used =
--- a/src/load/types/request_spec.h
+++ b/src/load/types/request_spec.h
@@ -13,7 +13,7 @@
   std::string name;  // unique in a run; part of the prompt or body
   bool generation = true;
   std::size_t mix = 0;  // index into the plan's generations or calls
-  bool direct = false;  // goes past the router
+  bool direct = false;  // sent directly, not through the router
   bool measured = false;
   // The prompt of a generation, the body of a call.
   std::string text;
@@ -21,9 +21,10 @@
   std::uint32_t shared_tokens = 0;  // of the prompt, a common document
   std::uint32_t output_tokens = 0;  // the whole answer's
   std::uint32_t max_tokens = 0;
-  // The caller leaves after so many tokens; 0: stays to the end.
+  // The caller disconnects after this number of tokens; 0: at the end.
   std::uint32_t leaves_after_tokens = 0;
-  // The caller stops reading after so many tokens; 0: reads on.
+  // The caller stops reading for some time after this number of tokens; 0: it
+  // does not.
   std::uint32_t pauses_after_tokens = 0;
   bool submitted_twice = false;
 };
--- a/src/load/types/violation.h
+++ b/src/load/types/violation.h
@@ -8,21 +8,21 @@
 
 namespace acacialug::load {
 
-// A broken promise to a caller. A request that fails with an honest error is
-// none of these.
+// A broken guarantee to a caller. A request that fails with a truthful error is
+// not a violation.
 enum class ViolationKind : std::uint8_t {
-  kForeignAnswer,   // text that no answer to this request can have
+  kForeignAnswer,   // text that cannot be in an answer to this request
   kTokenLost,       // a token is missing between two others
-  kTokenDoubled,    // a token came twice
-  kTokenReordered,  // a token came before its turn
+  kTokenDoubled,    // a token was received twice
+  kTokenReordered,  // a token was received before an earlier one
   kAnswerShort,     // the end was announced before the last token
   kAnswerLong,      // tokens beyond the answer's end
   kTwoAnswers,      // a second end, or an answer after an error
   kWrongEnd,        // finish reason or usage differ from what was produced
-  kMalformed,       // not the API's form
-  kNotRunDidRun,    // refused as not run, and the work did run
+  kMalformed,       // not in the format of the API
+  kNotRunDidRun,    // refused as not run, although the work ran
   kRanTwice,        // a non-idempotent call took effect more than once
-  kNeverRan,        // answered as completed, and the work never ran
+  kNeverRan,        // answered as completed, although the work never ran
   kAnswersDiffer,   // two submissions under one key got different answers
 };
 inline constexpr EnumNames<ViolationKind, 13> kViolationKindNames = {{
@@ -43,7 +43,7 @@
 
 struct Violation {
   ViolationKind kind = ViolationKind::kMalformed;
-  std::string request;  // the load's own name of the request
+  std::string request;  // the load's name for the request
   std::string detail;
 };
 
--- a/src/load/workload.cc
+++ b/src/load/workload.cc
@@ -33,20 +33,20 @@
 }
 
 RequestSpec Workload::NextRequest() {
-  double place = this->random.Unit() * this->total_weight;
+  double position = this->random.Unit() * this->total_weight;
   for (std::size_t mix = 0; mix < this->plan.generations.size(); ++mix) {
-    place -= this->plan.generations[mix].weight;
-    if (place < 0) {
+    position -= this->plan.generations[mix].weight;
+    if (position < 0) {
       return this->NextGeneration(mix);
     }
   }
   for (std::size_t mix = 0; mix < this->plan.calls.size(); ++mix) {
-    place -= this->plan.calls[mix].weight;
-    if (place < 0) {
+    position -= this->plan.calls[mix].weight;
+    if (position < 0) {
       return this->NextCall(mix);
     }
   }
-  // Rounding left a sliver beyond the last weight.
+  // Due to rounding the draw may exceed the sum of the weights.
   return this->plan.calls.empty()
              ? this->NextGeneration(this->plan.generations.size() - 1)
              : this->NextCall(this->plan.calls.size() - 1);
@@ -62,13 +62,13 @@
   spec.max_tokens = static_cast<std::uint32_t>(
       std::ceil(spec.output_tokens * std::max(1.0, mix.max_tokens_factor)));
   this->WritePrompt(mix, this->Draw(mix.prompt_tokens), spec);
-  const double fate = this->random.Unit();
-  const auto turn = static_cast<std::uint32_t>(
+  const double draw = this->random.Unit();
+  const auto at_token = static_cast<std::uint32_t>(
       1 + this->random.Below(std::max(1U, spec.output_tokens - 1)));
-  if (fate < mix.cancel_share) {
-    spec.leaves_after_tokens = turn;
-  } else if (fate < mix.cancel_share + mix.slow_reader_share) {
-    spec.pauses_after_tokens = turn;
+  if (draw < mix.cancel_share) {
+    spec.leaves_after_tokens = at_token;
+  } else if (draw < mix.cancel_share + mix.slow_reader_share) {
+    spec.pauses_after_tokens = at_token;
   }
   return spec;
 }
@@ -97,7 +97,7 @@
                  static_cast<double>(range.maximum)));
 }
 
-// Box and Muller's transform.
+// The Box-Muller transform.
 double Workload::Normal() {
   const double radius = std::sqrt(-2.0 * std::log(1.0 - this->random.Unit()));
   return radius * std::cos(2.0 * std::numbers::pi * this->random.Unit());
@@ -129,8 +129,8 @@
     spec.text = this->Filler(spec.shared_tokens * kBytesPerToken,
                              kSharedSalt + document);
   }
-  // The name stands before the filler, so that no two prompts share more than
-  // the common document.
+  // The name precedes the filler, so that no two prompts share more than the
+  // common document.
   spec.text += " request " + spec.name +
                " [answer-tokens=" + std::to_string(spec.output_tokens) + "]";
   if (spec.text.size() < bytes) {
--- a/src/load/workload.h
+++ b/src/load/workload.h
@@ -11,14 +11,14 @@
 
 namespace acacialug::load {
 
-// Draws arrivals and requests from a plan's mix; the same seed draws the same
-// sequence, whatever the answers do. Not thread safe.
+// Draws arrivals and requests from a plan's mix. The same seed draws the same
+// sequence, whatever the answers are. Not thread safe.
 class Workload {
  public:
   // `plan` and `random` outlive this. Precondition: the plan has a mix.
   Workload(const LoadPlan& plan, RandomSource& random);
 
-  // Time from one arrival to the next.
+  // The time until the next arrival.
   Duration NextGap();
 
   RequestSpec NextRequest();
@@ -28,7 +28,7 @@
   RequestSpec NextCall(std::size_t mix);
   std::uint32_t Draw(const LengthRange& range);
   double Normal();
-  // Printable text of so many bytes, different for each `salt`.
+  // Printable text of `bytes` bytes, different for each `salt`.
   std::string Filler(std::size_t bytes, std::uint64_t salt) const;
   // Sets the text and its lengths. Precondition: the name and the answer's
   // length are set.
--- a/src/scale/internal/agent_scale.cc
+++ b/src/scale/internal/agent_scale.cc
@@ -10,7 +10,7 @@
 
 using agent::SessionId;
 
-// A decode agent whose engine holds nothing and takes everything.
+// A decode agent whose engine is empty and accepts everything.
 class AgentHarness {
  public:
   explicit AgentHarness(std::size_t sessions)
@@ -30,7 +30,7 @@
                                 .incarnation = Incarnation(i),
                                 .domain = FailureDomain("region-0-hall-0")});
     }
-    this->Take();
+    this->AdvanceBy();
   }
 
   void Say(std::size_t session, const protocol::EntryToAgent& message) {
@@ -39,8 +39,8 @@
   void Tell(const engine::EngineEvent& event) {
     this->core.OnEngineEvent(event, this->now);
   }
-  // Lets time pass and runs the timer; returns how many actions were due.
-  std::size_t Take(Duration passed = {}) {
+  // Advances the time and runs the timer; returns the number of due actions.
+  std::size_t AdvanceBy(Duration passed = {}) {
     this->now += passed;
     if (this->core.next_timer() <= this->now) {
       this->core.OnTimer(this->now);
@@ -56,7 +56,7 @@
 };
 
 AttemptId AttemptOf(std::uint64_t number) {
-  // Random-like, as the table hashes by these bits.
+  // Pseudorandom, since the table hashes by these bits.
   return {
       {number * 0x9e3779b97f4a7c15U, number}, AttemptNumber(1), Incarnation(1)};
 }
@@ -76,7 +76,7 @@
   for (std::size_t second = 0; second < kSeconds; ++second) {
     for (std::size_t i = 1; i <= sessions; ++i) {
       agent.Say(i, protocol::Renew{.incarnation = Incarnation(i)});
-      agent.Take(gap);
+      agent.AdvanceBy(gap);
     }
   }
   return (ThreadMicroseconds() - begin) / kSeconds;
@@ -97,23 +97,23 @@
                    .kv = {.transfer_params = "{}", .tokens = 90, .bytes = 900},
                    .kv_tokens = 1000,
                    .window_chunks = 256});
-  agent.Take();
+  agent.AdvanceBy();
 }
 
-// At 100 a second; the core remembers attempts for a time, so that a faster
-// pace would cost more each.
+// At 100 a second: the core remembers attempts for some time, so that at a
+// higher rate each would cost more.
 double MicrosecondsOfReservations(std::size_t count) {
   constexpr std::size_t kSecond = 100;
   AgentHarness agent(1);
   const double begin = ThreadMicroseconds();
   for (std::size_t i = 1; i <= count; ++i) {
     Reserve(agent, i);
-    agent.Take();
+    agent.AdvanceBy();
     agent.Say(1, protocol::Cancel{AttemptOf(i)});
     if (i % kSecond == 0) {
       agent.Say(1, protocol::Renew{.incarnation = Incarnation(1)});
     }
-    agent.Take(Duration(1s) / kSecond);
+    agent.AdvanceBy(Duration(1s) / kSecond);
   }
   return ThreadMicroseconds() - begin;
 }
@@ -143,7 +143,7 @@
         agent.Say(1,
                   protocol::Acknowledge{AttemptOf(i), SequenceNumber(round)});
       }
-      agent.Take();
+      agent.AdvanceBy();
     }
   }
   return ThreadMicroseconds() - begin;
--- a/src/scale/internal/delta_scale.cc
+++ b/src/scale/internal/delta_scale.cc
@@ -9,8 +9,9 @@
 #include "scale/internal/sections.h"
 #include "scale/internal/synthetic_manifest.h"
 
-// The ways to bring a change of configuration to a process, by the size of the
-// manifest and by how many endpoints change: docs/decisions has the choice.
+// The strategies for sending a change of configuration to a process, by the
+// size of the manifest and the number of endpoints that change. docs/decisions
+// has the choice.
 
 namespace acacialug::scale {
 namespace {
@@ -19,7 +20,7 @@
 using configuration::RecordKind;
 using configuration::TextDelta;
 
-// As many callers for each endpoint as at the size planned for.
+// The planned ratio of callers to endpoints.
 constexpr std::size_t kCallersPerDozen = 31;
 
 std::size_t CallersOf(std::size_t endpoints) {
@@ -30,15 +31,15 @@
   return ManifestText(endpoints, CallersOf(endpoints));
 }
 
-// `changes` endpoints, spread over the whole text, get another limit.
+// Changes the limit of `changes` endpoints, spread over the whole text.
 std::string Changed(std::string text, std::size_t changes) {
   constexpr std::string_view kBefore = "slots = ";
   const std::size_t stride = text.size() / (changes + 1);
   for (std::size_t i = 1; i <= changes; ++i) {
-    // Callers stand in the second half: they have no such line.
-    const std::size_t place = text.find(kBefore, i * stride / 3);
-    if (place != std::string::npos) {
-      text.replace(place + kBefore.size(), 1, "9");
+    // The second half of the text has callers, which have no such line.
+    const std::size_t position = text.find(kBefore, i * stride / 3);
+    if (position != std::string::npos) {
+      text.replace(position + kBefore.size(), 1, "9");
     }
   }
   return text;
@@ -101,8 +102,8 @@
   return used;
 }
 
-// Only what changed is parsed, and put into a copy of the manifest in force;
-// without the rules between keys, which would have to run again.
+// Parses only what changed, and applies it to a copy of the active manifest.
+// Excludes the checks between keys, which would have to run again.
 double TablesCpu(std::size_t endpoints) {
   const manifest::Manifest base = MakeManifest(endpoints, CallersOf(endpoints));
   const std::string part = ManifestText(kModels * 8, 0);
--- a/src/scale/internal/entry_scale.cc
+++ b/src/scale/internal/entry_scale.cc
@@ -15,8 +15,9 @@
 
 constexpr std::size_t kPromptBytes = 4096;
 
-// An EntryCore between agents that answer at once and callers that take all.
-// Its processor time holds that of these answers too: an upper bound.
+// An EntryCore between agents that answer at once and callers that read
+// everything. Its processor time includes that of these answers, and so is an
+// upper bound.
 class EntryHarness {
  public:
   EntryHarness(std::shared_ptr<const manifest::Manifest> manifest,
@@ -29,7 +30,7 @@
     this->core.OnManifest(std::move(manifest), this->now);
   }
 
-  // Carries out what the core asks for, until it asks for nothing more.
+  // Executes actions of the core until it requests no more.
   void Settle() {
     for (auto actions = this->core.TakeActions(); !actions.empty();
          actions = this->core.TakeActions()) {
@@ -54,8 +55,8 @@
     this->Settle();
   }
 
-  // One more chunk of every stream. Time passes, but never a session's lease
-  // within one measurement.
+  // Sends one more chunk of every stream. Advances the time, but by less than a
+  // session's lease within one measurement.
   void ChunkAll() {
     this->now += 100us;
     for (Stream& stream : this->streams) {
@@ -82,8 +83,8 @@
     }
   }
 
-  // Runs all timers of the next `duration`.
-  void Pass(Duration duration) {
+  // Advances the time by `duration` and runs all timers.
+  void AdvanceBy(Duration duration) {
     const Instant end = this->now + duration;
     while (this->core.next_timer() <= end) {
       this->now = std::max(this->now, this->core.next_timer());
@@ -183,7 +184,7 @@
       MakeManifest(endpoints, callers));
 }
 
-// The core's own heap, beside the manifest that it shares with others.
+// The core's own heap, without the manifest, which is shared.
 double BytesPerEndpoint(std::size_t endpoints) {
   const auto manifest = Shared(endpoints);
   const double heap = HeapBytes();
@@ -203,7 +204,7 @@
   return ThreadMicroseconds() - begin;
 }
 
-// Fails loudly when fewer sessions than asked for were opened.
+// Aborts if another number of sessions was opened than requested.
 void CheckCount(const char* what, std::size_t expected, std::size_t actual) {
   if (expected != actual) {
     std::fprintf(stderr, "scale_bench: %zu %s instead of %zu\n", actual, what,
@@ -212,7 +213,7 @@
   }
 }
 
-// 18 pools, so that x / 18 endpoints of each are in the working set.
+// There are 18 pools, so that the working set has x / 18 endpoints of each.
 double BytesOfSessions(std::size_t sessions) {
   const auto manifest = Shared(12000);
   const double heap = HeapBytes();
@@ -226,10 +227,10 @@
   constexpr std::size_t kSeconds = 10;
   EntryHarness entry(Shared(12000), static_cast<std::uint32_t>(sessions / 18));
   entry.Settle();
-  entry.Pass(3s);
+  entry.AdvanceBy(3s);
   const std::size_t before = entry.Renewals();
   const double begin = ThreadMicroseconds();
-  entry.Pass(Duration(1s) * kSeconds);
+  entry.AdvanceBy(Duration(1s) * kSeconds);
   const double used = ThreadMicroseconds() - begin;
   return used / static_cast<double>(entry.Renewals() - before) *
          static_cast<double>(sessions);
@@ -303,7 +304,7 @@
 }  // namespace
 
 std::vector<Sweep> EntrySweeps() {
-  // From where every pool is larger than the working set.
+  // From these sizes on every pool is larger than the working set.
   const std::vector<std::size_t> endpoints = {3000, 6000, 9000, 12000};
   const std::vector<std::size_t> sessions = {144, 288, 576, 1152};
   return {{"entry.endpoint_memory", "bytes", "endpoints in the manifest",
--- a/src/scale/internal/heartbeat_scale.cc
+++ b/src/scale/internal/heartbeat_scale.cc
@@ -51,7 +51,7 @@
   return good == 2 * count ? ThreadMicroseconds() - begin : -1;
 }
 
-// An entry's sender with the sessions of two shards at so many agents.
+// An entry's sender with the sessions of two shards at each agent.
 class SenderHarness {
  public:
   explicit SenderHarness(std::size_t agents)
@@ -68,8 +68,8 @@
       }
     }
   }
-  // Answers every heartbeat of that time; returns how many they were.
-  std::size_t Pass(Duration duration) {
+  // Advances the time and answers every heartbeat; returns their number.
+  std::size_t AdvanceBy(Duration duration) {
     std::size_t beats = 0;
     const Instant end = this->now + duration;
     while (this->sender.next_timer() <= end) {
@@ -96,20 +96,20 @@
 double BytesOfPeers(std::size_t agents) {
   const double heap = HeapBytes();
   SenderHarness sender(agents);
-  sender.Pass(5s);
+  sender.AdvanceBy(5s);
   return HeapBytes() - heap;
 }
 
 double MicrosecondsOfSender(std::size_t agents) {
   SenderHarness sender(agents);
-  sender.Pass(3s);
+  sender.AdvanceBy(3s);
   const double begin = ThreadMicroseconds();
-  const std::size_t beats = sender.Pass(20s);
+  const std::size_t beats = sender.AdvanceBy(20s);
   return (ThreadMicroseconds() - begin) / static_cast<double>(beats) *
          static_cast<double>(agents);
 }
 
-// An agent with two sessions of each of so many entries.
+// An agent with two sessions of each of `processes` entries.
 double MicrosecondsOfAgent(std::size_t processes) {
   constexpr std::uint32_t kRounds = 20;
   RandomSource random(1);
--- a/src/scale/internal/once_scale.cc
+++ b/src/scale/internal/once_scale.cc
@@ -64,8 +64,9 @@
           .measure = [member](std::size_t x) { return Read(x).*member; }};
 }
 
-// Appends of one process in 10 s at `rate` claims a second, the log answering
-// at once; a second's worth is returned. Not a line: it ends at 50.
+// Appends per second of one process over 10 s, at `rate` claims a second and
+// with a log that answers at once. Not linear in the rate: it reaches 50 at
+// most.
 double AppendsPerSecond(std::size_t rate) {
   constexpr std::size_t kSeconds = 10;
   RandomSource random(11);
@@ -97,7 +98,7 @@
     }
     answer();
   }
-  // By what chance brought, not by the rate asked for.
+  // Divides by the number of claims that were drawn, not by the nominal rate.
   const auto claims = static_cast<double>(token - 1);
   return static_cast<double>(coordinator.appends()) / claims *
          static_cast<double>(rate);
--- a/src/scale/internal/protocol_scale.cc
+++ b/src/scale/internal/protocol_scale.cc
@@ -25,7 +25,7 @@
 const protocol::AgentToEntry kChunk =
     protocol::Chunk{kAttempt, SequenceNumber(100), 1, " token"};
 
-// Encoded and decoded once each, which two processes share in truth.
+// Encodes and decodes each once; in operation two processes share this work.
 double MicrosecondsOfRenewals(std::size_t count) {
   const double begin = ThreadMicroseconds();
   std::size_t good = 0;
--- a/src/scale/internal/sections.h
+++ b/src/scale/internal/sections.h
@@ -7,7 +7,7 @@
 
 namespace acacialug::scale {
 
-// What is measured of each aggregate, in the order of the report.
+// The measurements of each aggregate, in the order of the report.
 std::vector<Sweep> EntrySweeps();
 std::vector<Sweep> AgentSweeps();
 std::vector<Sweep> ProtocolSweeps();
--- a/src/scale/internal/service_level_scale.cc
+++ b/src/scale/internal/service_level_scale.cc
@@ -28,7 +28,7 @@
                      {CauseOf(ResultCode::kEndpointLost), 2}}};
 }
 
-// Every bin of every ring in use: a month of counts, the oldest first.
+// Fills every bin of every ring: a month of counts, the oldest first.
 void Fill(ServiceLevelWindows& windows, std::size_t series) {
   const LevelCounts counts = MixedCounts();
   for (std::size_t ring = service_levels::kResolutions.size(); ring > 0;
--- a/src/scale/internal/sweep.h
+++ b/src/scale/internal/sweep.h
@@ -14,7 +14,7 @@
   double y = 0;
 };
 
-// A quantity as a straight line over what it depends on.
+// A quantity as a linear function of the variable it depends on.
 struct Row {
   std::string quantity;
   std::string unit;
@@ -24,7 +24,7 @@
   double intercept = 0;
   double slope_least = 0;
   double slope_greatest = 0;
-  double spread = 0;  // (greatest - least slope) / |median slope|
+  double spread = 0;  // (max slope - min slope) / |median slope|
   int runs = 0;
 };
 
@@ -40,15 +40,15 @@
   int runs = 7;
 };
 
-// Measures every x in every run, and fits a line of least squares a run.
+// Measures each x in each run, and fits a line to each run by least squares.
 // Precondition: at least two different xs.
 Row Fit(const Sweep& sweep);
 
-// Processor time of this thread since its start, in microseconds: what other
-// work on the machine costs it is mostly left out, cold caches are not.
+// Processor time of this thread since its start, in microseconds. It excludes
+// most effects of other work on the machine, but not those on caches.
 double ThreadMicroseconds();
 
-// Bytes that malloc has handed out and not got back, with its own overhead.
+// Bytes allocated by malloc and not freed, including its overhead.
 double HeapBytes();
 
 }  // namespace acacialug::scale
--- a/src/scale/internal/synthetic_manifest.cc
+++ b/src/scale/internal/synthetic_manifest.cc
@@ -38,7 +38,7 @@
 }
 
 std::string EndpointText(std::size_t index) {
-  // Eight in a row share a service, two of them for prefill.
+  // Groups of eight share a service; two of each are for prefill.
   const bool prefill = index % 4 == 0;
   const std::string number = std::to_string(index);
   return "\n[[endpoint]]\nid = \"runner-" + number + "\"\nhost = \"host-" +
--- a/src/scale/internal/synthetic_manifest.h
+++ b/src/scale/internal/synthetic_manifest.h
@@ -15,7 +15,7 @@
 // endpoint for prefill. Precondition: endpoints >= 8 * kModels, or 0.
 std::string ManifestText(std::size_t endpoints, std::size_t callers);
 
-// The same, parsed; offset 1. Aborts on a text that the parser refuses.
+// The same, parsed, with offset 1. Aborts if the parser rejects the text.
 manifest::Manifest MakeManifest(std::size_t endpoints, std::size_t callers);
 
 std::string ModelName(std::size_t index);
--- a/src/scale/scale_bench.cc
+++ b/src/scale/scale_bench.cc
@@ -8,8 +8,8 @@
 
 #include "scale/internal/sections.h"
 
-// Slopes of what each aggregate costs, measured in one process: aggregates,
-// not processes, so without sockets, HTTP and the event loop.
+// Measures how the cost of each aggregate grows, in one process. Aggregates
+// have no sockets, HTTP or event loop, whose costs are not included.
 //
 //   scale_bench [FILE]   writes the rows as JSON to FILE, else to stdout
 
