--- a/src/scenario/explorer.h
+++ b/src/scenario/explorer.h
@@ -7,11 +7,11 @@
 
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/instant.h"
-#include "scenario/types/world_options.h"
+#include "scenario/types/simulation_options.h"
 
 namespace acacialug::scenario {
 
-// What may happen in an explored run; the words are the scenarios'.
+// The events of an explored run. Their names are those of scenario files.
 enum class EventKind : std::uint8_t {
   kAsk,
   kCall,
@@ -63,18 +63,18 @@
     {EventKind::kOrder, "order"},
 }};
 
-// One event; what its numbers mean hangs on its kind.
+// One event; the meaning of its numbers depends on its kind.
 struct ExploredEvent {
   Duration at{};
   EventKind kind = EventKind::kAsk;
-  std::uint64_t first = 0;   // of an entry, endpoint, request or key
-  std::uint64_t second = 0;  // a size, another endpoint, a message's kind
-  Duration length{};         // until the fault ends, where it does
+  std::uint64_t first = 0;   // index of an entry, endpoint, request or key
+  std::uint64_t second = 0;  // size, or index of an endpoint or message kind
+  Duration length{};         // of the fault, if it ends
 
   std::string ToText() const;
 };
 
-// A run that can be repeated: the same seed, events and rules find the same.
+// A reproducible run: the same seed, events and rules give the same result.
 struct ExploredRun {
   std::uint64_t seed = 0;
   std::vector<ExploredEvent> events;
@@ -82,22 +82,23 @@
   std::string ToText() const;
 };
 
-// A random run at nearly full decode memory. Thread safe, as all of these.
+// A random run with nearly full decode memory. Thread safe, as all functions
+// here.
 ExploredRun MakeRun(std::uint64_t seed);
 
-// What takes effect only together: the log is out or loses answers, an entry
-// is paused and an agent of the plain service ends, all within some hundred
-// milliseconds, while callers send the same keys to both entries; and again
-// some seconds later.
+// A combination of faults that have an effect only together: the log is out or
+// loses answers, an entry is paused and an agent of the plain service ends, all
+// within some hundred milliseconds, while callers send the same keys to both
+// entries. The same happens again some seconds later.
 ExploredRun MakeStorm(std::uint64_t seed);
 
-// What the checker found in it, the quiet time at its end included.
+// What the checker found in the run, including the quiet time at its end.
 std::vector<std::string> Explore(const ExploredRun& run,
-                                 const WorldRules& rules = {});
+                                 const SafetyRules& rules = {});
 
-// Drops events, one after the other, for as long as the checker still finds
-// something. Precondition: it does in `run`.
-ExploredRun Shrink(ExploredRun run, const WorldRules& rules = {});
+// Removes events one by one, as long as the checker still finds something.
+// Precondition: it finds something in `run`.
+ExploredRun Shrink(ExploredRun run, const SafetyRules& rules = {});
 
 }  // namespace acacialug::scenario
 
--- a/src/scenario/internal/agent_host.cc
+++ b/src/scenario/internal/agent_host.cc
@@ -12,13 +12,13 @@
 
 AgentHost::AgentHost(EngineHost& engine_host,
                      std::uint64_t seed,
-                     const WorldParts& world_parts)
+                     const SimulationParts& world_parts)
     : Process(engine_host.endpoint()),
       parts(world_parts),
       engine(engine_host),
       random(seed),
       start(this->random.NextIncarnation()),
-      // As the agents' program: thousands of them must not poll the log.
+      // As in the agent's program: thousands of agents must not poll the log.
       manifests({.author = this->Name(), .follow_stream = false},
                 seed,
                 world_parts.queue,
@@ -28,17 +28,17 @@
           std::make_unique<agent::AgentCore>(this->Options(), this->random)) {}
 
 agent::AgentOptions AgentHost::Options() {
-  const WorldOptions& world = this->parts.options;
+  const SimulationOptions& simulation = this->parts.options;
   return {.endpoint = EndpointId(this->Name()),
           .incarnation = this->start,
           .domain = FailureDomain("a"),
           .role = this->engine.role(),
           .kv_tokens = this->engine.role() == protocol::EndpointRole::kDecode
-                           ? world.kv_tokens
+                           ? simulation.kv_tokens
                            : 0,
-          .slots = world.slots,
+          .slots = simulation.slots,
           .use_maintenance_queue = true,
-          .rules = world.rules.agent};
+          .rules = simulation.rules.agent};
 }
 
 ManifestFeed::Hooks AgentHost::FeedHooks() {
@@ -50,7 +50,7 @@
                 this->decisions->OnManifest(accepted.manifest,
                                             this->parts.queue.now());
               },
-          .ask_peer = this->parts.peer_manifest};
+          .query_peer = this->parts.peer_manifest};
 }
 
 void AgentHost::UsePermits() {
@@ -119,7 +119,7 @@
 
 void AgentHost::FollowPeers(Instant now) {
   const LogOffset heard = this->decisions->newest_reported_manifest();
-  if (this->parts.options.rules.hear_of_manifests &&
+  if (this->parts.options.rules.learn_manifests &&
       heard > this->manifests.follower().offset()) {
     this->manifests.follower().OnPeerOffset(heard, now);
   }
@@ -176,7 +176,7 @@
 }
 
 void AgentHost::Run(const agent::SendToEntry& action) {
-  this->parts.checker.OnAgentSays(EndpointId(this->Name()), action.message);
+  this->parts.checker.OnAgentMessage(EndpointId(this->Name()), action.message);
   this->parts.network.ToEntry(action.session, action.message);
 }
 
--- a/src/scenario/internal/agent_host.h
+++ b/src/scenario/internal/agent_host.h
@@ -10,8 +10,8 @@
 #include "scenario/internal/engine_host.h"
 #include "scenario/internal/manifest_feed.h"
 #include "scenario/internal/process.h"
+#include "scenario/internal/simulation_parts.h"
 #include "scenario/internal/weight_permits.h"
-#include "scenario/internal/world_parts.h"
 
 namespace acacialug::scenario {
 
@@ -24,7 +24,7 @@
   // `engine_host` outlives this.
   AgentHost(EngineHost& engine_host,
             std::uint64_t seed,
-            const WorldParts& world_parts);
+            const SimulationParts& world_parts);
 
   // Call once, after construction.
   void Start();
@@ -35,7 +35,8 @@
   ManifestFeed& feed() { return this->manifests; }
   const ManifestFeed& feed() const { return this->manifests; }
 
-  // What the network and the engine bring; runs now or after a pause.
+  // Input of the network and the engine. It is handled at once, or when a pause
+  // ends.
   void OnOpened(agent::SessionId session);
   void OnClosed(agent::SessionId session);
   void OnMessage(agent::SessionId session,
@@ -56,7 +57,7 @@
   std::function<void(std::function<void()>)> Later();
 
   void FollowPeers(Instant now);
-  // Puts the real rule of permits between decisions and engine.
+  // Inserts the real rules for permits between the decisions and the engine.
   void UsePermits();
 
   void Run(const agent::SendToEntry& action);
@@ -65,7 +66,7 @@
   void Run(const agent::ReadMaintenanceStream& action);
   void Run(const agent::AppendMaintenanceRecord& action);
 
-  WorldParts parts;
+  SimulationParts parts;
   EngineHost& engine;
   RandomSource random;
   Incarnation start;
--- a/src/scenario/internal/callers.cc
+++ b/src/scenario/internal/callers.cc
@@ -8,8 +8,8 @@
 
 constexpr char kFiller[] = "the quick brown fox jumps over the lazy dog, ";
 
-// Every request's prompt differs from its first byte on, so that one caller's
-// text can never pass as another's.
+// Prompts of different requests differ from the first byte on, so that the text
+// of one caller is never valid for another.
 std::string PromptOf(std::uint64_t number, std::uint32_t tokens) {
   std::string prompt = std::to_string(number) + ": ";
   const std::size_t bytes = std::size_t{tokens} * standin::kPromptBytesPerToken;
@@ -38,19 +38,19 @@
   request.number = this->all.size();
   request.id = {.high = 7, .low = request.number};
   request.entry = entry;
-  request.asked_at = this->queue.now();
+  request.sent_at = this->queue.now();
   this->by_id[request.id] = request.number;
   return request;
 }
 
-std::uint64_t Callers::Send(const Ask& ask) {
-  Request& request = this->Add(ask.entry);
+std::uint64_t Callers::Send(const Generation& generation) {
+  Request& request = this->Add(generation.entry);
   request.generation = true;
-  request.read = ask.read;
-  const std::string prompt = PromptOf(request.number, ask.prompt_tokens);
+  request.read = generation.read;
+  const std::string prompt = PromptOf(request.number, generation.prompt_tokens);
   request.expected =
-      standin::MakeReferenceAnswer(prompt, ask.answer_tokens).text;
-  const auto entry = this->entries(ask.entry);
+      standin::MakeReferenceAnswer(prompt, generation.answer_tokens).text;
+  const auto entry = this->entries(generation.entry);
   if (entry == nullptr) {
     this->End(request, RequestState::kLost);
     return request.number;
@@ -60,9 +60,9 @@
       .caller = CallerName("caller"),
       .generation = {.model = ModelName("m"),
                      .body = "{\"prompt\":\"" + prompt + "\"}",
-                     .max_tokens = ask.answer_tokens},
+                     .max_tokens = generation.answer_tokens},
       .prompt_text = prompt,
-      .deadline = ask.deadline};
+      .deadline = generation.deadline};
   entry->Feed([this, arrived, host = entry.get()] {
     host->core().OnGeneration(arrived, this->queue.now());
   });
@@ -72,7 +72,7 @@
 std::uint64_t Callers::Send(const Call& call) {
   Request& request = this->Add(call.entry);
   request.repeatable = MayRepeat(call.method);
-  // The work's own name: a resubmission carries the same.
+  // Identifies the work: a resubmission has the same marker.
   request.marker = !call.key.empty() ? "key " + call.key
                    : !call.ticket.empty()
                        ? "ticket " + call.ticket
--- a/src/scenario/internal/callers.h
+++ b/src/scenario/internal/callers.h
@@ -17,10 +17,10 @@
 
 class EntryHost;
 
-// The callers of a world and all they asked for. Not thread safe.
+// The callers of a simulation and all their requests. Not thread safe.
 class Callers {
  public:
-  // Null when no entry of that name runs.
+  // Returns null if no entry of that name runs.
   using FindEntry =
       std::function<std::shared_ptr<EntryHost>(const std::string&)>;
   using InEntry = std::function<void(std::function<void()>)>;
@@ -29,15 +29,15 @@
           Checker& world_checker,
           FindEntry find_entry);
 
-  // Both return the request's number.
-  std::uint64_t Send(const Ask& ask);
+  // Both return the number of the request.
+  std::uint64_t Send(const Generation& generation);
   std::uint64_t Send(const Call& call);
-  // Goes away; nothing if the request has ended.
+  // The caller disconnects. Does nothing if the request has ended.
   void Cancel(std::uint64_t number);
-  // Callers see their connections to that start of an entry close.
+  // The connections of callers to this incarnation of an entry are closed.
   void OnEntryEnded(const EntryHost& entry);
 
-  // ---- what entries answer ----
+  // ---- answers of entries ----
   void OnText(const entry::AnswerText& text, const InEntry& in_entry);
   void OnEnd(const entry::AnswerEnd& end);
   void OnCallAnswered(const entry::AnswerCall& answer);
--- a/src/scenario/internal/checker.cc
+++ b/src/scenario/internal/checker.cc
@@ -8,7 +8,8 @@
 namespace acacialug::scenario {
 namespace {
 
-constexpr Duration kCalm = 4s;  // after a disturbance, until all have heard
+// After a disturbance all processes are informed again within this time.
+constexpr Duration kSettleTime = 4s;
 
 std::string Named(const Request& request) {
   return "request " + std::to_string(request.number) + " at " + request.entry;
@@ -19,9 +20,9 @@
                             std::is_same_v<Message, protocol::StartPrefill> ||
                             std::is_same_v<Message, protocol::StartCall>;
 
-// A ticket names its home: only that one knows whether its work ran, so a
-// resubmission is asked there even if it leaves. It may not begin there then:
-// OnCommand sees to that.
+// A ticket is bound to the endpoint that it names: only that endpoint knows
+// whether the work ran, so that a resubmission is sent there even if it leaves.
+// Then the work must not start there, which OnCommand checks.
 template <typename Message>
 bool IsBound(const Message& message) {
   if constexpr (std::is_same_v<Message, protocol::StartCall>) {
@@ -107,7 +108,7 @@
       manifest == nullptr ? nullptr : manifest->FindEndpoint(endpoint);
   if (record == nullptr || record->leaving ||
       this->draining.contains(endpoint)) {
-    return;  // it serves nobody
+    return;  // it serves no requests
   }
   const std::vector<EndpointId> members =
       manifest->PoolMembers(record->service, record->role);
@@ -131,7 +132,7 @@
 
 void Checker::SetDisturbed(bool is_disturbed) {
   if (this->disturbed && !is_disturbed) {
-    this->calm_since = this->queue.now();
+    this->undisturbed_since = this->queue.now();
   }
   this->disturbed = is_disturbed;
 }
@@ -142,7 +143,8 @@
     return found != all.end() &&
            this->queue.now() > found->second + kLeavingBound;
   };
-  return !this->disturbed && this->queue.now() > this->calm_since + kCalm &&
+  return !this->disturbed &&
+         this->queue.now() > this->undisturbed_since + kSettleTime &&
          (long_ago(this->leaving) || long_ago(this->draining));
 }
 
@@ -203,8 +205,8 @@
       message);
 }
 
-void Checker::OnAgentSays(const EndpointId& endpoint,
-                          const protocol::AgentToEntry& message) {
+void Checker::OnAgentMessage(const EndpointId& endpoint,
+                             const protocol::AgentToEntry& message) {
   if (const auto* reserved = std::get_if<protocol::Reserved>(&message)) {
     this->granted.insert({endpoint, reserved->attempt});
   }
@@ -237,9 +239,9 @@
   }
 }
 
-// ---- from time to time ----
+// ---- periodic checks ----
 
-void Checker::LookAtHeld(const std::vector<HeldAttempt>& held) {
+void Checker::CheckHeld(const std::vector<HeldAttempt>& held) {
   std::map<std::pair<Place, bool>, Instant> still;
   for (const HeldAttempt& item : held) {
     if (item.wanted &&
@@ -264,17 +266,19 @@
   this->unwanted_since = std::move(still);
 }
 
-void Checker::LookAtConfiguration(const std::string& process,
-                                  LogOffset offset,
-                                  Instant since) {
-  const Instant from = std::max({this->newest_since, this->calm_since, since});
+void Checker::CheckConfiguration(const std::string& process,
+                                 LogOffset offset,
+                                 Instant since) {
+  const Instant from =
+      std::max({this->newest_since, this->undisturbed_since, since});
   if (!this->disturbed &&
-      offset<this->newest_manifest&& this->queue.now()> from + kInForceBound) {
+      offset<this->newest_manifest&& this->queue.now()> from +
+          kActivationBound) {
     this->Report(process + ": an accepted manifest is not in force there");
   }
 }
 
-void Checker::LookAtCalls(
+void Checker::CheckCalls(
     const std::deque<Request>& requests,
     const std::function<std::uint64_t(const std::string&)>& executions) {
   std::map<std::string, bool> all_not_run;
--- a/src/scenario/internal/checker.h
+++ b/src/scenario/internal/checker.h
@@ -18,29 +18,29 @@
 
 namespace acacialug::scenario {
 
-// The promises of the system, held against all that a world does. What it
-// finds is kept, each once. Not thread safe.
+// Checks the guarantees of the system against all that happens in a simulation.
+// Keeps each distinct violation once. Not thread safe.
 class Checker {
  public:
-  // Work that nobody waits for, but its agent still holds: a session's lease,
-  // and some.
+  // How long an agent may hold work that no request needs: a session's lease,
+  // and a margin.
   static constexpr Duration kHoldBound = 4s;
-  // The same in an engine, without its agent: two listings (what was released
-  // while the first was under way is left to the second), a lease, and some.
+  // The same for an engine without its agent: two listings (the second includes
+  // what was released during the first), a lease, and a margin.
   static constexpr Duration kMemoryBound = 15s;
-  // From the order to leave until the last new work arrives.
+  // From the order to leave until the last arrival of new work.
   static constexpr Duration kLeavingBound = 2s;
-  // From the moment at which a manifest is in force anywhere until it is so in
-  // every process.
-  static constexpr Duration kInForceBound = 4s;
+  // From the time at which a manifest is active in any process until it is
+  // active in every process.
+  static constexpr Duration kActivationBound = 4s;
 
   // One attempt that an engine or its agent holds.
   struct HeldAttempt {
     EndpointId endpoint;
     AttemptId attempt;
     bool by_agent = false;
-    bool wanted = false;   // somebody still waits for it
-    bool excused = false;  // nobody could free it now: a stall, no agent
+    bool wanted = false;   // a request still needs it
+    bool excused = false;  // it cannot be freed now: a stall, or no agent
   };
 
   explicit Checker(EventQueue& event_queue) : queue(event_queue) {}
@@ -48,7 +48,7 @@
   void Report(const std::string& what);
   const std::vector<std::string>& violations() const { return this->found; }
 
-  // ---- answers; before the request's state follows them ----
+  // ---- answers; called before the request's state is updated ----
   void OnText(const Request& request, std::uint64_t index);
   void OnFinal(const Request& request);
   void OnComplete(const Request& request);
@@ -59,13 +59,13 @@
                   std::uint64_t start,
                   const manifest::Manifest& manifest);
   void OnDrain(const EndpointId& endpoint);
-  // A drain of its process ended with it; a manifest's order did not.
+  // A drain ends with the agent's process; an order of the manifest does not.
   void OnAgentStarted(const EndpointId& endpoint);
-  // While true, entries may be late to hear who leaves.
+  // While true, entries may learn late that an endpoint leaves.
   void SetDisturbed(bool is_disturbed);
 
-  // An order takes the endpoint out of service; `out`: all that are, it among
-  // them. `manifest`: in force at its agent.
+  // An order takes the endpoint out of service. `out`: all endpoints that are
+  // out of service, including this one. `manifest`: active at its agent.
   void OnTakenOut(const EndpointId& endpoint,
                   const manifest::Manifest* manifest,
                   const std::set<std::string>& out);
@@ -77,8 +77,8 @@
               const protocol::EntryToAgent& message);
   void OnArrival(const EndpointId& endpoint,
                  const protocol::EntryToAgent& message);
-  void OnAgentSays(const EndpointId& endpoint,
-                   const protocol::AgentToEntry& message);
+  void OnAgentMessage(const EndpointId& endpoint,
+                      const protocol::AgentToEntry& message);
   void OnReply(Incarnation entry,
                const EndpointId& endpoint,
                const protocol::AgentToEntry& message);
@@ -87,14 +87,14 @@
   void OnEngineEvent(const EndpointId& endpoint,
                      const engine::EngineEvent& event);
 
-  // ---- from time to time; what is wrong once stays wrong ----
-  void LookAtHeld(const std::vector<HeldAttempt>& held);
-  // `since`: from when on this process could hear of manifests.
-  void LookAtConfiguration(const std::string& process,
-                           LogOffset offset,
-                           Instant since);
-  // `executions`: how often the services ran what has this marker.
-  void LookAtCalls(
+  // ---- periodic checks ----
+  void CheckHeld(const std::vector<HeldAttempt>& held);
+  // `since`: the time from which this process could receive manifests.
+  void CheckConfiguration(const std::string& process,
+                          LogOffset offset,
+                          Instant since);
+  // `executions`: how often the services ran the work with this marker.
+  void CheckCalls(
       const std::deque<Request>& requests,
       const std::function<std::uint64_t(const std::string&)>& executions);
 
@@ -113,11 +113,11 @@
   std::map<EndpointId, Instant> leaving;   // by the newest manifest
   std::map<EndpointId, Instant> draining;  // by their agents' drains
   bool disturbed = false;
-  Instant calm_since{};
+  Instant undisturbed_since{};
   std::map<Work, std::set<std::pair<EndpointId, AttemptNumber>>> reservations;
   std::set<Place> given_up;  // cancelled by their entries
-  std::set<Place> granted;   // reservations, by the agent's word
-  std::set<Place> arrived;   // attempts, but new ones after it left
+  std::set<Place> granted;   // reservations, as the agents reported
+  std::set<Place> arrived;  // attempts, except new ones after the endpoint left
   std::map<std::pair<Place, bool>, Instant> unwanted_since;
 };
 
--- a/src/scenario/internal/engine_host.cc
+++ b/src/scenario/internal/engine_host.cc
@@ -9,7 +9,7 @@
 
 EngineHost::EngineHost(std::string endpoint_id,
                        EndpointRole role_of_endpoint,
-                       const WorldOptions& options,
+                       const SimulationOptions& options,
                        EventQueue& event_queue,
                        RandomSource& random,
                        standin::KvNetwork& network,
@@ -49,13 +49,13 @@
   if (this->model) {
     this->model->Execute(command);
   } else if (std::holds_alternative<engine::ListHeld>(command)) {
-    // As the adapter of plain services: there is nothing to list.
+    // As the adapter of plain services, which has nothing to list.
     this->queue.After(Duration::zero(),
                       [this] { this->event_hook(engine::Held{}); });
   } else {
     this->service->Execute(command);
   }
-  // What the command brought about at once is told only when asked for.
+  // The immediate results of the command are delivered only on request.
   this->queue.After(Duration::zero(), [this] { this->Deliver(); });
 }
 
--- a/src/scenario/internal/engine_host.h
+++ b/src/scenario/internal/engine_host.h
@@ -9,13 +9,13 @@
 
 #include "protocol/types/messages.h"
 #include "scenario/internal/event_queue.h"
-#include "scenario/types/world_options.h"
+#include "scenario/types/simulation_options.h"
 #include "standin/fakes/modelled_engine.h"
 
 namespace acacialug::scenario {
 
-// The engine or plain service beside an agent; it outlives the agent's
-// process. Not thread safe.
+// The engine or plain service beside an agent. It outlives the agent's process.
+// Not thread safe.
 class EngineHost {
  public:
   using OnEvent = std::function<void(const engine::EngineEvent&)>;
@@ -23,7 +23,7 @@
   // All references outlive the host.
   EngineHost(std::string endpoint_id,
              protocol::EndpointRole endpoint_role,
-             const WorldOptions& options,
+             const SimulationOptions& options,
              EventQueue& event_queue,
              RandomSource& random,
              standin::KvNetwork& network,
@@ -36,18 +36,18 @@
   Instant next_event() const;
   void Deliver();
 
-  // ---- faults; none of them concerns a plain service ----
+  // ---- faults; none of them applies to a plain service ----
   void Stall(Duration length);
   void Restart();
   void StallTransfers(bool is_out);
   bool stalled() const;
   bool loading() const;
-  // Of the model that it has.
+  // The version of its model.
   std::string version() const;
 
-  // ---- what the checker looks at ----
+  // ---- for the checker ----
   std::vector<standin::HeldRequest> held() const;
-  // How often the plain service ran what has this marker.
+  // How often the plain service ran the work with this marker.
   std::uint64_t executions(const std::string& marker) const;
 
  private:
--- a/src/scenario/internal/entry_host.cc
+++ b/src/scenario/internal/entry_host.cc
@@ -42,7 +42,7 @@
 
 EntryHost::EntryHost(std::string entry_name,
                      std::uint64_t seed,
-                     const WorldParts& world_parts)
+                     const SimulationParts& world_parts)
     : Process(std::move(entry_name)),
       parts(world_parts),
       random(seed),
@@ -85,7 +85,7 @@
                 this->heartbeats.OnManifest(accepted.manifest->offset,
                                             this->parts.queue.now());
               },
-          .ask_peer = this->parts.peer_manifest};
+          .query_peer = this->parts.peer_manifest};
 }
 
 void EntryHost::Start() {
--- a/src/scenario/internal/entry_host.h
+++ b/src/scenario/internal/entry_host.h
@@ -9,7 +9,7 @@
 #include "heartbeat/heartbeat_sender.h"
 #include "scenario/internal/manifest_feed.h"
 #include "scenario/internal/process.h"
-#include "scenario/internal/world_parts.h"
+#include "scenario/internal/simulation_parts.h"
 
 namespace acacialug::scenario {
 
@@ -19,9 +19,9 @@
  public:
   EntryHost(std::string entry_name,
             std::uint64_t seed,
-            const WorldParts& world_parts);
+            const SimulationParts& world_parts);
 
-  // Call once, after construction: begins to read the configuration.
+  // Begins to read the configuration. Call once, after construction.
   void Start();
 
   Incarnation incarnation() const { return this->start; }
@@ -30,7 +30,7 @@
   ManifestFeed& feed() { return this->manifests; }
   const ManifestFeed& feed() const { return this->manifests; }
 
-  // What the network brings; runs now or after a pause.
+  // Input of the network. It is handled at once, or when a pause ends.
   void OnConnected(const EndpointId& endpoint);
   void OnClosed(const EndpointId& endpoint);
   void OnHeartbeatAnswer(const protocol::HeartbeatAnswer& answer);
@@ -46,7 +46,7 @@
   entry::EntryOptions Options();
   ManifestFeed::Hooks FeedHooks();
   void PumpHeartbeats();
-  // Runs a task in this process, if it lives then.
+  // Returns a function that runs a task in this process, if it is still alive.
   std::function<void(std::function<void()>)> Later();
 
   void Run(const entry::SendToAgent& action);
@@ -59,11 +59,11 @@
   void Run(const entry::AnswerCall& action);
   void Run(const entry::AnswerError& action);
 
-  WorldParts parts;
+  SimulationParts parts;
   RandomSource random;
   Incarnation start;
   ManifestFeed manifests;
-  // Of its own, so that heartbeats do not shift what the core draws.
+  // Separate, so that heartbeats do not change the draws of the core.
   RandomSource heartbeat_random;
   heartbeat::HeartbeatSender heartbeats;
   std::unique_ptr<entry::EntryCore> decisions;
--- a/src/scenario/internal/event_queue.h
+++ b/src/scenario/internal/event_queue.h
@@ -10,8 +10,8 @@
 
 namespace acacialug::scenario {
 
-// Virtual time, and what is to happen in it; tasks of one instant run in the
-// order in which they were put in. Not thread safe.
+// Virtual time, with a queue of tasks. Tasks of the same instant run in the
+// order in which they were added. Not thread safe.
 class EventQueue {
  public:
   Instant now() const { return this->time; }
--- a/src/scenario/internal/explorer.cc
+++ b/src/scenario/internal/explorer.cc
@@ -4,15 +4,15 @@
 #include <cstdio>
 #include <map>
 
-#include "scenario/world.h"
+#include "scenario/simulation.h"
 
 namespace acacialug::scenario {
 namespace {
 
 constexpr Duration kEventsEnd = 12s;
 constexpr std::uint64_t kMostFaults = 7;
-// An entry stays away for longer than other faults last: its successor would
-// end its sessions before their leases do.
+// An entry is down for longer than other faults last. Otherwise its successor
+// would end its sessions before their leases expire.
 constexpr int kAwayFactor = 3;
 constexpr std::uint64_t kMostWork = 22;
 
@@ -20,7 +20,7 @@
     "Reserve",   "Reserved", "StartPrefill", "Prefilled",   "StartDecode",
     "StartCall", "Chunk",    "Ended",        "CallAnswered"};
 
-WorldOptions OptionsOf(std::uint64_t seed, const WorldRules& rules) {
+SimulationOptions OptionsOf(std::uint64_t seed, const SafetyRules& rules) {
   // Two of three long answers fill a decode endpoint's memory.
   return {.entries = 2,
           .prefill = 2,
@@ -47,26 +47,27 @@
   return which < 5 ? ModelEndpointOf(which) : "s" + std::to_string(which - 4);
 }
 
-// Takes one run's events to its world.
+// Applies the events of one run to its simulation.
 class Explorer {
  public:
-  Explorer(const ExploredRun& explored, const WorldRules& rules)
-      : run(explored), world(OptionsOf(explored.seed, rules)) {}
+  Explorer(const ExploredRun& explored, const SafetyRules& rules)
+      : run(explored), simulation(OptionsOf(explored.seed, rules)) {}
 
   std::vector<std::string> Run() {
-    this->world.Run(2s);
-    const Duration begin = this->world.age();
+    this->simulation.Run(2s);
+    const Duration begin = this->simulation.age();
     for (const ExploredEvent& event : this->run.events) {
-      this->world.At(begin + event.at, [this, &event] { this->Do(event); });
+      this->simulation.At(begin + event.at,
+                          [this, &event] { this->Do(event); });
     }
-    this->world.Run(kEventsEnd + 20s);
-    this->world.Quiet();
-    return this->world.checker().violations();
+    this->simulation.Run(kEventsEnd + 20s);
+    this->simulation.Quiet();
+    return this->simulation.checker().violations();
   }
 
  private:
   void Later(Duration length, std::function<void()> task) {
-    this->world.At(this->world.age() + length, std::move(task));
+    this->simulation.At(this->simulation.age() + length, std::move(task));
   }
 
   void Do(const ExploredEvent& event) {
@@ -86,25 +87,25 @@
       case EventKind::kLogOutage:
       case EventKind::kLogAnswersLost:
       case EventKind::kLogLate:
-        this->world.SetLog(
+        this->simulation.SetLog(
             {.outage = event.kind == EventKind::kLogOutage,
              .lose_answers = event.kind == EventKind::kLogAnswersLost,
              .delay = event.kind == EventKind::kLogLate ? Duration(400ms)
                                                         : Duration()});
-        this->Later(event.length, [this] { this->world.SetLog({}); });
+        this->Later(event.length, [this] { this->simulation.SetLog({}); });
         break;
       case EventKind::kPublish:
-        this->world.Publish(
+        this->simulation.Publish(
             "v" + std::to_string(event.second),
-            this->world.OffsetOf("entry e1"),
+            this->simulation.OffsetOf("entry e1"),
             event.second % 2 == 0
                 ? std::set<std::string>{}
                 : std::set<std::string>{EndpointOf(event.first)});
         break;
       case EventKind::kOrder:
-        this->world.SetModelVersion(std::to_string(event.second));
-        this->world.Publish("order " + std::to_string(event.second),
-                            this->world.OffsetOf("entry e1"), {});
+        this->simulation.SetModelVersion(std::to_string(event.second));
+        this->simulation.Publish("order " + std::to_string(event.second),
+                                 this->simulation.OffsetOf("entry e1"), {});
         break;
       default:
         this->DoProcess(event);
@@ -113,9 +114,9 @@
   }
 
   void DoWork(const ExploredEvent& event) {
-    Callers& callers = this->world.callers();
+    Callers& callers = this->simulation.callers();
     if (event.kind == EventKind::kAsk) {
-      callers.Send(Ask{
+      callers.Send(Generation{
           .entry = EntryOf(event.first),
           .prompt_tokens =
               static_cast<std::uint32_t>(200 + event.second % 1500),
@@ -131,7 +132,7 @@
       std::string& paper = this->tickets[event.second % 3];
       if (paper.empty()) {
         const Result<std::string> fresh =
-            this->world.Ticket(EntryOf(event.first));
+            this->simulation.Ticket(EntryOf(event.first));
         if (!fresh.ok()) {
           return;
         }
@@ -150,15 +151,15 @@
     switch (event.kind) {
       case EventKind::kKillEntry:
       case EventKind::kVanishEntry:
-        this->world.Kill(entry, event.kind == EventKind::kVanishEntry);
+        this->simulation.Kill(entry, event.kind == EventKind::kVanishEntry);
         this->Later(kAwayFactor * event.length,
                     [this, entry] { this->RestartIfGone(entry); });
         break;
       case EventKind::kRestartAgent:
-        this->world.Restart(agent);
+        this->simulation.Restart(agent);
         break;
       case EventKind::kVanishAgent:
-        this->world.Kill(agent, true);
+        this->simulation.Kill(agent, true);
         this->Later(event.length,
                     [this, agent] { this->RestartIfGone(agent); });
         break;
@@ -166,31 +167,32 @@
       case EventKind::kPauseAgent: {
         const std::string name =
             event.kind == EventKind::kPauseEntry ? entry : agent;
-        this->world.Pause(name);
-        this->Later(event.length, [this, name] { this->world.Resume(name); });
+        this->simulation.Pause(name);
+        this->Later(event.length,
+                    [this, name] { this->simulation.Resume(name); });
         break;
       }
       case EventKind::kStallEngine:
-        this->world.Stall(engine, event.length);
+        this->simulation.Stall(engine, event.length);
         break;
       case EventKind::kRestartEngine:
-        this->world.RestartEngine(engine);
+        this->simulation.RestartEngine(engine);
         break;
       case EventKind::kDrainAgent:
-        this->world.Drain(agent);
-        // As its host's supervisor would, once it has left.
+        this->simulation.Drain(agent);
+        // As its host's supervisor does when the entry has left.
         this->Later(kAwayFactor * event.length,
-                    [this, agent] { this->world.Restart(agent); });
+                    [this, agent] { this->simulation.Restart(agent); });
         break;
       default:
-        this->world.Drain(entry);
+        this->simulation.Drain(entry);
         break;
     }
   }
 
   void RestartIfGone(const std::string& process) {
-    if (!this->world.Runs(process)) {
-      this->world.Restart(process);
+    if (!this->simulation.Runs(process)) {
+      this->simulation.Restart(process);
     }
   }
 
@@ -198,20 +200,20 @@
     const std::string entry = EntryOf(event.first);
     const std::string endpoint = EndpointOf(event.second);
     if (event.kind == EventKind::kCut) {
-      this->world.network().Cut(entry, endpoint);
+      this->simulation.network().Cut(entry, endpoint);
     } else if (event.kind == EventKind::kPartition) {
-      this->world.Partition(entry, endpoint);
+      this->simulation.Partition(entry, endpoint);
       this->Later(event.length, [this, entry, endpoint] {
-        this->world.Heal(entry, endpoint);
+        this->simulation.Heal(entry, endpoint);
       });
     } else if (event.kind == EventKind::kSlowLink) {
       const std::string engine = ModelEndpointOf(event.first);
-      this->world.StallTransfers(engine, true);
+      this->simulation.StallTransfers(engine, true);
       this->Later(event.length, [this, engine] {
-        this->world.StallTransfers(engine, false);
+        this->simulation.StallTransfers(engine, false);
       });
     } else {
-      this->world.network().Add(
+      this->simulation.network().Add(
           {.kind = kMessageKinds.at(event.first % kMessageKinds.size()),
            .fault = kMessageFaultNames.at(event.second % 3).first,
            .by = event.length,
@@ -227,13 +229,13 @@
   }
 
   const ExploredRun& run;
-  World world;
+  Simulation simulation;
   std::map<std::uint64_t, std::string> tickets;
 };
 
 ExploredEvent MakeEvent(RandomSource& random, bool work) {
   constexpr std::uint64_t kWorkKinds = 4;
-  // Asks are most of the work, so that decode memory is nearly full.
+  // Most work is generations, so that decode memory is nearly full.
   const std::uint64_t drawn = random.Below(10);
   const std::uint64_t kind =
       !work ? kWorkKinds + random.Below(kEventKindNames.size() - kWorkKinds)
@@ -247,7 +249,7 @@
           .length = Duration(10ms) * random.Below(800)};
 }
 
-// Faults of these kinds, one of each group, come together in a storm.
+// A storm combines one fault of each of these groups.
 constexpr std::array kLogFaults = {
     EventKind::kLogOutage, EventKind::kLogAnswersLost, EventKind::kLogLate};
 constexpr std::array kEntryFaults = {
@@ -307,7 +309,7 @@
     for (std::uint64_t key = 0; key < kKeys; ++key) {
       const std::uint64_t calls = 2 + this->random.Below(kMostCalls);
       for (std::uint64_t call = 0; call < calls; ++call) {
-        // From shortly before the faults until they are over.
+        // From shortly before the faults until they have ended.
         this->Add(EventKind::kCall, begin - 100ms + this->Within(4s),
                   call % 2 + 1, key);
       }
@@ -352,11 +354,11 @@
 }
 
 std::vector<std::string> Explore(const ExploredRun& run,
-                                 const WorldRules& rules) {
+                                 const SafetyRules& rules) {
   return Explorer(run, rules).Run();
 }
 
-ExploredRun Shrink(ExploredRun run, const WorldRules& rules) {
+ExploredRun Shrink(ExploredRun run, const SafetyRules& rules) {
   bool smaller = true;
   while (smaller) {
     smaller = false;
--- a/src/scenario/internal/lua_state.cc
+++ b/src/scenario/internal/lua_state.cc
@@ -13,8 +13,8 @@
 namespace acacialug::scenario {
 namespace {
 
-// A Lua error jumps over C++ destructors: nothing that owns memory may be
-// alive when it is raised. So the text goes to Lua first.
+// A Lua error skips C++ destructors, so that no object that owns memory may
+// exist when it is raised. Therefore the text is copied to Lua first.
 int Trampoline(lua_State* state) {
   {
     const auto& function = *static_cast<const LuaState::Function*>(
--- a/src/scenario/internal/lua_state.h
+++ b/src/scenario/internal/lua_state.h
@@ -14,9 +14,9 @@
 
 namespace acacialug::scenario {
 
-// What a function got from Lua, or gives back. Every reader throws
-// std::invalid_argument when the value has another form; the call then ends
-// as a Lua error with the script's line.
+// The arguments and results of a function that Lua calls. Every getter throws
+// std::invalid_argument if the value has another type. The call then fails with
+// a Lua error that names the line of the script.
 class LuaArguments {
  public:
   LuaArguments(lua_State* lua_state, int values)
@@ -24,16 +24,16 @@
 
   int Count() const { return this->count; }
 
-  // Of the value at `index`, from 1.
+  // The value at `index`, which counts from 1.
   std::string Text(int index) const;
   std::int64_t Integer(int index) const;
   bool Truth(int index) const;
   // "10s", "200ms", "5us", "2min".
   Duration Time(int index) const;
-  // A function to be called later, or never; valid as long as the state is.
+  // A function that may be called later, as long as the state exists.
   std::function<void()> Function(int index) const;
 
-  // A field of the table at index 1; the fallback when it is not there.
+  // A field of the table at index 1; `fallback` if it is absent.
   std::string TextField(const char* key, const std::string& fallback) const;
   std::int64_t IntegerField(const char* key, std::int64_t fallback) const;
   bool TruthField(const char* key, bool fallback) const;
@@ -46,18 +46,18 @@
   void Return(bool truth);
   int returned() const { return this->results; }
 
-  // FILE:LINE of the script that calls.
+  // FILE:LINE of the call in the script.
   std::string Place() const;
 
  private:
-  bool Field(const char* key) const;  // pushes it if it is there
+  bool Field(const char* key) const;  // pushes the field if it exists
 
   lua_State* state;
   int count;
   int results = 0;
 };
 
-// A Lua interpreter with the standard libraries that neither read files nor
+// A Lua interpreter with those standard libraries that read neither files nor
 // the clock. Not thread safe.
 class LuaState {
  public:
@@ -68,10 +68,10 @@
   LuaState(const LuaState&) = delete;
   LuaState& operator=(const LuaState&) = delete;
 
-  // Makes `function` callable from scripts under this name.
+  // Registers `function` under this name for scripts.
   void Set(const std::string& name, Function function);
 
-  // Runs a file; what went wrong, empty if nothing.
+  // Runs a file. Returns the error, empty if there was none.
   std::string RunFile(const std::string& path);
 
  private:
--- a/src/scenario/internal/manifest_feed.h
+++ b/src/scenario/internal/manifest_feed.h
@@ -21,17 +21,17 @@
   std::string text;
 };
 
-// The configuration of one process: its follower, and what that asks of the
-// log and of peers. Not thread safe.
+// The configuration of one process: its follower, with the follower's requests
+// to the log and to peers. Not thread safe.
 class ManifestFeed {
  public:
   struct Hooks {
-    // A way to run tasks in the process for as long as it lives.
+    // Returns a function that runs tasks in the process while it is alive.
     std::function<std::function<void(std::function<void()>)>()> later;
     std::function<void(const configuration::AcceptedManifest&)> put_in_force;
-    // The text of a manifest of that offset or later, as some other live
-    // process has it; empty if none does.
-    std::function<PeerManifest(LogOffset)> ask_peer;
+    // The text of a manifest of that offset or a later one, from another live
+    // process; empty if none has one.
+    std::function<PeerManifest(LogOffset)> query_peer;
   };
 
   ManifestFeed(configuration::FollowerOptions options,
@@ -50,7 +50,7 @@
     return this->state;
   }
 
-  // Carries out what the follower asks for.
+  // Executes the actions that the follower requests.
   void Pump() {
     for (const auto& action : this->state.TakeActions()) {
       std::visit([this](const auto& typed) { this->Run(typed); }, action);
@@ -76,11 +76,12 @@
   void Run(const configuration::FetchFromPeer& ask) {
     this->queue.After(
         kPeerRoundTrip, [this, offset = ask.offset, later = this->hooks.later(),
-                         ask_peer = this->hooks.ask_peer] {
-          const PeerManifest peer = ask_peer(offset);
+                         query_peer = this->hooks.query_peer] {
+          const PeerManifest peer = query_peer(offset);
           if (!peer.text.empty()) {
             later([this, peer] {
-              // One that is not newer than what is in force is no error here.
+              // A manifest that is not newer than the active one is not an
+              // error here.
               (void)this->state.OnPeerManifest(peer.offset, peer.text);
             });
           }
--- a/src/scenario/internal/manifest_text.cc
+++ b/src/scenario/internal/manifest_text.cc
@@ -32,9 +32,9 @@
   std::uint32_t count = 0;
 };
 
-// What the model service's engines are ordered to be. Some of it belongs to
-// the service's own table, and so it stands before the next one.
-std::string OrdersText(const WorldOptions& options) {
+// The orders for the engines of the model service. Some of the keys belong to
+// the service's own table, so that this text must precede the next table.
+std::string OrdersText(const SimulationOptions& options) {
   std::string text;
   for (const std::string& adapter : options.adapters) {
     text += "  [[service.adapters]]\n  name = \"" + adapter +
@@ -49,7 +49,7 @@
 
 }  // namespace
 
-std::string ManifestText(const WorldOptions& options,
+std::string ManifestText(const SimulationOptions& options,
                          const std::string& version,
                          LogOffset replaces,
                          const std::set<std::string>& leaving) {
--- a/src/scenario/internal/manifest_text.h
+++ b/src/scenario/internal/manifest_text.h
@@ -5,13 +5,13 @@
 #include <string>
 
 #include "framework/global/types/identifiers.h"
-#include "scenario/types/world_options.h"
+#include "scenario/types/simulation_options.h"
 
 namespace acacialug::scenario {
 
-// The manifest of a world, as a publisher writes it: service "lm" with model
-// "m", service "app", and every endpoint.
-std::string ManifestText(const WorldOptions& options,
+// The manifest of a simulation, as a publisher writes it: service "lm" with
+// model "m", service "app", and every endpoint.
+std::string ManifestText(const SimulationOptions& options,
                          const std::string& version,
                          LogOffset replaces,
                          const std::set<std::string>& leaving);
--- a/src/scenario/internal/network.cc
+++ b/src/scenario/internal/network.cc
@@ -8,7 +8,7 @@
 namespace acacialug::scenario {
 namespace {
 
-// In the order of the variants' types.
+// In the order of the variant's types.
 constexpr std::array<const char*, std::variant_size_v<protocol::EntryToAgent>>
     kToAgentKinds = {"Hello",        "Renew",       "Reserve",
                      "StartPrefill", "StartDecode", "Acknowledge",
@@ -42,7 +42,7 @@
     agent->OnOpened(link->session);
     this->Arrive(link, kToEntry, [this, link, endpoint] {
       if (this->Current(link->entry_start, endpoint) != link) {
-        return;  // the entry gave it up meanwhile
+        return;  // the entry has closed it since
       }
       link->entry_open = true;
       if (const auto entry_host = link->entry.lock()) {
@@ -126,7 +126,7 @@
   const LinkPointer link = found->second;
   this->Send(
       link, kToEntry, kToEntryKinds.at(message.index()), [this, link, message] {
-        // A late one may come by the successor of its connection.
+        // A late message may arrive by the successor of its connection.
         const EndpointId endpoint(link->ends.second);
         const LinkPointer now_open = this->Current(link->entry_start, endpoint);
         const auto entry = link->entry.lock();
--- a/src/scenario/internal/network.h
+++ b/src/scenario/internal/network.h
@@ -24,12 +24,12 @@
 class AgentHost;
 class EntryHost;
 
-// What happens to one message: this is no behaviour of a connection, it tries
-// the processes' own rules.
+// A fault of a single message. A connection has no such faults; they test the
+// processes' own rules.
 enum class MessageFault : std::uint8_t { kLost, kLate, kDoubled };
 inline constexpr EnumNames<MessageFault, 3> kMessageFaultNames = {{
     {MessageFault::kLost, "lost"},
-    {MessageFault::kLate, "late"},  // later ones pass it
+    {MessageFault::kLate, "late"},  // later ones overtake it
     {MessageFault::kDoubled, "doubled"},
 }};
 
@@ -38,9 +38,9 @@
   std::string endpoint;  // empty: any
   std::string kind;      // the message's type, as in docs/PROTOCOL.md
   MessageFault fault = MessageFault::kLost;
-  Duration by{};            // late by; between the two of a doubled one
-  std::uint32_t first = 1;  // hits the `first`-th such message from now on
-  std::uint32_t count = 1;  // and so many in all
+  Duration by{};            // the delay, or the time between the two copies
+  std::uint32_t first = 1;  // applies from the `first`-th such message on
+  std::uint32_t count = 1;  // to this number of messages
 };
 
 // Ordered connections between entries and agents. Not thread safe.
@@ -58,7 +58,7 @@
         agents(std::move(find_agent)),
         random(seed) {}
 
-  // ---- what entries and agents ask for ----
+  // ---- for entries and agents ----
   void Connect(const std::shared_ptr<EntryHost>& entry,
                const EndpointId& endpoint);
   void Drop(const EntryHost& entry, const EndpointId& endpoint);
@@ -68,8 +68,8 @@
   void ToEntry(agent::SessionId session, const protocol::AgentToEntry& message);
   void Close(agent::SessionId session);
 
-  // Datagrams: no order among them, and a partition loses them. The kinds of
-  // single faults are Heartbeat and HeartbeatAnswer.
+  // Datagrams have no order, and are lost in a partition. Their kinds for
+  // faults of single messages are Heartbeat and HeartbeatAnswer.
   void Heartbeat(const std::shared_ptr<EntryHost>& entry,
                  const EndpointId& endpoint,
                  const protocol::Heartbeat& heartbeat);
@@ -79,18 +79,18 @@
 
   // ---- faults ----
 
-  // A process ended: its peers see their connections closed, or, when the
-  // host went silently, nothing.
+  // A process ended. Its peers see their connections closed, or nothing if the
+  // host failed silently.
   void OnEntryEnded(const EntryHost& entry, bool silently);
   void OnAgentEnded(const AgentHost& agent, bool silently);
   // Both ends see the connection closed.
   void Cut(const std::string& entry, const std::string& endpoint);
-  // Nothing passes, and nobody is told, until Heal; what was sent passes then.
+  // Delays all messages until Heal, without any sign at either end.
   void Partition(const std::string& entry, const std::string& endpoint);
   void Heal(const std::string& entry, const std::string& endpoint);
   void HealAll();
   void Add(const MessageRule& rule) { this->rules.push_back(rule); }
-  // This share of all messages is lost from now on, whichever they are.
+  // Loses this share of all messages from now on.
   void Lose(double share) { this->lost_share = share; }
   double losing() const { return this->lost_share; }
   bool partitioned() const { return !this->partitions.empty(); }
@@ -108,7 +108,7 @@
     std::weak_ptr<AgentHost> agent;
     bool entry_open = false;
     bool agent_open = false;
-    std::array<Instant, 2> last{};  // when the newest so far arrives
+    std::array<Instant, 2> last{};  // arrival of the newest message so far
     std::deque<Task> held;          // by a partition
   };
   using LinkPointer = std::shared_ptr<Link>;
@@ -116,15 +116,16 @@
   LinkPointer Current(Incarnation entry, const EndpointId& endpoint) const;
   void Arrive(const LinkPointer& link, Direction direction, Task task);
   void Deliver(const LinkPointer& link, const Task& task);
-  // Sends under the rules for single messages.
+  // Sends a message, subject to the faults of single messages.
   void Send(const LinkPointer& link,
             Direction direction,
             const std::string& kind,
             const Task& task);
-  // Whether the share of lost messages takes this one.
+  // Draws whether this message is lost.
   bool Lost();
   void SendDatagram(const Pair& ends, const std::string& kind, Task task);
-  // Under these rules: false when the message itself is not to be sent.
+  // Applies the faults of single messages. Returns false if the message itself
+  // must not be sent.
   bool ApplyRules(const Pair& ends, const std::string& kind, const Task& task);
   void CloseAtEntry(const LinkPointer& link);
   void CloseAtAgent(const LinkPointer& link);
@@ -137,7 +138,7 @@
   std::map<agent::SessionId, LinkPointer> links;
   std::set<Pair> partitions;
   std::vector<MessageRule> rules;
-  RandomSource random;  // of what is lost
+  RandomSource random;  // draws which messages are lost
   double lost_share = 0;
 };
 
--- a/src/scenario/internal/platform_log.cc
+++ b/src/scenario/internal/platform_log.cc
@@ -32,7 +32,7 @@
     this->queue.After(this->delay + this->current.delay,
                       [on_done, result] { on_done(result); });
   }
-  this->Look();
+  this->AnswerWaitingReads();
 }
 
 void PlatformLog::ReadFrom(const std::string& stream,
@@ -44,15 +44,15 @@
                              .from = from,
                              .until = this->queue.now() + wait,
                              .on_done = on_done});
-    this->queue.After(wait, [this] { this->Look(); });
-    this->Look();
+    this->queue.After(wait, [this] { this->AnswerWaitingReads(); });
+    this->AnswerWaitingReads();
   });
 }
 
 void PlatformLog::Set(const Faults& new_faults) {
   this->current = new_faults;
   this->model.SetOutage(new_faults.outage);
-  this->Look();
+  this->AnswerWaitingReads();
 }
 
 bool PlatformLog::Loses() {
@@ -60,7 +60,7 @@
          this->random.Unit() < this->current.lost_share;
 }
 
-void PlatformLog::Look() {
+void PlatformLog::AnswerWaitingReads() {
   for (const Waiting& read : std::exchange(this->waiting, {})) {
     this->Answer(read);
   }
--- a/src/scenario/internal/platform_log.h
+++ b/src/scenario/internal/platform_log.h
@@ -12,8 +12,8 @@
 
 namespace acacialug::scenario {
 
-// The platform's log as the processes of a world reach it: late, out, or with
-// the answers of appends lost after their effect. Not thread safe.
+// The platform's log as the processes of a simulation reach it. It may be slow
+// or out, or lose the answers of appends after their effect. Not thread safe.
 class PlatformLog {
  public:
   using OnAppended = std::function<void(const Result<LogOffset>&)>;
@@ -22,7 +22,7 @@
   struct Faults {
     bool outage = false;
     bool lose_answers = false;  // of appends, after the effect
-    Duration delay{};           // on top of the world's
+    Duration delay{};           // in addition to the simulation's
     double lost_share = 0;      // of answers, of reads and appends alike
   };
 
@@ -48,7 +48,7 @@
   const Faults& faults() const { return this->current; }
 
  private:
-  // A read that the log holds until there is something to tell.
+  // A read that the log holds until it has a record for it.
   struct Waiting {
     std::string stream;
     LogOffset from;
@@ -60,7 +60,7 @@
             const std::string& payload,
             const OnAppended& on_done);
   void Answer(const Waiting& read);
-  void Look();
+  void AnswerWaitingReads();
   // Draws whether the next answer is lost.
   bool Loses();
 
--- a/src/scenario/internal/process.h
+++ b/src/scenario/internal/process.h
@@ -10,8 +10,9 @@
 
 namespace acacialug::scenario {
 
-// One start of a process: what reaches it while it is paused waits, and comes
-// in order when it wakes, with the clock gone on. Not thread safe.
+// One incarnation of a process. Input that arrives while it is paused is
+// queued, and handled in order when it resumes, at the time of that moment. Not
+// thread safe.
 class Process {
  public:
   explicit Process(std::string process_name) : name(std::move(process_name)) {}
@@ -23,8 +24,8 @@
   bool alive() const { return this->running; }
   bool paused() const { return this->stopped; }
 
-  // Runs `input` and then what follows from it, now or after the pause; never
-  // once the process has ended.
+  // Runs `input` and then the resulting actions, now or after the pause; never
+  // if the process has ended.
   void Feed(std::function<void()> input) {
     if (!this->running) {
       return;
@@ -60,7 +61,7 @@
   }
 
  protected:
-  // Carries out what the aggregates of this process ask for.
+  // Executes the actions that the aggregates of this process request.
   virtual void Pump() = 0;
   virtual Instant DueAt() const = 0;
   virtual void OnDue() = 0;
--- a/src/scenario/internal/scenario_script.cc
+++ b/src/scenario/internal/scenario_script.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "scenario/internal/lua_state.h"
-#include "scenario/world.h"
+#include "scenario/simulation.h"
 
 namespace acacialug::scenario {
 namespace {
@@ -19,17 +19,17 @@
   }
 }
 
-// Takes "engine " off.
+// Removes the prefix "engine ".
 std::string EngineName(const std::string& name) {
   const std::string prefix = "engine ";
   Require(name.starts_with(prefix), name);
   return name.substr(prefix.size());
 }
 
-// One script and its world.
+// One script and its simulation.
 class Script {
  public:
-  explicit Script(const WorldRules& world_rules) : rules(world_rules) {
+  explicit Script(const SafetyRules& world_rules) : rules(world_rules) {
     this->SetWorldWords();
     this->SetCallerWords();
     this->SetProcessWords();
@@ -42,33 +42,33 @@
     const std::string error = this->lua.RunFile(path);
     if (!error.empty()) {
       this->result.failures.push_back(error);
-    } else if (this->world == nullptr) {
+    } else if (this->simulation == nullptr) {
       this->result.failures.push_back(path + ": it makes no world");
     } else {
-      this->world->Quiet();
+      this->simulation->Quiet();
     }
     this->KeepViolations();
     return std::move(this->result);
   }
 
  private:
-  // Of the present world, which ends or is followed by another.
+  // Keeps the violations of the current simulation, which ends.
   void KeepViolations() {
-    if (this->world != nullptr) {
-      const auto& found = this->world->checker().violations();
+    if (this->simulation != nullptr) {
+      const auto& found = this->simulation->checker().violations();
       this->result.violations.insert(this->result.violations.end(),
                                      found.begin(), found.end());
     }
   }
 
-  World& Here() const {
-    if (this->world == nullptr) {
+  Simulation& Here() const {
+    if (this->simulation == nullptr) {
       throw std::invalid_argument("world{...} comes first");
     }
-    return *this->world;
+    return *this->simulation;
   }
 
-  // A fault that ends by itself after the time at `index`, if one is given.
+  // Ends a fault after the time at `index`, if one is given.
   void EndLater(const LuaArguments& arguments,
                 int index,
                 std::function<void()> end) {
@@ -87,7 +87,7 @@
 
   void SetWorldWords() {
     this->lua.Set("world", [this](LuaArguments& given) {
-      WorldOptions options{.rules = this->rules};
+      SimulationOptions options{.rules = this->rules};
       const auto number = [&given](const char* key, std::uint32_t& value) {
         value = static_cast<std::uint32_t>(given.IntegerField(key, value));
       };
@@ -108,11 +108,11 @@
       number("permits", options.permits);
       number("minimum_serving", options.minimum_serving);
       this->KeepViolations();
-      this->world = std::make_unique<World>(options);
-      this->world->Run(2s);  // everybody is connected
+      this->simulation = std::make_unique<Simulation>(options);
+      this->simulation->Run(2s);  // all processes are connected
     });
     this->lua.Set("at", [this](LuaArguments& given) {
-      World& here = this->Here();
+      Simulation& here = this->Here();
       here.At(here.age() + given.Time(1), given.Function(2));
     });
     this->lua.Set("run", [this](LuaArguments& given) {
@@ -130,9 +130,10 @@
 
   void SetCallerWords() {
     this->lua.Set("ask", [this](LuaArguments& given) {
-      const Ask defaults;
-      given.Return(static_cast<std::int64_t>(this->Here().callers().Send(
-          Ask{.entry = given.TextField("entry", "e1"),
+      const Generation defaults;
+      given.Return(
+          static_cast<std::int64_t>(this->Here().callers().Send(Generation{
+              .entry = given.TextField("entry", "e1"),
               .prompt_tokens = static_cast<std::uint32_t>(
                   given.IntegerField("prompt_tokens", defaults.prompt_tokens)),
               .answer_tokens = static_cast<std::uint32_t>(
@@ -171,7 +172,7 @@
 
   void SetProcessWords() {
     const auto set = [this](const std::string& word,
-                            bool (World::*act)(const std::string&)) {
+                            bool (Simulation::*act)(const std::string&)) {
       this->lua.Set(word, [this, act](LuaArguments& given) {
         Require((this->Here().*act)(given.Text(1)), given.Text(1));
       });
@@ -182,9 +183,9 @@
     this->lua.Set("vanish", [this](LuaArguments& given) {
       Require(this->Here().Kill(given.Text(1), true), given.Text(1));
     });
-    set("restart", &World::Restart);
-    set("resume", &World::Resume);
-    set("drain", &World::Drain);
+    set("restart", &Simulation::Restart);
+    set("resume", &Simulation::Resume);
+    set("drain", &Simulation::Drain);
     this->lua.Set("pause", [this](LuaArguments& given) {
       const std::string name = given.Text(1);
       Require(this->Here().Pause(name), name);
@@ -250,7 +251,7 @@
            .delay = given.TimeField("delay", {})});
     });
     this->lua.Set("publish", [this](LuaArguments& given) {
-      World& here = this->Here();
+      Simulation& here = this->Here();
       const std::vector<std::string> leaving = given.ListField("leaving");
       here.SetModelVersion(
           given.TextField("model_version", here.options().model_version));
@@ -339,10 +340,10 @@
     return this->Here().callers().Get(static_cast<std::uint64_t>(number));
   }
 
-  WorldRules rules;
+  SafetyRules rules;
   ScenarioResult result;
-  LuaState lua;  // outlives the world's tasks that call into it
-  std::unique_ptr<World> world;
+  LuaState lua;  // outlives the simulation's tasks, which call it
+  std::unique_ptr<Simulation> simulation;
 };
 
 }  // namespace
@@ -358,7 +359,7 @@
   return text;
 }
 
-ScenarioResult RunScenario(const std::string& path, const WorldRules& rules) {
+ScenarioResult RunScenario(const std::string& path, const SafetyRules& rules) {
   return Script(rules).Run(path);
 }
 
--- a/src/scenario/internal/world_checks.cc
+++ b/src/scenario/internal/simulation_checks.cc
@@ -1,7 +1,7 @@
-// The part of World that looks for what is wrong.
+// The checks of Simulation.
 #include <algorithm>
 
-#include "scenario/world.h"
+#include "scenario/simulation.h"
 
 namespace acacialug::scenario {
 namespace {
@@ -10,14 +10,14 @@
 
 }  // namespace
 
-void World::LookEvery() {
+void Simulation::SchedulePeriodicChecks() {
   this->queue.After(kLookInterval, [this] {
-    this->Look();
-    this->LookEvery();
+    this->RunPeriodicChecks();
+    this->SchedulePeriodicChecks();
   });
 }
 
-void World::Look() {
+void Simulation::RunPeriodicChecks() {
   std::vector<Checker::HeldAttempt> held;
   for (const auto& [id, engine] : this->engines) {
     const auto agent = this->FindAgent(id);
@@ -30,7 +30,9 @@
                       .wanted = this->Wanted(attempt),
                       .excused = absent || engine->stalled()});
     }
-    // A call that began cannot be taken back: only models free at once.
+    // A call that has started cannot be aborted; only model engines free work
+    // at
+    // once.
     if (agent == nullptr || engine->role() == protocol::EndpointRole::kPlain) {
       continue;
     }
@@ -42,36 +44,36 @@
                       .excused = absent});
     }
   }
-  this->rules.LookAtHeld(held);
-  this->LookAtConfiguration();
-  this->rules.LookAtCalls(
-      this->asking.requests(),
+  this->rules.CheckHeld(held);
+  this->CheckConfiguration();
+  this->rules.CheckCalls(
+      this->all_callers.requests(),
       [this](const std::string& marker) { return this->Executions(marker); });
 }
 
-// Entries hear of a manifest from the log, agents from entries: one must have
-// run for a while.
-void World::LookAtConfiguration() {
+// Entries receive a manifest from the log, and agents from entries, so that an
+// entry must have run for some time.
+void Simulation::CheckConfiguration() {
   Instant told_since = kNever;
   for (const auto& [name, entry] : this->entries) {
     const Instant since = this->started.at("entry " + name);
     told_since = std::min(told_since, since);
-    this->rules.LookAtConfiguration("entry " + name,
-                                    entry->feed().follower().offset(), since);
+    this->rules.CheckConfiguration("entry " + name,
+                                   entry->feed().follower().offset(), since);
   }
   if (told_since == kNever) {
     return;
   }
   for (const auto& [name, agent] : this->agents) {
-    this->rules.LookAtConfiguration(
+    this->rules.CheckConfiguration(
         "agent " + name, agent->feed().follower().offset(),
         std::max(told_since, this->started.at("agent " + name)));
   }
 }
 
-// One whose agent died in its turn stays out until its successor has brought
-// it back.
-bool World::OutByOrder(const std::string& endpoint) const {
+// An endpoint whose agent died during maintenance stays out of service until
+// the agent's successor has ended the maintenance.
+bool Simulation::OutByOrder(const std::string& endpoint) const {
   const auto agent = this->FindAgent(endpoint);
   if (agent == nullptr) {
     return this->out.contains(endpoint);
@@ -82,7 +84,7 @@
           status.intent != maintenance::MaintenanceIntent::kEnter);
 }
 
-void World::LookAtPools() {
+void Simulation::CheckPools() {
   for (const auto& [id, agent] : this->agents) {
     if (agent->role() == protocol::EndpointRole::kPlain) {
       continue;
@@ -98,17 +100,17 @@
   }
 }
 
-bool World::Wanted(const AttemptId& attempt) const {
+bool Simulation::Wanted(const AttemptId& attempt) const {
   const std::uint64_t number = attempt.request.low;
-  return number >= 1 && number <= this->asking.requests().size() &&
-         this->asking.Get(number).state == RequestState::kOpen &&
+  return number >= 1 && number <= this->all_callers.requests().size() &&
+         this->all_callers.Get(number).state == RequestState::kOpen &&
          std::any_of(this->entries.begin(), this->entries.end(),
                      [&attempt](const auto& item) {
                        return item.second->incarnation() == attempt.entry;
                      });
 }
 
-void World::Settle() {
+void Simulation::Settle() {
   this->wires.HealAll();
   this->wires.Lose(0);
   this->platform_log.Set({});
@@ -133,18 +135,18 @@
   this->rules.SetDisturbed(false);
 }
 
-void World::Quiet() {
+void Simulation::Quiet() {
   this->Settle();
   const Instant end = this->queue.now() + kQuietLimit;
   while (!this->Idle() && this->queue.now() < end) {
     this->Run(1s);
   }
-  this->Look();
+  this->RunPeriodicChecks();
   this->CheckLeftOvers();
 }
 
-bool World::Idle() const {
-  const auto& requests = this->asking.requests();
+bool Simulation::Idle() const {
+  const auto& requests = this->all_callers.requests();
   return std::all_of(requests.begin(), requests.end(),
                      [](const Request& request) {
                        return request.state != RequestState::kOpen;
@@ -167,8 +169,8 @@
              });
 }
 
-void World::CheckLeftOvers() {
-  for (const Request& request : this->asking.requests()) {
+void Simulation::CheckLeftOvers() {
+  for (const Request& request : this->all_callers.requests()) {
     if (request.state == RequestState::kOpen) {
       this->rules.Report("request " + std::to_string(request.number) +
                          ": no final answer");
--- a/src/scenario/internal/world_faults.cc
+++ b/src/scenario/internal/simulation_faults.cc
@@ -1,19 +1,19 @@
-// The part of World that brings faults about.
+// The faults of Simulation.
 #include <algorithm>
 
 #include "scenario/internal/process_name.h"
-#include "scenario/world.h"
+#include "scenario/simulation.h"
 
 namespace acacialug::scenario {
 
-bool World::Kill(const std::string& process, bool silently) {
+bool Simulation::Kill(const std::string& process, bool silently) {
   const auto [kind, name] = SplitName(process);
   if (const auto entry = kind == "entry" ? this->FindEntry(name) : nullptr) {
     this->entries.erase(name);
     this->draining.erase(name);
     entry->End();
     this->wires.OnEntryEnded(*entry, silently);
-    this->asking.OnEntryEnded(*entry);
+    this->all_callers.OnEntryEnded(*entry);
     return true;
   }
   if (const auto agent = kind == "agent" ? this->FindAgent(name) : nullptr) {
@@ -25,7 +25,7 @@
   return false;
 }
 
-bool World::Restart(const std::string& process) {
+bool Simulation::Restart(const std::string& process) {
   const auto [kind, name] = SplitName(process);
   this->Kill(process);
   if (kind == "entry") {
@@ -40,7 +40,7 @@
   return false;
 }
 
-bool World::Pause(const std::string& process) {
+bool Simulation::Pause(const std::string& process) {
   const auto found = this->Find(process);
   if (found != nullptr) {
     found->Pause();
@@ -49,7 +49,7 @@
   return found != nullptr;
 }
 
-bool World::Resume(const std::string& process) {
+bool Simulation::Resume(const std::string& process) {
   const auto found = this->Find(process);
   if (found != nullptr && found->paused()) {
     found->Resume();
@@ -58,7 +58,7 @@
   return found != nullptr;
 }
 
-bool World::Drain(const std::string& process) {
+bool Simulation::Drain(const std::string& process) {
   const auto [kind, name] = SplitName(process);
   if (const auto entry = kind == "entry" ? this->FindEntry(name) : nullptr) {
     this->draining.insert(name);
@@ -74,7 +74,7 @@
   return false;
 }
 
-bool World::Stall(const std::string& endpoint, Duration length) {
+bool Simulation::Stall(const std::string& endpoint, Duration length) {
   const auto found = this->engines.find(endpoint);
   if (found != this->engines.end()) {
     found->second->Stall(length);
@@ -82,7 +82,7 @@
   return found != this->engines.end();
 }
 
-bool World::RestartEngine(const std::string& endpoint) {
+bool Simulation::RestartEngine(const std::string& endpoint) {
   const auto found = this->engines.find(endpoint);
   if (found != this->engines.end()) {
     found->second->Restart();
@@ -90,7 +90,7 @@
   return found != this->engines.end();
 }
 
-bool World::StallTransfers(const std::string& endpoint, bool is_out) {
+bool Simulation::StallTransfers(const std::string& endpoint, bool is_out) {
   const auto found = this->engines.find(endpoint);
   if (found != this->engines.end()) {
     found->second->StallTransfers(is_out);
@@ -98,29 +98,30 @@
   return found != this->engines.end();
 }
 
-void World::SetLog(const PlatformLog::Faults& faults) {
+void Simulation::SetLog(const PlatformLog::Faults& faults) {
   this->platform_log.Set(faults);
   this->rules.SetDisturbed(this->Disturbed());
 }
 
-void World::Lose(double share) {
+void Simulation::Lose(double share) {
   this->wires.Lose(share);
   PlatformLog::Faults faults = this->platform_log.faults();
   faults.lost_share = share;
   this->SetLog(faults);
 }
 
-void World::Partition(const std::string& entry, const std::string& endpoint) {
+void Simulation::Partition(const std::string& entry,
+                           const std::string& endpoint) {
   this->wires.Partition(entry, endpoint);
   this->rules.SetDisturbed(true);
 }
 
-void World::Heal(const std::string& entry, const std::string& endpoint) {
+void Simulation::Heal(const std::string& entry, const std::string& endpoint) {
   this->wires.Heal(entry, endpoint);
   this->rules.SetDisturbed(this->Disturbed());
 }
 
-bool World::Disturbed() const {
+bool Simulation::Disturbed() const {
   const PlatformLog::Faults& log_faults = this->platform_log.faults();
   const auto is_paused = [](const auto& item) { return item.second->paused(); };
   return this->wires.partitioned() || this->wires.losing() > 0 ||
--- a/src/scenario/internal/world_parts.h
+++ b/src/scenario/internal/simulation_parts.h
@@ -1,12 +1,12 @@
-#ifndef SCENARIO_INTERNAL_WORLD_PARTS_H_
-#define SCENARIO_INTERNAL_WORLD_PARTS_H_
+#ifndef SCENARIO_INTERNAL_SIMULATION_PARTS_H_
+#define SCENARIO_INTERNAL_SIMULATION_PARTS_H_
 
 #include <functional>
 
 #include "framework/global/types/identifiers.h"
 #include "once/work_key.h"
 #include "scenario/internal/manifest_feed.h"
-#include "scenario/types/world_options.h"
+#include "scenario/types/simulation_options.h"
 #include "standin/platform_models.h"
 
 namespace acacialug::scenario {
@@ -15,16 +15,16 @@
 class Checker;
 class Network;
 
-// The wall clock of every host of a world; virtual time starts at 1000 s.
+// The wall clock of every host; virtual time starts at 1000 s.
 inline once::WallMilliseconds WallClock(Instant now) {
   return once::WallMilliseconds(1'700'000'000'000) +
          std::chrono::duration_cast<once::WallMilliseconds>(
              now.time_since_epoch());
 }
 
-// What the processes of one world share; all outlive them.
-struct WorldParts {
-  const WorldOptions& options;
+// What the processes of one simulation share; all outlive them.
+struct SimulationParts {
+  const SimulationOptions& options;
   EventQueue& queue;
   PlatformLog& log;
   Network& network;
@@ -36,4 +36,4 @@
 
 }  // namespace acacialug::scenario
 
-#endif  // SCENARIO_INTERNAL_WORLD_PARTS_H_
+#endif  // SCENARIO_INTERNAL_SIMULATION_PARTS_H_
--- a/src/scenario/internal/weight_permits.h
+++ b/src/scenario/internal/weight_permits.h
@@ -15,7 +15,7 @@
 // The platform's weight store as one agent reaches it. Not thread safe.
 class WeightPermits : public cluster::IWeightStore {
  public:
-  // A way to run tasks in the process for as long as it lives.
+  // Runs tasks in the process while it is alive.
   using Later = std::function<void(std::function<void()>)>;
 
   WeightPermits(standin::WeightStoreModel& store_model,
--- a/src/scenario/rollout_bench.cc
+++ b/src/scenario/rollout_bench.cc
@@ -1,12 +1,13 @@
-// Measures, in virtual time, how long a new model version takes through a pool
-// without load: against the pool's size, how many may be out at once, and the
-// permits of the weight store. Prints a Markdown table.
+// Measures, in virtual time, how long the rollout of a new model version takes
+// in a pool without load, by the pool's size, the number of endpoints that may
+// be out of service at once, and the permits of the weight store. Prints a
+// Markdown table.
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
 #include <string>
 
-#include "scenario/world.h"
+#include "scenario/simulation.h"
 
 namespace acacialug::scenario {
 namespace {
@@ -32,37 +33,38 @@
 }
 
 Measured Run(const Rollout& rollout) {
-  World world({.entries = 1,
-               .prefill = 1,
-               .decode = rollout.endpoints,
-               .plain = 0,
-               .load_time = kLoadTime,
-               .permits = rollout.permits,
-               .minimum_serving = rollout.endpoints - rollout.out_at_once});
-  world.Run(5s);
-  world.SetModelVersion("2");
-  const Duration began = world.age();
-  world.Publish("v2", world.OffsetOf("entry e1"), {});
+  Simulation simulation(
+      {.entries = 1,
+       .prefill = 1,
+       .decode = rollout.endpoints,
+       .plain = 0,
+       .load_time = kLoadTime,
+       .permits = rollout.permits,
+       .minimum_serving = rollout.endpoints - rollout.out_at_once});
+  simulation.Run(5s);
+  simulation.SetModelVersion("2");
+  const Duration began = simulation.age();
+  simulation.Publish("v2", simulation.OffsetOf("entry e1"), {});
   Measured measured;
   bool done = false;
-  while (!done && world.age() - began < kLongest) {
-    world.Run(100ms);
+  while (!done && simulation.age() - began < kLongest) {
+    simulation.Run(100ms);
     done = true;
     std::uint32_t out = 0;
     for (std::uint32_t number = 1; number <= rollout.endpoints; ++number) {
       const std::string id = NameOfDecode(number);
-      const agent::OrderStatus status = world.OrdersAt(id);
+      const agent::OrderStatus status = simulation.OrdersAt(id);
       out += status.out ? 1 : 0;
-      done = done && status.confirmed && world.EngineVersion(id) == "2";
+      done = done && status.confirmed && simulation.EngineVersion(id) == "2";
     }
     measured.most_out = std::max(measured.most_out, out);
   }
-  measured.time = world.age() - began;
-  world.Run(60s);  // the last one gives its turn back
+  measured.time = simulation.age() - began;
+  simulation.Run(60s);  // the last one leaves the maintenance queue
   for (std::uint32_t number = 1; number <= rollout.endpoints; ++number) {
-    measured.appends += world.OrdersAt(NameOfDecode(number)).appends;
+    measured.appends += simulation.OrdersAt(NameOfDecode(number)).appends;
   }
-  measured.violations = world.checker().violations().size();
+  measured.violations = simulation.checker().violations().size();
   return measured;
 }
 
--- a/src/scenario/scenario_script.h
+++ b/src/scenario/scenario_script.h
@@ -5,12 +5,12 @@
 #include <string>
 #include <vector>
 
-#include "scenario/types/world_options.h"
+#include "scenario/types/simulation_options.h"
 
 namespace acacialug::scenario {
 
-// What came of a scenario: errors of the script and expectations that did not
-// hold, and what the checker found. Both empty: it passed.
+// The result of a scenario: errors of the script, expectations that did not
+// hold, and violations that the checker found. It passed if there are none.
 struct ScenarioResult {
   std::vector<std::string> failures;
   std::vector<std::string> violations;
@@ -18,15 +18,16 @@
   bool passed() const {
     return this->failures.empty() && this->violations.empty();
   }
-  // For people; one line each.
+  // As text, with one line for each failure and violation.
   std::string ToText() const;
 };
 
-// Runs a scenario written in Lua 5.4 (docs/SCENARIOS.md tells its words),
-// lets its world come to rest, and checks what is left. `rules` replace those
-// in force. A file that cannot be read or is no Lua is a failure. Thread safe.
+// Runs a scenario in Lua 5.4 (docs/SCENARIOS.md has its functions), waits until
+// its simulation is idle, and checks that nothing is left behind. `rules`
+// replace the default ones. A file that is unreadable or invalid is a failure.
+// Thread safe.
 ScenarioResult RunScenario(const std::string& path,
-                           const WorldRules& rules = {});
+                           const SafetyRules& rules = {});
 
 }  // namespace acacialug::scenario
 
--- a/src/scenario/world.cc
+++ b/src/scenario/simulation.cc
@@ -1,4 +1,4 @@
-#include "scenario/world.h"
+#include "scenario/simulation.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,13 +10,14 @@
 namespace acacialug::scenario {
 namespace {
 
-// More steps without any time passing: the processes keep each other busy.
-constexpr std::uint64_t kMostStepsAtOnce = 200000;
+// More steps at one instant mean that processes send each other messages
+// without end.
+constexpr std::uint64_t kMaxStepsPerInstant = 200000;
 
 }  // namespace
 
-World::World(const WorldOptions& world_options)
-    : settings(world_options),
+Simulation::Simulation(const SimulationOptions& simulation_options)
+    : settings(simulation_options),
       random(this->settings.seed),
       rules(this->queue),
       platform_log(this->queue,
@@ -28,15 +29,16 @@
           this->settings.network_delay,
           [this](const std::string& name) { return this->FindAgent(name); },
           this->settings.seed),
-      asking(this->queue,
-             this->rules,
-             [this](const std::string& name) { return this->FindEntry(name); }),
+      all_callers(
+          this->queue,
+          this->rules,
+          [this](const std::string& name) { return this->FindEntry(name); }),
       weights({.permits = this->settings.permits, .lease = 60s}),
       parts{this->settings,
             this->queue,
             this->platform_log,
             this->wires,
-            this->asking,
+            this->all_callers,
             this->rules,
             [this](LogOffset offset) { return this->FindManifest(offset); },
             this->settings.permits > 0 ? &this->weights : nullptr} {
@@ -46,12 +48,12 @@
   for (std::uint32_t number = 1; number <= this->settings.entries; ++number) {
     this->StartEntry("e" + std::to_string(number));
   }
-  this->LookEvery();
+  this->SchedulePeriodicChecks();
 }
 
-World::~World() = default;
+Simulation::~Simulation() = default;
 
-void World::AddEndpoints() {
+void Simulation::AddEndpoints() {
   struct Pool {
     char prefix;
     protocol::EndpointRole role;
@@ -75,7 +77,7 @@
   }
 }
 
-void World::StartEntry(const std::string& name) {
+void Simulation::StartEntry(const std::string& name) {
   const auto host =
       std::make_shared<EntryHost>(name, this->random.Next(), this->parts);
   this->entries[name] = host;
@@ -83,7 +85,7 @@
   host->Start();
 }
 
-void World::StartAgent(const std::string& name) {
+void Simulation::StartAgent(const std::string& name) {
   const auto host = std::make_shared<AgentHost>(
       *this->engines.at(name), this->random.Next(), this->parts);
   this->agents[name] = host;
@@ -93,20 +95,20 @@
 
 // ---- time ----
 
-void World::At(Duration age, std::function<void()> task) {
+void Simulation::At(Duration age, std::function<void()> task) {
   this->queue.At(kBegin + age, std::move(task));
 }
 
-void World::Run(Duration length) {
+void Simulation::Run(Duration length) {
   const Instant end = this->queue.now() + length;
   while (this->Step(end)) {
   }
   this->queue.AdvanceTo(end);
 }
 
-// Does the next thing due by `end`: of one instant, first what was sent, then
-// the engines, then the processes' timers.
-bool World::Step(Instant end) {
+// Runs the next event that is due by `end`. At one instant messages come first,
+// then engines, then the timers of processes.
+bool Simulation::Step(Instant end) {
   Instant next = this->queue.next();
   EngineHost* engine = nullptr;
   Process* process = nullptr;
@@ -132,7 +134,7 @@
     return false;
   }
   this->steps_at_once = next > this->queue.now() ? 0 : this->steps_at_once + 1;
-  if (this->steps_at_once > kMostStepsAtOnce) {
+  if (this->steps_at_once > kMaxStepsPerInstant) {
     this->rules.Report("the processes never come to rest");
     return false;
   }
@@ -145,11 +147,11 @@
     this->queue.RunNext();
   }
   this->EndDrained();
-  this->LookAtPools();
+  this->CheckPools();
   return true;
 }
 
-void World::EndDrained() {
+void Simulation::EndDrained() {
   for (const std::string& name : std::set<std::string>(this->draining)) {
     const auto entry = this->FindEntry(name);
     if (entry != nullptr && !entry->paused() && entry->core().drained()) {
@@ -161,17 +163,19 @@
 
 // ---- processes ----
 
-std::shared_ptr<EntryHost> World::FindEntry(const std::string& name) const {
+std::shared_ptr<EntryHost> Simulation::FindEntry(
+    const std::string& name) const {
   const auto found = this->entries.find(name);
   return found == this->entries.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<AgentHost> World::FindAgent(const std::string& name) const {
+std::shared_ptr<AgentHost> Simulation::FindAgent(
+    const std::string& name) const {
   const auto found = this->agents.find(name);
   return found == this->agents.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<Process> World::Find(const std::string& process) const {
+std::shared_ptr<Process> Simulation::Find(const std::string& process) const {
   const auto [kind, name] = SplitName(process);
   if (kind == "entry") {
     return this->FindEntry(name);
@@ -182,7 +186,7 @@
 
 // ---- callers and configuration ----
 
-Result<std::string> World::Ticket(const std::string& entry) {
+Result<std::string> Simulation::Ticket(const std::string& entry) {
   const auto host = this->FindEntry(entry);
   if (host == nullptr || host->paused()) {
     return Error(ResultCode::kEndpointLost, entry);
@@ -191,9 +195,9 @@
       ServiceName("app"), WallClock(this->queue.now()), this->queue.now());
 }
 
-void World::Publish(const std::string& version,
-                    LogOffset replaces,
-                    const std::set<std::string>& leaving) {
+void Simulation::Publish(const std::string& version,
+                         LogOffset replaces,
+                         const std::set<std::string>& leaving) {
   this->platform_log.Append(
       kConfigurationStream,
       configuration::EncodeRecord(
@@ -205,7 +209,7 @@
       [](const Result<LogOffset>&) {});
 }
 
-PeerManifest World::FindManifest(LogOffset offset) const {
+PeerManifest Simulation::FindManifest(LogOffset offset) const {
   for (const auto& [name, entry] : this->entries) {
     const auto* held = entry->feed().follower().active();
     if (!entry->paused() && held != nullptr &&
@@ -216,7 +220,7 @@
   return {};
 }
 
-LogOffset World::OffsetOf(const std::string& process) const {
+LogOffset Simulation::OffsetOf(const std::string& process) const {
   const auto [kind, name] = SplitName(process);
   if (const auto entry = this->FindEntry(name)) {
     return entry->feed().follower().offset();
@@ -225,7 +229,7 @@
   return agent == nullptr ? LogOffset() : agent->feed().follower().offset();
 }
 
-std::string World::VersionOf(const std::string& process) const {
+std::string Simulation::VersionOf(const std::string& process) const {
   const auto [kind, name] = SplitName(process);
   const configuration::AcceptedManifest* held = nullptr;
   if (const auto entry = this->FindEntry(name)) {
@@ -236,7 +240,7 @@
   return held == nullptr ? "" : held->manifest->version;
 }
 
-entry::EntryCounters World::entry_counters() const {
+entry::EntryCounters Simulation::entry_counters() const {
   entry::EntryCounters sum;
   for (const auto& [name, entry] : this->entries) {
     const entry::EntryCounters one = entry->core().counters();
@@ -251,7 +255,7 @@
   return sum;
 }
 
-std::uint64_t World::Executions(const std::string& marker) const {
+std::uint64_t Simulation::Executions(const std::string& marker) const {
   std::uint64_t sum = 0;
   for (const auto& [id, engine] : this->engines) {
     sum += engine->executions(marker);
@@ -259,27 +263,27 @@
   return sum;
 }
 
-std::string World::EngineVersion(const std::string& endpoint) const {
+std::string Simulation::EngineVersion(const std::string& endpoint) const {
   const auto found = this->engines.find(endpoint);
   return found == this->engines.end() ? "" : found->second->version();
 }
 
-agent::OrderStatus World::OrdersAt(const std::string& endpoint) const {
+agent::OrderStatus Simulation::OrdersAt(const std::string& endpoint) const {
   const auto agent = this->FindAgent(endpoint);
   return agent == nullptr ? agent::OrderStatus{} : agent->core().order_status();
 }
 
-std::size_t World::HeldBy(const std::string& endpoint) const {
+std::size_t Simulation::HeldBy(const std::string& endpoint) const {
   const auto found = this->engines.find(endpoint);
   return found == this->engines.end() ? 0 : found->second->held().size();
 }
 
-std::string World::DecodesAt(std::uint64_t number) const {
+std::string Simulation::DecodesAt(std::uint64_t number) const {
   for (const auto& [id, engine] : this->engines) {
     for (const standin::HeldRequest& item : engine->held()) {
       const auto attempt = ParseAttemptId(item.request_id);
       if (item.kind == standin::HeldKind::kStream && attempt &&
-          attempt->request == this->asking.Get(number).id) {
+          attempt->request == this->all_callers.Get(number).id) {
         return id;
       }
     }
--- a/src/scenario/tests/scenario_test.cc
+++ b/src/scenario/tests/scenario_test.cc
@@ -31,12 +31,13 @@
   return names;
 }
 
-ScenarioResult RunNamed(const std::string& name, const WorldRules& rules = {}) {
+ScenarioResult RunNamed(const std::string& name,
+                        const SafetyRules& rules = {}) {
   return RunScenario((kFolder / (name + ".lua")).string(), rules);
 }
 
 const testing::Story kScenarios(
-    "the system keeps its promises",
+    "the system keeps its guarantees",
     {ForEach<std::string>(
         "in the scenario",
         AllScenarios(),
@@ -49,13 +50,13 @@
 struct RuleOff {
   std::string rule;
   std::string scenario;
-  WorldRules rules;
+  SafetyRules rules;
 };
 
-// The explorer's own seeds show the missing rule too, not only a scenario
-// that was written for it. With all rules the same seeds find nothing: see
+// Whether the explorer's seeds reveal the missing rule, as the scenario that
+// was written for it does. With all rules the same seeds find nothing: see
 // kExplorer.
-bool Finds(ExploredRun (*make)(std::uint64_t), const WorldRules& rules) {
+bool Finds(ExploredRun (*make)(std::uint64_t), const SafetyRules& rules) {
   constexpr std::uint64_t kMostSeeds = 200;
   for (std::uint64_t seed = 1; seed <= kMostSeeds; ++seed) {
     if (!Explore(make(seed), rules).empty()) {
@@ -65,12 +66,12 @@
   return false;
 }
 
-// A checker that nothing can fail proves nothing: without any one of the
-// rules it must find a broken promise, and with all of them none.
+// Guards against a checker that cannot fail: without any one of the rules it
+// must find a violation, and with all of them none.
 const testing::Story kCheckerStory(
     "the checker",
     {ForEach<RuleOff>(
-         "finds a broken promise without",
+         "finds a violation without",
          {{"lease expiry",
            "entry_vanishes",
            {.agent = {.expire_leases = false}}},
@@ -90,7 +91,7 @@
            {.agent = {.clean_sessions = false}}},
           {"agents hearing of manifests",
            "publishers_race",
-           {.hear_of_manifests = false}},
+           {.learn_manifests = false}},
           {"the sequence check",
            "doubled_and_late_chunks",
            {.entry = {.check_sequence = false}}},
@@ -150,7 +151,7 @@
 }
 
 const testing::Story kExplorer(
-    "the system keeps its promises, explored",
+    "the system keeps its guarantees, explored",
     {It("under random faults at nearly full decode memory",
         [] { ExploreAll(MakeRun); }),
      It("when log, entry, agent and link fail together, twice, while the same "
--- a/src/scenario/types/request.h
+++ b/src/scenario/types/request.h
@@ -11,14 +11,14 @@
 
 namespace acacialug::scenario {
 
-// What a caller knows of its request.
+// The state of a request, as its caller sees it.
 enum class RequestState : std::uint8_t {
   kOpen,
   kCompleted,
   kNotRun,     // refused as provably not run
   kFailed,     // any other error
   kCancelled,  // by the caller
-  kLost,       // its entry ended, or was not there
+  kLost,       // its entry ended, or did not run
 };
 inline constexpr EnumNames<RequestState, 6> kRequestStateNames = {{
     {RequestState::kOpen, "open"},
@@ -29,12 +29,12 @@
     {RequestState::kLost, "lost"},
 }};
 
-// A generation that a caller asks for.
-struct Ask {
+// A generation that a caller requests.
+struct Generation {
   std::string entry;
   std::uint32_t prompt_tokens = 400;
   std::uint32_t answer_tokens = 20;
-  Duration read{};  // from each piece until the caller has taken it
+  Duration read{};  // time that the caller takes to read a chunk
   Duration deadline{};
 };
 
@@ -49,20 +49,20 @@
 
 // One request, as its caller sees it.
 struct Request {
-  std::uint64_t number = 0;  // in the order of asking, from 1
+  std::uint64_t number = 0;  // in the order of sending, from 1
   RequestId id;
   std::string entry;
   bool generation = false;
   bool repeatable = true;
-  std::string marker;    // by which the service counts its runs
-  std::string expected;  // the whole right answer
-  std::string text;      // as it came
+  std::string marker;    // by which the service counts the executions
+  std::string expected;  // the expected answer
+  std::string text;      // received so far
   std::uint64_t pieces = 0;
   Duration read{};
   RequestState state = RequestState::kOpen;
   ResultCode code = ResultCode::kOk;
   bool replayed = false;
-  Instant asked_at;
+  Instant sent_at;
   Instant ended_at;
 };
 
--- a/src/scenario/types/world_options.h
+++ b/src/scenario/types/simulation_options.h
@@ -1,5 +1,5 @@
-#ifndef SCENARIO_TYPES_WORLD_OPTIONS_H_
-#define SCENARIO_TYPES_WORLD_OPTIONS_H_
+#ifndef SCENARIO_TYPES_SIMULATION_OPTIONS_H_
+#define SCENARIO_TYPES_SIMULATION_OPTIONS_H_
 
 #include <cstdint>
 #include <string>
@@ -11,16 +11,16 @@
 
 namespace acacialug::scenario {
 
-// The safety rules in force in a whole world; one is switched off to show that
-// the checker notices.
-struct WorldRules {
+// The safety rules of a whole simulation. Tests disable one of them to show
+// that the checker detects it.
+struct SafetyRules {
   entry::EntryRules entry;
   agent::AgentRules agent;
-  bool hear_of_manifests = true;  // agents, from the entries
+  bool learn_manifests = true;  // agents, from the entries
 };
 
-// The size of a world and the pace of what stands between its processes.
-struct WorldOptions {
+// The size of a simulation, and the delays between its processes.
+struct SimulationOptions {
   std::uint32_t entries = 2;        // named e1, e2, ...
   std::uint32_t prefill = 2;        // p1, ...
   std::uint32_t decode = 3;         // d1, ...
@@ -34,13 +34,13 @@
   Duration load_time = 2s;         // of a model version in an engine
   std::uint32_t permits = 0;       // of the weight store; 0: there is none
   std::uint64_t seed = 1;
-  // What its manifests say from the next one on.
+  // Contents of its manifests, from the next one on.
   std::string model_version;
   std::vector<std::string> adapters;
   std::uint32_t minimum_serving = 0;  // of the decode pool; 0: no rule
-  WorldRules rules;
+  SafetyRules rules;
 };
 
 }  // namespace acacialug::scenario
 
-#endif  // SCENARIO_TYPES_WORLD_OPTIONS_H_
+#endif  // SCENARIO_TYPES_SIMULATION_OPTIONS_H_
