--- a/src/scenario/internal/agent_host.cc
+++ b/src/scenario/internal/agent_host.cc
@@ -12,17 +12,17 @@
 
 AgentHost::AgentHost(EngineHost& engine_host,
                      std::uint64_t seed,
-                     const SimulationParts& world_parts)
+                     const SimulationParts& simulation_parts)
     : Process(engine_host.endpoint()),
-      parts(world_parts),
+      parts(simulation_parts),
       engine(engine_host),
       random(seed),
       start(this->random.NextIncarnation()),
       // As in the agent's program: thousands of agents must not poll the log.
       manifests({.author = this->Name(), .follow_stream = false},
                 seed,
-                world_parts.queue,
-                world_parts.log,
+                simulation_parts.queue,
+                simulation_parts.log,
                 this->FeedHooks()),
       decisions(
           std::make_unique<agent::AgentCore>(this->Options(), this->random)) {}
--- a/src/scenario/internal/agent_host.h
+++ b/src/scenario/internal/agent_host.h
@@ -24,7 +24,7 @@
   // `engine_host` outlives this.
   AgentHost(EngineHost& engine_host,
             std::uint64_t seed,
-            const SimulationParts& world_parts);
+            const SimulationParts& simulation_parts);
 
   // Call once, after construction.
   void Start();
--- a/src/scenario/internal/callers.cc
+++ b/src/scenario/internal/callers.cc
@@ -27,10 +27,10 @@
 }  // namespace
 
 Callers::Callers(EventQueue& event_queue,
-                 Checker& world_checker,
+                 Checker& simulation_checker,
                  FindEntry find_entry)
     : queue(event_queue),
-      checker(world_checker),
+      checker(simulation_checker),
       entries(std::move(find_entry)) {}
 
 Request& Callers::Add(const std::string& entry) {
--- a/src/scenario/internal/callers.h
+++ b/src/scenario/internal/callers.h
@@ -26,7 +26,7 @@
   using InEntry = std::function<void(std::function<void()>)>;
 
   Callers(EventQueue& event_queue,
-          Checker& world_checker,
+          Checker& simulation_checker,
           FindEntry find_entry);
 
   // Both return the number of the request.
--- a/src/scenario/internal/entry_host.cc
+++ b/src/scenario/internal/entry_host.cc
@@ -42,17 +42,17 @@
 
 EntryHost::EntryHost(std::string entry_name,
                      std::uint64_t seed,
-                     const SimulationParts& world_parts)
+                     const SimulationParts& simulation_parts)
     : Process(std::move(entry_name)),
-      parts(world_parts),
+      parts(simulation_parts),
       random(seed),
       start(this->random.NextIncarnation()),
-      manifests(
-          {.author = this->Name(), .retention = world_parts.options.retention},
-          seed,
-          world_parts.queue,
-          world_parts.log,
-          this->FeedHooks()),
+      manifests({.author = this->Name(),
+                 .retention = simulation_parts.options.retention},
+                seed,
+                simulation_parts.queue,
+                simulation_parts.log,
+                this->FeedHooks()),
       heartbeat_random(seed + 1),
       heartbeats({.entry = EntryId(this->Name()), .incarnation = this->start},
                  this->heartbeat_random),
--- a/src/scenario/internal/entry_host.h
+++ b/src/scenario/internal/entry_host.h
@@ -19,7 +19,7 @@
  public:
   EntryHost(std::string entry_name,
             std::uint64_t seed,
-            const SimulationParts& world_parts);
+            const SimulationParts& simulation_parts);
 
   // Begins to read the configuration. Call once, after construction.
   void Start();
--- a/src/scenario/internal/scenario_script.cc
+++ b/src/scenario/internal/scenario_script.cc
@@ -29,7 +29,8 @@
 // One script and its simulation.
 class Script {
  public:
-  explicit Script(const SafetyRules& world_rules) : rules(world_rules) {
+  explicit Script(const SafetyRules& simulation_rules)
+      : rules(simulation_rules) {
     this->SetWorldWords();
     this->SetCallerWords();
     this->SetProcessWords();
--- a/src/standin/capacity.h
+++ b/src/standin/capacity.h
@@ -19,8 +19,8 @@
   std::uint32_t decode_engines = 0;
 };
 
-// Upper bounds in requests a second, each by one resource alone; the least of
-// them bounds the whole. The formulas stand in docs/ENGINE_MODEL.md.
+// Upper bounds in requests per second, each for one resource alone; the
+// smallest is the bound of the whole. The formulas are in docs/ENGINE_MODEL.md.
 struct Capacity {
   double prefill = 0;
   double decode = 0;
--- a/src/standin/engine_model.h
+++ b/src/standin/engine_model.h
@@ -19,9 +19,9 @@
 // chunked prefill, prefix cache, export and import of KV cache, orders, lagged
 // reports and faults. Formulas: docs/ENGINE_MODEL.md.
 //
-// `now` never goes back. Every method first does what was due by `now`, at the
-// instants at which it was due; outputs pile up until TakeOutputs. Advance is
-// to be called at next_event(). Not thread safe.
+// `now` never decreases. Every method first runs the events that were due by
+// `now`, at the instants at which they were due; outputs accumulate until
+// TakeOutputs. Call Advance at next_event(). Not thread safe.
 class EngineModel {
  public:
   // `random` outlives the model.
@@ -30,18 +30,19 @@
 
   // ---- work ----
 
-  // Takes a request; what becomes of it follows as outputs.
+  // Takes a request; its results follow as outputs.
   void Submit(EngineWork work, Instant now);
 
-  // Drops a prefill, stream or export; no further output names it. Unknown
-  // ids are ignored. An iteration under way goes on to its end.
+  // Drops a prefill, stream or export; no further output names it. Unknown ids
+  // are ignored. A running iteration is completed.
   void Abort(const std::string& request_id, Instant now);
 
-  // The answer to PullKv: whether the other engine still has the export.
+  // The answer to PullKv: whether the other engine still holds the export.
   void OnPullAnswered(const std::string& request_id, bool found, Instant now);
 
-  // The exporting side of PullKv. Begin pins the export for the transfer and
-  // tells its tokens, empty if it is gone; End frees it, false if it was gone.
+  // The exporting side of PullKv. BeginPull pins the export for the transfer
+  // and returns its tokens, empty if it is gone. EndPull frees it, and returns
+  // false if it was gone.
   std::optional<std::uint32_t> BeginPull(const std::string& engine_id,
                                          const std::string& request_id,
                                          Instant now);
@@ -51,37 +52,39 @@
 
   // ---- time ----
 
-  // When Advance has something to do; kNever if nothing is under way.
+  // When Advance is due; kNever if nothing is in progress.
   Instant next_event() const;
   void Advance(Instant now);
   std::vector<EngineOutput> TakeOutputs();
 
   // ---- orders and reports ----
 
-  // False: the order was refused for its old fencing number. Another model or
-  // version fails what runs; then, and for new adapters, the engine loads.
+  // Returns false if the order was refused because of its old fencing token.
+  // Another model or version fails the running work; then, and for new
+  // adapters, the engine loads.
   bool ApplyOrder(const EngineOrder& order, Instant now);
   EngineState state(Instant now);
 
   EngineLoad load(Instant now);  // as it was load_lag ago
   std::vector<HeldRequest> held() const;
-  // Visible events with a greater id, oldest first, at most 1000.
+  // The visible events with a greater id, oldest first, at most 1000.
   std::vector<CacheEvent> CacheEventsAfter(std::uint64_t id, Instant now) const;
   const EngineStats& stats() const;
-  // Names this start of the engine: exports of an earlier one are gone.
+  // Identifies this incarnation of the engine: exports of an earlier one are
+  // gone.
   const std::string& engine_id() const;
   const EngineOptions& options() const;
 
   // ---- faults ----
 
   void SetFaults(const EngineFaults& faults, Instant now);
-  // Stops the engine's time for `length` (kNever's distance: until Resume).
+  // Stops the engine's time until `until` (kNever: until Resume).
   void Stall(Instant until, Instant now);
   void Resume(Instant now);
   bool stalled(Instant now) const;
   void EvictExports(Instant now);
-  // As if the process were replaced: work and exports are lost, the orders
-  // given to it too.
+  // As if the process were replaced: work, exports and received orders are
+  // lost.
   void Restart(Instant now);
 
  private:
--- a/src/standin/engine_server.h
+++ b/src/standin/engine_server.h
@@ -17,7 +17,7 @@
   std::uint64_t seed = 1;
 };
 
-// An EngineModel behind the OpenAI-compatible API, with vLLM's hand-over of KV
+// An EngineModel behind the OpenAI-compatible API, with vLLM's transfer of KV
 // caches, and the control of its faults (docs/STANDINS.md). Lives on one
 // thread with a running Qt event loop; not thread safe.
 class EngineServer {
--- a/src/standin/fakes/fake_platform.cc
+++ b/src/standin/fakes/fake_platform.cc
@@ -6,10 +6,10 @@
 namespace acacialug::standin {
 namespace {
 
-// How soon a read that waits for a record looks again.
-constexpr Duration kReadAgain = 5ms;
+// How often a read that waits for a record polls.
+constexpr Duration kPollInterval = 5ms;
 
-// Runs `effect` after the delay and hands what it gives to `on_done` later.
+// Runs `effect` after the delay, and passes its result to `on_done` later.
 template <typename T>
 void RunRemotely(const FakeOptions& options,
                  const FakeFaults& faults,
@@ -65,7 +65,7 @@
                        std::function<void(Result<Read>)> on_done) {
   auto answer = [this, stream, from, limit, wait,
                  on_done = std::move(on_done)](Result<Read> read) {
-    const Duration pause = std::min(wait, kReadAgain);
+    const Duration pause = std::min(wait, kPollInterval);
     if (!read.ok() || !read->records.empty() || pause == Duration::zero()) {
       on_done(std::move(read));
       return;
--- a/src/standin/fakes/fake_platform.h
+++ b/src/standin/fakes/fake_platform.h
@@ -11,18 +11,18 @@
 #include "framework/global/random_source.h"
 #include "standin/platform_models.h"
 
-// The platform's interfaces in the test's own process and time. Several fakes
-// may share one model, as processes share the platform. Not thread safe.
+// The platform's interfaces in the process and virtual time of a test. Several
+// fakes may share one model, as processes share the platform. Not thread safe.
 namespace acacialug::standin {
 
-// How a fake reaches its model.
+// Options of a fake.
 struct FakeOptions {
   std::function<Instant()> now;
-  // Runs a task after a time; never from inside the call.
+  // Runs a task after a delay; never from inside the call.
   std::function<void(Duration delay, std::function<void()> task)> schedule;
 };
 
-// What goes wrong between this client and the platform.
+// Faults between this client and the platform.
 struct FakeFaults {
   Duration delay{};  // from the call to its effect
   Duration late{};   // from the effect to its answer
--- a/src/standin/fakes/modelled_engine.cc
+++ b/src/standin/fakes/modelled_engine.cc
@@ -39,7 +39,7 @@
   return ResultCode::kEngineFailed;
 }
 
-// The ids that the model holds are AttemptIds' texts.
+// The ids in the model are the texts of AttemptIds.
 AttemptId AttemptOf(const std::string& request_id) {
   return ParseAttemptId(request_id).value_or(AttemptId{});
 }
@@ -115,10 +115,10 @@
   for (auto outputs = this->model.TakeOutputs(); !outputs.empty();
        outputs = this->model.TakeOutputs()) {
     for (const EngineOutput& output : outputs) {
-      std::visit([this](const auto& told) { this->Tell(told); }, output);
+      std::visit([this](const auto& typed) { this->OnOutput(typed); }, output);
     }
   }
-  // A hook may abort an attempt whose events still wait here.
+  // A hook may abort an attempt whose events are still queued here.
   while (!this->events.empty()) {
     const engine::EngineEvent event = std::move(this->events.front());
     this->events.pop_front();
@@ -165,7 +165,7 @@
   });
 }
 
-// The model's streams are read at once; whoever holds back does so above.
+// The model's streams are read at once; flow control is left to the caller.
 void ModelledEngine::Run(const engine::SetPaused&) {}
 
 void ModelledEngine::Run(const engine::Call& command) {
@@ -210,7 +210,7 @@
       .loading = state.loading});
 }
 
-void ModelledEngine::Tell(const PrefillReady& ready) {
+void ModelledEngine::OnOutput(const PrefillReady& ready) {
   const nlohmann::json params = {{"do_remote_prefill", true},
                                  {"remote_engine_id", this->model.engine_id()},
                                  {"remote_request_id", ready.request_id}};
@@ -225,27 +225,27 @@
                 .output_tokens = 1}});
 }
 
-void ModelledEngine::Tell(const TokensMade& made) {
+void ModelledEngine::OnOutput(const TokensMade& made) {
   this->events.emplace_back(engine::Text{.attempt = AttemptOf(made.request_id),
                                          .text = made.text,
                                          .tokens = made.tokens});
 }
 
-void ModelledEngine::Tell(const WorkDone& done) {
+void ModelledEngine::OnOutput(const WorkDone& done) {
   this->events.emplace_back(
       engine::StreamDone{.attempt = AttemptOf(done.request_id),
                          .reason = done.reason,
                          .usage = done.usage});
 }
 
-void ModelledEngine::Tell(const WorkFailed& failed) {
+void ModelledEngine::OnOutput(const WorkFailed& failed) {
   const ResultCode code = CodeOf(failed.error);
   this->Fail(
       AttemptOf(failed.request_id), code,
       code == ResultCode::kEngineFailed ? Outcome::kUnknown : Outcome::kNotRun);
 }
 
-void ModelledEngine::Tell(const PullKv& pull) {
+void ModelledEngine::OnOutput(const PullKv& pull) {
   EngineModel* from = this->network.Find(pull.kv.engine_id);
   const Instant now = this->options.now();
   bool found = from != nullptr;
--- a/src/standin/fakes/modelled_engine.h
+++ b/src/standin/fakes/modelled_engine.h
@@ -13,21 +13,21 @@
 
 namespace acacialug::standin {
 
-// Engines in one process that fetch each other's exports. Not thread safe.
+// Engines in one process, which fetch each other's exports. Not thread safe.
 class KvNetwork {
  public:
   void Join(EngineModel& model);
   void Leave(EngineModel& model);
-  // Null if no engine of this id runs (any more).
+  // Returns null if no engine with this id runs.
   EngineModel* Find(const std::string& engine_id) const;
 
  private:
   std::vector<EngineModel*> models;
 };
 
-// An EngineModel as an agent knows engines, in the test's own time: events
-// come only from Deliver, which is to be called at next_event() and after
-// commands. Not thread safe.
+// An EngineModel with the interface of an agent's engine, in the virtual time
+// of a test: events are delivered only by Deliver, to be called at next_event()
+// and after commands. Not thread safe.
 class ModelledEngine : public engine::IEngine {
  public:
   struct Options {
@@ -47,7 +47,8 @@
   void SetOnEvent(
       std::function<void(const engine::EngineEvent&)> event_hook) override;
 
-  // Now, if a command's answer waits; kNever if nothing is under way.
+  // Now, if the answer of a command is queued; kNever if nothing is in
+  // progress.
   Instant next_event() const;
   void Deliver();
 
@@ -67,11 +68,11 @@
               const protocol::GenerationRequest& generation,
               const protocol::KvHandle* kv);
 
-  void Tell(const PrefillReady& ready);
-  void Tell(const TokensMade& made);
-  void Tell(const WorkDone& done);
-  void Tell(const WorkFailed& failed);
-  void Tell(const PullKv& pull);
+  void OnOutput(const PrefillReady& ready);
+  void OnOutput(const TokensMade& made);
+  void OnOutput(const WorkDone& done);
+  void OnOutput(const WorkFailed& failed);
+  void OnOutput(const PullKv& pull);
   void Fail(const AttemptId& attempt,
             ResultCode code,
             protocol::Outcome outcome);
@@ -80,11 +81,11 @@
   KvNetwork& network;
   EngineModel model;
   std::function<void(const engine::EngineEvent&)> on_event;
-  std::deque<engine::EngineEvent> events;            // told at the next Deliver
-  std::vector<engine::EngineCommand> held_commands;  // by a stall
+  std::deque<engine::EngineEvent> events;            // for the next Deliver
+  std::vector<engine::EngineCommand> held_commands;  // during a stall
 };
 
-// A ServiceModel as an agent knows plain services; as ModelledEngine.
+// A ServiceModel with the interface of an agent's engine; as ModelledEngine.
 class ModelledService : public engine::IEngine {
  public:
   struct Options {
--- a/src/standin/internal/capacity.cc
+++ b/src/standin/internal/capacity.cc
@@ -20,8 +20,8 @@
       workload.mean_prompt_tokens * (1 - workload.cached_share);
   const double prefill_seconds = Seconds(prefill.prefill_fixed) +
                                  uncached / prefill.prefill_tokens_per_second;
-  // A stream reserves prompt and answer, and has half of its answer on the
-  // mean.
+  // A stream reserves memory for its prompt and answer, and on average has half
+  // of its answer.
   const double reserved =
       workload.mean_prompt_tokens + workload.mean_output_tokens;
   const double by_memory =
--- a/src/standin/internal/completion_format.cc
+++ b/src/standin/internal/completion_format.cc
@@ -123,7 +123,7 @@
                         const std::string& model) {
   CompletionHead head{.api = api, .request_id = request_id, .model = model};
   std::string begin = Dump(AnswerHead(head, /*chunk=*/true));
-  begin.pop_back();  // the brace that would end it
+  begin.pop_back();  // the closing brace
   head.chunk_begin = "data: " + begin + R"(,"choices":[{"index":0,)";
   return head;
 }
@@ -144,7 +144,7 @@
   return Event(event);
 }
 
-// Made once for each token, so that it builds no JSON value.
+// Called for each token, so that it builds no JSON value.
 std::string TextEvent(const CompletionHead& head,
                       std::string_view text,
                       const std::optional<protocol::Usage>& usage) {
--- a/src/standin/internal/completion_format.h
+++ b/src/standin/internal/completion_format.h
@@ -11,11 +11,11 @@
 #include "protocol/types/generation.h"
 #include "standin/types/engine_messages.h"
 
-// The OpenAI-compatible API as the model engines speak it, with vLLM's
+// The OpenAI-compatible API of the model engines, with vLLM's
 // `kv_transfer_params`. All functions are thread safe.
 namespace acacialug::standin {
 
-// One request, read.
+// One parsed request.
 struct CompletionRequest {
   protocol::GenerationApi api = protocol::GenerationApi::kCompletions;
   EngineWork work;
@@ -29,12 +29,13 @@
                                          std::string_view body,
                                          std::string request_id);
 
-// What every answer to one request repeats.
+// The fields that all answers to one request share.
 struct CompletionHead {
   protocol::GenerationApi api = protocol::GenerationApi::kCompletions;
   std::string request_id;
   std::string model;
-  std::string chunk_begin;  // of each event of a stream, up to the choices
+  std::string chunk_begin;  // the beginning of each event of a stream, up to
+                            // the choices
 };
 
 CompletionHead MakeHead(protocol::GenerationApi api,
@@ -43,9 +44,9 @@
 
 http::Response ErrorResponse(EngineError error);
 
-// The events of a stream, each with its end.
+// The events of a stream, each with its terminating blank line.
 std::string RoleEvent(const CompletionHead& head);
-// Precondition: `text` needs no escapes in JSON, as the tokens made here.
+// Precondition: `text` needs no escapes in JSON, as the tokens of stand-ins.
 std::string TextEvent(const CompletionHead& head,
                       std::string_view text,
                       const std::optional<protocol::Usage>& usage);
@@ -61,7 +62,7 @@
                            protocol::FinishReason reason,
                            const protocol::Usage& usage);
 
-// The answer to a prefill: where its KV cache is fetched.
+// The answer to a prefill, with the address of its KV cache.
 http::Response PrefillAnswer(const CompletionHead& head,
                              const PrefillReady& ready,
                              const std::string& engine_id,
--- a/src/standin/internal/delay_line.h
+++ b/src/standin/internal/delay_line.h
@@ -9,9 +9,9 @@
 
 namespace acacialug::standin {
 
-// Runs tasks after a fixed time, in the order in which they came: one
-// direction of a network. At zero they run at once. Lives on one thread with
-// a Qt event loop; what still waits when it is destroyed never runs.
+// Runs tasks after a fixed delay, in the order in which they were added: one
+// direction of a network. With no delay they run at once. Lives on one thread
+// with a Qt event loop; tasks that are queued when it is destroyed never run.
 class DelayLine {
  public:
   explicit DelayLine(Duration one_way_delay);
--- a/src/standin/internal/engine_model.cc
+++ b/src/standin/internal/engine_model.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::size_t kMaximumEventsKept = 10'000;
-constexpr std::size_t kMaximumEventsTold = 1000;
+constexpr std::size_t kMaxReportedEvents = 1000;
 
 std::string NewEngineId(const std::string& name, RandomSource& random) {
   char text[20];
@@ -22,7 +22,7 @@
   return name + text;
 }
 
-// An adapter may stand with its version, as NAME@VERSION or NAME:VERSION.
+// An adapter may be given with its version, as NAME@VERSION or NAME:VERSION.
 bool NamesAdapter(const std::string& adapter, const std::string& model) {
   return adapter.starts_with(model) &&
          (adapter.size() == model.size() || adapter[model.size()] == '@' ||
@@ -38,7 +38,7 @@
         random(random_source),
         scheduler(this->options,
                   random_source,
-                  {.capacity = this->options.cache_pieces,
+                  {.capacity = this->options.cache_blocks,
                    .on_event =
                        [this](CacheEventKind kind, std::uint64_t hash) {
                          this->AddCacheEvent(kind, hash);
@@ -56,8 +56,8 @@
     this->loading_until = Instant::min();
   }
 
-  // Brings the engine to `now`; returns its own time.
-  Instant MoveTo(Instant now) {
+  // Advances the engine to `now`; returns its own time.
+  Instant AdvanceClock(Instant now) {
     this->clock.ResumeIfDue(now);
     const Instant inner = this->clock.Inner(now);
     this->inner_now = inner;
@@ -155,7 +155,7 @@
 
 void EngineModel::Submit(EngineWork work, Instant now) {
   Implementation& self = *this->implementation;
-  const Instant inner = self.MoveTo(now);
+  const Instant inner = self.AdvanceClock(now);
   if (const std::optional<EngineError> error = self.WhyNot(work, inner)) {
     self.Refuse(work, *error);
     return;
@@ -165,7 +165,7 @@
 }
 
 void EngineModel::Abort(const std::string& request_id, Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   this->implementation->scheduler.Abort(request_id, inner);
   this->implementation->Record(inner);
 }
@@ -173,7 +173,7 @@
 void EngineModel::OnPullAnswered(const std::string& request_id,
                                  bool found,
                                  Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   this->implementation->scheduler.OnPullAnswered(request_id, found, inner);
   this->implementation->Record(inner);
 }
@@ -182,7 +182,7 @@
     const std::string& engine_id,
     const std::string& request_id,
     Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   if (engine_id != this->implementation->id) {
     return std::nullopt;
   }
@@ -192,7 +192,7 @@
 bool EngineModel::EndPull(const std::string& engine_id,
                           const std::string& request_id,
                           Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   const bool found = engine_id == this->implementation->id &&
                      this->implementation->scheduler.EndPull(request_id, inner);
   this->implementation->Record(inner);
@@ -205,7 +205,7 @@
 }
 
 void EngineModel::Advance(Instant now) {
-  this->implementation->MoveTo(now);
+  this->implementation->AdvanceClock(now);
 }
 
 std::vector<EngineOutput> EngineModel::TakeOutputs() {
@@ -214,7 +214,7 @@
 
 bool EngineModel::ApplyOrder(const EngineOrder& order, Instant now) {
   Implementation& self = *this->implementation;
-  const Instant inner = self.MoveTo(now);
+  const Instant inner = self.AdvanceClock(now);
   if (self.options.checks_fencing &&
       order.fencing_token < self.order.fencing_token) {
     return false;
@@ -233,13 +233,13 @@
 }
 
 EngineState EngineModel::state(Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   return {.order = this->implementation->order,
           .loading = inner < this->implementation->loading_until};
 }
 
 EngineLoad EngineModel::load(Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   return this->implementation->lagged_load.Report(inner);
 }
 
@@ -250,16 +250,16 @@
 std::vector<CacheEvent> EngineModel::CacheEventsAfter(std::uint64_t id,
                                                       Instant now) const {
   const Instant inner = this->implementation->clock.Inner(now);
-  std::vector<CacheEvent> told;
+  std::vector<CacheEvent> reported;
   for (const CacheEvent& event : this->implementation->events) {
-    if (event.visible_at > inner || told.size() == kMaximumEventsTold) {
+    if (event.visible_at > inner || reported.size() == kMaxReportedEvents) {
       break;
     }
     if (event.id > id) {
-      told.push_back(event);
+      reported.push_back(event);
     }
   }
-  return told;
+  return reported;
 }
 
 const EngineStats& EngineModel::stats() const {
@@ -275,18 +275,18 @@
 }
 
 void EngineModel::SetFaults(const EngineFaults& faults, Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   this->implementation->faults = faults;
   this->implementation->scheduler.SetFaults(faults, inner);
 }
 
 void EngineModel::Stall(Instant until, Instant now) {
-  this->implementation->MoveTo(now);
+  this->implementation->AdvanceClock(now);
   this->implementation->clock.Stall(until, now);
 }
 
 void EngineModel::Resume(Instant now) {
-  this->implementation->MoveTo(now);
+  this->implementation->AdvanceClock(now);
   this->implementation->clock.Resume(now);
 }
 
@@ -296,13 +296,13 @@
 }
 
 void EngineModel::EvictExports(Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   this->implementation->scheduler.EvictExports(inner);
   this->implementation->Record(inner);
 }
 
 void EngineModel::Restart(Instant now) {
-  const Instant inner = this->implementation->MoveTo(now);
+  const Instant inner = this->implementation->AdvanceClock(now);
   this->implementation->scheduler.FailAll(EngineError::kRestarted);
   this->implementation->clock.Resume(now);
   this->implementation->SetFirstState();
--- a/src/standin/internal/engine_reports.h
+++ b/src/standin/internal/engine_reports.h
@@ -9,8 +9,8 @@
 #include "framework/global/types/result.h"
 #include "standin/types/engine_messages.h"
 
-// What an engine tells beside its answers, and the orders it takes, as JSON.
-// All functions are thread safe.
+// The reports of an engine, and the orders that it takes, as JSON. All
+// functions are thread safe.
 namespace acacialug::standin {
 
 nlohmann::json HeldJson(const std::vector<HeldRequest>& held);
--- a/src/standin/internal/engine_scheduler.cc
+++ b/src/standin/internal/engine_scheduler.cc
@@ -23,10 +23,10 @@
     job.generator.emplace(work.prompt);
   }
   if (!work.import_kv) {
-    job.chain = PrefixHashes(work.prompt, this->options.piece_tokens);
+    job.chain = PrefixHashes(work.prompt, this->options.block_tokens);
     job.prefill_left = job.plan.prompt_tokens;
   }
-  work.prompt.clear();  // the generator and the chain know it
+  work.prompt.clear();  // the generator and the chain contain it
   job.work = std::move(work);
   const Serial serial = job.serial;
   this->serials[job.work.request_id] = serial;
@@ -40,8 +40,8 @@
 void EngineScheduler::Abort(const std::string& request_id, Instant now) {
   std::erase_if(this->outputs, [&request_id](const EngineOutput& output) {
     return std::visit(
-        [&request_id](const auto& told) {
-          return told.request_id == request_id;
+        [&request_id](const auto& output) {
+          return output.request_id == request_id;
         },
         output);
   });
@@ -181,7 +181,7 @@
   this->step.reset();
 }
 
-bool EngineScheduler::HasRoom(const Job& job) const {
+bool EngineScheduler::HasCapacity(const Job& job) const {
   if (job.work.export_kv) {
     if (this->prefilling.size() >= this->options.prefill_slots) {
       return false;
@@ -195,12 +195,12 @@
 }
 
 void EngineScheduler::Admit() {
-  // The first that finds no room holds back what stands behind it: a long
-  // request would starve otherwise.
+  // The first job without capacity blocks those behind it. Otherwise a long
+  // request would starve.
   while (!this->waiting.empty()) {
     const auto first = this->waiting.begin();
     Job& job = this->jobs.at(first->second);
-    if (!this->HasRoom(job)) {
+    if (!this->HasCapacity(job)) {
       return;
     }
     this->waiting.erase(first);
--- a/src/standin/internal/engine_scheduler.h
+++ b/src/standin/internal/engine_scheduler.h
@@ -21,16 +21,16 @@
 namespace acacialug::standin {
 
 // The part of an engine that admits, batches and computes. Its time is the
-// engine's own, which stands still in a stall. Every method expects that
-// AdvanceTo brought it up to `now`. Not thread safe.
+// engine's own, which stops during a stall. Precondition of every method:
+// AdvanceTo(now) was called. Not thread safe.
 class EngineScheduler {
  public:
   EngineScheduler(const EngineOptions& engine_options,
                   RandomSource& random_source,
                   PrefixCache::Options cache_options);
 
-  // Precondition: the work passed the checks of model, role and context, and
-  // no work of its id is held.
+  // Precondition: the work has passed the checks of model, role and context,
+  // and no work with its id is held.
   void Submit(EngineWork work, Instant now);
   void Abort(const std::string& request_id, Instant now);
   void OnPullAnswered(const std::string& request_id, bool found, Instant now);
@@ -47,7 +47,7 @@
 
   void SetFaults(const EngineFaults& new_faults, Instant now);
   void EvictExports(Instant now);
-  void FailAll(EngineError error);  // and forgets exports and cache
+  void FailAll(EngineError error);  // also drops exports and cache
 
   std::vector<EngineOutput> outputs;
   EngineStats stats;
@@ -57,8 +57,8 @@
 
   enum class Phase : std::uint8_t {
     kWaiting,
-    kPulling,    // asked for the export
-    kImporting,  // its transfer runs
+    kPulling,    // has requested the export
+    kImporting,  // its transfer is running
     kConfirming,
     kPrefilling,
     kStreaming,
@@ -70,18 +70,18 @@
     Phase phase = Phase::kWaiting;
     AnswerPlan plan;
     std::optional<TokenGenerator> generator;  // streams
-    protocol::PrefixChain chain;              // what computes its prompt
-    std::uint64_t reserved = 0;               // tokens of memory
+    protocol::PrefixChain chain;  // of jobs that compute their prompt
+    std::uint64_t reserved = 0;   // tokens of memory
     bool prefill_begun = false;
     std::uint32_t prefill_left = 0;
     std::uint32_t computed = 0;
     std::uint32_t cached = 0;
     std::uint32_t made = 0;
-    bool fails = false;  // by fault, half-way
+    bool fails = false;  // due to a fault, half-way
   };
 
-  // One pass of the model: a token for each stream of the batch, and a piece
-  // of one prompt.
+  // One pass of the model: a token for each stream of the batch, and a chunk of
+  // one prompt.
   struct Step {
     Instant begin;
     Instant end = kNever;
@@ -90,7 +90,7 @@
     std::uint32_t chunk = 0;
   };
 
-  bool HasRoom(const Job& job) const;
+  bool HasCapacity(const Job& job) const;
   void Admit();
   void Begin(Job& job);
   void RefuseIfOverfull(Serial serial);
--- a/src/standin/internal/engine_scheduler_step.cc
+++ b/src/standin/internal/engine_scheduler_step.cc
@@ -107,8 +107,8 @@
     const Job& job = this->jobs.at(serial);
     tokens += job.plan.prompt_tokens + job.made;
   }
-  // W + H * mean_seq / calibration_context * n_active, and the mean times the
-  // number is the sum.
+  // W + H * mean_seq / calibration_context * n_active, where mean_seq *
+  // n_active is the sum of the lengths.
   return this->options.base_iteration +
          FromSeconds(Seconds(this->options.stream_iteration) * tokens /
                      this->options.calibration_context);
@@ -120,8 +120,10 @@
     job.prefill_begun = true;
     length += this->options.prefill_fixed;
     const std::uint64_t found =
-        this->cache.Find(job.chain) * this->options.piece_tokens;
-    // The last token of a prompt is always computed: the answer begins there.
+        this->cache.Find(job.chain) * this->options.block_tokens;
+    // The last token of a prompt is always computed, since the answer follows
+    // from
+    // it.
     job.cached = static_cast<std::uint32_t>(std::min<std::uint64_t>(
         found, job.plan.prompt_tokens - std::min(job.plan.prompt_tokens, 1U)));
     job.prefill_left = job.plan.prompt_tokens - job.cached;
--- a/src/standin/internal/engine_server.cc
+++ b/src/standin/internal/engine_server.cc
@@ -18,7 +18,7 @@
 using nlohmann::json;
 using protocol::GenerationApi;
 
-// One generation whose answer is under way.
+// One generation in progress.
 struct Exchange {
   CompletionHead head;
   http::ResponderPtr responder;
@@ -26,7 +26,7 @@
   bool include_usage = false;
   bool continuous_usage = false;
   bool begun = false;
-  bool lost = false;  // by fault: the connection is cut at the answer
+  bool lost = false;  // by a fault: the connection is closed at the answer
   std::string text;   // of an answer that is not streamed
   protocol::Usage usage;
 };
@@ -155,7 +155,7 @@
     this->model.Submit(std::move(work), MonotonicNow());
   }
 
-  // The caller's connection ended first.
+  // The caller's connection was closed first.
   void Drop(const std::string& request_id) {
     const auto found = this->exchanges.find(request_id);
     if (found != this->exchanges.end() && found->second.responder->gone()) {
@@ -223,17 +223,18 @@
 
   Instant PumpModel() {
     this->model.Advance(MonotonicNow());
-    // Telling one thing may bring about the next.
+    // Handling one output may cause further ones.
     for (auto outputs = this->model.TakeOutputs(); !outputs.empty();
          outputs = this->model.TakeOutputs()) {
       for (const EngineOutput& output : outputs) {
-        std::visit([this](const auto& told) { this->Tell(told); }, output);
+        std::visit([this](const auto& typed) { this->OnOutput(typed); },
+                   output);
       }
     }
     return this->model.next_event();
   }
 
-  // Empty if the caller is gone, or its answer is lost by fault.
+  // Empty if the caller is gone, or its answer is lost due to a fault.
   std::optional<Exchange> TakeExchange(const std::string& request_id) {
     auto taken = this->exchanges.extract(request_id);
     if (!taken) {
@@ -247,7 +248,7 @@
     return std::move(taken.mapped());
   }
 
-  void Tell(const PrefillReady& ready) {
+  void OnOutput(const PrefillReady& ready) {
     if (const auto exchange = this->TakeExchange(ready.request_id)) {
       this->shell.Answer(
           exchange->responder,
@@ -256,7 +257,7 @@
     }
   }
 
-  void Tell(const TokensMade& made) {
+  void OnOutput(const TokensMade& made) {
     const auto found = this->exchanges.find(made.request_id);
     if (found == this->exchanges.end()) {
       return;
@@ -279,7 +280,7 @@
     }
   }
 
-  void Tell(const WorkDone& done) {
+  void OnOutput(const WorkDone& done) {
     std::optional<Exchange> exchange = this->TakeExchange(done.request_id);
     if (!exchange) {
       return;
@@ -298,7 +299,7 @@
     this->EndStream(exchange->responder, events.append(kDoneEvent));
   }
 
-  void Tell(const WorkFailed& failed) {
+  void OnOutput(const WorkFailed& failed) {
     const std::optional<Exchange> exchange =
         this->TakeExchange(failed.request_id);
     if (!exchange) {
@@ -313,7 +314,7 @@
     }
   }
 
-  void Tell(const PullKv& pull) {
+  void OnOutput(const PullKv& pull) {
     this->puller.Pull(pull, [this, id = pull.request_id](bool found) {
       this->shell.faults.RunOrHold([this, id, found] {
         this->model.OnPullAnswered(id, found, MonotonicNow());
--- a/src/standin/internal/export_store.h
+++ b/src/standin/internal/export_store.h
@@ -11,19 +11,18 @@
 
 namespace acacialug::standin {
 
-// A prefill's KV cache that waits for its transfer.
+// The KV cache of a prefill, held for its transfer.
 struct Export {
   std::string request_id;
   std::uint32_t tokens = 0;
-  std::uint32_t computed = 0;  // of the tokens, not found in the prefix cache
+  std::uint32_t computed = 0;  // tokens that were not in the prefix cache
   Instant expires;
 };
 
-// The exports that an engine holds, each up to its own instant. Not thread
-// safe.
+// The exports that an engine holds, each until its expiry. Not thread safe.
 class ExportStore {
  public:
-  // Precondition: none of this id is held.
+  // Precondition: no export with this id is held.
   void Add(Export kept);
   const Export* Find(const std::string& request_id) const;
   void SetExpiry(const std::string& request_id, Instant expires);
--- a/src/standin/internal/http_faults.h
+++ b/src/standin/internal/http_faults.h
@@ -14,16 +14,15 @@
 
 namespace acacialug::standin {
 
-// The faults that every stand-in offers under POST /control: requests that
-// are held during a stall, answers that come late, and answers that are lost
-// after the effect. Lives on one thread with a Qt event loop.
+// The faults that every stand-in offers under POST /control: requests that are
+// held during a stall, delayed answers, and answers that are lost after the
+// effect. Lives on one thread with a Qt event loop.
 class HttpFaults {
  public:
   explicit HttpFaults(RandomSource& random_source);
 
-  // Takes the keys that it knows: stall, stall_ms, delay_ms, lose_answers,
-  // lose_requests.
-  // Absent ones stay as they are.
+  // Applies the keys stall, stall_ms, delay_ms, lose_answers and lose_requests.
+  // Absent ones keep their values.
   void Set(const nlohmann::json& control);
 
   // Runs a task now, or when the stall ends.
@@ -32,16 +31,17 @@
   bool stalled() const { return this->is_stalled; }
   Duration delay() const { return this->answer_delay; }
 
-  // Draws whether a request is to be lost before its effect.
+  // Draws whether a request is lost before its effect.
   bool LosesRequest();
 
-  // Draws whether an answer is to be lost.
+  // Draws whether an answer is lost.
   bool LosesAnswer();
 
-  // Answers, late or not at all.
+  // Sends an answer, which faults may delay or lose.
   void Answer(const Reply& reply, http::Response response);
 
-  // Runs when a stall begins or ends, with its end (kNever: not set).
+  // Runs when a stall begins or ends, with the end of the stall (kNever:
+  // unknown).
   std::function<void(bool stalled, Instant until)> on_stall;
 
  private:
--- a/src/standin/internal/http_shell.cc
+++ b/src/standin/internal/http_shell.cc
@@ -80,7 +80,7 @@
       });
 }
 
-// Never delayed, held or lost: it is the test's own hand.
+// Never delayed, held or lost, since the test controls the stand-in by it.
 void HttpShell::Control(const http::Request& request,
                         http::Responder& responder) {
   const nlohmann::json control = Parse(request.body);
--- a/src/standin/internal/http_shell.h
+++ b/src/standin/internal/http_shell.h
@@ -13,7 +13,7 @@
 
 namespace acacialug::standin {
 
-// What an engine and a plain service have in common: a server, the network's
+// The common parts of an engine and a plain service: a server, the network's
 // delay before and after it, the faults, and the timer that drives the model.
 // Lives on one thread with a Qt event loop.
 class HttpShell {
@@ -21,18 +21,18 @@
   struct Options {
     http::Address listen;
     Duration one_way_delay{};
-    // A request that came through delay and stall.
+    // Handles a request after the delay and the stall.
     std::function<void(const http::Request&, const http::ResponderPtr&)>
         on_request;
-    // A test's questions, answered at once and without faults; empty for
-    // other requests.
+    // Answers a test's queries at once and without faults; empty for other
+    // requests.
     std::function<std::optional<http::Response>(const http::Request&)>
         on_question;
-    // POST /control, after the shell took its part.
+    // POST /control, after the shell has applied its own keys.
     std::function<void(const nlohmann::json& control)> on_control;
     std::function<void(bool stalled, Instant until)> on_stall;
-    // Moves the model to now and passes on what it tells; returns when it
-    // next has something to do.
+    // Advances the model and forwards its outputs; returns when its next event
+    // is due.
     std::function<Instant()> on_pump;
   };
 
@@ -45,13 +45,13 @@
   http::Address address() const;
 
   void Pump();
-  // Pumps when the event loop is reached next.
+  // Pumps in the next iteration of the event loop.
   void PumpSoon() { this->timer.start(0); }
 
-  // Brings something from the network to the model, late and held back as a
-  // request is.
+  // Delivers input from the network to the model, delayed and held as a
+  // request.
   void Arrive(std::function<void()> task);
-  // Sends something to the network, late.
+  // Sends output to the network, delayed.
   void Send(std::function<void()> task) { this->outbound.Run(std::move(task)); }
   void Answer(const http::ResponderPtr& responder, http::Response response);
 
--- a/src/standin/internal/json_access.h
+++ b/src/standin/internal/json_access.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <string_view>
 
-// Reading of JSON that others send: what is missing or of another type gives
-// the fallback, nothing throws. Thread safe.
+// Access to received JSON. A value that is absent or of another type yields the
+// fallback; nothing throws. Thread safe.
 namespace acacialug::standin {
 
 inline nlohmann::json Parse(std::string_view text) {
@@ -18,7 +18,7 @@
   return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-// Null when there is none.
+// Returns null if it is absent.
 inline nlohmann::json ChildOr(const nlohmann::json& object, const char* key) {
   return object.is_object() && object.contains(key) ? object[key]
                                                     : nlohmann::json();
--- a/src/standin/internal/json_response.h
+++ b/src/standin/internal/json_response.h
@@ -16,7 +16,7 @@
           .body = Dump(body)};
 }
 
-// An error in the shape of the OpenAI-compatible API.
+// An error in the format of the OpenAI-compatible API.
 inline nlohmann::json ErrorJson(int status,
                                 std::string_view code,
                                 std::string_view message) {
--- a/src/standin/internal/kv_puller.cc
+++ b/src/standin/internal/kv_puller.cc
@@ -9,12 +9,12 @@
 namespace acacialug::standin {
 namespace {
 
-// An engine that hangs must not hold a slot of another one for ever.
-constexpr Duration kSilence = 10s;
+// An engine that hangs must not occupy a slot of another one forever.
+constexpr Duration kResponseTimeout = 10s;
 
 }  // namespace
 
-KvPuller::KvPuller() : client({.silence_timeout = kSilence}) {}
+KvPuller::KvPuller() : client({.silence_timeout = kResponseTimeout}) {}
 
 void KvPuller::Pull(const PullKv& pull,
                     const std::function<void(bool found)>& on_done) {
--- a/src/standin/internal/kv_puller.h
+++ b/src/standin/internal/kv_puller.h
@@ -8,13 +8,13 @@
 
 namespace acacialug::standin {
 
-// Asks other engines for their exports (POST /kv_pull). Lives on one thread
+// Fetches the exports of other engines (POST /kv_pull). Lives on one thread
 // with a Qt event loop.
 class KvPuller {
  public:
   KvPuller();
 
-  // `on_done` tells whether the export is there; it may run from inside.
+  // `found`: whether the export exists. `on_done` may run from inside the call.
   void Pull(const PullKv& pull, const std::function<void(bool found)>& on_done);
 
  private:
--- a/src/standin/internal/lagged_load.h
+++ b/src/standin/internal/lagged_load.h
@@ -8,14 +8,14 @@
 
 namespace acacialug::standin {
 
-// An engine's load as it was a while ago. Not thread safe.
+// An engine's load as it was some time ago. Not thread safe.
 class LaggedLoad {
  public:
   LaggedLoad(Duration report_lag, const EngineLoad& first) : lag(report_lag) {
     this->history.push_back({.at = Instant::min(), .load = first});
   }
 
-  // The load from `now` on.
+  // Sets the load from `now` on.
   void Record(const EngineLoad& load, Instant now) {
     this->history.push_back({.at = now, .load = load});
     this->DropOlder(now);
--- a/src/standin/internal/log_server.cc
+++ b/src/standin/internal/log_server.cc
@@ -87,7 +87,7 @@
     const Result<LogOffset> offset =
         this->model.Append(stream, payload, MonotonicNow());
     if (!offset) {
-      // A refusal says that nothing was appended, so it is never lost.
+      // An error means that nothing was appended, so that it is never lost.
       reply(FailedResponse(offset.error()));
       return;
     }
--- a/src/standin/internal/pausable_clock.h
+++ b/src/standin/internal/pausable_clock.h
@@ -7,8 +7,8 @@
 
 namespace acacialug::standin {
 
-// The time of an engine that may hang: it stands still during a stall, and
-// whatever was due then is due later by the stall's length. Not thread safe.
+// The time of an engine that may hang. It stops during a stall, so that events
+// are delayed by the length of the stall. Not thread safe.
 class PausableClock {
  public:
   void Stall(Instant until, Instant now) {
@@ -20,7 +20,7 @@
     this->ends = until;
   }
 
-  // Ends a stall at the instant at which it was to end, if that is by `now`.
+  // Ends a stall that was due to end by `now`, at the due time.
   void ResumeIfDue(Instant now) {
     if (this->paused && this->ends <= now) {
       this->Resume(this->ends);
@@ -40,7 +40,7 @@
     return (this->paused ? this->began : now) - this->lost;
   }
 
-  // When an inner instant comes to pass.
+  // The real time of an instant of this clock.
   Instant Outer(Instant inner) const {
     if (this->paused) {
       return this->ends;
--- a/src/standin/internal/platform_shell.h
+++ b/src/standin/internal/platform_shell.h
@@ -14,19 +14,20 @@
 
 namespace acacialug::standin {
 
-// What the platform's services have in common: a server, the faults, and
+// The common parts of the platform's services: a server, the faults, and
 // POST /control. Lives on one thread with a Qt event loop; not thread safe.
 class PlatformShell {
  public:
   struct Options {
     http::Address listen;
-    std::uint64_t seed = 1;  // of the draws whether something is lost
-    // A request that was neither lost nor held; it answers by Answer.
+    std::uint64_t seed = 1;  // of the draws of losses
+    // Handles a request that was neither lost nor held, and calls Answer.
     std::function<void(const http::Request&, const Reply&)> on_request;
-    // Whether a request is the test's own hand: never held, late or lost.
+    // Whether the test controls the stand-in by this request, which is then
+    // never held, delayed or lost.
     std::function<bool(const http::Request&)> is_exempt =
         [](const http::Request&) { return false; };
-    // POST /control, after the shell took its part.
+    // POST /control, after the shell has applied its own keys.
     std::function<void(const nlohmann::json& control)> on_control =
         [](const nlohmann::json&) {};
   };
@@ -38,10 +39,10 @@
   // Precondition: Start succeeded.
   const http::Address& address() const { return this->listener.address(); }
 
-  // Whether a test has had the service refuse everything.
+  // Whether the service refuses everything, as set by a test.
   bool outage() const { return this->is_out; }
 
-  // Answers after the effect: late or not at all, as the faults have it.
+  // Sends an answer after the effect, which faults may delay or lose.
   void Answer(const Reply& reply, http::Response response) {
     this->faults.Answer(reply, std::move(response));
   }
--- a/src/standin/internal/prefix_cache.cc
+++ b/src/standin/internal/prefix_cache.cc
@@ -17,7 +17,7 @@
 }
 
 void PrefixCache::Store(const protocol::PrefixChain& chain) {
-  // A chain longer than the cache keeps its beginning.
+  // Only the beginning of a chain that is longer than the cache is kept.
   const std::size_t count =
       std::min<std::size_t>(chain.size(), this->options.capacity);
   for (std::size_t index = count; index-- > 0;) {
--- a/src/standin/internal/prefix_cache.h
+++ b/src/standin/internal/prefix_cache.h
@@ -13,18 +13,18 @@
 
 namespace acacialug::standin {
 
-// The pieces of prompts that an engine keeps: least recently used goes first.
-// Not thread safe.
+// The cached blocks of prompts of an engine. Evicts the least recently used
+// block first. Not thread safe.
 class PrefixCache {
  public:
   struct Options {
-    std::uint32_t capacity = 0;  // pieces
+    std::uint32_t capacity = 0;  // blocks
     std::function<void(CacheEventKind kind, std::uint64_t hash)> on_event;
   };
 
   explicit PrefixCache(Options cache_options);
 
-  // How many pieces at the beginning of the chain are here; they become the
+  // The number of cached blocks at the beginning of the chain; they become the
   // most recently used.
   std::size_t Find(const protocol::PrefixChain& chain);
 
@@ -33,8 +33,8 @@
   void Clear();
 
  private:
-  // Later pieces are useless without the earlier ones, so the first piece of
-  // a chain must be the last of it to go: it is touched last.
+  // Later blocks are useless without the earlier ones, so that the first block
+  // of a chain must be evicted last: it is touched last.
   void TouchFirst(const protocol::PrefixChain& chain, std::size_t count);
 
   Options options;
--- a/src/standin/internal/prompt_text.h
+++ b/src/standin/internal/prompt_text.h
@@ -9,7 +9,7 @@
 
 namespace acacialug::standin {
 
-// PromptText for a body that is already parsed. Thread safe.
+// PromptText of a parsed body. Thread safe.
 Result<std::string> PromptTextOf(protocol::GenerationApi api,
                                  const nlohmann::json& body);
 
--- a/src/standin/internal/qt_listener.cc
+++ b/src/standin/internal/qt_listener.cc
@@ -44,8 +44,8 @@
   responder.writeBody(QByteArray::fromStdString(response.body));
 }
 
-// The responder knows its socket by a bare pointer, and Qt deletes the socket
-// with the connection: an answer that comes later must look first.
+// The responder has a raw pointer to its socket, which Qt deletes with the
+// connection, so that a later answer must check it first.
 Reply MakeReply(QHttpServerResponder&& responder) {
   const QPointer<QTcpSocket> socket(responder.socket());
   auto kept = std::make_shared<QHttpServerResponder>(std::move(responder));
@@ -65,7 +65,7 @@
 
 QtListener::QtListener(Handler request_handler)
     : handler(std::move(request_handler)) {
-  // No route is set, so that every request comes here.
+  // No route is set, so that every request is handled here.
   this->server.setMissingHandler([this](const QHttpServerRequest& request,
                                         QHttpServerResponder&& responder) {
     this->handler(ToRequest(request), MakeReply(std::move(responder)));
--- a/src/standin/internal/qt_listener.h
+++ b/src/standin/internal/qt_listener.h
@@ -10,9 +10,8 @@
 
 namespace acacialug::standin {
 
-// Qt's HTTP server with answers that may come later. It has no limits on what
-// it reads, so that it is for tests only. Lives on one thread with a Qt event
-// loop.
+// Qt's HTTP server with asynchronous answers. It has no limits on what it
+// reads, and is for tests only. Lives on one thread with a Qt event loop.
 class QtListener {
  public:
   using Handler = std::function<void(http::Request request, Reply reply)>;
--- a/src/standin/internal/query.h
+++ b/src/standin/internal/query.h
@@ -8,7 +8,7 @@
 
 namespace acacialug::standin {
 
-// A number in a target's query; the fallback if it is absent or none. Thread
+// A number in a target's query; the fallback if it is absent or invalid. Thread
 // safe.
 inline std::uint64_t QueryNumber(std::string_view target,
                                  std::string_view key,
--- a/src/standin/internal/reference_answer.cc
+++ b/src/standin/internal/reference_answer.cc
@@ -10,8 +10,8 @@
 
 #include "standin/internal/prompt_text.h"
 
-// For the states' sizes; the functions stay in the library, since the linter
-// reports the ones that would be inlined.
+// Declares the state types. The functions are not inlined, since the linter
+// reports the inline versions.
 #define XXH_STATIC_LINKING_ONLY
 #include <xxhash.h>
 
@@ -52,7 +52,7 @@
   return {ResultCode::kMalformedJson, std::string(what)};
 }
 
-// Content is text, or a list of parts of which the text ones count.
+// Content is text, or a list of parts, of which only the text parts count.
 std::optional<std::string> ContentText(const json& message) {
   const auto content = message.find("content");
   if (content == message.end() || content->is_null()) {
@@ -169,8 +169,8 @@
   if (begin == text.size()) {
     return 0;
   }
-  // What only looks like a token is the caller's own text: the count starts
-  // again after it.
+  // Text that only looks like a token is the caller's own: the count restarts
+  // after it.
   TokenGenerator generator(text.substr(0, begin));
   std::uint32_t count = 0;
   for (; begin < text.size(); begin += kTokenBytes) {
@@ -212,15 +212,15 @@
 }
 
 protocol::PrefixChain PrefixHashes(std::string_view text,
-                                   std::uint32_t piece_tokens) {
-  const std::size_t piece_bytes =
-      std::size_t{piece_tokens} * kPromptBytesPerToken;
+                                   std::uint32_t block_tokens) {
+  const std::size_t block_bytes =
+      std::size_t{block_tokens} * kPromptBytesPerToken;
   protocol::PrefixChain chain;
-  chain.reserve(text.size() / piece_bytes);
+  chain.reserve(text.size() / block_bytes);
   XXH64_state_t hash{};
   XXH64_reset(&hash, 0);
-  for (std::size_t end = piece_bytes; end <= text.size(); end += piece_bytes) {
-    XXH64_update(&hash, text.data() + end - piece_bytes, piece_bytes);
+  for (std::size_t end = block_bytes; end <= text.size(); end += block_bytes) {
+    XXH64_update(&hash, text.data() + end - block_bytes, block_bytes);
     chain.push_back(XXH64_digest(&hash));
   }
   return chain;
--- a/src/standin/internal/reply.h
+++ b/src/standin/internal/reply.h
@@ -9,8 +9,8 @@
 
 namespace acacialug::standin {
 
-// Answers one request; without a response it cuts the connection. Called at
-// most once. A caller that is gone makes it a no-op.
+// Answers one request; without a response it closes the connection. Call it at
+// most once. Does nothing if the caller is gone.
 using Reply = std::function<void(std::optional<http::Response>)>;
 
 inline Reply ReplyTo(http::ResponderPtr responder) {
--- a/src/standin/internal/service_model.cc
+++ b/src/standin/internal/service_model.cc
@@ -9,7 +9,7 @@
     : options(std::move(service_options)), random(random_source) {}
 
 CallId ServiceModel::Submit(std::vector<std::string> keys, Instant now) {
-  const Instant inner = this->MoveTo(now);
+  const Instant inner = this->AdvanceClock(now);
   const CallId call = ++this->last_call;
   if (this->faults.refuse) {
     this->outputs.push_back({.call = call, .result = CallResult::kRefused});
@@ -26,7 +26,7 @@
 }
 
 void ServiceModel::Cancel(CallId call, Instant now) {
-  this->MoveTo(now);
+  this->AdvanceClock(now);
   std::erase_if(this->queue,
                 [call](const Waiting& waits) { return waits.call == call; });
 }
@@ -37,10 +37,10 @@
 }
 
 void ServiceModel::Advance(Instant now) {
-  this->MoveTo(now);
+  this->AdvanceClock(now);
 }
 
-Instant ServiceModel::MoveTo(Instant now) {
+Instant ServiceModel::AdvanceClock(Instant now) {
   this->clock.ResumeIfDue(now);
   const Instant inner = this->clock.Inner(now);
   this->BeginWaiting(inner);
@@ -64,17 +64,17 @@
 }
 
 void ServiceModel::Stall(Instant until, Instant now) {
-  this->MoveTo(now);
+  this->AdvanceClock(now);
   this->clock.Stall(until, now);
 }
 
 void ServiceModel::Resume(Instant now) {
   this->clock.Resume(now);
-  this->MoveTo(now);
+  this->AdvanceClock(now);
 }
 
 void ServiceModel::Restart(Instant now) {
-  this->MoveTo(now);
+  this->AdvanceClock(now);
   this->clock.Resume(now);
   for (const Waiting& lost : std::exchange(this->queue, {})) {
     this->outputs.push_back({.call = lost.call, .result = CallResult::kLost});
--- a/src/standin/internal/service_server.cc
+++ b/src/standin/internal/service_server.cc
@@ -110,12 +110,12 @@
   Instant PumpModel() {
     this->model.Advance(MonotonicNow());
     for (const CallOutput& output : this->model.TakeOutputs()) {
-      this->Tell(output);
+      this->OnOutput(output);
     }
     return this->model.next_event();
   }
 
-  void Tell(const CallOutput& output) {
+  void OnOutput(const CallOutput& output) {
     auto taken = this->exchanges.extract(output.call);
     if (!taken) {
       return;
--- a/src/standin/internal/settings.cc
+++ b/src/standin/internal/settings.cc
@@ -64,10 +64,10 @@
       ReadCount(table, "prefill_chunk_tokens", engine.prefill_chunk_tokens, 1);
   engine.prefill_slots =
       ReadCount(table, "prefill_slots", engine.prefill_slots, 1);
-  engine.piece_tokens =
-      ReadCount(table, "piece_tokens", engine.piece_tokens, 1);
-  engine.cache_pieces =
-      ReadCount(table, "cache_pieces", engine.cache_pieces, 0);
+  engine.block_tokens =
+      ReadCount(table, "piece_tokens", engine.block_tokens, 1);
+  engine.cache_blocks =
+      ReadCount(table, "cache_pieces", engine.cache_blocks, 0);
   engine.export_lifetime =
       table.Duration("export_lifetime", {.fallback = engine.export_lifetime});
   engine.pinned_lifetime =
--- a/src/standin/internal/shared_link.cc
+++ b/src/standin/internal/shared_link.cc
@@ -7,24 +7,23 @@
 namespace acacialug::standin {
 namespace {
 
-// Rounding to microseconds leaves a rest of at most this share of a second's
-// bytes.
+// Rounding to microseconds leaves a remainder of at most this time's bytes.
 constexpr double kRoundingSeconds = 2e-6;
 
 }  // namespace
 
 void SharedLink::Start(std::uint64_t id, double bytes, Instant now) {
-  this->MoveTo(now);
+  this->AdvanceClock(now);
   this->remaining[id] = bytes;
 }
 
 void SharedLink::Cancel(std::uint64_t id, Instant now) {
-  this->MoveTo(now);
+  this->AdvanceClock(now);
   this->remaining.erase(id);
 }
 
 void SharedLink::SetRate(double bytes_per_second, Instant now) {
-  this->MoveTo(now);
+  this->AdvanceClock(now);
   this->rate = bytes_per_second;
 }
 
@@ -43,7 +42,7 @@
 }
 
 std::vector<std::uint64_t> SharedLink::TakeEnded(Instant now) {
-  this->MoveTo(now);
+  this->AdvanceClock(now);
   std::vector<std::uint64_t> ended;
   for (const auto& [id, bytes] : this->remaining) {
     if (bytes <= this->rate * kRoundingSeconds && this->rate > 0) {
@@ -56,7 +55,7 @@
   return ended;
 }
 
-void SharedLink::MoveTo(Instant now) {
+void SharedLink::AdvanceClock(Instant now) {
   if (now <= this->moved_to) {
     return;
   }
--- a/src/standin/internal/shared_link.h
+++ b/src/standin/internal/shared_link.h
@@ -9,25 +9,24 @@
 
 namespace acacialug::standin {
 
-// A link of limited rate whose transfers share it in equal parts. Not thread
-// safe.
+// A link of limited rate that its transfers share equally. Not thread safe.
 class SharedLink {
  public:
   explicit SharedLink(double bytes_per_second) : rate(bytes_per_second) {}
 
-  // Each first brings the transfers up to `now`.
+  // Each first advances the transfers to `now`.
   void Start(std::uint64_t id, double bytes, Instant now);
   void Cancel(std::uint64_t id, Instant now);
   void SetRate(double bytes_per_second, Instant now);
 
-  // When the first transfer ends if none is added; kNever at rate zero.
+  // When the first transfer ends if none is added; kNever if the rate is zero.
   Instant next_end() const;
 
-  // Ends and names the transfers that are done by `now`.
+  // Removes the transfers that are complete by `now`, and returns their ids.
   std::vector<std::uint64_t> TakeEnded(Instant now);
 
  private:
-  void MoveTo(Instant now);
+  void AdvanceClock(Instant now);
 
   double rate;
   Instant moved_to;
--- a/src/standin/internal/timer_wait.h
+++ b/src/standin/internal/timer_wait.h
@@ -8,9 +8,9 @@
 
 namespace acacialug::standin {
 
-// How long a Qt timer must run to fire at `due` or just after it. The models
-// do what was due at its own instant, so that a late timer adds no delay to
-// what follows.
+// The time for a Qt timer to fire at `due` or just after it. The models run
+// events at the instants at which they were due, so that a late timer does not
+// delay later events.
 inline std::chrono::milliseconds TimerWait(Instant due, Instant now) {
   return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(due - now),
                     std::chrono::milliseconds(0),
--- a/src/standin/platform_models.h
+++ b/src/standin/platform_models.h
@@ -11,9 +11,9 @@
 #include "framework/global/types/result.h"
 #include "standin/types/platform_options.h"
 
-// The platform's services without sockets or a clock; the HTTP stand-ins and
-// the in-process fakes are built on them. `now` never goes back. None is
-// thread safe.
+// The platform's services without sockets or a clock, used by the HTTP
+// stand-ins and the in-process fakes. `now` never decreases. None is thread
+// safe.
 namespace acacialug::standin {
 
 // Append-only streams with offsets from 1, limited retention and a limited
@@ -60,12 +60,12 @@
   LogOptions options;
   bool outage = false;
   std::map<std::string, Stream> streams;
-  double tokens = 0;  // of the rate limit
+  double tokens = 0;  // of the rate limit's bucket
   bool tokens_begun = false;
   Instant tokens_at;
 };
 
-// Live and leaving hosts; a change shows after the lag.
+// Live and leaving hosts; a change is visible after the lag.
 class HostListModel {
  public:
   explicit HostListModel(const HostListOptions& host_options);
@@ -89,21 +89,21 @@
   std::deque<Change> changes;
 };
 
-// Permits to load weights, of which a few are held at once.
+// Permits to load weights, of which only a few are granted at once.
 class WeightStoreModel {
  public:
   explicit WeightStoreModel(WeightStoreOptions store_options)
       : options(store_options) {}
 
-  // How long the permit holds. A holder that asks again has it renewed.
-  // Errors: kOverloaded.
+  // Returns how long the permit is valid. A repeated request of the holder
+  // renews it. Errors: kOverloaded.
   Result<Duration> Acquire(const EndpointId& endpoint, Instant now);
   void Release(const EndpointId& endpoint);
   std::size_t held(Instant now);
 
  private:
   WeightStoreOptions options;
-  std::map<EndpointId, Instant> holders;  // and when each permit ends
+  std::map<EndpointId, Instant> holders;  // with the end of each permit
 };
 
 }  // namespace acacialug::standin
--- a/src/standin/reference_answer.h
+++ b/src/standin/reference_answer.h
@@ -10,9 +10,9 @@
 #include "framework/global/types/result.h"
 #include "protocol/types/generation.h"
 
-// The answers of the stand-ins are a function of what was asked, so that a
-// test or the load tool can check every byte of every answer without keeping
-// what it sent. Free functions are thread safe.
+// The answers of the stand-ins are a function of the request, so that a test or
+// the load tool can check every byte of every answer without storing what it
+// sent. Free functions are thread safe.
 namespace acacialug::standin {
 
 inline constexpr std::size_t kTokenBytes = 6;           // " w" and 4 digits
@@ -20,32 +20,31 @@
 
 std::uint32_t PromptTokens(std::string_view text);
 
-// The text that a model sees for a request body. Completions: `prompt`, text
-// or a list of one text. Chat:
-// every message as "role: content\n", then "assistant: "; with
-// `continue_final_message` the last message's content follows that without an
-// end of line. Errors: kMalformedJson.
+// The text that a model reads for a request body. Completions: `prompt`, text
+// or a list of one text. Chat: every message as "role: content\n", then
+// "assistant: "; with `continue_final_message` the last message's content
+// follows that without a newline. Errors: kMalformedJson.
 Result<std::string> PromptText(protocol::GenerationApi api,
                                std::string_view body);
 
-// How many tokens at the end of `text` are an earlier answer to what stands
-// before them: an engine that resumes sees them as part of its prompt.
+// The number of tokens at the end of `text` that are an earlier answer to the
+// text before them: an engine that resumes reads them as part of its prompt.
 std::uint32_t ResumedTokens(std::string_view text);
 
-// What becomes of a generation: known before the first token.
+// The properties of a generation that are known before its first token.
 struct AnswerPlan {
   std::uint32_t prompt_tokens = 0;
   std::uint32_t resumed_tokens = 0;  // of the prompt
-  std::uint32_t output_tokens = 0;   // still to come
+  std::uint32_t output_tokens = 0;   // still to be generated
   protocol::FinishReason reason = protocol::FinishReason::kLength;
 };
 
-// `text` is the prompt, with the resumed answer at its end if there is one.
-// "[answer-tokens=N]" in it ends the answer as kStop after N tokens, resumed
-// ones counted, if that is fewer than `max_tokens` allows.
+// `text` is the prompt, followed by the resumed answer if there is one.
+// "[answer-tokens=N]" in it ends the answer as kStop after N tokens, including
+// resumed ones, if `max_tokens` allows more.
 AnswerPlan PlanAnswer(std::string_view text, std::uint32_t max_tokens);
 
-// Makes an answer token by token, each a hash of all text before it. Not
+// Generates an answer token by token, each a hash of all text before it. Not
 // thread safe.
 class TokenGenerator {
  public:
@@ -71,13 +70,13 @@
 ReferenceAnswer MakeReferenceAnswer(std::string_view text,
                                     std::uint32_t max_tokens);
 
-// One hash for each whole piece of `piece_tokens` of the text, each over the
-// piece and all before it. Precondition: piece_tokens > 0.
+// One hash for each whole piece of `block_tokens` of the text, each over the
+// piece and all before it. Precondition: block_tokens > 0.
 protocol::PrefixChain PrefixHashes(std::string_view text,
-                                   std::uint32_t piece_tokens);
+                                   std::uint32_t block_tokens);
 
-// The body with which the plain service answers: it names the request, so
-// that an answer to another one shows.
+// The body of the plain service's answer. It names the request, so that an
+// answer to another request is detected.
 std::string ReferenceServiceAnswer(std::string_view method,
                                    std::string_view target,
                                    std::string_view body);
--- a/src/standin/service_model.h
+++ b/src/standin/service_model.h
@@ -29,8 +29,8 @@
 };
 
 struct ServiceFaults {
-  bool refuse = false;    // as not run
-  double fail_share = 0;  // fail after their effect
+  bool refuse = false;    // all calls, as not run
+  double fail_share = 0;  // of the calls, after their effect
   double slow_factor = 1;
 };
 
@@ -43,19 +43,20 @@
   CallResult result = CallResult::kDone;
 };
 
-// A plain service: calls wait for one of a few workers, take effect when one
-// begins them, and are counted by their keys so that a test can see that
+// A plain service. Calls wait for one of a few workers, take effect when one
+// starts them, and are counted by their keys, so that a test can check that
 // none took effect twice. As EngineModel: no sockets, no clock, `now` never
-// goes back, not thread safe.
+// decreases, not thread safe.
 class ServiceModel {
  public:
   // `random` outlives the model.
   ServiceModel(ServiceOptions service_options, RandomSource& random_source);
 
-  // Takes a call; each of its keys is counted when it begins.
+  // Takes a call; each of its keys is counted when it starts.
   CallId Submit(std::vector<std::string> keys, Instant now);
 
-  // Drops a call that has not begun; one that has goes on unheard.
+  // Drops a call that has not started; one that has continues without an
+  // answer.
   void Cancel(CallId call, Instant now);
 
   Instant next_event() const;
@@ -63,14 +64,14 @@
   std::vector<CallOutput> TakeOutputs();
 
   void SetFaults(const ServiceFaults& new_faults);
-  // Stops the service's time; nothing begins or ends meanwhile.
+  // Stops the service's time; no call starts or ends meanwhile.
   void Stall(Instant until, Instant now);
   void Resume(Instant now);
   // As if the process were replaced: its calls are lost, whether they took
-  // effect or not. What is counted stays.
+  // effect or not. The counts are kept.
   void Restart(Instant now);
 
-  // How often calls with a key began.
+  // How often calls with a key started.
   const std::map<std::string, std::uint64_t>& executions() const;
   std::uint32_t running() const;
   std::uint32_t waiting() const;
@@ -85,7 +86,7 @@
     bool fails = false;
   };
 
-  Instant MoveTo(Instant now);
+  Instant AdvanceClock(Instant now);
   void BeginWaiting(Instant inner);
   Duration DrawTime();
 
--- a/src/standin/service_server.h
+++ b/src/standin/service_server.h
@@ -18,9 +18,8 @@
 };
 
 // A ServiceModel behind HTTP: every method and path is a call, answered by
-// ReferenceServiceAnswer, but for GET /executions, GET /health and
-// POST /control. Lives on one thread with a running Qt event loop; not thread
-// safe.
+// ReferenceServiceAnswer, except GET /executions, GET /health and POST
+// /control. Lives on one thread with a running Qt event loop; not thread safe.
 class ServiceServer {
  public:
   explicit ServiceServer(ServiceServerOptions options);
--- a/src/standin/settings.h
+++ b/src/standin/settings.h
@@ -12,7 +12,7 @@
 
 namespace acacialug::standin {
 
-// What one process of the stand-in plays.
+// The roles of one stand-in process.
 struct StandinSettings {
   std::vector<EngineServerOptions> engines;
   std::vector<ServiceServerOptions> services;
@@ -22,7 +22,7 @@
 };
 
 struct LoadedSettings {
-  StandinSettings settings;  // not to be used if there are problems
+  StandinSettings settings;  // invalid if there are problems
   std::vector<settings::Problem> problems;
 };
 
--- a/src/standin/tests/adapters_test.cc
+++ b/src/standin/tests/adapters_test.cc
@@ -1,4 +1,4 @@
-// The adapters that the processes use, against the stand-ins.
+// Tests of the adapters that the processes use, with the stand-ins.
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -23,7 +23,7 @@
 using testing::It;
 using testing::WaitUntil;
 
-// An adapter with what it told.
+// An adapter with its events.
 struct Agent {
   std::unique_ptr<engine::IEngine> adapter;
   std::vector<engine::EngineEvent> events;
@@ -106,7 +106,7 @@
 const testing::Story kModelEngines(
     "the adapter for model engines",
     {ForEach<GenerationApi>(
-         "hands over, streams and resumes",
+         "exports, streams and resumes",
          {GenerationApi::kCompletions, GenerationApi::kChat},
          [](const GenerationApi& api) {
            return std::string(NameOf(protocol::kGenerationApiNames, api));
@@ -137,7 +137,7 @@
            CPPUNIT_ASSERT_EQUAL(whole,
                                 generation.resumed_text + decode.agent.Text());
          }),
-     It("is told that an export is gone",
+     It("learns that an export is gone",
         [] {
           ModelEngine prefill("p");
           ModelEngine decode("d");
@@ -207,7 +207,7 @@
                            Caller().Get(server.address(), "/executions"));
     })});
 
-// Starts an asynchronous call and waits for what it gives.
+// Starts an asynchronous call and waits for its result.
 template <typename T>
 Result<T> Await(
     const std::function<void(std::function<void(Result<T>)>)>& call) {
@@ -228,9 +228,9 @@
     {ForEach<LogRow>(
          "log",
          {{"appends", "{}", ResultCode::kOk},
-          {"is told of an outage", R"({"refuse":true})",
+          {"reports an outage", R"({"refuse":true})",
            ResultCode::kPlatformUnavailable},
-          {"is told of the rate", R"({"appends_per_second":0.5})",
+          {"reports the rate limit", R"({"appends_per_second":0.5})",
            ResultCode::kPlatformUnavailable},
           {"knows nothing after a lost answer", R"({"lose_answers":1})",
            ResultCode::kAppendUnresolved},
@@ -279,7 +279,7 @@
               [&](auto done) { list.Read(done); });
           CPPUNIT_ASSERT(hosts->at(0).host == HostId("h"));
         }),
-     It("weight store gets permits and gives them back", [] {
+     It("weight store acquires permits and releases them", [] {
        WeightStoreServer server({.listen = kAnyPort, .store = {.permits = 1}});
        CPPUNIT_ASSERT(server.Start().ok());
        http::Client client({});
--- a/src/standin/tests/engine_model_test.cc
+++ b/src/standin/tests/engine_model_test.cc
@@ -19,8 +19,8 @@
 using testing::ForEach;
 using testing::It;
 
-// Figures that make sums easy: an iteration takes 10 ms, a thousand prompt
-// tokens one second, a prompt token's transfer a microsecond.
+// Round numbers: an iteration takes 10 ms, a thousand prompt tokens take one
+// second, and the transfer of a prompt token takes a microsecond.
 EngineOptions Simple(EngineRole role) {
   return {.id = "engine",
           .role = role,
@@ -32,8 +32,8 @@
           .prefill_tokens_per_second = 1000,
           .prefill_fixed = 0us,
           .prefill_chunk_tokens = 100,
-          .piece_tokens = 10,
-          .cache_pieces = 10,
+          .block_tokens = 10,
+          .cache_blocks = 10,
           .kv_bytes_per_token = 1000,
           .link_bytes_per_second = 1'000'000,
           .transfer_setup = 0us,
@@ -49,7 +49,7 @@
   EngineOutput output;
 };
 
-// Engines whose pulls reach each other, in virtual time.
+// Engines that fetch from each other, in virtual time.
 struct Bench {
   RandomSource random{7};
   std::map<std::string, EngineModel> engines;
@@ -107,7 +107,7 @@
   }
   void RunFor(Duration length) { this->RunUntil(this->now + length); }
 
-  // The last output of a kind about a request, and when it came.
+  // The last output of a kind for a request, and its time.
   template <typename Output>
   std::optional<Output> Last(const std::string& id, Instant* at = nullptr) {
     this->Collect();
@@ -220,11 +220,12 @@
           CPPUNIT_ASSERT_EQUAL(19U, bench.Get<PrefillReady>("c").cached_tokens);
           AssertTime(36ms, bench.When<PrefillReady>("c"));
         }),
-     It("forgets the least recently used pieces first, late ones before early",
+     It("evicts the least recently used blocks first, later ones before "
+        "earlier",
         [] {
           Bench bench;
           EngineOptions options = Simple(EngineRole::kPrefill);
-          options.cache_pieces = 3;
+          options.cache_blocks = 3;
           options.cache_event_delay = 50ms;
           EngineModel& engine = bench.Alone(options);
           engine.Submit(Prefill("a", Prompt(20)), bench.now);
@@ -247,7 +248,7 @@
           Bench bench;
           EngineOptions options = Simple(EngineRole::kPrefill);
           options.kv_tokens = 0;
-          options.cache_pieces = 1000;
+          options.cache_blocks = 1000;
           options.cache_event_gap = 0.5;
           EngineModel& engine = bench.Alone(options);
           engine.Submit(Prefill("a", Prompt(2000)), bench.now);
@@ -289,7 +290,7 @@
        engine.Submit(Prefill("b", Prompt(50, 'q')), bench.now);
        bench.RunFor(250ms);
        engine.Abort("a", bench.now);
-       bench.RunFor(500ms);  // b's export is still held
+       bench.RunFor(500ms);  // the export of b is still held
        AssertTime(350ms, bench.When<PrefillReady>("b"));
        CPPUNIT_ASSERT(!bench.Last<PrefillReady>("a"));
        CPPUNIT_ASSERT_EQUAL(std::uint64_t{300}, engine.stats().prefill_wasted);
@@ -471,9 +472,8 @@
          }),
      It("loses an export whose transfer outlasts it, where no transfer pins",
         [] {
-          // Symptom: a stream that was admitted fails with kv_expired.
-          // Sequence: the transfer begins within the export's lifetime, then
-          // the link stalls. Cause: the lifetime ends under the transfer.
+          // Guards against an admitted stream that fails with kv_expired: the
+          // link stalls during the transfer, and the export's lifetime ends.
           Bench bench;
           EngineOptions exporting = Simple(EngineRole::kPrefill);
           exporting.pinned_lifetime = 0us;
@@ -491,7 +491,7 @@
           CPPUNIT_ASSERT_EQUAL(std::string("kv_expired"), bench.ErrorOf("a"));
           CPPUNIT_ASSERT_EQUAL(std::string(), HeldNames(decode));
         }),
-     It("stands still in a stall and goes on after it",
+     It("stops during a stall and continues after it",
         [] {
           Bench bench;
           EngineModel& engine = bench.Alone(Simple(EngineRole::kDecode));
@@ -502,7 +502,7 @@
           const std::size_t before = bench.TextOf("a").size();
           bench.RunFor(1s);
           CPPUNIT_ASSERT_EQUAL(3 * kTokenBytes, before);
-          // An empty prompt still takes its least step.
+          // An empty prompt still takes the shortest step.
           AssertTime(1100ms + 1us, bench.When<WorkDone>("a"));
         }),
      It("slows down by a factor",
@@ -514,7 +514,7 @@
           bench.RunFor(1s);
           AssertTime(300ms + 1us, bench.When<WorkDone>("a"));
         }),
-     It("refuses an order with an old fencing number, or obeys it",
+     It("refuses an order with an old fencing token, or applies it",
         [] {
           for (const bool checks : {true, false}) {
             Bench bench;
@@ -547,7 +547,7 @@
        CPPUNIT_ASSERT(!engine.BeginPull(before, "a", bench.now));
      })});
 
-// Offers more than the capacity for a while and counts what is done.
+// Offers more than the capacity for some time, and counts completed work.
 double MeasureDecode(const EngineOptions& options, std::uint32_t output) {
   Bench bench;
   EngineModel& engine = bench.Alone(options);
@@ -569,7 +569,7 @@
 
 const testing::Story kCapacity(
     "the capacity by the formulas",
-    {It("is what a saturated decode engine does, within a twentieth",
+    {It("matches a saturated decode engine, within a twentieth",
         [] {
           EngineOptions options = Simple(EngineRole::kDecode);
           options.slots = 4;
--- a/src/standin/tests/engine_server_test.cc
+++ b/src/standin/tests/engine_server_test.cc
@@ -60,7 +60,7 @@
 
 const testing::Story kHandOver(
     "an engine behind HTTP",
-    {It("hands a prefill's export over to the engine that streams",
+    {It("transfers a prefill's export to the engine that streams",
         [] {
           Engine prefill;
           Engine decode;
@@ -115,7 +115,7 @@
                                CountOf(events, "\"content\":\""));
           CPPUNIT_ASSERT(events.find("\"length\"") != std::string::npos);
         }),
-     It("frees what a caller held that is gone",
+     It("frees the work of a caller that is gone",
         [] {
           Engine engine;
           const AnswerPtr stream = engine.Generate(kLongStream);
@@ -237,7 +237,7 @@
               engine.caller.Get(engine.server.address(), "/state")["fence"]);
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, engine.Held());
         }),
-     It("tells a failure in the stream, after its beginning",
+     It("reports a failure in the stream, after its beginning",
         [] {
           Engine engine;
           engine.caller.Control(engine.server.address(), R"({"fail_share":1})");
--- a/src/standin/tests/fakes_test.cc
+++ b/src/standin/tests/fakes_test.cc
@@ -14,7 +14,7 @@
 using testing::ForEach;
 using testing::It;
 
-// Virtual time with tasks.
+// A virtual clock with tasks.
 struct Clock {
   Instant now{};
   std::multimap<Instant, std::function<void()>> tasks;
@@ -139,7 +139,7 @@
        CPPUNIT_ASSERT(model.Acquire(EndpointId("b"), Instant(3s)).ok());
      })});
 
-// Two engines in virtual time, and what they told.
+// Two engines in virtual time, with their events.
 struct Pair {
   Instant now{};
   RandomSource random{3};
@@ -168,14 +168,14 @@
     }
   }
   template <typename Event>
-  std::vector<Event> Told() const {
-    std::vector<Event> told;
+  std::vector<Event> Outputs() const {
+    std::vector<Event> output;
     for (const engine::EngineEvent& event : this->events) {
       if (const auto* one = std::get_if<Event>(&event)) {
-        told.push_back(*one);
+        output.push_back(*one);
       }
     }
-    return told;
+    return output;
   }
 };
 
@@ -187,28 +187,28 @@
 
 const testing::Story kEngines(
     "a modelled engine",
-    {It("prefills and streams as an agent asks it to",
+    {It("prefills and streams as an agent requests",
         [] {
           Pair pair;
           pair.prefill.Execute(
               engine::Prefill{.attempt = kAttempt, .generation = kGeneration});
           pair.RunFor(100ms);
-          const auto done = pair.Told<engine::PrefillDone>();
+          const auto done = pair.Outputs<engine::PrefillDone>();
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, done.size());
           pair.decode.Execute(engine::Decode{.attempt = kAttempt,
                                              .generation = kGeneration,
                                              .kv = done[0].kv});
           pair.RunFor(1s);
           std::string text;
-          for (const engine::Text& part : pair.Told<engine::Text>()) {
+          for (const engine::Text& part : pair.Outputs<engine::Text>()) {
             text += part.text;
           }
           CPPUNIT_ASSERT_EQUAL(MakeReferenceAnswer("p", 4).text, text);
           CPPUNIT_ASSERT_EQUAL(
-              4U, pair.Told<engine::StreamDone>().at(0).usage.output_tokens);
+              4U, pair.Outputs<engine::StreamDone>().at(0).usage.output_tokens);
           CPPUNIT_ASSERT(pair.prefill.engine_model().held().empty());
         }),
-     It("says nothing more of an aborted attempt",
+     It("reports nothing more of an aborted attempt",
         [] {
           Pair pair;
           pair.decode.SetOnEvent([&](const engine::EngineEvent& event) {
@@ -221,7 +221,7 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.events.size());
           CPPUNIT_ASSERT(pair.decode.engine_model().held().empty());
         }),
-     It("takes commands of a stall when it is over",
+     It("handles the commands of a stall when it ends",
         [] {
           Pair pair;
           pair.decode.engine_model().Stall(pair.now + 1s, pair.now);
@@ -230,7 +230,7 @@
           CPPUNIT_ASSERT(pair.events.empty());
           pair.RunFor(2ms);
           CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                               pair.Told<engine::Held>().size());
+                               pair.Outputs<engine::Held>().size());
         }),
      It("counts a plain service's executions", [] {
        Instant now{};
--- a/src/standin/tests/reference_answer_test.cc
+++ b/src/standin/tests/reference_answer_test.cc
@@ -92,9 +92,9 @@
               2U, ResumedTokens(prompt + MakeReferenceAnswer(prompt, 2).text));
         }),
      It("hashes prefixes so that equal ones alone are equal", [] {
-       const std::string piece(8, 'a');  // two tokens
-       const auto chain = PrefixHashes(piece + piece + "bbb", 2);
-       const auto other = PrefixHashes(piece + "bbbbbbbb", 2);
+       const std::string block(8, 'a');  // two tokens
+       const auto chain = PrefixHashes(block + block + "bbb", 2);
+       const auto other = PrefixHashes(block + "bbbbbbbb", 2);
        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, chain.size());
        CPPUNIT_ASSERT_EQUAL(chain[0], other[0]);
        CPPUNIT_ASSERT(chain[1] != other[1]);
--- a/src/standin/tests/server_support.h
+++ b/src/standin/tests/server_support.h
@@ -16,7 +16,7 @@
 
 inline const http::Address kAnyPort{.ip = "127.0.0.1", .port = 0};
 
-// One exchange's answer as it comes in.
+// The answer of one exchange, as far as received.
 struct Answer {
   int status = 0;
   std::string data;
@@ -28,7 +28,7 @@
 };
 using AnswerPtr = std::shared_ptr<Answer>;
 
-// A client whose calls wait for their answers.
+// A client with blocking calls.
 class Caller {
  public:
   AnswerPtr Start(const http::Address& address,
--- a/src/standin/types/engine_messages.h
+++ b/src/standin/types/engine_messages.h
@@ -14,8 +14,8 @@
 
 namespace acacialug::standin {
 
-// Where an exported KV cache is fetched; `address` is for the process around
-// the model.
+// Where an exported KV cache can be fetched. `address` is not used by the model
+// itself.
 struct RemoteKv {
   std::string engine_id;
   std::string request_id;
@@ -27,10 +27,10 @@
   std::string request_id;
   std::string model;
   std::int32_t priority = 0;  // smaller first
-  std::string prompt;         // the whole text, a resumed answer at its end
+  std::string prompt;  // the whole text, with a resumed answer at its end
   std::uint32_t max_tokens = 0;
   bool export_kv = false;             // compute the prompt and keep its KV
-  std::optional<RemoteKv> import_kv;  // else a stream computes its prompt
+  std::optional<RemoteKv> import_kv;  // empty: a stream computes its prompt
 };
 
 enum class EngineError : std::uint8_t {
@@ -62,7 +62,7 @@
     {EngineError::kRestarted, "restarted"},
 }};
 
-// ---- what the model tells ----
+// ---- outputs of the model ----
 
 struct PrefillReady {
   std::string request_id;
@@ -82,17 +82,17 @@
   protocol::Usage usage;
 };
 
-// The work ended without its answer. Nothing of it ran if the error is one of
-// the refusals (up to kDuplicate).
+// The work ended without an answer. None of it ran if the error is a refusal
+// (up to kDuplicate).
 struct WorkFailed {
   std::string request_id;
   EngineError error = EngineError::kFailed;
 };
 
-// Fetch this export now (`done` false), or tell that it has been fetched. Each
-// is answered by EngineModel::OnPullAnswered.
+// A request to fetch this export (`done` false), or the notice that it has been
+// fetched. Each is answered by EngineModel::OnPullAnswered.
 struct PullKv {
-  std::string request_id;  // of the stream that wants it
+  std::string request_id;  // of the stream that needs it
   RemoteKv kv;
   bool done = false;
 };
@@ -100,7 +100,7 @@
 using EngineOutput =
     std::variant<PrefillReady, TokensMade, WorkDone, WorkFailed, PullKv>;
 
-// ---- what it answers when asked ----
+// ---- reports ----
 
 struct EngineLoad {
   std::uint32_t running = 0;
@@ -148,7 +148,7 @@
   Instant visible_at;
 };
 
-// Counts since the engine's start; tokens unless said otherwise.
+// Counts since the engine's start, in tokens unless stated otherwise.
 struct EngineStats {
   std::uint64_t prefill_computed = 0;
   std::uint64_t prefill_cached = 0;
--- a/src/standin/types/engine_options.h
+++ b/src/standin/types/engine_options.h
@@ -17,8 +17,8 @@
     {EngineRole::kMixed, "mixed"},
 }};
 
-// One engine. docs/ENGINE_MODEL.md holds the formulas and their source; the
-// defaults of the iteration are that source's values for A100-80GB.
+// Options of one engine. docs/ENGINE_MODEL.md has the formulas and their
+// source, whose values for A100-80GB are the defaults of the iteration.
 struct EngineOptions {
   std::string id;
   EngineRole role = EngineRole::kMixed;
@@ -33,7 +33,7 @@
   Duration stream_iteration = 650us;
   std::uint32_t calibration_context = 8192;
 
-  // Room. Exports, prefills and streams share the memory.
+  // Capacity. Exports, prefills and streams share the memory.
   std::uint32_t slots = 20;
   std::uint64_t kv_tokens = 0;  // 0: not limited
   std::uint32_t context_tokens = 65536;
@@ -43,11 +43,11 @@
   double prefill_tokens_per_second = 20000;
   Duration prefill_fixed = 10ms;
   std::uint32_t prefill_chunk_tokens = 2048;
-  std::uint32_t prefill_slots = 1;  // more: their chunks take turns
-  std::uint32_t piece_tokens = 2048;
-  std::uint32_t cache_pieces = 256;  // 0: no prefix cache
+  std::uint32_t prefill_slots = 1;  // if more, their chunks alternate
+  std::uint32_t block_tokens = 2048;
+  std::uint32_t cache_blocks = 256;  // 0: no prefix cache
   Duration export_lifetime = 800ms;
-  // A transfer that began keeps its export alive up to here; zero: only the
+  // A transfer keeps its export alive for up to this time; zero: only the
   // lifetime counts, also during a transfer.
   Duration pinned_lifetime = 2s;
 
@@ -56,17 +56,17 @@
   std::uint64_t link_bytes_per_second = 12'500'000'000;
   Duration transfer_setup = 2ms;
 
-  // What it tells.
+  // Reports.
   Duration load_lag = 500ms;
   Duration cache_event_delay = 1s;
-  double cache_event_gap = 0.05;  // share of events that never show
+  double cache_event_gap = 0.05;  // share of events that are never reported
 };
 
-// Faults that a test or an operator of the stand-in brings about.
+// Faults that a test or an operator of the stand-in injects.
 struct EngineFaults {
   bool refuse = false;     // all new work, as not run
-  double fail_share = 0;   // of accepted work, fails half-way
-  double slow_factor = 1;  // iterations take so many times longer
+  double fail_share = 0;   // of accepted work, which fails half-way
+  double slow_factor = 1;  // iterations take this many times as long
   double link_factor = 1;  // share of the link's rate; 0: transfers stall
 };
 
--- a/src/standin/types/platform_options.h
+++ b/src/standin/types/platform_options.h
@@ -13,14 +13,14 @@
   // Limits on what is kept, for each stream; zero: no limit.
   std::uint64_t retain_records = 0;
   Duration retain_age{};
-  // Over all streams; zero: no limit. A second's worth may come at once.
+  // Over all streams; zero: no limit. The burst is that of one second.
   double appends_per_second = 500;
   std::uint64_t max_record_bytes = std::uint64_t{1} << 20U;
 };
 
 struct HostListOptions {
   std::vector<cluster::HostRecord> hosts;
-  Duration lag{};  // before a change shows
+  Duration lag{};  // before a change is visible
 };
 
 struct WeightStoreOptions {
