Reword the comments of the scripts in the terms of the field

Cause: comments in the project's private manner. No code, flag or output changed. Measured: all scripts compile; bash -n on the shell scripts.

--- a/buildscripts/answers.py
+++ b/buildscripts/answers.py
@@ -1,14 +1,14 @@
-"""Requests to entries and stand-ins, and what their answers have to be."""
+"""Requests to entries and stand-ins, and their expected answers."""
 
 import http.client
 import json
 
-# Beyond the length of any answer that the scripts ask for.
+# Larger than any answer that the scripts request.
 MAX_TOKENS = 4000
 
 
 class Difference(Exception):
-    """An answer or a figure is not what it has to be."""
+    """An answer or a figure is not as expected."""
 
 
 def expect(holds, words):
@@ -41,7 +41,7 @@
 
 
 def open_stream(port, model, prompt):
-    """(connection, answer) of a generation whose head has come."""
+    """(connection, answer) of a generation, after the head of its answer."""
     connection, answer = request(port, "/v1/completions",
                                  generation_body(model, prompt, True))
     if answer.status != 200:
@@ -74,7 +74,7 @@
 
 
 def engine_answer(port, model, prompt):
-    """What a stand-in engine itself produces for the prompt."""
+    """The answer of a stand-in engine to the prompt."""
     connection, answer = request(port, "/v1/completions",
                                  generation_body(model, prompt, False))
     body = json.loads(answer.read())
--- a/buildscripts/bench_decisions.py
+++ b/buildscripts/bench_decisions.py
@@ -54,7 +54,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Bench:
-    """One deployment's mix and the times of a cell."""
+    """The mix of one deployment, and the durations of a cell."""
 
     deployment: deployment_shapes.Deployment
     mix: load_plan.Mix
@@ -112,14 +112,14 @@
 
 
 def entry_killed(cluster):
-    """An entry dies; the balancer avoids it until a new one is there."""
+    """An entry dies; the balancer avoids it until its successor runs."""
     cluster.process("entry-2").kill()
     time.sleep(FAULT_SECONDS)
     cluster.restart("entry-2")
 
 
 def engine_stalled(cluster):
-    """A decode engine stands still: connections stay, nothing moves."""
+    """A decode engine stalls: its connections stay open without data."""
     port = cluster.engines("decode")[0].engine_port
     loopback.post(port, "/control", {
         "stall": True, "stall_ms": int(FAULT_SECONDS * 1000)})
@@ -137,7 +137,7 @@
 
 
 def cells(quick):
-    """All cells; those that differ only in the policy follow each other."""
+    """All cells; cells that differ only in the policy are adjacent."""
     wanted = []
     seeds = SEEDS[:1] if quick else SEEDS
     loads = (0.8, 1.3) if quick else LOADS
--- a/buildscripts/bench_path.py
+++ b/buildscripts/bench_path.py
@@ -1,4 +1,4 @@
-"""What the router adds to a request, and what one entry carries."""
+"""The latency that the router adds, and the throughput of one entry."""
 
 import concurrent.futures
 import dataclasses
@@ -19,8 +19,8 @@
 TOKENS_TARGET = 50_000
 STREAMS_TARGET = 1000
 
-# Fast engines in one failure domain, so that what the router adds is not lost
-# in the engine's own time.
+# Fast engines in one failure domain, so that the latency of the router is large
+# compared to that of the engines.
 PATH = deployment_shapes.Deployment(
     name="path", domains=("hall-a",), one_way_us=0, entries=1,
     client_one_way="0s",
@@ -34,9 +34,9 @@
     plain=deployment_shapes.PlainService(
         name="registry-app", count=2, service_ms=2, slots=64,
         latency_class="lookup", answer_in="500ms", times="fixed"))
-# The same with transfers that take next to no time. A transfer of PATH takes
-# 5 ms of a link that an engine's transfers share, and requests wait for each
-# other there, on either way; this tells that wait from what the router adds.
+# The same with very short transfers. A transfer of PATH takes 5 ms of a link that
+# an engine's transfers share, where requests wait for each other with and without
+# the router. This separates that wait from the latency of the router.
 NO_TRANSFER = dataclasses.replace(
     PATH, name="path-no-transfer", model=dataclasses.replace(
         PATH.model, engine=dataclasses.replace(
@@ -47,7 +47,7 @@
     output=load_plan.Length(16, 0, 1, 100), max_tokens_factor=1.0,
     calls_for_each_generation=1.0)
 
-# Many engines, a token each 10 ms: what one entry can carry in tokens.
+# Many engines with a token every 10 ms: the token throughput of one entry.
 WIDE = dataclasses.replace(
     PATH, name="wide", model=dataclasses.replace(
         PATH.model, prefill=2, decode=6, engine=dataclasses.replace(
@@ -57,7 +57,7 @@
     output=load_plan.Length(400, 0, 1, 1000), max_tokens_factor=1.0,
     calls_for_each_generation=0.0)
 
-# Streams of 30 s, all open at once.
+# Streams of 30 s, all open at the same time.
 STEADY = dataclasses.replace(
     PATH, name="steady", model=dataclasses.replace(
         PATH.model, decode=6, engine=dataclasses.replace(
@@ -148,7 +148,7 @@
 
 
 def run_together(cluster, count, wait_seconds, **plan):
-    """`count` load processes at once, the rate shared among them."""
+    """`count` concurrent load processes that share the rate."""
     rate = plan.pop("rate") / count
     loads = [load_plan.Load(cluster, f"load-{index}", rate=rate,
                             seed=100 + index, **plan)
@@ -224,5 +224,5 @@
         "added_latency_no_transfer": no_transfer["summary"],
         "memory": memory, "token_rate": tokens, "open_streams": streams,
         "machine": watch.figures(), "incomplete": lost}, indent=2))
-    # Latencies without those that failed would flatter.
+    # Without the failed requests the latencies would be too low.
     return 1 if lost else 0
--- a/buildscripts/capacity.py
+++ b/buildscripts/capacity.py
@@ -1,8 +1,8 @@
-"""What the stand-in engines' formula allows, as in docs/ENGINE_MODEL.md."""
+"""The capacity of the stand-in engines by docs/ENGINE_MODEL.md."""
 
 import dataclasses
 
-# Engines cache whole pieces only.
+# Engines cache whole blocks only.
 PIECE_TOKENS = 2048
 
 
@@ -16,14 +16,14 @@
 
 
 def means_of_mix(mix):
-    """What the distributions of a mix give, before anything is drawn."""
+    """The expected values of a mix."""
     shared = mix.shared_prefix_tokens // PIECE_TOKENS * PIECE_TOKENS
     return Means(mix.prompt.mean(), mix.shared_prefix_share * shared,
                  mix.output.mean())
 
 
 def means_of_report(generations, mix):
-    """What was drawn in the measured time of a run."""
+    """The values drawn in the measured time of a run."""
     whole = mix.shared_prefix_tokens // PIECE_TOKENS * PIECE_TOKENS
     shared = (generations["mean_shared_tokens"] * whole /
               mix.shared_prefix_tokens)
@@ -37,13 +37,13 @@
 
 
 def capacity(deployment, means):
-    """Requests a second that each resource alone allows, and the least."""
+    """Requests per second that each resource alone allows, and the minimum."""
     model, engine = deployment.model, deployment.model.engine
     # Every shared document is found in the cache: an upper bound.
     prefill_seconds = (engine.prefill_fixed_ms / 1e3 +
                        (means.prompt - means.shared) /
                        engine.prefill_tokens_per_second)
-    # A stream holds prompt and answer; on the mean half the answer is there.
+    # A stream holds its prompt and on average half of its answer.
     active = min(engine.slots,
                  engine.kv_tokens / (means.prompt + means.output))
     stream_seconds = means.output * iteration_seconds(
@@ -58,7 +58,7 @@
 
 
 def waste_floors(deployment, means, rate, seconds):
-    """Least share of a run's prefill that a death at its peak discards.
+    """Lower bound of the share of prefill that a crash at the peak discards.
 
     `entry`: the callers of one entry are gone, and with them what was done
     for them: half a prefill on the mean, the transfer, the stream so far.
--- a/buildscripts/check_completion.sh
+++ b/buildscripts/check_completion.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Holds the script that `acacialugctl completion bash` prints against lines as
-# bash would complete them. Usage: check_completion.sh CTL
+# Checks the script that `acacialugctl completion bash` prints against command
+# lines, as bash completes them. Usage: check_completion.sh CTL
 # Closes with `N passed, N failed`.
 set -u
 passed=0
@@ -9,7 +9,7 @@
 source <("$1" completion bash) || exit 1
 
 # offers LINE WORD...: completing the last word of the line offers all WORDs,
-# and "!WORD" is not offered. Words of a line are parted as bash parts them,
+# and "!WORD" is not offered. Words of a line are split as bash splits them,
 # also at "=" and ":".
 offers() {
   local line="$1" want
--- a/buildscripts/check_deploy.sh
+++ b/buildscripts/check_deploy.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Holds every file below deploy/ against the programs' own checks. Usage:
+# Checks every file below deploy/ with the programs' own checks. Usage:
 #   check_deploy.sh ENTRY AGENT CTL     the three programs
 # Closes with `N passed, N failed`.
 set -u
--- a/buildscripts/deploy_files.py
+++ b/buildscripts/deploy_files.py
@@ -22,7 +22,7 @@
 FIRST_AGENT = 100
 TLS = "/etc/acacialug"
 
-# Chosen by the bench, docs/MEASUREMENTS.md: what each user weighs most.
+# By the objective of each user (docs/MEASUREMENTS.md).
 POLICY = {
     "agency": {"reservation": "hold", "order": "arrival",
                "feasibility_counts_queue": True},
--- a/buildscripts/deployment.py
+++ b/buildscripts/deployment.py
@@ -288,7 +288,7 @@
         self.processes.append(Process(name, program, config, self.folder))
 
     def restart(self, name):
-        """Starts a process again that died, with the settings it had."""
+        """Restarts a process that died, with the same settings."""
         old = self.process(name)
         self.processes[self.processes.index(old)] = Process(
             name, old.program, old.config, self.folder)
--- a/buildscripts/deployment_shapes.py
+++ b/buildscripts/deployment_shapes.py
@@ -5,7 +5,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class EngineShape:
-    """One model engine; the names are those of the stand-in's settings."""
+    """One model engine; the fields are named as the stand-in's settings."""
 
     prefill_tokens_per_second: float = 20000
     prefill_fixed_ms: int = 10
@@ -57,8 +57,8 @@
     client_one_way: str = "3ms"
 
 
-# Sizes and delays as of the two users' deployments; how the runners are split
-# between prefill and decode is ours: both pools near their limit together.
+# Sizes and delays are those of the two users' deployments. The runners are split
+# between prefill and decode so that both pools reach their limits together.
 AGENCY = Deployment(
     name="agency",
     domains=("hall-a", "hall-b", "lozenets", "mladost"),
--- a/buildscripts/load_plan.py
+++ b/buildscripts/load_plan.py
@@ -11,7 +11,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Length:
-    """A lognormal length in tokens, cut off at both bounds."""
+    """A lognormal length in tokens, clamped to both bounds."""
 
     median: float
     sigma: float
@@ -19,7 +19,7 @@
     maximum: int
 
     def mean(self):
-        """The mean, by drawing: the bounds have no closed form."""
+        """The mean, by sampling, since with bounds it has no closed form."""
         draws = random.Random(1)
         return statistics.fmean(
             min(max(self.median * draws.lognormvariate(0, self.sigma),
--- a/buildscripts/loopback.py
+++ b/buildscripts/loopback.py
@@ -1,4 +1,4 @@
-"""Processes and ports on loopback: what the demo and the bench start."""
+"""Processes and ports on loopback, for the demo and the bench."""
 
 import contextlib
 import http.client
@@ -12,12 +12,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build"
-# Below the range from which the system takes the ports of outgoing
-# connections: a port chosen there can be gone before its owner listens.
+# Below the system's range for the ports of outgoing connections, where a chosen
+# port may be in use before its owner listens.
 PORT_RANGE = range(11000, 31000)
-# A port is chosen long before its owner listens on it, so two scripts that run
-# at once would choose the same. Each script takes a slice of the range, and
-# shows that it has it by listening on the slice's first port while it runs.
+# A port is chosen long before its owner listens on it, so that two concurrent
+# scripts could choose the same. Each script reserves a slice of the range by
+# listening on the slice's first port.
 SLICE_PORTS = 2000
 _ports_lock = threading.Lock()
 _ports_given = set()
@@ -45,7 +45,7 @@
 
 
 def free_port():
-    """A port on which nothing listens and that this process gave nobody."""
+    """A port on which nothing listens, and that was not returned before."""
     with _ports_lock:
         ports = _own_slice()
         for _ in range(1000):
@@ -83,8 +83,8 @@
             self.popen = subprocess.Popen(
                 [str(binary(program)), "--config", str(config)],
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log, cwd=folder,
-                # An interrupt from the terminal is for the script, which then
-                # ends its processes in order.
+                # The script handles an interrupt from the terminal, and ends
+                # its processes in order.
                 start_new_session=True)
 
     @property
@@ -95,7 +95,7 @@
         return self.popen.poll() is None
 
     def kill(self):
-        """The process dies at once, as a host that is lost."""
+        """Kills the process at once, as if its host had failed."""
         self.popen.kill()
         self.popen.wait()
 
--- a/buildscripts/plot.py
+++ b/buildscripts/plot.py
@@ -69,7 +69,7 @@
 
 
 class Panel:
-    """One set of axes; `left` and `top` are its place in the drawing."""
+    """One set of axes; `left` and `top` are its position in the drawing."""
 
     def __init__(self, left, top, title, loads, top_value):
         self.left, self.top, self.title = left, top, title
--- a/buildscripts/publication.py
+++ b/buildscripts/publication.py
@@ -17,7 +17,7 @@
 
 
 def _find(log_port, start, publication):
-    """The record's offset; None while the log does not tell, 0 if absent."""
+    """The record's offset; None if the log does not answer, 0 if absent."""
     records = _read(log_port, start)
     if records is None:
         return None
@@ -28,7 +28,7 @@
 
 
 def publish(log_port, text, newest=0, patience=20.0):
-    """(offset, monotonic-free wall time at which it was known to stand).
+    """(offset, wall time at which the record was known to be in the log).
 
     A lost answer is resolved by reading; its time is that of the failure, so
     that what is measured from it is no shorter than it was.
--- a/buildscripts/run_deploy.py
+++ b/buildscripts/run_deploy.py
@@ -25,13 +25,13 @@
 from deployment_shapes import DEPLOYMENTS
 from loopback import BUILD, ROOT, binary, get, post
 
-# Far beyond what any wait takes: it only ends a run that hangs.
+# Much longer than any wait: it only ends a run that hangs.
 HANG_SECONDS = 60
 LONG_ANSWER_TOKENS = 150
 
 
 def await_that(holds, words):
-    """Waits until `holds()`; its last value is told when it never does."""
+    """Waits until `holds()`; reports its last value if it never does."""
     deadline = time.monotonic() + HANG_SECONDS
     while not (last := holds()):
         expect(time.monotonic() < deadline, f"waited in vain: {words} ({last})")
@@ -51,7 +51,7 @@
 
 
 class Keys:
-    """Certificates of an authority that lives for one run."""
+    """Certificates of an authority that is created for one run."""
 
     def __init__(self, folder):
         self.folder = folder
@@ -125,7 +125,7 @@
         Keys(self.folder)
         super().start()
 
-    # ---- what the steps ask ----
+    # ---- queries of the steps ----
 
     @property
     def nodes(self):
@@ -147,7 +147,7 @@
         return process.returncode, output
 
     def publish(self, text):
-        """Publishes, and waits until it is in force on every node."""
+        """Publishes, and waits until the manifest is active on every node."""
         path = self._write("published", text)
         code, output = self.run_ctl("manifest", "publish", str(path))
         expect(code == 0, f"publish: {code}: {output}")
@@ -200,7 +200,7 @@
 
 
 class Steps:
-    """What is done to the deployment, in order."""
+    """The steps, in order."""
 
     def __init__(self, cluster):
         self.cluster = cluster
@@ -208,7 +208,7 @@
         self.service = cluster.deployment.plain.name
 
     def stream(self, entry, prompt):
-        """(connection, lines) of a stream whose first event has come."""
+        """(connection, lines) of a stream, after its first event."""
         connection, answer = open_stream(self.cluster.entry_ports[entry],
                                          self.model, prompt)
         first = answer.readline()
--- a/buildscripts/scale.py
+++ b/buildscripts/scale.py
@@ -23,7 +23,7 @@
 IDLE_SECONDS = 10
 # Each shard of an entry has sessions of its own with every agent.
 SHARDS = (2, 16)
-# Between two heartbeats; a cluster's lease is three of them.
+# Interval of heartbeats; the lease of a cluster is three intervals.
 INTERVALS_MS = (1000, 250)
 # More agents, so that an entry sends more heartbeats.
 WIDE = dataclasses.replace(
@@ -37,8 +37,8 @@
 
 
 def run_seconds(process):
-    """Processor time by the scheduler's own nanoseconds, over all threads;
-    the ticks of /proc/PID/stat are too coarse for an idle process."""
+    """Processor time of all threads, from the scheduler's nanoseconds: the
+    ticks of /proc/PID/stat are too coarse for an idle process."""
     tasks = pathlib.Path(f"/proc/{process.pid}/task").iterdir()
     return sum(int((task / "schedstat").read_text().split()[0])
                for task in tasks) / 1e9
@@ -72,7 +72,7 @@
 
 
 def loaded(cluster, output_tokens):
-    """Processor time by program over a run, and what it carried."""
+    """Processor time by program over a run, and its work."""
     before = {program: sum(map(run_seconds, of_kind(cluster, program)))
               for program in ("entry", "agent")}
     mix = dataclasses.replace(
@@ -99,7 +99,7 @@
 
 
 def session_line(few, many, program, few_sessions, many_sessions):
-    """What one more idle session costs a process a second, and in memory."""
+    """The cost of one more idle session, in time per second and memory."""
     sessions = many_sessions - few_sessions
     percent = many[program]["mean_core_percent"] - \
         few[program]["mean_core_percent"]
@@ -111,8 +111,8 @@
 
 
 def heartbeat_line(few, many, program, more_a_second):
-    """What one heartbeat of two sessions costs a process, answer included:
-    one cluster has more of them, and does nothing else more."""
+    """The cost of one heartbeat of two sessions, including its answer: the
+    two clusters differ only in their number of heartbeats."""
     percent = many[program]["mean_core_percent"] - \
         few[program]["mean_core_percent"]
     return {"more_a_second": more_a_second,
@@ -167,7 +167,7 @@
     return json.loads(pathlib.Path(str(OUTPUT) + ".rows").read_text())
 
 
-# Each part of the report, which keeps what another run measured of the rest.
+# The parts of the report. Parts that are not measured keep their earlier values.
 PARTS = {
     "aggregates": lambda quick: aggregates(),
     "processes": lambda quick: {"processes": processes()},
--- a/buildscripts/scale_recovery.py
+++ b/buildscripts/scale_recovery.py
@@ -1,4 +1,4 @@
-"""What callers see after many agents die at once, and for how long.
+"""The effects on callers when many agents die at once, and their duration.
 
 A light open-loop load runs; some agents, or a whole failure domain with its
 entry, die by SIGKILL; nothing comes back. A killed process's connections end
@@ -27,8 +27,8 @@
 SHARES = (0.01, 0.05, 0.25)
 DOMAIN = "failure domain"
 SILENT_DOMAIN = "failure domain, silent"
-# Of the spans before the kill: slower than this many times their slowest is
-# put down to the dead.
+# Requests are attributed to the kill if they take this many times as long as the
+# slowest one before it.
 SLOW_FACTOR = 2.0
 LEAST_SLOW_MS = 100.0
 MIX = load_plan.Mix(
@@ -38,7 +38,7 @@
 
 
 def victims(cluster, what, seed):
-    """Those that die: agents drawn by `seed`, or all of a failure domain."""
+    """The agents to kill: drawn by `seed`, or all of a failure domain."""
     if what in (DOMAIN, SILENT_DOMAIN):
         lost = cluster.entry_domains[0]
         entries = [f"entry-{index + 1}" for index, domain
@@ -46,7 +46,8 @@
         return entries + [f"agent-{endpoint.id}"
                           for endpoint in cluster.endpoints
                           if endpoint.domain == lost]
-    # Plain endpoints stay: a keyed call to a dead home is unknown for ever.
+    # Plain endpoints are spared: the outcome of a keyed call to a dead endpoint
+    # stays unknown.
     names = [f"agent-{endpoint.id}" for endpoint in cluster.endpoints
              if endpoint.role != "plain"]
     count = max(1, round(what * len(cluster.endpoints)))
@@ -54,7 +55,7 @@
 
 
 def kill(cluster, names, silent):
-    """All at once; the time after the last signal."""
+    """Kills all at once; returns the time after the last signal."""
     dying = [cluster.process(name) for name in names]
     for process in dying:
         stops = silent and process.program == "agent"
@@ -63,7 +64,7 @@
 
 
 def bury(cluster, names):
-    """Stopped processes could not end in order."""
+    """Kills the stopped processes, which could not end in order."""
     for name in names:
         cluster.process(name).kill()
 
@@ -83,7 +84,7 @@
     offered, slowest = timeline["offered"], timeline["slowest_ms"]
     on_time, failed = timeline["on_time"], timeline["failed"]
     at_kill = int((killed - begun) / step)
-    # The first seconds are the connections' own.
+    # In the first seconds connections are opened.
     warm = int(WARM_UP_SECONDS / step)
     slow = max(LEAST_SLOW_MS,
                SLOW_FACTOR * max(slowest[warm:at_kill], default=0))
--- a/buildscripts/scale_spread.py
+++ b/buildscripts/scale_spread.py
@@ -1,4 +1,4 @@
-"""Time until a published manifest is in force in every process.
+"""Time until a published manifest is active in every process.
 
 From the append's acknowledgement to the line that each process logs when it
 puts that offset in force; all clocks are this host's wall clock, and nothing
@@ -30,12 +30,12 @@
 OUTAGE_SECONDS = 3.0
 LOSS = 0.1
 DOMAINS = ("hall-a", "hall-b", "lozenets", "mladost")
-# What says that a manifest is in force, by program.
+# The log event of an active manifest, by program.
 EVENTS = {"entry": "manifest_taken", "agent": "manifest_in_force"}
 
 
 def shape(agents, entries):
-    """A deployment with so many agents; a quarter of them for prefills."""
+    """A deployment with `agents` agents, a quarter of them for prefills."""
     prefill = agents // 4
     return dataclasses.replace(
         bench_path.PATH, name="spread", domains=DOMAINS, entries=entries,
@@ -45,7 +45,7 @@
 
 
 class InForce:
-    """Reads from the processes' logs what each put in force, and when."""
+    """Reads from the logs of processes when each activated which manifest."""
 
     def __init__(self, cluster):
         self.watched = [process for process in cluster.processes
@@ -71,7 +71,7 @@
                      if found >= offset), None)
 
     def wait(self, offset):
-        """Seconds since the epoch by process; None: not within patience."""
+        """Seconds since the epoch by process; None if it timed out."""
         ends = time.time() + PATIENCE_SECONDS
         while True:
             self.read()
@@ -111,13 +111,13 @@
 
 
 def log_out_before(cluster, publish):
-    """Out for some seconds; the publisher's record is the first after it."""
+    """An outage of some seconds, followed at once by the publication."""
     with outage(cluster):
         return publish()
 
 
 def log_out_after(cluster, publish):
-    """Out as soon as the record is acknowledged: who reads later cannot."""
+    """An outage from the acknowledgement on: later reads fail."""
     known = publish()
     with outage(cluster):
         return known
--- a/buildscripts/summarize_tests.py
+++ b/buildscripts/summarize_tests.py
@@ -47,7 +47,7 @@
     if not sums and succeeded:
         passed = 1  # a script, whose exit code is its verdict
     if not succeeded and failed == 0:
-        # It crashed, hung, or a sanitizer spoke after the last test.
+        # It crashed, hung, or a sanitizer reported after the last test.
         failed = 1
         names = [program.get("name")]
     return passed, failed, names
--- a/buildscripts/test.sh
+++ b/buildscripts/test.sh
@@ -30,7 +30,7 @@
 [ "$preset" = release ] || build="build-$preset"
 export CCACHE_NOHASHDIR=1 CCACHE_BASEDIR="$PWD"
 export ASAN_OPTIONS="${ASAN_OPTIONS:-detect_stack_use_after_return=1}"
-# Without it a finding of UBSan is a line in a log that nobody reads.
+# Without it a finding of UBSan does not fail the run.
 export UBSAN_OPTIONS="${UBSAN_OPTIONS:-halt_on_error=1:print_stacktrace=1}"
 suppressions="$PWD/buildscripts/tsan_suppressions.txt"
 export TSAN_OPTIONS="${TSAN_OPTIONS:-halt_on_error=1:suppressions=$suppressions}"
