Log how an endpoint's answer ended, and count partial events

Change: http::ExchangeHooks::on_unframed tells of a body without length or chunks; request_ended has unframed_answers and partial_event_bytes; a reset where the connection's end ends the answer has a detail of its own; two counters. No decision changes.

--- a/src/framework/http/http_client.h
+++ b/src/framework/http/http_client.h
@@ -21,6 +21,9 @@
   // the connection's next request. Empty: every answer is this exchange's.
   std::function<bool(int status, const Headers& headers)> is_answer;
   std::function<void(int status, const Headers& headers)> on_head;
+  // Runs right after on_head if the body has neither a length nor chunks: only
+  // the end of the connection ends it, as does the end of the server's process.
+  std::function<void()> on_unframed;
   // Body bytes as they come. Empty: they are collected for on_end.
   std::function<void(std::string_view data)> on_data;
   // The whole answer came; `body` is empty if on_data was set.
--- a/src/framework/http/internal/client_connection.cc
+++ b/src/framework/http/internal/client_connection.cc
@@ -191,6 +191,13 @@
       if (!this->MayGoOn(id)) {
         return false;
       }
+      if (!this->dropping && held->hooks.on_unframed &&
+          this->reader->ends_with_connection()) {
+        held->hooks.on_unframed();
+        if (!this->MayGoOn(id)) {
+          return false;
+        }
+      }
       continue;
     }
     if (step == ReadStep::kFault) {
@@ -238,10 +245,13 @@
     }
     return;
   }
-  const bool answered = this->reader->started();
-  this->Fail(Error(
-      ResultCode::kConnectionLost,
-      answered ? "the answer was cut short" : "closed without an answer"));
+  std::string_view detail = "closed without an answer";
+  if (this->reader->started()) {
+    detail = this->end_probe && !in_order
+                 ? "reset where the end of the connection ends the answer"
+                 : "the answer was cut short";
+  }
+  this->Fail(Error(ResultCode::kConnectionLost, std::string(detail)));
 }
 
 void ClientConnection::SetPaused(bool new_paused) {
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -200,7 +200,9 @@
              {"sends", this->outcome.sends},
              {"prefills", this->outcome.prefills},
              {"events", this->outcome.events},
-             {"losses", this->outcome.losses}},
+             {"losses", this->outcome.losses},
+             {"unframed_answers", this->outcome.unframed_answers},
+             {"partial_event_bytes", this->outcome.partial_event_bytes}},
             code);
   this->context.hooks.on_end(*this->work.route, this->outcome);
   const std::shared_ptr<Relay> self = this->shared_from_this();
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -59,6 +59,7 @@
                  self->work.request, step, answered, head);
              self->OnDecodeHead(answered, head);
            },
+       .on_unframed = [self] { ++self->outcome.unframed_answers; },
        .on_data = [self](std::string_view data) { self->OnDecodeData(data); },
        .on_end = [self](const std::string&) { self->OnDecodeEnd(); },
        .on_error = [self](const Error& error,
@@ -204,6 +205,7 @@
   this->ForgetExchange();
   this->CancelPhaseTimer();
   this->decode_open = false;
+  this->outcome.partial_event_bytes = this->splitter.rest().size();
   const EndpointId id = this->placement->decode.id;
   switch (this->nature) {
     case AnswerNature::kSuccess:
@@ -261,6 +263,7 @@
 void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
   this->ForgetExchange();
   this->decode_open = false;
+  this->outcome.partial_event_bytes = this->splitter.rest().size();
   this->NoteLost(this->placement->decode, sent, this->nature);
   this->Log(log::Level::kWarning, "attempt_lost", this->placement->decode.id,
             {{"sent", sent},
--- a/src/gateway/types/relay_outcome.h
+++ b/src/gateway/types/relay_outcome.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_TYPES_RELAY_OUTCOME_H_
 #define GATEWAY_TYPES_RELAY_OUTCOME_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "framework/global/types/enum_names.h"
@@ -40,6 +41,10 @@
   std::uint32_t prefills = 0;
   std::uint32_t events = 0;
   std::uint32_t losses = 0;  // endpoints lost during its run
+  // Answers of endpoints that had neither a length nor chunks, and the bytes of
+  // an event that was not complete when the last answer ended.
+  std::uint32_t unframed_answers = 0;
+  std::size_t partial_event_bytes = 0;
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -378,6 +378,14 @@
     this->registry.Get(kGatewaySendsTotal, {"work"}).Add(outcome.sends);
     this->registry.Get(kGatewaySendsTotal, {"prefill"}).Add(outcome.prefills);
     this->registry.Get(kGatewayLossesTotal, {kind}).Add(outcome.losses);
+    this->registry.Get(kGatewayUnframedAnswersTotal, {kind})
+        .Add(outcome.unframed_answers);
+    if (outcome.partial_event_bytes > 0) {
+      this->registry
+          .Get(kGatewayPartialEventsTotal,
+               {NameOf(gateway::kRelayEndNames, outcome.end)})
+          .Add();
+    }
     this->registry.Get(kGatewayWholeSeconds, {kind})
         .Record(Seconds(outcome.whole));
     if (outcome.first_byte > Duration::zero()) {
--- a/src/gateway_process/metric_definitions.h
+++ b/src/gateway_process/metric_definitions.h
@@ -25,6 +25,15 @@
     .name = "acacialug_gateway_losses_total",
     .help = "Endpoints lost while they had a request, by its route's kind",
     .labels = {"kind"}};
+inline constexpr metrics::CounterDefinition kGatewayUnframedAnswersTotal = {
+    .name = "acacialug_gateway_unframed_answers_total",
+    .help = "Answers of endpoints that had neither a length nor chunks",
+    .labels = {"kind"}};
+// Label `end`: as of the requests.
+inline constexpr metrics::CounterDefinition kGatewayPartialEventsTotal = {
+    .name = "acacialug_gateway_partial_events_total",
+    .help = "Streams whose last answer ended inside an event",
+    .labels = {"end"}};
 inline constexpr metrics::HistogramDefinition kGatewayFirstByteSeconds = {
     .name = "acacialug_gateway_first_byte_seconds",
     .help = "From a request's arrival to its answer's first byte",
