Show that a stream broken off inside an event passes for whole (red)

Cause: ORDER. Tests that fail on this code: an endpoint's stream without length or chunks ends by FIN inside an event, and its caller gets the half event and the last chunk; before its first event, and its caller gets 200 and nothing; and an answer that nobody framed is given a length or chunks.

--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -402,9 +402,13 @@
   this->core->OnTimer();
 }
 
-void GatewaySimulation::Begin(const std::shared_ptr<Call>& call) {
+void GatewaySimulation::Begin(const std::shared_ptr<Call>& call,
+                              bool unframed) {
   CPPUNIT_ASSERT_MESSAGE("no such call", call != nullptr);
   call->hooks.on_head(200, {{"Proof", "1"}});
+  if (unframed) {
+    call->hooks.on_unframed();
+  }
 }
 
 void GatewaySimulation::Event(const std::shared_ptr<Call>& call, int id) {
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -91,8 +91,9 @@
                   const std::string& body = {});
   void ReplyRefused(const std::shared_ptr<Call>& call);
   void Break(const std::shared_ptr<Call>& call, bool sent = true);
-  // A stream: its head, then events, then its end.
-  void Begin(const std::shared_ptr<Call>& call);
+  // A stream: its head, then events, then its end. `unframed`: the body has
+  // neither a length nor chunks, so that its end is that of the connection.
+  void Begin(const std::shared_ptr<Call>& call, bool unframed = false);
   void Event(const std::shared_ptr<Call>& call, int id);
   void End(const std::shared_ptr<Call>& call);
   // Grants the reservation and answers the prefill of the newest generation;
--- /dev/null
+++ b/src/gateway/tests/stream_end_test.cc
@@ -0,0 +1,151 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "framework/testing/story.h"
+#include "gateway/tests/gateway_simulation.h"
+
+namespace acacialug::gateway {
+namespace {
+
+using acacialug::testing::It;
+using testing::Answer;
+using testing::Call;
+using testing::GatewaySimulation;
+using testing::HeaderOf;
+
+constexpr std::string_view kFirstEvent = "id: 0\ndata: x\n\n";
+
+// What a stream without length or chunks sends after its first event, before
+// its endpoint closes the connection in order.
+struct EndCase {
+  std::string name;
+  std::string bytes;
+  bool whole = false;
+};
+
+const std::vector<EndCase> kEnds = {
+    {"after an event", "", true},
+    {"after an event with CRLF", "id: 1\r\ndata: x\r\n\r\n", true},
+    {"after one more empty line", "\n", true},
+    {"inside an event", "id: 1\nda"},
+    {"inside a UTF-8 sequence", "id: 1\ndata: \xd0"},
+    {"after the last field of an event", "id: 1\ndata: x\n"},
+    {"inside the empty line of an event with CRLF", "id: 1\r\ndata: x\r\n\r"},
+    {"after a comment", ": alive\n"}};
+
+// A stream whose endpoint has sent one event.
+struct Stream : GatewaySimulation {
+  explicit Stream(const std::string& path) {
+    this->Configure();
+    this->AddEndpoint("f1", "model", EndpointRole::kPrefill);
+    this->AddEndpoint("d1", "model", EndpointRole::kDecode);
+    this->AddEndpoint("d2", "model", EndpointRole::kDecode);
+    this->answer = this->SendRequest(path, "r1");
+    this->decode = this->AdvanceToDecode();
+  }
+
+  void SendFirstEvent(bool unframed) {
+    this->Begin(this->decode, unframed);
+    this->decode->hooks.on_data(kFirstEvent);
+  }
+
+  std::shared_ptr<Answer> answer;
+  std::shared_ptr<Call> decode;
+};
+
+const acacialug::testing::Story kStreamEnds(
+    "a stream without length or chunks",
+    {It("that may not resume is cut off for its caller unless it ends after an "
+        "event",
+        [] {
+          // Guards against a stream of an endpoint that crashed, whose
+          // connection's end passes for the stream's.
+          for (const EndCase& row : kEnds) {
+            Stream stream("/stream/a");
+            stream.SendFirstEvent(true);
+            stream.decode->hooks.on_data(row.bytes);
+            stream.End(stream.decode);
+            CPPUNIT_ASSERT_MESSAGE(row.name, stream.answer->ended);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, !row.whole,
+                                         stream.answer->cut);
+          }
+        }),
+     It("that may resume goes on elsewhere unless it ends after an event",
+        [] {
+          // Guards against a resumed stream with half an event, or one twice.
+          for (const EndCase& row : kEnds) {
+            Stream stream("/resumable/a");
+            stream.SendFirstEvent(true);
+            stream.decode->hooks.on_data(row.bytes);
+            stream.End(stream.decode);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.whole,
+                                         stream.answer->ended);
+            if (row.whole) {
+              continue;
+            }
+            const auto other = stream.AdvanceToDecode();
+            CPPUNIT_ASSERT_MESSAGE(row.name, other != nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::string("0"),
+                                 HeaderOf(other, "Resume-After"));
+            stream.Begin(other);
+            stream.Event(other, 1);
+            stream.End(other);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                row.name, std::string(kFirstEvent) + "id: 1\ndata: x\n\n",
+                stream.answer->body);
+            CPPUNIT_ASSERT(stream.answer->ended && !stream.answer->cut);
+          }
+        }),
+     It("that ends before its first event is lost",
+        [] {
+          // Guards against an empty answer in place of one that never began.
+          Stream once("/stream/a");
+          once.Begin(once.decode, true);
+          once.End(once.decode);
+          CPPUNIT_ASSERT_EQUAL(502, once.answer->status);
+          Stream resumable("/resumable/a");
+          resumable.Begin(resumable.decode, true);
+          resumable.End(resumable.decode);
+          CPPUNIT_ASSERT(!resumable.answer->ended);
+          CPPUNIT_ASSERT(resumable.AdvanceToDecode() != nullptr);
+        }),
+     It("that has nothing left to resume is whole",
+        [] {
+          Stream stream("/resumable/a");
+          stream.SendFirstEvent(true);
+          stream.Break(stream.decode);
+          const auto other = stream.AdvanceToDecode();
+          stream.Begin(other, true);
+          stream.End(other);
+          CPPUNIT_ASSERT(stream.answer->ended && !stream.answer->cut);
+        }),
+     It("is not distinguished from others while it sends its events",
+        [] {
+          // Guards against endpoints that never frame being blamed for it.
+          Stream stream("/stream/a");
+          stream.SendFirstEvent(true);
+          CPPUNIT_ASSERT_EQUAL(std::string(kFirstEvent), stream.answer->body);
+          stream.End(stream.decode);
+          CPPUNIT_ASSERT(stream.answer->ended && !stream.answer->cut);
+          CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0},
+                               stream.Logged("attempt_lost"));
+        }),
+     It("differs from a framed one, which is forwarded as its endpoint ended "
+        "it",
+        [] {
+          for (const EndCase& row : kEnds) {
+            Stream stream("/stream/a");
+            stream.SendFirstEvent(false);
+            stream.decode->hooks.on_data(row.bytes);
+            stream.End(stream.decode);
+            CPPUNIT_ASSERT_MESSAGE(row.name,
+                                   stream.answer->ended && !stream.answer->cut);
+            CPPUNIT_ASSERT_EQUAL(std::string(kFirstEvent) + row.bytes,
+                                 stream.answer->body);
+          }
+        })});
+
+}  // namespace
+}  // namespace acacialug::gateway
--- /dev/null
+++ b/src/gateway_process/tests/answer_end_test.cc
@@ -0,0 +1,194 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "framework/global/random_source.h"
+#include "framework/http/socket_setup.h"
+#include "framework/http/tests/socket_support.h"
+#include "framework/testing/story.h"
+#include "gateway_process/gateway_process.h"
+#include "gateway_process/tests/gateway_support.h"
+
+namespace acacialug::gateway_process {
+namespace {
+
+using acacialug::testing::It;
+using acacialug::testing::RawPeer;
+using acacialug::testing::RawServer;
+using testing::Endpoint;
+using testing::FreePort;
+using testing::OneRoute;
+
+constexpr std::string_view kUnframedHead =
+    "HTTP/1.1 200 OK\r\nProof: 1\r\n\r\n";
+constexpr std::string_view kChunkedHead =
+    "HTTP/1.1 200 OK\r\nProof: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view kEvent = "id: 0\ndata: x\n\n";
+
+// A gateway whose endpoint and caller the test plays by hand. The route /a/ is
+// a plain call's, /s/ a stream's that may run once.
+class HandPlayedSite {
+ public:
+  HandPlayedSite()
+      : listen{.ip = "127.0.0.1", .port = FreePort()},
+        process({.settings = {.id = "g",
+                              .domain = FailureDomain("x"),
+                              .listen = this->listen,
+                              .readiness_listen = {.ip = "127.0.0.1",
+                                                   .port = FreePort()},
+                              .readiness_path = "/ready",
+                              .peer_listen = {.ip = "127.0.0.1",
+                                              .port = FreePort()},
+                              .drain_grace = 4s},
+                 .dialect = Dialect()},
+                this->registry,
+                this->random) {
+    CPPUNIT_ASSERT(this->process.Start().ok());
+    this->process.SetConfiguration(MakeConfiguration());
+    gateway::EndpointChange plain =
+        Endpoint("e", {.ip = "127.0.0.1", .port = this->server.port()});
+    gateway::EndpointChange decode = plain;
+    decode.id = EndpointId("d");
+    decode.record->id = decode.id;
+    decode.record->service = ServiceName("model");
+    decode.record->role = gateway::EndpointRole::kDecode;
+    this->process.Apply(plain);
+    this->process.Apply(decode);
+    this->caller = std::make_unique<RawPeer>(this->listen.port);
+  }
+
+  // Sends a request to the gateway; returns the endpoint's side of it.
+  std::unique_ptr<RawPeer> Request(const std::string& path,
+                                   const std::string& version) {
+    this->caller->Send("GET " + path + " HTTP/" + version +
+                       "\r\nHost: h\r\n\r\n");
+    auto endpoint = this->server.Accept();
+    endpoint->Await("\r\n\r\n");
+    return endpoint;
+  }
+
+  // What the caller received up to the end of its connection, and whether that
+  // ended in order.
+  std::pair<std::string, bool> AwaitEnd() {
+    const http::EndProbe probe(*this->caller->socket);
+    const std::string received = this->caller->AwaitClose();
+    return {received, probe.EndedInOrder()};
+  }
+
+  RawServer server;
+  http::Address listen;
+  std::unique_ptr<RawPeer> caller;
+
+ private:
+  static std::shared_ptr<gateway::Configuration> MakeConfiguration() {
+    auto configuration =
+        std::make_shared<gateway::Configuration>(OneRoute("s"));
+    configuration->services[0].engine.reset();
+    configuration->services.push_back(
+        {.name = ServiceName("model"),
+         .engine = gateway::EngineTraits{.slots = 9, .kv_tokens = 20000}});
+    gateway::Route stream = configuration->routes[0];
+    stream.name = "s";
+    stream.path_prefix = "/s/";
+    stream.kind = gateway::WorkKind::kStream;
+    stream.services = {{.service = ServiceName("model")}};
+    stream.timeout = 14s;
+    configuration->routes.push_back(stream);
+    return configuration;
+  }
+
+  static gateway::EndpointDialect Dialect() {
+    gateway::EndpointDialect dialect;
+    dialect.read_request = [](http::Request request) {
+      gateway::WorkRequest work{
+          .id = "r",
+          .host = "h",
+          .size = gateway::GenerationSize{.prompt_tokens = 10,
+                                          .max_output_tokens = 10,
+                                          .expected_output_tokens = 10}};
+      work.message = std::move(request);
+      return work;
+    };
+    dialect.write_work =
+        [](const gateway::WorkRequest& request, const gateway::EndpointRecord&,
+           const gateway::WorkOrder&) { return request.message; };
+    dialect.judge_answer = [](const gateway::WorkRequest&, gateway::WorkStep,
+                              int, const http::Headers& headers) {
+      return http::FindHeader(headers, "Proof")
+                 ? gateway::AnswerNature::kSuccess
+                 : gateway::AnswerNature::kUnproven;
+    };
+    return dialect;
+  }
+
+  metrics::Registry registry;
+  RandomSource random{1};
+  GatewayProcess process;
+};
+
+bool Has(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+const acacialug::testing::Story kAnswerEnds(
+    "an answer without length or chunks",
+    {It("reaches its caller without either, and ends in order",
+        [] {
+          // Guards against an answer framed as whole though only the end of the
+          // endpoint's connection says so.
+          for (const std::string path : {"/a/x", "/s/x"}) {
+            for (const std::string version : {"1.1", "1.0"}) {
+              HandPlayedSite site;
+              const auto endpoint = site.Request(path, version);
+              endpoint->Send(std::string(kUnframedHead) + std::string(kEvent));
+              endpoint->socket->disconnectFromHost();
+              const auto [received, in_order] = site.AwaitEnd();
+              CPPUNIT_ASSERT_MESSAGE(received, received.ends_with(kEvent));
+              CPPUNIT_ASSERT(!Has(received, "Content-Length"));
+              CPPUNIT_ASSERT(!Has(received, "chunked"));
+              CPPUNIT_ASSERT(Has(received, "Connection: close"));
+              CPPUNIT_ASSERT(in_order);
+            }
+          }
+        }),
+     It("forwards each event as it arrives",
+        [] {
+          HandPlayedSite site;
+          const auto endpoint = site.Request("/s/x", "1.1");
+          endpoint->Send(std::string(kUnframedHead) + std::string(kEvent));
+          site.caller->Await(std::string(kEvent));
+          endpoint->Send("id: 1\ndata: y\n\n");
+          site.caller->Await("id: 1\ndata: y\n\n");
+        }),
+     It("that breaks off is reset for its caller, whatever its version",
+        [] {
+          // Guards against a close in order, which HTTP/1.0 and a body without
+          // length or chunks take for the end.
+          for (const bool reset : {false, true}) {
+            for (const std::string version : {"1.1", "1.0"}) {
+              HandPlayedSite site;
+              const auto endpoint = site.Request("/s/x", version);
+              endpoint->Send(std::string(kUnframedHead) + std::string(kEvent) +
+                             "id: 1\nda");
+              site.caller->Await(std::string(kEvent));
+              if (reset) {
+                http::AbortWithReset(*endpoint->socket);
+              } else {
+                endpoint->socket->disconnectFromHost();
+              }
+              CPPUNIT_ASSERT(!site.AwaitEnd().second);
+            }
+          }
+        }),
+     It("differs from a chunked one, which is chunked for its caller", [] {
+       HandPlayedSite site;
+       const auto endpoint = site.Request("/s/x", "1.1");
+       endpoint->Send(std::string(kChunkedHead) + "f\r\n" +
+                      std::string(kEvent) + "\r\n0\r\n\r\n");
+       CPPUNIT_ASSERT(Has(site.caller->Await("0\r\n\r\n"), "chunked"));
+     })});
+
+}  // namespace
+}  // namespace acacialug::gateway_process
