--- a/src/entry_process/tests/fake_responder.h
+++ b/src/entry_process/tests/fake_responder.h
@@ -19,6 +19,10 @@
   void BeginStream(int status, const http::Headers& headers) override {
     this->stream_head = http::Response{.status = status, .headers = headers};
   }
+  void BeginUnframedStream(int status, const http::Headers& headers) override {
+    this->BeginStream(status, headers);
+    this->stream_head->unframed = true;
+  }
   void SendData(std::string_view data) override {
     this->data += data;
     ++this->writes;
--- a/src/framework/http/http_server.h
+++ b/src/framework/http/http_server.h
@@ -27,6 +27,9 @@
 
   // Begins a streamed answer (chunked, or closed at the end for HTTP/1.0).
   virtual void BeginStream(int status, const Headers& headers) = 0;
+  // As BeginStream, without chunks: only the end of the connection ends the
+  // answer. For one that is passed on and was itself not framed.
+  virtual void BeginUnframedStream(int status, const Headers& headers) = 0;
   virtual void SendData(std::string_view data) = 0;
   virtual void EndStream() = 0;
 
--- a/src/framework/http/http_types.h
+++ b/src/framework/http/http_types.h
@@ -49,6 +49,9 @@
   int status = 200;
   Headers headers;
   std::string body;
+  // Sent without a length: only the end of the connection ends the body. For an
+  // answer that is passed on and had neither a length nor chunks itself.
+  bool unframed = false;
 };
 
 // What a server accepts before it takes memory for it.
--- a/src/framework/http/internal/server_connection.cc
+++ b/src/framework/http/internal/server_connection.cc
@@ -138,6 +138,8 @@
     this->ReadRequests();
   } else if (this->state == State::kLingering) {
     this->BeginLingering();
+  } else if (this->state == State::kClosing) {
+    this->CloseWhenSent();
   }
 }
 
@@ -301,6 +303,17 @@
   return UnsentBytes(*this->socket);
 }
 
+void ServerConnection::ResetUntilWhole() {
+  this->closes_with_reset = true;
+  SetResetOnClose(*this->socket, true);
+}
+
+void ServerConnection::PermitOrderlyClose() {
+  if (std::exchange(this->closes_with_reset, false)) {
+    SetResetOnClose(*this->socket, false);
+  }
+}
+
 void ServerConnection::EndAnswer(bool keep_alive) {
   this->GiveRoomBack();
   this->responder.reset();
@@ -363,6 +376,7 @@
   }
   if (this->unsent_bytes() == 0 && !this->shut_down) {
     this->shut_down = true;
+    this->PermitOrderlyClose();
     if (this->secure) {
       this->socket->disconnectFromHost();
       return;
@@ -393,6 +407,14 @@
   this->state = State::kClosing;
   // A caller that never reads the rest must not keep the connection.
   this->timer.Set(this->context.options.limits.idle_timeout);
+  this->CloseWhenSent();
+}
+
+void ServerConnection::CloseWhenSent() {
+  if (this->closes_with_reset && this->unsent_bytes() > 0) {
+    return;  // OnBytesWritten comes back here
+  }
+  this->PermitOrderlyClose();
   this->socket->disconnectFromHost();
 }
 
--- a/src/framework/http/internal/server_connection.h
+++ b/src/framework/http/internal/server_connection.h
@@ -48,6 +48,9 @@
   void Write(std::string_view bytes);
   std::size_t unsent_bytes() const;
   bool draining() const { return this->context.draining; }
+  // The answer under way ends with the connection: until it is whole and sent,
+  // a close for any reason, the end of this process included, is a reset.
+  void ResetUntilWhole();
   void EndAnswer(bool keep_alive);
   void Cut();
 
@@ -73,6 +76,9 @@
   void BeginLingering();
   void Discard();
   void CloseInOrder();
+  void CloseWhenSent();
+  // The answer is whole and sent.
+  void PermitOrderlyClose();
   void OnDisconnected();
 
   ConnectionContext& context;
@@ -86,6 +92,7 @@
   std::size_t discarded_bytes = 0;
   std::size_t body_room = 0;  // taken from the budget
   bool shut_down = false;
+  bool closes_with_reset = false;
   bool grace_given = false;  // in the watched phase
   // The request being read may have lain unread. One on a new connection may,
   // since it waited there before this process took the connection.
--- a/src/framework/http/internal/server_responder.cc
+++ b/src/framework/http/internal/server_responder.cc
@@ -21,16 +21,19 @@
          status == kNotModified;
 }
 
-// An answer to HEAD may tell the length of the body that GET would bring.
+// An answer to HEAD has the length of the body that GET would bring, if it is
+// known.
 std::optional<std::size_t> LengthOf(const Response& response, bool head) {
+  if (!head || !response.body.empty()) {
+    return response.body.size();
+  }
   const auto told = FindHeader(response.headers, "Content-Length");
   std::size_t length = 0;
-  if (head && response.body.empty() && told &&
+  const bool known =
+      told &&
       std::from_chars(told->data(), told->data() + told->size(), length).ec ==
-          std::errc()) {
-    return length;
-  }
-  return response.body.size();
+          std::errc();
+  return known ? std::optional(length) : std::nullopt;
 }
 
 }  // namespace
@@ -53,11 +56,15 @@
   }
   const bool no_body = HasNoBody(response.status);
   const bool head = this->options.answers_head;
-  this->keep_alive_after = this->MayKeepAlive(response.headers);
+  const bool unframed = response.unframed && !no_body && !head;
+  this->keep_alive_after = this->MayKeepAlive(response.headers) && !unframed;
   Framing framing;
-  if (!no_body) {
+  if (!no_body && !unframed) {
     framing.content_length = LengthOf(response, head);
   }
+  if (unframed) {
+    this->connection->ResetUntilWhole();
+  }
   std::string bytes =
       WriteResponseHead({.status = response.status,
                          .headers = response.headers,
@@ -72,12 +79,25 @@
 }
 
 void ServerResponder::BeginStream(int status, const Headers& headers) {
+  this->Begin(status, headers, true);
+}
+
+void ServerResponder::BeginUnframedStream(int status, const Headers& headers) {
+  this->Begin(status, headers, false);
+}
+
+void ServerResponder::Begin(int status,
+                            const Headers& headers,
+                            bool may_chunk) {
   if (this->connection == nullptr) {
     return;
   }
   const bool no_body = HasNoBody(status);
   this->streaming = !no_body && !this->options.answers_head;
-  this->chunked = !no_body && this->options.version_1_1;
+  this->chunked = !no_body && may_chunk && this->options.version_1_1;
+  if (this->streaming && !this->chunked) {
+    this->connection->ResetUntilWhole();
+  }
   this->keep_alive_after =
       this->MayKeepAlive(headers) && (this->chunked || !this->streaming);
   this->connection->Write(
--- a/src/framework/http/internal/server_responder.h
+++ b/src/framework/http/internal/server_responder.h
@@ -25,6 +25,7 @@
 
   void SendWhole(const Response& response) override;
   void BeginStream(int status, const Headers& headers) override;
+  void BeginUnframedStream(int status, const Headers& headers) override;
   void SendData(std::string_view data) override;
   void EndStream() override;
   void Abort() override;
@@ -40,6 +41,7 @@
   void Drained();
 
  private:
+  void Begin(int status, const Headers& headers, bool may_chunk);
   bool MayKeepAlive(const Headers& headers) const;
   void End();
 
--- a/src/framework/http/socket_setup.cc
+++ b/src/framework/http/socket_setup.cc
@@ -70,10 +70,14 @@
   return static_cast<std::size_t>(bytes);
 }
 
-void AbortWithReset(QTcpSocket& socket) {
-  const linger at_once{.l_onoff = 1, .l_linger = 0};
+void SetResetOnClose(QTcpSocket& socket, bool resets) {
+  const linger setting{.l_onoff = resets ? 1 : 0, .l_linger = 0};
   ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET,
-               SO_LINGER, &at_once, sizeof(at_once));
+               SO_LINGER, &setting, sizeof(setting));
+}
+
+void AbortWithReset(QTcpSocket& socket) {
+  SetResetOnClose(socket, true);
   socket.abort();
 }
 
--- a/src/framework/http/socket_setup.h
+++ b/src/framework/http/socket_setup.h
@@ -29,6 +29,10 @@
 // for a whole message.
 void AbortWithReset(QTcpSocket& socket);
 
+// Whether a close resets the connection, as does the end of this process.
+// Precondition: connected.
+void SetResetOnClose(QTcpSocket& socket, bool resets);
+
 // Tells after a connection's end whether the peer ended it in order. Qt calls
 // a reset an orderly end too, so that half a body without a length would pass
 // for a whole one; the kernel's state of the connection tells them apart.
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -29,6 +29,10 @@
 
   // The bytes of an event that is not complete.
   const std::string& rest() const { return this->pending; }
+  // Whether an event has begun and is not complete. Empty lines begin none.
+  bool inside_event() const {
+    return this->pending.find_first_not_of("\r\n") != std::string::npos;
+  }
   bool overflowed() const { return this->pending.size() > kMaxEventBytes; }
   void Clear() { this->pending.clear(); }
 
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -68,7 +68,7 @@
            [self](int answered, const http::Headers& head) {
              self->OnHead(answered, head);
            },
-       .on_unframed = [self] { ++self->outcome.unframed_answers; },
+       .on_unframed = [self] { self->NoteUnframed(); },
        .on_end =
            [self](std::string body) { self->OnBodyComplete(std::move(body)); },
        .on_error = [self](const Error& error,
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -55,6 +55,7 @@
 void Relay::SendTo(const EndpointRecord& endpoint,
                    const WorkOrder& order,
                    http::ExchangeHooks hooks) {
+  this->unframed = false;
   this->exchange = this->context.sender.Send(
       endpoint,
       this->context.dialect.write_work(this->work.request, endpoint, order),
@@ -137,6 +138,11 @@
                answer.status);
 }
 
+void Relay::NoteUnframed() {
+  this->unframed = true;
+  ++this->outcome.unframed_answers;
+}
+
 void Relay::ForwardAnswer(RelayEnd end,
                           int status,
                           const http::Headers& headers,
@@ -144,7 +150,8 @@
   this->outcome.first_byte = this->Age();
   this->work.responder->SendWhole({.status = status,
                                    .headers = this->CallerHeaders(headers),
-                                   .body = std::move(body)});
+                                   .body = std::move(body),
+                                   .unframed = this->unframed});
   this->Finish(end, ResultCode::kOk, status);
 }
 
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -72,6 +72,8 @@
   void CancelPhaseTimer();
 
   void Finish(RelayEnd end, ResultCode code, int status);
+  // The head of an answer without length or chunks arrived.
+  void NoteUnframed();
   // Forwards an endpoint's whole answer, and ends the relay.
   void ForwardAnswer(RelayEnd end,
                      int status,
@@ -91,6 +93,9 @@
   RelayJob work;
   RelayOutcome outcome;
   std::vector<EndpointId> tried;
+  // The answer under way has neither a length nor chunks. What is forwarded of
+  // it claims no more: it is unframed as well.
+  bool unframed = false;
 
  private:
   void OnCallerGone();
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -89,6 +89,10 @@
   void LearnFromEvent();
   // Time without data after which the stream is considered lost.
   Duration ResponseTimeout() const;
+  // Sends the head of the answer to the caller.
+  void BeginAnswer();
+  // Whether a stream that ended with its connection ended too early.
+  bool BrokeOff() const;
   void OnDecodeEnd();
   void OnDecodeLost(const Error& error, bool sent);
   void StartResponseTimer();
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -59,7 +59,7 @@
                  self->work.request, step, answered, head);
              self->OnDecodeHead(answered, head);
            },
-       .on_unframed = [self] { ++self->outcome.unframed_answers; },
+       .on_unframed = [self] { self->NoteUnframed(); },
        .on_data = [self](std::string_view data) { self->OnDecodeData(data); },
        .on_end = [self](const std::string&) { self->OnDecodeEnd(); },
        .on_error = [self](const Error& error,
@@ -163,10 +163,8 @@
     }
   }
   if (!this->begun) {
-    this->begun = true;
     this->outcome.first_byte = this->Age();
-    this->work.responder->BeginStream(this->status,
-                                      this->CallerHeaders(this->headers));
+    this->BeginAnswer();
   }
   this->LearnFromEvent();
   if (event.id) {
@@ -201,6 +199,24 @@
   counted += more;
 }
 
+void StreamRelay::BeginAnswer() {
+  this->begun = true;
+  const http::Headers forwarded = this->CallerHeaders(this->headers);
+  if (this->unframed) {
+    this->work.responder->BeginUnframedStream(this->status, forwarded);
+  } else {
+    this->work.responder->BeginStream(this->status, forwarded);
+  }
+}
+
+// The connection of an endpoint that crashes ends in order too. A generation
+// has at least one event, unless the caller had all of them before.
+bool StreamRelay::BrokeOff() const {
+  const bool never_began =
+      this->outcome.events == 0 && !this->work.request.resume_after.has_value();
+  return this->unframed && (never_began || this->splitter.inside_event());
+}
+
 void StreamRelay::OnDecodeEnd() {
   this->ForgetExchange();
   this->CancelPhaseTimer();
@@ -209,11 +225,15 @@
   const EndpointId id = this->placement->decode.id;
   switch (this->nature) {
     case AnswerNature::kSuccess:
+      if (this->BrokeOff()) {
+        this->OnDecodeLost(Error(ResultCode::kConnectionLost,
+                                 "the connection ended inside the stream"),
+                           true);
+        return;
+      }
       this->context.health.NoteSuccess(id, this->Now());
       if (!this->begun) {
-        this->work.responder->BeginStream(this->status,
-                                          this->CallerHeaders(this->headers));
-        this->begun = true;
+        this->BeginAnswer();
       }
       if (!this->splitter.rest().empty()) {
         this->work.responder->SendData(this->splitter.rest());
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -42,6 +42,7 @@
     CPPUNIT_ASSERT_MESSAGE("answered twice", !this->answer->ended);
     this->answer->status = response.status;
     this->answer->body = response.body;
+    this->answer->unframed = response.unframed;
     this->answer->retry_after = Text(response.headers, "Retry-After");
     this->answer->first_byte_at = this->now;
     this->Finish();
@@ -51,6 +52,10 @@
     this->answer->status = status;
     this->answer->first_byte_at = this->now;
   }
+  void BeginUnframedStream(int status, const http::Headers& headers) override {
+    this->BeginStream(status, headers);
+    this->answer->unframed = true;
+  }
   void SendData(std::string_view data) override { this->answer->body += data; }
   void EndStream() override { this->Finish(); }
   void Abort() override {
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -20,6 +20,7 @@
   std::string body;
   bool ended = false;
   bool cut = false;
+  bool unframed = false;  // had neither a length nor chunks
   std::string retry_after;
   Instant first_byte_at = kNever;
   Instant ended_at = kNever;
--- a/src/gateway/tests/late_request_test.cc
+++ b/src/gateway/tests/late_request_test.cc
@@ -22,6 +22,10 @@
   void BeginStream(int head_status, const http::Headers& /*headers*/) override {
     this->status = head_status;
   }
+  void BeginUnframedStream(int head_status,
+                           const http::Headers& headers) override {
+    this->BeginStream(head_status, headers);
+  }
   void SendData(std::string_view /*data*/) override {}
   void EndStream() override {}
   void Abort() override {}
