--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -22,6 +22,20 @@
   return std::string_view::npos;
 }
 
+// Comments are lines that begin with a colon.
+bool HasOnlyComments(std::string_view event) {
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    const std::string_view line = event.substr(0, end);
+    if (!line.starts_with(':') &&
+        line.find_first_not_of('\r') != std::string_view::npos) {
+      return false;
+    }
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+  }
+  return true;
+}
+
 std::optional<std::uint64_t> ParseId(std::string_view event) {
   constexpr std::string_view kField = "id:";
   while (!event.empty()) {
@@ -61,7 +75,9 @@
        end != std::string::npos; end = FindEventEnd(this->pending, from)) {
     std::string event = this->pending.substr(begin, end - begin);
     const std::optional<std::uint64_t> id = ParseId(event);
-    events.push_back({.bytes = std::move(event), .id = id});
+    const bool only_comments = !id && HasOnlyComments(event);
+    events.push_back(
+        {.bytes = std::move(event), .id = id, .only_comments = only_comments});
     begin = end;
     from = end;
   }
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -13,6 +13,7 @@
 struct StreamEvent {
   std::string bytes;  // with the empty line that ends it
   std::optional<std::uint64_t> id;
+  bool only_comments = false;  // keeps the connection alive and has no content
 };
 
 // Splits a stream of server-sent events into complete events. If an endpoint
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -414,7 +414,7 @@
   this->tried.push_back(this->placement->decode.id);
   this->ReleaseDecode();
   this->prefilled.reset();
-  const bool again = this->MayRunAgain() &&
+  const bool again = this->MayResume() &&
                      this->runs < this->work.route->max_endpoints &&
                      this->outcome.sends < kMaxSends && this->TakeRepeat();
   if (!again) {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -95,6 +95,8 @@
   bool BrokeOff() const;
   void OnDecodeEnd();
   void OnDecodeLost(const Error& error, bool sent);
+  // Whether another endpoint may run or continue the generation.
+  bool MayResume() const;
   void StartResponseTimer();
   void OnResponseTimeout();
   // Whether the route and the repeat budget allow a migration.
@@ -146,7 +148,9 @@
   bool received_since_timeout = false;
   bool begun = false;  // the head was sent to the caller
   std::optional<std::uint64_t> last_event;
-  Instant event_at{};  // when it arrived
+  bool received_event = false;  // with content, from any attempt
+  bool unnumbered = false;      // an event with content had no id
+  Instant event_at{};           // when the last event arrived
   // The decode endpoint computed a prompt at that time.
   bool prefill_at_last_event = false;
   std::uint32_t attempt_events = 0;  // of the attempt under way
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -67,8 +67,13 @@
   this->StartResponseTimer();
 }
 
+// Events without ids give another endpoint nothing to continue after.
+bool StreamRelay::MayResume() const {
+  return this->MayRunAgain() && !this->unnumbered;
+}
+
 void StreamRelay::StartResponseTimer() {
-  if (this->MayRunAgain()) {
+  if (this->MayResume()) {
     this->SetPhaseTimer(this->ResponseTimeout(),
                         [this] { this->OnResponseTimeout(); });
   }
@@ -170,6 +175,8 @@
   if (event.id) {
     this->last_event = event.id;
   }
+  this->received_event = this->received_event || !event.only_comments;
+  this->unnumbered = this->unnumbered || (!event.id && !event.only_comments);
   const Instant now = this->Now();
   if (this->outcome.events > 0) {
     this->outcome.longest_pause =
@@ -213,7 +220,7 @@
 // has at least one event, unless the caller had all of them before.
 bool StreamRelay::BrokeOff() const {
   const bool never_began =
-      this->outcome.events == 0 && !this->work.request.resume_after.has_value();
+      !this->received_event && !this->work.request.resume_after.has_value();
   return this->unframed && (never_began || this->splitter.inside_event());
 }
 
@@ -261,7 +268,7 @@
       if (this->status >= kFirstServerError) {
         this->context.health.NoteFailure(id, this->Now());
       }
-      if (this->status < kFirstServerError || !this->MayRunAgain()) {
+      if (this->status < kFirstServerError || !this->MayResume()) {
         if (this->begun) {
           this->GiveUp(ResultCode::kEngineFailed);
         } else {
--- a/src/gateway/tests/stream_end_test.cc
+++ b/src/gateway/tests/stream_end_test.cc
@@ -121,6 +121,25 @@
           stream.End(other);
           CPPUNIT_ASSERT(stream.answer->ended && !stream.answer->cut);
         }),
+     It("whose events have no ids is cut off, since it can't go on elsewhere",
+        [] {
+          // Guards against two runs joined in one answer.
+          Stream stream("/resumable/a");
+          stream.Begin(stream.decode, true);
+          stream.decode->hooks.on_data(": alive\n\ndata: x\n\nda");
+          stream.End(stream.decode);
+          CPPUNIT_ASSERT(stream.answer->cut);
+          CPPUNIT_ASSERT(stream.Calls().empty());
+        }),
+     It("that has sent comments only starts again elsewhere",
+        [] {
+          Stream stream("/resumable/a");
+          stream.Begin(stream.decode, true);
+          stream.decode->hooks.on_data(": alive\n\nid: 0\nda");
+          stream.End(stream.decode);
+          CPPUNIT_ASSERT(!stream.answer->ended);
+          CPPUNIT_ASSERT(stream.AdvanceToDecode() != nullptr);
+        }),
      It("is not distinguished from others while it sends its events",
         [] {
           // Guards against endpoints that never frame being blamed for it.
