Keep through agent and entry that a plain answer was not framed (ORDER)

Cause: the class of ORDER at the product's own interface. An agent collects a plain service's answer that has neither a length nor chunks, and its entry gave it a length, so that an answer cut off by the end of the service's process looked whole.

Change: a service's answer tells whether it was unframed (frames of version 3), and the entry passes it on without a length. Generations need [DONE] and were sound.

Conclusion: agents and entries of a site are upgraded together, as for version 2.

--- a/src/engine/internal/plain_engine.cc
+++ b/src/engine/internal/plain_engine.cc
@@ -68,6 +68,7 @@
              answer->status = static_cast<std::uint16_t>(status);
              answer->headers = ToFields(PassedOn(answer_headers));
            },
+       .on_unframed = [answer] { answer->unframed = true; },
        .on_end =
            [this, attempt, answer](std::string body) {
              this->calls.erase(attempt);
--- a/src/engine/tests/plain_engine_test.cc
+++ b/src/engine/tests/plain_engine_test.cc
@@ -62,6 +62,19 @@
           CPPUNIT_ASSERT(Has(done.answer.headers, "X-Receipt"));
           CPPUNIT_ASSERT(!Has(done.answer.headers, "Keep-Alive"));
         }),
+     It("keeps whether its answer had a length",
+        [] {
+          // Guards against an entry that vouches for an answer's end.
+          for (const bool unframed : {false, true}) {
+            ScriptedServer server(
+                [unframed](const auto&, const http::ResponderPtr& responder) {
+                  responder->SendWhole({.body = "done", .unframed = unframed});
+                });
+            EngineUnderTest under_test(Options(server.address()));
+            CPPUNIT_ASSERT_EQUAL(
+                unframed, under_test.Await<CallDone>(kCall).answer.unframed);
+          }
+        }),
      It("counts as completed when the service answers 500",
         [] {
           ScriptedServer server([](const auto&, const auto& responder) {
--- a/src/entry_process/internal/service_call.cc
+++ b/src/entry_process/internal/service_call.cc
@@ -52,7 +52,8 @@
     all.push_back({std::move(field.name), std::move(field.value)});
   }
   http::Response response{.status = answer.status,
-                          .body = std::move(answer.body)};
+                          .body = std::move(answer.body),
+                          .unframed = answer.unframed};
   for (const http::Header& header : all) {
     if (!http::IsHopByHop(all, header.name) &&
         !IsListed(kNotReturned, header)) {
--- a/src/entry_process/tests/rendering_test.cc
+++ b/src/entry_process/tests/rendering_test.cc
@@ -217,6 +217,12 @@
           CPPUNIT_ASSERT_EQUAL(std::string("00000000000000000000000000000005"),
                                call.headers.back().value);
         }),
+     It("returns an answer without length as one",
+        [] {
+          CPPUNIT_ASSERT(
+              MakeServiceResponse({.unframed = true}, false).unframed);
+          CPPUNIT_ASSERT(!MakeServiceResponse({}, false).unframed);
+        }),
      It("returns its answer without hop-by-hop headers", [] {
        const http::Response response =
            MakeServiceResponse({.status = 201,
--- a/src/framework/net/frame_channel.h
+++ b/src/framework/net/frame_channel.h
@@ -13,7 +13,7 @@
 
 // A frame on the wire: 4 bytes length of the rest (little endian), 1 byte
 // protocol version, then the payload (a cereal portable binary archive).
-inline constexpr std::uint8_t kProtocolVersion = 2;
+inline constexpr std::uint8_t kProtocolVersion = 3;
 inline constexpr std::size_t kFrameHeadBytes = 5;
 
 struct FrameLimits {
--- a/src/framework/net/tests/frame_channel_test.cc
+++ b/src/framework/net/tests/frame_channel_test.cc
@@ -19,6 +19,7 @@
 using testing::WaitUntil;
 
 constexpr std::size_t kMaxFrame = 1000;
+constexpr char kVersion = net::kProtocolVersion;
 
 const ChannelOptions kOptions{.limits = {.max_frame_bytes = kMaxFrame}};
 
@@ -65,7 +66,7 @@
       1,
       ResultCode::kFrameTooLarge},
      {"a head that claims 4 GB",
-      {"\xff\xff\xff\xff\x02"},
+      {std::string("\xff\xff\xff\xff") + kVersion},
       0,
       ResultCode::kFrameTooLarge},
      {"a frame of another version",
@@ -78,7 +79,7 @@
       0,
       ResultCode::kProtocolVersion},
      {"a frame of no length",
-      {std::string("\0\0\0\0\2", 5)},
+      {std::string(4, '\0') + kVersion},
       0,
       ResultCode::kBadFrame}},
     [](const BytesRow& row) { return row.name; },
--- a/src/protocol/types/generation.h
+++ b/src/protocol/types/generation.h
@@ -97,10 +97,13 @@
   std::uint16_t status = 0;
   std::vector<HeaderField> headers;
   std::string body;
+  // It had neither a length nor chunks: only the end of the endpoint's
+  // connection says that it is whole.
+  bool unframed = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->status, this->headers, this->body);
+    archive(this->status, this->headers, this->body, this->unframed);
   }
 };
 
