--- a/src/load/internal/call_exchange.cc
+++ b/src/load/internal/call_exchange.cc
@@ -90,6 +90,7 @@
              submission->outcome_header =
                  http::FindHeader(headers, "X-Outcome").value_or("");
            },
+       .on_unframed = [submission] { submission->unframed = true; },
        .on_end =
            [self, submission](const std::string& body) {
              self->OnEnd(submission, body);
@@ -108,6 +109,15 @@
     this->Finish(submission, error.outcome, error.code);
     return;
   }
+  // Only the connection's end says that such an answer is whole, as does that
+  // of a process that ends.
+  const bool cut = submission->unframed &&
+                   body.size() < this->expected.size() &&
+                   this->expected.starts_with(body);
+  if (cut) {
+    this->Finish(submission, RequestOutcome::kUnknown, "cut");
+    return;
+  }
   this->CheckBody(body);
   this->Finish(submission, RequestOutcome::kCompleted, "");
 }
--- a/src/load/internal/call_exchange.h
+++ b/src/load/internal/call_exchange.h
@@ -26,6 +26,7 @@
     std::size_t tries = 0;
     int status = 0;
     std::string outcome_header;
+    bool unframed = false;  // the answer has neither a length nor chunks
   };
   using SubmissionPtr = std::shared_ptr<Submission>;
 
--- a/src/load/internal/generation_exchange.cc
+++ b/src/load/internal/generation_exchange.cc
@@ -111,6 +111,7 @@
            [self](int code, const http::Headers& headers) {
              self->OnHead(code, headers);
            },
+       .on_unframed = [self] { self->unframed = true; },
        .on_data = [self](std::string_view data) { self->OnData(data); },
        .on_end = [self](const std::string&) { self->OnEnd(); },
        .on_error =
@@ -180,6 +181,9 @@
   if (this->status != kOk) {
     this->OnAnswerError(
         ReadError(this->status, this->outcome_header, this->whole_body));
+  } else if (this->unframed && !this->EndsWhole()) {
+    this->Break("cut");
+    return;
   } else if (!this->mix.stream) {
     ReadWholeAnswer(this->whole_body, this->MakeEvents());
   }
@@ -196,6 +200,11 @@
   }
 }
 
+bool GenerationExchange::EndsWhole() const {
+  return this->mix.stream ? this->checker.whole()
+                          : json::accept(this->whole_body);
+}
+
 void GenerationExchange::OnAnswerError(const AnswerError& error) {
   this->checker.OnError();
   this->answer_error = error;
--- a/src/load/internal/generation_exchange.h
+++ b/src/load/internal/generation_exchange.h
@@ -37,6 +37,8 @@
   void OnData(std::string_view data);
   void OnText(std::string_view text);
   void OnEnd();
+  // Whether what was received is a whole answer by itself.
+  bool EndsWhole() const;
   void OnAnswerError(const AnswerError& error);
   void Break(const std::string& code);
   void Finish(RequestOutcome outcome, const std::string& code);
@@ -54,6 +56,7 @@
   std::size_t tries = 0;
   int status = 0;
   std::string outcome_header;
+  bool unframed = false;   // the answer has neither a length nor chunks
   std::string whole_body;  // of an error, or of an answer that is not streamed
   std::optional<AnswerError> answer_error;
   bool done = false;
--- a/src/load/tests/load_run_test.cc
+++ b/src/load/tests/load_run_test.cc
@@ -6,6 +6,7 @@
 #include <QEventLoop>
 #include <string>
 
+#include "framework/http/http_client.h"
 #include "framework/testing/story.h"
 #include "standin/engine_server.h"
 #include "standin/service_server.h"
@@ -50,6 +51,15 @@
   return report;
 }
 
+void PostControl(const http::Address& stand_in, const std::string& faults) {
+  http::Client client({});
+  QEventLoop loop;
+  client.Send(stand_in,
+              {.method = "POST", .target = "/control", .body = faults},
+              {.on_end = [&loop](const std::string&) { loop.quit(); }});
+  loop.exec();
+}
+
 std::uint64_t Count(const LoadReport& report, RequestOutcome outcome) {
   const auto& outcomes = report.figures.mixes.at(0).outcomes;
   const auto found = outcomes.find(outcome);
@@ -102,6 +112,51 @@
                                Count(report, RequestOutcome::kUnknown));
           CPPUNIT_ASSERT_EQUAL(std::size_t{0}, report.violations.size());
         }),
+     // Guards against taking the end of a process for the end of its answer.
+     It("counts answers without length or chunks that end early as unknown",
+        [] {
+          standin::EngineServer engine(FastEngine());
+          CPPUNIT_ASSERT(engine.Start().ok());
+          for (const bool cut : {false, true}) {
+            PostControl(engine.address(),
+                        cut ? R"({"unframed":1,"cut_unframed":1})"
+                            : R"({"unframed":1})");
+            for (const bool stream : {true, false}) {
+              LoadPlan plan = ShortPlan(engine);
+              plan.generations[0].stream = stream;
+              const LoadReport report = RunPlan(plan);
+              CPPUNIT_ASSERT_EQUAL(
+                  report.figures.arrived,
+                  Count(report, cut ? RequestOutcome::kUnknown
+                                    : RequestOutcome::kCompleted));
+              CPPUNIT_ASSERT_EQUAL(std::size_t{0}, report.violations.size());
+            }
+          }
+        }),
+     It("counts calls without length that end early as unknown",
+        [] {
+          standin::ServiceServer service(
+              {.listen = kAnyPort, .service = {.id = "service"}});
+          CPPUNIT_ASSERT(service.Start().ok());
+          PostControl(service.address(), R"({"unframed":1,"cut_unframed":1})");
+          LoadPlan plan;
+          plan.entries = {service.address()};
+          plan.direct.plain = {service.address()};
+          plan.requests_per_second = 100;
+          plan.warm_up = 0s;
+          plan.duration = 200ms;
+          plan.settle = 0s;
+          plan.calls.push_back({.name = "app", .service = "app"});
+          const LoadReport report = RunPlan(plan);
+          std::uint64_t unknown = 0;
+          for (const MixFigures& mix : report.figures.mixes) {
+            if (mix.direct) {
+              CPPUNIT_ASSERT(mix.outcomes.size() == 1);
+              unknown += mix.outcomes.at(RequestOutcome::kUnknown);
+            }
+          }
+          CPPUNIT_ASSERT(unknown > 0);
+        }),
      It("uses the next entry when one cannot be reached",
         [] {
           standin::EngineServer engine(FastEngine());
--- a/src/standin/internal/engine_server.cc
+++ b/src/standin/internal/engine_server.cc
@@ -26,8 +26,10 @@
   bool include_usage = false;
   bool continuous_usage = false;
   bool begun = false;
-  bool lost = false;  // by a fault: the connection is closed at the answer
-  std::string text;   // of an answer that is not streamed
+  bool lost = false;      // by a fault: the connection is closed at the answer
+  bool unframed = false;  // by a fault: without length or chunks
+  bool cut = false;       // by a fault: ends in order inside an event
+  std::string text;       // of an answer that is not streamed
   protocol::Usage usage;
 };
 
@@ -141,13 +143,17 @@
       return;
     }
     const std::string request_id = work.request_id;
+    const bool streams = read.stream && !work.export_kv;
+    const bool unframed = streams && this->shell.faults.IsUnframed();
     this->exchanges[request_id] = {
         .head = MakeHead(api, request_id, work.model),
         .responder = responder,
-        .stream = read.stream && !work.export_kv,
+        .stream = streams,
         .include_usage = read.include_usage,
         .continuous_usage = read.continuous_usage,
         .lost = this->shell.faults.LosesAnswer(),
+        .unframed = unframed,
+        .cut = unframed && this->shell.faults.CutsUnframed(),
         .usage = {.prompt_tokens = PromptTokens(work.prompt)}};
     responder->SetOnGone([this, request_id] {
       this->shell.Arrive([this, request_id] { this->Drop(request_id); });
@@ -269,11 +275,18 @@
       return;
     }
     this->BeginStream(exchange);
-    this->SendData(
-        exchange.responder,
+    std::string event =
         TextEvent(exchange.head, made.text,
                   exchange.continuous_usage ? std::optional(exchange.usage)
-                                            : std::nullopt));
+                                            : std::nullopt);
+    if (exchange.cut) {
+      this->EndStream(exchange.responder,
+                      this->shell.faults.Cut(std::move(event)));
+      this->TakeExchange(made.request_id);
+      this->model.Abort(made.request_id, MonotonicNow());
+      return;
+    }
+    this->SendData(exchange.responder, std::move(event));
     if (exchange.lost) {
       this->TakeExchange(made.request_id);
       this->model.Abort(made.request_id, MonotonicNow());
@@ -327,14 +340,20 @@
     if (std::exchange(exchange.begun, true)) {
       return;
     }
-    this->shell.Send(
-        [responder = exchange.responder, role = RoleEvent(exchange.head)] {
-          responder->BeginStream(200, {{"Content-Type", "text/event-stream"},
-                                       {"Cache-Control", "no-cache"}});
-          if (!role.empty()) {
-            responder->SendData(role);
-          }
-        });
+    this->shell.Send([responder = exchange.responder,
+                      role = RoleEvent(exchange.head),
+                      unframed = exchange.unframed] {
+      const http::Headers headers{{"Content-Type", "text/event-stream"},
+                                  {"Cache-Control", "no-cache"}};
+      if (unframed) {
+        responder->BeginUnframedStream(200, headers);
+      } else {
+        responder->BeginStream(200, headers);
+      }
+      if (!role.empty()) {
+        responder->SendData(role);
+      }
+    });
   }
 
   void SendData(const http::ResponderPtr& responder, std::string data) {
--- a/src/standin/internal/http_faults.cc
+++ b/src/standin/internal/http_faults.cc
@@ -19,6 +19,9 @@
   this->lose_share = NumberOr(control, "lose_answers", this->lose_share);
   this->lose_request_share =
       NumberOr(control, "lose_requests", this->lose_request_share);
+  this->unframed_share = NumberOr(control, "unframed", this->unframed_share);
+  this->cut_unframed_share =
+      NumberOr(control, "cut_unframed", this->cut_unframed_share);
   if (control.contains("stall")) {
     this->SetStalled(
         BoolOr(control, "stall", false),
@@ -61,11 +64,30 @@
   return this->lose_share > 0 && this->random.Unit() < this->lose_share;
 }
 
+bool HttpFaults::IsUnframed() {
+  return this->unframed_share > 0 && this->random.Unit() < this->unframed_share;
+}
+
+bool HttpFaults::CutsUnframed() {
+  return this->cut_unframed_share > 0 &&
+         this->random.Unit() < this->cut_unframed_share;
+}
+
+std::string HttpFaults::Cut(std::string text) {
+  text.resize(static_cast<std::size_t>(this->random.Unit() *
+                                       static_cast<double>(text.size())));
+  return text;
+}
+
 void HttpFaults::Answer(const Reply& reply, http::Response response) {
   if (this->LosesAnswer()) {
     reply(std::nullopt);
     return;
   }
+  response.unframed = this->IsUnframed();
+  if (response.unframed && this->CutsUnframed()) {
+    response.body = this->Cut(std::move(response.body));
+  }
   if (this->answer_delay == Duration::zero()) {
     reply(std::move(response));
     return;
--- a/src/standin/internal/http_faults.h
+++ b/src/standin/internal/http_faults.h
@@ -21,7 +21,8 @@
  public:
   explicit HttpFaults(RandomSource& random_source);
 
-  // Applies the keys stall, stall_ms, delay_ms, lose_answers and lose_requests.
+  // Applies the keys stall, stall_ms, delay_ms, lose_answers, lose_requests,
+  // unframed and cut_unframed.
   // Absent ones keep their values.
   void Set(const nlohmann::json& control);
 
@@ -37,7 +38,15 @@
   // Draws whether an answer is lost.
   bool LosesAnswer();
 
-  // Sends an answer, which faults may delay or lose.
+  // Draws whether an answer has neither a length nor chunks, and whether such
+  // an answer ends early, in order, as when its process ends.
+  bool IsUnframed();
+  bool CutsUnframed();
+
+  // A part of the text that ends after any of its bytes but the last.
+  std::string Cut(std::string text);
+
+  // Sends an answer, which faults may delay, lose, or leave unframed.
   void Answer(const Reply& reply, http::Response response);
 
   // Runs when a stall begins or ends, with the end of the stall (kNever:
@@ -52,6 +61,8 @@
   Duration answer_delay{};
   double lose_share = 0;
   double lose_request_share = 0;
+  double unframed_share = 0;
+  double cut_unframed_share = 0;
   std::vector<std::function<void()>> held;
   QTimer stall_end;
 };
