Order configurations by their version, not by their offset (CONFIG)

What callers saw: requests handled by version 23 or older more than 2 s after 29 was acknowledged; routes that a confirmed version added were not served.

Cause: a configuration was newer if its record's offset was. When the store returned from an older copy the offsets went back and were given out again, and every version after the return was read and passed over as old, until the log had grown past its former end. The class: a position of somebody's log taken for an order that its writer has numbered.

The fixture's configuration bears version 5 now, its former offset, so that the tests of positions keep their numbers; one literal follows.

Heartbeats bear versions where they bore offsets, so that gateways of a site are upgraded together.

--- a/src/framework/global/types/identifiers.h
+++ b/src/framework/global/types/identifiers.h
@@ -63,6 +63,10 @@
 using AttemptNumber = Number<struct AttemptTag>;
 // The position of a record in the platform's log.
 using LogOffset = Number<struct LogOffsetTag>;
+// The version after that of a known configuration, so that zero stands for
+// none. Versions order configurations also when the log that holds them goes
+// back.
+using NextVersion = Number<struct NextVersionTag>;
 // The position of a chunk in one attempt's answer, from 0, without gaps.
 using SequenceNumber = Number<struct SequenceTag>;
 
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -151,7 +151,7 @@
 
   bool SetConfiguration(std::shared_ptr<const Configuration> newest) {
     if (this->routes != nullptr &&
-        newest->offset <= this->routes->configuration().offset) {
+        newest->version <= this->routes->configuration().version) {
       return false;
     }
     this->options.hooks.log(
--- a/src/gateway/types/configuration.h
+++ b/src/gateway/types/configuration.h
@@ -83,8 +83,8 @@
 
 // One complete configuration. It is immutable; a later one replaces it.
 struct Configuration {
-  std::uint64_t version = 0;
-  LogOffset offset;  // of its record; a greater offset is newer
+  std::uint64_t version = 0;  // a greater version is newer
+  LogOffset offset;           // of its record
   std::vector<Route> routes;
   std::vector<ServiceTraits> services;
   CallerLimits limits;
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -89,11 +89,10 @@
     this->LogReadiness();
   }
 
-  LogOffset configuration_known() const {
+  NextVersion configuration_known() const {
     const auto configuration = this->core.configuration();
-    return configuration == nullptr
-               ? LogOffset()
-               : LogOffset(configuration->offset.value + 1);
+    return configuration == nullptr ? NextVersion()
+                                    : NextVersion(configuration->version + 1);
   }
 
   template <typename Update>
@@ -490,7 +489,7 @@
   this->implementation->SetConfiguration(std::move(newest));
 }
 
-LogOffset GatewayProcess::configuration_known() const {
+NextVersion GatewayProcess::configuration_known() const {
   return this->implementation->configuration_known();
 }
 
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -50,7 +50,7 @@
   // Updates from the store. An update older than the known state is ignored.
   void SetConfiguration(std::shared_ptr<const gateway::Configuration> newest);
   // Position behind the active configuration; zero: there is none.
-  LogOffset configuration_known() const;
+  NextVersion configuration_known() const;
   void Apply(const gateway::EndpointChange& change);
   void Apply(const gateway::EndpointSnapshot& snapshot);
   // Sets whether the store serves this process.
--- a/src/gateway_process/internal/catalog_page.cc
+++ b/src/gateway_process/internal/catalog_page.cc
@@ -234,20 +234,20 @@
 
 }  // namespace
 
-std::string CatalogTarget(LogOffset known) {
+std::string CatalogTarget(NextVersion known) {
   return std::string(kCatalogPath)
       .append(kKnownQuery)
       .append(std::to_string(known.value));
 }
 
-LogOffset KnownByTarget(std::string_view target) {
+NextVersion KnownByTarget(std::string_view target) {
   std::uint64_t known = 0;
   const std::size_t query = target.find(kKnownQuery);
   if (query != std::string_view::npos) {
     const std::string_view digits = target.substr(query + kKnownQuery.size());
     std::from_chars(digits.data(), digits.data() + digits.size(), known);
   }
-  return LogOffset(known);
+  return NextVersion(known);
 }
 
 std::string RenderConfiguration(const Configuration& configuration) {
@@ -277,7 +277,7 @@
                            : RenderConfiguration(*catalog.configuration));
 }
 
-Result<Catalog> ParseCatalog(std::string_view text, LogOffset known) {
+Result<Catalog> ParseCatalog(std::string_view text, NextVersion known) {
   try {
     const Json json = Json::parse(text);
     Catalog catalog;
@@ -288,7 +288,7 @@
     }
     if (json.contains("configuration")) {
       const Json& configuration = json.at("configuration");
-      if (LogOffset(configuration.at("offset")) >= known) {
+      if (NextVersion(configuration.at("version")) >= known) {
         catalog.configuration = std::make_shared<const Configuration>(
             ConfigurationOf(configuration));
       }
--- a/src/gateway_process/internal/catalog_page.h
+++ b/src/gateway_process/internal/catalog_page.h
@@ -22,8 +22,8 @@
 
 // Renders and parses the page as JSON. Errors: kMalformedJson. Thread safe.
 std::string RenderCatalog(const Catalog& catalog);
-// A configuration before the position `known` is left out and not decoded.
-Result<Catalog> ParseCatalog(std::string_view text, LogOffset known = {});
+// A configuration before the version `known` is left out and not decoded.
+Result<Catalog> ParseCatalog(std::string_view text, NextVersion known = {});
 
 // The page in two parts, so that a configuration, by far the larger part, is
 // rendered once and sent to many peers. An empty text stands for none.
@@ -32,10 +32,10 @@
                           std::string_view configuration_text);
 
 // The target of a request for the page, from a process that needs no
-// configuration before `known`; and the position that a target carries, zero if
+// configuration before `known`; and the version that a target carries, zero if
 // it carries none because the peer runs a program that does not send it.
-std::string CatalogTarget(LogOffset known);
-LogOffset KnownByTarget(std::string_view target);
+std::string CatalogTarget(NextVersion known);
+NextVersion KnownByTarget(std::string_view target);
 
 }  // namespace acacialug::gateway_process
 
--- a/src/gateway_process/internal/catalog_page_server.cc
+++ b/src/gateway_process/internal/catalog_page_server.cc
@@ -3,10 +3,11 @@
 namespace acacialug::gateway_process {
 
 std::string CatalogPageServer::PageFor(const Catalog& catalog,
-                                       LogOffset known_to_peer,
+                                       NextVersion known_to_peer,
                                        Instant now) {
   const auto& configuration = catalog.configuration;
-  if (configuration == nullptr || configuration->offset < known_to_peer) {
+  if (configuration == nullptr ||
+      configuration->version < known_to_peer.value) {
     return RenderCatalog(catalog.endpoints, {});
   }
   const std::string& whole = this->TextOf(*configuration);
@@ -17,9 +18,9 @@
 
 const std::string& CatalogPageServer::TextOf(
     const gateway::Configuration& configuration) {
-  if (this->text_of != configuration.offset) {
+  if (this->text_of != configuration.version) {
     this->text = RenderConfiguration(configuration);
-    this->text_of = configuration.offset;
+    this->text_of = configuration.version;
     ++this->render_count;
   }
   return this->text;
--- a/src/gateway_process/internal/catalog_page_server.h
+++ b/src/gateway_process/internal/catalog_page_server.h
@@ -23,13 +23,12 @@
   // endpoints are delayed.
   static constexpr std::int64_t kBytesPerSecond = 625'000;
 
-  // The page for a peer that needs no configuration before `known_to_peer`, a
-  // position as in PeerLink::Positions; zero: it needs any configuration. The
-  // configuration is left out when the peer does not need it, and when the
-  // maximum number is being sent, so that the peer has to query another peer or
-  // try later.
+  // The page for a peer that needs no configuration before `known_to_peer`, as
+  // in PeerLink::Positions; zero: it needs any configuration. The configuration
+  // is left out when the peer does not need it, and when the maximum number is
+  // being sent, so that the peer has to query another peer or try later.
   std::string PageFor(const Catalog& catalog,
-                      LogOffset known_to_peer,
+                      NextVersion known_to_peer,
                       Instant now);
 
   // Number of configuration texts rendered.
@@ -43,8 +42,8 @@
   bool Begin(std::size_t bytes, Instant now);
 
   std::string text;
-  std::optional<LogOffset> text_of;
-  std::vector<Instant> ends;  // when the transfers being sent end
+  std::optional<std::uint64_t> text_of;  // the version
+  std::vector<Instant> ends;             // when the transfers being sent end
   std::uint64_t render_count = 0;
 };
 
--- a/src/gateway_process/internal/catalog_sources.cc
+++ b/src/gateway_process/internal/catalog_sources.cc
@@ -24,12 +24,13 @@
 // peer. Among peers that offer the same, each process queries another one: all
 // would query the first and saturate its link.
 struct Offer {
-  LogOffset configuration;  // zero: none is to be requested
-  LogOffset endpoints;      // zero: none
+  NextVersion configuration;  // zero: none is to be requested
+  LogOffset endpoints;        // zero: none
   std::uint64_t weight = 0;
 
   bool empty() const {
-    return this->configuration == LogOffset() && this->endpoints == LogOffset();
+    return this->configuration == NextVersion() &&
+           this->endpoints == LogOffset();
   }
   friend auto operator<=>(const Offer&, const Offer&) = default;
 };
@@ -68,11 +69,11 @@
   }
 }
 
-LogOffset CatalogSources::NewestConfiguration() const {
-  LogOffset newest = this->known.configuration;
+NextVersion CatalogSources::NewestConfiguration() const {
+  NextVersion newest = this->known.configuration;
   for (const auto& [id, peer] : this->peers) {
     newest = std::max(
-        newest, peer.reported ? peer.positions.configuration : LogOffset());
+        newest, peer.reported ? peer.positions.configuration : NextVersion());
   }
   return newest;
 }
@@ -93,7 +94,7 @@
 // kStoreGracePeriod at most, since the store's calls may hang.
 bool CatalogSources::NeedsConfiguration(Instant now) const {
   return this->behind_since &&
-         (!this->store_serves || this->known.configuration == LogOffset() ||
+         (!this->store_serves || this->known.configuration == NextVersion() ||
           now - *this->behind_since >= kStoreGracePeriod);
 }
 
--- a/src/gateway_process/internal/catalog_sources.h
+++ b/src/gateway_process/internal/catalog_sources.h
@@ -11,18 +11,17 @@
 
 namespace acacialug::gateway_process {
 
-// The positions up to which a process knows, each behind the last record; zero:
-// nothing.
+// What a process knows, each behind the last one; zero: nothing.
 struct CatalogPositions {
-  LogOffset configuration;
+  NextVersion configuration;
   LogOffset endpoints;
 };
 
 // The peer to request the catalog page from, and the positions it reported.
 struct CatalogRequest {
   std::string peer;
-  LogOffset known_configuration;  // sent to the peer
-  LogOffset configuration;
+  NextVersion known_configuration;  // sent to the peer
+  NextVersion configuration;
   LogOffset endpoints;
 };
 
@@ -68,8 +67,8 @@
 
   bool HasNewerConfiguration(const Peer& peer, Instant now) const;
   bool HasNewerEndpoints(const Peer& peer, Instant now) const;
-  // The newest position that this process knows or a peer reports.
-  LogOffset NewestConfiguration() const;
+  // The newest that this process knows or a peer reports.
+  NextVersion NewestConfiguration() const;
   void UpdateBehindSince(Instant now);
   // Whether a newer configuration is to come from a peer.
   bool NeedsConfiguration(Instant now) const;
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -104,9 +104,9 @@
   void ReportPauses();
 
   struct Positions {
-    LogOffset configuration;  // of the active one plus one; zero: none
-    LogOffset changed_to;     // behind the last change of an endpoint
-    LogOffset complete_to;    // all changes of endpoints before it are known
+    NextVersion configuration;
+    LogOffset changed_to;   // behind the last change of an endpoint
+    LogOffset complete_to;  // all changes of endpoints before it are known
   };
 
   // Sets the positions up to which this process knows configuration and
--- a/src/gateway_process/tests/catalog_page_server_test.cc
+++ b/src/gateway_process/tests/catalog_page_server_test.cc
@@ -25,9 +25,9 @@
         [] {
           CatalogPageServer page_server;
           CPPUNIT_ASSERT(HasConfiguration(
-              page_server.PageFor(KnownAt(5), LogOffset(), kBegin)));
+              page_server.PageFor(KnownAt(5), NextVersion(), kBegin)));
           CPPUNIT_ASSERT(HasConfiguration(
-              page_server.PageFor(KnownAt(5), LogOffset(5), kBegin)));
+              page_server.PageFor(KnownAt(5), NextVersion(5), kBegin)));
         }),
      It("is not sent again for a change of an endpoint",
         [] {
@@ -38,7 +38,7 @@
           // broke off: 542 peer_catalog_taken, 71 configuration_taken.
           CatalogPageServer page_server;
           const std::string page =
-              page_server.PageFor(KnownAt(5), LogOffset(6), kBegin);
+              page_server.PageFor(KnownAt(5), NextVersion(6), kBegin);
           CPPUNIT_ASSERT(!HasConfiguration(page));
           CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                                ParseCatalog(page)->endpoints.records.size());
@@ -50,15 +50,14 @@
           const Catalog known = KnownAt(5);
           Instant now = kBegin;
           for (int request = 0; request < 20; ++request, now += 1min) {
-            CPPUNIT_ASSERT(
-                HasConfiguration(page_server.PageFor(known, LogOffset(), now)));
+            CPPUNIT_ASSERT(HasConfiguration(
+                page_server.PageFor(known, NextVersion(), now)));
           }
           CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, page_server.renders());
           const std::string newer =
-              page_server.PageFor(KnownAt(9), LogOffset(6), now);
-          CPPUNIT_ASSERT_EQUAL(
-              std::uint64_t{9},
-              ParseCatalog(newer)->configuration->offset.value);
+              page_server.PageFor(KnownAt(9), NextVersion(6), now);
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{9},
+                               ParseCatalog(newer)->configuration->version);
           CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, page_server.renders());
         }),
      It("is sent to few enough peers at a time to leave half of the link",
@@ -66,7 +65,7 @@
           CatalogPageServer page_server;
           const Catalog known = KnownAt(5);
           const auto request_page = [&](Instant now) {
-            return page_server.PageFor(known, LogOffset(), now);
+            return page_server.PageFor(known, NextVersion(), now);
           };
           std::size_t bytes = 0;
           for (std::size_t one = 0; one < CatalogPageServer::kMaxConcurrent;
@@ -89,9 +88,9 @@
         }),
      It("that is known already is not decoded again from a page", [] {
        const std::string page = RenderCatalog(KnownAt(5));
-       CPPUNIT_ASSERT(ParseCatalog(page, LogOffset(5))->configuration !=
+       CPPUNIT_ASSERT(ParseCatalog(page, NextVersion(5))->configuration !=
                       nullptr);
-       CPPUNIT_ASSERT(ParseCatalog(page, LogOffset(6))->configuration ==
+       CPPUNIT_ASSERT(ParseCatalog(page, NextVersion(6))->configuration ==
                       nullptr);
      })});
 
--- a/src/gateway_process/tests/gateway_process_test.cc
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -80,13 +80,13 @@
         }),
      It("is requested with the known position, or without any",
         [] {
-          CPPUNIT_ASSERT(KnownByTarget(CatalogTarget(LogOffset(6))) ==
-                         LogOffset(6));
+          CPPUNIT_ASSERT(KnownByTarget(CatalogTarget(NextVersion(6))) ==
+                         NextVersion(6));
           for (const char* const target :
                {"/catalog", "/catalog?", "/catalog?configuration_known=",
                 "/catalog?configuration_known=x",
                 "/catalog?configuration_known=99999999999999999999999"}) {
-            CPPUNIT_ASSERT(KnownByTarget(target) == LogOffset());
+            CPPUNIT_ASSERT(KnownByTarget(target) == NextVersion());
           }
         }),
      ForEach<std::string>(
--- a/src/gateway_process/tests/gateway_support.h
+++ b/src/gateway_process/tests/gateway_support.h
@@ -19,7 +19,7 @@
 inline const http::Address kAnyPort{.ip = "127.0.0.1", .port = 0};
 
 inline gateway::Configuration OneRoute(const std::string& service) {
-  return {.version = 3,
+  return {.version = 5,
           .offset = LogOffset(5),
           .routes = {{.name = "r",
                       .host = "h",
@@ -58,9 +58,9 @@
 inline constexpr std::size_t kManyRoutes = 1449;
 
 inline std::shared_ptr<const gateway::Configuration> ManyRoutes(
-    std::uint64_t offset) {
+    std::uint64_t version) {
   gateway::Configuration configuration = OneRoute("s");
-  configuration.offset = LogOffset(offset);
+  configuration.version = version;
   configuration.routes.resize(kManyRoutes, configuration.routes[0]);
   return std::make_shared<const gateway::Configuration>(configuration);
 }
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -119,8 +119,8 @@
                     if (catalog.configuration != nullptr) {
                       this->took_configuration = true;
                       this->link.SetPositions(
-                          {.configuration = LogOffset(
-                               catalog.configuration->offset.value + 1)});
+                          {.configuration = NextVersion(
+                               catalog.configuration->version + 1)});
                     }
                   },
               .fetch_timeout = fetch_timeout,
@@ -303,10 +303,10 @@
           Peer b("b", FreePort());
           a.known.configuration =
               std::make_shared<gateway::Configuration>(OneRoute("s"));
-          a.link.SetPositions({.configuration = LogOffset(6)});
+          a.link.SetPositions({.configuration = NextVersion(6)});
           b.link.SetMembers({{"a", a.address}});
           WaitUntil("the catalog", [&] { return b.taken.has_value(); });
-          CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
                                b.taken->configuration->version);
         }),
      It("query the next peer when the first does not deliver what it reports",
@@ -337,10 +337,10 @@
           Peer b("b", FreePort());
           b.known.configuration =
               std::make_shared<gateway::Configuration>(OneRoute("s"));
-          b.link.SetPositions({.configuration = LogOffset(6)});
+          b.link.SetPositions({.configuration = NextVersion(6)});
           Peer c("c", FreePort(), {}, 100ms);
           Sender a("a");
-          a.heartbeat.configuration = LogOffset(7);
+          a.heartbeat.configuration = NextVersion(7);
           a.heartbeat.pages_port = silent.port();
           a.Send(c);
           c.link.SetMembers({{"b", b.address}});
@@ -430,7 +430,7 @@
 struct InformedPeer {
   explicit InformedPeer(Peer& peer) {
     peer.known = KnownAt(6);
-    peer.link.SetPositions({.configuration = LogOffset(7),
+    peer.link.SetPositions({.configuration = NextVersion(7),
                             .changed_to = LogOffset(8),
                             .complete_to = LogOffset(8)});
   }
@@ -447,7 +447,7 @@
           Peer b("b", FreePort());
           const InformedPeer knowing(a);
           b.stopped = MonotonicNow();
-          b.link.SetPositions({.configuration = LogOffset(6)});
+          b.link.SetPositions({.configuration = NextVersion(6)});
           b.link.SetStoreServes(true);
           b.link.SetMembers({{"a", a.address}});
           WaitUntil("the endpoints", [&] { return b.taken.has_value(); });
@@ -463,7 +463,7 @@
           Peer b("b", FreePort());
           const InformedPeer knowing(a);
           b.stopped = MonotonicNow();
-          b.link.SetPositions({.configuration = LogOffset(6)});
+          b.link.SetPositions({.configuration = NextVersion(6)});
           b.link.SetMembers({{"a", a.address}});
           WaitUntil("the configuration", [&] { return b.took_configuration; });
           CPPUNIT_ASSERT_EQUAL(1, b.takes);
@@ -490,17 +490,17 @@
                {"c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}) {
             Peer& requester = *requesters.emplace_back(
                 std::make_unique<Peer>(id, FreePort()));
-            requester.link.SetPositions({.configuration = LogOffset(6)});
+            requester.link.SetPositions({.configuration = NextVersion(6)});
             requester.link.SetStoreServes(true);
             requester.stopped = MonotonicNow();
             requester.link.SetMembers({{"a", a.address}, {"b", b.address}});
           }
           gateway::Configuration newer = OneRoute("s");
-          newer.offset = LogOffset(6);
+          newer.version = 6;
           for (Peer* const known : {&a, &b}) {
             known->known.configuration =
                 std::make_shared<gateway::Configuration>(newer);
-            known->link.SetPositions({.configuration = LogOffset(7)});
+            known->link.SetPositions({.configuration = NextVersion(7)});
           }
           const auto all = [&requesters](
                                const std::function<bool(Peer&)>& holds) {
--- a/src/protocol/tests/peer_heartbeat_test.cc
+++ b/src/protocol/tests/peer_heartbeat_test.cc
@@ -17,7 +17,7 @@
                           .incarnation = Incarnation(7),
                           .sequence = 3,
                           .pages_port = 7380,
-                          .configuration = LogOffset(9),
+                          .configuration = NextVersion(9),
                           .endpoints = LogOffset(11),
                           .read_age_ms = 250};
   for (std::size_t number = 0; number < kMaxPeerHeartbeatRows; ++number) {
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -122,7 +122,7 @@
   Incarnation incarnation;
   std::uint64_t sequence = 0;     // rises within an incarnation
   std::uint16_t pages_port = 0;   // TCP, on the sender's address
-  LogOffset configuration;        // offset of the active one, plus one
+  NextVersion configuration;      // offset of the active one, plus one
   LogOffset endpoints;            // just past the last known change
   std::uint32_t read_age_ms = 0;  // since the sender read the store itself
   std::vector<Row> rows;
