--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -5,14 +5,82 @@
 #include <utility>
 
 #include "gateway/load_table.h"
+#include "gateway/types/store_position.h"
 
 namespace acacialug::gateway {
 
+namespace {
+
+// Whether a record that comes after a return of the store is not newer than the
+// last one before, by its writer's numbers.
+bool IsOlder(const EndpointRecord& record,
+             std::int64_t known_started_at_ms,
+             std::uint64_t known_sequence) {
+  if (IsRestart(known_started_at_ms, record.started_at_ms)) {
+    return record.started_at_ms < known_started_at_ms;
+  }
+  return record.sequence > 0 && record.sequence <= known_sequence;
+}
+
+bool SameButForSequence(const EndpointRecord& left, EndpointRecord right) {
+  right.sequence = left.sequence;
+  return left == right;
+}
+
+}  // namespace
+
 bool EndpointCatalog::InLapseGrace(Instant now) const {
   return this->store_lost || now < this->grace_until;
 }
 
+void EndpointCatalog::EnterEra(std::uint64_t store_era, Instant now) {
+  if (store_era <= this->era) {
+    return;
+  }
+  this->era = store_era;
+  if (this->known_up_to == LogOffset()) {
+    return;
+  }
+  // Peers that did not read the store since learn the era by this change.
+  this->last_change = std::max(this->last_change, PositionOf(store_era, 0));
+  this->grace_until = std::max(this->grace_until, now + kLapseGrace);
+  for (const auto& [id, entry] : this->entries) {
+    if (entry.record.leaving) {
+      this->departures[id] = now;
+    }
+  }
+}
+
+bool EndpointCatalog::TakeFromCopy(const EndpointChange& change) {
+  const auto before = [&change](LogOffset known) {
+    return EraOf(known) < EraOf(change.offset);
+  };
+  const auto found = this->entries.find(change.id);
+  if (found != this->entries.end()) {
+    Entry& entry = found->second;
+    const bool older = before(entry.newest()) &&
+                       IsOlder(*change.record, entry.record.started_at_ms,
+                               entry.record.sequence);
+    if (older) {
+      entry.offset = change.offset;
+      if (entry.lapsed_at) {
+        entry.lapsed_at = change.offset;
+      }
+    }
+    return older;
+  }
+  const auto deletion = this->deletions.find(change.id);
+  if (deletion == this->deletions.end() || !before(deletion->second.offset) ||
+      !IsOlder(*change.record, deletion->second.started_at_ms,
+               deletion->second.sequence)) {
+    return false;
+  }
+  deletion->second.offset = change.offset;
+  return true;
+}
+
 bool EndpointCatalog::Apply(const EndpointChange& change, Instant now) {
+  this->EnterEra(EraOf(change.offset), now);
   this->known_up_to =
       std::max(this->known_up_to, LogOffset(change.offset.value + 1));
   const auto deletion = this->deletions.find(change.id);
@@ -27,9 +95,12 @@
   if (!change.record) {
     return this->Delete(change.id, change.offset, now);
   }
+  if (this->TakeFromCopy(change)) {
+    return false;
+  }
   this->deletions.erase(change.id);
   const bool same = found != this->entries.end() && !found->second.lapsed_at &&
-                    found->second.record == *change.record;
+                    SameButForSequence(*change.record, found->second.record);
   const bool restarted = found != this->entries.end() &&
                          IsRestart(found->second.record.started_at_ms,
                                    change.record->started_at_ms);
@@ -90,15 +161,22 @@
 bool EndpointCatalog::Remove(const EndpointId& id,
                              LogOffset offset,
                              Instant now) {
-  this->deletions[id] = {.offset = offset, .expires_at = now + kDeletionMemory};
-  if (this->entries.erase(id) == 0) {
+  Deletion& deletion = this->deletions[id];
+  deletion.offset = offset;
+  deletion.expires_at = now + kDeletionMemory;
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end()) {
     return false;
   }
+  deletion.sequence = found->second.record.sequence;
+  deletion.started_at_ms = found->second.record.started_at_ms;
+  this->entries.erase(found);
   this->NoteChange(offset);
   return true;
 }
 
 bool EndpointCatalog::Apply(const EndpointSnapshot& snapshot, Instant now) {
+  this->EnterEra(EraOf(snapshot.as_of), now);
   // A snapshot that is behind this catalog has no new information, and using it
   // would cause errors: an endpoint that it lists and the catalog doesn't has
   // ended, even if this process never knew it and has no deletion of it.
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -13,9 +13,10 @@
 namespace acacialug::gateway {
 
 // The endpoints that have a record, from the store's log or from peers that
-// read it. Updates are ordered by their offset in the log, so that a late
-// update, or one from a peer that lags, never restores a deleted endpoint. Not
-// thread safe.
+// read it. Updates are ordered by their position in the log (store_position.h),
+// so that a late update, or one from a peer that lags, never restores a deleted
+// endpoint. When the store returns from an older copy, an endpoint's own
+// numbers tell its new records from those of the copy. Not thread safe.
 class EndpointCatalog {
  public:
   // Records lapse during an outage of the store, since endpoints can't renew
@@ -51,6 +52,11 @@
   void NoteStoreLost();
   void NoteStoreBack(Instant now);
 
+  // The store returned from an older copy, in this era. Records that the copy
+  // lacks have until the end of a grace to be written again, and endpoints that
+  // were leaving still leave. Does nothing for an era that is known.
+  void EnterEra(std::uint64_t store_era, Instant now);
+
   // Ends expired graces and drops expired deletions. Returns whether the
   // catalog changed. Call it every 100 ms.
   bool Sweep(Instant now);
@@ -89,8 +95,14 @@
   struct Deletion {
     LogOffset offset;
     Instant expires_at;
+    // Of the endpoint's last record; 0: unknown.
+    std::uint64_t sequence = 0;
+    std::int64_t started_at_ms = 0;
   };
 
+  // Takes the position of a record that the store's copy brought back, if that
+  // is what the change is, and returns whether it was.
+  bool TakeFromCopy(const EndpointChange& change);
   bool Delete(const EndpointId& id, LogOffset offset, Instant now);
   bool Remove(const EndpointId& id, LogOffset offset, Instant now);
   void NoteChange(LogOffset offset);
@@ -102,6 +114,7 @@
   std::map<EndpointId, Deletion> deletions;
   // When an endpoint's last answer said that it leaves.
   std::map<EndpointId, Instant> departures;
+  std::uint64_t era = 0;
   LogOffset known_up_to;
   LogOffset last_change;
   bool store_lost = false;
--- a/src/gateway/types/endpoint_record.h
+++ b/src/gateway/types/endpoint_record.h
@@ -31,6 +31,8 @@
   // endpoint then, and holds none of the earlier work.
   std::int64_t started_at_ms = 0;
   bool leaving = false;  // takes no new work
+  // Number of this record among those that this incarnation wrote; 0: unknown.
+  std::uint64_t sequence = 0;
 
   friend bool operator==(const EndpointRecord&,
                          const EndpointRecord&) = default;
--- a/src/gateway_process/internal/catalog_page.cc
+++ b/src/gateway_process/internal/catalog_page.cc
@@ -204,7 +204,8 @@
           {"role", NameOf(gateway::kEndpointRoleNames, record.role)},
           {"slots", record.slots},
           {"born", record.started_at_ms},
-          {"leaving", record.leaving}};
+          {"leaving", record.leaving},
+          {"sequence", record.sequence}};
 }
 
 EndpointChange EndpointOf(const Json& json) {
@@ -221,7 +222,8 @@
       .role = ReadEnum(json.at("role"), gateway::kEndpointRoleNames),
       .slots = json.at("slots"),
       .started_at_ms = json.value("born", std::int64_t{0}),
-      .leaving = json.at("leaving")};
+      .leaving = json.at("leaving"),
+      .sequence = json.value("sequence", std::uint64_t{0})};
   EndpointChange change{.offset = LogOffset(json.at("offset")),
                         .id = record.id};
   change.record = std::move(record);
