--- a/src/gateway/types/store_position.h
+++ b/src/gateway/types/store_position.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_TYPES_STORE_POSITION_H_
 #define GATEWAY_TYPES_STORE_POSITION_H_
 
+#include <algorithm>
 #include <cstdint>
 
 #include "framework/global/types/identifiers.h"
@@ -31,6 +32,15 @@
   return position.value & kMaxStoreOffset;
 }
 
+// Rises with the position, also over a return of the store; never zero, which
+// stands for none. Distinct for 2^32 records of a topic, and exact as a double.
+constexpr std::uint64_t FencingTokenOf(LogOffset position) {
+  constexpr unsigned kTermBits = 32;
+  constexpr std::uint64_t kMaxTerm = (std::uint64_t{1} << kTermBits) - 2;
+  return (EraOf(position) << kTermBits) +
+         std::min(OffsetOf(position), kMaxTerm) + 1;
+}
+
 }  // namespace acacialug::gateway
 
 #endif  // GATEWAY_TYPES_STORE_POSITION_H_
