Register each gateway again when the store returns from an older copy (CONFIG)

Cause: a registration that the store lost was never made up for: a gateway that started later would not find this one, nor be found.

Change: a rise of the era registers again, once, within a random part of a second. A gateway that doesn't read the store learns of the era from a peer's catalog and does the same; core, process and client share what is known.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -169,6 +169,7 @@
   template <typename Change>
   bool Apply(const Change& change) {
     const bool changed = this->catalog.Apply(change, this->Now());
+    this->NoteStoreEra(this->catalog.store_era());
     if (changed) {
       this->waiting.PlaceAll();
     }
@@ -179,6 +180,17 @@
     return this->catalog.Snapshot(this->Now());
   }
 
+  void NoteStoreEra(std::uint64_t era) {
+    if (era <= this->store_era) {
+      return;
+    }
+    this->store_era = era;
+    this->catalog.EnterEra(era, this->Now());
+    if (this->options.hooks.on_store_era) {
+      this->options.hooks.on_store_era(era);
+    }
+  }
+
   void NoteStoreBack() { this->catalog.NoteStoreBack(this->Now()); }
 
   void SetPeerLoad(const std::string& peer, const PeerLoad& load) {
@@ -288,6 +300,7 @@
   Options options;
   RandomSource& random;
   EndpointCatalog catalog;
+  std::uint64_t store_era = 0;
   EndpointHealth health;
   LoadTable load_table;
   TimerQueue timers;
@@ -549,6 +562,10 @@
   return this->implementation->catalog.changed_to();
 }
 
+void GatewayCore::NoteStoreEra(std::uint64_t era) {
+  this->implementation->NoteStoreEra(era);
+}
+
 void GatewayCore::NoteStoreLost() {
   this->implementation->catalog.NoteStoreLost();
 }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -72,6 +72,8 @@
 
   // The store of configuration and endpoints became unavailable, or available
   // again.
+  // The store named this era, which rises when it returns from an older copy.
+  void NoteStoreEra(std::uint64_t era);
   void NoteStoreLost();
   void NoteStoreBack();
 
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -43,6 +43,8 @@
   // it from quarantine. The record is to be stored, for the case that all
   // processes restart. May be empty.
   std::function<void(const retry::CrashRecord& record)> on_quarantine;
+  // A peer's catalog is of a later era of the store. May be empty.
+  std::function<void(std::uint64_t era)> on_store_era;
   // Writes a log entry.
   std::function<
       void(log::Level level, std::string_view event, log::Record record)>
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -113,6 +113,11 @@
     }
   }
 
+  void NoteStoreEra(std::uint64_t era) {
+    this->core.NoteStoreEra(era);
+    this->ReportPositions();
+  }
+
   void NoteStoreRead() { this->peers.NoteStoreRead(); }
   bool PeersReadStore() { return this->peers.PeersReadStore(); }
   std::size_t live_peers() const { return this->live_peer_count; }
@@ -179,6 +184,7 @@
         .on_pauses_changed = [this] { this->peers.ReportPauses(); },
         .acquire_term = this->options.acquire_term,
         .on_quarantine = this->options.on_quarantine,
+        .on_store_era = this->options.on_store_era,
         .log =
             [this](log::Level level, std::string_view event,
                    log::Record record) {
@@ -505,6 +511,10 @@
   this->implementation->SetStoreServes(serves);
 }
 
+void GatewayProcess::NoteStoreEra(std::uint64_t era) {
+  this->implementation->NoteStoreEra(era);
+}
+
 void GatewayProcess::NoteStoreRead() {
   this->implementation->NoteStoreRead();
 }
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -33,6 +33,8 @@
         acquire_term;
     // As gateway::GatewayHooks::on_quarantine; may be empty.
     std::function<void(const retry::CrashRecord& record)> on_quarantine;
+    // As gateway::GatewayHooks::on_store_era; may be empty.
+    std::function<void(std::uint64_t era)> on_store_era;
     // Runs once after Drain, when every request has its answer, or when the
     // grace period has ended (`whole` false: a request was cut off).
     std::function<void(bool whole)> on_drained;
@@ -53,6 +55,8 @@
   NextVersion configuration_known() const;
   void Apply(const gateway::EndpointChange& change);
   void Apply(const gateway::EndpointSnapshot& snapshot);
+  // As gateway::GatewayCore::NoteStoreEra.
+  void NoteStoreEra(std::uint64_t era);
   // Sets whether the store serves this process.
   void SetStoreServes(bool serves);
 
