--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -184,8 +184,12 @@
     if (era <= this->store_era) {
       return;
     }
+    const bool returned = this->store_era != 0;
     this->store_era = era;
     this->catalog.EnterEra(era, this->Now());
+    if (returned) {
+      this->roles.NoteStoreReturned();
+    }
     if (this->options.hooks.on_store_era) {
       this->options.hooks.on_store_era(era);
     }
--- a/src/gateway/internal/role_orders.h
+++ b/src/gateway/internal/role_orders.h
@@ -45,6 +45,9 @@
   // As LeaderTerm::SetFirst.
   void SetFirst(bool first);
 
+  // As LeaderTerm::NoteStoreReturned.
+  void NoteStoreReturned() { this->leader_term.NoteStoreReturned(this->Now()); }
+
   // Endpoints whose roles are being changed by orders of this process.
   std::vector<EndpointPause> Pauses() const;
 
--- a/src/gateway/leader_term.cc
+++ b/src/gateway/leader_term.cc
@@ -1,5 +1,7 @@
 #include "gateway/leader_term.h"
 
+#include <algorithm>
+
 namespace acacialug::gateway {
 
 void LeaderTerm::SetFirst(bool first, Instant now) {
@@ -10,6 +12,11 @@
   }
 }
 
+void LeaderTerm::NoteStoreReturned(Instant now) {
+  this->holds = false;
+  this->orders_from = std::max(this->orders_from, now + this->options.pause);
+}
+
 bool LeaderTerm::MayAcquire(Instant now) const {
   return this->first_since != kNever &&
          now >= this->first_since + this->options.first_for &&
--- a/src/gateway/leader_term.h
+++ b/src/gateway/leader_term.h
@@ -40,6 +40,10 @@
   // itself included.
   void SetFirst(bool first, Instant now);
 
+  // The store returned from an older copy, and may have lost other processes'
+  // terms, so that it no longer tells whose orders may be in transit.
+  void NoteStoreReturned(Instant now);
+
   // Whether to request a term from the store now.
   bool MayAcquire(Instant now) const;
   void NoteAcquiring(Instant now);
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -922,6 +922,25 @@
               std::uint64_t{8},
               term.OnGrant(TermGrant{.fencing_token = 8}, kStart + 7s).value());
         }),
+     It("is not used after a return of the store until other processes' orders "
+        "have arrived",
+        [] {
+          // Guards against two leaders of whose terms the store has lost one.
+          LeaderTerm term({});
+          term.SetFirst(true, kStart);
+          term.NoteAcquiring(kStart + 3s);
+          CPPUNIT_ASSERT(
+              term.OnGrant(TermGrant{.fencing_token = 7}, kStart + 3s));
+          term.NoteAcquiring(kStart + 5s);
+          term.NoteStoreReturned(kStart + 5s);
+          CPPUNIT_ASSERT(
+              !term.OnGrant(TermGrant{.fencing_token = 8}, kStart + 5s));
+          CPPUNIT_ASSERT(!term.MayAcquire(kStart + 8s));
+          CPPUNIT_ASSERT(term.MayAcquire(kStart + 9s));
+          term.NoteAcquiring(kStart + 9s);
+          CPPUNIT_ASSERT(
+              term.OnGrant(TermGrant{.fencing_token = 9}, kStart + 9s));
+        }),
      It("is not used when its grant arrives late", [] {
        // Guards against two leaders that order the same endpoint. A process
        // requests the term and is suspended, another process takes over and
