--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -680,6 +680,11 @@
   return this->implementation->limits.size();
 }
 
+std::vector<retry::CrashRecord> GatewayCore::QuarantinedRequests() const {
+  return this->implementation->crashes.QuarantinedRecords(
+      this->implementation->Now());
+}
+
 std::size_t GatewayCore::requests_quarantined() const {
   return this->implementation->crashes.quarantined(this->implementation->Now());
 }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -134,6 +134,7 @@
   std::size_t requests_under_way() const;
   std::size_t requests_waiting() const;
   std::size_t requests_quarantined() const;
+  std::vector<retry::CrashRecord> QuarantinedRequests() const;
   std::size_t endpoints_limited() const;
 
  private:
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -113,6 +113,10 @@
     }
   }
 
+  std::vector<retry::CrashRecord> QuarantinedRequests() const {
+    return this->core.QuarantinedRequests();
+  }
+
   void NoteStoreEra(std::uint64_t era) {
     this->core.NoteStoreEra(era);
     this->ReportPositions();
@@ -511,6 +515,10 @@
   this->implementation->SetStoreServes(serves);
 }
 
+std::vector<retry::CrashRecord> GatewayProcess::QuarantinedRequests() const {
+  return this->implementation->QuarantinedRequests();
+}
+
 void GatewayProcess::NoteStoreEra(std::uint64_t era) {
   this->implementation->NoteStoreEra(era);
 }
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -55,6 +55,7 @@
   NextVersion configuration_known() const;
   void Apply(const gateway::EndpointChange& change);
   void Apply(const gateway::EndpointSnapshot& snapshot);
+  std::vector<retry::CrashRecord> QuarantinedRequests() const;
   // As gateway::GatewayCore::NoteStoreEra.
   void NoteStoreEra(std::uint64_t era);
   // Sets whether the store serves this process.
--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -177,6 +177,16 @@
   }
 }
 
+std::vector<CrashRecord> CrashLedger::QuarantinedRecords(Instant now) const {
+  std::vector<CrashRecord> records;
+  for (const auto& [request, entry] : this->entries) {
+    if (this->InQuarantine(entry, now)) {
+      records.push_back(this->RecordOf(request, now));
+    }
+  }
+  return records;
+}
+
 std::size_t CrashLedger::quarantined(Instant now) const {
   return static_cast<std::size_t>(std::count_if(
       this->entries.begin(), this->entries.end(), [this, now](const auto& row) {
--- a/src/retry/crash_ledger.h
+++ b/src/retry/crash_ledger.h
@@ -61,6 +61,9 @@
   // request.
   CrashRecord RecordOf(RequestKey request, Instant now) const;
 
+  // The records of all requests in quarantine.
+  std::vector<CrashRecord> QuarantinedRecords(Instant now) const;
+
   // Returns at most `max_count` records to report to peers. Answers, and
   // requests with ends of two endpoints or more, precede requests with the end
   // of one. When there are more than `max_count`, each `round` returns the next
