--- a/src/framework/http/internal/server_connection.cc
+++ b/src/framework/http/internal/server_connection.cc
@@ -138,7 +138,7 @@
     this->ReadRequests();
   } else if (this->state == State::kLingering) {
     this->BeginLingering();
-  } else if (this->state == State::kClosing) {
+  } else if (this->state == State::kClosing && this->closes_with_reset) {
     this->CloseWhenSent();
   }
 }
--- a/src/gateway_process/tests/answer_end_test.cc
+++ b/src/gateway_process/tests/answer_end_test.cc
@@ -20,6 +20,7 @@
 using testing::Endpoint;
 using testing::FreePort;
 using testing::OneRoute;
+using testing::PassOnDialect;
 
 constexpr std::string_view kUnframedHead =
     "HTTP/1.1 200 OK\r\nProof: 1\r\n\r\n";
@@ -100,7 +101,7 @@
   }
 
   static gateway::EndpointDialect Dialect() {
-    gateway::EndpointDialect dialect;
+    gateway::EndpointDialect dialect = PassOnDialect();
     dialect.read_request = [](http::Request request) {
       gateway::WorkRequest work{
           .id = "r",
@@ -111,15 +112,6 @@
       work.message = std::move(request);
       return work;
     };
-    dialect.write_work =
-        [](const gateway::WorkRequest& request, const gateway::EndpointRecord&,
-           const gateway::WorkOrder&) { return request.message; };
-    dialect.judge_answer = [](const gateway::WorkRequest&, gateway::WorkStep,
-                              int, const http::Headers& headers) {
-      return http::FindHeader(headers, "Proof")
-                 ? gateway::AnswerNature::kSuccess
-                 : gateway::AnswerNature::kUnproven;
-    };
     return dialect;
   }
 
--- a/src/gateway_process/tests/gateway_process_test.cc
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -27,6 +27,7 @@
 using testing::FreePort;
 using testing::kAnyPort;
 using testing::OneRoute;
+using testing::PassOnDialect;
 
 const acacialug::testing::Story kCatalog(
     "the catalog page",
@@ -238,21 +239,12 @@
   }
 
   static gateway::EndpointDialect Dialect() {
-    gateway::EndpointDialect dialect;
+    gateway::EndpointDialect dialect = PassOnDialect();
     dialect.read_request = [](http::Request request) {
       gateway::WorkRequest work{.id = "r", .host = "h"};
       work.message = std::move(request);
       return work;
     };
-    dialect.write_work =
-        [](const gateway::WorkRequest& request, const gateway::EndpointRecord&,
-           const gateway::WorkOrder&) { return request.message; };
-    dialect.judge_answer = [](const gateway::WorkRequest&, gateway::WorkStep,
-                              int, const http::Headers& headers) {
-      return http::FindHeader(headers, "Proof")
-                 ? gateway::AnswerNature::kSuccess
-                 : gateway::AnswerNature::kUnproven;
-    };
     return dialect;
   }
 
--- a/src/gateway_process/tests/gateway_support.h
+++ b/src/gateway_process/tests/gateway_support.h
@@ -10,6 +10,7 @@
 
 #include "framework/http/http_server.h"
 #include "gateway/types/configuration.h"
+#include "gateway/types/endpoint_dialect.h"
 #include "gateway/types/endpoint_record.h"
 #include "gateway_process/internal/catalog_page.h"
 
@@ -44,6 +45,21 @@
                                             .slots = 4}};
 }
 
+// Passes requests on unchanged; the header `Proof` shows an endpoint's answer.
+inline gateway::EndpointDialect PassOnDialect() {
+  gateway::EndpointDialect dialect;
+  dialect.write_work =
+      [](const gateway::WorkRequest& request, const gateway::EndpointRecord&,
+         const gateway::WorkOrder&) { return request.message; };
+  dialect.judge_answer = [](const gateway::WorkRequest&, gateway::WorkStep, int,
+                            const http::Headers& headers) {
+    return http::FindHeader(headers, "Proof")
+               ? gateway::AnswerNature::kSuccess
+               : gateway::AnswerNature::kUnproven;
+  };
+  return dialect;
+}
+
 // A free port, for processes that must know each other's ports.
 inline std::uint16_t FreePort() {
   http::Server probe({.listen = kAnyPort, .make_handler = [](int) {
