Wait for orders also after a first return of a store that named no era (CONFIG)

A first return, from none to the first, counted as the first sight of the store, and no leader waited for another's orders.

Change: an era is a return if anything was read from the store before.

Evidence: the new test fails without the change by its order 3.8 s after the return; gateway 256 passed, 0 failed.

Conclusion: with eras from the start nothing changes.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -168,8 +168,9 @@
 
   template <typename Change>
   bool Apply(const Change& change) {
+    const bool read = this->HasReadStore();
     const bool changed = this->catalog.Apply(change, this->Now());
-    this->NoteStoreEra(this->catalog.store_era());
+    this->OnStoreEra(this->catalog.store_era(), read);
     if (changed) {
       this->waiting.PlaceAll();
     }
@@ -180,14 +181,23 @@
     return this->catalog.Snapshot(this->Now());
   }
 
+  bool HasReadStore() const {
+    return this->catalog.complete_to() != LogOffset();
+  }
+
   void NoteStoreEra(std::uint64_t era) {
+    this->OnStoreEra(era, this->HasReadStore());
+  }
+
+  // The first era that a process sees is no return, unless it had read the
+  // store before: the store may name none until its first return.
+  void OnStoreEra(std::uint64_t era, bool had_read) {
     if (era <= this->store_era) {
       return;
     }
-    const bool returned = this->store_era != 0;
     this->store_era = era;
     this->catalog.EnterEra(era, this->Now());
-    if (returned) {
+    if (had_read) {
       this->roles.NoteStoreReturned();
     }
     if (this->options.hooks.on_store_era) {
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -677,23 +677,29 @@
           CPPUNIT_ASSERT(simulation.Calls().empty());
         })});
 
+// A simulation with too many prefill endpoints, and a term to be had.
+struct Uneven : GatewaySimulation {
+  Uneven() {
+    this->Configure();
+    for (int number = 0; number < 8; ++number) {
+      this->AddEndpoint("f" + std::to_string(number), "model",
+                        EndpointRole::kPrefill);
+    }
+    this->AddEndpoint("d", "model", EndpointRole::kDecode);
+    for (int number = 0; number < 12; ++number) {
+      this->SendRequest("/stream/a", "r" + std::to_string(number));
+    }
+    this->term_grant = TermGrant{.fencing_token = 5};
+    this->AdvanceBy(8s);
+  }
+};
+
 const acacialug::testing::Story kRoles(
     "the roles of endpoints",
     {It("are changed by the first process only, with a leader term, after its "
         "peers were informed",
         [] {
-          GatewaySimulation simulation;
-          simulation.Configure();
-          for (int number = 0; number < 8; ++number) {
-            simulation.AddEndpoint("f" + std::to_string(number), "model",
-                                   EndpointRole::kPrefill);
-          }
-          simulation.AddEndpoint("d", "model", EndpointRole::kDecode);
-          for (int number = 0; number < 12; ++number) {
-            simulation.SendRequest("/stream/a", "r" + std::to_string(number));
-          }
-          simulation.term_grant = TermGrant{.fencing_token = 5};
-          simulation.AdvanceBy(8s);
+          Uneven simulation;
           CPPUNIT_ASSERT(simulation.Find("/report") == nullptr);
           simulation.core->SetPeers(2, true);
           simulation.AdvanceBy(4s);
@@ -704,6 +710,18 @@
           simulation.Reply(report, 200, {}, "3");
           CPPUNIT_ASSERT_EQUAL(std::string("decode g1 5 3"),
                                simulation.Find("/order")->request.body);
+        }),
+     It("are not changed right after the store returned from an older copy",
+        [] {
+          // Guards against two leaders, of whose terms the store, which had
+          // named no era before, has lost one.
+          Uneven simulation;
+          simulation.core->SetPeers(2, true);
+          simulation.core->NoteStoreEra(1);
+          simulation.AdvanceBy(3800ms);
+          CPPUNIT_ASSERT(simulation.core->OwnPauses().empty());
+          simulation.AdvanceBy(2s);
+          CPPUNIT_ASSERT(!simulation.core->OwnPauses().empty());
         })});
 
 }  // namespace
