Enter an era before a change is applied, not by looking back at it

Cause: reading the change again. The core asked before each change how far the catalog is complete, a walk over all endpoints for each record of theirs, only to tell a first era from a return, and asked the catalog afterwards which era it had entered.

Change: the era of a change is entered first, and the walk is taken only when the era rises; the catalog's accessor and one method go.

--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -57,8 +57,6 @@
   // were leaving still leave. Does nothing for an era that is known.
   void EnterEra(std::uint64_t store_era, Instant now);
 
-  std::uint64_t store_era() const { return this->era; }
-
   // Ends expired graces and drops expired deletions. Returns whether the
   // catalog changed. Call it every 100 ms.
   bool Sweep(Instant now);
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -17,6 +17,7 @@
 #include "gateway/internal/stream_relay.h"
 #include "gateway/internal/waiting_streams.h"
 #include "gateway/request_key.h"
+#include "gateway/types/store_position.h"
 #include "placement/types/hashing.h"
 
 namespace acacialug::gateway {
@@ -168,9 +169,8 @@
 
   template <typename Change>
   bool Apply(const Change& change) {
-    const bool read = this->HasReadStore();
+    this->NoteStoreEra(EraOf(EndOf(change)));
     const bool changed = this->catalog.Apply(change, this->Now());
-    this->OnStoreEra(this->catalog.store_era(), read);
     if (changed) {
       this->waiting.PlaceAll();
     }
@@ -181,20 +181,18 @@
     return this->catalog.Snapshot(this->Now());
   }
 
-  bool HasReadStore() const {
-    return this->catalog.complete_to() != LogOffset();
-  }
-
-  void NoteStoreEra(std::uint64_t era) {
-    this->OnStoreEra(era, this->HasReadStore());
+  static LogOffset EndOf(const EndpointChange& change) { return change.offset; }
+  static LogOffset EndOf(const EndpointSnapshot& snapshot) {
+    return snapshot.as_of;
   }
 
   // The first era that a process sees is no return, unless it had read the
   // store before: the store may name none until its first return.
-  void OnStoreEra(std::uint64_t era, bool had_read) {
+  void NoteStoreEra(std::uint64_t era) {
     if (era <= this->store_era) {
       return;
     }
+    const bool had_read = this->catalog.complete_to() != LogOffset();
     this->store_era = era;
     this->catalog.EnterEra(era, this->Now());
     if (had_read) {
