--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -1,6 +1,8 @@
 #include "gateway/internal/relay.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
+#include <cstdint>
 #include <utility>
 
 #include "framework/global/hex_text.h"
@@ -25,7 +27,10 @@
       deadline(this->work.arrived +
                std::min(this->work.route->timeout,
                         this->work.request.deadline.value_or(
-                            this->work.route->timeout))) {}
+                            this->work.route->timeout))) {
+  this->outcome.resumes = this->work.request.resume_after.has_value() ||
+                          !this->work.request.resumed_attempt.empty();
+}
 
 void Relay::Begin(std::function<void(Relay&)> on_finished) {
   this->finished_hook = std::move(on_finished);
@@ -208,6 +213,13 @@
              {"prefills", this->outcome.prefills},
              {"events", this->outcome.events},
              {"losses", this->outcome.losses},
+             {"software_versions",
+              boost::algorithm::join(this->outcome.software_versions, " ")},
+             {"resumed_attempt", this->work.request.resumed_attempt},
+             {"resume_after",
+              this->work.request.resume_after
+                  ? static_cast<std::int64_t>(*this->work.request.resume_after)
+                  : -1},
              {"unframed_answers", this->outcome.unframed_answers},
              {"partial_event_bytes", this->outcome.partial_event_bytes}},
             code);
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -154,6 +154,7 @@
   this->Log(
       log::Level::kInfo, "stream_placed", chosen.decode.id,
       {{"prefill", chosen.prefill ? chosen.prefill->id.text : std::string()},
+       {"software_version", chosen.decode.software_version},
        {"waited_ms", this->Age()},
        {"prompt_tokens", this->Size().prompt_tokens},
        {"expected_tokens", this->Size().expected_output_tokens},
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -85,6 +85,7 @@
   void OnDecodeData(std::string_view data);
   bool DeliverEvent(const StreamEvent& event);
   void NoteProgress();
+  void NoteVersion();
   // Updates the forecast of the service's engines by the time of this event.
   void LearnFromEvent();
   // Time without data after which the stream is considered lost.
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -177,6 +177,7 @@
   }
   this->received_event = this->received_event || !event.only_comments;
   this->unnumbered = this->unnumbered || (!event.id && !event.only_comments);
+  this->NoteVersion();
   const Instant now = this->Now();
   if (this->outcome.events > 0) {
     this->outcome.longest_pause =
@@ -189,6 +190,14 @@
   return !this->finished();
 }
 
+void StreamRelay::NoteVersion() {
+  std::vector<std::string>& versions = this->outcome.software_versions;
+  const std::string& current = this->placement->decode.software_version;
+  if (std::find(versions.begin(), versions.end(), current) == versions.end()) {
+    versions.push_back(current);
+  }
+}
+
 // Counts the additional memory of a stream that is longer than expected.
 void StreamRelay::NoteProgress() {
   const std::uint64_t made = std::uint64_t{this->outcome.events} *
--- a/src/gateway/types/endpoint_record.h
+++ b/src/gateway/types/endpoint_record.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "framework/global/types/enum_names.h"
@@ -33,6 +34,9 @@
   bool leaving = false;  // takes no new work
   // Number of this record among those that this incarnation wrote; 0: unknown.
   std::uint64_t sequence = 0;
+  // Of its software, not of its model's weights; versions have no order. Empty:
+  // it does not report one.
+  std::string software_version;
 
   friend bool operator==(const EndpointRecord&,
                          const EndpointRecord&) = default;
--- a/src/gateway/types/relay_outcome.h
+++ b/src/gateway/types/relay_outcome.h
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
+#include <vector>
 
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/identifiers.h"
@@ -45,6 +47,9 @@
   // an event that was not complete when the last answer ended.
   std::uint32_t unframed_answers = 0;
   std::size_t partial_event_bytes = 0;
+  // Software versions of the endpoints whose events were forwarded.
+  std::vector<std::string> software_versions;
+  bool resumes = false;  // the caller continues a stream that broke off
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/types/work_request.h
+++ b/src/gateway/types/work_request.h
@@ -29,8 +29,11 @@
   std::optional<Duration> deadline;  // from the request's arrival
   std::optional<GenerationSize> size;
   std::optional<std::uint64_t> resume_after;  // the last event received
-  std::optional<KeyDigest> key;               // the customer's, as presented
-  CustomerName customer;                      // that owns the key; may be empty
+  // The caller's name for the attempt that brought the first event of the
+  // stream that this one continues; empty: none, or contradicting names.
+  std::string resumed_attempt;
+  std::optional<KeyDigest> key;  // the customer's, as presented
+  CustomerName customer;         // that owns the key; may be empty
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -395,6 +395,15 @@
                {NameOf(gateway::kRelayEndNames, outcome.end)})
           .Add();
     }
+    if (outcome.resumes) {
+      this->registry
+          .Get(kGatewayResumedStreamsTotal,
+               {NameOf(gateway::kRelayEndNames, outcome.end)})
+          .Add();
+    }
+    if (outcome.software_versions.size() > 1) {
+      this->registry.Get(kGatewayMixedStreamsTotal).Add();
+    }
     this->registry.Get(kGatewayWholeSeconds, {kind})
         .Record(Seconds(outcome.whole));
     if (outcome.first_byte > Duration::zero()) {
--- a/src/gateway_process/internal/catalog_page.cc
+++ b/src/gateway_process/internal/catalog_page.cc
@@ -205,7 +205,8 @@
           {"slots", record.slots},
           {"born", record.started_at_ms},
           {"leaving", record.leaving},
-          {"sequence", record.sequence}};
+          {"sequence", record.sequence},
+          {"software_version", record.software_version}};
 }
 
 EndpointChange EndpointOf(const Json& json) {
@@ -223,7 +224,8 @@
       .slots = json.at("slots"),
       .started_at_ms = json.value("born", std::int64_t{0}),
       .leaving = json.at("leaving"),
-      .sequence = json.value("sequence", std::uint64_t{0})};
+      .sequence = json.value("sequence", std::uint64_t{0}),
+      .software_version = json.value("software_version", std::string())};
   EndpointChange change{.offset = LogOffset(json.at("offset")),
                         .id = record.id};
   change.record = std::move(record);
--- a/src/gateway_process/metric_definitions.h
+++ b/src/gateway_process/metric_definitions.h
@@ -34,6 +34,14 @@
     .name = "acacialug_gateway_partial_events_total",
     .help = "Streams whose last answer ended inside an event",
     .labels = {"end"}};
+// Label `end`: as of the requests.
+inline constexpr metrics::CounterDefinition kGatewayResumedStreamsTotal = {
+    .name = "acacialug_gateway_resumed_streams_total",
+    .help = "Streams that their callers continue after they broke off",
+    .labels = {"end"}};
+inline constexpr metrics::CounterDefinition kGatewayMixedStreamsTotal = {
+    .name = "acacialug_gateway_mixed_streams_total",
+    .help = "Answers with events of endpoints of several software versions"};
 inline constexpr metrics::HistogramDefinition kGatewayFirstByteSeconds = {
     .name = "acacialug_gateway_first_byte_seconds",
     .help = "From a request's arrival to its answer's first byte",
