--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -157,6 +157,11 @@
     if (!deadline.empty()) {
       work.deadline = std::chrono::milliseconds(std::stoi(deadline));
     }
+    work.resumed_attempt = Text(request.headers, "Resumed");
+    const std::string last_event = Text(request.headers, "Last-Event");
+    if (!last_event.empty()) {
+      work.resume_after = std::stoull(last_event);
+    }
     if (const auto key = http::FindHeader(request.headers, "Key")) {
       work.key = DigestOf(*key);
       std::erase_if(request.headers, [](const http::Header& header) {
@@ -277,7 +282,8 @@
 
 void GatewaySimulation::AddEndpoint(const std::string& id,
                                     const std::string& service,
-                                    EndpointRole role) {
+                                    EndpointRole role,
+                                    const std::string& software_version) {
   const http::Address address{
       .ip = "10.0.0.1",
       .port = static_cast<std::uint16_t>(1000 + this->addresses.size())};
@@ -287,7 +293,8 @@
                        .address = address,
                        .domain = FailureDomain("a"),
                        .role = role,
-                       .slots = 6};
+                       .slots = 6,
+                       .software_version = software_version};
   this->ApplyRecord(id);
 }
 
@@ -317,13 +324,33 @@
                                                        const std::string& id,
                                                        const std::string& size,
                                                        int deadline_ms) {
+  return this->Send(path, {{"Host", "h.example"},
+                           {"Id", id},
+                           {"Size", size},
+                           {"Deadline", std::to_string(deadline_ms)}});
+}
+
+std::shared_ptr<Answer> GatewaySimulation::ResumeStream(
+    const std::string& path,
+    const std::string& id,
+    const std::string& resumed_attempt,
+    int last_event) {
+  http::Headers headers = {{"Host", "h.example"},
+                           {"Id", id},
+                           {"Size", "3000,900"},
+                           {"Deadline", "12000"},
+                           {"Last-Event", std::to_string(last_event)}};
+  if (!resumed_attempt.empty()) {
+    headers.push_back({"Resumed", resumed_attempt});
+  }
+  return this->Send(path, std::move(headers));
+}
+
+std::shared_ptr<Answer> GatewaySimulation::Send(const std::string& path,
+                                                http::Headers headers) {
   auto answer = std::make_shared<Answer>();
   const auto responder = std::make_shared<FakeResponder>(answer, this->now);
   this->responders.push_back(responder);
-  http::Headers headers = {{"Host", "h.example"},
-                           {"Id", id},
-                           {"Size", size},
-                           {"Deadline", std::to_string(deadline_ms)}};
   if (!this->key.empty()) {
     headers.push_back({"Key", this->key});
   }
@@ -362,6 +389,16 @@
   return nullptr;
 }
 
+std::string GatewaySimulation::VersionAt(
+    const std::shared_ptr<Call>& call) const {
+  for (const auto& [id, record] : this->records) {
+    if (call != nullptr && record.address == call->address) {
+      return record.software_version;
+    }
+  }
+  return {};
+}
+
 std::shared_ptr<Call> GatewaySimulation::Find(std::string_view target_or_step) {
   return this->FindAt({}, target_or_step);
 }
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -41,11 +41,12 @@
 
 // A core in virtual time, whose endpoints the test drives by hand. In its
 // dialect the header `Id` names a request, `Size` is "PROMPT,OUTPUT",
-// `Deadline` is in ms, and `Key` is the caller's key. Endpoints receive the
-// name of the request's customer as `Customer`, and answer with the headers
-// `Id`, `Proof` (the endpoint's own answer), `Refused` (the request did not
-// run), `Other` (the address is wrong), `Limit` (requests per second that the
-// endpoint takes), `Leaving`, or `Rest` (in seconds).
+// `Deadline` is in ms, `Key` is the caller's key, and `Resumed` and
+// `Last-Event` name the attempt and the event that a stream is continued after.
+// Endpoints receive the name of the request's customer as `Customer`, and
+// answer with the headers `Id`, `Proof` (the endpoint's own answer), `Refused`
+// (the request did not run), `Other` (the address is wrong), `Limit` (requests
+// per second that the endpoint takes), `Leaving`, or `Rest` (in seconds).
 class GatewaySimulation {
  public:
   // `repeat_extra`: repeats that the budget allows beside its share of the
@@ -58,7 +59,8 @@
   void Configure(std::optional<std::vector<Customer>> customers = {});
   void AddEndpoint(const std::string& id,
                    const std::string& service,
-                   EndpointRole role);
+                   EndpointRole role,
+                   const std::string& software_version = {});
   void RemoveEndpoint(const std::string& id);
   // The endpoint's record shows that it has just started under the same id.
   // Precondition: started_at_ms > 0.
@@ -71,6 +73,11 @@
                                       const std::string& id,
                                       const std::string& size = "3000,900",
                                       int deadline_ms = 14000);
+  // Sends a request that continues the stream of an attempt after its event.
+  std::shared_ptr<Answer> ResumeStream(const std::string& path,
+                                       const std::string& id,
+                                       const std::string& resumed_attempt,
+                                       int last_event);
   // Disconnects the caller of the latest request.
   void Disconnect();
 
@@ -79,6 +86,8 @@
   // The newest call whose target contains `target_or_step`, or whose header
   // `Step` equals it; null if there is none.
   std::shared_ptr<Call> Find(std::string_view target_or_step);
+  // The software version of the endpoint that has the call; empty for none.
+  std::string VersionAt(const std::shared_ptr<Call>& call) const;
   std::shared_ptr<Call> FindAt(const std::string& endpoint,
                                std::string_view target_or_step);
 
@@ -125,6 +134,8 @@
  private:
   class FakeResponder;
 
+  std::shared_ptr<Answer> Send(const std::string& path, http::Headers headers);
+
   GatewayHooks Hooks();
   static EndpointDialect Dialect();
   // Writes the endpoint's record.
