--- a/src/framework/global/types/result_code.cc
+++ b/src/framework/global/types/result_code.cc
@@ -87,6 +87,13 @@
       {ResultCode::kQuarantined, "quarantined",
        "refused before running: endpoint after endpoint ended under this "
        "request"},
+      {ResultCode::kVersionGone, "version_gone",
+       "refused before running: no endpoint has the software version that "
+       "began "
+       "the stream"},
+      {ResultCode::kOriginUnknown, "origin_unknown",
+       "refused before running: the software version that began the stream is "
+       "not known"},
       {ResultCode::kOutcomeUnknown, "outcome_unknown",
        "the work may have run; its answer is lost"},
       {ResultCode::kDeadlineExceeded, "deadline_exceeded",
--- a/src/framework/global/types/result_code.h
+++ b/src/framework/global/types/result_code.h
@@ -46,6 +46,8 @@
   kLinkBusy = 2012,
   kBodiesFull = 2013,
   kQuarantined = 2014,
+  kVersionGone = 2015,
+  kOriginUnknown = 2016,
 
   // 3xxx: the request ran, or may have run, and did not complete.
   kOutcomeUnknown = 3001,
--- /dev/null
+++ b/src/origin/tests/version_history_test.cc
@@ -0,0 +1,107 @@
+#include "origin/version_history.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "framework/testing/story.h"
+
+namespace acacialug::origin {
+namespace {
+
+using acacialug::testing::It;
+
+constexpr Instant kStart{1h};
+constexpr Duration kRetention = 28s;
+constexpr ServiceKey kService(5);
+constexpr VersionKey kFirst(1);
+constexpr VersionKey kSecond(2);
+
+VersionHistory Empty() {
+  VersionHistory history;
+  history.SetRetention(kRetention);
+  return history;
+}
+
+VersionReport Report(VersionKey version, Duration age, Duration known_for) {
+  return {.service = kService,
+          .version = version,
+          .age = age,
+          .known_for = known_for};
+}
+
+const acacialug::testing::Story kHistory(
+    "the versions of a service",
+    {It("are one only after as long as a stream may be continued",
+        [] {
+          // Guards against a process that has just started and sees one of two.
+          VersionHistory history = Empty();
+          history.NoteSeen(kService, kFirst, kStart);
+          CPPUNIT_ASSERT(!history.Sole(kService, kStart));
+          history.NoteSeen(kService, kFirst, kStart + kRetention);
+          CPPUNIT_ASSERT(history.Sole(kService, kStart + kRetention) == kFirst);
+          CPPUNIT_ASSERT(!history.Sole(ServiceKey(6), kStart + kRetention));
+        }),
+     It("are several until the last endpoint of the others is long gone",
+        [] {
+          VersionHistory history = Empty();
+          history.NoteSeen(kService, kFirst, kStart);
+          history.NoteSeen(kService, kSecond, kStart + 1s);
+          const Instant later = kStart + kRetention;
+          history.NoteSeen(kService, kSecond, later);
+          CPPUNIT_ASSERT(!history.Sole(kService, later));
+          history.Sweep(later + 1s);
+          CPPUNIT_ASSERT(history.Sole(kService, later + 1s) == kSecond);
+        }),
+     It("are known at once from a peer that has seen them for long",
+        [] {
+          VersionHistory history = Empty();
+          history.NoteSeen(kService, kFirst, kStart);
+          history.Merge({Report(kFirst, 0s, 1h)}, kStart);
+          CPPUNIT_ASSERT(history.Sole(kService, kStart) == kFirst);
+        }),
+     It("are not known from a peer that has just started itself",
+        [] {
+          VersionHistory history = Empty();
+          history.NoteSeen(kService, kFirst, kStart);
+          history.Merge({Report(kFirst, 0s, 3s)}, kStart);
+          CPPUNIT_ASSERT(!history.Sole(kService, kStart));
+        }),
+     It("include one that only a peer has seen, and that is gone",
+        [] {
+          VersionHistory history = Empty();
+          history.NoteSeen(kService, kSecond, kStart);
+          history.Merge({Report(kSecond, 0s, 1h), Report(kFirst, 5s, 1h)},
+                        kStart);
+          CPPUNIT_ASSERT(!history.Sole(kService, kStart));
+        }),
+     It("are known from the stored record, all of them as if just seen",
+        [] {
+          VersionHistory one = Empty();
+          one.Merge({.service = kService, .versions = {kFirst}}, kStart);
+          CPPUNIT_ASSERT(one.Sole(kService, kStart) == kFirst);
+          VersionHistory two = Empty();
+          two.Merge({.service = kService, .versions = {kFirst, kSecond}},
+                    kStart);
+          two.NoteSeen(kService, kSecond, kStart + 27s);
+          CPPUNIT_ASSERT(!two.Sole(kService, kStart + 27s));
+        }),
+     It("are not known from a stored record that lacks one that is seen",
+        [] {
+          VersionHistory history = Empty();
+          history.Merge({.service = kService, .versions = {kFirst}}, kStart);
+          history.NoteSeen(kService, kSecond, kStart);
+          CPPUNIT_ASSERT(!history.Sole(kService, kStart));
+        }),
+     It("lose what only the stored record names when a peer knows better", [] {
+       // Guards against processes that restart in turn and keep a version
+       // that is long gone.
+       VersionHistory history = Empty();
+       history.Merge({.service = kService, .versions = {kFirst, kSecond}},
+                     kStart);
+       history.Merge({Report(kSecond, 0s, 1h)}, kStart);
+       CPPUNIT_ASSERT(history.Sole(kService, kStart) == kSecond);
+     })});
+
+}  // namespace
+}  // namespace acacialug::origin
--- /dev/null
+++ b/src/origin/tests/version_recorder_test.cc
@@ -0,0 +1,82 @@
+#include "origin/version_recorder.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "framework/testing/story.h"
+
+namespace acacialug::origin {
+namespace {
+
+using acacialug::testing::It;
+
+constexpr Instant kStart{1h};
+constexpr ServiceKey kService(5);
+constexpr VersionKey kFirst(1);
+constexpr VersionKey kSecond(2);
+
+// A service with one version, which is recorded.
+struct Recorded {
+  Recorded() {
+    this->history.SetRetention(10s);
+    this->history.NoteSeen(kService, kFirst, kStart);
+    this->recorder.OnRecord({.service = kService, .versions = {kFirst}});
+  }
+
+  std::size_t Due(std::size_t rank, Instant now) {
+    return this->recorder.TakeDue(this->history, rank, now).size();
+  }
+
+  VersionHistory history;
+  VersionRecorder recorder;
+};
+
+const acacialug::testing::Story kRecorder(
+    "the stored record of a service's versions",
+    {It("is written at once by the first process when a version comes, once",
+        [] {
+          Recorded service;
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, service.Due(0, kStart));
+          service.history.NoteSeen(kService, kSecond, kStart);
+          const auto due = service.recorder.TakeDue(service.history, 0, kStart);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, due[0].versions.size());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, service.Due(0, kStart + 1s));
+        }),
+     It("is written by the next process only if the first does not",
+        [] {
+          Recorded service;
+          service.history.NoteSeen(kService, kSecond, kStart);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, service.Due(1, kStart));
+          Recorded other = service;
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                               service.Due(1, kStart + VersionRecorder::kTurn));
+          other.recorder.OnReported(
+              {.service = kService, .version = kSecond, .recorded = true});
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, other.Due(1, kStart + 5s));
+        }),
+     It("is written again when the store refused it, or has lost it",
+        [] {
+          Recorded service;
+          service.history.NoteSeen(kService, kSecond, kStart);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, service.Due(0, kStart));
+          service.recorder.OnRecordFailed(kService);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, service.Due(0, kStart));
+          service.recorder.OnRecord(
+              {.service = kService, .versions = {kFirst, kSecond}});
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, service.Due(0, kStart));
+          service.recorder.OnStoreReturned();
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, service.Due(0, kStart));
+        }),
+     It("loses a version late, and by the first process only", [] {
+       Recorded service;
+       service.recorder.OnRecord(
+           {.service = kService, .versions = {kFirst, kSecond}});
+       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, service.Due(0, kStart));
+       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, service.Due(0, kStart + 4s));
+       Recorded other = service;
+       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, service.Due(0, kStart + 6s));
+       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, other.Due(1, kStart + 6s));
+     })});
+
+}  // namespace
+}  // namespace acacialug::origin
--- /dev/null
+++ b/src/origin/version_history.cc
@@ -0,0 +1,112 @@
+#include "origin/version_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacialug::origin {
+
+VersionHistory::Service& VersionHistory::FindOrCreate(ServiceKey service,
+                                                      Instant now) {
+  return this->services.try_emplace(service, Service{.known_since = now})
+      .first->second;
+}
+
+void VersionHistory::NoteSeen(ServiceKey key, VersionKey version, Instant now) {
+  Service& service = this->FindOrCreate(key, now);
+  service.last_seen[version] = now;
+  service.assumed.erase(version);
+}
+
+void VersionHistory::DropAssumed(const VersionReport& report, Instant now) {
+  Service& service = this->FindOrCreate(report.service, now);
+  if (report.known_for >= this->retention) {
+    for (const VersionKey version : std::exchange(service.assumed, {})) {
+      service.last_seen.erase(version);
+    }
+  }
+}
+
+void VersionHistory::Merge(const std::vector<VersionReport>& reports,
+                           Instant now) {
+  for (const VersionReport& report : reports) {
+    this->DropAssumed(report, now);
+  }
+  for (const VersionReport& report : reports) {
+    Service& service = this->FindOrCreate(report.service, now);
+    const Instant reported = now - report.age;
+    Instant& seen =
+        service.last_seen.try_emplace(report.version, reported).first->second;
+    seen = std::max(seen, reported);
+    service.known_since = std::min(service.known_since, now - report.known_for);
+  }
+}
+
+void VersionHistory::Merge(const VersionRecord& record, Instant now) {
+  Service& service = this->FindOrCreate(record.service, now);
+  for (const VersionKey version : record.versions) {
+    if (service.last_seen.try_emplace(version, now).second) {
+      service.assumed.insert(version);
+    }
+  }
+  service.known_since = std::min(service.known_since, now - this->retention);
+}
+
+std::optional<VersionKey> VersionHistory::Sole(ServiceKey service,
+                                               Instant now) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end() ||
+      now - found->second.known_since < this->retention) {
+    return std::nullopt;
+  }
+  const std::vector<VersionKey> versions = this->Versions(service, now);
+  return versions.size() == 1 ? std::optional(versions.front()) : std::nullopt;
+}
+
+std::vector<VersionKey> VersionHistory::SeenSince(ServiceKey service,
+                                                  Instant since) const {
+  std::vector<VersionKey> versions;
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return versions;
+  }
+  for (const auto& [version, seen] : found->second.last_seen) {
+    if (seen >= since) {
+      versions.push_back(version);
+    }
+  }
+  return versions;
+}
+
+std::vector<ServiceKey> VersionHistory::Services() const {
+  std::vector<ServiceKey> keys;
+  keys.reserve(this->services.size());
+  for (const auto& [key, service] : this->services) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+std::vector<VersionReport> VersionHistory::Reports(Instant now) const {
+  std::vector<VersionReport> reports;
+  for (const auto& [key, service] : this->services) {
+    for (const auto& [version, seen] : service.last_seen) {
+      if (now - seen <= this->retention) {
+        reports.push_back({.service = key,
+                           .version = version,
+                           .age = now - seen,
+                           .known_for = now - service.known_since});
+      }
+    }
+  }
+  return reports;
+}
+
+void VersionHistory::Sweep(Instant now) {
+  for (auto& [key, service] : this->services) {
+    std::erase_if(service.last_seen, [this, now](const auto& entry) {
+      return now - entry.second > this->retention;
+    });
+  }
+}
+
+}  // namespace acacialug::origin
--- /dev/null
+++ b/src/origin/version_history.h
@@ -0,0 +1,69 @@
+#ifndef ORIGIN_VERSION_HISTORY_H_
+#define ORIGIN_VERSION_HISTORY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "origin/types/version_report.h"
+
+namespace acacialug::origin {
+
+// Which software versions each service has had lately. A stream whose origin
+// nobody knows began at the only version that its service has had for as long
+// as a stream may be continued; where there were several, or where this process
+// has not seen the service for that long and no peer or stored record has told
+// it, nothing follows. Not thread safe; `now` never decreases.
+class VersionHistory {
+ public:
+  // For how long after its first event a stream may be continued.
+  void SetRetention(Duration duration) { this->retention = duration; }
+  Duration retention_time() const { return this->retention; }
+
+  // An endpoint of this version has a record.
+  void NoteSeen(ServiceKey service, VersionKey version, Instant now);
+
+  // Reports of a peer. Precondition: all those that it has of a service are
+  // included, or none.
+  void Merge(const std::vector<VersionReport>& reports, Instant now);
+  // The stored record of a service. It does not say when its versions were last
+  // seen, so that they count from now on, until a peer tells.
+  void Merge(const VersionRecord& record, Instant now);
+
+  // The only version that the service has had; empty if it had several, or if
+  // not all of them are known.
+  std::optional<VersionKey> Sole(ServiceKey service, Instant now) const;
+
+  // The versions of the service that were seen since `since`.
+  std::vector<VersionKey> SeenSince(ServiceKey service, Instant since) const;
+  // Those that a caller may still continue a stream of.
+  std::vector<VersionKey> Versions(ServiceKey service, Instant now) const {
+    return this->SeenSince(service, now - this->retention);
+  }
+  std::vector<ServiceKey> Services() const;
+
+  // All that this process knows; `recorded` is not set.
+  std::vector<VersionReport> Reports(Instant now) const;
+
+  // Deletes versions that nobody may continue a stream of. Call periodically.
+  void Sweep(Instant now);
+
+ private:
+  struct Service {
+    Instant known_since;
+    std::map<VersionKey, Instant> last_seen;
+    std::set<VersionKey> assumed;  // from the stored record alone
+  };
+
+  Service& FindOrCreate(ServiceKey service, Instant now);
+  // Drops what is only assumed of a service that a peer knows.
+  void DropAssumed(const VersionReport& report, Instant now);
+
+  Duration retention = 60s;
+  std::map<ServiceKey, Service> services;
+};
+
+}  // namespace acacialug::origin
+
+#endif  // ORIGIN_VERSION_HISTORY_H_
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -55,12 +55,14 @@
 }
 
 template <typename Message>
-std::string EncodeDatagram(const Message& message) {
-  return static_cast<char>(kHeartbeatVersion) + EncodeAny(message);
+std::string EncodeDatagram(const Message& message,
+                           std::uint8_t version = kHeartbeatVersion) {
+  return static_cast<char>(version) + EncodeAny(message);
 }
 
 template <typename Message>
-Result<Message> DecodeDatagram(std::string_view datagram) {
+Result<Message> DecodeDatagram(std::string_view datagram,
+                               std::uint8_t expected = kHeartbeatVersion) {
   if (datagram.size() > kMaxDatagramBytes) {
     return Error(ResultCode::kFrameTooLarge, "datagram");
   }
@@ -68,16 +70,16 @@
     return Error(ResultCode::kBadFrame, "empty datagram");
   }
   const auto version = static_cast<std::uint8_t>(datagram.front());
-  if (version != kHeartbeatVersion) {
+  if (version != expected) {
     return Error(ResultCode::kProtocolVersion,
-                 "heartbeat of version " + std::to_string(version));
+                 "datagram of version " + std::to_string(version));
   }
   return DecodeAny<Message>(datagram.substr(1));
 }
 
 bool IsBounded(const PeerHeartbeat& heartbeat) {
   return heartbeat.rows.size() + heartbeat.quotas.size() +
-                 heartbeat.limits.size() +
+                 heartbeat.limits.size() + heartbeat.versions.size() +
                  kRowsPerCrash * heartbeat.crashes.size() <=
              kMaxPeerHeartbeatRows &&
          heartbeat.quotas.size() <= kMaxPeerHeartbeatQuotas &&
@@ -91,6 +93,7 @@
                        return std::isfinite(limit.max_rate) &&
                               limit.max_rate >= 0;
                      }) &&
+         heartbeat.versions.size() <= kMaxPeerHeartbeatVersions &&
          heartbeat.crashes.size() <= kMaxPeerHeartbeatCrashes &&
          std::all_of(heartbeat.crashes.begin(), heartbeat.crashes.end(),
                      [](const PeerHeartbeat::Crash& crash) {
@@ -119,6 +122,27 @@
   return heartbeat;
 }
 
+std::string Encode(const PeerOrigins& message) {
+  return EncodeDatagram(message, kPeerOriginsVersion);
+}
+
+Result<PeerOrigins> DecodePeerOrigins(std::string_view datagram) {
+  Result<PeerOrigins> message =
+      DecodeDatagram<PeerOrigins>(datagram, kPeerOriginsVersion);
+  if (message.ok() && message->notices.size() + message->kept.size() +
+                              message->queries.size() + message->known.size() +
+                              message->unknown.size() >
+                          kMaxPeerOriginsRows) {
+    return Error(ResultCode::kBadFrame, "too many rows");
+  }
+  return message;
+}
+
+bool IsPeerOrigins(std::string_view datagram) {
+  return !datagram.empty() &&
+         static_cast<std::uint8_t>(datagram.front()) == kPeerOriginsVersion;
+}
+
 std::string Encode(const EntryToAgent& message) {
   return EncodeAny(message);
 }
--- a/src/protocol/message_codec.h
+++ b/src/protocol/message_codec.h
@@ -8,6 +8,7 @@
 #include "protocol/types/heartbeat.h"
 #include "protocol/types/messages.h"
 #include "protocol/types/peer_heartbeat.h"
+#include "protocol/types/peer_origins.h"
 
 namespace acacialug::protocol {
 
@@ -30,6 +31,11 @@
 std::string Encode(const PeerHeartbeat& heartbeat);
 Result<Heartbeat> DecodeHeartbeat(std::string_view datagram);
 Result<HeartbeatAnswer> DecodeHeartbeatAnswer(std::string_view datagram);
+std::string Encode(const PeerOrigins& message);
+// kBadFrame also for lists that exceed their bound for one datagram.
+Result<PeerOrigins> DecodePeerOrigins(std::string_view datagram);
+// By the first byte.
+bool IsPeerOrigins(std::string_view datagram);
 // kBadFrame also for a list that exceeds its bound for one heartbeat.
 Result<PeerHeartbeat> DecodePeerHeartbeat(std::string_view datagram);
 
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -117,6 +117,22 @@
     }
   };
 
+  // A software version of a service that the sender has seen: the fields of
+  // origin::VersionReport.
+  struct Version {
+    std::uint64_t service_key = 0;  // hash of the service's name
+    std::uint64_t version_key = 0;
+    std::uint32_t age_ms = 0;
+    std::uint32_t known_for_ms = 0;
+    bool recorded = false;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(this->service_key, this->version_key, this->age_ms,
+              this->known_for_ms, this->recorded);
+    }
+  };
+
   std::string sender;
   std::uint64_t domain_key = 0;  // hash of the sender's failure domain
   Incarnation incarnation;
@@ -131,13 +147,16 @@
   std::vector<Crash> crashes;
   std::vector<Quota> quotas;
   std::vector<Limit> limits;
+  // All that the sender has seen of a service, or none of them. Only some
+  // heartbeats carry any.
+  std::vector<Version> versions;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->sender, this->domain_key, this->incarnation, this->sequence,
             this->pages_port, this->configuration, this->endpoints,
             this->read_age_ms, this->rows, this->pauses, this->forecasts,
-            this->crashes, this->quotas, this->limits);
+            this->crashes, this->quotas, this->limits, this->versions);
   }
 };
 
@@ -154,6 +173,7 @@
 // Each takes the bytes of one row.
 inline constexpr std::size_t kMaxPeerHeartbeatQuotas = 8;
 inline constexpr std::size_t kMaxPeerHeartbeatLimits = 4;
+inline constexpr std::size_t kMaxPeerHeartbeatVersions = 12;
 
 }  // namespace acacialug::protocol
 
