--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -268,6 +268,13 @@
   return usable;
 }
 
+void EndpointCatalog::ForEach(
+    const std::function<void(const EndpointRecord& record)>& visit) const {
+  for (const auto& [id, entry] : this->entries) {
+    visit(entry.record);
+  }
+}
+
 const EndpointRecord* EndpointCatalog::Find(const EndpointId& id) const {
   const auto found = this->entries.find(id);
   return found == this->entries.end() ? nullptr : &found->second.record;
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -73,6 +73,9 @@
   // endpoints.
   const EndpointRecord* FindByKey(std::uint64_t key) const;
 
+  void ForEach(
+      const std::function<void(const EndpointRecord& record)>& visit) const;
+
   // All known records, for peers, with the offset up to which they are
   // complete.
   EndpointSnapshot Snapshot(Instant now) const;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -14,6 +14,7 @@
 #include "gateway/internal/refusal.h"
 #include "gateway/internal/relay_context.h"
 #include "gateway/internal/role_orders.h"
+#include "gateway/internal/stream_origins.h"
 #include "gateway/internal/stream_relay.h"
 #include "gateway/internal/waiting_streams.h"
 #include "gateway/request_key.h"
@@ -34,6 +35,9 @@
 // Retry-After while a service has no endpoint, which lasts for several
 // heartbeats at least.
 constexpr Duration kRetryNoEndpoint = 500ms;
+// Retry-After while the origin of a stream is not known: the processes that
+// know may not be reachable for a moment.
+constexpr Duration kRetryUnknownOrigin = 500ms;
 constexpr Duration kSweepInterval = 200ms;
 // Factor by which a forecast figure must change before it is logged again.
 // Figures vary by less than this all the time.
@@ -58,6 +62,10 @@
         load_table(this->options.hooks.on_load_changed),
         timers(this->options.hooks.wake_at),
         crashes(this->options.crashes),
+        origins({.id = this->options.id,
+                 .hooks = this->options.hooks,
+                 .catalog = this->catalog,
+                 .timers = this->timers}),
         limits(this->options.id),
         sender(this->options.hooks,
                this->options.dialect,
@@ -80,6 +88,7 @@
                 .calls = this->calls,
                 .timers = this->timers,
                 .crashes = this->crashes,
+                .origins = this->origins,
                 .random = this->random,
                 .processes = [this] { return this->peers + 1; },
                 .closing = [this] { return this->drain_begun != kNever; },
@@ -164,6 +173,7 @@
     const auto former = std::exchange(
         this->routes, std::make_shared<const RouteTable>(std::move(newest)));
     this->customers.OnConfigurationReplaced(former.get(), *this->routes);
+    this->origins.OnConfigurationReplaced(*this->routes);
     return true;
   }
 
@@ -172,6 +182,7 @@
     this->NoteStoreEra(EraOf(EndOf(change)));
     const bool changed = this->catalog.Apply(change, this->Now());
     if (changed) {
+      this->origins.OnCatalogReplaced();
       this->waiting.PlaceAll();
     }
     return changed;
@@ -197,6 +208,7 @@
     this->catalog.EnterEra(era, this->Now());
     if (had_read) {
       this->roles.NoteStoreReturned();
+      this->origins.OnStoreReturned();
     }
     if (this->options.hooks.on_store_era) {
       this->options.hooks.on_store_era(era);
@@ -277,6 +289,7 @@
                        const std::vector<quota::QuotaUse>& reported) {
     const Instant now = this->Now();
     this->limits.OnPeerHeartbeat(peer, now);
+    this->origins.OnPeerHeartbeat(peer);
     this->customers.OnPeerHeartbeat(peer, incarnation, reported, now);
   }
 
@@ -317,6 +330,7 @@
   LoadTable load_table;
   TimerQueue timers;
   retry::CrashLedger crashes;
+  StreamOrigins origins;
   EndpointLimits limits;
   EndpointSender sender;
   CustomerAdmission customers;
@@ -393,12 +407,23 @@
         refused.code != ResultCode::kOk) {
       return refused;
     }
-    job.service = PickService(*job.route, job.request.id);
-    job.traits = this->routes->FindService(job.service);
-    job.state = &this->StateOf(job.service);
+    this->SetService(job, PickService(*job.route, StreamNameOf(job.request)));
     return {};
   }
 
+  // A stream that is continued goes to the service that its first attempt went
+  // to.
+  static const std::string& StreamNameOf(const WorkRequest& request) {
+    return request.resumed_attempt.empty() ? request.id
+                                           : request.resumed_attempt;
+  }
+
+  void SetService(RelayJob& job, const ServiceName& service) {
+    job.service = service;
+    job.traits = this->routes->FindService(service);
+    job.state = &this->StateOf(service);
+  }
+
   // The request's id does not identify an attempt, as callers may use one id
   // for several attempts.
   std::uint32_t NextAttempt() {
@@ -437,6 +462,11 @@
     const auto relay =
         std::make_shared<CallRelay>(this->context, std::move(job));
     this->Start(relay);
+    this->ResolveOrigin(relay, [this, relay] { this->PlaceCall(*relay); });
+  }
+
+  void PlaceCall(CallRelay& call) {
+    CallRelay* const relay = &call;
     if (!relay->TryPlace()) {
       const ServiceName& service = relay->job().service;
       const bool known = !this->catalog.ForService(service).empty();
@@ -456,9 +486,53 @@
     const auto relay =
         std::make_shared<StreamRelay>(this->context, std::move(job));
     this->Start(relay);
-    if (this->waiting.AnyAheadOf(*relay) || !relay->TryPlace()) {
-      this->waiting.Add(relay);
+    this->ResolveOrigin(relay, [this, relay] {
+      if (this->waiting.AnyAheadOf(*relay) || !relay->TryPlace()) {
+        this->waiting.Add(relay);
+      }
+    });
+  }
+
+  // Runs `place` when the version is known at which the stream began that the
+  // request continues, if it continues one.
+  void ResolveOrigin(const std::shared_ptr<Relay>& relay,
+                     std::function<void()> place) {
+    const RelayJob& job = relay->job();
+    if (!job.request.resume_after || !IsStream(job.route->kind)) {
+      place();
+      return;
+    }
+    std::optional<origin::StreamKey> stream;
+    if (!job.request.resumed_attempt.empty()) {
+      stream = origin::StreamKeyOf(job.key.value, job.request.resumed_attempt);
+    }
+    this->origins.Resolve(stream, job.service,
+                          [this, relay, place = std::move(place)](
+                              const StreamOrigins::Origin& origin) {
+                            this->OnOrigin(relay, origin, place);
+                          });
+  }
+
+  void OnOrigin(const std::shared_ptr<Relay>& relay,
+                const StreamOrigins::Origin& origin,
+                const std::function<void()>& place) {
+    if (relay->finished()) {
+      return;
+    }
+    const RelayJob& job = relay->job();
+    this->options.hooks.log(
+        origin.version ? log::Level::kInfo : log::Level::kWarning,
+        "stream_origin",
+        {.request_name = job.request.id,
+         .fields = {{"resumed_attempt", job.request.resumed_attempt},
+                    {"source", NameOf(kOriginSourceNames, origin.source)},
+                    {"after_ms", origin.took}}});
+    if (!origin.version || *origin.version == origin::VersionKey()) {
+      relay->Refuse(ResultCode::kOriginUnknown, kRetryUnknownOrigin);
+      return;
     }
+    relay->SetVersion(*origin.version);
+    place();
   }
 
   // A retry of a refused request arrives as a new request. Only its deadline,
@@ -488,6 +562,7 @@
     this->crashes.Sweep(now);
     this->customers.ledger().Sweep(now);
     this->limits.Sweep(now);
+    this->origins.Sweep();
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
@@ -659,6 +734,41 @@
   this->implementation->sender.OnPeerLimit(reported);
 }
 
+void GatewayCore::OnOriginMessage(const std::string& peer,
+                                  const origin::OriginMessage& message) {
+  this->implementation->origins.OnMessage(peer, message);
+}
+
+std::vector<origin::VersionReport> GatewayCore::VersionReports() const {
+  return this->implementation->origins.Reports();
+}
+
+void GatewayCore::SetPeerVersions(
+    const std::vector<origin::VersionReport>& reports) {
+  this->implementation->origins.OnReports(reports);
+}
+
+void GatewayCore::NoteCatalogConfirmed(Instant at) {
+  this->implementation->origins.OnCatalogConfirmed(at);
+}
+
+void GatewayCore::SetVersionRecord(const origin::VersionRecord& record) {
+  this->implementation->origins.OnRecordRead(record);
+}
+
+void GatewayCore::NoteVersionRecordsRead() {
+  this->implementation->origins.OnRecordsRead();
+}
+
+void GatewayCore::OnVersionsRecorded(const origin::VersionRecord& record,
+                                     bool written) {
+  this->implementation->origins.OnRecordWritten(record, written);
+}
+
+std::size_t GatewayCore::stream_origins() const {
+  return this->implementation->origins.size();
+}
+
 void GatewayCore::BeginDrain() {
   this->implementation->BeginDrain();
 }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -19,6 +19,8 @@
 #include "gateway/types/endpoint_load.h"
 #include "gateway/types/endpoint_record.h"
 #include "gateway/types/gateway_hooks.h"
+#include "origin/types/stream_origin.h"
+#include "origin/types/version_report.h"
 #include "quota/types/quota_use.h"
 #include "retry/crash_ledger.h"
 
@@ -119,6 +121,21 @@
                                                        std::size_t round) const;
   void SetPeerLimit(const EndpointLimitReport& reported);
 
+  // At which software versions streams began (StreamOrigins): a peer's message,
+  // and the reports for peers' heartbeats and of them.
+  void OnOriginMessage(const std::string& peer,
+                       const origin::OriginMessage& message);
+  std::vector<origin::VersionReport> VersionReports() const;
+  void SetPeerVersions(const std::vector<origin::VersionReport>& reports);
+  // No endpoint's change is known to the store or a peer at this time that is
+  // not known here.
+  void NoteCatalogConfirmed(Instant at);
+  // The stored record of a service's versions; all were read; and whether a
+  // record was stored.
+  void SetVersionRecord(const origin::VersionRecord& record);
+  void NoteVersionRecordsRead();
+  void OnVersionsRecorded(const origin::VersionRecord& record, bool written);
+
   // Refuses new work after Options::drain_admission, and closes the connection
   // with each answer.
   void BeginDrain();
@@ -136,6 +153,7 @@
   std::size_t requests_quarantined() const;
   std::vector<retry::CrashRecord> QuarantinedRequests() const;
   std::size_t endpoints_limited() const;
+  std::size_t stream_origins() const;
 
  private:
   class Implementation;
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -24,7 +24,7 @@
 
 const EndpointRecord* CallRelay::FindEndpoint(std::vector<EndpointId> avoided) {
   avoided.insert(avoided.end(), this->tried.begin(), this->tried.end());
-  const auto endpoints = this->context.AvailableEndpoints(this->work.service);
+  const auto endpoints = this->AvailableEndpoints();
   return this->context.calls.Pick({.domain = this->context.domain,
                                    .tried = std::move(avoided),
                                    .hold = this->work.state->forecast.Call(),
@@ -55,6 +55,7 @@
   this->sent_at = this->Now();
   ++this->outcome.sends;
   ++this->runs;
+  this->NoteOrigin(chosen);
   auto self = std::static_pointer_cast<CallRelay>(this->shared_from_this());
   this->SendTo(
       chosen, {.time_left = this->TimeLeft()},
@@ -174,7 +175,7 @@
   const bool allowed = this->MayRunAgain() && !this->Quarantined() &&
                        this->runs < this->work.route->max_endpoints &&
                        this->outcome.sends < kMaxSends;
-  const auto available = this->context.AvailableEndpoints(this->work.service);
+  const auto available = this->AvailableEndpoints();
   const bool others = std::any_of(available.begin(), available.end(),
                                   [this](const EndpointRecord* other) {
                                     return other->id != this->endpoint.id;
@@ -201,8 +202,7 @@
 void CallRelay::AfterNotRun(ResultCode code) {
   this->EndAttempt();
   --this->runs;
-  const bool possible =
-      !this->context.AvailableEndpoints(this->work.service).empty();
+  const bool possible = !this->AvailableEndpoints().empty();
   const bool again = possible && !this->Quarantined() &&
                      this->outcome.sends < kMaxSends &&
                      this->work.state->budget.TryTake(
--- a/src/gateway/internal/refusal.cc
+++ b/src/gateway/internal/refusal.cc
@@ -49,8 +49,9 @@
                              bool close_connection) {
   http::Response answer{.status = StatusOf(code)};
   answer.headers.push_back({"Content-Type", "application/json"});
-  if (answer.status == kServiceUnavailable ||
-      answer.status == kTooManyRequests) {
+  const bool may_return =
+      answer.status == kServiceUnavailable || answer.status == kTooManyRequests;
+  if (may_return && code != ResultCode::kVersionGone) {
     answer.headers.push_back({"Retry-After", SecondsText(retry_after)});
   }
   if (close_connection) {
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -57,6 +57,41 @@
   return std::max(Duration::zero(), this->deadline - this->Now());
 }
 
+bool Relay::HasVersion(const EndpointRecord& endpoint) const {
+  return !this->version ||
+         *this->version ==
+             origin::VersionKeyOf(endpoint.service, endpoint.software_version);
+}
+
+std::vector<const EndpointRecord*> Relay::AvailableEndpoints() const {
+  std::vector<const EndpointRecord*> endpoints =
+      this->context.AvailableEndpoints(this->work.service);
+  std::erase_if(endpoints, [this](const EndpointRecord* endpoint) {
+    return !this->HasVersion(*endpoint);
+  });
+  return endpoints;
+}
+
+bool Relay::VersionGone() const {
+  if (!this->version) {
+    return false;
+  }
+  const auto endpoints = this->context.catalog.ForService(this->work.service);
+  return std::none_of(endpoints.begin(), endpoints.end(),
+                      [this](const EndpointRecord* endpoint) {
+                        return endpoint->role != EndpointRole::kPrefill &&
+                               this->HasVersion(*endpoint);
+                      });
+}
+
+void Relay::NoteOrigin(const EndpointRecord& endpoint) {
+  if (IsStream(this->work.route->kind) && !this->work.request.id.empty()) {
+    this->context.origins.OnPlaced(
+        origin::StreamKeyOf(this->work.key.value, this->work.request.id),
+        this->work.attempt, this->outcome.sends, endpoint);
+  }
+}
+
 void Relay::SendTo(const EndpointRecord& endpoint,
                    const WorkOrder& order,
                    http::ExchangeHooks hooks) {
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -28,6 +29,10 @@
   // placement now; nothing was sent then.
   virtual bool TryPlace() = 0;
 
+  // The stream that the request continues began at this version: it goes on at
+  // endpoints of this version only.
+  void SetVersion(origin::VersionKey began_at) { this->version = began_at; }
+
   // Ends the request with the gateway's own answer. Precondition: no part of an
   // answer was sent.
   void Refuse(ResultCode code, Duration retry_after);
@@ -51,6 +56,16 @@
     return gateway::MayRunAgain(this->work.route->kind);
   }
 
+  // Those of the service's endpoints that take work, and of the stream's
+  // version if it has one.
+  std::vector<const EndpointRecord*> AvailableEndpoints() const;
+  bool HasVersion(const EndpointRecord& endpoint) const;
+  // Whether the stream has a version, and no endpoint of this version takes
+  // work that runs.
+  bool VersionGone() const;
+  // Notes the endpoint as that of the stream's first event, before it is sent.
+  void NoteOrigin(const EndpointRecord& endpoint);
+
   void SendTo(const EndpointRecord& endpoint,
               const WorkOrder& order,
               http::ExchangeHooks hooks);
@@ -93,6 +108,8 @@
   RelayJob work;
   RelayOutcome outcome;
   std::vector<EndpointId> tried;
+  // At which the stream began; empty before its first event.
+  std::optional<origin::VersionKey> version;
   // The answer under way has neither a length nor chunks. What is forwarded of
   // it claims no more: it is unframed as well.
   bool unframed = false;
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -15,6 +15,7 @@
 #include "gateway/endpoint_health.h"
 #include "gateway/endpoint_limits.h"
 #include "gateway/internal/endpoint_sender.h"
+#include "gateway/internal/stream_origins.h"
 #include "gateway/internal/timer_queue.h"
 #include "gateway/load_table.h"
 #include "gateway/repeat_budget.h"
@@ -48,6 +49,7 @@
   const CallPlacement& calls;
   TimerQueue& timers;
   retry::CrashLedger& crashes;
+  StreamOrigins& origins;
   RandomSource& random;
   // The number of processes that share the repeat budget, including this
   // process.
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -49,14 +49,17 @@
        .domain = this->context.domain,
        .now = this->Now()},
       *this->work.traits->engine, this->work.state->forecast,
-      this->context.AvailableEndpoints(this->work.service),
-      this->context.random);
+      this->AvailableEndpoints(), this->context.random);
 }
 
 bool StreamRelay::TryPlace() {
   if (this->EndIfQuarantined()) {
     return true;
   }
+  if (this->VersionGone()) {
+    this->GiveUp(ResultCode::kVersionGone);
+    return true;
+  }
   const auto chosen = this->FindPlacement({});
   if (!chosen) {
     return false;
@@ -441,13 +444,21 @@
     this->Refuse(IsNotRun(code) ? ResultCode::kOutcomeUnknown : code, {});
     return;
   }
-  const Duration retry_after =
-      code == ResultCode::kQuarantined
-          ? this->context.crashes.TimeLeft(this->work.key, this->Now())
-          : this->work.state->queue.NextRetryDelay(
-                this->kv_tokens(), this->TimeLeft(), this->Now(),
-                this->context.random);
-  this->Refuse(IsNotRun(code) ? code : ResultCode::kNoEndpoint, retry_after);
+  this->Refuse(IsNotRun(code) ? code : ResultCode::kNoEndpoint,
+               this->RetryDelay(code));
+}
+
+Duration StreamRelay::RetryDelay(ResultCode code) {
+  switch (code) {
+    case ResultCode::kQuarantined:
+      return this->context.crashes.TimeLeft(this->work.key, this->Now());
+    case ResultCode::kVersionGone:
+      return Duration::zero();
+    default:
+      return this->work.state->queue.NextRetryDelay(
+          this->kv_tokens(), this->TimeLeft(), this->Now(),
+          this->context.random);
+  }
 }
 
 void StreamRelay::OnDeadline() {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -27,9 +27,11 @@
   // A retry after a refusal, whose answer is late whenever it begins.
   bool late() const { return this->work.is_retry; }
 
-  // Whether anything was computed or sent for the generation.
+  // Whether anything was computed or sent for the generation, by this attempt
+  // or by the one that it continues.
   bool resumed() const {
-    return this->outcome.prefills > 0 || this->outcome.sends > 0;
+    return this->outcome.prefills > 0 || this->outcome.sends > 0 ||
+           this->version.has_value();
   }
 
   // Ends a generation whose wait for another placement has reached its maximum.
@@ -86,6 +88,9 @@
   bool DeliverEvent(const StreamEvent& event);
   void NoteProgress();
   void NoteVersion();
+  // The stream takes the version of the endpoint that sends its first event.
+  // Returns false, and ends the attempt, if another version may run there.
+  bool TakeVersion(const StreamEvent& event);
   // Updates the forecast of the service's engines by the time of this event.
   void LearnFromEvent();
   // Time without data after which the stream is considered lost.
@@ -125,6 +130,8 @@
   // Places the generation again, now or when capacity is free.
   void PlaceAgain();
   void GiveUp(ResultCode code);
+  // Zero: retries are of no use.
+  Duration RetryDelay(ResultCode code);
 
   std::optional<StreamPlacement::Placement> placement;
   std::optional<PrefillExport> prefilled;
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -29,6 +29,7 @@
   }
   ++this->outcome.sends;
   ++this->runs;
+  this->NoteOrigin(this->placement->decode);
   this->decode_open = true;
   this->nature = AnswerNature::kUnproven;
   this->failure_body.clear();
@@ -167,6 +168,9 @@
       return false;
     }
   }
+  if (!this->TakeVersion(event)) {
+    return false;
+  }
   if (!this->begun) {
     this->outcome.first_byte = this->Age();
     this->BeginAnswer();
@@ -190,6 +194,26 @@
   return !this->finished();
 }
 
+// The record may be older than the endpoint's process.
+bool StreamRelay::TakeVersion(const StreamEvent& event) {
+  const EndpointRecord& decode = this->placement->decode;
+  const EndpointRecord* const current = this->context.catalog.Find(decode.id);
+  const bool replaced =
+      current != nullptr &&
+      (IsRestart(decode.started_at_ms, current->started_at_ms) ||
+       current->software_version != decode.software_version);
+  if (replaced && this->attempt_events == 0) {
+    this->StopExchange();
+    this->AfterRun(ResultCode::kEndpointLost);
+    return false;
+  }
+  if (!this->version && !event.only_comments) {
+    this->version =
+        origin::VersionKeyOf(decode.service, decode.software_version);
+  }
+  return true;
+}
+
 void StreamRelay::NoteVersion() {
   std::vector<std::string>& versions = this->outcome.software_versions;
   const std::string& current = this->placement->decode.software_version;
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "framework/http/http_client.h"
@@ -10,6 +11,8 @@
 #include "gateway/leader_term.h"
 #include "gateway/types/configuration.h"
 #include "gateway/types/relay_outcome.h"
+#include "origin/types/stream_origin.h"
+#include "origin/types/version_report.h"
 #include "retry/types/crash_record.h"
 
 namespace acacialug::gateway {
@@ -45,6 +48,13 @@
   std::function<void(const retry::CrashRecord& record)> on_quarantine;
   // A peer's catalog is of a later era of the store. May be empty.
   std::function<void(std::uint64_t era)> on_store_era;
+  // Sends a message about streams' origins to a peer. May be empty.
+  std::function<void(const std::string& peer,
+                     const origin::OriginMessage& message)>
+      send_origins;
+  // Stores the versions of a service; GatewayCore::OnVersionsRecorded follows.
+  // May be empty.
+  std::function<void(const origin::VersionRecord& record)> record_versions;
   // Writes a log entry.
   std::function<
       void(log::Level level, std::string_view event, log::Record record)>
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -130,6 +130,14 @@
     this->core.SetPeerCrash(report);
   }
 
+  void SetVersionRecord(const origin::VersionRecord& record) {
+    this->core.SetVersionRecord(record);
+  }
+  void NoteVersionRecordsRead() { this->core.NoteVersionRecordsRead(); }
+  void OnVersionsRecorded(const origin::VersionRecord& record, bool written) {
+    this->core.OnVersionsRecorded(record, written);
+  }
+
   void SetMembers(const std::map<std::string, http::Address>& members) {
     this->peers.SetMembers(members);
   }
@@ -189,6 +197,12 @@
         .acquire_term = this->options.acquire_term,
         .on_quarantine = this->options.on_quarantine,
         .on_store_era = this->options.on_store_era,
+        .send_origins =
+            [this](const std::string& peer,
+                   const origin::OriginMessage& message) {
+              this->peers.SendOrigins(peer, message);
+            },
+        .record_versions = this->options.record_versions,
         .log =
             [this](log::Level level, std::string_view event,
                    log::Record record) {
@@ -263,6 +277,18 @@
             },
         .on_listed =
             [this](const std::string& peer) { this->core.OnPeerListed(peer); },
+        .version_reports = [this] { return this->core.VersionReports(); },
+        .on_versions =
+            [this](const std::vector<origin::VersionReport>& reports) {
+              this->core.SetPeerVersions(reports);
+            },
+        .on_origins =
+            [this](const std::string& peer,
+                   const origin::OriginMessage& message) {
+              this->core.OnOriginMessage(peer, message);
+            },
+        .on_confirmed =
+            [this](Instant at) { this->core.NoteCatalogConfirmed(at); },
         .on_peer_count =
             [this](std::size_t live_peer_count, std::size_t known, bool first) {
               this->core.SetPeers(known, first);
@@ -344,6 +370,8 @@
         .Set(static_cast<double>(this->core.requests_waiting()));
     this->registry.Get(kGatewayLimited)
         .Set(static_cast<double>(this->core.endpoints_limited()));
+    this->registry.Get(kGatewayStreamOrigins)
+        .Set(static_cast<double>(this->core.stream_origins()));
     this->registry.Get(kGatewayQuarantined)
         .Set(static_cast<double>(this->core.requests_quarantined()));
     return {.status = kOk,
@@ -548,6 +576,19 @@
   this->implementation->SetCrash(kept);
 }
 
+void GatewayProcess::SetVersionRecord(const origin::VersionRecord& record) {
+  this->implementation->SetVersionRecord(record);
+}
+
+void GatewayProcess::NoteVersionRecordsRead() {
+  this->implementation->NoteVersionRecordsRead();
+}
+
+void GatewayProcess::OnVersionsRecorded(const origin::VersionRecord& record,
+                                        bool written) {
+  this->implementation->OnVersionsRecorded(record, written);
+}
+
 void GatewayProcess::SetMembers(
     const std::map<std::string, http::Address>& members) {
   this->implementation->SetMembers(members);
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -15,6 +15,7 @@
 #include "gateway/types/endpoint_dialect.h"
 #include "gateway/types/endpoint_record.h"
 #include "gateway_process/types/gateway_settings.h"
+#include "origin/types/version_report.h"
 
 namespace acacialug::gateway_process {
 
@@ -35,6 +36,8 @@
     std::function<void(const retry::CrashRecord& record)> on_quarantine;
     // As gateway::GatewayHooks::on_store_era; may be empty.
     std::function<void(std::uint64_t era)> on_store_era;
+    // As gateway::GatewayHooks::record_versions; may be empty.
+    std::function<void(const origin::VersionRecord& record)> record_versions;
     // Runs once after Drain, when every request has its answer, or when the
     // grace period has ended (`whole` false: a request was cut off).
     std::function<void(bool whole)> on_drained;
@@ -71,6 +74,11 @@
   // Sets a quarantined request that the store kept.
   void SetCrash(const retry::CrashRecord& kept);
 
+  // As the methods of gateway::GatewayCore.
+  void SetVersionRecord(const origin::VersionRecord& record);
+  void NoteVersionRecordsRead();
+  void OnVersionsRecorded(const origin::VersionRecord& record, bool written);
+
   // Addresses of other gateways, by their ids.
   void SetMembers(const std::map<std::string, http::Address>& members);
 
--- a/src/gateway_process/internal/heartbeat_rows.cc
+++ b/src/gateway_process/internal/heartbeat_rows.cc
@@ -122,6 +122,86 @@
           .age = std::chrono::milliseconds(row.age_ms)};
 }
 
+std::vector<protocol::PeerHeartbeat::Version> VersionRows(
+    const std::vector<origin::VersionReport>& reports) {
+  std::vector<protocol::PeerHeartbeat::Version> rows;
+  rows.reserve(reports.size());
+  for (const origin::VersionReport& report : reports) {
+    rows.push_back({.service_key = report.service.value,
+                    .version_key = report.version.value,
+                    .age_ms = MillisecondsOf(report.age),
+                    .known_for_ms = MillisecondsOf(report.known_for),
+                    .recorded = report.recorded});
+  }
+  return rows;
+}
+
+std::vector<origin::VersionReport> VersionsFromRows(
+    const std::vector<protocol::PeerHeartbeat::Version>& rows) {
+  std::vector<origin::VersionReport> reports;
+  reports.reserve(rows.size());
+  for (const protocol::PeerHeartbeat::Version& row : rows) {
+    reports.push_back({.service = origin::ServiceKey(row.service_key),
+                       .version = origin::VersionKey(row.version_key),
+                       .age = std::chrono::milliseconds(row.age_ms),
+                       .known_for = std::chrono::milliseconds(row.known_for_ms),
+                       .recorded = row.recorded});
+  }
+  return reports;
+}
+
+protocol::PeerOrigins OriginsDatagram(const std::string& sender,
+                                      const origin::OriginMessage& message) {
+  const auto rows_of = [](const std::vector<origin::StreamOrigin>& origins) {
+    std::vector<protocol::PeerOrigins::Origin> rows;
+    for (const origin::StreamOrigin& stream : origins) {
+      rows.push_back({.stream_key = stream.stream.value,
+                      .version_key = stream.version.value,
+                      .attempt = stream.attempt,
+                      .placement = stream.placement,
+                      .left_ms = MillisecondsOf(stream.left)});
+    }
+    return rows;
+  };
+  const auto keys_of = [](const std::vector<origin::StreamKey>& streams) {
+    std::vector<std::uint64_t> keys;
+    for (const origin::StreamKey stream : streams) {
+      keys.push_back(stream.value);
+    }
+    return keys;
+  };
+  return {.sender = sender,
+          .notices = rows_of(message.notices),
+          .kept = keys_of(message.kept),
+          .queries = keys_of(message.queries),
+          .known = rows_of(message.known),
+          .unknown = keys_of(message.unknown)};
+}
+
+origin::OriginMessage OriginsFromDatagram(
+    const protocol::PeerOrigins& datagram) {
+  const auto origins_of =
+      [](const std::vector<protocol::PeerOrigins::Origin>& rows) {
+        std::vector<origin::StreamOrigin> origins;
+        for (const protocol::PeerOrigins::Origin& row : rows) {
+          origins.push_back({.stream = origin::StreamKey(row.stream_key),
+                             .version = origin::VersionKey(row.version_key),
+                             .attempt = row.attempt,
+                             .placement = row.placement,
+                             .left = std::chrono::milliseconds(row.left_ms)});
+        }
+        return origins;
+      };
+  const auto streams_of = [](const std::vector<std::uint64_t>& keys) {
+    return std::vector<origin::StreamKey>(keys.begin(), keys.end());
+  };
+  return {.notices = origins_of(datagram.notices),
+          .kept = streams_of(datagram.kept),
+          .queries = streams_of(datagram.queries),
+          .known = origins_of(datagram.known),
+          .unknown = streams_of(datagram.unknown)};
+}
+
 gateway::PeerLoad LoadFromHeartbeat(const protocol::PeerHeartbeat& heartbeat,
                                     bool near) {
   gateway::PeerLoad load{.near = near};
--- a/src/gateway_process/internal/heartbeat_rows.h
+++ b/src/gateway_process/internal/heartbeat_rows.h
@@ -1,12 +1,16 @@
 #ifndef GATEWAY_PROCESS_INTERNAL_HEARTBEAT_ROWS_H_
 #define GATEWAY_PROCESS_INTERNAL_HEARTBEAT_ROWS_H_
 
+#include <string>
 #include <vector>
 
 #include "forecast/types/forecast_digest.h"
 #include "gateway/types/endpoint_limit_report.h"
 #include "gateway/types/endpoint_load.h"
+#include "origin/types/stream_origin.h"
+#include "origin/types/version_report.h"
 #include "protocol/types/peer_heartbeat.h"
+#include "protocol/types/peer_origins.h"
 #include "quota/types/quota_use.h"
 #include "retry/types/crash_record.h"
 
@@ -34,6 +38,16 @@
 gateway::EndpointLimitReport LimitFromRow(
     const protocol::PeerHeartbeat::Limit& row);
 
+std::vector<protocol::PeerHeartbeat::Version> VersionRows(
+    const std::vector<origin::VersionReport>& reports);
+std::vector<origin::VersionReport> VersionsFromRows(
+    const std::vector<protocol::PeerHeartbeat::Version>& rows);
+
+protocol::PeerOrigins OriginsDatagram(const std::string& sender,
+                                      const origin::OriginMessage& message);
+origin::OriginMessage OriginsFromDatagram(
+    const protocol::PeerOrigins& datagram);
+
 // `near`: the sender is in the reader's failure domain.
 gateway::PeerLoad LoadFromHeartbeat(const protocol::PeerHeartbeat& heartbeat,
                                     bool near);
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -55,6 +55,7 @@
   QTimer change{};
   Instant last_sent_at{};
   Instant forecast_sent_at{};
+  Instant versions_sent_at{};
   // Index of the first pause in the next heartbeat.
   std::size_t next_pause = 0;
   std::size_t crash_rounds = 0;  // heartbeats with crash reports
@@ -169,7 +170,20 @@
     }
   }
 
-  void NoteStoreRead() { this->read_at = this->options.now(); }
+  void NoteStoreRead() {
+    this->read_at = this->options.now();
+    this->options.on_confirmed(this->read_at);
+  }
+
+  void SendOrigins(const std::string& id,
+                   const origin::OriginMessage& message) {
+    const auto peer = this->peers.find(id);
+    if (peer != this->peers.end()) {
+      this->socket.Send(
+          protocol::Encode(OriginsDatagram(this->options.id, message)),
+          peer->second.address);
+    }
+  }
 
   void SetStoreServes(bool serves) { this->sources.SetStoreServes(serves); }
 
@@ -247,6 +261,7 @@
     heartbeat.quotas = QuotaRows(this->options.collect_quota_reports(
         group.number, protocol::kMaxPeerHeartbeatQuotas));
     this->AddLimits(heartbeat, group);
+    this->AddVersions(heartbeat, group);
     this->AddLoad(heartbeat);
     this->AddPauses(heartbeat, group);
     this->AddForecast(heartbeat, group);
@@ -271,10 +286,24 @@
     group.limit_rounds += heartbeat.limits.empty() ? 0 : 1;
   }
 
+  // More versions than fit are not reported: a peer must not take a part of a
+  // service's versions for all of them.
+  void AddVersions(protocol::PeerHeartbeat& heartbeat, Group& group) const {
+    const Instant now = this->options.now();
+    if (now - group.versions_sent_at < kForecastInterval) {
+      return;
+    }
+    group.versions_sent_at = now;
+    auto rows = VersionRows(this->options.version_reports());
+    if (rows.size() <= protocol::kMaxPeerHeartbeatVersions) {
+      heartbeat.versions = std::move(rows);
+    }
+  }
+
   void AddLoad(protocol::PeerHeartbeat& heartbeat) const {
     const std::size_t max_count =
         protocol::kMaxPeerHeartbeatRows - heartbeat.quotas.size() -
-        heartbeat.limits.size() -
+        heartbeat.limits.size() - heartbeat.versions.size() -
         protocol::kRowsPerCrash * heartbeat.crashes.size();
     gateway::PeerLoad load = this->options.own_load();
     if (load.rows.size() > max_count) {
@@ -340,14 +369,36 @@
   }
 
   void OnDatagram(std::string_view datagram, const http::Address& from) {
+    if (protocol::IsPeerOrigins(datagram)) {
+      this->OnOrigins(datagram, from);
+    } else {
+      this->OnHeartbeat(datagram, from);
+    }
+  }
+
+  void LogBadDatagram(const Error& error, const http::Address& from) {
+    log::WriteLimited(
+        this->limiter, this->options.now(), log::Level::kWarning,
+        "peer_datagram_bad",
+        {.code = error.result_code(),
+         .fields = {{"from", http::ToString(from)}, {"detail", error.detail}}});
+  }
+
+  void OnOrigins(std::string_view datagram, const http::Address& from) {
+    const Result<protocol::PeerOrigins> message =
+        protocol::DecodePeerOrigins(datagram);
+    if (!message.ok()) {
+      this->LogBadDatagram(message.error(), from);
+    } else if (message->sender != this->options.id) {
+      this->options.on_origins(message->sender, OriginsFromDatagram(*message));
+    }
+  }
+
+  void OnHeartbeat(std::string_view datagram, const http::Address& from) {
     const Result<protocol::PeerHeartbeat> heartbeat =
         protocol::DecodePeerHeartbeat(datagram);
     if (!heartbeat.ok()) {
-      log::WriteLimited(this->limiter, this->options.now(),
-                        log::Level::kWarning, "peer_datagram_bad",
-                        {.code = heartbeat.error().result_code(),
-                         .fields = {{"from", http::ToString(from)},
-                                    {"detail", heartbeat.error().detail}}});
+      this->LogBadDatagram(heartbeat.error(), from);
       return;
     }
     if (heartbeat->sender == this->options.id) {
@@ -391,6 +442,11 @@
     for (const protocol::PeerHeartbeat::Limit& report : heartbeat->limits) {
       this->options.on_limit(LimitFromRow(report));
     }
+    this->options.on_versions(VersionsFromRows(heartbeat->versions));
+    if (heartbeat->endpoints <=
+        std::max(this->known.changed_to, this->known.complete_to)) {
+      this->options.on_confirmed(peer.last_received_at);
+    }
     this->options.on_heartbeat(heartbeat->sender, heartbeat->incarnation,
                                QuotasFromRows(heartbeat->quotas));
     this->options.on_load(heartbeat->sender,
@@ -401,6 +457,8 @@
                            peer.last_received_at);
     if (newcomer) {
       this->options.on_new_peer();
+      this->near_group.versions_sent_at = {};
+      this->far_group.versions_sent_at = {};
       this->SendHeartbeats();
       // Deferred, since other peers' datagrams may be queued behind this one.
       QTimer::singleShot(0, &this->keep_alive, [this] { this->OnKeepAlive(); });
@@ -565,6 +623,11 @@
   this->implementation->SetMembers(members);
 }
 
+void PeerLink::SendOrigins(const std::string& peer,
+                           const origin::OriginMessage& message) {
+  this->implementation->SendOrigins(peer, message);
+}
+
 void PeerLink::OnLoadChanged() {
   this->implementation->OnLoadChanged();
 }
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -16,6 +16,8 @@
 #include "gateway/types/endpoint_limit_report.h"
 #include "gateway/types/endpoint_load.h"
 #include "gateway_process/internal/catalog_page.h"
+#include "origin/types/stream_origin.h"
+#include "origin/types/version_report.h"
 #include "quota/types/quota_use.h"
 #include "retry/types/crash_record.h"
 
@@ -76,6 +78,18 @@
                        const std::vector<quota::QuotaUse>& report)>
         on_heartbeat;
     std::function<void(const std::string& peer)> on_listed;
+    // Origins of streams: `version_reports` returns what this process knows of
+    // services' versions, `on_versions` receives a peer's reports, `on_origins`
+    // its messages (SendOrigins).
+    std::function<std::vector<origin::VersionReport>()> version_reports;
+    std::function<void(const std::vector<origin::VersionReport>& reports)>
+        on_versions;
+    std::function<void(const std::string& peer,
+                       const origin::OriginMessage& message)>
+        on_origins;
+    // The store, at a read of this process, or a peer knew of no change of an
+    // endpoint at this time that this process does not know.
+    std::function<void(Instant at)> on_confirmed;
     // The number of live peers, the number of peers received from recently,
     // live or not, and whether this process's id sorts before all live peers'
     // ids.
@@ -97,6 +111,11 @@
   // Addresses of peers. Peers that sent a heartbeat stay known as well.
   void SetMembers(const std::map<std::string, http::Address>& members);
 
+  // Sends a message about streams' origins at once. It may be lost. Does
+  // nothing if the peer is not known.
+  void SendOrigins(const std::string& peer,
+                   const origin::OriginMessage& message);
+
   // The load of this process changed; it is sent with the next heartbeat.
   void OnLoadChanged();
 
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -106,6 +106,19 @@
                   [this](const std::string& peer) {
                     this->quotas.OnPeerListed(peer, this->Now());
                   },
+              .version_reports = [this] { return this->versions; },
+              .on_versions =
+                  [this](const std::vector<origin::VersionReport>& reports) {
+                    if (!reports.empty()) {
+                      this->received_versions = reports;
+                    }
+                  },
+              .on_origins =
+                  [this](const std::string& peer,
+                         const origin::OriginMessage& message) {
+                    this->received_origins[peer] = message;
+                  },
+              .on_confirmed = [this](Instant at) { this->confirmed_at = at; },
               .on_peer_count =
                   [this](std::size_t alive, std::size_t, bool is_first) {
                     this->peers = alive;
@@ -161,6 +174,10 @@
   Duration ahead{};  // offset of its clock from the machine's
   std::size_t peers = 0;
   bool first = false;
+  std::vector<origin::VersionReport> versions;
+  std::vector<origin::VersionReport> received_versions;
+  std::map<std::string, origin::OriginMessage> received_origins;
+  Instant confirmed_at{};
   int received_count = 0;  // received datagrams
   std::function<void()> on_count = [] {};
   PeerLink link;
--- a/src/origin/tests/version_history_test.cc
+++ b/src/origin/tests/version_history_test.cc
@@ -86,6 +86,17 @@
           two.NoteSeen(kService, kSecond, kStart + 27s);
           CPPUNIT_ASSERT(!two.Sole(kService, kStart + 27s));
         }),
+     It("are known where no record is stored, once all were read",
+        [] {
+          // Guards against takeups that are refused until a new site is as old
+          // as a stream.
+          VersionHistory history = Empty();
+          history.NoteSeen(kService, kFirst, kStart);
+          history.NoteRecordsRead(kStart);
+          CPPUNIT_ASSERT(history.Sole(kService, kStart) == kFirst);
+          history.NoteSeen(kService, kSecond, kStart + 1s);
+          CPPUNIT_ASSERT(!history.Sole(kService, kStart + 1s));
+        }),
      It("are not known from a stored record that lacks one that is seen",
         [] {
           VersionHistory history = Empty();
--- a/src/origin/version_history.cc
+++ b/src/origin/version_history.cc
@@ -11,6 +11,10 @@
       .first->second;
 }
 
+void VersionHistory::NoteRecordsRead(Instant now) {
+  this->records_read_at = std::min(this->records_read_at, now);
+}
+
 void VersionHistory::NoteSeen(ServiceKey key, VersionKey version, Instant now) {
   Service& service = this->FindOrCreate(key, now);
   service.last_seen[version] = now;
@@ -51,11 +55,17 @@
   service.known_since = std::min(service.known_since, now - this->retention);
 }
 
+Duration VersionHistory::KnownFor(const Service& service, Instant now) const {
+  const Duration known_for = now - service.known_since;
+  return now >= this->records_read_at ? std::max(known_for, this->retention)
+                                      : known_for;
+}
+
 std::optional<VersionKey> VersionHistory::Sole(ServiceKey service,
                                                Instant now) const {
   const auto found = this->services.find(service);
   if (found == this->services.end() ||
-      now - found->second.known_since < this->retention) {
+      this->KnownFor(found->second, now) < this->retention) {
     return std::nullopt;
   }
   const std::vector<VersionKey> versions = this->Versions(service, now);
@@ -94,7 +104,7 @@
         reports.push_back({.service = key,
                            .version = version,
                            .age = now - seen,
-                           .known_for = now - service.known_since});
+                           .known_for = this->KnownFor(service, now)});
       }
     }
   }
--- a/src/origin/version_history.h
+++ b/src/origin/version_history.h
@@ -31,6 +31,10 @@
   // seen, so that they count from now on, until a peer tells.
   void Merge(const VersionRecord& record, Instant now);
 
+  // All stored records were read. A service without one has had no version that
+  // this process does not see from now on: each is recorded when it comes.
+  void NoteRecordsRead(Instant now);
+
   // The only version that the service has had; empty if it had several, or if
   // not all of them are known.
   std::optional<VersionKey> Sole(ServiceKey service, Instant now) const;
@@ -57,10 +61,12 @@
   };
 
   Service& FindOrCreate(ServiceKey service, Instant now);
+  Duration KnownFor(const Service& service, Instant now) const;
   // Drops what is only assumed of a service that a peer knows.
   void DropAssumed(const VersionReport& report, Instant now);
 
   Duration retention = 60s;
+  Instant records_read_at = kNever;
   std::map<ServiceKey, Service> services;
 };
 
