--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -87,7 +87,9 @@
 };
 
 GatewaySimulation::GatewaySimulation(double repeat_extra,
-                                     const std::string& id) {
+                                     const std::string& id,
+                                     Instant started_at)
+    : now(started_at) {
   this->core = std::make_unique<GatewayCore>(
       GatewayCore::Options{.id = id,
                            .domain = FailureDomain("a"),
@@ -133,6 +135,19 @@
           [this](const std::function<void(std::optional<TermGrant>)>& on_done) {
             on_done(this->term_grant);
           },
+      .send_origins =
+          [this](const std::string& peer,
+                 const origin::OriginMessage& message) {
+            if (this->on_origins) {
+              this->on_origins(peer, message);
+            }
+          },
+      .record_versions =
+          [this](const origin::VersionRecord& record) {
+            if (this->on_versions) {
+              this->on_versions(record);
+            }
+          },
       .log = [this](log::Level, std::string_view event,
                     const log::Record&) { this->events.emplace_back(event); },
       .on_end = [](const Route&, const RelayOutcome&) {}};
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -50,9 +50,10 @@
 class GatewaySimulation {
  public:
   // `repeat_extra`: repeats that the budget allows beside its share of the
-  // requests. `id`: of the gateway.
+  // requests. `id`: of the gateway, which starts at `started_at`.
   explicit GatewaySimulation(double repeat_extra = 58,
-                             const std::string& id = "g1");
+                             const std::string& id = "g1",
+                             Instant started_at = Instant(1h));
 
   // Activates a configuration with the routes of this simulation; a later call
   // replaces it.
@@ -127,6 +128,11 @@
   Duration stalled_for{};             // as the core reported
   std::size_t pauses_reported = 0;    // when the core last reported more
   std::optional<TermGrant> term_grant;
+  // Receives the messages about streams' origins to the peers, and what is to
+  // be stored of versions. Both may be empty.
+  std::function<void(const std::string& peer, const origin::OriginMessage&)>
+      on_origins;
+  std::function<void(const origin::VersionRecord&)> on_versions;
   std::unique_ptr<GatewayCore> core;
   std::map<std::string, http::Address> addresses;
   std::map<std::string, EndpointRecord> records;
--- /dev/null
+++ b/src/gateway/tests/version_fleet.h
@@ -0,0 +1,72 @@
+#ifndef GATEWAY_TESTS_VERSION_FLEET_H_
+#define GATEWAY_TESTS_VERSION_FLEET_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/tests/gateway_simulation.h"
+
+namespace acacialug::gateway::testing {
+
+// Gateways in virtual time that share endpoints and a store, and exchange
+// heartbeats and messages about streams' origins.
+class VersionFleet {
+ public:
+  explicit VersionFleet(std::size_t processes);
+
+  // At all gateways.
+  void AddEndpoint(const std::string& id,
+                   EndpointRole role,
+                   const std::string& version);
+  void RemoveEndpoint(const std::string& id);
+
+  // A gateway ends, and starts again without knowledge.
+  void Kill(std::size_t number);
+  void Start(std::size_t number);
+  bool alive(std::size_t number) const { return this->all[number] != nullptr; }
+  // From now on a gateway and the others exchange nothing, and the store does
+  // not serve it.
+  void Cut(std::size_t number) { this->cut = number; }
+
+  GatewaySimulation& At(std::size_t number) { return *this->all[number]; }
+
+  // Begins a stream at a gateway, with one event; returns its version.
+  std::string Begin(std::size_t number, const std::string& id);
+  // A caller continues a stream at a gateway. Returns the version at which it
+  // goes on, or the status of its answer.
+  std::string Resume(std::size_t number,
+                     const std::string& id,
+                     const std::string& resumed_attempt);
+
+  void AdvanceBy(Duration time);
+
+  std::size_t messages = 0;  // about streams' origins
+
+ private:
+  struct Delivery {
+    Instant at;
+    std::size_t from = 0;
+    std::string to;
+    origin::OriginMessage message;
+  };
+
+  void Deliver();
+  void SendHeartbeats();
+  std::string Answer(std::size_t number, const std::shared_ptr<Answer>& answer);
+
+  Instant now{1h};
+  std::vector<std::unique_ptr<GatewaySimulation>> all;
+  std::map<std::string, EndpointRecord> endpoints;
+  std::map<origin::ServiceKey, origin::VersionRecord> stored;
+  std::vector<Delivery> deliveries;
+  Instant heartbeat_at{};
+  std::size_t cut = SIZE_MAX;
+};
+
+}  // namespace acacialug::gateway::testing
+
+#endif  // GATEWAY_TESTS_VERSION_FLEET_H_
--- /dev/null
+++ b/src/gateway/tests/version_fleet_test.cc
@@ -0,0 +1,199 @@
+#include "gateway/tests/version_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "framework/testing/story.h"
+
+namespace acacialug::gateway {
+namespace {
+
+using acacialug::testing::ForEach;
+using acacialug::testing::It;
+using testing::VersionFleet;
+
+const std::vector<std::size_t> kSizes = {5, 28, 103};
+
+std::string SizeName(const std::size_t& processes) {
+  return std::to_string(processes) + " gateways";
+}
+
+void AddVersion(VersionFleet& fleet, const std::string& version) {
+  fleet.AddEndpoint("f-" + version, EndpointRole::kPrefill, version);
+  fleet.AddEndpoint("d1-" + version, EndpointRole::kDecode, version);
+  fleet.AddEndpoint("d2-" + version, EndpointRole::kDecode, version);
+}
+
+void RemoveVersion(VersionFleet& fleet, const std::string& version) {
+  for (const char* const id : {"f-", "d1-", "d2-"}) {
+    fleet.RemoveEndpoint(id + version);
+  }
+}
+
+// Streams of a gateway, by name, with the version that began each.
+std::map<std::string, std::string> BeginStreams(VersionFleet& fleet,
+                                                std::size_t number) {
+  std::map<std::string, std::string> begun;
+  for (int stream = 0; stream < 12; ++stream) {
+    const std::string id = "s" + std::to_string(stream);
+    begun[id] = fleet.Begin(number, id);
+  }
+  return begun;
+}
+
+const acacialug::testing::Story kTakeups(
+    "a stream that is taken up at another gateway",
+    {ForEach<std::size_t>(
+         "goes on at its version 5 ms after its own was killed, of",
+         kSizes,
+         SizeName,
+         [](const std::size_t& processes) {
+           // Guards against takeups that are placed as new streams, or refused.
+           VersionFleet fleet(processes);
+           AddVersion(fleet, "v1");
+           AddVersion(fleet, "v2");
+           fleet.AdvanceBy(1s);
+           const auto begun = BeginStreams(fleet, 2);
+           fleet.AdvanceBy(5ms);
+           fleet.Kill(2);
+           for (const auto& [id, version] : begun) {
+             CPPUNIT_ASSERT_EQUAL(version, fleet.Resume(3, "again " + id, id));
+           }
+         }),
+     ForEach<std::size_t>(
+         "needs no message while its service has one version, of",
+         kSizes,
+         SizeName,
+         [](const std::size_t& processes) {
+           VersionFleet fleet(processes);
+           AddVersion(fleet, "v1");
+           fleet.AdvanceBy(1s);
+           fleet.messages = 0;
+           const auto begun = BeginStreams(fleet, 2);
+           fleet.Kill(2);
+           for (const auto& [id, version] : begun) {
+             CPPUNIT_ASSERT_EQUAL(version, fleet.Resume(3, "again " + id, id));
+           }
+           CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.messages);
+         }),
+     It("goes on at its version though the second version came after it began",
+        [] {
+          // Guards against streams that were not told while there was one
+          // version.
+          VersionFleet fleet(5);
+          AddVersion(fleet, "v1");
+          fleet.AdvanceBy(1s);
+          const auto begun = BeginStreams(fleet, 2);
+          AddVersion(fleet, "v2");
+          fleet.AdvanceBy(20ms);
+          fleet.Kill(2);
+          for (const auto& [id, version] : begun) {
+            CPPUNIT_ASSERT_EQUAL(version, fleet.Resume(3, "again " + id, id));
+          }
+        }),
+     It("is refused at once when its version is gone",
+        [] {
+          VersionFleet fleet(5);
+          AddVersion(fleet, "v1");
+          fleet.AdvanceBy(1s);
+          fleet.Begin(2, "s");
+          AddVersion(fleet, "v2");
+          RemoveVersion(fleet, "v1");
+          fleet.AdvanceBy(50ms);
+          CPPUNIT_ASSERT_EQUAL(std::string("503"), fleet.Resume(3, "t", "s"));
+        }),
+     It("is not taken for one of the version that is left",
+        [] {
+          // Guards against a gateway that started after the first version went.
+          VersionFleet fleet(5);
+          AddVersion(fleet, "v1");
+          fleet.AdvanceBy(1s);
+          fleet.Begin(2, "s");
+          AddVersion(fleet, "v2");
+          RemoveVersion(fleet, "v1");
+          fleet.AdvanceBy(50ms);
+          for (std::size_t number = 0; number < 5; ++number) {
+            fleet.Kill(number);
+          }
+          fleet.AdvanceBy(500ms);
+          for (std::size_t number = 0; number < 5; ++number) {
+            fleet.Start(number);
+          }
+          fleet.AdvanceBy(50ms);
+          CPPUNIT_ASSERT_EQUAL(std::string("503"), fleet.Resume(3, "t", "s"));
+        }),
+     It("goes on after all gateways restarted, if its service had one version",
+        [] {
+          // Guards against takeups that are refused after each full restart.
+          VersionFleet fleet(5);
+          AddVersion(fleet, "v1");
+          fleet.AdvanceBy(1s);
+          fleet.Begin(2, "s");
+          for (std::size_t number = 0; number < 5; ++number) {
+            fleet.Kill(number);
+          }
+          fleet.AdvanceBy(500ms);
+          for (std::size_t number = 0; number < 5; ++number) {
+            fleet.Start(number);
+          }
+          fleet.AdvanceBy(450ms);
+          CPPUNIT_ASSERT_EQUAL(std::string("v1"), fleet.Resume(3, "t", "s"));
+        }),
+     It("is refused where nobody can know its version, within 0.7 s",
+        [] {
+          VersionFleet fleet(5);
+          AddVersion(fleet, "v1");
+          AddVersion(fleet, "v2");
+          fleet.AdvanceBy(1s);
+          CPPUNIT_ASSERT_EQUAL(std::string("503"),
+                               fleet.Resume(3, "t", "never was"));
+          CPPUNIT_ASSERT_EQUAL(std::string("503"), fleet.Resume(3, "u", ""));
+          CPPUNIT_ASSERT(fleet.At(3).core->requests_under_way() == 0);
+        }),
+     It("is refused by a gateway that is cut off from the news of versions",
+        [] {
+          // Guards against a stale belief in the only version that was known.
+          VersionFleet fleet(5);
+          AddVersion(fleet, "v1");
+          fleet.AdvanceBy(1s);
+          fleet.Cut(3);
+          AddVersion(fleet, "v2");
+          RemoveVersion(fleet, "v1");
+          fleet.AdvanceBy(3500ms);
+          fleet.Begin(2, "s");
+          CPPUNIT_ASSERT_EQUAL(std::string("503"), fleet.Resume(3, "t", "s"));
+        }),
+     It("goes on by the name of its first attempt or of its second",
+        [] {
+          VersionFleet fleet(5);
+          AddVersion(fleet, "v1");
+          AddVersion(fleet, "v2");
+          fleet.AdvanceBy(1s);
+          const std::string version = fleet.Begin(2, "s");
+          fleet.AdvanceBy(20ms);
+          fleet.Kill(2);
+          CPPUNIT_ASSERT_EQUAL(version, fleet.Resume(3, "t", "s"));
+          fleet.AdvanceBy(20ms);
+          fleet.Kill(3);
+          CPPUNIT_ASSERT_EQUAL(version, fleet.Resume(4, "u", "t"));
+          CPPUNIT_ASSERT_EQUAL(version, fleet.Resume(1, "v", "s"));
+        }),
+     It("is known by the request and its name, not by the name alone", [] {
+       // Guards against one caller that learns or spoils what is another's.
+       VersionFleet fleet(5);
+       AddVersion(fleet, "v1");
+       AddVersion(fleet, "v2");
+       fleet.AdvanceBy(1s);
+       fleet.Begin(2, "s");
+       fleet.AdvanceBy(20ms);
+       const auto other =
+           fleet.At(3).ResumeStream("/resumable/other", "t", "s", 0);
+       fleet.AdvanceBy(1s);
+       CPPUNIT_ASSERT_EQUAL(503, other->status);
+     })});
+
+}  // namespace
+}  // namespace acacialug::gateway
--- a/src/origin/origin_directory.cc
+++ b/src/origin/origin_directory.cc
@@ -49,7 +49,7 @@
 
 void OriginDirectory::Announce(const StreamOrigin& origin) {
   std::vector<std::string> holders = this->Ranked(origin.stream);
-  holders.resize(std::min(holders.size(), kHolders));
+  holders.resize(std::min(holders.size(), this->options.holders));
   for (const std::string& holder : holders) {
     this->SendNotice(holder, origin);
   }
@@ -73,7 +73,7 @@
                              placement::RendezvousWeight(
                                  stream.value, entry.second.weight) > weight;
                     });
-  return static_cast<std::size_t>(ahead) < kHolders;
+  return static_cast<std::size_t>(ahead) < this->options.holders;
 }
 
 std::size_t OriginDirectory::Rank() const {
@@ -101,7 +101,8 @@
   if (next != ranked.end() && next + 1 != ranked.end()) {
     // Of two neighbours that don't confirm, the next takes both shares.
     const auto place = std::max<std::ptrdiff_t>(
-        next - ranked.begin() + 1, static_cast<std::ptrdiff_t>(kHolders));
+        next - ranked.begin() + 1,
+        static_cast<std::ptrdiff_t>(this->options.holders));
     if (place < static_cast<std::ptrdiff_t>(ranked.size())) {
       this->SendNotice(ranked[static_cast<std::size_t>(place)], origin);
     }
@@ -165,7 +166,7 @@
     found->second.begun_at = this->Now();
     // One more than hold it: the process that began the stream may be among
     // the first in this process's order, and was not in its own.
-    this->Ask(stream, found->second, kHolders + 1);
+    this->Ask(stream, found->second, this->options.holders + 1);
     this->SchedulePoll(kPollInterval);
   }
 }
--- a/src/origin/origin_directory.h
+++ b/src/origin/origin_directory.h
@@ -26,8 +26,6 @@
 // processes may disagree about who is live. Not thread safe.
 class OriginDirectory {
  public:
-  // Processes that hold a stream's origin, beside the one that began it.
-  static constexpr std::size_t kHolders = 3;
   // A peer that sent nothing for this long is not asked, and holds nothing new.
   static constexpr Duration kPeerMemory = 2s;
   // A notice or a query without an answer is repeated after this time.
@@ -48,6 +46,8 @@
 
   struct Options {
     std::string id;  // of this process
+    // Processes that hold a stream's origin, beside the one that began it.
+    std::size_t holders = 4;
     std::function<Instant()> now;
     std::function<void(const std::string& peer, const OriginMessage& message)>
         send;
