--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -314,6 +314,60 @@
                                b.received_forecast->service_key);
           CPPUNIT_ASSERT(b.received_forecast->figures == a.learned->figures);
         }),
+     It("report to each other, and to a later gateway, the versions they saw",
+        [] {
+          Peer a("a", FreePort());
+          Peer b("b", FreePort());
+          a.versions = {{.service = origin::ServiceKey(1),
+                         .version = origin::VersionKey(2),
+                         .known_for = 1min,
+                         .recorded = true}};
+          b.link.SetMembers({{"a", a.address}});
+          WaitUntil("versions",
+                    [&] { return b.received_versions == a.versions; });
+          Peer later("c", FreePort());
+          later.link.SetMembers({{"a", a.address}});
+          WaitUntil("versions, later",
+                    [&] { return later.received_versions == a.versions; });
+        }),
+     It("send each other messages about streams' origins at once",
+        [] {
+          Peer a("a", FreePort());
+          Peer b("b", FreePort());
+          const origin::OriginMessage message{
+              .notices = {{.stream = origin::StreamKey(1),
+                           .version = origin::VersionKey(2),
+                           .attempt = 3,
+                           .placement = 4,
+                           .left = 28s}},
+              .kept = {origin::StreamKey(5)},
+              .queries = {origin::StreamKey(6)},
+              .known = {{.stream = origin::StreamKey(7)}},
+              .unknown = {origin::StreamKey(8)}};
+          a.link.SendOrigins("b", message);  // not known yet
+          b.link.SetMembers({{"a", a.address}});
+          WaitUntil("loads", [&] { return a.received.contains("b"); });
+          CPPUNIT_ASSERT(b.received_origins.empty());
+          a.link.SendOrigins("b", message);
+          WaitUntil("the message",
+                    [&] { return b.received_origins.contains("a"); });
+          CPPUNIT_ASSERT(b.received_origins.at("a") == message);
+        }),
+     It("confirm what a gateway knows of endpoints, unless they know more",
+        [] {
+          Peer a("a", FreePort());
+          Peer b("b", FreePort());
+          b.link.SetMembers({{"a", a.address}});
+          WaitUntil("a confirmation",
+                    [&] { return b.confirmed_at != Instant{}; });
+          a.link.SetPositions({.changed_to = LogOffset(9)});
+          const int before = b.received_count;
+          WaitUntil("news", [&] { return b.received_count > before; });
+          b.confirmed_at = {};
+          const int later = b.received_count;
+          WaitUntil("heartbeats", [&] { return b.received_count > later; });
+          CPPUNIT_ASSERT(b.confirmed_at == Instant{});
+        }),
      It("hand over what one of them knows and the other does not",
         [] {
           Peer a("a", FreePort());
--- a/src/protocol/tests/peer_heartbeat_test.cc
+++ b/src/protocol/tests/peer_heartbeat_test.cc
@@ -130,6 +130,28 @@
           heartbeat.limits = {{.max_rate = -1}};
           CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
         }),
+     It("decodes with its versions, and fits a datagram with them",
+        [] {
+          PeerHeartbeat heartbeat = Full();
+          for (std::size_t number = 0; number < kMaxPeerHeartbeatVersions;
+               ++number) {
+            heartbeat.versions.push_back({.service_key = 5,
+                                          .version_key = number,
+                                          .age_ms = 7,
+                                          .known_for_ms = 600'000,
+                                          .recorded = true});
+          }
+          heartbeat.rows.resize(kMaxPeerHeartbeatRows -
+                                kMaxPeerHeartbeatVersions);
+          const std::string datagram = Encode(heartbeat);
+          CPPUNIT_ASSERT(datagram.size() <= kMaxDatagramBytes);
+          const Result<PeerHeartbeat> read = DecodePeerHeartbeat(datagram);
+          CPPUNIT_ASSERT(read.ok());
+          CPPUNIT_ASSERT_EQUAL(datagram, Encode(*read));
+          heartbeat.rows.clear();
+          heartbeat.versions.push_back({});
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(heartbeat)).ok());
+        }),
      It("with too many forecasts or figures is refused",
         [] {
           PeerHeartbeat heartbeat = Full();
