--- a/src/gateway/internal/candidates.h
+++ b/src/gateway/internal/candidates.h
@@ -14,10 +14,11 @@
 // Endpoints of a better rank are chosen whatever their load.
 enum class CandidateRank {
   kHealthy,
-  kPrefillBusy,  // computes a prompt that delays its streams for longer than
-                 // their callers allow
-  kAvoided,      // unresponsive, failing, or recently full
-  kTried,        // for the same request
+  kWithoutPrefill,  // has to compute prompts itself, which others need not
+  kPrefillBusy,     // computes a prompt that delays its streams for longer than
+                    // their callers allow
+  kAvoided,         // unresponsive, failing, or recently full
+  kTried,           // for the same request
 };
 
 // How stale the load data is: work that peers have placed since their last
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -1,6 +1,8 @@
 #include "gateway/stream_placement.h"
 
 #include <algorithm>
+#include <string_view>
+#include <vector>
 
 #include "gateway/internal/candidates.h"
 
@@ -27,6 +29,34 @@
   return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
 
+// What one software version computes may not fit another.
+bool PrefillsFor(const EndpointRecord& endpoint, const EndpointRecord& decode) {
+  return endpoint.role == EndpointRole::kPrefill &&
+         endpoint.software_version == decode.software_version;
+}
+
+// The versions of the prefill endpoints, each once.
+std::vector<std::string_view> PrefillVersions(
+    const std::vector<const EndpointRecord*>& endpoints) {
+  std::vector<std::string_view> versions;
+  for (const EndpointRecord* const endpoint : endpoints) {
+    if (endpoint->role == EndpointRole::kPrefill &&
+        std::find(versions.begin(), versions.end(),
+                  endpoint->software_version) == versions.end()) {
+      versions.emplace_back(endpoint->software_version);
+    }
+  }
+  return versions;
+}
+
+// Whether others of its service have prefill endpoints, and it has none.
+bool LacksPrefill(const EndpointRecord& decode,
+                  const std::vector<std::string_view>& prefill_versions) {
+  return !prefill_versions.empty() &&
+         std::find(prefill_versions.begin(), prefill_versions.end(),
+                   decode.software_version) == prefill_versions.end();
+}
+
 }  // namespace
 
 StreamPlacement::StreamPlacement(Options placement_options,
@@ -58,6 +88,8 @@
   const auto wanted = static_cast<double>(this->KvTokens(need.size));
   Candidates candidates(need.domain);
   bool any_healthy = false;
+  const std::vector<std::string_view> prefill_versions =
+      PrefillVersions(endpoints);
   for (const EndpointRecord* const endpoint : endpoints) {
     if (endpoint->role != EndpointRole::kDecode) {
       continue;
@@ -81,6 +113,8 @@
     const CandidateRank rank = avoided ? CandidateRank::kAvoided
                                : delayed_by_prefill
                                    ? CandidateRank::kPrefillBusy
+                               : LacksPrefill(*endpoint, prefill_versions)
+                                   ? CandidateRank::kWithoutPrefill
                                    : CandidateRank::kHealthy;
     candidates.Add(
         *endpoint, rank,
@@ -150,13 +184,13 @@
 
 const EndpointRecord* StreamPlacement::PickPrefill(
     const Need& need,
-    const FailureDomain& domain,
+    const EndpointRecord& decode,
     const forecast::ServiceForecast& forecast,
     const std::vector<const EndpointRecord*>& endpoints,
     RandomSource& random) const {
-  Candidates candidates(domain);
+  Candidates candidates(decode.domain);
   for (const EndpointRecord* const endpoint : endpoints) {
-    if (endpoint->role != EndpointRole::kPrefill) {
+    if (!PrefillsFor(*endpoint, decode)) {
       continue;
     }
     candidates.NotePlaced(
@@ -202,7 +236,7 @@
       static_cast<double>(this->load_table.TotalAt(decode->id).kv_tokens) /
       static_cast<double>(std::max<std::uint64_t>(engine.kv_tokens, 1));
   const EndpointRecord* const prefill =
-      this->PickPrefill(need, decode->domain, forecast, endpoints, random);
+      this->PickPrefill(need, *decode, forecast, endpoints, random);
   if (prefill == nullptr || this->health.Avoided(prefill->id, need.now)) {
     return placement;
   }
--- a/src/gateway/stream_placement.h
+++ b/src/gateway/stream_placement.h
@@ -107,10 +107,10 @@
       const forecast::ServiceForecast& forecast,
       const std::vector<const EndpointRecord*>& endpoints,
       RandomSource& random) const;
-  // `domain`: the failure domain that the result is sent to.
+  // An endpoint that prefills for `decode`.
   const EndpointRecord* PickPrefill(
       const Need& need,
-      const FailureDomain& domain,
+      const EndpointRecord& decode,
       const forecast::ServiceForecast& forecast,
       const std::vector<const EndpointRecord*>& endpoints,
       RandomSource& random) const;
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -504,6 +504,45 @@
           CPPUNIT_ASSERT(!placement.Pick(need, engine, kForecast,
                                          Pointers(records), random));
         }),
+     It("pairs a prefill endpoint with a decode endpoint of its software "
+        "version",
+        [] {
+          // Guards against memory that one version reads and another computed.
+          const LoadTable load_table;
+          const EndpointHealth health;
+          const StreamPlacement placement({}, load_table, health);
+          std::vector<EndpointRecord> records = {
+              Record("a", EndpointRole::kDecode),
+              Record("f", EndpointRole::kPrefill),
+              Record("b", EndpointRole::kDecode),
+              Record("g", EndpointRole::kPrefill)};
+          records[2].software_version = records[3].software_version = "v2";
+          const EngineTraits engine{.slots = 64, .kv_tokens = 20000};
+          const StreamPlacement::Need need{
+              .size = {.prompt_tokens = 3000, .expected_output_tokens = 900},
+              .objective = 900ms,
+              .now = kStart};
+          RandomSource random(1);
+          for (int round = 0; round < 20; ++round) {
+            const auto chosen = placement.Pick(need, engine, kForecast,
+                                               Pointers(records), random);
+            CPPUNIT_ASSERT_EQUAL(chosen->decode.software_version,
+                                 chosen->prefill->software_version);
+          }
+          records.pop_back();  // v2 has no prefill endpoint left
+          for (int round = 0; round < 20; ++round) {
+            CPPUNIT_ASSERT(
+                placement
+                    .Pick(need, engine, kForecast, Pointers(records), random)
+                    ->decode.id == kA);
+          }
+          EndpointHealth full;
+          full.NoteFull(kA, kStart);
+          const auto alone =
+              StreamPlacement({}, load_table, full)
+                  .Pick(need, engine, kForecast, Pointers(records), random);
+          CPPUNIT_ASSERT(alone->decode.id == kB && !alone->prefill);
+        }),
      It("is a decode endpoint alone while prompts queue up and memory is free",
         [] {
           // Guards against 13 of 320 generations refused on a calm day while a
