--- a/src/gateway/role_planner.cc
+++ b/src/gateway/role_planner.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <string_view>
 
 namespace acacialug::gateway {
 namespace {
@@ -60,6 +62,18 @@
   return all == 0 ? 1 : used / all;
 }
 
+// Removes the last decode endpoint of each software version: streams that it
+// began can go on nowhere else.
+void KeepOneOfEachVersion(std::vector<const EndpointRecord*>& decode) {
+  std::map<std::string_view, std::size_t> left;
+  for (const EndpointRecord* const endpoint : decode) {
+    ++left[endpoint->software_version];
+  }
+  std::erase_if(decode, [&left](const EndpointRecord* endpoint) {
+    return left[endpoint->software_version]-- == 1;
+  });
+}
+
 double Blend(double mean, double value, double weight) {
   return mean + (value - mean) * weight;
 }
@@ -188,7 +202,11 @@
         return load_table.TotalAt(left->id).requests <
                load_table.TotalAt(right->id).requests;
       });
-  from.resize(std::min({from.size() - 1, difference, at_once}));
+  const std::size_t most = std::min({from.size() - 1, difference, at_once});
+  if (!too_many) {
+    KeepOneOfEachVersion(from);
+  }
+  from.resize(std::min(from.size(), most));
   std::vector<RoleChange> changes;
   changes.reserve(from.size());
   for (const EndpointRecord* const endpoint : from) {
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -830,6 +830,38 @@
           }
           CPPUNIT_ASSERT(!plan_after_watching().empty());
         }),
+     It("leaves each software version an endpoint that decodes",
+        [] {
+          // Guards against streams whose version has no endpoint to go on at.
+          RolePlanner planner({});
+          LoadTable load_table;
+          std::vector<EndpointRecord> records;
+          records.reserve(12);
+          for (int number = 0; number < 12; ++number) {
+            records.push_back(Record(
+                "e" + std::to_string(number),
+                number < 2 ? EndpointRole::kPrefill : EndpointRole::kDecode));
+            records.back().software_version = number == 11 ? "v2" : "v1";
+            load_table.Add(records.back().id,
+                           {.requests = number == 11 ? 0U : 9U,
+                            .prefill_tokens = number < 2 ? 9000U : 0U});
+          }
+          const EngineTraits engine{
+              .slots = 64, .kv_tokens = 42572, .role_switch = 6s};
+          for (int number = 0; number < 12; ++number) {
+            planner.NoteRequest(
+                {.prompt_tokens = 9000, .expected_output_tokens = 100});
+          }
+          for (int step = 0; step < 10; ++step) {
+            planner.Watch(engine, Pointers(records), load_table, kStart);
+          }
+          const auto changes = planner.Plan(
+              engine, kForecast, Pointers(records), load_table, kStart);
+          CPPUNIT_ASSERT(!changes.empty());
+          for (const RoleChange& change : changes) {
+            CPPUNIT_ASSERT(change.endpoint.id != records[11].id);
+          }
+        }),
      It("orders no other switch while a switch is under way",
         [] {
           RolePlanner planner({});
