--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -325,6 +325,12 @@
   this->ApplyRecord(id);
 }
 
+void GatewaySimulation::SetVersion(const std::string& id,
+                                   const std::string& software_version) {
+  this->records.at(id).software_version = software_version;
+  this->ApplyRecord(id);
+}
+
 void GatewaySimulation::Retire(const std::string& id) {
   this->records.at(id).leaving = true;
   this->ApplyRecord(id);
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -66,6 +66,8 @@
   // The endpoint's record shows that it has just started under the same id.
   // Precondition: started_at_ms > 0.
   void Restart(const std::string& id, std::int64_t started_at_ms);
+  // The endpoint's record shows another software version under the same id.
+  void SetVersion(const std::string& id, const std::string& software_version);
   // Marks the endpoint as leaving: it takes no new work, and ends soon.
   void Retire(const std::string& id);
 
--- a/src/gateway/tests/stream_version_test.cc
+++ b/src/gateway/tests/stream_version_test.cc
@@ -52,15 +52,93 @@
           CPPUNIT_ASSERT(gateway.answer->cut);
           CPPUNIT_ASSERT(gateway.Calls().empty());
         }),
-     It("goes on at that version when its caller takes it up", [] {
-       // Guards against a takeup that is placed like a new stream.
-       Versions gateway;
-       gateway.Disconnect();
-       for (const char* const id : {"r2", "r3", "r4"}) {
-         gateway.ResumeStream("/resumable/a", id, "r1", 0);
-         CPPUNIT_ASSERT_EQUAL(std::string("v1"),
-                              gateway.VersionAt(gateway.AdvanceToDecode()));
-       }
+     It("goes on at that version when its caller takes it up",
+        [] {
+          // Guards against a takeup that is placed like a new stream.
+          Versions gateway;
+          gateway.Disconnect();
+          for (const char* const id : {"r2", "r3", "r4"}) {
+            gateway.ResumeStream("/resumable/a", id, "r1", 0);
+            CPPUNIT_ASSERT_EQUAL(std::string("v1"),
+                                 gateway.VersionAt(gateway.AdvanceToDecode()));
+          }
+        }),
+     It("waits while the last endpoint of that version is full",
+        [] {
+          // Guards against a takeup that another version serves since it has
+          // room.
+          Versions gateway;
+          gateway.Disconnect();
+          const auto resumed =
+              gateway.ResumeStream("/resumable/a", "r2", "r1", 0);
+          gateway.Reply(gateway.Find("/reserve/"), 503, {});
+          gateway.AdvanceBy(300ms);
+          CPPUNIT_ASSERT(!resumed->ended);
+          gateway.AdvanceBy(300ms);
+          CPPUNIT_ASSERT_EQUAL(std::string("v1"),
+                               gateway.VersionAt(gateway.Find("/reserve/")));
+        }),
+     It("is refused at once when the last endpoint of that version leaves",
+        [] {
+          Versions gateway;
+          gateway.Disconnect();
+          gateway.Retire("d1");
+          const auto resumed =
+              gateway.ResumeStream("/resumable/a", "r2", "r1", 0);
+          CPPUNIT_ASSERT_EQUAL(503, resumed->status);
+          CPPUNIT_ASSERT_EQUAL(std::string(), resumed->retry_after);
+        }),
+     It("is ended when that version goes while it waits",
+        [] {
+          Versions gateway;
+          gateway.Disconnect();
+          const auto resumed =
+              gateway.ResumeStream("/resumable/a", "r2", "r1", 0);
+          gateway.Reply(gateway.Find("/reserve/"), 503, {});
+          gateway.RemoveEndpoint("d1");
+          gateway.AdvanceBy(100ms);
+          CPPUNIT_ASSERT_EQUAL(503, resumed->status);
+        }),
+     It("stays at its silent endpoint when only another version has room",
+        [] {
+          Versions gateway;
+          gateway.AdvanceBy(10s);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway.Calls().size());
+          CPPUNIT_ASSERT(!gateway.decode->cancelled);
+        }),
+     It("does not take events of an endpoint whose record shows another by now",
+        [] {
+          // Guards against a record that is older than the endpoint's process.
+          Versions gateway;
+          gateway.AddEndpoint("d4", "model", EndpointRole::kDecode, "v1");
+          gateway.Break(gateway.decode);
+          const auto other = gateway.AdvanceToDecode();
+          const std::string body = gateway.answer->body;
+          for (const auto& [id, address] : gateway.addresses) {
+            if (address == other->address) {
+              gateway.SetVersion(id, "v3");
+            }
+          }
+          gateway.Begin(other);
+          gateway.Event(other, 1);
+          CPPUNIT_ASSERT_EQUAL(body, gateway.answer->body);
+        }),
+     It("has no version before its first event", [] {
+       // Guards against streams that are refused though nothing was
+       // delivered.
+       GatewaySimulation gateway;
+       gateway.Configure();
+       gateway.AddEndpoint("f1", "model", EndpointRole::kPrefill, "v1");
+       gateway.AddEndpoint("d1", "model", EndpointRole::kDecode, "v1");
+       const auto answer = gateway.SendRequest("/resumable/a", "r1");
+       const auto decode = gateway.AdvanceToDecode();
+       gateway.AddEndpoint("f2", "model", EndpointRole::kPrefill, "v2");
+       gateway.AddEndpoint("d2", "model", EndpointRole::kDecode, "v2");
+       gateway.Begin(decode);
+       decode->hooks.on_data(": alive\n\n");
+       gateway.Break(decode);
+       CPPUNIT_ASSERT_EQUAL(std::string("v2"),
+                            gateway.VersionAt(gateway.AdvanceToDecode()));
      })});
 
 }  // namespace
