--- a/src/gateway/internal/stream_origins.cc
+++ b/src/gateway/internal/stream_origins.cc
@@ -89,9 +89,7 @@
     }
   }
   if (more) {
-    for (const origin::StreamOrigin& own : this->ledger.Own(this->Now())) {
-      this->directory.Announce(own);
-    }
+    this->directory.AnnounceAll();
   }
 }
 
--- a/src/origin/origin_directory.cc
+++ b/src/origin/origin_directory.cc
@@ -9,7 +9,7 @@
 
 // A peer that was not heard for this long is forgotten.
 constexpr Duration kPeerRetention = 60s;
-constexpr Duration kPollInterval = 5ms;
+constexpr Duration kLookupInterval = 5ms;
 
 }  // namespace
 
@@ -63,6 +63,19 @@
   }
 }
 
+void OriginDirectory::AnnounceAll() {
+  this->backlog = this->ledger.Own(this->Now());
+  this->SchedulePoll(Duration::zero());
+}
+
+void OriginDirectory::AnnouncePortion() {
+  const std::size_t count = std::min(this->backlog.size(), kPortion);
+  for (std::size_t number = 0; number < count; ++number) {
+    this->Announce(this->backlog.back());
+    this->backlog.pop_back();
+  }
+}
+
 bool OriginDirectory::Holds(const std::string& peer, StreamKey stream) const {
   const std::uint64_t weight =
       placement::RendezvousWeight(stream.value, this->peers.at(peer).weight);
@@ -167,7 +180,7 @@
     // One more than hold it: the process that began the stream may be among
     // the first in this process's order, and was not in its own.
     this->Ask(stream, found->second, this->options.holders + 1);
-    this->SchedulePoll(kPollInterval);
+    this->SchedulePoll(kLookupInterval);
   }
 }
 
@@ -254,10 +267,13 @@
 // A timer that an earlier one has replaced polls once more, which is harmless.
 void OriginDirectory::Poll() {
   this->poll_at = kNever;
+  this->AnnouncePortion();
   this->PollNotices();
   this->PollLookups();
-  if (!this->lookups.empty()) {
-    this->SchedulePoll(kPollInterval);
+  if (!this->backlog.empty()) {
+    this->SchedulePoll(kPortionInterval);
+  } else if (!this->lookups.empty()) {
+    this->SchedulePoll(kLookupInterval);
   } else if (!this->notices.empty()) {
     this->SchedulePoll(kRepeatInterval);
   }
--- a/src/origin/origin_directory.h
+++ b/src/origin/origin_directory.h
@@ -31,6 +31,8 @@
   // A notice or a query without an answer is repeated after this time.
   static constexpr Duration kRepeatInterval = 25ms;
   static constexpr std::uint32_t kMaxNotices = 3;  // to one holder
+  static constexpr std::size_t kPortion = 32;      // streams
+  static constexpr Duration kPortionInterval = 5ms;
   // The answers of the other holders are awaited for this long after the first:
   // one may know a later placement.
   static constexpr Duration kAnswerGrace = 5ms;
@@ -63,6 +65,9 @@
 
   // Tells the stream's holders.
   void Announce(const StreamOrigin& origin);
+  // Tells the holders of all streams of this process, in portions: sent at
+  // once, the notices of a busy process would overflow the sockets.
+  void AnnounceAll();
   // Tells the streams of this process to a peer that has become one of their
   // holders.
   void AnnounceAllTo(const std::string& peer);
@@ -113,6 +118,7 @@
   void Ask(StreamKey stream, Lookup& lookup, std::size_t count);
   // Whether the lookup has its result.
   bool Ended(const Lookup& lookup, std::size_t live) const;
+  void AnnouncePortion();
   void PollLookups();
   void PollNotices();
   void SchedulePoll(Duration after);
@@ -125,6 +131,7 @@
   // Not confirmed yet, by stream and holder.
   std::map<std::pair<StreamKey, std::string>, Notice> notices;
   std::map<StreamKey, Lookup> lookups;
+  std::vector<StreamOrigin> backlog;  // to be announced
   Instant poll_at = kNever;
 };
 
--- a/src/origin/tests/origin_directory_test.cc
+++ b/src/origin/tests/origin_directory_test.cc
@@ -60,6 +60,25 @@
               std::size_t{0},
               fleet.processes.at("g20").directory->unconfirmed());
         }),
+     It("is told in portions when many are told at once",
+        [] {
+          // Guards against notices that overflow the sockets of a busy process.
+          OriginFleet fleet({.processes = 28});
+          OriginFleet::Process& first = fleet.processes.at("g0");
+          for (std::uint64_t stream = 1; stream <= 1000; ++stream) {
+            first.ledger.Note({.stream = StreamKey(stream),
+                               .version = OriginFleet::kVersion,
+                               .left = 20s},
+                              true, fleet.now);
+          }
+          fleet.sent = 0;
+          first.directory->AnnounceAll();
+          fleet.AdvanceBy(2ms);
+          CPPUNIT_ASSERT(fleet.sent <= 2 * 4 * OriginDirectory::kPortion);
+          fleet.AdvanceBy(300ms);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2 * 4 * 1000}, fleet.sent);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, first.directory->unconfirmed());
+        }),
      It("is known to a process that starts after it began",
         [] {
           OriginFleet fleet({.processes = 5});
