--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -474,7 +474,9 @@
           log::Level::kWarning, "call_unplaced",
           {.request_name = relay->job().request.id,
            .fields = this->context.AvailabilityFields(service)});
-      relay->Refuse(known ? ResultCode::kOverloaded : ResultCode::kNoEndpoint,
+      relay->Refuse(relay->VersionGone() ? ResultCode::kVersionGone
+                    : known              ? ResultCode::kOverloaded
+                                         : ResultCode::kNoEndpoint,
                     kRetryNoEndpoint);
     }
   }
@@ -532,9 +534,26 @@
       return;
     }
     relay->SetVersion(*origin.version);
+    this->FollowVersion(*relay);
     place();
   }
 
+  // The route's weights may have changed since the stream began, so that its
+  // name now selects another service.
+  void FollowVersion(Relay& relay) {
+    for (const WeightedService& choice : relay.job().route->services) {
+      const ServiceTraits* const traits =
+          relay.job().routes->FindService(choice.service);
+      if (!relay.VersionGone()) {
+        return;
+      }
+      if (traits != nullptr) {
+        relay.SetService(choice.service, *traits,
+                         this->StateOf(choice.service));
+      }
+    }
+  }
+
   // A retry of a refused request arrives as a new request. Only its deadline,
   // which is shorter than those of others on the route, shows that it is a
   // retry.
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -32,6 +32,14 @@
   // The stream that the request continues began at this version: it goes on at
   // endpoints of this version only.
   void SetVersion(origin::VersionKey began_at) { this->version = began_at; }
+  // Whether the stream has a version, and no endpoint of this version takes
+  // work that runs.
+  bool VersionGone() const;
+  // Places the request at another service of its route from now on, unless that
+  // one is of another kind (with or without an engine).
+  void SetService(const ServiceName& service,
+                  const ServiceTraits& traits,
+                  ServiceState& state);
 
   // Ends the request with the gateway's own answer. Precondition: no part of an
   // answer was sent.
@@ -60,9 +68,6 @@
   // version if it has one.
   std::vector<const EndpointRecord*> AvailableEndpoints() const;
   bool HasVersion(const EndpointRecord& endpoint) const;
-  // Whether the stream has a version, and no endpoint of this version takes
-  // work that runs.
-  bool VersionGone() const;
   // Notes the endpoint as that of the stream's first event, before it is sent.
   void NoteOrigin(const EndpointRecord& endpoint);
 
--- a/src/gateway/internal/stream_origins.cc
+++ b/src/gateway/internal/stream_origins.cc
@@ -33,7 +33,8 @@
                      [this](Instant at, std::function<void()> call) {
                        this->options.timers.Set(at, std::move(call));
                      }},
-                this->ledger) {}
+                this->ledger),
+      started_at(this->Now()) {}
 
 void StreamOrigins::OnConfigurationReplaced(const RouteTable& routes) {
   Duration longest = kMinRetention;
@@ -199,7 +200,9 @@
   this->history.Sweep(this->Now());
   this->ledger.Sweep(this->Now());
   this->directory.Sweep();
-  if (!this->options.hooks.record_versions) {
+  // A process that has just started does not know whose turn it is.
+  if (!this->options.hooks.record_versions ||
+      this->Now() - this->started_at < origin::OriginDirectory::kStartTime) {
     return;
   }
   for (const origin::VersionRecord& record : this->recorder.TakeDue(
--- a/src/gateway/internal/stream_origins.h
+++ b/src/gateway/internal/stream_origins.h
@@ -106,6 +106,7 @@
   origin::OriginDirectory directory;
   std::set<origin::ServiceKey> stream_services;  // of the configuration
   std::set<origin::ServiceKey> announced;
+  const Instant started_at;
   Instant confirmed_at{};
 };
 
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -284,13 +284,19 @@
       MakeRoute("/idempotent/", WorkKind::kIdempotent, 2),
       MakeRoute("/open/", WorkKind::kIdempotent, 2),
       MakeRoute("/once/", WorkKind::kNonIdempotent, 1)};
-  configuration->services = {{.name = ServiceName("model"),
-                              .engine = EngineTraits{.slots = 64,
-                                                     .kv_tokens = 20000,
-                                                     .tokens_per_event = 10,
-                                                     .export_lifetime = 500ms,
-                                                     .role_switch = 6s}},
-                             {.name = ServiceName("plain")}};
+  configuration->routes.push_back(
+      MakeRoute("/split/", WorkKind::kResumableStream, 2));
+  configuration->routes.back().services = {
+      {.service = ServiceName("model"), .weight = 100 - this->other_weight},
+      {.service = ServiceName("other"), .weight = this->other_weight}};
+  const EngineTraits engine{.slots = 64,
+                            .kv_tokens = 20000,
+                            .tokens_per_event = 10,
+                            .export_lifetime = 500ms,
+                            .role_switch = 6s};
+  configuration->services = {{.name = ServiceName("model"), .engine = engine},
+                             {.name = ServiceName("plain")},
+                             {.name = ServiceName("other"), .engine = engine}};
   configuration->routes[3].open_to_all = true;
   this->core->SetConfiguration(configuration);
 }
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -122,6 +122,9 @@
   // sockets, which an event loop may do.
   void Stall(Duration time);
 
+  // Share of the requests on the split route that go to the service "other", in
+  // percent; the rest go to "model".
+  std::uint32_t other_weight = 0;
   Instant now{1h};
   std::string key;  // which callers send; empty: no key
   RandomSource random{7};
--- a/src/gateway/tests/stream_version_test.cc
+++ b/src/gateway/tests/stream_version_test.cc
@@ -63,6 +63,29 @@
                                  gateway.VersionAt(gateway.AdvanceToDecode()));
           }
         }),
+     It("goes on at its service though its route's weights have changed",
+        [] {
+          // Guards against takeups that another service refuses.
+          GatewaySimulation gateway;
+          gateway.Configure();
+          for (const std::string service : {"model", "other"}) {
+            gateway.AddEndpoint("f-" + service, service, EndpointRole::kPrefill,
+                                "v1");
+            gateway.AddEndpoint("d-" + service, service, EndpointRole::kDecode,
+                                "v1");
+          }
+          gateway.SendRequest("/split/a", "r1");
+          const auto decode = gateway.AdvanceToDecode();
+          gateway.Begin(decode);
+          gateway.Event(decode, 0);
+          gateway.Disconnect();
+          gateway.other_weight = 100;
+          gateway.Configure();
+          const auto answer = gateway.ResumeStream("/split/a", "r2", "r1", 0);
+          CPPUNIT_ASSERT(!answer->ended);
+          CPPUNIT_ASSERT(gateway.AdvanceToDecode()->address ==
+                         gateway.addresses.at("d-model"));
+        }),
      It("waits while the last endpoint of that version is full",
         [] {
           // Guards against a takeup that another version serves since it has
--- a/src/gateway/tests/version_fleet.cc
+++ b/src/gateway/tests/version_fleet.cc
@@ -141,7 +141,7 @@
     if (const auto decode = gateway.Find("decode")) {
       gateway.Begin(decode);
       gateway.Event(decode, 1);
-      const std::string version = gateway.VersionAt(decode);
+      std::string version = gateway.VersionAt(decode);
       gateway.End(decode);
       return version;
     }
