--- a/src/gateway/tests/version_fleet_test.cc
+++ b/src/gateway/tests/version_fleet_test.cc
@@ -35,10 +35,11 @@
 
 // Streams of a gateway, by name, with the version that began each.
 std::map<std::string, std::string> BeginStreams(VersionFleet& fleet,
-                                                std::size_t number) {
+                                                std::size_t number,
+                                                const std::string& prefix) {
   std::map<std::string, std::string> begun;
   for (int stream = 0; stream < 12; ++stream) {
-    const std::string id = "s" + std::to_string(stream);
+    const std::string id = prefix + std::to_string(stream);
     begun[id] = fleet.Begin(number, id);
   }
   return begun;
@@ -56,7 +57,7 @@
            AddVersion(fleet, "v1");
            AddVersion(fleet, "v2");
            fleet.AdvanceBy(1s);
-           const auto begun = BeginStreams(fleet, 2);
+           const auto begun = BeginStreams(fleet, 2, "s");
            fleet.AdvanceBy(5ms);
            fleet.Kill(2);
            for (const auto& [id, version] : begun) {
@@ -72,13 +73,48 @@
            AddVersion(fleet, "v1");
            fleet.AdvanceBy(1s);
            fleet.messages = 0;
-           const auto begun = BeginStreams(fleet, 2);
+           const auto begun = BeginStreams(fleet, 2, "s");
            fleet.Kill(2);
            for (const auto& [id, version] : begun) {
              CPPUNIT_ASSERT_EQUAL(version, fleet.Resume(3, "again " + id, id));
            }
            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.messages);
          }),
+     ForEach<std::size_t>(
+         "goes on while its version is replaced, one endpoint at a time, of",
+         kSizes,
+         SizeName,
+         [](const std::size_t& processes) {
+           // Guards against takeups that are refused while endpoints of their
+           // version serve, and against other versions.
+           VersionFleet fleet(processes);
+           for (const std::string at : {"1", "2", "3", "4", "5", "6"}) {
+             fleet.AddEndpoint("f" + at, EndpointRole::kPrefill, "v1");
+             fleet.AddEndpoint("d" + at, EndpointRole::kDecode, "v1");
+           }
+           fleet.AdvanceBy(1s);
+           std::size_t refused = 0;
+           for (const std::string at : {"1", "2", "3", "4", "5", "6"}) {
+             fleet.AddEndpoint("g" + at, EndpointRole::kPrefill, "v2");
+             fleet.AddEndpoint("e" + at, EndpointRole::kDecode, "v2");
+             const std::size_t first = std::stoul(at) % processes;
+             const auto begun = BeginStreams(fleet, first, at + "-");
+             fleet.RemoveEndpoint("f" + at);
+             fleet.RemoveEndpoint("d" + at);
+             fleet.AdvanceBy(5ms);
+             fleet.Kill(first);
+             for (const auto& [id, version] : begun) {
+               const std::string went_on =
+                   fleet.Resume((first + 1) % processes, "again " + id, id);
+               const bool gone = version == "v1" && at == "6";
+               CPPUNIT_ASSERT_EQUAL(gone ? "503" : version, went_on);
+               refused += gone ? 1 : 0;
+             }
+             fleet.Start(first);
+             fleet.AdvanceBy(1s);
+           }
+           CPPUNIT_ASSERT(refused < 12);
+         }),
      It("goes on at its version though the second version came after it began",
         [] {
           // Guards against streams that were not told while there was one
@@ -86,7 +122,7 @@
           VersionFleet fleet(5);
           AddVersion(fleet, "v1");
           fleet.AdvanceBy(1s);
-          const auto begun = BeginStreams(fleet, 2);
+          const auto begun = BeginStreams(fleet, 2, "s");
           AddVersion(fleet, "v2");
           fleet.AdvanceBy(20ms);
           fleet.Kill(2);
--- a/src/gateway_process/internal/heartbeat_rows.cc
+++ b/src/gateway_process/internal/heartbeat_rows.cc
@@ -154,6 +154,7 @@
                                       const origin::OriginMessage& message) {
   const auto rows_of = [](const std::vector<origin::StreamOrigin>& origins) {
     std::vector<protocol::PeerOrigins::Origin> rows;
+    rows.reserve(origins.size());
     for (const origin::StreamOrigin& stream : origins) {
       rows.push_back({.stream_key = stream.stream.value,
                       .version_key = stream.version.value,
@@ -165,6 +166,7 @@
   };
   const auto keys_of = [](const std::vector<origin::StreamKey>& streams) {
     std::vector<std::uint64_t> keys;
+    keys.reserve(streams.size());
     for (const origin::StreamKey stream : streams) {
       keys.push_back(stream.value);
     }
@@ -183,6 +185,7 @@
   const auto origins_of =
       [](const std::vector<protocol::PeerOrigins::Origin>& rows) {
         std::vector<origin::StreamOrigin> origins;
+        origins.reserve(rows.size());
         for (const protocol::PeerOrigins::Origin& row : rows) {
           origins.push_back({.stream = origin::StreamKey(row.stream_key),
                              .version = origin::VersionKey(row.version_key),
