--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -16,6 +16,7 @@
 #include "gateway/internal/role_orders.h"
 #include "gateway/internal/stream_origins.h"
 #include "gateway/internal/stream_relay.h"
+#include "gateway/internal/takeup_resolver.h"
 #include "gateway/internal/waiting_streams.h"
 #include "gateway/request_key.h"
 #include "gateway/types/store_position.h"
@@ -35,9 +36,6 @@
 // Retry-After while a service has no endpoint, which lasts for several
 // heartbeats at least.
 constexpr Duration kRetryNoEndpoint = 500ms;
-// Retry-After while the origin of a stream is not known: the processes that
-// know may not be reachable for a moment.
-constexpr Duration kRetryUnknownOrigin = 500ms;
 constexpr Duration kSweepInterval = 200ms;
 // Factor by which a forecast figure must change before it is logged again.
 // Figures vary by less than this all the time.
@@ -102,6 +100,12 @@
                       this->waiting.OnCapacityFreed(service);
                     }},
         waiting(this->context),
+        takeups(
+            {.hooks = this->options.hooks,
+             .origins = this->origins,
+             .state_of = [this](const ServiceName& service) -> ServiceState& {
+               return this->StateOf(service);
+             }}),
         roles({.holder = this->options.id,
                .routes = [this] { return this->routes.get(); },
                .forecast = [this](const ServiceName& service)
@@ -343,6 +347,7 @@
   Instant drain_begun = kNever;
   RelayContext context;
   WaitingStreams waiting;
+  TakeupResolver takeups;
   RoleOrders roles;
 
  private:
@@ -462,7 +467,7 @@
     const auto relay =
         std::make_shared<CallRelay>(this->context, std::move(job));
     this->Start(relay);
-    this->ResolveOrigin(relay, [this, relay] { this->PlaceCall(*relay); });
+    this->takeups.Resolve(relay, [this, relay] { this->PlaceCall(*relay); });
   }
 
   void PlaceCall(CallRelay& call) {
@@ -488,72 +493,13 @@
     const auto relay =
         std::make_shared<StreamRelay>(this->context, std::move(job));
     this->Start(relay);
-    this->ResolveOrigin(relay, [this, relay] {
+    this->takeups.Resolve(relay, [this, relay] {
       if (this->waiting.AnyAheadOf(*relay) || !relay->TryPlace()) {
         this->waiting.Add(relay);
       }
     });
   }
 
-  // Runs `place` when the version is known at which the stream began that the
-  // request continues, if it continues one.
-  void ResolveOrigin(const std::shared_ptr<Relay>& relay,
-                     std::function<void()> place) {
-    const RelayJob& job = relay->job();
-    if (!job.request.resume_after || !IsStream(job.route->kind)) {
-      place();
-      return;
-    }
-    std::optional<origin::StreamKey> stream;
-    if (!job.request.resumed_attempt.empty()) {
-      stream = origin::StreamKeyOf(job.key.value, job.request.resumed_attempt);
-    }
-    this->origins.Resolve(stream, job.service,
-                          [this, relay, place = std::move(place)](
-                              const StreamOrigins::Origin& origin) {
-                            this->OnOrigin(relay, origin, place);
-                          });
-  }
-
-  void OnOrigin(const std::shared_ptr<Relay>& relay,
-                const StreamOrigins::Origin& origin,
-                const std::function<void()>& place) {
-    if (relay->finished()) {
-      return;
-    }
-    const RelayJob& job = relay->job();
-    this->options.hooks.log(
-        origin.version ? log::Level::kInfo : log::Level::kWarning,
-        "stream_origin",
-        {.request_name = job.request.id,
-         .fields = {{"resumed_attempt", job.request.resumed_attempt},
-                    {"source", NameOf(kOriginSourceNames, origin.source)},
-                    {"after_ms", origin.took}}});
-    if (!origin.version || *origin.version == origin::VersionKey()) {
-      relay->Refuse(ResultCode::kOriginUnknown, kRetryUnknownOrigin);
-      return;
-    }
-    relay->SetVersion(*origin.version);
-    this->FollowVersion(*relay);
-    place();
-  }
-
-  // The route's weights may have changed since the stream began, so that its
-  // name now selects another service.
-  void FollowVersion(Relay& relay) {
-    for (const WeightedService& choice : relay.job().route->services) {
-      const ServiceTraits* const traits =
-          relay.job().routes->FindService(choice.service);
-      if (!relay.VersionGone()) {
-        return;
-      }
-      if (traits != nullptr) {
-        relay.SetService(choice.service, *traits,
-                         this->StateOf(choice.service));
-      }
-    }
-  }
-
   // A retry of a refused request arrives as a new request. Only its deadline,
   // which is shorter than those of others on the route, shows that it is a
   // retry.
--- a/src/gateway/internal/stream_origins.cc
+++ b/src/gateway/internal/stream_origins.cc
@@ -10,10 +10,10 @@
 // it for as long again.
 constexpr int kTimeoutsPerStream = 2;
 constexpr Duration kMinRetention = 5s;
-// A process that neither the store nor a peer has confirmed for this long may
-// be cut off from the news of another version.
+// A catalog that neither the store nor a peer has confirmed for this long may
+// lack another version.
 constexpr Duration kMaxUnconfirmed = 1500ms;
-// The same after the peers were asked in vain.
+// The same when no peer has answered a lookup with the origin.
 constexpr Duration kMaxUnconfirmedAfterLookup = 3s;
 
 }  // namespace
--- a/src/gateway/tests/version_fleet_test.cc
+++ b/src/gateway/tests/version_fleet_test.cc
@@ -33,6 +33,17 @@
   }
 }
 
+// All gateways are killed at the same time, and are back half a second later.
+void RestartAll(VersionFleet& fleet, std::size_t processes) {
+  for (std::size_t number = 0; number < processes; ++number) {
+    fleet.Kill(number);
+  }
+  fleet.AdvanceBy(500ms);
+  for (std::size_t number = 0; number < processes; ++number) {
+    fleet.Start(number);
+  }
+}
+
 // Streams of a gateway, by name, with the version that began each.
 std::map<std::string, std::string> BeginStreams(VersionFleet& fleet,
                                                 std::size_t number,
@@ -151,13 +162,7 @@
           AddVersion(fleet, "v2");
           RemoveVersion(fleet, "v1");
           fleet.AdvanceBy(50ms);
-          for (std::size_t number = 0; number < 5; ++number) {
-            fleet.Kill(number);
-          }
-          fleet.AdvanceBy(500ms);
-          for (std::size_t number = 0; number < 5; ++number) {
-            fleet.Start(number);
-          }
+          RestartAll(fleet, 5);
           fleet.AdvanceBy(50ms);
           CPPUNIT_ASSERT_EQUAL(std::string("503"), fleet.Resume(3, "t", "s"));
         }),
@@ -168,13 +173,7 @@
           AddVersion(fleet, "v1");
           fleet.AdvanceBy(1s);
           fleet.Begin(2, "s");
-          for (std::size_t number = 0; number < 5; ++number) {
-            fleet.Kill(number);
-          }
-          fleet.AdvanceBy(500ms);
-          for (std::size_t number = 0; number < 5; ++number) {
-            fleet.Start(number);
-          }
+          RestartAll(fleet, 5);
           fleet.AdvanceBy(450ms);
           CPPUNIT_ASSERT_EQUAL(std::string("v1"), fleet.Resume(3, "t", "s"));
         }),
--- a/src/origin/version_history.h
+++ b/src/origin/version_history.h
@@ -10,11 +10,11 @@
 
 namespace acacialug::origin {
 
-// Which software versions each service has had lately. A stream whose origin
-// nobody knows began at the only version that its service has had for as long
-// as a stream may be continued; where there were several, or where this process
-// has not seen the service for that long and no peer or stored record has told
-// it, nothing follows. Not thread safe; `now` never decreases.
+// Which software versions each service has had lately. If it has had only one
+// for as long as a stream may be continued, every stream of the service began
+// at this version. That is unknown to a process that has not seen the service
+// for so long, unless a peer or the stored record reports it. Not thread safe;
+// `now` never decreases.
 class VersionHistory {
  public:
   // For how long after its first event a stream may be continued.
@@ -50,7 +50,8 @@
   // All that this process knows; `recorded` is not set.
   std::vector<VersionReport> Reports(Instant now) const;
 
-  // Deletes versions that nobody may continue a stream of. Call periodically.
+  // Deletes versions whose streams can no longer be continued. Call
+  // periodically.
   void Sweep(Instant now);
 
  private:
