--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -442,7 +442,9 @@
     for (const protocol::PeerHeartbeat::Limit& report : heartbeat->limits) {
       this->options.on_limit(LimitFromRow(report));
     }
-    this->options.on_versions(VersionsFromRows(heartbeat->versions));
+    if (!heartbeat->versions.empty()) {
+      this->options.on_versions(VersionsFromRows(heartbeat->versions));
+    }
     if (heartbeat->endpoints <=
         std::max(this->known.changed_to, this->known.complete_to)) {
       this->options.on_confirmed(peer.last_received_at);
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -109,9 +109,7 @@
               .version_reports = [this] { return this->versions; },
               .on_versions =
                   [this](const std::vector<origin::VersionReport>& reports) {
-                    if (!reports.empty()) {
-                      this->received_versions = reports;
-                    }
+                    this->received_versions = reports;
                   },
               .on_origins =
                   [this](const std::string& peer,
