--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -471,19 +471,19 @@
   }
 
   void PlaceCall(CallRelay& call) {
-    CallRelay* const relay = &call;
-    if (!relay->TryPlace()) {
-      const ServiceName& service = relay->job().service;
-      const bool known = !this->catalog.ForService(service).empty();
-      this->options.hooks.log(
-          log::Level::kWarning, "call_unplaced",
-          {.request_name = relay->job().request.id,
-           .fields = this->context.AvailabilityFields(service)});
-      relay->Refuse(relay->VersionGone() ? ResultCode::kVersionGone
-                    : known              ? ResultCode::kOverloaded
-                                         : ResultCode::kNoEndpoint,
-                    kRetryNoEndpoint);
+    if (call.TryPlace()) {
+      return;
     }
+    const ServiceName& service = call.job().service;
+    const bool known = !this->catalog.ForService(service).empty();
+    this->options.hooks.log(
+        log::Level::kWarning, "call_unplaced",
+        {.request_name = call.job().request.id,
+         .fields = this->context.AvailabilityFields(service)});
+    call.Refuse(call.VersionGone() ? ResultCode::kVersionGone
+                : known            ? ResultCode::kOverloaded
+                                   : ResultCode::kNoEndpoint,
+                kRetryNoEndpoint);
   }
 
   void BeginStream(RelayJob job) {
--- a/src/origin/origin_directory.cc
+++ b/src/origin/origin_directory.cc
@@ -110,15 +110,12 @@
 void OriginDirectory::ReplaceHolder(const std::string& former,
                                     const StreamOrigin& origin) {
   const std::vector<std::string> ranked = this->Ranked(origin.stream);
-  const auto next = std::find(ranked.begin(), ranked.end(), former);
-  if (next != ranked.end() && next + 1 != ranked.end()) {
-    // Of two neighbours that don't confirm, the next takes both shares.
-    const auto place = std::max<std::ptrdiff_t>(
-        next - ranked.begin() + 1,
-        static_cast<std::ptrdiff_t>(this->options.holders));
-    if (place < static_cast<std::ptrdiff_t>(ranked.size())) {
-      this->SendNotice(ranked[static_cast<std::size_t>(place)], origin);
-    }
+  const auto former_rank = static_cast<std::size_t>(
+      std::find(ranked.begin(), ranked.end(), former) - ranked.begin());
+  // The first peers after the holders replace all of them.
+  const std::size_t rank = std::max(former_rank + 1, this->options.holders);
+  if (rank < ranked.size()) {
+    this->SendNotice(ranked[rank], origin);
   }
 }
 
@@ -264,7 +261,7 @@
   }
 }
 
-// A timer that an earlier one has replaced polls once more, which is harmless.
+// Timers that an earlier one replaced still call this, without effect.
 void OriginDirectory::Poll() {
   this->poll_at = kNever;
   this->AnnouncePortion();
