Count live peers once a poll, and drop a method with one caller

VersionHistory::SeenSince was called by Versions alone. Found by reading the whole change once more; no decision changed.

--- a/src/origin/origin_directory.cc
+++ b/src/origin/origin_directory.cc
@@ -89,6 +89,12 @@
   return static_cast<std::size_t>(ahead) < this->options.holders;
 }
 
+std::size_t OriginDirectory::LivePeers() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->peers.begin(), this->peers.end(),
+      [this](const auto& entry) { return this->Live(entry.second); }));
+}
+
 std::size_t OriginDirectory::Rank() const {
   return static_cast<std::size_t>(std::count_if(
       this->peers.begin(), this->peers.end(), [this](const auto& entry) {
@@ -208,10 +214,10 @@
 
 void OriginDirectory::PollLookups() {
   const Instant now = this->Now();
+  const std::size_t live = this->LivePeers();
   std::vector<std::pair<Lookup, std::optional<VersionKey>>> ended;
   for (auto row = this->lookups.begin(); row != this->lookups.end();) {
     Lookup& lookup = row->second;
-    const std::size_t live = this->Ranked(row->first).size();
     const bool holders_done = lookup.answered.size() >= lookup.asked.size() ||
                               now - lookup.begun_at >= kHolderWait;
     if (!lookup.found && holders_done &&
--- a/src/origin/origin_directory.h
+++ b/src/origin/origin_directory.h
@@ -108,6 +108,7 @@
   bool Live(const Peer& peer) const {
     return this->Now() - peer.heard_at < kPeerMemory;
   }
+  std::size_t LivePeers() const;
   bool Holds(const std::string& peer, StreamKey stream) const;
   // Live peers, those that hold the stream first.
   std::vector<std::string> Ranked(StreamKey stream) const;
--- a/src/origin/version_history.cc
+++ b/src/origin/version_history.cc
@@ -72,15 +72,15 @@
   return versions.size() == 1 ? std::optional(versions.front()) : std::nullopt;
 }
 
-std::vector<VersionKey> VersionHistory::SeenSince(ServiceKey service,
-                                                  Instant since) const {
+std::vector<VersionKey> VersionHistory::Versions(ServiceKey service,
+                                                 Instant now) const {
   std::vector<VersionKey> versions;
   const auto found = this->services.find(service);
   if (found == this->services.end()) {
     return versions;
   }
   for (const auto& [version, seen] : found->second.last_seen) {
-    if (seen >= since) {
+    if (now - seen <= this->retention) {
       versions.push_back(version);
     }
   }
--- a/src/origin/version_history.h
+++ b/src/origin/version_history.h
@@ -39,12 +39,8 @@
   // not all of them are known.
   std::optional<VersionKey> Sole(ServiceKey service, Instant now) const;
 
-  // The versions of the service that were seen since `since`.
-  std::vector<VersionKey> SeenSince(ServiceKey service, Instant since) const;
-  // Those that a caller may still continue a stream of.
-  std::vector<VersionKey> Versions(ServiceKey service, Instant now) const {
-    return this->SeenSince(service, now - this->retention);
-  }
+  // The versions of the service whose streams a caller may still continue.
+  std::vector<VersionKey> Versions(ServiceKey service, Instant now) const;
   std::vector<ServiceKey> Services() const;
 
   // All that this process knows; `recorded` is not set.
