--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -180,9 +180,7 @@
                                   [this](const EndpointRecord* other) {
                                     return other->id != this->endpoint.id;
                                   });
-  return allowed && others &&
-         this->work.state->budget.TryTake(this->Now(),
-                                          this->context.processes());
+  return allowed && others && this->TakeRepeats(1);
 }
 
 void CallRelay::ReleaseLoad() {
@@ -204,9 +202,7 @@
   --this->runs;
   const bool possible = !this->AvailableEndpoints().empty();
   const bool again = possible && !this->Quarantined() &&
-                     this->outcome.sends < kMaxSends &&
-                     this->work.state->budget.TryTake(
-                         this->Now(), this->context.processes()) &&
+                     this->outcome.sends < kMaxSends && this->TakeRepeats(1) &&
                      this->TryPlace();
   if (again) {
     return;
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -107,6 +107,7 @@
                    const WorkOrder& order,
                    http::ExchangeHooks hooks) {
   this->unframed = false;
+  this->arrivals.NoteSent();
   this->exchange = this->context.sender.Send(
       endpoint,
       this->context.dialect.write_work(this->work.request, endpoint, order),
@@ -121,6 +122,9 @@
 void Relay::NoteLost(const EndpointRecord& endpoint,
                      bool sent,
                      AnswerNature nature) {
+  if (!sent) {
+    this->arrivals.NoteNotArrived();
+  }
   this->context.health.NoteLost(endpoint.id, sent, this->Now());
   // An endpoint that leaves as ordered ends with whatever requests it has left,
   // so that its end is not attributed to the request.
@@ -153,6 +157,22 @@
   return this->context.crashes.Quarantined(this->work.key, this->Now());
 }
 
+bool Relay::TakeRepeats(std::uint32_t repeats) {
+  RepeatBudget& budget = this->work.state->budget;
+  const std::size_t processes = this->context.processes();
+  if (budget.TryTake(this->Now(), processes, repeats)) {
+    this->arrivals.NoteCovered(repeats);
+    return true;
+  }
+  this->Log(log::Level::kInfo, "repeat_refused", {},
+            {{"service", this->work.service},
+             {"repeats", repeats},
+             {"taken", budget.repeats()},
+             {"requests", budget.requests()},
+             {"processes", processes}});
+  return false;
+}
+
 void Relay::StopExchange() {
   if (this->exchange != 0) {
     this->context.hooks.cancel(std::exchange(this->exchange, 0));
@@ -234,6 +254,8 @@
   this->outcome.code = code;
   this->outcome.status = status;
   this->outcome.whole = this->Age();
+  this->outcome.repeats = this->arrivals.repeats();
+  this->outcome.uncovered_repeats = this->arrivals.uncovered();
   if (end == RelayEnd::kServed &&
       this->context.crashes.NoteAnswer(this->work.key, this->Now())) {
     this->StoreQuarantine();
@@ -259,6 +281,8 @@
              {"prefills", this->outcome.prefills},
              {"events", this->outcome.events},
              {"losses", this->outcome.losses},
+             {"repeats", this->outcome.repeats},
+             {"uncovered_repeats", this->outcome.uncovered_repeats},
              {"software_versions",
               boost::algorithm::join(this->outcome.software_versions, " ")},
              {"resumed_attempt", this->work.request.resumed_attempt},
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/arrival_count.h"
 #include "gateway/internal/relay_context.h"
 
 namespace acacialug::gateway {
@@ -83,6 +84,9 @@
   bool Quarantined() const;
   // Stores that the quarantine of the request began or ended.
   void StoreQuarantine() const;
+  // Takes repeats of this request from the budget of its service. Returns
+  // false, and takes none, if the budget doesn't allow all of them.
+  bool TakeRepeats(std::uint32_t repeats);
   // Cancels the exchange under way; none of its hooks runs after that.
   void StopExchange();
   void ForgetExchange() { this->exchange = 0; }
@@ -112,6 +116,7 @@
   RelayContext& context;
   RelayJob work;
   RelayOutcome outcome;
+  ArrivalCount arrivals;
   std::vector<EndpointId> tried;
   // At which the stream began; empty before its first event.
   std::optional<origin::VersionKey> version;
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -300,6 +300,7 @@
     this->AfterPrefill(NameOf(kAnswerNatureNames, answer));
     return;
   }
+  this->arrivals.NotePrefillAccepted();
   this->context.health.NoteSuccess(id, this->Now());
   // A duration that includes a stall of this process is no evidence of the
   // engine's speed.
@@ -332,9 +333,8 @@
              {"expected_ms", this->placement->prefill_time}});
   this->tried.push_back(this->placement->prefill->id);
   this->ReleasePrefill();
-  const bool again =
-      this->outcome.prefills < kMaxPrefills && !this->Quarantined() &&
-      this->work.state->budget.TryTake(this->Now(), this->context.processes());
+  const bool again = this->outcome.prefills < kMaxPrefills &&
+                     !this->Quarantined() && this->TakeRepeats(1);
   if (again) {
     this->ReleaseDecode();
     this->PlaceAgain();
@@ -365,10 +365,9 @@
   this->ReleasePrefill();
   this->ReleaseDecode();
   // Another prefill is a repeat; without one nothing was sent yet.
-  const bool again = this->outcome.prefills == 0 ||
-                     (this->outcome.prefills < kMaxPrefills &&
-                      this->work.state->budget.TryTake(
-                          this->Now(), this->context.processes()));
+  const bool again =
+      this->outcome.prefills == 0 ||
+      (this->outcome.prefills < kMaxPrefills && this->TakeRepeats(1));
   if (again) {
     this->PlaceAgain();
   } else {
@@ -406,9 +405,7 @@
 }
 
 bool StreamRelay::TakeRepeat() {
-  return !this->Quarantined() && this->work.state->budget.TryTake(
-                                     this->Now(), this->context.processes(),
-                                     this->RepeatsOfMigration());
+  return !this->Quarantined() && this->TakeRepeats(this->RepeatsOfMigration());
 }
 
 void StreamRelay::AfterRun(ResultCode code) {
--- a/src/gateway/repeat_budget.h
+++ b/src/gateway/repeat_budget.h
@@ -38,6 +38,8 @@
   // The same, and counts them if they are allowed.
   bool TryTake(Instant now, std::size_t processes, std::uint32_t repeats = 1);
 
+  // Requests and repeats in the window, as of the latest call.
+  std::size_t requests() const { return this->request_times.size(); }
   std::size_t repeats() const { return this->repeat_times.size(); }
 
  private:
--- a/src/gateway/types/relay_outcome.h
+++ b/src/gateway/types/relay_outcome.h
@@ -43,6 +43,10 @@
   std::uint32_t prefills = 0;
   std::uint32_t events = 0;
   std::uint32_t losses = 0;  // endpoints lost during its run
+  // Arrivals at endpoints beyond the first, and those that the repeat budget
+  // does not cover.
+  std::uint32_t repeats = 0;
+  std::uint32_t uncovered_repeats = 0;
   // Answers of endpoints that had neither a length nor chunks, and the bytes of
   // an event that was not complete when the last answer ended.
   std::uint32_t unframed_answers = 0;
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -415,6 +415,10 @@
     this->registry.Get(kGatewaySendsTotal, {"work"}).Add(outcome.sends);
     this->registry.Get(kGatewaySendsTotal, {"prefill"}).Add(outcome.prefills);
     this->registry.Get(kGatewayLossesTotal, {kind}).Add(outcome.losses);
+    this->registry.Get(kGatewayRepeatsTotal, {kind, "covered"})
+        .Add(outcome.repeats - outcome.uncovered_repeats);
+    this->registry.Get(kGatewayRepeatsTotal, {kind, "missing"})
+        .Add(outcome.uncovered_repeats);
     this->registry.Get(kGatewayUnframedAnswersTotal, {kind})
         .Add(outcome.unframed_answers);
     if (outcome.partial_event_bytes > 0) {
--- a/src/gateway_process/metric_definitions.h
+++ b/src/gateway_process/metric_definitions.h
@@ -25,6 +25,11 @@
     .name = "acacialug_gateway_losses_total",
     .help = "Endpoints lost while they had a request, by its route's kind",
     .labels = {"kind"}};
+// Label `budget`: covered, or missing for those that the budget doesn't cover.
+inline constexpr metrics::CounterDefinition kGatewayRepeatsTotal = {
+    .name = "acacialug_gateway_repeats_total",
+    .help = "Arrivals at endpoints beyond the first of each request",
+    .labels = {"kind", "budget"}};
 inline constexpr metrics::CounterDefinition kGatewayUnframedAnswersTotal = {
     .name = "acacialug_gateway_unframed_answers_total",
     .help = "Answers of endpoints that had neither a length nor chunks",
