--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -114,6 +114,9 @@
                                             .address = address,
                                             .request = request,
                                             .hooks = std::move(hooks)}));
+            if (this->on_call) {
+              this->on_call(this->calls.back());
+            }
             return this->last_exchange;
           },
       .cancel =
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -138,6 +138,8 @@
   std::function<void(const std::string& peer, const origin::OriginMessage&)>
       on_origins;
   std::function<void(const origin::VersionRecord&)> on_versions;
+  // Runs when an endpoint is sent a request. May be empty.
+  std::function<void(const std::shared_ptr<Call>&)> on_call;
   std::unique_ptr<GatewayCore> core;
   std::map<std::string, http::Address> addresses;
   std::map<std::string, EndpointRecord> records;
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -431,6 +431,20 @@
           }
           CPPUNIT_ASSERT_EQUAL(4, repeats);
         }),
+     It("is refused at once when its prefill was rejected and the repeat "
+        "budget "
+        "is empty",
+        [] {
+          // Guards against a run after a rejected prefill that the budget does
+          // not cover.
+          Model simulation(0);
+          const auto answer = simulation.SendRequest("/resumable/a", "r1");
+          simulation.Reply(simulation.Find("/reserve/"), 200, {}, "v");
+          simulation.ReplyRefused(simulation.Find("prefill"));
+          CPPUNIT_ASSERT(simulation.Find("whole") == nullptr);
+          CPPUNIT_ASSERT_EQUAL(503, answer->status);
+          CPPUNIT_ASSERT(!answer->retry_after.empty());
+        }),
      It("is not placed where reserved memory was refused twice",
         [] {
           // Guards against 39 to 66 prompts that are computed and discarded on
