Send no repeat that the budget does not cover (BUDGET)

Cause: StreamRelay::AfterPrefill sent the whole request to a decode endpoint when the budget had just refused another prefill. A prefill that was rejected has arrived, so the run that follows it is a repeat, and no account had it. The class: a bound checked at one of several ways to the same send. Change: each relay counts its arrivals (ArrivalCount) and covers what is missing right before each send, at one place (CoverRepeats); how much a step needs is derived from what was sent, and no longer stated by each caller.

--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -180,7 +180,8 @@
                                   [this](const EndpointRecord* other) {
                                     return other->id != this->endpoint.id;
                                   });
-  return allowed && others && this->TakeRepeats(1);
+  return allowed && others &&
+         this->CoverRepeats(this->arrivals.UncoveredByRun());
 }
 
 void CallRelay::ReleaseLoad() {
@@ -201,9 +202,9 @@
   this->EndAttempt();
   --this->runs;
   const bool possible = !this->AvailableEndpoints().empty();
-  const bool again = possible && !this->Quarantined() &&
-                     this->outcome.sends < kMaxSends && this->TakeRepeats(1) &&
-                     this->TryPlace();
+  const bool again =
+      possible && !this->Quarantined() && this->outcome.sends < kMaxSends &&
+      this->CoverRepeats(this->arrivals.UncoveredByRun()) && this->TryPlace();
   if (again) {
     return;
   }
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -157,16 +157,19 @@
   return this->context.crashes.Quarantined(this->work.key, this->Now());
 }
 
-bool Relay::TakeRepeats(std::uint32_t repeats) {
+bool Relay::CoverRepeats(std::uint32_t uncovered) {
+  if (uncovered == 0) {
+    return true;
+  }
   RepeatBudget& budget = this->work.state->budget;
   const std::size_t processes = this->context.processes();
-  if (budget.TryTake(this->Now(), processes, repeats)) {
-    this->arrivals.NoteCovered(repeats);
+  if (budget.TryTake(this->Now(), processes, uncovered)) {
+    this->arrivals.NoteCovered(uncovered);
     return true;
   }
   this->Log(log::Level::kInfo, "repeat_refused", {},
             {{"service", this->work.service},
-             {"repeats", repeats},
+             {"repeats", uncovered},
              {"taken", budget.repeats()},
              {"requests", budget.requests()},
              {"processes", processes}});
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -84,9 +84,11 @@
   bool Quarantined() const;
   // Stores that the quarantine of the request began or ended.
   void StoreQuarantine() const;
-  // Takes repeats of this request from the budget of its service. Returns
-  // false, and takes none, if the budget doesn't allow all of them.
-  bool TakeRepeats(std::uint32_t repeats);
+  // Takes as many repeats of this request from the budget of its service as
+  // are not covered yet (ArrivalCount). Returns false, and takes none, if the
+  // budget doesn't allow all of them. Must precede each send that may be a
+  // repeat.
+  bool CoverRepeats(std::uint32_t uncovered);
   // Cancels the exchange under way; none of its hooks runs after that.
   void StopExchange();
   void ForgetExchange() { this->exchange = 0; }
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -239,7 +239,8 @@
 
 void StreamRelay::StartPrefill() {
   if (this->EndIfQuarantined() ||
-      this->MoveIfResting(*this->placement->prefill)) {
+      this->MoveIfResting(*this->placement->prefill) ||
+      this->EndIfUncovered(this->arrivals.UncoveredByPrefillAndRun())) {
     return;
   }
   ++this->outcome.prefills;
@@ -307,7 +308,7 @@
   if (!this->context.timers.StalledBetween(this->step_at, this->Now())) {
     this->LearnFromPrefill(this->Now() - this->step_at);
   }
-  this->was_prefilled = true;
+
   this->ReleasePrefill();
   this->StartDecode(WorkStep::kDecode);
 }
@@ -333,8 +334,9 @@
              {"expected_ms", this->placement->prefill_time}});
   this->tried.push_back(this->placement->prefill->id);
   this->ReleasePrefill();
-  const bool again = this->outcome.prefills < kMaxPrefills &&
-                     !this->Quarantined() && this->TakeRepeats(1);
+  const bool again =
+      this->outcome.prefills < kMaxPrefills && !this->Quarantined() &&
+      this->CoverRepeats(this->arrivals.UncoveredByPrefillAndRun());
   if (again) {
     this->ReleaseDecode();
     this->PlaceAgain();
@@ -354,6 +356,14 @@
   return true;
 }
 
+bool StreamRelay::EndIfUncovered(std::uint32_t uncovered) {
+  if (this->CoverRepeats(uncovered)) {
+    return false;
+  }
+  this->GiveUp(ResultCode::kNoDecodeMemory);
+  return true;
+}
+
 bool StreamRelay::MoveIfResting(const EndpointRecord& endpoint) {
   if (!this->context.health.Resting(endpoint.id, this->Now())) {
     return false;
@@ -364,10 +374,9 @@
   this->ReleaseExport();
   this->ReleasePrefill();
   this->ReleaseDecode();
-  // Another prefill is a repeat; without one nothing was sent yet.
   const bool again =
-      this->outcome.prefills == 0 ||
-      (this->outcome.prefills < kMaxPrefills && this->TakeRepeats(1));
+      this->outcome.prefills < kMaxPrefills &&
+      this->CoverRepeats(this->arrivals.UncoveredByPrefillAndRun());
   if (again) {
     this->PlaceAgain();
   } else {
@@ -400,12 +409,9 @@
   this->PlaceAgain();
 }
 
-std::uint32_t StreamRelay::RepeatsOfMigration() const {
-  return this->was_prefilled ? 2 : 1;
-}
-
 bool StreamRelay::TakeRepeat() {
-  return !this->Quarantined() && this->TakeRepeats(this->RepeatsOfMigration());
+  return !this->Quarantined() &&
+         this->CoverRepeats(this->arrivals.UncoveredByPrefillAndRun());
 }
 
 void StreamRelay::AfterRun(ResultCode code) {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -118,14 +118,15 @@
 
   // Ends the relay if its request is quarantined, and returns whether it did.
   bool EndIfQuarantined();
+  // Ends the relay if the repeat budget does not allow its next step, and
+  // returns whether it did.
+  bool EndIfUncovered(std::uint32_t uncovered);
   // Places the generation elsewhere if the endpoint of its next step has asked
   // for rest since it was placed, and returns whether it did.
   bool MoveIfResting(const EndpointRecord& endpoint);
   void AfterNotRun();
   void AfterRun(ResultCode code);
-  // Another decode and, if there was one, another prefill count against the
-  // repeat budget: both arrive at endpoints beyond the first time.
-  std::uint32_t RepeatsOfMigration() const;
+  // Covers what another placement sends beyond the first arrival.
   bool TakeRepeat();
   // Places the generation again, now or when capacity is free.
   void PlaceAgain();
@@ -138,7 +139,7 @@
   std::string reservation;  // at the decode endpoint, not used yet
   // The latest; may have ended.
   std::shared_ptr<ReservationRequest> reservation_request;
-  bool was_prefilled = false;
+
   std::vector<EndpointId> full;    // refused a reservation in this round
   std::uint32_t full_answers = 0;  // in this round
   Instant placed_at;
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -24,7 +24,8 @@
 
 void StreamRelay::StartDecode(WorkStep step) {
   if (this->EndIfQuarantined() ||
-      this->MoveIfResting(this->placement->decode)) {
+      this->MoveIfResting(this->placement->decode) ||
+      this->EndIfUncovered(this->arrivals.UncoveredByRun())) {
     return;
   }
   ++this->outcome.sends;
@@ -342,8 +343,9 @@
 bool StreamRelay::MayMigrate() {
   return this->runs < this->work.route->max_endpoints &&
          this->outcome.sends < kMaxSends && !this->Quarantined() &&
-         this->work.state->budget.Allows(this->Now(), this->context.processes(),
-                                         this->RepeatsOfMigration());
+         this->work.state->budget.Allows(
+             this->Now(), this->context.processes(),
+             this->arrivals.UncoveredByPrefillAndRun());
 }
 
 void StreamRelay::OnResponseTimeout() {
