Hold the fixed allowance of repeats once, whoever restarts or is not heard yet (BUDGET)

Cause: the allowance was divided by the peers received from within a minute. A gateway that had received from none took the allowance of all, and one that was killed and came back spent its part a second time. The class: a part of a shared sum that is derived from what a process happens to know, with not-known read as alone. Change: peers that the store lists count like those that were heard, for ten minutes (partitions last minutes); while no list was read and nobody had time to be heard the number is unknown, and none of the allowance is used. In its first window a process's part grows with its uptime to what the margin leaves free, a third, so that all its lives in a window together stay within the bound. The new unit tests need the new option, and did not run on the code before.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -74,31 +74,32 @@
                    .routes = [this] { return this->routes.get(); }}),
         streams(this->options.placement, this->load_table, this->health),
         calls(this->load_table, this->health),
-        context{.hooks = this->options.hooks,
-                .dialect = this->options.dialect,
-                .domain = this->options.domain,
-                .sender = this->sender,
-                .limits = this->limits,
-                .catalog = this->catalog,
-                .health = this->health,
-                .load_table = this->load_table,
-                .streams = this->streams,
-                .calls = this->calls,
-                .timers = this->timers,
-                .crashes = this->crashes,
-                .origins = this->origins,
-                .random = this->random,
-                .processes = [this] { return this->peers + 1; },
-                .closing = [this] { return this->drain_begun != kNever; },
-                .on_unplaced =
-                    [this](StreamRelay& relay) {
-                      this->waiting.Add(std::static_pointer_cast<StreamRelay>(
-                          relay.shared_from_this()));
-                    },
-                .on_capacity_freed =
-                    [this](const ServiceName& service) {
-                      this->waiting.OnCapacityFreed(service);
-                    }},
+        context{
+            .hooks = this->options.hooks,
+            .dialect = this->options.dialect,
+            .domain = this->options.domain,
+            .sender = this->sender,
+            .limits = this->limits,
+            .catalog = this->catalog,
+            .health = this->health,
+            .load_table = this->load_table,
+            .streams = this->streams,
+            .calls = this->calls,
+            .timers = this->timers,
+            .crashes = this->crashes,
+            .origins = this->origins,
+            .random = this->random,
+            .processes = [this] { return this->peers ? *this->peers + 1 : 0; },
+            .closing = [this] { return this->drain_begun != kNever; },
+            .on_unplaced =
+                [this](StreamRelay& relay) {
+                  this->waiting.Add(std::static_pointer_cast<StreamRelay>(
+                      relay.shared_from_this()));
+                },
+            .on_capacity_freed =
+                [this](const ServiceName& service) {
+                  this->waiting.OnCapacityFreed(service);
+                }},
         waiting(this->context),
         takeups(
             {.hooks = this->options.hooks,
@@ -303,7 +304,7 @@
     this->customers.ledger().OnPeerListed(peer, now);
   }
 
-  void SetPeers(std::size_t count, bool first) {
+  void SetPeers(std::optional<std::size_t> count, bool first) {
     this->peers = count;
     this->roles.SetFirst(first);
   }
@@ -343,7 +344,7 @@
   std::shared_ptr<const RouteTable> routes;
   std::map<ServiceName, ServiceState> services;
   std::unordered_map<const Relay*, std::shared_ptr<Relay>> relays;
-  std::size_t peers = 0;
+  std::optional<std::size_t> peers;
   Instant drain_begun = kNever;
   RelayContext context;
   WaitingStreams waiting;
@@ -389,7 +390,8 @@
                               .budget = RepeatBudget(
                                   {.share = this->options.repeat_share,
                                    .extra = this->options.repeat_extra,
-                                   .window = this->options.repeat_window})})
+                                   .window = this->options.repeat_window,
+                                   .started_at = this->options.started_at})})
         .first->second;
   }
 
@@ -630,7 +632,7 @@
   this->implementation->SetPeerLoad(peer, load);
 }
 
-void GatewayCore::SetPeers(std::size_t peers, bool first) {
+void GatewayCore::SetPeers(std::optional<std::size_t> peers, bool first) {
   this->implementation->SetPeers(peers, first);
 }
 
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -41,6 +41,7 @@
     double repeat_share = 0.2;
     double repeat_extra = 58;
     Duration repeat_window = 10s;
+    Instant started_at{};  // of this process
     // For how long a draining process still accepts new requests. A stream that
     // began later would be cut off at the end of the grace period.
     Duration drain_admission = 2500ms;
@@ -80,10 +81,10 @@
   void NoteStoreBack();
 
   // The load that a peer has placed; how many peers there were recently, live
-  // or not (this process not counted), and whether this process is the first of
-  // the live processes.
+  // or not (this process not counted; empty while that is not known), and
+  // whether this process is the first of the live processes.
   void SetPeerLoad(const std::string& peer, const PeerLoad& load);
-  void SetPeers(std::size_t peers, bool first);
+  void SetPeers(std::optional<std::size_t> peers, bool first);
   PeerLoad OwnLoad() const;
   // Endpoints whose role this process is changing, and endpoints that it cannot
   // reach; and a pause that a peer reported.
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -52,7 +52,7 @@
   StreamOrigins& origins;
   RandomSource& random;
   // The number of processes that share the repeat budget, including this
-  // process.
+  // process; 0 while it is not known.
   std::function<std::size_t()> processes;
   // Whether answers close their connections, so that callers use another
   // connection for the next request.
--- a/src/gateway/repeat_budget.cc
+++ b/src/gateway/repeat_budget.cc
@@ -28,6 +28,23 @@
   this->Expire(now);
 }
 
+// A process may be restarted any number of times in a window. Its part grows
+// with its uptime to what the margin leaves free, so that all its lives in one
+// window use no more than that beside the part of the life before them.
+double RepeatBudget::FixedPart(Instant now, std::size_t processes) const {
+  if (processes == 0) {
+    return 0;
+  }
+  const double part = this->options.extra / static_cast<double>(processes);
+  const Duration uptime = now - this->options.started_at;
+  if (uptime >= this->options.window) {
+    return part;
+  }
+  const double free_share =
+      std::min(1.0, (1 - this->options.margin) / this->options.margin);
+  return part * free_share * Seconds(uptime) / Seconds(this->options.window);
+}
+
 bool RepeatBudget::Allows(Instant now,
                           std::size_t processes,
                           std::uint32_t repeats) {
@@ -35,8 +52,7 @@
   const double allowed =
       this->options.margin *
       (this->options.share * static_cast<double>(this->request_times.size()) +
-       this->options.extra /
-           static_cast<double>(std::max<std::size_t>(processes, 1)));
+       this->FixedPart(now, processes));
   return static_cast<double>(this->repeat_times.size() + repeats) <= allowed;
 }
 
--- a/src/gateway/repeat_budget.h
+++ b/src/gateway/repeat_budget.h
@@ -12,9 +12,10 @@
 // request, over a sliding window and over all processes together: a share of
 // the requests, and a fixed allowance. Each process uses only its part of the
 // allowance, so that the bound also holds while the processes receive no
-// reports from each other. (RetryBudget, whose balance grows with successes,
-// has no window and would allow a burst after an hour of low load.) Not thread
-// safe.
+// reports from each other; and in its first window little of that, since its
+// predecessor may have used the part. (RetryBudget, whose balance grows with
+// successes, has no window and would allow a burst after an hour of low load.)
+// Not thread safe.
 class RepeatBudget {
  public:
   struct Options {
@@ -24,6 +25,7 @@
     // Factor on both. The rest covers requests that are counted here at other
     // times than where the bound is checked.
     double margin = 0.75;
+    Instant started_at{};  // of this process
   };
 
   explicit RepeatBudget(Options budget_options) : options(budget_options) {}
@@ -32,7 +34,8 @@
   void NoteRequest(Instant now);
 
   // Whether another `repeats` are allowed now. `processes` share the fixed
-  // allowance, this process included.
+  // allowance, this process included; 0: their number is not known yet, and
+  // this process uses none of the allowance.
   bool Allows(Instant now, std::size_t processes, std::uint32_t repeats = 1);
 
   // The same, and counts them if they are allowed.
@@ -44,6 +47,7 @@
 
  private:
   void Expire(Instant now);
+  double FixedPart(Instant now, std::size_t processes) const;
 
   const Options options;
   std::deque<Instant> request_times;
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -334,6 +334,45 @@
           }
           CPPUNIT_ASSERT_EQUAL(30, allowed);
         }),
+     It("allows none of the extra repeats while the number of processes is "
+        "unknown",
+        [] {
+          RepeatBudget budget({.share = 0.2, .extra = 40, .window = 10s});
+          CPPUNIT_ASSERT(!budget.TryTake(kStart, 0));
+          for (int number = 0; number < 20; ++number) {
+            budget.NoteRequest(kStart);
+          }
+          CPPUNIT_ASSERT(budget.TryTake(kStart, 0, 3));
+          CPPUNIT_ASSERT(!budget.TryTake(kStart, 0));
+        }),
+     ForEach<Duration>(
+         "allows all lives of a process that is killed again and again no more "
+         "than its bound, a life lasting",
+         {1s, 2s, 4s, 7s, 9900ms},
+         [](const Duration& life) { return std::to_string(Seconds(life)); },
+         [](const Duration& life) {
+           // Guards against a process that has forgotten what it spent.
+           constexpr RepeatBudget::Options kOptions{
+               .share = 0, .extra = 100, .window = 10s};
+           std::vector<Instant> taken;
+           std::optional<RepeatBudget> budget(kOptions);
+           Instant now = kStart;
+           for (Instant end = now + life; now < kStart + 60s; now += 50ms) {
+             if (now >= end) {
+               RepeatBudget::Options restarted = kOptions;
+               restarted.started_at = now;
+               budget.emplace(restarted);
+               end = now + life;
+             }
+             while (budget->TryTake(now, 1)) {
+               taken.push_back(now);
+             }
+           }
+           for (std::size_t first = 0; first + 100 < taken.size(); ++first) {
+             CPPUNIT_ASSERT(taken[first + 100] - taken[first] >=
+                            kOptions.window);
+           }
+         }),
      It("allows no more than its bound within any window", [] {
        // Guards against more repeats in ten seconds than the bound, around the
        // reset of a counter's window. It comes about with windows that do not
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -88,15 +88,19 @@
 
 GatewaySimulation::GatewaySimulation(double repeat_extra,
                                      const std::string& id,
-                                     Instant started_at)
-    : now(started_at) {
+                                     std::optional<Instant> started_at)
+    : now(started_at.value_or(Instant(1h))) {
   this->core = std::make_unique<GatewayCore>(
       GatewayCore::Options{.id = id,
                            .domain = FailureDomain("a"),
                            .repeat_extra = repeat_extra,
+                           .started_at = started_at.value_or(Instant{}),
                            .hooks = this->Hooks(),
                            .dialect = Dialect()},
       this->random);
+  if (!started_at) {
+    this->core->SetPeers(0, false);
+  }
 }
 
 GatewayHooks GatewaySimulation::Hooks() {
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -50,10 +50,11 @@
 class GatewaySimulation {
  public:
   // `repeat_extra`: repeats that the budget allows beside its share of the
-  // requests. `id`: of the gateway, which starts at `started_at`.
+  // requests. `id`: of the gateway, which starts at `started_at`; empty: it has
+  // run for long, alone.
   explicit GatewaySimulation(double repeat_extra = 58,
                              const std::string& id = "g1",
-                             Instant started_at = Instant(1h));
+                             std::optional<Instant> started_at = {});
 
   // Activates a configuration with the routes of this simulation; a later call
   // replaces it.
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -163,6 +163,7 @@
             .repeat_share = settings.repeat_share,
             .repeat_extra = settings.repeat_extra,
             .repeat_window = settings.repeat_window,
+            .started_at = MonotonicNow(),
             .placement = settings.placement,
             .admission = settings.admission,
             .crashes = settings.crashes,
@@ -290,7 +291,8 @@
         .on_confirmed =
             [this](Instant at) { this->core.NoteCatalogConfirmed(at); },
         .on_peer_count =
-            [this](std::size_t live_peer_count, std::size_t known, bool first) {
+            [this](std::size_t live_peer_count,
+                   std::optional<std::size_t> known, bool first) {
               this->core.SetPeers(known, first);
               this->live_peer_count = live_peer_count;
               this->registry.Get(kGatewayPeers)
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -25,9 +25,10 @@
 constexpr Duration kKeepAlive = 400ms;
 // A peer without a heartbeat for this long is not counted as live.
 constexpr Duration kPeerMemory = 2s;
-// A peer received from within this time still takes its part of what all peers
-// share: a process that is cut off from the others must not take their parts.
-constexpr Duration kKnownMemory = 60s;
+// A peer that was listed or received from within this time still takes its part
+// of what all peers share: a process that is cut off from the others must not
+// take their parts. Partitions last minutes.
+constexpr Duration kKnownMemory = 10min;
 // A peer that was never live, or is no longer, is tried at this interval.
 constexpr Duration kRetryInterval = 2s;
 constexpr Duration kFetchInterval = 250ms;
@@ -68,6 +69,7 @@
   std::uint64_t sequence = 0;
   std::uint16_t pages_port = 0;
   Instant last_received_at{};
+  Instant listed_at{};  // first
   Instant sent_at{};
   Instant read_at{};
   bool reported = false;
@@ -126,12 +128,16 @@
   }
 
   void SetMembers(const std::map<std::string, http::Address>& members) {
+    this->members_listed = true;
     for (const auto& [id, address] : members) {
       if (id == this->options.id) {
         continue;
       }
       this->options.on_listed(id);
       Peer& peer = this->peers[id];
+      if (peer.listed_at == Instant{}) {
+        peer.listed_at = this->options.now();
+      }
       if (!peer.reported || peer.address.port == 0) {
         peer.address = address;
       }
@@ -500,13 +506,19 @@
                                  {"silent_ms", now - peer.last_received_at}}});
       }
       alive += live ? 1 : 0;
-      known += peer.last_received_at != Instant{} &&
-                       now - peer.last_received_at < kKnownMemory
-                   ? 1
-                   : 0;
+      known += IsKnown(peer, now) ? 1 : 0;
       first = first && !(live && id < this->options.id);
     }
-    this->options.on_peer_count(alive, known, first);
+    const bool all_heard = known > 0 && now - this->started_at >= kPeerMemory;
+    this->options.on_peer_count(
+        alive,
+        this->members_listed || all_heard ? std::optional(known) : std::nullopt,
+        first);
+  }
+
+  static bool IsKnown(const Peer& peer, Instant now) {
+    const Instant latest = std::max(peer.last_received_at, peer.listed_at);
+    return latest != Instant{} && now - latest < kKnownMemory;
   }
 
   void FetchIfBehind() {
@@ -606,6 +618,8 @@
   log::RepeatLimiter limiter{{}};
   Positions known;
   std::uint64_t sequence = 0;
+  const Instant started_at = this->options.now();
+  bool members_listed = false;
   Instant fetched_at{};
   bool fetching = false;
   Instant read_at{};
--- a/src/gateway_process/peer_link.h
+++ b/src/gateway_process/peer_link.h
@@ -90,10 +90,12 @@
     // The store, at a read of this process, or a peer knew of no change of an
     // endpoint at this time that this process does not know.
     std::function<void(Instant at)> on_confirmed;
-    // The number of live peers, the number of peers received from recently,
-    // live or not, and whether this process's id sorts before all live peers'
-    // ids.
-    std::function<void(std::size_t live, std::size_t known, bool first)>
+    // The number of live peers, the number of peers listed or received from
+    // recently, live or not, which is empty while no list was read and the
+    // peers have had no time to be heard, and whether this process's id sorts
+    // before all live peers' ids.
+    std::function<
+        void(std::size_t live, std::optional<std::size_t> known, bool first)>
         on_peer_count;
     std::function<void(const Catalog& catalog)> on_catalog;
     // A peer that does not answer a fetch within this time is unresponsive, and
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -118,7 +118,10 @@
                   },
               .on_confirmed = [this](Instant at) { this->confirmed_at = at; },
               .on_peer_count =
-                  [this](std::size_t alive, std::size_t, bool is_first) {
+                  [this](std::size_t alive,
+                         std::optional<std::size_t> all,
+                         bool is_first) {
+                    this->known_peers = all;
                     this->peers = alive;
                     this->first = is_first;
                     this->on_count();
@@ -171,6 +174,7 @@
   std::optional<Instant> stopped;
   Duration ahead{};  // offset of its clock from the machine's
   std::size_t peers = 0;
+  std::optional<std::size_t> known_peers;
   bool first = false;
   std::vector<origin::VersionReport> versions;
   std::vector<origin::VersionReport> received_versions;
@@ -244,6 +248,20 @@
           WaitUntil("all", [&] { return b.received_pauses.size() == 40; });
           CPPUNIT_ASSERT(b.received_count <= before + 4);
         }),
+     It("count as known when they are listed, before they are heard",
+        [] {
+          // Guards against a gateway that takes all of what the gateways share
+          // because it has not heard them yet.
+          Peer a("a", FreePort());
+          int counts = 0;
+          a.on_count = [&counts] { ++counts; };
+          WaitUntil("a count", [&] { return counts > 0; });
+          CPPUNIT_ASSERT(!a.known_peers);
+          const http::Address silent{.ip = "127.0.0.1", .port = FreePort()};
+          a.link.SetMembers({{"a", a.address}, {"b", silent}, {"c", silent}});
+          WaitUntil("the listed", [&] { return a.known_peers == 2; });
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, a.peers);
+        }),
      It("report to each other the requests under which endpoints ended",
         [] {
           // Guards against a request that ends endpoints again at each gateway.
