--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -140,6 +140,7 @@
             {{"sent", sent},
              {"after_ms", this->Now() - this->sent_at},
              {"request_key", HexText(this->work.key.value)},
+             {"prompt_parts", this->PartsText()},
              {"detail", error.detail}},
             error.result_code());
   if (!sent) {
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -304,6 +304,10 @@
   this->work.responder.reset();
 }
 
+std::string Relay::PartsText() const {
+  return boost::algorithm::join(this->work.request.prompt_parts, " ");
+}
+
 void Relay::Log(log::Level level,
                 std::string_view event,
                 const EndpointId& endpoint,
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -108,6 +109,8 @@
   // The headers of an endpoint's answer that are forwarded to the caller.
   http::Headers CallerHeaders(const http::Headers& headers) const;
 
+  // The parts of the prompt that others may share, for the log.
+  std::string PartsText() const;
   // Writes a log entry about this request.
   void Log(log::Level level,
            std::string_view event,
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -331,6 +331,7 @@
              {"after_ms", this->Now() - this->step_at},
              {"events", this->outcome.events},
              {"request_key", HexText(this->work.key.value)},
+             {"prompt_parts", this->PartsText()},
              {"detail", error.detail}},
             error.result_code());
   if (!sent || this->nature == AnswerNature::kNotRun) {
--- a/src/gateway/types/work_request.h
+++ b/src/gateway/types/work_request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "framework/global/types/instant.h"
 #include "framework/http/http_types.h"
@@ -28,6 +29,9 @@
   http::Request message;  // without the headers of a single connection
   std::optional<Duration> deadline;  // from the request's arrival
   std::optional<GenerationSize> size;
+  // Ids of the parts of its prompt that other requests may share, in the order
+  // of the prompt; each once, in lower case.
+  std::vector<std::string> prompt_parts;
   std::optional<std::uint64_t> resume_after;  // the last event received
   // The caller's name for the attempt that brought the first event of the
   // stream that this one continues; empty: none, or contradicting names.
