--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -3,6 +3,9 @@
 #include <cppunit/TestAssert.h>
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
+#include <iterator>
+#include <sstream>
 #include <utility>
 
 #include "gateway/key_digest.h"
@@ -179,6 +182,8 @@
     if (!deadline.empty()) {
       work.deadline = std::chrono::milliseconds(std::stoi(deadline));
     }
+    std::istringstream parts(Text(request.headers, "Parts"));
+    work.prompt_parts.assign(std::istream_iterator<std::string>(parts), {});
     work.resumed_attempt = Text(request.headers, "Resumed");
     const std::string last_event = Text(request.headers, "Last-Event");
     if (!last_event.empty()) {
@@ -364,6 +369,18 @@
                            {"Deadline", std::to_string(deadline_ms)}});
 }
 
+std::shared_ptr<Answer> GatewaySimulation::SendPrompt(
+    const std::string& path,
+    const std::string& id,
+    const std::vector<std::string>& parts,
+    const std::string& size) {
+  return this->Send(path, {{"Host", "h.example"},
+                           {"Id", id},
+                           {"Size", size},
+                           {"Deadline", "14000"},
+                           {"Parts", boost::algorithm::join(parts, " ")}});
+}
+
 std::shared_ptr<Answer> GatewaySimulation::ResumeStream(
     const std::string& path,
     const std::string& id,
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -41,12 +41,13 @@
 
 // A core in virtual time, whose endpoints the test drives by hand. In its
 // dialect the header `Id` names a request, `Size` is "PROMPT,OUTPUT",
-// `Deadline` is in ms, `Key` is the caller's key, and `Resumed` and
-// `Last-Event` name the attempt and the event that a stream is continued after.
-// Endpoints receive the name of the request's customer as `Customer`, and
-// answer with the headers `Id`, `Proof` (the endpoint's own answer), `Refused`
-// (the request did not run), `Other` (the address is wrong), `Limit` (requests
-// per second that the endpoint takes), `Leaving`, or `Rest` (in seconds).
+// `Deadline` is in ms, `Parts` are the shared parts of its prompt, separated by
+// blanks, `Key` is the caller's key, and `Resumed` and `Last-Event` name the
+// attempt and the event that a stream is continued after. Endpoints receive the
+// name of the request's customer as `Customer`, and answer with the headers
+// `Id`, `Proof` (the endpoint's own answer), `Refused` (the request did not
+// run), `Other` (the address is wrong), `Limit` (requests per second that the
+// endpoint takes), `Leaving`, or `Rest` (in seconds).
 class GatewaySimulation {
  public:
   // `repeat_extra`: repeats that the budget allows beside its share of the
@@ -77,6 +78,11 @@
                                       const std::string& id,
                                       const std::string& size = "3000,900",
                                       int deadline_ms = 14000);
+  // Sends a request whose prompt has these parts, and a last one of its own.
+  std::shared_ptr<Answer> SendPrompt(const std::string& path,
+                                     const std::string& id,
+                                     const std::vector<std::string>& parts,
+                                     const std::string& size = "3000,900");
   // Sends a request that continues the stream of an attempt after its event.
   std::shared_ptr<Answer> ResumeStream(const std::string& path,
                                        const std::string& id,
--- a/src/gateway/tests/quarantine_test.cc
+++ b/src/gateway/tests/quarantine_test.cc
@@ -385,5 +385,42 @@
        CPPUNIT_ASSERT(!simulation.Attempt("/stream/a")->ended);
      })});
 
+// Requests of one caller, no two alike.
+struct PromptSimulation : PoolSimulation {
+  std::shared_ptr<Answer> Ask(const std::vector<std::string>& parts) {
+    const std::string id = "p" + std::to_string(++this->attempts);
+    return this->SendPrompt("/stream/" + id, id, parts);
+  }
+  // A request under which its decode endpoint ends before it sends an event.
+  void CrashWith(const std::vector<std::string>& parts) {
+    this->Ask(parts);
+    this->Break(this->AdvanceToDecode());
+  }
+  // A request that begins an answer.
+  void BeginWith(const std::vector<std::string>& parts) {
+    this->Ask(parts);
+    const auto decode = this->AdvanceToDecode();
+    this->Begin(decode);
+    this->Event(decode, 0);
+  }
+};
+
+// Guards against requests that end endpoint after endpoint, no two alike.
+const acacialug::testing::Story kParts(
+    "a part of prompts under which endpoints ended",
+    {It("is refused at once in a request that nobody sent before", [] {
+      PromptSimulation simulation;
+      for (int end = 0; end < 3; ++end) {
+        simulation.CrashWith({"caller", "deadly"});
+        simulation.BeginWith({"caller", "sound"});
+        simulation.BeginWith({"caller", "other"});
+      }
+      const auto refused = simulation.Ask({"caller", "deadly"});
+      CPPUNIT_ASSERT_EQUAL(503, refused->status);
+      CPPUNIT_ASSERT(!refused->retry_after.empty());
+      const auto sound = simulation.Ask({"caller", "sound"});
+      CPPUNIT_ASSERT(!sound->ended);
+    })});
+
 }  // namespace
 }  // namespace acacialug::gateway
