Quarantine parts of prompts under which endpoints ended (BUDGET, LOST)

Callers saw: requests with one part in their prompts, no two alike, ended one endpoint after another (25 ends, 14 to 16 requests sent after the fifth), and cut off everything else that was there. Cause: the ledger of ends is keyed by the whole request (customer, method, host, target, body). What the requests had in common, a part of their prompts, was in no key. The class: a cause is counted under one fixed name, and is invisible under any other that it has. Change: each shared part of a prompt is a subject of the same ledger, reports and store (CrashSubject). A part is blamed for an end only where the endpoint had not begun the answer; an answer that begins with it anywhere clears it at once, and only the ends before it. A quarantine needs three ends of two attempts, three answers of the service to requests without the part, in two groups, and a second in which no answer with it is reported: while a service answers nobody, silence proves nothing. A first part is not blamed for ends that a further part explains. The first live process tries a part once more after 5 s without an end; an answer ends a mistake, an end none follows. Ends carry their ages; a peer that has answered a part since tells so. Waiting requests end at once. Quarantine (src/gateway/internal) has what relays and the core did themselves. The red test of a single gateway now waits for the users' bound of 3 s before it asks.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -11,6 +11,7 @@
 #include "gateway/internal/call_relay.h"
 #include "gateway/internal/customer_admission.h"
 #include "gateway/internal/endpoint_sender.h"
+#include "gateway/internal/quarantine.h"
 #include "gateway/internal/refusal.h"
 #include "gateway/internal/relay_context.h"
 #include "gateway/internal/role_orders.h"
@@ -59,7 +60,10 @@
         }),
         load_table(this->options.hooks.on_load_changed),
         timers(this->options.hooks.wake_at),
-        crashes(this->options.crashes),
+        quarantine({.requests = this->options.crashes,
+                    .parts = this->options.part_crashes,
+                    .on_begun = [this] { this->waiting.OnQuarantineBegun(); }},
+                   this->options.hooks),
         origins({.id = this->options.id,
                  .hooks = this->options.hooks,
                  .catalog = this->catalog,
@@ -86,7 +90,7 @@
             .streams = this->streams,
             .calls = this->calls,
             .timers = this->timers,
-            .crashes = this->crashes,
+            .quarantine = this->quarantine,
             .origins = this->origins,
             .random = this->random,
             .processes = [this] { return this->peers ? *this->peers + 1 : 0; },
@@ -132,7 +136,8 @@
     job.attempt = this->NextAttempt();
     const Refusal unroutable = this->FindRoute(job);
     // The key includes the customer, which FindRoute fills in.
-    job.key = RequestKeyOf(job.request);
+    job.subjects = {.request = RequestKeyOf(job.request),
+                    .parts = PartKeysOf(job.request)};
     if (unroutable.code != ResultCode::kOk) {
       this->AnswerWithoutRelay(job, unroutable);
       return;
@@ -146,10 +151,13 @@
           job, {ResultCode::kDeadlineUnreachable, kRetryElsewhere});
       return;
     }
-    if (this->crashes.Quarantined(job.key, now)) {
-      this->AnswerWithoutRelay(job, {ResultCode::kQuarantined,
-                                     this->crashes.TimeLeft(job.key, now)});
-      return;
+    if (const Duration left = this->quarantine.TimeLeft(job.subjects);
+        left > Duration::zero()) {
+      job.is_probe = this->quarantine.TryProbe(job.subjects);
+      if (!job.is_probe) {
+        this->AnswerWithoutRelay(job, {ResultCode::kQuarantined, left});
+        return;
+      }
     }
     if (const Refusal refused = this->customers.Take(job, now);
         refused.code != ResultCode::kOk) {
@@ -279,16 +287,6 @@
     }
   }
 
-  void SetPeerCrash(const retry::CrashRecord& reported) {
-    if (this->crashes.Merge(reported, this->Now())) {
-      this->options.hooks.log(
-          log::Level::kWarning, "request_quarantined",
-          {.fields = {{"request_key", HexText(reported.request.value)},
-                      {"left_ms", this->crashes.TimeLeft(reported.request,
-                                                         this->Now())}}});
-    }
-  }
-
   void OnPeerHeartbeat(const std::string& peer,
                        Incarnation incarnation,
                        const std::vector<quota::QuotaUse>& reported) {
@@ -306,6 +304,7 @@
 
   void SetPeers(std::optional<std::size_t> count, bool first) {
     this->peers = count;
+    this->quarantine.SetProbes(first);
     this->roles.SetFirst(first);
   }
 
@@ -334,7 +333,7 @@
   EndpointHealth health;
   LoadTable load_table;
   TimerQueue timers;
-  retry::CrashLedger crashes;
+  Quarantine quarantine;
   StreamOrigins origins;
   EndpointLimits limits;
   EndpointSender sender;
@@ -447,7 +446,7 @@
         .fields = {{"status", answer.status},
                    {"host", job.request.host},
                    {"path", job.request.message.Path()},
-                   {"request_key", HexText(job.key.value)},
+                   {"request_key", HexText(job.subjects.request.value)},
                    {"configuration",
                     this->routes ? this->routes->configuration().version : 0}}};
     std::move(refusal.cause.begin(), refusal.cause.end(),
@@ -526,7 +525,7 @@
     const Instant now = this->Now();
     this->load_table.Sweep(now);
     this->health.Sweep(now);
-    this->crashes.Sweep(now);
+    this->quarantine.Sweep();
     this->customers.ledger().Sweep(now);
     this->limits.Sweep(now);
     this->origins.Sweep();
@@ -660,16 +659,15 @@
 std::vector<retry::CrashRecord> GatewayCore::CollectCrashReports(
     std::size_t max_count,
     std::size_t round) const {
-  return this->implementation->crashes.CollectReports(
-      max_count, round, this->implementation->Now());
+  return this->implementation->quarantine.CollectReports(max_count, round);
 }
 
 void GatewayCore::ResendCrashReports() {
-  this->implementation->crashes.ResendReports(this->implementation->Now());
+  this->implementation->quarantine.ResendReports();
 }
 
 void GatewayCore::SetPeerCrash(const retry::CrashRecord& reported) {
-  this->implementation->SetPeerCrash(reported);
+  this->implementation->quarantine.Merge(reported);
 }
 
 std::vector<quota::QuotaUse> GatewayCore::CollectQuotaReports(
@@ -766,12 +764,15 @@
 }
 
 std::vector<retry::CrashRecord> GatewayCore::QuarantinedRequests() const {
-  return this->implementation->crashes.QuarantinedRecords(
-      this->implementation->Now());
+  return this->implementation->quarantine.Records();
 }
 
 std::size_t GatewayCore::requests_quarantined() const {
-  return this->implementation->crashes.quarantined(this->implementation->Now());
+  return this->implementation->quarantine.requests();
+}
+
+std::size_t GatewayCore::parts_quarantined() const {
+  return this->implementation->quarantine.parts();
 }
 
 }  // namespace acacialug::gateway
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -48,6 +48,7 @@
     StreamPlacement::Options placement;
     AdmissionQueue::Options admission;
     retry::CrashLedger::Options crashes;
+    retry::CrashLedger::Options part_crashes = retry::PartCrashOptions();
     quota::Tolerance quotas;
     GatewayHooks hooks;
     EndpointDialect dialect;
@@ -98,9 +99,10 @@
   void SetPeerForecast(const std::string& peer,
                        const forecast::ForecastReport& reported);
 
-  // Requests that were running when their endpoints ended: the reports that the
-  // peers should receive (CrashLedger::CollectReports), a report of a peer, and
-  // a renewed sending of the reports because a peer has received none yet.
+  // Requests, and parts of prompts, that were at endpoints when these ended:
+  // the reports that the peers should receive (CrashLedger::CollectReports), a
+  // report of a peer, and a renewed sending of the reports because a peer has
+  // received none yet.
   std::vector<retry::CrashRecord> CollectCrashReports(std::size_t max_count,
                                                       std::size_t round) const;
   void SetPeerCrash(const retry::CrashRecord& reported);
@@ -152,6 +154,7 @@
   std::size_t requests_under_way() const;
   std::size_t requests_waiting() const;
   std::size_t requests_quarantined() const;
+  std::size_t parts_quarantined() const;
   std::vector<retry::CrashRecord> QuarantinedRequests() const;
   std::size_t endpoints_limited() const;
   std::size_t stream_origins() const;
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -98,6 +98,8 @@
   switch (this->nature) {
     case AnswerNature::kSuccess:
       this->context.health.NoteSuccess(id, this->Now());
+      this->context.quarantine.NoteBegun(this->work.subjects,
+                                         this->work.service);
       if (!this->context.timers.StalledBetween(this->sent_at, this->Now())) {
         this->work.state->forecast.NoteCall(this->Now() - this->sent_at);
       }
@@ -139,8 +141,9 @@
   this->Log(log::Level::kWarning, "attempt_lost", this->endpoint.id,
             {{"sent", sent},
              {"after_ms", this->Now() - this->sent_at},
-             {"request_key", HexText(this->work.key.value)},
+             {"request_key", HexText(this->work.subjects.request.value)},
              {"prompt_parts", this->PartsText()},
+             {"part_keys", this->PartKeysText()},
              {"detail", error.detail}},
             error.result_code());
   if (!sent) {
@@ -163,7 +166,7 @@
   this->context.hooks.drop_idle(this->endpoint.address);
   this->Log(log::Level::kWarning, "attempt_silent", this->endpoint.id,
             {{"after_ms", this->Now() - this->sent_at},
-             {"request_key", HexText(this->work.key.value)}},
+             {"request_key", HexText(this->work.subjects.request.value)}},
             ResultCode::kEndpointLost);
   this->StopExchange();
   this->EndAttempt();
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -7,20 +7,8 @@
 
 #include "framework/global/hex_text.h"
 #include "gateway/internal/refusal.h"
-#include "placement/types/hashing.h"
 
 namespace acacialug::gateway {
-namespace {
-
-// Identifies one start of an endpoint; the same at every process.
-std::uint64_t StartKeyOf(const EndpointRecord& endpoint) {
-  return placement::RendezvousWeight(
-      LoadTable::KeyOf(endpoint.id),
-      static_cast<std::uint64_t>(endpoint.started_at_ms));
-}
-
-}  // namespace
-
 Relay::Relay(RelayContext& relay_context, RelayJob relay_job)
     : context(relay_context),
       work(std::move(relay_job)),
@@ -98,7 +86,8 @@
 void Relay::NoteOrigin(const EndpointRecord& endpoint) {
   if (IsStream(this->work.route->kind) && !this->work.request.id.empty()) {
     this->context.origins.OnPlaced(
-        origin::StreamKeyOf(this->work.key.value, this->work.request.id),
+        origin::StreamKeyOf(this->work.subjects.request.value,
+                            this->work.request.id),
         this->work.attempt, this->outcome.sends, endpoint);
   }
 }
@@ -121,7 +110,8 @@
 
 void Relay::NoteLost(const EndpointRecord& endpoint,
                      bool sent,
-                     AnswerNature nature) {
+                     AnswerNature nature,
+                     bool answering) {
   if (!sent) {
     this->arrivals.NoteNotArrived();
   }
@@ -134,27 +124,19 @@
     return;
   }
   ++this->outcome.losses;
-  if (this->context.crashes.NoteEnd(
-          this->work.key,
-          {.endpoint = StartKeyOf(endpoint), .attempt = this->work.attempt},
-          this->Now())) {
-    this->Log(log::Level::kWarning, "request_quarantined", endpoint.id,
-              {{"request_key", HexText(this->work.key.value)},
-               {"left_ms",
-                this->context.crashes.TimeLeft(this->work.key, this->Now())}});
-    this->StoreQuarantine();
-  }
+  this->work.is_probe = false;
+  this->context.quarantine.NoteEnd(this->work.subjects, endpoint,
+                                   this->work.attempt, answering);
 }
 
-void Relay::StoreQuarantine() const {
-  if (this->context.hooks.on_quarantine) {
-    this->context.hooks.on_quarantine(
-        this->context.crashes.RecordOf(this->work.key, this->Now()));
-  }
+Duration Relay::QuarantineLeft() const {
+  return this->work.is_probe
+             ? Duration::zero()
+             : this->context.quarantine.TimeLeft(this->work.subjects);
 }
 
 bool Relay::Quarantined() const {
-  return this->context.crashes.Quarantined(this->work.key, this->Now());
+  return this->QuarantineLeft() > Duration::zero();
 }
 
 bool Relay::CoverRepeats(std::uint32_t uncovered) {
@@ -259,9 +241,8 @@
   this->outcome.whole = this->Age();
   this->outcome.repeats = this->arrivals.repeats();
   this->outcome.uncovered_repeats = this->arrivals.uncovered();
-  if (end == RelayEnd::kServed &&
-      this->context.crashes.NoteAnswer(this->work.key, this->Now())) {
-    this->StoreQuarantine();
+  if (end == RelayEnd::kServed) {
+    this->context.quarantine.NoteServed(this->work.subjects);
   }
   this->Release();
   const bool good = end == RelayEnd::kServed || end == RelayEnd::kCallerGone;
@@ -271,7 +252,7 @@
              {"status", status},
              {"route", this->work.route->name},
              {"kind", NameOf(kWorkKindNames, this->work.route->kind)},
-             {"request_key", HexText(this->work.key.value)},
+             {"request_key", HexText(this->work.subjects.request.value)},
              {"customer", this->work.request.customer.text},
              {"quota_taken", this->work.quota_taken},
              {"configuration", this->work.routes->configuration().version},
@@ -308,6 +289,14 @@
   return boost::algorithm::join(this->work.request.prompt_parts, " ");
 }
 
+std::string Relay::PartKeysText() const {
+  std::vector<std::string> keys;
+  for (const retry::RequestKey part : this->work.subjects.parts) {
+    keys.push_back(HexText(part.value));
+  }
+  return boost::algorithm::join(keys, " ");
+}
+
 void Relay::Log(log::Level level,
                 std::string_view event,
                 const EndpointId& endpoint,
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -77,14 +77,18 @@
               const WorkOrder& order,
               http::ExchangeHooks hooks);
   // The exchange with this endpoint failed. `sent`: part of the request may
-  // have arrived; `nature`: of the received head, if any.
-  void NoteLost(const EndpointRecord& endpoint, bool sent, AnswerNature nature);
+  // have arrived; `nature`: of the received head, if any; `answering`: an
+  // answer had begun.
+  void NoteLost(const EndpointRecord& endpoint,
+                bool sent,
+                AnswerNature nature,
+                bool answering = false);
   // Whether the request must not be sent to any endpoint, because endpoints
-  // ended while they ran it, here or at peers. Must be checked before each
-  // send, since peers report at any time.
+  // ended under it or under a part of its prompt, here or at peers. Must be
+  // checked before each send, since peers report at any time.
   bool Quarantined() const;
-  // Stores that the quarantine of the request began or ended.
-  void StoreQuarantine() const;
+  // Zero: the request is not quarantined.
+  Duration QuarantineLeft() const;
   // Takes as many repeats of this request from the budget of its service as
   // are not covered yet (ArrivalCount). Returns false, and takes none, if the
   // budget doesn't allow all of them. Must precede each send that may be a
@@ -109,8 +113,9 @@
   // The headers of an endpoint's answer that are forwarded to the caller.
   http::Headers CallerHeaders(const http::Headers& headers) const;
 
-  // The parts of the prompt that others may share, for the log.
+  // The parts of the prompt that others may share, and their keys, for the log.
   std::string PartsText() const;
+  std::string PartKeysText() const;
   // Writes a log entry about this request.
   void Log(log::Level level,
            std::string_view event,
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -15,6 +15,7 @@
 #include "gateway/endpoint_health.h"
 #include "gateway/endpoint_limits.h"
 #include "gateway/internal/endpoint_sender.h"
+#include "gateway/internal/quarantine.h"
 #include "gateway/internal/stream_origins.h"
 #include "gateway/internal/timer_queue.h"
 #include "gateway/load_table.h"
@@ -23,7 +24,6 @@
 #include "gateway/stream_placement.h"
 #include "gateway/types/endpoint_dialect.h"
 #include "gateway/types/gateway_hooks.h"
-#include "retry/crash_ledger.h"
 
 namespace acacialug::gateway {
 
@@ -48,7 +48,7 @@
   const StreamPlacement& streams;
   const CallPlacement& calls;
   TimerQueue& timers;
-  retry::CrashLedger& crashes;
+  Quarantine& quarantine;
   StreamOrigins& origins;
   RandomSource& random;
   // The number of processes that share the repeat budget, including this
@@ -83,7 +83,8 @@
 struct RelayJob {
   WorkRequest request;
   http::ResponderPtr responder;
-  retry::RequestKey key;
+  CrashSubjects subjects;
+  bool is_probe = false;      // sent although it is in quarantine
   std::uint32_t attempt = 0;  // unique among the attempts at all processes
   // Keeps the configuration that the request arrived under.
   std::shared_ptr<const RouteTable> routes;
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -329,7 +329,7 @@
   this->Log(log::Level::kWarning, "prefill_failed",
             this->placement->prefill->id,
             {{"why", why},
-             {"request_key", HexText(this->work.key.value)},
+             {"request_key", HexText(this->work.subjects.request.value)},
              {"after_ms", this->Now() - this->step_at},
              {"expected_ms", this->placement->prefill_time}});
   this->tried.push_back(this->placement->prefill->id);
@@ -454,7 +454,7 @@
 Duration StreamRelay::RetryDelay(ResultCode code) {
   switch (code) {
     case ResultCode::kQuarantined:
-      return this->context.crashes.TimeLeft(this->work.key, this->Now());
+      return this->QuarantineLeft();
     case ResultCode::kVersionGone:
       return Duration::zero();
     default:
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -34,6 +34,9 @@
            this->version.has_value();
   }
 
+  // Ends the relay if its request is quarantined, and returns whether it did.
+  bool EndIfQuarantined();
+
   // Ends a generation whose wait for another placement has reached its maximum.
   void GiveUpWaiting() { this->GiveUp(ResultCode::kNoDecodeMemory); }
 
@@ -116,8 +119,6 @@
   void MigrateTo(const StreamPlacement::Placement& granted,
                  const std::string& name);
 
-  // Ends the relay if its request is quarantined, and returns whether it did.
-  bool EndIfQuarantined();
   // Ends the relay if the repeat budget does not allow its next step, and
   // returns whether it did.
   bool EndIfUncovered(std::uint32_t uncovered);
@@ -163,6 +164,7 @@
   // The decode endpoint computed a prompt at that time.
   bool prefill_at_last_event = false;
   std::uint32_t attempt_events = 0;  // of the attempt under way
+  bool answering = false;  // the attempt brought an event with content
   std::uint32_t runs = 0;  // attempts without a proof that they did not run
 };
 
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -37,6 +37,7 @@
   this->splitter.Clear();
   this->step_at = this->Now();
   this->attempt_events = 0;
+  this->answering = false;
   this->attempt_reserved = !this->reservation.empty();
   WorkOrder order{.step = step,
                   .time_left = this->TimeLeft(),
@@ -180,6 +181,9 @@
   if (event.id) {
     this->last_event = event.id;
   }
+  if (!event.only_comments && !std::exchange(this->answering, true)) {
+    this->context.quarantine.NoteBegun(this->work.subjects, this->work.service);
+  }
   this->received_event = this->received_event || !event.only_comments;
   this->unnumbered = this->unnumbered || (!event.id && !event.only_comments);
   this->NoteVersion();
@@ -325,13 +329,14 @@
   this->ForgetExchange();
   this->decode_open = false;
   this->outcome.partial_event_bytes = this->splitter.rest().size();
-  this->NoteLost(this->placement->decode, sent, this->nature);
+  this->NoteLost(this->placement->decode, sent, this->nature, this->answering);
   this->Log(log::Level::kWarning, "attempt_lost", this->placement->decode.id,
             {{"sent", sent},
              {"after_ms", this->Now() - this->step_at},
              {"events", this->outcome.events},
-             {"request_key", HexText(this->work.key.value)},
+             {"request_key", HexText(this->work.subjects.request.value)},
              {"prompt_parts", this->PartsText()},
+             {"part_keys", this->PartKeysText()},
              {"detail", error.detail}},
             error.result_code());
   if (!sent || this->nature == AnswerNature::kNotRun) {
@@ -356,7 +361,7 @@
             {{"after_ms", this->Now() - this->step_at},
              {"events", this->outcome.events},
              {"goes_elsewhere", possible},
-             {"request_key", HexText(this->work.key.value)},
+             {"request_key", HexText(this->work.subjects.request.value)},
              {"repeats", this->work.state->budget.repeats()}},
             ResultCode::kEndpointLost);
   this->received_since_timeout = false;
--- a/src/gateway/internal/takeup_resolver.cc
+++ b/src/gateway/internal/takeup_resolver.cc
@@ -21,7 +21,8 @@
   }
   std::optional<origin::StreamKey> stream;
   if (!job.request.resumed_attempt.empty()) {
-    stream = origin::StreamKeyOf(job.key.value, job.request.resumed_attempt);
+    stream = origin::StreamKeyOf(job.subjects.request.value,
+                                 job.request.resumed_attempt);
   }
   this->options.origins.Resolve(stream, job.service,
                                 [this, relay, place = std::move(place)](
--- a/src/gateway/internal/waiting_streams.cc
+++ b/src/gateway/internal/waiting_streams.cc
@@ -105,6 +105,22 @@
   }
 }
 
+void WaitingStreams::OnQuarantineBegun() {
+  if (this->quarantine_timer == 0 && !this->waiting.empty()) {
+    this->quarantine_timer = this->context.timers.Set(this->Now(), [this] {
+      this->quarantine_timer = 0;
+      this->EndQuarantined();
+    });
+  }
+}
+
+void WaitingStreams::EndQuarantined() {
+  // A copy: a relay that ends is removed.
+  for (const auto& [ticket, relay] : std::unordered_map(this->waiting)) {
+    relay->EndIfQuarantined();
+  }
+}
+
 void WaitingStreams::PlaceSoon() {
   if (this->soon_timer == 0) {
     this->soon_timer = this->context.timers.Set(this->Now(), [this] {
--- a/src/gateway/internal/waiting_streams.h
+++ b/src/gateway/internal/waiting_streams.h
@@ -37,6 +37,10 @@
   // Capacity may be free at any service.
   void PlaceAll();
 
+  // A request or a part of prompts was quarantined. Ends the generations that
+  // wait with it soon, but not from within this call.
+  void OnQuarantineBegun();
+
   std::size_t size() const { return this->waiting.size(); }
 
  private:
@@ -49,6 +53,7 @@
   void PlaceWaiting();
   void PlaceAt(AdmissionQueue& queue);
   void SchedulePoll();
+  void EndQuarantined();
 
   RelayContext& context;
   std::unordered_map<TicketId, std::shared_ptr<StreamRelay>> waiting;
@@ -56,6 +61,7 @@
   std::set<AdmissionQueue*> freed_queues;  // of services that may have capacity
   TimerId poll_timer = 0;
   TimerId soon_timer = 0;
+  TimerId quarantine_timer = 0;
   TicketId last_ticket = 0;
   bool placing = false;
 };
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -145,6 +145,12 @@
           [this](const std::function<void(std::optional<TermGrant>)>& on_done) {
             on_done(this->term_grant);
           },
+      .on_quarantine =
+          [this](const retry::CrashRecord& record) {
+            if (this->on_quarantine) {
+              this->on_quarantine(record);
+            }
+          },
       .send_origins =
           [this](const std::string& peer,
                  const origin::OriginMessage& message) {
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -145,6 +145,8 @@
   std::function<void(const std::string& peer, const origin::OriginMessage&)>
       on_origins;
   std::function<void(const origin::VersionRecord&)> on_versions;
+  // Receives what is to be stored of a quarantine. May be empty.
+  std::function<void(const retry::CrashRecord&)> on_quarantine;
   // Runs when an endpoint is sent a request. May be empty.
   std::function<void(const std::shared_ptr<Call>&)> on_call;
   std::unique_ptr<GatewayCore> core;
--- a/src/gateway/tests/part_fleet.cc
+++ b/src/gateway/tests/part_fleet.cc
@@ -64,12 +64,23 @@
   gateway->now = this->time.now;
   gateway->random = RandomSource(this->options.seed * 1000 + number);
   gateway->Configure();
+  gateway->core->SetPeers(this->all.size() - 1, number == 0);
   for (const auto& [id, role] : this->endpoints) {
     gateway->AddEndpoint(id, "model", role);
   }
   gateway->on_call = [this, number](const std::shared_ptr<Call>& call) {
     this->OnCall(number, call);
   };
+  gateway->on_quarantine = [this](const retry::CrashRecord& record) {
+    this->stored[record.request] = {record, this->time.now - record.age};
+  };
+  for (const auto& [key, kept] : this->stored) {
+    retry::CrashRecord record = kept.first;
+    record.age = this->time.now - kept.second;
+    if (!record.ends.empty()) {
+      gateway->core->SetPeerCrash(record);
+    }
+  }
   this->all[number] = {.gateway = std::move(gateway),
                        .started_at = this->time.now};
   for (const Process& other : this->all) {
@@ -99,11 +110,12 @@
 
 void PartFleet::SendHeartbeats(std::size_t number) {
   const auto& gateway = this->all[number].gateway;
-  if (gateway) {
+  if (gateway && number >= this->options.cut_off) {
     const auto reports =
         gateway->core->CollectCrashReports(kMaxReports, this->random.Below(64));
     for (std::size_t to = 0; to < this->all.size(); ++to) {
-      if (to == number || this->random.Unit() < this->options.loss_share) {
+      if (to == number || to < this->options.cut_off ||
+          this->random.Unit() < this->options.loss_share) {
         continue;
       }
       this->time.At(this->time.now + kOneWayDelay, [this, to, reports] {
@@ -213,6 +225,7 @@
   }
   const Request& request = this->RequestOf(call);
   const bool in_touch =
+      number >= this->options.cut_off &&
       this->time.now - this->all[number].started_at >= kReportBound;
   if (request.deadly && in_touch) {
     this->sends_at[request.deadly_part].insert_or_assign(HeaderOf(call, "Id"),
@@ -327,6 +340,14 @@
   return most;
 }
 
+std::size_t PartFleet::wrongly_refused() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->requests.begin(), this->requests.end(), [](const auto& row) {
+        return !row.second.deadly &&
+               row.second.answer->body.find("quarantined") != std::string::npos;
+      }));
+}
+
 double PartFleet::BegunShare(Instant from, Instant to) const {
   double asked = 0;
   double begun = 0;
--- a/src/gateway/tests/part_fleet.h
+++ b/src/gateway/tests/part_fleet.h
@@ -40,6 +40,8 @@
   // Gateways that are all killed at this time, and start half a second later.
   std::optional<Duration> kill_all_at;
   double loss_share = 0;  // of heartbeats
+  // Gateways that are cut off from the others and from the store.
+  std::size_t cut_off = 0;
   std::uint64_t seed = 1;
 };
 
@@ -55,6 +57,8 @@
   // later than the users' bound after the fifth end under it.
   std::size_t late_sends() const;
   std::size_t ends() const { return this->crashes; }
+  // Sound requests that were refused as quarantined.
+  std::size_t wrongly_refused() const;
   // Of the sound requests, those that share the first part of the deadly ones,
   // how many began an answer before the first end, and from twice the users'
   // bound after the fifth (or last) end.
@@ -104,6 +108,8 @@
   std::map<std::string, EndpointRole> endpoints;
   std::map<std::string, std::vector<OpenCall>> open_calls;  // by endpoint
   std::map<std::string, Request> requests;
+  // Of quarantines, with the time of the last end.
+  std::map<retry::RequestKey, std::pair<retry::CrashRecord, Instant>> stored;
   std::map<std::string, std::vector<Instant>> ends_at;  // by deadly part
   // When an endpoint last received each request, by deadly part and request.
   std::map<std::string, std::map<std::string, Instant>> sends_at;
--- a/src/gateway/tests/quarantine_test.cc
+++ b/src/gateway/tests/quarantine_test.cc
@@ -415,6 +415,8 @@
         simulation.BeginWith({"caller", "sound"});
         simulation.BeginWith({"caller", "other"});
       }
+      // The users' bound.
+      simulation.AdvanceBy(3s);
       const auto refused = simulation.Ask({"caller", "deadly"});
       CPPUNIT_ASSERT_EQUAL(503, refused->status);
       CPPUNIT_ASSERT(!refused->retry_after.empty());
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -167,6 +167,7 @@
             .placement = settings.placement,
             .admission = settings.admission,
             .crashes = settings.crashes,
+            .part_crashes = settings.part_crashes,
             .quotas = settings.quotas,
             .hooks = this->CoreHooks(),
             .dialect = this->options.dialect};
@@ -376,6 +377,8 @@
         .Set(static_cast<double>(this->core.stream_origins()));
     this->registry.Get(kGatewayQuarantined)
         .Set(static_cast<double>(this->core.requests_quarantined()));
+    this->registry.Get(kGatewayPartsQuarantined)
+        .Set(static_cast<double>(this->core.parts_quarantined()));
     return {.status = kOk,
             .headers = {{"Content-Type",
                          std::string(metrics::kPrometheusContentType)}},
--- a/src/gateway_process/internal/heartbeat_rows.cc
+++ b/src/gateway_process/internal/heartbeat_rows.cc
@@ -24,21 +24,29 @@
 }  // namespace
 
 protocol::PeerHeartbeat::Crash CrashRow(const retry::CrashRecord& record) {
-  protocol::PeerHeartbeat::Crash crash{.request_key = record.request.value,
-                                       .age_ms = MillisecondsOf(record.age)};
+  protocol::PeerHeartbeat::Crash crash{
+      .request_key = record.request.value,
+      .age_ms = MillisecondsOf(record.age),
+      .subject = static_cast<std::uint8_t>(record.subject),
+      .confirmed = record.confirmed};
   for (const retry::CrashEnd& end : record.ends) {
-    crash.ends.push_back(
-        {.endpoint_key = end.endpoint, .attempt_key = end.attempt});
+    crash.ends.push_back({.endpoint_key = end.endpoint,
+                          .attempt_key = end.attempt,
+                          .age_ms = MillisecondsOf(end.age)});
   }
   return crash;
 }
 
 retry::CrashRecord CrashFromRow(const protocol::PeerHeartbeat::Crash& report) {
-  retry::CrashRecord record{.request = retry::RequestKey(report.request_key),
-                            .age = std::chrono::milliseconds(report.age_ms)};
+  retry::CrashRecord record{
+      .request = retry::RequestKey(report.request_key),
+      .age = std::chrono::milliseconds(report.age_ms),
+      .subject = static_cast<retry::CrashSubject>(report.subject),
+      .confirmed = report.confirmed};
   for (const protocol::PeerHeartbeat::Crash::End& end : report.ends) {
-    record.ends.push_back(
-        {.endpoint = end.endpoint_key, .attempt = end.attempt_key});
+    record.ends.push_back({.endpoint = end.endpoint_key,
+                           .attempt = end.attempt_key,
+                           .age = std::chrono::milliseconds(end.age_ms)});
   }
   return record;
 }
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -7,6 +7,7 @@
 
 // More than any fleet needs; a mistyped exponent is reported.
 constexpr double kMaxRepeats = 1e9;
+constexpr std::int64_t kMaxPartAnswers = 1000;
 constexpr double kMostSpare = 1e12;
 
 settings::ParsedRule<http::Address> AddressRule() {
@@ -84,13 +85,21 @@
 
 // Allows no more endpoints than a heartbeat reports for one request.
 void ReadQuarantine(const settings::Table& table,
-                    retry::CrashLedger::Options& into) {
+                    retry::CrashLedger::Options& into,
+                    retry::CrashLedger::Options& parts) {
   into.limit = static_cast<std::size_t>(table.Integer(
       "endpoints", {.fallback = static_cast<std::int64_t>(into.limit),
                     .minimum = 2,
                     .maximum = protocol::kMaxCrashEnds}));
   into.quarantine = table.Duration(
       "time", {.fallback = into.quarantine, .minimum = 0ms, .maximum = 1h});
+  parts.limit = into.limit;
+  parts.quarantine = into.quarantine;
+  parts.other_answers = static_cast<std::size_t>(
+      table.Integer("part_answers",
+                    {.fallback = static_cast<std::int64_t>(parts.other_answers),
+                     .minimum = 1,
+                     .maximum = kMaxPartAnswers}));
 }
 
 void ReadQuotas(const settings::Table& table, quota::Tolerance& into) {
@@ -108,7 +117,8 @@
   ReadRepeats(root.Child("repeats"), settings);
   ReadPlacement(root.Child("placement"), settings.placement);
   ReadAdmission(root.Child("admission"), settings.admission);
-  ReadQuarantine(root.Child("quarantine"), settings.crashes);
+  ReadQuarantine(root.Child("quarantine"), settings.crashes,
+                 settings.part_crashes);
   ReadQuotas(root.Child("quotas"), settings.quotas);
   settings.log_level = root.Child("log").Choice<log::Level>(
       "level", log::kLevelNames, settings.log_level);
--- a/src/gateway_process/metric_definitions.h
+++ b/src/gateway_process/metric_definitions.h
@@ -68,6 +68,11 @@
 inline constexpr metrics::GaugeDefinition kGatewayQuarantined = {
     .name = "acacialug_gateway_requests_quarantined",
     .help = "Requests that are refused since endpoints ended under them"};
+inline constexpr metrics::GaugeDefinition kGatewayPartsQuarantined = {
+    .name = "acacialug_gateway_parts_quarantined",
+    .help =
+        "Parts of prompts that are refused since endpoints ended under "
+        "requests with them"};
 inline constexpr metrics::GaugeDefinition kGatewayLimited = {
     .name = "acacialug_gateway_endpoints_limited",
     .help = "Endpoints that name a limit in their answers"};
--- a/src/gateway_process/types/gateway_settings.h
+++ b/src/gateway_process/types/gateway_settings.h
@@ -36,6 +36,7 @@
   gateway::StreamPlacement::Options placement;
   gateway::AdmissionQueue::Options admission;
   retry::CrashLedger::Options crashes;
+  retry::CrashLedger::Options part_crashes = retry::PartCrashOptions();
   quota::Tolerance quotas;
 };
 
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -97,7 +97,8 @@
          heartbeat.crashes.size() <= kMaxPeerHeartbeatCrashes &&
          std::all_of(heartbeat.crashes.begin(), heartbeat.crashes.end(),
                      [](const PeerHeartbeat::Crash& crash) {
-                       return crash.ends.size() <= kMaxCrashEnds;
+                       return crash.ends.size() <= kMaxCrashEnds &&
+                              crash.subject <= kMaxCrashSubject;
                      }) &&
          heartbeat.pauses.size() <= kMaxPeerHeartbeatPauses &&
          heartbeat.forecasts.size() <= kMaxPeerHeartbeatForecasts &&
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -65,26 +65,30 @@
     }
   };
 
-  // A request during which endpoints ended. Without ends, the request was
-  // answered, and earlier reports on it do not count.
+  // A request during which endpoints ended, or a part of prompts. Without ends,
+  // it was answered, and earlier reports on it do not count.
   struct Crash {
     struct End {
       std::uint64_t endpoint_key = 0;  // hash of the endpoint's start
       std::uint32_t attempt_key = 0;   // of the attempt that ran there
+      std::uint32_t age_ms = 0;
 
       template <class Archive>
       void serialize(Archive& archive) {
-        archive(this->endpoint_key, this->attempt_key);
+        archive(this->endpoint_key, this->attempt_key, this->age_ms);
       }
     };
 
     std::uint64_t request_key = 0;
     std::vector<End> ends;
     std::uint32_t age_ms = 0;  // since the last end, or since the answer
+    std::uint8_t subject = 0;  // as retry::CrashSubject
+    bool confirmed = false;
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(this->request_key, this->ends, this->age_ms);
+      archive(this->request_key, this->ends, this->age_ms, this->subject,
+              this->confirmed);
     }
   };
 
@@ -168,8 +172,9 @@
 inline constexpr std::size_t kMaxPeerHeartbeatFigures = 8;
 inline constexpr std::size_t kMaxPeerHeartbeatCrashes = 4;
 inline constexpr std::size_t kMaxCrashEnds = 3;
+inline constexpr std::uint8_t kMaxCrashSubject = 2;
 // The number of rows whose bytes one crash takes.
-inline constexpr std::size_t kRowsPerCrash = 2;
+inline constexpr std::size_t kRowsPerCrash = 3;
 // Each takes the bytes of one row.
 inline constexpr std::size_t kMaxPeerHeartbeatQuotas = 8;
 inline constexpr std::size_t kMaxPeerHeartbeatLimits = 4;
--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -6,6 +6,10 @@
 namespace acacialug::retry {
 namespace {
 
+// Ends that are apart in time, as answers to others between them show. A single
+// group may be many endpoints that end at once for another reason.
+constexpr std::size_t kAnsweredGroups = 2;
+
 bool AllFromOneAttempt(const std::vector<CrashEnd>& ends) {
   return std::all_of(ends.begin(), ends.end(), [&ends](const CrashEnd& end) {
     return end.attempt == ends.front().attempt;
@@ -32,13 +36,21 @@
 
 bool CrashLedger::NoteEnd(RequestKey request,
                           const CrashEnd& end,
-                          Instant now) {
+                          Instant now,
+                          const CrashSite& site) {
   if (this->AnsweredRecently(request, now)) {
     return false;
   }
+  const bool known = this->entries.contains(request);
   Entry& entry = this->FindOrCreate(request);
   const bool was_quarantined = this->InQuarantine(entry, now);
-  this->AddEnd(end, entry.ends);
+  // A part that begins only some of the prompts is not a first part.
+  if (!known || entry.subject == CrashSubject::kFirstPart) {
+    entry.subject = site.subject;
+  }
+  entry.service = site.service;
+  entry.probed = entry.probed || entry.probe_until != Instant{};
+  this->AddEnd(end, now, entry);
   entry.last = now;
   this->ScheduleReport(request, entry, now);
   return !was_quarantined && this->InQuarantine(entry, now);
@@ -52,37 +64,104 @@
   }
   Entry& entry = found->second;
   const bool was_quarantined = this->InQuarantine(entry, now);
-  entry.ends.clear();
-  entry.last = now;
+  Clear(entry, now);
   this->ScheduleReport(request, entry, now);
   return was_quarantined;
 }
 
+void CrashLedger::Clear(Entry& entry, Instant answered_at) {
+  entry = {.last = answered_at,
+           .report_until = entry.report_until,
+           .subject = entry.subject};
+}
+
+void CrashLedger::NoteOtherAnswer(std::uint64_t service,
+                                  const std::vector<RequestKey>& answered,
+                                  Instant now) {
+  for (auto& [request, entry] : this->entries) {
+    if (entry.ends.empty() || entry.service != service ||
+        std::find(answered.begin(), answered.end(), request) !=
+            answered.end()) {
+      continue;
+    }
+    ++entry.other_answers;
+    entry.answered_groups += std::exchange(entry.unanswered_end, false) ? 1 : 0;
+    if (entry.evidence_at == Instant{} && this->HasEvidence(entry)) {
+      entry.evidence_at = now;
+    }
+  }
+}
+
+bool CrashLedger::HasEvidence(const Entry& entry) const {
+  return entry.ends.size() >= this->options.limit &&
+         entry.answered_groups >= kAnsweredGroups &&
+         entry.other_answers >= this->options.other_answers;
+}
+
 bool CrashLedger::Merge(const CrashRecord& report, Instant now) {
-  const Instant at = now - std::min(report.age, this->options.retention);
-  if (report.age >= this->options.retention ||
-      this->AnsweredRecently(report.request, now)) {
+  const Duration age = std::min(report.age, this->options.retention);
+  if (age >= this->options.retention) {
     return false;
   }
+  const bool answered = this->AnsweredRecently(report.request, now);
   if (report.ends.empty()) {
-    this->MergeAnswer(report.request, at);
+    if (!answered) {
+      this->MergeAnswer(report.request, now - age);
+    }
     return false;
   }
+  std::vector<std::pair<CrashEnd, Instant>> unanswered;
+  for (const CrashEnd& end : report.ends) {
+    const Instant ended_at = now - std::max(age, end.age);
+    if (!this->AnsweredSince(report.request, ended_at)) {
+      unanswered.emplace_back(end, ended_at);
+    }
+  }
+  if (unanswered.empty()) {
+    this->ReportAnswer(report, now);
+  }
+  return !unanswered.empty() && !answered &&
+         this->MergeEnds(report, unanswered, now);
+}
+
+bool CrashLedger::MergeEnds(
+    const CrashRecord& report,
+    const std::vector<std::pair<CrashEnd, Instant>>& ends,
+    Instant now) {
+  const bool known = this->entries.contains(report.request);
   Entry& entry = this->FindOrCreate(report.request);
   const bool was_quarantined = this->InQuarantine(entry, now);
-  const std::vector<CrashEnd> before = entry.ends;
-  for (const CrashEnd& end : report.ends) {
-    this->AddEnd(end, entry.ends);
+  if (!known || entry.subject == CrashSubject::kFirstPart) {
+    entry.subject = report.subject;
+  }
+  bool changed = false;
+  for (const auto& [end, ended_at] : ends) {
+    changed = this->AddEnd(end, ended_at, entry) || changed;
+    entry.last = std::max(entry.last, ended_at);
+  }
+  if (report.confirmed && ends.size() == report.ends.size() &&
+      !entry.confirmed) {
+    entry.confirmed = changed = true;
   }
-  entry.last = std::max(entry.last, at);
   // Forwards the change to processes that don't receive that peer's reports. A
   // single end is reported only by the process that observed the end.
-  if (entry.ends.size() > 1 && entry.ends != before) {
+  if (entry.ends.size() > 1 && changed) {
     this->ScheduleReport(report.request, entry, now);
   }
   return !was_quarantined && this->InQuarantine(entry, now);
 }
 
+void CrashLedger::ReportAnswer(const CrashRecord& report, Instant now) {
+  const Answer& answer =
+      this->answers[report.request.value % this->answers.size()];
+  Entry& entry = this->FindOrCreate(report.request);
+  if (entry.ends.empty()) {
+    entry.subject = report.subject;
+    entry.last = answer.at;
+    this->ScheduleReport(report.request, entry, now);
+  }
+}
+
 void CrashLedger::MergeAnswer(RequestKey request, Instant at) {
   const auto found = this->entries.find(request);
   if (found == this->entries.end()) {
@@ -90,22 +169,55 @@
   } else if (found->second.last <= at) {
     this->Erase(found);
     this->StoreAnswer(request, at);
+  } else if (this->options.answer_grace == Duration::zero()) {
+    this->StoreAnswer(request, at);
+    DropEndsUntil(at, found->second);
   }
 }
 
-void CrashLedger::AddEnd(const CrashEnd& end,
-                         std::vector<CrashEnd>& ends) const {
+void CrashLedger::DropEndsUntil(Instant answered_at, Entry& entry) {
+  std::vector<CrashEnd> ends;
+  std::vector<Instant> ends_at;
+  for (std::size_t number = 0; number < entry.ends.size(); ++number) {
+    if (entry.ends_at[number] > answered_at) {
+      ends.push_back(entry.ends[number]);
+      ends_at.push_back(entry.ends_at[number]);
+    }
+  }
+  if (ends.size() < entry.ends.size()) {
+    entry.ends = std::move(ends);
+    entry.ends_at = std::move(ends_at);
+    // Collected anew, since the first of the ends that are left.
+    entry.other_answers = 0;
+    entry.answered_groups = 0;
+    entry.unanswered_end = true;
+    entry.evidence_at = {};
+    entry.confirmed = false;
+  }
+}
+
+bool CrashLedger::AddEnd(const CrashEnd& end,
+                         Instant ended_at,
+                         Entry& entry) const {
+  std::vector<CrashEnd>& ends = entry.ends;
   const bool known = std::any_of(
       ends.begin(), ends.end(),
       [&end](const CrashEnd& other) { return other.endpoint == end.endpoint; });
   if (known) {
-    return;
+    return false;
   }
+  entry.unanswered_end = true;
   if (ends.size() < this->options.limit) {
     ends.push_back(end);
-  } else if (AllFromOneAttempt(ends)) {
-    ends.back() = end;
+    entry.ends_at.push_back(ended_at);
+    return true;
+  }
+  if (!AllFromOneAttempt(ends)) {
+    return false;
   }
+  ends.back() = end;
+  entry.ends_at.back() = ended_at;
+  return true;
 }
 
 bool CrashLedger::Quarantined(RequestKey request, Instant now) const {
@@ -121,13 +233,35 @@
   return found->second.last + this->options.quarantine - now;
 }
 
+bool CrashLedger::TryProbe(RequestKey request, Instant now) {
+  const auto found = this->entries.find(request);
+  if (found == this->entries.end()) {
+    return false;
+  }
+  Entry& entry = found->second;
+  if (entry.probed || now < entry.probe_until ||
+      now - entry.last < this->options.probe_after) {
+    return false;
+  }
+  entry.probe_until = now + this->options.probe_after;
+  return true;
+}
+
 CrashRecord CrashLedger::RecordOf(RequestKey request, Instant now) const {
   const auto found = this->entries.find(request);
-  return found == this->entries.end()
-             ? CrashRecord{.request = request}
-             : CrashRecord{.request = request,
-                           .ends = found->second.ends,
-                           .age = now - found->second.last};
+  if (found == this->entries.end()) {
+    return {.request = request};
+  }
+  const Entry& entry = found->second;
+  CrashRecord record{.request = request,
+                     .ends = entry.ends,
+                     .age = now - entry.last,
+                     .subject = entry.subject,
+                     .confirmed = entry.confirmed};
+  for (std::size_t number = 0; number < record.ends.size(); ++number) {
+    record.ends[number].age = now - entry.ends_at[number];
+  }
+  return record;
 }
 
 std::vector<CrashRecord> CrashLedger::CollectReports(std::size_t max_count,
@@ -160,7 +294,8 @@
   }
 }
 
-void CrashLedger::Sweep(Instant now) {
+std::vector<RequestKey> CrashLedger::Sweep(Instant now) {
+  std::vector<RequestKey> quarantined;
   for (auto next = this->entries.begin(); next != this->entries.end();) {
     const auto entry = next++;
     const bool report_finished = entry->second.report_until <= now;
@@ -173,8 +308,23 @@
             : now - entry->second.last >= this->options.retention;
     if (expired) {
       this->Erase(entry);
+    } else if (this->Confirm(entry->second, now)) {
+      this->ScheduleReport(entry->first, entry->second, now);
+      if (this->InQuarantine(entry->second, now)) {
+        quarantined.push_back(entry->first);
+      }
     }
   }
+  return quarantined;
+}
+
+bool CrashLedger::Confirm(Entry& entry, Instant now) const {
+  if (entry.confirmed || entry.evidence_at == Instant{} ||
+      now - entry.evidence_at < this->options.confirm_delay) {
+    return false;
+  }
+  entry.confirmed = true;
+  return true;
 }
 
 std::vector<CrashRecord> CrashLedger::QuarantinedRecords(Instant now) const {
@@ -197,7 +347,25 @@
 bool CrashLedger::InQuarantine(const Entry& entry, Instant now) const {
   return entry.ends.size() >= this->options.limit &&
          !AllFromOneAttempt(entry.ends) &&
-         now - entry.last < this->options.quarantine;
+         now - entry.last < this->options.quarantine &&
+         (this->options.other_answers == 0 ||
+          (entry.confirmed && !this->IsExplained(entry)));
+}
+
+bool CrashLedger::IsExplained(const Entry& entry) const {
+  return entry.subject == CrashSubject::kFirstPart &&
+         std::any_of(this->entries.begin(), this->entries.end(),
+                     [&entry](const auto& row) {
+                       const std::vector<CrashEnd>& others = row.second.ends;
+                       return row.second.subject == CrashSubject::kPart &&
+                              std::all_of(entry.ends.begin(), entry.ends.end(),
+                                          [&others](const CrashEnd& end) {
+                                            return std::find(others.begin(),
+                                                             others.end(),
+                                                             end) !=
+                                                   others.end();
+                                          });
+                     });
 }
 
 bool CrashLedger::AnsweredRecently(RequestKey request, Instant now) const {
@@ -206,6 +374,12 @@
          now - answer.at < this->options.answer_grace;
 }
 
+bool CrashLedger::AnsweredSince(RequestKey request, Instant since) const {
+  const Answer& answer = this->answers[request.value % this->answers.size()];
+  return answer.request == request && answer.at != Instant{} &&
+         answer.at >= since;
+}
+
 void CrashLedger::StoreAnswer(RequestKey request, Instant answered_at) {
   Answer& kept = this->answers[request.value % this->answers.size()];
   if (kept.at <= answered_at) {
