--- a/src/gateway/tests/quarantine_test.cc
+++ b/src/gateway/tests/quarantine_test.cc
@@ -9,6 +9,7 @@
 #include "framework/testing/story.h"
 #include "gateway/request_key.h"
 #include "gateway/tests/gateway_simulation.h"
+#include "placement/types/hashing.h"
 
 namespace acacialug::gateway {
 namespace {
@@ -396,6 +397,23 @@
     this->Ask(parts);
     this->Break(this->AdvanceToDecode());
   }
+  // Three endpoints end under the part "deadly", and the users' bound passes.
+  void Quarantine() {
+    for (int end = 0; end < 3; ++end) {
+      this->CrashWith({"caller", "deadly"});
+      this->BeginWith({"caller", "sound"});
+      this->BeginWith({"caller", "other"});
+    }
+    this->AdvanceBy(3s);
+  }
+  // A peer reports that a part is in quarantine.
+  void ReceiveConfirmed(const std::string& part) const {
+    this->core->SetPeerCrash(
+        {.request = retry::RequestKey(placement::HashText(part)),
+         .ends = {{1, 1}, {2, 2}, {3, 3}},
+         .subject = retry::CrashSubject::kPart,
+         .confirmed = true});
+  }
   // A request that begins an answer.
   void BeginWith(const std::vector<std::string>& parts) {
     this->Ask(parts);
@@ -408,21 +426,71 @@
 // Guards against requests that end endpoint after endpoint, no two alike.
 const acacialug::testing::Story kParts(
     "a part of prompts under which endpoints ended",
-    {It("is refused at once in a request that nobody sent before", [] {
-      PromptSimulation simulation;
-      for (int end = 0; end < 3; ++end) {
-        simulation.CrashWith({"caller", "deadly"});
-        simulation.BeginWith({"caller", "sound"});
-        simulation.BeginWith({"caller", "other"});
-      }
-      // The users' bound.
-      simulation.AdvanceBy(3s);
-      const auto refused = simulation.Ask({"caller", "deadly"});
-      CPPUNIT_ASSERT_EQUAL(503, refused->status);
-      CPPUNIT_ASSERT(!refused->retry_after.empty());
-      const auto sound = simulation.Ask({"caller", "sound"});
-      CPPUNIT_ASSERT(!sound->ended);
-    })});
+    {It("is refused at once in a request that nobody sent before",
+        [] {
+          PromptSimulation simulation;
+          simulation.Quarantine();
+          const auto refused = simulation.Ask({"caller", "deadly"});
+          CPPUNIT_ASSERT_EQUAL(503, refused->status);
+          CPPUNIT_ASSERT(!refused->retry_after.empty());
+          const auto sound = simulation.Ask({"caller", "sound"});
+          CPPUNIT_ASSERT(!sound->ended);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                               simulation.core->parts_quarantined());
+        }),
+     It("ends requests with it that wait",
+        [] {
+          PromptSimulation simulation;
+          for (int number = 0; number < kEndpoints; ++number) {
+            simulation.RemoveEndpoint("d" + std::to_string(number));
+          }
+          const auto waiting = simulation.Ask({"caller", "other deadly"});
+          CPPUNIT_ASSERT(!waiting->ended);
+          simulation.ReceiveConfirmed("other deadly");
+          simulation.AdvanceBy(5ms);
+          CPPUNIT_ASSERT_EQUAL(503, waiting->status);
+        }),
+     It("is tried once more by the first process only, and released by an "
+        "answer",
+        [] {
+          // Guards against a part that is refused for long by mistake.
+          PromptSimulation simulation;
+          simulation.Quarantine();
+          simulation.AdvanceBy(5s);
+          CPPUNIT_ASSERT_EQUAL(503,
+                               simulation.Ask({"caller", "deadly"})->status);
+          simulation.core->SetPeers(0, true);
+          simulation.BeginWith({"caller", "deadly"});
+          CPPUNIT_ASSERT(!simulation.Ask({"caller", "deadly"})->ended);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               simulation.core->parts_quarantined());
+        }),
+     It("is not tried again when an endpoint ends under it",
+        [] {
+          PromptSimulation simulation;
+          simulation.Quarantine();
+          simulation.AdvanceBy(5s);
+          simulation.core->SetPeers(0, true);
+          simulation.CrashWith({"caller", "deadly"});
+          simulation.AdvanceBy(1min);
+          CPPUNIT_ASSERT_EQUAL(503,
+                               simulation.Ask({"caller", "deadly"})->status);
+        }),
+     It("does not count for an endpoint that had begun the answer", [] {
+       // Guards against parts that are blamed for what others at the endpoint
+       // did.
+       PromptSimulation simulation;
+       for (int end = 0; end < 4; ++end) {
+         simulation.Ask({"caller", "sound"});
+         const auto decode = simulation.AdvanceToDecode();
+         simulation.Begin(decode);
+         simulation.Event(decode, 0);
+         simulation.Break(decode);
+         simulation.BeginWith({"caller", "other"});
+       }
+       simulation.AdvanceBy(3s);
+       CPPUNIT_ASSERT(!simulation.Ask({"caller", "sound"})->ended);
+     })});
 
 }  // namespace
 }  // namespace acacialug::gateway
--- a/src/protocol/tests/peer_heartbeat_test.cc
+++ b/src/protocol/tests/peer_heartbeat_test.cc
@@ -41,8 +41,10 @@
   PeerHeartbeat heartbeat = Full();
   for (std::size_t number = 0; number < kMaxPeerHeartbeatCrashes; ++number) {
     heartbeat.crashes.push_back({.request_key = number,
-                                 .ends = {{1, 1}, {2, 2}, {3, 3}},
-                                 .age_ms = 3'600'000});
+                                 .ends = {{1, 1, 4000}, {2, 2, 5}, {3, 3}},
+                                 .age_ms = 3'600'000,
+                                 .subject = kMaxCrashSubject,
+                                 .confirmed = true});
   }
   heartbeat.rows.resize(kMaxPeerHeartbeatRows -
                         kRowsPerCrash * kMaxPeerHeartbeatCrashes);
@@ -184,6 +186,9 @@
           endpoints.rows.clear();
           endpoints.crashes[0].ends.push_back({});
           CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(endpoints)).ok());
+          PeerHeartbeat subject = FullOfCrashes();
+          subject.crashes[0].subject = kMaxCrashSubject + 1;
+          CPPUNIT_ASSERT(!DecodePeerHeartbeat(Encode(subject)).ok());
         }),
      It("that is truncated anywhere is refused", [] {
        const std::string datagram = Encode(Full());
--- a/src/retry/tests/crash_ledger_test.cc
+++ b/src/retry/tests/crash_ledger_test.cc
@@ -256,5 +256,198 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ledger.quarantined(kStart + 1s));
         })});
 
+constexpr RequestKey kPart{5};
+constexpr RequestKey kFirstPart{6};
+constexpr std::uint64_t kService = 9;
+const CrashSite kPartSite{CrashSubject::kPart, kService};
+
+// Ends under a part, each followed by two answers to others.
+struct PartLedger {
+  void End(std::uint64_t endpoint, bool with_first_part = false) {
+    this->now += 500ms;
+    this->ledger.NoteEnd(kPart, At(endpoint), this->now, kPartSite);
+    if (with_first_part) {
+      this->ledger.NoteEnd(kFirstPart, At(endpoint), this->now,
+                           {CrashSubject::kFirstPart, kService});
+    }
+    this->AnswerOthers();
+  }
+  void AnswerOthers(std::uint64_t service = kService) {
+    this->ledger.NoteOtherAnswer(service, {}, this->now);
+    this->ledger.NoteOtherAnswer(service, {}, this->now);
+  }
+  // Lets the delay of the confirmation pass.
+  std::vector<RequestKey> Confirm() {
+    this->now += 1s;
+    return this->ledger.Sweep(this->now);
+  }
+  bool Quarantined(RequestKey key = kPart) const {
+    return this->ledger.Quarantined(key, this->now);
+  }
+
+  Instant now = kStart;
+  CrashLedger ledger{PartCrashOptions()};
+};
+
+void EndThree(PartLedger& part, bool with_first_part = false) {
+  for (const std::uint64_t endpoint : {1, 2, 3}) {
+    part.End(endpoint, with_first_part);
+  }
+}
+
+const acacialug::testing::Story kParts(
+    "a ledger of endpoints that ended under a part of prompts",
+    {Section("quarantines the part",
+             {It("when others were answered, and a second has passed",
+                 [] {
+                   PartLedger part;
+                   EndThree(part);
+                   CPPUNIT_ASSERT(part.ledger.Sweep(part.now).empty());
+                   CPPUNIT_ASSERT(!part.Quarantined());
+                   CPPUNIT_ASSERT(part.Confirm() == std::vector{kPart});
+                   CPPUNIT_ASSERT(part.Quarantined());
+                   CPPUNIT_ASSERT(part.Confirm().empty());
+                 }),
+              It("not while the service answers nobody",
+                 [] {
+                   // Guards against parts that are refused after all endpoints
+                   // ended.
+                   PartLedger part;
+                   for (const std::uint64_t endpoint : {1, 2, 3}) {
+                     part.ledger.NoteEnd(kPart, At(endpoint), part.now,
+                                         kPartSite);
+                     part.now += 1s;
+                     part.AnswerOthers(kService + 1);
+                   }
+                   part.Confirm();
+                   CPPUNIT_ASSERT(!part.Quarantined());
+                 }),
+              It("not when all ends came at once",
+                 [] {
+                   PartLedger part;
+                   for (const std::uint64_t endpoint : {1, 2, 3}) {
+                     part.ledger.NoteEnd(kPart, At(endpoint), part.now,
+                                         kPartSite);
+                   }
+                   for (int answer = 0; answer < 9; ++answer) {
+                     part.AnswerOthers();
+                   }
+                   part.Confirm();
+                   CPPUNIT_ASSERT(!part.Quarantined());
+                 }),
+              It("not when an answer with it begins within that second",
+                 [] {
+                   PartLedger part;
+                   EndThree(part);
+                   part.ledger.NoteAnswer(kPart, part.now + 100ms);
+                   part.Confirm();
+                   CPPUNIT_ASSERT(!part.Quarantined());
+                 }),
+              It("again after it was sound for an hour",
+                 [] {
+                   PartLedger part;
+                   part.ledger.NoteAnswer(kPart, part.now);
+                   EndThree(part);
+                   part.Confirm();
+                   CPPUNIT_ASSERT(part.Quarantined());
+                 }),
+              It("on the word of a peer that has seen such answers",
+                 [] {
+                   PartLedger part;
+                   EndThree(part);
+                   part.Confirm();
+                   CrashLedger peer(PartCrashOptions());
+                   CPPUNIT_ASSERT(peer.Merge(
+                       part.ledger.RecordOf(kPart, part.now), kStart + 9s));
+                   CPPUNIT_ASSERT(peer.Quarantined(kPart, kStart + 9s));
+                 })}),
+     Section("does not blame a first part",
+             {It("for ends that a further part explains",
+                 [] {
+                   // Guards against sound requests that are refused for sharing
+                   // their caller's part with deadly ones.
+                   PartLedger part;
+                   EndThree(part, true);
+                   part.Confirm();
+                   CPPUNIT_ASSERT(part.Quarantined());
+                   CPPUNIT_ASSERT(!part.Quarantined(kFirstPart));
+                 }),
+              It("unless no further part was at all of the ends",
+                 [] {
+                   PartLedger part;
+                   for (const std::uint64_t endpoint : {1, 2, 3}) {
+                     part.ledger.NoteEnd(RequestKey(100 + endpoint),
+                                         At(endpoint), part.now, kPartSite);
+                     part.End(endpoint, true);
+                     part.ledger.NoteAnswer(kPart, part.now);
+                   }
+                   part.Confirm();
+                   CPPUNIT_ASSERT(part.Quarantined(kFirstPart));
+                 })}),
+     Section("tells its peers",
+             {It("that the part was answered since the ends that they report",
+                 [] {
+                   CrashLedger ledger(PartCrashOptions());
+                   ledger.NoteAnswer(kPart, kStart + 1s);
+                   CrashRecord report{.request = kPart,
+                                      .ends = {At(1), At(2)},
+                                      .age = 1s,
+                                      .subject = CrashSubject::kPart};
+                   ledger.Merge(report, kStart + 2s);
+                   const auto reports =
+                       ledger.CollectReports(kMaxReports, 0, kStart + 2s);
+                   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
+                   CPPUNIT_ASSERT(reports[0].ends.empty());
+                 }),
+              It("and drops only the ends before their answers",
+                 [] {
+                   PartLedger part;
+                   EndThree(part);
+                   part.ledger.Merge({.request = kPart,
+                                      .age = 700ms,
+                                      .subject = CrashSubject::kPart},
+                                     part.now);
+                   part.Confirm();
+                   CPPUNIT_ASSERT(!part.Quarantined());
+                   CPPUNIT_ASSERT_EQUAL(
+                       std::size_t{2},
+                       part.ledger.RecordOf(kPart, part.now).ends.size());
+                   // Of a peer that has not received the answer.
+                   CrashRecord stale{.request = kPart, .ends = {At(1)}};
+                   stale.ends[0].age = 4s;
+                   part.ledger.Merge(stale, part.now);
+                   CPPUNIT_ASSERT_EQUAL(
+                       std::size_t{2},
+                       part.ledger.RecordOf(kPart, part.now).ends.size());
+                 })}),
+     Section("lets a quarantined part be tried",
+             {It("once, five seconds after the last end",
+                 [] {
+                   PartLedger part;
+                   EndThree(part);
+                   part.Confirm();
+                   CPPUNIT_ASSERT(!part.ledger.TryProbe(kPart, part.now));
+                   part.now += 4s;
+                   CPPUNIT_ASSERT(part.ledger.TryProbe(kPart, part.now));
+                   CPPUNIT_ASSERT(!part.ledger.TryProbe(kPart, part.now + 4s));
+                 }),
+              It("not again when an endpoint ended under it",
+                 [] {
+                   PartLedger part;
+                   EndThree(part);
+                   part.now += 9s;
+                   CPPUNIT_ASSERT(part.ledger.TryProbe(kPart, part.now));
+                   part.End(4);
+                   CPPUNIT_ASSERT(
+                       !part.ledger.TryProbe(kPart, part.now + 9min));
+                 }),
+              It("and released by an answer", [] {
+                PartLedger part;
+                EndThree(part);
+                part.Confirm();
+                CPPUNIT_ASSERT(part.ledger.NoteAnswer(kPart, part.now));
+                CPPUNIT_ASSERT(!part.Quarantined());
+              })})});
+
 }  // namespace
 }  // namespace acacialug::retry
