Let the test's request wait as a resumed one does (BUDGET, LOST)

Change: the test uses a resumable stream that lost its endpoint, which waits, and asks that it ends within 5 ms of the peer's report.

--- a/src/gateway/tests/quarantine_test.cc
+++ b/src/gateway/tests/quarantine_test.cc
@@ -441,14 +441,20 @@
      It("ends requests with it that wait",
         [] {
           PromptSimulation simulation;
+          const auto waiting =
+              simulation.SendPrompt("/resumable/a", "r", {"caller", "deadly"});
+          const auto decode = simulation.AdvanceToDecode();
           for (int number = 0; number < kEndpoints; ++number) {
             simulation.RemoveEndpoint("d" + std::to_string(number));
           }
-          const auto waiting = simulation.Ask({"caller", "other deadly"});
-          CPPUNIT_ASSERT(!waiting->ended);
-          simulation.ReceiveConfirmed("other deadly");
+          simulation.Break(decode);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                               simulation.core->requests_waiting());
+          simulation.ReceiveConfirmed("deadly");
           simulation.AdvanceBy(5ms);
-          CPPUNIT_ASSERT_EQUAL(503, waiting->status);
+          CPPUNIT_ASSERT(waiting->ended);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                               simulation.core->requests_waiting());
         }),
      It("is tried once more by the first process only, and released by an "
         "answer",
