--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -134,10 +134,11 @@
   if (!known || entry.subject == CrashSubject::kFirstPart) {
     entry.subject = report.subject;
   }
+  // The last end may be one that the peer does not store.
+  entry.last = std::max(entry.last, now - report.age);
   bool changed = false;
   for (const auto& [end, ended_at] : ends) {
     changed = this->AddEnd(end, ended_at, entry) || changed;
-    entry.last = std::max(entry.last, ended_at);
   }
   if (report.confirmed && ends.size() == report.ends.size() &&
       !entry.confirmed) {
--- a/src/retry/tests/crash_ledger_test.cc
+++ b/src/retry/tests/crash_ledger_test.cc
@@ -163,6 +163,17 @@
                ledger.Merge(ReportOf({}, 30s), kStart + 20s);
                CPPUNIT_ASSERT(ledger.Quarantined(kRequest, kStart + 20s));
              }),
+          It("and renews the quarantine with an end that the peer does not "
+             "store",
+             [] {
+               CrashLedger peer = AfterThree();
+               CrashLedger ledger({});
+               ledger.Merge(peer.RecordOf(kRequest, kStart), kStart);
+               peer.NoteEnd(kRequest, At(4), kStart + 9min);
+               ledger.Merge(peer.RecordOf(kRequest, kStart + 9min),
+                            kStart + 9min);
+               CPPUNIT_ASSERT(ledger.Quarantined(kRequest, kStart + 18min));
+             }),
           It("and takes the age of a report into account",
              [] {
                CrashLedger ledger({});
