--- a/src/framework/http/internal/deadline_timer.h
+++ b/src/framework/http/internal/deadline_timer.h
@@ -19,6 +19,7 @@
   // Expires `after` from now; zero clears.
   void Set(Duration after);
   void Clear() { this->deadline = kNever; }
+  Instant expires_at() const { return this->deadline; }
 
  private:
   void OnTimeout();
--- a/src/framework/http/internal/server_connection.cc
+++ b/src/framework/http/internal/server_connection.cc
@@ -421,11 +421,14 @@
 // A request may lie in the socket that this process was too late to read.
 // Closing on it would reset it; it is read, answered, and then the connection
 // closes.
+bool ServerConnection::idle() const {
+  return this->state == State::kReading &&
+         this->reader.phase() == RequestReader::Phase::kBetween &&
+         IsQuiet(*this->socket);
+}
+
 void ServerConnection::CloseIfIdle() {
-  const bool idle = this->state == State::kReading &&
-                    this->reader.phase() == RequestReader::Phase::kBetween &&
-                    IsQuiet(*this->socket);
-  if (idle) {
+  if (this->idle()) {
     this->CloseInOrder();
   }
 }
--- a/src/framework/http/internal/server_connection.h
+++ b/src/framework/http/internal/server_connection.h
@@ -41,7 +41,10 @@
   // Answers 503 without reading a request, and closes.
   void RefuseForLoad();
 
-  // Closes the connection if nothing is under way on it.
+  // Whether nothing is under way on the connection, and when it would be closed
+  // for that.
+  bool idle() const;
+  Instant idle_until() const { return this->timer.expires_at(); }
   void CloseIfIdle();
 
   // For the responder of the request under way.
--- a/src/framework/http/internal/server_shard.cc
+++ b/src/framework/http/internal/server_shard.cc
@@ -29,6 +29,7 @@
 void ServerShard::Adopt(qintptr descriptor,
                         const TlsConfiguration& tls,
                         bool refuse) {
+  refuse = refuse && !this->CloseLongestIdle();
   auto connection = std::make_unique<ServerConnection>(this->context, tls);
   ServerConnection* const adopted = connection.get();
   this->connections.emplace(adopted, std::move(connection));
@@ -56,6 +57,22 @@
   }
 }
 
+bool ServerShard::CloseLongestIdle() {
+  ServerConnection* longest = nullptr;
+  for (const auto& [connection, owned] : this->connections) {
+    if (connection->idle() &&
+        (longest == nullptr ||
+         connection->idle_until() < longest->idle_until())) {
+      longest = connection;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  longest->CloseIfIdle();
+  return true;
+}
+
 void ServerShard::End() {
   if (this->options.on_shard_end) {
     this->options.on_shard_end(this->index);
--- a/src/framework/http/internal/server_shard.h
+++ b/src/framework/http/internal/server_shard.h
@@ -35,6 +35,8 @@
 
  private:
   void Forget(ServerConnection* connection);
+  // Makes room for a new caller. Returns false when no connection is idle.
+  bool CloseLongestIdle();
 
   const int index;
   const ServerOptions& options;
--- a/src/framework/http/tests/http_server_test.cc
+++ b/src/framework/http/tests/http_server_test.cc
@@ -236,6 +236,27 @@
   first.Await("served");
 }
 
+// Guards against callers that are refused while others keep connections that
+// they do not use.
+void LongestIdleConnectionMakesRoom() {
+  ServerFixture fixture({.max_connections = 2});
+  RawPeer idle(fixture.port());
+  WaitUntil("the first",
+            [&] { return fixture.server->open_connections() == 1; });
+  RawPeer busy(fixture.port());
+  busy.Send(Get("/"));
+  fixture.AwaitRequests(1);
+  RawPeer late(fixture.port());
+  idle.AwaitClose();
+  late.Send(Get("/"));
+  fixture.AwaitRequests(2);
+  for (const int request : {0, 1}) {
+    fixture.responders[request]->SendWhole({.body = "served"});
+  }
+  busy.Await("served");
+  late.Await("served");
+}
+
 void StopAcceptingCutsNothingOff() {
   ServerFixture fixture;
   RawPeer busy(fixture.port());
@@ -304,6 +325,8 @@
      It("answers Expect: 100-continue", ContinueIsSentOnce),
      It("refuses connections over the limit and serves the others",
         TooManyConnectionsAreRefused),
+     It("closes the longest idle connection for a new one at the limit",
+        LongestIdleConnectionMakesRoom),
      It("drains without cutting off an answer", StopAcceptingCutsNothingOff),
      It("runs and ends each shard on its own thread",
         ShardsServeOnTheirOwnThreads),
