Blame no part for ends that another part explains (BUDGET, LOST)

Cause: of seven deadly requests five shared one more part, no sound stream with that part began for two seconds by chance, and it was quarantined 0.2 s after the deadly one. Only a first part was excused by another part's ends, and three ends were kept of a part, too few to see that the other was at all of them. Change: a part is excused for ends at all of which another part was that had more of them, or that is in quarantine already; a first part is excused as before. Sixteen ends of a part are kept, a record has the latest three. Requests keep as many as before. Conclusion: what is left is a part at exactly the same ends, which the probe resolves.

--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -93,6 +93,7 @@
                     .maximum = protocol::kMaxCrashEnds}));
   into.quarantine = table.Duration(
       "time", {.fallback = into.quarantine, .minimum = 0ms, .maximum = 1h});
+  into.max_ends = into.limit;
   parts.limit = into.limit;
   parts.quarantine = into.quarantine;
   parts.other_answers = static_cast<std::size_t>(
--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -208,7 +208,7 @@
     return false;
   }
   entry.unanswered_end = true;
-  if (ends.size() < this->options.limit) {
+  if (ends.size() < this->options.max_ends) {
     ends.push_back(end);
     entry.ends_at.push_back(ended_at);
     return true;
@@ -262,6 +262,12 @@
   for (std::size_t number = 0; number < record.ends.size(); ++number) {
     record.ends[number].age = now - entry.ends_at[number];
   }
+  // The latest ones: peers know the others from earlier records.
+  if (record.ends.size() > this->options.limit) {
+    record.ends.erase(
+        record.ends.begin(),
+        record.ends.end() - static_cast<std::ptrdiff_t>(this->options.limit));
+  }
   return record;
 }
 
@@ -321,7 +327,8 @@
 
 bool CrashLedger::Confirm(Entry& entry, Instant now) const {
   if (entry.confirmed || entry.evidence_at == Instant{} ||
-      now - entry.evidence_at < this->options.confirm_delay) {
+      now - entry.evidence_at < this->options.confirm_delay ||
+      this->IsExplained(entry) || this->IsExplainedByConfirmed(entry)) {
     return false;
   }
   entry.confirmed = true;
@@ -354,19 +361,32 @@
 }
 
 bool CrashLedger::IsExplained(const Entry& entry) const {
-  return entry.subject == CrashSubject::kFirstPart &&
-         std::any_of(this->entries.begin(), this->entries.end(),
-                     [&entry](const auto& row) {
-                       const std::vector<CrashEnd>& others = row.second.ends;
-                       return row.second.subject == CrashSubject::kPart &&
-                              std::all_of(entry.ends.begin(), entry.ends.end(),
-                                          [&others](const CrashEnd& end) {
-                                            return std::find(others.begin(),
-                                                             others.end(),
-                                                             end) !=
-                                                   others.end();
-                                          });
-                     });
+  return this->AnyPartAtAllEndsOf(entry, [&entry](const Entry& other) {
+    return entry.subject == CrashSubject::kFirstPart ||
+           other.ends.size() > entry.ends.size();
+  });
+}
+
+bool CrashLedger::IsExplainedByConfirmed(const Entry& entry) const {
+  return this->AnyPartAtAllEndsOf(
+      entry, [](const Entry& other) { return other.confirmed; });
+}
+
+bool CrashLedger::AnyPartAtAllEndsOf(
+    const Entry& entry,
+    const std::function<bool(const Entry& other)>& matches) const {
+  return std::any_of(
+      this->entries.begin(), this->entries.end(), [&](const auto& row) {
+        const Entry& other = row.second;
+        return &other != &entry && other.subject == CrashSubject::kPart &&
+               matches(other) &&
+               std::all_of(entry.ends.begin(), entry.ends.end(),
+                           [&other](const CrashEnd& end) {
+                             return std::find(other.ends.begin(),
+                                              other.ends.end(),
+                                              end) != other.ends.end();
+                           });
+      });
 }
 
 bool CrashLedger::AnsweredRecently(RequestKey request, Instant now) const {
--- a/src/retry/crash_ledger.h
+++ b/src/retry/crash_ledger.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <utility>
@@ -30,10 +31,12 @@
  public:
   struct Options {
     // Distinct endpoint starts that end under a request before the request is
-    // quarantined, and the most that are stored for each request. They must
-    // not all belong to one attempt: when many endpoints end at once, a single
-    // attempt goes from one to the next.
+    // quarantined, and the most in a record. They must not all belong to one
+    // attempt: when many endpoints end at once, a single attempt goes from one
+    // to the next.
     std::size_t limit = 3;
+    // The most that are stored for each request; at least `limit`.
+    std::size_t max_ends = 3;
     // Since the last end. Afterwards the request may run again, and one more
     // end renews the quarantine.
     Duration quarantine = 10min;
@@ -137,9 +140,14 @@
   };
 
   bool InQuarantine(const Entry& entry, Instant now) const;
-  // Whether a further part of the same prompts, which endpoints ended under as
-  // often, explains the ends of a first part.
+  // Whether another part, at all of the ends of this one, is the likelier
+  // cause: it was at more of them, or this one begins all of its prompts.
   bool IsExplained(const Entry& entry) const;
+  // Whether a part at all of the ends is in quarantine already.
+  bool IsExplainedByConfirmed(const Entry& entry) const;
+  bool AnyPartAtAllEndsOf(
+      const Entry& entry,
+      const std::function<bool(const Entry& other)>& matches) const;
   bool HasEvidence(const Entry& entry) const;
   bool Confirm(Entry& entry, Instant now) const;
   bool AnsweredRecently(RequestKey request, Instant now) const;
@@ -171,7 +179,7 @@
 // For parts of prompts. Requests that share a part begin answers all the time,
 // so that an answer needs no time for which it is trusted. Thread safe.
 inline CrashLedger::Options PartCrashOptions() {
-  return {.answer_grace = 0ms, .other_answers = 3};
+  return {.max_ends = 16, .answer_grace = 0ms, .other_answers = 3};
 }
 
 }  // namespace acacialug::retry
--- a/src/retry/tests/crash_ledger_test.cc
+++ b/src/retry/tests/crash_ledger_test.cc
@@ -383,6 +383,26 @@
                    CPPUNIT_ASSERT(part.Quarantined());
                    CPPUNIT_ASSERT(!part.Quarantined(kFirstPart));
                  }),
+              It("nor a further part for ends of one that was at more of them",
+                 [] {
+                   // Guards against sound requests that are refused for sharing
+                   // a part with most of the deadly ones.
+                   PartLedger part;
+                   constexpr RequestKey kOther{7};
+                   for (std::uint64_t endpoint = 1; endpoint <= 6; ++endpoint) {
+                     if (endpoint > 3) {
+                       part.ledger.NoteEnd(kOther, At(endpoint), part.now,
+                                           kPartSite);
+                     }
+                     part.End(endpoint);
+                   }
+                   part.Confirm();
+                   CPPUNIT_ASSERT(part.Quarantined());
+                   CPPUNIT_ASSERT(!part.Quarantined(kOther));
+                   CPPUNIT_ASSERT_EQUAL(
+                       std::size_t{3},
+                       part.ledger.RecordOf(kPart, part.now).ends.size());
+                 }),
               It("unless no further part was at all of the ends",
                  [] {
                    PartLedger part;
