Share the fleets' cases and steps, and reword two comments

Cause: read as a newcomer: the two new fleet tests repeated their tables and their loop, and two comments read twice. Change: fleet_cases.h and Timeline::RunInSteps serve both; no case, bound or seed changes. Conclusion: none.

--- a/src/gateway/tests/part_fleet.cc
+++ b/src/gateway/tests/part_fleet.cc
@@ -312,16 +312,13 @@
 }
 
 void PartFleet::Run() {
-  const Instant end = kStart + this->options.duration;
-  for (Instant next = this->time.now + kStep; next <= end; next += kStep) {
-    this->time.RunUntil(next);
-    this->time.now = next;
+  this->time.RunInSteps(kStart + this->options.duration, kStep, [this] {
     for (const Process& process : this->all) {
       if (process.gateway) {
-        process.gateway->AdvanceBy(next - process.gateway->now);
+        process.gateway->AdvanceBy(this->time.now - process.gateway->now);
       }
     }
-  }
+  });
 }
 
 std::size_t PartFleet::late_sends() const {
--- a/src/gateway/tests/part_fleet_test.cc
+++ b/src/gateway/tests/part_fleet_test.cc
@@ -6,28 +6,20 @@
 #include <vector>
 
 #include "framework/testing/story.h"
+#include "gateway/tests/fleet_cases.h"
 
 namespace acacialug::gateway {
 namespace {
 
 using acacialug::testing::It;
+using testing::AtSizes;
 using testing::PartCase;
 using testing::PartFleet;
+using testing::WithSeeds;
 
 constexpr std::size_t kMaxLateSends = 3;
 constexpr double kLeastBegun = 0.5;  // of the share before
 
-std::vector<PartCase> AtSizes(const std::vector<std::size_t>& sizes,
-                              PartCase part_case) {
-  std::vector<PartCase> cases;
-  for (const std::size_t processes : sizes) {
-    part_case.processes = processes;
-    part_case.name = std::to_string(processes) + " gateways";
-    cases.push_back(part_case);
-  }
-  return cases;
-}
-
 std::string Describe(const PartFleet& fleet) {
   return std::to_string(fleet.ends()) + " ends, " +
          std::to_string(fleet.late_sends()) + " late, begun " +
@@ -63,16 +55,6 @@
   CPPUNIT_ASSERT_EQUAL(std::string(), broken);
 }
 
-std::vector<PartCase> WithSeeds(std::uint64_t count, PartCase part_case) {
-  std::vector<PartCase> cases;
-  for (std::uint64_t seed = 1; seed <= count; ++seed) {
-    part_case.seed = seed;
-    part_case.name = "seed " + std::to_string(seed);
-    cases.push_back(part_case);
-  }
-  return cases;
-}
-
 const std::vector<std::size_t> kSizes = {5, 28, 103};
 // Where the number of gateways matters less.
 const std::vector<std::size_t> kFewSizes = {5, 28};
@@ -81,17 +63,17 @@
 const acacialug::testing::Story kDeadly(
     "a part of prompts that ends each endpoint which begins an answer on it",
     {It("is sent to no more than three endpoints once five have ended",
-        [] { CheckBounds(AtSizes(kSizes, {})); }),
+        [] { CheckBounds(AtSizes(kSizes, PartCase{})); }),
      It("is found beside another such part",
         [] {
-          CheckBounds(AtSizes(
-              kFewSizes,
-              {.deadly_per_second = 4, .deadly_parts = {"deadly", "other"}}));
+          CheckBounds(AtSizes(kFewSizes,
+                              PartCase{.deadly_per_second = 4,
+                                       .deadly_parts = {"deadly", "other"}}));
         }),
      It("is found whatever the order of the parts and of the requests",
         [] {
           for (const std::size_t position : {0, 1, 2}) {
-            auto cases = WithSeeds(4, {.position = position});
+            auto cases = WithSeeds(4, PartCase{.position = position});
             for (PartCase& part_case : cases) {
               part_case.name += " at " + std::to_string(position);
             }
@@ -100,29 +82,30 @@
         }),
      It("is found at few requests a second",
         [] {
-          CheckBounds(WithSeeds(4, {.duration = 40s,
-                                    .sound_per_second = 0.7,
-                                    .deadly_per_second = 0.8}));
+          CheckBounds(WithSeeds(4, PartCase{.duration = 40s,
+                                            .sound_per_second = 0.7,
+                                            .deadly_per_second = 0.8}));
         }),
      It("is found though it was sound before",
         [] {
-          CheckBounds(
-              AtSizes(kFewSizes, {.duration = 40s, .deadly_from = 20s}));
+          CheckBounds(AtSizes(kFewSizes,
+                              PartCase{.duration = 40s, .deadly_from = 20s}));
         }),
      It("is found while endpoints end for other reasons",
         [] {
           CheckBounds(WithSeeds(
-              6, {.waves = {{8s, 0.3}, {10s, 0.3}, {13s, 0.5}, {16s, 0.2}}}));
+              6, PartCase{.waves = {
+                              {8s, 0.3}, {10s, 0.3}, {13s, 0.5}, {16s, 0.2}}}));
         }),
      It("is found though half of the heartbeats are lost",
-        [] { CheckBounds(AtSizes(kFewSizes, {.loss_share = 0.5})); }),
+        [] { CheckBounds(AtSizes(kFewSizes, PartCase{.loss_share = 0.5})); }),
      It("is still refused after all gateways were killed",
         [] {
-          CheckBounds(
-              AtSizes(kFewSizes, {.duration = 30s, .kill_all_at = 14s}));
+          CheckBounds(AtSizes(kFewSizes,
+                              PartCase{.duration = 30s, .kill_all_at = 14s}));
         }),
      It("is found beside a gateway that is cut off",
-        [] { CheckBounds(AtSizes(kFewSizes, {.cut_off = 1})); })});
+        [] { CheckBounds(AtSizes(kFewSizes, PartCase{.cut_off = 1})); })});
 
 // Guards against sound requests that are refused since they were at endpoints
 // that ended.
@@ -131,15 +114,15 @@
     {It("are not refused while a third of the endpoints end, again and again",
         [] {
           for (const std::size_t processes : kSizes) {
-            CheckNoneRefused(
-                WithSeeds(processes == 5 ? 50 : 1, {.processes = processes,
-                                                    .deadly_per_second = 0,
-                                                    .waves = {{4s, 0.3},
-                                                              {5s, 0.3},
-                                                              {9s, 0.3},
-                                                              {12s, 0.3},
-                                                              {12500ms, 0.3},
-                                                              {13s, 0.3}}}));
+            CheckNoneRefused(WithSeeds(processes == 5 ? 50 : 1,
+                                       PartCase{.processes = processes,
+                                                .deadly_per_second = 0,
+                                                .waves = {{4s, 0.3},
+                                                          {5s, 0.3},
+                                                          {9s, 0.3},
+                                                          {12s, 0.3},
+                                                          {12500ms, 0.3},
+                                                          {13s, 0.3}}}));
           }
         }),
      It("are not refused while endpoints end one after another", [] {
--- a/src/gateway/tests/repeat_fleet.cc
+++ b/src/gateway/tests/repeat_fleet.cc
@@ -172,16 +172,13 @@
 }
 
 void RepeatFleet::Run() {
-  const Instant end = kStart + this->options.duration;
-  for (Instant next = this->time.now + kStep; next <= end; next += kStep) {
-    this->time.RunUntil(next);
-    this->time.now = next;
+  this->time.RunInSteps(kStart + this->options.duration, kStep, [this] {
     for (const auto& gateway : this->all) {
       if (gateway) {
-        gateway->AdvanceBy(next - gateway->now);
+        gateway->AdvanceBy(this->time.now - gateway->now);
       }
     }
-  }
+  });
 }
 
 std::size_t RepeatFleet::RequestsIn(Instant from) const {
--- a/src/gateway/tests/repeat_fleet_test.cc
+++ b/src/gateway/tests/repeat_fleet_test.cc
@@ -8,35 +8,16 @@
 #include <vector>
 
 #include "framework/testing/story.h"
+#include "gateway/tests/fleet_cases.h"
 
 namespace acacialug::gateway {
 namespace {
 
 using acacialug::testing::It;
+using testing::AtSizes;
 using testing::RepeatCase;
 using testing::RepeatFleet;
-
-std::vector<RepeatCase> AtSizes(const std::vector<std::size_t>& sizes,
-                                RepeatCase repeat_case) {
-  std::vector<RepeatCase> cases;
-  for (const std::size_t processes : sizes) {
-    repeat_case.processes = processes;
-    repeat_case.name = std::to_string(processes) + " gateways";
-    cases.push_back(repeat_case);
-  }
-  return cases;
-}
-
-std::vector<RepeatCase> WithSeeds(const std::vector<std::uint64_t>& seeds,
-                                  RepeatCase repeat_case) {
-  std::vector<RepeatCase> cases;
-  for (const std::uint64_t seed : seeds) {
-    repeat_case.seed = seed;
-    repeat_case.name = "seed " + std::to_string(seed);
-    cases.push_back(repeat_case);
-  }
-  return cases;
-}
+using testing::WithSeeds;
 
 std::string Describe(const RepeatFleet& fleet) {
   std::string text;
@@ -66,31 +47,31 @@
 const acacialug::testing::Story kRepeats(
     "repeats at all gateways stay within their bound",
     {It("while a third of prefills and runs are rejected",
-        [] { CheckBound(AtSizes(kSizes, {.reject_share = 0.33})); }),
+        [] { CheckBound(AtSizes(kSizes, RepeatCase{.reject_share = 0.33})); }),
      It("while half are rejected in a burst, answers are lost, gateways are "
         "killed and endpoints get busy",
         [] {
-          CheckBound(WithSeeds({1, 2, 3, 4}, {.processes = 28,
-                                              .duration = 26s,
-                                              .burst_factor = 1.6,
-                                              .trouble = {4s, 16s},
-                                              .reject_share = 0.3,
-                                              .lose_share = 0.3,
-                                              .busy = {14s, 18s},
-                                              .kill_share = 0.6,
-                                              .kills = {9s}}));
+          CheckBound(WithSeeds(4, RepeatCase{.processes = 28,
+                                             .duration = 26s,
+                                             .burst_factor = 1.6,
+                                             .trouble = {4s, 16s},
+                                             .reject_share = 0.3,
+                                             .lose_share = 0.3,
+                                             .busy = {14s, 18s},
+                                             .kill_share = 0.6,
+                                             .kills = {9s}}));
         }),
      It("while a third are rejected and all gateways are killed twice",
         [] {
-          CheckBound(AtSizes(kSizes, {.requests_per_second = 1,
-                                      .reject_share = 0.33,
-                                      .kill_share = 1,
-                                      .kills = {6s, 9s}}));
+          CheckBound(AtSizes(kSizes, RepeatCase{.requests_per_second = 1,
+                                                .reject_share = 0.33,
+                                                .kill_share = 1,
+                                                .kills = {6s, 9s}}));
         }),
      It("while gateways receive nothing from each other", [] {
-       CheckBound(AtSizes(
-           kSizes,
-           {.requests_per_second = 2, .lose_share = 0.6, .isolated = true}));
+       CheckBound(AtSizes(kSizes, RepeatCase{.requests_per_second = 2,
+                                             .lose_share = 0.6,
+                                             .isolated = true}));
      })});
 
 }  // namespace
--- a/src/gateway/tests/timeline.h
+++ b/src/gateway/tests/timeline.h
@@ -25,6 +25,17 @@
     }
   }
 
+  // The same in steps, with `after_step` after each.
+  void RunInSteps(Instant end,
+                  Duration step,
+                  const std::function<void()>& after_step) {
+    for (Instant next = this->now + step; next <= end; next += step) {
+      this->RunUntil(next);
+      this->now = next;
+      after_step();
+    }
+  }
+
   Instant now;
 
  private:
--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -188,7 +188,7 @@
   if (ends.size() < entry.ends.size()) {
     entry.ends = std::move(ends);
     entry.ends_at = std::move(ends_at);
-    // Collected anew, since the first of the ends that are left.
+    // Evidence counts from the first end that is left.
     entry.other_answers = 0;
     entry.answered_groups = 0;
     entry.unanswered_end = true;
--- a/src/retry/crash_ledger.h
+++ b/src/retry/crash_ledger.h
@@ -46,8 +46,8 @@
     // requests, some are always at an endpoint that ends.
     Duration answer_grace = 1min;
     // The quarantine also needs so many answers to other requests of the same
-    // service, after the first end and with a further end between them: while
-    // a service answers nobody, that a request is not answered proves nothing.
+    // service, after the first end and with a further end between them: an
+    // unanswered request proves nothing while the service answers no request.
     // 0: none is needed.
     std::size_t other_answers = 0;
     // After these answers; an answer to the request may still arrive at a peer.
