--- a/src/framework/http/http_types.h
+++ b/src/framework/http/http_types.h
@@ -60,9 +60,10 @@
   std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
   // Of all requests together, from their first byte until their answers end.
   std::size_t max_bodies_bytes = std::size_t{256} * 1024 * 1024;
-  // In all shards together. Beyond it a new connection takes the place of the
-  // longest idle one of its shard, or is refused when none is idle.
-  std::size_t max_connections = 4096;
+  std::size_t max_connections = 4096;  // in all shards together
+  // At that limit a new connection takes the place of the longest idle one of
+  // its shard, and is refused only when none is idle.
+  bool idle_yields = false;
   std::size_t max_unsent_bytes =
       std::size_t{256} * 1024;  // a stream above it is paused
   Duration idle_timeout = 60s;  // between two requests
--- a/src/framework/http/internal/server_shard.cc
+++ b/src/framework/http/internal/server_shard.cc
@@ -29,7 +29,9 @@
 void ServerShard::Adopt(qintptr descriptor,
                         const TlsConfiguration& tls,
                         bool refuse) {
-  refuse = refuse && !this->CloseLongestIdle();
+  if (refuse && this->options.limits.idle_yields) {
+    refuse = !this->CloseLongestIdle();
+  }
   auto connection = std::make_unique<ServerConnection>(this->context, tls);
   ServerConnection* const adopted = connection.get();
   this->connections.emplace(adopted, std::move(connection));
--- a/src/framework/http/tests/http_server_test.cc
+++ b/src/framework/http/tests/http_server_test.cc
@@ -239,7 +239,7 @@
 // Guards against callers that are refused while others keep connections that
 // they do not use.
 void LongestIdleConnectionMakesRoom() {
-  ServerFixture fixture({.max_connections = 2});
+  ServerFixture fixture({.max_connections = 2, .idle_yields = true});
   RawPeer idle(fixture.port());
   WaitUntil("the first",
             [&] { return fixture.server->open_connections() == 1; });
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -312,7 +312,7 @@
     const GatewaySettings& settings = this->options.settings;
     this->callers = std::make_unique<http::Server>(http::ServerOptions{
         .listen = settings.listen,
-        .limits = {.max_connections = 3000},
+        .limits = {.max_connections = 3000, .idle_yields = true},
         .make_handler =
             [this](int /*shard*/) {
               return
