--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -10,6 +10,12 @@
 // group may be many endpoints that end at once for another reason.
 constexpr std::size_t kAnsweredGroups = 2;
 
+bool HasEndpoint(const std::vector<CrashEnd>& ends, std::uint64_t endpoint) {
+  return std::any_of(ends.begin(), ends.end(), [endpoint](const CrashEnd& end) {
+    return end.endpoint == endpoint;
+  });
+}
+
 bool AllFromOneAttempt(const std::vector<CrashEnd>& ends) {
   return std::all_of(ends.begin(), ends.end(), [&ends](const CrashEnd& end) {
     return end.attempt == ends.front().attempt;
@@ -201,10 +207,7 @@
                          Instant ended_at,
                          Entry& entry) const {
   std::vector<CrashEnd>& ends = entry.ends;
-  const bool known = std::any_of(
-      ends.begin(), ends.end(),
-      [&end](const CrashEnd& other) { return other.endpoint == end.endpoint; });
-  if (known) {
+  if (HasEndpoint(ends, end.endpoint)) {
     return false;
   }
   entry.unanswered_end = true;
@@ -263,11 +266,11 @@
     record.ends[number].age = now - entry.ends_at[number];
   }
   // The latest ones: peers know the others from earlier records.
-  if (record.ends.size() > this->options.limit) {
-    record.ends.erase(
-        record.ends.begin(),
-        record.ends.end() - static_cast<std::ptrdiff_t>(this->options.limit));
-  }
+  std::stable_sort(record.ends.begin(), record.ends.end(),
+                   [](const CrashEnd& left, const CrashEnd& right) {
+                     return left.age < right.age;
+                   });
+  record.ends.resize(std::min(record.ends.size(), this->options.limit));
   return record;
 }
 
@@ -382,9 +385,7 @@
                matches(other) &&
                std::all_of(entry.ends.begin(), entry.ends.end(),
                            [&other](const CrashEnd& end) {
-                             return std::find(other.ends.begin(),
-                                              other.ends.end(),
-                                              end) != other.ends.end();
+                             return HasEndpoint(other.ends, end.endpoint);
                            });
       });
 }
--- a/src/retry/tests/crash_ledger_test.cc
+++ b/src/retry/tests/crash_ledger_test.cc
@@ -391,7 +391,10 @@
                    constexpr RequestKey kOther{7};
                    for (std::uint64_t endpoint = 1; endpoint <= 6; ++endpoint) {
                      if (endpoint > 3) {
-                       part.ledger.NoteEnd(kOther, At(endpoint), part.now,
+                       // Of another request at the same endpoint.
+                       part.ledger.NoteEnd(kOther, {endpoint, 9}, part.now,
+                                           kPartSite);
+                       part.ledger.NoteEnd(kOther, {endpoint, 8}, part.now,
                                            kPartSite);
                      }
                      part.End(endpoint);
@@ -415,42 +418,58 @@
                    part.Confirm();
                    CPPUNIT_ASSERT(part.Quarantined(kFirstPart));
                  })}),
-     Section("tells its peers",
-             {It("that the part was answered since the ends that they report",
-                 [] {
-                   CrashLedger ledger(PartCrashOptions());
-                   ledger.NoteAnswer(kPart, kStart + 1s);
-                   CrashRecord report{.request = kPart,
-                                      .ends = {At(1), At(2)},
-                                      .age = 1s,
-                                      .subject = CrashSubject::kPart};
-                   ledger.Merge(report, kStart + 2s);
-                   const auto reports =
-                       ledger.CollectReports(kMaxReports, 0, kStart + 2s);
-                   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
-                   CPPUNIT_ASSERT(reports[0].ends.empty());
-                 }),
-              It("and drops only the ends before their answers",
-                 [] {
-                   PartLedger part;
-                   EndThree(part);
-                   part.ledger.Merge({.request = kPart,
-                                      .age = 700ms,
-                                      .subject = CrashSubject::kPart},
-                                     part.now);
-                   part.Confirm();
-                   CPPUNIT_ASSERT(!part.Quarantined());
-                   CPPUNIT_ASSERT_EQUAL(
-                       std::size_t{2},
-                       part.ledger.RecordOf(kPart, part.now).ends.size());
-                   // Of a peer that has not received the answer.
-                   CrashRecord stale{.request = kPart, .ends = {At(1)}};
-                   stale.ends[0].age = 4s;
-                   part.ledger.Merge(stale, part.now);
-                   CPPUNIT_ASSERT_EQUAL(
-                       std::size_t{2},
-                       part.ledger.RecordOf(kPart, part.now).ends.size());
-                 })}),
+     Section(
+         "tells its peers",
+         {It("that the part was answered since the ends that they report",
+             [] {
+               CrashLedger ledger(PartCrashOptions());
+               ledger.NoteAnswer(kPart, kStart + 1s);
+               CrashRecord report{.request = kPart,
+                                  .ends = {At(1), At(2)},
+                                  .age = 1s,
+                                  .subject = CrashSubject::kPart};
+               ledger.Merge(report, kStart + 2s);
+               const auto reports =
+                   ledger.CollectReports(kMaxReports, 0, kStart + 2s);
+               CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reports.size());
+               CPPUNIT_ASSERT(reports[0].ends.empty());
+             }),
+          It("the latest ends of a part, in whatever order they are learned",
+             [] {
+               PartLedger part;
+               part.End(1);
+               CrashRecord older{.request = kPart,
+                                 .ends = {At(2), At(3), At(4)},
+                                 .subject = CrashSubject::kPart};
+               for (CrashEnd& end : older.ends) {
+                 end.age = 2s;
+               }
+               part.ledger.Merge(older, part.now);
+               const CrashRecord record = part.ledger.RecordOf(kPart, part.now);
+               CPPUNIT_ASSERT_EQUAL(std::size_t{3}, record.ends.size());
+               CPPUNIT_ASSERT(record.ends.front() == At(1));
+             }),
+          It("and drops only the ends before their answers",
+             [] {
+               PartLedger part;
+               EndThree(part);
+               part.ledger.Merge({.request = kPart,
+                                  .age = 700ms,
+                                  .subject = CrashSubject::kPart},
+                                 part.now);
+               part.Confirm();
+               CPPUNIT_ASSERT(!part.Quarantined());
+               CPPUNIT_ASSERT_EQUAL(
+                   std::size_t{2},
+                   part.ledger.RecordOf(kPart, part.now).ends.size());
+               // Of a peer that has not received the answer.
+               CrashRecord stale{.request = kPart, .ends = {At(1)}};
+               stale.ends[0].age = 4s;
+               part.ledger.Merge(stale, part.now);
+               CPPUNIT_ASSERT_EQUAL(
+                   std::size_t{2},
+                   part.ledger.RecordOf(kPart, part.now).ends.size());
+             })}),
      Section("lets a quarantined part be tried",
              {It("once, five seconds after the last end",
                  [] {
