Name the hook of a new quarantine for what it is

Cause: read as a newcomer: on_begun and OnBegun stood beside NoteBegun, which is about answers. Change: on_quarantined and OnQuarantined; nothing else.

--- a/src/gateway/internal/quarantine.cc
+++ b/src/gateway/internal/quarantine.cc
@@ -32,7 +32,7 @@
 
 Quarantine::Quarantine(Options quarantine_options,
                        const GatewayHooks& gateway_hooks)
-    : on_begun(std::move(quarantine_options.on_begun)),
+    : on_quarantined(std::move(quarantine_options.on_quarantined)),
       hooks(gateway_hooks),
       request_ledger(quarantine_options.requests),
       part_ledger(quarantine_options.parts) {}
@@ -44,7 +44,7 @@
   const retry::CrashEnd end{.endpoint = StartKeyOf(endpoint),
                             .attempt = attempt};
   if (this->request_ledger.NoteEnd(subjects.request, end, this->Now())) {
-    this->OnBegun(this->request_ledger, subjects.request, endpoint.id);
+    this->OnQuarantined(this->request_ledger, subjects.request, endpoint.id);
     this->Store(this->request_ledger, subjects.request);
   }
   if (answering) {
@@ -55,7 +55,7 @@
   for (const retry::RequestKey part : subjects.parts) {
     if (this->part_ledger.NoteEnd(part, end, this->Now(),
                                   {.subject = subject, .service = service})) {
-      this->OnBegun(this->part_ledger, part, endpoint.id);
+      this->OnQuarantined(this->part_ledger, part, endpoint.id);
       this->Store(this->part_ledger, part);
     }
     subject = CrashSubject::kPart;
@@ -113,13 +113,13 @@
   retry::CrashLedger& ledger = this->LedgerOf(reported.subject);
 
   if (ledger.Merge(reported, this->Now())) {
-    this->OnBegun(ledger, reported.request, {});
+    this->OnQuarantined(ledger, reported.request, {});
   }
 }
 
-void Quarantine::OnBegun(const retry::CrashLedger& ledger,
-                         retry::RequestKey key,
-                         const EndpointId& endpoint) {
+void Quarantine::OnQuarantined(const retry::CrashLedger& ledger,
+                               retry::RequestKey key,
+                               const EndpointId& endpoint) {
   const retry::CrashRecord record = ledger.RecordOf(key, this->Now());
   this->hooks.log(log::Level::kWarning, "request_quarantined",
                   {.endpoint = endpoint,
@@ -128,7 +128,7 @@
                               {"request_key", HexText(key.value)},
                               {"ends", record.ends.size()},
                               {"left_ms", ledger.TimeLeft(key, this->Now())}}});
-  this->on_begun();
+  this->on_quarantined();
 }
 
 void Quarantine::Store(const retry::CrashLedger& ledger,
@@ -178,7 +178,7 @@
 void Quarantine::Sweep() {
   this->request_ledger.Sweep(this->Now());
   for (const retry::RequestKey part : this->part_ledger.Sweep(this->Now())) {
-    this->OnBegun(this->part_ledger, part, {});
+    this->OnQuarantined(this->part_ledger, part, {});
     this->Store(this->part_ledger, part);
   }
 }
--- a/src/gateway/internal/quarantine.h
+++ b/src/gateway/internal/quarantine.h
@@ -32,7 +32,7 @@
     retry::CrashLedger::Options parts;
     // Another request or part is quarantined, so that waiting requests may have
     // to end.
-    std::function<void()> on_begun;
+    std::function<void()> on_quarantined;
   };
 
   // `gateway_hooks` outlives this object.
@@ -73,13 +73,13 @@
  private:
   Instant Now() const { return this->hooks.now(); }
   retry::CrashLedger& LedgerOf(retry::CrashSubject subject);
-  void OnBegun(const retry::CrashLedger& ledger,
-               retry::RequestKey key,
-               const EndpointId& endpoint);
+  void OnQuarantined(const retry::CrashLedger& ledger,
+                     retry::RequestKey key,
+                     const EndpointId& endpoint);
   // Stores that a quarantine began or ended.
   void Store(const retry::CrashLedger& ledger, retry::RequestKey key) const;
 
-  const std::function<void()> on_begun;
+  const std::function<void()> on_quarantined;
   const GatewayHooks& hooks;
   retry::CrashLedger request_ledger;
   retry::CrashLedger part_ledger;
