Say once how a record's subject narrows, and document CloseIfIdle again

Cause: read once more: two places of the ledger repeated the rule for first parts, and CloseIfIdle had lost its comment to the accessor above it. Change: SetSubject serves both; three comments. No decision changes.

--- a/src/framework/http/internal/server_connection.h
+++ b/src/framework/http/internal/server_connection.h
@@ -41,10 +41,11 @@
   // Answers 503 without reading a request, and closes.
   void RefuseForLoad();
 
-  // Whether nothing is under way on the connection, and when it would be closed
-  // for that.
+  // Whether nothing is under way on the connection.
   bool idle() const;
+  // When an idle connection is closed. Precondition: idle().
   Instant idle_until() const { return this->timer.expires_at(); }
+  // Closes the connection if it is idle.
   void CloseIfIdle();
 
   // For the responder of the request under way.
--- a/src/retry/crash_ledger.cc
+++ b/src/retry/crash_ledger.cc
@@ -50,10 +50,7 @@
   const bool known = this->entries.contains(request);
   Entry& entry = this->FindOrCreate(request);
   const bool was_quarantined = this->InQuarantine(entry, now);
-  // A part that begins only some of the prompts is not a first part.
-  if (!known || entry.subject == CrashSubject::kFirstPart) {
-    entry.subject = site.subject;
-  }
+  SetSubject(site.subject, known, entry);
   entry.service = site.service;
   entry.probed = entry.probed || entry.probe_until != Instant{};
   this->AddEnd(end, now, entry);
@@ -62,6 +59,13 @@
   return !was_quarantined && this->InQuarantine(entry, now);
 }
 
+// A part that begins only some of the prompts is not a first part.
+void CrashLedger::SetSubject(CrashSubject subject, bool known, Entry& entry) {
+  if (!known || entry.subject == CrashSubject::kFirstPart) {
+    entry.subject = subject;
+  }
+}
+
 bool CrashLedger::NoteAnswer(RequestKey request, Instant now) {
   this->StoreAnswer(request, now);
   const auto found = this->entries.find(request);
@@ -137,9 +141,7 @@
   const bool known = this->entries.contains(report.request);
   Entry& entry = this->FindOrCreate(report.request);
   const bool was_quarantined = this->InQuarantine(entry, now);
-  if (!known || entry.subject == CrashSubject::kFirstPart) {
-    entry.subject = report.subject;
-  }
+  SetSubject(report.subject, known, entry);
   // The last end may be one that the peer does not store.
   entry.last = std::max(entry.last, now - report.age);
   bool changed = false;
--- a/src/retry/crash_ledger.h
+++ b/src/retry/crash_ledger.h
@@ -154,6 +154,7 @@
   bool AnsweredSince(RequestKey request, Instant since) const;
   // Reports this process's own answer to a peer that knows only ends.
   void ReportAnswer(const CrashRecord& report, Instant now);
+  static void SetSubject(CrashSubject subject, bool known, Entry& entry);
   static void Clear(Entry& entry, Instant answered_at);
   void StoreAnswer(RequestKey request, Instant answered_at);
   void MergeAnswer(RequestKey request, Instant at);
