Let each case write its own record.txt, and all answers into it

Cause: no file of a case's folder named record.txt; the shared module built its path, and review/.gitignore hid what it wrote. Case 1 recorded no answers to streams.

Checks, bounds and doses are as they were.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -109,10 +109,12 @@
              "X-Acacialug-Deadline-Ms": "14000"}, request.encode()))
         line, headers = await wire.read_head(reader)
         await wire.read_body(reader, headers)
-        ends[line.split(" ")[1]] += 1
+        how = line.split(" ")[1]
         writer.close()
     except (OSError, wire.Broken):
-        ends["broken off"] += 1
+        how = "broken off"
+    ends[how] += 1
+    record.write(f"caller gets {how} for {request}")
 
 
 async def play(files, record):
@@ -201,4 +203,5 @@
 
 
 if __name__ == "__main__":
-    platform.run_case(os.path.dirname(os.path.abspath(__file__)), play)
+    folder = os.path.dirname(os.path.abspath(__file__))
+    platform.run_case(os.path.join(folder, "record.txt"), play)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -194,4 +194,5 @@
 
 
 if __name__ == "__main__":
-    platform.run_case(os.path.dirname(os.path.abspath(__file__)), play)
+    folder = os.path.dirname(os.path.abspath(__file__))
+    platform.run_case(os.path.join(folder, "record.txt"), play)
--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -49,12 +49,12 @@
 
 
 class Record:
-    """Writes record.txt: what was sent, answered and run."""
+    """Writes a case's record.txt: what was sent, answered and run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
+        # By lines, so that a run that is stopped leaves its record too.
         # pylint: disable=consider-using-with
-        self.file = open(os.path.join(folder, "record.txt"), "w",
-                         encoding="utf-8")
+        self.file = open(path, "w", buffering=1, encoding="utf-8")
         self.begun = time.monotonic()
 
     def write(self, what):
@@ -275,9 +275,9 @@
         return NOT_RUN
 
 
-def run_case(folder, play):
+def run_case(record_path, play):
     """Runs `play(folder_for_files, record)`, which returns an exit code."""
-    record = Record(folder)
+    record = Record(record_path)
     record.tell(f"TROUBLE={int(TROUBLE)}, addresses at {IP}")
     files = tempfile.mkdtemp(prefix="review-")
     code = NOT_RUN
