--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -315,6 +315,9 @@
   if (answer == AnswerNature::kSuccess) {
     this->prefilled = this->context.dialect.read_export(body);
   }
+  if (this->prefilled && !this->prefilled->trusted) {
+    this->ReleaseExport();
+  }
   if (!this->prefilled) {
     // A prefill endpoint has no memory to run out of: a refusal means that it
     // changes its role, which takes seconds.
@@ -323,7 +326,9 @@
     } else {
       this->context.health.NoteFailure(id, this->Now());
     }
-    this->AfterPrefill(NameOf(kAnswerNatureNames, answer));
+    this->AfterPrefill(answer == AnswerNature::kSuccess
+                           ? std::string_view("malformed")
+                           : NameOf(kAnswerNatureNames, answer));
     return;
   }
   this->arrivals.NotePrefillAccepted();
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -251,9 +251,10 @@
     return advice;
   };
   dialect.read_export = [](std::string_view body) {
-    return body.empty() ? std::nullopt
-                        : std::optional(PrefillExport{.name = std::string(body),
-                                                      .tokens = 1});
+    return body.empty()
+               ? std::nullopt
+               : std::optional(PrefillExport{.name = std::string(body),
+                                             .trusted = body != "spoiled"});
   };
   dialect.write_reserve = [](const EndpointRecord&, std::uint64_t tokens,
                              Duration /*lifetime*/) {
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -338,6 +338,29 @@
           simulation.Break(simulation.Find("prefill"));
           CPPUNIT_ASSERT(!answer->ended);
         }),
+     It("releases the export of a malformed prefill, and is prefilled "
+        "elsewhere",
+        [] {
+          // Guards against memory that stays allocated because another part of
+          // the answer that names it is malformed.
+          Model simulation;
+          const auto answer = simulation.SendRequest("/stream/a", "r1");
+          simulation.Reply(simulation.Find("/reserve/"), 200, {}, "v");
+          const auto prefill = simulation.Find("prefill");
+          const http::Address first_address = prefill->address;
+          simulation.Reply(prefill, 200, {}, "spoiled");
+          CPPUNIT_ASSERT(!answer->ended);
+          CPPUNIT_ASSERT_EQUAL(
+              std::ptrdiff_t{1},
+              std::count(simulation.released.begin(), simulation.released.end(),
+                         "/export/spoiled"));
+          CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                               simulation.Logged("prefill_failed"));
+          simulation.Reply(simulation.Find("/reserve/"), 200, {}, "v");
+          const auto second = simulation.Find("prefill");
+          CPPUNIT_ASSERT(second != nullptr &&
+                         !(second->address == first_address));
+        }),
      It("has its prompt computed by a decode endpoint if there is no prefill "
         "endpoint",
         [] {
--- a/src/gateway/types/endpoint_dialect.h
+++ b/src/gateway/types/endpoint_dialect.h
@@ -55,7 +55,9 @@
 
 struct PrefillExport {
   std::string name;  // of the computed prompt at the endpoint that holds it
-  std::uint64_t tokens = 0;
+  // False: another part of the answer is malformed. The export may only be
+  // released, since its content may be wrong too.
+  bool trusted = true;
 };
 
 // Reads callers' requests, and reads and writes endpoints' messages, in their
@@ -75,7 +77,7 @@
   // empty if endpoints give none.
   std::function<EndpointAdvice(int status, const http::Headers& headers)>
       read_advice;
-  // Returns empty if the body is malformed.
+  // Returns empty if the body names no export.
   std::function<std::optional<PrefillExport>(std::string_view body)>
       read_export;
   // Requests a reservation of memory and a slot at a decode endpoint. The hook
