Bound endpoints' answers in bytes, memory and time

What callers would see: a gateway that is killed for its memory, with all that it serves, while endpoints answer with bytes without end; and a request that was rejected, but is answered as unknown at its deadline, because the rejection's body never ends.

Cause: waits and buffers that only the sender ends. Collected answers took 16 MiB each, without a bound for all; bodies of failed generations had none; interim answers and answers to other requests were read without end; the gateway's own messages had no time limit but silence, which is off.

Change: AnswerMemory bounds what is held of all answers that are not whole, and of streams that callers have not taken, by a quarter of `memory_mib`, and gives up the longest. A rejection or an unproven answer ends its exchange with the head. Own messages have 2 s and 64 KiB. Interim answers share the head's limit, answers to others the body's.

Why it works: each wait has an end that this process sets, and each buffer a bound, shared where there are many. Whole answers, and their bytes, are passed on as before.

--- a/src/framework/http/http_client.cc
+++ b/src/framework/http/http_client.cc
@@ -69,6 +69,7 @@
       Exchange{.id = id,
                .request_bytes = WriteRequest(request, address),
                .asks_head = request.method == "HEAD",
+               .options = send_options,
                .hooks = std::move(hooks)});
   ClientConnection* connection =
       send_options.fresh_connection ? nullptr : this->pool.Take(address);
--- a/src/framework/http/http_client.h
+++ b/src/framework/http/http_client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,10 @@
   // the connection's next request. Empty: every answer is this exchange's.
   std::function<bool(int status, const Headers& headers)> is_answer;
   std::function<void(int status, const Headers& headers)> on_head;
+  // Runs right after on_head. False: the head says all, and the exchange ends
+  // with it, by on_end with an empty body. The connection is kept only if the
+  // rest of the answer has arrived as well. Empty: every body is awaited.
+  std::function<bool(int status, const Headers& headers)> wants_body;
   // Runs right after on_head if the body has neither a length nor chunks: only
   // the end of the connection ends it, as does the end of the server's process.
   std::function<void()> on_unframed;
@@ -38,6 +43,11 @@
   // the server sends twice comes again on the connection of the first one:
   // on another connection no answer to an earlier message can arrive.
   bool fresh_connection = false;
+  // For an answer that is collected; empty: ClientOptions::max_body_bytes.
+  std::optional<std::size_t> max_body_bytes;
+  // The exchange fails when it has not ended this long after it began. Unlike
+  // the silence timeout it ends an answer that never stops. Zero: no limit.
+  Duration timeout{};
 };
 
 struct ClientOptions {
@@ -46,7 +56,8 @@
   // turns it off (for streams, whose owner watches progress).
   Duration silence_timeout = 30s;
   // For answers that are collected; a stream (on_data) has no limit, since it
-  // takes no memory here.
+  // takes no memory here. Answers to other requests, which are dropped, are
+  // read up to the same limit.
   std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
   std::size_t max_idle_connections = 64;  // kept for reuse, per address
   // An idle connection is closed after this. Shorter than the idle timeout of
--- a/src/framework/http/internal/client_connection.cc
+++ b/src/framework/http/internal/client_connection.cc
@@ -36,6 +36,7 @@
       secure(tls != nullptr),
       socket(MakeSocket(tls, kReadBytes)),
       timer([this](Duration late) { this->OnExpired(late); }),
+      timeout_timer([this](Duration late) { this->OnTimeout(late); }),
       idle_time(client_options.max_idle) {
   this->ConnectSignals();
 }
@@ -73,11 +74,17 @@
       .max_body_bytes =
           this->exchange->hooks.on_data
               ? std::nullopt
-              : std::optional<std::uint64_t>(this->options.max_body_bytes)});
+              : std::optional<std::uint64_t>(
+                    this->exchange->options.max_body_bytes.value_or(
+                        this->options.max_body_bytes))});
   this->paused = false;
   this->dropping = false;
   this->request_left = false;
   this->late_look_given = false;
+  this->timeout_extended = false;
+  this->bytes_before_answer = 0;
+  this->answering = false;
+  this->timeout_timer.Set(this->exchange->options.timeout);
   this->inside_start = true;
   if (this->open) {
     this->WriteRequest();
@@ -163,6 +170,9 @@
   }
   this->request_left = true;
   this->WatchSilence();
+  if (!this->answering) {
+    this->bytes_before_answer += static_cast<std::size_t>(got);
+  }
   this->reader->Append({space.data(), static_cast<std::size_t>(got)});
   return true;
 }
@@ -185,12 +195,18 @@
       this->NoteIdleTime(headers);
       this->dropping = held->hooks.is_answer &&
                        !held->hooks.is_answer(this->reader->status(), headers);
+      this->answering = !this->dropping;
       if (!this->dropping && held->hooks.on_head) {
         held->hooks.on_head(this->reader->status(), headers);
       }
       if (!this->MayGoOn(id)) {
         return false;
       }
+      if (!this->dropping && held->hooks.wants_body &&
+          !held->hooks.wants_body(this->reader->status(), headers)) {
+        this->SkipBody();
+        return false;
+      }
       if (!this->dropping && held->hooks.on_unframed &&
           this->reader->ends_with_connection()) {
         held->hooks.on_unframed();
@@ -206,6 +222,11 @@
     }
     if (this->dropping) {
       this->reader->TakeBody();
+      if (this->bytes_before_answer > this->options.max_body_bytes) {
+        this->Fail(Error(ResultCode::kOutOfBounds,
+                         "too many bytes of answers to other requests"));
+        return false;
+      }
       if (step != ReadStep::kDone) {
         return true;
       }
@@ -224,6 +245,15 @@
   }
 }
 
+void ClientConnection::SkipBody() {
+  ReadStep step = this->reader->Advance();
+  while (step == ReadStep::kHeadDone) {
+    step = this->reader->Advance();
+  }
+  this->reader->TakeBody();
+  this->Finish(step == ReadStep::kDone);
+}
+
 bool ClientConnection::DeliverData() {
   const std::shared_ptr<Exchange> held = this->exchange;
   if (!held->hooks.on_data) {
@@ -346,6 +376,17 @@
           (this->open ? ": silent for too long" : ": not connected in time")));
 }
 
+void ClientConnection::OnTimeout(Duration late) {
+  // As for silence: the time for which this process stood still doesn't count.
+  if (late >= kLateLook && !std::exchange(this->timeout_extended, true)) {
+    this->timeout_timer.Set(this->exchange->options.timeout);
+    return;
+  }
+  this->ended = true;
+  this->Fail(Error(ResultCode::kConnectionLost,
+                   ToString(this->server_address) + ": not whole in time"));
+}
+
 // While this process stood still the operating system may have made the
 // connection, and an endpoint that is well would pass for one that cannot be
 // reached. Qt tells no descriptor to ask it by before it has noticed itself;
@@ -391,8 +432,8 @@
   }
 }
 
-void ClientConnection::Finish() {
-  const bool reusable = this->reader->keep_alive() &&
+void ClientConnection::Finish(bool whole) {
+  const bool reusable = whole && this->reader->keep_alive() &&
                         !this->reader->has_excess() && !this->ended &&
                         UnsentBytes(*this->socket) == 0;
   std::string body = this->reader->TakeBody();
@@ -421,6 +462,7 @@
 
 std::shared_ptr<Exchange> ClientConnection::Release(bool reusable) {
   this->timer.Clear();
+  this->timeout_timer.Clear();
   this->reader.reset();
   this->released_at = MonotonicNow();
   std::shared_ptr<Exchange> over = std::move(this->exchange);
@@ -435,6 +477,7 @@
 void ClientConnection::Close() {
   this->ended = true;
   this->timer.Clear();
+  this->timeout_timer.Clear();
   this->exchange.reset();
   this->socket->disconnect(this);
   this->socket->abort();
--- a/src/framework/http/internal/client_connection.h
+++ b/src/framework/http/internal/client_connection.h
@@ -21,6 +21,7 @@
   Client::ExchangeId id = 0;
   std::string request_bytes;
   bool asks_head = false;
+  SendOptions options;
   ExchangeHooks hooks;
 };
 
@@ -70,6 +71,7 @@
   void OnDisconnected();
   void WatchSilence();
   void OnExpired(Duration late);
+  void OnTimeout(Duration late);
   // False: it was given, or there is nothing to wait for.
   bool GiveOpeningGrace();
   void WriteRequest();
@@ -78,9 +80,12 @@
   // False: the exchange is over or paused.
   bool Deliver();
   bool DeliverData();
+  // Ends the exchange with the head of its answer.
+  void SkipBody();
   bool MayGoOn(Client::ExchangeId id) const;
   void EndOfStream();
-  void Finish();
+  // `whole`: all of the answer was read.
+  void Finish(bool whole = true);
   void NoteIdleTime(const Headers& headers);
   void Fail(Error error);
   std::shared_ptr<Exchange> Release(bool reusable);
@@ -91,19 +96,23 @@
   const bool secure;
   std::unique_ptr<QTcpSocket> socket;
   DeadlineTimer timer;
+  DeadlineTimer timeout_timer;  // of the whole exchange
   std::shared_ptr<Exchange> exchange;
   std::optional<ResponseReader> reader;
   std::optional<EndProbe> end_probe;  // for a body that ends with it
   Instant released_at = Instant{};
   Duration idle_time;
   bool dropping = false;  // an answer that belongs to another request
+  std::size_t bytes_before_answer = 0;  // received before this one's head
+  bool answering = false;               // the head of this one's answer came
   bool open = false;
   bool ended = false;  // the socket is of no more use
   bool paused = false;
   bool inside_start = false;
   bool grace_given = false;      // while it is being opened
   bool late_look_given = false;  // in the silence that is watched
-  bool request_left = false;     // at least one byte of it
+  bool timeout_extended = false;
+  bool request_left = false;  // at least one byte of it
 };
 
 }  // namespace acacialug::http
--- a/src/framework/http/internal/response_reader.cc
+++ b/src/framework/http/internal/response_reader.cc
@@ -44,7 +44,6 @@
   // Not boost::none: this version of Beast takes that for a limit of nothing.
   beast.body_limit(this->options.max_body_bytes.value_or(
       std::numeric_limits<std::uint64_t>::max()));
-  this->head_bytes = 0;
 }
 
 ReadStep ResponseReader::Advance() {
@@ -77,6 +76,9 @@
       if (this->status_code >= kFirstFinalStatus) {
         return ReadStep::kHeadDone;
       }
+      if (this->head_bytes > this->options.max_header_bytes) {
+        return this->Fail(ResultCode::kOutOfBounds, "interim answers");
+      }
       this->MakeParser();  // an interim answer: the final one follows
       continue;
     }
@@ -100,6 +102,9 @@
       boost::asio::buffer(this->pending.view().data(), this->pending.size()),
       state.error);
   this->pending.Take(used);
+  if (!state.head_taken) {
+    this->head_bytes += used;
+  }
   return state.error != beast_http::error::need_more;
 }
 
@@ -137,6 +142,7 @@
 
 void ResponseReader::Restart() {
   this->parser.reset();
+  this->head_bytes = 0;
   this->head.clear();
 }
 
--- a/src/framework/http/internal/response_reader.h
+++ b/src/framework/http/internal/response_reader.h
@@ -19,6 +19,7 @@
  public:
   struct Options {
     bool answers_head = false;  // the request's method was HEAD
+    // Of the head together with those of the interim answers before it.
     std::size_t max_header_bytes = std::size_t{64} * 1024;
     std::optional<std::uint64_t> max_body_bytes;  // empty: no limit
   };
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -35,7 +35,7 @@
     return this->pending.find_first_not_of("\r\n") != std::string::npos;
   }
   bool overflowed() const { return this->pending.size() > kMaxEventBytes; }
-  void Clear() { this->pending.clear(); }
+  void Clear() { this->pending = {}; }
 
  private:
   std::string pending;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -82,6 +82,7 @@
                 this->health,
                 this->paces),
         calls(this->load_table, this->health),
+        answer_memory(this->options.answer_memory),
         context{
             .hooks = this->options.hooks,
             .dialect = this->options.dialect,
@@ -97,6 +98,7 @@
             .timers = this->timers,
             .quarantine = this->quarantine,
             .origins = this->origins,
+            .answer_memory = this->answer_memory,
             .random = this->random,
             .processes = [this] { return this->peers ? *this->peers + 1 : 0; },
             .closing = [this] { return this->drain_begun != kNever; },
@@ -383,6 +385,7 @@
   CustomerAdmission customers;
   StreamPlacement streams;
   CallPlacement calls;
+  AnswerMemory answer_memory;
   std::shared_ptr<const RouteTable> routes;
   std::map<ServiceName, ServiceState> services;
   std::unordered_map<const Relay*, std::shared_ptr<Relay>> relays;
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -13,6 +13,7 @@
 #include "framework/global/types/instant.h"
 #include "framework/http/http_server.h"
 #include "gateway/admission_queue.h"
+#include "gateway/answer_memory.h"
 #include "gateway/stream_placement.h"
 #include "gateway/types/configuration.h"
 #include "gateway/types/endpoint_dialect.h"
@@ -52,6 +53,7 @@
     retry::CrashLedger::Options crashes;
     retry::CrashLedger::Options part_crashes = retry::PartCrashOptions();
     quota::Tolerance quotas;
+    AnswerMemory::Options answer_memory;
     GatewayHooks hooks;
     EndpointDialect dialect;
   };
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -52,6 +52,7 @@
        {"left_ms", this->TimeLeft()}});
   this->context.load_table.Add(chosen.id, this->load, chosen.started_at_ms);
   this->nature = AnswerNature::kUnproven;
+  this->DropBody();
   this->sent_at = this->Now();
   ++this->outcome.sends;
   ++this->runs;
@@ -64,8 +65,8 @@
              self->OnHead(answered, head);
            },
        .on_unframed = [self] { self->NoteUnframed(); },
-       .on_end =
-           [self](std::string body) { self->OnBodyComplete(std::move(body)); },
+       .on_data = [self](std::string_view data) { self->OnBodyData(data); },
+       .on_end = [self](const std::string&) { self->OnBodyComplete(); },
        .on_error = [self](const Error& error,
                           bool sent) { self->OnLost(error, sent); }});
   this->StartResponseTimer();
@@ -86,7 +87,23 @@
       this->work.request, WorkStep::kWhole, answered, head);
 }
 
-void CallRelay::OnBodyComplete(std::string body) {
+void CallRelay::OnBodyData(std::string_view data) {
+  this->body += data;
+  this->HoldAnswer(this->body.size());
+}
+
+void CallRelay::OnAnswerTooLong() {
+  this->StopExchange();
+  this->context.health.NoteFailure(this->endpoint.id, this->Now());
+  this->Log(
+      log::Level::kWarning, "answer_too_long", this->endpoint.id,
+      {{"bytes", this->body.size()}, {"after_ms", this->Now() - this->sent_at}},
+      ResultCode::kEngineBadAnswer);
+  this->DropBody();
+  this->AfterRun(ResultCode::kEngineBadAnswer);
+}
+
+void CallRelay::OnBodyComplete() {
   this->ForgetExchange();
   const EndpointId& id = this->endpoint.id;
   switch (this->nature) {
@@ -98,7 +115,7 @@
         this->work.state->forecast.NoteCall(this->Now() - this->sent_at);
       }
       this->ForwardAnswer(RelayEnd::kServed, this->status, this->headers,
-                          std::move(body));
+                          std::move(this->body));
       return;
     case AnswerNature::kNotRun:
       this->context.health.NoteFull(id, this->Now());
@@ -119,7 +136,7 @@
         }
       }
       this->ForwardAnswer(RelayEnd::kFailed, this->status, this->headers,
-                          std::move(body));
+                          std::move(this->body));
       return;
     case AnswerNature::kUnproven:
     case AnswerNature::kForeign:
@@ -190,6 +207,11 @@
   }
 }
 
+void CallRelay::DropBody() {
+  this->body = {};
+  this->HoldAnswer(0);
+}
+
 void CallRelay::EndAttempt() {
   this->CancelPhaseTimer();
   this->ReleaseLoad();
--- a/src/gateway/internal/call_relay.h
+++ b/src/gateway/internal/call_relay.h
@@ -18,6 +18,7 @@
 
  protected:
   void OnDeadline() override;
+  void OnAnswerTooLong() override;
   void Release() override;
 
  private:
@@ -26,7 +27,9 @@
   const EndpointRecord* FindEndpoint(std::vector<EndpointId> avoided);
   void Send(const EndpointRecord& endpoint);
   void OnHead(int status, const http::Headers& headers);
-  void OnBodyComplete(std::string body);
+  void OnBodyData(std::string_view data);
+  void OnBodyComplete();
+  void DropBody();
   void OnLost(const Error& error, bool sent);
   void StartResponseTimer();
   void OnResponseTimeout();
@@ -45,6 +48,7 @@
   AnswerNature nature = AnswerNature::kUnproven;
   int status = 0;
   http::Headers headers;
+  std::string body;
   Instant sent_at;
   std::uint32_t runs = 0;  // attempts without a proof that they did not run
 };
--- a/src/gateway/internal/endpoint_sender.cc
+++ b/src/gateway/internal/endpoint_sender.cc
@@ -11,11 +11,23 @@
     const http::Request& request,
     http::ExchangeHooks exchange_hooks,
     Judge judge,
-    const http::SendOptions& send_options) {
+    http::SendOptions send_options) {
   exchange_hooks.is_answer = [this, judge](int status,
                                            const http::Headers& headers) {
     return this->IsAnswer(judge, status, headers);
   };
+  if (judge) {
+    // What did not run, or is not from an endpoint, is known from the head.
+    exchange_hooks.wants_body = [judge](int status,
+                                        const http::Headers& headers) {
+      const AnswerNature nature = judge(status, headers);
+      return nature == AnswerNature::kSuccess ||
+             nature == AnswerNature::kFailure;
+    };
+  } else {
+    send_options.max_body_bytes = kMaxControlBytes;
+    send_options.timeout = kControlTimeout;
+  }
   if (this->dialect.read_advice) {
     exchange_hooks.on_head =
         [this, id = endpoint.id, started_at_ms = endpoint.started_at_ms,
--- a/src/gateway/internal/endpoint_sender.h
+++ b/src/gateway/internal/endpoint_sender.h
@@ -20,6 +20,11 @@
 // their answers. Not thread safe.
 class EndpointSender {
  public:
+  // Maximum body of an answer that says something about memory or orders, and
+  // the time in which it must be whole.
+  static constexpr std::size_t kMaxControlBytes = std::size_t{64} * 1024;
+  static constexpr Duration kControlTimeout = 2s;
+
   // Judges the head of an answer to a request.
   using Judge =
       std::function<AnswerNature(int status, const http::Headers& headers)>;
@@ -36,13 +41,14 @@
         catalog(endpoint_catalog),
         health(endpoint_health) {}
 
-  // As GatewayHooks::send, with `is_answer` set here. `judge` is empty for
-  // messages that are no requests of callers.
+  // As GatewayHooks::send, with `is_answer` and `wants_body` set here. `judge`
+  // is empty for messages that are no requests of callers; their answers are
+  // bounded as above.
   http::Client::ExchangeId Send(const EndpointRecord& endpoint,
                                 const http::Request& request,
                                 http::ExchangeHooks exchange_hooks,
                                 Judge judge = {},
-                                const http::SendOptions& send_options = {});
+                                http::SendOptions send_options = {});
 
   // A peer reported what an answer that it received says of a limit.
   void OnPeerLimit(const EndpointLimitReport& reported);
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -29,6 +29,12 @@
       self->OnCallerGone();
     }
   });
+  this->held_answer =
+      this->context.answer_memory.Begin([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnAnswerTooLong();
+        }
+      });
   this->deadline_timer = this->context.timers.Set(
       this->deadline, [self = this->shared_from_this()] {
         if (!self->is_finished) {
@@ -113,7 +119,10 @@
       },
       // All sends of a request bear the same id: a second copy of the answer to
       // the earlier one would pass for the answer to this one.
-      {.fresh_connection = sent_before});
+      {.fresh_connection = sent_before,
+       .max_body_bytes = order.step == WorkStep::kPrefill
+                             ? std::optional(EndpointSender::kMaxControlBytes)
+                             : std::nullopt});
 }
 
 void Relay::NoteLost(const EndpointRecord& endpoint,
@@ -172,6 +181,10 @@
   }
 }
 
+void Relay::HoldAnswer(std::size_t bytes) {
+  this->context.answer_memory.SetHeld(this->held_answer, bytes);
+}
+
 void Relay::SetPhaseTimer(Duration after, std::function<void()> on_timeout) {
   this->CancelPhaseTimer();
   this->phase_timer = this->context.timers.SetResponseTimer(
@@ -239,6 +252,7 @@
   }
   this->is_finished = true;
   this->StopExchange();
+  this->context.answer_memory.End(this->held_answer);
   this->CancelPhaseTimer();
   this->context.timers.Cancel(this->deadline_timer);
   this->work.responder->SetOnGone({});
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -97,6 +97,12 @@
   // Cancels the exchange under way; none of its hooks runs after that.
   void StopExchange();
   void ForgetExchange() { this->exchange = 0; }
+  // Sets the memory that the answer takes here. May run OnAnswerTooLong, of
+  // this relay or of another one.
+  void HoldAnswer(std::size_t bytes);
+  // The answer takes too much memory and must be given up. Runs only while it
+  // holds bytes.
+  virtual void OnAnswerTooLong() = 0;
 
   // Fires once; a later call replaces an earlier one.
   void SetPhaseTimer(Duration after, std::function<void()> on_timeout);
@@ -140,6 +146,7 @@
 
   std::function<void(Relay&)> finished_hook;
   http::Client::ExchangeId exchange = 0;
+  AnswerMemory::AnswerId held_answer = 0;
   TimerId deadline_timer = 0;
   TimerId phase_timer = 0;
   Instant deadline;
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -12,6 +12,7 @@
 #include "framework/global/random_source.h"
 #include "framework/http/http_server.h"
 #include "gateway/admission_queue.h"
+#include "gateway/answer_memory.h"
 #include "gateway/call_placement.h"
 #include "gateway/endpoint_catalog.h"
 #include "gateway/endpoint_health.h"
@@ -57,6 +58,7 @@
   TimerQueue& timers;
   Quarantine& quarantine;
   StreamOrigins& origins;
+  AnswerMemory& answer_memory;
   RandomSource& random;
   // The number of processes that share the repeat budget, including this
   // process; 0 while it is not known.
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -413,6 +413,7 @@
 void StreamRelay::AfterNotRun() {
   this->CancelPhaseTimer();
   this->EndMigration();
+  this->DropIncomplete();
   this->decode_open = false;
   --this->runs;
   this->tried.push_back(this->placement->decode.id);
@@ -442,6 +443,7 @@
 void StreamRelay::AfterRun(ResultCode code) {
   this->CancelPhaseTimer();
   this->EndMigration();
+  this->DropIncomplete();
   this->decode_open = false;
   this->tried.push_back(this->placement->decode.id);
   this->ReleaseDecode();
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -48,6 +48,7 @@
 
  protected:
   void OnDeadline() override;
+  void OnAnswerTooLong() override;
   void Release() override;
 
  private:
@@ -94,6 +95,10 @@
   void StartDecode(WorkStep step);
   void OnDecodeHead(int status, const http::Headers& head);
   void OnDecodeData(std::string_view data);
+  // The bytes that the endpoint sent and that no caller has received: of an
+  // event that is not complete, or of a failure.
+  std::size_t incomplete_bytes() const;
+  void DropIncomplete();
   bool DeliverEvent(const StreamEvent& event);
   void NoteProgress();
   void NoteVersion();
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -33,8 +33,7 @@
   this->NoteOrigin(this->placement->decode);
   this->decode_open = true;
   this->nature = AnswerNature::kUnproven;
-  this->failure_body.clear();
-  this->splitter.Clear();
+  this->DropIncomplete();
   this->step_at = this->Now();
   this->attempt_events = 0;
   this->answering = false;
@@ -104,6 +103,7 @@
   this->received_since_timeout = true;
   if (this->nature != AnswerNature::kSuccess) {
     this->failure_body += data;
+    this->HoldAnswer(this->incomplete_bytes());
     return;
   }
   for (const StreamEvent& event : this->splitter.Take(data)) {
@@ -117,6 +117,40 @@
     return;
   }
   this->StartResponseTimer();
+  // Last, since it may end the attempt.
+  this->HoldAnswer(this->incomplete_bytes() +
+                   this->work.responder->unsent_bytes());
+}
+
+std::size_t StreamRelay::incomplete_bytes() const {
+  return this->failure_body.size() + this->splitter.rest().size();
+}
+
+void StreamRelay::DropIncomplete() {
+  this->failure_body = {};
+  this->splitter.Clear();
+  this->HoldAnswer(0);
+}
+
+// The endpoint's bytes don't end, or the caller takes its events too slowly;
+// another endpoint would help only in the first case.
+void StreamRelay::OnAnswerTooLong() {
+  const std::size_t incomplete = this->incomplete_bytes();
+  const std::size_t unsent = this->work.responder->unsent_bytes();
+  this->Log(log::Level::kWarning, "answer_too_long", this->placement->decode.id,
+            {{"bytes", incomplete},
+             {"unsent_bytes", unsent},
+             {"events", this->outcome.events},
+             {"after_ms", this->Now() - this->step_at}},
+            ResultCode::kEngineBadAnswer);
+  this->StopExchange();
+  this->DropIncomplete();
+  if (unsent >= incomplete) {
+    this->GiveUp(ResultCode::kEngineBadAnswer);
+    return;
+  }
+  this->context.health.NoteFailure(this->placement->decode.id, this->Now());
+  this->AfterRun(ResultCode::kEngineBadAnswer);
 }
 
 void StreamRelay::LearnFromEvent() {
@@ -439,6 +473,7 @@
   this->CancelPhaseTimer();
   this->context.hooks.drop_idle(this->placement->decode.address);
   this->StopExchange();
+  this->DropIncomplete();
   this->decode_open = false;
   this->tried.push_back(this->placement->decode.id);
   this->ReleaseDecode();
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -479,7 +479,9 @@
   if (hooks.on_head) {
     hooks.on_head(status, headers);
   }
-  if (hooks.on_data) {
+  if (hooks.wants_body && !hooks.wants_body(status, headers)) {
+    hooks.on_end({});
+  } else if (hooks.on_data) {
     hooks.on_data(body);
     hooks.on_end({});
   } else if (hooks.on_end) {
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -38,6 +38,15 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+// A quarter leaves room for the sockets' buffers of as many endless answers,
+// callers' bodies and the process itself.
+gateway::AnswerMemory::Options AnswerMemoryOf(const GatewaySettings& settings) {
+  const std::size_t bytes = settings.memory_limit / 4;
+  return {.max_bytes = bytes,
+          .max_answer_bytes = std::min(
+              bytes, gateway::AnswerMemory::Options{}.max_answer_bytes)};
+}
+
 std::chrono::milliseconds MillisecondsUntil(Instant at) {
   return std::chrono::ceil<std::chrono::milliseconds>(
       std::max(Duration::zero(), at - MonotonicNow()));
@@ -169,6 +178,7 @@
             .crashes = settings.crashes,
             .part_crashes = settings.part_crashes,
             .quotas = settings.quotas,
+            .answer_memory = AnswerMemoryOf(settings),
             .hooks = this->CoreHooks(),
             .dialect = this->options.dialect};
   }
--- a/src/gateway_process/internal/settings_reader.cc
+++ b/src/gateway_process/internal/settings_reader.cc
@@ -7,6 +7,9 @@
 
 // More than any fleet needs; a mistyped exponent is reported.
 constexpr double kMaxRepeats = 1e9;
+constexpr double kMiB = 1024 * 1024;
+constexpr double kMinMemoryMib = 4;
+constexpr double kMaxMemoryMib = kMiB;
 constexpr std::int64_t kMaxPartAnswers = 1000;
 constexpr double kMostSpare = 1e12;
 
@@ -27,6 +30,13 @@
     into.operations_listen =
         table.Parsed<http::Address>("operations_listen", AddressRule());
   }
+  // A number, since a platform may render a fraction.
+  into.memory_limit = static_cast<std::size_t>(
+      kMiB *
+      table.Number("memory_mib",
+                   {.fallback = static_cast<double>(into.memory_limit) / kMiB,
+                    .minimum = kMinMemoryMib,
+                    .maximum = kMaxMemoryMib}));
   into.drain_grace = table.Duration(
       "drain_grace",
       {.fallback = into.drain_grace, .minimum = 0ms, .maximum = 24h});
--- a/src/gateway_process/tests/gateway_process_test.cc
+++ b/src/gateway_process/tests/gateway_process_test.cc
@@ -195,6 +195,19 @@
            CPPUNIT_ASSERT(reader.Finish().empty());
            CPPUNIT_ASSERT(read.drain_grace == settings::ParseDuration(grace));
          }),
+     ForEach<std::string>(
+         "take a memory limit of",
+         {"88", "87.5", "4", "262144", "1e3"},
+         [](const std::string& mib) { return mib; },
+         [](const std::string& mib) {
+           settings::Reader reader = settings::Reader::FromText(
+               "t", kSettings + "memory_mib = " + mib + "\n");
+           const GatewaySettings read = ReadGatewaySettings(reader.Root());
+           CPPUNIT_ASSERT(reader.Finish().empty());
+           CPPUNIT_ASSERT_EQUAL(
+               static_cast<std::size_t>(std::stod(mib) * 1024 * 1024),
+               read.memory_limit);
+         }),
      It("take when a request is quarantined, and for how long",
         [] {
           settings::Reader reader = settings::Reader::FromText(
@@ -209,6 +222,7 @@
          {"[gateway]\nid = \"g\"\n", kSettings + "unknown = 1\n",
           kSettings + "drain_grace = \"long\"\n",
           kSettings + "drain_grace = \"-1s\"\n",
+          kSettings + "memory_mib = -1\n", kSettings + "memory_mib = inf\n",
           kSettings + "[repeats]\nextra = -0.5\n",
           kSettings + "[repeats]\nextra = nan\n",
           kSettings + "[repeats]\nextra = inf\n",
