End a gateway only when its answers have left it

Cause: the drain ended when no request was under way. A request is over for the core when its answer was handed to the connection; what the operating system has not taken yet ends with the process.

Change: the process ends when no connection of its callers is left; once it stops accepting, each closes when its answer is sent. Then the readiness and operations ports stop too.

Why it works: a connection stays open until its last byte was handed to the system, lingering ones until the caller has seen the close.

--- a/src/framework/http/http_server.cc
+++ b/src/framework/http/http_server.cc
@@ -34,6 +34,7 @@
   std::uint16_t port() const { return this->listener.serverPort(); }
   void StopAccepting();
   std::size_t open_connections() const { return this->total; }
+  std::size_t unsent_bytes() const;
   void PostToShard(int shard, std::function<void()> task);
   Status ReloadTls();
 
@@ -150,6 +151,14 @@
   }
 }
 
+std::size_t Server::Implementation::unsent_bytes() const {
+  std::size_t bytes = 0;
+  for (const Worker& worker : this->workers) {
+    bytes += worker.shard->unsent_bytes();
+  }
+  return bytes;
+}
+
 void Server::Implementation::PostToShard(int shard,
                                          std::function<void()> task) {
   this->workers.at(static_cast<std::size_t>(shard))
@@ -186,6 +195,10 @@
   return this->implementation->open_connections();
 }
 
+std::size_t Server::unsent_bytes() const {
+  return this->implementation->unsent_bytes();
+}
+
 void Server::PostToShard(int shard, std::function<void()> task) {
   this->implementation->PostToShard(shard, std::move(task));
 }
--- a/src/framework/http/http_server.h
+++ b/src/framework/http/http_server.h
@@ -96,6 +96,10 @@
   // Connections still open, in all shards. Thread safe.
   std::size_t open_connections() const;
 
+  // Bytes of answers that the operating system has not taken yet, of all
+  // connections. Precondition: no shard threads. Thread: the one of Start.
+  std::size_t unsent_bytes() const;
+
   // Runs `task` on a shard's thread. Thread safe.
   void PostToShard(int shard, std::function<void()> task);
 
--- a/src/framework/http/internal/server_shard.cc
+++ b/src/framework/http/internal/server_shard.cc
@@ -59,6 +59,14 @@
   }
 }
 
+std::size_t ServerShard::unsent_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [connection, owned] : this->connections) {
+    bytes += connection->unsent_bytes();
+  }
+  return bytes;
+}
+
 bool ServerShard::CloseLongestIdle() {
   ServerConnection* longest = nullptr;
   for (const auto& [connection, owned] : this->connections) {
--- a/src/framework/http/internal/server_shard.h
+++ b/src/framework/http/internal/server_shard.h
@@ -27,6 +27,7 @@
   void Begin();  // makes the handler
   void Adopt(qintptr descriptor, const TlsConfiguration& tls, bool refuse);
   void Drain();
+  std::size_t unsent_bytes() const;
   void End();  // destroys what lives on the thread
 
   // Counted by whoever hands over a descriptor, so that a burst is spread.
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -504,8 +504,7 @@
       this->stopped_accepting = true;
       this->callers->StopAccepting();
     }
-    const bool whole =
-        this->stopped_accepting && this->core.requests_under_way() == 0;
+    const bool whole = this->stopped_accepting && this->AllSent();
     if (!whole &&
         since < this->options.settings.drain_grace - kFinalLogMargin) {
       return;
@@ -513,11 +512,51 @@
     this->drain_check.stop();
     log::Info("drain_ended",
               {.fields = {{"whole", whole},
-                          {"cut_requests", this->core.requests_under_way()}}});
+                          {"cut_requests", this->core.requests_under_way()},
+                          {"open_connections", this->OpenConnections()},
+                          {"unsent_bytes", this->UnsentBytes()}}});
     log::Flush();
     this->options.on_drained(whole);
   }
 
+  // Whether all answers have left this process. An answer that was handed to
+  // its connection lies in a buffer that ends with the process.
+  bool AllSent() {
+    if (this->core.requests_under_way() > 0 ||
+        this->callers->open_connections() > 0) {
+      return false;
+    }
+    if (!std::exchange(this->stopped_reporting, true)) {
+      this->ForEachServer([](http::Server& server) { server.StopAccepting(); });
+    }
+    return this->OpenConnections() == 0;
+  }
+
+  void ForEachServer(const std::function<void(http::Server&)>& visit) const {
+    for (http::Server* const server :
+         {this->readiness.get(), this->operations.get(), this->callers.get()}) {
+      if (server != nullptr) {
+        visit(*server);
+      }
+    }
+  }
+
+  std::size_t OpenConnections() const {
+    std::size_t open = 0;
+    this->ForEachServer([&open](const http::Server& server) {
+      open += server.open_connections();
+    });
+    return open;
+  }
+
+  std::size_t UnsentBytes() const {
+    std::size_t bytes = 0;
+    this->ForEachServer([&bytes](const http::Server& server) {
+      bytes += server.unsent_bytes();
+    });
+    return bytes;
+  }
+
   const Options options;
   metrics::Registry& registry;
   log::RepeatLimiter info_limiter{{.lines_per_window = kInfoEntries}};
@@ -536,6 +575,7 @@
   std::set<CustomerName> counted_customers;
   bool draining = false;
   bool stopped_accepting = false;
+  bool stopped_reporting = false;  // on the readiness and operations ports
   bool was_ready = false;
 };
 
--- a/src/gateway_process/tests/answer_end_test.cc
+++ b/src/gateway_process/tests/answer_end_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
 using acacialug::testing::It;
 using acacialug::testing::RawPeer;
 using acacialug::testing::RawServer;
+using acacialug::testing::WaitUntil;
 using testing::Endpoint;
 using testing::FreePort;
 using testing::OneRoute;
@@ -43,7 +45,8 @@
                               .peer_listen = {.ip = "127.0.0.1",
                                               .port = FreePort()},
                               .drain_grace = 4s},
-                 .dialect = Dialect()},
+                 .dialect = Dialect(),
+                 .on_drained = [this](bool whole) { this->drained = whole; }},
                 this->registry,
                 this->random) {
     CPPUNIT_ASSERT(this->process.Start().ok());
@@ -78,9 +81,17 @@
     return {received, probe.EndedInOrder()};
   }
 
+  // Tells the gateway to end, and awaits that it stops accepting connections.
+  void Drain() {
+    this->process.Drain();
+    const RawPeer idle(this->listen.port);
+    WaitUntil("the end of idle connections", [&idle] { return idle.closed; });
+  }
+
   RawServer server;
   http::Address listen;
   std::unique_ptr<RawPeer> caller;
+  std::optional<bool> drained;  // whether all was sent, once it has ended
 
  private:
   static std::shared_ptr<gateway::Configuration> MakeConfiguration() {
@@ -182,5 +193,55 @@
        CPPUNIT_ASSERT(Has(site.caller->Await("0\r\n\r\n"), "chunked"));
      })});
 
+// More than the buffers of two sockets hold.
+constexpr std::size_t kLargeBytes = std::size_t{15} * 1024 * 1024;
+
+// Has a large answer sent to a caller that reads nothing of it yet.
+void AnswerSlowCaller(HandPlayedSite& site, const std::string& path) {
+  site.caller->socket->setReadBufferSize(1);
+  const auto endpoint = site.Request(path, "1.1");
+  endpoint->Send("HTTP/1.1 200 OK\r\nProof: 1\r\nContent-Length: " +
+                 std::to_string(kLargeBytes) + "\r\n\r\n");
+  std::string body(kLargeBytes, 'x');
+  if (path == "/s/x") {
+    for (std::size_t at = kEvent.size(); at <= body.size();
+         at += std::size_t{1} << 10) {
+      body.replace(at - 2, 2, "\n\n");
+    }
+    body.replace(body.size() - 2, 2, "\n\n");
+  }
+  endpoint->Send(body);
+  WaitUntil("the endpoint's bytes",
+            [&] { return endpoint->socket->bytesToWrite() == 0; });
+}
+
+const acacialug::testing::Story kDrains(
+    "a gateway that is told to end",
+    {It("ends when its answers have left it",
+        [] {
+          // Guards against answers that are cut because they lie unsent in the
+          // sockets of a process that ends.
+          for (const std::string path : {"/a/x", "/s/x"}) {
+            HandPlayedSite site;
+            AnswerSlowCaller(site, path);
+            site.Drain();
+            WaitUntil("some checks",
+                      [checks = 0]() mutable { return ++checks > 20; });
+            CPPUNIT_ASSERT(!site.drained);
+            site.caller->socket->setReadBufferSize(0);
+            const std::string received = site.caller->AwaitClose();
+            CPPUNIT_ASSERT(received.size() > kLargeBytes);
+            WaitUntil("the end", [&] { return site.drained.has_value(); });
+            CPPUNIT_ASSERT(*site.drained);
+          }
+        }),
+     It("ends with its grace when a caller stops reading", [] {
+       HandPlayedSite site;
+       AnswerSlowCaller(site, "/a/x");
+       site.Drain();
+       WaitUntil("the end", [&] { return site.drained.has_value(); });
+       CPPUNIT_ASSERT(!*site.drained);
+     })});
+
 }  // namespace
 }  // namespace acacialug::gateway_process
