Wait out another process's leader term whenever one came between

Cause: a process that believed that it held the term did not wait for another process's orders, and kept that belief while another held a term in between. A late or a lost grant hid whose term it had followed. An order that waited for its endpoint's report went out without a look at the term.

Three cases of decisions_test fail on the code before.

Change: LeaderTerm waits after each grant that follows another's term, and after each gap in the tokens, which rise by one. Orders ask it again before the report and after it, and go out within 2 s of the request for their term only.

Cost: orders that follow a lost answer of the store, and those after another's term, come 4 s later; none without either.

--- a/src/gateway/internal/role_orders.cc
+++ b/src/gateway/internal/role_orders.cc
@@ -144,8 +144,20 @@
   this->context.hooks.on_pauses_changed();
 }
 
+bool RoleOrders::MayOrder(const RoleChange& change,
+                          std::uint64_t fencing_token) {
+  const bool may = this->leader_term.MayOrder(fencing_token, this->Now());
+  if (!may) {
+    this->LogOrder(change, fencing_token, "not sent: the term is over");
+  }
+  return may;
+}
+
 void RoleOrders::FetchReportThenOrder(const RoleChange& change,
                                       std::uint64_t fencing_token) {
+  if (!this->MayOrder(change, fencing_token)) {
+    return;
+  }
   if (this->context.health.Resting(change.endpoint.id, this->Now())) {
     this->LogOrder(change, fencing_token, "not sent: the endpoint rests");
     return;
@@ -172,6 +184,9 @@
 void RoleOrders::SendOrder(const RoleChange& change,
                            std::uint64_t fencing_token,
                            std::uint64_t accepted) {
+  if (!this->MayOrder(change, fencing_token)) {
+    return;
+  }
   auto status = std::make_shared<int>(0);
   this->context.sender.Send(
       change.endpoint,
--- a/src/gateway/internal/role_orders.h
+++ b/src/gateway/internal/role_orders.h
@@ -70,6 +70,8 @@
   void AcquireTermIfNeeded();
   std::vector<PlannedChange> Plan();
   void SendOrders(std::uint64_t fencing_token);
+  // As LeaderTerm::MayOrder; logs an order that may not be sent.
+  bool MayOrder(const RoleChange& change, std::uint64_t fencing_token);
   void FetchReportThenOrder(const RoleChange& change,
                             std::uint64_t fencing_token);
   void SendOrder(const RoleChange& change,
--- a/src/gateway/leader_term.h
+++ b/src/gateway/leader_term.h
@@ -10,8 +10,9 @@
 
 // A leader term that the store granted. One process at a time holds the newest.
 struct TermGrant {
-  std::uint64_t fencing_token = 0;  // rises with each grant, across restarts
-  bool after_another = false;       // the last term was another process's
+  // Rises by one with each grant to any process, across restarts.
+  std::uint64_t fencing_token = 0;
+  bool after_another = false;  // the last term was another process's
 };
 
 // Decides when this process may send orders to endpoints. Two processes that
@@ -51,13 +52,21 @@
   // the fencing token for orders, or empty if none may be sent yet.
   std::optional<std::uint64_t> OnGrant(std::optional<TermGrant> grant,
                                        Instant now);
+  // Whether an order of the term with this token may still be sent: after each
+  // wait, since another process may have taken over meanwhile.
+  bool MayOrder(std::uint64_t fencing_token, Instant now) const;
 
  private:
+  // Whether another process may have held a term since the last one of this
+  // process that it knows.
+  bool FollowsAnother(const TermGrant& grant) const;
+
   const Options options;
   Instant first_since = kNever;
   Instant acquiring_since{};
   Instant orders_from{};
-  bool holds = false;
+  std::optional<std::uint64_t> granted;  // the newest token, in use or not
+  std::optional<std::uint64_t> term;     // whose orders may be sent
 };
 
 }  // namespace acacialug::gateway
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -1305,6 +1305,24 @@
                .empty());
      })});
 
+// Processes whose terms one log grants, in virtual time.
+class TermLog {
+ public:
+  // Has the process request a term; returns its token if it may send orders.
+  std::optional<std::uint64_t> Acquire(LeaderTerm& process, Instant now) {
+    const bool after_another =
+        !this->holders.empty() && this->holders.back() != &process;
+    this->holders.push_back(&process);
+    process.NoteAcquiring(now);
+    return process.OnGrant(TermGrant{.fencing_token = this->holders.size(),
+                                     .after_another = after_another},
+                           now);
+  }
+
+ private:
+  std::vector<const LeaderTerm*> holders;
+};
+
 const acacialug::testing::Story kLeaderTerm(
     "the leader term",
     {It("is acquired by a process that has been the first for the required "
@@ -1352,6 +1370,69 @@
           CPPUNIT_ASSERT(
               term.OnGrant(TermGrant{.fencing_token = 9}, kStart + 9s));
         }),
+     It("is not used at once by a process that held one before another did",
+        [] {
+          // Guards against two leaders that order the same endpoint: each
+          // stalls in turn, and the second believes that it still holds the
+          // term that it had before the first one came back.
+          TermLog log;
+          LeaderTerm one({});
+          LeaderTerm two({});
+          one.SetFirst(true, kStart);
+          CPPUNIT_ASSERT(log.Acquire(one, kStart + 3s));
+          two.SetFirst(true, kStart + 5s);
+          CPPUNIT_ASSERT(!log.Acquire(two, kStart + 8s));
+          two.SetFirst(false, kStart + 9s);
+          CPPUNIT_ASSERT(!log.Acquire(one, kStart + 10s));
+          const auto token = log.Acquire(one, kStart + 14s);
+          CPPUNIT_ASSERT(token.has_value());
+          two.SetFirst(true, kStart + 15s);
+          CPPUNIT_ASSERT(!log.Acquire(two, kStart + 18s));
+          CPPUNIT_ASSERT(!one.MayOrder(*token, kStart + 19s));
+          CPPUNIT_ASSERT(log.Acquire(two, kStart + 22s));
+        }),
+     It("is not used at once when an earlier grant of this process was lost",
+        [] {
+          // Guards against two leaders: the lost term hides that of the other
+          // process, which it followed.
+          LeaderTerm term({});
+          term.SetFirst(true, kStart);
+          term.NoteAcquiring(kStart + 3s);
+          CPPUNIT_ASSERT(
+              term.OnGrant(TermGrant{.fencing_token = 7}, kStart + 3s));
+          term.NoteAcquiring(kStart + 9s);
+          CPPUNIT_ASSERT(!term.OnGrant({}, kStart + 10s));
+          term.NoteAcquiring(kStart + 11s);
+          CPPUNIT_ASSERT(
+              !term.OnGrant(TermGrant{.fencing_token = 10}, kStart + 11s));
+          CPPUNIT_ASSERT(!term.MayAcquire(kStart + 14s));
+          term.NoteAcquiring(kStart + 15s);
+          CPPUNIT_ASSERT(
+              term.OnGrant(TermGrant{.fencing_token = 11}, kStart + 15s));
+        }),
+     It("waits for another process's orders after a late grant, too",
+        [] {
+          LeaderTerm term({});
+          term.SetFirst(true, kStart);
+          term.NoteAcquiring(kStart + 3s);
+          CPPUNIT_ASSERT(!term.OnGrant(
+              TermGrant{.fencing_token = 7, .after_another = true},
+              kStart + 6s));
+          CPPUNIT_ASSERT(!term.MayAcquire(kStart + 9s));
+        }),
+     It("allows orders for a short time, and while its process is the first",
+        [] {
+          LeaderTerm term({});
+          term.SetFirst(true, kStart);
+          term.NoteAcquiring(kStart + 3s);
+          CPPUNIT_ASSERT(
+              term.OnGrant(TermGrant{.fencing_token = 7}, kStart + 3s));
+          CPPUNIT_ASSERT(term.MayOrder(7, kStart + 5s));
+          CPPUNIT_ASSERT(!term.MayOrder(6, kStart + 5s));
+          CPPUNIT_ASSERT(!term.MayOrder(7, kStart + 6s));
+          term.SetFirst(false, kStart + 4s);
+          CPPUNIT_ASSERT(!term.MayOrder(7, kStart + 5s));
+        }),
      It("is not used when its grant arrives late", [] {
        // Guards against two leaders that order the same endpoint. A process
        // requests the term and is suspended, another process takes over and
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -145,6 +145,9 @@
       .acquire_term =
           [this](const std::function<void(std::optional<TermGrant>)>& on_done) {
             on_done(this->term_grant);
+            if (this->term_grant) {
+              ++this->term_grant->fencing_token;
+            }
           },
       .on_quarantine =
           [this](const retry::CrashRecord& record) {
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -777,6 +777,18 @@
           CPPUNIT_ASSERT_EQUAL(std::string("decode g1 5 3"),
                                simulation.Find("/order")->request.body);
         }),
+     It("are not changed by an order whose report took longer than its term",
+        [] {
+          // Guards against an order of a process that was stalled while another
+          // one took over.
+          Uneven simulation;
+          simulation.core->SetPeers(2, true);
+          simulation.AdvanceBy(4s);
+          const auto report = simulation.Find("/report");
+          simulation.AdvanceBy(1900ms);
+          simulation.Reply(report, 200, {}, "3");
+          CPPUNIT_ASSERT(simulation.Find("/order") == nullptr);
+        }),
      It("are not changed right after the store returned from an older copy",
         [] {
           // Guards against two leaders, of whose terms the store, which had
