Free what given-up answers have allocated

What callers would see: a gateway beyond its memory while endpoints answer without end, though AnswerMemory counts less than its bound.

Cause: strings that grow by doubling hold up to twice what is counted, and the assignment of an empty list to a string, unlike that of an empty string, keeps its memory, so that given-up answers and incomplete events were not freed.

Change: bytes that are kept until an answer is whole grow by a quarter at a time, and are freed when they are dropped.

--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <utility>
 
+#include "gateway/internal/append_bytes.h"
+
 namespace acacialug::gateway {
 namespace {
 
@@ -61,13 +63,17 @@
 
 }  // namespace
 
+void EventSplitter::Clear() {
+  FreeBytes(this->pending);
+}
+
 std::vector<StreamEvent> EventSplitter::Take(std::string_view bytes) {
   // The empty line may have begun in the bytes of an earlier call.
   constexpr std::size_t kMaxSeparatorBytes = 3;
   const std::size_t searched = this->pending.size() > kMaxSeparatorBytes
                                    ? this->pending.size() - kMaxSeparatorBytes
                                    : 0;
-  this->pending += bytes;
+  AppendBytes(this->pending, bytes);
   std::vector<StreamEvent> events;
   std::size_t begin = 0;
   std::size_t from = searched;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -35,7 +35,8 @@
     return this->pending.find_first_not_of("\r\n") != std::string::npos;
   }
   bool overflowed() const { return this->pending.size() > kMaxEventBytes; }
-  void Clear() { this->pending = {}; }
+  // Frees what an incomplete event has allocated.
+  void Clear();
 
  private:
   std::string pending;
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "framework/global/hex_text.h"
+#include "gateway/internal/append_bytes.h"
 
 namespace acacialug::gateway {
 namespace {
@@ -88,7 +89,7 @@
 }
 
 void CallRelay::OnBodyData(std::string_view data) {
-  this->body += data;
+  AppendBytes(this->body, data);
   this->HoldAnswer(this->body.size());
 }
 
@@ -208,7 +209,7 @@
 }
 
 void CallRelay::DropBody() {
-  this->body = {};
+  FreeBytes(this->body);
   this->HoldAnswer(0);
 }
 
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "framework/global/hex_text.h"
+#include "gateway/internal/append_bytes.h"
 #include "gateway/internal/stream_relay.h"
 
 // The second half of a generation: its decode and its events.
@@ -102,7 +103,7 @@
 void StreamRelay::OnDecodeData(std::string_view data) {
   this->received_since_timeout = true;
   if (this->nature != AnswerNature::kSuccess) {
-    this->failure_body += data;
+    AppendBytes(this->failure_body, data);
     this->HoldAnswer(this->incomplete_bytes());
     return;
   }
@@ -127,7 +128,7 @@
 }
 
 void StreamRelay::DropIncomplete() {
-  this->failure_body = {};
+  FreeBytes(this->failure_body);
   this->splitter.Clear();
   this->HoldAnswer(0);
 }
--- a/src/gateway/tests/answer_memory_test.cc
+++ b/src/gateway/tests/answer_memory_test.cc
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "framework/testing/story.h"
+#include "gateway/event_splitter.h"
+#include "gateway/internal/append_bytes.h"
 #include "gateway/tests/gateway_simulation.h"
 
 namespace acacialug::gateway {
@@ -98,6 +100,25 @@
        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, memory.held());
      })});
 
+const acacialug::testing::Story kAllocations(
+    "bytes that are kept until an answer is whole",
+    {It("take a quarter more memory than is counted at most",
+        [] {
+          std::string text;
+          for (int part = 0; part < 200; ++part) {
+            AppendBytes(text, std::string(60'000, 'x'));
+            CPPUNIT_ASSERT(text.capacity() <= text.size() + text.size() / 4);
+          }
+          CPPUNIT_ASSERT_EQUAL(std::string(200 * 60'000, 'x'), text);
+        }),
+     It("are freed when they are dropped", [] {
+       // Guards against answers that were given up and still take their memory.
+       EventSplitter splitter;
+       splitter.Take("id: 0\ndata: " + std::string(kMiB, 'x'));
+       splitter.Clear();
+       CPPUNIT_ASSERT(splitter.rest().capacity() < 100);
+     })});
+
 const acacialug::testing::Story kEndlessAnswers(
     "an endpoint's answer without end",
     {It("is given up, and its request sent elsewhere if it may run again",
