--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -1372,9 +1372,8 @@
         }),
      It("is not used at once by a process that held one before another did",
         [] {
-          // Guards against two leaders that order the same endpoint: each
-          // stalls in turn, and the second believes that it still holds the
-          // term that it had before the first one came back.
+          // Guards against two leaders that order the same endpoint after each
+          // of them has stalled.
           TermLog log;
           LeaderTerm one({});
           LeaderTerm two({});
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -39,8 +39,8 @@
     // As gateway::GatewayHooks::record_versions; may be empty.
     std::function<void(const origin::VersionRecord& record)> record_versions;
     // Runs once after Drain, when every request has its answer and all answers
-    // have left this process, or when the grace period has ended (`whole` false:
-    // an answer was cut off).
+    // have left this process, or when the grace period has ended (`whole`
+    // false: an answer was cut off).
     std::function<void(bool whole)> on_drained;
   };
 
