Read little of an endless answer in a turn of the event loop

So the gateway's turns were long.

A client's connection now reads 16 KiB in a turn, and the event splitter joins comments in a row, so that these cost one delivery. Nothing is lost to answers of a usual size, which fit in one turn.

Both tests fail on the code before (64 KiB in a turn; seven events instead of five).

--- a/src/framework/http/internal/client_connection.cc
+++ b/src/framework/http/internal/client_connection.cc
@@ -13,7 +13,9 @@
 namespace acacialug::http {
 namespace {
 
-constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+// What one connection reads in a turn of the event loop. All others wait
+// meanwhile, and answers without end fill every turn.
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 // Any time above zero lets the event loop look at its sockets once more.
 constexpr Duration kOpeningGrace = 10ms;
 // A timer that runs so much later than it was due tells of a standstill.
--- a/src/framework/http/tests/endless_answer_test.cc
+++ b/src/framework/http/tests/endless_answer_test.cc
@@ -1,7 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "framework/http/http_client.h"
@@ -139,6 +141,31 @@
            });
            CPPUNIT_ASSERT(ended.error.has_value());
          }),
+     It("takes little of a turn of the event loop",
+        [] {
+          // Guards against endless answers for which all others wait.
+          RawServer server;
+          Client client({});
+          Ended ended;
+          ExchangeHooks hooks = ended.Hooks();
+          std::size_t received = 0;
+          hooks.on_data = [&received](std::string_view data) {
+            received += data.size();
+          };
+          client.Send({.ip = "127.0.0.1", .port = server.port()},
+                      {.method = "GET", .target = "/"}, hooks);
+          const auto peer = server.Accept();
+          peer->Await("GET /");
+          peer->Send(kHead + "\r\n");
+          std::size_t before = 0;
+          std::size_t most = 0;
+          SendUntil(*peer, "x", [&] {
+            most = std::max(most, received - std::exchange(before, received));
+            return received > std::size_t{1} << 20;
+          });
+          CPPUNIT_ASSERT(received > 0);
+          CPPUNIT_ASSERT(most <= std::size_t{16} * 1024);
+        }),
      It("ends with a head that says all, and its connection isn't kept",
         [] {
           // Guards against a rejection that counts only once its body has
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -79,11 +79,17 @@
   std::size_t from = searched;
   for (std::size_t end = FindEventEnd(this->pending, from);
        end != std::string::npos; end = FindEventEnd(this->pending, from)) {
-    std::string event = this->pending.substr(begin, end - begin);
+    const std::string_view event =
+        std::string_view(this->pending).substr(begin, end - begin);
     const std::optional<std::uint64_t> id = ParseId(event);
     const bool only_comments = !id && HasOnlyComments(event);
-    events.push_back(
-        {.bytes = std::move(event), .id = id, .only_comments = only_comments});
+    if (only_comments && !events.empty() && events.back().only_comments) {
+      events.back().bytes += event;
+    } else {
+      events.push_back({.bytes = std::string(event),
+                        .id = id,
+                        .only_comments = only_comments});
+    }
     begin = end;
     from = end;
   }
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -9,9 +9,10 @@
 
 namespace acacialug::gateway {
 
-// One complete event of a stream, byte for byte.
+// One complete event of a stream, byte for byte, or several in a row that have
+// only comments.
 struct StreamEvent {
-  std::string bytes;  // with the empty line that ends it
+  std::string bytes;  // with the empty line that ends each
   std::optional<std::uint64_t> id;
   bool only_comments = false;  // keeps the connection alive and has no content
 };
--- a/src/gateway/tests/decisions_test.cc
+++ b/src/gateway/tests/decisions_test.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <utility>
 
 #include "framework/testing/story.h"
 #include "gateway/admission_queue.h"
@@ -408,26 +409,45 @@
 const acacialug::testing::Story kSplitter(
     "the event splitter",
     {ForEach<SplitCase>(
-        "given",
-        kSplitCases,
-        [](const SplitCase& row) { return row.name; },
-        [](const SplitCase& row) {
-          EventSplitter splitter;
-          std::string joined;
-          std::size_t whole = 0;
-          std::string all;
-          for (const std::string& part : row.parts) {
-            all += part;
-            for (const StreamEvent& event : splitter.Take(part)) {
-              ++whole;
-              joined += event.bytes;
-              CPPUNIT_ASSERT(event.id.has_value());
-            }
-          }
-          CPPUNIT_ASSERT_EQUAL(row.whole, whole);
-          CPPUNIT_ASSERT_EQUAL(row.rest, splitter.rest());
-          CPPUNIT_ASSERT_EQUAL(all, joined + splitter.rest());
-        })});
+         "given",
+         kSplitCases,
+         [](const SplitCase& row) { return row.name; },
+         [](const SplitCase& row) {
+           EventSplitter splitter;
+           std::string joined;
+           std::size_t whole = 0;
+           std::string all;
+           for (const std::string& part : row.parts) {
+             all += part;
+             for (const StreamEvent& event : splitter.Take(part)) {
+               ++whole;
+               joined += event.bytes;
+               CPPUNIT_ASSERT(event.id.has_value());
+             }
+           }
+           CPPUNIT_ASSERT_EQUAL(row.whole, whole);
+           CPPUNIT_ASSERT_EQUAL(row.rest, splitter.rest());
+           CPPUNIT_ASSERT_EQUAL(all, joined + splitter.rest());
+         }),
+     It("joins comments in a row, and nothing else", [] {
+       // Guards against endless comments, each of which costs as much as an
+       // event.
+       EventSplitter splitter;
+       const auto events = splitter.Take(
+           ":\n\n: a\n\nid: 1\n\n:\r\n\r\n\n\n\ndata: x\n\n:\n\n:");
+       const std::vector<std::pair<std::string, bool>> expected = {
+           {":\n\n: a\n\n", true},
+           {"id: 1\n\n", false},
+           {":\r\n\r\n\n\n", true},
+           {"\ndata: x\n\n", false},
+           {":\n\n", true}};
+       CPPUNIT_ASSERT_EQUAL(expected.size(), events.size());
+       for (std::size_t at = 0; at < events.size(); ++at) {
+         CPPUNIT_ASSERT_EQUAL(expected[at].first, events[at].bytes);
+         CPPUNIT_ASSERT_EQUAL(expected[at].second, events[at].only_comments);
+       }
+       CPPUNIT_ASSERT_EQUAL(std::string(":"), splitter.rest());
+     })});
 
 const acacialug::testing::Story kQueue(
     "the queue for decode memory",
