--- a/src/gateway_process/tests/gateway_support.h
+++ b/src/gateway_process/tests/gateway_support.h
@@ -65,8 +65,8 @@
 // safe.
 inline std::uint16_t FreePort() {
   // Never deleted: its sockets can't outlive the application object.
-  static auto* const block = new acacialug::testing::PortBlock;
-  return block->Take();
+  static auto* const kBlock = new acacialug::testing::PortBlock;
+  return kBlock->Take();
 }
 
 // The number of routes at which a site's gateways saturated their links.
