Ask for no proxy where tests take ports

Cause: PortBlock binds a QUdpSocket, and Qt asks libproxy for a proxy on a thread of its own; the race is between that thread and its caller, in these libraries. The product's sockets have no proxy (MakeSocket). Nor have those of PortBlock now, as no test wants one; no suppression is added.

--- a/src/framework/http/tests/port_block.h
+++ b/src/framework/http/tests/port_block.h
@@ -3,6 +3,7 @@
 
 #include <cppunit/TestAssert.h>
 
+#include <QNetworkProxy>
 #include <QTcpServer>
 #include <QUdpSocket>
 #include <cstdint>
@@ -22,6 +23,7 @@
 
   // Fails the test when every block has an owner.
   PortBlock() {
+    this->claim.setProxy(QNetworkProxy::NoProxy);
     for (std::uint16_t base = kFirst; base < kEnd; base += kSize) {
       if (this->claim.listen(QHostAddress::LocalHost, base)) {
         return;
@@ -38,6 +40,9 @@
       const std::uint16_t port = this->claim.serverPort() + this->last;
       QTcpServer tcp;
       QUdpSocket udp;
+      // Otherwise Qt asks the system for a proxy, on a thread of its own.
+      tcp.setProxy(QNetworkProxy::NoProxy);
+      udp.setProxy(QNetworkProxy::NoProxy);
       if (tcp.listen(QHostAddress::LocalHost, port) &&
           udp.bind(QHostAddress::LocalHost, port)) {
         return port;
--- a/src/framework/http/tests/port_block_test.cc
+++ b/src/framework/http/tests/port_block_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <QNetworkProxy>
 #include <memory>
 #include <set>
 
@@ -30,6 +31,7 @@
           PortBlock block;
           QTcpServer tcp;
           QUdpSocket udp;
+          udp.setProxy(QNetworkProxy::NoProxy);
           const std::uint16_t first = block.Take();
           CPPUNIT_ASSERT(tcp.listen(QHostAddress::LocalHost, first + 1));
           CPPUNIT_ASSERT(udp.bind(QHostAddress::LocalHost, first + 2));
