--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -120,11 +120,11 @@
       return;
     case AnswerNature::kNotRun:
       this->context.health.NoteFull(id, this->Now());
-      this->AfterNotRun(ResultCode::kOverloaded);
+      this->AfterNotRun(ResultCode::kOverloaded, true);
       return;
     case AnswerNature::kMisplaced:
       this->context.health.NoteTimeout(id, this->Now());
-      this->AfterNotRun(ResultCode::kNoEndpoint);
+      this->AfterNotRun(ResultCode::kNoEndpoint, true);
       return;
     case AnswerNature::kFailure:
       if (this->status >= kFirstServerError) {
@@ -159,7 +159,7 @@
              {"detail", error.detail}},
             error.result_code());
   if (!sent) {
-    this->AfterNotRun(ResultCode::kNoEndpoint);
+    this->AfterNotRun(ResultCode::kNoEndpoint, false);
   } else {
     this->AfterRun(ResultCode::kEndpointLost);
   }
@@ -219,9 +219,14 @@
   this->tried.push_back(this->endpoint.id);
 }
 
-void CallRelay::AfterNotRun(ResultCode code) {
+void CallRelay::AfterNotRun(ResultCode code, bool sent) {
   this->EndAttempt();
   --this->runs;
+  this->Log(log::Level::kInfo, "call_rejected", this->endpoint.id,
+            {{"proof", ProofName(sent, this->nature)},
+             {"new_connection", this->sent_on_new_connection()},
+             {"after_ms", this->Now() - this->sent_at},
+             {"sends", this->outcome.sends}});
   const bool possible = !this->AvailableEndpoints().empty();
   const bool again =
       possible && !this->Quarantined() && this->outcome.sends < kMaxSends &&
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -108,6 +108,7 @@
   if (!sent_before) {
     this->sent_to.push_back(endpoint.address);
   }
+  this->new_connection = sent_before;
   this->exchange = this->context.sender.Send(
       endpoint,
       this->context.dialect.write_work(this->work.request, endpoint, order),
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -76,6 +76,13 @@
   void SendTo(const EndpointRecord& endpoint,
               const WorkOrder& order,
               http::ExchangeHooks hooks);
+  // What proves that the latest send did not run, for the log: `unsent`, or the
+  // nature of the endpoint's answer.
+  static std::string_view ProofName(bool sent, AnswerNature nature) {
+    return sent ? NameOf(kAnswerNatureNames, nature) : "unsent";
+  }
+  // Whether the latest send had a connection of its own.
+  bool sent_on_new_connection() const { return this->new_connection; }
   // The exchange with this endpoint failed. `sent`: part of the request may
   // have arrived; `nature`: of the received head, if any; `answering`: an
   // answer had begun.
@@ -150,6 +157,7 @@
   TimerId deadline_timer = 0;
   TimerId phase_timer = 0;
   Instant deadline;
+  bool new_connection = false;  // of the latest send
   bool is_finished = false;
 };
 
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -341,11 +341,11 @@
         this->context.health.NoteFailure(this->placement->prefill->id,
                                          this->Now());
       }
-      this->AfterNotRun();
+      this->AfterNotRun(true);
       return;
     case AnswerNature::kMisplaced:
       this->context.health.NoteTimeout(id, this->Now());
-      this->AfterNotRun();
+      this->AfterNotRun(true);
       return;
     case AnswerNature::kFailure:
       if (this->status >= kFirstServerError) {
@@ -385,7 +385,7 @@
              {"detail", error.detail}},
             error.result_code());
   if (!sent || this->nature == AnswerNature::kNotRun) {
-    this->AfterNotRun();
+    this->AfterNotRun(sent);
   } else {
     this->AfterRun(ResultCode::kEndpointLost);
   }
@@ -472,6 +472,10 @@
     return;
   }
   this->CancelPhaseTimer();
+  this->Log(log::Level::kInfo, "run_left", this->placement->decode.id,
+            {{"after_ms", this->Now() - this->step_at},
+             {"events", this->outcome.events},
+             {"goes_to", granted.decode.id.text}});
   this->context.hooks.drop_idle(this->placement->decode.address);
   this->StopExchange();
   this->DropIncomplete();
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -129,6 +129,14 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{0},
                                simulation.core->requests_under_way());
         }),
+     It("logs what proves that an attempt did not run",
+        [] {
+          Plain simulation;
+          simulation.SendRequest("/once/a", "r1");
+          simulation.ReplyRefused(simulation.Find("/once/a"));
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                               std::size_t(simulation.Logged("call_rejected")));
+        }),
      ForEach<AttemptCase>(
          "whose attempt ends:",
          kAttemptCases,
