--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -136,8 +136,7 @@
           }
         }
       }
-      this->ForwardAnswer(RelayEnd::kFailed, this->status, this->headers,
-                          std::move(this->body));
+      this->ForwardFailure(this->status, this->headers, std::move(this->body));
       return;
     case AnswerNature::kUnproven:
     case AnswerNature::kForeign:
--- a/src/gateway/internal/refusal.cc
+++ b/src/gateway/internal/refusal.cc
@@ -1,5 +1,6 @@
 #include "gateway/internal/refusal.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -10,6 +11,8 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
+constexpr std::array kPromises = {408, 421, kTooManyRequests,
+                                  kServiceUnavailable};
 
 // Codes that are not listed have status 503 if the request did not run, and 502
 // otherwise.
@@ -44,6 +47,11 @@
 
 }  // namespace
 
+bool PromisesNotRun(int status) {
+  return std::find(kPromises.begin(), kPromises.end(), status) !=
+         kPromises.end();
+}
+
 http::Response MakeOwnAnswer(ResultCode code,
                              Duration retry_after,
                              bool close_connection) {
--- a/src/gateway/internal/refusal.h
+++ b/src/gateway/internal/refusal.h
@@ -15,6 +15,10 @@
                              Duration retry_after,
                              bool close_connection);
 
+// Whether callers take this status for a promise that their request has not run
+// and never will. Thread safe.
+bool PromisesNotRun(int status);
+
 }  // namespace acacialug::gateway
 
 #endif  // GATEWAY_INTERNAL_REFUSAL_H_
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -233,6 +233,18 @@
   this->Finish(end, ResultCode::kOk, status);
 }
 
+void Relay::ForwardFailure(int status,
+                           const http::Headers& headers,
+                           std::string body) {
+  if (PromisesNotRun(status) && !this->MayRunAgain()) {
+    this->Log(log::Level::kWarning, "promise_withheld", {},
+              {{"status", status}}, ResultCode::kEngineFailed);
+    this->Refuse(ResultCode::kEngineFailed, {});
+    return;
+  }
+  this->ForwardAnswer(RelayEnd::kFailed, status, headers, std::move(body));
+}
+
 http::Headers Relay::CallerHeaders(const http::Headers& headers) const {
   http::Headers forwarded;
   forwarded.reserve(headers.size() + 1);
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -123,6 +123,12 @@
                      int status,
                      const http::Headers& headers,
                      std::string body);
+  // Forwards an endpoint's own failure, and ends the relay. A status that would
+  // promise that the request did not run is not forwarded if it may run only
+  // once: the outcome is unknown to the caller then.
+  void ForwardFailure(int status,
+                      const http::Headers& headers,
+                      std::string body);
   // The headers of an endpoint's answer that are forwarded to the caller.
   http::Headers CallerHeaders(const http::Headers& headers) const;
 
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -355,8 +355,7 @@
         if (this->begun) {
           this->GiveUp(ResultCode::kEngineFailed);
         } else {
-          this->ForwardAnswer(RelayEnd::kFailed, this->status, this->headers,
-                              this->failure_body);
+          this->ForwardFailure(this->status, this->headers, this->failure_body);
         }
         return;
       }
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -102,6 +102,26 @@
        simulation.ReplyProof(call, 500, "f");
      },
      false, 500},
+    // Guards against the loss of a promise: it ran, and its caller sends it
+    // again as one that did not.
+    {"a failure of a request that may run once is not forwarded where its "
+     "status would say that it did not run",
+     "/once/a",
+     [](GatewaySimulation& simulation, const auto& call) {
+       simulation.ReplyProof(call, 503, "f");
+     },
+     false, 502},
+    {"the same for a status by which callers are told of a limit", "/once/a",
+     [](GatewaySimulation& simulation, const auto& call) {
+       simulation.ReplyProof(call, 429, "f");
+     },
+     false, 502},
+    {"such a failure of a request that may run again is forwarded",
+     "/idempotent/a",
+     [](GatewaySimulation& simulation, const auto& call) {
+       simulation.ReplyProof(call, 429, "f");
+     },
+     false, 429},
     {"a failed request that may run again is retried elsewhere",
      "/idempotent/a",
      [](GatewaySimulation& simulation, const auto& call) {
@@ -455,6 +475,15 @@
           simulation.Break(simulation.AdvanceToDecode());
           CPPUNIT_ASSERT_EQUAL(502, answer->status);
         }),
+     // Guards against the same loss of a promise as for plain requests.
+     It("that may run once and that its endpoint failed with the status of a "
+        "promise has an unknown outcome",
+        [] {
+          Model simulation;
+          const auto answer = simulation.SendRequest("/stream/a", "r1");
+          simulation.ReplyProof(simulation.AdvanceToDecode(), 503, "f");
+          CPPUNIT_ASSERT_EQUAL(502, answer->status);
+        }),
      It("that its decode endpoint rejects is computed elsewhere",
         [] {
           Model simulation;
