--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -104,6 +104,8 @@
   // Cancels the exchange under way; none of its hooks runs after that.
   void StopExchange();
   void ForgetExchange() { this->exchange = 0; }
+  // Ends what this process sends on the connection of the exchange under way.
+  void EndSending() { this->context.hooks.end_sending(this->exchange); }
   // Sets the memory that the answer takes here. May run OnAnswerTooLong, of
   // this relay or of another one.
   void HoldAnswer(std::size_t bytes);
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -499,7 +499,7 @@
 }
 
 void StreamRelay::Release() {
-  this->CancelReservationRequest();
+  this->EndMigration();
   // An export that no decode endpoint was sent is released here; a decode
   // endpoint that was sent an export's name is responsible for that export.
   if (this->prefilled && !this->decode_open) {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -8,6 +8,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/internal/relay.h"
 #include "gateway/internal/reservation_request.h"
+#include "gateway/internal/run_query.h"
 
 namespace acacialug::gateway {
 
@@ -127,10 +128,17 @@
   void RequestElsewhere();
   void OnElsewhereAnswer(ReservationAnswer answer, const std::string& name);
   void EndMigration();
+  // Leaves the stream's endpoint, to go on where memory was granted once the
+  // endpoint has let go of the stream, says that it does not run there, or does
+  // not answer. A stream that runs on stays.
+  void LeaveFor(const StreamPlacement::Placement& granted,
+                const std::string& name);
+  // The endpoint that was left has ended its answer.
+  void OnLeft();
+  void OnRunQueried(bool at_work);
   // Stops the stream at its endpoint, and continues it where memory was
   // granted.
-  void MigrateTo(const StreamPlacement::Placement& granted,
-                 const std::string& name);
+  void Migrate();
 
   // Ends the relay if the repeat budget does not allow its next step, and
   // returns whether it did.
@@ -170,6 +178,14 @@
   bool decode_open = false;       // the request was sent and has not ended
   // Data of the attempt arrived after its response timeout.
   bool received_since_timeout = false;
+  struct Departure {
+    StreamPlacement::Placement to;
+    std::string reservation;  // there; may be empty
+  };
+  std::optional<Departure> departure;
+  std::shared_ptr<RunQuery> run_query;  // the latest; may have ended
+  // The attempt's endpoint was told that its caller leaves.
+  bool left = false;
   bool begun = false;  // the head was sent to the caller
   std::optional<std::uint64_t> last_event;
   bool received_event = false;  // with content, from any attempt
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -38,6 +38,7 @@
   this->step_at = this->Now();
   this->attempt_events = 0;
   this->answering = false;
+  this->left = false;
   this->attempt_reserved = !this->reservation.empty();
   WorkOrder order{.step = step,
                   .time_left = this->TimeLeft(),
@@ -102,6 +103,9 @@
 
 void StreamRelay::OnDecodeData(std::string_view data) {
   this->received_since_timeout = true;
+  if (this->departure) {
+    this->EndMigration();
+  }
   if (this->nature != AnswerNature::kSuccess) {
     AppendBytes(this->failure_body, data);
     this->HoldAnswer(this->incomplete_bytes());
@@ -307,6 +311,11 @@
 }
 
 void StreamRelay::OnDecodeEnd() {
+  // Nothing else tells a stream that was dropped from one that is whole.
+  if (this->left && this->unframed) {
+    this->OnLeft();
+    return;
+  }
   this->ForgetExchange();
   this->CancelPhaseTimer();
   this->decode_open = false;
@@ -370,6 +379,10 @@
 }
 
 void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
+  if (this->left) {
+    this->OnLeft();
+    return;
+  }
   this->ForgetExchange();
   this->decode_open = false;
   this->outcome.partial_event_bytes = this->splitter.rest().size();
@@ -427,7 +440,7 @@
     return;
   }
   if (!this->context.dialect.write_reserve) {
-    this->MigrateTo(*chosen, {});
+    this->LeaveFor(*chosen, {});
     return;
   }
   this->RequestReservation(
@@ -446,7 +459,7 @@
     this->ReleaseReservationAt(requested.decode, name);
     this->EndMigration();
   } else if (granted) {
-    this->MigrateTo(requested, name);
+    this->LeaveFor(requested, name);
   } else if (this->NoteRefused(answer)) {
     this->RequestElsewhere();
   } else {
@@ -460,10 +473,16 @@
 void StreamRelay::EndMigration() {
   this->CancelReservationRequest();
   this->EndRound();
+  if (const auto query = std::exchange(this->run_query, nullptr)) {
+    query->Cancel();
+  }
+  if (const auto given_up = std::exchange(this->departure, std::nullopt)) {
+    this->ReleaseReservationAt(given_up->to.decode, given_up->reservation);
+  }
 }
 
-void StreamRelay::MigrateTo(const StreamPlacement::Placement& granted,
-                            const std::string& name) {
+void StreamRelay::LeaveFor(const StreamPlacement::Placement& granted,
+                           const std::string& name) {
   if (!this->TakeRepeat()) {
     this->ReleaseReservationAt(granted.decode, name);
     this->EndMigration();
@@ -471,10 +490,48 @@
     return;
   }
   this->CancelPhaseTimer();
+  this->departure = {.to = granted, .reservation = name};
+  this->left = true;
+  this->EndSending();
+  this->run_query = std::make_shared<RunQuery>(
+      this->context, this->placement->decode, this->work.request.id);
+  this->run_query->Begin([weak = this->weak_from_this()](bool at_work) {
+    if (const auto self = std::static_pointer_cast<StreamRelay>(weak.lock())) {
+      self->OnRunQueried(at_work);
+    }
+  });
+}
+
+void StreamRelay::OnRunQueried(bool at_work) {
+  this->Log(log::Level::kInfo, "run_queried", this->placement->decode.id,
+            {{"at_work", at_work},
+             {"after_ms", this->Now() - this->step_at},
+             {"events", this->outcome.events}});
+  if (at_work) {
+    this->EndMigration();
+    this->StartResponseTimer();
+  } else {
+    this->Migrate();
+  }
+}
+
+void StreamRelay::OnLeft() {
+  this->ForgetExchange();
+  if (this->departure) {
+    this->Migrate();
+  } else {
+    this->AfterRun(ResultCode::kEndpointLost);
+  }
+}
+
+void StreamRelay::Migrate() {
+  const Departure going = *std::exchange(this->departure, std::nullopt);
+  this->EndMigration();
+  this->CancelPhaseTimer();
   this->Log(log::Level::kInfo, "run_left", this->placement->decode.id,
             {{"after_ms", this->Now() - this->step_at},
              {"events", this->outcome.events},
-             {"goes_to", granted.decode.id.text}});
+             {"goes_to", going.to.decode.id.text}});
   this->context.hooks.drop_idle(this->placement->decode.address);
   this->StopExchange();
   this->DropIncomplete();
@@ -482,8 +539,8 @@
   this->tried.push_back(this->placement->decode.id);
   this->ReleaseDecode();
   this->prefilled.reset();
-  this->Take(granted);
-  this->reservation = name;
+  this->Take(going.to);
+  this->reservation = going.reservation;
   this->AfterReserve();
 }
 
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -136,6 +136,12 @@
               }
             }
           },
+      .end_sending =
+          [this](http::Client::ExchangeId exchange) {
+            for (const auto& call : this->calls) {
+              call->left = call->left || call->id == exchange;
+            }
+          },
       .drop_idle = [](const http::Address&) {},
       .wake_at = [](Instant) {},
       .on_stall = [this](Duration up_to) { this->stalled_for += up_to; },
@@ -282,6 +288,9 @@
   dialect.write_report = [](const EndpointRecord&) {
     return http::Request{.method = "GET", .target = "/report"};
   };
+  dialect.lists_run = [](std::string_view body, std::string_view request) {
+    return body.find(request) != std::string_view::npos;
+  };
   dialect.read_accepted_orders = [](std::string_view body) {
     return std::optional<std::uint64_t>(std::stoull(std::string(body)));
   };
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -34,6 +34,7 @@
   http::ExchangeHooks hooks;
   http::SendOptions options;
   bool cancelled = false;
+  bool left = false;  // its caller has ended its sending side
 };
 
 // The value of a header of the request as the endpoint received it; empty when
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -11,6 +11,7 @@
 
 using acacialug::testing::ForEach;
 using acacialug::testing::It;
+using acacialug::testing::Section;
 using testing::Answer;
 using testing::Call;
 using testing::GatewaySimulation;
@@ -50,6 +51,28 @@
   std::shared_ptr<Call> decode;
 };
 
+// A simulation whose stream has had no event for long, and has been granted
+// memory at another endpoint.
+struct Leaving : Model {
+  explicit Leaving(bool unframed = false)
+      : answer(this->SendRequest("/resumable/a", "r1")),
+        decode(this->AdvanceToDecode()) {
+    this->Begin(this->decode, unframed);
+    this->Event(this->decode, 0);
+    this->AdvanceBy(1100ms);
+    this->Reply(this->Find("/reserve/"), 200, {}, "r2");
+  }
+
+  // What the endpoint is asked when it does not close.
+  std::shared_ptr<Call> Report() {
+    this->AdvanceBy(60ms);
+    return this->FindAt("", "/report");
+  }
+
+  std::shared_ptr<Answer> answer;
+  std::shared_ptr<Call> decode;
+};
+
 struct AttemptCase {
   std::string name;
   std::string path;
@@ -580,8 +603,8 @@
           CPPUNIT_ASSERT(
               !(simulation.Find("prefill")->address == first_address));
         }),
-     It("resumes elsewhere from an unresponsive endpoint, which is stopped "
-        "before another endpoint computes it",
+     It("resumes elsewhere from an unresponsive endpoint, which has let go of "
+        "it before another endpoint computes it",
         [] {
           Streaming simulation;
           simulation.AdvanceBy(1100ms);
@@ -591,12 +614,79 @@
               !(reserve_call->address == simulation.decode->address));
           CPPUNIT_ASSERT(simulation.Find("prefill") == nullptr);
           simulation.Reply(reserve_call, 200, {}, "r2");
-          CPPUNIT_ASSERT(simulation.decode->cancelled);
+          CPPUNIT_ASSERT(simulation.decode->left);
+          CPPUNIT_ASSERT(simulation.Find("prefill") == nullptr);
+          simulation.Break(simulation.decode);
           simulation.Reply(simulation.Find("prefill"), 200, {}, "x2");
           CPPUNIT_ASSERT_EQUAL(
               std::string("0"),
               HeaderOf(simulation.Find("decode"), "Resume-After"));
         }),
+     // Guards against a stream that two endpoints work on at the same time.
+     Section(
+         "leaves an unresponsive endpoint",
+         {It("that lists it as running, and stays there",
+             [] {
+               Leaving simulation;
+               simulation.Reply(simulation.Report(), 200, {}, "r1");
+               CPPUNIT_ASSERT(simulation.Find("prefill") == nullptr);
+               CPPUNIT_ASSERT_EQUAL(std::string("/reserve/r2"),
+                                    simulation.released.back());
+               simulation.Event(simulation.decode, 1);
+               simulation.End(simulation.decode);
+               CPPUNIT_ASSERT(simulation.answer->ended &&
+                              !simulation.answer->cut);
+             }),
+          It("that lists it as running and then closes, and goes on elsewhere",
+             [] {
+               Leaving simulation;
+               simulation.Reply(simulation.Report(), 200, {}, "r1");
+               simulation.Break(simulation.decode);
+               CPPUNIT_ASSERT(!simulation.answer->ended);
+               CPPUNIT_ASSERT(simulation.Find("/reserve/") != nullptr);
+             }),
+          It("that does not list it, and goes on elsewhere",
+             [] {
+               Leaving simulation;
+               simulation.Reply(simulation.Report(), 200, {}, "others");
+               CPPUNIT_ASSERT(simulation.decode->cancelled);
+               CPPUNIT_ASSERT(simulation.Find("prefill") != nullptr);
+             }),
+          It("that does not answer, and goes on elsewhere",
+             [] {
+               Leaving simulation;
+               CPPUNIT_ASSERT(simulation.Report() != nullptr);
+               simulation.AdvanceBy(260ms);
+               CPPUNIT_ASSERT(simulation.decode->cancelled);
+               CPPUNIT_ASSERT(simulation.Find("prefill") != nullptr);
+             }),
+          It("that sends an event meanwhile, and stays there",
+             [] {
+               Leaving simulation;
+               simulation.Event(simulation.decode, 1);
+               simulation.AdvanceBy(400ms);
+               CPPUNIT_ASSERT(simulation.Find("prefill") == nullptr);
+               CPPUNIT_ASSERT(!simulation.decode->cancelled);
+               CPPUNIT_ASSERT_EQUAL(std::string("/reserve/r2"),
+                                    simulation.released.back());
+             }),
+          It("that closes an answer without a length, and goes on elsewhere",
+             [] {
+               Leaving simulation(true);
+               simulation.End(simulation.decode);
+               CPPUNIT_ASSERT(!simulation.answer->ended);
+               CPPUNIT_ASSERT(simulation.Find("prefill") != nullptr);
+             }),
+          It("and leaves nothing behind when its caller disconnects",
+             [] {
+               Leaving simulation;
+               simulation.Report();
+               simulation.Disconnect();
+               CPPUNIT_ASSERT(simulation.Calls().empty());
+               CPPUNIT_ASSERT_EQUAL(std::string("/reserve/r2"),
+                                    simulation.released.back());
+               CPPUNIT_ASSERT(simulation.core->OwnLoad().rows.empty());
+             })}),
      It("stays at its endpoint when an event arrives before another endpoint "
         "has capacity",
         [] {
--- a/src/gateway/types/gateway_hooks.h
+++ b/src/gateway/types/gateway_hooks.h
@@ -21,13 +21,14 @@
 // thread.
 struct GatewayHooks {
   std::function<Instant()> now;
-  // As http::Client::Send, Cancel and DropIdle.
+  // As http::Client::Send, Cancel, EndSending and DropIdle.
   std::function<http::Client::ExchangeId(const http::Address& address,
                                          const http::Request& request,
                                          http::ExchangeHooks hooks,
                                          const http::SendOptions& options)>
       send;
   std::function<void(http::Client::ExchangeId exchange)> cancel;
+  std::function<void(http::Client::ExchangeId exchange)> end_sending;
   std::function<void(const http::Address& address)> drop_idle;
   // The core's timer is due at `at`, which is earlier than the time passed
   // before. Call OnTimer then; next_timer() returns the time of the next call.
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -197,6 +197,10 @@
             [this](http::Client::ExchangeId exchange) {
               this->client.Cancel(exchange);
             },
+        .end_sending =
+            [this](http::Client::ExchangeId exchange) {
+              this->client.EndSending(exchange);
+            },
         .drop_idle =
             [this](const http::Address& address) {
               this->client.DropIdle(address);
