--- a/src/gateway/internal/stream_origins.cc
+++ b/src/gateway/internal/stream_origins.cc
@@ -186,6 +186,11 @@
   this->recorder.OnRecord(record);
 }
 
+void StreamOrigins::OnRecordsRead() {
+  this->history.NoteRecordsRead(this->Now());
+  this->recorder.OnRecordsRead();
+}
+
 void StreamOrigins::OnRecordWritten(const origin::VersionRecord& record,
                                     bool written) {
   if (written) {
--- a/src/gateway/internal/stream_origins.h
+++ b/src/gateway/internal/stream_origins.h
@@ -80,7 +80,7 @@
   // The stored record of a service; all records were read; and whether the
   // record that was to be stored was.
   void OnRecordRead(const origin::VersionRecord& record);
-  void OnRecordsRead() { this->history.NoteRecordsRead(this->Now()); }
+  void OnRecordsRead();
   void OnRecordWritten(const origin::VersionRecord& record, bool written);
   void OnStoreReturned() { this->recorder.OnStoreReturned(); }
 
--- a/src/gateway/tests/version_fleet.cc
+++ b/src/gateway/tests/version_fleet.cc
@@ -42,11 +42,27 @@
     gateway->AddEndpoint(id, record.service.text, record.role,
                          record.software_version);
   }
+  this->all[number] = std::move(gateway);
+  if (this->records_readable) {
+    this->ReadRecords(number);
+  }
+}
+
+void VersionFleet::ReadRecords(std::size_t number) {
+  GatewayCore& core = *this->all[number]->core;
   for (const auto& [service, record] : this->stored) {
-    gateway->core->SetVersionRecord(record);
+    core.SetVersionRecord(record);
+  }
+  core.NoteVersionRecordsRead();
+}
+
+void VersionFleet::SetRecordsReadable(bool readable) {
+  this->records_readable = readable;
+  for (std::size_t number = 0; number < this->all.size(); ++number) {
+    if (readable && this->all[number] && number != this->cut) {
+      this->ReadRecords(number);
+    }
   }
-  gateway->core->NoteVersionRecordsRead();
-  this->all[number] = std::move(gateway);
 }
 
 void VersionFleet::Kill(std::size_t number) {
--- a/src/gateway/tests/version_fleet.h
+++ b/src/gateway/tests/version_fleet.h
@@ -32,6 +32,10 @@
   // not serve it.
   void Cut(std::size_t number) { this->cut = number; }
 
+  // Whether the store's records of versions can be read by gateways that start.
+  // When they can, all gateways read them.
+  void SetRecordsReadable(bool readable);
+
   GatewaySimulation& At(std::size_t number) { return *this->all[number]; }
 
   // Begins a stream at a gateway, with one event; returns its version.
@@ -54,6 +58,7 @@
     origin::OriginMessage message;
   };
 
+  void ReadRecords(std::size_t number);
   void Deliver();
   void SendHeartbeats();
   std::string Answer(std::size_t number, const std::shared_ptr<Answer>& answer);
@@ -65,6 +70,7 @@
   std::vector<Delivery> deliveries;
   Instant heartbeat_at{};
   std::size_t cut = SIZE_MAX;
+  bool records_readable = true;
 };
 
 }  // namespace acacialug::gateway::testing
--- a/src/gateway/tests/version_fleet_test.cc
+++ b/src/gateway/tests/version_fleet_test.cc
@@ -166,6 +166,25 @@
           fleet.AdvanceBy(50ms);
           CPPUNIT_ASSERT_EQUAL(std::string("503"), fleet.Resume(3, "t", "s"));
         }),
+     It("is not taken for one of the version that is left where gateways read "
+        "late which versions there were",
+        [] {
+          // Guards against a gateway that replaces a record which it has not
+          // read.
+          VersionFleet fleet(5);
+          AddVersion(fleet, "v1");
+          fleet.AdvanceBy(1s);
+          fleet.Begin(2, "s");
+          AddVersion(fleet, "v2");
+          fleet.AdvanceBy(1s);
+          RemoveVersion(fleet, "v1");
+          fleet.SetRecordsReadable(false);
+          RestartAll(fleet, 5);
+          fleet.AdvanceBy(1500ms);
+          fleet.SetRecordsReadable(true);
+          fleet.AdvanceBy(1s);
+          CPPUNIT_ASSERT_EQUAL(std::string("503"), fleet.Resume(3, "t", "s"));
+        }),
      It("goes on after all gateways restarted, if its service had one version",
         [] {
           // Guards against takeups that are refused after each full restart.
--- a/src/origin/tests/version_recorder_test.cc
+++ b/src/origin/tests/version_recorder_test.cc
@@ -20,6 +20,7 @@
     this->history.SetRetention(10s);
     this->history.NoteSeen(kService, kFirst, kStart);
     this->recorder.OnRecord({.service = kService, .versions = {kFirst}});
+    this->recorder.OnRecordsRead();
   }
 
   std::size_t Due(std::size_t rank, Instant now) {
@@ -42,6 +43,22 @@
           CPPUNIT_ASSERT_EQUAL(std::size_t{2}, due[0].versions.size());
           CPPUNIT_ASSERT_EQUAL(std::size_t{0}, service.Due(0, kStart + 1s));
         }),
+     It("is not written by a process that has not read it",
+        [] {
+          // Guards against the loss of a version that left before the process
+          // started.
+          VersionHistory history;
+          history.NoteSeen(kService, kSecond, kStart);
+          VersionRecorder recorder;
+          CPPUNIT_ASSERT(recorder.TakeDue(history, 0, kStart + 5s).empty());
+          const VersionRecord stored{.service = kService, .versions = {kFirst}};
+          history.Merge(stored, kStart + 5s);
+          recorder.OnRecord(stored);
+          recorder.OnRecordsRead();
+          const auto due = recorder.TakeDue(history, 0, kStart + 5s);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, due[0].versions.size());
+        }),
      It("is written by the next process only if the first does not",
         [] {
           Recorded service;
--- a/src/origin/version_recorder.cc
+++ b/src/origin/version_recorder.cc
@@ -38,6 +38,9 @@
     std::size_t rank,
     Instant now) {
   std::vector<VersionRecord> due;
+  if (!this->records_read) {
+    return due;
+  }
   for (const ServiceKey key : history.Services()) {
     const std::vector<VersionKey> versions = history.Versions(key, now);
     const std::set<VersionKey> wanted(versions.begin(), versions.end());
--- a/src/origin/version_recorder.h
+++ b/src/origin/version_recorder.h
@@ -27,6 +27,9 @@
 
   // The stored record, as read from the store, or written by this process.
   void OnRecord(const VersionRecord& record);
+  // All stored records were read. Nothing is written before: a record names
+  // versions that this process has not seen, and would lose them.
+  void OnRecordsRead() { this->records_read = true; }
   // The record that was taken was not written.
   void OnRecordFailed(ServiceKey service);
   // A peer knows the version to be in the stored record.
@@ -55,6 +58,7 @@
                   std::size_t rank,
                   Instant now);
 
+  bool records_read = false;
   std::map<ServiceKey, Service> services;
 };
 
