--- a/src/framework/http/tests/http_client_test.cc
+++ b/src/framework/http/tests/http_client_test.cc
@@ -332,69 +332,62 @@
   CPPUNIT_ASSERT(!told.over());
 }
 
+// A request that has reached its server, and has no answer yet.
+struct UnderWay {
+  UnderWay()
+      : id(this->client.Send(Local(this->server.port()),
+                             {.method = "GET", .target = "/"},
+                             this->told.Hooks(true))),
+        peer(this->server.Accept()) {
+    this->peer->Await("GET /");
+  }
+
+  // Whether the server sees the connection end by a reset.
+  bool IsResetBy(const std::function<void()>& act) {
+    const EndProbe probe(*this->peer->socket);
+    act();
+    this->peer->AwaitClose();
+    return !probe.EndedInOrder();
+  }
+
+  RawServer server;
+  Client client{{}};
+  Told told;
+  Client::ExchangeId id;
+  std::unique_ptr<RawPeer> peer;
+};
+
 // Guards against work for nobody, at a server that permits half-closed
 // connections.
 void CancelResets() {
-  RawServer server;
-  Client client({});
-  Told told;
-  const auto id = client.Send(
-      Local(server.port()), {.method = "GET", .target = "/"}, told.Hooks(true));
-  const auto peer = server.Accept();
-  peer->Await("GET /");
-  const EndProbe probe(*peer->socket);
-  client.Cancel(id);
-  peer->AwaitClose();
-  CPPUNIT_ASSERT(!probe.EndedInOrder());
+  UnderWay request;
+  CPPUNIT_ASSERT(request.IsResetBy([&] { request.client.Cancel(request.id); }));
 }
 
 // The same where the connection ends the body.
 void CancelResetsUnframed() {
-  RawServer server;
-  Client client({});
-  Told told;
-  const auto id = client.Send(
-      Local(server.port()), {.method = "GET", .target = "/"}, told.Hooks(true));
-  const auto peer = server.Accept();
-  peer->Await("GET /");
-  peer->Send("HTTP/1.1 200 OK\r\n\r\nabc");
-  WaitUntil("the data", [&] { return told.data == "abc"; });
-  const EndProbe probe(*peer->socket);
-  client.Cancel(id);
-  peer->AwaitClose();
-  CPPUNIT_ASSERT(!probe.EndedInOrder());
+  UnderWay request;
+  request.peer->Send("HTTP/1.1 200 OK\r\n\r\nabc");
+  WaitUntil("the data", [&] { return request.told.data == "abc"; });
+  CPPUNIT_ASSERT(request.IsResetBy([&] { request.client.Cancel(request.id); }));
 }
 
 void IdleConnectionClosesInOrder() {
-  RawServer server;
-  Client client({});
-  Told told;
-  client.Send(Local(server.port()), {.method = "GET", .target = "/"},
-              told.Hooks(false));
-  const auto peer = server.Accept();
-  peer->Await("GET /");
-  peer->Send(kShort);
-  WaitUntil("the end", [&] { return told.over(); });
-  const EndProbe probe(*peer->socket);
-  client.DropIdle(Local(server.port()));
-  peer->AwaitClose();
-  CPPUNIT_ASSERT(probe.EndedInOrder());
+  UnderWay request;
+  request.peer->Send(kShort);
+  WaitUntil("the end", [&] { return request.told.over(); });
+  CPPUNIT_ASSERT(!request.IsResetBy(
+      [&] { request.client.DropIdle(Local(request.server.port())); }));
 }
 
 // Guards against a run that is taken for ended, since nobody waits for the
 // server to let go of it.
 void EndOfSendingIsSeen() {
-  RawServer server;
-  Client client({});
-  Told told;
-  const auto id = client.Send(
-      Local(server.port()), {.method = "GET", .target = "/"}, told.Hooks(true));
-  const auto peer = server.Accept();
-  peer->Await("GET /");
-  client.EndSending(id);
-  peer->AwaitClose();
-  WaitUntil("the end", [&] { return told.over(); });
-  CPPUNIT_ASSERT(told.error && told.sent);
+  UnderWay request;
+  request.client.EndSending(request.id);
+  request.peer->AwaitClose();
+  WaitUntil("the end", [&] { return request.told.over(); });
+  CPPUNIT_ASSERT(request.told.error && request.told.sent);
 }
 
 void CancelledFromAHook() {
