--- a/src/framework/http/tests/http_client_test.cc
+++ b/src/framework/http/tests/http_client_test.cc
@@ -357,8 +357,8 @@
   std::unique_ptr<RawPeer> peer;
 };
 
-// Guards against work for nobody, at a server that permits half-closed
-// connections.
+// Guards against a server that works on after a cancel, since it takes the
+// close for the end of one direction.
 void CancelResets() {
   UnderWay request;
   CPPUNIT_ASSERT(request.IsResetBy([&] { request.client.Cancel(request.id); }));
@@ -380,8 +380,7 @@
       [&] { request.client.DropIdle(Local(request.server.port())); }));
 }
 
-// Guards against a run that is taken for ended, since nobody waits for the
-// server to let go of it.
+// Guards against a client that can't tell when its server drops a request.
 void EndOfSendingIsSeen() {
   UnderWay request;
   request.client.EndSending(request.id);
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -120,11 +120,11 @@
       return;
     case AnswerNature::kNotRun:
       this->context.health.NoteFull(id, this->Now());
-      this->AfterNotRun(ResultCode::kOverloaded, true);
+      this->AfterNotRun(ResultCode::kOverloaded);
       return;
     case AnswerNature::kMisplaced:
       this->context.health.NoteTimeout(id, this->Now());
-      this->AfterNotRun(ResultCode::kNoEndpoint, true);
+      this->AfterNotRun(ResultCode::kNoEndpoint);
       return;
     case AnswerNature::kFailure:
       if (this->status >= kFirstServerError) {
@@ -158,7 +158,7 @@
              {"detail", error.detail}},
             error.result_code());
   if (!sent) {
-    this->AfterNotRun(ResultCode::kNoEndpoint, false);
+    this->AfterNotRun(ResultCode::kNoEndpoint);
   } else {
     this->AfterRun(ResultCode::kEndpointLost);
   }
@@ -218,12 +218,12 @@
   this->tried.push_back(this->endpoint.id);
 }
 
-void CallRelay::AfterNotRun(ResultCode code, bool sent) {
+void CallRelay::AfterNotRun(ResultCode code) {
   this->EndAttempt();
   --this->runs;
   this->Log(log::Level::kInfo, "call_rejected", this->endpoint.id,
-            {{"proof", ProofName(sent, this->nature)},
-             {"new_connection", this->sent_on_new_connection()},
+            {{"proof", ProofName(this->nature)},
+             {"new_connection", this->new_connection},
              {"after_ms", this->Now() - this->sent_at},
              {"sends", this->outcome.sends}});
   const bool possible = !this->AvailableEndpoints().empty();
--- a/src/gateway/internal/call_relay.h
+++ b/src/gateway/internal/call_relay.h
@@ -34,7 +34,7 @@
   void StartResponseTimer();
   void OnResponseTimeout();
   // The attempt ended and did not run.
-  void AfterNotRun(ResultCode code, bool sent);
+  void AfterNotRun(ResultCode code);
   // The attempt may have run, or has run and failed, and is abandoned.
   void AfterRun(ResultCode code);
   // Whether the request may run again at another endpoint. If so, takes a
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -76,13 +76,13 @@
   void SendTo(const EndpointRecord& endpoint,
               const WorkOrder& order,
               http::ExchangeHooks hooks);
-  // What proves that the latest send did not run, for the log: `unsent`, or the
-  // nature of the endpoint's answer.
-  static std::string_view ProofName(bool sent, AnswerNature nature) {
-    return sent ? NameOf(kAnswerNatureNames, nature) : "unsent";
+  // What proves that the latest send did not run, for the log: the nature of
+  // the endpoint's answer, or `unsent` if there is none.
+  static std::string_view ProofName(AnswerNature nature) {
+    return nature == AnswerNature::kUnproven
+               ? "unsent"
+               : NameOf(kAnswerNatureNames, nature);
   }
-  // Whether the latest send had a connection of its own.
-  bool sent_on_new_connection() const { return this->new_connection; }
   // The exchange with this endpoint failed. `sent`: part of the request may
   // have arrived; `nature`: of the received head, if any; `answering`: an
   // answer had begun.
@@ -150,6 +150,7 @@
   ArrivalCount arrivals;
   std::vector<EndpointId> tried;
   std::vector<http::Address> sent_to;
+  bool new_connection = false;  // of the latest send, which was a return
   // At which the stream began; empty before its first event.
   std::optional<origin::VersionKey> version;
   // The answer under way has neither a length nor chunks. What is forwarded of
@@ -165,7 +166,6 @@
   TimerId deadline_timer = 0;
   TimerId phase_timer = 0;
   Instant deadline;
-  bool new_connection = false;  // of the latest send
   bool is_finished = false;
 };
 
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -410,7 +410,7 @@
   return true;
 }
 
-void StreamRelay::AfterNotRun(bool sent) {
+void StreamRelay::AfterNotRun() {
   this->CancelPhaseTimer();
   this->EndMigration();
   this->DropIncomplete();
@@ -426,8 +426,8 @@
   const bool again = this->outcome.sends < kMaxSends && this->TakeRepeat();
   this->Log(log::Level::kInfo, "decode_refused", this->placement->decode.id,
             {{"again", again},
-             {"proof", ProofName(sent, this->nature)},
-             {"new_connection", this->sent_on_new_connection()},
+             {"proof", ProofName(this->nature)},
+             {"new_connection", this->new_connection},
              {"after_ms", this->Now() - this->step_at},
              {"repeats", this->work.state->budget.repeats()}});
   if (!again) {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -146,8 +146,7 @@
   // Places the generation elsewhere if the endpoint of its next step has asked
   // for rest since it was placed, and returns whether it did.
   bool MoveIfResting(const EndpointRecord& endpoint);
-  // The latest send provably did not run; `sent`: by the endpoint's word.
-  void AfterNotRun(bool sent);
+  void AfterNotRun();
   void AfterRun(ResultCode code);
   // Covers what another placement sends beyond the first arrival.
   bool TakeRepeat();
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -350,11 +350,11 @@
         this->context.health.NoteFailure(this->placement->prefill->id,
                                          this->Now());
       }
-      this->AfterNotRun(true);
+      this->AfterNotRun();
       return;
     case AnswerNature::kMisplaced:
       this->context.health.NoteTimeout(id, this->Now());
-      this->AfterNotRun(true);
+      this->AfterNotRun();
       return;
     case AnswerNature::kFailure:
       if (this->status >= kFirstServerError) {
@@ -397,7 +397,7 @@
              {"detail", error.detail}},
             error.result_code());
   if (!sent || this->nature == AnswerNature::kNotRun) {
-    this->AfterNotRun(sent);
+    this->AfterNotRun();
   } else {
     this->AfterRun(ResultCode::kEndpointLost);
   }
