--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -111,17 +111,23 @@
   const bool restarted = found != this->entries.end() &&
                          IsRestart(found->second.record.started_at_ms,
                                    change.record->started_at_ms);
-  this->entries[change.id] = {.record = *change.record,
-                              .offset = change.offset,
-                              .changed_at = same && follows_last
-                                                ? found->second.changed_at
-                                                : change.offset};
+  const bool was_leaving =
+      found != this->entries.end() && found->second.record.leaving;
+  Entry& entry = this->entries[change.id];
+  entry = {
+      .record = *change.record,
+      .offset = change.offset,
+      .changed_at = same && follows_last ? entry.changed_at : change.offset,
+      .written_after = follows_last ? this->read_at : std::nullopt};
+  if (change.record->leaving && !was_leaving) {
+    this->ReportDeparture(entry, DepartureStep::kDraining, change.offset, now);
+  }
   if (!same) {
     this->NoteChange(change.offset);
   }
   this->EndDeparture(*change.record, restarted, now);
-  if (restarted && this->restart_hook) {
-    this->restart_hook(*change.record);
+  if (restarted && this->options.on_restart) {
+    this->options.on_restart(*change.record);
   }
   return !same;
 }
@@ -162,7 +168,12 @@
   const auto found = this->entries.find(id);
   if (found != this->entries.end() && this->InLapseGrace(now) &&
       !this->Leaves(id)) {
-    found->second.lapsed_at = offset;
+    Entry& entry = found->second;
+    if (!entry.lapsed_at) {
+      entry.held_since = now;
+      this->ReportDeparture(entry, DepartureStep::kHeldBack, offset, now);
+    }
+    entry.lapsed_at = offset;
     return false;
   }
   return this->Remove(id, offset, now);
@@ -178,6 +189,7 @@
   if (found == this->entries.end()) {
     return false;
   }
+  this->ReportDeparture(found->second, DepartureStep::kEnded, offset, now);
   deletion.sequence = found->second.record.sequence;
   deletion.started_at_ms = found->second.record.started_at_ms;
   this->entries.erase(found);
@@ -268,6 +280,33 @@
          since >= this->deletions_known_from;
 }
 
+void EndpointCatalog::NoteStoreRead(Instant asked_at) {
+  this->read_at = std::max(this->read_at, std::optional(asked_at));
+}
+
+void EndpointCatalog::NoteStoreServed(Instant at) {
+  this->served_at = std::max(this->served_at, std::optional(at));
+}
+
+void EndpointCatalog::ReportDeparture(const Entry& entry,
+                                      DepartureStep step,
+                                      LogOffset offset,
+                                      Instant now) const {
+  if (!this->options.on_departure) {
+    return;
+  }
+  const auto since = [now](std::optional<Instant> at) {
+    return at ? std::optional(now - *at) : std::nullopt;
+  };
+  this->options.on_departure(
+      {.id = entry.record.id,
+       .step = step,
+       .offset = offset,
+       .silence = since(entry.written_after),
+       .unserved = since(this->served_at),
+       .held = entry.lapsed_at ? now - entry.held_since : Duration::zero()});
+}
+
 void EndpointCatalog::NoteStoreLost() {
   this->store_lost = true;
 }
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -7,11 +7,32 @@
 #include <utility>
 #include <vector>
 
+#include "framework/global/types/enum_names.h"
 #include "framework/global/types/instant.h"
 #include "gateway/types/endpoint_record.h"
 
 namespace acacialug::gateway {
 
+enum class DepartureStep { kDraining, kHeldBack, kEnded };
+inline constexpr EnumNames<DepartureStep, 3> kDepartureStepNames = {
+    {{DepartureStep::kDraining, "draining"},
+     {DepartureStep::kHeldBack, "held_back"},
+     {DepartureStep::kEnded, "ended"}}};
+
+// A step of an endpoint's departure, as its record shows it.
+struct Departure {
+  EndpointId id;
+  DepartureStep step = DepartureStep::kEnded;
+  LogOffset offset;  // of the record or the deletion
+  // Upper bound of the time since the endpoint last renewed its record. Empty:
+  // no renewal was read from the store.
+  std::optional<Duration> silence;
+  // Time since the store was last known to serve. Empty: never.
+  std::optional<Duration> unserved;
+  // kEnded: time for which the deletion was held back.
+  Duration held{};
+};
+
 // The endpoints that have a record, from the store's log or from peers that
 // read it. Updates are ordered by their position in the log (store_position.h),
 // so that a late update, or one from a peer that lags, never restores a deleted
@@ -33,11 +54,16 @@
   // and an endpoint that leaves may stay for many seconds.
   static constexpr Duration kDepartureMemory = 60s;
 
-  // `on_restart`, unless empty, runs with the new record of an endpoint that
-  // restarted under its id.
-  explicit EndpointCatalog(
-      std::function<void(const EndpointRecord& started)> on_restart = {})
-      : restart_hook(std::move(on_restart)) {}
+  // Hooks may be empty.
+  struct Options {
+    // Runs with the new record of an endpoint that restarted under its id.
+    std::function<void(const EndpointRecord& started)> on_restart;
+    std::function<void(const Departure& departure)> on_departure;
+  };
+
+  EndpointCatalog() = default;
+  explicit EndpointCatalog(Options catalog_options)
+      : options(std::move(catalog_options)) {}
 
   // Both return whether the catalog changed.
   bool Apply(const EndpointChange& change, Instant now);
@@ -52,6 +78,11 @@
   void NoteStoreLost();
   void NoteStoreBack(Instant now);
 
+  // This process has read from the store all records that it had at `asked_at`.
+  void NoteStoreRead(Instant asked_at);
+  // The store was seen to serve at this time, by this process or by a peer.
+  void NoteStoreServed(Instant at);
+
   // The store returned from an older copy, in this era. Records that the copy
   // lacks have until the end of a grace to be written again, and endpoints that
   // were leaving still leave. Does nothing for an era that is known.
@@ -96,6 +127,10 @@
     LogOffset changed_at;
     // The offset of a deletion that has not taken effect yet.
     std::optional<LogOffset> lapsed_at = {};
+    // The endpoint wrote the record after this. Empty: unknown, since it did
+    // not come from a read of the store's newest records.
+    std::optional<Instant> written_after = {};
+    Instant held_since{};  // when `lapsed_at` was set
 
     LogOffset newest() const { return this->lapsed_at.value_or(this->offset); }
   };
@@ -125,8 +160,12 @@
   bool KnowsChangesSince(LogOffset since) const;
   void EndDeparture(const EndpointRecord& renewed, bool restarted, Instant now);
   bool InLapseGrace(Instant now) const;
+  void ReportDeparture(const Entry& entry,
+                       DepartureStep step,
+                       LogOffset offset,
+                       Instant now) const;
 
-  const std::function<void(const EndpointRecord& started)> restart_hook;
+  const Options options;
   std::map<EndpointId, Entry> entries;
   std::map<EndpointId, Deletion> deletions;
   // When an endpoint's last answer said that it leaves.
@@ -136,6 +175,8 @@
   LogOffset last_change;
   // All endpoints that ended from this offset on are in `deletions`.
   LogOffset deletions_known_from = LogOffset(UINT64_MAX);
+  std::optional<Instant> read_at;    // as NoteStoreRead
+  std::optional<Instant> served_at;  // as NoteStoreServed
   bool store_lost = false;
   Instant grace_until{};
   Instant settles_at = kNever;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -55,9 +55,14 @@
   Implementation(Options core_options, RandomSource& random_source)
       : options(std::move(core_options)),
         random(random_source),
-        catalog([this](const EndpointRecord& started) {
-          this->OnRestart(started);
-        }),
+        catalog({.on_restart =
+                     [this](const EndpointRecord& started) {
+                       this->OnRestart(started);
+                     },
+                 .on_departure =
+                     [this](const Departure& departure) {
+                       this->LogDeparture(departure);
+                     }}),
         load_table(this->options.hooks.on_load_changed),
         timers(this->options.hooks.wake_at),
         quarantine(
@@ -414,6 +419,22 @@
                     {"born_unix_ms", started.started_at_ms}}});
   }
 
+  void LogDeparture(const Departure& departure) {
+    log::Record record{
+        .endpoint = departure.id,
+        .fields = {{"step", NameOf(kDepartureStepNames, departure.step)},
+                   {"offset", departure.offset},
+                   {"held_ms", departure.held}}};
+    if (departure.silence) {
+      record.fields.emplace_back("silent_ms", *departure.silence);
+    }
+    if (departure.unserved) {
+      record.fields.emplace_back("store_unserved_ms", *departure.unserved);
+    }
+    this->options.hooks.log(log::Level::kInfo, "endpoint_departure",
+                            std::move(record));
+  }
+
   // Peers report an endpoint by a hash of its id, which a reader of the log
   // cannot resolve.
   void LogSuspect(const EndpointPause& pause) {
@@ -783,7 +804,12 @@
   this->implementation->origins.OnReports(reports);
 }
 
+void GatewayCore::NoteStoreRead(Instant asked_at) {
+  this->implementation->catalog.NoteStoreRead(asked_at);
+}
+
 void GatewayCore::NoteCatalogConfirmed(Instant at) {
+  this->implementation->catalog.NoteStoreServed(at);
   this->implementation->origins.OnCatalogConfirmed(at);
 }
 
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -85,6 +85,8 @@
   void NoteStoreEra(std::uint64_t era);
   void NoteStoreLost();
   void NoteStoreBack();
+  // As EndpointCatalog::NoteStoreRead.
+  void NoteStoreRead(Instant asked_at);
 
   // The load that a peer has placed; how many peers there were recently, live
   // or not (this process not counted; empty while that is not known), and
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -40,9 +40,10 @@
      It("reports an endpoint that restarted under the same id, and no other",
         [] {
           std::vector<std::int64_t> started;
-          EndpointCatalog catalog([&started](const EndpointRecord& record) {
-            started.push_back(record.started_at_ms);
-          });
+          EndpointCatalog catalog(
+              {.on_restart = [&started](const EndpointRecord& record) {
+                started.push_back(record.started_at_ms);
+              }});
           const auto write = [&catalog](std::uint64_t offset,
                                         std::int64_t started_at_ms) {
             EndpointChange change = Written(offset, "a");
@@ -238,6 +239,30 @@
           catalog.Sweep(kStart + EndpointCatalog::kDepartureMemory);
           CPPUNIT_ASSERT(!catalog.Leaves(EndpointId("a")));
         }),
+     It("reports the steps of a departure, and what is known of it",
+        [] {
+          std::vector<Departure> steps;
+          EndpointCatalog catalog(
+              {.on_departure = [&steps](const Departure& departure) {
+                steps.push_back(departure);
+              }});
+          catalog.NoteStoreRead(kStart);
+          catalog.NoteStoreServed(kStart);
+          catalog.Apply(Written(5, "a"), kStart + 1s);
+          catalog.Apply(Written(6, "b", true), kStart + 1s);
+          catalog.NoteStoreLost();
+          catalog.Apply(Deleted(7, "a"), kStart + 6s);
+          catalog.NoteStoreBack(kStart + 7s);
+          catalog.Sweep(kStart + 7s + EndpointCatalog::kLapseGrace);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{3}, steps.size());
+          CPPUNIT_ASSERT(steps[0].step == DepartureStep::kDraining);
+          CPPUNIT_ASSERT(steps[0].id == EndpointId("b"));
+          CPPUNIT_ASSERT(steps[1].step == DepartureStep::kHeldBack);
+          CPPUNIT_ASSERT(steps[1].silence == Duration(6s));
+          CPPUNIT_ASSERT(steps[1].unserved == Duration(6s));
+          CPPUNIT_ASSERT(steps[2].step == DepartureStep::kEnded);
+          CPPUNIT_ASSERT(steps[2].held == 1s + EndpointCatalog::kLapseGrace);
+        }),
      It("accepts the deletion of a leaving endpoint at once", [] {
        EndpointCatalog catalog;
        catalog.Apply(Written(5, "a", true), kStart);
--- a/src/gateway/tests/store_return_test.cc
+++ b/src/gateway/tests/store_return_test.cc
@@ -108,7 +108,9 @@
         [] {
           int restarts = 0;
           EndpointCatalog catalog(
-              [&restarts](const EndpointRecord&) { ++restarts; });
+              {.on_restart = [&restarts](const EndpointRecord&) {
+                ++restarts;
+              }});
           catalog.Apply(
               Written(1, {.offset = 9, .sequence = 1, .started_at_ms = 200}),
               kStart);
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -131,7 +131,10 @@
     this->ReportPositions();
   }
 
-  void NoteStoreRead(Instant asked_at) { this->peers.NoteStoreRead(asked_at); }
+  void NoteStoreRead(Instant asked_at) {
+    this->core.NoteStoreRead(asked_at);
+    this->peers.NoteStoreRead(asked_at);
+  }
   bool PeersReadStore() { return this->peers.PeersReadStore(); }
   std::size_t live_peers() const { return this->live_peer_count; }
 
