--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -169,8 +169,12 @@
   if (found != this->entries.end() && this->InLapseGrace(now) &&
       !this->Leaves(id)) {
     Entry& entry = found->second;
+    // A later failure must not renew the grace: a store of which a call fails
+    // now and then would hold the record back for ever.
     if (!entry.lapsed_at) {
       entry.held_since = now;
+      entry.held_until =
+          now < this->grace_until ? this->grace_until : now + kLapseGrace;
       this->ReportDeparture(entry, DepartureStep::kHeldBack, offset, now);
     }
     entry.lapsed_at = offset;
@@ -322,7 +326,7 @@
 bool EndpointCatalog::Sweep(Instant now) {
   std::vector<std::pair<EndpointId, LogOffset>> expired;
   for (const auto& [id, entry] : this->entries) {
-    if (entry.lapsed_at && !this->InLapseGrace(now)) {
+    if (entry.lapsed_at && now >= entry.held_until) {
       expired.emplace_back(id, *entry.lapsed_at);
     }
   }
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -130,7 +130,9 @@
     // The endpoint wrote the record after this. Empty: unknown, since it did
     // not come from a read of the store's newest records.
     std::optional<Instant> written_after = {};
-    Instant held_since{};  // when `lapsed_at` was set
+    // When `lapsed_at` was set, and when it takes effect.
+    Instant held_since{};
+    Instant held_until{};
 
     LogOffset newest() const { return this->lapsed_at.value_or(this->offset); }
   };
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -136,6 +136,25 @@
           CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) != nullptr);
           CPPUNIT_ASSERT(catalog.Find(EndpointId("b")) == nullptr);
         }),
+     It("ends the wait for a lapsed record in its time, whatever fails later",
+        [] {
+          // Guards against requests at an endpoint whose record was removed,
+          // for as long as calls of the store fail now and then.
+          EndpointCatalog catalog;
+          catalog.Apply(Written(5, "a"), kStart);
+          catalog.NoteStoreLost();
+          catalog.NoteStoreBack(kStart + 5s);
+          catalog.Apply(Deleted(6, "a"), kStart + 5s);
+          for (Instant now = kStart + 6s; now < kStart + 8s; now += 500ms) {
+            CPPUNIT_ASSERT(now >= kStart + 5s + EndpointCatalog::kLapseGrace ||
+                           catalog.Find(EndpointId("a")) != nullptr);
+            catalog.NoteStoreLost();
+            catalog.Sweep(now);
+            catalog.NoteStoreBack(now);
+            catalog.Sweep(now);
+          }
+          CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) == nullptr);
+        }),
      It("accepts the snapshot of a peer that has waited for lapsed records, "
         "whatever its own connection to the store",
         [] {
