--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -30,7 +30,33 @@
 }  // namespace
 
 bool EndpointCatalog::InLapseGrace(Instant now) const {
-  return this->store_lost || now < this->grace_until;
+  return (this->store_lost && this->InOutage(now)) ||
+         now < std::max(this->grace_until, this->return_grace_until);
+}
+
+bool EndpointCatalog::InOutage(Instant now) const {
+  return !this->served_at || now - *this->served_at >= kMinLapseOutage;
+}
+
+// After a return of the store a record may be missing that its endpoint has
+// just renewed.
+bool EndpointCatalog::MayHaveLapsed(const Entry& entry, Instant now) const {
+  if (now < this->return_grace_until) {
+    return true;
+  }
+  return this->InLapseGrace(now) &&
+         (!entry.written_after ||
+          Seconds(now - *entry.written_after) >=
+              kLapseIntervals * this->renewal_interval.value());
+}
+
+void EndpointCatalog::LearnInterval(const Entry& renewed, Instant now) {
+  const bool without_gap =
+      this->read_at && now - *this->read_at < kMinLapseOutage &&
+      renewed.written_after && renewed.received_at >= this->reading_since;
+  if (without_gap) {
+    this->renewal_interval.Note(Seconds(now - renewed.received_at));
+  }
 }
 
 void EndpointCatalog::EnterEra(std::uint64_t store_era, Instant now) {
@@ -43,7 +69,7 @@
   }
   // Peers that did not read the store since learn the era by this change.
   this->last_change = std::max(this->last_change, PositionOf(store_era, 0));
-  this->grace_until = std::max(this->grace_until, now + kLapseGrace);
+  this->return_grace_until = now + kLapseGrace;
   this->deletions_known_from = LogOffset(UINT64_MAX);
   for (const auto& [id, entry] : this->entries) {
     if (entry.record.leaving) {
@@ -113,12 +139,16 @@
                                    change.record->started_at_ms);
   const bool was_leaving =
       found != this->entries.end() && found->second.record.leaving;
+  if (same && follows_last) {
+    this->LearnInterval(found->second, now);
+  }
   Entry& entry = this->entries[change.id];
   entry = {
       .record = *change.record,
       .offset = change.offset,
       .changed_at = same && follows_last ? entry.changed_at : change.offset,
-      .written_after = follows_last ? this->read_at : std::nullopt};
+      .written_after = follows_last ? this->read_at : std::nullopt,
+      .received_at = now};
   if (change.record->leaving && !was_leaving) {
     this->ReportDeparture(entry, DepartureStep::kDraining, change.offset, now);
   }
@@ -166,15 +196,16 @@
                              LogOffset offset,
                              Instant now) {
   const auto found = this->entries.find(id);
-  if (found != this->entries.end() && this->InLapseGrace(now) &&
-      !this->Leaves(id)) {
+  if (found != this->entries.end() && !this->Leaves(id) &&
+      this->MayHaveLapsed(found->second, now)) {
     Entry& entry = found->second;
     // A later failure must not renew the grace: a store of which a call fails
     // now and then would hold the record back for ever.
     if (!entry.lapsed_at) {
       entry.held_since = now;
-      entry.held_until =
-          now < this->grace_until ? this->grace_until : now + kLapseGrace;
+      const Instant grace_end =
+          std::max(this->grace_until, this->return_grace_until);
+      entry.held_until = now < grace_end ? grace_end : now + kLapseGrace;
       this->ReportDeparture(entry, DepartureStep::kHeldBack, offset, now);
     }
     entry.lapsed_at = offset;
@@ -285,10 +316,16 @@
 }
 
 void EndpointCatalog::NoteStoreRead(Instant asked_at) {
+  if (!this->read_at || asked_at - *this->read_at >= kMinLapseOutage) {
+    this->reading_since = asked_at;
+  }
   this->read_at = std::max(this->read_at, std::optional(asked_at));
 }
 
-void EndpointCatalog::NoteStoreServed(Instant at) {
+void EndpointCatalog::NoteStoreServed(Instant at, Instant now) {
+  if (this->store_lost && this->InOutage(at)) {
+    this->grace_until = now + kLapseGrace;
+  }
   this->served_at = std::max(this->served_at, std::optional(at));
 }
 
@@ -320,7 +357,9 @@
     return;
   }
   this->store_lost = false;
-  this->grace_until = now + kLapseGrace;
+  if (this->InOutage(now)) {
+    this->grace_until = now + kLapseGrace;
+  }
 }
 
 bool EndpointCatalog::Sweep(Instant now) {
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "forecast/learned_quantile.h"
 #include "framework/global/types/enum_names.h"
 #include "framework/global/types/instant.h"
 #include "gateway/types/endpoint_record.h"
@@ -41,10 +42,17 @@
 class EndpointCatalog {
  public:
   // Records lapse during an outage of the store, since endpoints can't renew
-  // them. A deletion that is first seen within this time after the store's
-  // recovery takes effect only at its end. Endpoints write their records again
-  // within 2 s; the other 0.5 s is for a reader that polls.
+  // them. A deletion that may be such a lapse, and is first seen within this
+  // time after the store's recovery, takes effect only at its end. Endpoints
+  // write their records again within 2 s; the other 0.5 s is for a reader that
+  // polls.
   static constexpr Duration kLapseGrace = 2500ms;
+  // In a shorter outage an endpoint misses one renewal at most, and no record
+  // lapses.
+  static constexpr Duration kMinLapseOutage = 1s;
+  // A record lapses when it has not been renewed for three intervals. One that
+  // was renewed since was deleted because its endpoint left.
+  static constexpr double kLapseIntervals = 3;
   // A deletion is kept for this long, so that a peer's older snapshot does not
   // restore the endpoint. It is longer than a peer's updates can lag.
   static constexpr Duration kDeletionMemory = 60s;
@@ -74,14 +82,15 @@
   // kDepartureMemory. Returns whether it was unknown.
   bool NoteDeparture(const EndpointId& id, Instant now);
 
-  // The store stopped serving this process, or serves it again.
+  // A call of this process failed, or one succeeded again. Only if the store is
+  // not known to have served for kMinLapseOutage meanwhile, it was an outage.
   void NoteStoreLost();
   void NoteStoreBack(Instant now);
 
   // This process has read from the store all records that it had at `asked_at`.
   void NoteStoreRead(Instant asked_at);
   // The store was seen to serve at this time, by this process or by a peer.
-  void NoteStoreServed(Instant at);
+  void NoteStoreServed(Instant at, Instant now);
 
   // The store returned from an older copy, in this era. Records that the copy
   // lacks have until the end of a grace to be written again, and endpoints that
@@ -130,6 +139,7 @@
     // The endpoint wrote the record after this. Empty: unknown, since it did
     // not come from a read of the store's newest records.
     std::optional<Instant> written_after = {};
+    Instant received_at{};
     // When `lapsed_at` was set, and when it takes effect.
     Instant held_since{};
     Instant held_until{};
@@ -162,6 +172,9 @@
   bool KnowsChangesSince(LogOffset since) const;
   void EndDeparture(const EndpointRecord& renewed, bool restarted, Instant now);
   bool InLapseGrace(Instant now) const;
+  bool InOutage(Instant now) const;
+  bool MayHaveLapsed(const Entry& entry, Instant now) const;
+  void LearnInterval(const Entry& renewed, Instant now);
   void ReportDeparture(const Entry& entry,
                        DepartureStep step,
                        LogOffset offset,
@@ -179,8 +192,12 @@
   LogOffset deletions_known_from = LogOffset(UINT64_MAX);
   std::optional<Instant> read_at;    // as NoteStoreRead
   std::optional<Instant> served_at;  // as NoteStoreServed
+  Instant reading_since{};           // without a gap
+  forecast::LearnedQuantile renewal_interval{
+      {.quantile = 0.5, .prior = 1, .min_value = 0.1, .max_value = 10}};  // s
   bool store_lost = false;
-  Instant grace_until{};
+  Instant grace_until{};         // after an outage
+  Instant return_grace_until{};  // after a return from an older copy
   Instant settles_at = kNever;
 };
 
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -809,7 +809,8 @@
 }
 
 void GatewayCore::NoteCatalogConfirmed(Instant at) {
-  this->implementation->catalog.NoteStoreServed(at);
+  this->implementation->catalog.NoteStoreServed(at,
+                                                this->implementation->Now());
   this->implementation->origins.OnCatalogConfirmed(at);
 }
 
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -136,6 +136,77 @@
           CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) != nullptr);
           CPPUNIT_ASSERT(catalog.Find(EndpointId("b")) == nullptr);
         }),
+     It("takes no failed call for an outage while the store was seen to serve "
+        "a moment before",
+        [] {
+          // Guards against requests at an endpoint whose record was removed,
+          // after a call of the store failed by chance.
+          EndpointCatalog catalog;
+          catalog.Apply(Written(5, "a"), kStart);
+          catalog.NoteStoreServed(kStart, kStart);
+          catalog.NoteStoreLost();
+          catalog.NoteStoreBack(kStart + 600ms);
+          catalog.Apply(Deleted(6, "a"), kStart + 600ms);
+          CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) == nullptr);
+        }),
+     It("takes the deletion of a record that was renewed a moment before for "
+        "its endpoint's end, after an outage too",
+        [] {
+          // Guards against requests at an endpoint whose record was removed,
+          // after two calls of the store in a row were lost.
+          for (const bool renewed : {true, false}) {
+            EndpointCatalog catalog;
+            catalog.NoteStoreRead(kStart);
+            catalog.NoteStoreServed(kStart, kStart);
+            catalog.Apply(Written(5, "a"), kStart);
+            catalog.NoteStoreLost();
+            catalog.NoteStoreBack(kStart + 4s);
+            if (renewed) {
+              catalog.NoteStoreRead(kStart + 4s);
+              catalog.Apply(Written(6, "a"), kStart + 4500ms);
+            }
+            catalog.Apply(Deleted(7, "a"), kStart + 5s);
+            CPPUNIT_ASSERT_EQUAL(!renewed,
+                                 catalog.Find(EndpointId("a")) != nullptr);
+          }
+        }),
+     It("judges by the interval at which endpoints renew their records",
+        [] {
+          // Guards against endpoints that renew seldom and are taken for ended
+          // when their records lapse; and against those that renew often and
+          // are waited for when they have left.
+          for (const Duration interval : {400ms, 3000ms}) {
+            EndpointCatalog catalog;
+            Instant now = kStart;
+            std::uint64_t offset = 1;
+            for (int read = 0; read < 600; ++read, now += 200ms) {
+              if ((now - kStart) % interval == Duration::zero()) {
+                catalog.Apply(Written(offset++, "a"), now);
+              }
+              catalog.NoteStoreRead(now);
+              catalog.NoteStoreServed(now, now);
+            }
+            catalog.NoteStoreLost();
+            catalog.NoteStoreBack(now + 2s);
+            catalog.Apply(Deleted(offset, "a"), now + 2s);
+            CPPUNIT_ASSERT_EQUAL(interval == Duration(400ms),
+                                 catalog.Find(EndpointId("a")) != nullptr);
+          }
+        }),
+     It("waits after an outage that a peer has seen the end of",
+        [] {
+          // Guards against endpoints that are taken for ended since their
+          // records lapsed in an outage, at a gateway whose peers were first
+          // to read the store again.
+          EndpointCatalog catalog;
+          catalog.Apply(Written(5, "a"), kStart);
+          catalog.NoteStoreServed(kStart, kStart);
+          catalog.NoteStoreLost();
+          catalog.NoteStoreServed(kStart + 5s, kStart + 5s);
+          catalog.NoteStoreBack(kStart + 5100ms);
+          catalog.Apply(Deleted(6, "a"), kStart + 5100ms);
+          CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) != nullptr);
+        }),
      It("ends the wait for a lapsed record in its time, whatever fails later",
         [] {
           // Guards against requests at an endpoint whose record was removed,
@@ -266,7 +337,7 @@
                 steps.push_back(departure);
               }});
           catalog.NoteStoreRead(kStart);
-          catalog.NoteStoreServed(kStart);
+          catalog.NoteStoreServed(kStart, kStart);
           catalog.Apply(Written(5, "a"), kStart + 1s);
           catalog.Apply(Written(6, "b", true), kStart + 1s);
           catalog.NoteStoreLost();
