--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -1,6 +1,7 @@
 #include "gateway/endpoint_catalog.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -238,10 +239,12 @@
   // would cause errors: an endpoint that it lists and the catalog doesn't has
   // ended, even if this process never knew it and has no deletion of it.
   // Changes since an offset that this process has not reached leave a gap.
-  if (snapshot.as_of <= this->complete_to() ||
-      snapshot.since > this->complete_to()) {
+  if (snapshot.since > this->complete_to()) {
     return false;
   }
+  if (snapshot.as_of <= this->complete_to()) {
+    return snapshot.held_back && this->ApplyLater(snapshot, now);
+  }
   bool changed = false;
   for (const EndpointChange& change : snapshot.records) {
     changed = this->ApplyRecord(change, now, false) || changed;
@@ -261,6 +264,29 @@
   return changed;
 }
 
+// Behind the end of what this process knows there is nothing that could have
+// ended here.
+bool EndpointCatalog::ApplyLater(const EndpointSnapshot& snapshot,
+                                 Instant now) {
+  const auto is_later = [known = this->known_up_to,
+                         store_era = this->era](LogOffset offset) {
+    return offset >= known && EraOf(offset) == store_era;
+  };
+  bool changed = false;
+  for (const EndpointChange& change : snapshot.records) {
+    changed =
+        (is_later(change.offset) && this->ApplyRecord(change, now, false)) ||
+        changed;
+  }
+  EndpointSnapshot later{.since = snapshot.since};
+  std::copy_if(snapshot.removals.begin(), snapshot.removals.end(),
+               std::back_inserter(later.removals),
+               [&is_later](const EndpointSnapshot::Removal& removal) {
+                 return is_later(removal.offset);
+               });
+  return this->RemoveEnded(later, now) || changed;
+}
+
 bool EndpointCatalog::RemoveMissing(const EndpointSnapshot& snapshot,
                                     Instant now) {
   std::set<EndpointId> present;
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -169,6 +169,8 @@
   // returns whether there were any.
   bool RemoveEnded(const EndpointSnapshot& snapshot, Instant now);
   bool RemoveMissing(const EndpointSnapshot& snapshot, Instant now);
+  // Applies what a sender that holds records back knows beyond its position.
+  bool ApplyLater(const EndpointSnapshot& snapshot, Instant now);
   bool KnowsChangesSince(LogOffset since) const;
   void EndDeparture(const EndpointRecord& renewed, bool restarted, Instant now);
   bool InLapseGrace(Instant now) const;
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -268,6 +268,32 @@
           peer.Apply(Deleted(6, "a"), kStart);
           CPPUNIT_ASSERT(peer.Find(EndpointId("a")) == nullptr);
         }),
+     It("learns of later changes from a peer that holds a record back",
+        [] {
+          // Guards against requests at an endpoint whose record says that it
+          // drains, while a peer waits for the record of another one.
+          EndpointCatalog reader;
+          reader.Apply(Written(5, "a"), kStart);
+          reader.Apply(Written(6, "b"), kStart);
+          reader.Apply(Written(7, "c"), kStart);
+          reader.NoteStoreLost();
+          reader.NoteStoreBack(kStart + 5s);
+          reader.Apply(Deleted(8, "a"), kStart + 5s);
+          EndpointCatalog peer;
+          const auto fetch = [&reader, &peer](Instant now) {
+            return peer.Apply(reader.Snapshot(now, peer.complete_to()), now);
+          };
+          fetch(kStart + 5s);
+          reader.Apply(Written(9, "b", true), kStart + 5s);
+          CPPUNIT_ASSERT(fetch(kStart + 5s));
+          CPPUNIT_ASSERT(peer.Leaves(EndpointId("b")));
+          CPPUNIT_ASSERT(peer.Find(EndpointId("a")) != nullptr);
+          CPPUNIT_ASSERT(peer.complete_to() == LogOffset(8));
+          reader.Sweep(kStart + 8s);
+          CPPUNIT_ASSERT(fetch(kStart + 8s));
+          CPPUNIT_ASSERT(peer.Find(EndpointId("a")) == nullptr);
+          CPPUNIT_ASSERT(peer.complete_to() == reader.complete_to());
+        }),
      It("marks its own snapshot as settled only after its own wait",
         [] {
           EndpointCatalog catalog;
--- a/src/gateway_process/internal/catalog_sources.cc
+++ b/src/gateway_process/internal/catalog_sources.cc
@@ -85,7 +85,9 @@
 }
 
 bool CatalogSources::HasNewerEndpoints(const Peer& peer, Instant now) const {
-  return peer.reported && now >= peer.skipped_until && now >= peer.open_until &&
+  const bool open =
+      now < peer.open_until && peer.positions.endpoints <= peer.open_at;
+  return peer.reported && now >= peer.skipped_until && !open &&
          peer.positions.endpoints > this->known.endpoints;
 }
 
@@ -173,6 +175,7 @@
   // the others.
   if (catalog_request.endpoints > this->known.endpoints) {
     peer.open_until = now + kFailedPeerPause;
+    peer.open_at = catalog_request.endpoints;
   }
 }
 
--- a/src/gateway_process/internal/catalog_sources.h
+++ b/src/gateway_process/internal/catalog_sources.h
@@ -63,7 +63,8 @@
     CatalogPositions positions;
     bool reported = false;
     Instant skipped_until{};  // it did not answer as a peer does
-    Instant open_until{};     // its endpoints leave open what it reports
+    Instant open_until{};     // its endpoints leave open what it reports,
+    LogOffset open_at;        // up to this position
     Instant busy_until{};     // it sends its configuration to other peers
   };
 
--- a/src/gateway_process/tests/catalog_sources_test.cc
+++ b/src/gateway_process/tests/catalog_sources_test.cc
@@ -31,6 +31,23 @@
           sources.OnReport("c", At(6, 12), kNow);
           CPPUNIT_ASSERT(sources.AnyKnows(At(6, 10)));
         }),
+     It("are asked for again once the peer knows more than what it left open",
+        [] {
+          // Guards against requests at an endpoint that drains, at a gateway
+          // whose peers wait for the record of another endpoint.
+          CatalogSources sources("a");
+          sources.SetStoreServes(true);
+          sources.SetKnown(At(6, 9), kNow);
+          sources.OnReport("b", At(6, 12), kNow);
+          const auto request = sources.Next(kNow);
+          CPPUNIT_ASSERT(request.has_value());
+          sources.NoteAnswered(*request, false, kNow);
+          CPPUNIT_ASSERT(!sources.Next(kNow).has_value());
+          CPPUNIT_ASSERT(!sources.AnyKnowsMore(kNow));
+          sources.OnReport("b", At(6, 13), kNow);
+          CPPUNIT_ASSERT(sources.Next(kNow).has_value());
+          CPPUNIT_ASSERT(sources.AnyKnowsMore(kNow));
+        }),
      It("count for as long as the peer is live", [] {
        CatalogSources sources("a");
        sources.OnReport("b", At(6, 10), kNow);
