--- a/src/gateway_process/internal/catalog_sources.cc
+++ b/src/gateway_process/internal/catalog_sources.cc
@@ -78,16 +78,15 @@
   return newest;
 }
 
-bool CatalogSources::HasNewerConfiguration(const Peer& peer,
-                                           Instant now) const {
-  return peer.reported && now >= peer.skipped_until &&
+bool CatalogSources::HasNewerConfiguration(const Peer& peer) const {
+  return peer.reported &&
          peer.positions.configuration > this->known.configuration;
 }
 
 bool CatalogSources::HasNewerEndpoints(const Peer& peer, Instant now) const {
   const bool open =
       now < peer.open_until && peer.positions.endpoints <= peer.open_at;
-  return peer.reported && now >= peer.skipped_until && !open &&
+  return peer.reported && !open &&
          peer.positions.endpoints > this->known.endpoints;
 }
 
@@ -113,7 +112,7 @@
 bool CatalogSources::AnyKnowsMore(Instant now) const {
   return std::any_of(this->peers.begin(), this->peers.end(),
                      [this, now](const auto& entry) {
-                       return this->HasNewerConfiguration(entry.second, now) ||
+                       return this->HasNewerConfiguration(entry.second) ||
                               this->HasNewerEndpoints(entry.second, now);
                      });
 }
@@ -124,9 +123,12 @@
   Offer best_offer;
   for (const auto& entry : this->peers) {
     const auto& [id, peer] = entry;
+    if (now < peer.skipped_until) {
+      continue;
+    }
     Offer offer;
     if (needs_configuration && now >= peer.busy_until &&
-        this->HasNewerConfiguration(peer, now)) {
+        this->HasNewerConfiguration(peer)) {
       offer.configuration = peer.positions.configuration;
     }
     if (this->HasNewerEndpoints(peer, now)) {
--- a/src/gateway_process/internal/catalog_sources.h
+++ b/src/gateway_process/internal/catalog_sources.h
@@ -44,8 +44,8 @@
 
   // Whether a live peer has reported these positions or later ones.
   bool AnyKnows(const CatalogPositions& positions) const;
-  // Whether a peer that can be queried knows what this process does not, from
-  // whichever source it is to come.
+  // Whether a live peer knows what this process does not, from whichever source
+  // it is to come. A peer that does not answer counts too.
   bool AnyKnowsMore(Instant now) const;
   // Empty: no peer is to be queried now.
   std::optional<CatalogRequest> Next(Instant now) const;
@@ -68,7 +68,7 @@
     Instant busy_until{};     // it sends its configuration to other peers
   };
 
-  bool HasNewerConfiguration(const Peer& peer, Instant now) const;
+  bool HasNewerConfiguration(const Peer& peer) const;
   bool HasNewerEndpoints(const Peer& peer, Instant now) const;
   // The newest that this process knows or a peer reports.
   NextVersion NewestConfiguration() const;
--- a/src/gateway_process/tests/catalog_sources_test.cc
+++ b/src/gateway_process/tests/catalog_sources_test.cc
@@ -48,6 +48,18 @@
           CPPUNIT_ASSERT(sources.Next(kNow).has_value());
           CPPUNIT_ASSERT(sources.AnyKnowsMore(kNow));
         }),
+     It("say that the peer knows more, though it does not answer",
+        [] {
+          // Guards against requests at an endpoint that left, at a gateway that
+          // leaves reading the store to peers whose pages it can't get.
+          CatalogSources sources("a");
+          sources.SetStoreServes(true);
+          sources.SetKnown(At(6, 9), kNow);
+          sources.OnReport("b", At(6, 12), kNow);
+          sources.NoteFailed(*sources.Next(kNow), kNow);
+          CPPUNIT_ASSERT(!sources.Next(kNow).has_value());
+          CPPUNIT_ASSERT(sources.AnyKnowsMore(kNow));
+        }),
      It("count for as long as the peer is live", [] {
        CatalogSources sources("a");
        sources.OnReport("b", At(6, 10), kNow);
