--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -363,6 +363,13 @@
     this->roles.SetFirst(false);
   }
 
+  void EndUnanswered() {
+    // A copy: a relay that ends is removed.
+    for (const auto& [key, relay] : std::unordered_map(this->relays)) {
+      relay->EndUnanswered();
+    }
+  }
+
   void OnTimer() {
     const Duration stall = this->timers.FireDue(this->Now());
     if (stall > Duration::zero()) {
@@ -835,6 +842,10 @@
   this->implementation->BeginDrain();
 }
 
+void GatewayCore::EndUnanswered() {
+  this->implementation->EndUnanswered();
+}
+
 void GatewayCore::OnTimer() {
   this->implementation->OnTimer();
 }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -148,6 +148,9 @@
   // Refuses new work after Options::drain_admission, and closes the connection
   // with each answer.
   void BeginDrain();
+  // Answers all requests of which no answer has begun, since the process ends
+  // soon: those that may have run as unknown, the others as not run.
+  void EndUnanswered();
 
   // Fires the timers that are due. Must be called at next_timer(); a call that
   // comes much later indicates a process stall, which is reported by
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -259,6 +259,12 @@
   this->Refuse(ResultCode::kDeadlineExceeded, {});
 }
 
+void CallRelay::EndUnanswered() {
+  this->Refuse(
+      this->runs > 0 ? ResultCode::kOutcomeUnknown : ResultCode::kDraining,
+      kRetrySoon);
+}
+
 void CallRelay::Release() {
   this->ReleaseLoad();
 }
--- a/src/gateway/internal/call_relay.h
+++ b/src/gateway/internal/call_relay.h
@@ -15,6 +15,7 @@
   using Relay::Relay;
 
   bool TryPlace() override;
+  void EndUnanswered() override;
 
  protected:
   void OnDeadline() override;
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -47,6 +47,10 @@
   // answer was sent.
   void Refuse(ResultCode code, Duration retry_after);
 
+  // The process ends soon: answers the request, unless an answer has begun. It
+  // may have run; then its outcome is unknown.
+  virtual void EndUnanswered() = 0;
+
   const RelayJob& job() const { return this->work; }
   const RelayOutcome& result() const { return this->outcome; }
   bool finished() const { return this->is_finished; }
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -500,6 +500,12 @@
                               : ResultCode::kDeadlineUnreachable);
 }
 
+void StreamRelay::EndUnanswered() {
+  if (!this->begun) {
+    this->GiveUp(ResultCode::kDraining);
+  }
+}
+
 void StreamRelay::Release() {
   this->EndMigration();
   // An export that no decode endpoint was sent is released here; a decode
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -47,6 +47,8 @@
   // Ends a generation whose wait for another placement has reached its maximum.
   void GiveUpWaiting() { this->GiveUp(ResultCode::kNoDecodeMemory); }
 
+  void EndUnanswered() override;
+
  protected:
   void OnDeadline() override;
   void OnAnswerTooLong() override;
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -25,6 +25,8 @@
 constexpr Duration kBalancerDetectionTime = 2300ms;
 // Before the forced end, so that the log says what was cut off.
 constexpr Duration kFinalLogMargin = 300ms;
+// Before that, so that the last answers reach their callers.
+constexpr Duration kFinalAnswersMargin = 200ms;
 constexpr std::chrono::milliseconds kDrainCheckInterval{50};
 constexpr std::chrono::milliseconds kLogFlushInterval{100};
 // Shortest timer that runs behind pending socket events.
@@ -511,9 +513,12 @@
       this->stopped_accepting = true;
       this->callers->StopAccepting();
     }
+    const Duration end = this->options.settings.drain_grace - kFinalLogMargin;
+    if (since >= end - kFinalAnswersMargin) {
+      this->core.EndUnanswered();
+    }
     const bool whole = this->stopped_accepting && this->AllSent();
-    if (!whole &&
-        since < this->options.settings.drain_grace - kFinalLogMargin) {
+    if (!whole && since < end) {
       return;
     }
     this->drain_check.stop();
--- a/src/gateway_process/tests/answer_end_test.cc
+++ b/src/gateway_process/tests/answer_end_test.cc
@@ -236,6 +236,19 @@
             CPPUNIT_ASSERT(*site.drained);
           }
         }),
+     It("answers what has no answer at the end of its grace as unknown",
+        [] {
+          // Guards against requests, among them those that may run only once,
+          // whose connections are closed without an answer.
+          HandPlayedSite site;
+          const auto endpoint = site.Request("/s/x", "1.1");
+          site.Drain();
+          const std::string received = site.caller->AwaitClose();
+          CPPUNIT_ASSERT_MESSAGE(received,
+                                 received.starts_with("HTTP/1.1 502 "));
+          WaitUntil("the end", [&] { return site.drained.has_value(); });
+          CPPUNIT_ASSERT(*site.drained);
+        }),
      It("ends with its grace when a caller stops reading", [] {
        HandPlayedSite site;
        AnswerSlowCaller(site, "/a/x");
