--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -69,7 +69,7 @@
     std::function<void(const Departure& departure)> on_departure;
   };
 
-  EndpointCatalog() = default;
+  EndpointCatalog() : EndpointCatalog(Options{}) {}
   explicit EndpointCatalog(Options catalog_options)
       : options(std::move(catalog_options)) {}
 
