--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -26,9 +26,6 @@
 namespace acacialug::gateway {
 namespace {
 
-// Retry-After while this process drains: other processes can serve the caller
-// at once.
-constexpr Duration kRetryElsewhere = 50ms;
 // Retry-After while this process knows no configuration. Requests reach a
 // process that is not ready only while no other process is ready either; all
 // processes have just started then, and know a configuration in about a second.
@@ -45,6 +42,8 @@
 // below AdmissionQueue::Options::min_retry_share, so that a retry of a refused
 // request is distinguished from a first attempt with a short deadline.
 constexpr double kDeadlineSpread = 0.17;
+// A plain request may take this many times as long as such requests usually do.
+constexpr double kLongCallFactor = 2;
 
 }  // namespace
 
@@ -358,8 +357,9 @@
     this->roles.SetFirst(first);
   }
 
-  void BeginDrain() {
+  void BeginDrain(Duration grace) {
     this->drain_begun = this->Now();
+    this->drain_ends = this->drain_begun + grace;
     this->roles.SetFirst(false);
   }
 
@@ -404,6 +404,7 @@
   std::unordered_map<const Relay*, std::shared_ptr<Relay>> relays;
   std::optional<std::size_t> peers;
   Instant drain_begun = kNever;
+  Instant drain_ends = kNever;
   RelayContext context;
   WaitingStreams waiting;
   TakeupResolver takeups;
@@ -505,9 +506,36 @@
       return refused;
     }
     this->SetService(job, PickService(*job.route, StreamNameOf(job.request)));
+    if (!this->EndsBeforeDrain(job)) {
+      return {ResultCode::kDraining, kRetryElsewhere};
+    }
     return {};
   }
 
+  // Whether the request has its final answer before this process ends, by its
+  // own time limit or by the time that such requests usually take.
+  bool EndsBeforeDrain(const RelayJob& job) const {
+    if (this->drain_ends == kNever) {
+      return true;
+    }
+    const Instant limit =
+        job.arrived +
+        std::min(job.route->timeout,
+                 job.request.deadline.value_or(job.route->timeout));
+    return limit <= this->drain_ends ||
+           this->Now() + LikelyTime(job) <= this->drain_ends;
+  }
+
+  static Duration LikelyTime(const RelayJob& job) {
+    const forecast::ServiceForecast& forecast = job.state->forecast;
+    if (job.traits != nullptr && job.traits->engine.has_value()) {
+      return StreamPlacement::LikelyTime(
+          job.request.size.value_or(GenerationSize{}),
+          job.state->length_ratio.value(), forecast);
+    }
+    return FromSeconds(kLongCallFactor * Seconds(forecast.Call()));
+  }
+
   // A stream that is continued goes to the service that its first attempt went
   // to.
   static const std::string& StreamNameOf(const WorkRequest& request) {
@@ -630,6 +658,8 @@
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
+    this->waiting.EndUnless(
+        [this](const RelayJob& job) { return this->EndsBeforeDrain(job); });
     for (auto& [service, state] : this->services) {
       this->LogForecastChange(service, state);
     }
@@ -838,8 +868,8 @@
   return this->implementation->origins.size();
 }
 
-void GatewayCore::BeginDrain() {
-  this->implementation->BeginDrain();
+void GatewayCore::BeginDrain(Duration grace) {
+  this->implementation->BeginDrain(grace);
 }
 
 void GatewayCore::EndUnanswered() {
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -44,8 +44,7 @@
     double repeat_extra = 58;
     Duration repeat_window = 10s;
     Instant started_at{};  // of this process
-    // For how long a draining process still accepts new requests. A stream that
-    // began later would be cut off at the end of the grace period.
+    // For how long a draining process still accepts new requests.
     Duration drain_admission = 2500ms;
     StreamPlacement::Options placement;
     AdmissionQueue::Options admission;
@@ -145,9 +144,10 @@
   void NoteVersionRecordsRead();
   void OnVersionsRecorded(const origin::VersionRecord& record, bool written);
 
-  // Refuses new work after Options::drain_admission, and closes the connection
-  // with each answer.
-  void BeginDrain();
+  // The process ends the unanswered requests after `grace`. Refuses new work
+  // after Options::drain_admission, and work that is likely to take longer at
+  // once, also if it waits for a place. Closes the connection with each answer.
+  void BeginDrain(Duration grace);
   // Answers all requests of which no answer has begun, since the process ends
   // soon: those that may have run as unknown, the others as not run.
   void EndUnanswered();
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -5,6 +5,7 @@
 
 #include "framework/global/hex_text.h"
 #include "gateway/internal/append_bytes.h"
+#include "gateway/internal/refusal.h"
 
 namespace acacialug::gateway {
 namespace {
@@ -262,7 +263,7 @@
 void CallRelay::EndUnanswered() {
   this->Refuse(
       this->runs > 0 ? ResultCode::kOutcomeUnknown : ResultCode::kDraining,
-      kRetrySoon);
+      kRetryElsewhere);
 }
 
 void CallRelay::Release() {
--- a/src/gateway/internal/refusal.h
+++ b/src/gateway/internal/refusal.h
@@ -17,6 +17,10 @@
 
 // Whether callers take this status for a promise that their request has not run
 // and never will. Thread safe.
+// Retry-After while this process drains: other processes can serve the caller
+// at once.
+inline constexpr Duration kRetryElsewhere = 50ms;
+
 bool PromisesNotRun(int status);
 
 }  // namespace acacialug::gateway
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "framework/global/hex_text.h"
+#include "gateway/internal/refusal.h"
 
 namespace acacialug::gateway {
 namespace {
@@ -488,6 +489,8 @@
       return this->QuarantineLeft();
     case ResultCode::kVersionGone:
       return Duration::zero();
+    case ResultCode::kDraining:
+      return kRetryElsewhere;
     default:
       return this->work.state->queue.NextRetryDelay(
           this->kv_tokens(), this->TimeLeft(), this->Now(),
--- a/src/gateway/internal/waiting_streams.cc
+++ b/src/gateway/internal/waiting_streams.cc
@@ -130,13 +130,27 @@
   }
 }
 
+// Copies, since a relay that ends is removed.
+std::vector<std::shared_ptr<StreamRelay>> WaitingStreams::All() const {
+  std::vector<std::shared_ptr<StreamRelay>> all = this->awaiting_version;
+  for (const auto& [ticket, relay] : this->waiting) {
+    all.push_back(relay);
+  }
+  return all;
+}
+
 void WaitingStreams::EndQuarantined() {
-  // A copy: a relay that ends is removed.
-  for (const auto& [ticket, relay] : std::unordered_map(this->waiting)) {
+  for (const auto& relay : this->All()) {
     relay->EndIfQuarantined();
   }
-  for (const auto& relay : std::vector(this->awaiting_version)) {
-    relay->EndIfQuarantined();
+}
+
+void WaitingStreams::EndUnless(
+    const std::function<bool(const RelayJob& job)>& may_wait) {
+  for (const auto& relay : this->All()) {
+    if (!relay->finished() && !may_wait(relay->job())) {
+      relay->EndUnanswered();
+    }
   }
 }
 
--- a/src/gateway/internal/waiting_streams.h
+++ b/src/gateway/internal/waiting_streams.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_INTERNAL_WAITING_STREAMS_H_
 #define GATEWAY_INTERNAL_WAITING_STREAMS_H_
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -39,6 +40,9 @@
   // Capacity may be free at any service.
   void PlaceAll();
 
+  // Ends the generations that wait and that may not go on waiting.
+  void EndUnless(const std::function<bool(const RelayJob& job)>& may_wait);
+
   // A request or a part of prompts was quarantined. Ends the generations that
   // wait with it soon, but not from within this call.
   void OnQuarantineBegun();
@@ -57,6 +61,7 @@
   void PlaceWaiting();
   void PlaceAt(AdmissionQueue& queue);
   void SchedulePoll();
+  std::vector<std::shared_ptr<StreamRelay>> All() const;
   void EndQuarantined();
   // Places, queues or refuses generations that need no longer wait for a
   // version to be introduced.
--- a/src/gateway/stream_placement.cc
+++ b/src/gateway/stream_placement.cc
@@ -59,10 +59,9 @@
 }
 
 // The tokens of the longest answer that is likely.
-double LikelyTokens(const StreamPlacement::Need& need) {
-  const GenerationSize& size = need.size;
+double LikelyTokens(const GenerationSize& size, double length_ratio) {
   return std::min(
-      need.length_ratio * static_cast<double>(size.expected_output_tokens),
+      length_ratio * static_cast<double>(size.expected_output_tokens),
       static_cast<double>(
           std::max(size.max_output_tokens, size.expected_output_tokens)));
 }
@@ -91,6 +90,16 @@
       health(endpoint_health),
       paces(endpoint_paces) {}
 
+Duration StreamPlacement::LikelyTime(
+    const GenerationSize& size,
+    double length_ratio,
+    const forecast::ServiceForecast& forecast) {
+  constexpr double kMsPerSecond = 1000;
+  return forecast.PrefillTime(size.prompt_tokens) + forecast.FirstEvent() +
+         FromSeconds(LikelyTokens(size, length_ratio) * forecast.TokenMs() /
+                     kMsPerSecond);
+}
+
 std::uint64_t StreamPlacement::KvTokens(const GenerationSize& size,
                                         std::uint64_t generated_tokens) const {
   const auto expected = static_cast<std::uint64_t>(
@@ -118,7 +127,8 @@
   bool any_in_time = false;
   std::size_t places = 0;
   const Duration answer_time = AnswerTime(need, forecast);
-  const double answer_ms = LikelyTokens(need) * forecast.TokenMs();
+  const double answer_ms =
+      LikelyTokens(need.size, need.length_ratio) * forecast.TokenMs();
   const std::vector<std::string_view> prefill_versions =
       PrefillVersions(endpoints);
   for (const EndpointRecord* const endpoint : endpoints) {
--- a/src/gateway/stream_placement.h
+++ b/src/gateway/stream_placement.h
@@ -86,6 +86,12 @@
     double decode_fill = 0;           // of its memory, before this request
   };
 
+  // The time that a generation of this size takes at most, as a rule, from its
+  // placement to its end; `length_ratio` as in Need. Thread safe.
+  static Duration LikelyTime(const GenerationSize& size,
+                             double length_ratio,
+                             const forecast::ServiceForecast& forecast);
+
   StreamPlacement(Options placement_options,
                   const LoadTable& table,
                   const EndpointHealth& endpoint_health,
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -165,7 +165,8 @@
     log::Info("drain_begun",
               {.fields = {{"grace_ms", this->options.settings.drain_grace},
                           {"under_way", this->core.requests_under_way()}}});
-    this->core.BeginDrain();
+    this->core.BeginDrain(this->options.settings.drain_grace - kFinalLogMargin -
+                          kFinalAnswersMargin);
     this->drain_check.start(kDrainCheckInterval);
   }
 
