--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -40,10 +40,12 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-// A quarter leaves room for the sockets' buffers of as many endless answers,
-// callers' bodies and the process itself.
+// Callers' bodies and endpoints' answers have a quarter each, which leaves room
+// for the sockets' buffers and the process itself.
+constexpr std::size_t kMemoryParts = 4;
+
 gateway::AnswerMemory::Options AnswerMemoryOf(const GatewaySettings& settings) {
-  const std::size_t bytes = settings.memory_limit / 4;
+  const std::size_t bytes = settings.memory_limit / kMemoryParts;
   return {.max_bytes = bytes,
           .max_answer_bytes = std::min(
               bytes, gateway::AnswerMemory::Options{}.max_answer_bytes)};
@@ -335,7 +337,9 @@
     const GatewaySettings& settings = this->options.settings;
     this->callers = std::make_unique<http::Server>(http::ServerOptions{
         .listen = settings.listen,
-        .limits = {.max_connections = 3000, .idle_yields = true},
+        .limits = {.max_bodies_bytes = settings.memory_limit / kMemoryParts,
+                   .max_connections = 3000,
+                   .idle_yields = true},
         .make_handler =
             [this](int /*shard*/) {
               return
--- a/src/gateway_process/tests/answer_end_test.cc
+++ b/src/gateway_process/tests/answer_end_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,7 +35,9 @@
 // a plain call's, /s/ a stream's that may run once.
 class HandPlayedSite {
  public:
-  explicit HandPlayedSite(Duration drain_grace = 4s)
+  explicit HandPlayedSite(
+      Duration drain_grace = 4s,
+      std::size_t memory_limit = GatewaySettings().memory_limit)
       : listen{.ip = "127.0.0.1", .port = FreePort()},
         process({.settings = {.id = "g",
                               .domain = FailureDomain("x"),
@@ -44,6 +47,7 @@
                               .readiness_path = "/ready",
                               .peer_listen = {.ip = "127.0.0.1",
                                               .port = FreePort()},
+                              .memory_limit = memory_limit,
                               .drain_grace = drain_grace},
                  .dialect = Dialect(),
                  .on_drained = [this](bool whole) { this->drained = whole; }},
@@ -257,5 +261,28 @@
        CPPUNIT_ASSERT(!*site.drained);
      })});
 
+const acacialug::testing::Story kBodies(
+    "a gateway with little memory",
+    {It("refuses bodies of callers that take more than its part of it", [] {
+      // Guards against a process that ends for want of memory, with all that
+      // it has under way, as many callers send large bodies.
+      constexpr std::size_t kLimit = std::size_t{4} << 20U;
+      HandPlayedSite site(4s, kLimit);
+      const std::string unfinished =
+          "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+          std::to_string(kLimit) + "\r\n\r\n" + std::string(kLimit / 6, 'x');
+      std::vector<std::unique_ptr<RawPeer>> callers;
+      for (int number = 0; number < 4; ++number) {
+        callers.push_back(std::make_unique<RawPeer>(site.listen.port));
+        callers.back()->Send(unfinished);
+      }
+      WaitUntil("a refusal", [&callers] {
+        return std::any_of(callers.begin(), callers.end(),
+                           [](const auto& caller) {
+                             return Has(caller->received, "HTTP/1.1 503 ");
+                           });
+      });
+    })});
+
 }  // namespace
 }  // namespace acacialug::gateway_process
