--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -72,10 +72,11 @@
   this->last_change = std::max(this->last_change, PositionOf(store_era, 0));
   this->return_grace_until = now + kLapseGrace;
   this->deletions_known_from = LogOffset(UINT64_MAX);
-  for (const auto& [id, entry] : this->entries) {
+  for (auto& [id, entry] : this->entries) {
     if (entry.record.leaving) {
       this->departures[id] = now;
     }
+    entry.held_until = std::max(entry.held_until, this->return_grace_until);
   }
 }
 
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -26,7 +26,7 @@
   DepartureStep step = DepartureStep::kEnded;
   LogOffset offset;  // of the record or the deletion
   // Upper bound of the time since the endpoint last renewed its record. Empty:
-  // no renewal was read from the store.
+  // its record came from a peer, or with all records.
   std::optional<Duration> silence;
   // Time since the store was last known to serve. Empty: never.
   std::optional<Duration> unserved;
@@ -82,8 +82,8 @@
   // kDepartureMemory. Returns whether it was unknown.
   bool NoteDeparture(const EndpointId& id, Instant now);
 
-  // A call of this process failed, or one succeeded again. Only if the store is
-  // not known to have served for kMinLapseOutage meanwhile, it was an outage.
+  // A call of this process failed, or one succeeded again. It was an outage
+  // only if nobody is known to have been served for kMinLapseOutage meanwhile.
   void NoteStoreLost();
   void NoteStoreBack(Instant now);
 
@@ -136,8 +136,8 @@
     LogOffset changed_at;
     // The offset of a deletion that has not taken effect yet.
     std::optional<LogOffset> lapsed_at = {};
-    // The endpoint wrote the record after this. Empty: unknown, since it did
-    // not come from a read of the store's newest records.
+    // The endpoint wrote the record after this. Empty: unknown, since it came
+    // with all records or from a peer.
     std::optional<Instant> written_after = {};
     Instant received_at{};
     // When `lapsed_at` was set, and when it takes effect.
@@ -175,6 +175,7 @@
   void EndDeparture(const EndpointRecord& renewed, bool restarted, Instant now);
   bool InLapseGrace(Instant now) const;
   bool InOutage(Instant now) const;
+  // Whether a deletion of the record that is seen now may be a lapse.
   bool MayHaveLapsed(const Entry& entry, Instant now) const;
   void LearnInterval(const Entry& renewed, Instant now);
   void ReportDeparture(const Entry& entry,
--- a/src/gateway/tests/store_return_test.cc
+++ b/src/gateway/tests/store_return_test.cc
@@ -104,6 +104,22 @@
             CPPUNIT_ASSERT_EQUAL(writes, Usable(catalog));
           }
         }),
+     It("waits as long for a record that had lapsed before",
+        [] {
+          // Guards against endpoints that are taken for ended though they are
+          // about to write again, as the store returned while they were
+          // waited for.
+          EndpointCatalog catalog;
+          catalog.Apply(Written(1, {.offset = 9, .sequence = 1}), kStart);
+          catalog.NoteStoreLost();
+          catalog.NoteStoreBack(kReturn - 2s);
+          catalog.Apply({.offset = PositionOf(1, 10), .id = kA}, kReturn - 2s);
+          catalog.EnterEra(2, kReturn);
+          catalog.Sweep(kReturn + 2s);
+          CPPUNIT_ASSERT(Usable(catalog));
+          catalog.Sweep(kReturn + EndpointCatalog::kLapseGrace);
+          CPPUNIT_ASSERT(!Usable(catalog));
+        }),
      It("takes no record of a former start from the copy",
         [] {
           int restarts = 0;
