--- a/src/gateway/tests/drain_test.cc
+++ b/src/gateway/tests/drain_test.cc
@@ -1,6 +1,5 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <memory>
 #include <string>
 
 #include "framework/testing/story.h"
@@ -12,7 +11,6 @@
 using acacialug::testing::ForEach;
 using acacialug::testing::It;
 using acacialug::testing::Section;
-using testing::Answer;
 using testing::GatewaySimulation;
 
 // A gateway that has answered calls, each of which took `usual`.
