--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -155,9 +155,7 @@
     }
     // The deadline timer would fire only after the request had been sent to an
     // endpoint.
-    if (age > Duration::zero() &&
-        age >= std::min(job.route->timeout,
-                        job.request.deadline.value_or(job.route->timeout))) {
+    if (age > Duration::zero() && age >= job.TimeLimit()) {
       this->AnswerWithoutRelay(
           job, {ResultCode::kDeadlineUnreachable, kRetryElsewhere});
       return;
@@ -518,11 +516,7 @@
     if (this->drain_ends == kNever) {
       return true;
     }
-    const Instant limit =
-        job.arrived +
-        std::min(job.route->timeout,
-                 job.request.deadline.value_or(job.route->timeout));
-    return limit <= this->drain_ends ||
+    return job.arrived + job.TimeLimit() <= this->drain_ends ||
            this->Now() + LikelyTime(job) <= this->drain_ends;
   }
 
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -12,10 +12,7 @@
 Relay::Relay(RelayContext& relay_context, RelayJob relay_job)
     : context(relay_context),
       work(std::move(relay_job)),
-      deadline(this->work.arrived +
-               std::min(this->work.route->timeout,
-                        this->work.request.deadline.value_or(
-                            this->work.route->timeout))) {
+      deadline(this->work.arrived + this->work.TimeLimit()) {
   this->outcome.resumes = this->work.request.resume_after.has_value() ||
                           !this->work.request.resumed_attempt.empty();
 }
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_INTERNAL_RELAY_CONTEXT_H_
 #define GATEWAY_INTERNAL_RELAY_CONTEXT_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -112,6 +113,13 @@
   Duration spent{};
   // `spent` is so large that the request must have been refused before.
   bool is_retry = false;
+
+  // From its arrival to the route's timeout or the caller's deadline, whichever
+  // is earlier. Precondition: it has a route.
+  Duration TimeLimit() const {
+    return std::min(this->route->timeout,
+                    this->request.deadline.value_or(this->route->timeout));
+  }
 };
 
 }  // namespace acacialug::gateway
