--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -652,8 +652,10 @@
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
-    this->waiting.EndUnless(
-        [this](const RelayJob& job) { return this->EndsBeforeDrain(job); });
+    if (this->drain_ends != kNever) {
+      this->waiting.EndUnless(
+          [this](const RelayJob& job) { return this->EndsBeforeDrain(job); });
+    }
     for (auto& [service, state] : this->services) {
       this->LogForecastChange(service, state);
     }
