--- a/src/framework/global/types/result_code.cc
+++ b/src/framework/global/types/result_code.cc
@@ -139,6 +139,8 @@
        "a process's operations port does not answer in time"},
       {ResultCode::kNodeBadAnswer, "node_bad_answer",
        "a process's operations port gave an answer that cannot be used"},
+      {ResultCode::kMalformedAnswer, "malformed_answer",
+       "the peer's answer is not valid HTTP"},
       {ResultCode::kSettingsUnreadable, "settings_unreadable",
        "the settings file cannot be read"},
       {ResultCode::kSettingsSyntax, "settings_syntax",
--- a/src/framework/global/types/result_code.h
+++ b/src/framework/global/types/result_code.h
@@ -77,6 +77,7 @@
   kUnauthenticatedPeer = 5006,
   kNodeUnreachable = 5007,
   kNodeBadAnswer = 5008,
+  kMalformedAnswer = 5009,
 
   // 6xxx: settings, manifest and configuration.
   kSettingsUnreadable = 6001,
--- a/src/framework/http/internal/response_reader.cc
+++ b/src/framework/http/internal/response_reader.cc
@@ -65,7 +65,7 @@
     if (error && error != beast_http::error::need_more) {
       return this->Fail(error == beast_http::error::body_limit
                             ? ResultCode::kOutOfBounds
-                            : ResultCode::kConnectionLost,
+                            : ResultCode::kMalformedAnswer,
                         "unusable answer: " + error.message());
     }
     if (this->pending.size() > this->options.max_header_bytes && stuck) {
@@ -73,7 +73,7 @@
     }
     if (this->TakeHead()) {
       if (this->status_code == kSwitchingProtocols) {
-        return this->Fail(ResultCode::kConnectionLost,
+        return this->Fail(ResultCode::kMalformedAnswer,
                           "unusable answer: 101 was not asked for");
       }
       if (this->status_code >= kFirstFinalStatus) {
--- a/src/framework/http/internal/response_reader.h
+++ b/src/framework/http/internal/response_reader.h
@@ -30,7 +30,9 @@
   void Append(std::string_view bytes);
 
   // Parses what it has. kHeadDone comes once; kDone and kFault come again
-  // on every further call. Interim answers (1xx) are passed over.
+  // on every further call. Interim answers (1xx) are passed over. Errors:
+  // kMalformedAnswer for what must not be passed on (RFC 9110 and 9112),
+  // kOutOfBounds for what is too long.
   ReadStep Advance();
 
   // The peer closed its side in order: ends a body that ends so. Returns
--- a/src/framework/http/tests/http_client_test.cc
+++ b/src/framework/http/tests/http_client_test.cc
@@ -92,12 +92,12 @@
      ResultCode::kConnectionLost},
     {"no answer", "", true, "", ResultCode::kConnectionLost},
     {"what is not HTTP", "hello\r\n\r\n", false, "",
-     ResultCode::kConnectionLost},
+     ResultCode::kMalformedAnswer},
     {"an upgrade nobody asked for", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
-     false, "", ResultCode::kConnectionLost},
+     false, "", ResultCode::kMalformedAnswer},
     {"a head over the limit",
      "HTTP/1.1 200 OK\r\nA: " + std::string(100'000, 'a'), false, "",
-     ResultCode::kConnectionLost},
+     ResultCode::kMalformedAnswer},
 };
 
 void CheckAnswer(const AnswerRow& row, bool stream) {
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -149,7 +149,7 @@
 
 void CallRelay::OnLost(const Error& error, bool sent) {
   this->ForgetExchange();
-  this->NoteLost(this->endpoint, sent, this->nature);
+  this->NoteLost(this->endpoint, error, sent, this->nature);
   this->Log(log::Level::kWarning, "attempt_lost", this->endpoint.id,
             {{"sent", sent},
              {"after_ms", this->Now() - this->sent_at},
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -152,6 +152,7 @@
 }
 
 void Relay::NoteLost(const EndpointRecord& endpoint,
+                     const Error& error,
                      bool sent,
                      AnswerNature nature,
                      bool answering) {
@@ -168,8 +169,11 @@
   }
   ++this->outcome.losses;
   this->work.is_probe = false;
-  this->context.quarantine.NoteEnd(this->work.subjects, endpoint,
-                                   this->work.attempt, answering);
+  // An endpoint that sends a malformed answer has not ended.
+  if (error.code != ResultCode::kMalformedAnswer) {
+    this->context.quarantine.NoteEnd(this->work.subjects, endpoint,
+                                     this->work.attempt, answering);
+  }
 }
 
 Duration Relay::QuarantineLeft() const {
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -100,6 +100,7 @@
   // have arrived; `nature`: of the received head, if any; `answering`: an
   // answer had begun.
   void NoteLost(const EndpointRecord& endpoint,
+                const Error& error,
                 bool sent,
                 AnswerNature nature,
                 bool answering = false);
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -273,27 +273,27 @@
   this->step_at = this->Now();
   auto self = this->Self();
   auto answer = std::make_shared<AnswerNature>(AnswerNature::kUnproven);
-  this->SendTo(*this->placement->prefill,
-               {.step = WorkStep::kPrefill,
-                .time_left = this->TimeLeft(),
-                .priority = this->work.urgency},
-               {.on_head =
-                    [self, answer](int answered, const http::Headers& head) {
-                      *answer = self->context.dialect.judge_answer(
-                          self->work.request, WorkStep::kPrefill, answered,
-                          head);
-                    },
-                .on_end =
-                    [self, answer](const std::string& body) {
-                      self->ForgetExchange();
-                      self->OnPrefillComplete(*answer, body);
-                    },
-                .on_error =
-                    [self, answer](const Error& /*error*/, bool sent) {
-                      self->ForgetExchange();
-                      self->NoteLost(*self->placement->prefill, sent, *answer);
-                      self->AfterPrefill(sent ? "lost" : "unreachable");
-                    }});
+  this->SendTo(
+      *this->placement->prefill,
+      {.step = WorkStep::kPrefill,
+       .time_left = this->TimeLeft(),
+       .priority = this->work.urgency},
+      {.on_head =
+           [self, answer](int answered, const http::Headers& head) {
+             *answer = self->context.dialect.judge_answer(
+                 self->work.request, WorkStep::kPrefill, answered, head);
+           },
+       .on_end =
+           [self, answer](const std::string& body) {
+             self->ForgetExchange();
+             self->OnPrefillComplete(*answer, body);
+           },
+       .on_error =
+           [self, answer](const Error& error, bool sent) {
+             self->ForgetExchange();
+             self->NoteLost(*self->placement->prefill, error, sent, *answer);
+             self->AfterPrefill(sent ? "lost" : "unreachable");
+           }});
   const Duration timeout = FromSeconds(kPrefillTimeoutFactor *
                                        Seconds(this->placement->prefill_time)) +
                            kPrefillSlack;
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -438,7 +438,8 @@
   this->ForgetExchange();
   this->decode_open = false;
   this->outcome.partial_event_bytes = this->splitter.rest().size();
-  this->NoteLost(this->placement->decode, sent, this->nature, this->answering);
+  this->NoteLost(this->placement->decode, error, sent, this->nature,
+                 this->answering);
   this->Log(log::Level::kWarning, "attempt_lost", this->placement->decode.id,
             {{"sent", sent},
              {"after_ms", this->Now() - this->step_at},
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -517,11 +517,13 @@
   this->Reply(call, 503, {{"Refused", "1"}});
 }
 
-void GatewaySimulation::Break(const std::shared_ptr<Call>& call, bool sent) {
+void GatewaySimulation::Break(const std::shared_ptr<Call>& call,
+                              bool sent,
+                              ResultCode code) {
   CPPUNIT_ASSERT_MESSAGE("no such call", call != nullptr);
   std::erase(this->calls, call);
   const auto hook = call->hooks.on_error;
-  hook(Error(ResultCode::kConnectionLost, "cut"), sent);
+  hook(Error(code, "cut"), sent);
   this->core->OnTimer();
 }
 
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -112,7 +112,9 @@
                   int status,
                   const std::string& body = {});
   void ReplyRefused(const std::shared_ptr<Call>& call);
-  void Break(const std::shared_ptr<Call>& call, bool sent = true);
+  void Break(const std::shared_ptr<Call>& call,
+             bool sent = true,
+             ResultCode code = ResultCode::kConnectionLost);
   // A stream: its head, then events, then its end. `unframed`: the body has
   // neither a length nor chunks, so that its end is that of the connection.
   void Begin(const std::shared_ptr<Call>& call, bool unframed = false);
--- a/src/gateway/tests/quarantine_test.cc
+++ b/src/gateway/tests/quarantine_test.cc
@@ -341,6 +341,24 @@
                }
                CPPUNIT_ASSERT(!simulation.Attempt("/once/a")->ended);
              }),
+          It("a request that endpoints answered with what is no HTTP",
+             [] {
+               // Guards against refusing a sound request for the faults of
+               // endpoints that answer, and so have not ended.
+               PoolSimulation simulation;
+               for (int time = 0; time < 4; ++time) {
+                 simulation.Attempt("/once/a");
+                 simulation.Break(simulation.Find("/once/a"), true,
+                                  ResultCode::kMalformedAnswer);
+                 simulation.Attempt("/stream/a");
+                 simulation.Break(simulation.AdvanceToDecode(), true,
+                                  ResultCode::kMalformedAnswer);
+               }
+               CPPUNIT_ASSERT(!simulation.Attempt("/once/a")->ended);
+               CPPUNIT_ASSERT(!simulation.Attempt("/stream/a")->ended);
+               CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                                    simulation.core->requests_quarantined());
+             }),
           It("a request whose endpoints leave as ordered",
              [] {
                // Guards against refusing requests that a replacement of
