--- a/src/framework/http/internal/response_reader.cc
+++ b/src/framework/http/internal/response_reader.cc
@@ -11,8 +11,10 @@
 
 namespace beast_http = boost::beast::http;
 
+constexpr int kFirstInterimStatus = 100;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 // An empty chunked body.
 constexpr std::size_t kLeastChunkedBytes = 5;
 
@@ -72,9 +74,10 @@
       return this->Fail(ResultCode::kOutOfBounds, "the answer's head");
     }
     if (this->TakeHead()) {
-      if (this->status_code == kSwitchingProtocols) {
+      const std::string_view fault = this->HeadFault();
+      if (!fault.empty()) {
         return this->Fail(ResultCode::kMalformedAnswer,
-                          "unusable answer: 101 was not asked for");
+                          "unusable answer: " + std::string(fault));
       }
       if (this->status_code >= kFirstFinalStatus) {
         return ReadStep::kHeadDone;
@@ -137,6 +140,19 @@
   return true;
 }
 
+// Why the head is no answer that may be passed on; empty if it is one. Beast's
+// parser accepts more than that.
+std::string_view ResponseReader::HeadFault() const {
+  if (this->status_code < kFirstInterimStatus ||
+      this->status_code > kLastStatus) {
+    return "its status is not within 100 to 599";
+  }
+  if (this->status_code == kSwitchingProtocols) {
+    return "101 was not asked for";
+  }
+  return {};
+}
+
 ReadStep ResponseReader::FinishAtEnd() {
   if (!this->parser || this->found_fault) {
     return ReadStep::kFault;
--- a/src/framework/http/internal/response_reader.h
+++ b/src/framework/http/internal/response_reader.h
@@ -66,6 +66,7 @@
   void MakeParser();
   bool ParseSome();
   bool TakeHead();
+  std::string_view HeadFault() const;
   ReadStep Fail(ResultCode code, std::string detail);
 
   const Options options;
--- a/src/framework/http/tests/http_client_test.cc
+++ b/src/framework/http/tests/http_client_test.cc
@@ -4,6 +4,7 @@
 
 #include "framework/http/http_client.h"
 #include "framework/http/socket_setup.h"
+#include "framework/http/tests/exchange_record.h"
 #include "framework/http/tests/socket_support.h"
 #include "framework/testing/story.h"
 
@@ -17,42 +18,7 @@
 using testing::RawServer;
 using testing::Section;
 using testing::WaitUntil;
-
-// What the hooks of one exchange were told.
-struct Told {
-  int status = 0;
-  Headers headers;
-  std::string data;
-  std::optional<std::string> body;
-  std::optional<Error> error;
-  bool sent = false;
-  int ends = 0;
-
-  bool over() const { return this->ends > 0; }
-  ExchangeHooks Hooks(bool stream) {
-    ExchangeHooks hooks{
-        .on_head =
-            [this](int head_status, const Headers& head_headers) {
-              this->status = head_status;
-              this->headers = head_headers;
-            },
-        .on_end =
-            [this](std::string whole) {
-              this->body = std::move(whole);
-              ++this->ends;
-            },
-        .on_error =
-            [this](const Error& failure, bool was_sent) {
-              this->error = failure;
-              this->sent = was_sent;
-              ++this->ends;
-            }};
-    if (stream) {
-      hooks.on_data = [this](std::string_view part) { this->data += part; };
-    }
-    return hooks;
-  }
-};
+using Told = testing::ExchangeRecord;
 
 Address Local(std::uint16_t port) {
   return {.ip = "127.0.0.1", .port = port};
