--- a/src/framework/http/internal/response_reader.cc
+++ b/src/framework/http/internal/response_reader.cc
@@ -1,5 +1,6 @@
 #include "framework/http/internal/response_reader.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <limits>
 #include <utility>
@@ -153,6 +154,7 @@
 // Why the head is no answer that may be passed on; empty if it is one. Beast's
 // parser accepts more than that.
 std::string_view ResponseReader::HeadFault() const {
+  const auto coding = FindHeader(this->head, "Transfer-Encoding");
   if (this->status_code < kFirstInterimStatus ||
       this->status_code > kLastStatus) {
     return "its status is not within 100 to 599";
@@ -165,6 +167,12 @@
   if (this->parser->head_folded) {
     return "a line of its head begins with a blank";
   }
+  // Beast removes chunks only, and takes a body in any other coding for one
+  // without.
+  if (coding &&
+      !boost::beast::iequals({coding->data(), coding->size()}, "chunked")) {
+    return "its transfer coding is not chunked";
+  }
   return {};
 }
 
--- a/src/framework/http/tests/response_reader_test.cc
+++ b/src/framework/http/tests/response_reader_test.cc
@@ -135,6 +135,31 @@
   return rows;
 }
 
+std::vector<Row> FramingRows() {
+  std::vector<Row> rows;
+  const auto add = [&rows](const std::string& lines) {
+    rows.push_back({Printable(lines), AnswerOf(kOk, lines, kChunks)});
+  };
+  for (const std::string coding :
+       {"gzip", "identity", "xchunked", "chunked, gzip", "chunked, chunked",
+        "gzip, chunked", "chunked;a=b", "chunked,", ""}) {
+    add("Transfer-Encoding: " + coding + "\r\n");
+  }
+  add("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n");
+  add("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n");
+  add("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n");
+  add("Transfer-Encoding: \r\nTransfer-Encoding: chunked\r\n");
+  add("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n");
+  add("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n");
+  add("Content-Length: 5\r\nTransfer-Encoding: identity\r\n");
+  for (const std::string length :
+       {"x", "-1", "+5", "5x", "0x5", "", "5 5", "99999999999999999999999"}) {
+    add("Content-Length: " + length + "\r\n");
+  }
+  add("Content-Length: 5\r\nContent-Length: 6\r\n");
+  return rows;
+}
+
 void CheckNoAnswer(const Row& row) {
   // Guards against passing on, as an endpoint's answer, what is no HTTP.
   for (const std::size_t piece : {row.bytes.size(), std::size_t{1}}) {
@@ -182,6 +207,10 @@
                   FoldedRows(),
                   NameOf,
                   CheckNoAnswer),
+     ForEach<Row>("takes for no answer one framed by",
+                  FramingRows(),
+                  NameOf,
+                  CheckNoAnswer),
      ForEach<SoundRow>(
          "reads",
          kSoundRows,
