--- a/src/framework/http/internal/response_reader.cc
+++ b/src/framework/http/internal/response_reader.cc
@@ -155,6 +155,7 @@
 // parser accepts more than that.
 std::string_view ResponseReader::HeadFault() const {
   const auto coding = FindHeader(this->head, "Transfer-Encoding");
+  const auto length = FindHeader(this->head, "Content-Length");
   if (this->status_code < kFirstInterimStatus ||
       this->status_code > kLastStatus) {
     return "its status is not within 100 to 599";
@@ -173,6 +174,11 @@
       !boost::beast::iequals({coding->data(), coding->size()}, "chunked")) {
     return "its transfer coding is not chunked";
   }
+  // Its body would be read as the final answer.
+  const bool has_body = coding || (length && *length != "0");
+  if (this->status_code < kFirstFinalStatus && has_body) {
+    return "an interim answer with a body";
+  }
   return {};
 }
 
--- a/src/framework/http/tests/response_reader_test.cc
+++ b/src/framework/http/tests/response_reader_test.cc
@@ -160,6 +160,18 @@
   return rows;
 }
 
+std::vector<Row> InterimRows() {
+  std::vector<Row> rows;
+  for (const std::string status : {"100", "103", "199"}) {
+    for (const std::string& framing :
+         {kInnerLength, std::string("Transfer-Encoding: chunked\r\n")}) {
+      rows.push_back({status + " with " + Printable(framing),
+                      AnswerOf("HTTP/1.1 " + status + " S", framing, kInner)});
+    }
+  }
+  return rows;
+}
+
 void CheckNoAnswer(const Row& row) {
   // Guards against passing on, as an endpoint's answer, what is no HTTP.
   for (const std::size_t piece : {row.bytes.size(), std::size_t{1}}) {
@@ -211,6 +223,10 @@
                   FramingRows(),
                   NameOf,
                   CheckNoAnswer),
+     ForEach<Row>("takes for no answer what follows",
+                  InterimRows(),
+                  NameOf,
+                  CheckNoAnswer),
      ForEach<SoundRow>(
          "reads",
          kSoundRows,
