--- a/src/framework/http/internal/client_connection.cc
+++ b/src/framework/http/internal/client_connection.cc
@@ -66,6 +66,11 @@
           [this] { this->OnConnected(); });
   connect(secure_source, &QSslSocket::encrypted, this,
           [this] { this->OnOpen(); });
+  connect(secure_source, &QSslSocket::alertReceived, this,
+          [this](QSsl::AlertLevel, QSsl::AlertType type) {
+            this->tls_ended =
+                this->tls_ended || type == QSsl::AlertType::CloseNotify;
+          });
   IgnoreNameMismatch(*secure_source);
 }
 
@@ -277,7 +282,10 @@
 }
 
 void ClientConnection::EndOfStream() {
-  const bool in_order = this->end_probe && this->end_probe->EndedInOrder();
+  // Under TLS anybody on the way, and the end of the server's process, can end
+  // the connection beneath it (RFC 9112, section 9.8).
+  const bool in_order = this->end_probe && this->end_probe->EndedInOrder() &&
+                        (!this->secure || this->tls_ended);
   if (in_order && !this->dropping &&
       this->reader->FinishAtEnd() == ReadStep::kDone) {
     if (this->DeliverData()) {
--- a/src/framework/http/internal/client_connection.h
+++ b/src/framework/http/internal/client_connection.h
@@ -119,6 +119,7 @@
   bool request_left = false;  // at least one byte of it
   bool answer_due = false;    // to a request; it is not whole
   bool sending_ended = false;
+  bool tls_ended = false;  // the server has ended TLS itself
 };
 
 }  // namespace acacialug::http
--- a/src/framework/http/tests/broken_answer_test.cc
+++ b/src/framework/http/tests/broken_answer_test.cc
@@ -1,20 +1,30 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <QSslServer>
+#include <QSslSocket>
+#include <functional>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "framework/http/http_client.h"
+#include "framework/http/socket_setup.h"
 #include "framework/http/tests/exchange_record.h"
 #include "framework/http/tests/socket_support.h"
+#include "framework/http/tests/tls_files.h"
+#include "framework/http/tls_configuration.h"
 #include "framework/testing/story.h"
 
 namespace acacialug::http {
 namespace {
 
+using testing::ForEach;
 using testing::It;
 using testing::RawServer;
 using testing::WaitUntil;
 using Told = testing::ExchangeRecord;
 
+constexpr std::string_view kUnframedHead = "HTTP/1.1 200 OK\r\n\r\n";
 constexpr std::string_view kShort =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
@@ -35,6 +45,11 @@
   Told told;
 };
 
+void Write(QTcpSocket& socket, std::string_view bytes) {
+  socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+  socket.flush();
+}
+
 const testing::Story kMalformed(
     "an exchange whose answer is no HTTP",
     {It("fails, and its connection is not used again", [] {
@@ -55,5 +70,54 @@
       }
     })});
 
+// How a server under TLS ends an answer that has neither a length nor chunks.
+struct TlsEndRow {
+  std::string name;
+  std::function<void(QSslSocket&)> end;
+  bool whole;
+};
+
+const std::vector<TlsEndRow> kTlsEnds{
+    {"that ends in order",
+     [](QSslSocket& socket) { socket.disconnectFromHost(); }, true},
+    {"that ends without TLS's own end",
+     [](QSslSocket& socket) { ShutDownWriting(socket); }, false},
+    {"that is reset", [](QSslSocket& socket) { AbortWithReset(socket); },
+     false}};
+
+void CheckTlsEnd(const TlsEndRow& row, bool stream) {
+  QSslServer server;
+  server.setSslConfiguration(*LoadTls(testing::HostTls()).value());
+  CPPUNIT_ASSERT(server.listen(QHostAddress::LocalHost));
+  Client client({.tls = testing::HostTls()});
+  Told told;
+  client.Send({.ip = "127.0.0.1", .port = server.serverPort()},
+              {.method = "GET", .target = "/"}, told.Hooks(stream));
+  WaitUntil("a connection", [&] { return server.hasPendingConnections(); });
+  auto* const socket =
+      qobject_cast<QSslSocket*>(server.nextPendingConnection());
+  WaitUntil("the request", [&] { return socket->bytesAvailable() > 0; });
+  Write(*socket, std::string(kUnframedHead) + "part");
+  WaitUntil("the part", [&] {
+    return told.status == 200 && (!stream || told.data == "part");
+  });
+  row.end(*socket);
+  WaitUntil("the end", [&] { return told.over(); });
+  CPPUNIT_ASSERT_EQUAL(row.whole, told.body.has_value());
+}
+
+const testing::Story kTlsEnd("an exchange over TLS",
+                             {ForEach<TlsEndRow>(
+                                 "tells whether an answer is whole",
+                                 kTlsEnds,
+                                 [](const TlsEndRow& row) { return row.name; },
+                                 [](const TlsEndRow& row) {
+                                   // Guards against a part of an answer being
+                                   // taken for all of it.
+                                   for (const bool stream : {false, true}) {
+                                     CheckTlsEnd(row, stream);
+                                   }
+                                 })});
+
 }  // namespace
 }  // namespace acacialug::http
