--- a/src/gateway/internal/role_orders.cc
+++ b/src/gateway/internal/role_orders.cc
@@ -7,6 +7,7 @@
 namespace acacialug::gateway {
 namespace {
 
+constexpr int kOk = 200;
 constexpr Duration kPollInterval = 500ms;
 // Delay from the decision to switch an endpoint to the order. Meanwhile peers
 // receive the report that the endpoint takes no work; otherwise each of them
@@ -162,12 +163,17 @@
     this->LogOrder(change, fencing_token, "not sent: the endpoint rests");
     return;
   }
+  auto status = std::make_shared<int>(0);
   this->context.sender.Send(
       change.endpoint, this->context.dialect.write_report(change.endpoint),
-      {.on_end =
-           [this, change, fencing_token](const std::string& body) {
+      {.on_head = [status](int answered,
+                           const http::Headers&) { *status = answered; },
+       .on_end =
+           [this, status, change, fencing_token](const std::string& body) {
              const auto accepted =
-                 this->context.dialect.read_accepted_orders(body);
+                 *status == kOk
+                     ? this->context.dialect.read_accepted_orders(body)
+                     : std::nullopt;
              if (accepted) {
                this->SendOrder(change, fencing_token, *accepted);
              } else {
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -904,6 +904,15 @@
           CPPUNIT_ASSERT_EQUAL(std::string("decode g1 5 3"),
                                simulation.Find("/order")->request.body);
         }),
+     It("are not changed after an answer that is no report",
+        [] {
+          // Guards against an order that rests on what a failing endpoint says.
+          Uneven simulation;
+          simulation.core->SetPeers(2, true);
+          simulation.AdvanceBy(4s);
+          simulation.Reply(simulation.Find("/report"), 500, {}, "3");
+          CPPUNIT_ASSERT(simulation.Find("/order") == nullptr);
+        }),
      It("are not changed by an order whose report took longer than its term",
         [] {
           // Guards against an order of a process that was stalled while another
