--- a/src/framework/http/tests/response_reader_test.cc
+++ b/src/framework/http/tests/response_reader_test.cc
@@ -120,6 +120,23 @@
       {name + ", last", AnswerOf(kOk, other + length + line, "outer")});
 }
 
+std::vector<Row> FieldRows() {
+  std::vector<Row> rows;
+  for (const std::string name :
+       {"X Y", "X ", "X\tY", "X\x01Y", "\x01X", "X\x7f", "X\rY", "X\nY",
+        "X\x80", "\xc3\xa9", "X(", "X\"", ""}) {
+    AddAnywhere("a field's name <" + Printable(name) + ">", name + ": v\r\n",
+                rows);
+  }
+  AddAnywhere("a line without a colon", "Xv\r\n", rows);
+  for (const std::string& value : std::vector<std::string>{
+           "v\x01", "\x7f", "v\rw", std::string("v\0w", 3)}) {
+    AddAnywhere("a field's value <" + Printable(value) + ">",
+                "X: " + value + "\r\n", rows);
+  }
+  return rows;
+}
+
 std::vector<Row> FoldedRows() {
   std::vector<Row> rows;
   for (const std::string blank : {" ", "\t", "  \t"}) {
@@ -172,6 +189,19 @@
   return rows;
 }
 
+std::vector<Row> ChunkRows() {
+  std::vector<Row> rows;
+  for (const std::string chunk :
+       {"x\r\nouter\r\n", "-5\r\nouter\r\n", "\r\nouter\r\n", "5outer\r\n",
+        "5\r\nouterx\r\n", "11111111111111111\r\nouter\r\n", "5 x\r\nouter\r\n",
+        "0\r\nX Y: v\r\n\r\n", "0\r\nX\x01: v\r\n\r\n", "0\r\nXv\r\n\r\n"}) {
+    rows.push_back(
+        {Printable(chunk),
+         AnswerOf(kOk, "Transfer-Encoding: chunked\r\n", chunk + "0\r\n\r\n")});
+  }
+  return rows;
+}
+
 void CheckNoAnswer(const Row& row) {
   // Guards against passing on, as an endpoint's answer, what is no HTTP.
   for (const std::size_t piece : {row.bytes.size(), std::size_t{1}}) {
@@ -215,6 +245,10 @@
 const testing::Story kReader(
     "a response reader",
     {ForEach<Row>("takes for no answer", StatusRows(), NameOf, CheckNoAnswer),
+     ForEach<Row>("takes for no answer one with",
+                  FieldRows(),
+                  NameOf,
+                  CheckNoAnswer),
      ForEach<Row>("takes for no answer one with",
                   FoldedRows(),
                   NameOf,
@@ -227,6 +261,18 @@
                   InterimRows(),
                   NameOf,
                   CheckNoAnswer),
+     ForEach<Row>(
+         "takes no chunks for whole that are",
+         ChunkRows(),
+         NameOf,
+         [](const Row& row) {
+           // Guards against a body that its endpoint did not send.
+           for (const std::size_t piece : {row.bytes.size(), std::size_t{1}}) {
+             const ReadAnswer answer = Read(row.bytes, piece);
+             CPPUNIT_ASSERT(answer.last == ReadStep::kFault);
+             CPPUNIT_ASSERT(answer.fault->code == ResultCode::kMalformedAnswer);
+           }
+         }),
      ForEach<SoundRow>(
          "reads",
          kSoundRows,
