--- a/src/framework/http/internal/response_reader.cc
+++ b/src/framework/http/internal/response_reader.cc
@@ -151,8 +151,8 @@
   return true;
 }
 
-// Why the head is no answer that may be passed on; empty if it is one. Beast's
-// parser accepts more than that.
+// The reason why the head must not be passed on; empty if there is none.
+// Beast's parser accepts more than the protocol does.
 std::string_view ResponseReader::HeadFault() const {
   const auto coding = FindHeader(this->head, "Transfer-Encoding");
   const auto length = FindHeader(this->head, "Content-Length");
