--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -885,6 +885,10 @@
          this->implementation->catalog.size() > 0;
 }
 
+std::size_t GatewayCore::endpoint_count() const {
+  return this->implementation->catalog.size();
+}
+
 std::size_t GatewayCore::requests_under_way() const {
   return this->implementation->relays.size();
 }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -160,6 +160,7 @@
 
   // Whether a configuration and an endpoint are known.
   bool Ready() const;
+  std::size_t endpoint_count() const;
   std::size_t requests_under_way() const;
   std::size_t requests_waiting() const;
   std::size_t requests_quarantined() const;
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -29,6 +29,7 @@
 constexpr Duration kFinalAnswersMargin = 200ms;
 constexpr std::chrono::milliseconds kDrainCheckInterval{50};
 constexpr std::chrono::milliseconds kLogFlushInterval{100};
+constexpr std::chrono::milliseconds kReadinessReportInterval{1000};
 // Shortest timer that runs behind pending socket events.
 constexpr Duration kMinTimerDelay = 1ms;
 // Limits of log entries per second for each event: four times the number at the
@@ -95,6 +96,8 @@
     QObject::connect(&this->flush, &QTimer::timeout, [] { log::Flush(); });
     QObject::connect(&this->drain_check, &QTimer::timeout,
                      [this] { this->CheckDrained(); });
+    QObject::connect(&this->readiness_report, &QTimer::timeout,
+                     [this] { this->LogAwaited(); });
     this->MakeServers();
     this->WakeAt(this->core.next_timer());
   }
@@ -110,6 +113,7 @@
       }
     }
     this->flush.start(kLogFlushInterval);
+    this->readiness_report.start(kReadinessReportInterval);
     return this->peers.Start();
   }
 
@@ -409,8 +413,31 @@
     if (request.Path() != this->options.settings.readiness_path) {
       return {.status = kNotFound};
     }
-    const bool ready = this->core.Ready() && !this->draining;
-    return {.status = ready ? kOk : kUnavailable};
+    if (this->draining) {
+      return {.status = kUnavailable, .body = "drains\n"};
+    }
+    return this->core.Ready()
+               ? http::Response{.status = kOk}
+               : http::Response{
+                     .status = kUnavailable,
+                     .body = "awaits " + std::string(this->Awaited()) + "\n"};
+  }
+
+  // Precondition: this process is not ready.
+  std::string_view Awaited() const {
+    if (this->core.configuration() != nullptr) {
+      return "endpoints";
+    }
+    return this->core.endpoint_count() > 0 ? "configuration"
+                                           : "configuration and endpoints";
+  }
+
+  void LogAwaited() {
+    if (!this->core.Ready()) {
+      log::Warning("readiness_awaits",
+                   {.fields = {{"awaited", this->Awaited()},
+                               {"peers", this->live_peer_count}}});
+    }
   }
 
   http::Response OperationsPage(const http::Request& request) {
@@ -604,6 +631,7 @@
   QTimer core_timer;
   QTimer flush;
   QTimer drain_check;
+  QTimer readiness_report;
   http::Client client;
   gateway::GatewayCore core;
   PeerLink peers;
