--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -251,10 +251,14 @@
     changed = this->ApplyRecord(change, now, false) || changed;
   }
   if (snapshot.since == LogOffset()) {
-    changed = this->RemoveMissing(snapshot, now) || changed;
+    this->partial = snapshot.partial;
+    if (!snapshot.partial) {
+      changed = this->RemoveMissing(snapshot, now) || changed;
+    }
     // Endpoints that started and ended meanwhile are in no snapshot.
-    this->deletions_known_from =
-        snapshot.held_back ? LogOffset(UINT64_MAX) : snapshot.as_of;
+    this->deletions_known_from = snapshot.held_back || snapshot.partial
+                                     ? LogOffset(UINT64_MAX)
+                                     : snapshot.as_of;
   } else {
     changed = this->RemoveEnded(snapshot, now) || changed;
   }
@@ -416,6 +420,9 @@
 }
 
 LogOffset EndpointCatalog::complete_to() const {
+  if (this->partial) {
+    return {};
+  }
   LogOffset complete = this->known_up_to;
   for (const auto& [id, entry] : this->entries) {
     complete = std::min(complete, entry.lapsed_at.value_or(complete));
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -120,7 +120,8 @@
   // complete. For a peer that knows all changes before `since`, only what
   // changed from there on, if this catalog can tell that.
   EndpointSnapshot Snapshot(Instant now, LogOffset since = {}) const;
-  // All changes before this offset are known and in effect.
+  // All changes before this offset are known and in effect; zero after a
+  // partial snapshot.
   LogOffset complete_to() const;
   // The offset after the last record that changed the catalog. Most records
   // change nothing, since endpoints renew theirs every second.
@@ -190,6 +191,7 @@
   std::map<EndpointId, Instant> departures;
   std::uint64_t era = 0;
   LogOffset known_up_to;
+  bool partial = false;  // the last snapshot was
   LogOffset last_change;
   // All endpoints that ended from this offset on are in `deletions`.
   LogOffset deletions_known_from = LogOffset(UINT64_MAX);
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -245,6 +245,30 @@
               kStart + 1s);
           CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) == nullptr);
         }),
+     It("takes no endpoint for ended that a partial snapshot lacks, and claims "
+        "nothing by it until it has a whole one",
+        [] {
+          // Guards against endpoints that are lost, here or at peers, since a
+          // record could not be read.
+          EndpointCatalog catalog;
+          catalog.Apply(Written(5, "a"), kStart);
+          catalog.Apply(EndpointSnapshot{.as_of = LogOffset(8),
+                                         .settled = true,
+                                         .partial = true,
+                                         .records = {Written(7, "b")}},
+                        kStart);
+          CPPUNIT_ASSERT_EQUAL(std::size_t{2}, catalog.size());
+          catalog.Apply(Written(9, "c"), kStart);
+          CPPUNIT_ASSERT(catalog.complete_to() == LogOffset());
+          CPPUNIT_ASSERT(catalog.Snapshot(kStart).as_of == LogOffset());
+          catalog.Apply(EndpointSnapshot{.as_of = LogOffset(8),
+                                         .settled = true,
+                                         .records = {Written(7, "b")}},
+                        kStart);
+          CPPUNIT_ASSERT(catalog.Find(EndpointId("a")) == nullptr);
+          CPPUNIT_ASSERT(catalog.Find(EndpointId("c")) != nullptr);
+          CPPUNIT_ASSERT(catalog.complete_to() == LogOffset(10));
+        }),
      It("neither reports a record that may have lapsed as live, nor claims to "
         "know its state",
         [] {
