--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -172,7 +172,8 @@
   int page_requests = 0;
   // The time its clock shows while it is stopped.
   std::optional<Instant> stopped;
-  Duration ahead{};  // offset of its clock from the machine's
+  // Offset of its clock from the machine's, which may have started just now.
+  Duration ahead = 1h;
   std::size_t peers = 0;
   std::optional<std::size_t> known_peers;
   bool first = false;
@@ -655,7 +656,7 @@
           });
           for (const auto& requester : requesters) {
             requester->stopped.reset();
-            requester->ahead = 600ms;
+            requester->ahead += 600ms;
           }
           WaitUntil("the configuration", [&] {
             return all([](Peer& one) { return one.took_configuration; });
@@ -687,7 +688,7 @@
        d.link.SetMembers({{"a", a.address}});
        WaitUntil("the endpoints", [&] { return d.taken.has_value(); });
        a.stopped.reset();
-       a.ahead = 1min;
+       a.ahead += 1min;
        WaitUntil("the configuration", [&] { return d.took_configuration; });
      })});
 
