--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -251,7 +251,11 @@
     changed = this->ApplyRecord(change, now, false) || changed;
   }
   if (snapshot.since == LogOffset()) {
-    this->partial = snapshot.partial;
+    if (snapshot.partial) {
+      this->partial_to = std::max(this->partial_to, snapshot.as_of);
+    } else if (snapshot.as_of >= this->partial_to) {
+      this->partial_to = {};
+    }
     if (!snapshot.partial) {
       changed = this->RemoveMissing(snapshot, now) || changed;
     }
@@ -420,7 +424,7 @@
 }
 
 LogOffset EndpointCatalog::complete_to() const {
-  if (this->partial) {
+  if (this->partial_to != LogOffset()) {
     return {};
   }
   LogOffset complete = this->known_up_to;
--- a/src/gateway/endpoint_catalog.h
+++ b/src/gateway/endpoint_catalog.h
@@ -191,7 +191,8 @@
   std::map<EndpointId, Instant> departures;
   std::uint64_t era = 0;
   LogOffset known_up_to;
-  bool partial = false;  // the last snapshot was
+  // Records before this offset are missing; zero: none are.
+  LogOffset partial_to;
   LogOffset last_change;
   // All endpoints that ended from this offset on are in `deletions`.
   LogOffset deletions_known_from = LogOffset(UINT64_MAX);
--- a/src/gateway/tests/endpoint_catalog_test.cc
+++ b/src/gateway/tests/endpoint_catalog_test.cc
@@ -261,6 +261,12 @@
           catalog.Apply(Written(9, "c"), kStart);
           CPPUNIT_ASSERT(catalog.complete_to() == LogOffset());
           CPPUNIT_ASSERT(catalog.Snapshot(kStart).as_of == LogOffset());
+          // A peer that is behind may list an endpoint that has ended since.
+          catalog.Apply(EndpointSnapshot{.as_of = LogOffset(6),
+                                         .settled = true,
+                                         .records = {Written(5, "a")}},
+                        kStart);
+          CPPUNIT_ASSERT(catalog.complete_to() == LogOffset());
           catalog.Apply(EndpointSnapshot{.as_of = LogOffset(8),
                                          .settled = true,
                                          .records = {Written(7, "b")}},
--- a/src/gateway/types/endpoint_record.h
+++ b/src/gateway/types/endpoint_record.h
@@ -68,8 +68,8 @@
   bool settled = false;
   // The sender knows later changes, of which some are not in effect yet.
   bool held_back = false;
-  // Records are missing that could not be read: an endpoint that is not included
-  // may serve.
+  // Records are missing that could not be read: an endpoint that is not
+  // included may serve.
   bool partial = false;
   // Zero: `records` are all. Else only those that changed from this offset on,
   // and `removals` are the endpoints that ended since.
