--- a/src/framework/http/http_client.cc
+++ b/src/framework/http/http_client.cc
@@ -66,22 +66,28 @@
     ExchangeHooks hooks,
     const SendOptions& send_options) {
   const ExchangeId id = ++this->last_id;
-  auto exchange = std::make_shared<Exchange>(
-      Exchange{.id = id,
-               .request_bytes = WriteRequest(request, address),
-               .asks_head = request.method == "HEAD",
-               .options = send_options,
-               .hooks = std::move(hooks)});
-  ClientConnection* connection =
-      send_options.fresh_connection ? nullptr : this->pool.Take(address);
+  Result<std::string> bytes = WriteRequest(request, address);
+  auto exchange = std::make_shared<Exchange>(Exchange{
+      .id = id,
+      .request_bytes = bytes ? std::move(bytes.value()) : std::string(),
+      .asks_head = request.method == "HEAD",
+      .options = send_options,
+      .hooks = std::move(hooks)});
+  // A connection that fails an exchange is closed, and a kept one is still good
+  // for other requests.
+  ClientConnection* connection = send_options.fresh_connection || !bytes
+                                     ? nullptr
+                                     : this->pool.Take(address);
   if (connection == nullptr) {
     connection = this->MakeConnection(address);
   }
   this->active.emplace(id, connection);
-  if (this->tls.ok()) {
-    connection->Start(std::move(exchange));
-  } else {
+  if (!bytes) {
+    connection->FailLater(std::move(exchange), bytes.error());
+  } else if (!this->tls.ok()) {
     connection->FailLater(std::move(exchange), this->tls.error());
+  } else {
+    connection->Start(std::move(exchange));
   }
   return id;
 }
--- a/src/framework/http/http_client.h
+++ b/src/framework/http/http_client.h
@@ -82,6 +82,9 @@
 
   using ExchangeId = std::uint64_t;
 
+  // A request of which the server would read another one is not sent: on_error
+  // tells kMalformedRequest (for example, the target has a blank, or a header's
+  // value a line break).
   ExchangeId Send(const Address& address,
                   const Request& request,
                   ExchangeHooks hooks,
--- a/src/framework/http/internal/message_writer.cc
+++ b/src/framework/http/internal/message_writer.cc
@@ -1,6 +1,7 @@
 #include "framework/http/internal/message_writer.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -17,18 +18,37 @@
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 999;
 constexpr int kInternalServerError = 500;
+constexpr std::size_t kBytes = 256;
+constexpr char kDelete = 0x7f;
+constexpr std::string_view kTokenCharacters =
+    "!#$%&'*+-.^_`|~0123456789"
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
 
 boost::beast::string_view View(std::string_view text) {
   return {text.data(), text.size()};
 }
 
-bool IsTokenCharacter(char character) {
-  const bool letter_or_digit = (character >= 'a' && character <= 'z') ||
-                               (character >= 'A' && character <= 'Z') ||
-                               (character >= '0' && character <= '9');
-  return letter_or_digit ||
-         std::string_view("!#$%&'*+-.^_`|~").find(character) !=
-             std::string_view::npos;
+// RFC 9110, 5.6.2. A table, since every byte of a head's names is looked up.
+constexpr std::array<bool, kBytes> TokenBytes() {
+  std::array<bool, kBytes> table{};
+  for (const char byte : kTokenCharacters) {
+    table.at(static_cast<unsigned char>(byte)) = true;
+  }
+  return table;
+}
+
+bool IsToken(std::string_view text) {
+  static constexpr std::array<bool, kBytes> kTable = TokenBytes();
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char byte) {
+    return kTable[static_cast<unsigned char>(byte)];
+  });
+}
+
+// Bytes above 0x7f pass: callers send them, and they end nothing.
+bool IsTarget(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char byte) {
+    return static_cast<unsigned char>(byte) > ' ' && byte != kDelete;
+  });
 }
 
 bool IsBreak(char character) {
@@ -36,13 +56,14 @@
 }
 
 bool IsWellFormed(const Header& header) {
-  return !header.name.empty() &&
-         header.name.size() + header.value.size() < kMaxFieldBytes &&
-         std::all_of(header.name.begin(), header.name.end(),
-                     IsTokenCharacter) &&
+  return IsToken(header.name) &&
          std::none_of(header.value.begin(), header.value.end(), IsBreak);
 }
 
+bool Fits(const Header& header) {
+  return header.name.size() + header.value.size() < kMaxFieldBytes;
+}
+
 bool IsFraming(beast_http::field field) {
   return field == beast_http::field::content_length ||
          field == beast_http::field::transfer_encoding ||
@@ -50,15 +71,22 @@
          field == beast_http::field::keep_alive;
 }
 
+// False: a header is not well-formed; it is left out.
 template <class Message>
-void InsertHeaders(const Headers& headers, Message& message) {
+bool InsertHeaders(const Headers& headers, Message& message) {
+  bool well_formed = true;
   for (const Header& header : headers) {
+    if (!IsWellFormed(header)) {
+      well_formed = false;
+      continue;
+    }
     const beast_http::field field =
         beast_http::string_to_field(View(header.name));
-    if (IsWellFormed(header) && !IsFraming(field)) {
+    if (Fits(header) && !IsFraming(field)) {
       message.insert(field, View(header.name), View(header.value));
     }
   }
+  return well_formed;
 }
 
 template <class Message>
@@ -91,12 +119,21 @@
   return boost::beast::buffers_to_string(writer.get());
 }
 
-std::string WriteRequest(const Request& request, const Address& address) {
+Result<std::string> WriteRequest(const Request& request,
+                                 const Address& address) {
+  if (!IsToken(request.method)) {
+    return Error(ResultCode::kMalformedRequest, "not sent: its method");
+  }
+  if (!IsTarget(request.target)) {
+    return Error(ResultCode::kMalformedRequest, "not sent: its target");
+  }
   beast_http::request<beast_http::empty_body> message;
   message.version(11);
   message.method_string(View(request.method));
   message.target(View(request.target));
-  InsertHeaders(request.headers, message);
+  if (!InsertHeaders(request.headers, message)) {
+    return Error(ResultCode::kMalformedRequest, "not sent: a header");
+  }
   if (message.find(beast_http::field::host) == message.end()) {
     message.set(beast_http::field::host, ToString(address));
   }
--- a/src/framework/http/internal/message_writer.h
+++ b/src/framework/http/internal/message_writer.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "framework/global/types/result.h"
 #include "framework/http/http_types.h"
 
 namespace acacialug::http {
@@ -30,7 +31,12 @@
 std::string WriteResponseHead(const ResponseHead& head);
 
 // The bytes of a whole request, `Host` added if it has none. Thread safe.
-std::string WriteRequest(const Request& request, const Address& address);
+// Errors: kMalformedRequest (the server would read other parts than these, or
+// another request: the method or a header's name is no token, the target is
+// empty or has a control character or a blank, a header's value has a line
+// break or NUL).
+Result<std::string> WriteRequest(const Request& request,
+                                 const Address& address);
 
 // One chunk of a chunked body; empty data gives no bytes, since an empty
 // chunk would end the body. Thread safe.
