--- a/src/gateway/endpoint_catalog.cc
+++ b/src/gateway/endpoint_catalog.cc
@@ -253,10 +253,10 @@
   if (snapshot.since == LogOffset()) {
     if (snapshot.partial) {
       this->partial_to = std::max(this->partial_to, snapshot.as_of);
-    } else if (snapshot.as_of >= this->partial_to) {
-      this->partial_to = {};
-    }
-    if (!snapshot.partial) {
+    } else {
+      if (snapshot.as_of >= this->partial_to) {
+        this->partial_to = {};
+      }
       changed = this->RemoveMissing(snapshot, now) || changed;
     }
     // Endpoints that started and ended meanwhile are in no snapshot.
