Review: a stream goes on while the runner before still works on it

Cause: after a spoiled piece a resumable stream is placed again at once, and the runner before is not asked whether it has let go of the run.

--- a/review/common-2/case.py
+++ b/review/common-2/case.py
@@ -88,6 +88,10 @@
         self.started_at = time.monotonic()
         self.requests = 0
 
+    @staticmethod
+    def now():
+        return time.monotonic()
+
     def note(self, *what):
         print(f"{time.monotonic() - self.started_at:8.3f}", *what,
               file=self.record, flush=True)
@@ -266,7 +270,7 @@
             raise CannotRun(f"{name} did not start")
         return born[-1]["pid"]
 
-    def note_all(self, answers):
+    def note_all(self, answers, with_runners=True):
         """Writes what was sent, answered and run to the record."""
         for answer in answers:
             self.note(
@@ -275,7 +279,7 @@
                 "sealed" if answer.sealed else "not sealed", "bytes",
                 len(answer.body), "at",
                 f"{answer.ended_at - self.started_at:.3f}")
-        for event in self.runner_events():
+        for event in self.runner_events() if with_runners else ():
             at = event.pop("t") - self.started_at
             self.note(f"runner at {at:.3f}", json.dumps(event))
 
--- a/review/common-2/runner.py
+++ b/review/common-2/runner.py
@@ -10,7 +10,8 @@
 chunks), drops (whether a run ends when its caller's connection closes),
 events (of a stream), pause_ms (between two events), tokens_per_ms (of a
 prefill), work_ms, parts and part_ms (a plain answer is sent in so many parts),
-spoil_every (of so many streams one gets an unreadable piece; 0: none), leave
+streams (whether an application service answers with events), spoil_every (of so
+many streams one gets an unreadable piece; 0: none), leave
 (a file: when it exists, the runner reports `draining`, serves on for serve_s
 and ends).
 """
@@ -222,7 +223,7 @@
         self.log("run", request)
         try:
             own = {**echo, "X-Acacialug-Server-Seal": seal_of(request)}
-            if self.stage == "decode":
+            if self.stage == "decode" or self.options.get("streams"):
                 await self.stream(request, headers, own, reader, writer)
             else:
                 await self.answer(request, own, writer)
