Review: plain answers of model runners lose their records

Cause: every answer of a service with an engine is read as a stream of events, also on routes that have none. Text up to a blank line is dropped or given up by the number in a line that begins with id.

--- a/review/common-2/case.py
+++ b/review/common-2/case.py
@@ -17,8 +17,10 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
+import traceback
 
 import wire
 from store import Store
@@ -28,6 +30,7 @@
 SETTINGS_PATH = "/etc/acacialug/local.toml"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 READY_S = 15.0
+LONGEST_S = 105.0
 # As on the sheet of the smallest deployment.
 BOUNDS = {"grace-s": 8, "retry-budget-ratio": 0.2, "retry-budget-extra": 58,
           "budget-window-s": 10}
@@ -337,12 +340,22 @@
     return {"name": name, "health-path": "/healthz", "max-connections": 110}
 
 
+def give_up(case):
+    case.note("could not run: it takes too long")
+    case.stop()
+    os._exit(2)
+
+
 def run(folder, scenario):
     """Runs `scenario(case)`, which returns the breaches; exits as asked."""
     case = Case(folder)
     code = 2
+    watchdog = threading.Timer(LONGEST_S, give_up, [case])
+    watchdog.daemon = True
+    watchdog.start()
     try:
-        breaches = asyncio.run(scenario(case))
+        # Not asyncio.run, which awaits the end of what it cancels.
+        breaches = asyncio.new_event_loop().run_until_complete(scenario(case))
         for breach in breaches:
             case.note("BREACH", breach)
         case.note("breaches:", len(breaches),
@@ -352,7 +365,12 @@
     except CannotRun as error:
         case.note("could not run:", error)
         print("could not run:", error)
+    except Exception:
+        traceback.print_exc()
+        case.note("could not run:", traceback.format_exc())
     finally:
+        watchdog.cancel()
         case.stop()
         case.record.close()
-    sys.exit(code)
+    sys.stdout.flush()
+    os._exit(code)
--- a/review/common-2/runner.py
+++ b/review/common-2/runner.py
@@ -7,13 +7,13 @@
 
 Options: id, service, zone, store, address, log, stage (null: an application
 service), slots, memory (tokens), framed (whether answers have a length or
-chunks), drops (whether a run ends when its caller's connection closes),
-events (of a stream), pause_ms (between two events), tokens_per_ms (of a
+chunks), drops (whether a run ends when its caller's connection closes), events
+(of a stream), id_step and pause_ms (between two events), tokens_per_ms (of a
 prefill), work_ms, parts and part_ms (a plain answer is sent in so many parts),
-streams (whether an application service answers with events), spoil_every (of so
-many streams one gets an unreadable piece; 0: none), leave
-(a file: when it exists, the runner reports `draining`, serves on for serve_s
-and ends).
+streams (whether an application service answers with events), records (whether
+the answer is a text of records), spoil_every (of so many streams one gets an
+unreadable piece; 0: none), leave (a file: when it exists, the runner reports
+`draining`, serves on for serve_s and ends).
 """
 
 import asyncio
@@ -42,12 +42,15 @@
     return f"id: {number}\ndata: {text}\n\n".encode()
 
 
-def body_of(request):
-    return (hashlib.sha256(f"{request}/body".encode()).hexdigest() * 13)[:800]
+def records_of(request):
+    """A plain text: records of titles, the best match first."""
+    numbers = hashlib.sha256(request.encode()).digest()[:8]
+    return "\n\n".join(f"id: {number}\ntitle: {seal_of(str(number))}"
+                       for number in numbers).encode()
 
 
-class Rejected(Exception):
-    """The runner doesn't run the request, and says so."""
+def body_of(request):
+    return (hashlib.sha256(f"{request}/body".encode()).hexdigest() * 13)[:800]
 
 
 class Runner:
@@ -223,7 +226,10 @@
         self.log("run", request)
         try:
             own = {**echo, "X-Acacialug-Server-Seal": seal_of(request)}
-            if self.stage == "decode" or self.options.get("streams"):
+            if self.options.get("records"):
+                wire.write_answer(writer, 200, records_of(request), {
+                    **own, "Content-Type": "text/plain"})
+            elif self.stage == "decode" or self.options.get("streams"):
                 await self.stream(request, headers, own, reader, writer)
             else:
                 await self.answer(request, own, writer)
@@ -275,7 +281,8 @@
             **({"Transfer-Encoding": "chunked"} if framed
                else {"Connection": "close"})})
         cut = False
-        for number in range(first, self.options["events"] + 1):
+        step = self.options.get("id_step", 1)
+        for number in range(first, self.options["events"] * step + 1, step):
             event = event_of(request, number)
             if not cut:
                 if number == spoiled:
