Review: wording of a comment in the stand-ins

Cause: a word that readers may take for another thing.

Change: the comment and the call that asks for a process group.

--- a/review/common-2/case.py
+++ b/review/common-2/case.py
@@ -295,8 +295,9 @@
             if process.poll() is None:
                 process.kill()
             try:
-                # Runners lead a session; a worker may have outlived its parent.
-                if os.getsid(process.pid) == process.pid:
+                # Runners lead a process group of their own, in which a worker
+                # may have outlived its parent.
+                if os.getpgid(process.pid) == process.pid:
                     os.killpg(process.pid, signal.SIGKILL)
             except OSError:
                 pass
