Read an answer as events by its route's kind, not by its service

Cause: GatewayCore::Handle chose StreamRelay by the service alone, and it read every body as a series of events: text up to an empty line with an id that is not above the last one was left out as received before.

Change: the service decides how a request is placed, the route's kind and the answer's head decide what its answer is. StreamRelay has all streams and all requests to services with an engine; it forwards events as they arrive, and any other answer unchanged once it is whole. Related paths: bodies with a line of more than 1 MiB, answers that break off after their head, their response timeout, streams of services without an engine (which were kept until they were whole), answers on routes of streams that are no text/event-stream, requests under way while their route moves.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -174,7 +174,7 @@
       return;
     }
     job.state->budget.NoteRequest(now);
-    if (job.traits != nullptr && job.traits->engine.has_value()) {
+    if (HasEngine(job) || IsStream(job.route->kind)) {
       this->BeginStream(std::move(job));
     } else {
       this->BeginCall(std::move(job));
@@ -522,12 +522,18 @@
 
   static Duration LikelyTime(const RelayJob& job) {
     const forecast::ServiceForecast& forecast = job.state->forecast;
-    if (job.traits != nullptr && job.traits->engine.has_value()) {
+    if (HasEngine(job)) {
       return StreamPlacement::LikelyTime(
           job.request.size.value_or(GenerationSize{}),
           job.state->length_ratio.value(), forecast);
     }
-    return FromSeconds(kLongCallFactor * Seconds(forecast.Call()));
+    return IsStream(job.route->kind)
+               ? job.TimeLimit()
+               : FromSeconds(kLongCallFactor * Seconds(forecast.Call()));
+  }
+
+  static bool HasEngine(const RelayJob& job) {
+    return job.traits != nullptr && job.traits->engine.has_value();
   }
 
   // A stream that is continued goes to the service that its first attempt went
@@ -584,7 +590,7 @@
     const auto relay =
         std::make_shared<CallRelay>(this->context, std::move(job));
     this->Start(relay);
-    this->takeups.Resolve(relay, [this, relay] { this->PlaceCall(*relay); });
+    this->PlaceCall(*relay);
   }
 
   void PlaceCall(CallRelay& call) {
@@ -597,9 +603,7 @@
         log::Level::kWarning, "call_unplaced",
         {.request_name = call.job().request.id,
          .fields = this->context.AvailabilityFields(service)});
-    call.Refuse(call.VersionGone() ? ResultCode::kVersionGone
-                : known            ? ResultCode::kOverloaded
-                                   : ResultCode::kNoEndpoint,
+    call.Refuse(known ? ResultCode::kOverloaded : ResultCode::kNoEndpoint,
                 kRetryNoEndpoint);
   }
 
@@ -608,8 +612,10 @@
     if (job.urgency && !job.is_retry) {
       job.state->urgency.NoteRequest(*job.urgency, this->Now());
     }
-    this->roles.NoteRequest(job.service,
-                            job.request.size.value_or(GenerationSize{}));
+    if (HasEngine(job)) {
+      this->roles.NoteRequest(job.service,
+                              job.request.size.value_or(GenerationSize{}));
+    }
     const auto relay =
         std::make_shared<StreamRelay>(this->context, std::move(job));
     this->Start(relay);
--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -58,7 +58,6 @@
   this->sent_at = this->Now();
   ++this->outcome.sends;
   ++this->runs;
-  this->NoteOrigin(chosen);
   auto self = std::static_pointer_cast<CallRelay>(this->shared_from_this());
   this->SendTo(
       chosen, {.time_left = this->TimeLeft()},
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -106,12 +106,9 @@
 void Relay::SetService(const ServiceName& service,
                        const ServiceTraits& traits,
                        ServiceState& state) {
-  if (this->work.traits != nullptr &&
-      this->work.traits->engine.has_value() == traits.engine.has_value()) {
-    this->work.service = service;
-    this->work.traits = &traits;
-    this->work.state = &state;
-  }
+  this->work.service = service;
+  this->work.traits = &traits;
+  this->work.state = &state;
 }
 
 void Relay::NoteOrigin(const EndpointRecord& endpoint) {
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -37,8 +37,7 @@
   // Whether the stream has a version, and no endpoint of this version takes
   // work that runs.
   bool VersionGone() const;
-  // Places the request at another service of its route from now on, unless that
-  // one is of another kind (with or without an engine).
+  // Places the request at another service of its route from now on.
   void SetService(const ServiceName& service,
                   const ServiceTraits& traits,
                   ServiceState& state);
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -21,6 +21,8 @@
 // reached, or leaves, says nothing about the others' memory.
 constexpr std::uint32_t kMaxFullEndpoints = 3;
 constexpr std::size_t kMaxRequestedEndpoints = 8;
+// Retry-After when a service without an engine is full.
+constexpr Duration kRetrySoon = 300ms;
 
 }  // namespace
 
@@ -32,6 +34,21 @@
   return this->work.request.size.value_or(GenerationSize{});
 }
 
+const EngineTraits* StreamRelay::Engine() const {
+  return this->work.traits != nullptr && this->work.traits->engine
+             ? &*this->work.traits->engine
+             : nullptr;
+}
+
+std::uint32_t StreamRelay::TokensPerEvent() const {
+  const EngineTraits* const engine = this->Engine();
+  return engine != nullptr ? engine->tokens_per_event : 0;
+}
+
+bool StreamRelay::Reserves() const {
+  return this->has_engine() && this->context.dialect.write_reserve;
+}
+
 std::uint64_t StreamRelay::kv_tokens() const {
   return this->context.streams.KvTokens(this->Size());
 }
@@ -40,6 +57,9 @@
     std::vector<EndpointId> avoided) {
   avoided.insert(avoided.end(), this->tried.begin(), this->tried.end());
   avoided.insert(avoided.end(), this->full.begin(), this->full.end());
+  if (!this->has_engine()) {
+    return this->FindPlainPlacement(avoided);
+  }
   return this->context.streams.Pick(
       {.size = this->Size(),
        .objective = this->work.route->objective,
@@ -52,8 +72,27 @@
        .length_ratio = this->work.state->length_ratio.value(),
        .domain = this->context.domain,
        .now = this->Now()},
-      *this->work.traits->engine, this->work.state->forecast,
-      this->AvailableEndpoints(), this->context.random);
+      *this->Engine(), this->work.state->forecast, this->AvailableEndpoints(),
+      this->context.random);
+}
+
+std::optional<StreamPlacement::Placement> StreamRelay::FindPlainPlacement(
+    const std::vector<EndpointId>& avoided) {
+  std::vector<const EndpointRecord*> endpoints = this->AvailableEndpoints();
+  std::erase_if(endpoints, [&avoided](const EndpointRecord* endpoint) {
+    return std::find(avoided.begin(), avoided.end(), endpoint->id) !=
+           avoided.end();
+  });
+  const EndpointRecord* const picked =
+      this->context.calls.Pick({.domain = this->context.domain,
+                                .hold = this->work.state->forecast.Call(),
+                                .now = this->Now()},
+                               endpoints, this->context.random);
+  if (picked == nullptr) {
+    return std::nullopt;
+  }
+  return StreamPlacement::Placement{.decode = *picked,
+                                    .decode_load = {.requests = 1}};
 }
 
 std::uint32_t StreamRelay::Urgency() const {
@@ -86,7 +125,7 @@
     return false;
   }
   this->Take(*chosen);
-  if (this->context.dialect.write_reserve) {
+  if (this->Reserves()) {
     this->Reserve();
   } else {
     this->AfterReserve();
@@ -469,6 +508,12 @@
   }
 }
 
+void StreamRelay::GiveUpUnplaced() {
+  const bool known =
+      !this->context.catalog.ForService(this->work.service).empty();
+  this->GiveUp(known ? ResultCode::kOverloaded : ResultCode::kNoEndpoint);
+}
+
 void StreamRelay::GiveUp(ResultCode code) {
   if (this->begun) {
     this->work.responder->Abort();
@@ -492,6 +537,9 @@
     case ResultCode::kDraining:
       return kRetryElsewhere;
     default:
+      if (!this->has_engine()) {
+        return kRetrySoon;
+      }
       return this->work.state->queue.NextRetryDelay(
           this->kv_tokens(), this->TimeLeft(), this->Now(),
           this->context.random);
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -12,11 +12,15 @@
 
 namespace acacialug::gateway {
 
-// A generation: prefilled at one endpoint, decoded at another, with its events
-// forwarded as they arrive. Nothing counts as run before the decode endpoint is
-// sent the request, so that any failure before that is refused as not run. A
-// stream that breaks off is continued at another endpoint if its route allows
-// it; otherwise it is aborted, so that it does not look complete.
+// A stream, or any request to a service with an engine, which is prefilled at
+// one endpoint and decoded at another. Nothing counts as run before the decode
+// endpoint is sent the request, so that any failure before that is refused as
+// not run.
+//
+// The route's kind and the answer's head decide what the answer is. Events are
+// forwarded as they arrive; a stream that breaks off is continued at another
+// endpoint if its route allows it, and is otherwise aborted, so that it does
+// not look complete. Any other answer is forwarded unchanged once it is whole.
 class StreamRelay : public Relay {
  public:
   using Relay::Relay;
@@ -25,6 +29,10 @@
 
   std::uint64_t kv_tokens() const;
 
+  // Whether the service has an engine. Without one, a stream is placed as a
+  // plain request is, and doesn't wait for capacity.
+  bool has_engine() const { return this->Engine() != nullptr; }
+
   // A retry after a refusal, whose answer is late whenever it begins.
   bool late() const { return this->work.is_retry; }
 
@@ -46,6 +54,8 @@
 
   // Ends a generation whose wait for another placement has reached its maximum.
   void GiveUpWaiting() { this->GiveUp(ResultCode::kNoDecodeMemory); }
+  // Ends a stream that no endpoint of a service without an engine can take now.
+  void GiveUpUnplaced();
 
   void EndUnanswered() override;
 
@@ -60,6 +70,11 @@
 
   std::shared_ptr<StreamRelay> Self();
   GenerationSize Size() const;
+  const EngineTraits* Engine() const;  // null: the service has none
+  // 0 if the service has no engine.
+  std::uint32_t TokensPerEvent() const;
+  // Whether memory is reserved at an endpoint before it is sent the request.
+  bool Reserves() const;
 
   void Take(const StreamPlacement::Placement& chosen);
   // Sets the number of prompt tokens that the decode endpoint still has to
@@ -81,6 +96,9 @@
   // were tried, or were found full.
   std::optional<StreamPlacement::Placement> FindPlacement(
       std::vector<EndpointId> avoided);
+  // The same at a service without an engine.
+  std::optional<StreamPlacement::Placement> FindPlainPlacement(
+      const std::vector<EndpointId>& avoided);
   // `on_done` runs only while this relay exists.
   void RequestReservation(const StreamPlacement::Placement& at,
                           ReservationRequest::Done on_done);
@@ -98,8 +116,10 @@
   void StartDecode(WorkStep step);
   void OnDecodeHead(int status, const http::Headers& head);
   void OnDecodeData(std::string_view data);
+  // Data of an answer that is forwarded once it is whole.
+  void OnCollectedData(std::string_view data);
   // The bytes that the endpoint sent and that no caller has received: of an
-  // event that is not complete, or of a failure.
+  // event that is not complete, or of an answer that is not whole.
   std::size_t incomplete_bytes() const;
   void DropIncomplete();
   bool DeliverEvent(const StreamEvent& event);
@@ -108,8 +128,9 @@
   // The stream takes the version of the endpoint that sends its first event.
   // Returns false, and ends the attempt, if another version may run there.
   bool TakeVersion(const StreamEvent& event);
-  // Updates the forecast of the service's engines by the time of this event.
   void LearnFromEvent();
+  // Updates the forecast of the service's engines by the time of this event.
+  void LearnOfEngine();
   // The same for the length of answers, when the stream has ended whole.
   void LearnFromLength();
   // Time without data after which the stream is considered lost.
@@ -147,6 +168,8 @@
   void ConfirmEnd();
   void OnEndConfirmed(RunState state);
   void EndWhole();
+  // Forwards an answer that was collected.
+  void ForwardCollected();
   // Stops the stream at its endpoint, and continues it where memory was
   // granted.
   void Migrate();
@@ -183,7 +206,9 @@
   AnswerNature nature = AnswerNature::kUnproven;
   int status = 0;
   http::Headers headers;
-  std::string failure_body;
+  // The attempt's answer is a series of events; any other one is collected.
+  bool has_events = false;
+  std::string collected;
   bool attempt_reserved = false;  // the attempt had a reservation
   bool decode_open = false;       // the request was sent and has not ended
   // Data of the attempt arrived after its response timeout.
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -3,9 +3,10 @@
 
 #include "framework/global/append_bytes.h"
 #include "framework/global/hex_text.h"
+#include "gateway/internal/event_stream.h"
 #include "gateway/internal/stream_relay.h"
 
-// The second half of a generation: its decode and its events.
+// The second half of a generation: its decode and its answer.
 namespace acacialug::gateway {
 namespace {
 
@@ -20,6 +21,8 @@
 // Callers tolerate a gap of this many objectives; half of it leaves time for
 // another endpoint to continue the stream.
 constexpr double kMaxGapObjectives = 4.0;
+// The same for an answer that is no stream, whose first byte may be its last.
+constexpr double kWholeAnswerObjectives = 2.5;
 
 }  // namespace
 
@@ -38,6 +41,7 @@
   this->step_at = this->Now();
   this->attempt_events = 0;
   this->answering = false;
+  this->has_events = false;
   this->left = false;
   this->attempt_reserved = !this->reservation.empty();
   WorkOrder order{.step = step,
@@ -79,9 +83,19 @@
 
 Duration StreamRelay::ResponseTimeout() const {
   const forecast::ServiceForecast& forecast = this->work.state->forecast;
-  const std::uint64_t held = this->Size().prompt_tokens +
-                             std::uint64_t{this->outcome.events} *
-                                 this->work.traits->engine->tokens_per_event;
+  if (!IsStream(this->work.route->kind)) {
+    const Duration usual = StreamPlacement::LikelyTime(
+        this->Size(), this->work.state->length_ratio.value(), forecast);
+    return FromSeconds(
+        std::max(kWholeAnswerObjectives * Seconds(this->work.route->objective),
+                 kResponseTimeoutFactor * Seconds(usual)));
+  }
+  if (!this->has_engine()) {
+    return this->HalfOfMaxGap();
+  }
+  const std::uint64_t held =
+      this->Size().prompt_tokens +
+      std::uint64_t{this->outcome.events} * this->TokensPerEvent();
   const Duration needed = forecast.LocalPrefillTime(held) +
                           forecast.FirstEvent() + forecast.Pause();
   return std::min(
@@ -108,8 +122,14 @@
     this->status = answered;
     this->headers = head;
   }
-  if (this->nature == AnswerNature::kSuccess) {
-    this->prefilled.reset();  // the decode endpoint has fetched it
+  if (this->nature != AnswerNature::kSuccess) {
+    return;
+  }
+  this->prefilled.reset();  // the decode endpoint has fetched it
+  this->has_events = IsStream(this->work.route->kind) && IsEventStream(head);
+  if (this->begun && !this->has_events) {
+    // It can't be joined to the events that the caller has received.
+    this->nature = AnswerNature::kUnproven;
   }
 }
 
@@ -118,9 +138,8 @@
   if (this->departure) {
     this->EndMigration();
   }
-  if (this->nature != AnswerNature::kSuccess) {
-    AppendBytes(this->failure_body, data);
-    this->HoldAnswer(this->incomplete_bytes());
+  if (this->nature != AnswerNature::kSuccess || !this->has_events) {
+    this->OnCollectedData(data);
     return;
   }
   for (const StreamEvent& event : this->splitter.Take(data)) {
@@ -139,12 +158,21 @@
                    this->work.responder->unsent_bytes());
 }
 
+void StreamRelay::OnCollectedData(std::string_view data) {
+  AppendBytes(this->collected, data);
+  if (this->nature == AnswerNature::kSuccess) {
+    this->CountLocalPrefill(0);
+    this->StartResponseTimer();
+  }
+  this->HoldAnswer(this->incomplete_bytes());
+}
+
 std::size_t StreamRelay::incomplete_bytes() const {
-  return this->failure_body.size() + this->splitter.rest().size();
+  return this->collected.size() + this->splitter.rest().size();
 }
 
 void StreamRelay::DropIncomplete() {
-  FreeBytes(this->failure_body);
+  FreeBytes(this->collected);
   this->splitter.Clear();
   this->HoldAnswer(0);
 }
@@ -171,6 +199,16 @@
 }
 
 void StreamRelay::LearnFromEvent() {
+  if (this->attempt_events == 0) {
+    this->context.health.NoteStarted(this->placement->decode.id);
+  }
+  if (this->has_engine()) {
+    this->LearnOfEngine();
+  }
+  ++this->attempt_events;
+}
+
+void StreamRelay::LearnOfEngine() {
   forecast::ServiceForecast& forecast = this->work.state->forecast;
   const Instant now = this->Now();
   const bool prefill_now =
@@ -192,7 +230,7 @@
   } else if (this->attempt_events == 0) {
     forecast.NoteFirstEvent(now - this->step_at);
   } else {
-    const std::uint32_t tokens = this->work.traits->engine->tokens_per_event;
+    const std::uint32_t tokens = this->TokensPerEvent();
     forecast.NotePause(now - this->event_at, tokens,
                        prefill_now && this->prefill_at_last_event);
     this->context.paces.Note(LoadTable::KeyOf(this->placement->decode.id),
@@ -200,18 +238,15 @@
                                  (std::max(tokens, 1U) * forecast.TokenMs()),
                              now);
   }
-  if (this->attempt_events == 0) {
-    this->context.health.NoteStarted(this->placement->decode.id);
-  }
   this->prefill_at_last_event = prefill_now;
-  ++this->attempt_events;
 }
 
 void StreamRelay::LearnFromLength() {
   const GenerationSize size = this->Size();
-  const std::uint64_t made = std::uint64_t{this->outcome.events} *
-                             this->work.traits->engine->tokens_per_event;
-  if (size.expected_output_tokens > 0 && !this->work.request.resume_after) {
+  const std::uint64_t made =
+      std::uint64_t{this->outcome.events} * this->TokensPerEvent();
+  if (this->has_engine() && size.expected_output_tokens > 0 &&
+      !this->work.request.resume_after) {
     this->work.state->length_ratio.Note(
         static_cast<double>(made) /
         static_cast<double>(size.expected_output_tokens));
@@ -289,8 +324,11 @@
 
 // Counts the additional memory of a stream that is longer than expected.
 void StreamRelay::NoteProgress() {
-  const std::uint64_t made = std::uint64_t{this->outcome.events} *
-                             this->work.traits->engine->tokens_per_event;
+  if (!this->has_engine()) {
+    return;
+  }
+  const std::uint64_t made =
+      std::uint64_t{this->outcome.events} * this->TokensPerEvent();
   const std::uint64_t taken =
       this->context.streams.KvTokens(this->Size(), made);
   EndpointLoad& counted = this->placement->decode_load;
@@ -317,6 +355,9 @@
 // The connection of an endpoint that crashes ends in order too. A generation
 // has at least one event, unless the caller had all of them before.
 bool StreamRelay::BrokeOff() const {
+  if (!this->has_events) {
+    return false;
+  }
   const bool never_began =
       !this->received_event && !this->work.request.resume_after.has_value();
   return this->unframed && (never_began || this->splitter.inside_event());
@@ -371,7 +412,7 @@
         if (this->begun) {
           this->GiveUp(ResultCode::kEngineFailed);
         } else {
-          this->ForwardFailure(this->status, this->headers, this->failure_body);
+          this->ForwardFailure(this->status, this->headers, this->collected);
         }
         return;
       }
@@ -419,6 +460,10 @@
 
 void StreamRelay::EndWhole() {
   this->context.health.NoteSuccess(this->placement->decode.id, this->Now());
+  if (!this->has_events) {
+    this->ForwardCollected();
+    return;
+  }
   if (!this->begun) {
     this->BeginAnswer();
   }
@@ -430,6 +475,13 @@
   this->Finish(RelayEnd::kServed, ResultCode::kOk, this->status);
 }
 
+void StreamRelay::ForwardCollected() {
+  this->context.health.NoteStarted(this->placement->decode.id);
+  this->context.quarantine.NoteBegun(this->work.subjects, this->work.service);
+  this->ForwardAnswer(RelayEnd::kServed, this->status, this->headers,
+                      std::move(this->collected));
+}
+
 void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
   if (this->left) {
     this->OnLeft();
@@ -492,7 +544,7 @@
     this->StartResponseTimer();
     return;
   }
-  if (!this->context.dialect.write_reserve) {
+  if (!this->Reserves()) {
     this->LeaveFor(*chosen, {});
     return;
   }
--- a/src/gateway/internal/waiting_streams.cc
+++ b/src/gateway/internal/waiting_streams.cc
@@ -26,6 +26,10 @@
     this->SchedulePoll();
     return;
   }
+  if (!relay->has_engine()) {
+    relay->GiveUpUnplaced();
+    return;
+  }
   AdmissionQueue& queue = relay->job().state->queue;
   const AdmissionQueue::Ticket ticket = this->TicketOf(*relay);
   AdmissionQueue::Decision decision = queue.CheckAdmission(ticket);
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -6,6 +6,7 @@
 #include <boost/algorithm/string/join.hpp>
 #include <iterator>
 #include <sstream>
+#include <tuple>
 #include <utility>
 
 #include "gateway/key_digest.h"
@@ -326,6 +327,16 @@
   configuration->routes.back().services = {
       {.service = ServiceName("model"), .weight = 100 - this->other_weight},
       {.service = ServiceName("other"), .weight = this->other_weight}};
+  const std::vector<std::tuple<std::string, WorkKind, std::string>> crossed = {
+      {"/listing/", WorkKind::kIdempotent, this->listing_service},
+      {"/listing-once/", WorkKind::kNonIdempotent, this->listing_service},
+      {"/feed/", WorkKind::kResumableStream, "plain"},
+      {"/feed-once/", WorkKind::kStream, "plain"}};
+  for (const auto& [path, kind, service] : crossed) {
+    configuration->routes.push_back(MakeRoute(path, kind, 2));
+    configuration->routes.back().timeout = 14s;
+    configuration->routes.back().services = {{.service = ServiceName(service)}};
+  }
   const EngineTraits engine{.slots = 64,
                             .kv_tokens = 20000,
                             .tokens_per_event = 10,
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -60,7 +60,9 @@
                              std::optional<Instant> started_at = {});
 
   // Activates a configuration with the routes of this simulation; a later call
-  // replaces it.
+  // replaces it. Plain requests go to a service without an engine, and streams
+  // to one with an engine, but on the routes whose names begin with `/listing`
+  // and `/feed`.
   void Configure(std::optional<std::vector<Customer>> customers = {});
   void AddEndpoint(const std::string& id,
                    const std::string& service,
@@ -136,6 +138,8 @@
   // Share of the requests on the split route that go to the service "other", in
   // percent; the rest go to "model".
   std::uint32_t other_weight = 0;
+  // The service that the routes `/listing/` and `/listing-once/` go to.
+  std::string listing_service = "model";
   Instant now{1h};
   std::string key;  // which callers send; empty: no key
   RandomSource random{7};
