Believe a report on an ended stream only of the process that made it

Cause: ConfirmEnd took any report that doesn't list the run for a proof that it had ended whole. The next process answers under the same id, and states a newer start that nobody read. The endpoint's record doesn't tell either: it may be older than the process that made the stream, or newer.

Change: the process that reports must be the one that made the answer: by the record at which the request was placed, by a report before the sending or while the answer went on (asked for at the head of an unframed answer), or since the report lists the run. Start times are compared for equality only. Endpoints that state no start are judged as before. Logged as same_process.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -102,6 +102,7 @@
             .timers = this->timers,
             .quarantine = this->quarantine,
             .origins = this->origins,
+            .processes_seen = this->processes_seen,
             .answer_memory = this->answer_memory,
             .random = this->random,
             .processes = [this] { return this->peers ? *this->peers + 1 : 0; },
@@ -396,6 +397,7 @@
   CustomerAdmission customers;
   StreamPlacement streams;
   CallPlacement calls;
+  ProcessesSeen processes_seen;
   AnswerMemory answer_memory;
   std::shared_ptr<const RouteTable> routes;
   std::map<ServiceName, ServiceState> services;
@@ -655,6 +657,7 @@
     this->customers.ledger().Sweep(now);
     this->limits.Sweep(now);
     this->origins.Sweep();
+    this->processes_seen.Sweep(this->catalog);
     if (this->catalog.Sweep(now)) {
       this->waiting.PlaceAll();
     }
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -20,6 +20,7 @@
 #include "gateway/endpoint_limits.h"
 #include "gateway/endpoint_paces.h"
 #include "gateway/internal/endpoint_sender.h"
+#include "gateway/internal/processes_seen.h"
 #include "gateway/internal/quarantine.h"
 #include "gateway/internal/stream_origins.h"
 #include "gateway/internal/timer_queue.h"
@@ -59,6 +60,7 @@
   TimerQueue& timers;
   Quarantine& quarantine;
   StreamOrigins& origins;
+  ProcessesSeen& processes_seen;
   AnswerMemory& answer_memory;
   RandomSource& random;
   // The number of processes that share the repeat budget, including this
--- a/src/gateway/internal/run_query.cc
+++ b/src/gateway/internal/run_query.cc
@@ -38,7 +38,7 @@
 
 void RunQuery::Ask() {
   const EndpointDialect& dialect = this->context.dialect;
-  if (!dialect.lists_run || !dialect.write_report) {
+  if (!dialect.read_run_report || !dialect.write_report) {
     this->End(RunState::kUnknown);
     return;
   }
@@ -107,16 +107,19 @@
     this->End(RunState::kEnded);
     return;
   }
-  const std::optional<bool> listed =
+  const std::optional<RunReport> report =
       status == kOk
-          ? this->context.dialect.lists_run(body, this->options.request)
+          ? this->context.dialect.read_run_report(body, this->options.request)
           : std::nullopt;
-  if (listed) {
-    this->End(*listed ? RunState::kRuns : RunState::kDoesNotRun);
-  } else {
+  if (!report) {
     // A proxy may answer for an endpoint that has ended.
     this->OnError(true);
+    return;
   }
+  this->context.processes_seen.Note(this->options.endpoint.id,
+                                    report->started_at_ms, this->Now());
+  this->End(report->lists_run ? RunState::kRuns : RunState::kDoesNotRun,
+            report->started_at_ms);
 }
 
 void RunQuery::Cancel() {
@@ -127,11 +130,11 @@
   }
 }
 
-void RunQuery::End(RunState state) {
+void RunQuery::End(RunState state, std::int64_t started_at_ms) {
   const Done hook = std::move(this->done);
   this->Cancel();
   if (hook) {
-    hook(state);
+    hook({.state = state, .started_at_ms = started_at_ms});
   }
 }
 
--- a/src/gateway/internal/run_query.h
+++ b/src/gateway/internal/run_query.h
@@ -26,15 +26,22 @@
      {RunState::kSilent, "silent"},
      {RunState::kUnknown, "unknown"}}};
 
+struct RunAnswer {
+  RunState state = RunState::kUnknown;
+  // Of the process that reported, as EndpointRecord::started_at_ms.
+  std::int64_t started_at_ms = 0;
+};
+
 // Asks an endpoint for a request that was sent to it: the end of a connection
 // says neither that the endpoint has let go of the request nor that it has
-// completed it. Runs on the core's thread; not thread safe.
+// completed it. Reports are noted in RelayContext::processes_seen. Runs on the
+// core's thread; not thread safe.
 class RunQuery : public std::enable_shared_from_this<RunQuery> {
  public:
   // An endpoint that watches its connections closes one within this time.
   static constexpr Duration kCloseWait = 50ms;
 
-  using Done = std::function<void(RunState state)>;
+  using Done = std::function<void(const RunAnswer& answer)>;
 
   struct Options {
     EndpointRecord endpoint;
@@ -63,7 +70,7 @@
   // After an exchange that brought no report.
   void AskAgain();
   void OnAnswer(int status, std::string_view body);
-  void End(RunState state);
+  void End(RunState state, std::int64_t started_at_ms = 0);
 
   RelayContext& context;
   const Options options;
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -559,6 +559,7 @@
 
 void StreamRelay::Release() {
   this->EndMigration();
+  this->CancelQuery(this->process_query);
   // An export that no decode endpoint was sent is released here; a decode
   // endpoint that was sent an export's name is responsible for that export.
   if (this->prefilled && !this->decode_open) {
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -36,6 +36,7 @@
   ++this->runs;
   this->NoteOrigin(this->placement->decode);
   this->decode_open = true;
+  this->CancelQuery(this->process_query);
   this->nature = AnswerNature::kUnproven;
   this->DropIncomplete();
   this->step_at = this->Now();
@@ -61,7 +62,7 @@
                  self->work.request, step, answered, head);
              self->OnDecodeHead(answered, head);
            },
-       .on_unframed = [self] { self->NoteUnframed(); },
+       .on_unframed = [self] { self->OnUnframed(); },
        .on_data = [self](std::string_view data) { self->OnDecodeData(data); },
        .on_end = [self](const std::string&) { self->OnDecodeEnd(); },
        .on_error = [self](const Error& error,
@@ -426,30 +427,59 @@
   }
 }
 
+// A process that is killed may be replaced under the same id before its
+// endpoint is asked at the answer's end.
+void StreamRelay::OnUnframed() {
+  this->NoteUnframed();
+  const EndpointRecord& decode = this->placement->decode;
+  if (this->nature != AnswerNature::kSuccess ||
+      !this->context.processes_seen.TellsStart(decode)) {
+    return;
+  }
+  this->process_query = std::make_shared<RunQuery>(
+      this->context,
+      RunQuery::Options{.endpoint = decode, .request = this->work.request.id});
+  this->process_query->Begin([](const RunAnswer&) {});
+}
+
 // All connections of a process that is killed end in order, wherever its
 // streams stand. Only a report of its endpoint shows that the stream is whole:
 // what listens at the address of one that has ended may take connections, and
 // answer.
 void StreamRelay::ConfirmEnd() {
+  this->CancelQuery(this->process_query);
+  this->maker = this->context.processes_seen.MakerOf(this->placement->decode,
+                                                     this->step_at, this->Now(),
+                                                     this->context.timers);
   this->run_query = std::make_shared<RunQuery>(
       this->context, RunQuery::Options{.endpoint = this->placement->decode,
                                        .request = this->work.request.id,
                                        .fresh_connection = true,
                                        .patience = this->EndPatience()});
-  this->run_query->Begin([weak = this->weak_from_this()](RunState state) {
+  this->run_query->Begin([weak =
+                              this->weak_from_this()](const RunAnswer& answer) {
     if (const auto self = std::static_pointer_cast<StreamRelay>(weak.lock())) {
-      self->OnEndConfirmed(state);
+      self->OnEndConfirmed(answer);
     }
   });
 }
 
-void StreamRelay::OnEndConfirmed(RunState state) {
+bool StreamRelay::IsSameProcess(const RunAnswer& answer) const {
+  return answer.started_at_ms == 0 || answer.state == RunState::kRuns ||
+         this->maker.MayBe(answer.started_at_ms);
+}
+
+void StreamRelay::OnEndConfirmed(const RunAnswer& answer) {
+  const bool same_process = this->IsSameProcess(answer);
   this->Log(log::Level::kInfo, "stream_ended_unframed",
             this->placement->decode.id,
-            {{"endpoint_state", NameOf(kRunStateNames, state)},
+            {{"endpoint_state", NameOf(kRunStateNames, answer.state)},
+             {"same_process", same_process},
+             {"born_unix_ms", answer.started_at_ms},
              {"events", this->outcome.events},
              {"after_ms", this->Now() - this->step_at}});
-  if (state == RunState::kEnded || state == RunState::kSilent) {
+  if (answer.state == RunState::kEnded || answer.state == RunState::kSilent ||
+      !same_process) {
     this->OnDecodeLost(Error(ResultCode::kConnectionLost,
                              "the endpoint ended with the stream"),
                        true);
@@ -578,14 +608,18 @@
 void StreamRelay::EndMigration() {
   this->CancelReservationRequest();
   this->EndRound();
-  if (const auto query = std::exchange(this->run_query, nullptr)) {
-    query->Cancel();
-  }
+  this->CancelQuery(this->run_query);
   if (const auto given_up = std::exchange(this->departure, std::nullopt)) {
     this->ReleaseReservationAt(given_up->to.decode, given_up->reservation);
   }
 }
 
+void StreamRelay::CancelQuery(std::shared_ptr<RunQuery>& query) {
+  if (const auto ended = std::exchange(query, nullptr)) {
+    ended->Cancel();
+  }
+}
+
 void StreamRelay::LeaveFor(const StreamPlacement::Placement& granted,
                            const std::string& name) {
   if (!this->TakeRepeat()) {
@@ -602,15 +636,16 @@
       this->context, RunQuery::Options{.endpoint = this->placement->decode,
                                        .request = this->work.request.id,
                                        .wait = RunQuery::kCloseWait});
-  this->run_query->Begin([weak = this->weak_from_this()](RunState state) {
+  this->run_query->Begin([weak =
+                              this->weak_from_this()](const RunAnswer& answer) {
     if (const auto self = std::static_pointer_cast<StreamRelay>(weak.lock())) {
-      self->OnRunQueried(state);
+      self->OnRunQueried(answer);
     }
   });
 }
 
-void StreamRelay::OnRunQueried(RunState state) {
-  const bool at_work = state == RunState::kRuns;
+void StreamRelay::OnRunQueried(const RunAnswer& answer) {
+  const bool at_work = answer.state == RunState::kRuns;
   this->Log(log::Level::kInfo, "run_queried", this->placement->decode.id,
             {{"at_work", at_work},
              {"after_ms", this->Now() - this->step_at},
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -289,10 +289,18 @@
   dialect.write_report = [](const EndpointRecord&) {
     return http::Request{.method = "GET", .target = "/report"};
   };
-  dialect.lists_run = [](std::string_view body, std::string_view request) {
+  dialect.read_run_report = [](std::string_view body,
+                               std::string_view request) {
+    constexpr std::string_view kStart = "started ";
+    const std::size_t start = body.find(kStart);
     return body.starts_with("<")
                ? std::nullopt
-               : std::optional(body.find(request) != std::string_view::npos);
+               : std::optional(RunReport{
+                     .lists_run = body.find(request) != std::string_view::npos,
+                     .started_at_ms = start == std::string_view::npos
+                                          ? 0
+                                          : std::stoll(std::string(body.substr(
+                                                start + kStart.size())))});
   };
   dialect.read_accepted_orders = [](std::string_view body) {
     return std::optional<std::uint64_t>(std::stoull(std::string(body)));
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -49,7 +49,9 @@
 // name of the request's customer as `Customer`, and answer with the headers
 // `Id`, `Proof` (the endpoint's own answer), `Refused` (the request did not
 // run), `Other` (the address is wrong), `Limit` (requests per second that the
-// endpoint takes), `Leaving`, or `Rest` (in seconds).
+// endpoint takes), `Leaving`, or `Rest` (in seconds). Their reports are texts
+// that hold the ids of the requests that run, and may hold `started` and the
+// time at which the process started.
 class GatewaySimulation {
  public:
   // `repeat_extra`: repeats that the budget allows beside its share of the
--- a/src/gateway/tests/stream_end_test.cc
+++ b/src/gateway/tests/stream_end_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,6 +13,7 @@
 namespace acacialug::gateway {
 namespace {
 
+using acacialug::testing::ForEach;
 using acacialug::testing::It;
 using testing::Answer;
 using testing::Call;
@@ -38,13 +40,18 @@
     {"inside the empty line of an event with CRLF", "id: 1\r\ndata: x\r\n\r"},
     {"after a comment", ": alive\n"}};
 
-// A stream whose endpoint has sent one event.
+// A stream whose endpoint has sent one event. `started_at`: what the records of
+// its endpoints state; 0: nothing.
 struct Stream : GatewaySimulation {
-  explicit Stream(const std::string& path) {
+  explicit Stream(const std::string& path, std::int64_t started_at = 0) {
     this->Configure();
     this->AddEndpoint("f1", "model", EndpointRole::kPrefill);
-    this->AddEndpoint("d1", "model", EndpointRole::kDecode);
-    this->AddEndpoint("d2", "model", EndpointRole::kDecode);
+    for (const std::string id : {"d1", "d2"}) {
+      this->AddEndpoint(id, "model", EndpointRole::kDecode);
+      if (started_at != 0) {
+        this->Restart(id, started_at);
+      }
+    }
     this->sent_at = this->now;
     this->answer = this->SendRequest(path, "r1");
     this->decode = this->AdvanceToDecode();
@@ -55,6 +62,11 @@
     this->decode->hooks.on_data(kFirstEvent);
   }
 
+  // The endpoint that has the stream.
+  std::string DecodeName() const {
+    return this->decode->address == this->addresses.at("d1") ? "d1" : "d2";
+  }
+
   // The endpoint ends the stream's connection, and says that it serves.
   void EndServing(const std::shared_ptr<Call>& call) {
     this->End(call);
@@ -156,6 +168,147 @@
      },
      true}};
 
+// The process that makes a stream, and those that the gateway hears of. Times
+// of starts are in ms; 0: it is not stated, or the question is not answered.
+struct ProcessCase {
+  std::string name;
+  std::int64_t record = 0;        // states this when the stream is sent
+  std::int64_t at_head = 0;       // reports at the stream's first event
+  std::int64_t later_record = 0;  // states this before the stream's end
+  std::int64_t at_end = 0;        // reports after the stream's end
+  Duration lasts = 300ms;         // from the first event to the end
+  bool lists_run = false;         // after the stream's end
+  bool whole = false;
+};
+
+const std::vector<ProcessCase> kProcesses = {
+    {.name = "the one of its record",
+     .record = 5,
+     .at_head = 5,
+     .at_end = 5,
+     .whole = true},
+    {.name = "killed, and another one is back under its id",
+     .record = 5,
+     .at_head = 5,
+     .at_end = 9},
+    {.name = "killed, and another one is back and registered",
+     .record = 5,
+     .at_head = 5,
+     .later_record = 9,
+     .at_end = 9},
+    {.name = "killed before it was known, and another one is back",
+     .record = 5,
+     .at_end = 9},
+    {.name = "killed, and another one, whose clock is behind, is back",
+     .record = 9,
+     .at_head = 9,
+     .at_end = 5},
+    {.name = "newer than its record",
+     .record = 5,
+     .at_head = 9,
+     .at_end = 9,
+     .whole = true},
+    {.name = "newer than its record, which follows meanwhile",
+     .record = 5,
+     .at_head = 9,
+     .later_record = 9,
+     .at_end = 9,
+     .whole = true},
+    {.name = "newer than its record, and still lists a short stream",
+     .record = 5,
+     .at_end = 9,
+     .lasts = 20ms,
+     .lists_run = true,
+     .whole = true},
+    {.name = "older than its record",
+     .record = 9,
+     .at_head = 5,
+     .at_end = 5,
+     .whole = true},
+    {.name = "one that states no start", .record = 5, .whole = true},
+    {.name = "one whose record states no start", .at_end = 9, .whole = true}};
+
+// Answers the newest question for a process, which started at this time.
+void ReportStart(Stream& stream, std::int64_t started_at, bool lists = false) {
+  stream.AdvanceBy(1ms);
+  const auto report = stream.FindAt("", "/report");
+  const std::string start =
+      started_at == 0 ? "" : " started " + std::to_string(started_at);
+  stream.Reply(report, 200, {}, (lists ? "r1" : "no runs") + start);
+}
+
+const acacialug::testing::Story kProcessesOfStreams(
+    "a stream without length or chunks that ends between two events",
+    {ForEach<ProcessCase>(
+         "by its endpoint's process, which is",
+         kProcesses,
+         [](const ProcessCase& row) { return row.name; },
+         [](const ProcessCase& row) {
+           // Guards against a report of the process that replaced a killed one,
+           // which is taken for a word on the killed one's streams.
+           for (const std::string path : {"/stream/a", "/resumable/a"}) {
+             Stream stream(path, row.record);
+             stream.SendFirstEvent(true);
+             if (row.at_head != 0) {
+               ReportStart(stream, row.at_head);
+             }
+             stream.AdvanceBy(row.lasts);
+             if (row.later_record != 0) {
+               stream.Restart(stream.DecodeName(), row.later_record);
+             }
+             stream.End(stream.decode);
+             ReportStart(stream, row.at_end, row.lists_run);
+             if (row.whole) {
+               CPPUNIT_ASSERT(stream.answer->ended && !stream.answer->cut);
+             } else if (path == "/stream/a") {
+               CPPUNIT_ASSERT(stream.answer->cut);
+             } else {
+               CPPUNIT_ASSERT(!stream.answer->ended);
+               CPPUNIT_ASSERT_EQUAL(
+                   std::string("0"),
+                   HeaderOf(stream.AdvanceToDecode(), "Resume-After"));
+             }
+           }
+         }),
+     It("is whole however short it is, once its process has reported",
+        [] {
+          // Guards against whole streams that are cut off, or run again, while
+          // a restarted process is not registered.
+          Stream stream("/stream/a", 5);
+          stream.SendFirstEvent(true);
+          ReportStart(stream, 9);
+          stream.AdvanceBy(300ms);
+          stream.End(stream.decode);
+          ReportStart(stream, 9);
+          stream.RemoveEndpoint(stream.DecodeName() == "d1" ? "d2" : "d1");
+          const auto answer = stream.SendRequest("/stream/a", "r1");
+          const auto decode = stream.AdvanceToDecode();
+          stream.Begin(decode, true);
+          stream.Event(decode, 0);
+          stream.End(decode);
+          ReportStart(stream, 9);
+          CPPUNIT_ASSERT(answer->ended && !answer->cut);
+        }),
+     It("is broken off if the report at its first event was read after a stall",
+        [] {
+          // Guards against a report of the next process that is read before the
+          // end of the former one's connection, both being old.
+          Stream stream("/stream/a", 5);
+          stream.SendFirstEvent(true);
+          stream.AdvanceBy(1ms);
+          stream.Stall(2s);
+          ReportStart(stream, 9);
+          stream.End(stream.decode);
+          ReportStart(stream, 9);
+          CPPUNIT_ASSERT(stream.answer->cut);
+        }),
+     It("costs no question at its first event where no start is stated", [] {
+       Stream stream("/stream/a");
+       stream.SendFirstEvent(true);
+       stream.AdvanceBy(50ms);
+       CPPUNIT_ASSERT(stream.FindAt("", "/report") == nullptr);
+     })});
+
 const acacialug::testing::Story kStreamEnds(
     "a stream without length or chunks",
     {It("that may not resume is cut off for its caller unless it ends after an "
--- a/src/gateway/types/endpoint_dialect.h
+++ b/src/gateway/types/endpoint_dialect.h
@@ -60,6 +60,13 @@
   bool trusted = true;
 };
 
+// What an endpoint's report says about one request.
+struct RunReport {
+  bool lists_run = false;  // the request runs there
+  // Of the process that reports, as EndpointRecord::started_at_ms.
+  std::int64_t started_at_ms = 0;
+};
+
 // Reads callers' requests, and reads and writes endpoints' messages, in their
 // wire format. Each hook is a pure function and thread safe.
 struct EndpointDialect {
@@ -109,12 +116,12 @@
   // Reads the answer to it. Returns empty if the answer is malformed.
   std::function<std::optional<std::uint64_t>(std::string_view body)>
       read_accepted_orders;
-  // Whether the answer to it lists a run of the request with this id. Returns
-  // empty if the answer is no report. The hook is empty if endpoints don't
-  // tell.
-  std::function<std::optional<bool>(std::string_view body,
-                                    std::string_view request)>
-      lists_run;
+  // Reads the answer to it as far as it concerns the request with this id.
+  // Returns empty if the answer is no report. The hook is empty if endpoints
+  // don't tell what they run.
+  std::function<std::optional<RunReport>(std::string_view body,
+                                         std::string_view request)>
+      read_run_report;
   // Releases a computed prompt that no endpoint will fetch.
   std::function<http::Request(std::string_view export_name)> write_release;
 };
