Ask before every further run whether the one before has ended

Cause: only a silent stream was left by a question. Every other end of an attempt (malformed, reset, truncated, too long, the answer to another request, a silent one that breaks while it is being left) placed the stream again at once, as if the end of a connection were the end of the run.

Change: AfterRun, through which all of these pass, asks the endpoint until its report no longer lists the run, for half of the gap after which callers leave, and then ends the answer. A report counts as not listing a run only if it was asked for 500 ms after the sending. No question after the endpoint's own failure, or where no further run is allowed. Tests whose endpoints had ended now say so (they take no connection); those of a silent stream whose connection breaks wait for the report.

--- a/src/gateway/internal/run_query.cc
+++ b/src/gateway/internal/run_query.cc
@@ -18,6 +18,8 @@
 constexpr Duration kRepeatWait = 20ms;
 // The same after kMaxFailures.
 constexpr Duration kLongRepeatWait = 160ms;
+// The time between two questions while a request runs.
+constexpr Duration kRunsWait = 100ms;
 // An endpoint answers within a round trip of a few milliseconds.
 constexpr Duration kResponseTimeout = 250ms;
 
@@ -28,10 +30,14 @@
 
 void RunQuery::Begin(Done on_done) {
   this->done = std::move(on_done);
+  this->begun_at = this->Now() + this->options.wait;
+  this->AskAfter(this->options.wait);
+}
+
+void RunQuery::AskAfter(Duration wait) {
   this->timer = this->context.timers.SetResponseTimer(
-      this->Now(), this->options.wait, [self = this->shared_from_this()] {
+      this->Now(), wait, [self = this->shared_from_this()] {
         self->timer = 0;
-        self->begun_at = self->Now();
         self->Ask();
       });
 }
@@ -42,6 +48,7 @@
     this->End(RunState::kUnknown);
     return;
   }
+  this->asked_at = this->Now();
   auto self = this->shared_from_this();
   auto status = std::make_shared<int>(0);
   auto rejected = std::make_shared<bool>(false);
@@ -58,7 +65,7 @@
            [self, status, rejected](const std::string& body) {
              self->exchange = 0;
              if (*rejected) {
-               self->End(RunState::kUnknown);
+               self->OnRejected();
              } else {
                self->OnAnswer(*status, body);
              }
@@ -94,12 +101,28 @@
     this->End(RunState::kSilent);
     return;
   }
-  this->timer = this->context.timers.SetResponseTimer(
-      this->Now(), few ? kRepeatWait : kLongRepeatWait,
-      [self = this->shared_from_this()] {
-        self->timer = 0;
-        self->Ask();
-      });
+  this->AskAfter(few ? kRepeatWait : kLongRepeatWait);
+}
+
+std::optional<Duration> RunQuery::WaitAfter(const RunReport& report) const {
+  if (!this->options.until_run_ends) {
+    return std::nullopt;
+  }
+  if (!report.lists_run) {
+    const Duration early =
+        this->options.sent_at + kMaxReportAge - this->asked_at;
+    return early > Duration::zero() ? std::optional(early) : std::nullopt;
+  }
+  const bool patient = this->Now() - this->begun_at < this->options.patience;
+  return patient ? std::optional(kRunsWait) : std::nullopt;
+}
+
+void RunQuery::OnRejected() {
+  if (this->options.until_run_ends) {
+    this->OnError(true);
+  } else {
+    this->End(RunState::kUnknown);
+  }
 }
 
 void RunQuery::OnAnswer(int status, std::string_view body) {
@@ -118,6 +141,12 @@
   }
   this->context.processes_seen.Note(this->options.endpoint.id,
                                     report->started_at_ms, this->Now());
+  this->unsent = 0;
+  if (const auto wait = this->WaitAfter(*report)) {
+    this->context.timers.Cancel(std::exchange(this->timer, 0));
+    this->AskAfter(*wait);
+    return;
+  }
   this->End(report->lists_run ? RunState::kRuns : RunState::kDoesNotRun,
             report->started_at_ms);
 }
--- a/src/gateway/internal/run_query.h
+++ b/src/gateway/internal/run_query.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,6 +41,8 @@
  public:
   // An endpoint that watches its connections closes one within this time.
   static constexpr Duration kCloseWait = 50ms;
+  // Reports are as of some hundred milliseconds ago.
+  static constexpr Duration kMaxReportAge = 500ms;
 
   using Done = std::function<void(const RunAnswer& answer)>;
 
@@ -52,6 +55,10 @@
     // For how long a report is awaited, at the least for a response timeout.
     // Within it exchanges that fail are repeated, otherwise a few times.
     Duration patience{};
+    // Asks again while the request runs, until the patience ends. Only a report
+    // that must know of the request shows that it does not run.
+    bool until_run_ends = false;
+    Instant sent_at{};  // of the request
   };
 
   // `relay_context` outlives this object.
@@ -69,6 +76,11 @@
   void OnError(bool sent);
   // After an exchange that brought no report.
   void AskAgain();
+  void AskAfter(Duration wait);
+  // For how long to wait until the next question after this report; empty if it
+  // decides.
+  std::optional<Duration> WaitAfter(const RunReport& report) const;
+  void OnRejected();
   void OnAnswer(int status, std::string_view body);
   void End(RunState state, std::int64_t started_at_ms = 0);
 
@@ -78,6 +90,7 @@
   http::Client::ExchangeId exchange = 0;
   TimerId timer = 0;
   Instant begun_at{};
+  Instant asked_at{};  // last
   std::uint32_t failures = 0;
   std::uint32_t unsent = 0;  // of the latest failures, in a row
 };
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -484,22 +484,68 @@
          this->CoverRepeats(this->arrivals.UncoveredByPrefillAndRun());
 }
 
-void StreamRelay::AfterRun(ResultCode code) {
+void StreamRelay::EndAttempt() {
   this->CancelPhaseTimer();
   this->EndMigration();
   this->DropIncomplete();
   this->decode_open = false;
   this->tried.push_back(this->placement->decode.id);
-  this->ReleaseDecode();
   this->prefilled.reset();
-  const bool again = this->MayResume() &&
-                     this->runs < this->work.route->max_endpoints &&
-                     this->outcome.sends < kMaxSends && this->TakeRepeat();
-  if (!again) {
+}
+
+bool StreamRelay::MayGoOn() {
+  return this->MayResume() && this->MayMigrate() && !this->VersionGone();
+}
+
+// A connection that ends, or an answer that can't be read, says nothing about
+// the run: some endpoints complete what they run, whoever listens.
+void StreamRelay::AfterRun(ResultCode code) {
+  if (this->nature == AnswerNature::kFailure) {
+    this->AfterRunEnded(code);  // the endpoint reports it
+    return;
+  }
+  this->EndAttempt();
+  if (!this->MayGoOn()) {
     this->GiveUp(code);
     return;
   }
-  this->PlaceAgain();
+  this->run_query = std::make_shared<RunQuery>(
+      this->context, RunQuery::Options{.endpoint = this->placement->decode,
+                                       .request = this->work.request.id,
+                                       .patience = this->HalfOfMaxGap(),
+                                       .until_run_ends = true,
+                                       .sent_at = this->step_at});
+  this->run_query->Begin(
+      [weak = this->weak_from_this(), code](const RunAnswer& answer) {
+        const auto self = std::static_pointer_cast<StreamRelay>(weak.lock());
+        if (!self) {
+          return;
+        }
+        self->LogRunQueried(answer);
+        if (answer.state == RunState::kRuns) {
+          self->GiveUp(code);
+        } else {
+          self->GoOnElsewhere(code);
+        }
+      });
+}
+
+void StreamRelay::AfterRunEnded(ResultCode code) {
+  this->EndAttempt();
+  if (this->MayGoOn()) {
+    this->GoOnElsewhere(code);
+  } else {
+    this->GiveUp(code);
+  }
+}
+
+void StreamRelay::GoOnElsewhere(ResultCode code) {
+  this->ReleaseDecode();
+  if (this->TakeRepeat()) {
+    this->PlaceAgain();
+  } else {
+    this->GiveUp(code);
+  }
 }
 
 void StreamRelay::PlaceAgain() {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -149,8 +149,12 @@
   bool MayResume() const;
   void StartResponseTimer();
   void OnResponseTimeout();
-  // Whether the route and the repeat budget allow a migration.
+  // Notes and logs that the attempt's answer broke off.
+  void NoteAttemptLost(const Error& error, bool sent);
+  // Whether the route and the repeat budget allow another run elsewhere.
   bool MayMigrate();
+  // The same for an attempt that is over, and whether an endpoint is left.
+  bool MayGoOn();
   // Requests memory at other endpoints while the stream stays at its own.
   void RequestElsewhere();
   void OnElsewhereAnswer(ReservationAnswer answer, const std::string& name);
@@ -161,9 +165,11 @@
   // not answer. A stream that runs on stays.
   void LeaveFor(const StreamPlacement::Placement& granted,
                 const std::string& name);
-  // The endpoint that was left has ended its answer.
+  // The endpoint that was left has ended its answer, or has broken it off.
   void OnLeft();
+  void OnLeftLost();
   void OnRunQueried(const RunAnswer& answer);
+  void LogRunQueried(const RunAnswer& answer) const;
   // The answer's end will be that of its connection.
   void OnUnframed();
   // Ends a stream whose end only its connection's end tells, when its endpoint
@@ -187,7 +193,13 @@
   // for rest since it was placed, and returns whether it did.
   bool MoveIfResting(const EndpointRecord& endpoint);
   void AfterNotRun();
+  // The attempt was sent and is over here, and may go on at its endpoint. Every
+  // further run of the request begins by one of these, or by Migrate: the first
+  // waits until the endpoint has let go of the attempt, as the second knows.
   void AfterRun(ResultCode code);
+  void AfterRunEnded(ResultCode code);
+  void EndAttempt();
+  void GoOnElsewhere(ResultCode code);
   // Covers what another placement sends beyond the first arrival.
   bool TakeRepeat();
   // Places the generation again, now or when capacity is free.
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -480,9 +480,10 @@
              {"after_ms", this->Now() - this->step_at}});
   if (answer.state == RunState::kEnded || answer.state == RunState::kSilent ||
       !same_process) {
-    this->OnDecodeLost(Error(ResultCode::kConnectionLost,
-                             "the endpoint ended with the stream"),
-                       true);
+    this->NoteAttemptLost(Error(ResultCode::kConnectionLost,
+                                "the endpoint ended with the stream"),
+                          true);
+    this->AfterRunEnded(ResultCode::kEndpointLost);
   } else {
     this->EndWhole();
   }
@@ -514,11 +515,20 @@
 
 void StreamRelay::OnDecodeLost(const Error& error, bool sent) {
   if (this->left) {
-    this->OnLeft();
+    this->OnLeftLost();
     return;
   }
   this->ForgetExchange();
   this->decode_open = false;
+  this->NoteAttemptLost(error, sent);
+  if (!sent || this->nature == AnswerNature::kNotRun) {
+    this->AfterNotRun();
+  } else {
+    this->AfterRun(ResultCode::kEndpointLost);
+  }
+}
+
+void StreamRelay::NoteAttemptLost(const Error& error, bool sent) {
   this->outcome.partial_event_bytes = this->splitter.rest().size();
   this->NoteLost(this->placement->decode, error, sent, this->nature,
                  this->answering);
@@ -531,11 +541,6 @@
              {"part_keys", this->PartKeysText()},
              {"detail", error.detail}},
             error.result_code());
-  if (!sent || this->nature == AnswerNature::kNotRun) {
-    this->AfterNotRun();
-  } else {
-    this->AfterRun(ResultCode::kEndpointLost);
-  }
 }
 
 bool StreamRelay::MayMigrate() {
@@ -645,19 +650,25 @@
 }
 
 void StreamRelay::OnRunQueried(const RunAnswer& answer) {
-  const bool at_work = answer.state == RunState::kRuns;
-  this->Log(log::Level::kInfo, "run_queried", this->placement->decode.id,
-            {{"at_work", at_work},
-             {"after_ms", this->Now() - this->step_at},
-             {"events", this->outcome.events}});
-  if (at_work) {
+  this->LogRunQueried(answer);
+  if (answer.state != RunState::kRuns) {
+    this->Migrate();
+  } else if (this->decode_open) {
     this->EndMigration();
     this->StartResponseTimer();
   } else {
-    this->Migrate();
+    this->AfterRun(ResultCode::kEndpointLost);
   }
 }
 
+void StreamRelay::LogRunQueried(const RunAnswer& answer) const {
+  this->Log(log::Level::kInfo, "run_queried", this->placement->decode.id,
+            {{"at_work", answer.state == RunState::kRuns},
+             {"endpoint_state", NameOf(kRunStateNames, answer.state)},
+             {"after_ms", this->Now() - this->step_at},
+             {"events", this->outcome.events}});
+}
+
 void StreamRelay::OnLeft() {
   this->ForgetExchange();
   if (this->departure) {
@@ -667,6 +678,15 @@
   }
 }
 
+// What runs there is being asked for.
+void StreamRelay::OnLeftLost() {
+  this->ForgetExchange();
+  this->decode_open = false;
+  if (!this->departure) {
+    this->AfterRun(ResultCode::kEndpointLost);
+  }
+}
+
 void StreamRelay::Migrate() {
   const Departure going = *std::exchange(this->departure, std::nullopt);
   this->EndMigration();
--- a/src/gateway/tests/answer_form_test.cc
+++ b/src/gateway/tests/answer_form_test.cc
@@ -181,6 +181,7 @@
                    site.Begin(call);
                    site.Event(call, 0);
                    site.Break(call);
+                   site.RefuseQuestions();
                    const auto other = site.Find("/feed/");
                    CPPUNIT_ASSERT(!(other->address == call->address));
                    CPPUNIT_ASSERT_EQUAL(std::string("0"),
--- a/src/gateway/tests/gateway_simulation.cc
+++ b/src/gateway/tests/gateway_simulation.cc
@@ -567,7 +567,16 @@
   this->core->OnTimer();
 }
 
+void GatewaySimulation::RefuseQuestions() {
+  this->AdvanceBy(Duration::zero());
+  while (const auto report = this->Find("/report")) {
+    this->Break(report, false);
+    this->AdvanceBy(20ms);
+  }
+}
+
 std::shared_ptr<Call> GatewaySimulation::AdvanceToDecode() {
+  this->RefuseQuestions();
   this->Reply(this->Find("/reserve/"), 200, {}, "r1");
   this->Reply(this->Find("prefill"), 200, {}, "x1");
   return this->Find("decode");
--- a/src/gateway/tests/gateway_simulation.h
+++ b/src/gateway/tests/gateway_simulation.h
@@ -124,8 +124,10 @@
   void Begin(const std::shared_ptr<Call>& call, bool unframed = false);
   void Event(const std::shared_ptr<Call>& call, int id);
   void End(const std::shared_ptr<Call>& call);
+  // Endpoints that are asked what they run have ended: they take no connection.
+  void RefuseQuestions();
   // Grants the reservation and answers the prefill of the newest generation;
-  // returns its decode call.
+  // returns its decode call. Endpoints that are asked before have ended.
   std::shared_ptr<Call> AdvanceToDecode();
 
   // The number of log entries of an event.
--- a/src/gateway/tests/quarantine_test.cc
+++ b/src/gateway/tests/quarantine_test.cc
@@ -301,6 +301,7 @@
                CPPUNIT_ASSERT(second->ended && !second->cut);
                // The answer clears the earlier ends.
                simulation.Crash("/resumable/b");
+               simulation.RefuseQuestions();
                CPPUNIT_ASSERT(simulation.Find("/reserve/") != nullptr);
              }),
           It("a request under which three endpoints ended in one attempt",
@@ -466,6 +467,7 @@
             simulation.RemoveEndpoint("d" + std::to_string(number));
           }
           simulation.Break(decode);
+          simulation.RefuseQuestions();
           CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                                simulation.core->requests_waiting());
           simulation.ReceiveConfirmed("deadly");
--- a/src/gateway/tests/relay_test.cc
+++ b/src/gateway/tests/relay_test.cc
@@ -464,6 +464,7 @@
           simulation.Event(decode, 1);
           decode->hooks.on_data("id: 2\nda");
           simulation.Break(decode);
+          simulation.RefuseQuestions();
           simulation.Reply(simulation.Find("/reserve/"), 200, {}, "v");
           simulation.Reply(simulation.Find("prefill"), 200, {}, "x2");
           const auto other = simulation.Find("decode");
@@ -617,6 +618,9 @@
           CPPUNIT_ASSERT(simulation.decode->left);
           CPPUNIT_ASSERT(simulation.Find("prefill") == nullptr);
           simulation.Break(simulation.decode);
+          simulation.AdvanceBy(60ms);
+          CPPUNIT_ASSERT(simulation.Find("prefill") == nullptr);
+          simulation.Reply(simulation.Find("/report"), 200, {}, "others");
           simulation.Reply(simulation.Find("prefill"), 200, {}, "x2");
           CPPUNIT_ASSERT_EQUAL(
               std::string("0"),
@@ -643,6 +647,22 @@
                simulation.Reply(simulation.Report(), 200, {}, "r1");
                simulation.Break(simulation.decode);
                CPPUNIT_ASSERT(!simulation.answer->ended);
+               simulation.Reply(simulation.Report(), 200, {}, "others");
+               CPPUNIT_ASSERT(simulation.Find("/reserve/") != nullptr);
+             }),
+          It("that spoils its answer then, and goes on elsewhere when the run "
+             "has ended",
+             [] {
+               Leaving simulation;
+               simulation.Break(simulation.decode, true,
+                                ResultCode::kMalformedAnswer);
+               for (int asked = 0; asked < 4; ++asked) {
+                 CPPUNIT_ASSERT(simulation.Find("prefill") == nullptr);
+                 simulation.Reply(simulation.Report(), 200, {}, "r1");
+                 CPPUNIT_ASSERT(simulation.Find("/reserve/") == nullptr);
+                 simulation.AdvanceBy(50ms);
+               }
+               simulation.Reply(simulation.Report(), 200, {}, "others");
                CPPUNIT_ASSERT(simulation.Find("/reserve/") != nullptr);
              }),
           It("that does not list it, and goes on elsewhere",
@@ -730,6 +750,7 @@
           CPPUNIT_ASSERT(reserve_call != nullptr);
           simulation.Break(simulation.decode);
           CPPUNIT_ASSERT(reserve_call->cancelled);
+          simulation.RefuseQuestions();
           const auto again = simulation.Find("/reserve/");
           CPPUNIT_ASSERT(again != nullptr);
           simulation.Reply(again, 200, {}, "r2");
@@ -750,6 +771,7 @@
           simulation.RemoveEndpoint("d2");
           simulation.Break(simulation.decode);
           CPPUNIT_ASSERT(reserve_call->cancelled);
+          simulation.RefuseQuestions();
           simulation.AdvanceBy(1s);
           CPPUNIT_ASSERT(simulation.answer->cut);
           CPPUNIT_ASSERT(simulation.Calls().empty());
