Take events whose ids rise by any step

Cause: an id that was not the last one plus one counted as a gap. Ids only have to increase, and an event may hold several tokens.

Change: only an attempt that goes on after another one leaves out events, those that the caller has received. A first attempt's events are passed on as they are; if their ids don't increase, the stream goes on nowhere else.

--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -243,11 +243,14 @@
   ProcessesSeen::Maker maker;
   // The attempt's endpoint was told that its caller leaves.
   bool left = false;
-  bool begun = false;  // the head was sent to the caller
-  std::optional<std::uint64_t> last_event;
+  bool begun = false;                       // the head was sent to the caller
+  std::optional<std::uint64_t> last_event;  // the greatest id
+  // The event of an earlier attempt that the attempt under way goes on after.
+  std::optional<std::uint64_t> continued_after;
   bool received_event = false;  // with content, from any attempt
-  bool unnumbered = false;      // an event with content had no id
-  Instant event_at{};           // when the last event arrived
+  // An event with content had no id, or none that is greater than the last.
+  bool unnumbered = false;
+  Instant event_at{};  // when the last event arrived
   // The decode endpoint computed a prompt at that time.
   bool prefill_at_last_event = false;
   std::uint32_t attempt_events = 0;  // of the attempt under way
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -45,6 +45,7 @@
   this->has_events = false;
   this->left = false;
   this->attempt_reserved = !this->reservation.empty();
+  this->continued_after = this->last_event;
   WorkOrder order{.step = step,
                   .time_left = this->TimeLeft(),
                   .reservation = std::exchange(this->reservation, {}),
@@ -70,7 +71,8 @@
   this->StartResponseTimer();
 }
 
-// Events without ids give another endpoint nothing to continue after.
+// Events without ids, or whose ids don't increase, give another endpoint
+// nothing to continue after.
 bool StreamRelay::MayResume() const {
   return this->MayRunAgain() && !this->unnumbered;
 }
@@ -256,15 +258,9 @@
 
 // Returns false when the attempt has ended.
 bool StreamRelay::DeliverEvent(const StreamEvent& event) {
-  if (event.id && this->last_event) {
-    if (*event.id <= *this->last_event) {
-      return true;  // the caller has received it before
-    }
-    if (*event.id != *this->last_event + 1) {
-      this->StopExchange();
-      this->AfterRun(ResultCode::kEngineBadAnswer);
-      return false;
-    }
+  if (event.id && this->continued_after &&
+      *event.id <= *this->continued_after) {
+    return true;  // the caller has received it before
   }
   if (!this->TakeVersion(event)) {
     return false;
@@ -274,14 +270,15 @@
     this->BeginAnswer();
   }
   this->LearnFromEvent();
-  if (event.id) {
-    this->last_event = event.id;
-  }
+  // Ids increase, by any step: endpoints may number events by tokens.
+  const bool in_order = !event.id || this->last_event < event.id;
+  this->last_event = std::max(this->last_event, event.id);
   if (!event.only_comments && !std::exchange(this->answering, true)) {
     this->context.quarantine.NoteBegun(this->work.subjects, this->work.service);
   }
   this->received_event = this->received_event || !event.only_comments;
-  this->unnumbered = this->unnumbered || (!event.id && !event.only_comments);
+  this->unnumbered =
+      this->unnumbered || !in_order || (!event.id && !event.only_comments);
   this->NoteVersion();
   const Instant now = this->Now();
   if (this->outcome.events > 0) {
