--- a/src/gateway/tests/answer_form_test.cc
+++ b/src/gateway/tests/answer_form_test.cc
@@ -13,7 +13,6 @@
 using acacialug::testing::ForEach;
 using acacialug::testing::It;
 using acacialug::testing::Section;
-using testing::Answer;
 using testing::Call;
 using testing::GatewaySimulation;
 using testing::HeaderOf;
