Let the endpoints of the fleet of repeats answer what they run

The release tests failed in gateway_repeat_fleet (2 tests, bad_function_call): its endpoints took the question for a run, which is asked before every further run now, for a request. They answer it.

--- a/src/gateway/tests/repeat_fleet.cc
+++ b/src/gateway/tests/repeat_fleet.cc
@@ -111,6 +111,15 @@
     });
     return;
   }
+  if (call->request.target == "/report") {
+    this->time.At(this->time.now + 2 * kOneWayDelay, [call, at] {
+      const auto gateway = at.lock();
+      if (gateway && !call->cancelled) {
+        gateway->Reply(call, 200, {}, "no runs");
+      }
+    });
+    return;
+  }
   const bool rejected =
       trouble && this->random.Unit() < this->options.reject_share;
   this->time.At(this->time.now + kOneWayDelay, [this, at, call, rejected] {
