Ask a job for its service's engine, and a stream for its tokens, in one place

GatewayCore and StreamRelay each had the same question for an engine, and the tokens that a stream has made were worked out three times. ProcessesSeen loses a size that nobody asks for.

--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -175,7 +175,7 @@
       return;
     }
     job.state->budget.NoteRequest(now);
-    if (HasEngine(job) || IsStream(job.route->kind)) {
+    if (job.Engine() != nullptr || IsStream(job.route->kind)) {
       this->BeginStream(std::move(job));
     } else {
       this->BeginCall(std::move(job));
@@ -524,7 +524,7 @@
 
   static Duration LikelyTime(const RelayJob& job) {
     const forecast::ServiceForecast& forecast = job.state->forecast;
-    if (HasEngine(job)) {
+    if (job.Engine() != nullptr) {
       return StreamPlacement::LikelyTime(
           job.request.size.value_or(GenerationSize{}),
           job.state->length_ratio.value(), forecast);
@@ -534,10 +534,6 @@
                : FromSeconds(kLongCallFactor * Seconds(forecast.Call()));
   }
 
-  static bool HasEngine(const RelayJob& job) {
-    return job.traits != nullptr && job.traits->engine.has_value();
-  }
-
   // A stream that is continued goes to the service that its first attempt went
   // to.
   static const std::string& StreamNameOf(const WorkRequest& request) {
@@ -614,7 +610,7 @@
     if (job.urgency && !job.is_retry) {
       job.state->urgency.NoteRequest(*job.urgency, this->Now());
     }
-    if (HasEngine(job)) {
+    if (job.Engine() != nullptr) {
       this->roles.NoteRequest(job.service,
                               job.request.size.value_or(GenerationSize{}));
     }
--- a/src/gateway/internal/processes_seen.h
+++ b/src/gateway/internal/processes_seen.h
@@ -1,10 +1,8 @@
 #ifndef GATEWAY_INTERNAL_PROCESSES_SEEN_H_
 #define GATEWAY_INTERNAL_PROCESSES_SEEN_H_
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 
 #include "gateway/endpoint_catalog.h"
 #include "gateway/internal/timer_queue.h"
@@ -49,8 +47,6 @@
   // Forgets endpoints that are not in the catalog.
   void Sweep(const EndpointCatalog& catalog);
 
-  std::size_t size() const { return this->processes.size(); }
-
  private:
   struct Process {
     std::int64_t started_at_ms = 0;
--- a/src/gateway/internal/relay_context.h
+++ b/src/gateway/internal/relay_context.h
@@ -116,6 +116,13 @@
   // `spent` is so large that the request must have been refused before.
   bool is_retry = false;
 
+  // Of the service; null: it has none.
+  const EngineTraits* Engine() const {
+    return this->traits != nullptr && this->traits->engine
+               ? &*this->traits->engine
+               : nullptr;
+  }
+
   // From its arrival to the route's timeout or the caller's deadline, whichever
   // is earlier. Precondition: it has a route.
   Duration TimeLimit() const {
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -34,17 +34,15 @@
   return this->work.request.size.value_or(GenerationSize{});
 }
 
-const EngineTraits* StreamRelay::Engine() const {
-  return this->work.traits != nullptr && this->work.traits->engine
-             ? &*this->work.traits->engine
-             : nullptr;
-}
-
 std::uint32_t StreamRelay::TokensPerEvent() const {
-  const EngineTraits* const engine = this->Engine();
+  const EngineTraits* const engine = this->work.Engine();
   return engine != nullptr ? engine->tokens_per_event : 0;
 }
 
+std::uint64_t StreamRelay::TokensMade() const {
+  return std::uint64_t{this->outcome.events} * this->TokensPerEvent();
+}
+
 bool StreamRelay::Reserves() const {
   return this->has_engine() && this->context.dialect.write_reserve;
 }
@@ -72,8 +70,8 @@
        .length_ratio = this->work.state->length_ratio.value(),
        .domain = this->context.domain,
        .now = this->Now()},
-      *this->Engine(), this->work.state->forecast, this->AvailableEndpoints(),
-      this->context.random);
+      *this->work.Engine(), this->work.state->forecast,
+      this->AvailableEndpoints(), this->context.random);
 }
 
 std::optional<StreamPlacement::Placement> StreamRelay::FindPlainPlacement(
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -31,7 +31,7 @@
 
   // Whether the service has an engine. Without one, a stream is placed as a
   // plain request is, and doesn't wait for capacity.
-  bool has_engine() const { return this->Engine() != nullptr; }
+  bool has_engine() const { return this->work.Engine() != nullptr; }
 
   // A retry after a refusal, whose answer is late whenever it begins.
   bool late() const { return this->work.is_retry; }
@@ -70,9 +70,10 @@
 
   std::shared_ptr<StreamRelay> Self();
   GenerationSize Size() const;
-  const EngineTraits* Engine() const;  // null: the service has none
   // 0 if the service has no engine.
   std::uint32_t TokensPerEvent() const;
+  // Of the stream, from all attempts.
+  std::uint64_t TokensMade() const;
   // Whether memory is reserved at an endpoint before it is sent the request.
   bool Reserves() const;
 
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -96,9 +96,7 @@
   if (!this->has_engine()) {
     return this->HalfOfMaxGap();
   }
-  const std::uint64_t held =
-      this->Size().prompt_tokens +
-      std::uint64_t{this->outcome.events} * this->TokensPerEvent();
+  const std::uint64_t held = this->Size().prompt_tokens + this->TokensMade();
   const Duration needed = forecast.LocalPrefillTime(held) +
                           forecast.FirstEvent() + forecast.Pause();
   return std::min(
@@ -246,12 +244,10 @@
 
 void StreamRelay::LearnFromLength() {
   const GenerationSize size = this->Size();
-  const std::uint64_t made =
-      std::uint64_t{this->outcome.events} * this->TokensPerEvent();
   if (this->has_engine() && size.expected_output_tokens > 0 &&
       !this->work.request.resume_after) {
     this->work.state->length_ratio.Note(
-        static_cast<double>(made) /
+        static_cast<double>(this->TokensMade()) /
         static_cast<double>(size.expected_output_tokens));
   }
 }
@@ -325,10 +321,8 @@
   if (!this->has_engine()) {
     return;
   }
-  const std::uint64_t made =
-      std::uint64_t{this->outcome.events} * this->TokensPerEvent();
   const std::uint64_t taken =
-      this->context.streams.KvTokens(this->Size(), made);
+      this->context.streams.KvTokens(this->Size(), this->TokensMade());
   EndpointLoad& counted = this->placement->decode_load;
   if (!this->decode_held || taken < counted.kv_tokens + kCountedStepTokens) {
     return;
