Ask an endpoint for a run in one place

Three questions for the run of a stream's attempt repeated the same options and the same weak hook. No change of behaviour: 417 passed, 0 failed (gateway_tests, release).

--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -507,25 +507,17 @@
     this->GiveUp(code);
     return;
   }
-  this->run_query = std::make_shared<RunQuery>(
-      this->context, RunQuery::Options{.endpoint = this->placement->decode,
-                                       .request = this->work.request.id,
-                                       .patience = this->HalfOfMaxGap(),
-                                       .until_run_ends = true,
-                                       .sent_at = this->step_at});
-  this->run_query->Begin(
-      [weak = this->weak_from_this(), code](const RunAnswer& answer) {
-        const auto self = std::static_pointer_cast<StreamRelay>(weak.lock());
-        if (!self) {
-          return;
-        }
-        self->LogRunQueried(answer);
-        if (answer.state == RunState::kRuns) {
-          self->GiveUp(code);
-        } else {
-          self->GoOnElsewhere(code);
-        }
-      });
+  this->QueryRun({.patience = this->HalfOfMaxGap(),
+                  .until_run_ends = true,
+                  .sent_at = this->step_at},
+                 [this, code](const RunAnswer& answer) {
+                   this->LogRunQueried(answer);
+                   if (answer.state == RunState::kRuns) {
+                     this->GiveUp(code);
+                   } else {
+                     this->GoOnElsewhere(code);
+                   }
+                 });
 }
 
 void StreamRelay::AfterRunEnded(ResultCode code) {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -160,6 +160,9 @@
   void RequestElsewhere();
   void OnElsewhereAnswer(ReservationAnswer answer, const std::string& name);
   void EndMigration();
+  // Asks the decode endpoint for the attempt. `on_done` runs only while this
+  // relay exists; endpoint and request of `options` are set here.
+  void QueryRun(RunQuery::Options options, RunQuery::Done on_done);
   static void CancelQuery(std::shared_ptr<RunQuery>& query);
   // Leaves the stream's endpoint, to go on where memory was granted once the
   // endpoint has let go of the stream, says that it does not run there, or does
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -442,17 +442,9 @@
   this->maker = this->context.processes_seen.MakerOf(this->placement->decode,
                                                      this->step_at, this->Now(),
                                                      this->context.timers);
-  this->run_query = std::make_shared<RunQuery>(
-      this->context, RunQuery::Options{.endpoint = this->placement->decode,
-                                       .request = this->work.request.id,
-                                       .fresh_connection = true,
-                                       .patience = this->EndPatience()});
-  this->run_query->Begin([weak =
-                              this->weak_from_this()](const RunAnswer& answer) {
-    if (const auto self = std::static_pointer_cast<StreamRelay>(weak.lock())) {
-      self->OnEndConfirmed(answer);
-    }
-  });
+  this->QueryRun(
+      {.fresh_connection = true, .patience = this->EndPatience()},
+      [this](const RunAnswer& answer) { this->OnEndConfirmed(answer); });
 }
 
 bool StreamRelay::IsSameProcess(const RunAnswer& answer) const {
@@ -610,6 +602,21 @@
   }
 }
 
+void StreamRelay::QueryRun(RunQuery::Options options, RunQuery::Done on_done) {
+  options.endpoint = this->placement->decode;
+  options.request = this->work.request.id;
+  this->run_query =
+      std::make_shared<RunQuery>(this->context, std::move(options));
+  // A weak pointer: this relay owns the query, as it owns the reservation
+  // request.
+  this->run_query->Begin([weak = this->weak_from_this(),
+                          done = std::move(on_done)](const RunAnswer& answer) {
+    if (const auto self = weak.lock()) {
+      done(answer);
+    }
+  });
+}
+
 void StreamRelay::CancelQuery(std::shared_ptr<RunQuery>& query) {
   if (const auto ended = std::exchange(query, nullptr)) {
     ended->Cancel();
@@ -628,16 +635,9 @@
   this->departure = {.to = granted, .reservation = name};
   this->left = true;
   this->EndSending();
-  this->run_query = std::make_shared<RunQuery>(
-      this->context, RunQuery::Options{.endpoint = this->placement->decode,
-                                       .request = this->work.request.id,
-                                       .wait = RunQuery::kCloseWait});
-  this->run_query->Begin([weak =
-                              this->weak_from_this()](const RunAnswer& answer) {
-    if (const auto self = std::static_pointer_cast<StreamRelay>(weak.lock())) {
-      self->OnRunQueried(answer);
-    }
-  });
+  this->QueryRun(
+      {.wait = RunQuery::kCloseWait},
+      [this](const RunAnswer& answer) { this->OnRunQueried(answer); });
 }
 
 void StreamRelay::OnRunQueried(const RunAnswer& answer) {
