Share the relays' response timeout and delay for plain requests

StreamRelay had copies of two constants of CallRelay; both relays use those of Relay now, with the same values.

--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -11,16 +11,9 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
-// Response timeout after which a request that may run again is sent to another
-// endpoint, as a multiple of its objective. A healthy endpoint answers in under
-// twice the objective at the worst (work of at most 220 ms for an objective of
-// 150 ms).
-constexpr double kResponseTimeoutObjectives = 2.5;
 // Sends after which a request that did not run is abandoned: each costs a round
 // trip, and a service that rejects three times is full.
 constexpr std::uint32_t kMaxSends = 4;
-// Retry-After when the service has no free capacity or no endpoint.
-constexpr Duration kRetrySoon = 300ms;
 
 }  // namespace
 
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -67,6 +67,15 @@
   // Releases what the relay holds. Runs once, at the end.
   virtual void Release() = 0;
 
+  // Response timeout after which a plain request that may run again is sent to
+  // another endpoint, as a multiple of its objective. A healthy endpoint
+  // answers in under twice the objective at the worst (work of at most 220 ms
+  // for an objective of 150 ms).
+  static constexpr double kResponseTimeoutObjectives = 2.5;
+  // Retry-After when a service without an engine has no free capacity or no
+  // endpoint.
+  static constexpr Duration kRetrySoon = 300ms;
+
   Instant Now() const { return this->context.hooks.now(); }
   bool MayRunAgain() const {
     return gateway::MayRunAgain(this->work.route->kind);
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -21,8 +21,6 @@
 // reached, or leaves, says nothing about the others' memory.
 constexpr std::uint32_t kMaxFullEndpoints = 3;
 constexpr std::size_t kMaxRequestedEndpoints = 8;
-// Retry-After when a service without an engine is full.
-constexpr Duration kRetrySoon = 300ms;
 
 }  // namespace
 
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -21,8 +21,6 @@
 // Callers tolerate a gap of this many objectives; half of it leaves time for
 // another endpoint to continue the stream.
 constexpr double kMaxGapObjectives = 4.0;
-// The same for an answer that is no stream, whose first byte may be its last.
-constexpr double kWholeAnswerObjectives = 2.5;
 
 }  // namespace
 
@@ -89,9 +87,9 @@
   if (!IsStream(this->work.route->kind)) {
     const Duration usual = StreamPlacement::LikelyTime(
         this->Size(), this->work.state->length_ratio.value(), forecast);
-    return FromSeconds(
-        std::max(kWholeAnswerObjectives * Seconds(this->work.route->objective),
-                 kResponseTimeoutFactor * Seconds(usual)));
+    return FromSeconds(std::max(
+        kResponseTimeoutObjectives * Seconds(this->work.route->objective),
+        kResponseTimeoutFactor * Seconds(usual)));
   }
   if (!this->has_engine()) {
     return this->HalfOfMaxGap();
