--- a/src/gateway/tests/second_run_test.cc
+++ b/src/gateway/tests/second_run_test.cc
@@ -165,7 +165,8 @@
      It("is cut off early enough for its caller to return, if its endpoint "
         "works on",
         [] {
-          // Guards against a stream that stays silent until its caller gives up.
+          // Guards against a stream that stays silent until its caller gives
+          // up.
           Stream stream;
           stream.SendEvents();
           stream.Break(stream.decode);
