--- a/src/gateway_process/internal/catalog_sources.cc
+++ b/src/gateway_process/internal/catalog_sources.cc
@@ -53,6 +53,8 @@
                               Instant now) {
   Peer& reporter = this->peers[peer];
   reporter.positions = positions;
+  reporter.open_in_effect =
+      std::min(reporter.open_in_effect, positions.endpoints_in_effect);
   reporter.reported = true;
   this->UpdateBehindSince(now);
 }
@@ -84,8 +86,9 @@
 }
 
 bool CatalogSources::HasNewerEndpoints(const Peer& peer, Instant now) const {
-  const bool open =
-      now < peer.open_until && peer.positions.endpoints <= peer.open_at;
+  const bool open = now < peer.open_until &&
+                    peer.positions.endpoints <= peer.open_at &&
+                    peer.positions.endpoints_in_effect <= peer.open_in_effect;
   return peer.reported && !open &&
          peer.positions.endpoints > this->known.endpoints;
 }
@@ -105,7 +108,9 @@
         const Peer& peer = entry.second;
         return peer.reported &&
                peer.positions.configuration >= positions.configuration &&
-               peer.positions.endpoints >= positions.endpoints;
+               peer.positions.endpoints >= positions.endpoints &&
+               peer.positions.endpoints_in_effect >=
+                   positions.endpoints_in_effect;
       });
 }
 
@@ -153,7 +158,8 @@
       .known_configuration = needs_configuration ? this->known.configuration
                                                  : this->NewestConfiguration(),
       .configuration = best->second.positions.configuration,
-      .endpoints = best->second.positions.endpoints};
+      .endpoints = best->second.positions.endpoints,
+      .endpoints_in_effect = best->second.positions.endpoints_in_effect};
 }
 
 void CatalogSources::NoteFailed(const CatalogRequest& catalog_request,
@@ -178,6 +184,7 @@
   if (catalog_request.endpoints > this->known.endpoints) {
     peer.open_until = now + kFailedPeerPause;
     peer.open_at = catalog_request.endpoints;
+    peer.open_in_effect = catalog_request.endpoints_in_effect;
   }
 }
 
--- a/src/gateway_process/internal/catalog_sources.h
+++ b/src/gateway_process/internal/catalog_sources.h
@@ -15,6 +15,8 @@
 struct CatalogPositions {
   NextVersion configuration;
   LogOffset endpoints;
+  // Of a peer: no change before it is held back there. At most `endpoints`.
+  LogOffset endpoints_in_effect;
 };
 
 // The peer to request the catalog page from, and the positions it reported.
@@ -23,6 +25,7 @@
   NextVersion known_configuration;  // sent to the peer
   NextVersion configuration;
   LogOffset endpoints;
+  LogOffset endpoints_in_effect;
 };
 
 // Chooses the peer, if any, to query for what this process does not know. Has
@@ -63,9 +66,12 @@
     CatalogPositions positions;
     bool reported = false;
     Instant skipped_until{};  // it did not answer as a peer does
-    Instant open_until{};     // its endpoints leave open what it reports,
-    LogOffset open_at;        // up to this position
-    Instant busy_until{};     // it sends its configuration to other peers
+    // Its endpoints leave open what it reports, unless it has reported a later
+    // position than these since.
+    Instant open_until{};
+    LogOffset open_at;
+    LogOffset open_in_effect;
+    Instant busy_until{};  // it sends its configuration to other peers
   };
 
   bool HasNewerConfiguration(const Peer& peer) const;
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -175,7 +175,8 @@
 
   void SetPositions(const Positions& newest) {
     const bool advanced = newest.configuration > this->known.configuration ||
-                          newest.changed_to > this->known.changed_to;
+                          newest.changed_to > this->known.changed_to ||
+                          InEffect(newest) > InEffect(this->known);
     this->known = newest;
     this->sources.SetKnown({.configuration = newest.configuration,
                             .endpoints = newest.complete_to},
@@ -241,14 +242,22 @@
     return gateway::RoundInterval(all, near ? neighbours : all - neighbours);
   }
 
+  // Endpoints renew their records all the time, which advances `complete_to`
+  // and is no news.
+  static LogOffset InEffect(const Positions& positions) {
+    return std::min(positions.complete_to, positions.changed_to);
+  }
+
   // With many peers, only the first to know tells all of them at once, and the
   // others their neighbours: 300 processes that tell 300 each use more of
   // their links than callers' requests do.
   void ReportAdvance() {
     this->SendHeartbeat(true);
     if (!gateway::AreManyPeers(this->peers.size()) ||
-        !this->sources.AnyKnows({.configuration = this->known.configuration,
-                                 .endpoints = this->known.changed_to})) {
+        !this->sources.AnyKnows(
+            {.configuration = this->known.configuration,
+             .endpoints = this->known.changed_to,
+             .endpoints_in_effect = InEffect(this->known)})) {
       this->SendHeartbeat(false);
     }
   }
@@ -292,6 +301,7 @@
         .pages_port = this->pages->port(),
         .configuration = this->known.configuration,
         .endpoints = this->known.changed_to,
+        .endpoints_in_effect = InEffect(this->known),
         .read_age_ms = this->AgeOf(this->read_at),
         .confirmed_age_ms = this->AgeOf(this->asked_at)};
     this->AddCrashes(heartbeat, group);
@@ -535,10 +545,12 @@
                                QuotasFromRows(heartbeat->quotas));
     this->options.on_load(heartbeat->sender,
                           LoadFromHeartbeat(*heartbeat, peer.near));
-    this->sources.OnReport(heartbeat->sender,
-                           {.configuration = heartbeat->configuration,
-                            .endpoints = heartbeat->endpoints},
-                           peer.last_received_at);
+    this->sources.OnReport(
+        heartbeat->sender,
+        {.configuration = heartbeat->configuration,
+         .endpoints = heartbeat->endpoints,
+         .endpoints_in_effect = heartbeat->endpoints_in_effect},
+        peer.last_received_at);
     if (newcomer) {
       this->options.on_new_peer();
       this->SendHeartbeatTo(peer);
--- a/src/gateway_process/tests/catalog_sources_test.cc
+++ b/src/gateway_process/tests/catalog_sources_test.cc
@@ -11,9 +11,12 @@
 
 constexpr Instant kNow{1h};
 
-CatalogPositions At(std::uint64_t configuration, std::uint64_t endpoints) {
+CatalogPositions At(std::uint64_t configuration,
+                    std::uint64_t endpoints,
+                    std::uint64_t endpoints_in_effect = 0) {
   return {.configuration = NextVersion(configuration),
-          .endpoints = LogOffset(endpoints)};
+          .endpoints = LogOffset(endpoints),
+          .endpoints_in_effect = LogOffset(endpoints_in_effect)};
 }
 
 const acacialug::testing::Story kStory(
@@ -28,6 +31,7 @@
           sources.OnReport("c", At(5, 12), kNow);
           CPPUNIT_ASSERT(!sources.AnyKnows(At(6, 10)));
           CPPUNIT_ASSERT(sources.AnyKnows(At(6, 9)));
+          CPPUNIT_ASSERT(!sources.AnyKnows(At(6, 9, 8)));
           sources.OnReport("c", At(6, 12), kNow);
           CPPUNIT_ASSERT(sources.AnyKnows(At(6, 10)));
         }),
@@ -48,6 +52,34 @@
           CPPUNIT_ASSERT(sources.Next(kNow).has_value());
           CPPUNIT_ASSERT(sources.AnyKnowsMore(kNow));
         }),
+     It("are asked for again once what the peer left open is in effect with it",
+        [] {
+          // Guards against requests at an endpoint that left, at a gateway
+          // whose peers held back the end of its record.
+          CatalogSources sources("a");
+          sources.SetStoreServes(true);
+          sources.SetKnown(At(6, 9), kNow);
+          sources.OnReport("b", At(6, 12, 9), kNow);
+          sources.NoteAnswered(*sources.Next(kNow), false, kNow);
+          sources.OnReport("b", At(6, 12, 9), kNow);
+          CPPUNIT_ASSERT(!sources.Next(kNow).has_value());
+          sources.OnReport("b", At(6, 12, 12), kNow);
+          CPPUNIT_ASSERT(sources.AnyKnowsMore(kNow));
+          CPPUNIT_ASSERT(sources.Next(kNow).has_value());
+          sources.NoteAnswered(*sources.Next(kNow), false, kNow);
+          CPPUNIT_ASSERT(!sources.Next(kNow).has_value());
+        }),
+     It("are asked for again also if the peer held it back while it answered",
+        [] {
+          CatalogSources sources("a");
+          sources.SetKnown(At(6, 9), kNow);
+          sources.OnReport("b", At(6, 12, 12), kNow);
+          sources.NoteAnswered(*sources.Next(kNow), false, kNow);
+          sources.OnReport("b", At(6, 12, 9), kNow);
+          CPPUNIT_ASSERT(!sources.AnyKnowsMore(kNow));
+          sources.OnReport("b", At(6, 12, 12), kNow);
+          CPPUNIT_ASSERT(sources.AnyKnowsMore(kNow));
+        }),
      It("say that the peer knows more, though it does not answer",
         [] {
           // Guards against requests at an endpoint that left, at a gateway that
--- a/src/gateway_process/tests/peer_link_test.cc
+++ b/src/gateway_process/tests/peer_link_test.cc
@@ -474,6 +474,29 @@
             return c.taken && c.taken->endpoints.as_of == LogOffset(10);
           });
         }),
+     It("query a peer again as soon as what it held back is in effect",
+        [] {
+          // Guards against requests at an endpoint that left, while a gateway
+          // passes over the peers that held back the end of its record.
+          Peer a("a", FreePort());
+          Peer c("c", FreePort());
+          c.stopped = c.Now();
+          c.ahead = {};
+          a.known.endpoints.as_of = LogOffset(9);
+          a.link.SetPositions(
+              {.changed_to = LogOffset(12), .complete_to = LogOffset(9)});
+          c.link.SetMembers({{"a", a.address}});
+          WaitUntil("the catalog", [&] { return c.takes == 1; });
+          c.ahead = 1s;
+          const int before = c.received_count;
+          WaitUntil("heartbeats", [&] { return c.received_count > before; });
+          CPPUNIT_ASSERT_EQUAL(1, c.takes);
+          a.known.endpoints.as_of = LogOffset(12);
+          a.link.SetPositions(
+              {.changed_to = LogOffset(12), .complete_to = LogOffset(12)});
+          WaitUntil("the whole catalog", [&] { return c.takes == 2; });
+          CPPUNIT_ASSERT(c.taken->endpoints.as_of == LogOffset(12));
+        }),
      It("query the next peer when the first accepts the query and is silent",
         [] {
           // Guards against a frozen peer that holds back a new gateway.
--- a/src/protocol/types/peer_heartbeat.h
+++ b/src/protocol/types/peer_heartbeat.h
@@ -159,6 +159,7 @@
   std::uint16_t pages_port = 0;   // TCP, on the sender's address
   NextVersion configuration;      // offset of the active one, plus one
   LogOffset endpoints;            // just past the last known change
+  LogOffset endpoints_in_effect;  // no change before it is held back
   std::uint32_t read_age_ms = 0;  // since the sender read the store itself
   // Since the sender asked the store for the state that `endpoints` is known to
   // be complete for. Not what peers have told it: each process on the way would
@@ -179,9 +180,10 @@
   void serialize(Archive& archive) {
     archive(this->sender, this->domain_key, this->incarnation, this->sequence,
             this->pages_port, this->configuration, this->endpoints,
-            this->read_age_ms, this->confirmed_age_ms, this->rows, this->pauses,
-            this->forecasts, this->crashes, this->quotas, this->limits,
-            this->versions, this->demands);
+            this->endpoints_in_effect, this->read_age_ms,
+            this->confirmed_age_ms, this->rows, this->pauses, this->forecasts,
+            this->crashes, this->quotas, this->limits, this->versions,
+            this->demands);
   }
 };
 
