--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -29,7 +29,9 @@
 
 bool CallRelay::TryPlace() {
   const EndpointRecord* const picked = this->FindEndpoint({});
-  if (picked == nullptr) {
+  if (picked == nullptr ||
+      this->BarBefore(*picked, this->arrivals.UncoveredByRun()) !=
+          SendBar::kNone) {
     return false;
   }
   this->Send(*picked);
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -183,6 +183,25 @@
   return this->QuarantineLeft() > Duration::zero();
 }
 
+SendBar Relay::BarBefore(const EndpointRecord& endpoint,
+                         std::uint32_t uncovered) {
+  const EndpointRecord* const current = this->context.catalog.Find(endpoint.id);
+  if (this->Quarantined()) {
+    return SendBar::kQuarantined;
+  }
+  if (current == nullptr || this->context.catalog.Leaves(endpoint.id)) {
+    return SendBar::kLeaves;
+  }
+  if (IsRestart(endpoint.started_at_ms, current->started_at_ms) ||
+      current->software_version != endpoint.software_version) {
+    return SendBar::kReplaced;
+  }
+  if (this->context.health.Resting(endpoint.id, this->Now())) {
+    return SendBar::kRests;
+  }
+  return this->CoverRepeats(uncovered) ? SendBar::kNone : SendBar::kUncovered;
+}
+
 bool Relay::CoverRepeats(std::uint32_t uncovered) {
   if (uncovered == 0) {
     return true;
@@ -325,6 +344,7 @@
              {"spent_before_ms", this->work.spent},
              {"sends", this->outcome.sends},
              {"prefills", this->outcome.prefills},
+             {"unused_prompts", this->outcome.unused_prompts},
              {"events", this->outcome.events},
              {"losses", this->outcome.losses},
              {"repeats", this->outcome.repeats},
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -8,11 +8,29 @@
 #include <string_view>
 #include <vector>
 
+#include "framework/global/types/enum_names.h"
 #include "gateway/arrival_count.h"
 #include "gateway/internal/relay_context.h"
 
 namespace acacialug::gateway {
 
+// Why a request is not sent to the endpoint where it was placed.
+enum class SendBar {
+  kNone,
+  kQuarantined,  // the request is, or a part of its prompt
+  kLeaves,       // the endpoint has begun to leave, or has ended
+  kReplaced,     // another process or software version runs under its id
+  kRests,        // it has asked for rest
+  kUncovered,    // the repeat budget does not allow it
+};
+inline constexpr EnumNames<SendBar, 6> kSendBarNames = {
+    {{SendBar::kNone, "none"},
+     {SendBar::kQuarantined, "quarantined"},
+     {SendBar::kLeaves, "leaves"},
+     {SendBar::kReplaced, "replaced"},
+     {SendBar::kRests, "rests"},
+     {SendBar::kUncovered, "uncovered"}}};
+
 // The common part of all relays: a request, its deadline, at most one exchange
 // with an endpoint, and one final answer. A relay is kept alive by the hooks
 // that it waits for; `on_finished` runs once, at its end.
@@ -118,6 +136,11 @@
   bool Quarantined() const;
   // Zero: the request is not quarantined.
   Duration QuarantineLeft() const;
+  // Why a request must not be sent to this endpoint, where it was placed
+  // before. Takes the repeats that are not covered (CoverRepeats) if nothing
+  // else is in the way. Must precede each send: the endpoint or the quarantine
+  // may have changed since.
+  SendBar BarBefore(const EndpointRecord& endpoint, std::uint32_t uncovered);
   // Takes as many repeats of this request from the budget of its service as
   // are not covered yet (ArrivalCount). Returns false, and takes none, if the
   // budget doesn't allow all of them. Must precede each send that may be a
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -56,7 +56,14 @@
   if (!this->has_engine()) {
     return this->FindPlainPlacement(avoided);
   }
-  return this->context.streams.Pick(
+  std::vector<const EndpointRecord*> endpoints = this->AvailableEndpoints();
+  if (this->has_prompt()) {
+    std::erase_if(endpoints, [this](const EndpointRecord* endpoint) {
+      return endpoint->software_version !=
+             this->placement->prefill->software_version;
+    });
+  }
+  auto chosen = this->context.streams.Pick(
       {.size = this->Size(),
        .objective = this->work.route->objective,
        .longest_pause = this->work.route->longest_pause,
@@ -68,8 +75,15 @@
        .length_ratio = this->work.state->length_ratio.value(),
        .domain = this->context.domain,
        .now = this->Now()},
-      *this->work.Engine(), this->work.state->forecast,
-      this->AvailableEndpoints(), this->context.random);
+      *this->work.Engine(), this->work.state->forecast, endpoints,
+      this->context.random);
+  if (chosen && this->has_prompt()) {
+    chosen->prefill = this->placement->prefill;
+    chosen->prefill_load = {};
+    chosen->prefill_time = {};
+    chosen->decode_load.prefill_tokens = 0;
+  }
+  return chosen;
 }
 
 std::optional<StreamPlacement::Placement> StreamRelay::FindPlainPlacement(
@@ -116,7 +130,16 @@
     this->GiveUp(ResultCode::kVersionGone);
     return true;
   }
-  const auto chosen = this->FindPlacement({});
+  if (this->has_prompt() && this->PromptMayLapse() && !this->DropPrompt()) {
+    return true;
+  }
+  auto chosen = this->FindPlacement({});
+  if (!chosen && this->has_prompt()) {
+    if (!this->DropPrompt()) {
+      return true;
+    }
+    chosen = this->FindPlacement({});
+  }
   if (!chosen) {
     return false;
   }
@@ -134,7 +157,9 @@
   if (this->work.urgency && !this->resumed() && !this->late()) {
     this->work.state->urgency.NotePlaced(this->Urgency(), this->Now());
   }
-  if (this->placement->prefill) {
+  if (this->has_prompt()) {
+    this->StartDecode(WorkStep::kDecode);
+  } else if (this->placement->prefill) {
     this->StartPrefill();
   } else {
     this->StartDecode(WorkStep::kWhole);
@@ -185,7 +210,7 @@
     return;
   }
   this->EndRound();
-  this->context.on_unplaced(*this);
+  this->WaitForPlace();
 }
 
 bool StreamRelay::NoteRefused(ReservationAnswer answer) {
@@ -230,7 +255,7 @@
                                chosen.decode.started_at_ms);
   this->decode_held = true;
   this->work.state->queue.NoteAllocated(chosen.decode_load.kv_tokens);
-  if (chosen.prefill) {
+  if (chosen.prefill && !this->has_prompt()) {
     this->context.load_table.Add(chosen.prefill->id, chosen.prefill_load,
                                  chosen.prefill->started_at_ms);
     this->prefill_held = true;
@@ -280,6 +305,10 @@
 // lapses, as it does at one that rests.
 void StreamRelay::ReleaseExport() {
   if (const auto held = std::exchange(this->prefilled, std::nullopt)) {
+    ++this->outcome.unused_prompts;
+    this->Log(log::Level::kInfo, "prompt_unused", this->placement->prefill->id,
+              {{"after_ms", this->Now() - this->step_at},
+               {"prompt_tokens", this->Size().prompt_tokens}});
     this->context.SendRelease(*this->placement->prefill,
                               this->context.dialect.write_release(held->name));
   }
@@ -299,9 +328,8 @@
 }
 
 void StreamRelay::StartPrefill() {
-  if (this->EndIfQuarantined() ||
-      this->MoveIfResting(*this->placement->prefill) ||
-      this->EndIfUncovered(this->arrivals.UncoveredByPrefillAndRun())) {
+  if (!this->MaySend(*this->placement->prefill,
+                     this->arrivals.UncoveredByPrefillAndRun())) {
     return;
   }
   ++this->outcome.prefills;
@@ -363,6 +391,7 @@
                            : NameOf(kAnswerNatureNames, answer));
     return;
   }
+  this->prompt_at = this->Now();
   this->arrivals.NotePrefillAccepted();
   this->context.health.NoteSuccess(id, this->Now());
   // A duration that includes a stall of this process is no evidence of the
@@ -397,10 +426,7 @@
              {"expected_ms", this->placement->prefill_time}});
   this->tried.push_back(this->placement->prefill->id);
   this->ReleasePrefill();
-  const bool again =
-      this->outcome.prefills < kMaxPrefills && !this->Quarantined() &&
-      this->CoverRepeats(this->arrivals.UncoveredByPrefillAndRun());
-  if (again) {
+  if (!this->Quarantined() && this->MayComputePrompt()) {
     this->ReleaseDecode();
     this->PlaceAgain();
     return;
@@ -419,33 +445,67 @@
   return true;
 }
 
-bool StreamRelay::EndIfUncovered(std::uint32_t uncovered) {
-  if (this->CoverRepeats(uncovered)) {
-    return false;
-  }
-  this->GiveUp(ResultCode::kNoDecodeMemory);
-  return true;
-}
-
-bool StreamRelay::MoveIfResting(const EndpointRecord& endpoint) {
-  if (!this->context.health.Resting(endpoint.id, this->Now())) {
-    return false;
-  }
+bool StreamRelay::MaySend(const EndpointRecord& endpoint,
+                          std::uint32_t uncovered) {
+  const SendBar bar = this->BarBefore(endpoint, uncovered);
+  switch (bar) {
+    case SendBar::kNone:
+      return true;
+    case SendBar::kQuarantined:
+      this->GiveUp(ResultCode::kQuarantined);
+      return false;
+    case SendBar::kUncovered:
+      this->GiveUp(ResultCode::kNoDecodeMemory);
+      return false;
+    case SendBar::kLeaves:
+    case SendBar::kReplaced:
+    case SendBar::kRests:
+      this->MoveFrom(endpoint, bar);
+      return false;
+  }
+  return false;
+}
+
+void StreamRelay::MoveFrom(const EndpointRecord& endpoint, SendBar bar) {
   this->CancelPhaseTimer();
-  this->Log(log::Level::kInfo, "placement_rests", endpoint.id,
-            {{"prefilled", this->prefilled.has_value()}});
-  this->ReleaseExport();
+  this->Log(
+      log::Level::kInfo,
+      bar == SendBar::kRests ? "placement_rests" : "placement_lost",
+      endpoint.id,
+      {{"why", NameOf(kSendBarNames, bar)}, {"prefilled", this->has_prompt()}});
   this->ReleasePrefill();
   this->ReleaseDecode();
-  const bool again =
-      this->outcome.prefills < kMaxPrefills &&
-      this->CoverRepeats(this->arrivals.UncoveredByPrefillAndRun());
-  if (again) {
+  if (this->has_prompt() || this->MayComputePrompt()) {
     this->PlaceAgain();
   } else {
     this->GiveUp(ResultCode::kNoDecodeMemory);
   }
-  return true;
+}
+
+bool StreamRelay::MayComputePrompt() {
+  return this->outcome.prefills < kMaxPrefills &&
+         this->CoverRepeats(this->arrivals.UncoveredByPrefillAndRun());
+}
+
+// The other half is for the reservation.
+bool StreamRelay::PromptMayLapse() const {
+  return this->Now() - this->prompt_at >=
+         this->work.Engine()->export_lifetime / 2;
+}
+
+bool StreamRelay::DropPrompt() {
+  this->ReleaseExport();
+  if (this->MayComputePrompt()) {
+    return true;
+  }
+  this->GiveUp(ResultCode::kNoDecodeMemory);
+  return false;
+}
+
+void StreamRelay::WaitForPlace() {
+  if (!this->has_prompt() || this->DropPrompt()) {
+    this->context.on_unplaced(*this);
+  }
 }
 
 void StreamRelay::AfterNotRun() {
@@ -538,7 +598,7 @@
 
 void StreamRelay::PlaceAgain() {
   if (!this->TryPlace()) {
-    this->context.on_unplaced(*this);
+    this->WaitForPlace();
   }
 }
 
@@ -596,7 +656,7 @@
   this->CancelQuery(this->process_query);
   // An export that no decode endpoint was sent is released here; a decode
   // endpoint that was sent an export's name is responsible for that export.
-  if (this->prefilled && !this->decode_open) {
+  if (this->has_prompt()) {
     this->ReleaseExport();
   }
   this->ReleasePrefill();
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -74,6 +74,8 @@
   std::uint32_t TokensPerEvent() const;
   // Of the stream, from all attempts.
   std::uint64_t TokensMade() const;
+  // Whether the prompt is computed, and no decode endpoint was sent it.
+  bool has_prompt() const { return this->prefilled && !this->decode_open; }
   // Whether memory is reserved at an endpoint before it is sent the request.
   bool Reserves() const;
 
@@ -94,7 +96,8 @@
   void OnReserveRefused(ReservationAnswer answer);
   void AfterReserve();
   // Empty when no endpoint has capacity, other than those that are avoided,
-  // were tried, or were found full.
+  // were tried, or were found full. A computed prompt stays where it is, and
+  // only endpoints of its version can decode it.
   std::optional<StreamPlacement::Placement> FindPlacement(
       std::vector<EndpointId> avoided);
   // The same at a service without an engine.
@@ -190,12 +193,19 @@
   // granted.
   void Migrate();
 
-  // Ends the relay if the repeat budget does not allow its next step, and
-  // returns whether it did.
-  bool EndIfUncovered(std::uint32_t uncovered);
-  // Places the generation elsewhere if the endpoint of its next step has asked
-  // for rest since it was placed, and returns whether it did.
-  bool MoveIfResting(const EndpointRecord& endpoint);
+  // Whether the next step may be sent to its endpoint (BarBefore). If not, the
+  // generation is placed elsewhere, or ends.
+  bool MaySend(const EndpointRecord& endpoint, std::uint32_t uncovered);
+  void MoveFrom(const EndpointRecord& endpoint, SendBar bar);
+  // Whether the prompt may be computed, for the first time or again.
+  bool MayComputePrompt();
+  // Whether a computed prompt may be gone before an endpoint can fetch it.
+  bool PromptMayLapse() const;
+  // Releases a computed prompt that no endpoint decodes. Returns false, and
+  // ends the relay, if the prompt may not be computed again.
+  bool DropPrompt();
+  // Hands the generation back, to wait for capacity.
+  void WaitForPlace();
   void AfterNotRun();
   // The attempt was sent and is over here, and may go on at its endpoint. Every
   // further run of the request begins by one of these, or by Migrate: the first
@@ -222,6 +232,7 @@
   std::uint32_t full_answers = 0;  // in this round
   Instant placed_at;
   Instant step_at;
+  Instant prompt_at;          // when the prompt was computed
   bool prefill_held = false;  // its load is in the load table
   bool decode_held = false;
   EventSplitter splitter;
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -25,9 +25,8 @@
 }  // namespace
 
 void StreamRelay::StartDecode(WorkStep step) {
-  if (this->EndIfQuarantined() ||
-      this->MoveIfResting(this->placement->decode) ||
-      this->EndIfUncovered(this->arrivals.UncoveredByRun())) {
+  if (!this->MaySend(this->placement->decode,
+                     this->arrivals.UncoveredByRun())) {
     return;
   }
   ++this->outcome.sends;
--- a/src/gateway/types/relay_outcome.h
+++ b/src/gateway/types/relay_outcome.h
@@ -41,6 +41,7 @@
   Duration longest_pause{};  // between two events of a stream
   std::uint32_t sends = 0;   // to endpoints, without prefills
   std::uint32_t prefills = 0;
+  std::uint32_t unused_prompts = 0;  // computed, and decoded by no endpoint
   std::uint32_t events = 0;
   std::uint32_t losses = 0;  // endpoints lost during its run
   // Arrivals at endpoints beyond the first, and those that the repeat budget
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -496,6 +496,7 @@
         .Add();
     this->registry.Get(kGatewaySendsTotal, {"work"}).Add(outcome.sends);
     this->registry.Get(kGatewaySendsTotal, {"prefill"}).Add(outcome.prefills);
+    this->registry.Get(kGatewayUnusedPromptsTotal).Add(outcome.unused_prompts);
     this->registry.Get(kGatewayLossesTotal, {kind}).Add(outcome.losses);
     this->registry.Get(kGatewayRepeatsTotal, {kind, "covered"})
         .Add(outcome.repeats - outcome.uncovered_repeats);
