--- a/src/gateway/internal/call_relay.cc
+++ b/src/gateway/internal/call_relay.cc
@@ -60,7 +60,10 @@
            [self](int answered, const http::Headers& head) {
              self->OnHead(answered, head);
            },
-       .on_unframed = [self] { self->NoteUnframed(); },
+       .on_unframed =
+           [self] {
+             self->NoteUnframed(self->endpoint, self->nature, self->sent_at);
+           },
        .on_data = [self](std::string_view data) { self->OnBodyData(data); },
        .on_end = [self](const std::string&) { self->OnBodyComplete(); },
        .on_error = [self](const Error& error,
@@ -68,10 +71,14 @@
   this->StartResponseTimer();
 }
 
+Duration CallRelay::ResponseTimeout() const {
+  return FromSeconds(kResponseTimeoutObjectives *
+                     Seconds(this->work.route->objective));
+}
+
 void CallRelay::StartResponseTimer() {
   if (this->MayRunAgain()) {
-    this->SetPhaseTimer(FromSeconds(kResponseTimeoutObjectives *
-                                    Seconds(this->work.route->objective)),
+    this->SetPhaseTimer(this->ResponseTimeout(),
                         [this] { this->OnResponseTimeout(); });
   }
 }
@@ -103,16 +110,19 @@
   this->ForgetExchange();
   const EndpointId& id = this->endpoint.id;
   switch (this->nature) {
-    case AnswerNature::kSuccess:
-      this->context.health.NoteSuccess(id, this->Now());
-      this->context.quarantine.NoteBegun(this->work.subjects,
-                                         this->work.service);
-      if (!this->context.timers.StalledBetween(this->sent_at, this->Now())) {
-        this->work.state->forecast.NoteCall(this->Now() - this->sent_at);
+    case AnswerNature::kSuccess: {
+      const Duration took = this->Now() - this->sent_at;
+      if (!this->unframed) {
+        this->EndWhole(took);
+        return;
       }
-      this->ForwardAnswer(RelayEnd::kServed, this->status, this->headers,
-                          std::move(this->body));
+      this->CancelPhaseTimer();
+      this->ConfirmEnd(this->ResponseTimeout(),
+                       [this, took](const EndConfirmation::Outcome& confirmed) {
+                         this->OnEndConfirmed(confirmed, took);
+                       });
       return;
+    }
     case AnswerNature::kNotRun:
       this->context.health.NoteFull(id, this->Now());
       this->AfterNotRun(ResultCode::kOverloaded);
@@ -141,6 +151,33 @@
   }
 }
 
+void CallRelay::OnEndConfirmed(const EndConfirmation::Outcome& confirmed,
+                               Duration took) {
+  this->Log(log::Level::kInfo, "answer_ended_unframed", this->endpoint.id,
+            {{"endpoint_state", NameOf(kRunStateNames, confirmed.answer.state)},
+             {"same_process", confirmed.same_process},
+             {"born_unix_ms", confirmed.answer.started_at_ms},
+             {"bytes", this->body.size()},
+             {"after_ms", this->Now() - this->sent_at}});
+  if (confirmed.whole) {
+    this->EndWhole(took);
+  } else {
+    this->OnLost(Error(ResultCode::kConnectionLost,
+                       "the endpoint ended with the answer"),
+                 true);
+  }
+}
+
+void CallRelay::EndWhole(Duration took) {
+  this->context.health.NoteSuccess(this->endpoint.id, this->Now());
+  this->context.quarantine.NoteBegun(this->work.subjects, this->work.service);
+  if (!this->context.timers.StalledBetween(this->sent_at, this->Now())) {
+    this->work.state->forecast.NoteCall(took);
+  }
+  this->ForwardAnswer(RelayEnd::kServed, this->status, this->headers,
+                      std::move(this->body));
+}
+
 void CallRelay::OnLost(const Error& error, bool sent) {
   this->ForgetExchange();
   this->NoteLost(this->endpoint, error, sent, this->nature);
@@ -209,6 +246,7 @@
 
 void CallRelay::EndAttempt() {
   this->CancelPhaseTimer();
+  this->DropConfirmation();
   this->ReleaseLoad();
   this->tried.push_back(this->endpoint.id);
 }
--- a/src/gateway/internal/call_relay.h
+++ b/src/gateway/internal/call_relay.h
@@ -30,8 +30,13 @@
   void OnHead(int status, const http::Headers& headers);
   void OnBodyData(std::string_view data);
   void OnBodyComplete();
+  // `took`: from the sending to the end of the answer.
+  void OnEndConfirmed(const EndConfirmation::Outcome& confirmed, Duration took);
+  void EndWhole(Duration took);
   void DropBody();
   void OnLost(const Error& error, bool sent);
+  // Time after which the request goes to another endpoint if it may.
+  Duration ResponseTimeout() const;
   void StartResponseTimer();
   void OnResponseTimeout();
   // The attempt ended and did not run.
--- a/src/gateway/internal/relay.cc
+++ b/src/gateway/internal/relay.cc
@@ -124,6 +124,7 @@
                    const WorkOrder& order,
                    http::ExchangeHooks hooks) {
   this->unframed = false;
+  this->DropConfirmation();
   this->arrivals.NoteSent();
   const bool sent_before = std::find(this->sent_to.begin(), this->sent_to.end(),
                                      endpoint.address) != this->sent_to.end();
@@ -261,9 +262,36 @@
                answer.status);
 }
 
-void Relay::NoteUnframed() {
+void Relay::NoteUnframed(const EndpointRecord& endpoint,
+                         AnswerNature nature,
+                         Instant sent_at) {
   this->unframed = true;
   ++this->outcome.unframed_answers;
+  if (nature == AnswerNature::kSuccess) {
+    this->confirmation = std::make_shared<EndConfirmation>(
+        this->context,
+        EndConfirmation::Options{.endpoint = endpoint,
+                                 .request = this->work.request.id,
+                                 .sent_at = sent_at});
+    this->confirmation->Begin();
+  }
+}
+
+void Relay::ConfirmEnd(Duration patience, EndConfirmation::Done on_done) {
+  // A weak pointer: this relay owns the confirmation.
+  this->confirmation->Confirm(
+      patience, [weak = this->weak_from_this(), done = std::move(on_done)](
+                    const EndConfirmation::Outcome& confirmed) {
+        if (const auto self = weak.lock()) {
+          done(confirmed);
+        }
+      });
+}
+
+void Relay::DropConfirmation() {
+  if (const auto dropped = std::exchange(this->confirmation, nullptr)) {
+    dropped->Cancel();
+  }
 }
 
 void Relay::ForwardAnswer(RelayEnd end,
@@ -311,6 +339,7 @@
   }
   this->is_finished = true;
   this->StopExchange();
+  this->DropConfirmation();
   this->context.answer_memory.End(this->held_answer);
   this->CancelPhaseTimer();
   this->context.timers.Cancel(this->deadline_timer);
--- a/src/gateway/internal/relay.h
+++ b/src/gateway/internal/relay.h
@@ -10,6 +10,7 @@
 
 #include "framework/global/types/enum_names.h"
 #include "gateway/arrival_count.h"
+#include "gateway/internal/end_confirmation.h"
 #include "gateway/internal/relay_context.h"
 
 namespace acacialug::gateway {
@@ -163,8 +164,16 @@
   void CancelPhaseTimer();
 
   void Finish(RelayEnd end, ResultCode code, int status);
-  // The head of an answer without length or chunks arrived.
-  void NoteUnframed();
+  // The head of an answer without length or chunks arrived, to a request that
+  // was sent to the endpoint at `sent_at`.
+  void NoteUnframed(const EndpointRecord& endpoint,
+                    AnswerNature nature,
+                    Instant sent_at);
+  // Finds out whether such an answer, a success whose connection has ended in
+  // order, is whole. `on_done` does not run once the relay sends again, ends,
+  // or drops the question.
+  void ConfirmEnd(Duration patience, EndConfirmation::Done on_done);
+  void DropConfirmation();
   // Forwards an endpoint's whole answer, and ends the relay.
   void ForwardAnswer(RelayEnd end,
                      int status,
@@ -207,6 +216,7 @@
 
   std::function<void(Relay&)> finished_hook;
   http::Client::ExchangeId exchange = 0;
+  std::shared_ptr<EndConfirmation> confirmation;  // of the answer under way
   AnswerMemory::AnswerId held_answer = 0;
   TimerId deadline_timer = 0;
   TimerId phase_timer = 0;
--- a/src/gateway/internal/stream_relay.cc
+++ b/src/gateway/internal/stream_relay.cc
@@ -542,6 +542,7 @@
 
 void StreamRelay::EndAttempt() {
   this->CancelPhaseTimer();
+  this->DropConfirmation();
   this->EndMigration();
   this->DropIncomplete();
   this->decode_open = false;
@@ -653,7 +654,6 @@
 
 void StreamRelay::Release() {
   this->EndMigration();
-  this->CancelQuery(this->process_query);
   // An export that no decode endpoint was sent is released here; a decode
   // endpoint that was sent an export's name is responsible for that export.
   if (this->has_prompt()) {
--- a/src/gateway/internal/stream_relay.h
+++ b/src/gateway/internal/stream_relay.h
@@ -166,7 +166,6 @@
   // Asks the decode endpoint for the attempt. `on_done` runs only while this
   // relay exists; endpoint and request of `options` are set here.
   void QueryRun(RunQuery::Options options, RunQuery::Done on_done);
-  static void CancelQuery(std::shared_ptr<RunQuery>& query);
   // Leaves the stream's endpoint, to go on where memory was granted once the
   // endpoint has let go of the stream, says that it does not run there, or does
   // not answer. A stream that runs on stays.
@@ -177,15 +176,7 @@
   void OnLeftLost();
   void OnRunQueried(const RunAnswer& answer);
   void LogRunQueried(const RunAnswer& answer) const;
-  // The answer's end will be that of its connection.
-  void OnUnframed();
-  // Ends a stream whose end only its connection's end tells, when its endpoint
-  // has not ended with it.
-  void ConfirmEnd();
-  void OnEndConfirmed(const RunAnswer& answer);
-  // Whether the process that answers is the one whose answer has ended. The
-  // endpoint's record doesn't tell: it may be older than the process.
-  bool IsSameProcess(const RunAnswer& answer) const;
+  void OnEndConfirmed(const EndConfirmation::Outcome& confirmed);
   void EndWhole();
   // Forwards an answer that was collected.
   void ForwardCollected();
@@ -252,10 +243,6 @@
   };
   std::optional<Departure> departure;
   std::shared_ptr<RunQuery> run_query;  // the latest; may have ended
-  // Asks which process makes an unframed answer; may have ended.
-  std::shared_ptr<RunQuery> process_query;
-  // The process that is known to have made the unframed answer that has ended.
-  ProcessesSeen::Maker maker;
   // The attempt's endpoint was told that its caller leaves.
   bool left = false;
   bool begun = false;                       // the head was sent to the caller
--- a/src/gateway/internal/stream_relay_decode.cc
+++ b/src/gateway/internal/stream_relay_decode.cc
@@ -33,7 +33,6 @@
   ++this->runs;
   this->NoteOrigin(this->placement->decode);
   this->decode_open = true;
-  this->CancelQuery(this->process_query);
   this->nature = AnswerNature::kUnproven;
   this->DropIncomplete();
   this->step_at = this->Now();
@@ -60,7 +59,11 @@
                  self->work.request, step, answered, head);
              self->OnDecodeHead(answered, head);
            },
-       .on_unframed = [self] { self->OnUnframed(); },
+       .on_unframed =
+           [self] {
+             self->NoteUnframed(self->placement->decode, self->nature,
+                                self->step_at);
+           },
        .on_data = [self](std::string_view data) { self->OnDecodeData(data); },
        .on_end = [self](const std::string&) { self->OnDecodeEnd(); },
        .on_error = [self](const Error& error,
@@ -372,7 +375,10 @@
         return;
       }
       if (this->unframed) {
-        this->ConfirmEnd();
+        this->ConfirmEnd(this->EndPatience(),
+                         [this](const EndConfirmation::Outcome& confirmed) {
+                           this->OnEndConfirmed(confirmed);
+                         });
       } else {
         this->EndWhole();
       }
@@ -415,58 +421,22 @@
   }
 }
 
-// A process that is killed may be replaced under the same id before its
-// endpoint is asked at the answer's end.
-void StreamRelay::OnUnframed() {
-  this->NoteUnframed();
-  const EndpointRecord& decode = this->placement->decode;
-  if (this->nature != AnswerNature::kSuccess ||
-      !this->context.processes_seen.TellsStart(decode)) {
-    return;
-  }
-  this->process_query = std::make_shared<RunQuery>(
-      this->context,
-      RunQuery::Options{.endpoint = decode, .request = this->work.request.id});
-  this->process_query->Begin([](const RunAnswer&) {});
-}
-
-// All connections of a process that is killed end in order, wherever its
-// streams stand. Only a report of its endpoint shows that the stream is whole:
-// what listens at the address of one that has ended may take connections, and
-// answer.
-void StreamRelay::ConfirmEnd() {
-  this->CancelQuery(this->process_query);
-  this->maker = this->context.processes_seen.MakerOf(this->placement->decode,
-                                                     this->step_at, this->Now(),
-                                                     this->context.timers);
-  this->QueryRun(
-      {.fresh_connection = true, .patience = this->EndPatience()},
-      [this](const RunAnswer& answer) { this->OnEndConfirmed(answer); });
-}
-
-bool StreamRelay::IsSameProcess(const RunAnswer& answer) const {
-  return answer.started_at_ms == 0 || answer.state == RunState::kRuns ||
-         this->maker.MayBe(answer.started_at_ms);
-}
-
-void StreamRelay::OnEndConfirmed(const RunAnswer& answer) {
-  const bool same_process = this->IsSameProcess(answer);
+void StreamRelay::OnEndConfirmed(const EndConfirmation::Outcome& confirmed) {
   this->Log(log::Level::kInfo, "stream_ended_unframed",
             this->placement->decode.id,
-            {{"endpoint_state", NameOf(kRunStateNames, answer.state)},
-             {"same_process", same_process},
-             {"born_unix_ms", answer.started_at_ms},
+            {{"endpoint_state", NameOf(kRunStateNames, confirmed.answer.state)},
+             {"same_process", confirmed.same_process},
+             {"born_unix_ms", confirmed.answer.started_at_ms},
              {"events", this->outcome.events},
              {"after_ms", this->Now() - this->step_at}});
-  if (answer.state == RunState::kEnded || answer.state == RunState::kSilent ||
-      !same_process) {
-    this->NoteAttemptLost(Error(ResultCode::kConnectionLost,
-                                "the endpoint ended with the stream"),
-                          true);
-    this->AfterRunEnded(ResultCode::kEndpointLost);
-  } else {
+  if (confirmed.whole) {
     this->EndWhole();
+    return;
   }
+  this->NoteAttemptLost(
+      Error(ResultCode::kConnectionLost, "the endpoint ended with the stream"),
+      true);
+  this->AfterRunEnded(ResultCode::kEndpointLost);
 }
 
 void StreamRelay::EndWhole() {
@@ -593,7 +563,9 @@
 void StreamRelay::EndMigration() {
   this->CancelReservationRequest();
   this->EndRound();
-  this->CancelQuery(this->run_query);
+  if (const auto ended = std::exchange(this->run_query, nullptr)) {
+    ended->Cancel();
+  }
   if (const auto given_up = std::exchange(this->departure, std::nullopt)) {
     this->ReleaseReservationAt(given_up->to.decode, given_up->reservation);
   }
@@ -614,12 +586,6 @@
   });
 }
 
-void StreamRelay::CancelQuery(std::shared_ptr<RunQuery>& query) {
-  if (const auto ended = std::exchange(query, nullptr)) {
-    ended->Cancel();
-  }
-}
-
 void StreamRelay::LeaveFor(const StreamPlacement::Placement& granted,
                            const std::string& name) {
   if (!this->TakeRepeat()) {
