Shorten four comments

Change: comments only, in peer_link.cc and three tests.

Conclusion: no behaviour and no assertion changed.

--- a/src/gateway/tests/plain_end_test.cc
+++ b/src/gateway/tests/plain_end_test.cc
@@ -21,9 +21,8 @@
 
 constexpr std::string_view kPart = "the first part, ";
 
-// A plain request at a service without an engine, and the first part of an
-// answer without length or chunks. `started_at`: what the records of its
-// endpoints state; 0: nothing.
+// A plain request that has received the first part of an unframed answer.
+// `started_at`: of its endpoints, by their records; 0: not stated.
 struct PlainAnswer : GatewaySimulation {
   explicit PlainAnswer(const std::string& path, std::int64_t started_at = 50) {
     this->Configure();
--- a/src/gateway/tests/prompt_move_test.cc
+++ b/src/gateway/tests/prompt_move_test.cc
@@ -127,7 +127,7 @@
      It("waits without it if no other endpoint has room, and releases it at "
         "once",
         [] {
-          // Guards against computed prompts that hold memory for nobody.
+          // Guards against prefill memory held for prompts that nobody decodes.
           PromptSimulation simulation;
           simulation.RemoveEndpoint("d2");
           simulation.Retire("d1");
--- a/src/gateway/tests/stream_end_test.cc
+++ b/src/gateway/tests/stream_end_test.cc
@@ -40,8 +40,8 @@
     {"inside the empty line of an event with CRLF", "id: 1\r\ndata: x\r\n\r"},
     {"after a comment", ": alive\n"}};
 
-// A stream whose endpoint has sent one event. `started_at`: what the records of
-// its endpoints state; 0: nothing.
+// A stream whose endpoint has sent one event. `started_at`: of its endpoints,
+// by their records; 0: not stated.
 struct Stream : GatewaySimulation {
   explicit Stream(const std::string& path, std::int64_t started_at = 0) {
     this->Configure();
--- a/src/gateway_process/internal/peer_link.cc
+++ b/src/gateway_process/internal/peer_link.cc
@@ -242,8 +242,8 @@
     return gateway::RoundInterval(all, near ? neighbours : all - neighbours);
   }
 
-  // Endpoints renew their records all the time, which advances `complete_to`
-  // and is no news.
+  // Bounded by the last change: renewed records advance `complete_to` too, and
+  // need no heartbeat of their own.
   static LogOffset InEffect(const Positions& positions) {
     return std::min(positions.complete_to, positions.changed_to);
   }
